Add design, build, id types and the interfaces of the edges

Cause: the parts are built in parallel and need one design and one set of shared types. Change: design page, glossary, Maven build with formatter and linter, id types, decision base types, configuration records, edge interfaces, error codes, and an ArchUnit check that decisions stay pure. Measured: mvn -B verify passes with 2 tests. Conclusion: the interfaces compile; behaviour follows part by part.

--- /dev/null
+++ b/build/stub.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec java $TARRAGONLUG_JAVA_OPTIONS -jar "$0" "$@"
--- /dev/null
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -0,0 +1,27 @@
+package org.tarragonlug;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The single entry of the program: parses the command line and runs the chosen command. */
+@Command(
+        name = "tarragonlug",
+        mixinStandardHelpOptions = true,
+        version = "tarragonlug 0.1.0",
+        description =
+                "Serves many rarely used models; driven by a table of routes and one of pools.")
+public final class Tool implements Runnable {
+    @Override
+    public void run() {
+        CommandLine.usage(this, System.out);
+    }
+
+    /**
+     * Runs the program.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new Tool()).execute(arguments));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The edge to callers. */
+package org.tarragonlug.caller;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/request/package-info.java
@@ -0,0 +1,2 @@
+/** Routing, admission, waiting, attempts, retries, claims and quarantine. Pure. */
+package org.tarragonlug.decision.request;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/engine/EngineClient.java
@@ -0,0 +1,25 @@
+package org.tarragonlug.engine;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import org.tarragonlug.decision.capacity.Order;
+import org.tarragonlug.decision.capacity.OrderOutcome;
+import org.tarragonlug.decision.capacity.ServerReport;
+import org.tarragonlug.id.ServerId;
+
+/** Talks to model engines. */
+public interface EngineClient {
+    /**
+     * Sends an order and waits for its end.
+     *
+     * @return how it ended; the stage does not fail
+     */
+    CompletionStage<OrderOutcome> order(InetSocketAddress address, Order order);
+
+    /** Fetches the engine's report over a new connection; fails with BACKEND_UNREACHABLE. */
+    CompletionStage<ServerReport> report(ServerId server, InetSocketAddress address);
+
+    /** Starts a generation. */
+    Generation generate(
+            InetSocketAddress address, GenerationRequest request, GenerationListener listener);
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The edge to model engines. */
+package org.tarragonlug.engine;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/error/package-info.java
@@ -0,0 +1,2 @@
+/** The typed errors of the system. */
+package org.tarragonlug.error;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/id/ConfigurationVersion.java
@@ -0,0 +1,33 @@
+package org.tarragonlug.id;
+
+/**
+ * Version of the accepted configuration; grows by one with each accepted change.
+ *
+ * @param value zero or more
+ */
+public record ConfigurationVersion(long value) implements Comparable<ConfigurationVersion> {
+    /** The lowest value, used before anything was decided. */
+    public static final ConfigurationVersion NONE = new ConfigurationVersion(0);
+
+    public ConfigurationVersion {
+        if (value < 0) {
+            throw new IllegalArgumentException(
+                    "ConfigurationVersion must not be negative: " + value);
+        }
+    }
+
+    /** Returns the next higher value. */
+    public ConfigurationVersion next() {
+        return new ConfigurationVersion(value + 1);
+    }
+
+    @Override
+    public int compareTo(ConfigurationVersion other) {
+        return Long.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(value);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/id/FailureDomain.java
@@ -0,0 +1,22 @@
+package org.tarragonlug.id;
+
+/**
+ * Names a failure domain: a part of a region that can fail as a whole.
+ *
+ * @param value the non-empty text form
+ */
+public record FailureDomain(String value) implements Comparable<FailureDomain> {
+    public FailureDomain {
+        Identifiers.requireNonEmpty(value, "FailureDomain");
+    }
+
+    @Override
+    public int compareTo(FailureDomain other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/id/Identifiers.java
@@ -0,0 +1,12 @@
+package org.tarragonlug.id;
+
+/** Checks shared by the id types. */
+final class Identifiers {
+    private Identifiers() {}
+
+    static void requireNonEmpty(String value, String type) {
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException(type + " must not be empty");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/id/OperationId.java
@@ -0,0 +1,22 @@
+package org.tarragonlug.id;
+
+/**
+ * Identifies one write or order so that its effect can be recognised after a lost answer.
+ *
+ * @param value the non-empty text form
+ */
+public record OperationId(String value) implements Comparable<OperationId> {
+    public OperationId {
+        Identifiers.requireNonEmpty(value, "OperationId");
+    }
+
+    @Override
+    public int compareTo(OperationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for ids and versions. */
+package org.tarragonlug.id;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/misc/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers. */
+package org.tarragonlug.misc;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The edge to the other processes of this system. */
+package org.tarragonlug.peer;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/plainservice/ServiceCall.java
@@ -0,0 +1,23 @@
+package org.tarragonlug.plainservice;
+
+import java.time.Duration;
+import java.util.Map;
+import org.tarragonlug.id.AttemptId;
+
+/**
+ * A call of a plain service.
+ *
+ * @param attempt names the attempt
+ * @param method HTTP method
+ * @param path path with query
+ * @param headers headers to pass on
+ * @param body the body; not copied
+ * @param remaining time left until the caller's deadline
+ */
+public record ServiceCall(
+        AttemptId attempt,
+        String method,
+        String path,
+        Map<String, String> headers,
+        byte[] body,
+        Duration remaining) {}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/plainservice/package-info.java
@@ -0,0 +1,2 @@
+/** The edge to plain services. */
+package org.tarragonlug.plainservice;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/weightstore/package-info.java
@@ -0,0 +1,2 @@
+/** The edge to the weight store. */
+package org.tarragonlug.weightstore;
