--- /dev/null
+++ b/src/main/java/org/tarragonlug/runtime/EventLog.java
@@ -0,0 +1,105 @@
+package org.tarragonlug.runtime;
+
+import org.jboss.logging.Logger;
+
+/**
+ * Writes one line of {@code key=value} pairs for each event.
+ *
+ * <p>Values with spaces, quotes, equals signs or control characters are quoted and escaped, so that
+ * a value can neither forge a pair nor a line. Request bodies, keys and secrets are never logged.
+ */
+public final class EventLog {
+    private static final int LONGEST_VALUE = 500;
+
+    private final Logger logger;
+    private final String instance;
+
+    /**
+     * Creates the log of an instance.
+     *
+     * @param instance named in each line
+     */
+    public EventLog(String instance) {
+        this.logger = Logger.getLogger("tarragonlug");
+        this.instance = instance;
+    }
+
+    /** Begins the line of an event. */
+    public Line event(LogEvent event) {
+        return new Line(event);
+    }
+
+    private static void appendValue(StringBuilder line, String value) {
+        String shortened =
+                value.length() > LONGEST_VALUE ? value.substring(0, LONGEST_VALUE) : value;
+        if (isPlain(shortened)) {
+            line.append(shortened);
+            return;
+        }
+        line.append('"');
+        for (int index = 0; index < shortened.length(); index++) {
+            appendEscaped(line, shortened.charAt(index));
+        }
+        line.append('"');
+    }
+
+    private static void appendEscaped(StringBuilder line, char character) {
+        if (character == '"' || character == '\\') {
+            line.append('\\').append(character);
+        } else if (character == '\n') {
+            line.append("\\n");
+        } else if (character < ' ') {
+            line.append(String.format("\\u%04x", (int) character));
+        } else {
+            line.append(character);
+        }
+    }
+
+    private static boolean isPlain(String value) {
+        if (value.isEmpty()) {
+            return false;
+        }
+        for (int index = 0; index < value.length(); index++) {
+            char character = value.charAt(index);
+            if (character <= ' ' || character == '"' || character == '=' || character == '\\') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** One line being put together. */
+    public final class Line {
+        private final LogEvent event;
+        private final StringBuilder text = new StringBuilder(128);
+
+        private Line(LogEvent event) {
+            this.event = event;
+            text.append("event=").append(event.text());
+            with("instance", instance);
+        }
+
+        /**
+         * Adds a pair.
+         *
+         * @param key lower case with underscores
+         * @param value any value; its text form is used
+         * @return this
+         */
+        public Line with(String key, Object value) {
+            text.append(' ').append(key).append('=');
+            appendValue(text, String.valueOf(value));
+            return this;
+        }
+
+        /** Writes the line. */
+        public void write() {
+            logger.log(event.level(), text);
+        }
+
+        @Override
+        public String toString() {
+            return text.toString();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/runtime/FailureListener.java
@@ -0,0 +1,13 @@
+package org.tarragonlug.runtime;
+
+/** Observer of unexpected failures in a part of the process. */
+@FunctionalInterface
+public interface FailureListener {
+    /**
+     * Called when a part failed unexpectedly.
+     *
+     * @param part name of the part
+     * @param failure what it threw
+     */
+    void failed(String part, Throwable failure);
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -0,0 +1,72 @@
+package org.tarragonlug.runtime;
+
+import java.util.Locale;
+import org.jboss.logging.Logger.Level;
+
+/** All log events with their levels; docs/operations.md explains each. */
+public enum LogEvent {
+    /** The process listens. */
+    INSTANCE_STARTED(Level.INFO),
+    /** The process stops accepting and finishes what is in progress. */
+    DRAIN_STARTED(Level.INFO),
+    /** Nothing is in progress any more, or the drain time is over. */
+    DRAIN_ENDED(Level.INFO),
+    /** The process ends. */
+    INSTANCE_STOPPED(Level.INFO),
+    /** A part of the process threw. */
+    PART_FAILED(Level.ERROR),
+    /** A failed part runs again. */
+    PART_RESTARTED(Level.WARN),
+    /** An invariant does not hold; this is a defect. */
+    INVARIANT_VIOLATED(Level.ERROR),
+    /** A greater configuration version is in force here. */
+    CONFIGURATION_INSTALLED(Level.INFO),
+    /** Edited tables were refused; the accepted ones stay. */
+    CONFIGURATION_REFUSED(Level.WARN),
+    /** Calls of the object API fail. */
+    OBJECT_API_DOWN(Level.WARN),
+    /** Calls of the object API work again. */
+    OBJECT_API_UP(Level.INFO),
+    /** Calls of the instance list fail. */
+    INSTANCE_LIST_DOWN(Level.WARN),
+    /** Calls of the instance list work again. */
+    INSTANCE_LIST_UP(Level.INFO),
+    /** This instance decides for a server group now. */
+    BECAME_DECIDER(Level.INFO),
+    /** Another instance decides for a server group now. */
+    STOPPED_BEING_DECIDER(Level.INFO),
+    /** An order leaves for an engine. */
+    ORDER_SENT(Level.INFO),
+    /** An order ended. */
+    ORDER_ENDED(Level.INFO),
+    /** A peer is alive. */
+    MEMBER_ALIVE(Level.INFO),
+    /** A peer does not answer. */
+    MEMBER_FAILED(Level.WARN),
+    /** A frame of a peer was invalid and its connection closed. */
+    PEER_FRAME_INVALID(Level.WARN),
+    /** The process behind a backend server's address was lost. */
+    SERVER_LOST(Level.WARN),
+    /** A backend server takes no new work. */
+    SERVER_LEAVING(Level.INFO),
+    /** A request crashed backend servers and is refused from now on. */
+    REQUEST_QUARANTINED(Level.WARN),
+    /** A request was refused; at debug level, since overload makes many. */
+    REQUEST_REFUSED(Level.DEBUG);
+
+    private final Level level;
+
+    LogEvent(Level level) {
+        this.level = level;
+    }
+
+    /** Returns the level it is logged at. */
+    public Level level() {
+        return level;
+    }
+
+    /** Returns the name used in the log line, lower case with underscores. */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/runtime/SettingsLoader.java
@@ -0,0 +1,205 @@
+package org.tarragonlug.runtime;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.misc.Durations;
+
+/**
+ * Reads settings and reports every fault at once, each with path, finding and remedy.
+ *
+ * <p>Addresses are IP numbers, so that starting needs no name service.
+ */
+public final class SettingsLoader {
+    private static final int HIGHEST_PORT = 65535;
+
+    private final JsonSchema schema;
+
+    /** Loads the schema. */
+    public SettingsLoader() {
+        JsonSchemaFactory factory = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012);
+        try (InputStream input =
+                SettingsLoader.class.getResourceAsStream("/schema/settings.json")) {
+            schema = factory.getSchema(input);
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+    }
+
+    /**
+     * Reads a file of settings.
+     *
+     * @param file a JSON file
+     * @return the settings
+     * @throws TarragonlugException {@code SETTINGS_INVALID}, naming every fault
+     */
+    public Settings load(Path file) throws TarragonlugException {
+        JsonNode root = read(file);
+        List<Fault> faults = check(root);
+        if (!faults.isEmpty()) {
+            throw invalid(file, faults);
+        }
+        return settings(root);
+    }
+
+    private static JsonNode read(Path file) throws TarragonlugException {
+        try {
+            return Json.MAPPER.readTree(Files.readAllBytes(file));
+        } catch (JsonProcessingException malformed) {
+            Fault fault = new Fault("$", malformed.getOriginalMessage(), "write valid JSON");
+            throw invalid(file, List.of(fault));
+        } catch (IOException unreadable) {
+            Fault fault = new Fault("$", "cannot be read: " + unreadable, "name a readable file");
+            throw invalid(file, List.of(fault));
+        }
+    }
+
+    private static TarragonlugException invalid(Path file, List<Fault> faults) {
+        StringBuilder text = new StringBuilder(file.toString());
+        for (Fault fault : faults) {
+            text.append("\n  ").append(fault);
+        }
+        return new TarragonlugException(ErrorCode.SETTINGS_INVALID, text.toString());
+    }
+
+    /**
+     * Checks settings.
+     *
+     * @param root the parsed file
+     * @return all faults; empty if there are none
+     */
+    public List<Fault> check(JsonNode root) {
+        List<Fault> faults = new ArrayList<>();
+        for (ValidationMessage message : schema.validate(root)) {
+            faults.add(fault(message));
+        }
+        if (faults.isEmpty()) {
+            checkPorts("$", root, faults);
+            checkDistinctAddresses(root, faults);
+        }
+        return faults;
+    }
+
+    private static Fault fault(ValidationMessage message) {
+        String path = message.getInstanceLocation().toString();
+        String found = message.getMessage().replaceFirst("^[^:]*: ", "");
+        String remedy =
+                switch (message.getType()) {
+                    case "required" -> "add the field " + message.getProperty();
+                    case "additionalProperties" -> "remove the field " + message.getProperty();
+                    case "pattern" -> "use IP:port for addresses, 500ms, 30s or 5m for durations";
+                    case "enum" -> "use one of the listed values";
+                    case "type" -> "use the stated type";
+                    default -> "use a value within the stated bounds";
+                };
+        return new Fault(path, found, remedy);
+    }
+
+    private static void checkPorts(String path, JsonNode node, List<Fault> faults) {
+        if (node.isTextual()
+                && (path.endsWith("Address") || path.matches(".*(platform|peers).*"))) {
+            String text = node.asText();
+            int port = Integer.parseInt(text.substring(text.lastIndexOf(':') + 1));
+            if (port > HIGHEST_PORT) {
+                faults.add(new Fault(path, "port " + port, "use a port up to " + HIGHEST_PORT));
+            }
+        }
+        node.fields()
+                .forEachRemaining(
+                        field -> checkPorts(path + "." + field.getKey(), field.getValue(), faults));
+        for (int index = 0; node.isArray() && index < node.size(); index++) {
+            checkPorts(path + "[" + index + "]", node.get(index), faults);
+        }
+    }
+
+    private static void checkDistinctAddresses(JsonNode root, List<Fault> faults) {
+        Map<String, String> used = new HashMap<>();
+        for (String field : List.of("callerAddress", "adminAddress", "peerAddress")) {
+            String address = root.get(field).asText();
+            String other = used.put(address, field);
+            if (other != null && !address.endsWith(":0")) {
+                faults.add(
+                        new Fault(
+                                "$." + field,
+                                "the same address as " + other,
+                                "give each its own port"));
+            }
+        }
+    }
+
+    private static Settings settings(JsonNode root) {
+        JsonNode platform = root.get("platform");
+        List<InetSocketAddress> peers = new ArrayList<>();
+        root.path("peers").forEach(peer -> peers.add(address(peer)));
+        Map<ServerGroup, FencingKind> fencing = new HashMap<>();
+        root.path("fencing")
+                .fields()
+                .forEachRemaining(
+                        field ->
+                                fencing.put(
+                                        new ServerGroup(field.getKey()),
+                                        FencingKind.valueOf(field.getValue().asText())));
+        return new Settings(
+                root.get("deployment").asText(),
+                new InstanceId(root.get("instance").asText()),
+                new FailureDomain(root.get("failureDomain").asText()),
+                address(root.get("callerAddress")),
+                address(root.get("adminAddress")),
+                address(root.get("peerAddress")),
+                address(platform.get("objectApi")),
+                address(platform.get("instanceList")),
+                address(platform.get("weightStore")),
+                peers,
+                fencing,
+                limits(root.path("limits")));
+    }
+
+    private static Settings.Limits limits(JsonNode node) {
+        Settings.Limits standard = Settings.Limits.DEFAULT;
+        return new Settings.Limits(
+                node.path("bodyBytes").asLong(standard.bodyBytes()),
+                node.path("headerBytes").asInt(standard.headerBytes()),
+                duration(node.path("requestTime"), standard.requestTime()),
+                node.path("connections").asInt(standard.connections()),
+                duration(node.path("drainTime"), standard.drainTime()));
+    }
+
+    private static Duration duration(JsonNode node, Duration standard) {
+        return node.isTextual() ? Durations.parse(node.asText()).orElse(standard) : standard;
+    }
+
+    private static InetSocketAddress address(JsonNode node) {
+        return parseAddress(node.asText());
+    }
+
+    /**
+     * Parses an address.
+     *
+     * @param text an IP number and a port, such as {@code 10.0.0.1:8080}
+     * @return the address
+     */
+    public static InetSocketAddress parseAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = text.substring(0, colon).replace("[", "").replace("]", "");
+        return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/runtime/TimerSubscription.java
@@ -0,0 +1,8 @@
+package org.tarragonlug.runtime;
+
+/** A subscription to the timer service. */
+@FunctionalInterface
+public interface TimerSubscription {
+    /** Ends the subscription; a call that is already running is not interrupted. */
+    void cancel();
+}
