Add the edge to callers and the admin server

Cause: callers need typed errors for every bad input, and ServiceTalk resets connections whose bytes it cannot decode, does not report callers that close while their request waits, and cancels the connection when a request body is abandoned. Change: caller server with limits on body, headers, time and connections; a guard on each connection that answers undecodable bytes and reports closed callers; admin server on threads of its own. Conclusion: bad input ends in a 4xx and no connection outlives its caller.

--- /dev/null
+++ b/src/main/java/org/tarragonlug/admin/AdminServer.java
@@ -0,0 +1,117 @@
+package org.tarragonlug.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.api.HttpResponseFactory;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.SupervisedPart;
+
+/**
+ * Serves {@code /metrics}, {@code /live}, {@code /ready}, {@code /state} and {@code /status}.
+ *
+ * <p>It has an I/O executor of its own, so that it answers while callers overload the process.
+ */
+public final class AdminServer implements SupervisedPart {
+    private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
+    private static final String JSON = "application/json";
+
+    private final InetSocketAddress address;
+    private final IoExecutor ioExecutor;
+    private final AdminSource source;
+    private HttpServerContext context;
+
+    /**
+     * Creates the server without listening.
+     *
+     * @param address where to listen; port 0 chooses a free one
+     * @param ioExecutor runs its connections
+     * @param source what it shows
+     */
+    public AdminServer(InetSocketAddress address, IoExecutor ioExecutor, AdminSource source) {
+        this.address = address;
+        this.ioExecutor = ioExecutor;
+        this.source = source;
+    }
+
+    @Override
+    public String name() {
+        return "admin-server";
+    }
+
+    @Override
+    public void start() throws TarragonlugException {
+        try {
+            context =
+                    HttpServers.forAddress(address)
+                            .ioExecutor(ioExecutor)
+                            .executionStrategy(HttpExecutionStrategies.offloadNone())
+                            .listen(this::handle)
+                            .toFuture()
+                            .get();
+        } catch (ExecutionException failure) {
+            throw new TarragonlugException(
+                    ErrorCode.ADDRESS_IN_USE, address.toString(), failure.getCause());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new TarragonlugException(ErrorCode.INTERNAL, "interrupted while starting");
+        }
+    }
+
+    /** Returns the address it listens on. */
+    public InetSocketAddress listenAddress() {
+        return (InetSocketAddress) context.listenAddress();
+    }
+
+    @Override
+    public void stop() {
+        if (context != null) {
+            context.closeAsync().subscribe();
+        }
+    }
+
+    private Single<HttpResponse> handle(
+            HttpServiceContext connection, HttpRequest request, HttpResponseFactory factory) {
+        BufferAllocator allocator = connection.executionContext().bufferAllocator();
+        return switch (request.path()) {
+            case "/metrics" ->
+                    Single.succeeded(
+                            factory.ok()
+                                    .setHeader("content-type", TEXT)
+                                    .payloadBody(allocator.wrap(source.metrics())));
+            case "/live" -> health(source.alive(), factory);
+            case "/ready" -> health(source.ready(), factory);
+            case "/state" -> json(source.state(), factory, allocator);
+            case "/status" -> json(source.status(), factory, allocator);
+            default -> Single.succeeded(factory.notFound());
+        };
+    }
+
+    private static Single<HttpResponse> health(boolean good, HttpResponseFactory factory) {
+        return Single.succeeded(good ? factory.ok() : factory.serviceUnavailable());
+    }
+
+    private static Single<HttpResponse> json(
+            CompletionStage<JsonNode> stage,
+            HttpResponseFactory factory,
+            BufferAllocator allocator) {
+        return Single.fromStage(stage)
+                .map(
+                        node ->
+                                factory.ok()
+                                        .setHeader("content-type", JSON)
+                                        .payloadBody(allocator.wrap(Json.bytes(node))));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/caller/CallerRequest.java
@@ -0,0 +1,43 @@
+package org.tarragonlug.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonlug.id.RequestId;
+
+/**
+ * A complete request of a caller.
+ *
+ * @param id given by this system, unique
+ * @param method HTTP method
+ * @param path path without query
+ * @param query query without question mark; empty if there is none
+ * @param headers headers with names in lower case; the last value of a repeated header
+ * @param body the body as received; not copied
+ * @param json the parsed body of a model request; empty for calls of plain services
+ */
+public record CallerRequest(
+        RequestId id,
+        String method,
+        String path,
+        String query,
+        Map<String, String> headers,
+        byte[] body,
+        Optional<JsonNode> json) {
+    /** Path prefix of requests to models; their bodies are JSON. */
+    public static final String MODEL_PATH_PREFIX = "/v1/";
+
+    public CallerRequest {
+        headers = Map.copyOf(headers);
+    }
+
+    /** Returns the model or adapter named in the body. */
+    public Optional<String> model() {
+        return json.map(body -> body.path("model").asText("")).filter(name -> !name.isEmpty());
+    }
+
+    /** Tells whether the caller wants server-sent events. */
+    public boolean streaming() {
+        return json.map(body -> body.path("stream").asBoolean(false)).orElse(false);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/caller/CallerServer.java
@@ -0,0 +1,288 @@
+package org.tarragonlug.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tarragonlug.decision.Execution;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.RequestId;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.Settings;
+import org.tarragonlug.runtime.SupervisedPart;
+
+/**
+ * Serves callers over HTTP.
+ *
+ * <p>Limits on headers, body, request time and connections are enforced here, before anything
+ * reaches the decisions; each ends in a typed error.
+ */
+public final class CallerServer implements SupervisedPart {
+    /** Longer than any deadline of a route, so that it closes only connections left open. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(30);
+
+    private final InetSocketAddress address;
+    private final Settings.Limits limits;
+    private final IoExecutor ioExecutor;
+    private final CallerListener listener;
+    private final String requestIdPrefix;
+    private final AtomicLong requestCount = new AtomicLong();
+    private final AtomicInteger inProgress = new AtomicInteger();
+    private HttpServerContext context;
+
+    /**
+     * Creates the server without listening.
+     *
+     * @param address where to listen; port 0 chooses a free one
+     * @param limits limits towards callers
+     * @param ioExecutor runs the connections
+     * @param listener receives the requests
+     * @param requestIdPrefix makes request ids unique among processes
+     */
+    public CallerServer(
+            InetSocketAddress address,
+            Settings.Limits limits,
+            IoExecutor ioExecutor,
+            CallerListener listener,
+            String requestIdPrefix) {
+        this.address = address;
+        this.limits = limits;
+        this.ioExecutor = ioExecutor;
+        this.listener = listener;
+        this.requestIdPrefix = requestIdPrefix;
+    }
+
+    @Override
+    public String name() {
+        return "caller-server";
+    }
+
+    @Override
+    public void start() throws TarragonlugException {
+        ConnectionLimit connectionLimit = new ConnectionLimit(limits.connections());
+        try {
+            context =
+                    HttpServers.forAddress(address)
+                            .ioExecutor(ioExecutor)
+                            .drainRequestPayloadBody(false)
+                            .executionStrategy(HttpExecutionStrategies.offloadNone())
+                            .protocols(
+                                    HttpProtocolConfigs.h1()
+                                            .maxHeaderFieldLength(limits.headerBytes())
+                                            .maxStartLineLength(limits.headerBytes())
+                                            .build())
+                            .socketOption(
+                                    ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_TIMEOUT.toMillis())
+                            .appendLateConnectionAcceptor(connectionLimit)
+                            .listenStreaming(this::handle)
+                            .toFuture()
+                            .get();
+        } catch (ExecutionException failure) {
+            throw new TarragonlugException(
+                    ErrorCode.ADDRESS_IN_USE, address.toString(), failure.getCause());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new TarragonlugException(ErrorCode.INTERNAL, "interrupted while starting");
+        }
+    }
+
+    /** Returns the address it listens on. */
+    public InetSocketAddress listenAddress() {
+        return (InetSocketAddress) context.listenAddress();
+    }
+
+    /** Returns the number of requests being received, waiting or answered. */
+    public int inProgress() {
+        return inProgress.get();
+    }
+
+    @Override
+    public void stop() {
+        if (context != null) {
+            context.closeAsync().subscribe();
+        }
+    }
+
+    /** Stops listening, closes idle connections and lets the others finish their answers. */
+    public void stopGracefully() {
+        if (context != null) {
+            context.closeAsyncGracefully().subscribe();
+        }
+    }
+
+    private Single<StreamingHttpResponse> handle(
+            HttpServiceContext connection,
+            StreamingHttpRequest request,
+            StreamingHttpResponseFactory factory) {
+        RequestId id = new RequestId(requestIdPrefix + "-" + requestCount.incrementAndGet());
+        Exchange exchange = new Exchange(connection, request, factory, id);
+        inProgress.incrementAndGet();
+        return exchange.response();
+    }
+
+    /** One request being received and answered. */
+    private final class Exchange {
+        private final HttpServiceContext connection;
+        private final StreamingHttpRequest request;
+        private final StreamingHttpResponseFactory factory;
+        private final RequestId id;
+        private final Optional<ConnectionGuard> guard;
+        private final AtomicBoolean decided = new AtomicBoolean();
+        private final AtomicBoolean counted = new AtomicBoolean(true);
+        private final CompletableFuture<DefaultCallerAnswer> answer = new CompletableFuture<>();
+        private final Runnable callerClosed = this::callerClosed;
+
+        Exchange(
+                HttpServiceContext connection,
+                StreamingHttpRequest request,
+                StreamingHttpResponseFactory factory,
+                RequestId id) {
+            this.connection = connection;
+            this.request = request;
+            this.factory = factory;
+            this.id = id;
+            this.guard = ConnectionGuard.of(connection);
+        }
+
+        Single<StreamingHttpResponse> response() {
+            guard.ifPresent(present -> present.add(callerClosed));
+            Cancellable deadline =
+                    ioExecutor.schedule(
+                            () -> refuse(ErrorCode.REQUEST_TIMEOUT, "not received in time"),
+                            limits.requestTime());
+            // The body is read independently of the answer: cancelling it would close the
+            // connection before the refusal of a slow or large body is written.
+            request.payloadBody()
+                    .collect(() -> new BodyCollector(limits.bodyBytes()), this::collect)
+                    .beforeFinally(deadline::cancel)
+                    .subscribe(this::received, failure -> end());
+            return Single.fromStage(answer)
+                    .flatMap(DefaultCallerAnswer::response)
+                    .map(message -> message.transformMessageBody(this::observeEnd))
+                    .beforeCancel(this::end)
+                    .beforeOnError(failure -> end());
+        }
+
+        private BodyCollector collect(BodyCollector body, Buffer buffer) {
+            body.add(buffer);
+            if (body.exceeded()) {
+                refuse(ErrorCode.BODY_TOO_LARGE, "more than " + limits.bodyBytes() + " bytes");
+            }
+            return body;
+        }
+
+        private Publisher<?> observeEnd(Publisher<?> body) {
+            return body.beforeFinally(this::end);
+        }
+
+        private void end() {
+            guard.ifPresent(present -> present.remove(callerClosed));
+            if (counted.compareAndSet(true, false)) {
+                inProgress.decrementAndGet();
+            }
+        }
+
+        private void callerClosed() {
+            end();
+            DefaultCallerAnswer begun = answer.getNow(null);
+            if (begun != null) {
+                begun.callerGone();
+            }
+        }
+
+        private void refuse(ErrorCode code, String detail) {
+            if (!decided.compareAndSet(false, true)) {
+                return;
+            }
+            CallerRequest refused = callerRequest(request, id, new byte[0], Optional.empty());
+            DefaultCallerAnswer refusal = newAnswer(connection, refused, factory, () -> {});
+            // The rest of the request is not read, so the connection cannot be reused.
+            refusal.closeConnection();
+            refusal.refuse(code, Execution.NOT_RUN, Optional.empty(), detail);
+            answer.complete(refusal);
+        }
+
+        private void received(BodyCollector body) {
+            byte[] bytes = body.bytes();
+            if (!request.path().startsWith(CallerRequest.MODEL_PATH_PREFIX) || bytes.length == 0) {
+                pass(bytes, Optional.empty());
+                return;
+            }
+            try {
+                JsonNode json = Json.read(bytes);
+                String fault = RequestBody.fault(json);
+                if (fault.isEmpty()) {
+                    pass(bytes, Optional.of(json));
+                } else {
+                    refuse(ErrorCode.BAD_REQUEST, fault);
+                }
+            } catch (IOException malformed) {
+                refuse(ErrorCode.BAD_REQUEST, "the body is not valid JSON");
+            }
+        }
+
+        private void pass(byte[] bytes, Optional<JsonNode> json) {
+            if (!decided.compareAndSet(false, true)) {
+                return;
+            }
+            CallerRequest complete = callerRequest(request, id, bytes, json);
+            DefaultCallerAnswer begun =
+                    newAnswer(connection, complete, factory, () -> listener.gone(complete));
+            answer.complete(begun);
+            listener.arrived(complete, begun);
+        }
+    }
+
+    private static DefaultCallerAnswer newAnswer(
+            HttpServiceContext connection,
+            CallerRequest request,
+            StreamingHttpResponseFactory factory,
+            Runnable gone) {
+        return new DefaultCallerAnswer(
+                request, factory, connection.executionContext().bufferAllocator(), gone);
+    }
+
+    private static CallerRequest callerRequest(
+            StreamingHttpRequest request, RequestId id, byte[] body, Optional<JsonNode> json) {
+        Map<String, String> headers = new HashMap<>();
+        request.headers()
+                .forEach(
+                        header ->
+                                headers.put(
+                                        header.getKey().toString().toLowerCase(Locale.ROOT),
+                                        header.getValue().toString()));
+        String query = request.rawQuery();
+        return new CallerRequest(
+                id,
+                request.method().name(),
+                request.path(),
+                query == null ? "" : query,
+                headers,
+                body,
+                json);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/caller/ConnectionGuard.java
@@ -0,0 +1,126 @@
+package org.tarragonlug.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ChannelInputShutdownReadComplete;
+import io.netty.handler.codec.DecoderException;
+import io.servicetalk.transport.api.ConnectionInfo;
+import io.servicetalk.transport.netty.internal.NettyConnectionContext;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.tarragonlug.error.ErrorCode;
+
+/**
+ * Watches one connection for what the HTTP library does not report: that the caller has closed it
+ * while its request is waiting, and that the bytes received are not HTTP.
+ *
+ * <p>The library resets a connection whose bytes it cannot decode; the guard answers with a status
+ * first, so that the caller learns what is wrong. A caller that closes its sending side is treated
+ * as gone, as HTTP servers commonly do, since a closed connection cannot be told from it in time.
+ */
+final class ConnectionGuard extends ChannelInboundHandlerAdapter {
+    private static final String NAME = "caller-connection-guard";
+
+    /** How the library words that a line exceeds the limit; it has no type of its own for it. */
+    private static final String LINE_TOO_LONG = "Could not find CRLF";
+
+    private final Set<Runnable> waiting = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
+
+    /** Installs a guard ahead of the library's last handler. */
+    static void install(Channel channel) {
+        String last = channel.pipeline().lastContext().name();
+        channel.pipeline().addBefore(last, NAME, new ConnectionGuard());
+    }
+
+    /** Finds the guard of a connection. */
+    static Optional<ConnectionGuard> of(ConnectionInfo connection) {
+        if (connection instanceof NettyConnectionContext context) {
+            return Optional.ofNullable(
+                    (ConnectionGuard) context.nettyChannel().pipeline().get(NAME));
+        }
+        return Optional.empty();
+    }
+
+    /** Adds an action to run once if the caller closes the connection. */
+    void add(Runnable gone) {
+        waiting.add(gone);
+        if (closed && waiting.remove(gone)) {
+            gone.run();
+        }
+    }
+
+    /** Removes an action. */
+    void remove(Runnable gone) {
+        waiting.remove(gone);
+    }
+
+    private void callerClosed() {
+        closed = true;
+        for (Runnable gone : waiting) {
+            if (waiting.remove(gone)) {
+                gone.run();
+            }
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent
+                || event instanceof ChannelInputShutdownReadComplete) {
+            boolean answering = !waiting.isEmpty();
+            callerClosed();
+            if (answering) {
+                // Nobody reads the answer, so the connection would stay half open for good.
+                context.close();
+            }
+        }
+        super.userEventTriggered(context, event);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        callerClosed();
+        super.channelInactive(context);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+        if (cause instanceof DecoderException && waiting.isEmpty()) {
+            // Written from the head of the pipeline, since the library's encoder expects messages.
+            context.pipeline()
+                    .firstContext()
+                    .writeAndFlush(malformedAnswer(cause))
+                    .addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        super.exceptionCaught(context, cause);
+    }
+
+    private static ByteBuf malformedAnswer(Throwable cause) {
+        boolean tooLong = String.valueOf(cause.getMessage()).contains(LINE_TOO_LONG);
+        ErrorCode code = tooLong ? ErrorCode.HEADERS_TOO_LARGE : ErrorCode.BAD_REQUEST;
+        String body =
+                "{\"error\":{\"code\":\""
+                        + code.code()
+                        + "\",\"message\":\""
+                        + code.message("the bytes received are not a valid HTTP request")
+                        + "\",\"execution\":\"not_run\"}}";
+        String answer =
+                "HTTP/1.1 "
+                        + code.status()
+                        + " \r\ncontent-type: application/json\r\nconnection: close\r\n"
+                        + "content-length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body;
+        return Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/caller/DefaultCallerAnswer.java
@@ -0,0 +1,175 @@
+package org.tarragonlug.caller;
+
+import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
+import static io.servicetalk.http.api.HttpHeaderNames.CONTENT_TYPE;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.concurrent.api.Processors;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.tarragonlug.decision.Execution;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.plainservice.ServiceAnswer;
+import org.tarragonlug.runtime.Json;
+
+/**
+ * Writes an answer through ServiceTalk.
+ *
+ * <p>A streamed answer starts with its first token, so that an error before it still gets its own
+ * HTTP status. Events wait for a slow caller in a bounded buffer; a caller that falls further
+ * behind is treated as gone, because an unbounded buffer would let one caller exhaust the memory.
+ */
+final class DefaultCallerAnswer implements CallerAnswer {
+    private static final int BUFFERED_EVENTS = 8192;
+    private static final String JSON = "application/json";
+    private static final String EVENT_STREAM = "text/event-stream";
+    private static final int MILLIS_PER_SECOND = 1000;
+
+    private final CallerRequest request;
+    private final StreamingHttpResponseFactory factory;
+    private final BufferAllocator allocator;
+    private final Runnable gone;
+    private final AnswerFormat format;
+    private final CompletableFuture<StreamingHttpResponse> response = new CompletableFuture<>();
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final StringBuilder whole = new StringBuilder();
+    private PublisherSource.Processor<Buffer, Buffer> stream;
+    private boolean closesConnection;
+
+    DefaultCallerAnswer(
+            CallerRequest request,
+            StreamingHttpResponseFactory factory,
+            BufferAllocator allocator,
+            Runnable gone) {
+        this.request = request;
+        this.factory = factory;
+        this.allocator = allocator;
+        this.gone = gone;
+        this.format = new AnswerFormat(request);
+    }
+
+    /** Makes the answer the last one on its connection. */
+    void closeConnection() {
+        closesConnection = true;
+    }
+
+    /** Returns the response; cancelling it means that the caller has gone. */
+    Single<StreamingHttpResponse> response() {
+        return Single.<StreamingHttpResponse>fromStage(response).beforeCancel(this::callerGone);
+    }
+
+    /** Ends the answer because the caller has closed its connection. */
+    void callerGone() {
+        if (ended.compareAndSet(false, true)) {
+            gone.run();
+        }
+    }
+
+    @Override
+    public void token(String text) {
+        if (ended.get()) {
+            return;
+        }
+        if (request.streaming()) {
+            emit(format.tokenEvent(text));
+        } else {
+            whole.append(text);
+        }
+    }
+
+    @Override
+    public void complete(int tokens, String checksum) {
+        if (request.streaming()) {
+            emit(format.endEvents(tokens, checksum));
+            endStream();
+        } else if (ended.compareAndSet(false, true)) {
+            ObjectNode answer = format.whole(whole.toString(), tokens, checksum);
+            respond(HttpResponseStatus.OK, answer, Optional.empty());
+        }
+    }
+
+    @Override
+    public void pass(ServiceAnswer answer) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        StreamingHttpResponse message =
+                factory.newResponse(HttpResponseStatus.of(answer.status(), ""));
+        answer.headers().forEach(message::setHeader);
+        message.setHeader("x-request-id", request.id().value());
+        message.payloadBody(Publisher.from(allocator.wrap(answer.body())));
+        response.complete(message);
+    }
+
+    @Override
+    public void refuse(
+            ErrorCode code, Execution execution, Optional<Duration> retryAfter, String detail) {
+        ObjectNode error = format.error(code, execution, retryAfter, detail);
+        if (stream != null) {
+            emit(format.errorEvent(error));
+            endStream();
+        } else if (ended.compareAndSet(false, true)) {
+            respond(HttpResponseStatus.of(code.status(), ""), error, retryAfter);
+        }
+    }
+
+    private void respond(
+            HttpResponseStatus status, ObjectNode content, Optional<Duration> retryAfter) {
+        StreamingHttpResponse message = factory.newResponse(status);
+        message.setHeader(CONTENT_TYPE, JSON);
+        message.setHeader("x-request-id", request.id().value());
+        if (closesConnection) {
+            message.setHeader("connection", "close");
+        }
+        retryAfter.ifPresent(time -> message.setHeader("retry-after", seconds(time)));
+        message.payloadBody(Publisher.from(allocator.wrap(Json.bytes(content))));
+        response.complete(message);
+    }
+
+    private static String seconds(Duration time) {
+        // Rounded up: coming back too early would only be refused again.
+        long seconds = (time.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+        return Long.toString(Math.max(1, seconds));
+    }
+
+    private void emit(String event) {
+        if (ended.get()) {
+            return;
+        }
+        if (stream == null) {
+            startStream();
+        }
+        try {
+            stream.onNext(allocator.fromUtf8(event));
+        } catch (RuntimeException bufferFull) {
+            callerGone();
+            stream.onError(bufferFull);
+        }
+    }
+
+    private void startStream() {
+        stream = Processors.newPublisherProcessor(BUFFERED_EVENTS);
+        StreamingHttpResponse message = factory.ok();
+        message.setHeader(CONTENT_TYPE, EVENT_STREAM);
+        message.setHeader("cache-control", "no-cache");
+        message.setHeader("x-request-id", request.id().value());
+        message.payloadBody(fromSource(stream).beforeCancel(this::callerGone));
+        response.complete(message);
+    }
+
+    private void endStream() {
+        if (ended.compareAndSet(false, true)) {
+            stream.onComplete();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/caller/RequestBody.java
@@ -0,0 +1,58 @@
+package org.tarragonlug.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Checks the body of a model request; fields that it does not know pass to the engine. */
+final class RequestBody {
+    private static final int MAXIMUM_TOKENS = 1 << 20;
+
+    private RequestBody() {}
+
+    /**
+     * Finds the first fault.
+     *
+     * @param body the parsed body
+     * @return what is wrong, or an empty text
+     */
+    static String fault(JsonNode body) {
+        if (!body.isObject()) {
+            return "the body must be a JSON object";
+        }
+        if (!body.path("model").isTextual() || body.path("model").asText().isEmpty()) {
+            return "$.model must be a non-empty text";
+        }
+        if (body.has("stream") && !body.path("stream").isBoolean()) {
+            return "$.stream must be true or false";
+        }
+        JsonNode limit = body.path("max_tokens");
+        if (!limit.isMissingNode()
+                && !(limit.isIntegralNumber()
+                        && limit.canConvertToInt()
+                        && limit.asInt() >= 1
+                        && limit.asInt() <= MAXIMUM_TOKENS)) {
+            return "$.max_tokens must be a whole number from 1 to " + MAXIMUM_TOKENS;
+        }
+        return inputFault(body);
+    }
+
+    private static String inputFault(JsonNode body) {
+        JsonNode messages = body.path("messages");
+        JsonNode prompt = body.path("prompt");
+        if (messages.isMissingNode() && prompt.isMissingNode()) {
+            return "$.messages or $.prompt must be present";
+        }
+        if (!messages.isMissingNode() && (!messages.isArray() || messages.isEmpty())) {
+            return "$.messages must be a non-empty array";
+        }
+        for (int index = 0; index < messages.size(); index++) {
+            JsonNode message = messages.get(index);
+            if (!message.path("role").isTextual() || message.path("content").isMissingNode()) {
+                return "$.messages[" + index + "] must have a role and a content";
+            }
+        }
+        if (!prompt.isMissingNode() && !prompt.isTextual()) {
+            return "$.prompt must be a text";
+        }
+        return "";
+    }
+}
--- a/src/main/java/org/tarragonlug/runtime/Metrics.java
+++ b/src/main/java/org/tarragonlug/runtime/Metrics.java
@@ -151,7 +151,7 @@
     public byte[] text() {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         try {
-            new PrometheusTextFormatWriter(false).write(output, registry.scrape());
+            PrometheusTextFormatWriter.create().write(output, registry.scrape());
         } catch (IOException impossible) {
             throw new UncheckedIOException(impossible);
         }
