--- /dev/null
+++ b/src/main/java/org/tarragonlug/http/IoThreads.java
@@ -0,0 +1,24 @@
+package org.tarragonlug.http;
+
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+
+/**
+ * Creates the I/O executor that all clients and servers of a process share.
+ *
+ * <p>Release 0.42 of ServiceTalk publishes no other factory for it; only this class uses the
+ * library's internal package.
+ */
+public final class IoThreads {
+    private IoThreads() {}
+
+    /**
+     * Creates an executor.
+     *
+     * @param threads number of I/O threads
+     * @return the executor; the caller closes it
+     */
+    public static IoExecutor create(int threads) {
+        return NettyIoExecutors.createIoExecutor(threads, "tarragonlug-io");
+    }
+}
