Add the stand-ins of the platform

Cause: the adapters and the instances need outside systems to run against. Change: HTTP stand-ins of the object API, instance list, weight store, engines and plain services with switches for their failures, and StandInPlatform, which starts those of a deployment and records the truth. Conclusion: usable for wiring.

--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/EngineLoader.java
@@ -0,0 +1,194 @@
+package org.tarragonlug.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
+import java.util.function.Supplier;
+import org.tarragonlug.decision.capacity.CacheTier;
+import org.tarragonlug.decision.capacity.OrderKind;
+import org.tarragonlug.engine.EngineProtocol;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.ArtifactId;
+
+/** Executes the orders of an engine. Methods are called under the engine's lock. */
+final class EngineLoader {
+    /** Share of the load time after which a load that is to fail does so. */
+    private static final double FAILURE_SHARE = 0.5;
+
+    /** Loading an adapter that is cached takes this share of the time of a model. */
+    private static final double ADAPTER_SHARE = 0.01;
+
+    private final EngineSettings settings;
+    private final StandInClock clock;
+    private final WeightStoreStandIn weightStore;
+    private final EngineMemory memory;
+    private final Object lock;
+    private final Supplier<Set<ArtifactId>> inProgress;
+    private final Map<ArtifactId, Long> highestFences = new HashMap<>();
+    private int loadsToFail;
+    private int generation;
+
+    EngineLoader(
+            EngineSettings settings,
+            StandInClock clock,
+            WeightStoreStandIn weightStore,
+            EngineMemory memory,
+            Object lock,
+            Supplier<Set<ArtifactId>> inProgress) {
+        this.settings = settings;
+        this.clock = clock;
+        this.weightStore = weightStore;
+        this.memory = memory;
+        this.lock = lock;
+        this.inProgress = inProgress;
+    }
+
+    void failNextLoads(int count) {
+        loadsToFail = count;
+    }
+
+    /** Forgets everything, as a lost process does; orders in progress get no answer. */
+    void clear() {
+        generation++;
+        memory.clear().forEach(EngineMemory.Held::cancelLoad);
+        highestFences.clear();
+    }
+
+    CompletionStage<StandInReply> execute(JsonNode order) {
+        ArtifactId artifact = ArtifactId.parse(JsonFields.text(order, "artifact"));
+        long fence = JsonFields.count(order, "fence");
+        OrderKind kind = OrderKind.valueOf(JsonFields.text(order, "kind"));
+        long highest = highestFences.getOrDefault(artifact, 0L);
+        if (settings.fencing().refuses(fence, highest)) {
+            return error(409, EngineProtocol.OLD_FENCE, "fence " + highest + " was seen");
+        }
+        highestFences.merge(artifact, fence, Math::max);
+        return kind == OrderKind.LOAD ? load(artifact, order) : unload(artifact);
+    }
+
+    private CompletionStage<StandInReply> load(ArtifactId artifact, JsonNode order) {
+        EngineMemory.Held held = memory.get(artifact);
+        if (held != null) {
+            return held.isReady() ? done() : join(held);
+        }
+        Optional<ArtifactId> base =
+                order.has("baseModel")
+                        ? Optional.of(ArtifactId.parse(JsonFields.text(order, "baseModel")))
+                        : Optional.empty();
+        if (base.isPresent() && memory.get(base.get()) == null) {
+            return error(409, EngineProtocol.NOT_LOADED, "the base model is not loaded");
+        }
+        long bytes = JsonFields.count(order, "memoryBytes");
+        Optional<EngineMemory.Held> reserved = memory.reserve(artifact, base, bytes);
+        if (reserved.isEmpty()) {
+            return error(507, EngineProtocol.OUT_OF_MEMORY, bytes + " bytes do not fit");
+        }
+        CompletionStage<StandInReply> reply = join(reserved.get());
+        EngineMemory.Held baseHeld = base.map(memory::get).orElse(null);
+        if (baseHeld != null && !baseHeld.isReady()) {
+            int startedIn = generation;
+            baseHeld.whenLoadEnds(() -> startAfterBase(reserved.get(), startedIn));
+        } else {
+            start(reserved.get());
+        }
+        return reply;
+    }
+
+    private CompletionStage<StandInReply> join(EngineMemory.Held held) {
+        CompletableFuture<StandInReply> reply = new CompletableFuture<>();
+        held.whenLoadEnds(
+                () -> {
+                    if (held.isReady()) {
+                        done().thenAccept(reply::complete);
+                    } else {
+                        error(500, EngineProtocol.LOAD_FAILED, "the load failed")
+                                .thenAccept(reply::complete);
+                    }
+                });
+        return reply;
+    }
+
+    private void startAfterBase(EngineMemory.Held held, int startedIn) {
+        synchronized (lock) {
+            if (startedIn != generation || memory.get(held.artifact()) != held) {
+                return;
+            }
+            if (memory.isReady(held.base().orElseThrow())) {
+                start(held);
+                return;
+            }
+            memory.release(held);
+        }
+        held.takeWaiting().forEach(Runnable::run);
+    }
+
+    private void start(EngineMemory.Held held) {
+        boolean fails = loadsToFail > 0;
+        if (fails) {
+            loadsToFail--;
+        }
+        boolean adapter = held.base().isPresent();
+        CacheTier tier = memory.tier(held.artifact());
+        int startedIn = generation;
+        Runnable end = () -> end(held, fails, startedIn);
+        if (tier == CacheTier.REMOTE && !fails) {
+            held.setCancelLoad(weightStore.load(held.artifact(), adapter, end));
+            return;
+        }
+        double share = (adapter ? ADAPTER_SHARE : 1) * (fails ? FAILURE_SHARE : 1);
+        long nominal =
+                (tier == CacheTier.MEMORY ? settings.memoryLoad() : settings.diskLoad()).toNanos();
+        Future<?> timer = clock.afterNanos(Math.round(nominal * share * clock.scale()), end);
+        held.setCancelLoad(() -> timer.cancel(false));
+    }
+
+    private void end(EngineMemory.Held held, boolean failed, int startedIn) {
+        List<Runnable> waiting;
+        synchronized (lock) {
+            if (startedIn != generation || memory.get(held.artifact()) != held) {
+                return;
+            }
+            if (failed) {
+                memory.release(held);
+            } else {
+                memory.ready(held);
+            }
+            waiting = held.takeWaiting();
+        }
+        waiting.forEach(Runnable::run);
+    }
+
+    private CompletionStage<StandInReply> unload(ArtifactId artifact) {
+        EngineMemory.Held held = memory.get(artifact);
+        if (held == null) {
+            return done();
+        }
+        if (memory.hasAdapters(artifact)) {
+            return error(409, EngineProtocol.IN_USE, "adapters of it are loaded");
+        }
+        if (inProgress.get().contains(artifact)) {
+            return error(409, EngineProtocol.IN_USE, "requests are in progress");
+        }
+        held.cancelLoad();
+        memory.release(held);
+        held.takeWaiting().forEach(Runnable::run);
+        return done();
+    }
+
+    private static CompletionStage<StandInReply> done() {
+        return CompletableFuture.completedFuture(
+                StandInReply.json(
+                        200, JsonNodeFactory.instance.objectNode().put("outcome", "DONE")));
+    }
+
+    private static CompletionStage<StandInReply> error(int status, String code, String message) {
+        return CompletableFuture.completedFuture(StandInReply.error(status, code, message));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/EngineStandIn.java
@@ -0,0 +1,286 @@
+package org.tarragonlug.standin;
+
+import static io.servicetalk.concurrent.api.Processors.newPublisherProcessor;
+import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.tarragonlug.decision.capacity.CacheTier;
+import org.tarragonlug.decision.capacity.ServerReport;
+import org.tarragonlug.engine.EngineProtocol;
+import org.tarragonlug.engine.EngineReportJson;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.ServerId;
+
+/** Stand-in for one model engine on one backend server, with switches for its failures. */
+public final class EngineStandIn implements AutoCloseable {
+    /** Events of a whole answer that a slow reader may leave unread. */
+    private static final int UNREAD_EVENTS = 8192;
+
+    private static final Duration RESTART_TIME = Duration.ofSeconds(2);
+
+    private final EngineSettings settings;
+    private final StandInClock clock;
+    private final PlatformTruth truth;
+    private final StandInServer server;
+    private final EngineMemory memory;
+    private final EngineBatch batch;
+    private final EngineLoader loader;
+    private int incarnation = 1;
+    private boolean leaving;
+    private boolean overloaded;
+    private boolean restartsAfterCrash = true;
+    private boolean down;
+    private int streamsToCut;
+    private Duration reportLag = Duration.ZERO;
+    private ServerReport lastReport;
+    private long lastReportNanos;
+
+    /**
+     * Starts the stand-in with nothing loaded.
+     *
+     * @param settings its settings
+     * @param ioExecutor the shared I/O threads
+     * @param clock the shared timer
+     * @param weightStore where checkpoints come from that are cached nowhere
+     * @param truth records what happens
+     */
+    public EngineStandIn(
+            EngineSettings settings,
+            IoExecutor ioExecutor,
+            StandInClock clock,
+            WeightStoreStandIn weightStore,
+            PlatformTruth truth) {
+        this.settings = settings;
+        this.clock = clock;
+        this.truth = truth;
+        this.server = new StandInServer(ioExecutor, this::handle);
+        this.memory = new EngineMemory(settings.server(), settings.memoryBytes(), truth);
+        this.batch = new EngineBatch(settings, clock, truth, server::isFrozen, this::step);
+        this.loader =
+                new EngineLoader(settings, clock, weightStore, memory, this, batch::inProgress);
+        server.start();
+    }
+
+    /** Returns the server's id. */
+    public ServerId id() {
+        return settings.server();
+    }
+
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Sets how old reports may be, in real time. */
+    public synchronized void setReportLag(Duration lag) {
+        reportLag = lag;
+    }
+
+    /** States where a checkpoint is cached. */
+    public synchronized void cache(ArtifactId artifact, CacheTier tier) {
+        memory.cache(artifact, tier);
+    }
+
+    /** Makes the next loads fail halfway. */
+    public synchronized void failNextLoads(int count) {
+        loader.failNextLoads(count);
+    }
+
+    /** Closes the connection of the next generations after three tokens. */
+    public synchronized void cutNextStreams(int count) {
+        streamsToCut = count;
+    }
+
+    /** Refuses new requests as overloaded, or ends that. */
+    public synchronized void setOverloaded(boolean newOverloaded) {
+        overloaded = newOverloaded;
+    }
+
+    /** Refuses new requests and orders from now on, because the server is about to stop. */
+    public synchronized void leave() {
+        leaving = true;
+    }
+
+    /** Makes all open connections silent; new ones work. */
+    public void freezeOpenConnections() {
+        server.freezeOpenConnections();
+    }
+
+    /** Sets whether a crashed process starts again by itself. */
+    public synchronized void setRestartsAfterCrash(boolean restarts) {
+        restartsAfterCrash = restarts;
+    }
+
+    /** Returns the largest batch so far. */
+    public synchronized int largestBatch() {
+        return batch.largestBatch();
+    }
+
+    /** Returns the requests that run or wait. */
+    public synchronized int inProgressCount() {
+        return batch.runningCount() + batch.waitingCount();
+    }
+
+    /** Returns what it says about itself now, without lag. */
+    public synchronized ServerReport actual() {
+        return new ServerReport(
+                settings.server(),
+                settings.server() + "#" + incarnation,
+                leaving,
+                settings.memoryBytes(),
+                memory.sizes(true),
+                memory.sizes(false),
+                memory.tiers(),
+                batch.inProgress(),
+                batch.runningCount(),
+                batch.waitingCount(),
+                Instant.now());
+    }
+
+    /** Loses the process at once: connections break, memory is empty, nothing listens. */
+    public void crash() {
+        synchronized (this) {
+            if (down) {
+                return;
+            }
+            down = true;
+            loader.clear();
+            batch.clear();
+            lastReport = null;
+            truth.crashed();
+            if (restartsAfterCrash) {
+                clock.after(RESTART_TIME, this::restartEmpty);
+            }
+        }
+        server.stop();
+    }
+
+    /** Starts a new process with nothing loaded at the same address; a running one is lost. */
+    public void restartEmpty() {
+        server.stop();
+        synchronized (this) {
+            loader.clear();
+            batch.clear();
+            lastReport = null;
+            incarnation++;
+            leaving = false;
+            down = false;
+        }
+        server.start();
+    }
+
+    /** Ends the process for good. */
+    @Override
+    public void close() {
+        synchronized (this) {
+            down = true;
+            restartsAfterCrash = false;
+            loader.clear();
+            batch.clear();
+        }
+        server.close();
+    }
+
+    private CompletionStage<StandInReply> handle(StandInRequest request) {
+        try {
+            if (request.is("GET", "report", 1)) {
+                return CompletableFuture.completedFuture(report());
+            }
+            if (request.is("POST", "orders", 1)) {
+                return order(JsonFields.parse(request.body()));
+            }
+            if (request.is("DELETE", "attempts", 2)) {
+                return CompletableFuture.completedFuture(cancel(request.path().get(1)));
+            }
+            if (request.method().equals("POST") && request.path().get(0).equals("v1")) {
+                return CompletableFuture.completedFuture(
+                        generate(request, JsonFields.parse(request.body())));
+            }
+            return error(404, EngineProtocol.INVALID_REQUEST, "no such path");
+        } catch (IllegalArgumentException e) {
+            return error(400, EngineProtocol.INVALID_REQUEST, e.getMessage());
+        }
+    }
+
+    private synchronized StandInReply report() {
+        long now = clock.nanos();
+        if (lastReport == null || now - lastReportNanos >= reportLag.toNanos()) {
+            lastReport = actual();
+            lastReportNanos = now;
+        }
+        return StandInReply.json(200, EngineReportJson.write(lastReport));
+    }
+
+    private synchronized CompletionStage<StandInReply> order(JsonNode order) {
+        if (!JsonFields.text(order, "server").equals(settings.server().value())) {
+            return error(400, EngineProtocol.INVALID_REQUEST, "the order names another server");
+        }
+        if (leaving) {
+            return error(503, EngineProtocol.LEAVING, "the server is leaving");
+        }
+        return loader.execute(order);
+    }
+
+    private synchronized StandInReply cancel(String attempt) {
+        return StandInReply.empty(batch.cancel(attempt) > 0 ? 204 : 404);
+    }
+
+    private StandInReply generate(StandInRequest request, JsonNode body) {
+        ArtifactId artifact = ArtifactId.parse(JsonFields.text(body, "model"));
+        if (!body.path("messages").isArray() && !body.path("prompt").isTextual()) {
+            throw new IllegalArgumentException("the body has neither messages nor a prompt");
+        }
+        PublisherSource.Processor<byte[], byte[]> stream = newPublisherProcessor(UNREAD_EVENTS);
+        EngineSequence sequence;
+        synchronized (this) {
+            if (leaving) {
+                return StandInReply.error(503, EngineProtocol.LEAVING, "the server is leaving");
+            }
+            if (!memory.isReady(artifact)) {
+                return StandInReply.error(404, EngineProtocol.NOT_LOADED, artifact + "");
+            }
+            if (overloaded || batch.isFull()) {
+                return StandInReply.error(429, EngineProtocol.OVERLOADED, "the queue is full");
+            }
+            sequence =
+                    new EngineSequence(
+                            request, artifact, memory.get(artifact).base(), body, stream);
+            batch.add(sequence);
+            if (streamsToCut > 0) {
+                streamsToCut--;
+                long nanos =
+                        clock.realNanos(
+                                settings.prefill().plus(settings.tokenInterval().multipliedBy(3)));
+                clock.afterNanos(nanos, request.cut());
+            }
+        }
+        if (sequence.promptText().contains(settings.crashMarker())) {
+            clock.after(settings.prefill(), this::crash);
+        }
+        return new StandInReply(
+                200,
+                Map.of("content-type", "text/event-stream"),
+                fromSource(stream).whenCancel(() -> remove(sequence)));
+    }
+
+    private synchronized void remove(EngineSequence sequence) {
+        batch.remove(sequence);
+    }
+
+    private synchronized void step() {
+        batch.step();
+    }
+
+    private static CompletionStage<StandInReply> error(int status, String code, String message) {
+        return CompletableFuture.completedFuture(StandInReply.error(status, code, message));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/InstanceListStandIn.java
@@ -0,0 +1,128 @@
+package org.tarragonlug.standin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.tarragonlug.instancelist.ListedInstance;
+
+/** Stand-in for the instance list; answers what was true a settable time ago. */
+public final class InstanceListStandIn implements AutoCloseable {
+    private static final int KEPT_SNAPSHOTS = 1000;
+
+    private final StandInClock clock;
+    private final StandInServer server;
+    private final Map<String, ListedInstance> instances = new LinkedHashMap<>();
+    private final Deque<Snapshot> history = new ArrayDeque<>();
+    private Duration lag = Duration.ZERO;
+    private boolean outage;
+
+    /** Starts the stand-in with an empty list. */
+    public InstanceListStandIn(IoExecutor ioExecutor, StandInClock clock) {
+        this.clock = clock;
+        history.addLast(new Snapshot(clock.nanos(), List.of()));
+        this.server = new StandInServer(ioExecutor, this::handle).start();
+    }
+
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Sets how old its answers are, in real time. */
+    public synchronized void setLag(Duration newLag) {
+        lag = newLag;
+    }
+
+    /** Starts or ends answering with 503. */
+    public synchronized void setOutage(boolean newOutage) {
+        outage = newOutage;
+    }
+
+    /** Adds an instance or replaces the one of the same id. */
+    public synchronized void put(ListedInstance instance) {
+        instances.put(instance.id(), instance);
+        remember();
+    }
+
+    /** Removes an instance. */
+    public synchronized void remove(String id) {
+        instances.remove(id);
+        remember();
+    }
+
+    /** Marks an instance as leaving. */
+    public synchronized void markLeaving(String id) {
+        ListedInstance old = instances.get(id);
+        if (old != null) {
+            put(
+                    new ListedInstance(
+                            id, old.kind(), old.group(), old.address(), old.failureDomain(), true));
+        }
+    }
+
+    /** Returns the actual instances, without lag. */
+    public synchronized List<ListedInstance> actual() {
+        return List.copyOf(instances.values());
+    }
+
+    private void remember() {
+        history.addLast(new Snapshot(clock.nanos(), List.copyOf(instances.values())));
+        if (history.size() > KEPT_SNAPSHOTS) {
+            history.removeFirst();
+        }
+    }
+
+    private synchronized CompletionStage<StandInReply> handle(StandInRequest request) {
+        if (outage) {
+            return CompletableFuture.completedFuture(StandInReply.empty(503));
+        }
+        if (!request.is("GET", "instances", 1)) {
+            return CompletableFuture.completedFuture(StandInReply.empty(404));
+        }
+        return CompletableFuture.completedFuture(StandInReply.json(200, body(lagging())));
+    }
+
+    private List<ListedInstance> lagging() {
+        long until = clock.nanos() - lag.toNanos();
+        Snapshot result = history.peekFirst();
+        for (Snapshot snapshot : history) {
+            if (snapshot.nanos <= until) {
+                result = snapshot;
+            }
+        }
+        return result.instances;
+    }
+
+    private static ObjectNode body(List<ListedInstance> listed) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        ArrayNode list = body.putArray("instances");
+        for (ListedInstance instance : listed) {
+            list.addObject()
+                    .put("id", instance.id())
+                    .put("kind", instance.kind().name())
+                    .put("group", instance.group().value())
+                    .put("host", instance.address().getAddress().getHostAddress())
+                    .put("port", instance.address().getPort())
+                    .put("failureDomain", instance.failureDomain().value())
+                    .put("leaving", instance.leaving());
+        }
+        return body;
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private record Snapshot(long nanos, List<ListedInstance> instances) {}
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/NoEnd.java
@@ -0,0 +1,16 @@
+package org.tarragonlug.standin;
+
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.CompletableSource;
+
+/** Ignores the end of a closed connection or server. */
+final class NoEnd implements CompletableSource.Subscriber {
+    @Override
+    public void onSubscribe(Cancellable cancellable) {}
+
+    @Override
+    public void onComplete() {}
+
+    @Override
+    public void onError(Throwable cause) {}
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/PlainServiceStandIn.java
@@ -0,0 +1,180 @@
+package org.tarragonlug.standin;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.plainservice.HttpPlainServiceClient;
+
+/**
+ * Stand-in for one server of a plain service. It runs every call that reaches it, also a repeated
+ * one, and counts the runs of each idempotency key, so that a double run shows.
+ */
+public final class PlainServiceStandIn implements AutoCloseable {
+    private static final String KEY_HEADER = "idempotency-key";
+
+    private final ServerId id;
+    private final StandInClock clock;
+    private final StandInServer server;
+    private final Map<String, Integer> runs;
+    private Duration runTime = Duration.ZERO;
+    private int incarnation = 1;
+    private int running;
+    private int failuresAfterRunning;
+    private int cutsAfterRunning;
+    private boolean leaving;
+    private boolean frozen;
+    private boolean overloaded;
+
+    /**
+     * Starts the stand-in.
+     *
+     * @param id its id
+     * @param ioExecutor the shared I/O threads
+     * @param clock the shared timer
+     * @param runs runs of each key, shared by all servers of the service
+     */
+    public PlainServiceStandIn(
+            ServerId id,
+            IoExecutor ioExecutor,
+            StandInClock clock,
+            ConcurrentHashMap<String, Integer> runs) {
+        this.id = id;
+        this.clock = clock;
+        this.runs = runs;
+        this.server = new StandInServer(ioExecutor, this::handle).start();
+    }
+
+    /** Returns its id. */
+    public ServerId id() {
+        return id;
+    }
+
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Sets how long a call takes, in real time. */
+    public synchronized void setRunTime(Duration time) {
+        runTime = time;
+    }
+
+    /** Makes the server run calls and never answer, or ends that. */
+    public synchronized void setFrozen(boolean newFrozen) {
+        frozen = newFrozen;
+    }
+
+    /** Makes all open connections silent; new ones work. */
+    public void freezeOpenConnections() {
+        server.freezeOpenConnections();
+    }
+
+    /** Refuses new calls before running them, or ends that. */
+    public synchronized void setOverloaded(boolean newOverloaded) {
+        overloaded = newOverloaded;
+    }
+
+    /** Answers the next calls with 500 after they ran. */
+    public synchronized void failNextAfterRunning(int count) {
+        failuresAfterRunning = count;
+    }
+
+    /** Closes the connection of the next calls after they ran. */
+    public synchronized void cutNextAfterRunning(int count) {
+        cutsAfterRunning = count;
+    }
+
+    /** Refuses new calls from now on, because the server is about to stop. */
+    public synchronized void leave() {
+        leaving = true;
+    }
+
+    /** Loses the process at once. */
+    public void stop() {
+        server.stop();
+    }
+
+    /** Starts a new process at the same address. */
+    public void restart() {
+        server.stop();
+        synchronized (this) {
+            incarnation++;
+            leaving = false;
+        }
+        server.start();
+    }
+
+    private CompletionStage<StandInReply> handle(StandInRequest request) {
+        if (request.is("GET", "report", 1)) {
+            return CompletableFuture.completedFuture(report());
+        }
+        synchronized (this) {
+            if (leaving || overloaded) {
+                String reason = leaving ? "leaving" : "overloaded";
+                Map<String, String> headers = Map.of(HttpPlainServiceClient.NOT_RUN_HEADER, reason);
+                return CompletableFuture.completedFuture(
+                        StandInReply.bytes(503, headers, new byte[0]));
+            }
+            running++;
+        }
+        CompletableFuture<StandInReply> answer = new CompletableFuture<>();
+        clock.delayed(runTime(), request).thenAccept(delayed -> run(delayed, answer));
+        return answer;
+    }
+
+    private synchronized Duration runTime() {
+        return runTime;
+    }
+
+    private void run(StandInRequest request, CompletableFuture<StandInReply> answer) {
+        String attempt = request.headers().get(HttpPlainServiceClient.ATTEMPT_HEADER);
+        String key = request.headers().getOrDefault(KEY_HEADER, "attempt " + attempt);
+        int count = runs.merge(key, 1, Integer::sum);
+        StandInReply reply = StandInReply.json(200, body(request, key, count));
+        synchronized (this) {
+            running--;
+            if (frozen) {
+                return;
+            }
+            if (cutsAfterRunning > 0) {
+                cutsAfterRunning--;
+                request.cut().run();
+                return;
+            }
+            if (failuresAfterRunning > 0) {
+                failuresAfterRunning--;
+                reply = StandInReply.error(500, "failed", "failed after running");
+            }
+        }
+        answer.complete(reply);
+    }
+
+    private ObjectNode body(StandInRequest request, String key, int count) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("server", id.value())
+                .put("method", request.method())
+                .put("path", "/" + String.join("/", request.path()))
+                .put("key", key)
+                .put("runs", count)
+                .put("bytes", request.body().length);
+    }
+
+    private synchronized StandInReply report() {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("incarnation", id + "#" + incarnation);
+        return StandInReply.json(200, body.put("leaving", leaving).put("running", running));
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/PlatformTruth.java
@@ -0,0 +1,123 @@
+package org.tarragonlug.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.ServerId;
+
+/** What actually happened on all engine stand-ins, for checks. Times are real. */
+public final class PlatformTruth {
+    private final List<ReplicaChange> history = new ArrayList<>();
+    private final Map<Place, Holding> holdings = new HashMap<>();
+    private final Map<ArtifactId, Integer> highestReplicas = new TreeMap<>();
+    private final Map<ServerId, Long> idleNanos = new TreeMap<>();
+    private long overcommits;
+    private long crashes;
+
+    /** Returns all changes so far, in order. */
+    public synchronized List<ReplicaChange> history() {
+        return List.copyOf(history);
+    }
+
+    /** Returns what is loaded now, by server. */
+    public synchronized Map<ServerId, Set<ArtifactId>> loaded() {
+        Map<ServerId, Set<ArtifactId>> result = new TreeMap<>();
+        holdings.forEach(
+                (place, holding) -> {
+                    if (holding.state == ReplicaChange.State.LOADED) {
+                        result.computeIfAbsent(place.server, key -> new TreeSet<>())
+                                .add(place.artifact);
+                    }
+                });
+        return result;
+    }
+
+    /** Returns the most replicas of each artifact at any time, loading ones included. */
+    public synchronized Map<ArtifactId, Integer> highestReplicas() {
+        return Map.copyOf(highestReplicas);
+    }
+
+    /** Returns the number of load orders that did not fit into a server's memory. */
+    public synchronized long overcommits() {
+        return overcommits;
+    }
+
+    /** Returns the number of crashed engine processes. */
+    public synchronized long crashes() {
+        return crashes;
+    }
+
+    /**
+     * Returns idle accelerator time by server: for each artifact, the seconds in which it was
+     * loaded with no request in progress, added up.
+     */
+    public synchronized Map<ServerId, Double> idleSeconds() {
+        long now = System.nanoTime();
+        holdings.forEach((place, holding) -> addIdle(place, holding, now));
+        Map<ServerId, Double> result = new TreeMap<>();
+        idleNanos.forEach((server, nanos) -> result.put(server, nanos / 1e9));
+        return result;
+    }
+
+    synchronized void changed(ServerId server, ArtifactId artifact, ReplicaChange.State state) {
+        long now = System.nanoTime();
+        Place place = new Place(server, artifact);
+        Holding old = holdings.remove(place);
+        if (old != null) {
+            addIdle(place, old, now);
+        }
+        if (state != ReplicaChange.State.ABSENT) {
+            holdings.put(place, new Holding(state, now));
+            int replicas =
+                    (int)
+                            holdings.keySet().stream()
+                                    .filter(other -> other.artifact.equals(artifact))
+                                    .count();
+            highestReplicas.merge(artifact, replicas, Math::max);
+        }
+        history.add(new ReplicaChange(now, server, artifact, state));
+    }
+
+    /** Counts a request in progress: plus one at its start, minus one at its end. */
+    synchronized void inProgress(ServerId server, ArtifactId artifact, int change) {
+        Place place = new Place(server, artifact);
+        Holding holding = holdings.get(place);
+        if (holding != null) {
+            addIdle(place, holding, System.nanoTime());
+            holding.inProgress += change;
+        }
+    }
+
+    synchronized void overcommitted() {
+        overcommits++;
+    }
+
+    synchronized void crashed() {
+        crashes++;
+    }
+
+    private void addIdle(Place place, Holding holding, long now) {
+        if (holding.state == ReplicaChange.State.LOADED && holding.inProgress == 0) {
+            idleNanos.merge(place.server, now - holding.since, Long::sum);
+        }
+        holding.since = now;
+    }
+
+    private record Place(ServerId server, ArtifactId artifact) {}
+
+    private static final class Holding {
+        private final ReplicaChange.State state;
+        private long since;
+        private int inProgress;
+
+        Holding(ReplicaChange.State state, long since) {
+            this.state = state;
+            this.since = since;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/StandInPlatform.java
@@ -0,0 +1,158 @@
+package org.tarragonlug.standin;
+
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.tarragonlug.decision.capacity.CacheTier;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.instancelist.InstanceKind;
+import org.tarragonlug.instancelist.ListedInstance;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.weightstore.Checkpoint;
+
+/**
+ * All outside systems of one deployment, on loopback with ephemeral ports.
+ *
+ * <p>Uses the given I/O threads and two timer threads of its own. Network delays between failure
+ * domains are not imitated.
+ */
+public final class StandInPlatform implements AutoCloseable {
+    /** Every so many artifacts, one is cached on the local disk of a server. */
+    private static final int DISK_CACHE_STRIDE = 3;
+
+    private final Deployment deployment;
+    private final StandInClock clock;
+    private final PlatformTruth truth = new PlatformTruth();
+    private final ConcurrentHashMap<String, Integer> runs = new ConcurrentHashMap<>();
+    private final ObjectApiStandIn objectApi;
+    private final InstanceListStandIn instanceList;
+    private final WeightStoreStandIn weightStore;
+    private final List<EngineStandIn> engines = new ArrayList<>();
+    private final List<PlainServiceStandIn> services = new ArrayList<>();
+
+    /**
+     * Starts everything; the two tables are in the object API under {@code tables/routes} and
+     * {@code tables/pools}.
+     *
+     * @param deployment what to start
+     * @param ioExecutor the shared I/O threads; not closed here
+     * @param scale real seconds for each nominal second of load and token times
+     */
+    public StandInPlatform(Deployment deployment, IoExecutor ioExecutor, double scale) {
+        this.deployment = deployment;
+        this.clock = new StandInClock(scale);
+        this.objectApi = new ObjectApiStandIn(ioExecutor, clock);
+        this.instanceList = new InstanceListStandIn(ioExecutor, clock);
+        List<Checkpoint> checkpoints =
+                deployment.artifacts().stream()
+                        .map(limit -> new Checkpoint(limit.artifact(), limit.memoryBytes()))
+                        .toList();
+        this.weightStore = new WeightStoreStandIn(ioExecutor, clock, checkpoints);
+        startEngines(ioExecutor);
+        startServices(ioExecutor);
+        putTable("routes", deployment.routesTable());
+        putTable("pools", deployment.poolsTable());
+    }
+
+    private void putTable(String name, String table) {
+        objectApi.put(new ObjectName("tables", name), JsonFields.parse(table));
+    }
+
+    private void startEngines(IoExecutor ioExecutor) {
+        List<ArtifactLimit> artifacts = deployment.artifacts();
+        for (int index = 0; index < deployment.engineCount(); index++) {
+            ServerId id = new ServerId(deployment.engineGroup() + "-" + (index + 1));
+            EngineSettings settings =
+                    EngineSettings.usual(id, deployment.serverMemoryBytes(), deployment.fencing());
+            EngineStandIn engine =
+                    new EngineStandIn(settings, ioExecutor, clock, weightStore, truth);
+            for (int item = index; item < artifacts.size(); item += DISK_CACHE_STRIDE) {
+                engine.cache(artifacts.get(item).artifact(), CacheTier.DISK);
+            }
+            engines.add(engine);
+            list(id, InstanceKind.ENGINE, deployment.engineGroup(), engine.address(), index);
+        }
+    }
+
+    private void startServices(IoExecutor ioExecutor) {
+        for (int index = 0; index < deployment.serviceCount(); index++) {
+            ServerId id = new ServerId(deployment.serviceGroup() + "-" + (index + 1));
+            PlainServiceStandIn service = new PlainServiceStandIn(id, ioExecutor, clock, runs);
+            services.add(service);
+            list(id, InstanceKind.SERVICE, deployment.serviceGroup(), service.address(), index);
+        }
+    }
+
+    private void list(
+            ServerId id,
+            InstanceKind kind,
+            ServerGroup group,
+            InetSocketAddress address,
+            int index) {
+        List<FailureDomain> domains = deployment.failureDomains();
+        FailureDomain domain = domains.get(index % domains.size());
+        instanceList.put(new ListedInstance(id.value(), kind, group, address, domain, false));
+    }
+
+    /** Returns the deployment. */
+    public Deployment deployment() {
+        return deployment;
+    }
+
+    /** Returns the object API. */
+    public ObjectApiStandIn objectApi() {
+        return objectApi;
+    }
+
+    /** Returns the instance list, to which entry instances are added by {@code put}. */
+    public InstanceListStandIn instanceList() {
+        return instanceList;
+    }
+
+    /** Returns the weight store. */
+    public WeightStoreStandIn weightStore() {
+        return weightStore;
+    }
+
+    /** Returns the engines. */
+    public List<EngineStandIn> engines() {
+        return List.copyOf(engines);
+    }
+
+    /** Returns the servers of the plain service. */
+    public List<PlainServiceStandIn> services() {
+        return List.copyOf(services);
+    }
+
+    /** Returns the timer, whose threads other parts of a test may share. */
+    public StandInClock clock() {
+        return clock;
+    }
+
+    /** Returns what happened on the engines. */
+    public PlatformTruth truth() {
+        return truth;
+    }
+
+    /** Returns the runs of each idempotency key at the plain service. */
+    public Map<String, Integer> serviceRuns() {
+        return Map.copyOf(runs);
+    }
+
+    @Override
+    public void close() {
+        engines.forEach(EngineStandIn::close);
+        services.forEach(PlainServiceStandIn::close);
+        weightStore.close();
+        instanceList.close();
+        objectApi.close();
+        clock.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/StandInRequest.java
@@ -0,0 +1,31 @@
+package org.tarragonlug.standin;
+
+import java.net.SocketAddress;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A request to a stand-in.
+ *
+ * @param method HTTP method
+ * @param path decoded segments of the path
+ * @param query first value of each query parameter
+ * @param headers headers, names in lower case
+ * @param body the body
+ * @param connection the remote address, which identifies the connection
+ * @param cut closes the connection without an answer
+ */
+record StandInRequest(
+        String method,
+        List<String> path,
+        Map<String, String> query,
+        Map<String, String> headers,
+        byte[] body,
+        SocketAddress connection,
+        Runnable cut) {
+    boolean is(String wantedMethod, String firstSegment, int segments) {
+        return method.equals(wantedMethod)
+                && path.size() == segments
+                && path.get(0).equals(firstSegment);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/WeightStoreStandIn.java
@@ -0,0 +1,148 @@
+package org.tarragonlug.standin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.weightstore.Checkpoint;
+
+/**
+ * Stand-in for the weight store: 4 loads of one second each run at full speed, which makes 4 loads
+ * a second; 30 adapter loads of 5 to 10 ms do. Beyond these numbers all loads are proportionally
+ * slower. Engine stand-ins load by method call, not over HTTP, since no weights are moved.
+ */
+public final class WeightStoreStandIn implements AutoCloseable {
+    /** Model loads at full speed. */
+    public static final int FULL_SPEED_LOADS = 4;
+
+    /** Adapter loads at full speed. */
+    public static final int FULL_SPEED_ADAPTER_LOADS = 30;
+
+    private static final double LOAD_SECONDS = 1;
+    private static final double ADAPTER_BASE_SECONDS = 0.005;
+    private static final int ADAPTER_SPREAD_MILLIS = 6;
+
+    private final StandInClock clock;
+    private final StandInServer server;
+    private final List<Checkpoint> checkpoints;
+    private final SharedCapacity models;
+    private final SharedCapacity adapters;
+    private final Map<ArtifactId, Integer> counts = new TreeMap<>();
+    private final Deque<Long> starts = new ArrayDeque<>();
+    private boolean slow;
+    private int highestActive;
+
+    /** Starts the stand-in with the given checkpoints. */
+    public WeightStoreStandIn(
+            IoExecutor ioExecutor, StandInClock clock, List<Checkpoint> checkpoints) {
+        this.clock = clock;
+        this.checkpoints = List.copyOf(checkpoints);
+        this.models = new SharedCapacity(clock, FULL_SPEED_LOADS);
+        this.adapters = new SharedCapacity(clock, FULL_SPEED_ADAPTER_LOADS);
+        this.server = new StandInServer(ioExecutor, this::handle).start();
+    }
+
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /**
+     * Starts a load.
+     *
+     * @param artifact what to load
+     * @param adapter whether it is an adapter
+     * @param atEnd runs when it is loaded
+     * @return cancels the load
+     */
+    Runnable load(ArtifactId artifact, boolean adapter, Runnable atEnd) {
+        synchronized (this) {
+            counts.merge(artifact, 1, Integer::sum);
+            if (!adapter) {
+                starts.addLast(clock.nanos());
+            }
+        }
+        SharedCapacity capacity = adapter ? adapters : models;
+        double seconds = adapter ? adapterSeconds(artifact) : LOAD_SECONDS;
+        SharedCapacity.Job job = capacity.start(seconds, atEnd);
+        synchronized (this) {
+            highestActive = Math.max(highestActive, models.active());
+        }
+        return () -> capacity.cancel(job);
+    }
+
+    private static double adapterSeconds(ArtifactId artifact) {
+        int spread = Math.floorMod(artifact.hashCode(), ADAPTER_SPREAD_MILLIS);
+        return ADAPTER_BASE_SECONDS + spread / 1000.0;
+    }
+
+    /**
+     * Makes all loads slower.
+     *
+     * @param factor how many times slower than usual; 1 ends the slowness
+     */
+    public synchronized void setSlowness(double factor) {
+        slow = factor > 1;
+        models.setSlowness(factor);
+        adapters.setSlowness(factor);
+    }
+
+    /** Returns how often each artifact was loaded. */
+    public synchronized Map<ArtifactId, Integer> loadCounts() {
+        return Map.copyOf(counts);
+    }
+
+    /** Returns the most model loads that ran at once. */
+    public synchronized int highestActiveLoads() {
+        return highestActive;
+    }
+
+    private CompletionStage<StandInReply> handle(StandInRequest request) {
+        StandInReply reply;
+        if (request.is("GET", "checkpoints", 1)) {
+            reply = StandInReply.json(200, checkpointsJson());
+        } else if (request.is("GET", "load", 1)) {
+            reply = StandInReply.json(200, loadJson());
+        } else {
+            reply = StandInReply.empty(404);
+        }
+        return CompletableFuture.completedFuture(reply);
+    }
+
+    private ObjectNode checkpointsJson() {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        ArrayNode list = body.putArray("checkpoints");
+        for (Checkpoint checkpoint : checkpoints) {
+            list.addObject()
+                    .put("artifact", checkpoint.artifact().toString())
+                    .put("bytes", checkpoint.bytes());
+        }
+        return body;
+    }
+
+    private synchronized ObjectNode loadJson() {
+        long since = clock.nanos() - Math.round(1e9 * clock.scale());
+        while (!starts.isEmpty() && starts.peekFirst() < since) {
+            starts.removeFirst();
+        }
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("activeLoads", models.active())
+                .put("loadsPerSecond", (double) starts.size())
+                .put("slow", slow);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
