--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
@@ -0,0 +1,323 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.tarragonlug.decision.InvariantListener;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ServerGroup;
+
+/**
+ * The planner of one server group.
+ *
+ * <p>It keeps what it has observed and the record as last known, and computes the record that
+ * should follow: orders that ended are closed, servers that left are removed, replicas are added,
+ * tried again or unloaded. If the result differs, it is written by one conditional update, and only
+ * when that is known to have taken effect do the new orders leave. While a write is outstanding
+ * nothing is decided, so all changes that come up meanwhile share the next write. After a conflict
+ * everything is computed afresh from the record that won.
+ *
+ * <p>Why more replicas than decided are never loaded: a load order leaves only for a slot of the
+ * record, and a slot disappears only when no load order for it can be executed any more (see {@link
+ * OrderClosing}). Why memory is never overcommitted: slots keep their memory that long, and every
+ * addition is checked against the ledger by {@link CapacityRecord}.
+ *
+ * <p>Limits: certainty that a process is gone and that a server has left is taken from the events;
+ * an engine that checks fences must keep the highest one of each artifact across restarts. A
+ * request that is routed to a replica in the moment its unload is ordered may find it gone.
+ */
+public final class DefaultCapacityPlanner implements CapacityPlanner {
+    private static final Duration DECISION_PERIOD = Duration.ofMillis(250);
+    private static final Duration STANDBY_PERIOD = Duration.ofSeconds(2);
+    private static final Duration READ_PERIOD = Duration.ofSeconds(10);
+
+    private final CapacitySettings settings;
+    private final GroupView view;
+    private final RecordWriter writer;
+    private final OrderTracker tracker;
+    private final OrderClosing closing;
+    private final ServerMaintenance servers;
+    private final LoadFailures failures = new LoadFailures();
+    private final ReplicaDecisions replicas;
+    private final UnloadDecisions unloads;
+    private final StandbyMaintenance standbySlots;
+    private final StandbyUse standbyUse;
+    private final ReplicaPublisher publisher;
+    private final InvariantChecks checks;
+    private final KeepWarmPolicy keepWarmPolicy;
+    private CapacityRecord observed;
+    private boolean decider;
+    private boolean configured;
+    private Instant nextDecision = Instant.MIN;
+    private Instant nextStandby = Instant.MIN;
+    private Instant nextRead = Instant.MIN;
+    private long operationCount;
+
+    /**
+     * Creates a planner that knows nothing yet.
+     *
+     * @param settings what the settings of the process say
+     * @param placement chooses servers
+     * @param keepWarmPolicy decides on unloading idle artifacts and on prewarming
+     * @param random spreads writes after conflicts and outages
+     * @param listener told about violated invariants
+     */
+    public DefaultCapacityPlanner(
+            CapacitySettings settings,
+            Placement placement,
+            KeepWarmPolicy keepWarmPolicy,
+            RandomGenerator random,
+            InvariantListener listener) {
+        this.settings = settings;
+        this.keepWarmPolicy = keepWarmPolicy;
+        Supplier<OperationId> operations = this::nextOperation;
+        view = new GroupView(settings);
+        writer = new RecordWriter(settings, random);
+        tracker = new OrderTracker(settings, view, writer);
+        closing = new OrderClosing(view, tracker);
+        servers = new ServerMaintenance(view);
+        standbyUse = new StandbyUse(settings, view, writer, tracker, operations);
+        standbySlots = new StandbyMaintenance(view, standbyUse);
+        IdleSlots idleSlots = new IdleSlots(settings, view, keepWarmPolicy);
+        ReplicaPlacer placer = new ReplicaPlacer(view, placement, idleSlots, failures, standbyUse);
+        replicas = new ReplicaDecisions(settings, view, keepWarmPolicy, failures, placer);
+        unloads = new UnloadDecisions(view, idleSlots, replicas);
+        publisher = new ReplicaPublisher(settings, view, writer, tracker, standbyUse);
+        checks = new InvariantChecks(view, writer, tracker, listener, operations);
+        observed = writer.record();
+    }
+
+    /** Returns the group this planner plans for. */
+    public ServerGroup group() {
+        return settings.group();
+    }
+
+    /** Returns the record as last known, for the state dump. */
+    public CapacityRecord record() {
+        return writer.record();
+    }
+
+    /** Tells whether this process decides for the group, for the state dump. */
+    public boolean isDecider() {
+        return decider;
+    }
+
+    @Override
+    public List<CapacityCommand> handle(CapacityEvent event, Instant now) {
+        boolean urgent = take(event, now);
+        List<CapacityCommand> commands = new ArrayList<>();
+        observeRecord(now);
+        commands.addAll(tracker.forgetClosed(standbyUse));
+        if (writer.isDown()) {
+            standbyUse.fill(now);
+            refuseDuringOutage();
+        } else if (writer.mayWrite(now) && (urgent || !now.isBefore(nextDecision))) {
+            nextDecision = now.plus(DECISION_PERIOD);
+            decide(now, commands);
+        }
+        commands.addAll(writer.due(now));
+        commands.addAll(tracker.sendDue(now));
+        if (decider) {
+            commands.addAll(publisher.changes(replicas));
+        }
+        return commands;
+    }
+
+    /** Updates what is known; returns whether decisions should follow at once. */
+    private boolean take(CapacityEvent event, Instant now) {
+        if (event instanceof CapacityEvent.Tick) {
+            return tick(now);
+        } else if (event instanceof CapacityEvent.DemandReported reported) {
+            return takeDemand(reported, now);
+        } else if (event instanceof CapacityEvent.ServerReported reported) {
+            view.report(reported.report());
+            checks.checkReport(reported.report());
+            return false;
+        } else if (event instanceof CapacityEvent.OrderEnded ended) {
+            takeOrderEnd(ended, now);
+            return true;
+        } else if (event instanceof CapacityEvent.LoadTurnGranted granted) {
+            tracker.granted(granted.operation(), granted.expiresAt());
+            return false;
+        } else if (event instanceof CapacityEvent.LoadTurnExpired expired) {
+            tracker.turnExpired(expired.operation());
+            return false;
+        } else if (event instanceof CapacityEvent.ServersListed listed) {
+            view.list(listed.servers());
+            return true;
+        } else if (event instanceof CapacityEvent.ProcessesListed listed) {
+            view.processesGone(listed.gone(), now);
+            return false;
+        } else if (event instanceof CapacityEvent.ConfigurationChanged changed) {
+            view.configure(changed.configuration());
+            configured = true;
+            return true;
+        } else {
+            return takeRole(event, now) || takeObjectApi(event, now);
+        }
+    }
+
+    private boolean takeRole(CapacityEvent event, Instant now) {
+        if (event instanceof CapacityEvent.BecameDecider) {
+            decider = true;
+            nextRead = now;
+            nextStandby = now;
+            writer.wantRead();
+            publisher.reset();
+            return true;
+        }
+        if (event instanceof CapacityEvent.StoppedBeingDecider) {
+            decider = false;
+            return true;
+        }
+        return false;
+    }
+
+    private boolean takeObjectApi(CapacityEvent event, Instant now) {
+        if (event instanceof CapacityEvent.RecordRead read) {
+            send(writer.read(read.record(), read.objectVersion(), now));
+        } else if (event instanceof CapacityEvent.RecordReadFailed) {
+            writer.readFailed(now);
+        } else if (event instanceof CapacityEvent.WriteDone done) {
+            send(writer.done(done.operation(), done.newVersion(), now));
+        } else if (event instanceof CapacityEvent.WriteConflict conflict) {
+            writer.conflict(conflict.operation(), now);
+        } else if (event instanceof CapacityEvent.WriteOutcomeUnknown unknown) {
+            writer.unknown(unknown.operation(), now);
+        } else if (event instanceof CapacityEvent.WriteNotDone notDone) {
+            writer.notDone(notDone.operation(), now);
+        } else if (event instanceof CapacityEvent.ObjectApiDown) {
+            writer.apiDown();
+        } else if (event instanceof CapacityEvent.ObjectApiUp) {
+            writer.apiUp(now);
+        }
+        return true;
+    }
+
+    private boolean tick(Instant now) {
+        view.tick(now);
+        failures.tick(now);
+        boolean involved = decider || holdsAnything();
+        if (involved && !now.isBefore(nextRead)) {
+            nextRead = now.plus(READ_PERIOD);
+            writer.wantRead();
+        }
+        if (decider && !writer.isDown() && writer.isKnown()) {
+            checks.checkForeign(now);
+        }
+        return false;
+    }
+
+    private boolean holdsAnything() {
+        CapacityRecord record = writer.record();
+        return record.standbySlots().stream().anyMatch(s -> s.holder().equals(settings.process()))
+                || record.slots().stream()
+                        .flatMap(slot -> slot.openOrders().stream())
+                        .anyMatch(order -> order.process().equals(settings.process()));
+    }
+
+    private boolean takeDemand(CapacityEvent.DemandReported reported, Instant now) {
+        Demand demand = reported.demand();
+        ArtifactId artifact = demand.artifact();
+        view.demand(reported.instance(), demand, now);
+        if (demand.arrivals() > 0) {
+            keepWarmPolicy.arrived(artifact, demand.arrivals(), now);
+        }
+        return demand.waiting() > 0
+                && replicas.refusal(artifact).isEmpty()
+                && writer.record().slotsOf(artifact).isEmpty();
+    }
+
+    private void takeOrderEnd(CapacityEvent.OrderEnded ended, Instant now) {
+        tracker.find(ended.operation())
+                .ifPresent(
+                        own -> {
+                            Order order = own.order;
+                            Slot.Key key = new Slot.Key(order.artifact(), order.server());
+                            if (ended.outcome() == OrderOutcome.REFUSED_LEAVING) {
+                                view.refusedLeaving(order.server(), now);
+                            }
+                            if (own.isLoad() && ended.outcome() == OrderOutcome.FAILED) {
+                                failures.failed(key, now);
+                            }
+                            if (own.isLoad() && ended.outcome() == OrderOutcome.DONE) {
+                                failures.succeeded(key);
+                            }
+                        });
+        tracker.ended(ended.operation(), ended.outcome(), now);
+    }
+
+    private void send(List<Order> orders) {
+        observed = null;
+        orders.forEach(order -> tracker.add(order, false));
+    }
+
+    private void observeRecord(Instant now) {
+        CapacityRecord record = writer.record();
+        if (record != observed) {
+            observed = record;
+            view.observe(record, now);
+            standbyUse.observe(record);
+            checks.checkRecord(record);
+        }
+    }
+
+    private void refuseDuringOutage() {
+        for (ArtifactId artifact : view.demanded()) {
+            boolean loaded =
+                    writer.record().slotsOf(artifact).stream()
+                            .anyMatch(slot -> slot.state().isWanted());
+            if (!loaded) {
+                outageRefusal(artifact).ifPresent(refusal -> replicas.refuse(artifact, refusal));
+            }
+        }
+    }
+
+    private Optional<CapacityRefusal> outageRefusal(ArtifactId artifact) {
+        Optional<StandbySlot> standby =
+                writer.record()
+                        .standbyOf(artifact)
+                        .filter(s -> s.holder().equals(settings.process()));
+        if (standby.isEmpty()) {
+            return Optional.of(CapacityRefusal.OUTAGE);
+        }
+        Optional<ArtifactId> occupant = standbyUse.occupant(standby.get());
+        return occupant.equals(Optional.of(artifact))
+                ? Optional.empty()
+                : Optional.of(CapacityRefusal.STANDBY_OCCUPIED);
+    }
+
+    private void decide(Instant now, List<CapacityCommand> commands) {
+        Draft draft = new Draft(writer.record(), settings.process(), this::nextOperation, now);
+        closing.apply(draft, decider);
+        standbyUse.convert(draft);
+        if (!decider) {
+            standbySlots.release(draft);
+        } else if (configured) {
+            servers.apply(draft);
+            standbySlots.prune(draft);
+            replicas.apply(draft);
+            unloads.apply(draft);
+            if (!now.isBefore(nextStandby)) {
+                nextStandby = now.plus(STANDBY_PERIOD);
+                standbySlots.extend(draft);
+            }
+        }
+        if (draft.isChanged()) {
+            OperationId operation = nextOperation();
+            CapacityRecord changed =
+                    draft.record().written(settings.process(), operation, draft.newRevision());
+            commands.add(writer.start(operation, changed, draft.orders()));
+        }
+    }
+
+    private OperationId nextOperation() {
+        operationCount++;
+        return new OperationId(settings.process() + "-" + operationCount);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/InvariantChecks.java
@@ -0,0 +1,152 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.tarragonlug.decision.Invariant;
+import org.tarragonlug.decision.InvariantListener;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ServerId;
+
+/**
+ * Compares the record and the engines' reports with the invariants I1 and I2, and has artifacts
+ * unloaded that no decision covers.
+ *
+ * <p>Reports lag, and the record known here may be old. An artifact without a slot therefore counts
+ * only if it was seen for {@link #PERSISTENCE} and the record was confirmed in between.
+ */
+final class InvariantChecks {
+    private static final Duration PERSISTENCE = Duration.ofSeconds(5);
+    private static final Duration UNLOAD_REPEAT = Duration.ofSeconds(10);
+
+    private static final class Sighting {
+        private Instant first;
+        private Instant nextUnload;
+        private boolean told;
+    }
+
+    private final GroupView view;
+    private final RecordWriter writer;
+    private final OrderTracker tracker;
+    private final InvariantListener listener;
+    private final Supplier<OperationId> operations;
+    private final Map<Slot.Key, Sighting> sightings = new HashMap<>();
+
+    InvariantChecks(
+            GroupView view,
+            RecordWriter writer,
+            OrderTracker tracker,
+            InvariantListener listener,
+            Supplier<OperationId> operations) {
+        this.view = view;
+        this.writer = writer;
+        this.tracker = tracker;
+        this.listener = listener;
+        this.operations = operations;
+    }
+
+    void checkRecord(CapacityRecord record) {
+        for (ServerId server : record.overcommittedServers()) {
+            listener.invariantViolated(
+                    Invariant.MEMORY_NOT_OVERCOMMITTED,
+                    "source=record group=" + record.group() + " server=" + server);
+        }
+        for (ArtifactId artifact : record.artifactsDecidedTwice()) {
+            listener.invariantViolated(
+                    Invariant.REPLICAS_WITHIN_DECISION,
+                    "source=record group=" + record.group() + " artifact=" + artifact);
+        }
+    }
+
+    void checkReport(ServerReport report) {
+        long used =
+                Stream.concat(report.loaded().values().stream(), report.loading().values().stream())
+                        .mapToLong(Long::longValue)
+                        .sum();
+        if (used > report.memoryBytes()) {
+            listener.invariantViolated(
+                    Invariant.MEMORY_NOT_OVERCOMMITTED,
+                    "source=report server="
+                            + report.server()
+                            + " usedBytes="
+                            + used
+                            + " memoryBytes="
+                            + report.memoryBytes());
+        }
+    }
+
+    /** Follows artifacts without a decision; called by the decider while the object API is up. */
+    void checkForeign(Instant now) {
+        CapacityRecord record = writer.record();
+        Set<Slot.Key> present = new HashSet<>();
+        List<ServerReport> reports = view.reports().toList();
+        for (ServerReport report : reports) {
+            for (Map.Entry<ArtifactId, Long> held :
+                    view.foreign(report.server(), record).entrySet()) {
+                Slot.Key key = new Slot.Key(held.getKey(), report.server());
+                present.add(key);
+                follow(key, held.getValue(), report, now);
+            }
+        }
+        sightings.keySet().retainAll(present);
+    }
+
+    private void follow(Slot.Key key, long bytes, ServerReport report, Instant now) {
+        Sighting seen = sightings.computeIfAbsent(key, k -> new Sighting());
+        if (seen.first == null) {
+            seen.first = report.receivedAt();
+            seen.nextUnload = now;
+        }
+        boolean persistent = report.receivedAt().isAfter(seen.first.plus(PERSISTENCE));
+        boolean confirmed = writer.confirmedAt().isAfter(seen.first.plus(PERSISTENCE));
+        if (!persistent || !confirmed) {
+            return;
+        }
+        if (!seen.told && isBeyondDecision(key.artifact())) {
+            seen.told = true;
+            listener.invariantViolated(
+                    Invariant.REPLICAS_WITHIN_DECISION,
+                    "source=report artifact=" + key.artifact() + " server=" + key.server());
+        }
+        boolean idle =
+                view.demand(key.artifact()).isIdle()
+                        && !report.inProgress().contains(key.artifact());
+        if (idle && !now.isBefore(seen.nextUnload)) {
+            seen.nextUnload = now.plus(UNLOAD_REPEAT);
+            unload(key, bytes);
+        }
+    }
+
+    private boolean isBeyondDecision(ArtifactId artifact) {
+        long holders =
+                view.reports()
+                        .filter(
+                                r ->
+                                        r.loaded().containsKey(artifact)
+                                                || r.loading().containsKey(artifact))
+                        .count();
+        return holders > writer.record().decidedServers(artifact).size();
+    }
+
+    private void unload(Slot.Key key, long bytes) {
+        tracker.add(
+                new Order(
+                        operations.get(),
+                        OrderKind.UNLOAD,
+                        key.server(),
+                        key.artifact(),
+                        Optional.empty(),
+                        bytes,
+                        new Fence(writer.record().revision())),
+                true);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/ReplicaPlacer.java
@@ -0,0 +1,261 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ServerId;
+
+/**
+ * Finds a server for one more replica and decides the slot, or the unloads that make room first.
+ *
+ * <p>A standby slot of this process that covers the artifact gives way in the same write. One of
+ * another process cannot: its holder may fill it at any moment. When the maximum is reached with
+ * it, the replica can only go to the standby slot's own server, where both are one replica.
+ */
+final class ReplicaPlacer {
+    private static final Duration EVICTION_TIMEOUT = Duration.ofSeconds(30);
+
+    private record Eviction(ServerId server, Instant at) {}
+
+    private final GroupView view;
+    private final Placement placement;
+    private final IdleSlots idleSlots;
+    private final LoadFailures failures;
+    private final StandbyUse standbyUse;
+    private final Map<ArtifactId, Eviction> evictions = new HashMap<>();
+
+    ReplicaPlacer(
+            GroupView view,
+            Placement placement,
+            IdleSlots idleSlots,
+            LoadFailures failures,
+            StandbyUse standbyUse) {
+        this.view = view;
+        this.placement = placement;
+        this.idleSlots = idleSlots;
+        this.failures = failures;
+        this.standbyUse = standbyUse;
+    }
+
+    /** Decides one more replica; returns why that is not possible now. */
+    Optional<CapacityRefusal> place(Draft draft, ArtifactLimit limit) {
+        return place(draft, limit, 0);
+    }
+
+    private Optional<CapacityRefusal> place(Draft draft, ArtifactLimit limit, long besideBytes) {
+        if (isMakingRoom(draft, limit.artifact()) || reload(draft, limit.artifact())) {
+            return Optional.empty();
+        }
+        CapacityRecord record = uncover(draft, limit.artifact());
+        Optional<Set<ServerId>> permitted = permittedServers(record, limit);
+        if (permitted.isEmpty()) {
+            return Optional.of(CapacityRefusal.MAXIMUM_REPLICAS);
+        }
+        if (limit.isAdapter()) {
+            Optional<CapacityRefusal> refusal = ensureBase(draft, limit, permitted.get());
+            if (refusal.isPresent()) {
+                return refusal;
+            }
+            record = uncover(draft, limit.artifact());
+        }
+        List<ServerCandidate> candidates =
+                candidates(record, limit, permitted.get(), draft.now()).stream()
+                        .filter(c -> !limit.isAdapter() || c.holdsBaseModel())
+                        .toList();
+        return choose(draft, record, limit, besideBytes, candidates);
+    }
+
+    private Optional<CapacityRefusal> choose(
+            Draft draft,
+            CapacityRecord record,
+            ArtifactLimit limit,
+            long besideBytes,
+            List<ServerCandidate> candidates) {
+        ArtifactLimit room =
+                new ArtifactLimit(
+                        limit.artifact(),
+                        limit.baseModel(),
+                        limit.memoryBytes() + besideBytes,
+                        limit.minimumReplicas(),
+                        limit.maximumReplicas());
+        Set<FailureDomain> occupied =
+                record.slotsOf(limit.artifact()).stream()
+                        .flatMap(slot -> view.failureDomain(slot.server()).stream())
+                        .collect(Collectors.toSet());
+        Optional<Placement.Choice> choice =
+                candidates.isEmpty()
+                        ? Optional.empty()
+                        : placement.choose(room, candidates, occupied);
+        Optional<ServerCandidate> chosen =
+                choice.flatMap(
+                        c ->
+                                candidates.stream()
+                                        .filter(s -> s.server().equals(c.server()))
+                                        .findFirst());
+        if (chosen.isEmpty()) {
+            return Optional.of(CapacityRefusal.NO_MEMORY);
+        }
+        if (chosen.get().freeBytes() >= room.memoryBytes()) {
+            draft.set(record);
+            draft.addReplica(limit, chosen.get().server());
+            return Optional.empty();
+        }
+        return makeRoom(draft, limit.artifact(), chosen.get(), choice.get().unloadFirst());
+    }
+
+    private Optional<CapacityRefusal> makeRoom(
+            Draft draft, ArtifactId wanted, ServerCandidate chosen, List<ArtifactId> victims) {
+        boolean making = false;
+        for (ArtifactId victim : victims) {
+            boolean idle = chosen.idle().stream().anyMatch(i -> i.artifact().equals(victim));
+            Optional<Slot> slot = draft.record().slot(victim, chosen.server());
+            if (idle && slot.isPresent()) {
+                draft.orderUnload(slot.get());
+                evictions.put(wanted, new Eviction(chosen.server(), draft.now()));
+                making = true;
+            }
+        }
+        return making ? Optional.empty() : Optional.of(CapacityRefusal.NO_MEMORY);
+    }
+
+    /** Tells whether unloads that make room for an artifact are still under way. */
+    private boolean isMakingRoom(Draft draft, ArtifactId artifact) {
+        Eviction eviction = evictions.get(artifact);
+        if (eviction == null) {
+            return false;
+        }
+        boolean timely = eviction.at().plus(EVICTION_TIMEOUT).isAfter(draft.now());
+        boolean unloading =
+                draft.record().slotsOn(eviction.server()).stream()
+                        .anyMatch(slot -> slot.state() == SlotState.UNLOADING);
+        if (timely && unloading) {
+            return true;
+        }
+        evictions.remove(artifact);
+        return false;
+    }
+
+    private CapacityRecord uncover(Draft draft, ArtifactId artifact) {
+        CapacityRecord record = draft.record();
+        Optional<StandbySlot> own =
+                record.standbyOf(artifact)
+                        .filter(standby -> standby.holder().equals(draft.process()))
+                        .filter(standby -> !standbyUse.isUsing(standby));
+        return own.map(
+                        standby -> {
+                            List<ArtifactId> others = new ArrayList<>(standby.artifacts());
+                            others.remove(artifact);
+                            return record.withChangedStandby(
+                                    standby, standby.withArtifacts(others));
+                        })
+                .orElse(record);
+    }
+
+    /** Returns the servers a further replica may go to; empty when there is none. */
+    private Optional<Set<ServerId>> permittedServers(CapacityRecord record, ArtifactLimit limit) {
+        Set<ServerId> decided = record.decidedServers(limit.artifact());
+        Set<ServerId> slots =
+                record.slotsOf(limit.artifact()).stream()
+                        .map(Slot::server)
+                        .collect(Collectors.toSet());
+        Set<ServerId> servers =
+                record.servers().stream().map(ServerEntry::server).collect(Collectors.toSet());
+        servers.removeAll(slots);
+        if (decided.size() >= limit.maximumReplicas()) {
+            servers.retainAll(decided);
+        }
+        Set<ServerId> foreign = view.foreignServers(limit.artifact(), record);
+        if (!foreign.isEmpty()) {
+            servers.retainAll(foreign);
+        }
+        return servers.isEmpty() ? Optional.empty() : Optional.of(servers);
+    }
+
+    private Optional<CapacityRefusal> ensureBase(
+            Draft draft, ArtifactLimit adapter, Set<ServerId> permitted) {
+        ArtifactId base = adapter.baseModel().orElseThrow();
+        boolean present =
+                candidates(draft.record(), adapter, permitted, draft.now()).stream()
+                        .anyMatch(ServerCandidate::holdsBaseModel);
+        if (present) {
+            return Optional.empty();
+        }
+        Optional<GroupView.Allowed> allowed = view.allowed(base);
+        if (allowed.isEmpty()) {
+            return Optional.of(CapacityRefusal.BASE_MODEL_UNAVAILABLE);
+        }
+        return place(draft, allowed.get().limit(), adapter.memoryBytes());
+    }
+
+    /** Loads again on a server where the artifact is being unloaded or is not settled yet. */
+    private boolean reload(Draft draft, ArtifactId artifact) {
+        Optional<Slot> slot =
+                draft.record().slotsOf(artifact).stream()
+                        .filter(s -> !s.state().isWanted())
+                        .filter(s -> !view.isLeaving(s.server()))
+                        .filter(s -> view.freshReport(s.server(), draft.now()).isPresent())
+                        .filter(s -> !failures.isExhausted(s.key()))
+                        .filter(s -> draft.isUnclaimed(s, OrderKind.UNLOAD, view))
+                        .filter(s -> hasBase(draft, s))
+                        .findFirst();
+        slot.ifPresent(draft::orderLoad);
+        return slot.isPresent();
+    }
+
+    private static boolean hasBase(Draft draft, Slot slot) {
+        return slot.baseModel().isEmpty()
+                || draft.record()
+                        .slot(slot.baseModel().get(), slot.server())
+                        .filter(base -> base.state().isWanted())
+                        .isPresent();
+    }
+
+    private List<ServerCandidate> candidates(
+            CapacityRecord record, ArtifactLimit limit, Set<ServerId> permitted, Instant now) {
+        List<ServerCandidate> candidates = new ArrayList<>();
+        for (ServerEntry entry : record.servers()) {
+            ServerId server = entry.server();
+            boolean usable =
+                    entry.state() == ServerState.ACTIVE
+                            && permitted.contains(server)
+                            && !view.isLeaving(server)
+                            && !failures.isExhausted(new Slot.Key(limit.artifact(), server));
+            Optional<ServerReport> report = view.freshReport(server, now);
+            if (usable && report.isPresent()) {
+                candidates.add(candidate(record, limit, report.get(), now));
+            }
+        }
+        return candidates;
+    }
+
+    private ServerCandidate candidate(
+            CapacityRecord record, ArtifactLimit limit, ServerReport report, Instant now) {
+        ServerId server = report.server();
+        long ownForeign = view.foreign(server, record).getOrDefault(limit.artifact(), 0L);
+        boolean holdsBase =
+                limit.baseModel()
+                        .flatMap(base -> record.slot(base, server))
+                        .filter(slot -> slot.state().isWanted())
+                        .isPresent();
+        long loads = record.slotsOn(server).stream().filter(s -> s.hasOpen(OrderKind.LOAD)).count();
+        return new ServerCandidate(
+                server,
+                view.failureDomain(server).orElse(new FailureDomain("unknown")),
+                view.freeBytes(server, record) + ownForeign,
+                report.tier(limit.artifact()),
+                (int) loads,
+                report.queued(),
+                holdsBase,
+                false,
+                idleSlots.unloadable(server, record, limit.baseModel(), now));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/ReplicaPublisher.java
@@ -0,0 +1,114 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.ServerId;
+
+/** Tells where artifacts may be used, and their state for the status page, on each change. */
+final class ReplicaPublisher {
+    private final CapacitySettings settings;
+    private final GroupView view;
+    private final RecordWriter writer;
+    private final OrderTracker tracker;
+    private final StandbyUse standbyUse;
+    private final Map<ArtifactId, CapacityCommand> published = new HashMap<>();
+    private final Map<ArtifactId, CapacityCommand> reported = new HashMap<>();
+
+    ReplicaPublisher(
+            CapacitySettings settings,
+            GroupView view,
+            RecordWriter writer,
+            OrderTracker tracker,
+            StandbyUse standbyUse) {
+        this.settings = settings;
+        this.view = view;
+        this.writer = writer;
+        this.tracker = tracker;
+        this.standbyUse = standbyUse;
+    }
+
+    /** Makes the next call send everything again. */
+    void reset() {
+        published.clear();
+        reported.clear();
+    }
+
+    List<CapacityCommand> changes(ReplicaDecisions replicas) {
+        CapacityRecord record = writer.record();
+        Set<ArtifactId> artifacts = new HashSet<>(published.keySet());
+        record.slots().forEach(slot -> artifacts.add(slot.artifact()));
+        record.standbySlots().forEach(s -> standbyUse.occupant(s).ifPresent(artifacts::add));
+        artifacts.addAll(view.demanded());
+        List<CapacityCommand> commands = new ArrayList<>();
+        Map<ArtifactId, List<Slot>> slots = new HashMap<>();
+        record.slots()
+                .forEach(s -> slots.computeIfAbsent(s.artifact(), a -> new ArrayList<>()).add(s));
+        for (ArtifactId artifact : artifacts.stream().sorted().toList()) {
+            publish(artifact, slots.getOrDefault(artifact, List.of()), replicas, commands);
+        }
+        return commands;
+    }
+
+    private void publish(
+            ArtifactId artifact,
+            List<Slot> slots,
+            ReplicaDecisions replicas,
+            List<CapacityCommand> commands) {
+        Set<ServerId> ready = new HashSet<>();
+        int loading = 0;
+        Optional<Instant> expected = Optional.empty();
+        for (Slot slot : slots) {
+            if (isReady(slot)) {
+                ready.add(slot.server());
+            } else if (slot.state() == SlotState.LOADING) {
+                loading++;
+                expected = expected.or(() -> expectedReadyAt(slot));
+            }
+        }
+        for (StandbySlot standby : writer.record().standbySlots()) {
+            if (standbyUse.occupant(standby).equals(Optional.of(artifact))) {
+                if (standbyUse.isReady(standby)) {
+                    ready.add(standby.server());
+                } else {
+                    loading++;
+                }
+            }
+        }
+        List<ServerId> usable = ready.stream().filter(s -> !view.isLeaving(s)).sorted().toList();
+        CapacityCommand replicasNow =
+                new CapacityCommand.PublishReplicas(artifact, usable, loading > 0, expected);
+        if (!replicasNow.equals(published.put(artifact, replicasNow))) {
+            commands.add(replicasNow);
+        }
+        CapacityCommand report =
+                new CapacityCommand.ReportArtifact(
+                        artifact, usable.size(), loading, replicas.refusal(artifact));
+        if (!report.equals(reported.put(artifact, report))) {
+            commands.add(report);
+        }
+    }
+
+    private boolean isReady(Slot slot) {
+        boolean confirmed =
+                tracker.load(slot.artifact(), slot.server())
+                        .filter(own -> own.hasAnswer() && own.outcome == OrderOutcome.DONE)
+                        .filter(own -> slot.order(own.order.operation()).isPresent())
+                        .isPresent();
+        return slot.state() == SlotState.READY || slot.state() == SlotState.LOADING && confirmed;
+    }
+
+    private Optional<Instant> expectedReadyAt(Slot slot) {
+        CacheTier tier = view.tier(slot.server(), slot.artifact());
+        return slot.openOrders().stream()
+                .filter(order -> order.kind() == OrderKind.LOAD)
+                .map(order -> order.writtenAt().plus(settings.expectedLoad(tier)))
+                .max(Instant::compareTo);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/StandbyMaintenance.java
@@ -0,0 +1,178 @@
+package org.tarragonlug.decision.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.decision.configuration.Pool;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.ServerId;
+
+/**
+ * Keeps the standby slots of each pool: their number, servers, holders and lists of cold models.
+ *
+ * <p>A model may be listed only if it stays within its maximum of replicas together with its slots,
+ * because the holder may load it at any moment. Adapters are not listed: they would need their base
+ * model on the same server.
+ */
+final class StandbyMaintenance {
+    private final GroupView view;
+    private final StandbyUse standbyUse;
+
+    StandbyMaintenance(GroupView view, StandbyUse standbyUse) {
+        this.view = view;
+        this.standbyUse = standbyUse;
+    }
+
+    /** Gives up the standby slots of a process that decides no longer. */
+    void release(Draft draft) {
+        for (StandbySlot standby : draft.record().standbySlots()) {
+            if (isOwnUnused(draft, standby)) {
+                draft.set(draft.record().withoutStandby(standby));
+            }
+        }
+    }
+
+    /** Removes what must not stay and updates lists; called before replicas are decided. */
+    void prune(Draft draft) {
+        for (StandbySlot standby : draft.record().standbySlots()) {
+            boolean orphaned =
+                    view.isGoneAndSettled(standby.holder(), draft.now())
+                            && view.freshReport(standby.server(), draft.now()).isPresent();
+            boolean misplaced =
+                    isOwnUnused(draft, standby)
+                            && (view.isLeaving(standby.server()) || isSurplus(draft, standby));
+            if (orphaned || misplaced) {
+                draft.set(draft.record().withoutStandby(standby));
+            }
+        }
+    }
+
+    /** Creates missing standby slots and covers cold models; called after replicas are decided. */
+    void extend(Draft draft) {
+        for (Pool pool : view.pools()) {
+            List<StandbySlot> present = ofPool(draft, pool);
+            for (StandbySlot standby : present) {
+                if (isOwnUnused(draft, standby)) {
+                    update(draft, pool, standby);
+                }
+            }
+            for (int i = present.size(); i < pool.standbySlots(); i++) {
+                create(draft, pool, i);
+            }
+        }
+    }
+
+    private void update(Draft draft, Pool pool, StandbySlot standby) {
+        List<ArtifactId> kept =
+                standby.artifacts().stream().filter(a -> isListable(draft, a)).toList();
+        long room = standby.memoryBytes() + view.freeBytes(standby.server(), draft.record());
+        List<ArtifactLimit> added = uncovered(draft, pool, standby.server(), room);
+        if (!added.isEmpty()) {
+            List<ArtifactId> all = new ArrayList<>(kept);
+            added.forEach(limit -> all.add(limit.artifact()));
+            long memory = Math.max(standby.memoryBytes(), largest(added));
+            StandbySlot changed =
+                    new StandbySlot(
+                            pool.name(),
+                            standby.server(),
+                            memory,
+                            draft.process(),
+                            all,
+                            draft.newFenceRange(),
+                            Optional.empty());
+            draft.set(draft.record().withChangedStandby(standby, changed));
+        } else if (kept.size() < standby.artifacts().size()) {
+            draft.set(draft.record().withChangedStandby(standby, standby.withArtifacts(kept)));
+        }
+    }
+
+    private void create(Draft draft, Pool pool, int index) {
+        Optional<ServerId> roomiest =
+                draft.record().servers().stream()
+                        .filter(entry -> entry.state() == ServerState.ACTIVE)
+                        .map(ServerEntry::server)
+                        .filter(server -> !view.isLeaving(server))
+                        .filter(server -> view.freshReport(server, draft.now()).isPresent())
+                        .max(
+                                Comparator.comparing(
+                                        (ServerId server) ->
+                                                view.freeBytes(server, draft.record())));
+        if (roomiest.isEmpty()) {
+            return;
+        }
+        ServerId server = roomiest.get();
+        long room = view.freeBytes(server, draft.record());
+        List<ArtifactLimit> cold = uncovered(draft, pool, server, room);
+        // The first of several standby slots leaves a share of the models to the others.
+        int slots = pool.standbySlots() - index;
+        int share = (cold.size() + slots - 1) / slots;
+        List<ArtifactLimit> taken = cold.subList(0, share);
+        if (!taken.isEmpty()) {
+            List<ArtifactId> artifacts = taken.stream().map(ArtifactLimit::artifact).toList();
+            StandbySlot standby =
+                    new StandbySlot(
+                            pool.name(),
+                            server,
+                            largest(taken),
+                            draft.process(),
+                            artifacts,
+                            draft.newFenceRange(),
+                            Optional.empty());
+            draft.set(draft.record().withNewStandby(standby));
+        }
+    }
+
+    private List<ArtifactLimit> uncovered(Draft draft, Pool pool, ServerId server, long room) {
+        CapacityRecord record = draft.record();
+        return pool.artifacts().stream()
+                .filter(limit -> !limit.isAdapter() && limit.memoryBytes() <= room)
+                .filter(limit -> record.standbyOf(limit.artifact()).isEmpty())
+                .filter(limit -> isListable(draft, limit.artifact()))
+                .filter(limit -> view.demand(limit.artifact()).isIdle())
+                .filter(limit -> isWithinMaximum(record, limit, server))
+                .filter(limit -> view.foreignServers(limit.artifact(), record).isEmpty())
+                .toList();
+    }
+
+    private static boolean isWithinMaximum(
+            CapacityRecord record, ArtifactLimit limit, ServerId server) {
+        var decided = record.decidedServers(limit.artifact());
+        int others = decided.contains(server) ? decided.size() - 1 : decided.size();
+        return others < limit.maximumReplicas();
+    }
+
+    /** Tells whether a model is cold, so that an outage would leave it without any replica. */
+    private boolean isListable(Draft draft, ArtifactId artifact) {
+        return view.allowed(artifact).isPresent()
+                && draft.record().slotsOf(artifact).stream().noneMatch(s -> s.state().isWanted());
+    }
+
+    private boolean isSurplus(Draft draft, StandbySlot standby) {
+        int wanted =
+                view.pools().stream()
+                        .filter(pool -> pool.name().equals(standby.pool()))
+                        .mapToInt(Pool::standbySlots)
+                        .sum();
+        long present =
+                draft.record().standbySlots().stream()
+                        .filter(other -> other.pool().equals(standby.pool()))
+                        .count();
+        return present > wanted;
+    }
+
+    private boolean isOwnUnused(Draft draft, StandbySlot standby) {
+        return standby.holder().equals(draft.process()) && !standbyUse.isUsing(standby);
+    }
+
+    private static List<StandbySlot> ofPool(Draft draft, Pool pool) {
+        return draft.record().standbySlots().stream()
+                .filter(standby -> standby.pool().equals(pool.name()))
+                .toList();
+    }
+
+    private static long largest(List<ArtifactLimit> limits) {
+        return limits.stream().mapToLong(ArtifactLimit::memoryBytes).max().orElse(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/StandbyUse.java
@@ -0,0 +1,297 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.OperationId;
+
+/**
+ * Fills the standby slots that this process holds while the object API is down, and turns them into
+ * ordinary slots afterwards.
+ *
+ * <p>This is safe without a write, because only the holder may change or fill a standby slot: the
+ * last record this process has read or written names its own standby slots truly. While a write of
+ * its own is unresolved, only what both the old and the new record allow is used. A slot holds one
+ * artifact at a time; it is emptied by a confirmed unload once no copy of its load can arrive.
+ */
+final class StandbyUse {
+    private static final class Use {
+        private ArtifactId artifact;
+        private OwnOrder load;
+        private OwnOrder unload;
+        private long fencesUsed;
+        private Instant settledAt = Instant.MIN;
+
+        private boolean isSettled(Instant now) {
+            return load.isSettled(now) && !now.isBefore(settledAt);
+        }
+
+        private void clear() {
+            artifact = null;
+            load = null;
+            unload = null;
+        }
+    }
+
+    private final CapacitySettings settings;
+    private final GroupView view;
+    private final RecordWriter writer;
+    private final OrderTracker tracker;
+    private final Supplier<OperationId> operations;
+    private final Map<Fence, Use> uses = new HashMap<>();
+
+    StandbyUse(
+            CapacitySettings settings,
+            GroupView view,
+            RecordWriter writer,
+            OrderTracker tracker,
+            Supplier<OperationId> operations) {
+        this.settings = settings;
+        this.view = view;
+        this.writer = writer;
+        this.tracker = tracker;
+        this.operations = operations;
+    }
+
+    /** Tells whether this process has put something into a standby slot. */
+    boolean isUsing(StandbySlot standby) {
+        return occupant(standby).isPresent();
+    }
+
+    Optional<ArtifactId> occupant(StandbySlot standby) {
+        return Optional.ofNullable(uses.get(standby.fence())).map(use -> use.artifact);
+    }
+
+    /** Tells whether the artifact in a standby slot is loaded. */
+    boolean isReady(StandbySlot standby) {
+        Use use = uses.get(standby.fence());
+        return use != null
+                && use.load != null
+                && use.unload == null
+                && use.load.outcome == OrderOutcome.DONE;
+    }
+
+    boolean needs(OwnOrder own) {
+        return uses.values().stream().anyMatch(use -> use.load == own || use.unload == own);
+    }
+
+    /** Forgets the use of standby slots that the record has no more. */
+    void observe(CapacityRecord record) {
+        Set<Fence> present =
+                record.standbySlots().stream().map(StandbySlot::fence).collect(Collectors.toSet());
+        uses.keySet().retainAll(present);
+    }
+
+    /** Loads wanted artifacts into standby slots; called while the object API is down. */
+    void fill(Instant now) {
+        for (StandbySlot standby : writer.record().standbySlots()) {
+            if (standby.holder().equals(settings.process())) {
+                List<ArtifactId> usable = usableArtifacts(standby);
+                Use use = uses.computeIfAbsent(standby.fence(), f -> new Use());
+                continueUse(use, standby, usable, now);
+            }
+        }
+    }
+
+    private List<ArtifactId> usableArtifacts(StandbySlot standby) {
+        if (writer.pending().isEmpty()) {
+            return standby.artifacts();
+        }
+        return writer.pending().get().record().standbySlots().stream()
+                .filter(other -> other.fence().equals(standby.fence()))
+                .flatMap(other -> other.artifacts().stream())
+                .filter(standby.artifacts()::contains)
+                .toList();
+    }
+
+    private void continueUse(Use use, StandbySlot standby, List<ArtifactId> usable, Instant now) {
+        Optional<ArtifactId> wanted = mostWanted(usable);
+        if (use.artifact == null) {
+            wanted.filter(a -> isEmpty(standby, a)).ifPresent(a -> load(use, standby, a));
+        } else if (use.unload != null) {
+            continueUnload(use, standby);
+        } else if (use.load.hasAnswer()) {
+            continueLoaded(use, standby, wanted, now);
+        }
+    }
+
+    private void continueUnload(Use use, StandbySlot standby) {
+        if (!use.unload.hasAnswer()) {
+            return;
+        }
+        if (use.unload.outcome == OrderOutcome.DONE) {
+            use.clear();
+        } else if (use.unload.outcome == OrderOutcome.REFUSED_OLD_FENCE) {
+            unload(use, standby);
+        }
+    }
+
+    private void continueLoaded(
+            Use use, StandbySlot standby, Optional<ArtifactId> wanted, Instant now) {
+        boolean failed = use.load.outcome != OrderOutcome.DONE;
+        boolean demanded = view.demand(use.artifact).waiting() > 0;
+        if (failed && demanded) {
+            if (!now.isBefore(use.load.nextSend)) {
+                use.settledAt = later(use.settledAt, use.load.settledAt);
+                load(use, standby, use.artifact);
+            }
+            return;
+        }
+        boolean other = wanted.isPresent() && !wanted.get().equals(use.artifact);
+        boolean idle =
+                view.demand(use.artifact).isIdle()
+                        && view.freshReport(standby.server(), now)
+                                .filter(report -> !report.inProgress().contains(use.artifact))
+                                .isPresent();
+        if (other && idle && use.isSettled(now)) {
+            unload(use, standby);
+        }
+    }
+
+    private Optional<ArtifactId> mostWanted(List<ArtifactId> usable) {
+        return usable.stream()
+                .filter(artifact -> view.demand(artifact).waiting() > 0)
+                .filter(artifact -> view.allowed(artifact).isPresent())
+                .filter(
+                        artifact ->
+                                writer.record().slotsOf(artifact).stream()
+                                        .noneMatch(slot -> slot.state().isWanted()))
+                .min(Comparator.comparing(artifact -> view.demand(artifact).earliestDeadline()));
+    }
+
+    /** Tells whether the server reports nothing in the memory that the standby slot reserves. */
+    private boolean isEmpty(StandbySlot standby, ArtifactId wanted) {
+        return view.report(standby.server())
+                .filter(
+                        report ->
+                                Stream.concat(
+                                                report.loaded().keySet().stream(),
+                                                report.loading().keySet().stream())
+                                        .filter(artifact -> !artifact.equals(wanted))
+                                        .allMatch(
+                                                artifact ->
+                                                        writer.record()
+                                                                .slot(artifact, standby.server())
+                                                                .isPresent()))
+                .isPresent();
+    }
+
+    private void load(Use use, StandbySlot standby, ArtifactId artifact) {
+        ArtifactLimit limit = view.allowed(artifact).orElseThrow().limit();
+        if (limit.memoryBytes() > standby.memoryBytes() || !hasFence(use)) {
+            return;
+        }
+        use.artifact = artifact;
+        use.load = order(use, standby, OrderKind.LOAD, limit.memoryBytes());
+    }
+
+    private void unload(Use use, StandbySlot standby) {
+        if (hasFence(use)) {
+            use.unload = order(use, standby, OrderKind.UNLOAD, use.load.order.memoryBytes());
+        }
+    }
+
+    private static boolean hasFence(Use use) {
+        return use.fencesUsed < StandbySlot.FENCE_RANGE - 1;
+    }
+
+    private OwnOrder order(Use use, StandbySlot standby, OrderKind kind, long memoryBytes) {
+        Fence fence = new Fence(standby.fence().value() + use.fencesUsed);
+        use.fencesUsed++;
+        return tracker.add(
+                new Order(
+                        operations.get(),
+                        kind,
+                        standby.server(),
+                        use.artifact,
+                        Optional.empty(),
+                        memoryBytes,
+                        fence),
+                true);
+    }
+
+    /** Records the use of standby slots, and turns recorded ones into ordinary slots. */
+    void convert(Draft draft) {
+        for (StandbySlot standby : draft.record().standbySlots()) {
+            Use use = uses.get(standby.fence());
+            boolean own = standby.holder().equals(draft.process());
+            if (own && use != null && use.artifact != null) {
+                if (standby.inUse().equals(Optional.of(use.artifact))) {
+                    toOrdinary(draft, standby, use);
+                } else {
+                    draft.set(
+                            draft.record()
+                                    .withChangedStandby(
+                                            standby, standby.withInUse(Optional.of(use.artifact))));
+                }
+            }
+        }
+    }
+
+    private void toOrdinary(Draft draft, StandbySlot standby, Use use) {
+        CapacityRecord without = draft.record().withoutStandby(standby);
+        Optional<Slot> present = without.slot(use.artifact, standby.server());
+        List<OpenOrder> open = openOrders(draft, use);
+        if (present.isPresent()) {
+            Slot joined = present.get();
+            for (OpenOrder order : open) {
+                if (order.kind() == OrderKind.LOAD) {
+                    joined =
+                            joined.withoutOrders(OrderKind.UNLOAD).withOrder(order, joined.fence());
+                }
+            }
+            draft.set(without.withChangedSlot(joined));
+            return;
+        }
+        OwnOrder last = use.unload != null ? use.unload : use.load;
+        Slot slot =
+                new Slot(
+                        use.artifact,
+                        Optional.empty(),
+                        standby.server(),
+                        use.load.order.memoryBytes(),
+                        state(use),
+                        last.order.fence(),
+                        open);
+        int decided = draft.record().decidedServers(use.artifact).size();
+        draft.set(without.withNewSlot(slot, decided));
+    }
+
+    private static SlotState state(Use use) {
+        if (use.unload != null) {
+            return SlotState.UNLOADING;
+        }
+        return use.load.outcome == OrderOutcome.DONE ? SlotState.READY : SlotState.LOADING;
+    }
+
+    private List<OpenOrder> openOrders(Draft draft, Use use) {
+        List<OpenOrder> open = new ArrayList<>();
+        if (!use.isSettled(draft.now())) {
+            use.load.settledAt = later(use.load.settledAt, use.settledAt);
+            open.add(openOrder(draft, use.load));
+        }
+        if (use.unload != null) {
+            open.add(openOrder(draft, use.unload));
+        }
+        return open;
+    }
+
+    private static OpenOrder openOrder(Draft draft, OwnOrder own) {
+        return new OpenOrder(own.order.operation(), draft.process(), own.order.kind(), draft.now());
+    }
+
+    private static Instant later(Instant one, Instant other) {
+        return one.isAfter(other) ? one : other;
+    }
+}
