--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/DefaultKeepWarmPolicy.java
@@ -0,0 +1,132 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.tarragonlug.id.ArtifactId;
+
+/**
+ * Keeps an idle artifact loaded while that is expected to cost less than its next cold start.
+ *
+ * <p>A cold start costs {@code coldStartWeight * coldStart} idle seconds for each caller that waits
+ * for it; the number of callers that arrive together is learnt. Two rules apply:
+ *
+ * <ul>
+ *   <li>After a request, the artifact stays for the time t that minimises {@code E[min(gap, t)] +
+ *       cost * P(gap > t)} over the known gaps. While fewer than {@value #FEWEST_GAPS} gaps are
+ *       known, it stays for {@code cost} seconds, which never costs more than twice the best choice
+ *       made in hindsight.
+ *   <li>At any time, it is loaded or kept while the week's profile expects session starts at a rate
+ *       whose cold starts cost more than one idle second per second. For a recurring lesson this is
+ *       a few minutes around its start. A load is started earlier by its own duration.
+ * </ul>
+ *
+ * <p>Limits: the gap rule does not know the time of day, and the profile knows only weekly and
+ * daily recurrence.
+ */
+public final class DefaultKeepWarmPolicy implements KeepWarmPolicy {
+    private static final double FEWEST_GAPS = 3;
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    /** Loads take longer than expected at times, and callers come before the usual minute. */
+    private static final double LEAD_FACTOR = 1.5;
+
+    /** The profile changes every five minutes; a held artifact is looked at again after this. */
+    private static final double HOLD_SECONDS = 60;
+
+    /** Prospects of idle artifacts are compared over the coming quarter hour. */
+    private static final double BENEFIT_SECONDS = 900;
+
+    private final Map<ArtifactId, ArrivalHistory> histories = new HashMap<>();
+
+    @Override
+    public void arrived(ArtifactId artifact, int count, Instant now) {
+        if (count > 0) {
+            histories
+                    .computeIfAbsent(artifact, unused -> ArrivalHistory.empty(now))
+                    .arrived(count, now);
+        }
+    }
+
+    @Override
+    public Duration keepFor(
+            ArtifactId artifact, Duration coldStart, double coldStartWeight, Instant now) {
+        ArrivalHistory history = histories.get(artifact);
+        if (history == null) {
+            return duration(coldStartWeight * seconds(coldStart));
+        }
+        double cost = cost(history, coldStart, coldStartWeight);
+        double keep = cost;
+        if (history.knownGaps(now) >= FEWEST_GAPS) {
+            keep = history.cheapestKeepSeconds(cost);
+        }
+        double idle = history.idleSeconds(now);
+        if (idle + HOLD_SECONDS > keep && startExpected(history, coldStart, cost, now)) {
+            keep = idle + HOLD_SECONDS;
+        }
+        return duration(keep);
+    }
+
+    @Override
+    public boolean prewarm(
+            ArtifactId artifact, Duration coldStart, double coldStartWeight, Instant now) {
+        ArrivalHistory history = histories.get(artifact);
+        return history != null
+                && startExpected(
+                        history, coldStart, cost(history, coldStart, coldStartWeight), now);
+    }
+
+    @Override
+    public double expectedBenefit(
+            ArtifactId artifact, Duration coldStart, double coldStartWeight, Instant now) {
+        ArrivalHistory history = histories.get(artifact);
+        if (history == null) {
+            return 0;
+        }
+        double rate = history.arrivalProbability(now, BENEFIT_SECONDS) / BENEFIT_SECONDS;
+        for (double ahead = 0; ahead < BENEFIT_SECONDS; ahead += WeekProfile.SLOT_SECONDS) {
+            rate = Math.max(rate, history.startRate(now, ahead));
+        }
+        return rate * cost(history, coldStart, coldStartWeight);
+    }
+
+    /** Returns the stored forms of all histories, in the order of their ids. */
+    public Map<ArtifactId, ArrivalHistoryRecord> toRecords(Instant now) {
+        Map<ArtifactId, ArrivalHistoryRecord> records = new TreeMap<>();
+        histories.forEach((artifact, history) -> records.put(artifact, history.toRecord(now)));
+        return records;
+    }
+
+    /**
+     * Replaces the histories by stored ones; those of unknown versions start empty.
+     *
+     * @param records what {@link #toRecords} returned
+     * @param now the present time
+     */
+    public void restore(Map<ArtifactId, ArrivalHistoryRecord> records, Instant now) {
+        histories.clear();
+        records.forEach(
+                (artifact, stored) -> histories.put(artifact, ArrivalHistory.restore(stored, now)));
+    }
+
+    private static boolean startExpected(
+            ArrivalHistory history, Duration coldStart, double cost, Instant now) {
+        double lead = LEAD_FACTOR * seconds(coldStart);
+        double rate = Math.max(history.startRate(now, 0), history.startRate(now, lead));
+        return rate * cost > 1;
+    }
+
+    private static double cost(ArrivalHistory history, Duration coldStart, double weight) {
+        return weight * seconds(coldStart) * history.callersPerStart();
+    }
+
+    private static double seconds(Duration duration) {
+        return duration.toMillis() / MILLIS_PER_SECOND;
+    }
+
+    private static Duration duration(double seconds) {
+        return Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/GapHistogram.java
@@ -0,0 +1,135 @@
+package org.tarragonlug.decision.capacity;
+
+/**
+ * Exponentially decayed histogram of the gaps between arrivals, in logarithmic buckets.
+ *
+ * <p>Four buckets per octave from one second to beyond two weeks. A gap counts as the geometric
+ * middle of its bucket, which is at most 9% off. Decay is by time with a half-life of two weeks,
+ * and is applied forward: later gaps get a larger weight in place of shrinking all earlier ones.
+ */
+final class GapHistogram {
+    static final int BUCKETS = 84;
+    static final double HALF_LIFE_SECONDS = 14 * 86_400;
+
+    private static final double BUCKETS_PER_OCTAVE = 4;
+    private static final double RESCALE_EXPONENT = 64;
+
+    private final double[] weights;
+    private double originSeconds;
+
+    /**
+     * Creates a histogram.
+     *
+     * @param weights weight of each bucket at the origin; copied
+     * @param originSeconds time at which a gap has weight one, seconds of the epoch
+     */
+    GapHistogram(double[] weights, double originSeconds) {
+        this.weights = weights.clone();
+        this.originSeconds = originSeconds;
+    }
+
+    /** Returns the weights as of a time. */
+    double[] weightsAt(double nowSeconds) {
+        rescale(nowSeconds);
+        return weights.clone();
+    }
+
+    /** Records that arrivals were {@code gapSeconds} apart. */
+    void add(double gapSeconds, double nowSeconds) {
+        double exponent = (nowSeconds - originSeconds) / HALF_LIFE_SECONDS;
+        if (exponent > RESCALE_EXPONENT) {
+            rescale(nowSeconds);
+            exponent = 0;
+        }
+        weights[bucket(gapSeconds)] += Math.pow(2, exponent);
+    }
+
+    private void rescale(double nowSeconds) {
+        double factor = Math.pow(2, (originSeconds - nowSeconds) / HALF_LIFE_SECONDS);
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            weights[bucket] *= factor;
+        }
+        originSeconds = nowSeconds;
+    }
+
+    /** Returns the decayed number of gaps as of a time. */
+    double total(double nowSeconds) {
+        return sum() * Math.pow(2, (originSeconds - nowSeconds) / HALF_LIFE_SECONDS);
+    }
+
+    /**
+     * Returns the idle time t that minimises {@code E[min(gap, t)] + cost * P(gap > t)}.
+     *
+     * <p>Between two bucket borders only the first term changes, and it grows with t. The minimum
+     * is therefore at zero or at the upper border of a non-empty bucket, and one pass finds it
+     * exactly.
+     *
+     * @param cost idle seconds that one cold start is worth
+     */
+    double cheapestKeepSeconds(double cost) {
+        double above = sum();
+        double within = 0;
+        double best = cost * above;
+        double bestSeconds = 0;
+        for (int bucket = 0; bucket < BUCKETS - 1; bucket++) {
+            above -= weights[bucket];
+            within += weights[bucket] * middleSeconds(bucket);
+            double border = upperSeconds(bucket);
+            double candidate = within + (border + cost) * Math.max(0, above);
+            if (weights[bucket] > 0 && candidate < best) {
+                best = candidate;
+                bestSeconds = border;
+            }
+        }
+        return bestSeconds;
+    }
+
+    /**
+     * Returns the probability that an arrival comes within a time, given the time without one so
+     * far.
+     *
+     * @param idleSeconds time since the last arrival
+     * @param withinSeconds length of the time ahead
+     */
+    double arrivalProbability(double idleSeconds, double withinSeconds) {
+        double longer = weightAbove(idleSeconds);
+        if (longer <= 0) {
+            return 0;
+        }
+        return 1 - weightAbove(idleSeconds + withinSeconds) / longer;
+    }
+
+    private double weightAbove(double seconds) {
+        double position = position(seconds);
+        int first = Math.min(BUCKETS - 1, (int) position);
+        double above = weights[first] * Math.max(0, 1 - (position - first));
+        for (int bucket = first + 1; bucket < BUCKETS; bucket++) {
+            above += weights[bucket];
+        }
+        return above;
+    }
+
+    private double sum() {
+        double sum = 0;
+        for (double weight : weights) {
+            sum += weight;
+        }
+        return sum;
+    }
+
+    private static double position(double seconds) {
+        return seconds <= 1 ? 0 : BUCKETS_PER_OCTAVE * Math.log(seconds) / Math.log(2);
+    }
+
+    private static int bucket(double seconds) {
+        return Math.min(BUCKETS - 1, (int) position(seconds));
+    }
+
+    private static double upperSeconds(int bucket) {
+        return Math.pow(2, (bucket + 1) / BUCKETS_PER_OCTAVE);
+    }
+
+    private static double middleSeconds(int bucket) {
+        return Math.pow(2, (bucket + 0.5) / BUCKETS_PER_OCTAVE);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/capacity/LoadTimes.java
@@ -0,0 +1,120 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+
+/**
+ * Expected load times by cache tier and artifact size, learnt from observed loads.
+ *
+ * <p>Each estimate is a start value (a fixed time plus the size over a rate) times a learnt factor.
+ * One factor exists per tier and power of two of the size; a size that was never seen uses the
+ * factor of its tier. Factors are exponentially decayed means: an observation has the weight
+ * {@value #NEWEST_WEIGHT}, and more while there are few.
+ *
+ * <p>Adapters are kept apart from models. They load in 5 to 10 ms (docs/design.md, section 1.1),
+ * which no rate fitted to models predicts.
+ */
+public final class LoadTimes {
+    private static final double NEWEST_WEIGHT = 0.2;
+    private static final double ADAPTER_START_SECONDS = 0.0075;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private static final Map<CacheTier, Start> MODEL_STARTS =
+            new EnumMap<>(
+                    Map.of(
+                            CacheTier.MEMORY, new Start(2, 10e9),
+                            CacheTier.DISK, new Start(4, 2e9),
+                            CacheTier.REMOTE, new Start(6, 0.8e9)));
+
+    private final Map<CacheTier, Estimates> models = new EnumMap<>(CacheTier.class);
+    private final Map<CacheTier, Estimates> adapters = new EnumMap<>(CacheTier.class);
+
+    /** Creates estimates that hold only the start values. */
+    public LoadTimes() {
+        for (CacheTier tier : CacheTier.values()) {
+            models.put(tier, new Estimates());
+            adapters.put(tier, new Estimates());
+        }
+    }
+
+    /**
+     * Learns from a load that succeeded.
+     *
+     * @param artifact what was loaded
+     * @param tier where its checkpoint was cached when the load began
+     * @param took time from the order to the confirmation
+     */
+    public void observed(ArtifactLimit artifact, CacheTier tier, Duration took) {
+        double factor = seconds(took) / startSeconds(artifact, tier);
+        estimates(artifact, tier).observed(sizeClass(artifact.memoryBytes()), factor);
+    }
+
+    /**
+     * Returns the expected time to load an artifact.
+     *
+     * @param artifact what to load
+     * @param tier where its checkpoint is cached
+     * @return the expected time, not counting waiting for a turn at the weight store
+     */
+    public Duration expected(ArtifactLimit artifact, CacheTier tier) {
+        double factor = estimates(artifact, tier).factor(sizeClass(artifact.memoryBytes()));
+        return Duration.ofNanos((long) (factor * startSeconds(artifact, tier) * NANOS_PER_SECOND));
+    }
+
+    private Estimates estimates(ArtifactLimit artifact, CacheTier tier) {
+        return (artifact.isAdapter() ? adapters : models).get(tier);
+    }
+
+    private static double startSeconds(ArtifactLimit artifact, CacheTier tier) {
+        if (artifact.isAdapter()) {
+            return ADAPTER_START_SECONDS;
+        }
+        return MODEL_STARTS.get(tier).seconds(artifact.memoryBytes());
+    }
+
+    private static int sizeClass(long bytes) {
+        return Long.SIZE - Long.numberOfLeadingZeros(bytes);
+    }
+
+    private static double seconds(Duration duration) {
+        return duration.toNanos() / NANOS_PER_SECOND;
+    }
+
+    private record Start(double fixedSeconds, double bytesPerSecond) {
+        double seconds(long bytes) {
+            return fixedSeconds + bytes / bytesPerSecond;
+        }
+    }
+
+    /** The learnt factors of one tier. */
+    private static final class Estimates {
+        private final DecayedMean all = new DecayedMean();
+        private final DecayedMean[] bySize = new DecayedMean[Long.SIZE + 1];
+
+        void observed(int sizeClass, double factor) {
+            all.observed(factor);
+            if (bySize[sizeClass] == null) {
+                bySize[sizeClass] = new DecayedMean();
+            }
+            bySize[sizeClass].observed(factor);
+        }
+
+        double factor(int sizeClass) {
+            return bySize[sizeClass] == null ? all.value : bySize[sizeClass].value;
+        }
+    }
+
+    /** A mean whose start value counts as one observation. */
+    private static final class DecayedMean {
+        private double value = 1;
+        private int observations = 1;
+
+        void observed(double newest) {
+            observations = Math.min(observations + 1, Integer.MAX_VALUE - 1);
+            double weight = Math.max(NEWEST_WEIGHT, 1.0 / observations);
+            value += weight * (newest - value);
+        }
+    }
+}
