Add the request coordinator

Change: routing, admission, deficit round robin queues, server choice, adaptive in-flight limits, retry budget, resumed streams, claims, quarantine, progress deadlines, drain, with I3 to I7 asserted.

--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/request/AdmissionControl.java
@@ -0,0 +1,282 @@
+package org.tarragonlug.decision.request;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.tarragonlug.decision.Execution;
+import org.tarragonlug.decision.Hasher;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.configuration.Pool;
+import org.tarragonlug.decision.configuration.Route;
+import org.tarragonlug.decision.configuration.RouteTarget;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.ClaimKey;
+import org.tarragonlug.id.Fingerprint;
+import org.tarragonlug.id.PoolName;
+import org.tarragonlug.id.RequestId;
+import org.tarragonlug.id.RouteName;
+
+/**
+ * Admits arriving requests into the queues, or refuses them at once.
+ *
+ * <p>A request is refused early if its expected wait and the usual time of an answer do not fit
+ * before its deadline. The usual time alone never refuses it: the request may be a short one.
+ */
+final class AdmissionControl {
+    private static final Duration UNAVAILABLE_RETRY = Duration.ofSeconds(5);
+    private static final Duration DUPLICATE_RETRY = Duration.ofSeconds(1);
+    private static final Duration BYTES_RETRY = Duration.ofSeconds(1);
+    private static final int MARGIN_DIVISOR = 10;
+
+    private record Refusal(
+            RefusalReason reason,
+            Execution execution,
+            Optional<Duration> retryAfter,
+            String detail) {
+        static Refusal lasting(RefusalReason reason, String detail) {
+            return new Refusal(reason, Execution.NOT_RUN, Optional.empty(), detail);
+        }
+
+        static Refusal passing(RefusalReason reason, Duration retryAfter, String detail) {
+            Optional<Duration> bounded = Optional.of(RequestEndings.bounded(retryAfter));
+            return new Refusal(reason, Execution.NOT_RUN, bounded, detail);
+        }
+    }
+
+    private final CoordinatorContext context;
+    private final TargetRegistry targets;
+    private final RequestEndings endings;
+    private final Hasher hasher;
+    private final ClaimKeys claimKeys;
+    private final RandomGenerator random;
+    private final Map<RouteName, RouteUsage> usages = new HashMap<>();
+    private final Map<PoolName, Pool> pools = new HashMap<>();
+    private Configuration configuration = Configuration.EMPTY;
+    private RouteTable routes = new RouteTable(Configuration.EMPTY);
+    private long arrivals;
+
+    AdmissionControl(
+            CoordinatorContext context,
+            TargetRegistry targets,
+            RequestEndings endings,
+            Hasher hasher,
+            ClaimKeys claimKeys,
+            RandomGenerator random) {
+        this.context = context;
+        this.targets = targets;
+        this.endings = endings;
+        this.hasher = hasher;
+        this.claimKeys = claimKeys;
+        this.random = random;
+    }
+
+    /** Installs a newer configuration; an older one is ignored, so that none reverts. */
+    void configure(Configuration changed, Instant now) {
+        if (changed.version().compareTo(configuration.version()) <= 0) {
+            return;
+        }
+        configuration = changed;
+        routes = new RouteTable(changed);
+        pools.clear();
+        changed.pools().forEach(pool -> pools.put(pool.name(), pool));
+        Map<RouteName, RouteUsage> kept = new HashMap<>(usages);
+        usages.clear();
+        for (Route route : changed.routes()) {
+            RouteUsage usage =
+                    kept.getOrDefault(
+                            route.name(),
+                            new RouteUsage(new RateLimit(route.requestsPerSecond(), now)));
+            usage.rate.changeRate(route.requestsPerSecond());
+            usages.put(route.name(), usage);
+        }
+    }
+
+    void arrived(RequestId id, RequestDescription description, Instant now) {
+        if (context.requests.containsKey(id)) {
+            throw new IllegalArgumentException("the request id is in use: " + id);
+        }
+        if (configuration == Configuration.EMPTY) {
+            refuse(id, Refusal.lasting(RefusalReason.NOT_READY, "no configuration yet"));
+            return;
+        }
+        Optional<Route> matched = routes.match(description);
+        if (matched.isEmpty()) {
+            refuse(id, Refusal.lasting(RefusalReason.ROUTE_NOT_FOUND, description.path()));
+            return;
+        }
+        Route route = matched.get();
+        RouteUsage usage = usages.get(route.name());
+        Refusal refusal = checkRoute(route, usage, description, now);
+        if (refusal != null) {
+            refuse(id, refusal);
+            return;
+        }
+        Target target = target(route, description);
+        if (target == null) {
+            String detail =
+                    "artifact=" + description.artifact().orElse("") + " route=" + route.name();
+            refuse(id, Refusal.lasting(RefusalReason.ARTIFACT_NOT_FOUND, detail));
+            return;
+        }
+        target.arrivals++;
+        admit(newRequest(id, description, route, usage, target, now), now);
+    }
+
+    private Refusal checkRoute(
+            Route route, RouteUsage usage, RequestDescription description, Instant now) {
+        if (description.bodyBytes() > route.maximumBodyBytes()) {
+            String detail = "bytes=" + description.bodyBytes() + " of=" + route.maximumBodyBytes();
+            return Refusal.lasting(RefusalReason.BODY_TOO_LARGE, detail);
+        }
+        if (route.keyRequired() && description.key().isEmpty()) {
+            return Refusal.lasting(RefusalReason.KEY_REQUIRED, "route=" + route.name());
+        }
+        if (context.quarantine.isCondemned(fingerprint(route, description))) {
+            return Refusal.lasting(RefusalReason.REQUEST_QUARANTINED, "route=" + route.name());
+        }
+        long limit = Math.max(context.settings.bytesPerRoute(), route.maximumBodyBytes());
+        if (usage.bytesHeld + description.bodyBytes() > limit) {
+            String detail = "route=" + route.name() + " bytes_held=" + usage.bytesHeld;
+            return Refusal.passing(RefusalReason.RATE_LIMITED, BYTES_RETRY, detail);
+        }
+        if (!usage.rate.tryTake(now)) {
+            String detail = "route=" + route.name() + " a_second=" + route.requestsPerSecond();
+            return Refusal.passing(RefusalReason.RATE_LIMITED, usage.rate.untilNext(), detail);
+        }
+        return null;
+    }
+
+    private void admit(PendingRequest request, Instant now) {
+        Refusal refusal = checkClaim(request);
+        if (refusal == null) {
+            refusal = checkTarget(request, now);
+        }
+        if (refusal != null) {
+            refuse(request.id, refusal);
+            return;
+        }
+        if (request.claimKey != null) {
+            context.claims.use(request.claimKey, request.id);
+        }
+        request.usage.bytesHeld += request.description.bodyBytes();
+        context.requests.put(request.id, request);
+        request.expiry = new TimerHeap.Timer(due -> endings.expired(request, due));
+        Duration timeout = Duration.between(now, request.deadline);
+        Duration share = timeout.dividedBy(MARGIN_DIVISOR);
+        Duration margin = context.settings.expiryMargin();
+        Duration early = share.compareTo(margin) < 0 ? share : margin;
+        context.timers.schedule(request.expiry, request.deadline.minus(early));
+        context.enqueue(request, now);
+    }
+
+    private Refusal checkClaim(PendingRequest request) {
+        if (request.claimKey == null || !context.claims.isInUse(request.claimKey)) {
+            return null;
+        }
+        PendingRequest user = context.requests.get(context.claims.user(request.claimKey));
+        if (user != null && !user.description.body().equals(request.description.body())) {
+            return Refusal.lasting(RefusalReason.KEY_REUSED, "claim=" + request.claimKey);
+        }
+        return new Refusal(
+                RefusalReason.DUPLICATE_IN_PROGRESS,
+                Execution.MAY_HAVE_RUN,
+                Optional.of(DUPLICATE_RETRY),
+                "claim=" + request.claimKey);
+    }
+
+    private Refusal checkTarget(PendingRequest request, Instant now) {
+        Target target = request.target;
+        int limit =
+                target.pool
+                        .map(pool -> pools.get(pool).queueLimit())
+                        .orElse(context.settings.serviceQueueLimit());
+        Duration wait = target.expectedWait(now);
+        String detail = "waiting=" + target.waiting() + " expected_ms=" + wait.toMillis();
+        if (target.waiting() >= limit) {
+            return Refusal.passing(RefusalReason.QUEUE_FULL, wait, detail);
+        }
+        if (target.replicas.coldStart == ColdStart.UNAVAILABLE
+                && !target.replicas.hasUsableServer()) {
+            Duration retry =
+                    target.replicas
+                            .expected
+                            .map(at -> Duration.between(now, at))
+                            .orElse(UNAVAILABLE_RETRY);
+            return Refusal.passing(RefusalReason.NO_CAPACITY, retry, detail);
+        }
+        Duration usual = Duration.ofNanos((long) (target.duration.valueOr(0) * 1e6));
+        boolean fits = wait.plus(usual).compareTo(Duration.between(now, request.deadline)) <= 0;
+        if (!wait.isZero() && !fits) {
+            return Refusal.passing(RefusalReason.DEADLINE_TOO_NEAR, wait, detail);
+        }
+        return null;
+    }
+
+    private PendingRequest newRequest(
+            RequestId id,
+            RequestDescription description,
+            Route route,
+            RouteUsage usage,
+            Target target,
+            Instant now) {
+        Duration timeout = description.timeout().orElse(route.defaultTimeout());
+        if (timeout.compareTo(route.maximumTimeout()) > 0) {
+            timeout = route.maximumTimeout();
+        }
+        arrivals++;
+        PendingRequest request =
+                new PendingRequest(
+                        id,
+                        description,
+                        usage,
+                        route,
+                        target,
+                        now,
+                        now.plus(timeout),
+                        fingerprint(route, description),
+                        arrivals);
+        request.claimKey = claimKey(route, description);
+        return request;
+    }
+
+    private ClaimKey claimKey(Route route, RequestDescription description) {
+        if (route.idempotent() || description.key().isEmpty()) {
+            return null;
+        }
+        return claimKeys.claimKey(route.name(), description.key().get());
+    }
+
+    private Target target(Route route, RequestDescription description) {
+        if (route.target() == RouteTarget.SERVICE) {
+            return route.service().map(targets::service).orElse(null);
+        }
+        Pool pool = route.pool().map(pools::get).orElse(null);
+        if (pool == null) {
+            return null;
+        }
+        Optional<ArtifactId> artifact = RouteTable.artifact(route, description, random);
+        if (artifact.isEmpty() || configuration.limit(pool.name(), artifact.get()).isEmpty()) {
+            return null;
+        }
+        return targets.artifact(pool.name(), pool.group(), artifact.get());
+    }
+
+    /** The route's hash keeps its name, which may hold any character, out of object names. */
+    private Fingerprint fingerprint(Route route, RequestDescription description) {
+        String routeHash = Long.toHexString(hasher.hash(route.name().value()));
+        return new Fingerprint(routeHash + "-" + description.body());
+    }
+
+    private void refuse(RequestId request, Refusal refusal) {
+        context.add(
+                new RequestCommand.Refuse(
+                        request,
+                        refusal.reason(),
+                        refusal.execution(),
+                        refusal.retryAfter(),
+                        refusal.detail()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/request/CoordinatorContext.java
@@ -0,0 +1,162 @@
+package org.tarragonlug.decision.request;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.tarragonlug.decision.Invariant;
+import org.tarragonlug.decision.InvariantListener;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.RequestId;
+import org.tarragonlug.id.ServerId;
+
+/** State shared by the parts of one coordinator. */
+final class CoordinatorContext {
+    /** Attempts abandoned lately; a token of one means that its cancellation was lost. */
+    private static final int LARGEST_ABANDONED_COUNT = 4_096;
+
+    final RequestSettings settings;
+    final TimerHeap timers = new TimerHeap();
+    final Map<RequestId, PendingRequest> requests = new LinkedHashMap<>();
+    final Map<AttemptId, Attempt> attempts = new HashMap<>();
+    final Map<ServerId, BackendServer> servers = new HashMap<>();
+    final RetryBudget budget;
+    final Quarantine quarantine;
+    final ClaimTracker claims = new ClaimTracker();
+
+    /** Targets to dispatch before the present event is done. */
+    final Set<Target> changedTargets = new LinkedHashSet<>();
+
+    /** Servers that got room during the present event. */
+    final Set<BackendServer> freedServers = new LinkedHashSet<>();
+
+    private final ProcessId process;
+    private final InvariantListener invariants;
+    private final Map<AttemptId, ServerId> abandoned = new LinkedHashMap<>();
+    private List<RequestCommand> commands = new ArrayList<>();
+    private long attemptCount;
+    private long operationCount;
+
+    CoordinatorContext(ProcessId process, RequestSettings settings, InvariantListener invariants) {
+        this.process = process;
+        this.settings = settings;
+        this.invariants = invariants;
+        budget = new RetryBudget(settings.retryShare(), settings.retryReserve());
+        quarantine = new Quarantine(settings.suspectRetention());
+    }
+
+    void add(RequestCommand command) {
+        commands.add(command);
+    }
+
+    List<RequestCommand> takeCommands() {
+        if (commands.isEmpty()) {
+            return List.of();
+        }
+        List<RequestCommand> taken = commands;
+        commands = new ArrayList<>();
+        return taken;
+    }
+
+    AttemptId nextAttempt() {
+        attemptCount++;
+        return new AttemptId(process.value() + "-a" + attemptCount);
+    }
+
+    OperationId nextOperation() {
+        operationCount++;
+        return new OperationId(process.value() + "-c" + operationCount);
+    }
+
+    BackendServer server(ServerId id) {
+        return servers.computeIfAbsent(
+                id,
+                added ->
+                        new BackendServer(
+                                added,
+                                new InFlightLimit(
+                                        settings.initialInFlight(), settings.maximumInFlight())));
+    }
+
+    void check(boolean holds, Invariant invariant, RequestId request, String detail) {
+        if (!holds) {
+            invariants.invariantViolated(invariant, "request=" + request + " " + detail);
+        }
+    }
+
+    /** Takes the attempt off its server. Late events of it find nothing. */
+    void release(Attempt attempt) {
+        attempts.remove(attempt.id);
+        timers.cancel(attempt.progress);
+        attempt.server.attempts.remove(attempt);
+        attempt.request.attempt = null;
+        attempt.request.target.running--;
+        unreserve(attempt.request, attempt.server, attempt.sentAt, attempt.suspect);
+    }
+
+    /** Releases an attempt and stops it at its server. */
+    void abandon(Attempt attempt) {
+        release(attempt);
+        abandoned.put(attempt.id, attempt.server.id);
+        if (abandoned.size() > LARGEST_ABANDONED_COUNT) {
+            abandoned.remove(abandoned.keySet().iterator().next());
+        }
+        add(new RequestCommand.CancelAttempt(attempt.id, attempt.server.id));
+    }
+
+    /** Cancels an abandoned attempt once more if its server still works on it. */
+    void lateEvent(AttemptId attempt) {
+        ServerId server = abandoned.remove(attempt);
+        if (server != null) {
+            add(new RequestCommand.CancelAttempt(attempt, server));
+        }
+    }
+
+    void reserve(PendingRequest request, BackendServer server) {
+        server.reserve();
+        request.server = server;
+        if (request.isolated) {
+            server.suspectsRunning++;
+            quarantine.started(request.fingerprint);
+        }
+    }
+
+    void unreserve(
+            PendingRequest request, BackendServer server, Instant reservedAt, boolean suspect) {
+        server.release(reservedAt);
+        freedServers.add(server);
+        if (suspect) {
+            server.suspectsRunning--;
+            quarantine.stopped(request.fingerprint);
+            // Other copies of the suspect may wait for it, and they are blocked at no server.
+            changedTargets.add(request.target);
+        }
+    }
+
+    /** Puts a request into its queue, at its place by arrival. */
+    void enqueue(PendingRequest request, Instant now) {
+        request.state = PendingRequest.State.WAITING;
+        request.server = null;
+        request.isolated = quarantine.isSuspect(request.fingerprint, now);
+        if (request.isolated) {
+            request.target.suspects.add(request);
+        } else {
+            request.target.queue.add(request);
+        }
+        changedTargets.add(request.target);
+    }
+
+    void dequeue(PendingRequest request) {
+        if (request.list == request.target.suspects) {
+            request.target.suspects.remove(request);
+        } else if (request.list != null) {
+            request.target.queue.remove(request);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/request/DefaultRequestCoordinator.java
@@ -0,0 +1,165 @@
+package org.tarragonlug.decision.request;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.tarragonlug.decision.Hasher;
+import org.tarragonlug.decision.InvariantListener;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ProcessId;
+
+/**
+ * The coordinator, assembled from its parts.
+ *
+ * <p>Every admitted request has a timer shortly before its deadline, which ends it whatever state
+ * it is in; this is why none is dropped. A request is marked as possibly run when it is sent, and
+ * the mark is taken back only by a failure that says that it did not run; every refusal derives its
+ * outcome from this mark. Attempts are found by their ids, and an id is forgotten when the attempt
+ * ends or is given up; so no event of an old attempt reaches a caller.
+ *
+ * <p>A token costs two look-ups and two small objects. A tick costs what is due. The loss of a
+ * server and a condemned request cost a pass over the requests in progress.
+ */
+public final class DefaultRequestCoordinator implements RequestCoordinator {
+    private final CoordinatorContext context;
+    private final AdmissionControl admission;
+    private final Dispatcher dispatcher;
+    private final RequestEndings endings;
+    private final AttemptHandler attempts;
+    private final ClaimHandler claims;
+    private final ServerHandler servers;
+    private boolean draining;
+    private boolean drained;
+
+    /**
+     * Creates the coordinator of one process.
+     *
+     * @param process prefix of the attempt and operation ids, unique to the process
+     * @param failureDomain where the process runs
+     * @param settings constants
+     * @param hasher hashes route names for fingerprints
+     * @param claimKeys derives the keys of claims
+     * @param random draws versions by weight, and samples of servers
+     * @param invariants told of violated invariants
+     */
+    public DefaultRequestCoordinator(
+            ProcessId process,
+            FailureDomain failureDomain,
+            RequestSettings settings,
+            Hasher hasher,
+            ClaimKeys claimKeys,
+            RandomGenerator random,
+            InvariantListener invariants) {
+        context = new CoordinatorContext(process, settings, invariants);
+        endings = new RequestEndings(context);
+        ServerChecks checks = new ServerChecks(context);
+        RetryPolicy retries = new RetryPolicy(context, endings, checks);
+        SilenceWatch silence = new SilenceWatch(context, retries);
+        ServerSelector selector = new ServerSelector(failureDomain, random);
+        TargetRegistry targets = new TargetRegistry();
+        dispatcher = new Dispatcher(context, selector, endings, silence);
+        admission = new AdmissionControl(context, targets, endings, hasher, claimKeys, random);
+        attempts = new AttemptHandler(context, endings, retries);
+        claims = new ClaimHandler(context, endings, dispatcher);
+        servers = new ServerHandler(context, targets, endings, retries, checks);
+    }
+
+    @Override
+    public List<RequestCommand> handle(RequestEvent event, Instant now) {
+        if (event instanceof RequestEvent.AttemptToken token) {
+            RequestCommand forward = attempts.token(token, now);
+            if (forward != null) {
+                return List.of(forward);
+            }
+        } else if (!handleAttempt(event, now) && !handleClaim(event, now)) {
+            handleOther(event, now);
+        }
+        dispatcher.dispatchChanged(now);
+        if (draining && !drained && context.requests.isEmpty()) {
+            drained = true;
+            context.add(new RequestCommand.Drained());
+        }
+        return context.takeCommands();
+    }
+
+    private boolean handleAttempt(RequestEvent event, Instant now) {
+        if (event instanceof RequestEvent.AttemptCompleted completed) {
+            attempts.completed(completed, now);
+        } else if (event instanceof RequestEvent.AttemptAnswered answered) {
+            attempts.answered(answered, now);
+        } else if (event instanceof RequestEvent.AttemptFailed failed) {
+            attempts.failed(failed, now);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean handleClaim(RequestEvent event, Instant now) {
+        if (event instanceof RequestEvent.ClaimMade made) {
+            claims.made(made.request(), now);
+        } else if (event instanceof RequestEvent.ClaimFound found) {
+            claims.found(found, now);
+        } else if (event instanceof RequestEvent.ClaimUnavailable unavailable) {
+            claims.unavailable(unavailable.request(), now);
+        } else if (event instanceof RequestEvent.ClaimOutcomeUnknown unknown) {
+            claims.outcomeUnknown(unknown.request(), now);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void handleOther(RequestEvent event, Instant now) {
+        if (event instanceof RequestEvent.RequestArrived arrived) {
+            admission.arrived(arrived.request(), arrived.description(), now);
+        } else if (event instanceof RequestEvent.Tick) {
+            context.timers.runDue(now);
+        } else if (event instanceof RequestEvent.CallerGone gone) {
+            callerGone(gone, now);
+        } else if (event instanceof RequestEvent.ServerReported reported) {
+            servers.reported(reported, now);
+        } else if (event instanceof RequestEvent.CacheEvent cached) {
+            servers.cacheEvent(cached);
+        } else if (event instanceof RequestEvent.ReplicasChanged changed) {
+            servers.replicasChanged(changed, now);
+        } else if (event instanceof RequestEvent.ServersChanged changed) {
+            servers.serversChanged(changed);
+        } else if (event instanceof RequestEvent.ServerUnreachable unreachable) {
+            servers.unreachable(unreachable.server(), now);
+        } else if (event instanceof RequestEvent.ServerLost lost) {
+            servers.lost(lost, now);
+        } else if (event instanceof RequestEvent.SuspectsAnnounced announced) {
+            servers.suspectsAnnounced(announced, now);
+        } else if (event instanceof RequestEvent.FingerprintCondemned condemned) {
+            servers.condemned(condemned.fingerprint(), now);
+        } else if (event instanceof RequestEvent.ConfigurationChanged changed) {
+            admission.configure(changed.configuration(), now);
+        } else if (event instanceof RequestEvent.DrainStarted started) {
+            drain(started);
+        } else {
+            throw new IllegalArgumentException("unknown event: " + event.getClass());
+        }
+    }
+
+    private void callerGone(RequestEvent.CallerGone gone, Instant now) {
+        PendingRequest request = context.requests.get(gone.request());
+        if (request != null && !request.callerGone) {
+            endings.callerGone(request, now);
+        }
+    }
+
+    /** Requests go on; at the limit what is left is refused, which ends the drain. */
+    private void drain(RequestEvent.DrainStarted started) {
+        draining = true;
+        TimerHeap.Timer limit =
+                new TimerHeap.Timer(
+                        due ->
+                                endings.refuseAll(
+                                        request -> true,
+                                        RefusalReason.NOT_READY,
+                                        "the time limit for stopping is reached",
+                                        due));
+        context.timers.schedule(limit, started.limit());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/request/InFlightLimit.java
@@ -0,0 +1,54 @@
+package org.tarragonlug.decision.request;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Limit on requests in flight at one server: additive increase while it is used up and the server
+ * keeps up, multiplicative decrease when the server is overloaded. It decreases at most once a
+ * pause, because the failures of one moment are one sign and not many.
+ */
+final class InFlightLimit {
+    private static final double USED_UP = 0.8;
+    private static final double REFUSED_FACTOR = 0.7;
+    private static final double QUEUEING_FACTOR = 0.9;
+    private static final Duration DECREASE_PAUSE = Duration.ofMillis(500);
+
+    private final int maximum;
+    private double limit;
+    private Instant decreasedAt = Instant.MIN;
+
+    InFlightLimit(int initial, int maximum) {
+        this.maximum = maximum;
+        limit = initial;
+    }
+
+    int value() {
+        return (int) limit;
+    }
+
+    void succeeded(int inFlight) {
+        if (inFlight >= limit * USED_UP) {
+            limit = Math.min(maximum, limit + 1 / limit);
+        }
+    }
+
+    void refused(Instant now) {
+        decrease(REFUSED_FACTOR, now);
+    }
+
+    void reported(int running, int queued, Instant now) {
+        // A short queue keeps a batching engine busy; only a longer one is overload.
+        if (queued > Math.max(2, running / 4)) {
+            decrease(QUEUEING_FACTOR, now);
+        }
+    }
+
+    private void decrease(double factor, Instant now) {
+        if (decreasedAt.equals(Instant.MIN)
+                || Duration.between(decreasedAt, now).compareTo(DECREASE_PAUSE) >= 0) {
+            limit = Math.max(1, limit * factor);
+            decreasedAt = now;
+        }
+    }
+}
--- a/src/main/java/org/tarragonlug/decision/request/RequestCommand.java
+++ b/src/main/java/org/tarragonlug/decision/request/RequestCommand.java
@@ -84,7 +84,10 @@
     /** Drops what the edge holds for a request whose caller has gone. */
     record Forget(RequestId request) implements RequestCommand {}
 
-    /** Creates the claim in state STARTED, conditional on absence. */
+    /**
+     * Creates the claim in state STARTED, conditional on absence. The edge answers each {@link
+     * MakeClaim} and {@link TakeClaim} with exactly one claim event, however late.
+     */
     record MakeClaim(RequestId request, ClaimKey key, OperationId operation, Fingerprint body)
             implements RequestCommand {}
 
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/request/RequestEndings.java
@@ -0,0 +1,194 @@
+package org.tarragonlug.decision.request;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.tarragonlug.decision.Execution;
+import org.tarragonlug.decision.Invariant;
+
+/** Ends requests, each exactly once, and asserts what must hold at the end. */
+final class RequestEndings {
+    private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
+    private static final Duration LONGEST_RETRY = Duration.ofMinutes(1);
+
+    /** HTTP status recorded with the claim of a generation. */
+    private static final int GENERATED_STATUS = 200;
+
+    private final CoordinatorContext context;
+
+    RequestEndings(CoordinatorContext context) {
+        this.context = context;
+    }
+
+    /** Ends a generation whose tokens were all forwarded. */
+    void complete(Attempt attempt, int tokens, String checksum, Instant now) {
+        PendingRequest request = attempt.request;
+        context.check(
+                tokens == request.stream.next(),
+                Invariant.ANSWER_COMPLETE,
+                request.id,
+                "tokens=" + tokens + " forwarded=" + request.stream.next());
+        finishClaim(attempt, GENERATED_STATUS);
+        end(request, Execution.RAN, now);
+        if (!request.callerGone) {
+            context.add(new RequestCommand.CompleteAnswer(request.id, tokens, checksum));
+        }
+    }
+
+    void forwardAnswer(Attempt attempt, int status, Instant now) {
+        PendingRequest request = attempt.request;
+        finishClaim(attempt, status);
+        end(request, Execution.RAN, now);
+        if (!request.callerGone) {
+            context.add(new RequestCommand.ForwardAnswer(request.id, attempt.id, status));
+        }
+    }
+
+    void forwardRecorded(PendingRequest request, int status, Instant now) {
+        end(request, Execution.RAN, now);
+        context.add(new RequestCommand.ForwardRecordedAnswer(request.id, request.claimKey, status));
+    }
+
+    void refuse(PendingRequest request, RefusalReason reason, String detail, Instant now) {
+        refuse(request, reason, Optional.empty(), detail, now);
+    }
+
+    /** Refuses a request; whether it ran follows from its attempts. */
+    void refuse(
+            PendingRequest request,
+            RefusalReason reason,
+            Optional<Duration> retryAfter,
+            String detail,
+            Instant now) {
+        Execution execution = request.mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
+        refuse(request, reason, execution, retryAfter, detail, now);
+    }
+
+    void refuse(
+            PendingRequest request,
+            RefusalReason reason,
+            Execution execution,
+            Optional<Duration> retryAfter,
+            String detail,
+            Instant now) {
+        context.check(
+                execution != Execution.NOT_RUN || !request.mayHaveRun && request.stream.next() == 0,
+                Invariant.REFUSAL_TRUE,
+                request.id,
+                "reason=" + reason + " was sent before");
+        end(request, execution, now);
+        if (!request.callerGone) {
+            context.add(
+                    new RequestCommand.Refuse(
+                            request.id,
+                            reason,
+                            execution,
+                            retryAfter.map(RequestEndings::bounded),
+                            detail));
+        }
+    }
+
+    /** Answers a request whose deadline is about to pass. */
+    void expired(PendingRequest request, Instant now) {
+        Attempt attempt = request.attempt;
+        if (attempt != null) {
+            // Without this sample a server too slow for any deadline would count as unmeasured.
+            int tokens = request.stream.next() - attempt.startOffset;
+            attempt.server.tookTooLong(Duration.between(attempt.sentAt, now), tokens);
+        }
+        String state = request.state.toString().toLowerCase(java.util.Locale.ROOT);
+        refuse(
+                request,
+                RefusalReason.DEADLINE_EXCEEDED,
+                Optional.of(request.target.expectedWait(now)),
+                "state=" + state + " attempts_without_progress=" + request.attemptsWithoutProgress,
+                now);
+    }
+
+    /** Drops a request without an answer. An attempt under a claim goes on to record its end. */
+    void callerGone(PendingRequest request, Instant now) {
+        request.callerGone = true;
+        if (request.state == PendingRequest.State.RUNNING && request.claimHeld) {
+            return;
+        }
+        end(request, request.mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN, now);
+    }
+
+    /** Refuses all requests that match; costs a pass over all requests, so for rare events only. */
+    void refuseAll(
+            Predicate<PendingRequest> which, RefusalReason reason, String detail, Instant now) {
+        for (PendingRequest request : new ArrayList<>(context.requests.values())) {
+            if (which.test(request)) {
+                refuse(request, reason, detail, now);
+            }
+        }
+    }
+
+    private void end(PendingRequest request, Execution execution, Instant now) {
+        context.check(
+                request.state != PendingRequest.State.ENDED,
+                Invariant.REQUEST_ANSWERED_IN_TIME,
+                request.id,
+                "ended twice");
+        context.check(
+                !now.isAfter(request.deadline.plus(context.settings.tolerance())),
+                Invariant.REQUEST_ANSWERED_IN_TIME,
+                request.id,
+                "ended_at=" + now + " deadline=" + request.deadline);
+        leaveState(request, now);
+        if (request.claimHeld && execution == Execution.NOT_RUN) {
+            context.add(new RequestCommand.ReleaseClaim(request.claimKey, request.claimOperation));
+        }
+        if (request.claimKey != null && request.state != PendingRequest.State.CLAIMING) {
+            context.claims.free(request.claimKey);
+        }
+        request.state = PendingRequest.State.ENDED;
+        context.timers.cancel(request.expiry);
+        request.usage.bytesHeld -= request.description.bodyBytes();
+        context.requests.remove(request.id);
+        if (request.callerGone) {
+            context.add(new RequestCommand.Forget(request.id));
+        }
+    }
+
+    private void leaveState(PendingRequest request, Instant now) {
+        switch (request.state) {
+            case WAITING -> context.dequeue(request);
+            case CLAIMING -> {
+                context.unreserve(request, request.server, now, request.isolated);
+                context.claims.orphan(request);
+            }
+            case RUNNING -> {
+                if (request.attempt != null) {
+                    context.abandon(request.attempt);
+                }
+            }
+            case VERIFYING -> request.server.verifying.remove(request);
+            default -> {
+                // Nothing is held after the end.
+            }
+        }
+    }
+
+    private void finishClaim(Attempt attempt, int status) {
+        PendingRequest request = attempt.request;
+        if (request.claimHeld) {
+            context.add(
+                    new RequestCommand.FinishClaim(
+                            request.id,
+                            attempt.id,
+                            request.claimKey,
+                            request.claimOperation,
+                            status));
+        }
+    }
+
+    static Duration bounded(Duration retryAfter) {
+        if (retryAfter.compareTo(SHORTEST_RETRY) < 0) {
+            return SHORTEST_RETRY;
+        }
+        return retryAfter.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : retryAfter;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/request/Target.java
@@ -0,0 +1,121 @@
+package org.tarragonlug.decision.request;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.capacity.Demand;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.PoolName;
+
+/**
+ * Where requests of one kind wait: an artifact of a pool, or a plain service.
+ *
+ * <p>The waiting time is estimated from the gaps between dispatches while there was a backlog. This
+ * covers whatever shares the servers, which the number of servers alone does not.
+ */
+final class Target {
+    private static final double GAP_WEIGHT = 0.05;
+    private static final double DURATION_WEIGHT = 0.05;
+
+    /** Reported as the earliest deadline while nothing waits. */
+    private static final Duration NO_DEADLINE = Duration.ofDays(1);
+
+    /** Empty for a plain service. */
+    final Optional<PoolName> pool;
+
+    /** Null for a plain service. */
+    final ArtifactId artifact;
+
+    final Replicas replicas;
+    final WaitingQueue queue = new WaitingQueue();
+
+    /** Suspects, which wait for a server of their own and must not block the others. */
+    final RequestList suspects = new RequestList();
+
+    /** Milliseconds from sending to the end of the answer. */
+    final Average duration = new Average(DURATION_WEIGHT);
+
+    /** Milliseconds from sending to the first token, or to the answer of a plain service. */
+    final Average firstProgress = new Average(DURATION_WEIGHT);
+
+    int running;
+    int arrivals;
+    TimerHeap.Timer demand;
+    Instant demandReportedAt = Instant.EPOCH;
+
+    private final Average gap = new Average(GAP_WEIGHT);
+    private Instant backloggedSince;
+
+    Target(Optional<PoolName> pool, ArtifactId artifact, Replicas replicas) {
+        this.pool = pool;
+        this.artifact = artifact;
+        this.replicas = replicas;
+    }
+
+    int waiting() {
+        return queue.size() + suspects.size();
+    }
+
+    boolean hasDemand() {
+        return waiting() > 0 || running > 0 || arrivals > 0;
+    }
+
+    /** Notes that a request left the queue for a server. */
+    void dispatched(Instant now) {
+        if (backloggedSince != null) {
+            gap.add(millis(backloggedSince, now));
+        }
+        backloggedSince = queue.size() > 0 ? now : null;
+    }
+
+    /** Notes that no server is ready, so that the gap until the next dispatch says nothing. */
+    void coldStartBegan() {
+        backloggedSince = null;
+    }
+
+    /** Estimates how long a request waits that arrives now. */
+    Duration expectedWait(Instant now) {
+        double wait = 0;
+        if (!replicas.hasUsableServer()) {
+            wait = replicas.expected.map(ready -> Math.max(0, millis(now, ready))).orElse(0.0);
+        }
+        int ahead = queue.size();
+        if (ahead > 0) {
+            wait += (ahead + 1) * gap.valueOr(assumedGap());
+        }
+        return Duration.ofNanos((long) (wait * 1e6));
+    }
+
+    Demand demand(Instant now) {
+        Instant[] earliest = {now.plus(NO_DEADLINE)};
+        Priority[] highest = {Priority.BATCH};
+        Consumer<PendingRequest> consider =
+                request -> {
+                    if (request.deadline.isBefore(earliest[0])) {
+                        earliest[0] = request.deadline;
+                    }
+                    if (request.priority.compareTo(highest[0]) < 0) {
+                        highest[0] = request.priority;
+                    }
+                };
+        queue.forEach(consider);
+        for (PendingRequest r = suspects.first(); r != null; r = r.nextInList) {
+            consider.accept(r);
+        }
+        return new Demand(artifact, waiting(), running, arrivals, earliest[0], highest[0]);
+    }
+
+    private double assumedGap() {
+        int limit = 0;
+        for (BackendServer server : replicas.ready) {
+            limit += server.isUsable() ? server.limit.value() : 0;
+        }
+        return duration.valueOr(0) / Math.max(1, limit);
+    }
+
+    private static double millis(Instant from, Instant to) {
+        return Duration.between(from, to).toNanos() / 1e6;
+    }
+}
