--- a/src/main/java/org/tarragonlug/decision/request/PendingRequest.java
+++ b/src/main/java/org/tarragonlug/decision/request/PendingRequest.java
@@ -51,8 +51,8 @@
 
     Instant failedAt;
 
-    /** Whether the next attempt needs no retry budget, because the last one made progress. */
-    boolean progressed;
+    /** Whether the retry was paid already, or is free because the last attempt made progress. */
+    boolean retryPaid;
 
     Attempt attempt;
     int attemptsWithoutProgress;
--- a/src/main/java/org/tarragonlug/decision/request/RetryBudget.java
+++ b/src/main/java/org/tarragonlug/decision/request/RetryBudget.java
@@ -20,10 +20,6 @@
         balance = Math.max(balance, Math.min(LARGEST_BALANCE, balance + share));
     }
 
-    boolean isAvailable() {
-        return balance >= 1;
-    }
-
     boolean tryTake() {
         if (balance < 1) {
             return false;
--- a/src/main/java/org/tarragonlug/decision/request/RetryPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/request/RetryPolicy.java
@@ -33,7 +33,10 @@
         PendingRequest request = attempt.request;
         request.mayHaveRun = attempt.ranBefore;
         request.avoided = attempt.server;
-        boolean allowed = hasAttemptsLeft(request) && (!paid || context.budget.tryTake());
+        boolean allowed =
+                !request.callerGone
+                        && hasAttemptsLeft(request)
+                        && (!paid || context.budget.tryTake());
         if (allowed) {
             context.enqueue(request, now);
         } else {
@@ -48,6 +51,11 @@
 
     /** Handles an attempt that may have run and will not end by itself; it was released already. */
     void broken(Attempt attempt, AttemptFailure failure, String detail, Instant now) {
+        broken(attempt, failure, false, detail, now);
+    }
+
+    /** As above, for a retry that may have been paid already. */
+    void broken(Attempt attempt, AttemptFailure failure, boolean paid, String detail, Instant now) {
         PendingRequest request = attempt.request;
         BackendServer server = attempt.server;
         server.broke(attempt, now);
@@ -60,15 +68,17 @@
             check(server, now);
             return;
         }
-        request.progressed = attempt.hasProgressed();
-        if (request.progressed) {
+        request.retryPaid = paid || attempt.hasProgressed();
+        if (attempt.hasProgressed()) {
             request.attemptsWithoutProgress = 0;
         }
+        boolean sameServer =
+                failure != AttemptFailure.SERVER_ERROR && request.attemptsWithoutProgress < 2;
         request.state = PendingRequest.State.VERIFYING;
         request.server = server;
         request.failedAt = now;
-        request.preferred = failure == AttemptFailure.SERVER_ERROR ? null : server;
-        request.avoided = failure == AttemptFailure.SERVER_ERROR ? server : null;
+        request.preferred = sameServer ? server : null;
+        request.avoided = sameServer ? null : server;
         server.verifying.add(request);
         check(server, now);
     }
@@ -90,11 +100,6 @@
     void serverUnreachable(BackendServer server, Instant now) {
         server.reachable = false;
         checks.answered(server);
-        for (PendingRequest request : takeVerifying(server)) {
-            request.preferred = null;
-            request.avoided = server;
-            retry(request, now);
-        }
         for (Attempt attempt : List.copyOf(server.attempts)) {
             Duration idle = Duration.between(attempt.progressAt, now);
             boolean silent = idle.compareTo(context.settings.progressTimeout()) >= 0;
@@ -103,6 +108,11 @@
                 broken(attempt, AttemptFailure.SILENT, "server is unreachable", now);
             }
         }
+        for (PendingRequest request : takeVerifying(server)) {
+            request.preferred = null;
+            request.avoided = server;
+            retry(request, now);
+        }
     }
 
     /** Takes the requests whose attempts at the server failed and that wait for its check. */
@@ -118,7 +128,7 @@
 
     private void retry(PendingRequest request, Instant now) {
         boolean allowed =
-                hasAttemptsLeft(request) && (request.progressed || context.budget.tryTake());
+                hasAttemptsLeft(request) && (request.retryPaid || context.budget.tryTake());
         if (allowed) {
             context.enqueue(request, now);
         } else {
--- a/src/main/java/org/tarragonlug/decision/request/SilenceWatch.java
+++ b/src/main/java/org/tarragonlug/decision/request/SilenceWatch.java
@@ -40,11 +40,14 @@
         retries.check(attempt.server, now);
         Duration allowed = attempt.hasProgressed() ? timeout : firstTimeout(attempt, timeout);
         boolean late = !attempt.progressAt.plus(allowed).isAfter(now);
-        boolean payable = attempt.hasProgressed() || context.budget.isAvailable();
-        if (late && payable && attempt.request.route.idempotent()) {
+        boolean abandon =
+                late
+                        && attempt.request.route.idempotent()
+                        && (attempt.hasProgressed() || context.budget.tryTake());
+        if (abandon) {
             attempt.server.failed();
             context.abandon(attempt);
-            retries.broken(attempt, AttemptFailure.SILENT, "no progress", now);
+            retries.broken(attempt, AttemptFailure.SILENT, true, "no progress", now);
         } else {
             context.timers.schedule(attempt.progress, now.plus(timeout));
         }
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/RequestWorld.java
@@ -0,0 +1,399 @@
+package org.tarragonlug.measure;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.tarragonlug.decision.StateMachine;
+import org.tarragonlug.decision.request.AttemptFailure;
+import org.tarragonlug.decision.request.ColdStart;
+import org.tarragonlug.decision.request.RequestCommand;
+import org.tarragonlug.decision.request.RequestEvent;
+import org.tarragonlug.decision.request.ServerDescription;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.RequestId;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.id.ServerId;
+
+/**
+ * Everything around one request state machine, in virtual time: callers, servers of one group of
+ * engines and one of a plain service, claims, and the loading of models. Faults are caused through
+ * its methods and through {@link RequestFaults}.
+ */
+public final class RequestWorld {
+    /** The group of the engines. */
+    public static final ServerGroup ENGINES = new ServerGroup("engines");
+
+    /** The group of the plain service. */
+    public static final ServerGroup SERVICES = new ServerGroup("services");
+
+    private static final double NETWORK_MILLIS = 1.5;
+    private static final double OBJECT_API_MILLIS = 4;
+    private static final double TICK_MILLIS = 5;
+    private static final double REPORT_MILLIS = 500;
+    private static final double UNREACHABLE_MILLIS = 300;
+    private static final int OK_STATUS = 200;
+
+    private final VirtualTime time = new VirtualTime();
+    private final StateMachine<RequestEvent, RequestCommand> machine;
+    private final RandomGenerator random;
+    private final RequestFaults faults;
+    private final RequestWorldObserver observer;
+    private final SimulatedClaims claims = new SimulatedClaims();
+    private final Map<ServerId, SimulatedServer> servers = new LinkedHashMap<>();
+    private final Map<ServerGroup, List<ServerDescription>> listed = new HashMap<>();
+    private final Map<RequestId, SimulatedRequest> requests = new HashMap<>();
+    private final Set<ArtifactId> loading = new HashSet<>();
+
+    /**
+     * Creates a world without servers.
+     *
+     * @param machine the coordinator or a baseline
+     * @param random draws faults
+     * @param faults how likely faults are
+     * @param observer told of what happens
+     */
+    public RequestWorld(
+            StateMachine<RequestEvent, RequestCommand> machine,
+            RandomGenerator random,
+            RequestFaults faults,
+            RequestWorldObserver observer) {
+        this.machine = machine;
+        this.random = random;
+        this.faults = faults;
+        this.observer = observer;
+        tick();
+        reportAll();
+    }
+
+    /** Returns the virtual time, for scheduling further actions. */
+    public VirtualTime time() {
+        return time;
+    }
+
+    /** Returns the claims. */
+    public SimulatedClaims claims() {
+        return claims;
+    }
+
+    /** Returns a server. */
+    public SimulatedServer server(ServerId id) {
+        return servers.get(id);
+    }
+
+    /** Returns the ids of all servers, in the order of their addition. */
+    public List<ServerId> serverIds() {
+        return List.copyOf(servers.keySet());
+    }
+
+    /** Adds a server that runs so many requests at once, a token in so many milliseconds. */
+    public ServerId addServer(ServerGroup group, int slots, double tokenMillis) {
+        ServerId id = new ServerId(group + "-" + servers.size());
+        servers.put(id, new SimulatedServer(id, slots, tokenMillis, time, new ServerEvents()));
+        FailureDomain domain = new FailureDomain("domain-" + servers.size() % 3);
+        listed.computeIfAbsent(group, key -> new ArrayList<>())
+                .add(new ServerDescription(id, domain, false));
+        publish(group);
+        return id;
+    }
+
+    /** Sets how many requests a server queues beyond its slots before it refuses. */
+    public void limitQueue(ServerId id, int limit) {
+        servers.get(id).queueLimit = limit;
+    }
+
+    /** Loads an artifact at once. */
+    public void load(ArtifactId artifact, ServerId server) {
+        servers.get(server).loaded.add(artifact);
+        publishReplicas(artifact, ColdStart.UNDECIDED, Optional.empty());
+    }
+
+    /** Hands an event to the machine and executes its commands. */
+    public void post(RequestEvent event) {
+        for (RequestCommand command : machine.handle(event, time.now())) {
+            observer.commanded(command, time.now());
+            execute(command);
+        }
+    }
+
+    /** Lets a request arrive now. */
+    public void arrive(SimulatedRequest request) {
+        requests.put(request.id(), request);
+        observer.arrived(request, time.now());
+        post(new RequestEvent.RequestArrived(request.id(), request.description()));
+    }
+
+    /** Loses a server's process; it restarts empty after the given time. */
+    public void crash(ServerId id) {
+        if (servers.get(id).alive) {
+            servers.get(id).crash();
+        }
+    }
+
+    /** Cuts a server off, or connects it again. */
+    public void partition(ServerId id, boolean cut) {
+        servers.get(id).partitioned = cut;
+    }
+
+    /** Makes every open connection to a server silent; new ones work. */
+    public void silence(ServerId id) {
+        servers.get(id).jobs.values().forEach(job -> job.silent = true);
+    }
+
+    /** Breaks every open connection to a server, which goes on working for a while. */
+    public void breakConnections(ServerId id) {
+        for (SimulatedServer.Job job : List.copyOf(servers.get(id).jobs.values())) {
+            breakConnection(job);
+        }
+    }
+
+    /** Lets a server refuse new work; the instance list shows it after a lag. */
+    public void leave(ServerGroup group, ServerId id, double lagMillis) {
+        servers.get(id).leaving = true;
+        time.afterMillis(
+                lagMillis,
+                () -> {
+                    listed.get(group)
+                            .replaceAll(
+                                    entry ->
+                                            entry.server().equals(id)
+                                                    ? new ServerDescription(
+                                                            id, entry.failureDomain(), true)
+                                                    : entry);
+                    publish(group);
+                });
+    }
+
+    private void tick() {
+        post(new RequestEvent.Tick());
+        time.afterMillis(TICK_MILLIS, this::tick);
+    }
+
+    private void reportAll() {
+        servers.keySet().forEach(this::report);
+        time.afterMillis(REPORT_MILLIS, this::reportAll);
+    }
+
+    private void report(ServerId id) {
+        SimulatedServer server = servers.get(id);
+        Instant fetchedAt = time.now();
+        if (server.partitioned) {
+            RequestEvent event = new RequestEvent.ServerUnreachable(id);
+            time.afterMillis(UNREACHABLE_MILLIS, () -> post(event));
+            return;
+        }
+        RequestEvent event =
+                server.alive
+                        ? new RequestEvent.ServerReported(
+                                id,
+                                "incarnation-" + server.incarnation,
+                                server.leaving,
+                                server.running(),
+                                server.queued(),
+                                Optional.of(server.loaded),
+                                fetchedAt)
+                        : new RequestEvent.ServerLost(id, Optional.empty());
+        time.afterMillis(2 * NETWORK_MILLIS, () -> post(event));
+    }
+
+    private void publish(ServerGroup group) {
+        post(new RequestEvent.ServersChanged(group, listed.get(group)));
+    }
+
+    private void publishReplicas(
+            ArtifactId artifact, ColdStart coldStart, Optional<Instant> expected) {
+        Set<ServerId> ready = new HashSet<>();
+        for (SimulatedServer server : servers.values()) {
+            if (server.alive && !server.leaving && server.loaded.contains(artifact)) {
+                ready.add(server.id);
+            }
+        }
+        post(new RequestEvent.ReplicasChanged(ENGINES, artifact, ready, coldStart, expected));
+    }
+
+    private void execute(RequestCommand command) {
+        if (command instanceof RequestCommand.SendGeneration send) {
+            int offset = send.resumeOffset();
+            transmit(send.attempt(), send.request(), send.server(), send.artifact(), offset);
+        } else if (command instanceof RequestCommand.SendCall send) {
+            transmit(send.attempt(), send.request(), send.server(), null, 0);
+        } else if (command instanceof RequestCommand.CancelAttempt cancel) {
+            SimulatedServer server = servers.get(cancel.server());
+            double millis = faults.cancelMillis(random) + NETWORK_MILLIS;
+            time.afterMillis(millis, () -> server.cancel(cancel.attempt()));
+        } else if (command instanceof RequestCommand.CheckServer check) {
+            report(check.server());
+        } else if (command instanceof RequestCommand.MakeClaim make) {
+            claim(make.request(), () -> claims.make(make));
+        } else if (command instanceof RequestCommand.TakeClaim take) {
+            claim(take.request(), () -> claims.take(take));
+        } else if (command instanceof RequestCommand.FinishClaim finish) {
+            time.afterMillis(OBJECT_API_MILLIS, () -> claims.finish(finish));
+        } else if (command instanceof RequestCommand.ReleaseClaim release) {
+            time.afterMillis(OBJECT_API_MILLIS, () -> claims.release(release));
+        } else if (command instanceof RequestCommand.ReportDemand report) {
+            startLoad(report.demand().artifact());
+        }
+    }
+
+    private void transmit(
+            AttemptId attempt, RequestId id, ServerId serverId, ArtifactId artifact, int offset) {
+        SimulatedServer server = servers.get(serverId);
+        SimulatedRequest request = requests.get(id);
+        time.afterMillis(
+                NETWORK_MILLIS,
+                () -> {
+                    SimulatedServer.Job job =
+                            new SimulatedServer.Job(
+                                    attempt, request, artifact == null, offset, server.incarnation);
+                    AttemptFailure refusal = refusal(server, artifact);
+                    if (refusal != null) {
+                        fail(job, refusal);
+                        return;
+                    }
+                    job.silent = random.nextDouble() < faults.silent();
+                    server.submit(job);
+                    if (random.nextDouble() < faults.broken()) {
+                        double millis = random.nextDouble() * server.tokenMillis * 10;
+                        time.afterMillis(millis, () -> breakConnection(job));
+                    }
+                });
+    }
+
+    private static AttemptFailure refusal(SimulatedServer server, ArtifactId artifact) {
+        if (server.partitioned || !server.alive) {
+            return AttemptFailure.NOT_SENT;
+        }
+        if (server.leaving) {
+            return AttemptFailure.REFUSED_LEAVING;
+        }
+        boolean missing = artifact != null && !server.loaded.contains(artifact);
+        return missing ? AttemptFailure.REFUSED_NOT_LOADED : null;
+    }
+
+    private void breakConnection(SimulatedServer.Job job) {
+        if (!job.stopped && job.connected && !job.silent) {
+            fail(job, AttemptFailure.CONNECTION_LOST);
+            // What is under way still arrives, and a call runs on without its connection.
+            time.afterMillis(faults.lateMillis(random), () -> job.connected = false);
+        }
+    }
+
+    private void fail(SimulatedServer.Job job, AttemptFailure failure) {
+        if (job.silent || !job.connected) {
+            return;
+        }
+        RequestEvent event =
+                new RequestEvent.AttemptFailed(job.attempt, failure, "simulated failure");
+        time.afterMillis(NETWORK_MILLIS, () -> post(event));
+    }
+
+    private void claim(RequestId request, java.util.function.Supplier<RequestEvent> write) {
+        double millis = OBJECT_API_MILLIS + faults.claimMillis(random);
+        double draw = random.nextDouble();
+        time.afterMillis(
+                millis,
+                () -> {
+                    if (draw < faults.claimUnavailable()) {
+                        post(new RequestEvent.ClaimUnavailable(request));
+                    } else if (draw < faults.claimUnavailable() + faults.claimUnknown()) {
+                        write.get();
+                        post(new RequestEvent.ClaimOutcomeUnknown(request));
+                    } else {
+                        post(write.get());
+                    }
+                });
+    }
+
+    /** Loads a wanted artifact at a random server; a failed load is tried again. */
+    private void startLoad(ArtifactId artifact) {
+        boolean ready = servers.values().stream().anyMatch(s -> isReady(s, artifact));
+        if (ready || !loading.add(artifact)) {
+            return;
+        }
+        List<SimulatedServer> candidates = new ArrayList<>();
+        for (ServerDescription entry : listed.getOrDefault(ENGINES, List.of())) {
+            SimulatedServer server = servers.get(entry.server());
+            if (server.alive && !server.leaving) {
+                candidates.add(server);
+            }
+        }
+        if (candidates.isEmpty()) {
+            loading.remove(artifact);
+            return;
+        }
+        SimulatedServer server = candidates.get(random.nextInt(candidates.size()));
+        int incarnation = server.incarnation;
+        Duration load = Duration.ofMillis(faults.loadMillis());
+        Optional<Instant> expected = Optional.of(time.now().plus(load));
+        publishReplicas(artifact, ColdStart.LOADING, expected);
+        boolean failing = random.nextDouble() < faults.loadFailure();
+        time.after(
+                load,
+                () -> {
+                    loading.remove(artifact);
+                    if (!failing && server.alive && server.incarnation == incarnation) {
+                        server.loaded.add(artifact);
+                    }
+                    publishReplicas(artifact, ColdStart.UNDECIDED, Optional.empty());
+                    if (failing) {
+                        startLoad(artifact);
+                    }
+                });
+    }
+
+    private static boolean isReady(SimulatedServer server, ArtifactId artifact) {
+        return server.alive && !server.leaving && server.loaded.contains(artifact);
+    }
+
+    private final class ServerEvents implements SimulatedServer.Listener {
+        @Override
+        public void started(SimulatedServer server, SimulatedServer.Job job) {
+            observer.ran(job.request, job.attempt, server.id, time.now());
+        }
+
+        @Override
+        public void token(SimulatedServer.Job job, int offset) {
+            deliver(
+                    job,
+                    new RequestEvent.AttemptToken(job.attempt, offset, job.request.token(offset)));
+        }
+
+        @Override
+        public void completed(SimulatedServer.Job job) {
+            deliver(
+                    job,
+                    job.call
+                            ? new RequestEvent.AttemptAnswered(job.attempt, OK_STATUS)
+                            : new RequestEvent.AttemptCompleted(
+                                    job.attempt, job.request.tokens(), job.request.checksum()));
+        }
+
+        @Override
+        public void failed(SimulatedServer.Job job, AttemptFailure failure) {
+            fail(job, failure);
+        }
+
+        @Override
+        public void crashed(SimulatedServer server) {
+            server.loaded.removeIf(artifact -> faults.losesLoaded());
+            observer.crashed(server.id, time.now());
+            time.afterMillis(faults.restartMillis(), () -> server.alive = true);
+        }
+
+        private void deliver(SimulatedServer.Job job, RequestEvent event) {
+            if (!job.silent && job.connected) {
+                time.afterMillis(NETWORK_MILLIS, () -> post(event));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/SimulatedClaims.java
@@ -0,0 +1,76 @@
+package org.tarragonlug.measure;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonlug.decision.request.ClaimState;
+import org.tarragonlug.decision.request.RequestCommand;
+import org.tarragonlug.decision.request.RequestEvent;
+import org.tarragonlug.id.ClaimKey;
+import org.tarragonlug.id.Fingerprint;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.RequestId;
+
+/** The claims in the object API, as far as the coordinator sees them. */
+public final class SimulatedClaims {
+    private static final ProcessId HOLDER = new ProcessId("simulated");
+
+    private record Claim(
+            ClaimState state, OperationId operation, Fingerprint body, int status, int version) {}
+
+    private final Map<ClaimKey, Claim> claims = new HashMap<>();
+
+    RequestEvent make(RequestCommand.MakeClaim command) {
+        Claim made = new Claim(ClaimState.STARTED, command.operation(), command.body(), 0, 1);
+        Claim present = claims.putIfAbsent(command.key(), made);
+        return present == null
+                ? new RequestEvent.ClaimMade(command.request())
+                : found(command.request(), present);
+    }
+
+    RequestEvent take(RequestCommand.TakeClaim command) {
+        Claim present = claims.get(command.key());
+        if (!Integer.toString(present.version()).equals(command.version())) {
+            return found(command.request(), present);
+        }
+        int version = present.version() + 1;
+        claims.put(
+                command.key(),
+                new Claim(ClaimState.STARTED, command.operation(), command.body(), 0, version));
+        return new RequestEvent.ClaimMade(command.request());
+    }
+
+    void finish(RequestCommand.FinishClaim command) {
+        rewrite(command.key(), command.operation(), ClaimState.DONE, command.status());
+    }
+
+    void release(RequestCommand.ReleaseClaim command) {
+        rewrite(command.key(), command.operation(), ClaimState.RELEASED, 0);
+    }
+
+    /** Returns the state of a claim. */
+    public Optional<ClaimState> state(ClaimKey key) {
+        return Optional.ofNullable(claims.get(key)).map(Claim::state);
+    }
+
+    private void rewrite(ClaimKey key, OperationId operation, ClaimState state, int status) {
+        Claim present = claims.get(key);
+        if (present != null && present.operation().equals(operation)) {
+            int version = present.version() + 1;
+            claims.put(key, new Claim(state, operation, present.body(), status, version));
+        }
+    }
+
+    private static RequestEvent found(RequestId request, Claim claim) {
+        return new RequestEvent.ClaimFound(
+                request,
+                claim.state(),
+                claim.operation(),
+                HOLDER,
+                false,
+                claim.body(),
+                claim.status(),
+                Integer.toString(claim.version()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/SimulatedServer.java
@@ -0,0 +1,160 @@
+package org.tarragonlug.measure;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.tarragonlug.decision.request.AttemptFailure;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.ServerId;
+
+/** A backend server: some requests run at once, each at a steady pace, and the others queue. */
+public final class SimulatedServer {
+    /** Where a server reports what becomes of its attempts. */
+    interface Listener {
+        void started(SimulatedServer server, Job job);
+
+        void token(Job job, int offset);
+
+        void completed(Job job);
+
+        void failed(Job job, AttemptFailure failure);
+
+        void crashed(SimulatedServer server);
+    }
+
+    /** One attempt at the server. */
+    static final class Job {
+        final AttemptId attempt;
+        final SimulatedRequest request;
+        final boolean call;
+        final int incarnation;
+        int next;
+        boolean silent;
+        boolean connected = true;
+        boolean stopped;
+
+        Job(AttemptId attempt, SimulatedRequest request, boolean call, int next, int incarnation) {
+            this.attempt = attempt;
+            this.request = request;
+            this.call = call;
+            this.next = next;
+            this.incarnation = incarnation;
+        }
+    }
+
+    private static final double CRASH_MILLIS = 20;
+
+    final ServerId id;
+    final int slots;
+    final Set<ArtifactId> loaded = new HashSet<>();
+    final Map<AttemptId, Job> jobs = new LinkedHashMap<>();
+    double tokenMillis;
+    int queueLimit = Integer.MAX_VALUE;
+    int incarnation = 1;
+    boolean alive = true;
+    boolean partitioned;
+    boolean leaving;
+
+    private final VirtualTime time;
+    private final Listener listener;
+    private final Deque<Job> queue = new ArrayDeque<>();
+    private int running;
+
+    SimulatedServer(
+            ServerId id, int slots, double tokenMillis, VirtualTime time, Listener listener) {
+        this.id = id;
+        this.slots = slots;
+        this.tokenMillis = tokenMillis;
+        this.time = time;
+        this.listener = listener;
+    }
+
+    int running() {
+        return running;
+    }
+
+    int queued() {
+        return queue.size();
+    }
+
+    void submit(Job job) {
+        if (queue.size() >= queueLimit) {
+            listener.failed(job, AttemptFailure.REFUSED_OVERLOADED);
+            return;
+        }
+        jobs.put(job.attempt, job);
+        queue.add(job);
+        startQueued();
+    }
+
+    void cancel(AttemptId attempt) {
+        Job job = jobs.remove(attempt);
+        if (job != null) {
+            job.stopped = true;
+            if (!queue.remove(job)) {
+                running--;
+            }
+            startQueued();
+        }
+    }
+
+    /** Loses the process with everything in it. */
+    void crash() {
+        alive = false;
+        incarnation++;
+        running = 0;
+        queue.clear();
+        listener.crashed(this);
+        for (Job job : jobs.values()) {
+            job.stopped = true;
+            listener.failed(job, AttemptFailure.CONNECTION_LOST);
+        }
+        jobs.clear();
+    }
+
+    private void startQueued() {
+        while (running < slots && !queue.isEmpty()) {
+            Job job = queue.poll();
+            running++;
+            listener.started(this, job);
+            if (job.request.crashing()) {
+                time.afterMillis(CRASH_MILLIS, () -> crashBy(job));
+            }
+            step(job);
+        }
+    }
+
+    private void crashBy(Job job) {
+        if (!job.stopped) {
+            crash();
+        }
+    }
+
+    private void step(Job job) {
+        double millis = job.call ? tokenMillis * job.request.tokens() : tokenMillis;
+        time.afterMillis(millis, () -> advance(job));
+    }
+
+    private void advance(Job job) {
+        if (job.stopped) {
+            return;
+        }
+        if (!job.call && job.next < job.request.tokens()) {
+            listener.token(job, job.next);
+            job.next++;
+        }
+        if (job.call || job.next >= job.request.tokens()) {
+            job.stopped = true;
+            jobs.remove(job.attempt);
+            running--;
+            listener.completed(job);
+            startQueued();
+        } else {
+            step(job);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurement programs, which run the decisions in virtual time. */
+package org.tarragonlug.measure;
