--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/configuration/TableContent.java
@@ -0,0 +1,18 @@
+package org.tarragonlug.decision.configuration;
+
+import java.util.List;
+
+/**
+ * A table as read from the object API.
+ *
+ * @param objectVersion version of the object; 0 when it does not exist
+ * @param rows the rows that could be parsed
+ * @param faults what could not be parsed
+ * @param <R> type of the rows
+ */
+public record TableContent<R>(long objectVersion, List<R> rows, List<TableFault> faults) {
+    public TableContent {
+        rows = List.copyOf(rows);
+        faults = List.copyOf(faults);
+    }
+}
