--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
@@ -0,0 +1,208 @@
+package org.tarragonlug.decision.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ProcessId;
+
+/**
+ * The other members as known here, with the rules by which claims replace each other.
+ *
+ * <p>A candidate that was never heard of counts as alive with incarnation 0: at the start of a whole
+ * deployment all processes have the right view at once, and probing removes those that do not exist.
+ */
+final class MemberTable {
+    /** How long a dead member that is no longer listed stays known, against late claims. */
+    private static final Duration FORGET_AFTER = Duration.ofMinutes(10);
+
+    private static final ProcessId UNKNOWN_PROCESS = new ProcessId("?");
+
+    private final InstanceId self;
+    private final TreeMap<InstanceId, Entry> entries = new TreeMap<>();
+    private boolean changed;
+
+    MemberTable(InstanceId self) {
+        this.self = self;
+    }
+
+    /** Takes over the list of candidates; those that are new count as alive. */
+    void list(List<Candidate> candidates, Instant now) {
+        Set<InstanceId> listed = new HashSet<>();
+        for (Candidate candidate : candidates) {
+            if (candidate.instance().equals(self)) {
+                continue;
+            }
+            listed.add(candidate.instance());
+            Entry entry = entries.get(candidate.instance());
+            if (entry == null) {
+                entry = new Entry(candidate, UNKNOWN_PROCESS, 0);
+                entries.put(candidate.instance(), entry);
+                changed = true;
+            }
+            if (!entry.candidate.equals(candidate)) {
+                entry.candidate = candidate;
+                changed = true;
+            }
+        }
+        for (Entry entry : entries.values()) {
+            entry.listed = listed.contains(entry.candidate.instance());
+        }
+        entries.values().removeIf(entry -> entry.isForgettable(now));
+    }
+
+    /**
+     * Takes over a claim about another member.
+     *
+     * @return whether it was news
+     */
+    boolean apply(MemberUpdate update, Instant now, Instant suspicionEnd) {
+        Entry entry = entries.get(update.instance());
+        if (entry == null) {
+            if (update.origin().isEmpty() || !update.state().isLive()) {
+                return false;
+            }
+            entry = new Entry(update.origin().get(), update.process(), -1);
+            entries.put(update.instance(), entry);
+        } else if (!update.supersedes(entry.incarnation, entry.state)) {
+            return false;
+        }
+        changed |= entry.state.isLive() != update.state().isLive() || entry.incarnation < 0;
+        changed |= !entry.process.equals(update.process());
+        entry.process = update.process();
+        entry.incarnation = update.incarnation();
+        entry.state = update.state();
+        entry.since = now;
+        entry.suspicionEnd = suspicionEnd;
+        return true;
+    }
+
+    /** Returns the claim that describes a member as known here. */
+    Optional<MemberUpdate> claim(InstanceId instance) {
+        return Optional.ofNullable(entries.get(instance)).map(MemberTable::claim);
+    }
+
+    private static MemberUpdate claim(Entry entry) {
+        return new MemberUpdate(
+                entry.candidate.instance(),
+                entry.process,
+                entry.incarnation,
+                entry.state,
+                entry.listed ? Optional.empty() : Optional.of(entry.candidate));
+    }
+
+    /** Returns the claims about all members outside of the live view, for a newcomer. */
+    List<MemberUpdate> claimsOfAbsent() {
+        List<MemberUpdate> claims = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (!entry.state.isLive()) {
+                claims.add(claim(entry));
+            }
+        }
+        return claims;
+    }
+
+    /** Returns the suspects whose time to refute is over. */
+    List<InstanceId> expiredSuspects(Instant now) {
+        List<InstanceId> expired = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (entry.state == MemberState.SUSPECT && !now.isBefore(entry.suspicionEnd)) {
+                expired.add(entry.candidate.instance());
+            }
+        }
+        return expired;
+    }
+
+    /** Gives all suspects time anew, because refutations may have been missed. */
+    void extendSuspicions(Instant end) {
+        for (Entry entry : entries.values()) {
+            if (entry.state == MemberState.SUSPECT) {
+                entry.suspicionEnd = end;
+            }
+        }
+    }
+
+    Optional<MemberState> state(InstanceId instance) {
+        return Optional.ofNullable(entries.get(instance)).map(entry -> entry.state);
+    }
+
+    /** Returns the address of a member; empty text if it was never learnt. */
+    String address(InstanceId instance) {
+        Entry entry = entries.get(instance);
+        return entry == null ? "" : entry.candidate.address();
+    }
+
+    /** Returns the other members of the live view, ordered by instance id. */
+    List<InstanceId> live() {
+        return select(entry -> entry.state.isLive());
+    }
+
+    /** Returns dead members that are still listed and may come back. */
+    List<InstanceId> deadListed() {
+        return select(entry -> entry.state == MemberState.DEAD && entry.listed);
+    }
+
+    private List<InstanceId> select(java.util.function.Predicate<Entry> condition) {
+        List<InstanceId> selected = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (condition.test(entry)) {
+                selected.add(entry.candidate.instance());
+            }
+        }
+        return selected;
+    }
+
+    /** Returns the other members of the live view. */
+    Collection<Member> liveMembers() {
+        List<Member> members = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (entry.state.isLive()) {
+                members.add(entry.member());
+            }
+        }
+        return members;
+    }
+
+    /** Tells whether the live view changed since the previous call. */
+    boolean takeChanged() {
+        boolean taken = changed;
+        changed = false;
+        return taken;
+    }
+
+    private static final class Entry {
+        private Candidate candidate;
+        private ProcessId process;
+        private long incarnation;
+        private MemberState state = MemberState.ALIVE;
+        private Instant since = Instant.EPOCH;
+        private Instant suspicionEnd = Instant.MAX;
+        private boolean listed;
+
+        Entry(Candidate candidate, ProcessId process, long incarnation) {
+            this.candidate = candidate;
+            this.process = process;
+            this.incarnation = incarnation;
+        }
+
+        boolean isForgettable(Instant now) {
+            return !listed && !state.isLive() && now.isAfter(since.plus(FORGET_AFTER));
+        }
+
+        Member member() {
+            return new Member(
+                    candidate.instance(),
+                    process,
+                    candidate.address(),
+                    candidate.failureDomain(),
+                    incarnation,
+                    state);
+        }
+    }
+}
