--- a/src/main/java/org/tarragonlug/decision/configuration/ConfigurationDigest.java
+++ b/src/main/java/org/tarragonlug/decision/configuration/ConfigurationDigest.java
@@ -7,10 +7,10 @@
 /**
  * Digest of the content of a configuration, the same in every process whatever the order of rows.
  *
- * <p>It is the sum of the hashes of the rows, so the order does not matter. It guards against faults
- * of deltas, not against malice. A release that adds a field to a row computes other digests, so
- * between two releases deltas are answered by asking for the whole configuration, whose digest is
- * not compared.
+ * <p>It is the sum of the hashes of the rows, so the order does not matter. It guards against
+ * faults of deltas, not against malice. A release that adds a field to a row computes other
+ * digests, so between two releases deltas are answered by asking for the whole configuration, whose
+ * digest is not compared.
  */
 public final class ConfigurationDigest {
     private final Hasher hasher;
--- a/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
+++ b/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
@@ -15,8 +15,9 @@
 /**
  * The other members as known here, with the rules by which claims replace each other.
  *
- * <p>A candidate that was never heard of counts as alive with incarnation 0: at the start of a whole
- * deployment all processes have the right view at once, and probing removes those that do not exist.
+ * <p>A candidate that was never heard of counts as alive with incarnation 0: at the start of a
+ * whole deployment all processes have the right view at once, and probing removes those that do not
+ * exist.
  */
 final class MemberTable {
     /** How long a dead member that is no longer listed stays known, against late claims. */
--- a/src/main/java/org/tarragonlug/decision/membership/ProbeOrder.java
+++ b/src/main/java/org/tarragonlug/decision/membership/ProbeOrder.java
@@ -14,13 +14,13 @@
 /**
  * Chooses whom to probe, so that each member is probed about once in each period.
  *
- * <p>With independent random targets, the time until anyone probes a given member has an exponential
- * tail: at 410 members and one probe a second, one crash in a hundred waits 4.6 s for its first
- * probe. Here all members stand in a circle ordered by hash, and in one period everybody probes the
- * member at the same pseudo-random distance. With equal views and clocks that is a permutation: each
- * member is probed exactly once. Where views or clocks differ, targets are still spread as if chosen
- * at random, so only the tail gets longer. The distance changes with each period, so a broken pair
- * of members does not meet again soon.
+ * <p>With independent random targets, the time until anyone probes a given member has an
+ * exponential tail: at 410 members and one probe a second, one crash in a hundred waits 4.6 s for
+ * its first probe. Here all members stand in a circle ordered by hash, and in one period everybody
+ * probes the member at the same pseudo-random distance. With equal views and clocks that is a
+ * permutation: each member is probed exactly once. Where views or clocks differ, targets are still
+ * spread as if chosen at random, so only the tail gets longer. The distance changes with each
+ * period, so a broken pair of members does not meet again soon.
  */
 final class ProbeOrder {
     private final InstanceId self;
--- a/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
+++ b/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
@@ -24,8 +24,8 @@
  * in time, a few other members are asked to probe it, which avoids a verdict where only one path is
  * broken. If that fails too, the member becomes suspect. A suspect that hears of it refutes with a
  * higher incarnation; otherwise every member declares it dead when the suspicion time is over.
- * Changes travel with all messages, and new ones are also pushed to a few random members at once: an
- * epidemic whose rounds last one tick, so all members learn a change within a second.
+ * Changes travel with all messages, and new ones are also pushed to a few random members at once:
+ * an epidemic whose rounds last one tick, so all members learn a change within a second.
  *
  * <p>Pauses of the own process: a long gap between two ticks means that acknowledgements and
  * refutations wait unread, so running probes are abandoned and all suspicions start anew. When
@@ -215,10 +215,7 @@
     }
 
     private void probe(long number, InstanceId target, List<MembershipCommand> commands) {
-        send(
-                target,
-                new MembershipMessage.Probe(number, configuration, claims(target)),
-                commands);
+        send(target, new MembershipMessage.Probe(number, configuration, claims(target)), commands);
     }
 
     private void receive(
@@ -346,8 +343,7 @@
                 .ifPresent(claims::add);
         int limit = settings.updateLimit() - claims.size();
         for (MemberUpdate update : queue.take(limit, live.size() + 1)) {
-            if (!update.instance().equals(self.instance())
-                    && !update.instance().equals(receiver)) {
+            if (!update.instance().equals(self.instance()) && !update.instance().equals(receiver)) {
                 claims.add(update);
             }
         }
--- /dev/null
+++ b/src/main/java/org/tarragonlug/objectapi/TableSchema.java
@@ -0,0 +1,105 @@
+package org.tarragonlug.objectapi;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.PathType;
+import com.networknt.schema.SchemaValidatorsConfig;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.tarragonlug.decision.configuration.TableFault;
+
+/** The JSON schema of one table, whose violations become faults with path and remedy. */
+final class TableSchema {
+    private static final int LONGEST_VALUE_SHOWN = 60;
+
+    private final JsonSchema schema;
+
+    /** Loads a schema from the resources of the program. */
+    TableSchema(String resource) {
+        SchemaValidatorsConfig config =
+                SchemaValidatorsConfig.builder().pathType(PathType.JSON_PATH).build();
+        JsonSchemaFactory factory = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012);
+        try (InputStream stream = TableSchema.class.getResourceAsStream(resource)) {
+            schema = factory.getSchema(stream, config);
+            schema.initializeValidators();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Validates a table. */
+    List<TableFault> validate(JsonNode table, UnknownFields unknownFields) {
+        List<TableFault> faults = new ArrayList<>();
+        Collection<ValidationMessage> messages = schema.validate(table);
+        for (ValidationMessage message : messages) {
+            String path = message.getInstanceLocation().toString();
+            boolean isUnknown = message.getType().equals("additionalProperties");
+            if (isUnknown && unknownFields == UnknownFields.IGNORE) {
+                continue;
+            }
+            if (isTargetFault(message)) {
+                TableFault fault =
+                        new TableFault(
+                                path, "not exactly one of pool and service", "name exactly one");
+                if (!faults.contains(fault)) {
+                    faults.add(fault);
+                }
+                continue;
+            }
+            faults.add(new TableFault(path, found(message), remedy(message)));
+        }
+        return faults;
+    }
+
+    /** A route with both or neither target violates "oneOf" and, in part, its branches. */
+    private static boolean isTargetFault(ValidationMessage message) {
+        return message.getEvaluationPath().toString().contains("oneOf");
+    }
+
+    private static String found(ValidationMessage message) {
+        String type = message.getType();
+        if (type.equals("additionalProperties")) {
+            return "unknown field '" + message.getProperty() + "'";
+        }
+        if (type.equals("required")) {
+            return "field '" + message.getProperty() + "' is missing";
+        }
+        String text = String.valueOf(message.getInstanceNode());
+        if (text.length() > LONGEST_VALUE_SHOWN) {
+            text = text.substring(0, LONGEST_VALUE_SHOWN) + "...";
+        }
+        return text;
+    }
+
+    private static String remedy(ValidationMessage message) {
+        return switch (message.getType()) {
+            case "additionalProperties" -> "remove the field or correct its name";
+            case "required" -> "add the field";
+            case "pattern" ->
+                    isDuration(message)
+                            ? "write a whole number and ms, s, m or h, such as 500ms"
+                            : "use text of the form " + schemaValue(message);
+            case "type" -> "use a value of type " + schemaValue(message);
+            case "enum" -> "use one of " + schemaValue(message);
+            case "minimum", "exclusiveMinimum" -> "use a greater value than this; see the schema";
+            case "maximum" -> "use a value of at most " + schemaValue(message);
+            case "minLength" -> "write a non-empty text";
+            default -> "correct it: " + message.getMessage();
+        };
+    }
+
+    private static boolean isDuration(ValidationMessage message) {
+        return schemaValue(message).contains("ms|s|m|h");
+    }
+
+    private static String schemaValue(ValidationMessage message) {
+        return message.getSchemaNode() == null ? "" : message.getSchemaNode().toString();
+    }
+}
