--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/ReportPoller.java
@@ -0,0 +1,137 @@
+package org.tarragonlug.instance;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.tarragonlug.engine.EngineClient;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.instancelist.InstanceKind;
+import org.tarragonlug.instancelist.ListedInstance;
+import org.tarragonlug.plainservice.PlainServiceClient;
+
+/**
+ * Asks backend servers for their reports.
+ *
+ * <p>Asked are the servers of the groups that this instance decides for, and those it has used
+ * lately; so no server is asked by every instance, and the cost does not grow with the product of
+ * instances and servers.
+ */
+final class ReportPoller implements InstanceListListener {
+    private static final Duration PERIOD = Duration.ofMillis(500);
+    private static final Duration USED_LATELY = Duration.ofSeconds(30);
+
+    private final InstanceContext context;
+    private final ServerDirectory directory;
+    private final EngineClient engines;
+    private final PlainServiceClient services;
+    private final List<ReportListener> listeners = new ArrayList<>();
+    private final Set<ServerGroup> decidedGroups = new HashSet<>();
+    private final Map<ServerId, Instant> usedAt = new HashMap<>();
+    private final Set<ServerId> asking = new HashSet<>();
+    private Map<ServerId, ListedInstance> servers = Map.of();
+
+    ReportPoller(
+            InstanceContext context,
+            ServerDirectory directory,
+            EngineClient engines,
+            PlainServiceClient services) {
+        this.context = context;
+        this.directory = directory;
+        this.engines = engines;
+        this.services = services;
+    }
+
+    void listen(ReportListener listener) {
+        listeners.add(listener);
+    }
+
+    void start() {
+        context.every(PERIOD, this::poll);
+    }
+
+    /** Sets whether this instance decides for a group. */
+    void deciding(ServerGroup group, boolean decides) {
+        if (decides) {
+            decidedGroups.add(group);
+            poll();
+        } else {
+            decidedGroups.remove(group);
+        }
+    }
+
+    /** Notes that a server is in use. */
+    void used(ServerId server) {
+        usedAt.put(server, context.now());
+    }
+
+    @Override
+    public void listed(
+            List<ListedInstance> instances,
+            Set<org.tarragonlug.id.InstanceId> goneInstances,
+            Set<ServerId> goneServers) {
+        Map<ServerId, ListedInstance> present = new HashMap<>();
+        for (ListedInstance instance : instances) {
+            if (instance.kind() != InstanceKind.ENTRY) {
+                present.put(new ServerId(instance.id()), instance);
+            }
+        }
+        servers = present;
+        usedAt.keySet().retainAll(present.keySet());
+        poll();
+    }
+
+    private void poll() {
+        Instant usedSince = context.now().minus(USED_LATELY);
+        usedAt.values().removeIf(at -> at.isBefore(usedSince));
+        servers.forEach(
+                (server, instance) -> {
+                    if (decidedGroups.contains(instance.group()) || usedAt.containsKey(server)) {
+                        ask(server);
+                    }
+                });
+    }
+
+    /** Asks one server now, unless it is being asked. */
+    void ask(ServerId server) {
+        Optional<ListedInstance> instance = directory.find(server);
+        if (instance.isEmpty() || !asking.add(server)) {
+            return;
+        }
+        Instant askedAt = context.now();
+        InetSocketAddress address = instance.get().address();
+        if (instance.get().kind() == InstanceKind.ENGINE) {
+            ask(
+                    server,
+                    engines.report(server, address),
+                    report -> listeners.forEach(l -> l.engineReported(report, askedAt)));
+        } else {
+            ask(
+                    server,
+                    services.report(server, address),
+                    report -> listeners.forEach(l -> l.serviceReported(report, askedAt)));
+        }
+    }
+
+    private <R> void ask(ServerId server, CompletionStage<R> stage, Consumer<R> reported) {
+        context.onLoop(
+                stage,
+                (report, failure) -> {
+                    asking.remove(server);
+                    if (failure == null) {
+                        reported.accept(report);
+                    } else {
+                        listeners.forEach(listener -> listener.unreachable(server));
+                    }
+                });
+    }
+}
