Add peer messages on the wire and the TCP transport

Cause: processes of one deployment exchange membership, demand and rows. Change: PeerCodec (MessagePack over Jackson), a scanner that checks declared lengths before the parser allocates, and TcpPeerTransport over Netty.

--- a/src/main/java/org/tarragonlug/objectapi/RowCodec.java
+++ b/src/main/java/org/tarragonlug/objectapi/RowCodec.java
@@ -52,6 +52,18 @@
     private static final List<String> POOL_FIELDS =
             List.of("name", "group", "artifacts", "coldStartWeight", "standbySlots", "queueLimit");
 
+    /** Arrays within rows whose elements are told apart by their artifact. */
+    static final List<String> PARTS = List.of("artifacts", "versions");
+
+    static final List<String> PART_FIELDS =
+            List.of(
+                    "artifact",
+                    "weight",
+                    "baseModel",
+                    "memoryBytes",
+                    "minimumReplicas",
+                    "maximumReplicas");
+
     private RowCodec() {}
 
     static List<String> knownTableFields(String rowsName) {
--- a/src/main/java/org/tarragonlug/objectapi/TableCodec.java
+++ b/src/main/java/org/tarragonlug/objectapi/TableCodec.java
@@ -102,7 +102,20 @@
         keep(written, earlier, RowCodec.knownTableFields(rowsName));
         for (JsonNode row : written.path(rowsName)) {
             Optional<JsonNode> before = row(earlier, rowsName, row.path("name").asText());
-            before.ifPresent(old -> keep((ObjectNode) row, old, RowCodec.knownFields(rowsName)));
+            before.ifPresent(old -> keepInRow((ObjectNode) row, old, rowsName));
+        }
+    }
+
+    private static void keepInRow(ObjectNode row, JsonNode earlier, String rowsName) {
+        keep(row, earlier, RowCodec.knownFields(rowsName));
+        for (String part : RowCodec.PARTS) {
+            for (JsonNode written : row.path(part)) {
+                for (JsonNode old : earlier.path(part)) {
+                    if (old.path("artifact").equals(written.path("artifact"))) {
+                        keep((ObjectNode) written, old, RowCodec.PART_FIELDS);
+                    }
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/tarragonlug/peer/MessagePackScanner.java
@@ -0,0 +1,100 @@
+package org.tarragonlug.peer;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+
+/**
+ * Checks that a frame is exactly one well-formed MessagePack value.
+ *
+ * <p>The parser allocates as many bytes as a binary value declares before it reads them, so a frame
+ * of ten bytes could ask for 2 GB. This check compares declared lengths with the bytes that are
+ * there, and limits nesting, before the parser sees the frame.
+ */
+final class MessagePackScanner {
+    private static final int DEEPEST = 32;
+
+    private final ByteBuffer bytes;
+
+    private MessagePackScanner(ByteBuffer bytes) {
+        this.bytes = bytes;
+    }
+
+    static void check(byte[] frame) throws TarragonlugException {
+        MessagePackScanner scanner = new MessagePackScanner(ByteBuffer.wrap(frame));
+        try {
+            scanner.value(0);
+        } catch (BufferUnderflowException e) {
+            throw invalid("it ends within a value");
+        }
+        if (scanner.bytes.hasRemaining()) {
+            throw invalid(scanner.bytes.remaining() + " bytes follow the value");
+        }
+    }
+
+    private void value(int depth) throws TarragonlugException {
+        if (depth > DEEPEST) {
+            throw invalid("it is nested deeper than " + DEEPEST);
+        }
+        int code = bytes.get() & 0xff;
+        if (code < 0x80 || code >= 0xe0) {
+            return;
+        }
+        if (code < 0x90) {
+            container(2L * (code & 0x0f), depth);
+        } else if (code < 0xa0) {
+            container(code & 0x0f, depth);
+        } else if (code < 0xc0) {
+            skip(code & 0x1f);
+        } else {
+            prefixed(code, depth);
+        }
+    }
+
+    private void prefixed(int code, int depth) throws TarragonlugException {
+        switch (code) {
+            case 0xc0, 0xc2, 0xc3 -> {}
+            case 0xc4, 0xd9 -> skip(length(1));
+            case 0xc5, 0xda -> skip(length(2));
+            case 0xc6, 0xdb -> skip(length(4));
+            case 0xcc, 0xd0 -> skip(1);
+            case 0xcd, 0xd1 -> skip(2);
+            case 0xca, 0xce, 0xd2 -> skip(4);
+            case 0xcb, 0xcf, 0xd3 -> skip(8);
+            case 0xdc -> container(length(2), depth);
+            case 0xdd -> container(length(4), depth);
+            case 0xde -> container(2 * length(2), depth);
+            case 0xdf -> container(2 * length(4), depth);
+            default -> throw invalid("it has the unused type " + code);
+        }
+    }
+
+    private void container(long values, int depth) throws TarragonlugException {
+        if (values > bytes.remaining()) {
+            throw invalid("it ends within a value");
+        }
+        for (long index = 0; index < values; index++) {
+            value(depth + 1);
+        }
+    }
+
+    private long length(int size) {
+        long length = 0;
+        for (int index = 0; index < size; index++) {
+            length = length << 8 | bytes.get() & 0xff;
+        }
+        return length;
+    }
+
+    private void skip(long length) throws TarragonlugException {
+        if (length > bytes.remaining()) {
+            throw invalid("it ends within a value");
+        }
+        bytes.position(bytes.position() + (int) length);
+    }
+
+    private static TarragonlugException invalid(String detail) {
+        return new TarragonlugException(ErrorCode.PEER_FRAME_INVALID, detail);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -0,0 +1,189 @@
+package org.tarragonlug.peer;
+
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.ProcessId;
+
+/**
+ * The wire form of messages between processes: a MessagePack map with kind, formatVersion, sender
+ * and the fields of the message, without the length before it.
+ *
+ * <p>Unknown fields are ignored and missing lists are empty. A known kind whose fields do not fit
+ * is malformed, unless its sender is of a newer format version: then it counts as an unknown kind.
+ */
+public final class PeerCodec {
+    private static final String KIND = "kind";
+    private static final String SENDER = "sender";
+    private static final String FORMAT_VERSION = "formatVersion";
+    private static final String HELLO = "Hello";
+    private static final String PING = "Ping";
+    private static final String PONG = "Pong";
+
+    /** Kinds on the wire; they stay when a class is renamed. */
+    private static final Map<String, Class<? extends PeerMessage>> TYPES =
+            Map.ofEntries(
+                    Map.entry("Probe", PeerMessage.Probe.class),
+                    Map.entry("ProbeAcknowledgement", PeerMessage.ProbeAcknowledgement.class),
+                    Map.entry("IndirectProbe", PeerMessage.IndirectProbe.class),
+                    Map.entry("Gossip", PeerMessage.Gossip.class),
+                    Map.entry("DemandReport", PeerMessage.DemandReport.class),
+                    Map.entry("ReplicasChanged", PeerMessage.ReplicasChanged.class),
+                    Map.entry("LoadTurnRequest", PeerMessage.LoadTurnRequest.class),
+                    Map.entry("LoadTurnGrant", PeerMessage.LoadTurnGrant.class),
+                    Map.entry("LoadTurnReturn", PeerMessage.LoadTurnReturn.class),
+                    Map.entry("ConfigurationRequest", PeerMessage.ConfigurationRequest.class),
+                    Map.entry("ConfigurationRows", PeerMessage.ConfigurationRows.class),
+                    Map.entry("ConfigurationWhole", PeerMessage.ConfigurationWhole.class),
+                    Map.entry("SuspectsAnnounced", PeerMessage.SuspectsAnnounced.class),
+                    Map.entry("FingerprintCondemned", PeerMessage.FingerprintCondemned.class),
+                    Map.entry("DecisionHandover", PeerMessage.DecisionHandover.class));
+
+    private static final Map<Class<? extends PeerMessage>, String> KINDS =
+            TYPES.entrySet().stream()
+                    .collect(Collectors.toMap(Map.Entry::getValue, Map.Entry::getKey));
+
+    private final ObjectMapper mapper;
+    private final ProcessId sender;
+
+    /** Creates a codec for frames of one sending process. */
+    public PeerCodec(ProcessId sender) {
+        this.sender = sender;
+        this.mapper =
+                new MessagePackMapper()
+                        .registerModule(new IdModule())
+                        .registerModule(new OptionalModule())
+                        .setVisibility(PropertyAccessor.GETTER, JsonAutoDetect.Visibility.NONE)
+                        .setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
+                        .setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
+                        .setDefaultSetterInfo(JsonSetter.Value.forContentNulls(Nulls.FAIL))
+                        .setSerializationInclusion(JsonInclude.Include.NON_EMPTY)
+                        .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
+                        .configure(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES, true);
+        mapper.configOverride(List.class).setSetterInfo(emptyWhenMissing());
+        mapper.configOverride(Map.class).setSetterInfo(emptyWhenMissing());
+    }
+
+    private static JsonSetter.Value emptyWhenMissing() {
+        return JsonSetter.Value.construct(Nulls.AS_EMPTY, Nulls.FAIL);
+    }
+
+    /** Encodes a message. */
+    public byte[] encode(PeerMessage message) {
+        return bytes(KINDS.get(message.getClass()), mapper.valueToTree(message));
+    }
+
+    byte[] encode(PeerFrame frame) {
+        if (frame instanceof PeerFrame.Content content) {
+            return encode(content.message());
+        }
+        if (frame instanceof PeerFrame.Hello hello) {
+            ObjectNode fields = mapper.valueToTree(hello.sender());
+            fields.put("magic", hello.magic());
+            fields.put("deployment", hello.deployment());
+            fields.put(FORMAT_VERSION, hello.formatVersion());
+            return bytes(HELLO, fields);
+        }
+        ObjectNode fields = mapper.createObjectNode();
+        fields.put(FORMAT_VERSION, PeerMessage.FORMAT_VERSION);
+        return bytes(frame instanceof PeerFrame.Ping ? PING : PONG, fields);
+    }
+
+    private byte[] bytes(String kind, ObjectNode fields) {
+        ObjectNode frame = mapper.createObjectNode();
+        frame.put(KIND, kind);
+        frame.put(SENDER, sender.value());
+        frame.setAll(fields);
+        try {
+            return mapper.writeValueAsBytes(frame);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree cannot be encoded", e);
+        }
+    }
+
+    /**
+     * Decodes a frame.
+     *
+     * @throws TarragonlugException {@code PEER_FRAME_INVALID} if it is malformed
+     */
+    PeerFrame decode(byte[] bytes) throws TarragonlugException {
+        MessagePackScanner.check(bytes);
+        JsonNode frame = tree(bytes);
+        String kind = frame.path(KIND).asText();
+        return switch (kind) {
+            case HELLO -> hello(frame);
+            case PING -> new PeerFrame.Ping();
+            case PONG -> new PeerFrame.Pong();
+            default -> content(kind, frame);
+        };
+    }
+
+    private JsonNode tree(byte[] bytes) throws TarragonlugException {
+        JsonNode frame;
+        try {
+            frame = mapper.readTree(bytes);
+        } catch (IOException | RuntimeException e) {
+            throw invalid("it cannot be parsed", e);
+        }
+        if (frame == null || !frame.isObject() || !frame.path(KIND).isTextual()) {
+            throw new TarragonlugException(
+                    ErrorCode.PEER_FRAME_INVALID, "it is no map with a kind");
+        }
+        return frame;
+    }
+
+    private PeerFrame hello(JsonNode frame) throws TarragonlugException {
+        return read(
+                frame,
+                PeerIdentity.class,
+                identity ->
+                        new PeerFrame.Hello(
+                                frame.path("magic").asLong(),
+                                frame.path("deployment").asText(),
+                                identity,
+                                frame.path(FORMAT_VERSION).asInt()));
+    }
+
+    private PeerFrame content(String kind, JsonNode frame) throws TarragonlugException {
+        Class<? extends PeerMessage> type = TYPES.get(kind);
+        if (type == null) {
+            return new PeerFrame.Unknown(kind);
+        }
+        try {
+            return read(frame, type, PeerFrame.Content::new);
+        } catch (TarragonlugException e) {
+            if (frame.path(FORMAT_VERSION).asInt() > PeerMessage.FORMAT_VERSION) {
+                return new PeerFrame.Unknown(kind);
+            }
+            throw e;
+        }
+    }
+
+    private <T> PeerFrame read(JsonNode frame, Class<T> type, Function<T, PeerFrame> maker)
+            throws TarragonlugException {
+        try {
+            return maker.apply(mapper.treeToValue(frame, type));
+        } catch (JsonProcessingException | RuntimeException e) {
+            throw invalid("the fields of kind " + frame.path(KIND).asText() + " do not fit", e);
+        }
+    }
+
+    private static TarragonlugException invalid(String detail, Exception cause) {
+        return new TarragonlugException(ErrorCode.PEER_FRAME_INVALID, detail, cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/peer/TcpPeerTransport.java
@@ -0,0 +1,310 @@
+package org.tarragonlug.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.InstanceId;
+
+/**
+ * Peer transport over TCP: frames of a 4-byte length and a MessagePack map.
+ *
+ * <p>Netty is used directly: ServiceTalk, which brings it, has no public API for plain TCP. One
+ * thread runs all connections; messages are small and few. A connection is opened on the first
+ * message to a peer and closed when idle, so that probing random peers does not keep hundreds of
+ * connections alive. Answers use the connection on which the peer came, if one is open.
+ *
+ * <p>Limits: what was written to a connection that then breaks is lost without notice, and messages
+ * to one peer may be reordered when its connection is replaced. All receivers tolerate both.
+ */
+public final class TcpPeerTransport implements PeerTransport {
+    private static final Logger LOG = Logger.getLogger(TcpPeerTransport.class);
+    private static final int LENGTH_BYTES = 4;
+    private static final int HIGH_WATER_BYTES = 256 * 1024;
+    private static final int LOW_WATER_BYTES = 64 * 1024;
+    private static final int LONGEST_TASK_QUEUE = 10_000;
+    private static final int MOST_UNUSED_LINKS = 2_048;
+    private static final long STOP_MILLIS = 2_000;
+
+    private final PeerTransportSettings settings;
+    private final PeerListener listener;
+    private final RandomGenerator random;
+    private final PeerCodec codec;
+    private final PeerCounters counters = new PeerCounters();
+    private final NioEventLoopGroup group;
+    private final Channel server;
+    private final Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    private final Map<InstanceId, PeerConnection> incoming = new ConcurrentHashMap<>();
+    private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
+    private final AtomicInteger tasks = new AtomicInteger();
+    private volatile boolean closed;
+
+    /**
+     * Starts to listen.
+     *
+     * @param settings names, addresses and limits
+     * @param listener called on the thread of the transport; must not block
+     * @param random adds jitter to the waits between connection attempts
+     * @throws TarragonlugException {@code ADDRESS_IN_USE} if the address cannot be bound
+     */
+    public TcpPeerTransport(
+            PeerTransportSettings settings, PeerListener listener, RandomGenerator random)
+            throws TarragonlugException {
+        this.settings = settings;
+        this.listener = listener;
+        this.random = random;
+        this.codec = new PeerCodec(settings.process());
+        this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("peer", true));
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                        .childHandler(new Initializer(Optional.empty()))
+                        .bind(settings.listen())
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            throw new TarragonlugException(
+                    ErrorCode.ADDRESS_IN_USE, "address=" + settings.listen(), bound.cause());
+        }
+        this.server = bound.channel();
+    }
+
+    /** Returns the address it listens on, with the port that was chosen. */
+    public InetSocketAddress listenAddress() {
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    @Override
+    public boolean send(InstanceId to, PeerMessage message) {
+        InetSocketAddress known = addresses.get(to);
+        if (known == null && !incoming.containsKey(to)) {
+            counters.dropped.increment();
+            return false;
+        }
+        post(message, frame -> sendOnLoop(to, known, frame));
+        return true;
+    }
+
+    @Override
+    public void send(InetSocketAddress to, PeerMessage message) {
+        post(message, frame -> link(to).send(frame));
+    }
+
+    private void sendOnLoop(InstanceId to, InetSocketAddress known, byte[] frame) {
+        PeerConnection back = incoming.get(to);
+        boolean outgoing = known != null && links.containsKey(known) && link(known).isConnected();
+        if (!outgoing && back != null && back.isWritable()) {
+            counters.sent.increment();
+            back.write(frame);
+        } else if (known != null) {
+            link(known).send(frame);
+        } else {
+            counters.dropped.increment();
+        }
+    }
+
+    private void post(PeerMessage message, Consumer<byte[]> task) {
+        byte[] frame = codec.encode(message);
+        if (closed
+                || frame.length > PeerTransportSettings.MAXIMUM_FRAME_BYTES
+                || tasks.get() >= LONGEST_TASK_QUEUE) {
+            counters.dropped.increment();
+            return;
+        }
+        tasks.incrementAndGet();
+        try {
+            group.execute(
+                    () -> {
+                        tasks.decrementAndGet();
+                        task.accept(frame);
+                    });
+        } catch (RejectedExecutionException e) {
+            LOG.debugf("event=send_after_close peer_transport=%s", settings.instance());
+            counters.dropped.increment();
+        }
+    }
+
+    private PeerLink link(InetSocketAddress address) {
+        if (links.size() > MOST_UNUSED_LINKS) {
+            links.values().removeIf(PeerLink::isUnused);
+        }
+        return links.computeIfAbsent(
+                address, key -> new PeerLink(key, settings, counters, new LoopConnector(), random));
+    }
+
+    @Override
+    public void learn(InstanceId instance, InetSocketAddress address) {
+        addresses.put(instance, address);
+    }
+
+    @Override
+    public Optional<InetSocketAddress> address(InstanceId instance) {
+        return Optional.ofNullable(addresses.get(instance));
+    }
+
+    @Override
+    public PeerTransportCounts counts() {
+        return counters.snapshot();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        server.close();
+        try {
+            group.execute(() -> links.values().forEach(PeerLink::close));
+        } catch (RejectedExecutionException e) {
+            LOG.debugf("event=closed_twice peer_transport=%s", settings.instance());
+        }
+        group.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(STOP_MILLIS);
+    }
+
+    private static WriteBufferWaterMark waterMark() {
+        return new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES);
+    }
+
+    private void connect(PeerLink link) {
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .option(
+                        ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) settings.handshakeLimit().toMillis())
+                .handler(new Initializer(Optional.of(link)))
+                .connect(link.address())
+                .addListener(
+                        result -> {
+                            if (!result.isSuccess()) {
+                                link.lost();
+                            }
+                        });
+    }
+
+    /** Connects and schedules for the links, on the event loop. */
+    private final class LoopConnector implements PeerLink.Connector {
+        @Override
+        public void connect(PeerLink link) {
+            TcpPeerTransport.this.connect(link);
+        }
+
+        @Override
+        public void schedule(Runnable task, long delay, TimeUnit unit) {
+            if (!group.isShuttingDown()) {
+                group.schedule(task, delay, unit);
+            }
+        }
+    }
+
+    /** Sets up the handlers of a new connection; of an outgoing one if a link is given. */
+    private final class Initializer extends ChannelInitializer<Channel> {
+        private final Optional<PeerLink> link;
+
+        Initializer(Optional<PeerLink> link) {
+            this.link = link;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline()
+                    .addLast(
+                            new LengthFieldBasedFrameDecoder(
+                                    PeerTransportSettings.MAXIMUM_FRAME_BYTES + LENGTH_BYTES,
+                                    0,
+                                    LENGTH_BYTES,
+                                    0,
+                                    LENGTH_BYTES))
+                    .addLast(new PeerConnection(settings, codec, counters, new Owner(link)));
+        }
+    }
+
+    /** Connects what happens on a connection with the link or the incoming connections. */
+    private final class Owner implements PeerConnection.Owner {
+        private final Optional<PeerLink> link;
+        private boolean opened;
+
+        Owner(Optional<PeerLink> link) {
+            this.link = link;
+        }
+
+        @Override
+        public void identified(PeerConnection connection, PeerIdentity peer) {
+            if (link.isEmpty()) {
+                incoming.put(peer.instance(), connection);
+                learnAdvertised(peer);
+                return;
+            }
+            link.get().confirmed();
+            InetSocketAddress address = link.get().address();
+            // An instance that was replaced at the same address must not get the other's messages.
+            addresses.values().removeIf(address::equals);
+            addresses.put(peer.instance(), address);
+        }
+
+        private void learnAdvertised(PeerIdentity peer) {
+            PeerAddresses.parse(peer.address())
+                    .ifPresent(address -> addresses.put(peer.instance(), address));
+        }
+
+        @Override
+        public void received(PeerIdentity from, PeerMessage message) {
+            try {
+                listener.messageReceived(from, message);
+            } catch (RuntimeException e) {
+                LOG.errorf(e, "event=peer_listener_failed instance=%s", from.instance());
+            }
+        }
+
+        @Override
+        public void rejected(PeerConnection connection, TarragonlugException reason) {
+            listener.connectionRejected(connection.remoteAddress(), reason);
+        }
+
+        @Override
+        public void writable(PeerConnection connection) {
+            if (link.isEmpty()) {
+                return;
+            }
+            if (opened) {
+                link.get().flush();
+            } else {
+                opened = true;
+                link.get().opened(connection);
+            }
+        }
+
+        @Override
+        public void closed(PeerConnection connection) {
+            connection.peer().ifPresent(peer -> incoming.remove(peer.instance(), connection));
+            if (opened) {
+                link.ifPresent(PeerLink::lost);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -0,0 +1,254 @@
+package org.tarragonlug.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+import org.tarragonlug.TestSeeds;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.capacity.Demand;
+import org.tarragonlug.decision.capacity.OrderOutcome;
+import org.tarragonlug.decision.configuration.ConfigurationDelta;
+import org.tarragonlug.decision.configuration.ConfigurationSamples;
+import org.tarragonlug.decision.membership.Candidate;
+import org.tarragonlug.decision.membership.MemberState;
+import org.tarragonlug.decision.membership.MemberUpdate;
+import org.tarragonlug.decision.membership.MembershipMessage;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.Fingerprint;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.PoolName;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.RouteName;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.id.ServerId;
+
+class PeerCodecTest {
+    private static final ObjectMapper PACK = new MessagePackMapper();
+    private static final ConfigurationVersion VERSION = new ConfigurationVersion(7);
+
+    private final PeerCodec codec = new PeerCodec(new ProcessId("p-1"));
+
+    static List<PeerMessage> samples() {
+        InstanceId instance = new InstanceId("i-1");
+        ArtifactId artifact = ArtifactId.parse("lift@2");
+        ServerGroup group = new ServerGroup("tutoring");
+        OperationId turn = new OperationId("p-1/4");
+        List<MemberUpdate> updates =
+                List.of(
+                        new MemberUpdate(
+                                instance,
+                                new ProcessId("p-9"),
+                                1_700_000_000_000L,
+                                MemberState.SUSPECT,
+                                Optional.empty()),
+                        new MemberUpdate(
+                                new InstanceId("i-2"),
+                                new ProcessId("p-2"),
+                                3,
+                                MemberState.ALIVE,
+                                Optional.of(
+                                        new Candidate(
+                                                new InstanceId("i-2"),
+                                                "10.0.0.2:7000",
+                                                new FailureDomain("a")))));
+        return List.of(
+                PeerMessage.of(new MembershipMessage.Probe(1, VERSION, updates)),
+                PeerMessage.of(
+                        new MembershipMessage.ProbeAcknowledgement(
+                                1, instance, VERSION, List.of())),
+                PeerMessage.of(new MembershipMessage.IndirectProbe(2, instance, VERSION, updates)),
+                PeerMessage.of(new MembershipMessage.Gossip(VERSION, updates)),
+                new PeerMessage.DemandReport(
+                        1,
+                        group,
+                        List.of(
+                                new Demand(
+                                        artifact,
+                                        3,
+                                        1,
+                                        5,
+                                        Instant.ofEpochMilli(12_345),
+                                        Priority.INTERACTIVE))),
+                new PeerMessage.ReplicasChanged(
+                        1,
+                        group,
+                        9,
+                        List.of(
+                                new PeerMessage.ReplicaChange(
+                                        artifact, new ServerId("s-1"), true))),
+                new PeerMessage.LoadTurnRequest(1, turn, "t-0", Instant.ofEpochMilli(5), false),
+                new PeerMessage.LoadTurnGrant(1, turn, "t-0", Duration.ofSeconds(30)),
+                new PeerMessage.LoadTurnReturn(
+                        1, turn, "t-0", OrderOutcome.DONE, Duration.ofMillis(900)),
+                new PeerMessage.ConfigurationRequest(1, VERSION, true),
+                new PeerMessage.ConfigurationRows(
+                        1,
+                        new ConfigurationDelta(
+                                VERSION,
+                                VERSION.next(),
+                                ConfigurationSamples.configuration(8, 2).routes(),
+                                List.of(new RouteName("gone")),
+                                ConfigurationSamples.configuration(8, 2).pools(),
+                                List.of(new PoolName("old")),
+                                -5)),
+                new PeerMessage.ConfigurationWhole(
+                        1, ConfigurationSamples.configuration(8, 3), Long.MIN_VALUE),
+                new PeerMessage.SuspectsAnnounced(
+                        1, new ServerId("s-1"), "inc", List.of(new Fingerprint("f"))),
+                new PeerMessage.FingerprintCondemned(1, new Fingerprint("f"), "two crashes"),
+                new PeerMessage.DecisionHandover(1, "capacity/tutoring", 44));
+    }
+
+    private PeerMessage decoded(byte[] frame) throws TarragonlugException {
+        return assertInstanceOf(PeerFrame.Content.class, codec.decode(frame)).message();
+    }
+
+    private byte[] edited(PeerMessage message, java.util.function.Consumer<ObjectNode> edit)
+            throws Exception {
+        ObjectNode frame = (ObjectNode) PACK.readTree(codec.encode(message));
+        edit.accept(frame);
+        return PACK.writeValueAsBytes(frame);
+    }
+
+    @Nested
+    class RoundTrip {
+        /** Guards against a message kind without a wire form or with fields lost on the way. */
+        @Test
+        void everyKindArrivesAsItWasSent() throws Exception {
+            for (PeerMessage message : samples()) {
+                assertEquals(message, decoded(codec.encode(message)));
+            }
+            assertEquals(
+                    PeerMessage.class.getPermittedSubclasses().length - 1 + 4, samples().size());
+        }
+    }
+
+    @Nested
+    class OtherReleases {
+        /** Guards against a rolling upgrade in which old processes cannot read new frames. */
+        @Test
+        void framesOfNewerSenderAreRead() throws Exception {
+            for (PeerMessage message : samples()) {
+                byte[] frame =
+                        edited(
+                                message,
+                                node -> {
+                                    node.put("addedLater", 5);
+                                    node.putObject("alsoAdded").put("x", "y");
+                                });
+                assertEquals(message, decoded(frame));
+            }
+        }
+
+        /** Guards against new processes that cannot read frames without their newer fields. */
+        @Test
+        void framesOfOlderSenderAreRead() throws Exception {
+            byte[] frame =
+                    edited(
+                            samples().get(0),
+                            node -> {
+                                node.put("formatVersion", 0);
+                                ((ObjectNode) node.get("content")).remove("updates");
+                            });
+            PeerMessage.Probe probe = assertInstanceOf(PeerMessage.Probe.class, decoded(frame));
+            assertEquals(List.of(), probe.content().updates());
+            assertEquals(0, probe.formatVersion());
+        }
+
+        /** Guards against a connection closed by a kind that only a newer release knows. */
+        @Test
+        void unknownKindsAreSkipped() throws Exception {
+            byte[] frame = edited(samples().get(0), node -> node.put("kind", "FutureKind"));
+            assertEquals(new PeerFrame.Unknown("FutureKind"), codec.decode(frame));
+        }
+
+        /** Guards against a connection closed by a known kind whose meaning changed later. */
+        @Test
+        void unfittingFieldsOfNewerFormatAreSkipped() throws Exception {
+            byte[] frame =
+                    edited(
+                            samples().get(8),
+                            node -> node.put("formatVersion", 2).put("outcome", "INVENTED"));
+            assertEquals(new PeerFrame.Unknown("LoadTurnReturn"), codec.decode(frame));
+        }
+    }
+
+    @Nested
+    class Malformed {
+        private void assertInvalid(byte[] frame) {
+            TarragonlugException error =
+                    assertThrows(TarragonlugException.class, () -> codec.decode(frame));
+            assertEquals(ErrorCode.PEER_FRAME_INVALID, error.code());
+        }
+
+        /** Guards against null fields that fail much later, within a decision. */
+        @Test
+        void missingFieldsAreRefused() throws Exception {
+            assertInvalid(edited(samples().get(4), node -> node.remove("group")));
+            assertInvalid(edited(samples().get(0), node -> node.remove("content")));
+            assertInvalid(edited(samples().get(4), node -> node.putNull("group")));
+        }
+
+        /** Guards against a frame of ten bytes that makes the parser allocate 2 GB. */
+        @Test
+        void declaredLengthsBeyondTheFrameAreRefused() {
+            assertInvalid(new byte[] {(byte) 0xc6, 0x7f, -1, -1, -1, 0});
+            assertInvalid(new byte[] {(byte) 0xdf, 0x7f, -1, -1, -1, 0});
+            assertInvalid(new byte[0]);
+        }
+
+        /** Guards against a stack overflow by deep nesting. */
+        @Test
+        void deepNestingIsRefused() {
+            byte[] frame = new byte[100_000];
+            java.util.Arrays.fill(frame, (byte) 0x91);
+            assertInvalid(frame);
+        }
+
+        /** Guards against mutated frames that raise anything else than the typed error. */
+        @Test
+        void mutatedFramesRaiseTypedErrorsOnly() {
+            TestSeeds.forEach(
+                    seed -> {
+                        SplittableRandom random = new SplittableRandom(seed);
+                        for (int round = 0; round < 2_000; round++) {
+                            List<PeerMessage> samples = samples();
+                            byte[] frame =
+                                    codec.encode(samples.get(random.nextInt(samples.size())));
+                            for (int change = random.nextInt(4); change >= 0; change--) {
+                                frame[random.nextInt(frame.length)] = (byte) random.nextInt();
+                            }
+                            try {
+                                codec.decode(frame);
+                            } catch (TarragonlugException e) {
+                                assertEquals(ErrorCode.PEER_FRAME_INVALID, e.code());
+                            }
+                        }
+                    });
+        }
+    }
+
+    @Test
+    void headerMapsSurvive() throws Exception {
+        PeerMessage.ConfigurationWhole whole = (PeerMessage.ConfigurationWhole) samples().get(11);
+        Map<String, String> headers = whole.configuration().routes().get(0).headers();
+        assertEquals(Map.of("x-site", "callao"), headers);
+    }
+}
