--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -1,5 +1,6 @@
 package org.tarragonlug;
 
+import org.tarragonlug.tool.TryCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -7,6 +8,7 @@
 @Command(
         name = "tarragonlug",
         mixinStandardHelpOptions = true,
+        subcommands = {TryCommand.class},
         version = "tarragonlug 0.1.0",
         description =
                 "Serves many rarely used models; driven by a table of routes and one of pools.")
@@ -22,6 +24,9 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        System.exit(new CommandLine(new Tool()).execute(arguments));
+        System.exit(
+                new CommandLine(new Tool())
+                        .setCaseInsensitiveEnumValuesAllowed(true)
+                        .execute(arguments));
     }
 }
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
@@ -0,0 +1,233 @@
+package org.tarragonlug.instance;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.tarragonlug.decision.capacity.CapacitySettings;
+import org.tarragonlug.decision.capacity.DefaultCapacityPlanner;
+import org.tarragonlug.decision.capacity.DefaultKeepWarmPolicy;
+import org.tarragonlug.decision.capacity.DefaultPlacement;
+import org.tarragonlug.decision.capacity.Demand;
+import org.tarragonlug.decision.capacity.LoadTimes;
+import org.tarragonlug.decision.capacity.ServerReport;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.configuration.Pool;
+import org.tarragonlug.decision.membership.Ownership;
+import org.tarragonlug.engine.EngineClient;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.PoolName;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.instancelist.InstanceKind;
+import org.tarragonlug.instancelist.ListedInstance;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.plainservice.ServiceReport;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.StateSource;
+
+/** The capacity drivers of all server groups that the configuration names. */
+final class CapacityDrivers
+        implements InstanceListListener, ReportListener, DemandListener, StateSource {
+    /** Adapter loads in flight that the weight store bears across all servers. */
+    private static final int ADAPTER_LOADS = 30;
+
+    private static final int REQUESTS_PER_REPLICA = 8;
+    private static final Duration LOAD_FROM_MEMORY = Duration.ofMillis(500);
+    private static final Duration LOAD_FROM_DISK = Duration.ofSeconds(4);
+    private static final Duration LOAD_FROM_REMOTE = Duration.ofSeconds(15);
+
+    /** A second of expected load is given up for this much lost benefit of unloaded artifacts. */
+    private static final double SECONDS_PER_LOST_BENEFIT = 1;
+
+    private final InstanceContext context;
+    private final ObjectApi objectApi;
+    private final EngineClient engines;
+    private final ServerDirectory directory;
+    private final ReportPoller poller;
+    private final TicketDriver tickets;
+    private final PeerSwitch peers;
+    private final Map<ServerGroup, CapacityDriver> drivers = new TreeMap<>();
+    private final Map<ServerId, ServerGroup> groupOf = new HashMap<>();
+    private Configuration configuration = Configuration.EMPTY;
+    private Ownership ownership;
+    private List<ListedInstance> instances = List.of();
+    private Set<ProcessId> gone = Set.of();
+
+    CapacityDrivers(
+            InstanceContext context,
+            ObjectApi objectApi,
+            EngineClient engines,
+            ServerDirectory directory,
+            ReportPoller poller,
+            TicketDriver tickets,
+            PeerSwitch peers,
+            Ownership ownership) {
+        this.context = context;
+        this.objectApi = objectApi;
+        this.engines = engines;
+        this.directory = directory;
+        this.poller = poller;
+        this.tickets = tickets;
+        this.peers = peers;
+        this.ownership = ownership;
+        peers.handle(PeerMessage.DemandReport.class, this::demandReceived);
+    }
+
+    void configure(Configuration changed) {
+        configuration = changed;
+        for (Pool pool : changed.pools()) {
+            drivers.computeIfAbsent(pool.group(), this::create);
+        }
+        drivers.values().forEach(driver -> driver.configure(changed));
+    }
+
+    private CapacityDriver create(ServerGroup group) {
+        int groups = (int) configuration.pools().stream().map(Pool::group).distinct().count();
+        CapacitySettings settings =
+                new CapacitySettings(
+                        group,
+                        context.process(),
+                        Math.max(1, ADAPTER_LOADS / groups),
+                        REQUESTS_PER_REPLICA,
+                        LOAD_FROM_MEMORY,
+                        LOAD_FROM_DISK,
+                        LOAD_FROM_REMOTE);
+        LoadTimes loadTimes = new LoadTimes();
+        DefaultCapacityPlanner planner =
+                new DefaultCapacityPlanner(
+                        settings,
+                        new DefaultPlacement(loadTimes, SECONDS_PER_LOST_BENEFIT),
+                        new DefaultKeepWarmPolicy(),
+                        context.random(),
+                        context.invariants());
+        CapacityDriver driver =
+                new CapacityDriver(
+                        context,
+                        planner,
+                        loadTimes,
+                        objectApi,
+                        engines,
+                        directory,
+                        tickets,
+                        new ReplicaAnnouncer(context, peers, group));
+        driver.start();
+        driver.processesGone(gone);
+        driver.listed(instances);
+        setRole(driver);
+        return driver;
+    }
+
+    void ownershipChanged(Ownership changed) {
+        ownership = changed;
+        drivers.values().forEach(this::setRole);
+    }
+
+    private void setRole(CapacityDriver driver) {
+        boolean decides = ownership.isOwner(CapacityDriver.ownershipKey(driver.group()));
+        driver.deciding(decides);
+        poller.deciding(driver.group(), decides);
+    }
+
+    void objectApiChanged(boolean up) {
+        drivers.values().forEach(driver -> driver.objectApiChanged(up));
+    }
+
+    void processesGone(Set<ProcessId> processes) {
+        gone = processes;
+        drivers.values().forEach(driver -> driver.processesGone(processes));
+    }
+
+    @Override
+    public void listed(
+            List<ListedInstance> listed, Set<InstanceId> goneInstances, Set<ServerId> goneServers) {
+        instances = listed;
+        groupOf.clear();
+        for (ListedInstance instance : listed) {
+            if (instance.kind() == InstanceKind.ENGINE) {
+                groupOf.put(new ServerId(instance.id()), instance.group());
+            }
+        }
+        drivers.values().forEach(driver -> driver.listed(listed));
+    }
+
+    @Override
+    public void engineReported(ServerReport report, Instant askedAt) {
+        driver(report.server()).ifPresent(driver -> driver.reported(report));
+    }
+
+    private Optional<CapacityDriver> driver(ServerId server) {
+        return Optional.ofNullable(groupOf.get(server)).map(drivers::get);
+    }
+
+    @Override
+    public void serviceReported(ServiceReport report, Instant askedAt) {
+        // Plain services hold no artifacts.
+    }
+
+    @Override
+    public void unreachable(ServerId server) {
+        // The planner judges by the age of reports.
+    }
+
+    @Override
+    public void demandReported(PoolName pool, Demand demand) {
+        Optional<ServerGroup> group = configuration.pool(pool).map(Pool::group);
+        if (group.isEmpty()) {
+            return;
+        }
+        PeerMessage message =
+                new PeerMessage.DemandReport(
+                        PeerMessage.FORMAT_VERSION, group.get(), List.of(demand));
+        ownership
+                .owner(CapacityDriver.ownershipKey(group.get()))
+                .ifPresent(owner -> peers.send(owner, message));
+    }
+
+    private void demandReceived(InstanceId from, PeerMessage.DemandReport report) {
+        CapacityDriver driver = drivers.get(report.group());
+        if (driver != null) {
+            report.demands().forEach(demand -> driver.demand(from, demand));
+        }
+    }
+
+    /** Returns the drivers by group. */
+    Map<ServerGroup, CapacityDriver> drivers() {
+        return drivers;
+    }
+
+    /** Returns the memory of the largest known server of each group, bytes. */
+    Map<ServerGroup, Long> largestServers(Map<ServerId, Long> memory) {
+        Map<ServerGroup, Long> largest = new TreeMap<>();
+        memory.forEach(
+                (server, bytes) -> {
+                    ServerGroup group = groupOf.get(server);
+                    if (group != null) {
+                        largest.merge(group, bytes, Math::max);
+                    }
+                });
+        return largest;
+    }
+
+    @Override
+    public String stateName() {
+        return "capacity";
+    }
+
+    @Override
+    public JsonNode state() {
+        ObjectNode state = Json.object();
+        Set<ServerGroup> groups = new HashSet<>(drivers.keySet());
+        groups.forEach(group -> state.set(group.value(), drivers.get(group).state()));
+        return state;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/ClaimListener.java
@@ -0,0 +1,10 @@
+package org.tarragonlug.instance;
+
+import org.tarragonlug.decision.request.RequestEvent;
+
+/** Receives the answers of the claim store, as events of the request coordinator. */
+@FunctionalInterface
+interface ClaimListener {
+    /** Called on the event loop. */
+    void claimEvent(RequestEvent event);
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/ConfigurationDriver.java
@@ -0,0 +1,333 @@
+package org.tarragonlug.instance;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.tarragonlug.decision.configuration.AcceptedConfiguration;
+import org.tarragonlug.decision.configuration.AcceptorCommand;
+import org.tarragonlug.decision.configuration.AcceptorEvent;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.configuration.ConfigurationAcceptor;
+import org.tarragonlug.decision.configuration.ConfigurationHolder;
+import org.tarragonlug.decision.configuration.ConfigurationStatus;
+import org.tarragonlug.decision.configuration.HolderCommand;
+import org.tarragonlug.decision.configuration.HolderEvent;
+import org.tarragonlug.decision.configuration.WriteOutcome;
+import org.tarragonlug.decision.membership.Ownership;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.objectapi.AcceptedCodec;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.objectapi.TableCodec;
+import org.tarragonlug.objectapi.UnknownFields;
+import org.tarragonlug.objectapi.WatchResult;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.StateSource;
+
+/**
+ * Runs the acceptance of tables and the holder of the accepted configuration.
+ *
+ * <p>The owner watches the tables; two instances of each failure domain watch the accepted
+ * configuration; all others hear of it from peers.
+ */
+final class ConfigurationDriver implements MembershipDriver.VersionListener, StateSource {
+    /** Key whose owner accepts tables. */
+    static final String OWNERSHIP_KEY = "configuration";
+
+    private static final String WATCHERS_KEY = "configuration-watch";
+    private static final int WATCHERS_PER_DOMAIN = 2;
+    private static final Duration TICK = Duration.ofMillis(100);
+    private static final ObjectName ACCEPTED = new ObjectName("configuration", "accepted");
+    private static final ObjectName ROUTES = new ObjectName("tables", "routes");
+    private static final ObjectName POOLS = new ObjectName("tables", "pools");
+    private static final ObjectName STATUS = new ObjectName("status", "configuration");
+
+    private final InstanceContext context;
+    private final ObjectApi objectApi;
+    private final PeerSwitch peers;
+    private final ConfigurationHolder holder;
+    private final ConfigurationAcceptor acceptor;
+    private final TableCodec tableCodec;
+    private final AcceptedCodec acceptedCodec;
+    private final List<Consumer<Configuration>> listeners = new ArrayList<>();
+    private final KindWatch tablesWatch;
+    private final KindWatch acceptedWatch;
+    private JsonNode routesTable = MissingNode.getInstance();
+    private JsonNode poolsTable = MissingNode.getInstance();
+    private Optional<ConfigurationStatus> lastStatus = Optional.empty();
+
+    ConfigurationDriver(
+            InstanceContext context,
+            ObjectApi objectApi,
+            PeerSwitch peers,
+            ConfigurationHolder holder,
+            ConfigurationAcceptor acceptor) {
+        this.context = context;
+        this.objectApi = objectApi;
+        this.peers = peers;
+        this.holder = holder;
+        this.acceptor = acceptor;
+        this.tableCodec = new TableCodec();
+        this.acceptedCodec = new AcceptedCodec(tableCodec);
+        this.tablesWatch =
+                new KindWatch(
+                        context,
+                        objectApi,
+                        "tables",
+                        changed -> acceptorEvent(new AcceptorEvent.TablesChanged()));
+        this.acceptedWatch =
+                new KindWatch(context, objectApi, ACCEPTED.kind(), this::acceptedChanged);
+        handleMessages();
+    }
+
+    private void handleMessages() {
+        peers.handle(
+                PeerMessage.ConfigurationRequest.class,
+                (from, message) ->
+                        holderEvent(
+                                new HolderEvent.RequestReceived(
+                                        from, message.have(), message.whole())));
+        peers.handle(
+                PeerMessage.ConfigurationRows.class,
+                (from, message) ->
+                        holderEvent(new HolderEvent.RowsReceived(from, message.delta())));
+        peers.handle(
+                PeerMessage.ConfigurationWhole.class,
+                (from, message) ->
+                        holderEvent(
+                                new HolderEvent.WholeReceived(
+                                        from, message.configuration(), message.digest())));
+    }
+
+    /** Adds a listener, called with each configuration that comes into force. */
+    void listen(Consumer<Configuration> listener) {
+        listeners.add(listener);
+    }
+
+    void start() {
+        context.every(
+                TICK,
+                () -> {
+                    acceptorEvent(new AcceptorEvent.Tick());
+                    holderEvent(new HolderEvent.Tick());
+                });
+    }
+
+    Configuration current() {
+        return holder.current();
+    }
+
+    Optional<ConfigurationStatus> lastStatus() {
+        return lastStatus;
+    }
+
+    void ownershipChanged(Ownership ownership) {
+        boolean owner = ownership.isOwner(OWNERSHIP_KEY);
+        boolean watcher =
+                ownership
+                        .ranked(
+                                WATCHERS_KEY,
+                                WATCHERS_PER_DOMAIN,
+                                context.settings().failureDomain())
+                        .contains(context.instance());
+        tablesWatch.run(owner);
+        acceptedWatch.run(owner || watcher);
+        acceptorEvent(new AcceptorEvent.OwnershipChanged(owner));
+    }
+
+    void serverMemory(Map<ServerGroup, Long> largest) {
+        acceptorEvent(new AcceptorEvent.ServerMemoryKnown(largest));
+    }
+
+    @Override
+    public void newerConfigurationSeen(InstanceId peer, ConfigurationVersion version) {
+        holderEvent(new HolderEvent.PeerVersionSeen(peer, version));
+    }
+
+    private void acceptedChanged(WatchResult result) {
+        for (StoredObject object : result.changed()) {
+            if (object.name().equals(ACCEPTED) && object.exists()) {
+                readAccepted(object)
+                        .ifPresent(
+                                accepted ->
+                                        holderEvent(
+                                                new HolderEvent.StoredRead(
+                                                        accepted.configuration())));
+            }
+        }
+        acceptorEvent(new AcceptorEvent.TablesChanged());
+    }
+
+    private Optional<AcceptedConfiguration> readAccepted(StoredObject object) {
+        try {
+            return Optional.of(acceptedCodec.read(object));
+        } catch (TarragonlugException malformed) {
+            context.log()
+                    .event(LogEvent.CONFIGURATION_REFUSED)
+                    .with("reason", malformed.getMessage())
+                    .write();
+            return Optional.empty();
+        }
+    }
+
+    private void acceptorEvent(AcceptorEvent event) {
+        for (AcceptorCommand command : acceptor.handle(event, context.now())) {
+            execute(command);
+        }
+    }
+
+    private void execute(AcceptorCommand command) {
+        if (command instanceof AcceptorCommand.Read read) {
+            readTables(read.number());
+        } else if (command instanceof AcceptorCommand.WriteAccepted write) {
+            ObjectNode content = acceptedCodec.write(write.content(), routesTable, poolsTable);
+            context.onLoop(
+                    objectApi.write(ACCEPTED, content, write.expectedObjectVersion()),
+                    (version, failure) ->
+                            acceptorEvent(
+                                    new AcceptorEvent.WriteEnded(
+                                            write.number(), outcome(failure))));
+        } else if (command instanceof AcceptorCommand.Accepted accepted) {
+            holderEvent(new HolderEvent.StoredRead(accepted.accepted().configuration()));
+        } else if (command instanceof AcceptorCommand.WriteStatus write) {
+            writeStatus(write.status());
+        }
+    }
+
+    private static WriteOutcome outcome(Throwable failure) {
+        if (failure == null) {
+            return WriteOutcome.DONE;
+        }
+        ErrorCode code = Failures.code(failure);
+        return switch (code) {
+            case WRITE_CONFLICT -> WriteOutcome.CONFLICT;
+            case OBJECT_API_UNAVAILABLE, OBJECT_TOO_LARGE -> WriteOutcome.FAILED;
+            default -> WriteOutcome.UNKNOWN;
+        };
+    }
+
+    /** The accepted configuration is read first, so that the tables are never older than it. */
+    private void readTables(long number) {
+        CompletionStage<StoredObject[]> all =
+                objectApi
+                        .read(ACCEPTED)
+                        .thenCompose(
+                                accepted ->
+                                        objectApi
+                                                .read(ROUTES)
+                                                .thenCombine(
+                                                        objectApi.read(POOLS),
+                                                        (routes, pools) ->
+                                                                new StoredObject[] {
+                                                                    accepted, routes, pools
+                                                                }));
+        context.onLoop(all, (objects, failure) -> tablesRead(number, objects, failure));
+    }
+
+    private void tablesRead(long number, StoredObject[] objects, Throwable failure) {
+        if (failure != null) {
+            acceptorEvent(new AcceptorEvent.ReadFailed(number));
+            return;
+        }
+        StoredObject accepted = objects[0];
+        Optional<AcceptedConfiguration> present =
+                accepted.exists() ? readAccepted(accepted) : Optional.empty();
+        if (accepted.exists() && present.isEmpty()) {
+            acceptorEvent(new AcceptorEvent.ReadFailed(number));
+            return;
+        }
+        routesTable = objects[1].content();
+        poolsTable = objects[2].content();
+        acceptorEvent(
+                new AcceptorEvent.ReadDone(
+                        number,
+                        tableCodec.readRoutes(objects[1], UnknownFields.IGNORE),
+                        tableCodec.readPools(objects[2], UnknownFields.IGNORE),
+                        present,
+                        accepted.version()));
+    }
+
+    private void writeStatus(ConfigurationStatus status) {
+        lastStatus = Optional.of(status);
+        if (!status.faults().isEmpty()) {
+            context.log()
+                    .event(LogEvent.CONFIGURATION_REFUSED)
+                    .with("accepted", status.accepted())
+                    .with("faults", status.faults().size())
+                    .with("first", status.faults().get(0))
+                    .write();
+        }
+        CompletableFuture<StoredObject> present = objectApi.read(STATUS).toCompletableFuture();
+        context.onLoop(
+                present,
+                (object, failure) -> {
+                    if (failure == null) {
+                        objectApi.write(STATUS, acceptedCodec.write(status), object.version());
+                    }
+                });
+    }
+
+    private void holderEvent(HolderEvent event) {
+        for (HolderCommand command : holder.handle(event, context.now())) {
+            execute(command);
+        }
+    }
+
+    private void execute(HolderCommand command) {
+        int version = PeerMessage.FORMAT_VERSION;
+        if (command instanceof HolderCommand.Install install) {
+            install(install.configuration());
+        } else if (command instanceof HolderCommand.Request request) {
+            peers.send(
+                    request.peer(),
+                    new PeerMessage.ConfigurationRequest(version, request.have(), request.whole()));
+        } else if (command instanceof HolderCommand.SendRows rows) {
+            peers.send(rows.peer(), new PeerMessage.ConfigurationRows(version, rows.delta()));
+        } else if (command instanceof HolderCommand.SendWhole whole) {
+            peers.send(
+                    whole.peer(),
+                    new PeerMessage.ConfigurationWhole(
+                            version, whole.configuration(), whole.digest()));
+        }
+    }
+
+    private void install(Configuration configuration) {
+        context.log()
+                .event(LogEvent.CONFIGURATION_INSTALLED)
+                .with("version", configuration.version())
+                .with("routes", configuration.routes().size())
+                .with("pools", configuration.pools().size())
+                .write();
+        context.metrics().configurationVersion().set(configuration.version().value());
+        listeners.forEach(listener -> listener.accept(configuration));
+    }
+
+    @Override
+    public String stateName() {
+        return "configuration";
+    }
+
+    @Override
+    public JsonNode state() {
+        ObjectNode state = Json.object();
+        state.put("version", holder.current().version().value());
+        state.set("routes", tableCodec.writeRoutes(holder.current().routes()));
+        state.set("pools", tableCodec.writePools(holder.current().pools()));
+        return state;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/DemandListener.java
@@ -0,0 +1,11 @@
+package org.tarragonlug.instance;
+
+import org.tarragonlug.decision.capacity.Demand;
+import org.tarragonlug.id.PoolName;
+
+/** Receives the demand of this instance's requests. */
+@FunctionalInterface
+interface DemandListener {
+    /** Called on the event loop. */
+    void demandReported(PoolName pool, Demand demand);
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/EntryInstance.java
@@ -0,0 +1,535 @@
+package org.tarragonlug.instance;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.tarragonlug.admin.AdminServer;
+import org.tarragonlug.admin.AdminSource;
+import org.tarragonlug.caller.CallerServer;
+import org.tarragonlug.decision.Hasher;
+import org.tarragonlug.decision.capacity.ServerReport;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.configuration.ConfigurationAcceptor;
+import org.tarragonlug.decision.configuration.ConfigurationHolder;
+import org.tarragonlug.decision.membership.Candidate;
+import org.tarragonlug.decision.membership.DetectorSettings;
+import org.tarragonlug.decision.membership.Ownership;
+import org.tarragonlug.decision.membership.RandomProbeDetector;
+import org.tarragonlug.decision.request.DefaultRequestCoordinator;
+import org.tarragonlug.decision.request.RequestSettings;
+import org.tarragonlug.engine.HttpEngineClient;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.http.HttpLimits;
+import org.tarragonlug.id.ClaimKey;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.instancelist.HttpInstanceList;
+import org.tarragonlug.objectapi.HttpObjectApi;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.PeerTransportSettings;
+import org.tarragonlug.peer.TcpPeerTransport;
+import org.tarragonlug.plainservice.HttpPlainServiceClient;
+import org.tarragonlug.plainservice.ServiceReport;
+import org.tarragonlug.runtime.DefaultEventLoop;
+import org.tarragonlug.runtime.DefaultSupervisor;
+import org.tarragonlug.runtime.DefaultTimerService;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.EventLoop;
+import org.tarragonlug.runtime.FailureListener;
+import org.tarragonlug.runtime.Hash4jHasher;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.Metrics;
+import org.tarragonlug.runtime.Settings;
+import org.tarragonlug.runtime.StateSource;
+import org.tarragonlug.runtime.SupervisedPart;
+import org.tarragonlug.runtime.Supervisor;
+import org.tarragonlug.runtime.TimerService;
+
+/**
+ * One entry instance, from its settings to a serving process.
+ *
+ * <p>Its supervisor starts the peer transport, the drivers, the callers' server and the admin
+ * server, in this order. A server that fails is restarted; an exception on the event loop or the
+ * timer thread is logged and the loop goes on; five failures in a minute end the instance, and its
+ * owner is told.
+ */
+public final class EntryInstance implements AdminSource, SupervisedPart {
+    private static final Duration ORDER_TIMEOUT = Duration.ofMinutes(5);
+
+    /** A backstop: the request coordinator finds silent streams much earlier. */
+    private static final Duration LONGEST_SILENCE = Duration.ofSeconds(30);
+
+    /** How long requests keep arriving after readiness has ended, until the balancer notices. */
+    private static final Duration BALANCER_NOTICE = Duration.ofSeconds(3);
+
+    private static final Duration CONFIGURATION_REQUEST_PERIOD = Duration.ofSeconds(1);
+    private static final Duration GAUGE_PERIOD = Duration.ofSeconds(1);
+    private static final Duration STATUS_PERIOD = Duration.ofSeconds(2);
+
+    private final Settings settings;
+    private final TimerService timers;
+    private final EventLoop loop;
+    private final EventLog log;
+    private final Metrics metrics = new Metrics();
+    private final InvariantReporter violations;
+    private final ScheduledExecutorService callTimers;
+    private final HttpConnections connections;
+    private final Supervisor supervisor;
+    private final InstanceContext context;
+    private final ObservedObjectApi objectApi;
+    private final PeerSwitch peers;
+    private final ServerDirectory directory;
+    private final ReportPoller poller;
+    private final MembershipDriver membership;
+    private final ConfigurationDriver configuration;
+    private final CapacityDrivers capacity;
+    private final TicketDriver tickets;
+    private final RequestDriver requests;
+    private final StatusReport status;
+    private final StatusWriter statusWriter;
+    private final CallerServer callerServer;
+    private final AdminServer adminServer;
+    private final Map<ServerId, Long> serverMemory = new HashMap<>();
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private TcpPeerTransport transport;
+    private volatile boolean configured;
+    private volatile boolean draining;
+    private volatile boolean failed;
+
+    /**
+     * Creates an instance without starting it.
+     *
+     * @param settings checked settings
+     * @param ioExecutor runs the connections to callers, backend servers and the platform
+     * @param adminExecutor runs the admin connections, so that they work under overload
+     * @param seed seeds all random decisions of this process
+     * @param owner told when the instance has failed for good
+     */
+    public EntryInstance(
+            Settings settings,
+            IoExecutor ioExecutor,
+            IoExecutor adminExecutor,
+            long seed,
+            FailureListener owner) {
+        this.settings = settings;
+        this.log = new EventLog(settings.instance().value());
+        FailureListener late = (part, failure) -> partFailed(part, failure);
+        String name = settings.instance().value();
+        this.timers = new DefaultTimerService(task -> daemon(task, name + "-timer"), late);
+        this.loop = new DefaultEventLoop(task -> daemon(task, name + "-loop"), late);
+        this.supervisor =
+                new DefaultSupervisor(
+                        "instance",
+                        timers,
+                        log,
+                        (part, failure) -> {
+                            failed = true;
+                            owner.failed(part, failure);
+                        });
+        this.callTimers =
+                Executors.newSingleThreadScheduledExecutor(
+                        task -> daemon(task, name + "-call-timer"));
+        this.connections = new HttpConnections(ioExecutor, callTimers, HttpLimits.DEFAULT);
+        this.violations = new InvariantReporter(metrics, log);
+        this.context = createContext(seed);
+        this.objectApi =
+                new ObservedObjectApi(
+                        new HttpObjectApi(connections, settings.objectApi()), context);
+        this.peers = new PeerSwitch(context);
+        this.directory =
+                new ServerDirectory(
+                        context, new HttpInstanceList(connections, settings.instanceList()));
+        HttpEngineClient engines =
+                new HttpEngineClient(connections, ORDER_TIMEOUT, LONGEST_SILENCE, timers::now);
+        HttpPlainServiceClient services = new HttpPlainServiceClient(connections);
+        this.poller = new ReportPoller(context, directory, engines, services);
+        this.membership = createMembership();
+        this.tickets = new TicketDriver(context, peers);
+        this.configuration = createConfiguration();
+        this.capacity =
+                new CapacityDrivers(
+                        context,
+                        objectApi,
+                        engines,
+                        directory,
+                        poller,
+                        tickets,
+                        peers,
+                        membership.ownership());
+        this.requests =
+                new RequestDriver(
+                        context,
+                        createCoordinator(),
+                        directory,
+                        poller,
+                        engines,
+                        services,
+                        objectApi,
+                        peers,
+                        capacity,
+                        () -> drained.complete(null));
+        this.status = new StatusReport(context, configuration, capacity);
+        this.statusWriter = new StatusWriter(context, objectApi, status, capacity);
+        this.callerServer =
+                new CallerServer(
+                        settings.callerAddress(),
+                        settings.limits(),
+                        ioExecutor,
+                        requests,
+                        context.process().value());
+        this.adminServer = new AdminServer(settings.adminAddress(), adminExecutor, this);
+        connectParts();
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private void partFailed(String part, Throwable failure) {
+        supervisor.failed(part, failure);
+    }
+
+    private InstanceContext createContext(long seed) {
+        ProcessId process = new ProcessId(settings.instance() + "-" + timers.now().toEpochMilli());
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        return new InstanceContext(
+                settings,
+                process,
+                timers,
+                loop,
+                log,
+                metrics,
+                new Hash4jHasher(),
+                random,
+                violations);
+    }
+
+    private MembershipDriver createMembership() {
+        Candidate self =
+                new Candidate(
+                        settings.instance(),
+                        ServerDirectory.text(settings.peerAddress()),
+                        settings.failureDomain());
+        return new MembershipDriver(
+                context,
+                peers,
+                new RandomProbeDetector(
+                        self,
+                        context.process(),
+                        timers.now().toEpochMilli(),
+                        DetectorSettings.DEFAULT,
+                        context.hasher(),
+                        context.random()));
+    }
+
+    private ConfigurationDriver createConfiguration() {
+        Supplier<OperationId> operations =
+                new Supplier<>() {
+                    private long count;
+
+                    @Override
+                    public OperationId get() {
+                        count++;
+                        return new OperationId(context.process() + "-c" + count);
+                    }
+                };
+        return new ConfigurationDriver(
+                context,
+                objectApi,
+                peers,
+                new ConfigurationHolder(context.hasher(), context.invariants()),
+                new ConfigurationAcceptor(context.process(), operations));
+    }
+
+    private DefaultRequestCoordinator createCoordinator() {
+        Hasher hasher = context.hasher();
+        return new DefaultRequestCoordinator(
+                context.process(),
+                settings.failureDomain(),
+                RequestSettings.DEFAULT,
+                hasher,
+                (route, key) -> new ClaimKey(Sha256.of(route + "\n" + key)),
+                context.random(),
+                context.invariants());
+    }
+
+    private void connectParts() {
+        directory.listen(membership);
+        directory.listen(requests);
+        directory.listen(capacity);
+        directory.listen(poller);
+        poller.listen(requests);
+        poller.listen(capacity);
+        poller.listen(new MemoryListener());
+        peers.listenGone(capacity::processesGone);
+        objectApi.listen(capacity::objectApiChanged);
+        membership.listen(this::ownershipChanged);
+        membership.listenVersions(configuration);
+        configuration.listen(this::install);
+        supervisor.add(new PeerPart());
+        supervisor.add(new DriversPart());
+        supervisor.add(callerServer);
+        supervisor.add(adminServer);
+    }
+
+    private void ownershipChanged(Ownership ownership) {
+        tickets.viewChanged(membership.live());
+        configuration.ownershipChanged(ownership);
+        capacity.ownershipChanged(ownership);
+    }
+
+    private void install(Configuration installed) {
+        membership.configurationInstalled(installed.version());
+        capacity.configure(installed);
+        requests.configure(installed);
+        configured = true;
+    }
+
+    @Override
+    public String name() {
+        return settings.instance().value();
+    }
+
+    @Override
+    public void start() throws TarragonlugException {
+        supervisor.start();
+        log.event(LogEvent.INSTANCE_STARTED)
+                .with("process", context.process())
+                .with("failure_domain", settings.failureDomain())
+                .with("callers", ServerDirectory.text(callerServer.listenAddress()))
+                .with("admin", ServerDirectory.text(adminServer.listenAddress()))
+                .with("peers", ServerDirectory.text(settings.peerAddress()))
+                .write();
+    }
+
+    /** Returns where callers are served. */
+    public InetSocketAddress callerAddress() {
+        return callerServer.listenAddress();
+    }
+
+    /** Returns where metrics, health, status and state are served. */
+    public InetSocketAddress adminAddress() {
+        return adminServer.listenAddress();
+    }
+
+    /** Returns how many violations of invariants were found so far. */
+    public long violations() {
+        return violations.count();
+    }
+
+    /**
+     * Stops gracefully: readiness ends, requests go on arriving until the balancer has noticed,
+     * then those in progress are finished, at most for the drain time of the settings.
+     *
+     * @return ends when nothing is in progress
+     */
+    public CompletionStage<Void> drain() {
+        if (draining) {
+            return drained;
+        }
+        draining = true;
+        log.event(LogEvent.DRAIN_STARTED).with("in_progress", callerServer.inProgress()).write();
+        Duration limit = settings.limits().drainTime();
+        Duration notice = BALANCER_NOTICE.compareTo(limit) < 0 ? BALANCER_NOTICE : limit;
+        loop.post(membership::leave);
+        context.after(
+                notice,
+                () -> {
+                    Instant end = context.now().plus(limit.minus(notice));
+                    callerServer.stopGracefully();
+                    requests.drain(end);
+                });
+        return drained.thenRun(
+                () ->
+                        log.event(LogEvent.DRAIN_ENDED)
+                                .with("in_progress", callerServer.inProgress())
+                                .write());
+    }
+
+    @Override
+    public void stop() {
+        supervisor.stop();
+        connections.close();
+        callTimers.shutdownNow();
+        loop.close();
+        timers.close();
+        log.event(LogEvent.INSTANCE_STOPPED).write();
+    }
+
+    @Override
+    public byte[] metrics() {
+        return metrics.text();
+    }
+
+    @Override
+    public boolean alive() {
+        return !failed;
+    }
+
+    @Override
+    public boolean ready() {
+        return configured && !draining && !failed;
+    }
+
+    @Override
+    public CompletionStage<JsonNode> state() {
+        return onLoop(this::stateNow);
+    }
+
+    @Override
+    public CompletionStage<JsonNode> status() {
+        return onLoop(status::create);
+    }
+
+    private CompletionStage<JsonNode> onLoop(Supplier<JsonNode> supplier) {
+        CompletableFuture<JsonNode> result = new CompletableFuture<>();
+        loop.postUrgent(
+                () -> {
+                    try {
+                        result.complete(supplier.get());
+                    } catch (RuntimeException failure) {
+                        result.completeExceptionally(failure);
+                    }
+                });
+        return result;
+    }
+
+    private JsonNode stateNow() {
+        ObjectNode state = Json.object();
+        state.put("process", context.process().value());
+        state.put("now", context.now().toString());
+        state.put("ready", ready());
+        state.put("draining", draining);
+        state.put("objectApiUp", objectApi.isUp());
+        state.put("eventLoopQueue", loop.queued());
+        List<StateSource> sources =
+                List.of(requests, capacity, configuration, membership, directory, peers);
+        for (StateSource source : sources) {
+            state.set(source.stateName(), source.state());
+        }
+        return state;
+    }
+
+    private void updateGauges() {
+        metrics.eventLoopQueue().set(loop.queued());
+        metrics.waiting().set(requests.inProgress());
+        long ready =
+                capacity.drivers().values().stream()
+                        .flatMap(driver -> driver.announcer().known().values().stream())
+                        .mapToLong(known -> known.ready().size())
+                        .sum();
+        metrics.readyReplicas().set(ready);
+    }
+
+    /** Asks the peers named in the settings until there is a configuration. */
+    private void requestConfiguration() {
+        if (configured) {
+            return;
+        }
+        PeerMessage request =
+                new PeerMessage.ConfigurationRequest(
+                        PeerMessage.FORMAT_VERSION, configuration.current().version(), true);
+        settings.peers().forEach(peer -> peers.send(peer, request));
+    }
+
+    /** The connections to other entry instances. */
+    private final class PeerPart implements SupervisedPart {
+        @Override
+        public String name() {
+            return "peer-transport";
+        }
+
+        @Override
+        public void start() throws TarragonlugException {
+            transport =
+                    new TcpPeerTransport(
+                            PeerTransportSettings.of(
+                                    settings.deployment(),
+                                    settings.instance(),
+                                    context.process(),
+                                    settings.peerAddress(),
+                                    ServerDirectory.text(settings.peerAddress())),
+                            peers,
+                            new SplittableRandom(settings.instance().hashCode()));
+            peers.connect(transport);
+        }
+
+        @Override
+        public void stop() {
+            if (transport != null) {
+                transport.close();
+            }
+        }
+    }
+
+    /** The drivers, started on the event loop. */
+    private final class DriversPart implements SupervisedPart {
+        @Override
+        public String name() {
+            return "drivers";
+        }
+
+        @Override
+        public void start() {
+            loop.post(
+                    () -> {
+                        membership.start();
+                        configuration.start();
+                        tickets.start();
+                        requests.start();
+                        directory.start();
+                        poller.start();
+                        context.every(GAUGE_PERIOD, EntryInstance.this::updateGauges);
+                        context.every(
+                                CONFIGURATION_REQUEST_PERIOD,
+                                EntryInstance.this::requestConfiguration);
+                        context.every(STATUS_PERIOD, statusWriter::write);
+                    });
+        }
+
+        @Override
+        public void stop() {
+            // The drivers end with the event loop and the timers.
+        }
+    }
+
+    /** Tells the configuration owner how much memory servers have. */
+    private final class MemoryListener implements ReportListener {
+        @Override
+        public void engineReported(ServerReport report, Instant askedAt) {
+            Long before = serverMemory.put(report.server(), report.memoryBytes());
+            if (before == null || before != report.memoryBytes()) {
+                configuration.serverMemory(capacity.largestServers(serverMemory));
+            }
+        }
+
+        @Override
+        public void serviceReported(ServiceReport report, Instant askedAt) {
+            // Plain services hold no artifacts.
+        }
+
+        @Override
+        public void unreachable(ServerId server) {
+            // What is known of its memory stays.
+        }
+    }
+}
--- a/src/main/java/org/tarragonlug/instance/InvariantReporter.java
+++ b/src/main/java/org/tarragonlug/instance/InvariantReporter.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.instance;
 
+import java.util.concurrent.atomic.AtomicLong;
 import org.tarragonlug.decision.Invariant;
 import org.tarragonlug.decision.InvariantListener;
 import org.tarragonlug.runtime.EventLog;
@@ -10,14 +11,20 @@
 final class InvariantReporter implements InvariantListener {
     private final Metrics metrics;
     private final EventLog log;
+    private final AtomicLong count = new AtomicLong();
 
     InvariantReporter(Metrics metrics, EventLog log) {
         this.metrics = metrics;
         this.log = log;
     }
 
+    long count() {
+        return count.get();
+    }
+
     @Override
     public void invariantViolated(Invariant invariant, String detail) {
+        count.incrementAndGet();
         metrics.violations().labelValues(invariant.name()).inc();
         log.event(LogEvent.INVARIANT_VIOLATED)
                 .with("invariant", invariant)
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/MembershipDriver.java
@@ -0,0 +1,161 @@
+package org.tarragonlug.instance;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.tarragonlug.decision.membership.Candidate;
+import org.tarragonlug.decision.membership.DetectorSettings;
+import org.tarragonlug.decision.membership.FailureDetector;
+import org.tarragonlug.decision.membership.Member;
+import org.tarragonlug.decision.membership.MembershipCommand;
+import org.tarragonlug.decision.membership.MembershipEvent;
+import org.tarragonlug.decision.membership.MembershipMessage;
+import org.tarragonlug.decision.membership.Ownership;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.instancelist.InstanceKind;
+import org.tarragonlug.instancelist.ListedInstance;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.SettingsLoader;
+import org.tarragonlug.runtime.StateSource;
+
+/** Runs the failure detector and tells the other drivers who owns what. */
+final class MembershipDriver implements InstanceListListener, StateSource {
+    /** Observer of peers that have a newer configuration. */
+    interface VersionListener {
+        /** Called when a peer said that it has a newer configuration. */
+        void newerConfigurationSeen(InstanceId peer, ConfigurationVersion version);
+    }
+
+    private final InstanceContext context;
+    private final PeerSwitch peers;
+    private final FailureDetector detector;
+    private final List<Consumer<Ownership>> listeners = new ArrayList<>();
+    private VersionListener versions = (peer, version) -> {};
+    private Ownership ownership;
+
+    MembershipDriver(InstanceContext context, PeerSwitch peers, FailureDetector detector) {
+        this.context = context;
+        this.peers = peers;
+        this.detector = detector;
+        this.ownership = new Ownership(context.hasher(), detector.view());
+        peers.handle(PeerMessage.Probe.class, this::received);
+        peers.handle(PeerMessage.ProbeAcknowledgement.class, this::received);
+        peers.handle(PeerMessage.IndirectProbe.class, this::received);
+        peers.handle(PeerMessage.Gossip.class, this::received);
+    }
+
+    /** Adds a listener, called with each new ownership. */
+    void listen(Consumer<Ownership> listener) {
+        listeners.add(listener);
+    }
+
+    void listenVersions(VersionListener listener) {
+        versions = listener;
+    }
+
+    Ownership ownership() {
+        return ownership;
+    }
+
+    List<InstanceId> live() {
+        return detector.view().members().stream().map(Member::instance).toList();
+    }
+
+    void start() {
+        peers.viewChanged(detector.view());
+        listeners.forEach(listener -> listener.accept(ownership));
+        context.every(DetectorSettings.DEFAULT.tick(), () -> handle(new MembershipEvent.Tick()));
+    }
+
+    void leave() {
+        handle(new MembershipEvent.Leaving());
+    }
+
+    void configurationInstalled(ConfigurationVersion version) {
+        handle(new MembershipEvent.ConfigurationInstalled(version));
+    }
+
+    @Override
+    public void listed(
+            List<ListedInstance> instances,
+            Set<InstanceId> goneInstances,
+            Set<ServerId> goneServers) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (ListedInstance instance : instances) {
+            if (instance.kind() == InstanceKind.ENTRY) {
+                InstanceId id = new InstanceId(instance.id());
+                candidates.add(
+                        new Candidate(
+                                id,
+                                ServerDirectory.text(instance.address()),
+                                instance.failureDomain()));
+                peers.learn(id, instance.address());
+            }
+        }
+        peers.instancesGone(goneInstances);
+        handle(new MembershipEvent.CandidatesListed(candidates));
+    }
+
+    private void received(InstanceId from, PeerMessage.Membership message) {
+        MembershipMessage content = message.content();
+        handle(new MembershipEvent.MessageReceived(from, content));
+    }
+
+    private void handle(MembershipEvent event) {
+        for (MembershipCommand command : detector.handle(event, context.now())) {
+            execute(command);
+        }
+    }
+
+    private void execute(MembershipCommand command) {
+        if (command instanceof MembershipCommand.Send send) {
+            // The detector may know a member from gossip before it knows its address.
+            if (!send.address().isEmpty()) {
+                peers.learn(send.to(), SettingsLoader.parseAddress(send.address()));
+            }
+            peers.send(send.to(), PeerMessage.of(send.message()));
+        } else if (command instanceof MembershipCommand.ViewChanged changed) {
+            viewChanged(changed);
+        } else if (command instanceof MembershipCommand.NewerConfigurationSeen seen) {
+            versions.newerConfigurationSeen(seen.peer(), seen.version());
+        }
+    }
+
+    private void viewChanged(MembershipCommand.ViewChanged changed) {
+        changed.joined().forEach(instance -> log(LogEvent.MEMBER_ALIVE, instance));
+        changed.lost().forEach(instance -> log(LogEvent.MEMBER_FAILED, instance));
+        ownership = new Ownership(context.hasher(), changed.view());
+        peers.viewChanged(changed.view());
+        listeners.forEach(listener -> listener.accept(ownership));
+    }
+
+    private void log(LogEvent event, InstanceId instance) {
+        context.log().event(event).with("member", instance).write();
+    }
+
+    @Override
+    public String stateName() {
+        return "members";
+    }
+
+    @Override
+    public JsonNode state() {
+        ObjectNode state = Json.object();
+        for (Member member : detector.view().members()) {
+            ObjectNode entry = state.putObject(member.instance().value());
+            entry.put("process", member.process().value());
+            entry.put("address", member.address());
+            entry.put("failureDomain", member.failureDomain().value());
+            entry.put("incarnation", member.incarnation());
+            entry.put("state", member.state().name());
+        }
+        return state;
+    }
+}
--- a/src/main/java/org/tarragonlug/instance/ObservedObjectApi.java
+++ b/src/main/java/org/tarragonlug/instance/ObservedObjectApi.java
@@ -17,8 +17,8 @@
  * Counts the calls of the object API and tells whether it is up.
  *
  * <p>It counts as down after three calls in a row without an answer, and as up with the first
- * answer. One failed call is no outage: it may be a broken connection. While it is down, a read once
- * a second finds out when it is back.
+ * answer. One failed call is no outage: it may be a broken connection. While it is down, a read
+ * once a second finds out when it is back.
  */
 final class ObservedObjectApi implements ObjectApi {
     private static final int FAILURES_UNTIL_DOWN = 3;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/PeerSwitch.java
@@ -0,0 +1,176 @@
+package org.tarragonlug.instance;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.tarragonlug.decision.membership.Member;
+import org.tarragonlug.decision.membership.MemberView;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.peer.PeerIdentity;
+import org.tarragonlug.peer.PeerListener;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.PeerTransport;
+import org.tarragonlug.peer.PeerTransportCounts;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.StateSource;
+
+/**
+ * Passes messages of peers to the drivers that handle their kinds, on the event loop, and learns
+ * from the senders which processes have been replaced.
+ */
+final class PeerSwitch implements PeerListener, StateSource {
+    private final InstanceContext context;
+    private final Map<Class<?>, BiConsumer<InstanceId, PeerMessage>> handlers = new HashMap<>();
+    private final List<Consumer<Set<ProcessId>>> goneListeners = new ArrayList<>();
+    private final Map<InstanceId, ProcessId> processes = new HashMap<>();
+    private final Set<ProcessId> gone = new HashSet<>();
+    private PeerTransport transport;
+    private MemberView view;
+
+    PeerSwitch(InstanceContext context) {
+        this.context = context;
+        this.view = new MemberView(context.instance(), List.of());
+    }
+
+    void connect(PeerTransport opened) {
+        transport = opened;
+    }
+
+    /** Sets the handler of a kind of message. */
+    <M extends PeerMessage> void handle(Class<M> kind, BiConsumer<InstanceId, M> handler) {
+        handlers.put(kind, (from, message) -> handler.accept(from, kind.cast(message)));
+    }
+
+    /** Adds a listener, told about processes that certainly run no longer. */
+    void listenGone(Consumer<Set<ProcessId>> listener) {
+        goneListeners.add(listener);
+    }
+
+    void viewChanged(MemberView changed) {
+        view = changed;
+    }
+
+    boolean isAlive(ProcessId process) {
+        return process.equals(context.process())
+                || view.members().stream().anyMatch(m -> m.process().equals(process));
+    }
+
+    /**
+     * Sends to an instance. A message to the own instance is handled by a later task, because the
+     * driver that sends it may be in the middle of executing commands.
+     */
+    void send(InstanceId to, PeerMessage message) {
+        if (to.equals(context.instance())) {
+            context.loop().post(() -> dispatch(to, message));
+        } else if (transport != null) {
+            transport.send(to, message);
+        }
+    }
+
+    void send(InetSocketAddress to, PeerMessage message) {
+        transport.send(to, message);
+    }
+
+    /** Sends to all other live members; for rare events alone. */
+    void sendToAll(PeerMessage message) {
+        for (Member member : view.members()) {
+            if (!member.instance().equals(context.instance())) {
+                send(member.instance(), message);
+            }
+        }
+    }
+
+    void learn(InstanceId instance, InetSocketAddress address) {
+        transport.learn(instance, address);
+    }
+
+    @Override
+    public void messageReceived(PeerIdentity from, PeerMessage message) {
+        context.loop()
+                .post(
+                        () -> {
+                            processSeen(from.instance(), from.process());
+                            dispatch(from.instance(), message);
+                        });
+    }
+
+    @Override
+    public void connectionRejected(String remoteAddress, TarragonlugException reason) {
+        context.log()
+                .event(LogEvent.PEER_FRAME_INVALID)
+                .with("remote", remoteAddress)
+                .with("reason", reason.getMessage())
+                .write();
+    }
+
+    private void dispatch(InstanceId from, PeerMessage message) {
+        BiConsumer<InstanceId, PeerMessage> handler = handlers.get(message.getClass());
+        if (handler != null) {
+            handler.accept(from, message);
+        }
+    }
+
+    /**
+     * Notes the process that answers under an instance id. Process ids of one instance grow with
+     * their start time, so that an old message cannot make the newer process look gone.
+     */
+    private void processSeen(InstanceId instance, ProcessId process) {
+        ProcessId before = processes.get(instance);
+        if (before == null) {
+            processes.put(instance, process);
+        } else if (process.compareTo(before) > 0) {
+            processes.put(instance, process);
+            processesGone(Set.of(before));
+        }
+    }
+
+    /** Notes that an instance has left the instance list for good. */
+    void instancesGone(Set<InstanceId> instances) {
+        Set<ProcessId> ended = new HashSet<>();
+        for (InstanceId instance : instances) {
+            Optional.ofNullable(processes.remove(instance)).ifPresent(ended::add);
+        }
+        processesGone(ended);
+    }
+
+    private void processesGone(Set<ProcessId> ended) {
+        if (gone.addAll(ended)) {
+            goneListeners.forEach(listener -> listener.accept(Set.copyOf(gone)));
+        }
+    }
+
+    @Override
+    public String stateName() {
+        return "peers";
+    }
+
+    @Override
+    public JsonNode state() {
+        ObjectNode state = Json.object();
+        PeerTransportCounts counts = transport.counts();
+        state.put("sent", counts.sent());
+        state.put("received", counts.received());
+        state.put("dropped", counts.dropped());
+        state.put("unknownKinds", counts.unknownKinds());
+        state.put("rejected", counts.rejected());
+        state.put("silent", counts.silent());
+        state.put("bytesSent", counts.bytesSent());
+        state.put("bytesReceived", counts.bytesReceived());
+        processes.forEach(
+                (instance, process) ->
+                        state.withObject("/processes").put(instance.value(), process.value()));
+        return state;
+    }
+}
--- a/src/main/java/org/tarragonlug/instance/ReportPoller.java
+++ b/src/main/java/org/tarragonlug/instance/ReportPoller.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.tarragonlug.engine.EngineClient;
+import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.instancelist.InstanceKind;
@@ -77,7 +78,7 @@
     @Override
     public void listed(
             List<ListedInstance> instances,
-            Set<org.tarragonlug.id.InstanceId> goneInstances,
+            Set<InstanceId> goneInstances,
             Set<ServerId> goneServers) {
         Map<ServerId, ListedInstance> present = new HashMap<>();
         for (ListedInstance instance : instances) {
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/RequestDriver.java
@@ -0,0 +1,523 @@
+package org.tarragonlug.instance;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.tarragonlug.caller.CallerAnswer;
+import org.tarragonlug.caller.CallerListener;
+import org.tarragonlug.caller.CallerRequest;
+import org.tarragonlug.decision.Execution;
+import org.tarragonlug.decision.capacity.ServerReport;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.request.AttemptFailure;
+import org.tarragonlug.decision.request.ColdStart;
+import org.tarragonlug.decision.request.RequestCommand;
+import org.tarragonlug.decision.request.RequestCoordinator;
+import org.tarragonlug.decision.request.RequestEvent;
+import org.tarragonlug.decision.request.ServerDescription;
+import org.tarragonlug.engine.EngineClient;
+import org.tarragonlug.engine.Generation;
+import org.tarragonlug.engine.GenerationListener;
+import org.tarragonlug.engine.GenerationRequest;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.Fingerprint;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.RequestId;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.instancelist.InstanceKind;
+import org.tarragonlug.instancelist.ListedInstance;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.plainservice.PlainServiceClient;
+import org.tarragonlug.plainservice.ServiceAnswer;
+import org.tarragonlug.plainservice.ServiceCall;
+import org.tarragonlug.plainservice.ServiceListener;
+import org.tarragonlug.plainservice.ServiceReport;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.StateSource;
+
+/** Runs the request coordinator between callers and backend servers. */
+final class RequestDriver
+        implements CallerListener, InstanceListListener, ReportListener, StateSource {
+    private static final Duration TICK = Duration.ofMillis(10);
+    private static final String QUARANTINE = "quarantine";
+
+    private final InstanceContext context;
+    private final RequestCoordinator coordinator;
+    private final ServerDirectory directory;
+    private final ReportPoller poller;
+    private final EngineClient engines;
+    private final PlainServiceClient services;
+    private final ObjectApi objectApi;
+    private final PeerSwitch peers;
+    private final ClaimStore claims;
+    private final DemandListener demandListener;
+    private final Runnable drained;
+    private final RequestDescriber describer;
+    private final Map<RequestId, Exchange> exchanges = new HashMap<>();
+    private final Map<AttemptId, Running> attempts = new HashMap<>();
+    private final Map<ServerId, String> incarnations = new HashMap<>();
+
+    RequestDriver(
+            InstanceContext context,
+            RequestCoordinator coordinator,
+            ServerDirectory directory,
+            ReportPoller poller,
+            EngineClient engines,
+            PlainServiceClient services,
+            ObjectApi objectApi,
+            PeerSwitch peers,
+            DemandListener demandListener,
+            Runnable drained) {
+        this.context = context;
+        this.coordinator = coordinator;
+        this.directory = directory;
+        this.poller = poller;
+        this.engines = engines;
+        this.services = services;
+        this.objectApi = objectApi;
+        this.peers = peers;
+        this.claims = new ClaimStore(context, objectApi, peers, this::handle);
+        this.demandListener = demandListener;
+        this.drained = drained;
+        this.describer = new RequestDescriber(context.hasher());
+        handleMessages();
+    }
+
+    private void handleMessages() {
+        peers.handle(
+                PeerMessage.SuspectsAnnounced.class,
+                (from, message) ->
+                        handle(
+                                new RequestEvent.SuspectsAnnounced(
+                                        message.server(), message.fingerprints())));
+        peers.handle(
+                PeerMessage.FingerprintCondemned.class,
+                (from, message) ->
+                        handle(new RequestEvent.FingerprintCondemned(message.fingerprint())));
+        peers.handle(PeerMessage.ReplicasChanged.class, this::replicasChanged);
+    }
+
+    void start() {
+        claims.start();
+        context.every(TICK, () -> handle(new RequestEvent.Tick()));
+        context.onLoop(
+                objectApi.list(QUARANTINE),
+                (listed, failure) -> {
+                    if (failure == null) {
+                        listed.changed().forEach(this::quarantined);
+                    }
+                });
+    }
+
+    private void quarantined(StoredObject object) {
+        if (object.exists()) {
+            handle(new RequestEvent.FingerprintCondemned(new Fingerprint(object.name().name())));
+        }
+    }
+
+    @Override
+    public void arrived(CallerRequest request, CallerAnswer answer) {
+        try {
+            RequestEvent.RequestArrived event =
+                    new RequestEvent.RequestArrived(request.id(), describer.describe(request));
+            context.loop()
+                    .post(
+                            () -> {
+                                exchanges.put(
+                                        request.id(), new Exchange(request, answer, context.now()));
+                                handle(event);
+                            });
+        } catch (TarragonlugException malformed) {
+            answer.refuse(
+                    malformed.code(), Execution.NOT_RUN, Optional.empty(), malformed.getMessage());
+        }
+    }
+
+    @Override
+    public void gone(CallerRequest request) {
+        context.loop().post(() -> handle(new RequestEvent.CallerGone(request.id())));
+    }
+
+    @Override
+    public void listed(
+            List<ListedInstance> instances,
+            Set<InstanceId> goneInstances,
+            Set<ServerId> goneServers) {
+        Map<ServerGroup, List<ServerDescription>> groups = new TreeMap<>();
+        for (ListedInstance instance : instances) {
+            if (instance.kind() != InstanceKind.ENTRY) {
+                groups.computeIfAbsent(instance.group(), unused -> new ArrayList<>())
+                        .add(
+                                new ServerDescription(
+                                        new ServerId(instance.id()),
+                                        instance.failureDomain(),
+                                        instance.leaving()));
+            }
+        }
+        groups.forEach((group, servers) -> handle(new RequestEvent.ServersChanged(group, servers)));
+    }
+
+    @Override
+    public void engineReported(ServerReport report, Instant askedAt) {
+        incarnations.put(report.server(), report.incarnation());
+        handle(
+                new RequestEvent.ServerReported(
+                        report.server(),
+                        report.incarnation(),
+                        report.leaving(),
+                        report.running(),
+                        report.queued(),
+                        Optional.of(report.loaded().keySet()),
+                        askedAt));
+    }
+
+    @Override
+    public void serviceReported(ServiceReport report, Instant askedAt) {
+        incarnations.put(report.server(), report.incarnation());
+        handle(
+                new RequestEvent.ServerReported(
+                        report.server(),
+                        report.incarnation(),
+                        report.leaving(),
+                        report.running(),
+                        0,
+                        Optional.empty(),
+                        askedAt));
+    }
+
+    @Override
+    public void unreachable(ServerId server) {
+        handle(new RequestEvent.ServerUnreachable(server));
+    }
+
+    private void replicasChanged(InstanceId from, PeerMessage.ReplicasChanged message) {
+        for (PeerMessage.ArtifactReplicas replicas : message.artifacts()) {
+            ColdStart coldStart = ColdStart.UNDECIDED;
+            if (replicas.loading()) {
+                coldStart = ColdStart.LOADING;
+            } else if (replicas.unavailable()) {
+                coldStart = ColdStart.UNAVAILABLE;
+            }
+            handle(
+                    new RequestEvent.ReplicasChanged(
+                            message.group(),
+                            replicas.artifact(),
+                            Set.copyOf(replicas.ready()),
+                            coldStart,
+                            coldStart == ColdStart.UNDECIDED
+                                    ? Optional.empty()
+                                    : Optional.of(context.now().plus(replicas.expectedWait()))));
+        }
+    }
+
+    void configure(Configuration configuration) {
+        handle(new RequestEvent.ConfigurationChanged(configuration));
+    }
+
+    void drain(Instant limit) {
+        handle(new RequestEvent.DrainStarted(limit));
+    }
+
+    int inProgress() {
+        return exchanges.size();
+    }
+
+    private void handle(RequestEvent event) {
+        for (RequestCommand command : coordinator.handle(event, context.now())) {
+            execute(command);
+        }
+    }
+
+    private void execute(RequestCommand command) {
+        if (command instanceof RequestCommand.ForwardToken token) {
+            forward(token);
+        } else if (command instanceof RequestCommand.SendGeneration send) {
+            send(send);
+        } else if (command instanceof RequestCommand.SendCall call) {
+            send(call);
+        } else if (command instanceof RequestCommand.CancelAttempt cancel) {
+            cancel(cancel.attempt());
+        } else if (command instanceof RequestCommand.CompleteAnswer complete) {
+            exchange(complete.request())
+                    .ifPresent(e -> e.answer().complete(complete.tokens(), complete.checksum()));
+            end(complete.request());
+        } else if (command instanceof RequestCommand.ForwardAnswer forward) {
+            forward(forward);
+        } else if (command instanceof RequestCommand.ForwardRecordedAnswer recorded) {
+            forward(recorded);
+        } else if (command instanceof RequestCommand.Refuse refuse) {
+            refuse(refuse);
+        } else if (command instanceof RequestCommand.Forget forget) {
+            end(forget.request());
+        } else {
+            executeOther(command);
+        }
+    }
+
+    private void executeOther(RequestCommand command) {
+        if (command instanceof RequestCommand.ReportDemand report) {
+            demandListener.demandReported(report.pool(), report.demand());
+        } else if (command instanceof RequestCommand.CheckServer check) {
+            poller.ask(check.server());
+        } else if (command instanceof RequestCommand.MakeClaim make) {
+            claims.make(make);
+        } else if (command instanceof RequestCommand.TakeClaim take) {
+            claims.take(take);
+        } else if (command instanceof RequestCommand.FinishClaim finish) {
+            answer(finish.attempt()).ifPresent(answer -> claims.finish(finish.key(), answer));
+        } else if (command instanceof RequestCommand.ReleaseClaim release) {
+            claims.release(release.key());
+        } else if (command instanceof RequestCommand.AnnounceSuspects suspects) {
+            announce(suspects);
+        } else if (command instanceof RequestCommand.CondemnFingerprint condemned) {
+            condemn(condemned.fingerprint());
+        } else if (command instanceof RequestCommand.Drained) {
+            drained.run();
+        }
+    }
+
+    private Optional<Exchange> exchange(RequestId request) {
+        return Optional.ofNullable(exchanges.get(request));
+    }
+
+    private Optional<ServiceAnswer> answer(AttemptId attempt) {
+        return Optional.ofNullable(attempts.get(attempt)).map(running -> running.answer);
+    }
+
+    private void forward(RequestCommand.ForwardToken token) {
+        Exchange exchange = exchanges.get(token.request());
+        if (exchange == null) {
+            return;
+        }
+        if (exchange.start()) {
+            Duration waited = Duration.between(exchange.arrivedAt(), context.now());
+            context.metrics().firstToken().observe(waited.toNanos() / 1e9);
+        }
+        context.metrics().tokens().inc();
+        exchange.answer().token(token.text());
+    }
+
+    private void forward(RequestCommand.ForwardAnswer forward) {
+        answer(forward.attempt())
+                .ifPresent(
+                        answer ->
+                                exchange(forward.request())
+                                        .ifPresent(e -> e.answer().pass(answer)));
+        end(forward.request());
+    }
+
+    private void forward(RequestCommand.ForwardRecordedAnswer recorded) {
+        claims.takeRecorded(recorded.request())
+                .ifPresent(
+                        answer ->
+                                exchange(recorded.request())
+                                        .ifPresent(e -> e.answer().pass(answer)));
+        end(recorded.request());
+    }
+
+    private void refuse(RequestCommand.Refuse refuse) {
+        ErrorCode code = ErrorCode.valueOf(refuse.reason().name());
+        context.metrics().refusals().labelValues(code.code(), refuse.execution().text()).inc();
+        context.log()
+                .event(LogEvent.REQUEST_REFUSED)
+                .with("request", refuse.request())
+                .with("code", code.code())
+                .with("execution", refuse.execution().text())
+                .with("detail", refuse.detail())
+                .write();
+        exchange(refuse.request())
+                .ifPresent(
+                        exchange ->
+                                exchange.answer()
+                                        .refuse(
+                                                code,
+                                                refuse.execution(),
+                                                refuse.retryAfter(),
+                                                refuse.detail()));
+        end(refuse.request());
+    }
+
+    private void end(RequestId request) {
+        Exchange ended = exchanges.remove(request);
+        if (ended != null) {
+            ended.attempts().forEach(attempts::remove);
+            claims.takeRecorded(request);
+        }
+    }
+
+    private void send(RequestCommand.SendGeneration send) {
+        Exchange exchange = exchanges.get(send.request());
+        Optional<InetSocketAddress> address = directory.address(send.server());
+        context.metrics().attempts().labelValues("generation").inc();
+        if (exchange == null || address.isEmpty()) {
+            failed(send.attempt(), AttemptFailure.NOT_SENT, "the server has no address");
+            return;
+        }
+        poller.used(send.server());
+        Running running = new Running();
+        attempts.put(send.attempt(), running);
+        exchange.attempts().add(send.attempt());
+        GenerationRequest request =
+                new GenerationRequest(
+                        send.attempt(),
+                        send.artifact(),
+                        exchange.request().path(),
+                        exchange.request().json().orElseThrow(),
+                        send.priority(),
+                        send.resumeOffset(),
+                        send.remaining());
+        running.generation = engines.generate(address.get(), request, listener(send.attempt()));
+    }
+
+    private GenerationListener listener(AttemptId attempt) {
+        return new GenerationListener() {
+            @Override
+            public void token(int offset, String text) {
+                context.loop()
+                        .post(() -> handle(new RequestEvent.AttemptToken(attempt, offset, text)));
+            }
+
+            @Override
+            public void completed(int tokens, String checksum) {
+                context.loop()
+                        .post(
+                                () ->
+                                        handle(
+                                                new RequestEvent.AttemptCompleted(
+                                                        attempt, tokens, checksum)));
+            }
+
+            @Override
+            public void failed(AttemptFailure failure, String detail) {
+                RequestDriver.this.failed(attempt, failure, detail);
+            }
+        };
+    }
+
+    private void failed(AttemptId attempt, AttemptFailure failure, String detail) {
+        context.loop()
+                .post(
+                        () -> {
+                            context.metrics().attemptFailures().labelValues(failure.name()).inc();
+                            handle(new RequestEvent.AttemptFailed(attempt, failure, detail));
+                        });
+    }
+
+    private void send(RequestCommand.SendCall send) {
+        Exchange exchange = exchanges.get(send.request());
+        Optional<InetSocketAddress> address = directory.address(send.server());
+        context.metrics().attempts().labelValues("call").inc();
+        if (exchange == null || address.isEmpty()) {
+            failed(send.attempt(), AttemptFailure.NOT_SENT, "the server has no address");
+            return;
+        }
+        poller.used(send.server());
+        attempts.put(send.attempt(), new Running());
+        exchange.attempts().add(send.attempt());
+        CallerRequest request = exchange.request();
+        String target =
+                request.query().isEmpty() ? request.path() : request.path() + "?" + request.query();
+        ServiceCall call =
+                new ServiceCall(
+                        send.attempt(),
+                        request.method(),
+                        target,
+                        request.headers(),
+                        request.body(),
+                        send.remaining());
+        services.call(address.get(), call, serviceListener(send.attempt()));
+    }
+
+    private ServiceListener serviceListener(AttemptId attempt) {
+        return new ServiceListener() {
+            @Override
+            public void answered(ServiceAnswer answer) {
+                context.loop()
+                        .post(
+                                () -> {
+                                    Running running = attempts.get(attempt);
+                                    if (running != null) {
+                                        running.answer = answer;
+                                    }
+                                    handle(
+                                            new RequestEvent.AttemptAnswered(
+                                                    attempt, answer.status()));
+                                });
+            }
+
+            @Override
+            public void failed(AttemptFailure failure, String detail) {
+                RequestDriver.this.failed(attempt, failure, detail);
+            }
+        };
+    }
+
+    private void cancel(AttemptId attempt) {
+        Running running = attempts.remove(attempt);
+        if (running != null && running.generation != null) {
+            running.generation.cancel();
+        }
+    }
+
+    private void announce(RequestCommand.AnnounceSuspects suspects) {
+        context.log().event(LogEvent.SERVER_LOST).with("server", suspects.server()).write();
+        String incarnation = incarnations.getOrDefault(suspects.server(), "unknown");
+        peers.sendToAll(
+                new PeerMessage.SuspectsAnnounced(
+                        PeerMessage.FORMAT_VERSION,
+                        suspects.server(),
+                        incarnation,
+                        suspects.fingerprints()));
+    }
+
+    private void condemn(Fingerprint fingerprint) {
+        context.log().event(LogEvent.REQUEST_QUARANTINED).with("fingerprint", fingerprint).write();
+        peers.sendToAll(
+                new PeerMessage.FingerprintCondemned(
+                        PeerMessage.FORMAT_VERSION, fingerprint, "it crashed backend servers"));
+        ObjectNode content = Json.object();
+        content.put("formatVersion", 1);
+        content.put("condemnedBy", context.process().value());
+        content.put("condemnedAt", context.now().toString());
+        objectApi.write(
+                new ObjectName(QUARANTINE, fingerprint.value()), content, StoredObject.ABSENT);
+    }
+
+    @Override
+    public String stateName() {
+        return "requests";
+    }
+
+    @Override
+    public JsonNode state() {
+        ObjectNode state = Json.object();
+        state.put("inProgress", exchanges.size());
+        state.put("attempts", attempts.size());
+        state.put("claimsHeld", claims.heldClaims());
+        ObjectNode servers = state.putObject("servers");
+        incarnations.forEach((server, incarnation) -> servers.put(server.value(), incarnation));
+        return state;
+    }
+
+    /** An attempt on a backend server. */
+    private static final class Running {
+        private Generation generation;
+        private ServiceAnswer answer;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/Sha256.java
@@ -0,0 +1,23 @@
+package org.tarragonlug.instance;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 as hexadecimal text; collisions would mix up requests, so a short hash is not enough. */
+final class Sha256 {
+    private Sha256() {}
+
+    static String of(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException impossible) {
+            throw new IllegalStateException("every Java platform has SHA-256", impossible);
+        }
+    }
+
+    static String of(String text) {
+        return of(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/StatusWriter.java
@@ -0,0 +1,70 @@
+package org.tarragonlug.instance;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+
+/**
+ * Writes the status of each group that this instance decides for into the object API, when it has
+ * changed. A lost or refused write is repeated in the next period.
+ */
+final class StatusWriter {
+    private final InstanceContext context;
+    private final ObservedObjectApi objectApi;
+    private final StatusReport report;
+    private final CapacityDrivers capacity;
+    private final Map<ServerGroup, ObjectNode> written = new HashMap<>();
+    private final Set<ServerGroup> writing = new HashSet<>();
+
+    StatusWriter(
+            InstanceContext context,
+            ObservedObjectApi objectApi,
+            StatusReport report,
+            CapacityDrivers capacity) {
+        this.context = context;
+        this.objectApi = objectApi;
+        this.report = report;
+        this.capacity = capacity;
+    }
+
+    void write() {
+        if (!objectApi.isUp()) {
+            return;
+        }
+        capacity.drivers()
+                .forEach(
+                        (group, driver) -> {
+                            if (driver.isDecider()) {
+                                write(group);
+                            } else {
+                                written.remove(group);
+                            }
+                        });
+    }
+
+    private void write(ServerGroup group) {
+        ObjectNode status = report.group(group);
+        if (status.equals(written.get(group)) || !writing.add(group)) {
+            return;
+        }
+        ObjectName name = new ObjectName("status", "group-" + group);
+        context.onLoop(
+                objectApi.read(name).thenCompose(object -> write(name, status, object.version())),
+                (version, failure) -> {
+                    writing.remove(group);
+                    if (failure == null) {
+                        written.put(group, status);
+                    }
+                });
+    }
+
+    private CompletionStage<Long> write(ObjectName name, ObjectNode status, long version) {
+        return ((ObjectApi) objectApi).write(name, status, version);
+    }
+}
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -1,10 +1,11 @@
 package org.tarragonlug.peer;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import org.tarragonlug.decision.capacity.Demand;
-import org.tarragonlug.decision.capacity.OrderOutcome;
+import org.tarragonlug.decision.capacity.LoadTicket;
+import org.tarragonlug.decision.capacity.LoadTurn;
+import org.tarragonlug.decision.capacity.TicketKind;
 import org.tarragonlug.decision.configuration.Configuration;
 import org.tarragonlug.decision.configuration.ConfigurationDelta;
 import org.tarragonlug.decision.membership.MembershipMessage;
@@ -72,75 +73,104 @@
     }
 
     /**
-     * Replicas that became ready or ceased to be, sent by the decider.
+     * Replicas of artifacts, sent by the decider to the instances that reported demand for them.
      *
      * @param formatVersion of the sender
      * @param group the server group
-     * @param revision of the capacity record
-     * @param changes the replicas
+     * @param artifacts the artifacts
      */
-    record ReplicasChanged(
-            int formatVersion, ServerGroup group, long revision, List<ReplicaChange> changes)
+    record ReplicasChanged(int formatVersion, ServerGroup group, List<ArtifactReplicas> artifacts)
             implements PeerMessage {
         public ReplicasChanged {
-            changes = List.copyOf(changes);
+            artifacts = List.copyOf(artifacts);
         }
     }
 
     /**
-     * One replica.
+     * All replicas of one artifact; replaces what was sent before.
      *
-     * @param artifact what is loaded
-     * @param server where
-     * @param ready whether it serves requests now
+     * @param artifact the artifact
+     * @param ready servers that hold it and take requests
+     * @param loading whether a load is under way
+     * @param unavailable whether no replica can be made ready at present
+     * @param expectedWait from receipt until a replica is ready, or until asking again helps
      */
-    record ReplicaChange(ArtifactId artifact, ServerId server, boolean ready) {}
+    record ArtifactReplicas(
+            ArtifactId artifact,
+            List<ServerId> ready,
+            boolean loading,
+            boolean unavailable,
+            Duration expectedWait) {
+        public ArtifactReplicas {
+            ready = List.copyOf(ready);
+        }
+    }
 
     /**
      * A decider asks a ticket's owner for a turn at the weight store.
      *
      * @param formatVersion of the sender
-     * @param turn identifies the request; repeated requests keep it
-     * @param ticket name of the ticket
-     * @param deadline earliest deadline of the requests that wait for the load
-     * @param prewarming whether nobody waits for it
+     * @param turn what it wants
+     * @param sequence grows with each request for the same load
      */
-    record LoadTurnRequest(
-            int formatVersion,
-            OperationId turn,
-            String ticket,
-            Instant deadline,
-            boolean prewarming)
+    record LoadTurnRequest(int formatVersion, LoadTurn turn, long sequence)
             implements PeerMessage {}
 
     /**
      * A ticket's owner grants a turn.
      *
      * @param formatVersion of the sender
-     * @param turn the request
-     * @param ticket name of the ticket
-     * @param expiresAfter from receipt; the turn must be returned until then
+     * @param operation the load
+     * @param ticket the ticket it holds
+     * @param hold longest time the load may take, from receipt
+     * @param sequence of the latest request that the owner has seen
      */
-    record LoadTurnGrant(int formatVersion, OperationId turn, String ticket, Duration expiresAfter)
+    record LoadTurnGrant(
+            int formatVersion,
+            OperationId operation,
+            LoadTicket ticket,
+            Duration hold,
+            long sequence)
+            implements PeerMessage {}
+
+    /**
+     * The asked instance owns no ticket in use.
+     *
+     * @param formatVersion of the sender
+     * @param operation the load
+     * @param ticketsInUse how many tickets of the kind are in use
+     */
+    record LoadTurnRefused(int formatVersion, OperationId operation, int ticketsInUse)
             implements PeerMessage {}
 
     /**
      * A decider returns a turn, used or not.
      *
      * @param formatVersion of the sender
-     * @param turn the request
-     * @param ticket name of the ticket
-     * @param outcome how the load ended
-     * @param loadTime how long it took; zero if there was none
+     * @param operation the load
+     * @param sequence requests up to this one are withdrawn
      */
-    record LoadTurnReturn(
-            int formatVersion,
-            OperationId turn,
-            String ticket,
-            OrderOutcome outcome,
-            Duration loadTime)
+    record LoadTurnReturn(int formatVersion, OperationId operation, long sequence)
             implements PeerMessage {}
 
+    /**
+     * A ticket's owner received a return.
+     *
+     * @param formatVersion of the sender
+     * @param operation the load
+     * @param sequence of the return
+     */
+    record LoadTurnReturnReceived(int formatVersion, OperationId operation, long sequence)
+            implements PeerMessage {}
+
+    /**
+     * A load took more than twice the usual time.
+     *
+     * @param formatVersion of the sender
+     * @param ticketKind what was loaded
+     */
+    record LoadWasSlow(int formatVersion, TicketKind ticketKind) implements PeerMessage {}
+
     /**
      * Asks for what is newer than a version.
      *
--- a/src/main/java/org/tarragonlug/runtime/Settings.java
+++ b/src/main/java/org/tarragonlug/runtime/Settings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import org.tarragonlug.decision.capacity.FencingKind;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ServerGroup;
--- a/src/main/java/org/tarragonlug/runtime/SettingsLoader.java
+++ b/src/main/java/org/tarragonlug/runtime/SettingsLoader.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.tarragonlug.decision.capacity.FencingKind;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.FailureDomain;
--- a/src/main/java/org/tarragonlug/standin/DeploymentTables.java
+++ b/src/main/java/org/tarragonlug/standin/DeploymentTables.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
 import org.tarragonlug.decision.configuration.ArtifactLimit;
 
 /** Writes the tables of a deployment as JSON, with the fields of the records Route and Pool. */
@@ -56,7 +57,7 @@
     }
 
     private static ObjectNode limits(ObjectNode row, String priority, String defaultTimeout) {
-        return row.put("priority", priority)
+        return row.put("priority", priority.toLowerCase(Locale.ROOT))
                 .put("defaultTimeout", defaultTimeout)
                 .put("maximumTimeout", "120s")
                 .put("share", 1)
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the program. */
+package org.tarragonlug.tool;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/Trial.java
@@ -0,0 +1,271 @@
+package org.tarragonlug.trial;
+
+import io.servicetalk.transport.api.IoExecutor;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.http.HttpLimits;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.instance.EntryInstance;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.standin.Deployment;
+import org.tarragonlug.standin.StandInPlatform;
+
+/**
+ * Runs entry instances and stand-ins in this process: a burst for a cold model at all instances,
+ * then a stream of ordinary requests, adapter requests and calls that must run at most once.
+ *
+ * <p>Times of loads and tokens are scaled down, so that a trial of some seconds sees many of them.
+ */
+public final class Trial {
+    /** Real seconds for each nominal second of load and token times. */
+    private static final double SCALE = 0.1;
+
+    private static final int IO_THREADS = 4;
+    private static final int BURST_PER_INSTANCE = 4;
+    private static final int POPULAR_ARTIFACTS = 24;
+    private static final Duration READY_LIMIT = Duration.ofSeconds(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(15);
+    private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(5);
+
+    private final TrialSettings settings;
+    private final TrialProgress progress;
+    private final Random random;
+    private final TrialTally tally = new TrialTally();
+    private int keys;
+
+    /**
+     * Creates a trial without starting anything.
+     *
+     * @param settings what to do
+     * @param progress told what happens
+     */
+    public Trial(TrialSettings settings, TrialProgress progress) {
+        this.settings = settings;
+        this.progress = progress;
+        this.random = new Random(settings.seed());
+    }
+
+    /**
+     * Runs the trial.
+     *
+     * @return what was found
+     * @throws TarragonlugException if the instances do not start
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public TrialResult run() throws TarragonlugException, InterruptedException {
+        IoExecutor ioExecutor = IoThreads.create(IO_THREADS);
+        IoExecutor adminExecutor = IoThreads.create(1);
+        try (StandInPlatform platform =
+                        new StandInPlatform(settings.deployment(), ioExecutor, SCALE);
+                TrialFleet fleet =
+                        new TrialFleet(platform, ioExecutor, adminExecutor, settings.seed());
+                HttpConnections connections =
+                        new HttpConnections(
+                                ioExecutor, platform.clock().executor(), HttpLimits.DEFAULT)) {
+            startFleet(fleet);
+            TrialCaller caller = new TrialCaller(connections, tally);
+            sendBurst(platform, fleet, caller);
+            sendStream(platform, fleet, caller);
+            awaitEnds();
+            return result(platform, fleet);
+        } finally {
+            ioExecutor.closeAsync().subscribe();
+            adminExecutor.closeAsync().subscribe();
+        }
+    }
+
+    private void startFleet(TrialFleet fleet) throws TarragonlugException, InterruptedException {
+        progress.progress("starting " + settings.instances() + " entry instances");
+        for (int number = 1; number <= settings.instances(); number++) {
+            fleet.start(number);
+        }
+        if (!fleet.awaitReady(READY_LIMIT)) {
+            throw new TarragonlugException(
+                    ErrorCode.NOT_READY, "no configuration within " + READY_LIMIT);
+        }
+    }
+
+    private void sendBurst(StandInPlatform platform, TrialFleet fleet, TrialCaller caller)
+            throws InterruptedException {
+        long writesBefore = platform.objectApi().counts().writes();
+        String model = popular(platform.deployment()).get(0).artifact().name();
+        progress.progress("burst for cold model " + model + " at all instances");
+        for (EntryInstance instance : fleet.instances()) {
+            for (int copy = 0; copy < BURST_PER_INSTANCE; copy++) {
+                generate(platform, caller, instance, model, "What is the safe load?");
+            }
+        }
+        awaitEnds();
+        long writes = platform.objectApi().counts().writes() - writesBefore;
+        progress.progress("burst answered; writes to the object API: " + writes);
+    }
+
+    private void sendStream(StandInPlatform platform, TrialFleet fleet, TrialCaller caller)
+            throws InterruptedException {
+        long periodNanos = 1_000_000_000L / settings.requestsPerSecond();
+        long start = System.nanoTime();
+        int total = settings.seconds() * settings.requestsPerSecond();
+        for (int index = 0; index < total; index++) {
+            long wait = start + index * periodNanos - System.nanoTime();
+            if (wait > 0) {
+                Thread.sleep(wait / 1_000_000, (int) (wait % 1_000_000));
+            }
+            sendOne(platform, fleet, caller, index);
+            if (index % (settings.requestsPerSecond() * 5) == 0) {
+                progress.progress("sent " + tally.sentCount() + ", ended " + tally.endedCount());
+            }
+        }
+    }
+
+    private void sendOne(
+            StandInPlatform platform, TrialFleet fleet, TrialCaller caller, int index) {
+        List<EntryInstance> instances = fleet.instances();
+        EntryInstance instance = instances.get(random.nextInt(instances.size()));
+        int kind = random.nextInt(100);
+        if (kind < 15) {
+            sendOnce(platform, instances, caller);
+        } else if (kind < 25) {
+            String path = servicePath(platform.deployment(), true) + "/" + index;
+            caller.call(instance.callerAddress(), path, "", "", SERVICE_TIMEOUT);
+        } else {
+            List<ArtifactLimit> popular = popular(platform.deployment());
+            // The product of two uniform numbers favours the first artifacts of the list.
+            int rank = (int) (random.nextDouble() * random.nextDouble() * popular.size());
+            String model = popular.get(rank).artifact().name();
+            generate(platform, caller, instance, model, "Question " + index);
+        }
+    }
+
+    /** Sends a call that must run at most once, and now and then again at another instance. */
+    private void sendOnce(
+            StandInPlatform platform, List<EntryInstance> instances, TrialCaller caller) {
+        keys++;
+        String key = "key-" + settings.seed() + "-" + keys;
+        int tries = 1 + random.nextInt(3);
+        for (int attempt = 0; attempt < tries; attempt++) {
+            EntryInstance instance = instances.get(random.nextInt(instances.size()));
+            caller.call(
+                    instance.callerAddress(),
+                    servicePath(platform.deployment(), false),
+                    key,
+                    "{\"record\":" + keys + "}",
+                    SERVICE_TIMEOUT);
+        }
+    }
+
+    private static String servicePath(Deployment deployment, boolean idempotent) {
+        return switch (deployment) {
+            case CARGAS -> idempotent ? "/records/progress" : "/records/certificates";
+            case SOLANO -> idempotent ? "/dispatch/status" : "/dispatch/trucks";
+        };
+    }
+
+    /** Returns the artifacts that are wanted in the trial: models, and adapters of some of them. */
+    private static List<ArtifactLimit> popular(Deployment deployment) {
+        List<ArtifactLimit> all = deployment.artifacts();
+        List<ArtifactLimit> models = all.stream().filter(a -> !a.isAdapter()).limit(16).toList();
+        List<ArtifactLimit> adapters =
+                all.stream()
+                        .filter(ArtifactLimit::isAdapter)
+                        .limit(POPULAR_ARTIFACTS - models.size())
+                        .toList();
+        List<ArtifactLimit> popular = new ArrayList<>(models);
+        popular.addAll(adapters);
+        return popular;
+    }
+
+    private void generate(
+            StandInPlatform platform,
+            TrialCaller caller,
+            EntryInstance instance,
+            String model,
+            String question) {
+        ArtifactId artifact = ArtifactId.parse(model);
+        boolean cold =
+                platform.truth().loaded().values().stream()
+                        .noneMatch(loaded -> loaded.contains(artifact));
+        String path =
+                settings.deployment() == Deployment.CARGAS
+                        ? "/v1/chat/completions"
+                        : "/v1/completions";
+        caller.generate(
+                instance.callerAddress(),
+                path,
+                model,
+                question,
+                8 + random.nextInt(16),
+                TIMEOUT,
+                cold);
+    }
+
+    private void awaitEnds() throws InterruptedException {
+        long end = System.nanoTime() + TIMEOUT.plusSeconds(2).toNanos();
+        while (tally.endedCount() < tally.sentCount() && System.nanoTime() < end) {
+            Thread.sleep(20);
+        }
+    }
+
+    private TrialResult result(StandInPlatform platform, TrialFleet fleet) {
+        Map<String, Integer> runs = platform.serviceRuns();
+        Set<String> notRun = tally.keysNotRun();
+        int unanswered = tally.sentCount() - tally.endedCount();
+        return new TrialResult(
+                settings,
+                tally.sentCount(),
+                tally.count(TrialOutcome.ANSWERED),
+                tally.refusals(),
+                tally.count(TrialOutcome.WRONG),
+                tally.firstWrong(),
+                tally.count(TrialOutcome.LOST) + unanswered,
+                (int) runs.values().stream().filter(count -> count > 1).count(),
+                (int) notRun.stream().filter(runs::containsKey).count(),
+                (int) tally.keysAnswered().stream().filter(key -> !runs.containsKey(key)).count(),
+                decided(platform),
+                platform.truth().loaded().values().stream().mapToInt(Set::size).sum(),
+                aboveLimit(platform),
+                platform.truth().overcommits(),
+                violations(fleet),
+                platform.weightStore().loadCounts().values().stream()
+                        .mapToInt(Integer::intValue)
+                        .sum(),
+                platform.objectApi().counts().writes(),
+                platform.truth().idleSeconds().values().stream()
+                                .mapToDouble(Double::doubleValue)
+                                .sum()
+                        / SCALE,
+                tally.coldStarts(),
+                tally.firstTokens());
+    }
+
+    private static int decided(StandInPlatform platform) {
+        ObjectName name = new ObjectName("capacity", platform.deployment().engineGroup().value());
+        StoredObject record = platform.objectApi().peek(name);
+        return record.content().path("slots").size();
+    }
+
+    private static int aboveLimit(StandInPlatform platform) {
+        Map<ArtifactId, Integer> limits = new HashMap<>();
+        platform.deployment()
+                .artifacts()
+                .forEach(limit -> limits.put(limit.artifact(), limit.maximumReplicas()));
+        return (int)
+                platform.truth().highestReplicas().entrySet().stream()
+                        .filter(entry -> entry.getValue() > limits.get(entry.getKey()))
+                        .count();
+    }
+
+    private static long violations(TrialFleet fleet) {
+        return fleet.instances().stream().mapToLong(EntryInstance::violations).sum();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/TrialResult.java
@@ -0,0 +1,108 @@
+package org.tarragonlug.trial;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.tarragonlug.runtime.Json;
+
+/**
+ * What a trial found.
+ *
+ * @param settings what was run
+ * @param sent requests sent
+ * @param answered requests with the whole right answer
+ * @param refused requests refused, by kind
+ * @param wrong answers that were incomplete or belonged to another request
+ * @param firstWrong the first of them
+ * @param lost requests without any answer
+ * @param runTwice keys of non-idempotent calls that ran more than once
+ * @param falselyNotRun keys that ran although every try was answered "not run"
+ * @param answeredNotRun keys that were answered although the service never ran them
+ * @param replicasDecided slots in the capacity record at the end
+ * @param replicasLoaded replicas loaded on the engines at the end
+ * @param aboveLimit artifacts that had more replicas at once than their pool allows
+ * @param overcommits loads that did not fit into a server's memory
+ * @param violations invariants violated inside the program
+ * @param weightStoreLoads loads from the weight store
+ * @param objectApiWrites writes to the object API
+ * @param idleSeconds idle accelerator time, nominal seconds
+ * @param coldStarts time to the first token of requests that met no loaded replica, microseconds
+ * @param firstTokens time to the first token of the other requests, microseconds
+ */
+public record TrialResult(
+        TrialSettings settings,
+        int sent,
+        int answered,
+        Map<String, Integer> refused,
+        int wrong,
+        String firstWrong,
+        int lost,
+        int runTwice,
+        int falselyNotRun,
+        int answeredNotRun,
+        int replicasDecided,
+        int replicasLoaded,
+        int aboveLimit,
+        long overcommits,
+        long violations,
+        int weightStoreLoads,
+        long objectApiWrites,
+        double idleSeconds,
+        Histogram coldStarts,
+        Histogram firstTokens) {
+    /** Tells whether everything that must hold did hold. */
+    public boolean isGood() {
+        return answered > 0
+                && wrong == 0
+                && lost == 0
+                && runTwice == 0
+                && falselyNotRun == 0
+                && answeredNotRun == 0
+                && aboveLimit == 0
+                && overcommits == 0
+                && violations == 0
+                && replicasLoaded <= replicasDecided;
+    }
+
+    /** Returns the number of refused requests. */
+    public int refusedCount() {
+        return refused.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    /** Returns the result as JSON. */
+    public ObjectNode toJson() {
+        ObjectNode node = Json.object();
+        node.put("deployment", settings.deployment().name());
+        node.put("instances", settings.instances());
+        node.put("seconds", settings.seconds());
+        node.put("seed", settings.seed());
+        node.put("sent", sent);
+        node.put("answered", answered);
+        ObjectNode kinds = node.putObject("refused");
+        refused.forEach(kinds::put);
+        node.put("wrong", wrong);
+        node.put("lost", lost);
+        node.put("runTwice", runTwice);
+        node.put("falselyNotRun", falselyNotRun);
+        node.put("answeredNotRun", answeredNotRun);
+        node.put("replicasDecided", replicasDecided);
+        node.put("replicasLoaded", replicasLoaded);
+        node.put("aboveLimit", aboveLimit);
+        node.put("overcommits", overcommits);
+        node.put("violations", violations);
+        node.put("weightStoreLoads", weightStoreLoads);
+        node.put("objectApiWrites", objectApiWrites);
+        node.put("idleSeconds", idleSeconds);
+        putHistogram(node.putObject("coldStartMillis"), coldStarts);
+        putHistogram(node.putObject("firstTokenMillis"), firstTokens);
+        node.put("good", isGood());
+        return node;
+    }
+
+    private static void putHistogram(ObjectNode node, Histogram histogram) {
+        node.put("count", histogram.getTotalCount());
+        node.put("p50", histogram.getValueAtPercentile(50) / 1e3);
+        node.put("p99", histogram.getValueAtPercentile(99) / 1e3);
+        node.put("max", histogram.getMaxValue() / 1e3);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/TrialTally.java
@@ -0,0 +1,97 @@
+package org.tarragonlug.trial;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** Counts how the requests of a trial ended; thread-safe. */
+final class TrialTally {
+    private static final long HIGHEST_MICROS = Duration.ofMinutes(10).toNanos() / 1000;
+    private static final int DIGITS = 3;
+
+    private final Map<TrialOutcome, Integer> outcomes = new EnumMap<>(TrialOutcome.class);
+    private final Map<String, Integer> refusals = new TreeMap<>();
+    private final Set<String> keysNotRun = new HashSet<>();
+    private final Set<String> keysAnswered = new HashSet<>();
+    private final Histogram coldStarts = new Histogram(HIGHEST_MICROS, DIGITS);
+    private final Histogram firstTokens = new Histogram(HIGHEST_MICROS, DIGITS);
+    private String firstWrong = "";
+    private int sent;
+
+    synchronized void sent() {
+        sent++;
+    }
+
+    synchronized void ended(TrialOutcome outcome) {
+        outcomes.merge(outcome, 1, Integer::sum);
+    }
+
+    synchronized void refused(String code, String execution) {
+        ended(TrialOutcome.REFUSED);
+        refusals.merge(code + " (" + execution + ")", 1, Integer::sum);
+    }
+
+    synchronized void wrong(String detail) {
+        ended(TrialOutcome.WRONG);
+        if (firstWrong.isEmpty()) {
+            firstWrong = detail;
+        }
+    }
+
+    /** Notes that a caller was told that the request with this key did not run. */
+    synchronized void keyNotRun(String key) {
+        keysNotRun.add(key);
+    }
+
+    synchronized void keyAnswered(String key) {
+        keysAnswered.add(key);
+    }
+
+    synchronized void firstToken(Duration waited, boolean cold) {
+        long micros = Math.min(HIGHEST_MICROS, waited.toNanos() / 1000);
+        (cold ? coldStarts : firstTokens).recordValue(micros);
+    }
+
+    synchronized int sentCount() {
+        return sent;
+    }
+
+    synchronized int count(TrialOutcome outcome) {
+        return outcomes.getOrDefault(outcome, 0);
+    }
+
+    synchronized int endedCount() {
+        return outcomes.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    synchronized Map<String, Integer> refusals() {
+        return new TreeMap<>(refusals);
+    }
+
+    /** Returns the keys that were refused as not run and never answered. */
+    synchronized Set<String> keysNotRun() {
+        Set<String> keys = new HashSet<>(keysNotRun);
+        keys.removeAll(keysAnswered);
+        return keys;
+    }
+
+    synchronized Set<String> keysAnswered() {
+        return new HashSet<>(keysAnswered);
+    }
+
+    synchronized Histogram coldStarts() {
+        return coldStarts.copy();
+    }
+
+    synchronized Histogram firstTokens() {
+        return firstTokens.copy();
+    }
+
+    synchronized String firstWrong() {
+        return firstWrong;
+    }
+}
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,7 +19,9 @@
 import org.tarragonlug.TestSeeds;
 import org.tarragonlug.decision.Priority;
 import org.tarragonlug.decision.capacity.Demand;
-import org.tarragonlug.decision.capacity.OrderOutcome;
+import org.tarragonlug.decision.capacity.LoadTicket;
+import org.tarragonlug.decision.capacity.LoadTurn;
+import org.tarragonlug.decision.capacity.TicketKind;
 import org.tarragonlug.decision.configuration.ConfigurationDelta;
 import org.tarragonlug.decision.configuration.ConfigurationSamples;
 import org.tarragonlug.decision.membership.Candidate;
@@ -46,6 +49,12 @@
     private final PeerCodec codec = new PeerCodec(new ProcessId("p-1"));
 
     static List<PeerMessage> samples() {
+        List<PeerMessage> samples = new ArrayList<>(mostSamples());
+        samples.addAll(lastSamples());
+        return samples;
+    }
+
+    private static List<PeerMessage> mostSamples() {
         InstanceId instance = new InstanceId("i-1");
         ArtifactId artifact = ArtifactId.parse("lift@2");
         ServerGroup group = new ServerGroup("tutoring");
@@ -89,14 +98,25 @@
                 new PeerMessage.ReplicasChanged(
                         1,
                         group,
-                        9,
                         List.of(
-                                new PeerMessage.ReplicaChange(
-                                        artifact, new ServerId("s-1"), true))),
-                new PeerMessage.LoadTurnRequest(1, turn, "t-0", Instant.ofEpochMilli(5), false),
-                new PeerMessage.LoadTurnGrant(1, turn, "t-0", Duration.ofSeconds(30)),
-                new PeerMessage.LoadTurnReturn(
-                        1, turn, "t-0", OrderOutcome.DONE, Duration.ofMillis(900)),
+                                new PeerMessage.ArtifactReplicas(
+                                        artifact,
+                                        List.of(new ServerId("s-1")),
+                                        true,
+                                        false,
+                                        Duration.ofMillis(900)))),
+                new PeerMessage.LoadTurnRequest(
+                        1,
+                        new LoadTurn(
+                                turn,
+                                TicketKind.MODEL,
+                                Instant.ofEpochMilli(5),
+                                false,
+                                Duration.ofSeconds(60)),
+                        3),
+                new PeerMessage.LoadTurnGrant(
+                        1, turn, new LoadTicket(TicketKind.ADAPTER, 7), Duration.ofSeconds(30), 3),
+                new PeerMessage.LoadWasSlow(1, TicketKind.MODEL),
                 new PeerMessage.ConfigurationRequest(1, VERSION, true),
                 new PeerMessage.ConfigurationRows(
                         1,
@@ -112,8 +132,16 @@
                         1, ConfigurationSamples.configuration(8, 3), Long.MIN_VALUE),
                 new PeerMessage.SuspectsAnnounced(
                         1, new ServerId("s-1"), "inc", List.of(new Fingerprint("f"))),
-                new PeerMessage.FingerprintCondemned(1, new Fingerprint("f"), "two crashes"),
-                new PeerMessage.DecisionHandover(1, "capacity/tutoring", 44));
+                new PeerMessage.FingerprintCondemned(1, new Fingerprint("f"), "two crashes"));
+    }
+
+    private static List<PeerMessage> lastSamples() {
+        OperationId turn = new OperationId("p-1-7");
+        return List.of(
+                new PeerMessage.DecisionHandover(1, "capacity/tutoring", 44),
+                new PeerMessage.LoadTurnRefused(1, turn, 2),
+                new PeerMessage.LoadTurnReturn(1, turn, 3),
+                new PeerMessage.LoadTurnReturnReceived(1, turn, 3));
     }
 
     private PeerMessage decoded(byte[] frame) throws TarragonlugException {
@@ -185,8 +213,8 @@
             byte[] frame =
                     edited(
                             samples().get(8),
-                            node -> node.put("formatVersion", 2).put("outcome", "INVENTED"));
-            assertEquals(new PeerFrame.Unknown("LoadTurnReturn"), codec.decode(frame));
+                            node -> node.put("formatVersion", 2).put("ticketKind", "INVENTED"));
+            assertEquals(new PeerFrame.Unknown("LoadWasSlow"), codec.decode(frame));
         }
     }
 
