Test the adapters of object API, lists and plain services

Cause: their handling of failures was not run yet. Conclusion: outcomes are told apart as the interfaces require.

--- /dev/null
+++ b/src/test/java/org/tarragonlug/http/HttpConnectionsTest.java
@@ -0,0 +1,161 @@
+package org.tarragonlug.http;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class HttpConnectionsTest {
+    private final Loopback loopback = new Loopback();
+
+    @AfterEach
+    void close() throws Exception {
+        loopback.close();
+    }
+
+    private CompletionStage<HttpAnswer> post(RawServer server, ConnectionUse use) {
+        byte[] body = "x".getBytes(StandardCharsets.UTF_8);
+        HttpCall call = new HttpCall("POST", "/a", Map.of(), body, Loopback.TIMEOUT, use);
+        return loopback.connections.exchange(server.address(), call);
+    }
+
+    private static HttpFailure.Kind kind(CompletionStage<HttpAnswer> stage) {
+        return assertInstanceOf(HttpFailure.class, Loopback.failure(stage)).kind();
+    }
+
+    @Nested
+    class KindsOfFailure {
+        /** Guards against a refused connection being taken for a call that may have run. */
+        @ParameterizedTest
+        @EnumSource
+        void refusedConnectionIsNotSent(ConnectionUse use) {
+            HttpCall call = HttpCall.get("/", Loopback.TIMEOUT, use);
+            assertEquals(
+                    HttpFailure.Kind.NOT_SENT,
+                    kind(loopback.connections.exchange(RawServer.unusedAddress(), call)));
+        }
+
+        /** Guards against a lost answer being taken for "not sent", and against sending twice. */
+        @ParameterizedTest
+        @EnumSource
+        void connectionCutBeforeTheAnswerIsLostAndNotRepeated(ConnectionUse use) {
+            try (RawServer server = new RawServer(n -> null, true)) {
+                assertEquals(HttpFailure.Kind.CONNECTION_LOST, kind(post(server, use)));
+                assertEquals(1, server.requests());
+            }
+        }
+
+        /** Guards against a half answer being taken for a whole one. */
+        @Test
+        void connectionCutWithinTheBodyIsLost() {
+            try (RawServer server = new RawServer(n -> RawServer.unfinished("half"), true)) {
+                assertEquals(
+                        HttpFailure.Kind.CONNECTION_LOST, kind(post(server, ConnectionUse.POOLED)));
+            }
+        }
+
+        /** Guards against waiting forever on a silent connection. */
+        @ParameterizedTest
+        @EnumSource
+        void silenceEndsAtTheTimeLimit(ConnectionUse use) {
+            try (RawServer server = new RawServer(n -> null, false)) {
+                assertEquals(HttpFailure.Kind.TIMED_OUT, kind(post(server, use)));
+            }
+        }
+
+        /** Guards against memory being filled by one answer. */
+        @Test
+        void oversizedAnswerIsCutOff() {
+            try (RawServer server = new RawServer(n -> RawServer.ok("x".repeat(70_000)), false)) {
+                assertEquals(
+                        HttpFailure.Kind.ANSWER_TOO_LARGE,
+                        kind(post(server, ConnectionUse.POOLED)));
+            }
+        }
+
+        /** Guards against an answer that is not HTTP being taken for "not sent". */
+        @Test
+        void answerThatIsNotHttpIsInvalid() {
+            byte[] garbage = "garbage\r\n\r\n".getBytes(StandardCharsets.UTF_8);
+            try (RawServer server = new RawServer(n -> garbage, false)) {
+                assertEquals(
+                        HttpFailure.Kind.ANSWER_INVALID, kind(post(server, ConnectionUse.POOLED)));
+            }
+        }
+    }
+
+    @Nested
+    class Pools {
+        /** Guards against a connection that the server closed while idle failing the next call. */
+        @Test
+        void connectionClosedWhileIdleIsReplaced() throws Exception {
+            try (RawServer server = new RawServer(n -> RawServer.ok("a" + n), true)) {
+                for (int call = 0; call < 5; call++) {
+                    HttpAnswer answer = Loopback.await(post(server, ConnectionUse.POOLED));
+                    assertArrayEquals(("a" + call).getBytes(), answer.body());
+                    Thread.sleep(20);
+                }
+            }
+        }
+
+        /** Guards against a pool whose connections became silent being used again. */
+        @Test
+        void silentConnectionIsNotReused() throws Exception {
+            // The server reads only the first request of a connection.
+            try (RawServer server = new RawServer(n -> RawServer.ok("a"), false)) {
+                Loopback.await(post(server, ConnectionUse.POOLED));
+                assertEquals(HttpFailure.Kind.TIMED_OUT, kind(post(server, ConnectionUse.POOLED)));
+                Loopback.await(post(server, ConnectionUse.POOLED));
+            }
+        }
+
+        /** Guards against a health report that only shows the state of an old connection. */
+        @Test
+        void newConnectionIsUsedOnRequest() throws Exception {
+            try (RawServer server = new RawServer(n -> RawServer.ok("a"), false)) {
+                Loopback.await(post(server, ConnectionUse.POOLED));
+                Loopback.await(post(server, ConnectionUse.NEW));
+                Loopback.await(post(server, ConnectionUse.NEW));
+                assertEquals(3, server.requests());
+            }
+        }
+
+        /** Guards against pools of servers that are gone staying open for ever. */
+        @Test
+        void unusedPoolIsClosed() throws Exception {
+            try (RawServer server = new RawServer(n -> RawServer.ok("a"), true)) {
+                Loopback.await(post(server, ConnectionUse.POOLED));
+                assertEquals(1, loopback.connections.poolCount());
+                Thread.sleep(60);
+                loopback.connections.closeUnused();
+                assertEquals(0, loopback.connections.poolCount());
+                Loopback.await(post(server, ConnectionUse.POOLED));
+            }
+        }
+    }
+
+    /** Guards against data being delivered after a cancellation. */
+    @Test
+    void nothingIsDeliveredAfterCancel() throws Exception {
+        try (RawServer server = new RawServer(n -> null, false)) {
+            CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+            HttpCall call = HttpCall.get("/", Duration.ofMillis(100), ConnectionUse.POOLED);
+            HttpExchange exchange =
+                    loopback.connections.start(
+                            server.address(), call, new CollectingReceiver(result));
+            exchange.cancel();
+            Thread.sleep(200);
+            assertEquals(false, result.isDone());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/http/RawServer.java
@@ -0,0 +1,118 @@
+package org.tarragonlug.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
+
+/** A TCP server that answers each request with given bytes, valid HTTP or not. One thread. */
+public final class RawServer implements AutoCloseable {
+    private final ServerSocket listener;
+    private final IntFunction<byte[]> answers;
+    private final boolean closeAfterAnswer;
+    private final AtomicInteger requests = new AtomicInteger();
+    private final Queue<Socket> open = new ConcurrentLinkedQueue<>();
+
+    /**
+     * Starts the server.
+     *
+     * @param answers the bytes for the n-th request; null for silence
+     * @param closeAfterAnswer whether it closes the connection afterwards, else it stays open and
+     *     further requests on it are not read
+     */
+    public RawServer(IntFunction<byte[]> answers, boolean closeAfterAnswer) {
+        this.answers = answers;
+        this.closeAfterAnswer = closeAfterAnswer;
+        try {
+            listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        Thread thread = new Thread(this::serve, "raw-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Returns a whole 200 answer with this body. */
+    public static byte[] ok(String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return ("HTTP/1.1 200 OK\r\ncontent-length: " + bytes.length + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the head of a chunked answer and one chunk, without the end. */
+    public static byte[] unfinished(String chunk) {
+        String head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        String size = Integer.toHexString(chunk.getBytes(StandardCharsets.UTF_8).length);
+        return (head + size + "\r\n" + chunk + "\r\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Returns an address at which nothing listens. */
+    public static InetSocketAddress unusedAddress() {
+        try (RawServer server = new RawServer(n -> null, true)) {
+            return server.address();
+        }
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    /** Returns the requests read so far. */
+    public int requests() {
+        return requests.get();
+    }
+
+    private void serve() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                open.add(socket);
+                readHead(socket.getInputStream());
+                byte[] answer = answers.apply(requests.getAndIncrement());
+                if (answer != null) {
+                    socket.getOutputStream().write(answer);
+                    socket.getOutputStream().flush();
+                }
+                if (closeAfterAnswer) {
+                    socket.close();
+                }
+            } catch (IOException e) {
+                // The client or the test closed the connection.
+                continue;
+            }
+        }
+    }
+
+    private static void readHead(InputStream input) throws IOException {
+        int matched = 0;
+        while (matched < 4) {
+            int value = input.read();
+            if (value < 0) {
+                throw new IOException("no request");
+            }
+            boolean wanted = value == (matched % 2 == 0 ? '\r' : '\n');
+            matched = wanted ? matched + 1 : 0;
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            listener.close();
+            for (Socket socket : open) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/instancelist/HttpInstanceListTest.java
@@ -0,0 +1,71 @@
+package org.tarragonlug.instancelist;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.http.Loopback;
+import org.tarragonlug.http.RawServer;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.standin.InstanceListStandIn;
+
+class HttpInstanceListTest {
+    private final Loopback loopback = new Loopback();
+    private final InstanceListStandIn standIn =
+            new InstanceListStandIn(loopback.ioExecutor, loopback.clock);
+    private final InstanceList list = new HttpInstanceList(loopback.connections, standIn.address());
+
+    @AfterEach
+    void close() throws Exception {
+        standIn.close();
+        loopback.close();
+    }
+
+    private ListedInstance instance(boolean leaving) {
+        return new ListedInstance(
+                "flight-1",
+                InstanceKind.ENGINE,
+                new ServerGroup("flight"),
+                standIn.address(),
+                new FailureDomain("nicoya"),
+                leaving);
+    }
+
+    /** Guards against fields lost on the way, and against a list that never catches up. */
+    @Test
+    void listFollowsTheActualInstancesAfterItsLag() throws Exception {
+        standIn.put(instance(false));
+        assertEquals(List.of(instance(false)), Loopback.await(list.list()));
+        standIn.setLag(Duration.ofMillis(200));
+        Thread.sleep(210);
+        standIn.markLeaving("flight-1");
+        assertEquals(List.of(instance(false)), Loopback.await(list.list()));
+        Thread.sleep(210);
+        assertEquals(List.of(instance(true)), Loopback.await(list.list()));
+    }
+
+    /** Guards against an outage being taken for an empty list, which would remove all servers. */
+    @Test
+    void outageFails() {
+        standIn.setOutage(true);
+        assertEquals(ErrorCode.INSTANCE_LIST_UNAVAILABLE, Loopback.code(list.list()));
+        standIn.close();
+        assertEquals(ErrorCode.INSTANCE_LIST_UNAVAILABLE, Loopback.code(list.list()));
+    }
+
+    /** Guards against a malformed list being taken for an empty or partial one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{}", "[]", "{\"instances\":[{}]}", "{\"instances\":[null]}"})
+    void malformedListFails(String body) {
+        try (RawServer server = new RawServer(n -> RawServer.ok(body), true)) {
+            InstanceList broken = new HttpInstanceList(loopback.connections, server.address());
+            assertEquals(ErrorCode.INSTANCE_LIST_UNAVAILABLE, Loopback.code(broken.list()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/weightstore/HttpWeightStoreTest.java
@@ -0,0 +1,54 @@
+package org.tarragonlug.weightstore;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.http.Loopback;
+import org.tarragonlug.http.RawServer;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.standin.WeightStoreStandIn;
+
+class HttpWeightStoreTest {
+    private final Loopback loopback = new Loopback();
+    private final List<Checkpoint> checkpoints =
+            List.of(new Checkpoint(new ArtifactId("m", "2"), 5), checkpoint("n", 6));
+    private final WeightStoreStandIn standIn =
+            new WeightStoreStandIn(loopback.ioExecutor, loopback.clock, checkpoints);
+    private final WeightStore store = new HttpWeightStore(loopback.connections, standIn.address());
+
+    private static Checkpoint checkpoint(String name, long bytes) {
+        return new Checkpoint(new ArtifactId(name, "1"), bytes);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        standIn.close();
+        loopback.close();
+    }
+
+    /** Guards against fields lost on the way and against slowness that nobody can see. */
+    @Test
+    void checkpointsAndLoadAreRead() throws Exception {
+        assertEquals(checkpoints, Loopback.await(store.checkpoints()));
+        assertEquals(new WeightStoreLoad(0, 0, false), Loopback.await(store.load()));
+        standIn.setSlowness(5);
+        assertTrue(Loopback.await(store.load()).slow());
+    }
+
+    /** Guards against failures that are not typed. */
+    @Test
+    void refusedMalformedAndSilentAnswersFail() {
+        standIn.close();
+        assertEquals(ErrorCode.WEIGHT_STORE_UNAVAILABLE, Loopback.code(store.load()));
+        try (RawServer server =
+                new RawServer(n -> n == 0 ? RawServer.ok("{\"slow\":1}") : null, false)) {
+            WeightStore broken = new HttpWeightStore(loopback.connections, server.address());
+            assertEquals(ErrorCode.WEIGHT_STORE_UNAVAILABLE, Loopback.code(broken.load()));
+            assertEquals(ErrorCode.WEIGHT_STORE_UNAVAILABLE, Loopback.code(broken.checkpoints()));
+        }
+    }
+}
