Test the engine adapter, the platform and damaged answers

Cause: generation, orders and reports were not run yet. Change: loopback tests against the engine stand-in with its failures, fuzzed answers with fixed seeds, checks of the sizes and times of the stand-ins.

--- /dev/null
+++ b/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
@@ -0,0 +1,378 @@
+package org.tarragonlug.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.capacity.Order;
+import org.tarragonlug.decision.capacity.OrderKind;
+import org.tarragonlug.decision.capacity.OrderOutcome;
+import org.tarragonlug.decision.capacity.ServerReport;
+import org.tarragonlug.decision.request.AttemptFailure;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.http.Loopback;
+import org.tarragonlug.http.RawServer;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.standin.EngineFencing;
+import org.tarragonlug.standin.EngineSettings;
+import org.tarragonlug.standin.EngineStandIn;
+import org.tarragonlug.standin.PlatformTruth;
+import org.tarragonlug.standin.WeightStoreStandIn;
+
+class HttpEngineClientTest {
+    private static final ServerId SERVER = new ServerId("flight-1");
+    private static final ArtifactId MODEL = new ArtifactId("m", "1");
+    private static final ArtifactId ADAPTER = new ArtifactId("a", "1");
+    private static final Duration SILENCE = Duration.ofMillis(200);
+    private static final String TOKEN =
+            "data: {\"offset\":0,\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n";
+
+    private final Loopback loopback = new Loopback();
+    private final PlatformTruth truth = new PlatformTruth();
+    private final WeightStoreStandIn weightStore =
+            new WeightStoreStandIn(loopback.ioExecutor, loopback.clock, List.of());
+    private final EngineStandIn engine = engine(EngineFencing.CHECKED);
+    private final EngineClient client =
+            new HttpEngineClient(
+                    loopback.connections, Duration.ofSeconds(2), SILENCE, () -> Instant.EPOCH);
+    private Generation generation;
+
+    private EngineStandIn engine(EngineFencing fencing) {
+        EngineSettings settings = EngineSettings.usual(SERVER, 100, fencing);
+        return new EngineStandIn(settings, loopback.ioExecutor, loopback.clock, weightStore, truth);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        engine.close();
+        weightStore.close();
+        loopback.close();
+    }
+
+    private CompletionStage<OrderOutcome> send(
+            InetSocketAddress address,
+            OrderKind kind,
+            ArtifactId artifact,
+            long bytes,
+            long fence) {
+        Optional<ArtifactId> base =
+                artifact.equals(ADAPTER) ? Optional.of(MODEL) : Optional.empty();
+        return client.order(
+                address,
+                new Order(
+                        new OperationId("o" + fence),
+                        kind,
+                        SERVER,
+                        artifact,
+                        base,
+                        bytes,
+                        new Fence(fence)));
+    }
+
+    private OrderOutcome order(OrderKind kind, ArtifactId artifact, long bytes, long fence)
+            throws Exception {
+        return Loopback.await(send(engine.address(), kind, artifact, bytes, fence));
+    }
+
+    private static ObjectNode body(String prompt, int tokens) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.putArray("messages").addObject().put("role", "user").put("content", prompt);
+        return body.put("max_tokens", tokens);
+    }
+
+    private RecordingListener generate(InetSocketAddress address, ObjectNode body, int offset) {
+        RecordingListener listener = new RecordingListener(offset);
+        GenerationRequest request =
+                new GenerationRequest(
+                        new AttemptId("t" + offset),
+                        MODEL,
+                        "/v1/chat/completions",
+                        body,
+                        Priority.NORMAL,
+                        offset,
+                        Duration.ofSeconds(4));
+        generation = client.generate(address, request, listener);
+        return listener;
+    }
+
+    private RecordingListener generate(ObjectNode body, int offset) {
+        return generate(engine.address(), body, offset);
+    }
+
+    private Object end(RecordingListener listener) throws Exception {
+        Object end = Loopback.await(listener.end);
+        assertNull(listener.wrong);
+        return end;
+    }
+
+    private ServerReport report() throws Exception {
+        return Loopback.await(client.report(SERVER, engine.address()));
+    }
+
+    @Nested
+    class Orders {
+        /** Guards against orders out of turn and against lost fields of the report. */
+        @Test
+        void loadsUnloadsAndReports() throws Exception {
+            assertEquals(OrderOutcome.FAILED, order(OrderKind.LOAD, ADAPTER, 5, 1));
+            assertEquals(OrderOutcome.DONE, order(OrderKind.LOAD, MODEL, 60, 2));
+            assertEquals(OrderOutcome.DONE, order(OrderKind.LOAD, MODEL, 60, 2));
+            assertEquals(OrderOutcome.DONE, order(OrderKind.LOAD, ADAPTER, 5, 3));
+            ServerReport report = report();
+            assertEquals(Set.of(MODEL, ADAPTER), report.loaded().keySet());
+            assertEquals(100, report.memoryBytes());
+            assertEquals(1, weightStore.loadCounts().get(MODEL));
+            assertEquals(OrderOutcome.FAILED, order(OrderKind.UNLOAD, MODEL, 60, 4));
+            assertEquals(OrderOutcome.DONE, order(OrderKind.UNLOAD, ADAPTER, 5, 5));
+            assertEquals(OrderOutcome.DONE, order(OrderKind.UNLOAD, MODEL, 60, 6));
+            assertEquals(Set.of(), report().loaded().keySet());
+            assertEquals(0, truth.overcommits());
+        }
+
+        /** Guards against a late order of a paused holder undoing a newer decision. */
+        @ParameterizedTest
+        @CsvSource({"CHECKED, REFUSED_OLD_FENCE", "IGNORED, DONE"})
+        void olderFenceIsRefusedWhereItIsChecked(EngineFencing fencing, OrderOutcome expected)
+                throws Exception {
+            try (EngineStandIn other = engine(fencing)) {
+                Loopback.await(send(other.address(), OrderKind.UNLOAD, MODEL, 10, 5));
+                assertEquals(
+                        expected,
+                        Loopback.await(send(other.address(), OrderKind.LOAD, MODEL, 10, 4)));
+            }
+        }
+
+        /** Guards against memory overcommitted without anybody noticing. */
+        @Test
+        void loadBeyondTheMemoryFailsAndIsCounted() throws Exception {
+            assertEquals(OrderOutcome.FAILED, order(OrderKind.LOAD, MODEL, 101, 1));
+            assertEquals(1, truth.overcommits());
+        }
+
+        /** Guards against certain and uncertain outcomes of orders being confused. */
+        @Test
+        void failuresMapToOutcomes() throws Exception {
+            engine.failNextLoads(1);
+            assertEquals(OrderOutcome.FAILED, order(OrderKind.LOAD, MODEL, 10, 1));
+            CompletionStage<OrderOutcome> lost =
+                    send(engine.address(), OrderKind.LOAD, MODEL, 10, 2);
+            Loopback.eventually(() -> !engine.actual().loading().isEmpty());
+            engine.setRestartsAfterCrash(false);
+            engine.crash();
+            assertEquals(OrderOutcome.UNKNOWN, Loopback.await(lost));
+            assertEquals(OrderOutcome.NOT_SENT, order(OrderKind.LOAD, MODEL, 10, 3));
+            engine.restartEmpty();
+            engine.leave();
+            assertEquals(OrderOutcome.REFUSED_LEAVING, order(OrderKind.LOAD, MODEL, 10, 4));
+            assertTrue(report().leaving());
+        }
+
+        /** Guards against an unreadable confirmation counting as done or failed. */
+        @ParameterizedTest
+        @ValueSource(strings = {"", "{}", "{\"outcome\":\"FAILED\"}", "{\"outcome\":1}"})
+        void unreadableConfirmationIsUnknown(String body) throws Exception {
+            try (RawServer server = new RawServer(n -> RawServer.ok(body), true)) {
+                assertEquals(
+                        OrderOutcome.UNKNOWN,
+                        Loopback.await(send(server.address(), OrderKind.LOAD, MODEL, 1, 1)));
+            }
+        }
+    }
+
+    @Nested
+    class Reports {
+        /** Guards against judging a server by a connection that became silent. */
+        @Test
+        void frozenConnectionsDoNotHideAHealthyServer() throws Exception {
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            engine.freezeOpenConnections();
+            assertEquals(Set.of(MODEL), report().loaded().keySet());
+        }
+
+        /** Guards against a restart going unnoticed, and against failures that are not typed. */
+        @Test
+        void restartChangesTheIncarnation() throws Exception {
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            ServerReport before = report();
+            engine.restartEmpty();
+            ServerReport after = report();
+            assertNotEquals(before.incarnation(), after.incarnation());
+            assertEquals(Set.of(), after.loaded().keySet());
+            engine.close();
+            assertEquals(
+                    ErrorCode.BACKEND_UNREACHABLE,
+                    Loopback.code(client.report(SERVER, engine.address())));
+        }
+
+        /** Guards against a settable lag without effect. */
+        @Test
+        void reportLags() throws Exception {
+            report();
+            engine.setReportLag(Duration.ofSeconds(30));
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            assertEquals(Set.of(), report().loaded().keySet());
+        }
+    }
+
+    @Nested
+    class Generations {
+        /** Guards against incomplete answers, wrong checksums and a resume that repeats tokens. */
+        @Test
+        void wholeAnswerAndResumedRestAgree() throws Exception {
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            ObjectNode body = body("question", 30);
+            RecordingListener whole = generate(body, 0);
+            assertEquals("done", end(whole));
+            assertEquals(30, whole.count());
+            String text = String.join("", whole.tokens);
+            assertEquals(AnswerChecksum.of(MODEL, body, text), whole.checksum);
+            RecordingListener rest = generate(body, 12);
+            assertEquals("done", end(rest));
+            assertEquals(whole.tokens.subList(12, 30), rest.tokens);
+            assertEquals(whole.checksum, rest.checksum);
+        }
+
+        /** Guards against one slow batch mixing the answers of its requests. */
+        @Test
+        void concurrentAnswersStayApart() throws Exception {
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            List<RecordingListener> listeners = new java.util.ArrayList<>();
+            for (int index = 0; index < 24; index++) {
+                listeners.add(generate(body("question " + index, 20), 0));
+            }
+            for (int index = 0; index < listeners.size(); index++) {
+                RecordingListener listener = listeners.get(index);
+                assertEquals("done", end(listener));
+                String text = String.join("", listener.tokens);
+                assertEquals(
+                        AnswerChecksum.of(MODEL, body("question " + index, 20), text),
+                        listener.checksum);
+            }
+            assertEquals(16, engine.largestBatch());
+        }
+
+        /** Guards against a token after cancel, and against the engine working on for nobody. */
+        @Test
+        void cancelStopsTokensAndTheEngine() throws Exception {
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            RecordingListener listener = generate(body("long", 4000), 0);
+            Loopback.eventually(() -> listener.count() > 3);
+            generation.cancel();
+            int count = listener.count();
+            Loopback.eventually(() -> engine.inProgressCount() == 0);
+            Thread.sleep(50);
+            assertEquals(count, listener.count());
+            assertEquals(false, listener.end.isDone());
+        }
+
+        /** Guards against silence on an open connection, and a resume over a connection like it. */
+        @Test
+        void frozenStreamIsSilentAndResumesOnANewConnection() throws Exception {
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            ObjectNode body = body("long", 400);
+            RecordingListener listener = generate(body, 0);
+            Loopback.eventually(() -> listener.count() > 3);
+            engine.freezeOpenConnections();
+            assertEquals(AttemptFailure.SILENT, end(listener));
+            RecordingListener rest = generate(body, listener.count());
+            assertEquals("done", end(rest));
+            assertEquals(400, listener.count() + rest.count());
+        }
+
+        /** Guards against a cut stream being taken for a whole or an unsent one. */
+        @Test
+        void cutStreamIsLost() throws Exception {
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            engine.cutNextStreams(1);
+            RecordingListener listener = generate(body("long", 400), 0);
+            assertEquals(AttemptFailure.CONNECTION_LOST, end(listener));
+        }
+
+        /** Guards against a crash being taken for a refusal. */
+        @Test
+        void crashingRequestLosesItsConnectionAndTheProcess() throws Exception {
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            String before = report().incarnation();
+            RecordingListener listener = generate(body(EngineSettings.CRASH_MARKER, 400), 0);
+            assertEquals(AttemptFailure.CONNECTION_LOST, end(listener));
+            Loopback.eventually(() -> !engine.actual().incarnation().equals(before));
+            assertEquals(1, truth.crashes());
+        }
+
+        /** Guards against refusals before running being reported as possibly run. */
+        @Test
+        void refusalsHaveNotRun() throws Exception {
+            assertEquals(AttemptFailure.REFUSED_NOT_LOADED, end(generate(body("q", 3), 0)));
+            order(OrderKind.LOAD, MODEL, 10, 1);
+            ObjectNode empty = JsonNodeFactory.instance.objectNode();
+            assertEquals(AttemptFailure.REJECTED, end(generate(empty, 0)));
+            engine.setOverloaded(true);
+            assertEquals(AttemptFailure.REFUSED_OVERLOADED, end(generate(body("q", 3), 0)));
+            engine.leave();
+            assertEquals(AttemptFailure.REFUSED_LEAVING, end(generate(body("q", 3), 0)));
+            engine.close();
+            assertEquals(AttemptFailure.NOT_SENT, end(generate(body("q", 3), 0)));
+        }
+
+        /** Guards against broken streams being completed. */
+        @Test
+        void brokenStreamsMapToFailures() throws Exception {
+            String last = "data: {\"usage\":{\"completion_tokens\":2},\"checksum\":\"0\"}\n\n";
+            assertEquals(AttemptFailure.CONNECTION_LOST, raw(RawServer.ok(TOKEN), true));
+            assertEquals(AttemptFailure.CONNECTION_LOST, raw(RawServer.unfinished(TOKEN), true));
+            assertEquals(AttemptFailure.SILENT, raw(RawServer.unfinished(TOKEN), false));
+            assertEquals(AttemptFailure.SERVER_ERROR, raw(RawServer.ok(TOKEN + TOKEN), true));
+            assertEquals(AttemptFailure.SERVER_ERROR, raw(RawServer.ok("data: {\n\n"), true));
+            assertEquals(
+                    AttemptFailure.SERVER_ERROR,
+                    raw(RawServer.ok(TOKEN + last + "data: [DONE]\n\n"), true));
+            assertEquals(
+                    AttemptFailure.SERVER_ERROR,
+                    raw(RawServer.ok("data: {\"error\":{\"code\":\"overloaded\"}}\n\n"), true));
+            assertEquals(
+                    AttemptFailure.SERVER_ERROR, raw(RawServer.ok(":" + "x".repeat(70_000)), true));
+        }
+
+        /** Guards against an untyped server error being taken for "not run". */
+        @ParameterizedTest
+        @CsvSource({
+            "500, SERVER_ERROR",
+            "503, SERVER_ERROR",
+            "408, SERVER_ERROR",
+            "302, SERVER_ERROR",
+            "429, REFUSED_OVERLOADED",
+            "422, REJECTED"
+        })
+        void untypedErrorsFollowTheStatus(int status, AttemptFailure expected) throws Exception {
+            String answer = "HTTP/1.1 " + status + " x\r\ncontent-length: 2\r\n\r\n<>";
+            assertEquals(expected, raw(answer.getBytes(), true));
+        }
+
+        private Object raw(byte[] answer, boolean close) throws Exception {
+            try (RawServer server = new RawServer(n -> answer, close)) {
+                return end(generate(server.address(), body("q", 3), 0));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/http/AnswerFuzzTest.java
@@ -0,0 +1,160 @@
+package org.tarragonlug.http;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.request.AttemptFailure;
+import org.tarragonlug.engine.EngineClient;
+import org.tarragonlug.engine.GenerationListener;
+import org.tarragonlug.engine.GenerationRequest;
+import org.tarragonlug.engine.HttpEngineClient;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.instancelist.HttpInstanceList;
+import org.tarragonlug.objectapi.HttpObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.weightstore.HttpWeightStore;
+
+/**
+ * Guards against damaged answers that end neither in a result nor in a typed failure: untyped
+ * exceptions, or no end at all. Fixed seeds.
+ */
+class AnswerFuzzTest {
+    private static final int ROUNDS = 150;
+
+    private final Loopback loopback = new Loopback();
+
+    @AfterEach
+    void close() throws Exception {
+        loopback.close();
+    }
+
+    private static byte[] damaged(byte[] answer, Random random) {
+        byte[] result = answer.clone();
+        int changes = 1 + random.nextInt(4);
+        for (int change = 0; change < changes; change++) {
+            result[random.nextInt(result.length)] = (byte) random.nextInt(256);
+        }
+        boolean cut = random.nextInt(4) == 0;
+        return cut ? java.util.Arrays.copyOf(result, random.nextInt(result.length)) : result;
+    }
+
+    private void fuzz(long seed, byte[] valid, Call call) throws Exception {
+        Random random = new Random(seed);
+        try (RawServer server = new RawServer(n -> damaged(valid, random), true)) {
+            for (int round = 0; round < ROUNDS; round++) {
+                Supplier<String> where = () -> "seed " + seed;
+                try {
+                    Loopback.await(call.start(server));
+                } catch (ExecutionException e) {
+                    assertInstanceOf(TarragonlugException.class, e.getCause(), where);
+                }
+            }
+        }
+    }
+
+    /** Starts a call to the server. */
+    private interface Call {
+        CompletionStage<?> start(RawServer server);
+    }
+
+    @Test
+    void objectsAndWatches() throws Exception {
+        String object = "{\"name\":\"b\",\"version\":7,\"content\":{\"x\":[1,\"y\"]}}";
+        fuzz(11, RawServer.ok(object), server -> api(server).read(new ObjectName("a", "b")));
+        fuzz(
+                12,
+                RawServer.ok("{\"changed\":[" + object + "],\"revision\":9}"),
+                server -> api(server).watch("a", 3, Duration.ofMillis(10)));
+    }
+
+    private HttpObjectApi api(RawServer server) {
+        return new HttpObjectApi(loopback.connections, server.address());
+    }
+
+    @Test
+    void lists() throws Exception {
+        String instance =
+                "{\"id\":\"i\",\"kind\":\"ENTRY\",\"group\":\"entry\",\"host\":\"127.0.0.1\","
+                        + "\"port\":80,\"failureDomain\":\"d\",\"leaving\":false}";
+        fuzz(
+                21,
+                RawServer.ok("{\"instances\":[" + instance + "]}"),
+                server -> new HttpInstanceList(loopback.connections, server.address()).list());
+        fuzz(
+                22,
+                RawServer.ok("{\"checkpoints\":[{\"artifact\":\"m@1\",\"bytes\":5}]}"),
+                server ->
+                        new HttpWeightStore(loopback.connections, server.address()).checkpoints());
+    }
+
+    @Test
+    void engineReports() throws Exception {
+        String report =
+                "{\"incarnation\":\"i\",\"leaving\":false,\"memoryBytes\":9,\"loaded\":{\"m@1\":3},"
+                        + "\"loading\":{},\"cached\":{\"m@1\":\"DISK\"},\"inProgress\":[\"m@1\"],"
+                        + "\"running\":1,\"queued\":0}";
+        fuzz(
+                31,
+                RawServer.ok(report),
+                server -> engine().report(new ServerId("s"), server.address()));
+    }
+
+    private EngineClient engine() {
+        Duration limit = Duration.ofMillis(200);
+        return new HttpEngineClient(loopback.connections, limit, limit, () -> Instant.EPOCH);
+    }
+
+    @Test
+    void tokenStreams() throws Exception {
+        String stream =
+                "data: {\"offset\":0,\"choices\":[{\"text\":\"\u00e9\"}]}\n\n"
+                        + "data: {\"usage\":{\"completion_tokens\":1},\"checksum\":\"0\"}\n\n"
+                        + "data: [DONE]\n\n";
+        fuzz(41, RawServer.ok(stream), server -> ended(server));
+    }
+
+    private CompletionStage<Object> ended(RawServer server) {
+        CompletableFuture<Object> end = new CompletableFuture<>();
+        GenerationRequest request =
+                new GenerationRequest(
+                        new AttemptId("a"),
+                        new ArtifactId("m", "1"),
+                        "/v1/completions",
+                        JsonFields.parse("{\"prompt\":\"p\"}".getBytes(StandardCharsets.UTF_8)),
+                        Priority.NORMAL,
+                        0,
+                        Loopback.TIMEOUT);
+        engine().generate(server.address(), request, new EndListener(end));
+        return end;
+    }
+
+    private record EndListener(CompletableFuture<Object> end) implements GenerationListener {
+        @Override
+        public void token(int offset, String text) {
+            // Only the end matters here.
+        }
+
+        @Override
+        public void completed(int tokens, String checksum) {
+            end.complete(checksum);
+        }
+
+        @Override
+        public void failed(AttemptFailure failure, String detail) {
+            end.complete(failure);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/standin/StandInPlatformTest.java
@@ -0,0 +1,146 @@
+package org.tarragonlug.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.tarragonlug.decision.capacity.Order;
+import org.tarragonlug.decision.capacity.OrderKind;
+import org.tarragonlug.decision.capacity.OrderOutcome;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.engine.HttpEngineClient;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.http.Loopback;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.instancelist.HttpInstanceList;
+import org.tarragonlug.objectapi.HttpObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+
+class StandInPlatformTest {
+    private final Loopback loopback = new Loopback();
+
+    @AfterEach
+    void close() throws Exception {
+        loopback.close();
+    }
+
+    /** Guards against a platform whose sizes or tables differ from section 1.1 of the design. */
+    @ParameterizedTest
+    @CsvSource({"CARGAS, 65, 80", "SOLANO, 70, 65"})
+    void platformHasTheSizesOfTheDesign(Deployment deployment, int models, int adapters)
+            throws Exception {
+        try (StandInPlatform platform = new StandInPlatform(deployment, loopback.ioExecutor, 0.1)) {
+            HttpObjectApi api =
+                    new HttpObjectApi(loopback.connections, platform.objectApi().address());
+            HttpInstanceList list =
+                    new HttpInstanceList(loopback.connections, platform.instanceList().address());
+            assertEquals(11, Loopback.await(list.list()).size());
+            List<ArtifactLimit> artifacts = deployment.artifacts();
+            long adapterCount = artifacts.stream().filter(ArtifactLimit::isAdapter).count();
+            assertEquals(models, artifacts.size() - adapterCount);
+            assertEquals(adapters, adapterCount);
+            long wanted = artifacts.stream().mapToLong(ArtifactLimit::memoryBytes).sum();
+            assertTrue(wanted > deployment.serverMemoryBytes() * deployment.engineCount());
+            JsonNode pools = Loopback.await(api.read(new ObjectName("tables", "pools"))).content();
+            JsonNode routes =
+                    Loopback.await(api.read(new ObjectName("tables", "routes"))).content();
+            assertRoutesNamePools(routes, pools);
+        }
+    }
+
+    private static void assertRoutesNamePools(JsonNode routes, JsonNode pools) {
+        Set<String> names = new HashSet<>();
+        JsonFields.array(pools, "pools").forEach(pool -> names.add(pool.path("name").asText()));
+        int toPools = 0;
+        for (JsonNode route : JsonFields.array(routes, "routes")) {
+            if (route.path("target").asText().equals("POOL")) {
+                assertTrue(names.contains(route.path("pool").asText()));
+                toPools++;
+            }
+        }
+        assertEquals(3, toPools);
+    }
+
+    /** Guards against a truth that misses replicas, loads or idle time. */
+    @ParameterizedTest
+    @EnumSource
+    void truthRecordsReplicasLoadsAndIdleTime(Deployment deployment) throws Exception {
+        try (StandInPlatform platform = new StandInPlatform(deployment, loopback.ioExecutor, 0.1)) {
+            ArtifactLimit model = deployment.artifacts().get(2);
+            List<CompletionStage<OrderOutcome>> orders = new ArrayList<>();
+            for (EngineStandIn engine : platform.engines().subList(0, 2)) {
+                orders.add(load(engine, model));
+            }
+            for (CompletionStage<OrderOutcome> order : orders) {
+                assertEquals(OrderOutcome.DONE, Loopback.await(order));
+            }
+            assertEquals(2, platform.truth().highestReplicas().get(model.artifact()));
+            assertEquals(2, platform.truth().loaded().size());
+            assertEquals(2, platform.weightStore().loadCounts().get(model.artifact()));
+            Thread.sleep(100);
+            ServerId server = platform.engines().get(0).id();
+            assertTrue(platform.truth().idleSeconds().get(server) >= 0.1);
+            assertEquals(0, platform.truth().overcommits());
+        }
+    }
+
+    private CompletionStage<OrderOutcome> load(EngineStandIn engine, ArtifactLimit limit) {
+        Duration timeout = Duration.ofSeconds(5);
+        return new HttpEngineClient(loopback.connections, timeout, timeout, Instant::now)
+                .order(
+                        engine.address(),
+                        new Order(
+                                new OperationId("o"),
+                                OrderKind.LOAD,
+                                engine.id(),
+                                limit.artifact(),
+                                Optional.empty(),
+                                limit.memoryBytes(),
+                                new Fence(1)));
+    }
+
+    /** Guards against a store that is faster than section 1.1 allows: 12 loads take 3 s nominal. */
+    @Test
+    void weightStoreSlowsDownBeyondFourLoads() throws Exception {
+        try (WeightStoreStandIn store =
+                new WeightStoreStandIn(loopback.ioExecutor, loopback.clock, List.of())) {
+            assertEquals(1, loadSeconds(store, 4, false), 0.5);
+            assertEquals(3, loadSeconds(store, 12, false), 0.8);
+            assertTrue(loadSeconds(store, 30, true) < 0.5);
+            store.setSlowness(3);
+            assertEquals(3, loadSeconds(store, 4, false), 0.8);
+        }
+    }
+
+    private double loadSeconds(WeightStoreStandIn store, int loads, boolean adapters)
+            throws Exception {
+        long start = System.nanoTime();
+        List<CompletableFuture<Void>> ends = new ArrayList<>();
+        for (int index = 0; index < loads; index++) {
+            CompletableFuture<Void> end = new CompletableFuture<>();
+            store.load(new ArtifactId("x" + index, "1"), adapters, () -> end.complete(null));
+            ends.add(end);
+        }
+        for (CompletableFuture<Void> end : ends) {
+            Loopback.await(end);
+        }
+        return (System.nanoTime() - start) / 1e9 / loopback.clock.scale();
+    }
+}
