Use new connections for orders and cancellations; check that not sent is true

Cause: an order on a pooled connection that the server just closed or that is silent ends as unknown and keeps its slot open. A test of batch sizes failed once: its answers of 20 tokens ended before the last request arrived. Change: orders and cancellations use new connections; error texts of engines and parsers, which may quote requests, are no longer passed on; the batch test asks for 200 tokens, so that the batch fills whatever the client's speed. A test closes connections at random moments and compares with what the server received.

--- a/src/main/java/org/tarragonlug/engine/EngineError.java
+++ b/src/main/java/org/tarragonlug/engine/EngineError.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.engine;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.regex.Pattern;
 import org.tarragonlug.decision.capacity.OrderOutcome;
 import org.tarragonlug.decision.request.AttemptFailure;
 import org.tarragonlug.http.HttpFailure;
@@ -12,23 +13,23 @@
  * <p>A refusal counts as "not run" only if its code says so or the status can have no other
  * meaning. Any other server error may have come after the request ran.
  *
+ * <p>The message is not kept: engines quote the request in it, and requests stay out of logs.
+ *
  * @param status HTTP status
  * @param code typed code; empty if the body has none
- * @param message one line
  */
-record EngineError(int status, String code, String message) {
+record EngineError(int status, String code) {
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_MANY_REQUESTS = 429;
-    private static final int LONGEST_MESSAGE = 200;
+    private static final Pattern CODE = Pattern.compile("[a-z_]{1,40}");
 
     static EngineError read(int status, byte[] body) {
         try {
             JsonNode error = JsonFields.object(JsonFields.parse(body), "error");
-            String message = error.path("message").asText();
-            String shortened = message.substring(0, Math.min(LONGEST_MESSAGE, message.length()));
-            return new EngineError(status, JsonFields.text(error, "code"), shortened);
+            String code = JsonFields.text(error, "code");
+            return new EngineError(status, CODE.matcher(code).matches() ? code : "");
         } catch (RuntimeException e) {
-            return new EngineError(status, "", "the error is not typed");
+            return new EngineError(status, "");
         }
     }
 
@@ -75,7 +76,7 @@
     }
 
     String detail() {
-        return "status " + status + " " + code + ": " + message;
+        return "status " + status + ", code " + (code.isEmpty() ? "none" : code);
     }
 
     static AttemptFailure attemptFailure(HttpFailure failure) {
--- a/src/main/java/org/tarragonlug/engine/HttpEngineClient.java
+++ b/src/main/java/org/tarragonlug/engine/HttpEngineClient.java
@@ -29,7 +29,9 @@
  * Model engines over HTTP: streamed generation, orders and reports.
  *
  * <p>A resumed generation uses a new connection, because the reason to resume may be that open
- * connections became silent. Reports use new connections for the same reason.
+ * connections became silent. Reports and cancellations use new connections for the same reason.
+ * Orders do so because an order on a connection that the server just closed has an unknown outcome,
+ * which keeps its slot open for the whole settle time.
  */
 public final class HttpEngineClient implements EngineClient {
     private static final byte[] NO_BODY = new byte[0];
@@ -76,7 +78,7 @@
                         JSON,
                         JsonFields.bytes(body),
                         orderTimeout,
-                        ConnectionUse.POOLED);
+                        ConnectionUse.NEW);
         CompletableFuture<OrderOutcome> outcome = new CompletableFuture<>();
         connections
                 .exchange(address, call)
@@ -170,7 +172,7 @@
         Duration timeout = connections.limits().responseTimeout();
         connections.exchange(
                 address,
-                new HttpCall("DELETE", target, Map.of(), NO_BODY, timeout, ConnectionUse.POOLED));
+                new HttpCall("DELETE", target, Map.of(), NO_BODY, timeout, ConnectionUse.NEW));
     }
 
     private static TarragonlugException unreachable(ServerId server, String detail, Throwable e) {
--- a/src/main/java/org/tarragonlug/http/JsonFields.java
+++ b/src/main/java/org/tarragonlug/http/JsonFields.java
@@ -24,7 +24,8 @@
         try {
             return present(MAPPER.readTree(text));
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage(), e);
+            // The parser's message quotes the text, which may be part of a request.
+            throw new IllegalArgumentException("not JSON");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/org/tarragonlug/standin/EngineStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/EngineStandIn.java
@@ -95,7 +95,7 @@
         loader.failNextLoads(count);
     }
 
-    /** Closes the connection of the next generations after three tokens. */
+    /** Closes the connection of the next generations after about three tokens. */
     public synchronized void cutNextStreams(int count) {
         streamsToCut = count;
     }
@@ -191,6 +191,9 @@
     }
 
     private CompletionStage<StandInReply> handle(StandInRequest request) {
+        if (isDown()) {
+            return new CompletableFuture<>();
+        }
         try {
             if (request.is("GET", "report", 1)) {
                 return CompletableFuture.completedFuture(report());
@@ -211,6 +214,10 @@
         }
     }
 
+    private synchronized boolean isDown() {
+        return down;
+    }
+
     private synchronized StandInReply report() {
         long now = clock.nanos();
         if (lastReport == null || now - lastReportNanos >= reportLag.toNanos()) {
--- a/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
+++ b/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
@@ -259,14 +259,14 @@
             order(OrderKind.LOAD, MODEL, 10, 1);
             List<RecordingListener> listeners = new java.util.ArrayList<>();
             for (int index = 0; index < 24; index++) {
-                listeners.add(generate(body("question " + index, 20), 0));
+                listeners.add(generate(body("question " + index, 200), 0));
             }
             for (int index = 0; index < listeners.size(); index++) {
                 RecordingListener listener = listeners.get(index);
                 assertEquals("done", end(listener));
                 String text = String.join("", listener.tokens);
                 assertEquals(
-                        AnswerChecksum.of(MODEL, body("question " + index, 20), text),
+                        AnswerChecksum.of(MODEL, body("question " + index, 200), text),
                         listener.checksum);
             }
             assertEquals(16, engine.largestBatch());
--- /dev/null
+++ b/src/test/java/org/tarragonlug/standin/NotSentTest.java
@@ -0,0 +1,102 @@
+package org.tarragonlug.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.http.Answers;
+import org.tarragonlug.http.ConnectionUse;
+import org.tarragonlug.http.HttpAnswer;
+import org.tarragonlug.http.HttpCall;
+import org.tarragonlug.http.HttpFailure;
+import org.tarragonlug.http.Loopback;
+
+/**
+ * Guards against "not sent" being claimed for a request that reached the server, and against a
+ * request that reaches it twice, while the server closes connections at random moments: at the
+ * arrival of a request, after it ran, and around the time at which the next request is sent.
+ */
+class NotSentTest {
+    private static final int CALLS = 3000;
+    private static final int AT_ONCE = 8;
+    private static final long SEED = 51;
+
+    private final Loopback loopback = new Loopback();
+    private final Map<String, Integer> received = new ConcurrentHashMap<>();
+    private final Random random = new Random(SEED);
+    private final Map<HttpFailure.Kind, Integer> failures = new EnumMap<>(HttpFailure.Kind.class);
+    private final StandInServer server = new StandInServer(loopback.ioExecutor, this::handle);
+
+    @AfterEach
+    void close() throws Exception {
+        server.close();
+        loopback.close();
+    }
+
+    private CompletionStage<StandInReply> handle(StandInRequest request) {
+        received.merge(request.path().get(0), 1, Integer::sum);
+        int choice;
+        int delayMicros;
+        synchronized (random) {
+            choice = random.nextInt(10);
+            delayMicros = random.nextInt(1500);
+        }
+        if (choice == 0) {
+            request.cut().run();
+        }
+        if (choice >= 7) {
+            loopback.clock.afterNanos(delayMicros * 1000L, request.cut());
+        }
+        return CompletableFuture.completedFuture(StandInReply.empty(204));
+    }
+
+    @Test
+    void notSentIsTrueAndNothingIsSentTwice() throws Exception {
+        server.start();
+        for (int call = 0; call < CALLS; call += AT_ONCE) {
+            List<CompletionStage<HttpAnswer>> stages = new ArrayList<>();
+            for (int index = 0; index < AT_ONCE; index++) {
+                stages.add(call("k" + (call + index)));
+            }
+            for (int index = 0; index < AT_ONCE; index++) {
+                check("k" + (call + index), stages.get(index));
+            }
+        }
+        assertEquals(Set.of(1), Set.copyOf(received.values()));
+        assertTrue(failures.getOrDefault(HttpFailure.Kind.CONNECTION_LOST, 0) > CALLS / 50);
+    }
+
+    private CompletionStage<HttpAnswer> call(String key) {
+        byte[] body = "body".getBytes(StandardCharsets.UTF_8);
+        Duration timeout = Duration.ofSeconds(2);
+        return loopback.connections.exchange(
+                server.address(),
+                new HttpCall("POST", "/" + key, Map.of(), body, timeout, ConnectionUse.POOLED));
+    }
+
+    private void check(String key, CompletionStage<HttpAnswer> stage) throws Exception {
+        HttpFailure failure =
+                Loopback.await(
+                        stage.handle((answer, e) -> e == null ? null : Answers.asFailure(e)));
+        if (failure == null) {
+            assertTrue(received.containsKey(key));
+            return;
+        }
+        failures.merge(failure.kind(), 1, Integer::sum);
+        if (failure.notSent()) {
+            assertTrue(!received.containsKey(key), key + ": " + failure.getCause());
+        }
+    }
+}
