--- a/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
+++ b/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
@@ -332,6 +332,11 @@
             engine.leave();
             assertEquals(AttemptFailure.REFUSED_LEAVING, end(generate(body("q", 3), 0)));
             engine.close();
+            assertEquals(AttemptFailure.NOT_SENT, end(generate(body("q", 3), 1)));
+            // A pooled connection may be written to before its end is noticed, so that a first
+            // request may be lost; all later ones are refused.
+            AttemptFailure first = (AttemptFailure) end(generate(body("q", 3), 0));
+            assertTrue(first == AttemptFailure.NOT_SENT || first == AttemptFailure.CONNECTION_LOST);
             assertEquals(AttemptFailure.NOT_SENT, end(generate(body("q", 3), 0)));
         }
 
