Add randomised test of the capacity planner (in progress)

Cause: the planner's invariants need a test under random faults. Change: fakes in virtual time and a seeded scenario.

--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeEngine.java
@@ -0,0 +1,161 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ServerId;
+
+/** A model engine that holds the real truth of what is loaded. */
+final class FakeEngine {
+    final ServerId server;
+    final FailureDomain failureDomain;
+    final FencingKind fencing;
+    final long memoryBytes;
+    final Map<ArtifactId, Long> loaded = new TreeMap<>();
+    final Map<ArtifactId, Long> loading = new TreeMap<>();
+    final Set<ArtifactId> inProgress = new java.util.TreeSet<>();
+    boolean leaving;
+    boolean present = true;
+    boolean silent;
+    int incarnation;
+    int failuresToCome;
+    int loads;
+    private final FakeWorld world;
+    private final Map<ArtifactId, Long> fences = new HashMap<>();
+    private final Map<ArtifactId, List<Consumer<OrderOutcome>>> waiters = new HashMap<>();
+
+    FakeEngine(FakeWorld world, String name, FencingKind fencing, long memoryBytes) {
+        this.world = world;
+        this.server = new ServerId(name);
+        this.failureDomain = new FailureDomain("domain-" + Math.floorMod(name.hashCode(), 3));
+        this.fencing = fencing;
+        this.memoryBytes = memoryBytes;
+    }
+
+    /** Executes an order that arrives now; the answer may come later or never. */
+    void execute(Order order, Consumer<OrderOutcome> answer) {
+        if (!present || silent) {
+            answer.accept(OrderOutcome.UNKNOWN);
+            return;
+        }
+        ArtifactId artifact = order.artifact();
+        long fence = order.fence().value();
+        if (fencing == FencingKind.CHECKED) {
+            if (fence < fences.getOrDefault(artifact, 0L)) {
+                answer.accept(OrderOutcome.REFUSED_OLD_FENCE);
+                return;
+            }
+            fences.put(artifact, fence);
+        }
+        if (order.kind() == OrderKind.UNLOAD) {
+            loaded.remove(artifact);
+            loading.remove(artifact);
+            endWaiters(artifact, OrderOutcome.FAILED);
+            answer.accept(OrderOutcome.DONE);
+        } else if (leaving) {
+            answer.accept(OrderOutcome.REFUSED_LEAVING);
+        } else if (loaded.containsKey(artifact)) {
+            answer.accept(OrderOutcome.DONE);
+        } else {
+            waiters.computeIfAbsent(artifact, a -> new ArrayList<>()).add(answer);
+            if (!loading.containsKey(artifact)) {
+                startLoad(order);
+            }
+        }
+    }
+
+    private void startLoad(Order order) {
+        ArtifactId artifact = order.artifact();
+        if (order.baseModel().isPresent() && !loaded.containsKey(order.baseModel().get())) {
+            endWaiters(artifact, OrderOutcome.FAILED);
+            return;
+        }
+        loads++;
+        loading.put(artifact, order.memoryBytes());
+        int begunIn = incarnation;
+        int load = loads;
+        loadNumbers.put(artifact, load);
+        world.after(
+                Duration.ofMillis(500 + world.random.nextInt(5_000)),
+                () -> {
+                    boolean current =
+                            incarnation == begunIn
+                                    && loading.containsKey(artifact)
+                                    && loadNumbers.get(artifact) == load;
+                    if (current) {
+                        endLoad(artifact);
+                    }
+                });
+    }
+
+    private final Map<ArtifactId, Integer> loadNumbers = new HashMap<>();
+
+    private void endLoad(ArtifactId artifact) {
+        long bytes = loading.remove(artifact);
+        if (failuresToCome > 0) {
+            failuresToCome--;
+            endWaiters(artifact, OrderOutcome.FAILED);
+        } else {
+            loaded.put(artifact, bytes);
+            endWaiters(artifact, OrderOutcome.DONE);
+        }
+    }
+
+    /** Restarts with nothing loaded; a checking engine still knows its fences. */
+    void restart() {
+        incarnation++;
+        loaded.clear();
+        loading.clear();
+        inProgress.clear();
+        for (ArtifactId artifact : List.copyOf(waiters.keySet())) {
+            endWaiters(artifact, OrderOutcome.UNKNOWN);
+        }
+    }
+
+    void leaveForGood() {
+        restart();
+        present = false;
+    }
+
+    private void endWaiters(ArtifactId artifact, OrderOutcome outcome) {
+        List<Consumer<OrderOutcome>> all = waiters.remove(artifact);
+        if (all != null) {
+            all.forEach(waiter -> waiter.accept(outcome));
+        }
+    }
+
+    boolean holds(ArtifactId artifact) {
+        return loaded.containsKey(artifact) || loading.containsKey(artifact);
+    }
+
+    long usedBytes() {
+        return loaded.values().stream().mapToLong(Long::longValue).sum()
+                + loading.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    ServerReport report() {
+        return new ServerReport(
+                server,
+                "run-" + incarnation,
+                leaving,
+                memoryBytes,
+                loaded,
+                loading,
+                Map.of(),
+                inProgress,
+                0,
+                0,
+                world.now);
+    }
+
+    ListedServer listing() {
+        return new ListedServer(server, failureDomain, leaving, fencing);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeRecordStore.java
@@ -0,0 +1,68 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** The record's object in the object API, with lost and late writes and outages. */
+final class FakeRecordStore {
+    CapacityRecord record;
+    long version;
+    boolean down;
+    int lossPercent;
+    int attempts;
+    int writes;
+    private final FakeWorld world;
+
+    FakeRecordStore(FakeWorld world) {
+        this.world = world;
+    }
+
+    void read(Consumer<CapacityEvent> answer) {
+        world.after(
+                world.latency(),
+                () -> {
+                    Optional<CapacityRecord> found = Optional.ofNullable(record);
+                    long foundVersion = version;
+                    CapacityEvent event =
+                            down
+                                    ? new CapacityEvent.RecordReadFailed()
+                                    : new CapacityEvent.RecordRead(found, foundVersion);
+                    world.after(world.latency(), () -> answer.accept(event));
+                });
+    }
+
+    void write(CapacityCommand.WriteRecord write, Consumer<CapacityEvent> answer) {
+        attempts++;
+        boolean lost = world.random.nextInt(100) < lossPercent;
+        if (!lost) {
+            world.after(world.latency(), () -> answer.accept(apply(write, true)));
+            return;
+        }
+        // The request vanishes, takes effect at once, or takes effect some seconds late.
+        switch (world.random.nextInt(3)) {
+            case 0 -> {}
+            case 1 -> world.after(world.latency(), () -> apply(write, false));
+            default ->
+                    world.after(
+                            Duration.ofMillis(world.random.nextInt(8_000)),
+                            () -> apply(write, false));
+        }
+        world.after(
+                Duration.ofSeconds(1),
+                () -> answer.accept(new CapacityEvent.WriteOutcomeUnknown(write.operation())));
+    }
+
+    private CapacityEvent apply(CapacityCommand.WriteRecord write, boolean answered) {
+        if (down && answered) {
+            return new CapacityEvent.WriteNotDone(write.operation());
+        }
+        if (down || version != write.expectedVersion()) {
+            return new CapacityEvent.WriteConflict(write.operation());
+        }
+        version++;
+        writes++;
+        record = write.record();
+        return new CapacityEvent.WriteDone(write.operation(), version);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
@@ -0,0 +1,173 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.id.ArtifactId;
+
+/** One seeded run: faults for a while, then everything works again and demand must be served. */
+final class RandomScenario {
+    private static final int INSTANCES = 8;
+    private static final int ENGINES = 8;
+    private static final Duration CHAOS = Duration.ofSeconds(70);
+
+    // The settle time, an expired exclusion of a failing server, and a few loads one after another.
+    private static final Duration RECOVERY = Duration.ofSeconds(240);
+    private static final Duration AFTERWARDS = Duration.ofSeconds(20);
+
+    private final Random random;
+    private final FakeWorld world;
+    private final List<ArtifactLimit> limits = new ArrayList<>();
+    private int addedEngines;
+
+    RandomScenario(long seed) {
+        random = new Random(seed);
+        world = new FakeWorld(seed + 1, Duration.ofSeconds(3 + random.nextInt(30)));
+        for (int i = 0; i < 10; i++) {
+            limits.add(
+                    FakeWorld.model("model-" + i, 20 + random.nextInt(40), 1 + random.nextInt(2)));
+        }
+        for (int i = 0; i < 5; i++) {
+            ArtifactLimit base = limits.get(random.nextInt(4));
+            limits.add(FakeWorld.adapter("adapter-" + i, base, 1 + random.nextInt(5)));
+        }
+        world.configure(random.nextInt(3), limits.toArray(ArtifactLimit[]::new));
+        for (int i = 0; i < ENGINES; i++) {
+            addEngine();
+        }
+    }
+
+    private void addEngine() {
+        FencingKind fencing = random.nextBoolean() ? FencingKind.CHECKED : FencingKind.IGNORED;
+        world.addEngine("server-" + addedEngines, fencing, 70 + random.nextInt(60));
+        addedEngines++;
+    }
+
+    void run() {
+        for (int i = 0; i < INSTANCES; i++) {
+            world.addProcess("instance-" + i);
+        }
+        world.start();
+        world.becomeDecider(world.processes.get(0));
+        world.run(Duration.ofSeconds(4));
+        int count = 4 + random.nextInt(14);
+        for (int i = 0; i < count; i++) {
+            Duration at = Duration.ofMillis(random.nextLong(CHAOS.toMillis()));
+            // Half of the faults come in pairs, at the same moment or shortly one after another.
+            int pair = random.nextBoolean() ? 2 : 1;
+            for (int j = 0; j < pair; j++) {
+                world.after(at.plusMillis(j * random.nextInt(30)), this::disturb);
+            }
+        }
+        world.run(CHAOS);
+        recover();
+    }
+
+    private void disturb() {
+        FakeProcess process = world.processes.get(random.nextInt(world.processes.size()));
+        List<FakeEngine> present =
+                world.engines.values().stream().filter(e -> e.present && !e.leaving).toList();
+        FakeEngine engine = present.get(random.nextInt(present.size()));
+        switch (random.nextInt(14)) {
+            case 0, 1, 2 -> wakeSome();
+            case 3 -> world.becomeDecider(process);
+            case 4 -> {
+                FakeProcess old = world.processes.get(0);
+                world.stopDeciding(old);
+                world.becomeDecider(process);
+            }
+            case 5 -> world.store.lossPercent = random.nextInt(60);
+            case 6, 7 -> pauseDecider(process);
+            case 8 -> world.crash(decider(process));
+            case 9 -> {
+                world.apiDown();
+                world.after(Duration.ofMillis(random.nextInt(30_000)), world::apiUp);
+            }
+            case 10 -> engine.restart();
+            case 11 -> leave(engine, present.size());
+            case 12 -> engine.failuresToCome = 1 + random.nextInt(5);
+            default -> world.lostOrderPercent = random.nextInt(50);
+        }
+    }
+
+    private FakeProcess decider(FakeProcess otherwise) {
+        return world.processes.stream()
+                .filter(p -> world.deciders.contains(p.id))
+                .findFirst()
+                .orElse(otherwise);
+    }
+
+    private void pauseDecider(FakeProcess otherwise) {
+        FakeProcess paused = decider(otherwise);
+        paused.paused = true;
+        world.log("pause " + paused.id);
+        world.after(
+                Duration.ofMillis(random.nextInt(5_000)),
+                () ->
+                        world.becomeDecider(
+                                world.processes.get(random.nextInt(world.processes.size()))));
+        world.after(
+                Duration.ofMillis(random.nextInt(40_000)),
+                () -> {
+                    world.log("resume " + paused.id);
+                    paused.resume();
+                });
+    }
+
+    private void leave(FakeEngine engine, int present) {
+        if (present <= ENGINES / 2) {
+            return;
+        }
+        world.log("leaving " + engine.server);
+        engine.leaving = true;
+        world.after(
+                Duration.ofMillis(random.nextInt(20_000)),
+                () -> {
+                    engine.leaveForGood();
+                    addEngine();
+                    world.toAll(world.listing());
+                });
+    }
+
+    private void wakeSome() {
+        int count = 1 + random.nextInt(3);
+        for (int i = 0; i < count; i++) {
+            world.wake(limits.get(random.nextInt(limits.size())).artifact());
+        }
+    }
+
+    private void recover() {
+        world.log("recovery");
+        world.store.lossPercent = 0;
+        world.lostOrderPercent = 0;
+        world.engines.values().forEach(engine -> engine.failuresToCome = 0);
+        List.copyOf(world.processes).forEach(FakeProcess::resume);
+        world.run(Duration.ofSeconds(5));
+        world.apiUp();
+        List.copyOf(world.processes).forEach(FakeProcess::resume);
+        world.processes.stream()
+                .filter(p -> world.deciders.contains(p.id))
+                .toList()
+                .forEach(world::stopDeciding);
+        world.becomeDecider(world.processes.get(0));
+        wakeSome();
+        Duration waited = Duration.ZERO;
+        while (!world.waiting.isEmpty() && waited.compareTo(RECOVERY) < 0) {
+            world.run(Duration.ofSeconds(5));
+            waited = waited.plusSeconds(5);
+        }
+        if (!world.waiting.isEmpty()) {
+            List<ArtifactId> unserved = List.copyOf(world.waiting.keySet());
+            world.fail(
+                    "not served: "
+                            + unserved
+                            + " refusals "
+                            + world.refusals
+                            + " record "
+                            + world.store.record);
+        }
+        world.run(AFTERWARDS);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/capacity/SimplePolicies.java
@@ -0,0 +1,71 @@
+package org.tarragonlug.decision.capacity;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.FailureDomain;
+
+/** Plain policies for tests: the server with most room, and a fixed time to keep artifacts. */
+final class SimplePolicies {
+    private SimplePolicies() {}
+
+    /** Chooses the server with most free memory, or the first that unloads can make room on. */
+    static final class MostRoom implements Placement {
+        @Override
+        public Optional<Choice> choose(
+                ArtifactLimit wanted, List<ServerCandidate> candidates, Set<FailureDomain> used) {
+            Comparator<ServerCandidate> order =
+                    Comparator.comparing((ServerCandidate c) -> !used.contains(c.failureDomain()))
+                            .thenComparing(ServerCandidate::freeBytes);
+            Optional<ServerCandidate> roomy =
+                    candidates.stream()
+                            .filter(c -> c.freeBytes() >= wanted.memoryBytes())
+                            .max(order);
+            if (roomy.isPresent()) {
+                return roomy.map(c -> new Choice(c.server(), List.of()));
+            }
+            return candidates.stream().flatMap(c -> makeRoom(wanted, c).stream()).findFirst();
+        }
+
+        private static Optional<Choice> makeRoom(ArtifactLimit wanted, ServerCandidate candidate) {
+            long free = candidate.freeBytes();
+            List<ArtifactId> victims = new ArrayList<>();
+            for (ServerCandidate.IdleArtifact idle : candidate.idle()) {
+                if (free < wanted.memoryBytes()) {
+                    victims.add(idle.artifact());
+                    free += idle.memoryBytes();
+                }
+            }
+            return free >= wanted.memoryBytes()
+                    ? Optional.of(new Choice(candidate.server(), victims))
+                    : Optional.empty();
+        }
+    }
+
+    /** Keeps every artifact for the same time and prewarms nothing. */
+    record KeepFor(Duration time) implements KeepWarmPolicy {
+        @Override
+        public void arrived(ArtifactId artifact, int count, Instant now) {}
+
+        @Override
+        public Duration keepFor(ArtifactId a, Duration coldStart, double weight, Instant now) {
+            return time;
+        }
+
+        @Override
+        public boolean prewarm(ArtifactId a, Duration coldStart, double weight, Instant now) {
+            return false;
+        }
+
+        @Override
+        public double expectedBenefit(ArtifactId a, Duration cold, double weight, Instant now) {
+            return 1;
+        }
+    }
+}
