Test the capacity planner's record, writes, orders and failures

Cause: an unload that was just confirmed counted as unknown memory until the next report, so making room cost 4 writes; a load on a leaving server by a paused issuer was never unloaded; unload orders for artifacts without a slot were forgotten before they left.

--- a/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
@@ -114,6 +114,9 @@
         List<CapacityCommand> commands = new ArrayList<>();
         observeRecord(now);
         commands.addAll(tracker.forgetClosed(standbyUse));
+        if (decider && event instanceof CapacityEvent.Tick && !writer.isDown()) {
+            checks.checkForeign(now);
+        }
         if (writer.isDown()) {
             standbyUse.fill(now);
             refuseDuringOutage();
@@ -209,9 +212,6 @@
             nextRead = now.plus(READ_PERIOD);
             writer.wantRead();
         }
-        if (decider && !writer.isDown() && writer.isKnown()) {
-            checks.checkForeign(now);
-        }
         return false;
     }
 
--- a/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
@@ -199,10 +199,15 @@
             Map<ArtifactId, Long> found) {
         held.forEach(
                 (artifact, bytes) -> {
-                    Instant removed = removedAt.get(new Slot.Key(artifact, report.server()));
+                    Slot.Key key = new Slot.Key(artifact, report.server());
+                    Instant removed = removedAt.get(key);
+                    // A slot that is known but missing in a draft was just removed by a confirmed
+                    // unload; the report is older than that.
                     boolean stale =
-                            removed != null
-                                    && !report.receivedAt().isAfter(removed.plus(REPORT_LAG));
+                            sightings.containsKey(key)
+                                    || removed != null
+                                            && !report.receivedAt()
+                                                    .isAfter(removed.plus(REPORT_LAG));
                     boolean decided = record.decidedServers(artifact).contains(report.server());
                     if (!stale && !decided) {
                         found.put(artifact, bytes);
--- a/src/main/java/org/tarragonlug/decision/capacity/ReplicaDecisions.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/ReplicaDecisions.java
@@ -122,9 +122,10 @@
         if (underWay || !failures.mayRetry(slot.key(), draft.now())) {
             return;
         }
+        boolean movable = !slot.hasOpen(OrderKind.LOAD) || view.checksFences(slot.server());
         boolean move =
                 failures.isExhausted(slot.key())
-                        && !slot.hasOpen(OrderKind.LOAD)
+                        && movable
                         && !draft.record().isBaseOfOthers(slot)
                         && draft.record().servers().size() > 1;
         if (move) {
--- a/src/main/java/org/tarragonlug/decision/capacity/StandbyMaintenance.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/StandbyMaintenance.java
@@ -71,8 +71,7 @@
         CapacityRecord without = record.withoutStandby(standby);
         draft.set(without);
         for (ArtifactId artifact : held) {
-            long bytes =
-                    report.loaded().getOrDefault(artifact, report.loading().get(artifact));
+            long bytes = report.loaded().getOrDefault(artifact, report.loading().get(artifact));
             Slot slot =
                     new Slot(
                             artifact,
--- a/src/main/java/org/tarragonlug/decision/capacity/UnloadDecisions.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/UnloadDecisions.java
@@ -55,7 +55,7 @@
                         .isAfter(draft.now());
         boolean unwanted = !recent && !replicas.isWanted(slot, draft.record());
         return (leaving || unwanted)
-                && !slot.hasOpen(OrderKind.LOAD)
+                && draft.isUnclaimed(slot, OrderKind.LOAD, view)
                 && !draft.record().isBaseOfOthers(slot);
     }
 }
--- a/src/test/java/org/tarragonlug/decision/capacity/FakeEngine.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeEngine.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.FailureDomain;
@@ -20,13 +21,14 @@
     final long memoryBytes;
     final Map<ArtifactId, Long> loaded = new TreeMap<>();
     final Map<ArtifactId, Long> loading = new TreeMap<>();
-    final Set<ArtifactId> inProgress = new java.util.TreeSet<>();
+    final Set<ArtifactId> inProgress = new TreeSet<>();
     boolean leaving;
     boolean present = true;
     boolean silent;
     int incarnation;
     int failuresToCome;
     int loads;
+    int unloads;
     private final FakeWorld world;
     private final Map<ArtifactId, Integer> loadNumbers = new HashMap<>();
     private final Map<ArtifactId, Long> fences = new HashMap<>();
@@ -57,6 +59,7 @@
             fences.put(artifact, fence);
         }
         if (order.kind() == OrderKind.UNLOAD) {
+            unloads++;
             loaded.remove(artifact);
             loading.remove(artifact);
             endWaiters(artifact, OrderOutcome.FAILED);
--- a/src/test/java/org/tarragonlug/decision/capacity/FakeProcess.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeProcess.java
@@ -41,7 +41,7 @@
                         new SimplePolicies.MostRoom(),
                         new SimplePolicies.KeepFor(world.keepFor),
                         new Random(world.random.nextLong()),
-                        (invariant, detail) -> world.fail(invariant + " " + detail));
+                        (invariant, detail) -> world.violated(invariant + " " + detail));
     }
 
     void deliver(CapacityEvent event) {
--- a/src/test/java/org/tarragonlug/decision/capacity/FakeWorld.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeWorld.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -49,8 +50,17 @@
     Configuration configuration = Configuration.EMPTY;
     Instant now = Instant.parse("2026-01-01T00:00:00Z");
     Instant deadline = now.plusSeconds(3_600);
+
+    /** Artifacts that a test put onto an engine behind the planner's back. */
+    final Set<ArtifactId> planted = new TreeSet<>();
+
+    final List<String> violations = new ArrayList<>();
     int lostOrderPercent;
     boolean changed;
+
+    /** Whether each instance sends its demand to itself, taking itself for the decider. */
+    boolean everyoneDecides;
+
     int runs;
     private final PriorityQueue<Step> steps =
             new PriorityQueue<>(Comparator.comparing(Step::at).thenComparing(Step::number));
@@ -67,6 +77,13 @@
         throw new AssertionError(fault + " at " + now + "\n" + history);
     }
 
+    void violated(String violation) {
+        violations.add(violation);
+        if (planted.isEmpty()) {
+            fail(violation);
+        }
+    }
+
     void log(String line) {
         trace.add(now + " " + line);
     }
@@ -77,13 +94,12 @@
     }
 
     static ArtifactLimit model(String name, long bytes, int maximum) {
-        return new ArtifactLimit(
-                new ArtifactId(name, "1"), java.util.Optional.empty(), bytes, 0, maximum);
+        return new ArtifactLimit(new ArtifactId(name, "1"), Optional.empty(), bytes, 0, maximum);
     }
 
     static ArtifactLimit adapter(String name, ArtifactLimit base, long bytes) {
         return new ArtifactLimit(
-                new ArtifactId(name, "1"), java.util.Optional.of(base.artifact()), bytes, 0, 1);
+                new ArtifactId(name, "1"), Optional.of(base.artifact()), bytes, 0, 1);
     }
 
     FakeEngine addEngine(String name, FencingKind fencing, long memoryBytes) {
@@ -212,7 +228,10 @@
         int runs = running.contains(artifact) ? 1 : 0;
         Demand demand = new Demand(artifact, waits, runs, arrivals, deadline, Priority.INTERACTIVE);
         for (FakeProcess process : processes) {
-            if (deciders.contains(process.id)) {
+            boolean addressed =
+                    deciders.contains(process.id)
+                            && (!everyoneDecides || process.instance.equals(instance));
+            if (addressed) {
                 process.deliver(new CapacityEvent.DemandReported(instance, demand));
             }
         }
@@ -338,6 +357,7 @@
             engine.loading.keySet().forEach(a -> add(holders, a, engine));
         }
         CapacityRecord record = store.record;
+        holders.keySet().removeAll(planted);
         holders.forEach(
                 (artifact, servers) -> {
                     if (record == null || !record.decidedServers(artifact).containsAll(servers)) {
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/capacity/OrderClosingTest.java
@@ -0,0 +1,124 @@
+package org.tarragonlug.decision.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.id.ServerId;
+
+/** Guards against a slot being removed while a load order for it may have been executed last. */
+class OrderClosingTest {
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final ProcessId SELF = new ProcessId("self");
+    private static final ProcessId OTHER = new ProcessId("other");
+    private static final ServerId SERVER = new ServerId("s1");
+    private static final ArtifactId MODEL = new ArtifactId("model", "1");
+
+    private final CapacitySettings settings =
+            new CapacitySettings(
+                    new ServerGroup("flight"),
+                    SELF,
+                    30,
+                    32,
+                    Duration.ZERO,
+                    Duration.ZERO,
+                    Duration.ZERO);
+    private final GroupView view = new GroupView(settings);
+    private final OrderTracker tracker =
+            new OrderTracker(settings, view, new RecordWriter(settings, new Random(1)));
+    private final OrderClosing closing = new OrderClosing(view, tracker);
+
+    private static OpenOrder open(String operation, ProcessId process, OrderKind kind) {
+        return new OpenOrder(new OperationId(operation), process, kind, NOW);
+    }
+
+    private void ended(String operation, OrderKind kind, OrderOutcome outcome) {
+        Order order =
+                new Order(
+                        new OperationId(operation),
+                        kind,
+                        SERVER,
+                        MODEL,
+                        Optional.empty(),
+                        10,
+                        new Fence(1));
+        OwnOrder own = tracker.add(order, false);
+        own.sent(NOW);
+        own.ended(outcome, NOW);
+    }
+
+    private Optional<Slot> closed(FencingKind fencing, Instant now, OpenOrder... orders) {
+        view.list(List.of(new ListedServer(SERVER, new FailureDomain("d"), false, fencing)));
+        Slot slot =
+                new Slot(
+                        MODEL,
+                        Optional.empty(),
+                        SERVER,
+                        10,
+                        SlotState.UNLOADING,
+                        new Fence(2),
+                        List.of(orders));
+        CapacityRecord record =
+                CapacityRecord.empty(settings.group())
+                        .withServer(new ServerEntry(SERVER, 100, ServerState.ACTIVE))
+                        .withNewSlot(slot, 1);
+        Draft draft = new Draft(record, SELF, () -> new OperationId("new"), now);
+        closing.apply(draft, true);
+        return draft.record().slot(MODEL, SERVER);
+    }
+
+    @Test
+    void closedLoadMakesAnEarlierUnloadProveNothingWhereFencesAreIgnored() {
+        ended("load", OrderKind.LOAD, OrderOutcome.DONE);
+        Slot slot =
+                closed(
+                                FencingKind.IGNORED,
+                                NOW,
+                                open("load", SELF, OrderKind.LOAD),
+                                open("unload", OTHER, OrderKind.UNLOAD))
+                        .orElseThrow();
+        assertEquals(SlotState.UNSETTLED, slot.state());
+        assertEquals(List.of(), slot.openOrders());
+    }
+
+    @Test
+    void confirmedUnloadRemovesTheSlotWhereFencesAreChecked() {
+        ended("unload", OrderKind.UNLOAD, OrderOutcome.DONE);
+        OpenOrder load = open("load", OTHER, OrderKind.LOAD);
+        OpenOrder unload = open("unload", SELF, OrderKind.UNLOAD);
+        assertEquals(Optional.empty(), closed(FencingKind.CHECKED, NOW, load, unload));
+        assertEquals(
+                SlotState.UNSETTLED,
+                closed(FencingKind.IGNORED, NOW, load, unload).orElseThrow().state());
+    }
+
+    @Test
+    void ordersOfAProcessThatIsGoneAreClosedAfterTheSettleTime() {
+        view.processesGone(Set.of(OTHER), NOW);
+        OpenOrder load = open("load", OTHER, OrderKind.LOAD);
+        Instant early = NOW.plus(OwnOrder.SETTLE_TIME).minusMillis(1);
+        assertEquals(1, closed(FencingKind.IGNORED, early, load).orElseThrow().openOrders().size());
+        Instant late = NOW.plus(OwnOrder.SETTLE_TIME);
+        assertEquals(0, closed(FencingKind.IGNORED, late, load).orElseThrow().openOrders().size());
+    }
+
+    @Test
+    void loadWithoutAnswerStaysOpenUntilTheSettleTimeHasPassed() {
+        ended("load", OrderKind.LOAD, OrderOutcome.UNKNOWN);
+        tracker.find(new OperationId("load")).orElseThrow().ended(OrderOutcome.DONE, NOW);
+        OpenOrder load = open("load", SELF, OrderKind.LOAD);
+        Instant early = NOW.plus(OwnOrder.SETTLE_TIME).minusMillis(1);
+        assertEquals(1, closed(FencingKind.IGNORED, early, load).orElseThrow().openOrders().size());
+    }
+}
--- a/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
@@ -33,6 +33,15 @@
             ArtifactLimit base = limits.get(random.nextInt(4));
             limits.add(FakeWorld.adapter("adapter-" + i, base, 1 + random.nextInt(5)));
         }
+        ArtifactLimit first = limits.get(0);
+        limits.set(
+                0,
+                new ArtifactLimit(
+                        first.artifact(),
+                        first.baseModel(),
+                        first.memoryBytes(),
+                        random.nextInt(2),
+                        first.maximumReplicas()));
         world.configure(random.nextInt(3), limits.toArray(ArtifactLimit[]::new));
         for (int i = 0; i < ENGINES; i++) {
             addEngine();
@@ -70,7 +79,7 @@
         List<FakeEngine> present =
                 world.engines.values().stream().filter(e -> e.present && !e.leaving).toList();
         FakeEngine engine = present.get(random.nextInt(present.size()));
-        switch (random.nextInt(16)) {
+        switch (random.nextInt(18)) {
             case 0, 1, 2, 14, 15 -> wakeSome();
             case 3 -> world.becomeDecider(process);
             case 4 -> {
@@ -87,6 +96,14 @@
             }
             case 10 -> engine.restart();
             case 11 -> leave(engine, present.size());
+            case 16 -> {
+                engine.silent = true;
+                world.after(Duration.ofMillis(random.nextInt(20_000)), () -> engine.silent = false);
+            }
+            case 17 -> {
+                engine.inProgress.addAll(engine.loaded.keySet());
+                world.after(Duration.ofMillis(random.nextInt(20_000)), engine.inProgress::clear);
+            }
             case 12 -> engine.failuresToCome = 1 + random.nextInt(5);
             default -> world.lostOrderPercent = random.nextInt(50);
         }
@@ -171,7 +188,17 @@
         world.run(AFTERWARDS);
         if (Boolean.getBoolean("tarragonlug.stats")) {
             int loads = world.engines.values().stream().mapToInt(e -> e.loads).sum();
-            System.out.println("waited=" + waited + " loads=" + loads + " writes=" + world.store.writes + " attempts=" + world.store.attempts+" procs="+world.runs);
+            System.out.println(
+                    "waited="
+                            + waited
+                            + " loads="
+                            + loads
+                            + " writes="
+                            + world.store.writes
+                            + " attempts="
+                            + world.store.attempts
+                            + " procs="
+                            + world.runs);
         }
     }
 }
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/capacity/RecordWriterTest.java
@@ -0,0 +1,100 @@
+package org.tarragonlug.decision.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.ServerGroup;
+
+/** Guards against a lost answer being taken for a lost write, or the other way round. */
+class RecordWriterTest {
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Instant LATER = NOW.plusSeconds(5);
+    private static final OperationId OPERATION = new OperationId("self-1");
+
+    private final ProcessId self = new ProcessId("self");
+    private final CapacityRecord before = CapacityRecord.empty(new ServerGroup("flight"));
+    private final CapacityRecord after = before.written(self, OPERATION, 1);
+    private final RecordWriter writer =
+            new RecordWriter(
+                    new CapacitySettings(
+                            before.group(),
+                            self,
+                            30,
+                            32,
+                            Duration.ZERO,
+                            Duration.ZERO,
+                            Duration.ZERO),
+                    new Random(1));
+
+    @BeforeEach
+    void startWrite() {
+        writer.read(Optional.of(before), 4, NOW);
+        writer.start(OPERATION, after, List.of());
+    }
+
+    private void read(CapacityRecord record, long version) {
+        assertInstanceOf(CapacityCommand.ReadRecord.class, writer.due(LATER).get(0));
+        writer.read(Optional.of(record), version, LATER);
+    }
+
+    @Test
+    void writeWhoseIdIsInTheRecordTookEffect() {
+        writer.unknown(OPERATION, NOW);
+        CapacityRecord overwritten =
+                after.written(new ProcessId("other"), new OperationId("other-1"), 2);
+        read(overwritten, 6);
+        assertTrue(writer.pending().isEmpty());
+        assertEquals(overwritten, writer.record());
+    }
+
+    @Test
+    void writeIsRepeatedUnchangedWhileTheVersionIsUnchanged() {
+        writer.unknown(OPERATION, NOW);
+        read(before, 4);
+        assertFalse(writer.mayWrite(LATER));
+        assertEquals(
+                List.of(new CapacityCommand.WriteRecord(OPERATION, after, 4)), writer.due(LATER));
+        writer.notDone(OPERATION, LATER);
+        assertTrue(writer.pending().isPresent(), "the first attempt may still take effect");
+    }
+
+    @Test
+    void conflictOfARepeatedWriteIsResolvedByReading() {
+        writer.unknown(OPERATION, NOW);
+        read(before, 4);
+        writer.due(LATER);
+        writer.conflict(OPERATION, LATER);
+        assertTrue(writer.pending().isPresent());
+        writer.due(LATER.plusSeconds(5));
+        writer.read(Optional.of(after), 5, LATER);
+        assertEquals(after, writer.record());
+    }
+
+    @Test
+    void writeWithoutItsIdInAChangedRecordNeverTakesEffect() {
+        writer.unknown(OPERATION, NOW);
+        CapacityRecord other =
+                before.written(new ProcessId("other"), new OperationId("other-1"), 1);
+        read(other, 5);
+        assertTrue(writer.pending().isEmpty());
+        assertTrue(writer.mayWrite(LATER));
+    }
+
+    @Test
+    void staleReadDoesNotBringBackAnOlderRecord() {
+        writer.done(OPERATION, 5, NOW);
+        writer.read(Optional.of(before), 4, NOW);
+        assertEquals(after, writer.record());
+    }
+}
