--- a/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
@@ -54,6 +54,7 @@
     private boolean decider;
     private boolean configured;
     private Instant nextDecision = Instant.MIN;
+    private Instant nextPublication = Instant.MIN;
     private Instant nextStandby = Instant.MIN;
     private Instant nextRead = Instant.MIN;
     private long operationCount;
@@ -113,6 +114,9 @@
         List<CapacityCommand> commands = new ArrayList<>();
         observeRecord(now);
         commands.addAll(tracker.forgetClosed(standbyUse));
+        if (decider && event instanceof CapacityEvent.Tick && !writer.isDown()) {
+            checks.checkForeign(now);
+        }
         if (writer.isDown()) {
             standbyUse.fill(now);
             refuseDuringOutage();
@@ -122,7 +126,8 @@
         }
         commands.addAll(writer.due(now));
         commands.addAll(tracker.sendDue(now));
-        if (decider) {
+        if (decider && (urgent || !now.isBefore(nextPublication))) {
+            nextPublication = now.plus(DECISION_PERIOD);
             commands.addAll(publisher.changes(replicas));
         }
         return commands;
@@ -207,9 +212,6 @@
             nextRead = now.plus(READ_PERIOD);
             writer.wantRead();
         }
-        if (decider && !writer.isDown() && writer.isKnown()) {
-            checks.checkForeign(now);
-        }
         return false;
     }
 
