Add the measurement of keep-warm policies

Cause: the policy's effect on cold-start time and idle accelerator hours must be known before the planner uses it.

--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/FixedTimeoutPolicy.java
@@ -0,0 +1,47 @@
+package org.tarragonlug.measure;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import org.tarragonlug.decision.capacity.KeepWarmPolicy;
+import org.tarragonlug.id.ArtifactId;
+
+/**
+ * The baseline: unloads after a fixed idle time, never prewarms, and under memory pressure unloads
+ * what was used least recently.
+ */
+final class FixedTimeoutPolicy implements KeepWarmPolicy {
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private final Duration timeout;
+    private final Map<ArtifactId, Instant> lastArrivals = new HashMap<>();
+
+    FixedTimeoutPolicy(Duration timeout) {
+        this.timeout = timeout;
+    }
+
+    @Override
+    public void arrived(ArtifactId artifact, int count, Instant now) {
+        lastArrivals.put(artifact, now);
+    }
+
+    @Override
+    public Duration keepFor(
+            ArtifactId artifact, Duration coldStart, double coldStartWeight, Instant now) {
+        return timeout;
+    }
+
+    @Override
+    public boolean prewarm(
+            ArtifactId artifact, Duration coldStart, double coldStartWeight, Instant now) {
+        return false;
+    }
+
+    @Override
+    public double expectedBenefit(
+            ArtifactId artifact, Duration coldStart, double coldStartWeight, Instant now) {
+        Instant last = lastArrivals.getOrDefault(artifact, Instant.EPOCH);
+        return 1 / (1 + Duration.between(last, now).toMillis() / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/WarmthMeasurement.java
@@ -0,0 +1,149 @@
+package org.tarragonlug.measure;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.HdrHistogram.Histogram;
+import org.tarragonlug.decision.capacity.DefaultKeepWarmPolicy;
+import org.tarragonlug.decision.capacity.KeepWarmPolicy;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+
+/** Compares keep-warm policies on the same traffic of a deployment's day, in virtual time. */
+public final class WarmthMeasurement {
+    private static final int TRAINING_DAYS = 28;
+    private static final Duration NEVER = Duration.ofDays(365);
+    private static final double MEDIAN = 50;
+    private static final double TAIL = 99;
+    private static final double MAXIMUM = 100;
+
+    private WarmthMeasurement() {}
+
+    /**
+     * Runs all policies and prints their figures.
+     *
+     * @param deployment whose traffic and sizes
+     * @param seed seed of the traffic, the model sizes and the load times
+     * @param out where to print
+     */
+    public static void run(Deployment deployment, long seed, PrintStream out) {
+        run(deployment, seed, deployment.coldStartWeight(), out);
+    }
+
+    /**
+     * Runs all policies with another weight and prints their figures.
+     *
+     * @param deployment whose traffic and sizes
+     * @param seed seed of the traffic, the model sizes and the load times
+     * @param coldStartWeight idle accelerator seconds that one second of cold-start wait is worth
+     * @param out where to print
+     */
+    public static void run(
+            Deployment deployment, long seed, double coldStartWeight, PrintStream out) {
+        List<ArtifactLimit> models = ModelCatalogue.models(deployment.models(), new Random(seed));
+        List<TrafficTrace.Arrival> arrivals =
+                deployment.traffic(TRAINING_DAYS + 1, new Random(seed + 1)).sorted();
+        printSizes(deployment, seed, coldStartWeight, models, arrivals, out);
+        Map<String, WarmthResult> results = new LinkedHashMap<>();
+        policies()
+                .forEach(
+                        (name, policy) -> {
+                            WarmthSimulation simulation =
+                                    new WarmthSimulation(
+                                            deployment,
+                                            arrivals,
+                                            models,
+                                            policy.get(),
+                                            coldStartWeight,
+                                            TRAINING_DAYS * TrafficTrace.DAY,
+                                            seed + 2);
+                            results.put(
+                                    name, simulation.run((TRAINING_DAYS + 1) * TrafficTrace.DAY));
+                        });
+        out.println(
+                "policy      cold p50/p99/max s     all p50/p99/max s"
+                        + "      cold starts  prewarmed  idle hours  store loads");
+        results.forEach((name, result) -> out.println(row(name, result)));
+        printComparison(results.get("fixed-10m"), results.get("tarragonlug"), out);
+    }
+
+    private static Map<String, Supplier<KeepWarmPolicy>> policies() {
+        Map<String, Supplier<KeepWarmPolicy>> policies = new LinkedHashMap<>();
+        policies.put("never", () -> new FixedTimeoutPolicy(NEVER));
+        policies.put("fixed-10m", () -> new FixedTimeoutPolicy(Duration.ofMinutes(10)));
+        policies.put("at-once", () -> new FixedTimeoutPolicy(Duration.ZERO));
+        policies.put("tarragonlug", DefaultKeepWarmPolicy::new);
+        return policies;
+    }
+
+    private static void printSizes(
+            Deployment deployment,
+            long seed,
+            double coldStartWeight,
+            List<ArtifactLimit> models,
+            List<TrafficTrace.Arrival> arrivals,
+            PrintStream out) {
+        long measuredFrom = TRAINING_DAYS * TrafficTrace.DAY;
+        long measured = arrivals.stream().filter(a -> a.atMillis() >= measuredFrom).count();
+        long bytes = models.stream().mapToLong(ArtifactLimit::memoryBytes).sum();
+        out.printf(
+                Locale.ROOT,
+                "measure=warmth deployment=%s seed=%d servers=%d acceleratorsPerServer=%d"
+                        + " memoryGB=%d models=%d modelsGB=%d adapters=%d coldStartWeight=%.1f"
+                        + " trainingDays=%d requests=%d measuredRequests=%d%n",
+                deployment,
+                seed,
+                deployment.servers(),
+                SimulatedServer.ACCELERATORS,
+                deployment.servers()
+                        * SimulatedServer.ACCELERATORS
+                        * SimulatedServer.ACCELERATOR_BYTES
+                        / ModelCatalogue.GIGABYTE,
+                models.size(),
+                bytes / ModelCatalogue.GIGABYTE,
+                deployment.adapters(),
+                coldStartWeight,
+                TRAINING_DAYS,
+                arrivals.size(),
+                measured);
+    }
+
+    private static String row(String name, WarmthResult result) {
+        return String.format(
+                Locale.ROOT,
+                "%-11s %-22s %-22s %11d %10d %11.1f %12d",
+                name,
+                percentiles(result.coldWaits),
+                percentiles(result.allWaits),
+                result.coldStarts,
+                result.prewarmed,
+                result.idleHours,
+                result.remoteLoads);
+    }
+
+    private static String percentiles(Histogram histogram) {
+        return String.format(
+                Locale.ROOT,
+                "%.2f/%.2f/%.2f",
+                WarmthResult.seconds(histogram, MEDIAN),
+                WarmthResult.seconds(histogram, TAIL),
+                WarmthResult.seconds(histogram, MAXIMUM));
+    }
+
+    private static void printComparison(WarmthResult baseline, WarmthResult ours, PrintStream out) {
+        double cold = WarmthResult.seconds(ours.coldWaits, TAIL);
+        double coldBaseline = WarmthResult.seconds(baseline.coldWaits, TAIL);
+        double all = WarmthResult.seconds(ours.allWaits, TAIL);
+        double allBaseline = WarmthResult.seconds(baseline.allWaits, TAIL);
+        out.printf(
+                Locale.ROOT,
+                "against fixed-10m: idleHours=%+.1f%% p99Cold=%.2fx p99All=%.2fx%n",
+                100 * (ours.idleHours / baseline.idleHours - 1),
+                cold / coldBaseline,
+                all / allBaseline);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/WarmthResult.java
@@ -0,0 +1,35 @@
+package org.tarragonlug.measure;
+
+import org.HdrHistogram.Histogram;
+
+/** What one policy cost on the measured day. */
+final class WarmthResult {
+    private static final double MILLIS_PER_SECOND = 1e3;
+    private static final int DIGITS = 3;
+
+    /** Waits of the requests that met an unloaded or loading model, milliseconds. */
+    final Histogram coldWaits = new Histogram(DIGITS);
+
+    /** Waits of all requests, milliseconds. */
+    final Histogram allWaits = new Histogram(DIGITS);
+
+    /** Loads that at least one request waited for. */
+    int coldStarts;
+
+    /** Loads ordered by prewarming. */
+    int prewarmed;
+
+    /** Loads from the weight store. */
+    int remoteLoads;
+
+    /** Accelerator hours in which memory was reserved and no request ran, by share of memory. */
+    double idleHours;
+
+    /** Returns a percentile of a histogram in seconds. */
+    static double seconds(Histogram histogram, double percentile) {
+        if (histogram.getTotalCount() == 0) {
+            return 0;
+        }
+        return histogram.getValueAtPercentile(percentile) / MILLIS_PER_SECOND;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/WarmthSimulation.java
@@ -0,0 +1,390 @@
+package org.tarragonlug.measure;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+import org.tarragonlug.decision.capacity.CacheTier;
+import org.tarragonlug.decision.capacity.DefaultPlacement;
+import org.tarragonlug.decision.capacity.KeepWarmPolicy;
+import org.tarragonlug.decision.capacity.LoadTimes;
+import org.tarragonlug.decision.capacity.Placement;
+import org.tarragonlug.decision.capacity.ServerCandidate;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
+import org.tarragonlug.measure.TrafficTrace.Arrival;
+
+/**
+ * Runs one keep-warm policy over a trace in virtual time, with the placement of this system and one
+ * replica per model.
+ *
+ * <p>Modelled: accelerator memory, checkpoint caches, load times that vary around a rate per tier,
+ * four concurrent loads and four a second at the weight store with prewarming last, and batching
+ * without a limit. Not modelled: failures, more than one replica, time to unload, adapter memory.
+ */
+final class WarmthSimulation {
+    private static final Instant START = Instant.parse("2026-01-05T00:00:00Z");
+    private static final long PREWARM_CHECK = 30 * TrafficTrace.SECOND;
+    private static final long PLACE_AGAIN = TrafficTrace.SECOND;
+    private static final int STORE_LOADS = 4;
+    private static final long STORE_INTERVAL = 250;
+    private static final double HOUR_MILLIS = TrafficTrace.HOUR;
+
+    private final List<Arrival> arrivals;
+    private final List<ArtifactLimit> limits;
+    private final KeepWarmPolicy policy;
+    private final double weight;
+    private final long measuredFrom;
+    private final Random random;
+    private final LoadTimes loadTimes = new LoadTimes();
+    private final Placement placement;
+    private final List<SimulatedServer> servers = new ArrayList<>();
+    private final Model[] models;
+    private final PriorityQueue<Scheduled> queue = new PriorityQueue<>();
+    private final Deque<Model> storeQueue = new ArrayDeque<>();
+    private final Deque<Model> storePrewarmQueue = new ArrayDeque<>();
+    private final WarmthResult result = new WarmthResult();
+    private long now;
+    private long order;
+    private int storeLoads;
+    private long storeFreeAt;
+
+    WarmthSimulation(
+            Deployment deployment,
+            List<Arrival> arrivals,
+            List<ArtifactLimit> limits,
+            KeepWarmPolicy policy,
+            double coldStartWeight,
+            long measuredFrom,
+            long seed) {
+        this.arrivals = arrivals;
+        this.limits = limits;
+        this.policy = policy;
+        this.weight = coldStartWeight;
+        this.measuredFrom = measuredFrom;
+        this.random = new Random(seed);
+        this.placement =
+                new DefaultPlacement(loadTimes, DefaultPlacement.DEFAULT_SECONDS_PER_LOST_BENEFIT);
+        for (int number = 0; number < deployment.servers(); number++) {
+            servers.add(new SimulatedServer(number));
+        }
+        models = new Model[limits.size()];
+        for (int number = 0; number < models.length; number++) {
+            models[number] = new Model(number, limits.get(number));
+        }
+    }
+
+    WarmthResult run(long endMillis) {
+        at(PREWARM_CHECK, this::checkPrewarming);
+        at(measuredFrom, this::beginMeasuring);
+        int next = 0;
+        while (true) {
+            long nextArrival =
+                    next < arrivals.size() ? arrivals.get(next).atMillis() : Long.MAX_VALUE;
+            long nextEvent = queue.isEmpty() ? Long.MAX_VALUE : queue.peek().atMillis;
+            now = Math.min(nextArrival, nextEvent);
+            if (now >= endMillis) {
+                break;
+            }
+            if (nextEvent <= nextArrival) {
+                queue.remove().action.run();
+            } else {
+                arrive(arrivals.get(next++));
+            }
+        }
+        now = endMillis;
+        for (Model model : models) {
+            model.accountIdle();
+        }
+        return result;
+    }
+
+    /** Idle time before the measured day does not count. */
+    private void beginMeasuring() {
+        for (Model model : models) {
+            model.idleSince = now;
+        }
+    }
+
+    private void arrive(Arrival arrival) {
+        Model model = models[arrival.model()];
+        model.lastArrival = now;
+        policy.arrived(model.limit.artifact(), 1, instant());
+        if (model.ready) {
+            start(model, arrival);
+            return;
+        }
+        model.waiting.add(arrival);
+        if (model.server == null) {
+            place(model, false);
+        }
+    }
+
+    private void place(Model model, boolean prewarming) {
+        Optional<Placement.Choice> choice =
+                placement.choose(model.limit, candidates(model), Set.of());
+        if (choice.isEmpty()) {
+            if (!prewarming) {
+                at(now + PLACE_AGAIN, () -> placeAgain(model));
+            }
+            return;
+        }
+        if (prewarming && lostBenefit(choice.get()) >= benefit(model)) {
+            return;
+        }
+        SimulatedServer server = server(choice.get());
+        for (int number : List.copyOf(server.models())) {
+            if (choice.get().unloadFirst().contains(models[number].limit.artifact())) {
+                unload(models[number]);
+            }
+        }
+        model.server = server;
+        model.idleSince = now;
+        model.tier = server.tier(model.limit.artifact());
+        server.beginLoad(model.number, model.limit);
+        if (prewarming && measuring()) {
+            result.prewarmed++;
+        }
+        if (model.tier == CacheTier.REMOTE) {
+            (prewarming ? storePrewarmQueue : storeQueue).add(model);
+            startStoreLoads();
+        } else {
+            long took = loadMillis(model);
+            at(now + took, () -> loaded(model, took));
+        }
+    }
+
+    private void placeAgain(Model model) {
+        if (model.server == null && !model.waiting.isEmpty()) {
+            place(model, false);
+        }
+    }
+
+    private void startStoreLoads() {
+        while (storeLoads < STORE_LOADS && !(storeQueue.isEmpty() && storePrewarmQueue.isEmpty())) {
+            Model model = storeQueue.isEmpty() ? storePrewarmQueue.remove() : storeQueue.remove();
+            storeLoads++;
+            storeFreeAt = Math.max(now, storeFreeAt) + STORE_INTERVAL;
+            long took = loadMillis(model);
+            if (measuring()) {
+                result.remoteLoads++;
+            }
+            at(
+                    storeFreeAt - STORE_INTERVAL + took,
+                    () -> {
+                        storeLoads--;
+                        loaded(model, took);
+                        startStoreLoads();
+                    });
+        }
+    }
+
+    private long loadMillis(Model model) {
+        double gigabytes = model.limit.memoryBytes() / (double) ModelCatalogue.GIGABYTE;
+        double seconds =
+                switch (model.tier) {
+                    case MEMORY -> 1.5 + gigabytes / 12;
+                    case DISK -> 4 + gigabytes / 2.2;
+                    case REMOTE -> 7 + gigabytes / 0.9;
+                };
+        return (long) (seconds * Math.exp(0.15 * random.nextGaussian()) * TrafficTrace.SECOND);
+    }
+
+    private void loaded(Model model, long took) {
+        model.server.endLoad(model.limit);
+        loadTimes.observed(model.limit, model.tier, Duration.ofMillis(took));
+        model.ready = true;
+        if (!model.waiting.isEmpty() && measuring()) {
+            result.coldStarts++;
+        }
+        for (Arrival arrival : model.waiting) {
+            recordWait(result.coldWaits, arrival);
+            start(model, arrival);
+        }
+        model.waiting.clear();
+        checkIdle(model);
+    }
+
+    private void start(Model model, Arrival arrival) {
+        long adapterLoad = 0;
+        if (arrival.adapter() != TrafficTrace.NO_ADAPTER && model.adapters.add(arrival.adapter())) {
+            adapterLoad = 5 + random.nextInt(6);
+        }
+        recordWait(result.allWaits, arrival);
+        if (model.running == 0) {
+            model.accountIdle();
+        }
+        model.running++;
+        at(
+                now + adapterLoad + arrival.durationMillis(),
+                () -> {
+                    model.running--;
+                    if (model.running == 0) {
+                        model.idleSince = now;
+                        checkIdle(model);
+                    }
+                });
+    }
+
+    private void recordWait(Histogram histogram, Arrival arrival) {
+        if (arrival.atMillis() >= measuredFrom) {
+            histogram.recordValue(now - arrival.atMillis());
+        }
+    }
+
+    /** Unloads an idle model whose time has come, or looks again when it will have come. */
+    private void checkIdle(Model model) {
+        if (!model.ready || model.running > 0) {
+            return;
+        }
+        Duration keep = policy.keepFor(model.limit.artifact(), coldStart(model), weight, instant());
+        long until = model.lastArrival + keep.toMillis();
+        if (until <= now) {
+            unload(model);
+            return;
+        }
+        long check = ++model.checks;
+        at(
+                until,
+                () -> {
+                    if (model.checks == check) {
+                        checkIdle(model);
+                    }
+                });
+    }
+
+    private void unload(Model model) {
+        model.accountIdle();
+        model.server.unload(model.number, model.limit);
+        model.server = null;
+        model.ready = false;
+        model.adapters.clear();
+        model.checks++;
+    }
+
+    private void checkPrewarming() {
+        at(now + PREWARM_CHECK, this::checkPrewarming);
+        for (Model model : models) {
+            if (model.server == null
+                    && policy.prewarm(
+                            model.limit.artifact(), coldStart(model), weight, instant())) {
+                place(model, true);
+            }
+        }
+    }
+
+    private List<ServerCandidate> candidates(Model wanted) {
+        List<ServerCandidate> candidates = new ArrayList<>();
+        for (SimulatedServer server : servers) {
+            List<ServerCandidate.IdleArtifact> idle = new ArrayList<>();
+            for (int number : server.models()) {
+                Model model = models[number];
+                if (model.ready && model.running == 0) {
+                    idle.add(
+                            new ServerCandidate.IdleArtifact(
+                                    model.limit.artifact(),
+                                    model.limit.memoryBytes(),
+                                    benefit(model)));
+                }
+            }
+            candidates.add(
+                    new ServerCandidate(
+                            server.id(),
+                            server.domain(),
+                            server.freeBytes(),
+                            server.tier(wanted.limit.artifact()),
+                            server.loads(),
+                            0,
+                            false,
+                            false,
+                            idle));
+        }
+        return candidates;
+    }
+
+    private double benefit(Model model) {
+        return policy.expectedBenefit(model.limit.artifact(), coldStart(model), weight, instant());
+    }
+
+    private double lostBenefit(Placement.Choice choice) {
+        double lost = 0;
+        for (int number : server(choice).models()) {
+            if (choice.unloadFirst().contains(models[number].limit.artifact())) {
+                lost += benefit(models[number]);
+            }
+        }
+        return choice.unloadFirst().isEmpty() ? Double.NEGATIVE_INFINITY : lost;
+    }
+
+    private SimulatedServer server(Placement.Choice choice) {
+        return servers.stream()
+                .filter(server -> server.id().equals(choice.server()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Expected load time on the server with the best cache. */
+    private Duration coldStart(Model model) {
+        return servers.stream()
+                .map(server -> server.tier(model.limit.artifact()))
+                .min(Comparator.naturalOrder())
+                .map(tier -> loadTimes.expected(model.limit, tier))
+                .orElseThrow();
+    }
+
+    private boolean measuring() {
+        return now >= measuredFrom;
+    }
+
+    private Instant instant() {
+        return START.plusMillis(now);
+    }
+
+    private void at(long atMillis, Runnable action) {
+        queue.add(new Scheduled(atMillis, order++, action));
+    }
+
+    /** A model and its replica, if any. */
+    private final class Model {
+        private final int number;
+        private final ArtifactLimit limit;
+        private final List<Arrival> waiting = new ArrayList<>();
+        private final Set<Integer> adapters = new HashSet<>();
+        private SimulatedServer server;
+        private CacheTier tier;
+        private boolean ready;
+        private int running;
+        private long idleSince;
+        private long lastArrival;
+        private long checks;
+
+        Model(int number, ArtifactLimit limit) {
+            this.number = number;
+            this.limit = limit;
+        }
+
+        void accountIdle() {
+            if (server != null && running == 0 && measuring()) {
+                double share = limit.memoryBytes() / (double) SimulatedServer.ACCELERATOR_BYTES;
+                result.idleHours += (now - idleSince) / HOUR_MILLIS * share;
+            }
+        }
+    }
+
+    private record Scheduled(long atMillis, long order, Runnable action)
+            implements Comparable<Scheduled> {
+        @Override
+        public int compareTo(Scheduled other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+}
