Weigh idle time by accelerator share and gaps by their callers

Cause: an idle model of 8 GB was treated like one of 70 GB, and a gap after which a class returns like one after which a single caller does.

Change: DefaultKeepWarmPolicy takes the share of an accelerator that each artifact occupies; the gap histogram also holds the callers after the gaps, and the keep time minimises E[min(gap, t)] + cost * E[callers; gap > t].

The weights shift: a weight now buys more.

--- a/src/main/java/org/tarragonlug/decision/capacity/ArrivalHistory.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/ArrivalHistory.java
@@ -17,7 +17,7 @@
     /** Time without arrivals after which the next one starts a new session. */
     static final double SESSION_GAP_SECONDS = 600;
 
-    /** Arrivals this soon after a session start would wait for the same cold start. */
+    /** Arrivals this soon after a gap would wait for the same cold start. */
     private static final double BURST_SECONDS = 20;
 
     private static final double NEWEST_BURST_WEIGHT = 0.2;
@@ -28,6 +28,7 @@
     private double lastArrival;
     private double callersPerStart;
     private double burstStart = Double.NEGATIVE_INFINITY;
+    private double burstGap = Double.POSITIVE_INFINITY;
     private int burstCallers;
 
     private ArrivalHistory(
@@ -46,7 +47,10 @@
     public static ArrivalHistory empty(Instant now) {
         double seconds = seconds(now);
         return new ArrivalHistory(
-                new GapHistogram(new double[GapHistogram.BUCKETS], seconds),
+                new GapHistogram(
+                        new double[GapHistogram.BUCKETS],
+                        new double[GapHistogram.BUCKETS],
+                        seconds),
                 new WeekProfile(
                         new double[WeekProfile.HOURS],
                         new double[WeekProfile.SLOTS],
@@ -72,10 +76,14 @@
                 IntStream.range(0, GapHistogram.BUCKETS)
                         .mapToDouble(i -> stored.gaps()[i])
                         .toArray();
+        double[] gapCallers =
+                IntStream.range(0, GapHistogram.BUCKETS)
+                        .mapToDouble(i -> stored.gapCallers()[i])
+                        .toArray();
         double[] hours = spread(stored.hours(), stored.hourWeights(), WeekProfile.HOURS);
         double[] starts = spread(stored.startSlots(), stored.startWeights(), WeekProfile.SLOTS);
         return new ArrivalHistory(
-                new GapHistogram(gaps, stored.writtenAt()),
+                new GapHistogram(gaps, gapCallers, stored.writtenAt()),
                 new WeekProfile(hours, starts, stored.since(), stored.writtenAt()),
                 stored.lastArrival(),
                 stored.callersPerStart());
@@ -91,6 +99,7 @@
         double[] hours = week.arrivalsAt(seconds);
         double[] starts = week.startsAt(seconds);
         int[] usedHours = used(hours);
+        int[] allGaps = IntStream.range(0, GapHistogram.BUCKETS).toArray();
         int[] usedSlots = used(starts);
         return new ArrivalHistoryRecord(
                 FORMAT_VERSION,
@@ -98,7 +107,8 @@
                 seconds,
                 lastArrival,
                 callersPerStart,
-                floats(gaps.weightsAt(seconds), IntStream.range(0, GapHistogram.BUCKETS).toArray()),
+                floats(gaps.weightsAt(seconds), allGaps),
+                floats(gaps.callersAt(seconds), allGaps),
                 usedHours,
                 floats(hours, usedHours),
                 usedSlots,
@@ -117,20 +127,28 @@
         week.addArrivals(count, seconds);
         if (gap >= SESSION_GAP_SECONDS) {
             week.addStart(seconds);
+        }
+        if (Double.isFinite(gap)) {
+            gaps.add(Math.max(0, gap), seconds);
+        }
+        if (gap > BURST_SECONDS) {
             finishBurst();
+            burstGap = gap;
             burstStart = seconds;
+        } else {
+            gaps.addCallers(Math.max(0, gap), count, seconds);
         }
         if (seconds - burstStart <= BURST_SECONDS) {
             burstCallers += count;
-        }
-        if (Double.isFinite(gap)) {
-            gaps.add(Math.max(0, gap), seconds);
+            if (Double.isFinite(burstGap)) {
+                gaps.addCallers(burstGap, count, seconds);
+            }
         }
         lastArrival = seconds;
     }
 
     private void finishBurst() {
-        if (burstCallers > 0) {
+        if (burstCallers > 0 && burstGap >= SESSION_GAP_SECONDS) {
             callersPerStart += NEWEST_BURST_WEIGHT * (burstCallers - callersPerStart);
         }
         burstCallers = 0;
@@ -191,6 +209,8 @@
                 && stored.formatVersion() == FORMAT_VERSION
                 && stored.gaps() != null
                 && stored.gaps().length == GapHistogram.BUCKETS
+                && stored.gapCallers() != null
+                && stored.gapCallers().length == GapHistogram.BUCKETS
                 && indexed(stored.hours(), stored.hourWeights(), WeekProfile.HOURS)
                 && indexed(stored.startSlots(), stored.startWeights(), WeekProfile.SLOTS);
     }
--- a/src/main/java/org/tarragonlug/decision/capacity/ArrivalHistoryRecord.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/ArrivalHistoryRecord.java
@@ -10,6 +10,7 @@
  * @param lastArrival the last arrival, seconds of the epoch
  * @param callersPerStart decayed mean number of callers that arrive with a session start
  * @param gaps weight of each gap bucket
+ * @param gapCallers weight of the callers after the gaps of each bucket
  * @param hours hours of the week with arrivals
  * @param hourWeights weight of each of {@code hours}
  * @param startSlots five-minute slots of the week with session starts
@@ -22,6 +23,7 @@
         double lastArrival,
         double callersPerStart,
         float[] gaps,
+        float[] gapCallers,
         int[] hours,
         float[] hourWeights,
         int[] startSlots,
--- a/src/main/java/org/tarragonlug/decision/capacity/DefaultKeepWarmPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/DefaultKeepWarmPolicy.java
@@ -5,19 +5,22 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import org.tarragonlug.id.ArtifactId;
 
 /**
  * Keeps an idle artifact loaded while that is expected to cost less than its next cold start.
  *
  * <p>A cold start costs {@code coldStartWeight * coldStart} idle seconds for each caller that waits
- * for it; the number of callers that arrive together is learnt. Two rules apply:
+ * for it; the number of callers that arrive together is learnt. Idle seconds are those of a whole
+ * accelerator: an artifact that occupies a tenth of one may stay ten times as long. Two rules
+ * apply:
  *
  * <ul>
  *   <li>After a request, the artifact stays for the time t that minimises {@code E[min(gap, t)] +
- *       cost * P(gap > t)} over the known gaps. While fewer than {@value #FEWEST_GAPS} gaps are
- *       known, it stays for {@code cost} seconds, which never costs more than twice the best choice
- *       made in hindsight.
+ *       cost * P(gap > t)} over the known gaps, where the cost grows with the callers that came
+ *       after such a gap. While fewer than {@value #FEWEST_GAPS} gaps are known, it stays for
+ *       {@code cost} seconds, which never costs more than twice the best choice made in hindsight.
  *   <li>At any time, it is loaded or kept while the week's profile expects session starts at a rate
  *       whose cold starts cost more than one idle second per second. For a recurring lesson this is
  *       a few minutes around its start. A load is started earlier by its own duration.
@@ -39,8 +42,19 @@
     /** Prospects of idle artifacts are compared over the coming quarter hour. */
     private static final double BENEFIT_SECONDS = 900;
 
+    private final ToDoubleFunction<ArtifactId> share;
     private final Map<ArtifactId, ArrivalHistory> histories = new HashMap<>();
 
+    /**
+     * Creates a policy without history.
+     *
+     * @param share how much of an accelerator an artifact occupies while loaded, above zero;
+     *     usually its memory divided by that of one accelerator
+     */
+    public DefaultKeepWarmPolicy(ToDoubleFunction<ArtifactId> share) {
+        this.share = share;
+    }
+
     @Override
     public void arrived(ArtifactId artifact, int count, Instant now) {
         if (count > 0) {
@@ -55,15 +69,16 @@
             ArtifactId artifact, Duration coldStart, double coldStartWeight, Instant now) {
         ArrivalHistory history = histories.get(artifact);
         if (history == null) {
-            return duration(coldStartWeight * seconds(coldStart));
+            return duration(coldStartWeight * seconds(coldStart) / share.applyAsDouble(artifact));
         }
-        double cost = cost(history, coldStart, coldStartWeight);
+        double cost = coldStartWeight * seconds(coldStart) / share.applyAsDouble(artifact);
         double keep = cost;
         if (history.knownGaps(now) >= FEWEST_GAPS) {
             keep = history.cheapestKeepSeconds(cost);
         }
         double idle = history.idleSeconds(now);
-        if (idle + HOLD_SECONDS > keep && startExpected(history, coldStart, cost, now)) {
+        double startCost = cost * history.callersPerStart();
+        if (idle + HOLD_SECONDS > keep && startExpected(history, coldStart, startCost, now)) {
             keep = idle + HOLD_SECONDS;
         }
         return duration(keep);
@@ -73,9 +88,11 @@
     public boolean prewarm(
             ArtifactId artifact, Duration coldStart, double coldStartWeight, Instant now) {
         ArrivalHistory history = histories.get(artifact);
-        return history != null
-                && startExpected(
-                        history, coldStart, cost(history, coldStart, coldStartWeight), now);
+        if (history == null) {
+            return false;
+        }
+        double cost = cost(history, coldStart, coldStartWeight) / share.applyAsDouble(artifact);
+        return startExpected(history, coldStart, cost, now);
     }
 
     @Override
--- a/src/main/java/org/tarragonlug/decision/capacity/GapHistogram.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/GapHistogram.java
@@ -6,6 +6,10 @@
  * <p>Four buckets per octave from one second to beyond two weeks. A gap counts as the geometric
  * middle of its bucket, which is at most 9% off. Decay is by time with a half-life of two weeks,
  * and is applied forward: later gaps get a larger weight in place of shrinking all earlier ones.
+ *
+ * <p>Each bucket also holds how many callers arrived after its gaps, because all callers of a burst
+ * wait for the same cold start: a class that returns after ten minutes is worth more than a single
+ * question after two.
  */
 final class GapHistogram {
     static final int BUCKETS = 84;
@@ -15,16 +19,19 @@
     private static final double RESCALE_EXPONENT = 64;
 
     private final double[] weights;
+    private final double[] callers;
     private double originSeconds;
 
     /**
      * Creates a histogram.
      *
      * @param weights weight of each bucket at the origin; copied
+     * @param callers weight of the callers after the gaps of each bucket at the origin; copied
      * @param originSeconds time at which a gap has weight one, seconds of the epoch
      */
-    GapHistogram(double[] weights, double originSeconds) {
+    GapHistogram(double[] weights, double[] callers, double originSeconds) {
         this.weights = weights.clone();
+        this.callers = callers.clone();
         this.originSeconds = originSeconds;
     }
 
@@ -34,48 +41,70 @@
         return weights.clone();
     }
 
+    /** Returns the weights of the callers as of a time. */
+    double[] callersAt(double nowSeconds) {
+        rescale(nowSeconds);
+        return callers.clone();
+    }
+
     /** Records that arrivals were {@code gapSeconds} apart. */
     void add(double gapSeconds, double nowSeconds) {
+        double weight = weight(nowSeconds);
+        weights[bucket(gapSeconds)] += weight;
+    }
+
+    /** Records callers that would have waited if the artifact had been unloaded in a gap. */
+    void addCallers(double gapSeconds, int count, double nowSeconds) {
+        double weight = weight(nowSeconds);
+        callers[bucket(gapSeconds)] += count * weight;
+    }
+
+    private double weight(double nowSeconds) {
         double exponent = (nowSeconds - originSeconds) / HALF_LIFE_SECONDS;
         if (exponent > RESCALE_EXPONENT) {
             rescale(nowSeconds);
-            exponent = 0;
+            return 1;
         }
-        weights[bucket(gapSeconds)] += Math.pow(2, exponent);
+        return Math.pow(2, exponent);
     }
 
     private void rescale(double nowSeconds) {
         double factor = Math.pow(2, (originSeconds - nowSeconds) / HALF_LIFE_SECONDS);
         for (int bucket = 0; bucket < BUCKETS; bucket++) {
             weights[bucket] *= factor;
+            callers[bucket] *= factor;
         }
         originSeconds = nowSeconds;
     }
 
     /** Returns the decayed number of gaps as of a time. */
     double total(double nowSeconds) {
-        return sum() * Math.pow(2, (originSeconds - nowSeconds) / HALF_LIFE_SECONDS);
+        return sum(weights) * Math.pow(2, (originSeconds - nowSeconds) / HALF_LIFE_SECONDS);
     }
 
     /**
-     * Returns the idle time t that minimises {@code E[min(gap, t)] + cost * P(gap > t)}.
+     * Returns the idle time t that minimises {@code E[min(gap, t)] + cost * E[callers; gap > t]}.
+     * With one caller after each gap the second term is {@code cost * P(gap > t)}.
      *
      * <p>Between two bucket borders only the first term changes, and it grows with t. The minimum
      * is therefore at zero or at the upper border of a non-empty bucket, and one pass finds it
      * exactly.
      *
-     * @param cost idle seconds that one cold start is worth
+     * @param cost idle seconds that one caller's wait for a cold start is worth
      */
     double cheapestKeepSeconds(double cost) {
-        double above = sum();
+        double above = sum(weights);
+        double callersAbove = sum(callers);
         double within = 0;
-        double best = cost * above;
+        double best = cost * callersAbove;
         double bestSeconds = 0;
         for (int bucket = 0; bucket < BUCKETS - 1; bucket++) {
             above -= weights[bucket];
+            callersAbove -= callers[bucket];
             within += weights[bucket] * middleSeconds(bucket);
             double border = upperSeconds(bucket);
-            double candidate = within + (border + cost) * Math.max(0, above);
+            double candidate =
+                    within + border * Math.max(0, above) + cost * Math.max(0, callersAbove);
             if (weights[bucket] > 0 && candidate < best) {
                 best = candidate;
                 bestSeconds = border;
@@ -109,9 +138,9 @@
         return above;
     }
 
-    private double sum() {
+    private static double sum(double[] values) {
         double sum = 0;
-        for (double weight : weights) {
+        for (double weight : values) {
             sum += weight;
         }
         return sum;
--- a/src/main/java/org/tarragonlug/measure/ModelCatalogue.java
+++ b/src/main/java/org/tarragonlug/measure/ModelCatalogue.java
@@ -1,9 +1,12 @@
 package org.tarragonlug.measure;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.ToDoubleFunction;
 import org.tarragonlug.decision.configuration.ArtifactLimit;
 import org.tarragonlug.id.ArtifactId;
 
@@ -25,4 +28,15 @@
         }
         return models;
     }
+
+    /** Returns how much of an accelerator each model occupies. */
+    static ToDoubleFunction<ArtifactId> shares(List<ArtifactLimit> models) {
+        Map<ArtifactId, Double> shares = new HashMap<>();
+        for (ArtifactLimit model : models) {
+            shares.put(
+                    model.artifact(),
+                    model.memoryBytes() / (double) SimulatedServer.ACCELERATOR_BYTES);
+        }
+        return shares::get;
+    }
 }
--- a/src/main/java/org/tarragonlug/measure/WarmthMeasurement.java
+++ b/src/main/java/org/tarragonlug/measure/WarmthMeasurement.java
@@ -49,7 +49,7 @@
                 deployment.traffic(TRAINING_DAYS + 1, new Random(seed + 1)).sorted();
         printSizes(deployment, seed, coldStartWeight, models, arrivals, out);
         Map<String, WarmthResult> results = new LinkedHashMap<>();
-        policies()
+        policies(models)
                 .forEach(
                         (name, policy) -> {
                             WarmthSimulation simulation =
@@ -71,12 +71,12 @@
         printComparison(results.get("fixed-10m"), results.get("tarragonlug"), out);
     }
 
-    private static Map<String, Supplier<KeepWarmPolicy>> policies() {
+    private static Map<String, Supplier<KeepWarmPolicy>> policies(List<ArtifactLimit> models) {
         Map<String, Supplier<KeepWarmPolicy>> policies = new LinkedHashMap<>();
         policies.put("never", () -> new FixedTimeoutPolicy(NEVER));
         policies.put("fixed-10m", () -> new FixedTimeoutPolicy(Duration.ofMinutes(10)));
         policies.put("at-once", () -> new FixedTimeoutPolicy(Duration.ZERO));
-        policies.put("tarragonlug", DefaultKeepWarmPolicy::new);
+        policies.put("tarragonlug", () -> new DefaultKeepWarmPolicy(ModelCatalogue.shares(models)));
         return policies;
     }
 
--- a/src/test/java/org/tarragonlug/decision/capacity/DefaultKeepWarmPolicyTest.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/DefaultKeepWarmPolicyTest.java
@@ -29,7 +29,7 @@
         void costIsTheLeastOfAllTimes() {
             Random random = new Random(42);
             for (int round = 0; round < 300; round++) {
-                GapHistogram histogram = new GapHistogram(new double[GapHistogram.BUCKETS], 0);
+                GapHistogram histogram = emptyHistogram();
                 List<double[]> gaps = new ArrayList<>();
                 double now = 0;
                 double spread = 1 + 3 * random.nextDouble();
@@ -37,8 +37,10 @@
                     double gap = Math.exp(4 + spread * random.nextGaussian());
                     gap = Math.max(1, Math.min(gap, 900_000));
                     now += gap;
+                    int callers = 1 + random.nextInt(20);
                     histogram.add(gap, now);
-                    gaps.add(new double[] {gap, now});
+                    histogram.addCallers(gap, callers, now);
+                    gaps.add(new double[] {gap, now, callers});
                 }
                 double cost = Math.exp(8 * random.nextDouble());
                 double chosen = cost(gaps, now, histogram.cheapestKeepSeconds(cost), cost);
@@ -59,12 +61,13 @@
         void costIsExactlyTheLeastForGapsInTheMiddleOfBuckets() {
             Random random = new Random(44);
             for (int round = 0; round < 300; round++) {
-                GapHistogram histogram = new GapHistogram(new double[GapHistogram.BUCKETS], 0);
+                GapHistogram histogram = emptyHistogram();
                 List<double[]> gaps = new ArrayList<>();
                 for (int i = 1 + random.nextInt(30); i > 0; i--) {
                     double gap = Math.pow(2, (random.nextInt(80) + 0.5) / 4);
                     histogram.add(gap, 0);
-                    gaps.add(new double[] {gap, 0});
+                    histogram.addCallers(gap, 1, 0);
+                    gaps.add(new double[] {gap, 0, 1});
                 }
                 double cost = Math.exp(12 * random.nextDouble());
                 double chosen = cost(gaps, 0, histogram.cheapestKeepSeconds(cost), cost);
@@ -76,13 +79,18 @@
             }
         }
 
+        private GapHistogram emptyHistogram() {
+            double[] none = new double[GapHistogram.BUCKETS];
+            return new GapHistogram(none, none, 0);
+        }
+
         private double cost(List<double[]> gaps, double now, double keep, double cost) {
             double sum = 0;
             double weights = 0;
             for (double[] gap : gaps) {
                 double weight = Math.pow(2, (gap[1] - now) / GapHistogram.HALF_LIFE_SECONDS);
                 weights += weight;
-                sum += weight * (Math.min(gap[0], keep) + (gap[0] > keep ? cost : 0));
+                sum += weight * (Math.min(gap[0], keep) + (gap[0] > keep ? cost * gap[2] : 0));
             }
             return sum / weights;
         }
@@ -90,7 +98,7 @@
 
     @Nested
     class RecurringLessons {
-        private final DefaultKeepWarmPolicy policy = new DefaultKeepWarmPolicy();
+        private final DefaultKeepWarmPolicy policy = new DefaultKeepWarmPolicy(artifact -> 1);
 
         private void teachWeeks(int weeks) {
             for (int week = 0; week < weeks; week++) {
@@ -144,8 +152,8 @@
 
     @Nested
     class StoredHistories {
-        private final DefaultKeepWarmPolicy policy = new DefaultKeepWarmPolicy();
-        private final DefaultKeepWarmPolicy restored = new DefaultKeepWarmPolicy();
+        private final DefaultKeepWarmPolicy policy = new DefaultKeepWarmPolicy(artifact -> 1);
+        private final DefaultKeepWarmPolicy restored = new DefaultKeepWarmPolicy(artifact -> 1);
         private Instant now = MONDAY;
 
         private void learn() {
@@ -197,6 +205,7 @@
                     known.lastArrival(),
                     known.callersPerStart(),
                     gaps,
+                    known.gapCallers(),
                     known.hours(),
                     known.hourWeights(),
                     known.startSlots(),
