--- a/src/main/java/org/tarragonlug/measure/RequestWorld.java
+++ b/src/main/java/org/tarragonlug/measure/RequestWorld.java
@@ -49,7 +49,7 @@
     private final RequestFaults faults;
     private final RequestWorldObserver observer;
     private final SimulatedClaims claims = new SimulatedClaims();
-    private final Map<ServerId, SimulatedServer> servers = new LinkedHashMap<>();
+    private final Map<ServerId, RequestServer> servers = new LinkedHashMap<>();
     private final Map<ServerGroup, List<ServerDescription>> listed = new HashMap<>();
     private final Map<RequestId, SimulatedRequest> requests = new HashMap<>();
     private final Set<ArtifactId> loading = new HashSet<>();
@@ -86,7 +86,7 @@
     }
 
     /** Returns a server. */
-    public SimulatedServer server(ServerId id) {
+    public RequestServer server(ServerId id) {
         return servers.get(id);
     }
 
@@ -98,7 +98,7 @@
     /** Adds a server that runs so many requests at once, a token in so many milliseconds. */
     public ServerId addServer(ServerGroup group, int slots, double tokenMillis) {
         ServerId id = new ServerId(group + "-" + servers.size());
-        servers.put(id, new SimulatedServer(id, slots, tokenMillis, time, new ServerEvents()));
+        servers.put(id, new RequestServer(id, slots, tokenMillis, time, new ServerEvents()));
         FailureDomain domain = new FailureDomain("domain-" + servers.size() % 3);
         listed.computeIfAbsent(group, key -> new ArrayList<>())
                 .add(new ServerDescription(id, domain, false));
@@ -151,7 +151,7 @@
 
     /** Breaks every open connection to a server, which goes on working for a while. */
     public void breakConnections(ServerId id) {
-        for (SimulatedServer.Job job : List.copyOf(servers.get(id).jobs.values())) {
+        for (RequestServer.Job job : List.copyOf(servers.get(id).jobs.values())) {
             breakConnection(job);
         }
     }
@@ -184,7 +184,7 @@
     }
 
     private void report(ServerId id) {
-        SimulatedServer server = servers.get(id);
+        RequestServer server = servers.get(id);
         Instant fetchedAt = time.now();
         if (server.partitioned) {
             RequestEvent event = new RequestEvent.ServerUnreachable(id);
@@ -212,7 +212,7 @@
     private void publishReplicas(
             ArtifactId artifact, ColdStart coldStart, Optional<Instant> expected) {
         Set<ServerId> ready = new HashSet<>();
-        for (SimulatedServer server : servers.values()) {
+        for (RequestServer server : servers.values()) {
             if (server.alive && !server.leaving && server.loaded.contains(artifact)) {
                 ready.add(server.id);
             }
@@ -227,7 +227,7 @@
         } else if (command instanceof RequestCommand.SendCall send) {
             transmit(send.attempt(), send.request(), send.server(), null, 0);
         } else if (command instanceof RequestCommand.CancelAttempt cancel) {
-            SimulatedServer server = servers.get(cancel.server());
+            RequestServer server = servers.get(cancel.server());
             double millis = faults.cancelMillis(random) + NETWORK_MILLIS;
             time.afterMillis(millis, () -> server.cancel(cancel.attempt()));
         } else if (command instanceof RequestCommand.CheckServer check) {
@@ -247,13 +247,13 @@
 
     private void transmit(
             AttemptId attempt, RequestId id, ServerId serverId, ArtifactId artifact, int offset) {
-        SimulatedServer server = servers.get(serverId);
+        RequestServer server = servers.get(serverId);
         SimulatedRequest request = requests.get(id);
         time.afterMillis(
                 NETWORK_MILLIS,
                 () -> {
-                    SimulatedServer.Job job =
-                            new SimulatedServer.Job(
+                    RequestServer.Job job =
+                            new RequestServer.Job(
                                     attempt, request, artifact == null, offset, server.incarnation);
                     AttemptFailure refusal = refusal(server, artifact);
                     if (refusal != null) {
@@ -269,7 +269,7 @@
                 });
     }
 
-    private static AttemptFailure refusal(SimulatedServer server, ArtifactId artifact) {
+    private static AttemptFailure refusal(RequestServer server, ArtifactId artifact) {
         if (server.partitioned || !server.alive) {
             return AttemptFailure.NOT_SENT;
         }
@@ -280,7 +280,7 @@
         return missing ? AttemptFailure.REFUSED_NOT_LOADED : null;
     }
 
-    private void breakConnection(SimulatedServer.Job job) {
+    private void breakConnection(RequestServer.Job job) {
         if (!job.stopped && job.connected && !job.silent) {
             fail(job, AttemptFailure.CONNECTION_LOST);
             // What is under way still arrives, and a call runs on without its connection.
@@ -288,7 +288,7 @@
         }
     }
 
-    private void fail(SimulatedServer.Job job, AttemptFailure failure) {
+    private void fail(RequestServer.Job job, AttemptFailure failure) {
         if (job.silent || !job.connected) {
             return;
         }
@@ -320,9 +320,9 @@
         if (ready || !loading.add(artifact)) {
             return;
         }
-        List<SimulatedServer> candidates = new ArrayList<>();
+        List<RequestServer> candidates = new ArrayList<>();
         for (ServerDescription entry : listed.getOrDefault(ENGINES, List.of())) {
-            SimulatedServer server = servers.get(entry.server());
+            RequestServer server = servers.get(entry.server());
             if (server.alive && !server.leaving) {
                 candidates.add(server);
             }
@@ -331,7 +331,7 @@
             loading.remove(artifact);
             return;
         }
-        SimulatedServer server = candidates.get(random.nextInt(candidates.size()));
+        RequestServer server = candidates.get(random.nextInt(candidates.size()));
         int incarnation = server.incarnation;
         Duration load = Duration.ofMillis(faults.loadMillis());
         Optional<Instant> expected = Optional.of(time.now().plus(load));
@@ -351,25 +351,25 @@
                 });
     }
 
-    private static boolean isReady(SimulatedServer server, ArtifactId artifact) {
+    private static boolean isReady(RequestServer server, ArtifactId artifact) {
         return server.alive && !server.leaving && server.loaded.contains(artifact);
     }
 
-    private final class ServerEvents implements SimulatedServer.Listener {
+    private final class ServerEvents implements RequestServer.Listener {
         @Override
-        public void started(SimulatedServer server, SimulatedServer.Job job) {
+        public void started(RequestServer server, RequestServer.Job job) {
             observer.ran(job.request, job.attempt, server.id, time.now());
         }
 
         @Override
-        public void token(SimulatedServer.Job job, int offset) {
+        public void token(RequestServer.Job job, int offset) {
             deliver(
                     job,
                     new RequestEvent.AttemptToken(job.attempt, offset, job.request.token(offset)));
         }
 
         @Override
-        public void completed(SimulatedServer.Job job) {
+        public void completed(RequestServer.Job job) {
             deliver(
                     job,
                     job.call
@@ -379,18 +379,18 @@
         }
 
         @Override
-        public void failed(SimulatedServer.Job job, AttemptFailure failure) {
+        public void failed(RequestServer.Job job, AttemptFailure failure) {
             fail(job, failure);
         }
 
         @Override
-        public void crashed(SimulatedServer server) {
+        public void crashed(RequestServer server) {
             server.loaded.removeIf(artifact -> faults.losesLoaded());
             observer.crashed(server.id, time.now());
             time.afterMillis(faults.restartMillis(), () -> server.alive = true);
         }
 
-        private void deliver(SimulatedServer.Job job, RequestEvent event) {
+        private void deliver(RequestServer.Job job, RequestEvent event) {
             if (!job.silent && job.connected) {
                 time.afterMillis(NETWORK_MILLIS, () -> post(event));
             }
--- a/src/main/java/org/tarragonlug/measure/SimulatedServer.java
+++ b/src/main/java/org/tarragonlug/measure/SimulatedServer.java
@@ -1,160 +1,105 @@
 package org.tarragonlug.measure;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import org.tarragonlug.decision.request.AttemptFailure;
+import org.tarragonlug.decision.capacity.CacheTier;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
 import org.tarragonlug.id.ArtifactId;
-import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ServerId;
 
-/** A backend server: some requests run at once, each at a steady pace, and the others queue. */
-public final class SimulatedServer {
-    /** Where a server reports what becomes of its attempts. */
-    interface Listener {
-        void started(SimulatedServer server, Job job);
-
-        void token(Job job, int offset);
-
-        void completed(Job job);
-
-        void failed(Job job, AttemptFailure failure);
-
-        void crashed(SimulatedServer server);
+/** A backend server: accelerator memory, and caches of checkpoints in host memory and on disk. */
+final class SimulatedServer {
+    static final long ACCELERATOR_BYTES = 80 * ModelCatalogue.GIGABYTE;
+    static final int ACCELERATORS = 2;
+
+    private static final long MEMORY_CACHE_BYTES = 64 * ModelCatalogue.GIGABYTE;
+    private static final long DISK_CACHE_BYTES = 300 * ModelCatalogue.GIGABYTE;
+
+    private final ServerId id;
+    private final FailureDomain domain;
+    private final Cache memory = new Cache(MEMORY_CACHE_BYTES);
+    private final Cache disk = new Cache(DISK_CACHE_BYTES);
+    private final Set<Integer> models = new LinkedHashSet<>();
+    private long freeBytes = ACCELERATORS * ACCELERATOR_BYTES;
+    private int loads;
+
+    SimulatedServer(int number) {
+        id = new ServerId("server-" + number);
+        domain = new FailureDomain("domain-" + number % 3);
     }
 
-    /** One attempt at the server. */
-    static final class Job {
-        final AttemptId attempt;
-        final SimulatedRequest request;
-        final boolean call;
-        final int incarnation;
-        int next;
-        boolean silent;
-        boolean connected = true;
-        boolean stopped;
-
-        Job(AttemptId attempt, SimulatedRequest request, boolean call, int next, int incarnation) {
-            this.attempt = attempt;
-            this.request = request;
-            this.call = call;
-            this.next = next;
-            this.incarnation = incarnation;
-        }
+    ServerId id() {
+        return id;
     }
 
-    private static final double CRASH_MILLIS = 20;
-
-    final ServerId id;
-    final int slots;
-    final Set<ArtifactId> loaded = new HashSet<>();
-    final Map<AttemptId, Job> jobs = new LinkedHashMap<>();
-    double tokenMillis;
-    int queueLimit = Integer.MAX_VALUE;
-    int incarnation = 1;
-    boolean alive = true;
-    boolean partitioned;
-    boolean leaving;
-
-    private final VirtualTime time;
-    private final Listener listener;
-    private final Deque<Job> queue = new ArrayDeque<>();
-    private int running;
-
-    SimulatedServer(
-            ServerId id, int slots, double tokenMillis, VirtualTime time, Listener listener) {
-        this.id = id;
-        this.slots = slots;
-        this.tokenMillis = tokenMillis;
-        this.time = time;
-        this.listener = listener;
+    FailureDomain domain() {
+        return domain;
     }
 
-    int running() {
-        return running;
+    Set<Integer> models() {
+        return models;
     }
 
-    int queued() {
-        return queue.size();
+    long freeBytes() {
+        return freeBytes;
     }
 
-    void submit(Job job) {
-        if (queue.size() >= queueLimit) {
-            listener.failed(job, AttemptFailure.REFUSED_OVERLOADED);
-            return;
-        }
-        jobs.put(job.attempt, job);
-        queue.add(job);
-        startQueued();
+    int loads() {
+        return loads;
     }
 
-    void cancel(AttemptId attempt) {
-        Job job = jobs.remove(attempt);
-        if (job != null) {
-            job.stopped = true;
-            if (!queue.remove(job)) {
-                running--;
-            }
-            startQueued();
+    CacheTier tier(ArtifactId artifact) {
+        if (memory.entries.containsKey(artifact)) {
+            return CacheTier.MEMORY;
         }
+        return disk.entries.containsKey(artifact) ? CacheTier.DISK : CacheTier.REMOTE;
     }
 
-    /** Loses the process with everything in it. */
-    void crash() {
-        alive = false;
-        incarnation++;
-        running = 0;
-        queue.clear();
-        listener.crashed(this);
-        for (Job job : jobs.values()) {
-            job.stopped = true;
-            listener.failed(job, AttemptFailure.CONNECTION_LOST);
+    void beginLoad(int model, ArtifactLimit limit) {
+        freeBytes -= limit.memoryBytes();
+        if (freeBytes < 0) {
+            throw new IllegalStateException("Memory of " + id + " is overcommitted");
         }
-        jobs.clear();
+        models.add(model);
+        loads++;
     }
 
-    private void startQueued() {
-        while (running < slots && !queue.isEmpty()) {
-            Job job = queue.poll();
-            running++;
-            listener.started(this, job);
-            if (job.request.crashing()) {
-                time.afterMillis(CRASH_MILLIS, () -> crashBy(job));
-            }
-            step(job);
-        }
+    void endLoad(ArtifactLimit limit) {
+        loads--;
+        disk.touch(limit);
+        memory.touch(limit);
     }
 
-    private void crashBy(Job job) {
-        if (!job.stopped) {
-            crash();
-        }
+    void unload(int model, ArtifactLimit limit) {
+        freeBytes += limit.memoryBytes();
+        models.remove(model);
     }
 
-    private void step(Job job) {
-        double millis = job.call ? tokenMillis * job.request.tokens() : tokenMillis;
-        time.afterMillis(millis, () -> advance(job));
-    }
+    /** A cache that drops the least recently loaded checkpoint. */
+    private static final class Cache {
+        private final long capacityBytes;
+        private final Map<ArtifactId, Long> entries = new LinkedHashMap<>();
+        private long usedBytes;
 
-    private void advance(Job job) {
-        if (job.stopped) {
-            return;
-        }
-        if (!job.call && job.next < job.request.tokens()) {
-            listener.token(job, job.next);
-            job.next++;
+        Cache(long capacityBytes) {
+            this.capacityBytes = capacityBytes;
         }
-        if (job.call || job.next >= job.request.tokens()) {
-            job.stopped = true;
-            jobs.remove(job.attempt);
-            running--;
-            listener.completed(job);
-            startQueued();
-        } else {
-            step(job);
+
+        void touch(ArtifactLimit limit) {
+            Long before = entries.remove(limit.artifact());
+            usedBytes -= before == null ? 0 : before;
+            if (limit.memoryBytes() > capacityBytes) {
+                return;
+            }
+            entries.put(limit.artifact(), limit.memoryBytes());
+            usedBytes += limit.memoryBytes();
+            while (usedBytes > capacityBytes) {
+                ArtifactId oldest = entries.keySet().iterator().next();
+                usedBytes -= entries.remove(oldest);
+            }
         }
     }
 }
