--- a/src/main/java/org/tarragonlug/decision/configuration/ConfigurationHistory.java
+++ b/src/main/java/org/tarragonlug/decision/configuration/ConfigurationHistory.java
@@ -23,11 +23,6 @@
     static final int KEPT = 32;
 
     private final TreeMap<ConfigurationVersion, Configuration> kept = new TreeMap<>();
-    private final ConfigurationDigest digest;
-
-    ConfigurationHistory(ConfigurationDigest digest) {
-        this.digest = digest;
-    }
 
     void add(Configuration configuration) {
         kept.put(configuration.version(), configuration);
@@ -37,7 +32,7 @@
     }
 
     /** Computes the rows changed since a version; empty if that version is no longer kept. */
-    Optional<ConfigurationDelta> delta(ConfigurationVersion from, Configuration to) {
+    Optional<ConfigurationDelta> delta(ConfigurationVersion from, Configuration to, long digest) {
         Configuration old = kept.get(from);
         if (old == null) {
             return Optional.empty();
@@ -54,7 +49,7 @@
                         removed(oldRoutes, newRoutes),
                         changed(oldPools, newPools),
                         removed(oldPools, newPools),
-                        digest.of(to.routes(), to.pools())));
+                        digest));
     }
 
     /** Applies changed rows to the configuration that they start from. */
--- a/src/main/java/org/tarragonlug/decision/configuration/ConfigurationHolder.java
+++ b/src/main/java/org/tarragonlug/decision/configuration/ConfigurationHolder.java
@@ -36,6 +36,7 @@
     private final InvariantListener invariants;
     private final TreeMap<InstanceId, ConfigurationVersion> ahead = new TreeMap<>();
     private Configuration current = Configuration.EMPTY;
+    private long currentDigest;
     private ConfigurationVersion highest = ConfigurationVersion.NONE;
     private Optional<Outstanding> outstanding = Optional.empty();
 
@@ -47,7 +48,7 @@
      */
     public ConfigurationHolder(Hasher hasher, InvariantListener invariants) {
         this.digest = new ConfigurationDigest(hasher);
-        this.history = new ConfigurationHistory(digest);
+        this.history = new ConfigurationHistory();
         this.invariants = invariants;
     }
 
@@ -87,8 +88,7 @@
     }
 
     private boolean differs(Configuration other) {
-        return digest.of(other.routes(), other.pools())
-                != digest.of(current.routes(), current.pools());
+        return digest.of(other.routes(), other.pools()) != currentDigest;
     }
 
     private void install(Configuration configuration, List<HolderCommand> commands) {
@@ -100,6 +100,7 @@
         }
         highest = configuration.version();
         current = configuration;
+        currentDigest = digest.of(configuration.routes(), configuration.pools());
         history.add(configuration);
         ahead.values().removeIf(version -> version.compareTo(highest) <= 0);
         commands.add(new HolderCommand.Install(configuration));
@@ -134,13 +135,13 @@
             return;
         }
         Optional<ConfigurationDelta> delta =
-                request.whole() ? Optional.empty() : history.delta(request.have(), current);
+                request.whole()
+                        ? Optional.empty()
+                        : history.delta(request.have(), current, currentDigest);
         if (delta.isPresent()) {
             commands.add(new HolderCommand.SendRows(request.peer(), delta.get()));
         } else {
-            commands.add(
-                    new HolderCommand.SendWhole(
-                            request.peer(), current, digest.of(current.routes(), current.pools())));
+            commands.add(new HolderCommand.SendWhole(request.peer(), current, currentDigest));
         }
     }
 
--- a/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
+++ b/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ProcessId;
 
@@ -28,6 +29,7 @@
     private final InstanceId self;
     private final TreeMap<InstanceId, Entry> entries = new TreeMap<>();
     private boolean changed;
+    private int suspects;
 
     MemberTable(InstanceId self) {
         this.self = self;
@@ -76,6 +78,8 @@
         }
         changed |= entry.state.isLive() != update.state().isLive() || entry.incarnation < 0;
         changed |= !entry.process.equals(update.process());
+        suspects += update.state() == MemberState.SUSPECT ? 1 : 0;
+        suspects -= entry.state == MemberState.SUSPECT ? 1 : 0;
         entry.process = update.process();
         entry.incarnation = update.incarnation();
         entry.state = update.state();
@@ -112,6 +116,9 @@
     /** Returns the suspects whose time to refute is over. */
     List<InstanceId> expiredSuspects(Instant now) {
         List<InstanceId> expired = new ArrayList<>();
+        if (suspects == 0) {
+            return expired;
+        }
         for (Entry entry : entries.values()) {
             if (entry.state == MemberState.SUSPECT && !now.isBefore(entry.suspicionEnd)) {
                 expired.add(entry.candidate.instance());
@@ -149,7 +156,7 @@
         return select(entry -> entry.state == MemberState.DEAD && entry.listed);
     }
 
-    private List<InstanceId> select(java.util.function.Predicate<Entry> condition) {
+    private List<InstanceId> select(Predicate<Entry> condition) {
         List<InstanceId> selected = new ArrayList<>();
         for (Entry entry : entries.values()) {
             if (condition.test(entry)) {
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/ConfigurationSpread.java
@@ -0,0 +1,125 @@
+package org.tarragonlug.measure;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.configuration.ConfigurationHolder;
+import org.tarragonlug.decision.configuration.HolderCommand;
+import org.tarragonlug.decision.configuration.HolderEvent;
+import org.tarragonlug.decision.membership.MembershipCommand;
+import org.tarragonlug.decision.membership.MembershipEvent;
+import org.tarragonlug.decision.membership.Ownership;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.peer.PeerMessage;
+
+/** The configuration holders of a virtual cluster; does nothing until it is enabled. */
+final class ConfigurationSpread {
+    private static final long SHORTEST_WATCH_MICROS = 5_000;
+    private static final long WATCH_JITTER_MICROS = 45_000;
+
+    private final VirtualCluster cluster;
+    private final VirtualCluster.Observer observer;
+    private final List<ConfigurationHolder> holders = new ArrayList<>();
+    private int violations;
+
+    ConfigurationSpread(VirtualCluster cluster, VirtualCluster.Observer observer) {
+        this.cluster = cluster;
+        this.observer = observer;
+    }
+
+    /** Gives every member a holder with a first configuration. */
+    void enable(Configuration first) {
+        for (int member = 0; member < cluster.size(); member++) {
+            holders.add(
+                    new ConfigurationHolder(
+                            VirtualCluster.HASHER, (invariant, detail) -> violations++));
+            handle(member, new HolderEvent.StoredRead(first));
+        }
+    }
+
+    int violations() {
+        return violations;
+    }
+
+    ConfigurationHolder holder(int member) {
+        return holders.get(member);
+    }
+
+    /** Stores a configuration; the watchers of each failure domain read it soon. */
+    void store(Configuration next, int watchersPerDomain, int domains) {
+        Ownership ownership = new Ownership(VirtualCluster.HASHER, cluster.detector(0).view());
+        for (int domain = 0; domain < domains; domain++) {
+            FailureDomain name = new FailureDomain("domain-" + domain);
+            for (InstanceId watcher :
+                    ownership.ranked("configuration/watch", watchersPerDomain, name)) {
+                int member = cluster.number(watcher);
+                long delay = SHORTEST_WATCH_MICROS + cluster.random().nextLong(WATCH_JITTER_MICROS);
+                cluster.schedule(delay, () -> handle(member, new HolderEvent.StoredRead(next)));
+            }
+        }
+    }
+
+    void seen(int member, MembershipCommand.NewerConfigurationSeen seen) {
+        if (!holders.isEmpty()) {
+            handle(member, new HolderEvent.PeerVersionSeen(seen.peer(), seen.version()));
+        }
+    }
+
+    void tick(int member) {
+        if (!holders.isEmpty()) {
+            handle(member, new HolderEvent.Tick());
+        }
+    }
+
+    void received(int from, int to, PeerMessage message) {
+        InstanceId peer = cluster.instance(from);
+        Optional<HolderEvent> event = Optional.empty();
+        if (message instanceof PeerMessage.ConfigurationRequest request) {
+            event =
+                    Optional.of(
+                            new HolderEvent.RequestReceived(peer, request.have(), request.whole()));
+        } else if (message instanceof PeerMessage.ConfigurationRows rows) {
+            event = Optional.of(new HolderEvent.RowsReceived(peer, rows.delta()));
+        } else if (message instanceof PeerMessage.ConfigurationWhole whole) {
+            event =
+                    Optional.of(
+                            new HolderEvent.WholeReceived(
+                                    peer, whole.configuration(), whole.digest()));
+        }
+        event.ifPresent(known -> handle(to, known));
+    }
+
+    private void handle(int member, HolderEvent event) {
+        for (HolderCommand command : holders.get(member).handle(event, cluster.now(member))) {
+            execute(member, command);
+        }
+    }
+
+    private void execute(int member, HolderCommand command) {
+        if (command instanceof HolderCommand.Install install) {
+            observer.installed(member, install.configuration().version().value(), cluster.micros());
+            cluster.handle(
+                    member,
+                    new MembershipEvent.ConfigurationInstalled(install.configuration().version()));
+        } else if (command instanceof HolderCommand.Request request) {
+            cluster.send(
+                    member,
+                    cluster.number(request.peer()),
+                    new PeerMessage.ConfigurationRequest(
+                            PeerMessage.FORMAT_VERSION, request.have(), request.whole()));
+        } else if (command instanceof HolderCommand.SendRows rows) {
+            cluster.send(
+                    member,
+                    cluster.number(rows.peer()),
+                    new PeerMessage.ConfigurationRows(PeerMessage.FORMAT_VERSION, rows.delta()));
+        } else if (command instanceof HolderCommand.SendWhole whole) {
+            cluster.send(
+                    member,
+                    cluster.number(whole.peer()),
+                    new PeerMessage.ConfigurationWhole(
+                            PeerMessage.FORMAT_VERSION, whole.configuration(), whole.digest()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/RingDetector.java
@@ -0,0 +1,214 @@
+package org.tarragonlug.measure;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.tarragonlug.decision.membership.Candidate;
+import org.tarragonlug.decision.membership.FailureDetector;
+import org.tarragonlug.decision.membership.Member;
+import org.tarragonlug.decision.membership.MemberState;
+import org.tarragonlug.decision.membership.MemberUpdate;
+import org.tarragonlug.decision.membership.MemberView;
+import org.tarragonlug.decision.membership.MembershipCommand;
+import org.tarragonlug.decision.membership.MembershipEvent;
+import org.tarragonlug.decision.membership.MembershipMessage;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ProcessId;
+
+/**
+ * Baseline after the ring of Zhou et al., "Scalable Group Management in Large-Scale Virtualized
+ * Clusters", 2010, as docs/design.md describes it: each member sends heartbeats to its predecessor,
+ * which reports a missing one to the leader (the lowest live id), which installs the view at all
+ * members in a single round. A member that finds itself outside of the view asks the leader to
+ * join.
+ */
+final class RingDetector implements FailureDetector {
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+    private static final Duration TIMEOUT = Duration.ofSeconds(4);
+
+    private final Candidate self;
+    private final ProcessId process;
+    private final Map<InstanceId, Candidate> candidates = new TreeMap<>();
+    private final Map<InstanceId, MemberUpdate> claims = new TreeMap<>();
+    private long incarnation;
+    private Instant nextHeartbeat = Instant.EPOCH;
+    private InstanceId watched;
+    private Instant watchedHeard = Instant.EPOCH;
+
+    RingDetector(Candidate self, ProcessId process, long incarnation) {
+        this.self = self;
+        this.process = process;
+        this.incarnation = incarnation;
+    }
+
+    @Override
+    public MemberView view() {
+        List<Member> members = new ArrayList<>();
+        for (InstanceId id : live()) {
+            Candidate candidate = candidates.getOrDefault(id, self);
+            members.add(
+                    new Member(
+                            id,
+                            process,
+                            candidate.address(),
+                            candidate.failureDomain(),
+                            0,
+                            MemberState.ALIVE));
+        }
+        return new MemberView(self.instance(), members);
+    }
+
+    /** Returns the live members in the order of the ring, the own instance included. */
+    private List<InstanceId> live() {
+        List<InstanceId> ids = new ArrayList<>();
+        for (MemberUpdate claim : claims.values()) {
+            if (claim.state().isLive()) {
+                ids.add(claim.instance());
+            }
+        }
+        return ids;
+    }
+
+    @Override
+    public List<MembershipCommand> handle(MembershipEvent event, Instant now) {
+        List<MembershipCommand> commands = new ArrayList<>();
+        if (event instanceof MembershipEvent.CandidatesListed listed) {
+            for (Candidate candidate : listed.candidates()) {
+                candidates.put(candidate.instance(), candidate);
+                claims.putIfAbsent(
+                        candidate.instance(), claim(candidate.instance(), 0, MemberState.ALIVE));
+            }
+            claims.put(self.instance(), ownClaim());
+        } else if (event instanceof MembershipEvent.MessageReceived received) {
+            receive(received, now, commands);
+        } else if (event instanceof MembershipEvent.Tick) {
+            tick(now, commands);
+        }
+        return commands;
+    }
+
+    private void receive(
+            MembershipEvent.MessageReceived received,
+            Instant now,
+            List<MembershipCommand> commands) {
+        if (received.from().equals(watched)) {
+            watchedHeard = now;
+        }
+        boolean isReport = received.message() instanceof MembershipMessage.IndirectProbe;
+        apply(received.message().updates(), isReport, commands);
+    }
+
+    /** Takes over claims; a leader installs what is new at all members. */
+    private void apply(
+            List<MemberUpdate> updates, boolean isReport, List<MembershipCommand> commands) {
+        Set<InstanceId> before = new HashSet<>(live());
+        List<MemberUpdate> news = new ArrayList<>();
+        for (MemberUpdate update : updates) {
+            MemberUpdate known = claims.get(update.instance());
+            if (update.instance().equals(self.instance())) {
+                rejoin(update, commands);
+            } else if (update.supersedes(known.incarnation(), known.state())) {
+                claims.put(update.instance(), update);
+                news.add(update);
+            }
+        }
+        List<InstanceId> after = live();
+        List<InstanceId> joined = after.stream().filter(id -> !before.contains(id)).toList();
+        before.removeAll(after);
+        if (!joined.isEmpty() || !before.isEmpty()) {
+            commands.add(new MembershipCommand.ViewChanged(view(), joined, List.copyOf(before)));
+        }
+        if (isReport && !news.isEmpty() && leader().equals(self.instance())) {
+            install(news, joined, commands);
+        }
+    }
+
+    private void rejoin(MemberUpdate update, List<MembershipCommand> commands) {
+        if (update.state() == MemberState.ALIVE || update.incarnation() < incarnation) {
+            return;
+        }
+        incarnation = update.incarnation() + 1;
+        claims.put(self.instance(), ownClaim());
+        report(ownClaim(), commands);
+    }
+
+    private void install(
+            List<MemberUpdate> news, List<InstanceId> joined, List<MembershipCommand> commands) {
+        for (InstanceId member : live()) {
+            boolean needsAll = joined.contains(member);
+            List<MemberUpdate> sent = needsAll ? List.copyOf(claims.values()) : news;
+            send(member, new MembershipMessage.Gossip(ConfigurationVersion.NONE, sent), commands);
+        }
+    }
+
+    private void tick(Instant now, List<MembershipCommand> commands) {
+        List<InstanceId> ring = live();
+        int position = ring.indexOf(self.instance());
+        InstanceId successor = ring.get((position + 1) % ring.size());
+        InstanceId predecessor = ring.get((position + ring.size() - 1) % ring.size());
+        if (!successor.equals(watched)) {
+            watched = successor;
+            watchedHeard = now;
+        }
+        if (ring.size() > 1 && now.isAfter(watchedHeard.plus(TIMEOUT))) {
+            watchedHeard = now;
+            MemberUpdate known = claims.get(watched);
+            MemberUpdate dead = claim(watched, known.incarnation(), MemberState.DEAD);
+            report(dead, commands);
+        }
+        if (!now.isBefore(nextHeartbeat)) {
+            nextHeartbeat = now.plus(PERIOD);
+            send(
+                    predecessor,
+                    new MembershipMessage.Gossip(ConfigurationVersion.NONE, List.of(ownClaim())),
+                    commands);
+        }
+    }
+
+    /** Reports to the leader, or to its successor when the leader is the one that is missing. */
+    private void report(MemberUpdate update, List<MembershipCommand> commands) {
+        List<MemberUpdate> updates = List.of(update);
+        InstanceId leader = leader();
+        if (leader.equals(update.instance()) && !leader.equals(self.instance())) {
+            leader =
+                    live().stream()
+                            .filter(id -> !id.equals(update.instance()))
+                            .findFirst()
+                            .orElse(self.instance());
+        }
+        if (leader.equals(self.instance())) {
+            apply(updates, true, commands);
+        } else {
+            send(
+                    leader,
+                    new MembershipMessage.IndirectProbe(
+                            0, update.instance(), ConfigurationVersion.NONE, updates),
+                    commands);
+        }
+    }
+
+    private InstanceId leader() {
+        return live().get(0);
+    }
+
+    private MemberUpdate ownClaim() {
+        return claim(self.instance(), incarnation, MemberState.ALIVE);
+    }
+
+    private MemberUpdate claim(InstanceId instance, long number, MemberState state) {
+        return new MemberUpdate(instance, process, number, state, Optional.empty());
+    }
+
+    private void send(InstanceId to, MembershipMessage message, List<MembershipCommand> commands) {
+        if (!to.equals(self.instance())) {
+            commands.add(new MembershipCommand.Send(to, candidates.get(to).address(), message));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurement programs; each prints seed, sizes, baseline and results. */
+package org.tarragonlug.measure;
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
@@ -72,13 +73,20 @@
                         .setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
                         .setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
                         .setDefaultSetterInfo(JsonSetter.Value.forContentNulls(Nulls.FAIL))
-                        .setSerializationInclusion(JsonInclude.Include.NON_EMPTY)
                         .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
                         .configure(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES, true);
+        for (Class<?> type : List.of(List.class, Map.class, Optional.class)) {
+            mapper.configOverride(type).setInclude(leftOutWhenEmpty());
+        }
         mapper.configOverride(List.class).setSetterInfo(emptyWhenMissing());
         mapper.configOverride(Map.class).setSetterInfo(emptyWhenMissing());
     }
 
+    private static JsonInclude.Value leftOutWhenEmpty() {
+        return JsonInclude.Value.construct(
+                JsonInclude.Include.NON_EMPTY, JsonInclude.Include.ALWAYS);
+    }
+
     private static JsonSetter.Value emptyWhenMissing() {
         return JsonSetter.Value.construct(Nulls.AS_EMPTY, Nulls.FAIL);
     }
--- /dev/null
+++ b/src/test/java/org/tarragonlug/peer/SilentRelay.java
@@ -0,0 +1,99 @@
+package org.tarragonlug.peer;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Forwards connections to a target and can make the open ones silent while new ones work. */
+final class SilentRelay implements AutoCloseable {
+    private final ServerSocket server;
+    private final InetSocketAddress target;
+    private final List<Pair> pairs = new CopyOnWriteArrayList<>();
+
+    SilentRelay(InetSocketAddress target) throws IOException {
+        this.target = target;
+        this.server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        run(this::accept);
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress("127.0.0.1", server.getLocalPort());
+    }
+
+    void silenceOpenConnections() {
+        pairs.forEach(pair -> pair.silent = true);
+    }
+
+    private void accept() throws IOException {
+        while (true) {
+            Socket near = server.accept();
+            Socket far = new Socket(target.getAddress(), target.getPort());
+            Pair pair = new Pair(near, far);
+            pairs.add(pair);
+            run(() -> pair.copy(near, far));
+            run(() -> pair.copy(far, near));
+        }
+    }
+
+    private static void run(Task task) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                task.run();
+                            } catch (IOException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Pair pair : pairs) {
+            pair.near.close();
+            pair.far.close();
+        }
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static final class Pair {
+        private final Socket near;
+        private final Socket far;
+        private volatile boolean silent;
+
+        Pair(Socket near, Socket far) {
+            this.near = near;
+            this.far = far;
+        }
+
+        /** Copies bytes; when silent it reads and drops them, and hides that the far end closes. */
+        void copy(Socket from, Socket to) throws IOException {
+            InputStream input = from.getInputStream();
+            OutputStream output = to.getOutputStream();
+            byte[] buffer = new byte[8192];
+            int count = input.read(buffer);
+            while (count >= 0) {
+                if (!silent) {
+                    output.write(buffer, 0, count);
+                    output.flush();
+                }
+                count = input.read(buffer);
+            }
+            if (!silent) {
+                to.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/peer/TcpPeerTransportTest.java
@@ -0,0 +1,324 @@
+package org.tarragonlug.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.tarragonlug.TestSeeds;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ProcessId;
+
+@Timeout(60)
+class TcpPeerTransportTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    /** Remembers what a transport handed over. */
+    private static final class Inbox implements PeerListener {
+        final List<String> items = new CopyOnWriteArrayList<>();
+        final List<TarragonlugException> rejections = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void messageReceived(PeerIdentity from, PeerMessage message) {
+            if (message instanceof PeerMessage.DecisionHandover handover) {
+                items.add(handover.item());
+            }
+        }
+
+        @Override
+        public void connectionRejected(String remoteAddress, TarragonlugException reason) {
+            rejections.add(reason);
+        }
+    }
+
+    private TcpPeerTransport start(String name, String deployment, int port, Inbox inbox)
+            throws TarragonlugException {
+        PeerTransportSettings settings =
+                new PeerTransportSettings(
+                        deployment,
+                        new InstanceId(name),
+                        new ProcessId(name + "-process"),
+                        new InetSocketAddress("127.0.0.1", port),
+                        "",
+                        16,
+                        Duration.ofMillis(100),
+                        Duration.ofMillis(300),
+                        Duration.ofSeconds(5),
+                        Duration.ofMillis(500),
+                        Duration.ofMillis(20),
+                        Duration.ofMillis(2_000));
+        TcpPeerTransport transport = new TcpPeerTransport(settings, inbox, new SplittableRandom(1));
+        open.add(transport);
+        return transport;
+    }
+
+    private TcpPeerTransport start(String name, Inbox inbox) throws TarragonlugException {
+        return start(name, "test", 0, inbox);
+    }
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable closeable : open) {
+            closeable.close();
+        }
+    }
+
+    private static PeerMessage message(String item) {
+        return new PeerMessage.DecisionHandover(1, item, 1);
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "the condition did not hold in time");
+            Thread.sleep(5);
+        }
+    }
+
+    private static Socket connect(TcpPeerTransport to) throws IOException {
+        return new Socket("127.0.0.1", to.listenAddress().getPort());
+    }
+
+    private static byte[] hello(String deployment) {
+        return new PeerCodec(new ProcessId("x"))
+                .encode(
+                        new PeerFrame.Hello(
+                                PeerFrame.Hello.MAGIC,
+                                deployment,
+                                new PeerIdentity(new InstanceId("x"), new ProcessId("x"), ""),
+                                1));
+    }
+
+    private static void writeFrame(Socket socket, byte[] frame) throws IOException {
+        DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+        output.writeInt(frame.length);
+        output.write(frame);
+        output.flush();
+    }
+
+    @Nested
+    class Delivery {
+        /** Guards against lost or reordered messages on a healthy connection. */
+        @Test
+        void messagesArriveInOrderAndAnswersComeBack() throws Exception {
+            Inbox inboxA = new Inbox();
+            Inbox inboxB = new Inbox();
+            TcpPeerTransport a = start("a", inboxA);
+            TcpPeerTransport b = start("b", inboxB);
+            a.learn(new InstanceId("b"), b.listenAddress());
+            for (int index = 0; index < 10; index++) {
+                assertTrue(a.send(new InstanceId("b"), message("m" + index)));
+            }
+            await(() -> inboxB.items.size() == 10);
+            assertEquals("m0", inboxB.items.get(0));
+            assertEquals("m9", inboxB.items.get(9));
+            assertTrue(b.send(new InstanceId("a"), message("back")));
+            await(() -> inboxA.items.contains("back"));
+            assertFalse(a.send(new InstanceId("unknown"), message("m")));
+        }
+
+        /** Guards against a peer that stays unreachable after its restart. */
+        @Test
+        void restartedPeerIsReachedAgainTwice() throws Exception {
+            TcpPeerTransport a = start("a", new Inbox());
+            TcpPeerTransport b = start("b", new Inbox());
+            InetSocketAddress address = b.listenAddress();
+            a.learn(new InstanceId("b"), address);
+            for (int restart = 0; restart < 2; restart++) {
+                b.close();
+                Inbox inbox = new Inbox();
+                b = start("b", "test", address.getPort(), inbox);
+                await(
+                        () -> {
+                            a.send(new InstanceId("b"), message("again"));
+                            return !inbox.items.isEmpty();
+                        });
+            }
+        }
+
+        /** Guards against memory that grows with what an unreachable peer is sent. */
+        @Test
+        void bufferOfUnreachablePeerIsBounded() throws Exception {
+            TcpPeerTransport a = start("a", new Inbox());
+            TcpPeerTransport gone = start("gone", new Inbox());
+            InetSocketAddress address = gone.listenAddress();
+            gone.close();
+            for (int index = 0; index < 100; index++) {
+                a.send(address, message("m" + index));
+            }
+            await(() -> a.counts().dropped() >= 100 - 16);
+        }
+
+        /** Guards against an oversized message that a peer would close the connection for. */
+        @Test
+        void messageAboveTheLimitIsDroppedAtItsSender() throws Exception {
+            TcpPeerTransport a = start("a", new Inbox());
+            a.send(a.listenAddress(), message("x".repeat(2 << 20)));
+            assertEquals(1, a.counts().dropped());
+        }
+
+        /** Guards against a bind failure without a typed error. */
+        @Test
+        void addressInUseIsTyped() throws Exception {
+            int port = start("a", new Inbox()).listenAddress().getPort();
+            TarragonlugException error =
+                    assertThrows(
+                            TarragonlugException.class,
+                            () -> start("b", "test", port, new Inbox()));
+            assertEquals(ErrorCode.ADDRESS_IN_USE, error.code());
+        }
+    }
+
+    @Nested
+    class Silence {
+        /** Guards against messages sent forever into a connection that nothing arrives from. */
+        @Test
+        void silentConnectionIsReplaced() throws Exception {
+            Inbox inbox = new Inbox();
+            TcpPeerTransport a = start("a", new Inbox());
+            TcpPeerTransport b = start("b", inbox);
+            try (SilentRelay relay = new SilentRelay(b.listenAddress())) {
+                a.send(relay.address(), message("first"));
+                await(() -> inbox.items.contains("first"));
+                relay.silenceOpenConnections();
+                a.send(relay.address(), message("lost"));
+                await(() -> a.counts().silent() == 1);
+                await(
+                        () -> {
+                            a.send(relay.address(), message("after"));
+                            return inbox.items.contains("after");
+                        });
+                assertFalse(inbox.items.contains("lost"));
+            }
+        }
+    }
+
+    @Nested
+    class ForeignFrames {
+        private void assertRejected(byte[] firstBytes) throws Exception {
+            Inbox inbox = new Inbox();
+            TcpPeerTransport transport = start("t", inbox);
+            try (Socket socket = connect(transport)) {
+                socket.getOutputStream().write(firstBytes);
+                socket.getOutputStream().flush();
+                await(() -> inbox.rejections.size() == 1);
+                assertEquals(ErrorCode.PEER_FRAME_INVALID, inbox.rejections.get(0).code());
+                assertEquals(1, transport.counts().rejected());
+            }
+        }
+
+        private byte[] framed(byte[] frame) {
+            return java.nio.ByteBuffer.allocate(4 + frame.length)
+                    .putInt(frame.length)
+                    .put(frame)
+                    .array();
+        }
+
+        /** Guards against an HTTP client whose first bytes read as a length of 1 GB. */
+        @Test
+        void httpClientIsRejected() throws Exception {
+            assertRejected("GET / HTTP/1.1\r\n\r\n".getBytes());
+        }
+
+        /** Guards against two deployments that exchange messages through a wrong address. */
+        @Test
+        void otherDeploymentIsRejected() throws Exception {
+            assertRejected(framed(hello("other")));
+        }
+
+        /** Guards against frames taken from a sender that never said who it is. */
+        @Test
+        void messageBeforeTheFirstFrameIsRejected() throws Exception {
+            assertRejected(framed(new PeerCodec(new ProcessId("x")).encode(message("m"))));
+        }
+
+        /** Guards against connections kept open by a client that sends nothing. */
+        @Test
+        void clientWithoutFirstFrameIsDisconnected() throws Exception {
+            TcpPeerTransport transport = start("t", new Inbox());
+            try (Socket socket = connect(transport)) {
+                socket.setSoTimeout((int) PATIENCE.toMillis());
+                while (socket.getInputStream().read() >= 0) {
+                    continue;
+                }
+            }
+        }
+    }
+
+    @Nested
+    class Fuzz {
+        /** Guards against random or mutated frames that kill or hang the transport. */
+        @Test
+        void transportSurvivesRandomFrames() {
+            TestSeeds.forEach(2, this::sendRandomFrames);
+        }
+
+        private void sendRandomFrames(long seed) {
+            SplittableRandom random = new SplittableRandom(seed);
+            Inbox inbox = new Inbox();
+            try {
+                TcpPeerTransport target = start("target" + seed, inbox);
+                for (int connection = 0; connection < 60; connection++) {
+                    attack(target, random);
+                }
+                TcpPeerTransport healthy = start("healthy" + seed, new Inbox());
+                healthy.send(target.listenAddress(), message("still alive"));
+                await(() -> inbox.items.contains("still alive"));
+                assertTrue(target.counts().rejected() > 0);
+            } catch (IOException | TarragonlugException | InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        private void attack(TcpPeerTransport target, SplittableRandom random) throws IOException {
+            try (Socket socket = connect(target)) {
+                if (random.nextInt(3) > 0) {
+                    writeFrame(socket, hello("test"));
+                }
+                for (int frame = random.nextInt(5); frame >= 0; frame--) {
+                    byte[] bytes = mutated(random);
+                    if (random.nextInt(8) == 0) {
+                        socket.getOutputStream().write(bytes);
+                    } else {
+                        writeFrame(socket, bytes);
+                    }
+                }
+            } catch (IOException e) {
+                // The transport may have closed the connection at any byte.
+                assertTrue(target.listenAddress() != null);
+            }
+        }
+
+        private byte[] mutated(SplittableRandom random) {
+            List<PeerMessage> samples = PeerCodecTest.samples();
+            byte[] frame =
+                    new PeerCodec(new ProcessId("x"))
+                            .encode(samples.get(random.nextInt(samples.size())));
+            if (random.nextInt(4) == 0) {
+                random.nextBytes(frame);
+            }
+            for (int change = random.nextInt(6); change > 0; change--) {
+                frame[random.nextInt(frame.length)] = (byte) random.nextInt();
+            }
+            return frame;
+        }
+    }
+}
