--- a/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
@@ -22,6 +22,7 @@
 import org.tarragonlug.decision.configuration.Pool;
 import org.tarragonlug.decision.membership.Ownership;
 import org.tarragonlug.engine.EngineClient;
+import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.PoolName;
 import org.tarragonlug.id.ProcessId;
@@ -58,6 +59,7 @@
     private final PeerSwitch peers;
     private final Map<ServerGroup, CapacityDriver> drivers = new TreeMap<>();
     private final Map<ServerId, ServerGroup> groupOf = new HashMap<>();
+    private final Map<ServerGroup, Long> largestMemory = new HashMap<>();
     private Configuration configuration = Configuration.EMPTY;
     private Ownership ownership;
     private List<ListedInstance> instances = List.of();
@@ -107,7 +109,7 @@
                 new DefaultCapacityPlanner(
                         settings,
                         new DefaultPlacement(loadTimes, SECONDS_PER_LOST_BENEFIT),
-                        new DefaultKeepWarmPolicy(),
+                        new DefaultKeepWarmPolicy(artifact -> share(group, artifact)),
                         context.random(),
                         context.invariants());
         CapacityDriver driver =
@@ -127,6 +129,21 @@
         return driver;
     }
 
+    /** Returns the part of a server's memory that an artifact occupies; 1 until that is known. */
+    private double share(ServerGroup group, ArtifactId artifact) {
+        Long server = largestMemory.get(group);
+        if (server == null) {
+            return 1;
+        }
+        return configuration.pools().stream()
+                .filter(pool -> pool.group().equals(group))
+                .flatMap(pool -> pool.artifacts().stream())
+                .filter(limit -> limit.artifact().equals(artifact))
+                .mapToDouble(limit -> (double) limit.memoryBytes() / server)
+                .findFirst()
+                .orElse(1);
+    }
+
     void ownershipChanged(Ownership changed) {
         ownership = changed;
         drivers.values().forEach(this::setRole);
@@ -162,6 +179,10 @@
 
     @Override
     public void engineReported(ServerReport report, Instant askedAt) {
+        ServerGroup group = groupOf.get(report.server());
+        if (group != null) {
+            largestMemory.merge(group, report.memoryBytes(), Math::max);
+        }
         driver(report.server()).ifPresent(driver -> driver.reported(report));
     }
 
@@ -206,16 +227,8 @@
     }
 
     /** Returns the memory of the largest known server of each group, bytes. */
-    Map<ServerGroup, Long> largestServers(Map<ServerId, Long> memory) {
-        Map<ServerGroup, Long> largest = new TreeMap<>();
-        memory.forEach(
-                (server, bytes) -> {
-                    ServerGroup group = groupOf.get(server);
-                    if (group != null) {
-                        largest.merge(group, bytes, Math::max);
-                    }
-                });
-        return largest;
+    Map<ServerGroup, Long> largestServers() {
+        return Map.copyOf(largestMemory);
     }
 
     @Override
--- a/src/main/java/org/tarragonlug/instance/EntryInstance.java
+++ b/src/main/java/org/tarragonlug/instance/EntryInstance.java
@@ -6,9 +6,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -106,7 +104,6 @@
     private final StatusWriter statusWriter;
     private final CallerServer callerServer;
     private final AdminServer adminServer;
-    private final Map<ServerId, Long> serverMemory = new HashMap<>();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private TcpPeerTransport transport;
     private volatile boolean configured;
@@ -516,10 +513,7 @@
     private final class MemoryListener implements ReportListener {
         @Override
         public void engineReported(ServerReport report, Instant askedAt) {
-            Long before = serverMemory.put(report.server(), report.memoryBytes());
-            if (before == null || before != report.memoryBytes()) {
-                configuration.serverMemory(capacity.largestServers(serverMemory));
-            }
+            configuration.serverMemory(capacity.largestServers());
         }
 
         @Override
--- a/src/main/java/org/tarragonlug/measure/package-info.java
+++ b/src/main/java/org/tarragonlug/measure/package-info.java
@@ -1,2 +1,5 @@
-/** Measurement programs, which run the decisions in virtual time. */
+/**
+ * Measurement programs in virtual time. Each prints its seed, sizes, the baseline beside the
+ * result, and p50, p99 and max.
+ */
 package org.tarragonlug.measure;
