Add commands run, check, status, state and measure

Cause: operators had only the embedded trial. Conclusion: the program can be run as separate processes.

--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -1,5 +1,10 @@
 package org.tarragonlug;
 
+import org.tarragonlug.tool.CheckCommand;
+import org.tarragonlug.tool.MeasureCommand;
+import org.tarragonlug.tool.RunCommand;
+import org.tarragonlug.tool.StateCommand;
+import org.tarragonlug.tool.StatusCommand;
 import org.tarragonlug.tool.TryCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -8,7 +13,14 @@
 @Command(
         name = "tarragonlug",
         mixinStandardHelpOptions = true,
-        subcommands = {TryCommand.class},
+        subcommands = {
+            RunCommand.class,
+            CheckCommand.class,
+            StatusCommand.class,
+            StateCommand.class,
+            TryCommand.class,
+            MeasureCommand.class
+        },
         version = "tarragonlug 0.1.0",
         description =
                 "Serves many rarely used models; driven by a table of routes and one of pools.")
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/AdminClient.java
@@ -0,0 +1,86 @@
+package org.tarragonlug.tool;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.ConnectionUse;
+import org.tarragonlug.http.HttpAnswer;
+import org.tarragonlug.http.HttpCall;
+import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.http.HttpLimits;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.SettingsLoader;
+
+/** Reads from the admin address of a process. */
+final class AdminClient implements AutoCloseable {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final int LARGEST_ANSWER = 64 << 20;
+    private static final HttpLimits LIMITS =
+            new HttpLimits(Duration.ofSeconds(3), TIMEOUT, LARGEST_ANSWER, Duration.ofMinutes(1));
+
+    private final IoExecutor ioExecutor = IoThreads.create(1);
+    private final ScheduledExecutorService timers =
+            Executors.newSingleThreadScheduledExecutor(AdminClient::daemon);
+    private final HttpConnections connections = new HttpConnections(ioExecutor, timers, LIMITS);
+
+    private static Thread daemon(Runnable task) {
+        Thread thread = new Thread(task, "admin-client-timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Returns the connections, for further edges used by a command. */
+    HttpConnections connections() {
+        return connections;
+    }
+
+    /**
+     * Fetches a JSON document.
+     *
+     * @param address the admin address, {@code IP:port}
+     * @param path such as {@code /state}
+     * @throws TarragonlugException {@code PEER_UNREACHABLE} if there is no usable answer
+     */
+    JsonNode get(String address, String path) throws TarragonlugException {
+        try {
+            InetSocketAddress target = SettingsLoader.parseAddress(address);
+            HttpAnswer answer =
+                    connections
+                            .exchange(target, HttpCall.get(path, TIMEOUT, ConnectionUse.NEW))
+                            .toCompletableFuture()
+                            .get();
+            if (answer.status() != 200) {
+                throw unreachable(address, "status " + answer.status(), null);
+            }
+            return Json.read(answer.body());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw unreachable(address, "interrupted", interrupted);
+        } catch (ExecutionException | IOException failure) {
+            throw unreachable(address, String.valueOf(failure.getMessage()), failure);
+        } catch (IndexOutOfBoundsException | IllegalArgumentException malformed) {
+            throw unreachable(address, "not of the form IP:port", malformed);
+        }
+    }
+
+    private static TarragonlugException unreachable(
+            String address, String detail, Throwable cause) {
+        return new TarragonlugException(
+                ErrorCode.PEER_UNREACHABLE, "address=" + address + " " + detail, cause);
+    }
+
+    @Override
+    public void close() {
+        connections.close();
+        timers.shutdownNow();
+        ioExecutor.closeAsync().subscribe();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/MeasureCommand.java
@@ -0,0 +1,35 @@
+package org.tarragonlug.tool;
+
+import org.tarragonlug.measure.Deployment;
+import org.tarragonlug.measure.MembershipMeasurement;
+import org.tarragonlug.measure.WarmthMeasurement;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs measurements; the results of the present release are in docs/measurements.md. */
+@Command(
+        name = "measure",
+        mixinStandardHelpOptions = true,
+        description = "Runs a measurement in virtual time and prints baseline and result.")
+public final class MeasureCommand {
+    @Command(
+            name = "warmth",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Cold starts and idle accelerator hours of keep-warm policies over a day.")
+    int warmth(
+            @Option(names = "--deployment", defaultValue = "CARGAS") Deployment deployment,
+            @Option(names = "--seed", defaultValue = "1") long seed) {
+        WarmthMeasurement.run(deployment, seed, System.out);
+        return ExitStatus.GOOD;
+    }
+
+    @Command(
+            name = "membership",
+            mixinStandardHelpOptions = true,
+            description = "Detection time, false alarms and bytes of failure detectors.")
+    int membership(@Option(names = "--seed", defaultValue = "1") long seed) {
+        MembershipMeasurement.run(seed, System.out);
+        return ExitStatus.GOOD;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/StatusCommand.java
@@ -0,0 +1,100 @@
+package org.tarragonlug.tool;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.runtime.Json;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Prints both tables with what the system reports on each row. */
+@Command(
+        name = "status",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Prints the tables of routes and pools with what the system reports on each row, asked",
+            "from the instances themselves, so that it works while the object API is down. Naming",
+            "all instances shows the artifacts of all pools, since each group is decided by one.",
+            "Exit status: 0 printed, 1 no instance answers."
+        })
+public final class StatusCommand implements Callable<Integer> {
+    @Parameters(
+            arity = "1..*",
+            paramLabel = "ADDRESS",
+            description = "Admin addresses of instances, such as 10.0.0.1:9001.")
+    private List<String> addresses;
+
+    @Option(
+            names = "--format",
+            defaultValue = "TEXT",
+            description = "Form of the output: ${COMPLETION-CANDIDATES}.")
+    private OutputFormat format;
+
+    @Override
+    public Integer call() {
+        List<JsonNode> answers = new ArrayList<>();
+        try (AdminClient client = new AdminClient()) {
+            for (String address : addresses) {
+                ask(client, address, answers);
+            }
+        }
+        if (answers.isEmpty()) {
+            return ExitStatus.FAILED;
+        }
+        ObjectNode merged = merge(answers);
+        System.out.print(
+                format == OutputFormat.JSON
+                        ? merged.toPrettyString() + System.lineSeparator()
+                        : StatusTable.of(merged));
+        return ExitStatus.GOOD;
+    }
+
+    private static void ask(AdminClient client, String address, List<JsonNode> answers) {
+        try {
+            answers.add(client.get(address, "/status"));
+        } catch (TarragonlugException failure) {
+            System.err.println(failure.getMessage());
+        }
+    }
+
+    /** Takes the tables of the newest version and each pool from the instance that decides. */
+    static ObjectNode merge(List<JsonNode> answers) {
+        JsonNode newest = answers.get(0);
+        for (JsonNode answer : answers) {
+            if (answer.path("version").asLong() > newest.path("version").asLong()) {
+                newest = answer;
+            }
+        }
+        ObjectNode merged = Json.object();
+        merged.put("version", newest.path("version").asLong());
+        ArrayNode versions = merged.putArray("instances");
+        ArrayNode faults = merged.putArray("faults");
+        for (JsonNode answer : answers) {
+            versions.addObject()
+                    .put("instance", answer.path("instance").asText())
+                    .put("version", answer.path("version").asLong());
+            answer.path("faults").forEach(faults::add);
+        }
+        merged.set("routes", newest.path("routes"));
+        ArrayNode pools = merged.putArray("pools");
+        newest.path("pools").forEach(pool -> pools.add(decided(pool, answers)));
+        return merged;
+    }
+
+    private static JsonNode decided(JsonNode pool, List<JsonNode> answers) {
+        for (JsonNode answer : answers) {
+            for (JsonNode candidate : answer.path("pools")) {
+                if (candidate.path("name").equals(pool.path("name"))
+                        && candidate.path("decidedHere").asBoolean()) {
+                    return candidate;
+                }
+            }
+        }
+        return pool;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/StatusTable.java
@@ -0,0 +1,76 @@
+package org.tarragonlug.tool;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Locale;
+
+/** Prints a status as tables for a person. */
+final class StatusTable {
+    private StatusTable() {}
+
+    static String of(JsonNode status) {
+        StringBuilder text = new StringBuilder();
+        text.append("accepted version ").append(status.path("version").asLong()).append('\n');
+        for (JsonNode fault : status.path("faults")) {
+            text.append("not accepted: ")
+                    .append(fault.path("path").asText())
+                    .append(": ")
+                    .append(fault.path("found").asText())
+                    .append("; remedy: ")
+                    .append(fault.path("remedy").asText())
+                    .append('\n');
+        }
+        row(text, "\nROUTE", "PATH", "TARGET", "STATE");
+        for (JsonNode route : status.path("routes")) {
+            String target = route.path("pool").asText(route.path("service").asText());
+            row(
+                    text,
+                    route.path("name").asText(),
+                    route.path("pathPrefix").asText(),
+                    target,
+                    route.path("state").asText());
+        }
+        for (JsonNode pool : status.path("pools")) {
+            appendPool(text, pool);
+        }
+        return text.toString();
+    }
+
+    private static void appendPool(StringBuilder text, JsonNode pool) {
+        text.append("\npool ")
+                .append(pool.path("name").asText())
+                .append(", server group ")
+                .append(pool.path("group").asText())
+                .append('\n');
+        if (!pool.path("decidedHere").asBoolean()) {
+            text.append("  decided by an instance that was not asked\n");
+            return;
+        }
+        row(text, "  ARTIFACT", "READY", "LOADING", "LAST REFUSAL");
+        for (JsonNode artifact : pool.path("artifacts")) {
+            boolean shown =
+                    artifact.path("ready").asInt() > 0
+                            || artifact.path("loading").asInt() > 0
+                            || artifact.has("lastRefusal");
+            if (shown) {
+                row(
+                        text,
+                        "  " + artifact.path("artifact").asText(),
+                        artifact.path("ready").asText(),
+                        artifact.path("loading").asText(),
+                        artifact.path("meaning").asText("-"));
+            }
+        }
+    }
+
+    private static void row(StringBuilder text, String... cells) {
+        String line =
+                String.format(
+                        Locale.ROOT,
+                        "%-32s %-26s %-16s %s",
+                        cells[0],
+                        cells[1],
+                        cells[2],
+                        cells[3]);
+        text.append(line).append('\n');
+    }
+}
