Add command stand-ins for entry instances in processes of their own

Cause: the trial runs all instances in one process; kills, freezes and signals need real ones. Change: command stand-ins with a line control, settings writer.

--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -3,6 +3,7 @@
 import org.tarragonlug.tool.CheckCommand;
 import org.tarragonlug.tool.MeasureCommand;
 import org.tarragonlug.tool.RunCommand;
+import org.tarragonlug.tool.StandInsCommand;
 import org.tarragonlug.tool.StateCommand;
 import org.tarragonlug.tool.StatusCommand;
 import org.tarragonlug.tool.TryCommand;
@@ -19,6 +20,7 @@
             StatusCommand.class,
             StateCommand.class,
             TryCommand.class,
+            StandInsCommand.class,
             MeasureCommand.class
         },
         version = "tarragonlug 0.1.0",
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/StandInsCommand.java
@@ -0,0 +1,88 @@
+package org.tarragonlug.tool;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.standin.Deployment;
+import org.tarragonlug.standin.StandInPlatform;
+import org.tarragonlug.trial.SettingsWriter;
+import org.tarragonlug.trial.StandInControl;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs the stand-ins of all outside systems, for entry instances in processes of their own. */
+@Command(
+        name = "stand-ins",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Runs stand-ins of all outside systems on loopback, for trials with entry instances in",
+            "processes of their own.",
+            "Writes the settings of each instance as entry-N.json into a directory. Reads commands",
+            "from standard input, one a line, and answers each with one line of JSON:",
+            "  outage on|off, slow MILLISECONDS, lose COUNT, leave SERVER, crash SERVER,",
+            "  remove INSTANCE, truth, exit"
+        })
+public final class StandInsCommand implements Callable<Integer> {
+    private static final int IO_THREADS = 4;
+
+    @Option(names = "--deployment", defaultValue = "CARGAS", description = "Sizes and tables.")
+    private Deployment deployment;
+
+    @Option(names = "--instances", defaultValue = "8", description = "Settings to write.")
+    private int instances;
+
+    @Option(
+            names = "--directory",
+            required = true,
+            description = "Existing directory for the settings files.")
+    private Path directory;
+
+    @Option(
+            names = "--scale",
+            defaultValue = "0.1",
+            description = "Real seconds for each nominal second of load and token times.")
+    private double scale;
+
+    @Override
+    public Integer call() throws IOException {
+        if (!Files.isDirectory(directory)) {
+            System.err.println("--directory must name an existing directory: " + directory);
+            return ExitStatus.USAGE;
+        }
+        IoExecutor ioExecutor = IoThreads.create(IO_THREADS);
+        try (StandInPlatform platform = new StandInPlatform(deployment, ioExecutor, scale)) {
+            SettingsWriter writer = new SettingsWriter(platform);
+            for (int number = 1; number <= instances; number++) {
+                Path file = directory.resolve("entry-" + number + ".json");
+                Files.writeString(file, writer.write(number).toPrettyString());
+            }
+            System.out.println("{\"started\":true}");
+            System.out.flush();
+            serve(new StandInControl(platform));
+        } finally {
+            ioExecutor.closeAsync().subscribe();
+        }
+        return ExitStatus.GOOD;
+    }
+
+    private static void serve(StandInControl control) throws IOException {
+        BufferedReader input =
+                new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        while (true) {
+            String line = input.readLine();
+            if (line == null || line.equals("exit")) {
+                return;
+            }
+            ObjectNode answer = control.execute(line);
+            System.out.println(answer);
+            System.out.flush();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/SettingsWriter.java
@@ -0,0 +1,71 @@
+package org.tarragonlug.trial;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.instancelist.InstanceKind;
+import org.tarragonlug.instancelist.ListedInstance;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.Deployment;
+import org.tarragonlug.standin.EngineFencing;
+import org.tarragonlug.standin.StandInPlatform;
+
+/** Writes settings for entry instances in processes of their own, and lists these instances. */
+public final class SettingsWriter {
+    private final StandInPlatform platform;
+    private final List<String> peers = new ArrayList<>();
+
+    /** Creates a writer for instances that use a platform of stand-ins. */
+    public SettingsWriter(StandInPlatform platform) {
+        this.platform = platform;
+    }
+
+    /**
+     * Writes the settings of one instance and puts it into the instance list.
+     *
+     * @param number from 1
+     */
+    public ObjectNode write(int number) {
+        Deployment deployment = platform.deployment();
+        List<FailureDomain> domains = deployment.failureDomains();
+        FailureDomain domain = domains.get(number % domains.size());
+        InetSocketAddress peerAddress = FreePort.find();
+        String instance = "entry-" + number;
+        ObjectNode settings = Json.object();
+        settings.put("deployment", deployment.name());
+        settings.put("instance", instance);
+        settings.put("failureDomain", domain.value());
+        settings.put("callerAddress", text(FreePort.find()));
+        settings.put("adminAddress", text(FreePort.find()));
+        settings.put("peerAddress", text(peerAddress));
+        settings.putObject("platform")
+                .put("objectApi", text(platform.objectApi().address()))
+                .put("instanceList", text(platform.instanceList().address()))
+                .put("weightStore", text(platform.weightStore().address()));
+        ArrayNode known = settings.putArray("peers");
+        peers.forEach(known::add);
+        peers.add(text(peerAddress));
+        boolean checked = deployment.fencing() == EngineFencing.CHECKED;
+        settings.putObject("fencing")
+                .put(deployment.engineGroup().value(), checked ? "CHECKED" : "IGNORED");
+        settings.putObject("limits").put("drainTime", "20s");
+        platform.instanceList()
+                .put(
+                        new ListedInstance(
+                                instance,
+                                InstanceKind.ENTRY,
+                                new ServerGroup("entry"),
+                                peerAddress,
+                                domain,
+                                false));
+        return settings;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/StandInControl.java
@@ -0,0 +1,94 @@
+package org.tarragonlug.trial;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.Map;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.EngineStandIn;
+import org.tarragonlug.standin.ObjectApiCounts;
+import org.tarragonlug.standin.OutageKind;
+import org.tarragonlug.standin.PlatformTruth;
+import org.tarragonlug.standin.StandInPlatform;
+
+/** Executes text commands that make the stand-ins fail or tell what happened. */
+public final class StandInControl {
+    private final StandInPlatform platform;
+
+    /** Creates a control of a platform. */
+    public StandInControl(StandInPlatform platform) {
+        this.platform = platform;
+    }
+
+    /**
+     * Executes a command.
+     *
+     * @param line the command with its arguments, separated by spaces
+     * @return the answer; the field {@code error} is set if the command is not understood
+     */
+    public ObjectNode execute(String line) {
+        String[] words = line.trim().split(" +");
+        String argument = words.length > 1 ? words[1] : "";
+        try {
+            return execute(words[0], argument);
+        } catch (IllegalArgumentException malformed) {
+            return Json.object().put("error", "not understood: " + line);
+        }
+    }
+
+    private ObjectNode execute(String command, String argument) {
+        ObjectNode answer = Json.object().put("done", command);
+        switch (command) {
+            case "outage" ->
+                    platform.objectApi()
+                            .setOutage(
+                                    argument.equals("on")
+                                            ? OutageKind.DISCONNECTING
+                                            : OutageKind.NONE);
+            case "slow" ->
+                    platform.objectApi().setDelay(Duration.ofMillis(Long.parseLong(argument)));
+            case "lose" -> platform.objectApi().loseAnswersOfNextWrites(Integer.parseInt(argument));
+            case "leave" -> engine(argument).leave();
+            case "crash" -> engine(argument).crash();
+            case "remove" -> platform.instanceList().remove(argument);
+            case "truth" -> truth(answer);
+            default -> throw new IllegalArgumentException(command);
+        }
+        return answer;
+    }
+
+    private EngineStandIn engine(String id) {
+        return platform.engines().stream()
+                .filter(engine -> engine.id().value().equals(id))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException(id));
+    }
+
+    private void truth(ObjectNode answer) {
+        PlatformTruth truth = platform.truth();
+        answer.put("overcommits", truth.overcommits());
+        answer.put("crashes", truth.crashes());
+        ObjectNode loaded = answer.putObject("loaded");
+        truth.loaded()
+                .forEach(
+                        (server, artifacts) -> {
+                            var list = loaded.putArray(server.value());
+                            artifacts.forEach(artifact -> list.add(artifact.toString()));
+                        });
+        ObjectNode highest = answer.putObject("highestReplicas");
+        truth.highestReplicas()
+                .forEach((artifact, count) -> highest.put(artifact.toString(), count));
+        ObjectNode runs = answer.putObject("serviceRuns");
+        for (Map.Entry<String, Integer> run : platform.serviceRuns().entrySet()) {
+            runs.put(run.getKey(), run.getValue());
+        }
+        ObjectApiCounts counts = platform.objectApi().counts();
+        answer.putObject("objectApi")
+                .put("reads", counts.reads())
+                .put("writes", counts.writes())
+                .put("watches", counts.watches());
+        for (StoredObject record : platform.objectApi().peekAll("capacity")) {
+            answer.withObject("/capacity").set(record.name().name(), record.content());
+        }
+    }
+}
--- a/src/main/java/org/tarragonlug/trial/TrialFleet.java
+++ b/src/main/java/org/tarragonlug/trial/TrialFleet.java
@@ -1,10 +1,8 @@
 package org.tarragonlug.trial;
 
 import io.servicetalk.transport.api.IoExecutor;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -59,7 +57,7 @@
      */
     public EntryInstance start(int number) throws TarragonlugException {
         for (int attempt = 1; ; attempt++) {
-            Settings settings = settings(number, freeAddress());
+            Settings settings = settings(number, FreePort.find());
             EntryInstance instance =
                     new EntryInstance(
                             settings,
@@ -83,15 +81,6 @@
         }
     }
 
-    private static InetSocketAddress freeAddress() throws TarragonlugException {
-        InetAddress loopback = InetAddress.getLoopbackAddress();
-        try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
-            return new InetSocketAddress(loopback, socket.getLocalPort());
-        } catch (IOException failure) {
-            throw new TarragonlugException(ErrorCode.ADDRESS_IN_USE, "no free port", failure);
-        }
-    }
-
     private Settings settings(int number, InetSocketAddress peerAddress) {
         Deployment deployment = platform.deployment();
         List<FailureDomain> domains = deployment.failureDomains();
