Test entry instances against provoked failures over loopback

Cause: failures were only tried by hand. Change: FleetTest with kills, outages, lost answers, silent connections, drains and table edits.

--- /dev/null
+++ b/src/test/java/org/tarragonlug/instance/FleetTest.java
@@ -0,0 +1,354 @@
+package org.tarragonlug.instance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.instance.FleetFixture.Answer;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.EngineSettings;
+import org.tarragonlug.standin.EngineStandIn;
+import org.tarragonlug.standin.OutageKind;
+
+/** Failures provoked around whole entry instances that talk to stand-ins over loopback. */
+@Timeout(90)
+class FleetTest {
+    private static final int INSTANCES = 4;
+    private static final Duration FORCE_LIMIT = Duration.ofSeconds(5);
+    private static final ObjectName ROUTES = new ObjectName("tables", "routes");
+
+    private FleetFixture fleet;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new FleetFixture(INSTANCES);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        long violations = fleet.violations();
+        long overcommits = fleet.platform().truth().overcommits();
+        fleet.close();
+        assertEquals(0, violations);
+        assertEquals(0, overcommits);
+    }
+
+    private void cut(boolean down) {
+        fleet.platform().objectApi().setOutage(down ? OutageKind.DISCONNECTING : OutageKind.NONE);
+    }
+
+    private static void assertWhole(Answer answer) {
+        assertTrue(answer.isWhole(), () -> answer.status() + " " + answer.body());
+    }
+
+    private int runs(String key) {
+        return fleet.platform().serviceRuns().getOrDefault(key, 0);
+    }
+
+    private int replicas(String model) {
+        return fleet.platform().truth().highestReplicas().getOrDefault(ArtifactId.parse(model), 0);
+    }
+
+    @Nested
+    class ColdStarts {
+        /** Guards against each instance loading a replica of its own. */
+        @Test
+        void burstAtAllInstancesLoadsNoMoreThanDecided() {
+            List<Answer> answers = fleet.chats(4 * INSTANCES, "lessons-model-1", 8);
+            answers.forEach(FleetTest::assertWhole);
+            int slots = 0;
+            for (JsonNode slot : fleet.capacityRecord().path("slots")) {
+                slots += slot.path("artifact").asText().equals("lessons-model-1@1") ? 1 : 0;
+            }
+            assertTrue(replicas("lessons-model-1") <= slots);
+        }
+
+        /** Guards against a request that is lost with the instance that decided on its model. */
+        @Test
+        void requestIsServedWhenTheDeciderDiesInTheMiddleOfTheLoad() throws Exception {
+            EntryInstance decider = fleet.decider();
+            EntryInstance other =
+                    fleet.fleet().instances().stream()
+                            .filter(instance -> instance != decider)
+                            .findFirst()
+                            .orElseThrow();
+            CompletableFuture<Answer> answer = fleet.chat(other, "lessons-model-2", 8);
+            FleetFixture.await(Duration.ofSeconds(5), () -> replicas("lessons-model-2") > 0);
+            fleet.fleet().kill(decider);
+            assertWhole(answer.join());
+        }
+
+        /** Guards against waiting requests that fail with the first load. */
+        @Test
+        void requestWaitsForTheNextTryAfterFailedLoads() {
+            fleet.platform().engines().forEach(engine -> engine.failNextLoads(1));
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-3", 8).join());
+        }
+
+        /** Guards against two replicas decided by a write whose answer was lost. */
+        @Test
+        void lostAnswersOfWritesLoadOneReplica() {
+            fleet.platform().objectApi().loseAnswersOfNextWrites(2);
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-4", 8).join());
+            assertEquals(1, replicas("lessons-model-4"));
+        }
+    }
+
+    @Nested
+    class ObjectApiOutage {
+        /** Guards against an outage that stops what needs no decision. */
+        @Test
+        void loadedModelsAreServedAndNewInstancesLearnTheTablesFromPeers() throws Exception {
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 8).join());
+            cut(true);
+            Thread.sleep(3000);
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 8).join());
+            EntryInstance late = fleet.fleet().start(INSTANCES + 1);
+            FleetFixture.await(Duration.ofSeconds(10), late::ready);
+            assertWhole(fleet.chat(late, "lessons-model-1", 8).join());
+            cut(false);
+        }
+
+        /** Guards against first requests that are all refused although slots were set aside. */
+        @Test
+        void coveredColdModelIsServedFromItsStandbySlotAndOthersAreRefusedTruthfully()
+                throws Exception {
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 8).join());
+            FleetFixture.await(
+                    Duration.ofSeconds(10),
+                    () -> fleet.capacityRecord().path("standbySlots").size() > 0);
+            cut(true);
+            Thread.sleep(3000);
+            JsonNode covered = lessonsStandbySlot().path("artifacts");
+            String model = covered.path(0).asText();
+            assertWhole(fleet.chat(fleet.instance(1), model.replace("@1", ""), 8).join());
+            Answer refused =
+                    fleet.chat(
+                                    fleet.instance(2),
+                                    covered.path(1).asText().replace("@1", ""),
+                                    "again",
+                                    8,
+                                    Duration.ofSeconds(4))
+                            .join();
+            assertEquals("not_run", refused.execution());
+            cut(false);
+            FleetFixture.await(
+                    Duration.ofSeconds(15),
+                    () -> fleet.capacityRecord().path("slots").toString().contains(model));
+        }
+
+        private JsonNode lessonsStandbySlot() {
+            for (JsonNode slot : fleet.capacityRecord().path("standbySlots")) {
+                if (slot.path("pool").asText().equals("lessons")) {
+                    return slot;
+                }
+            }
+            throw new AssertionError("the pool lessons has no standby slot");
+        }
+
+        /** Guards against a call that runs without a claim. */
+        @Test
+        void callsThatNeedClaimsAreRefusedAsNotRun() throws Exception {
+            cut(true);
+            Thread.sleep(500);
+            Answer refused = fleet.certificate(fleet.instance(0), "key-outage").join();
+            assertEquals("claim_unavailable", refused.code());
+            assertEquals("not_run", refused.execution());
+            assertEquals(0, runs("key-outage"));
+            cut(false);
+            assertEquals(200, fleet.certificate(fleet.instance(1), "key-outage").join().status());
+            assertEquals(1, runs("key-outage"));
+        }
+    }
+
+    @Nested
+    class AtMostOnce {
+        /** Guards against a second run when the caller tries again through another instance. */
+        @Test
+        void secondTryElsewhereGetsTheRecordedAnswer() throws Exception {
+            Answer first = fleet.certificate(fleet.instance(0), "key-1").join();
+            Thread.sleep(200);
+            Answer second = fleet.certificate(fleet.instance(1), "key-1").join();
+            assertEquals(200, first.status());
+            assertEquals(first.body(), second.body());
+            assertEquals(1, runs("key-1"));
+        }
+
+        /** Guards against a run without or with two claims when answers of writes are lost. */
+        @Test
+        void lostAnswersOfClaimsRunOnce() {
+            fleet.platform().objectApi().loseAnswersOfNextWrites(1);
+            Answer answer = fleet.certificate(fleet.instance(0), "key-2").join();
+            assertTrue(runs("key-2") <= 1);
+            if (answer.execution().equals("not_run")) {
+                assertEquals(0, runs("key-2"));
+            }
+        }
+
+        /** Guards against repeating a call whose answer was cut off after it had run. */
+        @Test
+        void cutAnswerIsToldAsUnknownAndNeverRepeated() {
+            fleet.platform().services().forEach(service -> service.cutNextAfterRunning(1));
+            Answer answer = fleet.certificate(fleet.instance(0), "key-3").join();
+            assertEquals("may_have_run", answer.execution());
+            Answer again = fleet.certificate(fleet.instance(1), "key-3").join();
+            assertNotEquals("not_run", again.execution());
+            assertEquals(1, runs("key-3"));
+        }
+
+        /** Guards against two runs when tries arrive at all instances at the same time. */
+        @Test
+        void simultaneousTriesRunOnce() {
+            List<CompletableFuture<Answer>> tries = new ArrayList<>();
+            for (int index = 0; index < 3 * INSTANCES; index++) {
+                tries.add(fleet.certificate(fleet.instance(index), "key-4"));
+            }
+            long answered =
+                    tries.stream()
+                            .map(CompletableFuture::join)
+                            .filter(a -> a.status() == 200)
+                            .count();
+            assertTrue(answered >= 1);
+            assertEquals(1, runs("key-4"));
+        }
+    }
+
+    @Nested
+    class Streams {
+        /** Guards against streams that hang on connections gone silent. */
+        @Test
+        void streamsGoOnWhenOpenConnectionsGoSilent() throws Exception {
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 2).join());
+            List<CompletableFuture<Answer>> answers = new ArrayList<>();
+            for (int index = 0; index < 4; index++) {
+                answers.add(fleet.chat(fleet.instance(index), "lessons-model-1", 300));
+            }
+            Thread.sleep(300);
+            fleet.platform().engines().forEach(EngineStandIn::freezeOpenConnections);
+            answers.stream().map(CompletableFuture::join).forEach(FleetTest::assertWhole);
+        }
+
+        /** Guards against answers with lost or doubled tokens after a broken stream. */
+        @Test
+        void brokenStreamsResumeWithoutLossOrDoubling() {
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 2).join());
+            fleet.platform().engines().forEach(engine -> engine.cutNextStreams(1));
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 50).join());
+        }
+
+        /** Guards against requests cut by a planned stop. */
+        @Test
+        void drainingOneInstanceAfterTheOtherCutsNothing() throws Exception {
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 2).join());
+            List<CompletableFuture<Answer>> answers = new ArrayList<>();
+            EntryInstance stopping = fleet.instance(0);
+            for (int index = 0; index < 8; index++) {
+                answers.add(fleet.chat(stopping, "lessons-model-1", 200));
+            }
+            Thread.sleep(200);
+            CompletableFuture<Void> drained = stopping.drain().toCompletableFuture();
+            answers.add(fleet.chat(stopping, "lessons-model-1", 8));
+            answers.stream().map(CompletableFuture::join).forEach(FleetTest::assertWhole);
+            drained.join();
+        }
+    }
+
+    @Nested
+    class Servers {
+        /** Guards against one request taking down server after server. */
+        @Test
+        void crashingRequestTakesDownAtMostTwoServers() {
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 2).join());
+            String text = "please " + EngineSettings.CRASH_MARKER;
+            Answer last = null;
+            for (int index = 0; index < 20; index++) {
+                last =
+                        fleet.chat(
+                                        fleet.instance(index),
+                                        "lessons-model-1",
+                                        text,
+                                        8,
+                                        Duration.ofSeconds(6))
+                                .join();
+            }
+            assertEquals("request_quarantined", last.code());
+            assertTrue(
+                    fleet.platform().truth().crashes() <= 2,
+                    "crashes: " + fleet.platform().truth().crashes());
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 8).join());
+        }
+
+        /** Guards against new work for a leaving server while the instance list lags. */
+        @Test
+        void leavingServerGetsNoNewWorkAfterFewSeconds() throws Exception {
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-1", 2).join());
+            EngineStandIn holder =
+                    fleet.platform().engines().stream()
+                            .filter(engine -> !engine.actual().loaded().isEmpty())
+                            .findFirst()
+                            .orElseThrow();
+            CompletableFuture<Answer> running =
+                    fleet.chat(fleet.instance(0), "lessons-model-1", 200);
+            Thread.sleep(200);
+            holder.leave();
+            assertWhole(running.join());
+            fleet.chats(8, "lessons-model-1", 4).forEach(FleetTest::assertWhole);
+            assertEquals(0, holder.inProgressCount());
+        }
+    }
+
+    @Nested
+    class Tables {
+        /** Guards against edits that do not reach every instance in time. */
+        @Test
+        void editIsInForceEverywhereWithinFiveSeconds() throws Exception {
+            edit(routes -> routes.withArray("routes").remove(0));
+            FleetFixture.await(FORCE_LIMIT, () -> versions(2));
+        }
+
+        /** Guards against a faulty edit that replaces the accepted tables. */
+        @Test
+        void faultyEditLeavesTheAcceptedTablesInForce() throws Exception {
+            edit(routes -> ((ObjectNode) routes.at("/routes/0")).put("pool", "missing"));
+            FleetFixture.await(
+                    FORCE_LIMIT,
+                    () ->
+                            fleet.platform()
+                                    .objectApi()
+                                    .peek(new ObjectName("status", "configuration"))
+                                    .content()
+                                    .toString()
+                                    .contains("missing"));
+            assertTrue(versions(1));
+        }
+
+        private void edit(java.util.function.Consumer<ObjectNode> change) throws Exception {
+            ObjectNode routes =
+                    (ObjectNode)
+                            Json.read(
+                                    Json.bytes(
+                                            fleet.platform().objectApi().peek(ROUTES).content()));
+            change.accept(routes);
+            fleet.platform().objectApi().put(ROUTES, routes);
+        }
+
+        private boolean versions(long expected) {
+            return fleet.fleet().instances().stream()
+                    .map(instance -> instance.status().toCompletableFuture().join())
+                    .allMatch(status -> status.path("version").asLong() == expected);
+        }
+    }
+}
