Check priorities, prefix cache and sizes of the engine stand-in

Cause: measurements rely on this behaviour of the stand-in. Change: the stand-in counts the checkpoint's real size, so an order that understates it shows as an overcommit. Requests with line breaks in target or headers are not sent.

--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -31,6 +32,10 @@
  * cancellation the connection is closed, never reused.
  */
 public final class HttpExchange {
+    private static final Set<String> WITH_BODY = Set.of("POST", "PUT", "PATCH");
+    private static final char LAST_CONTROL = 0x1f;
+    private static final char DELETE = 0x7f;
+
     private final HttpCall call;
     private final ClientLease lease;
     private final HttpReceiver receiver;
@@ -71,7 +76,15 @@
                                 reserved -> send(reserved, request), true));
     }
 
+    /** Returns the request; refuses line breaks, which would start another header or request. */
     private StreamingHttpRequest request() {
+        requirePrintable(call.target(), ' ');
+        call.headers()
+                .forEach(
+                        (name, value) -> {
+                            requirePrintable(name, ' ');
+                            requirePrintable(value, LAST_CONTROL);
+                        });
         StreamingHttpRequest request =
                 lease.client()
                         .newRequest(
@@ -83,10 +96,26 @@
             Buffer body = lease.client().executionContext().bufferAllocator().wrap(call.body());
             request.setHeader("content-length", Integer.toString(call.body().length));
             request.payloadBody(Publisher.from(body));
+        } else if (WITH_BODY.contains(call.method())) {
+            request.setHeader("content-length", "0");
         }
         return request;
     }
 
+    private static void requirePrintable(String text, char highestForbidden) {
+        boolean tabsAllowed = highestForbidden == LAST_CONTROL;
+        boolean wrong =
+                text.chars()
+                        .anyMatch(
+                                c ->
+                                        c == DELETE
+                                                || c <= highestForbidden
+                                                        && !(tabsAllowed && c == '\t'));
+        if (wrong) {
+            throw new IllegalArgumentException("a control character or blank");
+        }
+    }
+
     private void send(ReservedStreamingHttpConnection reserved, StreamingHttpRequest request) {
         synchronized (this) {
             if (ended) {
--- a/src/main/java/org/tarragonlug/standin/EngineLoader.java
+++ b/src/main/java/org/tarragonlug/standin/EngineLoader.java
@@ -85,7 +85,9 @@
         if (base.isPresent() && memory.get(base.get()) == null) {
             return error(409, EngineProtocol.NOT_LOADED, "the base model is not loaded");
         }
-        long bytes = JsonFields.count(order, "memoryBytes");
+        // An order that understates the size must not hide an overcommit.
+        long stated = JsonFields.count(order, "memoryBytes");
+        long bytes = Math.max(stated, weightStore.bytes(artifact).orElse(0));
         Optional<EngineMemory.Held> reserved = memory.reserve(artifact, base, bytes);
         if (reserved.isEmpty()) {
             return error(507, EngineProtocol.OUT_OF_MEMORY, bytes + " bytes do not fit");
--- a/src/main/java/org/tarragonlug/standin/WeightStoreStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/WeightStoreStandIn.java
@@ -9,6 +9,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -85,6 +86,14 @@
         return ADAPTER_BASE_SECONDS + spread / 1000.0;
     }
 
+    /** Returns the size of a checkpoint; empty if the store has none of the artifact. */
+    OptionalLong bytes(ArtifactId artifact) {
+        return checkpoints.stream()
+                .filter(checkpoint -> checkpoint.artifact().equals(artifact))
+                .mapToLong(Checkpoint::bytes)
+                .findFirst();
+    }
+
     /**
      * Makes all loads slower.
      *
--- /dev/null
+++ b/src/test/java/org/tarragonlug/standin/EngineStandInTest.java
@@ -0,0 +1,185 @@
+package org.tarragonlug.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.capacity.CacheTier;
+import org.tarragonlug.decision.capacity.Order;
+import org.tarragonlug.decision.capacity.OrderKind;
+import org.tarragonlug.decision.capacity.OrderOutcome;
+import org.tarragonlug.decision.request.AttemptFailure;
+import org.tarragonlug.engine.EngineClient;
+import org.tarragonlug.engine.GenerationListener;
+import org.tarragonlug.engine.GenerationRequest;
+import org.tarragonlug.engine.HttpEngineClient;
+import org.tarragonlug.http.Loopback;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.weightstore.Checkpoint;
+
+/** Checks the behaviour of the engine stand-in that callers rely on in measurements. */
+class EngineStandInTest {
+    private static final ArtifactId MODEL = new ArtifactId("m", "1");
+    private static final ArtifactId ADAPTER = new ArtifactId("a", "1");
+    private static final Duration PREFILL = Duration.ofMillis(200);
+
+    private final Loopback loopback = new Loopback();
+    private final StandInClock realTime = new StandInClock(1);
+    private final PlatformTruth truth = new PlatformTruth();
+    private final WeightStoreStandIn weightStore =
+            new WeightStoreStandIn(
+                    loopback.ioExecutor, realTime, List.of(new Checkpoint(MODEL, 60)));
+    private final EngineSettings settings =
+            new EngineSettings(
+                    new ServerId("s"),
+                    100,
+                    EngineFencing.CHECKED,
+                    1,
+                    8,
+                    Duration.ofMillis(2),
+                    Duration.ZERO,
+                    PREFILL,
+                    Duration.ofMillis(20),
+                    Duration.ofMillis(100),
+                    "CRASH");
+    private final EngineStandIn engine =
+            new EngineStandIn(settings, loopback.ioExecutor, realTime, weightStore, truth);
+    private final EngineClient client =
+            new HttpEngineClient(
+                    loopback.connections,
+                    Duration.ofSeconds(5),
+                    Duration.ofSeconds(5),
+                    Instant::now);
+
+    @AfterEach
+    void close() throws Exception {
+        engine.close();
+        weightStore.close();
+        realTime.close();
+        loopback.close();
+    }
+
+    private CompletionStage<OrderOutcome> load(ArtifactId artifact, long bytes) {
+        Optional<ArtifactId> base =
+                artifact.equals(ADAPTER) ? Optional.of(MODEL) : Optional.empty();
+        return client.order(
+                engine.address(),
+                new Order(
+                        new OperationId("o"),
+                        OrderKind.LOAD,
+                        settings.server(),
+                        artifact,
+                        base,
+                        bytes,
+                        new Fence(1)));
+    }
+
+    /** Returns the time of the end, by System.nanoTime, or fails. */
+    private CompletableFuture<Long> generate(String prompt, Priority priority) {
+        CompletableFuture<Long> end = new CompletableFuture<>();
+        JsonNode body =
+                JsonNodeFactory.instance.objectNode().put("prompt", prompt).put("max_tokens", 2);
+        GenerationRequest request =
+                new GenerationRequest(
+                        new AttemptId(prompt),
+                        MODEL,
+                        "/v1/completions",
+                        body,
+                        priority,
+                        0,
+                        Duration.ofSeconds(5));
+        client.generate(
+                engine.address(),
+                request,
+                new GenerationListener() {
+                    @Override
+                    public void token(int offset, String text) {
+                        // Only the end matters here.
+                    }
+
+                    @Override
+                    public void completed(int tokens, String checksum) {
+                        end.complete(System.nanoTime());
+                    }
+
+                    @Override
+                    public void failed(AttemptFailure failure, String detail) {
+                        end.completeExceptionally(new AssertionError(failure + " " + detail));
+                    }
+                });
+        return end;
+    }
+
+    /** Guards against an adapter served before its base model, or loaded without it. */
+    @Test
+    void adapterWaitsForItsBaseModel() throws Exception {
+        engine.cache(MODEL, CacheTier.DISK);
+        CompletionStage<OrderOutcome> model = load(MODEL, 60);
+        Loopback.eventually(() -> engine.actual().loading().containsKey(MODEL));
+        CompletionStage<OrderOutcome> adapter = load(ADAPTER, 5);
+        assertEquals(OrderOutcome.DONE, Loopback.await(adapter));
+        assertEquals(OrderOutcome.DONE, Loopback.await(model));
+        List<ArtifactId> ready =
+                truth.history().stream()
+                        .filter(change -> change.state() == ReplicaChange.State.LOADED)
+                        .map(ReplicaChange::artifact)
+                        .toList();
+        assertEquals(List.of(MODEL, ADAPTER), ready);
+    }
+
+    /** Guards against an overcommit hidden by an order that understates the size. */
+    @Test
+    void sizeOfTheCheckpointCounts() throws Exception {
+        ArtifactId other = new ArtifactId("n", "1");
+        engine.cache(other, CacheTier.DISK);
+        assertEquals(OrderOutcome.DONE, Loopback.await(load(other, 50)));
+        assertEquals(OrderOutcome.FAILED, Loopback.await(load(MODEL, 1)));
+        assertEquals(1, truth.overcommits());
+    }
+
+    /** Guards against a prefix cache without effect on the first token. */
+    @Test
+    void cachedPrefixShortensTheFirstToken() throws Exception {
+        engine.cache(MODEL, CacheTier.MEMORY);
+        Loopback.await(load(MODEL, 60));
+        long start = System.nanoTime();
+        long first = Loopback.await(generate("same prompt", Priority.NORMAL));
+        assertTrue(first - start >= PREFILL.toNanos());
+        long shortest = Long.MAX_VALUE;
+        for (int repeat = 0; repeat < 3; repeat++) {
+            long begin = System.nanoTime();
+            long end = Loopback.await(generate("same prompt", Priority.NORMAL));
+            shortest = Math.min(shortest, end - begin);
+        }
+        assertTrue(shortest < PREFILL.toNanos());
+    }
+
+    /** Guards against priorities without effect in the engine's queue. */
+    @Test
+    void interactiveRequestsOvertakeBatchRequests() throws Exception {
+        engine.cache(MODEL, CacheTier.MEMORY);
+        Loopback.await(load(MODEL, 60));
+        CompletableFuture<Long> running = generate("running", Priority.BATCH);
+        Loopback.eventually(() -> engine.inProgressCount() == 1);
+        CompletableFuture<Long> batch = generate("batch", Priority.BATCH);
+        Loopback.eventually(() -> engine.inProgressCount() == 2);
+        CompletableFuture<Long> interactive = generate("interactive", Priority.INTERACTIVE);
+        long batchEnd = Loopback.await(batch);
+        assertTrue(Loopback.await(interactive) < batchEnd);
+        assertTrue(Loopback.await(running) < batchEnd);
+    }
+}
