Notice an outage of the object API before a decision meets it

Cause: a decider that made no calls noticed an outage only by its next decision; the write of that decision stayed of unknown outcome, so the model it concerned could not use its standby slot: the first covered cold model was refused (trace: object_api_down 0.6 s after the demand). Ruled out: a wrong holder of the standby slot (holder and decider were the same process), a list without the model (it was listed first). Change: an instance that decides on something reads once a second, five times as often after a failure. Conclusion: the standby slot serves the first covered cold model once the outage is 2 s old; a demand within the first seconds can still meet an unresolved write and is then refused truthfully.

--- a/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
@@ -155,6 +155,11 @@
         poller.deciding(driver.group(), decides);
     }
 
+    /** Tells whether this instance decides for any group. */
+    boolean isDecider() {
+        return drivers.values().stream().anyMatch(CapacityDriver::isDecider);
+    }
+
     void objectApiChanged(boolean up) {
         drivers.values().forEach(driver -> driver.objectApiChanged(up));
     }
--- a/src/main/java/org/tarragonlug/instance/EntryInstance.java
+++ b/src/main/java/org/tarragonlug/instance/EntryInstance.java
@@ -292,11 +292,18 @@
         tickets.viewChanged(membership.live());
         configuration.ownershipChanged(ownership);
         capacity.ownershipChanged(ownership);
+        updateDeciding(ownership);
+    }
+
+    private void updateDeciding(Ownership ownership) {
+        boolean acceptsTables = ownership.isOwner(ConfigurationDriver.OWNERSHIP_KEY);
+        objectApi.deciding(acceptsTables || capacity.isDecider());
     }
 
     private void install(Configuration installed) {
         membership.configurationInstalled(installed.version());
         capacity.configure(installed);
+        updateDeciding(membership.ownership());
         requests.configure(installed);
         configured = true;
     }
--- a/src/main/java/org/tarragonlug/instance/ObservedObjectApi.java
+++ b/src/main/java/org/tarragonlug/instance/ObservedObjectApi.java
@@ -17,12 +17,16 @@
  * Counts the calls of the object API and tells whether it is up.
  *
  * <p>It counts as down after three calls in a row without an answer, and as up with the first
- * answer. One failed call is no outage: it may be a broken connection. While it is down, a read
- * once a second finds out when it is back.
+ * answer. One failed call is no outage: it may be a broken connection. An instance that decides on
+ * something checks once a second with a read, and five times as often after a failure, because an
+ * outage that is first noticed by a decision leaves a write of unknown outcome, and what it
+ * concerned cannot be decided again before the outage ends. Other instances check only while the
+ * API is down for them, so that the checks grow with the deciders and not with the fleet.
  */
 final class ObservedObjectApi implements ObjectApi {
     private static final int FAILURES_UNTIL_DOWN = 3;
-    private static final Duration PROBE_PERIOD = Duration.ofSeconds(1);
+    private static final Duration CHECK_PERIOD = Duration.ofSeconds(1);
+    private static final Duration RECHECK_PERIOD = Duration.ofMillis(200);
     private static final ObjectName PROBE = new ObjectName("configuration", "accepted");
 
     private final ObjectApi api;
@@ -30,11 +34,14 @@
     private final List<Consumer<Boolean>> listeners = new ArrayList<>();
     private int failuresInRow;
     private boolean up = true;
+    private boolean deciding;
+    private boolean checking;
 
     ObservedObjectApi(ObjectApi api, InstanceContext context) {
         this.api = api;
         this.context = context;
-        context.every(PROBE_PERIOD, this::probe);
+        context.every(CHECK_PERIOD, this::check);
+        context.every(RECHECK_PERIOD, this::recheck);
     }
 
     /** Adds a listener, called on the event loop with whether the API is up. */
@@ -46,9 +53,21 @@
         return up;
     }
 
-    private void probe() {
-        if (!up) {
-            read(PROBE);
+    /** Sets whether this instance decides on something. */
+    void deciding(boolean decides) {
+        deciding = decides;
+    }
+
+    private void check() {
+        if ((deciding || !up) && !checking) {
+            checking = true;
+            context.onLoop(read(PROBE), (object, failure) -> checking = false);
+        }
+    }
+
+    private void recheck() {
+        if (deciding && up && failuresInRow > 0) {
+            check();
         }
     }
 
