Add a load tool with a direct call of the engine as baseline

Cause: the added latency of an entry instance and its requests a second were unknown. Change: command load (closed loop, loopback alone), stand-in controls rate and addresses.

--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -1,6 +1,7 @@
 package org.tarragonlug;
 
 import org.tarragonlug.tool.CheckCommand;
+import org.tarragonlug.tool.LoadCommand;
 import org.tarragonlug.tool.MeasureCommand;
 import org.tarragonlug.tool.RunCommand;
 import org.tarragonlug.tool.StandInsCommand;
@@ -21,6 +22,7 @@
             StateCommand.class,
             TryCommand.class,
             StandInsCommand.class,
+            LoadCommand.class,
             MeasureCommand.class
         },
         version = "tarragonlug 0.1.0",
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/LoadCommand.java
@@ -0,0 +1,97 @@
+package org.tarragonlug.tool;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.tarragonlug.engine.HttpEngineClient;
+import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.runtime.SettingsLoader;
+import org.tarragonlug.trial.LoadResult;
+import org.tarragonlug.trial.LoadRun;
+import org.tarragonlug.trial.LoadSettings;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Sends a load to entry instances on loopback. */
+@Command(
+        name = "load",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Sends a closed-loop load to entry instances on loopback and prints its latencies.",
+            "With --baseline the same load goes straight to a model engine first.",
+            "Exit status: 0 all answered, 1 some failed."
+        })
+public final class LoadCommand implements Callable<Integer> {
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+    @Option(
+            names = "--target",
+            required = true,
+            arity = "1..*",
+            description = "Caller addresses of entry instances, such as 127.0.0.1:8001.")
+    private List<String> targets;
+
+    @Option(names = "--baseline", description = "Address of an engine that has the model loaded.")
+    private Optional<String> baseline;
+
+    @Option(names = "--model", required = true, description = "Model or adapter.")
+    private String model;
+
+    @Option(names = "--tokens", defaultValue = "1", description = "Tokens of each answer.")
+    private int tokens;
+
+    @Option(
+            names = "--concurrency",
+            defaultValue = "4",
+            description = "Requests in progress, 1 to 1000.")
+    private int concurrency;
+
+    @Option(names = "--seconds", defaultValue = "5", description = "Measured time, 1 to 600.")
+    private int seconds;
+
+    @Option(names = "--warm-up", defaultValue = "2", description = "Seconds dropped before it.")
+    private int warmUp;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (concurrency < 1 || concurrency > 1000 || seconds < 1 || seconds > 600) {
+            System.err.println("--concurrency must be 1 to 1000, --seconds 1 to 600");
+            return ExitStatus.USAGE;
+        }
+        List<InetSocketAddress> addresses =
+                targets.stream().map(SettingsLoader::parseAddress).toList();
+        if (addresses.stream().anyMatch(address -> !address.getAddress().isLoopbackAddress())) {
+            System.err.println("--target must be on loopback: this tool is for trials alone");
+            return ExitStatus.USAGE;
+        }
+        LoadSettings settings =
+                new LoadSettings(
+                        addresses,
+                        model,
+                        tokens,
+                        concurrency,
+                        Duration.ofSeconds(warmUp),
+                        Duration.ofSeconds(seconds),
+                        TIMEOUT);
+        try (AdminClient client = new AdminClient()) {
+            return run(settings, client.connections());
+        }
+    }
+
+    private int run(LoadSettings settings, HttpConnections connections)
+            throws InterruptedException {
+        HttpEngineClient engines =
+                new HttpEngineClient(connections, TIMEOUT, TIMEOUT, Instant::now);
+        if (baseline.isPresent()) {
+            InetSocketAddress engine = SettingsLoader.parseAddress(baseline.get());
+            LoadResult direct = new LoadRun(settings, connections, engines).atEngine(engine);
+            System.out.println(direct.line("baseline"));
+        }
+        LoadResult result = new LoadRun(settings, connections, engines).throughInstances();
+        System.out.println(result.line("result"));
+        return result.failed().isEmpty() ? ExitStatus.GOOD : ExitStatus.FAILED;
+    }
+}
--- a/src/main/java/org/tarragonlug/tool/StandInsCommand.java
+++ b/src/main/java/org/tarragonlug/tool/StandInsCommand.java
@@ -27,7 +27,7 @@
             "Writes the settings of each instance as entry-N.json into a directory. Reads commands",
             "from standard input, one a line, and answers each with one line of JSON:",
             "  outage on|off, slow MILLISECONDS, lose COUNT, leave SERVER, crash SERVER,",
-            "  remove INSTANCE, truth, exit"
+            "  remove INSTANCE, rate REQUESTS_PER_SECOND, addresses, truth, exit"
         })
 public final class StandInsCommand implements Callable<Integer> {
     private static final int IO_THREADS = 4;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/LoadRun.java
@@ -0,0 +1,218 @@
+package org.tarragonlug.trial;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.Histogram;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.request.AttemptFailure;
+import org.tarragonlug.engine.EngineClient;
+import org.tarragonlug.engine.GenerationListener;
+import org.tarragonlug.engine.GenerationRequest;
+import org.tarragonlug.http.ConnectionUse;
+import org.tarragonlug.http.HttpCall;
+import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.http.HttpFailure;
+import org.tarragonlug.http.HttpReceiver;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.runtime.Json;
+
+/**
+ * A closed-loop load: a fixed number of requests is in progress at any time, and each end starts
+ * the next one.
+ *
+ * <p>Through an instance the time to the first token is that of the first bytes of the answer; at
+ * an engine it is that of the first token. A closed loop does not show queueing under a fixed
+ * arrival rate; the measurement of requests in virtual time does.
+ */
+public final class LoadRun {
+    private static final long HIGHEST_MICROS = 600_000_000L;
+    private static final String PATH = "/v1/chat/completions";
+
+    private final LoadSettings settings;
+    private final HttpConnections connections;
+    private final EngineClient engines;
+    private final Histogram firstToken = new Histogram(HIGHEST_MICROS, 3);
+    private final Histogram total = new Histogram(HIGHEST_MICROS, 3);
+    private final Map<String, Integer> failed = new TreeMap<>();
+    private final AtomicLong count = new AtomicLong();
+    private long measureFromNanos;
+    private long endNanos;
+    private int inProgress;
+
+    /**
+     * Creates a load without sending anything.
+     *
+     * @param settings what to send
+     * @param connections used for calls of instances
+     * @param engines used for direct calls of an engine
+     */
+    public LoadRun(LoadSettings settings, HttpConnections connections, EngineClient engines) {
+        this.settings = settings;
+        this.connections = connections;
+        this.engines = engines;
+    }
+
+    /** Sends the load to the entry instances. */
+    public LoadResult throughInstances() throws InterruptedException {
+        return run(this::call);
+    }
+
+    /** Sends the same load straight to an engine that has the model loaded. */
+    public LoadResult atEngine(InetSocketAddress engine) throws InterruptedException {
+        return run(sample -> generate(engine, sample));
+    }
+
+    private LoadResult run(Sender sender) throws InterruptedException {
+        long now = System.nanoTime();
+        measureFromNanos = now + settings.warmUp().toNanos();
+        endNanos = measureFromNanos + settings.length().toNanos();
+        for (int index = 0; index < settings.concurrency(); index++) {
+            start(sender);
+        }
+        synchronized (this) {
+            long limit = endNanos + settings.timeout().toNanos() + 2_000_000_000L;
+            while (inProgress > 0 && System.nanoTime() < limit) {
+                wait(100);
+            }
+            return new LoadResult(
+                    total.getTotalCount(),
+                    new TreeMap<>(failed),
+                    total.getTotalCount() * 1e9 / settings.length().toNanos(),
+                    firstToken.copy(),
+                    total.copy());
+        }
+    }
+
+    private void start(Sender sender) {
+        synchronized (this) {
+            inProgress++;
+        }
+        sender.send(new Sample(sender));
+    }
+
+    private ObjectNode body() {
+        ObjectNode body = Json.object();
+        body.put("model", settings.model());
+        body.put("max_tokens", settings.tokens()).put("stream", true);
+        body.putArray("messages").addObject().put("role", "user").put("content", "load");
+        return body;
+    }
+
+    private void call(Sample sample) {
+        int index = (int) (count.incrementAndGet() % settings.targets().size());
+        Map<String, String> headers =
+                Map.of(
+                        "content-type",
+                        "application/json",
+                        "x-request-timeout-ms",
+                        Long.toString(settings.timeout().toMillis()));
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        PATH,
+                        headers,
+                        Json.bytes(body()),
+                        settings.timeout().plusSeconds(1),
+                        ConnectionUse.POOLED);
+        connections.start(settings.targets().get(index), call, sample);
+    }
+
+    private void generate(InetSocketAddress engine, Sample sample) {
+        GenerationRequest request =
+                new GenerationRequest(
+                        new AttemptId("load-" + System.nanoTime() + "-" + count.incrementAndGet()),
+                        ArtifactId.parse(settings.model()),
+                        PATH,
+                        body(),
+                        Priority.NORMAL,
+                        0,
+                        settings.timeout());
+        engines.generate(engine, request, sample);
+    }
+
+    /** Sends one request. */
+    private interface Sender {
+        void send(Sample sample);
+    }
+
+    /** Times one request. */
+    private final class Sample implements HttpReceiver, GenerationListener {
+        private final Sender sender;
+        private final long startNanos = System.nanoTime();
+        private long firstNanos;
+        private int status;
+
+        Sample(Sender sender) {
+            this.sender = sender;
+        }
+
+        @Override
+        public void head(int answerStatus, Map<String, String> headers) {
+            status = answerStatus;
+        }
+
+        @Override
+        public void data(byte[] part) {
+            first();
+        }
+
+        @Override
+        public void token(int offset, String text) {
+            first();
+        }
+
+        private void first() {
+            if (firstNanos == 0) {
+                firstNanos = System.nanoTime();
+            }
+        }
+
+        @Override
+        public void completed() {
+            end(status == 200 ? "" : "status " + status);
+        }
+
+        @Override
+        public void completed(int tokens, String checksum) {
+            end("");
+        }
+
+        @Override
+        public void failed(HttpFailure failure) {
+            end(failure.kind().name());
+        }
+
+        @Override
+        public void failed(AttemptFailure failure, String detail) {
+            end(failure.name());
+        }
+
+        private void end(String kind) {
+            long now = System.nanoTime();
+            boolean more = now < endNanos;
+            if (more) {
+                // Started before this one is counted as ended, so that the run does not look over.
+                start(sender);
+            }
+            synchronized (LoadRun.this) {
+                inProgress--;
+                if (!kind.isEmpty()) {
+                    failed.merge(kind, 1, Integer::sum);
+                } else if (startNanos >= measureFromNanos && now <= endNanos) {
+                    firstToken.recordValue(micros(firstNanos - startNanos));
+                    total.recordValue(micros(now - startNanos));
+                }
+                LoadRun.this.notifyAll();
+            }
+        }
+
+        private long micros(long nanos) {
+            return Math.min(HIGHEST_MICROS, Math.max(0, Duration.ofNanos(nanos).toNanos() / 1000));
+        }
+    }
+}
--- a/src/main/java/org/tarragonlug/trial/StandInControl.java
+++ b/src/main/java/org/tarragonlug/trial/StandInControl.java
@@ -1,8 +1,11 @@
 package org.tarragonlug.trial;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.runtime.Json;
 import org.tarragonlug.standin.EngineStandIn;
@@ -51,6 +54,8 @@
             case "leave" -> engine(argument).leave();
             case "crash" -> engine(argument).crash();
             case "remove" -> platform.instanceList().remove(argument);
+            case "rate" -> rate(Integer.parseInt(argument));
+            case "addresses" -> addresses(answer);
             case "truth" -> truth(answer);
             default -> throw new IllegalArgumentException(command);
         }
@@ -64,6 +69,26 @@
                 .orElseThrow(() -> new IllegalArgumentException(id));
     }
 
+    /** Edits the table of routes as an operator would. */
+    private void rate(int requestsPerSecond) {
+        ObjectName name = new ObjectName("tables", "routes");
+        ObjectNode table = platform.objectApi().peek(name).content().deepCopy();
+        for (JsonNode route : table.path("routes")) {
+            ((ObjectNode) route).put("requestsPerSecond", requestsPerSecond);
+        }
+        platform.objectApi().put(name, table);
+    }
+
+    private void addresses(ObjectNode answer) {
+        ObjectNode engines = answer.putObject("engines");
+        for (EngineStandIn engine : platform.engines()) {
+            InetSocketAddress address = engine.address();
+            engines.put(
+                    engine.id().value(),
+                    address.getAddress().getHostAddress() + ":" + address.getPort());
+        }
+    }
+
     private void truth(ObjectNode answer) {
         PlatformTruth truth = platform.truth();
         answer.put("overcommits", truth.overcommits());
