Store arrival histories for the next decider

Cause: the weekly pattern of arrivals was lost with each change of the decider. Change: HistoryStore writes the histories of a group every 10 minutes, when a decider stops and when it loses its role, spread over 16 objects so that each stays below 1 MB; a new decider reads them. Conclusion: keep-warm decisions survive restarts of all instances.

--- a/src/main/java/org/tarragonlug/instance/CapacityDriver.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDriver.java
@@ -65,6 +65,7 @@
     private final ServerDirectory directory;
     private final TicketDriver tickets;
     private final ReplicaAnnouncer announcer;
+    private final HistoryStore history;
     private final CapacityRecordCodec codec = new CapacityRecordCodec();
     private final ObjectName name;
     private final Map<ServerId, ServerReport> reports = new HashMap<>();
@@ -80,7 +81,8 @@
             EngineClient engines,
             ServerDirectory directory,
             TicketDriver tickets,
-            ReplicaAnnouncer announcer) {
+            ReplicaAnnouncer announcer,
+            HistoryStore history) {
         this.context = context;
         this.group = planner.group();
         this.planner = planner;
@@ -90,10 +92,12 @@
         this.directory = directory;
         this.tickets = tickets;
         this.announcer = announcer;
+        this.history = history;
         this.name = new ObjectName("capacity", group.value());
     }
 
     void start() {
+        history.start();
         context.every(TICK, () -> handle(new CapacityEvent.Tick()));
     }
 
@@ -113,12 +117,18 @@
         decider = decides;
         LogEvent event = decides ? LogEvent.BECAME_DECIDER : LogEvent.STOPPED_BEING_DECIDER;
         context.log().event(event).with("group", group).write();
+        history.deciding(decides);
         handle(
                 decides
                         ? new CapacityEvent.BecameDecider()
                         : new CapacityEvent.StoppedBeingDecider());
     }
 
+    /** Stores what a new decider should know, before this process stops. */
+    void handOver() {
+        history.save();
+    }
+
     boolean isDecider() {
         return decider;
     }
--- a/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
@@ -30,7 +30,6 @@
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.instancelist.InstanceKind;
 import org.tarragonlug.instancelist.ListedInstance;
-import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.plainservice.ServiceReport;
 import org.tarragonlug.runtime.Json;
@@ -51,7 +50,7 @@
     private static final double SECONDS_PER_LOST_BENEFIT = 1;
 
     private final InstanceContext context;
-    private final ObjectApi objectApi;
+    private final ObservedObjectApi objectApi;
     private final EngineClient engines;
     private final ServerDirectory directory;
     private final ReportPoller poller;
@@ -67,7 +66,7 @@
 
     CapacityDrivers(
             InstanceContext context,
-            ObjectApi objectApi,
+            ObservedObjectApi objectApi,
             EngineClient engines,
             ServerDirectory directory,
             ReportPoller poller,
@@ -105,11 +104,14 @@
                         LOAD_FROM_DISK,
                         LOAD_FROM_REMOTE);
         LoadTimes loadTimes = new LoadTimes();
+        DefaultKeepWarmPolicy keepWarm =
+                new DefaultKeepWarmPolicy(artifact -> share(group, artifact));
+        HistoryStore history = new HistoryStore(context, objectApi, group, keepWarm);
         DefaultCapacityPlanner planner =
                 new DefaultCapacityPlanner(
                         settings,
                         new DefaultPlacement(loadTimes, SECONDS_PER_LOST_BENEFIT),
-                        new DefaultKeepWarmPolicy(artifact -> share(group, artifact)),
+                        keepWarm,
                         context.random(),
                         context.invariants());
         CapacityDriver driver =
@@ -121,7 +123,8 @@
                         engines,
                         directory,
                         tickets,
-                        new ReplicaAnnouncer(context, peers, group));
+                        new ReplicaAnnouncer(context, peers, group),
+                        history);
         driver.start();
         driver.processesGone(gone);
         driver.listed(instances);
@@ -155,6 +158,11 @@
         poller.deciding(driver.group(), decides);
     }
 
+    /** Stores what new deciders should know, before this process stops. */
+    void handOver() {
+        drivers.values().forEach(CapacityDriver::handOver);
+    }
+
     /** Tells whether this instance decides for any group. */
     boolean isDecider() {
         return drivers.values().stream().anyMatch(CapacityDriver::isDecider);
--- a/src/main/java/org/tarragonlug/instance/EntryInstance.java
+++ b/src/main/java/org/tarragonlug/instance/EntryInstance.java
@@ -354,6 +354,7 @@
         log.event(LogEvent.DRAIN_STARTED).with("in_progress", callerServer.inProgress()).write();
         Duration limit = settings.limits().drainTime();
         Duration notice = BALANCER_NOTICE.compareTo(limit) < 0 ? BALANCER_NOTICE : limit;
+        loop.post(capacity::handOver);
         loop.post(membership::leave);
         context.after(
                 notice,
--- /dev/null
+++ b/src/main/java/org/tarragonlug/instance/HistoryStore.java
@@ -0,0 +1,147 @@
+package org.tarragonlug.instance;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.tarragonlug.decision.capacity.ArrivalHistoryRecord;
+import org.tarragonlug.decision.capacity.DefaultKeepWarmPolicy;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.LogEvent;
+
+/**
+ * Keeps the arrival histories of a server group in the object API, so that a new decider knows the
+ * weekly pattern of lessons.
+ *
+ * <p>The histories of a group are spread over a fixed number of objects by a hash of the artifact,
+ * which keeps each below 1 MB: a history takes at most about 4 KB. Nothing depends on them but the
+ * quality of keep-warm decisions, so the last writer wins and a failed write is dropped.
+ */
+final class HistoryStore {
+    private static final int SHARDS = 16;
+    private static final int FORMAT_VERSION = 1;
+    private static final Duration SAVE_PERIOD = Duration.ofMinutes(10);
+
+    private final InstanceContext context;
+    private final ObservedObjectApi objectApi;
+    private final ServerGroup group;
+    private final DefaultKeepWarmPolicy policy;
+    private final List<JsonNode> saved = new ArrayList<>();
+    private boolean deciding;
+    private int shardsToRead;
+
+    HistoryStore(
+            InstanceContext context,
+            ObservedObjectApi objectApi,
+            ServerGroup group,
+            DefaultKeepWarmPolicy policy) {
+        this.context = context;
+        this.objectApi = objectApi;
+        this.group = group;
+        this.policy = policy;
+        for (int shard = 0; shard < SHARDS; shard++) {
+            saved.add(Json.object());
+        }
+    }
+
+    void start() {
+        context.every(SAVE_PERIOD, this::save);
+    }
+
+    void deciding(boolean decides) {
+        if (deciding && !decides) {
+            save();
+        }
+        deciding = decides;
+        if (decides) {
+            load();
+        }
+    }
+
+    private ObjectName name(int shard) {
+        return new ObjectName("history", group + "-" + shard);
+    }
+
+    private int shard(ArtifactId artifact) {
+        return (int) Long.remainderUnsigned(context.hasher().hash(artifact.toString()), SHARDS);
+    }
+
+    private void load() {
+        Map<ArtifactId, ArrivalHistoryRecord> records = new HashMap<>();
+        shardsToRead = SHARDS;
+        for (int shard = 0; shard < SHARDS; shard++) {
+            context.onLoop(
+                    objectApi.read(name(shard)),
+                    (object, failure) -> {
+                        if (failure == null && object.exists()) {
+                            read(object, records);
+                        }
+                        shardsToRead--;
+                        if (shardsToRead == 0 && !records.isEmpty()) {
+                            policy.restore(records, context.now());
+                        }
+                    });
+        }
+    }
+
+    private void read(StoredObject object, Map<ArtifactId, ArrivalHistoryRecord> records) {
+        JsonNode histories = object.content().path("histories");
+        histories
+                .fields()
+                .forEachRemaining(
+                        field -> {
+                            try {
+                                records.put(
+                                        ArtifactId.parse(field.getKey()),
+                                        Json.MAPPER.treeToValue(
+                                                field.getValue(), ArrivalHistoryRecord.class));
+                            } catch (JsonProcessingException | IllegalArgumentException bad) {
+                                context.log()
+                                        .event(LogEvent.PART_FAILED)
+                                        .with("part", object.name())
+                                        .with("failure", bad.getMessage())
+                                        .write();
+                            }
+                        });
+    }
+
+    /** Writes the shards that have changed. */
+    void save() {
+        if (!deciding || !objectApi.isUp()) {
+            return;
+        }
+        List<ObjectNode> shards = new ArrayList<>();
+        for (int shard = 0; shard < SHARDS; shard++) {
+            ObjectNode content = Json.object().put("formatVersion", FORMAT_VERSION);
+            content.putObject("histories");
+            shards.add(content);
+        }
+        policy.toRecords(context.now())
+                .forEach(
+                        (artifact, record) ->
+                                ((ObjectNode) shards.get(shard(artifact)).path("histories"))
+                                        .set(artifact.toString(), Json.MAPPER.valueToTree(record)));
+        for (int shard = 0; shard < SHARDS; shard++) {
+            save(shard, shards.get(shard));
+        }
+    }
+
+    private void save(int shard, ObjectNode content) {
+        if (content.path("histories").isEmpty() || content.equals(saved.get(shard))) {
+            return;
+        }
+        saved.set(shard, content);
+        ObjectName name = name(shard);
+        objectApi
+                .read(name)
+                .thenCompose(object -> objectApi.write(name, content, object.version()));
+    }
+}
--- a/src/test/java/org/tarragonlug/instance/FleetTest.java
+++ b/src/test/java/org/tarragonlug/instance/FleetTest.java
@@ -91,6 +91,22 @@
             assertWhole(answer.join());
         }
 
+        /** Guards against a weekly pattern that is lost with the instance that learnt it. */
+        @Test
+        void arrivalHistoryPassesToTheNextDecider() throws Exception {
+            assertWhole(fleet.chat(fleet.instance(0), "lessons-model-5", 8).join());
+            fleet.decider().drain();
+            FleetFixture.await(
+                    Duration.ofSeconds(5),
+                    () ->
+                            fleet.platform().objectApi().peekAll("history").stream()
+                                    .anyMatch(
+                                            object ->
+                                                    object.content()
+                                                            .toString()
+                                                            .contains("lessons-model-5@1")));
+        }
+
         /** Guards against waiting requests that fail with the first load. */
         @Test
         void requestWaitsForTheNextTryAfterFailedLoads() {
