--- a/src/main/java/org/tarragonlug/tool/MeasureCommand.java
+++ b/src/main/java/org/tarragonlug/tool/MeasureCommand.java
@@ -2,6 +2,7 @@
 
 import org.tarragonlug.measure.Deployment;
 import org.tarragonlug.measure.MembershipMeasurement;
+import org.tarragonlug.measure.ScaleMeasurement;
 import org.tarragonlug.measure.WarmthMeasurement;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -32,4 +33,13 @@
         MembershipMeasurement.run(seed, System.out);
         return ExitStatus.GOOD;
     }
+
+    @Command(
+            name = "scale",
+            mixinStandardHelpOptions = true,
+            description = "Cost of the decisions by the size of their state, for docs/CAPACITY.md.")
+    int scale(@Option(names = "--seed", defaultValue = "1") long seed) {
+        ScaleMeasurement.run(seed, System.out);
+        return ExitStatus.GOOD;
+    }
 }
