--- a/src/main/java/org/tarragonlug/decision/request/Target.java
+++ b/src/main/java/org/tarragonlug/decision/request/Target.java
@@ -43,7 +43,7 @@
     int running;
     int arrivals;
     TimerHeap.Timer demand;
-    Instant demandReportedAt = Instant.EPOCH;
+    Instant demandReportedAt = Instant.MIN;
 
     private final Average gap = new Average(GAP_WEIGHT);
     private Instant backloggedSince;
--- a/src/main/java/org/tarragonlug/measure/RequestFaults.java
+++ b/src/main/java/org/tarragonlug/measure/RequestFaults.java
@@ -7,6 +7,7 @@
  *
  * @param silent share of attempts whose connection is silent from the start
  * @param broken share of attempts whose connection breaks
+ * @param tokenLost share of tokens that never arrive
  * @param loadFailure share of loads that fail
  * @param claimUnavailable share of claim writes that find the object API down
  * @param claimUnknown share of claim writes of unknown outcome
@@ -18,6 +19,7 @@
 public record RequestFaults(
         double silent,
         double broken,
+        double tokenLost,
         double loadFailure,
         double claimUnavailable,
         double claimUnknown,
@@ -27,7 +29,7 @@
         boolean losesLoaded) {
     /** No faults but those that are caused one by one. */
     public static final RequestFaults NONE =
-            new RequestFaults(0, 0, 0, 0, 0, 0, 2_000, 3_000, false);
+            new RequestFaults(0, 0, 0, 0, 0, 0, 0, 2_000, 3_000, false);
 
     double cancelMillis(RandomGenerator random) {
         return random.nextDouble() * largestDelayMillis;
--- a/src/main/java/org/tarragonlug/measure/RequestWorld.java
+++ b/src/main/java/org/tarragonlug/measure/RequestWorld.java
@@ -363,9 +363,10 @@
 
         @Override
         public void token(SimulatedServer.Job job, int offset) {
-            deliver(
-                    job,
-                    new RequestEvent.AttemptToken(job.attempt, offset, job.request.token(offset)));
+            if (random.nextDouble() >= faults.tokenLost()) {
+                String text = job.request.token(offset);
+                deliver(job, new RequestEvent.AttemptToken(job.attempt, offset, text));
+            }
         }
 
         @Override
--- a/src/test/java/org/tarragonlug/decision/request/RequestCoordinatorRandomTest.java
+++ b/src/test/java/org/tarragonlug/decision/request/RequestCoordinatorRandomTest.java
@@ -56,6 +56,7 @@
                 new RequestFaults(
                         random.nextDouble() * level,
                         random.nextDouble() * level,
+                        random.nextDouble() * level * 0.1,
                         random.nextDouble() * 0.5,
                         random.nextDouble() * level,
                         random.nextDouble() * level,
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/request/RequestWaitingTest.java
@@ -0,0 +1,332 @@
+package org.tarragonlug.decision.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.Execution;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.configuration.Route;
+import org.tarragonlug.decision.configuration.VersionWeight;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.RouteName;
+import org.tarragonlug.measure.RequestScenario;
+import org.tarragonlug.measure.RequestWorld;
+
+/** The path of a request until it is sent: routing, admission, waiting, choice of a server. */
+class RequestWaitingTest {
+    private static Route route(
+            String name, String prefix, List<String> models, Map<String, String> headers) {
+        Route base = RequestScenario.engineRoute("/x", true, 1);
+        return new Route(
+                new RouteName(name),
+                prefix,
+                models,
+                headers,
+                base.target(),
+                base.pool(),
+                base.service(),
+                List.of(
+                        new VersionWeight(new ArtifactId("w", "1"), 1),
+                        new VersionWeight(new ArtifactId("w", "2"), 3)),
+                true,
+                false,
+                Priority.NORMAL,
+                base.defaultTimeout(),
+                base.maximumTimeout(),
+                1,
+                1,
+                1);
+    }
+
+    private static RequestDescription description(
+            String path, String model, Map<String, String> headers) {
+        RequestDescription plain =
+                RequestScenario.description(
+                        path, model, RequestFixture.TIMEOUT, Optional.empty(), "b");
+        return new RequestDescription(
+                "POST",
+                path,
+                plain.artifact(),
+                headers,
+                plain.timeout(),
+                Optional.empty(),
+                Optional.empty(),
+                plain.body(),
+                1,
+                0,
+                true);
+    }
+
+    @Nested
+    class Routing {
+        private final RouteTable table =
+                new RouteTable(
+                        new Configuration(
+                                new ConfigurationVersion(1),
+                                List.of(
+                                        route("root", "/", List.of(), Map.of()),
+                                        route("v1", "/v1/", List.of(), Map.of()),
+                                        route("v1-beta", "/v1", List.of(), Map.of("x", "beta")),
+                                        route("v1-w", "/v1", List.of("w"), Map.of())),
+                                List.of()));
+
+        private String match(String path, String model, Map<String, String> headers) {
+            return table.match(description(path, model, headers)).orElseThrow().name().value();
+        }
+
+        /** Guards against a general route that takes the requests of a more specific one. */
+        @Test
+        void prefersLongerPathThenModelThenHeaders() {
+            assertEquals("root", match("/other", "m", Map.of()));
+            assertEquals("v1", match("/v1/chat", "m", Map.of("x", "alpha")));
+            assertEquals("v1-beta", match("/v1/chat", "m", Map.of("x", "beta")));
+            assertEquals("v1-w", match("/v1", "w@2", Map.of("x", "beta")));
+        }
+
+        /** Guards against a prefix that matches half a path segment. */
+        @Test
+        void matchesWholeSegments() {
+            assertEquals("root", match("/v10/chat", "m", Map.of()));
+        }
+
+        /** Guards against versions that get another share than their weights say. */
+        @Test
+        void drawsVersionsByWeight() {
+            Random random = new Random(1);
+            Route route = table.match(description("/v1", "w", Map.of())).orElseThrow();
+            int second = 0;
+            for (int index = 0; index < 4_000; index++) {
+                ArtifactId drawn =
+                        RouteTable.artifact(route, description("/v1", "w", Map.of()), random)
+                                .orElseThrow();
+                second += drawn.version().equals("2") ? 1 : 0;
+            }
+            assertEquals(3_000, second, 150);
+            assertEquals(
+                    Optional.of(new ArtifactId("m", "7")),
+                    RouteTable.artifact(route, description("/v1", "m@7", Map.of()), random));
+        }
+    }
+
+    @Nested
+    class Refusal {
+        private final RequestFixture fixture = new RequestFixture();
+
+        /** Guards against requests that wait for what can never come. */
+        @Test
+        void refusesWhatHasNoRouteOrArtifact() {
+            fixture.arrive("r1", "/nowhere", "m");
+            assertEquals(RefusalReason.ROUTE_NOT_FOUND, fixture.refusal().reason());
+            fixture.arrive("r2", "/chat", "unknown");
+            assertEquals(RefusalReason.ARTIFACT_NOT_FOUND, fixture.refusal().reason());
+            fixture.arrive("r3", "/chat", "@@");
+            assertEquals(RefusalReason.ARTIFACT_NOT_FOUND, fixture.refusal().reason());
+        }
+
+        /** Guards against a flood on one route that reaches the servers. */
+        @Test
+        void boundsRequestsPerSecondOfARoute() {
+            RequestFixture limited =
+                    new RequestFixture(9, RequestScenario.limitedRoute("/chat", 2));
+            for (int index = 0; index < 3; index++) {
+                limited.arrive("r" + index, "/chat", "m");
+            }
+            assertEquals(RefusalReason.RATE_LIMITED, limited.refusal().reason());
+            assertEquals(Duration.ofMillis(500), limited.refusal().retryAfter().orElseThrow());
+            limited.advance(500);
+            limited.arrive("r9", "/chat", "m");
+            assertEquals(3, limited.all(RequestCommand.SendGeneration.class).size());
+        }
+
+        /** Guards against a configuration that reverts when an older one arrives late. */
+        @Test
+        void ignoresOlderConfiguration() {
+            fixture.post(
+                    new RequestEvent.ConfigurationChanged(
+                            RequestScenario.configuration(4, 1, List.of())));
+            fixture.arrive("r1", "/chat", "m");
+            assertEquals("r1", fixture.sent().request().value());
+        }
+    }
+
+    @Nested
+    class ColdModel {
+        private final RequestFixture fixture = new RequestFixture();
+
+        /** Guards against a queue that grows without bound while a model loads. */
+        @Test
+        void boundsTheQueue() {
+            RequestFixture small =
+                    new RequestFixture(2, RequestScenario.engineRoute("/chat", true, 1));
+            for (int index = 0; index < 3; index++) {
+                small.arrive("r" + index, "/chat", "cold");
+            }
+            assertEquals(RefusalReason.QUEUE_FULL, small.refusal().reason());
+            assertEquals("r2", small.refusal().request().value());
+        }
+
+        /** Guards against a burst of first requests that the decider does not hear of. */
+        @Test
+        void reportsDemandAtOnceAndWhileItLasts() {
+            fixture.arrive("r1", "/chat", "cold");
+            assertEquals(1, fixture.last(RequestCommand.ReportDemand.class).demand().waiting());
+            fixture.arrive("r2", "/chat", "cold");
+            fixture.advance(1_000);
+            RequestCommand.ReportDemand report = fixture.last(RequestCommand.ReportDemand.class);
+            assertEquals(2, report.demand().waiting());
+            assertEquals(RequestFixture.COLD, report.demand().artifact());
+        }
+
+        /** Guards against requests that lose their place when a load fails. */
+        @Test
+        void keepsPlacesAcrossFailedLoad() {
+            for (int index = 0; index < 3; index++) {
+                fixture.arrive("r" + index, "/chat", "cold");
+            }
+            fixture.coldStart(ColdStart.LOADING, fixture.now.plusSeconds(1));
+            fixture.coldStart(ColdStart.LOADING, fixture.now.plusSeconds(2));
+            fixture.ready(RequestFixture.COLD, RequestFixture.E1);
+            List<String> order =
+                    fixture.all(RequestCommand.SendGeneration.class).stream()
+                            .map(send -> send.request().value())
+                            .toList();
+            assertEquals(List.of("r0", "r1", "r2"), order);
+        }
+
+        /** Guards against callers that wait in vain although the load will take too long. */
+        @Test
+        void refusesEarlyWhatTheLoadWillMiss() {
+            fixture.coldStart(ColdStart.LOADING, fixture.now.plusSeconds(5));
+            fixture.arrive("r1", "/chat", "cold", Duration.ofSeconds(3), Optional.empty());
+            assertEquals(RefusalReason.DEADLINE_TOO_NEAR, fixture.refusal().reason());
+            assertEquals(Duration.ofSeconds(5), fixture.refusal().retryAfter().orElseThrow());
+            fixture.arrive("r2", "/chat", "cold");
+            fixture.coldStart(ColdStart.UNAVAILABLE, fixture.now.plusSeconds(30));
+            assertEquals(RefusalReason.NO_CAPACITY, fixture.refusal().reason());
+            assertEquals(Execution.NOT_RUN, fixture.refusal().execution());
+        }
+
+        /** Guards against an expiry that is answered after the deadline, when nobody listens. */
+        @Test
+        void answersExpiryBeforeTheDeadline() {
+            fixture.arrive("r1", "/chat", "cold", Duration.ofSeconds(1), Optional.empty());
+            fixture.advance(970);
+            assertTrue(fixture.all(RequestCommand.Refuse.class).isEmpty());
+            fixture.advance(25);
+            assertEquals(RefusalReason.DEADLINE_EXCEEDED, fixture.refusal().reason());
+            assertEquals(Execution.NOT_RUN, fixture.refusal().execution());
+        }
+
+        /** Guards against work for a caller that has gone. */
+        @Test
+        void forgetsGoneCaller() {
+            fixture.post(new RequestEvent.CallerGone(fixture.arrive("r1", "/chat", "cold")));
+            fixture.ready(RequestFixture.COLD, RequestFixture.E1);
+            assertTrue(fixture.all(RequestCommand.SendGeneration.class).isEmpty());
+            assertEquals("r1", fixture.last(RequestCommand.Forget.class).request().value());
+        }
+    }
+
+    @Nested
+    class Selection {
+        private final RequestFixture fixture = new RequestFixture();
+
+        /** Guards against sending to the server that the report shows as busy. */
+        @Test
+        void prefersLeastLoadByReportAndOwnRequests() {
+            fixture.report(RequestFixture.E1, "i1", 6, 0);
+            fixture.report(RequestFixture.E2, "i1", 1, 0);
+            fixture.report(RequestFixture.E3, "i1", 4, 0);
+            Map<String, Integer> counts = new HashMap<>();
+            for (int index = 0; index < 6; index++) {
+                fixture.arrive("r" + index, "/chat", "m");
+                counts.merge(fixture.sent().server().value(), 1, Integer::sum);
+            }
+            assertFalse(counts.containsKey("e1"));
+            assertTrue(counts.get("e2") > counts.get("e3"));
+        }
+
+        /** Guards against losing the engine's prefix cache to an even spread. */
+        @Test
+        void prefersCachedPrefix() {
+            fixture.post(new RequestEvent.CacheEvent(RequestFixture.E2, 77, true));
+            RequestDescription plain = description("/chat", "m", Map.of());
+            fixture.arrive(
+                    "r1",
+                    new RequestDescription(
+                            "POST",
+                            "/chat",
+                            plain.artifact(),
+                            Map.of(),
+                            plain.timeout(),
+                            Optional.empty(),
+                            Optional.empty(),
+                            plain.body(),
+                            1,
+                            77,
+                            true));
+            assertEquals(RequestFixture.E2, fixture.sent().server());
+        }
+
+        /** Guards against in-flight limits that do not adapt to what a server can take. */
+        @Test
+        void limitFallsOnRefusalAndRisesWithAnswers() {
+            InFlightLimit limit = new InFlightLimit(8, 64);
+            limit.refused(Instant.EPOCH);
+            limit.refused(Instant.EPOCH.plusMillis(10));
+            assertEquals(5, limit.value());
+            for (int index = 0; index < 100; index++) {
+                limit.succeeded(limit.value());
+            }
+            assertTrue(limit.value() > 12, "limit " + limit.value());
+        }
+    }
+
+    @Nested
+    class LeavingServer {
+        private final RequestFixture fixture = new RequestFixture();
+
+        /** Guards against new work for a server that its own refusal shows as leaving. */
+        @Test
+        void getsNothingAfterItsRefusalEvenIfReportsLag() {
+            fixture.arrive("r1", "/chat", "m");
+            RequestCommand.SendGeneration first = fixture.sent();
+            fixture.fail(first.attempt(), AttemptFailure.REFUSED_LEAVING);
+            fixture.report(first.server(), "i1", 0, 0);
+            for (int index = 2; index < 12; index++) {
+                assertNotEquals(first.server(), fixture.sent().server());
+                fixture.arrive("r" + index, "/chat", "m");
+            }
+        }
+
+        /** Guards against new work for a leaving server, and against cutting its requests. */
+        @Test
+        void getsNothingAfterTheListShowsItAndFinishesItsRequests() {
+            fixture.arrive("r1", "/chat", "m");
+            RequestCommand.SendGeneration first = fixture.sent();
+            String leaving = first.server().value();
+            fixture.servers(RequestWorld.ENGINES, List.of("e1", "e2", "e3"), leaving);
+            fixture.ready(RequestFixture.MODEL, RequestFixture.E1, RequestFixture.E2);
+            for (int index = 2; index < 12; index++) {
+                fixture.arrive("r" + index, "/chat", "m");
+                assertNotEquals(first.server(), fixture.sent().server());
+            }
+            fixture.token(first.attempt(), 0);
+            fixture.complete(first.attempt(), 1);
+            assertEquals(1, fixture.all(RequestCommand.CompleteAnswer.class).size());
+        }
+    }
+}
