--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/NaiveCoordinator.java
@@ -0,0 +1,140 @@
+package org.tarragonlug.measure;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonlug.decision.Execution;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.StateMachine;
+import org.tarragonlug.decision.request.RefusalReason;
+import org.tarragonlug.decision.request.RequestCommand;
+import org.tarragonlug.decision.request.RequestEvent;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.RequestId;
+import org.tarragonlug.id.ServerId;
+
+/**
+ * The baseline of the measurements: an unbounded first-in-first-out queue without deadlines, round
+ * robin over the servers, a fixed number in flight at each, and a retry at the next server after
+ * each failure.
+ */
+final class NaiveCoordinator implements StateMachine<RequestEvent, RequestCommand> {
+    private static final Duration NO_DEADLINE = Duration.ofHours(1);
+
+    private final int inFlightLimit;
+    private final int triesPerRequest;
+    private final Deque<RequestId> queue = new ArrayDeque<>();
+    private final Map<RequestId, Integer> forwarded = new HashMap<>();
+    private final Map<RequestId, Integer> tries = new HashMap<>();
+    private final Map<RequestId, ArtifactId> artifacts = new HashMap<>();
+    private final Map<AttemptId, RequestId> attempts = new HashMap<>();
+    private final Map<AttemptId, ServerId> places = new HashMap<>();
+    private final Map<ServerId, Integer> inFlight = new HashMap<>();
+    private final List<ServerId> servers = new ArrayList<>();
+    private List<RequestCommand> commands = new ArrayList<>();
+    private int next;
+    private int attemptCount;
+
+    NaiveCoordinator(int inFlightLimit, int triesPerRequest) {
+        this.inFlightLimit = inFlightLimit;
+        this.triesPerRequest = triesPerRequest;
+    }
+
+    @Override
+    public List<RequestCommand> handle(RequestEvent event, Instant now) {
+        commands = new ArrayList<>();
+        if (event instanceof RequestEvent.RequestArrived arrived) {
+            String artifact = arrived.description().artifact().orElseThrow();
+            artifacts.put(arrived.request(), ArtifactId.parse(artifact));
+            queue.add(arrived.request());
+        } else if (event instanceof RequestEvent.ReplicasChanged changed) {
+            servers.clear();
+            servers.addAll(changed.ready().stream().sorted().toList());
+        } else if (event instanceof RequestEvent.AttemptToken token) {
+            token(token);
+        } else if (event instanceof RequestEvent.AttemptCompleted completed) {
+            RequestId request = release(completed.attempt());
+            if (request != null) {
+                commands.add(
+                        new RequestCommand.CompleteAnswer(
+                                request, completed.tokens(), completed.checksum()));
+            }
+        } else if (event instanceof RequestEvent.AttemptFailed failed) {
+            failed(release(failed.attempt()));
+        }
+        dispatch();
+        return commands;
+    }
+
+    private void token(RequestEvent.AttemptToken token) {
+        RequestId request = attempts.get(token.attempt());
+        if (request != null && forwarded.getOrDefault(request, 0) == token.offset()) {
+            forwarded.merge(request, 1, Integer::sum);
+            commands.add(new RequestCommand.ForwardToken(request, token.offset(), token.text()));
+        }
+    }
+
+    private void failed(RequestId request) {
+        if (request == null) {
+            return;
+        }
+        if (tries.get(request) < triesPerRequest) {
+            queue.addFirst(request);
+        } else {
+            commands.add(
+                    new RequestCommand.Refuse(
+                            request,
+                            RefusalReason.BACKEND_FAILED,
+                            Execution.MAY_HAVE_RUN,
+                            Optional.empty(),
+                            "tries exhausted"));
+        }
+    }
+
+    private RequestId release(AttemptId attempt) {
+        ServerId server = places.remove(attempt);
+        if (server != null) {
+            inFlight.merge(server, -1, Integer::sum);
+        }
+        return attempts.remove(attempt);
+    }
+
+    private void dispatch() {
+        int full = 0;
+        while (!queue.isEmpty() && full < servers.size()) {
+            ServerId server = servers.get(next % servers.size());
+            next++;
+            if (inFlight.getOrDefault(server, 0) >= inFlightLimit) {
+                full++;
+                continue;
+            }
+            full = 0;
+            send(queue.poll(), server);
+        }
+    }
+
+    private void send(RequestId request, ServerId server) {
+        attemptCount++;
+        AttemptId attempt = new AttemptId("naive-" + attemptCount);
+        attempts.put(attempt, request);
+        places.put(attempt, server);
+        inFlight.merge(server, 1, Integer::sum);
+        tries.merge(request, 1, Integer::sum);
+        commands.add(
+                new RequestCommand.SendGeneration(
+                        attempt,
+                        request,
+                        server,
+                        artifacts.get(request),
+                        forwarded.getOrDefault(request, 0),
+                        Priority.NORMAL,
+                        NO_DEADLINE));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/RequestRecorder.java
@@ -0,0 +1,94 @@
+package org.tarragonlug.measure;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+import org.tarragonlug.decision.request.RequestCommand;
+import org.tarragonlug.id.RequestId;
+import org.tarragonlug.id.ServerId;
+
+/** Records what callers see of a simulated run. Times are in microseconds. */
+public final class RequestRecorder implements RequestWorldObserver {
+    private static final int DIGITS = 3;
+
+    private final Histogram answers = new Histogram(DIGITS);
+    private final Histogram refusals = new Histogram(DIGITS);
+    private final Histogram tokenGaps = new Histogram(DIGITS);
+    private final Map<RequestId, Instant> arrivals = new HashMap<>();
+    private final Map<RequestId, Duration> timeouts = new HashMap<>();
+    private final Map<RequestId, Instant> tokens = new HashMap<>();
+    private final Set<RequestId> unsent = new HashSet<>();
+    private int inTime;
+    private int largestUnsent;
+    private int crashes;
+
+    @Override
+    public void arrived(SimulatedRequest request, Instant now) {
+        arrivals.put(request.id(), now);
+        timeouts.put(request.id(), request.description().timeout().orElseThrow());
+        unsent.add(request.id());
+    }
+
+    @Override
+    public void commanded(RequestCommand command, Instant now) {
+        if (command instanceof RequestCommand.ForwardToken token) {
+            Instant previous = tokens.put(token.request(), now);
+            if (previous != null) {
+                tokenGaps.recordValue(micros(previous, now));
+            }
+        } else if (command instanceof RequestCommand.SendGeneration send) {
+            unsent.remove(send.request());
+        } else if (command instanceof RequestCommand.CompleteAnswer complete) {
+            long micros = micros(arrivals.get(complete.request()), now);
+            answers.recordValue(micros);
+            inTime += micros <= timeouts.get(complete.request()).toNanos() / 1_000 ? 1 : 0;
+        } else if (command instanceof RequestCommand.Refuse refuse) {
+            unsent.remove(refuse.request());
+            refusals.recordValue(micros(arrivals.get(refuse.request()), now));
+        }
+        largestUnsent = Math.max(largestUnsent, unsent.size());
+    }
+
+    @Override
+    public void crashed(ServerId server, Instant now) {
+        crashes++;
+    }
+
+    /** Returns the times from arrival to the end of the answer. */
+    public Histogram answers() {
+        return answers;
+    }
+
+    /** Returns the times from arrival to a refusal. */
+    public Histogram refusals() {
+        return refusals;
+    }
+
+    /** Returns the times between two tokens of an answer. */
+    public Histogram tokenGaps() {
+        return tokenGaps;
+    }
+
+    /** Returns the number of answers that ended before their deadlines. */
+    public int inTime() {
+        return inTime;
+    }
+
+    /** Returns the largest number of requests that were neither sent nor ended. */
+    public int largestUnsent() {
+        return largestUnsent;
+    }
+
+    /** Returns the number of lost server processes. */
+    public int crashes() {
+        return crashes;
+    }
+
+    private static long micros(Instant from, Instant to) {
+        return Duration.between(from, to).toNanos() / 1_000;
+    }
+}
