Admit by the time that most answers take

Cause: admission reckoned with the mean time of an answer, so in overload the longer half of the admitted requests ran in vain. Change: average plus twice the deviation, an allowance of 20% on the estimated wait, an assumed second for an answer before the first sample; the in-flight limit does not grow while the server reports a queue.

--- a/src/main/java/org/tarragonlug/decision/request/AdmissionControl.java
+++ b/src/main/java/org/tarragonlug/decision/request/AdmissionControl.java
@@ -22,8 +22,10 @@
 /**
  * Admits arriving requests into the queues, or refuses them at once.
  *
- * <p>A request is refused early if its expected wait and the usual time of an answer do not fit
- * before its deadline. The usual time alone never refuses it: the request may be a short one.
+ * <p>A request is refused early if its expected wait and the time that most answers take do not fit
+ * before its deadline. The mean time does not do: in overload every request waits as long as
+ * admission lets it, and the longer half would run in vain. The time of an answer alone never
+ * refuses a request: it may be a short one.
  */
 final class AdmissionControl {
     private static final Duration UNAVAILABLE_RETRY = Duration.ofSeconds(5);
@@ -207,7 +209,7 @@
                             .orElse(UNAVAILABLE_RETRY);
             return Refusal.passing(RefusalReason.NO_CAPACITY, retry, detail);
         }
-        Duration usual = Duration.ofNanos((long) (target.duration.valueOr(0) * 1e6));
+        Duration usual = Duration.ofNanos((long) (target.duration.high() * 1e6));
         boolean fits = wait.plus(usual).compareTo(Duration.between(now, request.deadline)) <= 0;
         if (!wait.isZero() && !fits) {
             return Refusal.passing(RefusalReason.DEADLINE_TOO_NEAR, wait, detail);
--- a/src/main/java/org/tarragonlug/decision/request/Average.java
+++ b/src/main/java/org/tarragonlug/decision/request/Average.java
@@ -1,9 +1,10 @@
 package org.tarragonlug.decision.request;
 
-/** Exponentially decaying average; the first samples count equally. */
+/** Exponentially decaying average and deviation; the first samples count equally. */
 final class Average {
     private final double weight;
     private double value;
+    private double variance;
     private int samples;
 
     Average(double weight) {
@@ -12,7 +13,10 @@
 
     void add(double sample) {
         samples = Math.min(samples + 1, 1_000_000);
-        value += (sample - value) * Math.max(weight, 1.0 / samples);
+        double share = Math.max(weight, 1.0 / samples);
+        double difference = sample - value;
+        value += difference * share;
+        variance = (1 - share) * (variance + share * difference * difference);
     }
 
     boolean isEmpty() {
@@ -23,6 +27,11 @@
         return value;
     }
 
+    /** Returns a value that few samples exceed: the average plus twice the deviation. */
+    double high() {
+        return value + 2 * Math.sqrt(variance);
+    }
+
     double valueOr(double fallback) {
         return samples == 0 ? fallback : value;
     }
--- a/src/main/java/org/tarragonlug/decision/request/InFlightLimit.java
+++ b/src/main/java/org/tarragonlug/decision/request/InFlightLimit.java
@@ -16,6 +16,7 @@
 
     private final int maximum;
     private double limit;
+    private boolean queueing;
     private Instant decreasedAt = Instant.MIN;
 
     InFlightLimit(int initial, int maximum) {
@@ -28,7 +29,7 @@
     }
 
     void succeeded(int inFlight) {
-        if (inFlight >= limit * USED_UP) {
+        if (!queueing && inFlight >= limit * USED_UP) {
             limit = Math.min(maximum, limit + 1 / limit);
         }
     }
@@ -38,6 +39,7 @@
     }
 
     void reported(int running, int queued, Instant now) {
+        queueing = queued > 0;
         // A short queue keeps a batching engine busy; only a longer one is overload.
         if (queued > Math.max(2, running / 4)) {
             decrease(QUEUEING_FACTOR, now);
--- a/src/main/java/org/tarragonlug/decision/request/Target.java
+++ b/src/main/java/org/tarragonlug/decision/request/Target.java
@@ -16,9 +16,18 @@
  * covers whatever shares the servers, which the number of servers alone does not.
  */
 final class Target {
-    private static final double GAP_WEIGHT = 0.05;
+    private static final double GAP_WEIGHT = 0.02;
     private static final double DURATION_WEIGHT = 0.05;
 
+    /** Assumed time of an answer while none was measured, milliseconds. */
+    private static final double ASSUMED_MILLIS = 1_000;
+
+    /**
+     * Allowance on the estimated wait. A request refused at once can be sent elsewhere, one that
+     * was admitted in vain has wasted its time and often that of a server.
+     */
+    private static final double WAIT_ALLOWANCE = 1.2;
+
     /** Reported as the earliest deadline while nothing waits. */
     private static final Duration NO_DEADLINE = Duration.ofDays(1);
 
@@ -83,7 +92,7 @@
         }
         int ahead = queue.size();
         if (ahead > 0) {
-            wait += (ahead + 1) * gap.valueOr(assumedGap());
+            wait += (ahead + 1) * gap.valueOr(assumedGap()) * WAIT_ALLOWANCE;
         }
         return Duration.ofNanos((long) (wait * 1e6));
     }
@@ -112,7 +121,11 @@
         for (BackendServer server : replicas.ready) {
             limit += server.isUsable() ? server.limit.value() : 0;
         }
-        return duration.valueOr(0) / Math.max(1, limit);
+        if (limit == 0) {
+            // A cold model: nothing is known about the servers it will get.
+            return duration.valueOr(0);
+        }
+        return duration.valueOr(ASSUMED_MILLIS) / limit;
     }
 
     private static double millis(Instant from, Instant to) {
