--- a/src/main/java/org/tarragonlug/decision/request/Dispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/request/Dispatcher.java
@@ -191,7 +191,9 @@
         for (BackendServer server : target.replicas.ready) {
             server.blocked.add(target);
         }
-        if (!target.replicas.hasUsableServer()) {
+        if (target.replicas.hasUsableServer()) {
+            target.blocked(now);
+        } else {
             target.coldStartBegan();
             boolean due = !target.demandReportedAt.plus(DEMAND_PAUSE).isAfter(now);
             if (target.pool.isPresent() && due) {
--- a/src/main/java/org/tarragonlug/decision/request/Target.java
+++ b/src/main/java/org/tarragonlug/decision/request/Target.java
@@ -26,7 +26,7 @@
      * Allowance on the estimated wait. A request refused at once can be sent elsewhere, one that
      * was admitted in vain has wasted its time and often that of a server.
      */
-    private static final double WAIT_ALLOWANCE = 1.2;
+    private static final double WAIT_ALLOWANCE = 1.5;
 
     /** Reported as the earliest deadline while nothing waits. */
     private static final Duration NO_DEADLINE = Duration.ofDays(1);
@@ -79,6 +79,13 @@
         backloggedSince = queue.size() > 0 ? now : null;
     }
 
+    /** Notes that the queue found no room at the ready servers. */
+    void blocked(Instant now) {
+        if (backloggedSince == null && queue.size() > 0) {
+            backloggedSince = now;
+        }
+    }
+
     /** Notes that no server is ready, so that the gap until the next dispatch says nothing. */
     void coldStartBegan() {
         backloggedSince = null;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/measure/RequestCost.java
@@ -0,0 +1,150 @@
+package org.tarragonlug.measure;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+import org.tarragonlug.decision.request.ColdStart;
+import org.tarragonlug.decision.request.RequestCommand;
+import org.tarragonlug.decision.request.RequestCoordinator;
+import org.tarragonlug.decision.request.RequestEvent;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.AttemptId;
+import org.tarragonlug.id.RequestId;
+import org.tarragonlug.id.ServerId;
+
+/** Measures the real time that one event costs the coordinator. */
+final class RequestCost {
+    private static final int STREAMS = 2_000;
+    private static final int TOKENS_PER_ROUND = 100;
+    private static final int WARM_UP_ROUNDS = 20;
+    private static final int ROUNDS = 50;
+    private static final int TICKS = 20_000;
+    private static final int SERVERS = 256;
+    private static final int[] WAITING = {1_000, 100_000};
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+    private RequestCost() {}
+
+    static void run(long seed, PrintStream out) {
+        Histogram tokens = tokenCost(seed);
+        out.printf(
+                Locale.ROOT,
+                "cost of a token, ns (%d streams, rounds of %d): p50=%d p99=%d max=%d%n",
+                STREAMS,
+                STREAMS * TOKENS_PER_ROUND,
+                tokens.getValueAtPercentile(50),
+                tokens.getValueAtPercentile(99),
+                tokens.getMaxValue());
+        for (int waiting : WAITING) {
+            Histogram ticks = tickCost(seed, waiting);
+            out.printf(
+                    Locale.ROOT,
+                    "cost of a tick with nothing due, ns (%d waiting): p50=%d p99=%d max=%d%n",
+                    waiting,
+                    ticks.getValueAtPercentile(50),
+                    ticks.getValueAtPercentile(99),
+                    ticks.getMaxValue());
+        }
+    }
+
+    /** Returns the mean cost of a token in each round, nanoseconds. */
+    private static Histogram tokenCost(long seed) {
+        RequestCoordinator machine = machine(seed, STREAMS);
+        machine.handle(ready(), Instant.EPOCH);
+        List<AttemptId> attempts = new ArrayList<>();
+        for (int index = 0; index < STREAMS; index++) {
+            for (RequestCommand command : machine.handle(arrival(index), Instant.EPOCH)) {
+                if (command instanceof RequestCommand.SendGeneration send) {
+                    attempts.add(send.attempt());
+                }
+            }
+        }
+        if (attempts.size() != STREAMS) {
+            throw new IllegalStateException("sent " + attempts.size() + " of " + STREAMS);
+        }
+        Histogram perToken = new Histogram(3);
+        int offset = 0;
+        long forwarded = 0;
+        for (int round = 0; round < WARM_UP_ROUNDS + ROUNDS; round++) {
+            long begin = System.nanoTime();
+            for (int token = 0; token < TOKENS_PER_ROUND; token++) {
+                for (AttemptId attempt : attempts) {
+                    RequestEvent event = new RequestEvent.AttemptToken(attempt, offset, "token");
+                    forwarded += machine.handle(event, Instant.EPOCH).size();
+                }
+                offset++;
+            }
+            if (round >= WARM_UP_ROUNDS) {
+                long elapsed = System.nanoTime() - begin;
+                perToken.recordValue(elapsed / ((long) STREAMS * TOKENS_PER_ROUND));
+            }
+        }
+        if (forwarded != (long) offset * STREAMS) {
+            throw new IllegalStateException("forwarded " + forwarded);
+        }
+        return perToken;
+    }
+
+    private static Histogram tickCost(long seed, int waiting) {
+        RequestCoordinator machine = machine(seed, waiting);
+        for (int index = 0; index < waiting; index++) {
+            machine.handle(arrival(index), Instant.EPOCH);
+        }
+        RequestEvent tick = new RequestEvent.Tick();
+        Histogram perTick = new Histogram(3);
+        for (int index = 0; index < 2 * TICKS; index++) {
+            long begin = System.nanoTime();
+            machine.handle(tick, Instant.EPOCH.plusMillis(1));
+            if (index >= TICKS) {
+                perTick.recordValue(System.nanoTime() - begin);
+            }
+        }
+        return perTick;
+    }
+
+    private static RequestCoordinator machine(long seed, int queueLimit) {
+        RequestCoordinator machine =
+                RequestScenario.coordinator(
+                        new Random(seed),
+                        (invariant, detail) -> {
+                            throw new IllegalStateException(invariant + " " + detail);
+                        });
+        machine.handle(
+                new RequestEvent.ConfigurationChanged(
+                        RequestScenario.configuration(
+                                1,
+                                queueLimit + 1,
+                                List.of("m"),
+                                RequestScenario.engineRoute("/chat", true, 1))),
+                Instant.EPOCH);
+        return machine;
+    }
+
+    private static RequestEvent ready() {
+        Set<ServerId> servers = new HashSet<>();
+        for (int index = 0; index < SERVERS; index++) {
+            servers.add(new ServerId("server-" + index));
+        }
+        return new RequestEvent.ReplicasChanged(
+                RequestWorld.ENGINES,
+                new ArtifactId("m", "1"),
+                servers,
+                ColdStart.UNDECIDED,
+                Optional.empty());
+    }
+
+    private static RequestEvent arrival(int index) {
+        return new RequestEvent.RequestArrived(
+                new RequestId("r" + index),
+                RequestScenario.description(
+                        "/chat", "m", TIMEOUT, Optional.empty(), "body" + index));
+    }
+}
--- a/src/main/java/org/tarragonlug/measure/RequestMeasurement.java
+++ b/src/main/java/org/tarragonlug/measure/RequestMeasurement.java
@@ -20,12 +20,14 @@
     /** Servers in all runs. */
     public static final int SERVERS = 8;
 
+    /** Most requests that may wait. */
+    public static final int QUEUE_LIMIT = 500;
+
     private static final int SLOTS = 8;
     private static final double TOKEN_MILLIS = 40;
     private static final int FEWEST_TOKENS = 5;
     private static final int MOST_TOKENS = 35;
     private static final int SECONDS = 60;
-    private static final int QUEUE_LIMIT = 500;
     private static final double SLOW_FACTOR = 5;
     private static final double SLOW_RUN_LOAD = 0.4;
     private static final int CRASHING_COPIES = 20;
@@ -69,6 +71,7 @@
         printGaps(out, "silence to next token, result", silence(seed, false));
         out.println("servers lost, baseline: " + crashing(seed, true).crashes());
         out.println("servers lost, result: " + crashing(seed, false).crashes());
+        RequestCost.run(seed, out);
     }
 
     /** Runs a minute of Poisson arrivals at a multiple of the capacity. */
