Keep one route or priority from shutting out others at a full queue

Cause: the early refusal reckoned with the whole queue, and a full queue refused whoever came, so a flood on one route or a batch backlog refused the requests of other routes and of higher priority. Change: the wait counts only what goes before by share and priority; at a full queue the last request of the route furthest above its share, or of a lower priority, gives way; servers that left the list get nothing although replicas name them; passed deadlines are refused; served demand is reported every 10 s and not every second.

--- a/src/main/java/org/tarragonlug/decision/request/AdmissionControl.java
+++ b/src/main/java/org/tarragonlug/decision/request/AdmissionControl.java
@@ -156,6 +156,9 @@
         if (refusal == null) {
             refusal = checkTarget(request, now);
         }
+        if (refusal == null && isFull(request.target)) {
+            refusal = makeRoom(request, now);
+        }
         if (refusal != null) {
             refuse(request.id, refusal);
             return;
@@ -191,15 +194,8 @@
 
     private Refusal checkTarget(PendingRequest request, Instant now) {
         Target target = request.target;
-        int limit =
-                target.pool
-                        .map(pool -> pools.get(pool).queueLimit())
-                        .orElse(context.settings.serviceQueueLimit());
-        Duration wait = target.expectedWait(now);
+        Duration wait = target.expectedWait(request.route, request.priority, now);
         String detail = "waiting=" + target.waiting() + " expected_ms=" + wait.toMillis();
-        if (target.waiting() >= limit) {
-            return Refusal.passing(RefusalReason.QUEUE_FULL, wait, detail);
-        }
         if (target.replicas.coldStart == ColdStart.UNAVAILABLE
                 && !target.replicas.hasUsableServer()) {
             Duration retry =
@@ -210,13 +206,36 @@
             return Refusal.passing(RefusalReason.NO_CAPACITY, retry, detail);
         }
         Duration usual = Duration.ofNanos((long) (target.duration.high() * 1e6));
-        boolean fits = wait.plus(usual).compareTo(Duration.between(now, request.deadline)) <= 0;
-        if (!wait.isZero() && !fits) {
+        Duration remaining = request.remaining(now);
+        boolean fits = wait.plus(usual).compareTo(remaining) <= 0;
+        boolean passed = remaining.isZero() || remaining.isNegative();
+        if (passed || !wait.isZero() && !fits) {
             return Refusal.passing(RefusalReason.DEADLINE_TOO_NEAR, wait, detail);
         }
         return null;
     }
 
+    private boolean isFull(Target target) {
+        int limit =
+                target.pool
+                        .map(pool -> pools.get(pool).queueLimit())
+                        .orElse(context.settings.serviceQueueLimit());
+        return target.waiting() >= limit;
+    }
+
+    /** Refuses another waiting request if that is fairer, otherwise returns the refusal. */
+    private Refusal makeRoom(PendingRequest request, Instant now) {
+        Target target = request.target;
+        Duration wait = target.expectedWait(request.route, request.priority, now);
+        String detail = "waiting=" + target.waiting() + " expected_ms=" + wait.toMillis();
+        PendingRequest other = target.queue.replaceable(request.route, request.priority);
+        if (other == null) {
+            return Refusal.passing(RefusalReason.QUEUE_FULL, wait, detail);
+        }
+        endings.refuse(other, RefusalReason.QUEUE_FULL, Optional.of(wait), detail, now);
+        return null;
+    }
+
     private PendingRequest newRequest(
             RequestId id,
             RequestDescription description,
--- a/src/main/java/org/tarragonlug/decision/request/Dispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/request/Dispatcher.java
@@ -20,6 +20,12 @@
     /** Least time between reports of demand that are made out of turn. */
     private static final Duration DEMAND_PAUSE = Duration.ofMillis(50);
 
+    /**
+     * Demand that is served is only history for the decider. Reported as often as waiting demand,
+     * the thousands of active artifacts would exceed a daemon's 5 KB a second.
+     */
+    private static final int SERVED_DEMAND_FACTOR = 10;
+
     private final CoordinatorContext context;
     private final ServerSelector selector;
     private final RequestEndings endings;
@@ -123,7 +129,7 @@
                 endings.refuse(
                         request,
                         RefusalReason.DEADLINE_TOO_NEAR,
-                        Optional.of(target.expectedWait(now)),
+                        Optional.of(target.expectedWait(request.route, request.priority, now)),
                         "waited_ms=" + Duration.between(request.arrivedAt, now).toMillis(),
                         now);
             } else if (context.quarantine.isSuspect(request.fingerprint, now)) {
@@ -216,8 +222,13 @@
                                 }
                             });
         }
-        if (!target.demand.isScheduled()) {
-            context.timers.schedule(target.demand, now.plus(context.settings.demandPeriod()));
+        Duration period = context.settings.demandPeriod();
+        if (target.waiting() == 0) {
+            period = period.multipliedBy(SERVED_DEMAND_FACTOR);
+        }
+        Instant next = now.plus(period);
+        if (!target.demand.isScheduled() || target.demand.due().isAfter(next)) {
+            context.timers.schedule(target.demand, next);
         }
     }
 
--- a/src/main/java/org/tarragonlug/decision/request/RequestEndings.java
+++ b/src/main/java/org/tarragonlug/decision/request/RequestEndings.java
@@ -102,7 +102,7 @@
         refuse(
                 request,
                 RefusalReason.DEADLINE_EXCEEDED,
-                Optional.of(request.target.expectedWait(now)),
+                Optional.of(request.target.expectedWait(request.route, request.priority, now)),
                 "state=" + state + " attempts_without_progress=" + request.attemptsWithoutProgress,
                 now);
     }
--- a/src/main/java/org/tarragonlug/decision/request/RequestList.java
+++ b/src/main/java/org/tarragonlug/decision/request/RequestList.java
@@ -13,6 +13,10 @@
         return size;
     }
 
+    PendingRequest last() {
+        return tail;
+    }
+
     PendingRequest first() {
         return head;
     }
--- a/src/main/java/org/tarragonlug/decision/request/ServerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/request/ServerHandler.java
@@ -53,8 +53,9 @@
         Replicas service = targets.service(event.group()).replicas;
         service.ready.clear();
         service.ready.addAll(current);
-        for (BackendServer server : listed.getOrDefault(event.group(), Set.of())) {
-            if (!current.contains(server)) {
+        Optional<ServerGroup> group = Optional.of(event.group());
+        for (BackendServer server : List.copyOf(context.servers.values())) {
+            if (server.group.equals(group) && !current.contains(server)) {
                 // What it still runs may end; it gets nothing new even if replicas name it.
                 server.leavingByList = true;
                 forgetIfIdle(server);
@@ -67,8 +68,14 @@
     void replicasChanged(RequestEvent.ReplicasChanged event, Instant now) {
         Replicas replicas = targets.replicas(event.group(), event.artifact());
         replicas.ready.clear();
+        Set<BackendServer> known = listed.get(event.group());
         for (ServerId id : event.ready().stream().sorted().toList()) {
-            replicas.ready.add(context.server(id));
+            BackendServer server = context.server(id);
+            if (known != null && !known.contains(server)) {
+                // It left the list and was forgotten, or the list does not show it yet.
+                server.leavingByList = true;
+            }
+            replicas.ready.add(server);
         }
         replicas.coldStart = event.coldStart();
         replicas.expected = event.expected();
--- a/src/main/java/org/tarragonlug/decision/request/Target.java
+++ b/src/main/java/org/tarragonlug/decision/request/Target.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.tarragonlug.decision.Priority;
 import org.tarragonlug.decision.capacity.Demand;
+import org.tarragonlug.decision.configuration.Route;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.PoolName;
 
@@ -91,14 +92,14 @@
         backloggedSince = null;
     }
 
-    /** Estimates how long a request waits that arrives now. */
-    Duration expectedWait(Instant now) {
+    /** Estimates how long a request of a route waits that arrives now. */
+    Duration expectedWait(Route route, Priority priority, Instant now) {
         double wait = 0;
         if (!replicas.hasUsableServer()) {
             wait = replicas.expected.map(ready -> Math.max(0, millis(now, ready))).orElse(0.0);
         }
-        int ahead = queue.size();
-        if (ahead > 0) {
+        if (queue.size() > 0) {
+            int ahead = queue.ahead(route, priority);
             wait += (ahead + 1) * gap.valueOr(assumedGap()) * WAIT_ALLOWANCE;
         }
         return Duration.ofNanos((long) (wait * 1e6));
--- a/src/main/java/org/tarragonlug/decision/request/TimerHeap.java
+++ b/src/main/java/org/tarragonlug/decision/request/TimerHeap.java
@@ -20,6 +20,10 @@
             this.action = action;
         }
 
+        Instant due() {
+            return due;
+        }
+
         boolean isScheduled() {
             return index >= 0;
         }
--- a/src/main/java/org/tarragonlug/decision/request/WaitingQueue.java
+++ b/src/main/java/org/tarragonlug/decision/request/WaitingQueue.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.configuration.Route;
 import org.tarragonlug.id.RouteName;
 
 /**
@@ -18,11 +19,13 @@
     private static final class RouteQueue {
         private final RequestList[] byPriority = new RequestList[Priority.values().length];
         private final RouteName name;
+        private final int share;
         private int deficit;
         private int size;
 
-        RouteQueue(RouteName name) {
-            this.name = name;
+        RouteQueue(Route route) {
+            name = route.name();
+            share = Math.max(1, route.share());
             for (int index = 0; index < byPriority.length; index++) {
                 byPriority[index] = new RequestList();
             }
@@ -36,10 +39,28 @@
             }
             throw new IllegalStateException("an empty route queue is in rotation");
         }
+
+        int sizeUpTo(Priority priority) {
+            int count = 0;
+            for (int index = 0; index <= priority.ordinal(); index++) {
+                count += byPriority[index].size();
+            }
+            return count;
+        }
+
+        PendingRequest last() {
+            for (int index = byPriority.length - 1; index >= 0; index--) {
+                if (byPriority[index].size() > 0) {
+                    return byPriority[index].last();
+                }
+            }
+            throw new IllegalStateException("an empty route queue is in rotation");
+        }
     }
 
     private final Map<RouteName, RouteQueue> waiting = new HashMap<>();
     private final Deque<RouteQueue> rotation = new ArrayDeque<>();
+    private int shares;
     private int size;
 
     int size() {
@@ -47,9 +68,12 @@
     }
 
     void add(PendingRequest request) {
-        RouteQueue queue = waiting.computeIfAbsent(request.route.name(), RouteQueue::new);
-        if (queue.size == 0) {
+        RouteQueue queue = waiting.get(request.route.name());
+        if (queue == null) {
+            queue = new RouteQueue(request.route);
+            waiting.put(queue.name, queue);
             rotation.addLast(queue);
+            shares += queue.share;
         }
         queue.byPriority[request.priority.ordinal()].add(request);
         queue.size++;
@@ -65,7 +89,7 @@
             RouteQueue served = rotation.removeFirst();
             rotation.addLast(served);
             RouteQueue next = rotation.getFirst();
-            next.deficit += Math.max(1, next.first().route.share());
+            next.deficit += next.share;
         }
         return rotation.getFirst().first();
     }
@@ -89,9 +113,57 @@
         if (queue.size == 0) {
             rotation.remove(queue);
             waiting.remove(queue.name);
+            shares -= queue.share;
         }
     }
 
+    /**
+     * Estimates how many requests go before one that arrives now: those before it in its route, and
+     * as many of the other routes as their shares let through meanwhile.
+     */
+    int ahead(Route route, Priority priority) {
+        RouteQueue own = waiting.get(route.name());
+        if (own == null) {
+            return Math.min(size, shares);
+        }
+        int before = own.sizeUpTo(priority);
+        long turns = before / own.share + 1L;
+        return (int) Math.min(size, before + turns * (shares - own.share));
+    }
+
+    /**
+     * Finds the request that gives way to one that arrives while the queue is full: the last of the
+     * route that is furthest above its share if the arriving one's route stays below that, or the
+     * last of the own route if its priority is lower. Without this a flood on one route would shut
+     * out the others. A request that was attempted never gives way.
+     *
+     * @return the request, or null if the arriving one has to be refused
+     */
+    PendingRequest replaceable(Route route, Priority priority) {
+        RouteQueue own = waiting.get(route.name());
+        RouteQueue longest = null;
+        for (RouteQueue queue : rotation) {
+            if (longest == null || load(queue, 0) > load(longest, 0)) {
+                longest = queue;
+            }
+        }
+        if (longest == null) {
+            return null;
+        }
+        double ownLoad = own == null ? 1.0 / Math.max(1, route.share()) : load(own, 1);
+        PendingRequest candidate = null;
+        if (longest != own && load(longest, 0) > ownLoad) {
+            candidate = longest.last();
+        } else if (own != null && own.last().priority.compareTo(priority) > 0) {
+            candidate = own.last();
+        }
+        return candidate == null || candidate.attempted ? null : candidate;
+    }
+
+    private static double load(RouteQueue queue, int added) {
+        return (queue.size + added) / (double) queue.share;
+    }
+
     void forEach(Consumer<PendingRequest> action) {
         for (RouteQueue queue : rotation) {
             for (RequestList list : queue.byPriority) {
--- a/src/test/java/org/tarragonlug/decision/request/RequestChecker.java
+++ b/src/test/java/org/tarragonlug/decision/request/RequestChecker.java
@@ -123,6 +123,10 @@
             check(runs == 1, outcome, "recorded answer of no run");
         } else if (command instanceof RequestCommand.Refuse refuse) {
             Outcome outcome = ended(refuse.request(), command, now);
+            check(
+                    refuse.reason() != RefusalReason.NOT_READY,
+                    outcome,
+                    "cut by the drain, whose limit is after all deadlines");
             boolean claimsNotRun = refuse.execution() == Execution.NOT_RUN;
             check(!claimsNotRun || outcome.runs == 0, outcome, "refused as not run, but ran");
         } else if (command instanceof RequestCommand.Drained) {
--- a/src/test/java/org/tarragonlug/decision/request/RequestCoordinatorRandomTest.java
+++ b/src/test/java/org/tarragonlug/decision/request/RequestCoordinatorRandomTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.tarragonlug.decision.configuration.Configuration;
 import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.Fingerprint;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
@@ -145,7 +146,7 @@
             RequestWorld world, RequestChecker checker, Random random, int version) {
         List<ServerId> servers = world.serverIds();
         ServerId server = servers.get(random.nextInt(servers.size()));
-        switch (random.nextInt(6)) {
+        switch (random.nextInt(8)) {
             case 0 -> world.crash(server);
             case 1 -> world.silence(server);
             case 2 -> world.breakConnections(server);
@@ -159,6 +160,12 @@
                 world.leave(group, server, random.nextInt(1_000));
                 checker.leftAt.putIfAbsent(server, world.time().now());
             }
+            case 5 -> world.post(new RequestEvent.FingerprintCondemned(fingerprint(random)));
+            case 6 ->
+                    world.post(
+                            new RequestEvent.SuspectsAnnounced(
+                                    new ServerId("elsewhere" + random.nextInt(2)),
+                                    List.of(fingerprint(random), fingerprint(random))));
             default ->
                     world.post(
                             new RequestEvent.ConfigurationChanged(
@@ -166,6 +173,14 @@
         }
     }
 
+    /** Fingerprints as the coordinator forms them with the hasher of the scenario. */
+    private static Fingerprint fingerprint(Random random) {
+        String body =
+                random.nextBoolean() ? "key" + random.nextInt(40) : "body" + random.nextInt(500);
+        String path = PATHS.get(random.nextInt(PATHS.size()));
+        return new Fingerprint(Long.toHexString(path.substring(1).hashCode()) + "-" + body);
+    }
+
     private static String pickModel(Random random) {
         return MODELS.get(random.nextInt(MODELS.size()));
     }
--- a/src/test/java/org/tarragonlug/decision/request/RequestWaitingTest.java
+++ b/src/test/java/org/tarragonlug/decision/request/RequestWaitingTest.java
@@ -151,6 +151,14 @@
             assertEquals(3, limited.all(RequestCommand.SendGeneration.class).size());
         }
 
+        /** Guards against sending a request whose deadline has passed already. */
+        @Test
+        void refusesPassedDeadline() {
+            fixture.arrive("r1", "/once", "m", Duration.ZERO, Optional.empty());
+            assertEquals(RefusalReason.DEADLINE_TOO_NEAR, fixture.refusal().reason());
+            assertTrue(fixture.all(RequestCommand.SendGeneration.class).isEmpty());
+        }
+
         /** Guards against a configuration that reverts when an older one arrives late. */
         @Test
         void ignoresOlderConfiguration() {
@@ -240,6 +248,73 @@
         }
     }
 
+    @Nested
+    class Fairness {
+        private final RequestFixture fixture =
+                new RequestFixture(
+                        4,
+                        RequestScenario.engineRoute("/chat", true, 1),
+                        RequestScenario.engineRoute("/grade", true, 1));
+
+        private void arriveWith(Priority priority, String id) {
+            RequestDescription plain =
+                    RequestFixture.description("/chat", "cold", Optional.empty(), id);
+            fixture.arrive(
+                    id,
+                    new RequestDescription(
+                            "POST",
+                            "/chat",
+                            plain.artifact(),
+                            Map.of(),
+                            plain.timeout(),
+                            Optional.of(priority),
+                            Optional.empty(),
+                            plain.body(),
+                            1,
+                            0,
+                            true));
+        }
+
+        /** Guards against a flood on one route that shuts out another at a full queue. */
+        @Test
+        void floodOfOneRouteGivesWayToAnother() {
+            for (int index = 0; index < 4; index++) {
+                fixture.arrive("flood" + index, "/chat", "cold");
+            }
+            fixture.arrive("other", "/grade", "cold");
+            assertEquals("flood3", fixture.refusal().request().value());
+            assertEquals(RefusalReason.QUEUE_FULL, fixture.refusal().reason());
+            fixture.arrive("flood4", "/chat", "cold");
+            assertEquals("flood4", fixture.refusal().request().value());
+        }
+
+        /** Guards against a batch backlog that shuts out interactive requests. */
+        @Test
+        void batchGivesWayToInteractive() {
+            for (int index = 0; index < 4; index++) {
+                arriveWith(Priority.BATCH, "batch" + index);
+            }
+            arriveWith(Priority.INTERACTIVE, "question");
+            assertEquals("batch3", fixture.refusal().request().value());
+            arriveWith(Priority.BATCH, "batch4");
+            assertEquals("batch4", fixture.refusal().request().value());
+        }
+
+        /** Guards against an early refusal for a wait that only other requests have. */
+        @Test
+        void waitCountsOnlyWhatGoesBefore() {
+            WaitingQueue queue = new WaitingQueue();
+            Route chat = RequestScenario.engineRoute("/chat", true, 1);
+            Route grade = RequestScenario.engineRoute("/grade", true, 4);
+            for (int index = 0; index < 100; index++) {
+                queue.add(WaitingQueueTest.request(index, chat, Priority.BATCH));
+            }
+            assertEquals(100, queue.ahead(chat, Priority.BATCH));
+            assertEquals(0, queue.ahead(chat, Priority.INTERACTIVE));
+            assertEquals(1, queue.ahead(grade, Priority.BATCH));
+        }
+    }
+
     @Nested
     class Selection {
         private final RequestFixture fixture = new RequestFixture();
@@ -312,6 +387,18 @@
             }
         }
 
+        /** Guards against new work for a server that left while the decider still names it. */
+        @Test
+        void getsNothingAfterItLeftTheList() {
+            fixture.servers(RequestWorld.ENGINES, List.of("e2", "e3"), "");
+            fixture.ready(
+                    RequestFixture.MODEL, RequestFixture.E1, RequestFixture.E2, RequestFixture.E3);
+            for (int index = 0; index < 10; index++) {
+                fixture.arrive("r" + index, "/chat", "m");
+                assertNotEquals(RequestFixture.E1, fixture.sent().server());
+            }
+        }
+
         /** Guards against new work for a leaving server, and against cutting its requests. */
         @Test
         void getsNothingAfterTheListShowsItAndFinishesItsRequests() {
--- a/src/test/java/org/tarragonlug/decision/request/WaitingQueueTest.java
+++ b/src/test/java/org/tarragonlug/decision/request/WaitingQueueTest.java
@@ -74,7 +74,7 @@
         }
     }
 
-    private static PendingRequest request(int sequence, Route route, Priority priority) {
+    static PendingRequest request(int sequence, Route route, Priority priority) {
         RequestDescription plain =
                 RequestScenario.description(
                         route.pathPrefix(), "m", RequestFixture.TIMEOUT, Optional.empty(), "b");
