Let in-flight limits grow fast until the first sign of overload

Cause: a burst of first requests for a cold model passed in steps of 8, and once an answer had been measured most of a second burst was refused. Change: the limit grows by one with each answer until a refusal or a reported queue; a loading model is assumed to take 32 at once; what is sent beyond the answers does not count as pace.

--- a/src/main/java/org/tarragonlug/decision/request/Dispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/request/Dispatcher.java
@@ -169,7 +169,7 @@
             context.dequeue(request);
         } else {
             request.target.queue.poll();
-            request.target.dispatched(now);
+            request.target.dispatched(server.limit.isStarting(), now);
         }
         context.reserve(request, server);
         if (request.claimKey == null || request.claimHeld) {
--- a/src/main/java/org/tarragonlug/decision/request/InFlightLimit.java
+++ b/src/main/java/org/tarragonlug/decision/request/InFlightLimit.java
@@ -5,7 +5,9 @@
 
 /**
  * Limit on requests in flight at one server: additive increase while it is used up and the server
- * keeps up, multiplicative decrease when the server is overloaded. It decreases at most once a
+ * keeps up, multiplicative decrease when the server is overloaded. Until the first sign of overload
+ * it grows by one with each answer, as a batching engine takes many more than the initial number
+ * and a burst of first requests would otherwise pass in slow steps. It decreases at most once a
  * pause, because the failures of one moment are one sign and not many.
  */
 final class InFlightLimit {
@@ -16,6 +18,7 @@
 
     private final int maximum;
     private double limit;
+    private boolean starting = true;
     private boolean queueing;
     private Instant decreasedAt = Instant.MIN;
 
@@ -28,13 +31,19 @@
         return (int) limit;
     }
 
+    /** Tells whether it still grows fast, so that more is sent than was answered. */
+    boolean isStarting() {
+        return starting;
+    }
+
     void succeeded(int inFlight) {
         if (!queueing && inFlight >= limit * USED_UP) {
-            limit = Math.min(maximum, limit + 1 / limit);
+            limit = Math.min(maximum, limit + (starting ? 1 : 1 / limit));
         }
     }
 
     void refused(Instant now) {
+        starting = false;
         decrease(REFUSED_FACTOR, now);
     }
 
@@ -42,6 +51,12 @@
         queueing = queued > 0;
         // A short queue keeps a batching engine busy; only a longer one is overload.
         if (queued > Math.max(2, running / 4)) {
+            if (starting) {
+                starting = false;
+                limit = Math.max(1, Math.min(limit, running));
+                decreasedAt = now;
+                return;
+            }
             decrease(QUEUEING_FACTOR, now);
         }
     }
--- a/src/main/java/org/tarragonlug/decision/request/Target.java
+++ b/src/main/java/org/tarragonlug/decision/request/Target.java
@@ -20,6 +20,9 @@
     private static final double GAP_WEIGHT = 0.02;
     private static final double DURATION_WEIGHT = 0.05;
 
+    /** Assumed number in flight of a model that is loading. */
+    private static final int ASSUMED_IN_FLIGHT = 32;
+
     /** Assumed time of an answer while none was measured, milliseconds. */
     private static final double ASSUMED_MILLIS = 1_000;
 
@@ -72,9 +75,15 @@
         return waiting() > 0 || running > 0 || arrivals > 0;
     }
 
-    /** Notes that a request left the queue for a server. */
-    void dispatched(Instant now) {
-        if (backloggedSince != null) {
+    /**
+     * Notes that a request left the queue for a server.
+     *
+     * @param growing whether the server's limit grows fast; what is sent beyond the answers then is
+     *     no measure of the pace to expect
+     */
+    void dispatched(boolean growing, Instant now) {
+        boolean measured = backloggedSince != null && !(growing && backloggedSince.equals(now));
+        if (measured) {
             gap.add(millis(backloggedSince, now));
         }
         backloggedSince = queue.size() > 0 ? now : null;
@@ -130,8 +139,9 @@
             limit += server.isUsable() ? server.limit.value() : 0;
         }
         if (limit == 0) {
-            // A cold model: nothing is known about the servers it will get.
-            return duration.valueOr(0);
+            // A cold model: nothing is known about the servers it will get, and it may be the
+            // first burst, which must not be refused on a guess.
+            return duration.valueOr(0) / ASSUMED_IN_FLIGHT;
         }
         return duration.valueOr(ASSUMED_MILLIS) / limit;
     }
--- a/src/main/java/org/tarragonlug/measure/RequestMeasurement.java
+++ b/src/main/java/org/tarragonlug/measure/RequestMeasurement.java
@@ -32,6 +32,7 @@
     private static final double SLOW_RUN_LOAD = 0.4;
     private static final int CRASHING_COPIES = 20;
     private static final int BASELINE_TRIES = 3;
+    private static final int BURST = 60;
     private static final int STREAMS = 16;
     private static final int STREAM_TOKENS = 200;
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
@@ -67,6 +68,8 @@
         }
         printAnswers(out, "one slow server, baseline", slowServer(seed, true));
         printAnswers(out, "one slow server, result", slowServer(seed, false));
+        printAnswers(out, "cold burst, baseline", coldBurst(seed, true));
+        printAnswers(out, "cold burst, result", coldBurst(seed, false));
         printGaps(out, "silence to next token, baseline", silence(seed, true));
         printGaps(out, "silence to next token, result", silence(seed, false));
         out.println("servers lost, baseline: " + crashing(seed, true).crashes());
@@ -94,6 +97,28 @@
         return recorder;
     }
 
+    /** Lets a class ask at once for a model that takes 2 s to load at a server of many slots. */
+    public static RequestRecorder coldBurst(long seed, boolean baseline) {
+        RequestRecorder recorder = new RequestRecorder();
+        RequestWorld world = world(seed, baseline, BURST, recorder);
+        ServerId server = world.addServer(RequestWorld.ENGINES, BURST, TOKEN_MILLIS);
+        Random random = new Random(seed);
+        for (int index = 0; index < BURST; index++) {
+            int tokens = FEWEST_TOKENS + random.nextInt(MOST_TOKENS - FEWEST_TOKENS + 1);
+            SimulatedRequest request =
+                    RequestScenario.request("b" + index, "/chat", "m", tokens, LONG_TIMEOUT);
+            world.time().afterMillis(random.nextInt(100), () -> world.arrive(request));
+        }
+        if (baseline) {
+            // The baseline asks nobody to load.
+            long millis = RequestFaults.NONE.loadMillis();
+            ArtifactId artifact = new ArtifactId("m", "1");
+            world.time().afterMillis(millis, () -> world.load(artifact, server));
+        }
+        world.time().runUntil(Instant.EPOCH.plusSeconds(40));
+        return recorder;
+    }
+
     /** Makes the connections of one server silent while streams run. */
     public static RequestRecorder silence(long seed, boolean baseline) {
         RequestRecorder recorder = new RequestRecorder();
@@ -190,7 +215,8 @@
     }
 
     private static void printAnswers(PrintStream out, String name, RequestRecorder recorder) {
-        out.printf("%-26s answers %s%n", name, percentiles(recorder.answers()));
+        out.printf(
+                "%-26s answered=%d %s%n", name, recorder.inTime(), percentiles(recorder.answers()));
     }
 
     private static void printGaps(PrintStream out, String name, RequestRecorder recorder) {
--- a/src/test/java/org/tarragonlug/decision/request/RequestWaitingTest.java
+++ b/src/test/java/org/tarragonlug/decision/request/RequestWaitingTest.java
@@ -198,6 +198,22 @@
             assertEquals(RequestFixture.COLD, report.demand().artifact());
         }
 
+        /** Guards against refusing a class of trainees because one answer took a while before. */
+        @Test
+        void admitsBurstForModelThatWentCold() {
+            fixture.ready(RequestFixture.COLD, RequestFixture.E1);
+            for (int index = 0; index < 5; index++) {
+                fixture.arrive("before" + index, "/chat", "cold");
+                fixture.advance(800);
+                fixture.complete(fixture.sent().attempt(), 0);
+            }
+            fixture.coldStart(ColdStart.LOADING, fixture.now.plusSeconds(3));
+            for (int index = 0; index < 60; index++) {
+                fixture.arrive("trainee" + index, "/chat", "cold");
+            }
+            assertTrue(fixture.all(RequestCommand.Refuse.class).isEmpty());
+        }
+
         /** Guards against requests that lose their place when a load fails. */
         @Test
         void keepsPlacesAcrossFailedLoad() {
@@ -360,9 +376,16 @@
         @Test
         void limitFallsOnRefusalAndRisesWithAnswers() {
             InFlightLimit limit = new InFlightLimit(8, 64);
+            for (int index = 0; index < 8; index++) {
+                limit.succeeded(limit.value());
+            }
+            assertEquals(16, limit.value());
+            limit.reported(8, 8, Instant.EPOCH.minusSeconds(1));
+            assertEquals(8, limit.value());
             limit.refused(Instant.EPOCH);
             limit.refused(Instant.EPOCH.plusMillis(10));
             assertEquals(5, limit.value());
+            limit.reported(5, 0, Instant.EPOCH.plusMillis(20));
             for (int index = 0; index < 100; index++) {
                 limit.succeeded(limit.value());
             }
