Check a server for quiet attempts only if its last report is old

Cause: each attempt without progress for a second asked for a report of its own, so many slow calls at one server meant many checks. Change: a report younger than the progress timeout is enough; a test.

--- a/src/main/java/org/tarragonlug/decision/request/DefaultRequestCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/request/DefaultRequestCoordinator.java
@@ -17,7 +17,7 @@
  * outcome from this mark. Attempts are found by their ids, and an id is forgotten when the attempt
  * ends or is given up; so no event of an old attempt reaches a caller.
  *
- * <p>A token costs two look-ups and two small objects. A tick costs what is due. The loss of a
+ * <p>A token costs one look-up and two small objects. A tick costs what is due. The loss of a
  * server and a condemned request cost a pass over the requests in progress.
  */
 public final class DefaultRequestCoordinator implements RequestCoordinator {
--- a/src/main/java/org/tarragonlug/decision/request/RequestEndings.java
+++ b/src/main/java/org/tarragonlug/decision/request/RequestEndings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.tarragonlug.decision.Execution;
@@ -98,7 +99,7 @@
             int tokens = request.stream.next() - attempt.startOffset;
             attempt.server.tookTooLong(Duration.between(attempt.sentAt, now), tokens);
         }
-        String state = request.state.toString().toLowerCase(java.util.Locale.ROOT);
+        String state = request.state.toString().toLowerCase(Locale.ROOT);
         refuse(
                 request,
                 RefusalReason.DEADLINE_EXCEEDED,
--- a/src/main/java/org/tarragonlug/decision/request/ServerChecks.java
+++ b/src/main/java/org/tarragonlug/decision/request/ServerChecks.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.function.Consumer;
 
 /** Asks for reports over new connections, by which the health of servers is judged. */
 final class ServerChecks {
@@ -15,7 +16,7 @@
     }
 
     /** Asks for a report unless one is outstanding; a timeout is taken for unreachable. */
-    void check(BackendServer server, Instant now, java.util.function.Consumer<Instant> onTimeout) {
+    void check(BackendServer server, Instant now, Consumer<Instant> onTimeout) {
         if (server.checking) {
             return;
         }
--- a/src/main/java/org/tarragonlug/decision/request/SilenceWatch.java
+++ b/src/main/java/org/tarragonlug/decision/request/SilenceWatch.java
@@ -37,7 +37,10 @@
             context.timers.schedule(attempt.progress, silentAt);
             return;
         }
-        retries.check(attempt.server, now);
+        // A recent report answers for all attempts at the server, however many are quiet.
+        if (attempt.server.reportFetchedAt.plus(timeout).isBefore(now)) {
+            retries.check(attempt.server, now);
+        }
         Duration allowed = attempt.hasProgressed() ? timeout : firstTimeout(attempt, timeout);
         boolean late = !attempt.progressAt.plus(allowed).isAfter(now);
         boolean abandon =
--- a/src/main/java/org/tarragonlug/measure/RequestWorld.java
+++ b/src/main/java/org/tarragonlug/measure/RequestWorld.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.tarragonlug.decision.StateMachine;
 import org.tarragonlug.decision.request.AttemptFailure;
@@ -297,7 +298,7 @@
         time.afterMillis(NETWORK_MILLIS, () -> post(event));
     }
 
-    private void claim(RequestId request, java.util.function.Supplier<RequestEvent> write) {
+    private void claim(RequestId request, Supplier<RequestEvent> write) {
         double millis = OBJECT_API_MILLIS + faults.claimMillis(random);
         double draw = random.nextDouble();
         time.afterMillis(
--- a/src/test/java/org/tarragonlug/decision/request/RequestAttemptTest.java
+++ b/src/test/java/org/tarragonlug/decision/request/RequestAttemptTest.java
@@ -119,6 +119,20 @@
             assertEquals(2, sends());
         }
 
+        /** Guards against one check after another for calls that merely take long. */
+        @Test
+        void recentReportsMakeChecksUnnecessary() {
+            for (int index = 0; index < 8; index++) {
+                fixture.arrive("r" + index, "/read", "");
+            }
+            for (int round = 0; round < 30; round++) {
+                fixture.advance(100);
+                fixture.report(new ServerId("s1"), "i1", 4, 0);
+                fixture.report(new ServerId("s2"), "i1", 4, 0);
+            }
+            assertTrue(fixture.all(RequestCommand.CheckServer.class).isEmpty());
+        }
+
         /** Guards against sending a non-idempotent call again because it is silent. */
         @Test
         void nonIdempotentCallEndsAtItsDeadline() {
