--- a/src/main/java/org/tarragonlug/decision/request/RequestEndings.java
+++ b/src/main/java/org/tarragonlug/decision/request/RequestEndings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.tarragonlug.decision.Execution;
@@ -98,11 +99,11 @@
             int tokens = request.stream.next() - attempt.startOffset;
             attempt.server.tookTooLong(Duration.between(attempt.sentAt, now), tokens);
         }
-        String state = request.state.toString().toLowerCase(java.util.Locale.ROOT);
+        String state = request.state.toString().toLowerCase(Locale.ROOT);
         refuse(
                 request,
                 RefusalReason.DEADLINE_EXCEEDED,
-                Optional.of(request.target.expectedWait(now)),
+                Optional.of(request.target.expectedWait(request.route, request.priority, now)),
                 "state=" + state + " attempts_without_progress=" + request.attemptsWithoutProgress,
                 now);
     }
--- a/src/main/java/org/tarragonlug/decision/request/Target.java
+++ b/src/main/java/org/tarragonlug/decision/request/Target.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.tarragonlug.decision.Priority;
 import org.tarragonlug.decision.capacity.Demand;
+import org.tarragonlug.decision.configuration.Route;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.PoolName;
 
@@ -16,9 +17,21 @@
  * covers whatever shares the servers, which the number of servers alone does not.
  */
 final class Target {
-    private static final double GAP_WEIGHT = 0.05;
+    private static final double GAP_WEIGHT = 0.02;
     private static final double DURATION_WEIGHT = 0.05;
 
+    /** Assumed number in flight of a model that is loading. */
+    private static final int ASSUMED_IN_FLIGHT = 32;
+
+    /** Assumed time of an answer while none was measured, milliseconds. */
+    private static final double ASSUMED_MILLIS = 1_000;
+
+    /**
+     * Allowance on the estimated wait. A request refused at once can be sent elsewhere, one that
+     * was admitted in vain has wasted its time and often that of a server.
+     */
+    private static final double WAIT_ALLOWANCE = 1.5;
+
     /** Reported as the earliest deadline while nothing waits. */
     private static final Duration NO_DEADLINE = Duration.ofDays(1);
 
@@ -43,7 +56,7 @@
     int running;
     int arrivals;
     TimerHeap.Timer demand;
-    Instant demandReportedAt = Instant.EPOCH;
+    Instant demandReportedAt = Instant.MIN;
 
     private final Average gap = new Average(GAP_WEIGHT);
     private Instant backloggedSince;
@@ -62,28 +75,41 @@
         return waiting() > 0 || running > 0 || arrivals > 0;
     }
 
-    /** Notes that a request left the queue for a server. */
-    void dispatched(Instant now) {
-        if (backloggedSince != null) {
+    /**
+     * Notes that a request left the queue for a server.
+     *
+     * @param growing whether the server's limit grows fast; what is sent beyond the answers then is
+     *     no measure of the pace to expect
+     */
+    void dispatched(boolean growing, Instant now) {
+        boolean measured = backloggedSince != null && !(growing && backloggedSince.equals(now));
+        if (measured) {
             gap.add(millis(backloggedSince, now));
         }
         backloggedSince = queue.size() > 0 ? now : null;
     }
 
+    /** Notes that the queue found no room at the ready servers. */
+    void blocked(Instant now) {
+        if (backloggedSince == null && queue.size() > 0) {
+            backloggedSince = now;
+        }
+    }
+
     /** Notes that no server is ready, so that the gap until the next dispatch says nothing. */
     void coldStartBegan() {
         backloggedSince = null;
     }
 
-    /** Estimates how long a request waits that arrives now. */
-    Duration expectedWait(Instant now) {
+    /** Estimates how long a request of a route waits that arrives now. */
+    Duration expectedWait(Route route, Priority priority, Instant now) {
         double wait = 0;
         if (!replicas.hasUsableServer()) {
             wait = replicas.expected.map(ready -> Math.max(0, millis(now, ready))).orElse(0.0);
         }
-        int ahead = queue.size();
-        if (ahead > 0) {
-            wait += (ahead + 1) * gap.valueOr(assumedGap());
+        if (queue.size() > 0) {
+            int ahead = queue.ahead(route, priority);
+            wait += (ahead + 1) * gap.valueOr(assumedGap()) * WAIT_ALLOWANCE;
         }
         return Duration.ofNanos((long) (wait * 1e6));
     }
@@ -112,7 +138,12 @@
         for (BackendServer server : replicas.ready) {
             limit += server.isUsable() ? server.limit.value() : 0;
         }
-        return duration.valueOr(0) / Math.max(1, limit);
+        if (limit == 0) {
+            // A cold model: nothing is known about the servers it will get, and it may be the
+            // first burst, which must not be refused on a guess.
+            return duration.valueOr(0) / ASSUMED_IN_FLIGHT;
+        }
+        return duration.valueOr(ASSUMED_MILLIS) / limit;
     }
 
     private static double millis(Instant from, Instant to) {
