--- a/src/main/java/org/tarragonlug/decision/capacity/ArrivalHistory.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/ArrivalHistory.java
@@ -88,7 +88,7 @@
         return new ArrivalHistory(
                 new GapHistogram(gaps, gapCallers, stored.writtenAt()),
                 new WeekProfile(hours, starts, stored.since(), stored.writtenAt()),
-                stored.lastArrival(),
+                stored.lastArrival() > 0 ? stored.lastArrival() : Double.NEGATIVE_INFINITY,
                 stored.callersPerStart());
     }
 
@@ -108,7 +108,7 @@
                 FORMAT_VERSION,
                 week.sinceSeconds(),
                 seconds,
-                lastArrival,
+                Double.isFinite(lastArrival) ? lastArrival : 0,
                 callersPerStart,
                 floats(gaps.weightsAt(seconds), allGaps),
                 floats(gaps.callersAt(seconds), allGaps),
--- a/src/main/java/org/tarragonlug/decision/capacity/ArrivalHistoryRecord.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/ArrivalHistoryRecord.java
@@ -7,7 +7,7 @@
  * @param formatVersion version of this form; a reader that does not know it starts empty
  * @param since when the history began, seconds of the epoch
  * @param writtenAt time as of which the weights are decayed, seconds of the epoch
- * @param lastArrival the last arrival, seconds of the epoch
+ * @param lastArrival the last arrival, seconds of the epoch; zero when none is known
  * @param callersPerStart decayed mean number of callers that arrive with a session start
  * @param gaps weight of each gap bucket
  * @param gapCallers weight of the callers after the gaps of each bucket
--- a/src/test/java/org/tarragonlug/decision/capacity/DefaultKeepWarmPolicyTest.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/DefaultKeepWarmPolicyTest.java
@@ -242,6 +242,39 @@
         }
     }
 
+    @Nested
+    class RegularGaps {
+        private final DefaultKeepWarmPolicy policy = new DefaultKeepWarmPolicy(artifact -> 1);
+        private Instant last = MONDAY;
+
+        private void predictEveryFiveMinutes() {
+            for (int i = 0; i < 200; i++) {
+                last = last.plus(Duration.ofSeconds(i % 20 == 0 ? 40_000 : 300));
+                policy.arrived(MODEL, 1, last);
+            }
+        }
+
+        /** Guards against idling through every gap, and against a load too late for its end. */
+        @Test
+        void areSpentUnloadedUntilShortlyBeforeTheirEnd() {
+            predictEveryFiveMinutes();
+            Duration kept = policy.keepFor(MODEL, COLD_START, 20, last.plusSeconds(2));
+            assertTrue(kept.compareTo(Duration.ofSeconds(30)) < 0, "kept " + kept);
+            assertFalse(policy.prewarm(MODEL, COLD_START, 20, last.plusSeconds(120)));
+            assertTrue(policy.prewarm(MODEL, COLD_START, 20, last.plusSeconds(270)));
+            assertFalse(policy.prewarm(MODEL, COLD_START, 20, last.plusSeconds(600)));
+        }
+
+        /** Guards against unloading at once what was loaded for the end of the gap. */
+        @Test
+        void keepTheModelOnceLoadedUntilTheEndHasPassed() {
+            predictEveryFiveMinutes();
+            Duration kept = policy.keepFor(MODEL, COLD_START, 20, last.plusSeconds(270));
+            assertTrue(kept.compareTo(Duration.ofSeconds(300)) > 0, "kept " + kept);
+            assertTrue(kept.compareTo(Duration.ofSeconds(400)) < 0, "kept " + kept);
+        }
+    }
+
     @Nested
     class StoredHistories {
         private final DefaultKeepWarmPolicy policy = new DefaultKeepWarmPolicy(artifact -> 1);
