--- a/src/main/java/org/tarragonlug/tool/MeasureCommand.java
+++ b/src/main/java/org/tarragonlug/tool/MeasureCommand.java
@@ -2,6 +2,7 @@
 
 import org.tarragonlug.measure.Deployment;
 import org.tarragonlug.measure.MembershipMeasurement;
+import org.tarragonlug.measure.RequestMeasurement;
 import org.tarragonlug.measure.ScaleMeasurement;
 import org.tarragonlug.measure.WarmthMeasurement;
 import picocli.CommandLine.Command;
@@ -25,6 +26,15 @@
         return ExitStatus.GOOD;
     }
 
+    @Command(
+            name = "requests",
+            mixinStandardHelpOptions = true,
+            description = "Goodput, latency and faults of requests against naive versions.")
+    int requests(@Option(names = "--seed", defaultValue = "1") long seed) {
+        RequestMeasurement.run(seed, System.out);
+        return ExitStatus.GOOD;
+    }
+
     @Command(
             name = "membership",
             mixinStandardHelpOptions = true,
