Unload surplus replicas and withdraw loads that wait for a turn

Cause: a further replica stayed as long as its artifact was in use at all; a load still waiting for the weight store went ahead after its demand had gone; a standby slot took all models before missing ones were created. Change: a replica without requests for 60 s is unloaded while another is ready; an unsent load is withdrawn; missing standby slots are created before present ones are extended. Measured: DefaultCapacityPlannerTest passes, two tests added.

--- a/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
@@ -89,7 +89,7 @@
         IdleSlots idleSlots = new IdleSlots(settings, view, keepWarmPolicy);
         ReplicaPlacer placer = new ReplicaPlacer(view, placement, idleSlots, failures, standbyUse);
         replicas = new ReplicaDecisions(settings, view, keepWarmPolicy, failures, placer);
-        unloads = new UnloadDecisions(view, idleSlots, replicas);
+        unloads = new UnloadDecisions(view, tracker, idleSlots, replicas);
         publisher = new ReplicaPublisher(settings, view, writer, tracker, standbyUse);
         checks = new InvariantChecks(view, writer, tracker, listener, operations);
         observed = writer.record();
--- a/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
@@ -60,6 +60,7 @@
     private final Map<ProcessId, Instant> gone = new HashMap<>();
     private final Map<ArtifactId, Map<InstanceId, Reported>> demand = new LinkedHashMap<>();
     private final Map<ArtifactId, Instant> lastUsed = new HashMap<>();
+    private final Map<Slot.Key, Instant> lastBusy = new HashMap<>();
     private final Map<Slot.Key, Sighting> sightings = new HashMap<>();
     private final Map<Slot.Key, Instant> removedAt = new HashMap<>();
     private final Map<ServerId, Instant> leavingRefusals = new HashMap<>();
@@ -110,7 +111,10 @@
     void report(ServerReport report) {
         if (listed.isEmpty() || listed.containsKey(report.server())) {
             reports.put(report.server(), report);
-            report.inProgress().forEach(artifact -> used(artifact, report.receivedAt()));
+            for (ArtifactId artifact : report.inProgress()) {
+                used(artifact, report.receivedAt());
+                lastBusy.put(new Slot.Key(artifact, report.server()), report.receivedAt());
+            }
         }
     }
 
@@ -160,6 +164,7 @@
         for (Slot.Key key : Set.copyOf(sightings.keySet())) {
             if (!present.contains(key)) {
                 sightings.remove(key);
+                lastBusy.remove(key);
                 removedAt.put(key, now);
             }
         }
@@ -358,6 +363,11 @@
         return lastUsed.computeIfAbsent(artifact, a -> now);
     }
 
+    /** Returns when a replica last had requests in progress as far as this process knows. */
+    Instant lastBusy(Slot.Key key, Instant now) {
+        return lastBusy.computeIfAbsent(key, k -> now);
+    }
+
     private void used(ArtifactId artifact, Instant at) {
         lastUsed.merge(artifact, at, (a, b) -> a.isAfter(b) ? a : b);
     }
--- a/src/main/java/org/tarragonlug/decision/capacity/StandbyMaintenance.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/StandbyMaintenance.java
@@ -89,15 +89,14 @@
     /** Creates missing standby slots and covers cold models; called after replicas are decided. */
     void extend(Draft draft) {
         for (Pool pool : view.pools()) {
-            List<StandbySlot> present = ofPool(draft, pool);
-            for (StandbySlot standby : present) {
+            for (int i = ofPool(draft, pool).size(); i < pool.standbySlots(); i++) {
+                create(draft, pool, i);
+            }
+            for (StandbySlot standby : ofPool(draft, pool)) {
                 if (isOwnUnused(draft, standby)) {
                     update(draft, pool, standby);
                 }
             }
-            for (int i = present.size(); i < pool.standbySlots(); i++) {
-                create(draft, pool, i);
-            }
         }
     }
 
--- a/src/main/java/org/tarragonlug/decision/capacity/UnloadDecisions.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/UnloadDecisions.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.capacity;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.tarragonlug.id.ArtifactId;
 
 /** Decides which idle slots are unloaded although no memory is wanted. */
@@ -8,12 +9,18 @@
     /** A load that nobody wants is given up only after demand has been absent for this long. */
     private static final Duration ABANDON_AFTER = Duration.ofSeconds(5);
 
+    /** A replica without requests for this long is unloaded if another one is ready. */
+    private static final Duration SURPLUS_AFTER = Duration.ofSeconds(60);
+
     private final GroupView view;
+    private final OrderTracker tracker;
     private final IdleSlots idleSlots;
     private final ReplicaDecisions replicas;
 
-    UnloadDecisions(GroupView view, IdleSlots idleSlots, ReplicaDecisions replicas) {
+    UnloadDecisions(
+            GroupView view, OrderTracker tracker, IdleSlots idleSlots, ReplicaDecisions replicas) {
         this.view = view;
+        this.tracker = tracker;
         this.idleSlots = idleSlots;
         this.replicas = replicas;
     }
@@ -38,6 +45,9 @@
         if (view.isLeaving(slot.server())) {
             return idleSlots.isUnused(slot, record, draft.now());
         }
+        if (isSurplus(draft, slot)) {
+            return true;
+        }
         if (!idleSlots.isIdle(slot, record, draft.now())) {
             return false;
         }
@@ -47,6 +57,36 @@
         return excess || spare && idleSlots.hasExpired(slot, draft.now());
     }
 
+    /** Tells whether other replicas do all the work of an artifact that is in use. */
+    private boolean isSurplus(Draft draft, Slot slot) {
+        Instant busy = view.lastBusy(slot.key(), draft.now());
+        if (busy.plus(SURPLUS_AFTER).isAfter(draft.now())) {
+            return false;
+        }
+        long ready =
+                view.index(draft.record()).slotsOf(slot.artifact()).stream()
+                        .filter(other -> other.state() == SlotState.READY)
+                        .filter(other -> !view.isLeaving(other.server()))
+                        .filter(other -> view.answers(other.server(), draft.now()))
+                        .count();
+        return ready > 1
+                && view.demand(slot.artifact()).waiting() == 0
+                && idleSlots.spareReplicas(slot.artifact(), draft.record()) > 0
+                && idleSlots.isUnused(slot, draft.record(), draft.now());
+    }
+
+    /** Tells whether no load order of the slot is on its way, or may still be sent by others. */
+    private boolean isWithdrawable(Draft draft, Slot slot) {
+        boolean unsent =
+                slot.openOrders().stream()
+                        .flatMap(order -> tracker.find(order.operation()).stream())
+                        .allMatch(own -> !own.everSent);
+        boolean others =
+                slot.openOrders().stream()
+                        .anyMatch(order -> !order.process().equals(draft.process()));
+        return unsent && !others || draft.isUnclaimed(slot, OrderKind.LOAD, view);
+    }
+
     private boolean isAbandoned(Draft draft, Slot slot) {
         boolean leaving = view.isLeaving(slot.server());
         boolean recent =
@@ -55,7 +95,7 @@
                         .isAfter(draft.now());
         boolean unwanted = !recent && !replicas.isWanted(slot, draft.record());
         return (leaving || unwanted)
-                && draft.isUnclaimed(slot, OrderKind.LOAD, view)
+                && isWithdrawable(draft, slot)
                 && !view.index(draft.record()).isBaseOfOthers(slot);
     }
 }
--- a/src/test/java/org/tarragonlug/decision/capacity/DefaultCapacityPlannerTest.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/DefaultCapacityPlannerTest.java
@@ -158,6 +158,40 @@
             assertEquals(0, server.usedBytes());
         }
 
+        /** Guards against a further replica staying loaded after its burst is over. */
+        @Test
+        void replicaWithoutRequestsIsUnloadedWhileAnotherServes() {
+            engine("s1", FencingKind.CHECKED, 100);
+            engine("s2", FencingKind.CHECKED, 100);
+            start(0, TWICE);
+            wakeAndLoad(TWICE);
+            FakeEngine busy = holder(TWICE);
+            busy.silent = true;
+            world.waiting.put(TWICE.artifact(), Set.of(world.processes.get(0).instance));
+            world.ready.clear();
+            seconds(25);
+            assertEquals(2, slots(TWICE).size());
+            busy.silent = false;
+            busy.inProgress.add(TWICE.artifact());
+            seconds(80);
+            assertEquals(busy.server, slots(TWICE).get(0).server());
+            assertEquals(1, slots(TWICE).size());
+        }
+
+        /** Guards against loading what nobody waits for once the weight store has its turn. */
+        @Test
+        void loadThatHasNoTurnYetIsWithdrawnWhenNobodyWaits() {
+            FakeEngine server = engine("s1", FencingKind.IGNORED, 100);
+            world.turnDelay = Duration.ofSeconds(40);
+            start(0, A);
+            world.wake(A.artifact());
+            seconds(5);
+            world.waiting.clear();
+            seconds(60);
+            assertEquals(List.of(), slots(A));
+            assertEquals(0, server.loads);
+        }
+
         /** Guards against interrupting a request for the sake of another model. */
         @Test
         void artifactWithRequestsInProgressIsNotUnloaded() {
--- a/src/test/java/org/tarragonlug/decision/capacity/FakeWorld.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeWorld.java
@@ -55,6 +55,7 @@
     final Set<ArtifactId> planted = new TreeSet<>();
 
     final List<String> violations = new ArrayList<>();
+    Duration turnDelay = Duration.ZERO;
     int lostOrderPercent;
     boolean changed;
 
@@ -301,7 +302,7 @@
             sendOrder(process, send.order());
         } else if (command instanceof CapacityCommand.RequestLoadTurn request) {
             after(
-                    Duration.ofMillis(random.nextInt(100)),
+                    turnDelay.plusMillis(random.nextInt(100)),
                     () ->
                             process.deliver(
                                     new CapacityEvent.LoadTurnGranted(
