Cut single processes off from the object API in the randomised test

Cause: a holder that alone believes in an outage is the hardest case for standby slots. Change: the scenario cuts deciders off for up to 40 s while another one decides.

--- a/src/test/java/org/tarragonlug/decision/capacity/FakeProcess.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeProcess.java
@@ -17,6 +17,7 @@
     final DefaultCapacityPlanner planner;
     boolean paused;
     boolean crashed;
+    boolean cutOff;
     private final FakeWorld world;
     private final Deque<CapacityEvent> inbox = new ArrayDeque<>();
     private final Deque<CapacityCommand> outbox = new ArrayDeque<>();
--- a/src/test/java/org/tarragonlug/decision/capacity/FakeRecordStore.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeRecordStore.java
@@ -18,22 +18,28 @@
         this.world = world;
     }
 
-    void read(Consumer<CapacityEvent> answer) {
+    void read(FakeProcess reader, Consumer<CapacityEvent> answer) {
         world.after(
                 world.latency(),
                 () -> {
                     Optional<CapacityRecord> found = Optional.ofNullable(record);
                     long foundVersion = version;
                     CapacityEvent event =
-                            down
+                            down || reader.cutOff
                                     ? new CapacityEvent.RecordReadFailed()
                                     : new CapacityEvent.RecordRead(found, foundVersion);
                     world.after(world.latency(), () -> answer.accept(event));
                 });
     }
 
-    void write(CapacityCommand.WriteRecord write, Consumer<CapacityEvent> answer) {
+    void write(
+            FakeProcess writer, CapacityCommand.WriteRecord write, Consumer<CapacityEvent> answer) {
         attempts++;
+        if (writer.cutOff) {
+            CapacityEvent refused = new CapacityEvent.WriteNotDone(write.operation());
+            world.after(world.latency(), () -> answer.accept(refused));
+            return;
+        }
         boolean lost = world.random.nextInt(100) < lossPercent;
         if (!lost) {
             world.after(world.latency(), () -> answer.accept(apply(write, true)));
--- a/src/test/java/org/tarragonlug/decision/capacity/FakeWorld.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeWorld.java
@@ -293,10 +293,10 @@
 
     void execute(FakeProcess process, CapacityCommand command) {
         if (command instanceof CapacityCommand.ReadRecord) {
-            store.read(process::deliver);
+            store.read(process, process::deliver);
         } else if (command instanceof CapacityCommand.WriteRecord write) {
             log(process.id + " writes " + write.operation() + " expecting " + store.version);
-            store.write(write, event -> after(latency(), () -> process.deliver(event)));
+            store.write(process, write, event -> after(latency(), () -> process.deliver(event)));
         } else if (command instanceof CapacityCommand.SendOrder send) {
             log(process.id + " sends " + send.order());
             sendOrder(process, send.order());
--- a/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
@@ -87,7 +87,7 @@
         List<FakeEngine> present =
                 world.engines.values().stream().filter(e -> e.present && !e.leaving).toList();
         FakeEngine engine = present.get(random.nextInt(present.size()));
-        switch (random.nextInt(18)) {
+        switch (random.nextInt(20)) {
             case 0, 1, 2, 14, 15 -> wakeSome();
             case 3 -> world.becomeDecider(process);
             case 4 -> {
@@ -112,6 +112,7 @@
                 engine.inProgress.addAll(engine.loaded.keySet());
                 world.after(Duration.ofMillis(random.nextInt(20_000)), engine.inProgress::clear);
             }
+            case 18, 19 -> cutOff(decider(process));
             case 12 -> engine.failuresToCome = 1 + random.nextInt(5);
             default -> world.lostOrderPercent = random.nextInt(50);
         }
@@ -141,6 +142,19 @@
                 });
     }
 
+    /** Cuts one process off from the object API, which works for all others. */
+    private void cutOff(FakeProcess process) {
+        process.cutOff = true;
+        process.deliver(new CapacityEvent.ObjectApiDown());
+        world.becomeDecider(world.processes.get(random.nextInt(world.processes.size())));
+        world.after(
+                Duration.ofMillis(random.nextInt(40_000)),
+                () -> {
+                    process.cutOff = false;
+                    process.deliver(new CapacityEvent.ObjectApiUp());
+                });
+    }
+
     private void leave(FakeEngine engine, int present) {
         if (present <= ENGINES / 2) {
             return;
