--- a/src/main/java/org/tarragonlug/decision/capacity/ReplicaPublisher.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/ReplicaPublisher.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.ServerId;
 
@@ -46,14 +47,16 @@
         record.slots().forEach(slot -> artifacts.add(slot.artifact()));
         record.standbySlots().forEach(s -> standbyUse.occupant(s).ifPresent(artifacts::add));
         artifacts.addAll(view.demanded());
-        List<CapacityCommand> commands = new ArrayList<>();
-        Map<ArtifactId, List<Slot>> slots = new HashMap<>();
-        record.slots()
-                .forEach(s -> slots.computeIfAbsent(s.artifact(), a -> new ArrayList<>()).add(s));
-        for (ArtifactId artifact : artifacts.stream().sorted().toList()) {
-            publish(artifact, slots.getOrDefault(artifact, List.of()), replicas, commands);
+        // Sorts only what changed: comparing artifact ids builds their text forms.
+        Map<ArtifactId, List<CapacityCommand>> changed = new TreeMap<>();
+        for (ArtifactId artifact : artifacts) {
+            List<CapacityCommand> commands = new ArrayList<>(2);
+            publish(artifact, view.index(record).slotsOf(artifact), replicas, commands);
+            if (!commands.isEmpty()) {
+                changed.put(artifact, commands);
+            }
         }
-        return commands;
+        return changed.values().stream().flatMap(List::stream).toList();
     }
 
     private void publish(
--- a/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
@@ -33,6 +33,7 @@
         chaos = isLong ? LONG_CHAOS : CHAOS;
         longestPauseMillis = isLong ? 150_000 : 40_000;
         world = new FakeWorld(seed + 1, Duration.ofSeconds(1 + random.nextInt(20)));
+        world.tickPeriod = Duration.ofMillis(200);
         for (int i = 0; i < 10; i++) {
             limits.add(
                     FakeWorld.model("model-" + i, 20 + random.nextInt(40), 1 + random.nextInt(2)));
