Read the record before writing it after an outage

Cause: with little jitter a decider could write its old view before its read was answered. Change: no write starts after an outage until a read was answered; a test guards it.

--- a/src/main/java/org/tarragonlug/decision/capacity/RecordWriter.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/RecordWriter.java
@@ -39,6 +39,7 @@
     private boolean ambiguous;
     private boolean down;
     private boolean readWanted;
+    private boolean readFirst;
     private Instant readSentAt;
     private Instant nextRead = Instant.MIN;
     private Instant nextWrite = Instant.MIN;
@@ -81,7 +82,7 @@
     }
 
     boolean mayWrite(Instant now) {
-        return !down && isKnown() && pending == null && !now.isBefore(nextWrite);
+        return !down && !readFirst && isKnown() && pending == null && !now.isBefore(nextWrite);
     }
 
     void wantRead() {
@@ -96,6 +97,7 @@
         if (down) {
             down = false;
             readWanted = true;
+            readFirst = true;
             nextRead = now;
             nextWrite = now.plusMillis(random.nextLong(RECOVERY_SPREAD.toMillis()));
         }
@@ -163,6 +165,7 @@
     List<Order> read(Optional<CapacityRecord> found, long foundVersion, Instant now) {
         Instant sentAt = readSentAt;
         readSentAt = null;
+        readFirst = false;
         if (inFlight || foundVersion < version) {
             return List.of();
         }
--- a/src/test/java/org/tarragonlug/decision/capacity/RecordWriterTest.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/RecordWriterTest.java
@@ -91,6 +91,17 @@
         assertTrue(writer.mayWrite(LATER));
     }
 
+    /** Guards against all deciders writing old decisions at the end of an outage. */
+    @Test
+    void nothingIsWrittenAfterAnOutageBeforeTheRecordWasRead() {
+        writer.done(OPERATION, 5);
+        writer.apiDown();
+        writer.apiUp(NOW);
+        assertFalse(writer.mayWrite(LATER));
+        read(after, 5);
+        assertTrue(writer.mayWrite(LATER));
+    }
+
     @Test
     void staleReadDoesNotBringBackAnOlderRecord() {
         writer.done(OPERATION, 5);
