--- a/src/test/java/org/tarragonlug/decision/capacity/DefaultCapacityPlannerTest.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/DefaultCapacityPlannerTest.java
@@ -344,6 +344,23 @@
             assertEquals(2, server.loads);
         }
 
+        /** Guards against filling a standby slot that an unresolved write may have given up. */
+        @Test
+        void modelOfAnUnresolvedWriteIsNotLoadedIntoItsStandbySlot() {
+            FakeEngine server = engine("s1", FencingKind.IGNORED, 100);
+            start(1, A);
+            world.store.lossPercent = 100;
+            world.wake(A.artifact());
+            seconds(0);
+            world.apiDown();
+            seconds(20);
+            assertEquals(0, server.loads);
+            world.store.lossPercent = 0;
+            world.apiUp();
+            seconds(20);
+            assertTrue(world.waiting.isEmpty());
+        }
+
         /** Guards against a switch while a copy of the first load may still arrive. */
         @Test
         void standbySlotIsNotSwitchedBeforeALostLoadHasSettled() {
