--- a/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
@@ -60,10 +60,13 @@
     private final Map<ProcessId, Instant> gone = new HashMap<>();
     private final Map<ArtifactId, Map<InstanceId, Reported>> demand = new LinkedHashMap<>();
     private final Map<ArtifactId, Instant> lastUsed = new HashMap<>();
+    private final Map<Slot.Key, Instant> lastBusy = new HashMap<>();
     private final Map<Slot.Key, Sighting> sightings = new HashMap<>();
     private final Map<Slot.Key, Instant> removedAt = new HashMap<>();
     private final Map<ServerId, Instant> leavingRefusals = new HashMap<>();
     private Instant startedAt = Instant.MAX;
+    private CapacityRecord indexed;
+    private RecordIndex index;
 
     GroupView(CapacitySettings settings) {
         this.settings = settings;
@@ -108,7 +111,10 @@
     void report(ServerReport report) {
         if (listed.isEmpty() || listed.containsKey(report.server())) {
             reports.put(report.server(), report);
-            report.inProgress().forEach(artifact -> used(artifact, report.receivedAt()));
+            for (ArtifactId artifact : report.inProgress()) {
+                used(artifact, report.receivedAt());
+                lastBusy.put(new Slot.Key(artifact, report.server()), report.receivedAt());
+            }
         }
     }
 
@@ -158,11 +164,21 @@
         for (Slot.Key key : Set.copyOf(sightings.keySet())) {
             if (!present.contains(key)) {
                 sightings.remove(key);
+                lastBusy.remove(key);
                 removedAt.put(key, now);
             }
         }
     }
 
+    /** Returns the index of a record; the one of the last record asked for is kept. */
+    RecordIndex index(CapacityRecord record) {
+        if (record != indexed) {
+            index = new RecordIndex(record);
+            indexed = record;
+        }
+        return index;
+    }
+
     /** Returns the report on a slot's server if it is newer than the slot's state. */
     Optional<ServerReport> crediblyReported(Slot slot) {
         Sighting seen = sightings.get(slot.key());
@@ -208,7 +224,7 @@
                                     || removed != null
                                             && !report.receivedAt()
                                                     .isAfter(removed.plus(REPORT_LAG));
-                    boolean decided = record.decidedServers(artifact).contains(report.server());
+                    boolean decided = index(record).isDecided(artifact, report.server());
                     if (!stale && !decided) {
                         found.put(artifact, bytes);
                     }
@@ -227,14 +243,14 @@
     /** Returns the memory that may be given out on a server, bytes. */
     long freeBytes(ServerId server, CapacityRecord record) {
         long taken = foreign(server, record).values().stream().mapToLong(Long::longValue).sum();
-        for (Slot slot : record.slotsOn(server)) {
+        for (Slot slot : index(record).slotsOn(server)) {
             long held =
                     report(server)
                             .map(r -> r.loaded().getOrDefault(slot.artifact(), 0L))
                             .orElse(0L);
             taken += Math.max(0, held - slot.memoryBytes());
         }
-        return record.freeBytes(server) - taken;
+        return index(record).freeBytes(server) - taken;
     }
 
     Wanted demand(ArtifactId artifact) {
@@ -347,6 +363,11 @@
         return lastUsed.computeIfAbsent(artifact, a -> now);
     }
 
+    /** Returns when a replica last had requests in progress as far as this process knows. */
+    Instant lastBusy(Slot.Key key, Instant now) {
+        return lastBusy.computeIfAbsent(key, k -> now);
+    }
+
     private void used(ArtifactId artifact, Instant at) {
         lastUsed.merge(artifact, at, (a, b) -> a.isAfter(b) ? a : b);
     }
--- a/src/main/java/org/tarragonlug/decision/capacity/RecordWriter.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/RecordWriter.java
@@ -39,11 +39,14 @@
     private boolean ambiguous;
     private boolean down;
     private boolean readWanted;
+    private boolean readFirst;
     private Instant readSentAt;
     private Instant nextRead = Instant.MIN;
     private Instant nextWrite = Instant.MIN;
     private int fruitlessWrites;
-    private Instant confirmedAt = Instant.MIN;
+    private Instant writeSentAt = Instant.MIN;
+    private Instant knownSince = Instant.EPOCH;
+    private Instant knownUntil = Instant.MIN;
 
     RecordWriter(CapacitySettings settings, RandomGenerator random) {
         this.settings = settings;
@@ -68,13 +71,18 @@
         return version >= 0;
     }
 
-    /** Returns when the object API last confirmed the record. */
-    Instant confirmedAt() {
-        return confirmedAt;
+    /** Returns since when this process has known every version of the record. */
+    Instant knownSince() {
+        return knownSince;
+    }
+
+    /** Returns until when it is certain that nobody else has changed the record. */
+    Instant knownUntil() {
+        return knownUntil;
     }
 
     boolean mayWrite(Instant now) {
-        return !down && isKnown() && pending == null && !now.isBefore(nextWrite);
+        return !down && !readFirst && isKnown() && pending == null && !now.isBefore(nextWrite);
     }
 
     void wantRead() {
@@ -89,12 +97,15 @@
         if (down) {
             down = false;
             readWanted = true;
+            readFirst = true;
             nextRead = now;
             nextWrite = now.plusMillis(random.nextLong(RECOVERY_SPREAD.toMillis()));
         }
     }
 
-    CapacityCommand start(OperationId operation, CapacityRecord changed, List<Order> orders) {
+    CapacityCommand start(
+            OperationId operation, CapacityRecord changed, List<Order> orders, Instant now) {
+        writeSentAt = now;
         pending = new Pending(operation, changed, version, orders);
         ambiguous = false;
         inFlight = true;
@@ -102,7 +113,7 @@
     }
 
     /** Returns the orders that may be sent when this answer resolves the write. */
-    List<Order> done(OperationId operation, long newVersion, Instant now) {
+    List<Order> done(OperationId operation, long newVersion) {
         if (!isPending(operation)) {
             return List.of();
         }
@@ -110,7 +121,7 @@
         record = pending.record();
         version = newVersion;
         fruitlessWrites = 0;
-        confirmedAt = now;
+        knownUntil = writeSentAt;
         resolve();
         return orders;
     }
@@ -152,18 +163,20 @@
 
     /** Takes a read record; returns the orders that may be sent when it resolves the write. */
     List<Order> read(Optional<CapacityRecord> found, long foundVersion, Instant now) {
+        Instant sentAt = readSentAt;
         readSentAt = null;
+        readFirst = false;
         if (inFlight || foundVersion < version) {
             return List.of();
         }
         if (pending == null) {
-            accept(found, foundVersion, now);
+            accept(found, foundVersion, sentAt, now);
             return List.of();
         }
         if (foundVersion == pending.version()) {
             return List.of();
         }
-        accept(found, foundVersion, now);
+        accept(found, foundVersion, sentAt, now);
         boolean tookEffect =
                 pending.operation().equals(record.lastOperations().get(settings.process()));
         List<Order> orders = tookEffect ? pending.orders() : List.of();
@@ -203,8 +216,14 @@
                 .isPresent();
     }
 
-    private void accept(Optional<CapacityRecord> found, long foundVersion, Instant now) {
-        confirmedAt = now;
+    private void accept(
+            Optional<CapacityRecord> found, long foundVersion, Instant sentAt, Instant now) {
+        if (foundVersion != version) {
+            knownSince = now;
+        }
+        if (sentAt != null) {
+            knownUntil = sentAt;
+        }
         record = found.orElseGet(() -> CapacityRecord.empty(settings.group()));
         version = foundVersion;
     }
--- a/src/test/java/org/tarragonlug/decision/capacity/FakeWorld.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/FakeWorld.java
@@ -55,6 +55,8 @@
     final Set<ArtifactId> planted = new TreeSet<>();
 
     final List<String> violations = new ArrayList<>();
+    Duration tickPeriod = Duration.ofMillis(100);
+    Duration turnDelay = Duration.ZERO;
     int lostOrderPercent;
     boolean changed;
 
@@ -126,7 +128,7 @@
             if (!process.paused) {
                 process.deliver(new CapacityEvent.Tick());
             }
-            after(Duration.ofMillis(100), () -> tick(process));
+            after(tickPeriod, () -> tick(process));
         }
     }
 
@@ -292,16 +294,16 @@
 
     void execute(FakeProcess process, CapacityCommand command) {
         if (command instanceof CapacityCommand.ReadRecord) {
-            store.read(process::deliver);
+            store.read(process, process::deliver);
         } else if (command instanceof CapacityCommand.WriteRecord write) {
             log(process.id + " writes " + write.operation() + " expecting " + store.version);
-            store.write(write, event -> after(latency(), () -> process.deliver(event)));
+            store.write(process, write, event -> after(latency(), () -> process.deliver(event)));
         } else if (command instanceof CapacityCommand.SendOrder send) {
             log(process.id + " sends " + send.order());
             sendOrder(process, send.order());
         } else if (command instanceof CapacityCommand.RequestLoadTurn request) {
             after(
-                    Duration.ofMillis(random.nextInt(100)),
+                    turnDelay.plusMillis(random.nextInt(100)),
                     () ->
                             process.deliver(
                                     new CapacityEvent.LoadTurnGranted(
--- a/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/RandomScenario.java
@@ -13,6 +13,9 @@
     private static final int ENGINES = 8;
     private static final Duration CHAOS = Duration.ofSeconds(70);
 
+    // Longer than the settle time, so that a living process must not be taken for a settled one.
+    private static final Duration LONG_CHAOS = Duration.ofSeconds(180);
+
     // The settle time, an expired exclusion of a failing server, and a few loads one after another.
     private static final Duration RECOVERY = Duration.ofSeconds(240);
     private static final Duration AFTERWARDS = Duration.ofSeconds(20);
@@ -20,11 +23,17 @@
     private final Random random;
     private final FakeWorld world;
     private final List<ArtifactLimit> limits = new ArrayList<>();
+    private final Duration chaos;
+    private final int longestPauseMillis;
     private int addedEngines;
 
     RandomScenario(long seed) {
         random = new Random(seed);
+        boolean isLong = seed % 8 == 0;
+        chaos = isLong ? LONG_CHAOS : CHAOS;
+        longestPauseMillis = isLong ? 150_000 : 40_000;
         world = new FakeWorld(seed + 1, Duration.ofSeconds(1 + random.nextInt(20)));
+        world.tickPeriod = Duration.ofMillis(200);
         for (int i = 0; i < 10; i++) {
             limits.add(
                     FakeWorld.model("model-" + i, 20 + random.nextInt(40), 1 + random.nextInt(2)));
@@ -63,14 +72,14 @@
         world.run(Duration.ofSeconds(4));
         int count = 4 + random.nextInt(20);
         for (int i = 0; i < count; i++) {
-            Duration at = Duration.ofMillis(random.nextLong(CHAOS.toMillis()));
+            Duration at = Duration.ofMillis(random.nextLong(chaos.toMillis()));
             // Half of the faults come in pairs, at the same moment or shortly one after another.
             int pair = random.nextBoolean() ? 2 : 1;
             for (int j = 0; j < pair; j++) {
                 world.after(at.plusMillis(j * random.nextInt(30)), this::disturb);
             }
         }
-        world.run(CHAOS);
+        world.run(chaos);
         recover();
     }
 
@@ -79,7 +88,7 @@
         List<FakeEngine> present =
                 world.engines.values().stream().filter(e -> e.present && !e.leaving).toList();
         FakeEngine engine = present.get(random.nextInt(present.size()));
-        switch (random.nextInt(18)) {
+        switch (random.nextInt(20)) {
             case 0, 1, 2, 14, 15 -> wakeSome();
             case 3 -> world.becomeDecider(process);
             case 4 -> {
@@ -104,6 +113,7 @@
                 engine.inProgress.addAll(engine.loaded.keySet());
                 world.after(Duration.ofMillis(random.nextInt(20_000)), engine.inProgress::clear);
             }
+            case 18, 19 -> cutOff(decider(process));
             case 12 -> engine.failuresToCome = 1 + random.nextInt(5);
             default -> world.lostOrderPercent = random.nextInt(50);
         }
@@ -126,13 +136,26 @@
                         world.becomeDecider(
                                 world.processes.get(random.nextInt(world.processes.size()))));
         world.after(
-                Duration.ofMillis(random.nextInt(40_000)),
+                Duration.ofMillis(random.nextInt(longestPauseMillis)),
                 () -> {
                     world.log("resume " + paused.id);
                     paused.resume();
                 });
     }
 
+    /** Cuts one process off from the object API, which works for all others. */
+    private void cutOff(FakeProcess process) {
+        process.cutOff = true;
+        process.deliver(new CapacityEvent.ObjectApiDown());
+        world.becomeDecider(world.processes.get(random.nextInt(world.processes.size())));
+        world.after(
+                Duration.ofMillis(random.nextInt(40_000)),
+                () -> {
+                    process.cutOff = false;
+                    process.deliver(new CapacityEvent.ObjectApiUp());
+                });
+    }
+
     private void leave(FakeEngine engine, int present) {
         if (present <= ENGINES / 2) {
             return;
@@ -186,19 +209,5 @@
                             + world.store.record);
         }
         world.run(AFTERWARDS);
-        if (Boolean.getBoolean("tarragonlug.stats")) {
-            int loads = world.engines.values().stream().mapToInt(e -> e.loads).sum();
-            System.out.println(
-                    "waited="
-                            + waited
-                            + " loads="
-                            + loads
-                            + " writes="
-                            + world.store.writes
-                            + " attempts="
-                            + world.store.attempts
-                            + " procs="
-                            + world.runs);
-        }
     }
 }
--- a/src/test/java/org/tarragonlug/decision/capacity/RecordWriterTest.java
+++ b/src/test/java/org/tarragonlug/decision/capacity/RecordWriterTest.java
@@ -40,7 +40,7 @@
     @BeforeEach
     void startWrite() {
         writer.read(Optional.of(before), 4, NOW);
-        writer.start(OPERATION, after, List.of());
+        writer.start(OPERATION, after, List.of(), NOW);
     }
 
     private void read(CapacityRecord record, long version) {
@@ -91,9 +91,20 @@
         assertTrue(writer.mayWrite(LATER));
     }
 
+    /** Guards against all deciders writing old decisions at the end of an outage. */
+    @Test
+    void nothingIsWrittenAfterAnOutageBeforeTheRecordWasRead() {
+        writer.done(OPERATION, 5);
+        writer.apiDown();
+        writer.apiUp(NOW);
+        assertFalse(writer.mayWrite(LATER));
+        read(after, 5);
+        assertTrue(writer.mayWrite(LATER));
+    }
+
     @Test
     void staleReadDoesNotBringBackAnOlderRecord() {
-        writer.done(OPERATION, 5, NOW);
+        writer.done(OPERATION, 5);
         writer.read(Optional.of(before), 4, NOW);
         assertEquals(after, writer.record());
     }
