Push member changes along a fixed graph of neighbours

Change: changes are pushed twice to four neighbours of a graph that contains a ring; a newcomer gets all that is known; DEAD about an alive member counts as a suspicion; member changes are arrays on the wire.

--- a/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
+++ b/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
@@ -30,6 +30,7 @@
     private final TreeMap<InstanceId, Entry> entries = new TreeMap<>();
     private boolean changed;
     private int suspects;
+    private boolean suspectsChanged;
 
     MemberTable(InstanceId self) {
         this.self = self;
@@ -78,6 +79,7 @@
         }
         changed |= entry.state.isLive() != update.state().isLive() || entry.incarnation < 0;
         changed |= !entry.process.equals(update.process());
+        suspectsChanged |= update.state() != entry.state;
         suspects += update.state() == MemberState.SUSPECT ? 1 : 0;
         suspects -= entry.state == MemberState.SUSPECT ? 1 : 0;
         entry.process = update.process();
@@ -102,15 +104,22 @@
                 entry.listed ? Optional.empty() : Optional.of(entry.candidate));
     }
 
-    /** Returns the claims about all members outside of the live view, for a newcomer. */
-    List<MemberUpdate> claimsOfAbsent() {
-        List<MemberUpdate> claims = new ArrayList<>();
-        for (Entry entry : entries.values()) {
-            if (!entry.state.isLive()) {
-                claims.add(claim(entry));
-            }
-        }
-        return claims;
+    /** Returns the claims about all members. */
+    List<MemberUpdate> claims() {
+        return entries.values().stream().map(MemberTable::claim).toList();
+    }
+
+    /** Tells whether a member is alive and not suspect. */
+    boolean isAlive(InstanceId instance) {
+        Entry entry = entries.get(instance);
+        return entry != null && entry.state == MemberState.ALIVE;
+    }
+
+    /** Tells whether members became suspect, or ceased to be, since the previous call. */
+    boolean takeSuspectsChanged() {
+        boolean taken = suspectsChanged;
+        suspectsChanged = false;
+        return taken;
     }
 
     /** Returns the suspects whose time to refute is over. */
--- a/src/main/java/org/tarragonlug/decision/membership/ProbeOrder.java
+++ b/src/main/java/org/tarragonlug/decision/membership/ProbeOrder.java
@@ -5,9 +5,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.id.InstanceId;
 
@@ -26,8 +29,8 @@
     private final InstanceId self;
     private final Hasher hasher;
     private final long periodMillis;
-    private final Map<InstanceId, Long> hashes = new HashMap<>();
-    private List<InstanceId> circle = List.of();
+    private final Map<InstanceId, Place> places = new HashMap<>();
+    private List<Place> circle = List.of();
     private int ownPosition;
 
     ProbeOrder(InstanceId self, Hasher hasher, Duration period) {
@@ -38,15 +41,16 @@
 
     /** Sets the members of the circle. */
     void members(List<InstanceId> others) {
-        List<InstanceId> ordered = new ArrayList<>(others);
-        ordered.add(self);
-        ordered.sort(
-                Comparator.comparingLong(
-                                (InstanceId id) ->
-                                        hashes.computeIfAbsent(id, key -> hasher.hash(key.value())))
-                        .thenComparing(Comparator.naturalOrder()));
+        List<Place> ordered = new ArrayList<>();
+        others.forEach(id -> ordered.add(place(id)));
+        ordered.add(place(self));
+        ordered.sort(Comparator.comparingLong(Place::hash).thenComparing(Place::id));
         circle = ordered;
-        ownPosition = ordered.indexOf(self);
+        ownPosition = ordered.indexOf(place(self));
+    }
+
+    private Place place(InstanceId id) {
+        return places.computeIfAbsent(id, key -> new Place(key, hasher.hash(key.value())));
     }
 
     /** Returns the number of the period that a time lies in. */
@@ -61,6 +65,51 @@
             return Optional.empty();
         }
         int distance = 1 + (int) Long.remainderUnsigned(Ownership.mix(period), others);
-        return Optional.of(circle.get((ownPosition + distance) % circle.size()));
+        return Optional.of(circle.get((ownPosition + distance) % circle.size()).id());
+    }
+
+    /**
+     * Returns the members that get changes from here at once: the successor in the circle, so that
+     * all members form a ring, and others at pseudo-random points, so that paths are short. A
+     * change of one member changes the neighbours of few.
+     *
+     * @param count most neighbours
+     * @param isAlive tells which members may be neighbours; suspects are passed over
+     */
+    List<InstanceId> neighbours(int count, Predicate<InstanceId> isAlive) {
+        Set<InstanceId> neighbours = new LinkedHashSet<>();
+        firstAlive(ownPosition + 1, isAlive).ifPresent(neighbours::add);
+        long ownHash = place(self).hash();
+        for (int index = 1; index < 2 * count && neighbours.size() < count; index++) {
+            int position = firstAfter(Ownership.mix(ownHash + index));
+            firstAlive(position, isAlive).ifPresent(neighbours::add);
+        }
+        return List.copyOf(neighbours);
+    }
+
+    private Optional<InstanceId> firstAlive(int start, Predicate<InstanceId> isAlive) {
+        for (int step = 0; step < circle.size(); step++) {
+            InstanceId id = circle.get((start + step) % circle.size()).id();
+            if (!id.equals(self) && isAlive.test(id)) {
+                return Optional.of(id);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private int firstAfter(long point) {
+        int low = 0;
+        int high = circle.size();
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (circle.get(middle).hash() < point) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return low;
     }
+
+    private record Place(InstanceId id, long hash) {}
 }
--- a/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
+++ b/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
@@ -1,9 +1,10 @@
 package org.tarragonlug.decision.membership;
 
+import static org.tarragonlug.decision.membership.MemberState.ALIVE;
+
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -33,7 +34,9 @@
  * last longer, while other members still apply the normal time.
  *
  * <p>Partitions: dead candidates are probed now and then. A probe carries what is believed of its
- * target, which then refutes it, so both sides merge without a restart.
+ * target, which then refutes it, so both sides merge without a restart. A claim that an alive
+ * member is dead is taken as a suspicion: when two sides merge, it comes from the other side, and
+ * the member can refute it before anybody here removes it.
  *
  * <p>Limits: a verdict can be wrong in both directions at any time, and two members may hold
  * different views for seconds. Clocks that differ by more than a period only make probes less even.
@@ -41,6 +44,10 @@
 public final class RandomProbeDetector implements FailureDetector {
     private static final int LONGEST_SUSPICION_FACTOR = 3;
     private static final int MISSES_IN_A_ROW = 3;
+    private static final int MEMBERS_PER_DEAD_PROBE = 40;
+
+    /** A transfer to a newcomer has messages of this many times the usual limit of changes. */
+    private static final int TRANSFER_PARTS = 4;
 
     private final Candidate self;
     private final ProcessId process;
@@ -52,6 +59,7 @@
     private final Map<Long, Relay> relays = new HashMap<>();
     private long incarnation;
     private long sequence;
+    private MemberUpdate ownClaim;
     private boolean selfListed;
     private boolean leaving;
     private ConfigurationVersion configuration = ConfigurationVersion.NONE;
@@ -62,6 +70,7 @@
     private Instant lastTick;
     private Instant nextDeadProbe = Instant.EPOCH;
     private List<InstanceId> live = List.of();
+    private List<InstanceId> neighbours = List.of();
     private MemberView view;
 
     /**
@@ -115,7 +124,7 @@
         } else if (event instanceof MembershipEvent.Leaving) {
             leaving = true;
             queue.add(ownClaim());
-            push(commands);
+            push(now, commands);
         }
         publishView(commands);
         return commands;
@@ -129,14 +138,16 @@
         }
         relays.values().removeIf(relay -> now.isAfter(relay.expiresAt()));
         askHelpers(now, commands);
+        if (running.filter(probe -> isOver(probe, now)).isPresent()) {
+            endProbe(now, commands);
+        }
         long period = order.period(now);
         if (period != lastPeriod) {
             lastPeriod = period;
-            endProbe(now, commands);
             startProbe(period, now, commands);
         }
         probeDead(now, commands);
-        push(commands);
+        push(now, commands);
     }
 
     private void noticePause(Instant now, List<MembershipCommand> commands) {
@@ -153,8 +164,12 @@
         commands.add(new MembershipCommand.LocalPauseDetected(gap));
     }
 
+    private boolean isOver(RunningProbe probe, Instant now) {
+        return !now.isBefore(probe.sentAt().plus(settings.probeTimeout()));
+    }
+
     private void startProbe(long period, Instant now, List<MembershipCommand> commands) {
-        if (leaving) {
+        if (leaving || running.isPresent()) {
             return;
         }
         Optional<InstanceId> target = order.target(period);
@@ -175,7 +190,7 @@
             return;
         }
         running = Optional.of(probe.withHelpersAsked());
-        for (InstanceId helper : chooseLive(settings.indirectProbes(), probe.target())) {
+        for (InstanceId helper : helpers(probe.target())) {
             send(
                     helper,
                     new MembershipMessage.IndirectProbe(
@@ -184,15 +199,12 @@
         }
     }
 
-    /** Ends the probe of the previous period; without an acknowledgement its target is suspect. */
+    /** Ends a probe that got no acknowledgement; its target becomes suspect. */
     private void endProbe(Instant now, List<MembershipCommand> commands) {
-        if (running.isEmpty()) {
-            return;
-        }
         InstanceId target = running.get().target();
         running = Optional.empty();
         missesInARow++;
-        if (table.state(target).filter(MemberState.ALIVE::equals).isEmpty()) {
+        if (table.state(target).filter(ALIVE::equals).isEmpty()) {
             return;
         }
         int factor = missesInARow >= MISSES_IN_A_ROW ? LONGEST_SUSPICION_FACTOR : 1;
@@ -206,8 +218,10 @@
         if (leaving || now.isBefore(nextDeadProbe)) {
             return;
         }
-        nextDeadProbe = now.plus(settings.deadProbePeriod());
         List<InstanceId> dead = table.deadListed();
+        // All members together probe the dead at a constant rate, whatever their number.
+        long factor = 1 + (live.size() + dead.size()) / MEMBERS_PER_DEAD_PROBE;
+        nextDeadProbe = now.plus(settings.deadProbePeriod().multipliedBy(factor));
         if (!dead.isEmpty()) {
             sequence++;
             probe(sequence, dead.get(random.nextInt(dead.size())), commands);
@@ -223,12 +237,11 @@
             MembershipMessage message,
             Instant now,
             List<MembershipCommand> commands) {
-        boolean wasAbsent = table.state(from).filter(MemberState::isLive).isEmpty();
+        Optional<MemberUpdate> before = table.claim(from);
+        // Only a transfer of all that is known exceeds the limit; it is news to a newcomer alone.
+        boolean isTransfer = message.updates().size() > settings.updateLimit();
         for (MemberUpdate update : message.updates()) {
-            learn(update, now);
-        }
-        if (wasAbsent && table.state(from).filter(MemberState::isLive).isPresent()) {
-            sendAbsent(from, commands);
+            learn(update, now, isTransfer);
         }
         if (message.configuration().compareTo(configuration) > 0) {
             commands.add(
@@ -236,6 +249,9 @@
         }
         if (message instanceof MembershipMessage.Probe probe) {
             acknowledge(from, probe.sequence(), self.instance(), commands);
+            if (isNewcomer(before, table.claim(from))) {
+                sendAll(from, commands);
+            }
         } else if (message instanceof MembershipMessage.IndirectProbe indirect) {
             relay(from, indirect, now, commands);
         } else if (message instanceof MembershipMessage.ProbeAcknowledgement acknowledgement) {
@@ -276,19 +292,36 @@
                 commands);
     }
 
-    private void learn(MemberUpdate update, Instant now) {
+    private void learn(MemberUpdate update, Instant now, boolean isTransfer) {
         if (update.instance().equals(self.instance())) {
             refute(update);
             return;
         }
-        if (table.apply(update, now, now.plus(settings.suspicionTime()))) {
-            queue.add(update);
+        boolean isAlive = table.state(update.instance()).filter(ALIVE::equals).isPresent();
+        MemberUpdate claim =
+                isAlive && update.state() == MemberState.DEAD ? suspicion(update) : update;
+        Duration suspicion = settings.suspicionTime();
+        if (claim != update) {
+            // Half of the time suffices: the claim reached a member that declared it after all.
+            suspicion = suspicion.dividedBy(2);
+        }
+        if (table.apply(claim, now, now.plus(suspicion)) && !isTransfer) {
+            queue.add(claim);
         }
     }
 
+    private static MemberUpdate suspicion(MemberUpdate update) {
+        return new MemberUpdate(
+                update.instance(),
+                update.process(),
+                update.incarnation(),
+                MemberState.SUSPECT,
+                update.origin());
+    }
+
     /** Answers a false claim about the own process with a higher incarnation. */
     private void refute(MemberUpdate update) {
-        boolean claimedAway = !leaving && update.state() != MemberState.ALIVE;
+        boolean claimedAway = !leaving && update.state() != ALIVE;
         boolean otherProcess = !update.process().equals(process) && update.incarnation() > 0;
         if (update.incarnation() >= incarnation && (claimedAway || otherProcess)) {
             incarnation = update.incarnation() + 1;
@@ -311,25 +344,39 @@
     }
 
     /** Pushes what is new to a few random members at once. */
-    private void push(List<MembershipCommand> commands) {
-        if (!queue.hasFresh() && !announceConfiguration) {
+    private void push(Instant now, List<MembershipCommand> commands) {
+        List<MemberUpdate> fresh = queue.takePushes(settings.updateLimit(), now);
+        if (fresh.isEmpty() && !announceConfiguration) {
             return;
         }
         announceConfiguration = false;
-        List<MemberUpdate> fresh = queue.takeFresh(settings.updateLimit());
-        for (InstanceId receiver : chooseLive(settings.gossipFanout(), self.instance())) {
+        for (InstanceId receiver : neighbours()) {
             send(receiver, new MembershipMessage.Gossip(configuration, fresh), commands);
         }
     }
 
-    /** Tells a newcomer who is absent, because it assumes that all candidates are alive. */
-    private void sendAbsent(InstanceId newcomer, List<MembershipCommand> commands) {
-        List<MemberUpdate> absent = table.claimsOfAbsent();
-        for (int start = 0; start < absent.size(); start += settings.updateLimit()) {
-            int end = Math.min(absent.size(), start + settings.updateLimit());
+    /** Tells whether a message showed that its sender is a new process or back from the dead. */
+    private static boolean isNewcomer(Optional<MemberUpdate> before, Optional<MemberUpdate> after) {
+        if (after.isEmpty() || !after.get().state().isLive()) {
+            return false;
+        }
+        return before.isEmpty()
+                || !before.get().state().isLive()
+                || !before.get().process().equals(after.get().process());
+    }
+
+    /**
+     * Sends a newcomer all that is known. It assumes that all candidates are alive, and a suspicion
+     * that it raised without knowing the incarnation would convince nobody.
+     */
+    private void sendAll(InstanceId newcomer, List<MembershipCommand> commands) {
+        List<MemberUpdate> known = table.claims();
+        int part = TRANSFER_PARTS * settings.updateLimit();
+        for (int start = 0; start < known.size(); start += part) {
+            int end = Math.min(known.size(), start + part);
             send(
                     newcomer,
-                    new MembershipMessage.Gossip(configuration, absent.subList(start, end)),
+                    new MembershipMessage.Gossip(configuration, known.subList(start, end)),
                     commands);
         }
     }
@@ -338,9 +385,7 @@
     private List<MemberUpdate> claims(InstanceId receiver) {
         List<MemberUpdate> claims = new ArrayList<>();
         claims.add(ownClaim());
-        table.claim(receiver)
-                .filter(claim -> claim.state() != MemberState.ALIVE)
-                .ifPresent(claims::add);
+        table.claim(receiver).filter(claim -> claim.state() != ALIVE).ifPresent(claims::add);
         int limit = settings.updateLimit() - claims.size();
         for (MemberUpdate update : queue.take(limit, live.size() + 1)) {
             if (!update.instance().equals(self.instance()) && !update.instance().equals(receiver)) {
@@ -351,28 +396,32 @@
     }
 
     private MemberUpdate ownClaim() {
-        return new MemberUpdate(
-                self.instance(),
-                process,
-                incarnation,
-                leaving ? MemberState.LEFT : MemberState.ALIVE,
-                selfListed ? Optional.empty() : Optional.of(self));
+        MemberState state = leaving ? MemberState.LEFT : ALIVE;
+        Optional<Candidate> origin = selfListed ? Optional.empty() : Optional.of(self);
+        if (ownClaim == null
+                || ownClaim.incarnation() != incarnation
+                || ownClaim.state() != state
+                || !ownClaim.origin().equals(origin)) {
+            ownClaim = new MemberUpdate(self.instance(), process, incarnation, state, origin);
+        }
+        return ownClaim;
     }
 
-    private List<InstanceId> chooseLive(int count, InstanceId except) {
-        if (live.size() <= count) {
-            return live.stream().filter(member -> !member.equals(except)).toList();
-        }
-        Set<InstanceId> chosen = new HashSet<>();
-        List<InstanceId> ordered = new ArrayList<>();
-        int attempts = 4 * count;
-        while (ordered.size() < count && attempts-- > 0) {
-            InstanceId member = live.get(random.nextInt(live.size()));
-            if (!member.equals(except) && chosen.add(member)) {
-                ordered.add(member);
-            }
+    private List<InstanceId> neighbours() {
+        if (neighbours.isEmpty() && !live.isEmpty()) {
+            neighbours = order.neighbours(settings.gossipFanout(), table::isAlive);
         }
-        return Collections.unmodifiableList(ordered);
+        return neighbours;
+    }
+
+    /** Chooses neighbours as helpers, because their connections are open. */
+    private List<InstanceId> helpers(InstanceId target) {
+        List<InstanceId> helpers = new ArrayList<>(neighbours());
+        helpers.remove(target);
+        while (helpers.size() > settings.indirectProbes()) {
+            helpers.remove(random.nextInt(helpers.size()));
+        }
+        return helpers;
     }
 
     private void send(InstanceId to, MembershipMessage message, List<MembershipCommand> commands) {
@@ -380,15 +429,19 @@
     }
 
     private void publishView(List<MembershipCommand> commands) {
+        if (table.takeSuspectsChanged()) {
+            neighbours = List.of();
+        }
         if (!table.takeChanged()) {
             return;
         }
         Set<InstanceId> before = new HashSet<>(live);
         live = table.live();
         order.members(live);
+        neighbours = List.of();
         view = computeView();
         List<InstanceId> joined = live.stream().filter(id -> !before.contains(id)).toList();
-        before.removeAll(live);
+        live.forEach(before::remove);
         List<InstanceId> lost = before.stream().sorted().toList();
         commands.add(new MembershipCommand.ViewChanged(view, joined, lost));
     }
@@ -402,7 +455,7 @@
                         self.address(),
                         self.failureDomain(),
                         incarnation,
-                        MemberState.ALIVE));
+                        ALIVE));
         members.sort((left, right) -> left.instance().compareTo(right.instance()));
         return new MemberView(self.instance(), members);
     }
--- a/src/main/java/org/tarragonlug/decision/membership/UpdateQueue.java
+++ b/src/main/java/org/tarragonlug/decision/membership/UpdateQueue.java
@@ -1,5 +1,7 @@
 package org.tarragonlug.decision.membership;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -10,12 +12,14 @@
  * The member changes that still travel with messages, the least sent first.
  *
  * <p>Each change is sent a number of times that grows with the logarithm of the number of members,
- * which is what an epidemic needs to reach all of them. Changes that were not sent yet are fresh:
- * the detector pushes them to a few members at once in place of waiting for the next probe.
+ * which catches up members that the pushes missed. New changes are also pushed to a few neighbours
+ * at once in place of waiting for the next probe.
  */
 final class UpdateQueue {
-    private static final int SENDS_PER_DOUBLING = 2;
-    private static final int MINIMUM_SENDS = 4;
+    private static final int DOUBLINGS_PER_SEND = 2;
+    private static final int MINIMUM_SENDS = 3;
+    private static final int PUSHES = 2;
+    private static final Duration BETWEEN_PUSHES = Duration.ofSeconds(1);
 
     private final TreeMap<InstanceId, Entry> entries = new TreeMap<>();
 
@@ -24,20 +28,25 @@
         entries.put(update.instance(), new Entry(update));
     }
 
-    /** Tells whether a change was never pushed. */
-    boolean hasFresh() {
-        return entries.values().stream().anyMatch(entry -> entry.fresh);
-    }
-
-    /** Takes fresh changes, at most a number; they count as pushed from now on. */
-    List<MemberUpdate> takeFresh(int limit) {
+    /**
+     * Takes the changes that are to be pushed now, at most a number.
+     *
+     * <p>Each is pushed twice: the second time some of the neighbours that were gone at the first
+     * push are known to be gone and were replaced.
+     */
+    List<MemberUpdate> takePushes(int limit, Instant now) {
+        if (entries.isEmpty()) {
+            return List.of();
+        }
         List<MemberUpdate> taken = new ArrayList<>();
         for (Entry entry : entries.values()) {
-            if (entry.fresh && taken.size() < limit) {
-                entry.fresh = false;
+            if (entry.pushesLeft > 0 && taken.size() < limit && !now.isBefore(entry.nextPush)) {
+                entry.pushesLeft--;
+                entry.nextPush = now.plus(BETWEEN_PUSHES);
                 taken.add(entry.update);
             }
         }
+        entries.values().removeIf(Entry::isDone);
         return taken;
     }
 
@@ -53,29 +62,35 @@
         }
         List<Entry> chosen =
                 entries.values().stream()
+                        .filter(entry -> !entry.sentEnough)
                         .sorted(Comparator.comparingInt(entry -> entry.sent))
                         .limit(limit)
                         .toList();
         int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(members);
-        int most = Math.max(MINIMUM_SENDS, SENDS_PER_DOUBLING * doublings);
+        int most = Math.max(MINIMUM_SENDS, 1 + doublings / DOUBLINGS_PER_SEND);
         List<MemberUpdate> taken = new ArrayList<>();
         for (Entry entry : chosen) {
             taken.add(entry.update);
             entry.sent++;
-            if (entry.sent >= most) {
-                entries.remove(entry.update.instance());
-            }
+            entry.sentEnough = entry.sent >= most;
         }
+        entries.values().removeIf(Entry::isDone);
         return taken;
     }
 
     private static final class Entry {
         private final MemberUpdate update;
-        private boolean fresh = true;
+        private int pushesLeft = PUSHES;
+        private Instant nextPush = Instant.EPOCH;
         private int sent;
+        private boolean sentEnough;
 
         Entry(MemberUpdate update) {
             this.update = update;
         }
+
+        boolean isDone() {
+            return sentEnough && pushesLeft == 0;
+        }
     }
 }
--- a/src/main/java/org/tarragonlug/measure/Traffic.java
+++ b/src/main/java/org/tarragonlug/measure/Traffic.java
@@ -3,8 +3,6 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
-import org.tarragonlug.id.ProcessId;
-import org.tarragonlug.peer.PeerCodec;
 import org.tarragonlug.peer.PeerMessage;
 
 /**
@@ -27,14 +25,12 @@
     private static final long IDLE_LIMIT_MICROS = 60_000_000L;
     private static final long SECOND_MICROS = 1_000_000L;
 
-    private final PeerCodec codec = new PeerCodec(new ProcessId("i-0123456789/1700000000000"));
+    private final MessageSizes sizes = new MessageSizes();
     private final Map<Long, Long> lastUse = new HashMap<>();
     private final long[] inSecond;
     private long second = -1;
     private long total;
     private long busiest;
-    private Object lastContent;
-    private int lastSize;
 
     Traffic(int members) {
         this.inSecond = new long[members];
@@ -42,15 +38,7 @@
 
     void count(int from, int to, PeerMessage message, long micros) {
         advance(micros / SECOND_MICROS);
-        Object content =
-                message instanceof PeerMessage.Membership membership
-                        ? membership.content()
-                        : message;
-        if (content != lastContent) {
-            lastContent = content;
-            lastSize = LENGTH_BYTES + codec.encode(message).length;
-        }
-        add(from, lastSize + SEGMENT_BYTES);
+        add(from, LENGTH_BYTES + sizes.of(message) + SEGMENT_BYTES);
         add(to, SEGMENT_BYTES);
         long pair = (long) Math.min(from, to) * inSecond.length + Math.max(from, to);
         Long used = lastUse.put(pair, micros);
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -1,7 +1,9 @@
 package org.tarragonlug.peer;
 
 import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.annotation.JsonSetter;
 import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.annotation.PropertyAccessor;
@@ -17,6 +19,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
+import org.tarragonlug.decision.membership.MemberUpdate;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.ProcessId;
@@ -69,6 +72,7 @@
                 new MessagePackMapper()
                         .registerModule(new IdModule())
                         .registerModule(new OptionalModule())
+                        .addMixIn(MemberUpdate.class, Compact.class)
                         .setVisibility(PropertyAccessor.GETTER, JsonAutoDetect.Visibility.NONE)
                         .setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
                         .setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
@@ -194,4 +198,9 @@
     private static TarragonlugException invalid(String detail, Exception cause) {
         return new TarragonlugException(ErrorCode.PEER_FRAME_INVALID, detail, cause);
     }
+
+    /** Member changes are most of the bytes, so they are arrays; new fields come at the end. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"instance", "process", "incarnation", "state", "origin"})
+    private interface Compact {}
 }
