Test the failure detector, ownership and message sizes

Cause: verdicts may be wrong, but views must become whole again. Change: scenario tests in virtual time with restarts in pairs, pauses, loss one-way and two-way, silent connections and random mixes; unit tests.

--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/membership/RandomProbeDetectorTest.java
@@ -0,0 +1,148 @@
+package org.tarragonlug.decision.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.configuration.ConfigurationSamples;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ProcessId;
+
+class RandomProbeDetectorTest {
+    private static final ConfigurationVersion VERSION = new ConfigurationVersion(4);
+
+    private final RandomProbeDetector detector =
+            new RandomProbeDetector(
+                    candidate("self"),
+                    new ProcessId("self-1"),
+                    100,
+                    DetectorSettings.DEFAULT,
+                    ConfigurationSamples.HASHER,
+                    new SplittableRandom(5));
+    private long millis = 1_000_000;
+
+    RandomProbeDetectorTest() {
+        handle(
+                new MembershipEvent.CandidatesListed(
+                        List.of(candidate("self"), candidate("a"), candidate("b"))));
+    }
+
+    private static Candidate candidate(String name) {
+        return new Candidate(new InstanceId(name), name + ":1", new FailureDomain("d"));
+    }
+
+    private List<MembershipCommand> handle(MembershipEvent event) {
+        return detector.handle(event, Instant.ofEpochMilli(millis));
+    }
+
+    private List<MembershipCommand> tick(long length) {
+        List<MembershipCommand> commands = new ArrayList<>();
+        for (long end = millis + length; millis < end; millis += 100) {
+            commands.addAll(handle(new MembershipEvent.Tick()));
+        }
+        return commands;
+    }
+
+    private List<MembershipCommand> receive(String from, MemberUpdate... updates) {
+        return handle(
+                new MembershipEvent.MessageReceived(
+                        new InstanceId(from),
+                        new MembershipMessage.Probe(9, VERSION, List.of(updates))));
+    }
+
+    private static MemberUpdate claim(String name, long incarnation, MemberState state) {
+        return new MemberUpdate(
+                new InstanceId(name),
+                new ProcessId(name + "-1"),
+                incarnation,
+                state,
+                Optional.empty());
+    }
+
+    private boolean sees(String name) {
+        return detector.view().member(new InstanceId(name)).isPresent();
+    }
+
+    /** Guards against a live member removed because a false suspicion was never refuted. */
+    @Test
+    void ownSuspicionIsRefutedWithAHigherIncarnation() {
+        List<MembershipCommand> commands = receive("a", claim("self", 100, MemberState.SUSPECT));
+        MembershipMessage answer =
+                commands.stream()
+                        .filter(MembershipCommand.Send.class::isInstance)
+                        .map(command -> ((MembershipCommand.Send) command).message())
+                        .findFirst()
+                        .orElseThrow();
+        assertEquals(101, answer.updates().get(0).incarnation());
+        assertEquals(MemberState.ALIVE, answer.updates().get(0).state());
+    }
+
+    /** Guards against a stale suspicion that removes a member that refuted it. */
+    @Test
+    void refutedSuspicionHasNoEffect() {
+        receive("a", claim("b", 7, MemberState.ALIVE));
+        receive("a", claim("b", 6, MemberState.SUSPECT));
+        receive("a", claim("b", 7, MemberState.SUSPECT));
+        receive("a", claim("b", 8, MemberState.ALIVE));
+        receive("a", claim("b", 7, MemberState.DEAD));
+        for (int round = 0; round < 5; round++) {
+            tick(300);
+            receive("a", claim("b", 8, MemberState.ALIVE));
+        }
+        assertTrue(sees("b"));
+    }
+
+    /** Guards against members torn out by a verdict of the other side of a healed partition. */
+    @Test
+    void deathOfAnAliveMemberIsOnlyASuspicionAtFirst() {
+        receive("a", claim("b", 7, MemberState.ALIVE));
+        receive("a", claim("b", 7, MemberState.DEAD));
+        assertTrue(sees("b"));
+        tick(1_200);
+        assertFalse(sees("b"));
+    }
+
+    /** Guards against a leaving member that keeps its ownership until it is found dead. */
+    @Test
+    void leavingMemberIsRemovedAtOnce() {
+        receive("a", claim("b", 7, MemberState.LEFT));
+        assertFalse(sees("b"));
+        assertFalse(handle(new MembershipEvent.Leaving()).isEmpty());
+    }
+
+    /** Guards against suspicions that expire while their refutations wait unread. */
+    @Test
+    void pauseOfTheOwnProcessStartsSuspicionsAnew() {
+        tick(200);
+        receive("a", claim("b", 7, MemberState.SUSPECT));
+        millis += 30_000;
+        List<MembershipCommand> commands = handle(new MembershipEvent.Tick());
+        assertTrue(
+                commands.stream().anyMatch(MembershipCommand.LocalPauseDetected.class::isInstance));
+        assertTrue(sees("b"));
+        receive("a", claim("b", 8, MemberState.ALIVE));
+        assertTrue(sees("b"));
+    }
+
+    /** Guards against a process that does not notice that it is behind. */
+    @Test
+    void newerConfigurationOfAPeerIsReported() {
+        assertTrue(
+                receive("a")
+                        .contains(
+                                new MembershipCommand.NewerConfigurationSeen(
+                                        new InstanceId("a"), VERSION)));
+        handle(new MembershipEvent.ConfigurationInstalled(VERSION));
+        assertTrue(
+                receive("a").stream()
+                        .noneMatch(MembershipCommand.NewerConfigurationSeen.class::isInstance));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/measure/MembershipScenarioTest.java
@@ -0,0 +1,259 @@
+package org.tarragonlug.measure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.TestSeeds;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.membership.MemberState;
+import org.tarragonlug.decision.membership.MemberUpdate;
+import org.tarragonlug.decision.membership.MembershipMessage;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.peer.PeerCodec;
+import org.tarragonlug.peer.PeerMessage;
+
+class MembershipScenarioTest {
+    /** The stated targets: a crash is known within 5 s, for at most 5 KB/s. */
+    private static final long DETECTION_MICROS = 5_000_000;
+
+    private static final long BYTES_PER_SECOND = 5_000;
+    private static final int SIZE = 20;
+
+    private DetectionRecord record;
+    private VirtualCluster cluster;
+
+    private void start(long seed) {
+        record = new DetectionRecord(SIZE);
+        cluster = new VirtualCluster(SIZE, DetectorKind.RANDOM_PROBE, seed, record);
+        run(5);
+        cluster.traffic().reset();
+    }
+
+    private void run(int seconds) {
+        cluster.run(Duration.ofSeconds(seconds));
+    }
+
+    private void assertAllSeeAll() {
+        for (int member = 0; member < SIZE; member++) {
+            assertEquals(SIZE, cluster.detector(member).view().members().size());
+        }
+    }
+
+    @Nested
+    class Crashes {
+        /** Guards against dead members that keep what they own, and against live ones removed. */
+        @Test
+        void crashIsKnownEverywhereInTime() {
+            TestSeeds.forEach(this::crash);
+        }
+
+        private void crash(long seed) {
+            start(seed);
+            Scenario.CRASHES.run(cluster, record, DetectorKind.RANDOM_PROBE);
+            assertEquals(record.expected(), record.detections().getTotalCount());
+            long p99 = record.detections().getValueAtPercentile(99);
+            assertTrue(p99 <= DETECTION_MICROS, "p99=" + p99);
+            assertEquals(0, record.falseAlarms());
+            assertTrue(cluster.traffic().mean(cluster.micros()) <= BYTES_PER_SECOND);
+            assertAllSeeAll();
+        }
+
+        /** Guards against two restarts at once of which the new processes stay unknown. */
+        @Test
+        void pairOfRestartsEndsInTheWholeView() {
+            TestSeeds.forEach(
+                    seed -> {
+                        start(seed);
+                        for (int round = 0; round < 5; round++) {
+                            int first = (int) ((seed + 3 * round) % SIZE);
+                            int second = (first + 1) % SIZE;
+                            cluster.crash(first);
+                            cluster.crash(second);
+                            cluster.run(Duration.ofMillis(700 * round));
+                            cluster.restart(first);
+                            cluster.restart(second);
+                            run(8);
+                            assertAllSeeAll();
+                        }
+                    });
+        }
+    }
+
+    @Nested
+    class Disturbances {
+        /** Guards against a process that, after a pause, declares all others dead. */
+        @Test
+        void pausedMemberBlamesNobodyAndReturns() {
+            TestSeeds.forEach(
+                    seed -> {
+                        start(seed);
+                        Scenario.PAUSE.run(cluster, record, DetectorKind.RANDOM_PROBE);
+                        assertEquals(0, record.falseAlarms());
+                        assertAllSeeAll();
+                    });
+        }
+
+        /** Guards against verdicts from one broken path while others work. */
+        @Test
+        void oneWayLossOfSomePairsRemovesNobody() {
+            TestSeeds.forEach(
+                    seed -> {
+                        start(seed);
+                        cluster.rule((from, to, micros) -> to == (from * 7 + 1) % SIZE);
+                        run(60);
+                        assertEquals(0, record.falseAlarms());
+                        assertAllSeeAll();
+                    });
+        }
+
+        /** Guards against verdicts from connections that became silent. */
+        @Test
+        void silentConnectionsRemoveNobody() {
+            TestSeeds.forEach(
+                    seed -> {
+                        start(seed);
+                        Scenario.SILENT_CONNECTIONS.run(cluster, record, DetectorKind.RANDOM_PROBE);
+                        assertEquals(0, record.falseAlarms());
+                    });
+        }
+
+        /** Guards against two sides that never merge again, or tear each other while merging. */
+        @Test
+        void regionsMergeAfterACut() {
+            TestSeeds.forEach(
+                    seed -> {
+                        start(seed);
+                        DetectionRecord.Separation cut =
+                                (one, other) ->
+                                        VirtualCluster.inFirstRegion(one)
+                                                != VirtualCluster.inFirstRegion(other);
+                        record.separation(cut);
+                        cluster.rule((from, to, micros) -> cut.isCut(from, to));
+                        run(120);
+                        assertEquals(12, cluster.detector(0).view().members().size());
+                        cluster.rule(LinkRule.NONE);
+                        run(20);
+                        assertEquals(0, record.falseAlarms());
+                        assertAllSeeAll();
+                    });
+        }
+
+        /** Guards against views that stay wrong after any mix of disturbances. */
+        @Test
+        void viewsAreWholeAfterRandomDisturbances() {
+            TestSeeds.forEach(this::disturb);
+        }
+
+        private void disturb(long seed) {
+            start(seed);
+            SplittableRandom random = new SplittableRandom(seed);
+            for (int round = 0; round < 20; round++) {
+                int one = random.nextInt(SIZE);
+                int other = random.nextInt(SIZE);
+                double loss = random.nextDouble() * 0.3;
+                switch (random.nextInt(4)) {
+                    case 0 -> cluster.pause(one, Duration.ofSeconds(random.nextInt(30)));
+                    case 1 -> cluster.crash(one);
+                    case 2 -> cluster.rule((from, to, micros) -> from == one || to == other);
+                    default -> cluster.rule((from, to, micros) -> random.nextDouble() < loss);
+                }
+                run(random.nextInt(10));
+                if (!cluster.isUp(one)) {
+                    cluster.restart(one);
+                }
+            }
+            cluster.rule(LinkRule.NONE);
+            run(90);
+            assertAllSeeAll();
+        }
+    }
+
+    @Nested
+    class ConfigurationEverywhere {
+        /** Guards against members that stay on an old version, or revert to it, after a cut. */
+        @Test
+        void changesReachAllMembersWithinTheBound() {
+            TestSeeds.forEach(this::change);
+        }
+
+        private void change(long seed) {
+            start(seed);
+            Configuration current = SampleTables.configuration(1, 20);
+            cluster.configurations().enable(current);
+            for (int change = 0; change < 20; change++) {
+                current = SampleTables.changed(current, change);
+                cluster.configurations().store(current, 1, 1);
+                run(5);
+                assertInForce(current);
+            }
+            cluster.rule((from, to, micros) -> from % 2 != to % 2);
+            current = SampleTables.changed(current, 20);
+            cluster.configurations().store(current, 1, 1);
+            run(30);
+            cluster.rule(LinkRule.NONE);
+            run(20);
+            assertInForce(current);
+            assertEquals(0, cluster.configurations().violations());
+        }
+
+        private void assertInForce(Configuration current) {
+            for (int member = 0; member < SIZE; member++) {
+                assertEquals(
+                        current.version(),
+                        cluster.configurations().holder(member).current().version());
+            }
+        }
+    }
+
+    @Nested
+    class Program {
+        /** Guards against sizes in the tables that differ from what the codec writes. */
+        @Test
+        void sizesAreThoseOfTheCodec() {
+            PeerCodec codec = new PeerCodec(new ProcessId("i-0123456789/1700000000000"));
+            MessageSizes sizes = new MessageSizes();
+            InstanceId id = new InstanceId("i-0123456789");
+            MemberUpdate update =
+                    new MemberUpdate(
+                            id,
+                            new ProcessId("i-0123456789/1800000000000"),
+                            1_800_000_000_000L,
+                            MemberState.ALIVE,
+                            Optional.empty());
+            ConfigurationVersion version = new ConfigurationVersion(300);
+            for (int count : new int[] {0, 1, 15, 16, 48}) {
+                List<MemberUpdate> updates = java.util.Collections.nCopies(count, update);
+                for (MembershipMessage message :
+                        List.of(
+                                new MembershipMessage.Probe(70_000, version, updates),
+                                new MembershipMessage.ProbeAcknowledgement(5, id, version, updates),
+                                new MembershipMessage.IndirectProbe(200, id, version, updates),
+                                new MembershipMessage.Gossip(version, updates))) {
+                    PeerMessage wrapped = PeerMessage.of(message);
+                    assertEquals(codec.encode(wrapped).length, sizes.of(wrapped));
+                }
+            }
+        }
+
+        /** Guards against baselines that no longer run. */
+        @Test
+        void everyDetectorDetectsACrash() {
+            PrintStream out = new PrintStream(new ByteArrayOutputStream());
+            for (DetectorKind kind : DetectorKind.values()) {
+                DetectionRecord each =
+                        MembershipMeasurement.measure(Scenario.DOMAIN_LOSS, 10, kind, 1, out);
+                assertTrue(each.detections().getTotalCount() > 0, kind.text());
+            }
+        }
+    }
+}
