--- /dev/null
+++ b/src/test/java/org/tarragonlug/objectapi/TablePublisherTest.java
@@ -0,0 +1,225 @@
+package org.tarragonlug.objectapi;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.tarragonlug.decision.configuration.Configuration;
+import org.tarragonlug.decision.configuration.ConfigurationSamples;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.OperationId;
+
+class TablePublisherTest {
+    @TempDir Path mariasFiles;
+    @TempDir Path josesFiles;
+
+    private final FakeObjectApi api = new FakeObjectApi();
+    private final TableCodec codec = new TableCodec();
+    private final TablePublisher maria = publisher("maria");
+    private final TablePublisher jose = publisher("jose");
+    private int operations;
+
+    private TablePublisher publisher(String editor) {
+        return new TablePublisher(
+                api,
+                codec,
+                editor,
+                () -> Instant.ofEpochSecond(1_800_000_000),
+                () -> new OperationId(editor + "-" + operations++));
+    }
+
+    private void files(Path directory, int routes, String extra) throws Exception {
+        Configuration tables = ConfigurationSamples.configuration(1, routes);
+        String text = codec.writeRoutes(tables.routes()).toString();
+        Files.writeString(
+                directory.resolve("routes.json"),
+                text.replace("\"share\":1", "\"share\":" + extra));
+        Files.writeString(
+                directory.resolve("pools.json"), codec.writePools(tables.pools()).toString());
+    }
+
+    @BeforeEach
+    void publishFirstTables() throws Exception {
+        files(mariasFiles, 2, "1");
+        maria.apply(mariasFiles);
+    }
+
+    @Nested
+    class Differences {
+        /** Guards against operators who cannot see what an apply would change. */
+        @Test
+        void rowsAndFieldsAreShown() throws Exception {
+            files(josesFiles, 1, "4");
+            String text =
+                    String.join(
+                            "", jose.diff(josesFiles).stream().map(RowDifference::text).toList());
+            assertEquals(
+                    "~ routes route-0\n    share: 1 -> 4\n- routes route-1\n"
+                            + "~ pools pool-a\n    artifacts[model-1@1]: "
+                            + "{\"artifact\":\"model-1@1\",\"memoryBytes\":1000,"
+                            + "\"minimumReplicas\":0,\"maximumReplicas\":2} -> (none)\n",
+                    text);
+        }
+
+        /** Guards against a revision for an apply that changes nothing. */
+        @Test
+        void sameTablesAreNotWritten() throws Exception {
+            Map<ObjectName, StoredObject> before = new HashMap<>(api.objects);
+            assertEquals(List.of(), maria.apply(mariasFiles));
+            assertEquals(before, api.objects);
+        }
+    }
+
+    @Nested
+    class Refusals {
+        /** Guards against invalid tables at the platform. */
+        @Test
+        void invalidTablesAreRefusedWithEveryFault() throws Exception {
+            files(josesFiles, 2, "0,\"shade\":1");
+            TarragonlugException error =
+                    assertThrows(TarragonlugException.class, () -> jose.apply(josesFiles));
+            assertEquals(ErrorCode.TABLES_INVALID, error.code());
+            assertTrue(error.getMessage().contains("$.routes[1].share"), error.getMessage());
+            assertTrue(error.getMessage().contains("unknown field 'shade'"));
+        }
+
+        /** Guards against an operator who undoes what another one edited meanwhile. */
+        @Test
+        void editsSinceTheFetchAreNamed() throws Exception {
+            jose.fetch(josesFiles);
+            files(mariasFiles, 2, "7");
+            maria.apply(mariasFiles);
+            files(josesFiles, 2, "8");
+            assertConflictNamesMaria(() -> jose.apply(josesFiles));
+            jose.fetch(josesFiles);
+            files(josesFiles, 2, "8");
+            assertEquals(2, jose.apply(josesFiles).size());
+            files(josesFiles, 2, "9");
+            assertEquals(2, jose.apply(josesFiles).size());
+        }
+
+        /** Guards against two operators of whom both write after both have read. */
+        @Test
+        void racingWriteIsRefused() throws Exception {
+            files(josesFiles, 2, "8");
+            files(mariasFiles, 2, "7");
+            api.beforeNextWrite = () -> maria.apply(mariasFiles);
+            assertConflictNamesMaria(() -> jose.apply(josesFiles));
+        }
+
+        private void assertConflictNamesMaria(org.junit.jupiter.api.function.Executable apply) {
+            TarragonlugException error = assertThrows(TarragonlugException.class, apply);
+            assertEquals(ErrorCode.WRITE_CONFLICT, error.code());
+            assertTrue(
+                    error.getMessage().contains("row 'route-0' by maria at 2027-01-15"),
+                    error.getMessage());
+        }
+    }
+
+    @Nested
+    class LostAnswers {
+        /** Guards against a conflict with the operator's own write whose answer was lost. */
+        @Test
+        void effectiveWriteIsRecognised() throws Exception {
+            files(josesFiles, 2, "8");
+            api.loseNextAnswer = true;
+            assertEquals(2, jose.apply(josesFiles).size());
+            assertEquals(List.of(), jose.diff(josesFiles));
+        }
+
+        /** Guards against an edit that is given up though its write had no effect. */
+        @Test
+        void ineffectiveWriteIsRepeated() throws Exception {
+            files(josesFiles, 2, "8");
+            api.loseNextWrite = true;
+            assertEquals(2, jose.apply(josesFiles).size());
+            assertEquals(List.of(), jose.diff(josesFiles));
+        }
+    }
+
+    /** Objects in memory, with conditional updates and answers that can get lost. */
+    private static final class FakeObjectApi implements ObjectApi {
+        interface Action {
+            void run() throws TarragonlugException;
+        }
+
+        private final Map<ObjectName, StoredObject> objects = new HashMap<>();
+        private boolean loseNextAnswer;
+        private boolean loseNextWrite;
+        private Action beforeNextWrite;
+
+        @Override
+        public CompletionStage<StoredObject> read(ObjectName name) {
+            return CompletableFuture.completedFuture(
+                    objects.getOrDefault(
+                            name,
+                            new StoredObject(
+                                    name, StoredObject.ABSENT, MissingNode.getInstance())));
+        }
+
+        @Override
+        public CompletionStage<Long> write(
+                ObjectName name, JsonNode content, long expectedVersion) {
+            try {
+                Action action = beforeNextWrite;
+                beforeNextWrite = null;
+                if (action != null) {
+                    action.run();
+                }
+                return CompletableFuture.completedFuture(store(name, content, expectedVersion));
+            } catch (TarragonlugException e) {
+                return CompletableFuture.failedFuture(e);
+            }
+        }
+
+        private long store(ObjectName name, JsonNode content, long expectedVersion)
+                throws TarragonlugException {
+            StoredObject old = objects.get(name);
+            long version = old == null ? StoredObject.ABSENT : old.version();
+            if (version != expectedVersion) {
+                throw new TarragonlugException(ErrorCode.WRITE_CONFLICT, "version=" + version);
+            }
+            if (!loseNextWrite) {
+                objects.put(name, new StoredObject(name, version + 1, content.deepCopy()));
+            }
+            if (loseNextAnswer || loseNextWrite) {
+                loseNextAnswer = false;
+                loseNextWrite = false;
+                throw new TarragonlugException(ErrorCode.OBJECT_API_OUTCOME_UNKNOWN, "lost");
+            }
+            return version + 1;
+        }
+
+        @Override
+        public CompletionStage<Void> delete(ObjectName name, long expectedVersion) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<WatchResult> list(String kind) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<WatchResult> watch(
+                String kind, long afterRevision, Duration longestWait) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
