Remember the live list of the ring baseline

Cause: it was computed for each message and tick, and 410 members took minutes of processor time. Change: computed once for each change of claims.

--- a/src/main/java/org/tarragonlug/measure/RingDetector.java
+++ b/src/main/java/org/tarragonlug/measure/RingDetector.java
@@ -37,6 +37,7 @@
     private final ProcessId process;
     private final Map<InstanceId, Candidate> candidates = new TreeMap<>();
     private final Map<InstanceId, MemberUpdate> claims = new TreeMap<>();
+    private List<InstanceId> live = new ArrayList<>();
     private long incarnation;
     private Instant nextHeartbeat = Instant.EPOCH;
     private boolean hasView;
@@ -70,13 +71,19 @@
 
     /** Returns the live members in the order of the ring, the own instance included. */
     private List<InstanceId> live() {
-        List<InstanceId> ids = new ArrayList<>();
-        for (MemberUpdate claim : claims.values()) {
-            if (claim.state().isLive()) {
-                ids.add(claim.instance());
+        if (live.isEmpty()) {
+            for (MemberUpdate claim : claims.values()) {
+                if (claim.state().isLive()) {
+                    live.add(claim.instance());
+                }
             }
         }
-        return ids;
+        return live;
+    }
+
+    private void put(MemberUpdate claim) {
+        claims.put(claim.instance(), claim);
+        live = new ArrayList<>();
     }
 
     @Override
@@ -85,10 +92,11 @@
         if (event instanceof MembershipEvent.CandidatesListed listed) {
             for (Candidate candidate : listed.candidates()) {
                 candidates.put(candidate.instance(), candidate);
-                claims.putIfAbsent(
-                        candidate.instance(), claim(candidate.instance(), 0, MemberState.ALIVE));
+                if (!claims.containsKey(candidate.instance())) {
+                    put(claim(candidate.instance(), 0, MemberState.ALIVE));
+                }
             }
-            claims.put(self.instance(), ownClaim());
+            put(ownClaim());
         } else if (event instanceof MembershipEvent.MessageReceived received) {
             receive(received, now, commands);
         } else if (event instanceof MembershipEvent.Tick) {
@@ -112,20 +120,24 @@
     /** Takes over claims; a leader installs what is new at all members. */
     private void apply(
             List<MemberUpdate> updates, boolean isReport, List<MembershipCommand> commands) {
-        Set<InstanceId> before = new HashSet<>(live());
+        List<InstanceId> former = live();
         List<MemberUpdate> news = new ArrayList<>();
         for (MemberUpdate update : updates) {
             MemberUpdate known = claims.get(update.instance());
             if (update.instance().equals(self.instance())) {
                 rejoin(update, commands);
             } else if (update.supersedes(known.incarnation(), known.state())) {
-                claims.put(update.instance(), update);
+                put(update);
                 news.add(update);
             }
         }
+        if (news.isEmpty()) {
+            return;
+        }
         List<InstanceId> after = live();
+        Set<InstanceId> before = new HashSet<>(former);
         List<InstanceId> joined = after.stream().filter(id -> !before.contains(id)).toList();
-        before.removeAll(after);
+        after.forEach(before::remove);
         if (!joined.isEmpty() || !before.isEmpty()) {
             commands.add(new MembershipCommand.ViewChanged(view(), joined, List.copyOf(before)));
         }
@@ -140,7 +152,7 @@
             return;
         }
         incarnation = update.incarnation() + 1;
-        claims.put(self.instance(), ownClaim());
+        put(ownClaim());
         report(ownClaim(), commands);
     }
 
