Learn load times, report served demand in time, add fetch, diff and apply

Cause: (1) requests were refused as deadline_too_near although the model would have been loaded in a second: the planner expected fixed load times of up to 15 s (trace: detail 'no server can be ready in time', FleetTest.leavingServerGetsNoNewWorkAfterFewSeconds). (2) Served demand was reported every 10 s, while the decider takes an artifact for idle after 5 s without a report. (3) A refused connection was reported as unreachable, not as a lost process. Conclusion: early refusals follow observed times.

--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -1,6 +1,9 @@
 package org.tarragonlug;
 
+import org.tarragonlug.tool.ApplyCommand;
 import org.tarragonlug.tool.CheckCommand;
+import org.tarragonlug.tool.DiffCommand;
+import org.tarragonlug.tool.FetchCommand;
 import org.tarragonlug.tool.LoadCommand;
 import org.tarragonlug.tool.MeasureCommand;
 import org.tarragonlug.tool.RunCommand;
@@ -18,6 +21,9 @@
         subcommands = {
             RunCommand.class,
             CheckCommand.class,
+            FetchCommand.class,
+            DiffCommand.class,
+            ApplyCommand.class,
             StatusCommand.class,
             StateCommand.class,
             TryCommand.class,
--- a/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/DefaultCapacityPlanner.java
@@ -65,6 +65,7 @@
      * Creates a planner that knows nothing yet.
      *
      * @param settings what the settings of the process say
+     * @param loadTimes expected load times; its owner feeds it with observed ones
      * @param placement chooses servers
      * @param keepWarmPolicy decides on unloading idle artifacts and on prewarming
      * @param random spreads writes after conflicts and outages
@@ -72,6 +73,7 @@
      */
     public DefaultCapacityPlanner(
             CapacitySettings settings,
+            LoadTimes loadTimes,
             Placement placement,
             KeepWarmPolicy keepWarmPolicy,
             RandomGenerator random,
@@ -86,11 +88,12 @@
         servers = new ServerMaintenance(view);
         standbyUse = new StandbyUse(settings, view, writer, tracker, operations);
         standbySlots = new StandbyMaintenance(view, standbyUse);
-        IdleSlots idleSlots = new IdleSlots(settings, view, keepWarmPolicy);
+        IdleSlots idleSlots = new IdleSlots(loadTimes, view, keepWarmPolicy);
         ReplicaPlacer placer = new ReplicaPlacer(view, placement, idleSlots, failures, standbyUse);
-        replicas = new ReplicaDecisions(settings, view, keepWarmPolicy, failures, placer);
+        replicas =
+                new ReplicaDecisions(settings, loadTimes, view, keepWarmPolicy, failures, placer);
         unloads = new UnloadDecisions(view, tracker, idleSlots, replicas);
-        publisher = new ReplicaPublisher(settings, view, writer, tracker, standbyUse);
+        publisher = new ReplicaPublisher(loadTimes, view, writer, tracker, standbyUse);
         checks = new InvariantChecks(view, writer, tracker, listener, operations);
         observed = writer.record();
     }
--- a/src/main/java/org/tarragonlug/decision/capacity/IdleSlots.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/IdleSlots.java
@@ -10,12 +10,12 @@
 
 /** Finds slots that may be unloaded without interrupting anything. */
 final class IdleSlots {
-    private final CapacitySettings settings;
+    private final LoadTimes loadTimes;
     private final GroupView view;
     private final KeepWarmPolicy policy;
 
-    IdleSlots(CapacitySettings settings, GroupView view, KeepWarmPolicy policy) {
-        this.settings = settings;
+    IdleSlots(LoadTimes loadTimes, GroupView view, KeepWarmPolicy policy) {
+        this.loadTimes = loadTimes;
         this.view = view;
         this.policy = policy;
     }
@@ -83,6 +83,9 @@
     }
 
     private Duration coldStart(Slot slot) {
-        return settings.expectedLoad(view.tier(slot.server(), slot.artifact()));
+        CacheTier tier = view.tier(slot.server(), slot.artifact());
+        return view.allowed(slot.artifact())
+                .map(allowed -> loadTimes.expected(allowed.limit(), tier))
+                .orElse(Duration.ZERO);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/capacity/LoadTimes.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/LoadTimes.java
@@ -63,6 +63,14 @@
         return Duration.ofNanos((long) (factor * startSeconds(artifact, tier) * NANOS_PER_SECOND));
     }
 
+    /**
+     * Tells whether any load from a tier was observed. Before that an estimate is too uncertain to
+     * refuse a request by it.
+     */
+    public boolean isLearnt(ArtifactLimit artifact, CacheTier tier) {
+        return estimates(artifact, tier).all.observations > 1;
+    }
+
     private Estimates estimates(ArtifactLimit artifact, CacheTier tier) {
         return (artifact.isAdapter() ? adapters : models).get(tier);
     }
--- a/src/main/java/org/tarragonlug/decision/capacity/ReplicaDecisions.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/ReplicaDecisions.java
@@ -18,6 +18,7 @@
     private static final Duration PREWARM_PERIOD = Duration.ofSeconds(10);
 
     private final CapacitySettings settings;
+    private final LoadTimes loadTimes;
     private final GroupView view;
     private final KeepWarmPolicy policy;
     private final LoadFailures failures;
@@ -29,11 +30,13 @@
 
     ReplicaDecisions(
             CapacitySettings settings,
+            LoadTimes loadTimes,
             GroupView view,
             KeepWarmPolicy policy,
             LoadFailures failures,
             ReplicaPlacer placer) {
         this.settings = settings;
+        this.loadTimes = loadTimes;
         this.view = view;
         this.policy = policy;
         this.failures = failures;
@@ -86,9 +89,9 @@
         }
         nextPrewarm = draft.now().plus(PREWARM_PERIOD);
         prewarming.clear();
-        Duration coldStart = settings.expectedLoad(CacheTier.REMOTE);
         for (GroupView.Allowed allowed : view.allowed()) {
             ArtifactId artifact = allowed.limit().artifact();
+            Duration coldStart = loadTimes.expected(allowed.limit(), CacheTier.REMOTE);
             if (view.index(record).slotsOf(artifact).isEmpty()
                     && policy.prewarm(
                             artifact, coldStart, allowed.coldStartWeight(), draft.now())) {
--- a/src/main/java/org/tarragonlug/decision/capacity/ReplicaPublisher.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/ReplicaPublisher.java
@@ -9,12 +9,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.tarragonlug.decision.configuration.ArtifactLimit;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.ServerId;
 
 /** Tells where artifacts may be used, and their state for the status page, on each change. */
 final class ReplicaPublisher {
-    private final CapacitySettings settings;
+    private final LoadTimes loadTimes;
     private final GroupView view;
     private final RecordWriter writer;
     private final OrderTracker tracker;
@@ -23,12 +24,12 @@
     private final Map<ArtifactId, CapacityCommand> reported = new HashMap<>();
 
     ReplicaPublisher(
-            CapacitySettings settings,
+            LoadTimes loadTimes,
             GroupView view,
             RecordWriter writer,
             OrderTracker tracker,
             StandbyUse standbyUse) {
-        this.settings = settings;
+        this.loadTimes = loadTimes;
         this.view = view;
         this.writer = writer;
         this.tracker = tracker;
@@ -109,9 +110,18 @@
 
     private Optional<Instant> expectedReadyAt(Slot slot) {
         CacheTier tier = view.tier(slot.server(), slot.artifact());
+        Optional<ArtifactLimit> limit =
+                view.allowed(slot.artifact())
+                        .map(GroupView.Allowed::limit)
+                        .filter(known -> loadTimes.isLearnt(known, tier));
+        return limit.flatMap(
+                known -> lastLoad(slot).map(at -> at.plus(loadTimes.expected(known, tier))));
+    }
+
+    private static Optional<Instant> lastLoad(Slot slot) {
         return slot.openOrders().stream()
                 .filter(order -> order.kind() == OrderKind.LOAD)
-                .map(order -> order.writtenAt().plus(settings.expectedLoad(tier)))
+                .map(OpenOrder::writtenAt)
                 .max(Instant::compareTo);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/request/Dispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/request/Dispatcher.java
@@ -21,10 +21,10 @@
     private static final Duration DEMAND_PAUSE = Duration.ofMillis(50);
 
     /**
-     * Demand that is served is only history for the decider. Reported as often as waiting demand,
-     * the thousands of active artifacts would exceed a daemon's 5 KB a second.
+     * Served demand is reported half as often as waiting demand, to save messages. It must stay
+     * well below the 5 s after which the decider takes an artifact without reports for idle.
      */
-    private static final int SERVED_DEMAND_FACTOR = 10;
+    private static final int SERVED_DEMAND_FACTOR = 2;
 
     private final CoordinatorContext context;
     private final ServerSelector selector;
--- a/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -42,9 +42,6 @@
     private static final int ADAPTER_LOADS = 30;
 
     private static final int REQUESTS_PER_REPLICA = 8;
-    private static final Duration LOAD_FROM_MEMORY = Duration.ofMillis(500);
-    private static final Duration LOAD_FROM_DISK = Duration.ofSeconds(4);
-    private static final Duration LOAD_FROM_REMOTE = Duration.ofSeconds(15);
 
     /** A second of expected load is given up for this much lost benefit of unloaded artifacts. */
     private static final double SECONDS_PER_LOST_BENEFIT = 1;
@@ -59,6 +56,7 @@
     private final Map<ServerGroup, CapacityDriver> drivers = new TreeMap<>();
     private final Map<ServerId, ServerGroup> groupOf = new HashMap<>();
     private final Map<ServerGroup, Long> largestMemory = new HashMap<>();
+    private final Map<ServerGroup, List<Demand>> unsentDemands = new TreeMap<>();
     private Configuration configuration = Configuration.EMPTY;
     private Ownership ownership;
     private List<ListedInstance> instances = List.of();
@@ -99,10 +97,7 @@
                         group,
                         context.process(),
                         Math.max(1, ADAPTER_LOADS / groups),
-                        REQUESTS_PER_REPLICA,
-                        LOAD_FROM_MEMORY,
-                        LOAD_FROM_DISK,
-                        LOAD_FROM_REMOTE);
+                        REQUESTS_PER_REPLICA);
         LoadTimes loadTimes = new LoadTimes();
         DefaultKeepWarmPolicy keepWarm =
                 new DefaultKeepWarmPolicy(artifact -> share(group, artifact));
@@ -110,6 +105,7 @@
         DefaultCapacityPlanner planner =
                 new DefaultCapacityPlanner(
                         settings,
+                        loadTimes,
                         new DefaultPlacement(loadTimes, SECONDS_PER_LOST_BENEFIT),
                         keepWarm,
                         context.random(),
@@ -209,7 +205,7 @@
     }
 
     @Override
-    public void unreachable(ServerId server) {
+    public void unreachable(ServerId server, boolean refused) {
         // The planner judges by the age of reports.
     }
 
@@ -219,12 +215,24 @@
         if (group.isEmpty()) {
             return;
         }
-        PeerMessage message =
-                new PeerMessage.DemandReport(
-                        PeerMessage.FORMAT_VERSION, group.get(), List.of(demand));
-        ownership
-                .owner(CapacityDriver.ownershipKey(group.get()))
-                .ifPresent(owner -> peers.send(owner, message));
+        if (unsentDemands.isEmpty()) {
+            context.loop().post(this::sendDemands);
+        }
+        unsentDemands.computeIfAbsent(group.get(), unused -> new ArrayList<>()).add(demand);
+    }
+
+    /** Sends the demands that came up in one task of the event loop in one message a group. */
+    private void sendDemands() {
+        unsentDemands.forEach(
+                (group, demands) -> {
+                    PeerMessage message =
+                            new PeerMessage.DemandReport(
+                                    PeerMessage.FORMAT_VERSION, group, demands);
+                    ownership
+                            .owner(CapacityDriver.ownershipKey(group))
+                            .ifPresent(owner -> peers.send(owner, message));
+                });
+        unsentDemands.clear();
     }
 
     private void demandReceived(InstanceId from, PeerMessage.DemandReport report) {
--- a/src/main/java/org/tarragonlug/instance/EntryInstance.java
+++ b/src/main/java/org/tarragonlug/instance/EntryInstance.java
@@ -530,7 +530,7 @@
         }
 
         @Override
-        public void unreachable(ServerId server) {
+        public void unreachable(ServerId server, boolean refused) {
             // What is known of its memory stays.
         }
     }
--- a/src/main/java/org/tarragonlug/instance/Failures.java
+++ b/src/main/java/org/tarragonlug/instance/Failures.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.instance;
 
+import java.net.ConnectException;
 import java.util.concurrent.CompletionException;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -16,4 +17,15 @@
         }
         return cause instanceof TarragonlugException typed ? typed.code() : ErrorCode.INTERNAL;
     }
+
+    /** Tells whether a call failed because nothing listens at the address. */
+    static boolean isRefused(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            boolean connecting = cause instanceof ConnectException;
+            if (connecting && String.valueOf(cause.getMessage()).contains("refused")) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/src/main/java/org/tarragonlug/instance/ReportListener.java
+++ b/src/main/java/org/tarragonlug/instance/ReportListener.java
@@ -13,6 +13,11 @@
     /** A server of a plain service reported; it was asked at the given time. */
     void serviceReported(ServiceReport report, Instant askedAt);
 
-    /** A server did not answer over a new connection. */
-    void unreachable(ServerId server);
+    /**
+     * A server did not answer over a new connection.
+     *
+     * @param server the server
+     * @param refused whether the connection was refused, which means that its process is gone
+     */
+    void unreachable(ServerId server, boolean refused);
 }
--- a/src/main/java/org/tarragonlug/instance/ReportPoller.java
+++ b/src/main/java/org/tarragonlug/instance/ReportPoller.java
@@ -131,7 +131,8 @@
                     if (failure == null) {
                         reported.accept(report);
                     } else {
-                        listeners.forEach(listener -> listener.unreachable(server));
+                        boolean refused = Failures.isRefused(failure);
+                        listeners.forEach(l -> l.unreachable(server, refused));
                     }
                 });
     }
--- a/src/main/java/org/tarragonlug/instance/RequestDriver.java
+++ b/src/main/java/org/tarragonlug/instance/RequestDriver.java
@@ -54,7 +54,7 @@
 /** Runs the request coordinator between callers and backend servers. */
 final class RequestDriver
         implements CallerListener, InstanceListListener, ReportListener, StateSource {
-    private static final Duration TICK = Duration.ofMillis(10);
+    private static final Duration TICK = Duration.ofMillis(5);
     private static final String QUARANTINE = "quarantine";
 
     private final InstanceContext context;
@@ -202,8 +202,12 @@
     }
 
     @Override
-    public void unreachable(ServerId server) {
-        handle(new RequestEvent.ServerUnreachable(server));
+    public void unreachable(ServerId server, boolean refused) {
+        handle(
+                refused
+                        ? new RequestEvent.ServerLost(
+                                server, Optional.ofNullable(incarnations.get(server)))
+                        : new RequestEvent.ServerUnreachable(server));
     }
 
     private void replicasChanged(InstanceId from, PeerMessage.ReplicasChanged message) {
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/TableOptions.java
@@ -0,0 +1,27 @@
+package org.tarragonlug.tool;
+
+import java.nio.file.Path;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** What commands on tables in a directory have in common. */
+final class TableOptions {
+    @Parameters(
+            paramLabel = "DIRECTORY",
+            description = "Directory with routes.json and pools.json, kept in version control.")
+    Path directory;
+
+    @Option(
+            names = "--object-api",
+            required = true,
+            paramLabel = "ADDRESS",
+            description = "Address of the platform's object API, such as 10.0.0.9:8080.")
+    String objectApi;
+
+    @Option(
+            names = "--operator",
+            paramLabel = "NAME",
+            defaultValue = "${sys:user.name}",
+            description = "Who edits, as shown to others on a conflict; default ${DEFAULT-VALUE}.")
+    String operator;
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/tool/TableSession.java
@@ -0,0 +1,55 @@
+package org.tarragonlug.tool;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.UUID;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.objectapi.HttpObjectApi;
+import org.tarragonlug.objectapi.RowDifference;
+import org.tarragonlug.objectapi.TableCodec;
+import org.tarragonlug.objectapi.TablePublisher;
+import org.tarragonlug.runtime.SettingsLoader;
+
+/** Runs a command on the tables of a directory, and turns its end into an exit status. */
+final class TableSession {
+    /** The work of one command. */
+    interface Work {
+        /** Does it; returns the exit status. */
+        int with(TablePublisher publisher) throws TarragonlugException;
+    }
+
+    private TableSession() {}
+
+    static int run(TableOptions options, Work work) {
+        try (AdminClient client = new AdminClient()) {
+            HttpObjectApi api =
+                    new HttpObjectApi(
+                            client.connections(), SettingsLoader.parseAddress(options.objectApi));
+            TablePublisher publisher =
+                    new TablePublisher(
+                            api,
+                            new TableCodec(),
+                            options.operator,
+                            Instant::now,
+                            () -> new OperationId(UUID.randomUUID().toString()));
+            return work.with(publisher);
+        } catch (TarragonlugException failure) {
+            System.err.println(failure.getMessage());
+            return failure.code() == ErrorCode.TABLES_INVALID
+                    ? ExitStatus.USAGE
+                    : ExitStatus.FAILED;
+        } catch (IndexOutOfBoundsException | IllegalArgumentException malformed) {
+            System.err.println("--object-api must be of the form IP:port");
+            return ExitStatus.USAGE;
+        }
+    }
+
+    static void print(List<RowDifference> differences) {
+        if (differences.isEmpty()) {
+            System.out.println("no differences");
+        }
+        differences.forEach(difference -> System.out.println(difference.text()));
+    }
+}
