Bound how often backend servers are asked, and measure message sizes

Cause: at 128 servers a decider would ask 256 times a second, 221 us of processor time each. Change: at most 64 servers are asked a second, the longest unasked first; measure scale prints frame sizes. Conclusion: reports of up to 128 servers stay at most 2 s old.

--- a/src/main/java/org/tarragonlug/instance/ReportPoller.java
+++ b/src/main/java/org/tarragonlug/instance/ReportPoller.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,10 +26,13 @@
  *
  * <p>Asked are the servers of the groups that this instance decides for, and those it has used
  * lately; so no server is asked by every instance, and the cost does not grow with the product of
- * instances and servers.
+ * instances and servers. Each server is asked twice a second, and less often when there are many:
+ * at most 64 are asked a second, so that 128 servers, the most of a group, are asked every 2 s,
+ * which is the age that the capacity planner still takes for fresh.
  */
 final class ReportPoller implements InstanceListListener {
     private static final Duration PERIOD = Duration.ofMillis(500);
+    private static final int ASKED_IN_PERIOD = 32;
     private static final Duration USED_LATELY = Duration.ofSeconds(30);
 
     private final InstanceContext context;
@@ -38,6 +42,7 @@
     private final List<ReportListener> listeners = new ArrayList<>();
     private final Set<ServerGroup> decidedGroups = new HashSet<>();
     private final Map<ServerId, Instant> usedAt = new HashMap<>();
+    private final Map<ServerId, Instant> askedAt = new HashMap<>();
     private final Set<ServerId> asking = new HashSet<>();
     private Map<ServerId, ListedInstance> servers = Map.of();
 
@@ -88,18 +93,22 @@
         }
         servers = present;
         usedAt.keySet().retainAll(present.keySet());
+        askedAt.keySet().retainAll(present.keySet());
         poll();
     }
 
     private void poll() {
         Instant usedSince = context.now().minus(USED_LATELY);
         usedAt.values().removeIf(at -> at.isBefore(usedSince));
+        List<ServerId> wanted = new ArrayList<>();
         servers.forEach(
                 (server, instance) -> {
                     if (decidedGroups.contains(instance.group()) || usedAt.containsKey(server)) {
-                        ask(server);
+                        wanted.add(server);
                     }
                 });
+        wanted.sort(Comparator.comparing(server -> askedAt.getOrDefault(server, Instant.MIN)));
+        wanted.stream().limit(ASKED_IN_PERIOD).forEach(this::ask);
     }
 
     /** Asks one server now, unless it is being asked. */
@@ -108,18 +117,19 @@
         if (instance.isEmpty() || !asking.add(server)) {
             return;
         }
-        Instant askedAt = context.now();
+        Instant now = context.now();
+        askedAt.put(server, now);
         InetSocketAddress address = instance.get().address();
         if (instance.get().kind() == InstanceKind.ENGINE) {
             ask(
                     server,
                     engines.report(server, address),
-                    report -> listeners.forEach(l -> l.engineReported(report, askedAt)));
+                    report -> listeners.forEach(l -> l.engineReported(report, now)));
         } else {
             ask(
                     server,
                     services.report(server, address),
-                    report -> listeners.forEach(l -> l.serviceReported(report, askedAt)));
+                    report -> listeners.forEach(l -> l.serviceReported(report, now)));
         }
     }
 
--- a/src/main/java/org/tarragonlug/measure/ScaleMeasurement.java
+++ b/src/main/java/org/tarragonlug/measure/ScaleMeasurement.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -11,6 +12,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.tarragonlug.decision.Hasher;
+import org.tarragonlug.decision.Priority;
+import org.tarragonlug.decision.capacity.Demand;
 import org.tarragonlug.decision.configuration.Configuration;
 import org.tarragonlug.decision.request.ColdStart;
 import org.tarragonlug.decision.request.DefaultRequestCoordinator;
@@ -26,6 +29,8 @@
 import org.tarragonlug.id.ProcessId;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.peer.PeerCodec;
+import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.runtime.Hash4jHasher;
 
 /**
@@ -63,6 +68,32 @@
         measurement.requests();
         measurement.tables();
         new PlannerScale(seed, out).run();
+        measurement.messages();
+    }
+
+    private void messages() {
+        out.println("messages between instances: frame bytes");
+        PeerCodec codec = new PeerCodec(new ProcessId("entry-123-1796365880308"));
+        for (int count : new int[] {1, 10, 40}) {
+            List<Demand> demands = new ArrayList<>();
+            List<PeerMessage.ArtifactReplicas> replicas = new ArrayList<>();
+            for (int index = 0; index < count; index++) {
+                ArtifactId artifact = new ArtifactId("lessons-model-" + index, "1");
+                demands.add(new Demand(artifact, 0, 2, 7, START, Priority.NORMAL));
+                ServerId server = new ServerId("tutoring-" + index);
+                replicas.add(
+                        new PeerMessage.ArtifactReplicas(
+                                artifact, List.of(server), false, false, Duration.ZERO));
+            }
+            out.printf(
+                    Locale.ROOT,
+                    "  artifacts=%d demand_report=%d replicas_changed=%d%n",
+                    count,
+                    codec.encode(new PeerMessage.DemandReport(1, ScaleTables.group(0), demands))
+                            .length,
+                    codec.encode(new PeerMessage.ReplicasChanged(1, ScaleTables.group(0), replicas))
+                            .length);
+        }
     }
 
     private void requests() {
@@ -172,7 +203,7 @@
                             false));
         }
         coordinator.handle(new RequestEvent.ServersChanged(ScaleTables.group(0), servers), START);
-        Set<ServerId> ids = new java.util.HashSet<>();
+        Set<ServerId> ids = new HashSet<>();
         servers.forEach(server -> ids.add(server.server()));
         return ids;
     }
