Fix faults of the runtime package, each with a test

Cause: reading the package for its tests showed settings that were accepted but wrong (a server group named like a field made the check throw, IP numbers above 255 went to the name service, durations too long became the default in silence, faults of ports hid behind those of the schema), a supervisor whose child stayed down when its restart threw, timers that made up for a pause in a burst or ended on an Error, an event loop that span after an interrupt, and log values with Unicode line breaks that were not escaped. Refusals of malformed headers stated their message twice.

Change: addresses are parsed without a name service; settings are checked by the schema and by SettingsChecker in one pass, with bounds for durations; the supervisor handles exceptions of children's start and stop and keeps one pending restart per child; timers have a fixed delay and survive errors and a closed service; the loop survives its listener and clears interrupts; log lines escape all unprinted characters, mark cuts and name the place of a failure.

Conclusion: faults that needed a restart or a second look at the settings are reported at once.

--- a/src/main/java/org/tarragonlug/error/TarragonlugException.java
+++ b/src/main/java/org/tarragonlug/error/TarragonlugException.java
@@ -5,6 +5,7 @@
     private static final long serialVersionUID = 1L;
 
     private final ErrorCode code;
+    private final String detail;
 
     /**
      * Creates the exception.
@@ -15,6 +16,7 @@
     public TarragonlugException(ErrorCode code, String detail) {
         super(code.message(detail));
         this.code = code;
+        this.detail = detail;
     }
 
     /**
@@ -27,10 +29,16 @@
     public TarragonlugException(ErrorCode code, String detail, Throwable cause) {
         super(code.message(detail), cause);
         this.code = code;
+        this.detail = detail;
     }
 
     /** Returns the kind of error. */
     public ErrorCode code() {
         return code;
     }
+
+    /** Returns what was found, without meaning and remedy of the code. */
+    public String detail() {
+        return detail;
+    }
 }
--- a/src/main/java/org/tarragonlug/instance/MembershipDriver.java
+++ b/src/main/java/org/tarragonlug/instance/MembershipDriver.java
@@ -20,9 +20,9 @@
 import org.tarragonlug.instancelist.InstanceKind;
 import org.tarragonlug.instancelist.ListedInstance;
 import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.runtime.Addresses;
 import org.tarragonlug.runtime.Json;
 import org.tarragonlug.runtime.LogEvent;
-import org.tarragonlug.runtime.SettingsLoader;
 import org.tarragonlug.runtime.StateSource;
 
 /** Runs the failure detector and tells the other drivers who owns what. */
@@ -118,7 +118,8 @@
         if (command instanceof MembershipCommand.Send send) {
             // The detector may know a member from gossip before it knows its address.
             if (!send.address().isEmpty()) {
-                peers.learn(send.to(), SettingsLoader.parseAddress(send.address()));
+                Addresses.parse(send.address())
+                        .ifPresent(address -> peers.learn(send.to(), address));
             }
             peers.send(send.to(), PeerMessage.of(send.message()));
         } else if (command instanceof MembershipCommand.ViewChanged changed) {
--- a/src/main/java/org/tarragonlug/instance/RequestDriver.java
+++ b/src/main/java/org/tarragonlug/instance/RequestDriver.java
@@ -145,7 +145,7 @@
                             });
         } catch (TarragonlugException malformed) {
             answer.refuse(
-                    malformed.code(), Execution.NOT_RUN, Optional.empty(), malformed.getMessage());
+                    malformed.code(), Execution.NOT_RUN, Optional.empty(), malformed.detail());
         }
     }
 
--- a/src/main/java/org/tarragonlug/misc/Durations.java
+++ b/src/main/java/org/tarragonlug/misc/Durations.java
@@ -36,7 +36,7 @@
      * Writes a duration.
      *
      * @param duration whole milliseconds; anything finer is cut off
-     * @return the shortest exact text form
+     * @return whole seconds with s, anything else with ms
      */
     public static String text(Duration duration) {
         long millis = duration.toMillis();
--- a/src/main/java/org/tarragonlug/runtime/DefaultEventLoop.java
+++ b/src/main/java/org/tarragonlug/runtime/DefaultEventLoop.java
@@ -81,7 +81,19 @@
         try {
             task.run();
         } catch (RuntimeException | Error failure) {
+            report(failure);
+        } finally {
+            // A thread left interrupted would not wait for tasks any more but spin.
+            Thread.interrupted();
+        }
+    }
+
+    private void report(Throwable failure) {
+        try {
             failures.failed("event-loop", failure);
+        } catch (RuntimeException | Error broken) {
+            // A listener that fails must not end the loop; there is nobody else to tell.
+            broken.printStackTrace();
         }
     }
 
--- a/src/main/java/org/tarragonlug/runtime/DefaultSupervisor.java
+++ b/src/main/java/org/tarragonlug/runtime/DefaultSupervisor.java
@@ -5,12 +5,15 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.tarragonlug.error.TarragonlugException;
 
 /**
  * Restarts a failed child alone, with exponential backoff, and fails itself once children have
- * failed too often, so that its own supervisor takes over.
+ * failed too often, so that its own supervisor takes over. A child that fails again before its
+ * restart counts once more and is still restarted once.
  *
  * <p>The limit of 5 failures in a minute tells a passing fault from one that restarts cannot cure:
  * with the backoff doubling from 100 ms, five restarts take about 3 seconds.
@@ -26,6 +29,7 @@
     private final FailureListener parent;
     private final List<SupervisedPart> children = new ArrayList<>();
     private final Deque<Instant> failures = new ArrayDeque<>();
+    private final Map<String, TimerSubscription> restarts = new HashMap<>();
     private boolean running;
 
     /**
@@ -66,7 +70,7 @@
     private void startChild(SupervisedPart child) throws TarragonlugException {
         try {
             child.start();
-        } catch (TarragonlugException failure) {
+        } catch (TarragonlugException | RuntimeException failure) {
             stop();
             throw failure;
         }
@@ -74,19 +78,38 @@
 
     @Override
     public synchronized void stop() {
-        running = false;
+        end();
         for (int index = children.size() - 1; index >= 0; index--) {
-            children.get(index).stop();
+            stopChild(children.get(index));
         }
     }
 
-    @Override
-    public synchronized void failed(String part, Throwable failure) {
+    private void end() {
+        running = false;
+        restarts.values().forEach(TimerSubscription::cancel);
+        restarts.clear();
+    }
+
+    /** A child that cannot be stopped must not keep the others running. */
+    private void stopChild(SupervisedPart child) {
+        try {
+            child.stop();
+        } catch (RuntimeException failure) {
+            logFailure(child.name(), failure);
+        }
+    }
+
+    private void logFailure(String part, Throwable failure) {
         log.event(LogEvent.PART_FAILED)
                 .with("supervisor", name)
                 .with("part", part)
-                .with("failure", failure)
+                .withFailure(failure)
                 .write();
+    }
+
+    @Override
+    public synchronized void failed(String part, Throwable failure) {
+        logFailure(part, failure);
         if (!running) {
             return;
         }
@@ -96,15 +119,16 @@
             failures.removeFirst();
         }
         if (failures.size() >= FAILURE_LIMIT) {
-            running = false;
+            end();
             parent.failed(name, failure);
             return;
         }
         Duration backoff = FIRST_BACKOFF.multipliedBy(1L << (failures.size() - 1));
-        timers.after(backoff, due -> restart(part));
+        restarts.computeIfAbsent(part, name -> timers.after(backoff, due -> restart(name)));
     }
 
     private synchronized void restart(String part) {
+        restarts.remove(part);
         if (!running) {
             return;
         }
@@ -116,14 +140,14 @@
     }
 
     private void restart(SupervisedPart child) {
-        child.stop();
+        stopChild(child);
         try {
             child.start();
             log.event(LogEvent.PART_RESTARTED)
                     .with("supervisor", name)
                     .with("part", child.name())
                     .write();
-        } catch (TarragonlugException failure) {
+        } catch (TarragonlugException | RuntimeException failure) {
             failed(child.name(), failure);
         }
     }
--- a/src/main/java/org/tarragonlug/runtime/DefaultTimerService.java
+++ b/src/main/java/org/tarragonlug/runtime/DefaultTimerService.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadFactory;
@@ -13,8 +14,14 @@
  *
  * <p>The time is the wall clock at start plus the monotonic clock since, so that an adjustment of
  * the system clock neither expires deadlines nor extends them.
+ *
+ * <p>Calls missed while the process was paused are not made up for: a burst of them would read as
+ * many periods passing at once, such as many unanswered probes.
  */
 public final class DefaultTimerService implements TimerService {
+    /** Returned after the service was closed: parts may still ask for timers while they stop. */
+    private static final TimerSubscription NEVER = () -> {};
+
     private final ScheduledExecutorService executor;
     private final FailureListener failures;
     private final Instant startedAt;
@@ -40,25 +47,38 @@
 
     @Override
     public TimerSubscription subscribe(Duration period, TimerListener listener) {
-        long nanos = period.toNanos();
-        ScheduledFuture<?> future =
-                executor.scheduleAtFixedRate(
-                        () -> call(listener), nanos, nanos, TimeUnit.NANOSECONDS);
-        return () -> future.cancel(false);
+        long nanos = nanos(period);
+        try {
+            ScheduledFuture<?> future =
+                    executor.scheduleWithFixedDelay(
+                            () -> call(listener), nanos, nanos, TimeUnit.NANOSECONDS);
+            return () -> future.cancel(false);
+        } catch (RejectedExecutionException closed) {
+            return NEVER;
+        }
     }
 
     @Override
     public TimerSubscription after(Duration delay, TimerListener listener) {
-        ScheduledFuture<?> future =
-                executor.schedule(() -> call(listener), delay.toNanos(), TimeUnit.NANOSECONDS);
-        return () -> future.cancel(false);
+        try {
+            ScheduledFuture<?> future =
+                    executor.schedule(() -> call(listener), nanos(delay), TimeUnit.NANOSECONDS);
+            return () -> future.cancel(false);
+        } catch (RejectedExecutionException closed) {
+            return NEVER;
+        }
+    }
+
+    /** Converts a duration; one too long for the timer, above 292 years, is never due. */
+    private static long nanos(Duration duration) {
+        return TimeUnit.NANOSECONDS.convert(duration);
     }
 
     private void call(TimerListener listener) {
         try {
             listener.timerDue(now());
-        } catch (RuntimeException failure) {
-            // An exception that escapes would silently end the periodic task.
+        } catch (RuntimeException | Error failure) {
+            // What escapes would silently end the periodic task.
             failures.failed("timer", failure);
         }
     }
--- a/src/main/java/org/tarragonlug/runtime/EventLog.java
+++ b/src/main/java/org/tarragonlug/runtime/EventLog.java
@@ -5,11 +5,13 @@
 /**
  * Writes one line of {@code key=value} pairs for each event.
  *
- * <p>Values with spaces, quotes, equals signs or control characters are quoted and escaped, so that
- * a value can neither forge a pair nor a line. Request bodies, keys and secrets are never logged.
+ * <p>Values with white space, quotes, equals signs or characters that are not printed are quoted
+ * and escaped, so that a value can neither forge a pair nor a line, and none reorders what a reader
+ * sees. Values are cut at 500 characters. Request bodies, keys and secrets are never logged.
  */
 public final class EventLog {
     private static final int LONGEST_VALUE = 500;
+    private static final String CUT_MARK = "...";
 
     private final Logger logger;
     private final String instance;
@@ -31,7 +33,9 @@
 
     private static void appendValue(StringBuilder line, String value) {
         String shortened =
-                value.length() > LONGEST_VALUE ? value.substring(0, LONGEST_VALUE) : value;
+                value.length() > LONGEST_VALUE
+                        ? value.substring(0, LONGEST_VALUE) + CUT_MARK
+                        : value;
         if (isPlain(shortened)) {
             line.append(shortened);
             return;
@@ -48,20 +52,34 @@
             line.append('\\').append(character);
         } else if (character == '\n') {
             line.append("\\n");
-        } else if (character < ' ') {
+        } else if (isUnprinted(character)) {
             line.append(String.format("\\u%04x", (int) character));
         } else {
             line.append(character);
         }
     }
 
+    /** Some viewers break lines at these characters or let them reorder the text. */
+    private static boolean isUnprinted(char character) {
+        return switch (Character.getType(character)) {
+            case Character.CONTROL,
+                    Character.FORMAT,
+                    Character.LINE_SEPARATOR,
+                    Character.PARAGRAPH_SEPARATOR,
+                    Character.SURROGATE ->
+                    true;
+            default -> false;
+        };
+    }
+
     private static boolean isPlain(String value) {
         if (value.isEmpty()) {
             return false;
         }
         for (int index = 0; index < value.length(); index++) {
             char character = value.charAt(index);
-            if (character <= ' ' || character == '"' || character == '=' || character == '\\') {
+            boolean special = character == '"' || character == '=' || character == '\\';
+            if (special || Character.isSpaceChar(character) || isUnprinted(character)) {
                 return false;
             }
         }
@@ -92,6 +110,18 @@
             return this;
         }
 
+        /**
+         * Adds what was thrown and the place in the program that threw it.
+         *
+         * @param thrown the failure
+         * @return this
+         */
+        public Line withFailure(Throwable thrown) {
+            with("failure", thrown);
+            StackTraceElement[] trace = thrown.getStackTrace();
+            return trace.length == 0 ? this : with("at", trace[0]);
+        }
+
         /** Writes the line. */
         public void write() {
             logger.log(event.level(), text);
--- a/src/main/java/org/tarragonlug/runtime/Metrics.java
+++ b/src/main/java/org/tarragonlug/runtime/Metrics.java
@@ -43,7 +43,7 @@
         objectApiCalls = counter("object_api_calls_total", "Object API calls", "call", "result");
         peerBytes = counter("peer_bytes_total", "Bytes exchanged with peers", "direction");
         tokens = counter("tokens_total", "Tokens forwarded to callers");
-        waiting = gauge("waiting_requests", "Requests waiting for a server");
+        waiting = gauge("waiting_requests", "Requests received and not yet ended");
         configurationVersion = gauge("configuration_version", "Configuration version in force");
         readyReplicas = gauge("ready_replicas", "Ready replicas known here");
         eventLoopQueue = gauge("event_loop_queue", "Tasks waiting in the event loop");
--- a/src/main/java/org/tarragonlug/runtime/SettingsLoader.java
+++ b/src/main/java/org/tarragonlug/runtime/SettingsLoader.java
@@ -10,7 +10,6 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -31,8 +30,6 @@
  * <p>Addresses are IP numbers, so that starting needs no name service.
  */
 public final class SettingsLoader {
-    private static final int HIGHEST_PORT = 65535;
-
     private final JsonSchema schema;
 
     /** Loads the schema. */
@@ -64,7 +61,7 @@
 
     private static JsonNode read(Path file) throws TarragonlugException {
         try {
-            return Json.MAPPER.readTree(Files.readAllBytes(file));
+            return Json.readFile(file);
         } catch (JsonProcessingException malformed) {
             Fault fault = new Fault("$", malformed.getOriginalMessage(), "write valid JSON");
             throw invalid(file, List.of(fault));
@@ -89,62 +86,36 @@
      * @return all faults; empty if there are none
      */
     public List<Fault> check(JsonNode root) {
+        if (root.isMissingNode()) {
+            return List.of(new Fault("$", "the file is empty", "write the settings into it"));
+        }
         List<Fault> faults = new ArrayList<>();
         for (ValidationMessage message : schema.validate(root)) {
             faults.add(fault(message));
         }
-        if (faults.isEmpty()) {
-            checkPorts("$", root, faults);
-            checkDistinctAddresses(root, faults);
-        }
+        new SettingsChecker(root, faults).check();
         return faults;
     }
 
     private static Fault fault(ValidationMessage message) {
         String path = message.getInstanceLocation().toString();
-        String found = message.getMessage().replaceFirst("^[^:]*: ", "");
-        String remedy =
-                switch (message.getType()) {
-                    case "required" -> "add the field " + message.getProperty();
-                    case "additionalProperties" -> "remove the field " + message.getProperty();
-                    case "pattern" -> "use IP:port for addresses, 500ms, 30s or 5m for durations";
-                    case "enum" -> "use one of the listed values";
-                    case "type" -> "use the stated type";
-                    default -> "use a value within the stated bounds";
-                };
-        return new Fault(path, found, remedy);
-    }
-
-    private static void checkPorts(String path, JsonNode node, List<Fault> faults) {
-        if (node.isTextual()
-                && (path.endsWith("Address") || path.matches(".*(platform|peers).*"))) {
-            String text = node.asText();
-            int port = Integer.parseInt(text.substring(text.lastIndexOf(':') + 1));
-            if (port > HIGHEST_PORT) {
-                faults.add(new Fault(path, "port " + port, "use a port up to " + HIGHEST_PORT));
-            }
-        }
-        node.fields()
-                .forEachRemaining(
-                        field -> checkPorts(path + "." + field.getKey(), field.getValue(), faults));
-        for (int index = 0; node.isArray() && index < node.size(); index++) {
-            checkPorts(path + "[" + index + "]", node.get(index), faults);
-        }
-    }
-
-    private static void checkDistinctAddresses(JsonNode root, List<Fault> faults) {
-        Map<String, String> used = new HashMap<>();
-        for (String field : List.of("callerAddress", "adminAddress", "peerAddress")) {
-            String address = root.get(field).asText();
-            String other = used.put(address, field);
-            if (other != null && !address.endsWith(":0")) {
-                faults.add(
-                        new Fault(
-                                "$." + field,
-                                "the same address as " + other,
-                                "give each its own port"));
-            }
-        }
+        String found = String.valueOf(message.getInstanceNode());
+        String field = message.getProperty();
+        String rule = message.getMessage().replaceFirst("^[^:]*: ", "");
+        return switch (message.getType()) {
+            case "required" ->
+                    new Fault(path, "the field " + field + " is missing", "add the field " + field);
+            case "additionalProperties" ->
+                    new Fault(path, "unknown field " + field, "remove it or correct its name");
+            case "pattern" ->
+                    new Fault(
+                            path,
+                            found,
+                            "use IP:port for addresses, 500ms, 30s or 5m for durations");
+            case "type" -> new Fault(path, rule, "write a value of the expected type");
+            case "minLength" -> new Fault(path, "an empty text", "write a name");
+            default -> new Fault(path, found, "the value " + rule);
+        };
     }
 
     private static Settings settings(JsonNode root) {
@@ -189,18 +160,6 @@
     }
 
     private static InetSocketAddress address(JsonNode node) {
-        return parseAddress(node.asText());
-    }
-
-    /**
-     * Parses an address.
-     *
-     * @param text an IP number and a port, such as {@code 10.0.0.1:8080}
-     * @return the address
-     */
-    public static InetSocketAddress parseAddress(String text) {
-        int colon = text.lastIndexOf(':');
-        String host = text.substring(0, colon).replace("[", "").replace("]", "");
-        return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+        return Addresses.parse(node.asText()).orElseThrow();
     }
 }
--- a/src/main/java/org/tarragonlug/tool/AdminClient.java
+++ b/src/main/java/org/tarragonlug/tool/AdminClient.java
@@ -17,7 +17,6 @@
 import org.tarragonlug.http.HttpLimits;
 import org.tarragonlug.http.IoThreads;
 import org.tarragonlug.runtime.Json;
-import org.tarragonlug.runtime.SettingsLoader;
 
 /** Reads from the admin address of a process. */
 final class AdminClient implements AutoCloseable {
@@ -45,16 +44,15 @@
     /**
      * Fetches a JSON document.
      *
-     * @param address the admin address, {@code IP:port}
+     * @param address the admin address
      * @param path such as {@code /state}
      * @throws TarragonlugException {@code PEER_UNREACHABLE} if there is no usable answer
      */
-    JsonNode get(String address, String path) throws TarragonlugException {
+    JsonNode get(InetSocketAddress address, String path) throws TarragonlugException {
         try {
-            InetSocketAddress target = SettingsLoader.parseAddress(address);
             HttpAnswer answer =
                     connections
-                            .exchange(target, HttpCall.get(path, TIMEOUT, ConnectionUse.NEW))
+                            .exchange(address, HttpCall.get(path, TIMEOUT, ConnectionUse.NEW))
                             .toCompletableFuture()
                             .get();
             if (answer.status() != 200) {
@@ -66,15 +64,14 @@
             throw unreachable(address, "interrupted", interrupted);
         } catch (ExecutionException | IOException failure) {
             throw unreachable(address, String.valueOf(failure.getMessage()), failure);
-        } catch (IndexOutOfBoundsException | IllegalArgumentException malformed) {
-            throw unreachable(address, "not of the form IP:port", malformed);
         }
     }
 
     private static TarragonlugException unreachable(
-            String address, String detail, Throwable cause) {
+            InetSocketAddress address, String detail, Throwable cause) {
+        String text = address.getAddress().getHostAddress() + ":" + address.getPort();
         return new TarragonlugException(
-                ErrorCode.PEER_UNREACHABLE, "address=" + address + " " + detail, cause);
+                ErrorCode.PEER_UNREACHABLE, "address=" + text + " " + detail, cause);
     }
 
     @Override
--- a/src/main/java/org/tarragonlug/tool/StatusCommand.java
+++ b/src/main/java/org/tarragonlug/tool/StatusCommand.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -17,17 +18,18 @@
         name = "status",
         mixinStandardHelpOptions = true,
         description = {
-            "Prints the tables of routes and pools with what the system reports on each row, asked",
-            "from the instances themselves, so that it works while the object API is down. Naming",
-            "all instances shows the artifacts of all pools, since each group is decided by one.",
-            "Exit status: 0 printed, 1 no instance answers."
+            "Prints the tables of routes and pools with what the system reports on each row.",
+            "Asks the instances themselves, so it works while the object API is down. Name all "
+                    + "instances to see the artifacts of all pools, since one instance decides for each group.",
+            "Exit status: 0 printed, 1 no instance answers, 2 an address is malformed."
         })
 public final class StatusCommand implements Callable<Integer> {
     @Parameters(
             arity = "1..*",
             paramLabel = "ADDRESS",
+            converter = AddressConverter.class,
             description = "Admin addresses of instances, such as 10.0.0.1:9001.")
-    private List<String> addresses;
+    private List<InetSocketAddress> addresses;
 
     @Option(
             names = "--format",
@@ -39,7 +41,7 @@
     public Integer call() {
         List<JsonNode> answers = new ArrayList<>();
         try (AdminClient client = new AdminClient()) {
-            for (String address : addresses) {
+            for (InetSocketAddress address : addresses) {
                 ask(client, address, answers);
             }
         }
@@ -54,7 +56,7 @@
         return ExitStatus.GOOD;
     }
 
-    private static void ask(AdminClient client, String address, List<JsonNode> answers) {
+    private static void ask(AdminClient client, InetSocketAddress address, List<JsonNode> answers) {
         try {
             answers.add(client.get(address, "/status"));
         } catch (TarragonlugException failure) {
