Approve the interfaces of the tool and fix check and exit statuses

Cause: nothing noticed a change of help, log events, error codes, metrics, status or state dump. check dropped all but the last table of a kind, did not check a table given alone, and settings at fault hid the check across tables. The shutdown hook ended a failed process with status 0, and a malformed address read as an unreachable process.

Change: approved files for these interfaces; check covers these cases; run keeps the status of a failure; malformed addresses and options out of bounds end with status 2; first lines of descriptions are whole sentences.

Once, before the test waited for the standby slots, the first request of a just started fleet was not answered whole; the cause was not recorded, as the test did not print the answer then.

Conclusion: a change of an interface now fails a test that says which. The exit status after a failure is tested by its rule, not by a process that fails.

--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -38,9 +38,10 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        System.exit(
-                new CommandLine(new Tool())
-                        .setCaseInsensitiveEnumValuesAllowed(true)
-                        .execute(arguments));
+        System.exit(commandLine().execute(arguments));
+    }
+
+    static CommandLine commandLine() {
+        return new CommandLine(new Tool()).setCaseInsensitiveEnumValuesAllowed(true);
     }
 }
--- a/src/main/java/org/tarragonlug/tool/CheckCommand.java
+++ b/src/main/java/org/tarragonlug/tool/CheckCommand.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,12 +29,16 @@
         name = "check",
         mixinStandardHelpOptions = true,
         description = {
-            "Checks settings and tables of routes and pools, the tables also against each other,",
-            "without starting anything. Every fault is printed with its path, what was found and",
-            "the remedy. Exit status: 0 no fault, 2 faults."
+            "Checks settings and the tables of routes and pools without starting anything.",
+            "A table of routes and one of pools are also checked against each other. Every fault is "
+                    + "printed with its path, what was found and the remedy.",
+            "Exit status: 0 no fault, 2 faults."
         })
 public final class CheckCommand implements Callable<Integer> {
-    @Parameters(arity = "1..*", paramLabel = "FILE", description = "JSON files of any kind.")
+    @Parameters(
+            arity = "1..*",
+            paramLabel = "FILE",
+            description = "Files of settings, of the table of routes or of pools, as JSON.")
     private List<Path> files;
 
     private final TableCodec codec = new TableCodec();
@@ -46,22 +49,36 @@
     @Override
     public Integer call() {
         files.forEach(this::checkFile);
-        if (routes.isPresent() && pools.isPresent() && faults.isEmpty()) {
-            TableChecker.check(routes.get().rows(), pools.get().rows(), Map.of())
-                    .forEach(fault -> faults.add("tables: " + fault));
-        }
+        checkTogether();
         faults.forEach(System.err::println);
         if (faults.isEmpty()) {
-            System.out.println("no faults in " + files.size() + " files");
+            System.out.println("no faults; files checked: " + files.size());
             return ExitStatus.GOOD;
         }
         return ExitStatus.USAGE;
     }
 
+    /** Rows of a table that could not be read would only add faults that follow from that. */
+    private void checkTogether() {
+        boolean unread = hasFaults(routes) || hasFaults(pools);
+        if (unread || routes.isEmpty() && pools.isEmpty()) {
+            return;
+        }
+        List<Route> routeRows = routes.map(TableContent::rows).orElse(List.of());
+        List<Pool> poolRows = pools.map(TableContent::rows).orElse(List.of());
+        TableChecker.check(routeRows, poolRows, Map.of()).stream()
+                .filter(fault -> pools.isPresent() || !fault.path().endsWith(".pool"))
+                .forEach(fault -> faults.add("tables: " + fault));
+    }
+
+    private static boolean hasFaults(Optional<? extends TableContent<?>> table) {
+        return table.map(content -> !content.faults().isEmpty()).orElse(false);
+    }
+
     private void checkFile(Path file) {
         JsonNode root;
         try {
-            root = Json.MAPPER.readTree(Files.readAllBytes(file));
+            root = Json.readFile(file);
         } catch (JsonProcessingException malformed) {
             add(file, new Fault("$", malformed.getOriginalMessage(), "write valid JSON"));
             return;
@@ -69,16 +86,11 @@
             add(file, new Fault("$", "cannot be read", "name a readable file"));
             return;
         }
-        if (root.has("routes")) {
-            TableContent<Route> table =
-                    codec.readRoutes(stored(TableCodec.ROUTES, root), UnknownFields.REJECT);
-            routes = Optional.of(table);
-            addAll(file, table.faults());
-        } else if (root.has("pools")) {
-            TableContent<Pool> table =
-                    codec.readPools(stored(TableCodec.POOLS, root), UnknownFields.REJECT);
-            pools = Optional.of(table);
-            addAll(file, table.faults());
+        if (root.has("routes") && isFirst(file, routes)
+                || root.has("pools") && isFirst(file, pools)) {
+            checkTable(file, root);
+        } else if (root.has("routes") || root.has("pools")) {
+            return;
         } else if (root.has("deployment") || root.has("instance")) {
             new SettingsLoader().check(root).forEach(fault -> add(file, fault));
         } else {
@@ -91,6 +103,32 @@
         }
     }
 
+    private boolean isFirst(Path file, Optional<?> earlier) {
+        if (earlier.isPresent()) {
+            add(
+                    file,
+                    new Fault(
+                            "$",
+                            "a second table of the same kind",
+                            "check the tables of one deployment at a time"));
+        }
+        return earlier.isEmpty();
+    }
+
+    private void checkTable(Path file, JsonNode root) {
+        if (root.has("routes")) {
+            TableContent<Route> table =
+                    codec.readRoutes(stored(TableCodec.ROUTES, root), UnknownFields.REJECT);
+            routes = Optional.of(table);
+            addAll(file, table.faults());
+        } else {
+            TableContent<Pool> table =
+                    codec.readPools(stored(TableCodec.POOLS, root), UnknownFields.REJECT);
+            pools = Optional.of(table);
+            addAll(file, table.faults());
+        }
+    }
+
     private static StoredObject stored(String table, JsonNode root) {
         return new StoredObject(new ObjectName("tables", table), 1, root);
     }
--- a/src/main/java/org/tarragonlug/tool/MeasureCommand.java
+++ b/src/main/java/org/tarragonlug/tool/MeasureCommand.java
@@ -18,8 +18,13 @@
             description =
                     "Cold starts and idle accelerator hours of keep-warm policies over a day.")
     int warmth(
-            @Option(names = "--deployment", defaultValue = "CARGAS") Deployment deployment,
-            @Option(names = "--seed", defaultValue = "1") long seed) {
+            @Option(
+                            names = "--deployment",
+                            defaultValue = "CARGAS",
+                            description = "Whose sizes and load to use: ${COMPLETION-CANDIDATES}.")
+                    Deployment deployment,
+            @Option(names = "--seed", defaultValue = "1", description = "Seeds the random numbers.")
+                    long seed) {
         WarmthMeasurement.run(deployment, seed, System.out);
         return ExitStatus.GOOD;
     }
@@ -28,7 +33,9 @@
             name = "membership",
             mixinStandardHelpOptions = true,
             description = "Detection time, false alarms and bytes of failure detectors.")
-    int membership(@Option(names = "--seed", defaultValue = "1") long seed) {
+    int membership(
+            @Option(names = "--seed", defaultValue = "1", description = "Seeds the random numbers.")
+                    long seed) {
         MembershipMeasurement.run(seed, System.out);
         return ExitStatus.GOOD;
     }
--- a/src/main/java/org/tarragonlug/tool/RunCommand.java
+++ b/src/main/java/org/tarragonlug/tool/RunCommand.java
@@ -22,8 +22,11 @@
         name = "run",
         mixinStandardHelpOptions = true,
         description = {
-            "Runs an entry instance. SIGTERM stops it gracefully.",
-            "Exit status: 0 stopped gracefully, 1 failed, 2 the settings are invalid."
+            "Runs an entry instance until SIGTERM, which stops it gracefully.",
+            "Logs one line of key=value pairs per event to standard error; the environment variable "
+                    + "TARRAGONLUG_LOG_LEVEL sets the level.",
+            "Exit status: 0 stopped gracefully, 1 failed, 2 the settings are invalid or an address is "
+                    + "in use."
         })
 public final class RunCommand implements Callable<Integer> {
     private static final int LARGEST_IO_THREADS = 4;
@@ -63,7 +66,8 @@
                     ? ExitStatus.USAGE
                     : ExitStatus.FAILED;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(instance, settings), "drain"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> drain(instance, settings, end), "drain"));
         return await(end);
     }
 
@@ -75,7 +79,8 @@
         }
     }
 
-    private static void drain(EntryInstance instance, Settings settings) {
+    private static void drain(
+            EntryInstance instance, Settings settings, CompletableFuture<Integer> end) {
         long limit = settings.limits().drainTime().toSeconds() + STOP_MARGIN_SECONDS;
         try {
             instance.drain().toCompletableFuture().get(limit, TimeUnit.SECONDS);
@@ -85,7 +90,14 @@
             System.err.println("the drain did not end within " + limit + " s");
         }
         instance.stop();
-        // A signal would otherwise set the exit status to 143, which reads as a failure.
-        Runtime.getRuntime().halt(ExitStatus.GOOD);
+        Runtime.getRuntime().halt(statusAfterStop(end));
+    }
+
+    /**
+     * A signal would otherwise set the exit status to 143, which reads as a failure; an instance
+     * that ended by itself keeps its status.
+     */
+    static int statusAfterStop(CompletableFuture<Integer> end) {
+        return end.getNow(ExitStatus.GOOD);
     }
 }
--- a/src/main/java/org/tarragonlug/tool/StandInsCommand.java
+++ b/src/main/java/org/tarragonlug/tool/StandInsCommand.java
@@ -22,20 +22,28 @@
         name = "stand-ins",
         mixinStandardHelpOptions = true,
         description = {
-            "Runs stand-ins of all outside systems on loopback, for trials with entry instances in",
-            "processes of their own.",
-            "Writes the settings of each instance as entry-N.json into a directory. Reads commands",
-            "from standard input, one a line, and answers each with one line of JSON:",
+            "Runs stand-ins of all outside systems on loopback, for trials.",
+            "The entry instances run in processes of their own. Writes the settings of each as "
+                    + "entry-N.json into a directory. Reads commands from standard input, one a line, and "
+                    + "answers each with one line of JSON; ends with exit or at the end of the input:",
             "  outage on|off, slow MILLISECONDS, lose COUNT, leave SERVER, crash SERVER,",
-            "  remove INSTANCE, truth, exit"
+            "  remove INSTANCE, truth, exit",
+            "Exit status: 0 ended, 2 an option is out of its bounds."
         })
 public final class StandInsCommand implements Callable<Integer> {
     private static final int IO_THREADS = 4;
+    private static final int MOST_INSTANCES = 32;
 
-    @Option(names = "--deployment", defaultValue = "CARGAS", description = "Sizes and tables.")
+    @Option(
+            names = "--deployment",
+            defaultValue = "CARGAS",
+            description = "Whose sizes and tables to use: ${COMPLETION-CANDIDATES}.")
     private Deployment deployment;
 
-    @Option(names = "--instances", defaultValue = "8", description = "Settings to write.")
+    @Option(
+            names = "--instances",
+            defaultValue = "8",
+            description = "Number of settings files to write, 1 to 32.")
     private int instances;
 
     @Option(
@@ -47,7 +55,7 @@
     @Option(
             names = "--scale",
             defaultValue = "0.1",
-            description = "Real seconds for each nominal second of load and token times.")
+            description = "Real seconds for each nominal second of load and token times, above 0.")
     private double scale;
 
     @Override
@@ -56,6 +64,10 @@
             System.err.println("--directory must name an existing directory: " + directory);
             return ExitStatus.USAGE;
         }
+        if (instances < 1 || instances > MOST_INSTANCES || !(scale > 0)) {
+            System.err.println("--instances must be 1 to 32, --scale above 0");
+            return ExitStatus.USAGE;
+        }
         IoExecutor ioExecutor = IoThreads.create(IO_THREADS);
         try (StandInPlatform platform = new StandInPlatform(deployment, ioExecutor, scale)) {
             SettingsWriter writer = new SettingsWriter(platform);
--- a/src/main/java/org/tarragonlug/tool/TryCommand.java
+++ b/src/main/java/org/tarragonlug/tool/TryCommand.java
@@ -14,8 +14,9 @@
         name = "try",
         mixinStandardHelpOptions = true,
         description = {
-            "Runs entry instances and stand-ins of all outside systems in this process, sends a",
-            "load, and checks what must hold. Exit status: 0 all held, 1 something broke."
+            "Runs entry instances and stand-ins under load and checks what must hold.",
+            "Everything runs in this process on loopback.",
+            "Exit status: 0 all held, 1 something broke, 2 an option is out of its bounds."
         })
 public final class TryCommand implements Callable<Integer> {
     @Option(
--- /dev/null
+++ b/src/test/java/org/tarragonlug/instance/StateFormTest.java
@@ -0,0 +1,53 @@
+package org.tarragonlug.instance;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.Approved;
+
+/**
+ * Guards against an unnoticed change of the status and the state dump, which operators' tools read.
+ */
+class StateFormTest {
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+
+    private FleetFixture fleet;
+
+    /** The form is that of a deciding instance with standby slots and a loaded model. */
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new FleetFixture(2);
+        FleetFixture.await(LIMIT, () -> state().at("/capacity/tutoring/standbySlots").size() == 3);
+        FleetFixture.Answer answer = fleet.chat(fleet.decider(), "lessons-model-1", 2).join();
+        assertTrue(answer.isWhole(), answer.toString());
+        FleetFixture.await(
+                LIMIT,
+                () -> {
+                    JsonNode slots = state().at("/capacity/tutoring/slots");
+                    return slots.size() == 1 && slots.at("/0/openOrders").isEmpty();
+                });
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fleet.close();
+    }
+
+    private JsonNode state() {
+        return fleet.decider().state().toCompletableFuture().join();
+    }
+
+    @Test
+    void stateDump() {
+        Approved.verify(Approved.form(state()));
+    }
+
+    @Test
+    void status() {
+        Approved.verify(Approved.form(fleet.decider().status().toCompletableFuture().join()));
+    }
+}
