--- a/src/main/java/org/tarragonlug/tool/AdminClient.java
+++ b/src/main/java/org/tarragonlug/tool/AdminClient.java
@@ -62,8 +62,10 @@
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
             throw unreachable(address, "interrupted", interrupted);
-        } catch (ExecutionException | IOException failure) {
-            throw unreachable(address, String.valueOf(failure.getMessage()), failure);
+        } catch (ExecutionException failure) {
+            throw unreachable(address, failure.getCause().getMessage(), failure);
+        } catch (IOException malformed) {
+            throw unreachable(address, "the answer is not JSON", malformed);
         }
     }
 
