--- a/src/main/java/org/tarragonlug/standin/DeploymentTables.java
+++ b/src/main/java/org/tarragonlug/standin/DeploymentTables.java
@@ -35,7 +35,7 @@
                 .filter(candidate -> candidate.name().equals(pool))
                 .flatMap(candidate -> candidate.names().stream())
                 .forEach(models::add);
-        row.put("target", "POOL").put("pool", pool);
+        row.put("pool", pool);
         row.put("idempotent", true).put("keyRequired", false);
         return limits(row, priority, defaultTimeout);
     }
@@ -43,7 +43,7 @@
     ObjectNode service(String name, String path, boolean idempotent) {
         ObjectNode row = route(name, path);
         row.putArray("models");
-        row.put("target", "SERVICE").put("service", deployment.serviceGroup().value());
+        row.put("service", deployment.serviceGroup().value());
         row.put("idempotent", idempotent).put("keyRequired", !idempotent);
         return limits(row, "INTERACTIVE", "10s");
     }
--- a/src/test/java/org/tarragonlug/ToolTest.java
+++ b/src/test/java/org/tarragonlug/ToolTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.servicetalk.transport.api.IoExecutor;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.io.PrintWriter;
@@ -12,6 +13,11 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.standin.Deployment;
+import org.tarragonlug.standin.ObjectApiStandIn;
+import org.tarragonlug.standin.StandInPlatform;
 import picocli.CommandLine;
 import picocli.CommandLine.Help.Ansi;
 
@@ -133,6 +139,24 @@
             assertPrinted("s.json: $: the field instance is missing; remedy: add");
         }
 
+        /** Their routes had a field that is not of the table, so operators' first check failed. */
+        @Test
+        void tablesOfTheStandInsHaveNoFaults() throws Exception {
+            IoExecutor ioExecutor = IoThreads.create(1);
+            for (Deployment deployment : Deployment.values()) {
+                try (StandInPlatform platform = new StandInPlatform(deployment, ioExecutor, 1)) {
+                    ObjectApiStandIn objects = platform.objectApi();
+                    Path routes = file("r.json", table(objects, "routes"));
+                    assertEquals(0, run("check", routes, file("p.json", table(objects, "pools"))));
+                }
+            }
+            ioExecutor.closeAsync().toFuture().get();
+        }
+
+        private String table(ObjectApiStandIn objects, String name) {
+            return objects.peek(new ObjectName("tables", name)).content().toString();
+        }
+
         /** Rows of a table given alone were not checked against each other. */
         @Test
         void tableGivenAloneIsCheckedInItself() throws Exception {
--- a/src/test/java/org/tarragonlug/standin/StandInPlatformTest.java
+++ b/src/test/java/org/tarragonlug/standin/StandInPlatformTest.java
@@ -73,7 +73,7 @@
         JsonFields.array(pools, "pools").forEach(pool -> names.add(pool.path("name").asText()));
         int toPools = 0;
         for (JsonNode route : JsonFields.array(routes, "routes")) {
-            if (route.path("target").asText().equals("POOL")) {
+            if (route.has("pool")) {
                 assertTrue(names.contains(route.path("pool").asText()));
                 toPools++;
             }
