--- a/src/main/java/org/tarragonlug/tool/CheckCommand.java
+++ b/src/main/java/org/tarragonlug/tool/CheckCommand.java
@@ -30,7 +30,8 @@
         mixinStandardHelpOptions = true,
         description = {
             "Checks settings and the tables of routes and pools without starting anything.",
-            "A table of routes and one of pools are also checked against each other. Every fault is "
+            "A table of routes and one of pools are also checked against each "
+                    + "other. Every fault is "
                     + "printed with its path, what was found and the remedy.",
             "Exit status: 0 no fault, 2 faults."
         })
--- a/src/main/java/org/tarragonlug/tool/RunCommand.java
+++ b/src/main/java/org/tarragonlug/tool/RunCommand.java
@@ -23,9 +23,11 @@
         mixinStandardHelpOptions = true,
         description = {
             "Runs an entry instance until SIGTERM, which stops it gracefully.",
-            "Logs one line of key=value pairs per event to standard error; the environment variable "
+            "Logs one line of key=value pairs per event to standard error; the "
+                    + "environment variable "
                     + "TARRAGONLUG_LOG_LEVEL sets the level.",
-            "Exit status: 0 stopped gracefully, 1 failed, 2 the settings are invalid or an address is "
+            "Exit status: 0 stopped gracefully, 1 failed, 2 the settings are "
+                    + "invalid or an address is "
                     + "in use."
         })
 public final class RunCommand implements Callable<Integer> {
--- a/src/main/java/org/tarragonlug/tool/StandInsCommand.java
+++ b/src/main/java/org/tarragonlug/tool/StandInsCommand.java
@@ -24,8 +24,10 @@
         description = {
             "Runs stand-ins of all outside systems on loopback, for trials.",
             "The entry instances run in processes of their own. Writes the settings of each as "
-                    + "entry-N.json into a directory. Reads commands from standard input, one a line, and "
-                    + "answers each with one line of JSON; ends with exit or at the end of the input:",
+                    + "entry-N.json into a directory. Reads commands from standard input, "
+                    + "one a line, and "
+                    + "answers each with one line of JSON; ends with exit or at the end of "
+                    + "the input:",
             "  outage on|off, slow MILLISECONDS, lose COUNT, leave SERVER, crash SERVER,",
             "  remove INSTANCE, truth, exit",
             "Exit status: 0 ended, 2 an option is out of its bounds."
--- a/src/main/java/org/tarragonlug/tool/StatusCommand.java
+++ b/src/main/java/org/tarragonlug/tool/StatusCommand.java
@@ -20,7 +20,8 @@
         description = {
             "Prints the tables of routes and pools with what the system reports on each row.",
             "Asks the instances themselves, so it works while the object API is down. Name all "
-                    + "instances to see the artifacts of all pools, since one instance decides for each group.",
+                    + "instances to see the artifacts of all pools, since one instance "
+                    + "decides for each group.",
             "Exit status: 0 printed, 1 no instance answers, 2 an address is malformed."
         })
 public final class StatusCommand implements Callable<Integer> {
