--- a/src/main/java/org/tarragonlug/tool/LoadCommand.java
+++ b/src/main/java/org/tarragonlug/tool/LoadCommand.java
@@ -4,11 +4,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.tarragonlug.engine.HttpEngineClient;
 import org.tarragonlug.http.HttpConnections;
-import org.tarragonlug.runtime.SettingsLoader;
 import org.tarragonlug.trial.LoadResult;
 import org.tarragonlug.trial.LoadRun;
 import org.tarragonlug.trial.LoadSettings;
@@ -20,8 +18,8 @@
         name = "load",
         mixinStandardHelpOptions = true,
         description = {
-            "Sends a closed-loop load to entry instances on loopback and prints its latencies.",
-            "With --baseline the same load goes straight to a model engine first.",
+            "Sends a closed-loop load to entry instances on loopback.",
+            "Prints the latencies. With --baseline the same load goes straight to a model engine first.",
             "Exit status: 0 all answered, 1 some failed."
         })
 public final class LoadCommand implements Callable<Integer> {
@@ -31,11 +29,15 @@
             names = "--target",
             required = true,
             arity = "1..*",
+            converter = AddressConverter.class,
             description = "Caller addresses of entry instances, such as 127.0.0.1:8001.")
-    private List<String> targets;
+    private List<InetSocketAddress> targets;
 
-    @Option(names = "--baseline", description = "Address of an engine that has the model loaded.")
-    private Optional<String> baseline;
+    @Option(
+            names = "--baseline",
+            converter = AddressConverter.class,
+            description = "Address of an engine that has the model loaded.")
+    private InetSocketAddress baseline;
 
     @Option(names = "--model", required = true, description = "Model or adapter.")
     private String model;
@@ -61,15 +63,13 @@
             System.err.println("--concurrency must be 1 to 1000, --seconds 1 to 600");
             return ExitStatus.USAGE;
         }
-        List<InetSocketAddress> addresses =
-                targets.stream().map(SettingsLoader::parseAddress).toList();
-        if (addresses.stream().anyMatch(address -> !address.getAddress().isLoopbackAddress())) {
+        if (targets.stream().anyMatch(address -> !address.getAddress().isLoopbackAddress())) {
             System.err.println("--target must be on loopback: this tool is for trials alone");
             return ExitStatus.USAGE;
         }
         LoadSettings settings =
                 new LoadSettings(
-                        addresses,
+                        targets,
                         model,
                         tokens,
                         concurrency,
@@ -85,9 +85,8 @@
             throws InterruptedException {
         HttpEngineClient engines =
                 new HttpEngineClient(connections, TIMEOUT, TIMEOUT, Instant::now);
-        if (baseline.isPresent()) {
-            InetSocketAddress engine = SettingsLoader.parseAddress(baseline.get());
-            LoadResult direct = new LoadRun(settings, connections, engines).atEngine(engine);
+        if (baseline != null) {
+            LoadResult direct = new LoadRun(settings, connections, engines).atEngine(baseline);
             System.out.println(direct.line("baseline"));
         }
         LoadResult result = new LoadRun(settings, connections, engines).throughInstances();
--- a/src/main/java/org/tarragonlug/tool/TableOptions.java
+++ b/src/main/java/org/tarragonlug/tool/TableOptions.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.tool;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -15,8 +16,9 @@
             names = "--object-api",
             required = true,
             paramLabel = "ADDRESS",
+            converter = AddressConverter.class,
             description = "Address of the platform's object API, such as 10.0.0.9:8080.")
-    String objectApi;
+    InetSocketAddress objectApi;
 
     @Option(
             names = "--operator",
--- a/src/main/java/org/tarragonlug/tool/TableSession.java
+++ b/src/main/java/org/tarragonlug/tool/TableSession.java
@@ -10,7 +10,6 @@
 import org.tarragonlug.objectapi.RowDifference;
 import org.tarragonlug.objectapi.TableCodec;
 import org.tarragonlug.objectapi.TablePublisher;
-import org.tarragonlug.runtime.SettingsLoader;
 
 /** Runs a command on the tables of a directory, and turns its end into an exit status. */
 final class TableSession {
@@ -24,9 +23,7 @@
 
     static int run(TableOptions options, Work work) {
         try (AdminClient client = new AdminClient()) {
-            HttpObjectApi api =
-                    new HttpObjectApi(
-                            client.connections(), SettingsLoader.parseAddress(options.objectApi));
+            HttpObjectApi api = new HttpObjectApi(client.connections(), options.objectApi);
             TablePublisher publisher =
                     new TablePublisher(
                             api,
@@ -40,9 +37,6 @@
             return failure.code() == ErrorCode.TABLES_INVALID
                     ? ExitStatus.USAGE
                     : ExitStatus.FAILED;
-        } catch (IndexOutOfBoundsException | IllegalArgumentException malformed) {
-            System.err.println("--object-api must be of the form IP:port");
-            return ExitStatus.USAGE;
         }
     }
 
