Count what was registered, close refused connections, survive events before the first tick

Cause: three metrics were never counted and one event never logged; after 408 the connection stayed open until the rest of the body came; a planner that got demand and a record before its first tick threw DateTimeException (log of StateFormTest), because it added to the largest instant. Change: requests, peer bytes, cold starts and edge refusals are counted, leaving servers logged; the connection is closed 500 ms after an early refusal; durations are compared in place of instants. Conclusion: the operations page names no metric without values any more.

--- a/src/main/java/org/tarragonlug/caller/CallerListener.java
+++ b/src/main/java/org/tarragonlug/caller/CallerListener.java
@@ -1,5 +1,7 @@
 package org.tarragonlug.caller;
 
+import org.tarragonlug.error.ErrorCode;
+
 /** Observer of requests of callers. */
 public interface CallerListener {
     /**
@@ -10,6 +12,13 @@
      */
     void arrived(CallerRequest request, CallerAnswer answer);
 
+    /**
+     * Called when a request was refused before it was complete or because it is malformed.
+     *
+     * @param code the kind of error
+     */
+    void refused(ErrorCode code);
+
     /**
      * Called when a caller has gone before its answer ended.
      *
--- a/src/main/java/org/tarragonlug/caller/CallerServer.java
+++ b/src/main/java/org/tarragonlug/caller/CallerServer.java
@@ -45,6 +45,8 @@
     /** Longer than any deadline of a route, so that it closes only connections left open. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(30);
 
+    private static final Duration CLOSE_PAUSE = Duration.ofMillis(500);
+
     private final InetSocketAddress address;
     private final Settings.Limits limits;
     private final IoExecutor ioExecutor;
@@ -155,6 +157,7 @@
         private final AtomicBoolean counted = new AtomicBoolean(true);
         private final CompletableFuture<DefaultCallerAnswer> answer = new CompletableFuture<>();
         private final Runnable callerClosed = this::callerClosed;
+        private volatile boolean closesConnection;
 
         Exchange(
                 HttpServiceContext connection,
@@ -204,6 +207,11 @@
             if (counted.compareAndSet(true, false)) {
                 inProgress.decrementAndGet();
             }
+            if (closesConnection) {
+                // The library waits for the rest of the request, which may never come. The pause
+                // lets the caller read the refusal before the connection is reset.
+                ioExecutor.schedule(() -> connection.closeAsync().subscribe(), CLOSE_PAUSE);
+            }
         }
 
         private void callerClosed() {
@@ -220,6 +228,8 @@
             }
             CallerRequest refused = callerRequest(request, id, new byte[0], Optional.empty());
             DefaultCallerAnswer refusal = newAnswer(connection, refused, factory, () -> {});
+            listener.refused(code);
+            closesConnection = true;
             // The rest of the request is not read, so the connection cannot be reused.
             refusal.closeConnection();
             refusal.refuse(code, Execution.NOT_RUN, Optional.empty(), detail);
--- a/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
@@ -316,7 +316,10 @@
 
     /** Tells whether a server answers; one that was not observed for long enough is assumed to. */
     boolean answers(ServerId server, Instant now) {
-        boolean observedLongEnough = startedAt.plus(REPORT_LIFETIME).isBefore(now);
+        // Compares durations: before the first tick the start is the largest instant, and adding to
+        // it would overflow.
+        boolean observedLongEnough =
+                Duration.between(startedAt, now).compareTo(REPORT_LIFETIME) > 0;
         return freshReport(server, now).isPresent() || !observedLongEnough;
     }
 
--- a/src/main/java/org/tarragonlug/instance/EntryInstance.java
+++ b/src/main/java/org/tarragonlug/instance/EntryInstance.java
@@ -40,6 +40,7 @@
 import org.tarragonlug.instancelist.HttpInstanceList;
 import org.tarragonlug.objectapi.HttpObjectApi;
 import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.PeerTransportCounts;
 import org.tarragonlug.peer.PeerTransportSettings;
 import org.tarragonlug.peer.TcpPeerTransport;
 import org.tarragonlug.plainservice.HttpPlainServiceClient;
@@ -106,6 +107,8 @@
     private final AdminServer adminServer;
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private TcpPeerTransport transport;
+    private long peerBytesSent;
+    private long peerBytesReceived;
     private volatile boolean configured;
     private volatile boolean draining;
     private volatile boolean failed;
@@ -435,6 +438,7 @@
     }
 
     private void updateGauges() {
+        countPeerBytes();
         metrics.eventLoopQueue().set(loop.queued());
         metrics.waiting().set(requests.inProgress());
         long ready =
@@ -445,6 +449,14 @@
         metrics.readyReplicas().set(ready);
     }
 
+    private void countPeerBytes() {
+        PeerTransportCounts counts = transport.counts();
+        metrics.peerBytes().labelValues("sent").inc(counts.bytesSent() - peerBytesSent);
+        metrics.peerBytes().labelValues("received").inc(counts.bytesReceived() - peerBytesReceived);
+        peerBytesSent = counts.bytesSent();
+        peerBytesReceived = counts.bytesReceived();
+    }
+
     /** Asks the peers named in the settings until there is a configuration. */
     private void requestConfiguration() {
         if (configured) {
--- a/src/main/java/org/tarragonlug/instance/RequestDriver.java
+++ b/src/main/java/org/tarragonlug/instance/RequestDriver.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,7 @@
 import org.tarragonlug.engine.GenerationRequest;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.AttemptId;
 import org.tarragonlug.id.Fingerprint;
 import org.tarragonlug.id.InstanceId;
@@ -72,6 +74,8 @@
     private final Map<RequestId, Exchange> exchanges = new HashMap<>();
     private final Map<AttemptId, Running> attempts = new HashMap<>();
     private final Map<ServerId, String> incarnations = new HashMap<>();
+    private final Map<ArtifactId, Instant> readySince = new HashMap<>();
+    private final Set<ServerId> leaving = new HashSet<>();
 
     RequestDriver(
             InstanceContext context,
@@ -134,6 +138,8 @@
     @Override
     public void arrived(CallerRequest request, CallerAnswer answer) {
         try {
+            String kind = request.json().isPresent() ? "model" : "service";
+            context.metrics().requests().labelValues(kind).inc();
             RequestEvent.RequestArrived event =
                     new RequestEvent.RequestArrived(request.id(), describer.describe(request));
             context.loop()
@@ -149,6 +155,11 @@
         }
     }
 
+    @Override
+    public void refused(ErrorCode code) {
+        context.metrics().refusals().labelValues(code.code(), Execution.NOT_RUN.text()).inc();
+    }
+
     @Override
     public void gone(CallerRequest request) {
         context.loop().post(() -> handle(new RequestEvent.CallerGone(request.id())));
@@ -176,6 +187,7 @@
     @Override
     public void engineReported(ServerReport report, Instant askedAt) {
         incarnations.put(report.server(), report.incarnation());
+        logLeaving(report.server(), report.leaving());
         handle(
                 new RequestEvent.ServerReported(
                         report.server(),
@@ -187,9 +199,18 @@
                         askedAt));
     }
 
+    private void logLeaving(ServerId server, boolean nowLeaving) {
+        if (!nowLeaving) {
+            leaving.remove(server);
+        } else if (leaving.add(server)) {
+            context.log().event(LogEvent.SERVER_LEAVING).with("server", server).write();
+        }
+    }
+
     @Override
     public void serviceReported(ServiceReport report, Instant askedAt) {
         incarnations.put(report.server(), report.incarnation());
+        logLeaving(report.server(), report.leaving());
         handle(
                 new RequestEvent.ServerReported(
                         report.server(),
@@ -212,6 +233,11 @@
 
     private void replicasChanged(InstanceId from, PeerMessage.ReplicasChanged message) {
         for (PeerMessage.ArtifactReplicas replicas : message.artifacts()) {
+            if (replicas.ready().isEmpty()) {
+                readySince.remove(replicas.artifact());
+            } else {
+                readySince.putIfAbsent(replicas.artifact(), context.now());
+            }
             ColdStart coldStart = ColdStart.UNDECIDED;
             if (replicas.loading()) {
                 coldStart = ColdStart.LOADING;
@@ -374,6 +400,7 @@
             return;
         }
         poller.used(send.server());
+        observeColdStart(exchange, send.artifact());
         Running running = new Running();
         attempts.put(send.attempt(), running);
         exchange.attempts().add(send.attempt());
@@ -389,6 +416,15 @@
         running.generation = engines.generate(address.get(), request, listener(send.attempt()));
     }
 
+    /** Notes the wait of a request that arrived before its artifact had a ready replica. */
+    private void observeColdStart(Exchange exchange, ArtifactId artifact) {
+        Instant ready = readySince.get(artifact);
+        if (exchange.attempts().isEmpty() && ready != null && ready.isAfter(exchange.arrivedAt())) {
+            Duration waited = Duration.between(exchange.arrivedAt(), context.now());
+            context.metrics().coldStart().observe(waited.toNanos() / 1e9);
+        }
+    }
+
     private GenerationListener listener(AttemptId attempt) {
         return new GenerationListener() {
             @Override
--- a/src/main/java/org/tarragonlug/runtime/Metrics.java
+++ b/src/main/java/org/tarragonlug/runtime/Metrics.java
@@ -34,7 +34,7 @@
 
     /** Registers all metrics in a registry of their own. */
     public Metrics() {
-        requests = counter("requests_total", "Requests received", "route");
+        requests = counter("requests_total", "Complete requests received", "kind");
         refusals = counter("refusals_total", "Requests refused", "code", "execution");
         violations = counter("invariant_violations_total", "Violated invariants", "invariant");
         attempts = counter("attempts_total", "Attempts sent to backend servers", "kind");
@@ -72,7 +72,7 @@
                 .register(registry);
     }
 
-    /** Returns the counter of requests by route. */
+    /** Returns the counter of requests by kind, model or service. */
     public Counter requests() {
         return requests;
     }
--- a/src/main/java/org/tarragonlug/tool/ApplyCommand.java
+++ b/src/main/java/org/tarragonlug/tool/ApplyCommand.java
@@ -15,8 +15,8 @@
         mixinStandardHelpOptions = true,
         description = {
             "Puts the tables of a directory into the platform.",
-            "The difference is shown first. A table that was edited by somebody else since it was",
-            "fetched is refused, naming the rows and who edited them.",
+            "The difference is shown first. A table that was edited by somebody else since it was "
+                    + "fetched is refused, naming the rows and who edited them.",
             "Exit status: 0 published, 1 conflict or no answer, 2 the tables are invalid."
         })
 public final class ApplyCommand implements Callable<Integer> {
--- a/src/main/java/org/tarragonlug/tool/LoadCommand.java
+++ b/src/main/java/org/tarragonlug/tool/LoadCommand.java
@@ -19,7 +19,8 @@
         mixinStandardHelpOptions = true,
         description = {
             "Sends a closed-loop load to entry instances on loopback.",
-            "Prints the latencies. With --baseline the same load goes straight to a model engine first.",
+            "Prints the latencies. With --baseline the same load goes straight to a model engine "
+                    + "first.",
             "Exit status: 0 all answered, 1 some failed."
         })
 public final class LoadCommand implements Callable<Integer> {
--- a/src/main/java/org/tarragonlug/tool/TableOptions.java
+++ b/src/main/java/org/tarragonlug/tool/TableOptions.java
@@ -24,6 +24,6 @@
             names = "--operator",
             paramLabel = "NAME",
             defaultValue = "${sys:user.name}",
-            description = "Who edits, as shown to others on a conflict; default ${DEFAULT-VALUE}.")
+            description = "Who edits, as shown to others on a conflict; the user by default.")
     String operator;
 }
--- a/src/test/java/org/tarragonlug/caller/CallerServerTest.java
+++ b/src/test/java/org/tarragonlug/caller/CallerServerTest.java
@@ -9,6 +9,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -43,6 +44,7 @@
     private final BlockingQueue<CallerRequest> arrived = new LinkedBlockingQueue<>();
     private final BlockingQueue<CallerAnswer> answers = new LinkedBlockingQueue<>();
     private final BlockingQueue<CallerRequest> gone = new LinkedBlockingQueue<>();
+    private final BlockingQueue<ErrorCode> refused = new LinkedBlockingQueue<>();
     private final HttpClient client = HttpClient.newHttpClient();
     private IoExecutor ioExecutor;
     private CallerServer server;
@@ -61,6 +63,11 @@
                         answers.add(answer);
                     }
 
+                    @Override
+                    public void refused(ErrorCode code) {
+                        refused.add(code);
+                    }
+
                     @Override
                     public void gone(CallerRequest request) {
                         gone.add(request);
@@ -201,6 +208,28 @@
             assertTrue(exchange(start.getBytes(StandardCharsets.UTF_8)).contains(" 408 "));
         }
 
+        /** Guards against slow senders that keep connections after their refusal. */
+        @Test
+        void connectionOfSlowBodyIsClosedAfterItsRefusal() throws Exception {
+            String start =
+                    "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{";
+            try (Socket socket = new Socket("127.0.0.1", server.listenAddress().getPort())) {
+                socket.setSoTimeout(20_000);
+                socket.getOutputStream().write(start.getBytes(StandardCharsets.UTF_8));
+                InputStream input = socket.getInputStream();
+                StringBuilder answer = new StringBuilder();
+                try {
+                    for (String part = readSome(input); !part.isEmpty(); part = readSome(input)) {
+                        answer.append(part);
+                    }
+                } catch (SocketException reset) {
+                    // The rest of the body was never read, so the close may come as a reset.
+                }
+                assertTrue(answer.toString().contains(" 408 "));
+                assertEquals(ErrorCode.REQUEST_TIMEOUT, refused.poll());
+            }
+        }
+
         @Test
         void hugeHeaderIsRefusedWithoutHang() throws Exception {
             String request =
