Probe the failure domain of a member that missed a probe

Cause: in the loss of a domain a member whose prober is lost too waits for the next period.

Misses of these probes do not count towards the own network being broken. Targets that others suspected meanwhile cause no indirect probes.

--- a/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
+++ b/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ProcessId;
 
@@ -165,6 +166,19 @@
         return select(entry -> entry.state == MemberState.DEAD && entry.listed);
     }
 
+    /** Returns members of the failure domain of a member that are alive and not suspect. */
+    List<InstanceId> aliveInDomainOf(InstanceId instance) {
+        Entry known = entries.get(instance);
+        if (known == null) {
+            return List.of();
+        }
+        FailureDomain domain = known.candidate.failureDomain();
+        return select(
+                entry ->
+                        entry.state == MemberState.ALIVE
+                                && entry.candidate.failureDomain().equals(domain));
+    }
+
     private List<InstanceId> select(Predicate<Entry> condition) {
         List<InstanceId> selected = new ArrayList<>();
         for (Entry entry : entries.values()) {
--- a/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
+++ b/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
@@ -46,6 +46,9 @@
     private static final int MISSES_IN_A_ROW = 3;
     private static final int MEMBERS_PER_DEAD_PROBE = 40;
 
+    /** Bounds the extra probes where many paths are broken, one-way loss for instance. */
+    private static final int MOST_EXTRA_PROBES = 2;
+
     /** A transfer to a newcomer has messages of this many times the usual limit of changes. */
     private static final int TRANSFER_PARTS = 4;
 
@@ -56,6 +59,7 @@
     private final MemberTable table;
     private final ProbeOrder order;
     private final UpdateQueue queue = new UpdateQueue();
+    private final RunningProbes running;
     private final Map<Long, Relay> relays = new HashMap<>();
     private long incarnation;
     private long sequence;
@@ -64,7 +68,6 @@
     private boolean leaving;
     private ConfigurationVersion configuration = ConfigurationVersion.NONE;
     private boolean announceConfiguration;
-    private Optional<RunningProbe> running = Optional.empty();
     private int missesInARow;
     private long lastPeriod = Long.MIN_VALUE;
     private Instant lastTick;
@@ -97,6 +100,7 @@
         this.random = random;
         this.table = new MemberTable(self.instance());
         this.order = new ProbeOrder(self.instance(), hasher, settings.probePeriod());
+        this.running = new RunningProbes(settings);
         this.view = computeView();
         queue.add(ownClaim());
     }
@@ -138,9 +142,7 @@
         }
         relays.values().removeIf(relay -> now.isAfter(relay.expiresAt()));
         askHelpers(now, commands);
-        if (running.filter(probe -> isOver(probe, now)).isPresent()) {
-            endProbe(now, commands);
-        }
+        running.takeEnded(now).forEach(probe -> endProbe(probe, now, commands));
         long period = order.period(now);
         if (period != lastPeriod) {
             lastPeriod = period;
@@ -158,18 +160,14 @@
         if (gap.compareTo(settings.pauseLimit()) <= 0) {
             return;
         }
-        running = Optional.empty();
+        running.clear();
         missesInARow = 0;
         table.extendSuspicions(now.plus(settings.suspicionTime()));
         commands.add(new MembershipCommand.LocalPauseDetected(gap));
     }
 
-    private boolean isOver(RunningProbe probe, Instant now) {
-        return !now.isBefore(probe.sentAt().plus(settings.probeTimeout()));
-    }
-
     private void startProbe(long period, Instant now, List<MembershipCommand> commands) {
-        if (leaving || running.isPresent()) {
+        if (leaving || running.isPeriodicRunning()) {
             return;
         }
         Optional<InstanceId> target = order.target(period);
@@ -177,34 +175,53 @@
             return;
         }
         sequence++;
-        running = Optional.of(new RunningProbe(sequence, target.get(), now, false));
+        running.start(sequence, target.get(), now, true);
         probe(sequence, target.get(), commands);
     }
 
     private void askHelpers(Instant now, List<MembershipCommand> commands) {
-        if (running.isEmpty() || running.get().helpersAsked()) {
-            return;
+        for (RunningProbes.Probe probe : running.takeUnanswered(now)) {
+            if (!table.isAlive(probe.target())) {
+                continue;
+            }
+            for (InstanceId helper : helpers(probe.target())) {
+                send(
+                        helper,
+                        new MembershipMessage.IndirectProbe(
+                                probe.sequence(), probe.target(), configuration, claims(helper)),
+                        commands);
+            }
+            if (probe.isPeriodic()) {
+                probeDomainOf(probe.target(), now, commands);
+            }
         }
-        RunningProbe probe = running.get();
-        if (now.isBefore(probe.sentAt().plus(settings.directTimeout()))) {
+    }
+
+    /**
+     * Probes a member of the failure domain of one that missed a probe. When a whole domain is
+     * lost, a fifth of the probers is lost too, and a member whose prober is lost would wait for
+     * the next period, some for four of them.
+     */
+    private void probeDomainOf(InstanceId missed, Instant now, List<MembershipCommand> commands) {
+        if (leaving || running.extra() >= MOST_EXTRA_PROBES) {
             return;
         }
-        running = Optional.of(probe.withHelpersAsked());
-        for (InstanceId helper : helpers(probe.target())) {
-            send(
-                    helper,
-                    new MembershipMessage.IndirectProbe(
-                            probe.sequence(), probe.target(), configuration, claims(helper)),
-                    commands);
+        List<InstanceId> mates = new ArrayList<>(table.aliveInDomainOf(missed));
+        mates.removeIf(mate -> mate.equals(missed) || running.isProbing(mate));
+        if (!mates.isEmpty()) {
+            InstanceId target = mates.get(random.nextInt(mates.size()));
+            sequence++;
+            running.start(sequence, target, now, false);
+            probe(sequence, target, commands);
         }
     }
 
     /** Ends a probe that got no acknowledgement; its target becomes suspect. */
-    private void endProbe(Instant now, List<MembershipCommand> commands) {
-        InstanceId target = running.get().target();
-        running = Optional.empty();
-        missesInARow++;
-        if (table.state(target).filter(ALIVE::equals).isEmpty()) {
+    private void endProbe(
+            RunningProbes.Probe probe, Instant now, List<MembershipCommand> commands) {
+        InstanceId target = probe.target();
+        missesInARow += probe.isPeriodic() ? 1 : 0;
+        if (!table.isAlive(target)) {
             return;
         }
         int factor = missesInARow >= MISSES_IN_A_ROW ? LONGEST_SUSPICION_FACTOR : 1;
@@ -268,6 +285,9 @@
         Instant expiresAt = now.plus(settings.probePeriod());
         relays.put(sequence, new Relay(from, indirect.sequence(), expiresAt));
         probe(sequence, indirect.target(), commands);
+        if (table.isAlive(indirect.target())) {
+            probeDomainOf(indirect.target(), now, commands);
+        }
     }
 
     private void acknowledged(
@@ -277,8 +297,7 @@
         if (relay != null) {
             acknowledge(relay.asker(), relay.sequence(), acknowledgement.subject(), commands);
         }
-        if (running.filter(probe -> probe.sequence() == acknowledgement.sequence()).isPresent()) {
-            running = Optional.empty();
+        if (running.acknowledged(acknowledgement.sequence()).isPresent()) {
             missesInARow = 0;
         }
     }
@@ -471,12 +490,5 @@
         return new MemberView(self.instance(), members);
     }
 
-    private record RunningProbe(
-            long sequence, InstanceId target, Instant sentAt, boolean helpersAsked) {
-        RunningProbe withHelpersAsked() {
-            return new RunningProbe(sequence, target, sentAt, true);
-        }
-    }
-
     private record Relay(InstanceId asker, long sequence, Instant expiresAt) {}
 }
--- a/src/test/java/org/tarragonlug/decision/membership/RandomProbeDetectorTest.java
+++ b/src/test/java/org/tarragonlug/decision/membership/RandomProbeDetectorTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.tarragonlug.decision.configuration.ConfigurationSamples;
 import org.tarragonlug.id.ConfigurationVersion;
@@ -145,4 +147,60 @@
                 receive("a").stream()
                         .noneMatch(MembershipCommand.NewerConfigurationSeen.class::isInstance));
     }
+
+    @Nested
+    class ExtraProbes {
+        private static final int MATES = 5;
+
+        private List<InstanceId> probed(List<MembershipCommand> commands) {
+            return commands.stream()
+                    .filter(MembershipCommand.Send.class::isInstance)
+                    .map(MembershipCommand.Send.class::cast)
+                    .filter(send -> send.message() instanceof MembershipMessage.Probe)
+                    .map(MembershipCommand.Send::to)
+                    .toList();
+        }
+
+        private List<MembershipCommand> askedToProbe(String target) {
+            return handle(
+                    new MembershipEvent.MessageReceived(
+                            new InstanceId("a"),
+                            new MembershipMessage.IndirectProbe(
+                                    1, new InstanceId(target), VERSION, List.of())));
+        }
+
+        @BeforeEach
+        void listLostDomain() {
+            List<Candidate> candidates =
+                    new ArrayList<>(List.of(candidate("self"), candidate("a"), candidate("b")));
+            for (int mate = 0; mate < MATES; mate++) {
+                candidates.add(
+                        new Candidate(
+                                new InstanceId("lost" + mate), "l:1", new FailureDomain("lost")));
+            }
+            handle(new MembershipEvent.CandidatesListed(candidates));
+        }
+
+        /** Guards against members of a lost domain that wait while their probers are lost too. */
+        @Test
+        void missInADomainMakesAnotherOfItsMembersSuspect() {
+            List<InstanceId> probed = probed(askedToProbe("lost0"));
+            assertEquals(new InstanceId("lost0"), probed.get(0));
+            assertEquals(2, probed.size());
+            String mate = probed.get(1).value();
+            assertTrue(mate.startsWith("lost") && !mate.equals("lost0"), mate);
+            tick(4_000);
+            assertFalse(sees(mate));
+        }
+
+        /** Guards against broken paths that multiply probes beyond the byte budget. */
+        @Test
+        void manyMissesStartFewExtraProbes() {
+            int sent = 0;
+            for (int round = 0; round < 10; round++) {
+                sent += probed(askedToProbe("lost" + round % MATES)).size();
+            }
+            assertEquals(10 + 2, sent);
+        }
+    }
 }
