Stop sending known changes and leave time to refute transfers

A copy heard now counts as a copy sent, and the second push is left out after five copies. A probe carries the suspicions of its sender and the answer what the sender missed.

When regions merge, all wrong removals came within 1.1 s of the first contact, from transfers of all that is known: the short last part passed for changes, a second transfer ended a suspicion at once, and a second was too short to refute. Parts are even, repeated verdicts are ignored, and the time to refute is three times the suspicion time.

--- a/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
+++ b/src/main/java/org/tarragonlug/decision/membership/MemberTable.java
@@ -91,6 +91,30 @@
         return true;
     }
 
+    /**
+     * Takes over a claim from a transfer of all that another member knows. Several members of the
+     * other side of a cut send the same stale verdict, so it does not cut a suspicion short.
+     */
+    void applyTransferred(MemberUpdate update, Instant now, Instant suspicionEnd) {
+        Entry entry = entries.get(update.instance());
+        boolean isRepeated =
+                entry != null
+                        && entry.state == MemberState.SUSPECT
+                        && update.state() == MemberState.DEAD
+                        && entry.incarnation == update.incarnation();
+        if (!isRepeated) {
+            apply(update, now, suspicionEnd);
+        }
+    }
+
+    /** Tells whether a claim raises the incarnation of a process known here. */
+    boolean isRefutedBy(MemberUpdate update) {
+        Entry entry = entries.get(update.instance());
+        return entry != null
+                && update.state() == MemberState.ALIVE
+                && (entry.state != MemberState.ALIVE || entry.process.equals(update.process()));
+    }
+
     /** Returns the claim that describes a member as known here. */
     Optional<MemberUpdate> claim(InstanceId instance) {
         return Optional.ofNullable(entries.get(instance)).map(MemberTable::claim);
@@ -105,9 +129,67 @@
                 entry.listed ? Optional.empty() : Optional.of(entry.candidate));
     }
 
-    /** Returns the claims about all members. */
-    List<MemberUpdate> claims() {
-        return entries.values().stream().map(MemberTable::claim).toList();
+    /** Tells whether any claim about a member came; candidates start without one. */
+    boolean isHeardOf(InstanceId instance) {
+        Entry entry = entries.get(instance);
+        return entry != null && !entry.process.equals(UNKNOWN_PROCESS);
+    }
+
+    /**
+     * Tells whether a member is a new process or back from the dead.
+     *
+     * @param before the claim about it before its message was read
+     */
+    boolean isNewcomer(InstanceId instance, Optional<MemberUpdate> before) {
+        Entry after = entries.get(instance);
+        if (after == null || !after.state.isLive()) {
+            return false;
+        }
+        return before.isEmpty()
+                || !before.get().state().isLive()
+                || !before.get().process().equals(after.process);
+    }
+
+    /**
+     * Returns the claims about all members in parts of even length: a short last part would be
+     * taken for changes by its receiver, and stale verdicts in it would be spread.
+     *
+     * @param longest most claims in a part
+     */
+    List<List<MemberUpdate>> claimsInParts(int longest) {
+        List<MemberUpdate> claims = entries.values().stream().map(MemberTable::claim).toList();
+        int count = (claims.size() + longest - 1) / longest;
+        List<List<MemberUpdate>> parts = new ArrayList<>();
+        for (int part = 0; part < count; part++) {
+            int start = claims.size() * part / count;
+            parts.add(claims.subList(start, claims.size() * (part + 1) / count));
+        }
+        return parts;
+    }
+
+    /** Returns the claims that members are suspect. */
+    List<MemberUpdate> suspectClaims() {
+        if (suspects == 0) {
+            return List.of();
+        }
+        return entries.values().stream()
+                .filter(entry -> entry.state == MemberState.SUSPECT)
+                .map(MemberTable::claim)
+                .toList();
+    }
+
+    /** Returns what is known here of members whose refutation the author of some claims missed. */
+    List<MemberUpdate> newerThan(List<MemberUpdate> claims) {
+        List<MemberUpdate> newer = new ArrayList<>();
+        for (MemberUpdate claim : claims) {
+            Entry entry = entries.get(claim.instance());
+            if (entry != null
+                    && claim.state() != MemberState.ALIVE
+                    && entry.incarnation > claim.incarnation()) {
+                newer.add(claim(entry));
+            }
+        }
+        return newer;
     }
 
     /** Tells whether a member is alive and not suspect. */
--- a/src/main/java/org/tarragonlug/decision/membership/MemberUpdate.java
+++ b/src/main/java/org/tarragonlug/decision/membership/MemberUpdate.java
@@ -23,6 +23,11 @@
         long incarnation,
         MemberState state,
         Optional<Candidate> origin) {
+    /** Returns the same claim with another state. */
+    MemberUpdate withState(MemberState newState) {
+        return new MemberUpdate(instance, process, incarnation, newState, origin);
+    }
+
     /** Tells whether this claim replaces one with the given incarnation and state. */
     public boolean supersedes(long otherIncarnation, MemberState otherState) {
         if (incarnation != otherIncarnation) {
--- a/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
+++ b/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
@@ -176,7 +176,9 @@
         }
         sequence++;
         running.start(sequence, target.get(), now, true);
-        probe(sequence, target.get(), commands);
+        // A member that missed a refutation is told by the answer before it removes the suspect.
+        List<MemberUpdate> claims = claims(target.get(), table.suspectClaims());
+        send(target.get(), new MembershipMessage.Probe(sequence, configuration, claims), commands);
     }
 
     private void askHelpers(Instant now, List<MembershipCommand> commands) {
@@ -188,7 +190,10 @@
                 send(
                         helper,
                         new MembershipMessage.IndirectProbe(
-                                probe.sequence(), probe.target(), configuration, claims(helper)),
+                                probe.sequence(),
+                                probe.target(),
+                                configuration,
+                                claims(helper, List.of())),
                         commands);
             }
             if (probe.isPeriodic()) {
@@ -246,7 +251,8 @@
     }
 
     private void probe(long number, InstanceId target, List<MembershipCommand> commands) {
-        send(target, new MembershipMessage.Probe(number, configuration, claims(target)), commands);
+        List<MemberUpdate> claims = claims(target, List.of());
+        send(target, new MembershipMessage.Probe(number, configuration, claims), commands);
     }
 
     private void receive(
@@ -258,15 +264,16 @@
         // Only a transfer of all that is known exceeds the limit; it is news to a newcomer alone.
         boolean isTransfer = message.updates().size() > settings.updateLimit();
         for (MemberUpdate update : message.updates()) {
-            learn(update, now, isTransfer);
+            learn(from, update, now, isTransfer);
         }
         if (message.configuration().compareTo(configuration) > 0) {
             commands.add(
                     new MembershipCommand.NewerConfigurationSeen(from, message.configuration()));
         }
         if (message instanceof MembershipMessage.Probe probe) {
-            acknowledge(from, probe.sequence(), self.instance(), commands);
-            if (isNewcomer(before, table.claim(from))) {
+            List<MemberUpdate> claims = claims(from, table.newerThan(message.updates()));
+            acknowledge(from, probe.sequence(), self.instance(), claims, commands);
+            if (table.isNewcomer(from, before)) {
                 sendAll(from, commands);
             }
         } else if (message instanceof MembershipMessage.IndirectProbe indirect) {
@@ -295,7 +302,9 @@
             List<MembershipCommand> commands) {
         Relay relay = relays.remove(acknowledgement.sequence());
         if (relay != null) {
-            acknowledge(relay.asker(), relay.sequence(), acknowledgement.subject(), commands);
+            InstanceId asker = relay.asker();
+            List<MemberUpdate> claims = claims(asker, List.of());
+            acknowledge(asker, relay.sequence(), acknowledgement.subject(), claims, commands);
         }
         if (running.acknowledged(acknowledgement.sequence()).isPresent()) {
             missesInARow = 0;
@@ -303,46 +312,54 @@
     }
 
     private void acknowledge(
-            InstanceId to, long number, InstanceId subject, List<MembershipCommand> commands) {
+            InstanceId to,
+            long number,
+            InstanceId subject,
+            List<MemberUpdate> claims,
+            List<MembershipCommand> commands) {
         send(
                 to,
-                new MembershipMessage.ProbeAcknowledgement(
-                        number, subject, configuration, claims(to)),
+                new MembershipMessage.ProbeAcknowledgement(number, subject, configuration, claims),
                 commands);
     }
 
-    private void learn(MemberUpdate update, Instant now, boolean isTransfer) {
+    private void learn(InstanceId from, MemberUpdate update, Instant now, boolean isTransfer) {
         if (update.instance().equals(self.instance())) {
             refute(update);
             return;
         }
-        boolean isAlive = table.state(update.instance()).filter(ALIVE::equals).isPresent();
-        MemberUpdate claim =
-                isAlive && update.state() == MemberState.DEAD ? suspicion(update) : update;
+        boolean isAlive = table.isAlive(update.instance());
+        boolean isRefutation = table.isRefutedBy(update);
+        MemberUpdate claim = update;
         Duration suspicion = settings.suspicionTime();
-        if (claim != update) {
+        if (isAlive && update.state() == MemberState.DEAD) {
+            claim = update.withState(MemberState.SUSPECT);
             // Half of the time suffices: the claim reached a member that declared it after all.
-            suspicion = suspicion.dividedBy(2);
+            // But a whole view of the other side of a cut names members that still learn of it.
+            suspicion =
+                    isTransfer && table.isHeardOf(update.instance())
+                            ? suspicion.multipliedBy(LONGEST_SUSPICION_FACTOR)
+                            : suspicion.dividedBy(2);
+        }
+        if (isTransfer) {
+            table.applyTransferred(claim, now, now.plus(suspicion));
+            return;
         }
-        if (!table.apply(claim, now, now.plus(suspicion)) || isTransfer) {
+        if (!table.apply(claim, now, now.plus(suspicion))) {
+            if (!update.instance().equals(from)) {
+                queue.heard(claim);
+            }
             return;
         }
         if (claim.state() == MemberState.DEAD) {
             queue.addWithoutPush(claim);
+        } else if (isRefutation) {
+            queue.addRefutation(claim);
         } else {
             queue.add(claim);
         }
     }
 
-    private static MemberUpdate suspicion(MemberUpdate update) {
-        return new MemberUpdate(
-                update.instance(),
-                update.process(),
-                update.incarnation(),
-                MemberState.SUSPECT,
-                update.origin());
-    }
-
     /** Answers a false claim about the own process with a higher incarnation. */
     private void refute(MemberUpdate update) {
         boolean claimedAway = !leaving && update.state() != ALIVE;
@@ -358,10 +375,7 @@
         if (known.isEmpty()) {
             return;
         }
-        MemberUpdate claim = known.get();
-        MemberUpdate update =
-                new MemberUpdate(
-                        member, claim.process(), claim.incarnation(), state, claim.origin());
+        MemberUpdate update = known.get().withState(state);
         if (!table.apply(update, now, end)) {
             return;
         }
@@ -385,37 +399,26 @@
         }
     }
 
-    /** Tells whether a message showed that its sender is a new process or back from the dead. */
-    private static boolean isNewcomer(Optional<MemberUpdate> before, Optional<MemberUpdate> after) {
-        if (after.isEmpty() || !after.get().state().isLive()) {
-            return false;
-        }
-        return before.isEmpty()
-                || !before.get().state().isLive()
-                || !before.get().process().equals(after.get().process());
-    }
-
     /**
      * Sends a newcomer all that is known. It assumes that all candidates are alive, and a suspicion
      * that it raised without knowing the incarnation would convince nobody.
      */
     private void sendAll(InstanceId newcomer, List<MembershipCommand> commands) {
-        List<MemberUpdate> known = table.claims();
-        int part = TRANSFER_PARTS * settings.updateLimit();
-        for (int start = 0; start < known.size(); start += part) {
-            int end = Math.min(known.size(), start + part);
-            send(
-                    newcomer,
-                    new MembershipMessage.Gossip(configuration, known.subList(start, end)),
-                    commands);
+        for (List<MemberUpdate> part :
+                table.claimsInParts(TRANSFER_PARTS * settings.updateLimit())) {
+            send(newcomer, new MembershipMessage.Gossip(configuration, part), commands);
         }
     }
 
-    /** Collects the own claim, what is wrongly or rightly believed of the receiver, and changes. */
-    private List<MemberUpdate> claims(InstanceId receiver) {
+    /** Collects the own claim, what is believed of the receiver, claims for it, and changes. */
+    private List<MemberUpdate> claims(InstanceId receiver, List<MemberUpdate> special) {
         List<MemberUpdate> claims = new ArrayList<>();
         claims.add(ownClaim());
         table.claim(receiver).filter(claim -> claim.state() != ALIVE).ifPresent(claims::add);
+        special.stream()
+                .filter(claim -> !claim.instance().equals(receiver))
+                .limit(settings.updateLimit() - claims.size())
+                .forEach(claims::add);
         int limit = settings.updateLimit() - claims.size();
         for (MemberUpdate update : queue.take(limit, live.size() + 1)) {
             if (!update.instance().equals(self.instance()) && !update.instance().equals(receiver)) {
--- a/src/main/java/org/tarragonlug/decision/membership/UpdateQueue.java
+++ b/src/main/java/org/tarragonlug/decision/membership/UpdateQueue.java
@@ -14,11 +14,16 @@
  * <p>Each change is sent a number of times that grows with the logarithm of the number of members,
  * which catches up members that the pushes missed. New changes are also pushed to a few neighbours
  * at once in place of waiting for the next probe.
+ *
+ * <p>A change that others send back is known to them: each copy heard counts as one sent, and after
+ * a few copies the second push is left out. Without this, changes of many members at once, for
+ * instance the start of all, travelled with every message for 20 s after all members knew them.
  */
 final class UpdateQueue {
     private static final int DOUBLINGS_PER_SEND = 2;
     private static final int MINIMUM_SENDS = 3;
     private static final int PUSHES = 2;
+    private static final int COPIES_INSTEAD_OF_PUSH = 5;
     private static final Duration BETWEEN_PUSHES = Duration.ofSeconds(1);
 
     private final TreeMap<InstanceId, Entry> entries = new TreeMap<>();
@@ -28,11 +33,29 @@
         entries.put(update.instance(), new Entry(update, PUSHES));
     }
 
+    /**
+     * Adds a change that makes a suspect or dead member alive. It is sent in full whatever is
+     * heard: one member that misses it removes a live member or keeps it removed.
+     */
+    void addRefutation(MemberUpdate update) {
+        add(update);
+        entries.get(update.instance()).isRefutation = true;
+    }
+
     /** Adds a change that only travels with other messages. */
     void addWithoutPush(MemberUpdate update) {
         entries.put(update.instance(), new Entry(update, 0));
     }
 
+    /** Notes that another member sent a claim that is known here. */
+    void heard(MemberUpdate update) {
+        Entry entry = entries.get(update.instance());
+        if (entry != null && !entry.isRefutation && entry.isSame(update)) {
+            entry.sent++;
+            entry.heard++;
+        }
+    }
+
     /**
      * Takes the changes that are to be pushed now, at most a number.
      *
@@ -45,6 +68,7 @@
         }
         List<MemberUpdate> taken = new ArrayList<>();
         for (Entry entry : entries.values()) {
+            entry.leaveOutKnownPush();
             if (entry.pushesLeft > 0 && taken.size() < limit && !now.isBefore(entry.nextPush)) {
                 entry.pushesLeft--;
                 entry.nextPush = now.plus(BETWEEN_PUSHES);
@@ -65,14 +89,15 @@
         if (entries.isEmpty()) {
             return List.of();
         }
+        int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(members);
+        int most = Math.max(MINIMUM_SENDS, 1 + doublings / DOUBLINGS_PER_SEND);
+        entries.values().forEach(entry -> entry.sentEnough = entry.sent >= most);
         List<Entry> chosen =
                 entries.values().stream()
                         .filter(entry -> !entry.sentEnough)
                         .sorted(Comparator.comparingInt(entry -> entry.sent))
                         .limit(limit)
                         .toList();
-        int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(members);
-        int most = Math.max(MINIMUM_SENDS, 1 + doublings / DOUBLINGS_PER_SEND);
         List<MemberUpdate> taken = new ArrayList<>();
         for (Entry entry : chosen) {
             taken.add(entry.update);
@@ -88,6 +113,8 @@
         private int pushesLeft;
         private Instant nextPush = Instant.EPOCH;
         private int sent;
+        private int heard;
+        private boolean isRefutation;
         private boolean sentEnough;
 
         Entry(MemberUpdate update, int pushes) {
@@ -95,6 +122,17 @@
             this.pushesLeft = pushes;
         }
 
+        boolean isSame(MemberUpdate other) {
+            return update.incarnation() == other.incarnation() && update.state() == other.state();
+        }
+
+        /** The first push is never left out: it is what spreads a change within a second. */
+        void leaveOutKnownPush() {
+            if (pushesLeft < PUSHES && heard >= COPIES_INSTEAD_OF_PUSH) {
+                pushesLeft = 0;
+            }
+        }
+
         boolean isDone() {
             return sentEnough && pushesLeft == 0;
         }
--- a/src/test/java/org/tarragonlug/decision/membership/RandomProbeDetectorTest.java
+++ b/src/test/java/org/tarragonlug/decision/membership/RandomProbeDetectorTest.java
@@ -203,4 +203,88 @@
             assertEquals(10 + 2, sent);
         }
     }
+
+    @Nested
+    class Merging {
+        private MemberUpdate[] transfer() {
+            List<MemberUpdate> all = new ArrayList<>();
+            for (int other = 0; other < DetectorSettings.DEFAULT.updateLimit(); other++) {
+                all.add(claim("unlisted" + other, 1, MemberState.DEAD));
+            }
+            all.add(claim("b", 7, MemberState.DEAD));
+            return all.toArray(MemberUpdate[]::new);
+        }
+
+        /** Guards against verdicts of another region that remove members before they refute. */
+        @Test
+        void transferredVerdictsLeaveTimeToRefute() {
+            receive("b", claim("b", 7, MemberState.ALIVE));
+            receive("a", transfer());
+            receive("a", transfer());
+            tick(3_000);
+            assertTrue(sees("b"));
+            tick(4_000);
+            assertFalse(sees("b"));
+        }
+
+        /** Guards against a last short part of a transfer that is taken for changes. */
+        @Test
+        void partsOfATransferAreEven() {
+            MemberTable table = new MemberTable(new InstanceId("self"));
+            List<Candidate> candidates = new ArrayList<>();
+            for (int member = 0; member < 409; member++) {
+                candidates.add(candidate("m" + member));
+            }
+            table.list(candidates, Instant.EPOCH);
+            List<List<MemberUpdate>> parts = table.claimsInParts(192);
+            assertEquals(List.of(136, 136, 137), parts.stream().map(List::size).toList());
+        }
+
+        /** Guards against a member that missed a refutation and removes a live member. */
+        @Test
+        void answerToAStaleSuspicionCarriesTheRefutation() {
+            receive("b", claim("b", 8, MemberState.ALIVE));
+            MemberUpdate known = claim("b", 8, MemberState.ALIVE);
+            for (int round = 0; round < 10; round++) {
+                MembershipCommand.Send send =
+                        receive("a", claim("b", 7, MemberState.SUSPECT)).stream()
+                                .filter(MembershipCommand.Send.class::isInstance)
+                                .map(MembershipCommand.Send.class::cast)
+                                .findFirst()
+                                .orElseThrow();
+                assertTrue(send.message().updates().contains(known));
+            }
+        }
+    }
+
+    @Nested
+    class Queue {
+        private final UpdateQueue queue = new UpdateQueue();
+        private final MemberUpdate change = claim("b", 8, MemberState.ALIVE);
+
+        private int sends() {
+            for (int copy = 0; copy < 10; copy++) {
+                queue.heard(change);
+            }
+            return queue.take(48, 410).size();
+        }
+
+        /** Guards against changes that travel on for long after all members know them. */
+        @Test
+        void changeHeardOftenIsNotSentAgain() {
+            queue.add(change);
+            assertEquals(1, queue.takePushes(48, Instant.EPOCH).size());
+            assertEquals(0, sends());
+            assertEquals(0, queue.takePushes(48, Instant.EPOCH.plusSeconds(1)).size());
+        }
+
+        /** Guards against members that stay removed where one refutation got lost. */
+        @Test
+        void refutationIsSentInFull() {
+            queue.addRefutation(change);
+            queue.takePushes(48, Instant.EPOCH);
+            assertEquals(1, sends());
+            assertEquals(1, queue.takePushes(48, Instant.EPOCH.plusSeconds(1)).size());
+        }
+    }
 }
