--- a/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
+++ b/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
@@ -46,6 +46,9 @@
     private static final int MISSES_IN_A_ROW = 3;
     private static final int MEMBERS_PER_DEAD_PROBE = 40;
 
+    /** Bounds the extra probes where many paths are broken, one-way loss for instance. */
+    private static final int MOST_EXTRA_PROBES = 2;
+
     /** A transfer to a newcomer has messages of this many times the usual limit of changes. */
     private static final int TRANSFER_PARTS = 4;
 
@@ -56,6 +59,7 @@
     private final MemberTable table;
     private final ProbeOrder order;
     private final UpdateQueue queue = new UpdateQueue();
+    private final RunningProbes running;
     private final Map<Long, Relay> relays = new HashMap<>();
     private long incarnation;
     private long sequence;
@@ -64,7 +68,6 @@
     private boolean leaving;
     private ConfigurationVersion configuration = ConfigurationVersion.NONE;
     private boolean announceConfiguration;
-    private Optional<RunningProbe> running = Optional.empty();
     private int missesInARow;
     private long lastPeriod = Long.MIN_VALUE;
     private Instant lastTick;
@@ -97,6 +100,7 @@
         this.random = random;
         this.table = new MemberTable(self.instance());
         this.order = new ProbeOrder(self.instance(), hasher, settings.probePeriod());
+        this.running = new RunningProbes(settings);
         this.view = computeView();
         queue.add(ownClaim());
     }
@@ -138,9 +142,7 @@
         }
         relays.values().removeIf(relay -> now.isAfter(relay.expiresAt()));
         askHelpers(now, commands);
-        if (running.filter(probe -> isOver(probe, now)).isPresent()) {
-            endProbe(now, commands);
-        }
+        running.takeEnded(now).forEach(probe -> endProbe(probe, now, commands));
         long period = order.period(now);
         if (period != lastPeriod) {
             lastPeriod = period;
@@ -158,18 +160,14 @@
         if (gap.compareTo(settings.pauseLimit()) <= 0) {
             return;
         }
-        running = Optional.empty();
+        running.clear();
         missesInARow = 0;
         table.extendSuspicions(now.plus(settings.suspicionTime()));
         commands.add(new MembershipCommand.LocalPauseDetected(gap));
     }
 
-    private boolean isOver(RunningProbe probe, Instant now) {
-        return !now.isBefore(probe.sentAt().plus(settings.probeTimeout()));
-    }
-
     private void startProbe(long period, Instant now, List<MembershipCommand> commands) {
-        if (leaving || running.isPresent()) {
+        if (leaving || running.isPeriodicRunning()) {
             return;
         }
         Optional<InstanceId> target = order.target(period);
@@ -177,34 +175,58 @@
             return;
         }
         sequence++;
-        running = Optional.of(new RunningProbe(sequence, target.get(), now, false));
-        probe(sequence, target.get(), commands);
+        running.start(sequence, target.get(), now, true);
+        // A member that missed a refutation is told by the answer before it removes the suspect.
+        List<MemberUpdate> claims = claims(target.get(), table.suspectClaims());
+        send(target.get(), new MembershipMessage.Probe(sequence, configuration, claims), commands);
     }
 
     private void askHelpers(Instant now, List<MembershipCommand> commands) {
-        if (running.isEmpty() || running.get().helpersAsked()) {
-            return;
+        for (RunningProbes.Probe probe : running.takeUnanswered(now)) {
+            if (!table.isAlive(probe.target())) {
+                continue;
+            }
+            for (InstanceId helper : helpers(probe.target())) {
+                send(
+                        helper,
+                        new MembershipMessage.IndirectProbe(
+                                probe.sequence(),
+                                probe.target(),
+                                configuration,
+                                claims(helper, List.of())),
+                        commands);
+            }
+            if (probe.isPeriodic()) {
+                probeDomainOf(probe.target(), now, commands);
+            }
         }
-        RunningProbe probe = running.get();
-        if (now.isBefore(probe.sentAt().plus(settings.directTimeout()))) {
+    }
+
+    /**
+     * Probes a member of the failure domain of one that missed a probe. When a whole domain is
+     * lost, a fifth of the probers is lost too, and a member whose prober is lost would wait for
+     * the next period, some for four of them.
+     */
+    private void probeDomainOf(InstanceId missed, Instant now, List<MembershipCommand> commands) {
+        if (leaving || running.extra() >= MOST_EXTRA_PROBES) {
             return;
         }
-        running = Optional.of(probe.withHelpersAsked());
-        for (InstanceId helper : helpers(probe.target())) {
-            send(
-                    helper,
-                    new MembershipMessage.IndirectProbe(
-                            probe.sequence(), probe.target(), configuration, claims(helper)),
-                    commands);
+        List<InstanceId> mates = new ArrayList<>(table.aliveInDomainOf(missed));
+        mates.removeIf(mate -> mate.equals(missed) || running.isProbing(mate));
+        if (!mates.isEmpty()) {
+            InstanceId target = mates.get(random.nextInt(mates.size()));
+            sequence++;
+            running.start(sequence, target, now, false);
+            probe(sequence, target, commands);
         }
     }
 
     /** Ends a probe that got no acknowledgement; its target becomes suspect. */
-    private void endProbe(Instant now, List<MembershipCommand> commands) {
-        InstanceId target = running.get().target();
-        running = Optional.empty();
-        missesInARow++;
-        if (table.state(target).filter(ALIVE::equals).isEmpty()) {
+    private void endProbe(
+            RunningProbes.Probe probe, Instant now, List<MembershipCommand> commands) {
+        InstanceId target = probe.target();
+        missesInARow += probe.isPeriodic() ? 1 : 0;
+        if (!table.isAlive(target)) {
             return;
         }
         int factor = missesInARow >= MISSES_IN_A_ROW ? LONGEST_SUSPICION_FACTOR : 1;
@@ -229,7 +251,8 @@
     }
 
     private void probe(long number, InstanceId target, List<MembershipCommand> commands) {
-        send(target, new MembershipMessage.Probe(number, configuration, claims(target)), commands);
+        List<MemberUpdate> claims = claims(target, List.of());
+        send(target, new MembershipMessage.Probe(number, configuration, claims), commands);
     }
 
     private void receive(
@@ -241,15 +264,16 @@
         // Only a transfer of all that is known exceeds the limit; it is news to a newcomer alone.
         boolean isTransfer = message.updates().size() > settings.updateLimit();
         for (MemberUpdate update : message.updates()) {
-            learn(update, now, isTransfer);
+            learn(from, update, now, isTransfer);
         }
         if (message.configuration().compareTo(configuration) > 0) {
             commands.add(
                     new MembershipCommand.NewerConfigurationSeen(from, message.configuration()));
         }
         if (message instanceof MembershipMessage.Probe probe) {
-            acknowledge(from, probe.sequence(), self.instance(), commands);
-            if (isNewcomer(before, table.claim(from))) {
+            List<MemberUpdate> claims = claims(from, table.newerThan(message.updates()));
+            acknowledge(from, probe.sequence(), self.instance(), claims, commands);
+            if (table.isNewcomer(from, before)) {
                 sendAll(from, commands);
             }
         } else if (message instanceof MembershipMessage.IndirectProbe indirect) {
@@ -268,6 +292,9 @@
         Instant expiresAt = now.plus(settings.probePeriod());
         relays.put(sequence, new Relay(from, indirect.sequence(), expiresAt));
         probe(sequence, indirect.target(), commands);
+        if (table.isAlive(indirect.target())) {
+            probeDomainOf(indirect.target(), now, commands);
+        }
     }
 
     private void acknowledged(
@@ -275,55 +302,64 @@
             List<MembershipCommand> commands) {
         Relay relay = relays.remove(acknowledgement.sequence());
         if (relay != null) {
-            acknowledge(relay.asker(), relay.sequence(), acknowledgement.subject(), commands);
+            InstanceId asker = relay.asker();
+            List<MemberUpdate> claims = claims(asker, List.of());
+            acknowledge(asker, relay.sequence(), acknowledgement.subject(), claims, commands);
         }
-        if (running.filter(probe -> probe.sequence() == acknowledgement.sequence()).isPresent()) {
-            running = Optional.empty();
+        if (running.acknowledged(acknowledgement.sequence()).isPresent()) {
             missesInARow = 0;
         }
     }
 
     private void acknowledge(
-            InstanceId to, long number, InstanceId subject, List<MembershipCommand> commands) {
+            InstanceId to,
+            long number,
+            InstanceId subject,
+            List<MemberUpdate> claims,
+            List<MembershipCommand> commands) {
         send(
                 to,
-                new MembershipMessage.ProbeAcknowledgement(
-                        number, subject, configuration, claims(to)),
+                new MembershipMessage.ProbeAcknowledgement(number, subject, configuration, claims),
                 commands);
     }
 
-    private void learn(MemberUpdate update, Instant now, boolean isTransfer) {
+    private void learn(InstanceId from, MemberUpdate update, Instant now, boolean isTransfer) {
         if (update.instance().equals(self.instance())) {
             refute(update);
             return;
         }
-        boolean isAlive = table.state(update.instance()).filter(ALIVE::equals).isPresent();
-        MemberUpdate claim =
-                isAlive && update.state() == MemberState.DEAD ? suspicion(update) : update;
+        boolean isAlive = table.isAlive(update.instance());
+        boolean isRefutation = table.isRefutedBy(update);
+        MemberUpdate claim = update;
         Duration suspicion = settings.suspicionTime();
-        if (claim != update) {
+        if (isAlive && update.state() == MemberState.DEAD) {
+            claim = update.withState(MemberState.SUSPECT);
             // Half of the time suffices: the claim reached a member that declared it after all.
-            suspicion = suspicion.dividedBy(2);
+            // But a whole view of the other side of a cut names members that still learn of it.
+            suspicion =
+                    isTransfer && table.isHeardOf(update.instance())
+                            ? suspicion.multipliedBy(LONGEST_SUSPICION_FACTOR)
+                            : suspicion.dividedBy(2);
+        }
+        if (isTransfer) {
+            table.applyTransferred(claim, now, now.plus(suspicion));
+            return;
         }
-        if (!table.apply(claim, now, now.plus(suspicion)) || isTransfer) {
+        if (!table.apply(claim, now, now.plus(suspicion))) {
+            if (!update.instance().equals(from)) {
+                queue.heard(claim);
+            }
             return;
         }
         if (claim.state() == MemberState.DEAD) {
             queue.addWithoutPush(claim);
+        } else if (isRefutation) {
+            queue.addRefutation(claim);
         } else {
             queue.add(claim);
         }
     }
 
-    private static MemberUpdate suspicion(MemberUpdate update) {
-        return new MemberUpdate(
-                update.instance(),
-                update.process(),
-                update.incarnation(),
-                MemberState.SUSPECT,
-                update.origin());
-    }
-
     /** Answers a false claim about the own process with a higher incarnation. */
     private void refute(MemberUpdate update) {
         boolean claimedAway = !leaving && update.state() != ALIVE;
@@ -339,10 +375,7 @@
         if (known.isEmpty()) {
             return;
         }
-        MemberUpdate claim = known.get();
-        MemberUpdate update =
-                new MemberUpdate(
-                        member, claim.process(), claim.incarnation(), state, claim.origin());
+        MemberUpdate update = known.get().withState(state);
         if (!table.apply(update, now, end)) {
             return;
         }
@@ -366,37 +399,26 @@
         }
     }
 
-    /** Tells whether a message showed that its sender is a new process or back from the dead. */
-    private static boolean isNewcomer(Optional<MemberUpdate> before, Optional<MemberUpdate> after) {
-        if (after.isEmpty() || !after.get().state().isLive()) {
-            return false;
-        }
-        return before.isEmpty()
-                || !before.get().state().isLive()
-                || !before.get().process().equals(after.get().process());
-    }
-
     /**
      * Sends a newcomer all that is known. It assumes that all candidates are alive, and a suspicion
      * that it raised without knowing the incarnation would convince nobody.
      */
     private void sendAll(InstanceId newcomer, List<MembershipCommand> commands) {
-        List<MemberUpdate> known = table.claims();
-        int part = TRANSFER_PARTS * settings.updateLimit();
-        for (int start = 0; start < known.size(); start += part) {
-            int end = Math.min(known.size(), start + part);
-            send(
-                    newcomer,
-                    new MembershipMessage.Gossip(configuration, known.subList(start, end)),
-                    commands);
+        for (List<MemberUpdate> part :
+                table.claimsInParts(TRANSFER_PARTS * settings.updateLimit())) {
+            send(newcomer, new MembershipMessage.Gossip(configuration, part), commands);
         }
     }
 
-    /** Collects the own claim, what is wrongly or rightly believed of the receiver, and changes. */
-    private List<MemberUpdate> claims(InstanceId receiver) {
+    /** Collects the own claim, what is believed of the receiver, claims for it, and changes. */
+    private List<MemberUpdate> claims(InstanceId receiver, List<MemberUpdate> special) {
         List<MemberUpdate> claims = new ArrayList<>();
         claims.add(ownClaim());
         table.claim(receiver).filter(claim -> claim.state() != ALIVE).ifPresent(claims::add);
+        special.stream()
+                .filter(claim -> !claim.instance().equals(receiver))
+                .limit(settings.updateLimit() - claims.size())
+                .forEach(claims::add);
         int limit = settings.updateLimit() - claims.size();
         for (MemberUpdate update : queue.take(limit, live.size() + 1)) {
             if (!update.instance().equals(self.instance()) && !update.instance().equals(receiver)) {
@@ -471,12 +493,5 @@
         return new MemberView(self.instance(), members);
     }
 
-    private record RunningProbe(
-            long sequence, InstanceId target, Instant sentAt, boolean helpersAsked) {
-        RunningProbe withHelpersAsked() {
-            return new RunningProbe(sequence, target, sentAt, true);
-        }
-    }
-
     private record Relay(InstanceId asker, long sequence, Instant expiresAt) {}
 }
