--- a/src/main/java/org/tarragonlug/standin/EngineStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/EngineStandIn.java
@@ -34,11 +34,16 @@
     private final EngineMemory memory;
     private final EngineBatch batch;
     private final EngineLoader loader;
+
+    /** Guards the steps of ending and starting a process against each other. */
+    private final Object lifecycle = new Object();
+
     private int incarnation = 1;
     private boolean leaving;
     private boolean overloaded;
     private boolean restartsAfterCrash = true;
     private boolean down;
+    private boolean closed;
     private int streamsToCut;
     private Duration reportLag = Duration.ZERO;
     private ServerReport lastReport;
@@ -148,46 +153,60 @@
 
     /** Loses the process at once: connections break, memory is empty, nothing listens. */
     public void crash() {
-        synchronized (this) {
-            if (down) {
-                return;
-            }
-            down = true;
-            loader.clear();
-            batch.clear();
-            lastReport = null;
-            truth.crashed();
-            if (restartsAfterCrash) {
-                clock.after(RESTART_TIME, this::restartEmpty);
+        crash("");
+    }
+
+    private void crash(String promptText) {
+        synchronized (lifecycle) {
+            synchronized (this) {
+                if (down) {
+                    return;
+                }
+                down = true;
+                loader.clear();
+                batch.clear();
+                lastReport = null;
+                truth.crashed(promptText);
+                if (restartsAfterCrash) {
+                    clock.after(RESTART_TIME, this::restartEmpty);
+                }
             }
+            server.stop();
         }
-        server.stop();
     }
 
     /** Starts a new process with nothing loaded at the same address; a running one is lost. */
     public void restartEmpty() {
-        server.stop();
-        synchronized (this) {
-            loader.clear();
-            batch.clear();
-            lastReport = null;
-            incarnation++;
-            leaving = false;
-            down = false;
+        synchronized (lifecycle) {
+            if (closed) {
+                return;
+            }
+            server.stop();
+            synchronized (this) {
+                loader.clear();
+                batch.clear();
+                lastReport = null;
+                incarnation++;
+                leaving = false;
+                down = false;
+            }
+            server.start();
         }
-        server.start();
     }
 
     /** Ends the process for good. */
     @Override
     public void close() {
-        synchronized (this) {
-            down = true;
-            restartsAfterCrash = false;
-            loader.clear();
-            batch.clear();
+        synchronized (lifecycle) {
+            closed = true;
+            synchronized (this) {
+                down = true;
+                restartsAfterCrash = false;
+                loader.clear();
+                batch.clear();
+            }
+            server.close();
         }
-        server.close();
     }
 
     private CompletionStage<StandInReply> handle(StandInRequest request) {
@@ -271,7 +290,8 @@
             }
         }
         if (sequence.promptText().contains(settings.crashMarker())) {
-            clock.after(settings.prefill(), this::crash);
+            String promptText = sequence.promptText();
+            clock.after(settings.prefill(), () -> crash(promptText));
         }
         return new StandInReply(
                 200,
--- a/src/main/java/org/tarragonlug/standin/PlatformTruth.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformTruth.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,6 +17,7 @@
     private final Map<Place, Holding> holdings = new HashMap<>();
     private final Map<ArtifactId, Integer> highestReplicas = new TreeMap<>();
     private final Map<ServerId, Long> idleNanos = new TreeMap<>();
+    private final Map<String, Integer> crashesByPrompt = new TreeMap<>();
     private long overcommits;
     private long crashes;
 
@@ -47,6 +49,21 @@
         return overcommits;
     }
 
+    /** Returns the replicas that occupy memory now, those being loaded included. */
+    public synchronized Set<HeldReplica> held() {
+        Set<HeldReplica> result = new HashSet<>();
+        holdings.forEach(
+                (place, holding) ->
+                        result.add(
+                                new HeldReplica(place.server, place.artifact, holding.heldSince)));
+        return result;
+    }
+
+    /** Returns the crashes that requests caused, by the text of their prompts. */
+    public synchronized Map<String, Integer> crashesByPrompt() {
+        return Map.copyOf(crashesByPrompt);
+    }
+
     /** Returns the number of crashed engine processes. */
     public synchronized long crashes() {
         return crashes;
@@ -72,7 +89,7 @@
             addIdle(place, old, now);
         }
         if (state != ReplicaChange.State.ABSENT) {
-            holdings.put(place, new Holding(state, now));
+            holdings.put(place, new Holding(state, now, old == null ? now : old.heldSince));
             int replicas =
                     (int)
                             holdings.keySet().stream()
@@ -97,8 +114,12 @@
         overcommits++;
     }
 
-    synchronized void crashed() {
+    /** Counts a crash; the text of the prompt that caused it is empty if it had another cause. */
+    synchronized void crashed(String promptText) {
         crashes++;
+        if (!promptText.isEmpty()) {
+            crashesByPrompt.merge(promptText, 1, Integer::sum);
+        }
     }
 
     private void addIdle(Place place, Holding holding, long now) {
@@ -112,10 +133,12 @@
 
     private static final class Holding {
         private final ReplicaChange.State state;
+        private final long heldSince;
         private long since;
         private int inProgress;
 
-        Holding(ReplicaChange.State state, long since) {
+        Holding(ReplicaChange.State state, long since, long heldSince) {
+            this.heldSince = heldSince;
             this.state = state;
             this.since = since;
         }
--- a/src/main/java/org/tarragonlug/standin/StandInPlatform.java
+++ b/src/main/java/org/tarragonlug/standin/StandInPlatform.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.tarragonlug.decision.capacity.CacheTier;
 import org.tarragonlug.decision.configuration.ArtifactLimit;
 import org.tarragonlug.http.JsonFields;
@@ -28,14 +29,16 @@
     private static final int DISK_CACHE_STRIDE = 3;
 
     private final Deployment deployment;
+    private final IoExecutor ioExecutor;
     private final StandInClock clock;
     private final PlatformTruth truth = new PlatformTruth();
     private final ConcurrentHashMap<String, Integer> runs = new ConcurrentHashMap<>();
     private final ObjectApiStandIn objectApi;
     private final InstanceListStandIn instanceList;
     private final WeightStoreStandIn weightStore;
-    private final List<EngineStandIn> engines = new ArrayList<>();
+    private final List<EngineStandIn> engines = new CopyOnWriteArrayList<>();
     private final List<PlainServiceStandIn> services = new ArrayList<>();
+    private int enginesStarted;
 
     /**
      * Starts everything; the two tables are in the object API under {@code tables/routes} and
@@ -47,6 +50,7 @@
      */
     public StandInPlatform(Deployment deployment, IoExecutor ioExecutor, double scale) {
         this.deployment = deployment;
+        this.ioExecutor = ioExecutor;
         this.clock = new StandInClock(scale);
         this.objectApi = new ObjectApiStandIn(ioExecutor, clock);
         this.instanceList = new InstanceListStandIn(ioExecutor, clock);
@@ -55,8 +59,8 @@
                         .map(limit -> new Checkpoint(limit.artifact(), limit.memoryBytes()))
                         .toList();
         this.weightStore = new WeightStoreStandIn(ioExecutor, clock, checkpoints);
-        startEngines(ioExecutor);
-        startServices(ioExecutor);
+        startEngines();
+        startServices();
         putTable("routes", deployment.routesTable());
         putTable("pools", deployment.poolsTable());
     }
@@ -65,23 +69,39 @@
         objectApi.put(new ObjectName("tables", name), JsonFields.parse(table));
     }
 
-    private void startEngines(IoExecutor ioExecutor) {
-        List<ArtifactLimit> artifacts = deployment.artifacts();
+    private void startEngines() {
         for (int index = 0; index < deployment.engineCount(); index++) {
-            ServerId id = new ServerId(deployment.engineGroup() + "-" + (index + 1));
-            EngineSettings settings =
-                    EngineSettings.usual(id, deployment.serverMemoryBytes(), deployment.fencing());
-            EngineStandIn engine =
-                    new EngineStandIn(settings, ioExecutor, clock, weightStore, truth);
-            for (int item = index; item < artifacts.size(); item += DISK_CACHE_STRIDE) {
-                engine.cache(artifacts.get(item).artifact(), CacheTier.DISK);
-            }
-            engines.add(engine);
-            list(id, InstanceKind.ENGINE, deployment.engineGroup(), engine.address(), index);
+            startEngine(index);
+        }
+    }
+
+    private EngineStandIn startEngine(int index) {
+        List<ArtifactLimit> artifacts = deployment.artifacts();
+        ServerId id = new ServerId(deployment.engineGroup() + "-" + (index + 1));
+        EngineSettings settings =
+                EngineSettings.usual(id, deployment.serverMemoryBytes(), deployment.fencing());
+        EngineStandIn engine = new EngineStandIn(settings, ioExecutor, clock, weightStore, truth);
+        for (int item = index; item < artifacts.size(); item += DISK_CACHE_STRIDE) {
+            engine.cache(artifacts.get(item).artifact(), CacheTier.DISK);
         }
+        engines.add(engine);
+        enginesStarted++;
+        list(id, InstanceKind.ENGINE, deployment.engineGroup(), engine.address(), index);
+        return engine;
+    }
+
+    /** Stops an engine without notice; it stays in the instance list. */
+    public void reclaim(EngineStandIn engine) {
+        engines.remove(engine);
+        engine.close();
+    }
+
+    /** Starts and lists one more engine, under an id that was not used before. */
+    public EngineStandIn addEngine() {
+        return startEngine(enginesStarted);
     }
 
-    private void startServices(IoExecutor ioExecutor) {
+    private void startServices() {
         for (int index = 0; index < deployment.serviceCount(); index++) {
             ServerId id = new ServerId(deployment.serviceGroup() + "-" + (index + 1));
             PlainServiceStandIn service = new PlainServiceStandIn(id, ioExecutor, clock, runs);
--- a/src/main/java/org/tarragonlug/tool/TryCommand.java
+++ b/src/main/java/org/tarragonlug/tool/TryCommand.java
@@ -45,6 +45,11 @@
     @Option(names = "--seed", defaultValue = "1", description = "Seeds the load.")
     private long seed;
 
+    @Option(
+            names = "--faults",
+            description = "Provoke random faults during the stream and check more.")
+    private boolean faults;
+
     @Option(
             names = "--format",
             defaultValue = "TEXT",
@@ -61,7 +66,8 @@
             System.err.println("--rate must be 1 to 1000");
             return ExitStatus.USAGE;
         }
-        TrialSettings settings = new TrialSettings(deployment, instances, seconds, rate, seed);
+        TrialSettings settings =
+                new TrialSettings(deployment, instances, seconds, rate, seed, faults);
         TrialResult result = new Trial(settings, line -> System.err.println("# " + line)).run();
         if (format == OutputFormat.JSON) {
             System.out.println(result.toJson().toPrettyString());
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/CrashingCaller.java
@@ -0,0 +1,108 @@
+package org.tarragonlug.trial;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.tarragonlug.instance.EntryInstance;
+import org.tarragonlug.standin.Deployment;
+import org.tarragonlug.standin.EngineSettings;
+import org.tarragonlug.standin.StandInPlatform;
+
+/**
+ * A caller whose request crashes each engine that runs it, and who sends it again as soon as the
+ * last try has ended, each time at another instance.
+ */
+final class CrashingCaller {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    /** Time between the end of a try and the next one. */
+    private static final Duration PAUSE = Duration.ofMillis(100);
+
+    private static final int TOKENS = 8;
+    private static final int MOST_TRIES = 40;
+    private static final int MOST_CRASHES = 2;
+
+    private final StandInPlatform platform;
+    private final TrialFleet fleet;
+    private final TrialCaller caller;
+    private final List<String> models;
+    private final Queue<Try> due = new ConcurrentLinkedQueue<>();
+
+    /**
+     * Creates the caller.
+     *
+     * @param platform tells which crashes a request caused
+     * @param fleet where requests are sent
+     * @param caller sends them
+     * @param models names of models that may be asked for
+     */
+    CrashingCaller(
+            StandInPlatform platform, TrialFleet fleet, TrialCaller caller, List<String> models) {
+        this.platform = platform;
+        this.fleet = fleet;
+        this.caller = caller;
+        this.models = List.copyOf(models);
+    }
+
+    /** Starts to send a new crashing request; the result ends that. */
+    Runnable start(long seed) {
+        String model = models.get(new Random(seed).nextInt(models.size()));
+        String question = EngineSettings.CRASH_MARKER + " " + Long.toHexString(seed);
+        Series series = new Series(model, question, new AtomicBoolean());
+        due.add(new Try(series, 0, System.nanoTime()));
+        return () -> series.ended.set(true);
+    }
+
+    /** Sends the tries whose predecessors have ended; called by the thread that sends the load. */
+    void advance() {
+        while (!due.isEmpty() && System.nanoTime() - due.peek().notBeforeNanos >= 0) {
+            Try next = due.poll();
+            List<EntryInstance> receivers = fleet.receivers();
+            boolean more = !next.series.ended.get() && next.number < MOST_TRIES;
+            if (more && !receivers.isEmpty()) {
+                send(next, receivers.get(next.number % receivers.size()));
+            }
+        }
+    }
+
+    private void send(Try present, EntryInstance instance) {
+        caller.generate(
+                instance.callerAddress(),
+                path(platform.deployment()),
+                present.series.model,
+                present.series.question,
+                TOKENS,
+                TIMEOUT,
+                false,
+                outcome -> {
+                    long notBefore = System.nanoTime() + PAUSE.toNanos();
+                    due.add(new Try(present.series, present.number + 1, notBefore));
+                });
+    }
+
+    private static String path(Deployment deployment) {
+        return deployment == Deployment.CARGAS ? "/v1/chat/completions" : "/v1/completions";
+    }
+
+    /** Reports the requests that crashed more engines than allowed. */
+    void check(Consumer<String> problems) {
+        for (Map.Entry<String, Integer> entry : platform.truth().crashesByPrompt().entrySet()) {
+            if (entry.getValue() > MOST_CRASHES) {
+                problems.accept(
+                        "a crashing request took down "
+                                + entry.getValue()
+                                + " engines: "
+                                + entry.getKey());
+            }
+        }
+    }
+
+    private record Series(String model, String question, AtomicBoolean ended) {}
+
+    private record Try(Series series, int number, long notBeforeNanos) {}
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/FaultChecker.java
@@ -0,0 +1,90 @@
+package org.tarragonlug.trial;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.tarragonlug.instance.EntryInstance;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.standin.HeldReplica;
+import org.tarragonlug.standin.StandInPlatform;
+
+/**
+ * Checks during a run that each replica is backed by the capacity record and that no instance goes
+ * back to an older configuration.
+ *
+ * <p>Engines and record cannot be read at the same moment. A replica that was held both before and
+ * after the record was read, without a break, must be in it: its slot was written before the order
+ * to load it, and is removed only after it was unloaded.
+ */
+final class FaultChecker {
+    private final StandInPlatform platform;
+    private final TrialFleet fleet;
+    private final Consumer<String> problems;
+    private final Map<EntryInstance, Long> versions = new ConcurrentHashMap<>();
+
+    FaultChecker(StandInPlatform platform, TrialFleet fleet, Consumer<String> problems) {
+        this.platform = platform;
+        this.fleet = fleet;
+        this.problems = problems;
+    }
+
+    /** Compares the replicas on the engines with the capacity record. */
+    void checkReplicas() {
+        Set<HeldReplica> before = platform.truth().held();
+        String group = platform.deployment().engineGroup().value();
+        JsonNode record = platform.objectApi().peek(new ObjectName("capacity", group)).content();
+        before.retainAll(platform.truth().held());
+        Set<String> decided = decided(record);
+        for (HeldReplica replica : before) {
+            if (!decided.contains(place(replica.server() + "", replica.artifact() + ""))) {
+                problems.accept(
+                        "no slot for "
+                                + replica.artifact()
+                                + " on "
+                                + replica.server()
+                                + " in the record of revision "
+                                + record.path("revision").asLong());
+            }
+        }
+    }
+
+    /** A standby slot backs its whole list: in an outage its holder fills it without a write. */
+    private static Set<String> decided(JsonNode record) {
+        Set<String> places = new HashSet<>();
+        for (JsonNode slot : record.path("slots")) {
+            places.add(place(slot.path("server").asText(), slot.path("artifact").asText()));
+        }
+        for (JsonNode standby : record.path("standbySlots")) {
+            for (JsonNode artifact : standby.path("artifacts")) {
+                places.add(place(standby.path("server").asText(), artifact.asText()));
+            }
+        }
+        return places;
+    }
+
+    private static String place(String server, String artifact) {
+        return server + " " + artifact;
+    }
+
+    /** Asks each instance for the version of its configuration. */
+    void checkVersions() {
+        for (EntryInstance instance : fleet.instances()) {
+            instance.state()
+                    .thenAccept(
+                            state ->
+                                    versionSeen(
+                                            instance,
+                                            state.path("configuration").path("version").asLong()));
+        }
+    }
+
+    private void versionSeen(EntryInstance instance, long version) {
+        Long last = versions.put(instance, version);
+        if (last != null && last > version) {
+            problems.accept(instance.name() + " fell from version " + last + " to " + version);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/FaultSchedule.java
@@ -0,0 +1,61 @@
+package org.tarragonlug.trial;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * The faults of a run, drawn from a seed: phases of one or two faults at a time, with a quiet spell
+ * after each. The same seed and length always give the same schedule; what the system does between
+ * two faults depends on timing and does not repeat exactly.
+ */
+final class FaultSchedule {
+    private static final int SHORTEST_FAULT_MILLIS = 500;
+    private static final int LONGEST_FAULT_MILLIS = 4000;
+    private static final int LATEST_SECOND_MILLIS = 600;
+    private static final int SHORTEST_QUIET_MILLIS = 300;
+    private static final int LONGEST_QUIET_MILLIS = 1500;
+
+    private final List<PlannedFault> faults = new ArrayList<>();
+
+    /**
+     * Draws a schedule.
+     *
+     * @param seed decides everything
+     * @param lengthMillis no fault lasts longer than this time after the start
+     */
+    FaultSchedule(long seed, long lengthMillis) {
+        Random random = new Random(seed);
+        long start = between(random, SHORTEST_QUIET_MILLIS, LONGEST_QUIET_MILLIS);
+        while (start + SHORTEST_FAULT_MILLIS <= lengthMillis) {
+            PlannedFault first = draw(random, start, lengthMillis);
+            faults.add(first);
+            long end = first.endMillis();
+            if (random.nextBoolean()) {
+                long later = start + random.nextInt(LATEST_SECOND_MILLIS);
+                PlannedFault second = draw(random, later, lengthMillis);
+                if (second.kind() != first.kind()) {
+                    faults.add(second);
+                    end = Math.max(end, second.endMillis());
+                }
+            }
+            start = end + between(random, SHORTEST_QUIET_MILLIS, LONGEST_QUIET_MILLIS);
+        }
+    }
+
+    private static PlannedFault draw(Random random, long start, long lengthMillis) {
+        FaultKind[] kinds = FaultKind.values();
+        FaultKind kind = kinds[random.nextInt(kinds.length)];
+        long end = start + between(random, SHORTEST_FAULT_MILLIS, LONGEST_FAULT_MILLIS);
+        return new PlannedFault(kind, start, Math.min(end, lengthMillis), random.nextLong());
+    }
+
+    private static long between(Random random, int least, int most) {
+        return least + random.nextInt(most - least + 1);
+    }
+
+    /** Returns the faults in the order of their starts within each phase. */
+    List<PlannedFault> faults() {
+        return List.copyOf(faults);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/RecoveryCheck.java
@@ -0,0 +1,146 @@
+package org.tarragonlug.trial;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.tarragonlug.instance.EntryInstance;
+
+/**
+ * Checks that soon after the last fault every model is served again and every instance has the
+ * newest tables. A refused request is sent again, as a caller would who was told a retry time.
+ */
+final class RecoveryCheck {
+    private static final Duration LIMIT = Duration.ofSeconds(15);
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration SHORTEST_TIMEOUT = Duration.ofSeconds(1);
+    private static final long PAUSE_MILLIS = 250;
+    private static final long STEP_MILLIS = 20;
+
+    private final TrialFleet fleet;
+    private final ModelSender sender;
+    private final Set<String> models;
+    private final Consumer<String> problems;
+    private final Map<String, TrialOutcome> outcomes = new ConcurrentHashMap<>();
+    private final Map<String, Long> nextTries = new HashMap<>();
+    private final Set<String> inProgress = ConcurrentHashMap.newKeySet();
+    private final Set<EntryInstance> current = ConcurrentHashMap.newKeySet();
+    private int tries;
+
+    /** Sends a request for a model. */
+    @FunctionalInterface
+    interface ModelSender {
+        /** Sends the request and tells how it ended. */
+        void send(
+                EntryInstance instance,
+                String model,
+                Duration timeout,
+                Consumer<TrialOutcome> atEnd);
+    }
+
+    /**
+     * Creates the check.
+     *
+     * @param fleet the entry instances
+     * @param sender sends requests
+     * @param models names of the models that must be served
+     * @param problems told of what was not back in time
+     */
+    RecoveryCheck(
+            TrialFleet fleet, ModelSender sender, Set<String> models, Consumer<String> problems) {
+        this.fleet = fleet;
+        this.sender = sender;
+        this.models = new TreeSet<>(models);
+        this.problems = problems;
+    }
+
+    /**
+     * Waits until all is well or the limit is reached.
+     *
+     * @param rate the rate that the newest tables give each route
+     * @param step called again and again meanwhile
+     */
+    void run(int rate, Runnable step) throws InterruptedException {
+        long end = System.nanoTime() + LIMIT.toNanos();
+        long nextAsk = 0;
+        while (System.nanoTime() < end && !(missing().isEmpty() && late().isEmpty())) {
+            step.run();
+            long now = System.nanoTime();
+            if (end - now > SHORTEST_TIMEOUT.toNanos()) {
+                sendDue(now, end);
+            }
+            if (now - nextAsk > 0) {
+                askRates(rate);
+                nextAsk = now + PAUSE_MILLIS * 1_000_000;
+            }
+            Thread.sleep(STEP_MILLIS);
+        }
+        for (String model : missing()) {
+            problems.accept(
+                    model
+                            + " not served within "
+                            + LIMIT
+                            + " of the last fault, last try "
+                            + outcomes.get(model));
+        }
+        for (EntryInstance instance : late()) {
+            problems.accept(instance.name() + " has old tables " + LIMIT + " after the last edit");
+        }
+    }
+
+    private List<String> missing() {
+        return models.stream().filter(m -> outcomes.get(m) != TrialOutcome.ANSWERED).toList();
+    }
+
+    private List<EntryInstance> late() {
+        return fleet.instances().stream().filter(i -> !current.contains(i)).toList();
+    }
+
+    private void sendDue(long now, long end) {
+        List<EntryInstance> receivers = new ArrayList<>(fleet.receivers());
+        for (String model : missing()) {
+            boolean due = now - nextTries.getOrDefault(model, now) >= 0;
+            if (receivers.isEmpty() || !due || !inProgress.add(model)) {
+                continue;
+            }
+            Duration left = Duration.ofNanos(end - now);
+            Duration timeout = left.compareTo(REQUEST_TIMEOUT) < 0 ? left : REQUEST_TIMEOUT;
+            nextTries.put(model, now + PAUSE_MILLIS * 1_000_000);
+            EntryInstance instance = receivers.get(tries % receivers.size());
+            tries++;
+            sender.send(
+                    instance,
+                    model,
+                    timeout,
+                    outcome -> {
+                        outcomes.put(model, outcome);
+                        inProgress.remove(model);
+                    });
+        }
+    }
+
+    private void askRates(int rate) {
+        for (EntryInstance instance : fleet.instances()) {
+            instance.state()
+                    .thenAccept(
+                            state -> {
+                                JsonNode routes = state.path("configuration").path("routes");
+                                int present = rate(routes);
+                                if (present == rate) {
+                                    current.add(instance);
+                                }
+                            });
+        }
+    }
+
+    private static int rate(JsonNode routes) {
+        JsonNode list = routes.has("routes") ? routes.path("routes") : routes;
+        return list.path(0).path(RacingOperators.RATE_FIELD).asInt();
+    }
+}
--- a/src/main/java/org/tarragonlug/trial/Trial.java
+++ b/src/main/java/org/tarragonlug/trial/Trial.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 import org.tarragonlug.decision.configuration.ArtifactLimit;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -37,11 +38,15 @@
     private static final Duration READY_LIMIT = Duration.ofSeconds(10);
     private static final Duration TIMEOUT = Duration.ofSeconds(15);
     private static final Duration SERVICE_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(25);
+    private static final int RECOVERY_TOKENS = 8;
 
     private final TrialSettings settings;
     private final TrialProgress progress;
     private final Random random;
     private final TrialTally tally = new TrialTally();
+    private final TrialProblems problems;
+    private final Set<String> asked = new TreeSet<>();
     private int keys;
 
     /**
@@ -53,6 +58,7 @@
     public Trial(TrialSettings settings, TrialProgress progress) {
         this.settings = settings;
         this.progress = progress;
+        this.problems = new TrialProblems(progress);
         this.random = new Random(settings.seed());
     }
 
@@ -74,10 +80,14 @@
                         new HttpConnections(
                                 ioExecutor, platform.clock().executor(), HttpLimits.DEFAULT)) {
             startFleet(fleet);
-            TrialCaller caller = new TrialCaller(connections, tally);
+            TrialCaller caller = new TrialCaller(connections, fleet, tally, problems);
             sendBurst(platform, fleet, caller);
-            sendStream(platform, fleet, caller);
-            awaitEnds();
+            if (settings.faults()) {
+                runFaults(platform, fleet, connections, caller);
+            } else {
+                sendStream(platform, fleet, caller, () -> {});
+                awaitEnds();
+            }
             return result(platform, fleet);
         } finally {
             ioExecutor.closeAsync().subscribe();
@@ -85,7 +95,61 @@
         }
     }
 
+    private void runFaults(
+            StandInPlatform platform,
+            TrialFleet fleet,
+            HttpConnections connections,
+            TrialCaller caller)
+            throws InterruptedException {
+        List<String> models =
+                popular(platform.deployment()).stream()
+                        .filter(limit -> !limit.isAdapter())
+                        .map(limit -> limit.artifact().name())
+                        .toList();
+        FaultRun faults =
+                new FaultRun(
+                        settings, platform, fleet, connections, caller, models, progress, problems);
+        sendStream(platform, fleet, caller, faults::advance);
+        faults.finish(
+                new RecoveryCheck(
+                        fleet,
+                        (instance, model, timeout, atEnd) ->
+                                caller.generate(
+                                        instance.callerAddress(),
+                                        generationPath(),
+                                        model,
+                                        "Served again?",
+                                        RECOVERY_TOKENS,
+                                        timeout,
+                                        false,
+                                        atEnd),
+                        asked,
+                        problems));
+        awaitEnds();
+        awaitDrains(faults);
+        // Whatever happened at the very end counts too.
+        faults.advance();
+        long violations = fleet.violations();
+        if (violations > 0) {
+            problems.accept(violations + " violations of invariants; the log names them");
+        }
+        if (!problems.all().isEmpty()) {
+            faults.dump();
+        }
+    }
+
+    private void awaitDrains(FaultRun faults) throws InterruptedException {
+        long end = System.nanoTime() + DRAIN_LIMIT.toNanos();
+        while (faults.draining() > 0 && System.nanoTime() < end) {
+            Thread.sleep(20);
+        }
+        if (faults.draining() > 0) {
+            problems.accept("a drain did not end within " + DRAIN_LIMIT);
+        }
+    }
+
     private void startFleet(TrialFleet fleet) throws TarragonlugException, InterruptedException {
+        progress.progress("seed " + settings.seed());
         progress.progress("starting " + settings.instances() + " entry instances");
         for (int number = 1; number <= settings.instances(); number++) {
             fleet.start(number);
@@ -111,7 +175,8 @@
         progress.progress("burst answered; writes to the object API: " + writes);
     }
 
-    private void sendStream(StandInPlatform platform, TrialFleet fleet, TrialCaller caller)
+    private void sendStream(
+            StandInPlatform platform, TrialFleet fleet, TrialCaller caller, Runnable step)
             throws InterruptedException {
         long periodNanos = 1_000_000_000L / settings.requestsPerSecond();
         long start = System.nanoTime();
@@ -121,6 +186,7 @@
             if (wait > 0) {
                 Thread.sleep(wait / 1_000_000, (int) (wait % 1_000_000));
             }
+            step.run();
             sendOne(platform, fleet, caller, index);
             if (index % (settings.requestsPerSecond() * 5) == 0) {
                 progress.progress("sent " + tally.sentCount() + ", ended " + tally.endedCount());
@@ -130,7 +196,10 @@
 
     private void sendOne(
             StandInPlatform platform, TrialFleet fleet, TrialCaller caller, int index) {
-        List<EntryInstance> instances = fleet.instances();
+        List<EntryInstance> instances = fleet.receivers();
+        if (instances.isEmpty()) {
+            return;
+        }
         EntryInstance instance = instances.get(random.nextInt(instances.size()));
         int kind = random.nextInt(100);
         if (kind < 15) {
@@ -185,6 +254,12 @@
         return popular;
     }
 
+    private String generationPath() {
+        return settings.deployment() == Deployment.CARGAS
+                ? "/v1/chat/completions"
+                : "/v1/completions";
+    }
+
     private void generate(
             StandInPlatform platform,
             TrialCaller caller,
@@ -195,13 +270,10 @@
         boolean cold =
                 platform.truth().loaded().values().stream()
                         .noneMatch(loaded -> loaded.contains(artifact));
-        String path =
-                settings.deployment() == Deployment.CARGAS
-                        ? "/v1/chat/completions"
-                        : "/v1/completions";
+        asked.add(model);
         caller.generate(
                 instance.callerAddress(),
-                path,
+                generationPath(),
                 model,
                 question,
                 8 + random.nextInt(16),
@@ -228,6 +300,8 @@
                 tally.count(TrialOutcome.WRONG),
                 tally.firstWrong(),
                 tally.count(TrialOutcome.LOST) + unanswered,
+                tally.count(TrialOutcome.BROKEN_BY_KILL),
+                problems.all(),
                 (int) runs.values().stream().filter(count -> count > 1).count(),
                 (int) notRun.stream().filter(runs::containsKey).count(),
                 (int) tally.keysAnswered().stream().filter(key -> !runs.containsKey(key)).count(),
@@ -235,7 +309,7 @@
                 platform.truth().loaded().values().stream().mapToInt(Set::size).sum(),
                 aboveLimit(platform),
                 platform.truth().overcommits(),
-                violations(fleet),
+                fleet.violations(),
                 platform.weightStore().loadCounts().values().stream()
                         .mapToInt(Integer::intValue)
                         .sum(),
@@ -264,8 +338,4 @@
                         .filter(entry -> entry.getValue() > limits.get(entry.getKey()))
                         .count();
     }
-
-    private static long violations(TrialFleet fleet) {
-        return fleet.instances().stream().mapToLong(EntryInstance::violations).sum();
-    }
 }
--- a/src/main/java/org/tarragonlug/trial/TrialCaller.java
+++ b/src/main/java/org/tarragonlug/trial/TrialCaller.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.tarragonlug.engine.AnswerChecksum;
 import org.tarragonlug.http.ConnectionUse;
 import org.tarragonlug.http.HttpCall;
@@ -26,11 +27,27 @@
     private static final Duration MARGIN = Duration.ofSeconds(1);
 
     private final HttpConnections connections;
+    private final TrialFleet fleet;
     private final TrialTally tally;
+    private final Consumer<String> problems;
 
-    TrialCaller(HttpConnections connections, TrialTally tally) {
+    /**
+     * Creates a caller.
+     *
+     * @param connections carries the requests
+     * @param fleet tells which instances were killed
+     * @param tally counts how requests ended
+     * @param problems told of each wrong or lost request
+     */
+    TrialCaller(
+            HttpConnections connections,
+            TrialFleet fleet,
+            TrialTally tally,
+            Consumer<String> problems) {
         this.connections = connections;
+        this.fleet = fleet;
         this.tally = tally;
+        this.problems = problems;
     }
 
     /** Sends a streamed completion. */
@@ -42,6 +59,19 @@
             int tokens,
             Duration timeout,
             boolean cold) {
+        generate(instance, path, model, question, tokens, timeout, cold, outcome -> {});
+    }
+
+    /** Sends a streamed completion and tells how it ended. */
+    void generate(
+            InetSocketAddress instance,
+            String path,
+            String model,
+            String question,
+            int tokens,
+            Duration timeout,
+            boolean cold,
+            Consumer<TrialOutcome> atEnd) {
         ObjectNode body = Json.object();
         body.put("model", model);
         if (path.contains("/chat/")) {
@@ -67,7 +97,7 @@
                         Json.bytes(body),
                         timeout.plus(MARGIN),
                         ConnectionUse.POOLED),
-                new StreamReceiver(ArtifactId.parse(model), body, cold));
+                new StreamReceiver(instance, ArtifactId.parse(model), body, cold, atEnd));
     }
 
     /** Calls a plain service; an empty key means an idempotent call. */
@@ -91,27 +121,24 @@
                         content.getBytes(StandardCharsets.UTF_8),
                         timeout.plus(MARGIN),
                         ConnectionUse.POOLED),
-                new CallReceiver(key));
-    }
-
-    private void refused(byte[] body, String key) {
-        try {
-            JsonNode error = Json.read(body).path("error");
-            String execution = error.path("execution").asText();
-            tally.refused(error.path("code").asText("untyped"), execution);
-            if (!key.isEmpty() && execution.equals("not_run")) {
-                tally.keyNotRun(key);
-            }
-        } catch (IOException malformed) {
-            tally.wrong("an error is not JSON");
-        }
+                new CallReceiver(instance, key));
     }
 
     /** Collects an answer; subclasses judge it. */
     private abstract class Receiver implements HttpReceiver {
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final InetSocketAddress instance;
+        private final String key;
+        private final Consumer<TrialOutcome> atEnd;
+        private final long startedNanos = System.nanoTime();
         private int status;
 
+        Receiver(InetSocketAddress instance, String key, Consumer<TrialOutcome> atEnd) {
+            this.instance = instance;
+            this.key = key;
+            this.atEnd = atEnd;
+        }
+
         @Override
         public void head(int answerStatus, Map<String, String> headers) {
             status = answerStatus;
@@ -124,7 +151,71 @@
 
         @Override
         public void failed(HttpFailure failure) {
-            tally.ended(TrialOutcome.LOST);
+            tally.keyPerhapsRun(key);
+            TrialOutcome outcome = TrialOutcome.LOST;
+            if (isBreak(failure) && fleet.killedAfter(instance, startedNanos)) {
+                outcome = TrialOutcome.BROKEN_BY_KILL;
+            } else {
+                problems.accept("lost: " + describe() + ": " + failure.kind() + " " + failure);
+            }
+            tally.ended(outcome);
+            atEnd.accept(outcome);
+        }
+
+        private boolean isBreak(HttpFailure failure) {
+            return failure.kind() == HttpFailure.Kind.CONNECTION_LOST
+                    || failure.kind() == HttpFailure.Kind.NOT_SENT;
+        }
+
+        abstract String subject();
+
+        private String describe() {
+            long millis = (System.nanoTime() - startedNanos) / 1_000_000;
+            return subject()
+                    + " sent to "
+                    + fleet.describe(instance)
+                    + " "
+                    + millis
+                    + " ms ago, status "
+                    + status
+                    + ", "
+                    + body.size()
+                    + " bytes came";
+        }
+
+        void refused(byte[] answer) {
+            try {
+                JsonNode error = Json.read(answer).path("error");
+                String execution = error.path("execution").asText();
+                if (execution.equals("not_run")) {
+                    tally.keyNotRun(key);
+                } else {
+                    tally.keyPerhapsRun(key);
+                }
+                tally.refused(error.path("code").asText("untyped"), execution);
+                atEnd.accept(TrialOutcome.REFUSED);
+            } catch (IOException malformed) {
+                wrong("an error is not JSON");
+            }
+        }
+
+        void wrong(String detail) {
+            tally.keyPerhapsRun(key);
+            problems.accept("wrong: " + detail + ": " + describe());
+            tally.wrong(detail);
+            atEnd.accept(TrialOutcome.WRONG);
+        }
+
+        void answered() {
+            if (!key.isEmpty()) {
+                tally.keyAnswered(key);
+            }
+            tally.ended(TrialOutcome.ANSWERED);
+            atEnd.accept(TrialOutcome.ANSWERED);
+        }
+
+        long startedNanos() {
+            return startedNanos;
         }
 
         int status() {
@@ -140,10 +231,15 @@
         private final ArtifactId artifact;
         private final JsonNode request;
         private final boolean cold;
-        private final long startedNanos = System.nanoTime();
         private boolean started;
 
-        StreamReceiver(ArtifactId artifact, JsonNode request, boolean cold) {
+        StreamReceiver(
+                InetSocketAddress instance,
+                ArtifactId artifact,
+                JsonNode request,
+                boolean cold,
+                Consumer<TrialOutcome> atEnd) {
+            super(instance, "", atEnd);
             this.artifact = artifact;
             this.request = request;
             this.cold = cold;
@@ -154,20 +250,20 @@
             super.data(part);
             if (!started && status() == 200) {
                 started = true;
-                tally.firstToken(Duration.ofNanos(System.nanoTime() - startedNanos), cold);
+                tally.firstToken(Duration.ofNanos(System.nanoTime() - startedNanos()), cold);
             }
         }
 
         @Override
         public void completed() {
             if (status() != 200) {
-                refused(body(), "");
+                refused(body());
                 return;
             }
             try {
                 judge(new String(body(), StandardCharsets.UTF_8));
             } catch (IOException malformed) {
-                tally.wrong("an event is not JSON");
+                wrong("an event is not JSON");
             }
         }
 
@@ -180,7 +276,7 @@
                 }
                 JsonNode event = Json.read(line.substring(6).getBytes(StandardCharsets.UTF_8));
                 if (event.has("error")) {
-                    refused(Json.bytes(event), "");
+                    refused(Json.bytes(event));
                     return;
                 }
                 JsonNode choice = event.path("choices").path(0);
@@ -190,30 +286,38 @@
             }
             String expected = AnswerChecksum.of(artifact, request, text.toString());
             if (!events.endsWith("data: [DONE]\n\n") || !expected.equals(checksum)) {
-                tally.wrong("checksum or end differs for " + artifact);
+                wrong("checksum or end differs for " + artifact);
                 return;
             }
-            tally.ended(TrialOutcome.ANSWERED);
+            answered();
+        }
+
+        @Override
+        String subject() {
+            return request.toString();
         }
     }
 
     private final class CallReceiver extends Receiver {
         private final String key;
 
-        CallReceiver(String key) {
+        CallReceiver(InetSocketAddress instance, String key) {
+            super(instance, key, outcome -> {});
             this.key = key;
         }
 
         @Override
         public void completed() {
             if (status() / 100 == 2) {
-                tally.ended(TrialOutcome.ANSWERED);
-                if (!key.isEmpty()) {
-                    tally.keyAnswered(key);
-                }
+                answered();
             } else {
-                refused(body(), key);
+                refused(body());
             }
         }
+
+        @Override
+        String subject() {
+            return "call with key '" + key + "'";
+        }
     }
 }
--- a/src/main/java/org/tarragonlug/trial/TrialFleet.java
+++ b/src/main/java/org/tarragonlug/trial/TrialFleet.java
@@ -5,8 +5,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 import org.tarragonlug.decision.capacity.FencingKind;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -24,6 +28,10 @@
 /** The entry instances of a trial, all in this process. */
 public final class TrialFleet implements AutoCloseable {
     private static final int START_TRIES = 5;
+
+    /** How long the load balancer goes on sending to an instance that drains. */
+    private static final Duration BALANCER_LAG = Duration.ofSeconds(1);
+
     private static final ServerGroup ENTRY_GROUP = new ServerGroup("entry");
 
     private final StandInPlatform platform;
@@ -31,6 +39,10 @@
     private final IoExecutor adminExecutor;
     private final long seed;
     private final List<EntryInstance> instances = new ArrayList<>();
+    private final List<EntryInstance> stopped = new ArrayList<>();
+    private final Map<InetSocketAddress, Long> killTimes = new ConcurrentHashMap<>();
+    private final Map<EntryInstance, Long> drainTimes = new LinkedHashMap<>();
+    private final Map<InetSocketAddress, String> names = new ConcurrentHashMap<>();
 
     /**
      * Creates an empty fleet.
@@ -76,6 +88,7 @@
                 continue;
             }
             instances.add(instance);
+            names.put(instance.callerAddress(), instance.name());
             platform.instanceList().put(listed(settings));
             return instance;
         }
@@ -142,10 +155,65 @@
         return List.copyOf(instances);
     }
 
+    /**
+     * Returns where a load balancer would send a request: the ready instances, and those that began
+     * to drain so recently that the balancer has not noticed.
+     */
+    List<EntryInstance> receivers() {
+        long now = System.nanoTime();
+        List<EntryInstance> result = new ArrayList<>();
+        instances.stream().filter(EntryInstance::ready).forEach(result::add);
+        drainTimes.forEach(
+                (instance, since) -> {
+                    if (now - since < BALANCER_LAG.toNanos()) {
+                        result.add(instance);
+                    }
+                });
+        return result;
+    }
+
     /** Stops an instance at once, as a crash would, without removing it from the instance list. */
     public void kill(EntryInstance instance) {
         instances.remove(instance);
+        stopped.add(instance);
+        killTimes.put(instance.callerAddress(), System.nanoTime());
+        instance.stop();
+    }
+
+    /**
+     * Drains an instance; soon after, nothing is sent to it. When the drain has ended, {@link
+     * #retire} stops it.
+     */
+    public CompletionStage<Void> drain(EntryInstance instance) {
+        instances.remove(instance);
+        stopped.add(instance);
+        drainTimes.put(instance, System.nanoTime());
+        platform.instanceList().markLeaving(instance.name());
+        return instance.drain();
+    }
+
+    /** Stops an instance whose drain has ended and removes it from the instance list. */
+    public void retire(EntryInstance instance) {
         instance.stop();
+        platform.instanceList().remove(instance.name());
+    }
+
+    /** Tells whether the instance at an address was killed after the given time. */
+    boolean killedAfter(InetSocketAddress address, long nanos) {
+        Long killedAt = killTimes.get(address);
+        return killedAt != null && killedAt - nanos >= 0;
+    }
+
+    /** Returns the name of the instance at an address, also if it was stopped. */
+    String describe(InetSocketAddress address) {
+        return names.getOrDefault(address, "unknown") + " at " + address;
+    }
+
+    /** Returns the violations found in all instances that ever ran. */
+    long violations() {
+        return Stream.concat(instances.stream(), stopped.stream())
+                .mapToLong(EntryInstance::violations)
+                .sum();
     }
 
     @Override
--- a/src/main/java/org/tarragonlug/trial/TrialOutcome.java
+++ b/src/main/java/org/tarragonlug/trial/TrialOutcome.java
@@ -9,5 +9,7 @@
     /** An answer came that is incomplete or belongs to another request. */
     WRONG,
     /** No answer came before the deadline and a margin. */
-    LOST
+    LOST,
+    /** The connection broke because the trial killed the entry instance meanwhile. */
+    BROKEN_BY_KILL
 }
--- a/src/main/java/org/tarragonlug/trial/TrialResult.java
+++ b/src/main/java/org/tarragonlug/trial/TrialResult.java
@@ -1,6 +1,8 @@
 package org.tarragonlug.trial;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 import org.tarragonlug.runtime.Json;
@@ -15,6 +17,8 @@
  * @param wrong answers that were incomplete or belonged to another request
  * @param firstWrong the first of them
  * @param lost requests without any answer
+ * @param brokenByKill requests whose connection broke because the trial killed the instance
+ * @param problems what the checks found, with what is needed to understand it
  * @param runTwice keys of non-idempotent calls that ran more than once
  * @param falselyNotRun keys that ran although every try was answered "not run"
  * @param answeredNotRun keys that were answered although the service never ran them
@@ -37,6 +41,8 @@
         int wrong,
         String firstWrong,
         int lost,
+        int brokenByKill,
+        List<String> problems,
         int runTwice,
         int falselyNotRun,
         int answeredNotRun,
@@ -55,6 +61,7 @@
         return answered > 0
                 && wrong == 0
                 && lost == 0
+                && problems.isEmpty()
                 && runTwice == 0
                 && falselyNotRun == 0
                 && answeredNotRun == 0
@@ -82,6 +89,9 @@
         refused.forEach(kinds::put);
         node.put("wrong", wrong);
         node.put("lost", lost);
+        node.put("brokenByKill", brokenByKill);
+        ArrayNode found = node.putArray("problems");
+        problems.forEach(found::add);
         node.put("runTwice", runTwice);
         node.put("falselyNotRun", falselyNotRun);
         node.put("answeredNotRun", answeredNotRun);
--- a/src/main/java/org/tarragonlug/trial/TrialTable.java
+++ b/src/main/java/org/tarragonlug/trial/TrialTable.java
@@ -19,6 +19,7 @@
         result.refused().forEach((kind, count) -> line(text, "  " + kind, count));
         line(text, "wrong answers", result.wrong() + " " + result.firstWrong());
         line(text, "lost", result.lost());
+        line(text, "broken by the kill of an instance", result.brokenByKill());
         line(text, "run twice", result.runTwice());
         line(text, "falsely \"not run\"", result.falselyNotRun());
         line(text, "answered but not run", result.answeredNotRun());
@@ -33,6 +34,7 @@
         line(text, "time to first token", describe(result.firstTokens()));
         String idle = String.format(Locale.ROOT, "%.0f s", result.idleSeconds());
         line(text, "idle accelerator time", idle);
+        result.problems().forEach(problem -> line(text, "problem", problem));
         line(text, "result", result.isGood() ? "good" : "BROKEN");
         return text.toString();
     }
--- a/src/main/java/org/tarragonlug/trial/TrialTally.java
+++ b/src/main/java/org/tarragonlug/trial/TrialTally.java
@@ -16,6 +16,7 @@
     private final Map<TrialOutcome, Integer> outcomes = new EnumMap<>(TrialOutcome.class);
     private final Map<String, Integer> refusals = new TreeMap<>();
     private final Set<String> keysNotRun = new HashSet<>();
+    private final Set<String> keysPerhapsRun = new HashSet<>();
     private final Set<String> keysAnswered = new HashSet<>();
     private final Histogram coldStarts = new Histogram(HIGHEST_MICROS, DIGITS);
     private final Histogram firstTokens = new Histogram(HIGHEST_MICROS, DIGITS);
@@ -44,11 +45,20 @@
 
     /** Notes that a caller was told that the request with this key did not run. */
     synchronized void keyNotRun(String key) {
+        if (key.isEmpty()) {
+            return;
+        }
         keysNotRun.add(key);
     }
 
     synchronized void keyAnswered(String key) {
         keysAnswered.add(key);
+        keysPerhapsRun.add(key);
+    }
+
+    /** Notes that a try of this key ended in a way that does not exclude that it ran. */
+    synchronized void keyPerhapsRun(String key) {
+        keysPerhapsRun.add(key);
     }
 
     synchronized void firstToken(Duration waited, boolean cold) {
@@ -72,10 +82,13 @@
         return new TreeMap<>(refusals);
     }
 
-    /** Returns the keys that were refused as not run and never answered. */
+    /**
+     * Returns the keys of which every try was refused as not run. If another try of the key may
+     * have run, a refusal "not run" of this try can be true although the key ran.
+     */
     synchronized Set<String> keysNotRun() {
         Set<String> keys = new HashSet<>(keysNotRun);
-        keys.removeAll(keysAnswered);
+        keys.removeAll(keysPerhapsRun);
         return keys;
     }
 
