Test randomised fault runs with one fixed seed

Cause: nothing showed that the schedule repeats, that all kinds of faults occur, or that the check of replicas can fail.

--- a/src/main/java/org/tarragonlug/trial/FaultSchedule.java
+++ b/src/main/java/org/tarragonlug/trial/FaultSchedule.java
@@ -34,7 +34,8 @@
             if (random.nextBoolean()) {
                 long later = start + random.nextInt(LATEST_SECOND_MILLIS);
                 PlannedFault second = draw(random, later, lengthMillis);
-                if (second.kind() != first.kind()) {
+                boolean fits = later + SHORTEST_FAULT_MILLIS <= lengthMillis;
+                if (fits && second.kind() != first.kind()) {
                     faults.add(second);
                     end = Math.max(end, second.endMillis());
                 }
--- a/src/main/java/org/tarragonlug/trial/Trial.java
+++ b/src/main/java/org/tarragonlug/trial/Trial.java
@@ -133,11 +133,32 @@
         if (violations > 0) {
             problems.accept(violations + " violations of invariants; the log names them");
         }
+        reportKeys(platform);
         if (!problems.all().isEmpty()) {
             faults.dump();
         }
     }
 
+    private void reportKeys(StandInPlatform platform) {
+        Map<String, Integer> runs = platform.serviceRuns();
+        runs.forEach(
+                (key, count) -> {
+                    if (count > 1) {
+                        problems.accept(key + " ran " + count + " times");
+                    }
+                });
+        for (String key : tally.keysNotRun()) {
+            if (runs.containsKey(key)) {
+                problems.accept(key + " ran although each try was answered \"not run\"");
+            }
+        }
+        for (String key : tally.keysAnswered()) {
+            if (!runs.containsKey(key)) {
+                problems.accept(key + " was answered although it never ran");
+            }
+        }
+    }
+
     private void awaitDrains(FaultRun faults) throws InterruptedException {
         long end = System.nanoTime() + DRAIN_LIMIT.toNanos();
         while (faults.draining() > 0 && System.nanoTime() < end) {
--- /dev/null
+++ b/src/test/java/org/tarragonlug/trial/FaultCheckerTest.java
@@ -0,0 +1,62 @@
+package org.tarragonlug.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.capacity.Order;
+import org.tarragonlug.decision.capacity.OrderKind;
+import org.tarragonlug.decision.capacity.OrderOutcome;
+import org.tarragonlug.engine.HttpEngineClient;
+import org.tarragonlug.http.Loopback;
+import org.tarragonlug.id.ArtifactId;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.OperationId;
+import org.tarragonlug.standin.Deployment;
+import org.tarragonlug.standin.EngineStandIn;
+import org.tarragonlug.standin.StandInPlatform;
+
+/** Checks that the checks of a randomised run find what they look for. */
+class FaultCheckerTest {
+    /** Guards against a check that passes whatever the engines hold. */
+    @Test
+    void replicaWithoutSlotIsReported() throws Exception {
+        List<String> problems = new ArrayList<>();
+        try (Loopback loopback = new Loopback();
+                StandInPlatform platform =
+                        new StandInPlatform(Deployment.CARGAS, loopback.ioExecutor, 0.01);
+                TrialFleet fleet =
+                        new TrialFleet(platform, loopback.ioExecutor, loopback.ioExecutor, 1)) {
+            FaultChecker checker = new FaultChecker(platform, fleet, problems::add);
+            checker.checkReplicas();
+            assertEquals(List.of(), problems);
+            EngineStandIn engine = platform.engines().get(0);
+            ArtifactId artifact = ArtifactId.parse("lessons-model-1");
+            Loopback.await(load(loopback, engine, artifact));
+            checker.checkReplicas();
+            assertTrue(problems.get(0).startsWith("no slot for " + artifact), problems::toString);
+        }
+    }
+
+    private static CompletionStage<OrderOutcome> load(
+            Loopback loopback, EngineStandIn engine, ArtifactId artifact) {
+        HttpEngineClient client =
+                new HttpEngineClient(
+                        loopback.connections, Loopback.PATIENCE, Loopback.PATIENCE, Instant::now);
+        return client.order(
+                engine.address(),
+                new Order(
+                        new OperationId("o"),
+                        OrderKind.LOAD,
+                        engine.id(),
+                        artifact,
+                        Optional.empty(),
+                        1,
+                        new Fence(1)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/trial/FaultRunTest.java
@@ -0,0 +1,54 @@
+package org.tarragonlug.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.tarragonlug.TestSeeds;
+import org.tarragonlug.standin.Deployment;
+
+/** Whole entry instances and stand-ins under random faults. */
+class FaultRunTest {
+    private static final long SEED = 20_240;
+    private static final int INSTANCES = 4;
+    private static final int SHORT_SECONDS = 8;
+    private static final int LONG_SECONDS = 25;
+    private static final int LONG_SEEDS = 6;
+    private static final int RATE = 30;
+
+    private static void run(Deployment deployment, int seconds, long seed) {
+        List<String> lines = new ArrayList<>();
+        try {
+            TrialSettings settings =
+                    new TrialSettings(deployment, INSTANCES, seconds, RATE, seed, true);
+            TrialResult result = new Trial(settings, lines::add).run();
+            assertEquals(List.of(), result.problems(), () -> String.join("\n", lines));
+            assertTrue(result.isGood(), () -> TrialTable.of(result) + String.join("\n", lines));
+        } catch (Exception failure) {
+            throw new AssertionError(String.join("\n", lines), failure);
+        }
+    }
+
+    /** Guards against failures that only several faults in a row or at once provoke. */
+    @Test
+    @Timeout(120)
+    void invariantsHoldUnderTheFaultsOfOneSeed() {
+        run(Deployment.CARGAS, SHORT_SECONDS, SEED);
+    }
+
+    /** Guards against the same with many orders of faults, also where fences are ignored. */
+    @Test
+    @Tag("long")
+    void invariantsHoldUnderTheFaultsOfManySeeds() {
+        TestSeeds.forEach(
+                LONG_SEEDS,
+                seed -> {
+                    run(Deployment.CARGAS, LONG_SECONDS, seed);
+                    run(Deployment.SOLANO, LONG_SECONDS, seed);
+                });
+    }
+}
