Abandon orders that wait on a silent connection

Change: an order is abandoned when two engine reports 2 s apart say that the engine does not work on it; the planner then repeats it. The time of an order of unknown outcome no longer counts as a slow load.

--- a/src/main/java/org/tarragonlug/engine/EngineClient.java
+++ b/src/main/java/org/tarragonlug/engine/EngineClient.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.engine;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.tarragonlug.decision.capacity.Order;
 import org.tarragonlug.decision.capacity.OrderOutcome;
@@ -12,9 +13,16 @@
     /**
      * Sends an order and waits for its end.
      *
+     * @param abandoned its end closes the connection of the order, whose outcome is then unknown
      * @return how it ended; the stage does not fail
      */
-    CompletionStage<OrderOutcome> order(InetSocketAddress address, Order order);
+    CompletionStage<OrderOutcome> order(
+            InetSocketAddress address, Order order, CompletionStage<Void> abandoned);
+
+    /** Sends an order that is never abandoned. */
+    default CompletionStage<OrderOutcome> order(InetSocketAddress address, Order order) {
+        return order(address, order, new CompletableFuture<>());
+    }
 
     /** Fetches the engine's report over a new connection; fails with BACKEND_UNREACHABLE. */
     CompletionStage<ServerReport> report(ServerId server, InetSocketAddress address);
--- a/src/main/java/org/tarragonlug/engine/HttpEngineClient.java
+++ b/src/main/java/org/tarragonlug/engine/HttpEngineClient.java
@@ -62,7 +62,8 @@
     }
 
     @Override
-    public CompletionStage<OrderOutcome> order(InetSocketAddress address, Order order) {
+    public CompletionStage<OrderOutcome> order(
+            InetSocketAddress address, Order order, CompletionStage<Void> abandoned) {
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         body.put("operation", order.operation().value());
         body.put("kind", order.kind().name());
@@ -81,7 +82,7 @@
                         ConnectionUse.NEW);
         CompletableFuture<OrderOutcome> outcome = new CompletableFuture<>();
         connections
-                .exchange(address, call)
+                .exchange(address, call, abandoned)
                 .whenComplete(
                         (answer, cause) ->
                                 outcome.complete(
--- a/src/main/java/org/tarragonlug/http/HttpConnections.java
+++ b/src/main/java/org/tarragonlug/http/HttpConnections.java
@@ -72,6 +72,26 @@
         return result;
     }
 
+    /**
+     * Makes a call that may be abandoned and collects the answer.
+     *
+     * @param abandoned its end closes the connection; the call then fails as if it had broken
+     * @return the answer whatever its status, or an {@link HttpFailure}
+     */
+    public CompletionStage<HttpAnswer> exchange(
+            InetSocketAddress address, HttpCall call, CompletionStage<Void> abandoned) {
+        CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+        HttpExchange exchange = start(address, call, new CollectingReceiver(result));
+        abandoned.thenRun(
+                () -> {
+                    exchange.cancel();
+                    result.completeExceptionally(
+                            new HttpFailure(
+                                    HttpFailure.Kind.CONNECTION_LOST, "abandoned as silent", null));
+                });
+        return result;
+    }
+
     /** Makes a call whose answer is passed on as it arrives. */
     public HttpExchange start(InetSocketAddress address, HttpCall call, HttpReceiver receiver) {
         ClientLease lease =
--- a/src/main/java/org/tarragonlug/instance/CapacityDriver.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDriver.java
@@ -70,6 +70,7 @@
     private final ObjectName name;
     private final Map<ServerId, ServerReport> reports = new HashMap<>();
     private final Map<ArtifactId, ArtifactLimit> limits = new HashMap<>();
+    private final OrdersInFlight ordersInFlight = new OrdersInFlight();
     private JsonNode lastContent;
     private boolean decider;
 
@@ -168,7 +169,8 @@
         handle(new CapacityEvent.ProcessesListed(gone));
     }
 
-    void reported(ServerReport report) {
+    void reported(ServerReport report, Instant askedAt) {
+        ordersInFlight.reported(report, askedAt);
         reports.put(report.server(), report);
         handle(new CapacityEvent.ServerReported(report));
     }
@@ -278,12 +280,13 @@
         }
         Instant sentAt = context.now();
         context.onLoop(
-                engines.order(address.get(), order),
+                engines.order(address.get(), order, ordersInFlight.sent(order, sentAt)),
                 (outcome, failure) ->
                         ended(order, failure == null ? outcome : OrderOutcome.UNKNOWN, sentAt));
     }
 
     private void ended(Order order, OrderOutcome outcome, Instant sentAt) {
+        ordersInFlight.ended(order);
         Duration took = Duration.between(sentAt, context.now());
         context.metrics().orders().labelValues(order.kind().name(), outcome.name()).inc();
         context.log()
@@ -303,7 +306,8 @@
 
     private void loadEnded(Order order, OrderOutcome outcome, Duration took) {
         ArtifactLimit limit = limits.get(order.artifact());
-        if (limit == null) {
+        if (limit == null || outcome == OrderOutcome.UNKNOWN) {
+            // The time until a lost answer was noticed says nothing about the weight store.
             tickets.giveUp(order.operation());
             return;
         }
--- a/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDrivers.java
@@ -196,7 +196,7 @@
         if (group != null) {
             largestMemory.merge(group, report.memoryBytes(), Math::max);
         }
-        driver(report.server()).ifPresent(driver -> driver.reported(report));
+        driver(report.server()).ifPresent(driver -> driver.reported(report, askedAt));
     }
 
     private Optional<CapacityDriver> driver(ServerId server) {
--- a/src/test/java/org/tarragonlug/instance/FleetTest.java
+++ b/src/test/java/org/tarragonlug/instance/FleetTest.java
@@ -114,6 +114,21 @@
             assertWhole(fleet.chat(fleet.instance(0), "lessons-model-3", 8).join());
         }
 
+        /** Guards against an adapter that waits for minutes for a base model whose load failed. */
+        @Test
+        void loadWhoseAnswerIsLostOnASilentConnectionIsRepeated() throws Exception {
+            List<EngineStandIn> engines = fleet.platform().engines();
+            engines.forEach(engine -> engine.failNextLoads(1));
+            // The request may be refused at once, but its demand makes the decider load.
+            fleet.chat(fleet.instance(0), "lessons-adapter-4", 8);
+            FleetFixture.await(Duration.ofSeconds(5), () -> replicas("lessons-model-4") > 0);
+            engines.forEach(EngineStandIn::freezeOpenConnections);
+            engines.forEach(engine -> engine.failNextLoads(0));
+            FleetFixture.await(
+                    Duration.ofSeconds(15),
+                    () -> fleet.chat(fleet.instance(1), "lessons-adapter-4", 8).join().isWhole());
+        }
+
         /** Guards against two replicas decided by a write whose answer was lost. */
         @Test
         void lostAnswersOfWritesLoadOneReplica() {
