Notice a silent watch of the configuration after 3 s

Change: the watches of tables and accepted configuration last 1 s each. Crashes are told with their times.

--- a/src/main/java/org/tarragonlug/instance/ConfigurationDriver.java
+++ b/src/main/java/org/tarragonlug/instance/ConfigurationDriver.java
@@ -51,6 +51,14 @@
 
     private static final String WATCHERS_KEY = "configuration-watch";
     private static final int WATCHERS_PER_DOMAIN = 2;
+
+    /**
+     * A watch that became silent is noticed only at its end, and an edit must be in force within 5
+     * s. The owner and a few instances of each failure domain watch, so this costs some calls a
+     * second, whatever the size of the fleet.
+     */
+    private static final Duration WATCH_TIME = Duration.ofSeconds(1);
+
     private static final Duration TICK = Duration.ofMillis(100);
     private static final ObjectName ACCEPTED = new ObjectName("configuration", "accepted");
     private static final ObjectName ROUTES = new ObjectName("tables", "routes");
@@ -89,9 +97,11 @@
                         context,
                         objectApi,
                         "tables",
+                        WATCH_TIME,
                         changed -> acceptorEvent(new AcceptorEvent.TablesChanged()));
         this.acceptedWatch =
-                new KindWatch(context, objectApi, ACCEPTED.kind(), this::acceptedChanged);
+                new KindWatch(
+                        context, objectApi, ACCEPTED.kind(), WATCH_TIME, this::acceptedChanged);
         handleMessages();
     }
 
--- a/src/main/java/org/tarragonlug/instance/KindWatch.java
+++ b/src/main/java/org/tarragonlug/instance/KindWatch.java
@@ -13,12 +13,12 @@
  * adapter and counts as a failure.
  */
 final class KindWatch {
-    private static final Duration LONGEST_WAIT = Duration.ofSeconds(30);
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
     private final InstanceContext context;
     private final ObjectApi objectApi;
     private final String kind;
+    private final Duration longestWait;
     private final Consumer<WatchResult> changed;
     private boolean wanted;
     private boolean active;
@@ -27,10 +27,12 @@
             InstanceContext context,
             ObjectApi objectApi,
             String kind,
+            Duration longestWait,
             Consumer<WatchResult> changed) {
         this.context = context;
         this.objectApi = objectApi;
         this.kind = kind;
+        this.longestWait = longestWait;
         this.changed = changed;
     }
 
@@ -62,7 +64,7 @@
             if (!result.changed().isEmpty()) {
                 changed.accept(result);
             }
-            context.onLoop(objectApi.watch(kind, result.revision(), LONGEST_WAIT), this::ended);
+            context.onLoop(objectApi.watch(kind, result.revision(), longestWait), this::ended);
         }
     }
 }
--- a/src/main/java/org/tarragonlug/standin/EngineStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/EngineStandIn.java
@@ -166,7 +166,7 @@
                 loader.clear();
                 batch.clear();
                 lastReport = null;
-                truth.crashed(promptText);
+                truth.crashed(settings.server(), promptText);
                 if (restartsAfterCrash) {
                     clock.after(RESTART_TIME, this::restartEmpty);
                 }
--- a/src/main/java/org/tarragonlug/standin/InstanceListStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/InstanceListStandIn.java
@@ -24,6 +24,7 @@
     private final Map<String, ListedInstance> instances = new LinkedHashMap<>();
     private final Deque<Snapshot> history = new ArrayDeque<>();
     private Duration lag = Duration.ZERO;
+    private long oldestNanos = Long.MIN_VALUE;
     private boolean outage;
 
     /** Starts the stand-in with an empty list. */
@@ -41,6 +42,16 @@
     /** Sets how old its answers are, in real time. */
     public synchronized void setLag(Duration newLag) {
         lag = newLag;
+        oldestNanos = Long.MIN_VALUE;
+    }
+
+    /**
+     * Lets its answers become as old as the lag, without going back behind what it could answer
+     * until now: a list that lags shows changes late, but does not take them back.
+     */
+    public synchronized void lagFromNow(Duration newLag) {
+        lag = newLag;
+        oldestNanos = clock.nanos();
     }
 
     /** Starts or ends answering with 503. */
@@ -93,7 +104,7 @@
     }
 
     private List<ListedInstance> lagging() {
-        long until = clock.nanos() - lag.toNanos();
+        long until = Math.max(oldestNanos, clock.nanos() - lag.toNanos());
         Snapshot result = history.peekFirst();
         for (Snapshot snapshot : history) {
             if (snapshot.nanos <= until) {
--- a/src/main/java/org/tarragonlug/standin/PlatformTruth.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformTruth.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.standin;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,6 +19,7 @@
     private final Map<ArtifactId, Integer> highestReplicas = new TreeMap<>();
     private final Map<ServerId, Long> idleNanos = new TreeMap<>();
     private final Map<String, Integer> crashesByPrompt = new TreeMap<>();
+    private final List<String> crashList = new ArrayList<>();
     private long overcommits;
     private long crashes;
 
@@ -59,6 +61,11 @@
         return result;
     }
 
+    /** Returns each crash with its time, server and the prompt that caused it. */
+    public synchronized List<String> crashList() {
+        return List.copyOf(crashList);
+    }
+
     /** Returns the crashes that requests caused, by the text of their prompts. */
     public synchronized Map<String, Integer> crashesByPrompt() {
         return Map.copyOf(crashesByPrompt);
@@ -115,8 +122,9 @@
     }
 
     /** Counts a crash; the text of the prompt that caused it is empty if it had another cause. */
-    synchronized void crashed(String promptText) {
+    synchronized void crashed(ServerId server, String promptText) {
         crashes++;
+        crashList.add(Instant.now() + " " + server + " " + promptText);
         if (!promptText.isEmpty()) {
             crashesByPrompt.merge(promptText, 1, Integer::sum);
         }
--- a/src/main/java/org/tarragonlug/trial/CrashingCaller.java
+++ b/src/main/java/org/tarragonlug/trial/CrashingCaller.java
@@ -31,6 +31,7 @@
     private final TrialFleet fleet;
     private final TrialCaller caller;
     private final List<String> models;
+    private final TrialProgress progress;
     private final Queue<Try> due = new ConcurrentLinkedQueue<>();
 
     /**
@@ -40,13 +41,19 @@
      * @param fleet where requests are sent
      * @param caller sends them
      * @param models names of models that may be asked for
+     * @param progress told of each try
      */
     CrashingCaller(
-            StandInPlatform platform, TrialFleet fleet, TrialCaller caller, List<String> models) {
+            StandInPlatform platform,
+            TrialFleet fleet,
+            TrialCaller caller,
+            List<String> models,
+            TrialProgress progress) {
         this.platform = platform;
         this.fleet = fleet;
         this.caller = caller;
         this.models = List.copyOf(models);
+        this.progress = progress;
     }
 
     /** Starts to send a new crashing request; the result ends that. */
@@ -80,6 +87,16 @@
                 TIMEOUT,
                 false,
                 outcome -> {
+                    progress.progress(
+                            present.series.question
+                                    + " try "
+                                    + present.number
+                                    + " at "
+                                    + instance.name()
+                                    + " ended "
+                                    + outcome
+                                    + ", crashes "
+                                    + platform.truth().crashList());
                     long notBefore = System.nanoTime() + PAUSE.toNanos();
                     due.add(new Try(present.series, present.number + 1, notBefore));
                 });
--- a/src/main/java/org/tarragonlug/trial/FaultKind.java
+++ b/src/main/java/org/tarragonlug/trial/FaultKind.java
@@ -47,7 +47,7 @@
     INSTANCE_LIST_LAGGING(
             world -> {
                 InstanceListStandIn list = world.platform().instanceList();
-                list.setLag(Duration.ofSeconds(1 + world.random().nextInt(4)));
+                list.lagFromNow(Duration.ofSeconds(1 + world.random().nextInt(4)));
                 return () -> list.setLag(Duration.ZERO);
             }),
     /** The instance list answers with 503. */
--- a/src/main/java/org/tarragonlug/trial/FaultRun.java
+++ b/src/main/java/org/tarragonlug/trial/FaultRun.java
@@ -60,7 +60,7 @@
         this.checker = new FaultChecker(platform, fleet, problems);
         this.changes = new FleetChanges(platform, fleet, settings.instances(), problems);
         this.operators = new RacingOperators(platform, connections);
-        this.crashes = new CrashingCaller(platform, fleet, caller, models);
+        this.crashes = new CrashingCaller(platform, fleet, caller, models, progress);
         FaultSchedule schedule = new FaultSchedule(settings.seed(), settings.seconds() * 1000L);
         this.waiting = new ArrayList<>(schedule.faults());
     }
