Count a refused connection as the loss of the server's process

A server that refused connections was taken for one that does not answer, so the request was retried elsewhere without being a suspect; docs/design.md, section 4.6, says otherwise. Change: the report poller tells a refused connection from a silent one, and the request driver reports the loss.

--- a/src/main/java/org/tarragonlug/instance/Failures.java
+++ b/src/main/java/org/tarragonlug/instance/Failures.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.instance;
 
+import java.net.ConnectException;
 import java.util.concurrent.CompletionException;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -16,4 +17,15 @@
         }
         return cause instanceof TarragonlugException typed ? typed.code() : ErrorCode.INTERNAL;
     }
+
+    /** Tells whether a new connection was refused, which no silent or overloaded host does. */
+    static boolean isConnectionRefused(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            String message = String.valueOf(cause.getMessage());
+            if (cause instanceof ConnectException && message.contains("refused")) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/src/main/java/org/tarragonlug/instance/ReportListener.java
+++ b/src/main/java/org/tarragonlug/instance/ReportListener.java
@@ -15,4 +15,12 @@
 
     /** A server did not answer over a new connection. */
     void unreachable(ServerId server);
+
+    /**
+     * Called when a server refused a new connection, so that nothing listens there any more; the
+     * process that did is lost.
+     */
+    default void refusedConnection(ServerId server) {
+        unreachable(server);
+    }
 }
--- a/src/main/java/org/tarragonlug/instance/ReportPoller.java
+++ b/src/main/java/org/tarragonlug/instance/ReportPoller.java
@@ -131,7 +131,15 @@
                     if (failure == null) {
                         reported.accept(report);
                     } else {
-                        listeners.forEach(listener -> listener.unreachable(server));
+                        boolean refused = Failures.isConnectionRefused(failure);
+                        listeners.forEach(
+                                listener -> {
+                                    if (refused) {
+                                        listener.refusedConnection(server);
+                                    } else {
+                                        listener.unreachable(server);
+                                    }
+                                });
                     }
                 });
     }
--- a/src/main/java/org/tarragonlug/instance/RequestDriver.java
+++ b/src/main/java/org/tarragonlug/instance/RequestDriver.java
@@ -206,6 +206,11 @@
         handle(new RequestEvent.ServerUnreachable(server));
     }
 
+    @Override
+    public void refusedConnection(ServerId server) {
+        handle(new RequestEvent.ServerLost(server, Optional.ofNullable(incarnations.get(server))));
+    }
+
     private void replicasChanged(InstanceId from, PeerMessage.ReplicasChanged message) {
         for (PeerMessage.ArtifactReplicas replicas : message.artifacts()) {
             ColdStart coldStart = ColdStart.UNDECIDED;
--- /dev/null
+++ b/src/test/java/org/tarragonlug/instance/FailuresTest.java
@@ -0,0 +1,38 @@
+package org.tarragonlug.instance;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.engine.HttpEngineClient;
+import org.tarragonlug.http.Loopback;
+import org.tarragonlug.id.ServerId;
+
+/** Checks how failures of real connections are read. */
+class FailuresTest {
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+
+    /** Guards against a lost process that is taken for a slow one, and the other way round. */
+    @Test
+    void refusedConnectionDiffersFromASilentOne() throws Exception {
+        try (Loopback loopback = new Loopback();
+                ServerSocket silent = new ServerSocket(0, 1, LOOPBACK)) {
+            HttpEngineClient client =
+                    new HttpEngineClient(
+                            loopback.impatient, Loopback.PATIENCE, Loopback.PATIENCE, Instant::now);
+            ServerSocket closed = new ServerSocket(0, 1, LOOPBACK);
+            closed.close();
+            assertTrue(Failures.isConnectionRefused(report(client, closed)));
+            assertFalse(Failures.isConnectionRefused(report(client, silent)));
+        }
+    }
+
+    private static Throwable report(HttpEngineClient client, ServerSocket socket) {
+        InetSocketAddress address = new InetSocketAddress(LOOPBACK, socket.getLocalPort());
+        return Loopback.failure(client.report(new ServerId("s"), address));
+    }
+}
