--- a/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/GroupView.java
@@ -300,7 +300,7 @@
 
     /** Tells whether a server answers; one that was not observed for long enough is assumed to. */
     boolean answers(ServerId server, Instant now) {
-        boolean observedLongEnough = startedAt.plus(REPORT_LIFETIME).isBefore(now);
+        boolean observedLongEnough = startedAt.isBefore(now.minus(REPORT_LIFETIME));
         return freshReport(server, now).isPresent() || !observedLongEnough;
     }
 
--- a/src/main/java/org/tarragonlug/instance/CapacityDriver.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDriver.java
@@ -56,6 +56,9 @@
 
     private static final Duration ADAPTER_HOLD = Duration.ofSeconds(30);
 
+    /** Deadline of a load turn, from now, if no request waits for the load. */
+    private static final Duration LATEST_DEADLINE = Duration.ofHours(1);
+
     private final InstanceContext context;
     private final ServerGroup group;
     private final DefaultCapacityPlanner planner;
@@ -248,11 +251,14 @@
     private void requestTurn(CapacityCommand.RequestLoadTurn request) {
         ArtifactLimit limit = limits.get(request.artifact());
         boolean adapter = limit != null && limit.isAdapter();
+        // Without demand there is no deadline; the latest instant cannot be sent to a peer.
+        Instant latest = context.now().plus(LATEST_DEADLINE);
+        Instant deadline = request.deadline().isBefore(latest) ? request.deadline() : latest;
         LoadTurn turn =
                 new LoadTurn(
                         request.operation(),
                         adapter ? TicketKind.ADAPTER : TicketKind.MODEL,
-                        request.deadline(),
+                        deadline,
                         request.prewarming(),
                         adapter ? ADAPTER_HOLD : MODEL_HOLD);
         tickets.want(
