--- a/src/main/java/org/tarragonlug/instance/CapacityDriver.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDriver.java
@@ -56,6 +56,9 @@
 
     private static final Duration ADAPTER_HOLD = Duration.ofSeconds(30);
 
+    /** Deadline of a load turn, from now, if no request waits for the load. */
+    private static final Duration LATEST_DEADLINE = Duration.ofHours(1);
+
     private final InstanceContext context;
     private final ServerGroup group;
     private final DefaultCapacityPlanner planner;
@@ -70,6 +73,7 @@
     private final ObjectName name;
     private final Map<ServerId, ServerReport> reports = new HashMap<>();
     private final Map<ArtifactId, ArtifactLimit> limits = new HashMap<>();
+    private final OrdersInFlight ordersInFlight = new OrdersInFlight();
     private JsonNode lastContent;
     private boolean decider;
 
@@ -168,7 +172,8 @@
         handle(new CapacityEvent.ProcessesListed(gone));
     }
 
-    void reported(ServerReport report) {
+    void reported(ServerReport report, Instant askedAt) {
+        ordersInFlight.reported(report, askedAt);
         reports.put(report.server(), report);
         handle(new CapacityEvent.ServerReported(report));
     }
@@ -246,11 +251,14 @@
     private void requestTurn(CapacityCommand.RequestLoadTurn request) {
         ArtifactLimit limit = limits.get(request.artifact());
         boolean adapter = limit != null && limit.isAdapter();
+        // Without demand there is no deadline; the latest instant cannot be sent to a peer.
+        Instant latest = context.now().plus(LATEST_DEADLINE);
+        Instant deadline = request.deadline().isBefore(latest) ? request.deadline() : latest;
         LoadTurn turn =
                 new LoadTurn(
                         request.operation(),
                         adapter ? TicketKind.ADAPTER : TicketKind.MODEL,
-                        request.deadline(),
+                        deadline,
                         request.prewarming(),
                         adapter ? ADAPTER_HOLD : MODEL_HOLD);
         tickets.want(
@@ -278,12 +286,13 @@
         }
         Instant sentAt = context.now();
         context.onLoop(
-                engines.order(address.get(), order),
+                engines.order(address.get(), order, ordersInFlight.sent(order, sentAt)),
                 (outcome, failure) ->
                         ended(order, failure == null ? outcome : OrderOutcome.UNKNOWN, sentAt));
     }
 
     private void ended(Order order, OrderOutcome outcome, Instant sentAt) {
+        ordersInFlight.ended(order);
         Duration took = Duration.between(sentAt, context.now());
         context.metrics().orders().labelValues(order.kind().name(), outcome.name()).inc();
         context.log()
@@ -303,7 +312,8 @@
 
     private void loadEnded(Order order, OrderOutcome outcome, Duration took) {
         ArtifactLimit limit = limits.get(order.artifact());
-        if (limit == null) {
+        if (limit == null || outcome == OrderOutcome.UNKNOWN) {
+            // The time until a lost answer was noticed says nothing about the weight store.
             tickets.giveUp(order.operation());
             return;
         }
