--- a/src/test/java/org/tarragonlug/instance/FleetFixture.java
+++ b/src/test/java/org/tarragonlug/instance/FleetFixture.java
@@ -43,8 +43,8 @@
         if (!fleet.awaitReady(Duration.ofSeconds(20))) {
             throw new IllegalStateException("the instances are not ready");
         }
-        // Until each knows the others, every one of them takes itself for the decider.
-        await(Duration.ofSeconds(10), () -> deciders() == 1);
+        // Until each knows all others, they may report demand to different deciders.
+        await(Duration.ofSeconds(20), () -> allSee(instances) && deciders() == 1);
     }
 
     StandInPlatform platform() {
@@ -59,6 +59,12 @@
         return fleet.instances().get(index % fleet.instances().size());
     }
 
+    private boolean allSee(int members) {
+        return fleet.instances().stream()
+                .map(instance -> instance.state().toCompletableFuture().join())
+                .allMatch(state -> state.path("members").size() == members);
+    }
+
     private long deciders() {
         return fleet.instances().stream().filter(FleetFixture::decides).count();
     }
