Show waiting requests and remedies in the status; wake up less often when idle

Change: both are in the status; the request tick runs at 5 ms only while requests are in progress, the ticket tick at 50 ms, reports once a second. Split ServerObserver from RequestDriver and MetricsUpdater from EntryInstance.

--- a/src/main/java/org/tarragonlug/decision/capacity/CapacityRefusal.java
+++ b/src/main/java/org/tarragonlug/decision/capacity/CapacityRefusal.java
@@ -3,24 +3,44 @@
 /** Why an artifact that is wanted gets no replica, or no further one, at the moment. */
 public enum CapacityRefusal {
     /** No pool of the group lists the artifact. */
-    NOT_IN_ANY_POOL("no pool of this server group lists the artifact"),
+    NOT_IN_ANY_POOL(
+            "no pool of this server group lists the artifact", "add it to the artifacts of a pool"),
     /** The pool's maximum number of replicas is decided already. */
-    MAXIMUM_REPLICAS("the pool's maximum number of replicas is reached"),
+    MAXIMUM_REPLICAS(
+            "the pool's maximum number of replicas is reached",
+            "raise maximumReplicas of the artifact if one more is worth its memory"),
     /** No active server has room, and nothing idle can be unloaded to make room. */
-    NO_MEMORY("no active server has room and nothing idle can be unloaded"),
+    NO_MEMORY(
+            "no active server has room and nothing idle can be unloaded",
+            "add servers to the group or lower minimumReplicas of others"),
     /** An adapter's base model cannot be made ready. */
-    BASE_MODEL_UNAVAILABLE("the base model cannot be made ready on any server"),
+    BASE_MODEL_UNAVAILABLE(
+            "the base model cannot be made ready on any server",
+            "see the base model in this status"),
     /** The last load failed; it is tried again while the artifact is wanted. */
-    LOAD_FAILED("the last load failed and is being tried again"),
+    LOAD_FAILED(
+            "the last load failed and is being tried again",
+            "see the log event order_ended and the engine"),
     /** The object API is down and no standby slot of a live holder covers the artifact. */
-    OUTAGE("the object API is down and no standby slot covers the artifact"),
+    OUTAGE(
+            "the object API is down and no standby slot covers the artifact",
+            "wait for the object API; raise standbySlots of the pool for the next time"),
     /** The object API is down and the covering standby slot is occupied by another artifact. */
-    STANDBY_OCCUPIED("the object API is down and the standby slot is in use");
+    STANDBY_OCCUPIED(
+            "the object API is down and the standby slot is in use",
+            "wait for the object API; raise standbySlots of the pool for the next time");
 
     private final String text;
+    private final String remedy;
 
-    CapacityRefusal(String text) {
+    CapacityRefusal(String text, String remedy) {
         this.text = text;
+        this.remedy = remedy;
+    }
+
+    /** Returns what an operator can do about it. */
+    public String remedy() {
+        return remedy;
     }
 
     /** Returns the wording used on the status page. */
--- a/src/main/java/org/tarragonlug/instance/CapacityDriver.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDriver.java
@@ -138,7 +138,7 @@
     }
 
     void demand(InstanceId from, Demand demand) {
-        announcer.interested(from, demand.artifact());
+        announcer.interested(from, demand);
         handle(new CapacityEvent.DemandReported(from, demand));
     }
 
--- a/src/main/java/org/tarragonlug/instance/EntryInstance.java
+++ b/src/main/java/org/tarragonlug/instance/EntryInstance.java
@@ -40,7 +40,6 @@
 import org.tarragonlug.instancelist.HttpInstanceList;
 import org.tarragonlug.objectapi.HttpObjectApi;
 import org.tarragonlug.peer.PeerMessage;
-import org.tarragonlug.peer.PeerTransportCounts;
 import org.tarragonlug.peer.PeerTransportSettings;
 import org.tarragonlug.peer.TcpPeerTransport;
 import org.tarragonlug.plainservice.HttpPlainServiceClient;
@@ -87,6 +86,7 @@
     private final EventLoop loop;
     private final EventLog log;
     private final Metrics metrics = new Metrics();
+    private final MetricsUpdater metricsUpdater = new MetricsUpdater(metrics);
     private final InvariantReporter violations;
     private final ScheduledExecutorService callTimers;
     private final HttpConnections connections;
@@ -107,8 +107,6 @@
     private final AdminServer adminServer;
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private TcpPeerTransport transport;
-    private long peerBytesSent;
-    private long peerBytesReceived;
     private volatile boolean configured;
     private volatile boolean draining;
     private volatile boolean failed;
@@ -277,7 +275,7 @@
         directory.listen(requests);
         directory.listen(capacity);
         directory.listen(poller);
-        poller.listen(requests);
+        poller.listen(requests.servers());
         poller.listen(capacity);
         poller.listen(new MemoryListener());
         peers.listenGone(capacity::processesGone);
@@ -437,24 +435,13 @@
         return state;
     }
 
-    private void updateGauges() {
-        countPeerBytes();
-        metrics.eventLoopQueue().set(loop.queued());
-        metrics.waiting().set(requests.inProgress());
+    private void updateMetrics() {
         long ready =
                 capacity.drivers().values().stream()
                         .flatMap(driver -> driver.announcer().known().values().stream())
                         .mapToLong(known -> known.ready().size())
                         .sum();
-        metrics.readyReplicas().set(ready);
-    }
-
-    private void countPeerBytes() {
-        PeerTransportCounts counts = transport.counts();
-        metrics.peerBytes().labelValues("sent").inc(counts.bytesSent() - peerBytesSent);
-        metrics.peerBytes().labelValues("received").inc(counts.bytesReceived() - peerBytesReceived);
-        peerBytesSent = counts.bytesSent();
-        peerBytesReceived = counts.bytesReceived();
+        metricsUpdater.update(loop.queued(), requests.inProgress(), ready, transport.counts());
     }
 
     /** Asks the peers named in the settings until there is a configuration. */
@@ -515,7 +502,7 @@
                         requests.start();
                         directory.start();
                         poller.start();
-                        context.every(GAUGE_PERIOD, EntryInstance.this::updateGauges);
+                        context.every(GAUGE_PERIOD, EntryInstance.this::updateMetrics);
                         context.every(
                                 CONFIGURATION_REQUEST_PERIOD,
                                 EntryInstance.this::requestConfiguration);
--- a/src/main/java/org/tarragonlug/instance/ReplicaAnnouncer.java
+++ b/src/main/java/org/tarragonlug/instance/ReplicaAnnouncer.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.tarragonlug.decision.capacity.CapacityCommand;
 import org.tarragonlug.decision.capacity.CapacityRefusal;
+import org.tarragonlug.decision.capacity.Demand;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ServerGroup;
@@ -25,6 +26,11 @@
 final class ReplicaAnnouncer {
     private static final Duration INTEREST = Duration.ofMinutes(10);
 
+    /**
+     * Waiting requests are reported every second; older reports are of requests that have ended.
+     */
+    private static final Duration WAITING_LIFETIME = Duration.ofSeconds(3);
+
     /** When to ask again for an artifact that cannot be made ready. */
     private static final Duration ASK_AGAIN = Duration.ofSeconds(2);
 
@@ -32,7 +38,7 @@
     private final PeerSwitch peers;
     private final ServerGroup group;
     private final Map<ArtifactId, Known> known = new LinkedHashMap<>();
-    private final Map<ArtifactId, Map<InstanceId, Instant>> interest = new HashMap<>();
+    private final Map<ArtifactId, Map<InstanceId, Interest>> interest = new HashMap<>();
 
     ReplicaAnnouncer(InstanceContext context, PeerSwitch peers, ServerGroup group) {
         this.context = context;
@@ -40,8 +46,10 @@
         this.group = group;
     }
 
-    void interested(InstanceId instance, ArtifactId artifact) {
-        interest.computeIfAbsent(artifact, unused -> new HashMap<>()).put(instance, context.now());
+    void interested(InstanceId instance, Demand demand) {
+        ArtifactId artifact = demand.artifact();
+        interest.computeIfAbsent(artifact, unused -> new HashMap<>())
+                .put(instance, new Interest(context.now(), demand.waiting()));
         Known present = known.get(artifact);
         if (present != null) {
             peers.send(instance, message(artifact, present));
@@ -71,12 +79,12 @@
     }
 
     private void announce(ArtifactId artifact, Known state) {
-        Map<InstanceId, Instant> instances = interest.get(artifact);
+        Map<InstanceId, Interest> instances = interest.get(artifact);
         if (instances == null) {
             return;
         }
         Instant since = context.now().minus(INTEREST);
-        instances.values().removeIf(at -> at.isBefore(since));
+        instances.values().removeIf(last -> last.at().isBefore(since));
         PeerMessage message = message(artifact, state);
         List.copyOf(instances.keySet()).forEach(instance -> peers.send(instance, message));
     }
@@ -95,6 +103,17 @@
                                 artifact, state.ready, state.loading, state.unavailable(), wait)));
     }
 
+    /** Returns the requests that wait for an artifact, as the instances last reported. */
+    int waiting(ArtifactId artifact) {
+        Instant since = context.now().minus(WAITING_LIFETIME);
+        return interest.getOrDefault(artifact, Map.of()).values().stream()
+                .filter(last -> last.at().isAfter(since))
+                .mapToInt(Interest::waiting)
+                .sum();
+    }
+
+    private record Interest(Instant at, int waiting) {}
+
     /** Returns the artifacts that are or were wanted, for the status page. */
     Map<ArtifactId, Known> known() {
         return known;
--- a/src/main/java/org/tarragonlug/instance/ReportPoller.java
+++ b/src/main/java/org/tarragonlug/instance/ReportPoller.java
@@ -26,13 +26,13 @@
  *
  * <p>Asked are the servers of the groups that this instance decides for, and those it has used
  * lately; so no server is asked by every instance, and the cost does not grow with the product of
- * instances and servers. Each server is asked twice a second, and less often when there are many:
- * at most 64 are asked a second, so that 128 servers, the most of a group, are asked every 2 s,
- * which is the age that the capacity planner still takes for fresh.
+ * instances and servers. Each server is asked once a second, and less often when there are many: at
+ * most 64 are asked a second, so that 128 servers, the most of a group, are asked every 2 s, which
+ * is the age that the capacity planner still takes for fresh.
  */
 final class ReportPoller implements InstanceListListener {
-    private static final Duration PERIOD = Duration.ofMillis(500);
-    private static final int ASKED_IN_PERIOD = 32;
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+    private static final int ASKED_IN_PERIOD = 64;
     private static final Duration USED_LATELY = Duration.ofSeconds(30);
 
     private final InstanceContext context;
--- a/src/main/java/org/tarragonlug/instance/RequestDriver.java
+++ b/src/main/java/org/tarragonlug/instance/RequestDriver.java
@@ -7,7 +7,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +16,6 @@
 import org.tarragonlug.caller.CallerListener;
 import org.tarragonlug.caller.CallerRequest;
 import org.tarragonlug.decision.Execution;
-import org.tarragonlug.decision.capacity.ServerReport;
 import org.tarragonlug.decision.configuration.Configuration;
 import org.tarragonlug.decision.request.AttemptFailure;
 import org.tarragonlug.decision.request.ColdStart;
@@ -48,15 +46,17 @@
 import org.tarragonlug.plainservice.ServiceAnswer;
 import org.tarragonlug.plainservice.ServiceCall;
 import org.tarragonlug.plainservice.ServiceListener;
-import org.tarragonlug.plainservice.ServiceReport;
 import org.tarragonlug.runtime.Json;
 import org.tarragonlug.runtime.LogEvent;
 import org.tarragonlug.runtime.StateSource;
 
 /** Runs the request coordinator between callers and backend servers. */
-final class RequestDriver
-        implements CallerListener, InstanceListListener, ReportListener, StateSource {
+final class RequestDriver implements CallerListener, InstanceListListener, StateSource {
     private static final Duration TICK = Duration.ofMillis(5);
+
+    /** An idle instance ticks every 100 ms, which keeps it from waking up 200 times a second. */
+    private static final int IDLE_TICK_FACTOR = 20;
+
     private static final String QUARANTINE = "quarantine";
 
     private final InstanceContext context;
@@ -73,9 +73,10 @@
     private final RequestDescriber describer;
     private final Map<RequestId, Exchange> exchanges = new HashMap<>();
     private final Map<AttemptId, Running> attempts = new HashMap<>();
-    private final Map<ServerId, String> incarnations = new HashMap<>();
+    private final ServerObserver servers;
+    private volatile boolean busy;
+    private long ticks;
     private final Map<ArtifactId, Instant> readySince = new HashMap<>();
-    private final Set<ServerId> leaving = new HashSet<>();
 
     RequestDriver(
             InstanceContext context,
@@ -96,6 +97,7 @@
         this.services = services;
         this.objectApi = objectApi;
         this.peers = peers;
+        this.servers = new ServerObserver(context, this::handle);
         this.claims = new ClaimStore(context, objectApi, peers, this::handle);
         this.demandListener = demandListener;
         this.drained = drained;
@@ -119,7 +121,7 @@
 
     void start() {
         claims.start();
-        context.every(TICK, () -> handle(new RequestEvent.Tick()));
+        context.timers().subscribe(TICK, due -> postTick());
         context.onLoop(
                 objectApi.list(QUARANTINE),
                 (listed, failure) -> {
@@ -129,6 +131,19 @@
                 });
     }
 
+    /** Ticks at full rate while requests are in progress; an idle instance ticks rarely. */
+    private void postTick() {
+        ticks++;
+        if (busy || ticks % IDLE_TICK_FACTOR == 0) {
+            context.loop().post(this::tick);
+        }
+    }
+
+    private void tick() {
+        handle(new RequestEvent.Tick());
+        busy = !exchanges.isEmpty() || !attempts.isEmpty();
+    }
+
     private void quarantined(StoredObject object) {
         if (object.exists()) {
             handle(new RequestEvent.FingerprintCondemned(new Fingerprint(object.name().name())));
@@ -145,6 +160,7 @@
             context.loop()
                     .post(
                             () -> {
+                                busy = true;
                                 exchanges.put(
                                         request.id(), new Exchange(request, answer, context.now()));
                                 handle(event);
@@ -184,53 +200,6 @@
         groups.forEach((group, servers) -> handle(new RequestEvent.ServersChanged(group, servers)));
     }
 
-    @Override
-    public void engineReported(ServerReport report, Instant askedAt) {
-        incarnations.put(report.server(), report.incarnation());
-        logLeaving(report.server(), report.leaving());
-        handle(
-                new RequestEvent.ServerReported(
-                        report.server(),
-                        report.incarnation(),
-                        report.leaving(),
-                        report.running(),
-                        report.queued(),
-                        Optional.of(report.loaded().keySet()),
-                        askedAt));
-    }
-
-    private void logLeaving(ServerId server, boolean nowLeaving) {
-        if (!nowLeaving) {
-            leaving.remove(server);
-        } else if (leaving.add(server)) {
-            context.log().event(LogEvent.SERVER_LEAVING).with("server", server).write();
-        }
-    }
-
-    @Override
-    public void serviceReported(ServiceReport report, Instant askedAt) {
-        incarnations.put(report.server(), report.incarnation());
-        logLeaving(report.server(), report.leaving());
-        handle(
-                new RequestEvent.ServerReported(
-                        report.server(),
-                        report.incarnation(),
-                        report.leaving(),
-                        report.running(),
-                        0,
-                        Optional.empty(),
-                        askedAt));
-    }
-
-    @Override
-    public void unreachable(ServerId server, boolean refused) {
-        handle(
-                refused
-                        ? new RequestEvent.ServerLost(
-                                server, Optional.ofNullable(incarnations.get(server)))
-                        : new RequestEvent.ServerUnreachable(server));
-    }
-
     private void replicasChanged(InstanceId from, PeerMessage.ReplicasChanged message) {
         for (PeerMessage.ArtifactReplicas replicas : message.artifacts()) {
             if (replicas.ready().isEmpty()) {
@@ -256,6 +225,11 @@
         }
     }
 
+    /** Returns the listener of what backend servers report. */
+    ReportListener servers() {
+        return servers;
+    }
+
     void configure(Configuration configuration) {
         handle(new RequestEvent.ConfigurationChanged(configuration));
     }
@@ -517,7 +491,7 @@
 
     private void announce(RequestCommand.AnnounceSuspects suspects) {
         context.log().event(LogEvent.SERVER_LOST).with("server", suspects.server()).write();
-        String incarnation = incarnations.getOrDefault(suspects.server(), "unknown");
+        String incarnation = servers.incarnation(suspects.server()).orElse("unknown");
         peers.sendToAll(
                 new PeerMessage.SuspectsAnnounced(
                         PeerMessage.FORMAT_VERSION,
@@ -550,8 +524,7 @@
         state.put("inProgress", exchanges.size());
         state.put("attempts", attempts.size());
         state.put("claimsHeld", claims.heldClaims());
-        ObjectNode servers = state.putObject("servers");
-        incarnations.forEach((server, incarnation) -> servers.put(server.value(), incarnation));
+        state.set("servers", servers.state());
         return state;
     }
 
--- a/src/main/java/org/tarragonlug/instance/StatusReport.java
+++ b/src/main/java/org/tarragonlug/instance/StatusReport.java
@@ -83,10 +83,12 @@
             ReplicaAnnouncer.Known state = known.get(limit.artifact());
             node.put("ready", state == null ? 0 : state.ready().size());
             node.put("loading", state == null ? 0 : state.loadingReplicas());
+            node.put("waiting", driver.announcer().waiting(limit.artifact()));
             if (state != null && state.refusal().isPresent()) {
                 CapacityRefusal refusal = state.refusal().get();
                 node.put("lastRefusal", refusal.name());
                 node.put("meaning", refusal.text());
+                node.put("remedy", refusal.remedy());
             }
         }
     }
--- a/src/main/java/org/tarragonlug/instance/TicketDriver.java
+++ b/src/main/java/org/tarragonlug/instance/TicketDriver.java
@@ -24,7 +24,7 @@
         void turnGranted(OperationId operation, Duration hold);
     }
 
-    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration TICK = Duration.ofMillis(50);
 
     private final InstanceContext context;
     private final PeerSwitch peers;
--- a/src/main/java/org/tarragonlug/tool/StatusTable.java
+++ b/src/main/java/org/tarragonlug/tool/StatusTable.java
@@ -19,7 +19,7 @@
                     .append(fault.path("remedy").asText())
                     .append('\n');
         }
-        row(text, "\nROUTE", "PATH", "TARGET", "STATE");
+        row(text, "\nROUTE", "PATH", "TARGET", "STATE", "");
         for (JsonNode route : status.path("routes")) {
             String target = route.path("pool").asText(route.path("service").asText());
             row(
@@ -27,7 +27,8 @@
                     route.path("name").asText(),
                     route.path("pathPrefix").asText(),
                     target,
-                    route.path("state").asText());
+                    route.path("state").asText(),
+                    "");
         }
         for (JsonNode pool : status.path("pools")) {
             appendPool(text, pool);
@@ -45,11 +46,12 @@
             text.append("  decided by an instance that was not asked\n");
             return;
         }
-        row(text, "  ARTIFACT", "READY", "LOADING", "LAST REFUSAL");
+        row(text, "  ARTIFACT", "READY", "LOADING", "WAITING", "LAST REFUSAL");
         for (JsonNode artifact : pool.path("artifacts")) {
             boolean shown =
                     artifact.path("ready").asInt() > 0
                             || artifact.path("loading").asInt() > 0
+                            || artifact.path("waiting").asInt() > 0
                             || artifact.has("lastRefusal");
             if (shown) {
                 row(
@@ -57,20 +59,21 @@
                         "  " + artifact.path("artifact").asText(),
                         artifact.path("ready").asText(),
                         artifact.path("loading").asText(),
-                        artifact.path("meaning").asText("-"));
+                        artifact.path("waiting").asText(),
+                        refusal(artifact));
             }
         }
     }
 
+    private static String refusal(JsonNode artifact) {
+        if (!artifact.has("lastRefusal")) {
+            return "-";
+        }
+        return artifact.path("meaning").asText() + "; remedy: " + artifact.path("remedy").asText();
+    }
+
     private static void row(StringBuilder text, String... cells) {
-        String line =
-                String.format(
-                        Locale.ROOT,
-                        "%-32s %-26s %-16s %s",
-                        cells[0],
-                        cells[1],
-                        cells[2],
-                        cells[3]);
-        text.append(line).append('\n');
+        String line = String.format(Locale.ROOT, "%-32s %-24s %-16s %-9s %s", (Object[]) cells);
+        text.append(line.stripTrailing()).append('\n');
     }
 }
