--- a/src/main/java/org/tarragonlug/admin/AdminServer.java
+++ b/src/main/java/org/tarragonlug/admin/AdminServer.java
@@ -13,9 +13,8 @@
 import io.servicetalk.transport.api.IoExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ExecutionException;
-import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.ServerStart;
 import org.tarragonlug.runtime.Json;
 import org.tarragonlug.runtime.SupervisedPart;
 
@@ -53,21 +52,13 @@
 
     @Override
     public void start() throws TarragonlugException {
-        try {
-            context =
-                    HttpServers.forAddress(address)
-                            .ioExecutor(ioExecutor)
-                            .executionStrategy(HttpExecutionStrategies.offloadNone())
-                            .listen(this::handle)
-                            .toFuture()
-                            .get();
-        } catch (ExecutionException failure) {
-            throw new TarragonlugException(
-                    ErrorCode.ADDRESS_IN_USE, address.toString(), failure.getCause());
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw new TarragonlugException(ErrorCode.INTERNAL, "interrupted while starting");
-        }
+        context =
+                ServerStart.await(
+                        HttpServers.forAddress(address)
+                                .ioExecutor(ioExecutor)
+                                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                                .listen(this::handle),
+                        address);
     }
 
     /** Returns the address it listens on. */
--- a/src/main/java/org/tarragonlug/caller/CallerServer.java
+++ b/src/main/java/org/tarragonlug/caller/CallerServer.java
@@ -23,13 +23,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.tarragonlug.decision.Execution;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.ServerStart;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.runtime.Json;
 import org.tarragonlug.runtime.Settings;
@@ -86,30 +86,23 @@
     @Override
     public void start() throws TarragonlugException {
         ConnectionLimit connectionLimit = new ConnectionLimit(limits.connections());
-        try {
-            context =
-                    HttpServers.forAddress(address)
-                            .ioExecutor(ioExecutor)
-                            .drainRequestPayloadBody(false)
-                            .executionStrategy(HttpExecutionStrategies.offloadNone())
-                            .protocols(
-                                    HttpProtocolConfigs.h1()
-                                            .maxHeaderFieldLength(limits.headerBytes())
-                                            .maxStartLineLength(limits.headerBytes())
-                                            .build())
-                            .socketOption(
-                                    ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_TIMEOUT.toMillis())
-                            .appendLateConnectionAcceptor(connectionLimit)
-                            .listenStreaming(this::handle)
-                            .toFuture()
-                            .get();
-        } catch (ExecutionException failure) {
-            throw new TarragonlugException(
-                    ErrorCode.ADDRESS_IN_USE, address.toString(), failure.getCause());
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw new TarragonlugException(ErrorCode.INTERNAL, "interrupted while starting");
-        }
+        context =
+                ServerStart.await(
+                        HttpServers.forAddress(address)
+                                .ioExecutor(ioExecutor)
+                                .drainRequestPayloadBody(false)
+                                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                                .protocols(
+                                        HttpProtocolConfigs.h1()
+                                                .maxHeaderFieldLength(limits.headerBytes())
+                                                .maxStartLineLength(limits.headerBytes())
+                                                .build())
+                                .socketOption(
+                                        ServiceTalkSocketOptions.IDLE_TIMEOUT,
+                                        IDLE_TIMEOUT.toMillis())
+                                .appendLateConnectionAcceptor(connectionLimit)
+                                .listenStreaming(this::handle),
+                        address);
     }
 
     /** Returns the address it listens on. */
