--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -7,6 +7,7 @@
 import org.tarragonlug.tool.LoadCommand;
 import org.tarragonlug.tool.MeasureCommand;
 import org.tarragonlug.tool.RunCommand;
+import org.tarragonlug.tool.ServeCommand;
 import org.tarragonlug.tool.StandInsCommand;
 import org.tarragonlug.tool.StateCommand;
 import org.tarragonlug.tool.StatusCommand;
@@ -20,6 +21,7 @@
         mixinStandardHelpOptions = true,
         subcommands = {
             RunCommand.class,
+            ServeCommand.class,
             CheckCommand.class,
             FetchCommand.class,
             DiffCommand.class,
--- /dev/null
+++ b/src/main/java/org/tarragonlug/caller/DefaultForwardedCall.java
@@ -0,0 +1,204 @@
+package org.tarragonlug.caller;
+
+import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.concurrent.api.Processors;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A forwarded request on a ServiceTalk connection; used on that connection's thread only. */
+final class DefaultForwardedCall implements ForwardedCall {
+    private static final int BUFFERED_EVENTS = 4096;
+
+    private final long key;
+    private final HttpServiceContext connection;
+    private final StreamingHttpRequest request;
+    private final StreamingHttpResponseFactory factory;
+    private final ForwardedCallListener listener;
+    private final Runnable ended;
+    private final Map<String, String> headers = new HashMap<>();
+    private final CompletableFuture<StreamingHttpResponse> response = new CompletableFuture<>();
+    private final Optional<ConnectionGuard> guard;
+    private final Runnable gone = this::callerGone;
+    private byte[] body = new byte[0];
+    private boolean handedOn;
+    private boolean answered;
+    private boolean counted = true;
+    private PublisherSource.Processor<Buffer, Buffer> stream;
+
+    DefaultForwardedCall(
+            long key,
+            HttpServiceContext connection,
+            StreamingHttpRequest request,
+            StreamingHttpResponseFactory factory,
+            ForwardedCallListener listener,
+            Runnable ended) {
+        this.key = key;
+        this.connection = connection;
+        this.request = request;
+        this.factory = factory;
+        this.listener = listener;
+        this.ended = ended;
+        this.guard = ConnectionGuard.of(connection);
+        request.headers()
+                .forEach(
+                        header ->
+                                headers.put(
+                                        header.getKey().toString().toLowerCase(Locale.ROOT),
+                                        header.getValue().toString()));
+        guard.ifPresent(present -> present.add(gone));
+    }
+
+    Single<StreamingHttpResponse> response() {
+        return Single.<StreamingHttpResponse>fromStage(response)
+                .map(message -> message.transformMessageBody(each -> each.beforeFinally(this::end)))
+                .beforeCancel(this::callerGone)
+                .beforeOnError(failure -> end());
+    }
+
+    void received(byte[] bytes) {
+        body = bytes;
+        handedOn = true;
+    }
+
+    /** The request did not arrive whole. */
+    void broken() {
+        answered = true;
+        end();
+        response.completeExceptionally(new IOException("the request is incomplete"));
+    }
+
+    private void callerGone() {
+        boolean open = !answered;
+        answered = true;
+        end();
+        if (open && handedOn) {
+            listener.gone(this);
+        }
+    }
+
+    private void end() {
+        if (counted) {
+            counted = false;
+            guard.ifPresent(present -> present.remove(gone));
+            ended.run();
+        }
+    }
+
+    @Override
+    public long key() {
+        return key;
+    }
+
+    @Override
+    public String method() {
+        return request.method().name();
+    }
+
+    @Override
+    public String target() {
+        return request.requestTarget();
+    }
+
+    @Override
+    public String path() {
+        return request.rawPath();
+    }
+
+    @Override
+    public Map<String, String> headers() {
+        return headers;
+    }
+
+    @Override
+    public byte[] body() {
+        return body;
+    }
+
+    @Override
+    public void answer(int status, Map<String, String> answerHeaders, byte[] content) {
+        if (answered) {
+            return;
+        }
+        answered = true;
+        StreamingHttpResponse message = head(status, answerHeaders);
+        message.setHeader("content-length", Integer.toString(content.length));
+        if (content.length > 0) {
+            message.payloadBody(Publisher.from(allocator().wrap(content)));
+        }
+        response.complete(message);
+    }
+
+    @Override
+    public void startStream(int status, Map<String, String> answerHeaders) {
+        if (answered || stream != null) {
+            return;
+        }
+        stream = Processors.newPublisherProcessor(BUFFERED_EVENTS);
+        StreamingHttpResponse message = head(status, answerHeaders);
+        message.payloadBody(fromSource(stream).beforeCancel(this::callerGone));
+        response.complete(message);
+    }
+
+    private StreamingHttpResponse head(int status, Map<String, String> answerHeaders) {
+        StreamingHttpResponse message = factory.newResponse(HttpResponseStatus.of(status, ""));
+        answerHeaders.forEach(message::setHeader);
+        return message;
+    }
+
+    private BufferAllocator allocator() {
+        return connection.executionContext().bufferAllocator();
+    }
+
+    @Override
+    public void stream(byte[] bytes) {
+        if (answered) {
+            return;
+        }
+        try {
+            stream.onNext(allocator().wrap(bytes));
+        } catch (RuntimeException bufferFull) {
+            // A caller that does not read holds a bounded buffer only and is treated as gone.
+            PublisherSource.Processor<Buffer, Buffer> broken = stream;
+            callerGone();
+            broken.onError(bufferFull);
+        }
+    }
+
+    @Override
+    public void endStream() {
+        if (!answered) {
+            answered = true;
+            stream.onComplete();
+        }
+    }
+
+    @Override
+    public void abort() {
+        if (answered) {
+            return;
+        }
+        answered = true;
+        if (stream != null) {
+            stream.onError(new IOException("the server's stream broke"));
+        } else {
+            response.completeExceptionally(new IOException("no answer"));
+        }
+        end();
+        connection.closeAsync().subscribe();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -0,0 +1,161 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServiceName;
+
+/**
+ * What one instance believes of one backend server: its listing, the own requests on it, the load
+ * that it stated, and how it has been behaving towards this instance.
+ */
+public final class FleetServer {
+    /** Statements on load lose half of their weight within this time. */
+    private static final Duration LOAD_HALF_LIFE = Duration.ofMillis(800);
+
+    /** Failures lose half of their weight within this time, so that a server is tried again. */
+    private static final Duration FAILURE_HALF_LIFE = Duration.ofSeconds(3);
+
+    private static final double FAILURE_WEIGHT = 0.25;
+
+    /** How long a server is passed over after a connection to it failed. */
+    private static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(700);
+
+    /** How long a stated absence of a model is believed without a newer listing. */
+    private static final Duration ABSENCE_BELIEVED = Duration.ofMillis(1500);
+
+    private ServerListing listing;
+    private int inFlight;
+    private double othersLoad;
+    private Instant loadStatedAt = Instant.EPOCH;
+    private double failureRate;
+    private Instant failureUpdatedAt = Instant.EPOCH;
+    private Instant unreachableUntil = Instant.EPOCH;
+    private final Map<ModelKey, Instant> absentUntil = new HashMap<>();
+    private final Map<ModelKey, Instant> announced = new HashMap<>();
+
+    FleetServer(ServerListing listing) {
+        this.listing = listing;
+    }
+
+    /** Returns the newest listing. */
+    public ServerListing listing() {
+        return listing;
+    }
+
+    /** Returns the server's id. */
+    public ServerId id() {
+        return listing.id();
+    }
+
+    /** Returns the service it belongs to. */
+    public ServiceName service() {
+        return listing.service();
+    }
+
+    /** Returns where it runs. */
+    public FailureDomain failureDomain() {
+        return listing.failureDomain();
+    }
+
+    void update(ServerListing newer) {
+        if (newer.startedMillis() != listing.startedMillis()) {
+            inFlight = 0;
+            othersLoad = 0;
+            failureRate = 0;
+            unreachableUntil = Instant.EPOCH;
+            absentUntil.clear();
+            announced.clear();
+        }
+        if (newer.orderCount() != listing.orderCount()
+                || !newer.models().equals(listing.models())) {
+            absentUntil.clear();
+        }
+        listing = newer;
+    }
+
+    /** Tells whether it takes new work. */
+    public boolean takesWork(Instant now) {
+        return listing.state() == ListedState.READY && !now.isBefore(unreachableUntil);
+    }
+
+    /** Tells whether it holds a model and adapter, as far as is known. */
+    public boolean holds(ModelKey key, Instant now) {
+        Instant absent = absentUntil.get(key);
+        if (absent != null && now.isBefore(absent)) {
+            return false;
+        }
+        Instant until = announced.get(key);
+        if (until != null && now.isBefore(until)) {
+            return true;
+        }
+        Set<String> adapters = listing.models().get(key.model());
+        return adapters != null && (!key.hasAdapter() || adapters.contains(key.adapter()));
+    }
+
+    /** The server said that it does not hold a model. */
+    void absent(ModelKey key, Instant now) {
+        absentUntil.put(key, now.plus(ABSENCE_BELIEVED));
+        announced.remove(key);
+    }
+
+    /** The decider says that the server holds a model, before the listing shows it. */
+    void announce(ModelKey key, Instant until) {
+        announced.put(key, until);
+        absentUntil.remove(key);
+    }
+
+    /** Own requests on the server. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    void sent() {
+        inFlight++;
+    }
+
+    void ended() {
+        inFlight = Math.max(0, inFlight - 1);
+    }
+
+    void loadStated(ReportedLoad load, Instant now) {
+        othersLoad = Math.max(0, load.total() - inFlight);
+        loadStatedAt = now;
+    }
+
+    /** Estimates all requests at the server: own ones exactly, those of others with decay. */
+    public double load(Instant now) {
+        return inFlight + othersLoad * decay(loadStatedAt, now, LOAD_HALF_LIFE);
+    }
+
+    void outcome(boolean failed, Instant now) {
+        double rate = failureRate(now);
+        failureRate = rate + FAILURE_WEIGHT * ((failed ? 1 : 0) - rate);
+        failureUpdatedAt = now;
+    }
+
+    /** Estimates the share of recent requests that the server failed. */
+    public double failureRate(Instant now) {
+        return failureRate * decay(failureUpdatedAt, now, FAILURE_HALF_LIFE);
+    }
+
+    void unreachable(Instant now) {
+        unreachableUntil = now.plus(UNREACHABLE_PAUSE);
+    }
+
+    /** Returns the models that the listing shows. */
+    Set<String> heldModels() {
+        return new HashSet<>(listing.models().keySet());
+    }
+
+    private static double decay(Instant since, Instant now, Duration halfLife) {
+        double elapsed = Duration.between(since, now).toMillis();
+        return Math.pow(0.5, elapsed / halfLife.toMillis());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -0,0 +1,68 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Set;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServiceName;
+
+/** A request that has not ended; owned by the coordinator. */
+final class PendingForward {
+    /** Where the request is. */
+    enum Place {
+        /** Waits for a server. */
+        WAITING,
+        /** A server has it and has not begun to answer. */
+        SENT,
+        /** Events of its stream are being passed on. */
+        STREAMING
+    }
+
+    final ForwardRequest request;
+    final ForwardingRoute route;
+    final ServiceName service;
+    final Instant deadline;
+
+    /** When a caller that has got nothing stops waiting. */
+    final Instant patienceEnd;
+
+    final Set<ServerId> excluded = new HashSet<>();
+    Place place = Place.WAITING;
+    FleetServer server;
+
+    /** Sends that have run or may have run. */
+    int runs;
+
+    int rejections;
+    boolean streamStarted;
+    boolean stallCounted;
+    long lastEventId;
+    Instant lastProgress;
+    Instant wantedAt = Instant.EPOCH;
+
+    PendingForward(
+            ForwardRequest request,
+            ForwardingRoute route,
+            ServiceName service,
+            Instant deadline,
+            Instant patienceEnd,
+            Instant now) {
+        this.request = request;
+        this.route = route;
+        this.service = service;
+        this.deadline = deadline;
+        this.patienceEnd = patienceEnd;
+        this.lastEventId = request.lastEventId();
+        this.lastProgress = now;
+    }
+
+    /** Tells whether nothing has run and nothing has been passed on. */
+    boolean notRun() {
+        return runs == 0 && !streamStarted;
+    }
+
+    /** Tells whether it may be sent once more. */
+    boolean mayRunAgain() {
+        return runs == 0 || route.repeatable() && runs < route.maximumAttempts();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseEvent.java
@@ -0,0 +1,36 @@
+package org.tarragonlug.decision.ownership;
+
+import java.time.Instant;
+import java.util.Optional;
+
+/** What the lease keeper reacts to. */
+public sealed interface LeaseEvent {
+    /** The stored lease was read; empty if there is none. */
+    record Read(Optional<LeaseRecord> stored) implements LeaseEvent {}
+
+    /**
+     * A conditional write took effect.
+     *
+     * @param stored the lease as stored
+     * @param begun when the write was begun
+     */
+    record Written(LeaseRecord stored, Instant begun) implements LeaseEvent {}
+
+    /** A conditional write met a newer record; empty if it was deleted. */
+    record Conflicted(Optional<LeaseRecord> stored) implements LeaseEvent {}
+
+    /** A call had no answer or an error; a write may have taken effect. */
+    record CallFailed() implements LeaseEvent {}
+
+    /** The holder has answered this instance and holds its lease. */
+    record HolderHeard() implements LeaseEvent {}
+
+    /** The process was paused: no time measured before counts any more. */
+    record Paused() implements LeaseEvent {}
+
+    /** The process stops. */
+    record Stopping() implements LeaseEvent {}
+
+    /** Time has passed. */
+    record Tick() implements LeaseEvent {}
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
@@ -0,0 +1,265 @@
+package org.tarragonlug.decision.ownership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.tarragonlug.decision.StateMachine;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.InstanceId;
+
+/**
+ * Keeps the lease that allows one instance to give orders to backend servers.
+ *
+ * <p>The holder renews the lease by conditional writes and gives orders only for {@link
+ * #ORDER_PERIOD} after the beginning of its last successful renewal, by its own monotonic clock.
+ * Another instance takes the lease once it has seen the same renewal for {@link #TAKEOVER_AFTER},
+ * and gives its first order only when the turn-taking time of the platform has passed since the
+ * last moment at which the old holder may have given one. That moment is bounded: the renewal that
+ * was seen began before it was first read, so the old holder stopped at most ORDER_PERIOD after the
+ * first reading. No two clocks are compared. The stored fence grows with each holder, and the store
+ * lets one conditional write win, so no two holders share a fence.
+ *
+ * <p>An instance that hears the holder directly does not read the store; reads cost money and are
+ * needed only when the holder is silent. A paused process forgets its last renewal, because its
+ * monotonic clock may have stood still; it must renew before the next order.
+ *
+ * <p>If the store is down, the holder stops giving orders after ORDER_PERIOD and nobody takes over:
+ * what is loaded stays loaded.
+ */
+public final class LeaseKeeper implements StateMachine<LeaseEvent, LeaseCommand> {
+    /** How long after the beginning of a renewal orders may be given. */
+    static final Duration ORDER_PERIOD = Duration.ofMillis(2200);
+
+    /** How often the holder renews. */
+    static final Duration RENEWAL_PERIOD = Duration.ofMillis(1000);
+
+    /** How long a renewal must stay the same before another instance takes the lease. */
+    static final Duration TAKEOVER_AFTER = Duration.ofMillis(3000);
+
+    /** How long the holder may be silent towards this instance before the lease is read. */
+    static final Duration SILENCE = Duration.ofMillis(2500);
+
+    private static final Duration READ_PERIOD = Duration.ofMillis(900);
+    private static final Duration CALL_LIMIT = Duration.ofMillis(2000);
+    private static final Duration FAILURE_PAUSE = Duration.ofMillis(400);
+    private static final Duration TURN_MARGIN = Duration.ofMillis(300);
+
+    private final InstanceId self;
+    private final String process;
+    private final String address;
+    private final Duration turnTime;
+    private LeaseRecord seen;
+    private Instant seenSince = Instant.EPOCH;
+    private Instant lastHeard = Instant.EPOCH;
+    private Instant nextCall = Instant.EPOCH;
+    private Instant callBegun;
+    private boolean holding;
+    private Instant renewedAt = Instant.EPOCH;
+    private Instant ordersFrom = Instant.MAX;
+
+    /** No order of an earlier holder began later than ORDER_PERIOD after this. */
+    private Instant takeoverBasis = Instant.EPOCH;
+
+    private boolean readOnce;
+    private boolean stopping;
+
+    /**
+     * Creates a keeper that has read nothing.
+     *
+     * @param self this instance
+     * @param process this process
+     * @param address where peers reach this process
+     * @param turnTime shortest time between orders of two holders
+     */
+    public LeaseKeeper(InstanceId self, String process, String address, Duration turnTime) {
+        this.self = self;
+        this.process = process;
+        this.address = address;
+        this.turnTime = turnTime;
+    }
+
+    /** Tells whether an order may be given now. */
+    public boolean mayOrder(Instant now) {
+        return holding
+                && !stopping
+                && !now.isBefore(ordersFrom)
+                && now.isBefore(renewedAt.plus(ORDER_PERIOD));
+    }
+
+    /** Tells whether this instance holds the lease, as far as it knows. */
+    public boolean holding(Instant now) {
+        return holding && now.isBefore(renewedAt.plus(ORDER_PERIOD));
+    }
+
+    /** Returns the fence of the lease that this instance holds or has seen. */
+    public Fence fence() {
+        return seen == null ? Fence.NONE : seen.fence();
+    }
+
+    /** Returns the lease as last seen. */
+    public Optional<LeaseRecord> seen() {
+        return Optional.ofNullable(seen);
+    }
+
+    @Override
+    public List<LeaseCommand> handle(LeaseEvent event, Instant now) {
+        if (event instanceof LeaseEvent.Read read) {
+            callBegun = null;
+            return observed(read.stored(), now);
+        }
+        if (event instanceof LeaseEvent.Written written) {
+            callBegun = null;
+            return written(written, now);
+        }
+        if (event instanceof LeaseEvent.Conflicted conflicted) {
+            callBegun = null;
+            return observed(conflicted.stored(), now);
+        }
+        if (event instanceof LeaseEvent.CallFailed) {
+            callBegun = null;
+            nextCall = now.plus(FAILURE_PAUSE);
+            return List.of();
+        }
+        if (event instanceof LeaseEvent.HolderHeard) {
+            lastHeard = now;
+            return List.of();
+        }
+        if (event instanceof LeaseEvent.Paused) {
+            renewedAt = Instant.EPOCH;
+            seenSince = now;
+            nextCall = now;
+            callBegun = null;
+            return List.of();
+        }
+        if (event instanceof LeaseEvent.Stopping) {
+            return stop();
+        }
+        return tick(now);
+    }
+
+    private List<LeaseCommand> stop() {
+        boolean held = holding;
+        stopping = true;
+        holding = false;
+        if (!held) {
+            return List.of();
+        }
+        LeaseRecord released =
+                new LeaseRecord(
+                        self,
+                        process,
+                        address,
+                        seen.fence(),
+                        seen.renewal() + 1,
+                        true,
+                        seen.revision());
+        return List.of(new LeaseCommand.Write(released), new LeaseCommand.Lost("stopping"));
+    }
+
+    private List<LeaseCommand> observed(Optional<LeaseRecord> stored, Instant now) {
+        LeaseRecord before = seen;
+        LeaseRecord found = stored.orElse(null);
+        nextCall = now.plus(READ_PERIOD);
+        if (found == null) {
+            seen = null;
+            return lose("the lease was deleted");
+        }
+        boolean same = before != null && before.revision() == found.revision();
+        seen = found;
+        if (!same) {
+            seenSince = now;
+        }
+        if (found.holder().equals(self)) {
+            // A write whose answer was lost took effect; only a new renewal proves when.
+            nextCall = now;
+            return List.of();
+        }
+        return lose("another instance holds the lease");
+    }
+
+    private List<LeaseCommand> lose(String reason) {
+        if (!holding) {
+            return List.of();
+        }
+        holding = false;
+        return List.of(new LeaseCommand.Lost(reason));
+    }
+
+    private List<LeaseCommand> written(LeaseEvent.Written event, Instant now) {
+        LeaseRecord before = seen;
+        seen = event.stored();
+        seenSince = now;
+        if (stopping || seen.released()) {
+            return List.of();
+        }
+        renewedAt = event.begun();
+        nextCall = event.begun().plus(RENEWAL_PERIOD);
+        if (holding) {
+            return List.of();
+        }
+        holding = true;
+        ordersFrom = before == null ? now : turnBegins(now);
+        return List.of(new LeaseCommand.Acquired(seen));
+    }
+
+    /** The earliest time at which an order can not fall into the turn of an earlier holder. */
+    private Instant turnBegins(Instant now) {
+        Instant begins = takeoverBasis.plus(ORDER_PERIOD).plus(turnTime).plus(TURN_MARGIN);
+        return begins.isBefore(now) ? now : begins;
+    }
+
+    private List<LeaseCommand> tick(Instant now) {
+        if (stopping || callBegun != null && now.isBefore(callBegun.plus(CALL_LIMIT))) {
+            return List.of();
+        }
+        if (now.isBefore(nextCall)) {
+            return List.of();
+        }
+        if (holding) {
+            return write(seen.fence(), now);
+        }
+        if (seen != null && now.isBefore(lastHeard.plus(SILENCE))) {
+            return List.of();
+        }
+        if (seen == null) {
+            return readOnce ? write(new Fence(1), now) : read(now);
+        }
+        if (seen.holder().equals(self)) {
+            return takeOwn(now);
+        }
+        if (now.isAfter(seenSince.plus(TAKEOVER_AFTER)) || seen.released()) {
+            takeoverBasis = seen.released() ? seenSince.minus(ORDER_PERIOD) : seenSince;
+            return write(seen.fence().next(), now);
+        }
+        return read(now);
+    }
+
+    /** Takes a lease that the store shows as this instance's own. */
+    private List<LeaseCommand> takeOwn(Instant now) {
+        if (seen.process().equals(process)) {
+            // The answer to the write that took it was lost; what that write waited for still holds.
+            return write(seen.fence(), now);
+        }
+        // An earlier process of this instance held it, and no other instance did since.
+        takeoverBasis = Instant.EPOCH;
+        return write(seen.fence().next(), now);
+    }
+
+    private List<LeaseCommand> read(Instant now) {
+        readOnce = true;
+        callBegun = now;
+        nextCall = now.plus(READ_PERIOD);
+        return List.of(new LeaseCommand.Read());
+    }
+
+    private List<LeaseCommand> write(Fence fence, Instant now) {
+        callBegun = now;
+        long revision = seen == null ? 0 : seen.revision();
+        long renewal = seen == null ? 1 : seen.renewal() + 1;
+        return List.of(
+                new LeaseCommand.Write(
+                        new LeaseRecord(
+                                self, process, address, fence, renewal, false, revision)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseRecord.java
@@ -0,0 +1,24 @@
+package org.tarragonlug.decision.ownership;
+
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.InstanceId;
+
+/**
+ * The lease as it is stored.
+ *
+ * @param holder who holds it
+ * @param process the holder's process; tells two starts of one instance apart
+ * @param address where the holder's peers reach it, {@code host:port}
+ * @param fence grows with each holder
+ * @param renewal grows with each renewal
+ * @param released whether the holder gave it up and sends no more orders
+ * @param revision revision of the stored object; zero if there is none
+ */
+public record LeaseRecord(
+        InstanceId holder,
+        String process,
+        String address,
+        Fence fence,
+        long renewal,
+        boolean released,
+        long revision) {}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/ownership/package-info.java
@@ -0,0 +1,2 @@
+/** Decision on which instance may give orders to backend servers. */
+package org.tarragonlug.decision.ownership;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/placement/WeightStoreLimit.java
@@ -0,0 +1,63 @@
+package org.tarragonlug.decision.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Limits loads from the weight store: how many begin within a sliding window, and how many are
+ * under way at once.
+ *
+ * <p>The platform does not say how many loads run at full speed. The limit starts at {@link
+ * #FIRST_PARALLEL_LOADS} and shrinks to the number of loads that the store was seen to carry: n
+ * loads that each take f times the stated time use the capacity of n / f. More loads at once would
+ * finish no more loads, only each of them later.
+ */
+final class WeightStoreLimit {
+    static final int FIRST_PARALLEL_LOADS = 4;
+
+    /** Loads may take this much longer than stated before the limit shrinks. */
+    private static final double TOLERATED_SLOWNESS = 1.3;
+
+    private final Duration window;
+    private final Deque<Instant> begun = new ArrayDeque<>();
+    private int parallelLoads = FIRST_PARALLEL_LOADS;
+
+    WeightStoreLimit(Duration window) {
+        this.window = window;
+    }
+
+    /** Returns how many loads may be under way at once. */
+    int parallelLoads() {
+        return parallelLoads;
+    }
+
+    boolean allows(double loadsPerSecond, int underWay, Instant now) {
+        while (!begun.isEmpty() && begun.peekFirst().isBefore(now.minus(window))) {
+            begun.pollFirst();
+        }
+        double most = Math.max(1, Math.floor(loadsPerSecond * window.toMillis() / 1000.0));
+        return underWay < parallelLoads && begun.size() < most;
+    }
+
+    void begin(Instant now) {
+        begun.addLast(now);
+    }
+
+    /** Counts loads of an earlier owner, which are not known, as half of what is allowed. */
+    void assumeUsed(double loadsPerSecond, Instant now) {
+        int half = (int) (loadsPerSecond * window.toMillis() / 2000.0);
+        for (int index = 0; index < half; index++) {
+            begun.addLast(now);
+        }
+    }
+
+    void ended(Duration stated, Duration taken, int underWay) {
+        double slowness = (double) taken.toMillis() / Math.max(1, stated.toMillis());
+        if (slowness > TOLERATED_SLOWNESS && underWay > 1) {
+            int carried = (int) Math.max(1, Math.round(underWay / slowness));
+            parallelLoads = Math.min(parallelLoads, carried);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/DemandReporter.java
@@ -0,0 +1,100 @@
+package org.tarragonlug.gateway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.tarragonlug.decision.forwarding.ForwardingCommand;
+import org.tarragonlug.decision.placement.ModelDemand;
+import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ServiceName;
+
+/**
+ * Collects the demand for models at this instance between two reports.
+ *
+ * <p>A request that begins to wait is reported at once, since each millisecond of a cold start
+ * counts; arrivals are reported with the next regular report.
+ */
+final class DemandReporter {
+    /** A want that was not stated again for this long is over. */
+    private static final Duration WANT_VALID = Duration.ofMillis(600);
+
+    private record Subject(ServiceName service, ModelKey key) {}
+
+    private static final class Entry {
+        private int arrivals;
+        private int priority = Integer.MAX_VALUE;
+        private Instant patienceEnd = Instant.EPOCH;
+        private Instant wantedAt = Instant.EPOCH;
+    }
+
+    private final Map<Subject, Entry> entries = new HashMap<>();
+    private final Runnable urgent;
+
+    /**
+     * Creates an empty collection.
+     *
+     * @param urgent called when a report should be sent at once
+     */
+    DemandReporter(Runnable urgent) {
+        this.urgent = urgent;
+    }
+
+    void arrived(ServiceName service, ModelKey key) {
+        entry(service, key).arrivals++;
+    }
+
+    void wanted(ForwardingCommand.Wanted wanted, Instant now) {
+        Entry entry = entry(wanted.service(), wanted.key());
+        boolean fresh = now.isAfter(entry.wantedAt.plus(WANT_VALID));
+        entry.wantedAt = now;
+        entry.priority = Math.min(entry.priority, wanted.priority());
+        if (fresh || wanted.deadline().isBefore(entry.patienceEnd)) {
+            entry.patienceEnd = wanted.deadline();
+        }
+        if (fresh) {
+            urgent.run();
+        }
+    }
+
+    private Entry entry(ServiceName service, ModelKey key) {
+        return entries.computeIfAbsent(new Subject(service, key), subject -> new Entry());
+    }
+
+    /** Returns the demand since the last call and forgets arrivals. */
+    List<ModelDemand> take(Instant now) {
+        List<ModelDemand> demands = new ArrayList<>();
+        Iterator<Map.Entry<Subject, Entry>> iterator = entries.entrySet().iterator();
+        while (iterator.hasNext()) {
+            Map.Entry<Subject, Entry> each = iterator.next();
+            Entry entry = each.getValue();
+            boolean waiting =
+                    now.isBefore(entry.wantedAt.plus(WANT_VALID))
+                            && now.isBefore(entry.patienceEnd);
+            if (entry.arrivals == 0 && !waiting) {
+                iterator.remove();
+                demands.add(demand(each.getKey(), entry, false, now));
+                continue;
+            }
+            demands.add(demand(each.getKey(), entry, waiting, now));
+            entry.arrivals = 0;
+        }
+        return demands;
+    }
+
+    private static ModelDemand demand(
+            Subject subject, Entry entry, boolean waiting, Instant now) {
+        Duration patience =
+                waiting ? Duration.between(now, entry.patienceEnd) : Duration.ZERO;
+        return new ModelDemand(
+                subject.service(),
+                subject.key(),
+                entry.arrivals,
+                waiting ? 1 : 0,
+                waiting ? entry.priority : 0,
+                patience);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -0,0 +1,452 @@
+package org.tarragonlug.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.IoExecutor;
+import java.time.Duration;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.tarragonlug.admin.AdminServer;
+import org.tarragonlug.admin.AdminSource;
+import org.tarragonlug.caller.ForwardingServer;
+import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
+import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.decision.forwarding.ForwardingLimits;
+import org.tarragonlug.decision.forwarding.ForwardingTable;
+import org.tarragonlug.decision.forwarding.ServerListing;
+import org.tarragonlug.decision.ownership.LeaseEvent;
+import org.tarragonlug.decision.ownership.LeaseKeeper;
+import org.tarragonlug.decision.placement.PlacementEvent;
+import org.tarragonlug.decision.placement.PlacementPlanner;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.http.HttpLimits;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.http.ServerStart;
+import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.peer.PeerIdentity;
+import org.tarragonlug.peer.PeerListener;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.PeerTransportSettings;
+import org.tarragonlug.peer.TcpPeerTransport;
+import org.tarragonlug.platform.ConfigurationDecoder;
+import org.tarragonlug.platform.EngineCalls;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.platform.PlatformObjectApi;
+import org.tarragonlug.platform.PlatformPaths;
+import org.tarragonlug.platform.ServerEntryDecoder;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.Hash4jHasher;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.LoopTimerService;
+import org.tarragonlug.runtime.TimerService;
+
+/**
+ * One gateway process: callers on one side, backend servers, the platform's store and other
+ * gateways on the other.
+ *
+ * <p>All state is owned by one event loop thread, which is also the I/O thread of all HTTP
+ * connections, so a request crosses no thread. Only the peers' transport has a thread of its own
+ * and hands its messages over.
+ */
+public final class Gateway implements AdminSource {
+    private static final String DEPLOYMENT = "tarragonlug-gateway";
+    private static final Duration REQUEST_TICK = Duration.ofMillis(20);
+    private static final Duration PLACEMENT_TICK = Duration.ofMillis(40);
+    private static final Duration LEASE_TICK = Duration.ofMillis(100);
+
+    /** A gap between two ticks from which on the process counts as paused. */
+    private static final Duration PAUSE = Duration.ofMillis(800);
+
+    /** How long callers may still arrive after the readiness was withdrawn. */
+    private static final Duration ROTATION_TIME = Duration.ofMillis(2400);
+
+    /** What is kept of the drain time for the end of the process. */
+    private static final Duration EXIT_MARGIN = Duration.ofMillis(900);
+
+    private static final int MOST_ANSWER_BYTES = 32 * 1024 * 1024;
+
+    private final GatewaySettings settings;
+    private final IoExecutor ioExecutor;
+    private final ScheduledExecutorService loop;
+    private final TimerService timers;
+    private final EventLog log;
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final HttpConnections connections;
+    private final ForwardingCoordinator coordinator;
+    private final PlacementPlanner planner;
+    private final LeaseKeeper keeper;
+    private final PeerExchange peers;
+    private final ForwardingDriver forwarding;
+    private final PlacementDriver placement;
+    private final LeaseDriver lease;
+    private final StoreFollower servers;
+    private final StoreFollower configuration;
+    private final ForwardingServer callers;
+    private final AdminServer admin;
+    private HttpServerContext readiness;
+    private TcpPeerTransport transport;
+    private boolean serversKnown;
+    private volatile boolean draining;
+    private volatile boolean ready;
+    private long lastTickNanos = System.nanoTime();
+    private long lastTickMillis = System.currentTimeMillis();
+
+    /**
+     * Creates a gateway without starting it.
+     *
+     * @param settings its settings
+     */
+    public Gateway(GatewaySettings settings) {
+        this.settings = settings;
+        this.ioExecutor = IoThreads.create(1);
+        this.loop = IoThreads.timers(ioExecutor);
+        this.log = new EventLog(settings.instance().value());
+        this.timers = new LoopTimerService(loop, this::partFailed);
+        this.connections =
+                new HttpConnections(
+                        ioExecutor,
+                        loop,
+                        new HttpLimits(
+                                Duration.ofMillis(400),
+                                Duration.ofSeconds(1),
+                                MOST_ANSWER_BYTES,
+                                Duration.ofMinutes(2)));
+        this.coordinator =
+                new ForwardingCoordinator(
+                        settings.failureDomain(),
+                        new Hash4jHasher(),
+                        new ForwardingLimits(
+                                settings.retryWindow(),
+                                settings.retryRatio(),
+                                settings.retryAllowance(),
+                                settings.instances()));
+        this.planner = new PlacementPlanner(settings.loadWindow());
+        ProcessId process = new ProcessId(UUID.randomUUID().toString());
+        this.keeper =
+                new LeaseKeeper(
+                        settings.instance(),
+                        process.value(),
+                        text(settings.peerAddress()),
+                        settings.orderTurn());
+        this.peers = new PeerExchange(settings.instance(), keeper, timers);
+        this.forwarding =
+                new ForwardingDriver(
+                        coordinator, connections, timers, log, peers.demand(), metrics);
+        this.placement =
+                new PlacementDriver(
+                        planner,
+                        keeper,
+                        new EngineCalls(connections),
+                        settings.instance(),
+                        loop,
+                        timers,
+                        log,
+                        metrics,
+                        peers);
+        PlatformObjectApi store = new PlatformObjectApi(connections, settings.storeAddress());
+        this.lease =
+                new LeaseDriver(keeper, store, PlatformKinds.ORDER_LEASE, loop, timers, log);
+        this.servers =
+                new StoreFollower(
+                        PlatformKinds.SERVERS, store, loop, timers, log, new ServerListener());
+        this.configuration =
+                new StoreFollower(
+                        PlatformKinds.CONFIGURATION,
+                        store,
+                        loop,
+                        timers,
+                        log,
+                        new ConfigurationListener());
+        this.callers =
+                new ForwardingServer(
+                        settings.callerAddress(),
+                        settings.callerConnections(),
+                        ioExecutor,
+                        forwarding);
+        this.admin = new AdminServer(settings.adminAddress(), ioExecutor, this);
+        this.processId = process;
+    }
+
+    private final ProcessId processId;
+
+    /**
+     * Starts all parts.
+     *
+     * @throws TarragonlugException {@code ADDRESS_IN_USE} if an address can not be bound
+     */
+    public void start() throws TarragonlugException {
+        transport =
+                new TcpPeerTransport(
+                        PeerTransportSettings.of(
+                                DEPLOYMENT,
+                                settings.instance(),
+                                processId,
+                                settings.peerAddress(),
+                                text(settings.peerAddress())),
+                        new PeerMessages(),
+                        new Random());
+        readiness =
+                ServerStart.await(
+                        HttpServers.forAddress(settings.readinessAddress())
+                                .ioExecutor(ioExecutor)
+                                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                                .listen(
+                                        (connection, request, factory) ->
+                                                Single.succeeded(
+                                                        isReady(request.path())
+                                                                ? factory.ok()
+                                                                : factory.serviceUnavailable())),
+                        settings.readinessAddress());
+        admin.start();
+        callers.start();
+        loop.execute(this::startFollowing);
+        log.event(LogEvent.INSTANCE_STARTED)
+                .with("process", processId)
+                .with("failure_domain", settings.failureDomain())
+                .write();
+    }
+
+    private void startFollowing() {
+        peers.start(transport, forwarding, placement, lease);
+        servers.start();
+        configuration.start();
+        timers.subscribe(REQUEST_TICK, now -> requestTick());
+        timers.subscribe(PLACEMENT_TICK, now -> placement.tick());
+        timers.subscribe(LEASE_TICK, now -> lease.post(new LeaseEvent.Tick()));
+        lease.post(new LeaseEvent.Tick());
+    }
+
+    private void requestTick() {
+        long nanos = System.nanoTime();
+        long millis = System.currentTimeMillis();
+        long steady = TimeUnit.NANOSECONDS.toMillis(nanos - lastTickNanos);
+        long wall = millis - lastTickMillis;
+        lastTickNanos = nanos;
+        lastTickMillis = millis;
+        if (steady > PAUSE.toMillis() || wall > PAUSE.toMillis()) {
+            log.event(LogEvent.PROCESS_PAUSED)
+                    .with("steady_ms", steady)
+                    .with("wall_ms", wall)
+                    .write();
+            lease.post(new LeaseEvent.Paused());
+        }
+        forwarding.post(new ForwardingEvent.Tick());
+        metrics.waiting(coordinator.waitingCount());
+    }
+
+    private boolean isReady(String path) {
+        return path.equals(PlatformPaths.READINESS) && ready();
+    }
+
+    @Override
+    public boolean ready() {
+        return ready && !draining;
+    }
+
+    private void updateReady() {
+        ready = serversKnown && coordinator.table().isPresent();
+    }
+
+    /**
+     * Stops gracefully: first no new connections, then the end of what is in progress.
+     *
+     * @return done when nothing is in progress or the drain time is over
+     */
+    public CompletionStage<Void> drain() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        draining = true;
+        log.event(LogEvent.DRAIN_STARTED).with("in_progress", callers.inProgress()).write();
+        long end = System.nanoTime() + settings.drainTime().minus(EXIT_MARGIN).toNanos();
+        loop.execute(() -> lease.post(new LeaseEvent.Stopping()));
+        timers.after(
+                ROTATION_TIME,
+                now -> {
+                    callers.stopGracefully();
+                    awaitIdle(done, end);
+                });
+        return done;
+    }
+
+    private void awaitIdle(CompletableFuture<Void> done, long endNanos) {
+        if (callers.inProgress() <= 0 || System.nanoTime() >= endNanos) {
+            log.event(LogEvent.DRAIN_ENDED).with("in_progress", callers.inProgress()).write();
+            done.complete(null);
+            return;
+        }
+        timers.after(Duration.ofMillis(50), now -> awaitIdle(done, endNanos));
+    }
+
+    /** Reports that the settings file has changed. */
+    public void settingsChanged(String detail) {
+        log.event(LogEvent.SETTINGS_CHANGED).with("detail", detail).write();
+    }
+
+    private void partFailed(String part, Throwable failure) {
+        log.event(LogEvent.PART_FAILED).with("part", part).withFailure(failure).write();
+    }
+
+    private static String text(java.net.InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    @Override
+    public byte[] metrics() {
+        return metrics.text();
+    }
+
+    @Override
+    public boolean alive() {
+        return true;
+    }
+
+    @Override
+    public CompletionStage<JsonNode> state() {
+        CompletableFuture<JsonNode> result = new CompletableFuture<>();
+        loop.execute(() -> result.complete(stateNow()));
+        return result;
+    }
+
+    private JsonNode stateNow() {
+        ObjectNode node = Json.object();
+        node.put("instance", settings.instance().value());
+        node.put("ready", ready());
+        node.put("configuration", coordinator.table().map(t -> t.version().value()).orElse(-1L));
+        node.put("pending", coordinator.pendingCount());
+        node.put("waiting", coordinator.waitingCount());
+        node.put("mayOrder", keeper.mayOrder(timers.now()));
+        node.put("fence", keeper.fence().value());
+        node.put("ordersInProgress", planner.ordersInProgress());
+        ObjectNode fleet = node.putObject("servers");
+        coordinator
+                .fleet()
+                .servers()
+                .forEach(
+                        server -> {
+                            ObjectNode each = fleet.putObject(server.id().value());
+                            each.put("service", server.service().value());
+                            each.put("state", server.listing().state().name());
+                            each.put("inFlight", server.inFlight());
+                            each.put("load", server.load(timers.now()));
+                            each.put("failureRate", server.failureRate(timers.now()));
+                            each.put("models", server.listing().models().toString());
+                        });
+        return node;
+    }
+
+    @Override
+    public CompletionStage<JsonNode> status() {
+        return state();
+    }
+
+    /** Receives messages of peers on the transport's thread. */
+    private final class PeerMessages implements PeerListener {
+        @Override
+        public void messageReceived(PeerIdentity from, PeerMessage message) {
+            loop.execute(() -> peers.received(from.instance(), message));
+        }
+
+        @Override
+        public void connectionRejected(String remoteAddress, TarragonlugException reason) {
+            log.event(LogEvent.PEER_FRAME_INVALID)
+                    .with("address", remoteAddress)
+                    .with("reason", reason.getMessage())
+                    .write();
+        }
+    }
+
+    /** Follows the entries of servers. */
+    private final class ServerListener implements StoreFollower.Listener {
+        @Override
+        public void changed(StoredObject object) {
+            ServerListing listing;
+            try {
+                listing = ServerEntryDecoder.decode(object);
+            } catch (IllegalArgumentException unreadable) {
+                log.event(LogEvent.STORE_ENTRY_UNREADABLE)
+                        .with("object", object.name())
+                        .with("detail", unreadable.getMessage())
+                        .write();
+                gone(object.name().name());
+                return;
+            }
+            log.event(LogEvent.SERVER_LISTED)
+                    .with("server", listing.id())
+                    .with("state", listing.state())
+                    .with("orders", listing.orderCount())
+                    .with("models", listing.models().keySet())
+                    .with("revision", object.version())
+                    .write();
+            forwarding.post(new ForwardingEvent.ServerListed(listing));
+            placement.post(new PlacementEvent.ServerListed(listing));
+        }
+
+        @Override
+        public void gone(String name) {
+            log.event(LogEvent.SERVER_UNLISTED).with("server", name).write();
+            forwarding.post(new ForwardingEvent.ServerGone(new ServerId(name)));
+            placement.post(new PlacementEvent.ServerGone(new ServerId(name)));
+        }
+
+        @Override
+        public void complete() {
+            serversKnown = true;
+            updateReady();
+        }
+    }
+
+    /** Follows the configuration; only a greater version replaces the one in force. */
+    private final class ConfigurationListener implements StoreFollower.Listener {
+        @Override
+        public void changed(StoredObject object) {
+            if (!object.name().name().equals(PlatformKinds.CURRENT_CONFIGURATION)) {
+                return;
+            }
+            ForwardingTable table;
+            try {
+                table = ConfigurationDecoder.decode(object.content());
+            } catch (IllegalArgumentException unreadable) {
+                log.event(LogEvent.CONFIGURATION_REFUSED)
+                        .with("detail", unreadable.getMessage())
+                        .write();
+                return;
+            }
+            boolean newer =
+                    coordinator.table().isEmpty()
+                            || table.version().compareTo(coordinator.table().get().version()) > 0;
+            if (!newer) {
+                return;
+            }
+            log.event(LogEvent.CONFIGURATION_INSTALLED)
+                    .with("version", table.version())
+                    .with("routes", table.routeCount())
+                    .with("revision", object.version())
+                    .write();
+            metrics.version(table.version().value());
+            forwarding.post(new ForwardingEvent.TableInstalled(table));
+            placement.post(new PlacementEvent.TableInstalled(table));
+            updateReady();
+        }
+
+        @Override
+        public void gone(String name) {
+            // A configuration stays in force until a newer one replaces it.
+        }
+
+        @Override
+        public void complete() {
+            updateReady();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -0,0 +1,129 @@
+package org.tarragonlug.gateway;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.runtime.Addresses;
+import org.tarragonlug.runtime.Fault;
+import org.tarragonlug.runtime.Json;
+
+/**
+ * Reads the settings of a gateway and reports every fault at once.
+ *
+ * <p>Limits that the platform does not state have defaults; addresses and names have none. Unknown
+ * fields are ignored, since newer platforms may state more.
+ */
+public final class GatewaySettingsLoader {
+    private static final int DEFAULT_DRAIN_SECONDS = 8;
+    private static final int DEFAULT_TURN_MILLIS = 3000;
+    private static final int DEFAULT_LOAD_WINDOW_SECONDS = 5;
+    private static final int DEFAULT_RETRY_WINDOW_SECONDS = 10;
+    private static final double DEFAULT_RETRY_RATIO = 0.1;
+    private static final double DEFAULT_RETRY_ALLOWANCE = 8;
+    private static final int DEFAULT_INSTANCES = 12;
+    private static final int DEFAULT_DESCRIPTORS = 1024;
+
+    /** Descriptors kept for files, servers, peers and the store. */
+    private static final int OTHER_DESCRIPTORS = 600;
+
+    private final List<Fault> faults = new ArrayList<>();
+    private JsonNode root;
+
+    /**
+     * Reads a file of settings.
+     *
+     * @param file a JSON file
+     * @return the settings
+     * @throws TarragonlugException {@code SETTINGS_INVALID}, naming every fault
+     */
+    public GatewaySettings load(Path file) throws TarragonlugException {
+        faults.clear();
+        try {
+            root = Json.readFile(file);
+        } catch (JsonProcessingException malformed) {
+            throw invalid(file, new Fault("$", malformed.getOriginalMessage(), "write valid JSON"));
+        } catch (IOException unreadable) {
+            throw invalid(
+                    file, new Fault("$", "cannot be read: " + unreadable, "name a readable file"));
+        }
+        GatewaySettings settings = read();
+        if (!faults.isEmpty()) {
+            throw invalid(file, faults.toArray(new Fault[0]));
+        }
+        return settings;
+    }
+
+    private GatewaySettings read() {
+        String instance = text("instance");
+        String domain = text("failureDomain");
+        int descriptors = (int) number("descriptors", DEFAULT_DESCRIPTORS);
+        return new GatewaySettings(
+                new InstanceId(instance),
+                new FailureDomain(domain),
+                address("callerAddress"),
+                address("readinessAddress"),
+                address("peerAddress"),
+                address("adminAddress"),
+                address("storeAddress"),
+                seconds("drainSeconds", DEFAULT_DRAIN_SECONDS),
+                Duration.ofMillis((long) number("orderTurnMillis", DEFAULT_TURN_MILLIS)),
+                seconds("loadWindowSeconds", DEFAULT_LOAD_WINDOW_SECONDS),
+                seconds("retryWindowSeconds", DEFAULT_RETRY_WINDOW_SECONDS),
+                number("retryRatio", DEFAULT_RETRY_RATIO),
+                number("retryAllowance", DEFAULT_RETRY_ALLOWANCE),
+                (int) number("instances", DEFAULT_INSTANCES),
+                Math.max(OTHER_DESCRIPTORS, descriptors - OTHER_DESCRIPTORS));
+    }
+
+    private String text(String field) {
+        JsonNode value = root.path(field);
+        if (!value.isTextual() || value.textValue().isEmpty()) {
+            faults.add(new Fault("$." + field, "is missing or no text", "give a name"));
+            return "unknown";
+        }
+        return value.textValue();
+    }
+
+    private InetSocketAddress address(String field) {
+        Optional<InetSocketAddress> address = Addresses.parse(root.path(field).asText());
+        if (address.isEmpty()) {
+            faults.add(
+                    new Fault("$." + field, "is missing or no address", "give an IP number and port"));
+        }
+        return address.orElse(null);
+    }
+
+    private Duration seconds(String field, double standard) {
+        return Duration.ofMillis(Math.round(number(field, standard) * 1000));
+    }
+
+    private double number(String field, double standard) {
+        JsonNode value = root.path(field);
+        if (value.isMissingNode() || value.isNull()) {
+            return standard;
+        }
+        if (!value.isNumber() || value.doubleValue() < 0) {
+            faults.add(new Fault("$." + field, "is no number of zero or more", "give a number"));
+            return standard;
+        }
+        return value.doubleValue();
+    }
+
+    private static TarragonlugException invalid(Path file, Fault... found) {
+        StringBuilder text = new StringBuilder(file.toString());
+        for (Fault fault : found) {
+            text.append("\n  ").append(fault);
+        }
+        return new TarragonlugException(ErrorCode.SETTINGS_INVALID, text.toString());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
@@ -0,0 +1,131 @@
+package org.tarragonlug.gateway;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import org.tarragonlug.decision.ownership.LeaseCommand;
+import org.tarragonlug.decision.ownership.LeaseEvent;
+import org.tarragonlug.decision.ownership.LeaseKeeper;
+import org.tarragonlug.decision.ownership.LeaseRecord;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.TimerService;
+
+/** Carries out the calls of the lease keeper. */
+final class LeaseDriver {
+    private final LeaseKeeper keeper;
+    private final ObjectApi store;
+    private final ObjectName name;
+    private final Executor loop;
+    private final TimerService timers;
+    private final EventLog log;
+
+    LeaseDriver(
+            LeaseKeeper keeper,
+            ObjectApi store,
+            ObjectName name,
+            Executor loop,
+            TimerService timers,
+            EventLog log) {
+        this.keeper = keeper;
+        this.store = store;
+        this.name = name;
+        this.loop = loop;
+        this.timers = timers;
+        this.log = log;
+    }
+
+    void post(LeaseEvent event) {
+        List<LeaseCommand> commands = keeper.handle(event, timers.now());
+        commands.forEach(this::execute);
+    }
+
+    private void execute(LeaseCommand command) {
+        if (command instanceof LeaseCommand.Read) {
+            store.read(name).whenCompleteAsync(this::read, loop);
+        } else if (command instanceof LeaseCommand.Write write) {
+            write(write.record());
+        } else if (command instanceof LeaseCommand.Acquired acquired) {
+            log.event(LogEvent.LEASE_ACQUIRED)
+                    .with("fence", acquired.record().fence())
+                    .with("revision", acquired.record().revision())
+                    .write();
+        } else if (command instanceof LeaseCommand.Lost lost) {
+            log.event(LogEvent.LEASE_LOST).with("reason", lost.reason()).write();
+        }
+    }
+
+    private void read(StoredObject object, Throwable failure) {
+        if (failure != null) {
+            post(new LeaseEvent.CallFailed());
+            return;
+        }
+        post(new LeaseEvent.Read(decode(object)));
+    }
+
+    private Optional<LeaseRecord> decode(StoredObject object) {
+        if (!object.exists()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(StoredLease.decode(object));
+        } catch (IllegalArgumentException malformed) {
+            log.event(LogEvent.STORE_ENTRY_UNREADABLE)
+                    .with("object", object.name())
+                    .with("detail", malformed.getMessage())
+                    .write();
+            return Optional.empty();
+        }
+    }
+
+    private void write(LeaseRecord record) {
+        Instant begun = timers.now();
+        store.write(name, StoredLease.encode(record), record.revision())
+                .whenCompleteAsync(
+                        (version, failure) -> {
+                            if (failure == null) {
+                                post(
+                                        new LeaseEvent.Written(
+                                                withRevision(record, version), begun));
+                            } else if (isConflict(failure)) {
+                                // The call tells that the lease differs, not how.
+                                store.read(name).whenCompleteAsync(this::conflicted, loop);
+                            } else {
+                                post(new LeaseEvent.CallFailed());
+                            }
+                        },
+                        loop);
+    }
+
+    private void conflicted(StoredObject object, Throwable failure) {
+        if (failure != null) {
+            post(new LeaseEvent.CallFailed());
+        } else {
+            post(new LeaseEvent.Conflicted(decode(object)));
+        }
+    }
+
+    private static boolean isConflict(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof TarragonlugException typed
+                && typed.code() == ErrorCode.WRITE_CONFLICT;
+    }
+
+    private static LeaseRecord withRevision(LeaseRecord record, long revision) {
+        return new LeaseRecord(
+                record.holder(),
+                record.process(),
+                record.address(),
+                record.fence(),
+                record.renewal(),
+                record.released(),
+                revision);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -0,0 +1,157 @@
+package org.tarragonlug.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonlug.decision.forwarding.Rejection;
+import org.tarragonlug.http.EventStreamSplitter;
+import org.tarragonlug.http.HttpExchange;
+import org.tarragonlug.http.HttpFailure;
+import org.tarragonlug.http.HttpReceiver;
+import org.tarragonlug.platform.ServerAnswer;
+
+/**
+ * One send of a request to one server.
+ *
+ * <p>Nothing of an answer is passed on before its head proves that it answers this request: the
+ * server's seal and the request's id must be there. A success without them, a stream whose event
+ * ids do not go on where the caller stands, and an answer that ends in the middle of an event count
+ * as broken.
+ */
+final class ServerAttempt implements HttpReceiver {
+    private static final int OK = 200;
+
+    private final String requestId;
+    private final String serverId;
+    private final boolean streaming;
+    private final CallReceiver receiver;
+    private final EventStreamSplitter splitter = new EventStreamSplitter();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private HttpExchange exchange;
+    private Map<String, String> headers = Map.of();
+    private ServerAnswer answer;
+    private long lastEventId;
+    private boolean streamStarted;
+    private boolean ended;
+
+    ServerAttempt(
+            String requestId,
+            String serverId,
+            boolean streaming,
+            long lastEventId,
+            CallReceiver receiver) {
+        this.requestId = requestId;
+        this.serverId = serverId;
+        this.streaming = streaming;
+        this.lastEventId = lastEventId;
+        this.receiver = receiver;
+    }
+
+    void started(HttpExchange begun) {
+        exchange = begun;
+        if (ended) {
+            begun.cancel();
+        }
+    }
+
+    /** Closes the connection; the receiver is not called any more. */
+    void cancel() {
+        ended = true;
+        if (exchange != null) {
+            exchange.cancel();
+        }
+    }
+
+    @Override
+    public void head(int status, Map<String, String> answerHeaders) {
+        if (ended) {
+            return;
+        }
+        headers = answerHeaders;
+        answer = ServerAnswer.decode(status, answerHeaders, serverId);
+        if (!answer.requestId().equals(requestId) && !answer.requestId().isEmpty()) {
+            fail("the answer belongs to another request");
+            return;
+        }
+        if (answer.rejection().isPresent()) {
+            return;
+        }
+        boolean success = status >= OK && status < 300;
+        if (success && (!answer.sealed() || answer.requestId().isEmpty())) {
+            fail("the answer does not prove its origin");
+        } else if (success && answer.encoded()) {
+            fail("the answer is encoded");
+        } else if (success && streaming) {
+            streamStarted = true;
+            receiver.streamStarted(headers, answer.load());
+        }
+    }
+
+    @Override
+    public void data(byte[] part) {
+        if (ended) {
+            return;
+        }
+        if (!streamStarted) {
+            body.writeBytes(part);
+            return;
+        }
+        for (EventStreamSplitter.Event event : splitter.add(part)) {
+            if (ended) {
+                return;
+            }
+            pass(event);
+        }
+    }
+
+    private void pass(EventStreamSplitter.Event event) {
+        if (event.id() >= 0) {
+            if (event.id() <= lastEventId) {
+                return;
+            }
+            if (lastEventId >= 0 && event.id() != lastEventId + 1) {
+                fail("an event is missing before event " + event.id());
+                return;
+            }
+            lastEventId = event.id();
+        }
+        receiver.event(event.bytes(), event.id());
+    }
+
+    @Override
+    public void completed() {
+        if (ended) {
+            return;
+        }
+        if (streamStarted && splitter.midEvent()) {
+            fail("the stream ended within an event");
+            return;
+        }
+        ended = true;
+        if (answer.rejection().isPresent()) {
+            receiver.rejected(answer.rejection().get(), answer.load());
+        } else {
+            receiver.answered(answer.status(), headers, body.toByteArray(), answer.load());
+        }
+    }
+
+    @Override
+    public void failed(HttpFailure failure) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (failure.notSent()) {
+            receiver.rejected(Rejection.UNREACHABLE, Optional.empty());
+        } else if (answer != null && answer.rejection().isPresent()) {
+            receiver.rejected(answer.rejection().get(), answer.load());
+        } else {
+            receiver.broken(failure.getMessage());
+        }
+    }
+
+    private void fail(String detail) {
+        cancel();
+        receiver.broken(detail);
+    }
+}
--- a/src/main/java/org/tarragonlug/http/IoThreads.java
+++ b/src/main/java/org/tarragonlug/http/IoThreads.java
@@ -1,7 +1,9 @@
 package org.tarragonlug.http;
 
 import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.util.concurrent.ScheduledExecutorService;
 
 /**
  * Creates the I/O executor that all clients and servers of a process share.
@@ -21,4 +23,13 @@
     public static IoExecutor create(int threads) {
         return NettyIoExecutors.createIoExecutor(threads, "tarragonlug-io");
     }
+
+    /**
+     * Returns the timers of an executor, which run on its I/O threads.
+     *
+     * @param executor made by {@link #create}
+     */
+    public static ScheduledExecutorService timers(IoExecutor executor) {
+        return ((EventLoopAwareNettyIoExecutor) executor).eventLoopGroup();
+    }
 }
--- a/src/main/java/org/tarragonlug/peer/IdModule.java
+++ b/src/main/java/org/tarragonlug/peer/IdModule.java
@@ -18,12 +18,14 @@
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.Fingerprint;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.OperationId;
 import org.tarragonlug.id.PoolName;
 import org.tarragonlug.id.ProcessId;
 import org.tarragonlug.id.RouteName;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServiceName;
 
 /** Wire form of ids as texts, of versions as numbers, and of times as milliseconds. */
 final class IdModule extends SimpleModule {
@@ -39,7 +41,9 @@
         text(ProcessId.class, ProcessId::new);
         text(RouteName.class, RouteName::new);
         text(ServerGroup.class, ServerGroup::new);
+        text(ModelKey.class, ModelKey::parse);
         text(ServerId.class, ServerId::new);
+        text(ServiceName.class, ServiceName::new);
         number(ConfigurationVersion.class, ConfigurationVersion::value, ConfigurationVersion::new);
         number(Duration.class, Duration::toMillis, Duration::ofMillis);
         number(Instant.class, Instant::toEpochMilli, Instant::ofEpochMilli);
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -59,7 +59,9 @@
                     Map.entry("ConfigurationWhole", PeerMessage.ConfigurationWhole.class),
                     Map.entry("SuspectsAnnounced", PeerMessage.SuspectsAnnounced.class),
                     Map.entry("FingerprintCondemned", PeerMessage.FingerprintCondemned.class),
-                    Map.entry("DecisionHandover", PeerMessage.DecisionHandover.class));
+                    Map.entry("DecisionHandover", PeerMessage.DecisionHandover.class),
+                    Map.entry("ModelDemandReport", PeerMessage.ModelDemandReport.class),
+                    Map.entry("PlacementNotice", PeerMessage.PlacementNotice.class));
 
     private static final Map<Class<? extends PeerMessage>, String> KINDS =
             TYPES.entrySet().stream()
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -9,12 +9,15 @@
 import org.tarragonlug.decision.configuration.Configuration;
 import org.tarragonlug.decision.configuration.ConfigurationDelta;
 import org.tarragonlug.decision.membership.MembershipMessage;
+import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.Fingerprint;
+import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.OperationId;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServiceName;
 
 /** A message between processes of this system (docs/design.md, section 5.4). */
 public sealed interface PeerMessage {
@@ -234,4 +237,55 @@
      * @param revision of the item's stored object, the least that the new owner must read
      */
     record DecisionHandover(int formatVersion, String item, long revision) implements PeerMessage {}
+
+    /**
+     * Demand for models at one instance, sent to the holder of the order lease.
+     *
+     * @param formatVersion of the sender
+     * @param demands models with arrivals since the last report or with waiting requests
+     */
+    record ModelDemandReport(int formatVersion, List<ModelDemand> demands) implements PeerMessage {
+        public ModelDemandReport {
+            demands = List.copyOf(demands);
+        }
+    }
+
+    /**
+     * What the holder of the order lease tells an instance that reported demand.
+     *
+     * @param formatVersion of the sender
+     * @param holding whether the sender holds the lease
+     * @param reporters how many instances report to it
+     * @param replicas models that servers hold, before their listings show it
+     * @param expectations when models that requests wait for will be ready
+     */
+    record PlacementNotice(
+            int formatVersion,
+            boolean holding,
+            int reporters,
+            List<NoticedReplica> replicas,
+            List<NoticedExpectation> expectations)
+            implements PeerMessage {
+        public PlacementNotice {
+            replicas = List.copyOf(replicas);
+            expectations = List.copyOf(expectations);
+        }
+    }
+
+    /**
+     * A model that a server holds.
+     *
+     * @param server the server
+     * @param key the model
+     */
+    record NoticedReplica(ServerId server, ModelKey key) {}
+
+    /**
+     * When a model will be ready.
+     *
+     * @param service the service
+     * @param key the model
+     * @param remaining from receipt until it is ready
+     */
+    record NoticedExpectation(ServiceName service, ModelKey key, Duration remaining) {}
 }
--- /dev/null
+++ b/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
@@ -0,0 +1,129 @@
+package org.tarragonlug.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.tarragonlug.decision.forwarding.ForwardingRoute;
+import org.tarragonlug.decision.forwarding.ForwardingService;
+import org.tarragonlug.decision.forwarding.ForwardingTable;
+import org.tarragonlug.decision.forwarding.ModelCatalog;
+import org.tarragonlug.decision.forwarding.ModelSpecification;
+import org.tarragonlug.decision.forwarding.RequestKind;
+import org.tarragonlug.decision.forwarding.WeightedService;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.RouteName;
+import org.tarragonlug.id.ServiceName;
+
+/**
+ * Decodes the configuration that the operator writes into the store.
+ *
+ * <p>The store accepts valid configurations only; what can not be read here is an {@link
+ * IllegalArgumentException}, and the configuration in force stays.
+ */
+public final class ConfigurationDecoder {
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    private ConfigurationDecoder() {}
+
+    /**
+     * Decodes a configuration.
+     *
+     * @param spec the object's content
+     * @return the table
+     */
+    public static ForwardingTable decode(JsonNode spec) {
+        List<ForwardingRoute> routes = new ArrayList<>();
+        for (JsonNode node : JsonFields.array(spec, "routes")) {
+            routes.add(route(node));
+        }
+        List<ForwardingService> services = new ArrayList<>();
+        for (JsonNode node : JsonFields.array(spec, "services")) {
+            services.add(service(node));
+        }
+        long version = JsonFields.count(spec, "version");
+        return new ForwardingTable(new ConfigurationVersion(version), routes, services);
+    }
+
+    private static ForwardingRoute route(JsonNode node) {
+        return new ForwardingRoute(
+                new RouteName(JsonFields.text(node, "name")),
+                JsonFields.text(node, "host"),
+                JsonFields.text(node, "path_prefix"),
+                kind(JsonFields.text(node, "kind")),
+                Duration.ofMillis((long) JsonFields.number(node, "timeout_ms")),
+                Duration.ofMillis(node.path("target_latency_ms").asLong()),
+                node.path("priority").asInt(),
+                targets(node),
+                Math.max(1, node.path("max_attempts").asInt(1)),
+                node.path("resumable").asBoolean(false),
+                Duration.ofMillis(node.path("gap_target_ms").asLong()));
+    }
+
+    private static RequestKind kind(String text) {
+        return switch (text) {
+            case "idempotent" -> RequestKind.IDEMPOTENT;
+            case "streaming" -> RequestKind.STREAMING;
+            // Whatever is not known to be repeatable runs once at most.
+            default -> RequestKind.NON_IDEMPOTENT;
+        };
+    }
+
+    private static List<WeightedService> targets(JsonNode node) {
+        List<WeightedService> targets = new ArrayList<>();
+        for (JsonNode part : node.path("traffic_split")) {
+            targets.add(
+                    new WeightedService(
+                            new ServiceName(JsonFields.text(part, "service")),
+                            (int) JsonFields.number(part, "weight")));
+        }
+        if (targets.isEmpty()) {
+            targets.add(
+                    new WeightedService(new ServiceName(JsonFields.text(node, "service")), 1));
+        }
+        return targets;
+    }
+
+    private static ForwardingService service(JsonNode node) {
+        JsonNode engine = node.path("engine");
+        Optional<ModelCatalog> catalog =
+                engine.isObject() ? Optional.of(catalog(engine)) : Optional.empty();
+        return new ForwardingService(
+                new ServiceName(JsonFields.text(node, "name")),
+                catalog,
+                node.path("max_conns").asInt(100));
+    }
+
+    private static ModelCatalog catalog(JsonNode engine) {
+        Map<String, ModelSpecification> models = new LinkedHashMap<>();
+        for (JsonNode node : engine.path("models")) {
+            ModelSpecification model = model(node);
+            models.put(model.name(), model);
+        }
+        return new ModelCatalog(
+                models,
+                engine.path("weights_mb").asDouble(),
+                engine.path("adapter_slots").asInt(),
+                engine.path("loads_per_s").asDouble(1));
+    }
+
+    private static ModelSpecification model(JsonNode node) {
+        double remote = node.path("load_s").asDouble();
+        return new ModelSpecification(
+                JsonFields.text(node, "name"),
+                JsonFields.number(node, "weights_mb"),
+                seconds(remote),
+                seconds(node.path("warm_s").asDouble(remote)),
+                seconds(node.path("disk_s").asDouble(remote)),
+                node.path("adapters").asInt(),
+                node.path("adapter_mb").asDouble());
+    }
+
+    private static Duration seconds(double value) {
+        return Duration.ofMillis(Math.round(value * MILLIS_PER_SECOND));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/platform/EngineCalls.java
@@ -0,0 +1,145 @@
+package org.tarragonlug.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import org.tarragonlug.decision.placement.OrderAction;
+import org.tarragonlug.decision.placement.OrderResult;
+import org.tarragonlug.decision.placement.PlannedOrder;
+import org.tarragonlug.decision.placement.ServerReport;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.Answers;
+import org.tarragonlug.http.ConnectionUse;
+import org.tarragonlug.http.HttpAnswer;
+import org.tarragonlug.http.HttpCall;
+import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.runtime.Json;
+
+/** Orders to model servers and questions about their state. */
+public final class EngineCalls {
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(700);
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(700);
+    private static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int CONFLICT = 409;
+    private static final int SERVER_ERROR = 500;
+
+    private final HttpConnections connections;
+
+    /**
+     * Creates the calls.
+     *
+     * @param connections the connections of the process
+     */
+    public EngineCalls(HttpConnections connections) {
+        this.connections = connections;
+    }
+
+    /**
+     * Gives an order.
+     *
+     * @param server the server meant; any other refuses
+     * @param address its address
+     * @param order the order
+     * @param holder the instance that gives it
+     * @param fence fencing number of the holder's lease
+     * @return what the server answered; never fails
+     */
+    public CompletionStage<OrderResult> order(
+            ServerId server,
+            InetSocketAddress address,
+            PlannedOrder order,
+            InstanceId holder,
+            Fence fence) {
+        ObjectNode body = Json.object();
+        body.put("op", order.action() == OrderAction.LOAD ? "model_load" : "model_unload");
+        body.put("model", order.key().model());
+        if (order.key().hasAdapter()) {
+            body.put("adapter", order.key().adapter());
+        }
+        body.put("precondition", order.precondition());
+        body.put("holder", holder.value());
+        body.put("fence", fence.value());
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        "/tarragonlug/order",
+                        Map.of(
+                                "content-type",
+                                "application/json",
+                                EXPECT_INSTANCE,
+                                server.value()),
+                        Json.bytes(body),
+                        ORDER_TIMEOUT,
+                        ConnectionUse.POOLED);
+        return connections
+                .exchange(address, call)
+                .handle(
+                        (answer, failure) ->
+                                failure == null ? result(answer) : OrderResult.UNKNOWN);
+    }
+
+    private static OrderResult result(HttpAnswer answer) {
+        return switch (answer.status()) {
+            case ACCEPTED -> OrderResult.ACCEPTED;
+            case OK -> OrderResult.ALREADY_DONE;
+            case CONFLICT -> OrderResult.CONFLICT;
+            default ->
+                    answer.status() >= SERVER_ERROR ? OrderResult.UNKNOWN : OrderResult.REFUSED;
+        };
+    }
+
+    /**
+     * Asks a server for its state.
+     *
+     * @param server the server meant
+     * @param address its address
+     */
+    public CompletionStage<ServerReport> report(ServerId server, InetSocketAddress address) {
+        HttpCall call =
+                new HttpCall(
+                        "GET",
+                        "/tarragonlug/report",
+                        Map.of(EXPECT_INSTANCE, server.value()),
+                        new byte[0],
+                        REPORT_TIMEOUT,
+                        ConnectionUse.POOLED);
+        return Answers.read(
+                connections.exchange(address, call),
+                answer -> {
+                    if (answer.status() != OK) {
+                        throw new TarragonlugException(
+                                ErrorCode.BACKEND_UNREACHABLE, "status " + answer.status());
+                    }
+                    return decode(JsonFields.parse(answer.body()));
+                },
+                failure ->
+                        new TarragonlugException(
+                                ErrorCode.BACKEND_UNREACHABLE, failure.getMessage(), failure));
+    }
+
+    private static ServerReport decode(JsonNode body) {
+        Map<String, Set<String>> models = ServerEntryDecoder.models(body.path("models"));
+        // Adapters on their way are spelled MODEL/NAME@VERSION.
+        for (String pending : ServerEntryDecoder.names(body.path("pending"))) {
+            int slash = pending.indexOf('/');
+            if (slash > 0) {
+                models.computeIfAbsent(pending.substring(0, slash), model -> new HashSet<>())
+                        .add(pending.substring(slash + 1));
+            }
+        }
+        return new ServerReport(
+                models, body.path("busy").asBoolean(), JsonFields.count(body, "seq"));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -0,0 +1,254 @@
+package org.tarragonlug.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.Answers;
+import org.tarragonlug.http.ConnectionUse;
+import org.tarragonlug.http.HttpAnswer;
+import org.tarragonlug.http.HttpCall;
+import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.http.HttpFailure;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.objectapi.WatchResult;
+import org.tarragonlug.runtime.Json;
+
+/**
+ * The object API over the platform's metadata store.
+ *
+ * <p>The content of an object is its {@code spec}; its version is the revision of its last change.
+ * A write whose answer does not say what happened fails with {@code OBJECT_API_OUTCOME_UNKNOWN};
+ * 503 and 429 are refusals before any effect.
+ */
+public final class PlatformObjectApi implements ObjectApi {
+    private static final String PATH = "/tarragonlug/objects/";
+    private static final int OK = 200;
+    private static final int CREATED = 201;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int GONE = 410;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
+
+    /** How long a call without waiting may take. */
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(1000);
+
+    private final HttpConnections connections;
+    private final InetSocketAddress address;
+
+    /**
+     * Creates the adapter.
+     *
+     * @param connections the connections of the process
+     * @param address where the store answers
+     */
+    public PlatformObjectApi(HttpConnections connections, InetSocketAddress address) {
+        this.connections = connections;
+        this.address = address;
+    }
+
+    @Override
+    public CompletionStage<StoredObject> read(ObjectName name) {
+        return Answers.read(
+                exchange("GET", path(name), null, CALL_TIMEOUT),
+                answer -> {
+                    if (answer.status() == NOT_FOUND) {
+                        return new StoredObject(
+                                name, StoredObject.ABSENT, MissingNode.getInstance());
+                    }
+                    requireRead(answer);
+                    return object(name.kind(), JsonFields.parse(answer.body()));
+                },
+                PlatformObjectApi::unavailable);
+    }
+
+    @Override
+    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expectedVersion) {
+        boolean create = expectedVersion == StoredObject.ABSENT;
+        ObjectNode body = Json.object();
+        ObjectNode metadata = body.putObject("metadata");
+        metadata.put("name", name.name());
+        if (!create) {
+            metadata.put("revision", expectedVersion);
+        }
+        body.set("spec", content);
+        String path = create ? PATH + JsonFields.pathSegment(name.kind()) : path(name);
+        return Answers.read(
+                exchange(create ? "POST" : "PUT", path, body, CALL_TIMEOUT),
+                answer -> {
+                    requireWritten(name, answer);
+                    return object(name.kind(), JsonFields.parse(answer.body())).version();
+                },
+                PlatformObjectApi::writeFailure);
+    }
+
+    @Override
+    public CompletionStage<Void> delete(ObjectName name, long expectedVersion) {
+        String path = path(name) + "?revision=" + expectedVersion;
+        return Answers.read(
+                exchange("DELETE", path, null, CALL_TIMEOUT),
+                answer -> {
+                    if (answer.status() != NOT_FOUND) {
+                        requireWritten(name, answer);
+                    }
+                    return null;
+                },
+                PlatformObjectApi::writeFailure);
+    }
+
+    @Override
+    public CompletionStage<WatchResult> list(String kind) {
+        return listAfter(kind, "", new ArrayList<>(), -1);
+    }
+
+    /** Reads one page and those after it; a watch continues from the first page's revision. */
+    private CompletionStage<WatchResult> listAfter(
+            String kind, String after, List<StoredObject> found, long firstRevision) {
+        String path = PATH + JsonFields.pathSegment(kind);
+        if (!after.isEmpty()) {
+            path += "?after=" + JsonFields.pathSegment(after);
+        }
+        return Answers.read(
+                        exchange("GET", path, null, CALL_TIMEOUT),
+                        answer -> {
+                            requireRead(answer);
+                            return JsonFields.parse(answer.body());
+                        },
+                        PlatformObjectApi::unavailable)
+                .thenCompose(page -> nextPage(kind, page, found, firstRevision));
+    }
+
+    private CompletionStage<WatchResult> nextPage(
+            String kind, JsonNode page, List<StoredObject> found, long firstRevision) {
+        for (JsonNode item : page.path("items")) {
+            addReadable(found, kind, item, false);
+        }
+        long revision = firstRevision >= 0 ? firstRevision : page.path("as_of").asLong();
+        if (page.path("has_more").asBoolean() && !found.isEmpty()) {
+            String last = found.get(found.size() - 1).name().name();
+            return listAfter(kind, last, found, revision);
+        }
+        return java.util.concurrent.CompletableFuture.completedFuture(
+                new WatchResult(found, revision, false));
+    }
+
+    @Override
+    public CompletionStage<WatchResult> watch(
+            String kind, long afterRevision, Duration longestWait) {
+        String path =
+                PATH
+                        + JsonFields.pathSegment(kind)
+                        + "?watch="
+                        + afterRevision
+                        + "&wait_ms="
+                        + longestWait.toMillis();
+        return Answers.read(
+                exchange("GET", path, null, longestWait.plus(CALL_TIMEOUT)),
+                answer -> {
+                    if (answer.status() == GONE) {
+                        return new WatchResult(List.of(), afterRevision, true);
+                    }
+                    requireRead(answer);
+                    return changes(kind, JsonFields.parse(answer.body()), afterRevision);
+                },
+                PlatformObjectApi::unavailable);
+    }
+
+    private static WatchResult changes(String kind, JsonNode body, long afterRevision) {
+        List<StoredObject> changed = new ArrayList<>();
+        for (JsonNode event : body.path("events")) {
+            addReadable(changed, kind, event.path("object"), event.path("deleted").asBoolean());
+        }
+        long revision = Math.max(afterRevision, body.path("as_of").asLong());
+        return new WatchResult(changed, revision, false);
+    }
+
+    /** Adds an object; one whose metadata can not be read names nothing and is passed over. */
+    private static void addReadable(
+            List<StoredObject> objects, String kind, JsonNode node, boolean deleted) {
+        JsonNode metadata = node.path("metadata");
+        if (!metadata.path("name").isTextual() || metadata.path("name").textValue().isEmpty()) {
+            return;
+        }
+        StoredObject object = object(kind, node);
+        boolean leaves = deleted || metadata.path("deleting").asBoolean(false);
+        objects.add(
+                leaves
+                        ? new StoredObject(
+                                object.name(), StoredObject.ABSENT, object.content())
+                        : object);
+    }
+
+    private static StoredObject object(String kind, JsonNode node) {
+        JsonNode metadata = node.path("metadata");
+        ObjectName name = new ObjectName(kind, metadata.path("name").asText());
+        long version = Math.max(1, metadata.path("revision").asLong());
+        return new StoredObject(name, version, node.path("spec"));
+    }
+
+    private CompletionStage<HttpAnswer> exchange(
+            String method, String path, JsonNode body, Duration timeout) {
+        byte[] bytes = body == null ? new byte[0] : Json.bytes(body);
+        Map<String, String> headers =
+                body == null ? Map.of() : Map.of("content-type", "application/json");
+        return connections.exchange(
+                address,
+                new HttpCall(method, path, headers, bytes, timeout, ConnectionUse.POOLED));
+    }
+
+    private static String path(ObjectName name) {
+        return PATH
+                + JsonFields.pathSegment(name.kind())
+                + "/"
+                + JsonFields.pathSegment(name.name());
+    }
+
+    private static void requireRead(HttpAnswer answer) throws TarragonlugException {
+        if (answer.status() != OK) {
+            String detail = "status " + answer.status();
+            throw new TarragonlugException(ErrorCode.OBJECT_API_UNAVAILABLE, detail);
+        }
+    }
+
+    private static void requireWritten(ObjectName name, HttpAnswer answer)
+            throws TarragonlugException {
+        switch (answer.status()) {
+            case OK, CREATED -> {
+                return;
+            }
+            case CONFLICT, NOT_FOUND -> throw error(ErrorCode.WRITE_CONFLICT, name, answer);
+            case UNAVAILABLE, TOO_MANY ->
+                    throw error(ErrorCode.OBJECT_API_UNAVAILABLE, name, answer);
+            default -> throw error(ErrorCode.OBJECT_API_OUTCOME_UNKNOWN, name, answer);
+        }
+    }
+
+    private static TarragonlugException error(
+            ErrorCode code, ObjectName name, HttpAnswer answer) {
+        return new TarragonlugException(code, name + ": status " + answer.status());
+    }
+
+    private static TarragonlugException unavailable(HttpFailure failure) {
+        return new TarragonlugException(
+                ErrorCode.OBJECT_API_UNAVAILABLE, failure.getMessage(), failure);
+    }
+
+    private static TarragonlugException writeFailure(HttpFailure failure) {
+        ErrorCode code =
+                failure.notSent()
+                        ? ErrorCode.OBJECT_API_UNAVAILABLE
+                        : ErrorCode.OBJECT_API_OUTCOME_UNKNOWN;
+        return new TarragonlugException(code, failure.getMessage(), failure);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -0,0 +1,172 @@
+package org.tarragonlug.platform;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonlug.decision.forwarding.ForwardRequest;
+import org.tarragonlug.decision.forwarding.ForwardingCommand;
+import org.tarragonlug.decision.forwarding.PromptPrefix;
+import org.tarragonlug.id.ModelKey;
+
+/**
+ * Headers of requests: decodes those of callers and sets those towards servers.
+ *
+ * <p>Names are in lower case, as the HTTP edge passes them.
+ */
+public final class RequestHeaders {
+    private static final String REQUEST_ID = "tarragonlug-request-id";
+    private static final String DEADLINE = "tarragonlug-deadline-ms";
+    private static final String MODEL = "tarragonlug-model";
+    private static final String TOKEN_COUNT = "tarragonlug-token-count";
+    private static final String PROMPT_PREFIX = "tarragonlug-prompt-prefix";
+    private static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
+    private static final String URGENCY = "tarragonlug-request-urgency";
+    private static final String LAST_EVENT_ID = "last-event-id";
+
+    /** Headers that this system alone sets; those of callers are dropped. */
+    private static final Set<String> OWN =
+            Set.of(
+                    DEADLINE,
+                    EXPECT_INSTANCE,
+                    URGENCY,
+                    LAST_EVENT_ID,
+                    "tarragonlug-expect-version",
+                    "tarragonlug-hold",
+                    "tarragonlug-pin-ms",
+                    "tarragonlug-kv-backup",
+                    "kv-from",
+                    "kv-fetch");
+
+    /** Headers that concern one connection. */
+    private static final Set<String> HOP_BY_HOP =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "transfer-encoding",
+                    "content-length",
+                    "te",
+                    "trailer",
+                    "upgrade",
+                    "expect");
+
+    private RequestHeaders() {}
+
+    /** Returns the id that the caller gave; empty text if none. */
+    public static String requestId(Map<String, String> headers) {
+        return headers.getOrDefault(REQUEST_ID, "");
+    }
+
+    /**
+     * Decodes a caller's request.
+     *
+     * @param key unique within the process
+     * @param path path without query
+     * @param headers the caller's headers
+     */
+    public static ForwardRequest decode(long key, String path, Map<String, String> headers) {
+        String host = headers.getOrDefault("host", "");
+        int colon = host.indexOf(':');
+        Optional<ModelKey> model =
+                Optional.ofNullable(headers.get(MODEL))
+                        .filter(text -> !text.isEmpty() && text.charAt(0) != '/')
+                        .map(ModelKey::parse);
+        int[] tokens = tokens(headers.getOrDefault(TOKEN_COUNT, ""));
+        return new ForwardRequest(
+                key,
+                requestId(headers),
+                colon < 0 ? host : host.substring(0, colon),
+                path,
+                number(headers.get(DEADLINE)).filter(each -> each > 0).map(Duration::ofMillis),
+                model,
+                model.map(each -> prefix(each, headers.getOrDefault(PROMPT_PREFIX, "")))
+                        .orElse(PromptPrefix.NONE),
+                tokens[0],
+                tokens[1],
+                number(headers.get(LAST_EVENT_ID)).orElse(-1L));
+    }
+
+    /** The shared parts are all but the last, which belongs to the request or its session. */
+    private static PromptPrefix prefix(ModelKey model, String text) {
+        String[] parts = text.split(",");
+        if (parts.length < 2) {
+            return PromptPrefix.NONE;
+        }
+        int tokens = 0;
+        StringBuilder key = new StringBuilder(model.toString());
+        for (int index = 0; index < parts.length - 1; index++) {
+            String part = parts[index].trim();
+            int colon = part.indexOf(':');
+            if (colon < 0) {
+                return PromptPrefix.NONE;
+            }
+            key.append('|').append(part, 0, colon);
+            tokens += number(part.substring(colon + 1)).orElse(0L).intValue();
+        }
+        return new PromptPrefix(key.toString(), tokens);
+    }
+
+    private static int[] tokens(String text) {
+        int comma = text.indexOf(',');
+        if (comma < 0) {
+            return new int[] {0, 0};
+        }
+        return new int[] {
+            number(text.substring(0, comma)).orElse(0L).intValue(),
+            number(text.substring(comma + 1)).orElse(0L).intValue()
+        };
+    }
+
+    private static Optional<Long> number(String text) {
+        if (text == null) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(Long.parseLong(text.trim()));
+        } catch (NumberFormatException notNumeric) {
+            // A value that is no number says nothing; the request is served without it.
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Returns the headers of a request towards a server.
+     *
+     * @param headers the caller's headers
+     * @param send where it goes and with which limits
+     */
+    public static Map<String, String> towardsServer(
+            Map<String, String> headers, ForwardingCommand.Send send) {
+        Map<String, String> result = endToEnd(headers);
+        result.keySet().removeAll(OWN);
+        result.put(DEADLINE, Long.toString(Math.max(1, send.remaining().toMillis())));
+        result.put(EXPECT_INSTANCE, send.server().value());
+        if (headers.containsKey(MODEL)) {
+            result.put(URGENCY, Integer.toString(send.urgency()));
+        }
+        if (send.lastEventId() >= 0) {
+            result.put(LAST_EVENT_ID, Long.toString(send.lastEventId()));
+        }
+        return result;
+    }
+
+    /** Returns the headers that do not concern one connection only. */
+    public static Map<String, String> endToEnd(Map<String, String> headers) {
+        Set<String> dropped = new HashSet<>(HOP_BY_HOP);
+        for (String name : headers.getOrDefault("connection", "").split(",")) {
+            dropped.add(name.trim().toLowerCase(Locale.ROOT));
+        }
+        Map<String, String> result = new HashMap<>();
+        headers.forEach(
+                (name, value) -> {
+                    if (!dropped.contains(name)) {
+                        result.put(name, value);
+                    }
+                });
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/platform/ServerEntryDecoder.java
@@ -0,0 +1,86 @@
+package org.tarragonlug.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.tarragonlug.decision.forwarding.ListedState;
+import org.tarragonlug.decision.forwarding.ServerListing;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServiceName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.runtime.Addresses;
+
+/**
+ * Decodes what a server writes about itself into the store.
+ *
+ * <p>An entry that lacks a field or has one of another type may come from another writer; it is an
+ * {@link IllegalArgumentException} and names no server.
+ */
+public final class ServerEntryDecoder {
+    private ServerEntryDecoder() {}
+
+    /**
+     * Decodes an entry.
+     *
+     * @param object the stored entry; its name is the server's id
+     * @return the listing
+     */
+    public static ServerListing decode(StoredObject object) {
+        JsonNode entry = object.content();
+        String address = JsonFields.text(entry, "address");
+        if (Addresses.parse(address).isEmpty()) {
+            throw new IllegalArgumentException("field address is no address");
+        }
+        JsonNode available = entry.path("available");
+        return new ServerListing(
+                new ServerId(object.name().name()),
+                new ServiceName(JsonFields.text(entry, "service")),
+                address,
+                new FailureDomain(JsonFields.text(entry, "zone")),
+                JsonFields.smallCount(entry, "slots"),
+                state(JsonFields.text(entry, "state")),
+                entry.path("born").asLong(),
+                entry.path("seq").asLong(),
+                models(entry.path("models")),
+                names(available.path("in_memory")),
+                names(available.path("on_disk")));
+    }
+
+    private static ListedState state(String text) {
+        return switch (text) {
+            case "ready" -> ListedState.READY;
+            case "draining" -> ListedState.LEAVING;
+            default -> throw new IllegalArgumentException("field state is unknown: " + text);
+        };
+    }
+
+    /** Decodes models with their adapters, as entries and reports spell them. */
+    static Map<String, Set<String>> models(JsonNode list) {
+        Map<String, Set<String>> models = new HashMap<>();
+        for (JsonNode node : list) {
+            JsonNode name = node.path("name");
+            if (name.isTextual() && !name.textValue().isEmpty()) {
+                models.put(name.textValue(), names(node.path("adapters")));
+            }
+        }
+        return models;
+    }
+
+    /** Decodes a list of names; an element may carry a version after an at sign. */
+    static Set<String> names(JsonNode list) {
+        Set<String> names = new HashSet<>();
+        for (JsonNode node : list) {
+            String text = node.isTextual() ? node.textValue() : node.path("name").asText();
+            int at = text.indexOf('@');
+            String name = at < 0 ? text : text.substring(0, at);
+            if (!name.isEmpty()) {
+                names.add(name);
+            }
+        }
+        return names;
+    }
+}
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -52,7 +52,35 @@
     /** A request crashed backend servers and is refused from now on. */
     REQUEST_QUARANTINED(Level.WARN),
     /** A request was refused; at debug level, since overload makes many. */
-    REQUEST_REFUSED(Level.DEBUG);
+    REQUEST_REFUSED(Level.DEBUG),
+    /** The store's history is gone; a kind is listed anew. */
+    STORE_HISTORY_GONE(Level.INFO),
+    /** An entry of the store can not be read and is passed over. */
+    STORE_ENTRY_UNREADABLE(Level.WARN),
+    /** A server is listed, or its state or models changed. */
+    SERVER_LISTED(Level.INFO),
+    /** A server is no longer listed. */
+    SERVER_UNLISTED(Level.INFO),
+    /** This instance holds the lease for orders now. */
+    LEASE_ACQUIRED(Level.INFO),
+    /** This instance does not hold the lease any more. */
+    LEASE_LOST(Level.WARN),
+    /** The process did not run for a while. */
+    PROCESS_PAUSED(Level.WARN),
+    /** The settings file has changed. */
+    SETTINGS_CHANGED(Level.INFO),
+    /** A forwarded request was sent to a server. */
+    FORWARD_SENT(Level.INFO),
+    /** A forwarded request waits for a model. */
+    FORWARD_WAITING(Level.INFO),
+    /** A server turned a forwarded request away. */
+    FORWARD_REJECTED(Level.INFO),
+    /** The connection to a server broke or was invalid while it had a forwarded request. */
+    FORWARD_BROKEN(Level.INFO),
+    /** The attempt at a server was cancelled. */
+    FORWARD_CANCELLED(Level.INFO),
+    /** A forwarded request ended. */
+    FORWARD_ENDED(Level.INFO);
 
     private final Level level;
 
