Count orders from reports and own orders, not from entries

Cause: the seq of an entry counts the entry's writes; taken as the number of accepted orders it made every order conflict. Change: listings carry no order count; what was ordered counts as held until it is dropped.

--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -73,8 +73,7 @@
             absentUntil.clear();
             announced.clear();
         }
-        if (newer.orderCount() != listing.orderCount()
-                || !newer.models().equals(listing.models())) {
+        if (!newer.models().equals(listing.models())) {
             absentUntil.clear();
         }
         listing = newer;
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerListing.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerListing.java
@@ -16,7 +16,6 @@
  * @param slots requests it works on at once
  * @param state whether it takes new work
  * @param startedMillis Unix millisecond of its start; tells two starts under one id apart
- * @param orderCount orders it has accepted since its start
  * @param models models that it holds, each with its adapters
  * @param inMemory models with a copy in its main memory
  * @param onDisk models with a copy on its disk
@@ -29,7 +28,6 @@
         int slots,
         ListedState state,
         long startedMillis,
-        long orderCount,
         Map<String, Set<String>> models,
         Set<String> inMemory,
         Set<String> onDisk) {}
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -145,8 +145,9 @@
             servers.put(event.listing().id(), new PlannedServer(event.listing()));
             return;
         }
-        if (server.update(event.listing())) {
-            checkDone(server, now);
+        server.update(event.listing(), now);
+        if (server.order != null) {
+            checkDone(server, server.states(server.order.key().model()), now);
         }
     }
 
@@ -170,7 +171,7 @@
             case ACCEPTED -> {
                 server.accepted(now.plus(duration(server, order)));
                 if (order.key().hasAdapter() && order.action() == OrderAction.UNLOAD) {
-                    server.adapterDropped(order.key());
+                    server.adapterDropped(order.key(), now);
                     server.order = null;
                 }
             }
@@ -195,7 +196,7 @@
             server.order = order;
             server.accepted(now);
             server.order = null;
-            server.adapterDropped(order.key());
+            server.adapterDropped(order.key(), now);
         } else {
             server.adapterLoaded(order.key(), now);
             commands.add(new PlacementCommand.AnnounceReplica(server.id(), order.key()));
@@ -215,28 +216,32 @@
     }
 
     private void reported(PlannedServer server, ServerReport report, Instant now) {
-        if (report.busy()
-                || !server.adopt(report.models(), report.orderCount())) {
+        if (report.busy() || !server.adopt(report, now)) {
             server.nextReport = now.plus(REPORT_PAUSE);
             return;
         }
         server.uncertain = false;
-        if (server.order != null && server.order.accepted()) {
-            boolean overdue = now.isAfter(server.order.expectedEnd().plus(REPORT_AFTER));
-            checkDone(server, now);
-            if (server.order != null && overdue && !server.order.key().hasAdapter()) {
+        PlannedOrder order = server.order;
+        if (order != null && order.accepted() && !order.key().hasAdapter()) {
+            boolean overdue = now.isAfter(order.expectedEnd().plus(REPORT_AFTER));
+            checkDone(server, report.models().containsKey(order.key().model()), now);
+            if (server.order != null && overdue) {
                 // The server is idle and the effect is not there: the order was in vain.
                 server.order = null;
             }
         }
     }
 
-    private void checkDone(PlannedServer server, Instant now) {
+    /**
+     * Ends an accepted order whose effect a server shows.
+     *
+     * @param present whether the server shows the order's model
+     */
+    private void checkDone(PlannedServer server, boolean present, Instant now) {
         PlannedOrder order = server.order;
-        if (order == null || !order.accepted() || order.key().hasAdapter()) {
+        if (!order.accepted() || order.key().hasAdapter()) {
             return;
         }
-        boolean present = server.models().containsKey(order.key().model());
         if (present != (order.action() == OrderAction.LOAD)) {
             return;
         }
@@ -247,6 +252,9 @@
         server.order = null;
         if (order.action() == OrderAction.LOAD) {
             server.reservedFor = null;
+            server.modelLoaded(order.key().model());
+        } else {
+            server.modelDropped(order.key().model());
         }
     }
 
@@ -519,7 +527,7 @@
 
         private boolean hasRoom(PlannedServer server, String model) {
             double needed = catalog.model(model).orElseThrow().weightsMegabytes();
-            return server.usedMegabytes(catalog, now) + needed <= catalog.weightsMegabytes();
+            return server.usedMegabytes(catalog) + needed <= catalog.weightsMegabytes();
         }
 
         private boolean loadOrMakeRoom(PlannedServer server, String model, String reason) {
@@ -679,7 +687,7 @@
             for (PlannedServer server : holders) {
                 if (server.free()
                         && (best == null
-                                || server.adapters(now).size() < best.adapters(now).size())) {
+                                || server.adapters().size() < best.adapters().size())) {
                     best = server;
                 }
             }
@@ -690,14 +698,14 @@
 
         private void loadAdapter(PlannedServer server, ModelKey key) {
             double size = catalog.model(key.model()).orElseThrow().adapterMegabytes();
-            boolean full = server.adapters(now).size() >= catalog.adapterSlots();
+            boolean full = server.adapters().size() >= catalog.adapterSlots();
             boolean noRoom =
-                    server.usedMegabytes(catalog, now) + size > catalog.weightsMegabytes();
+                    server.usedMegabytes(catalog) + size > catalog.weightsMegabytes();
             if (!full && !noRoom) {
                 order(server, OrderAction.LOAD, key, "adapter_waited_for", now);
                 return;
             }
-            server.oldestAdapter(now.minus(ADAPTER_IN_USE), now)
+            server.oldestAdapter(now.minus(ADAPTER_IN_USE))
                     .ifPresent(
                             old ->
                                     order(
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -18,18 +18,21 @@
  * What the planner believes of one server: the models it holds, the order it carries out and the
  * number of orders it has accepted.
  *
- * <p>A listing or report counts only if it states at least as many accepted orders as are known;
- * an older one would bring back a model that was dropped since. Memory is reserved from the moment
- * an order is given until a newer statement shows its effect.
+ * <p>A listing may be older than the last order. So what was ordered to be loaded counts as held
+ * until it is ordered to be dropped, whether a listing shows it or not, and what a listing shows
+ * counts as held as well. Memory is thus never counted too low; it is counted too high for the time
+ * that a listing lags. The number of accepted orders is known from reports and own orders alone.
  */
 final class PlannedServer {
-    /** An adapter that was ordered counts as held for this long, whatever listings say. */
-    private static final Duration ADAPTER_RESERVED = Duration.ofSeconds(4);
+    /** A dropped adapter that a late listing still shows does not count for this long. */
+    private static final Duration DROP_BELIEVED = Duration.ofSeconds(4);
 
     private ServerListing listing;
     private Map<String, Set<String>> models;
     private long orderCount;
-    private final Map<ModelKey, Instant> orderedAdapters = new HashMap<>();
+    private final Set<String> loadedModels = new HashSet<>();
+    private final Set<ModelKey> loadedAdapters = new HashSet<>();
+    private final Map<ModelKey, Instant> dropped = new HashMap<>();
     private final Map<ModelKey, Instant> adapterUse = new HashMap<>();
 
     /** The order in progress, if any. */
@@ -39,14 +42,13 @@
     String reservedFor;
 
     /** Whether the state must be asked for before the next order. */
-    boolean uncertain;
+    boolean uncertain = true;
 
     Instant nextReport = Instant.EPOCH;
 
     PlannedServer(ServerListing listing) {
         this.listing = listing;
         this.models = copy(listing.models());
-        this.orderCount = listing.orderCount();
     }
 
     ServerListing listing() {
@@ -78,34 +80,62 @@
         return ready() && order == null && !uncertain;
     }
 
-    /** Takes a listing; returns whether its models are believed now. */
-    boolean update(ServerListing newer) {
+    /** Takes a listing. */
+    void update(ServerListing newer, Instant now) {
         boolean restarted = newer.startedMillis() != listing.startedMillis();
         listing = newer;
         if (restarted) {
             order = null;
             reservedFor = null;
-            uncertain = false;
-            orderedAdapters.clear();
-            orderCount = newer.orderCount();
-            models = copy(newer.models());
-            return true;
+            uncertain = true;
+            orderCount = 0;
+            loadedModels.clear();
+            loadedAdapters.clear();
+            dropped.clear();
         }
-        return adopt(newer.models(), newer.orderCount());
+        show(newer.models(), now);
     }
 
-    boolean adopt(Map<String, Set<String>> stated, long statedCount) {
-        if (statedCount < orderCount) {
+    /** Takes a report, which is newer than all orders that it counts. */
+    boolean adopt(ServerReport report, Instant now) {
+        if (report.orderCount() < orderCount) {
             return false;
         }
-        if (order != null && !order.accepted() && statedCount > order.precondition()) {
+        if (order != null && !order.accepted() && report.orderCount() > order.precondition()) {
             order = order.acceptedUntil(order.expectedEnd());
         }
-        orderCount = statedCount;
-        models = copy(stated);
+        orderCount = report.orderCount();
+        loadedModels.retainAll(report.models().keySet());
+        loadedAdapters.removeIf(key -> !report.models().containsKey(key.model()));
+        show(report.models(), now);
         return true;
     }
 
+    private void show(Map<String, Set<String>> stated, Instant now) {
+        dropped.values().removeIf(at -> now.isAfter(at.plus(DROP_BELIEVED)));
+        models = copy(stated);
+        for (String model : loadedModels) {
+            models.computeIfAbsent(model, name -> new HashSet<>());
+        }
+        for (ModelKey key : loadedAdapters) {
+            Set<String> adapters = models.get(key.model());
+            if (adapters != null) {
+                adapters.add(key.adapter());
+            }
+        }
+        for (ModelKey key : dropped.keySet()) {
+            Set<String> adapters = models.get(key.model());
+            if (adapters != null) {
+                adapters.remove(key.adapter());
+            }
+        }
+    }
+
+    /** Tells whether the newest statement of the server itself shows a model. */
+    boolean states(String model) {
+        return listing.models().containsKey(model);
+    }
+
     void accepted(Instant expectedEnd) {
         orderCount = Math.max(orderCount, order.precondition() + 1);
         order = order.acceptedUntil(expectedEnd);
@@ -142,21 +172,38 @@
         return listing.onDisk().contains(model) ? CopyTier.DISK : CopyTier.REMOTE;
     }
 
-    /** Adds an adapter that has been loaded before a listing shows it. */
+    /** A model has been loaded. */
+    void modelLoaded(String model) {
+        loadedModels.add(model);
+        models.computeIfAbsent(model, name -> new HashSet<>());
+    }
+
+    /** A model has been dropped. */
+    void modelDropped(String model) {
+        loadedModels.remove(model);
+        loadedAdapters.removeIf(key -> key.model().equals(model));
+        models.remove(model);
+    }
+
+    /** An adapter was ordered; it takes its place from now on. */
+    void adapterOrdered(ModelKey key, Instant now) {
+        loadedAdapters.add(key);
+        dropped.remove(key);
+        adapterUse.put(key, now);
+    }
+
+    /** An adapter has been loaded. */
     void adapterLoaded(ModelKey key, Instant now) {
+        adapterOrdered(key, now);
         Set<String> adapters = models.get(key.model());
         if (adapters != null) {
             adapters.add(key.adapter());
         }
-        adapterUse.put(key, now);
-    }
-
-    void adapterOrdered(ModelKey key, Instant now) {
-        orderedAdapters.put(key, now);
     }
 
-    void adapterDropped(ModelKey key) {
-        orderedAdapters.remove(key);
+    void adapterDropped(ModelKey key, Instant now) {
+        loadedAdapters.remove(key);
+        dropped.put(key, now);
         Set<String> adapters = models.get(key.model());
         if (adapters != null) {
             adapters.remove(key.adapter());
@@ -170,23 +217,22 @@
     }
 
     /** Returns all adapters that are held or on their way. */
-    Set<ModelKey> adapters(Instant now) {
+    Set<ModelKey> adapters() {
         Set<ModelKey> all = new HashSet<>();
         models.forEach(
                 (model, adapters) ->
                         adapters.forEach(adapter -> all.add(new ModelKey(model, adapter))));
-        orderedAdapters.values().removeIf(at -> now.isAfter(at.plus(ADAPTER_RESERVED)));
-        orderedAdapters.keySet().stream()
+        loadedAdapters.stream()
                 .filter(key -> models.containsKey(key.model()))
                 .forEach(all::add);
         return all;
     }
 
     /** Returns the adapter that was not used for longest. */
-    Optional<ModelKey> oldestAdapter(Instant unusedSince, Instant now) {
+    Optional<ModelKey> oldestAdapter(Instant unusedSince) {
         ModelKey oldest = null;
         Instant oldestUse = unusedSince;
-        for (ModelKey key : adapters(now)) {
+        for (ModelKey key : adapters()) {
             Instant used = adapterUse.getOrDefault(key, Instant.EPOCH);
             if (used.isBefore(oldestUse)) {
                 oldestUse = used;
@@ -197,12 +243,12 @@
     }
 
     /** Returns the memory in use or reserved, megabytes. */
-    double usedMegabytes(ModelCatalog catalog, Instant now) {
+    double usedMegabytes(ModelCatalog catalog) {
         double used = 0;
         for (String model : models.keySet()) {
             used += catalog.model(model).map(ModelSpecification::weightsMegabytes).orElse(0.0);
         }
-        for (ModelKey key : adapters(now)) {
+        for (ModelKey key : adapters()) {
             used +=
                     catalog.model(key.model())
                             .map(ModelSpecification::adapterMegabytes)
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -384,7 +384,6 @@
             log.event(LogEvent.SERVER_LISTED)
                     .with("server", listing.id())
                     .with("state", listing.state())
-                    .with("orders", listing.orderCount())
                     .with("models", listing.models().keySet())
                     .with("revision", object.version())
                     .write();
--- a/src/main/java/org/tarragonlug/platform/ServerEntryDecoder.java
+++ b/src/main/java/org/tarragonlug/platform/ServerEntryDecoder.java
@@ -18,7 +18,8 @@
  * Decodes what a server writes about itself into the store.
  *
  * <p>An entry that lacks a field or has one of another type may come from another writer; it is an
- * {@link IllegalArgumentException} and names no server.
+ * {@link IllegalArgumentException} and names no server. The field {@code seq} of an entry counts the
+ * entry's own writes, not the orders that the server has accepted, and is not used.
  */
 public final class ServerEntryDecoder {
     private ServerEntryDecoder() {}
@@ -44,7 +45,6 @@
                 JsonFields.smallCount(entry, "slots"),
                 state(JsonFields.text(entry, "state")),
                 entry.path("born").asLong(),
-                entry.path("seq").asLong(),
                 models(entry.path("models")),
                 names(available.path("in_memory")),
                 names(available.path("on_disk")));
