Tell instances of replicas directly, take over sooner, keep idle models unloaded

Change: notices of replicas from the holder, long pauses between watches elsewhere; the takeover uses what the holder said last; idle models are not reloaded; the backlog of a server counts.

--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -73,9 +73,6 @@
             absentUntil.clear();
             announced.clear();
         }
-        if (!newer.models().equals(listing.models())) {
-            absentUntil.clear();
-        }
         listing = newer;
     }
 
@@ -86,8 +83,7 @@
 
     /** Tells whether it holds a model and adapter, as far as is known. */
     public boolean holds(ModelKey key, Instant now) {
-        Instant absent = absentUntil.get(key);
-        if (absent != null && now.isBefore(absent)) {
+        if (isAbsent(key, now) || isAbsent(new ModelKey(key.model(), ""), now)) {
             return false;
         }
         Instant until = announced.get(key);
@@ -98,6 +94,11 @@
         return adapters != null && (!key.hasAdapter() || adapters.contains(key.adapter()));
     }
 
+    private boolean isAbsent(ModelKey key, Instant now) {
+        Instant absent = absentUntil.get(key);
+        return absent != null && now.isBefore(absent);
+    }
+
     /** The server said that it does not hold a model. */
     void absent(ModelKey key, Instant now) {
         absentUntil.put(key, now.plus(ABSENCE_BELIEVED));
@@ -110,6 +111,16 @@
         absentUntil.remove(key);
     }
 
+    /** The decider says that the server drops a model or adapter. */
+    void dropped(ModelKey key, Instant until) {
+        absentUntil.put(key, until);
+        announced.keySet().removeIf(each -> each.equals(key) || covers(key, each));
+    }
+
+    private static boolean covers(ModelKey model, ModelKey key) {
+        return !model.hasAdapter() && model.model().equals(key.model());
+    }
+
     /** Own requests on the server. */
     public int inFlight() {
         return inFlight;
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -128,7 +128,7 @@
             fleet.gone(gone.server());
         } else if (event instanceof ForwardingEvent.ReplicaAnnounced announced) {
             fleet.server(announced.server())
-                    .ifPresent(server -> server.announce(announced.key(), announced.until()));
+                    .ifPresent(server -> announce(server, announced));
             offerWaiting(now);
         } else if (event instanceof ForwardingEvent.ReadyExpected expected) {
             expectations
@@ -141,6 +141,15 @@
         return commands;
     }
 
+    private static void announce(
+            FleetServer server, ForwardingEvent.ReplicaAnnounced announced) {
+        if (announced.held()) {
+            server.announce(announced.key(), announced.until());
+        } else {
+            server.dropped(announced.key(), announced.until());
+        }
+    }
+
     private Optional<PendingForward> find(long key) {
         return Optional.ofNullable(pending.get(key));
     }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -47,13 +47,14 @@
     record ServerGone(ServerId server) implements ForwardingEvent {}
 
     /**
-     * The decider says where a model is before the listing shows it.
+     * The decider says what a server holds before the listing shows it.
      *
      * @param server the server
-     * @param key what it holds
+     * @param key the model
+     * @param held whether the server holds it
      * @param until how long to believe it without a listing
      */
-    record ReplicaAnnounced(ServerId server, ModelKey key, Instant until)
+    record ReplicaAnnounced(ServerId server, ModelKey key, boolean held, Instant until)
             implements ForwardingEvent {}
 
     /**
--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseEvent.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseEvent.java
@@ -22,8 +22,13 @@
     /** A call had no answer or an error; a write may have taken effect. */
     record CallFailed() implements LeaseEvent {}
 
-    /** The holder has answered this instance and holds its lease. */
-    record HolderHeard() implements LeaseEvent {}
+    /**
+     * The holder has answered this instance.
+     *
+     * @param holding whether it may give orders
+     * @param revision revision of its last successful renewal
+     */
+    record HolderHeard(boolean holding, long revision) implements LeaseEvent {}
 
     /** The process was paused: no time measured before counts any more. */
     record Paused() implements LeaseEvent {}
--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
@@ -13,12 +13,13 @@
  *
  * <p>The holder renews the lease by conditional writes and gives orders only for {@link
  * #ORDER_PERIOD} after the beginning of its last successful renewal, by its own monotonic clock.
- * Another instance takes the lease once it has seen the same renewal for {@link #TAKEOVER_AFTER},
- * and gives its first order only when the turn-taking time of the platform has passed since the
- * last moment at which the old holder may have given one. That moment is bounded: the renewal that
- * was seen began before it was first read, so the old holder stopped at most ORDER_PERIOD after the
- * first reading. No two clocks are compared. The stored fence grows with each holder, and the store
- * lets one conditional write win, so no two holders share a fence.
+ * Another instance takes the lease once the holder is silent and the stored renewal has not changed
+ * for {@link #TAKEOVER_AFTER}, or at once if the holder itself says that it gives no more orders.
+ * It gives its first order only when the turn-taking time of the platform has passed since the last
+ * moment at which the old holder may have given one. That moment is bounded: a renewal began before
+ * this instance first learned of it, from the store or from the holder, so the old holder stops at
+ * most ORDER_PERIOD later. No two clocks are compared. The stored fence grows with each holder, and
+ * the store lets one conditional write win, so no two holders share a fence.
  *
  * <p>An instance that hears the holder directly does not read the store; reads cost money and are
  * needed only when the holder is silent. A paused process forgets its last renewal, because its
@@ -29,21 +30,21 @@
  */
 public final class LeaseKeeper implements StateMachine<LeaseEvent, LeaseCommand> {
     /** How long after the beginning of a renewal orders may be given. */
-    static final Duration ORDER_PERIOD = Duration.ofMillis(2200);
+    static final Duration ORDER_PERIOD = Duration.ofMillis(1500);
 
     /** How often the holder renews. */
-    static final Duration RENEWAL_PERIOD = Duration.ofMillis(1000);
+    static final Duration RENEWAL_PERIOD = Duration.ofMillis(600);
 
     /** How long a renewal must stay the same before another instance takes the lease. */
-    static final Duration TAKEOVER_AFTER = Duration.ofMillis(3000);
+    static final Duration TAKEOVER_AFTER = Duration.ofMillis(1500);
 
     /** How long the holder may be silent towards this instance before the lease is read. */
-    static final Duration SILENCE = Duration.ofMillis(2500);
+    static final Duration SILENCE = Duration.ofMillis(1300);
 
-    private static final Duration READ_PERIOD = Duration.ofMillis(900);
-    private static final Duration CALL_LIMIT = Duration.ofMillis(2000);
-    private static final Duration FAILURE_PAUSE = Duration.ofMillis(400);
-    private static final Duration TURN_MARGIN = Duration.ofMillis(300);
+    private static final Duration READ_PERIOD = Duration.ofMillis(500);
+    private static final Duration CALL_LIMIT = Duration.ofMillis(1500);
+    private static final Duration FAILURE_PAUSE = Duration.ofMillis(300);
+    private static final Duration TURN_MARGIN = Duration.ofMillis(200);
 
     private final InstanceId self;
     private final String process;
@@ -62,6 +63,17 @@
     private Instant takeoverBasis = Instant.EPOCH;
 
     private boolean readOnce;
+    private Instant readAt = Instant.EPOCH;
+
+    /** The newest renewal that a holder has told, and when it was first told. */
+    private long heardRevision;
+
+    private Instant heardSince = Instant.EPOCH;
+
+    /** Whether the holder has said that it gives no more orders, and since when. */
+    private boolean gaveUp;
+
+    private Instant gaveUpAt = Instant.EPOCH;
     private boolean stopping;
 
     /**
@@ -121,8 +133,8 @@
             nextCall = now.plus(FAILURE_PAUSE);
             return List.of();
         }
-        if (event instanceof LeaseEvent.HolderHeard) {
-            lastHeard = now;
+        if (event instanceof LeaseEvent.HolderHeard heard) {
+            heard(heard, now);
             return List.of();
         }
         if (event instanceof LeaseEvent.Paused) {
@@ -138,6 +150,22 @@
         return tick(now);
     }
 
+    private void heard(LeaseEvent.HolderHeard event, Instant now) {
+        if (event.revision() > heardRevision) {
+            heardRevision = event.revision();
+            heardSince = now;
+        }
+        if (event.holding()) {
+            lastHeard = now;
+            gaveUp = false;
+        } else if (!gaveUp) {
+            gaveUp = true;
+            gaveUpAt = now;
+            lastHeard = Instant.EPOCH;
+            nextCall = now;
+        }
+    }
+
     private List<LeaseCommand> stop() {
         boolean held = holding;
         stopping = true;
@@ -160,6 +188,7 @@
     private List<LeaseCommand> observed(Optional<LeaseRecord> stored, Instant now) {
         LeaseRecord before = seen;
         LeaseRecord found = stored.orElse(null);
+        readAt = now;
         nextCall = now.plus(READ_PERIOD);
         if (found == null) {
             seen = null;
@@ -168,7 +197,9 @@
         boolean same = before != null && before.revision() == found.revision();
         seen = found;
         if (!same) {
-            seenSince = now;
+            boolean told = found.revision() == heardRevision;
+            seenSince = told ? heardSince : now;
+            gaveUp = gaveUp && told;
         }
         if (found.holder().equals(self)) {
             // A write whose answer was lost took effect; only a new renewal proves when.
@@ -228,8 +259,13 @@
         if (seen.holder().equals(self)) {
             return takeOwn(now);
         }
-        if (now.isAfter(seenSince.plus(TAKEOVER_AFTER)) || seen.released()) {
-            takeoverBasis = seen.released() ? seenSince.minus(ORDER_PERIOD) : seenSince;
+        if (seen.released() || gaveUp && seen.revision() == heardRevision) {
+            Instant stoppedBy = seen.released() ? seenSince : gaveUpAt;
+            takeoverBasis = stoppedBy.minus(ORDER_PERIOD);
+            return write(seen.fence().next(), now);
+        }
+        if (now.isAfter(seenSince.plus(TAKEOVER_AFTER)) && readAt.isAfter(lastHeard)) {
+            takeoverBasis = seenSince;
             return write(seen.fence().next(), now);
         }
         return read(now);
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementCommand.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementCommand.java
@@ -24,8 +24,15 @@
     record AskReport(ServerId server, long startedMillis, String address)
             implements PlacementCommand {}
 
-    /** Tell the instances that a server holds a model before the listing shows it. */
-    record AnnounceReplica(ServerId server, ModelKey key) implements PlacementCommand {}
+    /**
+     * Tell the instances what a server holds before the listing shows it.
+     *
+     * @param server the server
+     * @param key the model
+     * @param held whether the server holds it; false from the moment of the order to drop it
+     */
+    record AnnounceReplica(ServerId server, ModelKey key, boolean held)
+            implements PlacementCommand {}
 
     /** Tell the instances when a model that they wait for is expected. */
     record AnnounceExpectation(ServiceName service, ModelKey key, Instant ready)
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -59,10 +59,16 @@
     /** A model used within this time is not dropped if it is the last replica. */
     private static final Duration MODEL_IN_USE = Duration.ofMillis(900);
 
-    /** Requests a second above which a model gets a second replica, and a third. */
-    private static final double SECOND_REPLICA_RATE = 0.8;
+    /** Requests a second from which on a model is kept loaded though nobody waits. */
+    private static final double WARM_RATE = 0.7;
 
-    private static final double THIRD_REPLICA_RATE = 5;
+    /** Requests a second from which on a model gets a second replica, and a third. */
+    private static final double SECOND_REPLICA_RATE = 2;
+
+    private static final double THIRD_REPLICA_RATE = 12;
+
+    /** Until this long after the first demand, what the servers held at first counts as busy. */
+    private static final Duration LEARNING_TIME = Duration.ofSeconds(4);
 
     /** Typical time that a generation occupies a slot, seconds. */
     private static final double SLOT_SECONDS = 0.6;
@@ -73,6 +79,7 @@
     private final DemandBoard demand = new DemandBoard();
     private final Map<ServerId, PlannedServer> servers = new LinkedHashMap<>();
     private final Map<ModelKey, Instant> expectationsSent = new HashMap<>();
+    private final Map<ServiceName, Instant> firstDemand = new HashMap<>();
     private ForwardingTable table;
     private boolean owner;
     private List<PlacementCommand> commands = new ArrayList<>();
@@ -153,6 +160,7 @@
 
     private void demandReported(PlacementEvent.DemandReported event, Instant now) {
         for (ModelDemand each : event.demands()) {
+            firstDemand.putIfAbsent(each.service(), now);
             demand.report(event.from(), each, now);
             if (each.key().hasAdapter()) {
                 servers.values().forEach(server -> server.adapterUsed(each.key(), now));
@@ -199,7 +207,7 @@
             server.adapterDropped(order.key(), now);
         } else {
             server.adapterLoaded(order.key(), now);
-            commands.add(new PlacementCommand.AnnounceReplica(server.id(), order.key()));
+            announce(server, order.key(), true);
         }
     }
 
@@ -253,6 +261,7 @@
         if (order.action() == OrderAction.LOAD) {
             server.reservedFor = null;
             server.modelLoaded(order.key().model());
+            announce(server, order.key(), true);
         } else {
             server.modelDropped(order.key().model());
         }
@@ -279,8 +288,7 @@
                 if (!now.isBefore(order.expectedEnd())) {
                     server.order = null;
                     server.adapterLoaded(order.key(), now);
-                    commands.add(
-                            new PlacementCommand.AnnounceReplica(server.id(), order.key()));
+                    announce(server, order.key(), true);
                 }
             } else if (order != null && now.isAfter(order.expectedEnd().plus(REPORT_AFTER))) {
                 askReport(server, now);
@@ -337,7 +345,15 @@
         give(server, order, reason);
     }
 
+    private void announce(PlannedServer server, ModelKey key, boolean held) {
+        commands.add(new PlacementCommand.AnnounceReplica(server.id(), key, held));
+    }
+
     private void give(PlannedServer server, PlannedOrder order, String reason) {
+        if (order.action() == OrderAction.UNLOAD) {
+            // Before the order, so that requests no longer go there.
+            announce(server, order.key(), false);
+        }
         commands.add(
                 new PlacementCommand.GiveOrder(
                         server.id(),
@@ -378,6 +394,11 @@
         private final Instant now;
         private final List<PlannedServer> members = new ArrayList<>();
 
+        private final Set<String> wanted = new HashSet<>();
+
+        /** When a server will have done what this round has intended for it. */
+        private final Map<PlannedServer, Instant> intended = new HashMap<>();
+
         ServicePlan(ServiceName service, ModelCatalog catalog, Instant now) {
             this.service = service;
             this.catalog = catalog;
@@ -390,17 +411,22 @@
         }
 
         void run() {
+            List<DemandBoard.Want> wants = demand.wants(service, now);
+            wants.forEach(want -> wanted.add(want.key().model()));
             continueReserved();
             Set<String> handled = new HashSet<>();
-            for (DemandBoard.Want want : demand.wants(service, now)) {
+            for (DemandBoard.Want want : wants) {
                 serve(want, handled);
             }
             for (String model : demand.recentModels(service, now)) {
-                if (handled.add(model) && holders(model).isEmpty()) {
+                if (demand.modelRate(service, model, now) >= WARM_RATE
+                        && handled.add(model)
+                        && holders(model).isEmpty()) {
                     ensureModel(model, "asked_for");
                 }
             }
             replicate();
+            prewarm();
             prefetch();
         }
 
@@ -488,10 +514,11 @@
         }
 
         private Instant startAt(PlannedServer server) {
-            if (server.order == null || server.order.expectedEnd().isBefore(now)) {
-                return now;
+            Instant start = intended.getOrDefault(server, now);
+            if (server.order != null && server.order.expectedEnd().isAfter(start)) {
+                start = server.order.expectedEnd();
             }
-            return server.order.expectedEnd();
+            return start;
         }
 
         private Duration loadTime(PlannedServer server, String model) {
@@ -506,12 +533,15 @@
             PlannedServer best = null;
             Instant earliest = null;
             for (PlannedServer server : members) {
-                if (server.uncertain
-                        || server.reservedFor != null
-                        || !hasRoom(server, model) && victim(server, model).isEmpty()) {
+                if (server.uncertain || !hasRoom(server, model) && victim(server, model).isEmpty()) {
                     continue;
                 }
                 Instant ready = startAt(server).plus(loadTime(server, model));
+                if (server.reservedFor != null && server.order == null
+                        || server.reservedFor != null
+                                && server.order.action() == OrderAction.UNLOAD) {
+                    ready = ready.plus(loadTime(server, server.reservedFor));
+                }
                 if (!hasRoom(server, model)) {
                     ready = ready.plus(UNLOAD_TIME);
                 }
@@ -520,7 +550,11 @@
                     best = server;
                 }
             }
-            if (best != null && best.free()) {
+            if (best == null) {
+                return;
+            }
+            intended.put(best, earliest);
+            if (best.free() && best.reservedFor == null) {
                 loadOrMakeRoom(best, model, reason);
             }
         }
@@ -567,6 +601,9 @@
                 long idle =
                         Duration.between(demand.lastUsed(service, model), now).toSeconds();
                 value -= Math.min(idle, 1000) * 1e-6;
+                boolean adapted =
+                        catalog.model(model).filter(each -> each.adapters() > 0).isPresent();
+                value += adapted ? 1e-3 : 0;
                 if (value < lowest) {
                     lowest = value;
                     best = model;
@@ -580,9 +617,7 @@
             if (replicas > desired(model)) {
                 return true;
             }
-            boolean waitedFor =
-                    demand.wants(service, now).stream()
-                            .anyMatch(want -> want.key().model().equals(model));
+            boolean waitedFor = wanted.contains(model);
             Instant used = demand.lastUsed(service, model);
             return !waitedFor
                     && desired(model) <= 1
@@ -592,25 +627,56 @@
         /** Returns how many replicas the demand for a model calls for. */
         private int desired(String model) {
             double rate = demand.modelRate(service, model, now);
+            int assumed = assumedBusy(model);
             if (rate < SECOND_REPLICA_RATE) {
-                return rate > 0 ? 1 : 0;
+                return Math.max(assumed, rate >= WARM_RATE ? 1 : 0);
             }
-            int replicas = rate < THIRD_REPLICA_RATE ? 2 : 3;
+            int replicas = Math.max(assumed, rate < THIRD_REPLICA_RATE ? 2 : 3);
             int slots = members.isEmpty() ? 1 : Math.max(1, members.get(0).listing().slots());
             int forLoad = (int) Math.ceil(rate * SLOT_SECONDS / (slots * TARGET_SLOT_USE));
             return Math.min(members.size(), Math.max(replicas, forLoad));
         }
 
+        /** Returns how many replicas to keep of a model whose demand is not known yet. */
+        private int assumedBusy(String model) {
+            Instant since = firstDemand.getOrDefault(service, Instant.MAX);
+            if (!since.equals(Instant.MAX) && now.isAfter(since.plus(LEARNING_TIME))) {
+                return 0;
+            }
+            int holders = holders(model).size();
+            return holders >= 2 ? Math.min(holders, 3) : 0;
+        }
+
         private void replicate() {
             for (String model : demand.recentModels(service, now)) {
-                if (catalog.model(model).isEmpty() || copies(model) >= desired(model)) {
+                int copies = copies(model);
+                if (catalog.model(model).isEmpty() || copies >= desired(model)) {
                     continue;
                 }
-                replicaServer(model).ifPresent(server -> loadOrMakeRoom(server, model, "busy"));
+                boolean remoteToo = copies <= 1;
+                replicaServer(model, remoteToo)
+                        .ifPresent(server -> loadOrMakeRoom(server, model, "busy"));
+            }
+        }
+
+        /**
+         * Loads models with adapters, which operators declare for models in wide use, before anybody
+         * asks for them; only from local copies and only while no demand is known.
+         */
+        private void prewarm() {
+            if (firstDemand.containsKey(service)) {
+                return;
+            }
+            for (ModelSpecification model : catalog.models().values()) {
+                if (model.adapters() > 0 && copies(model.name()) == 0) {
+                    replicaServer(model.name(), false)
+                            .ifPresent(
+                                    server -> loadOrMakeRoom(server, model.name(), "prewarmed"));
+                }
             }
         }
 
-        private Optional<PlannedServer> replicaServer(String model) {
+        private Optional<PlannedServer> replicaServer(String model, boolean remoteToo) {
             Set<FailureDomain> domains = new HashSet<>();
             holders(model).forEach(server -> domains.add(server.listing().failureDomain()));
             PlannedServer best = null;
@@ -619,6 +685,7 @@
                 if (!server.free()
                         || server.reservedFor != null
                         || server.holds(model)
+                        || !remoteToo && server.tier(model) == CopyTier.REMOTE
                         || !hasRoom(server, model) && victim(server, model).isEmpty()) {
                     continue;
                 }
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -160,7 +160,13 @@
                 new LeaseDriver(keeper, store, PlatformKinds.ORDER_LEASE, loop, timers, log);
         this.servers =
                 new StoreFollower(
-                        PlatformKinds.SERVERS, store, loop, timers, log, new ServerListener());
+                        PlatformKinds.SERVERS,
+                        store,
+                        loop,
+                        timers,
+                        log,
+                        () -> keeper.holding(timers.now()) || !ready,
+                        new ServerListener());
         this.configuration =
                 new StoreFollower(
                         PlatformKinds.CONFIGURATION,
@@ -168,6 +174,7 @@
                         loop,
                         timers,
                         log,
+                        () -> true,
                         new ConfigurationListener());
         this.callers =
                 new ForwardingServer(
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -26,7 +26,7 @@
  * which answers each report, so that an instance that is answered knows the holder to be alive.
  */
 final class PeerExchange implements PlacementDriver.NoticeListener {
-    private static final Duration REPORT_PERIOD = Duration.ofMillis(500);
+    private static final Duration REPORT_PERIOD = Duration.ofMillis(400);
 
     /** Wants that arise within this time travel in one report. */
     private static final Duration URGENT_JOIN = Duration.ofMillis(2);
@@ -120,10 +120,10 @@
     private void noticed(InstanceId from, PeerMessage.PlacementNotice notice, Instant now) {
         boolean holder =
                 keeper.seen().filter(seen -> seen.holder().equals(from)).isPresent();
-        if (!notice.holding() || !holder) {
+        if (!holder) {
             return;
         }
-        lease.post(new LeaseEvent.HolderHeard());
+        lease.post(new LeaseEvent.HolderHeard(notice.holding(), notice.leaseRevision()));
         for (PeerMessage.NoticedReplica replica : notice.replicas()) {
             believe(replica, now);
         }
@@ -135,7 +135,10 @@
     private void believe(PeerMessage.NoticedReplica replica, Instant now) {
         forwarding.post(
                 new ForwardingEvent.ReplicaAnnounced(
-                        replica.server(), replica.key(), now.plus(REPLICA_BELIEVED)));
+                        replica.server(),
+                        replica.key(),
+                        replica.held(),
+                        now.plus(REPLICA_BELIEVED)));
     }
 
     private void expect(PeerMessage.NoticedExpectation expectation, Instant now) {
@@ -149,7 +152,8 @@
     @Override
     public void replica(PlacementCommand.AnnounceReplica replica) {
         PeerMessage.NoticedReplica notice =
-                new PeerMessage.NoticedReplica(replica.server(), replica.key());
+                new PeerMessage.NoticedReplica(
+                        replica.server(), replica.key(), replica.held());
         replicas.add(notice);
         believe(notice, timers.now());
         noticeSoon();
@@ -195,6 +199,7 @@
                 new PeerMessage.PlacementNotice(
                         PeerMessage.FORMAT_VERSION,
                         keeper.holding(timers.now()),
+                        keeper.seen().map(LeaseRecord::revision).orElse(0L),
                         reporters.size(),
                         newReplicas,
                         newExpectations));
--- a/src/main/java/org/tarragonlug/gateway/StoreFollower.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreFollower.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
@@ -16,15 +17,19 @@
  * Follows all objects of one kind: a list first, then watches, and a list again after each gap.
  *
  * <p>A watch waits for a few seconds only, since a connection that went silent shows itself only by
- * the missing answer. Between two watches there is a short pause, which joins changes that come
- * together into one call.
+ * the missing answer. Between two watches there is a pause, which joins changes that come together
+ * into one call; it is short only while the changes are needed at once.
  *
  * <p>An object that is missing from a list after an outage is reported as gone only after {@link
  * #RETURN_TIME}: entries that expired during the outage come back within that time.
  */
 final class StoreFollower {
     private static final Duration WATCH_WAIT = Duration.ofMillis(3000);
-    private static final Duration JOIN_PAUSE = Duration.ofMillis(60);
+
+    /** Pause where changes are needed at once, and where others tell of the urgent ones. */
+    private static final Duration SHORT_PAUSE = Duration.ofMillis(40);
+
+    private static final Duration LONG_PAUSE = Duration.ofMillis(700);
     private static final Duration SHORTEST_BACKOFF = Duration.ofMillis(150);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(1000);
 
@@ -48,6 +53,7 @@
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
+    private final BooleanSupplier eager;
     private final Listener listener;
     private final Set<String> known = new HashSet<>();
     private final Set<String> missing = new HashSet<>();
@@ -64,12 +70,14 @@
             Executor loop,
             TimerService timers,
             EventLog log,
+            BooleanSupplier eager,
             Listener listener) {
         this.kind = kind;
         this.store = store;
         this.loop = loop;
         this.timers = timers;
         this.log = log;
+        this.eager = eager;
         this.listener = listener;
     }
 
@@ -155,7 +163,7 @@
             }
         }
         revision = result.revision();
-        timers.after(JOIN_PAUSE, now -> watch());
+        timers.after(eager.getAsBoolean() ? SHORT_PAUSE : LONG_PAUSE, now -> watch());
     }
 
     private void changed(StoredObject object) {
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -254,7 +254,8 @@
      * What the holder of the order lease tells an instance that reported demand.
      *
      * @param formatVersion of the sender
-     * @param holding whether the sender holds the lease
+     * @param holding whether the sender may give orders
+     * @param leaseRevision revision of the sender's last renewal
      * @param reporters how many instances report to it
      * @param replicas models that servers hold, before their listings show it
      * @param expectations when models that requests wait for will be ready
@@ -262,6 +263,7 @@
     record PlacementNotice(
             int formatVersion,
             boolean holding,
+            long leaseRevision,
             int reporters,
             List<NoticedReplica> replicas,
             List<NoticedExpectation> expectations)
@@ -273,12 +275,13 @@
     }
 
     /**
-     * A model that a server holds.
+     * A model that a server holds, or does not hold any more.
      *
      * @param server the server
      * @param key the model
+     * @param held whether the server holds it
      */
-    record NoticedReplica(ServerId server, ModelKey key) {}
+    record NoticedReplica(ServerId server, ModelKey key, boolean held) {}
 
     /**
      * When a model will be ready.
