Keep a model that was just loaded or is waited for; call the store through a peer

An instance that the store turns away had no way to it. Change: SHORTEST_STAY, waited-for models stay; RelayingObjectApi; placement waits for reports. Ruled out: late listings, lost orders (all accepted). Conclusion: the outage of orders after a cut of the holder remains (5 s).

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
@@ -30,7 +30,7 @@
  */
 public final class LeaseKeeper implements StateMachine<LeaseEvent, LeaseCommand> {
     /** How long after the beginning of a renewal orders may be given. */
-    static final Duration ORDER_PERIOD = Duration.ofMillis(1500);
+    static final Duration ORDER_PERIOD = Duration.ofMillis(1700);
 
     /** How often the holder renews. */
     static final Duration RENEWAL_PERIOD = Duration.ofMillis(600);
@@ -43,7 +43,7 @@
 
     private static final Duration READ_PERIOD = Duration.ofMillis(500);
     private static final Duration CALL_LIMIT = Duration.ofMillis(1500);
-    private static final Duration FAILURE_PAUSE = Duration.ofMillis(300);
+    private static final Duration FAILURE_PAUSE = Duration.ofMillis(120);
     private static final Duration TURN_MARGIN = Duration.ofMillis(200);
 
     private final InstanceId self;
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -59,6 +59,9 @@
     /** A model used within this time is not dropped if it is the last replica. */
     private static final Duration MODEL_IN_USE = Duration.ofMillis(900);
 
+    /** How long a model stays at least once it is loaded. */
+    private static final Duration SHORTEST_STAY = Duration.ofMillis(700);
+
     /** Requests a second from which on a model is kept loaded though nobody waits. */
     private static final double WARM_RATE = 0.7;
 
@@ -260,7 +263,7 @@
         server.order = null;
         if (order.action() == OrderAction.LOAD) {
             server.reservedFor = null;
-            server.modelLoaded(order.key().model());
+            server.modelLoaded(order.key().model(), now);
             announce(server, order.key(), true);
         } else {
             server.modelDropped(order.key().model());
@@ -518,7 +521,7 @@
             if (server.order != null && server.order.expectedEnd().isAfter(start)) {
                 start = server.order.expectedEnd();
             }
-            return start;
+            return server.uncertain ? start.plus(REPORT_PAUSE) : start;
         }
 
         private Duration loadTime(PlannedServer server, String model) {
@@ -533,7 +536,7 @@
             PlannedServer best = null;
             Instant earliest = null;
             for (PlannedServer server : members) {
-                if (server.uncertain || !hasRoom(server, model) && victim(server, model).isEmpty()) {
+                if (!hasRoom(server, model) && victim(server, model).isEmpty()) {
                     continue;
                 }
                 Instant ready = startAt(server).plus(loadTime(server, model));
@@ -594,7 +597,7 @@
             String best = null;
             double lowest = Double.MAX_VALUE;
             for (String model : server.models().keySet()) {
-                if (model.equals(wanted) || !mayDrop(model)) {
+                if (model.equals(wanted) || !mayDrop(server, model)) {
                     continue;
                 }
                 double value = demand.modelRate(service, model, now) / copies(model);
@@ -612,15 +615,21 @@
             return Optional.ofNullable(best);
         }
 
-        private boolean mayDrop(String model) {
+        /**
+         * Tells whether a server may drop a model. A model that was just loaded stays for a while,
+         * so that the requests that waited for it reach it.
+         */
+        private boolean mayDrop(PlannedServer server, String model) {
+            if (now.isBefore(server.loadedAt(model).plus(SHORTEST_STAY))) {
+                return false;
+            }
             int replicas = holders(model).size();
-            if (replicas > desired(model)) {
+            if (replicas > Math.max(1, desired(model))) {
                 return true;
             }
-            boolean waitedFor = wanted.contains(model);
             Instant used = demand.lastUsed(service, model);
-            return !waitedFor
-                    && desired(model) <= 1
+            return desired(model) == 0
+                    && !wanted.contains(model)
                     && now.isAfter(used.plus(MODEL_IN_USE));
         }
 
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -32,6 +32,7 @@
     private long orderCount;
     private final Set<String> loadedModels = new HashSet<>();
     private final Set<ModelKey> loadedAdapters = new HashSet<>();
+    private final Map<String, Instant> loadedAt = new HashMap<>();
     private final Map<ModelKey, Instant> dropped = new HashMap<>();
     private final Map<ModelKey, Instant> adapterUse = new HashMap<>();
 
@@ -173,11 +174,17 @@
     }
 
     /** A model has been loaded. */
-    void modelLoaded(String model) {
+    void modelLoaded(String model, Instant now) {
         loadedModels.add(model);
+        loadedAt.put(model, now);
         models.computeIfAbsent(model, name -> new HashSet<>());
     }
 
+    /** Returns when a model was loaded by an order, if that is known. */
+    Instant loadedAt(String model) {
+        return loadedAt.getOrDefault(model, Instant.EPOCH);
+    }
+
     /** A model has been dropped. */
     void modelDropped(String model) {
         loadedModels.remove(model);
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -91,6 +91,7 @@
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
     private final LeaseDriver lease;
+    private final RelayingObjectApi store;
     private final StoreFollower servers;
     private final StoreFollower configuration;
     private final ForwardingServer callers;
@@ -155,7 +156,13 @@
                         log,
                         metrics,
                         peers);
-        PlatformObjectApi store = new PlatformObjectApi(connections, settings.storeAddress());
+        this.store =
+                new RelayingObjectApi(
+                        new PlatformObjectApi(connections, settings.storeAddress()),
+                        peers,
+                        loop,
+                        timers,
+                        log);
         this.lease =
                 new LeaseDriver(keeper, store, PlatformKinds.ORDER_LEASE, loop, timers, log);
         this.servers =
@@ -226,7 +233,7 @@
     }
 
     private void startFollowing() {
-        peers.start(transport, forwarding, placement, lease);
+        peers.start(transport, forwarding, placement, lease, store);
         servers.start();
         configuration.start();
         timers.subscribe(REQUEST_TICK, now -> requestTick());
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -25,7 +25,8 @@
  * Exchanges demand and notices between instances: each reports its demand to the lease's holder,
  * which answers each report, so that an instance that is answered knows the holder to be alive.
  */
-final class PeerExchange implements PlacementDriver.NoticeListener {
+final class PeerExchange
+        implements PlacementDriver.NoticeListener, RelayingObjectApi.Channel {
     private static final Duration REPORT_PERIOD = Duration.ofMillis(400);
 
     /** Wants that arise within this time travel in one report. */
@@ -48,6 +49,7 @@
     private ForwardingDriver forwarding;
     private PlacementDriver placement;
     private LeaseDriver lease;
+    private RelayingObjectApi store;
     private boolean reportScheduled;
     private boolean noticeScheduled;
 
@@ -66,11 +68,13 @@
             PeerTransport opened,
             ForwardingDriver forwardingDriver,
             PlacementDriver placementDriver,
-            LeaseDriver leaseDriver) {
+            LeaseDriver leaseDriver,
+            RelayingObjectApi storeApi) {
         transport = opened;
         forwarding = forwardingDriver;
         placement = placementDriver;
         lease = leaseDriver;
+        store = storeApi;
         timers.subscribe(REPORT_PERIOD, now -> report());
     }
 
@@ -98,6 +102,7 @@
         }
         Optional<InetSocketAddress> address = Addresses.parse(seen.get().address());
         if (address.isPresent()) {
+            transport.learn(seen.get().holder(), address.get());
             List<ModelDemand> demands = demand.take(now);
             transport.send(
                     address.get(),
@@ -114,9 +119,34 @@
             notify(from, List.of(), List.of());
         } else if (message instanceof PeerMessage.PlacementNotice notice) {
             noticed(from, notice, now);
+        } else if (message instanceof PeerMessage.ObjectCall call) {
+            store.asked(from, call);
+        } else if (message instanceof PeerMessage.ObjectCallAnswer answer) {
+            store.answered(answer);
         }
     }
 
+    /** The holder asks an instance that reports to it; the others ask the holder. */
+    @Override
+    public Optional<InstanceId> relay() {
+        Optional<InstanceId> holder = keeper.seen().map(LeaseRecord::holder);
+        if (holder.isPresent() && !holder.get().equals(self)) {
+            return holder;
+        }
+        InstanceId newest = null;
+        for (Map.Entry<InstanceId, Instant> each : reporters.entrySet()) {
+            if (newest == null || each.getValue().isAfter(reporters.get(newest))) {
+                newest = each.getKey();
+            }
+        }
+        return Optional.ofNullable(newest);
+    }
+
+    @Override
+    public void send(InstanceId to, PeerMessage message) {
+        transport.send(to, message);
+    }
+
     private void noticed(InstanceId from, PeerMessage.PlacementNotice notice, Instant now) {
         boolean holder =
                 keeper.seen().filter(seen -> seen.holder().equals(from)).isPresent();
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -0,0 +1,354 @@
+package org.tarragonlug.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.objectapi.WatchResult;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.TimerService;
+
+/**
+ * An object API that goes through a peer while this instance does not reach the store itself.
+ *
+ * <p>The store may be cut off from single instances or turn them away while it serves the others.
+ * The calls of such an instance are made by a peer, and their meaning stays: conditions are checked
+ * by the store, an answer that is lost leaves the outcome of a write unknown. An instance that does
+ * not reach the store itself refuses calls of peers at once, so that an outage of the store causes
+ * no further calls.
+ *
+ * <p>The direct way is tried again after {@link #RETRY_DIRECT}.
+ */
+final class RelayingObjectApi implements ObjectApi {
+    private static final Duration RETRY_DIRECT = Duration.ofMillis(1500);
+
+    /** How long a relayed call may take, beside the wait of a watch. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(900);
+
+    /** Watches through a peer are short, so that the direct way is tried again soon. */
+    private static final Duration LONGEST_RELAYED_WAIT = Duration.ofMillis(1200);
+
+    /** The way to peers. */
+    interface Channel {
+        /** Returns a peer that probably reaches the store. */
+        Optional<InstanceId> relay();
+
+        /** Sends a message. */
+        void send(InstanceId to, PeerMessage message);
+    }
+
+    private final ObjectApi direct;
+    private final Channel channel;
+    private final Executor loop;
+    private final TimerService timers;
+    private final EventLog log;
+    private final Map<Long, CompletableFuture<PeerMessage.ObjectCallAnswer>> calls =
+            new HashMap<>();
+    private long lastCall;
+    private boolean directDown;
+    private Instant retryDirectAt = Instant.EPOCH;
+
+    RelayingObjectApi(
+            ObjectApi direct,
+            Channel channel,
+            Executor loop,
+            TimerService timers,
+            EventLog log) {
+        this.direct = direct;
+        this.channel = channel;
+        this.loop = loop;
+        this.timers = timers;
+        this.log = log;
+    }
+
+    @Override
+    public CompletionStage<StoredObject> read(ObjectName name) {
+        return reading(
+                () -> direct.read(name),
+                peer ->
+                        relay(peer, PeerMessage.ObjectOperation.READ, name, 0, null, Duration.ZERO)
+                                .thenApply(answer -> object(answer.objects().get(0))));
+    }
+
+    @Override
+    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expectedVersion) {
+        Optional<InstanceId> peer = relayNow();
+        if (peer.isEmpty()) {
+            return observed(direct.write(name, content, expectedVersion));
+        }
+        return relay(
+                        peer.get(),
+                        PeerMessage.ObjectOperation.WRITE,
+                        name,
+                        expectedVersion,
+                        content,
+                        Duration.ZERO)
+                .thenApply(answer -> answer.objects().get(0).version());
+    }
+
+    @Override
+    public CompletionStage<Void> delete(ObjectName name, long expectedVersion) {
+        return observed(direct.delete(name, expectedVersion));
+    }
+
+    @Override
+    public CompletionStage<WatchResult> list(String kind) {
+        ObjectName all = new ObjectName(kind, "");
+        return reading(
+                () -> direct.list(kind),
+                peer ->
+                        relay(peer, PeerMessage.ObjectOperation.LIST, all, 0, null, Duration.ZERO)
+                                .thenApply(RelayingObjectApi::result));
+    }
+
+    @Override
+    public CompletionStage<WatchResult> watch(
+            String kind, long afterRevision, Duration longestWait) {
+        ObjectName all = new ObjectName(kind, "");
+        Duration shorter =
+                longestWait.compareTo(LONGEST_RELAYED_WAIT) < 0
+                        ? longestWait
+                        : LONGEST_RELAYED_WAIT;
+        return reading(
+                () -> direct.watch(kind, afterRevision, longestWait),
+                peer ->
+                        relay(
+                                        peer,
+                                        PeerMessage.ObjectOperation.WATCH,
+                                        all,
+                                        afterRevision,
+                                        null,
+                                        shorter)
+                                .thenApply(RelayingObjectApi::result));
+    }
+
+    private interface Relayed<T> {
+        CompletionStage<T> through(InstanceId peer);
+    }
+
+    private <T> CompletionStage<T> reading(
+            Supplier<CompletionStage<T>> directCall, Relayed<T> relayed) {
+        Optional<InstanceId> peer = relayNow();
+        return peer.isPresent() ? relayed.through(peer.get()) : observed(directCall.get());
+    }
+
+    /** Returns the peer to use now; empty for the direct way. */
+    private Optional<InstanceId> relayNow() {
+        if (!directDown) {
+            return Optional.empty();
+        }
+        Instant now = timers.now();
+        if (!now.isBefore(retryDirectAt)) {
+            // This one call tries the direct way; the others wait for its outcome.
+            retryDirectAt = now.plus(RETRY_DIRECT);
+            return Optional.empty();
+        }
+        return channel.relay();
+    }
+
+    private <T> CompletionStage<T> observed(CompletionStage<T> call) {
+        return call.whenCompleteAsync(
+                (result, failure) -> {
+                    boolean failed = failure != null && !isConflict(failure);
+                    if (failed != directDown) {
+                        directDown = failed;
+                        log.event(failed ? LogEvent.STORE_UNREACHABLE : LogEvent.STORE_REACHED)
+                                .with("relay", channel.relay().map(InstanceId::value).orElse("none"))
+                                .write();
+                    }
+                    if (failed) {
+                        retryDirectAt = timers.now().plus(RETRY_DIRECT);
+                    }
+                },
+                loop);
+    }
+
+    private static boolean isConflict(Throwable failure) {
+        ErrorCode code = code(failure);
+        return code == ErrorCode.WRITE_CONFLICT || code == ErrorCode.OBJECT_TOO_LARGE;
+    }
+
+    private static ErrorCode code(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof TarragonlugException typed ? typed.code() : ErrorCode.INTERNAL;
+    }
+
+    private CompletionStage<PeerMessage.ObjectCallAnswer> relay(
+            InstanceId peer,
+            PeerMessage.ObjectOperation operation,
+            ObjectName name,
+            long version,
+            JsonNode content,
+            Duration wait) {
+        lastCall++;
+        long call = lastCall;
+        CompletableFuture<PeerMessage.ObjectCallAnswer> result = new CompletableFuture<>();
+        calls.put(call, result);
+        boolean write = operation == PeerMessage.ObjectOperation.WRITE;
+        timers.after(
+                wait.plus(ANSWER_TIMEOUT),
+                now -> {
+                    if (calls.remove(call) != null) {
+                        result.completeExceptionally(
+                                new TarragonlugException(
+                                        write
+                                                ? ErrorCode.OBJECT_API_OUTCOME_UNKNOWN
+                                                : ErrorCode.OBJECT_API_UNAVAILABLE,
+                                        "the peer " + peer + " did not answer"));
+                    }
+                });
+        channel.send(
+                peer,
+                new PeerMessage.ObjectCall(
+                        PeerMessage.FORMAT_VERSION,
+                        call,
+                        operation,
+                        name.kind(),
+                        name.name(),
+                        version,
+                        Optional.ofNullable(content).map(JsonNode::toString),
+                        wait));
+        return result.thenCompose(RelayingObjectApi::successful);
+    }
+
+    private static CompletionStage<PeerMessage.ObjectCallAnswer> successful(
+            PeerMessage.ObjectCallAnswer answer) {
+        if (answer.error().isEmpty()) {
+            return CompletableFuture.completedFuture(answer);
+        }
+        ErrorCode code = ErrorCode.OBJECT_API_OUTCOME_UNKNOWN;
+        for (ErrorCode each : ErrorCode.values()) {
+            code = each.name().equals(answer.error()) ? each : code;
+        }
+        return CompletableFuture.failedFuture(
+                new TarragonlugException(code, "told by a peer"));
+    }
+
+    /** Takes the answer of a peer. */
+    void answered(PeerMessage.ObjectCallAnswer answer) {
+        CompletableFuture<PeerMessage.ObjectCallAnswer> waiting = calls.remove(answer.call());
+        if (waiting != null) {
+            waiting.complete(answer);
+        }
+    }
+
+    /** Makes a call for a peer. */
+    void asked(InstanceId from, PeerMessage.ObjectCall call) {
+        if (directDown) {
+            reply(from, call, ErrorCode.OBJECT_API_UNAVAILABLE.name(), List.of(), 0, false);
+            return;
+        }
+        ObjectName name = new ObjectName(call.kind(), call.name());
+        switch (call.operation()) {
+            case READ ->
+                    direct.read(name)
+                            .whenCompleteAsync(
+                                    (object, failure) -> replyObject(from, call, object, failure),
+                                    loop);
+            case WRITE ->
+                    direct.write(
+                                    name,
+                                    JsonFields.parse(call.content().orElse("null")),
+                                    call.version())
+                            .whenCompleteAsync(
+                                    (version, failure) ->
+                                            replyObject(
+                                                    from,
+                                                    call,
+                                                    failure == null
+                                                            ? new StoredObject(
+                                                                    name,
+                                                                    version,
+                                                                    MissingNode.getInstance())
+                                                            : null,
+                                                    failure),
+                                    loop);
+            case LIST ->
+                    direct.list(call.kind())
+                            .whenCompleteAsync(
+                                    (result, failure) -> replyResult(from, call, result, failure),
+                                    loop);
+            default ->
+                    direct.watch(call.kind(), call.version(), call.longestWait())
+                            .whenCompleteAsync(
+                                    (result, failure) -> replyResult(from, call, result, failure),
+                                    loop);
+        }
+    }
+
+    private void replyObject(
+            InstanceId to, PeerMessage.ObjectCall call, StoredObject object, Throwable failure) {
+        if (failure != null) {
+            reply(to, call, code(failure).name(), List.of(), 0, false);
+        } else {
+            reply(to, call, "", List.of(carried(object)), 0, false);
+        }
+    }
+
+    private void replyResult(
+            InstanceId to, PeerMessage.ObjectCall call, WatchResult result, Throwable failure) {
+        if (failure != null) {
+            reply(to, call, code(failure).name(), List.of(), 0, false);
+            return;
+        }
+        List<PeerMessage.CarriedObject> objects = new ArrayList<>();
+        result.changed().forEach(object -> objects.add(carried(object)));
+        reply(to, call, "", objects, result.revision(), result.gap());
+    }
+
+    private void reply(
+            InstanceId to,
+            PeerMessage.ObjectCall call,
+            String error,
+            List<PeerMessage.CarriedObject> objects,
+            long revision,
+            boolean gap) {
+        channel.send(
+                to,
+                new PeerMessage.ObjectCallAnswer(
+                        PeerMessage.FORMAT_VERSION, call.call(), error, objects, revision, gap));
+    }
+
+    private static PeerMessage.CarriedObject carried(StoredObject object) {
+        boolean empty = object.content().isMissingNode();
+        return new PeerMessage.CarriedObject(
+                object.name().kind(),
+                object.name().name(),
+                object.version(),
+                empty ? "" : object.content().toString());
+    }
+
+    private static StoredObject object(PeerMessage.CarriedObject carried) {
+        JsonNode content =
+                carried.content().isEmpty()
+                        ? MissingNode.getInstance()
+                        : JsonFields.parse(carried.content());
+        return new StoredObject(
+                new ObjectName(carried.kind(), carried.name()), carried.version(), content);
+    }
+
+    private static WatchResult result(PeerMessage.ObjectCallAnswer answer) {
+        List<StoredObject> objects = new ArrayList<>();
+        answer.objects().forEach(carried -> objects.add(object(carried)));
+        return new WatchResult(objects, answer.revision(), answer.gap());
+    }
+}
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -61,7 +61,9 @@
                     Map.entry("FingerprintCondemned", PeerMessage.FingerprintCondemned.class),
                     Map.entry("DecisionHandover", PeerMessage.DecisionHandover.class),
                     Map.entry("ModelDemandReport", PeerMessage.ModelDemandReport.class),
-                    Map.entry("PlacementNotice", PeerMessage.PlacementNotice.class));
+                    Map.entry("PlacementNotice", PeerMessage.PlacementNotice.class),
+                    Map.entry("ObjectCall", PeerMessage.ObjectCall.class),
+                    Map.entry("ObjectCallAnswer", PeerMessage.ObjectCallAnswer.class));
 
     private static final Map<Class<? extends PeerMessage>, String> KINDS =
             TYPES.entrySet().stream()
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.tarragonlug.decision.capacity.Demand;
 import org.tarragonlug.decision.capacity.LoadTicket;
 import org.tarragonlug.decision.capacity.LoadTurn;
@@ -291,4 +292,72 @@
      * @param remaining from receipt until it is ready
      */
     record NoticedExpectation(ServiceName service, ModelKey key, Duration remaining) {}
+
+    /**
+     * Asks a peer to make a call to the object API, because the sender does not reach it.
+     *
+     * @param formatVersion of the sender
+     * @param call chosen by the sender; the answer repeats it
+     * @param operation what to do
+     * @param kind kind of the object or objects
+     * @param name name of the object; empty for a list or watch
+     * @param version expected version of a write, or revision after which to watch
+     * @param content what to write; absent otherwise
+     * @param longestWait of a watch
+     */
+    record ObjectCall(
+            int formatVersion,
+            long call,
+            ObjectOperation operation,
+            String kind,
+            String name,
+            long version,
+            Optional<String> content,
+            Duration longestWait)
+            implements PeerMessage {}
+
+    /** Calls that peers make for each other. */
+    enum ObjectOperation {
+        /** Reads one object. */
+        READ,
+        /** Writes one object on a condition. */
+        WRITE,
+        /** Lists a kind. */
+        LIST,
+        /** Waits for changes of a kind. */
+        WATCH
+    }
+
+    /**
+     * The answer to an {@link ObjectCall}.
+     *
+     * @param formatVersion of the sender
+     * @param call as in the call
+     * @param error name of the error; empty for a success
+     * @param objects what was read, or the written object without content
+     * @param revision where to continue a list or watch
+     * @param gap whether changes may be missing
+     */
+    record ObjectCallAnswer(
+            int formatVersion,
+            long call,
+            String error,
+            List<CarriedObject> objects,
+            long revision,
+            boolean gap)
+            implements PeerMessage {
+        public ObjectCallAnswer {
+            objects = List.copyOf(objects);
+        }
+    }
+
+    /**
+     * An object of the object API.
+     *
+     * @param kind its kind
+     * @param name its name
+     * @param version its version; zero if it does not exist
+     * @param content JSON text; empty if there is none
+     */
+    record CarriedObject(String kind, String name, long version, String content) {}
 }
--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -41,8 +41,11 @@
     private static final int TOO_MANY = 429;
     private static final int UNAVAILABLE = 503;
 
-    /** How long a call without waiting may take. */
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(1000);
+    /** How long a call on one object may take. */
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
+
+    /** How long a list, or the answer to a watch after its wait, may take. */
+    private static final Duration LIST_TIMEOUT = Duration.ofMillis(1000);
 
     private final HttpConnections connections;
     private final InetSocketAddress address;
@@ -120,7 +123,7 @@
             path += "?after=" + JsonFields.pathSegment(after);
         }
         return Answers.read(
-                        exchange("GET", path, null, CALL_TIMEOUT),
+                        exchange("GET", path, null, LIST_TIMEOUT),
                         answer -> {
                             requireRead(answer);
                             return JsonFields.parse(answer.body());
@@ -154,7 +157,7 @@
                         + "&wait_ms="
                         + longestWait.toMillis();
         return Answers.read(
-                exchange("GET", path, null, longestWait.plus(CALL_TIMEOUT)),
+                exchange("GET", path, null, longestWait.plus(LIST_TIMEOUT)),
                 answer -> {
                     if (answer.status() == GONE) {
                         return new WatchResult(List.of(), afterRevision, true);
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -53,6 +53,10 @@
     REQUEST_QUARANTINED(Level.WARN),
     /** A request was refused; at debug level, since overload makes many. */
     REQUEST_REFUSED(Level.DEBUG),
+    /** The store does not answer this instance; its calls go through a peer. */
+    STORE_UNREACHABLE(Level.WARN),
+    /** The store answers this instance again. */
+    STORE_REACHED(Level.INFO),
     /** The store's history is gone; a kind is listed anew. */
     STORE_HISTORY_GONE(Level.INFO),
     /** An entry of the store can not be read and is passed over. */
