--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -57,9 +57,11 @@
      * @param service the service
      * @param key the model
      * @param priority 0 is the most urgent
+     * @param target until when an answer that begins is in time
      * @param deadline when waiting becomes useless
      */
-    record Wanted(ServiceName service, ModelKey key, int priority, Instant deadline)
+    record Wanted(
+            ServiceName service, ModelKey key, int priority, Instant target, Instant deadline)
             implements ForwardingCommand {}
 
     /** A request for a model has arrived; counted as demand. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -235,7 +235,11 @@
             each.wantedAt = now;
             commands.add(
                     new ForwardingCommand.Wanted(
-                            each.service, key, each.route.priority(), each.patienceEnd));
+                            each.service,
+                            key,
+                            each.route.priority(),
+                            each.arrivedAt.plus(each.route.targetLatency()),
+                            each.patienceEnd));
         }
     }
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -21,6 +21,7 @@
     final ForwardRequest request;
     final ForwardingRoute route;
     final ServiceName service;
+    final Instant arrivedAt;
     final Instant deadline;
 
     /** When a caller that has got nothing stops waiting. */
@@ -50,6 +51,7 @@
         this.request = request;
         this.route = route;
         this.service = service;
+        this.arrivedAt = now;
         this.deadline = deadline;
         this.patienceEnd = patienceEnd;
         this.lastEventId = request.lastEventId();
--- a/src/main/java/org/tarragonlug/decision/placement/DemandBoard.java
+++ b/src/main/java/org/tarragonlug/decision/placement/DemandBoard.java
@@ -25,10 +25,19 @@
     /** A model that was asked for within this time counts as wanted though nobody waits. */
     private static final Duration RECENT = Duration.ofSeconds(3);
 
+    /** Requests a second from which on a model comes first. */
+    private static final double BUSY_RATE = 2;
+
+    private static final int BUSY = 0;
+    private static final int IN_TIME = 1;
+    private static final int LATE = 2;
+
     /** A model for which requests wait. */
-    record Want(ModelKey key, int priority, Instant patienceEnd, int waiting) {}
+    record Want(
+            ModelKey key, int priority, Instant targetEnd, Instant patienceEnd, double rate) {}
 
-    private record Waiting(int count, int priority, Instant patienceEnd, Instant reportedAt) {}
+    private record Waiting(
+            int priority, Instant targetEnd, Instant patienceEnd, Instant reportedAt) {}
 
     private static final class Entry {
         private double sum;
@@ -52,8 +61,8 @@
             entry.waiting.put(
                     from,
                     new Waiting(
-                            demand.waiting(),
                             demand.priority(),
+                            now.plus(demand.target()),
                             now.plus(demand.patience()),
                             now));
         } else {
@@ -83,15 +92,32 @@
         return last;
     }
 
-    /** Returns the models that requests wait for, the most urgent first. */
+    /**
+     * Returns the models that requests wait for, the most urgent first: models that many ask for,
+     * then those whose requests can still be answered in time, then the others. A request that is
+     * late already gains nothing from going first, one that is not does.
+     */
     List<Want> wants(ServiceName service, Instant now) {
         List<Want> wants = new ArrayList<>();
-        of(service).forEach((key, entry) -> addWant(wants, key, entry, now));
-        wants.sort(Comparator.comparingInt(Want::priority).thenComparing(Want::patienceEnd));
+        of(service).forEach((key, entry) -> addWant(wants, service, key, entry, now));
+        wants.sort(
+                Comparator.comparingInt((Want want) -> rank(want, now))
+                        .thenComparingInt(Want::priority)
+                        .thenComparing(want -> rank(want, now) == IN_TIME
+                                ? want.targetEnd()
+                                : want.patienceEnd()));
         return wants;
     }
 
-    private static void addWant(List<Want> wants, ModelKey key, Entry entry, Instant now) {
+    private static int rank(Want want, Instant now) {
+        if (want.rate() >= BUSY_RATE) {
+            return BUSY;
+        }
+        return want.targetEnd().isAfter(now) ? IN_TIME : LATE;
+    }
+
+    private void addWant(
+            List<Want> wants, ServiceName service, ModelKey key, Entry entry, Instant now) {
         entry.waiting
                 .values()
                 .removeIf(
@@ -101,15 +127,16 @@
         if (entry.waiting.isEmpty()) {
             return;
         }
-        int count = 0;
         int priority = Integer.MAX_VALUE;
         Instant end = Instant.MAX;
+        Instant target = Instant.EPOCH;
         for (Waiting each : entry.waiting.values()) {
-            count += each.count();
             priority = Math.min(priority, each.priority());
             end = each.patienceEnd().isBefore(end) ? each.patienceEnd() : end;
+            target = each.targetEnd().isAfter(target) ? each.targetEnd() : target;
         }
-        wants.add(new Want(key, priority, end, count));
+        double rate = modelRate(service, key.model(), now);
+        wants.add(new Want(key, priority, target, end, rate));
     }
 
     /** Returns the models that were asked for recently, the most frequent first. */
--- a/src/main/java/org/tarragonlug/decision/placement/ModelDemand.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ModelDemand.java
@@ -12,6 +12,7 @@
  * @param arrivals requests since the last report
  * @param waiting requests that wait for it now
  * @param priority of the most urgent waiting request, 0 first
+ * @param target how long an answer that begins is still in time; negative if it is late already
  * @param patience how long the most impatient waiting request still waits
  */
 public record ModelDemand(
@@ -20,4 +21,5 @@
         int arrivals,
         int waiting,
         int priority,
+        Duration target,
         Duration patience) {}
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -536,20 +536,9 @@
             PlannedServer best = null;
             Instant earliest = null;
             for (PlannedServer server : members) {
-                if (!hasRoom(server, model) && victim(server, model).isEmpty()) {
-                    continue;
-                }
-                Instant ready = startAt(server).plus(loadTime(server, model));
-                if (server.reservedFor != null && server.order == null
-                        || server.reservedFor != null
-                                && server.order.action() == OrderAction.UNLOAD) {
-                    ready = ready.plus(loadTime(server, server.reservedFor));
-                }
-                if (!hasRoom(server, model)) {
-                    ready = ready.plus(UNLOAD_TIME);
-                }
-                if (earliest == null || ready.isBefore(earliest)) {
-                    earliest = ready;
+                Optional<Instant> ready = readyAt(server, model);
+                if (ready.isPresent() && (earliest == null || ready.get().isBefore(earliest))) {
+                    earliest = ready.get();
                     best = server;
                 }
             }
@@ -562,6 +551,36 @@
             }
         }
 
+        /** Estimates when a server can have a model ready; empty if it never has room. */
+        private Optional<Instant> readyAt(PlannedServer server, String model) {
+            Instant ready = startAt(server).plus(loadTime(server, model));
+            boolean unloading =
+                    server.order == null || server.order.action() == OrderAction.UNLOAD;
+            if (server.reservedFor != null && unloading) {
+                ready = ready.plus(loadTime(server, server.reservedFor));
+            }
+            if (hasRoom(server, model)) {
+                return Optional.of(ready);
+            }
+            if (victim(server, model).isPresent()) {
+                return Optional.of(ready.plus(UNLOAD_TIME));
+            }
+            return roomLater(server, model)
+                    ? Optional.of(ready.plus(UNLOAD_TIME).plus(MODEL_IN_USE))
+                    : Optional.empty();
+        }
+
+        /** Tells whether a server can make room once its idle models are not in use any more. */
+        private boolean roomLater(PlannedServer server, String model) {
+            double room = catalog.weightsMegabytes() - server.usedMegabytes(catalog);
+            for (String held : server.models().keySet()) {
+                if (desired(held) == 0) {
+                    room += catalog.model(held).map(ModelSpecification::weightsMegabytes).orElse(0.0);
+                }
+            }
+            return room >= catalog.model(model).orElseThrow().weightsMegabytes();
+        }
+
         private boolean hasRoom(PlannedServer server, String model) {
             double needed = catalog.model(model).orElseThrow().weightsMegabytes();
             return server.usedMegabytes(catalog) + needed <= catalog.weightsMegabytes();
--- a/src/main/java/org/tarragonlug/gateway/DemandReporter.java
+++ b/src/main/java/org/tarragonlug/gateway/DemandReporter.java
@@ -27,6 +27,7 @@
     private static final class Entry {
         private int arrivals;
         private int priority = Integer.MAX_VALUE;
+        private Instant targetEnd = Instant.EPOCH;
         private Instant patienceEnd = Instant.EPOCH;
         private Instant wantedAt = Instant.EPOCH;
     }
@@ -55,6 +56,9 @@
         if (fresh || wanted.deadline().isBefore(entry.patienceEnd)) {
             entry.patienceEnd = wanted.deadline();
         }
+        if (fresh || wanted.target().isAfter(entry.targetEnd)) {
+            entry.targetEnd = wanted.target();
+        }
         if (fresh) {
             urgent.run();
         }
@@ -95,6 +99,7 @@
                 entry.arrivals,
                 waiting ? 1 : 0,
                 waiting ? entry.priority : 0,
+                waiting ? Duration.between(now, entry.targetEnd) : Duration.ZERO,
                 patience);
     }
 }
