Divide orders among leases of server groups; one planner, any holder can take over

Cause: a cut or frozen holder of the only lease stopped all orders for 5 s. Change: groups of servers with a lease each; a planner without lease of its own sends orders through the holders; demand goes to all holders.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
@@ -74,6 +74,11 @@
     private boolean gaveUp;
 
     private Instant gaveUpAt = Instant.EPOCH;
+
+    /** How long to leave a free lease to others, and since when it has been free. */
+    private Duration hesitation = Duration.ZERO;
+
+    private Instant freeSince;
     private boolean stopping;
 
     /**
@@ -91,6 +96,14 @@
         this.turnTime = turnTime;
     }
 
+    /**
+     * Sets how long this instance leaves a free lease to others, so that leases spread over the
+     * instances.
+     */
+    public void hesitate(Duration time) {
+        hesitation = time;
+    }
+
     /** Tells whether an order may be given now. */
     public boolean mayOrder(Instant now) {
         return holding
@@ -197,6 +210,7 @@
         boolean same = before != null && before.revision() == found.revision();
         seen = found;
         if (!same) {
+            freeSince = null;
             boolean told = found.revision() == heardRevision;
             seenSince = told ? heardSince : now;
             gaveUp = gaveUp && told;
@@ -254,7 +268,7 @@
             return List.of();
         }
         if (seen == null) {
-            return readOnce ? write(new Fence(1), now) : read(now);
+            return readOnce ? takeFree(new Fence(1), now) : read(now);
         }
         if (seen.holder().equals(self)) {
             return takeOwn(now);
@@ -262,15 +276,28 @@
         if (seen.released() || gaveUp && seen.revision() == heardRevision) {
             Instant stoppedBy = seen.released() ? seenSince : gaveUpAt;
             takeoverBasis = stoppedBy.minus(ORDER_PERIOD);
-            return write(seen.fence().next(), now);
+            return takeFree(seen.fence().next(), now);
         }
         if (now.isAfter(seenSince.plus(TAKEOVER_AFTER)) && readAt.isAfter(lastHeard)) {
             takeoverBasis = seenSince;
-            return write(seen.fence().next(), now);
+            return takeFree(seen.fence().next(), now);
         }
+        freeSince = null;
         return read(now);
     }
 
+    /** Takes a lease that nobody holds, after leaving it to others for a while. */
+    private List<LeaseCommand> takeFree(Fence fence, Instant now) {
+        if (freeSince == null) {
+            freeSince = now;
+        }
+        if (now.isBefore(freeSince.plus(hesitation))) {
+            return now.isBefore(readAt.plus(READ_PERIOD)) ? List.of() : read(now);
+        }
+        freeSince = null;
+        return write(fence, now);
+    }
+
     /** Takes a lease that the store shows as this instance's own. */
     private List<LeaseCommand> takeOwn(Instant now) {
         if (seen.process().equals(process)) {
--- a/src/main/java/org/tarragonlug/decision/placement/OrderResult.java
+++ b/src/main/java/org/tarragonlug/decision/placement/OrderResult.java
@@ -10,6 +10,8 @@
     CONFLICT,
     /** Another server has the address, or the order is not possible. */
     REFUSED,
+    /** The order was not sent, because nobody may give orders to the server now. */
+    NOT_SENT,
     /** No answer: the server may carry the order out, even seconds later. */
     UNKNOWN
 }
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementEvent.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementEvent.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.placement;
 
 import java.util.List;
+import java.util.Set;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
 import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.id.InstanceId;
@@ -35,11 +36,18 @@
     /** A server that was asked for its state did not answer. */
     record ReportFailed(ServerId server, long startedMillis) implements PlacementEvent {}
 
-    /** This instance may give orders from now on; what others ordered is unknown. */
-    record OwnershipGained() implements PlacementEvent {}
+    /** This instance plans from now on; what others ordered is unknown. */
+    record PlanningBegun() implements PlacementEvent {}
 
-    /** This instance may not give orders any more. */
-    record OwnershipLost() implements PlacementEvent {}
+    /** Another instance plans. */
+    record PlanningEnded() implements PlacementEvent {}
+
+    /** Only these servers can be given orders at present. */
+    record OrderableServers(Set<ServerId> servers) implements PlacementEvent {
+        public OrderableServers {
+            servers = Set.copyOf(servers);
+        }
+    }
 
     /** Time has passed. */
     record Tick() implements PlacementEvent {}
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -23,12 +23,13 @@
 /**
  * Decides which servers hold which models, and gives the orders for it.
  *
- * <p>One planner at a time is active, the one of the lease's holder. Its knowledge is rebuilt from
- * listings and reports, so nothing has to be handed over. Each order names the number of orders
- * that the server must have accepted before; the server refuses it otherwise. An order without an
- * answer is given again with the same number: whether the first, the second or a late copy is
- * carried out, it is carried out once, and after the next order no copy can be any more. Before an
- * owner gives its first order to a server it asks for the server's state.
+ * <p>One planner is active at a time, but nothing breaks if two are for a moment: orders are sent by
+ * the holders of the servers' leases, and each order names the number of orders that the server must
+ * have accepted before, so of two planners that contradict each other one is refused. Knowledge is
+ * rebuilt from listings and reports, so nothing has to be handed over. An order without an answer is
+ * given again with the same number: whether the first, the second or a late copy is carried out, it
+ * is carried out once, and after the next order no copy can be any more. Before a planner gives its
+ * first order to a server it asks for the server's state.
  *
  * <p>On each tick the planner serves, in this order, requests that wait for a model or adapter,
  * models that were asked for and have no replica, further replicas of busy models, and copies on
@@ -48,6 +49,12 @@
 
     private static final Duration REPORT_PAUSE = Duration.ofMillis(400);
     private static final Duration ORDER_REPEAT = Duration.ofMillis(600);
+    /** When an order without an answer to a server that gets none is given up. */
+    private static final Duration ABANDON_AFTER = Duration.ofMillis(1200);
+
+    /** Assumed wait for a server that gets no orders at present. */
+    private static final Duration NO_ORDERS_WAIT = Duration.ofSeconds(4);
+
     private static final Duration EXPECTATION_PAUSE = Duration.ofMillis(300);
 
     /** Expected wait if no server can load a model at present. */
@@ -84,7 +91,7 @@
     private final Map<ModelKey, Instant> expectationsSent = new HashMap<>();
     private final Map<ServiceName, Instant> firstDemand = new HashMap<>();
     private ForwardingTable table;
-    private boolean owner;
+    private boolean planning;
     private List<PlacementCommand> commands = new ArrayList<>();
 
     /**
@@ -121,13 +128,17 @@
         } else if (event instanceof PlacementEvent.ReportFailed failed) {
             find(failed.server(), failed.startedMillis())
                     .ifPresent(server -> server.nextReport = now.plus(REPORT_PAUSE));
-        } else if (event instanceof PlacementEvent.OwnershipGained) {
-            ownershipGained(now);
-        } else if (event instanceof PlacementEvent.OwnershipLost) {
-            owner = false;
+        } else if (event instanceof PlacementEvent.PlanningBegun) {
+            planningBegun(now);
+        } else if (event instanceof PlacementEvent.PlanningEnded) {
+            planning = false;
             servers.values().forEach(server -> server.order = null);
         }
-        if (owner && table != null) {
+        if (event instanceof PlacementEvent.OrderableServers orderable) {
+            servers.forEach(
+                    (id, server) -> server.orderable = orderable.servers().contains(id));
+        }
+        if (planning && table != null) {
             plan(now);
         }
         return commands;
@@ -138,11 +149,12 @@
                 .filter(server -> server.startedMillis() == startedMillis);
     }
 
-    private void ownershipGained(Instant now) {
-        owner = true;
+    private void planningBegun(Instant now) {
+        planning = true;
         for (PlannedServer server : servers.values()) {
             server.order = null;
             server.reservedFor = null;
+            server.orderable = false;
             server.uncertain = true;
             server.nextReport = now;
         }
@@ -187,6 +199,10 @@
                 }
             }
             case ALREADY_DONE -> alreadyDone(server, order, now);
+            case NOT_SENT -> {
+                server.order = null;
+                server.uncertain = order.sentAt().isAfter(order.decidedAt());
+            }
             case UNKNOWN -> {
                 // Given again on a later tick.
             }
@@ -284,7 +300,11 @@
         for (PlannedServer server : servers.values()) {
             PlannedOrder order = server.order;
             if (order != null && !order.accepted()) {
-                if (now.isAfter(order.sentAt().plus(ORDER_REPEAT))) {
+                if (!server.orderable && now.isAfter(order.decidedAt().plus(ABANDON_AFTER))) {
+                    // It may be carried out still; the next report tells before the next order.
+                    server.order = null;
+                    server.uncertain = true;
+                } else if (now.isAfter(order.sentAt().plus(ORDER_REPEAT))) {
                     repeat(server, order, now);
                 }
             } else if (order != null && order.key().hasAdapter()) {
@@ -308,6 +328,7 @@
                         order.key(),
                         order.tier(),
                         order.precondition(),
+                        order.decidedAt(),
                         now,
                         order.expectedEnd(),
                         false);
@@ -328,7 +349,7 @@
             PlannedServer server, OrderAction action, ModelKey key, String reason, Instant now) {
         CopyTier tier = action == OrderAction.LOAD ? server.tier(key.model()) : CopyTier.MEMORY;
         PlannedOrder order =
-                new PlannedOrder(action, key, tier, server.orderCount(), now, now, false);
+                new PlannedOrder(action, key, tier, server.orderCount(), now, now, now, false);
         order =
                 new PlannedOrder(
                         action,
@@ -336,6 +357,7 @@
                         tier,
                         server.orderCount(),
                         now,
+                        now,
                         now.plus(duration(server, order)),
                         false);
         server.order = order;
@@ -521,6 +543,9 @@
             if (server.order != null && server.order.expectedEnd().isAfter(start)) {
                 start = server.order.expectedEnd();
             }
+            if (!server.orderable) {
+                start = start.plus(NO_ORDERS_WAIT);
+            }
             return server.uncertain ? start.plus(REPORT_PAUSE) : start;
         }
 
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedOrder.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedOrder.java
@@ -10,7 +10,8 @@
  * @param key the model, or the adapter
  * @param tier where the weights come from; MEMORY for an unload
  * @param precondition orders that the server must have accepted before
- * @param sentAt when it was decided
+ * @param decidedAt when it was decided
+ * @param sentAt when it was sent last
  * @param expectedEnd when its effect is expected
  * @param accepted whether the server has accepted it
  */
@@ -19,11 +20,12 @@
         ModelKey key,
         CopyTier tier,
         long precondition,
+        Instant decidedAt,
         Instant sentAt,
         Instant expectedEnd,
         boolean accepted) {
     PlannedOrder acceptedUntil(Instant end) {
-        return new PlannedOrder(action, key, tier, precondition, sentAt, end, true);
+        return new PlannedOrder(action, key, tier, precondition, decidedAt, sentAt, end, true);
     }
 
     /** Tells whether it loads a model from the weight store. */
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -45,6 +45,9 @@
     /** Whether the state must be asked for before the next order. */
     boolean uncertain = true;
 
+    /** Whether orders reach it at present. */
+    boolean orderable;
+
     Instant nextReport = Instant.EPOCH;
 
     PlannedServer(ServerListing listing) {
@@ -78,7 +81,7 @@
 
     /** Tells whether a new order may be given to it. */
     boolean free() {
-        return ready() && order == null && !uncertain;
+        return ready() && orderable && order == null && !uncertain;
     }
 
     /** Takes a listing. */
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -8,7 +8,9 @@
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.IoExecutor;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -23,7 +25,7 @@
 import org.tarragonlug.decision.forwarding.ForwardingTable;
 import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.decision.ownership.LeaseEvent;
-import org.tarragonlug.decision.ownership.LeaseKeeper;
+import org.tarragonlug.decision.ownership.OrderGroups;
 import org.tarragonlug.decision.placement.PlacementEvent;
 import org.tarragonlug.decision.placement.PlacementPlanner;
 import org.tarragonlug.error.TarragonlugException;
@@ -86,11 +88,11 @@
     private final HttpConnections connections;
     private final ForwardingCoordinator coordinator;
     private final PlacementPlanner planner;
-    private final LeaseKeeper keeper;
+    private final OrderLeases leases;
     private final PeerExchange peers;
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
-    private final LeaseDriver lease;
+    private final OrderExecutor executor;
     private final RelayingObjectApi store;
     private final StoreFollower servers;
     private final StoreFollower configuration;
@@ -98,6 +100,7 @@
     private final AdminServer admin;
     private HttpServerContext readiness;
     private TcpPeerTransport transport;
+    private final Set<ServerId> serverIds = new HashSet<>();
     private boolean serversKnown;
     private volatile boolean draining;
     private volatile boolean ready;
@@ -135,27 +138,33 @@
                                 settings.instances()));
         this.planner = new PlacementPlanner(settings.loadWindow());
         ProcessId process = new ProcessId(UUID.randomUUID().toString());
-        this.keeper =
-                new LeaseKeeper(
+        OrderGroups groups = new OrderGroups(new Hash4jHasher(), settings.orderGroups());
+        this.leases =
+                new OrderLeases(
                         settings.instance(),
                         process.value(),
                         text(settings.peerAddress()),
-                        settings.orderTurn());
-        this.peers = new PeerExchange(settings.instance(), keeper, timers);
+                        settings.orderTurn(),
+                        groups,
+                        timers);
+        this.peers = new PeerExchange(settings.instance(), leases, timers);
         this.forwarding =
                 new ForwardingDriver(
                         coordinator, connections, timers, log, peers.demand(), metrics);
-        this.placement =
-                new PlacementDriver(
-                        planner,
-                        keeper,
-                        new EngineCalls(connections),
+        EngineCalls engines = new EngineCalls(connections);
+        this.executor =
+                new OrderExecutor(
+                        leases.keepers(),
+                        groups,
+                        engines,
                         settings.instance(),
-                        loop,
+                        peers,
                         timers,
+                        loop,
                         log,
-                        metrics,
-                        peers);
+                        metrics);
+        this.placement =
+                new PlacementDriver(planner, executor, engines, loop, timers, log, peers);
         this.store =
                 new RelayingObjectApi(
                         new PlatformObjectApi(connections, settings.storeAddress()),
@@ -163,8 +172,7 @@
                         loop,
                         timers,
                         log);
-        this.lease =
-                new LeaseDriver(keeper, store, PlatformKinds.ORDER_LEASE, loop, timers, log);
+        leases.start(store, loop, log);
         this.servers =
                 new StoreFollower(
                         PlatformKinds.SERVERS,
@@ -172,7 +180,7 @@
                         loop,
                         timers,
                         log,
-                        () -> keeper.holding(timers.now()) || !ready,
+                        () -> placement.active() || !ready,
                         new ServerListener());
         this.configuration =
                 new StoreFollower(
@@ -233,13 +241,19 @@
     }
 
     private void startFollowing() {
-        peers.start(transport, forwarding, placement, lease, store);
+        peers.start(transport, forwarding, placement, executor, store);
         servers.start();
         configuration.start();
         timers.subscribe(REQUEST_TICK, now -> requestTick());
-        timers.subscribe(PLACEMENT_TICK, now -> placement.tick());
-        timers.subscribe(LEASE_TICK, now -> lease.post(new LeaseEvent.Tick()));
-        lease.post(new LeaseEvent.Tick());
+        timers.subscribe(PLACEMENT_TICK, now -> placementTick());
+        timers.subscribe(LEASE_TICK, now -> leases.tick());
+        leases.tick();
+    }
+
+    private void placementTick() {
+        boolean planning = !draining && leases.planning();
+        placement.tick(planning, planning ? leases.orderable(serverIds) : Set.of());
+        metrics.holding(!leases.held().isEmpty());
     }
 
     private void requestTick() {
@@ -254,7 +268,7 @@
                     .with("steady_ms", steady)
                     .with("wall_ms", wall)
                     .write();
-            lease.post(new LeaseEvent.Paused());
+            leases.postAll(new LeaseEvent.Paused());
         }
         forwarding.post(new ForwardingEvent.Tick());
         metrics.waiting(coordinator.waitingCount());
@@ -283,7 +297,7 @@
         draining = true;
         log.event(LogEvent.DRAIN_STARTED).with("in_progress", callers.inProgress()).write();
         long end = System.nanoTime() + settings.drainTime().minus(EXIT_MARGIN).toNanos();
-        loop.execute(() -> lease.post(new LeaseEvent.Stopping()));
+        loop.execute(() -> leases.postAll(new LeaseEvent.Stopping()));
         timers.after(
                 ROTATION_TIME,
                 now -> {
@@ -339,8 +353,8 @@
         node.put("configuration", coordinator.table().map(t -> t.version().value()).orElse(-1L));
         node.put("pending", coordinator.pendingCount());
         node.put("waiting", coordinator.waitingCount());
-        node.put("mayOrder", keeper.mayOrder(timers.now()));
-        node.put("fence", keeper.fence().value());
+        node.put("leases", leases.held().toString());
+        node.put("planning", placement.active());
         node.put("ordersInProgress", planner.ordersInProgress());
         ObjectNode fleet = node.putObject("servers");
         coordinator
@@ -401,6 +415,7 @@
                     .with("models", listing.models().keySet())
                     .with("revision", object.version())
                     .write();
+            serverIds.add(listing.id());
             forwarding.post(new ForwardingEvent.ServerListed(listing));
             placement.post(new PlacementEvent.ServerListed(listing));
         }
@@ -408,6 +423,7 @@
         @Override
         public void gone(String name) {
             log.event(LogEvent.SERVER_UNLISTED).with("server", name).write();
+            serverIds.remove(new ServerId(name));
             forwarding.post(new ForwardingEvent.ServerGone(new ServerId(name)));
             placement.post(new PlacementEvent.ServerGone(new ServerId(name)));
         }
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -17,6 +17,7 @@
  * @param storeAddress where the platform's store answers
  * @param drainTime time between the signal to stop and the kill
  * @param orderTurn shortest time between orders of two holders to one server
+ * @param orderGroups groups of servers with an order lease each
  * @param loadWindow window in which loads from the weight store are limited
  * @param retryWindow window of the retry budget
  * @param retryRatio repeats allowed for each first send
@@ -34,6 +35,7 @@
         InetSocketAddress storeAddress,
         Duration drainTime,
         Duration orderTurn,
+        int orderGroups,
         Duration loadWindow,
         Duration retryWindow,
         double retryRatio,
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -26,6 +26,7 @@
 public final class GatewaySettingsLoader {
     private static final int DEFAULT_DRAIN_SECONDS = 8;
     private static final int DEFAULT_TURN_MILLIS = 3000;
+    private static final int DEFAULT_ORDER_GROUPS = 3;
     private static final int DEFAULT_LOAD_WINDOW_SECONDS = 5;
     private static final int DEFAULT_RETRY_WINDOW_SECONDS = 10;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
@@ -77,6 +78,7 @@
                 address("storeAddress"),
                 seconds("drainSeconds", DEFAULT_DRAIN_SECONDS),
                 Duration.ofMillis((long) number("orderTurnMillis", DEFAULT_TURN_MILLIS)),
+                (int) number("orderGroups", DEFAULT_ORDER_GROUPS),
                 seconds("loadWindowSeconds", DEFAULT_LOAD_WINDOW_SECONDS),
                 seconds("retryWindowSeconds", DEFAULT_RETRY_WINDOW_SECONDS),
                 number("retryRatio", DEFAULT_RETRY_RATIO),
--- a/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
@@ -54,11 +54,15 @@
             write(write.record());
         } else if (command instanceof LeaseCommand.Acquired acquired) {
             log.event(LogEvent.LEASE_ACQUIRED)
+                    .with("lease", name)
                     .with("fence", acquired.record().fence())
                     .with("revision", acquired.record().revision())
                     .write();
         } else if (command instanceof LeaseCommand.Lost lost) {
-            log.event(LogEvent.LEASE_LOST).with("reason", lost.reason()).write();
+            log.event(LogEvent.LEASE_LOST)
+                    .with("lease", name)
+                    .with("reason", lost.reason())
+                    .write();
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -0,0 +1,187 @@
+package org.tarragonlug.gateway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.stream.Collectors;
+import org.tarragonlug.decision.ownership.LeaseEvent;
+import org.tarragonlug.decision.ownership.LeaseKeeper;
+import org.tarragonlug.decision.ownership.LeaseRecord;
+import org.tarragonlug.decision.ownership.OrderGroups;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.OrderGroup;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.TimerService;
+
+/** The order leases of all groups as this instance sees them. */
+final class OrderLeases {
+    /** Spreads the attempts of instances to take a free lease. */
+    private static final Duration SPREAD = Duration.ofMillis(500);
+
+    /** An instance leaves a free lease to others this long for each lease that it holds. */
+    private static final Duration PER_LEASE_HELD = Duration.ofMillis(1200);
+
+    /** A holder that was not heard for this long gets no orders to send. */
+    private static final Duration HEARD_VALID = Duration.ofMillis(1000);
+
+    private final InstanceId self;
+    private final OrderGroups groups;
+    private final TimerService timers;
+    private final Map<OrderGroup, LeaseKeeper> keepers = new LinkedHashMap<>();
+    private final Map<OrderGroup, LeaseDriver> drivers = new LinkedHashMap<>();
+    private final Map<OrderGroup, Instant> heard = new HashMap<>();
+
+    OrderLeases(
+            InstanceId self,
+            String process,
+            String address,
+            Duration turnTime,
+            OrderGroups groups,
+            TimerService timers) {
+        this.self = self;
+        this.groups = groups;
+        this.timers = timers;
+        for (OrderGroup group : groups.all()) {
+            keepers.put(group, new LeaseKeeper(self, process, address, turnTime));
+        }
+    }
+
+    void start(ObjectApi store, Executor loop, EventLog log) {
+        keepers.forEach(
+                (group, keeper) ->
+                        drivers.put(
+                                group,
+                                new LeaseDriver(
+                                        keeper,
+                                        store,
+                                        PlatformKinds.orderLease(group),
+                                        loop,
+                                        timers,
+                                        log)));
+    }
+
+    Map<OrderGroup, LeaseKeeper> keepers() {
+        return keepers;
+    }
+
+    void tick() {
+        long held = held().size();
+        keepers.forEach(
+                (group, keeper) -> {
+                    long spread = (long) (SPREAD.toMillis() * groups.standing(self, group));
+                    keeper.hesitate(PER_LEASE_HELD.multipliedBy(held).plusMillis(spread));
+                });
+        postAll(new LeaseEvent.Tick());
+    }
+
+    void postAll(LeaseEvent event) {
+        drivers.values().forEach(driver -> driver.post(event));
+    }
+
+    /** Returns the groups whose lease this instance holds. */
+    Set<OrderGroup> held() {
+        Instant now = timers.now();
+        Set<OrderGroup> held = new LinkedHashSet<>();
+        keepers.forEach(
+                (group, keeper) -> {
+                    if (keeper.holding(now)) {
+                        held.add(group);
+                    }
+                });
+        return held;
+    }
+
+    /** Returns the other instances that hold leases, as far as is known, with their addresses. */
+    Map<InstanceId, String> otherHolders() {
+        Map<InstanceId, String> holders = new LinkedHashMap<>();
+        for (LeaseKeeper keeper : keepers.values()) {
+            keeper.seen()
+                    .filter(seen -> !seen.holder().equals(self))
+                    .ifPresent(seen -> holders.put(seen.holder(), seen.address()));
+        }
+        return holders;
+    }
+
+    /** Tells whether this instance plans: it holds the lowest group whose holder is alive. */
+    boolean planning() {
+        Set<OrderGroup> held = held();
+        for (OrderGroup group : keepers.keySet()) {
+            if (held.contains(group)) {
+                return true;
+            }
+            if (isHeard(group)) {
+                return false;
+            }
+        }
+        return false;
+    }
+
+    private boolean isHeard(OrderGroup group) {
+        Instant at = heard.getOrDefault(group, Instant.EPOCH);
+        return timers.now().isBefore(at.plus(HEARD_VALID));
+    }
+
+    /** Returns those of the servers that orders reach now. */
+    Set<ServerId> orderable(Set<ServerId> servers) {
+        Instant now = timers.now();
+        Set<OrderGroup> open =
+                keepers.entrySet().stream()
+                        .filter(
+                                each ->
+                                        each.getValue().mayOrder(now)
+                                                || !each.getValue().holding(now)
+                                                        && isHeard(each.getKey()))
+                        .map(Map.Entry::getKey)
+                        .collect(Collectors.toSet());
+        return servers.stream()
+                .filter(server -> open.contains(groups.of(server)))
+                .collect(Collectors.toSet());
+    }
+
+    /** Takes what a holder says of its leases. */
+    void noticed(InstanceId from, List<PeerMessage.NoticedLease> leases) {
+        for (PeerMessage.NoticedLease lease : leases) {
+            LeaseKeeper keeper = keepers.get(lease.group());
+            Optional<LeaseRecord> seen =
+                    keeper == null ? Optional.empty() : keeper.seen();
+            if (seen.filter(record -> record.holder().equals(from)).isEmpty()) {
+                continue;
+            }
+            if (lease.holding()) {
+                heard.put(lease.group(), timers.now());
+            }
+            drivers.get(lease.group())
+                    .post(new LeaseEvent.HolderHeard(lease.holding(), lease.revision()));
+        }
+    }
+
+    /** Returns what this instance says of the leases that it holds or held last. */
+    List<PeerMessage.NoticedLease> notices() {
+        Instant now = timers.now();
+        return keepers.entrySet().stream()
+                .filter(
+                        each ->
+                                each.getValue()
+                                        .seen()
+                                        .filter(seen -> seen.holder().equals(self))
+                                        .isPresent())
+                .map(
+                        each ->
+                                new PeerMessage.NoticedLease(
+                                        each.getKey(),
+                                        each.getValue().holding(now),
+                                        each.getValue().seen().get().revision()))
+                .toList();
+    }
+}
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -1,6 +1,5 @@
 package org.tarragonlug.gateway;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -9,9 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
-import org.tarragonlug.decision.ownership.LeaseEvent;
-import org.tarragonlug.decision.ownership.LeaseKeeper;
-import org.tarragonlug.decision.ownership.LeaseRecord;
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
 import org.tarragonlug.decision.placement.PlacementEvent;
@@ -22,8 +18,9 @@
 import org.tarragonlug.runtime.TimerService;
 
 /**
- * Exchanges demand and notices between instances: each reports its demand to the lease's holder,
- * which answers each report, so that an instance that is answered knows the holder to be alive.
+ * Exchanges demand and notices between instances: each reports its demand to the holders of order
+ * leases, which answer each report, so that an instance that is answered knows the holder to be
+ * alive. All holders know the demand, since any of them may have to plan.
  */
 final class PeerExchange
         implements PlacementDriver.NoticeListener, RelayingObjectApi.Channel {
@@ -39,7 +36,7 @@
     private static final Duration REPLICA_BELIEVED = Duration.ofMillis(2500);
 
     private final InstanceId self;
-    private final LeaseKeeper keeper;
+    private final OrderLeases leases;
     private final TimerService timers;
     private final DemandReporter demand;
     private final Map<InstanceId, Instant> reporters = new HashMap<>();
@@ -48,14 +45,14 @@
     private PeerTransport transport;
     private ForwardingDriver forwarding;
     private PlacementDriver placement;
-    private LeaseDriver lease;
+    private OrderExecutor executor;
     private RelayingObjectApi store;
     private boolean reportScheduled;
     private boolean noticeScheduled;
 
-    PeerExchange(InstanceId self, LeaseKeeper keeper, TimerService timers) {
+    PeerExchange(InstanceId self, OrderLeases leases, TimerService timers) {
         this.self = self;
-        this.keeper = keeper;
+        this.leases = leases;
         this.timers = timers;
         this.demand = new DemandReporter(this::reportSoon);
     }
@@ -68,12 +65,12 @@
             PeerTransport opened,
             ForwardingDriver forwardingDriver,
             PlacementDriver placementDriver,
-            LeaseDriver leaseDriver,
+            OrderExecutor orderExecutor,
             RelayingObjectApi storeApi) {
         transport = opened;
         forwarding = forwardingDriver;
         placement = placementDriver;
-        lease = leaseDriver;
+        executor = orderExecutor;
         store = storeApi;
         timers.subscribe(REPORT_PERIOD, now -> report());
     }
@@ -91,23 +88,25 @@
     }
 
     private void report() {
-        Instant now = timers.now();
-        Optional<LeaseRecord> seen = keeper.seen();
-        if (seen.isEmpty()) {
-            return;
-        }
-        if (seen.get().holder().equals(self)) {
-            placement.post(new PlacementEvent.DemandReported(self, demand.take(now)));
+        Map<InstanceId, String> holders = leases.otherHolders();
+        boolean holding = !leases.notices().isEmpty();
+        if (holders.isEmpty() && !holding) {
             return;
         }
-        Optional<InetSocketAddress> address = Addresses.parse(seen.get().address());
-        if (address.isPresent()) {
-            transport.learn(seen.get().holder(), address.get());
-            List<ModelDemand> demands = demand.take(now);
-            transport.send(
-                    address.get(),
-                    new PeerMessage.ModelDemandReport(PeerMessage.FORMAT_VERSION, demands));
+        List<ModelDemand> demands = demand.take(timers.now());
+        if (holding) {
+            placement.post(new PlacementEvent.DemandReported(self, demands));
         }
+        PeerMessage message =
+                new PeerMessage.ModelDemandReport(PeerMessage.FORMAT_VERSION, demands);
+        holders.forEach(
+                (holder, address) ->
+                        Addresses.parse(address)
+                                .ifPresent(
+                                        parsed -> {
+                                            transport.learn(holder, parsed);
+                                            transport.send(parsed, message);
+                                        }));
     }
 
     /** Handles a message of a peer, on the event loop. */
@@ -119,6 +118,10 @@
             notify(from, List.of(), List.of());
         } else if (message instanceof PeerMessage.PlacementNotice notice) {
             noticed(from, notice, now);
+        } else if (message instanceof PeerMessage.OrderCall call) {
+            executor.asked(from, call);
+        } else if (message instanceof PeerMessage.OrderCallAnswer answer) {
+            executor.answered(answer.call(), answer.result());
         } else if (message instanceof PeerMessage.ObjectCall call) {
             store.asked(from, call);
         } else if (message instanceof PeerMessage.ObjectCallAnswer answer) {
@@ -126,20 +129,18 @@
         }
     }
 
-    /** The holder asks an instance that reports to it; the others ask the holder. */
+    /** A holder asks an instance that reports to it; the others ask a holder. */
     @Override
     public Optional<InstanceId> relay() {
-        Optional<InstanceId> holder = keeper.seen().map(LeaseRecord::holder);
-        if (holder.isPresent() && !holder.get().equals(self)) {
-            return holder;
-        }
         InstanceId newest = null;
         for (Map.Entry<InstanceId, Instant> each : reporters.entrySet()) {
             if (newest == null || each.getValue().isAfter(reporters.get(newest))) {
                 newest = each.getKey();
             }
         }
-        return Optional.ofNullable(newest);
+        return newest != null
+                ? Optional.of(newest)
+                : leases.otherHolders().keySet().stream().findFirst();
     }
 
     @Override
@@ -148,12 +149,7 @@
     }
 
     private void noticed(InstanceId from, PeerMessage.PlacementNotice notice, Instant now) {
-        boolean holder =
-                keeper.seen().filter(seen -> seen.holder().equals(from)).isPresent();
-        if (!holder) {
-            return;
-        }
-        lease.post(new LeaseEvent.HolderHeard(notice.holding(), notice.leaseRevision()));
+        leases.noticed(from, notice.leases());
         for (PeerMessage.NoticedReplica replica : notice.replicas()) {
             believe(replica, now);
         }
@@ -228,8 +224,7 @@
                 to,
                 new PeerMessage.PlacementNotice(
                         PeerMessage.FORMAT_VERSION,
-                        keeper.holding(timers.now()),
-                        keeper.seen().map(LeaseRecord::revision).orElse(0L),
+                        leases.notices(),
                         reporters.size(),
                         newReplicas,
                         newExpectations));
--- a/src/main/java/org/tarragonlug/gateway/PlacementDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/PlacementDriver.java
@@ -1,14 +1,13 @@
 package org.tarragonlug.gateway;
 
 import java.net.InetSocketAddress;
-import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
-import org.tarragonlug.decision.ownership.LeaseKeeper;
 import org.tarragonlug.decision.placement.PlacementCommand;
 import org.tarragonlug.decision.placement.PlacementEvent;
 import org.tarragonlug.decision.placement.PlacementPlanner;
-import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ServerId;
 import org.tarragonlug.platform.EngineCalls;
 import org.tarragonlug.runtime.Addresses;
 import org.tarragonlug.runtime.EventLog;
@@ -16,22 +15,21 @@
 import org.tarragonlug.runtime.TimerService;
 
 /**
- * Carries out the orders of the planner while this instance may give orders.
+ * Lets the planner plan while this instance is the planning one, and carries out its commands.
  *
- * <p>The lease is checked right before each order is sent. An order that is not sent for lack of
- * the lease stays unanswered; the planner gives it again or forgets it with the ownership.
+ * <p>Of the holders of order leases the one with the lowest group that is alive plans. Each holder
+ * judges this by itself; two planners for a moment do no harm.
  */
 final class PlacementDriver {
     private final PlacementPlanner planner;
-    private final LeaseKeeper keeper;
+    private final OrderExecutor executor;
     private final EngineCalls engines;
-    private final InstanceId self;
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
-    private final GatewayMetrics metrics;
     private final NoticeListener notices;
     private boolean active;
+    private Set<ServerId> orderable = Set.of();
 
     /** Receives what instances that wait should know. */
     interface NoticeListener {
@@ -44,39 +42,51 @@
 
     PlacementDriver(
             PlacementPlanner planner,
-            LeaseKeeper keeper,
+            OrderExecutor executor,
             EngineCalls engines,
-            InstanceId self,
             Executor loop,
             TimerService timers,
             EventLog log,
-            GatewayMetrics metrics,
             NoticeListener notices) {
         this.planner = planner;
-        this.keeper = keeper;
+        this.executor = executor;
         this.engines = engines;
-        this.self = self;
         this.loop = loop;
         this.timers = timers;
         this.log = log;
-        this.metrics = metrics;
         this.notices = notices;
     }
 
-    /** Follows the lease and lets the planner plan. */
-    void tick() {
-        boolean holding = keeper.holding(timers.now());
-        boolean may = keeper.mayOrder(timers.now());
-        if (active && !holding) {
-            active = false;
-            post(new PlacementEvent.OwnershipLost());
-        } else if (!active && may) {
-            active = true;
-            post(new PlacementEvent.OwnershipGained());
-        } else if (active && may) {
+    /** Tells whether this instance plans. */
+    boolean active() {
+        return active;
+    }
+
+    /**
+     * Follows who plans and which servers can be given orders, and lets the planner plan.
+     *
+     * @param planning whether this instance is to plan
+     * @param servers the servers that orders reach
+     */
+    void tick(boolean planning, Set<ServerId> servers) {
+        if (active != planning) {
+            active = planning;
+            log.event(planning ? LogEvent.PLANNING_BEGUN : LogEvent.PLANNING_ENDED).write();
+            orderable = Set.of();
+            post(
+                    planning
+                            ? new PlacementEvent.PlanningBegun()
+                            : new PlacementEvent.PlanningEnded());
+        }
+        if (!active) {
+            return;
+        }
+        if (!servers.equals(orderable)) {
+            orderable = servers;
+            post(new PlacementEvent.OrderableServers(servers));
+        } else {
             post(new PlacementEvent.Tick());
         }
-        metrics.holding(may);
     }
 
     void post(PlacementEvent event) {
@@ -98,35 +108,12 @@
     }
 
     private void give(PlacementCommand.GiveOrder order) {
-        Optional<InetSocketAddress> address = Addresses.parse(order.address());
-        if (address.isEmpty() || !keeper.mayOrder(timers.now())) {
-            return;
-        }
-        log.event(LogEvent.ORDER_SENT)
-                .with("server", order.server())
-                .with("action", order.order().action())
-                .with("model", order.order().key())
-                .with("tier", order.order().tier())
-                .with("precondition", order.order().precondition())
-                .with("fence", keeper.fence())
-                .with("reason", order.reason())
-                .write();
-        engines.order(order.server(), address.get(), order.order(), self, keeper.fence())
+        executor.give(order)
                 .whenCompleteAsync(
-                        (result, failure) -> {
-                            String action =
-                                    order.order().action().name().toLowerCase(Locale.ROOT);
-                            metrics.order(action, result.name().toLowerCase(Locale.ROOT));
-                            log.event(LogEvent.ORDER_ENDED)
-                                    .with("server", order.server())
-                                    .with("action", order.order().action())
-                                    .with("model", order.order().key())
-                                    .with("result", result)
-                                    .write();
-                            post(
-                                    new PlacementEvent.OrderAnswered(
-                                            order.server(), order.startedMillis(), result));
-                        },
+                        (result, failure) ->
+                                post(
+                                        new PlacementEvent.OrderAnswered(
+                                                order.server(), order.startedMillis(), result)),
                         loop);
     }
 
--- a/src/main/java/org/tarragonlug/peer/IdModule.java
+++ b/src/main/java/org/tarragonlug/peer/IdModule.java
@@ -20,6 +20,7 @@
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.PoolName;
 import org.tarragonlug.id.ProcessId;
 import org.tarragonlug.id.RouteName;
@@ -45,6 +46,10 @@
         text(ServerId.class, ServerId::new);
         text(ServiceName.class, ServiceName::new);
         number(ConfigurationVersion.class, ConfigurationVersion::value, ConfigurationVersion::new);
+        number(
+                OrderGroup.class,
+                group -> (long) group.number(),
+                number -> new OrderGroup(Math.toIntExact(number)));
         number(Duration.class, Duration::toMillis, Duration::ofMillis);
         number(Instant.class, Instant::toEpochMilli, Instant::ofEpochMilli);
     }
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -63,7 +63,9 @@
                     Map.entry("ModelDemandReport", PeerMessage.ModelDemandReport.class),
                     Map.entry("PlacementNotice", PeerMessage.PlacementNotice.class),
                     Map.entry("ObjectCall", PeerMessage.ObjectCall.class),
-                    Map.entry("ObjectCallAnswer", PeerMessage.ObjectCallAnswer.class));
+                    Map.entry("ObjectCallAnswer", PeerMessage.ObjectCallAnswer.class),
+                    Map.entry("OrderCall", PeerMessage.OrderCall.class),
+                    Map.entry("OrderCallAnswer", PeerMessage.OrderCallAnswer.class));
 
     private static final Map<Class<? extends PeerMessage>, String> KINDS =
             TYPES.entrySet().stream()
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -11,11 +11,14 @@
 import org.tarragonlug.decision.configuration.ConfigurationDelta;
 import org.tarragonlug.decision.membership.MembershipMessage;
 import org.tarragonlug.decision.placement.ModelDemand;
+import org.tarragonlug.decision.placement.OrderAction;
+import org.tarragonlug.decision.placement.OrderResult;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.Fingerprint;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
@@ -252,24 +255,23 @@
     }
 
     /**
-     * What the holder of the order lease tells an instance that reported demand.
+     * What a holder of order leases tells an instance that reported demand.
      *
      * @param formatVersion of the sender
-     * @param holding whether the sender may give orders
-     * @param leaseRevision revision of the sender's last renewal
+     * @param leases the leases that the sender holds or held last
      * @param reporters how many instances report to it
      * @param replicas models that servers hold, before their listings show it
      * @param expectations when models that requests wait for will be ready
      */
     record PlacementNotice(
             int formatVersion,
-            boolean holding,
-            long leaseRevision,
+            List<NoticedLease> leases,
             int reporters,
             List<NoticedReplica> replicas,
             List<NoticedExpectation> expectations)
             implements PeerMessage {
         public PlacementNotice {
+            leases = List.copyOf(leases);
             replicas = List.copyOf(replicas);
             expectations = List.copyOf(expectations);
         }
@@ -360,4 +362,46 @@
      * @param content JSON text; empty if there is none
      */
     record CarriedObject(String kind, String name, long version, String content) {}
+
+    /**
+     * A lease as its holder sees it.
+     *
+     * @param group the servers
+     * @param holding whether the holder may give orders
+     * @param revision revision of the holder's last renewal
+     */
+    record NoticedLease(OrderGroup group, boolean holding, long revision) {}
+
+    /**
+     * The planner asks the holder of a server's lease to give an order.
+     *
+     * @param formatVersion of the sender
+     * @param call chosen by the sender; the answer repeats it
+     * @param group the server's group
+     * @param server the server
+     * @param address its address
+     * @param action what to do
+     * @param key the model, or the adapter
+     * @param precondition orders that the server must have accepted before
+     */
+    record OrderCall(
+            int formatVersion,
+            long call,
+            OrderGroup group,
+            ServerId server,
+            String address,
+            OrderAction action,
+            ModelKey key,
+            long precondition)
+            implements PeerMessage {}
+
+    /**
+     * The answer to an {@link OrderCall}.
+     *
+     * @param formatVersion of the sender
+     * @param call as in the call
+     * @param result what the server answered
+     */
+    record OrderCallAnswer(int formatVersion, long call, OrderResult result)
+            implements PeerMessage {}
 }
--- a/src/main/java/org/tarragonlug/platform/EngineCalls.java
+++ b/src/main/java/org/tarragonlug/platform/EngineCalls.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletionStage;
 import org.tarragonlug.decision.placement.OrderAction;
 import org.tarragonlug.decision.placement.OrderResult;
-import org.tarragonlug.decision.placement.PlannedOrder;
 import org.tarragonlug.decision.placement.ServerReport;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -22,6 +21,7 @@
 import org.tarragonlug.http.JsonFields;
 import org.tarragonlug.id.Fence;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.runtime.Json;
 
@@ -51,7 +51,9 @@
      *
      * @param server the server meant; any other refuses
      * @param address its address
-     * @param order the order
+     * @param action what to do
+     * @param key the model, or the adapter
+     * @param precondition orders that the server must have accepted before
      * @param holder the instance that gives it
      * @param fence fencing number of the holder's lease
      * @return what the server answered; never fails
@@ -59,16 +61,18 @@
     public CompletionStage<OrderResult> order(
             ServerId server,
             InetSocketAddress address,
-            PlannedOrder order,
+            OrderAction action,
+            ModelKey key,
+            long precondition,
             InstanceId holder,
             Fence fence) {
         ObjectNode body = Json.object();
-        body.put("op", order.action() == OrderAction.LOAD ? "model_load" : "model_unload");
-        body.put("model", order.key().model());
-        if (order.key().hasAdapter()) {
-            body.put("adapter", order.key().adapter());
+        body.put("op", action == OrderAction.LOAD ? "model_load" : "model_unload");
+        body.put("model", key.model());
+        if (key.hasAdapter()) {
+            body.put("adapter", key.adapter());
         }
-        body.put("precondition", order.precondition());
+        body.put("precondition", precondition);
         body.put("holder", holder.value());
         body.put("fence", fence.value());
         HttpCall call =
--- a/src/main/java/org/tarragonlug/platform/PlatformKinds.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformKinds.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.platform;
 
+import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.objectapi.ObjectName;
 
 /** Kinds and names of the objects in the platform's store. */
@@ -13,8 +14,13 @@
     /** The object of {@link #CONFIGURATION} that holds the newest configuration in full. */
     public static final String CURRENT_CONFIGURATION = "main";
 
-    /** The lease for orders to servers; a kind of this system's own. */
-    public static final ObjectName ORDER_LEASE = new ObjectName("leases", "orders");
+    /** Leases for orders to servers; a kind of this system's own. */
+    private static final String LEASES = "leases";
 
     private PlatformKinds() {}
+
+    /** Returns the object that holds the lease of a group of servers. */
+    public static ObjectName orderLease(OrderGroup group) {
+        return new ObjectName(LEASES, "orders-" + group);
+    }
 }
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -69,6 +69,10 @@
     LEASE_ACQUIRED(Level.INFO),
     /** This instance does not hold the lease any more. */
     LEASE_LOST(Level.WARN),
+    /** This instance plans which servers hold which models. */
+    PLANNING_BEGUN(Level.INFO),
+    /** Another instance plans. */
+    PLANNING_ENDED(Level.INFO),
     /** The process did not run for a while. */
     PROCESS_PAUSED(Level.WARN),
     /** The settings file has changed. */
