Ask engines alone for reports; repeat lost orders sooner; spread the leases

Change: reports of engines only; shorter waits; two failures in a row before calls go through a peer, and the direct way at once when a peer can not help; leases are left to others for a while.

--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -47,8 +47,8 @@
     /** How long after the expected end of an order the server is asked. */
     private static final Duration REPORT_AFTER = Duration.ofMillis(600);
 
-    private static final Duration REPORT_PAUSE = Duration.ofMillis(400);
-    private static final Duration ORDER_REPEAT = Duration.ofMillis(600);
+    private static final Duration REPORT_PAUSE = Duration.ofMillis(200);
+    private static final Duration ORDER_REPEAT = Duration.ofMillis(250);
     /** When an order without an answer to a server that gets none is given up. */
     private static final Duration ABANDON_AFTER = Duration.ofMillis(1200);
 
@@ -297,7 +297,11 @@
     }
 
     private void followOrders(Instant now) {
+        Set<ServiceName> engines = engines().keySet();
         for (PlannedServer server : servers.values()) {
+            if (!engines.contains(server.listing().service())) {
+                continue;
+            }
             PlannedOrder order = server.order;
             if (order != null && !order.accepted()) {
                 if (!server.orderable && now.isAfter(order.decidedAt().plus(ABANDON_AFTER))) {
--- a/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
@@ -33,7 +33,7 @@
  * the order's outcome unknown.
  */
 final class OrderExecutor {
-    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1000);
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(400);
 
     private final Map<OrderGroup, LeaseKeeper> keepers;
     private final OrderGroups groups;
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -76,15 +78,31 @@
     }
 
     void tick() {
-        long held = held().size();
-        keepers.forEach(
-                (group, keeper) -> {
-                    long spread = (long) (SPREAD.toMillis() * groups.standing(self, group));
-                    keeper.hesitate(PER_LEASE_HELD.multipliedBy(held).plusMillis(spread));
-                });
+        spread();
         postAll(new LeaseEvent.Tick());
     }
 
+    /**
+     * Lets each instance go for the group first for which it stands first, and leave the others to
+     * other instances for a while, so that one instance rarely holds several leases.
+     */
+    private void spread() {
+        List<OrderGroup> free = new ArrayList<>();
+        int held = held().size();
+        for (OrderGroup group : keepers.keySet()) {
+            if (!isHeard(group) && !keepers.get(group).holding(timers.now())) {
+                free.add(group);
+            }
+        }
+        free.sort(Comparator.comparingDouble(group -> groups.standing(self, group)));
+        for (int index = 0; index < free.size(); index++) {
+            OrderGroup group = free.get(index);
+            long spread = (long) (SPREAD.toMillis() * groups.standing(self, group));
+            keepers.get(group)
+                    .hesitate(PER_LEASE_HELD.multipliedBy(held + index).plusMillis(spread));
+        }
+    }
+
     void postAll(LeaseEvent event) {
         drivers.values().forEach(driver -> driver.post(event));
     }
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -36,10 +36,14 @@
  * not reach the store itself refuses calls of peers at once, so that an outage of the store causes
  * no further calls.
  *
- * <p>The direct way is tried again after {@link #RETRY_DIRECT}.
+ * <p>A single failure proves nothing, since a watch may be cut off and a connection may break; after
+ * {@link #FAILURES_UNTIL_RELAY} failures in a row calls go through a peer. The direct way is tried
+ * again after {@link #RETRY_DIRECT}, and at once after a peer could not help.
  */
 final class RelayingObjectApi implements ObjectApi {
-    private static final Duration RETRY_DIRECT = Duration.ofMillis(1500);
+    private static final Duration RETRY_DIRECT = Duration.ofMillis(800);
+
+    private static final int FAILURES_UNTIL_RELAY = 2;
 
     /** How long a relayed call may take, beside the wait of a watch. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(900);
@@ -64,6 +68,7 @@
     private final Map<Long, CompletableFuture<PeerMessage.ObjectCallAnswer>> calls =
             new HashMap<>();
     private long lastCall;
+    private int failures;
     private boolean directDown;
     private Instant retryDirectAt = Instant.EPOCH;
 
@@ -148,7 +153,32 @@
     private <T> CompletionStage<T> reading(
             Supplier<CompletionStage<T>> directCall, Relayed<T> relayed) {
         Optional<InstanceId> peer = relayNow();
-        return peer.isPresent() ? relayed.through(peer.get()) : observed(directCall.get());
+        if (peer.isEmpty()) {
+            return observed(directCall.get());
+        }
+        CompletableFuture<T> result = new CompletableFuture<>();
+        relayed.through(peer.get())
+                .whenCompleteAsync(
+                        (answer, failure) -> {
+                            if (failure == null) {
+                                result.complete(answer);
+                            } else {
+                                complete(observed(directCall.get()), result);
+                            }
+                        },
+                        loop);
+        return result;
+    }
+
+    private static <T> void complete(CompletionStage<T> call, CompletableFuture<T> result) {
+        call.whenComplete(
+                (answer, failure) -> {
+                    if (failure == null) {
+                        result.complete(answer);
+                    } else {
+                        result.completeExceptionally(failure);
+                    }
+                });
     }
 
     /** Returns the peer to use now; empty for the direct way. */
@@ -168,7 +198,9 @@
     private <T> CompletionStage<T> observed(CompletionStage<T> call) {
         return call.whenCompleteAsync(
                 (result, failure) -> {
-                    boolean failed = failure != null && !isConflict(failure);
+                    boolean unanswered = failure != null && !isConflict(failure);
+                    failures = unanswered ? failures + 1 : 0;
+                    boolean failed = failures >= FAILURES_UNTIL_RELAY;
                     if (failed != directDown) {
                         directDown = failed;
                         log.event(failed ? LogEvent.STORE_UNREACHABLE : LogEvent.STORE_REACHED)
--- a/src/main/java/org/tarragonlug/platform/EngineCalls.java
+++ b/src/main/java/org/tarragonlug/platform/EngineCalls.java
@@ -27,8 +27,8 @@
 
 /** Orders to model servers and questions about their state. */
 public final class EngineCalls {
-    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(700);
-    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(700);
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(220);
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
     private static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
