--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
@@ -193,6 +193,7 @@
                         address,
                         seen.fence(),
                         seen.renewal() + 1,
+                        seen.ordering(),
                         true,
                         seen.revision());
         return List.of(new LeaseCommand.Write(released), new LeaseCommand.Lost("stopping"));
@@ -304,8 +305,9 @@
             // The answer to the write that took it was lost; what that write waited for still holds.
             return write(seen.fence(), now);
         }
-        // An earlier process of this instance held it, and no other instance did since.
-        takeoverBasis = Instant.EPOCH;
+        // An earlier process of this instance held it, and no other instance did since. If that one
+        // still waited for its turn, this one has to wait for it as well.
+        takeoverBasis = seen.ordering() ? Instant.EPOCH : seenSince;
         return write(seen.fence().next(), now);
     }
 
@@ -323,6 +325,13 @@
         return List.of(
                 new LeaseCommand.Write(
                         new LeaseRecord(
-                                self, process, address, fence, renewal, false, revision)));
+                                self,
+                                process,
+                                address,
+                                fence,
+                                renewal,
+                                mayOrder(now),
+                                false,
+                                revision)));
     }
 }
--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseRecord.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseRecord.java
@@ -11,6 +11,7 @@
  * @param address where the holder's peers reach it, {@code host:port}
  * @param fence grows with each holder
  * @param renewal grows with each renewal
+ * @param ordering whether the holder has given orders; false while it waits for its turn
  * @param released whether the holder gave it up and sends no more orders
  * @param revision revision of the stored object; zero if there is none
  */
@@ -20,5 +21,6 @@
         String address,
         Fence fence,
         long renewal,
+        boolean ordering,
         boolean released,
         long revision) {}
--- a/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
@@ -129,6 +129,7 @@
                 record.address(),
                 record.fence(),
                 record.renewal(),
+                record.ordering(),
                 record.released(),
                 revision);
     }
--- a/src/main/java/org/tarragonlug/gateway/StoredLease.java
+++ b/src/main/java/org/tarragonlug/gateway/StoredLease.java
@@ -23,6 +23,7 @@
         node.put("address", lease.address());
         node.put("fence", lease.fence().value());
         node.put("renewal", lease.renewal());
+        node.put("ordering", lease.ordering());
         node.put("released", lease.released());
         return node;
     }
@@ -36,6 +37,7 @@
                 JsonFields.text(node, "address"),
                 new Fence(JsonFields.count(node, "fence")),
                 JsonFields.count(node, "renewal"),
+                JsonFields.flag(node, "ordering"),
                 JsonFields.flag(node, "released"),
                 object.version());
     }
