--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -216,7 +216,7 @@
                 .with("request", flow.callerId)
                 .with("outcome", outcome)
                 .with("status", status)
-                .with("model", flow.call.headers().getOrDefault("tarragonlug-model", "none"))
+                .with("model", RequestHeaders.model(flow.call.headers()))
                 .with("server", flow.server.isEmpty() ? "none" : flow.server)
                 .with("attempts", flow.attempts)
                 .with("took_ms", taken.toMillis())
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -306,6 +306,22 @@
         return done;
     }
 
+    /** Closes everything at once; for tests and failed starts. */
+    public void stop() {
+        servers.stop();
+        configuration.stop();
+        callers.stop();
+        admin.stop();
+        if (readiness != null) {
+            readiness.closeAsync().subscribe();
+        }
+        if (transport != null) {
+            transport.close();
+        }
+        connections.close();
+        ioExecutor.closeAsync().subscribe();
+    }
+
     private void awaitIdle(CompletableFuture<Void> done, long endNanos) {
         if (callers.inProgress() <= 0 || System.nanoTime() >= endNanos) {
             log.event(LogEvent.DRAIN_ENDED).with("in_progress", callers.inProgress()).write();
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -286,7 +286,7 @@
             reply(from, call, ErrorCode.OBJECT_API_UNAVAILABLE.name(), List.of(), 0, false);
             return;
         }
-        ObjectName name = new ObjectName(call.kind(), call.name());
+        ObjectName name = new ObjectName(call.objectKind(), call.objectName());
         switch (call.operation()) {
             case READ ->
                     direct.read(name)
@@ -312,12 +312,12 @@
                                                     failure),
                                     loop);
             case LIST ->
-                    direct.list(call.kind())
+                    direct.list(call.objectKind())
                             .whenCompleteAsync(
                                     (result, failure) -> replyResult(from, call, result, failure),
                                     loop);
             default ->
-                    direct.watch(call.kind(), call.version(), call.longestWait())
+                    direct.watch(call.objectKind(), call.version(), call.longestWait())
                             .whenCompleteAsync(
                                     (result, failure) -> replyResult(from, call, result, failure),
                                     loop);
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -301,8 +301,8 @@
      * @param formatVersion of the sender
      * @param call chosen by the sender; the answer repeats it
      * @param operation what to do
-     * @param kind kind of the object or objects
-     * @param name name of the object; empty for a list or watch
+     * @param objectKind kind of the object or objects
+     * @param objectName name of the object; empty for a list or watch
      * @param version expected version of a write, or revision after which to watch
      * @param content what to write; absent otherwise
      * @param longestWait of a watch
@@ -311,8 +311,8 @@
             int formatVersion,
             long call,
             ObjectOperation operation,
-            String kind,
-            String name,
+            String objectKind,
+            String objectName,
             long version,
             Optional<String> content,
             Duration longestWait)
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -61,6 +61,11 @@
         return headers.getOrDefault(REQUEST_ID, "");
     }
 
+    /** Returns the model that the caller named, for the log. */
+    public static String model(Map<String, String> headers) {
+        return headers.getOrDefault(MODEL, "none");
+    }
+
     /**
      * Decodes a caller's request.
      *
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
@@ -0,0 +1,254 @@
+package org.tarragonlug.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.transport.api.IoExecutor;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.tarragonlug.http.JsonFields;
+
+/**
+ * A stand-in of a backend server on the platform: it registers in the store, answers plain calls,
+ * streams events, takes orders and reports its state.
+ */
+public final class PlatformServerStandIn implements AutoCloseable {
+    private static final int EVENTS = 4;
+    private static final long EVENT_PAUSE_MILLIS = 20;
+    private static final long LOAD_MILLIS = 150;
+
+    private final StandInServer server;
+    private final PlatformStoreStandIn store;
+    private final String id;
+    private final String service;
+    private final Map<String, Set<String>> models = new LinkedHashMap<>();
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final List<String> orders = new ArrayList<>();
+    private final long started = System.currentTimeMillis();
+    private volatile int breakAfterEvents = Integer.MAX_VALUE;
+    private volatile boolean answersNothing;
+    private volatile boolean rejects;
+    private long orderCount;
+    private boolean busy;
+    private boolean leaving;
+
+    /**
+     * Creates the stand-in, listens on loopback and registers.
+     *
+     * @param ioExecutor runs its connections
+     * @param store where it registers
+     * @param id its id
+     * @param service its service
+     * @param held models that it holds at first
+     */
+    public PlatformServerStandIn(
+            IoExecutor ioExecutor,
+            PlatformStoreStandIn store,
+            String id,
+            String service,
+            String... held) {
+        this.store = store;
+        this.id = id;
+        this.service = service;
+        for (String model : held) {
+            models.put(model, new TreeSet<>());
+        }
+        this.server = new StandInServer(ioExecutor, this::handle).start();
+        register();
+    }
+
+    /** Breaks the connection of each stream after some events. */
+    public void breakStreamsAfter(int events) {
+        breakAfterEvents = events;
+    }
+
+    /** Runs requests and leaves them unanswered. */
+    public void answerNothing(boolean silent) {
+        answersNothing = silent;
+    }
+
+    /** Turns requests away without running them. */
+    public void reject(boolean rejecting) {
+        rejects = rejecting;
+    }
+
+    /** Registers as leaving. */
+    public synchronized void leave() {
+        leaving = true;
+        register();
+    }
+
+    /** Returns how often each request, named by its id, has run. */
+    public Map<String, Integer> runs() {
+        return Map.copyOf(runs);
+    }
+
+    /** Returns the orders that it accepted. */
+    public synchronized List<String> orders() {
+        return List.copyOf(orders);
+    }
+
+    private synchronized void register() {
+        ObjectNode entry = JsonNodeFactory.instance.objectNode();
+        entry.put("service", service);
+        entry.put("address", "127.0.0.1:" + server.address().getPort());
+        entry.put("zone", "home");
+        entry.put("version", "v1");
+        entry.put("slots", 8);
+        entry.put("state", leaving ? "draining" : "ready");
+        entry.put("seq", 1);
+        entry.put("born", started);
+        entry.set("models", modelList());
+        ObjectNode available = entry.putObject("available");
+        available.putArray("in_memory");
+        available.putArray("on_disk");
+        store.put("servers", id, entry);
+    }
+
+    private ArrayNode modelList() {
+        ArrayNode list = JsonNodeFactory.instance.arrayNode();
+        models.forEach(
+                (name, adapters) -> {
+                    ArrayNode names = list.addObject().put("name", name).putArray("adapters");
+                    adapters.forEach(names::add);
+                });
+        return list;
+    }
+
+    private CompletionStage<StandInReply> handle(StandInRequest request) {
+        if (request.path().equals(List.of("tarragonlug", "report"))) {
+            return done(report());
+        }
+        if (request.path().equals(List.of("tarragonlug", "order"))) {
+            return done(order(JsonFields.parse(request.body())));
+        }
+        return serve(request);
+    }
+
+    private static CompletionStage<StandInReply> done(StandInReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+
+    private synchronized StandInReply report() {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.set("models", modelList());
+        body.put("busy", busy);
+        body.put("seq", orderCount);
+        return StandInReply.json(200, body);
+    }
+
+    private synchronized StandInReply order(JsonNode body) {
+        if (busy || body.path("precondition").asLong(orderCount) != orderCount) {
+            return StandInReply.empty(409);
+        }
+        String model = body.path("model").asText();
+        String adapter = body.path("adapter").asText("");
+        boolean load = body.path("op").asText().equals("model_load");
+        orderCount++;
+        orders.add(body.path("op").asText() + " " + model + (adapter.isEmpty() ? "" : "/") + adapter);
+        if (!adapter.isEmpty()) {
+            Set<String> adapters = models.get(model);
+            if (load) {
+                adapters.add(adapter);
+            } else {
+                adapters.remove(adapter);
+            }
+            return StandInReply.empty(load ? 202 : 200);
+        }
+        busy = true;
+        CompletableFuture.delayedExecutor(LOAD_MILLIS, TimeUnit.MILLISECONDS)
+                .execute(() -> carryOut(load, model));
+        return StandInReply.empty(202);
+    }
+
+    private synchronized void carryOut(boolean load, String model) {
+        busy = false;
+        if (load) {
+            models.put(model, new TreeSet<>());
+        } else {
+            models.remove(model);
+        }
+        register();
+    }
+
+    private CompletionStage<StandInReply> serve(StandInRequest request) {
+        Map<String, String> headers = new HashMap<>();
+        String requestId = request.headers().getOrDefault("tarragonlug-request-id", "");
+        headers.put("tarragonlug-request-id", requestId);
+        headers.put("tarragonlug-server-load", "1,0,8");
+        String expected = request.headers().getOrDefault("tarragonlug-expect-instance", id);
+        String model = request.headers().get("tarragonlug-model");
+        if (!expected.equals(id) || !holds(model)) {
+            headers.put("tarragonlug-instance-id", id);
+            return done(StandInReply.bytes(421, headers, new byte[0]));
+        }
+        if (rejects) {
+            headers.put("tarragonlug-not-executed", "1");
+            return done(StandInReply.bytes(503, headers, new byte[0]));
+        }
+        runs.merge(requestId, 1, Integer::sum);
+        if (answersNothing) {
+            return new CompletableFuture<>();
+        }
+        headers.put("tarragonlug-response-seal", "seal-of-" + id);
+        if (model == null) {
+            return done(StandInReply.bytes(200, headers, request.body()));
+        }
+        headers.put("content-type", "text/event-stream");
+        int last = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
+        return done(new StandInReply(200, headers, events(last, request)));
+    }
+
+    private synchronized boolean holds(String model) {
+        if (model == null) {
+            return true;
+        }
+        int slash = model.indexOf('/');
+        Set<String> adapters = models.get(slash < 0 ? model : model.substring(0, slash));
+        return adapters != null && (slash < 0 || adapters.contains(model.substring(slash + 1)));
+    }
+
+    private Publisher<byte[]> events(int last, StandInRequest request) {
+        Publisher<byte[]> events = Publisher.empty();
+        for (int number = last + 1; number <= EVENTS; number++) {
+            if (number - last > breakAfterEvents) {
+                return events.concat(
+                        Publisher.defer(
+                                () -> {
+                                    request.cut().run();
+                                    return Publisher.never();
+                                }));
+            }
+            byte[] event =
+                    ("id: " + number + "\ndata: part " + number + "\n\n")
+                            .getBytes(StandardCharsets.UTF_8);
+            events = events.concat(delayed(event));
+        }
+        return events;
+    }
+
+    private static Publisher<byte[]> delayed(byte[] event) {
+        return io.servicetalk.concurrent.api.Single.fromStage(
+                        new CompletableFuture<byte[]>()
+                                .completeOnTimeout(
+                                        event, EVENT_PAUSE_MILLIS, TimeUnit.MILLISECONDS))
+                .toPublisher();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
@@ -0,0 +1,247 @@
+package org.tarragonlug.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.tarragonlug.http.JsonFields;
+
+/**
+ * A stand-in of the platform's metadata store: objects with revisions, conditional writes, lists in
+ * pages and watches that wait, with faults that tests switch on.
+ */
+public final class PlatformStoreStandIn implements AutoCloseable {
+    private static final int PAGE = 3;
+
+    private record Change(long revision, String kind, ObjectNode object, boolean deleted) {}
+
+    private record Watch(
+            String kind, long after, CompletableFuture<StandInReply> answer) {}
+
+    private final StandInServer server;
+    private final Map<String, TreeMap<String, ObjectNode>> objects = new TreeMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long revision = 1;
+    private long forgottenUpTo;
+    private int calls;
+    private int refusedStatus;
+    private boolean losesAnswersToWrites;
+
+    /**
+     * Creates the stand-in and listens on loopback.
+     *
+     * @param ioExecutor runs its connections
+     */
+    public PlatformStoreStandIn(IoExecutor ioExecutor) {
+        this.server = new StandInServer(ioExecutor, this::handle).start();
+    }
+
+    /** Returns its address. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Answers every call with a status, or works again if it is zero. */
+    public synchronized void refuse(int status) {
+        refusedStatus = status;
+        if (status != 0) {
+            endWatches();
+        }
+    }
+
+    /** Makes writes take effect without an answer. */
+    public synchronized void loseAnswersToWrites(boolean loses) {
+        losesAnswersToWrites = loses;
+    }
+
+    /** Makes all open connections silent. */
+    public void silenceConnections() {
+        server.freezeOpenConnections();
+    }
+
+    /** Drops the history and cuts the watches off. */
+    public synchronized void forgetHistory() {
+        forgottenUpTo = revision;
+        history.clear();
+        endWatches();
+    }
+
+    private void endWatches() {
+        watches.forEach(watch -> watch.answer().complete(StandInReply.empty(410)));
+        watches.clear();
+    }
+
+    /** Returns how many calls it got. */
+    public synchronized int calls() {
+        return calls;
+    }
+
+    /** Writes an object as the operator or a server does. */
+    public synchronized void put(String kind, String name, JsonNode spec) {
+        store(kind, name, spec);
+    }
+
+    /** Removes an object. */
+    public synchronized void remove(String kind, String name) {
+        ObjectNode gone = kind(kind).remove(name);
+        if (gone != null) {
+            revision++;
+            changed(new Change(revision, kind, gone, true));
+        }
+    }
+
+    private TreeMap<String, ObjectNode> kind(String kind) {
+        return objects.computeIfAbsent(kind, each -> new TreeMap<>());
+    }
+
+    private ObjectNode store(String kind, String name, JsonNode spec) {
+        revision++;
+        ObjectNode object = JsonNodeFactory.instance.objectNode();
+        object.putObject("metadata")
+                .put("name", name)
+                .put("revision", revision)
+                .put("deleting", false);
+        object.set("spec", spec);
+        kind(kind).put(name, object);
+        changed(new Change(revision, kind, object, false));
+        return object;
+    }
+
+    private void changed(Change change) {
+        history.add(change);
+        Iterator<Watch> iterator = watches.iterator();
+        while (iterator.hasNext()) {
+            Watch watch = iterator.next();
+            if (watch.kind().equals(change.kind())) {
+                iterator.remove();
+                watch.answer().complete(events(watch.kind(), watch.after()));
+            }
+        }
+    }
+
+    private synchronized CompletionStage<StandInReply> handle(StandInRequest request) {
+        calls++;
+        if (refusedStatus != 0) {
+            return done(StandInReply.empty(refusedStatus));
+        }
+        String kind = request.path().get(2);
+        boolean named = request.path().size() > 3;
+        return switch (request.method()) {
+            case "GET" -> named ? done(read(kind, request.path().get(3))) : many(kind, request);
+            case "POST" -> write(create(kind, JsonFields.parse(request.body())));
+            case "PUT" ->
+                    write(replace(kind, request.path().get(3), JsonFields.parse(request.body())));
+            default -> done(StandInReply.empty(405));
+        };
+    }
+
+    private static CompletionStage<StandInReply> done(StandInReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+
+    private CompletionStage<StandInReply> write(StandInReply reply) {
+        return losesAnswersToWrites ? new CompletableFuture<>() : done(reply);
+    }
+
+    private StandInReply read(String kind, String name) {
+        ObjectNode object = kind(kind).get(name);
+        return object == null ? StandInReply.empty(404) : StandInReply.json(200, object);
+    }
+
+    private StandInReply create(String kind, JsonNode body) {
+        String name = body.path("metadata").path("name").asText();
+        ObjectNode present = kind(kind).get(name);
+        return present != null
+                ? StandInReply.json(409, present)
+                : StandInReply.json(201, store(kind, name, body.path("spec")));
+    }
+
+    private StandInReply replace(String kind, String name, JsonNode body) {
+        ObjectNode present = kind(kind).get(name);
+        if (present == null) {
+            return StandInReply.empty(404);
+        }
+        long expected = body.path("metadata").path("revision").asLong(-1);
+        if (expected >= 0 && expected != present.path("metadata").path("revision").asLong()) {
+            return StandInReply.json(409, present);
+        }
+        return StandInReply.json(200, store(kind, name, body.path("spec")));
+    }
+
+    private CompletionStage<StandInReply> many(String kind, StandInRequest request) {
+        if (!request.query().containsKey("watch")) {
+            return done(page(kind, request.query().getOrDefault("after", "")));
+        }
+        long after = Long.parseLong(request.query().get("watch"));
+        if (after < forgottenUpTo) {
+            return done(StandInReply.empty(410));
+        }
+        boolean news =
+                history.stream()
+                        .anyMatch(
+                                change ->
+                                        change.kind().equals(kind) && change.revision() > after);
+        if (news) {
+            return done(events(kind, after));
+        }
+        Watch watch = new Watch(kind, after, new CompletableFuture<>());
+        watches.add(watch);
+        long wait = Long.parseLong(request.query().getOrDefault("wait_ms", "0"));
+        return watch.answer()
+                .completeOnTimeout(
+                        StandInReply.json(200, events(List.of(), after)),
+                        wait,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private StandInReply page(String kind, String after) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        ArrayNode items = body.putArray("items");
+        for (ObjectNode object : kind(kind).tailMap(after, false).values()) {
+            if (items.size() < PAGE) {
+                items.add(object);
+            }
+        }
+        body.put("has_more", kind(kind).tailMap(after, false).size() > PAGE);
+        body.put("as_of", revision);
+        return StandInReply.json(200, body);
+    }
+
+    private StandInReply events(String kind, long after) {
+        List<Change> news =
+                history.stream()
+                        .filter(
+                                change ->
+                                        change.kind().equals(kind) && change.revision() > after)
+                        .toList();
+        return StandInReply.json(200, events(news, revision));
+    }
+
+    private static ObjectNode events(List<Change> changes, long asOf) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        ArrayNode events = body.putArray("events");
+        for (Change change : changes) {
+            ObjectNode event = events.addObject();
+            event.put("deleted", change.deleted());
+            event.set("object", change.object());
+        }
+        body.put("as_of", asOf);
+        return body;
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -0,0 +1,287 @@
+package org.tarragonlug.decision.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.tarragonlug.decision.forwarding.ForwardingFixture.ENGINES;
+import static org.tarragonlug.decision.forwarding.ForwardingFixture.RECORDS;
+import static org.tarragonlug.decision.forwarding.ForwardingFixture.find;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ServerId;
+
+class ForwardingCoordinatorTest {
+    private static ForwardingCommand.Send sent(List<ForwardingCommand> commands) {
+        return find(commands, ForwardingCommand.Send.class).orElseThrow();
+    }
+
+    private static ForwardingCommand.Refuse refused(List<ForwardingCommand> commands) {
+        return find(commands, ForwardingCommand.Refuse.class).orElseThrow();
+    }
+
+    private static ForwardingCommand.Fail failed(List<ForwardingCommand> commands) {
+        return find(commands, ForwardingCommand.Fail.class).orElseThrow();
+    }
+
+    @Nested
+    class Routing {
+        @Test
+        void refusesWithoutConfigurationAndSaysWhenToComeBack() {
+            ForwardingFixture fixture = new ForwardingFixture();
+            ForwardingCommand.Refuse refusal = refused(fixture.arrive("/read/1", ""));
+            assertEquals(RefusalReason.NO_CONFIGURATION, refusal.reason());
+            assertTrue(refusal.retryAfter().isPresent());
+        }
+
+        @Test
+        void takesTheLongestPrefix() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture()
+                            .withRoutes()
+                            .withServer("engine", ENGINES, "m")
+                            .withServer("record", RECORDS);
+            assertEquals(
+                    new ServerId("engine"), sent(fixture.arrive("/read/deep/1", "m")).server());
+            assertEquals(new ServerId("record"), sent(fixture.arrive("/read/1", "")).server());
+        }
+
+        @Test
+        void answersNotFoundWhereNoRouteMatches() {
+            ForwardingFixture fixture = new ForwardingFixture().withRoutes();
+            assertEquals(
+                    RefusalReason.NO_ROUTE, refused(fixture.arrive("/other/", "")).reason());
+        }
+
+        @Test
+        void sendsNothingToALeavingServer() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture()
+                            .withRoutes()
+                            .withServer("one", RECORDS)
+                            .withServer("two", RECORDS)
+                            .leaving("one", RECORDS);
+            for (int count = 0; count < 10; count++) {
+                assertEquals(
+                        new ServerId("two"), sent(fixture.arrive("/read/1", "")).server());
+            }
+        }
+    }
+
+    /** A request that must not be repeated and may have run. */
+    @Nested
+    class AtMostOnce {
+        private final ForwardingFixture fixture =
+                new ForwardingFixture()
+                        .withRoutes()
+                        .withServer("one", RECORDS)
+                        .withServer("two", RECORDS);
+
+        @Test
+        void isNeverSentAgainAfterABreak() {
+            long key = sent(fixture.arrive("/issue/1", "")).request();
+            List<ForwardingCommand> commands = fixture.handle(new ForwardingEvent.Broken(key));
+            assertEquals(FailureReason.SERVER_LOST, failed(commands).reason());
+            assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
+        }
+
+        @Test
+        void isNotRefusedAsNotRunWhenItsTimeIsOver() {
+            sent(fixture.arrive("/issue/1", ""));
+            List<ForwardingCommand> commands = fixture.after(Duration.ofSeconds(7));
+            assertEquals(FailureReason.TIME_OVER, failed(commands).reason());
+            assertTrue(find(commands, ForwardingCommand.Refuse.class).isEmpty());
+        }
+
+        @Test
+        void goesToAnotherServerAfterARejection() {
+            ForwardingCommand.Send first = sent(fixture.arrive("/issue/1", ""));
+            List<ForwardingCommand> commands =
+                    fixture.handle(
+                            new ForwardingEvent.Rejected(
+                                    first.request(), Rejection.BUSY, Optional.empty()));
+            assertNotEquals(first.server(), sent(commands).server());
+        }
+
+        @Test
+        void isRefusedAsNotRunWhenAllServersRejectIt() {
+            List<ForwardingCommand> commands = fixture.arrive("/issue/1", "");
+            for (int count = 0; count < 10; count++) {
+                Optional<ForwardingCommand.Send> send =
+                        find(commands, ForwardingCommand.Send.class);
+                if (send.isEmpty()) {
+                    break;
+                }
+                commands =
+                        fixture.handle(
+                                new ForwardingEvent.Rejected(
+                                        send.get().request(),
+                                        Rejection.BUSY,
+                                        Optional.empty()));
+            }
+            assertEquals(RefusalReason.TURNED_AWAY, refused(commands).reason());
+        }
+    }
+
+    @Nested
+    class Repetition {
+        @Test
+        void repeatsAnIdempotentRequestAtAnotherServerAfterAServerError() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture()
+                            .withRoutes()
+                            .withServer("one", RECORDS)
+                            .withServer("two", RECORDS);
+            ForwardingCommand.Send first = sent(fixture.arrive("/read/1", ""));
+            List<ForwardingCommand> commands =
+                    fixture.handle(
+                            new ForwardingEvent.Answered(
+                                    first.request(), 500, Optional.empty()));
+            ForwardingCommand.Send second = sent(commands);
+            assertNotEquals(first.server(), second.server());
+            commands =
+                    fixture.handle(
+                            new ForwardingEvent.Answered(
+                                    first.request(), 500, Optional.empty()));
+            assertTrue(find(commands, ForwardingCommand.PassAnswer.class).isPresent());
+        }
+
+        @Test
+        void resumesAStreamAfterTheLastEventThatWasPassedOn() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture()
+                            .withRoutes()
+                            .withServer("one", ENGINES, "m")
+                            .withServer("two", ENGINES, "m");
+            ForwardingCommand.Send first = sent(fixture.arrive("/ask/1", "m"));
+            long key = first.request();
+            fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
+            fixture.handle(new ForwardingEvent.EventPassed(key, 3));
+            ForwardingCommand.Send second =
+                    sent(fixture.handle(new ForwardingEvent.Broken(key)));
+            assertEquals(3, second.lastEventId());
+            assertNotEquals(first.server(), second.server());
+        }
+
+        @Test
+        void breaksAStreamThatMayNotBeResumed() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture()
+                            .withRoutes()
+                            .withServer("one", ENGINES, "m")
+                            .withServer("two", ENGINES, "m");
+            long key = sent(fixture.arrive("/score/1", "m")).request();
+            fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
+            List<ForwardingCommand> commands = fixture.handle(new ForwardingEvent.Broken(key));
+            assertEquals(FailureReason.SERVER_LOST, failed(commands).reason());
+        }
+
+        /** A server that went dark holds its connections open and answers nothing. */
+        @Test
+        void movesAStreamAwayFromASilentServer() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture()
+                            .withRoutes()
+                            .withServer("one", ENGINES, "m")
+                            .withServer("two", ENGINES, "m");
+            ForwardingCommand.Send first = sent(fixture.arrive("/ask/1", "m"));
+            List<ForwardingCommand> commands = fixture.after(Duration.ofMillis(1200));
+            assertTrue(find(commands, ForwardingCommand.CancelAttempt.class).isPresent());
+            assertNotEquals(first.server(), sent(commands).server());
+        }
+
+        @Test
+        void cancelsTheAttemptWhenTheCallerHasGone() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture().withRoutes().withServer("one", ENGINES, "m");
+            long key = sent(fixture.arrive("/ask/1", "m")).request();
+            List<ForwardingCommand> commands =
+                    fixture.handle(new ForwardingEvent.CallerGone(key));
+            assertTrue(find(commands, ForwardingCommand.CancelAttempt.class).isPresent());
+            assertEquals(0, fixture.coordinator.pendingCount());
+        }
+    }
+
+    /** Requests for a model that no server holds. */
+    @Nested
+    class WaitingForAModel {
+        private final ForwardingFixture fixture =
+                new ForwardingFixture().withRoutes().withServer("one", ENGINES, "other");
+
+        @Test
+        void asksForTheModelAndSendsOnceItIsThere() {
+            List<ForwardingCommand> commands = fixture.arrive("/score/1", "m");
+            assertEquals(
+                    ModelKey.parse("m"),
+                    find(commands, ForwardingCommand.Wanted.class).orElseThrow().key());
+            fixture.after(Duration.ofMillis(500));
+            commands =
+                    fixture.handle(
+                            new ForwardingEvent.ServerListed(
+                                    fixture.listing("one", ENGINES, "other", "m")));
+            assertEquals(new ServerId("one"), sent(commands).server());
+        }
+
+        @Test
+        void sendsOnceTheDeciderAnnouncesTheModel() {
+            fixture.arrive("/score/1", "m/a1");
+            List<ForwardingCommand> commands =
+                    fixture.handle(
+                            new ForwardingEvent.ReplicaAnnounced(
+                                    new ServerId("one"),
+                                    ModelKey.parse("m/a1"),
+                                    true,
+                                    fixture.now.plusSeconds(2)));
+            assertEquals(new ServerId("one"), sent(commands).server());
+        }
+
+        @Test
+        void refusesAtOnceWhatIsExpectedTooLate() {
+            fixture.handle(
+                    new ForwardingEvent.ReadyExpected(
+                            ENGINES, ModelKey.parse("m"), fixture.now.plusSeconds(30)));
+            ForwardingCommand.Refuse refusal = refused(fixture.arrive("/ask/1", "m"));
+            assertEquals(RefusalReason.MODEL_NOT_READY, refusal.reason());
+        }
+
+        @Test
+        void refusesTruthfullyWhenTheCallersPatienceEnds() {
+            fixture.arrive("/ask/1", "m");
+            List<ForwardingCommand> commands = fixture.after(Duration.ofSeconds(4));
+            assertEquals(RefusalReason.TIME_OVER, refused(commands).reason());
+        }
+
+        @Test
+        void doesNotOfferAModelThatIsBeingDropped() {
+            fixture.handle(
+                    new ForwardingEvent.ReplicaAnnounced(
+                            new ServerId("one"),
+                            ModelKey.parse("other"),
+                            false,
+                            fixture.now.plusSeconds(2)));
+            List<ForwardingCommand> commands = fixture.arrive("/score/1", "other");
+            assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
+        }
+    }
+
+    /** Clients that cause many repeats at once. */
+    @Nested
+    class Budget {
+        @Test
+        void limitsRepeatsToTheirShareOfFirstSends() {
+            RetryBudget budget = new RetryBudget(Duration.ofSeconds(10), 0.2, 40, 8);
+            ForwardingFixture clock = new ForwardingFixture();
+            int allowed = 0;
+            for (int count = 0; count < 100; count++) {
+                budget.firstSend(clock.now);
+                allowed += budget.tryRepeat(clock.now) ? 1 : 0;
+            }
+            assertTrue(allowed <= 0.2 * 100 + 40 / 8.0, "allowed " + allowed);
+            assertTrue(allowed >= 15, "allowed " + allowed);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
@@ -0,0 +1,151 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.RouteName;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServiceName;
+
+/** A coordinator with routes and servers, and a clock that tests move. */
+final class ForwardingFixture {
+    static final ServiceName ENGINES = new ServiceName("engines");
+    static final ServiceName RECORDS = new ServiceName("records");
+    static final String HOST = "a.example";
+
+    final ForwardingCoordinator coordinator =
+            new ForwardingCoordinator(
+                    new FailureDomain("home"),
+                    text -> text.hashCode() * 0x9e3779b97f4a7c15L,
+                    new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1));
+    Instant now = Instant.ofEpochSecond(1000);
+    private long keys;
+
+    static ForwardingRoute route(
+            String prefix, RequestKind kind, int attempts, boolean resumable, ServiceName to) {
+        return new ForwardingRoute(
+                new RouteName("route-" + prefix.replace("/", "")),
+                HOST,
+                prefix,
+                kind,
+                Duration.ofSeconds(6),
+                Duration.ofMillis(400),
+                1,
+                List.of(new WeightedService(to, 1)),
+                attempts,
+                resumable,
+                Duration.ofMillis(400));
+    }
+
+    static ForwardingTable table(long version, ForwardingRoute... routes) {
+        return new ForwardingTable(
+                new ConfigurationVersion(version),
+                List.of(routes),
+                List.of(
+                        new ForwardingService(
+                                ENGINES,
+                                Optional.of(new ModelCatalog(Map.of(), 200, 8, 4)),
+                                100),
+                        new ForwardingService(RECORDS, Optional.empty(), 100)));
+    }
+
+    ForwardingFixture withRoutes() {
+        handle(
+                new ForwardingEvent.TableInstalled(
+                        table(
+                                1,
+                                route("/ask/", RequestKind.STREAMING, 2, true, ENGINES),
+                                route("/score/", RequestKind.STREAMING, 1, false, ENGINES),
+                                route("/issue/", RequestKind.NON_IDEMPOTENT, 1, false, RECORDS),
+                                route("/read/", RequestKind.IDEMPOTENT, 2, false, RECORDS),
+                                route("/read/deep/", RequestKind.IDEMPOTENT, 2, false, ENGINES))));
+        return this;
+    }
+
+    ServerListing listing(String id, ServiceName service, String... models) {
+        Map<String, Set<String>> held = new HashMap<>();
+        for (String model : models) {
+            held.put(model, Set.of());
+        }
+        return new ServerListing(
+                new ServerId(id),
+                service,
+                "10.0.0.1:" + id.length(),
+                new FailureDomain("home"),
+                8,
+                ListedState.READY,
+                1,
+                held,
+                Set.of(),
+                Set.of());
+    }
+
+    ForwardingFixture withServer(String id, ServiceName service, String... models) {
+        handle(new ForwardingEvent.ServerListed(listing(id, service, models)));
+        return this;
+    }
+
+    ForwardingFixture leaving(String id, ServiceName service, String... models) {
+        ServerListing ready = listing(id, service, models);
+        handle(
+                new ForwardingEvent.ServerListed(
+                        new ServerListing(
+                                ready.id(),
+                                service,
+                                ready.address(),
+                                ready.failureDomain(),
+                                8,
+                                ListedState.LEAVING,
+                                1,
+                                ready.models(),
+                                Set.of(),
+                                Set.of())));
+        return this;
+    }
+
+    List<ForwardingCommand> handle(ForwardingEvent event) {
+        return coordinator.handle(event, now);
+    }
+
+    List<ForwardingCommand> after(Duration time) {
+        List<ForwardingCommand> commands = new ArrayList<>();
+        Instant end = now.plus(time);
+        while (now.isBefore(end)) {
+            now = now.plusMillis(20);
+            commands.addAll(handle(new ForwardingEvent.Tick()));
+        }
+        return commands;
+    }
+
+    List<ForwardingCommand> arrive(String path, String model) {
+        keys++;
+        return handle(
+                new ForwardingEvent.Arrived(
+                        new ForwardRequest(
+                                keys,
+                                "request-" + keys,
+                                HOST,
+                                path,
+                                Optional.of(Duration.ofSeconds(6)),
+                                model.isEmpty()
+                                        ? Optional.empty()
+                                        : Optional.of(ModelKey.parse(model)),
+                                PromptPrefix.NONE,
+                                10,
+                                10,
+                                -1)));
+    }
+
+    static <T extends ForwardingCommand> Optional<T> find(
+            List<ForwardingCommand> commands, Class<T> type) {
+        return commands.stream().filter(type::isInstance).map(type::cast).findFirst();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -0,0 +1,160 @@
+package org.tarragonlug.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.PlatformServerStandIn;
+import org.tarragonlug.standin.PlatformStoreStandIn;
+
+/** Gateways on loopback in front of stand-ins of the platform's store and servers. */
+final class GatewayFixture implements AutoCloseable {
+    static final String CONFIGURATION =
+            """
+            {"version": %d, "routes": [
+              {"name": "ask", "host": "127.0.0.1", "path_prefix": "/ask/", "kind": "streaming",
+               "timeout_ms": 6000, "target_latency_ms": 400, "priority": 0, "service": "engines",
+               "max_attempts": 2, "resumable": true, "gap_target_ms": 400},
+              {"name": "score", "host": "127.0.0.1", "path_prefix": "/score/", "kind": "streaming",
+               "timeout_ms": 9000, "target_latency_ms": 3000, "priority": 0,
+               "service": "engines", "max_attempts": 1, "gap_target_ms": 400},
+              {"name": "issue", "host": "127.0.0.1", "path_prefix": "/issue/",
+               "kind": "non_idempotent", "timeout_ms": 800, "target_latency_ms": 100,
+               "priority": 2, "service": "records", "max_attempts": 1},
+              {"name": "read", "host": "127.0.0.1", "path_prefix": "/%s/", "kind": "idempotent",
+               "timeout_ms": 3000, "target_latency_ms": 100, "priority": 2,
+               "service": "records", "max_attempts": 2}],
+             "services": [
+              {"name": "engines", "max_conns": 50, "engine": {"weights_mb": 100,
+               "adapter_slots": 2, "loads_per_s": 4, "models": [
+                {"name": "m1", "weights_mb": 60, "load_s": 0.3, "disk_s": 0.2, "warm_s": 0.1,
+                 "adapters": 3, "adapter_mb": 1},
+                {"name": "m2", "weights_mb": 60, "load_s": 0.3, "disk_s": 0.2, "warm_s": 0.1,
+                 "adapters": 0, "adapter_mb": 1}]}},
+              {"name": "records", "max_conns": 50}]}
+            """;
+
+    final IoExecutor ioExecutor = IoThreads.create(2);
+    final PlatformStoreStandIn store = new PlatformStoreStandIn(ioExecutor);
+    final List<Gateway> gateways = new ArrayList<>();
+    final List<GatewaySettings> settings = new ArrayList<>();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private int requests;
+
+    void configure(long version, String readPrefix) throws Exception {
+        JsonNode spec = Json.read(CONFIGURATION.formatted(version, readPrefix).getBytes());
+        store.put("config", "main", spec);
+    }
+
+    PlatformServerStandIn server(String id, String service, String... models) {
+        PlatformServerStandIn server =
+                new PlatformServerStandIn(ioExecutor, store, id, service, models);
+        open.add(server);
+        return server;
+    }
+
+    private static InetSocketAddress freeAddress() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(
+                    InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    Gateway gateway(String name) throws Exception {
+        GatewaySettings own =
+                new GatewaySettings(
+                        new InstanceId(name),
+                        new FailureDomain("home"),
+                        freeAddress(),
+                        freeAddress(),
+                        freeAddress(),
+                        freeAddress(),
+                        store.address(),
+                        Duration.ofSeconds(8),
+                        Duration.ofSeconds(3),
+                        2,
+                        Duration.ofSeconds(5),
+                        Duration.ofSeconds(10),
+                        0.2,
+                        50,
+                        2,
+                        100);
+        Gateway gateway = new Gateway(own);
+        gateway.start();
+        gateways.add(gateway);
+        settings.add(own);
+        return gateway;
+    }
+
+    /** Waits until something holds. */
+    static void await(String what, Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+        while (!condition.call()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("not within 20 s: " + what);
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    /** Sends a request to a gateway; the model may be empty. */
+    HttpResponse<String> send(int gateway, String path, String model, String body)
+            throws Exception {
+        requests++;
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(uri(gateway, path))
+                        .timeout(Duration.ofSeconds(15))
+                        .header("Tarragonlug-Request-Id", "request-" + requests)
+                        .header("Tarragonlug-Deadline-Ms", "9000")
+                        .POST(HttpRequest.BodyPublishers.ofString(body));
+        if (!model.isEmpty()) {
+            request.header("Tarragonlug-Model", model);
+        }
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** The id of the newest request. */
+    String lastRequest() {
+        return "request-" + requests;
+    }
+
+    private URI uri(int gateway, String path) {
+        return URI.create(
+                "http://127.0.0.1:" + settings.get(gateway).callerAddress().getPort() + path);
+    }
+
+    int readiness(int gateway) throws Exception {
+        URI uri =
+                URI.create(
+                        "http://127.0.0.1:"
+                                + settings.get(gateway).readinessAddress().getPort()
+                                + "/tarragonlug/ready");
+        HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
+        return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    @Override
+    public void close() throws Exception {
+        gateways.forEach(Gateway::stop);
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        store.close();
+        ioExecutor.closeAsync().toFuture().get();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/GatewayTest.java
@@ -0,0 +1,218 @@
+package org.tarragonlug.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.PlatformServerStandIn;
+
+/** Whole gateways over loopback, each in front of stand-ins of the platform. */
+class GatewayTest {
+    private static final String STREAM =
+            "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n"
+                    + "id: 3\ndata: part 3\n\nid: 4\ndata: part 4\n\n";
+
+    private final GatewayFixture fixture = new GatewayFixture();
+
+    @AfterEach
+    void close() throws Exception {
+        fixture.close();
+    }
+
+    private void startOne() throws Exception {
+        fixture.configure(1, "read");
+        fixture.gateway("one");
+        GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
+    }
+
+    @Nested
+    class Calls {
+        @Test
+        void passTheServersAnswerOnUnchanged() throws Exception {
+            fixture.server("r1", "records");
+            startOne();
+            HttpResponse<String> answer = fixture.send(0, "/issue/1?x=%20y", "", "certificate");
+            assertEquals(200, answer.statusCode());
+            assertEquals("certificate", answer.body());
+            assertEquals(
+                    "seal-of-r1",
+                    answer.headers().firstValue("tarragonlug-response-seal").orElseThrow());
+        }
+
+        @Test
+        void withoutServerAnswerAreNotRunTwice() throws Exception {
+            PlatformServerStandIn first = fixture.server("r1", "records");
+            PlatformServerStandIn second = fixture.server("r2", "records");
+            first.answerNothing(true);
+            second.answerNothing(true);
+            startOne();
+            HttpResponse<String> answer = fixture.send(0, "/issue/1", "", "x");
+            assertEquals(504, answer.statusCode());
+            int runs =
+                    first.runs().getOrDefault(fixture.lastRequest(), 0)
+                            + second.runs().getOrDefault(fixture.lastRequest(), 0);
+            assertEquals(1, runs);
+        }
+
+        @Test
+        void thatAllServersTurnAwayAreRefusedAsNotRun() throws Exception {
+            PlatformServerStandIn server = fixture.server("r1", "records");
+            server.reject(true);
+            startOne();
+            HttpResponse<String> answer = fixture.send(0, "/issue/1", "", "x");
+            assertEquals(503, answer.statusCode());
+            assertTrue(answer.headers().firstValue("retry-after").isPresent());
+            assertTrue(server.runs().isEmpty());
+        }
+
+        @Test
+        void withoutRouteAreNotFound() throws Exception {
+            fixture.server("r1", "records");
+            startOne();
+            assertEquals(404, fixture.send(0, "/nowhere/", "", "x").statusCode());
+        }
+    }
+
+    @Nested
+    class Streams {
+        @Test
+        void arrivePieceByPieceAndWhole() throws Exception {
+            fixture.server("e1", "engines", "m1");
+            startOne();
+            assertEquals(STREAM, fixture.send(0, "/ask/1", "m1", "prompt").body());
+        }
+
+        @Test
+        void goOnAtAnotherServerWithoutLossOrRepetition() throws Exception {
+            PlatformServerStandIn first = fixture.server("e1", "engines", "m1");
+            PlatformServerStandIn second = fixture.server("e2", "engines", "m1");
+            first.breakStreamsAfter(2);
+            second.breakStreamsAfter(2);
+            startOne();
+            HttpResponse<String> answer = fixture.send(0, "/ask/1", "m1", "prompt");
+            assertEquals(STREAM, answer.body());
+            assertEquals(1, first.runs().size());
+            assertEquals(1, second.runs().size());
+        }
+    }
+
+    @Nested
+    class Models {
+        @Test
+        void areLoadedForTheRequestsThatWait() throws Exception {
+            PlatformServerStandIn engine = fixture.server("e1", "engines", "m1");
+            startOne();
+            fixture.gateway("two");
+            GatewayFixture.await("ready", () -> fixture.readiness(1) == 200);
+            for (int gateway = 0; gateway < 2; gateway++) {
+                assertEquals(STREAM, fixture.send(gateway, "/score/1", "m2", "p").body());
+                assertEquals(STREAM, fixture.send(gateway, "/score/1", "m1/a2", "p").body());
+            }
+            assertTrue(engine.orders().contains("model_load m2"), engine.orders().toString());
+            assertTrue(engine.orders().contains("model_load m1/a2"));
+        }
+    }
+
+    @Nested
+    class Configuration {
+        @Test
+        void isInForceSoonAndNeverGoesBack() throws Exception {
+            fixture.server("r1", "records");
+            startOne();
+            fixture.configure(5, "fetch");
+            GatewayFixture.await(
+                    "version 5",
+                    () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
+            fixture.configure(3, "read");
+            Thread.sleep(500);
+            assertEquals(404, fixture.send(0, "/read/1", "", "x").statusCode());
+        }
+
+        @Test
+        void isFollowedAfterTheHistoryWasLost() throws Exception {
+            fixture.server("r1", "records");
+            startOne();
+            fixture.store.forgetHistory();
+            fixture.configure(2, "fetch");
+            GatewayFixture.await(
+                    "version 2",
+                    () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
+        }
+
+        /** Open connections went silent for good while new ones worked. */
+        @Test
+        void isFollowedAfterTheConnectionsWentSilent() throws Exception {
+            fixture.server("r1", "records");
+            startOne();
+            fixture.store.silenceConnections();
+            fixture.configure(2, "fetch");
+            GatewayFixture.await(
+                    "version 2",
+                    () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
+        }
+
+        @Test
+        void isServedWhileTheStoreIsDown() throws Exception {
+            fixture.server("r1", "records");
+            startOne();
+            fixture.store.refuse(503);
+            Thread.sleep(300);
+            assertEquals(200, fixture.send(0, "/read/1", "", "x").statusCode());
+            assertEquals(200, fixture.readiness(0));
+        }
+
+        @Test
+        void isMissingUntilTheStoreAnswers() throws Exception {
+            fixture.store.refuse(503);
+            fixture.gateway("one");
+            assertEquals(503, fixture.readiness(0));
+            assertEquals(503, fixture.send(0, "/read/1", "", "x").statusCode());
+        }
+    }
+
+    @Nested
+    class Entries {
+        @Test
+        void thatCanNotBeReadArePassedOver() throws Exception {
+            fixture.store.put("servers", "bad-1", Json.read("\"text\"".getBytes()));
+            fixture.store.put("servers", "bad-2", Json.read("{\"service\": 3}".getBytes()));
+            fixture.server("r1", "records");
+            startOne();
+            assertEquals(200, fixture.send(0, "/read/1", "", "x").statusCode());
+        }
+
+        @Test
+        void ofLeavingServersGetNoNewRequests() throws Exception {
+            PlatformServerStandIn leaving = fixture.server("r1", "records");
+            fixture.server("r2", "records");
+            startOne();
+            leaving.leave();
+            Thread.sleep(1500);
+            int before = leaving.runs().size();
+            for (int count = 0; count < 10; count++) {
+                assertEquals(200, fixture.send(0, "/read/1", "", "x").statusCode());
+            }
+            assertEquals(before, leaving.runs().size());
+        }
+    }
+
+    @Nested
+    class Stop {
+        @Test
+        void withdrawsReadinessAndStillServes() throws Exception {
+            fixture.server("r1", "records");
+            startOne();
+            Gateway gateway = fixture.gateways.get(0);
+            List<Boolean> ended = new java.util.concurrent.CopyOnWriteArrayList<>();
+            gateway.drain().thenRun(() -> ended.add(true));
+            assertEquals(503, fixture.readiness(0));
+            assertEquals(200, fixture.send(0, "/read/1", "", "x").statusCode());
+            GatewayFixture.await("drained", () -> !ended.isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -0,0 +1,192 @@
+package org.tarragonlug.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.forwarding.Rejection;
+import org.tarragonlug.decision.forwarding.ReportedLoad;
+import org.tarragonlug.http.HttpFailure;
+
+class ServerAttemptTest {
+    private static final Map<String, String> HEADERS =
+            Map.of("tarragonlug-request-id", "r1", "tarragonlug-response-seal", "s");
+
+    /** Records what the attempt reports. */
+    private static final class Recorder implements CallReceiver {
+        private final List<String> calls = new ArrayList<>();
+
+        @Override
+        public void rejected(Rejection rejection, Optional<ReportedLoad> load) {
+            calls.add("rejected " + rejection);
+        }
+
+        @Override
+        public void streamStarted(Map<String, String> headers, Optional<ReportedLoad> load) {
+            calls.add("started");
+        }
+
+        @Override
+        public void event(byte[] bytes, long id) {
+            calls.add("event " + id);
+        }
+
+        @Override
+        public void answered(
+                int status,
+                Map<String, String> headers,
+                byte[] body,
+                Optional<ReportedLoad> load) {
+            calls.add("answered " + status + " " + body.length);
+        }
+
+        @Override
+        public void broken(String detail) {
+            calls.add("broken");
+        }
+    }
+
+    private final Recorder recorder = new Recorder();
+
+    private ServerAttempt attempt(boolean streaming, long lastEventId) {
+        return new ServerAttempt("r1", "server-1", streaming, lastEventId, recorder);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Nested
+    class Origin {
+        @Test
+        void anAnswerToAnotherRequestIsBroken() {
+            Map<String, String> headers = new HashMap<>(HEADERS);
+            headers.put("tarragonlug-request-id", "r0");
+            attempt(false, -1).head(200, headers);
+            assertEquals(List.of("broken"), recorder.calls);
+        }
+
+        @Test
+        void aSuccessWithoutSealIsBroken() {
+            attempt(false, -1).head(200, Map.of("tarragonlug-request-id", "r1"));
+            assertEquals(List.of("broken"), recorder.calls);
+        }
+
+        @Test
+        void anEncodedSuccessIsBroken() {
+            Map<String, String> headers = new HashMap<>(HEADERS);
+            headers.put("content-encoding", "gzip");
+            attempt(false, -1).head(200, headers);
+            assertEquals(List.of("broken"), recorder.calls);
+        }
+    }
+
+    @Nested
+    class WholeAnswers {
+        @Test
+        void arePassedOnWhenComplete() {
+            ServerAttempt attempt = attempt(false, -1);
+            attempt.head(200, HEADERS);
+            attempt.data(bytes("abc"));
+            assertTrue(recorder.calls.isEmpty());
+            attempt.completed();
+            assertEquals(List.of("answered 200 3"), recorder.calls);
+        }
+
+        @Test
+        void thatBreakAreNotPassedOn() {
+            ServerAttempt attempt = attempt(false, -1);
+            attempt.head(200, HEADERS);
+            attempt.data(bytes("ab"));
+            attempt.failed(new HttpFailure(HttpFailure.Kind.CONNECTION_LOST, "reset", null));
+            assertEquals(List.of("broken"), recorder.calls);
+        }
+    }
+
+    @Nested
+    class Rejections {
+        @Test
+        void areTakenFromTheServersWordAlone() {
+            ServerAttempt attempt = attempt(false, -1);
+            attempt.head(
+                    503,
+                    Map.of("tarragonlug-request-id", "r1", "tarragonlug-not-executed", "1"));
+            attempt.completed();
+            assertEquals(List.of("rejected BUSY"), recorder.calls);
+        }
+
+        @Test
+        void aServiceUnavailableWithoutThatWordMayHaveRun() {
+            ServerAttempt attempt = attempt(false, -1);
+            attempt.head(503, HEADERS);
+            attempt.completed();
+            assertEquals(List.of("answered 503 0"), recorder.calls);
+        }
+
+        @Test
+        void tellAnotherServerFromAMissingModel() {
+            attempt(false, -1).head(421, Map.of("tarragonlug-instance-id", "server-2"));
+            ServerAttempt attempt = attempt(false, -1);
+            attempt.head(421, Map.of("tarragonlug-instance-id", "server-2"));
+            attempt.completed();
+            ServerAttempt absent = attempt(false, -1);
+            absent.head(421, Map.of("tarragonlug-instance-id", "server-1"));
+            absent.completed();
+            assertEquals(
+                    List.of("rejected WRONG_SERVER", "rejected MODEL_ABSENT"), recorder.calls);
+        }
+
+        @Test
+        void includeConnectionsThatNeverOpened() {
+            attempt(false, -1)
+                    .failed(new HttpFailure(HttpFailure.Kind.NOT_SENT, "refused", null));
+            assertEquals(List.of("rejected UNREACHABLE"), recorder.calls);
+        }
+    }
+
+    @Nested
+    class Streams {
+        @Test
+        void passWholeEventsOn() {
+            ServerAttempt attempt = attempt(true, -1);
+            attempt.head(200, HEADERS);
+            attempt.data(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+            attempt.data(bytes("ta: b\n\n"));
+            attempt.completed();
+            assertEquals(
+                    List.of("started", "event 1", "event 2", "answered 200 0"), recorder.calls);
+        }
+
+        @Test
+        void thatEndWithinAnEventAreBroken() {
+            ServerAttempt attempt = attempt(true, -1);
+            attempt.head(200, HEADERS);
+            attempt.data(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+            attempt.completed();
+            assertEquals(List.of("started", "event 1", "broken"), recorder.calls);
+        }
+
+        @Test
+        void thatGoOnDoNotRepeatEvents() {
+            ServerAttempt attempt = attempt(true, 2);
+            attempt.head(200, HEADERS);
+            attempt.data(bytes("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+            assertEquals(List.of("started", "event 3"), recorder.calls);
+        }
+
+        @Test
+        void thatLeaveAnEventOutAreBroken() {
+            ServerAttempt attempt = attempt(true, 2);
+            attempt.head(200, HEADERS);
+            attempt.data(bytes("id: 4\ndata: d\n\n"));
+            assertEquals(List.of("started", "broken"), recorder.calls);
+        }
+    }
+}
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -31,6 +31,9 @@
 import org.tarragonlug.decision.membership.MemberState;
 import org.tarragonlug.decision.membership.MemberUpdate;
 import org.tarragonlug.decision.membership.MembershipMessage;
+import org.tarragonlug.decision.placement.ModelDemand;
+import org.tarragonlug.decision.placement.OrderAction;
+import org.tarragonlug.decision.placement.OrderResult;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.ArtifactId;
@@ -38,12 +41,15 @@
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.Fingerprint;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.PoolName;
 import org.tarragonlug.id.ProcessId;
 import org.tarragonlug.id.RouteName;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServiceName;
 
 class PeerCodecTest {
     private static final ObjectMapper PACK = new MessagePackMapper();
@@ -144,7 +150,58 @@
                 new PeerMessage.DecisionHandover(1, "capacity/tutoring", 44),
                 new PeerMessage.LoadTurnRefused(1, turn, 2),
                 new PeerMessage.LoadTurnReturn(1, turn, 3),
-                new PeerMessage.LoadTurnReturnReceived(1, turn, 3));
+                new PeerMessage.LoadTurnReturnReceived(1, turn, 3),
+                new PeerMessage.ModelDemandReport(
+                        1,
+                        List.of(
+                                new ModelDemand(
+                                        new ServiceName("engines"),
+                                        ModelKey.parse("m1/a2"),
+                                        4,
+                                        1,
+                                        2,
+                                        Duration.ofMillis(-300),
+                                        Duration.ofMillis(2500)))),
+                new PeerMessage.PlacementNotice(
+                        1,
+                        List.of(new PeerMessage.NoticedLease(new OrderGroup(2), true, 77)),
+                        8,
+                        List.of(
+                                new PeerMessage.NoticedReplica(
+                                        new ServerId("s-1"), ModelKey.parse("m1"), false)),
+                        List.of(
+                                new PeerMessage.NoticedExpectation(
+                                        new ServiceName("engines"),
+                                        ModelKey.parse("m2"),
+                                        Duration.ofMillis(900)))),
+                new PeerMessage.ObjectCall(
+                        1,
+                        9,
+                        PeerMessage.ObjectOperation.WRITE,
+                        "leases",
+                        "orders-1",
+                        44,
+                        Optional.of("{\"a\":1}"),
+                        Duration.ZERO),
+                new PeerMessage.ObjectCallAnswer(
+                        1,
+                        9,
+                        "",
+                        List.of(
+                                new PeerMessage.CarriedObject(
+                                        "leases", "orders-1", 45, "{\"a\":1}")),
+                        46,
+                        true),
+                new PeerMessage.OrderCall(
+                        1,
+                        10,
+                        new OrderGroup(0),
+                        new ServerId("s-1"),
+                        "10.0.0.1:80",
+                        OrderAction.UNLOAD,
+                        ModelKey.parse("m1/a2"),
+                        17),
+                new PeerMessage.OrderCallAnswer(1, 10, OrderResult.CONFLICT));
     }
 
     private PeerMessage decoded(byte[] frame) throws TarragonlugException {
