Let planning and the fleet settle before planning and copying begin

Cause: all three holders planned for 0.4 s at the start and loaded models twice; models whose servers had not registered yet counted as copied nowhere; only two copies at a time were made before traffic. Change: a holder plans after half a second as the lowest; copies wait until no server has come for 1.5 s, and use all of the weight store before the first demand.

--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -67,6 +67,9 @@
     /** A model used within this time is not dropped if it is the last replica. */
     private static final Duration MODEL_IN_USE = Duration.ofMillis(900);
 
+    /** After a new server, copies that others may list soon are not made for this long. */
+    private static final Duration FLEET_SETTLING = Duration.ofMillis(1500);
+
     /** How long a model stays at least once it is loaded. */
     private static final Duration SHORTEST_STAY = Duration.ofMillis(700);
 
@@ -90,6 +93,7 @@
     private final DemandBoard demand = new DemandBoard();
     private final Map<ServerId, PlannedServer> servers = new LinkedHashMap<>();
     private final Map<ModelKey, Instant> expectationsSent = new HashMap<>();
+    private Instant lastNewServer = Instant.EPOCH;
     private final Map<ServiceName, Instant> firstDemand = new HashMap<>();
     private ForwardingTable table;
     private boolean planning;
@@ -164,6 +168,7 @@
     private void listed(PlacementEvent.ServerListed event, Instant now) {
         PlannedServer server = servers.get(event.listing().id());
         if (server == null) {
+            lastNewServer = now;
             servers.put(event.listing().id(), new PlannedServer(event.listing()));
             return;
         }
@@ -757,8 +762,10 @@
 
         /** Loads models that no server has a copy of, while the weight store has nothing else. */
         private void prefetch() {
-            int most = Math.min(store.parallelLoads(), Math.max(1, members.size() / 3));
-            if (remoteLoads() >= most) {
+            boolean quiet = !firstDemand.containsKey(service);
+            int most = quiet ? members.size() : Math.max(1, members.size() / 3);
+            if (remoteLoads() >= Math.min(store.parallelLoads(), most)
+                    || now.isBefore(lastNewServer.plus(FLEET_SETTLING))) {
                 return;
             }
             for (ModelSpecification model : catalog.models().values()) {
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -37,12 +37,15 @@
     /** A holder that was not heard for this long gets no orders to send. */
     private static final Duration HEARD_VALID = Duration.ofMillis(1000);
 
+    private static final Duration SETTLING = Duration.ofMillis(500);
+
     private final InstanceId self;
     private final OrderGroups groups;
     private final TimerService timers;
     private final Map<OrderGroup, LeaseKeeper> keepers = new LinkedHashMap<>();
     private final Map<OrderGroup, LeaseDriver> drivers = new LinkedHashMap<>();
     private final Map<OrderGroup, Instant> heard = new HashMap<>();
+    private Instant lowestSince;
 
     OrderLeases(
             InstanceId self,
@@ -131,8 +134,21 @@
         return holders;
     }
 
-    /** Tells whether this instance plans: it holds the lowest group whose holder is alive. */
+    /**
+     * Tells whether this instance plans: it has been the holder of the lowest group whose holder is
+     * alive for {@link #SETTLING}, in which it would have heard a holder of a lower one.
+     */
     boolean planning() {
+        Instant now = timers.now();
+        if (!holdsLowest()) {
+            lowestSince = null;
+            return false;
+        }
+        lowestSince = lowestSince == null ? now : lowestSince;
+        return !now.isBefore(lowestSince.plus(SETTLING));
+    }
+
+    private boolean holdsLowest() {
         Set<OrderGroup> held = held();
         for (OrderGroup group : keepers.keySet()) {
             if (held.contains(group)) {
