Refuse waiting requests when the process stops

Change: when the listener closes, what waits is refused as not run; what a server has may end. Ruled out: requests on servers (they end within the drain time).

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -42,6 +42,9 @@
     private static final Duration SERVER_WAIT = Duration.ofMillis(250);
 
     private static final Duration NOT_READY_RETRY = Duration.ofMillis(500);
+    /** Another instance can take the request at once. */
+    private static final Duration STOPPING_RETRY = Duration.ofMillis(20);
+
     private static final Duration TURNED_AWAY_RETRY = Duration.ofMillis(150);
 
     /** A stream that has begun is taken as stalled after this pause. */
@@ -64,6 +67,7 @@
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
     private final Map<ServiceName, Map<ModelKey, Instant>> expectations = new HashMap<>();
     private ForwardingTable table;
+    private boolean waitingEnds;
     private List<ForwardingCommand> commands = new ArrayList<>();
 
     /**
@@ -134,6 +138,9 @@
                     .computeIfAbsent(expected.service(), each -> new HashMap<>())
                     .put(expected.key(), expected.ready());
             offerWaiting(now);
+        } else if (event instanceof ForwardingEvent.WaitingEnds) {
+            waitingEnds = true;
+            offerWaiting(now);
         } else {
             tick(now);
         }
@@ -200,6 +207,9 @@
         }
         if (server.isPresent()) {
             send(each, server.get(), now);
+        } else if (waitingEnds) {
+            end(each);
+            refuseOrFail(each, RefusalReason.STOPPING, STOPPING_RETRY);
         } else if (isEngine(each)) {
             waitForModel(each, now);
         } else if (!each.excluded.isEmpty()) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -67,6 +67,9 @@
     record ReadyExpected(ServiceName service, ModelKey key, Instant ready)
             implements ForwardingEvent {}
 
+    /** The process stops soon: nothing may wait any more, only what a server has may end. */
+    record WaitingEnds() implements ForwardingEvent {}
+
     /** Time has passed. */
     record Tick() implements ForwardingEvent {}
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
@@ -12,6 +12,8 @@
     MODEL_NOT_READY(503),
     /** Servers turned the request away, and it may not be offered to more of them. */
     TURNED_AWAY(503),
+    /** The instance stops before a server could have the request. */
+    STOPPING(503),
     /** The time was over before a server ran it. */
     TIME_OVER(503);
 
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -301,6 +301,7 @@
                 ROTATION_TIME,
                 now -> {
                     callers.stopGracefully();
+                    forwarding.post(new ForwardingEvent.WaitingEnds());
                     awaitIdle(done, end);
                 });
         return done;
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -255,6 +255,17 @@
             assertEquals(RefusalReason.TIME_OVER, refused(commands).reason());
         }
 
+        /** A stopping process ended with a request that waited, which got no answer at all. */
+        @Test
+        void refusesWhatWaitsWhenTheProcessStops() {
+            fixture.arrive("/score/1", "m");
+            List<ForwardingCommand> commands =
+                    fixture.handle(new ForwardingEvent.WaitingEnds());
+            assertEquals(RefusalReason.STOPPING, refused(commands).reason());
+            assertEquals(
+                    RefusalReason.STOPPING, refused(fixture.arrive("/score/2", "m")).reason());
+        }
+
         @Test
         void doesNotOfferAModelThatIsBeingDropped() {
             fixture.handle(
