--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -42,6 +42,7 @@
     private static final Duration SERVER_WAIT = Duration.ofMillis(250);
 
     private static final Duration NOT_READY_RETRY = Duration.ofMillis(500);
+
     /** Another instance can take the request at once. */
     private static final Duration STOPPING_RETRY = Duration.ofMillis(20);
 
--- a/src/main/java/org/tarragonlug/decision/placement/DemandBoard.java
+++ b/src/main/java/org/tarragonlug/decision/placement/DemandBoard.java
@@ -47,10 +47,13 @@
 
     private final Map<ServiceName, Map<ModelKey, Entry>> entries = new HashMap<>();
 
+    /** The same entries by model, for the rates of models with all their adapters. */
+    private final Map<ServiceName, Map<String, List<Entry>>> byModel = new HashMap<>();
+
     void report(InstanceId from, ModelDemand demand, Instant now) {
         Entry entry =
                 entries.computeIfAbsent(demand.service(), service -> new HashMap<>())
-                        .computeIfAbsent(demand.key(), key -> new Entry());
+                        .computeIfAbsent(demand.key(), key -> newEntry(demand.service(), key));
         entry.sum = decayed(entry, now) + demand.arrivals();
         entry.updatedAt = now;
         if (demand.arrivals() > 0 || demand.waiting() > 0) {
@@ -69,13 +72,23 @@
         }
     }
 
+    private Entry newEntry(ServiceName service, ModelKey key) {
+        Entry entry = new Entry();
+        byModel.computeIfAbsent(service, each -> new HashMap<>())
+                .computeIfAbsent(key.model(), model -> new ArrayList<>())
+                .add(entry);
+        return entry;
+    }
+
+    private List<Entry> of(ServiceName service, String model) {
+        return byModel.getOrDefault(service, Map.of()).getOrDefault(model, List.of());
+    }
+
     /** Returns the requests a second for a model alone or with any of its adapters. */
     double modelRate(ServiceName service, String model, Instant now) {
         double rate = 0;
-        for (Map.Entry<ModelKey, Entry> each : of(service).entrySet()) {
-            if (each.getKey().model().equals(model)) {
-                rate += decayed(each.getValue(), now) / RATE_WINDOW_SECONDS;
-            }
+        for (Entry entry : of(service, model)) {
+            rate += decayed(entry, now) / RATE_WINDOW_SECONDS;
         }
         return rate;
     }
@@ -83,10 +96,8 @@
     /** Returns when a model was last asked for. */
     Instant lastUsed(ServiceName service, String model) {
         Instant last = Instant.EPOCH;
-        for (Map.Entry<ModelKey, Entry> each : of(service).entrySet()) {
-            if (each.getKey().model().equals(model) && each.getValue().lastUsed.isAfter(last)) {
-                last = each.getValue().lastUsed;
-            }
+        for (Entry entry : of(service, model)) {
+            last = entry.lastUsed.isAfter(last) ? entry.lastUsed : last;
         }
         return last;
     }
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/placement/PlanContext.java
@@ -0,0 +1,25 @@
+package org.tarragonlug.decision.placement;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ServiceName;
+
+/** What lasts from one round of planning to the next. */
+final class PlanContext {
+    final WeightStoreLimit store;
+    final OrderBook book;
+    final DemandBoard demand = new DemandBoard();
+
+    /** When the instances were told last when a model is expected. */
+    final Map<ModelKey, Instant> expectationsSent = new HashMap<>();
+
+    /** When the first demand for a service was reported. */
+    final Map<ServiceName, Instant> firstDemand = new HashMap<>();
+
+    PlanContext(WeightStoreLimit store) {
+        this.store = store;
+        this.book = new OrderBook(store);
+    }
+}
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -64,8 +64,8 @@
  */
 public final class Gateway implements AdminSource {
     private static final String DEPLOYMENT = "tarragonlug-gateway";
-    private static final Duration REQUEST_TICK = Duration.ofMillis(20);
-    private static final Duration PLACEMENT_TICK = Duration.ofMillis(40);
+    private static final Duration REQUEST_TICK = Duration.ofMillis(40);
+    private static final Duration PLACEMENT_TICK = Duration.ofMillis(25);
     private static final Duration LEASE_TICK = Duration.ofMillis(100);
 
     /** A gap between two ticks from which on the process counts as paused. */
--- a/src/main/java/org/tarragonlug/gateway/StoreFollower.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreFollower.java
@@ -31,7 +31,7 @@
     /** Pause where changes are needed at once, and where others tell of the urgent ones. */
     private static final Duration SHORT_PAUSE = Duration.ofMillis(40);
 
-    private static final Duration LONG_PAUSE = Duration.ofMillis(700);
+    private static final Duration LONG_PAUSE = Duration.ofMillis(1100);
     private static final Duration SHORTEST_BACKOFF = Duration.ofMillis(150);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(1000);
 
--- a/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
@@ -157,7 +157,8 @@
         String adapter = body.path("adapter").asText("");
         boolean load = body.path("op").asText().equals("model_load");
         orderCount++;
-        orders.add(body.path("op").asText() + " " + model + (adapter.isEmpty() ? "" : "/") + adapter);
+        orders.add(
+                body.path("op").asText() + " " + model + (adapter.isEmpty() ? "" : "/") + adapter);
         if (!adapter.isEmpty()) {
             Set<String> adapters = models.get(model);
             if (load) {
--- a/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
@@ -25,8 +25,7 @@
 
     private record Change(long revision, String kind, ObjectNode object, boolean deleted) {}
 
-    private record Watch(
-            String kind, long after, CompletableFuture<StandInReply> answer) {}
+    private record Watch(String kind, long after, CompletableFuture<StandInReply> answer) {}
 
     private final StandInServer server;
     private final Map<String, TreeMap<String, ObjectNode>> objects = new TreeMap<>();
@@ -190,8 +189,7 @@
         boolean news =
                 history.stream()
                         .anyMatch(
-                                change ->
-                                        change.kind().equals(kind) && change.revision() > after);
+                                change -> change.kind().equals(kind) && change.revision() > after);
         if (news) {
             return done(events(kind, after));
         }
@@ -221,9 +219,7 @@
     private StandInReply events(String kind, long after) {
         List<Change> news =
                 history.stream()
-                        .filter(
-                                change ->
-                                        change.kind().equals(kind) && change.revision() > after)
+                        .filter(change -> change.kind().equals(kind) && change.revision() > after)
                         .toList();
         return StandInReply.json(200, events(news, revision));
     }
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -53,8 +53,7 @@
         @Test
         void answersNotFoundWhereNoRouteMatches() {
             ForwardingFixture fixture = new ForwardingFixture().withRoutes();
-            assertEquals(
-                    RefusalReason.NO_ROUTE, refused(fixture.arrive("/other/", "")).reason());
+            assertEquals(RefusalReason.NO_ROUTE, refused(fixture.arrive("/other/", "")).reason());
         }
 
         @Test
@@ -66,8 +65,7 @@
                             .withServer("two", RECORDS)
                             .leaving("one", RECORDS);
             for (int count = 0; count < 10; count++) {
-                assertEquals(
-                        new ServerId("two"), sent(fixture.arrive("/read/1", "")).server());
+                assertEquals(new ServerId("two"), sent(fixture.arrive("/read/1", "")).server());
             }
         }
     }
@@ -119,9 +117,7 @@
                 commands =
                         fixture.handle(
                                 new ForwardingEvent.Rejected(
-                                        send.get().request(),
-                                        Rejection.BUSY,
-                                        Optional.empty()));
+                                        send.get().request(), Rejection.BUSY, Optional.empty()));
             }
             assertEquals(RefusalReason.TURNED_AWAY, refused(commands).reason());
         }
@@ -139,14 +135,12 @@
             ForwardingCommand.Send first = sent(fixture.arrive("/read/1", ""));
             List<ForwardingCommand> commands =
                     fixture.handle(
-                            new ForwardingEvent.Answered(
-                                    first.request(), 500, Optional.empty()));
+                            new ForwardingEvent.Answered(first.request(), 500, Optional.empty()));
             ForwardingCommand.Send second = sent(commands);
             assertNotEquals(first.server(), second.server());
             commands =
                     fixture.handle(
-                            new ForwardingEvent.Answered(
-                                    first.request(), 500, Optional.empty()));
+                            new ForwardingEvent.Answered(first.request(), 500, Optional.empty()));
             assertTrue(find(commands, ForwardingCommand.PassAnswer.class).isPresent());
         }
 
@@ -161,8 +155,7 @@
             long key = first.request();
             fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
             fixture.handle(new ForwardingEvent.EventPassed(key, 3));
-            ForwardingCommand.Send second =
-                    sent(fixture.handle(new ForwardingEvent.Broken(key)));
+            ForwardingCommand.Send second = sent(fixture.handle(new ForwardingEvent.Broken(key)));
             assertEquals(3, second.lastEventId());
             assertNotEquals(first.server(), second.server());
         }
@@ -199,8 +192,7 @@
             ForwardingFixture fixture =
                     new ForwardingFixture().withRoutes().withServer("one", ENGINES, "m");
             long key = sent(fixture.arrive("/ask/1", "m")).request();
-            List<ForwardingCommand> commands =
-                    fixture.handle(new ForwardingEvent.CallerGone(key));
+            List<ForwardingCommand> commands = fixture.handle(new ForwardingEvent.CallerGone(key));
             assertTrue(find(commands, ForwardingCommand.CancelAttempt.class).isPresent());
             assertEquals(0, fixture.coordinator.pendingCount());
         }
@@ -259,11 +251,9 @@
         @Test
         void refusesWhatWaitsWhenTheProcessStops() {
             fixture.arrive("/score/1", "m");
-            List<ForwardingCommand> commands =
-                    fixture.handle(new ForwardingEvent.WaitingEnds());
+            List<ForwardingCommand> commands = fixture.handle(new ForwardingEvent.WaitingEnds());
             assertEquals(RefusalReason.STOPPING, refused(commands).reason());
-            assertEquals(
-                    RefusalReason.STOPPING, refused(fixture.arrive("/score/2", "m")).reason());
+            assertEquals(RefusalReason.STOPPING, refused(fixture.arrive("/score/2", "m")).reason());
         }
 
         @Test
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
@@ -51,9 +51,7 @@
                 List.of(routes),
                 List.of(
                         new ForwardingService(
-                                ENGINES,
-                                Optional.of(new ModelCatalog(Map.of(), 200, 8, 4)),
-                                100),
+                                ENGINES, Optional.of(new ModelCatalog(Map.of(), 200, 8, 4)), 100),
                         new ForwardingService(RECORDS, Optional.empty(), 100)));
     }
 
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -70,8 +70,7 @@
 
     private static InetSocketAddress freeAddress() throws Exception {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(
-                    InetAddress.getLoopbackAddress(), socket.getLocalPort());
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
         }
     }
 
--- a/src/test/java/org/tarragonlug/gateway/GatewayTest.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayTest.java
@@ -126,8 +126,7 @@
             startOne();
             fixture.configure(5, "fetch");
             GatewayFixture.await(
-                    "version 5",
-                    () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
+                    "version 5", () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
             fixture.configure(3, "read");
             Thread.sleep(500);
             assertEquals(404, fixture.send(0, "/read/1", "", "x").statusCode());
@@ -140,8 +139,7 @@
             fixture.store.forgetHistory();
             fixture.configure(2, "fetch");
             GatewayFixture.await(
-                    "version 2",
-                    () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
+                    "version 2", () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
         }
 
         /** Open connections went silent for good while new ones worked. */
@@ -152,8 +150,7 @@
             fixture.store.silenceConnections();
             fixture.configure(2, "fetch");
             GatewayFixture.await(
-                    "version 2",
-                    () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
+                    "version 2", () -> fixture.send(0, "/fetch/1", "", "x").statusCode() == 200);
         }
 
         @Test
--- a/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -40,10 +40,7 @@
 
         @Override
         public void answered(
-                int status,
-                Map<String, String> headers,
-                byte[] body,
-                Optional<ReportedLoad> load) {
+                int status, Map<String, String> headers, byte[] body, Optional<ReportedLoad> load) {
             calls.add("answered " + status + " " + body.length);
         }
 
@@ -116,8 +113,7 @@
         void areTakenFromTheServersWordAlone() {
             ServerAttempt attempt = attempt(false, -1);
             attempt.head(
-                    503,
-                    Map.of("tarragonlug-request-id", "r1", "tarragonlug-not-executed", "1"));
+                    503, Map.of("tarragonlug-request-id", "r1", "tarragonlug-not-executed", "1"));
             attempt.completed();
             assertEquals(List.of("rejected BUSY"), recorder.calls);
         }
@@ -139,14 +135,12 @@
             ServerAttempt absent = attempt(false, -1);
             absent.head(421, Map.of("tarragonlug-instance-id", "server-1"));
             absent.completed();
-            assertEquals(
-                    List.of("rejected WRONG_SERVER", "rejected MODEL_ABSENT"), recorder.calls);
+            assertEquals(List.of("rejected WRONG_SERVER", "rejected MODEL_ABSENT"), recorder.calls);
         }
 
         @Test
         void includeConnectionsThatNeverOpened() {
-            attempt(false, -1)
-                    .failed(new HttpFailure(HttpFailure.Kind.NOT_SENT, "refused", null));
+            attempt(false, -1).failed(new HttpFailure(HttpFailure.Kind.NOT_SENT, "refused", null));
             assertEquals(List.of("rejected UNREACHABLE"), recorder.calls);
         }
     }
--- a/src/test/java/org/tarragonlug/http/EventStreamSplitterTest.java
+++ b/src/test/java/org/tarragonlug/http/EventStreamSplitterTest.java
@@ -23,7 +23,8 @@
         @Test
         void keepTheirBytesHoweverTheyAreCut() {
             byte[] stream =
-                    bytes("id: 1\ndata: a\n\nversions: 2\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n");
+                    bytes(
+                            "id: 1\ndata: a\n\nversions: 2\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n");
             for (long seed = 1; seed <= 200; seed++) {
                 Random random = new Random(seed);
                 EventStreamSplitter splitter = new EventStreamSplitter();
