--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -34,7 +34,7 @@
 public final class ForwardingCoordinator
         implements StateMachine<ForwardingEvent, ForwardingCommand> {
     /** Time kept back so that an answer reaches the caller before its own time limit. */
-    private static final Duration ANSWER_MARGIN = Duration.ofMillis(25);
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(60);
 
     private static final int MOST_REJECTIONS = 3;
 
--- a/src/main/java/org/tarragonlug/decision/placement/ServicePlan.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ServicePlan.java
@@ -36,13 +36,16 @@
     private static final Duration ADAPTER_IN_USE = Duration.ofMillis(500);
 
     /** A model used within this time is not dropped if it is the last replica. */
-    private static final Duration MODEL_IN_USE = Duration.ofMillis(900);
+    private static final Duration MODEL_IN_USE = Duration.ofMillis(450);
 
     /** After a new server, copies that others may list soon are not made for this long. */
     private static final Duration FLEET_SETTLING = Duration.ofMillis(1500);
 
-    /** How long a model stays at least once it is loaded. */
-    private static final Duration SHORTEST_STAY = Duration.ofMillis(700);
+    /**
+     * How long a model stays at least once it is loaded: until the requests that waited for it have
+     * begun. The server itself finishes what has begun before it drops the model.
+     */
+    private static final Duration SHORTEST_STAY = Duration.ofMillis(350);
 
     /** Requests a second from which on a model is kept loaded though nobody waits. */
     private static final double WARM_RATE = 0.7;
@@ -60,6 +63,12 @@
 
     private static final double TARGET_SLOT_USE = 0.4;
 
+    /** What a long order costs on a server whose requests need adapters. */
+    private static final Duration BLOCKED_ADAPTERS_COST = Duration.ofMillis(2500);
+
+    /** Ranks servers with busy models behind all others for copies. */
+    private static final int BUSY_SERVER_RANK = 1000;
+
     private final PlanContext context;
     private final Consumer<PlacementCommand> commands;
     private final OrderBook book;
@@ -266,6 +275,9 @@
     /** Estimates when a server can have a model ready; empty if it never has room. */
     private Optional<Instant> readyAt(PlannedServer server, String model) {
         Instant ready = startAt(server).plus(loadTime(server, model));
+        if (server.tier(model) == CopyTier.REMOTE && holdsBusyModel(server)) {
+            ready = ready.plus(BLOCKED_ADAPTERS_COST);
+        }
         boolean unloading = server.order == null || server.order.action() == OrderAction.UNLOAD;
         if (server.reservedFor != null && unloading) {
             ready = ready.plus(loadTime(server, server.reservedFor));
@@ -281,6 +293,21 @@
                 : Optional.empty();
     }
 
+    /**
+     * Tells whether a server holds a model in wide use that has adapters. An order from the weight
+     * store would keep the adapters that its requests need away for seconds.
+     */
+    private boolean holdsBusyModel(PlannedServer server) {
+        for (String model : server.models().keySet()) {
+            boolean adapted =
+                    catalog.model(model).filter(each -> each.adapters() > 0).isPresent();
+            if (adapted && desired(model) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Tells whether a server can make room once its idle models are not in use any more. */
     private boolean roomLater(PlannedServer server, String model) {
         double room = catalog.weightsMegabytes() - server.usedMegabytes(catalog);
@@ -479,7 +506,8 @@
     }
 
     private int held(PlannedServer server) {
-        return server.listing().onDisk().size() + server.models().size();
+        int held = server.listing().onDisk().size() + server.models().size();
+        return holdsBusyModel(server) ? held + BUSY_SERVER_RANK : held;
     }
 
     private void ensureAdapter(ModelKey key, List<PlannedServer> holders) {
