Test settings, decoders and relayed calls; keep constructors and lines within the style

Cause: the linter found one constructor of 87 lines and two long lines; the settings template, the decoders of the platform's forms and the relay had no tests of their own. Conclusion: behaviour is unchanged.

--- a/src/main/java/org/tarragonlug/decision/placement/ServicePlan.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ServicePlan.java
@@ -299,8 +299,7 @@
      */
     private boolean holdsBusyModel(PlannedServer server) {
         for (String model : server.models().keySet()) {
-            boolean adapted =
-                    catalog.model(model).filter(each -> each.adapters() > 0).isPresent();
+            boolean adapted = catalog.model(model).filter(each -> each.adapters() > 0).isPresent();
             if (adapted && desired(model) > 0) {
                 return true;
             }
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.IoExecutor;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Random;
@@ -16,6 +17,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.tarragonlug.admin.AdminServer;
 import org.tarragonlug.admin.AdminSource;
 import org.tarragonlug.caller.ForwardingServer;
@@ -80,6 +82,7 @@
     private static final int MOST_ANSWER_BYTES = 32 * 1024 * 1024;
 
     private final GatewaySettings settings;
+    private final ProcessId processId;
     private final IoExecutor ioExecutor;
     private final ScheduledExecutorService loop;
     private final TimerService timers;
@@ -173,23 +176,9 @@
                         log);
         leases.start(store, loop, log);
         this.servers =
-                new StoreFollower(
-                        PlatformKinds.SERVERS,
-                        store,
-                        loop,
-                        timers,
-                        log,
-                        () -> placement.active() || !ready,
-                        new ServerListener());
+                follower(PlatformKinds.SERVERS, this::needsEntriesSoon, new ServerListener());
         this.configuration =
-                new StoreFollower(
-                        PlatformKinds.CONFIGURATION,
-                        store,
-                        loop,
-                        timers,
-                        log,
-                        () -> true,
-                        new ConfigurationListener());
+                follower(PlatformKinds.CONFIGURATION, () -> true, new ConfigurationListener());
         this.callers =
                 new ForwardingServer(
                         settings.callerAddress(),
@@ -200,7 +189,14 @@
         this.processId = process;
     }
 
-    private final ProcessId processId;
+    private StoreFollower follower(
+            String kind, BooleanSupplier eager, StoreFollower.Listener listener) {
+        return new StoreFollower(kind, store, loop, timers, log, eager, listener);
+    }
+
+    private boolean needsEntriesSoon() {
+        return placement.active() || !ready;
+    }
 
     /**
      * Starts all parts.
@@ -341,7 +337,7 @@
         log.event(LogEvent.PART_FAILED).with("part", part).withFailure(failure).write();
     }
 
-    private static String text(java.net.InetSocketAddress address) {
+    private static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
--- /dev/null
+++ b/src/test/java/org/tarragonlug/platform/DecodersTest.java
@@ -0,0 +1,139 @@
+package org.tarragonlug.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.forwarding.ForwardRequest;
+import org.tarragonlug.decision.forwarding.ForwardingCommand;
+import org.tarragonlug.decision.forwarding.ListedState;
+import org.tarragonlug.decision.forwarding.ServerListing;
+import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.runtime.Json;
+
+class DecodersTest {
+    private static final String ENTRY =
+            """
+            {"service": "s", "address": "10.0.0.9:80", "zone": "z", "slots": 8, "state": "%s",
+             "seq": 4, "born": 77, "models": [{"name": "m", "version": 1, "adapters": ["a1@2"]}],
+             "available": {"in_memory": ["m"], "on_disk": ["m", "n"]}}
+            """;
+
+    private static StoredObject object(String content) throws Exception {
+        return new StoredObject(new ObjectName("servers", "i-1"), 5, Json.read(content.getBytes()));
+    }
+
+    @Nested
+    class Entries {
+        @Test
+        void areDecodedWithModelsAndCopies() throws Exception {
+            ServerListing listing = ServerEntryDecoder.decode(object(ENTRY.formatted("ready")));
+            assertEquals(Map.of("m", Set.of("a1")), listing.models());
+            assertEquals(Set.of("m", "n"), listing.onDisk());
+            assertEquals(77, listing.startedMillis());
+        }
+
+        @Test
+        void thatDrainAreLeaving() throws Exception {
+            assertEquals(
+                    ListedState.LEAVING,
+                    ServerEntryDecoder.decode(object(ENTRY.formatted("draining"))).state());
+        }
+
+        @Test
+        void ofOtherWritersNameNoServer() {
+            for (String content :
+                    new String[] {
+                        "\"bytes\"",
+                        "{}",
+                        "null",
+                        "[]",
+                        ENTRY.formatted("strange"),
+                        ENTRY.formatted("ready").replace("10.0.0.9:80", "nowhere"),
+                        ENTRY.formatted("ready").replace("\"slots\": 8", "\"slots\": \"8\"")
+                    }) {
+                assertThrows(
+                        IllegalArgumentException.class,
+                        () -> ServerEntryDecoder.decode(object(content)),
+                        content);
+            }
+        }
+    }
+
+    @Nested
+    class Requests {
+        private Map<String, String> headers() {
+            Map<String, String> headers = new HashMap<>();
+            headers.put("host", "a.example:80");
+            headers.put("tarragonlug-request-id", "r1");
+            headers.put("tarragonlug-deadline-ms", "6000");
+            headers.put("tarragonlug-model", "m/a3");
+            headers.put("tarragonlug-token-count", "1460,80");
+            headers.put("tarragonlug-prompt-prefix", "5c1e:800,91bd:410,e440:250");
+            return headers;
+        }
+
+        @Test
+        void areDecoded() {
+            ForwardRequest request = RequestHeaders.decode(1, "/x/", headers());
+            assertEquals("a.example", request.host());
+            assertEquals(Optional.of(Duration.ofSeconds(6)), request.budget());
+            assertEquals(Optional.of(ModelKey.parse("m/a3")), request.model());
+            assertEquals(1210, request.prefix().tokens());
+            assertEquals(1460, request.promptTokens());
+        }
+
+        @Test
+        void withUnreadableNumbersAreServedWithoutThem() {
+            Map<String, String> headers = headers();
+            headers.put("tarragonlug-deadline-ms", "soon");
+            headers.put("tarragonlug-prompt-prefix", "x,,:");
+            ForwardRequest request = RequestHeaders.decode(1, "/x/", headers);
+            assertTrue(request.budget().isEmpty());
+            assertTrue(request.prefix().isEmpty());
+        }
+
+        /** A caller must not reserve capacity or move memory in the system's name. */
+        @Test
+        void loseHeadersThatTheSystemAloneSets() {
+            Map<String, String> headers = headers();
+            headers.put("tarragonlug-hold", "h");
+            headers.put("kv-from", "10.0.0.1:1/x");
+            headers.put("tarragonlug-expect-instance", "i-9");
+            headers.put("connection", "keep-alive, X-Private");
+            headers.put("x-private", "1");
+            headers.put("x-other", "2");
+            Map<String, String> sent =
+                    RequestHeaders.towardsServer(
+                            headers,
+                            new ForwardingCommand.Send(
+                                    1,
+                                    new ServerId("i-1"),
+                                    "10.0.0.9:80",
+                                    Duration.ofMillis(1500),
+                                    2,
+                                    -1,
+                                    true,
+                                    java.time.Instant.EPOCH));
+            assertEquals("i-1", sent.get("tarragonlug-expect-instance"));
+            assertEquals("1500", sent.get("tarragonlug-deadline-ms"));
+            assertEquals("r1", sent.get("tarragonlug-request-id"));
+            assertEquals("2", sent.get("x-other"));
+            for (String dropped :
+                    new String[] {"tarragonlug-hold", "kv-from", "x-private", "connection"}) {
+                assertFalse(sent.containsKey(dropped), dropped);
+            }
+        }
+    }
+}
