--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -58,6 +58,9 @@
     /** How often the want of a model is stated again while a request waits. */
     private static final Duration WANT_REPEAT = Duration.ofMillis(250);
 
+    /** When a server crashes, its other connections break a moment after the first. */
+    private static final Duration SAME_SERVER_PAUSE = Duration.ofMillis(400);
+
     private static final int SERVER_ERROR = 500;
 
     private final Fleet fleet;
@@ -202,7 +205,8 @@
             return;
         }
         Optional<FleetServer> server = choose(each, each.excluded, now);
-        if (server.isEmpty() && !each.excluded.isEmpty() && isEngine(each)) {
+        boolean paused = now.isBefore(each.brokenAt.plus(SAME_SERVER_PAUSE));
+        if (server.isEmpty() && !each.excluded.isEmpty() && isEngine(each) && !paused) {
             // Another server is better, but the same one is better than none.
             server = choose(each, Set.of(), now);
         }
@@ -338,6 +342,7 @@
         FleetServer server = leaveServer(each, Optional.empty(), now);
         server.outcome(true, now);
         each.excluded.add(server.id());
+        each.brokenAt = now;
         again(each, FailureReason.SERVER_LOST, now);
     }
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -39,6 +39,7 @@
     boolean stallCounted;
     long lastEventId;
     Instant lastProgress;
+    Instant brokenAt = Instant.EPOCH;
     Instant wantedAt = Instant.EPOCH;
 
     PendingForward(
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -160,6 +160,22 @@
             assertNotEquals(first.server(), second.server());
         }
 
+        /**
+         * A crashed server's other connections break a moment later: a request that went back to it
+         * at once used up its attempts within a millisecond.
+         */
+        @Test
+        void doesNotGoBackAtOnceToTheServerThatBroke() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture().withRoutes().withServer("one", ENGINES, "m");
+            long key = sent(fixture.arrive("/ask/1", "m")).request();
+            List<ForwardingCommand> commands = fixture.handle(new ForwardingEvent.Broken(key));
+            assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
+            assertTrue(find(commands, ForwardingCommand.Fail.class).isEmpty());
+            commands = fixture.after(Duration.ofMillis(600));
+            assertEquals(new ServerId("one"), sent(commands).server());
+        }
+
         @Test
         void breaksAStreamThatMayNotBeResumed() {
             ForwardingFixture fixture =
