Wait for the handshake before a test silences a connection

The test silenced the relay when the first message had arrived at the other side; that side's own introduction could still be on its way, and then the connection is closed by the handshake's limit, which does not count as silent. Ruled out: a connection that is kept though silent (the next message arrived in the same run's code path; the new test provokes the silence of the handshake and sees the connection replaced, silent count 0). Change: the test waits until bytes of the other side have come; what it checks stays. A second test covers the handshake. Conclusion: traced; no fault of the transport.

--- a/src/test/java/org/tarragonlug/peer/SilentRelay.java
+++ b/src/test/java/org/tarragonlug/peer/SilentRelay.java
@@ -14,6 +14,7 @@
 final class SilentRelay implements AutoCloseable {
     private final ServerSocket server;
     private final InetSocketAddress target;
+    private volatile boolean newSilent;
     private final List<Pair> pairs = new CopyOnWriteArrayList<>();
 
     SilentRelay(InetSocketAddress target) throws IOException {
@@ -26,6 +27,15 @@
         return new InetSocketAddress("127.0.0.1", server.getLocalPort());
     }
 
+    int connections() {
+        return pairs.size();
+    }
+
+    /** Makes connections silent from their first byte on. */
+    void silenceNewConnections(boolean silent) {
+        newSilent = silent;
+    }
+
     void silenceOpenConnections() {
         pairs.forEach(pair -> pair.silent = true);
     }
@@ -35,6 +45,7 @@
             Socket near = server.accept();
             Socket far = new Socket(target.getAddress(), target.getPort());
             Pair pair = new Pair(near, far);
+            pair.silent = newSilent;
             pairs.add(pair);
             run(() -> pair.copy(near, far));
             run(() -> pair.copy(far, near));
--- a/src/test/java/org/tarragonlug/peer/TcpPeerTransportTest.java
+++ b/src/test/java/org/tarragonlug/peer/TcpPeerTransportTest.java
@@ -198,6 +198,8 @@
             try (SilentRelay relay = new SilentRelay(b.listenAddress())) {
                 a.send(relay.address(), message("first"));
                 await(() -> inbox.items.contains("first"));
+                // Until the other side has introduced itself, the silence is one of the handshake.
+                await(() -> a.counts().bytesReceived() > 0);
                 relay.silenceOpenConnections();
                 a.send(relay.address(), message("lost"));
                 await(() -> a.counts().silent() == 1);
@@ -209,6 +211,26 @@
                 assertFalse(inbox.items.contains("lost"));
             }
         }
+
+        /** Guards against a connection that never introduces itself and is kept for good. */
+        @Test
+        void connectionSilentDuringItsHandshakeIsReplaced() throws Exception {
+            Inbox inbox = new Inbox();
+            TcpPeerTransport a = start("a", new Inbox());
+            TcpPeerTransport b = start("b", inbox);
+            try (SilentRelay relay = new SilentRelay(b.listenAddress())) {
+                relay.silenceNewConnections(true);
+                a.send(relay.address(), message("lost"));
+                await(() -> relay.connections() == 1);
+                relay.silenceNewConnections(false);
+                await(
+                        () -> {
+                            a.send(relay.address(), message("after"));
+                            return inbox.items.contains("after");
+                        });
+                assertEquals(0, a.counts().silent());
+            }
+        }
     }
 
     @Nested
