Let the peer transport of a gateway run on its event loop

Change: PeerThreads lets a transport share an event loop; one timer watches all connections. An entry instance keeps a thread of its own.

--- a/src/main/java/org/tarragonlug/http/IoThreads.java
+++ b/src/main/java/org/tarragonlug/http/IoThreads.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.http;
 
+import io.netty.channel.EventLoopGroup;
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
@@ -30,6 +31,15 @@
      * @param executor made by {@link #create}
      */
     public static ScheduledExecutorService timers(IoExecutor executor) {
+        return eventLoops(executor);
+    }
+
+    /**
+     * Returns the event loops of an executor, for connections that are not HTTP.
+     *
+     * @param executor made by {@link #create}
+     */
+    public static EventLoopGroup eventLoops(IoExecutor executor) {
         return ((EventLoopAwareNettyIoExecutor) executor).eventLoopGroup();
     }
 }
--- a/src/main/java/org/tarragonlug/instance/EntryInstance.java
+++ b/src/main/java/org/tarragonlug/instance/EntryInstance.java
@@ -40,6 +40,7 @@
 import org.tarragonlug.instancelist.HttpInstanceList;
 import org.tarragonlug.objectapi.HttpObjectApi;
 import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.PeerThreads;
 import org.tarragonlug.peer.PeerTransportSettings;
 import org.tarragonlug.peer.TcpPeerTransport;
 import org.tarragonlug.plainservice.HttpPlainServiceClient;
@@ -473,7 +474,8 @@
                                     settings.peerAddress(),
                                     ServerDirectory.text(settings.peerAddress())),
                             peers,
-                            new SplittableRandom(settings.instance().hashCode()));
+                            new SplittableRandom(settings.instance().hashCode()),
+                            PeerThreads.own());
             peers.connect(transport);
         }
 
--- a/src/main/java/org/tarragonlug/peer/PeerConnection.java
+++ b/src/main/java/org/tarragonlug/peer/PeerConnection.java
@@ -7,8 +7,6 @@
 import io.netty.handler.codec.DecoderException;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 
@@ -23,6 +21,9 @@
 final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
     /** Told what happens on a connection, on the event loop. */
     interface Owner {
+        /** The connection is open, without a first frame of the peer yet. */
+        void active(PeerConnection connection);
+
         /** The first frame of the peer arrived and was accepted. */
         void identified(PeerConnection connection, PeerIdentity peer);
 
@@ -40,7 +41,6 @@
     }
 
     private static final int LENGTH_BYTES = 4;
-    private static final int CHECKS_PER_PING = 2;
 
     private final PeerTransportSettings settings;
     private final PeerCodec codec;
@@ -53,7 +53,6 @@
     private long firstUnansweredWrite = -1;
     private boolean pinged;
     private boolean rejected;
-    private Future<?> watch;
 
     PeerConnection(
             PeerTransportSettings settings, PeerCodec codec, PeerCounters counters, Owner owner) {
@@ -106,11 +105,7 @@
                                 settings.deployment(),
                                 self,
                                 PeerMessage.FORMAT_VERSION)));
-        long period = Math.max(1, settings.pingAfter().toMillis() / CHECKS_PER_PING);
-        watch =
-                context.executor()
-                        .scheduleAtFixedRate(
-                                () -> watch(context), period, period, TimeUnit.MILLISECONDS);
+        owner.active(this);
         owner.writable(this);
     }
 
@@ -199,27 +194,25 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        if (watch != null) {
-            watch.cancel(false);
-        }
         owner.closed(this);
     }
 
-    private void watch(ChannelHandlerContext context) {
+    /** Closes a connection that is idle or silent; called several times within a ping period. */
+    void watch() {
         long now = System.nanoTime();
         if (peer.isEmpty() && isPast(openedAt, settings.handshakeLimit(), now)) {
-            context.close();
+            channel.close();
         } else if (isPast(lastUse, settings.idleLimit(), now)) {
-            context.close();
+            channel.close();
         } else if (firstUnansweredWrite >= 0 && peer.isPresent()) {
-            watchSilence(context, now);
+            watchSilence(now);
         }
     }
 
-    private void watchSilence(ChannelHandlerContext context, long now) {
+    private void watchSilence(long now) {
         if (isPast(firstUnansweredWrite, settings.silentLimit(), now)) {
             counters.silent.increment();
-            context.close();
+            channel.close();
         } else if (!pinged && isPast(firstUnansweredWrite, settings.pingAfter(), now)) {
             pinged = true;
             long use = lastUse;
--- a/src/main/java/org/tarragonlug/peer/TcpPeerTransport.java
+++ b/src/main/java/org/tarragonlug/peer/TcpPeerTransport.java
@@ -6,17 +6,18 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -41,6 +42,7 @@
 public final class TcpPeerTransport implements PeerTransport {
     private static final Logger LOG = Logger.getLogger(TcpPeerTransport.class);
     private static final int LENGTH_BYTES = 4;
+    private static final int CHECKS_PER_PING = 2;
     private static final int HIGH_WATER_BYTES = 256 * 1024;
     private static final int LOW_WATER_BYTES = 64 * 1024;
     private static final int LONGEST_TASK_QUEUE = 10_000;
@@ -52,11 +54,14 @@
     private final RandomGenerator random;
     private final PeerCodec codec;
     private final PeerCounters counters = new PeerCounters();
-    private final NioEventLoopGroup group;
+    private final PeerThreads threads;
+    private final EventLoopGroup group;
     private final Channel server;
     private final Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
     private final Map<InstanceId, PeerConnection> incoming = new ConcurrentHashMap<>();
     private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
+    private final Set<PeerConnection> connections = new HashSet<>();
+    private final Future<?> watch;
     private final AtomicInteger tasks = new AtomicInteger();
     private volatile boolean closed;
 
@@ -66,31 +71,47 @@
      * @param settings names, addresses and limits
      * @param listener called on the thread of the transport; must not block
      * @param random adds jitter to the waits between connection attempts
+     * @param threads where it runs
      * @throws TarragonlugException {@code ADDRESS_IN_USE} if the address cannot be bound
      */
     public TcpPeerTransport(
-            PeerTransportSettings settings, PeerListener listener, RandomGenerator random)
+            PeerTransportSettings settings,
+            PeerListener listener,
+            RandomGenerator random,
+            PeerThreads threads)
             throws TarragonlugException {
         this.settings = settings;
         this.listener = listener;
         this.random = random;
         this.codec = new PeerCodec(settings.process());
-        this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("peer", true));
+        this.threads = threads;
+        this.group = threads.group();
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(group)
-                        .channel(NioServerSocketChannel.class)
+                        .channel(threads.serverChannel())
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
                         .childHandler(new Initializer(Optional.empty()))
                         .bind(settings.listen())
                         .awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            threads.close(0);
             throw new TarragonlugException(
                     ErrorCode.ADDRESS_IN_USE, "address=" + settings.listen(), bound.cause());
         }
         this.server = bound.channel();
+        long period = Math.max(1, settings.pingAfter().toMillis() / CHECKS_PER_PING);
+        this.watch =
+                group.scheduleAtFixedRate(
+                        this::watchConnections, period, period, TimeUnit.MILLISECONDS);
+    }
+
+    /** One timer for all connections: a holder of a lease has one to each instance. */
+    private void watchConnections() {
+        for (PeerConnection connection : List.copyOf(connections)) {
+            connection.watch();
+        }
     }
 
     /** Returns the address it listens on, with the port that was chosen. */
@@ -174,14 +195,19 @@
     @Override
     public void close() {
         closed = true;
+        watch.cancel(false);
         server.close();
         try {
-            group.execute(() -> links.values().forEach(PeerLink::close));
+            group.execute(this::closeConnections);
         } catch (RejectedExecutionException e) {
             LOG.debugf("event=closed_twice peer_transport=%s", settings.instance());
         }
-        group.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS)
-                .awaitUninterruptibly(STOP_MILLIS);
+        threads.close(STOP_MILLIS);
+    }
+
+    private void closeConnections() {
+        links.values().forEach(PeerLink::close);
+        List.copyOf(connections).forEach(PeerConnection::close);
     }
 
     private static WriteBufferWaterMark waterMark() {
@@ -191,7 +217,7 @@
     private void connect(PeerLink link) {
         new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channel(threads.channel())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
                 .option(
@@ -253,6 +279,11 @@
             this.link = link;
         }
 
+        @Override
+        public void active(PeerConnection connection) {
+            connections.add(connection);
+        }
+
         @Override
         public void identified(PeerConnection connection, PeerIdentity peer) {
             if (link.isEmpty()) {
@@ -301,6 +332,7 @@
 
         @Override
         public void closed(PeerConnection connection) {
+            connections.remove(connection);
             connection.peer().ifPresent(peer -> incoming.remove(peer.instance(), connection));
             if (opened) {
                 link.ifPresent(PeerLink::lost);
--- a/src/test/java/org/tarragonlug/peer/TcpPeerTransportTest.java
+++ b/src/test/java/org/tarragonlug/peer/TcpPeerTransportTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.servicetalk.transport.api.IoExecutor;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -22,6 +24,7 @@
 import org.tarragonlug.TestSeeds;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.http.IoThreads;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ProcessId;
 
@@ -49,23 +52,27 @@
         }
     }
 
+    private static PeerTransportSettings settings(String name, String deployment, int port) {
+        return new PeerTransportSettings(
+                deployment,
+                new InstanceId(name),
+                new ProcessId(name + "-process"),
+                new InetSocketAddress("127.0.0.1", port),
+                "",
+                16,
+                Duration.ofMillis(100),
+                Duration.ofMillis(300),
+                Duration.ofSeconds(5),
+                Duration.ofMillis(500),
+                Duration.ofMillis(20),
+                Duration.ofMillis(2_000));
+    }
+
     private TcpPeerTransport start(String name, String deployment, int port, Inbox inbox)
             throws TarragonlugException {
-        PeerTransportSettings settings =
-                new PeerTransportSettings(
-                        deployment,
-                        new InstanceId(name),
-                        new ProcessId(name + "-process"),
-                        new InetSocketAddress("127.0.0.1", port),
-                        "",
-                        16,
-                        Duration.ofMillis(100),
-                        Duration.ofMillis(300),
-                        Duration.ofSeconds(5),
-                        Duration.ofMillis(500),
-                        Duration.ofMillis(20),
-                        Duration.ofMillis(2_000));
-        TcpPeerTransport transport = new TcpPeerTransport(settings, inbox, new SplittableRandom(1));
+        PeerTransportSettings settings = settings(name, deployment, port);
+        TcpPeerTransport transport =
+                new TcpPeerTransport(settings, inbox, new SplittableRandom(1), PeerThreads.own());
         open.add(transport);
         return transport;
     }
@@ -114,6 +121,32 @@
         output.flush();
     }
 
+    /** A transport on the event loop of its process. */
+    @Nested
+    class SharedLoop {
+        /** Guards against a transport that ends the loop of all requests when it closes. */
+        @Test
+        void outlivesTheTransport() throws Exception {
+            IoExecutor executor = IoThreads.create(1);
+            Inbox inbox = new Inbox();
+            TcpPeerTransport other = start("other", inbox);
+            PeerThreads shared = PeerThreads.shared(IoThreads.eventLoops(executor));
+            TcpPeerTransport transport =
+                    new TcpPeerTransport(
+                            settings("shared", "test", 0),
+                            new Inbox(),
+                            new SplittableRandom(1),
+                            shared);
+            transport.send(other.listenAddress(), message("m"));
+            await(() -> inbox.items.contains("m"));
+            transport.close();
+            AtomicBoolean ran = new AtomicBoolean();
+            IoThreads.timers(executor).execute(() -> ran.set(true));
+            await(ran::get);
+            executor.closeAsync().toFuture().get();
+        }
+    }
+
     @Nested
     class Delivery {
         /** Guards against lost or reordered messages on a healthy connection. */
