Start gateways from a class archive and wake them up less often

A start loaded 4,700 classes from the jar and built the command line of all commands; an idle process woke up 75 times a second for ticks, 12 times for the watch of peers, and 20 times each for exemplars of metrics and for performance counters of the virtual machine. Every change of a replica was sent to every instance, and every instance logged every change of a listing.

--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -1,5 +1,6 @@
 package org.tarragonlug;
 
+import java.util.Arrays;
 import org.tarragonlug.tool.ApplyCommand;
 import org.tarragonlug.tool.CheckCommand;
 import org.tarragonlug.tool.DiffCommand;
@@ -37,6 +38,8 @@
         description =
                 "Serves many rarely used models; driven by a table of routes and one of pools.")
 public final class Tool implements Runnable {
+    private static final String SERVE = "serve";
+
     @Override
     public void run() {
         CommandLine.usage(this, System.out);
@@ -48,9 +51,21 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        if (arguments.length > 0 && arguments[0].equals(SERVE)) {
+            String[] options = Arrays.copyOfRange(arguments, 1, arguments.length);
+            System.exit(serveCommandLine().execute(options));
+        }
         System.exit(commandLine().execute(arguments));
     }
 
+    /**
+     * The command line of a gateway alone: gateways restart often on small machines, and the other
+     * commands would take a part of that time.
+     */
+    static CommandLine serveCommandLine() {
+        return new CommandLine(new ServeCommand()).setCommandName("tarragonlug " + SERVE);
+    }
+
     static CommandLine commandLine() {
         return new CommandLine(new Tool()).setCaseInsensitiveEnumValuesAllowed(true);
     }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -67,6 +67,7 @@
     private final ServerChoice choice;
     private final Hasher hasher;
     private final ForwardingLimits limits;
+    private final InstanceCount instances;
     private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
     private final Map<ServiceName, Map<ModelKey, Instant>> expectations = new HashMap<>();
@@ -86,6 +87,7 @@
         this.choice = new ServerChoice(fleet, home, hasher);
         this.hasher = hasher;
         this.limits = limits;
+        this.instances = new InstanceCount(limits.instances());
     }
 
     /** Returns the known servers. */
@@ -142,6 +144,8 @@
                     .computeIfAbsent(expected.service(), each -> new HashMap<>())
                     .put(expected.key(), expected.ready());
             offerWaiting(now);
+        } else if (event instanceof ForwardingEvent.InstancesCounted counted) {
+            instances.counted(counted.instances(), now);
         } else if (event instanceof ForwardingEvent.WaitingEnds) {
             waitingEnds = true;
             offerWaiting(now);
@@ -285,7 +289,7 @@
                                 limits.retryWindow(),
                                 limits.retryRatio(),
                                 limits.retryAllowance(),
-                                limits.instances()));
+                                instances));
     }
 
     private void rejected(PendingForward each, ForwardingEvent.Rejected event, Instant now) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -67,6 +67,13 @@
     record ReadyExpected(ServiceName service, ModelKey key, Instant ready)
             implements ForwardingEvent {}
 
+    /**
+     * Another instance has counted the instances of the system.
+     *
+     * @param instances how many report to it, with itself
+     */
+    record InstancesCounted(int instances) implements ForwardingEvent {}
+
     /** The process stops soon: nothing may wait any more, only what a server has may end. */
     record WaitingEnds() implements ForwardingEvent {}
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/RetryBudget.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RetryBudget.java
@@ -19,6 +19,7 @@
     private final Duration window;
     private final double ratio;
     private final double allowance;
+    private final InstanceCount instances;
     private final Deque<Instant> firstSends = new ArrayDeque<>();
     private final Deque<Instant> repeats = new ArrayDeque<>();
 
@@ -30,10 +31,11 @@
      * @param allowance repeats allowed besides, over all instances
      * @param instances how many instances share the allowance
      */
-    public RetryBudget(Duration window, double ratio, double allowance, int instances) {
+    public RetryBudget(Duration window, double ratio, double allowance, InstanceCount instances) {
         this.window = window;
         this.ratio = ratio;
-        this.allowance = allowance / Math.max(1, instances);
+        this.allowance = allowance;
+        this.instances = instances;
     }
 
     /** Counts the first send of a request. */
@@ -45,7 +47,7 @@
     /** Takes one repeat if the budget allows it. */
     public boolean tryRepeat(Instant now) {
         trim(now);
-        double limit = USED_PART * (ratio * firstSends.size() + allowance);
+        double limit = USED_PART * (ratio * firstSends.size() + allowance / instances.current());
         if (repeats.size() + 1 > limit) {
             return false;
         }
--- a/src/main/java/org/tarragonlug/gateway/DemandReporter.java
+++ b/src/main/java/org/tarragonlug/gateway/DemandReporter.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -16,12 +17,21 @@
  * Collects the demand for models at this instance between two reports.
  *
  * <p>A request that begins to wait is reported at once, since each millisecond of a cold start
- * counts; arrivals are reported with the next regular report.
+ * counts; arrivals are reported with the next regular report. The two audiences get their reports
+ * at different times, so each has a count of its own.
  */
 final class DemandReporter {
     /** A want that was not stated again for this long is over. */
     private static final Duration WANT_VALID = Duration.ofMillis(600);
 
+    /** Who receives reports. */
+    enum Audience {
+        /** The instance that plans. */
+        PLANNER,
+        /** Holders of leases that may have to plan next. */
+        STANDBY
+    }
+
     private record Subject(ServiceName service, ModelKey key) {}
 
     private static final class Entry {
@@ -32,7 +42,7 @@
         private Instant wantedAt = Instant.EPOCH;
     }
 
-    private final Map<Subject, Entry> entries = new HashMap<>();
+    private final Map<Audience, Map<Subject, Entry>> entries = new EnumMap<>(Audience.class);
     private final Runnable urgent;
 
     /**
@@ -42,14 +52,29 @@
      */
     DemandReporter(Runnable urgent) {
         this.urgent = urgent;
+        for (Audience audience : Audience.values()) {
+            entries.put(audience, new HashMap<>());
+        }
     }
 
     void arrived(ServiceName service, ModelKey key) {
-        entry(service, key).arrivals++;
+        Subject subject = new Subject(service, key);
+        entries.values().forEach(each -> entry(each, subject).arrivals++);
     }
 
     void wanted(ForwardingCommand.Wanted wanted, Instant now) {
-        Entry entry = entry(wanted.service(), wanted.key());
+        Subject subject = new Subject(wanted.service(), wanted.key());
+        boolean fresh = false;
+        for (Map<Subject, Entry> each : entries.values()) {
+            fresh |= want(entry(each, subject), wanted, now);
+        }
+        if (fresh) {
+            urgent.run();
+        }
+    }
+
+    /** Tells whether the want is new. */
+    private static boolean want(Entry entry, ForwardingCommand.Wanted wanted, Instant now) {
         boolean fresh = now.isAfter(entry.wantedAt.plus(WANT_VALID));
         entry.wantedAt = now;
         entry.priority = Math.min(entry.priority, wanted.priority());
@@ -59,19 +84,17 @@
         if (fresh || wanted.target().isAfter(entry.targetEnd)) {
             entry.targetEnd = wanted.target();
         }
-        if (fresh) {
-            urgent.run();
-        }
+        return fresh;
     }
 
-    private Entry entry(ServiceName service, ModelKey key) {
-        return entries.computeIfAbsent(new Subject(service, key), subject -> new Entry());
+    private static Entry entry(Map<Subject, Entry> entries, Subject subject) {
+        return entries.computeIfAbsent(subject, each -> new Entry());
     }
 
-    /** Returns the demand since the last call and forgets arrivals. */
-    List<ModelDemand> take(Instant now) {
+    /** Returns the demand since the last call for an audience and forgets arrivals. */
+    List<ModelDemand> take(Audience audience, Instant now) {
         List<ModelDemand> demands = new ArrayList<>();
-        Iterator<Map.Entry<Subject, Entry>> iterator = entries.entrySet().iterator();
+        Iterator<Map.Entry<Subject, Entry>> iterator = entries.get(audience).entrySet().iterator();
         while (iterator.hasNext()) {
             Map.Entry<Subject, Entry> each = iterator.next();
             Entry entry = each.getValue();
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
@@ -21,6 +22,7 @@
 import org.tarragonlug.admin.AdminServer;
 import org.tarragonlug.admin.AdminSource;
 import org.tarragonlug.caller.ForwardingServer;
+import org.tarragonlug.decision.forwarding.FleetServer;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ForwardingLimits;
@@ -41,6 +43,7 @@
 import org.tarragonlug.peer.PeerIdentity;
 import org.tarragonlug.peer.PeerListener;
 import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.PeerThreads;
 import org.tarragonlug.peer.PeerTransportSettings;
 import org.tarragonlug.peer.TcpPeerTransport;
 import org.tarragonlug.platform.ConfigurationDecoder;
@@ -61,14 +64,16 @@
  * gateways on the other.
  *
  * <p>All state is owned by one event loop thread, which is also the I/O thread of all HTTP
- * connections, so a request crosses no thread. Only the peers' transport has a thread of its own
- * and hands its messages over.
+ * connections and of the peers' transport, so neither a request nor a message crosses a thread.
  */
 public final class Gateway implements AdminSource {
     private static final String DEPLOYMENT = "tarragonlug-gateway";
-    private static final Duration REQUEST_TICK = Duration.ofMillis(40);
-    private static final Duration PLACEMENT_TICK = Duration.ofMillis(25);
-    private static final Duration LEASE_TICK = Duration.ofMillis(100);
+
+    /** Most of a process's time nothing waits and it does not plan; it wakes up rarely then. */
+    private static final Duration IDLE_TICK = Duration.ofMillis(100);
+
+    private static final Duration WAITING_TICK = Duration.ofMillis(40);
+    private static final Duration PLANNING_TICK = Duration.ofMillis(25);
 
     /** A gap between two ticks from which on the process counts as paused. */
     private static final Duration PAUSE = Duration.ofMillis(800);
@@ -105,6 +110,7 @@
     private TcpPeerTransport transport;
     private final Set<ServerId> serverIds = new HashSet<>();
     private boolean serversKnown;
+    private boolean waitingTick;
     private volatile boolean draining;
     private volatile boolean ready;
     private long lastTickNanos = System.nanoTime();
@@ -213,7 +219,8 @@
                                 settings.peerAddress(),
                                 text(settings.peerAddress())),
                         new PeerMessages(),
-                        new Random());
+                        new Random(),
+                        PeerThreads.shared(IoThreads.eventLoops(ioExecutor)));
         readiness =
                 ServerStart.await(
                         HttpServers.forAddress(settings.readinessAddress())
@@ -239,19 +246,44 @@
         peers.start(transport, forwarding, placement, executor, store);
         servers.start();
         configuration.start();
-        timers.subscribe(REQUEST_TICK, now -> requestTick());
-        timers.subscribe(PLACEMENT_TICK, now -> placementTick());
-        timers.subscribe(LEASE_TICK, now -> leases.tick());
+        timers.subscribe(IDLE_TICK, now -> tick());
         leases.tick();
     }
 
+    private void tick() {
+        watchForPause();
+        leases.tick();
+        if (!placement.active()) {
+            placementTick();
+        }
+        forwarding.post(new ForwardingEvent.Tick());
+        metrics.waiting(coordinator.waitingCount());
+        tickWhileWaiting();
+    }
+
+    private void tickWhileWaiting() {
+        if (!waitingTick && coordinator.waitingCount() > 0) {
+            waitingTick = true;
+            timers.after(WAITING_TICK, now -> waitingTick());
+        }
+    }
+
+    private void waitingTick() {
+        waitingTick = false;
+        forwarding.post(new ForwardingEvent.Tick());
+        tickWhileWaiting();
+    }
+
     private void placementTick() {
         boolean planning = !draining && leases.planning();
         placement.tick(planning, planning ? leases.orderable(serverIds) : Set.of());
         metrics.holding(!leases.held().isEmpty());
+        if (placement.active()) {
+            timers.after(PLANNING_TICK, now -> placementTick());
+        }
     }
 
-    private void requestTick() {
+    private void watchForPause() {
         long nanos = System.nanoTime();
         long millis = System.currentTimeMillis();
         long steady = TimeUnit.NANOSECONDS.toMillis(nanos - lastTickNanos);
@@ -265,8 +297,6 @@
                     .write();
             leases.postAll(new LeaseEvent.Paused());
         }
-        forwarding.post(new ForwardingEvent.Tick());
-        metrics.waiting(coordinator.waitingCount());
     }
 
     private boolean isReady(String path) {
@@ -406,8 +436,21 @@
         }
     }
 
-    /** Follows the entries of servers. */
+    /**
+     * Follows the entries of servers. What a server holds changes many times a second in a large
+     * deployment; only the instance that plans logs that.
+     */
     private final class ServerListener implements StoreFollower.Listener {
+        private boolean tellsMoreThanModels(ServerListing listing) {
+            Optional<ServerListing> before =
+                    coordinator.fleet().server(listing.id()).map(FleetServer::listing);
+            return before.filter(
+                            known ->
+                                    known.state() == listing.state()
+                                            && known.startedMillis() == listing.startedMillis())
+                    .isEmpty();
+        }
+
         @Override
         public void changed(StoredObject object) {
             ServerListing listing;
@@ -421,12 +464,14 @@
                 gone(object.name().name());
                 return;
             }
-            log.event(LogEvent.SERVER_LISTED)
-                    .with("server", listing.id())
-                    .with("state", listing.state())
-                    .with("models", listing.models().keySet())
-                    .with("revision", object.version())
-                    .write();
+            if (tellsMoreThanModels(listing) || placement.active()) {
+                log.event(LogEvent.SERVER_LISTED)
+                        .with("server", listing.id())
+                        .with("state", listing.state())
+                        .with("models", listing.models().keySet())
+                        .with("revision", object.version())
+                        .write();
+            }
             serverIds.add(listing.id());
             forwarding.post(new ForwardingEvent.ServerListed(listing));
             placement.post(new PlacementEvent.ServerListed(listing));
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -20,12 +20,14 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests =
             Counter.builder()
+                    .withoutExemplars()
                     .name("tarragonlug_forwarded_requests_total")
                     .help("Forwarded requests by outcome")
                     .labelNames("outcome")
                     .register(registry);
     private final Histogram duration =
             Histogram.builder()
+                    .withoutExemplars()
                     .name("tarragonlug_forwarded_request_seconds")
                     .help("Time from the arrival of a request to its end")
                     .classicUpperBounds(SECONDS)
@@ -33,22 +35,26 @@
                     .register(registry);
     private final Counter orders =
             Counter.builder()
+                    .withoutExemplars()
                     .name("tarragonlug_engine_orders_total")
                     .help("Orders to engines by action and result")
                     .labelNames("action", "result")
                     .register(registry);
     private final Gauge waiting =
             Gauge.builder()
+                    .withoutExemplars()
                     .name("tarragonlug_waiting_requests")
                     .help("Requests that wait for a server")
                     .register(registry);
     private final Gauge holding =
             Gauge.builder()
+                    .withoutExemplars()
                     .name("tarragonlug_order_lease_held")
                     .help("1 while this process may give orders")
                     .register(registry);
     private final Gauge version =
             Gauge.builder()
+                    .withoutExemplars()
                     .name("tarragonlug_configuration_version")
                     .help("Configuration version in force")
                     .register(registry);
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -22,7 +22,7 @@
  * @param retryWindow window of the retry budget
  * @param retryRatio repeats allowed for each first send
  * @param retryAllowance repeats allowed besides, over all instances
- * @param instances how many instances share the allowance
+ * @param instances how many instances share the allowance until they are counted
  * @param callerConnections most connections of callers
  */
 public record GatewaySettings(
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -31,7 +31,7 @@
     private static final int DEFAULT_RETRY_WINDOW_SECONDS = 10;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final double DEFAULT_RETRY_ALLOWANCE = 8;
-    private static final int DEFAULT_INSTANCES = 12;
+    private static final int DEFAULT_INSTANCES = 100;
     private static final int DEFAULT_DESCRIPTORS = 1024;
 
     /** Descriptors kept for files, servers, peers and the store. */
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -1,8 +1,8 @@
 package org.tarragonlug.gateway;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +11,7 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
 import org.tarragonlug.decision.placement.PlacementEvent;
+import org.tarragonlug.gateway.DemandReporter.Audience;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.peer.PeerTransport;
@@ -20,7 +21,8 @@
 /**
  * Exchanges demand and notices between instances: each reports its demand to the holders of order
  * leases, which answer each report, so that an instance that is answered knows the holder to be
- * alive. All holders know the demand, since any of them may have to plan.
+ * alive. All holders know the demand, since any of them may have to plan; those that do not plan at
+ * present get every second report only, unless the reporter holds a lease itself.
  */
 final class PeerExchange implements PlacementDriver.NoticeListener, RelayingObjectApi.Channel {
     private static final Duration REPORT_PERIOD = Duration.ofMillis(400);
@@ -28,8 +30,8 @@
     /** Wants that arise within this time travel in one report. */
     private static final Duration URGENT_JOIN = Duration.ofMillis(2);
 
-    /** An instance that was silent for this long does not get notices any more. */
-    private static final Duration REPORTER_VALID = Duration.ofSeconds(3);
+    /** A holder that has not said for this long that it plans does not count as planner. */
+    private static final Duration PLANNER_VALID = Duration.ofMillis(1500);
 
     /** How long a noticed replica is believed without a listing that shows it. */
     private static final Duration REPLICA_BELIEVED = Duration.ofMillis(2500);
@@ -38,9 +40,11 @@
     private final OrderLeases leases;
     private final TimerService timers;
     private final DemandReporter demand;
-    private final Map<InstanceId, Instant> reporters = new HashMap<>();
-    private final List<PeerMessage.NoticedReplica> replicas = new ArrayList<>();
-    private final List<PeerMessage.NoticedExpectation> expectations = new ArrayList<>();
+    private final NoticeBoard board = new NoticeBoard();
+
+    /** Holders that said that they plan, and when. */
+    private final Map<InstanceId, Instant> planners = new HashMap<>();
+
     private PeerTransport transport;
     private ForwardingDriver forwarding;
     private PlacementDriver placement;
@@ -48,6 +52,7 @@
     private RelayingObjectApi store;
     private boolean reportScheduled;
     private boolean noticeScheduled;
+    private boolean standbyTurn;
 
     PeerExchange(InstanceId self, OrderLeases leases, TimerService timers) {
         this.self = self;
@@ -71,7 +76,7 @@
         placement = placementDriver;
         executor = orderExecutor;
         store = storeApi;
-        timers.subscribe(REPORT_PERIOD, now -> report());
+        timers.subscribe(REPORT_PERIOD, now -> regularReport());
     }
 
     private void reportSoon() {
@@ -81,40 +86,66 @@
                     URGENT_JOIN,
                     now -> {
                         reportScheduled = false;
-                        report();
+                        report(Audience.PLANNER, now);
                     });
         }
     }
 
-    private void report() {
-        Map<InstanceId, String> holders = leases.otherHolders();
-        boolean holding = !leases.notices().isEmpty();
-        if (holders.isEmpty() && !holding) {
+    private void regularReport() {
+        Instant now = timers.now();
+        report(Audience.PLANNER, now);
+        standbyTurn = !standbyTurn;
+        if (standbyTurn || holdsLease()) {
+            report(Audience.STANDBY, now);
+        }
+    }
+
+    private boolean holdsLease() {
+        return !leases.notices().isEmpty();
+    }
+
+    private void report(Audience audience, Instant now) {
+        Map<InstanceId, String> receivers = new HashMap<>(leases.otherHolders());
+        receivers.keySet().removeIf(holder -> audienceOf(holder, now) != audience);
+        boolean own = holdsLease() && ownAudience() == audience;
+        if (receivers.isEmpty() && !own) {
             return;
         }
-        List<ModelDemand> demands = demand.take(timers.now());
-        if (holding) {
+        List<ModelDemand> demands = demand.take(audience, now);
+        if (own) {
             placement.post(new PlacementEvent.DemandReported(self, demands));
         }
         PeerMessage message =
                 new PeerMessage.ModelDemandReport(PeerMessage.FORMAT_VERSION, demands);
-        holders.forEach(
-                (holder, address) ->
-                        Addresses.parse(address)
-                                .ifPresent(
-                                        parsed -> {
-                                            transport.learn(holder, parsed);
-                                            transport.send(parsed, message);
-                                        }));
+        receivers.forEach((holder, address) -> send(holder, address, message));
+    }
+
+    private void send(InstanceId holder, String address, PeerMessage message) {
+        Optional<InetSocketAddress> parsed = Addresses.parse(address);
+        if (parsed.isPresent()) {
+            transport.learn(holder, parsed.get());
+            transport.send(parsed.get(), message);
+        }
+    }
+
+    private Audience ownAudience() {
+        return placement.active() ? Audience.PLANNER : Audience.STANDBY;
+    }
+
+    /** While nobody is known to plan, each holder counts as the planner. */
+    private Audience audienceOf(InstanceId holder, Instant now) {
+        planners.values().removeIf(at -> now.isAfter(at.plus(PLANNER_VALID)));
+        boolean planner = planners.isEmpty() ? !placement.active() : planners.containsKey(holder);
+        return planner ? Audience.PLANNER : Audience.STANDBY;
     }
 
     /** Handles a message of a peer, on the event loop. */
     void received(InstanceId from, PeerMessage message) {
         Instant now = timers.now();
         if (message instanceof PeerMessage.ModelDemandReport report) {
-            reporters.put(from, now);
+            board.reported(from, report.demands(), now);
             placement.post(new PlacementEvent.DemandReported(from, report.demands()));
-            notify(from, List.of(), List.of());
+            tell(from, now);
         } else if (message instanceof PeerMessage.PlacementNotice notice) {
             noticed(from, notice, now);
         } else if (message instanceof PeerMessage.OrderCall call) {
@@ -131,15 +162,8 @@
     /** A holder asks an instance that reports to it; the others ask a holder. */
     @Override
     public Optional<InstanceId> relay() {
-        InstanceId newest = null;
-        for (Map.Entry<InstanceId, Instant> each : reporters.entrySet()) {
-            if (newest == null || each.getValue().isAfter(reporters.get(newest))) {
-                newest = each.getKey();
-            }
-        }
-        return newest != null
-                ? Optional.of(newest)
-                : leases.otherHolders().keySet().stream().findFirst();
+        Optional<InstanceId> newest = board.newest();
+        return newest.isPresent() ? newest : leases.otherHolders().keySet().stream().findFirst();
     }
 
     @Override
@@ -149,6 +173,12 @@
 
     private void noticed(InstanceId from, PeerMessage.PlacementNotice notice, Instant now) {
         leases.noticed(from, notice.leases());
+        if (notice.planning()) {
+            planners.put(from, now);
+            forwarding.post(new ForwardingEvent.InstancesCounted(notice.reporters() + 1));
+        } else {
+            planners.remove(from);
+        }
         for (PeerMessage.NoticedReplica replica : notice.replicas()) {
             believe(replica, now);
         }
@@ -178,7 +208,7 @@
     public void replica(PlacementCommand.AnnounceReplica replica) {
         PeerMessage.NoticedReplica notice =
                 new PeerMessage.NoticedReplica(replica.server(), replica.key(), replica.held());
-        replicas.add(notice);
+        board.add(notice);
         believe(notice, timers.now());
         noticeSoon();
     }
@@ -192,7 +222,7 @@
                         expectation.service(),
                         expectation.key(),
                         remaining.isNegative() ? Duration.ZERO : remaining);
-        expectations.add(notice);
+        board.add(notice);
         expect(notice, now);
         noticeSoon();
     }
@@ -200,31 +230,27 @@
     private void noticeSoon() {
         if (!noticeScheduled) {
             noticeScheduled = true;
-            timers.after(Duration.ZERO, now -> sendNotices(now));
+            timers.after(Duration.ZERO, this::sendUrgentNotices);
         }
     }
 
-    private void sendNotices(Instant now) {
+    private void sendUrgentNotices(Instant now) {
         noticeScheduled = false;
-        reporters.values().removeIf(at -> now.isAfter(at.plus(REPORTER_VALID)));
-        for (InstanceId reporter : reporters.keySet()) {
-            notify(reporter, replicas, expectations);
+        for (InstanceId reporter : board.urgent()) {
+            tell(reporter, now);
         }
-        replicas.clear();
-        expectations.clear();
     }
 
-    private void notify(
-            InstanceId to,
-            List<PeerMessage.NoticedReplica> newReplicas,
-            List<PeerMessage.NoticedExpectation> newExpectations) {
+    private void tell(InstanceId to, Instant now) {
+        NoticeBoard.Notices notices = board.take(to);
         transport.send(
                 to,
                 new PeerMessage.PlacementNotice(
                         PeerMessage.FORMAT_VERSION,
                         leases.notices(),
-                        reporters.size(),
-                        newReplicas,
-                        newExpectations));
+                        placement.active(),
+                        board.size(now),
+                        notices.replicas(),
+                        notices.expectations()));
     }
 }
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -259,6 +259,7 @@
      *
      * @param formatVersion of the sender
      * @param leases the leases that the sender holds or held last
+     * @param planning whether the sender plans; false from senders that do not say it
      * @param reporters how many instances report to it
      * @param replicas models that servers hold, before their listings show it
      * @param expectations when models that requests wait for will be ready
@@ -266,6 +267,7 @@
     record PlacementNotice(
             int formatVersion,
             List<NoticedLease> leases,
+            boolean planning,
             int reporters,
             List<NoticedReplica> replicas,
             List<NoticedExpectation> expectations)
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -18,9 +18,15 @@
  * <p>Names are in lower case, as the HTTP edge passes them.
  */
 public final class RequestHeaders {
-    private static final String REQUEST_ID = "tarragonlug-request-id";
-    private static final String DEADLINE = "tarragonlug-deadline-ms";
-    private static final String MODEL = "tarragonlug-model";
+    /** Names one attempt of a caller. */
+    public static final String REQUEST_ID = "tarragonlug-request-id";
+
+    /** Time that the caller waits, milliseconds. */
+    public static final String DEADLINE = "tarragonlug-deadline-ms";
+
+    /** The model, and after a slash its adapter. */
+    public static final String MODEL = "tarragonlug-model";
+
     private static final String TOKEN_COUNT = "tarragonlug-token-count";
     private static final String PROMPT_PREFIX = "tarragonlug-prompt-prefix";
     private static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
--- a/src/main/java/org/tarragonlug/runtime/Metrics.java
+++ b/src/main/java/org/tarragonlug/runtime/Metrics.java
@@ -53,6 +53,7 @@
 
     private Counter counter(String name, String help, String... labels) {
         return Counter.builder()
+                .withoutExemplars()
                 .name("tarragonlug_" + name)
                 .help(help)
                 .labelNames(labels)
@@ -60,11 +61,16 @@
     }
 
     private Gauge gauge(String name, String help) {
-        return Gauge.builder().name("tarragonlug_" + name).help(help).register(registry);
+        return Gauge.builder()
+                .withoutExemplars()
+                .name("tarragonlug_" + name)
+                .help(help)
+                .register(registry);
     }
 
     private Histogram histogram(String name, String help) {
         return Histogram.builder()
+                .withoutExemplars()
                 .name("tarragonlug_" + name)
                 .help(help)
                 .classicUpperBounds(SECONDS)
--- a/src/main/java/org/tarragonlug/tool/TryCommand.java
+++ b/src/main/java/org/tarragonlug/tool/TryCommand.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Callable;
 import org.tarragonlug.standin.Deployment;
+import org.tarragonlug.trial.GatewayTrial;
 import org.tarragonlug.trial.Trial;
 import org.tarragonlug.trial.TrialResult;
 import org.tarragonlug.trial.TrialSettings;
@@ -51,6 +52,13 @@
             description = "Provoke random faults during the stream and check more.")
     private boolean faults;
 
+    @Option(
+            names = "--gateway",
+            description =
+                    "Run one gateway before stand-ins of the users' platform instead, and send"
+                            + " one request of each kind.")
+    private boolean gateway;
+
     @Option(
             names = "--format",
             defaultValue = "TEXT",
@@ -59,6 +67,10 @@
 
     @Override
     public Integer call() throws Exception {
+        if (gateway) {
+            GatewayTrial trial = new GatewayTrial(line -> System.err.println("# " + line));
+            return trial.run() ? ExitStatus.GOOD : ExitStatus.FAILED;
+        }
         if (instances < 1 || instances > 32 || seconds < 1 || seconds > 3600) {
             System.err.println("--instances must be 1 to 32, --seconds 1 to 3600");
             return ExitStatus.USAGE;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -0,0 +1,145 @@
+package org.tarragonlug.trial;
+
+import io.servicetalk.transport.api.IoExecutor;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.gateway.Gateway;
+import org.tarragonlug.gateway.GatewaySettings;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.platform.PlatformPaths;
+import org.tarragonlug.platform.RequestHeaders;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.PlatformServerStandIn;
+import org.tarragonlug.standin.PlatformStoreStandIn;
+
+/**
+ * Runs one gateway before stand-ins of the platform's store and servers, and sends one request of
+ * each kind through it, among them one for a model that must be loaded first.
+ *
+ * <p>The build runs it as well, to archive the classes that a gateway uses: with that archive a
+ * process starts in half of the processor time.
+ */
+public final class GatewayTrial {
+    private static final String CONFIGURATION = "/gateway-trial.json";
+    private static final String ENGINES = "engines";
+    private static final String RECORDS = "records";
+    private static final Duration START_LIMIT = Duration.ofSeconds(20);
+    private static final Duration REQUEST_LIMIT = Duration.ofSeconds(15);
+    private static final long POLL_MILLIS = 50;
+    private static final int OK = 200;
+
+    private final Consumer<String> progress;
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private int requests;
+
+    /**
+     * Creates a trial.
+     *
+     * @param progress receives a line for each step
+     */
+    public GatewayTrial(Consumer<String> progress) {
+        this.progress = progress;
+    }
+
+    /**
+     * Runs the trial.
+     *
+     * @return whether all requests were answered with success
+     * @throws TarragonlugException if the gateway can not start
+     * @throws IOException if a request ends without an answer
+     */
+    public boolean run() throws TarragonlugException, IOException, InterruptedException {
+        IoExecutor ioExecutor = IoThreads.create(1);
+        PlatformStoreStandIn store = new PlatformStoreStandIn(ioExecutor);
+        try (InputStream configuration = GatewayTrial.class.getResourceAsStream(CONFIGURATION)) {
+            store.put(
+                    PlatformKinds.CONFIGURATION,
+                    PlatformKinds.CURRENT_CONFIGURATION,
+                    Json.read(configuration.readAllBytes()));
+        }
+        new PlatformServerStandIn(ioExecutor, store, "e1", ENGINES, "m1");
+        new PlatformServerStandIn(ioExecutor, store, "e2", ENGINES);
+        new PlatformServerStandIn(ioExecutor, store, "r1", RECORDS);
+        GatewaySettings settings = settings(store);
+        Gateway gateway = new Gateway(settings);
+        gateway.start();
+        boolean good = awaitReady(settings);
+        good &= send(settings, "/issue/1", "");
+        good &= send(settings, "/read/1", "");
+        good &= send(settings, "/ask/1", "m1");
+        good &= send(settings, "/ask/2", "m2");
+        gateway.stop();
+        return good;
+    }
+
+    private static GatewaySettings settings(PlatformStoreStandIn store) {
+        return new GatewaySettings(
+                new InstanceId("trial"),
+                new FailureDomain("home"),
+                FreePort.find(),
+                FreePort.find(),
+                FreePort.find(),
+                FreePort.find(),
+                store.address(),
+                Duration.ofSeconds(8),
+                Duration.ofSeconds(3),
+                2,
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(10),
+                0.2,
+                50,
+                1,
+                100);
+    }
+
+    private boolean awaitReady(GatewaySettings settings) throws IOException, InterruptedException {
+        URI uri = uri(settings.readinessAddress(), PlatformPaths.READINESS);
+        HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
+        long end = System.nanoTime() + START_LIMIT.toNanos();
+        while (System.nanoTime() < end) {
+            if (client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == OK) {
+                progress.accept("ready");
+                return true;
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+        progress.accept("not ready within " + START_LIMIT.toSeconds() + " s");
+        return false;
+    }
+
+    private static URI uri(InetSocketAddress address, String path) {
+        String host = address.getAddress().getHostAddress();
+        return URI.create("http://" + host + ":" + address.getPort() + path);
+    }
+
+    private boolean send(GatewaySettings settings, String path, String model)
+            throws IOException, InterruptedException {
+        requests++;
+        URI uri = uri(settings.callerAddress(), path);
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(uri)
+                        .timeout(REQUEST_LIMIT)
+                        .header(RequestHeaders.REQUEST_ID, "trial-" + requests)
+                        .header(RequestHeaders.DEADLINE, Long.toString(REQUEST_LIMIT.toMillis()))
+                        .POST(HttpRequest.BodyPublishers.ofString("x"));
+        if (!model.isEmpty()) {
+            request.header(RequestHeaders.MODEL, model);
+        }
+        int status =
+                client.send(request.build(), HttpResponse.BodyHandlers.ofString()).statusCode();
+        progress.accept(path + " " + status);
+        return status == OK;
+    }
+}
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -290,7 +290,8 @@
     class Budget {
         @Test
         void limitsRepeatsToTheirShareOfFirstSends() {
-            RetryBudget budget = new RetryBudget(Duration.ofSeconds(10), 0.2, 40, 8);
+            RetryBudget budget =
+                    new RetryBudget(Duration.ofSeconds(10), 0.2, 40, new InstanceCount(8));
             ForwardingFixture clock = new ForwardingFixture();
             int allowed = 0;
             for (int count = 0; count < 100; count++) {
@@ -300,5 +301,31 @@
             assertTrue(allowed <= 0.2 * 100 + 40 / 8.0, "allowed " + allowed);
             assertTrue(allowed >= 15, "allowed " + allowed);
         }
+
+        /** With a fixed number of instances, 74 of them would use six times the allowance. */
+        @Test
+        void dividesTheAllowanceByTheInstancesCounted() {
+            InstanceCount instances = new InstanceCount(12);
+            ForwardingFixture clock = new ForwardingFixture();
+            instances.counted(74, clock.now);
+            RetryBudget budget = new RetryBudget(Duration.ofSeconds(10), 0.2, 188, instances);
+            int allowed = 0;
+            for (int count = 0; count < 100; count++) {
+                allowed += budget.tryRepeat(clock.now) ? 1 : 0;
+            }
+            assertTrue(allowed * 74 <= 188, "allowed " + allowed + " at each of 74");
+        }
+
+        /** An instance that is cut off goes on using its share. */
+        @Test
+        void keepsTheLargestCountWhileSomeAreCutOff() {
+            InstanceCount instances = new InstanceCount(12);
+            ForwardingFixture clock = new ForwardingFixture();
+            instances.counted(74, clock.now);
+            instances.counted(40, clock.now.plusSeconds(5));
+            assertEquals(74, instances.current());
+            instances.counted(40, clock.now.plusSeconds(26));
+            assertEquals(40, instances.current());
+        }
     }
 }
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -165,6 +165,7 @@
                 new PeerMessage.PlacementNotice(
                         1,
                         List.of(new PeerMessage.NoticedLease(new OrderGroup(2), true, 77)),
+                        true,
                         8,
                         List.of(
                                 new PeerMessage.NoticedReplica(
