Tell callers when a model really can be ready

The estimate never exceeded 5 s, the value meant for a service without servers, while the load alone takes 13.2 s; so a request was refused only once less than 5 s of its patience were left. Ruled out: lost reports or notices (the refusals follow the estimate). Change: the estimate is that of the earliest server. Test: the expectation of a model without copies failed before.

--- a/src/main/java/org/tarragonlug/decision/placement/ReadyTimes.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReadyTimes.java
@@ -17,7 +17,7 @@
     /** Assumed wait for a server that gets no orders at present. */
     private static final Duration NO_ORDERS_WAIT = Duration.ofSeconds(4);
 
-    /** Expected wait if no server can load a model at present. */
+    /** Expected wait while the service has no server. */
     private static final Duration NO_SERVER_WAIT = Duration.ofSeconds(5);
 
     /** What a long order costs on a server whose requests need adapters. */
@@ -58,12 +58,12 @@
                             : startAt(server).plus(loadTime(server, model));
             return ready.isAfter(now) ? ready : now.plus(OrderBook.REPORT_AFTER);
         }
-        Instant best = now.plus(NO_SERVER_WAIT);
+        Instant best = Instant.MAX;
         for (PlannedServer server : view.members()) {
             Instant possible = startAt(server).plus(loadTime(server, model));
             best = possible.isBefore(best) ? possible : best;
         }
-        return best;
+        return best.equals(Instant.MAX) ? now.plus(NO_SERVER_WAIT) : best;
     }
 
     private Instant startAt(PlannedServer server) {
--- a/src/test/java/org/tarragonlug/decision/placement/EngineWorld.java
+++ b/src/test/java/org/tarragonlug/decision/placement/EngineWorld.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.decision.placement;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -166,6 +167,10 @@
     private final int modelCount;
     final Map<ServerId, Engine> engines = new LinkedHashMap<>();
     final List<Duration> waits = new ArrayList<>();
+
+    /** The newest expectation of each model, as the time from its announcement. */
+    final Map<ModelKey, Duration> expectations = new HashMap<>();
+
     private final Map<ModelKey, Instant> waitingSince = new HashMap<>();
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparing(Task::at).thenComparing(Task::sequence));
@@ -247,6 +252,8 @@
             } else if (command instanceof PlacementCommand.AskReport ask) {
                 Engine engine = engines.get(ask.server());
                 later(Duration.ofMillis(5), () -> report(engine));
+            } else if (command instanceof PlacementCommand.AnnounceExpectation expected) {
+                expectations.put(expected.key(), Duration.between(now, expected.ready()));
             }
         }
     }
@@ -352,6 +359,22 @@
         post(new PlacementEvent.DemandReported(REPORTER, demands));
     }
 
+    /** Lets a request wait for a model that no engine has a copy of. */
+    void askForUncopied(String model) {
+        for (Engine engine : engines.values()) {
+            assertFalse(engine.onDisk.contains(model), name + ": " + model + " is copied");
+        }
+        waitingSince.putIfAbsent(new ModelKey(model, ""), now);
+    }
+
+    /** Returns a model that no engine has a copy of. */
+    String uncopied() {
+        return sizes.keySet().stream()
+                .filter(model -> engines.values().stream().noneMatch(e -> e.onDisk.contains(model)))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Returns what still waits, with the time since which it waits. */
     Map<ModelKey, Duration> waiting() {
         Map<ModelKey, Duration> waiting = new HashMap<>();
--- a/src/test/java/org/tarragonlug/decision/placement/PlacementPlannerTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/PlacementPlannerTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.tarragonlug.id.ModelKey;
 
 class PlacementPlannerTest {
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(20);
@@ -53,6 +54,23 @@
         }
     }
 
+    /** What callers are told while their model is not loaded. */
+    @Nested
+    class Expectations {
+        /** Callers were told 5 s again and again, waited for 7 s in vain and were refused then. */
+        @Test
+        void ofAModelWithoutCopiesCoverTheLoadFromTheWeightStore() {
+            EngineWorld world = new EngineWorld(3, 4, 120);
+            String model = world.uncopied();
+            world.askForUncopied(model);
+            world.run(Duration.ofMillis(200), 0, false);
+            Duration expected = world.expectations.get(new ModelKey(model, ""));
+            assertTrue(
+                    expected.compareTo(Duration.ofMillis(5500)) >= 0,
+                    "expected within " + expected + " though a load takes 6 s");
+        }
+    }
+
     /** Orders that are lost, late or carried out twice, servers that restart, late listings. */
     @Nested
     class Faults {
