Give leases of eight seconds for eight groups of servers

Ways weighed: longer periods with few groups (a lost holder costs more); promises between instances (not safe without a list of all instances); this: a period of 8 s bridges outages up to that length, and with eight groups a lost holder stops an eighth of the orders for 11 s instead of a third for 5 s. Takeover waits 7 s, since a successor may not order before the period and the turn are over; a holder that restarts meanwhile goes on at once. Carried by: the planner passes on which holders it hears, so an instance reports to the planner and one standby, not to all holders; leases that are read at the same time are read with one call.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseKeeper.java
@@ -25,25 +25,34 @@
  * needed only when the holder is silent. A paused process forgets its last renewal, because its
  * monotonic clock may have stood still; it must renew before the next order.
  *
- * <p>If the store is down, the holder stops giving orders after ORDER_PERIOD and nobody takes over:
- * what is loaded stays loaded.
+ * <p>If the store is down, the holder goes on until ORDER_PERIOD is over and nobody takes over;
+ * what is loaded stays loaded. A long period bridges outages of the store and makes a lost holder
+ * cost more; many groups with a lease each keep that cost small.
  */
 public final class LeaseKeeper implements StateMachine<LeaseEvent, LeaseCommand> {
     /** How long after the beginning of a renewal orders may be given. */
-    static final Duration ORDER_PERIOD = Duration.ofMillis(1700);
+    static final Duration ORDER_PERIOD = Duration.ofSeconds(8);
 
     /** How often the holder renews. */
-    static final Duration RENEWAL_PERIOD = Duration.ofMillis(600);
+    static final Duration RENEWAL_PERIOD = Duration.ofSeconds(2);
 
-    /** How long a renewal must stay the same before another instance takes the lease. */
-    static final Duration TAKEOVER_AFTER = Duration.ofMillis(1500);
+    /**
+     * How long a renewal must stay the same before another instance takes the lease. Whoever takes
+     * it may not order before ORDER_PERIOD and the turn are over, so there is time for the holder
+     * to come back from a restart and to go on at once.
+     */
+    static final Duration TAKEOVER_AFTER = Duration.ofSeconds(7);
 
     /** How long the holder may be silent towards this instance before the lease is read. */
     static final Duration SILENCE = Duration.ofMillis(1300);
 
     private static final Duration READ_PERIOD = Duration.ofMillis(500);
+
+    /** How often the lease of a silent holder is read. */
+    private static final Duration WATCH_PERIOD = Duration.ofMillis(1500);
+
     private static final Duration CALL_LIMIT = Duration.ofMillis(1500);
-    private static final Duration FAILURE_PAUSE = Duration.ofMillis(120);
+    private static final Duration FAILURE_PAUSE = Duration.ofMillis(400);
     private static final Duration TURN_MARGIN = Duration.ofMillis(200);
 
     private final InstanceId self;
@@ -216,6 +225,9 @@
             seenSince = told ? heardSince : now;
             gaveUp = gaveUp && told;
         }
+        if (!found.released()) {
+            nextCall = now.plus(WATCH_PERIOD);
+        }
         if (found.holder().equals(self)) {
             // A write whose answer was lost took effect; only a new renewal proves when.
             nextCall = now;
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -26,7 +26,7 @@
 public final class GatewaySettingsLoader {
     private static final int DEFAULT_DRAIN_SECONDS = 8;
     private static final int DEFAULT_TURN_MILLIS = 3000;
-    private static final int DEFAULT_ORDER_GROUPS = 3;
+    private static final int DEFAULT_ORDER_GROUPS = 8;
     private static final int DEFAULT_LOAD_WINDOW_SECONDS = 5;
     private static final int DEFAULT_RETRY_WINDOW_SECONDS = 10;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
--- a/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
@@ -22,6 +22,7 @@
 final class LeaseDriver {
     private final LeaseKeeper keeper;
     private final ObjectApi store;
+    private final LeaseReader reader;
     private final ObjectName name;
     private final Executor loop;
     private final TimerService timers;
@@ -30,12 +31,14 @@
     LeaseDriver(
             LeaseKeeper keeper,
             ObjectApi store,
+            LeaseReader reader,
             ObjectName name,
             Executor loop,
             TimerService timers,
             EventLog log) {
         this.keeper = keeper;
         this.store = store;
+        this.reader = reader;
         this.name = name;
         this.loop = loop;
         this.timers = timers;
@@ -49,7 +52,7 @@
 
     private void execute(LeaseCommand command) {
         if (command instanceof LeaseCommand.Read) {
-            store.read(name).whenCompleteAsync(this::read, loop);
+            reader.read(name).whenCompleteAsync(this::read, loop);
         } else if (command instanceof LeaseCommand.Write write) {
             write(write.record());
         } else if (command instanceof LeaseCommand.Acquired acquired) {
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/LeaseReader.java
@@ -0,0 +1,77 @@
+package org.tarragonlug.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.objectapi.WatchResult;
+
+/**
+ * Reads leases, those that are asked for at the same time with one call. Each call costs, and an
+ * instance that has just started asks for all leases at once.
+ */
+final class LeaseReader {
+    private record Pending(ObjectName name, CompletableFuture<StoredObject> result) {}
+
+    private final ObjectApi store;
+    private final Executor loop;
+    private List<Pending> pending = new ArrayList<>();
+
+    /**
+     * Creates a reader.
+     *
+     * @param store where the leases are
+     * @param loop the event loop; a read is sent after the events that are due now
+     */
+    LeaseReader(ObjectApi store, Executor loop) {
+        this.store = store;
+        this.loop = loop;
+    }
+
+    /** Reads a lease; all leases are of one kind. */
+    CompletionStage<StoredObject> read(ObjectName name) {
+        CompletableFuture<StoredObject> result = new CompletableFuture<>();
+        if (pending.isEmpty()) {
+            loop.execute(this::send);
+        }
+        pending.add(new Pending(name, result));
+        return result;
+    }
+
+    private void send() {
+        List<Pending> sent = pending;
+        pending = new ArrayList<>();
+        if (sent.size() == 1) {
+            store.read(sent.get(0).name())
+                    .whenComplete((object, failure) -> complete(sent.get(0), object, failure));
+        } else {
+            store.list(sent.get(0).name().kind())
+                    .whenComplete((listed, failure) -> completeAll(sent, listed, failure));
+        }
+    }
+
+    private static void completeAll(List<Pending> sent, WatchResult listed, Throwable failure) {
+        Map<ObjectName, StoredObject> found = new HashMap<>();
+        if (failure == null) {
+            listed.changed().forEach(object -> found.put(object.name(), object));
+        }
+        for (Pending each : sent) {
+            StoredObject object = found.get(each.name());
+            complete(each, object == null ? StoredObject.absent(each.name()) : object, failure);
+        }
+    }
+
+    private static void complete(Pending pending, StoredObject object, Throwable failure) {
+        if (failure == null) {
+            pending.result().complete(object);
+        } else {
+            pending.result().completeExceptionally(failure);
+        }
+    }
+}
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -39,12 +39,18 @@
 
     private static final Duration SETTLING = Duration.ofMillis(500);
 
+    /**
+     * The last sign of life of a holder. Only what the holder said itself is passed on, or two
+     * instances would keep a dead holder alive for each other.
+     */
+    private record Heard(Instant at, long revision, InstanceId holder, boolean direct) {}
+
     private final InstanceId self;
     private final OrderGroups groups;
     private final TimerService timers;
     private final Map<OrderGroup, LeaseKeeper> keepers = new LinkedHashMap<>();
     private final Map<OrderGroup, LeaseDriver> drivers = new LinkedHashMap<>();
-    private final Map<OrderGroup, Instant> heard = new HashMap<>();
+    private final Map<OrderGroup, Heard> heard = new HashMap<>();
     private Instant lowestSince;
 
     OrderLeases(
@@ -63,6 +69,7 @@
     }
 
     void start(ObjectApi store, Executor loop, EventLog log) {
+        LeaseReader reader = new LeaseReader(store, loop);
         keepers.forEach(
                 (group, keeper) ->
                         drivers.put(
@@ -70,6 +77,7 @@
                                 new LeaseDriver(
                                         keeper,
                                         store,
+                                        reader,
                                         PlatformKinds.orderLease(group),
                                         loop,
                                         timers,
@@ -162,8 +170,8 @@
     }
 
     private boolean isHeard(OrderGroup group) {
-        Instant at = heard.getOrDefault(group, Instant.EPOCH);
-        return timers.now().isBefore(at.plus(HEARD_VALID));
+        Heard each = heard.get(group);
+        return each != null && timers.now().isBefore(each.at().plus(HEARD_VALID));
     }
 
     /** Returns those of the servers that orders reach now. */
@@ -183,38 +191,62 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Takes what a holder says of its leases. */
+    /** Takes what a holder says of its leases, and what it has heard of those of others. */
     void noticed(InstanceId from, List<PeerMessage.NoticedLease> leases) {
         for (PeerMessage.NoticedLease lease : leases) {
+            InstanceId holder = lease.holder().isEmpty() ? from : new InstanceId(lease.holder());
             LeaseKeeper keeper = keepers.get(lease.group());
             Optional<LeaseRecord> seen = keeper == null ? Optional.empty() : keeper.seen();
-            if (seen.filter(record -> record.holder().equals(from)).isEmpty()) {
+            if (seen.filter(record -> record.holder().equals(holder)).isEmpty()) {
                 continue;
             }
             if (lease.holding()) {
-                heard.put(lease.group(), timers.now());
+                hear(lease, holder, holder.equals(from));
             }
             drivers.get(lease.group())
                     .post(new LeaseEvent.HolderHeard(lease.holding(), lease.revision()));
         }
     }
 
-    /** Returns what this instance says of the leases that it holds or held last. */
+    private void hear(PeerMessage.NoticedLease lease, InstanceId holder, boolean direct) {
+        Heard before = heard.get(lease.group());
+        if (direct || before == null || !before.direct() || !isHeard(lease.group())) {
+            heard.put(lease.group(), new Heard(timers.now(), lease.revision(), holder, direct));
+        }
+    }
+
+    /** Tells whether this instance holds a lease, or held it last. */
+    boolean holdsAny() {
+        return keepers.values().stream().anyMatch(this::isOwn);
+    }
+
+    private boolean isOwn(LeaseKeeper keeper) {
+        return keeper.seen().filter(seen -> seen.holder().equals(self)).isPresent();
+    }
+
+    /**
+     * Returns what this instance says of the leases that it holds or held last, and of those whose
+     * holders it hears. So an instance that reports to one holder knows of all that they live.
+     */
     List<PeerMessage.NoticedLease> notices() {
         Instant now = timers.now();
-        return keepers.entrySet().stream()
-                .filter(
-                        each ->
-                                each.getValue()
-                                        .seen()
-                                        .filter(seen -> seen.holder().equals(self))
-                                        .isPresent())
-                .map(
-                        each ->
+        List<PeerMessage.NoticedLease> notices = new ArrayList<>();
+        keepers.forEach(
+                (group, keeper) -> {
+                    if (isOwn(keeper)) {
+                        notices.add(
+                                new PeerMessage.NoticedLease(
+                                        group,
+                                        keeper.holding(now),
+                                        keeper.seen().get().revision(),
+                                        ""));
+                    } else if (isHeard(group) && heard.get(group).direct()) {
+                        Heard each = heard.get(group);
+                        notices.add(
                                 new PeerMessage.NoticedLease(
-                                        each.getKey(),
-                                        each.getValue().holding(now),
-                                        each.getValue().seen().get().revision()))
-                .toList();
+                                        group, true, each.revision(), each.holder().value()));
+                    }
+                });
+        return notices;
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
@@ -19,10 +21,10 @@
 import org.tarragonlug.runtime.TimerService;
 
 /**
- * Exchanges demand and notices between instances: each reports its demand to the holders of order
- * leases, which answer each report, so that an instance that is answered knows the holder to be
- * alive. All holders know the demand, since any of them may have to plan; those that do not plan at
- * present get every second report only, unless the reporter holds a lease itself.
+ * Exchanges demand and notices between instances: each reports its demand to the planner, which
+ * answers each report and says which holders of leases it hears. The holder that plans next if the
+ * planner is lost gets every second report, so that it knows the demand. Holders report to each
+ * other, so that each hears whether the others live.
  */
 final class PeerExchange implements PlacementDriver.NoticeListener, RelayingObjectApi.Channel {
     private static final Duration REPORT_PERIOD = Duration.ofMillis(400);
@@ -95,19 +97,14 @@
         Instant now = timers.now();
         report(Audience.PLANNER, now);
         standbyTurn = !standbyTurn;
-        if (standbyTurn || holdsLease()) {
+        if (standbyTurn || leases.holdsAny()) {
             report(Audience.STANDBY, now);
         }
     }
 
-    private boolean holdsLease() {
-        return !leases.notices().isEmpty();
-    }
-
     private void report(Audience audience, Instant now) {
-        Map<InstanceId, String> receivers = new HashMap<>(leases.otherHolders());
-        receivers.keySet().removeIf(holder -> audienceOf(holder, now) != audience);
-        boolean own = holdsLease() && ownAudience() == audience;
+        Map<InstanceId, String> receivers = receivers(audience, now);
+        boolean own = leases.holdsAny() && ownAudience() == audience;
         if (receivers.isEmpty() && !own) {
             return;
         }
@@ -132,11 +129,24 @@
         return placement.active() ? Audience.PLANNER : Audience.STANDBY;
     }
 
-    /** While nobody is known to plan, each holder counts as the planner. */
-    private Audience audienceOf(InstanceId holder, Instant now) {
+    /**
+     * Returns the holders that a report goes to. While nobody is known to plan, each holder counts
+     * as the planner. Of the others, a holder reports to all, another instance to the first.
+     */
+    private Map<InstanceId, String> receivers(Audience audience, Instant now) {
         planners.values().removeIf(at -> now.isAfter(at.plus(PLANNER_VALID)));
-        boolean planner = planners.isEmpty() ? !placement.active() : planners.containsKey(holder);
-        return planner ? Audience.PLANNER : Audience.STANDBY;
+        Map<InstanceId, String> receivers = new LinkedHashMap<>(leases.otherHolders());
+        boolean unknown = planners.isEmpty() && !placement.active();
+        boolean toPlanner = audience == Audience.PLANNER;
+        receivers
+                .keySet()
+                .removeIf(holder -> (unknown || planners.containsKey(holder)) != toPlanner);
+        if (!toPlanner && !leases.holdsAny()) {
+            receivers.keySet().stream()
+                    .findFirst()
+                    .ifPresent(first -> receivers.keySet().retainAll(Set.of(first)));
+        }
+        return receivers;
     }
 
     /** Handles a message of a peer, on the event loop. */
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -371,8 +371,13 @@
      * @param group the servers
      * @param holding whether the holder may give orders
      * @param revision revision of the holder's last renewal
+     * @param holder who holds it; empty if the sender speaks of its own lease
      */
-    record NoticedLease(OrderGroup group, boolean holding, long revision) {}
+    record NoticedLease(OrderGroup group, boolean holding, long revision, String holder) {
+        public NoticedLease {
+            holder = holder == null ? "" : holder;
+        }
+    }
 
     /**
      * The planner asks the holder of a server's lease to give an order.
--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -1,7 +1,6 @@
 package org.tarragonlug.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -67,8 +66,7 @@
                 exchange("GET", path(name), null, CALL_TIMEOUT),
                 answer -> {
                     if (answer.status() == NOT_FOUND) {
-                        return new StoredObject(
-                                name, StoredObject.ABSENT, MissingNode.getInstance());
+                        return StoredObject.absent(name);
                     }
                     requireRead(answer);
                     return object(name.kind(), JsonFields.parse(answer.body()));
