Test that leases outlive an outage, are read together and are not kept alive in a circle

The circle test fails if an instance passes on what it was passed on (tried by removing the guard); the outage test fails with the former period of 1.7 s.

--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseKeeperTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseKeeperTest.java
@@ -107,6 +107,20 @@
             assertFalse(keeper.mayOrder(START.plus(LeaseKeeper.ORDER_PERIOD)));
         }
 
+        /** All loads stopped 1.7 s after the store went down, for as long as it stayed away. */
+        @Test
+        void goesOnThroughAnOutageOfTheStoreOfSomeSeconds() {
+            LeaseKeeper keeper = holding("a");
+            Instant now = START;
+            for (int step = 0; step < 60; step++) {
+                now = now.plusMillis(100);
+                for (LeaseCommand command : keeper.handle(tick(), now)) {
+                    keeper.handle(new LeaseEvent.CallFailed(), now.plusMillis(50));
+                }
+                assertTrue(keeper.mayOrder(now), "after " + Duration.between(START, now));
+            }
+        }
+
         @Test
         void stopsOrderingAfterAPauseUntilItHasRenewed() {
             LeaseKeeper keeper = holding("a");
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/LeaseStore.java
@@ -0,0 +1,54 @@
+package org.tarragonlug.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.objectapi.WatchResult;
+
+/** A store in memory that answers at once and counts calls that read. */
+final class LeaseStore implements ObjectApi {
+    final Map<ObjectName, StoredObject> objects = new LinkedHashMap<>();
+    int reads;
+
+    void put(ObjectName name, JsonNode content, long version) {
+        objects.put(name, new StoredObject(name, version, content));
+    }
+
+    @Override
+    public CompletionStage<StoredObject> read(ObjectName name) {
+        reads++;
+        StoredObject found = objects.get(name);
+        return CompletableFuture.completedFuture(found == null ? StoredObject.absent(name) : found);
+    }
+
+    @Override
+    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expected) {
+        put(name, content, expected + 1);
+        return CompletableFuture.completedFuture(expected + 1);
+    }
+
+    @Override
+    public CompletionStage<Void> delete(ObjectName name, long expectedVersion) {
+        objects.remove(name);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletionStage<WatchResult> list(String kind) {
+        reads++;
+        return CompletableFuture.completedFuture(
+                new WatchResult(List.copyOf(objects.values()), 100, false));
+    }
+
+    @Override
+    public CompletionStage<WatchResult> watch(String kind, long after, Duration wait) {
+        throw new UnsupportedOperationException();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
@@ -0,0 +1,93 @@
+package org.tarragonlug.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.ownership.LeaseRecord;
+import org.tarragonlug.decision.ownership.OrderGroups;
+import org.tarragonlug.id.Fence;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.OrderGroup;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.Hash4jHasher;
+import org.tarragonlug.runtime.ManualTimers;
+
+class OrderLeasesTest {
+    private static final Duration TURN = Duration.ofSeconds(3);
+    private static final Duration STEP = Duration.ofMillis(200);
+    private static final OrderGroup GROUP = new OrderGroup(0);
+    private static final InstanceId HOLDER = new InstanceId("holder");
+    private static final InstanceId FIRST = new InstanceId("first");
+    private static final InstanceId SECOND = new InstanceId("second");
+
+    private final ManualTimers timers = new ManualTimers();
+    private final LeaseStore store = new LeaseStore();
+    private final Deque<Runnable> loop = new ArrayDeque<>();
+    private final OrderLeases first = leases(FIRST);
+    private final OrderLeases second = leases(SECOND);
+
+    private OrderLeases leases(InstanceId instance) {
+        OrderGroups groups = new OrderGroups(new Hash4jHasher(), 1);
+        return new OrderLeases(instance, instance + "-1", "10.0.0.1:1", TURN, groups, timers);
+    }
+
+    @BeforeEach
+    void start() {
+        LeaseRecord held =
+                new LeaseRecord(HOLDER, "holder-1", "10.0.0.9:1", new Fence(3), 1, true, false, 40);
+        store.put(PlatformKinds.orderLease(GROUP), StoredLease.encode(held), 40);
+        for (OrderLeases leases : List.of(first, second)) {
+            leases.start(store, loop::add, new EventLog("test"));
+            tick(leases);
+        }
+    }
+
+    private void tick(OrderLeases leases) {
+        leases.tick();
+        while (!loop.isEmpty()) {
+            loop.poll().run();
+        }
+    }
+
+    private static List<PeerMessage.NoticedLease> ownNotice() {
+        return List.of(new PeerMessage.NoticedLease(GROUP, true, 40, ""));
+    }
+
+    @Nested
+    class SignsOfLife {
+        /** An instance that reports to the planner alone must not read the store all the time. */
+        @Test
+        void ofAHolderReachThoseThatDoNotHearIt() {
+            first.noticed(HOLDER, ownNotice());
+            assertEquals(1, first.notices().size());
+            assertEquals(HOLDER.value(), first.notices().get(0).holder());
+            int before = store.reads;
+            second.noticed(FIRST, first.notices());
+            timers.advance(STEP);
+            tick(second);
+            assertEquals(before, store.reads);
+        }
+
+        /** Two instances that pass on what they were passed on keep a dead holder alive. */
+        @Test
+        void endSoonAfterTheHolderFellSilent() {
+            first.noticed(HOLDER, ownNotice());
+            for (int step = 0; step < 20; step++) {
+                timers.advance(STEP);
+                second.noticed(FIRST, first.notices());
+                first.noticed(SECOND, second.notices());
+            }
+            assertTrue(first.notices().isEmpty(), () -> first.notices().toString());
+            assertTrue(second.notices().isEmpty(), () -> second.notices().toString());
+        }
+    }
+}
--- a/src/test/java/org/tarragonlug/runtime/ManualTimers.java
+++ b/src/test/java/org/tarragonlug/runtime/ManualTimers.java
@@ -6,13 +6,14 @@
 import java.util.List;
 
 /** Timers whose time a test moves; periodic ones are not needed. */
-final class ManualTimers implements TimerService {
+public final class ManualTimers implements TimerService {
     private record Due(Instant at, TimerListener listener) {}
 
     private final List<Due> timers = new ArrayList<>();
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
 
-    void advance(Duration time) {
+    /** Moves the time on and calls what is due. */
+    public void advance(Duration time) {
         now = now.plus(time);
         List<Due> due = timers.stream().filter(timer -> !timer.at().isAfter(now)).toList();
         timers.removeAll(due);
