Go on planning after a failed round; count the planner's own instance

Cause: found when reading the change. The next round was scheduled after the present one, so an exception in a round would have ended planning for good while the instance still counted as the planner. Change: the next round is scheduled in any case; the planner posts its own count; a read of a lease is queued before it is scheduled.

--- a/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
@@ -36,10 +36,12 @@
 
     private static final double TARGET_SLOT_USE = 0.4;
 
-    /** Lower the value of a replica so little that they only decide between equal ones. */
+    /** Value that a replica loses for each idle second; decides between models nobody asks for. */
     private static final double VALUE_PER_IDLE_SECOND = 1e-6;
 
     private static final long MOST_IDLE_SECONDS = 1000;
+
+    /** Value of a model with adapters over one without that is asked for as often. */
     private static final double VALUE_OF_ADAPTERS = 1e-3;
 
     private final PlacementView view;
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -275,11 +275,15 @@
     }
 
     private void placementTick() {
-        boolean planning = !draining && leases.planning();
-        placement.tick(planning, planning ? leases.orderable(serverIds) : Set.of());
-        metrics.holding(!leases.held().isEmpty());
-        if (placement.active()) {
-            timers.after(PLANNING_TICK, now -> placementTick());
+        try {
+            boolean planning = !draining && leases.planning();
+            placement.tick(planning, planning ? leases.orderable(serverIds) : Set.of());
+            metrics.holding(!leases.held().isEmpty());
+        } finally {
+            // Also after a failed round, or nobody would plan any more.
+            if (placement.active()) {
+                timers.after(PLANNING_TICK, now -> placementTick());
+            }
         }
     }
 
--- a/src/main/java/org/tarragonlug/gateway/LeaseReader.java
+++ b/src/main/java/org/tarragonlug/gateway/LeaseReader.java
@@ -37,10 +37,10 @@
     /** Reads a lease; all leases are of one kind. */
     CompletionStage<StoredObject> read(ObjectName name) {
         CompletableFuture<StoredObject> result = new CompletableFuture<>();
-        if (pending.isEmpty()) {
+        pending.add(new Pending(name, result));
+        if (pending.size() == 1) {
             loop.execute(this::send);
         }
-        pending.add(new Pending(name, result));
         return result;
     }
 
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -95,6 +95,9 @@
 
     private void regularReport() {
         Instant now = timers.now();
+        if (placement.active()) {
+            counted(board.size(now));
+        }
         report(Audience.PLANNER, now);
         standbyTurn = !standbyTurn;
         if (standbyTurn || leases.holdsAny()) {
@@ -185,7 +188,7 @@
         leases.noticed(from, notice.leases());
         if (notice.planning()) {
             planners.put(from, now);
-            forwarding.post(new ForwardingEvent.InstancesCounted(notice.reporters() + 1));
+            counted(notice.reporters());
         } else {
             planners.remove(from);
         }
@@ -197,6 +200,11 @@
         }
     }
 
+    /** The planner counts the instances that report to it; itself comes on top. */
+    private void counted(int reporters) {
+        forwarding.post(new ForwardingEvent.InstancesCounted(reporters + 1));
+    }
+
     private void believe(PeerMessage.NoticedReplica replica, Instant now) {
         forwarding.post(
                 new ForwardingEvent.ReplicaAnnounced(
