End calls to servers that send heads or trailers without end

Cause: the HTTP library limits single lines only.

Change: a handler in front of the decoder counts all received bytes. Heads, with interim answers, are limited in bytes and lines, chunk framing and trailers in bytes beside the body. Beyond a limit the connection is closed and the call fails as ANSWER_TOO_LARGE, also when bytes arrive while no call is in progress.

--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -41,6 +41,7 @@
     private final HttpReceiver receiver;
     private final int maximumBytes;
     private ReservedStreamingHttpConnection connection;
+    private FramingGuard guard;
     private Cancellable currentStep = Cancellable.IGNORE_CANCEL;
     private Future<?> timer;
     private long receivedBytes;
@@ -132,12 +133,15 @@
                 return;
             }
             connection = reserved;
+            guard = FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
         }
+        guard.begin(detail -> fail(HttpFailure.Kind.ANSWER_TOO_LARGE, detail, null));
         toSource(reserved.request(request))
                 .subscribe(new Step<StreamingHttpResponse>(this::handleHead, false));
     }
 
     private void handleHead(StreamingHttpResponse response) {
+        guard.onHeadReceived();
         synchronized (this) {
             if (!ended) {
                 Map<String, String> headers = new HashMap<>();
@@ -159,6 +163,7 @@
         if (ended) {
             return;
         }
+        guard.onBodyPart(buffer.readableBytes());
         receivedBytes += buffer.readableBytes();
         if (receivedBytes > maximumBytes) {
             String detail = "the answer exceeds " + maximumBytes + " bytes";
@@ -176,6 +181,7 @@
         }
         ended = true;
         timer.cancel(false);
+        guard.end();
         toSource(connection.releaseAsync()).subscribe(IgnoredCompletion.INSTANCE);
         lease.release();
         receiver.onCompleted();
