Start a gateway without a command line and a logging file

Cause: the main thread of a gateway used 0.55 to 0.7 s of processor time before it listened. Sampled: a quarter to parse the command line (picocli classes are too old for the class archive and were read from the jar), a quarter to read logback's XML file, a fifth to link string concatenations and lambdas at run time.

'serve' works as before.

--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -1,6 +1,5 @@
 package org.tarragonlug;
 
-import java.util.Arrays;
 import org.tarragonlug.tool.ApplyCommand;
 import org.tarragonlug.tool.CheckCommand;
 import org.tarragonlug.tool.DiffCommand;
@@ -39,8 +38,6 @@
                 "Serves many rarely used models, configured by a table of routes and a table of "
                         + "pools.")
 public final class Tool implements Runnable {
-    private static final String SERVE = "serve";
-
     @Override
     public void run() {
         CommandLine.usage(this, System.out);
@@ -52,21 +49,9 @@
      * @param arguments the arguments of the command line
      */
     public static void main(String[] arguments) {
-        if (arguments.length > 0 && arguments[0].equals(SERVE)) {
-            String[] options = Arrays.copyOfRange(arguments, 1, arguments.length);
-            System.exit(serveCommandLine().execute(options));
-        }
         System.exit(commandLine().execute(arguments));
     }
 
-    /**
-     * Creates a command line that has only the command {@code serve}. Gateways are often restarted
-     * on small machines, and setting up the other commands would prolong each start.
-     */
-    static CommandLine serveCommandLine() {
-        return new CommandLine(new ServeCommand()).setCommandName("tarragonlug " + SERVE);
-    }
-
     static CommandLine commandLine() {
         return new CommandLine(new Tool()).setCaseInsensitiveEnumValuesAllowed(true);
     }
--- a/src/main/java/org/tarragonlug/tool/ServeCommand.java
+++ b/src/main/java/org/tarragonlug/tool/ServeCommand.java
@@ -2,18 +2,9 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import org.tarragonlug.error.ErrorCode;
-import org.tarragonlug.error.TarragonlugException;
-import org.tarragonlug.gateway.Gateway;
-import org.tarragonlug.gateway.GatewaySettings;
-import org.tarragonlug.gateway.GatewaySettingsLoader;
+import org.tarragonlug.runtime.LogConfigurator;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import sun.misc.Signal;
 
 /** Runs a gateway on the users' platform until a signal stops it. */
 @Command(
@@ -38,50 +29,7 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        Gateway gateway;
-        GatewaySettings settings;
-        try {
-            settings = new GatewaySettingsLoader().load(settingsFile);
-            gateway = new Gateway(settings);
-            Signal.handle(new Signal("HUP"), signal -> checkSettings(gateway, settings));
-            gateway.start();
-        } catch (TarragonlugException failure) {
-            System.err.println(failure.getMessage());
-            boolean invalidInput =
-                    failure.code() == ErrorCode.SETTINGS_INVALID
-                            || failure.code() == ErrorCode.ADDRESS_IN_USE;
-            return invalidInput ? ExitStatus.INVALID_INPUT : ExitStatus.FAILURE;
-        }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(gateway, settings), "drain"));
-        new CountDownLatch(1).await();
-        return ExitStatus.SUCCESS;
-    }
-
-    private void checkSettings(Gateway gateway, GatewaySettings inForce) {
-        try {
-            GatewaySettings changed = new GatewaySettingsLoader().load(settingsFile);
-            gateway.onSettingsChanged(
-                    changed.equals(inForce)
-                            ? "no setting that the gateway reads has changed"
-                            : "the changed settings are in force after a restart");
-        } catch (TarragonlugException invalid) {
-            gateway.onSettingsChanged(invalid.getMessage());
-        }
-    }
-
-    private static void drain(Gateway gateway, GatewaySettings settings) {
-        try {
-            gateway.drain()
-                    .toCompletableFuture()
-                    .get(settings.drainTime().toMillis(), TimeUnit.MILLISECONDS);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException incomplete) {
-            System.err.println(
-                    "the drain failed or did not end within "
-                            + settings.drainTime().toMillis()
-                            + " ms; stopping now");
-        }
-        Runtime.getRuntime().halt(ExitStatus.SUCCESS);
+        LogConfigurator.logToStandardOutput();
+        return GatewayProcess.run(settingsFile);
     }
 }
