Let a request wait for its model when the server unloads it

A server that unloads a model rejects the requests for it as it does when it is full; the coordinator sent such a request to the same server again at once, up to three times, and then refused it.

Change: a server that rejects with free slots is unloading the model, so the request waits for the model again. A full server is left alone for 150 ms.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -69,6 +69,9 @@
      */
     private static final Duration SAME_SERVER_RETRY_DELAY = Duration.ofMillis(400);
 
+    /** How long a request that a full server rejected is kept from the same server. */
+    private static final Duration FULL_SERVER_PAUSE = Duration.ofMillis(150);
+
     private static final int SERVER_ERROR = 500;
 
     private final Fleet fleet;
@@ -222,7 +225,7 @@
             return;
         }
         Optional<FleetServer> server = choose(forward, forward.excluded, now);
-        boolean paused = now.isBefore(forward.connectionBrokenAt.plus(SAME_SERVER_RETRY_DELAY));
+        boolean paused = now.isBefore(forward.sameServerAllowedAt);
         if (server.isEmpty() && !forward.excluded.isEmpty() && needsModel(forward) && !paused) {
             // Prefers another server, but retries an excluded one if no other is available.
             server = choose(forward, Set.of(), now);
@@ -315,7 +318,7 @@
             case MODEL_ABSENT ->
                     forward.request.model().ifPresent(key -> server.markModelAbsent(key, now));
             case WRONG_SERVER, UNREACHABLE -> server.markUnreachable(now);
-            default -> server.recordOutcome(false, now);
+            default -> onServerBusy(forward, server, event.load(), now);
         }
         if (event.rejection() != Rejection.UNREACHABLE) {
             forward.rejections++;
@@ -328,6 +331,23 @@
         dispatch(forward, now);
     }
 
+    /**
+     * Handles a rejection by a server that is full or unloads the model. A server with free slots
+     * is not full, so it unloads the model, and the request must wait for the model again. A full
+     * server is left alone for a moment, since it would reject the same request again.
+     */
+    private void onServerBusy(
+            PendingForward forward, FleetServer server, Optional<ReportedLoad> load, Instant now) {
+        server.recordOutcome(false, now);
+        boolean hasFreeSlots = load.filter(each -> each.running() < each.slots()).isPresent();
+        if (hasFreeSlots && needsModel(forward)) {
+            ModelKey key = forward.request.model().orElseThrow();
+            server.markModelAbsent(new ModelKey(key.model(), ""), now);
+        } else {
+            forward.sameServerAllowedAt = now.plus(FULL_SERVER_PAUSE);
+        }
+    }
+
     private void onStreamStarted(
             PendingForward forward, ForwardingEvent.StreamStarted event, Instant now) {
         event.load().ifPresent(load -> forward.server.recordReportedLoad(load, now));
@@ -366,7 +386,7 @@
         FleetServer server = releaseServer(forward, Optional.empty(), now);
         server.recordOutcome(true, now);
         forward.excluded.add(server.id());
-        forward.connectionBrokenAt = now;
+        forward.sameServerAllowedAt = now.plus(SAME_SERVER_RETRY_DELAY);
         retryOrFail(forward, FailureReason.SERVER_LOST, now);
     }
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -39,7 +39,10 @@
     boolean stallCounted;
     long lastEventId;
     Instant lastProgress;
-    Instant connectionBrokenAt = Instant.EPOCH;
+
+    /** The time from which on the request may go to a server that rejected it or lost it. */
+    Instant sameServerAllowedAt = Instant.EPOCH;
+
     Instant waitingReportedAt = Instant.EPOCH;
 
     PendingForward(
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -110,6 +110,40 @@
             assertNotEquals(first.server(), requireSend(commands).server());
         }
 
+        /**
+         * Guards against sending a request again and again to a server that is unloading the
+         * request's model. Its retries were used up within 20 ms, and the caller was refused.
+         */
+        @Test
+        void requestWaitsForModelThatItsServerUnloads() {
+            fixture.withServer("e9", ForwardingFixture.ENGINES, "rare");
+            ForwardingCommand.Send send = requireSend(fixture.arrive("/score/1", "rare"));
+            List<ForwardingCommand> commands =
+                    fixture.handle(
+                            new ForwardingEvent.Rejected(
+                                    send.request(),
+                                    Rejection.BUSY,
+                                    Optional.of(new ReportedLoad(1, 0, 8))));
+            assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
+            assertTrue(find(commands, ForwardingCommand.ReportWaiting.class).isPresent());
+        }
+
+        /** Guards against using up all retries at the only server, whose queue is full. */
+        @Test
+        void requestLeavesFullServerAloneForAMoment() {
+            fixture.withServer("e9", ForwardingFixture.ENGINES, "rare");
+            ForwardingCommand.Send send = requireSend(fixture.arrive("/score/1", "rare"));
+            List<ForwardingCommand> commands =
+                    fixture.handle(
+                            new ForwardingEvent.Rejected(
+                                    send.request(),
+                                    Rejection.BUSY,
+                                    Optional.of(new ReportedLoad(8, 24, 8))));
+            assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
+            assertEquals(
+                    send.server(), requireSend(fixture.advance(Duration.ofMillis(200))).server());
+        }
+
         @Test
         void refusesRequestWhenAllServersRejectIt() {
             List<ForwardingCommand> commands = fixture.arrive("/issue/1", "");
