Measure the processor time of gateway processes

Change: ProcessCostMeasurement starts real processes of one or more built programs in turn, beside stand-ins of the store and servers and a gateway that plans, and prints processor seconds by thread, until ready and after a light load.

--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -74,7 +74,7 @@
         new PlatformServerStandIn(ioExecutor, store, "e1", ENGINES, "m1");
         new PlatformServerStandIn(ioExecutor, store, "e2", ENGINES);
         new PlatformServerStandIn(ioExecutor, store, "r1", RECORDS);
-        GatewaySettings settings = settings(store);
+        GatewaySettings settings = settings(store, "trial");
         Gateway gateway = new Gateway(settings);
         gateway.start();
         boolean successful = awaitReady(settings);
@@ -86,9 +86,10 @@
         return successful;
     }
 
-    private static GatewaySettings settings(PlatformStoreStandIn store) {
+    /** Returns settings of a gateway on free ports of loopback. */
+    static GatewaySettings settings(PlatformStoreStandIn store, String instance) {
         return new GatewaySettings(
-                new InstanceId("trial"),
+                new InstanceId(instance),
                 new FailureDomain("home"),
                 FreePort.find(),
                 FreePort.find(),
--- /dev/null
+++ b/src/main/java/org/tarragonlug/trial/ProcessCostMeasurement.java
@@ -0,0 +1,260 @@
+package org.tarragonlug.trial;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.transport.api.IoExecutor;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.gateway.Gateway;
+import org.tarragonlug.gateway.GatewaySettings;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.platform.PlatformPaths;
+import org.tarragonlug.platform.RequestHeaders;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.PlatformServerStandIn;
+import org.tarragonlug.standin.PlatformStoreStandIn;
+
+/**
+ * Measures the processor time of gateway processes: until they are ready, and while they serve few
+ * requests beside the changes of many servers, as one of many instances does.
+ *
+ * <p>Each round starts one process of each program in turn, so that all programs meet the same
+ * disturbances of the machine. A gateway in this process holds all leases and plans, so that the
+ * measured process is an ordinary instance.
+ */
+public final class ProcessCostMeasurement implements AutoCloseable {
+    private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"(.*)\"$");
+    private static final int LISTED_SERVERS = 40;
+    private static final int MODELS_ON_DISK = 10;
+    private static final int CHANGES_PER_SECOND = 10;
+    private static final Duration READY_LIMIT = Duration.ofSeconds(20);
+    private static final int OK = 200;
+    private static final String[] PATHS = {"/ask/1", "/issue/1", "/ask/2", "/read/1"};
+
+    private final PrintStream output;
+    private final int requestsPerSecond;
+    private final Duration length;
+    private final IoExecutor ioExecutor = IoThreads.create(2);
+    private final PlatformStoreStandIn store = new PlatformStoreStandIn(ioExecutor);
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Gateway planner;
+    private long changes;
+    private long requests;
+
+    /**
+     * Starts the stand-ins and the planning gateway.
+     *
+     * @param requestsPerSecond requests that a measured process serves
+     * @param length how long a measured process serves requests
+     * @param output receives the results
+     */
+    public ProcessCostMeasurement(int requestsPerSecond, Duration length, PrintStream output)
+            throws TarragonlugException, IOException {
+        this.requestsPerSecond = requestsPerSecond;
+        this.length = length;
+        this.output = output;
+        try (InputStream configuration =
+                ProcessCostMeasurement.class.getResourceAsStream("/gateway-trial.json")) {
+            store.put(
+                    PlatformKinds.CONFIGURATION,
+                    PlatformKinds.CURRENT_CONFIGURATION,
+                    Json.read(configuration.readAllBytes()));
+        }
+        new PlatformServerStandIn(ioExecutor, store, "e1", "engines", "m1");
+        new PlatformServerStandIn(ioExecutor, store, "r1", "records");
+        for (int server = 0; server < LISTED_SERVERS; server++) {
+            changeServer(server);
+        }
+        this.planner = new Gateway(GatewayTrial.settings(store, "planner"));
+        planner.start();
+    }
+
+    /**
+     * Measures programs in turn.
+     *
+     * @param programs directories with a built program and {@code deploy/system.toml}
+     * @param rounds number of processes of each program
+     */
+    public void run(List<Path> programs, int rounds) throws IOException, InterruptedException {
+        Map<Path, List<Map<String, Double>>> results = new LinkedHashMap<>();
+        for (int round = 0; round < rounds; round++) {
+            for (Path program : programs) {
+                results.computeIfAbsent(program, each -> new ArrayList<>()).add(measure(program));
+            }
+        }
+        output.println("processor seconds, median of " + rounds + " (least)");
+        results.forEach(this::print);
+    }
+
+    private void print(Path program, List<Map<String, Double>> rounds) {
+        Map<String, List<Double>> byName = new TreeMap<>();
+        rounds.forEach(
+                round ->
+                        round.forEach(
+                                (name, seconds) ->
+                                        byName.computeIfAbsent(name, each -> new ArrayList<>())
+                                                .add(seconds)));
+        output.println(program);
+        byName.forEach(
+                (name, seconds) -> {
+                    double[] sorted = seconds.stream().mapToDouble(each -> each).sorted().toArray();
+                    output.printf(
+                            "  %-28s %.3f (%.3f)%n", name, sorted[sorted.length / 2], sorted[0]);
+                });
+    }
+
+    private Map<String, Double> measure(Path program) throws IOException, InterruptedException {
+        GatewaySettings settings = GatewayTrial.settings(store, "measured");
+        Path file = Files.createTempFile("gateway", ".json");
+        Files.write(file, Json.bytes(toJson(settings)));
+        ProcessBuilder builder = new ProcessBuilder(command(program));
+        builder.directory(program.toFile());
+        builder.environment().put("TARRAGONLUG_NODE_FILE", file.toString());
+        builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+        builder.redirectError(ProcessBuilder.Redirect.INHERIT);
+        Process process = builder.start();
+        try {
+            awaitReady(settings);
+            Map<String, Double> result = new TreeMap<>();
+            result.put("start", sum(ProcessorTime.byThread(process.pid())));
+            serve(settings);
+            Map<String, Double> threads = ProcessorTime.byThread(process.pid());
+            threads.forEach((name, seconds) -> result.put("thread " + name, seconds));
+            result.put("whole", sum(threads));
+            return result;
+        } finally {
+            process.destroyForcibly().waitFor();
+            Files.delete(file);
+        }
+    }
+
+    private static double sum(Map<String, Double> seconds) {
+        return seconds.values().stream().mapToDouble(each -> each).sum();
+    }
+
+    private static List<String> command(Path program) throws IOException {
+        Matcher run = RUN_LINE.matcher(Files.readString(program.resolve("deploy/system.toml")));
+        if (!run.find()) {
+            throw new IOException(program + "/deploy/system.toml has no line: run = \"...\"");
+        }
+        return Arrays.asList(run.group(1).split(" "));
+    }
+
+    private static ObjectNode toJson(GatewaySettings settings) {
+        ObjectNode json = Json.object();
+        json.put("instance", settings.instance().value());
+        json.put("failureDomain", settings.failureDomain().value());
+        json.put("callerAddress", text(settings.callerAddress()));
+        json.put("readinessAddress", text(settings.readinessAddress()));
+        json.put("peerAddress", text(settings.peerAddress()));
+        json.put("adminAddress", text(settings.adminAddress()));
+        json.put("storeAddress", text(settings.storeAddress()));
+        return json;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private void awaitReady(GatewaySettings settings) throws IOException, InterruptedException {
+        URI uri =
+                URI.create("http://" + text(settings.readinessAddress()) + PlatformPaths.READINESS);
+        HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
+        long end = System.nanoTime() + READY_LIMIT.toNanos();
+        while (System.nanoTime() < end) {
+            try {
+                if (client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode()
+                        == OK) {
+                    return;
+                }
+            } catch (IOException notListening) {
+                // The process has not bound its address yet.
+            }
+            Thread.sleep(20);
+        }
+        throw new IOException("the process is not ready after " + READY_LIMIT);
+    }
+
+    private void serve(GatewaySettings settings) throws InterruptedException {
+        long start = System.nanoTime();
+        long sent = 0;
+        long changed = 0;
+        while (System.nanoTime() - start < length.toNanos()) {
+            double elapsed = (System.nanoTime() - start) / 1e9;
+            while (sent < elapsed * requestsPerSecond) {
+                send(settings);
+                sent++;
+            }
+            while (changed < elapsed * CHANGES_PER_SECOND) {
+                changeServer((int) (changes % LISTED_SERVERS));
+                changed++;
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    private void send(GatewaySettings settings) {
+        requests++;
+        String path = PATHS[(int) (requests % PATHS.length)];
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(
+                                URI.create("http://" + text(settings.callerAddress()) + path))
+                        .header(RequestHeaders.REQUEST_ID, "measured-" + requests)
+                        .header(RequestHeaders.DEADLINE, "5000")
+                        .POST(HttpRequest.BodyPublishers.ofString("x".repeat(600)));
+        if (path.startsWith("/ask")) {
+            request.header(RequestHeaders.MODEL, "m1");
+        }
+        client.sendAsync(request.build(), HttpResponse.BodyHandlers.discarding());
+    }
+
+    /** Writes a server's entry with other models than before. */
+    private void changeServer(int server) {
+        changes++;
+        ObjectNode entry = Json.object();
+        entry.put("service", "others");
+        entry.put("address", "127.0.0.1:" + (20_000 + server));
+        entry.put("zone", "home");
+        entry.put("version", "v1");
+        entry.put("slots", 8);
+        entry.put("state", "ready");
+        entry.put("seq", changes);
+        entry.put("born", 1);
+        ArrayNode models = entry.putArray("models");
+        for (int model = 0; model < 3; model++) {
+            models.addObject().put("name", "model-" + (changes + model)).putArray("adapters");
+        }
+        ArrayNode onDisk = entry.putObject("available").putArray("on_disk");
+        for (int model = 0; model < MODELS_ON_DISK; model++) {
+            onDisk.add("model-" + (server * MODELS_ON_DISK + model));
+        }
+        store.put(PlatformKinds.SERVERS, "listed-" + server, entry);
+    }
+
+    @Override
+    public void close() {
+        planner.stop();
+        store.close();
+        ioExecutor.closeAsync().subscribe();
+    }
+}
