Spread requests over servers by what all instances have in flight

An instance counted its own requests and what answers told it; with 95 instances that is nearly nothing, and servers of equal cost were chosen in one order by all.

Change: reports to the planner carry the requests in flight by server, and its notices the sums (InFlightTotals). A new sum changes an instance's estimate in part only, since all instances see the same one. The selector adds a random cost that is a hash of request and server, and takes load by its square. 'measure choice' simulates 8 to 410 instances, 'measure fleet' whole deployments with coordinators, planner and model servers.

--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -36,6 +36,27 @@
         return servers.values();
     }
 
+    /**
+     * Returns the requests that this instance has in flight, by server; servers without requests
+     * are left out.
+     */
+    public Map<ServerId, Integer> inFlight() {
+        Map<ServerId, Integer> counts = new HashMap<>();
+        for (FleetServer server : servers.values()) {
+            if (server.inFlight() > 0) {
+                counts.put(server.id(), server.inFlight());
+            }
+        }
+        return counts;
+    }
+
+    /** Records how many requests all instances together have in flight, by server. */
+    public void recordTotalsInFlight(Map<ServerId, Integer> totals, Instant now) {
+        for (FleetServer server : servers.values()) {
+            server.recordTotalInFlight(totals.getOrDefault(server.id(), 0), now);
+        }
+    }
+
     /** Returns how many servers are available for new requests. */
     public long availableCount(Instant now) {
         return servers.values().stream().filter(server -> server.isAvailable(now)).count();
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -19,6 +19,9 @@
     /** Time within which a reported load loses half of its weight. */
     private static final Duration LOAD_HALF_LIFE = Duration.ofMillis(800);
 
+    /** Weight of a new total against the estimate before it. */
+    private static final double NEW_TOTAL_WEIGHT = 0.4;
+
     /**
      * Time within which the failure rate halves. The decay lets a server that failed receive
      * requests again.
@@ -134,25 +137,43 @@
         return inFlight;
     }
 
-    void onRequestSent() {
+    /** Counts a request that this instance sends to the server. */
+    public void onRequestSent() {
         inFlight++;
     }
 
-    void onRequestEnded() {
+    /** Counts the end of a request that this instance sent to the server. */
+    public void onRequestEnded() {
         inFlight = Math.max(0, inFlight - 1);
     }
 
-    void recordReportedLoad(ReportedLoad load, Instant now) {
+    /** Records the load that the server stated with an answer. */
+    public void recordReportedLoad(ReportedLoad load, Instant now) {
         otherInstancesLoad = Math.max(0, load.total() - inFlight);
         loadReportedAt = now;
     }
 
+    /**
+     * Records the number of requests that all instances together have in flight on the server. All
+     * instances receive nearly the same totals; if each of them followed every change, they would
+     * move from server to server together. A new total therefore changes the estimate only in part.
+     */
+    void recordTotalInFlight(int total, Instant now) {
+        double before = otherInstancesLoad(now);
+        otherInstancesLoad = before + NEW_TOTAL_WEIGHT * (Math.max(0, total - inFlight) - before);
+        loadReportedAt = now;
+    }
+
+    private double otherInstancesLoad(Instant now) {
+        return otherInstancesLoad * decay(loadReportedAt, now, LOAD_HALF_LIFE);
+    }
+
     /**
      * Estimates the number of requests at the server. This instance's own requests are counted
      * exactly; those of other instances come from the last reported load, with decay.
      */
     public double load(Instant now) {
-        return inFlight + otherInstancesLoad * decay(loadReportedAt, now, LOAD_HALF_LIFE);
+        return inFlight + otherInstancesLoad(now);
     }
 
     void recordOutcome(boolean failed, Instant now) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -158,6 +158,8 @@
             dispatchWaiting(now);
         } else if (event instanceof ForwardingEvent.InstancesCounted counted) {
             instances.update(counted.instances(), now);
+        } else if (event instanceof ForwardingEvent.LoadAnnounced announced) {
+            fleet.recordTotalsInFlight(announced.totals(), now);
         } else if (event instanceof ForwardingEvent.QueueClosed) {
             queueClosed = true;
             dispatchWaiting(now);
@@ -253,7 +255,12 @@
     private Optional<FleetServer> choose(
             PendingForward forward, Set<ServerId> excluded, Instant now) {
         return selector.choose(
-                forward.service, forward.request.model(), forward.request.prefix(), excluded, now);
+                forward.service,
+                forward.request.model(),
+                forward.request.prefix(),
+                excluded,
+                forward.request.callerRequestId(),
+                now);
     }
 
     private void waitForModel(PendingForward forward, Instant now) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.forwarding;
 
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
@@ -75,6 +76,17 @@
      */
     record InstancesCounted(int instances) implements ForwardingEvent {}
 
+    /**
+     * The planner announced how many requests all instances together have in flight.
+     *
+     * @param totals number of requests by server; servers without requests are left out
+     */
+    record LoadAnnounced(Map<ServerId, Integer> totals) implements ForwardingEvent {
+        public LoadAnnounced {
+            totals = Map.copyOf(totals);
+        }
+    }
+
     /**
      * The process is about to stop. From now on no request may wait for a server; requests that a
      * server is processing may complete.
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
@@ -19,9 +19,20 @@
  * change of the servers moves only the prefixes of the changed server. The bonus grows with the
  * length of the prefix but never exceeds {@link #MAX_PREFIX_BONUS}. The bound makes requests with a
  * popular prefix spill over to other servers before requests queue at the server of the prefix.
+ *
+ * <p>What an instance knows of the load is old: with many instances, most requests at a server come
+ * from others. Instances that always chose the lowest cost would all choose the same server until
+ * the news of its load arrives, and then all choose the next one. Therefore each request adds a
+ * random cost of its own to every server, so that a server is chosen with a probability that falls
+ * exponentially with its cost. A difference of {@link #SPREAD} divides the probability by e; much
+ * cheaper servers are still chosen almost always. The random costs are hashes of request and
+ * server, so that a repeated choice for the same request does not vary by chance.
+ *
+ * <p>Load costs its square: below about half of the slots it hardly delays requests, so prefix and
+ * distance decide there, while near the full number of slots load decides alone.
  */
 public final class ServerSelector {
-    /** Cost of a server in another failure domain, equal to a load of this share of its slots. */
+    /** Cost of a server in another failure domain. */
     private static final double DISTANCE_COST = 0.12;
 
     /** Cost per unit of the failure rate beyond {@link #TOLERATED_FAILURE_RATE}. */
@@ -33,6 +44,12 @@
     private static final double MAX_PREFIX_BONUS = 0.35;
     private static final double BONUS_PER_PREFIX_TOKEN = 0.35 / 2000;
 
+    /** Difference of costs that makes a server less likely by a factor of e. */
+    private static final double SPREAD = 0.08;
+
+    /** Number of random bits in the fraction of a double. */
+    private static final int FRACTION_BITS = 53;
+
     private final Fleet fleet;
     private final FailureDomain homeDomain;
     private final Hasher hasher;
@@ -57,6 +74,7 @@
      * @param model model and adapter that the server must hold; empty for a plain service
      * @param prefix prompt prefix that the request shares with others
      * @param excluded servers that must not receive this request again
+     * @param requestId id of the request, which determines its random costs
      * @param now the present time
      * @return the chosen server
      */
@@ -65,6 +83,7 @@
             Optional<ModelKey> model,
             PromptPrefix prefix,
             Set<ServerId> excluded,
+            String requestId,
             Instant now) {
         FleetServer best = null;
         FleetServer prefixOwner = null;
@@ -86,7 +105,7 @@
             if (!isEligible(server, service, model, now) || excluded.contains(server.id())) {
                 continue;
             }
-            double cost = cost(server, now);
+            double cost = cost(server, now) + randomCost(requestId, server);
             if (server == prefixOwner) {
                 cost -= Math.min(MAX_PREFIX_BONUS, prefix.tokens() * BONUS_PER_PREFIX_TOKEN);
             }
@@ -109,6 +128,16 @@
         double load = server.load(now) / Math.max(1, server.listing().slots());
         double distance = server.failureDomain().equals(homeDomain) ? 0 : DISTANCE_COST;
         double failures = Math.max(0, server.failureRate(now) - TOLERATED_FAILURE_RATE);
-        return load + distance + failures * FAILURE_COST;
+        return load * load + distance + failures * FAILURE_COST;
+    }
+
+    /**
+     * Returns a Gumbel-distributed cost. The minimum of costs with such additions falls on a server
+     * with a probability proportional to exp(-cost / {@link #SPREAD}).
+     */
+    private double randomCost(String requestId, FleetServer server) {
+        long hash = hasher.hash(requestId + "@" + server.id());
+        double uniform = ((hash >>> (Long.SIZE - FRACTION_BITS)) + 0.5) / (1L << FRACTION_BITS);
+        return SPREAD * Math.log(-Math.log(uniform));
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/DemandCollector.java
+++ b/src/main/java/org/tarragonlug/decision/placement/DemandCollector.java
@@ -1,4 +1,4 @@
-package org.tarragonlug.gateway;
+package org.tarragonlug.decision.placement;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
-import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServiceName;
 
@@ -21,12 +20,12 @@
  * included in the next periodic report. The two audiences receive their reports at different times,
  * so the collector keeps separate counts for each.
  */
-final class DemandCollector {
+public final class DemandCollector {
     /** A wait for a model counts as ended if it has not been recorded again for this long. */
     private static final Duration WAIT_VALIDITY = Duration.ofMillis(600);
 
     /** Receivers of reports. */
-    enum Audience {
+    public enum Audience {
         /** The instance that decides on the placement of models. */
         PLANNER,
         /** Lease holders that do not plan now but may take over planning. */
@@ -52,19 +51,21 @@
      * @param requestUrgentReport called when a report should be sent without waiting for the next
      *     periodic one
      */
-    DemandCollector(Runnable requestUrgentReport) {
+    public DemandCollector(Runnable requestUrgentReport) {
         this.requestUrgentReport = requestUrgentReport;
         for (Audience audience : Audience.values()) {
             entries.put(audience, new HashMap<>());
         }
     }
 
-    void recordArrival(ServiceName service, ModelKey key) {
+    /** Counts a request that arrived at this instance. */
+    public void recordArrival(ServiceName service, ModelKey key) {
         ServiceModel model = new ServiceModel(service, key);
         entries.values().forEach(each -> entry(each, model).arrivals++);
     }
 
-    void recordWait(ForwardingCommand.ReportWaiting wait, Instant now) {
+    /** Records that a request waits; a new wait asks for an immediate report. */
+    public void recordWait(ForwardingCommand.ReportWaiting wait, Instant now) {
         ServiceModel model = new ServiceModel(wait.service(), wait.key());
         boolean isNew = false;
         for (Map<ServiceModel, Entry> each : entries.values()) {
@@ -102,7 +103,7 @@
      * An entry without arrivals and without waiting requests is returned once more with zeros and
      * then removed, so the receiver sees that the demand has ended.
      */
-    List<ModelDemand> collect(Audience audience, Instant now) {
+    public List<ModelDemand> collect(Audience audience, Instant now) {
         List<ModelDemand> demands = new ArrayList<>();
         Iterator<Map.Entry<ServiceModel, Entry>> iterator =
                 entries.get(audience).entrySet().iterator();
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -16,9 +16,11 @@
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
+import org.tarragonlug.decision.placement.DemandCollector;
 import org.tarragonlug.http.ConnectionUse;
 import org.tarragonlug.http.HttpCall;
 import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.id.ServerId;
 import org.tarragonlug.platform.RequestHeaders;
 import org.tarragonlug.runtime.Addresses;
 import org.tarragonlug.runtime.EventLog;
@@ -89,6 +91,11 @@
         }
     }
 
+    /** Returns the requests that this instance has in flight, by server. */
+    Map<ServerId, Integer> inFlight() {
+        return coordinator.fleet().inFlight();
+    }
+
     /** Handles an event after all events that are already queued. */
     void post(ForwardingEvent event) {
         eventQueue.add(event);
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -10,11 +10,14 @@
 import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.decision.forwarding.InFlightTotals;
+import org.tarragonlug.decision.placement.DemandCollector;
+import org.tarragonlug.decision.placement.DemandCollector.Audience;
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
 import org.tarragonlug.decision.placement.PlacementEvent;
-import org.tarragonlug.gateway.DemandCollector.Audience;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ServerId;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.peer.PeerTransport;
 import org.tarragonlug.runtime.Addresses;
@@ -49,6 +52,7 @@
     private final TimerService timers;
     private final DemandCollector demandCollector;
     private final PendingNotices pendingNotices = new PendingNotices();
+    private final InFlightTotals inFlightTotals = new InFlightTotals();
 
     /** Time of the last notice from each lease holder that said that it plans. */
     private final Map<InstanceId, Instant> planningSignals = new HashMap<>();
@@ -103,6 +107,7 @@
         Instant now = timers.now();
         if (placement.isPlanning()) {
             publishInstanceCount(pendingNotices.reporterCount(now));
+            forwarding.post(new ForwardingEvent.LoadAnnounced(inFlightTotals.totals(now)));
         }
         sendReport(Audience.PLANNER, now);
         standbyReportDue = !standbyReportDue;
@@ -118,11 +123,15 @@
             return;
         }
         List<ModelDemand> demands = demandCollector.collect(audience, now);
+        Map<ServerId, Integer> inFlight = forwarding.inFlight();
+        if (placement.isPlanning()) {
+            inFlightTotals.onReport(self, inFlight, now);
+        }
         if (includesSelf) {
             placement.post(new PlacementEvent.DemandReported(self, demands));
         }
         PeerMessage message =
-                new PeerMessage.ModelDemandReport(PeerMessage.FORMAT_VERSION, demands);
+                new PeerMessage.ModelDemandReport(PeerMessage.FORMAT_VERSION, demands, inFlight);
         receivers.forEach((holder, address) -> send(holder, address, message));
     }
 
@@ -167,6 +176,7 @@
         Instant now = timers.now();
         if (message instanceof PeerMessage.ModelDemandReport report) {
             pendingNotices.onReport(from, report.demands(), now);
+            inFlightTotals.onReport(from, report.inFlight(), now);
             placement.post(new PlacementEvent.DemandReported(from, report.demands()));
             sendNotice(from, now);
         } else if (message instanceof PeerMessage.PlacementNotice notice) {
@@ -203,6 +213,7 @@
         if (notice.planning()) {
             planningSignals.put(from, now);
             publishInstanceCount(notice.reporters());
+            forwarding.post(new ForwardingEvent.LoadAnnounced(notice.inFlight()));
         } else {
             planningSignals.remove(from);
         }
@@ -286,6 +297,7 @@
                         placement.isPlanning(),
                         pendingNotices.reporterCount(now),
                         notices.replicas(),
-                        notices.expectations()));
+                        notices.expectations(),
+                        placement.isPlanning() ? inFlightTotals.totals(now) : Map.of()));
     }
 }
--- a/src/main/java/org/tarragonlug/peer/IdModule.java
+++ b/src/main/java/org/tarragonlug/peer/IdModule.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.JsonDeserializer;
 import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.KeyDeserializer;
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import java.io.IOException;
@@ -45,6 +46,7 @@
         text(ModelKey.class, ModelKey::parse);
         text(ServerId.class, ServerId::new);
         text(ServiceName.class, ServiceName::new);
+        key(ServerId.class, ServerId::new);
         number(ConfigurationVersion.class, ConfigurationVersion::value, ConfigurationVersion::new);
         number(
                 OrderGroup.class,
@@ -85,6 +87,23 @@
                 });
     }
 
+    /** Registers an id as a key of maps; keys are written with {@code toString}. */
+    private <T> void key(Class<T> type, Function<String, T> parser) {
+        addKeyDeserializer(
+                type,
+                new KeyDeserializer() {
+                    @Override
+                    public Object deserializeKey(String text, DeserializationContext context)
+                            throws IOException {
+                        try {
+                            return parser.apply(text);
+                        } catch (IllegalArgumentException e) {
+                            return context.handleWeirdKey(type, text, "%s", e.getMessage());
+                        }
+                    }
+                });
+    }
+
     private <T> void number(Class<T> type, Function<T, Long> writer, Function<Long, T> parser) {
         addSerializer(
                 type,
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.tarragonlug.decision.capacity.Demand;
 import org.tarragonlug.decision.capacity.LoadTicket;
@@ -252,10 +253,14 @@
      * @param formatVersion format version of the sender
      * @param demands demand for each model that has waiting requests or arrivals since the last
      *     report
+     * @param inFlight requests that the sender has in flight, by server
      */
-    record ModelDemandReport(int formatVersion, List<ModelDemand> demands) implements PeerMessage {
+    record ModelDemandReport(
+            int formatVersion, List<ModelDemand> demands, Map<ServerId, Integer> inFlight)
+            implements PeerMessage {
         public ModelDemandReport {
             demands = List.copyOf(demands);
+            inFlight = Map.copyOf(inFlight);
         }
     }
 
@@ -270,6 +275,7 @@
      * @param reporters number of instances that report to the sender
      * @param replicas changes of replicas that the listings of their servers may not show yet
      * @param expectations estimates of when the models that requests wait for will be ready
+     * @param inFlight requests that all instances together have in flight; only from the planner
      */
     record PlacementNotice(
             int formatVersion,
@@ -277,9 +283,11 @@
             boolean planning,
             int reporters,
             List<ReplicaChange> replicas,
-            List<ReadinessEstimate> expectations)
+            List<ReadinessEstimate> expectations,
+            Map<ServerId, Integer> inFlight)
             implements PeerMessage {
         public PlacementNotice {
+            inFlight = Map.copyOf(inFlight);
             leases = List.copyOf(leases);
             replicas = List.copyOf(replicas);
             expectations = List.copyOf(expectations);
--- /dev/null
+++ b/src/main/java/org/tarragonlug/simulation/FleetMeasurement.java
@@ -0,0 +1,34 @@
+package org.tarragonlug.simulation;
+
+import java.io.PrintStream;
+import org.tarragonlug.decision.Hasher;
+
+/** Plays a scenario in virtual time and prints how its requests ended. */
+public final class FleetMeasurement {
+    private FleetMeasurement() {}
+
+    /**
+     * Plays a scenario and prints its table.
+     *
+     * @param scenario the scenario
+     * @param instances number of instances
+     * @param hasher hashes requests and prefixes to servers
+     * @param seed seed of the traffic and the placement at the start
+     * @param output receives the table
+     */
+    public static void run(
+            FleetScenarios scenario, int instances, Hasher hasher, long seed, PrintStream output) {
+        FleetSimulation simulation =
+                new FleetSimulation(scenario.scenario(instances), hasher, seed);
+        FleetRecorder recorder = simulation.run();
+        output.printf("%s, %d instances, seed %d%n", scenario, instances, seed);
+        recorder.print(output);
+        output.println("orders: " + simulation.planner().orders());
+        long read = simulation.servers().stream().mapToLong(ModelServer::readTokens).sum();
+        long again = simulation.servers().stream().mapToLong(ModelServer::reReadTokens).sum();
+        int violations = simulation.servers().stream().mapToInt(ModelServer::violations).sum();
+        output.printf(
+                "remote loads %d, prompt tokens read %d (shared %d), overloads %d%n",
+                simulation.remoteLoads(), read, again, violations);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
@@ -0,0 +1,443 @@
+package org.tarragonlug.simulation;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.tarragonlug.decision.Hasher;
+import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.decision.forwarding.ForwardingRoute;
+import org.tarragonlug.decision.forwarding.ForwardingService;
+import org.tarragonlug.decision.forwarding.ForwardingTable;
+import org.tarragonlug.decision.forwarding.ModelCatalog;
+import org.tarragonlug.decision.forwarding.ModelSpecification;
+import org.tarragonlug.decision.forwarding.PromptPrefix;
+import org.tarragonlug.decision.forwarding.RequestKind;
+import org.tarragonlug.decision.forwarding.ServerListing;
+import org.tarragonlug.decision.forwarding.WeightedService;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.RouteName;
+import org.tarragonlug.id.ServerId;
+import org.tarragonlug.measure.VirtualTime;
+
+/** Runs the traffic of a scenario through simulated instances, a planner and model servers. */
+final class FleetSimulation {
+    static final String HOST = "simulated.example";
+
+    /** Share of the busy requests by rank of the model, the busiest first. */
+    private static final double[] BUSY_SHARES = {0.3, 0.16, 0.13, 0.12, 0.11, 0.10, 0.08};
+
+    private static final int[] BUSY_REPLICAS = {5, 3, 2, 2, 2, 2, 2};
+    private static final int RESIDENT_MODELS = 2;
+    private static final Duration MIN_CALLER_PATIENCE = Duration.ofSeconds(2);
+    private static final double LISTING_DELAY_MILLIS = 25;
+    private static final double WATCH_PAUSE_MILLIS = 1100;
+    private static final Duration HEARTBEAT = Duration.ofMillis(1200);
+    private static final int CALLER_RETRIES = 1;
+
+    private final FleetScenario scenario;
+    private final Random random;
+    private final VirtualTime time = new VirtualTime();
+    private final Map<String, SimulatedModel> catalog = new LinkedHashMap<>();
+    private final Map<ServerId, ModelServer> servers = new LinkedHashMap<>();
+    private final List<SimulatedInstance> instances = new ArrayList<>();
+    private final SharedWeightStore weightStore;
+    private final SimulatedPlanner planner;
+    private final FleetRecorder recorder;
+    private final Instant trafficStart;
+    private long requestCount;
+    private long listingCount;
+
+    FleetSimulation(FleetScenario scenario, Hasher hasher, long seed) {
+        this.scenario = scenario;
+        this.random = new Random(seed);
+        this.trafficStart = Instant.EPOCH.plus(scenario.leadTime());
+        this.recorder = new FleetRecorder(trafficStart);
+        this.weightStore = new SharedWeightStore(time, scenario.parallelLoads());
+        scenario.models().forEach(model -> catalog.put(model.name(), model));
+        for (int number = 0; number < scenario.servers(); number++) {
+            addServer(number);
+        }
+        placeModels();
+        this.planner = new SimulatedPlanner(time, servers);
+        for (int number = 0; number < scenario.instances(); number++) {
+            instances.add(
+                    new SimulatedInstance(
+                            number, scenario, time, servers, planner, recorder, hasher));
+        }
+    }
+
+    private void addServer(int number) {
+        ServerId id = new ServerId("server-" + number);
+        servers.put(
+                id,
+                new ModelServer(
+                        number,
+                        scenario,
+                        catalog,
+                        time,
+                        weightStore,
+                        () -> publishListing(servers.get(id))));
+        time.afterMillis(
+                random.nextDouble() * HEARTBEAT.toMillis(), () -> heartbeat(servers.get(id)));
+    }
+
+    /** Places busy models on several servers and others on one each, as far as there is room. */
+    private void placeModels() {
+        List<ModelServer> order = new ArrayList<>(servers.values());
+        Collections.shuffle(order, random);
+        int next = 0;
+        for (int rank = 0; rank < 2 * scenario.busyModels(); rank++) {
+            int replicas = rank < BUSY_REPLICAS.length ? BUSY_REPLICAS[rank] : 1;
+            for (int replica = 0; replica < replicas; replica++) {
+                order.get(next++ % order.size()).preload(scenario.models().get(rank).name());
+            }
+        }
+        List<SimulatedModel> rare =
+                new ArrayList<>(
+                        scenario.models()
+                                .subList(2 * scenario.busyModels(), scenario.models().size()));
+        Collections.shuffle(rare, random);
+        for (ModelServer server : order) {
+            while (server.listing().models().size() < RESIDENT_MODELS && !rare.isEmpty()) {
+                server.preload(rare.remove(0).name());
+            }
+            boolean fits = true;
+            while (fits) {
+                int index = 2 * scenario.busyModels() + random.nextInt(rareCount());
+                fits = server.preloadDisk(scenario.models().get(index).name());
+            }
+        }
+    }
+
+    /** Publishes a listing if adapters changed, which servers do not tell at once. */
+    private void heartbeat(ModelServer server) {
+        if (server.takeAdaptersChanged() && !server.isDown()) {
+            publishListing(server);
+        }
+        time.after(HEARTBEAT, () -> heartbeat(server));
+    }
+
+    private void publishListing(ModelServer server) {
+        ServerListing listing = server.listing();
+        listingCount++;
+        long version = listingCount;
+        time.afterMillis(LISTING_DELAY_MILLIS, () -> planner.onServerListed(listing));
+        for (SimulatedInstance instance : instances) {
+            time.afterMillis(
+                    LISTING_DELAY_MILLIS + random.nextDouble() * WATCH_PAUSE_MILLIS,
+                    () -> instance.onServerListed(listing, version));
+        }
+    }
+
+    FleetRecorder run() {
+        ForwardingTable table = table();
+        planner.start(table);
+        for (SimulatedInstance instance : instances) {
+            instance.start(table, random.nextDouble() * 400);
+            servers.values()
+                    .forEach(
+                            each ->
+                                    instance.post(
+                                            new ForwardingEvent.ServerListed(each.listing())));
+        }
+        time.runUntil(trafficStart);
+        scenario.faults().forEach(fault -> time.after(fault.at(), () -> begin(fault)));
+        scenario.requests().forEach(this::scheduleArrival);
+        time.runUntil(trafficStart.plus(scenario.length()).plusSeconds(20));
+        return recorder;
+    }
+
+    SimulatedPlanner planner() {
+        return planner;
+    }
+
+    List<ModelServer> servers() {
+        return List.copyOf(servers.values());
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    int remoteLoads() {
+        return weightStore.started();
+    }
+
+    private ForwardingTable table() {
+        Map<String, ModelSpecification> models = new LinkedHashMap<>();
+        scenario.models()
+                .forEach(
+                        model ->
+                                models.put(
+                                        model.name(),
+                                        model.specification(scenario.remoteLoadTime())));
+        ModelCatalog modelCatalog =
+                new ModelCatalog(
+                        models,
+                        scenario.capacityMegabytes(),
+                        scenario.adapterSlots(),
+                        scenario.loadsPerSecond());
+        List<ForwardingRoute> routes = scenario.requests().stream().map(this::route).toList();
+        return new ForwardingTable(
+                new ConfigurationVersion(1),
+                routes,
+                List.of(
+                        new ForwardingService(
+                                ModelServer.SERVICE, Optional.of(modelCatalog), 1000)));
+    }
+
+    static String path(RequestProfile profile) {
+        return "/" + profile.name() + "/";
+    }
+
+    private ForwardingRoute route(RequestProfile profile) {
+        return new ForwardingRoute(
+                new RouteName(profile.name()),
+                HOST,
+                path(profile),
+                RequestKind.STREAMING,
+                profile.timeout(),
+                profile.target(),
+                profile.priority(),
+                List.of(new WeightedService(ModelServer.SERVICE, 1)),
+                profile.maximumAttempts(),
+                profile.resumable(),
+                profile.gapTarget());
+    }
+
+    // Faults
+
+    private void begin(SimulatedFault fault) {
+        if (fault.kind() == SimulatedFault.Kind.NO_PLANNING) {
+            planner.setSuspended(true);
+            time.after(fault.length(), () -> planner.setSuspended(false));
+            return;
+        }
+        List<ModelServer> concerned = new ArrayList<>(servers.values());
+        concerned.removeIf(ModelServer::isDown);
+        Collections.shuffle(concerned, random);
+        for (ModelServer server : concerned.subList(0, fault.servers())) {
+            switch (fault.kind()) {
+                case CRASH -> crash(server, fault.length());
+                case REPLACE -> replace(server);
+                default -> slowDown(server, fault);
+            }
+        }
+    }
+
+    private void crash(ModelServer server, Duration length) {
+        server.crash(length);
+        publishListing(server);
+    }
+
+    private void slowDown(ModelServer server, SimulatedFault fault) {
+        server.setSlowness(fault.factor());
+        time.after(fault.length(), () -> server.setSlowness(1));
+    }
+
+    private void replace(ModelServer old) {
+        old.crash(Duration.ofHours(1));
+        planner.onServerRemoved(old.id());
+        for (SimulatedInstance instance : instances) {
+            time.afterMillis(
+                    random.nextDouble() * WATCH_PAUSE_MILLIS,
+                    () -> instance.post(new ForwardingEvent.ServerUnlisted(old.id())));
+        }
+        int number = servers.size();
+        addServer(number);
+        publishListing(servers.get(new ServerId("server-" + number)));
+    }
+
+    // Traffic
+
+    private boolean inBurst() {
+        Duration at = Duration.between(trafficStart, time.now());
+        return at.compareTo(scenario.burstStart()) >= 0
+                && at.compareTo(scenario.burstStart().plus(scenario.burstLength())) < 0;
+    }
+
+    private void scheduleArrival(RequestProfile profile) {
+        double rate = profile.perSecond();
+        if (profile.rareModels() && inBurst()) {
+            rate *= scenario.burstFactor();
+        }
+        time.afterMillis(
+                -1000 / rate * Math.log(1 - random.nextDouble()),
+                () -> {
+                    if (time.now().isBefore(trafficStart.plus(scenario.length()))) {
+                        arrive(profile);
+                        scheduleArrival(profile);
+                    }
+                });
+    }
+
+    private void arrive(RequestProfile profile) {
+        SimulatedModel model = profile.rareModels() ? rareModel() : busyModel();
+        boolean adapter = model.adapters() > 0 && random.nextDouble() < profile.adapterShare();
+        ModelKey key =
+                new ModelKey(
+                        model.name(), adapter ? "a" + (1 + random.nextInt(model.adapters())) : "");
+        PromptPrefix prefix = PromptPrefix.NONE;
+        if (profile.sharedTokens() > 0) {
+            int part = random.nextInt(profile.sharedParts());
+            prefix =
+                    new PromptPrefix(
+                            model.name() + "#" + key.adapter() + "#" + part,
+                            profile.sharedTokens());
+        }
+        requestCount++;
+        CallerRequest request =
+                new CallerRequest(
+                        requestCount,
+                        profile,
+                        key,
+                        prefix,
+                        (int) exponential(profile.promptTokens()),
+                        (int) Math.min(4 * profile.events(), exponential(profile.events())),
+                        random.nextInt(scenario.domains()),
+                        time.now());
+        new Attempt(request).start();
+    }
+
+    private double exponential(double mean) {
+        return 1 - mean * Math.log(1 - random.nextDouble());
+    }
+
+    private int rareCount() {
+        return scenario.models().size() - scenario.busyModels() * 2;
+    }
+
+    private SimulatedModel rareModel() {
+        return scenario.models().get(scenario.busyModels() * 2 + random.nextInt(rareCount()));
+    }
+
+    /** Chooses among the busy models, whose ranks shift by one model each period. */
+    private SimulatedModel busyModel() {
+        double shift =
+                (double) Duration.between(trafficStart, time.now()).toMillis()
+                        / scenario.shiftPeriod().toMillis();
+        int shifted = (int) shift + (random.nextDouble() < shift - (int) shift ? 1 : 0);
+        double point = random.nextDouble();
+        int rank = 0;
+        while (rank < scenario.busyModels() - 1 && point > BUSY_SHARES[rank]) {
+            point -= BUSY_SHARES[rank];
+            rank++;
+        }
+        return scenario.models().get((rank + shifted) % (2 * scenario.busyModels()));
+    }
+
+    /** One attempt of a caller at one instance. */
+    private final class Attempt implements SimulatedInstance.Caller {
+        private final CallerRequest request;
+        private final SimulatedInstance instance;
+        private final Instant startedAt = time.now();
+        private long call;
+        private boolean ended;
+
+        Attempt(CallerRequest request) {
+            this.request = request;
+            int perDomain = scenario.instances() / scenario.domains();
+            int index = request.domain + scenario.domains() * random.nextInt(perDomain);
+            this.instance = instances.get(index);
+        }
+
+        void start() {
+            request.attempts++;
+            request.lastEventAt = time.now();
+            call = instance.onRequest(request, this);
+            watch();
+        }
+
+        /** Leaves when no event has arrived for the caller's patience. */
+        private void watch() {
+            if (ended) {
+                return;
+            }
+            Instant leaveAt = request.lastEventAt.plus(patience());
+            Instant deadline = request.arrivedAt.plus(request.profile.timeout());
+            leaveAt = leaveAt.isBefore(deadline) ? leaveAt : deadline;
+            if (!time.now().isBefore(leaveAt)) {
+                instance.onCallerLeft(call);
+                end(FleetRecorder.End.ABANDONED);
+            } else {
+                time.after(Duration.between(time.now(), leaveAt), this::watch);
+            }
+        }
+
+        private Duration patience() {
+            Duration patience = MIN_CALLER_PATIENCE;
+            Duration targets = request.profile.target().multipliedBy(4);
+            Duration gaps = request.profile.gapTarget().multipliedBy(8);
+            patience = targets.compareTo(patience) > 0 ? targets : patience;
+            return gaps.compareTo(patience) > 0 ? gaps : patience;
+        }
+
+        private void addHeldTime() {
+            request.held = request.held.plus(Duration.between(startedAt, time.now()));
+        }
+
+        private void end(FleetRecorder.End how) {
+            if (!ended) {
+                ended = true;
+                addHeldTime();
+                recorder.record(request, how);
+            }
+        }
+
+        @Override
+        public void onEvent(int event) {
+            if (!ended) {
+                request.onEvent(event, time.now());
+            }
+        }
+
+        @Override
+        public void onOffered() {
+            Duration elapsed = Duration.between(request.arrivedAt, time.now());
+            request.offeredInTime |= elapsed.compareTo(request.profile.target()) <= 0;
+        }
+
+        @Override
+        public void onAnswered() {
+            boolean inTarget = request.inTarget();
+            end(inTarget ? FleetRecorder.End.IN_TARGET : FleetRecorder.End.LATE);
+        }
+
+        @Override
+        public void onRefused(Optional<Duration> retryAfter) {
+            if (ended) {
+                return;
+            }
+            Duration left =
+                    Duration.between(time.now(), request.arrivedAt.plus(request.profile.timeout()));
+            Duration pause = retryAfter.orElse(Duration.ofMillis(100));
+            Duration longest = left.dividedBy(3);
+            pause = pause.compareTo(longest) > 0 ? longest : pause;
+            if (request.attempts <= CALLER_RETRIES && !left.isNegative()) {
+                addHeldTime();
+                ended = true;
+                time.after(pause, () -> new Attempt(request).start());
+            } else {
+                end(FleetRecorder.End.REFUSED);
+            }
+        }
+
+        @Override
+        public void onFailed() {
+            if (!ended && request.profile.resumable() && request.attempts <= CALLER_RETRIES) {
+                addHeldTime();
+                ended = true;
+                new Attempt(request).start();
+            } else {
+                end(FleetRecorder.End.FAILED);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedFault.java
@@ -0,0 +1,26 @@
+package org.tarragonlug.simulation;
+
+import java.time.Duration;
+
+/**
+ * A fault of a simulated deployment.
+ *
+ * @param kind what fails
+ * @param at start, from the start of the traffic
+ * @param servers number of servers that are concerned
+ * @param length how long the fault lasts
+ * @param factor by how much slower slow servers work
+ */
+record SimulatedFault(Kind kind, Duration at, int servers, Duration length, double factor) {
+    /** Kinds of faults. */
+    enum Kind {
+        /** Servers crash and restart without models; their disks survive. */
+        CRASH,
+        /** Servers are replaced by new ones that hold nothing and have empty disks. */
+        REPLACE,
+        /** Servers work slower, while their answers say nothing of it. */
+        SLOW,
+        /** The planner gives no orders. */
+        NO_PLANNING
+    }
+}
--- a/src/main/java/org/tarragonlug/tool/MeasureCommand.java
+++ b/src/main/java/org/tarragonlug/tool/MeasureCommand.java
@@ -1,10 +1,20 @@
 package org.tarragonlug.tool;
 
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.measure.Deployment;
 import org.tarragonlug.measure.KeepWarmMeasurement;
 import org.tarragonlug.measure.MembershipMeasurement;
 import org.tarragonlug.measure.RequestMeasurement;
 import org.tarragonlug.measure.ScaleMeasurement;
+import org.tarragonlug.measure.ServerChoiceMeasurement;
+import org.tarragonlug.runtime.Hash4jHasher;
+import org.tarragonlug.simulation.FleetMeasurement;
+import org.tarragonlug.simulation.FleetScenarios;
+import org.tarragonlug.trial.ProcessCostMeasurement;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -60,6 +70,72 @@
         return ExitStatus.SUCCESS;
     }
 
+    @Command(
+            name = "choice",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Load of the servers when many instances choose among them, by rule of choice.")
+    int choice(
+            @Option(
+                            names = "--seed",
+                            defaultValue = "1",
+                            description = "Seed of the random numbers.")
+                    long seed) {
+        ServerChoiceMeasurement.run(new Hash4jHasher(), seed, System.out);
+        return ExitStatus.SUCCESS;
+    }
+
+    @Command(
+            name = "fleet",
+            mixinStandardHelpOptions = true,
+            description = "Requests through many instances, one planner and model servers.")
+    int fleet(
+            @Option(
+                            names = "--scenario",
+                            defaultValue = "RARE_MODELS",
+                            description = "Deployment and load: ${COMPLETION-CANDIDATES}.")
+                    FleetScenarios scenario,
+            @Option(
+                            names = "--instances",
+                            defaultValue = "95",
+                            description = "Number of instances.")
+                    int instances,
+            @Option(
+                            names = "--seed",
+                            defaultValue = "1",
+                            description = "Seed of the random numbers.")
+                    long seed) {
+        FleetMeasurement.run(scenario, instances, new Hash4jHasher(), seed, System.out);
+        return ExitStatus.SUCCESS;
+    }
+
+    @Command(
+            name = "process",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Processor time of gateway processes, from their start to the end of a load.")
+    int process(
+            @Option(
+                            names = "--program",
+                            description =
+                                    "Directory with a built program and its deploy/system.toml; "
+                                            + "several are measured in turn.",
+                            defaultValue = ".")
+                    List<Path> programs,
+            @Option(names = "--rounds", defaultValue = "5", description = "Processes of each.")
+                    int rounds,
+            @Option(names = "--seconds", defaultValue = "20", description = "Length of the load.")
+                    int seconds,
+            @Option(names = "--rate", defaultValue = "4", description = "Requests per second.")
+                    int rate)
+            throws TarragonlugException, IOException, InterruptedException {
+        try (ProcessCostMeasurement measurement =
+                new ProcessCostMeasurement(rate, Duration.ofSeconds(seconds), System.out)) {
+            measurement.run(programs, rounds);
+        }
+        return ExitStatus.SUCCESS;
+    }
+
     @Command(
             name = "scale",
             mixinStandardHelpOptions = true,
--- a/src/test/java/org/tarragonlug/gateway/DemandCollectorTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/DemandCollectorTest.java
@@ -1,4 +1,4 @@
-package org.tarragonlug.gateway;
+package org.tarragonlug.decision.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -9,8 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
-import org.tarragonlug.decision.placement.ModelDemand;
-import org.tarragonlug.gateway.DemandCollector.Audience;
+import org.tarragonlug.decision.placement.DemandCollector.Audience;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServiceName;
 
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -161,7 +161,8 @@
                                         1,
                                         2,
                                         Duration.ofMillis(-300),
-                                        Duration.ofMillis(2500)))),
+                                        Duration.ofMillis(2500))),
+                        Map.of(new ServerId("s-1"), 3)),
                 new PeerMessage.PlacementNotice(
                         1,
                         List.of(
@@ -176,7 +177,8 @@
                                 new PeerMessage.ReadinessEstimate(
                                         new ServiceName("engines"),
                                         ModelKey.parse("m2"),
-                                        Duration.ofMillis(900)))),
+                                        Duration.ofMillis(900))),
+                        Map.of(new ServerId("s-1"), 12, new ServerId("s-2"), 4)),
                 new PeerMessage.ObjectCall(
                         1,
                         9,
