Rank requests at a server by the time that is left for them

Change: RequestUrgency sends a rank by the time left: requests whose target ends soon are divided at random into three ranks, late ones go behind, those that waited for their model go first.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -16,7 +16,7 @@
      * @param server the server
      * @param address address of the server, {@code host:port}
      * @param remaining time that the server has left to answer
-     * @param urgency priority from 0, the most urgent, to 9
+     * @param urgency rank among the requests that wait at the server, from 0, the first, to 9
      * @param lastEventId id of the last event that the caller has received; negative for none
      * @param streaming whether the answer is a stream of events
      * @param deadline time at which the request ends even if its answer is incomplete
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -238,6 +238,7 @@
             remove(forward);
             refuseOrFail(forward, RefusalReason.STOPPING, STOPPING_RETRY_AFTER);
         } else if (needsModel(forward)) {
+            forward.waitedForModel |= !paused;
             waitForModel(forward, now);
         } else if (!forward.excluded.isEmpty()) {
             remove(forward);
@@ -300,7 +301,7 @@
                         server.id(),
                         server.listing().address(),
                         Duration.between(now, forward.deadline),
-                        Math.min(9, Math.max(0, forward.route.priority())),
+                        RequestUrgency.rank(forward, hasher, now),
                         forward.lastEventId,
                         forward.route.kind() == RequestKind.STREAMING,
                         forward.deadline));
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -36,6 +36,10 @@
 
     int rejections;
     boolean streamStarted;
+
+    /** Whether the request had to wait until a server held its model. */
+    boolean waitedForModel;
+
     boolean stallCounted;
     long lastEventId;
     Instant lastProgress;
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -8,8 +8,10 @@
 import static org.tarragonlug.decision.forwarding.ForwardingFixture.find;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.tarragonlug.id.ModelKey;
@@ -162,6 +164,56 @@
         }
     }
 
+    /** More requests than the servers can serve in time, as when one model becomes popular. */
+    @Nested
+    class Urgency {
+        private final ForwardingFixture fixture =
+                new ForwardingFixture()
+                        .withRoutes()
+                        .withServer("e1", ForwardingFixture.ENGINES, "busy");
+
+        /**
+         * Guards against one queue in order of arrival, in which all answers are late as soon as
+         * requests come faster than they are served.
+         */
+        @Test
+        void requestsOfOneKindGetSeveralRanks() {
+            Set<Integer> ranks = new HashSet<>();
+            for (int count = 0; count < 30; count++) {
+                ranks.add(requireSend(fixture.arrive("/ask/1", "busy")).urgency());
+            }
+            assertEquals(3, ranks.size(), ranks.toString());
+        }
+
+        /** Guards against late requests that delay others which can still be in time. */
+        @Test
+        void lateRequestGoesBehindOthers() {
+            ForwardingCommand.Send first = requireSend(fixture.arrive("/ask/1", "busy"));
+            fixture.advance(Duration.ofMillis(500));
+            fixture.handle(new ForwardingEvent.ConnectionBroken(first.request()));
+            ForwardingCommand.Send late = requireSend(fixture.advance(Duration.ofMillis(500)));
+            for (int count = 0; count < 30; count++) {
+                int fresh = requireSend(fixture.arrive("/ask/1", "busy")).urgency();
+                assertTrue(fresh < late.urgency(), fresh + ", late " + late.urgency());
+            }
+        }
+
+        /** Guards against a request that waits again at the server after the load of its model. */
+        @Test
+        void requestThatWaitedForItsModelGoesFirst() {
+            fixture.arrive("/ask/1", "rare");
+            List<ForwardingCommand> commands =
+                    fixture.handle(
+                            new ForwardingEvent.ServerListed(
+                                    fixture.listing("e2", ForwardingFixture.ENGINES, "rare")));
+            int waited = requireSend(commands).urgency();
+            for (int count = 0; count < 30; count++) {
+                int fresh = requireSend(fixture.arrive("/ask/1", "busy")).urgency();
+                assertTrue(waited <= fresh, fresh + ", waited " + waited);
+            }
+        }
+    }
+
     @Nested
     class Retries {
         @Test
