Spend loads from the weight store on saturated models, one or two at a time

The busiest model had two copies for up to 118 requests a second, since a third replica was never loaded from the store. Adapters were replaced only on the server with the fewest, though another had an older one.

Change: the limit of parallel loads starts at 2, doubles while loads end in time and shrinks as soon as loads in progress are overdue; expected ends count parallel loads and are extended while a load is overdue. A model whose requests fill 0.55 of its slots gets its next replica also from the store, before other loads. An adapter makes room where the least recently used one lies.

--- a/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
+++ b/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
@@ -38,6 +38,12 @@
      */
     static final Duration REPORT_RETRY_DELAY = Duration.ofMillis(200);
 
+    /** How long to wait before asking for a report again during a load from the weight store. */
+    private static final Duration LOADING_REPORT_DELAY = Duration.ofSeconds(1);
+
+    /** An overdue load is expected to take this part of its time so far in addition. */
+    private static final int OVERDUE_DIVISOR = 4;
+
     private static final Duration ORDER_RETRY_INTERVAL = Duration.ofMillis(250);
 
     /**
@@ -180,13 +186,14 @@
 
     void onReport(PlannedServer server, ServerReport report, Instant now) {
         if (report.busy() || !server.applyReport(report, now)) {
-            server.nextReportAt = now.plus(REPORT_RETRY_DELAY);
+            boolean loading = server.order != null && server.order.usesWeightStore();
+            server.nextReportAt = now.plus(loading ? LOADING_REPORT_DELAY : REPORT_RETRY_DELAY);
             return;
         }
         server.needsReport = false;
         PlannedOrder order = server.order;
         if (order != null && order.accepted() && !order.key().hasAdapter()) {
-            boolean overdue = now.isAfter(order.expectedEnd().plus(REPORT_REQUEST_DELAY));
+            boolean overdue = isReportDue(server, order, now);
             completeIfVisible(server, report.models().containsKey(order.key().model()), now);
             if (server.order != null && overdue) {
                 // The server is idle but does not show the effect, so the order has failed.
@@ -209,8 +216,8 @@
             return;
         }
         if (order.usesWeightStore()) {
-            Duration expected = duration(server, order);
-            storeLimit.onLoadEnded(expected, Duration.between(order.sentAt(), now), remoteLoads());
+            storeLimit.onLoadEnded(
+                    duration(server, order), Duration.between(order.sentAt(), now), remoteLoads());
         }
         server.order = null;
         if (order.action() == OrderAction.LOAD) {
@@ -239,6 +246,9 @@
                 continue;
             }
             PlannedOrder order = server.order;
+            if (order != null && order.accepted() && order.usesWeightStore()) {
+                order = expectLoadFromStore(server, order, now);
+            }
             if (order != null && !order.accepted()) {
                 if (!server.orderable && now.isAfter(order.decidedAt().plus(ABANDON_AFTER))) {
                     // The server may still carry out the order. The report that is requested before
@@ -254,8 +264,7 @@
                     server.onAdapterLoaded(order.key(), now);
                     announce(server, order.key(), true);
                 }
-            } else if (order != null
-                    && now.isAfter(order.expectedEnd().plus(REPORT_REQUEST_DELAY))) {
+            } else if (order != null && isReportDue(server, order, now)) {
                 requestReport(server, now);
             } else if (server.needsReport) {
                 requestReport(server, now);
@@ -263,6 +272,36 @@
         }
     }
 
+    /**
+     * Tells whether a report should show if an order has taken effect. The expected end of a load
+     * from the weight store keeps moving, so its time at full speed decides.
+     */
+    private boolean isReportDue(PlannedServer server, PlannedOrder order, Instant now) {
+        Instant due =
+                order.usesWeightStore()
+                        ? order.sentAt().plus(duration(server, order))
+                        : order.expectedEnd();
+        return now.isAfter(due.plus(REPORT_REQUEST_DELAY));
+    }
+
+    /**
+     * Corrects the expected end of a load from the weight store. Parallel loads slow each other
+     * down, so the end moves when others begin. A load that is overdue is expected to take a
+     * quarter longer than it has taken so far.
+     */
+    private PlannedOrder expectLoadFromStore(
+            PlannedServer server, PlannedOrder order, Instant now) {
+        Duration atFullSpeed = duration(server, order);
+        Duration elapsed = Duration.between(order.sentAt(), now);
+        storeLimit.onLoadInProgress(atFullSpeed, elapsed, remoteLoads());
+        Instant end = order.sentAt().plus(storeLimit.loadTime(atFullSpeed, remoteLoads()));
+        if (end.isBefore(now)) {
+            end = now.plus(elapsed.dividedBy(OVERDUE_DIVISOR));
+        }
+        server.order = order.asAccepted(end);
+        return server.order;
+    }
+
     private void resend(PlannedServer server, PlannedOrder order, Instant now) {
         server.order =
                 new PlannedOrder(
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -257,6 +257,19 @@
         return Optional.ofNullable(leastRecent);
     }
 
+    /**
+     * Returns when the adapter that has been unused for the longest time was last used; {@link
+     * Instant#MAX} if the server has no adapter.
+     */
+    Instant oldestAdapterUse() {
+        Instant oldest = Instant.MAX;
+        for (ModelKey key : adapters()) {
+            Instant usedAt = adapterUsedAt.getOrDefault(key, Instant.EPOCH);
+            oldest = usedAt.isBefore(oldest) ? usedAt : oldest;
+        }
+        return oldest;
+    }
+
     /** Returns the memory in use or reserved on this server, in megabytes. */
     double usedMegabytes(ModelCatalog catalog) {
         double megabytes = 0;
--- a/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
@@ -79,18 +79,19 @@
         this.now = now;
         this.view = new PlacementView(service, catalog, context.orders);
         this.policy = new ReplicaPolicy(view, context, service, now);
-        this.readyTimes = new ReadyTimeEstimator(view, policy, now);
+        this.readyTimes = new ReadyTimeEstimator(view, policy, context, now);
     }
 
     void run() {
         List<DemandTracker.WaitingModel> waitingModels = demand.waitingModels(service, now);
         waitingModels.forEach(waiting -> policy.markWaitedFor(waiting.key().model()));
         continueReservedLoads();
+        List<String> recent = demand.recentModels(service, now);
+        recent.stream().filter(policy::isSaturated).forEach(this::addReplicaIfNeeded);
         Set<String> plannedModels = new HashSet<>();
         for (DemandTracker.WaitingModel waiting : waitingModels) {
             serveWaiting(waiting, plannedModels);
         }
-        List<String> recent = demand.recentModels(service, now);
         for (String model : recent) {
             if (policy.rate(model) >= ReplicaPolicy.WARM_RATE
                     && plannedModels.add(model)
@@ -202,7 +203,7 @@
         if (catalog.model(model).isEmpty() || replicas >= policy.desiredReplicas(model)) {
             return;
         }
-        boolean allowRemote = replicas <= 1;
+        boolean allowRemote = replicas <= 1 || policy.isSaturated(model);
         chooseReplicaServer(model, allowRemote)
                 .ifPresent(server -> loadOrMakeRoom(server, model, "busy"));
     }
@@ -311,37 +312,47 @@
         return readyTimes.holdsBusyModel(server) ? models + BUSY_SERVER_RANK : models;
     }
 
+    /**
+     * Loads an adapter on a server with its model: where there is room, or else where the adapter
+     * that makes room has been unused for the longest time.
+     */
     private void loadAdapterIfNeeded(ModelKey key, List<PlannedServer> servers) {
         for (PlannedServer server : servers) {
             if (server.holds(key) || server.isLoadingAdapter(key)) {
                 return;
             }
         }
-        PlannedServer best = null;
+        PlannedServer roomiest = null;
+        PlannedServer leastUsed = null;
+        Instant oldestUse = now.minus(ADAPTER_IN_USE);
         for (PlannedServer server : servers) {
-            if (server.canTakeOrder()
-                    && (best == null || server.adapters().size() < best.adapters().size())) {
-                best = server;
+            if (!server.canTakeOrder()) {
+                continue;
+            }
+            if (hasRoomForAdapter(server, key)) {
+                boolean roomier =
+                        roomiest == null || server.adapters().size() < roomiest.adapters().size();
+                roomiest = roomier ? server : roomiest;
+            }
+            Instant use = server.oldestAdapterUse();
+            if (use.isBefore(oldestUse)) {
+                oldestUse = use;
+                leastUsed = server;
             }
         }
-        if (best != null) {
-            loadAdapter(best, key);
+        if (roomiest != null) {
+            orders.giveOrder(roomiest, OrderAction.LOAD, key, "adapter_waited_for", now);
+            view.refresh(roomiest);
+        } else if (leastUsed != null) {
+            ModelKey unused = leastUsed.leastRecentlyUsedAdapter(now).orElseThrow();
+            orders.giveOrder(leastUsed, OrderAction.UNLOAD, unused, "makes_room_for_" + key, now);
+            view.refresh(leastUsed);
         }
     }
 
-    private void loadAdapter(PlannedServer server, ModelKey key) {
+    private boolean hasRoomForAdapter(PlannedServer server, ModelKey key) {
         double size = catalog.model(key.model()).orElseThrow().adapterMegabytes();
-        boolean full = server.adapters().size() >= catalog.adapterSlots();
-        if (!full && size <= view.freeMegabytes(server)) {
-            orders.giveOrder(server, OrderAction.LOAD, key, "adapter_waited_for", now);
-            view.refresh(server);
-            return;
-        }
-        Optional<ModelKey> unused = server.leastRecentlyUsedAdapter(now.minus(ADAPTER_IN_USE));
-        if (unused.isPresent()) {
-            orders.giveOrder(
-                    server, OrderAction.UNLOAD, unused.get(), "makes_room_for_" + key, now);
-            view.refresh(server);
-        }
+        return server.adapters().size() < catalog.adapterSlots()
+                && size <= view.freeMegabytes(server);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
@@ -29,15 +29,17 @@
 
     private final PlacementView view;
     private final ReplicaPolicy policy;
+    private final PlanContext context;
     private final Instant now;
     private final Map<PlannedServer, Boolean> holdsBusyModel = new IdentityHashMap<>();
 
     /** When a server is expected to complete the loads that this round has planned for it. */
     private final Map<PlannedServer, Instant> plannedLoadEnds = new IdentityHashMap<>();
 
-    ReadyTimeEstimator(PlacementView view, ReplicaPolicy policy, Instant now) {
+    ReadyTimeEstimator(PlacementView view, ReplicaPolicy policy, PlanContext context, Instant now) {
         this.view = view;
         this.policy = policy;
+        this.context = context;
         this.now = now;
     }
 
@@ -47,10 +49,13 @@
     }
 
     Duration loadTime(PlannedServer server, String model) {
-        return view.catalog()
-                .model(model)
-                .map(server.tier(model)::loadTime)
-                .orElse(OrderManager.UNLOAD_TIME);
+        CopyTier tier = server.tier(model);
+        Duration time =
+                view.catalog().model(model).map(tier::loadTime).orElse(OrderManager.UNLOAD_TIME);
+        if (tier != CopyTier.REMOTE) {
+            return time;
+        }
+        return context.storeLimit.loadTime(time, context.orders.remoteLoads() + 1);
     }
 
     /** Estimates when the first server will have a model ready. */
--- a/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
@@ -40,6 +40,9 @@
 
     private static final double TARGET_SLOT_USE = 0.4;
 
+    /** Share of slots in use from which on requests for a model wait noticeably. */
+    private static final double SATURATED_SLOT_USE = 0.55;
+
     /** Value that a model loses per idle second; decides between models without demand. */
     private static final double VALUE_PER_IDLE_SECOND = 1e-6;
 
@@ -100,11 +103,28 @@
         }
         int servers = view.servers().size();
         int replicas = Math.max(assumed, rate < THIRD_REPLICA_RATE ? 2 : 3);
-        int slots = servers == 0 ? 1 : Math.max(1, view.servers().get(0).listing().slots());
-        int forLoad = (int) Math.ceil(rate * SLOT_SECONDS / (slots * TARGET_SLOT_USE));
+        double slotsInUse = rate * SLOT_SECONDS;
+        int forLoad = (int) Math.ceil(slotsInUse / (slotsPerServer() * TARGET_SLOT_USE));
         return Math.min(servers, Math.max(replicas, forLoad));
     }
 
+    /**
+     * Tells whether the requests for a model fill so many slots of its servers that a further
+     * replica is worth a load from the weight store.
+     */
+    boolean isSaturated(String model) {
+        double rate = rate(model);
+        if (rate < SECOND_REPLICA_RATE) {
+            return false;
+        }
+        double slots = (double) Math.max(1, view.plannedReplicas(model)) * slotsPerServer();
+        return rate * SLOT_SECONDS > slots * SATURATED_SLOT_USE;
+    }
+
+    private int slotsPerServer() {
+        return view.servers().isEmpty() ? 1 : Math.max(1, view.servers().get(0).listing().slots());
+    }
+
     /** Returns how many replicas of a model to keep while its demand is not known yet. */
     private int assumedReplicas(String model) {
         if (firstDemand.isPresent() && now.isAfter(firstDemand.get().plus(INITIAL_DEMAND_PERIOD))) {
--- a/src/main/java/org/tarragonlug/decision/placement/WeightStoreLimit.java
+++ b/src/main/java/org/tarragonlug/decision/placement/WeightStoreLimit.java
@@ -9,15 +9,21 @@
  * Limits the loads from the weight store, both the number that start within a sliding window and
  * the number that run in parallel.
  *
- * <p>The platform does not state how many loads the store can serve at full speed. The limit starts
- * at {@link #INITIAL_PARALLEL_LOADS} and shrinks to the observed capacity: if n parallel loads each
- * take f times the expected time, the store has capacity for n / f loads at full speed. A higher
- * parallelism would complete no more loads in the same time, but would delay each load.
+ * <p>The platform does not state how many loads the store can serve at full speed. Beyond that
+ * number, more parallel loads complete no more models in the same time, but each model is ready
+ * later and its server is blocked for longer. The limit therefore starts at {@link
+ * #INITIAL_PARALLEL_LOADS} and doubles whenever a load ends in time while the limit is used up. It
+ * shrinks to the observed capacity when loads take longer: if n parallel loads each take f times
+ * the expected time, the store has capacity for n / f loads. Loads in progress that are overdue
+ * count as well, because a slow store would otherwise be recognised only when the first of many
+ * loads has ended.
  */
 final class WeightStoreLimit {
-    static final int INITIAL_PARALLEL_LOADS = 4;
+    static final int INITIAL_PARALLEL_LOADS = 2;
 
-    /** Ratio of actual to expected load time up to which the limit does not shrink. */
+    private static final int MAX_PARALLEL_LOADS = 64;
+
+    /** Ratio of actual to expected load time up to which a load counts as in time. */
     private static final double TOLERATED_SLOWNESS = 1.3;
 
     private final Duration window;
@@ -53,11 +59,51 @@
         }
     }
 
+    /**
+     * Adapts the limit to a load that has ended.
+     *
+     * @param expected time for a load at full speed
+     * @param actual time that the load took
+     * @param loadsInProgress number of loads that ran in parallel, including this one
+     */
     void onLoadEnded(Duration expected, Duration actual, int loadsInProgress) {
-        double slowness = (double) actual.toMillis() / Math.max(1, expected.toMillis());
-        if (slowness > TOLERATED_SLOWNESS && loadsInProgress > 1) {
-            int capacity = (int) Math.max(1, Math.round(loadsInProgress / slowness));
-            maxParallelLoads = Math.min(maxParallelLoads, capacity);
+        if (slowness(expected, actual) > TOLERATED_SLOWNESS) {
+            shrink(expected, actual, loadsInProgress);
+        } else if (loadsInProgress >= maxParallelLoads) {
+            maxParallelLoads = Math.min(MAX_PARALLEL_LOADS, 2 * maxParallelLoads);
         }
     }
+
+    /**
+     * Adapts the limit to a load in progress, if it already takes longer than expected.
+     *
+     * @param expected time for a load at full speed
+     * @param elapsed time since the load began
+     * @param loadsInProgress number of loads in progress, including this one
+     */
+    void onLoadInProgress(Duration expected, Duration elapsed, int loadsInProgress) {
+        if (slowness(expected, elapsed) > TOLERATED_SLOWNESS) {
+            shrink(expected, elapsed, loadsInProgress);
+        }
+    }
+
+    private void shrink(Duration expected, Duration actual, int loadsInProgress) {
+        int capacity = (int) Math.floor(loadsInProgress / slowness(expected, actual));
+        maxParallelLoads = Math.min(maxParallelLoads, Math.max(1, capacity));
+    }
+
+    private static double slowness(Duration expected, Duration actual) {
+        return (double) actual.toMillis() / Math.max(1, expected.toMillis());
+    }
+
+    /**
+     * Estimates how long a load takes among others.
+     *
+     * @param atFullSpeed time for a load at full speed
+     * @param loadsInProgress number of loads that run in parallel, including this one
+     */
+    Duration loadTime(Duration atFullSpeed, int loadsInProgress) {
+        double share = Math.max(1, (double) loadsInProgress / maxParallelLoads);
+        return Duration.ofMillis((long) (atFullSpeed.toMillis() * share));
+    }
 }
