Weigh announced totals by the time since the last one

Cause: an instance whose requests wait gets notices at once, several within milliseconds, and each moved its estimate of a server's load by 0.4 of the difference, so it followed every change after all. Change: the weight follows from the time since the last totals.

--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -19,8 +19,8 @@
     /** Time within which a reported load loses half of its weight. */
     private static final Duration LOAD_HALF_LIFE = Duration.ofMillis(800);
 
-    /** Weight of a new total against the estimate before it. */
-    private static final double NEW_TOTAL_WEIGHT = 0.4;
+    /** Time within which a new total changes the estimate by half of the difference. */
+    private static final Duration TOTAL_HALF_LIFE = Duration.ofMillis(540);
 
     /**
      * Time within which the failure rate halves. The decay lets a server that failed receive
@@ -43,6 +43,7 @@
     private int inFlight;
     private double otherInstancesLoad;
     private Instant loadReportedAt = Instant.EPOCH;
+    private Instant totalReportedAt = Instant.EPOCH;
     private double failureRate;
     private Instant failureUpdatedAt = Instant.EPOCH;
     private Instant unreachableUntil = Instant.EPOCH;
@@ -160,8 +161,10 @@
      */
     void recordTotalInFlight(int total, Instant now) {
         double before = otherInstancesLoad(now);
-        otherInstancesLoad = before + NEW_TOTAL_WEIGHT * (Math.max(0, total - inFlight) - before);
+        double weight = 1 - decay(totalReportedAt, now, TOTAL_HALF_LIFE);
+        otherInstancesLoad = before + weight * (Math.max(0, total - inFlight) - before);
         loadReportedAt = now;
+        totalReportedAt = now;
     }
 
     private double otherInstancesLoad(Instant now) {
