Watch the store through one instance for twenty in a failure domain

Change: the planner selects sources in each failure domain with six instances or more, those with more processor time first (reports say what an instance has). Others send their watches to a source, which answers from what it read; a source whose view the store has not confirmed for 1.3 s says so. Whoever gets no answer, or knows no source, asks the store. Instances with little processor time wait longer before they take a lease, since holders may have to plan.

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.servicetalk.transport.api.IoExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Random;
@@ -18,7 +19,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.tarragonlug.admin.AdminServer;
 import org.tarragonlug.admin.AdminSource;
 import org.tarragonlug.caller.ForwardingServer;
@@ -32,6 +33,8 @@
 import org.tarragonlug.decision.ownership.OrderGroups;
 import org.tarragonlug.decision.placement.PlacementEvent;
 import org.tarragonlug.decision.placement.PlacementPlanner;
+import org.tarragonlug.decision.watching.FollowedSource;
+import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.http.HttpConnections;
 import org.tarragonlug.http.HttpLimits;
@@ -106,6 +109,7 @@
     private final ForwardingCoordinator coordinator;
     private final PlacementPlanner planner;
     private final OrderLeases leases;
+    private final FollowedSource followedSource;
     private final PeerExchange peers;
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
@@ -163,9 +167,20 @@
                         process.value(),
                         text(settings.peerAddress()),
                         settings.orderTurn(),
+                        settings.capacity(),
                         groups,
                         timers);
-        this.peers = new PeerExchange(settings.instance(), leases, timers);
+        this.followedSource = new FollowedSource(settings.instance(), new Hash4jHasher());
+        this.peers =
+                new PeerExchange(
+                        settings.instance(),
+                        new WatchCandidate(
+                                settings.failureDomain(),
+                                text(settings.peerAddress()),
+                                settings.capacity()),
+                        leases,
+                        followedSource,
+                        timers);
         this.forwarding =
                 new ForwardingDriver(
                         coordinator, connections, timers, log, peers.demandCollector(), metrics);
@@ -193,10 +208,13 @@
         this.serverWatcher =
                 createWatcher(
                         PlatformKinds.SERVERS,
-                        this::needsPromptServerUpdates,
+                        () -> watchPace(WatchPace.ALONE),
                         new ServerListener());
         this.configurationWatcher =
-                createWatcher(PlatformKinds.CONFIGURATION, () -> true, new ConfigurationListener());
+                createWatcher(
+                        PlatformKinds.CONFIGURATION,
+                        () -> watchPace(WatchPace.PROMPT),
+                        new ConfigurationListener());
         this.callers =
                 new ForwardingServer(
                         settings.callerAddress(),
@@ -208,12 +226,24 @@
     }
 
     private StoreWatcher createWatcher(
-            String kind, BooleanSupplier promptUpdates, StoreWatcher.Listener listener) {
-        return new StoreWatcher(kind, store, loop, timers, log, promptUpdates, listener);
+            String kind, Supplier<WatchPace> pace, StoreWatcher.Listener listener) {
+        return new StoreWatcher(kind, store, loop, timers, log, pace, listener);
     }
 
-    private boolean needsPromptServerUpdates() {
-        return placement.isPlanning() || !ready;
+    /**
+     * Returns the pace of a watcher.
+     *
+     * @param withoutSource pace of an instance that neither follows a source nor is one
+     */
+    private WatchPace watchPace(WatchPace withoutSource) {
+        Instant now = timers.now();
+        if (placement.isPlanning() || !ready) {
+            return WatchPace.PROMPT;
+        }
+        if (followedSource.isSource(now)) {
+            return WatchPace.SOURCE;
+        }
+        return followedSource.current(now).isPresent() ? WatchPace.FOLLOWER : withoutSource;
     }
 
     /**
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -24,6 +24,7 @@
  * @param retryAllowance retries allowed in addition, in total over all instances
  * @param instances number of instances assumed to share the allowance until they are counted
  * @param callerConnections maximum number of connections from callers
+ * @param capacity processor time that the process may use, in cores
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -41,4 +42,5 @@
         double retryRatio,
         double retryAllowance,
         int instances,
-        int callerConnections) {}
+        int callerConnections,
+        double capacity) {}
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -88,7 +88,8 @@
                 number("retryRatio", DEFAULT_RETRY_RATIO),
                 number("retryAllowance", DEFAULT_RETRY_ALLOWANCE),
                 (int) number("instances", DEFAULT_INSTANCES),
-                Math.max(RESERVED_DESCRIPTORS, descriptors - RESERVED_DESCRIPTORS));
+                Math.max(RESERVED_DESCRIPTORS, descriptors - RESERVED_DESCRIPTORS),
+                number("processorShare", 1) * number("processors", 1));
     }
 
     private String text(String field) {
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -34,6 +34,12 @@
     /** Range over which the instances spread their attempts to acquire a free lease. */
     private static final Duration ACQUISITION_SPREAD = Duration.ofMillis(500);
 
+    /**
+     * How much longer an instance without processor time would wait before it acquires a free lease
+     * than one with a whole core. A holder may have to plan, which is more work than forwarding.
+     */
+    private static final Duration WEAK_INSTANCE_DELAY = Duration.ofMillis(700);
+
     /**
      * How long an instance waits before it acquires a free lease, for each lease that it already
      * holds. Instances with fewer leases acquire it first.
@@ -64,6 +70,7 @@
     private record HolderHeartbeat(Instant at, long revision, InstanceId holder, boolean direct) {}
 
     private final InstanceId self;
+    private final double capacity;
     private final OrderGroups groups;
     private final TimerService timers;
     private final Map<OrderGroup, LeaseManager> leaseManagers = new LinkedHashMap<>();
@@ -76,9 +83,11 @@
             String process,
             String address,
             Duration turnTime,
+            double capacity,
             OrderGroups groups,
             TimerService timers) {
         this.self = self;
+        this.capacity = capacity;
         this.groups = groups;
         this.timers = timers;
         for (OrderGroup group : groups.all()) {
@@ -115,7 +124,8 @@
      * Sets the delays for the acquisition of free leases, so that one instance rarely holds
      * several. The free groups are ordered by the rank of this instance in each. For each lease
      * that the instance holds, and for each free group earlier in this order, it waits {@link
-     * #DELAY_PER_HELD_LEASE} longer, so that other instances can acquire the lease first.
+     * #DELAY_PER_HELD_LEASE} longer, so that other instances can acquire the lease first. Instances
+     * with little processor time wait longer as well.
      */
     private void staggerAcquisitions() {
         List<OrderGroup> free = new ArrayList<>();
@@ -129,7 +139,9 @@
         for (int index = 0; index < free.size(); index++) {
             OrderGroup group = free.get(index);
             long offsetMillis =
-                    (long) (ACQUISITION_SPREAD.toMillis() * groups.acquisitionRank(self, group));
+                    (long)
+                            (ACQUISITION_SPREAD.toMillis() * groups.acquisitionRank(self, group)
+                                    + WEAK_INSTANCE_DELAY.toMillis() * missingCapacity());
             leaseManagers
                     .get(group)
                     .setAcquisitionDelay(
@@ -139,6 +151,11 @@
         }
     }
 
+    /** Returns the part of a core that this instance lacks, from 0 to 1. */
+    private double missingCapacity() {
+        return Math.max(0, 1 - capacity);
+    }
+
     void postAll(LeaseEvent event) {
         drivers.values().forEach(driver -> driver.post(event));
     }
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -16,6 +16,10 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
 import org.tarragonlug.decision.placement.PlacementEvent;
+import org.tarragonlug.decision.watching.FollowedSource;
+import org.tarragonlug.decision.watching.WatchCandidate;
+import org.tarragonlug.decision.watching.WatchSource;
+import org.tarragonlug.decision.watching.WatchSourceSelector;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.peer.PeerMessage;
@@ -53,6 +57,9 @@
     private final DemandCollector demandCollector;
     private final PendingNotices pendingNotices = new PendingNotices();
     private final InFlightTotals inFlightTotals = new InFlightTotals();
+    private final WatchSourceSelector sourceSelector = new WatchSourceSelector();
+    private final FollowedSource followedSource;
+    private final WatchCandidate candidate;
 
     /** Time of the last notice from each lease holder that said that it plans. */
     private final Map<InstanceId, Instant> planningSignals = new HashMap<>();
@@ -66,8 +73,15 @@
     private boolean noticesScheduled;
     private boolean standbyReportDue;
 
-    PeerExchange(InstanceId self, OrderLeases leases, TimerService timers) {
+    PeerExchange(
+            InstanceId self,
+            WatchCandidate candidate,
+            OrderLeases leases,
+            FollowedSource followedSource,
+            TimerService timers) {
         this.self = self;
+        this.candidate = candidate;
+        this.followedSource = followedSource;
         this.leases = leases;
         this.timers = timers;
         this.demandCollector = new DemandCollector(this::scheduleUrgentReport);
@@ -131,7 +145,8 @@
             placement.post(new PlacementEvent.DemandReported(self, demands));
         }
         PeerMessage message =
-                new PeerMessage.ModelDemandReport(PeerMessage.FORMAT_VERSION, demands, inFlight);
+                new PeerMessage.ModelDemandReport(
+                        PeerMessage.FORMAT_VERSION, demands, inFlight, Optional.of(candidate));
         receivers.forEach((holder, address) -> send(holder, address, message));
     }
 
@@ -177,6 +192,7 @@
         if (message instanceof PeerMessage.ModelDemandReport report) {
             pendingNotices.onReport(from, report.demands(), now);
             inFlightTotals.onReport(from, report.inFlight(), now);
+            report.candidate().ifPresent(offered -> sourceSelector.onReport(from, offered, now));
             placement.post(new PlacementEvent.DemandReported(from, report.demands()));
             sendNotice(from, now);
         } else if (message instanceof PeerMessage.PlacementNotice notice) {
@@ -207,6 +223,27 @@
         transport.send(to, message);
     }
 
+    @Override
+    public Optional<WatchSource> watchSource() {
+        return placement.isPlanning() ? Optional.empty() : followedSource.current(timers.now());
+    }
+
+    @Override
+    public boolean isWatchSource() {
+        return followedSource.isSource(timers.now());
+    }
+
+    @Override
+    public void connect(WatchSource source) {
+        Addresses.parse(source.address())
+                .ifPresent(address -> transport.setAddress(source.instance(), address));
+    }
+
+    @Override
+    public void onWatchSourceFailed(WatchSource source) {
+        followedSource.onFailed(source.instance(), timers.now());
+    }
+
     private void onPlacementNotice(
             InstanceId from, PeerMessage.PlacementNotice notice, Instant now) {
         leases.onLeaseNotices(from, notice.leases());
@@ -214,6 +251,7 @@
             planningSignals.put(from, now);
             publishInstanceCount(notice.reporters());
             forwarding.post(new ForwardingEvent.LoadAnnounced(notice.inFlight()));
+            followedSource.onSelected(notice.watchSources(), now);
         } else {
             planningSignals.remove(from);
         }
@@ -289,15 +327,17 @@
 
     private void sendNotice(InstanceId to, Instant now) {
         PendingNotices.Notices notices = pendingNotices.poll(to);
+        boolean planning = placement.isPlanning();
         transport.send(
                 to,
                 new PeerMessage.PlacementNotice(
                         PeerMessage.FORMAT_VERSION,
                         leases.leaseNotices(),
-                        placement.isPlanning(),
+                        planning,
                         pendingNotices.reporterCount(now),
                         notices.replicas(),
                         notices.expectations(),
-                        placement.isPlanning() ? inFlightTotals.totals(now) : Map.of()));
+                        planning ? inFlightTotals.totals(now) : Map.of(),
+                        planning ? sourceSelector.sourcesFor(to, now) : List.of()));
     }
 }
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/RelayedObjects.java
@@ -0,0 +1,46 @@
+package org.tarragonlug.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.objectapi.WatchResult;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.runtime.Json;
+
+/** Converts objects of the store to and from the form in which peers relay them. */
+final class RelayedObjects {
+    private RelayedObjects() {}
+
+    static PeerMessage.RelayedObject toRelayed(StoredObject object) {
+        boolean empty = object.content().isMissingNode();
+        return new PeerMessage.RelayedObject(
+                object.name().kind(),
+                object.name().name(),
+                object.version(),
+                empty ? "" : toText(object.content()));
+    }
+
+    static String toText(JsonNode content) {
+        return new String(Json.bytes(content), StandardCharsets.UTF_8);
+    }
+
+    static StoredObject toStored(PeerMessage.RelayedObject relayed) {
+        JsonNode content =
+                relayed.content().isEmpty()
+                        ? MissingNode.getInstance()
+                        : JsonFields.parse(relayed.content());
+        return new StoredObject(
+                new ObjectName(relayed.kind(), relayed.name()), relayed.version(), content);
+    }
+
+    static WatchResult toWatchResult(PeerMessage.ObjectCallAnswer answer) {
+        List<StoredObject> objects = new ArrayList<>();
+        answer.objects().forEach(relayed -> objects.add(toStored(relayed)));
+        return new WatchResult(objects, answer.revision(), answer.gap());
+    }
+}
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
+import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.http.JsonFields;
@@ -49,6 +50,9 @@
     /** How long a relayed call may take, in addition to the wait of a watch. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(900);
 
+    /** How long the answer to a shared watch may take, in addition to the wait of the watch. */
+    private static final Duration SHARED_ANSWER_TIMEOUT = Duration.ofMillis(300);
+
     /** Limit of the wait of a relayed watch. It is short so that a direct call is tried soon. */
     private static final Duration MAX_RELAYED_WATCH_WAIT = Duration.ofMillis(1200);
 
@@ -59,6 +63,18 @@
 
         /** Sends a message to a peer. The message may be lost. */
         void send(InstanceId to, PeerMessage message);
+
+        /** Returns the instance to watch the store through; empty to watch it directly. */
+        Optional<WatchSource> watchSource();
+
+        /** Returns whether other instances watch the store through this one. */
+        boolean isWatchSource();
+
+        /** Makes the address of a source known before a message is sent to it. */
+        void connect(WatchSource source);
+
+        /** Called when a source did not answer a watch, or could not answer it. */
+        void onWatchSourceFailed(WatchSource source);
     }
 
     private final ObjectApi direct;
@@ -66,6 +82,7 @@
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
+    private final SharedWatches sharedWatches;
     private final Map<Long, CompletableFuture<PeerMessage.ObjectCallAnswer>> pendingCalls =
             new HashMap<>();
     private long lastCallId;
@@ -84,6 +101,7 @@
         this.loop = loop;
         this.timers = timers;
         this.log = log;
+        this.sharedWatches = new SharedWatches(timers, this::reply);
     }
 
     @Override
@@ -92,7 +110,9 @@
                 () -> direct.read(name),
                 peer ->
                         relay(peer, PeerMessage.ObjectOperation.READ, name, 0, null, Duration.ZERO)
-                                .thenApply(answer -> toStoredObject(answer.objects().get(0))));
+                                .thenApply(
+                                        answer ->
+                                                RelayedObjects.toStored(answer.objects().get(0))));
     }
 
     @Override
@@ -120,10 +140,10 @@
     public CompletionStage<WatchResult> list(String kind) {
         ObjectName all = new ObjectName(kind, "");
         return callWithFallback(
-                () -> direct.list(kind),
+                () -> listStore(kind),
                 peer ->
                         relay(peer, PeerMessage.ObjectOperation.LIST, all, 0, null, Duration.ZERO)
-                                .thenApply(RelayingObjectApi::toWatchResult));
+                                .thenApply(RelayedObjects::toWatchResult));
     }
 
     @Override
@@ -134,8 +154,12 @@
                 longestWait.compareTo(MAX_RELAYED_WATCH_WAIT) < 0
                         ? longestWait
                         : MAX_RELAYED_WATCH_WAIT;
+        Optional<WatchSource> source = channel.watchSource();
+        if (source.isPresent()) {
+            return watchThrough(source.get(), kind, afterRevision, longestWait);
+        }
         return callWithFallback(
-                () -> direct.watch(kind, afterRevision, longestWait),
+                () -> watchStore(kind, afterRevision, longestWait),
                 peer ->
                         relay(
                                         peer,
@@ -144,7 +168,62 @@
                                         afterRevision,
                                         null,
                                         relayedWait)
-                                .thenApply(RelayingObjectApi::toWatchResult));
+                                .thenApply(RelayedObjects::toWatchResult));
+    }
+
+    private CompletionStage<WatchResult> listStore(String kind) {
+        return direct.list(kind)
+                .whenCompleteAsync(
+                        (result, failure) -> {
+                            if (failure == null) {
+                                sharedWatches.onListed(kind, result);
+                            }
+                        },
+                        loop);
+    }
+
+    private CompletionStage<WatchResult> watchStore(
+            String kind, long afterRevision, Duration longestWait) {
+        CompletionStage<WatchResult> watch = direct.watch(kind, afterRevision, longestWait);
+        return channel.isWatchSource()
+                ? watch.whenCompleteAsync(
+                        (result, failure) -> {
+                            if (failure == null) {
+                                sharedWatches.onWatched(kind, afterRevision, result);
+                            }
+                        },
+                        loop)
+                : watch;
+    }
+
+    /**
+     * Watches through an instance that shares what it reads. If it does not answer, or does not
+     * know what the store holds, the store itself is asked at once.
+     */
+    private CompletionStage<WatchResult> watchThrough(
+            WatchSource source, String kind, long afterRevision, Duration longestWait) {
+        CompletableFuture<WatchResult> result = new CompletableFuture<>();
+        channel.connect(source);
+        relay(
+                        source.instance(),
+                        PeerMessage.ObjectOperation.SHARED_WATCH,
+                        new ObjectName(kind, ""),
+                        afterRevision,
+                        null,
+                        longestWait,
+                        SHARED_ANSWER_TIMEOUT)
+                .thenApply(RelayedObjects::toWatchResult)
+                .whenCompleteAsync(
+                        (answer, failure) -> {
+                            if (failure == null) {
+                                result.complete(answer);
+                            } else {
+                                channel.onWatchSourceFailed(source);
+                                complete(watch(kind, afterRevision, longestWait), result);
+                            }
+                        },
+                        loop);
+        return result;
     }
 
     private interface RelayedCall<T> {
@@ -236,13 +315,24 @@
             long version,
             JsonNode content,
             Duration wait) {
+        return relay(peer, operation, name, version, content, wait, ANSWER_TIMEOUT);
+    }
+
+    private CompletionStage<PeerMessage.ObjectCallAnswer> relay(
+            InstanceId peer,
+            PeerMessage.ObjectOperation operation,
+            ObjectName name,
+            long version,
+            JsonNode content,
+            Duration wait,
+            Duration timeout) {
         lastCallId++;
         long callId = lastCallId;
         CompletableFuture<PeerMessage.ObjectCallAnswer> result = new CompletableFuture<>();
         pendingCalls.put(callId, result);
         boolean write = operation == PeerMessage.ObjectOperation.WRITE;
         timers.scheduleOnce(
-                wait.plus(ANSWER_TIMEOUT),
+                wait.plus(timeout),
                 now -> {
                     if (pendingCalls.remove(callId) != null) {
                         result.completeExceptionally(
@@ -262,7 +352,7 @@
                         name.kind(),
                         name.name(),
                         version,
-                        Optional.ofNullable(content).map(JsonNode::toString),
+                        Optional.ofNullable(content).map(RelayedObjects::toText),
                         wait));
         return result.thenCompose(RelayingObjectApi::requireSuccess);
     }
@@ -291,6 +381,10 @@
 
     /** Makes a call to the store on behalf of a peer, and sends the outcome back. */
     void onObjectCall(InstanceId from, PeerMessage.ObjectCall call) {
+        if (call.operation() == PeerMessage.ObjectOperation.SHARED_WATCH) {
+            sharedWatches.onWatch(from, call);
+            return;
+        }
         if (storeUnreachable) {
             reply(from, call, ErrorCode.OBJECT_API_UNAVAILABLE.name(), List.of(), 0, false);
             return;
@@ -338,7 +432,7 @@
         if (failure != null) {
             reply(to, call, code(failure).name(), List.of(), 0, false);
         } else {
-            reply(to, call, "", List.of(toCarriedObject(object)), 0, false);
+            reply(to, call, "", List.of(RelayedObjects.toRelayed(object)), 0, false);
         }
     }
 
@@ -349,7 +443,7 @@
             return;
         }
         List<PeerMessage.RelayedObject> objects = new ArrayList<>();
-        result.changed().forEach(object -> objects.add(toCarriedObject(object)));
+        result.changed().forEach(object -> objects.add(RelayedObjects.toRelayed(object)));
         reply(to, call, "", objects, result.revision(), result.gap());
     }
 
@@ -365,28 +459,4 @@
                 new PeerMessage.ObjectCallAnswer(
                         PeerMessage.FORMAT_VERSION, call.call(), error, objects, revision, gap));
     }
-
-    private static PeerMessage.RelayedObject toCarriedObject(StoredObject object) {
-        boolean empty = object.content().isMissingNode();
-        return new PeerMessage.RelayedObject(
-                object.name().kind(),
-                object.name().name(),
-                object.version(),
-                empty ? "" : object.content().toString());
-    }
-
-    private static StoredObject toStoredObject(PeerMessage.RelayedObject carried) {
-        JsonNode content =
-                carried.content().isEmpty()
-                        ? MissingNode.getInstance()
-                        : JsonFields.parse(carried.content());
-        return new StoredObject(
-                new ObjectName(carried.kind(), carried.name()), carried.version(), content);
-    }
-
-    private static WatchResult toWatchResult(PeerMessage.ObjectCallAnswer answer) {
-        List<StoredObject> objects = new ArrayList<>();
-        answer.objects().forEach(carried -> objects.add(toStoredObject(carried)));
-        return new WatchResult(objects, answer.revision(), answer.gap());
-    }
 }
--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
@@ -19,24 +19,14 @@
  * Watches all objects of one kind. It lists them first, then watches for changes, and lists them
  * again after each gap in the history.
  *
- * <p>A watch waits only a few seconds, because a connection that no longer transmits anything can
- * only be recognised by the missing answer. The watcher pauses between two watches, so changes that
- * occur close together are read with one call. The pause is short only while changes are needed at
- * once.
+ * <p>How long a watch waits, and how long the watcher pauses between two watches, depends on what
+ * the instance does with the changes ({@link WatchPace}).
  *
  * <p>If an object is missing from a list after an outage of the store, its removal is reported only
  * after {@link #MISSING_GRACE_PERIOD}. Within that time the servers rewrite the entries that
  * expired during the outage.
  */
 final class StoreWatcher {
-    private static final Duration WATCH_WAIT = Duration.ofMillis(3000);
-
-    /** Pause between watches while changes are needed at once. */
-    private static final Duration SHORT_PAUSE = Duration.ofMillis(40);
-
-    /** Pause between watches while notices from peers announce the urgent changes. */
-    private static final Duration LONG_PAUSE = Duration.ofMillis(1100);
-
     private static final Duration MIN_BACKOFF = Duration.ofMillis(150);
     private static final Duration MAX_BACKOFF = Duration.ofMillis(1000);
 
@@ -63,7 +53,7 @@
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
-    private final BooleanSupplier promptUpdates;
+    private final Supplier<WatchPace> pace;
     private final Listener listener;
     private final Map<String, Long> knownVersions = new HashMap<>();
     private final Set<String> missing = new HashSet<>();
@@ -80,14 +70,14 @@
             Executor loop,
             TimerService timers,
             EventLog log,
-            BooleanSupplier promptUpdates,
+            Supplier<WatchPace> pace,
             Listener listener) {
         this.kind = kind;
         this.store = store;
         this.loop = loop;
         this.timers = timers;
         this.log = log;
-        this.promptUpdates = promptUpdates;
+        this.pace = pace;
         this.listener = listener;
     }
 
@@ -150,7 +140,8 @@
 
     private void watch() {
         if (!stopped) {
-            store.watch(kind, revision, WATCH_WAIT).whenCompleteAsync(this::onWatchResult, loop);
+            store.watch(kind, revision, pace.get().longestWait())
+                    .whenCompleteAsync(this::onWatchResult, loop);
         }
     }
 
@@ -173,8 +164,7 @@
             }
         }
         revision = result.revision();
-        timers.scheduleOnce(
-                promptUpdates.getAsBoolean() ? SHORT_PAUSE : LONG_PAUSE, now -> watch());
+        timers.scheduleOnce(pace.get().pause(), now -> watch());
     }
 
     private void applyChange(StoredObject object) {
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -14,6 +14,8 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.OrderAction;
 import org.tarragonlug.decision.placement.OrderResult;
+import org.tarragonlug.decision.watching.WatchCandidate;
+import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.Fingerprint;
@@ -254,9 +256,14 @@
      * @param demands demand for each model that has waiting requests or arrivals since the last
      *     report
      * @param inFlight requests that the sender has in flight, by server
+     * @param candidate what the sender offers as a source for watches; empty if its release does
+     *     not write this field
      */
     record ModelDemandReport(
-            int formatVersion, List<ModelDemand> demands, Map<ServerId, Integer> inFlight)
+            int formatVersion,
+            List<ModelDemand> demands,
+            Map<ServerId, Integer> inFlight,
+            Optional<WatchCandidate> candidate)
             implements PeerMessage {
         public ModelDemandReport {
             demands = List.copyOf(demands);
@@ -276,6 +283,8 @@
      * @param replicas changes of replicas that the listings of their servers may not show yet
      * @param expectations estimates of when the models that requests wait for will be ready
      * @param inFlight requests that all instances together have in flight; only from the planner
+     * @param watchSources instances through which the receiver should watch the store; only from
+     *     the planner
      */
     record PlacementNotice(
             int formatVersion,
@@ -284,9 +293,11 @@
             int reporters,
             List<ReplicaChange> replicas,
             List<ReadinessEstimate> expectations,
-            Map<ServerId, Integer> inFlight)
+            Map<ServerId, Integer> inFlight,
+            List<WatchSource> watchSources)
             implements PeerMessage {
         public PlacementNotice {
+            watchSources = List.copyOf(watchSources);
             inFlight = Map.copyOf(inFlight);
             leases = List.copyOf(leases);
             replicas = List.copyOf(replicas);
@@ -344,7 +355,9 @@
         /** Lists the objects of a kind. */
         LIST,
         /** Waits for changes to the objects of a kind. */
-        WATCH
+        WATCH,
+        /** Waits for changes of which the receiver knows, without a call to the object API. */
+        SHARED_WATCH
     }
 
     /**
--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -104,7 +104,8 @@
                 0.2,
                 50,
                 1,
-                100);
+                100,
+                1);
     }
 
     private boolean awaitReady(GatewaySettings settings) throws IOException, InterruptedException {
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -92,7 +92,8 @@
                         0.2,
                         50,
                         2,
-                        100);
+                        100,
+                        1);
         Gateway gateway = new Gateway(settings);
         gateway.start();
         gateways.add(gateway);
--- a/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
@@ -37,7 +37,7 @@
 
     private OrderLeases leases(InstanceId instance) {
         OrderGroups groups = new OrderGroups(new Hash4jHasher(), 1);
-        return new OrderLeases(instance, instance + "-1", "10.0.0.1:1", TURN, groups, timers);
+        return new OrderLeases(instance, instance + "-1", "10.0.0.1:1", TURN, 1, groups, timers);
     }
 
     @BeforeEach
--- a/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -13,8 +14,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.watching.SharedView;
+import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.InstanceId;
@@ -34,6 +38,7 @@
     /** A store as seen from one instance; its reachability can be set for that instance alone. */
     private static final class FakeStore implements ObjectApi {
         private boolean reachable = true;
+        private List<StoredObject> changed = List.of();
         private int calls;
 
         private <T> CompletionStage<T> answer(T value) {
@@ -62,12 +67,13 @@
 
         @Override
         public CompletionStage<WatchResult> list(String kind) {
-            return answer(new WatchResult(java.util.List.of(), 9, false));
+            return answer(new WatchResult(List.of(), 9, false));
         }
 
         @Override
         public CompletionStage<WatchResult> watch(String kind, long after, Duration wait) {
-            return answer(new WatchResult(java.util.List.of(), after, false));
+            long last = changed.stream().mapToLong(StoredObject::version).max().orElse(after);
+            return answer(new WatchResult(changed, last, false));
         }
     }
 
@@ -75,6 +81,8 @@
     private final FakeStore peerStore = new FakeStore();
     private final TimerService timers =
             new DefaultTimerService(Executors.defaultThreadFactory(), (part, failure) -> {});
+    private Optional<WatchSource> source = Optional.empty();
+    private boolean silentSource;
     private RelayingObjectApi disconnected;
     private RelayingObjectApi connectedPeer;
 
@@ -90,6 +98,26 @@
                     public void send(InstanceId to, PeerMessage message) {
                         deliver(to, message);
                     }
+
+                    @Override
+                    public Optional<WatchSource> watchSource() {
+                        return other.equals("peer") ? source : Optional.empty();
+                    }
+
+                    @Override
+                    public boolean isWatchSource() {
+                        return other.equals("disconnected");
+                    }
+
+                    @Override
+                    public void connect(WatchSource known) {
+                        // Messages are delivered by the name of the instance.
+                    }
+
+                    @Override
+                    public void onWatchSourceFailed(WatchSource failed) {
+                        source = Optional.empty();
+                    }
                 };
         return new RelayingObjectApi(store, channel, Runnable::run, timers, new EventLog("test"));
     }
@@ -100,6 +128,9 @@
         InstanceId from =
                 new InstanceId(to.value().equals("disconnected") ? "peer" : "disconnected");
         if (message instanceof PeerMessage.ObjectCall call) {
+            if (silentSource) {
+                return;
+            }
             receiver.onObjectCall(from, call);
         } else if (message instanceof PeerMessage.ObjectCallAnswer answer) {
             receiver.onObjectCallAnswer(answer);
@@ -127,6 +158,56 @@
         }
     }
 
+    @Nested
+    class SharedWatches {
+        private static final Duration WAIT = Duration.ofMillis(50);
+
+        @BeforeEach
+        void selectSource() throws Exception {
+            source = Optional.of(new WatchSource(new InstanceId("peer"), "127.0.0.1:1"));
+            get(connectedPeer.list("servers"));
+        }
+
+        /** Guards against calls to the store for what another instance has already read. */
+        @Test
+        void watchThroughSourceMakesNoCall() throws Exception {
+            int before = disconnectedStore.calls + peerStore.calls;
+            assertEquals(9, get(disconnected.watch("servers", 9, WAIT)).revision());
+            assertEquals(before, disconnectedStore.calls + peerStore.calls);
+        }
+
+        @Test
+        void waitingWatchGetsNewsOfSource() throws Exception {
+            CompletionStage<WatchResult> watch =
+                    disconnected.watch("servers", 9, Duration.ofSeconds(4));
+            ObjectName server = new ObjectName("servers", "s1");
+            peerStore.changed = List.of(new StoredObject(server, 12, Json.object().put("a", 1)));
+            get(connectedPeer.watch("servers", 9, WAIT));
+            assertEquals(12, get(watch).changed().get(0).version());
+        }
+
+        /** Guards against instances that know nothing new while their source is silent. */
+        @Test
+        void silentSourceIsReplacedByTheStore() throws Exception {
+            silentSource = true;
+            get(disconnected.watch("servers", 9, WAIT));
+            assertEquals(1, disconnectedStore.calls);
+        }
+
+        /** Guards against a source that does not reach the store and says that nothing changed. */
+        @Test
+        void staleSourceIsReplacedByTheStore() throws Exception {
+            Thread.sleep(SharedView.FRESHNESS.plusMillis(50).toMillis());
+            get(disconnected.watch("servers", 9, WAIT));
+            assertEquals(1, disconnectedStore.calls);
+        }
+
+        @Test
+        void watchFromBeforeTheViewOfTheSourceHasGap() throws Exception {
+            assertTrue(get(disconnected.watch("servers", 5, WAIT)).gap());
+        }
+    }
+
     @Nested
     class UnreachableStore {
         @Test
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -34,6 +34,8 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.OrderAction;
 import org.tarragonlug.decision.placement.OrderResult;
+import org.tarragonlug.decision.watching.WatchCandidate;
+import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.ArtifactId;
@@ -162,7 +164,10 @@
                                         2,
                                         Duration.ofMillis(-300),
                                         Duration.ofMillis(2500))),
-                        Map.of(new ServerId("s-1"), 3)),
+                        Map.of(new ServerId("s-1"), 3),
+                        Optional.of(
+                                new WatchCandidate(
+                                        new FailureDomain("domain-1"), "10.0.0.1:7380", 1.5))),
                 new PeerMessage.PlacementNotice(
                         1,
                         List.of(
@@ -178,7 +183,8 @@
                                         new ServiceName("engines"),
                                         ModelKey.parse("m2"),
                                         Duration.ofMillis(900))),
-                        Map.of(new ServerId("s-1"), 12, new ServerId("s-2"), 4)),
+                        Map.of(new ServerId("s-1"), 12, new ServerId("s-2"), 4),
+                        List.of(new WatchSource(new InstanceId("entry-3"), "10.0.0.3:7380"))),
                 new PeerMessage.ObjectCall(
                         1,
                         9,
