Keep the models that servers hold until demand is known

Cause: before the first demand the planner copies models without copies to disks, and unloads held models to make room. Any of those may be a busy one. Since loads from the weight store start slowly, this copying runs into the traffic. A second cause was hidden behind it: where all models have adapters, prewarming unloaded one of them for another and loaded it again, without end, and left no server free for a copy.

Change: for 30 s after the last server was added and before any demand, copies go only where there is room. Prewarming makes no room at the cost of another model with adapters. A model that no server takes no longer keeps the next one from being copied.

--- a/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.tarragonlug.decision.forwarding.ModelCatalog;
 import org.tarragonlug.decision.forwarding.ModelSpecification;
 import org.tarragonlug.id.FailureDomain;
@@ -33,6 +34,12 @@
      */
     private static final Duration NEW_SERVER_DELAY = Duration.ofMillis(1500);
 
+    /**
+     * How long after the last server was added the models that servers hold count as used, if no
+     * demand is known yet.
+     */
+    private static final Duration ASSUMED_USE_PERIOD = Duration.ofSeconds(30);
+
     /** Ranks servers with busy models behind all others as a target for prefetching. */
     private static final int BUSY_SERVER_RANK = 1000;
 
@@ -204,14 +211,14 @@
             return;
         }
         boolean allowRemote = replicas <= 1 || policy.isSaturated(model);
-        chooseReplicaServer(model, allowRemote)
+        chooseReplicaServer(model, allowRemote, victim -> true)
                 .ifPresent(server -> loadOrMakeRoom(server, model, "busy"));
     }
 
     /**
      * Loads models with adapters before they are requested, because operators declare adapters for
-     * widely used models. Does so only from local copies, and only while no demand for the service
-     * is known.
+     * widely used models. Does so only from local copies, only while no demand for the service is
+     * known, and not in place of another model with adapters, which it would then load again.
      */
     private void prewarm() {
         if (context.firstDemand.containsKey(service)) {
@@ -219,13 +226,14 @@
         }
         for (ModelSpecification model : catalog.models().values()) {
             if (model.adapters() > 0 && view.plannedReplicas(model.name()) == 0) {
-                chooseReplicaServer(model.name(), false)
+                chooseReplicaServer(model.name(), false, victim -> !view.hasAdapters(victim))
                         .ifPresent(server -> loadOrMakeRoom(server, model.name(), "prewarmed"));
             }
         }
     }
 
-    private Optional<PlannedServer> chooseReplicaServer(String model, boolean allowRemote) {
+    private Optional<PlannedServer> chooseReplicaServer(
+            String model, boolean allowRemote, Predicate<String> mayMakeRoom) {
         Set<FailureDomain> domains = new HashSet<>();
         view.serversHolding(model).forEach(server -> domains.add(server.listing().failureDomain()));
         PlannedServer best = null;
@@ -238,7 +246,7 @@
                 continue;
             }
             boolean hasRoom = view.hasRoom(server, model);
-            if (!hasRoom && policy.victim(server, model).isEmpty()) {
+            if (!hasRoom && policy.victim(server, model).filter(mayMakeRoom).isEmpty()) {
                 continue;
             }
             double cost = readyTimes.loadTime(server, model).toMillis();
@@ -262,10 +270,10 @@
                 || now.isBefore(orders.lastServerAddedAt().plus(NEW_SERVER_DELAY))) {
             return;
         }
+        boolean onlyIntoFreeRoom = noDemandYet && mayHeldModelsBeInUse();
         Set<String> present = presentModels();
         for (String model : catalog.models().keySet()) {
-            if (!present.contains(model)) {
-                prefetch(model);
+            if (!present.contains(model) && prefetch(model, onlyIntoFreeRoom)) {
                 return;
             }
         }
@@ -287,13 +295,23 @@
         return present;
     }
 
-    private void prefetch(String model) {
+    /**
+     * Tells whether the models that servers held at the start may still be in use. Before the first
+     * demand is known, any of them may be a busy one; one that stays unrequested is not.
+     */
+    private boolean mayHeldModelsBeInUse() {
+        return now.isBefore(orders.lastServerAddedAt().plus(ASSUMED_USE_PERIOD));
+    }
+
+    /** Loads a model that no server has a copy of; returns whether a server takes it. */
+    private boolean prefetch(String model, boolean onlyIntoFreeRoom) {
         PlannedServer best = null;
         int lowestRank = Integer.MAX_VALUE;
         for (PlannedServer server : view.servers()) {
-            if (!server.canTakeOrder()
-                    || server.reservedFor != null
-                    || !view.hasRoom(server, model) && policy.victim(server, model).isEmpty()) {
+            boolean possible =
+                    view.hasRoom(server, model)
+                            || !onlyIntoFreeRoom && policy.victim(server, model).isPresent();
+            if (!server.canTakeOrder() || server.reservedFor != null || !possible) {
                 continue;
             }
             int rank = prefetchRank(server);
@@ -302,9 +320,7 @@
                 best = server;
             }
         }
-        if (best != null) {
-            loadOrMakeRoom(best, model, "not_copied_yet");
-        }
+        return best != null && loadOrMakeRoom(best, model, "not_copied_yet");
     }
 
     private int prefetchRank(PlannedServer server) {
--- a/src/test/java/org/tarragonlug/decision/placement/EngineSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/placement/EngineSimulation.java
@@ -374,6 +374,15 @@
         waitingSince.putIfAbsent(new ModelKey(model, ""), now);
     }
 
+    /** Returns the engines and the models that they hold, as "server-0 model-0". */
+    Set<String> heldModels() {
+        Set<String> held = new HashSet<>();
+        for (Engine engine : engines.values()) {
+            engine.models.keySet().forEach(model -> held.add(engine.id + " " + model));
+        }
+        return held;
+    }
+
     /** Returns a model that no engine has a copy of. */
     String modelWithoutCopy() {
         return sizes.keySet().stream()
--- a/src/test/java/org/tarragonlug/decision/placement/PlacementPlannerTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/PlacementPlannerTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.tarragonlug.id.ModelKey;
@@ -48,6 +49,18 @@
             assertTrue(p90.compareTo(Duration.ofSeconds(3)) <= 0, "p90 " + p90);
         }
 
+        /**
+         * Guards against unloading busy models shortly before their requests arrive. A model
+         * without copies took the place of the busiest one and blocked its server for 6 s.
+         */
+        @Test
+        void modelsHeldAtTheStartStayLoadedForAWhile() {
+            EngineSimulation simulation = new EngineSimulation(7, 8);
+            Set<String> held = simulation.heldModels();
+            simulation.run(Duration.ofSeconds(20), 0, false);
+            assertTrue(simulation.heldModels().containsAll(held));
+        }
+
         @Test
         void modelsAreCopiedToDisksBeforeTheyAreRequested() {
             EngineSimulation simulation = new EngineSimulation(7, 8);
