Check an awaited state once in LoopbackFixture.eventually

Cause: eventually() checked its condition a second time after the wait.

Change: the result of the last check counts.

--- a/src/test/java/org/tarragonlug/http/LoopbackFixture.java
+++ b/src/test/java/org/tarragonlug/http/LoopbackFixture.java
@@ -60,10 +60,13 @@
     /** Waits until a condition holds; fails if it does not hold within {@link #WAIT_SECONDS}. */
     public static void eventually(BooleanSupplier condition) throws InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-        while (!condition.getAsBoolean() && System.nanoTime() < deadline) {
+        boolean holds = condition.getAsBoolean();
+        while (!holds && System.nanoTime() < deadline) {
             Thread.sleep(2);
+            holds = condition.getAsBoolean();
         }
-        assertTrue(condition.getAsBoolean());
+        // The condition is not checked again, because the awaited state may already have ended.
+        assertTrue(holds);
     }
 
     @Override
