Tell callers of full servers to come back when the queue has moved

Cause: a request that full servers rejected was refused with Retry-After 0.15 s. A server's queue of three times its slots takes over a second to start, so the caller met the same queue and was refused again, and most callers come back only once.

Change: Retry-After is the time that the waiting generations of the last rejecting server take to start, from the load that it reports. The delays move to RetryDelay.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -44,13 +44,6 @@
     /** How long a request for a plain service waits for a server to become available. */
     private static final Duration SERVER_WAIT = Duration.ofMillis(250);
 
-    private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(500);
-
-    /** The delay is short because another instance can accept the request at once. */
-    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
-
-    private static final Duration REJECTED_RETRY_AFTER = Duration.ofMillis(150);
-
     /** A stream that has begun counts as stalled after a pause of this length. */
     private static final Duration STREAM_STALL_TIMEOUT = Duration.ofMillis(1200);
 
@@ -185,7 +178,7 @@
 
     private void onRequestArrived(ForwardRequest request, Instant now) {
         if (table == null) {
-            refuse(request.key(), RefusalReason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER);
+            refuse(request.key(), RefusalReason.NO_CONFIGURATION, RetryDelay.NOT_READY);
             return;
         }
         Optional<ForwardingRoute> route = table.route(request.host(), request.path());
@@ -237,7 +230,7 @@
             sendIfAllowed(forward, server.get(), now);
         } else if (queueClosed) {
             remove(forward);
-            refuseOrFail(forward, RefusalReason.STOPPING, STOPPING_RETRY_AFTER);
+            refuseOrFail(forward, RefusalReason.STOPPING, RetryDelay.STOPPING);
         } else if (needsModel(forward)) {
             forward.waitedForModel |= !paused;
             waitForModel(forward, now);
@@ -245,7 +238,7 @@
             turnAway(forward);
         } else if (Duration.between(forward.lastProgress, now).compareTo(SERVER_WAIT) >= 0) {
             remove(forward);
-            refuseOrFail(forward, RefusalReason.NO_SERVER, NOT_READY_RETRY_AFTER);
+            refuseOrFail(forward, RefusalReason.NO_SERVER, RetryDelay.NOT_READY);
         }
     }
 
@@ -354,7 +347,7 @@
 
     private void turnAway(PendingForward forward) {
         remove(forward);
-        refuseOrFail(forward, RefusalReason.TURNED_AWAY, REJECTED_RETRY_AFTER);
+        refuseOrFail(forward, RefusalReason.TURNED_AWAY, forward.retryDelay);
     }
 
     /**
@@ -371,6 +364,8 @@
             server.markModelAbsent(new ModelKey(key.model(), ""), now);
         } else {
             forward.sameServerAllowedAt = now.plus(FULL_SERVER_PAUSE);
+            load.filter(each -> needsModel(forward))
+                    .ifPresent(each -> forward.retryDelay = RetryDelay.afterGenerations(each));
         }
     }
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.decision.forwarding;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Set;
@@ -43,6 +44,9 @@
     /** How often a server that the request was meant for rejected it. */
     int rejections;
 
+    /** When the caller should come back if the request is turned away. */
+    Duration retryDelay = RetryDelay.REJECTED;
+
     boolean streamStarted;
 
     /** Whether the request had to wait until a server held its model. */
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RetryDelay.java
@@ -0,0 +1,30 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Duration;
+
+/** When the caller of a refused request should come back. */
+final class RetryDelay {
+    /** For requests that no server can receive at present. */
+    static final Duration NOT_READY = Duration.ofMillis(500);
+
+    /** For requests to a stopping instance; short, because another one can accept them at once. */
+    static final Duration STOPPING = Duration.ofMillis(20);
+
+    /** For requests that servers rejected for a reason that passes quickly. */
+    static final Duration REJECTED = Duration.ofMillis(150);
+
+    /** Typical time for which a generation occupies a slot. */
+    private static final Duration GENERATION_TIME = Duration.ofMillis(600);
+
+    private RetryDelay() {}
+
+    /**
+     * Returns how long the generations that wait at a full server take to start. A caller that
+     * comes back earlier finds the same queue, and most callers come back only once.
+     */
+    static Duration afterGenerations(ReportedLoad load) {
+        Duration time =
+                GENERATION_TIME.multipliedBy(load.waiting()).dividedBy(Math.max(1, load.slots()));
+        return time.compareTo(REJECTED) > 0 ? time : REJECTED;
+    }
+}
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -8,6 +8,7 @@
 import static org.tarragonlug.decision.forwarding.ForwardingFixture.find;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -209,6 +210,28 @@
                     send.server(), requireSend(fixture.advance(Duration.ofMillis(200))).server());
         }
 
+        /**
+         * Guards against callers who come back to a queue that has not moved. A caller who is
+         * refused twice is not served at all.
+         */
+        @Test
+        void callerComesBackWhenTheQueueOfTheFullServerHasMoved() {
+            ForwardingFixture full =
+                    new ForwardingFixture().withRoutes().withServer("only", ENGINES, "m");
+            List<ForwardingCommand> commands = full.arrive("/ask/1", "m");
+            Optional<ReportedLoad> load = Optional.of(new ReportedLoad(8, 16, 8));
+            while (find(commands, ForwardingCommand.Refuse.class).isEmpty()) {
+                long key = requireSend(commands).request();
+                commands =
+                        new ArrayList<>(
+                                full.handle(
+                                        new ForwardingEvent.Rejected(key, Rejection.BUSY, load)));
+                commands.addAll(full.advance(Duration.ofMillis(200)));
+            }
+            Duration delay = requireRefuse(commands).retryAfter().orElseThrow();
+            assertTrue(delay.compareTo(Duration.ofSeconds(1)) >= 0, "retry after " + delay);
+        }
+
         @Test
         void refusesRequestWhenAllServersRejectIt() {
             List<ForwardingCommand> commands = fixture.arrive("/issue/1", "");
