Limit what all calls together keep of answers that are not complete

Change: HeldBytes counts the bytes that the receivers of all calls keep. When they pass the limit, calls that keep an equal part of it or more end as ANSWER_TOO_LARGE; calls with small answers go on. A gateway keeps at most 8 MiB in all, and as much of one answer.

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -96,7 +96,10 @@
     /** Part of the drain time that is reserved for the exit of the process. */
     private static final Duration EXIT_MARGIN = Duration.ofMillis(900);
 
-    private static final int MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+    private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+    /** Bytes of incomplete answers in memory; a buffer that grows takes three times its content. */
+    private static final long MAX_HELD_BYTES = 8L * 1024 * 1024;
 
     private final GatewaySettings settings;
     private final ProcessId processId;
@@ -148,6 +151,7 @@
                                 Duration.ofMillis(400),
                                 Duration.ofSeconds(1),
                                 MAX_ANSWER_BYTES,
+                                MAX_HELD_BYTES,
                                 Duration.ofMinutes(2)));
         this.coordinator =
                 new ForwardingCoordinator(
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -106,6 +106,11 @@
         }
     }
 
+    @Override
+    public long heldBytes() {
+        return body.size() + splitter.pendingBytes();
+    }
+
     private void deliver(EventStreamSplitter.Event event) {
         if (event.id() >= 0) {
             if (event.id() <= lastEventId) {
--- a/src/main/java/org/tarragonlug/http/CollectingReceiver.java
+++ b/src/main/java/org/tarragonlug/http/CollectingReceiver.java
@@ -26,6 +26,11 @@
         body.writeBytes(part);
     }
 
+    @Override
+    public long heldBytes() {
+        return body.size();
+    }
+
     @Override
     public void onCompleted() {
         result.complete(new HttpAnswer(status, headers, body.toByteArray()));
--- a/src/main/java/org/tarragonlug/http/EventStreamSplitter.java
+++ b/src/main/java/org/tarragonlug/http/EventStreamSplitter.java
@@ -45,6 +45,11 @@
         return events;
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    public int pendingBytes() {
+        return pendingBytes.size();
+    }
+
     /** Tells whether bytes of an event have been received without its end. */
     public boolean hasIncompleteEvent() {
         return pendingBytes.size() > 0;
--- a/src/main/java/org/tarragonlug/http/HttpConnections.java
+++ b/src/main/java/org/tarragonlug/http/HttpConnections.java
@@ -34,6 +34,7 @@
     private final IoExecutor ioExecutor;
     private final ScheduledExecutorService timers;
     private final HttpLimits limits;
+    private final HeldBytes heldBytes;
     private final Map<InetSocketAddress, Pool> pools = new HashMap<>();
     private long lastUnusedCheckNanos = System.nanoTime();
     private boolean closed;
@@ -50,6 +51,12 @@
         this.ioExecutor = ioExecutor;
         this.timers = timers;
         this.limits = limits;
+        this.heldBytes = new HeldBytes(limits.maximumHeldBytes());
+    }
+
+    /** Returns the bytes of incomplete answers that all calls keep in memory now. */
+    long heldBytes() {
+        return heldBytes.total();
     }
 
     /** Returns the limits that apply to all calls. */
@@ -101,7 +108,7 @@
         ClientLease lease =
                 call.use() == ConnectionUse.NEW ? new SingleUse(address) : lease(address);
         HttpExchange exchange =
-                new HttpExchange(call, lease, receiver, limits.maximumAnswerBytes());
+                new HttpExchange(call, lease, receiver, limits.maximumAnswerBytes(), heldBytes);
         exchange.start(timers);
         return exchange;
     }
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -40,18 +40,26 @@
     private final ClientLease lease;
     private final HttpReceiver receiver;
     private final int maximumBytes;
+    private final HeldBytes heldByAll;
     private ReservedStreamingHttpConnection connection;
     private FramingGuard guard;
     private Cancellable currentStep = Cancellable.IGNORE_CANCEL;
     private Future<?> timer;
     private long receivedBytes;
+    private long heldBytes;
     private boolean ended;
 
-    HttpExchange(HttpCall call, ClientLease lease, HttpReceiver receiver, int maximumBytes) {
+    HttpExchange(
+            HttpCall call,
+            ClientLease lease,
+            HttpReceiver receiver,
+            int maximumBytes,
+            HeldBytes heldByAll) {
         this.call = call;
         this.lease = lease;
         this.receiver = receiver;
         this.maximumBytes = maximumBytes;
+        this.heldByAll = heldByAll;
     }
 
     void start(ScheduledExecutorService timers) {
@@ -173,6 +181,16 @@
         byte[] part = new byte[buffer.readableBytes()];
         buffer.readBytes(part);
         receiver.onData(part);
+        if (!ended && !hold(receiver.heldBytes())) {
+            String detail = "the answers of all calls exceed the memory for them; this one keeps ";
+            fail(HttpFailure.Kind.ANSWER_TOO_LARGE, detail + heldBytes + " bytes", null);
+        }
+    }
+
+    private boolean hold(long bytes) {
+        long before = heldBytes;
+        heldBytes = bytes;
+        return heldByAll.change(before, bytes);
     }
 
     private synchronized void handleEnd() {
@@ -180,6 +198,7 @@
             return;
         }
         ended = true;
+        hold(0);
         timer.cancel(false);
         guard.end();
         toSource(connection.releaseAsync()).subscribe(IgnoredCompletion.INSTANCE);
@@ -238,6 +257,7 @@
             return false;
         }
         ended = true;
+        hold(0);
         if (timer != null) {
             timer.cancel(false);
         }
--- a/src/main/java/org/tarragonlug/http/HttpReceiver.java
+++ b/src/main/java/org/tarragonlug/http/HttpReceiver.java
@@ -18,6 +18,11 @@
     /** Called for each received part of the body. */
     void onData(byte[] part);
 
+    /** Returns how many bytes of the incomplete answer this receiver keeps in memory. */
+    default long heldBytes() {
+        return 0;
+    }
+
     /** Called when the answer has been received completely. */
     void onCompleted();
 
--- a/src/main/java/org/tarragonlug/tool/AdminClient.java
+++ b/src/main/java/org/tarragonlug/tool/AdminClient.java
@@ -24,7 +24,11 @@
     private static final int MAXIMUM_ANSWER_BYTES = 64 << 20;
     private static final HttpLimits LIMITS =
             new HttpLimits(
-                    Duration.ofSeconds(3), TIMEOUT, MAXIMUM_ANSWER_BYTES, Duration.ofMinutes(1));
+                    Duration.ofSeconds(3),
+                    TIMEOUT,
+                    MAXIMUM_ANSWER_BYTES,
+                    MAXIMUM_ANSWER_BYTES,
+                    Duration.ofMinutes(1));
 
     private final IoExecutor ioExecutor = IoThreads.create(1);
     private final ScheduledExecutorService timers =
--- a/src/test/java/org/tarragonlug/http/EndlessServer.java
+++ b/src/test/java/org/tarragonlug/http/EndlessServer.java
@@ -8,7 +8,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -30,7 +32,13 @@
         TRAILERS_AFTER_BODY(
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "a: b\r\n"),
         CHUNK_EXTENSION("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", "a"),
-        CHUNK_SIZE("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0");
+        CHUNK_SIZE("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0"),
+        BODY_OF_STATED_LENGTH("HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n", "x"),
+        CHUNKS("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"),
+        BODY_UNTIL_CLOSE("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", "x");
+
+        /** The kinds that send a body without end; the others never come to a body or pass it. */
+        static final Set<Kind> BODIES = EnumSet.of(BODY_OF_STATED_LENGTH, CHUNKS, BODY_UNTIL_CLOSE);
 
         private final String beginning;
         private final String repeated;
--- a/src/test/java/org/tarragonlug/http/LoopbackFixture.java
+++ b/src/test/java/org/tarragonlug/http/LoopbackFixture.java
@@ -26,6 +26,9 @@
     /** Timeout of calls that are expected to be answered. */
     public static final Duration LONG_TIMEOUT = Duration.ofSeconds(5);
 
+    /** Bytes of incomplete answers that all calls may keep, less than 32 calls of 64 KiB each. */
+    static final long MAXIMUM_HELD_BYTES = 512 * 1024;
+
     private static final long WAIT_SECONDS = 8;
 
     /** One executor for all tests, as all parts of a process share one. */
@@ -38,7 +41,12 @@
 
     private HttpConnections withResponseTimeout(Duration responseTimeout) {
         HttpLimits limits =
-                new HttpLimits(LONG_TIMEOUT, responseTimeout, 64 * 1024, Duration.ofMillis(50));
+                new HttpLimits(
+                        LONG_TIMEOUT,
+                        responseTimeout,
+                        64 * 1024,
+                        MAXIMUM_HELD_BYTES,
+                        Duration.ofMillis(50));
         return new HttpConnections(ioExecutor, clock.executor(), limits);
     }
 
