Limit the bytes of a caller that never become a request

Cause: on the callers' side, too, the HTTP library limits single lines only.

Change: UndecodedBytes counts the bytes and lines since the decoder passed on the last part of a request; ConnectionGuard reports such parts.

--- a/src/main/java/org/tarragonlug/caller/ConnectionGuard.java
+++ b/src/main/java/org/tarragonlug/caller/ConnectionGuard.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.ChannelInputShutdownReadComplete;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.TooLongFrameException;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.nio.charset.StandardCharsets;
@@ -36,12 +37,19 @@
     private static final String LINE_TOO_LONG = "Could not find CRLF";
 
     private final Set<Runnable> closeActions = ConcurrentHashMap.newKeySet();
+    private final UndecodedBytes undecodedBytes;
     private volatile boolean closed;
 
+    private ConnectionGuard(UndecodedBytes undecodedBytes) {
+        this.undecodedBytes = undecodedBytes;
+    }
+
     /** Installs a guard before the last handler of the library. */
     static void install(Channel channel) {
         String last = channel.pipeline().lastContext().name();
-        channel.pipeline().addBefore(last, NAME, new ConnectionGuard());
+        UndecodedBytes undecodedBytes = new UndecodedBytes();
+        channel.pipeline().addFirst(UndecodedBytes.NAME, undecodedBytes);
+        channel.pipeline().addBefore(last, NAME, new ConnectionGuard(undecodedBytes));
     }
 
     /** Returns the guard of a connection; empty if the connection has none. */
@@ -78,6 +86,12 @@
         }
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        undecodedBytes.onDecoded();
+        super.channelRead(context, message);
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
         if (event instanceof ChannelInputShutdownEvent
@@ -113,7 +127,9 @@
     }
 
     private static ByteBuf malformedAnswer(Throwable cause) {
-        boolean tooLong = String.valueOf(cause.getMessage()).contains(LINE_TOO_LONG);
+        boolean tooLong =
+                cause instanceof TooLongFrameException
+                        || String.valueOf(cause.getMessage()).contains(LINE_TOO_LONG);
         ErrorCode code = tooLong ? ErrorCode.HEADERS_TOO_LARGE : ErrorCode.BAD_REQUEST;
         String body =
                 "{\"error\":{\"code\":\""
