--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -60,6 +60,19 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Records a planner's notice that a replica was loaded or is being unloaded. */
+    void recordReplica(ForwardingEvent.ReplicaAnnounced announced) {
+        FleetServer server = servers.get(announced.server());
+        if (server == null) {
+            return;
+        }
+        if (announced.held()) {
+            server.assumeLoaded(announced.key(), announced.until());
+        } else {
+            server.assumeUnloaded(announced.key(), announced.until());
+        }
+    }
+
     /** Records the servers that several instances cannot reach. */
     void recordSuspected(Set<ServerId> suspected, Instant now) {
         suspected.forEach(id -> server(id).ifPresent(server -> server.markSuspected(now)));
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -44,15 +44,6 @@
     /** How long a request for a plain service waits for a server to become available. */
     private static final Duration SERVER_WAIT = Duration.ofMillis(250);
 
-    /** A stream that has begun counts as stalled after a pause of this length. */
-    private static final Duration STREAM_STALL_TIMEOUT = Duration.ofMillis(1200);
-
-    private static final Duration MIN_STREAM_START_TIMEOUT = Duration.ofMillis(1000);
-    private static final Duration MIN_ANSWER_TIMEOUT = Duration.ofMillis(350);
-
-    /** Time without an answer after which an attempt counts as stalled, in target latencies. */
-    private static final int ANSWER_TIMEOUT_IN_TARGETS = 3;
-
     /** How often the demand of a waiting request is reported. */
     private static final Duration WAITING_REPORT_INTERVAL = Duration.ofMillis(250);
 
@@ -74,7 +65,7 @@
     private final InstanceCount instances;
     private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
-    private final Map<ServiceName, Map<ModelKey, Instant>> expectedReadyTimes = new HashMap<>();
+    private final ReadyExpectations expectations = new ReadyExpectations();
     private ForwardingTable table;
     private boolean queueClosed;
     private List<ForwardingCommand> commands = new ArrayList<>();
@@ -141,13 +132,10 @@
         } else if (event instanceof ForwardingEvent.ServerUnlisted unlisted) {
             fleet.remove(unlisted.server());
         } else if (event instanceof ForwardingEvent.ReplicaAnnounced announced) {
-            fleet.server(announced.server())
-                    .ifPresent(server -> applyAnnouncement(server, announced));
+            fleet.recordReplica(announced);
             dispatchWaiting(now);
         } else if (event instanceof ForwardingEvent.ModelReadyExpected expected) {
-            expectedReadyTimes
-                    .computeIfAbsent(expected.service(), each -> new HashMap<>())
-                    .put(expected.key(), expected.ready());
+            expectations.record(expected);
             dispatchWaiting(now);
         } else if (event instanceof ForwardingEvent.InstancesCounted counted) {
             instances.update(counted.instances(), now);
@@ -163,15 +151,6 @@
         return commands;
     }
 
-    private static void applyAnnouncement(
-            FleetServer server, ForwardingEvent.ReplicaAnnounced announced) {
-        if (announced.held()) {
-            server.assumeLoaded(announced.key(), announced.until());
-        } else {
-            server.assumeUnloaded(announced.key(), announced.until());
-        }
-    }
-
     private Optional<PendingForward> find(long key) {
         return Optional.ofNullable(pending.get(key));
     }
@@ -259,10 +238,14 @@
 
     private void waitForModel(PendingForward forward, Instant now) {
         ModelKey key = forward.request.model().orElseThrow();
-        Instant ready = expectedReadyTimes.getOrDefault(forward.service, Map.of()).get(key);
-        if (ready != null && ready.isAfter(forward.patienceEnd) && now.isBefore(ready)) {
+        Optional<Instant> ready =
+                expectations
+                        .find(forward.service, key)
+                        .filter(each -> each.isAfter(forward.patienceEnd) && now.isBefore(each));
+        if (ready.isPresent()) {
+            Duration delay = Duration.between(now, ready.get());
             remove(forward);
-            refuseOrFail(forward, RefusalReason.MODEL_NOT_READY, Duration.between(now, ready));
+            refuseOrFail(forward, RefusalReason.MODEL_NOT_READY, delay);
             return;
         }
         if (Duration.between(forward.waitingReportedAt, now).compareTo(WAITING_REPORT_INTERVAL)
@@ -495,7 +478,7 @@
 
     private void checkStall(PendingForward forward, Instant now) {
         if (forward.stallCounted
-                || Duration.between(forward.lastProgress, now).compareTo(stallTimeout(forward))
+                || Duration.between(forward.lastProgress, now).compareTo(StallTimeout.of(forward))
                         < 0) {
             return;
         }
@@ -512,19 +495,4 @@
         forward.excluded.add(server.id());
         dispatch(forward, now);
     }
-
-    private static Duration stallTimeout(PendingForward forward) {
-        if (forward.state == PendingForward.State.STREAMING) {
-            return STREAM_STALL_TIMEOUT;
-        }
-        Duration target = forward.route.targetLatency();
-        if (forward.route.kind() == RequestKind.STREAMING) {
-            return longer(MIN_STREAM_START_TIMEOUT, target.multipliedBy(3).dividedBy(2));
-        }
-        return longer(MIN_ANSWER_TIMEOUT, target.multipliedBy(ANSWER_TIMEOUT_IN_TARGETS));
-    }
-
-    private static Duration longer(Duration one, Duration other) {
-        return one.compareTo(other) >= 0 ? one : other;
-    }
 }
