--- a/src/main/java/org/tarragonlug/simulation/FleetMeasurement.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetMeasurement.java
@@ -25,10 +25,10 @@
         recorder.print(output);
         output.println("orders: " + simulation.planner().orders());
         long read = simulation.servers().stream().mapToLong(ModelServer::readTokens).sum();
-        long again = simulation.servers().stream().mapToLong(ModelServer::reReadTokens).sum();
+        long shared = simulation.servers().stream().mapToLong(ModelServer::readPrefixTokens).sum();
         int violations = simulation.servers().stream().mapToInt(ModelServer::violations).sum();
         output.printf(
                 "remote loads %d, prompt tokens read %d (shared %d), overloads %d%n",
-                simulation.remoteLoads(), read, again, violations);
+                simulation.remoteLoads(), read, shared, violations);
     }
 }
--- a/src/main/java/org/tarragonlug/simulation/ModelServer.java
+++ b/src/main/java/org/tarragonlug/simulation/ModelServer.java
@@ -56,7 +56,7 @@
     private final Map<String, Set<String>> models = new LinkedHashMap<>();
     private final Set<String> onDisk = new LinkedHashSet<>();
     private final Set<String> inMemory = new LinkedHashSet<>();
-    private final Map<String, Integer> cache = new LinkedHashMap<>(16, 0.75f, true);
+    private final PromptCache cache;
     private final List<ServerRun> running = new ArrayList<>();
     private final List<ServerRun> waiting = new ArrayList<>();
     private long orderCount;
@@ -68,7 +68,6 @@
     private long startedMillis = 1;
     private double slowness = 1;
     private int violations;
-    private long reReadTokens;
     private long readTokens;
 
     ModelServer(
@@ -85,6 +84,7 @@
         this.time = time;
         this.weightStore = weightStore;
         this.onListingChanged = onListingChanged;
+        this.cache = new PromptCache(scenario.cacheTokens());
         this.speed = number % 3 == 2 ? 1.3 : 1.0;
     }
 
@@ -105,9 +105,9 @@
         return readTokens;
     }
 
-    /** Returns the tokens of shared parts that were read although this server had read them. */
-    long reReadTokens() {
-        return reReadTokens;
+    /** Returns the tokens of shared parts that this server read. */
+    long readPrefixTokens() {
+        return cache.readTokens();
     }
 
     boolean holds(String model) {
@@ -270,7 +270,7 @@
             ServerRun next =
                     waiting.stream().min(Comparator.comparingInt(run -> run.urgency)).get();
             waiting.remove(next);
-            readPrefix(next);
+            next.unreadTokens += cache.read(next.prefix);
             running.add(next);
         }
         if (!stepping && !running.isEmpty()) {
@@ -279,27 +279,6 @@
         }
     }
 
-    private void readPrefix(ServerRun run) {
-        if (run.prefix.isEmpty()) {
-            return;
-        }
-        if (cache.get(run.prefix.key()) == null) {
-            run.unreadTokens += run.prefix.tokens();
-            cache.put(run.prefix.key(), run.prefix.tokens());
-            reReadTokens += run.prefix.tokens();
-            trimCache();
-        }
-    }
-
-    private void trimCache() {
-        int tokens = cache.values().stream().mapToInt(Integer::intValue).sum();
-        Iterator<Integer> oldest = cache.values().iterator();
-        while (tokens > scenario.cacheTokens() && oldest.hasNext()) {
-            tokens -= oldest.next();
-            oldest.remove();
-        }
-    }
-
     private void scheduleStep() {
         int budget = CHUNK_TOKENS;
         int read = 0;
@@ -461,7 +440,7 @@
                         unloading = "";
                         busy = false;
                         models.remove(model);
-                        cache.keySet().removeIf(key -> key.startsWith(model + "#"));
+                        cache.removeModel(model);
                         onListingChanged.run();
                     }
                 });
--- a/src/test/java/org/tarragonlug/decision/placement/SuspectedServersTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/SuspectedServersTest.java
@@ -35,13 +35,13 @@
 
     /** Guards against needless loads because one instance has lost its link to a server. */
     @Test
-    void singleInstanceAccusesNobody() {
+    void reportOfOneInstanceIsNotEnough() {
         report(FIRST, LOST);
         report(FIRST, LOST);
         assertEquals(Set.of(), suspected.current(now));
     }
 
-    /** Guards against instances that are cut off together and accuse all servers. */
+    /** Guards against instances that are cut off together and report all servers. */
     @Test
     void instancesThatReachFewServersAreNotBelieved() {
         ServerId[] most = {LOST, new ServerId("b"), new ServerId("c"), new ServerId("d")};
