Take over planning at once from a holder that releases its lease

Cause: a stopping holder says in its notices that it no longer holds its lease, but its last heartbeat counted for another second, and other instances passed it on.

Change: a holder's own statement that it released the lease ends its heartbeat, and statements of others about the same or an older renewal are ignored.

--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -76,6 +76,7 @@
     private final Map<OrderGroup, LeaseManager> leaseManagers = new LinkedHashMap<>();
     private final Map<OrderGroup, LeaseDriver> drivers = new LinkedHashMap<>();
     private final Map<OrderGroup, HolderHeartbeat> heartbeats = new HashMap<>();
+    private final Map<OrderGroup, Long> releasedRevisions = new HashMap<>();
     private Instant lowestHolderSince;
 
     OrderLeases(
@@ -251,15 +252,30 @@
             if (lastSeen.filter(record -> record.holder().equals(holder)).isEmpty()) {
                 continue;
             }
+            boolean direct = holder.equals(from);
             if (lease.holding()) {
-                recordHeartbeat(lease, holder, holder.equals(from));
+                recordHeartbeat(lease, holder, direct);
+            } else if (direct) {
+                recordRelease(lease);
             }
             drivers.get(lease.group())
                     .post(new LeaseEvent.HolderResponded(lease.holding(), lease.revision()));
         }
     }
 
+    /**
+     * Records that a holder has given up its lease. Others learn of it later and may still state
+     * that the holder is alive, so statements about the same or an older renewal are ignored.
+     */
+    private void recordRelease(PeerMessage.LeaseStatus lease) {
+        heartbeats.remove(lease.group());
+        releasedRevisions.put(lease.group(), lease.revision());
+    }
+
     private void recordHeartbeat(PeerMessage.LeaseStatus lease, InstanceId holder, boolean direct) {
+        if (lease.revision() <= releasedRevisions.getOrDefault(lease.group(), -1L)) {
+            return;
+        }
         HolderHeartbeat before = heartbeats.get(lease.group());
         if (direct || before == null || !before.direct() || !isHolderAlive(lease.group())) {
             heartbeats.put(
--- a/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
@@ -98,5 +98,21 @@
             assertTrue(first.leaseNotices().isEmpty(), () -> first.leaseNotices().toString());
             assertTrue(second.leaseNotices().isEmpty(), () -> second.leaseNotices().toString());
         }
+
+        /**
+         * Guards against seconds without planning while instances are replaced in turn: the next
+         * planner waited until the heartbeat of the stopping one had expired.
+         */
+        @Test
+        void holderThatReleasesItsLeaseDoesNotCountAsAlive() {
+            first.onLeaseNotices(HOLDER, ownNotice());
+            first.onLeaseNotices(
+                    HOLDER, List.of(new PeerMessage.LeaseStatus(GROUP, false, 40, "")));
+            assertTrue(first.leaseNotices().isEmpty());
+            PeerMessage.LeaseStatus passedOn =
+                    new PeerMessage.LeaseStatus(GROUP, true, 40, HOLDER.value());
+            first.onLeaseNotices(SECOND, List.of(passedOn));
+            assertTrue(first.leaseNotices().isEmpty());
+        }
     }
 }
