Move the caller's attempt out of the fleet simulation

Change: CallerAttempt with its own dependencies. The draw of an instance comes before the attempt is counted, as before.

--- a/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
@@ -35,12 +35,10 @@
 
     private static final int[] BUSY_REPLICAS = {5, 3, 2, 2, 2, 2, 2};
     private static final int RESIDENT_MODELS = 2;
-    private static final Duration MIN_CALLER_PATIENCE = Duration.ofSeconds(2);
     private static final double LISTING_DELAY_MILLIS = 25;
     private static final double WATCH_PAUSE_MILLIS = 1100;
     private static final Duration HEARTBEAT = Duration.ofMillis(1200);
     private static final Duration LISTING_EXPIRY = HEARTBEAT.multipliedBy(3);
-    private static final int CALLER_RETRIES = 1;
 
     private final FleetScenario scenario;
     private final Random random;
@@ -315,7 +313,7 @@
                         (int) Math.min(4 * profile.events(), exponential(profile.events())),
                         random.nextInt(scenario.domains()),
                         time.now());
-        new Attempt(request).start();
+        attempt(request);
     }
 
     private double exponential(double mean) {
@@ -345,111 +343,10 @@
         return scenario.models().get((rank + shifted) % (2 * scenario.busyModels()));
     }
 
-    /** One attempt of a caller at one instance. */
-    private final class Attempt implements SimulatedInstance.Caller {
-        private final CallerRequest request;
-        private final SimulatedInstance instance;
-        private final Instant startedAt = time.now();
-        private long call;
-        private boolean ended;
-
-        Attempt(CallerRequest request) {
-            this.request = request;
-            int perDomain = scenario.instances() / scenario.domains();
-            int index = request.domain + scenario.domains() * random.nextInt(perDomain);
-            this.instance = instances.get(index);
-        }
-
-        void start() {
-            request.attempts++;
-            request.lastEventAt = time.now();
-            call = instance.onRequest(request, this);
-            watch();
-        }
-
-        /** Leaves when no event has arrived for the caller's patience. */
-        private void watch() {
-            if (ended) {
-                return;
-            }
-            Instant leaveAt = request.lastEventAt.plus(patience());
-            Instant deadline = request.arrivedAt.plus(request.profile.timeout());
-            leaveAt = leaveAt.isBefore(deadline) ? leaveAt : deadline;
-            if (!time.now().isBefore(leaveAt)) {
-                instance.onCallerLeft(call);
-                end(FleetRecorder.End.ABANDONED);
-            } else {
-                time.after(Duration.between(time.now(), leaveAt), this::watch);
-            }
-        }
-
-        private Duration patience() {
-            Duration patience = MIN_CALLER_PATIENCE;
-            Duration targets = request.profile.target().multipliedBy(4);
-            Duration gaps = request.profile.gapTarget().multipliedBy(8);
-            patience = targets.compareTo(patience) > 0 ? targets : patience;
-            return gaps.compareTo(patience) > 0 ? gaps : patience;
-        }
-
-        private void addHeldTime() {
-            request.held = request.held.plus(Duration.between(startedAt, time.now()));
-        }
-
-        private void end(FleetRecorder.End how) {
-            if (!ended) {
-                ended = true;
-                addHeldTime();
-                recorder.record(request, how);
-            }
-        }
-
-        @Override
-        public void onEvent(int event) {
-            if (!ended) {
-                request.onEvent(event, time.now());
-            }
-        }
-
-        @Override
-        public void onOffered() {
-            Duration elapsed = Duration.between(request.arrivedAt, time.now());
-            request.offeredInTime |= elapsed.compareTo(request.profile.target()) <= 0;
-        }
-
-        @Override
-        public void onAnswered() {
-            boolean inTarget = request.inTarget();
-            end(inTarget ? FleetRecorder.End.IN_TARGET : FleetRecorder.End.LATE);
-        }
-
-        @Override
-        public void onRefused(Optional<Duration> retryAfter) {
-            if (ended) {
-                return;
-            }
-            Duration left =
-                    Duration.between(time.now(), request.arrivedAt.plus(request.profile.timeout()));
-            Duration pause = retryAfter.orElse(Duration.ofMillis(100));
-            Duration longest = left.dividedBy(3);
-            pause = pause.compareTo(longest) > 0 ? longest : pause;
-            if (request.attempts <= CALLER_RETRIES && !left.isNegative()) {
-                addHeldTime();
-                ended = true;
-                time.after(pause, () -> new Attempt(request).start());
-            } else {
-                end(FleetRecorder.End.REFUSED);
-            }
-        }
-
-        @Override
-        public void onFailed() {
-            if (!ended && request.profile.resumable() && request.attempts <= CALLER_RETRIES) {
-                addHeldTime();
-                ended = true;
-                new Attempt(request).start();
-            } else {
-                end(FleetRecorder.End.FAILED);
-            }
-        }
+    /** Lets a caller ask one of the instances in its failure domain. */
+    private void attempt(CallerRequest request) {
+        int perDomain = scenario.instances() / scenario.domains();
+        int index = request.domain + scenario.domains() * random.nextInt(perDomain);
+        new CallerAttempt(request, instances.get(index), time, recorder, this::attempt).start();
     }
 }
