--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -101,6 +101,14 @@
     /** Bytes of incomplete answers in memory; a buffer that grows takes three times its content. */
     private static final long MAX_HELD_BYTES = 8L * 1024 * 1024;
 
+    private static final HttpLimits HTTP_LIMITS =
+            new HttpLimits(
+                    Duration.ofMillis(400),
+                    Duration.ofSeconds(1),
+                    MAX_ANSWER_BYTES,
+                    MAX_HELD_BYTES,
+                    Duration.ofMinutes(2));
+
     private final GatewaySettings settings;
     private final ProcessId processId;
     private final IoExecutor ioExecutor;
@@ -143,25 +151,10 @@
         this.loop = IoThreads.timers(ioExecutor);
         this.log = new EventLog(settings.instance().value());
         this.timers = new LoopTimerService(loop, this::onPartFailed);
-        this.connections =
-                new HttpConnections(
-                        ioExecutor,
-                        loop,
-                        new HttpLimits(
-                                Duration.ofMillis(400),
-                                Duration.ofSeconds(1),
-                                MAX_ANSWER_BYTES,
-                                MAX_HELD_BYTES,
-                                Duration.ofMinutes(2)));
+        this.connections = new HttpConnections(ioExecutor, loop, HTTP_LIMITS);
         this.coordinator =
                 new ForwardingCoordinator(
-                        settings.failureDomain(),
-                        new Hash4jHasher(),
-                        new ForwardingLimits(
-                                settings.retryWindow(),
-                                settings.retryRatio(),
-                                settings.retryAllowance(),
-                                settings.instances()));
+                        settings.failureDomain(), new Hash4jHasher(), forwardingLimits(settings));
         this.planner = new PlacementPlanner(settings.loadWindow());
         ProcessId process = new ProcessId(UUID.randomUUID().toString());
         OrderGroups groups = new OrderGroups(new Hash4jHasher(), settings.orderGroups());
@@ -178,10 +171,7 @@
         this.peers =
                 new PeerExchange(
                         settings.instance(),
-                        new WatchCandidate(
-                                settings.failureDomain(),
-                                text(settings.peerAddress()),
-                                settings.capacity()),
+                        watchCandidate(settings),
                         leases,
                         followedSource,
                         timers);
@@ -229,6 +219,19 @@
         this.processId = process;
     }
 
+    private static ForwardingLimits forwardingLimits(GatewaySettings settings) {
+        return new ForwardingLimits(
+                settings.retryWindow(),
+                settings.retryRatio(),
+                settings.retryAllowance(),
+                settings.instances());
+    }
+
+    private static WatchCandidate watchCandidate(GatewaySettings settings) {
+        return new WatchCandidate(
+                settings.failureDomain(), text(settings.peerAddress()), settings.capacity());
+    }
+
     private StoreWatcher createWatcher(
             String kind, Supplier<WatchPace> pace, StoreWatcher.Listener listener) {
         return new StoreWatcher(kind, store, loop, timers, log, pace, listener);
