Let a begun stream wait for full servers

A stream had begun, its server fell silent, and the stream was moved; the other servers rejected it four times within half a second, because they were full, and it was broken off with seconds of its caller's time left. A begun stream can not be refused, so giving it up is a lost answer.

Change: rejections and the budget for retries no longer end a begun stream; it tries again with growing pauses until its caller's time is over.

Measured: begunStreamWaitsForFullServers fails on the code before.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -261,10 +261,15 @@
         }
     }
 
-    /** Sends a request, unless it would be a retry and the budget for retries is used up. */
+    /**
+     * Sends a request, unless it would be a retry and the budget for retries is used up. A stream
+     * that has begun then waits, since it cannot be refused any more.
+     */
     private void sendIfAllowed(PendingForward forward, FleetServer server, Instant now) {
         if (forward.needsRetry && !budget(forward.service).tryAcquire(now)) {
-            turnAway(forward);
+            if (!forward.streamStarted) {
+                turnAway(forward);
+            }
             return;
         }
         forward.needsRetry = false;
@@ -321,7 +326,7 @@
         }
         // A server that was reached, whichever it is, counts the request as one more arrival.
         forward.needsRetry |= event.rejection() != Rejection.UNREACHABLE;
-        if (forward.rejections > MAX_REJECTIONS) {
+        if (forward.rejections > MAX_REJECTIONS && !forward.streamStarted) {
             turnAway(forward);
         } else {
             dispatch(forward, now);
@@ -346,7 +351,9 @@
             ModelKey key = forward.request.model().orElseThrow();
             server.markModelAbsent(new ModelKey(key.model(), ""), now);
         } else {
-            forward.sameServerAllowedAt = now.plus(FULL_SERVER_PAUSE);
+            // A begun stream tries again until its caller leaves, so its pauses grow.
+            int pauses = forward.streamStarted ? forward.rejections + 1 : 1;
+            forward.sameServerAllowedAt = now.plus(FULL_SERVER_PAUSE.multipliedBy(pauses));
             load.filter(each -> needsModel(forward))
                     .ifPresent(each -> forward.retryDelay = RetryDelay.afterGenerations(each));
         }
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -387,6 +387,37 @@
             assertNotEquals(first.server(), requireSend(commands).server());
         }
 
+        /**
+         * Guards against a begun stream that is broken off because other servers are full for a
+         * moment. It was given up within half a second, with seconds of its caller's time left.
+         */
+        @Test
+        void begunStreamWaitsForFullServers() {
+            ForwardingFixture fixture =
+                    new ForwardingFixture()
+                            .withRoutes()
+                            .withServer("one", ENGINES, "m")
+                            .withServer("two", ENGINES, "m");
+            long key = requireSend(fixture.arrive("/ask/1", "m")).request();
+            fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
+            fixture.handle(new ForwardingEvent.EventRelayed(key, 0));
+            List<ForwardingCommand> commands =
+                    new ArrayList<>(fixture.handle(new ForwardingEvent.ConnectionBroken(key)));
+            ReportedLoad full = new ReportedLoad(8, 16, 8);
+            for (int rejection = 0; rejection < 5; rejection++) {
+                if (find(commands, ForwardingCommand.Send.class).isEmpty()) {
+                    commands.addAll(fixture.advance(Duration.ofMillis(900)));
+                }
+                requireSend(commands);
+                commands =
+                        new ArrayList<>(
+                                fixture.handle(
+                                        new ForwardingEvent.Rejected(
+                                                key, Rejection.BUSY, Optional.of(full))));
+                assertTrue(find(commands, ForwardingCommand.Fail.class).isEmpty());
+            }
+        }
+
         @Test
         void cancelsAttemptWhenCallerDisconnects() {
             ForwardingFixture fixture =
