Name the simulation's measure value, and name its figures

Change: value in place of worth; a request counts as held when it was never sent within its target and instances held it for longer than that.

--- a/src/main/java/org/tarragonlug/caller/UndecodedBytes.java
+++ b/src/main/java/org/tarragonlug/caller/UndecodedBytes.java
@@ -63,7 +63,12 @@
         context.fireChannelRead(slice);
         if (bytes > MAX_BYTES || lines > MAX_LINES) {
             closed = true;
-            String detail = "the head exceeds " + MAX_BYTES + " bytes or " + MAX_LINES + " lines";
+            String detail =
+                    "a head or trailer section exceeds "
+                            + MAX_BYTES
+                            + " bytes or "
+                            + MAX_LINES
+                            + " lines";
             context.pipeline().fireExceptionCaught(new TooLongFrameException(detail));
             context.close();
         }
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -38,7 +38,7 @@
 
     private static final Duration MAX_UNREACHABLE_PAUSE = Duration.ofMillis(2800);
 
-    /** How long a suspicion holds that is not repeated. */
+    /** How long a server stays suspected after the last announcement of it. */
     private static final Duration SUSPICION_VALIDITY = Duration.ofMillis(1000);
 
     /** How long a model counts as absent after the server rejected a request for it. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -324,7 +324,7 @@
             server.markReached();
             forward.rejections++;
         }
-        // A server that was reached, whichever it is, counts the request as one more arrival.
+        // Only a send that reached a server makes the next one count as a retry.
         forward.needsRetry |= event.rejection() != Rejection.UNREACHABLE;
         if (forward.rejections > MAX_REJECTIONS && !forward.streamStarted) {
             turnAway(forward);
--- a/src/main/java/org/tarragonlug/simulation/CallerAttempt.java
+++ b/src/main/java/org/tarragonlug/simulation/CallerAttempt.java
@@ -11,6 +11,15 @@
     private static final Duration MIN_CALLER_PATIENCE = Duration.ofSeconds(2);
     private static final int CALLER_RETRIES = 1;
 
+    /** Pause before a retry if the refusal names none. */
+    private static final Duration DEFAULT_PAUSE = Duration.ofMillis(100);
+
+    /** A caller waits at most this part of its remaining time before a retry. */
+    private static final int LONGEST_PAUSE_DIVISOR = 3;
+
+    private static final int PATIENCE_IN_TARGETS = 4;
+    private static final int PATIENCE_IN_GAPS = 8;
+
     private final CallerRequest request;
     private final SimulatedInstance instance;
     private final VirtualTime time;
@@ -68,8 +77,8 @@
 
     private Duration patience() {
         Duration patience = MIN_CALLER_PATIENCE;
-        Duration targets = request.profile.target().multipliedBy(4);
-        Duration gaps = request.profile.gapTarget().multipliedBy(8);
+        Duration targets = request.profile.target().multipliedBy(PATIENCE_IN_TARGETS);
+        Duration gaps = request.profile.gapTarget().multipliedBy(PATIENCE_IN_GAPS);
         patience = targets.compareTo(patience) > 0 ? targets : patience;
         return gaps.compareTo(patience) > 0 ? gaps : patience;
     }
@@ -94,9 +103,9 @@
     }
 
     @Override
-    public void onOffered() {
+    public void onSent() {
         Duration elapsed = Duration.between(request.arrivedAt, time.now());
-        request.offeredInTime |= elapsed.compareTo(request.profile.target()) <= 0;
+        request.sentInTime |= elapsed.compareTo(request.profile.target()) <= 0;
     }
 
     @Override
@@ -112,8 +121,8 @@
         }
         Duration left =
                 Duration.between(time.now(), request.arrivedAt.plus(request.profile.timeout()));
-        Duration pause = retryAfter.orElse(Duration.ofMillis(100));
-        Duration longest = left.dividedBy(3);
+        Duration pause = retryAfter.orElse(DEFAULT_PAUSE);
+        Duration longest = left.dividedBy(LONGEST_PAUSE_DIVISOR);
         pause = pause.compareTo(longest) > 0 ? longest : pause;
         if (request.attempts <= CALLER_RETRIES && !left.isNegative()) {
             addHeldTime();
--- a/src/main/java/org/tarragonlug/simulation/CallerRequest.java
+++ b/src/main/java/org/tarragonlug/simulation/CallerRequest.java
@@ -7,6 +7,12 @@
 
 /** One request of a simulated caller, over all its attempts. */
 final class CallerRequest {
+    /** Part of the value that does not depend on the length of the answer. */
+    private static final double FIXED_VALUE_SHARE = 0.3;
+
+    /** Length, as a multiple of the mean, beyond which the value of an answer does not grow. */
+    private static final double LARGEST_SIZE = 4;
+
     final long number;
     final RequestProfile profile;
     final ModelKey model;
@@ -28,8 +34,8 @@
     /** How long instances have held the request, over all attempts that have ended. */
     Duration held = Duration.ZERO;
 
-    /** Whether a server that could run the request received it within the target time. */
-    boolean offeredInTime;
+    /** Whether the request was sent within its target to a server that holds its model. */
+    boolean sentInTime;
 
     CallerRequest(
             long number,
@@ -69,8 +75,14 @@
                 && longestGap.compareTo(profile.gapTarget()) <= 0;
     }
 
-    /** Returns the worth of the request, which grows with the length of its answer. */
-    double worth(double base) {
-        return base * (0.3 + 0.7 * Math.min(4, size));
+    /** Tells whether instances have held the request for longer than its target. */
+    boolean heldPastTarget() {
+        return held.compareTo(profile.target()) > 0;
+    }
+
+    /** Returns the value of an answer, which grows with its length up to a limit. */
+    double value(double ofMeanLength) {
+        double lengthShare = 1 - FIXED_VALUE_SHARE;
+        return ofMeanLength * (FIXED_VALUE_SHARE + lengthShare * Math.min(LARGEST_SIZE, size));
     }
 }
--- a/src/main/java/org/tarragonlug/simulation/FleetRecorder.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetRecorder.java
@@ -26,9 +26,9 @@
     /** The counts for one kind of request, or for one window of time. */
     static final class Counts {
         private final int[] ends = new int[End.values().length];
-        private double owed;
-        private double earned;
-        private double heldUntried;
+        private double askedValue;
+        private double servedValue;
+        private double heldValue;
         private final Histogram firstEventMillis = new Histogram(3);
 
         int of(End end) {
@@ -43,13 +43,15 @@
             return sum;
         }
 
-        double worthShare() {
-            return owed == 0 ? 1 : earned / owed;
+        double valueShare() {
+            return askedValue == 0 ? 1 : servedValue / askedValue;
         }
 
-        /** Returns the worth of unserved requests that were held without reaching a server. */
+        /**
+         * Returns the share of the value whose requests were held past their target, never sent.
+         */
         double heldShare() {
-            return owed == 0 ? 0 : heldUntried / owed;
+            return askedValue == 0 ? 0 : heldValue / askedValue;
         }
 
         long firstEventMillis(double percentile) {
@@ -84,10 +86,10 @@
         rejectionKinds.merge(rejection, 1, Integer::sum);
     }
 
-    /** Returns the worth of the worst window with its neighbour, as a share of what was owed. */
+    /** Returns the mean share of the value that the two worst windows served. */
     double worstWindow() {
         return windows.values().stream()
-                .mapToDouble(Counts::worthShare)
+                .mapToDouble(Counts::valueShare)
                 .sorted()
                 .limit(2)
                 .average()
@@ -103,14 +105,14 @@
 
     private static void add(Counts counts, CallerRequest request, End end) {
         counts.ends[end.ordinal()]++;
-        double full = request.worth(request.profile.worth());
-        counts.owed += full;
+        double full = request.value(request.profile.value());
+        counts.askedValue += full;
         if (end == End.IN_TARGET) {
-            counts.earned += full;
+            counts.servedValue += full;
         } else if (end == End.LATE) {
-            counts.earned += request.worth(request.profile.lateWorth());
-        } else if (!request.offeredInTime) {
-            counts.heldUntried += full * heldShare(request);
+            counts.servedValue += request.value(request.profile.lateValue());
+        } else if (!request.sentInTime && request.heldPastTarget()) {
+            counts.heldValue += full;
         }
         if (request.firstEventAt != null) {
             counts.firstEventMillis.recordValue(
@@ -118,14 +120,6 @@
         }
     }
 
-    /** Grows from 0 at an eighth of the target to 1 at three quarters of the time there was. */
-    private static double heldShare(CallerRequest request) {
-        double held = request.held.toMillis();
-        double from = request.profile.target().toMillis() / 8.0;
-        double to = request.profile.timeout().toMillis() * 0.75;
-        return Math.max(0, Math.min(1, (held - from) / (to - from)));
-    }
-
     /** Counts why an instance ended a request without the answer of a server. */
     void countOutcome(RequestProfile profile, Enum<?> reason) {
         outcomes.merge(profile.name() + " " + reason, 1, Integer::sum);
@@ -133,13 +127,13 @@
 
     void print(PrintStream output) {
         output.println(
-                "| kind | asked | in target | late | refused | failed | left | worth"
+                "| kind | asked | in target | late | refused | failed | left | value"
                         + " | held | first event p50 ms | p90 | p99 |");
         kinds.forEach((name, counts) -> print(name, counts, output));
         print("all", all, output);
-        StringBuilder line = new StringBuilder("worth by window of 2 s:");
+        StringBuilder line = new StringBuilder("value by window of 2 s:");
         windows.forEach(
-                (window, counts) -> line.append(String.format(" %.2f", counts.worthShare())));
+                (window, counts) -> line.append(String.format(" %.2f", counts.valueShare())));
         output.println(line);
         output.println("ended by instances: " + outcomes);
         output.printf(
@@ -161,7 +155,7 @@
                 counts.of(End.REFUSED),
                 counts.of(End.FAILED),
                 counts.of(End.ABANDONED),
-                counts.worthShare(),
+                counts.valueShare(),
                 counts.heldShare(),
                 counts.firstEventMillis(50),
                 counts.firstEventMillis(90),
--- a/src/main/java/org/tarragonlug/simulation/FleetScenarios.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetScenarios.java
@@ -7,7 +7,7 @@
 /** Deployments whose load is hard to serve, each for one reason. */
 public enum FleetScenarios {
     /**
-     * Far more rare models than fit into memory, most of the worth in requests for them, and a
+     * Far more rare models than fit into memory, most of the value in requests for them, and a
      * weight store that serves one load at a time; beside it a few busy models on small batches.
      */
     RARE_MODELS {
--- a/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
@@ -33,7 +33,8 @@
     interface Caller {
         void onEvent(int event);
 
-        void onOffered();
+        /** Called when the request is sent to a server that holds its model. */
+        void onSent();
 
         void onAnswered();
 
@@ -254,7 +255,7 @@
         call.run = run;
         call.server = server;
         if (server.isReady(request.model)) {
-            call.caller.onOffered();
+            call.caller.onSent();
         }
         time.afterMillis(NETWORK_MILLIS, () -> server.onRequest(run));
     }
--- a/src/test/java/org/tarragonlug/decision/watching/WatchSharingSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/watching/WatchSharingSimulation.java
@@ -87,7 +87,7 @@
         private long known;
         private boolean frozen;
         private boolean cut;
-        private Instant troubledUntil = Instant.EPOCH;
+        private Instant faultEffectsUntil = Instant.EPOCH;
 
         Instance(int number, int domains) {
             id = new InstanceId("instance-" + number);
@@ -107,14 +107,14 @@
         /** Stops the instance for a while; messages to it are lost. */
         void freeze(Duration length) {
             frozen = true;
-            troubledUntil = time.now().plus(length).plusSeconds(3);
+            faultEffectsUntil = time.now().plus(length).plusSeconds(3);
             time.after(length, () -> frozen = false);
         }
 
         /** Cuts the instance off from the store, silently, but not from other instances. */
         void cutFromStore(Duration length) {
             cut = true;
-            troubledUntil = time.now().plus(length).plusSeconds(3);
+            faultEffectsUntil = time.now().plus(length).plusSeconds(3);
             time.after(length, () -> cut = false);
         }
 
@@ -129,8 +129,8 @@
         private void learn(long newRevision) {
             for (long each = known; each < newRevision; each++) {
                 Duration delay = Duration.between(changes.get((int) each), time.now());
-                boolean calm = time.now().isAfter(troubledUntil);
-                if (calm && delay.compareTo(longestDelay) > 0 && known > 0) {
+                boolean undisturbed = time.now().isAfter(faultEffectsUntil);
+                if (undisturbed && delay.compareTo(longestDelay) > 0 && known > 0) {
                     longestDelay = delay;
                 }
             }
--- a/src/test/java/org/tarragonlug/http/EndlessAnswerTest.java
+++ b/src/test/java/org/tarragonlug/http/EndlessAnswerTest.java
@@ -24,7 +24,7 @@
  * server exhausts the memory of the process if its bytes are collected until the call times out.
  */
 class EndlessAnswerTest {
-    /** Calls at once, as many as one instance may have at a server in trouble. */
+    /** Calls at once, as many as one instance may have at a failing server. */
     private static final int CALLS = 32;
 
     private final LoopbackFixture loopback = new LoopbackFixture();
@@ -115,7 +115,7 @@
             }
         }
 
-        /** Guards against good answers that are given up because of a server in trouble. */
+        /** Guards against good answers that are given up because another server fails. */
         @Test
         void smallAnswersArriveBesideEndlessOnes() throws Exception {
             try (EndlessServer endless = new EndlessServer(EndlessServer.Kind.CHUNKS)) {
--- a/src/test/java/org/tarragonlug/simulation/FleetSimulationTest.java
+++ b/src/test/java/org/tarragonlug/simulation/FleetSimulationTest.java
@@ -33,7 +33,7 @@
     @Nested
     class Loads {
         /**
-         * Guards against orders to load more than a server holds, which crash it, and against
+         * Guards against orders to load more than fits on a server, which crash it, and against
          * requests that are sent to servers which then reject them.
          */
         @ParameterizedTest
@@ -51,24 +51,24 @@
         /**
          * Guards against rare models that are loaded too late, and against busy models without
          * enough replicas, also where crashed servers stay listed. The bound is the part of the
-         * worth that a deployment with few instances serves.
+         * value that a deployment with few instances serves.
          */
         @ParameterizedTest
         @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "FAILING_SERVERS")
-        void mostOfTheWorthIsServedInTime(FleetScenarios scenario) {
-            requireWorth(scenario);
+        void mostOfTheValueIsServedInTime(FleetScenarios scenario) {
+            requireValue(scenario);
         }
 
         /** Guards against slow servers that go on getting requests; the bound is the same. */
         @Test
-        void mostOfTheWorthIsServedInTimeWhenServersFail() {
-            requireWorth(FleetScenarios.FAILING_SERVERS);
+        void mostOfTheValueIsServedInTimeWhenServersFail() {
+            requireValue(FleetScenarios.FAILING_SERVERS);
         }
 
-        private void requireWorth(FleetScenarios scenario) {
+        private void requireValue(FleetScenarios scenario) {
             Result result = new Result(scenario);
-            double worth = result.recorder.all().worthShare();
-            assertTrue(worth >= 0.85, scenario + " " + worth);
+            double value = result.recorder.all().valueShare();
+            assertTrue(value >= 0.85, scenario + " " + value);
         }
     }
 }
