--- a/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -59,10 +58,7 @@
         return context.storeLimit.loadTime(time, context.orders.remoteLoads() + 1);
     }
 
-    /**
-     * Estimates when the first server will have a model ready. Only servers that can make room for
-     * the model count, as for the load itself; another server with a local copy never loads it.
-     */
+    /** Estimates when the first server will have a model ready. */
     Instant earliestReady(String model) {
         for (PlannedServer server : view.serversPreparing(model)) {
             Instant ready =
@@ -71,18 +67,12 @@
                             : earliestStart(server).plus(loadTime(server, model));
             return ready.isAfter(now) ? ready : now.plus(OrderManager.REPORT_REQUEST_DELAY);
         }
-        return view.servers().stream()
-                .flatMap(server -> timeWithRoom(server, model).stream())
-                .min(Comparator.naturalOrder())
-                .orElseGet(() -> earliestOnceRoomIsMade(model));
-    }
-
-    /** Estimates as if each server could make room at once, which no server can at present. */
-    private Instant earliestOnceRoomIsMade(String model) {
-        return view.servers().stream()
-                .map(server -> earliestStart(server).plus(loadTime(server, model)))
-                .min(Comparator.naturalOrder())
-                .orElse(now.plus(NO_SERVER_WAIT));
+        Instant best = Instant.MAX;
+        for (PlannedServer server : view.servers()) {
+            Instant possible = earliestStart(server).plus(loadTime(server, model));
+            best = possible.isBefore(best) ? possible : best;
+        }
+        return best.equals(Instant.MAX) ? now.plus(NO_SERVER_WAIT) : best;
     }
 
     private Instant earliestStart(PlannedServer server) {
@@ -97,17 +87,14 @@
     }
 
     /**
-     * Returns when a server can have a model ready, with the cost of blocked adapters, to choose
-     * where to load the model; empty if the server cannot make room for it.
+     * Estimates when a server can have a model ready; empty if the server cannot make room for the
+     * model.
      */
     Optional<Instant> readyAt(PlannedServer server, String model) {
-        boolean blocksAdapters = server.tier(model) == CopyTier.REMOTE && holdsBusyModel(server);
-        return timeWithRoom(server, model)
-                .map(ready -> blocksAdapters ? ready.plus(BLOCKED_ADAPTERS_COST) : ready);
-    }
-
-    private Optional<Instant> timeWithRoom(PlannedServer server, String model) {
         Instant ready = earliestStart(server).plus(loadTime(server, model));
+        if (server.tier(model) == CopyTier.REMOTE && holdsBusyModel(server)) {
+            ready = ready.plus(BLOCKED_ADAPTERS_COST);
+        }
         boolean unloading = server.order == null || server.order.action() == OrderAction.UNLOAD;
         if (server.reservedFor != null && unloading) {
             ready = ready.plus(loadTime(server, server.reservedFor));
