--- a/src/main/java/org/tarragonlug/gateway/ActiveRequest.java
+++ b/src/main/java/org/tarragonlug/gateway/ActiveRequest.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Map;
 import org.tarragonlug.caller.ForwardedCall;
+import org.tarragonlug.decision.forwarding.ForwardRequest;
 
 /**
  * State that {@link ForwardingDriver} keeps for a forwarded request until it ends.
@@ -13,6 +14,7 @@
  */
 final class ActiveRequest {
     final ForwardedCall call;
+    final ForwardRequest request;
     final String requestId;
     final Instant arrivedAt;
     ServerAttempt currentAttempt;
@@ -23,9 +25,10 @@
     Map<String, String> answerHeaders = Map.of();
     byte[] answerBody = new byte[0];
 
-    ActiveRequest(ForwardedCall call, String requestId, Instant arrivedAt) {
+    ActiveRequest(ForwardedCall call, ForwardRequest request, Instant arrivedAt) {
         this.call = call;
-        this.requestId = requestId;
+        this.request = request;
+        this.requestId = request.callerRequestId();
         this.arrivedAt = arrivedAt;
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/AttemptListener.java
+++ b/src/main/java/org/tarragonlug/gateway/AttemptListener.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.gateway;
 
 import java.util.Optional;
+import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
 
@@ -10,9 +11,10 @@
      * Called if the server did not run the request.
      *
      * @param rejection why the server did not run it
+     * @param namesRequest whether the rejection carries the id of the request
      * @param load the load that the server stated, if any
      */
-    void onRejected(Rejection rejection, Optional<ReportedLoad> load);
+    void onRejected(Rejection rejection, boolean namesRequest, Optional<ReportedLoad> load);
 
     /**
      * Called when the head of a streamed answer has been received and accepted.
@@ -48,7 +50,8 @@
      * Called if the answer was cut off, is invalid or belongs to another request. The request may
      * have run.
      *
+     * @param progress how much of the answer had arrived
      * @param detail the cause, for the log
      */
-    void onBroken(String detail);
+    void onBroken(AnswerProgress progress, String detail);
 }
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -10,8 +10,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.tarragonlug.caller.ForwardedCall;
 import org.tarragonlug.caller.ForwardedCallListener;
+import org.tarragonlug.decision.forwarding.AnswerProgress;
+import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
@@ -21,6 +24,7 @@
 import org.tarragonlug.http.ConnectionUse;
 import org.tarragonlug.http.HttpCall;
 import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.id.PromptPartId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.platform.RequestHeaders;
 import org.tarragonlug.runtime.Addresses;
@@ -77,10 +81,9 @@
             call.answer(BAD_REQUEST, Map.of(), text("the request has no id; send one"));
             return;
         }
-        activeRequests.put(call.key(), new ActiveRequest(call, id, timers.now()));
-        post(
-                new ForwardingEvent.RequestArrived(
-                        RequestHeaders.decode(call.key(), call.path(), call.headers())));
+        ForwardRequest request = RequestHeaders.decode(call.key(), call.path(), call.headers());
+        activeRequests.put(call.key(), new ActiveRequest(call, request, timers.now()));
+        post(new ForwardingEvent.RequestArrived(request));
     }
 
     @Override
@@ -150,6 +153,7 @@
                 .with("attempt", request.attemptCount)
                 .with("remaining_ms", send.remaining().toMillis())
                 .with("last_event", send.lastEventId())
+                .with("prompt_parts", promptParts(request))
                 .write();
         ServerAttempt attempt =
                 new ServerAttempt(
@@ -170,6 +174,12 @@
         attempt.attachExchange(connections.start(address.get(), call, attempt));
     }
 
+    private static String promptParts(ActiveRequest request) {
+        return request.request.prefix().parts().stream()
+                .map(PromptPartId::value)
+                .collect(Collectors.joining(","));
+    }
+
     private void deliverAnswer(ActiveRequest request) {
         if (request == null) {
             return;
@@ -255,11 +265,13 @@
         }
 
         @Override
-        public void onRejected(Rejection rejection, Optional<ReportedLoad> load) {
+        public void onRejected(
+                Rejection rejection, boolean namesRequest, Optional<ReportedLoad> load) {
             log.event(LogEvent.FORWARD_REJECTED)
                     .with("request", request.requestId)
                     .with("server", request.serverId)
                     .with("rejection", rejection)
+                    .with("names_request", namesRequest)
                     .write();
             post(new ForwardingEvent.Rejected(key, rejection, load));
         }
@@ -289,17 +301,21 @@
                 request.answerBody = body;
             } else if (body.length > 0) {
                 // The server answered the request to resume a stream with an ordinary response.
-                onBroken("status " + status + " with a body instead of the resumed stream");
+                onBroken(
+                        AnswerProgress.HEAD,
+                        "status " + status + " with a body instead of the resumed stream");
                 return;
             }
             post(new ForwardingEvent.Answered(key, status, load));
         }
 
         @Override
-        public void onBroken(String detail) {
+        public void onBroken(AnswerProgress progress, String detail) {
+            metrics.recordBrokenAnswer(progress);
             log.event(LogEvent.FORWARD_BROKEN)
                     .with("request", request.requestId)
                     .with("server", request.serverId)
+                    .with("received", progress)
                     .with("detail", detail)
                     .write();
             post(new ForwardingEvent.ConnectionBroken(key));
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.Locale;
+import org.tarragonlug.decision.forwarding.AnswerProgress;
 
 /** Prometheus metrics of a gateway process. */
 final class GatewayMetrics {
@@ -40,6 +42,13 @@
                     .help("Orders to engines by action and result")
                     .labelNames("action", "result")
                     .register(registry);
+    private final Counter brokenAnswers =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_server_answers_broken_total")
+                    .help("Answers of servers that broke off, by what had been received")
+                    .labelNames("received")
+                    .register(registry);
     private final Gauge waitingRequests =
             Gauge.builder()
                     .withoutExemplars()
@@ -64,6 +73,10 @@
         requestDuration.observe(elapsed.toMillis() / MILLIS_PER_SECOND);
     }
 
+    void recordBrokenAnswer(AnswerProgress received) {
+        brokenAnswers.labelValues(received.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     void recordOrder(String action, String result) {
         orders.labelValues(action, result).inc();
     }
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.Optional;
+import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.http.EventStreamSplitter;
 import org.tarragonlug.http.HttpExchange;
@@ -33,6 +34,7 @@
     private Map<String, String> headers = Map.of();
     private ServerAnswer answer;
     private long lastEventId;
+    private AnswerProgress progress = AnswerProgress.NOTHING;
     private boolean streamStarted;
     private boolean ended;
 
@@ -84,6 +86,7 @@
         } else if (success && answer.encoded()) {
             fail("the successful answer has a content-encoding");
         } else if (success && streaming) {
+            progress = AnswerProgress.HEAD;
             streamStarted = true;
             listener.onStreamStarted(headers, answer.load());
         }
@@ -95,6 +98,7 @@
             return;
         }
         if (!streamStarted) {
+            progress = AnswerProgress.CONTENT;
             body.writeBytes(part);
             return;
         }
@@ -112,6 +116,7 @@
     }
 
     private void deliver(EventStreamSplitter.Event event) {
+        progress = AnswerProgress.CONTENT;
         if (event.id() >= 0) {
             if (event.id() <= lastEventId) {
                 return;
@@ -136,7 +141,7 @@
         }
         ended = true;
         if (answer.rejection().isPresent()) {
-            listener.onRejected(answer.rejection().get(), answer.load());
+            reportRejection(answer.rejection().get());
         } else {
             listener.onAnswered(answer.status(), headers, body.toByteArray(), answer.load());
         }
@@ -149,16 +154,20 @@
         }
         ended = true;
         if (failure.notSent()) {
-            listener.onRejected(Rejection.UNREACHABLE, Optional.empty());
+            listener.onRejected(Rejection.UNREACHABLE, true, Optional.empty());
         } else if (answer != null && answer.rejection().isPresent()) {
-            listener.onRejected(answer.rejection().get(), answer.load());
+            reportRejection(answer.rejection().get());
         } else {
-            listener.onBroken(failure.getMessage());
+            listener.onBroken(progress, failure.getMessage());
         }
     }
 
+    private void reportRejection(Rejection rejection) {
+        listener.onRejected(rejection, answer.requestId().equals(requestId), answer.load());
+    }
+
     private void fail(String detail) {
         cancel();
-        listener.onBroken(detail);
+        listener.onBroken(progress, detail);
     }
 }
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -1,8 +1,10 @@
 package org.tarragonlug.platform;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +13,7 @@
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.PromptPrefix;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.PromptPartId;
 
 /**
  * Decodes the headers of callers' requests and builds the headers of requests to servers.
@@ -115,17 +118,20 @@
             return PromptPrefix.NONE;
         }
         int tokens = 0;
+        List<PromptPartId> ids = new ArrayList<>();
         StringBuilder key = new StringBuilder(model.toString());
         for (int index = 0; index < parts.length - 1; index++) {
             String part = parts[index].trim();
             int colon = part.indexOf(':');
-            if (colon < 0) {
+            if (colon < 1) {
                 return PromptPrefix.NONE;
             }
-            key.append('|').append(part, 0, colon);
+            PromptPartId id = new PromptPartId(part.substring(0, colon));
+            ids.add(id);
+            key.append('|').append(id);
             tokens += number(part.substring(colon + 1)).orElse(0L).intValue();
         }
-        return new PromptPrefix(key.toString(), tokens);
+        return new PromptPrefix(key.toString(), tokens, ids);
     }
 
     /**
--- a/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
@@ -22,6 +22,7 @@
 import org.tarragonlug.decision.forwarding.WeightedService;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.PromptPartId;
 import org.tarragonlug.id.RouteName;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.measure.VirtualTime;
@@ -296,11 +297,10 @@
                         model.name(), adapter ? "a" + (1 + random.nextInt(model.adapters())) : "");
         PromptPrefix prefix = PromptPrefix.NONE;
         if (profile.sharedTokens() > 0) {
-            int part = random.nextInt(profile.sharedParts());
+            int number = random.nextInt(profile.sharedParts());
+            String part = model.name() + "#" + key.adapter() + "#" + number;
             prefix =
-                    new PromptPrefix(
-                            model.name() + "#" + key.adapter() + "#" + part,
-                            profile.sharedTokens());
+                    new PromptPrefix(part, profile.sharedTokens(), List.of(new PromptPartId(part)));
         }
         requestCount++;
         CallerRequest request =
--- a/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.http.HttpFailure;
@@ -24,7 +25,8 @@
         private final List<String> events = new ArrayList<>();
 
         @Override
-        public void onRejected(Rejection rejection, Optional<ReportedLoad> load) {
+        public void onRejected(
+                Rejection rejection, boolean namesRequest, Optional<ReportedLoad> load) {
             events.add("rejected " + rejection);
         }
 
@@ -45,7 +47,7 @@
         }
 
         @Override
-        public void onBroken(String detail) {
+        public void onBroken(AnswerProgress progress, String detail) {
             events.add("broken");
         }
     }
