--- a/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
@@ -7,7 +7,9 @@
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.transport.api.IoExecutor;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,7 +19,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.tarragonlug.http.JsonFields;
 
 /**
@@ -31,19 +35,35 @@
 
     private final StandInServer server;
     private final PlatformStoreStandIn store;
-    private final String id;
+    private final String name;
     private final String service;
     private final Map<String, Set<String>> models = new LinkedHashMap<>();
     private final Map<String, Integer> runsByRequestId = new ConcurrentHashMap<>();
     private final List<String> acceptedOrders = new ArrayList<>();
-    private final long startMillis = System.currentTimeMillis();
+    private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
+    private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean crashing = new AtomicBoolean();
+    private volatile String id;
+    private volatile String crashingPart = "";
+    private volatile Duration downTime = Duration.ZERO;
     private volatile int breakAfterEvents = Integer.MAX_VALUE;
     private volatile boolean unresponsive;
     private volatile boolean rejecting;
+    private long startMillis = System.currentTimeMillis();
     private long orderCount;
+    private int starts = 1;
+    private boolean closed;
     private boolean busy;
     private boolean leaving;
 
+    /**
+     * A request that reached the server, whether the server ran it or not.
+     *
+     * @param requestId id of the request
+     * @param nanos time of arrival, as {@link System#nanoTime()}
+     */
+    public record Arrival(String requestId, long nanos) {}
+
     /**
      * Creates the stand-in, listens on loopback and registers in the store.
      *
@@ -60,6 +80,7 @@
             String service,
             String... initialModels) {
         this.store = store;
+        this.name = id;
         this.id = id;
         this.service = service;
         for (String model : initialModels) {
@@ -84,6 +105,28 @@
         rejecting = newRejecting;
     }
 
+    /**
+     * Makes the server crash when it begins to answer a request whose prompt contains the part. It
+     * starts again without models, under a new id and at the same address.
+     *
+     * @param part id of the part; empty for none
+     * @param newDownTime time from the crash to the next start
+     */
+    public void crashOnPromptPart(String part, Duration newDownTime) {
+        downTime = newDownTime;
+        crashingPart = part;
+    }
+
+    /** Returns the times of the crashes, as {@link System#nanoTime()}. */
+    public List<Long> crashNanos() {
+        return List.copyOf(crashNanos);
+    }
+
+    /** Returns all requests that reached the server, in the order of their arrival. */
+    public List<Arrival> arrivals() {
+        return List.copyOf(arrivals);
+    }
+
     /** Changes the server's entry in the store to the state of a leaving server. */
     public synchronized void leave() {
         leaving = true;
@@ -187,6 +230,7 @@
     private CompletionStage<StandInReply> handleRequest(StandInRequest request) {
         Map<String, String> headers = new HashMap<>();
         String requestId = request.headers().getOrDefault("tarragonlug-request-id", "");
+        arrivals.add(new Arrival(requestId, System.nanoTime()));
         headers.put("tarragonlug-request-id", requestId);
         headers.put("tarragonlug-server-load", "1,0,8");
         String expected = request.headers().getOrDefault("tarragonlug-expect-instance", id);
@@ -208,10 +252,54 @@
             return done(StandInReply.bytes(200, headers, request.body()));
         }
         headers.put("content-type", "text/event-stream");
+        if (hasCrashingPart(request)) {
+            return done(new StandInReply(200, headers, crash()));
+        }
         int lastEventId = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
         return done(new StandInReply(200, headers, events(lastEventId, request)));
     }
 
+    private boolean hasCrashingPart(StandInRequest request) {
+        if (crashingPart.isEmpty()) {
+            return false;
+        }
+        String parts = request.headers().getOrDefault("tarragonlug-prompt-prefix", "");
+        return Arrays.stream(parts.split(","))
+                .anyMatch(part -> part.trim().startsWith(crashingPart + ":"));
+    }
+
+    /** Returns a body without content, and ends the server once the head is on its way. */
+    private Publisher<byte[]> crash() {
+        if (crashing.compareAndSet(false, true)) {
+            CompletableFuture.delayedExecutor(EVENT_PAUSE_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(this::goDown);
+        }
+        return Publisher.never();
+    }
+
+    private void goDown() {
+        crashNanos.add(System.nanoTime());
+        server.stop();
+        CompletableFuture.delayedExecutor(downTime.toMillis(), TimeUnit.MILLISECONDS)
+                .execute(this::startAgain);
+    }
+
+    private synchronized void startAgain() {
+        if (closed) {
+            return;
+        }
+        store.remove("servers", id);
+        starts++;
+        id = name + "-" + starts;
+        startMillis = System.currentTimeMillis();
+        orderCount = 0;
+        busy = false;
+        models.clear();
+        server.start();
+        crashing.set(false);
+        register();
+    }
+
     private synchronized boolean holds(String model) {
         if (model == null) {
             return true;
@@ -249,7 +337,8 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
+        closed = true;
         server.close();
     }
 }
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import org.tarragonlug.http.IoThreads;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
@@ -116,18 +117,37 @@
     HttpResponse<String> send(int gateway, String path, String model, String body)
             throws Exception {
         requestCount++;
-        HttpRequest.Builder request =
-                HttpRequest.newBuilder(uri(gateway, path))
-                        .timeout(Duration.ofSeconds(15))
-                        .header("Tarragonlug-Request-Id", "request-" + requestCount)
-                        .header("Tarragonlug-Deadline-Ms", "9000")
-                        .POST(HttpRequest.BodyPublishers.ofString(body));
+        HttpRequest.Builder request = request(gateway, path, lastRequestId(), body);
         if (!model.isEmpty()) {
             request.header("Tarragonlug-Model", model);
         }
         return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    private HttpRequest.Builder request(int gateway, String path, String id, String body) {
+        return HttpRequest.newBuilder(uri(gateway, path))
+                .timeout(Duration.ofSeconds(15))
+                .header("Tarragonlug-Request-Id", id)
+                .header("Tarragonlug-Deadline-Ms", "9000")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    /**
+     * Sends a request for a stream without waiting for the answer. Many threads may call this.
+     *
+     * @param parts the parts of the prompt as the header lists them; empty for none
+     * @return the answer; fails if the connection ends before the answer does
+     */
+    CompletableFuture<HttpResponse<String>> sendPrompt(
+            int gateway, String path, String id, String model, String parts) {
+        HttpRequest.Builder request =
+                request(gateway, path, id, "prompt of " + id).header("Tarragonlug-Model", model);
+        if (!parts.isEmpty()) {
+            request.header("Tarragonlug-Prompt-Prefix", parts);
+        }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Returns the id of the request sent last. */
     String lastRequestId() {
         return "request-" + requestCount;
