--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServerIncarnation;
 
 /** The backend servers known to this instance, by id. */
 public final class Fleet {
@@ -33,6 +34,14 @@
         return Optional.ofNullable(servers.get(id));
     }
 
+    /** Returns whether this run of a server is listed, and not as leaving. */
+    public boolean isListedAsReady(ServerIncarnation run) {
+        FleetServer server = servers.get(run.server());
+        return server != null
+                && server.incarnation().equals(run)
+                && server.listing().state() == ListedState.READY;
+    }
+
     /** Returns a live view of all known servers, in no particular order. */
     public Collection<FleetServer> servers() {
         return servers.values();
@@ -60,6 +69,32 @@
                 .collect(Collectors.toSet());
     }
 
+    /**
+     * Applies an event that concerns servers only.
+     *
+     * @return whether a waiting request may find a server now; empty if the event is another one
+     */
+    Optional<Boolean> apply(ForwardingEvent event, Instant now) {
+        if (event instanceof ForwardingEvent.ServerListed listed) {
+            addOrUpdate(listed.listing());
+            return Optional.of(true);
+        }
+        if (event instanceof ForwardingEvent.ServerUnlisted unlisted) {
+            remove(unlisted.server());
+            return Optional.of(false);
+        }
+        if (event instanceof ForwardingEvent.ReplicaAnnounced announced) {
+            recordReplica(announced);
+            return Optional.of(true);
+        }
+        if (event instanceof ForwardingEvent.LoadAnnounced announced) {
+            recordTotalsInFlight(announced.totals(), now);
+            recordSuspected(announced.suspected(), now);
+            return Optional.of(false);
+        }
+        return Optional.empty();
+    }
+
     /** Records a planner's notice that a replica was loaded or is being unloaded. */
     void recordReplica(ForwardingEvent.ReplicaAnnounced announced) {
         FleetServer server = servers.get(announced.server());
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -9,6 +9,7 @@
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.ServiceName;
 
 /**
@@ -71,6 +72,11 @@
         return listing.id();
     }
 
+    /** Identifies the run of the server's process that the newest listing describes. */
+    public ServerIncarnation incarnation() {
+        return new ServerIncarnation(listing.id(), listing.startedMillis());
+    }
+
     /** Returns the service that this server belongs to. */
     public ServiceName service() {
         return listing.service();
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardRequest.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardRequest.java
@@ -19,6 +19,7 @@
  * @param outputTokens maximum number of tokens to generate
  * @param lastEventId id of the last stream event that the caller has received; negative for a new
  *     stream
+ * @param contentHash hash of everything that makes two requests equal
  */
 public record ForwardRequest(
         long key,
@@ -30,4 +31,5 @@
         PromptPrefix prefix,
         int promptTokens,
         int outputTokens,
-        long lastEventId) {}
+        long lastEventId,
+        long contentHash) {}
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -2,9 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
+import org.tarragonlug.decision.quarantine.LostRequest;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.ServiceName;
 
 /** A command that the forwarding coordinator outputs for its driver to execute. */
@@ -69,4 +73,19 @@
 
     /** Reports to the planner that a request for a model has arrived, which counts as demand. */
     record ReportArrival(ServiceName service, ModelKey key) implements ForwardingCommand {}
+
+    /** Reports that a server broke off before any content of the answer to a request had come. */
+    record ReportRequestLost(ServerIncarnation server, LostRequest request)
+            implements ForwardingCommand {}
+
+    /** Reports that a server has begun to answer a request with these traits. */
+    record ReportAnswerBegun(List<RequestTrait> traits) implements ForwardingCommand {
+        public ReportAnswerBegun {
+            traits = List.copyOf(traits);
+        }
+    }
+
+    /** Reports that a server itself has answered something that was sent to it at a time. */
+    record ReportServerAnswered(ServerIncarnation server, Instant sentAt)
+            implements ForwardingCommand {}
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.decision.StateMachine;
+import org.tarragonlug.decision.quarantine.LostRequest;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
@@ -53,6 +54,13 @@
      */
     private static final Duration SAME_SERVER_RETRY_DELAY = Duration.ofMillis(400);
 
+    /**
+     * How long a request waits before it is sent again if its server was lost just after it had
+     * begun to answer. Such a request may have crashed the server, and the time suffices to find
+     * out what it has in common with others that did.
+     */
+    private static final Duration SUSPECT_RETRY_DELAY = Duration.ofMillis(350);
+
     /** How long a request that a full server rejected is kept from the same server. */
     private static final Duration FULL_SERVER_PAUSE = Duration.ofMillis(150);
 
@@ -66,6 +74,7 @@
     private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
     private final ReadyExpectations expectations = new ReadyExpectations();
+    private final QuarantineGate gate = new QuarantineGate();
     private ForwardingTable table;
     private boolean queueClosed;
     private List<ForwardingCommand> commands = new ArrayList<>();
@@ -110,7 +119,12 @@
     @Override
     public List<ForwardingCommand> handle(ForwardingEvent event, Instant now) {
         commands = new ArrayList<>();
-        if (event instanceof ForwardingEvent.RequestArrived arrived) {
+        Optional<Boolean> mayDispatch = fleet.apply(event, now);
+        if (mayDispatch.isPresent()) {
+            if (mayDispatch.get()) {
+                dispatchWaiting(now);
+            }
+        } else if (event instanceof ForwardingEvent.RequestArrived arrived) {
             onRequestArrived(arrived.request(), now);
         } else if (event instanceof ForwardingEvent.Rejected rejected) {
             find(rejected.request()).ifPresent(forward -> onRejected(forward, rejected, now));
@@ -121,27 +135,22 @@
         } else if (event instanceof ForwardingEvent.Answered answered) {
             find(answered.request()).ifPresent(forward -> onAnswered(forward, answered, now));
         } else if (event instanceof ForwardingEvent.ConnectionBroken broken) {
-            find(broken.request()).ifPresent(forward -> onConnectionBroken(forward, now));
+            find(broken.request())
+                    .ifPresent(forward -> onConnectionBroken(forward, broken.progress(), now));
         } else if (event instanceof ForwardingEvent.CallerDisconnected disconnected) {
             find(disconnected.request()).ifPresent(this::onCallerDisconnected);
         } else if (event instanceof ForwardingEvent.TableInstalled installed) {
             table = installed.table();
-        } else if (event instanceof ForwardingEvent.ServerListed listed) {
-            fleet.addOrUpdate(listed.listing());
-            dispatchWaiting(now);
-        } else if (event instanceof ForwardingEvent.ServerUnlisted unlisted) {
-            fleet.remove(unlisted.server());
-        } else if (event instanceof ForwardingEvent.ReplicaAnnounced announced) {
-            fleet.recordReplica(announced);
-            dispatchWaiting(now);
         } else if (event instanceof ForwardingEvent.ModelReadyExpected expected) {
             expectations.record(expected);
             dispatchWaiting(now);
         } else if (event instanceof ForwardingEvent.InstancesCounted counted) {
             instances.update(counted.instances(), now);
-        } else if (event instanceof ForwardingEvent.LoadAnnounced announced) {
-            fleet.recordTotalsInFlight(announced.totals(), now);
-            fleet.recordSuspected(announced.suspected(), now);
+        } else if (event instanceof ForwardingEvent.QuarantineChanged changed) {
+            gate.update(changed.quarantined());
+            dispatchWaiting(now);
+        } else if (event instanceof ForwardingEvent.TrialAllowed allowed) {
+            gate.allowTrial(allowed.trait());
         } else if (event instanceof ForwardingEvent.QueueClosed) {
             queueClosed = true;
             dispatchWaiting(now);
@@ -168,6 +177,10 @@
             return;
         }
         PendingForward forward = newPending(request, route.get(), now);
+        if (gate.blocks(forward)) {
+            refuse(request.key(), RefusalReason.QUARANTINED, RetryDelay.QUARANTINED);
+            return;
+        }
         pending.put(request.key(), forward);
         request.model()
                 .ifPresent(
@@ -189,7 +202,8 @@
             patienceEnd = patienceLimit.isBefore(deadline) ? patienceLimit : deadline;
         }
         ServiceName service = route.chooseTarget(hasher.hash(request.callerRequestId()));
-        return new PendingForward(request, route, service, deadline, patienceEnd, now);
+        LostRequest traits = RequestTraits.of(request, hasher);
+        return new PendingForward(request, route, service, traits, deadline, patienceEnd, now);
     }
 
     /** Sends a waiting request if a server is available; otherwise keeps it waiting or ends it. */
@@ -199,6 +213,14 @@
             onTimeout(forward);
             return;
         }
+        if (gate.blocks(forward)) {
+            remove(forward);
+            refuseOrFail(forward, RefusalReason.QUARANTINED, RetryDelay.QUARANTINED);
+            return;
+        }
+        if (now.isBefore(forward.sendAllowedAt)) {
+            return;
+        }
         Optional<FleetServer> server = choose(forward, forward.excluded, now);
         boolean paused = now.isBefore(forward.sameServerAllowedAt);
         if (server.isEmpty() && !forward.excluded.isEmpty() && needsModel(forward) && !paused) {
@@ -285,6 +307,9 @@
         forward.server = server;
         forward.possibleRuns++;
         forward.stallCounted = false;
+        forward.answerBegun = false;
+        forward.sentTo = server.incarnation();
+        forward.sentAt = now;
         forward.lastProgress = now;
         server.onRequestSent();
         commands.add(
@@ -321,7 +346,7 @@
             default -> onServerBusy(forward, server, event.load(), now);
         }
         if (event.rejection().isByServer()) {
-            server.markReached();
+            onServerAnswered(forward, server);
             forward.rejections++;
         }
         // Only a send that reached a server makes the next one count as a retry.
@@ -362,7 +387,7 @@
     private void onStreamStarted(
             PendingForward forward, ForwardingEvent.StreamStarted event, Instant now) {
         event.load().ifPresent(load -> forward.server.recordReportedLoad(load, now));
-        forward.server.markReached();
+        onServerAnswered(forward, forward.server);
         forward.state = PendingForward.State.STREAMING;
         forward.streamStarted = true;
         forward.lastProgress = now;
@@ -373,16 +398,31 @@
         forward.lastEventId = event.eventId();
         forward.lastProgress = now;
         forward.stallCounted = false;
+        onAnswerBegun(forward);
+    }
+
+    private void onServerAnswered(PendingForward forward, FleetServer server) {
+        server.markReached();
+        commands.add(new ForwardingCommand.ReportServerAnswered(forward.sentTo, forward.sentAt));
+    }
+
+    private void onAnswerBegun(PendingForward forward) {
+        if (!forward.answerBegun) {
+            forward.answerBegun = true;
+            commands.add(new ForwardingCommand.ReportAnswerBegun(forward.allTraits()));
+        }
     }
 
     private void onAnswered(PendingForward forward, ForwardingEvent.Answered event, Instant now) {
         FleetServer server = releaseServer(forward, event.load(), now);
-        server.markReached();
+        onServerAnswered(forward, server);
+        onAnswerBegun(forward);
         boolean failed = event.status() >= SERVER_ERROR;
         server.recordOutcome(failed, now);
         if (failed
                 && !forward.streamStarted
                 && forward.mayRunAgain()
+                && !gate.blocks(forward)
                 && now.isBefore(forward.deadline)) {
             forward.excluded.add(server.id());
             Optional<FleetServer> other = choose(forward, forward.excluded, now);
@@ -395,9 +435,15 @@
         commands.add(new ForwardingCommand.RelayAnswer(forward.request.key()));
     }
 
-    private void onConnectionBroken(PendingForward forward, Instant now) {
+    private void onConnectionBroken(PendingForward forward, AnswerProgress progress, Instant now) {
         FleetServer server = releaseServer(forward, Optional.empty(), now);
         server.recordOutcome(true, now);
+        if (progress != AnswerProgress.CONTENT && fleet.isListedAsReady(forward.sentTo)) {
+            commands.add(new ForwardingCommand.ReportRequestLost(forward.sentTo, forward.traits));
+        }
+        if (progress == AnswerProgress.HEAD) {
+            forward.sendAllowedAt = now.plus(SUSPECT_RETRY_DELAY);
+        }
         forward.excluded.add(server.id());
         forward.sameServerAllowedAt = now.plus(SAME_SERVER_RETRY_DELAY);
         retryOrFail(forward, FailureReason.SERVER_LOST, now);
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
 
@@ -33,8 +34,13 @@
     record Answered(long request, int status, Optional<ReportedLoad> load)
             implements ForwardingEvent {}
 
-    /** After the request was sent, its connection broke, timed out or carried an invalid answer. */
-    record ConnectionBroken(long request) implements ForwardingEvent {}
+    /**
+     * After the request was sent, its connection broke, timed out or carried an invalid answer.
+     *
+     * @param request the request
+     * @param progress how much of this server's answer had arrived
+     */
+    record ConnectionBroken(long request, AnswerProgress progress) implements ForwardingEvent {}
 
     /** The caller closed its connection. */
     record CallerDisconnected(long request) implements ForwardingEvent {}
@@ -91,6 +97,18 @@
         }
     }
 
+    /** From now on requests with these traits, and only these, must not reach servers. */
+    record QuarantineChanged(Set<RequestTrait> quarantined) implements ForwardingEvent {
+        public QuarantineChanged {
+            quarantined = Set.copyOf(quarantined);
+        }
+    }
+
+    /**
+     * One request with this quarantined trait may be sent, to find out whether it still crashes.
+     */
+    record TrialAllowed(RequestTrait trait) implements ForwardingEvent {}
+
     /**
      * The process is about to stop. From now on no request may wait for a server; requests that a
      * server is processing may complete.
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -2,9 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
+import org.tarragonlug.decision.quarantine.LostRequest;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.ServiceName;
 
 /** The state of a request that has not ended. Only the coordinator changes it. */
@@ -22,6 +27,10 @@
     final ForwardRequest request;
     final ForwardingRoute route;
     final ServiceName service;
+
+    /** What other requests may have in common with this one. */
+    final LostRequest traits;
+
     final Instant arrivedAt;
     final Instant deadline;
 
@@ -49,6 +58,18 @@
 
     boolean streamStarted;
 
+    /** Whether content of the present server's answer has arrived. */
+    boolean answerBegun;
+
+    /** The run of the present server's process to which the request was sent. */
+    ServerIncarnation sentTo;
+
+    /** When the request was sent to the present server. */
+    Instant sentAt = Instant.EPOCH;
+
+    /** Whether the request passes the quarantine, to find out whether it still crashes servers. */
+    boolean onTrial;
+
     /** Whether the request had to wait until a server held its model. */
     boolean waitedForModel;
 
@@ -59,18 +80,23 @@
     /** The time from which on the request may go to a server that rejected it or lost it. */
     Instant sameServerAllowedAt = Instant.EPOCH;
 
+    /** The time from which on the request may be sent again. */
+    Instant sendAllowedAt = Instant.EPOCH;
+
     Instant waitingReportedAt = Instant.EPOCH;
 
     PendingForward(
             ForwardRequest request,
             ForwardingRoute route,
             ServiceName service,
+            LostRequest traits,
             Instant deadline,
             Instant patienceEnd,
             Instant now) {
         this.request = request;
         this.route = route;
         this.service = service;
+        this.traits = traits;
         this.arrivedAt = now;
         this.deadline = deadline;
         this.patienceEnd = patienceEnd;
@@ -83,8 +109,17 @@
         return possibleRuns == 0 && !streamStarted;
     }
 
+    List<RequestTrait> allTraits() {
+        List<RequestTrait> all = new ArrayList<>(traits.parts());
+        all.add(traits.content());
+        return all;
+    }
+
     /** Tells whether the request may be sent once more. */
     boolean mayRunAgain() {
+        if (onTrial && possibleRuns > 0) {
+            return false;
+        }
         return possibleRuns == 0 || route.retryable() && possibleRuns < route.maximumAttempts();
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
@@ -12,6 +12,8 @@
     MODEL_NOT_READY(503),
     /** Servers rejected the request, and no further server may be tried. */
     TURNED_AWAY(503),
+    /** Requests like this one crashed servers, so it is kept from further servers. */
+    QUARANTINED(503),
     /** The instance stops before the request could be sent to a server. */
     STOPPING(503),
     /** The caller's time limit expired before a server ran the request. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/RetryDelay.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RetryDelay.java
@@ -13,6 +13,9 @@
     /** For requests that servers rejected for a reason that passes quickly. */
     static final Duration REJECTED = Duration.ofMillis(150);
 
+    /** For requests that crash servers; they may be tried again when this time is over. */
+    static final Duration QUARANTINED = Duration.ofSeconds(30);
+
     /** Typical time for which a generation occupies a slot. */
     private static final Duration GENERATION_TIME = Duration.ofMillis(600);
 
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -54,6 +54,7 @@
     private final TimerService timers;
     private final EventLog log;
     private final DemandCollector demandCollector;
+    private final QuarantineDriver quarantine;
     private final GatewayMetrics metrics;
     private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
     private final Deque<ForwardingEvent> eventQueue = new ArrayDeque<>();
@@ -65,12 +66,14 @@
             TimerService timers,
             EventLog log,
             DemandCollector demandCollector,
+            QuarantineDriver quarantine,
             GatewayMetrics metrics) {
         this.coordinator = coordinator;
         this.connections = connections;
         this.timers = timers;
         this.log = log;
         this.demandCollector = demandCollector;
+        this.quarantine = quarantine;
         this.metrics = metrics;
     }
 
@@ -81,7 +84,9 @@
             call.answer(BAD_REQUEST, Map.of(), text("the request has no id; send one"));
             return;
         }
-        ForwardRequest request = RequestHeaders.decode(call.key(), call.path(), call.headers());
+        ForwardRequest request =
+                RequestHeaders.decode(
+                        call.key(), call.path(), call.headers(), ContentHash.of(call));
         activeRequests.put(call.key(), new ActiveRequest(call, request, timers.now()));
         post(new ForwardingEvent.RequestArrived(request));
     }
@@ -136,6 +141,12 @@
             demandCollector.recordWait(wait, timers.now());
         } else if (command instanceof ForwardingCommand.ReportArrival arrival) {
             demandCollector.recordArrival(arrival.service(), arrival.key());
+        } else if (command instanceof ForwardingCommand.ReportRequestLost lost) {
+            quarantine.onRequestLost(lost);
+        } else if (command instanceof ForwardingCommand.ReportAnswerBegun begun) {
+            quarantine.onAnswerBegun(begun);
+        } else if (command instanceof ForwardingCommand.ReportServerAnswered answered) {
+            quarantine.onServerAnswered(answered);
         }
     }
 
@@ -318,7 +329,7 @@
                     .with("received", progress)
                     .with("detail", detail)
                     .write();
-            post(new ForwardingEvent.ConnectionBroken(key));
+            post(new ForwardingEvent.ConnectionBroken(key, progress));
         }
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -10,8 +10,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashSet;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
@@ -23,16 +21,13 @@
 import org.tarragonlug.admin.AdminServer;
 import org.tarragonlug.admin.AdminSource;
 import org.tarragonlug.caller.ForwardingServer;
-import org.tarragonlug.decision.forwarding.FleetServer;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ForwardingLimits;
-import org.tarragonlug.decision.forwarding.ForwardingTable;
-import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.decision.ownership.LeaseEvent;
 import org.tarragonlug.decision.ownership.OrderGroups;
-import org.tarragonlug.decision.placement.PlacementEvent;
 import org.tarragonlug.decision.placement.PlacementPlanner;
+import org.tarragonlug.decision.quarantine.QuarantineManager;
 import org.tarragonlug.decision.watching.FollowedSource;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.error.TarragonlugException;
@@ -41,20 +36,16 @@
 import org.tarragonlug.http.IoThreads;
 import org.tarragonlug.http.ServerStart;
 import org.tarragonlug.id.ProcessId;
-import org.tarragonlug.id.ServerId;
-import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.peer.PeerIdentity;
 import org.tarragonlug.peer.PeerListener;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.peer.PeerThreads;
 import org.tarragonlug.peer.PeerTransportSettings;
 import org.tarragonlug.peer.TcpPeerTransport;
-import org.tarragonlug.platform.ConfigurationDecoder;
 import org.tarragonlug.platform.PlatformEngineClient;
 import org.tarragonlug.platform.PlatformKinds;
 import org.tarragonlug.platform.PlatformObjectApi;
 import org.tarragonlug.platform.PlatformPaths;
-import org.tarragonlug.platform.ServerEntryDecoder;
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.Hash4jHasher;
 import org.tarragonlug.runtime.Json;
@@ -126,14 +117,15 @@
     private final PlacementDriver placement;
     private final OrderExecutor executor;
     private final RelayingObjectApi store;
+    private final QuarantineDriver quarantine;
+    private final ListedServers listedServers;
     private final StoreWatcher serverWatcher;
     private final StoreWatcher configurationWatcher;
+    private final StoreWatcher quarantineWatcher;
     private final ForwardingServer callers;
     private final AdminServer admin;
     private HttpServerContext readiness;
     private TcpPeerTransport transport;
-    private final Set<ServerId> serverIds = new HashSet<>();
-    private boolean serversListed;
     private boolean waitingTickScheduled;
     private volatile boolean draining;
     private volatile boolean ready;
@@ -158,15 +150,7 @@
         this.planner = new PlacementPlanner(settings.loadWindow());
         ProcessId process = new ProcessId(UUID.randomUUID().toString());
         OrderGroups groups = new OrderGroups(new Hash4jHasher(), settings.orderGroups());
-        this.leases =
-                new OrderLeases(
-                        settings.instance(),
-                        process.value(),
-                        text(settings.peerAddress()),
-                        settings.orderTurn(),
-                        settings.capacity(),
-                        groups,
-                        timers);
+        this.leases = createLeases(process, groups);
         this.followedSource = new FollowedSource(settings.instance(), new Hash4jHasher());
         this.peers =
                 new PeerExchange(
@@ -175,21 +159,18 @@
                         leases,
                         followedSource,
                         timers);
+        PlatformEngineClient engines = new PlatformEngineClient(connections);
+        this.quarantine = createQuarantine(engines);
         this.forwarding =
                 new ForwardingDriver(
-                        coordinator, connections, timers, log, peers.demandCollector(), metrics);
-        PlatformEngineClient engines = new PlatformEngineClient(connections);
-        this.executor =
-                new OrderExecutor(
-                        leases.leaseManagers(),
-                        groups,
-                        engines,
-                        settings.instance(),
-                        peers,
+                        coordinator,
+                        connections,
                         timers,
-                        loop,
                         log,
+                        peers.demandCollector(),
+                        quarantine,
                         metrics);
+        this.executor = createExecutor(groups, engines);
         this.placement = new PlacementDriver(planner, executor, engines, loop, timers, log, peers);
         this.store =
                 new RelayingObjectApi(
@@ -199,16 +180,30 @@
                         timers,
                         log);
         leases.start(store, loop, log);
+        this.listedServers =
+                new ListedServers(
+                        coordinator.fleet(),
+                        forwarding,
+                        placement,
+                        quarantine,
+                        log,
+                        this::updateReady);
         this.serverWatcher =
                 createWatcher(
-                        PlatformKinds.SERVERS,
-                        () -> watchPace(WatchPace.ALONE),
-                        new ServerListener());
+                        PlatformKinds.SERVERS, () -> watchPace(WatchPace.ALONE), listedServers);
         this.configurationWatcher =
                 createWatcher(
                         PlatformKinds.CONFIGURATION,
                         () -> watchPace(WatchPace.PROMPT),
-                        new ConfigurationListener());
+                        new InstalledConfiguration(
+                                coordinator,
+                                forwarding,
+                                placement,
+                                log,
+                                metrics,
+                                this::updateReady));
+        this.quarantineWatcher =
+                createWatcher(PlatformKinds.QUARANTINE, () -> WatchPace.RARE, quarantine);
         this.callers =
                 new ForwardingServer(
                         settings.callerAddress(),
@@ -219,6 +214,35 @@
         this.processId = process;
     }
 
+    private OrderLeases createLeases(ProcessId process, OrderGroups groups) {
+        return new OrderLeases(
+                settings.instance(),
+                process.value(),
+                text(settings.peerAddress()),
+                settings.orderTurn(),
+                settings.capacity(),
+                groups,
+                timers);
+    }
+
+    private OrderExecutor createExecutor(OrderGroups groups, PlatformEngineClient engines) {
+        return new OrderExecutor(
+                leases.leaseManagers(),
+                groups,
+                engines,
+                settings.instance(),
+                peers,
+                timers,
+                loop,
+                log,
+                metrics);
+    }
+
+    private QuarantineDriver createQuarantine(PlatformEngineClient engines) {
+        return new QuarantineDriver(
+                new QuarantineManager(), engines, coordinator.fleet(), loop, timers, log, metrics);
+    }
+
     private static ForwardingLimits forwardingLimits(GatewaySettings settings) {
         return new ForwardingLimits(
                 settings.retryWindow(),
@@ -292,9 +316,11 @@
     }
 
     private void startOnLoop() {
-        peers.start(transport, forwarding, placement, executor, store);
+        peers.start(transport, forwarding, placement, executor, store, quarantine);
+        quarantine.start(peers, forwarding, store);
         serverWatcher.start();
         configurationWatcher.start();
+        quarantineWatcher.start();
         timers.schedulePeriodically(IDLE_TICK, now -> tick());
         leases.tick();
     }
@@ -305,6 +331,7 @@
         if (!placement.isPlanning()) {
             placementTick();
         }
+        quarantine.tick();
         forwarding.post(new ForwardingEvent.Tick());
         metrics.setWaitingRequests(coordinator.waitingCount());
         scheduleWaitingTick();
@@ -326,7 +353,8 @@
     private void placementTick() {
         try {
             boolean planning = !draining && leases.shouldPlan();
-            placement.tick(planning, planning ? leases.orderableServers(serverIds) : Set.of());
+            placement.tick(
+                    planning, planning ? leases.orderableServers(listedServers.ids()) : Set.of());
             metrics.setLeaseHeld(!leases.heldGroups().isEmpty());
         } finally {
             // The next round is scheduled even if this one failed. Otherwise planning would stop
@@ -363,7 +391,7 @@
     }
 
     private void updateReady() {
-        ready = serversListed && coordinator.table().isPresent();
+        ready = listedServers.isComplete() && coordinator.table().isPresent();
     }
 
     /**
@@ -394,6 +422,7 @@
     public void stop() {
         serverWatcher.stop();
         configurationWatcher.stop();
+        quarantineWatcher.stop();
         callers.stop();
         admin.stop();
         if (readiness != null) {
@@ -499,104 +528,4 @@
                     .write();
         }
     }
-
-    /**
-     * Applies the listings of servers. In a large deployment the models in the listings change many
-     * times per second, so only the planner logs changes that concern nothing but models.
-     */
-    private final class ServerListener implements StoreWatcher.Listener {
-        private boolean changesMoreThanModels(ServerListing listing) {
-            Optional<ServerListing> before =
-                    coordinator.fleet().server(listing.id()).map(FleetServer::listing);
-            return before.filter(
-                            previous ->
-                                    previous.state() == listing.state()
-                                            && previous.startedMillis() == listing.startedMillis())
-                    .isEmpty();
-        }
-
-        @Override
-        public void onChanged(StoredObject object) {
-            ServerListing listing;
-            try {
-                listing = ServerEntryDecoder.decode(object);
-            } catch (IllegalArgumentException unreadable) {
-                log.event(LogEvent.STORE_ENTRY_UNREADABLE)
-                        .with("object", object.name())
-                        .with("detail", unreadable.getMessage())
-                        .write();
-                onRemoved(object.name().name());
-                return;
-            }
-            if (changesMoreThanModels(listing) || placement.isPlanning()) {
-                log.event(LogEvent.SERVER_LISTED)
-                        .with("server", listing.id())
-                        .with("state", listing.state())
-                        .with("models", listing.models().keySet())
-                        .with("revision", object.version())
-                        .write();
-            }
-            serverIds.add(listing.id());
-            forwarding.post(new ForwardingEvent.ServerListed(listing));
-            placement.post(new PlacementEvent.ServerListed(listing));
-        }
-
-        @Override
-        public void onRemoved(String name) {
-            log.event(LogEvent.SERVER_UNLISTED).with("server", name).write();
-            serverIds.remove(new ServerId(name));
-            forwarding.post(new ForwardingEvent.ServerUnlisted(new ServerId(name)));
-            placement.post(new PlacementEvent.ServerUnlisted(new ServerId(name)));
-        }
-
-        @Override
-        public void onInitialListComplete() {
-            serversListed = true;
-            updateReady();
-        }
-    }
-
-    /** Installs configurations; only a greater version replaces the one in force. */
-    private final class ConfigurationListener implements StoreWatcher.Listener {
-        @Override
-        public void onChanged(StoredObject object) {
-            if (!object.name().name().equals(PlatformKinds.CURRENT_CONFIGURATION)) {
-                return;
-            }
-            ForwardingTable table;
-            try {
-                table = ConfigurationDecoder.decode(object.content());
-            } catch (IllegalArgumentException unreadable) {
-                log.event(LogEvent.CONFIGURATION_REFUSED)
-                        .with("detail", unreadable.getMessage())
-                        .write();
-                return;
-            }
-            boolean newer =
-                    coordinator.table().isEmpty()
-                            || table.version().compareTo(coordinator.table().get().version()) > 0;
-            if (!newer) {
-                return;
-            }
-            log.event(LogEvent.CONFIGURATION_INSTALLED)
-                    .with("version", table.version())
-                    .with("routes", table.routeCount())
-                    .with("revision", object.version())
-                    .write();
-            metrics.setConfigurationVersion(table.version().value());
-            forwarding.post(new ForwardingEvent.TableInstalled(table));
-            placement.post(new PlacementEvent.TableInstalled(table));
-            updateReady();
-        }
-
-        @Override
-        public void onRemoved(String name) {
-            // The installed configuration stays in force until a newer one replaces it.
-        }
-
-        @Override
-        public void onInitialListComplete() {
-            updateReady();
-        }
-    }
 }
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -49,6 +49,18 @@
                     .help("Answers of servers that broke off, by what had been received")
                     .labelNames("received")
                     .register(registry);
+    private final Counter serverLosses =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_server_losses_total")
+                    .help("Servers that ended while requests of this instance waited there")
+                    .register(registry);
+    private final Gauge quarantinedTraits =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_quarantined_traits")
+                    .help("What requests have in common that are refused since they crash servers")
+                    .register(registry);
     private final Gauge waitingRequests =
             Gauge.builder()
                     .withoutExemplars()
@@ -77,6 +89,14 @@
         brokenAnswers.labelValues(received.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    void recordServerLoss() {
+        serverLosses.inc();
+    }
+
+    void setQuarantinedTraits(int count) {
+        quarantinedTraits.set(count);
+    }
+
     void recordOrder(String action, String result) {
         orders.labelValues(action, result).inc();
     }
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
@@ -0,0 +1,86 @@
+package org.tarragonlug.gateway;
+
+import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
+import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.decision.forwarding.ForwardingTable;
+import org.tarragonlug.decision.placement.PlacementEvent;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.platform.ConfigurationDecoder;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.LogEvent;
+
+/** Installs configurations; only a greater version replaces the one in force. */
+final class InstalledConfiguration implements StoreWatcher.Listener {
+    private final ForwardingCoordinator coordinator;
+    private final ForwardingDriver forwarding;
+    private final PlacementDriver placement;
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+    private final Runnable onInstalled;
+
+    /**
+     * Creates the listener.
+     *
+     * @param coordinator knows the configuration in force
+     * @param onInstalled called when a configuration was installed or the first list has been read
+     */
+    InstalledConfiguration(
+            ForwardingCoordinator coordinator,
+            ForwardingDriver forwarding,
+            PlacementDriver placement,
+            EventLog log,
+            GatewayMetrics metrics,
+            Runnable onInstalled) {
+        this.coordinator = coordinator;
+        this.forwarding = forwarding;
+        this.placement = placement;
+        this.log = log;
+        this.metrics = metrics;
+        this.onInstalled = onInstalled;
+    }
+
+    @Override
+    public void onChanged(StoredObject object) {
+        if (!object.name().name().equals(PlatformKinds.CURRENT_CONFIGURATION)) {
+            return;
+        }
+        ForwardingTable table;
+        try {
+            table = ConfigurationDecoder.decode(object.content());
+        } catch (IllegalArgumentException unreadable) {
+            log.event(LogEvent.CONFIGURATION_REFUSED)
+                    .with("detail", unreadable.getMessage())
+                    .write();
+            return;
+        }
+        boolean newer =
+                coordinator.table().isEmpty()
+                        || table.version().compareTo(coordinator.table().get().version()) > 0;
+        if (newer) {
+            install(table, object.version());
+        }
+    }
+
+    private void install(ForwardingTable table, long revision) {
+        log.event(LogEvent.CONFIGURATION_INSTALLED)
+                .with("version", table.version())
+                .with("routes", table.routeCount())
+                .with("revision", revision)
+                .write();
+        metrics.setConfigurationVersion(table.version().value());
+        forwarding.post(new ForwardingEvent.TableInstalled(table));
+        placement.post(new PlacementEvent.TableInstalled(table));
+        onInstalled.run();
+    }
+
+    @Override
+    public void onRemoved(String name) {
+        // The installed configuration stays in force until a newer one replaces it.
+    }
+
+    @Override
+    public void onInitialListComplete() {
+        onInstalled.run();
+    }
+}
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -36,7 +36,10 @@
  * demand. Lease holders report to each other every time, so each can tell whether the others are
  * alive.
  */
-final class PeerExchange implements PlacementDriver.NoticeListener, RelayingObjectApi.PeerChannel {
+final class PeerExchange
+        implements PlacementDriver.NoticeListener,
+                RelayingObjectApi.PeerChannel,
+                QuarantineDriver.Channel {
     private static final Duration REPORT_PERIOD = Duration.ofMillis(400);
 
     /** Delay of an urgent report, so that waits that start at almost the same time share it. */
@@ -69,6 +72,7 @@
     private PlacementDriver placement;
     private OrderExecutor executor;
     private RelayingObjectApi store;
+    private QuarantineDriver quarantine;
     private boolean reportScheduled;
     private boolean noticesScheduled;
     private boolean standbyReportDue;
@@ -96,12 +100,14 @@
             ForwardingDriver forwardingDriver,
             PlacementDriver placementDriver,
             OrderExecutor orderExecutor,
-            RelayingObjectApi storeApi) {
+            RelayingObjectApi storeApi,
+            QuarantineDriver quarantineDriver) {
         transport = peerTransport;
         forwarding = forwardingDriver;
         placement = placementDriver;
         executor = orderExecutor;
         store = storeApi;
+        quarantine = quarantineDriver;
         timers.schedulePeriodically(REPORT_PERIOD, now -> sendRegularReports());
     }
 
@@ -176,7 +182,7 @@
      * do not plan if this instance is a holder itself, and otherwise only to the first of them.
      */
     private Map<InstanceId, String> receivers(Audience audience, Instant now) {
-        planningSignals.values().removeIf(at -> now.isAfter(at.plus(PLANNER_TIMEOUT)));
+        removeOldPlanningSignals(now);
         Map<InstanceId, String> receivers = new LinkedHashMap<>(leases.otherHolders());
         boolean plannerUnknown = planningSignals.isEmpty() && !placement.isPlanning();
         boolean toPlanner = audience == Audience.PLANNER;
@@ -194,6 +200,10 @@
         return receivers;
     }
 
+    private void removeOldPlanningSignals(Instant now) {
+        planningSignals.values().removeIf(at -> now.isAfter(at.plus(PLANNER_TIMEOUT)));
+    }
+
     /** Handles a message from a peer. Must be called on the event loop. */
     void onMessage(InstanceId from, PeerMessage message) {
         Instant now = timers.now();
@@ -215,6 +225,8 @@
             store.onObjectCall(from, call);
         } else if (message instanceof PeerMessage.ObjectCallAnswer answer) {
             store.onObjectCallAnswer(answer);
+        } else {
+            quarantine.onMessage(message);
         }
     }
 
@@ -233,6 +245,32 @@
         transport.send(to, message);
     }
 
+    @Override
+    public void sendToDeciders(PeerMessage message) {
+        leases.otherHolders().forEach((holder, address) -> send(holder, address, message));
+    }
+
+    @Override
+    public void sendToDecidingInstance(PeerMessage message) {
+        decidingInstances().forEach(each -> transport.send(each, message));
+    }
+
+    @Override
+    public void sendToReporters(PeerMessage message) {
+        pendingNotices.reporters(timers.now()).forEach(each -> transport.send(each, message));
+    }
+
+    @Override
+    public boolean isDeciding() {
+        return placement.isPlanning();
+    }
+
+    @Override
+    public Set<InstanceId> decidingInstances() {
+        removeOldPlanningSignals(timers.now());
+        return Set.copyOf(planningSignals.keySet());
+    }
+
     @Override
     public Optional<WatchSource> watchSource() {
         return placement.isPlanning() ? Optional.empty() : followedSource.current(timers.now());
--- a/src/main/java/org/tarragonlug/gateway/PendingNotices.java
+++ b/src/main/java/org/tarragonlug/gateway/PendingNotices.java
@@ -73,6 +73,12 @@
         return reporters.size();
     }
 
+    /** Returns the instances that report. */
+    Set<InstanceId> reporters(Instant now) {
+        reporterCount(now);
+        return Set.copyOf(reporters.keySet());
+    }
+
     /** Returns the instance that reported last; empty if no reporter is known. */
     Optional<InstanceId> latestReporter() {
         InstanceId latest = null;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/QuarantineDriver.java
@@ -0,0 +1,323 @@
+package org.tarragonlug.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import org.tarragonlug.decision.forwarding.Fleet;
+import org.tarragonlug.decision.forwarding.FleetServer;
+import org.tarragonlug.decision.forwarding.ForwardingCommand;
+import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.decision.quarantine.QuarantineCommand;
+import org.tarragonlug.decision.quarantine.QuarantineEvent;
+import org.tarragonlug.decision.quarantine.QuarantineManager;
+import org.tarragonlug.decision.quarantine.QuarantineRole;
+import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.RequestTrait;
+import org.tarragonlug.id.ServerIncarnation;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.platform.PlatformEngineClient;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.runtime.Addresses;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.TimerService;
+
+/**
+ * Connects the {@link QuarantineManager} with the requests of this instance, the other instances,
+ * the servers and the store.
+ *
+ * <p>All methods run on the event loop. Events that are posted while commands are executed are
+ * handled afterwards.
+ */
+final class QuarantineDriver implements StoreWatcher.Listener {
+    private static final ObjectName RECORD =
+            new ObjectName(PlatformKinds.QUARANTINE, PlatformKinds.CURRENT_QUARANTINE);
+
+    /** Sends messages on requests that crash servers to other instances. */
+    interface Channel {
+        /** Sends a message to the instances that decide or may have to. The message may be lost. */
+        void sendToDeciders(PeerMessage message);
+
+        /** Sends a message to the instance that decides for all. The message may be lost. */
+        void sendToDecidingInstance(PeerMessage message);
+
+        /** Sends a message to all instances that report to this one. The message may be lost. */
+        void sendToReporters(PeerMessage message);
+
+        /** Returns whether this instance decides for all. */
+        boolean isDeciding();
+
+        /** Returns the instances that have lately said that they decide. */
+        Set<InstanceId> decidingInstances();
+    }
+
+    private final QuarantineManager manager;
+    private final PlatformEngineClient engines;
+    private final Fleet fleet;
+    private final Executor loop;
+    private final TimerService timers;
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+    private final Deque<QuarantineEvent> eventQueue = new ArrayDeque<>();
+    private Channel channel;
+    private ForwardingDriver forwarding;
+    private ObjectApi store;
+    private QuarantineRole role = QuarantineRole.ALONE;
+    private Set<InstanceId> deciders = Set.of();
+    private long storedVersion = StoredObject.ABSENT;
+    private boolean processing;
+
+    QuarantineDriver(
+            QuarantineManager manager,
+            PlatformEngineClient engines,
+            Fleet fleet,
+            Executor loop,
+            TimerService timers,
+            EventLog log,
+            GatewayMetrics metrics) {
+        this.manager = manager;
+        this.engines = engines;
+        this.fleet = fleet;
+        this.loop = loop;
+        this.timers = timers;
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    void start(Channel peerChannel, ForwardingDriver forwardingDriver, ObjectApi objectApi) {
+        channel = peerChannel;
+        forwarding = forwardingDriver;
+        store = objectApi;
+    }
+
+    /** Updates the role of this instance and drives what is due. */
+    void tick() {
+        QuarantineRole newRole = currentRole();
+        Set<InstanceId> newDeciders = channel.decidingInstances();
+        if (newRole != role || !newDeciders.equals(deciders)) {
+            role = newRole;
+            deciders = newDeciders;
+            post(new QuarantineEvent.RoleChanged(role));
+        }
+        post(new QuarantineEvent.Tick());
+    }
+
+    private QuarantineRole currentRole() {
+        if (channel.isDeciding()) {
+            return QuarantineRole.DECIDES;
+        }
+        return channel.decidingInstances().isEmpty()
+                ? QuarantineRole.ALONE
+                : QuarantineRole.FOLLOWS;
+    }
+
+    void onRequestLost(ForwardingCommand.ReportRequestLost lost) {
+        post(new QuarantineEvent.RequestLost(lost.server(), lost.request()));
+    }
+
+    void onAnswerBegun(ForwardingCommand.ReportAnswerBegun begun) {
+        post(new QuarantineEvent.AnswerBegun(begun.traits()));
+    }
+
+    void onServerAnswered(ForwardingCommand.ReportServerAnswered answered) {
+        if (manager.hasNoticedLoss(answered.server())) {
+            post(new QuarantineEvent.ServerAnswered(answered.server(), answered.sentAt()));
+        }
+    }
+
+    /** Records that the platform no longer lists this run of a server. */
+    void onServerGone(ServerIncarnation server) {
+        post(new QuarantineEvent.ServerGone(server));
+    }
+
+    /** Handles a message of another instance; ignores other kinds. */
+    void onMessage(PeerMessage message) {
+        if (message instanceof PeerMessage.ServerLossReport report) {
+            post(new QuarantineEvent.LossesReported(report.losses()));
+        } else if (message instanceof PeerMessage.AnswerReport report) {
+            post(new QuarantineEvent.AnswersReported(report.answers()));
+        } else if (message instanceof PeerMessage.QuarantineNotice notice) {
+            post(
+                    new QuarantineEvent.DecisionsAnnounced(
+                            Set.copyOf(notice.quarantined()), notice.watched()));
+        }
+    }
+
+    private void post(QuarantineEvent event) {
+        eventQueue.add(event);
+        if (processing) {
+            return;
+        }
+        processing = true;
+        try {
+            for (QuarantineEvent next = eventQueue.poll(); next != null; next = eventQueue.poll()) {
+                manager.handle(next, timers.now()).forEach(this::execute);
+            }
+        } finally {
+            processing = false;
+        }
+    }
+
+    private void execute(QuarantineCommand command) {
+        if (command instanceof QuarantineCommand.CheckServer check) {
+            checkServer(check.server());
+        } else if (command instanceof QuarantineCommand.ScheduleTick tick) {
+            timers.scheduleOnce(tick.delay(), now -> post(new QuarantineEvent.Tick()));
+        } else if (command instanceof QuarantineCommand.ReportLosses report) {
+            channel.sendToDeciders(
+                    new PeerMessage.ServerLossReport(PeerMessage.FORMAT_VERSION, report.losses()));
+        } else if (command instanceof QuarantineCommand.ReportAnswers report) {
+            channel.sendToDecidingInstance(
+                    new PeerMessage.AnswerReport(PeerMessage.FORMAT_VERSION, report.answers()));
+        } else if (command instanceof QuarantineCommand.AnnounceDecisions decisions) {
+            channel.sendToReporters(
+                    new PeerMessage.QuarantineNotice(
+                            PeerMessage.FORMAT_VERSION,
+                            List.copyOf(decisions.quarantined()),
+                            decisions.watched()));
+        } else if (command instanceof QuarantineCommand.Store wanted) {
+            writeRecord(wanted.quarantined());
+        } else if (command instanceof QuarantineCommand.Apply apply) {
+            apply(apply.quarantined());
+        } else if (command instanceof QuarantineCommand.AllowTrial trial) {
+            log.event(LogEvent.QUARANTINE_TRIAL).with("trait", trial.trait()).write();
+            forwarding.post(new ForwardingEvent.TrialAllowed(trial.trait()));
+        } else {
+            logDecision(command);
+        }
+    }
+
+    private void apply(Set<RequestTrait> quarantined) {
+        metrics.setQuarantinedTraits(quarantined.size());
+        log.event(LogEvent.QUARANTINE_APPLIED)
+                .with("role", role)
+                .with("traits", quarantined)
+                .write();
+        forwarding.post(new ForwardingEvent.QuarantineChanged(quarantined));
+    }
+
+    private void logDecision(QuarantineCommand command) {
+        if (command instanceof QuarantineCommand.LogConviction conviction) {
+            log.event(LogEvent.REQUEST_QUARANTINED)
+                    .with("trait", conviction.trait())
+                    .with("role", role)
+                    .with("lost_servers", conviction.lostServers())
+                    .with("lost_requests", conviction.lostRequests())
+                    .write();
+        } else if (command instanceof QuarantineCommand.LogRelease release) {
+            log.event(LogEvent.REQUEST_RELEASED)
+                    .with("trait", release.trait())
+                    .with("role", role)
+                    .with("reason", release.reason())
+                    .write();
+        } else if (command instanceof QuarantineCommand.LogLoss loss) {
+            metrics.recordServerLoss();
+            log.event(LogEvent.SERVER_LOST)
+                    .with("server", loss.server().server())
+                    .with("requests", loss.requests())
+                    .write();
+        }
+    }
+
+    private void checkServer(ServerIncarnation server) {
+        Optional<InetSocketAddress> address =
+                fleet.server(server.server())
+                        .filter(known -> known.incarnation().equals(server))
+                        .map(FleetServer::listing)
+                        .flatMap(listing -> Addresses.parse(listing.address()));
+        if (address.isEmpty()) {
+            post(new QuarantineEvent.ServerChecked(server, false));
+            return;
+        }
+        engines.isAlive(server.server(), address.get())
+                .whenCompleteAsync(
+                        (alive, failure) -> {
+                            boolean answered = failure == null && alive;
+                            post(new QuarantineEvent.ServerChecked(server, answered));
+                        },
+                        loop);
+    }
+
+    // The stored record
+
+    private void writeRecord(Set<RequestTrait> wanted) {
+        store.write(RECORD, QuarantineRecord.encode(wanted), storedVersion)
+                .whenCompleteAsync(
+                        (version, failure) -> {
+                            if (failure == null) {
+                                storedVersion = Math.max(storedVersion, version);
+                                post(new QuarantineEvent.StoredRead(wanted));
+                            } else if (isConflict(failure)) {
+                                readRecord();
+                            }
+                            // After any other failure the manager asks again.
+                        },
+                        loop);
+    }
+
+    private static boolean isConflict(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof TarragonlugException typed
+                && typed.code() == ErrorCode.WRITE_CONFLICT;
+    }
+
+    private void readRecord() {
+        store.read(RECORD)
+                .whenCompleteAsync(
+                        (object, failure) -> {
+                            if (failure == null) {
+                                onRecord(object);
+                            }
+                        },
+                        loop);
+    }
+
+    @Override
+    public void onChanged(StoredObject object) {
+        if (object.name().equals(RECORD)) {
+            onRecord(object);
+        }
+    }
+
+    private void onRecord(StoredObject object) {
+        if (object.version() < storedVersion) {
+            return;
+        }
+        storedVersion = object.version();
+        try {
+            Set<RequestTrait> traits =
+                    object.exists() ? QuarantineRecord.decode(object.content()) : Set.of();
+            post(new QuarantineEvent.StoredRead(traits));
+        } catch (IllegalArgumentException unreadable) {
+            log.event(LogEvent.STORE_ENTRY_UNREADABLE)
+                    .with("object", object.name())
+                    .with("detail", unreadable.getMessage())
+                    .write();
+        }
+    }
+
+    @Override
+    public void onRemoved(String name) {
+        if (name.equals(RECORD.name())) {
+            storedVersion = StoredObject.ABSENT;
+            post(new QuarantineEvent.StoredRead(Set.of()));
+        }
+    }
+
+    @Override
+    public void onInitialListComplete() {
+        if (storedVersion == StoredObject.ABSENT) {
+            post(new QuarantineEvent.StoredRead(Set.of()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/QuarantineRecord.java
@@ -0,0 +1,43 @@
+package org.tarragonlug.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
+import java.util.Set;
+import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.RequestTrait;
+import org.tarragonlug.runtime.Json;
+
+/** Writes and reads the stored quarantine: the traits of requests that must not reach servers. */
+final class QuarantineRecord {
+    private static final int FORMAT_VERSION = 1;
+
+    private QuarantineRecord() {}
+
+    static JsonNode encode(Set<RequestTrait> traits) {
+        ObjectNode record = Json.object();
+        record.put("formatVersion", FORMAT_VERSION);
+        ArrayNode list = record.putArray("traits");
+        traits.stream().sorted().forEach(trait -> list.add(trait.toString()));
+        return record;
+    }
+
+    /**
+     * Reads a record. Traits of a kind that this release does not know are left out.
+     *
+     * @throws IllegalArgumentException if the record has no list of traits
+     */
+    static Set<RequestTrait> decode(JsonNode record) {
+        Set<RequestTrait> traits = new HashSet<>();
+        for (JsonNode node : JsonFields.array(record, "traits")) {
+            try {
+                traits.add(RequestTrait.parse(node.asText()));
+            } catch (IllegalArgumentException unknownKind) {
+                // Only instances of a newer release recognise such requests.
+                continue;
+            }
+        }
+        return traits;
+    }
+}
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -53,6 +53,9 @@
     /** How long the answer to a shared watch may take, in addition to the wait of the watch. */
     private static final Duration SHARED_ANSWER_TIMEOUT = Duration.ofMillis(300);
 
+    /** A watch that waits longer than this is not shared; sources watch what changes often. */
+    private static final Duration MAX_SHARED_WATCH_WAIT = Duration.ofSeconds(5);
+
     /** Limit of the wait of a relayed watch. It is short so that a direct call is tried soon. */
     private static final Duration MAX_RELAYED_WATCH_WAIT = Duration.ofMillis(1200);
 
@@ -155,7 +158,8 @@
                         ? longestWait
                         : MAX_RELAYED_WATCH_WAIT;
         Optional<WatchSource> source = channel.watchSource();
-        if (source.isPresent()) {
+        boolean shared = longestWait.compareTo(MAX_SHARED_WATCH_WAIT) <= 0;
+        if (source.isPresent() && shared) {
             return watchThrough(source.get(), kind, afterRevision, longestWait);
         }
         return callWithFallback(
--- a/src/main/java/org/tarragonlug/gateway/WatchPace.java
+++ b/src/main/java/org/tarragonlug/gateway/WatchPace.java
@@ -11,7 +11,9 @@
     /** Another instance answers the watches, which must show soon that it still does. */
     FOLLOWER(Duration.ofMillis(800), Duration.ofMillis(400)),
     /** Notices of the planner announce the urgent changes. */
-    ALONE(Duration.ofMillis(3000), Duration.ofMillis(1100));
+    ALONE(Duration.ofMillis(3000), Duration.ofMillis(1100)),
+    /** Changes are rare, and other instances tell of them sooner. */
+    RARE(Duration.ofMillis(30_000), Duration.ofMillis(60));
 
     private final Duration wait;
     private final Duration pause;
@@ -22,8 +24,8 @@
     }
 
     /**
-     * Returns how long a watch waits for a change. It is a few seconds at most, because a
-     * connection that no longer transmits anything can only be recognised by the missing answer.
+     * Returns how long a watch waits for a change. It is some seconds at most, because a connection
+     * that no longer transmits anything can only be recognised by the missing answer.
      */
     Duration longestWait() {
         return wait;
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -43,7 +43,7 @@
                     .number("call", answer.call())
                     .text("result", answer.result());
         } else {
-            return false;
+            return QuarantineMessageFormat.write(message, writer);
         }
         return true;
     }
@@ -62,7 +62,7 @@
             case "ObjectCallAnswer" -> Optional.of(readObjectCallAnswer(new MessageFields(frame)));
             case "OrderCall" -> Optional.of(readOrderCall(new MessageFields(frame)));
             case "OrderCallAnswer" -> Optional.of(readOrderCallAnswer(new MessageFields(frame)));
-            default -> Optional.empty();
+            default -> QuarantineMessageFormat.read(kind, new MessageFields(frame));
         };
     }
 
--- a/src/main/java/org/tarragonlug/peer/IdModule.java
+++ b/src/main/java/org/tarragonlug/peer/IdModule.java
@@ -24,9 +24,11 @@
 import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.PoolName;
 import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.RouteName;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.ServiceName;
 
 /** Encodes ids as strings, versions as numbers, and instants and durations as milliseconds. */
@@ -44,7 +46,9 @@
         text(RouteName.class, RouteName::new);
         text(ServerGroup.class, ServerGroup::new);
         text(ModelKey.class, ModelKey::parse);
+        text(RequestTrait.class, RequestTrait::parse);
         text(ServerId.class, ServerId::new);
+        text(ServerIncarnation.class, ServerIncarnation::parse);
         text(ServiceName.class, ServiceName::new);
         key(ServerId.class, ServerId::new);
         number(ConfigurationVersion.class, ConfigurationVersion::value, ConfigurationVersion::new);
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -58,7 +58,10 @@
                     Map.entry("ObjectCall", PeerMessage.ObjectCall.class),
                     Map.entry("ObjectCallAnswer", PeerMessage.ObjectCallAnswer.class),
                     Map.entry("OrderCall", PeerMessage.OrderCall.class),
-                    Map.entry("OrderCallAnswer", PeerMessage.OrderCallAnswer.class));
+                    Map.entry("OrderCallAnswer", PeerMessage.OrderCallAnswer.class),
+                    Map.entry("ServerLossReport", PeerMessage.ServerLossReport.class),
+                    Map.entry("AnswerReport", PeerMessage.AnswerReport.class),
+                    Map.entry("QuarantineNotice", PeerMessage.QuarantineNotice.class));
 
     private static final Map<Class<? extends PeerMessage>, String> KIND_BY_TYPE =
             TYPE_BY_KIND.entrySet().stream()
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -14,6 +14,8 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.OrderAction;
 import org.tarragonlug.decision.placement.OrderResult;
+import org.tarragonlug.decision.quarantine.ServerLoss;
+import org.tarragonlug.decision.quarantine.TraitAge;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.id.ArtifactId;
@@ -22,6 +24,7 @@
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.OperationId;
 import org.tarragonlug.id.OrderGroup;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
@@ -444,4 +447,45 @@
      */
     record OrderCallAnswer(int formatVersion, long call, OrderResult result)
             implements PeerMessage {}
+
+    /**
+     * The losses of servers that an instance has noticed, with its requests there.
+     *
+     * @param formatVersion format version of the sender
+     * @param losses the losses
+     */
+    record ServerLossReport(int formatVersion, List<ServerLoss> losses) implements PeerMessage {
+        public ServerLossReport {
+            losses = List.copyOf(losses);
+        }
+    }
+
+    /**
+     * Tells that servers have begun to answer requests with traits that are suspected of crashing
+     * servers.
+     *
+     * @param formatVersion format version of the sender
+     * @param answers the traits, with the time since the answer began
+     */
+    record AnswerReport(int formatVersion, List<TraitAge> answers) implements PeerMessage {
+        public AnswerReport {
+            answers = List.copyOf(answers);
+        }
+    }
+
+    /**
+     * The decisions of the planner on requests that crash servers.
+     *
+     * @param formatVersion format version of the sender
+     * @param quarantined traits of requests that must not reach servers
+     * @param watched traits whose answers the receiver reports, with the time since the first loss
+     */
+    record QuarantineNotice(
+            int formatVersion, List<RequestTrait> quarantined, List<TraitAge> watched)
+            implements PeerMessage {
+        public QuarantineNotice {
+            quarantined = List.copyOf(quarantined);
+            watched = List.copyOf(watched);
+        }
+    }
 }
--- a/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
@@ -33,6 +33,7 @@
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int CONFLICT = 409;
+    private static final int MISDIRECTED = 421;
     private static final int SERVER_ERROR = 500;
 
     private final HttpConnections connections;
@@ -131,6 +132,28 @@
                                 ErrorCode.BACKEND_UNREACHABLE, failure.getMessage(), failure));
     }
 
+    /**
+     * Finds out on a new connection whether a server still runs. Any answer shows that it does,
+     * unless another server gives it.
+     *
+     * @param server the intended server
+     * @param address the server's address
+     * @return whether the server answered; the stage never fails
+     */
+    public CompletionStage<Boolean> isAlive(ServerId server, InetSocketAddress address) {
+        HttpCall call =
+                new HttpCall(
+                        "GET",
+                        "/tarragonlug/report",
+                        Map.of(EXPECT_INSTANCE, server.value()),
+                        new byte[0],
+                        REPORT_TIMEOUT,
+                        ConnectionUse.NEW);
+        return connections
+                .exchange(address, call)
+                .handle((answer, failure) -> failure == null && answer.status() != MISDIRECTED);
+    }
+
     private static ServerReport decode(JsonNode body) {
         Map<String, Set<String>> models = ServerEntryDecoder.models(body.path("models"));
         // Adapters that are being loaded are written as MODEL/NAME@VERSION.
--- a/src/main/java/org/tarragonlug/platform/PlatformKinds.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformKinds.java
@@ -17,6 +17,12 @@
     /** Order leases. This kind belongs to this system, not to the platform. */
     private static final String LEASES = "leases";
 
+    /** What keeps requests that crash servers from further servers; written by this system. */
+    public static final String QUARANTINE = "quarantine";
+
+    /** Name of the only object of kind {@link #QUARANTINE}. */
+    public static final String CURRENT_QUARANTINE = "current";
+
     private PlatformKinds() {}
 
     /** Returns the name of the object that stores the order lease of a server group. */
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -84,8 +84,10 @@
      * @param key identifies the request within the process
      * @param path the path without the query
      * @param headers the caller's headers
+     * @param contentHash hash of the request's content
      */
-    public static ForwardRequest decode(long key, String path, Map<String, String> headers) {
+    public static ForwardRequest decode(
+            long key, String path, Map<String, String> headers, long contentHash) {
         String host = headers.getOrDefault("host", "");
         int colon = host.indexOf(':');
         Optional<ModelKey> model =
@@ -104,7 +106,8 @@
                         .orElse(PromptPrefix.NONE),
                 tokens[0],
                 tokens[1],
-                number(headers.get(LAST_EVENT_ID)).orElse(-1L));
+                number(headers.get(LAST_EVENT_ID)).orElse(-1L),
+                contentHash);
     }
 
     /**
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -49,8 +49,14 @@
     SERVER_LOST(Level.WARN),
     /** A backend server reports that it is leaving and accepts no new work. */
     SERVER_LEAVING(Level.INFO),
-    /** A request crashed backend servers; requests with its fingerprint are refused from now on. */
+    /** Requests crashed backend servers; those that are like them are refused from now on. */
     REQUEST_QUARANTINED(Level.WARN),
+    /** Requests that were quarantined are served again. */
+    REQUEST_RELEASED(Level.WARN),
+    /** One quarantined request may pass, to find out whether it still crashes servers. */
+    QUARANTINE_TRIAL(Level.INFO),
+    /** The requests that this instance refuses because others like them crashed servers. */
+    QUARANTINE_APPLIED(Level.INFO),
     /** A request was refused. Logged at debug level, because overload causes many refusals. */
     REQUEST_REFUSED(Level.DEBUG),
     /** The store does not answer this instance, so its calls are relayed through a peer. */
--- a/src/main/java/org/tarragonlug/simulation/FleetMeasurement.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetMeasurement.java
@@ -30,5 +30,16 @@
         output.printf(
                 "remote loads %d, prompt tokens read %d (shared %d), overloads %d%n",
                 simulation.remoteLoads(), read, shared, violations);
+        int crashes =
+                simulation.servers().stream().mapToInt(each -> each.partCrashes().size()).sum();
+        int arrivals =
+                simulation.servers().stream()
+                        .mapToInt(each -> each.crashingArrivals().size())
+                        .sum();
+        int messages =
+                simulation.quarantines().stream().mapToInt(SimulatedQuarantine::messages).sum();
+        output.printf(
+                "crashing part: arrivals %d, crashes %d; quarantined %s, messages %d%n",
+                arrivals, crashes, simulation.quarantines().get(0).convicted(), messages);
     }
 }
--- a/src/main/java/org/tarragonlug/simulation/FleetScenarios.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetScenarios.java
@@ -202,6 +202,30 @@
                                     fault(SimulatedFault.Kind.SILENT_CRASH, 15, 6, 6, 1),
                                     fault(SimulatedFault.Kind.SILENT_REPLACE, 24, 4, 0, 1)));
         }
+    },
+    /** One prompt part, in requests at all instances, crashes each server that answers it. */
+    CRASHING_PART {
+        @Override
+        FleetScenario scenario(int instances) {
+            return RARE_MODELS
+                    .scenario(instances)
+                    .withFaults(List.of(fault(SimulatedFault.Kind.CRASHING_PART, 4, 0, 22, 0.05)));
+        }
+    },
+    /** A crashing prompt part, while servers crash and are replaced for other reasons. */
+    CRASHING_PART_AMONG_CRASHES {
+        @Override
+        FleetScenario scenario(int instances) {
+            return RARE_MODELS
+                    .scenario(instances)
+                    .withFaults(
+                            List.of(
+                                    fault(SimulatedFault.Kind.SILENT_CRASH, 3, 6, 3, 1),
+                                    fault(SimulatedFault.Kind.CRASHING_PART, 4, 0, 22, 0.02),
+                                    fault(SimulatedFault.Kind.SILENT_CRASH, 5, 3, 3, 1),
+                                    fault(SimulatedFault.Kind.SILENT_REPLACE, 8, 4, 0, 1),
+                                    fault(SimulatedFault.Kind.SILENT_CRASH, 15, 6, 6, 1)));
+        }
     };
 
     private static SimulatedFault fault(
--- a/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
@@ -50,10 +50,14 @@
     private final SharedWeightStore weightStore;
     private final SimulatedPlanner planner;
     private final FleetRecorder recorder;
+    private final List<SimulatedQuarantine> quarantines;
     private final Instant trafficStart;
     private long requestCount;
     private long listingCount;
 
+    /** Share of the requests for busy models whose prompts have the crashing part. */
+    private double crashingShare;
+
     FleetSimulation(FleetScenario scenario, Hasher hasher, long seed) {
         this.scenario = scenario;
         this.random = new Random(seed);
@@ -71,6 +75,8 @@
                     new SimulatedInstance(
                             number, scenario, time, servers, planner, recorder, hasher));
         }
+        quarantines = instances.stream().map(SimulatedInstance::quarantine).toList();
+        quarantines.forEach(each -> each.connect(quarantines));
     }
 
     private void addServer(int number) {
@@ -158,6 +164,11 @@
         return planner;
     }
 
+    /** Returns the quarantine of each instance; the first one decides for all. */
+    List<SimulatedQuarantine> quarantines() {
+        return quarantines;
+    }
+
     List<ModelServer> servers() {
         return List.copyOf(servers.values());
     }
@@ -215,6 +226,11 @@
     // Faults
 
     private void begin(SimulatedFault fault) {
+        if (fault.kind() == SimulatedFault.Kind.CRASHING_PART) {
+            crashingShare = fault.factor();
+            time.after(fault.length(), () -> crashingShare = 0);
+            return;
+        }
         if (fault.kind() == SimulatedFault.Kind.NO_PLANNING) {
             planner.setSuspended(true);
             time.after(fault.length(), () -> planner.setSuspended(false));
@@ -299,8 +315,11 @@
         if (profile.sharedTokens() > 0) {
             int number = random.nextInt(profile.sharedParts());
             String part = model.name() + "#" + key.adapter() + "#" + number;
-            prefix =
-                    new PromptPrefix(part, profile.sharedTokens(), List.of(new PromptPartId(part)));
+            List<PromptPartId> parts = new ArrayList<>(List.of(new PromptPartId(part)));
+            if (crashingShare > 0 && !profile.rareModels() && isCrashing()) {
+                parts.add(ModelServer.CRASHING_PART);
+            }
+            prefix = new PromptPrefix(part, profile.sharedTokens(), parts);
         }
         requestCount++;
         CallerRequest request =
@@ -316,6 +335,10 @@
         attempt(request);
     }
 
+    private boolean isCrashing() {
+        return random.nextDouble() < crashingShare;
+    }
+
     private double exponential(double mean) {
         return 1 - mean * Math.log(1 - random.nextDouble());
     }
--- a/src/main/java/org/tarragonlug/simulation/ModelServer.java
+++ b/src/main/java/org/tarragonlug/simulation/ModelServer.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.simulation;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -22,6 +23,7 @@
 import org.tarragonlug.decision.placement.ServerReport;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.PromptPartId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
 import org.tarragonlug.measure.VirtualTime;
@@ -37,6 +39,11 @@
 final class ModelServer {
     static final ServiceName SERVICE = new ServiceName("models");
 
+    /** A prompt part that crashes a server when it begins to answer. */
+    static final PromptPartId CRASHING_PART = new PromptPartId("crashing");
+
+    private static final Duration CRASH_DOWN_TIME = Duration.ofSeconds(3);
+
     private static final double STEP_MILLIS = 5.4;
     private static final double STEP_MILLIS_PER_REQUEST = 0.012;
     private static final double TOKENS_READ_PER_MILLI = 38;
@@ -69,6 +76,8 @@
     private double slowness = 1;
     private int violations;
     private long readTokens;
+    private final List<Instant> partCrashes = new ArrayList<>();
+    private final List<Instant> crashingArrivals = new ArrayList<>();
 
     ModelServer(
             int number,
@@ -101,6 +110,16 @@
         return violations;
     }
 
+    /** Returns when requests with {@link #CRASHING_PART} crashed the server. */
+    List<Instant> partCrashes() {
+        return partCrashes;
+    }
+
+    /** Returns when requests with {@link #CRASHING_PART} reached the server. */
+    List<Instant> crashingArrivals() {
+        return crashingArrivals;
+    }
+
     long readTokens() {
         return readTokens;
     }
@@ -236,6 +255,9 @@
             run.listener.onRejected(Rejection.UNREACHABLE, Optional.empty());
             return;
         }
+        if (isCrashing(run)) {
+            crashingArrivals.add(time.now());
+        }
         String model = run.key.model();
         Set<String> adapters = models.get(model);
         if (adapters == null || run.key.hasAdapter() && !adapters.contains(run.key.adapter())) {
@@ -249,6 +271,10 @@
         }
     }
 
+    private static boolean isCrashing(ServerRun run) {
+        return run.prefix.parts().contains(CRASHING_PART);
+    }
+
     private void reject(ServerRun run, Rejection rejection) {
         run.ended = true;
         run.listener.onRejected(rejection, Optional.of(load()));
@@ -331,6 +357,11 @@
         boolean beginsEvent = run.producedTokens % TOKENS_PER_EVENT == 1;
         if (run.producedTokens == 1) {
             run.listener.onStarted(load());
+            if (isCrashing(run)) {
+                partCrashes.add(time.now());
+                crash(CRASH_DOWN_TIME);
+                return;
+            }
         }
         if (beginsEvent && event <= run.events) {
             run.listener.onEvent(event);
--- a/src/main/java/org/tarragonlug/simulation/SimulatedFault.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedFault.java
@@ -9,7 +9,8 @@
  * @param at start, from the start of the traffic
  * @param servers number of servers that are concerned
  * @param length how long the fault lasts
- * @param factor by how much slower slow servers work
+ * @param factor by how much slower slow servers work, or the share of the requests with the part
+ *     that crashes servers
  */
 record SimulatedFault(Kind kind, Duration at, int servers, Duration length, double factor) {
     /** Kinds of faults. */
@@ -25,6 +26,11 @@
         /** Servers work slower, while their answers say nothing of it. */
         SLOW,
         /** The planner gives no orders. */
-        NO_PLANNING
+        NO_PLANNING,
+        /**
+         * A share of the requests for busy models has a part in its prompt that crashes each server
+         * that begins to answer it.
+         */
+        CRASHING_PART
     }
 }
--- a/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.decision.Hasher;
+import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
@@ -70,6 +71,7 @@
     private final FleetRecorder recorder;
     private final ForwardingCoordinator coordinator;
     private final DemandCollector demand;
+    private final SimulatedQuarantine quarantine;
     private final Map<Long, Call> calls = new HashMap<>();
     private final Map<ServerId, Long> listingVersions = new HashMap<>();
     private final Deque<ForwardingEvent> events = new ArrayDeque<>();
@@ -101,6 +103,11 @@
                                 RETRY_ALLOWANCE,
                                 scenario.instances()));
         this.demand = new DemandCollector(this::scheduleUrgentReport);
+        this.quarantine = new SimulatedQuarantine(number, time, servers, this::post);
+    }
+
+    SimulatedQuarantine quarantine() {
+        return quarantine;
     }
 
     InstanceId id() {
@@ -111,6 +118,7 @@
         post(new ForwardingEvent.TableInstalled(table));
         time.afterMillis(offsetMillis, this::reportPeriodically);
         time.afterMillis(offsetMillis, this::tickPeriodically);
+        quarantine.start();
     }
 
     private void reportPeriodically() {
@@ -119,6 +127,7 @@
     }
 
     private void tickPeriodically() {
+        quarantine.tick();
         post(new ForwardingEvent.Tick());
         time.after(IDLE_TICK, this::tickPeriodically);
     }
@@ -175,7 +184,8 @@
                                 request.prefix,
                                 request.ownTokens + request.prefix.tokens(),
                                 request.events,
-                                request.lastEvent)));
+                                request.lastEvent,
+                                request.number)));
         return key;
     }
 
@@ -226,6 +236,8 @@
             demand.recordWait(wait, time.now());
         } else if (command instanceof ForwardingCommand.ReportArrival arrival) {
             demand.recordArrival(arrival.service(), arrival.key());
+        } else {
+            quarantine.onCommand(command);
         }
     }
 
@@ -264,6 +276,7 @@
     private final class Answers implements ServerRun.Listener {
         private final long key;
         private final Call call;
+        private AnswerProgress progress = AnswerProgress.NOTHING;
         private ServerRun run;
 
         Answers(long key, Call call) {
@@ -291,13 +304,18 @@
 
         @Override
         public void onStarted(ReportedLoad load) {
-            deliver(() -> post(new ForwardingEvent.StreamStarted(key, Optional.of(load))));
+            deliver(
+                    () -> {
+                        progress = AnswerProgress.HEAD;
+                        post(new ForwardingEvent.StreamStarted(key, Optional.of(load)));
+                    });
         }
 
         @Override
         public void onEvent(long event) {
             deliver(
                     () -> {
+                        progress = AnswerProgress.CONTENT;
                         call.caller.onEvent((int) event);
                         post(new ForwardingEvent.EventRelayed(key, event));
                     });
@@ -310,7 +328,7 @@
 
         @Override
         public void onBroken() {
-            deliver(() -> post(new ForwardingEvent.ConnectionBroken(key)));
+            deliver(() -> post(new ForwardingEvent.ConnectionBroken(key, progress)));
         }
     }
 
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -153,7 +153,8 @@
         void failsNonIdempotentRequestWhenConnectionBreaks() {
             long key = requireSend(fixture.arrive("/issue/1", "")).request();
             List<ForwardingCommand> commands =
-                    fixture.handle(new ForwardingEvent.ConnectionBroken(key));
+                    fixture.handle(
+                            new ForwardingEvent.ConnectionBroken(key, AnswerProgress.NOTHING));
             assertEquals(FailureReason.SERVER_LOST, requireFail(commands).reason());
             assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
         }
@@ -276,7 +277,8 @@
         void lateRequestGoesBehindOthers() {
             ForwardingCommand.Send first = requireSend(fixture.arrive("/ask/1", "busy"));
             fixture.advance(Duration.ofMillis(500));
-            fixture.handle(new ForwardingEvent.ConnectionBroken(first.request()));
+            fixture.handle(
+                    new ForwardingEvent.ConnectionBroken(first.request(), AnswerProgress.NOTHING));
             ForwardingCommand.Send late = requireSend(fixture.advance(Duration.ofMillis(500)));
             for (int count = 0; count < 30; count++) {
                 int fresh = requireSend(fixture.arrive("/ask/1", "busy")).urgency();
@@ -333,7 +335,10 @@
             fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
             fixture.handle(new ForwardingEvent.EventRelayed(key, 3));
             ForwardingCommand.Send second =
-                    requireSend(fixture.handle(new ForwardingEvent.ConnectionBroken(key)));
+                    requireSend(
+                            fixture.handle(
+                                    new ForwardingEvent.ConnectionBroken(
+                                            key, AnswerProgress.NOTHING)));
             assertEquals(3, second.lastEventId());
             assertNotEquals(first.server(), second.server());
         }
@@ -349,7 +354,8 @@
                     new ForwardingFixture().withRoutes().withServer("one", ENGINES, "m");
             long key = requireSend(fixture.arrive("/ask/1", "m")).request();
             List<ForwardingCommand> commands =
-                    fixture.handle(new ForwardingEvent.ConnectionBroken(key));
+                    fixture.handle(
+                            new ForwardingEvent.ConnectionBroken(key, AnswerProgress.NOTHING));
             assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
             assertTrue(find(commands, ForwardingCommand.Fail.class).isEmpty());
             commands = fixture.advance(Duration.ofMillis(600));
@@ -366,7 +372,8 @@
             long key = requireSend(fixture.arrive("/score/1", "m")).request();
             fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
             List<ForwardingCommand> commands =
-                    fixture.handle(new ForwardingEvent.ConnectionBroken(key));
+                    fixture.handle(
+                            new ForwardingEvent.ConnectionBroken(key, AnswerProgress.NOTHING));
             assertEquals(FailureReason.SERVER_LOST, requireFail(commands).reason());
         }
 
@@ -402,7 +409,10 @@
             fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
             fixture.handle(new ForwardingEvent.EventRelayed(key, 0));
             List<ForwardingCommand> commands =
-                    new ArrayList<>(fixture.handle(new ForwardingEvent.ConnectionBroken(key)));
+                    new ArrayList<>(
+                            fixture.handle(
+                                    new ForwardingEvent.ConnectionBroken(
+                                            key, AnswerProgress.NOTHING)));
             ReportedLoad full = new ReportedLoad(8, 16, 8);
             for (int rejection = 0; rejection < 5; rejection++) {
                 if (find(commands, ForwardingCommand.Send.class).isEmpty()) {
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
@@ -11,6 +11,7 @@
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.PromptPartId;
 import org.tarragonlug.id.RouteName;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
@@ -28,6 +29,7 @@
                     new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1));
     Instant now = Instant.ofEpochSecond(1000);
     private long lastKey;
+    private boolean contentRepeated;
 
     static ForwardingRoute route(
             String prefix, RequestKind kind, int attempts, boolean resumable, ServiceName service) {
@@ -124,7 +126,24 @@
     }
 
     List<ForwardingCommand> arrive(String path, String model) {
+        return arrive(path, model, List.of());
+    }
+
+    /** Makes the next request equal to the last one. */
+    void repeatLastContent() {
+        contentRepeated = true;
+    }
+
+    /** Lets a request with these shared parts in its prompt arrive. */
+    List<ForwardingCommand> arrive(String path, String model, List<String> parts) {
         lastKey++;
+        long contentHash = contentRepeated ? lastKey - 1 : lastKey;
+        contentRepeated = false;
+        PromptPrefix prefix =
+                new PromptPrefix(
+                        String.join("|", parts),
+                        10 * parts.size(),
+                        parts.stream().map(PromptPartId::new).toList());
         return handle(
                 new ForwardingEvent.RequestArrived(
                         new ForwardRequest(
@@ -136,10 +155,11 @@
                                 model.isEmpty()
                                         ? Optional.empty()
                                         : Optional.of(ModelKey.parse(model)),
-                                PromptPrefix.NONE,
+                                prefix,
                                 10,
                                 10,
-                                -1)));
+                                -1,
+                                contentHash)));
     }
 
     static <T extends ForwardingCommand> Optional<T> find(
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -34,6 +34,9 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.OrderAction;
 import org.tarragonlug.decision.placement.OrderResult;
+import org.tarragonlug.decision.quarantine.LostRequest;
+import org.tarragonlug.decision.quarantine.ServerLoss;
+import org.tarragonlug.decision.quarantine.TraitAge;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.error.ErrorCode;
@@ -48,9 +51,11 @@
 import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.PoolName;
 import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.RouteName;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.ServiceName;
 
 class PeerCodecTest {
@@ -62,6 +67,7 @@
     static List<PeerMessage> samples() {
         List<PeerMessage> samples = new ArrayList<>(firstSamples());
         samples.addAll(lastSamples());
+        samples.addAll(quarantineSamples());
         return samples;
     }
 
@@ -217,6 +223,24 @@
                 new PeerMessage.OrderCallAnswer(1, 10, OrderResult.CONFLICT));
     }
 
+    private static List<PeerMessage> quarantineSamples() {
+        RequestTrait part = RequestTrait.parse("part:feed");
+        RequestTrait content = RequestTrait.parse("content:12ab");
+        return List.of(
+                new PeerMessage.ServerLossReport(
+                        1,
+                        List.of(
+                                new ServerLoss(
+                                        new ServerIncarnation(new ServerId("e-1"), 1234),
+                                        Duration.ofMillis(31),
+                                        List.of(new LostRequest(content, List.of(part)))))),
+                new PeerMessage.AnswerReport(1, List.of(new TraitAge(part, Duration.ofMillis(20)))),
+                new PeerMessage.QuarantineNotice(
+                        1,
+                        List.of(part, content),
+                        List.of(new TraitAge(part, Duration.ofMillis(300)))));
+    }
+
     private PeerMessage decoded(byte[] frame) throws TarragonlugException {
         return assertInstanceOf(PeerFrame.Content.class, codec.decode(frame)).message();
     }
@@ -260,7 +284,7 @@
          */
         @Test
         void generalMapperReadsItsFrames() throws Exception {
-            assertEquals(6, gatewayMessages().size());
+            assertEquals(9, gatewayMessages().size());
             for (PeerMessage message : gatewayMessages()) {
                 assertEquals(message, general.read(codec.encode(message), message.getClass()));
             }
--- a/src/test/java/org/tarragonlug/platform/DecodersTest.java
+++ b/src/test/java/org/tarragonlug/platform/DecodersTest.java
@@ -86,7 +86,7 @@
 
         @Test
         void decodesRequestHeaders() {
-            ForwardRequest request = RequestHeaders.decode(1, "/x/", headers());
+            ForwardRequest request = RequestHeaders.decode(1, "/x/", headers(), 0);
             assertEquals("a.example", request.host());
             assertEquals(Optional.of(Duration.ofSeconds(6)), request.budget());
             assertEquals(Optional.of(ModelKey.parse("m/a3")), request.model());
@@ -99,7 +99,7 @@
             Map<String, String> headers = headers();
             headers.put("tarragonlug-deadline-ms", "soon");
             headers.put("tarragonlug-prompt-prefix", "x,,:");
-            ForwardRequest request = RequestHeaders.decode(1, "/x/", headers);
+            ForwardRequest request = RequestHeaders.decode(1, "/x/", headers, 0);
             assertTrue(request.budget().isEmpty());
             assertTrue(request.prefix().isEmpty());
         }
--- a/src/test/java/org/tarragonlug/simulation/FleetSimulationTest.java
+++ b/src/test/java/org/tarragonlug/simulation/FleetSimulationTest.java
@@ -3,10 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.runtime.Hash4jHasher;
 
 /** Whole deployments of 95 instances in virtual time, each with a load that is hard to serve. */
@@ -71,4 +77,49 @@
             assertTrue(value >= 0.85, scenario + " " + value);
         }
     }
+
+    @Nested
+    class Quarantine {
+        private static final int TOLERATED_CRASHES = 5;
+        private static final int TOLERATED_ARRIVALS = 3;
+
+        /** Time after the last tolerated crash in which the news may spread. */
+        private static final Duration SPREADING_TIME = Duration.ofSeconds(5);
+
+        private final RequestTrait crashingPart =
+                new RequestTrait(RequestTrait.Kind.PART, ModelServer.CRASHING_PART.value());
+
+        // Guards against servers that crash one after the other under one prompt part, whose
+        // requests arrive at any of 95 instances, and against sound parts that share its blame.
+        @ParameterizedTest
+        @EnumSource(names = {"CRASHING_PART", "CRASHING_PART_AMONG_CRASHES"})
+        void crashingPartAloneIsKeptFromServers(FleetScenarios scenario) {
+            FleetSimulation simulation = new Result(scenario).simulation;
+            assertEquals(Set.of(crashingPart), simulation.quarantines().get(0).convicted());
+            List<Instant> crashes = sorted(simulation, ModelServer::partCrashes);
+            int last = Math.min(TOLERATED_CRASHES, crashes.size()) - 1;
+            Instant end = crashes.get(last).plus(SPREADING_TIME);
+            long late =
+                    sorted(simulation, ModelServer::crashingArrivals).stream()
+                            .filter(end::isBefore)
+                            .count();
+            assertTrue(late <= TOLERATED_ARRIVALS, late + " arrivals, crashes " + crashes);
+        }
+
+        private static List<Instant> sorted(
+                FleetSimulation simulation, Function<ModelServer, List<Instant>> times) {
+            return simulation.servers().stream()
+                    .flatMap(server -> times.apply(server).stream())
+                    .sorted()
+                    .toList();
+        }
+
+        // Guards against sound requests that are refused because servers ended for other reasons.
+        @ParameterizedTest
+        @EnumSource(names = {"LOST_SERVERS", "FAILING_SERVERS"})
+        void crashesOfOtherCausesQuarantineNothing(FleetScenarios scenario) {
+            FleetSimulation simulation = new Result(scenario).simulation;
+            assertEquals(Set.of(), simulation.quarantines().get(0).convicted());
+        }
+    }
 }
