Follow the servers beside odd entries of other writers

Another writer's entry among those of the servers could hide all others: an instance that read the list no longer followed it, and one that started was never ready. Cause: the answer of the store was parsed as one document with limits on depth, length of numbers and names, and one value beyond a limit refused the whole document. Bytes that are no UTF-8 did the same.

Change: what the store lists is read by JsonTree.readForeign. If the parser refuses the document, a scan replaces values nested too deeply and numbers too long by null, without recursion or memory for the depth, and the document is read again. Numbers beyond the range and halves of surrogate pairs are replaced on reading too, since they could be read but not be relayed to other instances. A port of 0 names no server.

The list of the product's own interface still refuses a malformed list as a whole, which HttpInstanceListTest demands.

--- a/src/main/java/org/tarragonlug/http/JsonFields.java
+++ b/src/main/java/org/tarragonlug/http/JsonFields.java
@@ -21,15 +21,17 @@
      * @throws IllegalArgumentException if the text is not JSON
      */
     public static JsonNode parse(byte[] text) {
-        try {
-            return present(JsonTree.read(text));
-        } catch (JsonProcessingException e) {
-            // The message of the parser is not used, because it quotes the text, which may be part
-            // of a request.
-            throw new IllegalArgumentException("the text is not valid JSON");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        return parse(text, JsonTree::read);
+    }
+
+    /**
+     * Parses a document to which other writers have contributed, so that a value of theirs which is
+     * too large to be read does not hide the others. Such a value is read as null.
+     *
+     * @throws IllegalArgumentException if the text is not JSON
+     */
+    public static JsonNode parseForeign(byte[] text) {
+        return parse(text, JsonTree::readForeign);
     }
 
     /**
@@ -41,6 +43,22 @@
         return parse(text.getBytes(StandardCharsets.UTF_8));
     }
 
+    private interface Reader {
+        JsonNode read(byte[] text) throws IOException;
+    }
+
+    private static JsonNode parse(byte[] text, Reader reader) {
+        try {
+            return present(reader.read(text));
+        } catch (JsonProcessingException e) {
+            // The message of the parser is not used, because it quotes the text, which may be part
+            // of a request.
+            throw new IllegalArgumentException("the text is not valid JSON");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static JsonNode present(JsonNode node) {
         if (node == null || node.isMissingNode()) {
             throw new IllegalArgumentException("the text is not valid JSON: it is empty");
--- a/src/main/java/org/tarragonlug/misc/JsonTree.java
+++ b/src/main/java/org/tarragonlug/misc/JsonTree.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -25,10 +26,22 @@
     /** Deepest nesting that is read; deeper values could exhaust the stack of a thread. */
     private static final int MAX_DEPTH = 100;
 
+    /** Longest number that is read, in characters. */
+    private static final int MAX_NUMBER_LENGTH = 1000;
+
+    /** Longest name of a field that is read, in characters. */
+    private static final int MAX_NAME_LENGTH = 8 * 1024 * 1024;
+
+    private static final char REPLACEMENT_CHARACTER = '\ufffd';
+
     private static final JsonFactory FACTORY =
             JsonFactory.builder()
                     .streamReadConstraints(
-                            StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+                            StreamReadConstraints.builder()
+                                    .maxNestingDepth(MAX_DEPTH)
+                                    .maxNumberLength(MAX_NUMBER_LENGTH)
+                                    .maxNameLength(MAX_NAME_LENGTH)
+                                    .build())
                     .build();
 
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
@@ -54,6 +67,22 @@
         }
     }
 
+    /**
+     * Parses a document to which other writers have contributed. Values that are nested too deeply,
+     * too long or beyond the range of numbers are read as null, so that the others can be used.
+     *
+     * @param bytes UTF-8 text
+     * @return the value; a missing node if there is none
+     * @throws com.fasterxml.jackson.core.JsonProcessingException if the text is not JSON
+     */
+    public static JsonNode readForeign(byte[] bytes) throws IOException {
+        try {
+            return read(bytes);
+        } catch (JsonProcessingException tooLargeOrNoJson) {
+            return read(JsonRepair.repair(bytes, MAX_DEPTH, MAX_NUMBER_LENGTH));
+        }
+    }
+
     /**
      * Parses one JSON value in which no object may have two fields of one name.
      *
@@ -84,9 +113,9 @@
         return switch (parser.currentToken()) {
             case START_OBJECT -> readObject(parser);
             case START_ARRAY -> readArray(parser);
-            case VALUE_STRING -> NODES.textNode(parser.getText());
+            case VALUE_STRING -> NODES.textNode(wellFormed(parser.getText()));
             case VALUE_NUMBER_INT -> readInteger(parser);
-            case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
+            case VALUE_NUMBER_FLOAT -> readFraction(parser);
             case VALUE_TRUE -> NODES.booleanNode(true);
             case VALUE_FALSE -> NODES.booleanNode(false);
             case VALUE_NULL -> NODES.nullNode();
@@ -97,7 +126,7 @@
     private static ObjectNode readObject(JsonParser parser) throws IOException {
         ObjectNode object = NODES.objectNode();
         while (parser.nextToken() != JsonToken.END_OBJECT) {
-            String name = parser.currentName();
+            String name = wellFormed(parser.currentName());
             parser.nextToken();
             object.set(name, readValue(parser));
         }
@@ -120,6 +149,34 @@
         };
     }
 
+    /** Reads a number; one beyond the range of numbers is read as null, which can be written. */
+    private static JsonNode readFraction(JsonParser parser) throws IOException {
+        double value = parser.getDoubleValue();
+        return Double.isFinite(value) ? NODES.numberNode(value) : NODES.nullNode();
+    }
+
+    /** Replaces halves of surrogate pairs, which can be escaped in JSON but not be written. */
+    private static String wellFormed(String text) {
+        for (int index = 0; index < text.length(); index++) {
+            if (Character.isSurrogate(text.charAt(index))) {
+                return withoutHalfPairs(text);
+            }
+        }
+        return text;
+    }
+
+    private static String withoutHalfPairs(String text) {
+        StringBuilder result = new StringBuilder(text.length());
+        text.codePoints()
+                .map(
+                        point ->
+                                point >= Character.MIN_SURROGATE && point <= Character.MAX_SURROGATE
+                                        ? REPLACEMENT_CHARACTER
+                                        : point)
+                .forEach(result::appendCodePoint);
+        return result.toString();
+    }
+
     /** Returns a value as UTF-8 text. */
     public static byte[] bytes(JsonNode value) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/src/main/java/org/tarragonlug/objectapi/HttpObjectApi.java
+++ b/src/main/java/org/tarragonlug/objectapi/HttpObjectApi.java
@@ -198,7 +198,7 @@
     }
 
     private static WatchResult readObjects(String kind, HttpAnswer answer, String field) {
-        JsonNode body = JsonFields.parse(answer.body());
+        JsonNode body = JsonFields.parseForeign(answer.body());
         List<StoredObject> objects = new ArrayList<>();
         for (JsonNode node : JsonFields.array(body, field)) {
             objects.add(readObject(kind, node, null));
--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -69,7 +69,7 @@
                         return StoredObject.absent(name);
                     }
                     requireRead(answer);
-                    return object(name.kind(), JsonFields.parse(answer.body()));
+                    return object(name.kind(), JsonFields.parseForeign(answer.body()));
                 },
                 PlatformObjectApi::unavailable);
     }
@@ -89,7 +89,7 @@
                 exchange(create ? "POST" : "PUT", path, body, CALL_TIMEOUT),
                 answer -> {
                     requireWritten(name, answer);
-                    return object(name.kind(), JsonFields.parse(answer.body())).version();
+                    return object(name.kind(), JsonFields.parseForeign(answer.body())).version();
                 },
                 PlatformObjectApi::writeFailure);
     }
@@ -127,7 +127,7 @@
                         exchange("GET", path, null, LIST_TIMEOUT),
                         answer -> {
                             requireRead(answer);
-                            return JsonFields.parse(answer.body());
+                            return JsonFields.parseForeign(answer.body());
                         },
                         PlatformObjectApi::unavailable)
                 .thenCompose(page -> nextPage(kind, page, found, firstRevision));
@@ -164,7 +164,7 @@
                         return new WatchResult(List.of(), afterRevision, true);
                     }
                     requireRead(answer);
-                    return changes(kind, JsonFields.parse(answer.body()), afterRevision);
+                    return changes(kind, JsonFields.parseForeign(answer.body()), afterRevision);
                 },
                 PlatformObjectApi::unavailable);
     }
--- a/src/main/java/org/tarragonlug/platform/ServerEntryDecoder.java
+++ b/src/main/java/org/tarragonlug/platform/ServerEntryDecoder.java
@@ -35,7 +35,7 @@
     public static ServerListing decode(StoredObject object) {
         JsonNode entry = object.content();
         String address = JsonFields.text(entry, "address");
-        if (Addresses.parse(address).isEmpty()) {
+        if (Addresses.parse(address).filter(parsed -> parsed.getPort() > 0).isEmpty()) {
             throw new IllegalArgumentException("field address is not an IP address with a port");
         }
         JsonNode available = entry.path("available");
--- a/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
@@ -6,8 +6,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.servicetalk.transport.api.IoExecutor;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -31,6 +33,10 @@
     private final Map<String, TreeMap<String, ObjectNode>> objects = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
+
+    /** The contents that {@link #putBytes} has written, by the text that stands for them. */
+    private final Map<String, String> foreignContents = new LinkedHashMap<>();
+
     private long revision = 1;
     private long discardedRevision;
     private int callCount;
@@ -92,6 +98,30 @@
         storeObject(kind, name, spec);
     }
 
+    /**
+     * Writes an object whose content is any bytes, as another writer may. They are returned as they
+     * are in the place of the content, and may be no JSON.
+     */
+    public synchronized void putBytes(String kind, String name, byte[] content) {
+        String placeholder = "content-" + foreignContents.size() + "-of-another-writer";
+        foreignContents.put(placeholder, new String(content, StandardCharsets.ISO_8859_1));
+        storeObject(kind, name, JsonNodeFactory.instance.textNode(placeholder));
+    }
+
+    private StandInReply reply(int status, JsonNode body) {
+        if (foreignContents.isEmpty()) {
+            return StandInReply.json(status, body);
+        }
+        String text = new String(JsonFields.bytes(body), StandardCharsets.ISO_8859_1);
+        for (Map.Entry<String, String> each : foreignContents.entrySet()) {
+            text = text.replace("\"" + each.getKey() + "\"", each.getValue());
+        }
+        return StandInReply.bytes(
+                status,
+                Map.of("content-type", "application/json"),
+                text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** Removes an object; does nothing if it does not exist. */
     public synchronized void remove(String kind, String name) {
         ObjectNode removed = objectsOfKind(kind).remove(name);
@@ -157,15 +187,15 @@
 
     private StandInReply read(String kind, String name) {
         ObjectNode object = objectsOfKind(kind).get(name);
-        return object == null ? StandInReply.empty(404) : StandInReply.json(200, object);
+        return object == null ? StandInReply.empty(404) : reply(200, object);
     }
 
     private StandInReply create(String kind, JsonNode body) {
         String name = body.path("metadata").path("name").asText();
         ObjectNode present = objectsOfKind(kind).get(name);
         return present != null
-                ? StandInReply.json(409, present)
-                : StandInReply.json(201, storeObject(kind, name, body.path("spec")));
+                ? reply(409, present)
+                : reply(201, storeObject(kind, name, body.path("spec")));
     }
 
     private StandInReply replace(String kind, String name, JsonNode body) {
@@ -175,9 +205,9 @@
         }
         long expected = body.path("metadata").path("revision").asLong(-1);
         if (expected >= 0 && expected != present.path("metadata").path("revision").asLong()) {
-            return StandInReply.json(409, present);
+            return reply(409, present);
         }
-        return StandInReply.json(200, storeObject(kind, name, body.path("spec")));
+        return reply(200, storeObject(kind, name, body.path("spec")));
     }
 
     private CompletionStage<StandInReply> listOrWatch(String kind, StandInRequest request) {
@@ -200,9 +230,7 @@
         long waitMillis = Long.parseLong(request.query().getOrDefault("wait_ms", "0"));
         return watch.answer()
                 .completeOnTimeout(
-                        StandInReply.json(200, events(List.of(), after)),
-                        waitMillis,
-                        TimeUnit.MILLISECONDS);
+                        reply(200, events(List.of(), after)), waitMillis, TimeUnit.MILLISECONDS);
     }
 
     private StandInReply page(String kind, String after) {
@@ -215,7 +243,7 @@
         }
         body.put("has_more", objectsOfKind(kind).tailMap(after, false).size() > PAGE_SIZE);
         body.put("as_of", revision);
-        return StandInReply.json(200, body);
+        return reply(200, body);
     }
 
     private StandInReply events(String kind, long after) {
@@ -223,7 +251,7 @@
                 history.stream()
                         .filter(change -> change.kind().equals(kind) && change.revision() > after)
                         .toList();
-        return StandInReply.json(200, events(changes, revision));
+        return reply(200, events(changes, revision));
     }
 
     private static ObjectNode events(List<Change> changes, long asOf) {
--- a/src/test/java/org/tarragonlug/misc/JsonTreeTest.java
+++ b/src/test/java/org/tarragonlug/misc/JsonTreeTest.java
@@ -104,4 +104,62 @@
             assertTrue(JsonTree.read(new byte[0]).isMissingNode());
         }
     }
+
+    /** Documents to which other writers have contributed values that are refused for their size. */
+    @Nested
+    class Foreign {
+        private static final int DEEP = 300_000;
+
+        private JsonNode readForeign(String text) throws Exception {
+            return JsonTree.readForeign(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        // Guards against one value that makes all others of the document unreadable.
+        @ParameterizedTest
+        @ValueSource(strings = {"[", "{\"a\":", "[{\"a\":[1,\"]}\","})
+        void deepValueIsReadAsNullAndOthersAsTheyAre(String opening) throws Exception {
+            String deep = opening.repeat(DEEP) + "0" + closing(opening).repeat(DEEP);
+            JsonNode tree = readForeign("{\"odd\":" + deep + ",\"good\":[1,\"[{\",true]}");
+            assertEquals("[1,\"[{\",true]", tree.path("good").toString());
+        }
+
+        private static String closing(String opening) {
+            return opening.equals("[") ? "]" : opening.startsWith("{") ? "}" : "]}]";
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"9", "-9", "0.9", "1e9"})
+        void longNumberIsReadAsNull(String start) throws Exception {
+            JsonNode tree = readForeign("[" + start + "9".repeat(5000) + ",{\"x\":2}]");
+            assertTrue(tree.get(0).isNull());
+            assertEquals(2, tree.get(1).path("x").intValue());
+        }
+
+        // Guards against values that can be read but not be passed on to other instances.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "1e999",
+                    "-1e999",
+                    "\"\\ud800\"",
+                    "{\"\\udc00x\":1}",
+                    "\"\\ud83d\\ude00\""
+                })
+        void whatIsReadCanBeWrittenAndReadAgain(String text) throws Exception {
+            JsonNode tree = readForeign("[" + text + "]");
+            assertEquals(tree, JsonTree.read(JsonTree.bytes(tree)));
+        }
+
+        @Test
+        void bytesThatAreNoTextAreReplaced() throws Exception {
+            byte[] document = {'[', '"', (byte) 0xff, '"', ',', '1', ']'};
+            assertEquals("[\"\ufffd\",1]", JsonTree.readForeign(document).toString());
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"[", "]", "{\"a\"}", "[1,]", "nul", "\"abc", "[1]]"})
+        void textThatIsNoJsonIsRefused(String text) {
+            assertThrows(JsonProcessingException.class, () -> readForeign(text));
+        }
+    }
 }
