Believe a refusal only if it answers the request in question

A server that wrote an earlier refusal once more on a kept connection could make callers be told 'not run, try again' for requests that it ran, and such a request could run at a second server. Cause: a rejection was believed if it named this request or none. One that names none may belong to an earlier request on the connection, and one that names this request may belong to an earlier try of it at the same server.

Change: a rejection without id counts only as the first answer on its connection; else the attempt ends as broken, which promises nothing. A request that goes to a server again is sent on a new connection. An answer that names a caller's request is no answer to an order or a report.

ServerAttemptTest now states the request's id in its rejections, as servers do, and has a case without.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -24,6 +24,8 @@
      * @param lastEventId id of the last event that the caller has received; negative for none
      * @param streaming whether the answer is a stream of events
      * @param deadline time at which the request ends even if its answer is incomplete
+     * @param newConnection whether it must be sent on a new connection, because the server may
+     *     repeat its answer to an earlier try
      */
     record Send(
             long request,
@@ -33,7 +35,8 @@
             int urgency,
             long lastEventId,
             boolean streaming,
-            Instant deadline)
+            Instant deadline,
+            boolean newConnection)
             implements ForwardingCommand {}
 
     /** Relays the complete answer of the server to the caller. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -321,7 +321,8 @@
                         RequestUrgency.rank(forward, hasher, now),
                         forward.lastEventId,
                         forward.route.kind() == RequestKind.STREAMING,
-                        forward.deadline));
+                        forward.deadline,
+                        forward.excluded.contains(server.id())));
     }
 
     private RetryBudget budget(ServiceName service) {
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -181,7 +181,7 @@
                         RequestHeaders.forServer(request.call.headers(), send),
                         request.call.body(),
                         send.remaining().plus(ATTEMPT_MARGIN),
-                        ConnectionUse.POOLED);
+                        send.newConnection() ? ConnectionUse.NEW : ConnectionUse.POOLED);
         attempt.attachExchange(connections.start(address.get(), call, attempt));
     }
 
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -14,6 +14,10 @@
 /**
  * One attempt of a request at one server.
  *
+ * <p>A rejection counts only if it names this request, or is the first answer on its connection. A
+ * server may write the rejection of an earlier request once more, and the request to which it seems
+ * to belong may run all the same.
+ *
  * <p>No part of a successful answer is delivered before its head shows that it belongs to this
  * request: the server's seal and the request's id must be present. The attempt is reported as
  * broken if an answer carries the id of another request, if a successful answer lacks the seal or
@@ -35,6 +39,7 @@
     private ServerAnswer answer;
     private long lastEventId;
     private AnswerProgress progress = AnswerProgress.NOTHING;
+    private boolean newConnection;
     private boolean streamStarted;
     private boolean ended;
 
@@ -66,6 +71,11 @@
         }
     }
 
+    @Override
+    public void onSent(boolean isNewConnection) {
+        newConnection = isNewConnection;
+    }
+
     @Override
     public void onHead(int status, Map<String, String> answerHeaders) {
         if (ended) {
@@ -78,6 +88,9 @@
             return;
         }
         if (answer.rejection().isPresent()) {
+            if (answer.requestId().isEmpty() && !newConnection) {
+                fail("the rejection on a kept connection names no request");
+            }
             return;
         }
         boolean success = status >= OK && status < 300;
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -52,6 +52,7 @@
     private long bytesAfterHead;
     private long bodyBytes;
     private long allowedFramingBytes;
+    private int calls;
 
     private FramingGuard(FramingLimits limits) {
         this.limits = limits;
@@ -75,6 +76,7 @@
      */
     void begin(Consumer<String> action) {
         phase = Phase.HEAD;
+        calls++;
         excessAction = action;
         headBytes = 0;
         headLines = 0;
@@ -83,6 +85,11 @@
         allowedFramingBytes = limits.trailerBytes();
     }
 
+    /** Returns whether the present call is the first one on the connection. */
+    boolean isFirstCall() {
+        return calls == 1;
+    }
+
     /** Records that the head of the answer is complete. */
     void onHeadReceived() {
         phase = Phase.BODY;
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -144,6 +144,7 @@
             guard = FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
         }
         guard.begin(detail -> fail(HttpFailure.Kind.ANSWER_TOO_LARGE, detail, null));
+        receiver.onSent(guard.isFirstCall());
         toSource(reserved.request(request))
                 .subscribe(new Step<StreamingHttpResponse>(this::handleHead, false));
     }
--- a/src/main/java/org/tarragonlug/http/HttpReceiver.java
+++ b/src/main/java/org/tarragonlug/http/HttpReceiver.java
@@ -7,6 +7,14 @@
  * called after {@link #onCompleted}, {@link #onFailed} or a cancellation of the call.
  */
 public interface HttpReceiver {
+    /**
+     * Called once, when the call is sent.
+     *
+     * @param newConnection whether it is the first call on its connection, so that what arrives can
+     *     not belong to an earlier one
+     */
+    default void onSent(boolean newConnection) {}
+
     /**
      * Called once, when the status and the headers of the answer have been received.
      *
--- a/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
@@ -30,6 +30,7 @@
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(220);
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
     private static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
+    private static final String REQUEST_ID = "tarragonlug-request-id";
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int CONFLICT = 409;
@@ -92,6 +93,9 @@
     }
 
     private static OrderResult result(HttpAnswer answer) {
+        if (belongsToRequest(answer)) {
+            return OrderResult.UNKNOWN;
+        }
         return switch (answer.status()) {
             case ACCEPTED -> OrderResult.ACCEPTED;
             case OK -> OrderResult.ALREADY_DONE;
@@ -100,6 +104,14 @@
         };
     }
 
+    /**
+     * Returns whether an answer names a request of a caller. A server may write such an answer once
+     * more on a kept connection, where it is no answer to a call of this client.
+     */
+    private static boolean belongsToRequest(HttpAnswer answer) {
+        return answer.headers().containsKey(REQUEST_ID);
+    }
+
     /**
      * Reads the report of a server.
      *
@@ -120,7 +132,7 @@
         return Answers.read(
                 connections.exchange(address, call),
                 answer -> {
-                    if (answer.status() != OK) {
+                    if (answer.status() != OK || belongsToRequest(answer)) {
                         throw new TarragonlugException(
                                 ErrorCode.BACKEND_UNREACHABLE,
                                 "status " + answer.status() + " from the server");
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -69,6 +69,13 @@
         return server;
     }
 
+    ScriptedServer startScripted(
+            String id, String service, List<String> models, ScriptedServer.Script script) {
+        ScriptedServer server = new ScriptedServer(store, id, service, models, script);
+        servers.add(server);
+        return server;
+    }
+
     private static InetSocketAddress freeAddress() throws Exception {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
@@ -0,0 +1,224 @@
+package org.tarragonlug.gateway;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.tarragonlug.standin.PlatformStoreStandIn;
+
+/**
+ * A backend server that keeps connections and answers each request with the bytes of a script,
+ * which need not be what the protocol allows. It is listed in the store.
+ */
+final class ScriptedServer implements AutoCloseable {
+    /** Returns the bytes that answer a request. */
+    interface Script {
+        /**
+         * Answers a request.
+         *
+         * @param request what was received
+         * @param number number of the request at the server, from 1
+         * @param onConnection number of the request on its connection, from 1
+         */
+        Answer answer(Request request, int number, int onConnection);
+    }
+
+    /**
+     * What to send.
+     *
+     * @param bytes the bytes
+     * @param end how the connection goes on
+     */
+    record Answer(String bytes, End end) {}
+
+    /** What happens to the connection after an answer. */
+    enum End {
+        /** It is kept for further requests. */
+        KEEP,
+        /** It is closed in order. */
+        CLOSE,
+        /** It is reset. */
+        RESET
+    }
+
+    /**
+     * A received request.
+     *
+     * @param line request line
+     * @param id id of the request; empty if it has none
+     * @param lastEventId the last event that the caller has received; empty if not stated
+     */
+    record Request(String line, String id, String lastEventId) {}
+
+    private final ServerSocket listener;
+    private final Script script;
+    private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
+    private final List<String> received = new CopyOnWriteArrayList<>();
+
+    /**
+     * Starts the server and lists it.
+     *
+     * @param store the store to register in
+     * @param id the server's id
+     * @param service the service that the server belongs to
+     * @param models models that the server holds
+     */
+    ScriptedServer(
+            PlatformStoreStandIn store,
+            String id,
+            String service,
+            List<String> models,
+            Script script) {
+        this.script = script;
+        try {
+            listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        start("scripted-server", this::accept);
+        store.put("servers", id, entry(service, models));
+    }
+
+    private static void start(String name, Runnable task) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private ObjectNode entry(String service, List<String> models) {
+        ObjectNode entry = JsonNodeFactory.instance.objectNode();
+        entry.put("service", service);
+        entry.put("address", "127.0.0.1:" + listener.getLocalPort());
+        entry.put("zone", "home");
+        entry.put("slots", 8);
+        entry.put("state", "ready");
+        entry.put("born", 1);
+        ArrayNode list = entry.putArray("models");
+        models.forEach(model -> list.addObject().put("name", model).putArray("adapters"));
+        return entry;
+    }
+
+    /** Returns the ids of the received requests, in order. */
+    List<String> received() {
+        return received;
+    }
+
+    /** Returns a complete answer. */
+    static String answer(int status, String requestId, String headers, String body) {
+        String id = requestId.isEmpty() ? "" : "tarragonlug-request-id: " + requestId + "\r\n";
+        return "HTTP/1.1 "
+                + status
+                + " Status\r\n"
+                + id
+                + headers
+                + "content-length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    /** Returns a statement that a request was not run. */
+    static String refusal(String requestId) {
+        return answer(
+                503,
+                requestId,
+                "tarragonlug-not-executed: 1\r\ntarragonlug-server-load: 8,0,8\r\n",
+                "");
+    }
+
+    /** Returns a complete successful answer. */
+    static String success(String requestId, String body) {
+        return answer(200, requestId, "tarragonlug-response-seal: s\r\n", body);
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                start("scripted-connection", () -> serve(socket));
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream input = socket.getInputStream();
+            OutputStream output = socket.getOutputStream();
+            End end = End.KEEP;
+            for (int onConnection = 1; end == End.KEEP; onConnection++) {
+                Request request = read(input);
+                int number;
+                synchronized (received) {
+                    received.add(request.id());
+                    number = received.size();
+                }
+                Answer answer = script.answer(request, number, onConnection);
+                output.write(answer.bytes().getBytes(StandardCharsets.ISO_8859_1));
+                output.flush();
+                end = answer.end();
+            }
+            if (end == End.RESET) {
+                socket.setSoLinger(true, 0);
+            }
+        } catch (IOException closed) {
+            // The gateway or the test closed the connection.
+            return;
+        }
+    }
+
+    private static Request read(InputStream input) throws IOException {
+        String line = readLine(input);
+        String id = "";
+        String lastEventId = "";
+        int length = 0;
+        for (String header = readLine(input); !header.isEmpty(); header = readLine(input)) {
+            String[] parts = header.split(": ?", 2);
+            String name = parts[0].toLowerCase(Locale.ROOT);
+            if (name.equals("tarragonlug-request-id")) {
+                id = parts[1];
+            } else if (name.equals("last-event-id")) {
+                lastEventId = parts[1];
+            } else if (name.equals("content-length")) {
+                length = Integer.parseInt(parts[1].trim());
+            }
+        }
+        if (input.readNBytes(length).length < length) {
+            throw new IOException("the body is incomplete");
+        }
+        return new Request(line, id, lastEventId);
+    }
+
+    private static String readLine(InputStream input) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = input.read(); next != '\n'; next = input.read()) {
+            if (next < 0) {
+                throw new IOException("the connection was closed");
+            }
+            line.append((char) next);
+        }
+        return line.toString().strip();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- a/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -128,14 +128,31 @@
             assertEquals(List.of("answered 503 0"), recorder.events);
         }
 
+        // Guards against the rejection of an earlier request, which a server writes once more.
+        @Test
+        void rejectionThatNamesNoRequestCountsOnlyOnNewConnection() {
+            ServerAttempt kept = attempt(false, -1);
+            kept.onSent(false);
+            kept.onHead(503, Map.of("tarragonlug-not-executed", "1"));
+            assertEquals(List.of("broken"), recorder.events);
+            ServerAttempt first = attempt(false, -1);
+            first.onSent(true);
+            first.onHead(503, Map.of("tarragonlug-not-executed", "1"));
+            first.onCompleted();
+            assertEquals(List.of("broken", "rejected BUSY"), recorder.events);
+        }
+
         @Test
         void distinguishesWrongServerFromMissingModel() {
-            attempt(false, -1).onHead(421, Map.of("tarragonlug-instance-id", "server-2"));
+            Map<String, String> headers = new HashMap<>();
+            headers.put("tarragonlug-request-id", "r1");
+            headers.put("tarragonlug-instance-id", "server-2");
             ServerAttempt attempt = attempt(false, -1);
-            attempt.onHead(421, Map.of("tarragonlug-instance-id", "server-2"));
+            attempt.onHead(421, headers);
             attempt.onCompleted();
+            headers.put("tarragonlug-instance-id", "server-1");
             ServerAttempt absent = attempt(false, -1);
-            absent.onHead(421, Map.of("tarragonlug-instance-id", "server-1"));
+            absent.onHead(421, headers);
             absent.onCompleted();
             assertEquals(
                     List.of("rejected WRONG_SERVER", "rejected MODEL_ABSENT"), recorder.events);
--- a/src/test/java/org/tarragonlug/platform/DecodersTest.java
+++ b/src/test/java/org/tarragonlug/platform/DecodersTest.java
@@ -128,7 +128,8 @@
                                     2,
                                     -1,
                                     true,
-                                    java.time.Instant.EPOCH));
+                                    java.time.Instant.EPOCH,
+                                    false));
             assertEquals("i-1", sent.get("tarragonlug-expect-instance"));
             assertEquals("1500", sent.get("tarragonlug-deadline-ms"));
             assertEquals("r1", sent.get("tarragonlug-request-id"));
