End a stream as broken when the next server answers with an error

A stream had begun and broke off, and the next server answered with an error without a body: the caller's stream then ended as if it were complete. Cause: the end of a stream and a whole answer were reported alike, and told apart by whether there was a body. A success other than 200 was passed on as a stream with status 200.

Change: an attempt reports the end of a stream and a whole answer separately; a whole answer after the stream has begun is a broken attempt, whatever it holds. Only status 200 begins a stream.

BrokenStreamTest: five of ten failures of the next server ended the stream as complete before (errors 500, 503 and 404, a redirect and 204, each without a body); errors with bodies, also in chunks or until the close, held before. Answers with neither a length nor chunks held as well: complete at the close, broken at a reset or within an event. ServerAttemptTest expects 'completed' where it expected an answer without a body, and has a case for 204.

--- a/src/main/java/org/tarragonlug/gateway/AttemptListener.java
+++ b/src/main/java/org/tarragonlug/gateway/AttemptListener.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.gateway;
 
+import java.util.Map;
 import java.util.Optional;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.Rejection;
@@ -22,7 +23,7 @@
      * @param headers headers of the answer, names in lower case
      * @param load the load that the server stated, if any
      */
-    void onStreamStarted(java.util.Map<String, String> headers, Optional<ReportedLoad> load);
+    void onStreamStarted(Map<String, String> headers, Optional<ReportedLoad> load);
 
     /**
      * Called for each complete event of a stream.
@@ -32,19 +33,19 @@
      */
     void onStreamEvent(byte[] bytes, long id);
 
+    /** Called when a streamed answer is complete. */
+    void onStreamCompleted(Optional<ReportedLoad> load);
+
     /**
-     * Called when the answer is complete.
+     * Called when an answer that is no stream is complete.
      *
      * @param status HTTP status
      * @param headers headers of the answer, names in lower case
-     * @param body the complete body; empty for a stream
+     * @param body the complete body
      * @param load the load that the server stated, if any
      */
     void onAnswered(
-            int status,
-            java.util.Map<String, String> headers,
-            byte[] body,
-            Optional<ReportedLoad> load);
+            int status, Map<String, String> headers, byte[] body, Optional<ReportedLoad> load);
 
     /**
      * Called if the answer was cut off, is invalid or belongs to another request. The request may
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -303,20 +303,22 @@
             post(new ForwardingEvent.EventRelayed(key, id));
         }
 
+        @Override
+        public void onStreamCompleted(Optional<ReportedLoad> load) {
+            post(new ForwardingEvent.Answered(key, request.answerStatus, load));
+        }
+
         @Override
         public void onAnswered(
                 int status, Map<String, String> headers, byte[] body, Optional<ReportedLoad> load) {
-            if (!request.streamStarted) {
-                request.answerStatus = status;
-                request.answerHeaders = headers;
-                request.answerBody = body;
-            } else if (body.length > 0) {
-                // The server answered the request to resume a stream with an ordinary response.
-                onBroken(
-                        AnswerProgress.HEAD,
-                        "status " + status + " with a body instead of the resumed stream");
+            if (request.streamStarted) {
+                // Nothing of this answer belongs into the stream, and its end is not the stream's.
+                onBroken(AnswerProgress.CONTENT, "status " + status + " instead of the rest of it");
                 return;
             }
+            request.answerStatus = status;
+            request.answerHeaders = headers;
+            request.answerBody = body;
             post(new ForwardingEvent.Answered(key, status, load));
         }
 
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -98,7 +98,7 @@
             fail("the successful answer lacks the server's seal or the request id");
         } else if (success && answer.encoded()) {
             fail("the successful answer has a content-encoding");
-        } else if (success && streaming) {
+        } else if (status == OK && streaming) {
             progress = AnswerProgress.HEAD;
             streamStarted = true;
             listener.onStreamStarted(headers, answer.load());
@@ -155,6 +155,8 @@
         ended = true;
         if (answer.rejection().isPresent()) {
             reportRejection(answer.rejection().get());
+        } else if (streamStarted) {
+            listener.onStreamCompleted(answer.load());
         } else {
             listener.onAnswered(answer.status(), headers, body.toByteArray(), answer.load());
         }
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/BrokenStreamTest.java
@@ -0,0 +1,248 @@
+package org.tarragonlug.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Streams that break off after they have begun, and what the next server then answers. */
+class BrokenStreamTest {
+    private static final String LAST_CHUNK = "\r\n0\r\n";
+    private static final String ERROR_TEXT = "internal failure of the engine";
+    private static final String HEAD = "tarragonlug-response-seal: s\r\n";
+
+    private final GatewayFixture fixture = new GatewayFixture();
+
+    @AfterEach
+    void close() throws Exception {
+        fixture.close();
+    }
+
+    private static String event(int number) {
+        return "id: " + number + "\ndata: part " + number + "\n\n";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String chunkedHead(String requestId) {
+        return "HTTP/1.1 200 OK\r\ntarragonlug-request-id: "
+                + requestId
+                + "\r\n"
+                + HEAD
+                + "transfer-encoding: chunked\r\n\r\n";
+    }
+
+    private static String unframedHead(String requestId) {
+        return "HTTP/1.1 200 OK\r\ntarragonlug-request-id: " + requestId + "\r\n" + HEAD + "\r\n";
+    }
+
+    private void startGateway() throws Exception {
+        fixture.configure(1, "read");
+        fixture.startGateway("one");
+        GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
+    }
+
+    /** Starts two servers; the one that is asked first answers with the first script. */
+    private void startServers(ScriptedServer.Script first, ScriptedServer.Script next) {
+        AtomicBoolean asked = new AtomicBoolean();
+        for (String id : List.of("e1", "e2")) {
+            fixture.startScripted(
+                    id,
+                    "engines",
+                    List.of("m1"),
+                    (request, number, onConnection) -> {
+                        if (request.id().isEmpty()) {
+                            return new ScriptedServer.Answer(
+                                    ScriptedServer.answer(500, "", "", ""),
+                                    ScriptedServer.End.KEEP);
+                        }
+                        ScriptedServer.Script script =
+                                asked.compareAndSet(false, true) ? first : next;
+                        return script.answer(request, number, onConnection);
+                    });
+        }
+    }
+
+    /** Sends a request for a stream and returns all bytes until the gateway ends the connection. */
+    private String receive(String path) throws IOException {
+        int port = fixture.gatewaySettings.get(0).callerAddress().getPort();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout((int) Duration.ofSeconds(15).toMillis());
+            String request =
+                    "POST "
+                            + path
+                            + " HTTP/1.1\r\nhost: 127.0.0.1\r\nconnection: close\r\n"
+                            + "tarragonlug-request-id: r1\r\ntarragonlug-deadline-ms: 5000\r\n"
+                            + "tarragonlug-model: m1\r\ncontent-length: 1\r\n\r\nx";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            StringBuilder received = new StringBuilder();
+            byte[] buffer = new byte[4096];
+            try {
+                for (int count = socket.getInputStream().read(buffer);
+                        count >= 0;
+                        count = socket.getInputStream().read(buffer)) {
+                    received.append(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
+                }
+            } catch (java.net.SocketException reset) {
+                received.append("(reset)");
+            }
+            return received.toString();
+        }
+    }
+
+    /** How the second server answers instead of going on. */
+    private enum Failure {
+        ERROR_WITH_BODY(ScriptedServer.answer(500, "r1", HEAD, ERROR_TEXT)),
+        ERROR_WITHOUT_BODY(ScriptedServer.answer(500, "r1", HEAD, "")),
+        ERROR_IN_CHUNKS(
+                "HTTP/1.1 500 Error\r\ntarragonlug-request-id: r1\r\n"
+                        + "transfer-encoding: chunked\r\n\r\n"
+                        + chunk(ERROR_TEXT)
+                        + "0\r\n\r\n"),
+        ERROR_UNTIL_CLOSE("HTTP/1.1 500 Error\r\ntarragonlug-request-id: r1\r\n\r\n" + ERROR_TEXT),
+        UNAVAILABLE_WITHOUT_BODY(ScriptedServer.answer(503, "r1", "", "")),
+        NOT_FOUND_WITHOUT_BODY(ScriptedServer.answer(404, "r1", "", "")),
+        NO_CONTENT(ScriptedServer.answer(204, "r1", HEAD, "")),
+        MOVED_WITHOUT_BODY(ScriptedServer.answer(302, "r1", "location: /x\r\n", "")),
+        TEXT_WITH_SUCCESS(ScriptedServer.answer(200, "r1", HEAD, ERROR_TEXT)),
+        SUCCESS_OF_ANOTHER_REQUEST(ScriptedServer.answer(200, "r0", HEAD, event(2) + event(3)));
+
+        private final String bytes;
+
+        Failure(String bytes) {
+            this.bytes = bytes;
+        }
+    }
+
+    @Nested
+    class NextServerFails {
+        // Guards against error text in the middle of a stream, and against streams that end as if
+        // they were complete, after the next server has answered with an error.
+        @ParameterizedTest
+        @EnumSource(Failure.class)
+        void callerSeesABrokenStreamAndNothingOfTheError(Failure failure) throws Exception {
+            startServers(
+                    (request, number, onConnection) ->
+                            new ScriptedServer.Answer(
+                                    chunkedHead(request.id()) + chunk(event(1)),
+                                    ScriptedServer.End.RESET),
+                    (request, number, onConnection) ->
+                            new ScriptedServer.Answer(failure.bytes, ScriptedServer.End.CLOSE));
+            startGateway();
+            String received = receive("/ask/1");
+            assertTrue(received.contains("part 1"), received);
+            assertFalse(received.contains(ERROR_TEXT), received);
+            assertFalse(received.contains(LAST_CHUNK), "the end looks complete: " + received);
+            assertEquals(received.indexOf("HTTP/1.1"), received.lastIndexOf("HTTP/1.1"), received);
+        }
+
+        // Guards against streams that are given up although the next server goes on with them.
+        @Test
+        void streamGoesOnWhenTheNextServerResumesIt() throws Exception {
+            startServers(
+                    (request, number, onConnection) ->
+                            new ScriptedServer.Answer(
+                                    chunkedHead(request.id())
+                                            + chunk(event(1))
+                                            + chunk("id: 2\nda"),
+                                    ScriptedServer.End.RESET),
+                    (request, number, onConnection) ->
+                            new ScriptedServer.Answer(
+                                    chunkedHead(request.id())
+                                            + chunk(event(2) + event(3))
+                                            + "0\r\n\r\n",
+                                    ScriptedServer.End.KEEP));
+            startGateway();
+            String received = receive("/ask/1");
+            assertTrue(received.contains(chunk(event(1))), received);
+            assertTrue(received.contains("part 3"), received);
+            assertTrue(received.contains(LAST_CHUNK), received);
+            assertEquals(received.indexOf("part 2"), received.lastIndexOf("part 2"), received);
+        }
+    }
+
+    /** Answers with neither a length nor chunks, which end with their connection. */
+    @Nested
+    class WithoutLength {
+        private String receiveUnframed(String bytes, ScriptedServer.End end) throws Exception {
+            startServers(
+                    (request, number, onConnection) ->
+                            new ScriptedServer.Answer(unframedHead(request.id()) + bytes, end),
+                    (request, number, onConnection) ->
+                            new ScriptedServer.Answer(
+                                    chunkedHead(request.id())
+                                            + chunk(event(2) + event(3))
+                                            + "0\r\n\r\n",
+                                    ScriptedServer.End.KEEP));
+            startGateway();
+            return receive("/ask/1");
+        }
+
+        @Test
+        void streamThatEndsAfterAnEventIsComplete() throws Exception {
+            String received = receiveUnframed(event(1) + event(2), ScriptedServer.End.CLOSE);
+            assertTrue(received.contains("part 2"), received);
+            assertFalse(received.contains("part 3"), received);
+            assertTrue(received.contains(LAST_CHUNK), received);
+        }
+
+        // Guards against a stream that passes for complete although it ends within an event.
+        @Test
+        void streamThatEndsWithinAnEventIsResumed() throws Exception {
+            String received =
+                    receiveUnframed(event(1) + "id: 2\ndata: pa", ScriptedServer.End.CLOSE);
+            assertTrue(received.contains("part 3"), received);
+            assertEquals(received.indexOf("part 2"), received.lastIndexOf("part 2"), received);
+            assertTrue(received.contains(LAST_CHUNK), received);
+        }
+
+        // Guards against a stream that passes for complete although its connection was reset.
+        @Test
+        void streamThatIsResetIsResumed() throws Exception {
+            String received = receiveUnframed(event(1), ScriptedServer.End.RESET);
+            assertTrue(received.contains("part 3"), received);
+            assertTrue(received.contains(LAST_CHUNK), received);
+        }
+    }
+
+    /** Whole answers with neither a length nor chunks. */
+    @Nested
+    class WholeAnswers {
+        private int status(ScriptedServer.End end) throws Exception {
+            fixture.startScripted(
+                    "r1",
+                    "records",
+                    List.of(),
+                    (request, number, onConnection) ->
+                            new ScriptedServer.Answer(
+                                    unframedHead(request.id()) + "certificate", end));
+            startGateway();
+            return fixture.send(0, "/issue/1", "", "x").statusCode();
+        }
+
+        @Test
+        void answerThatEndsWithItsConnectionIsDelivered() throws Exception {
+            assertEquals(200, status(ScriptedServer.End.CLOSE));
+        }
+
+        // Guards against a part of an answer that is delivered as the whole.
+        @Test
+        void answerThatIsResetIsNotDelivered() throws Exception {
+            assertEquals(502, status(ScriptedServer.End.RESET));
+        }
+    }
+}
--- a/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -40,6 +40,11 @@
             events.add("event " + id);
         }
 
+        @Override
+        public void onStreamCompleted(Optional<ReportedLoad> load) {
+            events.add("completed");
+        }
+
         @Override
         public void onAnswered(
                 int status, Map<String, String> headers, byte[] body, Optional<ReportedLoad> load) {
@@ -175,8 +180,16 @@
             attempt.onData(bytes("id: 1\ndata: a\n\nid: 2\nda"));
             attempt.onData(bytes("ta: b\n\n"));
             attempt.onCompleted();
-            assertEquals(
-                    List.of("started", "event 1", "event 2", "answered 200 0"), recorder.events);
+            assertEquals(List.of("started", "event 1", "event 2", "completed"), recorder.events);
+        }
+
+        // Guards against an answer without content that passes for the end of a stream.
+        @Test
+        void successOtherThanOkIsNoStream() {
+            ServerAttempt attempt = attempt(true, -1);
+            attempt.onHead(204, HEADERS);
+            attempt.onCompleted();
+            assertEquals(List.of("answered 204 0"), recorder.events);
         }
 
         @Test
