Release a quarantined trait only by an answer after its last loss

An instance tells the planner of answers before the losses too, so that harmless traits are convicted last. Such an answer, if its report arrived just after the conviction, released the part, so that its requests reached servers again. Cause: any reported answer released a convicted trait.

Change: only an answer after the last loss with the trait releases it. Beside it: a released trait stays so while the store still holds it, a follower gives up its own releases, losses are logged once, what other instances report of one loss is limited to 256 requests, and convicted contents make room before convicted parts.

QuarantineManagerTest on the code before: answerFromBeforeTheLosses- DoesNotReleaseAPart, releasedPartStaysReleasedWhileTheStoreIsDown and partsOutlastManyConvictedContents fail; all pass now.

--- a/src/main/java/org/tarragonlug/decision/quarantine/ConvictedTraits.java
+++ b/src/main/java/org/tarragonlug/decision/quarantine/ConvictedTraits.java
@@ -64,7 +64,15 @@
         return Set.copyOf(entries.keySet());
     }
 
-    /** Adds a conviction. The oldest one is dropped if there are too many. */
+    /** Returns when a server was last lost with the trait; empty if it is not convicted. */
+    Optional<Instant> lastLoss(RequestTrait trait) {
+        return Optional.ofNullable(entries.get(trait)).map(entry -> entry.lastLossAt);
+    }
+
+    /**
+     * Adds a conviction. If there are too many, the oldest one of a content is dropped, or else the
+     * oldest one, because a part concerns more requests.
+     */
     void add(CrashEvidence.Conviction conviction, Instant now) {
         put(conviction.trait(), new Entry(conviction.losses(), false, now));
     }
@@ -79,7 +87,12 @@
     private void put(RequestTrait trait, Entry entry) {
         entries.put(trait, entry);
         if (entries.size() > MAX_TRAITS) {
-            entries.remove(entries.keySet().iterator().next());
+            RequestTrait oldest = entries.keySet().iterator().next();
+            entries.remove(
+                    entries.keySet().stream()
+                            .filter(each -> each.kind() == RequestTrait.Kind.CONTENT)
+                            .findFirst()
+                            .orElse(oldest));
         }
     }
 
--- a/src/main/java/org/tarragonlug/decision/quarantine/NoticedLoss.java
+++ b/src/main/java/org/tarragonlug/decision/quarantine/NoticedLoss.java
@@ -16,12 +16,15 @@
 final class NoticedLoss {
     private static final int MAX_REQUESTS = 48;
 
+    private static final int MAX_REQUESTS_ELSEWHERE = 256;
+
     final ServerIncarnation server;
     final Instant noticedAt;
     private final List<LostRequest> reported = new ArrayList<>();
     private List<LostRequest> collected = new ArrayList<>();
     private List<LostRequest> collectedElsewhere = new ArrayList<>();
     private boolean confirmed;
+    private boolean logged;
 
     NoticedLoss(ServerIncarnation server, Instant noticedAt) {
         this.server = server;
@@ -47,7 +50,15 @@
 
     /** Adds requests of another instance. */
     void addElsewhere(List<LostRequest> requests) {
-        collectedElsewhere.addAll(requests);
+        int room = MAX_REQUESTS_ELSEWHERE - collectedElsewhere.size();
+        collectedElsewhere.addAll(requests.subList(0, Math.min(room, requests.size())));
+    }
+
+    /** Returns true at the first call, so that a loss is logged once. */
+    boolean takeUnlogged() {
+        boolean first = !logged;
+        logged = true;
+        return first;
     }
 
     boolean hasCollected() {
--- a/src/main/java/org/tarragonlug/decision/quarantine/QuarantineManager.java
+++ b/src/main/java/org/tarragonlug/decision/quarantine/QuarantineManager.java
@@ -130,8 +130,11 @@
     // Losses
 
     private void onRequestLost(QuarantineEvent.RequestLost lost, Instant now) {
-        loss(lost.server(), now).add(lost.request());
-        commands.add(new QuarantineCommand.ScheduleTick(COLLECTION_TIME));
+        NoticedLoss loss = loss(lost.server(), now);
+        if (!loss.hasCollected()) {
+            commands.add(new QuarantineCommand.ScheduleTick(COLLECTION_TIME));
+        }
+        loss.add(lost.request());
     }
 
     private NoticedLoss loss(ServerIncarnation server, Instant noticedAt) {
@@ -180,7 +183,9 @@
                 takeEvidence(loss, requests, now);
                 Duration age = Duration.between(loss.noticedAt, now);
                 reports.add(new ServerLoss(loss.server, age, requests));
-                commands.add(new QuarantineCommand.LogLoss(loss.server, requests.size()));
+                if (loss.takeUnlogged()) {
+                    commands.add(new QuarantineCommand.LogLoss(loss.server, requests.size()));
+                }
             }
         }
         if (!reports.isEmpty()) {
@@ -271,7 +276,8 @@
 
     private void onAnswered(RequestTrait trait, Instant answeredAt) {
         evidence.onAnswered(trait, answeredAt);
-        if (role.convicts() && applied.contains(trait)) {
+        boolean sinceLastLoss = convicted.lastLoss(trait).map(answeredAt::isAfter).orElse(true);
+        if (role.convicts() && applied.contains(trait) && sinceLastLoss) {
             convicted.remove(trait);
             release(trait, ReleaseReason.ANSWERED, answeredAt);
         }
@@ -313,7 +319,6 @@
                 release(trait, ReleaseReason.REMOVED_FROM_STORE, now);
             }
         }
-        released.keySet().removeIf(trait -> !quarantined.contains(trait));
         if (role == QuarantineRole.DECIDES) {
             takeOver(quarantined, now);
         }
@@ -340,6 +345,7 @@
             takeOver(stored.traits(), now);
         }
         if (role == QuarantineRole.FOLLOWS) {
+            released.clear();
             Set<RequestTrait> own = new HashSet<>(isAnnouncementValid(now) ? announced : Set.of());
             own.addAll(convicted.traits());
             announced = own;
@@ -360,7 +366,7 @@
     private void onTick(Instant now) {
         reportCollected(now);
         losses.values().removeIf(loss -> now.isAfter(loss.noticedAt.plus(LOSS_RETENTION)));
-        released.values().removeIf(at -> now.isAfter(at.plus(LOSS_RETENTION)));
+        released.keySet().removeIf(trait -> isReleaseSettled(trait, now));
         for (RequestTrait trait : convicted.removeExpired(now)) {
             release(trait, ReleaseReason.EXPIRED, now);
         }
@@ -371,6 +377,12 @@
         }
     }
 
+    /** Returns whether a released trait is neither stored nor announced by an old message. */
+    private boolean isReleaseSettled(RequestTrait trait, Instant now) {
+        return !stored.traits().contains(trait)
+                && now.isAfter(released.get(trait).plus(ANNOUNCEMENT_VALIDITY));
+    }
+
     private void decide(Instant now) {
         if (!role.convicts() || evidence.size() == 0) {
             return;
--- a/src/test/java/org/tarragonlug/decision/quarantine/QuarantineManagerTest.java
+++ b/src/test/java/org/tarragonlug/decision/quarantine/QuarantineManagerTest.java
@@ -232,6 +232,33 @@
             assertEquals(List.of(BAD), planner.released);
         }
 
+        // Guards against an answer from before the crashes whose report releases a part when it
+        // arrives after the conviction.
+        @Test
+        void answerFromBeforeTheLossesDoesNotReleaseAPart() {
+            second.answer(BAD);
+            network.advanceMillis(500);
+            first.lose(network.crash(1), request(BAD));
+            network.advanceMillis(395);
+            first.lose(network.crash(2), request(BAD));
+            network.advanceMillis(5);
+            planner.lose(network.crash(3), request(BAD));
+            network.advance(Duration.ofSeconds(3));
+            assertEquals(List.of(BAD), planner.convicted);
+            assertEquals(List.of(), planner.released);
+            assertQuarantined(Set.of(BAD), planner, first, second);
+        }
+
+        // Guards against a release that ends because the store is down and still has the part.
+        @Test
+        void releasedPartStaysReleasedWhileTheStoreIsDown() {
+            convictBad();
+            network.storeDown = true;
+            planner.answer(BAD);
+            network.advance(Duration.ofSeconds(40));
+            assertQuarantined(Set.of(), planner);
+        }
+
         // Guards against a part that an operator releases and the planner stores again.
         @Test
         void partThatIsRemovedFromTheStoreIsReleased() {
@@ -296,6 +323,23 @@
             assertTrue(planner.storeWrites <= 12, planner.storeWrites + " writes");
         }
 
+        // Guards against a part that is forgotten because single requests were convicted after it.
+        @Test
+        void partsOutlastManyConvictedContents() {
+            convictBad();
+            for (int number = 0; number < 300; number++) {
+                LostRequest repeated = request();
+                for (int count = 0; count < 3; count++) {
+                    servers++;
+                    planner.lose(network.crash(servers), repeated);
+                    network.advanceMillis(120);
+                }
+            }
+            network.advance(Duration.ofSeconds(1));
+            assertTrue(planner.quarantined().contains(BAD));
+            assertTrue(planner.quarantined().size() <= 256);
+        }
+
         // Guards against tables and messages that grow with the number of crashing parts.
         @Test
         void manyCrashingPartsAreAllQuarantinedWithinBounds() {
