--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -3,10 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.decision.Hasher;
@@ -48,31 +45,14 @@
     /** How often the demand of a waiting request is reported. */
     private static final Duration WAITING_REPORT_INTERVAL = Duration.ofMillis(250);
 
-    /**
-     * How long a request whose connection broke is kept from the same server. When a server
-     * crashes, its other connections break a moment after the first.
-     */
-    private static final Duration SAME_SERVER_RETRY_DELAY = Duration.ofMillis(400);
-
-    /**
-     * How long a request waits before it is sent again if its server was lost just after it had
-     * begun to answer. Such a request may have crashed the server, and the time suffices to find
-     * out what it has in common with others that did.
-     */
-    private static final Duration SUSPECT_RETRY_DELAY = Duration.ofMillis(350);
-
-    /** How long a request that a full server rejected is kept from the same server. */
-    private static final Duration FULL_SERVER_PAUSE = Duration.ofMillis(150);
-
     private static final int SERVER_ERROR = 500;
 
     private final Fleet fleet;
     private final ServerSelector selector;
     private final Hasher hasher;
-    private final ForwardingLimits limits;
-    private final InstanceCount instances;
-    private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
-    private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+    private final PendingForwards pending =
+            new PendingForwards(command -> this.commands.add(command));
+    private final RetryBudgets budgets;
     private final ReadyExpectations expectations = new ReadyExpectations();
     private final QuarantineGate gate = new QuarantineGate();
     private ForwardingTable table;
@@ -90,8 +70,7 @@
         this.fleet = new Fleet();
         this.selector = new ServerSelector(fleet, home, hasher);
         this.hasher = hasher;
-        this.limits = limits;
-        this.instances = new InstanceCount(limits.instances());
+        this.budgets = new RetryBudgets(limits);
     }
 
     /** Returns the servers that are currently listed. */
@@ -111,9 +90,7 @@
 
     /** Returns the number of requests that wait for a server. */
     public long waitingCount() {
-        return pending.values().stream()
-                .filter(forward -> forward.state == PendingForward.State.WAITING)
-                .count();
+        return pending.waitingCount();
     }
 
     @Override
@@ -127,25 +104,29 @@
         } else if (event instanceof ForwardingEvent.RequestArrived arrived) {
             onRequestArrived(arrived.request(), now);
         } else if (event instanceof ForwardingEvent.Rejected rejected) {
-            find(rejected.request()).ifPresent(forward -> onRejected(forward, rejected, now));
+            pending.find(rejected.request())
+                    .ifPresent(forward -> onRejected(forward, rejected, now));
         } else if (event instanceof ForwardingEvent.StreamStarted started) {
-            find(started.request()).ifPresent(forward -> onStreamStarted(forward, started, now));
+            pending.find(started.request())
+                    .ifPresent(forward -> onStreamStarted(forward, started, now));
         } else if (event instanceof ForwardingEvent.EventRelayed relayed) {
-            find(relayed.request()).ifPresent(forward -> onEventRelayed(forward, relayed, now));
+            pending.find(relayed.request())
+                    .ifPresent(forward -> onEventRelayed(forward, relayed, now));
         } else if (event instanceof ForwardingEvent.Answered answered) {
-            find(answered.request()).ifPresent(forward -> onAnswered(forward, answered, now));
+            pending.find(answered.request())
+                    .ifPresent(forward -> onAnswered(forward, answered, now));
         } else if (event instanceof ForwardingEvent.ConnectionBroken broken) {
-            find(broken.request())
+            pending.find(broken.request())
                     .ifPresent(forward -> onConnectionBroken(forward, broken.progress(), now));
         } else if (event instanceof ForwardingEvent.CallerDisconnected disconnected) {
-            find(disconnected.request()).ifPresent(this::onCallerDisconnected);
+            pending.find(disconnected.request()).ifPresent(pending::abandon);
         } else if (event instanceof ForwardingEvent.TableInstalled installed) {
             table = installed.table();
         } else if (event instanceof ForwardingEvent.ModelReadyExpected expected) {
             expectations.record(expected);
             dispatchWaiting(now);
         } else if (event instanceof ForwardingEvent.InstancesCounted counted) {
-            instances.update(counted.instances(), now);
+            budgets.onInstancesCounted(counted.instances(), now);
         } else if (event instanceof ForwardingEvent.QuarantineChanged changed) {
             gate.update(changed.quarantined());
             dispatchWaiting(now);
@@ -160,28 +141,26 @@
         return commands;
     }
 
-    private Optional<PendingForward> find(long key) {
-        return Optional.ofNullable(pending.get(key));
-    }
-
     private void onRequestArrived(ForwardRequest request, Instant now) {
         if (table == null) {
-            refuse(request.key(), RefusalReason.NO_CONFIGURATION, RetryDelay.NOT_READY);
+            pending.refuse(
+                    request.key(),
+                    RefusalReason.NO_CONFIGURATION,
+                    Optional.of(RetryDelay.NOT_READY));
             return;
         }
         Optional<ForwardingRoute> route = table.route(request.host(), request.path());
         if (route.isEmpty()) {
-            commands.add(
-                    new ForwardingCommand.Refuse(
-                            request.key(), RefusalReason.NO_ROUTE, Optional.empty()));
+            pending.refuse(request.key(), RefusalReason.NO_ROUTE, Optional.empty());
             return;
         }
         PendingForward forward = newPending(request, route.get(), now);
         if (gate.blocks(forward)) {
-            refuse(request.key(), RefusalReason.QUARANTINED, RetryDelay.QUARANTINED);
+            pending.refuse(
+                    request.key(), RefusalReason.QUARANTINED, Optional.of(RetryDelay.QUARANTINED));
             return;
         }
-        pending.put(request.key(), forward);
+        pending.add(forward);
         request.model()
                 .ifPresent(
                         key ->
@@ -210,12 +189,11 @@
     private void dispatch(PendingForward forward, Instant now) {
         Instant end = forward.streamStarted ? forward.deadline : forward.patienceEnd;
         if (!now.isBefore(end)) {
-            onTimeout(forward);
+            pending.timeOut(forward);
             return;
         }
         if (gate.blocks(forward)) {
-            remove(forward);
-            refuseOrFail(forward, RefusalReason.QUARANTINED, RetryDelay.QUARANTINED);
+            pending.refuseOrFail(forward, RefusalReason.QUARANTINED, RetryDelay.QUARANTINED);
             return;
         }
         if (now.isBefore(forward.sendAllowedAt)) {
@@ -230,16 +208,14 @@
         if (server.isPresent()) {
             sendIfAllowed(forward, server.get(), now);
         } else if (queueClosed) {
-            remove(forward);
-            refuseOrFail(forward, RefusalReason.STOPPING, RetryDelay.STOPPING);
+            pending.refuseOrFail(forward, RefusalReason.STOPPING, RetryDelay.STOPPING);
         } else if (needsModel(forward)) {
             forward.waitedForModel |= !paused;
             waitForModel(forward, now);
         } else if (!forward.excluded.isEmpty()) {
-            turnAway(forward);
+            pending.turnAway(forward);
         } else if (Duration.between(forward.lastProgress, now).compareTo(SERVER_WAIT) >= 0) {
-            remove(forward);
-            refuseOrFail(forward, RefusalReason.NO_SERVER, RetryDelay.NOT_READY);
+            pending.refuseOrFail(forward, RefusalReason.NO_SERVER, RetryDelay.NOT_READY);
         }
     }
 
@@ -260,14 +236,10 @@
 
     private void waitForModel(PendingForward forward, Instant now) {
         ModelKey key = forward.request.model().orElseThrow();
-        Optional<Instant> ready =
-                expectations
-                        .find(forward.service, key)
-                        .filter(each -> each.isAfter(forward.patienceEnd) && now.isBefore(each));
-        if (ready.isPresent()) {
-            Duration delay = Duration.between(now, ready.get());
-            remove(forward);
-            refuseOrFail(forward, RefusalReason.MODEL_NOT_READY, delay);
+        Optional<Duration> delay =
+                expectations.delayBeyond(forward.patienceEnd, forward.service, key, now);
+        if (delay.isPresent()) {
+            pending.refuseOrFail(forward, RefusalReason.MODEL_NOT_READY, delay.get());
             return;
         }
         if (Duration.between(forward.waitingReportedAt, now).compareTo(WAITING_REPORT_INTERVAL)
@@ -288,9 +260,9 @@
      * that has begun then waits, since it cannot be refused any more.
      */
     private void sendIfAllowed(PendingForward forward, FleetServer server, Instant now) {
-        if (forward.needsRetry && !budget(forward.service).tryAcquire(now)) {
+        if (forward.needsRetry && !budgets.tryAcquire(forward.service, now)) {
             if (!forward.streamStarted) {
-                turnAway(forward);
+                pending.turnAway(forward);
             }
             return;
         }
@@ -301,7 +273,7 @@
     private void send(PendingForward forward, FleetServer server, Instant now) {
         if (!forward.sentBefore) {
             forward.sentBefore = true;
-            budget(forward.service).recordFirstSend(now);
+            budgets.recordFirstSend(forward.service, now);
         }
         forward.state = PendingForward.State.SENT;
         forward.server = server;
@@ -325,17 +297,6 @@
                         forward.excluded.contains(server.id())));
     }
 
-    private RetryBudget budget(ServiceName service) {
-        return budgets.computeIfAbsent(
-                service,
-                each ->
-                        new RetryBudget(
-                                limits.retryWindow(),
-                                limits.retryRatio(),
-                                limits.retryAllowance(),
-                                instances));
-    }
-
     private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
         FleetServer server = releaseServer(forward, event.load(), now);
         forward.possibleRuns--;
@@ -353,17 +314,12 @@
         // Only a send that reached a server makes the next one count as a retry.
         forward.needsRetry |= event.rejection() != Rejection.UNREACHABLE;
         if (forward.rejections > MAX_REJECTIONS && !forward.streamStarted) {
-            turnAway(forward);
+            pending.turnAway(forward);
         } else {
             dispatch(forward, now);
         }
     }
 
-    private void turnAway(PendingForward forward) {
-        remove(forward);
-        refuseOrFail(forward, RefusalReason.TURNED_AWAY, forward.retryDelay);
-    }
-
     /**
      * Handles a rejection by a server that is full or unloads the model. A server with free slots
      * is not full, so it unloads the model, and the request must wait for the model again. A full
@@ -377,9 +333,7 @@
             ModelKey key = forward.request.model().orElseThrow();
             server.markModelAbsent(new ModelKey(key.model(), ""), now);
         } else {
-            // A begun stream tries again until its caller leaves, so its pauses grow.
-            int pauses = forward.streamStarted ? forward.rejections + 1 : 1;
-            forward.sameServerAllowedAt = now.plus(FULL_SERVER_PAUSE.multipliedBy(pauses));
+            RetryPause.afterFullServer(forward, now);
             load.filter(each -> needsModel(forward))
                     .ifPresent(each -> forward.retryDelay = RetryDelay.afterGenerations(each));
         }
@@ -427,13 +381,12 @@
                 && now.isBefore(forward.deadline)) {
             forward.excluded.add(server.id());
             Optional<FleetServer> other = choose(forward, forward.excluded, now);
-            if (other.isPresent() && budget(forward.service).tryAcquire(now)) {
+            if (other.isPresent() && budgets.tryAcquire(forward.service, now)) {
                 send(forward, other.get(), now);
                 return;
             }
         }
-        remove(forward);
-        commands.add(new ForwardingCommand.RelayAnswer(forward.request.key()));
+        pending.relayAnswer(forward);
     }
 
     private void onConnectionBroken(PendingForward forward, AnswerProgress progress, Instant now) {
@@ -442,29 +395,17 @@
         if (progress != AnswerProgress.CONTENT && fleet.isListedAsReady(forward.sentTo)) {
             commands.add(new ForwardingCommand.ReportRequestLost(forward.sentTo, forward.traits));
         }
-        if (progress == AnswerProgress.HEAD) {
-            forward.sendAllowedAt = now.plus(SUSPECT_RETRY_DELAY);
-        }
         forward.excluded.add(server.id());
-        forward.sameServerAllowedAt = now.plus(SAME_SERVER_RETRY_DELAY);
+        RetryPause.afterBrokenConnection(forward, progress, now);
         retryOrFail(forward, FailureReason.SERVER_LOST, now);
     }
 
     private void retryOrFail(PendingForward forward, FailureReason reason, Instant now) {
-        if (forward.mayRunAgain() && budget(forward.service).tryAcquire(now)) {
+        if (forward.mayRunAgain() && budgets.tryAcquire(forward.service, now)) {
             dispatch(forward, now);
             return;
         }
-        remove(forward);
-        commands.add(new ForwardingCommand.Fail(forward.request.key(), reason));
-    }
-
-    private void onCallerDisconnected(PendingForward forward) {
-        remove(forward);
-        if (forward.state != PendingForward.State.WAITING) {
-            forward.server.onRequestEnded();
-            commands.add(new ForwardingCommand.CancelAttempt(forward.request.key()));
-        }
+        pending.fail(forward, reason);
     }
 
     private FleetServer releaseServer(
@@ -477,53 +418,16 @@
         return server;
     }
 
-    private void remove(PendingForward forward) {
-        pending.remove(forward.request.key());
-    }
-
-    private void onTimeout(PendingForward forward) {
-        remove(forward);
-        if (forward.state != PendingForward.State.WAITING) {
-            forward.server.onRequestEnded();
-            commands.add(new ForwardingCommand.CancelAttempt(forward.request.key()));
-        }
-        if (forward.notRun()) {
-            commands.add(
-                    new ForwardingCommand.Refuse(
-                            forward.request.key(), RefusalReason.TIME_OVER, Optional.empty()));
-        } else {
-            commands.add(
-                    new ForwardingCommand.Fail(forward.request.key(), FailureReason.TIME_OVER));
-        }
-    }
-
-    private void refuseOrFail(PendingForward forward, RefusalReason reason, Duration retryAfter) {
-        if (forward.notRun()) {
-            refuse(forward.request.key(), reason, retryAfter);
-        } else {
-            commands.add(
-                    new ForwardingCommand.Fail(forward.request.key(), FailureReason.SERVER_LOST));
-        }
-    }
-
-    private void refuse(long key, RefusalReason reason, Duration retryAfter) {
-        commands.add(new ForwardingCommand.Refuse(key, reason, Optional.of(retryAfter)));
-    }
-
     private void dispatchWaiting(Instant now) {
-        for (PendingForward forward : new ArrayList<>(pending.values())) {
-            if (forward.state == PendingForward.State.WAITING) {
-                dispatch(forward, now);
-            }
-        }
+        pending.waiting().forEach(forward -> dispatch(forward, now));
     }
 
     private void tick(Instant now) {
-        for (PendingForward forward : new ArrayList<>(pending.values())) {
-            if (forward.state == PendingForward.State.WAITING) {
+        for (PendingForward forward : pending.all()) {
+            if (forward.isWaiting()) {
                 dispatch(forward, now);
             } else if (!now.isBefore(forward.deadline)) {
-                onTimeout(forward);
+                pending.timeOut(forward);
             } else {
                 checkStall(forward, now);
             }
@@ -541,7 +445,7 @@
         server.recordOutcome(true, now);
         if (!forward.mayRunAgain()
                 || choose(forward, Set.of(server.id()), now).isEmpty()
-                || !budget(forward.service).tryAcquire(now)) {
+                || !budgets.tryAcquire(forward.service, now)) {
             return;
         }
         commands.add(new ForwardingCommand.CancelAttempt(forward.request.key()));
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -104,6 +104,11 @@
         this.lastProgress = now;
     }
 
+    /** Tells whether no server has the request at present. */
+    boolean isWaiting() {
+        return state == State.WAITING;
+    }
+
     /** Tells whether no send can have run and nothing has been relayed to the caller. */
     boolean notRun() {
         return possibleRuns == 0 && !streamStarted;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
@@ -0,0 +1,115 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The requests that have not ended, and the ways in which they end.
+ *
+ * <p>Every request ends with exactly one command to answer, refuse or fail it, except for those
+ * whose caller has left. A refusal states that the request has not run; a request that may have run
+ * fails instead.
+ */
+final class PendingForwards {
+    private final Map<Long, PendingForward> forwards = new LinkedHashMap<>();
+    private final Consumer<ForwardingCommand> output;
+
+    /**
+     * Creates an empty collection.
+     *
+     * @param output receives the commands that end requests
+     */
+    PendingForwards(Consumer<ForwardingCommand> output) {
+        this.output = output;
+    }
+
+    void add(PendingForward forward) {
+        forwards.put(forward.request.key(), forward);
+    }
+
+    Optional<PendingForward> find(long key) {
+        return Optional.ofNullable(forwards.get(key));
+    }
+
+    int size() {
+        return forwards.size();
+    }
+
+    /** Returns the requests that wait for a server or are at one; may be changed meanwhile. */
+    List<PendingForward> all() {
+        return List.copyOf(forwards.values());
+    }
+
+    /** Returns the requests that wait for a server, in the order of their arrival. */
+    List<PendingForward> waiting() {
+        return forwards.values().stream().filter(PendingForward::isWaiting).toList();
+    }
+
+    long waitingCount() {
+        return forwards.values().stream().filter(PendingForward::isWaiting).count();
+    }
+
+    /** Passes the answer of the server on. */
+    void relayAnswer(PendingForward forward) {
+        remove(forward);
+        output.accept(new ForwardingCommand.RelayAnswer(forward.request.key()));
+    }
+
+    /** Refuses a request, or fails it if it may have run. */
+    void refuseOrFail(PendingForward forward, RefusalReason reason, Duration retryAfter) {
+        if (forward.notRun()) {
+            remove(forward);
+            refuse(forward.request.key(), reason, Optional.of(retryAfter));
+        } else {
+            fail(forward, FailureReason.SERVER_LOST);
+        }
+    }
+
+    /** Ends a request that servers rejected and that may not be sent again. */
+    void turnAway(PendingForward forward) {
+        refuseOrFail(forward, RefusalReason.TURNED_AWAY, forward.retryDelay);
+    }
+
+    /** Refuses a request that has not been added. */
+    void refuse(long key, RefusalReason reason, Optional<Duration> retryAfter) {
+        output.accept(new ForwardingCommand.Refuse(key, reason, retryAfter));
+    }
+
+    /** Ends a request that may have run. */
+    void fail(PendingForward forward, FailureReason reason) {
+        remove(forward);
+        output.accept(new ForwardingCommand.Fail(forward.request.key(), reason));
+    }
+
+    /** Ends a request whose time is over. */
+    void timeOut(PendingForward forward) {
+        cancelAttempt(forward);
+        if (forward.notRun()) {
+            remove(forward);
+            refuse(forward.request.key(), RefusalReason.TIME_OVER, Optional.empty());
+        } else {
+            fail(forward, FailureReason.TIME_OVER);
+        }
+    }
+
+    /** Ends a request whose caller has left. */
+    void abandon(PendingForward forward) {
+        remove(forward);
+        cancelAttempt(forward);
+    }
+
+    private void cancelAttempt(PendingForward forward) {
+        if (!forward.isWaiting()) {
+            forward.server.onRequestEnded();
+            output.accept(new ForwardingCommand.CancelAttempt(forward.request.key()));
+        }
+    }
+
+    private void remove(PendingForward forward) {
+        forwards.remove(forward.request.key());
+    }
+}
--- a/src/main/java/org/tarragonlug/decision/forwarding/ReadyExpectations.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ReadyExpectations.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.decision.forwarding;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
@@ -21,4 +22,12 @@
     Optional<Instant> find(ServiceName service, ModelKey key) {
         return Optional.ofNullable(readyTimes.getOrDefault(service, Map.of()).get(key));
     }
+
+    /** Returns how long a model still takes, if a request does not wait that long for it. */
+    Optional<Duration> delayBeyond(
+            Instant patienceEnd, ServiceName service, ModelKey key, Instant now) {
+        return find(service, key)
+                .filter(ready -> ready.isAfter(patienceEnd) && now.isBefore(ready))
+                .map(ready -> Duration.between(now, ready));
+    }
 }
