--- a/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
@@ -18,6 +18,7 @@
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.platform.PlatformEngineClient;
 import org.tarragonlug.runtime.Addresses;
@@ -98,7 +99,7 @@
         timers.scheduleOnce(ANSWER_TIMEOUT, now -> completeCall(callId, OrderResult.UNKNOWN));
         channel.send(
                 holder.get(),
-                new PeerMessage.OrderCall(
+                new GatewayMessage.OrderCall(
                         PeerMessage.FORMAT_VERSION,
                         callId,
                         group,
@@ -119,7 +120,7 @@
     }
 
     /** Sends an order on behalf of a planner at another instance, and sends back the result. */
-    void onOrderCall(InstanceId from, PeerMessage.OrderCall call) {
+    void onOrderCall(InstanceId from, GatewayMessage.OrderCall call) {
         sendToServer(
                         call.group(),
                         call.server(),
@@ -132,7 +133,7 @@
                         (result, failure) ->
                                 channel.send(
                                         from,
-                                        new PeerMessage.OrderCallAnswer(
+                                        new GatewayMessage.OrderCallAnswer(
                                                 PeerMessage.FORMAT_VERSION, call.call(), result)),
                         loop);
     }
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -21,7 +21,7 @@
 import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.objectapi.ObjectApi;
-import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.platform.PlatformKinds;
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.TimerService;
@@ -243,8 +243,8 @@
      * it receives messages from. Statements about an instance that is not the last known holder of
      * the lease are ignored.
      */
-    void onLeaseNotices(InstanceId from, List<PeerMessage.LeaseStatus> leases) {
-        for (PeerMessage.LeaseStatus lease : leases) {
+    void onLeaseNotices(InstanceId from, List<GatewayMessage.LeaseStatus> leases) {
+        for (GatewayMessage.LeaseStatus lease : leases) {
             InstanceId holder = lease.holder().isEmpty() ? from : new InstanceId(lease.holder());
             LeaseManager manager = leaseManagers.get(lease.group());
             Optional<LeaseRecord> lastSeen =
@@ -267,12 +267,13 @@
      * Records that a holder has given up its lease. Others learn of it later and may still state
      * that the holder is alive, so statements about the same or an older renewal are ignored.
      */
-    private void recordRelease(PeerMessage.LeaseStatus lease) {
+    private void recordRelease(GatewayMessage.LeaseStatus lease) {
         heartbeats.remove(lease.group());
         releasedRevisions.put(lease.group(), lease.revision());
     }
 
-    private void recordHeartbeat(PeerMessage.LeaseStatus lease, InstanceId holder, boolean direct) {
+    private void recordHeartbeat(
+            GatewayMessage.LeaseStatus lease, InstanceId holder, boolean direct) {
         if (lease.revision() <= releasedRevisions.getOrDefault(lease.group(), -1L)) {
             return;
         }
@@ -298,14 +299,14 @@
      * that it holds or held last, and on those whose holders send it messages directly. An instance
      * that reports to only one holder thus learns which other holders are alive.
      */
-    List<PeerMessage.LeaseStatus> leaseNotices() {
+    List<GatewayMessage.LeaseStatus> leaseNotices() {
         Instant now = timers.now();
-        List<PeerMessage.LeaseStatus> notices = new ArrayList<>();
+        List<GatewayMessage.LeaseStatus> notices = new ArrayList<>();
         leaseManagers.forEach(
                 (group, manager) -> {
                     if (isLastHolder(manager)) {
                         notices.add(
-                                new PeerMessage.LeaseStatus(
+                                new GatewayMessage.LeaseStatus(
                                         group,
                                         manager.holding(now),
                                         manager.latestRecord().get().revision(),
@@ -313,7 +314,7 @@
                     } else if (isHolderAlive(group) && heartbeats.get(group).direct()) {
                         HolderHeartbeat heartbeat = heartbeats.get(group);
                         notices.add(
-                                new PeerMessage.LeaseStatus(
+                                new GatewayMessage.LeaseStatus(
                                         group,
                                         true,
                                         heartbeat.revision(),
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -22,6 +22,7 @@
 import org.tarragonlug.decision.watching.WatchSourceSelector;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.peer.PeerTransport;
 import org.tarragonlug.runtime.Addresses;
@@ -155,7 +156,7 @@
             placement.post(new PlacementEvent.DemandReported(self, demands));
         }
         PeerMessage message =
-                new PeerMessage.ModelDemandReport(
+                new GatewayMessage.ModelDemandReport(
                         PeerMessage.FORMAT_VERSION,
                         demands,
                         inFlight,
@@ -207,7 +208,7 @@
     /** Handles a message from a peer. Must be called on the event loop. */
     void onMessage(InstanceId from, PeerMessage message) {
         Instant now = timers.now();
-        if (message instanceof PeerMessage.ModelDemandReport report) {
+        if (message instanceof GatewayMessage.ModelDemandReport report) {
             pendingNotices.onReport(from, report.demands(), now);
             inFlightTotals.onReport(from, report.inFlight(), now);
             report.candidate().ifPresent(offered -> sourceSelector.onReport(from, offered, now));
@@ -215,15 +216,15 @@
             placement.post(
                     new PlacementEvent.ServersUnreachable(from, Set.copyOf(report.unreachable())));
             sendNotice(from, now);
-        } else if (message instanceof PeerMessage.PlacementNotice notice) {
+        } else if (message instanceof GatewayMessage.PlacementNotice notice) {
             onPlacementNotice(from, notice, now);
-        } else if (message instanceof PeerMessage.OrderCall call) {
+        } else if (message instanceof GatewayMessage.OrderCall call) {
             executor.onOrderCall(from, call);
-        } else if (message instanceof PeerMessage.OrderCallAnswer answer) {
+        } else if (message instanceof GatewayMessage.OrderCallAnswer answer) {
             executor.completeCall(answer.call(), answer.result());
-        } else if (message instanceof PeerMessage.ObjectCall call) {
+        } else if (message instanceof GatewayMessage.ObjectCall call) {
             store.onObjectCall(from, call);
-        } else if (message instanceof PeerMessage.ObjectCallAnswer answer) {
+        } else if (message instanceof GatewayMessage.ObjectCallAnswer answer) {
             store.onObjectCallAnswer(answer);
         } else {
             quarantine.onMessage(message);
@@ -293,7 +294,7 @@
     }
 
     private void onPlacementNotice(
-            InstanceId from, PeerMessage.PlacementNotice notice, Instant now) {
+            InstanceId from, GatewayMessage.PlacementNotice notice, Instant now) {
         leases.onLeaseNotices(from, notice.leases());
         if (notice.planning()) {
             planningSignals.put(from, now);
@@ -305,10 +306,10 @@
         } else {
             planningSignals.remove(from);
         }
-        for (PeerMessage.ReplicaChange replica : notice.replicas()) {
+        for (GatewayMessage.ReplicaChange replica : notice.replicas()) {
             applyReplica(replica, now);
         }
-        for (PeerMessage.ReadinessEstimate expectation : notice.expectations()) {
+        for (GatewayMessage.ReadinessEstimate expectation : notice.expectations()) {
             applyExpectation(expectation, now);
         }
     }
@@ -321,7 +322,7 @@
         forwarding.post(new ForwardingEvent.InstancesCounted(reporters + 1));
     }
 
-    private void applyReplica(PeerMessage.ReplicaChange replica, Instant now) {
+    private void applyReplica(GatewayMessage.ReplicaChange replica, Instant now) {
         forwarding.post(
                 new ForwardingEvent.ReplicaAnnounced(
                         replica.server(),
@@ -330,7 +331,7 @@
                         now.plus(ANNOUNCED_REPLICA_VALIDITY)));
     }
 
-    private void applyExpectation(PeerMessage.ReadinessEstimate expectation, Instant now) {
+    private void applyExpectation(GatewayMessage.ReadinessEstimate expectation, Instant now) {
         forwarding.post(
                 new ForwardingEvent.ModelReadyExpected(
                         expectation.service(),
@@ -340,8 +341,8 @@
 
     @Override
     public void onReplicaAnnounced(PlacementCommand.AnnounceReplica replica) {
-        PeerMessage.ReplicaChange notice =
-                new PeerMessage.ReplicaChange(replica.server(), replica.key(), replica.held());
+        GatewayMessage.ReplicaChange notice =
+                new GatewayMessage.ReplicaChange(replica.server(), replica.key(), replica.held());
         pendingNotices.add(notice);
         applyReplica(notice, timers.now());
         scheduleUrgentNotices();
@@ -351,8 +352,8 @@
     public void onExpectationAnnounced(PlacementCommand.AnnounceExpectation expectation) {
         Instant now = timers.now();
         Duration remaining = Duration.between(now, expectation.ready());
-        PeerMessage.ReadinessEstimate notice =
-                new PeerMessage.ReadinessEstimate(
+        GatewayMessage.ReadinessEstimate notice =
+                new GatewayMessage.ReadinessEstimate(
                         expectation.service(),
                         expectation.key(),
                         remaining.isNegative() ? Duration.ZERO : remaining);
@@ -380,7 +381,7 @@
         boolean planning = placement.isPlanning();
         transport.send(
                 to,
-                new PeerMessage.PlacementNotice(
+                new GatewayMessage.PlacementNotice(
                         PeerMessage.FORMAT_VERSION,
                         leases.leaseNotices(),
                         planning,
--- a/src/main/java/org/tarragonlug/gateway/PendingNotices.java
+++ b/src/main/java/org/tarragonlug/gateway/PendingNotices.java
@@ -15,7 +15,7 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ModelKey;
-import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.GatewayMessage;
 
 /**
  * Notices that a lease holder has not yet sent to the instances that report to it.
@@ -40,8 +40,8 @@
         private Instant lastReportAt;
         private Set<ModelKey> awaitedModels = Set.of();
         private boolean urgent;
-        private final Deque<PeerMessage.ReplicaChange> replicas = new ArrayDeque<>();
-        private final List<PeerMessage.ReadinessEstimate> expectations = new ArrayList<>();
+        private final Deque<GatewayMessage.ReplicaChange> replicas = new ArrayDeque<>();
+        private final List<GatewayMessage.ReadinessEstimate> expectations = new ArrayList<>();
     }
 
     /**
@@ -51,8 +51,8 @@
      * @param expectations expected times at which models will be ready
      */
     record Notices(
-            List<PeerMessage.ReplicaChange> replicas,
-            List<PeerMessage.ReadinessEstimate> expectations) {}
+            List<GatewayMessage.ReplicaChange> replicas,
+            List<GatewayMessage.ReadinessEstimate> expectations) {}
 
     private final Map<InstanceId, Reporter> reporters = new LinkedHashMap<>();
 
@@ -92,7 +92,7 @@
         return Optional.ofNullable(latest);
     }
 
-    void add(PeerMessage.ReplicaChange replica) {
+    void add(GatewayMessage.ReplicaChange replica) {
         for (Reporter reporter : reporters.values()) {
             reporter.replicas.addLast(replica);
             if (reporter.replicas.size() > MAX_PENDING_REPLICAS) {
@@ -102,7 +102,7 @@
         }
     }
 
-    void add(PeerMessage.ReadinessEstimate expectation) {
+    void add(GatewayMessage.ReadinessEstimate expectation) {
         for (Reporter reporter : reporters.values()) {
             if (reporter.awaitedModels.contains(expectation.key())) {
                 reporter.expectations.add(expectation);
--- a/src/main/java/org/tarragonlug/gateway/QuarantineDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/QuarantineDriver.java
@@ -24,6 +24,7 @@
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.platform.PlatformEngineClient;
 import org.tarragonlug.platform.PlatformKinds;
@@ -142,11 +143,11 @@
 
     /** Handles a message of another instance; ignores other kinds. */
     void onMessage(PeerMessage message) {
-        if (message instanceof PeerMessage.ServerLossReport report) {
+        if (message instanceof GatewayMessage.ServerLossReport report) {
             post(new QuarantineEvent.LossesReported(report.losses()));
-        } else if (message instanceof PeerMessage.AnswerReport report) {
+        } else if (message instanceof GatewayMessage.AnswerReport report) {
             post(new QuarantineEvent.AnswersReported(report.answers()));
-        } else if (message instanceof PeerMessage.QuarantineNotice notice) {
+        } else if (message instanceof GatewayMessage.QuarantineNotice notice) {
             post(
                     new QuarantineEvent.DecisionsAnnounced(
                             Set.copyOf(notice.quarantined()), notice.watched()));
@@ -175,13 +176,14 @@
             timers.scheduleOnce(tick.delay(), now -> post(new QuarantineEvent.Tick()));
         } else if (command instanceof QuarantineCommand.ReportLosses report) {
             channel.sendToDeciders(
-                    new PeerMessage.ServerLossReport(PeerMessage.FORMAT_VERSION, report.losses()));
+                    new GatewayMessage.ServerLossReport(
+                            PeerMessage.FORMAT_VERSION, report.losses()));
         } else if (command instanceof QuarantineCommand.ReportAnswers report) {
             channel.sendToDecidingInstance(
-                    new PeerMessage.AnswerReport(PeerMessage.FORMAT_VERSION, report.answers()));
+                    new GatewayMessage.AnswerReport(PeerMessage.FORMAT_VERSION, report.answers()));
         } else if (command instanceof QuarantineCommand.AnnounceDecisions decisions) {
             channel.sendToReporters(
-                    new PeerMessage.QuarantineNotice(
+                    new GatewayMessage.QuarantineNotice(
                             PeerMessage.FORMAT_VERSION,
                             List.copyOf(decisions.quarantined()),
                             decisions.watched()));
--- a/src/main/java/org/tarragonlug/gateway/RelayedObjects.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayedObjects.java
@@ -9,16 +9,16 @@
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
-import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.runtime.Json;
 
 /** Converts objects of the store to and from the form in which peers relay them. */
 final class RelayedObjects {
     private RelayedObjects() {}
 
-    static PeerMessage.RelayedObject toRelayed(StoredObject object) {
+    static GatewayMessage.RelayedObject toRelayed(StoredObject object) {
         boolean empty = object.content().isMissingNode();
-        return new PeerMessage.RelayedObject(
+        return new GatewayMessage.RelayedObject(
                 object.name().kind(),
                 object.name().name(),
                 object.version(),
@@ -29,7 +29,7 @@
         return new String(Json.bytes(content), StandardCharsets.UTF_8);
     }
 
-    static StoredObject toStored(PeerMessage.RelayedObject relayed) {
+    static StoredObject toStored(GatewayMessage.RelayedObject relayed) {
         JsonNode content =
                 relayed.content().isEmpty()
                         ? MissingNode.getInstance()
@@ -38,7 +38,7 @@
                 new ObjectName(relayed.kind(), relayed.name()), relayed.version(), content);
     }
 
-    static WatchResult toWatchResult(PeerMessage.ObjectCallAnswer answer) {
+    static WatchResult toWatchResult(GatewayMessage.ObjectCallAnswer answer) {
         List<StoredObject> objects = new ArrayList<>();
         answer.objects().forEach(relayed -> objects.add(toStored(relayed)));
         return new WatchResult(objects, answer.revision(), answer.gap());
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -23,6 +23,7 @@
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.LogEvent;
@@ -86,7 +87,7 @@
     private final TimerService timers;
     private final EventLog log;
     private final SharedWatches sharedWatches;
-    private final Map<Long, CompletableFuture<PeerMessage.ObjectCallAnswer>> pendingCalls =
+    private final Map<Long, CompletableFuture<GatewayMessage.ObjectCallAnswer>> pendingCalls =
             new HashMap<>();
     private long lastCallId;
     private int consecutiveFailures;
@@ -112,7 +113,13 @@
         return callWithFallback(
                 () -> direct.read(name),
                 peer ->
-                        relay(peer, PeerMessage.ObjectOperation.READ, name, 0, null, Duration.ZERO)
+                        relay(
+                                        peer,
+                                        GatewayMessage.ObjectOperation.READ,
+                                        name,
+                                        0,
+                                        null,
+                                        Duration.ZERO)
                                 .thenApply(
                                         answer ->
                                                 RelayedObjects.toStored(answer.objects().get(0))));
@@ -126,7 +133,7 @@
         }
         return relay(
                         peer.get(),
-                        PeerMessage.ObjectOperation.WRITE,
+                        GatewayMessage.ObjectOperation.WRITE,
                         name,
                         expectedVersion,
                         content,
@@ -145,7 +152,13 @@
         return callWithFallback(
                 () -> listStore(kind),
                 peer ->
-                        relay(peer, PeerMessage.ObjectOperation.LIST, all, 0, null, Duration.ZERO)
+                        relay(
+                                        peer,
+                                        GatewayMessage.ObjectOperation.LIST,
+                                        all,
+                                        0,
+                                        null,
+                                        Duration.ZERO)
                                 .thenApply(RelayedObjects::toWatchResult));
     }
 
@@ -167,7 +180,7 @@
                 peer ->
                         relay(
                                         peer,
-                                        PeerMessage.ObjectOperation.WATCH,
+                                        GatewayMessage.ObjectOperation.WATCH,
                                         all,
                                         afterRevision,
                                         null,
@@ -210,7 +223,7 @@
         channel.connect(source);
         relay(
                         source.instance(),
-                        PeerMessage.ObjectOperation.SHARED_WATCH,
+                        GatewayMessage.ObjectOperation.SHARED_WATCH,
                         new ObjectName(kind, ""),
                         afterRevision,
                         null,
@@ -312,9 +325,9 @@
         return cause instanceof TarragonlugException typed ? typed.code() : ErrorCode.INTERNAL;
     }
 
-    private CompletionStage<PeerMessage.ObjectCallAnswer> relay(
+    private CompletionStage<GatewayMessage.ObjectCallAnswer> relay(
             InstanceId peer,
-            PeerMessage.ObjectOperation operation,
+            GatewayMessage.ObjectOperation operation,
             ObjectName name,
             long version,
             JsonNode content,
@@ -322,9 +335,9 @@
         return relay(peer, operation, name, version, content, wait, ANSWER_TIMEOUT);
     }
 
-    private CompletionStage<PeerMessage.ObjectCallAnswer> relay(
+    private CompletionStage<GatewayMessage.ObjectCallAnswer> relay(
             InstanceId peer,
-            PeerMessage.ObjectOperation operation,
+            GatewayMessage.ObjectOperation operation,
             ObjectName name,
             long version,
             JsonNode content,
@@ -332,9 +345,9 @@
             Duration timeout) {
         lastCallId++;
         long callId = lastCallId;
-        CompletableFuture<PeerMessage.ObjectCallAnswer> result = new CompletableFuture<>();
+        CompletableFuture<GatewayMessage.ObjectCallAnswer> result = new CompletableFuture<>();
         pendingCalls.put(callId, result);
-        boolean write = operation == PeerMessage.ObjectOperation.WRITE;
+        boolean write = operation == GatewayMessage.ObjectOperation.WRITE;
         timers.scheduleOnce(
                 wait.plus(timeout),
                 now -> {
@@ -349,7 +362,7 @@
                 });
         channel.send(
                 peer,
-                new PeerMessage.ObjectCall(
+                new GatewayMessage.ObjectCall(
                         PeerMessage.FORMAT_VERSION,
                         callId,
                         operation,
@@ -361,8 +374,8 @@
         return result.thenCompose(RelayingObjectApi::requireSuccess);
     }
 
-    private static CompletionStage<PeerMessage.ObjectCallAnswer> requireSuccess(
-            PeerMessage.ObjectCallAnswer answer) {
+    private static CompletionStage<GatewayMessage.ObjectCallAnswer> requireSuccess(
+            GatewayMessage.ObjectCallAnswer answer) {
         if (answer.error().isEmpty()) {
             return CompletableFuture.completedFuture(answer);
         }
@@ -375,8 +388,8 @@
     }
 
     /** Completes a relayed call with the answer of the peer. Late answers are ignored. */
-    void onObjectCallAnswer(PeerMessage.ObjectCallAnswer answer) {
-        CompletableFuture<PeerMessage.ObjectCallAnswer> pending =
+    void onObjectCallAnswer(GatewayMessage.ObjectCallAnswer answer) {
+        CompletableFuture<GatewayMessage.ObjectCallAnswer> pending =
                 pendingCalls.remove(answer.call());
         if (pending != null) {
             pending.complete(answer);
@@ -384,8 +397,8 @@
     }
 
     /** Makes a call to the store on behalf of a peer, and sends the outcome back. */
-    void onObjectCall(InstanceId from, PeerMessage.ObjectCall call) {
-        if (call.operation() == PeerMessage.ObjectOperation.SHARED_WATCH) {
+    void onObjectCall(InstanceId from, GatewayMessage.ObjectCall call) {
+        if (call.operation() == GatewayMessage.ObjectOperation.SHARED_WATCH) {
             sharedWatches.onWatch(from, call);
             return;
         }
@@ -432,7 +445,7 @@
     }
 
     private void replyObject(
-            InstanceId to, PeerMessage.ObjectCall call, StoredObject object, Throwable failure) {
+            InstanceId to, GatewayMessage.ObjectCall call, StoredObject object, Throwable failure) {
         if (failure != null) {
             reply(to, call, code(failure).name(), List.of(), 0, false);
         } else {
@@ -441,26 +454,26 @@
     }
 
     private void replyResult(
-            InstanceId to, PeerMessage.ObjectCall call, WatchResult result, Throwable failure) {
+            InstanceId to, GatewayMessage.ObjectCall call, WatchResult result, Throwable failure) {
         if (failure != null) {
             reply(to, call, code(failure).name(), List.of(), 0, false);
             return;
         }
-        List<PeerMessage.RelayedObject> objects = new ArrayList<>();
+        List<GatewayMessage.RelayedObject> objects = new ArrayList<>();
         result.changed().forEach(object -> objects.add(RelayedObjects.toRelayed(object)));
         reply(to, call, "", objects, result.revision(), result.gap());
     }
 
     private void reply(
             InstanceId to,
-            PeerMessage.ObjectCall call,
+            GatewayMessage.ObjectCall call,
             String error,
-            List<PeerMessage.RelayedObject> objects,
+            List<GatewayMessage.RelayedObject> objects,
             long revision,
             boolean gap) {
         channel.send(
                 to,
-                new PeerMessage.ObjectCallAnswer(
+                new GatewayMessage.ObjectCallAnswer(
                         PeerMessage.FORMAT_VERSION, call.call(), error, objects, revision, gap));
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/SharedWatches.java
+++ b/src/main/java/org/tarragonlug/gateway/SharedWatches.java
@@ -13,7 +13,7 @@
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
-import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.runtime.TimerService;
 
 /**
@@ -25,18 +25,18 @@
     interface Replies {
         void send(
                 InstanceId to,
-                PeerMessage.ObjectCall call,
+                GatewayMessage.ObjectCall call,
                 String error,
-                List<PeerMessage.RelayedObject> objects,
+                List<GatewayMessage.RelayedObject> objects,
                 long revision,
                 boolean gap);
     }
 
-    private record Waiter(InstanceId from, PeerMessage.ObjectCall call) {}
+    private record Waiter(InstanceId from, GatewayMessage.ObjectCall call) {}
 
     private final TimerService timers;
     private final Replies replies;
-    private final Map<String, SharedView<PeerMessage.RelayedObject>> views = new HashMap<>();
+    private final Map<String, SharedView<GatewayMessage.RelayedObject>> views = new HashMap<>();
     private final Map<String, List<Waiter>> waiters = new HashMap<>();
 
     SharedWatches(TimerService timers, Replies replies) {
@@ -44,7 +44,7 @@
         this.replies = replies;
     }
 
-    private SharedView<PeerMessage.RelayedObject> view(String kind) {
+    private SharedView<GatewayMessage.RelayedObject> view(String kind) {
         return views.computeIfAbsent(kind, each -> new SharedView<>());
     }
 
@@ -59,7 +59,7 @@
         if (result.gap()) {
             return;
         }
-        Map<String, PeerMessage.RelayedObject> changed = new LinkedHashMap<>();
+        Map<String, GatewayMessage.RelayedObject> changed = new LinkedHashMap<>();
         for (StoredObject object : result.changed()) {
             changed.remove(object.name().name());
             changed.put(object.name().name(), RelayedObjects.toRelayed(object));
@@ -69,7 +69,7 @@
     }
 
     /** Answers a watch of another instance now, or when there is news. */
-    void onWatch(InstanceId from, PeerMessage.ObjectCall call) {
+    void onWatch(InstanceId from, GatewayMessage.ObjectCall call) {
         Waiter waiter = new Waiter(from, call);
         if (!answer(waiter, false)) {
             waiters.computeIfAbsent(call.objectKind(), kind -> new ArrayList<>()).add(waiter);
@@ -95,8 +95,8 @@
 
     private boolean answer(Waiter waiter, boolean waitOver) {
         Instant now = timers.now();
-        PeerMessage.ObjectCall call = waiter.call();
-        SharedView.Answer<PeerMessage.RelayedObject> answer =
+        GatewayMessage.ObjectCall call = waiter.call();
+        SharedView.Answer<GatewayMessage.RelayedObject> answer =
                 view(call.objectKind()).answer(call.version(), waitOver, now);
         switch (answer.kind()) {
             case WAIT -> {
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -28,17 +28,17 @@
 
     /** Writes the fields of a message; returns false if it is of another kind. */
     static boolean write(PeerMessage message, MessageWriter writer) {
-        if (message instanceof PeerMessage.ModelDemandReport report) {
+        if (message instanceof GatewayMessage.ModelDemandReport report) {
             writeReport(report, writer);
-        } else if (message instanceof PeerMessage.PlacementNotice notice) {
+        } else if (message instanceof GatewayMessage.PlacementNotice notice) {
             writeNotice(notice, writer);
-        } else if (message instanceof PeerMessage.ObjectCall call) {
+        } else if (message instanceof GatewayMessage.ObjectCall call) {
             writeObjectCall(call, writer);
-        } else if (message instanceof PeerMessage.ObjectCallAnswer answer) {
+        } else if (message instanceof GatewayMessage.ObjectCallAnswer answer) {
             writeObjectCallAnswer(answer, writer);
-        } else if (message instanceof PeerMessage.OrderCall call) {
+        } else if (message instanceof GatewayMessage.OrderCall call) {
             writeOrderCall(call, writer);
-        } else if (message instanceof PeerMessage.OrderCallAnswer answer) {
+        } else if (message instanceof GatewayMessage.OrderCallAnswer answer) {
             writer.number(FORMAT_VERSION, answer.formatVersion())
                     .number("call", answer.call())
                     .text("result", answer.result());
@@ -66,7 +66,7 @@
         };
     }
 
-    private static void writeReport(PeerMessage.ModelDemandReport report, MessageWriter writer) {
+    private static void writeReport(GatewayMessage.ModelDemandReport report, MessageWriter writer) {
         writer.number(FORMAT_VERSION, report.formatVersion())
                 .list("demands", report.demands(), GatewayMessageFormat::writeDemand)
                 .counts("inFlight", report.inFlight())
@@ -75,7 +75,7 @@
     }
 
     private static PeerMessage readReport(MessageFields fields) {
-        return new PeerMessage.ModelDemandReport(
+        return new GatewayMessage.ModelDemandReport(
                 fields.smallNumber(FORMAT_VERSION),
                 fields.list("demands", GatewayMessageFormat::readDemand),
                 fields.counts("inFlight", ServerId::new),
@@ -117,7 +117,7 @@
                 fields.decimal("capacity"));
     }
 
-    private static void writeNotice(PeerMessage.PlacementNotice notice, MessageWriter writer) {
+    private static void writeNotice(GatewayMessage.PlacementNotice notice, MessageWriter writer) {
         writer.number(FORMAT_VERSION, notice.formatVersion())
                 .list("leases", notice.leases(), GatewayMessageFormat::writeLease)
                 .flag("planning", notice.planning())
@@ -130,7 +130,7 @@
     }
 
     private static PeerMessage readNotice(MessageFields fields) {
-        return new PeerMessage.PlacementNotice(
+        return new GatewayMessage.PlacementNotice(
                 fields.smallNumber(FORMAT_VERSION),
                 fields.list("leases", GatewayMessageFormat::readLease),
                 fields.flag("planning"),
@@ -142,43 +142,43 @@
                 fields.list("watchSources", GatewayMessageFormat::readSource));
     }
 
-    private static void writeLease(MessageWriter writer, PeerMessage.LeaseStatus lease) {
+    private static void writeLease(MessageWriter writer, GatewayMessage.LeaseStatus lease) {
         writer.number("group", lease.group().number())
                 .flag("holding", lease.holding())
                 .number("revision", lease.revision())
                 .text("holder", lease.holder());
     }
 
-    private static PeerMessage.LeaseStatus readLease(MessageFields fields) {
-        return new PeerMessage.LeaseStatus(
+    private static GatewayMessage.LeaseStatus readLease(MessageFields fields) {
+        return new GatewayMessage.LeaseStatus(
                 new OrderGroup(fields.smallNumber("group")),
                 fields.flag("holding"),
                 fields.number("revision"),
                 fields.textOrEmpty("holder"));
     }
 
-    private static void writeReplica(MessageWriter writer, PeerMessage.ReplicaChange replica) {
+    private static void writeReplica(MessageWriter writer, GatewayMessage.ReplicaChange replica) {
         writer.text("server", replica.server())
                 .text("key", replica.key())
                 .flag("held", replica.held());
     }
 
-    private static PeerMessage.ReplicaChange readReplica(MessageFields fields) {
-        return new PeerMessage.ReplicaChange(
+    private static GatewayMessage.ReplicaChange readReplica(MessageFields fields) {
+        return new GatewayMessage.ReplicaChange(
                 new ServerId(fields.text("server")),
                 ModelKey.parse(fields.text("key")),
                 fields.flag("held"));
     }
 
     private static void writeEstimate(
-            MessageWriter writer, PeerMessage.ReadinessEstimate estimate) {
+            MessageWriter writer, GatewayMessage.ReadinessEstimate estimate) {
         writer.text("service", estimate.service())
                 .text("key", estimate.key())
                 .duration("remaining", estimate.remaining());
     }
 
-    private static PeerMessage.ReadinessEstimate readEstimate(MessageFields fields) {
-        return new PeerMessage.ReadinessEstimate(
+    private static GatewayMessage.ReadinessEstimate readEstimate(MessageFields fields) {
+        return new GatewayMessage.ReadinessEstimate(
                 new ServiceName(fields.text("service")),
                 ModelKey.parse(fields.text("key")),
                 fields.duration("remaining"));
@@ -192,7 +192,7 @@
         return new WatchSource(new InstanceId(fields.text("instance")), fields.text("address"));
     }
 
-    private static void writeObjectCall(PeerMessage.ObjectCall call, MessageWriter writer) {
+    private static void writeObjectCall(GatewayMessage.ObjectCall call, MessageWriter writer) {
         writer.number(FORMAT_VERSION, call.formatVersion())
                 .number("call", call.call())
                 .text("operation", call.operation().name())
@@ -204,10 +204,10 @@
     }
 
     private static PeerMessage readObjectCall(MessageFields fields) {
-        return new PeerMessage.ObjectCall(
+        return new GatewayMessage.ObjectCall(
                 fields.smallNumber(FORMAT_VERSION),
                 fields.number("call"),
-                fields.constant("operation", PeerMessage.ObjectOperation.class),
+                fields.constant("operation", GatewayMessage.ObjectOperation.class),
                 fields.text("objectKind"),
                 fields.text("objectName"),
                 fields.number("version"),
@@ -216,7 +216,7 @@
     }
 
     private static void writeObjectCallAnswer(
-            PeerMessage.ObjectCallAnswer answer, MessageWriter writer) {
+            GatewayMessage.ObjectCallAnswer answer, MessageWriter writer) {
         writer.number(FORMAT_VERSION, answer.formatVersion())
                 .number("call", answer.call())
                 .text("error", answer.error())
@@ -226,7 +226,7 @@
     }
 
     private static PeerMessage readObjectCallAnswer(MessageFields fields) {
-        return new PeerMessage.ObjectCallAnswer(
+        return new GatewayMessage.ObjectCallAnswer(
                 fields.smallNumber(FORMAT_VERSION),
                 fields.number("call"),
                 fields.text("error"),
@@ -235,22 +235,22 @@
                 fields.flag("gap"));
     }
 
-    private static void writeObject(MessageWriter writer, PeerMessage.RelayedObject object) {
+    private static void writeObject(MessageWriter writer, GatewayMessage.RelayedObject object) {
         writer.text("kind", object.kind())
                 .text("name", object.name())
                 .number("version", object.version())
                 .text("content", object.content());
     }
 
-    private static PeerMessage.RelayedObject readObject(MessageFields fields) {
-        return new PeerMessage.RelayedObject(
+    private static GatewayMessage.RelayedObject readObject(MessageFields fields) {
+        return new GatewayMessage.RelayedObject(
                 fields.text("kind"),
                 fields.text("name"),
                 fields.number("version"),
                 fields.text("content"));
     }
 
-    private static void writeOrderCall(PeerMessage.OrderCall call, MessageWriter writer) {
+    private static void writeOrderCall(GatewayMessage.OrderCall call, MessageWriter writer) {
         writer.number(FORMAT_VERSION, call.formatVersion())
                 .number("call", call.call())
                 .number("group", call.group().number())
@@ -262,7 +262,7 @@
     }
 
     private static PeerMessage readOrderCall(MessageFields fields) {
-        return new PeerMessage.OrderCall(
+        return new GatewayMessage.OrderCall(
                 fields.smallNumber(FORMAT_VERSION),
                 fields.number("call"),
                 new OrderGroup(fields.smallNumber("group")),
@@ -274,7 +274,7 @@
     }
 
     private static PeerMessage readOrderCallAnswer(MessageFields fields) {
-        return new PeerMessage.OrderCallAnswer(
+        return new GatewayMessage.OrderCallAnswer(
                 fields.smallNumber(FORMAT_VERSION),
                 fields.number("call"),
                 fields.constant("result", OrderResult.class));
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -53,15 +53,15 @@
                     Map.entry("SuspectsAnnounced", PeerMessage.SuspectsAnnounced.class),
                     Map.entry("FingerprintCondemned", PeerMessage.FingerprintCondemned.class),
                     Map.entry("DecisionHandover", PeerMessage.DecisionHandover.class),
-                    Map.entry("ModelDemandReport", PeerMessage.ModelDemandReport.class),
-                    Map.entry("PlacementNotice", PeerMessage.PlacementNotice.class),
-                    Map.entry("ObjectCall", PeerMessage.ObjectCall.class),
-                    Map.entry("ObjectCallAnswer", PeerMessage.ObjectCallAnswer.class),
-                    Map.entry("OrderCall", PeerMessage.OrderCall.class),
-                    Map.entry("OrderCallAnswer", PeerMessage.OrderCallAnswer.class),
-                    Map.entry("ServerLossReport", PeerMessage.ServerLossReport.class),
-                    Map.entry("AnswerReport", PeerMessage.AnswerReport.class),
-                    Map.entry("QuarantineNotice", PeerMessage.QuarantineNotice.class));
+                    Map.entry("ModelDemandReport", GatewayMessage.ModelDemandReport.class),
+                    Map.entry("PlacementNotice", GatewayMessage.PlacementNotice.class),
+                    Map.entry("ObjectCall", GatewayMessage.ObjectCall.class),
+                    Map.entry("ObjectCallAnswer", GatewayMessage.ObjectCallAnswer.class),
+                    Map.entry("OrderCall", GatewayMessage.OrderCall.class),
+                    Map.entry("OrderCallAnswer", GatewayMessage.OrderCallAnswer.class),
+                    Map.entry("ServerLossReport", GatewayMessage.ServerLossReport.class),
+                    Map.entry("AnswerReport", GatewayMessage.AnswerReport.class),
+                    Map.entry("QuarantineNotice", GatewayMessage.QuarantineNotice.class));
 
     private static final Map<Class<? extends PeerMessage>, String> KIND_BY_TYPE =
             TYPE_BY_KIND.entrySet().stream()
--- a/src/main/java/org/tarragonlug/peer/PeerMessage.java
+++ b/src/main/java/org/tarragonlug/peer/PeerMessage.java
@@ -2,8 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import org.tarragonlug.decision.capacity.Demand;
 import org.tarragonlug.decision.capacity.LoadTicket;
 import org.tarragonlug.decision.capacity.LoadTurn;
@@ -11,26 +9,31 @@
 import org.tarragonlug.decision.configuration.Configuration;
 import org.tarragonlug.decision.configuration.ConfigurationDelta;
 import org.tarragonlug.decision.membership.MembershipMessage;
-import org.tarragonlug.decision.placement.ModelDemand;
-import org.tarragonlug.decision.placement.OrderAction;
-import org.tarragonlug.decision.placement.OrderResult;
-import org.tarragonlug.decision.quarantine.ServerLoss;
-import org.tarragonlug.decision.quarantine.TraitAge;
-import org.tarragonlug.decision.watching.WatchCandidate;
-import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.Fingerprint;
-import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.OperationId;
-import org.tarragonlug.id.OrderGroup;
-import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerGroup;
 import org.tarragonlug.id.ServerId;
-import org.tarragonlug.id.ServiceName;
 
 /** A message between processes of this system (docs/design.md, section 5.4). */
-public sealed interface PeerMessage {
+public sealed interface PeerMessage
+        permits PeerMessage.Membership,
+                PeerMessage.DemandReport,
+                PeerMessage.ReplicasChanged,
+                PeerMessage.LoadTurnRequest,
+                PeerMessage.LoadTurnGrant,
+                PeerMessage.LoadTurnRefused,
+                PeerMessage.LoadTurnReturn,
+                PeerMessage.LoadTurnReturnReceived,
+                PeerMessage.LoadWasSlow,
+                PeerMessage.ConfigurationRequest,
+                PeerMessage.ConfigurationRows,
+                PeerMessage.ConfigurationWhole,
+                PeerMessage.SuspectsAnnounced,
+                PeerMessage.FingerprintCondemned,
+                PeerMessage.DecisionHandover,
+                GatewayMessage {
     /** The format version that this release writes. */
     int FORMAT_VERSION = 1;
 
@@ -251,241 +254,4 @@
      * @param revision lowest revision of the stored object of the item that the new owner must read
      */
     record DecisionHandover(int formatVersion, String item, long revision) implements PeerMessage {}
-
-    /**
-     * The demand for models at one instance, sent to the holder of the order lease.
-     *
-     * @param formatVersion format version of the sender
-     * @param demands demand for each model that has waiting requests or arrivals since the last
-     *     report
-     * @param inFlight requests that the sender has in flight, by server
-     * @param candidate what the sender offers as a source for watches; empty if its release does
-     *     not write this field
-     */
-    record ModelDemandReport(
-            int formatVersion,
-            List<ModelDemand> demands,
-            Map<ServerId, Integer> inFlight,
-            List<ServerId> unreachable,
-            Optional<WatchCandidate> candidate)
-            implements PeerMessage {
-        public ModelDemandReport {
-            demands = List.copyOf(demands);
-            inFlight = Map.copyOf(inFlight);
-            unreachable = List.copyOf(unreachable);
-        }
-    }
-
-    /**
-     * The notice of a holder of order leases to an instance that has reported demand.
-     *
-     * @param formatVersion format version of the sender
-     * @param leases the leases that the sender holds or held last, and leases whose state it knows
-     *     from their holders
-     * @param planning whether the sender is the planner; false if the sender's release does not
-     *     write this field
-     * @param reporters number of instances that report to the sender
-     * @param replicas changes of replicas that the listings of their servers may not show yet
-     * @param expectations estimates of when the models that requests wait for will be ready
-     * @param inFlight requests that all instances together have in flight; only from the planner
-     * @param suspected servers that several instances cannot reach; only from the planner
-     * @param watchSources instances through which the receiver should watch the store; only from
-     *     the planner
-     */
-    record PlacementNotice(
-            int formatVersion,
-            List<LeaseStatus> leases,
-            boolean planning,
-            int reporters,
-            List<ReplicaChange> replicas,
-            List<ReadinessEstimate> expectations,
-            Map<ServerId, Integer> inFlight,
-            List<ServerId> suspected,
-            List<WatchSource> watchSources)
-            implements PeerMessage {
-        public PlacementNotice {
-            suspected = List.copyOf(suspected);
-            watchSources = List.copyOf(watchSources);
-            inFlight = Map.copyOf(inFlight);
-            leases = List.copyOf(leases);
-            replicas = List.copyOf(replicas);
-            expectations = List.copyOf(expectations);
-        }
-    }
-
-    /**
-     * A model that was loaded on a server or unloaded from it.
-     *
-     * @param server the server
-     * @param key the model
-     * @param held whether the model is loaded on the server now
-     */
-    record ReplicaChange(ServerId server, ModelKey key, boolean held) {}
-
-    /**
-     * The estimated time until a model is ready.
-     *
-     * @param service the service
-     * @param key the model
-     * @param remaining time from receipt until the model is ready
-     */
-    record ReadinessEstimate(ServiceName service, ModelKey key, Duration remaining) {}
-
-    /**
-     * A request to a peer to make a call to the object API, because the sender cannot reach it.
-     *
-     * @param formatVersion format version of the sender
-     * @param call number of the call, chosen by the sender and repeated in the answer
-     * @param operation the operation of the call
-     * @param objectKind kind of the object or objects
-     * @param objectName name of the object; empty for a list or watch
-     * @param version expected version for a write, or the revision after which a watch starts
-     * @param content content for a write; empty for other operations
-     * @param longestWait longest wait of a watch
-     */
-    record ObjectCall(
-            int formatVersion,
-            long call,
-            ObjectOperation operation,
-            String objectKind,
-            String objectName,
-            long version,
-            Optional<String> content,
-            Duration longestWait)
-            implements PeerMessage {}
-
-    /** Operations of the object API that peers make for each other. */
-    enum ObjectOperation {
-        /** Reads one object. */
-        READ,
-        /** Writes one object if it has the expected version. */
-        WRITE,
-        /** Lists the objects of a kind. */
-        LIST,
-        /** Waits for changes to the objects of a kind. */
-        WATCH,
-        /** Waits for changes of which the receiver knows, without a call to the object API. */
-        SHARED_WATCH
-    }
-
-    /**
-     * The answer to an {@link ObjectCall}.
-     *
-     * @param formatVersion format version of the sender
-     * @param call number of the call that is answered
-     * @param error name of the error; empty if the call succeeded
-     * @param objects the objects that were read, or the written object without its content
-     * @param revision revision from which to continue after a list or watch
-     * @param gap whether changes may be missing from the answer to a watch
-     */
-    record ObjectCallAnswer(
-            int formatVersion,
-            long call,
-            String error,
-            List<RelayedObject> objects,
-            long revision,
-            boolean gap)
-            implements PeerMessage {
-        public ObjectCallAnswer {
-            objects = List.copyOf(objects);
-        }
-    }
-
-    /**
-     * An object of the object API in an {@link ObjectCallAnswer}.
-     *
-     * @param kind kind of the object
-     * @param name name of the object
-     * @param version version of the object; 0 if it does not exist
-     * @param content JSON text of the object; empty if it has none
-     */
-    record RelayedObject(String kind, String name, long version, String content) {}
-
-    /**
-     * The status of an order lease, as known to the sender.
-     *
-     * @param group the order group of servers that the lease covers
-     * @param holding whether the holder may give orders
-     * @param revision revision of the last renewal by the holder
-     * @param holder the holder of the lease; empty if the lease is or was held by the sender
-     */
-    record LeaseStatus(OrderGroup group, boolean holding, long revision, String holder) {
-        public LeaseStatus {
-            holder = holder == null ? "" : holder;
-        }
-    }
-
-    /**
-     * A request of the planner to the holder of an order lease to give an order to a server.
-     *
-     * @param formatVersion format version of the sender
-     * @param call number of the call, chosen by the sender and repeated in the answer
-     * @param group order group of the server
-     * @param server the server
-     * @param address address of the server
-     * @param action whether to load or to unload
-     * @param key the model or adapter
-     * @param precondition number of orders that the server must have accepted before this one
-     */
-    record OrderCall(
-            int formatVersion,
-            long call,
-            OrderGroup group,
-            ServerId server,
-            String address,
-            OrderAction action,
-            ModelKey key,
-            long precondition)
-            implements PeerMessage {}
-
-    /**
-     * The answer to an {@link OrderCall}.
-     *
-     * @param formatVersion format version of the sender
-     * @param call number of the call that is answered
-     * @param result result of the order
-     */
-    record OrderCallAnswer(int formatVersion, long call, OrderResult result)
-            implements PeerMessage {}
-
-    /**
-     * The losses of servers that an instance has noticed, with its requests there.
-     *
-     * @param formatVersion format version of the sender
-     * @param losses the losses
-     */
-    record ServerLossReport(int formatVersion, List<ServerLoss> losses) implements PeerMessage {
-        public ServerLossReport {
-            losses = List.copyOf(losses);
-        }
-    }
-
-    /**
-     * Tells that servers have begun to answer requests with traits that are suspected of crashing
-     * servers.
-     *
-     * @param formatVersion format version of the sender
-     * @param answers the traits, with the time since the answer began
-     */
-    record AnswerReport(int formatVersion, List<TraitAge> answers) implements PeerMessage {
-        public AnswerReport {
-            answers = List.copyOf(answers);
-        }
-    }
-
-    /**
-     * The decisions of the planner on requests that crash servers.
-     *
-     * @param formatVersion format version of the sender
-     * @param quarantined traits of requests that must not reach servers
-     * @param watched traits whose answers the receiver reports, with the time since the first loss
-     */
-    record QuarantineNotice(
-            int formatVersion, List<RequestTrait> quarantined, List<TraitAge> watched)
-            implements PeerMessage {
-        public QuarantineNotice {
-            quarantined = List.copyOf(quarantined);
-            watched = List.copyOf(watched);
-        }
-    }
 }
--- a/src/main/java/org/tarragonlug/peer/QuarantineMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/QuarantineMessageFormat.java
@@ -15,13 +15,13 @@
 
     /** Writes the fields of a message; returns false if it is of another kind. */
     static boolean write(PeerMessage message, MessageWriter writer) {
-        if (message instanceof PeerMessage.ServerLossReport report) {
+        if (message instanceof GatewayMessage.ServerLossReport report) {
             writer.number(FORMAT_VERSION, report.formatVersion())
                     .list("losses", report.losses(), QuarantineMessageFormat::writeLoss);
-        } else if (message instanceof PeerMessage.AnswerReport report) {
+        } else if (message instanceof GatewayMessage.AnswerReport report) {
             writer.number(FORMAT_VERSION, report.formatVersion())
                     .list("answers", report.answers(), QuarantineMessageFormat::writeAge);
-        } else if (message instanceof PeerMessage.QuarantineNotice notice) {
+        } else if (message instanceof GatewayMessage.QuarantineNotice notice) {
             writer.number(FORMAT_VERSION, notice.formatVersion())
                     .texts("quarantined", notice.quarantined())
                     .list("watched", notice.watched(), QuarantineMessageFormat::writeAge);
@@ -41,17 +41,17 @@
         return switch (kind) {
             case "ServerLossReport" ->
                     Optional.of(
-                            new PeerMessage.ServerLossReport(
+                            new GatewayMessage.ServerLossReport(
                                     fields.smallNumber(FORMAT_VERSION),
                                     fields.list("losses", QuarantineMessageFormat::readLoss)));
             case "AnswerReport" ->
                     Optional.of(
-                            new PeerMessage.AnswerReport(
+                            new GatewayMessage.AnswerReport(
                                     fields.smallNumber(FORMAT_VERSION),
                                     fields.list("answers", QuarantineMessageFormat::readAge)));
             case "QuarantineNotice" ->
                     Optional.of(
-                            new PeerMessage.QuarantineNotice(
+                            new GatewayMessage.QuarantineNotice(
                                     fields.smallNumber(FORMAT_VERSION),
                                     fields.texts("quarantined", RequestTrait::parse),
                                     fields.list("watched", QuarantineMessageFormat::readAge)));
--- a/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
@@ -15,7 +15,7 @@
 import org.tarragonlug.id.FencingToken;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.OrderGroup;
-import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.platform.PlatformKinds;
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.Hash4jHasher;
@@ -59,8 +59,8 @@
         }
     }
 
-    private static List<PeerMessage.LeaseStatus> ownNotice() {
-        return List.of(new PeerMessage.LeaseStatus(GROUP, true, 40, ""));
+    private static List<GatewayMessage.LeaseStatus> ownNotice() {
+        return List.of(new GatewayMessage.LeaseStatus(GROUP, true, 40, ""));
     }
 
     @Nested
@@ -107,10 +107,10 @@
         void holderThatReleasesItsLeaseDoesNotCountAsAlive() {
             first.onLeaseNotices(HOLDER, ownNotice());
             first.onLeaseNotices(
-                    HOLDER, List.of(new PeerMessage.LeaseStatus(GROUP, false, 40, "")));
+                    HOLDER, List.of(new GatewayMessage.LeaseStatus(GROUP, false, 40, "")));
             assertTrue(first.leaseNotices().isEmpty());
-            PeerMessage.LeaseStatus passedOn =
-                    new PeerMessage.LeaseStatus(GROUP, true, 40, HOLDER.value());
+            GatewayMessage.LeaseStatus passedOn =
+                    new GatewayMessage.LeaseStatus(GROUP, true, 40, HOLDER.value());
             first.onLeaseNotices(SECOND, List.of(passedOn));
             assertTrue(first.leaseNotices().isEmpty());
         }
--- a/src/test/java/org/tarragonlug/gateway/PendingNoticesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/PendingNoticesTest.java
@@ -13,7 +13,7 @@
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
-import org.tarragonlug.peer.PeerMessage;
+import org.tarragonlug.peer.GatewayMessage;
 
 class PendingNoticesTest {
     private static final ServiceName SERVICE = new ServiceName("engines");
@@ -32,8 +32,8 @@
         return new InstanceId("instance-" + number);
     }
 
-    private static PeerMessage.ReplicaChange replica(ModelKey key, boolean held) {
-        return new PeerMessage.ReplicaChange(new ServerId("s-1"), key, held);
+    private static GatewayMessage.ReplicaChange replica(ModelKey key, boolean held) {
+        return new GatewayMessage.ReplicaChange(new ServerId("s-1"), key, held);
     }
 
     @Nested
--- a/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
@@ -26,6 +26,7 @@
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
+import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.peer.PeerMessage;
 import org.tarragonlug.runtime.DefaultTimerService;
 import org.tarragonlug.runtime.EventLog;
@@ -127,12 +128,12 @@
                 to.value().equals("disconnected") ? disconnected : connectedPeer;
         InstanceId from =
                 new InstanceId(to.value().equals("disconnected") ? "peer" : "disconnected");
-        if (message instanceof PeerMessage.ObjectCall call) {
+        if (message instanceof GatewayMessage.ObjectCall call) {
             if (silentSource) {
                 return;
             }
             receiver.onObjectCall(from, call);
-        } else if (message instanceof PeerMessage.ObjectCallAnswer answer) {
+        } else if (message instanceof GatewayMessage.ObjectCallAnswer answer) {
             receiver.onObjectCallAnswer(answer);
         }
     }
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -159,7 +159,7 @@
                 new PeerMessage.LoadTurnRefused(1, turn, 2),
                 new PeerMessage.LoadTurnReturn(1, turn, 3),
                 new PeerMessage.LoadTurnReturnReceived(1, turn, 3),
-                new PeerMessage.ModelDemandReport(
+                new GatewayMessage.ModelDemandReport(
                         1,
                         List.of(
                                 new ModelDemand(
@@ -175,43 +175,43 @@
                         Optional.of(
                                 new WatchCandidate(
                                         new FailureDomain("domain-1"), "10.0.0.1:7380", 1.5))),
-                new PeerMessage.PlacementNotice(
+                new GatewayMessage.PlacementNotice(
                         1,
                         List.of(
-                                new PeerMessage.LeaseStatus(
+                                new GatewayMessage.LeaseStatus(
                                         new OrderGroup(2), true, 77, "holder-2")),
                         true,
                         8,
                         List.of(
-                                new PeerMessage.ReplicaChange(
+                                new GatewayMessage.ReplicaChange(
                                         new ServerId("s-1"), ModelKey.parse("m1"), false)),
                         List.of(
-                                new PeerMessage.ReadinessEstimate(
+                                new GatewayMessage.ReadinessEstimate(
                                         new ServiceName("engines"),
                                         ModelKey.parse("m2"),
                                         Duration.ofMillis(900))),
                         Map.of(new ServerId("s-1"), 12, new ServerId("s-2"), 4),
                         List.of(new ServerId("s-9")),
                         List.of(new WatchSource(new InstanceId("entry-3"), "10.0.0.3:7380"))),
-                new PeerMessage.ObjectCall(
+                new GatewayMessage.ObjectCall(
                         1,
                         9,
-                        PeerMessage.ObjectOperation.WRITE,
+                        GatewayMessage.ObjectOperation.WRITE,
                         "leases",
                         "orders-1",
                         44,
                         Optional.of("{\"a\":1}"),
                         Duration.ZERO),
-                new PeerMessage.ObjectCallAnswer(
+                new GatewayMessage.ObjectCallAnswer(
                         1,
                         9,
                         "",
                         List.of(
-                                new PeerMessage.RelayedObject(
+                                new GatewayMessage.RelayedObject(
                                         "leases", "orders-1", 45, "{\"a\":1}")),
                         46,
                         true),
-                new PeerMessage.OrderCall(
+                new GatewayMessage.OrderCall(
                         1,
                         10,
                         new OrderGroup(0),
@@ -220,22 +220,23 @@
                         OrderAction.UNLOAD,
                         ModelKey.parse("m1/a2"),
                         17),
-                new PeerMessage.OrderCallAnswer(1, 10, OrderResult.CONFLICT));
+                new GatewayMessage.OrderCallAnswer(1, 10, OrderResult.CONFLICT));
     }
 
     private static List<PeerMessage> quarantineSamples() {
         RequestTrait part = RequestTrait.parse("part:feed");
         RequestTrait content = RequestTrait.parse("content:12ab");
         return List.of(
-                new PeerMessage.ServerLossReport(
+                new GatewayMessage.ServerLossReport(
                         1,
                         List.of(
                                 new ServerLoss(
                                         new ServerIncarnation(new ServerId("e-1"), 1234),
                                         Duration.ofMillis(31),
                                         List.of(new LostRequest(content, List.of(part)))))),
-                new PeerMessage.AnswerReport(1, List.of(new TraitAge(part, Duration.ofMillis(20)))),
-                new PeerMessage.QuarantineNotice(
+                new GatewayMessage.AnswerReport(
+                        1, List.of(new TraitAge(part, Duration.ofMillis(20)))),
+                new GatewayMessage.QuarantineNotice(
                         1,
                         List.of(part, content),
                         List.of(new TraitAge(part, Duration.ofMillis(300)))));
@@ -263,7 +264,11 @@
                 assertEquals(message, decoded(codec.encode(message)));
             }
             assertEquals(
-                    PeerMessage.class.getPermittedSubclasses().length - 1 + 4, samples().size());
+                    PeerMessage.class.getPermittedSubclasses().length
+                            - 2
+                            + PeerMessage.Membership.class.getPermittedSubclasses().length
+                            + GatewayMessage.class.getPermittedSubclasses().length,
+                    samples().size());
         }
     }
 
