Split pauses, the state dump and peers' calls from Gateway and RelayingObjectApi

PauseDetector, GatewayState and PeerObjectCalls hold what left them; the state dump also shows quarantined traits and the number of suspected ones. Behaviour is otherwise unchanged (GatewayTest, RelayingObjectApiTest).

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -1,7 +1,6 @@
 package org.tarragonlug.gateway;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
@@ -16,7 +15,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.tarragonlug.admin.AdminServer;
 import org.tarragonlug.admin.AdminSource;
@@ -48,7 +46,6 @@
 import org.tarragonlug.platform.PlatformPaths;
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.Hash4jHasher;
-import org.tarragonlug.runtime.Json;
 import org.tarragonlug.runtime.LogEvent;
 import org.tarragonlug.runtime.LoopTimerService;
 import org.tarragonlug.runtime.TimerService;
@@ -75,9 +72,6 @@
     /** Period of the placement tick while this instance plans. */
     private static final Duration PLANNING_TICK = Duration.ofMillis(25);
 
-    /** If the time between two ticks exceeds this, the process is treated as having been paused. */
-    private static final Duration PAUSE_THRESHOLD = Duration.ofMillis(800);
-
     /**
      * How long the platform may keep sending callers to this instance after it stopped reporting
      * ready. New connections are accepted for this long.
@@ -117,7 +111,10 @@
     private final PlacementDriver placement;
     private final OrderExecutor executor;
     private final RelayingObjectApi store;
+    private final QuarantineManager quarantineManager = new QuarantineManager();
     private final QuarantineDriver quarantine;
+    private final GatewayState state;
+    private final PauseDetector pauseDetector;
     private final ListedServers listedServers;
     private final StoreWatcher serverWatcher;
     private final StoreWatcher configurationWatcher;
@@ -129,8 +126,6 @@
     private boolean waitingTickScheduled;
     private volatile boolean draining;
     private volatile boolean ready;
-    private long lastTickNanos = System.nanoTime();
-    private long lastTickMillis = System.currentTimeMillis();
 
     /**
      * Creates a gateway without starting it.
@@ -211,6 +206,10 @@
                         ioExecutor,
                         forwarding);
         this.admin = new AdminServer(settings.adminAddress(), ioExecutor, this);
+        this.state =
+                new GatewayState(
+                        settings.instance(), coordinator, planner, leases, quarantineManager);
+        this.pauseDetector = new PauseDetector(log, () -> leases.postAll(new LeaseEvent.Paused()));
         this.processId = process;
     }
 
@@ -240,7 +239,7 @@
 
     private QuarantineDriver createQuarantine(PlatformEngineClient engines) {
         return new QuarantineDriver(
-                new QuarantineManager(), engines, coordinator.fleet(), loop, timers, log, metrics);
+                quarantineManager, engines, coordinator.fleet(), loop, timers, log, metrics);
     }
 
     private static ForwardingLimits forwardingLimits(GatewaySettings settings) {
@@ -326,7 +325,7 @@
     }
 
     private void tick() {
-        detectPause();
+        pauseDetector.tick();
         leases.tick();
         if (!placement.isPlanning()) {
             placementTick();
@@ -365,22 +364,6 @@
         }
     }
 
-    private void detectPause() {
-        long nanos = System.nanoTime();
-        long millis = System.currentTimeMillis();
-        long steady = TimeUnit.NANOSECONDS.toMillis(nanos - lastTickNanos);
-        long wall = millis - lastTickMillis;
-        lastTickNanos = nanos;
-        lastTickMillis = millis;
-        if (steady > PAUSE_THRESHOLD.toMillis() || wall > PAUSE_THRESHOLD.toMillis()) {
-            log.event(LogEvent.PROCESS_PAUSED)
-                    .with("steady_ms", steady)
-                    .with("wall_ms", wall)
-                    .write();
-            leases.postAll(new LeaseEvent.Paused());
-        }
-    }
-
     private boolean isReady(String path) {
         return path.equals(PlatformPaths.READINESS) && ready();
     }
@@ -474,37 +457,13 @@
     @Override
     public CompletionStage<JsonNode> state() {
         CompletableFuture<JsonNode> result = new CompletableFuture<>();
-        loop.execute(() -> result.complete(currentState()));
+        loop.execute(
+                () ->
+                        result.complete(
+                                state.describe(ready(), placement.isPlanning(), timers.now())));
         return result;
     }
 
-    private JsonNode currentState() {
-        ObjectNode node = Json.object();
-        node.put("instance", settings.instance().value());
-        node.put("ready", ready());
-        node.put("configuration", coordinator.table().map(t -> t.version().value()).orElse(-1L));
-        node.put("pending", coordinator.pendingCount());
-        node.put("waiting", coordinator.waitingCount());
-        node.put("leases", leases.heldGroups().toString());
-        node.put("planning", placement.isPlanning());
-        node.put("ordersInProgress", planner.ordersInProgress());
-        ObjectNode fleet = node.putObject("servers");
-        coordinator
-                .fleet()
-                .servers()
-                .forEach(
-                        server -> {
-                            ObjectNode each = fleet.putObject(server.id().value());
-                            each.put("service", server.service().value());
-                            each.put("state", server.listing().state().name());
-                            each.put("inFlight", server.inFlight());
-                            each.put("load", server.load(timers.now()));
-                            each.put("failureRate", server.failureRate(timers.now()));
-                            each.put("models", server.listing().models().toString());
-                        });
-        return node;
-    }
-
     @Override
     public CompletionStage<JsonNode> status() {
         return state();
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -1,12 +1,9 @@
 package org.tarragonlug.gateway;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.MissingNode;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -17,7 +14,6 @@
 import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
-import org.tarragonlug.http.JsonFields;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
@@ -86,6 +82,7 @@
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
+    private final PeerObjectCalls peerCalls;
     private final SharedWatches sharedWatches;
     private final Map<Long, CompletableFuture<GatewayMessage.ObjectCallAnswer>> pendingCalls =
             new HashMap<>();
@@ -105,7 +102,8 @@
         this.loop = loop;
         this.timers = timers;
         this.log = log;
-        this.sharedWatches = new SharedWatches(timers, this::reply);
+        this.peerCalls = new PeerObjectCalls(direct, channel, loop);
+        this.sharedWatches = new SharedWatches(timers, peerCalls::reply);
     }
 
     @Override
@@ -320,7 +318,7 @@
         return code == ErrorCode.WRITE_CONFLICT || code == ErrorCode.OBJECT_TOO_LARGE;
     }
 
-    private static ErrorCode code(Throwable failure) {
+    static ErrorCode code(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof TarragonlugException typed ? typed.code() : ErrorCode.INTERNAL;
     }
@@ -400,80 +398,8 @@
     void onObjectCall(InstanceId from, GatewayMessage.ObjectCall call) {
         if (call.operation() == GatewayMessage.ObjectOperation.SHARED_WATCH) {
             sharedWatches.onWatch(from, call);
-            return;
-        }
-        if (storeUnreachable) {
-            reply(from, call, ErrorCode.OBJECT_API_UNAVAILABLE.name(), List.of(), 0, false);
-            return;
-        }
-        ObjectName name = new ObjectName(call.objectKind(), call.objectName());
-        switch (call.operation()) {
-            case READ ->
-                    direct.read(name)
-                            .whenCompleteAsync(
-                                    (object, failure) -> replyObject(from, call, object, failure),
-                                    loop);
-            case WRITE ->
-                    direct.write(
-                                    name,
-                                    JsonFields.parse(call.content().orElse("null")),
-                                    call.version())
-                            .whenCompleteAsync(
-                                    (version, failure) ->
-                                            replyObject(
-                                                    from,
-                                                    call,
-                                                    failure == null
-                                                            ? new StoredObject(
-                                                                    name,
-                                                                    version,
-                                                                    MissingNode.getInstance())
-                                                            : null,
-                                                    failure),
-                                    loop);
-            case LIST ->
-                    direct.list(call.objectKind())
-                            .whenCompleteAsync(
-                                    (result, failure) -> replyResult(from, call, result, failure),
-                                    loop);
-            default ->
-                    direct.watch(call.objectKind(), call.version(), call.longestWait())
-                            .whenCompleteAsync(
-                                    (result, failure) -> replyResult(from, call, result, failure),
-                                    loop);
-        }
-    }
-
-    private void replyObject(
-            InstanceId to, GatewayMessage.ObjectCall call, StoredObject object, Throwable failure) {
-        if (failure != null) {
-            reply(to, call, code(failure).name(), List.of(), 0, false);
         } else {
-            reply(to, call, "", List.of(RelayedObjects.toRelayed(object)), 0, false);
+            peerCalls.onCall(from, call, storeUnreachable);
         }
     }
-
-    private void replyResult(
-            InstanceId to, GatewayMessage.ObjectCall call, WatchResult result, Throwable failure) {
-        if (failure != null) {
-            reply(to, call, code(failure).name(), List.of(), 0, false);
-            return;
-        }
-        List<GatewayMessage.RelayedObject> objects = new ArrayList<>();
-        result.changed().forEach(object -> objects.add(RelayedObjects.toRelayed(object)));
-        reply(to, call, "", objects, result.revision(), result.gap());
-    }
-
-    private void reply(
-            InstanceId to,
-            GatewayMessage.ObjectCall call,
-            String error,
-            List<GatewayMessage.RelayedObject> objects,
-            long revision,
-            boolean gap) {
-        channel.send(
-                to,
-                new GatewayMessage.ObjectCallAnswer(
-                        PeerMessage.FORMAT_VERSION, call.call(), error, objects, revision, gap));
-    }
 }
