Review: requests reach a gone server after a watch was cut off

Cause: StoreWatcher takes one cut watch for an outage of the store and keeps missing servers for 2.3 s, longer than the drain time of 2 s.

--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -20,6 +20,7 @@
     private final Map<String, TreeMap<String, Map<String, Object>>> kinds = new HashMap<>();
     private final List<Change> changes = new ArrayList<>();
     private long revision = 10;
+    private int cuts;
 
     Store() throws IOException {
         listener = new Listener(this::serve);
@@ -46,6 +47,12 @@
         }
     }
 
+    /** Cuts off the watches that wait now: their connections are closed without an answer. */
+    synchronized void cutWatches() {
+        cuts++;
+        notifyAll();
+    }
+
     private TreeMap<String, Map<String, Object>> objects(String kind) {
         return kinds.computeIfAbsent(kind, each -> new TreeMap<>());
     }
@@ -68,7 +75,7 @@
         return Message.response(status, Map.of("content-type", "application/json"), Json.write(body));
     }
 
-    private synchronized byte[] answer(Message head, String body) throws InterruptedException {
+    private synchronized byte[] answer(Message head, String body) throws Exception {
         String[] target = head.target().split("\\?", 2);
         Map<String, String> query = new HashMap<>();
         if (target.length > 1) {
@@ -123,7 +130,8 @@
         return json(200, Json.of("items", items, "has_more", false, "as_of", revision));
     }
 
-    private byte[] watch(String kind, Map<String, String> query) throws InterruptedException {
+    private byte[] watch(String kind, Map<String, String> query) throws Exception {
+        int cutsBefore = cuts;
         long after = Long.parseLong(query.get("watch"));
         long end = System.nanoTime() + Long.parseLong(query.getOrDefault("wait_ms", "0")) * 1_000_000;
         while (true) {
@@ -138,6 +146,9 @@
                 return json(200, Json.of("events", events, "as_of", revision));
             }
             wait(left);
+            if (cuts != cutsBefore) {
+                throw new IOException("the watch is cut off");
+            }
         }
     }
 }
