--- a/review/standins/review/LargeBodies.java
+++ b/review/standins/review/LargeBodies.java
@@ -8,7 +8,7 @@
 /** Eight clients at once send bodies of the size that the desired state allows. */
 final class LargeBodies {
     private static final int CLIENTS = 8;
-    private static final int ROUNDS = 16;
+    private static final int SECONDS = 75;
     private static final int LARGEST_BODY = 4_194_304;
     private static final int ORDINARY_BODY = 600;
     private static final int ROUTE_TIMEOUT_MILLIS = 1500;
@@ -35,7 +35,8 @@
         int size = run.trouble ? LARGEST_BODY : ORDINARY_BODY;
         try (Gateway gateway = run.gateway("edge-lima-a-1", "lima-a", store.listener.address())) {
             Thread.sleep(2000);
-            for (int round = 1; round <= ROUNDS; round++) {
+            long end = System.nanoTime() + SECONDS * 1_000_000_000L;
+            for (int round = 1; System.nanoTime() < end; round++) {
                 List<Thread> threads = new ArrayList<>();
                 for (int client = 1; client <= CLIENTS; client++) {
                     String id = "cert-" + round + "-" + client;
