Ask again before a request is written whether its server wants it

What callers saw: a request could be run by a server that had been listed as leaving, removed or started anew, or that had said that it leaves or wants a pause, although this instance had read so before it wrote a byte of the request. Such a request may be cut off by the server's end, and counts as sent after the acknowledged leaving.

Cause: the coordinator chose the server, and then the HTTP client opened a connection, up to 400 ms later. Nothing asked again in between.

Change: HttpReceiver.maySend is asked once, when there is a connection and before anything is written. If it forbids the call, the connection goes back to its pool and the call fails as WITHDRAWN, which is a kind of "not sent". ForwardingCoordinator.maySend answers it: the run of the server to which the request was sent must still be listed, and its availability must admit a chosen request. A server that has become unreachable for other requests, or that returns from a pause, admits it: the request has its connection, and is counted in flight. A withdrawn request is dispatched as one that reached no server: it costs no retry budget, no move and no attempt, and does not exclude the server. It is withdrawn only after a change that also keeps the choice from that run, so it can not loop without further news; its deadline bounds the rest. Logged as forward_rejected with rejection=WITHDRAWN and counted by tarragonlug_requests_withdrawn_total.

Evidence: WithdrawnRequestTest stops the process of a gateway, so that it finds requests, then the news, and opens connections meanwhile.

--- a/src/main/java/org/tarragonlug/decision/forwarding/Availability.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Availability.java
@@ -15,6 +15,15 @@
     /** Connections to the server fail at present. */
     UNREACHABLE;
 
+    /**
+     * Tells whether a request that was sent when the server was available may still be written. It
+     * is counted among the requests in flight, and its own connection shows that the server can be
+     * reached.
+     */
+    boolean admitsChosenRequest() {
+        return staysInService() && this != PAUSED;
+    }
+
     /** Tells whether the server goes on serving as far as it and the platform have said. */
     boolean staysInService() {
         return this != LISTED_AS_LEAVING && this != SAID_IT_LEAVES;
--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -53,6 +53,14 @@
         return server != null && server.incarnation().equals(run) && server.isReady(now);
     }
 
+    /** Returns whether a request that was sent to this run of a server may still be written. */
+    boolean admitsChosenRequest(ServerIncarnation run, Instant now) {
+        FleetServer server = servers.get(run.server());
+        return server != null
+                && server.incarnation().equals(run)
+                && server.availability(now).admitsChosenRequest();
+    }
+
     /** Returns a live view of all known servers, in no particular order. */
     public Collection<FleetServer> servers() {
         return servers.values();
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -84,6 +84,17 @@
         return Optional.ofNullable(table);
     }
 
+    /**
+     * Returns whether a request may still be written to the server to which it was sent. The
+     * connection may have taken a while, in which the server was listed as leaving, asked for a
+     * pause or ended.
+     */
+    public boolean maySend(long request, Instant now) {
+        return pending.find(request)
+                .filter(forward -> fleet.admitsChosenRequest(forward.sentTo, now))
+                .isPresent();
+    }
+
     /** Returns the number of requests that wait or are being processed by a server. */
     public int pendingCount() {
         return pending.size();
@@ -340,6 +351,10 @@
     private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
         FleetServer server = releaseServer(forward, event.load(), now);
         forward.possibleRuns--;
+        if (event.rejection() == Rejection.WITHDRAWN) {
+            dispatch(forward, now);
+            return;
+        }
         forward.excluded.add(server.id());
         switch (event.rejection()) {
             case MODEL_ABSENT ->
@@ -352,7 +367,7 @@
             forward.rejections++;
         }
         // Only a send that reached a server makes the next one count as a retry.
-        forward.needsRetry |= event.rejection() != Rejection.UNREACHABLE;
+        forward.needsRetry |= event.rejection().reachedServer();
         if (forward.rejections > MAX_REJECTIONS && !forward.streamStarted) {
             pending.turnAway(forward);
         } else {
--- a/src/main/java/org/tarragonlug/decision/forwarding/Rejection.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Rejection.java
@@ -9,10 +9,17 @@
     /** Another server now has the address. */
     WRONG_SERVER,
     /** No connection could be established, and therefore nothing was sent. */
-    UNREACHABLE;
+    UNREACHABLE,
+    /** The server stopped wanting requests before this one was written, so nothing was sent. */
+    WITHDRAWN;
 
     /** Tells whether the server that the request was meant for rejected it. */
     public boolean isByServer() {
         return this == BUSY || this == MODEL_ABSENT;
     }
+
+    /** Tells whether the request reached some server, so that the next send of it is a retry. */
+    boolean reachedServer() {
+        return this != UNREACHABLE && this != WITHDRAWN;
+    }
 }
--- a/src/main/java/org/tarragonlug/gateway/AttemptListener.java
+++ b/src/main/java/org/tarragonlug/gateway/AttemptListener.java
@@ -10,6 +10,9 @@
 
 /** Receives the outcome of one attempt of a request at a server. Called on the event loop. */
 interface AttemptListener {
+    /** Asked just before the request is written: whether the server may still get it. */
+    boolean maySend();
+
     /**
      * Called if the server did not run the request.
      *
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -294,6 +294,11 @@
             this.key = request.call.key();
         }
 
+        @Override
+        public boolean maySend() {
+            return coordinator.maySend(key, timers.now());
+        }
+
         @Override
         public void onRejected(
                 Rejection rejection, boolean namesRequest, Optional<ReportedLoad> load) {
@@ -303,6 +308,9 @@
                     .with("rejection", rejection)
                     .with("names_request", namesRequest)
                     .write();
+            if (rejection == Rejection.WITHDRAWN) {
+                metrics.recordWithdrawnRequest();
+            }
             post(new ForwardingEvent.Rejected(key, rejection, load));
         }
 
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -52,6 +52,12 @@
                     .help("Answers of servers that broke off, by what had been received")
                     .labelNames("received")
                     .register(registry);
+    private final Counter withdrawnRequests =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_requests_withdrawn_total")
+                    .help("Requests whose server stopped wanting them before they were written")
+                    .register(registry);
     private final Counter notices =
             Counter.builder()
                     .withoutExemplars()
@@ -106,6 +112,10 @@
         brokenAnswers.labelValues(lowerCase(received)).inc();
     }
 
+    void recordWithdrawnRequest() {
+        withdrawnRequests.inc();
+    }
+
     /** Counts each kind of news in a notice. */
     void recordNotice(ServerNotice notice) {
         if (notice.leaving()) {
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -109,6 +109,11 @@
                 && !timers.now().isBefore(sentAt.plus(SILENCE));
     }
 
+    @Override
+    public boolean maySend() {
+        return listener.maySend();
+    }
+
     @Override
     public void onSent(boolean isNewConnection) {
         newConnection = isNewConnection;
@@ -213,7 +218,9 @@
             return;
         }
         ended = true;
-        if (failure.notSent()) {
+        if (failure.kind() == HttpFailure.Kind.WITHDRAWN) {
+            listener.onRejected(Rejection.WITHDRAWN, true, Optional.empty());
+        } else if (failure.notSent()) {
             listener.onRejected(Rejection.UNREACHABLE, true, Optional.empty());
         } else if (answer != null && answer.rejection().isPresent()) {
             reportRejection(answer.rejection().get());
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -146,6 +146,11 @@
                 toSource(reserved.releaseAsync()).subscribe(IgnoredCompletion.INSTANCE);
                 return;
             }
+            if (!receiver.maySend()) {
+                toSource(reserved.releaseAsync()).subscribe(IgnoredCompletion.INSTANCE);
+                fail(HttpFailure.Kind.WITHDRAWN, "the call may not be sent any more", null);
+                return;
+            }
             connection = reserved;
             guard = FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
         }
--- a/src/main/java/org/tarragonlug/http/HttpFailure.java
+++ b/src/main/java/org/tarragonlug/http/HttpFailure.java
@@ -8,6 +8,8 @@
     public enum Kind {
         /** No connection could be opened, or nothing was written: the call had no effect. */
         NOT_SENT,
+        /** The caller forbade it when there was a connection: the call had no effect. */
+        WITHDRAWN,
         /** The connection broke after the call may have been sent. */
         CONNECTION_LOST,
         /** The timeout expired after the call may have been sent. */
@@ -39,6 +41,6 @@
 
     /** Tells whether the call certainly had no effect. */
     public boolean notSent() {
-        return kind == Kind.NOT_SENT;
+        return kind == Kind.NOT_SENT || kind == Kind.WITHDRAWN;
     }
 }
--- a/src/main/java/org/tarragonlug/http/HttpReceiver.java
+++ b/src/main/java/org/tarragonlug/http/HttpReceiver.java
@@ -7,6 +7,16 @@
  * called after {@link #onCompleted}, {@link #onFailed} or a cancellation of the call.
  */
 public interface HttpReceiver {
+    /**
+     * Asked once, when there is a connection and before anything is written, because what allowed
+     * the call may have changed since it was made.
+     *
+     * @return whether the call may still be sent; if not, it fails as {@code WITHDRAWN}
+     */
+    default boolean maySend() {
+        return true;
+    }
+
     /**
      * Called once, when the call is sent.
      *
--- a/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -29,6 +29,11 @@
     private static final class Recorder implements AttemptListener {
         private final List<String> events = new ArrayList<>();
 
+        @Override
+        public boolean maySend() {
+            return true;
+        }
+
         @Override
         public void onRejected(
                 Rejection rejection, boolean namesRequest, Optional<ReportedLoad> load) {
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/WithdrawnRequestTest.java
@@ -0,0 +1,224 @@
+package org.tarragonlug.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.trial.GatewayChild;
+
+/**
+ * Requests whose server stops wanting them while their connection is being opened.
+ *
+ * <p>A gateway that does not run for a moment finds the request, and then the news of the server.
+ * It chooses the server and begins to open a connection, and reads the news before the connection
+ * is open.
+ */
+class WithdrawnRequestTest {
+    private static final long STEP_MILLIS = 150;
+    private static final int REQUESTS = 6;
+    private static final String EVENT = "id: 1\ndata: a\n\n";
+    private static final long WAIT_SECONDS = 10;
+
+    private final GatewayFixture fixture = new GatewayFixture();
+    private final CompletableFuture<Void> mayAnswer = new CompletableFuture<>();
+    private ScriptedServer first;
+    private GatewayChild gateway;
+
+    /** News of a server that the store gives. */
+    enum StoreNews {
+        LEAVING {
+            @Override
+            void tell(GatewayFixture fixture, ScriptedServer server) {
+                put(fixture, server, "leaving", 1);
+            }
+        },
+        REMOVED {
+            @Override
+            void tell(GatewayFixture fixture, ScriptedServer server) {
+                fixture.store.remove("servers", "first");
+            }
+        },
+        NEXT_RUN_LEAVING {
+            @Override
+            void tell(GatewayFixture fixture, ScriptedServer server) {
+                put(fixture, server, "leaving", 2);
+            }
+        };
+
+        abstract void tell(GatewayFixture fixture, ScriptedServer server);
+
+        private static void put(
+                GatewayFixture fixture, ScriptedServer server, String state, int born) {
+            ObjectNode entry = Json.object();
+            entry.put("service", "records");
+            entry.put("address", "127.0.0.1:" + server.address().getPort());
+            entry.put("zone", "home");
+            entry.put("slots", 8);
+            entry.put("state", state);
+            entry.put("born", born);
+            entry.putArray("models");
+            fixture.store.put("servers", "first", entry);
+        }
+    }
+
+    /** What a server says about itself with an answer. */
+    enum Notice {
+        LEAVING {
+            @Override
+            String answer(String requestId) {
+                String headers = "tarragonlug-response-seal: s\r\nserver-leaving: 1\r\n";
+                return ScriptedServer.answer(200, requestId, headers, "certificate");
+            }
+        },
+        PAUSE {
+            @Override
+            String answer(String requestId) {
+                String headers = "tarragonlug-not-executed: 1\r\nretry-after: 8\r\n";
+                return ScriptedServer.answer(503, requestId, headers, "");
+            }
+        };
+
+        abstract String answer(String requestId);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        mayAnswer.complete(null);
+        fixture.close();
+    }
+
+    private void start(ScriptedServer.Script script) throws Exception {
+        first = fixture.startScripted("first", "records", List.of(), script);
+        startAnswering("engine", "engines");
+    }
+
+    private void startGateway() throws Exception {
+        fixture.configure(1, "read");
+        gateway = fixture.startChild("one");
+        openConnections();
+    }
+
+    /** Opens connections of callers, so that the next requests need no new ones. */
+    private void openConnections() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int number = 0; number < REQUESTS; number++) {
+            answers.add(fixture.sendPrompt(0, "/ask/1", "first-" + number, "m1", ""));
+        }
+        for (CompletableFuture<HttpResponse<String>> each : answers) {
+            assertEquals(200, statusOf(each));
+        }
+    }
+
+    private static ScriptedServer.Answer success(ScriptedServer.Request request) {
+        return new ScriptedServer.Answer(
+                ScriptedServer.success(request.id(), "certificate"), ScriptedServer.End.KEEP);
+    }
+
+    private ScriptedServer startAnswering(String id, String service) {
+        return fixture.startScripted(
+                id,
+                service,
+                List.of("m1"),
+                (request, number, onConnection) -> {
+                    sleep();
+                    String body = service.equals("engines") ? EVENT : "certificate";
+                    return new ScriptedServer.Answer(
+                            ScriptedServer.success(request.id(), body), ScriptedServer.End.KEEP);
+                });
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(STEP_MILLIS);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void signal(String name) throws Exception {
+        String command = "kill -" + name + " " + gateway.pid();
+        assertEquals(0, new ProcessBuilder("sh", "-c", command).start().waitFor());
+    }
+
+    private CompletableFuture<HttpResponse<String>> read(String id) {
+        return fixture.sendPrompt(0, "/read/1", id, "", "");
+    }
+
+    private static int statusOf(CompletableFuture<HttpResponse<String>> answer) throws Exception {
+        return answer.get(WAIT_SECONDS, TimeUnit.SECONDS).statusCode();
+    }
+
+    // Guards against requests that reach a server after this instance has read in the store that
+    // the server leaves or is gone, because they were chosen before and waited for connections.
+    @ParameterizedTest
+    @EnumSource
+    void newsOfTheStoreHoldForRequestsThatWaitForTheirConnections(StoreNews news) throws Exception {
+        start((request, number, onConnection) -> success(request));
+        ScriptedServer second = startAnswering("second", "records");
+        startGateway();
+        signal("STOP");
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int number = 0; number < REQUESTS; number++) {
+            answers.add(read("waiting-" + number));
+        }
+        sleep();
+        news.tell(fixture, first);
+        sleep();
+        signal("CONT");
+        for (CompletableFuture<HttpResponse<String>> each : answers) {
+            assertEquals(200, statusOf(each));
+        }
+        assertEquals(List.of(), first.received());
+        assertEquals(REQUESTS, second.received().size());
+    }
+
+    // Guards against a request that reaches a server after an answer of the server has said that it
+    // leaves or wants a pause, because the request was chosen before and waited for its connection.
+    @ParameterizedTest
+    @EnumSource
+    void noticeHoldsForARequestThatWaitsForItsConnection(Notice notice) throws Exception {
+        start(
+                (request, number, onConnection) -> {
+                    mayAnswer.join();
+                    return new ScriptedServer.Answer(
+                            number == 1
+                                    ? notice.answer(request.id())
+                                    : ScriptedServer.success(request.id(), "certificate"),
+                            ScriptedServer.End.KEEP);
+                });
+        startGateway();
+        CompletableFuture<HttpResponse<String>> before = read("before");
+        GatewayFixture.await("the first request has arrived", () -> !first.received().isEmpty());
+        signal("STOP");
+        CompletableFuture<HttpResponse<String>> answer = read("waiting");
+        sleep();
+        mayAnswer.complete(null);
+        sleep();
+        signal("CONT");
+        statusOf(before);
+        assertEquals(503, statusOf(answer));
+        assertEquals(List.of("before"), first.received());
+    }
+
+    // Guards against requests that are withdrawn although their server still wants them.
+    @Test
+    void requestIsSentAfterItsConnectionWasOpenedIfNothingHasChanged() throws Exception {
+        start((request, number, onConnection) -> success(request));
+        startGateway();
+        signal("STOP");
+        CompletableFuture<HttpResponse<String>> answer = read("waiting");
+        sleep();
+        signal("CONT");
+        assertEquals(200, statusOf(answer));
+        assertEquals(List.of("waiting"), first.received());
+    }
+}
