Give each order and report a connection of its own

What could be seen: an order counted as accepted that its server had refused, and the planner took the report of before for the present one. No caller gets another's answer by this, but models are planned on servers that do not hold them, until the expected order count shows it.

Cause: orders and reports shared kept connections of their own pool, and their answers name nothing. A server may send an answer a second time, 3 to 300 ms later; that one was read as the answer to the next order or report on the connection.

Change: both use a new connection for each call, as the question whether a server runs did before. The pool for them is gone. Weighed: a pool for each kind keeps two orders (and two reports) on one connection; matching by content has nothing to match in an order's answer, a status; an id that the server echoes would be the id of a request that no client sent.

Cost: one connection an order.

Why it works: the first answer on a connection belongs to the only call that was ever made on it.

--- a/src/main/java/org/tarragonlug/http/HttpConnections.java
+++ b/src/main/java/org/tarragonlug/http/HttpConnections.java
@@ -22,7 +22,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 
 /**
- * HTTP client connections to any number of addresses, pooled by address and use.
+ * HTTP client connections to any number of addresses, pooled by address.
  *
  * <p>No call blocks a thread. Answers arrive on the threads of the given I/O executor, and timeouts
  * run on the timer thread. No request is sent twice: the retries of the library are switched off,
@@ -31,13 +31,11 @@
  * exist occupy no memory.
  */
 public final class HttpConnections implements AutoCloseable {
-    private record PoolKey(InetSocketAddress address, ConnectionUse use) {}
-
     private final IoExecutor ioExecutor;
     private final ScheduledExecutorService timers;
     private final HttpLimits limits;
     private final HeldBytes heldBytes;
-    private final Map<PoolKey, Pool> pools = new HashMap<>();
+    private final Map<InetSocketAddress, Pool> pools = new HashMap<>();
     private long lastUnusedCheckNanos = System.nanoTime();
     private boolean closed;
 
@@ -108,9 +106,7 @@
     /** Makes a call and passes its answer to the receiver as it arrives. */
     public HttpExchange start(InetSocketAddress address, HttpCall call, HttpReceiver receiver) {
         ClientLease lease =
-                call.use() == ConnectionUse.NEW
-                        ? new SingleUse(address)
-                        : lease(new PoolKey(address, call.use()));
+                call.use() == ConnectionUse.NEW ? new SingleUse(address) : lease(address);
         HttpExchange exchange =
                 new HttpExchange(call, lease, receiver, limits.maximumAnswerBytes(), heldBytes);
         exchange.start(timers);
@@ -145,15 +141,15 @@
         pools.clear();
     }
 
-    private synchronized Pool lease(PoolKey key) {
+    private synchronized Pool lease(InetSocketAddress address) {
         if (System.nanoTime() - lastUnusedCheckNanos >= limits.unusedAfter().toNanos()) {
             closeUnusedPools();
         }
-        Pool pool = pools.get(key);
+        Pool pool = pools.get(address);
         if (pool == null) {
-            pool = new Pool(key);
+            pool = new Pool(address);
             if (!closed) {
-                pools.put(key, pool);
+                pools.put(address, pool);
             }
         }
         pool.activeCalls++;
@@ -187,17 +183,17 @@
                 .buildStreaming();
     }
 
-    /** The pooled connections of one key; guarded by the lock of the enclosing object. */
+    /** The pooled connections to one address; guarded by the lock of the enclosing object. */
     private final class Pool implements ClientLease {
-        private final PoolKey key;
+        private final InetSocketAddress address;
         private final StreamingHttpClient client;
         private final long createdNanos = System.nanoTime();
         private int activeCalls;
         private long lastUsedNanos = System.nanoTime();
 
-        Pool(PoolKey key) {
-            this.key = key;
-            this.client = newClient(key.address());
+        Pool(InetSocketAddress address) {
+            this.address = address;
+            this.client = newClient(address);
         }
 
         @Override
@@ -210,7 +206,7 @@
             synchronized (HttpConnections.this) {
                 activeCalls--;
                 lastUsedNanos = System.nanoTime();
-                if (pools.get(key) != this) {
+                if (pools.get(address) != this) {
                     closeIfNoActiveCalls();
                 }
             }
@@ -219,7 +215,7 @@
         @Override
         public void retire() {
             synchronized (HttpConnections.this) {
-                pools.remove(key, this);
+                pools.remove(address, this);
                 closeIfNoActiveCalls();
             }
         }
--- a/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
@@ -25,7 +25,13 @@
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.runtime.Json;
 
-/** Sends orders to the model servers of the platform and reads their reports. */
+/**
+ * Sends orders to the model servers of the platform and reads their reports.
+ *
+ * <p>Each call uses a new connection. A server may send an answer once more later, and answers to
+ * orders and reports name nothing, so on a connection with an earlier call a late answer to that
+ * call would be taken for the answer to the next one.
+ */
 public final class PlatformEngineClient {
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(220);
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
@@ -84,7 +90,7 @@
                         Map.of("content-type", "application/json", EXPECT_INSTANCE, server.value()),
                         Json.bytes(body),
                         ORDER_TIMEOUT,
-                        ConnectionUse.POOLED_APART);
+                        ConnectionUse.NEW);
         return connections
                 .exchange(address, call)
                 .handle(
@@ -105,8 +111,8 @@
     }
 
     /**
-     * Returns whether an answer names a request of a caller. A server may write such an answer once
-     * more on a kept connection, where it is no answer to a call of this client.
+     * Returns whether an answer names a request of a caller, and so is no answer to a call of this
+     * client.
      */
     private static boolean belongsToRequest(HttpAnswer answer) {
         return answer.headers().containsKey(REQUEST_ID);
@@ -128,7 +134,7 @@
                         Map.of(EXPECT_INSTANCE, server.value()),
                         new byte[0],
                         REPORT_TIMEOUT,
-                        ConnectionUse.POOLED_APART);
+                        ConnectionUse.NEW);
         return Answers.read(
                 connections.exchange(address, call),
                 answer -> {
@@ -145,8 +151,8 @@
     }
 
     /**
-     * Finds out on a new connection whether a server still runs. Any answer shows that it does,
-     * unless another server gives it.
+     * Finds out whether a server still runs. Any answer shows that it does, unless another server
+     * gives it.
      *
      * @param server the intended server
      * @param address the server's address
