Give each call to engines and services a connection of its own

What callers of the product's own interface could see: the generation or the plain answer of another caller's request, complete and with status 200.

Cause: generations and safe methods of plain services shared kept connections. Neither answer names its attempt; only the request does (x-attempt-id). A server that answers twice, the second time late, answers the next call on the connection.

Change: all calls to backend servers use new connections; orders, reports, resumed generations and unsafe methods did before. So a silent pool of an engine no longer exists, and cancelling one needs no case of its own. Weighed: an echo of x-attempt-id, which engines of the last release do not send and which would fail each second call there.

Evidence, on the code before: HttpEngineClientTest secondAnswerDoesNotAnswerTheNextRequest "expected [answer1] but was [answer0]" in 3 of 3 delays, HttpPlainServiceClientTest secondAnswerDoesNotAnswerTheNextCall "expected n1 but was n0" in the 5 cases of safe methods. They pass now. A stream that is cut at any byte and sent again from its head is never joined, before and now, since its tokens are numbered (streamThatIsCutAndSentAgainIsNeverJoined). A test that allowed CONNECTION_LOST for a generation at a closed engine, because of pooled connections, now asks for NOT_SENT.

Why it works: the first answer on a connection belongs to the only call that was ever made on it.

--- a/src/main/java/org/tarragonlug/engine/HttpEngineClient.java
+++ b/src/main/java/org/tarragonlug/engine/HttpEngineClient.java
@@ -28,11 +28,11 @@
 /**
  * Client for model engines over HTTP: streamed generation, orders and reports.
  *
- * <p>A resumed generation uses a new connection, because the reason to resume may be that the open
- * connections have become silent. Reports and cancellations use new connections for the same
- * reason. Orders use new connections, because an order sent on a connection that the server has
- * just closed has an unknown outcome. Its slot then stays open until the full time for resolving
- * unknown outcomes has passed.
+ * <p>Each call uses a new connection. A server may send an answer once more later, and no answer
+ * names its call, so on a connection with an earlier call a late answer to that call would be taken
+ * for the answer to the next one. Also, open connections may have become silent, and a call on a
+ * connection that the server has just closed has an unknown outcome. For an order, its slot would
+ * then stay open until the full time for resolving unknown outcomes has passed.
  */
 public final class HttpEngineClient implements EngineClient {
     private static final byte[] NO_BODY = new byte[0];
@@ -144,7 +144,7 @@
                         headers(request),
                         JsonFields.bytes(body),
                         request.remaining(),
-                        request.resumeOffset() > 0 ? ConnectionUse.NEW : ConnectionUse.POOLED);
+                        ConnectionUse.NEW);
         StreamedGeneration generation =
                 new StreamedGeneration(
                         request.resumeOffset(),
--- a/src/main/java/org/tarragonlug/engine/StreamedGeneration.java
+++ b/src/main/java/org/tarragonlug/engine/StreamedGeneration.java
@@ -68,18 +68,14 @@
     @Override
     public void cancel() {
         HttpExchange openExchange;
-        boolean silent;
         synchronized (this) {
             if (ended) {
                 return;
             }
             ended = true;
             openExchange = exchange;
-            silent = System.nanoTime() - lastDataNanos >= longestSilenceNanos;
         }
-        if (openExchange != null && silent) {
-            openExchange.cancelAsSilent();
-        } else if (openExchange != null) {
+        if (openExchange != null) {
             openExchange.cancel();
         }
         cancelAction.run();
@@ -224,7 +220,7 @@
                             + " ms");
         }
         if (openExchange != null) {
-            openExchange.cancelAsSilent();
+            openExchange.cancel();
         }
     }
 }
--- a/src/main/java/org/tarragonlug/plainservice/HttpPlainServiceClient.java
+++ b/src/main/java/org/tarragonlug/plainservice/HttpPlainServiceClient.java
@@ -23,8 +23,9 @@
 /**
  * Client for plain services over HTTP.
  *
- * <p>Each call that may have an effect uses a new connection. The server may close a pooled
- * connection at the moment of sending, and then it is unknown whether the call ran. A service that
+ * <p>Each call uses a new connection. The server may close a pooled connection at the moment of
+ * sending, and then it is unknown whether the call ran. It may also send an answer once more later,
+ * and no answer names its call, so a late answer would be taken for the next one. A service that
  * refuses a call before it runs answers with status 503 and the header {@value #NOT_RUN_HEADER};
  * every other answer is passed on, without its connection headers.
  */
@@ -39,7 +40,6 @@
     public static final String REMAINING_HEADER = "x-remaining-ms";
 
     private static final int UNAVAILABLE = 503;
-    private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
     /** Headers that concern one connection or the framing; the HTTP library sets them itself. */
     private static final Set<String> CONNECTION_HEADERS =
@@ -71,11 +71,14 @@
         Map<String, String> headers = withoutConnectionHeaders(call.headers());
         headers.put(ATTEMPT_HEADER, call.attempt().value());
         headers.put(REMAINING_HEADER, Long.toString(call.remaining().toMillis()));
-        ConnectionUse use =
-                SAFE_METHODS.contains(call.method()) ? ConnectionUse.POOLED : ConnectionUse.NEW;
         HttpCall request =
                 new HttpCall(
-                        call.method(), call.path(), headers, call.body(), call.remaining(), use);
+                        call.method(),
+                        call.path(),
+                        headers,
+                        call.body(),
+                        call.remaining(),
+                        ConnectionUse.NEW);
         connections
                 .exchange(address, request)
                 .whenComplete(
--- a/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
+++ b/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -29,6 +30,7 @@
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.http.LoopbackFixture;
 import org.tarragonlug.http.RawServer;
+import org.tarragonlug.http.RepeatingServer;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.AttemptId;
 import org.tarragonlug.id.FencingToken;
@@ -397,10 +399,6 @@
             assertEquals(AttemptFailure.REFUSED_LEAVING, awaitEnd(generate(body("q", 3), 0)));
             engine.close();
             assertEquals(AttemptFailure.NOT_SENT, awaitEnd(generate(body("q", 3), 1)));
-            // The first request may be written to a pooled connection before its close is noticed,
-            // and is then lost. For all later requests, opening a connection fails.
-            AttemptFailure first = (AttemptFailure) awaitEnd(generate(body("q", 3), 0));
-            assertTrue(first == AttemptFailure.NOT_SENT || first == AttemptFailure.CONNECTION_LOST);
             assertEquals(AttemptFailure.NOT_SENT, awaitEnd(generate(body("q", 3), 0)));
         }
 
@@ -433,6 +431,47 @@
                     generateFrom(RawServer.ok(":" + "x".repeat(70_000)), true));
         }
 
+        // Guards against a caller that gets the answer to another request: the server answers
+        // twice,
+        // the second time late, and no event names the request.
+        @ParameterizedTest
+        @ValueSource(ints = {3, 30, 150})
+        void secondAnswerDoesNotAnswerTheNextRequest(int delayMillis) throws Exception {
+            Duration delay = Duration.ofMillis(delayMillis);
+            try (RepeatingServer server =
+                    new RepeatingServer(n -> RawServer.ok(completeStream("answer" + n)), delay)) {
+                for (int request = 0; request < 3; request++) {
+                    RecordingListener listener = generate(server.address(), body("q", 3), 0);
+                    assertEquals("done", awaitEnd(listener));
+                    assertEquals(List.of("answer" + request), listener.tokens);
+                }
+            }
+        }
+
+        // Guards against a stream that is complete, but joined of two answers: the server stops at
+        // any point and sends the answer again from its head.
+        @Test
+        void streamThatIsCutAndSentAgainIsNeverJoined() throws Exception {
+            String whole = new String(RawServer.ok(completeStream("t")), StandardCharsets.UTF_8);
+            int body = whole.indexOf("\r\n\r\n") + 4;
+            for (int cut = body; cut < whole.length(); cut++) {
+                String bytes = whole.substring(0, cut) + whole;
+                byte[] answer = bytes.getBytes(StandardCharsets.UTF_8);
+                try (RawServer server = new RawServer(n -> answer, true)) {
+                    RecordingListener listener = generate(server.address(), body("q", 3), 0);
+                    Object end = awaitEnd(listener);
+                    boolean wholeAnswer = listener.tokens.equals(List.of("t"));
+                    assertTrue(!end.equals("done") || wholeAnswer, "cut at " + cut);
+                }
+            }
+        }
+
+        private static String completeStream(String text) {
+            return TOKEN.replace("\"x\"", '"' + text + '"')
+                    + "data: {\"usage\":{\"completion_tokens\":1},\"checksum\":\"0\"}\n\n"
+                    + "data: [DONE]\n\n";
+        }
+
         // Guards against lines without end of many streams that together use up the memory.
         @Test
         void incompleteEventsCountAmongTheHeldBytes() throws Exception {
--- a/src/test/java/org/tarragonlug/http/RawServer.java
+++ b/src/test/java/org/tarragonlug/http/RawServer.java
@@ -105,7 +105,7 @@
      * Reads a whole request. If the body stayed unread, closing the connection would reset it, and
      * the client could lose the answer.
      */
-    private static void readRequest(InputStream input) throws IOException {
+    static void readRequest(InputStream input) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int value = input.read();
--- a/src/test/java/org/tarragonlug/plainservice/HttpPlainServiceClientTest.java
+++ b/src/test/java/org/tarragonlug/plainservice/HttpPlainServiceClientTest.java
@@ -10,12 +10,16 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.tarragonlug.decision.request.AttemptFailure;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.http.LoopbackFixture;
 import org.tarragonlug.http.RawServer;
+import org.tarragonlug.http.RepeatingServer;
 import org.tarragonlug.id.AttemptId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.standin.PlainServiceStandIn;
@@ -42,12 +46,21 @@
 
     private Object call(InetSocketAddress address, String key, Duration remaining)
             throws Exception {
+        return call("POST", address, key, remaining, ServiceAnswer::status);
+    }
 
-        CompletableFuture<Object> result = new CompletableFuture<>();
+    private Object call(
+            String method,
+            InetSocketAddress address,
+            String key,
+            Duration remaining,
+            Function<ServiceAnswer, Object> result)
+            throws Exception {
+        CompletableFuture<Object> end = new CompletableFuture<>();
         ServiceCall call =
                 new ServiceCall(
                         new AttemptId("a"),
-                        "POST",
+                        method,
                         "/dispatch/trucks?x=1",
                         Map.of("Idempotency-Key", key, "Connection", "close"),
                         "body".getBytes(StandardCharsets.UTF_8),
@@ -58,15 +71,15 @@
                 new ServiceListener() {
                     @Override
                     public void onAnswer(ServiceAnswer answer) {
-                        result.complete(answer.status());
+                        end.complete(result.apply(answer));
                     }
 
                     @Override
                     public void onFailed(AttemptFailure failure, String detail) {
-                        result.complete(failure);
+                        end.complete(failure);
                     }
                 });
-        return LoopbackFixture.await(result);
+        return LoopbackFixture.await(end);
     }
 
     /** Guards against a call that is sent twice or without its idempotency key header. */
@@ -95,6 +108,31 @@
         assertEquals(Map.of("answered", 1, "cut", 1, "frozen", 1), runs);
     }
 
+    // Guards against a caller that gets the answer to another call: the server answers twice, the
+    // second time late, and the answer names no call.
+    @ParameterizedTest
+    @CsvSource({"GET, 3", "GET, 30", "GET, 150", "HEAD, 30", "OPTIONS, 30", "POST, 30"})
+    void secondAnswerDoesNotAnswerTheNextCall(String method, int delayMillis) throws Exception {
+        Duration delay = Duration.ofMillis(delayMillis);
+        try (RepeatingServer server = new RepeatingServer(n -> numberedAnswer(n), delay)) {
+            for (int number = 0; number < 3; number++) {
+                Object answer =
+                        call(
+                                method,
+                                server.address(),
+                                "k",
+                                LoopbackFixture.LONG_TIMEOUT,
+                                received -> received.headers().get("x-number"));
+                assertEquals("n" + number, answer);
+            }
+        }
+    }
+
+    private static byte[] numberedAnswer(int number) {
+        return ("HTTP/1.1 200 OK\r\nx-number: n" + number + "\r\ncontent-length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
     /** Guards against an answer that is delivered although it arrives after the deadline. */
     @Test
     void slowCallEndsAtItsDeadline() throws Exception {
