Number calls to other instances from a random start

What could be seen: an instance that started again took the answer to a call of its process before for the answer to a call of its own. A watch of the configuration could be answered with servers, so a change of the configuration was lost, and an order of the planner could count as accepted by the answer to another one.

Cause: an answer names the number of its call, and numbers began at 1 in each process. Answers go to the instance, whichever process it runs: a watch waits up to 3 s at its source, and frames wait for a connection.

Change: CallNumbers begins at a random number.

Evidence: RelayingObjectApiTest, answerToProcessBeforeAnswersNoCall failed before ("expected: <false> but was: <true>": the watch of config was complete with the entry of a server) and passes now.

Within a process each number is used once, so an answer that comes twice is ignored, as before.

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -98,6 +98,7 @@
     private final TimerService timers;
     private final EventLog log;
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final CallNumbers callNumbers = new CallNumbers(new Random());
     private final HttpConnections connections;
     private final ForwardingCoordinator coordinator;
     private final PlacementPlanner planner;
@@ -168,7 +169,8 @@
                         peers,
                         loop,
                         timers,
-                        log);
+                        log,
+                        callNumbers);
         leases.start(store, loop, log);
         this.listedServers =
                 new ListedServers(
@@ -223,7 +225,8 @@
                 timers,
                 loop,
                 log,
-                metrics);
+                metrics,
+                callNumbers);
     }
 
     private QuarantineDriver createQuarantine(PlatformEngineClient engines) {
--- a/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
@@ -45,8 +45,8 @@
     private final java.util.concurrent.Executor loop;
     private final EventLog log;
     private final GatewayMetrics metrics;
+    private final CallNumbers callNumbers;
     private final Map<Long, CompletableFuture<OrderResult>> pendingCalls = new HashMap<>();
-    private long lastCallId;
 
     OrderExecutor(
             Map<OrderGroup, LeaseManager> leaseManagers,
@@ -57,7 +57,8 @@
             TimerService timers,
             java.util.concurrent.Executor loop,
             EventLog log,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            CallNumbers callNumbers) {
         this.leaseManagers = leaseManagers;
         this.groups = groups;
         this.engines = engines;
@@ -67,6 +68,7 @@
         this.loop = loop;
         this.log = log;
         this.metrics = metrics;
+        this.callNumbers = callNumbers;
     }
 
     /**
@@ -92,8 +94,7 @@
                     order.order().precondition(),
                     order.reason());
         }
-        lastCallId++;
-        long callId = lastCallId;
+        long callId = callNumbers.next();
         CompletableFuture<OrderResult> result = new CompletableFuture<>();
         pendingCalls.put(callId, result);
         timers.scheduleOnce(ANSWER_TIMEOUT, now -> completeCall(callId, OrderResult.UNKNOWN));
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -84,11 +84,11 @@
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
+    private final CallNumbers callNumbers;
     private final PeerObjectCalls peerCalls;
     private final SharedWatches sharedWatches;
     private final Map<Long, CompletableFuture<GatewayMessage.ObjectCallAnswer>> pendingCalls =
             new HashMap<>();
-    private long lastCallId;
     private int consecutiveFailures;
     private Instant lastFailureAt = Instant.EPOCH;
     private boolean storeUnreachable;
@@ -99,12 +99,14 @@
             PeerChannel channel,
             Executor loop,
             TimerService timers,
-            EventLog log) {
+            EventLog log,
+            CallNumbers callNumbers) {
         this.direct = direct;
         this.channel = channel;
         this.loop = loop;
         this.timers = timers;
         this.log = log;
+        this.callNumbers = callNumbers;
         this.peerCalls = new PeerObjectCalls(direct, channel, loop);
         this.sharedWatches = new SharedWatches(timers, peerCalls::reply);
     }
@@ -360,8 +362,7 @@
             JsonNode content,
             Duration wait,
             Duration timeout) {
-        lastCallId++;
-        long callId = lastCallId;
+        long callId = callNumbers.next();
         CompletableFuture<GatewayMessage.ObjectCallAnswer> result = new CompletableFuture<>();
         pendingCalls.put(callId, result);
         boolean write = operation == GatewayMessage.ObjectOperation.WRITE;
--- a/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
@@ -82,6 +84,7 @@
     private final FakeStore peerStore = new FakeStore();
     private final TimerService timers =
             new DefaultTimerService(Executors.defaultThreadFactory(), (part, failure) -> {});
+    private final Random random = new Random(11);
     private Optional<WatchSource> source = Optional.empty();
     private boolean silentSource;
     private RelayingObjectApi disconnected;
@@ -120,7 +123,13 @@
                         source = Optional.empty();
                     }
                 };
-        return new RelayingObjectApi(store, channel, Runnable::run, timers, new EventLog("test"));
+        return new RelayingObjectApi(
+                store,
+                channel,
+                Runnable::run,
+                timers,
+                new EventLog("test"),
+                new CallNumbers(random));
     }
 
     private void deliver(InstanceId to, PeerMessage message) {
@@ -209,6 +218,31 @@
         }
     }
 
+    @Nested
+    class Restart {
+        private static final Duration WAIT = Duration.ofSeconds(4);
+
+        // Guards against an answer to a call of the process before that answers a call of the new
+        // one: a watch of the configuration would be answered with servers, and news be lost.
+        @Test
+        void answerToProcessBeforeAnswersNoCall() throws Exception {
+            source = Optional.of(new WatchSource(new InstanceId("peer"), "127.0.0.1:1"));
+            get(connectedPeer.list("servers"));
+            get(connectedPeer.list("config"));
+            disconnected.watch("servers", 9, WAIT);
+            disconnected = api(disconnectedStore, "peer");
+            CompletionStage<WatchResult> configuration = disconnected.watch("config", 9, WAIT);
+            ObjectName server = new ObjectName("servers", "s1");
+            peerStore.changed = List.of(new StoredObject(server, 12, Json.object().put("a", 1)));
+            get(connectedPeer.watch("servers", 9, Duration.ZERO));
+            assertFalse(configuration.toCompletableFuture().isDone());
+            ObjectName main = new ObjectName("config", "main");
+            peerStore.changed = List.of(new StoredObject(main, 13, Json.object().put("a", 1)));
+            get(connectedPeer.watch("config", 9, Duration.ZERO));
+            assertEquals(main, get(configuration).changed().get(0).name());
+        }
+    }
+
     @Nested
     class UnreachableStore {
         @Test
--- a/src/test/java/org/tarragonlug/gateway/StoreWatcherTest.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreWatcherTest.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
@@ -123,7 +124,12 @@
             WatchPace configurationPace = pace == WatchPace.ALONE ? WatchPace.PROMPT : pace;
             api =
                     new RelayingObjectApi(
-                            store, new Peers(), Runnable::run, timers, new EventLog("test"));
+                            store,
+                            new Peers(),
+                            Runnable::run,
+                            timers,
+                            new EventLog("test"),
+                            new CallNumbers(new Random(1)));
             store.put(LEAVING);
             store.put(OTHER);
             StoreWatcher rare = watcher(QUARANTINE, limits, WatchPace.RARE, () -> {}, quarantine);
