Check that an answer of the platform's store fits its call

What could be seen, if the store answered twice on a kept connection: a lease counted as read or written by the answer for another lease, and a list taken for a watch without changes up to its revision, so that the changes in it were lost.

Change: the object in the answer to a read or write must have the name that was asked for; a list must not have the field of a watch, nor a watch that of a list. Otherwise a read counts as failed and a write as of unknown outcome. The answer does not name the kind, so a list of another kind, a 404, and a watch of another kind can not be told.

--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -72,7 +72,7 @@
                         return StoredObject.absent(name);
                     }
                     requireRead(answer);
-                    return object(name.kind(), JsonFields.parseForeign(answer.body()));
+                    return requestedObject(name, answer);
                 },
                 PlatformObjectApi::unavailable);
     }
@@ -92,7 +92,7 @@
                 exchange(create ? "POST" : "PUT", path, body, CALL_TIMEOUT),
                 answer -> {
                     requireWritten(name, answer);
-                    return object(name.kind(), JsonFields.parseForeign(answer.body())).version();
+                    return requestedObject(name, answer).version();
                 },
                 PlatformObjectApi::writeFailure);
     }
@@ -130,7 +130,7 @@
                         exchange("GET", path, null, LIST_TIMEOUT),
                         answer -> {
                             requireRead(answer);
-                            return JsonFields.parseForeign(answer.body());
+                            return bodyWithout("events", answer);
                         },
                         PlatformObjectApi::unavailable)
                 .thenCompose(page -> nextPage(kind, page, found, firstRevision));
@@ -167,7 +167,7 @@
                         return new WatchResult(List.of(), afterRevision, true);
                     }
                     requireRead(answer);
-                    return changes(kind, JsonFields.parseForeign(answer.body()), afterRevision);
+                    return changes(kind, bodyWithout("items", answer), afterRevision);
                 },
                 PlatformObjectApi::unavailable);
     }
@@ -196,6 +196,34 @@
                         : object);
     }
 
+    /**
+     * Reads the object of an answer.
+     *
+     * @throws IllegalArgumentException if it is not the object with the name, so that the answer
+     *     belongs to another call
+     */
+    private static StoredObject requestedObject(ObjectName name, HttpAnswer answer) {
+        StoredObject found = object(name.kind(), JsonFields.parseForeign(answer.body()));
+        if (!found.name().equals(name)) {
+            throw new IllegalArgumentException(
+                    "the answer contains object " + found.name() + " instead of " + name);
+        }
+        return found;
+    }
+
+    /**
+     * Reads the body of the answer to a list or a watch.
+     *
+     * @throws IllegalArgumentException if it has a field that only answers to other calls have
+     */
+    private static JsonNode bodyWithout(String otherField, HttpAnswer answer) {
+        JsonNode body = JsonFields.parseForeign(answer.body());
+        if (body.has(otherField)) {
+            throw new IllegalArgumentException("the answer has the field " + otherField);
+        }
+        return body;
+    }
+
     private static StoredObject object(String kind, JsonNode node) {
         JsonNode metadata = node.path("metadata");
         ObjectName name = new ObjectName(kind, metadata.path("name").asText());
