Take an answer that begins anew within its body for a broken one

What callers saw: a server stops within the body of its answer and then sends an answer to the same request from its head. The head and the beginning of the second answer fill up the first body, which ends with the right length and bears the right id: a success spliced of both. Streams too: a data line that is cut and goes on with a status line passes for a numbered event.

Cause: the body was taken for what its length, its chunks or the end of its connection say, whatever it contains.

Change: SecondHeadFinder follows the body across its parts and finds a status line that is followed, before the next empty line, by the header that names the call (AnswerName, which calls may give). Such an answer counts as broken before any of those bytes is handed on (HttpExchange), with the new kind ANSWER_REPEATED; it is counted, and forward_broken says it. Where a body ends within what may be such a head, the end is held back until the bytes after it decide, or for 50 ms for each byte that agrees with the beginning of a head. Other calls and other ends of bodies are not delayed.

Why it works: the id of a request is not guessed, so only an answer to the same request contains the header; and no event of a stream can end before the empty line after that header.

--- a/src/main/java/org/tarragonlug/gateway/AttemptListener.java
+++ b/src/main/java/org/tarragonlug/gateway/AttemptListener.java
@@ -64,4 +64,7 @@
      * @param detail the cause, for the log
      */
     void onBroken(AnswerProgress progress, String detail);
+
+    /** Called before {@link #onBroken} if the server went on with a second answer. */
+    default void onSecondAnswer() {}
 }
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -186,7 +186,8 @@
                         RequestHeaders.forServer(request.call.headers(), send),
                         request.call.body(),
                         send.remaining().plus(ATTEMPT_MARGIN),
-                        send.newConnection() ? ConnectionUse.NEW : ConnectionUse.POOLED);
+                        send.newConnection() ? ConnectionUse.NEW : ConnectionUse.POOLED,
+                        Optional.of(RequestHeaders.answerName(request.requestId)));
         attempt.attachExchange(connections.start(address.get(), call, attempt));
     }
 
@@ -349,6 +350,11 @@
             post(new ForwardingEvent.Answered(key, status, load));
         }
 
+        @Override
+        public void onSecondAnswer() {
+            metrics.recordSecondAnswer();
+        }
+
         @Override
         public void onBroken(AnswerProgress progress, String detail) {
             metrics.recordBrokenAnswer(progress);
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -52,6 +52,12 @@
                     .help("Answers of servers that broke off, by what had been received")
                     .labelNames("received")
                     .register(registry);
+    private final Counter secondAnswers =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_server_answers_begun_anew_total")
+                    .help("Answers of servers that stopped and began anew within their body")
+                    .register(registry);
     private final Counter notices =
             Counter.builder()
                     .withoutExemplars()
@@ -106,6 +112,10 @@
         brokenAnswers.labelValues(lowerCase(received)).inc();
     }
 
+    void recordSecondAnswer() {
+        secondAnswers.inc();
+    }
+
     /** Counts each kind of news in a notice. */
     void recordNotice(ServerNotice notice) {
         if (notice.leaving()) {
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -213,6 +213,9 @@
             return;
         }
         ended = true;
+        if (failure.kind() == HttpFailure.Kind.ANSWER_REPEATED) {
+            listener.onSecondAnswer();
+        }
         if (failure.notSent()) {
             listener.onRejected(Rejection.UNREACHABLE, true, Optional.empty());
         } else if (answer != null && answer.rejection().isPresent()) {
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -6,7 +6,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * Limits what a server may send on a connection beside the body of its answer, and keeps the bytes
@@ -48,16 +51,21 @@
         HEAD,
         /** Body, chunk sizes and trailers. */
         BODY,
+        /** The answer is complete, but the call still follows what comes after it. */
+        AFTER_END,
         CLOSED
     }
 
     private static final BiConsumer<HttpFailure.Kind, String> NO_ACTION = (kind, detail) -> {};
 
+    private final Channel channel;
     private final FramingLimits limits;
     private final AnswerFraming framing = new AnswerFraming();
     private Phase phase = Phase.IDLE;
     private BiConsumer<HttpFailure.Kind, String> violationAction = NO_ACTION;
 
+    private Consumer<byte[]> afterEndAction = bytes -> {};
+
     /** Bytes of the present read that have not been handed to the library. */
     private int unreadBytes;
 
@@ -68,7 +76,8 @@
     private long allowedFramingBytes;
     private int calls;
 
-    private FramingGuard(FramingLimits limits) {
+    private FramingGuard(Channel channel, FramingLimits limits) {
+        this.channel = channel;
         this.limits = limits;
     }
 
@@ -77,7 +86,7 @@
         Channel channel = ((NettyConnectionContext) connection).nettyChannel();
         FramingGuard guard = (FramingGuard) channel.pipeline().get(NAME);
         if (guard == null) {
-            guard = new FramingGuard(limits);
+            guard = new FramingGuard(channel, limits);
             channel.pipeline().addFirst(NAME, guard);
         }
         return guard;
@@ -122,6 +131,22 @@
         allowedFramingBytes += FramingLimits.BYTES_PER_CHUNK;
     }
 
+    /**
+     * Hands the bytes after a complete answer to an action until {@link #end} is called.
+     *
+     * @param action receives the bytes
+     * @param wait time after which, or when the connection is closed, the answer is to end
+     * @param onWaited ends the answer; called even if it has ended before
+     */
+    void followBytesAfterEnd(Consumer<byte[]> action, Duration wait, Runnable onWaited) {
+        phase = Phase.AFTER_END;
+        afterEndAction = action;
+        // The library reads only while an answer is due.
+        channel.read();
+        long millis = channel.isActive() ? wait.toMillis() : 0;
+        channel.eventLoop().schedule(onWaited, millis, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Records that the answer is complete.
      *
@@ -149,6 +174,10 @@
     }
 
     private void passNextPiece(ChannelHandlerContext context, ByteBuf bytes) {
+        if (phase == Phase.AFTER_END) {
+            passBytesAfterEnd(bytes);
+            return;
+        }
         int size = phase == Phase.IDLE ? 0 : framing.nextPiece(bytes, SLICE);
         if (size == 0) {
             close(context, HttpFailure.Kind.ANSWER_INVALID, "bytes that belong to no request");
@@ -176,6 +205,14 @@
         checkLimits(context);
     }
 
+    private void passBytesAfterEnd(ByteBuf bytes) {
+        byte[] additional = new byte[bytes.readableBytes()];
+        bytes.readBytes(additional);
+        unreadBytes = additional.length;
+        afterEndAction.accept(additional);
+        channel.read();
+    }
+
     private static int countLines(ByteBuf slice) {
         int[] lines = new int[1];
         slice.forEachByte(
--- a/src/main/java/org/tarragonlug/http/HttpCall.java
+++ b/src/main/java/org/tarragonlug/http/HttpCall.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * One HTTP call to a server.
@@ -12,6 +13,7 @@
  * @param body request body; empty if the call has none
  * @param timeout longest time from the start of the call to the end of the answer
  * @param use selects a pooled or a new connection
+ * @param answerName by what answers to the call name it; empty if they do not
  */
 public record HttpCall(
         String method,
@@ -19,8 +21,9 @@
         Map<String, String> headers,
         HttpBody body,
         Duration timeout,
-        ConnectionUse use) {
-    /** Creates a call with a body in one part, which is not copied. */
+        ConnectionUse use,
+        Optional<AnswerName> answerName) {
+    /** Creates a call with a body in one part, which is not copied, and answers without a name. */
     public HttpCall(
             String method,
             String target,
@@ -28,11 +31,12 @@
             byte[] body,
             Duration timeout,
             ConnectionUse use) {
-        this(method, target, headers, HttpBody.of(body), timeout, use);
+        this(method, target, headers, HttpBody.of(body), timeout, use, Optional.empty());
     }
 
     /** Returns a GET call without headers and body. */
     public static HttpCall get(String target, Duration timeout, ConnectionUse use) {
-        return new HttpCall("GET", target, Map.of(), HttpBody.EMPTY, timeout, use);
+        return new HttpCall(
+                "GET", target, Map.of(), HttpBody.EMPTY, timeout, use, Optional.empty());
     }
 }
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -14,9 +14,11 @@
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.transport.api.RetryableException;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -33,10 +35,21 @@
  * only exceptions are failures that the library marks as {@link RetryableException}: it does so
  * only when nothing was written, so they also mean "not sent". After a failure or a cancellation
  * the connection is closed and never reused.
+ *
+ * <p>An answer whose body contains the head of a second answer to the same call is invalid ({@link
+ * SecondHeadFinder}). If the body ends within what may be such a head, the end is held back until
+ * the bytes after it decide, or for a short time.
  */
 public final class HttpExchange {
     private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
+    /**
+     * Time to wait for the rest of a head that may begin at the end of a body, for each byte of the
+     * body that agrees with one. The server has already begun to send that head, so only the
+     * transport delays the rest; and one agreeing byte often stands there by chance.
+     */
+    private static final Duration SECOND_HEAD_WAIT_PER_BYTE = Duration.ofMillis(50);
+
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final char HIGHEST_CONTROL_CHARACTER = 0x1f;
@@ -47,6 +60,7 @@
     private final HttpReceiver receiver;
     private final int maximumBytes;
     private final HeldBytes heldByAll;
+    private final Optional<SecondHeadFinder> secondHead;
     private ReservedStreamingHttpConnection connection;
     private FramingGuard guard;
     private Cancellable currentStep = Cancellable.IGNORE_CANCEL;
@@ -66,6 +80,7 @@
         this.receiver = receiver;
         this.maximumBytes = maximumBytes;
         this.heldByAll = heldByAll;
+        secondHead = call.answerName().map(SecondHeadFinder::new);
     }
 
     void start(ScheduledExecutorService timers) {
@@ -218,6 +233,10 @@
         }
         byte[] part = new byte[buffer.readableBytes()];
         buffer.readBytes(part);
+        if (secondHead.isPresent() && secondHead.get().add(part)) {
+            failAsRepeated();
+            return;
+        }
         receiver.onData(part);
         if (!ended && !hold(receiver.heldBytes())) {
             String detail = "the answers of all calls exceed the memory for them; this one keeps ";
@@ -231,7 +250,36 @@
         return heldByAll.change(before, bytes);
     }
 
+    private void failAsRepeated() {
+        String detail = "the head of a second answer to the call within the body of the first one";
+        fail(HttpFailure.Kind.ANSWER_REPEATED, detail, null);
+    }
+
     private synchronized void handleEnd() {
+        if (ended) {
+            return;
+        }
+        if (secondHead.isEmpty() || !secondHead.get().isOpen()) {
+            complete();
+            return;
+        }
+        secondHead.get().endBody();
+        Duration wait = SECOND_HEAD_WAIT_PER_BYTE.multipliedBy(secondHead.get().agreeingBytes());
+        guard.followBytesAfterEnd(this::handleBytesAfterEnd, wait, this::complete);
+    }
+
+    private synchronized void handleBytesAfterEnd(byte[] bytes) {
+        if (ended) {
+            return;
+        }
+        if (secondHead.get().add(bytes)) {
+            failAsRepeated();
+        } else if (!secondHead.get().isOpen()) {
+            complete();
+        }
+    }
+
+    private synchronized void complete() {
         if (ended) {
             return;
         }
--- a/src/main/java/org/tarragonlug/http/HttpFailure.java
+++ b/src/main/java/org/tarragonlug/http/HttpFailure.java
@@ -15,7 +15,9 @@
         /** The answer exceeded {@link HttpLimits#maximumAnswerBytes}. */
         ANSWER_TOO_LARGE,
         /** The answer was not valid HTTP, or its content was malformed. */
-        ANSWER_INVALID
+        ANSWER_INVALID,
+        /** The answer broke off, and the server went on with a second one to the same call. */
+        ANSWER_REPEATED
     }
 
     private final Kind kind;
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -12,6 +12,7 @@
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.PromptPrefix;
+import org.tarragonlug.http.AnswerName;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.PromptPartId;
 
@@ -73,6 +74,11 @@
         return headers.getOrDefault(REQUEST_ID, "");
     }
 
+    /** Returns by what answers to a request name it: servers repeat its id. */
+    public static AnswerName answerName(String requestId) {
+        return new AnswerName(REQUEST_ID, requestId);
+    }
+
     /** Returns the model that the request names, for the log; {@code none} if absent. */
     public static String model(Map<String, String> headers) {
         return headers.getOrDefault(MODEL, "none");
