--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -58,6 +58,12 @@
                     .name("tarragonlug_requests_withdrawn_total")
                     .help("Requests whose server stopped wanting them before they were written")
                     .register(registry);
+    private final Counter secondAnswers =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_server_answers_begun_anew_total")
+                    .help("Answers of servers that stopped and began anew within their body")
+                    .register(registry);
     private final Counter notices =
             Counter.builder()
                     .withoutExemplars()
@@ -116,6 +122,10 @@
         withdrawnRequests.inc();
     }
 
+    void recordSecondAnswer() {
+        secondAnswers.inc();
+    }
+
     /** Counts each kind of news in a notice. */
     void recordNotice(ServerNotice notice) {
         if (notice.leaving()) {
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -218,6 +218,9 @@
             return;
         }
         ended = true;
+        if (failure.kind() == HttpFailure.Kind.ANSWER_REPEATED) {
+            listener.onSecondAnswer();
+        }
         if (failure.kind() == HttpFailure.Kind.WITHDRAWN) {
             listener.onRejected(Rejection.WITHDRAWN, true, Optional.empty());
         } else if (failure.notSent()) {
