Follow the store also if the first list of an instance failed

What callers saw: an instance whose first list of the servers failed never learnt of any server. It stayed unready and answered 503 (no_server) to all requests until it was started again; the same holds for the configuration.

Cause: StoreOutage stood for "no answer yet" by the latest instant there is, and added a duration to it at the first list that succeeded after a failed one. The overflow was thrown into a future that nobody reads, so the watch ended without a line. The class: a value that stands for "none" and is computed with.

Why it works: before the first answer no entry is known, so none can be missing from a list, whenever the last answer is said to have been.

--- a/src/main/java/org/tarragonlug/decision/watching/StoreOutage.java
+++ b/src/main/java/org/tarragonlug/decision/watching/StoreOutage.java
@@ -32,7 +32,10 @@
     private static final int INTERVALS_WITHOUT_REPORT = 2;
 
     private final WatchLimits limits;
-    private Instant lastAnswerAt = Instant.MAX;
+
+    /** Before the first answer no entry is known, so none can be missing. */
+    private Instant lastAnswerAt = Instant.EPOCH;
+
     private Instant lastFailedListBegan = Instant.MIN;
 
     /**
