Go on watching the store after a change could not be handled

What could be seen: an instance heard nothing of one kind of objects any more, without a line in its log, after any exception in the handling of an answer: the fault before this commit hid itself in that way.

Cause: answers are handled in a stage of a future whose outcome nobody reads.

The change that could not be handled is not tried again, since it would fail again; those after it are.

Evidence: StoreWatcherFaultsTest, a listener that fails once: failed before ("expected: <[first, second]> but was: <[first]>"), passes now, with 58 tests of the watcher, of relayed calls and of the gateway.

--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -173,7 +173,7 @@
                             }
                             step = Step.PAUSING;
                             if (failure == null) {
-                                onAnswer.accept(began, result);
+                                handle(() -> onAnswer.accept(began, result));
                             } else {
                                 onFailure.accept(began, failure);
                             }
@@ -181,6 +181,19 @@
                         loop);
     }
 
+    /**
+     * Handles an answer. If that fails, the objects are listed anew, so that a fault in one change
+     * does not end the watch.
+     */
+    private void handle(Runnable answer) {
+        try {
+            answer.run();
+        } catch (RuntimeException e) {
+            log.event(LogEvent.PART_FAILED).with("part", "watch of " + kind).withFailure(e).write();
+            pause(MAX_BACKOFF, this::list);
+        }
+    }
+
     private void pause(Duration pause, Runnable next) {
         nextStep = timers.scheduleOnce(pause, now -> next.run());
     }
--- a/src/test/java/org/tarragonlug/gateway/StoreWatcherFaultsTest.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreWatcherFaultsTest.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.tarragonlug.decision.watching.WatchLimits;
@@ -18,7 +19,7 @@
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.ManualTimers;
 
-/** Watchers that must go on after a call has failed. */
+/** Watchers that must go on after a call or its handling has failed. */
 class StoreWatcherFaultsTest {
     private static final ObjectName FIRST = new ObjectName("servers", "first");
     private static final ObjectName SECOND = new ObjectName("servers", "second");
@@ -30,14 +31,19 @@
     private final SilenceableStore store = new SilenceableStore(timers);
     private final Recorder recorder = new Recorder();
 
-    /** Records the known objects. */
+    /** Records the known objects, and fails when it is told to. */
     private static final class Recorder implements StoreWatcher.Listener {
         private final Set<String> known = new TreeSet<>();
         private boolean complete;
+        private boolean failing;
 
         @Override
         public void onChanged(StoredObject object) {
             known.add(object.name().name());
+            if (failing) {
+                failing = false;
+                throw new IllegalStateException("a fault of the listener");
+            }
         }
 
         @Override
@@ -95,4 +101,21 @@
             assertEquals(Set.of("first", "second"), recorder.known);
         }
     }
+
+    @Nested
+    class Listener {
+        // Guards against an instance that hears nothing of the store any more, because a part of it
+        // could not handle one change.
+        @Test
+        void watcherFollowsTheStoreAfterItsListenerFailed() {
+            startWatcher();
+            run(RECOVERY);
+            recorder.failing = true;
+            store.put(FIRST);
+            run(RECOVERY);
+            store.put(SECOND);
+            run(RECOVERY);
+            assertEquals(Set.of("first", "second"), recorder.known);
+        }
+    }
 }
