Hand on what stands before the head of a second answer

What callers saw: nothing yet. A part of a body that came together with the head of a second answer was dropped whole, so the attempt was reported as if no content had come; the server of such a request is asked whether it is lost.

Change: the bytes before the head are handed to the receiver before the failure.

--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -141,7 +141,7 @@
     void followBytesAfterEnd(Consumer<byte[]> action, Duration wait, Runnable onWaited) {
         phase = Phase.AFTER_END;
         afterEndAction = action;
-        // The library reads only while an answer is due.
+        // The library may have stopped reading, since no answer is due.
         channel.read();
         long millis = channel.isActive() ? wait.toMillis() : 0;
         channel.eventLoop().schedule(onWaited, millis, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -15,6 +15,7 @@
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.transport.api.RetryableException;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -234,6 +235,7 @@
         byte[] part = new byte[buffer.readableBytes()];
         buffer.readBytes(part);
         if (secondHead.isPresent() && secondHead.get().add(part)) {
+            receiver.onData(Arrays.copyOf(part, secondHead.get().bytesBeforeHead()));
             failAsRepeated();
             return;
         }
--- a/src/main/java/org/tarragonlug/http/SecondHeadFinder.java
+++ b/src/main/java/org/tarragonlug/http/SecondHeadFinder.java
@@ -32,6 +32,7 @@
     private boolean inHead;
     private boolean lineEmpty;
     private int matchedNameLine;
+    private int headStart;
     private boolean bodyEnded;
     private boolean found;
 
@@ -47,14 +48,21 @@
      * @return whether a head has been found that names the call
      */
     boolean add(byte[] part) {
-        for (byte next : part) {
-            if (isOpen() || mayBegin(next)) {
-                follow(next);
+        headStart = 0;
+        for (int index = 0; index < part.length && !found; index++) {
+            if (isOpen() || mayBegin(part[index])) {
+                follow(part[index]);
+                headStart = matchedStatusLine == 1 ? index : headStart;
             }
         }
         return found;
     }
 
+    /** Returns how many bytes of the last part stand before the head that was found. */
+    int bytesBeforeHead() {
+        return headStart;
+    }
+
     /** Records that the body has ended. Only a head that is open now is followed any further. */
     void endBody() {
         bodyEnded = true;
--- a/src/test/java/org/tarragonlug/gateway/SecondAnswerWithinFirstTest.java
+++ b/src/test/java/org/tarragonlug/gateway/SecondAnswerWithinFirstTest.java
@@ -220,8 +220,7 @@
         GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
     }
 
-    /** Sends the request of a case and says what its caller got. */
-    private String outcome(Case asked) throws Exception {
+    private HttpResponse<InputStream> send(Case asked) throws Exception {
         int port = fixture.gatewaySettings.get(0).callerAddress().getPort();
         String path = asked.request.path + asked.number;
         HttpRequest request =
@@ -231,12 +230,16 @@
                         .header("Tarragonlug-Model", asked.request.streaming ? "m1" : "")
                         .POST(HttpRequest.BodyPublishers.ofString("request " + asked.number))
                         .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+    }
+
+    /** Sends the request of a case and says what its caller got. */
+    private String outcome(Case asked) throws Exception {
         StringBuilder received = new StringBuilder();
         boolean complete = true;
         int status;
         try {
-            HttpResponse<InputStream> response =
-                    client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+            HttpResponse<InputStream> response = send(asked);
             status = response.statusCode();
             complete = readAll(response.body(), received);
         } catch (IOException closed) {
--- a/src/test/java/org/tarragonlug/http/SecondHeadFinderTest.java
+++ b/src/test/java/org/tarragonlug/http/SecondHeadFinderTest.java
@@ -51,6 +51,20 @@
             assertTrue(new SecondHeadFinderTest().addBytes(body));
         }
 
+        // Guards against content that is lost with the head, or a part of the head that is kept.
+        @Test
+        void bytesBeforeTheHeadAreCounted() {
+            assertTrue(add("part HTTP/1" + HEAD + "H"));
+            assertEquals("part HTTP/1".length(), finder.bytesBeforeHead());
+        }
+
+        @Test
+        void headThatBeginsInAnEarlierPartLeavesNoBytesBeforeIt() {
+            add("part HTTP/1.1 200");
+            assertTrue(add(" OK\r\nrequest-id: r1\r\n"));
+            assertEquals(0, finder.bytesBeforeHead());
+        }
+
         // Guards against answers that count as broken because they quote HTTP.
         @ParameterizedTest
         @ValueSource(
