Keep relayed watches within the time of a direct one

Callers would see: requests at a leaving server for longer than allowed, from an instance that lost the store shortly before and still calls it through a peer, when all open connections go silent. Not shown to be the users' case.

Cause: the wait of a relayed watch (1.2 s), the time for the peer's answer (0.9 s), a direct watch with its whole wait and a list through the same peer added up to more than WatchPace keeps below the limit, 3 s on small sites.

Change: a relayed watch ends, with the time for its answer, within the wait that was asked for; a direct watch does not wait while the store counts as unreachable; a peer that failed is left out for longer than a direct call takes. So the direct call after a relayed one has the time for an answer that the pace includes, and the list after it does not ask the silent peer again.

--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -40,17 +40,26 @@
  * the same broken connections, so a failure counts only if its call began after the failure that
  * was counted last. A direct call is tried again after {@link #DIRECT_RETRY_PERIOD}, and
  * immediately if a relayed read, list or watch fails. Deletes are never relayed.
+ *
+ * <p>The connections to the peer and those to the store may go silent together, so a relayed call
+ * and the direct call after it must not take longer than a direct call that waits. A relayed watch
+ * therefore ends, with the time for its answer, within the wait that was asked for; a direct watch
+ * does not wait while the store counts as unreachable; and a peer that failed is left out until a
+ * direct call has ended.
  */
 final class RelayingObjectApi implements ObjectApi {
     private static final Duration DIRECT_RETRY_PERIOD = Duration.ofMillis(800);
 
     private static final int FAILURES_UNTIL_RELAY = 2;
 
-    /** How long a relayed call may take, in addition to the wait of a watch. */
+    /** How long a relayed call may take, other than a watch. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(900);
 
-    /** How long the answer to a shared watch may take, in addition to the wait of the watch. */
-    private static final Duration SHARED_ANSWER_TIMEOUT = Duration.ofMillis(300);
+    /** How long a peer's answer to a watch may take, in addition to the wait of the watch. */
+    private static final Duration WATCH_ANSWER_TIMEOUT = Duration.ofMillis(300);
+
+    /** How long no call is relayed after one failed; longer than a direct call takes. */
+    private static final Duration RELAY_PAUSE = Duration.ofMillis(1200);
 
     /** A watch that waits longer than this is not shared; sources watch what changes often. */
     private static final Duration MAX_SHARED_WATCH_WAIT = Duration.ofSeconds(5);
@@ -93,6 +102,7 @@
     private Instant lastFailureAt = Instant.EPOCH;
     private boolean storeUnreachable;
     private Instant nextDirectCallAt = Instant.EPOCH;
+    private Instant nextRelayedCallAt = Instant.EPOCH;
 
     RelayingObjectApi(
             ObjectApi direct,
@@ -178,12 +188,12 @@
     private CompletionStage<WatchResult> watchDirectly(
             String kind, long afterRevision, Duration longestWait) {
         ObjectName all = new ObjectName(kind, "");
-        Duration relayedWait =
-                longestWait.compareTo(MAX_RELAYED_WATCH_WAIT) < 0
-                        ? longestWait
-                        : MAX_RELAYED_WATCH_WAIT;
         return callWithFallback(
-                () -> watchStore(kind, afterRevision, longestWait),
+                () ->
+                        watchStore(
+                                kind,
+                                afterRevision,
+                                storeUnreachable ? Duration.ZERO : longestWait),
                 peer ->
                         relay(
                                         peer,
@@ -191,10 +201,19 @@
                                         all,
                                         afterRevision,
                                         null,
-                                        relayedWait)
+                                        relayedWait(longestWait),
+                                        WATCH_ANSWER_TIMEOUT)
                                 .thenApply(RelayedObjects::toWatchResult));
     }
 
+    private static Duration relayedWait(Duration longestWait) {
+        Duration wait = longestWait.minus(WATCH_ANSWER_TIMEOUT);
+        if (wait.isNegative()) {
+            return Duration.ZERO;
+        }
+        return wait.compareTo(MAX_RELAYED_WATCH_WAIT) < 0 ? wait : MAX_RELAYED_WATCH_WAIT;
+    }
+
     private CompletionStage<WatchResult> listStore(String kind) {
         return direct.list(kind)
                 .whenCompleteAsync(
@@ -236,7 +255,7 @@
                         afterRevision,
                         null,
                         longestWait,
-                        SHARED_ANSWER_TIMEOUT)
+                        WATCH_ANSWER_TIMEOUT)
                 .thenApply(RelayedObjects::toWatchResult)
                 .whenCompleteAsync(
                         (answer, failure) -> {
@@ -269,6 +288,7 @@
                             if (failure == null) {
                                 result.complete(answer);
                             } else {
+                                nextRelayedCallAt = timers.now().plus(RELAY_PAUSE);
                                 complete(trackOutcome(directCall.get()), result);
                             }
                         },
@@ -298,7 +318,7 @@
             nextDirectCallAt = now.plus(DIRECT_RETRY_PERIOD);
             return Optional.empty();
         }
-        return channel.relayPeer();
+        return now.isBefore(nextRelayedCallAt) ? Optional.empty() : channel.relayPeer();
     }
 
     private <T> CompletionStage<T> trackOutcome(CompletionStage<T> call) {
--- a/src/test/java/org/tarragonlug/gateway/SilenceableStore.java
+++ b/src/test/java/org/tarragonlug/gateway/SilenceableStore.java
@@ -22,8 +22,8 @@
 
 /**
  * A store in virtual time, as seen through the kept connections of one instance. These can go
- * silent; calls on them then end by their timeout, after which new connections are opened. The
- * store can also be out of reach for all calls.
+ * silent; calls on them then end by their timeout, after which new connections are opened. A list
+ * opens a connection of its own. The store can also be out of reach for all calls.
  */
 final class SilenceableStore implements ObjectApi {
     private static final Duration LATENCY = Duration.ofMillis(10);
@@ -41,10 +41,24 @@
 
     private record Change(long revision, StoredObject object) {}
 
+    /** What the store holds, for the connections of all instances. */
+    private static final class Contents {
+        private final Map<ObjectName, StoredObject> objects =
+                new TreeMap<>(Comparator.comparing(ObjectName::toString));
+        private final List<Change> history = new ArrayList<>();
+        private final List<Watch> watches = new ArrayList<>();
+        private long revision = 1;
+    }
+
     /** A call that has not ended. */
     private final class Call<T> {
         private final CompletableFuture<T> result = new CompletableFuture<>();
-        private final int connections = openedConnections;
+        private final SilenceableStore owner = SilenceableStore.this;
+        private final int connections;
+
+        Call(int connections) {
+            this.connections = connections;
+        }
 
         void answer(T value) {
             if (connections > silentConnections && outage == Outage.NONE) {
@@ -56,8 +70,9 @@
             boolean failed =
                     result.completeExceptionally(
                             new TarragonlugException(ErrorCode.OBJECT_API_UNAVAILABLE, detail));
-            if (failed && connections == openedConnections) {
+            if (failed && connections == keptConnections) {
                 openedConnections++;
+                keptConnections = openedConnections;
             }
         }
     }
@@ -65,15 +80,14 @@
     private record Watch(String kind, long after, Call<WatchResult> call) {}
 
     private final ManualTimers timers;
-    private final Map<ObjectName, StoredObject> objects =
-            new TreeMap<>(Comparator.comparing(ObjectName::toString));
-    private final List<Change> history = new ArrayList<>();
-    private final List<Watch> watches = new ArrayList<>();
-    private long revision = 1;
+    private final Contents contents;
 
     /** How often the connections were opened anew. */
     private int openedConnections = 1;
 
+    /** Number of the connections that calls share. */
+    private int keptConnections = 1;
+
     /** Connections opened up to this time are silent. */
     private int silentConnections;
 
@@ -81,7 +95,17 @@
     private int calls;
 
     SilenceableStore(ManualTimers timers) {
+        this(timers, new Contents());
+    }
+
+    private SilenceableStore(ManualTimers timers, Contents contents) {
         this.timers = timers;
+        this.contents = contents;
+    }
+
+    /** Returns the same store as seen through the connections of another instance. */
+    SilenceableStore forAnotherInstance() {
+        return new SilenceableStore(timers, contents);
     }
 
     /** Stops all answers on the connections that are open. */
@@ -99,8 +123,9 @@
 
     /** Ends the watches that wait without an answer. */
     void cutWatches() {
-        List<Watch> cut = List.copyOf(watches);
-        watches.clear();
+        List<Watch> cut =
+                contents.watches.stream().filter(each -> each.call().owner == this).toList();
+        contents.watches.removeAll(cut);
         cut.forEach(watch -> watch.call().fail("the watch was cut off"));
     }
 
@@ -109,24 +134,26 @@
     }
 
     void put(ObjectName name) {
-        revision++;
-        change(new StoredObject(name, revision, Json.object().put("revision", revision)));
+        contents.revision++;
+        change(
+                new StoredObject(
+                        name, contents.revision, Json.object().put("revision", contents.revision)));
     }
 
     void remove(ObjectName name) {
-        revision++;
-        objects.remove(name);
+        contents.revision++;
+        contents.objects.remove(name);
         change(new StoredObject(name, StoredObject.ABSENT, Json.object()));
     }
 
     private void change(StoredObject object) {
         if (object.exists()) {
-            objects.put(object.name(), object);
+            contents.objects.put(object.name(), object);
         }
-        history.add(new Change(revision, object));
-        for (Watch watch : List.copyOf(watches)) {
+        contents.history.add(new Change(contents.revision, object));
+        for (Watch watch : List.copyOf(contents.watches)) {
             if (watch.kind().equals(object.name().kind())) {
-                watches.remove(watch);
+                contents.watches.remove(watch);
                 timers.scheduleOnce(
                         LATENCY, now -> watch.call().answer(changes(watch.kind(), watch.after())));
             }
@@ -135,17 +162,17 @@
 
     private WatchResult changes(String kind, long after) {
         List<StoredObject> changed =
-                history.stream()
+                contents.history.stream()
                         .filter(each -> each.revision() > after)
                         .map(Change::object)
                         .filter(each -> each.name().kind().equals(kind))
                         .toList();
-        return new WatchResult(changed, revision, false);
+        return new WatchResult(changed, contents.revision, false);
     }
 
-    private <T> Call<T> begin(Duration timeout) {
+    private <T> Call<T> begin(int connections, Duration timeout) {
         calls++;
-        Call<T> call = new Call<>();
+        Call<T> call = new Call<>(connections);
         timers.scheduleOnce(timeout, now -> call.fail("no answer"));
         if (outage == Outage.REFUSING) {
             timers.scheduleOnce(LATENCY, now -> call.fail("the store is out of reach"));
@@ -154,14 +181,19 @@
     }
 
     private <T> CompletionStage<T> answer(Duration timeout, Supplier<T> value) {
-        Call<T> call = begin(timeout);
+        return answer(keptConnections, timeout, value);
+    }
+
+    private <T> CompletionStage<T> answer(int connections, Duration timeout, Supplier<T> value) {
+        Call<T> call = begin(connections, timeout);
         timers.scheduleOnce(LATENCY, now -> call.answer(value.get()));
         return call.result;
     }
 
     @Override
     public CompletionStage<StoredObject> read(ObjectName name) {
-        return answer(CALL_TIMEOUT, () -> objects.getOrDefault(name, StoredObject.absent(name)));
+        return answer(
+                CALL_TIMEOUT, () -> contents.objects.getOrDefault(name, StoredObject.absent(name)));
     }
 
     @Override
@@ -176,20 +208,23 @@
 
     @Override
     public CompletionStage<WatchResult> list(String kind) {
+        openedConnections++;
         return answer(
+                openedConnections,
                 LIST_TIMEOUT,
                 () ->
                         new WatchResult(
-                                objects.values().stream()
+                                contents.objects.values().stream()
                                         .filter(each -> each.name().kind().equals(kind))
                                         .toList(),
-                                revision,
+                                contents.revision,
                                 false));
     }
 
     @Override
     public CompletionStage<WatchResult> watch(String kind, long after, Duration wait) {
-        Call<WatchResult> call = begin(wait.plus(PlatformObjectApi.ANSWER_TIMEOUT));
+        Call<WatchResult> call =
+                begin(keptConnections, wait.plus(PlatformObjectApi.ANSWER_TIMEOUT));
         if (outage != Outage.NONE) {
             return call.result;
         }
@@ -198,11 +233,11 @@
             return call.result;
         }
         Watch watch = new Watch(kind, after, call);
-        watches.add(watch);
+        contents.watches.add(watch);
         timers.scheduleOnce(
                 wait.plus(LATENCY),
                 now -> {
-                    watches.remove(watch);
+                    contents.watches.remove(watch);
                     call.answer(changes(kind, after));
                 });
         return call.result;
