Count the pause after a lost watch from its beginning

Callers would see: requests at a leaving server for a little longer than allowed, when connections to the store go silent soon after an outage.

Cause: the backoff that the outage left behind (up to 0.7 s) was waited for after a watch that had already waited and timed out, so the steps added up to more than the limit.

Change: as for lists, the backoff counts from the beginning of the call that failed. A watch that fails at once is still followed by the whole pause, and one that took longer than the pause by a list at once.

StoreWatcherTest, with its bound on calls to a store that answers no watches, passes.

--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -148,7 +148,7 @@
                 Step.WATCHING,
                 () -> store.watch(kind, revision, pace.get().longestWait(limits)),
                 (began, result) -> onWatched(result),
-                (began, failure) -> onWatchFailed(failure));
+                this::onWatchFailed);
     }
 
     /** Makes a call to the store in place of the present step. */
@@ -258,12 +258,12 @@
         unavailable = false;
     }
 
-    private void onWatchFailed(Throwable failure) {
+    private void onWatchFailed(Instant began, Throwable failure) {
         log.event(LogEvent.STORE_WATCH_LOST)
                 .with("kind", kind)
                 .with("failure", failure.getMessage())
                 .write();
-        scheduleList(timers.now());
+        scheduleList(began);
         onWatchLost.run();
     }
 
@@ -283,10 +283,10 @@
      * Schedules a list. The next call is not another watch, because the store may no longer have
      * the history of the changes since the failure.
      *
-     * @param after time from which the backoff counts
+     * @param began beginning of the call that failed, from which the backoff counts
      */
-    private void scheduleList(Instant after) {
-        Duration remaining = Duration.between(timers.now(), after.plus(backoff));
+    private void scheduleList(Instant began) {
+        Duration remaining = Duration.between(timers.now(), began.plus(backoff));
         pause(remaining.isNegative() ? Duration.ZERO : remaining, this::list);
         increaseBackoff();
     }
