List the objects of the store on a new connection

Callers would see: requests to a server whose entry was removed for up to 1 s longer than allowed, when connections to the store go silent soon after an outage.

Cause: a pool that was opened by another call in the meantime could be silent as well, and the list after a lost watch went to it. The list then took its whole timeout, and StoreOutage took its failure for an outage that lasted at least until the list began, and kept entries that were missing for too long.

Change: a list opens a connection of its own. It is answered if the store can be reached, and its failure shows what StoreOutage takes it for. Lists are rare: at the start, after a lost watch and after a gap in the history.

--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -119,6 +119,10 @@
     /**
      * Reads one page of a list and then the following pages. A later watch starts at the revision
      * of the first page, so it includes changes that occur while the other pages are read.
+     *
+     * <p>A list opens a new connection. It mostly follows a failure, after which kept connections
+     * may be silent as well, and a list that fails then shows that the store itself is out of
+     * reach.
      */
     private CompletionStage<WatchResult> listPage(
             String kind, String after, List<StoredObject> found, long firstRevision) {
@@ -127,7 +131,7 @@
             path += "?after=" + JsonFields.pathSegment(after);
         }
         return Answers.read(
-                        exchange("GET", path, null, LIST_TIMEOUT),
+                        exchange("GET", path, null, LIST_TIMEOUT, ConnectionUse.NEW),
                         answer -> {
                             requireRead(answer);
                             return JsonFields.parseForeign(answer.body());
@@ -205,11 +209,16 @@
 
     private CompletionStage<HttpAnswer> exchange(
             String method, String path, JsonNode body, Duration timeout) {
+        return exchange(method, path, body, timeout, ConnectionUse.POOLED);
+    }
+
+    private CompletionStage<HttpAnswer> exchange(
+            String method, String path, JsonNode body, Duration timeout, ConnectionUse use) {
         byte[] bytes = body == null ? new byte[0] : Json.bytes(body);
         Map<String, String> headers =
                 body == null ? Map.of() : Map.of("content-type", "application/json");
         return connections.exchange(
-                address, new HttpCall(method, path, headers, bytes, timeout, ConnectionUse.POOLED));
+                address, new HttpCall(method, path, headers, bytes, timeout, use));
     }
 
     private static String path(ObjectName name) {
