Skip late answers that name another request

What callers saw: a server sent an answer once more, late, where the answer to the next request on the kept connection was due. The next request ended with 502, although its own answer followed. On some callers got a 503 ("not run") for a request that had run, or the answer to a report.

Cause: the first answer that came where one was due ended the call. Its name was read only after the library had decoded it, when nothing but a failure was left.

Change: a call states how its answer names it (ExpectedAnswer). FramingGuard keeps a head back until it is complete, and AnswerFilter skips an answer that names another call, bounded in number and bytes. The library never sees the skipped bytes. ServerAttempt still checks what is handed on. A connection is not used again after HEAD, because a second answer to it can not be measured. Skipped answers are logged and counted.

Why it works: an answer is handed on only if it names the call or nothing, and what follows a skipped one is read from its exact end; where the end is unsure (no length, a head within the body, two names), the call fails as before.

--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -23,6 +23,7 @@
 import org.tarragonlug.decision.forwarding.ServerNotice;
 import org.tarragonlug.decision.placement.DemandCollector;
 import org.tarragonlug.http.ConnectionUse;
+import org.tarragonlug.http.ExpectedAnswer;
 import org.tarragonlug.http.HttpBody;
 import org.tarragonlug.http.HttpCall;
 import org.tarragonlug.http.HttpConnections;
@@ -186,10 +187,32 @@
                         RequestHeaders.forServer(request.call.headers(), send),
                         request.call.body(),
                         send.remaining().plus(ATTEMPT_MARGIN),
-                        send.newConnection() ? ConnectionUse.NEW : ConnectionUse.POOLED);
+                        send.newConnection() ? ConnectionUse.NEW : ConnectionUse.POOLED,
+                        Optional.of(expectedAnswer(request.requestId, send.server())));
         attempt.attachExchange(connections.start(address.get(), call, attempt));
     }
 
+    private ExpectedAnswer expectedAnswer(String requestId, ServerId server) {
+        Instant sentAt = timers.now();
+        return new ExpectedAnswer(
+                RequestHeaders.REQUEST_ID,
+                requestId,
+                skipped -> {
+                    metrics.recordSkippedAnswer();
+                    log.event(LogEvent.FORWARD_ANSWER_SKIPPED)
+                            .with("request", requestId)
+                            .with("server", server)
+                            .with("status", skipped.status())
+                            .with("bytes", skipped.bytes())
+                            .with("since_sent_ms", millisSince(sentAt))
+                            .write();
+                });
+    }
+
+    private long millisSince(Instant time) {
+        return Duration.between(time, timers.now()).toMillis();
+    }
+
     private static String promptParts(ActiveRequest request) {
         return request.request.prefix().parts().stream()
                 .map(PromptPartId::value)
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -52,6 +52,12 @@
                     .help("Answers of servers that broke off, by what had been received")
                     .labelNames("received")
                     .register(registry);
+    private final Counter skippedAnswers =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_server_answers_skipped_total")
+                    .help("Late answers of servers to other requests, which were skipped")
+                    .register(registry);
     private final Counter notices =
             Counter.builder()
                     .withoutExemplars()
@@ -106,6 +112,10 @@
         brokenAnswers.labelValues(lowerCase(received)).inc();
     }
 
+    void recordSkippedAnswer() {
+        skippedAnswers.inc();
+    }
+
     /** Counts each kind of news in a notice. */
     void recordNotice(ServerNotice notice) {
         if (notice.leaving()) {
--- a/src/main/java/org/tarragonlug/http/AnswerFraming.java
+++ b/src/main/java/org/tarragonlug/http/AnswerFraming.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.http;
 
 import io.netty.buffer.ByteBuf;
+import java.util.Locale;
 
 /**
  * Finds where the answers on a connection end, in the bytes as they are received.
@@ -26,8 +27,8 @@
         CLOSE
     }
 
-    /** The beginning of a head; it occurs nowhere else in one. */
-    private static final String HEAD_BEGINNING = "HTTP/1.";
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
 
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
@@ -51,16 +52,14 @@
     private boolean lineEmpty = true;
     private long remainingBytes;
     private boolean sizeComplete;
-    private int matchedBeginning;
-    private int headBeginnings;
+    private final HeadBeginnings headBeginnings = new HeadBeginnings();
     private boolean headMayEnd;
 
     /** Prepares for the next answer. */
     void startHead() {
         part = Part.HEAD;
         lineEmpty = true;
-        matchedBeginning = 0;
-        headBeginnings = 0;
+        headBeginnings.reset();
     }
 
     /**
@@ -80,6 +79,32 @@
         }
     }
 
+    /**
+     * Records that the head is complete, and finds how the body ends as RFC 9112, section 6.3,
+     * defines it for all requests but HEAD.
+     *
+     * @param transferEncoding the header's value; empty if absent
+     * @param contentLength the header's value; empty if absent
+     */
+    void startBody(int status, String transferEncoding, String contentLength) {
+        if (status == NO_CONTENT || status == NOT_MODIFIED) {
+            startBody(BodyEnd.LENGTH, 0);
+        } else if (transferEncoding.toLowerCase(Locale.ROOT).contains("chunked")) {
+            startBody(BodyEnd.CHUNKS, 0);
+        } else {
+            startBodyOfLength(contentLength);
+        }
+    }
+
+    private void startBodyOfLength(String contentLength) {
+        try {
+            startBody(BodyEnd.LENGTH, Long.parseLong(contentLength));
+        } catch (NumberFormatException absentOrUnreadable) {
+            // Without a length the connection is not used again after the answer.
+            startBody(BodyEnd.CLOSE, 0);
+        }
+    }
+
     private void startChunk() {
         part = Part.CHUNK_SIZE;
         remainingBytes = 0;
@@ -91,12 +116,17 @@
         return part == Part.ENDED;
     }
 
+    /** Returns whether the answer ends only when the connection is closed. */
+    boolean endsWithConnection() {
+        return part == Part.UNTIL_CLOSE;
+    }
+
     /**
      * Returns whether the head contains the beginning of another one within its lines. Additional
      * bytes that end in the middle of a line are joined in this way with the answer that follows.
      */
     boolean hasJoinedHeads() {
-        return headBeginnings > 1;
+        return headBeginnings.count() > 1;
     }
 
     /**
@@ -134,7 +164,7 @@
 
     /** Records that an interim answer was complete, after which another head follows. */
     void onInterimAnswer() {
-        headBeginnings = 0;
+        headBeginnings.reset();
     }
 
     private int followBody(int available) {
@@ -165,13 +195,7 @@
     }
 
     private void followHead(byte next) {
-        boolean matches = next == HEAD_BEGINNING.charAt(matchedBeginning);
-        boolean startsAgain = next == HEAD_BEGINNING.charAt(0);
-        matchedBeginning = matches ? matchedBeginning + 1 : startsAgain ? 1 : 0;
-        if (matchedBeginning == HEAD_BEGINNING.length()) {
-            matchedBeginning = 0;
-            headBeginnings++;
-        }
+        headBeginnings.follow(next);
         headMayEnd = endsEmptyLine(next);
     }
 
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 
 /**
@@ -26,9 +27,16 @@
  * <p>Bytes after the end of an answer belong to no request. They are never handed to the library
  * ({@link AnswerFraming}): if they were received together with the end of the answer, the
  * connection is not used again, and if they arrive later while no call is in progress, they close
- * it. Bytes that arrive when the next request has already been sent can not be told from the
- * beginning of its answer; the call must then check that the answer names the request. If they end
- * within a line, the answer's own head continues that line, which the guard recognises.
+ * it. What arrives when the next request has already been sent may be late as well:
+ *
+ * <ul>
+ *   <li>A whole answer that names another call is skipped, and the call gets the answer behind it
+ *       ({@link AnswerFilter}). On a new connection no answer can be late, so none is skipped.
+ *   <li>An answer that names no call, or bytes that are none, can not be told from the beginning of
+ *       the call's own answer; the call must then check that the answer names it.
+ *   <li>If the bytes end within a line, the answer's own head continues that line, which the guard
+ *       recognises.
+ * </ul>
  *
  * <p>All methods must be called on the event loop of the connection, except for {@link #begin}. The
  * call sends its request after {@link #begin}, so the event loop sees the effects of that method.
@@ -46,6 +54,8 @@
         /** No call is in progress, so the server must not send anything. */
         IDLE,
         HEAD,
+        /** The body of a late answer to another call. */
+        SKIPPED_BODY,
         /** Body, chunk sizes and trailers. */
         BODY,
         CLOSED
@@ -55,6 +65,7 @@
 
     private final FramingLimits limits;
     private final AnswerFraming framing = new AnswerFraming();
+    private final AnswerFilter filter = new AnswerFilter();
     private Phase phase = Phase.IDLE;
     private BiConsumer<HttpFailure.Kind, String> violationAction = NO_ACTION;
 
@@ -86,20 +97,26 @@
     /**
      * Prepares the guard for the answer to a new call.
      *
+     * @param expected how the answer names the call; empty if it names none
      * @param action receives the kind and a description of what the server may not send
      */
-    void begin(BiConsumer<HttpFailure.Kind, String> action) {
-        phase = Phase.HEAD;
+    void begin(Optional<ExpectedAnswer> expected, BiConsumer<HttpFailure.Kind, String> action) {
         calls++;
         violationAction = action;
-        framing.startHead();
-        headBytes = 0;
-        headLines = 0;
+        filter.begin(isFirstCall() ? Optional.empty() : expected);
+        startHead();
         bytesAfterHead = 0;
         bodyBytes = 0;
         allowedFramingBytes = limits.trailerBytes();
     }
 
+    private void startHead() {
+        phase = Phase.HEAD;
+        framing.startHead();
+        headBytes = 0;
+        headLines = 0;
+    }
+
     /** Returns whether the present call is the first one on the connection. */
     boolean isFirstCall() {
         return calls == 1;
@@ -116,6 +133,15 @@
         framing.startBody(end, length);
     }
 
+    /**
+     * Records that the head of the answer is complete, and finds the end of the body from its
+     * headers, which are empty if absent.
+     */
+    void onHeadReceived(int status, String transferEncoding, String contentLength) {
+        phase = Phase.BODY;
+        framing.startBody(status, transferEncoding, contentLength);
+    }
+
     /** Records that a part of the body was received. */
     void onBodyPart(int bytes) {
         bodyBytes += bytes;
@@ -151,29 +177,80 @@
     private void passNextPiece(ChannelHandlerContext context, ByteBuf bytes) {
         int size = phase == Phase.IDLE ? 0 : framing.nextPiece(bytes, SLICE);
         if (size == 0) {
-            close(context, HttpFailure.Kind.ANSWER_INVALID, "bytes that belong to no request");
+            closeInvalid(context, "bytes that belong to no request");
             return;
         }
         if (framing.hasJoinedHeads()) {
-            close(context, HttpFailure.Kind.ANSWER_INVALID, "a head within a line of the head");
+            closeInvalid(context, "a head within a line of the head");
             return;
         }
-        ByteBuf piece = bytes.readRetainedSlice(size);
+        ByteBuf piece = bytes.readSlice(size);
         unreadBytes = bytes.readableBytes();
-        if (phase == Phase.HEAD) {
-            headBytes += size;
-            headLines += countLines(piece);
-        } else {
-            bytesAfterHead += size;
+        switch (phase) {
+            case HEAD -> passHead(context, piece);
+            case SKIPPED_BODY -> skipBody(context, piece);
+            default -> {
+                bytesAfterHead += size;
+                // The decoder reports the parts of the body before this call returns.
+                context.fireChannelRead(piece.retain());
+            }
         }
-        // The decoder reports the head and the body parts that the piece completes, before this
-        // call returns.
-        context.fireChannelRead(piece);
         unreadBytes = 0;
+        checkLimits(context);
+    }
+
+    private void passHead(ChannelHandlerContext context, ByteBuf piece) {
+        headBytes += piece.readableBytes();
+        headLines += countLines(piece);
+        switch (filter.addHead(piece, framing.headMayEnd())) {
+            case HAND_ON -> handOnHead(context);
+            case SKIP -> startSkipping(context);
+            case INVALID -> closeInvalid(context, "an answer that names two calls");
+            default -> {
+                // The head is kept back until it is complete.
+            }
+        }
+    }
+
+    private void handOnHead(ChannelHandlerContext context) {
+        ByteBuf head = filter.take();
+        // The decoder reports the head that these bytes complete, before this call returns. It
+        // accepts buffers of the connection's allocator only.
+        context.fireChannelRead(context.alloc().buffer(head.readableBytes()).writeBytes(head));
         if (phase == Phase.HEAD && framing.headMayEnd()) {
             framing.onInterimAnswer();
         }
-        checkLimits(context);
+    }
+
+    private void startSkipping(ChannelHandlerContext context) {
+        AnswerHead head = filter.startSkipping();
+        phase = Phase.SKIPPED_BODY;
+        framing.startBody(
+                head.status(), head.value("transfer-encoding"), head.value("content-length"));
+        if (framing.endsWithConnection()) {
+            closeInvalid(context, "an answer to another call that has no end");
+        } else {
+            endSkippingIfComplete(context);
+        }
+    }
+
+    private void skipBody(ChannelHandlerContext context, ByteBuf piece) {
+        filter.skipBody(piece);
+        if (filter.hasAnswerWithin()) {
+            closeInvalid(context, "an answer within one to another call");
+        } else {
+            endSkippingIfComplete(context);
+        }
+    }
+
+    private void endSkippingIfComplete(ChannelHandlerContext context) {
+        if (framing.isEnded()) {
+            filter.endSkipping();
+            startHead();
+        }
+        if (filter.exceedsLimits()) {
+            closeInvalid(context, "too many answers to other calls");
+        }
     }
 
     private static int countLines(ByteBuf slice) {
@@ -196,6 +273,10 @@
         }
     }
 
+    private void closeInvalid(ChannelHandlerContext context, String detail) {
+        close(context, HttpFailure.Kind.ANSWER_INVALID, detail);
+    }
+
     private void closeTooLarge(ChannelHandlerContext context, String part, String limit) {
         close(context, HttpFailure.Kind.ANSWER_TOO_LARGE, part + " exceeds " + limit);
     }
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -17,7 +17,6 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
@@ -37,8 +36,6 @@
 public final class HttpExchange {
     private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
-    private static final int NO_CONTENT = 204;
-    private static final int NOT_MODIFIED = 304;
     private static final char HIGHEST_CONTROL_CHARACTER = 0x1f;
     private static final char DELETE_CHARACTER = 0x7f;
 
@@ -149,7 +146,7 @@
             connection = reserved;
             guard = FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
         }
-        guard.begin((kind, detail) -> fail(kind, detail, null));
+        guard.begin(call.expectedAnswer(), (kind, detail) -> fail(kind, detail, null));
         receiver.onSent(guard.isFirstCall());
         toSource(reserved.request(request))
                 .subscribe(new Step<StreamingHttpResponse>(this::handleHead, false));
@@ -174,29 +171,17 @@
         toSource(response.payloadBody()).subscribe(new Body());
     }
 
-    /** Tells the guard how the end of the body is found, as RFC 9112, section 6.3, defines it. */
+    /** Tells the guard how the end of the body is found. */
     private void reportBodyEnd(StreamingHttpResponse response) {
-        int status = response.status().code();
-        OptionalLong length = contentLength(response);
-        if (status == NO_CONTENT || status == NOT_MODIFIED || call.method().equals("HEAD")) {
-            guard.onHeadReceived(AnswerFraming.BodyEnd.LENGTH, 0);
-        } else if (text(response, "transfer-encoding")
-                .toLowerCase(Locale.ROOT)
-                .contains("chunked")) {
-            guard.onHeadReceived(AnswerFraming.BodyEnd.CHUNKS, 0);
-        } else if (length.isPresent()) {
-            guard.onHeadReceived(AnswerFraming.BodyEnd.LENGTH, length.getAsLong());
-        } else {
+        if (call.method().equals("HEAD")) {
+            // A late second answer would state the length of a body that does not follow, so the
+            // connection is not used again.
             guard.onHeadReceived(AnswerFraming.BodyEnd.CLOSE, 0);
-        }
-    }
-
-    private static OptionalLong contentLength(StreamingHttpResponse response) {
-        try {
-            return OptionalLong.of(Long.parseLong(text(response, "content-length")));
-        } catch (NumberFormatException absentOrUnreadable) {
-            // Without a length the connection is not used again after the answer.
-            return OptionalLong.empty();
+        } else {
+            guard.onHeadReceived(
+                    response.status().code(),
+                    text(response, "transfer-encoding"),
+                    text(response, "content-length"));
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/tarragonlug/http/SkippedAnswer.java
@@ -0,0 +1,9 @@
+package org.tarragonlug.http;
+
+/**
+ * An answer that was skipped because it names another call than the one in progress.
+ *
+ * @param status HTTP status
+ * @param bytes length of its head and body, as received
+ */
+public record SkippedAnswer(int status, long bytes) {}
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -95,6 +95,8 @@
     FORWARD_WAITING(Level.INFO),
     /** A server rejected a forwarded request without running it. */
     FORWARD_REJECTED(Level.INFO),
+    /** A late answer to another request was skipped before the answer to a forwarded request. */
+    FORWARD_ANSWER_SKIPPED(Level.INFO),
     /** The connection of a forwarded request to a server broke, or its answer was invalid. */
     FORWARD_BROKEN(Level.INFO),
     /** The attempt to run a forwarded request at a server was cancelled. */
--- a/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
+++ b/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
@@ -44,13 +44,26 @@
      * @param end how the connection goes on
      * @param flood supplies what is sent afterwards, part by part, until the connection is closed;
      *     null for nothing
+     * @param later what is sent after the bytes, before the next request is read
      */
-    record Answer(String bytes, End end, LongFunction<String> flood) {
+    record Answer(String bytes, End end, LongFunction<String> flood, List<Later> later) {
+        Answer(String bytes, End end, LongFunction<String> flood) {
+            this(bytes, end, flood, List.of());
+        }
+
         Answer(String bytes, End end) {
             this(bytes, end, null);
         }
     }
 
+    /**
+     * Bytes that are sent after a delay.
+     *
+     * @param delayMillis time since the bytes before
+     * @param bytes the bytes
+     */
+    record Later(long delayMillis, String bytes) {}
+
     /** What happens to the connection after an answer. */
     enum End {
         /** It is kept for further requests. */
@@ -185,6 +198,10 @@
                 Answer answer = script.answer(request, number, onConnection);
                 output.write(answer.bytes().getBytes(StandardCharsets.ISO_8859_1));
                 output.flush();
+                for (Later later : answer.later()) {
+                    Thread.sleep(later.delayMillis());
+                    output.write(later.bytes().getBytes(StandardCharsets.ISO_8859_1));
+                }
                 for (long part = 0; answer.flood() != null; part++) {
                     output.write(answer.flood().apply(part).getBytes(StandardCharsets.ISO_8859_1));
                 }
@@ -196,6 +213,8 @@
         } catch (IOException closed) {
             // The gateway or the test closed the connection.
             return;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
