Take a quoted status line in a body for no head

Cause: after a status line the finder took everything up to the next empty line for a head, so a body without one ended within a supposed head.

Change: what follows must be lines of headers, and the rest of the status line is 64 bytes at most. A status line is looked for within a supposed head too, since a head may break off and begin anew in the middle of a header's name.

Evidence: SecondHeadFinderTest, two new bodies that are not found and left no head open, and a head that begins within the name of a header.

--- a/src/main/java/org/tarragonlug/http/SecondHeadFinder.java
+++ b/src/main/java/org/tarragonlug/http/SecondHeadFinder.java
@@ -24,12 +24,18 @@
     private static final byte ANY_DIGIT = '#';
     private static final int MISMATCH = -1;
 
+    /** Longest rest of a status line, in bytes; reasons are a few words. */
+    private static final int MAX_STATUS_LINE_REST = 64;
+
     /** Header name, colon and value. */
     private final byte[] nameLine;
 
     private final int valueStart;
     private int matchedStatusLine;
     private boolean inHead;
+    private boolean inStatusLine;
+    private int statusLineRest;
+    private boolean inHeaderName;
     private boolean lineEmpty;
     private int matchedNameLine;
     private int headStart;
@@ -52,7 +58,7 @@
         for (int index = 0; index < part.length && !found; index++) {
             if (isOpen() || mayBegin(part[index])) {
                 follow(part[index]);
-                headStart = matchedStatusLine == 1 ? index : headStart;
+                headStart = matchedStatusLine == 1 && !inHead ? index : headStart;
             }
         }
         return found;
@@ -87,9 +93,13 @@
 
     private void follow(byte next) {
         if (inHead) {
-            followHeader(next);
-            return;
+            followHead(next);
         }
+        followStatusLine(next);
+    }
+
+    /** A head may begin within another one that breaks off, so this is followed everywhere. */
+    private void followStatusLine(byte next) {
         if (matchesStatusLine(next)) {
             matchedStatusLine++;
         } else {
@@ -98,6 +108,8 @@
         if (matchedStatusLine == STATUS_LINE.length) {
             matchedStatusLine = 0;
             inHead = true;
+            inStatusLine = true;
+            statusLineRest = 0;
             lineEmpty = false;
             matchedNameLine = MISMATCH;
         }
@@ -108,15 +120,33 @@
         return expected == ANY_DIGIT ? next >= '0' && next <= '9' : next == expected;
     }
 
-    private void followHeader(byte next) {
+    /** Follows a head until it turns out to be none, as where a body quotes a status line. */
+    private void followHead(byte next) {
         if (next == '\n') {
-            found |= matchedNameLine == nameLine.length;
-            inHead = !lineEmpty;
-            lineEmpty = true;
-            matchedNameLine = 0;
+            endLine();
             return;
         }
         lineEmpty = lineEmpty && next == '\r';
+        if (inStatusLine) {
+            statusLineRest++;
+            inHead = statusLineRest <= MAX_STATUS_LINE_REST;
+            return;
+        }
+        inHeaderName = inHeaderName && next != ':';
+        inHead = !inHeaderName || lineEmpty || isNameCharacter(next);
+        followNameLine(next);
+    }
+
+    private void endLine() {
+        found |= matchedNameLine == nameLine.length;
+        inHead = !lineEmpty && (inStatusLine || !inHeaderName);
+        inStatusLine = false;
+        inHeaderName = true;
+        lineEmpty = true;
+        matchedNameLine = 0;
+    }
+
+    private void followNameLine(byte next) {
         boolean ended = matchedNameLine == nameLine.length;
         boolean skipped = isBlank(next) && (matchedNameLine == valueStart || ended);
         if (!skipped && matchedNameLine != MISMATCH) {
@@ -130,6 +160,10 @@
         return compared == nameLine[matchedNameLine];
     }
 
+    private static boolean isNameCharacter(byte next) {
+        return Character.isLetterOrDigit(next) || "!#$%&'*+-.^_`|~".indexOf(next) >= 0;
+    }
+
     private static boolean isBlank(byte next) {
         return next == ' ' || next == '\t' || next == '\r';
     }
--- a/src/test/java/org/tarragonlug/http/SecondHeadFinderTest.java
+++ b/src/test/java/org/tarragonlug/http/SecondHeadFinderTest.java
@@ -43,6 +43,7 @@
                     "HTTP/1.1 200 OK\r\nx: y\r\n\r\n" + HEAD,
                     "HTTP/1.1 200 OK\r\nx: y" + HEAD,
                     "HTTP/1.1 200 OK\r\n\r" + HEAD,
+                    "HTTP/1.1 200 OK\r\nrequest-" + HEAD,
                     "HTTP/1.0 503 X\r\nREQUEST-ID:r1 \r\n",
                     "HTTP/1.1 503\nrequest-id: \t r1\n"
                 })
@@ -76,7 +77,9 @@
                     "HTTP/1.1 200 OK\r\nrequest-id: r1 r2\r\n\r\n",
                     "HTTP/1.1 200 OK\r\nxrequest-id: r1\r\n\r\n",
                     "HTTP/1.1 200 OK\r\nrequest-id: r\r\n1\r\n\r\n",
-                    "HTTP/2.1 200 OK\r\nrequest-id: r1\r\n"
+                    "HTTP/2.1 200 OK\r\nrequest-id: r1\r\n",
+                    "HTTP/1.1 200 OK\r\nno header\r\nrequest-id: r1\r\n\r\n",
+                    "{\"log\": \"HTTP/1.1 200 OK\", \"next\": \"and so on, and so on, and so on, and so on, and so on, and so on\"}"
                 })
         void otherBytesAreNotFound(String body) {
             assertFalse(add(body));
