Find a second answer that is divided where its connection ends

What callers saw: a success spliced of two answers, if the first one says Connection: close, stops within its body, and the second one is divided where the first body ends; found by the review of the fix.

Cause: the bytes after the body decide, but the library closes such a connection as soon as the body is complete, so they are never read.

Change: where the connection ends with the answer, a body that ends with five bytes of a status line or more ("HTTP/") counts as broken at once.

--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -67,6 +67,7 @@
     }
 
     private static final BiConsumer<HttpFailure.Kind, String> NO_ACTION = (kind, detail) -> {};
+    private static final Consumer<byte[]> NO_AFTER_END_ACTION = bytes -> {};
 
     private final Channel channel;
     private final FramingLimits limits;
@@ -75,7 +76,7 @@
     private Phase phase = Phase.IDLE;
     private BiConsumer<HttpFailure.Kind, String> violationAction = NO_ACTION;
 
-    private Consumer<byte[]> afterEndAction = bytes -> {};
+    private Consumer<byte[]> afterEndAction = NO_AFTER_END_ACTION;
 
     /** Bytes of the present read that have not been handed to the library. */
     private int unreadBytes;
@@ -155,6 +156,11 @@
         framing.startBody(status, transferEncoding, contentLength);
     }
 
+    /** Returns whether the body of the answer ends when the connection is closed. */
+    boolean bodyEndsWithConnection() {
+        return framing.endsWithConnection();
+    }
+
     /** Records that a part of the body was received. */
     void onBodyPart(int bytes) {
         bodyBytes += bytes;
@@ -165,7 +171,7 @@
      * Hands the bytes after a complete answer to an action until {@link #end} is called.
      *
      * @param action receives the bytes
-     * @param wait time after which, or when the connection is closed, the answer is to end
+     * @param wait time after which the answer is to end; not waited for on a closed connection
      * @param onWaited ends the answer; called even if it has ended before
      */
     void followBytesAfterEnd(Consumer<byte[]> action, Duration wait, Runnable onWaited) {
@@ -185,6 +191,7 @@
      */
     boolean end() {
         violationAction = NO_ACTION;
+        afterEndAction = NO_AFTER_END_ACTION;
         boolean clean = unreadBytes == 0 && framing.isEnded();
         phase = clean ? Phase.IDLE : Phase.CLOSED;
         return clean;
@@ -325,6 +332,7 @@
     private void close(ChannelHandlerContext context, HttpFailure.Kind kind, String detail) {
         BiConsumer<HttpFailure.Kind, String> action = violationAction;
         violationAction = NO_ACTION;
+        afterEndAction = NO_AFTER_END_ACTION;
         phase = Phase.CLOSED;
         action.accept(kind, detail);
         context.close();
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -50,6 +50,11 @@
      */
     private static final Duration SECOND_HEAD_WAIT_PER_BYTE = Duration.ofMillis(50);
 
+    private static final Duration LONGEST_SECOND_HEAD_WAIT = Duration.ofMillis(250);
+
+    /** Bytes with which a head begins that hardly stand at the end of a body by chance. */
+    private static final int TELLING_HEAD_BYTES = "HTTP/".length();
+
     private static final char HIGHEST_CONTROL_CHARACTER = 0x1f;
     private static final char DELETE_CHARACTER = 0x7f;
 
@@ -65,6 +70,7 @@
     private Future<?> timer;
     private long receivedBytes;
     private long heldBytes;
+    private boolean endsConnection;
     private boolean ended;
 
     HttpExchange(
@@ -207,6 +213,9 @@
                     text(response, "transfer-encoding"),
                     text(response, "content-length"));
         }
+        endsConnection =
+                guard.bodyEndsWithConnection()
+                        || text(response, "connection").toLowerCase(Locale.ROOT).contains("close");
     }
 
     private static String text(StreamingHttpResponse response, String header) {
@@ -259,8 +268,18 @@
             return;
         }
         secondHead.get().endBody();
-        Duration wait = SECOND_HEAD_WAIT_PER_BYTE.multipliedBy(secondHead.get().agreeingBytes());
-        guard.followBytesAfterEnd(this::handleBytesAfterEnd, wait, this::complete);
+        int agreeingBytes = secondHead.get().agreeingBytes();
+        if (endsConnection && agreeingBytes >= TELLING_HEAD_BYTES) {
+            // The library closes the connection, so the bytes after the body can not decide.
+            failAsRepeated();
+            return;
+        }
+        Duration wait = SECOND_HEAD_WAIT_PER_BYTE.multipliedBy(agreeingBytes);
+        boolean tooLong = wait.compareTo(LONGEST_SECOND_HEAD_WAIT) > 0;
+        guard.followBytesAfterEnd(
+                this::handleBytesAfterEnd,
+                tooLong ? LONGEST_SECOND_HEAD_WAIT : wait,
+                this::complete);
     }
 
     private synchronized void handleBytesAfterEnd(byte[] bytes) {
--- a/src/test/java/org/tarragonlug/gateway/SecondAnswerWithinFirstTest.java
+++ b/src/test/java/org/tarragonlug/gateway/SecondAnswerWithinFirstTest.java
@@ -43,6 +43,8 @@
     /** How the end of the body is found. */
     private enum Framing {
         LENGTH,
+        /** After a length, and the answer says that its connection ends. */
+        LENGTH_AND_CLOSE,
         CHUNKS,
         CLOSE
     }
@@ -61,7 +63,8 @@
         AFTER_30_MILLIS(30),
         AFTER_300_MILLIS(300),
         /** With the first one as far as that one's length goes, and the rest later. */
-        DIVIDED(2);
+        DIVIDED(2),
+        DIVIDED_BY_40_MILLIS(40);
 
         private final long millis;
 
@@ -115,6 +118,12 @@
             String body = body(firstEvent);
             return switch (framing) {
                 case LENGTH -> head + "content-length: " + body.length() + "\r\n\r\n" + body;
+                case LENGTH_AND_CLOSE ->
+                        head
+                                + "connection: close\r\ncontent-length: "
+                                + body.length()
+                                + "\r\n\r\n"
+                                + body;
                 case CLOSE -> head + "\r\n" + body;
                 case CHUNKS -> {
                     StringBuilder chunks = new StringBuilder();
@@ -131,7 +140,23 @@
         /** Returns whether the second answer is divided after a few bytes only. */
         boolean isDividedEarly() {
             int room = answer("r" + number, 1).length() - cut;
-            return when == When.DIVIDED && room < DIVIDED_BYTES;
+            return isDivided() && room < DIVIDED_BYTES;
+        }
+
+        private boolean isDivided() {
+            return when == When.DIVIDED || when == When.DIVIDED_BY_40_MILLIS;
+        }
+
+        /** Returns whether the case is played; few are where the connection ends after a length. */
+        boolean isSelected() {
+            boolean ends = framing == Framing.LENGTH_AND_CLOSE;
+            boolean wantedAtEnd = when == When.DIVIDED_BY_40_MILLIS && second == Second.IDENTICAL;
+            return ends ? wantedAtEnd : when != When.DIVIDED_BY_40_MILLIS;
+        }
+
+        ScriptedServer.End end() {
+            boolean ends = framing == Framing.CLOSE || framing == Framing.LENGTH_AND_CLOSE;
+            return ends ? ScriptedServer.End.CLOSE : ScriptedServer.End.KEEP;
         }
 
         private String secondAnswer(String requestId) {
@@ -146,17 +171,16 @@
             String whole = answer(requestId, 1);
             String begun = whole.substring(0, cut);
             String next = secondAnswer(requestId);
-            ScriptedServer.End end =
-                    framing == Framing.CLOSE ? ScriptedServer.End.CLOSE : ScriptedServer.End.KEEP;
             int atOnce =
                     switch (when) {
                         case AT_ONCE -> next.length();
-                        case DIVIDED -> Math.min(next.length(), whole.length() - cut);
+                        case DIVIDED, DIVIDED_BY_40_MILLIS ->
+                                Math.min(next.length(), whole.length() - cut);
                         default -> 0;
                     };
             return new ScriptedServer.Answer(
                     begun + next.substring(0, atOnce),
-                    end,
+                    end(),
                     null,
                     List.of(new ScriptedServer.Later(when.millis, next.substring(atOnce))));
         }
@@ -205,9 +229,7 @@
         }
         int firstEvent =
                 request.lastEventId().isEmpty() ? 1 : Integer.parseInt(request.lastEventId()) + 1;
-        ScriptedServer.End end =
-                asked.framing == Framing.CLOSE ? ScriptedServer.End.CLOSE : ScriptedServer.End.KEEP;
-        return new ScriptedServer.Answer(asked.answer(request.id(), firstEvent), end);
+        return new ScriptedServer.Answer(asked.answer(request.id(), firstEvent), asked.end());
     }
 
     private void start() throws Exception {
@@ -279,7 +301,7 @@
                     for (When when : When.values()) {
                         int number = 1000 + cases.size();
                         Case next = new Case(number, request, framing, second, when, cut);
-                        if (!next.isDividedEarly()) {
+                        if (next.isSelected() && !next.isDividedEarly()) {
                             cases.add(next);
                         }
                     }
