Ask again before an order is written whether its holder may give it

What could happen: an order is given, its connection is opened for up to 220 ms, the lease of its holder ends meanwhile, and the order is written. The next holder may then be 20 ms closer than the turn time.

Change: HttpConnections.exchange asks, before anything is written, and orders pass LeaseManager.mayOrder. An order that is withdrawn was not sent.

Evidence: PlatformEngineClientTest, an order whose holder may not give it when the connection is there: NOT_SENT, while the server would accept it. Before, nothing could be asked there.

--- a/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
@@ -162,7 +162,14 @@
                 .with("reason", reason)
                 .write();
         return engines.sendOrder(
-                        server, target.get(), action, key, precondition, self, leaseManager.fence())
+                        server,
+                        target.get(),
+                        action,
+                        key,
+                        precondition,
+                        self,
+                        leaseManager.fence(),
+                        () -> leaseManager.mayOrder(timers.now()))
                 .whenCompleteAsync(
                         (result, failure) -> {
                             metrics.recordOrder(
--- a/src/main/java/org/tarragonlug/http/CollectingReceiver.java
+++ b/src/main/java/org/tarragonlug/http/CollectingReceiver.java
@@ -3,16 +3,24 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /** Collects the complete answer to a call in memory. */
 final class CollectingReceiver implements HttpReceiver {
     private final CompletableFuture<HttpAnswer> result;
+    private final BooleanSupplier maySend;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
     private Map<String, String> headers = Map.of();
 
-    CollectingReceiver(CompletableFuture<HttpAnswer> result) {
+    CollectingReceiver(CompletableFuture<HttpAnswer> result, BooleanSupplier maySend) {
         this.result = result;
+        this.maySend = maySend;
+    }
+
+    @Override
+    public boolean maySend() {
+        return maySend.getAsBoolean();
     }
 
     @Override
--- a/src/main/java/org/tarragonlug/http/HttpConnections.java
+++ b/src/main/java/org/tarragonlug/http/HttpConnections.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BooleanSupplier;
 
 /**
  * HTTP client connections to any number of addresses, pooled by address.
@@ -75,8 +76,20 @@
      * @return the answer with any status; fails with an {@link HttpFailure} if there is none
      */
     public CompletionStage<HttpAnswer> exchange(InetSocketAddress address, HttpCall call) {
+        return exchange(address, call, () -> true);
+    }
+
+    /**
+     * Makes a call and collects the complete answer.
+     *
+     * @param maySend asked once there is a connection, before anything is written; if false, the
+     *     call fails with {@code WITHDRAWN}
+     * @return the answer with any status; fails with an {@link HttpFailure} if there is none
+     */
+    public CompletionStage<HttpAnswer> exchange(
+            InetSocketAddress address, HttpCall call, BooleanSupplier maySend) {
         CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
-        start(address, call, new CollectingReceiver(result));
+        start(address, call, new CollectingReceiver(result, maySend));
         return result;
     }
 
@@ -90,7 +103,7 @@
     public CompletionStage<HttpAnswer> exchange(
             InetSocketAddress address, HttpCall call, CompletionStage<Void> cancellation) {
         CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
-        HttpExchange exchange = start(address, call, new CollectingReceiver(result));
+        HttpExchange exchange = start(address, call, new CollectingReceiver(result, () -> true));
         cancellation.thenRun(
                 () -> {
                     exchange.cancel();
--- a/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.tarragonlug.decision.placement.OrderAction;
 import org.tarragonlug.decision.placement.OrderResult;
 import org.tarragonlug.decision.placement.ServerReport;
@@ -18,6 +19,7 @@
 import org.tarragonlug.http.HttpAnswer;
 import org.tarragonlug.http.HttpCall;
 import org.tarragonlug.http.HttpConnections;
+import org.tarragonlug.http.HttpFailure;
 import org.tarragonlug.http.JsonFields;
 import org.tarragonlug.id.FencingToken;
 import org.tarragonlug.id.InstanceId;
@@ -64,7 +66,9 @@
      * @param precondition the number of orders that the server must have accepted before
      * @param holder the instance that holds the order lease
      * @param fence fencing token of the holder's lease
-     * @return the server's answer; {@code UNKNOWN} without an answer. The stage never fails.
+     * @param maySend whether the holder still may give orders; asked before the order is written
+     * @return the server's answer; {@code NOT_SENT} if the holder might not give it any more,
+     *     {@code UNKNOWN} without an answer. The stage never fails.
      */
     public CompletionStage<OrderResult> sendOrder(
             ServerId server,
@@ -73,7 +77,8 @@
             ModelKey key,
             long precondition,
             InstanceId holder,
-            FencingToken fence) {
+            FencingToken fence,
+            BooleanSupplier maySend) {
         ObjectNode body = Json.object();
         body.put("op", action == OrderAction.LOAD ? "model_load" : "model_unload");
         body.put("model", key.model());
@@ -92,10 +97,13 @@
                         ORDER_TIMEOUT,
                         ConnectionUse.NEW);
         return connections
-                .exchange(address, call)
-                .handle(
-                        (answer, failure) ->
-                                failure == null ? result(answer) : OrderResult.UNKNOWN);
+                .exchange(address, call, maySend)
+                .handle((answer, failure) -> failure == null ? result(answer) : result(failure));
+    }
+
+    private static OrderResult result(Throwable failure) {
+        boolean withdrawn = Answers.asFailure(failure).kind() == HttpFailure.Kind.WITHDRAWN;
+        return withdrawn ? OrderResult.NOT_SENT : OrderResult.UNKNOWN;
     }
 
     private static OrderResult result(HttpAnswer answer) {
--- a/src/test/java/org/tarragonlug/gateway/AdditionalBytesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/AdditionalBytesTest.java
@@ -153,7 +153,8 @@
                                             new ModelKey("m1", ""),
                                             0,
                                             new InstanceId("holder"),
-                                            new FencingToken(1)));
+                                            new FencingToken(1),
+                                            () -> true));
             assertEquals(OrderResult.ACCEPTED, result);
         }
     }
--- a/src/test/java/org/tarragonlug/gateway/OrderAnswersTest.java
+++ b/src/test/java/org/tarragonlug/gateway/OrderAnswersTest.java
@@ -118,7 +118,8 @@
                         new ModelKey("m1", ""),
                         0,
                         new InstanceId("holder"),
-                        new FencingToken(1))
+                        new FencingToken(1),
+                        () -> true)
                 .thenApply(OrderResult::name);
     }
 
--- a/src/test/java/org/tarragonlug/http/HttpConnectionsTest.java
+++ b/src/test/java/org/tarragonlug/http/HttpConnectionsTest.java
@@ -217,7 +217,7 @@
             HttpCall call = HttpCall.get("/", Duration.ofMillis(100), ConnectionUse.POOLED);
             HttpExchange exchange =
                     loopback.connections.start(
-                            server.address(), call, new CollectingReceiver(result));
+                            server.address(), call, new CollectingReceiver(result, () -> true));
             exchange.cancel();
             Thread.sleep(200);
             assertEquals(false, result.isDone());
--- a/src/test/java/org/tarragonlug/platform/PlatformEngineClientTest.java
+++ b/src/test/java/org/tarragonlug/platform/PlatformEngineClientTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,6 +21,7 @@
 class PlatformEngineClientTest {
     private final LoopbackFixture loopback = new LoopbackFixture();
     private final PlatformEngineClient client = new PlatformEngineClient(loopback.connections);
+    private BooleanSupplier maySend = () -> true;
 
     @AfterEach
     void close() throws Exception {
@@ -39,10 +41,19 @@
                             new ModelKey("m", ""),
                             3,
                             new InstanceId("holder"),
-                            new FencingToken(7)));
+                            new FencingToken(7),
+                            maySend));
         }
     }
 
+    // Guards against an order that is written after its holder's lease has ended, because it was
+    // given before and waited for its connection.
+    @Test
+    void orderOfAHolderWhoMayNotGiveItAnyMoreIsNotWritten() throws Exception {
+        maySend = () -> false;
+        assertEquals(OrderResult.NOT_SENT, order("202 Accepted", ""));
+    }
+
     @ParameterizedTest
     @CsvSource({"202 Accepted,ACCEPTED", "200 OK,ALREADY_DONE", "409 Conflict,CONFLICT"})
     void statusTellsTheResultOfAnOrder(String statusLine, OrderResult expected) throws Exception {
