Survive faults of a call or its failure in the watches of the store

A fault while a failed call is handled ended a watch without a line, as one in the handling of an answer did before; found by reading in the review, not seen. Both are handled alike now. A request whose attempt has ended is not asked about any more before it is written.

--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -112,7 +112,7 @@
 
     @Override
     public boolean maySend() {
-        return listener.maySend();
+        return !ended && listener.maySend();
     }
 
     @Override
--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -175,19 +175,19 @@
                             if (failure == null) {
                                 handle(() -> onAnswer.accept(began, result));
                             } else {
-                                onFailure.accept(began, failure);
+                                handle(() -> onFailure.accept(began, failure));
                             }
                         },
                         loop);
     }
 
     /**
-     * Handles an answer. If that fails, the objects are listed anew, so that a fault in one change
-     * does not end the watch.
+     * Handles the end of a call. If that fails, the objects are listed anew, so that a fault in one
+     * change does not end the watch.
      */
-    private void handle(Runnable answer) {
+    private void handle(Runnable end) {
         try {
-            answer.run();
+            end.run();
         } catch (RuntimeException e) {
             log.event(LogEvent.PART_FAILED).with("part", "watch of " + kind).withFailure(e).write();
             pause(MAX_BACKOFF, this::list);
