--- a/src/test/java/org/tarragonlug/http/SecondHeadFinderTest.java
+++ b/src/test/java/org/tarragonlug/http/SecondHeadFinderTest.java
@@ -11,6 +11,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class SecondHeadFinderTest {
+    private static final String LONG_TEXT =
+            "and so on, and so on, and so on, and so on, and so on, and so on, and so on";
+
     private static final String HEAD =
             "HTTP/1.1 200 OK\r\nseal: s\r\nRequest-Id: r1\r\ncontent-length: 9\r\n\r\n";
 
@@ -79,7 +82,7 @@
                     "HTTP/1.1 200 OK\r\nrequest-id: r\r\n1\r\n\r\n",
                     "HTTP/2.1 200 OK\r\nrequest-id: r1\r\n",
                     "HTTP/1.1 200 OK\r\nno header\r\nrequest-id: r1\r\n\r\n",
-                    "{\"log\": \"HTTP/1.1 200 OK\", \"next\": \"and so on, and so on, and so on, and so on, and so on, and so on\"}"
+                    "{\"log\": \"HTTP/1.1 200 OK\", \"next\": \"" + LONG_TEXT + "\"}"
                 })
         void otherBytesAreNotFound(String body) {
             assertFalse(add(body));
