--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -44,8 +44,8 @@
  * <p>The connections to the peer and those to the store may go silent together, so a relayed call
  * and the direct call after it must not take longer than a direct call that waits. A relayed watch
  * therefore ends, with the time for its answer, within the wait that was asked for; a direct watch
- * does not wait while the store counts as unreachable; and a peer that failed is left out until a
- * direct call has ended.
+ * does not wait while the store counts as unreachable; and after a relayed call that failed, calls
+ * are direct for {@link #RELAY_PAUSE}.
  */
 final class RelayingObjectApi implements ObjectApi {
     private static final Duration DIRECT_RETRY_PERIOD = Duration.ofMillis(800);
@@ -172,7 +172,7 @@
                                         0,
                                         null,
                                         Duration.ZERO)
-                                .thenApply(RelayedObjects::toWatchResult));
+                                .thenApply(answer -> relayedResult(kind, peer, answer)));
     }
 
     @Override
@@ -205,7 +205,22 @@
                                         null,
                                         relayedWait(longestWait),
                                         WATCH_ANSWER_TIMEOUT)
-                                .thenApply(RelayedObjects::toWatchResult));
+                                .thenApply(answer -> relayedResult(kind, peer, answer)));
+    }
+
+    /** Reads what a peer has relayed, and logs through whom the news in it came. */
+    private WatchResult relayedResult(
+            String kind, InstanceId peer, GatewayMessage.ObjectCallAnswer answer) {
+        WatchResult result = RelayedObjects.toWatchResult(answer);
+        if (!result.changed().isEmpty()) {
+            log.event(LogEvent.STORE_NEWS_RELAYED)
+                    .with("kind", kind)
+                    .with("relay", peer)
+                    .with("objects", result.changed().size())
+                    .with("revision", result.revision())
+                    .write();
+        }
+        return result;
     }
 
     private static Duration relayedWait(Duration longestWait) {
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -71,6 +71,8 @@
     STORE_HISTORY_GONE(Level.INFO),
     /** A watch of the store ended without an answer; the objects are listed at once. */
     STORE_WATCH_LOST(Level.INFO),
+    /** A peer passed on changed objects, because this instance does not reach the store. */
+    STORE_NEWS_RELAYED(Level.INFO),
     /** An object of the store cannot be decoded and is ignored. */
     STORE_ENTRY_UNREADABLE(Level.WARN),
     /** A server was added to the platform's list, or its listing has changed. */
