--- a/src/main/java/org/tarragonlug/http/AnswerFilter.java
+++ b/src/main/java/org/tarragonlug/http/AnswerFilter.java
@@ -107,7 +107,7 @@
         return beginnings.count() > 0;
     }
 
-    /** Returns whether more was skipped than a server may send late. */
+    /** Returns whether more answers or bytes were skipped than one call may skip. */
     boolean exceedsLimits() {
         return skippedAnswers > MAX_SKIPPED_ANSWERS || skippedBytes > MAX_SKIPPED_BYTES;
     }
--- a/src/main/java/org/tarragonlug/http/AnswerHead.java
+++ b/src/main/java/org/tarragonlug/http/AnswerHead.java
@@ -12,7 +12,7 @@
  * answer to the call in progress is decoded and checked again.
  */
 final class AnswerHead {
-    /** The beginning of a head; it occurs nowhere else in one. */
+    /** The beginning of a head. A head that contains it once more counts as two joined ones. */
     static final String BEGINNING = "HTTP/1.";
 
     private static final int OK = 200;
@@ -45,7 +45,7 @@
         return status() < OK;
     }
 
-    /** Returns the different values of a header. */
+    /** Returns the distinct values of a header. */
     List<String> values(String header) {
         String beginning = header + ":";
         return lines.stream()
--- a/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
+++ b/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
@@ -432,8 +432,7 @@
         }
 
         // Guards against a caller that gets the answer to another request: the server answers
-        // twice,
-        // the second time late, and no event names the request.
+        // twice, the second time late, and no event names the request.
         @ParameterizedTest
         @ValueSource(ints = {3, 30, 150})
         void secondAnswerDoesNotAnswerTheNextRequest(int delayMillis) throws Exception {
--- a/src/test/java/org/tarragonlug/gateway/SecondAnswerWithinFirstTest.java
+++ b/src/test/java/org/tarragonlug/gateway/SecondAnswerWithinFirstTest.java
@@ -335,8 +335,7 @@
     }
 
     // Guards against whole answers that are lost, or cost their connection, because their last
-    // bytes
-    // may begin a head.
+    // bytes may begin a head.
     @ParameterizedTest
     @ValueSource(strings = {"H", "HTTP/1.1 200 OK\r\nx: y"})
     void answerThatEndsLikeABeginningHeadIsDelivered(String end) throws Exception {
