Simulate rare models that crowd each other out of memory

Cause: no scenario of the simulation has requests for several times as many rare models as fit into memory, each asked for every other second. Change: scenario CROWDED_MODELS; the share of busy models beyond the table and the speed of disks are parameters of a scenario.

--- a/src/main/java/org/tarragonlug/simulation/FleetScenarios.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetScenarios.java
@@ -29,7 +29,7 @@
                     19,
                     7,
                     Duration.ofSeconds(9),
-                    models(160),
+                    models(160, 60),
                     List.of(
                             new RequestProfile(
                                     "ask",
@@ -90,6 +90,90 @@
                     Duration.ofSeconds(34));
         }
     },
+    /**
+     * Rare models that are each asked for every other second, together several times as many as fit
+     * into memory: models change places all the time, and requests wait for them.
+     */
+    CROWDED_MODELS {
+        @Override
+        FleetScenario scenario(int instances) {
+            return new FleetScenario(
+                    instances,
+                    4,
+                    63,
+                    12,
+                    36,
+                    200_000,
+                    680_000,
+                    130_000,
+                    8,
+                    173_000,
+                    Duration.ofMillis(10_200),
+                    2,
+                    78,
+                    18,
+                    Duration.ofSeconds(9),
+                    models(293, 140),
+                    List.of(
+                            new RequestProfile(
+                                    "draft",
+                                    196,
+                                    false,
+                                    millis(400),
+                                    millis(500),
+                                    millis(5000),
+                                    0,
+                                    true,
+                                    2,
+                                    3.7,
+                                    0.45,
+                                    490,
+                                    155,
+                                    50,
+                                    17,
+                                    0.1),
+                            new RequestProfile(
+                                    "batch",
+                                    117,
+                                    true,
+                                    millis(2000),
+                                    millis(500),
+                                    millis(11_000),
+                                    1,
+                                    false,
+                                    1,
+                                    12.3,
+                                    1.8,
+                                    490,
+                                    155,
+                                    3,
+                                    17,
+                                    0),
+                            new RequestProfile(
+                                    "policy",
+                                    9,
+                                    false,
+                                    millis(4000),
+                                    millis(500),
+                                    millis(5000),
+                                    2,
+                                    true,
+                                    2,
+                                    2.2,
+                                    1,
+                                    2900,
+                                    6300,
+                                    8,
+                                    13,
+                                    0.5)),
+                    Duration.ofSeconds(9),
+                    Duration.ofSeconds(5),
+                    2.4,
+                    List.of(),
+                    Duration.ofSeconds(19),
+                    Duration.ofSeconds(34));
+        }
+    },
     /** Long prompts with shared parts on large batches, so that reading prompts is the work. */
     LONG_PROMPTS {
         @Override
@@ -110,7 +194,7 @@
                     19,
                     7,
                     Duration.ofSeconds(9),
-                    models(160),
+                    models(160, 60),
                     List.of(
                             new RequestProfile(
                                     "draft",
@@ -241,7 +325,7 @@
     }
 
     /** Returns models of four sizes, in turn; every second one has adapters. */
-    private static List<SimulatedModel> models(int count) {
+    private static List<SimulatedModel> models(int count, double diskMegabytesPerMilli) {
         double[] megabytes = {72_700, 65_500, 34_300, 65_100};
         double[] paces = {1.0, 0.93, 0.6, 0.34};
         List<SimulatedModel> models = new ArrayList<>();
@@ -252,7 +336,8 @@
                             "model-" + number,
                             megabytes[type],
                             paces[type],
-                            number % 2 == 0 ? 30 : 0));
+                            number % 2 == 0 ? 30 : 0,
+                            diskMegabytesPerMilli));
         }
         return models;
     }
--- a/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -42,6 +43,7 @@
     private static final Duration LISTING_EXPIRY = HEARTBEAT.multipliedBy(3);
 
     private final FleetScenario scenario;
+    private final double[] busyShares;
     private final Random random;
     private final VirtualTime time = new VirtualTime();
     private final Map<String, SimulatedModel> catalog = new LinkedHashMap<>();
@@ -60,6 +62,7 @@
 
     FleetSimulation(FleetScenario scenario, Hasher hasher, long seed) {
         this.scenario = scenario;
+        this.busyShares = evenedShares(scenario.busyModels());
         this.random = new Random(seed);
         this.trafficStart = Instant.EPOCH.plus(scenario.leadTime());
         this.recorder = new FleetRecorder(trafficStart);
@@ -359,13 +362,29 @@
         int shifted = (int) shift + (random.nextDouble() < shift - (int) shift ? 1 : 0);
         double point = random.nextDouble();
         int rank = 0;
-        while (rank < scenario.busyModels() - 1 && point > BUSY_SHARES[rank]) {
-            point -= BUSY_SHARES[rank];
+        while (rank < scenario.busyModels() - 1 && point > busyShare(rank)) {
+            point -= busyShare(rank);
             rank++;
         }
         return scenario.models().get((rank + shifted) % (2 * scenario.busyModels()));
     }
 
+    /**
+     * Returns a fixed share if a few models are busy; with more of them, shares are less uneven.
+     */
+    private double busyShare(int rank) {
+        return scenario.busyModels() <= BUSY_SHARES.length ? BUSY_SHARES[rank] : busyShares[rank];
+    }
+
+    private static double[] evenedShares(int count) {
+        double[] shares = new double[count];
+        for (int rank = 0; rank < count; rank++) {
+            shares[rank] = 1 / Math.sqrt(rank + 1);
+        }
+        double sum = Arrays.stream(shares).sum();
+        return Arrays.stream(shares).map(share -> share / sum).toArray();
+    }
+
     /** Lets a caller ask one of the instances in its failure domain. */
     private void attempt(CallerRequest request) {
         int perDomain = scenario.instances() / scenario.domains();
--- a/src/main/java/org/tarragonlug/simulation/SimulatedModel.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedModel.java
@@ -10,14 +10,15 @@
  * @param megabytes size of the weights
  * @param pace time for a token, as a multiple of the time that the largest model needs
  * @param adapters number of adapters
+ * @param diskMegabytesPerMilli megabytes that a server reads from its disk in a millisecond
  */
-record SimulatedModel(String name, double megabytes, double pace, int adapters) {
+record SimulatedModel(
+        String name, double megabytes, double pace, int adapters, double diskMegabytesPerMilli) {
     private static final double ADAPTER_MEGABYTES = 60;
-    private static final double DISK_MEGABYTES_PER_MILLI = 60;
     private static final Duration MEMORY_LOAD_TIME = Duration.ofMillis(400);
 
     ModelSpecification specification(Duration remoteLoadTime) {
-        Duration diskLoadTime = Duration.ofMillis((long) (megabytes / DISK_MEGABYTES_PER_MILLI));
+        Duration diskLoadTime = Duration.ofMillis((long) (megabytes / diskMegabytesPerMilli));
         return new ModelSpecification(
                 name,
                 megabytes,
