Keep servers free of loads that the weight store cannot serve yet

The limit on parallel loads doubled whenever a load ended in time, also by loads that had begun before the others and thus said nothing of these; it went from 2 to 8 and 16. And servers that made room for such a load did not count, so 28 of them were reserved in one round; a reservation stayed while the store allowed no load. Change: the limit grows by loads that began as the last one allowed, and not within two minutes after loads were slow; reservations count like loads in progress, and end when the store allows no load.

--- a/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
+++ b/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
@@ -178,15 +178,18 @@
     }
 
     private Duration duration(PlannedServer server, PlannedOrder order) {
-        if (order.action() == OrderAction.UNLOAD) {
+        return duration(server, order.action(), order.key(), order.tier());
+    }
+
+    private Duration duration(
+            PlannedServer server, OrderAction action, ModelKey key, CopyTier tier) {
+        if (action == OrderAction.UNLOAD) {
             return UNLOAD_TIME;
         }
-        if (order.key().hasAdapter()) {
+        if (key.hasAdapter()) {
             return ADAPTER_LOAD_TIME;
         }
-        return specification(server, order.key().model())
-                .map(order.tier()::loadTime)
-                .orElse(UNLOAD_TIME);
+        return specification(server, key.model()).map(tier::loadTime).orElse(UNLOAD_TIME);
     }
 
     void onReport(PlannedServer server, ServerReport report, Instant now) {
@@ -222,7 +225,11 @@
         }
         if (order.usesWeightStore()) {
             storeLimit.onLoadEnded(
-                    duration(server, order), Duration.between(order.sentAt(), now), remoteLoads());
+                    duration(server, order),
+                    Duration.between(order.sentAt(), now),
+                    order.loadsAtStart(),
+                    remoteLoads(),
+                    now);
         }
         server.order = null;
         if (order.action() == OrderAction.LOAD) {
@@ -244,6 +251,21 @@
         return count;
     }
 
+    /**
+     * Returns how many servers make room for a model that they will load from the weight store.
+     *
+     * @param except a server that does not count
+     */
+    int reservedRemoteLoads(PlannedServer except) {
+        int count = 0;
+        for (PlannedServer server : servers.values()) {
+            if (server != except && server.isReservedForRemoteLoad()) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     void followOrders(Instant now) {
         Set<ServiceName> engines = engines().keySet();
         for (PlannedServer server : servers.values()) {
@@ -298,7 +320,7 @@
             PlannedServer server, PlannedOrder order, Instant now) {
         Duration atFullSpeed = duration(server, order);
         Duration elapsed = Duration.between(order.sentAt(), now);
-        storeLimit.onLoadInProgress(atFullSpeed, elapsed, remoteLoads());
+        storeLimit.onLoadInProgress(atFullSpeed, elapsed, order.loadsAtStart(), remoteLoads(), now);
         Instant end = order.sentAt().plus(storeLimit.loadTime(atFullSpeed, remoteLoads()));
         if (end.isBefore(now)) {
             end = now.plus(elapsed.dividedBy(OVERDUE_DIVISOR));
@@ -317,6 +339,7 @@
                         order.decidedAt(),
                         now,
                         order.expectedEnd(),
+                        order.loadsAtStart(),
                         false);
         sendOrder(server, server.order, "no_answer");
     }
@@ -334,9 +357,8 @@
     void giveOrder(
             PlannedServer server, OrderAction action, ModelKey key, String reason, Instant now) {
         CopyTier tier = action == OrderAction.LOAD ? server.tier(key.model()) : CopyTier.MEMORY;
+        boolean remote = tier == CopyTier.REMOTE && !key.hasAdapter();
         PlannedOrder order =
-                new PlannedOrder(action, key, tier, server.orderCount(), now, now, now, false);
-        order =
                 new PlannedOrder(
                         action,
                         key,
@@ -344,7 +366,8 @@
                         server.orderCount(),
                         now,
                         now,
-                        now.plus(duration(server, order)),
+                        now.plus(duration(server, action, key, tier)),
+                        remote ? remoteLoads() + 1 : 0,
                         false);
         server.order = order;
         if (order.usesWeightStore()) {
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedOrder.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedOrder.java
@@ -13,6 +13,8 @@
  * @param decidedAt when the planner decided to give the order
  * @param sentAt when the order was last sent
  * @param expectedEnd when the order is expected to take effect
+ * @param loadsAtStart number of loads from the weight store in progress when the order was given,
+ *     including its own; 0 if it does not use the weight store
  * @param accepted whether the server has accepted the order
  */
 public record PlannedOrder(
@@ -23,9 +25,11 @@
         Instant decidedAt,
         Instant sentAt,
         Instant expectedEnd,
+        int loadsAtStart,
         boolean accepted) {
     PlannedOrder asAccepted(Instant end) {
-        return new PlannedOrder(action, key, tier, precondition, decidedAt, sentAt, end, true);
+        return new PlannedOrder(
+                action, key, tier, precondition, decidedAt, sentAt, end, loadsAtStart, true);
     }
 
     /** Tells whether the order loads a model from the weight store. */
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -88,6 +88,13 @@
         return ready() && orderable && order == null && !needsReport;
     }
 
+    /** Tells whether this server makes room for a model that it has no copy of. */
+    boolean isReservedForRemoteLoad() {
+        return reservedFor != null
+                && !isLoading(reservedFor)
+                && tier(reservedFor) == CopyTier.REMOTE;
+    }
+
     /** Applies a new listing; resets the state if the server has restarted. */
     void update(ServerListing newer, Instant now) {
         boolean restarted = newer.startedMillis() != listing.startedMillis();
--- a/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
@@ -181,12 +181,19 @@
         }
     }
 
-    private boolean storeAllows() {
-        return storeLimit.allows(catalog.loadsPerSecond(), orders.remoteLoads(), now);
+    /**
+     * Tells whether a server may begin a load from the weight store. Servers that make room for
+     * such a load count like loads in progress; otherwise more of them would give up their models
+     * than the store can serve.
+     */
+    private boolean storeAllows(PlannedServer server) {
+        int loads = orders.remoteLoads() + orders.reservedRemoteLoads(server);
+        return storeLimit.allows(catalog.loadsPerSecond(), loads, now);
     }
 
     private boolean loadOrMakeRoom(PlannedServer server, String model, String reason) {
-        if (server.tier(model) == CopyTier.REMOTE && !storeAllows()) {
+        if (server.tier(model) == CopyTier.REMOTE && !storeAllows(server)) {
+            reserve(server, null);
             return false;
         }
         if (view.hasRoom(server, model)) {
@@ -266,7 +273,7 @@
         int servers = view.servers().size();
         int maxLoads = noDemandYet ? servers : Math.max(1, servers / 3);
         if (orders.remoteLoads() >= Math.min(storeLimit.maxParallelLoads(), maxLoads)
-                || !storeAllows()
+                || !storeAllows(null)
                 || now.isBefore(orders.lastServerAddedAt().plus(NEW_SERVER_DELAY))) {
             return;
         }
--- a/src/main/java/org/tarragonlug/decision/placement/WeightStoreLimit.java
+++ b/src/main/java/org/tarragonlug/decision/placement/WeightStoreLimit.java
@@ -12,11 +12,15 @@
  * <p>The platform does not state how many loads the store can serve at full speed. Beyond that
  * number, more parallel loads complete no more models in the same time, but each model is ready
  * later and its server is blocked for longer. The limit therefore starts at {@link
- * #INITIAL_PARALLEL_LOADS} and doubles whenever a load ends in time while the limit is used up. It
- * shrinks to the observed capacity when loads take longer: if n parallel loads each take f times
- * the expected time, the store has capacity for n / f loads. Loads in progress that are overdue
- * count as well, because a slow store would otherwise be recognised only when the first of many
- * loads has ended.
+ * #INITIAL_PARALLEL_LOADS} and doubles when a load ends in time that began as the last one which
+ * the limit allowed. A load that began before others says nothing about them, because stores may
+ * give the first loads their full speed. The limit shrinks to the observed capacity when loads take
+ * longer: if n parallel loads each take f times the expected time, the store has capacity for n / f
+ * loads. Loads in progress that are overdue count as well, because a slow store would otherwise be
+ * recognised only when the first of many loads has ended.
+ *
+ * <p>Each attempt to grow beyond the capacity blocks servers for a multiple of the usual time.
+ * After loads have been slow, the limit therefore does not grow for {@link #GROWTH_PAUSE}.
  */
 final class WeightStoreLimit {
     static final int INITIAL_PARALLEL_LOADS = 2;
@@ -26,9 +30,13 @@
     /** Ratio of actual to expected load time up to which a load counts as in time. */
     private static final double TOLERATED_SLOWNESS = 1.3;
 
+    /** How long the limit does not grow after loads have been slow. */
+    private static final Duration GROWTH_PAUSE = Duration.ofMinutes(2);
+
     private final Duration window;
     private final Deque<Instant> loadStarts = new ArrayDeque<>();
     private int maxParallelLoads = INITIAL_PARALLEL_LOADS;
+    private Instant growthAllowedAt = Instant.EPOCH;
 
     WeightStoreLimit(Duration window) {
         this.window = window;
@@ -64,12 +72,19 @@
      *
      * @param expected time for a load at full speed
      * @param actual time that the load took
-     * @param loadsInProgress number of loads that ran in parallel, including this one
+     * @param loadsAtStart number of loads in progress when it began, including this one
+     * @param loadsInProgress number of loads in progress at its end, including this one
+     * @param now the present time
      */
-    void onLoadEnded(Duration expected, Duration actual, int loadsInProgress) {
+    void onLoadEnded(
+            Duration expected,
+            Duration actual,
+            int loadsAtStart,
+            int loadsInProgress,
+            Instant now) {
         if (slowness(expected, actual) > TOLERATED_SLOWNESS) {
-            shrink(expected, actual, loadsInProgress);
-        } else if (loadsInProgress >= maxParallelLoads) {
+            shrink(expected, actual, Math.max(loadsAtStart, loadsInProgress), now);
+        } else if (loadsAtStart >= maxParallelLoads && !now.isBefore(growthAllowedAt)) {
             maxParallelLoads = Math.min(MAX_PARALLEL_LOADS, 2 * maxParallelLoads);
         }
     }
@@ -79,17 +94,25 @@
      *
      * @param expected time for a load at full speed
      * @param elapsed time since the load began
+     * @param loadsAtStart number of loads in progress when it began, including this one
      * @param loadsInProgress number of loads in progress, including this one
+     * @param now the present time
      */
-    void onLoadInProgress(Duration expected, Duration elapsed, int loadsInProgress) {
+    void onLoadInProgress(
+            Duration expected,
+            Duration elapsed,
+            int loadsAtStart,
+            int loadsInProgress,
+            Instant now) {
         if (slowness(expected, elapsed) > TOLERATED_SLOWNESS) {
-            shrink(expected, elapsed, loadsInProgress);
+            shrink(expected, elapsed, Math.max(loadsAtStart, loadsInProgress), now);
         }
     }
 
-    private void shrink(Duration expected, Duration actual, int loadsInProgress) {
-        int capacity = (int) Math.floor(loadsInProgress / slowness(expected, actual));
+    private void shrink(Duration expected, Duration actual, int parallelLoads, Instant now) {
+        int capacity = (int) Math.floor(parallelLoads / slowness(expected, actual));
         maxParallelLoads = Math.min(maxParallelLoads, Math.max(1, capacity));
+        growthAllowedAt = now.plus(GROWTH_PAUSE);
     }
 
     private static double slowness(Duration expected, Duration actual) {
--- a/src/test/java/org/tarragonlug/decision/placement/WeightStoreLimitTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/WeightStoreLimitTest.java
@@ -4,11 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class WeightStoreLimitTest {
     private static final Duration LOAD = Duration.ofSeconds(13);
+    private static final Instant NOW = Instant.ofEpochSecond(1000);
 
     private final WeightStoreLimit limit = new WeightStoreLimit(Duration.ofSeconds(5));
 
@@ -21,18 +23,53 @@
          */
         @Test
         void overdueLoadsLowerTheLimitBeforeTheyEnd() {
-            limit.onLoadInProgress(LOAD, Duration.ofSeconds(18), 2);
+            limit.onLoadInProgress(LOAD, Duration.ofSeconds(18), 2, 2, NOW);
             assertEquals(1, limit.maxParallelLoads());
         }
 
         @Test
         void loadsThatShareTheStoreAreExpectedToTakeLonger() {
-            limit.onLoadEnded(LOAD, LOAD.multipliedBy(2), 2);
+            limit.onLoadEnded(LOAD, LOAD.multipliedBy(2), 2, 2, NOW);
             assertEquals(LOAD, limit.loadTime(LOAD, 1));
             assertEquals(LOAD.multipliedBy(3), limit.loadTime(LOAD, 3));
         }
     }
 
+    /** A store that serves two loads at full speed, whatever begins after them. */
+    @Nested
+    class FirstComeStore {
+        /**
+         * Guards against a limit that grows by loads which began before the others. The limit then
+         * doubled with each of them, and servers were blocked for a multiple of the usual time.
+         */
+        @Test
+        void earlyLoadsSayNothingAboutLaterOnes() {
+            limit.onLoadEnded(LOAD, LOAD, 2, 2, NOW);
+            int grown = limit.maxParallelLoads();
+            limit.onLoadEnded(LOAD, LOAD, 1, grown, NOW);
+            limit.onLoadEnded(LOAD, LOAD, 2, grown, NOW);
+            assertEquals(grown, limit.maxParallelLoads());
+        }
+
+        /** Guards against the last load of a slow batch, which alone is left, counting as one. */
+        @Test
+        void lastOfManySlowLoadsShowsTheCapacityForAll() {
+            limit.onLoadEnded(LOAD, LOAD, 2, 2, NOW);
+            limit.onLoadEnded(LOAD, LOAD.multipliedBy(2), 4, 1, NOW);
+            assertEquals(2, limit.maxParallelLoads());
+        }
+
+        /** Guards against servers that are blocked by the same attempt to grow again and again. */
+        @Test
+        void limitDoesNotGrowSoonAfterLoadsWereSlow() {
+            limit.onLoadEnded(LOAD, LOAD, 2, 2, NOW);
+            limit.onLoadEnded(LOAD, LOAD.multipliedBy(2), 4, 4, NOW);
+            int before = limit.maxParallelLoads();
+            limit.onLoadEnded(LOAD, LOAD, before, before, NOW.plus(LOAD));
+            assertEquals(before, limit.maxParallelLoads());
+        }
+    }
+
     /** A store that serves many loads at full speed. */
     @Nested
     class FastStore {
@@ -40,7 +77,7 @@
         @Test
         void limitGrowsWhileLoadsEndInTime() {
             int before = limit.maxParallelLoads();
-            limit.onLoadEnded(LOAD, LOAD, before);
+            limit.onLoadEnded(LOAD, LOAD, before, before, NOW);
             assertEquals(2 * before, limit.maxParallelLoads());
         }
 
@@ -48,13 +85,13 @@
         @Test
         void unusedLimitDoesNotGrow() {
             int before = limit.maxParallelLoads();
-            limit.onLoadEnded(LOAD, LOAD, before - 1);
+            limit.onLoadEnded(LOAD, LOAD, before - 1, before - 1, NOW);
             assertEquals(before, limit.maxParallelLoads());
         }
 
         @Test
         void loadInTimeKeepsTheLimit() {
-            limit.onLoadInProgress(LOAD, LOAD, 2);
+            limit.onLoadInProgress(LOAD, LOAD, 2, 2, NOW);
             assertTrue(limit.maxParallelLoads() >= WeightStoreLimit.INITIAL_PARALLEL_LOADS);
         }
     }
