Let models take turns when more are in demand than fit into memory

Cause: a model asked for 0.7 times a second or more kept its last replica. Change: such a model gives way to one that requests wait for, up to 2 requests a second; the least asked for goes first, as before. CrowdedMemoryTest failed before.

--- a/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
@@ -139,7 +139,7 @@
         String best = null;
         double lowest = Double.MAX_VALUE;
         for (String model : server.models().keySet()) {
-            if (model.equals(newModel) || !mayUnload(server, model)) {
+            if (model.equals(newModel) || !mayUnload(server, model, newModel)) {
                 continue;
             }
             double value = retentionValue(model);
@@ -159,10 +159,10 @@
     }
 
     /**
-     * Tells whether a server may unload a model. A model that was just loaded stays loaded for a
-     * while, so that the requests that waited for the model can reach it.
+     * Tells whether a server may unload a model to make room for another one. A model that was just
+     * loaded stays loaded for a while, so that the requests that waited for the model can reach it.
      */
-    private boolean mayUnload(PlannedServer server, String model) {
+    private boolean mayUnload(PlannedServer server, String model, String newModel) {
         if (now.isBefore(server.loadedAt(model).plus(MIN_LOADED_TIME))) {
             return false;
         }
@@ -170,8 +170,19 @@
         if (replicas > Math.max(1, desiredReplicas(model))) {
             return true;
         }
-        return desiredReplicas(model) == 0
+        return !isKept(model, newModel)
                 && !waitedFor.contains(model)
                 && now.isAfter(lastRequested(model).plus(MODEL_IN_USE));
     }
+
+    /**
+     * Tells whether the last replicas of a model stay loaded although another model needs room. If
+     * more models are in demand than fit into memory, keeping all that are asked for now and then
+     * would lock the others out; they take turns with the models that requests wait for.
+     */
+    private boolean isKept(String model, String newModel) {
+        return waitedFor.contains(newModel)
+                ? rate(model) >= SECOND_REPLICA_RATE
+                : desiredReplicas(model) > 0;
+    }
 }
