Find servers by model through an index, and dispatch concerned requests only

Each listing, notice of a replica and expected time dispatched all waiting requests, and each dispatch asked all servers, twice.

FleetIndex keeps the servers by service and by the models that they may hold. A listing or notice now dispatches the waiting requests that the server can run, and an expected time those for its model. The tick still dispatches all. Announcements whose time is over are removed with the next listing.

--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -16,21 +17,27 @@
 /** The backend servers known to this instance, by id. */
 public final class Fleet {
     private final Map<ServerId, FleetServer> servers = new HashMap<>();
+    private final FleetIndex index = new FleetIndex();
     private final ServerNotices notices = new ServerNotices();
 
     /** Adds the listed server, or updates it if it is already known. */
     public void addOrUpdate(ServerListing listing) {
-        FleetServer existing = servers.get(listing.id());
-        if (existing == null) {
-            servers.put(listing.id(), new FleetServer(listing, notices));
+        FleetServer server = servers.get(listing.id());
+        if (server == null) {
+            server = new FleetServer(listing, notices);
+            servers.put(listing.id(), server);
         } else {
-            existing.update(listing);
+            server.update(listing);
         }
+        index.update(server);
     }
 
     /** Removes a server that is no longer listed; does nothing if it is unknown. */
     public void remove(ServerId id) {
-        servers.remove(id);
+        FleetServer removed = servers.remove(id);
+        if (removed != null) {
+            index.remove(removed);
+        }
     }
 
     /** Returns the server with this id; empty if it is unknown. */
@@ -61,6 +68,17 @@
                 && server.availability(now).admitsChosenRequest();
     }
 
+    /**
+     * Returns all servers that {@link FleetServer#canRun can run} a request, and possibly others.
+     * The list is valid until the next event.
+     *
+     * @param service the request's service
+     * @param model model and adapter that the request needs; empty for a plain service
+     */
+    List<FleetServer> candidates(ServiceName service, Optional<ModelKey> model) {
+        return index.candidates(service, model);
+    }
+
     /** Returns a live view of all known servers, in no particular order. */
     public Collection<FleetServer> servers() {
         return servers.values();
@@ -100,12 +118,8 @@
      */
     Optional<Instant> pauseEnd(ServiceName service, Optional<ModelKey> model, Instant now) {
         Optional<Instant> earliest = Optional.empty();
-        for (FleetServer server : servers.values()) {
-            boolean suitable =
-                    server.service().equals(service)
-                            && server.isReady(now)
-                            && (model.isEmpty() || server.holds(model.get(), now));
-            if (!suitable) {
+        for (FleetServer server : candidates(service, model)) {
+            if (!server.isReady(now) || !server.canRun(service, model, now)) {
                 continue;
             }
             if (!server.isPaused(now)) {
@@ -120,25 +134,40 @@
     /**
      * Applies an event that concerns servers only.
      *
-     * @return whether a waiting request may find a server now; empty if the event is another one
+     * @return whether the event is one of these
      */
-    Optional<Boolean> apply(ForwardingEvent event, Instant now) {
+    boolean apply(ForwardingEvent event, Instant now) {
         if (event instanceof ForwardingEvent.ServerListed listed) {
+            server(listed.listing().id()).ifPresent(server -> server.removeExpired(now));
             addOrUpdate(listed.listing());
-            return Optional.of(true);
+            return true;
         }
         if (event instanceof ForwardingEvent.ServerUnlisted unlisted) {
             remove(unlisted.server());
-            return Optional.of(false);
+            return true;
         }
         if (event instanceof ForwardingEvent.ReplicaAnnounced announced) {
             recordReplica(announced);
-            return Optional.of(true);
+            return true;
         }
         if (event instanceof ForwardingEvent.LoadAnnounced announced) {
             recordTotalsInFlight(announced.totals(), now);
             recordSuspected(announced.suspected(), now);
-            return Optional.of(false);
+            return true;
+        }
+        return false;
+    }
+
+    /**
+     * Returns the server that may run more requests after an event than before; empty if no server
+     * may, or if the event does not concern servers only.
+     */
+    Optional<FleetServer> serverWithMore(ForwardingEvent event) {
+        if (event instanceof ForwardingEvent.ServerListed listed) {
+            return server(listed.listing().id());
+        }
+        if (event instanceof ForwardingEvent.ReplicaAnnounced announced && announced.held()) {
+            return server(announced.server());
         }
         return Optional.empty();
     }
@@ -151,6 +180,7 @@
         }
         if (announced.held()) {
             server.assumeLoaded(announced.key(), announced.until());
+            index.update(server);
         } else {
             server.assumeUnloaded(announced.key(), announced.until());
         }
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
@@ -170,6 +171,32 @@
         return adapters != null && (!key.hasAdapter() || adapters.contains(key.adapter()));
     }
 
+    /**
+     * Tells whether this server is assumed to be able to run a request, if it is available.
+     *
+     * @param service the request's service
+     * @param model model and adapter that the request needs; empty for a plain service
+     */
+    boolean canRun(ServiceName service, Optional<ModelKey> model, Instant now) {
+        return service().equals(service) && (model.isEmpty() || holds(model.get(), now));
+    }
+
+    /** Returns the names of all models for which {@link #holds} may be true. */
+    Set<String> possibleModels() {
+        if (announcedUntil.isEmpty()) {
+            return listing.models().keySet();
+        }
+        Set<String> models = heldModels();
+        announcedUntil.keySet().forEach(key -> models.add(key.model()));
+        return models;
+    }
+
+    /** Removes what was announced about models for a time that is over. */
+    void removeExpired(Instant now) {
+        announcedUntil.values().removeIf(until -> !now.isBefore(until));
+        absentUntil.values().removeIf(until -> !now.isBefore(until));
+    }
+
     private boolean isAbsent(ModelKey key, Instant now) {
         Instant until = absentUntil.get(key);
         return until != null && now.isBefore(until);
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -27,8 +27,9 @@
  * makes the promise true without any further record, because the request's key belongs to one
  * attempt of the caller, which no other instance sees.
  *
- * <p>Every change of the fleet and every tick dispatches the waiting requests again. A request is
- * refused as soon as its model is expected to be ready later than the caller waits. The
+ * <p>A change of a server or of an expected time dispatches the waiting requests again that it can
+ * concern; a tick dispatches all of them, because pauses and validity times end by themselves. A
+ * request is refused as soon as its model is expected to be ready later than the caller waits. The
  * coordinator's state does not survive the process; when the process ends, callers see broken
  * connections.
  */
@@ -108,11 +109,8 @@
     @Override
     public List<ForwardingCommand> handle(ForwardingEvent event, Instant now) {
         commands = new ArrayList<>();
-        Optional<Boolean> mayDispatch = fleet.apply(event, now);
-        if (mayDispatch.isPresent()) {
-            if (mayDispatch.get()) {
-                dispatchWaiting(now);
-            }
+        if (fleet.apply(event, now)) {
+            fleet.serverWithMore(event).ifPresent(server -> dispatchWaitingFor(server, now));
         } else if (event instanceof ForwardingEvent.RequestArrived arrived) {
             onRequestArrived(arrived.request(), now);
         } else if (event instanceof ForwardingEvent.Rejected rejected) {
@@ -139,7 +137,7 @@
             table = installed.table();
         } else if (event instanceof ForwardingEvent.ModelReadyExpected expected) {
             expectations.record(expected);
-            dispatchWaiting(now);
+            dispatchWaitingFor(expected, now);
         } else if (event instanceof ForwardingEvent.InstancesCounted counted) {
             budgets.onInstancesCounted(counted.instances(), now);
         } else if (event instanceof ForwardingEvent.QuarantineChanged changed) {
@@ -489,6 +487,26 @@
         pending.waiting().forEach(forward -> dispatch(forward, now));
     }
 
+    /** Dispatches the waiting requests that a changed server can run. */
+    private void dispatchWaitingFor(FleetServer server, Instant now) {
+        for (PendingForward forward : pending.waiting()) {
+            if (server.canRun(forward.service, forward.request.model(), now)) {
+                dispatch(forward, now);
+            }
+        }
+    }
+
+    /** Dispatches the requests that wait for a model of which the expected time has changed. */
+    private void dispatchWaitingFor(ForwardingEvent.ModelReadyExpected expected, Instant now) {
+        Optional<ModelKey> model = Optional.of(expected.key());
+        for (PendingForward forward : pending.waiting()) {
+            if (forward.service.equals(expected.service())
+                    && forward.request.model().equals(model)) {
+                dispatch(forward, now);
+            }
+        }
+    }
+
     private void tick(Instant now) {
         for (PendingForward forward : pending.all()) {
             if (forward.isWaiting()) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.forwarding;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,11 +47,21 @@
 
     /** Returns the requests that wait for a server, in the order of their arrival. */
     List<PendingForward> waiting() {
-        return forwards.values().stream().filter(PendingForward::isWaiting).toList();
+        List<PendingForward> waiting = new ArrayList<>();
+        for (PendingForward forward : forwards.values()) {
+            if (forward.isWaiting()) {
+                waiting.add(forward);
+            }
+        }
+        return waiting;
     }
 
     long waitingCount() {
-        return forwards.values().stream().filter(PendingForward::isWaiting).count();
+        long count = 0;
+        for (PendingForward forward : forwards.values()) {
+            count += forward.isWaiting() ? 1 : 0;
+        }
+        return count;
     }
 
     /** Passes the answer of the server on. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.forwarding;
 
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.decision.Hasher;
@@ -91,10 +92,11 @@
             Set<ServerId> excluded,
             String requestId,
             Instant now) {
+        List<FleetServer> candidates = fleet.candidates(service, model);
         FleetServer best = null;
         FleetServer prefixOwner = null;
         long highestHash = Long.MIN_VALUE;
-        for (FleetServer server : fleet.servers()) {
+        for (FleetServer server : candidates) {
             if (!isEligible(server, service, model, now)) {
                 continue;
             }
@@ -107,7 +109,7 @@
             }
         }
         double lowestCost = Double.MAX_VALUE;
-        for (FleetServer server : fleet.servers()) {
+        for (FleetServer server : candidates) {
             if (!isEligible(server, service, model, now) || excluded.contains(server.id())) {
                 continue;
             }
@@ -125,9 +127,7 @@
 
     private static boolean isEligible(
             FleetServer server, ServiceName service, Optional<ModelKey> model, Instant now) {
-        return server.service().equals(service)
-                && server.isAvailable(now)
-                && (model.isEmpty() || server.holds(model.get(), now));
+        return server.isAvailable(now) && server.canRun(service, model, now);
     }
 
     private double cost(FleetServer server, Instant now) {
