Compute what a planning round asks repeatedly once

A round asked each server for each model that is waited for: the loads from the weight store in progress (a walk over all servers), the model that may be unloaded and the room that can be made. These depend on the servers' state alone, which changes only with an order or a reservation.

PlacementView counts these changes; the policy and the estimator keep their answers until the next one. An announced model is added to FleetIndex without a comparison of all models of its server.

--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -180,7 +180,7 @@
         }
         if (announced.held()) {
             server.assumeLoaded(announced.key(), announced.until());
-            index.update(server);
+            index.addModel(server, announced.key().model());
         } else {
             server.assumeUnloaded(announced.key(), announced.until());
         }
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetIndex.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetIndex.java
@@ -38,7 +38,7 @@
     private final Map<ServiceName, ServiceServers> services = new HashMap<>();
     private final Map<FleetServer, Entry> entries = new HashMap<>();
 
-    /** Adds a server, or follows a change of its listing or of its announced models. */
+    /** Adds a server, or follows a change of its listing. */
     void update(FleetServer server) {
         Entry entry = entries.get(server);
         if (entry != null && !entry.service.equals(server.service())) {
@@ -54,7 +54,7 @@
         Set<String> models = server.possibleModels();
         for (String model : models) {
             if (entry.models.add(model)) {
-                byModel.computeIfAbsent(model, each -> new ArrayList<>()).add(server);
+                addTo(byModel, model, server);
             }
         }
         if (entry.models.size() > models.size()) {
@@ -63,6 +63,14 @@
         }
     }
 
+    /** Adds a model that was announced of an indexed server. */
+    void addModel(FleetServer server, String model) {
+        Entry entry = entries.get(server);
+        if (entry.models.add(model)) {
+            addTo(services.get(entry.service).byModel, model, server);
+        }
+    }
+
     /** Removes a server; does nothing if it is not in the index. */
     void remove(FleetServer server) {
         Entry entry = entries.remove(server);
@@ -91,6 +99,11 @@
                 : servers.byModel.getOrDefault(model.get().model(), List.of());
     }
 
+    private static void addTo(
+            Map<String, List<FleetServer>> byModel, String model, FleetServer server) {
+        byModel.computeIfAbsent(model, each -> new ArrayList<>(2)).add(server);
+    }
+
     private static boolean removeFrom(
             Map<String, List<FleetServer>> byModel, String model, FleetServer server) {
         List<FleetServer> servers = byModel.get(model);
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementView.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementView.java
@@ -20,14 +20,19 @@
  */
 final class PlacementView {
     private final ModelCatalog catalog;
+    private final OrderManager orders;
     private final List<PlannedServer> servers = new ArrayList<>();
     private final Map<String, List<PlannedServer>> serversByModel = new HashMap<>();
     private final Map<String, Set<PlannedServer>> preparingServers = new HashMap<>();
     private final Map<PlannedServer, Set<String>> modelsInPreparation = new IdentityHashMap<>();
     private final Map<PlannedServer, Double> usedMegabytes = new IdentityHashMap<>();
+    private int changes;
+    private int remoteLoads;
+    private int remoteLoadsCountedAt = -1;
 
     PlacementView(ServiceName service, ModelCatalog catalog, OrderManager orders) {
         this.catalog = catalog;
+        this.orders = orders;
         for (PlannedServer server : orders.servers()) {
             if (server.listing().service().equals(service) && server.ready()) {
                 servers.add(server);
@@ -56,6 +61,7 @@
 
     /** Updates the index after a change to a server within this round. */
     void refresh(PlannedServer server) {
+        changes++;
         usedMegabytes.remove(server);
         Set<String> before = modelsInPreparation.remove(server);
         if (before != null) {
@@ -76,6 +82,23 @@
         }
     }
 
+    /**
+     * Returns the number of changes in this round so far. What was computed from the state of
+     * several servers is valid as long as the number stays the same.
+     */
+    int changes() {
+        return changes;
+    }
+
+    /** Returns the number of loads from the weight store that are in progress. */
+    int remoteLoads() {
+        if (remoteLoadsCountedAt != changes) {
+            remoteLoads = orders.remoteLoads();
+            remoteLoadsCountedAt = changes;
+        }
+        return remoteLoads;
+    }
+
     /**
      * Returns the servers that held a model at the start of the round, without those that have been
      * ordered to unload the model since.
--- a/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
@@ -182,7 +182,7 @@
     }
 
     private boolean storeAllows() {
-        return storeLimit.allows(catalog.loadsPerSecond(), orders.remoteLoads(), now);
+        return storeLimit.allows(catalog.loadsPerSecond(), view.remoteLoads(), now);
     }
 
     private boolean loadOrMakeRoom(PlannedServer server, String model, String reason) {
--- a/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -33,6 +34,13 @@
     private final Instant now;
     private final Map<PlannedServer, Boolean> holdsBusyModel = new IdentityHashMap<>();
 
+    private final Map<String, Duration> remoteLoadTimes = new HashMap<>();
+
+    /** Room that each server has once the models without demand are unloaded, in megabytes. */
+    private final Map<PlannedServer, Double> laterRoom = new IdentityHashMap<>();
+
+    private int computedAt;
+
     /** When a server is expected to complete the loads that this round has planned for it. */
     private final Map<PlannedServer, Instant> plannedLoadEnds = new IdentityHashMap<>();
 
@@ -50,12 +58,28 @@
 
     Duration loadTime(PlannedServer server, String model) {
         CopyTier tier = server.tier(model);
-        Duration time =
-                view.catalog().model(model).map(tier::loadTime).orElse(OrderManager.UNLOAD_TIME);
         if (tier != CopyTier.REMOTE) {
-            return time;
+            return loadTime(tier, model);
+        }
+        discardOutdated();
+        Duration time = remoteLoadTimes.get(model);
+        if (time == null) {
+            time = context.storeLimit.loadTime(loadTime(tier, model), view.remoteLoads() + 1);
+            remoteLoadTimes.put(model, time);
+        }
+        return time;
+    }
+
+    private Duration loadTime(CopyTier tier, String model) {
+        return view.catalog().model(model).map(tier::loadTime).orElse(OrderManager.UNLOAD_TIME);
+    }
+
+    private void discardOutdated() {
+        if (computedAt != view.changes()) {
+            remoteLoadTimes.clear();
+            laterRoom.clear();
+            computedAt = view.changes();
         }
-        return context.storeLimit.loadTime(time, context.orders.remoteLoads() + 1);
     }
 
     /** Estimates when the first server will have a model ready. */
@@ -128,12 +152,22 @@
 
     /** Tells whether a server can make room by unloading models once their use has ended. */
     private boolean canMakeRoomLater(PlannedServer server, String model) {
+        discardOutdated();
+        Double room = laterRoom.get(server);
+        if (room == null) {
+            room = computeLaterRoom(server);
+            laterRoom.put(server, room);
+        }
+        return room >= view.weightsMegabytes(model);
+    }
+
+    private double computeLaterRoom(PlannedServer server) {
         double room = view.freeMegabytes(server);
         for (String held : server.models().keySet()) {
             if (policy.desiredReplicas(held) == 0) {
                 room += view.weightsMegabytes(held);
             }
         }
-        return room >= view.weightsMegabytes(model);
+        return room;
     }
 }
--- a/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -63,6 +64,8 @@
     private final Map<String, Double> rates = new HashMap<>();
     private final Map<String, Integer> desiredReplicas = new HashMap<>();
     private final Map<String, Instant> lastRequested = new HashMap<>();
+    private final Map<PlannedServer, Optional<String>> victims = new IdentityHashMap<>();
+    private int victimsChosenAt;
 
     ReplicaPolicy(PlacementView view, PlanContext context, ServiceName service, Instant now) {
         this.view = view;
@@ -136,6 +139,22 @@
 
     /** Returns the model with the lowest value that a server may unload; empty if there is none. */
     Optional<String> victim(PlannedServer server, String newModel) {
+        if (server.models().containsKey(newModel)) {
+            return chooseVictim(server, newModel);
+        }
+        if (victimsChosenAt != view.changes()) {
+            victims.clear();
+            victimsChosenAt = view.changes();
+        }
+        Optional<String> victim = victims.get(server);
+        if (victim == null) {
+            victim = chooseVictim(server, newModel);
+            victims.put(server, victim);
+        }
+        return victim;
+    }
+
+    private Optional<String> chooseVictim(PlannedServer server, String newModel) {
         String best = null;
         double lowest = Double.MAX_VALUE;
         for (String model : server.models().keySet()) {
