Write the elements of a list into one buffer

Each element of a list in a message between gateways was written to two buffers of 8 KiB.

Elements now share one small buffer per list. The bytes on the wire are the same.

--- a/src/main/java/org/tarragonlug/peer/MessageWriter.java
+++ b/src/main/java/org/tarragonlug/peer/MessageWriter.java
@@ -12,23 +12,49 @@
 
 /**
  * Writes MessagePack maps field by field. The number of fields is not known in advance, so a map is
- * written to a buffer of its own and put behind its header.
+ * written to a buffer of its own and put behind its header. All elements of a list share one such
+ * buffer, since a message of the planner has dozens of them.
  */
 final class MessageWriter {
-    private final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+    /** Size of the first buffer of a message, for which most messages are short enough. */
+    private static final int MESSAGE_BUFFER_BYTES = 1024;
+
+    /** Size of the first buffer of an element of a list. */
+    private static final int ELEMENT_BUFFER_BYTES = 256;
+
+    private final MessageBufferPacker packer;
     private int fields;
 
+    MessageWriter() {
+        this(MESSAGE_BUFFER_BYTES);
+    }
+
+    private MessageWriter(int bufferBytes) {
+        packer = packer(bufferBytes);
+    }
+
+    private static MessageBufferPacker packer(int bufferBytes) {
+        return new MessagePack.PackerConfig().withBufferSize(bufferBytes).newBufferPacker();
+    }
+
     /** Returns the map with all fields that were written. */
     byte[] toBytes() {
-        try (MessageBufferPacker whole = MessagePack.newDefaultBufferPacker()) {
-            whole.packMapHeader(fields);
-            whole.writePayload(packer.toByteArray());
+        try (MessageBufferPacker whole = packer(MESSAGE_BUFFER_BYTES)) {
+            moveTo(whole);
             return whole.toByteArray();
         } catch (IOException impossible) {
             throw failure(impossible);
         }
     }
 
+    /** Appends the map to another one, and begins a new map with the same buffer. */
+    private void moveTo(MessageBufferPacker target) throws IOException {
+        target.packMapHeader(fields);
+        target.writePayload(packer.toByteArray());
+        packer.clear();
+        fields = 0;
+    }
+
     private static UncheckedIOException failure(IOException cause) {
         return new UncheckedIOException("writing to memory failed", cause);
     }
@@ -90,10 +116,10 @@
         try {
             name(name);
             packer.packArrayHeader(values.size());
+            MessageWriter element = new MessageWriter(ELEMENT_BUFFER_BYTES);
             for (T value : values) {
-                MessageWriter element = new MessageWriter();
                 writer.accept(element, value);
-                packer.writePayload(element.toBytes());
+                element.moveTo(packer);
             }
         } catch (IOException impossible) {
             throw failure(impossible);
