Leave the planner's state out of notices that follow one with it

The planner answers each report, and sends a notice at once to instances that wait for a model. The watch sources were also sorted anew for each notice.

Notices that follow one with this state within 300 ms leave it out, unless the leases or the suspected servers have changed. Regular reports come every 400 ms, so each instance gets the state as often as these ask for it. A receiver of an older release takes an omitted state for an empty one until the next notice with it. The simulated planner does the same.

--- a/src/main/java/org/tarragonlug/decision/watching/WatchSourceSelector.java
+++ b/src/main/java/org/tarragonlug/decision/watching/WatchSourceSelector.java
@@ -82,6 +82,15 @@
         while (sources.size() > wanted) {
             sources.remove(sources.size() - 1);
         }
+        if (sources.size() < wanted) {
+            addSources(sources, alive, wanted);
+        }
+        selected.put(domain, List.copyOf(sources));
+        return sources;
+    }
+
+    private static void addSources(
+            List<InstanceId> sources, Map<InstanceId, WatchCandidate> alive, int wanted) {
         Set<InstanceId> taken = sources.stream().collect(Collectors.toSet());
         alive.entrySet().stream()
                 .filter(each -> !taken.contains(each.getKey()))
@@ -92,7 +101,5 @@
                                 .thenComparing(each -> each.getKey().value()))
                 .limit(wanted - sources.size())
                 .forEach(each -> sources.add(each.getKey()));
-        selected.put(domain, List.copyOf(sources));
-        return sources;
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -299,10 +299,12 @@
         if (notice.planning()) {
             planningSignals.put(from, now);
             publishInstanceCount(notice.reporters());
-            forwarding.post(
-                    new ForwardingEvent.LoadAnnounced(
-                            notice.inFlight(), Set.copyOf(notice.suspected())));
-            followedSource.onSelected(notice.watchSources(), now);
+            if (notice.hasState()) {
+                forwarding.post(
+                        new ForwardingEvent.LoadAnnounced(
+                                notice.inFlight(), Set.copyOf(notice.suspected())));
+                followedSource.onSelected(notice.watchSources(), now);
+            }
         } else {
             planningSignals.remove(from);
         }
@@ -379,17 +381,22 @@
     private void sendNotice(InstanceId to, Instant now) {
         PendingNotices.Notices notices = pendingNotices.poll(to);
         boolean planning = placement.isPlanning();
+        List<GatewayMessage.LeaseStatus> leaseNotices = leases.leaseNotices();
+        Set<ServerId> suspected = planning ? placement.suspectedServers() : Set.of();
+        boolean withState =
+                !planning || pendingNotices.isStateDue(to, leaseNotices, suspected, now);
+        boolean withPlannerState = planning && withState;
         transport.send(
                 to,
                 new GatewayMessage.PlacementNotice(
                         PeerMessage.FORMAT_VERSION,
-                        leases.leaseNotices(),
+                        withState ? leaseNotices : List.of(),
                         planning,
                         pendingNotices.reporterCount(now),
                         notices.replicas(),
                         notices.expectations(),
-                        planning ? inFlightTotals.totals(now) : Map.of(),
-                        planning ? List.copyOf(placement.suspectedServers()) : List.of(),
-                        planning ? sourceSelector.sourcesFor(to, now) : List.of()));
+                        withPlannerState ? inFlightTotals.totals(now) : Map.of(),
+                        withPlannerState ? List.copyOf(suspected) : List.of(),
+                        withPlannerState ? sourceSelector.sourcesFor(to, now) : List.of()));
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/PendingNotices.java
+++ b/src/main/java/org/tarragonlug/gateway/PendingNotices.java
@@ -15,6 +15,7 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ServerId;
 import org.tarragonlug.peer.GatewayMessage;
 
 /**
@@ -35,11 +36,21 @@
      */
     private static final int MAX_PENDING_REPLICAS = 400;
 
+    /**
+     * How long after a notice with the sender's whole state the following ones to the same instance
+     * leave it out. Below the period of the regular reports, so that each of these is answered with
+     * it.
+     */
+    private static final Duration STATE_INTERVAL = Duration.ofMillis(300);
+
     /** An instance that reports, with the notices that have not been sent to it. */
     private static final class Reporter {
         private Instant lastReportAt;
         private Set<ModelKey> awaitedModels = Set.of();
         private boolean urgent;
+        private Instant stateSentAt = Instant.EPOCH;
+        private List<GatewayMessage.LeaseStatus> leases = List.of();
+        private Set<ServerId> suspected = Set.of();
         private final Deque<GatewayMessage.ReplicaChange> replicas = new ArrayDeque<>();
         private final List<GatewayMessage.ReadinessEstimate> expectations = new ArrayList<>();
     }
@@ -123,6 +134,34 @@
         return urgent;
     }
 
+    /**
+     * Tells whether the next notice to an instance must contain the sender's whole state: the last
+     * one with it was sent a while ago, or what instances must know at once has changed since. If
+     * so, the state counts as sent now.
+     *
+     * @param leases what the sender states about leases
+     * @param suspected the servers that several instances cannot reach
+     */
+    boolean isStateDue(
+            InstanceId instance,
+            List<GatewayMessage.LeaseStatus> leases,
+            Set<ServerId> suspected,
+            Instant now) {
+        Reporter reporter = reporters.get(instance);
+        if (reporter == null) {
+            return true;
+        }
+        if (now.isBefore(reporter.stateSentAt.plus(STATE_INTERVAL))
+                && leases.equals(reporter.leases)
+                && suspected.equals(reporter.suspected)) {
+            return false;
+        }
+        reporter.stateSentAt = now;
+        reporter.leases = leases;
+        reporter.suspected = suspected;
+        return true;
+    }
+
     /** Returns and removes the pending notices for an instance. */
     Notices poll(InstanceId instance) {
         Reporter reporter = reporters.get(instance);
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -46,6 +46,11 @@
     /**
      * The notice of a holder of order leases to an instance that has reported demand.
      *
+     * <p>The planner sends most notices because of a single model. Those that follow a notice with
+     * its whole state within a moment leave out the leases, the requests in flight, the suspected
+     * servers and the watch sources, which are most of a notice's bytes. A planner holds a lease,
+     * so a notice without any lease is one of these.
+     *
      * @param formatVersion format version of the sender
      * @param leases the leases that the sender holds or held last, and leases whose state it knows
      *     from their holders
@@ -78,6 +83,11 @@
             replicas = List.copyOf(replicas);
             expectations = List.copyOf(expectations);
         }
+
+        /** Tells whether the notice states more than changes of replicas and expected times. */
+        public boolean hasState() {
+            return !leases.isEmpty();
+        }
     }
 
     /**
--- a/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
@@ -32,7 +32,11 @@
     private static final double ORDER_MILLIS = 3;
     private static final double REPORT_MILLIS = 6;
 
+    /** As in the program, news that follow a moment after the last totals come without them. */
+    private static final Duration TOTALS_INTERVAL = Duration.ofMillis(300);
+
     private static final class Reporter {
+        private Instant totalsSentAt = Instant.EPOCH;
         private final List<ForwardingEvent> news = new ArrayList<>();
         private final Set<ModelKey> awaited = new HashSet<>();
         private boolean urgent;
@@ -103,9 +107,13 @@
 
     private void sendNews(SimulatedInstance to, Reporter reporter) {
         reporter.urgent = false;
-        reporter.news.add(
-                new ForwardingEvent.LoadAnnounced(
-                        inFlightTotals.totals(time.now()), planner.suspectedServers(time.now())));
+        Instant now = time.now();
+        if (!now.isBefore(reporter.totalsSentAt.plus(TOTALS_INTERVAL))) {
+            reporter.totalsSentAt = now;
+            reporter.news.add(
+                    new ForwardingEvent.LoadAnnounced(
+                            inFlightTotals.totals(now), planner.suspectedServers(now)));
+        }
         to.onNotice(List.copyOf(reporter.news));
         reporter.news.clear();
     }
--- a/src/test/java/org/tarragonlug/gateway/PendingNoticesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/PendingNoticesTest.java
@@ -1,6 +1,8 @@
 package org.tarragonlug.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -11,6 +13,7 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
 import org.tarragonlug.peer.GatewayMessage;
@@ -80,4 +83,48 @@
             assertEquals(1, pendingNotices.reporterCount(START.plusSeconds(5)));
         }
     }
+
+    @Nested
+    class State {
+        private static final List<GatewayMessage.LeaseStatus> LEASES =
+                List.of(new GatewayMessage.LeaseStatus(new OrderGroup(0), true, 7, ""));
+        private static final List<GatewayMessage.LeaseStatus> RELEASED =
+                List.of(new GatewayMessage.LeaseStatus(new OrderGroup(0), false, 7, ""));
+        private static final Set<ServerId> SUSPECTED = Set.of(new ServerId("s-1"));
+
+        private boolean isDue(
+                List<GatewayMessage.LeaseStatus> leases, Set<ServerId> suspected, int millis) {
+            return pendingNotices.isStateDue(
+                    instance(1), leases, suspected, START.plusMillis(millis));
+        }
+
+        /** Guards against notices about single models that each carry the load of all servers. */
+        @Test
+        void stateIsSentOnceInAnInterval() {
+            pendingNotices.onReport(instance(1), List.of(), START);
+            assertTrue(isDue(LEASES, Set.of(), 0));
+            assertFalse(isDue(LEASES, Set.of(), 1));
+            assertFalse(isDue(LEASES, Set.of(), 299));
+            assertTrue(isDue(LEASES, Set.of(), 300));
+            assertFalse(isDue(LEASES, Set.of(), 301));
+        }
+
+        /** A released lease and a lost server must not become known later than before. */
+        @Test
+        void changedStateIsSentAtOnce() {
+            pendingNotices.onReport(instance(1), List.of(), START);
+            assertTrue(isDue(LEASES, Set.of(), 0));
+            assertTrue(isDue(RELEASED, Set.of(), 1));
+            assertTrue(isDue(RELEASED, SUSPECTED, 2));
+            assertFalse(isDue(RELEASED, SUSPECTED, 3));
+            assertTrue(isDue(RELEASED, Set.of(), 4));
+        }
+
+        /** An instance that is not known as a reporter may never have got the state. */
+        @Test
+        void unknownInstanceGetsTheState() {
+            assertTrue(isDue(LEASES, Set.of(), 0));
+            assertTrue(isDue(LEASES, Set.of(), 1));
+        }
+    }
 }
