--- a/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
@@ -187,7 +187,7 @@
      * than the store can serve.
      */
     private boolean storeAllows(PlannedServer server) {
-        int loads = orders.remoteLoads() + orders.reservedRemoteLoads(server);
+        int loads = view.remoteLoads() + orders.reservedRemoteLoads(server);
         return storeLimit.allows(catalog.loadsPerSecond(), loads, now);
     }
 
