Let measure process list other numbers of servers and changes

The sizes of a deployment decide what an instance spends on its watches. The numbers of listed servers and of changes of their entries were constants.

--- a/src/main/java/org/tarragonlug/tool/MeasureCommand.java
+++ b/src/main/java/org/tarragonlug/tool/MeasureCommand.java
@@ -127,10 +127,18 @@
             @Option(names = "--seconds", defaultValue = "20", description = "Length of the load.")
                     int seconds,
             @Option(names = "--rate", defaultValue = "4", description = "Requests per second.")
-                    int rate)
+                    int rate,
+            @Option(names = "--servers", defaultValue = "40", description = "Servers listed.")
+                    int servers,
+            @Option(
+                            names = "--changes",
+                            defaultValue = "10",
+                            description = "Changes of their entries per second.")
+                    int changes)
             throws TarragonlugException, IOException, InterruptedException {
         try (ProcessCostMeasurement measurement =
-                new ProcessCostMeasurement(rate, Duration.ofSeconds(seconds), System.out)) {
+                new ProcessCostMeasurement(
+                        rate, servers, changes, Duration.ofSeconds(seconds), System.out)) {
             measurement.run(programs, rounds);
         }
         return ExitStatus.SUCCESS;
--- a/src/main/java/org/tarragonlug/trial/ProcessCostMeasurement.java
+++ b/src/main/java/org/tarragonlug/trial/ProcessCostMeasurement.java
@@ -37,13 +37,13 @@
  * measured process is an ordinary instance.
  */
 public final class ProcessCostMeasurement implements AutoCloseable {
-    private static final int LISTED_SERVERS = 40;
     private static final int MODELS_ON_DISK = 10;
-    private static final int CHANGES_PER_SECOND = 10;
     private static final String[] PATHS = {"/ask/1", "/issue/1", "/ask/2", "/read/1"};
 
     private final PrintStream output;
     private final int requestsPerSecond;
+    private final int listedServers;
+    private final int changesPerSecond;
     private final Duration length;
     private final IoExecutor ioExecutor = IoThreads.create(2);
     private final PlatformStoreStandIn store = new PlatformStoreStandIn(ioExecutor);
@@ -57,12 +57,21 @@
      * Starts the stand-ins and the planning gateway.
      *
      * @param requestsPerSecond requests that a measured process serves
+     * @param listedServers servers that are listed beside those that answer requests
+     * @param changesPerSecond changes of the entries of these servers
      * @param length how long a measured process serves requests
      * @param output receives the results
      */
-    public ProcessCostMeasurement(int requestsPerSecond, Duration length, PrintStream output)
+    public ProcessCostMeasurement(
+            int requestsPerSecond,
+            int listedServers,
+            int changesPerSecond,
+            Duration length,
+            PrintStream output)
             throws TarragonlugException, IOException {
         this.requestsPerSecond = requestsPerSecond;
+        this.listedServers = listedServers;
+        this.changesPerSecond = changesPerSecond;
         this.length = length;
         this.output = output;
         try (InputStream configuration =
@@ -74,7 +83,7 @@
         }
         new PlatformServerStandIn(ioExecutor, store, "e1", "engines", "m1");
         new PlatformServerStandIn(ioExecutor, store, "r1", "records");
-        for (int server = 0; server < LISTED_SERVERS; server++) {
+        for (int server = 0; server < listedServers; server++) {
             changeServer(server);
         }
         this.planner = new Gateway(GatewayTrial.settings(store, "planner"));
@@ -144,8 +153,8 @@
                 send(settings);
                 sent++;
             }
-            while (changed < elapsed * CHANGES_PER_SECOND) {
-                changeServer((int) (changes % LISTED_SERVERS));
+            while (changed < elapsed * changesPerSecond) {
+                changeServer((int) (changes % listedServers));
                 changed++;
             }
             Thread.sleep(10);
