Keep what the estimates for one server have in common

For each model that is waited for, a round asks each server when it can have the model ready. The start, the free room and the models that may be unloaded are those of the server, and the size is that of the model; all were looked up for each pair.

The estimator keeps them per server until an order, a reservation or a planned load changes them.

--- a/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
@@ -36,10 +36,10 @@
 
     private final Map<String, Duration> remoteLoadTimes = new HashMap<>();
 
-    /** Room that each server has once the models without demand are unloaded, in megabytes. */
-    private final Map<PlannedServer, Double> laterRoom = new IdentityHashMap<>();
-
+    private final Map<PlannedServer, ServerOutlook> outlooks = new IdentityHashMap<>();
     private int computedAt;
+    private String lastModel = "";
+    private double lastMegabytes;
 
     /** When a server is expected to complete the loads that this round has planned for it. */
     private final Map<PlannedServer, Instant> plannedLoadEnds = new IdentityHashMap<>();
@@ -54,10 +54,14 @@
     /** Records when a load planned for a server ends; estimates for further loads start there. */
     void planLoad(PlannedServer server, Instant end) {
         plannedLoadEnds.put(server, end);
+        outlooks.remove(server);
     }
 
     Duration loadTime(PlannedServer server, String model) {
-        CopyTier tier = server.tier(model);
+        return loadTimeAmongOthers(server.tier(model), model);
+    }
+
+    private Duration loadTimeAmongOthers(CopyTier tier, String model) {
         if (tier != CopyTier.REMOTE) {
             return loadTime(tier, model);
         }
@@ -77,7 +81,7 @@
     private void discardOutdated() {
         if (computedAt != view.changes()) {
             remoteLoadTimes.clear();
-            laterRoom.clear();
+            outlooks.clear();
             computedAt = view.changes();
         }
     }
@@ -115,25 +119,38 @@
      * model.
      */
     Optional<Instant> readyAt(PlannedServer server, String model) {
-        Instant ready = earliestStart(server).plus(loadTime(server, model));
-        if (server.tier(model) == CopyTier.REMOTE && holdsBusyModel(server)) {
-            ready = ready.plus(BLOCKED_ADAPTERS_COST);
+        discardOutdated();
+        ServerOutlook outlook = outlooks.get(server);
+        if (outlook == null) {
+            outlook = new ServerOutlook(server);
+            outlooks.put(server, outlook);
         }
-        boolean unloading = server.order == null || server.order.action() == OrderAction.UNLOAD;
-        if (server.reservedFor != null && unloading) {
-            ready = ready.plus(loadTime(server, server.reservedFor));
+        CopyTier tier = server.tier(model);
+        Instant ready = outlook.start.plus(loadTimeAmongOthers(tier, model));
+        if (tier == CopyTier.REMOTE && holdsBusyModel(server)) {
+            ready = ready.plus(BLOCKED_ADAPTERS_COST);
         }
-        if (view.hasRoom(server, model)) {
+        double megabytes = megabytes(model);
+        if (megabytes <= outlook.freeMegabytes) {
             return Optional.of(ready);
         }
-        if (policy.victim(server, model).isPresent()) {
+        if (outlook.hasVictim(model)) {
             return Optional.of(ready.plus(OrderManager.UNLOAD_TIME));
         }
-        return canMakeRoomLater(server, model)
+        return megabytes <= outlook.laterMegabytes()
                 ? Optional.of(ready.plus(OrderManager.UNLOAD_TIME).plus(ReplicaPolicy.MODEL_IN_USE))
                 : Optional.empty();
     }
 
+    /** Remembers the size of the model that was asked about last, for one server after another. */
+    private double megabytes(String model) {
+        if (!model.equals(lastModel)) {
+            lastModel = model;
+            lastMegabytes = view.weightsMegabytes(model);
+        }
+        return lastMegabytes;
+    }
+
     /**
      * Tells whether a server holds a busy model that has adapters. A load from the weight store
      * would delay the adapters that requests for the busy model need by seconds, because a server
@@ -150,24 +167,50 @@
                                                         && policy.desiredReplicas(model) > 0));
     }
 
-    /** Tells whether a server can make room by unloading models once their use has ended. */
-    private boolean canMakeRoomLater(PlannedServer server, String model) {
-        discardOutdated();
-        Double room = laterRoom.get(server);
-        if (room == null) {
-            room = computeLaterRoom(server);
-            laterRoom.put(server, room);
+    /**
+     * What the estimates for one server have in common, whichever model is to be loaded. Valid
+     * until the next change of the view and until a load is planned for the server.
+     */
+    private final class ServerOutlook {
+        private final PlannedServer server;
+        private final Instant start;
+        private final double freeMegabytes;
+        private Boolean hasVictim;
+        private Double laterMegabytes;
+
+        ServerOutlook(PlannedServer server) {
+            this.server = server;
+            this.freeMegabytes = view.freeMegabytes(server);
+            Instant earliest = earliestStart(server);
+            boolean unloading = server.order == null || server.order.action() == OrderAction.UNLOAD;
+            this.start =
+                    server.reservedFor != null && unloading
+                            ? earliest.plus(loadTime(server, server.reservedFor))
+                            : earliest;
+        }
+
+        boolean hasVictim(String model) {
+            if (server.models().containsKey(model)) {
+                return policy.victim(server, model).isPresent();
+            }
+            if (hasVictim == null) {
+                hasVictim = policy.victim(server, model).isPresent();
+            }
+            return hasVictim;
         }
-        return room >= view.weightsMegabytes(model);
-    }
 
-    private double computeLaterRoom(PlannedServer server) {
-        double room = view.freeMegabytes(server);
-        for (String held : server.models().keySet()) {
-            if (policy.desiredReplicas(held) == 0) {
-                room += view.weightsMegabytes(held);
+        /** Returns the room once models without demand are unloaded, when their use has ended. */
+        double laterMegabytes() {
+            if (laterMegabytes == null) {
+                double room = freeMegabytes;
+                for (String held : server.models().keySet()) {
+                    if (policy.desiredReplicas(held) == 0) {
+                        room += view.weightsMegabytes(held);
+                    }
+                }
+                laterMegabytes = room;
             }
+            return laterMegabytes;
         }
-        return room;
     }
 }
