Decode client accounts, and keep digests in place of their keys

Operators share a deployment between accounts that callers name by a key. Nothing depends on it yet, except that the priority of a pending request comes from one method.

DecodersTest, ForwardingCoordinatorTest and ArchitectureTest pass.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardRequest.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.tarragonlug.decision.account.Credential;
 import org.tarragonlug.id.ModelKey;
 
 /**
@@ -20,6 +21,7 @@
  * @param lastEventId id of the last stream event that the caller has received; negative for a new
  *     stream
  * @param contentHash hash of everything that makes two requests equal
+ * @param credential what the request states about its account
  */
 public record ForwardRequest(
         long key,
@@ -32,4 +34,33 @@
         int promptTokens,
         int outputTokens,
         long lastEventId,
-        long contentHash) {}
+        long contentHash,
+        Credential credential) {
+    /** Creates a request without a credential. */
+    public ForwardRequest(
+            long key,
+            String callerRequestId,
+            String host,
+            String path,
+            Optional<Duration> budget,
+            Optional<ModelKey> model,
+            PromptPrefix prefix,
+            int promptTokens,
+            int outputTokens,
+            long lastEventId,
+            long contentHash) {
+        this(
+                key,
+                callerRequestId,
+                host,
+                path,
+                budget,
+                model,
+                prefix,
+                promptTokens,
+                outputTokens,
+                lastEventId,
+                contentHash,
+                Credential.ABSENT);
+    }
+}
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -66,7 +66,7 @@
      *
      * @param service the service
      * @param key the model and adapter
-     * @param priority priority of the route; 0 is the most urgent
+     * @param priority priority of the account or the route; 0 is the most urgent
      * @param targetEnd latest time at which an answer may begin and still meet the target latency
      * @param deadline time after which the caller no longer waits for an answer to begin
      */
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -194,7 +194,8 @@
     private PendingForward newPending(ForwardRequest request, ForwardingRoute route, Instant now) {
         ServiceName service = route.chooseTarget(hasher.hash(request.callerRequestId()));
         LostRequest traits = RequestTraits.of(request, hasher);
-        PendingForward forward = new PendingForward(request, route, service, traits, now);
+        PendingForward forward =
+                new PendingForward(request, route, service, Optional.empty(), traits, now);
         forward.endBy(stopAt);
         return forward;
     }
@@ -300,7 +301,7 @@
                     new ForwardingCommand.ReportWaiting(
                             forward.service,
                             key,
-                            forward.route.priority(),
+                            forward.priority(),
                             forward.arrivedAt.plus(forward.route.targetLatency()),
                             forward.patienceEnd));
         }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingRoute.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingRoute.java
@@ -21,6 +21,7 @@
  * @param resumable whether a broken stream may be resumed at another server
  * @param gapTarget maximum pause between the events of a stream that is on time; zero if not
  *     configured
+ * @param isPublic whether requests need no key and belong to no account, whatever they state
  */
 public record ForwardingRoute(
         RouteName name,
@@ -33,7 +34,8 @@
         List<WeightedService> targets,
         int maximumAttempts,
         boolean resumable,
-        Duration gapTarget) {
+        Duration gapTarget,
+        boolean isPublic) {
     /**
      * Minimum patience. Callers wait at least this long for an event of a stream, however short the
      * route's targets are.
@@ -50,6 +52,34 @@
         targets = List.copyOf(targets);
     }
 
+    /** Creates a route that is not public. */
+    public ForwardingRoute(
+            RouteName name,
+            String host,
+            String pathPrefix,
+            RequestKind kind,
+            Duration timeout,
+            Duration targetLatency,
+            int priority,
+            List<WeightedService> targets,
+            int maximumAttempts,
+            boolean resumable,
+            Duration gapTarget) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeout,
+                targetLatency,
+                priority,
+                targets,
+                maximumAttempts,
+                resumable,
+                gapTarget,
+                false);
+    }
+
     /** Tells whether a request that may already have run may be sent again. */
     public boolean retryable() {
         return kind.retryable(resumable);
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingTable.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingTable.java
@@ -8,11 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.tarragonlug.decision.account.AccountDirectory;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.ServiceName;
 
 /**
- * The routes and services of one version of the configuration.
+ * The routes, services and client accounts of one version of the configuration.
  *
  * <p>The routes of a host are sorted by descending prefix length, which makes the first match the
  * most specific one. A host has tens to hundreds of routes, and a linear scan of their prefixes
@@ -23,9 +24,10 @@
     private final Map<String, List<ForwardingRoute>> routesByHost = new HashMap<>();
     private final Map<ServiceName, ForwardingService> services = new HashMap<>();
     private final OptionalLong bodyLimit;
+    private final AccountDirectory accounts;
 
     /**
-     * Creates a table that does not limit the bodies of requests.
+     * Creates a table without accounts that does not limit the bodies of requests.
      *
      * @param version version of the configuration
      * @param routes all routes, in any order
@@ -35,7 +37,7 @@
             ConfigurationVersion version,
             List<ForwardingRoute> routes,
             List<ForwardingService> services) {
-        this(version, routes, services, OptionalLong.empty());
+        this(version, routes, services, OptionalLong.empty(), AccountDirectory.EMPTY);
     }
 
     /**
@@ -45,14 +47,17 @@
      * @param routes all routes, in any order
      * @param services all services, with distinct names
      * @param bodyLimit length of the longest body of a request in bytes; empty if not limited
+     * @param accounts the client accounts
      */
     public ForwardingTable(
             ConfigurationVersion version,
             List<ForwardingRoute> routes,
             List<ForwardingService> services,
-            OptionalLong bodyLimit) {
+            OptionalLong bodyLimit,
+            AccountDirectory accounts) {
         this.version = version;
         this.bodyLimit = bodyLimit;
+        this.accounts = accounts;
         for (ForwardingRoute route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
@@ -79,6 +84,11 @@
         return bodyLimit;
     }
 
+    /** Returns the client accounts; empty if no request needs a key. */
+    public AccountDirectory accounts() {
+        return accounts;
+    }
+
     /** Returns the total number of routes over all hosts. */
     public int routeCount() {
         return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -5,7 +5,10 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import org.tarragonlug.decision.account.ClientAccount;
 import org.tarragonlug.decision.quarantine.LostRequest;
 import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerId;
@@ -31,6 +34,9 @@
     final ForwardingRoute route;
     final ServiceName service;
 
+    /** The account that the request belongs to; empty if it needs none. */
+    final Optional<ClientAccount> account;
+
     /** What other requests may have in common with this one. */
     final LostRequest traits;
 
@@ -94,17 +100,20 @@
      * @param request the request
      * @param route the route that it takes, which limits its time
      * @param service the service that it is for
+     * @param account the account that it belongs to
      * @param traits what other requests may have in common with it
      */
     PendingForward(
             ForwardRequest request,
             ForwardingRoute route,
             ServiceName service,
+            Optional<ClientAccount> account,
             LostRequest traits,
             Instant now) {
         this.request = request;
         this.route = route;
         this.service = service;
+        this.account = account;
         this.traits = traits;
         this.arrivedAt = now;
         this.deadline = now.plus(timeout(request, route)).minus(ANSWER_MARGIN);
@@ -131,6 +140,13 @@
         patienceEnd = limit.isBefore(patienceEnd) ? limit : patienceEnd;
     }
 
+    /** Returns how urgent the request is; 0 is the most urgent. */
+    int priority() {
+        return account.map(ClientAccount::priority)
+                .orElse(OptionalInt.empty())
+                .orElse(route.priority());
+    }
+
     /** Tells whether no server has the request at present. */
     boolean isWaiting() {
         return state == State.WAITING;
--- a/src/main/java/org/tarragonlug/decision/forwarding/RequestUrgency.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RequestUrgency.java
@@ -15,8 +15,8 @@
  * that was left for them, so they go before the others, and before late ones if they are late
  * themselves.
  *
- * <p>The priority of the route counts as well, but only by two ranks at most, so that requests of a
- * low priority do not starve.
+ * <p>The priority of the account or the route counts as well, but only by two ranks at most, so
+ * that requests of a low priority do not starve.
  */
 final class RequestUrgency {
     private static final int SHORT_TIME_RANKS = 3;
@@ -35,7 +35,7 @@
 
     /** Returns the rank of a request that is sent now, from 0 to 9. */
     static int rank(PendingForward forward, Hasher hasher, Instant now) {
-        int priority = Math.max(0, Math.min(LARGEST_PRIORITY_SHARE, forward.route.priority()));
+        int priority = Math.max(0, Math.min(LARGEST_PRIORITY_SHARE, forward.priority()));
         Duration left =
                 Duration.between(now, forward.arrivedAt.plus(forward.route.targetLatency()));
         boolean late = left.isNegative() || left.isZero();
--- a/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
@@ -7,7 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.tarragonlug.decision.account.AccountDirectory;
+import org.tarragonlug.decision.account.ClientAccount;
+import org.tarragonlug.decision.account.Quota;
+import org.tarragonlug.decision.account.QuotaUnit;
 import org.tarragonlug.decision.forwarding.ForwardingRoute;
 import org.tarragonlug.decision.forwarding.ForwardingService;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
@@ -16,6 +21,7 @@
 import org.tarragonlug.decision.forwarding.RequestKind;
 import org.tarragonlug.decision.forwarding.WeightedService;
 import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.RouteName;
 import org.tarragonlug.id.ServiceName;
@@ -30,6 +36,9 @@
 public final class ConfigurationDecoder {
     private static final double MILLIS_PER_SECOND = 1000.0;
 
+    /** Cost in tokens of a request without a token count if the configuration states none. */
+    private static final double LEAST_COST = 1;
+
     private ConfigurationDecoder() {}
 
     /**
@@ -50,7 +59,54 @@
         }
         long version = JsonFields.count(spec, "version");
         return new ForwardingTable(
-                new ConfigurationVersion(version), routes, services, bodyLimit(spec));
+                new ConfigurationVersion(version),
+                routes,
+                services,
+                bodyLimit(spec),
+                accounts(spec));
+    }
+
+    private static AccountDirectory accounts(JsonNode spec) {
+        if (spec.path("tenants").isMissingNode() || spec.path("tenants").isNull()) {
+            return AccountDirectory.EMPTY;
+        }
+        List<ClientAccount> accounts = new ArrayList<>();
+        for (JsonNode node : JsonFields.array(spec, "tenants")) {
+            accounts.add(account(node));
+        }
+        return new AccountDirectory(accounts);
+    }
+
+    private static ClientAccount account(JsonNode node) {
+        JsonNode priority = node.path("priority");
+        return new ClientAccount(
+                new AccountName(JsonFields.text(node, "name")),
+                AccountKeys.digests(node),
+                priority.isNumber() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty(),
+                quota(node));
+    }
+
+    /** Decodes the quota of an account; a rate of 0 means that its use is not limited. */
+    private static Optional<Quota> quota(JsonNode node) {
+        double rate = optionalNumber(node, "rate_per_s", 0);
+        if (rate == 0) {
+            return Optional.empty();
+        }
+        QuotaUnit unit =
+                node.path("unit").asText().equals("token_route")
+                        ? QuotaUnit.TOKENS
+                        : QuotaUnit.REQUESTS;
+        return Optional.of(
+                new Quota(
+                        unit,
+                        rate,
+                        optionalNumber(node, "burst", 0),
+                        (long) optionalNumber(node, "plain_tokens", LEAST_COST)));
+    }
+
+    private static double optionalNumber(JsonNode node, String field, double absent) {
+        JsonNode value = node.path(field);
+        return value.isMissingNode() || value.isNull() ? absent : JsonFields.number(node, field);
     }
 
     private static OptionalLong bodyLimit(JsonNode spec) {
@@ -70,7 +126,8 @@
                 targets(node),
                 Math.max(1, node.path("max_attempts").asInt(1)),
                 node.path("resumable").asBoolean(false),
-                Duration.ofMillis(node.path("gap_target_ms").asLong()));
+                Duration.ofMillis(node.path("gap_target_ms").asLong()),
+                node.path("public").asBoolean(false));
     }
 
     private static RequestKind kind(String text) {
