Refuse requests without a valid key when their head has arrived

Callers of a deployment with accounts must present a key. The coordinator decides on the head of a request: 401 without a key, 503 while the store cannot show whether an unknown key was just written, or whether a removed one has ended. Unknown keys cost at most one read of the configuration per second and instance. The body of a refused request is dropped; the connection is kept after short bodies. Servers get the name of the account and never the key.

--- a/src/main/java/org/tarragonlug/caller/DefaultForwardedCall.java
+++ b/src/main/java/org/tarragonlug/caller/DefaultForwardedCall.java
@@ -10,26 +10,43 @@
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.tarragonlug.http.BodyBuffers;
 import org.tarragonlug.http.HttpBody;
 
 /** A forwarded request on a ServiceTalk connection; used only on the thread of the connection. */
 final class DefaultForwardedCall implements ForwardedCall {
+    /** The body of the request, of which one method is called once. */
+    interface Body {
+        /** Reads the body for the call. */
+        void receive();
+
+        /** Returns whether the connection can be used further after the body is dropped. */
+        boolean isShort();
+
+        /** Reads the body and drops it. */
+        void discard();
+    }
+
     private final long key;
     private final HttpServiceContext connection;
     private final StreamingHttpRequest request;
     private final StreamingHttpResponseFactory factory;
     private final ForwardedCallListener listener;
+    private final Body requestBody;
     private final Runnable endAction;
     private final Map<String, String> headers = new HashMap<>();
+    private final Set<String> repeatedHeaders = new HashSet<>();
     private final CompletableFuture<StreamingHttpResponse> response = new CompletableFuture<>();
     private final Optional<ConnectionGuard> guard;
     private final Runnable disconnectAction = this::onCallerDisconnected;
     private HttpBody body = HttpBody.EMPTY;
+    private boolean bodyTaken;
     private boolean delivered;
     private boolean answered;
     private boolean inProgress = true;
@@ -41,23 +58,31 @@
             StreamingHttpRequest request,
             StreamingHttpResponseFactory factory,
             ForwardedCallListener listener,
+            Body requestBody,
             Runnable endAction) {
         this.key = key;
         this.connection = connection;
         this.request = request;
         this.factory = factory;
         this.listener = listener;
+        this.requestBody = requestBody;
         this.endAction = endAction;
         this.guard = ConnectionGuard.of(connection);
         request.headers()
                 .forEach(
                         header ->
-                                headers.put(
+                                addHeader(
                                         header.getKey().toString().toLowerCase(Locale.ROOT),
                                         header.getValue().toString()));
         guard.ifPresent(present -> present.add(disconnectAction));
     }
 
+    private void addHeader(String name, String value) {
+        if (headers.put(name, value) != null) {
+            repeatedHeaders.add(name);
+        }
+    }
+
     Single<StreamingHttpResponse> response() {
         return Single.<StreamingHttpResponse>fromStage(response)
                 .map(message -> message.transformMessageBody(each -> each.beforeFinally(this::end)))
@@ -121,6 +146,19 @@
         return headers;
     }
 
+    @Override
+    public Set<String> repeatedHeaders() {
+        return repeatedHeaders;
+    }
+
+    @Override
+    public void receiveBody() {
+        if (!bodyTaken && inProgress) {
+            bodyTaken = true;
+            requestBody.receive();
+        }
+    }
+
     @Override
     public HttpBody body() {
         return body;
@@ -137,7 +175,15 @@
         if (content.length() > 0) {
             message.payloadBody(Publisher.fromIterable(BodyBuffers.wrap(content, allocator())));
         }
+        boolean bodyDropped = !bodyTaken;
+        bodyTaken = true;
+        if (bodyDropped && !requestBody.isShort()) {
+            message.setHeader("connection", "close");
+        }
         response.complete(message);
+        if (bodyDropped) {
+            requestBody.discard();
+        }
     }
 
     @Override
--- a/src/main/java/org/tarragonlug/caller/ForwardingServer.java
+++ b/src/main/java/org/tarragonlug/caller/ForwardingServer.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.http.HttpBody;
@@ -25,9 +26,10 @@
 /**
  * Serves callers whose requests are forwarded byte for byte.
  *
- * <p>A request is passed to the listener only when its body is complete, so that a broken
- * connection of a caller never leaves an incomplete request at a backend server. The listener is
- * called on the I/O thread of the connection.
+ * <p>The listener decides on the head of a request whether its body is read. The request is passed
+ * to the listener only when its body is complete, so that a broken connection of a caller never
+ * leaves an incomplete request at a backend server. The listener is called on the I/O thread of the
+ * connection.
  */
 public final class ForwardingServer implements SupervisedPart {
     /**
@@ -44,6 +46,12 @@
     /** How long a body may wait for memory. Callers give up when nothing is read for a second. */
     private static final Duration MEMORY_WAIT = Duration.ofMillis(800);
 
+    /** Length of the longest body that is read to keep a connection whose call is refused. */
+    private static final long SHORT_BODY_BYTES = 64 * 1024;
+
+    /** How long the body of a refused call may take. Callers stop when they read the answer. */
+    private static final Duration DISCARD_TIME = Duration.ofSeconds(5);
+
     private static final int TOO_LARGE = 413;
     private static final int UNAVAILABLE = 503;
 
@@ -141,31 +149,76 @@
             StreamingHttpResponseFactory factory) {
         callCount++;
         inProgress++;
-        Reception reception = new Reception();
-        BodyReceiver receiver =
-                new BodyReceiver(
-                        BodyReceiver.statedLength(request),
-                        Math.min(ALL_BODIES_BYTES, bodyLimit.getAsLong()),
-                        bodyMemory,
-                        reception);
+        Reception reception = new Reception(connection, request);
         DefaultForwardedCall call =
                 new DefaultForwardedCall(
-                        callCount, connection, request, factory, listener, () -> end(receiver));
+                        callCount, connection, request, factory, listener, reception, reception);
         reception.call = call;
-        reception.receiver = receiver;
-        toSource(request.payloadBody()).subscribe(receiver);
+        listener.onRequestHead(call);
         return call.response();
     }
 
-    private void end(BodyReceiver receiver) {
-        inProgress--;
-        receiver.release();
-    }
-
-    /** Goes on with a call when its body has been received. */
-    private final class Reception implements BodyReceiver.Listener {
+    /** Reads or drops the body of a call, and goes on with the call when it has been received. */
+    private final class Reception
+            implements BodyReceiver.Listener, DefaultForwardedCall.Body, Runnable {
+        private final HttpServiceContext connection;
+        private final StreamingHttpRequest request;
+        private final BodyReceiver receiver;
         private DefaultForwardedCall call;
-        private BodyReceiver receiver;
+
+        private Reception(HttpServiceContext connection, StreamingHttpRequest request) {
+            this.connection = connection;
+            this.request = request;
+            this.receiver =
+                    new BodyReceiver(
+                            BodyReceiver.statedLength(request), longestBody(), bodyMemory, this);
+        }
+
+        private long longestBody() {
+            return Math.min(ALL_BODIES_BYTES, bodyLimit.getAsLong());
+        }
+
+        @Override
+        public void receive() {
+            toSource(request.payloadBody()).subscribe(receiver);
+        }
+
+        @Override
+        public boolean isShort() {
+            if (awaitsPermission()) {
+                return false;
+            }
+            OptionalLong length = BodyReceiver.statedLength(request);
+            return length.isPresent()
+                    ? length.getAsLong() <= SHORT_BODY_BYTES
+                    : !request.headers().contains("transfer-encoding");
+        }
+
+        /** Returns whether the caller sends its body only if it is not refused. */
+        private boolean awaitsPermission() {
+            return request.headers().contains("expect");
+        }
+
+        @Override
+        public void discard() {
+            if (awaitsPermission()) {
+                // Reading the body would send the permission.
+                return;
+            }
+            // The timer must not keep the call with its headers in memory.
+            HttpServiceContext usedConnection = connection;
+            BodyDiscarder discarder =
+                    new BodyDiscarder(longestBody(), () -> usedConnection.closeAsync().subscribe());
+            toSource(request.payloadBody()).subscribe(discarder);
+            ioExecutor.schedule(discarder::giveUp, DISCARD_TIME);
+        }
+
+        /** Ends the call. */
+        @Override
+        public void run() {
+            inProgress--;
+            receiver.release();
+        }
 
         @Override
         public void onBodyWaiting() {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.tarragonlug.decision.quarantine.LostRequest;
+import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerId;
@@ -26,6 +27,9 @@
      * @param deadline time at which the request ends even if its answer is incomplete
      * @param newConnection whether it must be sent on a new connection, because the server may
      *     repeat its answer to an earlier try
+     * @param account the account that the request belongs to; empty if it needs none
+     * @param credentialRemoved whether the server must not see what the caller stated about its
+     *     account
      */
     record Send(
             long request,
@@ -36,8 +40,41 @@
             long lastEventId,
             boolean streaming,
             Instant deadline,
-            boolean newConnection)
-            implements ForwardingCommand {}
+            boolean newConnection,
+            Optional<AccountName> account,
+            boolean credentialRemoved)
+            implements ForwardingCommand {
+        /** Creates the command for a request that needs no account. */
+        public Send(
+                long request,
+                ServerId server,
+                String address,
+                Duration remaining,
+                int urgency,
+                long lastEventId,
+                boolean streaming,
+                Instant deadline,
+                boolean newConnection) {
+            this(
+                    request,
+                    server,
+                    address,
+                    remaining,
+                    urgency,
+                    lastEventId,
+                    streaming,
+                    deadline,
+                    newConnection,
+                    Optional.empty(),
+                    false);
+        }
+    }
+
+    /** Reads the body of a request whose head has arrived. */
+    record ReceiveBody(long request) implements ForwardingCommand {}
+
+    /** Reads the configuration from the store, since a key is unknown. */
+    record ReadConfiguration() implements ForwardingCommand {}
 
     /** Relays the complete answer of the server to the caller. */
     record RelayAnswer(long request) implements ForwardingCommand {}
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.decision.StateMachine;
+import org.tarragonlug.decision.account.ClientAccount;
 import org.tarragonlug.decision.quarantine.LostRequest;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
@@ -52,6 +53,7 @@
     private final RetryBudgets budgets;
     private final ReadyExpectations expectations = new ReadyExpectations();
     private final QuarantineGate gate = new QuarantineGate();
+    private final KeyGate keys;
     private ForwardingTable table;
     private boolean queueClosed;
 
@@ -72,6 +74,7 @@
         this.selector = new ServerSelector(fleet, home, hasher);
         this.hasher = hasher;
         this.budgets = new RetryBudgets(limits);
+        this.keys = new KeyGate(limits.configurationDelay(), command -> this.commands.add(command));
     }
 
     /** Returns the servers that are currently listed. */
@@ -84,6 +87,11 @@
         return Optional.ofNullable(table);
     }
 
+    /** Returns whether requests need keys, so that the coordinator decides on their heads. */
+    public boolean needsKeys() {
+        return keys.isOn();
+    }
+
     /**
      * Returns whether a request may still be written to the server to which it was sent. The
      * connection may have taken a while, in which the server was listed as leaving, asked for a
@@ -113,6 +121,8 @@
             if (mayDispatch.get()) {
                 dispatchWaiting(now);
             }
+        } else if (event instanceof ForwardingEvent.RequestHeadArrived arrived) {
+            onRequestHeadArrived(arrived.head(), now);
         } else if (event instanceof ForwardingEvent.RequestArrived arrived) {
             onRequestArrived(arrived.request(), now);
         } else if (event instanceof ForwardingEvent.Rejected rejected) {
@@ -134,9 +144,13 @@
             pending.find(broken.request())
                     .ifPresent(forward -> onConnectionBroken(forward, broken.progress(), now));
         } else if (event instanceof ForwardingEvent.CallerDisconnected disconnected) {
+            keys.forget(disconnected.request());
             pending.find(disconnected.request()).ifPresent(pending::abandon);
         } else if (event instanceof ForwardingEvent.TableInstalled installed) {
             table = installed.table();
+            keys.install(table.accounts(), installed.writtenAfter(), now);
+        } else if (event instanceof ForwardingEvent.ConfigurationRead read) {
+            keys.onConfigurationRead(read.succeeded(), now);
         } else if (event instanceof ForwardingEvent.ModelReadyExpected expected) {
             expectations.record(expected);
             dispatchWaiting(now);
@@ -159,6 +173,43 @@
         return commands;
     }
 
+    /**
+     * Refuses a request without a valid key before its body is read. Every other decision is made
+     * when the request is complete.
+     */
+    private void onRequestHeadArrived(RequestHead head, Instant now) {
+        Optional<ForwardingRoute> route =
+                table == null ? Optional.empty() : table.route(head.host(), head.path());
+        if (route.isPresent() && now.isBefore(stopAt)) {
+            KeyGate.Admission admission =
+                    keys.admit(
+                            head.key(),
+                            head.credential(),
+                            route.get(),
+                            later -> onRequestHeadArrived(head, later),
+                            now);
+            if (admission.held() || refuseKey(head.key(), admission)) {
+                return;
+            }
+        }
+        commands.add(new ForwardingCommand.ReceiveBody(head.key()));
+    }
+
+    /** Refuses a request if its key is a reason for it, and returns whether it is. */
+    private boolean refuseKey(long request, KeyGate.Admission admission) {
+        admission
+                .refusal()
+                .ifPresent(
+                        reason ->
+                                pending.refuse(
+                                        request,
+                                        reason,
+                                        reason == RefusalReason.KEY_UNCONFIRMED
+                                                ? Optional.of(RetryDelay.KEY_NEWS)
+                                                : Optional.empty()));
+        return admission.refusal().isPresent();
+    }
+
     private void onRequestArrived(ForwardRequest request, Instant now) {
         if (table == null) {
             pending.refuse(
@@ -176,7 +227,17 @@
             pending.refuse(request.key(), RefusalReason.NO_ROUTE, Optional.empty());
             return;
         }
-        PendingForward forward = newPending(request, route.get(), now);
+        KeyGate.Admission admission =
+                keys.admit(
+                        request.key(),
+                        request.credential(),
+                        route.get(),
+                        later -> onRequestArrived(request, later),
+                        now);
+        if (admission.held() || refuseKey(request.key(), admission)) {
+            return;
+        }
+        PendingForward forward = newPending(request, route.get(), admission.account(), now);
         if (gate.blocks(forward)) {
             pending.refuse(
                     request.key(), RefusalReason.QUARANTINED, Optional.of(RetryDelay.QUARANTINED));
@@ -191,11 +252,15 @@
         dispatch(forward, now);
     }
 
-    private PendingForward newPending(ForwardRequest request, ForwardingRoute route, Instant now) {
+    private PendingForward newPending(
+            ForwardRequest request,
+            ForwardingRoute route,
+            Optional<ClientAccount> account,
+            Instant now) {
         ServiceName service = route.chooseTarget(hasher.hash(request.callerRequestId()));
         LostRequest traits = RequestTraits.of(request, hasher);
-        PendingForward forward =
-                new PendingForward(request, route, service, Optional.empty(), traits, now);
+        PendingForward forward = new PendingForward(request, route, service, account, traits, now);
+        forward.credentialRemoved = keys.isOn();
         forward.endBy(stopAt);
         return forward;
     }
@@ -346,7 +411,9 @@
                         forward.lastEventId,
                         forward.route.kind() == RequestKind.STREAMING,
                         forward.deadline,
-                        forward.excluded.contains(server.id())));
+                        forward.excluded.contains(server.id()),
+                        forward.account.map(ClientAccount::name),
+                        forward.credentialRemoved || keys.isOn()));
     }
 
     private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
@@ -491,6 +558,7 @@
     }
 
     private void tick(Instant now) {
+        keys.tick(now);
         for (PendingForward forward : pending.all()) {
             if (forward.isWaiting()) {
                 dispatch(forward, now);
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -11,6 +11,9 @@
 
 /** An input event of the forwarding coordinator. */
 public sealed interface ForwardingEvent {
+    /** The head of a request has arrived; its body is not read yet. */
+    record RequestHeadArrived(RequestHead head) implements ForwardingEvent {}
+
     /** A request has arrived completely. */
     record RequestArrived(ForwardRequest request) implements ForwardingEvent {}
 
@@ -48,8 +51,27 @@
     /** The caller closed its connection. */
     record CallerDisconnected(long request) implements ForwardingEvent {}
 
-    /** A configuration has come into force. */
-    record TableInstalled(ForwardingTable table) implements ForwardingEvent {}
+    /**
+     * A configuration has come into force.
+     *
+     * @param table the configuration
+     * @param writtenAfter a time before its write; of a write that was announced at once, the time
+     *     at which this instance has learnt of it
+     */
+    record TableInstalled(ForwardingTable table, Instant writtenAfter) implements ForwardingEvent {
+        /** Creates the event for a write that was announced at once. */
+        public TableInstalled(ForwardingTable table) {
+            this(table, Instant.MAX);
+        }
+    }
+
+    /**
+     * The read of the configuration that was ordered last has ended. A newer configuration has been
+     * installed before.
+     *
+     * @param succeeded whether the store has answered
+     */
+    record ConfigurationRead(boolean succeeded) implements ForwardingEvent {}
 
     /** A server was listed, or its listing changed. */
     record ServerListed(ServerListing listing) implements ForwardingEvent {}
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -34,6 +34,9 @@
     final ForwardingRoute route;
     final ServiceName service;
 
+    /** Whether servers must not see what the caller stated about its account. */
+    boolean credentialRemoved;
+
     /** The account that the request belongs to; empty if it needs none. */
     final Optional<ClientAccount> account;
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
@@ -6,6 +6,10 @@
     NO_CONFIGURATION(503),
     /** No route matches the host and path. */
     NO_ROUTE(404),
+    /** The request has no key, or its key is not valid. */
+    KEY_UNKNOWN(401),
+    /** Whether the key is valid is not certain at present. */
+    KEY_UNCONFIRMED(503),
     /** The service has no available server. */
     NO_SERVER(503),
     /** The model is expected to be ready too late for the caller. */
@@ -25,6 +29,11 @@
         this.status = status;
     }
 
+    /** Returns whether the request is refused for its key, or for the lack of one. */
+    public boolean concernsKey() {
+        return this == KEY_UNKNOWN || this == KEY_UNCONFIRMED;
+    }
+
     /** Returns the HTTP status. Each of these statuses states that the request has not run. */
     public int status() {
         return status;
--- a/src/main/java/org/tarragonlug/decision/forwarding/RetryDelay.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RetryDelay.java
@@ -16,6 +16,9 @@
     /** For requests that crash servers; they may be tried again when this time is over. */
     static final Duration QUARANTINED = Duration.ofSeconds(30);
 
+    /** For requests whose key may become known, or end, with the next news of the store. */
+    static final Duration KEY_NEWS = Duration.ofSeconds(1);
+
     /** Typical time for which a generation occupies a slot. */
     private static final Duration GENERATION_TIME = Duration.ofMillis(600);
 
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/ConfigurationReader.java
@@ -0,0 +1,58 @@
+package org.tarragonlug.gateway;
+
+import java.util.concurrent.Executor;
+import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.objectapi.ObjectApi;
+import org.tarragonlug.objectapi.StoredObject;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.runtime.EventLog;
+import org.tarragonlug.runtime.LogEvent;
+
+/**
+ * Reads the configuration in addition to its watch, when a caller has a key that is unknown to this
+ * instance. A watch may lag by its pauses, or be silent; a read shows what the store holds now.
+ */
+final class ConfigurationReader {
+    private final ObjectApi store;
+    private final InstalledConfiguration configuration;
+    private final ForwardingDriver forwarding;
+    private final Executor loop;
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+
+    ConfigurationReader(
+            ObjectApi store,
+            InstalledConfiguration configuration,
+            ForwardingDriver forwarding,
+            Executor loop,
+            EventLog log,
+            GatewayMetrics metrics) {
+        this.store = store;
+        this.configuration = configuration;
+        this.forwarding = forwarding;
+        this.loop = loop;
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    /** Reads the configuration, and installs it if it is newer than the one in force. */
+    void read() {
+        store.read(PlatformKinds.currentConfiguration()).whenCompleteAsync(this::onRead, loop);
+    }
+
+    private void onRead(StoredObject object, Throwable failure) {
+        try {
+            if (failure == null && object.exists()) {
+                configuration.onChanged(object);
+            }
+        } finally {
+            boolean succeeded = failure == null;
+            metrics.recordConfigurationRead(succeeded);
+            log.event(LogEvent.CONFIGURATION_READ)
+                    .with("succeeded", succeeded)
+                    .with("revision", succeeded ? object.version() : "unknown")
+                    .write();
+            forwarding.post(new ForwardingEvent.ConfigurationRead(succeeded));
+        }
+    }
+}
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -7,19 +7,24 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.tarragonlug.caller.ForwardedCall;
 import org.tarragonlug.caller.ForwardedCallListener;
+import org.tarragonlug.decision.account.Credential;
+import org.tarragonlug.decision.account.KeyDigest;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.decision.forwarding.RefusalReason;
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
+import org.tarragonlug.decision.forwarding.RequestHead;
 import org.tarragonlug.decision.forwarding.ServerNotice;
 import org.tarragonlug.decision.placement.DemandCollector;
 import org.tarragonlug.http.ConnectionUse;
@@ -61,6 +66,9 @@
     private final GatewayMetrics metrics;
     private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
     private final Deque<ForwardingEvent> eventQueue = new ArrayDeque<>();
+    private final Map<Long, OpenHead> openHeads = new HashMap<>();
+    private final LogBudget keyLogBudget = new LogBudget();
+    private ConfigurationReader configurationReader;
     private boolean processing;
 
     ForwardingDriver(
@@ -80,6 +88,24 @@
         this.metrics = metrics;
     }
 
+    /** Sets what reads the configuration when a key is unknown. */
+    void start(ConfigurationReader reader) {
+        configurationReader = reader;
+    }
+
+    @Override
+    public void onRequestHead(ForwardedCall call) {
+        if (!coordinator.needsKeys()) {
+            call.receiveBody();
+            return;
+        }
+        RequestHead head =
+                RequestHeaders.decodeHead(
+                        call.key(), call.path(), call.headers(), call.repeatedHeaders());
+        openHeads.put(call.key(), new OpenHead(call, head.credential(), timers.now()));
+        post(new ForwardingEvent.RequestHeadArrived(head));
+    }
+
     @Override
     public void onRequest(ForwardedCall call) {
         String id = RequestHeaders.requestId(call.headers());
@@ -89,7 +115,11 @@
         }
         ForwardRequest request =
                 RequestHeaders.decode(
-                        call.key(), call.path(), call.headers(), ContentHash.of(call));
+                        call.key(),
+                        call.path(),
+                        call.headers(),
+                        call.repeatedHeaders(),
+                        ContentHash.of(call));
         activeRequests.put(call.key(), new ActiveRequest(call, request, timers.now()));
         post(new ForwardingEvent.RequestArrived(request));
     }
@@ -135,7 +165,11 @@
         } else if (command instanceof ForwardingCommand.RelayAnswer answer) {
             deliverAnswer(activeRequests.get(answer.request()));
         } else if (command instanceof ForwardingCommand.Refuse refuse) {
-            refuse(activeRequests.get(refuse.request()), refuse);
+            refuse(refuse);
+        } else if (command instanceof ForwardingCommand.ReceiveBody receive) {
+            openHeads.remove(receive.request()).call().receiveBody();
+        } else if (command instanceof ForwardingCommand.ReadConfiguration) {
+            configurationReader.read();
         } else if (command instanceof ForwardingCommand.Fail fail) {
             fail(activeRequests.get(fail.request()), fail);
         } else if (command instanceof ForwardingCommand.CancelAttempt cancel) {
@@ -217,27 +251,65 @@
         finish(request, "answered", request.answerStatus);
     }
 
-    private void refuse(ActiveRequest request, ForwardingCommand.Refuse refuse) {
-        if (request == null) {
+    private void refuse(ForwardingCommand.Refuse refuse) {
+        OpenHead head = openHeads.remove(refuse.request());
+        ActiveRequest request = activeRequests.get(refuse.request());
+        if (head != null) {
+            answer(head.call(), refuse);
+            onKeyRefused(head.call(), head.credential(), refuse.reason());
+            Duration elapsed = Duration.between(head.arrivedAt(), timers.now());
+            metrics.recordRequest(outcome(refuse.reason()), elapsed);
+        } else if (request != null) {
+            answer(request.call, refuse);
+            if (refuse.reason().concernsKey()) {
+                onKeyRefused(request.call, request.request.credential(), refuse.reason());
+            }
+            finish(request, outcome(refuse.reason()), refuse.reason().status());
+        }
+    }
+
+    private static String outcome(RefusalReason reason) {
+        return "refused_" + lowerCase(reason);
+    }
+
+    private static String lowerCase(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    private void onKeyRefused(ForwardedCall call, Credential credential, RefusalReason reason) {
+        metrics.recordRefusedKey(credential, reason);
+        if (!keyLogBudget.tryAcquire(timers.now())) {
             return;
         }
+        log.event(LogEvent.KEY_REFUSED)
+                .with("request", RequestHeaders.requestId(call.headers()))
+                .with("reason", lowerCase(reason))
+                .with("credential", lowerCase(credential.state()))
+                .with("digest", credential.digest().map(KeyDigest::toString).orElse("none"))
+                .with("path", call.path())
+                .with("suppressed", keyLogBudget.takeSuppressed())
+                .write();
+    }
+
+    private static void answer(ForwardedCall call, ForwardingCommand.Refuse refuse) {
         Map<String, String> headers = new HashMap<>();
+        if (refuse.reason() == RefusalReason.KEY_UNKNOWN) {
+            headers.putAll(RequestHeaders.keyRequired());
+        }
         refuse.retryAfter()
                 .ifPresent(
                         after ->
                                 headers.put(
                                         "retry-after",
                                         Double.toString(after.toMillis() / MILLIS_PER_SECOND)));
-        String reason = refuse.reason().name().toLowerCase(java.util.Locale.ROOT);
-        request.call.answer(refuse.reason().status(), headers, text(reason));
-        finish(request, "refused_" + reason, refuse.reason().status());
+        call.answer(refuse.reason().status(), headers, text(lowerCase(refuse.reason())));
     }
 
     private void fail(ActiveRequest request, ForwardingCommand.Fail fail) {
         if (request == null) {
             return;
         }
-        String reason = fail.reason().name().toLowerCase(java.util.Locale.ROOT);
+        String reason = lowerCase(fail.reason());
         if (request.streamStarted) {
             request.call.abort();
         } else {
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -239,7 +239,8 @@
                 settings.retryWindow(),
                 settings.retryRatio(),
                 settings.retryAllowance(),
-                settings.instances());
+                settings.instances(),
+                settings.configurationDelay());
     }
 
     private static WatchCandidate watchCandidate(GatewaySettings settings) {
@@ -251,6 +252,8 @@
         InstalledConfiguration configuration =
                 new InstalledConfiguration(
                         coordinator, forwarding, placement, log, metrics, this::updateReady);
+        forwarding.start(
+                new ConfigurationReader(store, configuration, forwarding, loop, log, metrics));
         return new StoreWatches(
                 store,
                 loop,
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -11,8 +11,10 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Map;
+import org.tarragonlug.decision.account.Credential;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.Availability;
+import org.tarragonlug.decision.forwarding.RefusalReason;
 import org.tarragonlug.decision.forwarding.ServerNotice;
 
 /** Prometheus metrics of a gateway process. */
@@ -77,6 +79,26 @@
                     .help("News that servers gave about themselves with their answers")
                     .labelNames("kind")
                     .register(registry);
+    private final Counter refusedKeys =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_keys_refused_total")
+                    .help("Requests refused for their keys, by what they stated and the reason")
+                    .labelNames("credential", "reason")
+                    .register(registry);
+    private final Counter configurationReads =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_configuration_reads_total")
+                    .help("Reads of the configuration because of unknown keys")
+                    .labelNames("result")
+                    .register(registry);
+    private final Gauge accounts =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_client_accounts")
+                    .help("Client accounts of the configuration in force")
+                    .register(registry);
     private final Gauge servers =
             Gauge.builder()
                     .withoutExemplars()
@@ -136,6 +158,18 @@
         skippedAnswers.inc();
     }
 
+    void recordRefusedKey(Credential credential, RefusalReason reason) {
+        refusedKeys.labelValues(lowerCase(credential.state()), lowerCase(reason)).inc();
+    }
+
+    void recordConfigurationRead(boolean succeeded) {
+        configurationReads.labelValues(succeeded ? "succeeded" : "failed").inc();
+    }
+
+    void setAccounts(int count) {
+        accounts.set(count);
+    }
+
     /** Counts each kind of news in a notice. */
     void recordNotice(ServerNotice notice) {
         if (notice.leaving()) {
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.tarragonlug.decision.forwarding.ForwardingLimits;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -91,7 +92,8 @@
                 (int) number("instances", DEFAULT_INSTANCES),
                 Math.max(RESERVED_DESCRIPTORS, descriptors - RESERVED_DESCRIPTORS),
                 number("processorShare", 1) * number("processors", 1),
-                watchLimits());
+                watchLimits(),
+                millis("configurationDelayMillis", ForwardingLimits.DEFAULT_CONFIGURATION_DELAY));
     }
 
     private WatchLimits watchLimits() {
--- a/src/main/java/org/tarragonlug/gateway/GatewayState.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayState.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Instant;
+import org.tarragonlug.decision.account.AccountDirectory;
+import org.tarragonlug.decision.account.ClientAccount;
 import org.tarragonlug.decision.forwarding.FleetServer;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
 import org.tarragonlug.decision.placement.PlacementPlanner;
@@ -38,6 +40,8 @@
         node.put("instance", instance.value());
         node.put("ready", ready);
         node.put("configuration", coordinator.table().map(t -> t.version().value()).orElse(-1L));
+        ObjectNode accounts = node.putObject("accounts");
+        coordinator.table().ifPresent(table -> describe(table.accounts(), accounts));
         node.put("pending", coordinator.pendingCount());
         node.put("waiting", coordinator.waitingCount());
         node.put("leases", leases.heldGroups().toString());
@@ -55,6 +59,15 @@
         return node;
     }
 
+    /** Describes accounts without anything that belongs to their keys. */
+    private static void describe(AccountDirectory directory, ObjectNode node) {
+        for (ClientAccount account : directory.accounts()) {
+            ObjectNode described = node.putObject(account.name().value());
+            described.put("keys", account.digests().size());
+            account.priority().ifPresent(priority -> described.put("priority", priority));
+        }
+    }
+
     private static void describe(FleetServer server, ObjectNode node, Instant now) {
         node.put("service", server.service().value());
         node.put("state", server.listing().state().name());
--- a/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
+++ b/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
@@ -1,5 +1,7 @@
 package org.tarragonlug.gateway;
 
+import java.time.Duration;
+import java.time.Instant;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
@@ -12,12 +14,19 @@
 
 /** Installs configurations; only a greater version replaces the one in force. */
 final class InstalledConfiguration implements StoreWatcher.Listener {
+    /** Longer than the wait of a watch and the pause after it. */
+    private static final Duration LONGEST_SILENCE = Duration.ofSeconds(4);
+
     private final ForwardingCoordinator coordinator;
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
     private final EventLog log;
     private final GatewayMetrics metrics;
     private final Runnable onInstalled;
+    private Instant lastAnswer = Instant.EPOCH;
+
+    /** A time before the write of a configuration that is read now. */
+    private Instant writtenAfter = Instant.EPOCH;
 
     /**
      * Creates the listener.
@@ -40,6 +49,18 @@
         this.onInstalled = onInstalled;
     }
 
+    /**
+     * Records when the store has answered. A watch announces a write at once; a list follows a
+     * watch that was lost, so the write may have happened at any time since the answer before. So
+     * it may if the process was paused.
+     */
+    @Override
+    public void onAnswer(Instant now, boolean ofWatch) {
+        boolean announced = ofWatch && now.isBefore(lastAnswer.plus(LONGEST_SILENCE));
+        writtenAfter = announced ? now : lastAnswer;
+        lastAnswer = now;
+    }
+
     @Override
     public void onChanged(StoredObject object) {
         if (!object.name().name().equals(PlatformKinds.CURRENT_CONFIGURATION)) {
@@ -66,10 +87,12 @@
         log.event(LogEvent.CONFIGURATION_INSTALLED)
                 .with("version", table.version())
                 .with("routes", table.routeCount())
+                .with("accounts", table.accounts().accounts().size())
                 .with("revision", revision)
                 .write();
         metrics.setConfigurationVersion(table.version().value());
-        forwarding.post(new ForwardingEvent.TableInstalled(table));
+        metrics.setAccounts(table.accounts().accounts().size());
+        forwarding.post(new ForwardingEvent.TableInstalled(table, writtenAfter));
         placement.post(new PlacementEvent.TableInstalled(table));
         onInstalled.run();
     }
--- a/src/main/java/org/tarragonlug/gateway/RelayedObjects.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayedObjects.java
@@ -10,6 +10,7 @@
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
 import org.tarragonlug.peer.GatewayMessage;
+import org.tarragonlug.platform.AccountKeys;
 import org.tarragonlug.runtime.Json;
 
 /** Converts objects of the store to and from the form in which peers relay them. */
@@ -34,8 +35,12 @@
                 relayed.content().isEmpty()
                         ? MissingNode.getInstance()
                         : JsonFields.parse(relayed.content());
-        return new StoredObject(
-                new ObjectName(relayed.kind(), relayed.name()), relayed.version(), content);
+        // A peer of a release that does not know keys passes them on.
+        return AccountKeys.withoutKeys(
+                new StoredObject(
+                        new ObjectName(relayed.kind(), relayed.name()),
+                        relayed.version(),
+                        content));
     }
 
     static WatchResult toWatchResult(GatewayMessage.ObjectCallAnswer answer) {
--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -53,6 +53,13 @@
 
     /** Receives the objects. Called on the event loop. */
     interface Listener {
+        /**
+         * Called when the store has answered, before the changes in the answer are reported.
+         *
+         * @param ofWatch whether a watch was answered, which announces changes at once
+         */
+        default void onAnswer(Instant now, boolean ofWatch) {}
+
         /** Called when an object is read for the first time or has a newer version. */
         void onChanged(StoredObject object);
 
@@ -201,7 +208,7 @@
     private void onListed(WatchResult result) {
         Instant now = timers.now();
         Instant keepMissingUntil = outage.keepMissingUntil(now);
-        onAnswered();
+        onAnswered(false);
         Set<String> absent = new HashSet<>(knownVersions.keySet());
         for (StoredObject object : result.changed()) {
             if (object.exists()) {
@@ -230,7 +237,7 @@
     }
 
     private void onWatched(WatchResult result) {
-        onAnswered();
+        onAnswered(true);
         backoff = NO_BACKOFF;
         if (result.gap()) {
             log.event(LogEvent.STORE_HISTORY_GONE).with("kind", kind).write();
@@ -263,8 +270,10 @@
         }
     }
 
-    private void onAnswered() {
-        outage.onAnswered(timers.now());
+    private void onAnswered(boolean ofWatch) {
+        Instant now = timers.now();
+        outage.onAnswered(now);
+        listener.onAnswer(now, ofWatch);
         if (unavailable) {
             log.event(LogEvent.OBJECT_API_UP).with("kind", kind).write();
         }
--- a/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
@@ -79,8 +79,14 @@
 
     private static ClientAccount account(JsonNode node) {
         JsonNode priority = node.path("priority");
+        String name = JsonFields.text(node, "name");
+        if (name.chars().anyMatch(Character::isISOControl)) {
+            // The name is sent to servers in a header.
+            throw new IllegalArgumentException(
+                    "the name of an account has a control character; remove it");
+        }
         return new ClientAccount(
-                new AccountName(JsonFields.text(node, "name")),
+                new AccountName(name),
                 AccountKeys.digests(node),
                 priority.isNumber() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty(),
                 quota(node));
--- a/src/main/java/org/tarragonlug/platform/PlatformKinds.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformKinds.java
@@ -25,6 +25,11 @@
 
     private PlatformKinds() {}
 
+    /** Returns the name of the object with the complete newest configuration. */
+    public static ObjectName currentConfiguration() {
+        return new ObjectName(CONFIGURATION, CURRENT_CONFIGURATION);
+    }
+
     /** Returns the name of the object that stores the order lease of a server group. */
     public static ObjectName orderLease(OrderGroup group) {
         return new ObjectName(LEASES, "orders-" + group);
--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -29,6 +29,8 @@
  * <p>The content of an object is its {@code spec}; its version is the revision of its last change.
  * A write fails with {@code OBJECT_API_OUTCOME_UNKNOWN} if its answer does not show whether it took
  * effect. Status 503 or 429 means that the store rejected the call before it had any effect.
+ *
+ * <p>Keys of client accounts are replaced by their digests, so that objects may be passed on.
  */
 public final class PlatformObjectApi implements ObjectApi {
     private static final String PATH = "/tarragonlug/objects/";
@@ -232,7 +234,7 @@
         JsonNode metadata = node.path("metadata");
         ObjectName name = new ObjectName(kind, metadata.path("name").asText());
         long version = Math.max(1, metadata.path("revision").asLong());
-        return new StoredObject(name, version, node.path("spec"));
+        return AccountKeys.withoutKeys(new StoredObject(name, version, node.path("spec")));
     }
 
     private CompletionStage<HttpAnswer> exchange(
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -1,5 +1,8 @@
 package org.tarragonlug.platform;
 
+import java.nio.CharBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,9 +12,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.tarragonlug.decision.account.Credential;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.PromptPrefix;
+import org.tarragonlug.decision.forwarding.RequestHead;
 import org.tarragonlug.http.AnswerName;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.PromptPartId;
@@ -31,6 +36,17 @@
     /** The model, optionally followed by a slash and the name of an adapter. */
     public static final String MODEL = "tarragonlug-model";
 
+    private static final String CREDENTIAL = "authorization";
+
+    /** Scheme of a credential; its name may be written in any case. */
+    private static final String CREDENTIAL_SCHEME = "Token";
+
+    /** Tells a server the account that a request belongs to. */
+    private static final String ACCOUNT = "tarragonlug-tenant";
+
+    /** Length of the longest key in characters. */
+    private static final int MAX_KEY_LENGTH = 4096;
+
     private static final String TOKEN_COUNT = "tarragonlug-token-count";
     private static final String PROMPT_PREFIX = "tarragonlug-prompt-prefix";
     private static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
@@ -47,6 +63,7 @@
                     EXPECT_INSTANCE,
                     URGENCY,
                     LAST_EVENT_ID,
+                    ACCOUNT,
                     "tarragonlug-expect-version",
                     "tarragonlug-hold",
                     "tarragonlug-pin-ms",
@@ -84,8 +101,83 @@
         return headers.getOrDefault(MODEL, "none");
     }
 
+    /** Returns the headers of an answer that refuses a request without a valid key. */
+    public static Map<String, String> keyRequired() {
+        return Map.of("www-authenticate", CREDENTIAL_SCHEME);
+    }
+
     /**
-     * Decodes a caller's request. Fields that are missing or malformed count as not stated.
+     * Decodes the head of a caller's request.
+     *
+     * @param key identifies the request within the process
+     * @param path the path without the query
+     * @param headers the caller's headers
+     * @param repeated names of the headers that the caller has sent more than once
+     */
+    public static RequestHead decodeHead(
+            long key, String path, Map<String, String> headers, Set<String> repeated) {
+        return new RequestHead(key, host(headers), path, credential(headers, repeated));
+    }
+
+    private static String host(Map<String, String> headers) {
+        String host = headers.getOrDefault("host", "");
+        int colon = host.indexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+
+    /**
+     * Decodes the credential. Of two credentials neither counts, since it is not known which one is
+     * meant.
+     */
+    private static Credential credential(Map<String, String> headers, Set<String> repeated) {
+        String value = headers.get(CREDENTIAL);
+        if (value == null) {
+            return Credential.ABSENT;
+        }
+        int schemeEnd = value.indexOf(' ');
+        if (repeated.contains(CREDENTIAL) || schemeEnd < 0) {
+            return Credential.MALFORMED;
+        }
+        boolean isKey = value.substring(0, schemeEnd).equalsIgnoreCase(CREDENTIAL_SCHEME);
+        String key = value.substring(schemeEnd).strip();
+        if (!isKey || key.isEmpty() || key.length() > MAX_KEY_LENGTH) {
+            return Credential.MALFORMED;
+        }
+        return text(key)
+                .map(text -> Credential.of(AccountKeys.digest(text)))
+                .orElse(Credential.MALFORMED);
+    }
+
+    /**
+     * Decodes the bytes of a key, which the HTTP server provides as one character each.
+     *
+     * @return the text; empty if the bytes are not UTF-8, or have white space or control characters
+     */
+    private static Optional<String> text(String bytes) {
+        try {
+            CharBuffer encoded = CharBuffer.wrap(bytes);
+            String text =
+                    StandardCharsets.UTF_8
+                            .newDecoder()
+                            .decode(StandardCharsets.ISO_8859_1.newEncoder().encode(encoded))
+                            .toString();
+            boolean odd =
+                    text.codePoints()
+                            .anyMatch(
+                                    each ->
+                                            Character.isWhitespace(each)
+                                                    || Character.isSpaceChar(each)
+                                                    || Character.isISOControl(each));
+            return odd ? Optional.empty() : Optional.of(text);
+        } catch (CharacterCodingException notText) {
+            // Such a key is in no configuration, since configurations consist of text.
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Decodes a caller's request without repeated headers. Fields that are missing or malformed
+     * count as not stated.
      *
      * @param key identifies the request within the process
      * @param path the path without the query
@@ -94,8 +186,24 @@
      */
     public static ForwardRequest decode(
             long key, String path, Map<String, String> headers, long contentHash) {
-        String host = headers.getOrDefault("host", "");
-        int colon = host.indexOf(':');
+        return decode(key, path, headers, Set.of(), contentHash);
+    }
+
+    /**
+     * Decodes a caller's request. Fields that are missing or malformed count as not stated.
+     *
+     * @param key identifies the request within the process
+     * @param path the path without the query
+     * @param headers the caller's headers
+     * @param repeated names of the headers that the caller has sent more than once
+     * @param contentHash hash of the request's content
+     */
+    public static ForwardRequest decode(
+            long key,
+            String path,
+            Map<String, String> headers,
+            Set<String> repeated,
+            long contentHash) {
         Optional<ModelKey> model =
                 Optional.ofNullable(headers.get(MODEL))
                         .filter(text -> !text.isEmpty() && text.charAt(0) != '/')
@@ -104,7 +212,7 @@
         return new ForwardRequest(
                 key,
                 requestId(headers),
-                colon < 0 ? host : host.substring(0, colon),
+                host(headers),
                 path,
                 number(headers.get(DEADLINE)).filter(each -> each > 0).map(Duration::ofMillis),
                 model,
@@ -113,7 +221,8 @@
                 tokens[0],
                 tokens[1],
                 number(headers.get(LAST_EVENT_ID)).orElse(-1L),
-                contentHash);
+                contentHash,
+                credential(headers, repeated));
     }
 
     /**
@@ -180,6 +289,10 @@
             Map<String, String> headers, ForwardingCommand.Send send) {
         Map<String, String> result = endToEnd(headers);
         result.keySet().removeAll(RESERVED);
+        if (send.credentialRemoved()) {
+            result.remove(CREDENTIAL);
+        }
+        send.account().ifPresent(account -> result.put(ACCOUNT, account.value()));
         result.put(DEADLINE, Long.toString(Math.max(1, send.remaining().toMillis())));
         result.put(EXPECT_INSTANCE, send.server().value());
         if (headers.containsKey(MODEL)) {
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -23,6 +23,10 @@
     CONFIGURATION_INSTALLED(Level.INFO),
     /** Tables or a stored configuration were invalid; the configuration in force stays. */
     CONFIGURATION_REFUSED(Level.WARN),
+    /** The configuration was read in addition to its watch, since a caller's key is unknown. */
+    CONFIGURATION_READ(Level.INFO),
+    /** A request without a valid key was refused. Only some of many such requests are logged. */
+    KEY_REFUSED(Level.INFO),
     /** Calls to the object API fail. */
     OBJECT_API_DOWN(Level.WARN),
     /** Calls to the object API succeed again. */
