Test accounts at gateways, and repeat a failed read of the configuration once

An instance that is cut off from the store tries it directly every 0.8 s; when the read for an unknown key was that trial, its request got 503 although a peer could answer (1 of 3 runs of AccountsTest). The read is now repeated once.

--- a/src/main/java/org/tarragonlug/decision/forwarding/KeyGate.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/KeyGate.java
@@ -27,7 +27,7 @@
     /** Shortest time between the beginnings of two reads of the configuration. */
     static final Duration READ_INTERVAL = Duration.ofSeconds(1);
 
-    /** Longest time for which a request is held: the interval, a direct and a relayed call. */
+    /** Longest time for which a request is held: the interval, a direct call and a relayed one. */
     static final Duration LONGEST_HOLD = Duration.ofMillis(2600);
 
     /** Number of requests that are held at once; each may keep a head of some KiB in memory. */
--- a/src/main/java/org/tarragonlug/gateway/ConfigurationReader.java
+++ b/src/main/java/org/tarragonlug/gateway/ConfigurationReader.java
@@ -35,9 +35,26 @@
         this.metrics = metrics;
     }
 
-    /** Reads the configuration, and installs it if it is newer than the one in force. */
+    /**
+     * Reads the configuration, and installs it if it is newer than the one in force. A read that
+     * fails is repeated once: the first one may have been a trial whether the store is back, and
+     * the second one goes through a peer.
+     */
     void read() {
-        store.read(PlatformKinds.currentConfiguration()).whenCompleteAsync(this::onRead, loop);
+        read(false);
+    }
+
+    private void read(boolean again) {
+        store.read(PlatformKinds.currentConfiguration())
+                .whenCompleteAsync(
+                        (object, failure) -> {
+                            if (failure != null && !again) {
+                                read(true);
+                            } else {
+                                onRead(object, failure);
+                            }
+                        },
+                        loop);
     }
 
     private void onRead(StoredObject object, Throwable failure) {
--- a/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
@@ -42,6 +42,7 @@
     private final Map<String, Integer> runsByRequestId = new ConcurrentHashMap<>();
     private final List<String> acceptedOrders = new ArrayList<>();
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
+    private final List<Map<String, String>> receivedHeaders = new CopyOnWriteArrayList<>();
     private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
     private final AtomicBoolean crashing = new AtomicBoolean();
     private volatile String id;
@@ -135,6 +136,11 @@
         return List.copyOf(crashNanos);
     }
 
+    /** Returns the headers of everything that reached the server, with names in lower case. */
+    public List<Map<String, String>> receivedHeaders() {
+        return List.copyOf(receivedHeaders);
+    }
+
     /** Returns all requests that reached the server, in the order of their arrival. */
     public List<Arrival> arrivals() {
         return List.copyOf(arrivals);
@@ -184,6 +190,7 @@
     }
 
     private CompletionStage<StandInReply> handle(StandInRequest request) {
+        receivedHeaders.add(Map.copyOf(request.headers()));
         if (request.path().equals(List.of("tarragonlug", "report"))) {
             return done(report());
         }
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -1,8 +1,10 @@
 package org.tarragonlug.gateway;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.servicetalk.transport.api.IoExecutor;
 import java.io.File;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -65,6 +67,20 @@
     /** Drain time of the gateways that are started from now on. */
     Duration drainTime = Duration.ofSeconds(8);
 
+    /** Address of the store for the gateways that are started from now on. */
+    InetSocketAddress storeAddress = store.address();
+
+    /** Writes a configuration with these client accounts, a JSON list. */
+    void configureAccounts(long version, String accounts) throws Exception {
+        ObjectNode spec =
+                (ObjectNode) Json.read(CONFIGURATION.formatted(version, "read").getBytes());
+        spec.set("tenants", Json.read(accounts.getBytes()));
+        ObjectNode open = spec.withArray("routes").get(3).deepCopy();
+        open.put("name", "open").put("path_prefix", "/open/").put("public", true);
+        spec.withArray("routes").add(open);
+        store.put("config", "main", spec);
+    }
+
     void configure(long version, String readPrefix) throws Exception {
         JsonNode spec = Json.read(CONFIGURATION.formatted(version, readPrefix).getBytes());
         store.put("config", "main", spec);
@@ -119,7 +135,7 @@
                 FreePort.find(),
                 FreePort.find(),
                 FreePort.find(),
-                store.address(),
+                storeAddress,
                 drainTime,
                 Duration.ofSeconds(3),
                 2,
--- a/src/test/java/org/tarragonlug/platform/DecodersTest.java
+++ b/src/test/java/org/tarragonlug/platform/DecodersTest.java
@@ -1,25 +1,39 @@
 package org.tarragonlug.platform;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tarragonlug.decision.account.ClientAccount;
+import org.tarragonlug.decision.account.Credential;
+import org.tarragonlug.decision.account.Quota;
+import org.tarragonlug.decision.account.QuotaUnit;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
+import org.tarragonlug.decision.forwarding.ForwardingTable;
 import org.tarragonlug.decision.forwarding.ListedState;
 import org.tarragonlug.decision.forwarding.NoticeFault;
 import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.decision.forwarding.ServerNotice;
+import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.objectapi.ObjectName;
@@ -203,4 +217,222 @@
             }
         }
     }
+
+    @Nested
+    class Accounts {
+        private static final String TABLE =
+                """
+                {"version": 3, "services": [],
+                 "routes": [{"name": "r", "host": "h", "path_prefix": "/r/", "kind": "streaming",
+                   "timeout_ms": 1, "service": "s", "priority": 1, "public": true}],
+                 "tenants": [%s]}
+                """;
+
+        private static JsonNode spec(String accounts) throws Exception {
+            return Json.read(TABLE.formatted(accounts).getBytes());
+        }
+
+        private static ForwardingTable decode(String accounts) throws Exception {
+            return ConfigurationDecoder.decode(spec(accounts));
+        }
+
+        private static ClientAccount account(String entry) throws Exception {
+            return decode(entry).accounts().accounts().iterator().next();
+        }
+
+        private static StoredObject withoutKeys(String accounts) throws Exception {
+            return AccountKeys.withoutKeys(
+                    new StoredObject(new ObjectName("config", "main"), 5, spec(accounts)));
+        }
+
+        @Test
+        void decodesAccountsAndPublicRoutes() throws Exception {
+            ForwardingTable table =
+                    decode(
+                            """
+                            {"name": "a", "api_keys": ["k1", "k2"], "priority": 0, "rate_per_s": 5,
+                             "burst": 8, "unit": "token_route", "plain_tokens": 300},
+                            {"name": "b", "api_keys": ["k3"], "rate_per_s": 2.5},
+                            {"name": "c", "api_keys": [], "rate_per_s": 0}
+                            """);
+            assertTrue(table.route("h", "/r/").orElseThrow().isPublic());
+            ClientAccount first = table.accounts().find(AccountKeys.digest("k2")).orElseThrow();
+            assertEquals("a", first.name().value());
+            assertEquals(OptionalInt.of(0), first.priority());
+            assertEquals(Optional.of(new Quota(QuotaUnit.TOKENS, 5, 8, 300)), first.quota());
+            ClientAccount second = table.accounts().find(AccountKeys.digest("k3")).orElseThrow();
+            assertEquals(OptionalInt.empty(), second.priority());
+            assertEquals(QuotaUnit.REQUESTS, second.quota().orElseThrow().unit());
+            assertTrue(table.accounts().account(new AccountName("c")).isPresent());
+            assertTrue(table.accounts().find(AccountKeys.digest("k4")).isEmpty());
+        }
+
+        @Test
+        void tableWithoutAccountsNeedsNoKeys() throws Exception {
+            assertTrue(decode("").accounts().isEmpty());
+            JsonNode spec = spec("");
+            ((ObjectNode) spec).remove("tenants");
+            assertTrue(ConfigurationDecoder.decode(spec).accounts().isEmpty());
+        }
+
+        // Guards against a part of the accounts in force, and against messages that show a key.
+        @Test
+        void malformedAccountsMakeTheTableUnreadable() throws Exception {
+            for (String entry :
+                    List.of(
+                            "{\"name\": \"a\"}",
+                            "{\"api_keys\": [\"secret\"]}",
+                            "{\"name\": \"a\", \"api_keys\": \"secret\"}",
+                            "{\"name\": \"a\", \"api_keys\": [[\"secret\"]]}",
+                            "{\"name\": \"a\", \"api_keys\": [\"secret\"], \"rate_per_s\": -1}",
+                            "{\"name\": \"a\\n\", \"api_keys\": [\"secret\"]}",
+                            "{\"name\": \"a\", \"api_key_digests\": [\"secret\"]}",
+                            "\"secret\"")) {
+                JsonNode sanitised = withoutKeys(entry).content();
+                for (JsonNode content : List.of(spec(entry), sanitised)) {
+                    IllegalArgumentException failure =
+                            assertThrows(
+                                    IllegalArgumentException.class,
+                                    () -> ConfigurationDecoder.decode(content),
+                                    entry);
+                    assertFalse(failure.getMessage().contains("secret"), failure.getMessage());
+                }
+            }
+        }
+
+        // Guards against keys that are passed on, and against digests that are digested again.
+        @Test
+        void keysAreReplacedByDigestsOnce() throws Exception {
+            String entry = "{\"name\": \"a\", \"api_keys\": [\"secret\"], \"priority\": 1}";
+            StoredObject replaced = withoutKeys(entry);
+            assertFalse(replaced.content().toString().contains("secret"));
+            assertSame(replaced, AccountKeys.withoutKeys(replaced));
+            assertEquals(5, replaced.version());
+            ForwardingTable table = ConfigurationDecoder.decode(replaced.content());
+            assertEquals(
+                    decode(entry).accounts().find(AccountKeys.digest("secret")),
+                    table.accounts().find(AccountKeys.digest("secret")));
+            assertTrue(table.accounts().find(AccountKeys.digest("secret")).isPresent());
+        }
+
+        // Guards against a caller that presents the digest of a key in place of the key.
+        @Test
+        void digestIsNoKey() throws Exception {
+            String digest = AccountKeys.digest("secret").toHex();
+            ForwardingTable table =
+                    ConfigurationDecoder.decode(
+                            withoutKeys("{\"name\": \"a\", \"api_keys\": [\"secret\"]}").content());
+            assertTrue(table.accounts().find(AccountKeys.digest(digest)).isEmpty());
+            assertTrue(
+                    account("{\"name\": \"a\", \"api_keys\": [\"" + digest + "\"]}")
+                            .digests()
+                            .contains(AccountKeys.digest(digest)));
+        }
+    }
+
+    @Nested
+    class Credentials {
+        private static Credential credential(String value) {
+            return RequestHeaders.decodeHead(
+                            1, "/x/", Map.of("authorization", value, "host", "h:1"), Set.of())
+                    .credential();
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"Token key-1", "token key-1", "TOKEN  key-1 "})
+        void decodesAKey(String value) {
+            assertEquals(Credential.of(AccountKeys.digest("key-1")), credential(value));
+        }
+
+        @Test
+        void decodesAKeyOfAnyText() {
+            String key = "clé-ключ";
+            String bytes = new String(key.getBytes(UTF_8), ISO_8859_1);
+            assertEquals(Credential.of(AccountKeys.digest(key)), credential("Token " + bytes));
+        }
+
+        // Guards against a request that runs although its key is not the one that was checked, and
+        // against input that ends in an exception.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "",
+                    " ",
+                    "Token",
+                    "Token ",
+                    "key-1",
+                    "Bearer key-1",
+                    "Basic a2V5LTE=",
+                    "Token key-1, Token key-2",
+                    "Token key-1 key-2",
+                    "Token\tkey-1",
+                    "Token key\u00ff",
+                    "Token key\u0000",
+                    "Token \u00c3\u0028",
+                    "Token key\u4e00",
+                    "Token key\u00c2\u00a0"
+                })
+        void oddValuesAreNoKey(String value) {
+            assertEquals(Credential.MALFORMED, credential(value));
+        }
+
+        @Test
+        void overlongKeyIsNoKey() {
+            assertEquals(Credential.State.KEY, credential("Token " + "k".repeat(4096)).state());
+            assertEquals(Credential.MALFORMED, credential("Token " + "k".repeat(4097)));
+        }
+
+        @Test
+        void twoCredentialsAreNoKey() {
+            Map<String, String> headers = Map.of("authorization", "Token key-1");
+            assertEquals(
+                    Credential.MALFORMED,
+                    RequestHeaders.decodeHead(1, "/x/", headers, Set.of("authorization"))
+                            .credential());
+            assertEquals(
+                    Credential.MALFORMED,
+                    RequestHeaders.decode(1, "/x/", headers, Set.of("authorization"), 0)
+                            .credential());
+            assertEquals(
+                    Credential.ABSENT,
+                    RequestHeaders.decode(1, "/x/", Map.of(), Set.of(), 0).credential());
+        }
+
+        private static Map<String, String> sent(Optional<AccountName> account, boolean removed) {
+            return RequestHeaders.forServer(
+                    Map.of(
+                            "authorization",
+                            "Token key-1",
+                            "tarragonlug-tenant",
+                            "forged",
+                            "connection",
+                            "tarragonlug-tenant"),
+                    new ForwardingCommand.Send(
+                            1,
+                            new ServerId("i-1"),
+                            "10.0.0.9:80",
+                            Duration.ofMillis(1500),
+                            2,
+                            -1,
+                            true,
+                            java.time.Instant.EPOCH,
+                            false,
+                            account,
+                            removed));
+        }
+
+        // Guards against a key at a server, and against a caller that names an account itself.
+        @Test
+        void serverGetsTheAccountAndNoKey() {
+            Map<String, String> named = sent(Optional.of(new AccountName("a")), true);
+            assertEquals("a", named.get("tarragonlug-tenant"));
+            assertFalse(named.containsKey("authorization"));
+            Map<String, String> open = sent(Optional.empty(), true);
+            assertFalse(open.containsKey("tarragonlug-tenant"));
+            assertFalse(open.containsKey("authorization"));
+            Map<String, String> withoutAccounts = sent(Optional.empty(), false);
+            assertFalse(withoutAccounts.containsKey("tarragonlug-tenant"));
+            assertEquals("Token key-1", withoutAccounts.get("authorization"));
+        }
+    }
 }
