--- a/src/main/java/org/tarragonlug/decision/account/KeyChecker.java
+++ b/src/main/java/org/tarragonlug/decision/account/KeyChecker.java
@@ -16,7 +16,7 @@
  * it happened. A removed key is therefore accepted while it is certainly still valid, and refused
  * once it is certainly not; in between the answer is {@link KeyDecision.Kind#ENDING}. A key that is
  * in no configuration seen so far may have been written a moment ago, so it is refused only after
- * {@link #recordAbsent}, for as long as the configuration stays the same.
+ * {@link #recordAbsent}, and then until a configuration contains it.
  */
 public final class KeyChecker {
     /**
@@ -66,8 +66,10 @@
                 removed.putIfAbsent(digest, new RemovedKey(account, acceptedUntil, refusedFrom));
             }
         }
-        next.accounts().forEach(account -> removed.keySet().removeAll(account.digests()));
-        absent.clear();
+        for (ClientAccount account : next.accounts()) {
+            removed.keySet().removeAll(account.digests());
+            absent.removeAll(account.digests());
+        }
         directory = next;
     }
 
--- a/src/test/java/org/tarragonlug/gateway/AccountsTest.java
+++ b/src/test/java/org/tarragonlug/gateway/AccountsTest.java
@@ -17,9 +17,14 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -40,6 +45,11 @@
     private static final List<String> SECRETS =
             List.of("secret-north", "secret-south", "secret-nobody", "secret-public");
 
+    private static final int LOAD = 1200;
+
+    /** Number of requests that are sent together, and the milliseconds until the next ones. */
+    private static final int LOAD_STEP = 40;
+
     /** Time in which an instance reads who holds the leases. */
     private static final long LEASES_KNOWN_MILLIS = 2000;
 
@@ -284,6 +294,60 @@
         }
     }
 
+    /**
+     * Guards against requests that run for the account of another one when many arrive together,
+     * with keys that change meanwhile.
+     */
+    @Test
+    void manyRequestsAtOnceGetTheAnswersOfTheirKeys() throws Exception {
+        fixture.configureAccounts(1, BOTH);
+        startGateway("one");
+        List<String> keys = List.of("secret-north", "secret-south", "secret-nobody");
+        Map<String, CompletableFuture<HttpResponse<String>>> answers = new HashMap<>();
+        Semaphore connections = new Semaphore(LOAD_STEP);
+        for (int count = 0; count < LOAD; count++) {
+            String id = keys.get(count % keys.size()) + "-" + count;
+            connections.acquire();
+            CompletableFuture<HttpResponse<String>> answer =
+                    sendAsync("load-" + count, keys.get(count % keys.size()));
+            answer.whenComplete((result, failure) -> connections.release());
+            answers.put(id, answer);
+            if (count % LOAD_STEP == 0) {
+                boolean fewer = count / LOAD_STEP % 2 == 1;
+                fixture.configureAccounts(2 + count, fewer ? NORTH : BOTH);
+                Thread.sleep(LOAD_STEP);
+            }
+        }
+        fixture.configureAccounts(LOAD + 2, BOTH);
+        for (Map.Entry<String, CompletableFuture<HttpResponse<String>>> each : answers.entrySet()) {
+            int status = each.getValue().get(20, TimeUnit.SECONDS).statusCode();
+            boolean nobody = each.getKey().startsWith("secret-nobody");
+            Set<Integer> allowed = nobody ? Set.of(401, 503) : Set.of(200, 503);
+            assertTrue(allowed.contains(status), each.getKey() + " " + status);
+        }
+        for (Map<String, String> headers : records.receivedHeaders()) {
+            String id = headers.getOrDefault("tarragonlug-request-id", "");
+            if (id.startsWith("load-")) {
+                int number = Integer.parseInt(id.substring("load-".length()));
+                String account = number % keys.size() == 0 ? "north" : "south";
+                assertEquals(account, headers.get("tarragonlug-tenant"));
+            }
+        }
+        assertNoSecretShown();
+    }
+
+    private CompletableFuture<HttpResponse<String>> sendAsync(String id, String key) {
+        InetSocketAddress address = fixture.gatewaySettings.get(0).callerAddress();
+        HttpRequest request =
+                HttpRequest.newBuilder(
+                                URI.create("http://127.0.0.1:" + address.getPort() + "/read/1"))
+                        .header("Tarragonlug-Request-Id", id)
+                        .header("Authorization", "Token " + key)
+                        .POST(HttpRequest.BodyPublishers.ofString("body"))
+                        .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     private long leasesOfOne() {
         return logLines.stream()
                 .filter(line -> line.contains("lease_acquired instance=one"))
