Refuse a removed key as soon as its removal is known

An instance must not decide by an older configuration once it has shown a newer one. Change: the newest known configuration decides alone; the delay, its setting and the estimate of the time of a write are gone.

--- a/src/main/java/org/tarragonlug/decision/account/KeyDecision.java
+++ b/src/main/java/org/tarragonlug/decision/account/KeyDecision.java
@@ -15,14 +15,11 @@
         ACCEPTED,
         /** The key is not valid. */
         REFUSED,
-        /** The key was removed, and it may or may not be valid still. */
-        ENDING,
         /** The key is in no configuration that this instance has seen. */
         UNKNOWN
     }
 
     static final KeyDecision REFUSED = new KeyDecision(Kind.REFUSED, Optional.empty());
-    static final KeyDecision ENDING = new KeyDecision(Kind.ENDING, Optional.empty());
     static final KeyDecision UNKNOWN = new KeyDecision(Kind.UNKNOWN, Optional.empty());
 
     static KeyDecision accepted(ClientAccount account) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -75,7 +75,7 @@
         this.selector = new ServerSelector(fleet, home, hasher);
         this.hasher = hasher;
         this.budgets = new RetryBudgets(limits);
-        this.keys = new KeyGate(limits.configurationDelay(), command -> this.commands.add(command));
+        this.keys = new KeyGate(command -> this.commands.add(command));
     }
 
     /** Returns the servers that are currently listed. */
@@ -146,7 +146,7 @@
             pending.find(disconnected.request()).ifPresent(pending::abandon);
         } else if (event instanceof ForwardingEvent.TableInstalled installed) {
             table = installed.table();
-            keys.install(table.accounts(), installed.writtenAfter(), now);
+            keys.install(table.accounts(), now);
         } else if (event instanceof ForwardingEvent.ConfigurationRead read) {
             keys.onConfigurationRead(read.succeeded(), now);
         } else if (event instanceof ForwardingEvent.ModelReadyExpected expected) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -51,19 +51,8 @@
     /** The caller closed its connection. */
     record CallerDisconnected(long request) implements ForwardingEvent {}
 
-    /**
-     * A configuration has come into force.
-     *
-     * @param table the configuration
-     * @param writtenAfter a time before its write; of a write that was announced at once, the time
-     *     at which this instance has learnt of it
-     */
-    record TableInstalled(ForwardingTable table, Instant writtenAfter) implements ForwardingEvent {
-        /** Creates the event for a write that was announced at once. */
-        public TableInstalled(ForwardingTable table) {
-            this(table, Instant.MAX);
-        }
-    }
+    /** A configuration has come into force. */
+    record TableInstalled(ForwardingTable table) implements ForwardingEvent {}
 
     /**
      * The read of the configuration that was ordered last has ended. A newer configuration has been
--- a/src/main/java/org/tarragonlug/decision/forwarding/KeyGate.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/KeyGate.java
@@ -64,11 +64,10 @@
     /**
      * Creates a gate that lets all requests pass.
      *
-     * @param removalDelay how long a key stays valid after the write of a configuration without it
      * @param output receives the commands to read the configuration and to refuse held requests
      */
-    KeyGate(Duration removalDelay, Consumer<ForwardingCommand> output) {
-        this.checker = new KeyChecker(removalDelay);
+    KeyGate(Consumer<ForwardingCommand> output) {
+        this.checker = new KeyChecker();
         this.output = output;
     }
 
@@ -78,20 +77,20 @@
     }
 
     /** Replaces the accounts, and decides again on the requests that are held. */
-    void install(AccountDirectory accounts, Instant writtenAfter, Instant now) {
-        checker.install(accounts, writtenAfter, now);
+    void install(AccountDirectory accounts, Instant now) {
+        checker.install(accounts);
         List<Long> decided = new ArrayList<>();
         held.forEach(
                 (key, request) -> {
-                    if (!checker.isOn() || isDecided(request, now)) {
+                    if (!checker.isOn() || isDecided(request)) {
                         decided.add(key);
                     }
                 });
         decided.forEach(key -> release(key, now));
     }
 
-    private boolean isDecided(HeldRequest request, Instant now) {
-        KeyDecision decision = checker.decide(request.credential().digest().orElseThrow(), now);
+    private boolean isDecided(HeldRequest request) {
+        KeyDecision decision = checker.decide(request.credential().digest().orElseThrow());
         return decision.kind() != KeyDecision.Kind.UNKNOWN;
     }
 
@@ -115,11 +114,10 @@
         if (credential.digest().isEmpty()) {
             return Admission.refused(RefusalReason.KEY_UNKNOWN);
         }
-        KeyDecision decision = checker.decide(credential.digest().get(), now);
+        KeyDecision decision = checker.decide(credential.digest().get());
         return switch (decision.kind()) {
             case ACCEPTED -> new Admission(decision.account(), Optional.empty(), false);
             case REFUSED -> Admission.refused(RefusalReason.KEY_UNKNOWN);
-            case ENDING -> Admission.refused(RefusalReason.KEY_UNCONFIRMED);
             default -> hold(key, new HeldRequest(credential, now, decideAgain), now);
         };
     }
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -239,8 +239,7 @@
                 settings.retryWindow(),
                 settings.retryRatio(),
                 settings.retryAllowance(),
-                settings.instances(),
-                settings.configurationDelay());
+                settings.instances());
     }
 
     private static WatchCandidate watchCandidate(GatewaySettings settings) {
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.tarragonlug.decision.forwarding.ForwardingLimits;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -92,8 +91,7 @@
                 (int) number("instances", DEFAULT_INSTANCES),
                 Math.max(RESERVED_DESCRIPTORS, descriptors - RESERVED_DESCRIPTORS),
                 number("processorShare", 1) * number("processors", 1),
-                watchLimits(),
-                millis("configurationDelayMillis", ForwardingLimits.DEFAULT_CONFIGURATION_DELAY));
+                watchLimits());
     }
 
     private WatchLimits watchLimits() {
--- a/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
+++ b/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
@@ -1,7 +1,5 @@
 package org.tarragonlug.gateway;
 
-import java.time.Duration;
-import java.time.Instant;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
@@ -14,19 +12,12 @@
 
 /** Installs configurations; only a greater version replaces the one in force. */
 final class InstalledConfiguration implements StoreWatcher.Listener {
-    /** Longer than the wait of a watch and the pause after it. */
-    private static final Duration LONGEST_SILENCE = Duration.ofSeconds(4);
-
     private final ForwardingCoordinator coordinator;
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
     private final EventLog log;
     private final GatewayMetrics metrics;
     private final Runnable onInstalled;
-    private Instant lastAnswer = Instant.EPOCH;
-
-    /** A time before the write of a configuration that is read now. */
-    private Instant writtenAfter = Instant.EPOCH;
 
     /**
      * Creates the listener.
@@ -49,18 +40,6 @@
         this.onInstalled = onInstalled;
     }
 
-    /**
-     * Records when the store has answered. A watch announces a write at once; a list follows a
-     * watch that was lost, so the write may have happened at any time since the answer before. So
-     * it may if the process was paused.
-     */
-    @Override
-    public void onAnswer(Instant now, boolean ofWatch) {
-        boolean announced = ofWatch && now.isBefore(lastAnswer.plus(LONGEST_SILENCE));
-        writtenAfter = announced ? now : lastAnswer;
-        lastAnswer = now;
-    }
-
     @Override
     public void onChanged(StoredObject object) {
         if (!object.name().name().equals(PlatformKinds.CURRENT_CONFIGURATION)) {
@@ -92,7 +71,7 @@
                 .write();
         metrics.setConfigurationVersion(table.version().value());
         metrics.setAccounts(table.accounts().accounts().size());
-        forwarding.post(new ForwardingEvent.TableInstalled(table, writtenAfter));
+        forwarding.post(new ForwardingEvent.TableInstalled(table));
         placement.post(new PlacementEvent.TableInstalled(table));
         onInstalled.run();
     }
--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -53,13 +53,6 @@
 
     /** Receives the objects. Called on the event loop. */
     interface Listener {
-        /**
-         * Called when the store has answered, before the changes in the answer are reported.
-         *
-         * @param ofWatch whether a watch was answered, which announces changes at once
-         */
-        default void onAnswer(Instant now, boolean ofWatch) {}
-
         /** Called when an object is read for the first time or has a newer version. */
         void onChanged(StoredObject object);
 
@@ -208,7 +201,7 @@
     private void onListed(WatchResult result) {
         Instant now = timers.now();
         Instant keepMissingUntil = outage.keepMissingUntil(now);
-        onAnswered(false);
+        onAnswered();
         Set<String> absent = new HashSet<>(knownVersions.keySet());
         for (StoredObject object : result.changed()) {
             if (object.exists()) {
@@ -237,7 +230,7 @@
     }
 
     private void onWatched(WatchResult result) {
-        onAnswered(true);
+        onAnswered();
         backoff = NO_BACKOFF;
         if (result.gap()) {
             log.event(LogEvent.STORE_HISTORY_GONE).with("kind", kind).write();
@@ -270,10 +263,8 @@
         }
     }
 
-    private void onAnswered(boolean ofWatch) {
-        Instant now = timers.now();
-        outage.onAnswered(now);
-        listener.onAnswer(now, ofWatch);
+    private void onAnswered() {
+        outage.onAnswered(timers.now());
         if (unavailable) {
             log.event(LogEvent.OBJECT_API_UP).with("kind", kind).write();
         }
