Simulate servers that restart with their models and are slow at first

Requested for the adaptive limit: no scenario of measure fleet had servers that are listed anew under load and answer slowly for a while.

--- a/src/main/java/org/tarragonlug/simulation/FleetScenarios.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetScenarios.java
@@ -203,6 +203,20 @@
                                     fault(SimulatedFault.Kind.SILENT_REPLACE, 24, 4, 0, 1)));
         }
     },
+    /** Long prompts while a tenth of the servers at a time restarts and is slow at first. */
+    RESTARTING_SERVERS {
+        @Override
+        FleetScenario scenario(int instances) {
+            return LONG_PROMPTS
+                    .scenario(instances)
+                    .withFaults(
+                            List.of(
+                                    fault(SimulatedFault.Kind.RESTART, 3, 6, 5, 5),
+                                    fault(SimulatedFault.Kind.RESTART, 9, 6, 5, 5),
+                                    fault(SimulatedFault.Kind.RESTART, 15, 6, 5, 5),
+                                    fault(SimulatedFault.Kind.RESTART, 21, 6, 5, 5)));
+        }
+    },
     /** One prompt part, in requests at all instances, crashes each server that answers it. */
     CRASHING_PART {
         @Override
--- a/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
@@ -38,6 +38,7 @@
     private static final int RESIDENT_MODELS = 2;
     private static final double LISTING_DELAY_MILLIS = 25;
     private static final double WATCH_PAUSE_MILLIS = 1100;
+    private static final Duration RESTART_DOWN_TIME = Duration.ofSeconds(2);
     private static final Duration HEARTBEAT = Duration.ofMillis(1200);
     private static final Duration LISTING_EXPIRY = HEARTBEAT.multipliedBy(3);
 
@@ -243,6 +244,7 @@
             switch (fault.kind()) {
                 case CRASH -> crash(server, fault.length());
                 case SILENT_CRASH -> server.crash(fault.length());
+                case RESTART -> restart(server, fault);
                 case REPLACE -> {
                     unlist(server.id());
                     replace(server);
@@ -261,6 +263,12 @@
         publishListing(server);
     }
 
+    private void restart(ModelServer server, SimulatedFault fault) {
+        server.restart(RESTART_DOWN_TIME);
+        unlist(server.id());
+        time.after(RESTART_DOWN_TIME, () -> slowDown(server, fault));
+    }
+
     private void slowDown(ModelServer server, SimulatedFault fault) {
         server.setSlowness(fault.factor());
         time.after(fault.length(), () -> server.setSlowness(1));
--- a/src/main/java/org/tarragonlug/simulation/ModelServer.java
+++ b/src/main/java/org/tarragonlug/simulation/ModelServer.java
@@ -247,6 +247,13 @@
                 });
     }
 
+    /** Ends the process as {@link #crash} does; it is listed again when it holds its models. */
+    void restart(Duration downTime) {
+        Map<String, Set<String>> held = copyOfModels();
+        crash(downTime);
+        held.forEach((model, adapters) -> models.put(model, new HashSet<>(adapters)));
+    }
+
     // Requests
 
     void onRequest(ServerRun run) {
--- a/src/main/java/org/tarragonlug/simulation/SimulatedFault.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedFault.java
@@ -23,6 +23,11 @@
         REPLACE,
         /** As {@link #REPLACE}, but the listing of a replaced server stays until it expires. */
         SILENT_REPLACE,
+        /**
+         * Servers restart and load what they held before they are listed again. They work slower
+         * for a while after that.
+         */
+        RESTART,
         /** Servers work slower, while their answers say nothing of it. */
         SLOW,
         /** The planner gives no orders. */
