Limit requests at servers that start or recover, over all instances

Cause: a server that had just started got most requests of all instances, because it had none; after a pause each of n instances began with 2 requests. Change: AdaptiveLimit limits the requests in flight at one run of a server, for all instances together. It grows with the times of answers against the usual ones of the service, shrinks with rejections and losses, and yields where no other server can run a request. The limit after a pause and the waits after failed connections are cases of it.

--- a/src/main/java/org/tarragonlug/decision/forwarding/Availability.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Availability.java
@@ -10,7 +10,7 @@
     SAID_IT_LEAVES,
     /** The server has asked for a pause that is not over. */
     PAUSED,
-    /** A pause has just ended, and the server has as many requests as it may have so soon. */
+    /** The server has started or recovered, and has as many requests as it may have so soon. */
     RETURNING,
     /** Connections to the server fail at present. */
     UNREACHABLE;
--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -17,15 +18,62 @@
 public final class Fleet {
     private final Map<ServerId, FleetServer> servers = new HashMap<>();
     private final ServerNotices notices = new ServerNotices();
+    private final ServerLimits limits;
 
-    /** Adds the listed server, or updates it if it is already known. */
+    /** Creates an empty fleet of a single instance. */
+    public Fleet() {
+        this(new ServerLimits("", text -> 0, 1));
+    }
+
+    /** Creates an empty fleet whose servers are limited after they have started or recovered. */
+    Fleet(ServerLimits limits) {
+        this.limits = limits;
+    }
+
+    /** Adds a listed server that has been in use for long, or updates it. */
     public void addOrUpdate(ServerListing listing) {
+        addOrUpdate(listing, Instant.EPOCH);
+    }
+
+    /** Adds the listed server, or updates it if it is already known. */
+    void addOrUpdate(ServerListing listing, Instant now) {
         FleetServer existing = servers.get(listing.id());
+        AdaptiveLimit limit = limits.ofListed(listing, servers.values(), now);
         if (existing == null) {
-            servers.put(listing.id(), new FleetServer(listing, notices));
+            servers.put(
+                    listing.id(),
+                    new FleetServer(listing, notices, limits.instances(), limit, now));
         } else {
-            existing.update(listing);
+            existing.update(listing, limit, now);
+        }
+    }
+
+    /** Returns the limits of servers that have started or recovered. */
+    ServerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Applies the time that has passed to the limits.
+     *
+     * @return the limits that have begun or ended since the last call
+     */
+    List<ForwardingCommand.ReportLimit> advanceLimits(Instant now) {
+        return limits.advance(servers.values(), now);
+    }
+
+    /** Returns how many servers are limited for each cause; all causes are present. */
+    public Map<LimitCause, Integer> countByLimitCause(Instant now) {
+        Map<LimitCause, Integer> counts = new EnumMap<>(LimitCause.class);
+        for (LimitCause cause : LimitCause.values()) {
+            counts.put(cause, 0);
+        }
+        for (FleetServer server : servers.values()) {
+            server.limit()
+                    .reportedCause(now)
+                    .ifPresent(cause -> counts.merge(cause, 1, Integer::sum));
         }
+        return counts;
     }
 
     /** Removes a server that is no longer listed; does nothing if it is unknown. */
@@ -44,7 +92,13 @@
      * @return whether anything about it was not known before
      */
     boolean recordNotice(ServerIncarnation run, ServerNotice notice, Instant now) {
-        return notices.record(run, notice, now);
+        boolean changed = notices.record(run, notice, now);
+        if (changed && notice.pause().isPresent()) {
+            limits.of(run)
+                    .filter(limit -> notices.pausedUntil(run).isAfter(now))
+                    .ifPresent(limit -> limit.begin(LimitCause.PAUSE, notices.pausedUntil(run)));
+        }
+        return changed;
     }
 
     /** Returns whether this run of a server is listed, and does not leave. */
@@ -124,7 +178,7 @@
      */
     Optional<Boolean> apply(ForwardingEvent event, Instant now) {
         if (event instanceof ForwardingEvent.ServerListed listed) {
-            addOrUpdate(listed.listing());
+            addOrUpdate(listed.listing(), now);
             return Optional.of(true);
         }
         if (event instanceof ForwardingEvent.ServerUnlisted unlisted) {
@@ -166,6 +220,7 @@
         for (FleetServer server : servers.values()) {
             server.recordTotalInFlight(totals.getOrDefault(server.id(), 0), now);
         }
+        limits.recordTotals(totals, servers.values(), now);
     }
 
     /** Returns how many servers there are of each availability; all values are present. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -32,12 +32,10 @@
     private static final double FAILURE_WEIGHT = 0.25;
 
     /**
-     * How long a server receives no requests after a connection to it failed or another server
-     * answered at its address. The pause doubles with each further failure.
+     * Failure rate above which a request without progress shows that the server is slow. It takes
+     * two such requests in a row, because a single one may be an unusually long prompt.
      */
-    private static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(700);
-
-    private static final Duration MAX_UNREACHABLE_PAUSE = Duration.ofMillis(2800);
+    private static final double SLOW_FAILURE_RATE = 0.4;
 
     /** How long a server stays suspected after the last announcement of it. */
     private static final Duration SUSPICION_VALIDITY = Duration.ofMillis(1000);
@@ -46,6 +44,9 @@
     private static final Duration ABSENCE_VALIDITY = Duration.ofMillis(1500);
 
     private final ServerNotices notices;
+    private final InstanceCount instances;
+    private AdaptiveLimit limit;
+    private Instant knownSince;
     private ServerListing listing;
     private ServerIncarnation incarnation;
     private int inFlight;
@@ -54,14 +55,29 @@
     private Instant totalReportedAt = Instant.EPOCH;
     private double failureRate;
     private Instant failureUpdatedAt = Instant.EPOCH;
-    private Instant unreachableUntil = Instant.EPOCH;
-    private Duration nextPause = UNREACHABLE_PAUSE;
     private Instant suspectedUntil = Instant.EPOCH;
     private final Map<ModelKey, Instant> absentUntil = new HashMap<>();
     private final Map<ModelKey, Instant> announcedUntil = new HashMap<>();
 
-    FleetServer(ServerListing listing, ServerNotices notices) {
+    /**
+     * Creates the state of a server that is not known yet.
+     *
+     * @param listing its listing
+     * @param notices what servers have said about themselves
+     * @param instances number of instances that share the limit
+     * @param limit limit of the requests at this run of the server
+     * @param now time at which the run became known
+     */
+    FleetServer(
+            ServerListing listing,
+            ServerNotices notices,
+            InstanceCount instances,
+            AdaptiveLimit limit,
+            Instant now) {
         this.notices = notices;
+        this.instances = instances;
+        this.limit = limit;
+        this.knownSince = now;
         replaceListing(listing);
     }
 
@@ -95,13 +111,14 @@
         return listing.failureDomain();
     }
 
-    void update(ServerListing newer) {
+    /** Applies a newer listing; the limit is that of the run which it describes. */
+    void update(ServerListing newer, AdaptiveLimit limitOfRun, Instant now) {
         if (newer.startedMillis() != listing.startedMillis()) {
+            limit = limitOfRun;
+            knownSince = now;
             inFlight = 0;
             otherInstancesLoad = 0;
             failureRate = 0;
-            unreachableUntil = Instant.EPOCH;
-            nextPause = UNREACHABLE_PAUSE;
             absentUntil.clear();
             announcedUntil.clear();
         }
@@ -126,7 +143,7 @@
         if (isUnreachable(now)) {
             return Availability.UNREACHABLE;
         }
-        boolean hasRoom = inFlight < notices.limitAfterPause(incarnation, now);
+        boolean hasRoom = limit.hasRoom(inFlight, instances.current(), now);
         return hasRoom ? Availability.AVAILABLE : Availability.RETURNING;
     }
 
@@ -135,6 +152,45 @@
         return availability(now) == Availability.AVAILABLE;
     }
 
+    /**
+     * Tells whether this instance may send a request to this server that no other server can run.
+     * Such a request exceeds a limit, but not the one just after a pause.
+     */
+    boolean isAvailableBeyondLimit(Instant now) {
+        Availability present = availability(now);
+        return present == Availability.AVAILABLE
+                || present == Availability.RETURNING && limit.yields(now);
+    }
+
+    /**
+     * Tells whether this instance may send a request to this server that would be refused otherwise
+     * because of a limit.
+     */
+    boolean isLastResort(Instant now) {
+        Availability present = availability(now);
+        return present == Availability.AVAILABLE || present == Availability.RETURNING;
+    }
+
+    /** Tells whether this server has been in use for a while and is not limited. */
+    boolean isEstablished(Duration age, Instant now) {
+        return isAvailable(now) && limit.isUnused() && !now.isBefore(knownSince.plus(age));
+    }
+
+    /** Returns the limit of the requests in flight at the present run of this server. */
+    AdaptiveLimit limit() {
+        return limit;
+    }
+
+    /** Applies the time that has passed to the limit of the requests in flight. */
+    void advanceLimit(double usualTotal, Instant now) {
+        limit.advance(inFlight, instances.current(), usualTotal, now);
+    }
+
+    /** Tells whether a model is known to be on this server. */
+    boolean holdsModels() {
+        return !listing.models().isEmpty() || !announcedUntil.isEmpty();
+    }
+
     /** Tells whether this server is listed as ready and has not said that it leaves. */
     boolean isReady(Instant now) {
         return availability(now).staysInService();
@@ -215,6 +271,7 @@
     /** Records the load that the server stated with an answer. */
     public void recordReportedLoad(ReportedLoad load, Instant now) {
         otherInstancesLoad = Math.max(0, load.total() - inFlight);
+        limit.recordOthers(otherInstancesLoad, now);
         loadReportedAt = now;
     }
 
@@ -224,6 +281,7 @@
      * move from server to server together. A new total therefore changes the estimate only in part.
      */
     void recordTotalInFlight(int total, Instant now) {
+        limit.recordOthers(Math.max(0, total - inFlight), now);
         double before = otherInstancesLoad(now);
         double weight = 1 - decay(totalReportedAt, now, TOTAL_HALF_LIFE);
         otherInstancesLoad = before + weight * (Math.max(0, total - inFlight) - before);
@@ -254,21 +312,25 @@
         return failureRate * decay(failureUpdatedAt, now, FAILURE_HALF_LIFE);
     }
 
-    void markUnreachable(Instant now) {
-        if (now.isBefore(unreachableUntil)) {
-            return;
+    /** Records that a request made no progress at the server for too long. */
+    void recordStall(Instant now) {
+        recordOutcome(true, now);
+        if (limit.isUnused() && failureRate(now) > SLOW_FAILURE_RATE) {
+            limit.beginSlow(load(now), now);
+        } else {
+            limit.recordFailure(now);
         }
-        unreachableUntil = now.plus(nextPause);
-        nextPause = nextPause.multipliedBy(2);
-        nextPause =
-                nextPause.compareTo(MAX_UNREACHABLE_PAUSE) > 0 ? MAX_UNREACHABLE_PAUSE : nextPause;
+    }
+
+    /** Records that a connection to the server failed, or that another server answered. */
+    void markUnreachable(Instant now) {
+        limit.block(now);
     }
 
     /** Records that the server itself has answered. */
-    void markReached() {
+    void markReached(Instant now) {
         suspectedUntil = Instant.EPOCH;
-        unreachableUntil = Instant.EPOCH;
-        nextPause = UNREACHABLE_PAUSE;
+        limit.unblock(now);
     }
 
     /** Records that several other instances cannot reach the server. */
@@ -283,7 +345,7 @@
 
     /** Tells whether the last connections to the server failed. */
     boolean isUnreachable(Instant now) {
-        return now.isBefore(unreachableUntil);
+        return limit.isBlocked(now);
     }
 
     /** Returns the names of the models in the newest listing. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -101,4 +101,15 @@
      */
     record ReportNotice(ServerIncarnation server, ServerNotice notice, long request)
             implements ForwardingCommand {}
+
+    /**
+     * Reports that the requests in flight at a server are limited from now on, or no longer.
+     *
+     * @param server the run of the server
+     * @param cause why they are or were limited
+     * @param begins whether the limit begins; otherwise it ends
+     * @param limit requests in flight that all instances together may have there
+     */
+    record ReportLimit(ServerIncarnation server, LimitCause cause, boolean begins, double limit)
+            implements ForwardingCommand {}
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.decision.StateMachine;
 import org.tarragonlug.decision.quarantine.LostRequest;
@@ -68,7 +69,20 @@
      * @param limits limits set by the platform
      */
     public ForwardingCoordinator(FailureDomain home, Hasher hasher, ForwardingLimits limits) {
-        this.fleet = new Fleet();
+        this("", home, hasher, limits);
+    }
+
+    /**
+     * Creates a coordinator that refuses requests until a configuration is installed.
+     *
+     * @param instance name of this instance, different from that of all others
+     * @param home failure domain of this instance
+     * @param hasher hashes requests to route targets, and prefixes to servers
+     * @param limits limits set by the platform
+     */
+    public ForwardingCoordinator(
+            String instance, FailureDomain home, Hasher hasher, ForwardingLimits limits) {
+        this.fleet = new Fleet(new ServerLimits(instance, hasher, limits.instances()));
         this.selector = new ServerSelector(fleet, home, hasher);
         this.hasher = hasher;
         this.budgets = new RetryBudgets(limits);
@@ -142,6 +156,7 @@
             dispatchWaiting(now);
         } else if (event instanceof ForwardingEvent.InstancesCounted counted) {
             budgets.onInstancesCounted(counted.instances(), now);
+            fleet.limits().instances().update(counted.instances(), now);
         } else if (event instanceof ForwardingEvent.QuarantineChanged changed) {
             gate.update(changed.quarantined());
             dispatchWaiting(now);
@@ -226,6 +241,9 @@
             // Prefers another server, but retries an excluded one if no other is available.
             server = choose(forward, Set.of(), now);
         }
+        if (server.isEmpty() && isLastChance(forward, now)) {
+            server = choose(forward, forward.excluded, each -> each.isLastResort(now), now);
+        }
         if (server.isPresent()) {
             sendIfAllowed(forward, server.get(), now);
         } else if (queueClosed) {
@@ -238,6 +256,15 @@
         }
     }
 
+    /** Tells whether a request ends now or in a moment unless it is sent. */
+    private boolean isLastChance(PendingForward forward, Instant now) {
+        if (queueClosed || !now.plus(SERVER_WAIT).isBefore(waitingEnd(forward))) {
+            return true;
+        }
+        boolean waited = !now.isBefore(forward.lastProgress.plus(SERVER_WAIT));
+        return !needsModel(forward) && (waited || !forward.excluded.isEmpty());
+    }
+
     /** Keeps a request for a plain service waiting for a moment, or ends it. */
     private void waitForServer(PendingForward forward, Instant now) {
         Instant waitEnd = forward.lastProgress.plus(SERVER_WAIT);
@@ -271,14 +298,25 @@
         return forward.request.model().isPresent();
     }
 
+    /** Chooses a server that is not at its limit, or else one whose limit yields. */
     private Optional<FleetServer> choose(
             PendingForward forward, Set<ServerId> excluded, Instant now) {
+        return choose(forward, excluded, each -> each.isAvailable(now), now)
+                .or(() -> choose(forward, excluded, each -> each.isAvailableBeyondLimit(now), now));
+    }
+
+    private Optional<FleetServer> choose(
+            PendingForward forward,
+            Set<ServerId> excluded,
+            Predicate<FleetServer> usable,
+            Instant now) {
         return selector.choose(
                 forward.service,
                 forward.request.model(),
                 forward.request.prefix(),
                 excluded,
                 forward.request.callerRequestId(),
+                usable,
                 now);
     }
 
@@ -363,7 +401,7 @@
             default -> onServerBusy(forward, server, event.load(), now);
         }
         if (event.rejection().isByServer()) {
-            onServerAnswered(forward, server);
+            onServerAnswered(forward, server, now);
             forward.rejections++;
         }
         // Only a send that reached a server makes the next one count as a retry.
@@ -392,12 +430,17 @@
             ModelKey key = forward.request.model().orElseThrow();
             server.markModelAbsent(new ModelKey(key.model(), ""), now);
         } else {
+            recordFailure(forward, now);
             RetryPause.afterFullServer(forward, now);
             load.filter(each -> needsModel(forward))
                     .ifPresent(each -> forward.retryDelay = RetryDelay.afterGenerations(each));
         }
     }
 
+    private void recordFailure(PendingForward forward, Instant now) {
+        fleet.limits().of(forward.sentTo).ifPresent(limit -> limit.recordFailure(now));
+    }
+
     private void onServerNoticed(PendingForward forward, ServerNotice notice, Instant now) {
         if (fleet.recordNotice(forward.sentTo, notice, now)) {
             commands.add(
@@ -409,7 +452,7 @@
     private void onStreamStarted(
             PendingForward forward, ForwardingEvent.StreamStarted event, Instant now) {
         event.load().ifPresent(load -> forward.server.recordReportedLoad(load, now));
-        onServerAnswered(forward, forward.server);
+        onServerAnswered(forward, forward.server, now);
         forward.state = PendingForward.State.STREAMING;
         forward.streamStarted = true;
         forward.lastProgress = now;
@@ -420,25 +463,29 @@
         forward.lastEventId = Math.max(forward.lastEventId, event.eventId());
         forward.lastProgress = now;
         forward.stallCounted = false;
-        onAnswerBegun(forward);
+        onAnswerBegun(forward, forward.server, now);
     }
 
-    private void onServerAnswered(PendingForward forward, FleetServer server) {
-        server.markReached();
+    private void onServerAnswered(PendingForward forward, FleetServer server, Instant now) {
+        server.markReached(now);
         commands.add(new ForwardingCommand.ReportServerAnswered(forward.sentTo, forward.sentAt));
     }
 
-    private void onAnswerBegun(PendingForward forward) {
+    private void onAnswerBegun(PendingForward forward, FleetServer server, Instant now) {
         if (!forward.answerBegun) {
             forward.answerBegun = true;
+            if (forward.sentTo.equals(server.incarnation())) {
+                Duration time = Duration.between(forward.sentAt, now);
+                fleet.limits().recordAnswer(server, forward.route.name(), time, now);
+            }
             commands.add(new ForwardingCommand.ReportAnswerBegun(forward.allTraits()));
         }
     }
 
     private void onAnswered(PendingForward forward, ForwardingEvent.Answered event, Instant now) {
         FleetServer server = releaseServer(forward, event.load(), now);
-        onServerAnswered(forward, server);
-        onAnswerBegun(forward);
+        onServerAnswered(forward, server, now);
+        onAnswerBegun(forward, server, now);
         boolean failed = event.status() >= SERVER_ERROR;
         server.recordOutcome(failed, now);
         if (failed
@@ -459,6 +506,7 @@
     private void onConnectionBroken(PendingForward forward, AnswerProgress progress, Instant now) {
         FleetServer server = releaseServer(forward, Optional.empty(), now);
         server.recordOutcome(true, now);
+        recordFailure(forward, now);
         if (progress != AnswerProgress.CONTENT && fleet.isListedAsReady(forward.sentTo, now)) {
             commands.add(new ForwardingCommand.ReportRequestLost(forward.sentTo, forward.traits));
         }
@@ -490,6 +538,7 @@
     }
 
     private void tick(Instant now) {
+        commands.addAll(fleet.advanceLimits(now));
         for (PendingForward forward : pending.all()) {
             if (forward.isWaiting()) {
                 dispatch(forward, now);
@@ -509,7 +558,7 @@
         }
         forward.stallCounted = true;
         FleetServer server = forward.server;
-        server.recordOutcome(true, now);
+        server.recordStall(now);
         if (!forward.mayRunAgain()
                 || choose(forward, Set.of(server.id()), now).isEmpty()
                 || !budgets.tryAcquire(forward.service, now)) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/RetryDelay.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RetryDelay.java
@@ -39,7 +39,7 @@
      * @param hash a hash of the request, which determines the caller's place in that time
      */
     static Duration afterPause(Duration remaining, long hash) {
-        long spreadMillis = ServerNotices.RETURN_TIME.toMillis();
+        long spreadMillis = AdaptiveLimit.RETURN_TIME.toMillis();
         return remaining.plusMillis(Math.floorMod(hash, spreadMillis));
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
@@ -91,11 +92,35 @@
             Set<ServerId> excluded,
             String requestId,
             Instant now) {
+        return choose(
+                service,
+                model,
+                prefix,
+                excluded,
+                requestId,
+                server -> server.isAvailable(now),
+                now);
+    }
+
+    /**
+     * Returns the server with the lowest cost as {@link #choose} does, among servers that meet a
+     * condition.
+     *
+     * @param usable tells whether a server may get the request now
+     */
+    Optional<FleetServer> choose(
+            ServiceName service,
+            Optional<ModelKey> model,
+            PromptPrefix prefix,
+            Set<ServerId> excluded,
+            String requestId,
+            Predicate<FleetServer> usable,
+            Instant now) {
         FleetServer best = null;
         FleetServer prefixOwner = null;
         long highestHash = Long.MIN_VALUE;
         for (FleetServer server : fleet.servers()) {
-            if (!isEligible(server, service, model, now)) {
+            if (!isEligible(server, service, model, usable, now)) {
                 continue;
             }
             if (!prefix.isEmpty()) {
@@ -108,7 +133,8 @@
         }
         double lowestCost = Double.MAX_VALUE;
         for (FleetServer server : fleet.servers()) {
-            if (!isEligible(server, service, model, now) || excluded.contains(server.id())) {
+            if (!isEligible(server, service, model, usable, now)
+                    || excluded.contains(server.id())) {
                 continue;
             }
             double cost = cost(server, now) + randomCost(requestId, server);
@@ -124,9 +150,13 @@
     }
 
     private static boolean isEligible(
-            FleetServer server, ServiceName service, Optional<ModelKey> model, Instant now) {
+            FleetServer server,
+            ServiceName service,
+            Optional<ModelKey> model,
+            Predicate<FleetServer> usable,
+            Instant now) {
         return server.service().equals(service)
-                && server.isAvailable(now)
+                && usable.test(server)
                 && (model.isEmpty() || server.holds(model.get(), now));
     }
 
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/UsualAnswerTimes.java
@@ -0,0 +1,53 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.tarragonlug.id.RouteName;
+import org.tarragonlug.id.ServiceName;
+
+/**
+ * The usual time until servers begin to answer, by service and route. It is the geometric mean of
+ * recent answers of servers that are not limited, because a few long prompts would dominate an
+ * arithmetic mean.
+ */
+final class UsualAnswerTimes {
+    /** Weight of an answer in the mean. */
+    private static final double WEIGHT = 0.1;
+
+    /** Number of answers without which there is nothing to compare with. */
+    private static final int MIN_ANSWERS = 5;
+
+    /** The clock has a resolution of a millisecond; shorter times count as this. */
+    private static final double MIN_MILLIS = 1;
+
+    private record Kind(ServiceName service, RouteName route) {}
+
+    private static final class Mean {
+        private double logMillis;
+        private int answers;
+    }
+
+    private final Map<Kind, Mean> means = new HashMap<>();
+
+    /** Records the time in which a server that is not limited began to answer. */
+    void record(ServiceName service, RouteName route, Duration time) {
+        Mean mean = means.computeIfAbsent(new Kind(service, route), each -> new Mean());
+        mean.answers++;
+        double weight = Math.max(WEIGHT, 1.0 / mean.answers);
+        mean.logMillis += weight * (logMillis(time) - mean.logMillis);
+    }
+
+    /** Returns a time divided by the usual one; 1 if too few answers are known. */
+    double relative(ServiceName service, RouteName route, Duration time) {
+        Mean mean = means.get(new Kind(service, route));
+        if (mean == null || mean.answers < MIN_ANSWERS) {
+            return 1;
+        }
+        return Math.exp(logMillis(time) - mean.logMillis);
+    }
+
+    private static double logMillis(Duration time) {
+        return Math.log(Math.max(MIN_MILLIS, time.toMillis()));
+    }
+}
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -152,6 +152,8 @@
             quarantine.onServerAnswered(answered);
         } else if (command instanceof ForwardingCommand.ReportNotice report) {
             onNotice(report);
+        } else if (command instanceof ForwardingCommand.ReportLimit report) {
+            onLimit(report);
         }
     }
 
@@ -270,6 +272,15 @@
                 .write();
     }
 
+    private void onLimit(ForwardingCommand.ReportLimit report) {
+        log.event(report.begins() ? LogEvent.SERVER_LIMIT_BEGUN : LogEvent.SERVER_LIMIT_ENDED)
+                .with("server", report.server().server())
+                .with("started", report.server().startedMillis())
+                .with("cause", report.cause())
+                .with("limit", (long) report.limit())
+                .write();
+    }
+
     private void finish(ActiveRequest request, String outcome, int status) {
         activeRequests.remove(request.call.key());
         Instant now = timers.now();
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -137,7 +137,10 @@
         this.connections = new HttpConnections(ioExecutor, loop, HTTP_LIMITS);
         this.coordinator =
                 new ForwardingCoordinator(
-                        settings.failureDomain(), new Hash4jHasher(), forwardingLimits(settings));
+                        settings.instance().value(),
+                        settings.failureDomain(),
+                        new Hash4jHasher(),
+                        forwardingLimits(settings));
         this.planner = new PlacementPlanner(settings.loadWindow());
         ProcessId process = new ProcessId(UUID.randomUUID().toString());
         OrderGroups groups = new OrderGroups(new Hash4jHasher(), settings.orderGroups());
@@ -311,6 +314,7 @@
 
     private void countServers(Instant now) {
         metrics.setServers(coordinator.fleet().countByAvailability(now));
+        metrics.setLimitedServers(coordinator.fleet().countByLimitCause(now));
     }
 
     private void tick() {
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.Availability;
+import org.tarragonlug.decision.forwarding.LimitCause;
 import org.tarragonlug.decision.forwarding.ServerNotice;
 
 /** Prometheus metrics of a gateway process. */
@@ -84,6 +85,13 @@
                     .help("Listed servers by whether they get requests, or why not")
                     .labelNames("availability")
                     .register(registry);
+    private final Gauge limitedServers =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_servers_limited")
+                    .help("Listed servers whose requests in flight are limited, by cause")
+                    .labelNames("cause")
+                    .register(registry);
     private final Counter serverLosses =
             Counter.builder()
                     .withoutExemplars()
@@ -152,6 +160,10 @@
                 (availability, count) -> servers.labelValues(lowerCase(availability)).set(count));
     }
 
+    void setLimitedServers(Map<LimitCause, Integer> counts) {
+        counts.forEach((cause, count) -> limitedServers.labelValues(lowerCase(cause)).set(count));
+    }
+
     private static String lowerCase(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -51,6 +51,10 @@
     SERVER_NOTICE(Level.INFO),
     /** A backend server says something about itself that cannot be taken as it says it. */
     SERVER_NOTICE_ODD(Level.WARN),
+    /** The requests at a backend server that has started or recovered are limited. */
+    SERVER_LIMIT_BEGUN(Level.INFO),
+    /** The requests at a backend server are no longer limited. */
+    SERVER_LIMIT_ENDED(Level.INFO),
     /** A backend server reports that it is leaving and accepts no new work. */
     SERVER_LEAVING(Level.INFO),
     /** Requests crashed backend servers; those that are like them are refused from now on. */
--- a/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
@@ -95,6 +95,7 @@
         this.recorder = recorder;
         this.coordinator =
                 new ForwardingCoordinator(
+                        id.value(),
                         new FailureDomain("domain-" + number % scenario.domains()),
                         hasher,
                         new ForwardingLimits(
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
@@ -22,15 +22,27 @@
     static final ServiceName RECORDS = new ServiceName("records");
     static final String HOST = "a.example";
 
-    final ForwardingCoordinator coordinator =
-            new ForwardingCoordinator(
-                    new FailureDomain("home"),
-                    text -> text.hashCode() * 0x9e3779b97f4a7c15L,
-                    new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1));
+    final ForwardingCoordinator coordinator;
     Instant now = Instant.ofEpochSecond(1000);
+    private final String instance;
     private long lastKey;
     private boolean contentRepeated;
 
+    ForwardingFixture() {
+        this("");
+    }
+
+    /** Creates the coordinator of an instance with a name. */
+    ForwardingFixture(String instance) {
+        this.instance = instance;
+        this.coordinator =
+                new ForwardingCoordinator(
+                        instance,
+                        new FailureDomain("home"),
+                        text -> text.hashCode() * 0x9e3779b97f4a7c15L,
+                        new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1));
+    }
+
     static ForwardingRoute route(
             String prefix, RequestKind kind, int attempts, boolean resumable, ServiceName service) {
         return new ForwardingRoute(
@@ -153,7 +165,7 @@
                 new ForwardingEvent.RequestArrived(
                         new ForwardRequest(
                                 lastKey,
-                                "request-" + lastKey,
+                                instance + "request-" + lastKey,
                                 HOST,
                                 path,
                                 Optional.of(Duration.ofSeconds(6)),
