Describe the adaptive limit, and show it in the state dump

A server counts as slow only while it has no more requests than slots, because requests also wait at a full server.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AdaptiveLimit.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AdaptiveLimit.java
@@ -293,14 +293,18 @@
     }
 
     private void growBlindly(int inFlight, Instant now) {
-        boolean returning = isCause(LimitCause.PAUSE);
-        boolean unused = total(inFlight, now) < limit / 2;
-        Duration wait = returning ? ROUND : unused ? UNUSED_ROUND : BLIND_ROUND;
-        if (!roundEnd.isBefore(grownAt.plus(wait))) {
+        if (!roundEnd.isBefore(grownAt.plus(blindRound(inFlight, now)))) {
             grow();
         }
     }
 
+    private Duration blindRound(int inFlight, Instant now) {
+        if (isCause(LimitCause.PAUSE)) {
+            return ROUND;
+        }
+        return total(inFlight, now) < limit / 2 ? UNUSED_ROUND : BLIND_ROUND;
+    }
+
     private void grow() {
         limit *= 2;
         grownAt = roundEnd;
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
@@ -176,6 +177,16 @@
         return isAvailable(now) && limit.isUnused() && !now.isBefore(knownSince.plus(age));
     }
 
+    /** Returns why the requests in flight at this server are limited; empty if they are not. */
+    public Optional<LimitCause> limitCause(Instant now) {
+        return limit.reportedCause(now);
+    }
+
+    /** Returns the limit of the requests in flight over all instances, while there is one. */
+    public double limitTotal() {
+        return limit.limit();
+    }
+
     /** Returns the limit of the requests in flight at the present run of this server. */
     AdaptiveLimit limit() {
         return limit;
@@ -315,7 +326,9 @@
     /** Records that a request made no progress at the server for too long. */
     void recordStall(Instant now) {
         recordOutcome(true, now);
-        if (limit.isUnused() && failureRate(now) > SLOW_FAILURE_RATE) {
+        // A server with more requests than slots makes requests wait although it is not slow.
+        boolean slow = failureRate(now) > SLOW_FAILURE_RATE && load(now) <= listing.slots();
+        if (limit.isUnused() && slow) {
             limit.beginSlow(load(now), now);
         } else {
             limit.recordFailure(now);
--- a/src/main/java/org/tarragonlug/gateway/GatewayState.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayState.java
@@ -59,6 +59,8 @@
         node.put("service", server.service().value());
         node.put("state", server.listing().state().name());
         node.put("availability", server.availability(now).name());
+        server.limitCause(now).ifPresent(cause -> node.put("limitCause", cause.name()));
+        server.limitCause(now).ifPresent(cause -> node.put("limit", server.limitTotal()));
         node.put("inFlight", server.inFlight());
         node.put("load", server.load(now));
         node.put("failureRate", server.failureRate(now));
