Decode a load header that also states the pace

A load header with four values was dropped as malformed, so servers that state their pace were selected without regard to their load. The header is now decoded by ServerLoadDecoder. An odd pace counts as not stated beside a load that counts; an odd load, a negative number included, counts as not stated as a whole. Both are counted and logged once a run of the server, like other odd notices. The stand-in server can state a pace.

--- a/src/main/java/org/tarragonlug/decision/forwarding/NoticeFault.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/NoticeFault.java
@@ -7,5 +7,11 @@
     /** The length of the pause is no number of seconds; there is no pause. */
     PAUSE_UNREADABLE,
     /** The pause is longer than any that is believed, and is shortened to that. */
-    PAUSE_TOO_LONG
+    PAUSE_TOO_LONG,
+    /** The load is not three or four numbers; it counts as not stated. */
+    LOAD_UNREADABLE,
+    /** The pace is no positive whole number; it counts as not stated, beside a load that counts. */
+    PACE_UNREADABLE,
+    /** The pace is slower than any that is believed, and is reduced to that. */
+    PACE_TOO_LARGE
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerNotice.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerNotice.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.forwarding;
 
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.Optional;
 import java.util.Set;
 
@@ -24,4 +25,14 @@
     public ServerNotice(boolean leaving, Optional<Duration> pause) {
         this(leaving, pause, Set.of());
     }
+
+    /** Returns this notice with further faults. */
+    public ServerNotice withFaults(Set<NoticeFault> further) {
+        if (further.isEmpty()) {
+            return this;
+        }
+        Set<NoticeFault> all = EnumSet.copyOf(further);
+        all.addAll(faults);
+        return new ServerNotice(leaving, pause, all);
+    }
 }
--- a/src/main/java/org/tarragonlug/platform/ServerAnswer.java
+++ b/src/main/java/org/tarragonlug/platform/ServerAnswer.java
@@ -12,7 +12,7 @@
  * @param status HTTP status
  * @param requestId id of the answered request; empty if the answer has none
  * @param sealed whether the answer has a seal, which proves that it comes from the server
- * @param load the load that the server states; empty if absent or malformed
+ * @param load the load that the server states; empty if absent or unreadable
  * @param rejection why the server did not run the request; empty if the request may have run
  * @param encoded whether the body has a content encoding, so that it is not the server's own bytes
  * @param notice what the server says about itself
@@ -31,7 +31,6 @@
     private static final String NOT_EXECUTED = "tarragonlug-not-executed";
     private static final String INSTANCE = "tarragonlug-instance-id";
     private static final int MISDIRECTED = 421;
-    private static final int LOAD_PARTS = 3;
 
     /**
      * Decodes the head of an answer.
@@ -42,14 +41,15 @@
      */
     public static ServerAnswer decode(
             int status, Map<String, String> headers, String expectedServer) {
+        ServerLoadDecoder.Decoded load = ServerLoadDecoder.decode(headers.get(LOAD));
         return new ServerAnswer(
                 status,
                 headers.getOrDefault(REQUEST_ID, ""),
                 headers.containsKey(SEAL),
-                load(headers.get(LOAD)),
+                load.load(),
                 rejection(status, headers, expectedServer),
                 headers.containsKey("content-encoding"),
-                ServerNoticeDecoder.decode(status, headers));
+                ServerNoticeDecoder.decode(status, headers).withFaults(load.faults()));
     }
 
     private static Optional<Rejection> rejection(
@@ -61,26 +61,4 @@
         }
         return headers.containsKey(NOT_EXECUTED) ? Optional.of(Rejection.BUSY) : Optional.empty();
     }
-
-    /** Decodes the running requests, the waiting requests and the slots, separated by commas. */
-    private static Optional<ReportedLoad> load(String text) {
-        if (text == null) {
-            return Optional.empty();
-        }
-        String[] parts = text.split(",");
-        if (parts.length != LOAD_PARTS) {
-            return Optional.empty();
-        }
-        try {
-            return Optional.of(
-                    new ReportedLoad(
-                            Integer.parseInt(parts[0].trim()),
-                            Integer.parseInt(parts[1].trim()),
-                            Integer.parseInt(parts[2].trim())));
-        } catch (NumberFormatException notNumeric) {
-            // A malformed load is ignored. The load of the server is then estimated from the
-            // requests that this instance has in progress there.
-            return Optional.empty();
-        }
-    }
 }
--- a/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
@@ -46,6 +46,10 @@
     private final AtomicBoolean crashing = new AtomicBoolean();
     private volatile String id;
     private volatile String crashingPart = "";
+
+    /** What the stated load ends with: a comma and the pace, or nothing. */
+    private volatile String statedPace = "";
+
     private volatile Duration downTime = Duration.ZERO;
     private volatile int breakAfterEvents = Integer.MAX_VALUE;
     private volatile boolean unresponsive;
@@ -113,6 +117,15 @@
         announcingLeave = newAnnouncingLeave;
     }
 
+    /**
+     * Sets the pace that all answers state with the load.
+     *
+     * @param pace text of the pace, usually a number in percent; empty to state none
+     */
+    public void setStatedPace(String pace) {
+        statedPace = pace.isEmpty() ? "" : "," + pace;
+    }
+
     /** Makes the server reject requests for some time, and say with each rejection for how long. */
     public void pauseFor(Duration pause) {
         pausedUntilNanos = System.nanoTime() + pause.toNanos();
@@ -245,7 +258,7 @@
         String requestId = request.headers().getOrDefault("tarragonlug-request-id", "");
         arrivals.add(new Arrival(requestId, System.nanoTime()));
         headers.put("tarragonlug-request-id", requestId);
-        headers.put("tarragonlug-server-load", "1,0,8");
+        headers.put("tarragonlug-server-load", "1,0,8" + statedPace);
         String expected = request.headers().getOrDefault("tarragonlug-expect-instance", id);
         String model = request.headers().get("tarragonlug-model");
         if (!expected.equals(id) || !holds(model)) {
--- a/src/test/java/org/tarragonlug/platform/DecodersTest.java
+++ b/src/test/java/org/tarragonlug/platform/DecodersTest.java
@@ -14,10 +14,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.ListedState;
 import org.tarragonlug.decision.forwarding.NoticeFault;
+import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.decision.forwarding.ServerNotice;
 import org.tarragonlug.id.ModelKey;
@@ -134,6 +136,67 @@
         }
     }
 
+    @Nested
+    class Loads {
+        private static ServerAnswer answer(String load) {
+            return ServerAnswer.decode(200, Map.of("tarragonlug-server-load", load), "i-1");
+        }
+
+        // Guards against a load that is dropped because the server also states its pace.
+        @ParameterizedTest
+        @CsvSource({"'3,1,8', 100", "'3,1,8,250', 250", "' 3, 1 ,8 , 55 ', 55"})
+        void loadCountsWithAndWithoutPace(String text, int pace) {
+            ServerAnswer answer = answer(text);
+            assertEquals(Optional.of(new ReportedLoad(3, 1, 8, pace)), answer.load());
+            assertEquals(ServerNotice.NONE, answer.notice());
+        }
+
+        // Guards against an odd pace that drops the numbers beside it, or is believed.
+        @ParameterizedTest
+        @CsvSource({
+            "'3,1,8,fast', PACE_UNREADABLE, 100",
+            "'3,1,8,-250', PACE_UNREADABLE, 100",
+            "'3,1,8,0', PACE_UNREADABLE, 100",
+            "'3,1,8,', PACE_UNREADABLE, 100",
+            "'3,1,8,2.5', PACE_UNREADABLE, 100",
+            "'3,1,8,99999999999', PACE_TOO_LARGE, 10000",
+        })
+        void oddPaceIsNotBelieved(String text, NoticeFault fault, int pace) {
+            ServerAnswer answer = answer(text);
+            assertEquals(Optional.of(new ReportedLoad(3, 1, 8, pace)), answer.load());
+            assertEquals(Set.of(fault), answer.notice().faults());
+        }
+
+        // Guards against numbers taken from a load whose meaning is unclear.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "",
+                    "3,1",
+                    "3,1,8,100,7",
+                    "3,x,8",
+                    "3,-1,8",
+                    "3,1,-8,100",
+                    "3,1,99999999999"
+                })
+        void oddLoadCountsAsNotStated(String text) {
+            ServerAnswer answer = answer(text);
+            assertEquals(Optional.empty(), answer.load());
+            assertEquals(Set.of(NoticeFault.LOAD_UNREADABLE), answer.notice().faults());
+        }
+
+        // Guards against a fault of the load that hides what else the server says about itself.
+        @Test
+        void faultOfLoadIsAddedToNotice() {
+            Map<String, String> headers =
+                    Map.of("tarragonlug-server-load", "1", "server-leaving", "1");
+            ServerNotice notice = ServerAnswer.decode(200, headers, "i-1").notice();
+            assertEquals(
+                    new ServerNotice(true, Optional.empty(), Set.of(NoticeFault.LOAD_UNREADABLE)),
+                    notice);
+        }
+    }
+
     @Nested
     class Requests {
         private Map<String, String> headers() {
