Select servers by their pace, stated and learnt

Servers take different times for the same work: some machines are slower, and any of them is slow for moments. The choice of a server now counts how long work takes there (ServerPace): the pace stated with an answer, weighted down with its age, times the pace learnt from the answer times of the server against those of its service, by model size. Chance differences do not count, so servers that are alike are chosen as before.

--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimer.java
@@ -0,0 +1,80 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * Takes the times of answers, from which the paces of servers are learnt.
+ *
+ * <p>Of a stream, the time between events counts: it depends neither on the queue of the server nor
+ * on the length of the prompt or the answer. Of a plain answer, the whole time counts if the server
+ * probably had a free slot, so that a queue is not taken for slow work.
+ *
+ * <p>A pace is taken from the head of an answer only. The event at the end of a stream repeats the
+ * load of the head, which is old by then.
+ */
+final class AnswerTimer {
+    /** Events between the first and the last one from which on the time between them counts. */
+    private static final long MIN_EVENTS = 6;
+
+    private final Fleet fleet;
+
+    AnswerTimer(Fleet fleet) {
+        this.fleet = fleet;
+    }
+
+    void onSent(PendingForward forward, Instant now) {
+        forward.sentToFreeSlot = forward.server.load(now) < forward.server.listing().slots();
+        forward.firstEventAt = null;
+        forward.statedPace = ReportedLoad.USUAL_PACE;
+    }
+
+    void onHead(PendingForward forward, Optional<ReportedLoad> load, Instant now) {
+        if (load.isPresent()) {
+            forward.statedPace = load.get().pace();
+            forward.server.pace().recordStated(forward.statedPace, now);
+        }
+    }
+
+    void onEvent(PendingForward forward, long eventId, Instant now) {
+        if (forward.firstEventAt == null) {
+            forward.firstEventAt = now;
+            forward.firstEventId = eventId;
+        }
+    }
+
+    /**
+     * Records the time of a successful answer.
+     *
+     * @param megabytes size of the model; 0 for a plain service
+     */
+    void onAnswered(
+            PendingForward forward, Optional<ReportedLoad> load, double megabytes, Instant now) {
+        if (forward.state == PendingForward.State.STREAMING) {
+            recordStream(forward, megabytes, now);
+            return;
+        }
+        onHead(forward, load, now);
+        if (forward.request.model().isEmpty() && forward.sentToFreeSlot) {
+            record(forward, megabytes, millis(forward.sentAt, now), now);
+        }
+    }
+
+    private void recordStream(PendingForward forward, double megabytes, Instant now) {
+        long events = forward.lastEventId - forward.firstEventId;
+        if (forward.firstEventAt != null && events >= MIN_EVENTS) {
+            record(forward, megabytes, millis(forward.firstEventAt, now) / events, now);
+        }
+    }
+
+    private void record(PendingForward forward, double megabytes, double millis, Instant now) {
+        if (millis > 0) {
+            fleet.recordAnswerTime(forward.server, megabytes, millis, forward.statedPace, now);
+        }
+    }
+
+    private static double millis(Instant from, Instant to) {
+        return Duration.between(from, to).toNanos() / 1e6;
+    }
+}
--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -17,6 +17,7 @@
 public final class Fleet {
     private final Map<ServerId, FleetServer> servers = new HashMap<>();
     private final ServerNotices notices = new ServerNotices();
+    private final AnswerTimes answerTimes = new AnswerTimes();
 
     /** Adds the listed server, or updates it if it is already known. */
     public void addOrUpdate(ServerListing listing) {
@@ -156,6 +157,18 @@
         }
     }
 
+    /**
+     * Records how long a server took for an answer or a comparable part of it.
+     *
+     * @param megabytes size of the model; 0 for a plain service
+     * @param millis the time, more than 0
+     * @param statedPace the pace that the server stated with the answer, in percent
+     */
+    public void recordAnswerTime(
+            FleetServer server, double megabytes, double millis, int statedPace, Instant now) {
+        answerTimes.record(server, megabytes, millis, statedPace, now);
+    }
+
     /** Records the servers that several instances cannot reach. */
     void recordSuspected(Set<ServerId> suspected, Instant now) {
         suspected.forEach(id -> server(id).ifPresent(server -> server.markSuspected(now)));
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -46,6 +46,7 @@
     private static final Duration ABSENCE_VALIDITY = Duration.ofMillis(1500);
 
     private final ServerNotices notices;
+    private final ServerPace pace = new ServerPace();
     private ServerListing listing;
     private ServerIncarnation incarnation;
     private int inFlight;
@@ -97,6 +98,7 @@
 
     void update(ServerListing newer) {
         if (newer.startedMillis() != listing.startedMillis()) {
+            pace.reset();
             inFlight = 0;
             otherInstancesLoad = 0;
             failureRate = 0;
@@ -212,6 +214,11 @@
         inFlight = Math.max(0, inFlight - 1);
     }
 
+    /** Returns how long work takes on the server. */
+    public ServerPace pace() {
+        return pace;
+    }
+
     /** Records the load that the server stated with an answer. */
     public void recordReportedLoad(ReportedLoad load, Instant now) {
         otherInstancesLoad = Math.max(0, load.total() - inFlight);
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -43,10 +43,13 @@
     private static final Duration WAITING_REPORT_INTERVAL = Duration.ofMillis(250);
 
     private static final int SERVER_ERROR = 500;
+    private static final int SUCCESS = 200;
+    private static final int REDIRECTION = 300;
 
     private final Fleet fleet;
     private final ServerSelector selector;
     private final Hasher hasher;
+    private final AnswerTimer answerTimer;
     private final PendingForwards pending =
             new PendingForwards(command -> this.commands.add(command));
     private final RetryBudgets budgets;
@@ -71,6 +74,7 @@
         this.fleet = new Fleet();
         this.selector = new ServerSelector(fleet, home, hasher);
         this.hasher = hasher;
+        this.answerTimer = new AnswerTimer(fleet);
         this.budgets = new RetryBudgets(limits);
     }
 
@@ -334,6 +338,7 @@
         forward.sentTo = server.incarnation();
         forward.sentAt = now;
         forward.lastProgress = now;
+        answerTimer.onSent(forward, now);
         server.onRequestSent();
         commands.add(
                 new ForwardingCommand.Send(
@@ -350,6 +355,9 @@
 
     private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
         FleetServer server = releaseServer(forward, event.load(), now);
+        if (event.rejection() != Rejection.WRONG_SERVER) {
+            event.load().ifPresent(load -> server.pace().recordStated(load.pace(), now));
+        }
         forward.possibleRuns--;
         if (event.rejection() == Rejection.WITHDRAWN) {
             dispatch(forward, now);
@@ -409,6 +417,7 @@
     private void onStreamStarted(
             PendingForward forward, ForwardingEvent.StreamStarted event, Instant now) {
         event.load().ifPresent(load -> forward.server.recordReportedLoad(load, now));
+        answerTimer.onHead(forward, event.load(), now);
         onServerAnswered(forward, forward.server);
         forward.state = PendingForward.State.STREAMING;
         forward.streamStarted = true;
@@ -417,6 +426,7 @@
 
     private void onEventRelayed(
             PendingForward forward, ForwardingEvent.EventRelayed event, Instant now) {
+        answerTimer.onEvent(forward, event.eventId(), now);
         forward.lastEventId = Math.max(forward.lastEventId, event.eventId());
         forward.lastProgress = now;
         forward.stallCounted = false;
@@ -436,6 +446,9 @@
     }
 
     private void onAnswered(PendingForward forward, ForwardingEvent.Answered event, Instant now) {
+        if (event.status() >= SUCCESS && event.status() < REDIRECTION) {
+            answerTimer.onAnswered(forward, event.load(), megabytes(forward), now);
+        }
         FleetServer server = releaseServer(forward, event.load(), now);
         onServerAnswered(forward, server);
         onAnswerBegun(forward);
@@ -456,6 +469,19 @@
         pending.relayAnswer(forward);
     }
 
+    /** Returns the size of the request's model; 0 if it needs none or the size is not known. */
+    private double megabytes(PendingForward forward) {
+        return forward.request
+                .model()
+                .flatMap(
+                        key ->
+                                Optional.ofNullable(table.services().get(forward.service))
+                                        .flatMap(ForwardingService::catalog)
+                                        .flatMap(catalog -> catalog.model(key.model())))
+                .map(ModelSpecification::weightsMegabytes)
+                .orElse(0.0);
+    }
+
     private void onConnectionBroken(PendingForward forward, AnswerProgress progress, Instant now) {
         FleetServer server = releaseServer(forward, Optional.empty(), now);
         server.recordOutcome(true, now);
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -76,6 +76,18 @@
     /** Whether the request had to wait until a server held its model. */
     boolean waitedForModel;
 
+    /** Whether the present server probably had a free slot when the request was sent. */
+    boolean sentToFreeSlot;
+
+    /** When the first event of the present server's answer arrived; null before. */
+    Instant firstEventAt;
+
+    /** Id of the first event of the present server's answer. */
+    long firstEventId;
+
+    /** The pace that the present server stated with the head of its answer, in percent. */
+    int statedPace = ReportedLoad.USUAL_PACE;
+
     boolean stallCounted;
     long lastEventId;
     Instant lastProgress;
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
@@ -0,0 +1,112 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * How long work takes on one server, as a multiple of the usual time.
+ *
+ * <p>Two sources are multiplied, because they describe different things. The pace that the server
+ * states with an answer is exact at that moment and changes many times per second, so it loses its
+ * weight within {@link #STATEMENT_VALIDITY}. The weight falls linearly: if a pace lasts for a fixed
+ * time and a statement falls anywhere in it, the probability that the statement still holds falls
+ * in the same way. The pace that is learnt from the server's answer times changes slowly. Answer
+ * times are divided by the pace stated with them before they are learnt, so that a slowdown that
+ * the server states itself is not counted twice.
+ *
+ * <p>Answer times differ by chance, also among equal servers. Only the part of the mean difference
+ * that exceeds its standard error {@link #SIGNIFICANCE} times counts; equal servers therefore keep
+ * a pace of exactly 1. What was learnt expires, so that a server that receives hardly any requests
+ * because it was slow is tried again.
+ */
+public final class ServerPace {
+    /** Time after which a stated pace says nothing about the present one. */
+    static final Duration STATEMENT_VALIDITY = Duration.ofMillis(500);
+
+    /** Time within which an answer time loses half of its weight. */
+    private static final Duration LEARNING_HALF_LIFE = Duration.ofSeconds(10);
+
+    /** How long a learnt pace holds after the last answer. */
+    private static final Duration LEARNT_VALIDITY = Duration.ofSeconds(30);
+
+    /** Standard errors by which a mean must differ from the usual time. */
+    private static final double SIGNIFICANCE = 3;
+
+    /** Number of answers from which on their mean counts. */
+    private static final double MIN_ANSWERS = 4;
+
+    /** Largest factor between a learnt pace and the usual one, which bounds a wrong estimate. */
+    private static final double MAX_FACTOR = 8;
+
+    private static final double USUAL = ReportedLoad.USUAL_PACE;
+
+    private double stated = 1;
+    private Instant statedAt = Instant.EPOCH;
+    private double answers;
+    private double meanLogRatio;
+    private double learnt = 1;
+    private Instant learntAt = Instant.EPOCH;
+
+    /** Forgets everything, because the server's process has started anew. */
+    void reset() {
+        stated = 1;
+        statedAt = Instant.EPOCH;
+        answers = 0;
+        meanLogRatio = 0;
+        learnt = 1;
+        learntAt = Instant.EPOCH;
+    }
+
+    /**
+     * Records the pace that the server stated with an answer that was received now. A statement
+     * that is older than the last one is ignored.
+     *
+     * @param percent the pace in percent of the usual time
+     */
+    public void recordStated(int percent, Instant now) {
+        if (now.isBefore(statedAt)) {
+            return;
+        }
+        stated = percent / USUAL;
+        statedAt = now;
+    }
+
+    /**
+     * Records the time of an answer.
+     *
+     * @param logRatio natural logarithm of the time as a multiple of the usual time
+     * @param deviation standard deviation of this logarithm among all answers of the service
+     */
+    void recordAnswer(double logRatio, double deviation, Instant now) {
+        double elapsed = Duration.between(learntAt, now).toMillis();
+        double kept = Math.pow(0.5, elapsed / LEARNING_HALF_LIFE.toMillis());
+        answers = answers * kept + 1;
+        meanLogRatio += (logRatio - meanLogRatio) / answers;
+        learntAt = now;
+        learnt = significantPace(deviation);
+    }
+
+    private double significantPace(double deviation) {
+        if (answers < MIN_ANSWERS) {
+            return 1;
+        }
+        double margin = SIGNIFICANCE * deviation / Math.sqrt(answers);
+        double excess = Math.max(0, Math.abs(meanLogRatio) - margin);
+        return Math.exp(Math.signum(meanLogRatio) * Math.min(excess, Math.log(MAX_FACTOR)));
+    }
+
+    /** Returns the pace that the server stated last, weighted by its age; 1 is the usual time. */
+    public double stated(Instant now) {
+        if (stated == 1) {
+            return 1;
+        }
+        double age = Duration.between(statedAt, now).toMillis();
+        double weight = 1 - age / STATEMENT_VALIDITY.toMillis();
+        return weight <= 0 ? 1 : 1 + weight * (stated - 1);
+    }
+
+    /** Returns the pace that was learnt from the server's answer times; 1 is the usual time. */
+    public double learnt(Instant now) {
+        return learnt == 1 || now.isAfter(learntAt.plus(LEARNT_VALIDITY)) ? 1 : learnt;
+    }
+}
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
@@ -30,6 +30,13 @@
  *
  * <p>Load costs its square: below about half of the slots it hardly delays requests, so prefix and
  * distance decide there, while near the full number of slots load decides alone.
+ *
+ * <p>The square of the load stands for the wait until a slot is free, in units of the usual time of
+ * a request. On a server where work takes longer ({@link ServerPace}), both this wait and the
+ * processing take longer: the wait is multiplied by the pace, and the additional time of processing
+ * is added. On a server of the usual pace the cost is that of the load alone. Of a momentary pace
+ * only a part counts for the processing of a stream, because the pace changes while the stream
+ * lasts; a plain answer is so short that the pace counts in full.
  */
 public final class ServerSelector {
     /** Cost of a server in another failure domain. */
@@ -47,6 +54,12 @@
     /** Failure rate that is considered normal and has no cost. */
     private static final double TOLERATED_FAILURE_RATE = 0.3;
 
+    /** Weight of a momentary pace in the processing time of a plain answer. */
+    private static final double PLAIN_PROCESSING_WEIGHT = 1;
+
+    /** Weight of a momentary pace in the processing time of a stream. */
+    private static final double STREAM_PROCESSING_WEIGHT = 0.5;
+
     private static final double MAX_PREFIX_BONUS = 0.35;
     private static final double BONUS_PER_PREFIX_TOKEN = 0.35 / 2000;
 
@@ -106,12 +119,14 @@
                 }
             }
         }
+        double processingWeight =
+                model.isPresent() ? STREAM_PROCESSING_WEIGHT : PLAIN_PROCESSING_WEIGHT;
         double lowestCost = Double.MAX_VALUE;
         for (FleetServer server : fleet.servers()) {
             if (!isEligible(server, service, model, now) || excluded.contains(server.id())) {
                 continue;
             }
-            double cost = cost(server, now) + randomCost(requestId, server);
+            double cost = cost(server, processingWeight, now) + randomCost(requestId, server);
             if (server == prefixOwner) {
                 cost -= Math.min(MAX_PREFIX_BONUS, prefix.tokens() * BONUS_PER_PREFIX_TOKEN);
             }
@@ -130,12 +145,16 @@
                 && (model.isEmpty() || server.holds(model.get(), now));
     }
 
-    private double cost(FleetServer server, Instant now) {
+    private double cost(FleetServer server, double processingWeight, Instant now) {
         double load = server.load(now) / Math.max(1, server.listing().slots());
         double distance = server.failureDomain().equals(homeDomain) ? 0 : DISTANCE_COST;
         double failures = Math.max(0, server.failureRate(now) - TOLERATED_FAILURE_RATE);
         double suspicion = server.isSuspected(now) ? SUSPICION_COST : 0;
-        return load * load + distance + failures * FAILURE_COST + suspicion;
+        double learnt = server.pace().learnt(now);
+        double stated = server.pace().stated(now);
+        double wait = learnt * stated * load * load;
+        double processing = learnt * (1 + processingWeight * (stated - 1)) - 1;
+        return wait + processing + distance + failures * FAILURE_COST + suspicion;
     }
 
     /**
--- a/src/main/java/org/tarragonlug/measure/ServerChoiceResult.java
+++ b/src/main/java/org/tarragonlug/measure/ServerChoiceResult.java
@@ -9,6 +9,9 @@
  * @param waitP50Millis median time in the queue of a server
  * @param waitP99Millis 99th percentile of the time in the queue of a server
  * @param waitMaxMillis longest time in the queue of a server
+ * @param slowShare share of the requests that started on a server that was slow at that moment
+ * @param timeP50Millis median time from sending to the end of the answer
+ * @param timeP99Millis 99th percentile of the time from sending to the end of the answer
  * @param homeShare share of the requests that stayed in the failure domain of their instance
  */
 record ServerChoiceResult(
@@ -18,4 +21,7 @@
         double waitP50Millis,
         double waitP99Millis,
         double waitMaxMillis,
+        double slowShare,
+        double timeP50Millis,
+        double timeP99Millis,
         double homeShare) {}
--- a/src/main/java/org/tarragonlug/measure/ServerChoiceScenario.java
+++ b/src/main/java/org/tarragonlug/measure/ServerChoiceScenario.java
@@ -13,6 +13,8 @@
  * @param lostNews share of the messages with totals that are lost
  * @param slowServers number of servers that turn slow when the measurement begins
  * @param slowness by how much longer requests take on slow servers
+ * @param speeds how the speeds of the servers differ otherwise
+ * @param plain whether the servers belong to a plain service
  */
 record ServerChoiceScenario(
         int instances,
@@ -24,7 +26,9 @@
         double serviceMillis,
         double lostNews,
         int slowServers,
-        double slowness) {
+        double slowness,
+        ServerSpeeds speeds,
+        boolean plain) {
     /** Returns the rate of arrivals over all instances, per second. */
     double requestsPerSecond() {
         return use * servers * slots * 1000 / serviceMillis;
--- a/src/test/java/org/tarragonlug/measure/ServerChoiceTest.java
+++ b/src/test/java/org/tarragonlug/measure/ServerChoiceTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.runtime.Hash4jHasher;
@@ -63,4 +64,42 @@
             assertTrue(totals < known / 2, totals + " ms, lowest known cost " + known);
         }
     }
+
+    /** A part of the servers is slow at a time, and each answer states the pace. */
+    @Nested
+    class UnsteadyServers {
+        // Guards against a stated pace that changes nothing, or makes instances move together.
+        @ParameterizedTest
+        @ValueSource(doubles = {0.3, 0.6})
+        void fewerRequestsMeetSlowServers(double use) {
+            ServerChoiceScenario scenario =
+                    ServerChoiceMeasurement.unevenModels(8, use, ServerSpeeds.UNSTEADY);
+            ServerChoiceResult before = play(ServerChoice.SELECTOR_WITH_TOTALS, scenario);
+            ServerChoiceResult paced = play(ServerChoice.LEARNT_PACE, scenario);
+            assertTrue(paced.slowShare() < 0.8 * before.slowShare(), before + " " + paced);
+            assertTrue(paced.busiestToMean() < 1.3, paced.toString());
+            assertTrue(paced.waitP99Millis() <= before.waitP99Millis(), before + " " + paced);
+        }
+
+        // Guards against answers of a plain service that wait for a slow server.
+        @Test
+        void plainAnswersComeSooner() {
+            ServerChoiceScenario scenario =
+                    ServerChoiceMeasurement.unevenPlain(8, 0.6, ServerSpeeds.UNSTEADY_PLAIN);
+            ServerChoiceResult before = play(ServerChoice.SELECTOR_WITH_TOTALS, scenario);
+            ServerChoiceResult paced = play(ServerChoice.LEARNT_PACE, scenario);
+            assertTrue(paced.slowShare() < 0.6 * before.slowShare(), before + " " + paced);
+            assertTrue(paced.timeP99Millis() < before.timeP99Millis(), before + " " + paced);
+        }
+
+        // Guards against machines of lower speed that receive the same share as the others.
+        @Test
+        void lastingDifferencesAreLearnt() {
+            ServerChoiceScenario scenario =
+                    ServerChoiceMeasurement.unevenModels(8, 0.6, ServerSpeeds.UNSTEADY_AND_UNEVEN);
+            ServerChoiceResult stated = play(ServerChoice.STATED_PACE, scenario);
+            ServerChoiceResult learnt = play(ServerChoice.LEARNT_PACE, scenario);
+            assertTrue(learnt.timeP99Millis() < stated.timeP99Millis(), stated + " " + learnt);
+        }
+    }
 }
