Count what servers carry when replicas are planned

The planner counted servers, all with the slots of the first one. It now counts the slots of each server divided by how long work takes there, as all instances have learnt it. A busy model whose servers are all slow gets a replica on another server if that needs no load from the weight store beyond those allowed before, and keeps its only fast replica. Without learnt paces and with equal slots the plan is as before.

--- a/src/main/java/org/tarragonlug/decision/placement/PlacementEvent.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementEvent.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.placement;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
 import org.tarragonlug.decision.forwarding.ServerListing;
@@ -32,6 +33,18 @@
         }
     }
 
+    /**
+     * The paces of servers that all instances together have learnt.
+     *
+     * @param paces how long work takes, in percent of the usual time; servers that are left out
+     *     have the usual pace
+     */
+    record PacesLearnt(Map<ServerId, Integer> paces) implements PlacementEvent {
+        public PacesLearnt {
+            paces = Map.copyOf(paces);
+        }
+    }
+
     /** An order was answered, or its call ended without an answer. */
     record OrderAnswered(ServerId server, long startedMillis, OrderResult result)
             implements PlacementEvent {}
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -89,6 +89,8 @@
         } else if (event instanceof PlacementEvent.ServersUnreachable unreachable) {
             suspected.onReport(
                     unreachable.from(), unreachable.servers(), orders.servers().size(), now);
+        } else if (event instanceof PlacementEvent.PacesLearnt learnt) {
+            orders.servers().forEach(server -> server.setPace(learnt.paces().get(server.id())));
         } else if (event instanceof PlacementEvent.OrderAnswered answered) {
             orders.find(answered.server(), answered.startedMillis())
                     .ifPresent(server -> orders.onOrderAnswered(server, answered.result(), now));
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -10,6 +10,7 @@
 import org.tarragonlug.decision.forwarding.ListedState;
 import org.tarragonlug.decision.forwarding.ModelCatalog;
 import org.tarragonlug.decision.forwarding.ModelSpecification;
+import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
@@ -28,6 +29,9 @@
     /** How long an unloaded adapter counts as unloaded although a late listing still shows it. */
     private static final Duration UNLOAD_VALIDITY = Duration.ofSeconds(4);
 
+    /** Pace from which on a server counts as slow, as a multiple of the usual time. */
+    private static final double SLOW_PACE = 1.3;
+
     private ServerListing listing;
     private Map<String, Set<String>> models;
     private long orderCount;
@@ -52,6 +56,9 @@
     /** Whether instances fail to reach this server, so that it is probably lost. */
     boolean suspected;
 
+    /** How long work takes on this server, as a multiple of the usual time. */
+    private double pace = 1;
+
     Instant nextReportAt = Instant.EPOCH;
 
     PlannedServer(ServerListing listing) {
@@ -83,6 +90,23 @@
         return listing.state() == ListedState.READY && !suspected;
     }
 
+    /** Sets the pace in percent of the usual time; null for the usual pace. */
+    void setPace(Integer percent) {
+        pace = percent == null ? 1 : percent / (double) ReportedLoad.USUAL_PACE;
+    }
+
+    /** Tells whether work takes so long here that requests are noticeably late. */
+    boolean isSlow() {
+        return pace >= SLOW_PACE;
+    }
+
+    /**
+     * Returns the requests that this server processes in the time in which a usual slot does one.
+     */
+    double carriedSlots() {
+        return Math.max(1, listing.slots()) / pace;
+    }
+
     /** Tells whether a new order may be given to this server. */
     boolean canTakeOrder() {
         return ready() && orderable && order == null && !needsReport;
--- a/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
@@ -49,6 +49,12 @@
     /** Cost of having to unload another model first, in milliseconds of load time. */
     private static final int UNLOAD_COST = 500;
 
+    /**
+     * Cost of a replica on a slow server, in milliseconds of load time. It exceeds the loads from
+     * memory and disk, but not those from the weight store, which other models need as well.
+     */
+    private static final int SLOW_SERVER_COST = 2000;
+
     private final PlanContext context;
     private final Consumer<PlacementCommand> commands;
     private final OrderManager orders;
@@ -207,11 +213,13 @@
 
     private void addReplicaIfNeeded(String model) {
         int replicas = view.plannedReplicas(model);
-        if (catalog.model(model).isEmpty() || replicas >= policy.desiredReplicas(model)) {
+        boolean enough = replicas >= policy.desiredReplicas(model);
+        if (catalog.model(model).isEmpty() || enough && !policy.needsFastReplica(model)) {
             return;
         }
         boolean allowRemote = replicas <= 1 || policy.isSaturated(model);
         chooseReplicaServer(model, allowRemote, victim -> true)
+                .filter(server -> !enough || !server.isSlow())
                 .ifPresent(server -> loadOrMakeRoom(server, model, "busy"));
     }
 
@@ -252,6 +260,7 @@
             double cost = readyTimes.loadTime(server, model).toMillis();
             cost += domains.contains(server.listing().failureDomain()) ? SAME_DOMAIN_COST : 0;
             cost += hasRoom ? 0 : UNLOAD_COST;
+            cost += server.isSlow() ? SLOW_SERVER_COST : 0;
             if (cost < lowest) {
                 lowest = cost;
                 best = server;
--- a/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
@@ -4,12 +4,20 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.id.ServiceName;
 
-/** Computes how many replicas of each model the demand requires, and which may be unloaded. */
+/**
+ * Computes how many replicas of each model the demand requires, and which may be unloaded.
+ *
+ * <p>The demand is compared with what the servers of a model carry: their slots, divided by how
+ * long work takes there. A model on slow servers therefore gets more replicas. Requests for a busy
+ * model that has a replica on a server of at least the usual pace can avoid the slow ones, so such
+ * a model gets one and keeps it.
+ */
 final class ReplicaPolicy {
     /** The last replica of a model is not unloaded within this time after its last request. */
     static final Duration MODEL_IN_USE = Duration.ofMillis(450);
@@ -104,10 +112,29 @@
         int servers = view.servers().size();
         int replicas = Math.max(assumed, rate < THIRD_REPLICA_RATE ? 2 : 3);
         double slotsInUse = rate * SLOT_SECONDS;
-        int forLoad = (int) Math.ceil(slotsInUse / (slotsPerServer() * TARGET_SLOT_USE));
+        int forLoad = (int) Math.ceil(slotsInUse / (slotsPerReplica(model) * TARGET_SLOT_USE));
         return Math.min(servers, Math.max(replicas, forLoad));
     }
 
+    /** Tells whether a busy model is only on slow servers, so that it needs a replica elsewhere. */
+    boolean needsFastReplica(String model) {
+        List<PlannedServer> holding = view.serversHolding(model);
+        if (holding.isEmpty() || rate(model) < SECOND_REPLICA_RATE) {
+            return false;
+        }
+        for (PlannedServer server : holding) {
+            if (!server.isSlow()) {
+                return false;
+            }
+        }
+        for (PlannedServer server : view.serversPreparing(model)) {
+            if (!server.isSlow()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /**
      * Tells whether the requests for a model fill so many slots of its servers that a further
      * replica is worth a load from the weight store.
@@ -117,12 +144,22 @@
         if (rate < SECOND_REPLICA_RATE) {
             return false;
         }
-        double slots = (double) Math.max(1, view.plannedReplicas(model)) * slotsPerServer();
+        double slots = Math.max(1, view.plannedReplicas(model)) * slotsPerReplica(model);
         return rate * SLOT_SECONDS > slots * SATURATED_SLOT_USE;
     }
 
-    private int slotsPerServer() {
-        return view.servers().isEmpty() ? 1 : Math.max(1, view.servers().get(0).listing().slots());
+    /**
+     * Returns the slots of the usual pace that a replica of a model provides on average: that of
+     * the servers with the model, or of all servers if there are none.
+     */
+    private double slotsPerReplica(String model) {
+        List<PlannedServer> holding = view.serversHolding(model);
+        List<PlannedServer> counted = holding.isEmpty() ? view.servers() : holding;
+        double slots = 0;
+        for (PlannedServer server : counted) {
+            slots += server.carriedSlots();
+        }
+        return counted.isEmpty() ? 1 : slots / counted.size();
     }
 
     /** Returns how many replicas of a model to keep while its demand is not known yet. */
@@ -151,6 +188,19 @@
         return Optional.ofNullable(best);
     }
 
+    /** Tells whether a busy model would be left on slow servers only. */
+    private boolean isOnlyFastReplica(PlannedServer server, String model) {
+        if (server.isSlow() || rate(model) < SECOND_REPLICA_RATE) {
+            return false;
+        }
+        for (PlannedServer other : view.serversHolding(model)) {
+            if (other != server && !other.isSlow()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private double retentionValue(String model) {
         double value = rate(model) / view.plannedReplicas(model);
         long idle = Duration.between(lastRequested(model), now).toSeconds();
@@ -168,7 +218,7 @@
         }
         int replicas = view.serversHolding(model).size();
         if (replicas > Math.max(1, desiredReplicas(model))) {
-            return true;
+            return !isOnlyFastReplica(server, model);
         }
         return desiredReplicas(model) == 0
                 && !waitedFor.contains(model)
