Exchange the paces of servers between instances

With 95 instances one instance gets an answer of a server every few seconds, too few to learn its pace. Reports now carry the paces that the sender has observed since its last report, and the planner announces the servers whose pace differs (PaceTotals). A newly stated pace and the learnt paces of an instance without planner stay its own.

--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -139,6 +139,7 @@
         if (event instanceof ForwardingEvent.LoadAnnounced announced) {
             recordTotalsInFlight(announced.totals(), now);
             recordSuspected(announced.suspected(), now);
+            recordPaces(announced.learntPaces(), announced.statedPaces(), now);
             return Optional.of(false);
         }
         return Optional.empty();
@@ -169,6 +170,56 @@
         answerTimes.record(server, megabytes, millis, statedPace, now);
     }
 
+    /**
+     * Returns how long the answers since the last call took, in percent of the usual time, by
+     * server; servers without answers are left out.
+     */
+    public Map<ServerId, Integer> takeAnswerPaces() {
+        Map<ServerId, Integer> taken = new HashMap<>();
+        for (FleetServer server : servers.values()) {
+            int percent = server.pace().takeAnswerPace();
+            if (percent > 0) {
+                taken.put(server.id(), percent);
+            }
+        }
+        return taken;
+    }
+
+    /** Returns the paces stated a moment ago that differ from the usual one, in percent. */
+    public Map<ServerId, Integer> statedPaces(Instant now) {
+        Map<ServerId, Integer> stated = new HashMap<>();
+        for (FleetServer server : servers.values()) {
+            int percent = server.pace().newlyStatedPercent(now);
+            if (percent != ReportedLoad.USUAL_PACE) {
+                stated.put(server.id(), percent);
+            }
+        }
+        return stated;
+    }
+
+    /**
+     * Records the paces that the planner announces, in percent; servers that are left out have the
+     * usual pace. A planner that announces none knows no differences yet, so that what this
+     * instance has learnt itself stays in force.
+     */
+    public void recordPaces(
+            Map<ServerId, Integer> learnt, Map<ServerId, Integer> stated, Instant now) {
+        if (learnt.isEmpty() && stated.isEmpty()) {
+            return;
+        }
+        for (FleetServer server : servers.values()) {
+            if (!learnt.isEmpty()) {
+                server.pace()
+                        .recordAnnouncedLearnt(
+                                learnt.getOrDefault(server.id(), ReportedLoad.USUAL_PACE), now);
+            }
+            Integer percent = stated.get(server.id());
+            if (percent != null) {
+                server.pace().recordAnnouncedStated(percent, now);
+            }
+        }
+    }
+
     /** Records the servers that several instances cannot reach. */
     void recordSuspected(Set<ServerId> suspected, Instant now) {
         suspected.forEach(id -> server(id).ifPresent(server -> server.markSuspected(now)));
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -92,9 +92,20 @@
      * @param totals number of requests by server; servers without requests are left out
      * @param suspected servers that several instances cannot reach
      */
-    record LoadAnnounced(Map<ServerId, Integer> totals, Set<ServerId> suspected)
+    record LoadAnnounced(
+            Map<ServerId, Integer> totals,
+            Set<ServerId> suspected,
+            Map<ServerId, Integer> learntPaces,
+            Map<ServerId, Integer> statedPaces)
             implements ForwardingEvent {
+        /** Creates the announcement of a planner to which all servers have the usual pace. */
+        public LoadAnnounced(Map<ServerId, Integer> totals, Set<ServerId> suspected) {
+            this(totals, suspected, Map.of(), Map.of());
+        }
+
         public LoadAnnounced {
+            learntPaces = Map.copyOf(learntPaces);
+            statedPaces = Map.copyOf(statedPaces);
             totals = Map.copyOf(totals);
             suspected = Set.copyOf(suspected);
         }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
@@ -14,10 +14,11 @@
  * times are divided by the pace stated with them before they are learnt, so that a slowdown that
  * the server states itself is not counted twice.
  *
- * <p>Answer times differ by chance, also among equal servers. Only the part of the mean difference
- * that exceeds its standard error {@link #SIGNIFICANCE} times counts; equal servers therefore keep
- * a pace of exactly 1. What was learnt expires, so that a server that receives hardly any requests
- * because it was slow is tried again.
+ * <p>Answer times differ by chance, also among equal servers. A mean difference counts if it
+ * exceeds its standard error {@link #SIGNIFICANCE} times, and counts the more the more it exceeds
+ * that. Equal servers therefore keep a pace of exactly 1, and the pace does not jump. What was
+ * learnt expires, so that a server that receives hardly any requests because it was slow is tried
+ * again.
  */
 public final class ServerPace {
     /** Time after which a stated pace says nothing about the present one. */
@@ -29,6 +30,12 @@
     /** How long a learnt pace holds after the last answer. */
     private static final Duration LEARNT_VALIDITY = Duration.ofSeconds(30);
 
+    /** How long a learnt pace that the planner announced replaces the own one. */
+    private static final Duration ANNOUNCEMENT_VALIDITY = Duration.ofSeconds(3);
+
+    /** Age from which on a stated pace yields to one that the planner announces. */
+    private static final Duration YIELDING_AGE = Duration.ofMillis(200);
+
     /** Standard errors by which a mean must differ from the usual time. */
     private static final double SIGNIFICANCE = 3;
 
@@ -38,23 +45,34 @@
     /** Largest factor between a learnt pace and the usual one, which bounds a wrong estimate. */
     private static final double MAX_FACTOR = 8;
 
+    private static final int MAX_REPORTED_PERCENT = 10_000;
     private static final double USUAL = ReportedLoad.USUAL_PACE;
 
     private double stated = 1;
     private Instant statedAt = Instant.EPOCH;
+    private boolean statedToThisInstance;
     private double answers;
     private double meanLogRatio;
     private double learnt = 1;
     private Instant learntAt = Instant.EPOCH;
+    private double announced = 1;
+    private Instant announcedAt = Instant.EPOCH;
+    private int unreportedAnswers;
+    private double unreportedLogSum;
 
     /** Forgets everything, because the server's process has started anew. */
     void reset() {
         stated = 1;
         statedAt = Instant.EPOCH;
+        statedToThisInstance = false;
         answers = 0;
         meanLogRatio = 0;
         learnt = 1;
         learntAt = Instant.EPOCH;
+        announced = 1;
+        announcedAt = Instant.EPOCH;
+        unreportedAnswers = 0;
+        unreportedLogSum = 0;
     }
 
     /**
@@ -69,6 +87,7 @@
         }
         stated = percent / USUAL;
         statedAt = now;
+        statedToThisInstance = true;
     }
 
     /**
@@ -83,6 +102,8 @@
         answers = answers * kept + 1;
         meanLogRatio += (logRatio - meanLogRatio) / answers;
         learntAt = now;
+        unreportedAnswers++;
+        unreportedLogSum += logRatio;
         learnt = significantPace(deviation);
     }
 
@@ -91,8 +112,11 @@
             return 1;
         }
         double margin = SIGNIFICANCE * deviation / Math.sqrt(answers);
-        double excess = Math.max(0, Math.abs(meanLogRatio) - margin);
-        return Math.exp(Math.signum(meanLogRatio) * Math.min(excess, Math.log(MAX_FACTOR)));
+        if (Math.abs(meanLogRatio) <= margin) {
+            return 1;
+        }
+        double pace = Math.exp(meanLogRatio - margin * margin / meanLogRatio);
+        return Math.max(1 / MAX_FACTOR, Math.min(pace, MAX_FACTOR));
     }
 
     /** Returns the pace that the server stated last, weighted by its age; 1 is the usual time. */
@@ -105,8 +129,63 @@
         return weight <= 0 ? 1 : 1 + weight * (stated - 1);
     }
 
+    /** Records the learnt pace that the planner announces, in percent. */
+    void recordAnnouncedLearnt(int percent, Instant now) {
+        announced = percent / USUAL;
+        announcedAt = now;
+    }
+
+    /**
+     * Records the stated pace that the planner announces, in percent and weighted by its age. It
+     * does not replace a statement that this instance received a moment ago.
+     */
+    void recordAnnouncedStated(int percent, Instant now) {
+        if (!now.isBefore(statedAt.plus(YIELDING_AGE))) {
+            stated = percent / USUAL;
+            statedAt = now;
+            statedToThisInstance = false;
+        }
+    }
+
+    /**
+     * Returns the pace, weighted by its age, if the server stated it to this instance a moment ago,
+     * in percent; otherwise the usual pace.
+     */
+    int newlyStatedPercent(Instant now) {
+        boolean isNew = statedToThisInstance && now.isBefore(statedAt.plus(YIELDING_AGE));
+        return isNew ? (int) Math.round(stated(now) * USUAL) : ReportedLoad.USUAL_PACE;
+    }
+
+    /**
+     * Returns the mean time of the answers since the last call, in percent of the usual time; 0 if
+     * there were none.
+     */
+    int takeAnswerPace() {
+        if (unreportedAnswers == 0) {
+            return 0;
+        }
+        double ratio = Math.exp(unreportedLogSum / unreportedAnswers);
+        unreportedAnswers = 0;
+        unreportedLogSum = 0;
+        return (int) Math.max(1, Math.min(Math.round(ratio * USUAL), MAX_REPORTED_PERCENT));
+    }
+
+    private boolean isAnnounced(Instant now) {
+        return announcedAt != Instant.EPOCH
+                && !now.isAfter(announcedAt.plus(ANNOUNCEMENT_VALIDITY));
+    }
+
+    /** Tells whether nothing recorded here has an effect any more. */
+    boolean isExpired(Instant now) {
+        return now.isAfter(learntAt.plus(LEARNT_VALIDITY))
+                && now.isAfter(statedAt.plus(STATEMENT_VALIDITY));
+    }
+
     /** Returns the pace that was learnt from the server's answer times; 1 is the usual time. */
     public double learnt(Instant now) {
+        if (isAnnounced(now)) {
+            return announced;
+        }
         return learnt == 1 || now.isAfter(learntAt.plus(LEARNT_VALIDITY)) ? 1 : learnt;
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
@@ -34,9 +34,9 @@
  * <p>The square of the load stands for the wait until a slot is free, in units of the usual time of
  * a request. On a server where work takes longer ({@link ServerPace}), both this wait and the
  * processing take longer: the wait is multiplied by the pace, and the additional time of processing
- * is added. On a server of the usual pace the cost is that of the load alone. Of a momentary pace
- * only a part counts for the processing of a stream, because the pace changes while the stream
- * lasts; a plain answer is so short that the pace counts in full.
+ * is added. On a server of the usual pace the cost is that of the load alone. A plain answer counts
+ * in full. Of a stream, the time to the first event counts, which is a part of the processing; and
+ * a pace that the server stated has often changed before a request that waits is processed.
  */
 public final class ServerSelector {
     /** Cost of a server in another failure domain. */
@@ -54,11 +54,11 @@
     /** Failure rate that is considered normal and has no cost. */
     private static final double TOLERATED_FAILURE_RATE = 0.3;
 
-    /** Weight of a momentary pace in the processing time of a plain answer. */
-    private static final double PLAIN_PROCESSING_WEIGHT = 1;
+    /** Part of the processing of a stream that passes before its first event. */
+    private static final double FIRST_EVENT_SHARE = 0.25;
 
-    /** Weight of a momentary pace in the processing time of a stream. */
-    private static final double STREAM_PROCESSING_WEIGHT = 0.5;
+    /** Probability that a stated pace still holds when a stream that waits is processed. */
+    private static final double STATED_PACE_WEIGHT = 0.4;
 
     private static final double MAX_PREFIX_BONUS = 0.35;
     private static final double BONUS_PER_PREFIX_TOKEN = 0.35 / 2000;
@@ -119,14 +119,16 @@
                 }
             }
         }
-        double processingWeight =
-                model.isPresent() ? STREAM_PROCESSING_WEIGHT : PLAIN_PROCESSING_WEIGHT;
+        double processingShare = model.isPresent() ? FIRST_EVENT_SHARE : 1;
+        double statedWeight = model.isPresent() ? STATED_PACE_WEIGHT : 1;
         double lowestCost = Double.MAX_VALUE;
         for (FleetServer server : fleet.servers()) {
             if (!isEligible(server, service, model, now) || excluded.contains(server.id())) {
                 continue;
             }
-            double cost = cost(server, processingWeight, now) + randomCost(requestId, server);
+            double cost =
+                    cost(server, processingShare, statedWeight, now)
+                            + randomCost(requestId, server);
             if (server == prefixOwner) {
                 cost -= Math.min(MAX_PREFIX_BONUS, prefix.tokens() * BONUS_PER_PREFIX_TOKEN);
             }
@@ -145,16 +147,20 @@
                 && (model.isEmpty() || server.holds(model.get(), now));
     }
 
-    private double cost(FleetServer server, double processingWeight, Instant now) {
+    private double cost(
+            FleetServer server, double processingShare, double statedWeight, Instant now) {
         double load = server.load(now) / Math.max(1, server.listing().slots());
         double distance = server.failureDomain().equals(homeDomain) ? 0 : DISTANCE_COST;
         double failures = Math.max(0, server.failureRate(now) - TOLERATED_FAILURE_RATE);
         double suspicion = server.isSuspected(now) ? SUSPICION_COST : 0;
         double learnt = server.pace().learnt(now);
         double stated = server.pace().stated(now);
-        double wait = learnt * stated * load * load;
-        double processing = learnt * (1 + processingWeight * (stated - 1)) - 1;
-        return wait + processing + distance + failures * FAILURE_COST + suspicion;
+        double wait = learnt * (1 + statedWeight * (stated - 1)) * load * load;
+        return wait
+                + processingShare * (learnt * stated - 1)
+                + distance
+                + failures * FAILURE_COST
+                + suspicion;
     }
 
     /**
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -104,6 +104,14 @@
     }
 
     /** Returns the requests that this instance has in flight, by server. */
+    Map<ServerId, Integer> takeAnswerPaces() {
+        return coordinator.fleet().takeAnswerPaces();
+    }
+
+    Map<ServerId, Integer> statedPaces() {
+        return coordinator.fleet().statedPaces(timers.now());
+    }
+
     Map<ServerId, Integer> inFlight() {
         return coordinator.fleet().inFlight();
     }
--- a/src/main/java/org/tarragonlug/gateway/GatewayState.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayState.java
@@ -61,6 +61,8 @@
         node.put("availability", server.availability(now).name());
         node.put("inFlight", server.inFlight());
         node.put("load", server.load(now));
+        node.put("statedPace", server.pace().stated(now));
+        node.put("learntPace", server.pace().learnt(now));
         node.put("failureRate", server.failureRate(now));
         node.put("models", server.listing().models().toString());
     }
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.InFlightTotals;
+import org.tarragonlug.decision.forwarding.PaceTotals;
 import org.tarragonlug.decision.placement.DemandCollector;
 import org.tarragonlug.decision.placement.DemandCollector.Audience;
 import org.tarragonlug.decision.placement.ModelDemand;
@@ -61,6 +62,7 @@
     private final DemandCollector demandCollector;
     private final PendingNotices pendingNotices = new PendingNotices();
     private final InFlightTotals inFlightTotals = new InFlightTotals();
+    private final PaceTotals paceTotals = new PaceTotals();
     private final WatchSourceSelector sourceSelector = new WatchSourceSelector();
     private final FollowedSource followedSource;
     private final WatchCandidate candidate;
@@ -130,7 +132,11 @@
             publishInstanceCount(pendingNotices.reporterCount(now));
             forwarding.post(
                     new ForwardingEvent.LoadAnnounced(
-                            inFlightTotals.totals(now), placement.suspectedServers()));
+                            inFlightTotals.totals(now),
+                            placement.suspectedServers(),
+                            paceTotals.learnt(now),
+                            paceTotals.stated(now)));
+            placement.post(new PlacementEvent.PacesLearnt(paceTotals.learnt(now)));
         }
         sendReport(Audience.PLANNER, now);
         standbyReportDue = !standbyReportDue;
@@ -148,7 +154,11 @@
         List<ModelDemand> demands = demandCollector.collect(audience, now);
         Map<ServerId, Integer> inFlight = forwarding.inFlight();
         Set<ServerId> unreachable = forwarding.unreachableServers();
+        boolean toPlanner = audience == Audience.PLANNER;
+        Map<ServerId, Integer> answerPaces = toPlanner ? forwarding.takeAnswerPaces() : Map.of();
+        Map<ServerId, Integer> statedPaces = toPlanner ? forwarding.statedPaces() : Map.of();
         if (placement.isPlanning()) {
+            paceTotals.onReport(answerPaces, statedPaces, now);
             inFlightTotals.onReport(self, inFlight, now);
             placement.post(new PlacementEvent.ServersUnreachable(self, unreachable));
         }
@@ -161,6 +171,8 @@
                         demands,
                         inFlight,
                         List.copyOf(unreachable),
+                        answerPaces,
+                        statedPaces,
                         Optional.of(candidate));
         receivers.forEach((holder, address) -> send(holder, address, message));
     }
@@ -211,6 +223,7 @@
         if (message instanceof GatewayMessage.ModelDemandReport report) {
             pendingNotices.onReport(from, report.demands(), now);
             inFlightTotals.onReport(from, report.inFlight(), now);
+            paceTotals.onReport(report.answerPaces(), report.statedPaces(), now);
             report.candidate().ifPresent(offered -> sourceSelector.onReport(from, offered, now));
             placement.post(new PlacementEvent.DemandReported(from, report.demands()));
             placement.post(
@@ -301,7 +314,10 @@
             publishInstanceCount(notice.reporters());
             forwarding.post(
                     new ForwardingEvent.LoadAnnounced(
-                            notice.inFlight(), Set.copyOf(notice.suspected())));
+                            notice.inFlight(),
+                            Set.copyOf(notice.suspected()),
+                            notice.learntPaces(),
+                            notice.statedPaces()));
             followedSource.onSelected(notice.watchSources(), now);
         } else {
             planningSignals.remove(from);
@@ -390,6 +406,8 @@
                         notices.expectations(),
                         planning ? inFlightTotals.totals(now) : Map.of(),
                         planning ? List.copyOf(placement.suspectedServers()) : List.of(),
+                        planning ? paceTotals.learnt(now) : Map.of(),
+                        planning ? paceTotals.stated(now) : Map.of(),
                         planning ? sourceSelector.sourcesFor(to, now) : List.of()));
     }
 }
--- a/src/main/java/org/tarragonlug/measure/ServerChoice.java
+++ b/src/main/java/org/tarragonlug/measure/ServerChoice.java
@@ -14,9 +14,9 @@
     TOTALS_ONLY(true, false, true, Pace.UNKNOWN, 0),
     /** With the pace that the answers to the instance's own requests state. */
     STATED_PACE(true, true, true, Pace.STATED, 0),
-    /** As shipped: the pace is also learnt from the times of the instance's own answers. */
+    /** The pace is also learnt from the times of the instance's own answers. */
     LEARNT_PACE(true, true, true, Pace.LEARNT, 0),
-    /** Trial: stated paces are also exchanged with the totals. */
+    /** As shipped: stated and learnt paces are also exchanged with the totals. */
     EXCHANGED_PACE(true, true, true, Pace.EXCHANGED, 0),
     /** Trial: the best server is asked for its load and pace before each request. */
     ASKING_ONE(true, true, true, Pace.LEARNT, 1),
--- a/src/main/java/org/tarragonlug/measure/ServerChoiceSimulation.java
+++ b/src/main/java/org/tarragonlug/measure/ServerChoiceSimulation.java
@@ -8,7 +8,6 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +20,7 @@
 import org.tarragonlug.decision.forwarding.FleetServer;
 import org.tarragonlug.decision.forwarding.InFlightTotals;
 import org.tarragonlug.decision.forwarding.ListedState;
+import org.tarragonlug.decision.forwarding.PaceTotals;
 import org.tarragonlug.decision.forwarding.PromptPrefix;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.decision.forwarding.ServerListing;
@@ -64,16 +64,13 @@
     private final InFlightTotals totals = new InFlightTotals();
     private final Histogram waits = new Histogram(3);
     private final Histogram times = new Histogram(3);
-    private final Map<ServerId, Statement> exchangedPaces = new HashMap<>();
+    private final PaceTotals paces = new PaceTotals();
     private int requests;
     private int rejected;
     private int atHome;
     private int started;
     private int startedSlow;
 
-    /** A pace that a server stated, as it is exchanged between instances. */
-    private record Statement(int pace, Instant at) {}
-
     ServerChoiceSimulation(
             ServerChoiceScenario scenario, ServerChoice choice, Hasher hasher, long seed) {
         this.scenario = scenario;
@@ -334,7 +331,6 @@
         private final int index;
         private final Fleet fleet = new Fleet();
         private final ServerSelector selector;
-        private final Map<ServerId, Statement> stated = new HashMap<>();
         private int requestCount;
 
         Instance(int index, Hasher hasher) {
@@ -435,7 +431,6 @@
             }
             if (choice.knows(ServerChoice.Pace.STATED)) {
                 server.pace().recordStated(load.pace(), time.now());
-                stated.put(server.id(), new Statement(load.pace(), time.now()));
             }
         }
 
@@ -464,20 +459,11 @@
             time.after(REPORT_PERIOD, this::report);
         }
 
-        /** Reports the statements since the last report, and receives the newest of all. */
+        /** Reports the paces that this instance has observed, and receives those of all. */
         private void exchangePaces() {
-            stated.forEach((server, own) -> exchangedPaces.merge(server, own, this::newer));
-            stated.clear();
-            exchangedPaces.forEach(
-                    (server, statement) ->
-                            fleet.server(server)
-                                    .orElseThrow()
-                                    .pace()
-                                    .recordStated(statement.pace(), statement.at()));
-        }
-
-        private Statement newer(Statement one, Statement other) {
-            return one.at().isAfter(other.at()) ? one : other;
+            Instant now = time.now();
+            paces.onReport(fleet.takeAnswerPaces(), fleet.statedPaces(now), now);
+            fleet.recordPaces(paces.learnt(now), paces.stated(now), now);
         }
     }
 }
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -26,6 +26,11 @@
      * @param demands demand for each model that has waiting requests or arrivals since the last
      *     report
      * @param inFlight requests that the sender has in flight, by server
+     * @param answerPaces how long answers since the last report to the planner took, by server, in
+     *     percent of the usual time; empty if the sender's release does not write this field
+     * @param statedPaces paces that differ from the usual one and were stated to the sender a
+     *     moment ago, by server, in percent; empty if the sender's release does not write this
+     *     field
      * @param candidate what the sender offers as a source for watches; empty if its release does
      *     not write this field
      */
@@ -34,9 +39,13 @@
             List<ModelDemand> demands,
             Map<ServerId, Integer> inFlight,
             List<ServerId> unreachable,
+            Map<ServerId, Integer> answerPaces,
+            Map<ServerId, Integer> statedPaces,
             Optional<WatchCandidate> candidate)
             implements GatewayMessage {
         public ModelDemandReport {
+            answerPaces = Map.copyOf(answerPaces);
+            statedPaces = Map.copyOf(statedPaces);
             demands = List.copyOf(demands);
             inFlight = Map.copyOf(inFlight);
             unreachable = List.copyOf(unreachable);
@@ -56,6 +65,10 @@
      * @param expectations estimates of when the models that requests wait for will be ready
      * @param inFlight requests that all instances together have in flight; only from the planner
      * @param suspected servers that several instances cannot reach; only from the planner
+     * @param learntPaces learnt paces that differ from the usual one, by server, in percent; only
+     *     from the planner
+     * @param statedPaces paces stated to any instance that differ from the usual one, weighted by
+     *     their age, by server, in percent; only from the planner
      * @param watchSources instances through which the receiver should watch the store; only from
      *     the planner
      */
@@ -68,9 +81,13 @@
             List<ReadinessEstimate> expectations,
             Map<ServerId, Integer> inFlight,
             List<ServerId> suspected,
+            Map<ServerId, Integer> learntPaces,
+            Map<ServerId, Integer> statedPaces,
             List<WatchSource> watchSources)
             implements GatewayMessage {
         public PlacementNotice {
+            learntPaces = Map.copyOf(learntPaces);
+            statedPaces = Map.copyOf(statedPaces);
             suspected = List.copyOf(suspected);
             watchSources = List.copyOf(watchSources);
             inFlight = Map.copyOf(inFlight);
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -71,6 +71,8 @@
                 .list("demands", report.demands(), GatewayMessageFormat::writeDemand)
                 .counts("inFlight", report.inFlight())
                 .texts("unreachable", report.unreachable())
+                .counts("answerPaces", report.answerPaces())
+                .counts("statedPaces", report.statedPaces())
                 .optional("candidate", report.candidate(), GatewayMessageFormat::writeCandidate);
     }
 
@@ -80,6 +82,8 @@
                 fields.list("demands", GatewayMessageFormat::readDemand),
                 fields.counts("inFlight", ServerId::new),
                 fields.texts("unreachable", ServerId::new),
+                fields.counts("answerPaces", ServerId::new),
+                fields.counts("statedPaces", ServerId::new),
                 fields.optional("candidate", GatewayMessageFormat::readCandidate));
     }
 
@@ -126,6 +130,8 @@
                 .list("expectations", notice.expectations(), GatewayMessageFormat::writeEstimate)
                 .counts("inFlight", notice.inFlight())
                 .texts("suspected", notice.suspected())
+                .counts("learntPaces", notice.learntPaces())
+                .counts("statedPaces", notice.statedPaces())
                 .list("watchSources", notice.watchSources(), GatewayMessageFormat::writeSource);
     }
 
@@ -139,6 +145,8 @@
                 fields.list("expectations", GatewayMessageFormat::readEstimate),
                 fields.counts("inFlight", ServerId::new),
                 fields.texts("suspected", ServerId::new),
+                fields.counts("learntPaces", ServerId::new),
+                fields.counts("statedPaces", ServerId::new),
                 fields.list("watchSources", GatewayMessageFormat::readSource));
     }
 
--- a/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
@@ -148,8 +148,13 @@
         List<ModelDemand> demands = demand.collect(Audience.PLANNER, time.now());
         Map<ServerId, Integer> inFlight = coordinator.fleet().inFlight();
         Set<ServerId> unreachable = coordinator.fleet().unreachable(time.now());
+        Map<ServerId, Integer> answerPaces = coordinator.fleet().takeAnswerPaces();
+        Map<ServerId, Integer> statedPaces = coordinator.fleet().statedPaces(time.now());
         time.afterMillis(
-                NETWORK_MILLIS, () -> planner.onReport(this, demands, inFlight, unreachable));
+                NETWORK_MILLIS,
+                () ->
+                        planner.onReport(
+                                this, demands, inFlight, unreachable, answerPaces, statedPaces));
     }
 
     /** Receives a listing, unless a newer one of the same server has overtaken it. */
--- a/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
@@ -12,6 +12,7 @@
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
 import org.tarragonlug.decision.forwarding.InFlightTotals;
+import org.tarragonlug.decision.forwarding.PaceTotals;
 import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
@@ -43,6 +44,7 @@
     private final PlacementPlanner planner = new PlacementPlanner(LOAD_WINDOW);
     private final Map<SimulatedInstance, Reporter> reporters = new LinkedHashMap<>();
     private final InFlightTotals inFlightTotals = new InFlightTotals();
+    private final PaceTotals paceTotals = new PaceTotals();
     private final Map<String, Integer> orders = new TreeMap<>();
     private boolean suspended;
 
@@ -80,6 +82,7 @@
 
     private void tick() {
         if (!suspended) {
+            post(new PlacementEvent.PacesLearnt(paceTotals.learnt(time.now())));
             post(new PlacementEvent.Tick());
         }
         time.after(TICK, this::tick);
@@ -89,7 +92,10 @@
             SimulatedInstance from,
             List<ModelDemand> demands,
             Map<ServerId, Integer> inFlight,
-            Set<ServerId> unreachable) {
+            Set<ServerId> unreachable,
+            Map<ServerId, Integer> answerPaces,
+            Map<ServerId, Integer> statedPaces) {
+        paceTotals.onReport(answerPaces, statedPaces, time.now());
         post(new PlacementEvent.ServersUnreachable(from.id(), unreachable));
         inFlightTotals.onReport(from.id(), inFlight, time.now());
         Reporter reporter = reporters.computeIfAbsent(from, each -> new Reporter());
@@ -105,7 +111,10 @@
         reporter.urgent = false;
         reporter.news.add(
                 new ForwardingEvent.LoadAnnounced(
-                        inFlightTotals.totals(time.now()), planner.suspectedServers(time.now())));
+                        inFlightTotals.totals(time.now()),
+                        planner.suspectedServers(time.now()),
+                        paceTotals.learnt(time.now()),
+                        paceTotals.stated(time.now())));
         to.onNotice(List.copyOf(reporter.news));
         reporter.news.clear();
     }
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -172,6 +172,8 @@
                                         Duration.ofMillis(2500))),
                         Map.of(new ServerId("s-1"), 3),
                         List.of(new ServerId("s-8")),
+                        Map.of(new ServerId("s-1"), 85),
+                        Map.of(new ServerId("s-3"), 250),
                         Optional.of(
                                 new WatchCandidate(
                                         new FailureDomain("domain-1"), "10.0.0.1:7380", 1.5))),
@@ -192,6 +194,8 @@
                                         Duration.ofMillis(900))),
                         Map.of(new ServerId("s-1"), 12, new ServerId("s-2"), 4),
                         List.of(new ServerId("s-9")),
+                        Map.of(new ServerId("s-2"), 182),
+                        Map.of(new ServerId("s-3"), 220),
                         List.of(new WatchSource(new InstanceId("entry-3"), "10.0.0.3:7380"))),
                 new GatewayMessage.ObjectCall(
                         1,
