--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -19,6 +19,7 @@
     private final Map<ServerId, FleetServer> servers = new HashMap<>();
     private final FleetIndex index = new FleetIndex();
     private final ServerNotices notices = new ServerNotices();
+    private final AnswerTimes answerTimes = new AnswerTimes();
     private final ServerLimits limits;
 
     /** Creates an empty fleet of a single instance. */
@@ -204,6 +205,7 @@
         if (event instanceof ForwardingEvent.LoadAnnounced announced) {
             recordTotalsInFlight(announced.totals(), now);
             recordSuspected(announced.suspected(), now);
+            recordPaces(announced.learntPaces(), announced.statedPaces(), now);
             return true;
         }
         return false;
@@ -237,6 +239,68 @@
         }
     }
 
+    /**
+     * Records how long a server took for an answer or a comparable part of it.
+     *
+     * @param megabytes size of the model; 0 for a plain service
+     * @param millis the time, more than 0
+     * @param statedPace the pace that the server stated with the answer, in percent
+     */
+    public void recordAnswerTime(
+            FleetServer server, double megabytes, double millis, int statedPace, Instant now) {
+        answerTimes.record(server, megabytes, millis, statedPace, now);
+    }
+
+    /**
+     * Returns how long the answers since the last call took, in percent of the usual time, by
+     * server; servers without answers are left out.
+     */
+    public Map<ServerId, Integer> takeAnswerPaces() {
+        Map<ServerId, Integer> taken = new HashMap<>();
+        for (FleetServer server : servers.values()) {
+            int percent = server.pace().takeAnswerPace();
+            if (percent > 0) {
+                taken.put(server.id(), percent);
+            }
+        }
+        return taken;
+    }
+
+    /** Returns the paces stated a moment ago that differ from the usual one, in percent. */
+    public Map<ServerId, Integer> statedPaces(Instant now) {
+        Map<ServerId, Integer> stated = new HashMap<>();
+        for (FleetServer server : servers.values()) {
+            int percent = server.pace().newlyStatedPercent(now);
+            if (percent != ReportedLoad.USUAL_PACE) {
+                stated.put(server.id(), percent);
+            }
+        }
+        return stated;
+    }
+
+    /**
+     * Records the paces that the planner announces, in percent; servers that are left out have the
+     * usual pace. A planner that announces none knows no differences yet, so that what this
+     * instance has learnt itself stays in force.
+     */
+    public void recordPaces(
+            Map<ServerId, Integer> learnt, Map<ServerId, Integer> stated, Instant now) {
+        if (learnt.isEmpty() && stated.isEmpty()) {
+            return;
+        }
+        for (FleetServer server : servers.values()) {
+            if (!learnt.isEmpty()) {
+                server.pace()
+                        .recordAnnouncedLearnt(
+                                learnt.getOrDefault(server.id(), ReportedLoad.USUAL_PACE), now);
+            }
+            Integer percent = stated.get(server.id());
+            if (percent != null) {
+                server.pace().recordAnnouncedStated(percent, now);
+            }
+        }
+    }
+
     /** Records the servers that several instances cannot reach. */
     void recordSuspected(Set<ServerId> suspected, Instant now) {
         suspected.forEach(id -> server(id).ifPresent(server -> server.markSuspected(now)));
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -48,6 +48,7 @@
     private final InstanceCount instances;
     private AdaptiveLimit limit;
     private Instant knownSince;
+    private final ServerPace pace = new ServerPace();
     private ServerListing listing;
     private ServerIncarnation incarnation;
     private int inFlight;
@@ -117,6 +118,7 @@
         if (newer.startedMillis() != listing.startedMillis()) {
             limit = limitOfRun;
             knownSince = now;
+            pace.reset();
             inFlight = 0;
             otherInstancesLoad = 0;
             failureRate = 0;
@@ -305,6 +307,11 @@
         inFlight = Math.max(0, inFlight - 1);
     }
 
+    /** Returns how long work takes on the server. */
+    public ServerPace pace() {
+        return pace;
+    }
+
     /** Records the load that the server stated with an answer. */
     public void recordReportedLoad(ReportedLoad load, Instant now) {
         otherInstancesLoad = Math.max(0, load.total() - inFlight);
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
@@ -32,6 +32,13 @@
  *
  * <p>Load costs its square: below about half of the slots it hardly delays requests, so prefix and
  * distance decide there, while near the full number of slots load decides alone.
+ *
+ * <p>The square of the load stands for the wait until a slot is free, in units of the usual time of
+ * a request. On a server where work takes longer ({@link ServerPace}), both this wait and the
+ * processing take longer: the wait is multiplied by the pace, and the additional time of processing
+ * is added. On a server of the usual pace the cost is that of the load alone. A plain answer counts
+ * in full. Of a stream, the time to the first event counts, which is a part of the processing; and
+ * a pace that the server stated has often changed before a request that waits is processed.
  */
 public final class ServerSelector {
     /** Cost of a server in another failure domain. */
@@ -49,6 +56,12 @@
     /** Failure rate that is considered normal and has no cost. */
     private static final double TOLERATED_FAILURE_RATE = 0.3;
 
+    /** Part of the processing of a stream that passes before its first event. */
+    private static final double FIRST_EVENT_SHARE = 0.25;
+
+    /** Probability that a stated pace still holds when a stream that waits is processed. */
+    private static final double STATED_PACE_WEIGHT = 0.4;
+
     private static final double MAX_PREFIX_BONUS = 0.35;
     private static final double BONUS_PER_PREFIX_TOKEN = 0.35 / 2000;
 
@@ -133,13 +146,17 @@
                 }
             }
         }
+        double processingShare = model.isPresent() ? FIRST_EVENT_SHARE : 1;
+        double statedWeight = model.isPresent() ? STATED_PACE_WEIGHT : 1;
         double lowestCost = Double.MAX_VALUE;
         for (FleetServer server : candidates) {
             if (!isEligible(server, service, model, usable, now)
                     || excluded.contains(server.id())) {
                 continue;
             }
-            double cost = cost(server, now) + randomCost(requestId, server);
+            double cost =
+                    cost(server, processingShare, statedWeight, now)
+                            + randomCost(requestId, server);
             if (server == prefixOwner) {
                 cost -= Math.min(MAX_PREFIX_BONUS, prefix.tokens() * BONUS_PER_PREFIX_TOKEN);
             }
@@ -160,12 +177,20 @@
         return usable.test(server) && server.canRun(service, model, now);
     }
 
-    private double cost(FleetServer server, Instant now) {
+    private double cost(
+            FleetServer server, double processingShare, double statedWeight, Instant now) {
         double load = server.load(now) / Math.max(1, server.listing().slots());
         double distance = server.failureDomain().equals(homeDomain) ? 0 : DISTANCE_COST;
         double failures = Math.max(0, server.failureRate(now) - TOLERATED_FAILURE_RATE);
         double suspicion = server.isSuspected(now) ? SUSPICION_COST : 0;
-        return load * load + distance + failures * FAILURE_COST + suspicion;
+        double learnt = server.pace().learnt(now);
+        double stated = server.pace().stated(now);
+        double wait = learnt * (1 + statedWeight * (stated - 1)) * load * load;
+        return wait
+                + processingShare * (learnt * stated - 1)
+                + distance
+                + failures * FAILURE_COST
+                + suspicion;
     }
 
     /**
--- a/src/main/java/org/tarragonlug/gateway/GatewayState.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayState.java
@@ -76,6 +76,8 @@
         server.limitCause(now).ifPresent(cause -> node.put("limit", server.limitTotal()));
         node.put("inFlight", server.inFlight());
         node.put("load", server.load(now));
+        node.put("statedPace", server.pace().stated(now));
+        node.put("learntPace", server.pace().learnt(now));
         node.put("failureRate", server.failureRate(now));
         node.put("models", server.listing().models().toString());
     }
--- a/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
@@ -12,6 +12,7 @@
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
 import org.tarragonlug.decision.forwarding.InFlightTotals;
+import org.tarragonlug.decision.forwarding.PaceTotals;
 import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
@@ -47,6 +48,7 @@
     private final PlacementPlanner planner = new PlacementPlanner(LOAD_WINDOW);
     private final Map<SimulatedInstance, Reporter> reporters = new LinkedHashMap<>();
     private final InFlightTotals inFlightTotals = new InFlightTotals();
+    private final PaceTotals paceTotals = new PaceTotals();
     private final Map<String, Integer> orders = new TreeMap<>();
     private boolean suspended;
 
@@ -84,6 +86,7 @@
 
     private void tick() {
         if (!suspended) {
+            post(new PlacementEvent.PacesLearnt(paceTotals.learnt(time.now())));
             post(new PlacementEvent.Tick());
         }
         time.after(TICK, this::tick);
@@ -93,7 +96,10 @@
             SimulatedInstance from,
             List<ModelDemand> demands,
             Map<ServerId, Integer> inFlight,
-            Set<ServerId> unreachable) {
+            Set<ServerId> unreachable,
+            Map<ServerId, Integer> answerPaces,
+            Map<ServerId, Integer> statedPaces) {
+        paceTotals.onReport(answerPaces, statedPaces, time.now());
         post(new PlacementEvent.ServersUnreachable(from.id(), unreachable));
         inFlightTotals.onReport(from.id(), inFlight, time.now());
         Reporter reporter = reporters.computeIfAbsent(from, each -> new Reporter());
@@ -112,7 +118,10 @@
             reporter.totalsSentAt = now;
             reporter.news.add(
                     new ForwardingEvent.LoadAnnounced(
-                            inFlightTotals.totals(now), planner.suspectedServers(now)));
+                            inFlightTotals.totals(now),
+                            planner.suspectedServers(now),
+                            paceTotals.learnt(now),
+                            paceTotals.stated(now)));
         }
         to.onNotice(List.copyOf(reporter.news));
         reporter.news.clear();
