--- a/src/main/java/org/tarragonlug/decision/forwarding/AdaptiveLimit.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AdaptiveLimit.java
@@ -31,7 +31,10 @@
  * times are no reason for a limit any more.
  *
  * <p>A failed connection sets the limit to zero for a time that doubles with each failure, and lets
- * it start anew after that. The class has no clock; callers advance it.
+ * it start anew after that. Until the server answers, each instance may then send one request,
+ * whatever its share: the planner learns from the failed connections of several instances that a
+ * server is lost, and would take it for a sound one if most instances did not try. The class has no
+ * clock; callers advance it.
  */
 final class AdaptiveLimit {
     /** The least time between two increases or decreases of the limit. */
@@ -114,6 +117,9 @@
     private Instant blockedUntil = Instant.EPOCH;
     private Duration nextWait = FIRST_WAIT;
 
+    /** Whether the server has not answered since the last failed connection. */
+    private boolean unconfirmed;
+
     /**
      * Creates a limit that is not in force.
      *
@@ -191,6 +197,9 @@
         if (cause(now).isEmpty()) {
             return true;
         }
+        if (unconfirmed && inFlight == 0) {
+            return true;
+        }
         return inFlight < Math.floor(limit / instances + roundingPoint)
                 && total(inFlight, now) < limit;
     }
@@ -327,6 +336,7 @@
         if (isBlocked(now)) {
             return;
         }
+        unconfirmed = true;
         blockedUntil = now.plus(nextWait);
         nextWait = nextWait.multipliedBy(2);
         nextWait = nextWait.compareTo(MAX_WAIT) > 0 ? MAX_WAIT : nextWait;
@@ -342,6 +352,7 @@
         }
         blockedUntil = Instant.EPOCH;
         nextWait = FIRST_WAIT;
+        unconfirmed = false;
     }
 
     /** Tells whether the limit is zero after a failed connection. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -34,9 +34,9 @@
 
     /**
      * Failure rate above which a request without progress shows that the server is slow. It takes
-     * two such requests in a row, because a single one may be an unusually long prompt.
+     * three such requests in a row, because single ones may be unusually long prompts.
      */
-    private static final double SLOW_FAILURE_RATE = 0.4;
+    private static final double SLOW_FAILURE_RATE = 0.5;
 
     /** How long a server stays suspected after the last announcement of it. */
     private static final Duration SUSPICION_VALIDITY = Duration.ofMillis(1000);
--- a/src/test/java/org/tarragonlug/decision/forwarding/AdaptiveLimitTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/AdaptiveLimitTest.java
@@ -151,6 +151,18 @@
         assertEquals(List.of(700L, 1400L, 2800L, 2800L), waits);
     }
 
+    // Guards against a planner that takes a lost server for a sound one, because most instances
+    // have no share of its limit, do not try to connect and so do not report that they cannot.
+    @Test
+    void eachInstanceTriesOnceAfterAFailedConnection() {
+        limit.block(now);
+        now = now.plusMillis(700);
+        assertTrue(limit.hasRoom(0, 300, now));
+        assertFalse(limit.hasRoom(1, 300, now));
+        limit.unblock(now);
+        assertFalse(limit.hasRoom(0, 300, now));
+    }
+
     // Guards against a pause that ends early for requests because a connection failed in it.
     @Test
     void failedConnectionInAPauseLeavesTheLimitAfterIt() {
