--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
@@ -48,29 +48,32 @@
     private static final int MAX_REPORTED_PERCENT = 10_000;
     private static final double USUAL = ReportedLoad.USUAL_PACE;
 
+    /** A time before all others whose difference from them does not overflow. */
+    private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
     private double stated = 1;
-    private Instant statedAt = Instant.EPOCH;
+    private long statedAtMillis = LONG_AGO;
     private boolean statedToThisInstance;
     private double answers;
     private double meanLogRatio;
     private double learnt = 1;
-    private Instant learntAt = Instant.EPOCH;
+    private long learntAtMillis = LONG_AGO;
     private double announced = 1;
-    private Instant announcedAt = Instant.EPOCH;
+    private long announcedAtMillis = LONG_AGO;
     private int unreportedAnswers;
     private double unreportedLogSum;
 
     /** Forgets everything, because the server's process has started anew. */
     void reset() {
         stated = 1;
-        statedAt = Instant.EPOCH;
+        statedAtMillis = LONG_AGO;
         statedToThisInstance = false;
         answers = 0;
         meanLogRatio = 0;
         learnt = 1;
-        learntAt = Instant.EPOCH;
+        learntAtMillis = LONG_AGO;
         announced = 1;
-        announcedAt = Instant.EPOCH;
+        announcedAtMillis = LONG_AGO;
         unreportedAnswers = 0;
         unreportedLogSum = 0;
     }
@@ -82,11 +85,11 @@
      * @param percent the pace in percent of the usual time
      */
     public void recordStated(int percent, Instant now) {
-        if (now.isBefore(statedAt)) {
+        if (now.toEpochMilli() < statedAtMillis) {
             return;
         }
         stated = percent / USUAL;
-        statedAt = now;
+        statedAtMillis = now.toEpochMilli();
         statedToThisInstance = true;
     }
 
@@ -97,11 +100,11 @@
      * @param deviation standard deviation of this logarithm among all answers of the service
      */
     void recordAnswer(double logRatio, double deviation, Instant now) {
-        double elapsed = Duration.between(learntAt, now).toMillis();
+        double elapsed = now.toEpochMilli() - learntAtMillis;
         double kept = Math.pow(0.5, elapsed / LEARNING_HALF_LIFE.toMillis());
         answers = answers * kept + 1;
         meanLogRatio += (logRatio - meanLogRatio) / answers;
-        learntAt = now;
+        learntAtMillis = now.toEpochMilli();
         unreportedAnswers++;
         unreportedLogSum += logRatio;
         learnt = significantPace(deviation);
@@ -119,12 +122,17 @@
         return Math.max(1 / MAX_FACTOR, Math.min(pace, MAX_FACTOR));
     }
 
+    /** Tells whether both paces are the usual one, without regard to the age of other ones. */
+    boolean isUsual() {
+        return stated == 1 && learnt == 1 && announced == 1;
+    }
+
     /** Returns the pace that the server stated last, weighted by its age; 1 is the usual time. */
     public double stated(Instant now) {
         if (stated == 1) {
             return 1;
         }
-        double age = Duration.between(statedAt, now).toMillis();
+        double age = now.toEpochMilli() - statedAtMillis;
         double weight = 1 - age / STATEMENT_VALIDITY.toMillis();
         return weight <= 0 ? 1 : 1 + weight * (stated - 1);
     }
@@ -132,7 +140,7 @@
     /** Records the learnt pace that the planner announces, in percent. */
     void recordAnnouncedLearnt(int percent, Instant now) {
         announced = percent / USUAL;
-        announcedAt = now;
+        announcedAtMillis = now.toEpochMilli();
     }
 
     /**
@@ -140,9 +148,9 @@
      * does not replace a statement that this instance received a moment ago.
      */
     void recordAnnouncedStated(int percent, Instant now) {
-        if (!now.isBefore(statedAt.plus(YIELDING_AGE))) {
+        if (now.toEpochMilli() - statedAtMillis >= YIELDING_AGE.toMillis()) {
             stated = percent / USUAL;
-            statedAt = now;
+            statedAtMillis = now.toEpochMilli();
             statedToThisInstance = false;
         }
     }
@@ -152,7 +160,9 @@
      * in percent; otherwise the usual pace.
      */
     int newlyStatedPercent(Instant now) {
-        boolean isNew = statedToThisInstance && now.isBefore(statedAt.plus(YIELDING_AGE));
+        boolean isNew =
+                statedToThisInstance
+                        && now.toEpochMilli() - statedAtMillis < YIELDING_AGE.toMillis();
         return isNew ? (int) Math.round(stated(now) * USUAL) : ReportedLoad.USUAL_PACE;
     }
 
@@ -171,14 +181,13 @@
     }
 
     private boolean isAnnounced(Instant now) {
-        return announcedAt != Instant.EPOCH
-                && !now.isAfter(announcedAt.plus(ANNOUNCEMENT_VALIDITY));
+        return now.toEpochMilli() - announcedAtMillis <= ANNOUNCEMENT_VALIDITY.toMillis();
     }
 
     /** Tells whether nothing recorded here has an effect any more. */
     boolean isExpired(Instant now) {
-        return now.isAfter(learntAt.plus(LEARNT_VALIDITY))
-                && now.isAfter(statedAt.plus(STATEMENT_VALIDITY));
+        return now.toEpochMilli() - learntAtMillis > LEARNT_VALIDITY.toMillis()
+                && now.toEpochMilli() - statedAtMillis > STATEMENT_VALIDITY.toMillis();
     }
 
     /** Returns the pace that was learnt from the server's answer times; 1 is the usual time. */
@@ -186,6 +195,8 @@
         if (isAnnounced(now)) {
             return announced;
         }
-        return learnt == 1 || now.isAfter(learntAt.plus(LEARNT_VALIDITY)) ? 1 : learnt;
+        return learnt == 1 || now.toEpochMilli() - learntAtMillis > LEARNT_VALIDITY.toMillis()
+                ? 1
+                : learnt;
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
@@ -153,14 +153,23 @@
         double distance = server.failureDomain().equals(homeDomain) ? 0 : DISTANCE_COST;
         double failures = Math.max(0, server.failureRate(now) - TOLERATED_FAILURE_RATE);
         double suspicion = server.isSuspected(now) ? SUSPICION_COST : 0;
-        double learnt = server.pace().learnt(now);
-        double stated = server.pace().stated(now);
+        double time = load * load;
+        if (!server.pace().isUsual()) {
+            time = time(server.pace(), load, processingShare, statedWeight, now);
+        }
+        return time + distance + failures * FAILURE_COST + suspicion;
+    }
+
+    private static double time(
+            ServerPace pace,
+            double load,
+            double processingShare,
+            double statedWeight,
+            Instant now) {
+        double learnt = pace.learnt(now);
+        double stated = pace.stated(now);
         double wait = learnt * (1 + statedWeight * (stated - 1)) * load * load;
-        return wait
-                + processingShare * (learnt * stated - 1)
-                + distance
-                + failures * FAILURE_COST
-                + suspicion;
+        return wait + processingShare * (learnt * stated - 1);
     }
 
     /**
