--- a/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
@@ -65,6 +65,10 @@
     private final Map<String, Integer> desiredReplicas = new HashMap<>();
     private final Map<String, Instant> lastRequested = new HashMap<>();
     private final Map<PlannedServer, Optional<String>> victims = new IdentityHashMap<>();
+
+    /** The victims for models that requests wait for; these may replace more models. */
+    private final Map<PlannedServer, Optional<String>> victimsForWaiting = new IdentityHashMap<>();
+
     private int victimsChosenAt;
 
     ReplicaPolicy(PlacementView view, PlanContext context, ServiceName service, Instant now) {
@@ -144,12 +148,15 @@
         }
         if (victimsChosenAt != view.changes()) {
             victims.clear();
+            victimsForWaiting.clear();
             victimsChosenAt = view.changes();
         }
-        Optional<String> victim = victims.get(server);
+        Map<PlannedServer, Optional<String>> known =
+                waitedFor.contains(newModel) ? victimsForWaiting : victims;
+        Optional<String> victim = known.get(server);
         if (victim == null) {
             victim = chooseVictim(server, newModel);
-            victims.put(server, victim);
+            known.put(server, victim);
         }
         return victim;
     }
@@ -158,7 +165,7 @@
         String best = null;
         double lowest = Double.MAX_VALUE;
         for (String model : server.models().keySet()) {
-            if (model.equals(newModel) || !mayUnload(server, model)) {
+            if (model.equals(newModel) || !mayUnload(server, model, newModel)) {
                 continue;
             }
             double value = retentionValue(model);
@@ -178,10 +185,10 @@
     }
 
     /**
-     * Tells whether a server may unload a model. A model that was just loaded stays loaded for a
-     * while, so that the requests that waited for the model can reach it.
+     * Tells whether a server may unload a model to make room for another one. A model that was just
+     * loaded stays loaded for a while, so that the requests that waited for the model can reach it.
      */
-    private boolean mayUnload(PlannedServer server, String model) {
+    private boolean mayUnload(PlannedServer server, String model, String newModel) {
         if (now.isBefore(server.loadedAt(model).plus(MIN_LOADED_TIME))) {
             return false;
         }
@@ -189,8 +196,19 @@
         if (replicas > Math.max(1, desiredReplicas(model))) {
             return true;
         }
-        return desiredReplicas(model) == 0
+        return !isKept(model, newModel)
                 && !waitedFor.contains(model)
                 && now.isAfter(lastRequested(model).plus(MODEL_IN_USE));
     }
+
+    /**
+     * Tells whether the last replicas of a model stay loaded although another model needs room. If
+     * more models are in demand than fit into memory, keeping all that are asked for now and then
+     * would lock the others out; they take turns with the models that requests wait for.
+     */
+    private boolean isKept(String model, String newModel) {
+        return waitedFor.contains(newModel)
+                ? rate(model) >= SECOND_REPLICA_RATE
+                : desiredReplicas(model) > 0;
+    }
 }
