Write out equality of the ids that are keys of maps

The generated equals and hashCode of a record are linked when they are first called. The written methods return the same values, so maps keep their order.

--- a/src/main/java/org/tarragonlug/id/InstanceId.java
+++ b/src/main/java/org/tarragonlug/id/InstanceId.java
@@ -15,6 +15,18 @@
         return value.compareTo(other.value);
     }
 
+    // Written out, because the generated methods are linked at run time, which lengthens each
+    // start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof InstanceId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/src/main/java/org/tarragonlug/id/ModelKey.java
+++ b/src/main/java/org/tarragonlug/id/ModelKey.java
@@ -32,6 +32,20 @@
         return toString().compareTo(other.toString());
     }
 
+    // Written out, because the generated methods are linked at run time, which lengthens each
+    // start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ModelKey that
+                && model.equals(that.model)
+                && adapter.equals(that.adapter);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * model.hashCode() + adapter.hashCode();
+    }
+
     @Override
     public String toString() {
         return adapter.isEmpty() ? model : model + "/" + adapter;
--- a/src/main/java/org/tarragonlug/id/ServerIncarnation.java
+++ b/src/main/java/org/tarragonlug/id/ServerIncarnation.java
@@ -24,6 +24,20 @@
                 Long.parseLong(text.substring(separator + 1)));
     }
 
+    // Written out, because the generated methods are linked at run time, which lengthens each
+    // start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServerIncarnation that
+                && server.equals(that.server)
+                && startedMillis == that.startedMillis;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * server.hashCode() + Long.hashCode(startedMillis);
+    }
+
     @Override
     public String toString() {
         return server + "@" + startedMillis;
