--- a/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReadyTimeEstimator.java
@@ -134,7 +134,7 @@
         if (megabytes <= outlook.freeMegabytes) {
             return Optional.of(ready);
         }
-        if (outlook.hasVictim(model)) {
+        if (policy.victim(server, model).isPresent()) {
             return Optional.of(ready.plus(OrderManager.UNLOAD_TIME));
         }
         return megabytes <= outlook.laterMegabytes()
@@ -175,7 +175,6 @@
         private final PlannedServer server;
         private final Instant start;
         private final double freeMegabytes;
-        private Boolean hasVictim;
         private Double laterMegabytes;
 
         ServerOutlook(PlannedServer server) {
@@ -189,16 +188,6 @@
                             : earliest;
         }
 
-        boolean hasVictim(String model) {
-            if (server.models().containsKey(model)) {
-                return policy.victim(server, model).isPresent();
-            }
-            if (hasVictim == null) {
-                hasVictim = policy.victim(server, model).isPresent();
-            }
-            return hasVictim;
-        }
-
         /** Returns the room once models without demand are unloaded, when their use has ended. */
         double laterMegabytes() {
             if (laterMegabytes == null) {
