--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -242,6 +242,11 @@
         return counts;
     }
 
+    /** Returns how many servers are slow, by what they state or by what was learnt. */
+    public long slowCount(Instant now) {
+        return servers.values().stream().filter(server -> server.pace().isSlow(now)).count();
+    }
+
     /** Returns how many servers are available for new requests. */
     public long availableCount(Instant now) {
         return servers.values().stream().filter(server -> server.isAvailable(now)).count();
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
@@ -45,6 +45,9 @@
     /** Largest factor between a learnt pace and the usual one, which bounds a wrong estimate. */
     private static final double MAX_FACTOR = 8;
 
+    /** Pace from which on a server counts as slow, as a multiple of the usual time. */
+    public static final double SLOW_PACE = 1.3;
+
     private static final int MAX_REPORTED_PERCENT = 10_000;
     private static final double USUAL = ReportedLoad.USUAL_PACE;
 
@@ -127,6 +130,11 @@
         return stated == 1 && learnt == 1 && announced == 1;
     }
 
+    /** Tells whether work takes so much longer than usual that requests are noticeably late. */
+    boolean isSlow(Instant now) {
+        return stated(now) * learnt(now) >= SLOW_PACE;
+    }
+
     /** Returns the pace that the server stated last, weighted by its age; 1 is the usual time. */
     public double stated(Instant now) {
         if (stated == 1) {
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -12,6 +12,7 @@
 import org.tarragonlug.decision.forwarding.ModelSpecification;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.decision.forwarding.ServerListing;
+import org.tarragonlug.decision.forwarding.ServerPace;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
 
@@ -29,9 +30,6 @@
     /** How long an unloaded adapter counts as unloaded although a late listing still shows it. */
     private static final Duration UNLOAD_VALIDITY = Duration.ofSeconds(4);
 
-    /** Pace from which on a server counts as slow, as a multiple of the usual time. */
-    private static final double SLOW_PACE = 1.3;
-
     private ServerListing listing;
     private Map<String, Set<String>> models;
     private long orderCount;
@@ -97,7 +95,7 @@
 
     /** Tells whether work takes so long here that requests are noticeably late. */
     boolean isSlow() {
-        return pace >= SLOW_PACE;
+        return pace >= ServerPace.SLOW_PACE;
     }
 
     /**
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -311,6 +311,7 @@
 
     private void countServers(Instant now) {
         metrics.setServers(coordinator.fleet().countByAvailability(now));
+        metrics.setSlowServers(coordinator.fleet().slowCount(now));
     }
 
     private void tick() {
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -84,6 +84,12 @@
                     .help("Listed servers by whether they get requests, or why not")
                     .labelNames("availability")
                     .register(registry);
+    private final Gauge slowServers =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_slow_servers")
+                    .help("Listed servers on which work takes 1.3 times as long as usual, or more")
+                    .register(registry);
     private final Counter serverLosses =
             Counter.builder()
                     .withoutExemplars()
@@ -152,6 +158,10 @@
                 (availability, count) -> servers.labelValues(lowerCase(availability)).set(count));
     }
 
+    void setSlowServers(long count) {
+        slowServers.set(count);
+    }
+
     private static String lowerCase(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -136,7 +136,7 @@
                             placement.suspectedServers(),
                             paceTotals.learnt(now),
                             paceTotals.stated(now)));
-            placement.post(new PlacementEvent.PacesLearnt(paceTotals.learnt(now)));
+            placement.onPacesLearnt(paceTotals.learnt(now));
         }
         sendReport(Audience.PLANNER, now);
         standbyReportDue = !standbyReportDue;
--- a/src/main/java/org/tarragonlug/gateway/PlacementDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/PlacementDriver.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -28,6 +29,7 @@
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
+    private final LearntPaceLog paceLog;
     private final NoticeListener noticeListener;
     private boolean planning;
     private Set<ServerId> orderableServers = Set.of();
@@ -55,6 +57,7 @@
         this.loop = loop;
         this.timers = timers;
         this.log = log;
+        this.paceLog = new LearntPaceLog(log);
         this.noticeListener = noticeListener;
     }
 
@@ -96,6 +99,12 @@
         return planner.suspectedServers(timers.now());
     }
 
+    /** Passes on how long work takes on the servers, in percent; others have the usual pace. */
+    void onPacesLearnt(Map<ServerId, Integer> paces) {
+        paceLog.update(paces);
+        post(new PlacementEvent.PacesLearnt(paces));
+    }
+
     void post(PlacementEvent event) {
         for (PlacementCommand command : planner.handle(event, timers.now())) {
             execute(command);
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -51,6 +51,8 @@
     SERVER_NOTICE(Level.INFO),
     /** A backend server says something about itself that cannot be taken as it says it. */
     SERVER_NOTICE_ODD(Level.WARN),
+    /** What the planner has learnt of how long work takes on a backend server has changed. */
+    SERVER_PACE_LEARNT(Level.INFO),
     /** A backend server reports that it is leaving and accepts no new work. */
     SERVER_LEAVING(Level.INFO),
     /** Requests crashed backend servers; those that are like them are refused from now on. */
--- a/src/main/java/org/tarragonlug/simulation/FleetMeasurement.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetMeasurement.java
@@ -13,13 +13,22 @@
      * @param scenario the scenario
      * @param instances number of instances
      * @param hasher hashes requests and prefixes to servers
+     * @param statedPaces whether servers state their pace with their load
      * @param seed seed of the traffic and the placement at the start
      * @param output receives the table
      */
     public static void run(
-            FleetScenarios scenario, int instances, Hasher hasher, long seed, PrintStream output) {
+            FleetScenarios scenario,
+            int instances,
+            boolean statedPaces,
+            Hasher hasher,
+            long seed,
+            PrintStream output) {
         FleetSimulation simulation =
                 new FleetSimulation(scenario.scenario(instances), hasher, seed);
+        if (statedPaces) {
+            simulation.statePaces();
+        }
         FleetRecorder recorder = simulation.run();
         output.printf("%s, %d instances, seed %d%n", scenario, instances, seed);
         recorder.print(output);
--- a/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
+++ b/src/main/java/org/tarragonlug/simulation/FleetSimulation.java
@@ -79,6 +79,11 @@
         quarantines.forEach(each -> each.connect(quarantines));
     }
 
+    /** Makes all servers state their pace with their load. */
+    void statePaces() {
+        servers.values().forEach(ModelServer::statePace);
+    }
+
     private void addServer(int number) {
         ServerId id = new ServerId("server-" + number);
         servers.put(
--- a/src/main/java/org/tarragonlug/simulation/ModelServer.java
+++ b/src/main/java/org/tarragonlug/simulation/ModelServer.java
@@ -74,6 +74,7 @@
     private boolean down;
     private long startedMillis = 1;
     private double slowness = 1;
+    private boolean statesPace;
     private int violations;
     private long readTokens;
     private final List<Instant> partCrashes = new ArrayList<>();
@@ -153,6 +154,11 @@
         return true;
     }
 
+    /** Makes the server state its pace with its load. */
+    void statePace() {
+        statesPace = true;
+    }
+
     void setSlowness(double factor) {
         slowness = factor;
     }
@@ -213,7 +219,11 @@
     }
 
     private ReportedLoad load() {
-        return new ReportedLoad(running.size(), waiting.size(), scenario.slots());
+        int pace =
+                statesPace
+                        ? (int) Math.round(slowness * ReportedLoad.USUAL_PACE)
+                        : ReportedLoad.USUAL_PACE;
+        return new ReportedLoad(running.size(), waiting.size(), scenario.slots(), pace);
     }
 
     boolean isDown() {
--- a/src/main/java/org/tarragonlug/tool/MeasureCommand.java
+++ b/src/main/java/org/tarragonlug/tool/MeasureCommand.java
@@ -100,12 +100,17 @@
                             defaultValue = "95",
                             description = "Number of instances.")
                     int instances,
+            @Option(
+                            names = "--stated-paces",
+                            description = "Servers state their pace with their load.")
+                    boolean statedPaces,
             @Option(
                             names = "--seed",
                             defaultValue = "1",
                             description = "Seed of the random numbers.")
                     long seed) {
-        FleetMeasurement.run(scenario, instances, new Hash4jHasher(), seed, System.out);
+        FleetMeasurement.run(
+                scenario, instances, statedPaces, new Hash4jHasher(), seed, System.out);
         return ExitStatus.SUCCESS;
     }
 
