--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -114,6 +114,12 @@
                     .help("Listed servers whose requests in flight are limited, by cause")
                     .labelNames("cause")
                     .register(registry);
+    private final Gauge slowServers =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_slow_servers")
+                    .help("Listed servers on which work takes 1.3 times as long as usual, or more")
+                    .register(registry);
     private final Counter serverLosses =
             Counter.builder()
                     .withoutExemplars()
@@ -198,6 +204,10 @@
         counts.forEach((cause, count) -> limitedServers.labelValues(lowerCase(cause)).set(count));
     }
 
+    void setSlowServers(long count) {
+        slowServers.set(count);
+    }
+
     private static String lowerCase(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -59,6 +59,8 @@
     SERVER_LIMIT_BEGUN(Level.INFO),
     /** The requests at a backend server are no longer limited. */
     SERVER_LIMIT_ENDED(Level.INFO),
+    /** What the planner has learnt of how long work takes on a backend server has changed. */
+    SERVER_PACE_LEARNT(Level.INFO),
     /** A backend server reports that it is leaving and accepts no new work. */
     SERVER_LEAVING(Level.INFO),
     /** Requests crashed backend servers; those that are like them are refused from now on. */
