Choose a server's victim again only after a change of its models

The victim of a server depends on the replicas of the models that it holds. Each order and reservation discarded the victims of all servers; choosing them again took half of the planner's processor time.

PlacementView notes the models whose replicas change, and the policy discards the victims of the servers that hold one of these.

--- a/src/main/java/org/tarragonlug/decision/placement/PlacementView.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementView.java
@@ -26,6 +26,7 @@
     private final Map<String, Set<PlannedServer>> preparingServers = new HashMap<>();
     private final Map<PlannedServer, Set<String>> modelsInPreparation = new IdentityHashMap<>();
     private final Map<PlannedServer, Double> usedMegabytes = new IdentityHashMap<>();
+    private final List<String> changedModels = new ArrayList<>();
     private int changes;
     private int remoteLoads;
     private int remoteLoadsCountedAt = -1;
@@ -66,6 +67,7 @@
         Set<String> before = modelsInPreparation.remove(server);
         if (before != null) {
             before.forEach(model -> preparingServers.get(model).remove(server));
+            changedModels.addAll(before);
         }
         Set<String> models = new HashSet<>();
         if (server.order != null && server.isLoading(server.order.key().model())) {
@@ -79,6 +81,10 @@
         }
         if (!models.isEmpty()) {
             modelsInPreparation.put(server, models);
+            changedModels.addAll(models);
+        }
+        if (server.order != null) {
+            changedModels.add(server.order.key().model());
         }
     }
 
@@ -90,6 +96,15 @@
         return changes;
     }
 
+    /**
+     * Returns the models whose replicas, including those in preparation, may have changed in this
+     * round, in the order of the changes. What was computed from the replicas of other models stays
+     * valid.
+     */
+    List<String> changedModels() {
+        return changedModels;
+    }
+
     /** Returns the number of loads from the weight store that are in progress. */
     int remoteLoads() {
         if (remoteLoadsCountedAt != changes) {
--- a/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -69,7 +70,8 @@
     /** The victims for models that requests wait for; these may replace more models. */
     private final Map<PlannedServer, Optional<String>> victimsForWaiting = new IdentityHashMap<>();
 
-    private int victimsChosenAt;
+    /** Number of changed models for which the victims have been discarded. */
+    private int discardedChanges;
 
     ReplicaPolicy(PlacementView view, PlanContext context, ServiceName service, Instant now) {
         this.view = view;
@@ -146,11 +148,7 @@
         if (server.models().containsKey(newModel)) {
             return chooseVictim(server, newModel);
         }
-        if (victimsChosenAt != view.changes()) {
-            victims.clear();
-            victimsForWaiting.clear();
-            victimsChosenAt = view.changes();
-        }
+        discardOutdatedVictims();
         Map<PlannedServer, Optional<String>> known =
                 waitedFor.contains(newModel) ? victimsForWaiting : victims;
         Optional<String> victim = known.get(server);
@@ -161,6 +159,17 @@
         return victim;
     }
 
+    /** Discards the victims of the servers that hold a model whose replicas have changed. */
+    private void discardOutdatedVictims() {
+        List<String> changed = view.changedModels();
+        while (discardedChanges < changed.size()) {
+            String model = changed.get(discardedChanges);
+            discardedChanges++;
+            victims.keySet().removeIf(server -> server.models().containsKey(model));
+            victimsForWaiting.keySet().removeIf(server -> server.models().containsKey(model));
+        }
+    }
+
     private Optional<String> chooseVictim(PlannedServer server, String newModel) {
         String best = null;
         double lowest = Double.MAX_VALUE;
