Add the decisions on quotas over all instances

Cause: accounts share a quota over all instances (docs/design/shared-load.md, 4.2). Result: compiles; not run.

--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
@@ -0,0 +1,329 @@
+package org.tarragonlug.decision.quota;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tarragonlug.decision.account.Quota;
+import org.tarragonlug.id.AccountName;
+import org.tarragonlug.id.InstanceId;
+
+/**
+ * The allowance of client accounts at one instance.
+ *
+ * <p>A request takes its cost from grants of the lender, or in advance from the instance's share of
+ * what the platform tolerates beyond the allowance; the next grants cover advances first. So most
+ * requests need no message of their own, and the same share serves while no lender is heard: then
+ * advances are not covered, and count until no window contains them any more. {@link QuotaPlan}
+ * says why grants and advances together stay within the limit.
+ *
+ * <p>A grant counts only if it answers a request that this process sent less than its lifetime ago
+ * by its own clock, so grants of a paused or restarted process have no effect. A process that has
+ * just started advances nothing for a window, because its predecessor may have spent its share. The
+ * instance reports to one lender at a time. Before it reports to another one, and after its start,
+ * it pauses until no earlier lender counts it any more; so the parts of the whole that several
+ * lenders give never exceed it.
+ */
+public final class QuotaBorrower {
+    private record SentRequest(Instant at, Map<AccountName, Integer> needed) {}
+
+    /** How long a request for allowance counts as unanswered rather than lost. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(150);
+
+    /** The longest time for which requests are refused without asking the lender again. */
+    private static final Duration MAX_EXHAUSTED = Duration.ofMillis(1000);
+
+    /** When callers should come back if nothing is known about the time at which there is room. */
+    private static final Duration RETRY_UNKNOWN = Duration.ofMillis(500);
+
+    private final Optional<QuotaTolerance> tolerance;
+    private final InstanceTotal instances;
+    private final Map<AccountName, BorrowedAllowance> accounts = new HashMap<>();
+
+    /** Accounts that hold, owe or expect anything; the others cost no time. */
+    private final Set<AccountName> active = new HashSet<>();
+
+    private final Map<Long, SentRequest> sent = new LinkedHashMap<>();
+    private final List<QuotaChange> changes = new ArrayList<>();
+    private long nextNumber;
+    private Instant startedAt;
+    private InstanceId lender;
+    private Instant mayRequestAt;
+    private Instant lastRequestAt;
+    private Instant lenderHeardAt = Instant.MIN;
+
+    /**
+     * Creates a borrower without allowance.
+     *
+     * @param tolerance what the platform tolerates; without it nothing is advanced, and quotas are
+     *     not enforced while no lender is heard
+     * @param instances number of instances that share the tolerance
+     * @param firstNumber number of the first request; random, so that it differs between processes
+     */
+    public QuotaBorrower(
+            Optional<QuotaTolerance> tolerance, InstanceTotal instances, long firstNumber) {
+        this.tolerance = tolerance;
+        this.instances = instances;
+        this.nextNumber = firstNumber;
+    }
+
+    /** Replaces the quotas. Accounts without a quota are left out. */
+    public void onTableInstalled(Map<AccountName, Quota> quotas, Instant now) {
+        start(now);
+        accounts.keySet().retainAll(quotas.keySet());
+        active.retainAll(quotas.keySet());
+        quotas.forEach(
+                (account, quota) -> {
+                    QuotaPlan plan = QuotaPlan.of(quota, tolerance);
+                    accounts.computeIfAbsent(account, each -> new BorrowedAllowance(each, plan))
+                            .setPlan(plan);
+                });
+    }
+
+    private void start(Instant now) {
+        if (startedAt == null) {
+            startedAt = now;
+            mayRequestAt = now.plus(QuotaTimes.BORROWER_RETENTION);
+        }
+    }
+
+    /** Returns whether any account has a quota. */
+    public boolean hasQuotas() {
+        return !accounts.isEmpty();
+    }
+
+    /** Sets the instances that may be asked, as far as known. The present one is kept if it may. */
+    public void onLenders(Set<InstanceId> candidates, Instant now) {
+        start(now);
+        if (lender != null && candidates.contains(lender)) {
+            return;
+        }
+        InstanceId chosen =
+                candidates.stream()
+                        .min((one, other) -> one.value().compareTo(other.value()))
+                        .orElse(null);
+        if (chosen == null) {
+            return;
+        }
+        mayRequestAt = later(mayRequestAt, now);
+        if (lastRequestAt != null) {
+            mayRequestAt =
+                    later(mayRequestAt, lastRequestAt.plus(QuotaTimes.BORROWER_RETENTION));
+        }
+        lender = chosen;
+        lenderHeardAt = Instant.MIN;
+    }
+
+    private static Instant later(Instant one, Instant other) {
+        return one.isAfter(other) ? one : other;
+    }
+
+    /** Returns the instance that gives allowance to this one; empty if none is known. */
+    public Optional<InstanceId> lender() {
+        return Optional.ofNullable(lender);
+    }
+
+    /** Returns whether the lender has answered recently. */
+    public boolean hearsLender(Instant now) {
+        return lenderHeardAt != Instant.MIN
+                && now.isBefore(lenderHeardAt.plus(QuotaTimes.LENDER_TIMEOUT));
+    }
+
+    private boolean mayAskLender(Instant now) {
+        boolean pausing = now.plus(QuotaTimes.MAX_WAIT).isBefore(mayRequestAt);
+        boolean unanswered =
+                lastRequestAt != null
+                        && !hearsLender(now)
+                        && now.isAfter(mayRequestAt.plus(QuotaTimes.LENDER_TIMEOUT));
+        return lender != null && !pausing && !unanswered;
+    }
+
+    /** Takes the cost of a request, or says whether the request should wait. */
+    public TakeResult take(AccountName account, long cost, Instant now) {
+        BorrowedAllowance allowance = accounts.get(account);
+        boolean enforced = tolerance.isPresent() || hearsLender(now);
+        if (allowance == null || !enforced) {
+            return new TakeResult.Taken(
+                    new QuotaCharge(account, 0, Instant.MIN, 0, now));
+        }
+        active.add(account);
+        allowance.expire(now, advanceRetention());
+        long held = allowance.held();
+        if (held >= cost) {
+            return new TakeResult.Taken(allowance.take(cost, now));
+        }
+        if (allowance.isExhausted(now)) {
+            return refuse(account, allowance, now);
+        }
+        if (held + advanceRoom(allowance, now) >= cost) {
+            return new TakeResult.Taken(allowance.take(cost, now));
+        }
+        return mayAskLender(now) ? new TakeResult.Wait() : refuse(account, allowance, now);
+    }
+
+    private long advanceRoom(BorrowedAllowance allowance, Instant now) {
+        boolean mayHaveSpentBefore = now.isBefore(startedAt.plus(advanceRetention()));
+        return mayHaveSpentBefore ? 0 : allowance.advanceRoom(instances.current());
+    }
+
+    private Duration advanceRetention() {
+        return tolerance.map(QuotaTolerance::window).orElse(Duration.ZERO).plus(QuotaTimes.MAX_WAIT);
+    }
+
+    /** Refuses a request that waited for a grant in vain. */
+    public TakeResult.Refused refuse(AccountName account, Instant now) {
+        BorrowedAllowance allowance = accounts.get(account);
+        return allowance == null
+                ? new TakeResult.Refused(RETRY_UNKNOWN)
+                : refuse(account, allowance, now);
+    }
+
+    private TakeResult.Refused refuse(
+            AccountName account, BorrowedAllowance allowance, Instant now) {
+        if (allowance.recordRefusal(now)) {
+            changes.add(new QuotaChange(account, true, 0));
+        }
+        Duration room = allowance.timeToRoom(now, advanceRetention());
+        if (room.isZero() && now.isBefore(mayRequestAt)) {
+            room = Duration.between(now, mayRequestAt);
+        }
+        return new TakeResult.Refused(room.isZero() ? RETRY_UNKNOWN : room);
+    }
+
+    /** Records that a request of this cost waits, so that the lender is asked for it. */
+    public void startWaiting(AccountName account, long cost) {
+        BorrowedAllowance allowance = accounts.get(account);
+        if (allowance != null) {
+            allowance.startWaiting(cost);
+        }
+    }
+
+    /** Records that a request of this cost waits no more. */
+    public void endWaiting(AccountName account, long cost) {
+        BorrowedAllowance allowance = accounts.get(account);
+        if (allowance != null) {
+            allowance.endWaiting(cost);
+        }
+    }
+
+    /** Returns what a request has taken that is known not to have run and never will. */
+    public void giveBack(QuotaCharge charge, Instant now) {
+        BorrowedAllowance allowance = accounts.get(charge.account());
+        if (allowance != null && charge.markReturned()) {
+            allowance.expire(now, advanceRetention());
+            allowance.giveBack(charge, now);
+        }
+    }
+
+    /**
+     * Returns the request for allowance to be sent to the lender now; empty while no account has a
+     * quota, no lender is known, or this instance must not report to it yet.
+     */
+    public Optional<AllowanceRequest> demands(Instant now) {
+        if (accounts.isEmpty() || lender == null || now.isBefore(mayRequestAt)) {
+            return Optional.empty();
+        }
+        sent.values().removeIf(each -> !now.isBefore(each.at().plus(QuotaTimes.GRANT_LIFETIME)));
+        Map<AccountName, Integer> needed = new HashMap<>();
+        Map<AccountName, Integer> extra = new HashMap<>();
+        active.removeIf(account -> addDemand(account, needed, extra, now));
+        long number = nextNumber++;
+        lastRequestAt = now;
+        sent.put(number, new SentRequest(now, Map.copyOf(needed)));
+        return Optional.of(new AllowanceRequest(number, needed, extra));
+    }
+
+    /** Adds what an account needs; returns whether nothing is known of it any more. */
+    private boolean addDemand(
+            AccountName account,
+            Map<AccountName, Integer> needed,
+            Map<AccountName, Integer> extra,
+            Instant now) {
+        BorrowedAllowance allowance = accounts.get(account);
+        allowance.expire(now, advanceRetention());
+        if (lastRequestAt != null && now.isAfter(lastRequestAt)) {
+            allowance.measure(QuotaTimes.seconds(Duration.between(lastRequestAt, now)));
+        }
+        long refused = allowance.endRefusals(now);
+        if (refused > 0) {
+            changes.add(new QuotaChange(account, false, refused));
+        }
+        putIfPositive(needed, account, allowance.needed() - unanswered(account, now));
+        putIfPositive(extra, account, allowance.extra(instances.current()));
+        return allowance.isIdle();
+    }
+
+    private static void putIfPositive(
+            Map<AccountName, Integer> amounts, AccountName account, long amount) {
+        if (amount > 0) {
+            amounts.put(account, (int) Math.min(amount, Integer.MAX_VALUE));
+        }
+    }
+
+    private long unanswered(AccountName account, Instant now) {
+        long sum = 0;
+        for (SentRequest request : sent.values()) {
+            if (now.isBefore(request.at().plus(ANSWER_TIMEOUT))) {
+                sum += request.needed().getOrDefault(account, 0);
+            }
+        }
+        return sum;
+    }
+
+    /**
+     * Applies the answer of a lender to a request for allowance.
+     *
+     * @return whether the answer was in time; a late or unknown one has no effect
+     */
+    public boolean onGrants(InstanceId from, AllowanceNotice notice, Instant now) {
+        SentRequest request = from.equals(lender) ? sent.remove(notice.number()) : null;
+        if (request == null) {
+            return false;
+        }
+        Instant expiry = request.at().plus(QuotaTimes.GRANT_LIFETIME);
+        if (!now.isBefore(expiry)) {
+            return false;
+        }
+        lenderHeardAt = now;
+        instances.onAnnounced(notice.instances(), now);
+        request.needed().keySet().forEach(account -> onAnswered(account, notice, now));
+        notice.granted()
+                .forEach(
+                        (account, amount) -> {
+                            BorrowedAllowance allowance = accounts.get(account);
+                            if (allowance != null) {
+                                active.add(account);
+                                allowance.onGranted(amount, expiry, now);
+                            }
+                        });
+        return true;
+    }
+
+    private void onAnswered(AccountName account, AllowanceNotice notice, Instant now) {
+        BorrowedAllowance allowance = accounts.get(account);
+        if (allowance == null) {
+            return;
+        }
+        Integer waitMillis = notice.waitMillis().get(account);
+        if (waitMillis == null) {
+            allowance.onRoom();
+            return;
+        }
+        Duration wait = Duration.ofMillis(waitMillis);
+        Duration bounded = wait.compareTo(MAX_EXHAUSTED) > 0 ? MAX_EXHAUSTED : wait;
+        allowance.onExhausted(now.plus(bounded), now.plus(wait));
+    }
+
+    /** Returns the changes since the last call. */
+    public List<QuotaChange> pollChanges() {
+        List<QuotaChange> polled = List.copyOf(changes);
+        changes.clear();
+        return polled;
+    }
+}
