Add messages for allowance and the measurement of quotas

Cause: instances ask the planner for allowance (docs/design/shared-load.md, 4.2). Change: optional field allowance in ModelDemandReport and PlacementNotice; AllowanceCall and AllowanceCallAnswer between two reports; measure quota runs borrowers and lenders in virtual time. PeerCodecTest expects two more kinds. Nothing in the gateway uses them yet.

--- a/src/main/java/org/tarragonlug/decision/quota/AllowanceNotice.java
+++ b/src/main/java/org/tarragonlug/decision/quota/AllowanceNotice.java
@@ -9,8 +9,8 @@
  * @param number number of the request
  * @param instances number of instances among which the whole is divided; 0 if not known
  * @param granted units granted, by account; accounts without a grant are left out
- * @param waitMillis time in milliseconds until there will be room, for accounts that got less than
- *     they needed
+ * @param waitMillis time in milliseconds until there will be room, for accounts whose waiting
+ *     requests did not get all that they need
  */
 public record AllowanceNotice(
         long number,
@@ -20,5 +20,7 @@
     public AllowanceNotice {
         granted = Map.copyOf(granted);
         waitMillis = Map.copyOf(waitMillis);
+        AllowanceRequest.requirePositive(granted);
+        AllowanceRequest.requirePositive(waitMillis);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/quota/AllowanceRequest.java
+++ b/src/main/java/org/tarragonlug/decision/quota/AllowanceRequest.java
@@ -9,14 +9,32 @@
  *
  * @param number number of the request, which the answer repeats; the first number of a process is
  *     random, so that no answer to an earlier process is taken for one to this
- * @param needed units that were spent in advance or that requests wait for, by account; accounts
- *     without need are left out
- * @param extra units that are expected to be needed until the next request, by account
+ * @param advanced units that were spent in advance, by account; accounts without are left out
+ * @param waiting units that requests wait for, by account
+ * @param extra units that are welcome if nobody needs them, by account
  */
 public record AllowanceRequest(
-        long number, Map<AccountName, Integer> needed, Map<AccountName, Integer> extra) {
+        long number,
+        Map<AccountName, Integer> advanced,
+        Map<AccountName, Integer> waiting,
+        Map<AccountName, Integer> extra) {
     public AllowanceRequest {
-        needed = Map.copyOf(needed);
+        advanced = Map.copyOf(advanced);
+        waiting = Map.copyOf(waiting);
         extra = Map.copyOf(extra);
+        requirePositive(advanced);
+        requirePositive(waiting);
+        requirePositive(extra);
+    }
+
+    /**
+     * Checks amounts that come from another process.
+     *
+     * @throws IllegalArgumentException if one of them is not positive
+     */
+    static void requirePositive(Map<AccountName, Integer> amounts) {
+        if (amounts.values().stream().anyMatch(amount -> amount <= 0)) {
+            throw new IllegalArgumentException("amounts of allowance must be positive");
+        }
     }
 }
--- a/src/main/java/org/tarragonlug/decision/quota/BorrowedAllowance.java
+++ b/src/main/java/org/tarragonlug/decision/quota/BorrowedAllowance.java
@@ -36,6 +36,10 @@
     private final List<Grant> grants = new ArrayList<>();
     private final Deque<QuotaCharge> advances = new ArrayDeque<>();
     private long unsettled;
+
+    /** The part of the unsettled units that was advanced while no lender was heard. */
+    private long unsettledAlone;
+
     private long waiting;
     private long spentSinceRequest;
     private int requestsSinceRequest;
@@ -61,11 +65,16 @@
         while (!advances.isEmpty()
                 && now.isAfter(advances.getFirst().at().plus(advanceRetention))) {
             QuotaCharge oldest = advances.removeFirst();
-            unsettled -= oldest.advance();
+            subtract(oldest, oldest.advance());
             oldest.clearAdvance();
         }
     }
 
+    private void subtract(QuotaCharge charge, long amount) {
+        unsettled -= amount;
+        unsettledAlone -= charge.lenderHeard() ? 0 : amount;
+    }
+
     long held() {
         long sum = 0;
         for (Grant grant : grants) {
@@ -93,7 +102,7 @@
     }
 
     /** Takes units from grants, those that expire first, and the rest as an advance. */
-    QuotaCharge take(long cost, Instant now) {
+    QuotaCharge take(long cost, boolean lenderHeard, Instant now) {
         long missing = cost;
         Instant expiry = Instant.MAX;
         Iterator<Grant> each = grants.iterator();
@@ -111,10 +120,11 @@
         }
         grants.clear();
         grants.addAll(remaining);
-        QuotaCharge charge = new QuotaCharge(account, cost - missing, expiry, missing, now);
+        QuotaCharge charge =
+                new QuotaCharge(account, cost - missing, expiry, missing, lenderHeard, now);
         if (missing > 0) {
             advances.addLast(charge);
-            unsettled += missing;
+            subtract(charge, -missing);
         }
         spentSinceRequest += cost;
         requestsSinceRequest++;
@@ -124,7 +134,7 @@
     /** Returns what a request took that has not run, as far as it is still valid. */
     void giveBack(QuotaCharge charge, Instant now) {
         if (charge.advance() > 0) {
-            unsettled -= charge.advance();
+            subtract(charge, charge.advance());
             advances.remove(charge);
             charge.clearAdvance();
         }
@@ -139,7 +149,7 @@
             QuotaCharge oldest = advances.getFirst();
             long part = Math.min(left, oldest.advance());
             oldest.settle(part, expiry);
-            unsettled -= part;
+            subtract(oldest, part);
             left -= part;
             if (oldest.advance() == 0) {
                 advances.removeFirst();
@@ -177,9 +187,18 @@
         waiting -= cost;
     }
 
-    /** Returns what the lender should cover: advances, and requests that wait. */
-    long needed() {
-        return unsettled + Math.max(0, waiting - held());
+    /**
+     * Returns the advances that the lender should cover. Those made while no lender was heard are
+     * left out. The allowance of that time was never given, so to cover them from the present one
+     * would refuse requests that are within it.
+     */
+    long advanced() {
+        return unsettled - unsettledAlone;
+    }
+
+    /** Returns what requests wait for beyond what is held. */
+    long waiting() {
+        return Math.max(0, waiting - held());
     }
 
     /** Brings the averages up to date at a request for allowance. */
@@ -191,13 +210,16 @@
         requestsSinceRequest = 0;
     }
 
-    /** Returns what should be held in advance, beyond what is held and may be advanced. */
+    /**
+     * Returns what should be granted if nobody needs it: advances that are not needed to be
+     * covered, and what is expected to be spent beyond what is held and may be advanced.
+     */
     long extra(int instances) {
         if (requestRate * HORIZON_SECONDS < MIN_REQUESTS) {
-            return 0;
+            return unsettledAlone;
         }
-        double expected = rate * HORIZON_SECONDS;
-        return Math.max(0, (long) (expected - held() - advanceRoom(instances)));
+        double expected = rate * HORIZON_SECONDS - held() - advanceRoom(instances);
+        return unsettledAlone + Math.max(0, (long) expected);
     }
 
     /** Counts a refusal; returns whether an episode of refusals begins. */
--- a/src/main/java/org/tarragonlug/decision/quota/LentAccount.java
+++ b/src/main/java/org/tarragonlug/decision/quota/LentAccount.java
@@ -14,12 +14,23 @@
 final class LentAccount {
     private record Shortfall(long amount, Instant at) {}
 
+    /**
+     * What a borrower gets.
+     *
+     * @param amount units granted
+     * @param missing units that are needed beyond that
+     */
+    record Grant(long amount, long missing) {}
+
     /** How long a shortfall counts that its borrower does not report again. */
-    private static final Duration SHORTFALL_VALIDITY = Duration.ofMillis(1000);
+    private static final Duration SHORTFALL_VALIDITY = Duration.ofMillis(300);
 
     /** The part of what nobody needs now that one borrower gets in advance. */
     private static final double EXTRA_SHARE = 0.25;
 
+    /** The part of the burst from which on what requests wait for is given in part. */
+    private static final double LARGE_SHARE = 0.25;
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     private QuotaPlan plan;
@@ -52,13 +63,25 @@
         level = Math.min(level, plan.burst() * part);
     }
 
-    /** Grants what is needed, and of the rest a part in advance. */
-    int grant(long needed, long extra) {
-        long granted = (long) Math.min(needed, level);
-        level -= granted;
-        long inAdvance = granted < needed ? 0 : (long) Math.min(extra, level * EXTRA_SHARE);
+    /**
+     * Grants what was advanced, then what requests wait for, and of the rest a part as extra.
+     * Advances can be covered in part. What requests wait for is given whole or not at all, since a
+     * part that is too small for the next request expires unused; only a large amount, which the
+     * bucket may never hold, is given in part.
+     */
+    Grant grant(long advanced, long waiting, long extra) {
+        long covered = (long) Math.min(advanced, level);
+        level -= covered;
+        long forWaiting = level >= waiting || isLarge(waiting) ? (long) Math.min(waiting, level) : 0;
+        level -= forWaiting;
+        long missingNow = advanced - covered + waiting - forWaiting;
+        long inAdvance = missingNow > 0 ? 0 : (long) Math.min(extra, level * EXTRA_SHARE);
         level -= inAdvance;
-        return (int) Math.min(granted + inAdvance, Integer.MAX_VALUE);
+        return new Grant(covered + forWaiting + inAdvance, missingNow);
+    }
+
+    private boolean isLarge(long waiting) {
+        return waiting > plan.burst() * LARGE_SHARE;
     }
 
     /** Records how much of its need a borrower did not get; 0 if it got all. */
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.tarragonlug.decision.account.Quota;
 import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.InstanceId;
@@ -31,13 +32,22 @@
  * lenders give never exceed it.
  */
 public final class QuotaBorrower {
-    private record SentRequest(Instant at, Map<AccountName, Integer> needed) {}
+    private record SentRequest(Instant at, AllowanceRequest request) {}
 
     /** How long a request for allowance counts as unanswered rather than lost. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(150);
 
+    /**
+     * A lender that has not answered for this long is not asked, so that another one can be asked
+     * soon, until {@link #PROBE_AFTER}.
+     */
+    private static final Duration SILENT_AFTER = Duration.ofMillis(900);
+
+    /** A lender that has been silent for this long is asked again. */
+    private static final Duration PROBE_AFTER = Duration.ofMillis(2000);
+
     /** The longest time for which requests are refused without asking the lender again. */
-    private static final Duration MAX_EXHAUSTED = Duration.ofMillis(1000);
+    private static final Duration MAX_EXHAUSTED = Duration.ofMillis(300);
 
     /** When callers should come back if nothing is known about the time at which there is room. */
     private static final Duration RETRY_UNKNOWN = Duration.ofMillis(500);
@@ -57,6 +67,8 @@
     private Instant mayRequestAt;
     private Instant lastRequestAt;
     private Instant lenderHeardAt = Instant.MIN;
+    private Instant observedAt;
+    private Instant stalledUntil = Instant.MIN;
 
     /**
      * Creates a borrower without allowance.
@@ -73,6 +85,17 @@
         this.nextNumber = firstNumber;
     }
 
+    /**
+     * Notes that the process runs. Must be called several times within {@link
+     * QuotaTimes#MAX_STALL}; a longer time without a call counts as a pause of the process.
+     */
+    public void onTick(Instant now) {
+        if (observedAt != null && now.isAfter(observedAt.plus(QuotaTimes.MAX_STALL))) {
+            stalledUntil = now.plus(QuotaTimes.STALL_RECOVERY);
+        }
+        observedAt = now;
+    }
+
     /** Replaces the quotas. Accounts without a quota are left out. */
     public void onTableInstalled(Map<AccountName, Quota> quotas, Instant now) {
         start(now);
@@ -101,14 +124,15 @@
     /** Sets the instances that may be asked, as far as known. The present one is kept if it may. */
     public void onLenders(Set<InstanceId> candidates, Instant now) {
         start(now);
-        if (lender != null && candidates.contains(lender)) {
+        if (lender != null && candidates.contains(lender) && !isSilent(now)) {
             return;
         }
         InstanceId chosen =
                 candidates.stream()
+                        .filter(each -> candidates.size() == 1 || !each.equals(lender))
                         .min((one, other) -> one.value().compareTo(other.value()))
                         .orElse(null);
-        if (chosen == null) {
+        if (chosen == null || chosen.equals(lender)) {
             return;
         }
         mayRequestAt = later(mayRequestAt, now);
@@ -120,6 +144,14 @@
         lenderHeardAt = Instant.MIN;
     }
 
+    private boolean isSilent(Instant now) {
+        return lenderHeardAt != Instant.MIN && now.isAfter(lenderHeardAt.plus(SILENT_AFTER));
+    }
+
+    private boolean isLeftAlone(Instant now) {
+        return isSilent(now) && now.isBefore(lenderHeardAt.plus(PROBE_AFTER));
+    }
+
     private static Instant later(Instant one, Instant other) {
         return one.isAfter(other) ? one : other;
     }
@@ -146,23 +178,27 @@
 
     /** Takes the cost of a request, or says whether the request should wait. */
     public TakeResult take(AccountName account, long cost, Instant now) {
+        onTick(now);
         BorrowedAllowance allowance = accounts.get(account);
         boolean enforced = tolerance.isPresent() || hearsLender(now);
         if (allowance == null || !enforced) {
             return new TakeResult.Taken(
-                    new QuotaCharge(account, 0, Instant.MIN, 0, now));
+                    new QuotaCharge(account, 0, Instant.MIN, 0, false, now));
         }
         active.add(account);
         allowance.expire(now, advanceRetention());
+        if (now.isBefore(stalledUntil)) {
+            return refuse(account, allowance, now);
+        }
         long held = allowance.held();
         if (held >= cost) {
-            return new TakeResult.Taken(allowance.take(cost, now));
+            return new TakeResult.Taken(allowance.take(cost, hearsLender(now), now));
         }
         if (allowance.isExhausted(now)) {
             return refuse(account, allowance, now);
         }
         if (held + advanceRoom(allowance, now) >= cost) {
-            return new TakeResult.Taken(allowance.take(cost, now));
+            return new TakeResult.Taken(allowance.take(cost, hearsLender(now), now));
         }
         return mayAskLender(now) ? new TakeResult.Wait() : refuse(account, allowance, now);
     }
@@ -173,7 +209,11 @@
     }
 
     private Duration advanceRetention() {
-        return tolerance.map(QuotaTolerance::window).orElse(Duration.ZERO).plus(QuotaTimes.MAX_WAIT);
+        return tolerance
+                .map(QuotaTolerance::window)
+                .orElse(Duration.ZERO)
+                .plus(QuotaTimes.MAX_WAIT)
+                .plus(QuotaTimes.MAX_STALL);
     }
 
     /** Refuses a request that waited for a grant in vain. */
@@ -226,23 +266,30 @@
      * quota, no lender is known, or this instance must not report to it yet.
      */
     public Optional<AllowanceRequest> demands(Instant now) {
-        if (accounts.isEmpty() || lender == null || now.isBefore(mayRequestAt)) {
+        onTick(now);
+        if (accounts.isEmpty()
+                || lender == null
+                || now.isBefore(mayRequestAt)
+                || isLeftAlone(now)) {
             return Optional.empty();
         }
         sent.values().removeIf(each -> !now.isBefore(each.at().plus(QuotaTimes.GRANT_LIFETIME)));
-        Map<AccountName, Integer> needed = new HashMap<>();
+        Map<AccountName, Integer> advanced = new HashMap<>();
+        Map<AccountName, Integer> waiting = new HashMap<>();
         Map<AccountName, Integer> extra = new HashMap<>();
-        active.removeIf(account -> addDemand(account, needed, extra, now));
-        long number = nextNumber++;
+        active.removeIf(account -> addDemand(account, advanced, waiting, extra, now));
+        AllowanceRequest request = new AllowanceRequest(nextNumber, advanced, waiting, extra);
+        nextNumber++;
         lastRequestAt = now;
-        sent.put(number, new SentRequest(now, Map.copyOf(needed)));
-        return Optional.of(new AllowanceRequest(number, needed, extra));
+        sent.put(request.number(), new SentRequest(now, request));
+        return Optional.of(request);
     }
 
     /** Adds what an account needs; returns whether nothing is known of it any more. */
     private boolean addDemand(
             AccountName account,
-            Map<AccountName, Integer> needed,
+            Map<AccountName, Integer> advanced,
+            Map<AccountName, Integer> waiting,
             Map<AccountName, Integer> extra,
             Instant now) {
         BorrowedAllowance allowance = accounts.get(account);
@@ -254,7 +301,14 @@
         if (refused > 0) {
             changes.add(new QuotaChange(account, false, refused));
         }
-        putIfPositive(needed, account, allowance.needed() - unanswered(account, now));
+        putIfPositive(
+                advanced,
+                account,
+                allowance.advanced() - unanswered(account, AllowanceRequest::advanced, now));
+        putIfPositive(
+                waiting,
+                account,
+                allowance.waiting() - unanswered(account, AllowanceRequest::waiting, now));
         putIfPositive(extra, account, allowance.extra(instances.current()));
         return allowance.isIdle();
     }
@@ -266,11 +320,14 @@
         }
     }
 
-    private long unanswered(AccountName account, Instant now) {
+    private long unanswered(
+            AccountName account,
+            Function<AllowanceRequest, Map<AccountName, Integer>> amounts,
+            Instant now) {
         long sum = 0;
-        for (SentRequest request : sent.values()) {
-            if (now.isBefore(request.at().plus(ANSWER_TIMEOUT))) {
-                sum += request.needed().getOrDefault(account, 0);
+        for (SentRequest each : sent.values()) {
+            if (now.isBefore(each.at().plus(ANSWER_TIMEOUT))) {
+                sum += amounts.apply(each.request()).getOrDefault(account, 0);
             }
         }
         return sum;
@@ -282,17 +339,19 @@
      * @return whether the answer was in time; a late or unknown one has no effect
      */
     public boolean onGrants(InstanceId from, AllowanceNotice notice, Instant now) {
-        SentRequest request = from.equals(lender) ? sent.remove(notice.number()) : null;
-        if (request == null) {
+        SentRequest answered = from.equals(lender) ? sent.remove(notice.number()) : null;
+        if (answered == null) {
             return false;
         }
-        Instant expiry = request.at().plus(QuotaTimes.GRANT_LIFETIME);
+        Instant expiry = answered.at().plus(QuotaTimes.GRANT_LIFETIME);
         if (!now.isBefore(expiry)) {
             return false;
         }
         lenderHeardAt = now;
         instances.onAnnounced(notice.instances(), now);
-        request.needed().keySet().forEach(account -> onAnswered(account, notice, now));
+        AllowanceRequest request = answered.request();
+        request.waiting().keySet().forEach(account -> onAnswered(account, notice, now));
+        request.advanced().keySet().forEach(account -> onAnswered(account, notice, now));
         notice.granted()
                 .forEach(
                         (account, amount) -> {
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaCharge.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaCharge.java
@@ -15,9 +15,17 @@
     private long advance;
     private long settled;
     private Instant settledExpiry = Instant.MAX;
+    private final boolean lenderHeard;
     private boolean returned;
 
-    QuotaCharge(AccountName account, long granted, Instant grantExpiry, long advance, Instant at) {
+    QuotaCharge(
+            AccountName account,
+            long granted,
+            Instant grantExpiry,
+            long advance,
+            boolean lenderHeard,
+            Instant at) {
+        this.lenderHeard = lenderHeard;
         this.account = account;
         this.granted = granted;
         this.grantExpiry = grantExpiry;
@@ -34,6 +42,11 @@
         return at;
     }
 
+    /** Returns whether the lender was heard when the request was charged. */
+    boolean lenderHeard() {
+        return lenderHeard;
+    }
+
     /** Returns the units that no grant has covered yet. */
     long advance() {
         return advance;
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaLender.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaLender.java
@@ -5,8 +5,10 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.tarragonlug.decision.account.Quota;
 import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.InstanceId;
@@ -106,42 +108,32 @@
     public AllowanceNotice grantsFor(InstanceId to, AllowanceRequest request, Instant now) {
         Map<AccountName, Integer> granted = new HashMap<>();
         Map<AccountName, Integer> waitMillis = new HashMap<>();
-        request.needed()
-                .forEach(
-                        (account, needed) -> {
-                            int extra = request.extra().getOrDefault(account, 0);
-                            grant(to, account, needed, extra, granted, waitMillis, now);
-                        });
-        request.extra()
-                .forEach(
-                        (account, extra) -> {
-                            if (!request.needed().containsKey(account)) {
-                                grant(to, account, 0, extra, granted, waitMillis, now);
-                            }
-                        });
+        Set<AccountName> named = new LinkedHashSet<>(request.advanced().keySet());
+        named.addAll(request.waiting().keySet());
+        named.addAll(request.extra().keySet());
+        for (AccountName name : named) {
+            LentAccount account = accounts.get(name);
+            if (account == null) {
+                continue;
+            }
+            LentAccount.Grant grant = grant(account, name, request);
+            account.recordShortfall(to, grant.missing(), now);
+            if (grant.amount() > 0) {
+                granted.put(name, (int) Math.min(grant.amount(), Integer.MAX_VALUE));
+            }
+            if (grant.missing() > 0) {
+                waitMillis.put(name, account.waitMillis(part()));
+            }
+        }
         return new AllowanceNotice(request.number(), instances.current(), granted, waitMillis);
     }
 
-    private void grant(
-            InstanceId to,
-            AccountName name,
-            int needed,
-            int extra,
-            Map<AccountName, Integer> granted,
-            Map<AccountName, Integer> waitMillis,
-            Instant now) {
-        LentAccount account = accounts.get(name);
-        if (account == null) {
-            return;
-        }
+    private LentAccount.Grant grant(
+            LentAccount account, AccountName name, AllowanceRequest request) {
         account.refill(credited, part());
-        int amount = account.grant(needed, extra);
-        account.recordShortfall(to, needed - Math.min(amount, needed), now);
-        if (amount > 0) {
-            granted.put(name, amount);
-        }
-        if (amount < needed) {
-            waitMillis.put(name, account.waitMillis(part()));
-        }
+        return account.grant(
+                request.advanced().getOrDefault(name, 0),
+                request.waiting().getOrDefault(name, 0),
+                request.extra().getOrDefault(name, 0));
     }
 }
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaPlan.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaPlan.java
@@ -7,12 +7,12 @@
  * What lenders and borrowers may give and spend of an account's quota.
  *
  * <p>The limit of a sliding window W is {@code M = (rate x W + burst) x (1 + overage) + slack}. A
- * request that arrives in the window takes its cost at most {@link QuotaTimes#MAX_WAIT} later. It
- * takes it from a grant, which was issued at most {@link QuotaTimes#GRANT_LIFETIME} before, or as
+ * request that arrives in the window takes its cost at most {@link QuotaTimes#MAX_STALL} and {@link
+ * QuotaTimes#MAX_WAIT} later. It takes it from a grant, which was issued at most {@link QuotaTimes#GRANT_LIFETIME} before, or as
  * an advance. Lenders refill their buckets by the time between two reports of a borrower, at most
  * {@link QuotaTimes#MAX_CREDIT}, so they are credited for at most that much more than the time in
  * which they issue. The grants that can be spent on the requests of a window are therefore at most
- * {@code burst + rate x (W + MAX_WAIT + GRANT_LIFETIME + MAX_CREDIT)}. What remains of M is divided
+ * {@code burst + rate x (W + MAX_STALL + MAX_WAIT + GRANT_LIFETIME + MAX_CREDIT)}. What remains of M is divided
  * equally among the instances, as the advance that each may have spent without a grant at any time.
  * Both together are at most M. Where M is too small for the whole rate and burst, the burst is
  * reduced first and then the rate, and no advance remains.
@@ -38,6 +38,7 @@
         double limit = allowance * (1 + tolerance.get().overage()) + tolerance.get().slack();
         double time =
                 window
+                        + QuotaTimes.seconds(QuotaTimes.MAX_STALL)
                         + QuotaTimes.seconds(QuotaTimes.MAX_WAIT)
                         + QuotaTimes.seconds(QuotaTimes.GRANT_LIFETIME)
                         + QuotaTimes.seconds(QuotaTimes.MAX_CREDIT);
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -9,6 +9,8 @@
 import org.tarragonlug.decision.placement.OrderResult;
 import org.tarragonlug.decision.quarantine.ServerLoss;
 import org.tarragonlug.decision.quarantine.TraitAge;
+import org.tarragonlug.decision.quota.AllowanceNotice;
+import org.tarragonlug.decision.quota.AllowanceRequest;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.id.ModelKey;
@@ -28,19 +30,32 @@
      * @param inFlight requests that the sender has in flight, by server
      * @param candidate what the sender offers as a source for watches; empty if its release does
      *     not write this field
+     * @param allowance request for allowance, if the receiver is the sender's lender; empty if no
+     *     account has a quota
      */
     record ModelDemandReport(
             int formatVersion,
             List<ModelDemand> demands,
             Map<ServerId, Integer> inFlight,
             List<ServerId> unreachable,
-            Optional<WatchCandidate> candidate)
+            Optional<WatchCandidate> candidate,
+            Optional<AllowanceRequest> allowance)
             implements GatewayMessage {
         public ModelDemandReport {
             demands = List.copyOf(demands);
             inFlight = Map.copyOf(inFlight);
             unreachable = List.copyOf(unreachable);
         }
+
+        /** Creates a report without a request for allowance. */
+        public ModelDemandReport(
+                int formatVersion,
+                List<ModelDemand> demands,
+                Map<ServerId, Integer> inFlight,
+                List<ServerId> unreachable,
+                Optional<WatchCandidate> candidate) {
+            this(formatVersion, demands, inFlight, unreachable, candidate, Optional.empty());
+        }
     }
 
     /**
@@ -58,6 +73,7 @@
      * @param suspected servers that several instances cannot reach; only from the planner
      * @param watchSources instances through which the receiver should watch the store; only from
      *     the planner
+     * @param allowance answer to the receiver's request for allowance; empty if there was none
      */
     record PlacementNotice(
             int formatVersion,
@@ -68,7 +84,8 @@
             List<ReadinessEstimate> expectations,
             Map<ServerId, Integer> inFlight,
             List<ServerId> suspected,
-            List<WatchSource> watchSources)
+            List<WatchSource> watchSources,
+            Optional<AllowanceNotice> allowance)
             implements GatewayMessage {
         public PlacementNotice {
             suspected = List.copyOf(suspected);
@@ -78,8 +95,49 @@
             replicas = List.copyOf(replicas);
             expectations = List.copyOf(expectations);
         }
+
+        /** Creates a notice that answers no request for allowance. */
+        public PlacementNotice(
+                int formatVersion,
+                List<LeaseStatus> leases,
+                boolean planning,
+                int reporters,
+                List<ReplicaChange> replicas,
+                List<ReadinessEstimate> expectations,
+                Map<ServerId, Integer> inFlight,
+                List<ServerId> suspected,
+                List<WatchSource> watchSources) {
+            this(
+                    formatVersion,
+                    leases,
+                    planning,
+                    reporters,
+                    replicas,
+                    expectations,
+                    inFlight,
+                    suspected,
+                    watchSources,
+                    Optional.empty());
+        }
     }
 
+    /**
+     * A request for allowance between two reports, because requests wait for it.
+     *
+     * @param formatVersion format version of the sender
+     * @param allowance the request
+     */
+    record AllowanceCall(int formatVersion, AllowanceRequest allowance) implements GatewayMessage {}
+
+    /**
+     * The answer to an {@link AllowanceCall}.
+     *
+     * @param formatVersion format version of the sender
+     * @param allowance the grants
+     */
+    record AllowanceCallAnswer(int formatVersion, AllowanceNotice allowance)
+            implements GatewayMessage {}
+
     /**
      * A model that was loaded on a server or unloaded from it.
      *
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -23,6 +23,7 @@
  */
 final class GatewayMessageFormat {
     private static final String FORMAT_VERSION = "formatVersion";
+    private static final String ALLOWANCE = "allowance";
 
     private GatewayMessageFormat() {}
 
@@ -42,6 +43,12 @@
             writer.number(FORMAT_VERSION, answer.formatVersion())
                     .number("call", answer.call())
                     .text("result", answer.result());
+        } else if (message instanceof GatewayMessage.AllowanceCall call) {
+            writer.number(FORMAT_VERSION, call.formatVersion())
+                    .array(ALLOWANCE, Optional.of(call.allowance()), AllowanceFormat::write);
+        } else if (message instanceof GatewayMessage.AllowanceCallAnswer answer) {
+            writer.number(FORMAT_VERSION, answer.formatVersion())
+                    .array(ALLOWANCE, Optional.of(answer.allowance()), AllowanceFormat::write);
         } else {
             return QuarantineMessageFormat.write(message, writer);
         }
@@ -62,6 +69,8 @@
             case "ObjectCallAnswer" -> Optional.of(readObjectCallAnswer(new MessageFields(frame)));
             case "OrderCall" -> Optional.of(readOrderCall(new MessageFields(frame)));
             case "OrderCallAnswer" -> Optional.of(readOrderCallAnswer(new MessageFields(frame)));
+            case "AllowanceCall" -> Optional.of(readAllowanceCall(new MessageFields(frame)));
+            case "AllowanceCallAnswer" -> Optional.of(readAllowanceAnswer(new MessageFields(frame)));
             default -> QuarantineMessageFormat.read(kind, new MessageFields(frame));
         };
     }
@@ -71,7 +80,8 @@
                 .list("demands", report.demands(), GatewayMessageFormat::writeDemand)
                 .counts("inFlight", report.inFlight())
                 .texts("unreachable", report.unreachable())
-                .optional("candidate", report.candidate(), GatewayMessageFormat::writeCandidate);
+                .optional("candidate", report.candidate(), GatewayMessageFormat::writeCandidate)
+                .array(ALLOWANCE, report.allowance(), AllowanceFormat::write);
     }
 
     private static PeerMessage readReport(MessageFields fields) {
@@ -80,7 +90,8 @@
                 fields.list("demands", GatewayMessageFormat::readDemand),
                 fields.counts("inFlight", ServerId::new),
                 fields.texts("unreachable", ServerId::new),
-                fields.optional("candidate", GatewayMessageFormat::readCandidate));
+                fields.optional("candidate", GatewayMessageFormat::readCandidate),
+                fields.value(ALLOWANCE).map(AllowanceFormat::readRequest));
     }
 
     private static void writeDemand(MessageWriter writer, ModelDemand demand) {
@@ -126,7 +137,8 @@
                 .list("expectations", notice.expectations(), GatewayMessageFormat::writeEstimate)
                 .counts("inFlight", notice.inFlight())
                 .texts("suspected", notice.suspected())
-                .list("watchSources", notice.watchSources(), GatewayMessageFormat::writeSource);
+                .list("watchSources", notice.watchSources(), GatewayMessageFormat::writeSource)
+                .array(ALLOWANCE, notice.allowance(), AllowanceFormat::write);
     }
 
     private static PeerMessage readNotice(MessageFields fields) {
@@ -139,7 +151,20 @@
                 fields.list("expectations", GatewayMessageFormat::readEstimate),
                 fields.counts("inFlight", ServerId::new),
                 fields.texts("suspected", ServerId::new),
-                fields.list("watchSources", GatewayMessageFormat::readSource));
+                fields.list("watchSources", GatewayMessageFormat::readSource),
+                fields.value(ALLOWANCE).map(AllowanceFormat::readNotice));
+    }
+
+    private static PeerMessage readAllowanceCall(MessageFields fields) {
+        return new GatewayMessage.AllowanceCall(
+                fields.smallNumber(FORMAT_VERSION),
+                AllowanceFormat.readRequest(fields.require(ALLOWANCE)));
+    }
+
+    private static PeerMessage readAllowanceAnswer(MessageFields fields) {
+        return new GatewayMessage.AllowanceCallAnswer(
+                fields.smallNumber(FORMAT_VERSION),
+                AllowanceFormat.readNotice(fields.require(ALLOWANCE)));
     }
 
     private static void writeLease(MessageWriter writer, GatewayMessage.LeaseStatus lease) {
--- a/src/main/java/org/tarragonlug/peer/GeneralMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GeneralMessageFormat.java
@@ -17,6 +17,8 @@
 import java.util.Optional;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 import org.tarragonlug.decision.membership.MemberUpdate;
+import org.tarragonlug.decision.quota.AllowanceNotice;
+import org.tarragonlug.decision.quota.AllowanceRequest;
 
 /** Writes and reads messages of any type with a general mapper. */
 final class GeneralMessageFormat {
@@ -28,6 +30,8 @@
                         .registerModule(new IdModule())
                         .registerModule(new OptionalModule())
                         .addMixIn(MemberUpdate.class, MemberUpdateFormat.class)
+                        .addMixIn(AllowanceRequest.class, AllowanceRequestFormat.class)
+                        .addMixIn(AllowanceNotice.class, AllowanceNoticeFormat.class)
                         .setVisibility(PropertyAccessor.GETTER, JsonAutoDetect.Visibility.NONE)
                         .setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
                         .setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
@@ -82,4 +86,17 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     @JsonPropertyOrder({"instance", "process", "incarnation", "state", "origin"})
     private interface MemberUpdateFormat {}
+
+    /**
+     * Encodes requests for allowance as arrays, because every instance sends several per second.
+     * New fields must be added at the end.
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"number", "advanced", "waiting", "extra"})
+    private interface AllowanceRequestFormat {}
+
+    /** Encodes the answers to requests for allowance as arrays, for the same reason. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"number", "instances", "granted", "waitMillis"})
+    private interface AllowanceNoticeFormat {}
 }
--- a/src/main/java/org/tarragonlug/peer/IdModule.java
+++ b/src/main/java/org/tarragonlug/peer/IdModule.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.Function;
+import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.FailureDomain;
@@ -50,6 +51,7 @@
         text(ServerId.class, ServerId::new);
         text(ServerIncarnation.class, ServerIncarnation::parse);
         text(ServiceName.class, ServiceName::new);
+        key(AccountName.class, AccountName::new);
         key(ServerId.class, ServerId::new);
         number(ConfigurationVersion.class, ConfigurationVersion::value, ConfigurationVersion::new);
         number(
--- a/src/main/java/org/tarragonlug/peer/MessageFields.java
+++ b/src/main/java/org/tarragonlug/peer/MessageFields.java
@@ -37,7 +37,12 @@
         return Optional.ofNullable(values.get(name)).filter(value -> !value.isNilValue());
     }
 
-    private Value require(String name) {
+    /** Returns a value of any type; empty if the field is missing. */
+    Optional<Value> value(String name) {
+        return find(name);
+    }
+
+    Value require(String name) {
         return find(name)
                 .orElseThrow(() -> new IllegalArgumentException("field " + name + " is missing"));
     }
--- a/src/main/java/org/tarragonlug/peer/MessageWriter.java
+++ b/src/main/java/org/tarragonlug/peer/MessageWriter.java
@@ -135,6 +135,45 @@
         return this;
     }
 
+    /** Writes a value as an array of numbers and counts; an empty one is left out. */
+    <T> MessageWriter array(String name, Optional<T> value, BiConsumer<MessageWriter, T> writer) {
+        if (value.isEmpty()) {
+            return this;
+        }
+        try {
+            name(name);
+            MessageWriter elements = new MessageWriter();
+            writer.accept(elements, value.get());
+            packer.packArrayHeader(elements.fields);
+            packer.writePayload(elements.packer.toByteArray());
+        } catch (IOException impossible) {
+            throw failure(impossible);
+        }
+        return this;
+    }
+
+    /** Writes a number as the next element of an array. */
+    MessageWriter element(long value) {
+        try {
+            fields++;
+            packer.packLong(value);
+        } catch (IOException impossible) {
+            throw failure(impossible);
+        }
+        return this;
+    }
+
+    /** Writes a map from keys to numbers as the next element of an array. */
+    <K> MessageWriter element(Map<K, Integer> counts) {
+        try {
+            fields++;
+            packCounts(counts);
+        } catch (IOException impossible) {
+            throw failure(impossible);
+        }
+        return this;
+    }
+
     /** Writes a map from keys to numbers; an empty one is left out. */
     <K> MessageWriter counts(String name, Map<K, Integer> counts) {
         if (counts.isEmpty()) {
@@ -142,14 +181,18 @@
         }
         try {
             name(name);
-            packer.packMapHeader(counts.size());
-            for (Map.Entry<K, Integer> count : counts.entrySet()) {
-                packer.packString(count.getKey().toString());
-                packer.packInt(count.getValue());
-            }
+            packCounts(counts);
         } catch (IOException impossible) {
             throw failure(impossible);
         }
         return this;
     }
+
+    private <K> void packCounts(Map<K, Integer> counts) throws IOException {
+        packer.packMapHeader(counts.size());
+        for (Map.Entry<K, Integer> count : counts.entrySet()) {
+            packer.packString(count.getKey().toString());
+            packer.packInt(count.getValue());
+        }
+    }
 }
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -59,6 +59,8 @@
                     Map.entry("ObjectCallAnswer", GatewayMessage.ObjectCallAnswer.class),
                     Map.entry("OrderCall", GatewayMessage.OrderCall.class),
                     Map.entry("OrderCallAnswer", GatewayMessage.OrderCallAnswer.class),
+                    Map.entry("AllowanceCall", GatewayMessage.AllowanceCall.class),
+                    Map.entry("AllowanceCallAnswer", GatewayMessage.AllowanceCallAnswer.class),
                     Map.entry("ServerLossReport", GatewayMessage.ServerLossReport.class),
                     Map.entry("AnswerReport", GatewayMessage.AnswerReport.class),
                     Map.entry("QuarantineNotice", GatewayMessage.QuarantineNotice.class));
--- a/src/main/java/org/tarragonlug/tool/MeasureCommand.java
+++ b/src/main/java/org/tarragonlug/tool/MeasureCommand.java
@@ -8,6 +8,7 @@
 import org.tarragonlug.measure.Deployment;
 import org.tarragonlug.measure.KeepWarmMeasurement;
 import org.tarragonlug.measure.MembershipMeasurement;
+import org.tarragonlug.measure.QuotaMeasurement;
 import org.tarragonlug.measure.RequestMeasurement;
 import org.tarragonlug.measure.ScaleMeasurement;
 import org.tarragonlug.measure.ServerChoiceMeasurement;
@@ -85,6 +86,22 @@
         return ExitStatus.SUCCESS;
     }
 
+    @Command(
+            name = "quota",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Quotas of accounts over many instances, compared with equal shares and with "
+                            + "one bucket.")
+    int quota(
+            @Option(
+                            names = "--seed",
+                            defaultValue = "1",
+                            description = "Seed of the random numbers.")
+                    long seed) {
+        QuotaMeasurement.run(seed, System.out);
+        return ExitStatus.SUCCESS;
+    }
+
     @Command(
             name = "fleet",
             mixinStandardHelpOptions = true,
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -37,10 +37,13 @@
 import org.tarragonlug.decision.quarantine.LostRequest;
 import org.tarragonlug.decision.quarantine.ServerLoss;
 import org.tarragonlug.decision.quarantine.TraitAge;
+import org.tarragonlug.decision.quota.AllowanceNotice;
+import org.tarragonlug.decision.quota.AllowanceRequest;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.FailureDomain;
@@ -61,6 +64,18 @@
 class PeerCodecTest {
     private static final ObjectMapper PACK = new MessagePackMapper();
     private static final ConfigurationVersion VERSION = new ConfigurationVersion(7);
+    private static final AllowanceRequest ALLOWANCE_REQUEST =
+            new AllowanceRequest(
+                    Long.MAX_VALUE,
+                    Map.of(new AccountName("press"), 1200),
+                    Map.of(new AccountName("wire"), 70_000),
+                    Map.of(new AccountName("press"), 700, new AccountName("radio"), 3));
+    private static final AllowanceNotice ALLOWANCE_NOTICE =
+            new AllowanceNotice(
+                    Long.MAX_VALUE,
+                    95,
+                    Map.of(new AccountName("press"), 400),
+                    Map.of(new AccountName("press"), 250));
 
     private final PeerCodec codec = new PeerCodec(new ProcessId("p-1"));
 
@@ -174,7 +189,8 @@
                         List.of(new ServerId("s-8")),
                         Optional.of(
                                 new WatchCandidate(
-                                        new FailureDomain("domain-1"), "10.0.0.1:7380", 1.5))),
+                                        new FailureDomain("domain-1"), "10.0.0.1:7380", 1.5)),
+                        Optional.of(ALLOWANCE_REQUEST)),
                 new GatewayMessage.PlacementNotice(
                         1,
                         List.of(
@@ -192,7 +208,10 @@
                                         Duration.ofMillis(900))),
                         Map.of(new ServerId("s-1"), 12, new ServerId("s-2"), 4),
                         List.of(new ServerId("s-9")),
-                        List.of(new WatchSource(new InstanceId("entry-3"), "10.0.0.3:7380"))),
+                        List.of(new WatchSource(new InstanceId("entry-3"), "10.0.0.3:7380")),
+                        Optional.of(ALLOWANCE_NOTICE)),
+                new GatewayMessage.AllowanceCall(1, ALLOWANCE_REQUEST),
+                new GatewayMessage.AllowanceCallAnswer(1, ALLOWANCE_NOTICE),
                 new GatewayMessage.ObjectCall(
                         1,
                         9,
@@ -289,7 +308,7 @@
          */
         @Test
         void generalMapperReadsItsFrames() throws Exception {
-            assertEquals(9, gatewayMessages().size());
+            assertEquals(11, gatewayMessages().size());
             for (PeerMessage message : gatewayMessages()) {
                 assertEquals(message, general.read(codec.encode(message), message.getClass()));
             }
@@ -360,6 +379,28 @@
             assertEquals(0, probe.formatVersion());
         }
 
+        /** Guards against reports that a planner of a release without quotas cannot answer. */
+        @Test
+        void missingAllowanceIsReadAsNone() throws Exception {
+            for (PeerMessage message : lastSamples()) {
+                PeerMessage read =
+                        decodedOrNull(edited(message, node -> node.remove("allowance")));
+                if (read instanceof GatewayMessage.ModelDemandReport report) {
+                    assertEquals(Optional.empty(), report.allowance());
+                } else if (read instanceof GatewayMessage.PlacementNotice notice) {
+                    assertEquals(Optional.empty(), notice.allowance());
+                }
+            }
+        }
+
+        private PeerMessage decodedOrNull(byte[] frame) {
+            try {
+                return decoded(frame);
+            } catch (TarragonlugException malformed) {
+                return null;
+            }
+        }
+
         /** Guards against a connection that is closed because a newer release sends a new kind. */
         @Test
         void unknownKindsAreSkipped() throws Exception {
