Enforce quotas in the gateway

Cause: quotas of accounts hold over all instances (docs/design/shared-load.md, 4.2). QuotaDriver connects borrower and lender with reports, notices and calls; settings quotaWindowSeconds, quotaOverage and quotaSlack; metrics and log events.

--- a/src/main/java/org/tarragonlug/decision/account/AccountDirectory.java
+++ b/src/main/java/org/tarragonlug/decision/account/AccountDirectory.java
@@ -51,6 +51,14 @@
         return Collections.unmodifiableCollection(accounts.values());
     }
 
+    /** Returns the quotas of the accounts that have one. */
+    public Map<AccountName, Quota> quotas() {
+        Map<AccountName, Quota> quotas = new LinkedHashMap<>();
+        accounts.forEach(
+                (name, account) -> account.quota().ifPresent(quota -> quotas.put(name, quota)));
+        return quotas;
+    }
+
     /** Returns the account with a name; empty if there is none. */
     public Optional<ClientAccount> account(AccountName name) {
         return Optional.ofNullable(accounts.get(name));
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -111,6 +111,9 @@
             ServiceName service, ModelKey key, int priority, Instant targetEnd, Instant deadline)
             implements ForwardingCommand {}
 
+    /** Asks the lender for allowance at once, because a request waits for it. */
+    record RequestAllowance() implements ForwardingCommand {}
+
     /** Reports to the planner that a request for a model has arrived, which counts as demand. */
     record ReportArrival(ServiceName service, ModelKey key) implements ForwardingCommand {}
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -10,6 +10,8 @@
 import org.tarragonlug.decision.StateMachine;
 import org.tarragonlug.decision.account.ClientAccount;
 import org.tarragonlug.decision.quarantine.LostRequest;
+import org.tarragonlug.decision.quota.InstanceTotal;
+import org.tarragonlug.decision.quota.QuotaBorrower;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
@@ -49,11 +51,14 @@
     private final ServerSelector selector;
     private final Hasher hasher;
     private final PendingForwards pending =
-            new PendingForwards(command -> this.commands.add(command));
+            new PendingForwards(
+                    command -> this.commands.add(command),
+                    this::onEndedWithoutRun);
     private final RetryBudgets budgets;
     private final ReadyExpectations expectations = new ReadyExpectations();
     private final QuarantineGate gate = new QuarantineGate();
     private final KeyGate keys;
+    private final AllowanceGate allowances;
     private ForwardingTable table;
     private boolean queueClosed;
 
@@ -62,19 +67,42 @@
 
     private List<ForwardingCommand> commands = new ArrayList<>();
 
+    /** The time of the event that is being handled. */
+    private Instant handledAt = Instant.EPOCH;
+
     /**
-     * Creates a coordinator that refuses requests until a configuration is installed.
+     * Creates a coordinator that refuses requests until a configuration is installed, and enforces
+     * no quotas.
      *
      * @param home failure domain of this instance
      * @param hasher hashes requests to route targets, and prefixes to servers
      * @param limits limits set by the platform
      */
     public ForwardingCoordinator(FailureDomain home, Hasher hasher, ForwardingLimits limits) {
+        this(
+                home,
+                hasher,
+                limits,
+                new QuotaBorrower(Optional.empty(), new InstanceTotal(), 0));
+    }
+
+    /**
+     * Creates a coordinator that refuses requests until a configuration is installed.
+     *
+     * @param home failure domain of this instance
+     * @param hasher hashes requests to route targets, and prefixes to servers
+     * @param limits limits set by the platform
+     * @param borrower the allowance of client accounts at this instance
+     */
+    public ForwardingCoordinator(
+            FailureDomain home, Hasher hasher, ForwardingLimits limits, QuotaBorrower borrower) {
         this.fleet = new Fleet();
         this.selector = new ServerSelector(fleet, home, hasher);
         this.hasher = hasher;
         this.budgets = new RetryBudgets(limits);
         this.keys = new KeyGate(limits.configurationDelay(), command -> this.commands.add(command));
+        this.allowances =
+                new AllowanceGate(borrower, command -> this.commands.add(command), this::accept);
     }
 
     /** Returns the servers that are currently listed. */
@@ -105,17 +133,18 @@
 
     /** Returns the number of requests that wait or are being processed by a server. */
     public int pendingCount() {
-        return pending.size();
+        return pending.size() + allowances.waitingCount();
     }
 
-    /** Returns the number of requests that wait for a server. */
+    /** Returns the number of requests that wait for a server or for allowance. */
     public long waitingCount() {
-        return pending.waitingCount();
+        return pending.waitingCount() + allowances.waitingCount();
     }
 
     @Override
     public List<ForwardingCommand> handle(ForwardingEvent event, Instant now) {
         commands = new ArrayList<>();
+        handledAt = now;
         Optional<Boolean> mayDispatch = fleet.apply(event, now);
         if (mayDispatch.isPresent()) {
             if (mayDispatch.get()) {
@@ -145,10 +174,14 @@
                     .ifPresent(forward -> onConnectionBroken(forward, broken.progress(), now));
         } else if (event instanceof ForwardingEvent.CallerDisconnected disconnected) {
             keys.forget(disconnected.request());
+            allowances.forget(disconnected.request());
             pending.find(disconnected.request()).ifPresent(pending::abandon);
         } else if (event instanceof ForwardingEvent.TableInstalled installed) {
             table = installed.table();
             keys.install(table.accounts(), installed.writtenAfter(), now);
+            allowances.install(table.accounts(), now);
+        } else if (event instanceof ForwardingEvent.AllowanceAnswered) {
+            allowances.decideWaiting(now);
         } else if (event instanceof ForwardingEvent.ConfigurationRead read) {
             keys.onConfigurationRead(read.succeeded(), now);
         } else if (event instanceof ForwardingEvent.ModelReadyExpected expected) {
@@ -243,8 +276,19 @@
                     request.key(), RefusalReason.QUARANTINED, Optional.of(RetryDelay.QUARANTINED));
             return;
         }
+        allowances.offer(forward, now);
+    }
+
+    private void onEndedWithoutRun(PendingForward forward) {
+        allowances.onNotRun(forward, handledAt);
+    }
+
+    /** Takes a request that has passed all gates. */
+    private void accept(PendingForward forward, Instant now) {
+        forward.endBy(stopAt);
         pending.add(forward);
-        request.model()
+        forward.request
+                .model()
                 .ifPresent(
                         key ->
                                 commands.add(
@@ -558,6 +602,7 @@
     }
 
     private void tick(Instant now) {
+        allowances.tick(now);
         keys.tick(now);
         for (PendingForward forward : pending.all()) {
             if (forward.isWaiting()) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -122,6 +122,9 @@
         }
     }
 
+    /** The lender has answered a request for allowance. */
+    record AllowanceAnswered() implements ForwardingEvent {}
+
     /** From now on requests with these traits, and only these, must not reach servers. */
     record QuarantineChanged(Set<RequestTrait> quarantined) implements ForwardingEvent {
         public QuarantineChanged {
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.tarragonlug.decision.account.ClientAccount;
 import org.tarragonlug.decision.quarantine.LostRequest;
+import org.tarragonlug.decision.quota.QuotaCharge;
 import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServerIncarnation;
@@ -40,6 +41,9 @@
     /** The account that the request belongs to; empty if it needs none. */
     final Optional<ClientAccount> account;
 
+    /** What the request has taken of its account's allowance; empty if it has no quota. */
+    Optional<QuotaCharge> charge = Optional.empty();
+
     /** What other requests may have in common with this one. */
     final LostRequest traits;
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
@@ -17,14 +17,18 @@
 final class PendingForwards {
     private final Map<Long, PendingForward> forwards = new LinkedHashMap<>();
     private final Consumer<ForwardingCommand> output;
+    private final Consumer<PendingForward> endedWithoutRun;
 
     /**
      * Creates an empty collection.
      *
      * @param output receives the commands that end requests
+     * @param endedWithoutRun receives the requests that have ended and did not run
      */
-    PendingForwards(Consumer<ForwardingCommand> output) {
+    PendingForwards(
+            Consumer<ForwardingCommand> output, Consumer<PendingForward> endedWithoutRun) {
         this.output = output;
+        this.endedWithoutRun = endedWithoutRun;
     }
 
     void add(PendingForward forward) {
@@ -120,5 +124,8 @@
 
     private void remove(PendingForward forward) {
         forwards.remove(forward.request.key());
+        if (forward.notRun()) {
+            endedWithoutRun.accept(forward);
+        }
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
@@ -10,6 +10,8 @@
     KEY_UNKNOWN(401),
     /** Whether the key is valid is not certain at present. */
     KEY_UNCONFIRMED(503),
+    /** The account has used up its allowance, or it is not known whether it has. */
+    QUOTA_EXCEEDED(429),
     /** The service has no available server. */
     NO_SERVER(503),
     /** The model is expected to be ready too late for the caller. */
--- a/src/main/java/org/tarragonlug/decision/quota/AllowanceQueue.java
+++ b/src/main/java/org/tarragonlug/decision/quota/AllowanceQueue.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.tarragonlug.id.AccountName;
 
 /**
@@ -38,9 +39,9 @@
         this.borrower = borrower;
     }
 
-    /** Returns whether no request waits. */
-    public boolean isEmpty() {
-        return waiting.isEmpty();
+    /** Returns the number of requests that wait. */
+    public int size() {
+        return waiting.size();
     }
 
     /**
@@ -84,13 +85,16 @@
                 : borrower.take(entry.account(), entry.cost(), now);
     }
 
-    /** Removes a request whose caller has left; returns whether it waited. */
-    public boolean remove(T request) {
-        Waiting removed = waiting.remove(request);
-        if (removed == null) {
-            return false;
+    /** Removes requests whose callers have left. */
+    public void removeIf(Predicate<T> condition) {
+        waiting.entrySet().removeIf(entry -> remove(entry, condition));
+    }
+
+    private boolean remove(Map.Entry<T, Waiting> entry, Predicate<T> condition) {
+        boolean left = condition.test(entry.getKey());
+        if (left) {
+            borrower.endWaiting(entry.getValue().account(), entry.getValue().cost());
         }
-        borrower.endWaiting(removed.account(), removed.cost());
-        return true;
+        return left;
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -63,6 +63,7 @@
     private final EventLog log;
     private final DemandCollector demandCollector;
     private final QuarantineDriver quarantine;
+    private final QuotaDriver quotas;
     private final GatewayMetrics metrics;
     private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
     private final Deque<ForwardingEvent> eventQueue = new ArrayDeque<>();
@@ -78,6 +79,7 @@
             EventLog log,
             DemandCollector demandCollector,
             QuarantineDriver quarantine,
+            QuotaDriver quotas,
             GatewayMetrics metrics) {
         this.coordinator = coordinator;
         this.connections = connections;
@@ -85,6 +87,7 @@
         this.log = log;
         this.demandCollector = demandCollector;
         this.quarantine = quarantine;
+        this.quotas = quotas;
         this.metrics = metrics;
     }
 
@@ -176,6 +179,8 @@
             cancel(activeRequests.get(cancel.request()));
         } else if (command instanceof ForwardingCommand.ReportWaiting wait) {
             demandCollector.recordWait(wait, timers.now());
+        } else if (command instanceof ForwardingCommand.RequestAllowance) {
+            quotas.scheduleCall();
         } else if (command instanceof ForwardingCommand.ReportArrival arrival) {
             demandCollector.recordArrival(arrival.service(), arrival.key());
         } else if (command instanceof ForwardingCommand.ReportRequestLost lost) {
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -78,6 +78,9 @@
     /** Length of the longest body of a request if the configuration does not limit it, in bytes. */
     private static final long DEFAULT_BODY_BYTES = 8L * 1024 * 1024;
 
+    /** The first request for allowance has a random number of 31 bits, short in messages. */
+    private static final long FIRST_NUMBER_MASK = 0x7fffffffL;
+
     private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
     /** Bytes of incomplete answers in memory; a buffer that grows takes three times its content. */
@@ -111,6 +114,7 @@
     private final RelayingObjectApi store;
     private final QuarantineManager quarantineManager = new QuarantineManager();
     private final QuarantineDriver quarantine;
+    private final QuotaDriver quotas;
     private final GatewayState state;
     private final PauseDetector pauseDetector;
     private final ListedServers listedServers;
@@ -134,10 +138,14 @@
         this.loop = IoThreads.timers(ioExecutor);
         this.log = new EventLog(settings.instance().value());
         this.timers = new LoopTimerService(loop, this::onPartFailed);
+        this.quotas = createQuotas();
         this.connections = new HttpConnections(ioExecutor, loop, HTTP_LIMITS);
         this.coordinator =
                 new ForwardingCoordinator(
-                        settings.failureDomain(), new Hash4jHasher(), forwardingLimits(settings));
+                        settings.failureDomain(),
+                        new Hash4jHasher(),
+                        forwardingLimits(settings),
+                        quotas.borrower());
         this.planner = new PlacementPlanner(settings.loadWindow());
         ProcessId process = new ProcessId(UUID.randomUUID().toString());
         OrderGroups groups = new OrderGroups(new Hash4jHasher(), settings.orderGroups());
@@ -149,6 +157,7 @@
                         watchCandidate(settings),
                         leases,
                         followedSource,
+                        quotas,
                         timers);
         PlatformEngineClient engines = new PlatformEngineClient(connections);
         this.quarantine = createQuarantine(engines);
@@ -160,6 +169,7 @@
                         log,
                         peers.demandCollector(),
                         quarantine,
+                        quotas,
                         metrics);
         this.executor = createExecutor(groups, engines);
         this.placement = new PlacementDriver(planner, executor, engines, loop, timers, log, peers);
@@ -204,6 +214,16 @@
                 .orElse(DEFAULT_BODY_BYTES);
     }
 
+    private QuotaDriver createQuotas() {
+        return new QuotaDriver(
+                settings.instance(),
+                settings.quotaTolerance(),
+                new Random().nextLong() & FIRST_NUMBER_MASK,
+                timers,
+                log,
+                metrics);
+    }
+
     private OrderLeases createLeases(ProcessId process, OrderGroups groups) {
         return new OrderLeases(
                 settings.instance(),
@@ -306,6 +326,7 @@
     private void startOnLoop() {
         peers.start(transport, forwarding, placement, executor, store, quarantine);
         quarantine.start(peers, forwarding, store);
+        quotas.start(peers, coordinator, forwarding, placement, leases);
         watches.start();
         timers.schedulePeriodically(IDLE_TICK, now -> tick());
         timers.schedulePeriodically(SERVER_COUNT_PERIOD, this::countServers);
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -118,6 +118,30 @@
                     .name("tarragonlug_quarantined_traits")
                     .help("What requests have in common that are refused since they crash servers")
                     .register(registry);
+    private final Gauge quotaLenderHeard =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_quota_lender_heard")
+                    .help("1 while the instance that gives allowance answers")
+                    .register(registry);
+    private final Gauge quotaInstances =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_quota_instances")
+                    .help("Instances among which quotas are divided; 0 if not known")
+                    .register(registry);
+    private final Gauge quotaExceededAccounts =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_quota_exceeded_accounts")
+                    .help("Accounts whose requests were refused for their quota recently")
+                    .register(registry);
+    private final Counter quotaCalls =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_quota_calls_total")
+                    .help("Requests for allowance between two reports")
+                    .register(registry);
     private final Gauge waitingRequests =
             Gauge.builder()
                     .withoutExemplars()
@@ -202,6 +226,19 @@
         orders.labelValues(action, result).inc();
     }
 
+    void setQuota(boolean lenderHeard, int instances) {
+        quotaLenderHeard.set(lenderHeard ? 1 : 0);
+        quotaInstances.set(instances);
+    }
+
+    void changeQuotaExceededAccounts(int change) {
+        quotaExceededAccounts.inc(change);
+    }
+
+    void recordQuotaCall() {
+        quotaCalls.inc();
+    }
+
     void setWaitingRequests(long count) {
         waitingRequests.set(count);
     }
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import org.tarragonlug.decision.forwarding.ForwardingLimits;
+import org.tarragonlug.decision.quota.QuotaTolerance;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
@@ -29,6 +31,8 @@
  * @param capacity processor time that the process may use, in cores
  * @param watchLimits what the platform allows for changes in the store to take effect
  * @param configurationDelay how long after the write of a configuration the previous one may apply
+ * @param quotaTolerance what the platform tolerates beyond the quotas of accounts; empty if it
+ *     does not say
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -49,8 +53,9 @@
         int callerConnections,
         double capacity,
         WatchLimits watchLimits,
-        Duration configurationDelay) {
-    /** Creates settings with the default delay of configurations. */
+        Duration configurationDelay,
+        Optional<QuotaTolerance> quotaTolerance) {
+    /** Creates settings with the default delay of configurations and no tolerance of quotas. */
     public GatewaySettings(
             InstanceId instance,
             FailureDomain failureDomain,
@@ -89,6 +94,7 @@
                 callerConnections,
                 capacity,
                 watchLimits,
-                ForwardingLimits.DEFAULT_CONFIGURATION_DELAY);
+                ForwardingLimits.DEFAULT_CONFIGURATION_DELAY,
+                Optional.empty());
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.tarragonlug.decision.forwarding.ForwardingLimits;
+import org.tarragonlug.decision.quota.QuotaTolerance;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -93,7 +94,18 @@
                 Math.max(RESERVED_DESCRIPTORS, descriptors - RESERVED_DESCRIPTORS),
                 number("processorShare", 1) * number("processors", 1),
                 watchLimits(),
-                millis("configurationDelayMillis", ForwardingLimits.DEFAULT_CONFIGURATION_DELAY));
+                millis("configurationDelayMillis", ForwardingLimits.DEFAULT_CONFIGURATION_DELAY),
+                quotaTolerance());
+    }
+
+    /** Reads the tolerance; without its window there is none. */
+    private Optional<QuotaTolerance> quotaTolerance() {
+        Duration window = seconds("quotaWindowSeconds", 0);
+        if (window.isZero()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new QuotaTolerance(window, number("quotaOverage", 0), number("quotaSlack", 0)));
     }
 
     private WatchLimits watchLimits() {
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -213,6 +213,21 @@
         return false;
     }
 
+    /**
+     * Returns whether each lease is held by this instance, by one that was heard recently, or by
+     * none. Otherwise an instance that is cut off from this one may plan.
+     */
+    boolean hearsAllHolders() {
+        for (OrderGroup group : leaseManagers.keySet()) {
+            LeaseManager manager = leaseManagers.get(group);
+            boolean other = manager.latestRecord().isPresent() && !isLastHolder(manager);
+            if (other && !isHolderAlive(group)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private boolean isHolderAlive(OrderGroup group) {
         HolderHeartbeat heartbeat = heartbeats.get(group);
         return heartbeat != null && timers.now().isBefore(heartbeat.at().plus(HOLDER_TIMEOUT));
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -16,6 +16,7 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
 import org.tarragonlug.decision.placement.PlacementEvent;
+import org.tarragonlug.decision.quota.AllowanceNotice;
 import org.tarragonlug.decision.watching.FollowedSource;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.decision.watching.WatchSource;
@@ -40,7 +41,8 @@
 final class PeerExchange
         implements PlacementDriver.NoticeListener,
                 RelayingObjectApi.PeerChannel,
-                QuarantineDriver.Channel {
+                QuarantineDriver.Channel,
+                QuotaDriver.Channel {
     private static final Duration REPORT_PERIOD = Duration.ofMillis(400);
 
     /** Delay of an urgent report, so that waits that start at almost the same time share it. */
@@ -63,6 +65,7 @@
     private final InFlightTotals inFlightTotals = new InFlightTotals();
     private final WatchSourceSelector sourceSelector = new WatchSourceSelector();
     private final FollowedSource followedSource;
+    private final QuotaDriver quotas;
     private final WatchCandidate candidate;
 
     /** Time of the last notice from each lease holder that said that it plans. */
@@ -83,10 +86,12 @@
             WatchCandidate candidate,
             OrderLeases leases,
             FollowedSource followedSource,
+            QuotaDriver quotas,
             TimerService timers) {
         this.self = self;
         this.candidate = candidate;
         this.followedSource = followedSource;
+        this.quotas = quotas;
         this.leases = leases;
         this.timers = timers;
         this.demandCollector = new DemandCollector(this::scheduleUrgentReport);
@@ -127,11 +132,14 @@
     private void sendRegularReports() {
         Instant now = timers.now();
         if (placement.isPlanning()) {
-            publishInstanceCount(pendingNotices.reporterCount(now));
+            int reporters = pendingNotices.reporterCount(now);
+            publishInstanceCount(reporters);
+            quotas.onInstancesCounted(reporters + 1, now);
             forwarding.post(
                     new ForwardingEvent.LoadAnnounced(
                             inFlightTotals.totals(now), placement.suspectedServers()));
         }
+        quotas.tick(now);
         sendReport(Audience.PLANNER, now);
         standbyReportDue = !standbyReportDue;
         if (standbyReportDue || leases.isOrWasHolder()) {
@@ -155,14 +163,20 @@
         if (includesSelf) {
             placement.post(new PlacementEvent.DemandReported(self, demands));
         }
-        PeerMessage message =
-                new GatewayMessage.ModelDemandReport(
-                        PeerMessage.FORMAT_VERSION,
-                        demands,
-                        inFlight,
-                        List.copyOf(unreachable),
-                        Optional.of(candidate));
-        receivers.forEach((holder, address) -> send(holder, address, message));
+        Optional<QuotaDriver.AddressedRequest> request =
+                audience == Audience.PLANNER ? quotas.nextRequest(now) : Optional.empty();
+        receivers.forEach(
+                (holder, address) ->
+                        send(
+                                holder,
+                                address,
+                                new GatewayMessage.ModelDemandReport(
+                                        PeerMessage.FORMAT_VERSION,
+                                        demands,
+                                        inFlight,
+                                        List.copyOf(unreachable),
+                                        Optional.of(candidate),
+                                        request.flatMap(each -> each.forLender(holder)))));
     }
 
     private void send(InstanceId holder, String address, PeerMessage message) {
@@ -215,9 +229,15 @@
             placement.post(new PlacementEvent.DemandReported(from, report.demands()));
             placement.post(
                     new PlacementEvent.ServersUnreachable(from, Set.copyOf(report.unreachable())));
-            sendNotice(from, now);
+            sendNotice(
+                    from, report.allowance().flatMap(each -> quotas.lend(from, each, now)), now);
         } else if (message instanceof GatewayMessage.PlacementNotice notice) {
             onPlacementNotice(from, notice, now);
+            notice.allowance().ifPresent(each -> quotas.onGrants(from, each, now));
+        } else if (message instanceof GatewayMessage.AllowanceCall call) {
+            quotas.onCall(from, call, now);
+        } else if (message instanceof GatewayMessage.AllowanceCallAnswer answer) {
+            quotas.onGrants(from, answer.allowance(), now);
         } else if (message instanceof GatewayMessage.OrderCall call) {
             executor.onOrderCall(from, call);
         } else if (message instanceof GatewayMessage.OrderCallAnswer answer) {
@@ -372,11 +392,11 @@
     private void sendUrgentNotices(Instant now) {
         noticesScheduled = false;
         for (InstanceId reporter : pendingNotices.urgentReceivers()) {
-            sendNotice(reporter, now);
+            sendNotice(reporter, Optional.empty(), now);
         }
     }
 
-    private void sendNotice(InstanceId to, Instant now) {
+    private void sendNotice(InstanceId to, Optional<AllowanceNotice> allowance, Instant now) {
         PendingNotices.Notices notices = pendingNotices.poll(to);
         boolean planning = placement.isPlanning();
         transport.send(
@@ -390,6 +410,7 @@
                         notices.expectations(),
                         planning ? inFlightTotals.totals(now) : Map.of(),
                         planning ? List.copyOf(placement.suspectedServers()) : List.of(),
-                        planning ? sourceSelector.sourcesFor(to, now) : List.of()));
+                        planning ? sourceSelector.sourcesFor(to, now) : List.of(),
+                        allowance));
     }
 }
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -27,6 +27,14 @@
     CONFIGURATION_READ(Level.INFO),
     /** A request without a valid key was refused. Only some of many such requests are logged. */
     KEY_REFUSED(Level.INFO),
+    /** Requests of an account are refused because its quota is used up. */
+    QUOTA_EXCEEDED(Level.INFO),
+    /** Requests of an account have not been refused for its quota for some seconds. */
+    QUOTA_ROOM(Level.INFO),
+    /** The instance that gives allowance has changed, has answered again or does not answer. */
+    QUOTA_LENDER(Level.INFO),
+    /** The number of instances among which quotas are divided has changed. */
+    QUOTA_INSTANCES(Level.INFO),
     /** Calls to the object API fail. */
     OBJECT_API_DOWN(Level.WARN),
     /** Calls to the object API succeed again. */
