--- a/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
@@ -43,6 +43,12 @@
      */
     private static final Duration SILENT_AFTER = Duration.ofMillis(900);
 
+    /**
+     * A regular report this soon after a request carries none. Together with the interval of
+     * reports this is less than {@link QuotaTimes#MAX_CREDIT}, so no allowance is lost.
+     */
+    private static final Duration RECENT = Duration.ofMillis(150);
+
     /** A lender that has been silent for this long is asked again. */
     private static final Duration PROBE_AFTER = Duration.ofMillis(2000);
 
@@ -240,6 +246,7 @@
     public void startWaiting(AccountName account, long cost) {
         BorrowedAllowance allowance = accounts.get(account);
         if (allowance != null) {
+            active.add(account);
             allowance.startWaiting(cost);
         }
     }
@@ -261,6 +268,11 @@
         }
     }
 
+    /** Returns whether a request was sent so recently that the next report needs none. */
+    public boolean asksRecently(Instant now) {
+        return lastRequestAt != null && now.isBefore(lastRequestAt.plus(RECENT));
+    }
+
     /**
      * Returns the request for allowance to be sent to the lender now; empty while no account has a
      * quota, no lender is known, or this instance must not report to it yet.
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -230,14 +230,14 @@
             placement.post(
                     new PlacementEvent.ServersUnreachable(from, Set.copyOf(report.unreachable())));
             sendNotice(
-                    from, report.allowance().flatMap(each -> quotas.lend(from, each, now)), now);
+                    from, report.quota().flatMap(each -> quotas.lend(from, each, now)), now);
         } else if (message instanceof GatewayMessage.PlacementNotice notice) {
             onPlacementNotice(from, notice, now);
-            notice.allowance().ifPresent(each -> quotas.onGrants(from, each, now));
-        } else if (message instanceof GatewayMessage.AllowanceCall call) {
+            notice.quota().ifPresent(each -> quotas.onGrants(from, each, now));
+        } else if (message instanceof GatewayMessage.QuotaCall call) {
             quotas.onCall(from, call, now);
-        } else if (message instanceof GatewayMessage.AllowanceCallAnswer answer) {
-            quotas.onGrants(from, answer.allowance(), now);
+        } else if (message instanceof GatewayMessage.QuotaGrant answer) {
+            quotas.onGrants(from, answer.quota(), now);
         } else if (message instanceof GatewayMessage.OrderCall call) {
             executor.onOrderCall(from, call);
         } else if (message instanceof GatewayMessage.OrderCallAnswer answer) {
--- a/src/main/java/org/tarragonlug/gateway/QuotaDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/QuotaDriver.java
@@ -157,10 +157,14 @@
     }
 
     /**
-     * Returns the request for allowance that the next report should carry; empty if there is none
+     * Returns the request for allowance that the next report should carry; empty if there is none,
      * or this instance is the lender, whose answer then has been applied.
      */
     Optional<AddressedRequest> nextRequest(Instant now) {
+        return borrower.asksRecently(now) ? Optional.empty() : request(now);
+    }
+
+    private Optional<AddressedRequest> request(Instant now) {
         if (!borrower.hasQuotas()) {
             return Optional.empty();
         }
@@ -196,14 +200,14 @@
             // The lender may be of a release that does not know this kind of message.
             return;
         }
-        nextRequest(now).ifPresent(this::sendCall);
+        request(now).ifPresent(this::sendCall);
     }
 
     private void sendCall(AddressedRequest request) {
         metrics.recordQuotaCall();
         channel.send(
                 request.lender(),
-                new GatewayMessage.AllowanceCall(PeerMessage.FORMAT_VERSION, request.request()));
+                new GatewayMessage.QuotaCall(PeerMessage.FORMAT_VERSION, request.request()));
     }
 
     /** Answers a request for allowance; empty if this instance does not plan. */
@@ -222,13 +226,13 @@
     }
 
     /** Handles a call for allowance. */
-    void onCall(InstanceId from, GatewayMessage.AllowanceCall call, Instant now) {
-        lend(from, call.allowance(), now)
+    void onCall(InstanceId from, GatewayMessage.QuotaCall call, Instant now) {
+        lend(from, call.quota(), now)
                 .ifPresent(
                         notice ->
                                 channel.send(
                                         from,
-                                        new GatewayMessage.AllowanceCallAnswer(
+                                        new GatewayMessage.QuotaGrant(
                                                 PeerMessage.FORMAT_VERSION, notice)));
     }
 
--- a/src/main/java/org/tarragonlug/measure/QuotaInstance.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaInstance.java
@@ -200,7 +200,8 @@
             total.onCounted(reporters.size() + 1, hearsAllHolders(now), now);
         }
         borrower.onLenders(knownPlanners(), now);
-        Optional<AllowanceRequest> request = borrower.demands(now);
+        Optional<AllowanceRequest> request =
+                borrower.asksRecently(now) ? Optional.empty() : borrower.demands(now);
         Optional<InstanceId> receiver = borrower.lender();
         if (request.isPresent() && receiver.get().equals(id())) {
             answerOwn(request.get());
@@ -345,7 +346,7 @@
             answerOwn(request.get());
             return;
         }
-        simulation.countCall(number, to, new GatewayMessage.AllowanceCall(1, request.get()));
+        simulation.countCall(number, to, new GatewayMessage.QuotaCall(1, request.get()));
         QuotaInstance receiver = simulation.instance(to);
         int process = receiver.run;
         simulation
@@ -363,7 +364,7 @@
             return;
         }
         AllowanceNotice grants = lend(from, request);
-        simulation.countCall(from, number, new GatewayMessage.AllowanceCallAnswer(1, grants));
+        simulation.countCall(from, number, new GatewayMessage.QuotaGrant(1, grants));
         QuotaInstance receiver = simulation.instance(from);
         int process = receiver.run;
         simulation
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -30,7 +30,7 @@
      * @param inFlight requests that the sender has in flight, by server
      * @param candidate what the sender offers as a source for watches; empty if its release does
      *     not write this field
-     * @param allowance request for allowance, if the receiver is the sender's lender; empty if no
+     * @param quota request for allowance, if the receiver is the sender's lender; empty if no
      *     account has a quota
      */
     record ModelDemandReport(
@@ -39,7 +39,7 @@
             Map<ServerId, Integer> inFlight,
             List<ServerId> unreachable,
             Optional<WatchCandidate> candidate,
-            Optional<AllowanceRequest> allowance)
+            Optional<AllowanceRequest> quota)
             implements GatewayMessage {
         public ModelDemandReport {
             demands = List.copyOf(demands);
@@ -73,7 +73,7 @@
      * @param suspected servers that several instances cannot reach; only from the planner
      * @param watchSources instances through which the receiver should watch the store; only from
      *     the planner
-     * @param allowance answer to the receiver's request for allowance; empty if there was none
+     * @param quota answer to the receiver's request for allowance; empty if there was none
      */
     record PlacementNotice(
             int formatVersion,
@@ -85,7 +85,7 @@
             Map<ServerId, Integer> inFlight,
             List<ServerId> suspected,
             List<WatchSource> watchSources,
-            Optional<AllowanceNotice> allowance)
+            Optional<AllowanceNotice> quota)
             implements GatewayMessage {
         public PlacementNotice {
             suspected = List.copyOf(suspected);
@@ -125,17 +125,17 @@
      * A request for allowance between two reports, because requests wait for it.
      *
      * @param formatVersion format version of the sender
-     * @param allowance the request
+     * @param quota the request
      */
-    record AllowanceCall(int formatVersion, AllowanceRequest allowance) implements GatewayMessage {}
+    record QuotaCall(int formatVersion, AllowanceRequest quota) implements GatewayMessage {}
 
     /**
-     * The answer to an {@link AllowanceCall}.
+     * The answer to an {@link QuotaCall}.
      *
      * @param formatVersion format version of the sender
-     * @param allowance the grants
+     * @param quota the grants
      */
-    record AllowanceCallAnswer(int formatVersion, AllowanceNotice allowance)
+    record QuotaGrant(int formatVersion, AllowanceNotice quota)
             implements GatewayMessage {}
 
     /**
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -23,7 +23,7 @@
  */
 final class GatewayMessageFormat {
     private static final String FORMAT_VERSION = "formatVersion";
-    private static final String ALLOWANCE = "allowance";
+    private static final String QUOTA = "quota";
 
     private GatewayMessageFormat() {}
 
@@ -43,12 +43,12 @@
             writer.number(FORMAT_VERSION, answer.formatVersion())
                     .number("call", answer.call())
                     .text("result", answer.result());
-        } else if (message instanceof GatewayMessage.AllowanceCall call) {
+        } else if (message instanceof GatewayMessage.QuotaCall call) {
             writer.number(FORMAT_VERSION, call.formatVersion())
-                    .array(ALLOWANCE, Optional.of(call.allowance()), AllowanceFormat::write);
-        } else if (message instanceof GatewayMessage.AllowanceCallAnswer answer) {
+                    .array(QUOTA, Optional.of(call.quota()), AllowanceFormat::write);
+        } else if (message instanceof GatewayMessage.QuotaGrant answer) {
             writer.number(FORMAT_VERSION, answer.formatVersion())
-                    .array(ALLOWANCE, Optional.of(answer.allowance()), AllowanceFormat::write);
+                    .array(QUOTA, Optional.of(answer.quota()), AllowanceFormat::write);
         } else {
             return QuarantineMessageFormat.write(message, writer);
         }
@@ -69,8 +69,8 @@
             case "ObjectCallAnswer" -> Optional.of(readObjectCallAnswer(new MessageFields(frame)));
             case "OrderCall" -> Optional.of(readOrderCall(new MessageFields(frame)));
             case "OrderCallAnswer" -> Optional.of(readOrderCallAnswer(new MessageFields(frame)));
-            case "AllowanceCall" -> Optional.of(readAllowanceCall(new MessageFields(frame)));
-            case "AllowanceCallAnswer" -> Optional.of(readAllowanceAnswer(new MessageFields(frame)));
+            case "QuotaCall" -> Optional.of(readQuotaCall(new MessageFields(frame)));
+            case "QuotaGrant" -> Optional.of(readQuotaGrant(new MessageFields(frame)));
             default -> QuarantineMessageFormat.read(kind, new MessageFields(frame));
         };
     }
@@ -81,7 +81,7 @@
                 .counts("inFlight", report.inFlight())
                 .texts("unreachable", report.unreachable())
                 .optional("candidate", report.candidate(), GatewayMessageFormat::writeCandidate)
-                .array(ALLOWANCE, report.allowance(), AllowanceFormat::write);
+                .array(QUOTA, report.quota(), AllowanceFormat::write);
     }
 
     private static PeerMessage readReport(MessageFields fields) {
@@ -91,7 +91,7 @@
                 fields.counts("inFlight", ServerId::new),
                 fields.texts("unreachable", ServerId::new),
                 fields.optional("candidate", GatewayMessageFormat::readCandidate),
-                fields.value(ALLOWANCE).map(AllowanceFormat::readRequest));
+                fields.value(QUOTA).map(AllowanceFormat::readRequest));
     }
 
     private static void writeDemand(MessageWriter writer, ModelDemand demand) {
@@ -138,7 +138,7 @@
                 .counts("inFlight", notice.inFlight())
                 .texts("suspected", notice.suspected())
                 .list("watchSources", notice.watchSources(), GatewayMessageFormat::writeSource)
-                .array(ALLOWANCE, notice.allowance(), AllowanceFormat::write);
+                .array(QUOTA, notice.quota(), AllowanceFormat::write);
     }
 
     private static PeerMessage readNotice(MessageFields fields) {
@@ -152,19 +152,19 @@
                 fields.counts("inFlight", ServerId::new),
                 fields.texts("suspected", ServerId::new),
                 fields.list("watchSources", GatewayMessageFormat::readSource),
-                fields.value(ALLOWANCE).map(AllowanceFormat::readNotice));
+                fields.value(QUOTA).map(AllowanceFormat::readNotice));
     }
 
-    private static PeerMessage readAllowanceCall(MessageFields fields) {
-        return new GatewayMessage.AllowanceCall(
+    private static PeerMessage readQuotaCall(MessageFields fields) {
+        return new GatewayMessage.QuotaCall(
                 fields.smallNumber(FORMAT_VERSION),
-                AllowanceFormat.readRequest(fields.require(ALLOWANCE)));
+                AllowanceFormat.readRequest(fields.require(QUOTA)));
     }
 
-    private static PeerMessage readAllowanceAnswer(MessageFields fields) {
-        return new GatewayMessage.AllowanceCallAnswer(
+    private static PeerMessage readQuotaGrant(MessageFields fields) {
+        return new GatewayMessage.QuotaGrant(
                 fields.smallNumber(FORMAT_VERSION),
-                AllowanceFormat.readNotice(fields.require(ALLOWANCE)));
+                AllowanceFormat.readNotice(fields.require(QUOTA)));
     }
 
     private static void writeLease(MessageWriter writer, GatewayMessage.LeaseStatus lease) {
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -59,8 +60,8 @@
                     Map.entry("ObjectCallAnswer", GatewayMessage.ObjectCallAnswer.class),
                     Map.entry("OrderCall", GatewayMessage.OrderCall.class),
                     Map.entry("OrderCallAnswer", GatewayMessage.OrderCallAnswer.class),
-                    Map.entry("AllowanceCall", GatewayMessage.AllowanceCall.class),
-                    Map.entry("AllowanceCallAnswer", GatewayMessage.AllowanceCallAnswer.class),
+                    Map.entry("QuotaCall", GatewayMessage.QuotaCall.class),
+                    Map.entry("QuotaGrant", GatewayMessage.QuotaGrant.class),
                     Map.entry("ServerLossReport", GatewayMessage.ServerLossReport.class),
                     Map.entry("AnswerReport", GatewayMessage.AnswerReport.class),
                     Map.entry("QuarantineNotice", GatewayMessage.QuarantineNotice.class));
@@ -69,6 +70,12 @@
             TYPE_BY_KIND.entrySet().stream()
                     .collect(Collectors.toMap(Map.Entry::getValue, Map.Entry::getKey));
 
+    /**
+     * Small and frequent kinds that do not repeat the sender, which the connection's first frame has
+     * named.
+     */
+    private static final Set<String> KINDS_WITHOUT_SENDER = Set.of("QuotaCall", "QuotaGrant");
+
     /** Holds the general format, which is costly to create. */
     private static final class General {
         private static final GeneralMessageFormat FORMAT = new GeneralMessageFormat();
@@ -86,7 +93,8 @@
     }
 
     private MessageWriter writer(String kind) {
-        return new MessageWriter().text(KIND, kind).text(SENDER, sender);
+        MessageWriter writer = new MessageWriter().text(KIND, kind);
+        return KINDS_WITHOUT_SENDER.contains(kind) ? writer : writer.text(SENDER, sender);
     }
 
     /** Encodes a message as a frame, without its length prefix. */
--- /dev/null
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
@@ -0,0 +1,194 @@
+package org.tarragonlug.decision.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.tarragonlug.decision.forwarding.ForwardingFixture.HOST;
+import static org.tarragonlug.decision.forwarding.ForwardingFixture.RECORDS;
+import static org.tarragonlug.decision.forwarding.ForwardingFixture.find;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.decision.account.AccountDirectory;
+import org.tarragonlug.decision.account.ClientAccount;
+import org.tarragonlug.decision.account.Credential;
+import org.tarragonlug.decision.account.KeyDigest;
+import org.tarragonlug.decision.account.Quota;
+import org.tarragonlug.decision.account.QuotaUnit;
+import org.tarragonlug.decision.quota.AllowanceNotice;
+import org.tarragonlug.decision.quota.InstanceTotal;
+import org.tarragonlug.decision.quota.QuotaBorrower;
+import org.tarragonlug.decision.quota.QuotaTolerance;
+import org.tarragonlug.id.AccountName;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ServerId;
+
+/** Requests of accounts with quotas at the coordinator, in virtual time. */
+class ForwardingQuotaTest {
+    private static final AccountName LIMITED = new AccountName("press");
+    private static final InstanceId LENDER = new InstanceId("entry-1");
+    private static final QuotaTolerance NO_ADVANCE =
+            new QuotaTolerance(Duration.ofSeconds(8), 0, 0);
+
+    private final QuotaBorrower borrower =
+            new QuotaBorrower(Optional.of(NO_ADVANCE), new InstanceTotal(), 1);
+    private final ForwardingCoordinator coordinator =
+            new ForwardingCoordinator(
+                    new FailureDomain("home"),
+                    String::hashCode,
+                    new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1),
+                    borrower);
+    private Instant now = Instant.ofEpochSecond(1000);
+    private long lastKey;
+
+    private static Credential key(int value) {
+        byte[] bytes = new byte[KeyDigest.BYTES];
+        bytes[0] = (byte) value;
+        return Credential.of(new KeyDigest(bytes));
+    }
+
+    private static ClientAccount account(AccountName name, int key, Optional<Quota> quota) {
+        return new ClientAccount(
+                name, Set.of(key(key).digest().orElseThrow()), OptionalInt.empty(), quota);
+    }
+
+    private List<ForwardingCommand> handle(ForwardingEvent event) {
+        return coordinator.handle(event, now);
+    }
+
+    private void advance(long millis) {
+        for (long left = millis; left > 0; left -= 20) {
+            now = now.plusMillis(20);
+            handle(new ForwardingEvent.Tick());
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        ForwardingRoute route =
+                ForwardingFixture.route("/read/", RequestKind.IDEMPOTENT, 2, false, RECORDS);
+        Quota quota = new Quota(QuotaUnit.TOKENS, 100, 100, 20);
+        handle(
+                new ForwardingEvent.TableInstalled(
+                        new ForwardingTable(
+                                new ConfigurationVersion(1),
+                                List.of(route),
+                                List.of(new ForwardingService(RECORDS, Optional.empty(), 100)),
+                                OptionalLong.empty(),
+                                new AccountDirectory(
+                                        List.of(
+                                                account(LIMITED, 1, Optional.of(quota)),
+                                                account(
+                                                        new AccountName("radio"),
+                                                        2,
+                                                        Optional.empty()))))));
+        handle(
+                new ForwardingEvent.ServerListed(
+                        new ServerListing(
+                                new ServerId("r1"),
+                                RECORDS,
+                                "10.0.0.1:80",
+                                new FailureDomain("home"),
+                                8,
+                                ListedState.READY,
+                                1,
+                                Map.of(),
+                                Set.of(),
+                                Set.of())));
+        borrower.onLenders(Set.of(LENDER), now);
+        advance(1000);
+        grant(0);
+    }
+
+    private List<ForwardingCommand> arrive(int key, int tokens) {
+        lastKey++;
+        return handle(
+                new ForwardingEvent.RequestArrived(
+                        new ForwardRequest(
+                                lastKey,
+                                "request-" + lastKey,
+                                HOST,
+                                "/read/1",
+                                Optional.of(Duration.ofSeconds(6)),
+                                Optional.empty(),
+                                new PromptPrefix("", 0, List.of()),
+                                tokens,
+                                0,
+                                -1,
+                                lastKey,
+                                key(key))));
+    }
+
+    private List<ForwardingCommand> grant(int amount) {
+        long number = borrower.demands(now).orElseThrow().number();
+        Map<AccountName, Integer> granted = amount == 0 ? Map.of() : Map.of(LIMITED, amount);
+        borrower.onGrants(LENDER, new AllowanceNotice(number, 1, granted, Map.of()), now);
+        return handle(new ForwardingEvent.AllowanceAnswered());
+    }
+
+    private static boolean isSent(List<ForwardingCommand> commands) {
+        return find(commands, ForwardingCommand.Send.class).isPresent();
+    }
+
+    private static Optional<RefusalReason> refusal(List<ForwardingCommand> commands) {
+        return find(commands, ForwardingCommand.Refuse.class).map(each -> each.reason());
+    }
+
+    /** Guards against requests that run without allowance, or wait although it has come. */
+    @Test
+    void requestIsSentWhenGrantArrives() {
+        List<ForwardingCommand> commands = arrive(1, 50);
+        assertEquals(List.of(new ForwardingCommand.RequestAllowance()), commands);
+        assertEquals(1, coordinator.waitingCount());
+        assertTrue(isSent(grant(50)));
+        assertTrue(!isSent(arrive(1, 1)));
+    }
+
+    /** Guards against requests that wait for a planner that does not answer. */
+    @Test
+    void requestIsRefusedWhenNoGrantArrives() {
+        arrive(1, 50);
+        now = now.plusMillis(80);
+        List<ForwardingCommand> commands = handle(new ForwardingEvent.Tick());
+        assertEquals(Optional.of(RefusalReason.QUOTA_EXCEEDED), refusal(commands));
+        assertTrue(find(commands, ForwardingCommand.Refuse.class).get().retryAfter().isPresent());
+        assertEquals(429, RefusalReason.QUOTA_EXCEEDED.status());
+        assertEquals(0, coordinator.pendingCount());
+    }
+
+    /** Guards against accounts without a quota that wait for allowance. */
+    @Test
+    void accountWithoutQuotaIsNotLimited() {
+        assertTrue(isSent(arrive(2, 1_000_000)));
+    }
+
+    /** Guards against a cost that stays taken although the server did not run the request. */
+    @Test
+    void costReturnsOnlyIfRequestHasNotRun() {
+        grant(50);
+        assertTrue(isSent(arrive(1, 50)));
+        handle(new ForwardingEvent.Rejected(lastKey, Rejection.BUSY, Optional.empty()));
+        advance(300);
+        assertTrue(isSent(arrive(1, 50)));
+        handle(new ForwardingEvent.Answered(lastKey, 200, Optional.empty()));
+        assertTrue(!isSent(arrive(1, 1)));
+    }
+
+    /** Guards against waiting requests whose callers have left and that still take allowance. */
+    @Test
+    void requestOfCallerThatLeftTakesNothing() {
+        arrive(1, 50);
+        handle(new ForwardingEvent.CallerDisconnected(lastKey));
+        assertTrue(grant(50).isEmpty());
+        assertTrue(isSent(arrive(1, 50)));
+    }
+}
--- a/src/test/java/org/tarragonlug/gateway/GatewaySettingsLoaderTest.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewaySettingsLoaderTest.java
@@ -8,12 +8,14 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.tarragonlug.decision.quota.QuotaTolerance;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -87,6 +89,19 @@
                     settings.watchLimits());
         }
 
+        /** Guards against a platform's tolerance of quotas that does not reach the process. */
+        @Test
+        void readsToleranceOfQuotas() throws Exception {
+            assertEquals(Optional.empty(), load(render(fields())).quotaTolerance());
+            Map<String, String> fields = fields();
+            fields.put("bounds.quota_window_s", "8");
+            fields.put("bounds.quota_overage", "0.1");
+            fields.put("bounds.quota_slack", "110000");
+            assertEquals(
+                    Optional.of(new QuotaTolerance(Duration.ofSeconds(8), 0.1, 110_000)),
+                    load(render(fields)).quotaTolerance());
+        }
+
         @Test
         void usesDefaultsWhenPlatformProvidesNoLimits() throws Exception {
             GatewaySettings settings = load(render(fields()));
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -210,8 +210,8 @@
                         List.of(new ServerId("s-9")),
                         List.of(new WatchSource(new InstanceId("entry-3"), "10.0.0.3:7380")),
                         Optional.of(ALLOWANCE_NOTICE)),
-                new GatewayMessage.AllowanceCall(1, ALLOWANCE_REQUEST),
-                new GatewayMessage.AllowanceCallAnswer(1, ALLOWANCE_NOTICE),
+                new GatewayMessage.QuotaCall(1, ALLOWANCE_REQUEST),
+                new GatewayMessage.QuotaGrant(1, ALLOWANCE_NOTICE),
                 new GatewayMessage.ObjectCall(
                         1,
                         9,
@@ -384,11 +384,11 @@
         void missingAllowanceIsReadAsNone() throws Exception {
             for (PeerMessage message : lastSamples()) {
                 PeerMessage read =
-                        decodedOrNull(edited(message, node -> node.remove("allowance")));
+                        decodedOrNull(edited(message, node -> node.remove("quota")));
                 if (read instanceof GatewayMessage.ModelDemandReport report) {
-                    assertEquals(Optional.empty(), report.allowance());
+                    assertEquals(Optional.empty(), report.quota());
                 } else if (read instanceof GatewayMessage.PlacementNotice notice) {
-                    assertEquals(Optional.empty(), notice.allowance());
+                    assertEquals(Optional.empty(), notice.quota());
                 }
             }
         }
