--- a/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
@@ -58,6 +58,9 @@
     /** When callers should come back if nothing is known about the time at which there is room. */
     private static final Duration RETRY_UNKNOWN = Duration.ofMillis(500);
 
+    /** The shortest time until callers should come back; a shorter one would be written as 0. */
+    private static final Duration MIN_RETRY = Duration.ofMillis(50);
+
     private final Optional<QuotaTolerance> tolerance;
     private final InstanceTotal instances;
     private final Map<AccountName, BorrowedAllowance> accounts = new HashMap<>();
@@ -239,7 +242,9 @@
         if (room.isZero() && now.isBefore(mayRequestAt)) {
             room = Duration.between(now, mayRequestAt);
         }
-        return new TakeResult.Refused(room.isZero() ? RETRY_UNKNOWN : room);
+        Duration retryAfter = room.isZero() ? RETRY_UNKNOWN : room;
+        boolean atOnce = retryAfter.compareTo(MIN_RETRY) < 0;
+        return new TakeResult.Refused(atOnce ? MIN_RETRY : retryAfter);
     }
 
     /** Records that a request of this cost waits, so that the lender is asked for it. */
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -12,9 +12,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import org.tarragonlug.decision.forwarding.ForwardingLimits;
+import org.tarragonlug.decision.quota.QuotaTolerance;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.http.IoThreads;
 import org.tarragonlug.id.FailureDomain;
@@ -62,6 +65,9 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private int requestCount;
 
+    /** What gateways that are started from now on tolerate beyond quotas. */
+    Optional<QuotaTolerance> quotaTolerance = Optional.empty();
+
     /** Drain time of the gateways that are started from now on. */
     Duration drainTime = Duration.ofSeconds(8);
 
@@ -130,7 +136,9 @@
                 2,
                 100,
                 1,
-                WatchLimits.DEFAULT);
+                WatchLimits.DEFAULT,
+                ForwardingLimits.DEFAULT_CONFIGURATION_DELAY,
+                quotaTolerance);
     }
 
     /** Waits until a condition holds, and fails after 20 s. */
