--- a/src/main/java/org/tarragonlug/measure/QuotaMeasurement.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaMeasurement.java
@@ -13,6 +13,7 @@
     private static final Duration LENGTH = Duration.ofSeconds(60);
     private static final double WITHIN = 0.9;
     private static final double BEYOND = 3;
+    private static final double SLACK = 110_000;
 
     private QuotaMeasurement() {}
 
@@ -50,7 +51,7 @@
             QuotaScenario.Faults faults,
             long seed,
             PrintStream output) {
-        QuotaScenario scenario = new QuotaScenario(instances, arrivals, use, faults, LENGTH);
+        QuotaScenario scenario = new QuotaScenario(instances, arrivals, use, faults, SLACK, LENGTH);
         QuotaResult result = new QuotaSimulation(scenario, seed).run();
         output.printf(
                 "| %d | %s | %.1f | %s | %d | %.4f | %.4f | %.4f | %.4f | %.3f | %.4f | %.0f |%n",
--- a/src/main/java/org/tarragonlug/measure/QuotaScenario.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaScenario.java
@@ -9,10 +9,11 @@
  * @param arrivals how requests are spread over the instances
  * @param use mean load of each account, as a fraction of its rate
  * @param faults what happens to instances and messages
+ * @param slack slack of the platform's tolerance, in tokens
  * @param length length of the run
  */
 record QuotaScenario(
-        int instances, Arrivals arrivals, double use, Faults faults, Duration length) {
+        int instances, Arrivals arrivals, double use, Faults faults, double slack, Duration length) {
     /** How requests are spread over the instances. */
     enum Arrivals {
         /** Each request arrives at any instance. */
--- a/src/main/java/org/tarragonlug/measure/QuotaSimulation.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaSimulation.java
@@ -31,8 +31,8 @@
     private static final double BURST_SECONDS = 2;
     private static final double MIN_COST = 200;
     private static final double MEAN_ADDITIONAL_COST = 400;
-    private static final QuotaTolerance TOLERANCE =
-            new QuotaTolerance(Duration.ofSeconds(8), 0.1, 110_000);
+    private static final Duration WINDOW = Duration.ofSeconds(8);
+    private static final double OVERAGE = 0.1;
     private static final int HOLDERS = 8;
     private static final Duration WARM_UP = Duration.ofSeconds(12);
     private static final Duration MOVE_PERIOD = Duration.ofSeconds(5);
@@ -43,6 +43,7 @@
     private static final int FRAME_PREFIX_BYTES = 4;
 
     private final QuotaScenario scenario;
+    private final QuotaTolerance tolerance;
     private final SplittableRandom random;
     private final VirtualTime time = new VirtualTime();
     private final QuotaNetwork network;
@@ -69,6 +70,7 @@
 
     QuotaSimulation(QuotaScenario scenario, long seed) {
         this.scenario = scenario;
+        this.tolerance = new QuotaTolerance(WINDOW, OVERAGE, scenario.slack());
         this.random = new SplittableRandom(seed);
         boolean unreliable = scenario.faults() == QuotaScenario.Faults.ALL;
         this.network =
@@ -156,7 +158,7 @@
 
     /** Runs the scenario and returns its results after the warm-up; the limit is checked always. */
     QuotaResult run() {
-        instances.forEach(each -> each.start(quotas, TOLERANCE));
+        instances.forEach(each -> each.start(quotas, tolerance));
         fullQuotas.forEach((name, quota) -> scheduleArrival(name));
         scheduleFaults();
         time.runUntil(Instant.EPOCH.plus(WARM_UP).plus(scenario.length()));
@@ -177,9 +179,9 @@
         double largest = 0;
         for (Map.Entry<AccountName, Quota> each : fullQuotas.entrySet()) {
             QuotaWindow all = windows.get(each.getKey());
-            largest = Math.max(largest, all.largestUse(each.getValue(), TOLERANCE));
+            largest = Math.max(largest, all.largestUse(each.getValue(), tolerance));
             QuotaWindow late = reducedWindows.get(each.getKey());
-            largest = Math.max(largest, late.largestUse(reduced(each.getValue()), TOLERANCE));
+            largest = Math.max(largest, late.largestUse(reduced(each.getValue()), tolerance));
         }
         return largest;
     }
@@ -321,7 +323,7 @@
         if (instance(number).isAlive()) {
             lastAlive.put(number, now());
             instance(number).end();
-            time.afterMillis(millis, () -> instance(number).start(quotas, TOLERANCE));
+            time.afterMillis(millis, () -> instance(number).start(quotas, tolerance));
         }
     }
 
--- a/src/test/java/org/tarragonlug/measure/QuotaSimulationTest.java
+++ b/src/test/java/org/tarragonlug/measure/QuotaSimulationTest.java
@@ -14,6 +14,7 @@
     private static final Duration LENGTH = Duration.ofSeconds(30);
     private static final double WITHIN = 0.9;
     private static final double BEYOND = 3;
+    private static final double SLACK = 110_000;
     private static final double LARGEST_REFUSED_SHARE = 0.01;
 
     private static QuotaResult play(
@@ -21,20 +22,22 @@
             QuotaScenario.Arrivals arrivals,
             double use,
             QuotaScenario.Faults faults,
+            double slack,
             long seed) {
         return new QuotaSimulation(
-                        new QuotaScenario(instances, arrivals, use, faults, LENGTH), seed)
+                        new QuotaScenario(instances, arrivals, use, faults, slack, LENGTH), seed)
                 .run();
     }
 
     @Nested
     class Limit {
-        private void assertKept(int instances, double use, QuotaScenario.Faults faults) {
+        private void assertKept(
+                int instances, double use, QuotaScenario.Faults faults, double slack) {
             TestSeeds.forEach(
                     3,
                     seed -> {
                         for (QuotaScenario.Arrivals arrivals : QuotaScenario.Arrivals.values()) {
-                            QuotaResult result = play(instances, arrivals, use, faults, seed);
+                            QuotaResult result = play(instances, arrivals, use, faults, slack, seed);
                             assertTrue(result.largestUse() <= 1, result.toString());
                         }
                     });
@@ -47,14 +50,23 @@
         @ParameterizedTest
         @ValueSource(ints = {8, 30, 95})
         void isKeptUnderAllFaults(int instances) {
-            assertKept(instances, BEYOND, QuotaScenario.Faults.ALL);
-            assertKept(instances, 10, QuotaScenario.Faults.ALL);
+            assertKept(instances, BEYOND, QuotaScenario.Faults.ALL, SLACK);
+            assertKept(instances, 10, QuotaScenario.Faults.ALL, SLACK);
+        }
+
+        /** Guards against a bound that only a large slack makes true. */
+        @ParameterizedTest
+        @ValueSource(ints = {8, 30})
+        void isKeptWithoutSlack(int instances) {
+            assertKept(instances, BEYOND, QuotaScenario.Faults.ALL, 0);
+            assertKept(instances, BEYOND, QuotaScenario.Faults.PARTITION, 0);
+            assertKept(instances, BEYOND, QuotaScenario.Faults.PLANNER_LOST, 0);
         }
 
         /** Guards against two sides of a partition that both lend the whole. */
         @Test
         void isKeptInLongPartition() {
-            assertKept(20, BEYOND, QuotaScenario.Faults.PARTITION);
+            assertKept(20, BEYOND, QuotaScenario.Faults.PARTITION, SLACK);
         }
     }
 
@@ -62,7 +74,7 @@
     class Allowance {
         private void assertGiven(
                 int instances, QuotaScenario.Arrivals arrivals, QuotaScenario.Faults faults) {
-            QuotaResult result = play(instances, arrivals, WITHIN, faults, 1);
+            QuotaResult result = play(instances, arrivals, WITHIN, faults, SLACK, 1);
             assertTrue(result.refusedWithinShare() < LARGEST_REFUSED_SHARE, result.toString());
         }
 
@@ -92,6 +104,7 @@
                             QuotaScenario.Arrivals.EVEN,
                             BEYOND,
                             QuotaScenario.Faults.NONE,
+                            SLACK,
                             1);
             assertTrue(result.admittedShare() > 0.9 * result.globalShare(), result.toString());
         }
@@ -101,7 +114,7 @@
     @Test
     void additionalMessagesAreSmall() {
         QuotaResult result =
-                play(95, QuotaScenario.Arrivals.EVEN, WITHIN, QuotaScenario.Faults.NONE, 1);
+                play(95, QuotaScenario.Arrivals.EVEN, WITHIN, QuotaScenario.Faults.NONE, SLACK, 1);
         assertTrue(result.bytesPerSecond() < 0.2 * 1024, result.toString());
     }
 }
