Let the number of instances shrink at a planner that borrows from itself

Cause: the planner took its own announcement for a confirmation, so the number never shrank after instances had left. Change: own counts take precedence for 2 s; bursts of load in the simulation.

--- a/src/main/java/org/tarragonlug/decision/quota/InstanceTotal.java
+++ b/src/main/java/org/tarragonlug/decision/quota/InstanceTotal.java
@@ -17,8 +17,15 @@
     /** How long a larger number takes precedence over later, smaller counts. */
     private static final Duration RETENTION = Duration.ofSeconds(20);
 
+    /**
+     * How long after a count of its own an instance does not take an announced number, which may be
+     * its own, for a confirmation.
+     */
+    private static final Duration COUNT_VALIDITY = Duration.ofSeconds(2);
+
     private int total;
     private Instant confirmedAt = Instant.MIN;
+    private Instant countedAt = Instant.MIN;
 
     /** Returns the number of instances, including this one; 0 if it is not known. */
     public int current() {
@@ -27,8 +34,9 @@
 
     /** Takes over the number that the present planner announces; 0 counts as not known. */
     public void onAnnounced(int instances, Instant now) {
-        boolean outdated = confirmedAt != Instant.MIN && now.isAfter(confirmedAt.plus(RETENTION));
-        if (instances >= total || outdated && instances > 0) {
+        boolean outdated = now.isAfter(confirmedAt.plus(RETENTION));
+        boolean confirmed = instances == total && !now.isBefore(countedAt.plus(COUNT_VALIDITY));
+        if (instances > total || confirmed || outdated && instances > 0) {
             total = instances;
             confirmedAt = now;
         }
@@ -41,6 +49,7 @@
      * @param complete whether all holders of leases that allow planning were heard recently
      */
     public void onCounted(int instances, boolean complete, Instant now) {
+        countedAt = now;
         if (instances >= total && (total > 0 || complete)) {
             total = instances;
             confirmedAt = now;
--- a/src/main/java/org/tarragonlug/measure/QuotaMeasurement.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaMeasurement.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 
 /**
@@ -11,6 +12,11 @@
 public final class QuotaMeasurement {
     private static final int[] INSTANCES = {8, 71, 95, 300, 410};
     private static final Duration LENGTH = Duration.ofSeconds(60);
+    private static final List<QuotaScenario.Arrivals> WITHIN_ARRIVALS =
+            List.of(
+                    QuotaScenario.Arrivals.EVEN,
+                    QuotaScenario.Arrivals.HALF_AT_ONE,
+                    QuotaScenario.Arrivals.MOVING);
     private static final double WITHIN = 0.9;
     private static final double BEYOND = 3;
     private static final double SLACK = 110_000;
@@ -32,9 +38,16 @@
                         + " | B/s per instance |");
         output.println("|---|---|---|---|---|---|---|---|---|---|---|---|");
         for (int instances : INSTANCES) {
-            for (QuotaScenario.Arrivals arrivals : QuotaScenario.Arrivals.values()) {
+            for (QuotaScenario.Arrivals arrivals : WITHIN_ARRIVALS) {
                 print(instances, arrivals, WITHIN, QuotaScenario.Faults.NONE, seed, output);
             }
+            print(
+                    instances,
+                    QuotaScenario.Arrivals.BURSTS,
+                    BEYOND,
+                    QuotaScenario.Faults.NONE,
+                    seed,
+                    output);
             for (QuotaScenario.Faults faults : QuotaScenario.Faults.values()) {
                 if (faults != QuotaScenario.Faults.NONE) {
                     print(instances, QuotaScenario.Arrivals.EVEN, WITHIN, faults, seed, output);
--- a/src/main/java/org/tarragonlug/measure/QuotaScenario.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaScenario.java
@@ -21,7 +21,9 @@
         /** Half of an account's requests arrive at one instance. */
         HALF_AT_ONE,
         /** Half of an account's requests arrive at one instance, another one every 5 s. */
-        MOVING
+        MOVING,
+        /** Each request arrives at any instance; none for 8 s, then twice as many for 8 s. */
+        BURSTS
     }
 
     /** What happens to instances and messages. */
--- a/src/main/java/org/tarragonlug/measure/QuotaSimulation.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaSimulation.java
@@ -38,6 +38,7 @@
     private static final Duration MOVE_PERIOD = Duration.ofSeconds(5);
     private static final Duration LEASE_TIME = Duration.ofSeconds(11);
     private static final Duration APPLY_TIME = Duration.ofSeconds(3);
+    private static final int BURST_LENGTH_SECONDS = 8;
     private static final double NOT_RUN_SHARE = 0.05;
     private static final double REDUCTION = 0.5;
     private static final int FRAME_PREFIX_BYTES = 4;
@@ -202,6 +203,7 @@
         double perSecond =
                 fullQuotas.get(account).ratePerSecond()
                         * scenario.use()
+                        * (isBursty() ? 2 : 1)
                         / (MIN_COST + MEAN_ADDITIONAL_COST);
         time.afterMillis(
                 exponential() * 1000 / perSecond,
@@ -215,7 +217,18 @@
         return -Math.log(1 - random.nextDouble());
     }
 
+    private boolean isBursty() {
+        return scenario.arrivals() == QuotaScenario.Arrivals.BURSTS;
+    }
+
+    private boolean isBetweenBursts() {
+        return isBursty() && now().getEpochSecond() / BURST_LENGTH_SECONDS % 2 == 0;
+    }
+
     private void arrive(AccountName account) {
+        if (isBetweenBursts()) {
+            return;
+        }
         long cost = (long) (MIN_COST + MEAN_ADDITIONAL_COST * exponential());
         int number = chooseInstance(account);
         if (!instance(number).isAlive()) {
@@ -232,7 +245,7 @@
 
     private int chooseInstance(AccountName account) {
         boolean even = scenario.arrivals() == QuotaScenario.Arrivals.EVEN;
-        if (even || random.nextBoolean()) {
+        if (even || isBursty() || random.nextBoolean()) {
             return random.nextInt(instances.size());
         }
         boolean moving = scenario.arrivals() == QuotaScenario.Arrivals.MOVING;
--- a/src/test/java/org/tarragonlug/decision/quota/QuotaLenderTest.java
+++ b/src/test/java/org/tarragonlug/decision/quota/QuotaLenderTest.java
@@ -144,6 +144,18 @@
             assertEquals(40, total.current());
         }
 
+        /** Guards against a planner that takes its own announcements for a confirmation. */
+        @Test
+        void shrinksAtPlannerThatBorrowsFromItself() {
+            total.onCounted(95, true, now);
+            for (int second = 0; second < 25; second++) {
+                now = now.plusSeconds(1);
+                total.onCounted(40, true, now);
+                total.onAnnounced(total.current(), now);
+            }
+            assertEquals(40, total.current());
+        }
+
         /** Guards against a process that has just started, alone, and gives the whole. */
         @Test
         void isNotKnownUntilAllHoldersAreHeard() {
