--- a/src/main/java/org/tarragonlug/decision/forwarding/AllowanceGate.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AllowanceGate.java
@@ -67,8 +67,7 @@
                                 request.promptTokens(),
                                 request.outputTokens(),
                                 quota.get().defaultCost());
-        Optional<TakeResult> result =
-                queue.offer(forward, forward.account.get().name(), cost, now);
+        Optional<TakeResult> result = queue.offer(forward, forward.account.get().name(), cost, now);
         if (result.isPresent()) {
             apply(forward, result.get(), now);
         } else {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -51,9 +51,7 @@
     private final ServerSelector selector;
     private final Hasher hasher;
     private final PendingForwards pending =
-            new PendingForwards(
-                    command -> this.commands.add(command),
-                    this::onEndedWithoutRun);
+            new PendingForwards(command -> this.commands.add(command), this::onEndedWithoutRun);
     private final RetryBudgets budgets;
     private final ReadyExpectations expectations = new ReadyExpectations();
     private final QuarantineGate gate = new QuarantineGate();
@@ -79,11 +77,7 @@
      * @param limits limits set by the platform
      */
     public ForwardingCoordinator(FailureDomain home, Hasher hasher, ForwardingLimits limits) {
-        this(
-                home,
-                hasher,
-                limits,
-                new QuotaBorrower(Optional.empty(), new InstanceTotal(), 0));
+        this(home, hasher, limits, new QuotaBorrower(Optional.empty(), new InstanceTotal(), 0));
     }
 
     /**
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
@@ -25,8 +25,7 @@
      * @param output receives the commands that end requests
      * @param endedWithoutRun receives the requests that have ended and did not run
      */
-    PendingForwards(
-            Consumer<ForwardingCommand> output, Consumer<PendingForward> endedWithoutRun) {
+    PendingForwards(Consumer<ForwardingCommand> output, Consumer<PendingForward> endedWithoutRun) {
         this.output = output;
         this.endedWithoutRun = endedWithoutRun;
     }
--- a/src/main/java/org/tarragonlug/decision/quota/LentAccount.java
+++ b/src/main/java/org/tarragonlug/decision/quota/LentAccount.java
@@ -72,7 +72,8 @@
     Grant grant(long advanced, long waiting, long extra) {
         long covered = (long) Math.min(advanced, level);
         level -= covered;
-        long forWaiting = level >= waiting || isLarge(waiting) ? (long) Math.min(waiting, level) : 0;
+        long forWaiting =
+                level >= waiting || isLarge(waiting) ? (long) Math.min(waiting, level) : 0;
         level -= forWaiting;
         long missingNow = advanced - covered + waiting - forWaiting;
         long inAdvance = missingNow > 0 ? 0 : (long) Math.min(extra, level * EXTRA_SHARE);
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
@@ -146,8 +146,7 @@
         }
         mayRequestAt = later(mayRequestAt, now);
         if (lastRequestAt != null) {
-            mayRequestAt =
-                    later(mayRequestAt, lastRequestAt.plus(QuotaTimes.BORROWER_RETENTION));
+            mayRequestAt = later(mayRequestAt, lastRequestAt.plus(QuotaTimes.BORROWER_RETENTION));
         }
         lender = chosen;
         lenderHeardAt = Instant.MIN;
@@ -191,8 +190,7 @@
         BorrowedAllowance allowance = accounts.get(account);
         boolean enforced = tolerance.isPresent() || hearsLender(now);
         if (allowance == null || !enforced) {
-            return new TakeResult.Taken(
-                    new QuotaCharge(account, 0, Instant.MIN, 0, false, now));
+            return new TakeResult.Taken(new QuotaCharge(account, 0, Instant.MIN, 0, false, now));
         }
         active.add(account);
         allowance.expire(now, advanceRetention());
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaLender.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaLender.java
@@ -75,8 +75,7 @@
     private void removeSilentBorrowers(Instant now) {
         Iterator<Instant> each = borrowers.values().iterator();
         boolean changed = false;
-        while (each.hasNext()
-                && now.isAfter(each.next().plus(QuotaTimes.BORROWER_RETENTION))) {
+        while (each.hasNext() && now.isAfter(each.next().plus(QuotaTimes.BORROWER_RETENTION))) {
             each.remove();
             changed = true;
         }
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaPlan.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaPlan.java
@@ -8,14 +8,15 @@
  *
  * <p>The limit of a sliding window W is {@code M = (rate x W + burst) x (1 + overage) + slack}. A
  * request that arrives in the window takes its cost at most {@link QuotaTimes#MAX_STALL} and {@link
- * QuotaTimes#MAX_WAIT} later. It takes it from a grant, which was issued at most {@link QuotaTimes#GRANT_LIFETIME} before, or as
- * an advance. Lenders refill their buckets by the time between two reports of a borrower, at most
- * {@link QuotaTimes#MAX_CREDIT}, so they are credited for at most that much more than the time in
- * which they issue. The grants that can be spent on the requests of a window are therefore at most
- * {@code burst + rate x (W + MAX_STALL + MAX_WAIT + GRANT_LIFETIME + MAX_CREDIT)}. What remains of M is divided
- * equally among the instances, as the advance that each may have spent without a grant at any time.
- * Both together are at most M. Where M is too small for the whole rate and burst, the burst is
- * reduced first and then the rate, and no advance remains.
+ * QuotaTimes#MAX_WAIT} later. It takes it from a grant, which was issued at most {@link
+ * QuotaTimes#GRANT_LIFETIME} before, or as an advance. Lenders refill their buckets by the time
+ * between two reports of a borrower, at most {@link QuotaTimes#MAX_CREDIT}, so they are credited
+ * for at most that much more than the time in which they issue. The grants that can be spent on the
+ * requests of a window are therefore at most {@code burst + rate x (W + MAX_STALL + MAX_WAIT +
+ * GRANT_LIFETIME + MAX_CREDIT)}. What remains of M is divided equally among the instances, as the
+ * advance that each may have spent without a grant at any time. Both together are at most M. Where
+ * M is too small for the whole rate and burst, the burst is reduced first and then the rate, and no
+ * advance remains.
  *
  * <p>A bucket that holds less than what flows in between two reports would lose allowance, so the
  * burst is at least the rate times {@link #MIN_BURST_SECONDS}.
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -31,8 +31,8 @@
  * @param capacity processor time that the process may use, in cores
  * @param watchLimits what the platform allows for changes in the store to take effect
  * @param configurationDelay how long after the write of a configuration the previous one may apply
- * @param quotaTolerance what the platform tolerates beyond the quotas of accounts; empty if it
- *     does not say
+ * @param quotaTolerance what the platform tolerates beyond the quotas of accounts; empty if it does
+ *     not say
  */
 public record GatewaySettings(
         InstanceId instance,
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -229,8 +229,7 @@
             placement.post(new PlacementEvent.DemandReported(from, report.demands()));
             placement.post(
                     new PlacementEvent.ServersUnreachable(from, Set.copyOf(report.unreachable())));
-            sendNotice(
-                    from, report.quota().flatMap(each -> quotas.lend(from, each, now)), now);
+            sendNotice(from, report.quota().flatMap(each -> quotas.lend(from, each, now)), now);
         } else if (message instanceof GatewayMessage.PlacementNotice notice) {
             onPlacementNotice(from, notice, now);
             notice.quota().ifPresent(each -> quotas.onGrants(from, each, now));
--- a/src/main/java/org/tarragonlug/measure/QuotaBucket.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaBucket.java
@@ -20,7 +20,10 @@
     }
 
     private void refill(Instant now) {
-        level = Math.min(burst, level + rate * Duration.between(at, now).toNanos() / NANOS_PER_SECOND);
+        level =
+                Math.min(
+                        burst,
+                        level + rate * Duration.between(at, now).toNanos() / NANOS_PER_SECOND);
         at = now;
     }
 
--- a/src/main/java/org/tarragonlug/measure/QuotaInstance.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaInstance.java
@@ -220,8 +220,7 @@
     private boolean hearsAllHolders(Instant now) {
         for (int holder : simulation.leaseHolders()) {
             Instant heard = holders.get(holder);
-            if (holder != number
-                    && (heard == null || !now.isBefore(heard.plus(HOLDER_TIMEOUT)))) {
+            if (holder != number && (heard == null || !now.isBefore(heard.plus(HOLDER_TIMEOUT)))) {
                 return false;
             }
         }
@@ -229,7 +228,10 @@
     }
 
     private void sendReportTo(int holder, Optional<AllowanceRequest> request) {
-        request.ifPresent(each -> simulation.countBytes(number, holder, report(request), report(Optional.empty())));
+        request.ifPresent(
+                each ->
+                        simulation.countBytes(
+                                number, holder, report(request), report(Optional.empty())));
         QuotaInstance receiver = simulation.instance(holder);
         int process = receiver.run;
         simulation
@@ -247,15 +249,7 @@
 
     private static PeerMessage notice(Optional<AllowanceNotice> notice) {
         return new GatewayMessage.PlacementNotice(
-                1,
-                List.of(),
-                true,
-                0,
-                List.of(),
-                List.of(),
-                Map.of(),
-                List.of(),
-                List.of(),
+                1, List.of(), true, 0, List.of(), List.of(), Map.of(), List.of(), List.of(),
                 notice);
     }
 
@@ -266,8 +260,12 @@
             holders.put(from, now);
         }
         boolean plans = planning;
-        Optional<AllowanceNotice> grants = request.filter(each -> plans).map(each -> lend(from, each));
-        grants.ifPresent(each -> simulation.countBytes(from, number, notice(grants), notice(Optional.empty())));
+        Optional<AllowanceNotice> grants =
+                request.filter(each -> plans).map(each -> lend(from, each));
+        grants.ifPresent(
+                each ->
+                        simulation.countBytes(
+                                from, number, notice(grants), notice(Optional.empty())));
         QuotaInstance receiver = simulation.instance(from);
         int process = receiver.run;
         simulation
@@ -376,7 +374,8 @@
                                 receiver.execute(
                                         process,
                                         () -> {
-                                            receiver.borrower.onGrants(id(), grants, simulation.now());
+                                            receiver.borrower.onGrants(
+                                                    id(), grants, simulation.now());
                                             receiver.decideWaiting();
                                         }));
     }
@@ -388,10 +387,12 @@
     }
 
     void giveBack(QuotaRequest request, TakeResult.Taken taken, int process) {
-        execute(process, () -> {
-            request.markNotRun();
-            borrower.giveBack(taken.charge(), simulation.now());
-        });
+        execute(
+                process,
+                () -> {
+                    request.markNotRun();
+                    borrower.giveBack(taken.charge(), simulation.now());
+                });
     }
 
     int run() {
--- a/src/main/java/org/tarragonlug/measure/QuotaScenario.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaScenario.java
@@ -13,7 +13,12 @@
  * @param length length of the run
  */
 record QuotaScenario(
-        int instances, Arrivals arrivals, double use, Faults faults, double slack, Duration length) {
+        int instances,
+        Arrivals arrivals,
+        double use,
+        Faults faults,
+        double slack,
+        Duration length) {
     /** How requests are spread over the instances. */
     enum Arrivals {
         /** Each request arrives at any instance. */
--- a/src/main/java/org/tarragonlug/measure/QuotaSimulation.java
+++ b/src/main/java/org/tarragonlug/measure/QuotaSimulation.java
@@ -59,7 +59,8 @@
     private final Map<AccountName, QuotaBucket> used = new HashMap<>();
     private final Map<AccountName, QuotaBucket> global = new HashMap<>();
     private final Map<AccountName, QuotaBucket[]> equal = new HashMap<>();
-    private final PeerCodec codec = new PeerCodec(new ProcessId("0123456789ab-0123456789ab-01234567"));
+    private final PeerCodec codec =
+            new PeerCodec(new ProcessId("0123456789ab-0123456789ab-01234567"));
     private long requests;
     private double totalCost;
     private double admitted;
@@ -74,8 +75,7 @@
         this.tolerance = new QuotaTolerance(WINDOW, OVERAGE, scenario.slack());
         this.random = new SplittableRandom(seed);
         boolean unreliable = scenario.faults() == QuotaScenario.Faults.ALL;
-        this.network =
-                new QuotaNetwork(scenario.instances(), unreliable, time, random.split());
+        this.network = new QuotaNetwork(scenario.instances(), unreliable, time, random.split());
         double weights = 0;
         for (int account = 1; account <= ACCOUNTS; account++) {
             weights += 1.0 / account;
@@ -284,8 +284,7 @@
                 && random.nextDouble() < NOT_RUN_SHARE) {
             int process = instance.run();
             time.afterMillis(
-                    random.nextDouble() * 2000,
-                    () -> instance.giveBack(request, taken, process));
+                    random.nextDouble() * 2000, () -> instance.giveBack(request, taken, process));
         }
     }
 
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -135,8 +135,7 @@
      * @param formatVersion format version of the sender
      * @param quota the grants
      */
-    record QuotaGrant(int formatVersion, AllowanceNotice quota)
-            implements GatewayMessage {}
+    record QuotaGrant(int formatVersion, AllowanceNotice quota) implements GatewayMessage {}
 
     /**
      * A model that was loaded on a server or unloaded from it.
--- a/src/main/java/org/tarragonlug/peer/PeerCodec.java
+++ b/src/main/java/org/tarragonlug/peer/PeerCodec.java
@@ -71,8 +71,8 @@
                     .collect(Collectors.toMap(Map.Entry::getValue, Map.Entry::getKey));
 
     /**
-     * Small and frequent kinds that do not repeat the sender, which the connection's first frame has
-     * named.
+     * Small and frequent kinds that do not repeat the sender, which the connection's first frame
+     * has named.
      */
     private static final Set<String> KINDS_WITHOUT_SENDER = Set.of("QuotaCall", "QuotaGrant");
 
--- a/src/test/java/org/tarragonlug/decision/quota/QuotaLenderTest.java
+++ b/src/test/java/org/tarragonlug/decision/quota/QuotaLenderTest.java
@@ -30,8 +30,7 @@
     private AllowanceNotice ask(InstanceId from, int waiting) {
         lender.onDemands(from, now);
         Map<AccountName, Integer> amounts = waiting == 0 ? Map.of() : Map.of(ACCOUNT, waiting);
-        return lender.grantsFor(
-                from, new AllowanceRequest(1, Map.of(), amounts, Map.of()), now);
+        return lender.grantsFor(from, new AllowanceRequest(1, Map.of(), amounts, Map.of()), now);
     }
 
     private int granted(InstanceId from, int waiting) {
--- a/src/test/java/org/tarragonlug/gateway/QuotaTest.java
+++ b/src/test/java/org/tarragonlug/gateway/QuotaTest.java
@@ -27,8 +27,7 @@
     private static final int BURST = 20;
     private static final double OVERAGE = 0.1;
     private static final int SLACK = 40;
-    private static final double LIMIT =
-            (RATE * WINDOW.toSeconds() + BURST) * (1 + OVERAGE) + SLACK;
+    private static final double LIMIT = (RATE * WINDOW.toSeconds() + BURST) * (1 + OVERAGE) + SLACK;
 
     private final GatewayFixture fixture = new GatewayFixture();
     private final HttpClient client =
--- a/src/test/java/org/tarragonlug/measure/QuotaSimulationTest.java
+++ b/src/test/java/org/tarragonlug/measure/QuotaSimulationTest.java
@@ -37,7 +37,8 @@
                     3,
                     seed -> {
                         for (QuotaScenario.Arrivals arrivals : QuotaScenario.Arrivals.values()) {
-                            QuotaResult result = play(instances, arrivals, use, faults, slack, seed);
+                            QuotaResult result =
+                                    play(instances, arrivals, use, faults, slack, seed);
                             assertTrue(result.largestUse() <= 1, result.toString());
                         }
                     });
@@ -82,8 +83,7 @@
         @ParameterizedTest
         @ValueSource(ints = {8, 71, 95, 300, 410})
         void isGivenWhereRequestsArrive(int instances) {
-            assertGiven(
-                    instances, QuotaScenario.Arrivals.HALF_AT_ONE, QuotaScenario.Faults.NONE);
+            assertGiven(instances, QuotaScenario.Arrivals.HALF_AT_ONE, QuotaScenario.Faults.NONE);
             assertGiven(instances, QuotaScenario.Arrivals.MOVING, QuotaScenario.Faults.NONE);
         }
 
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -383,8 +383,7 @@
         @Test
         void missingAllowanceIsReadAsNone() throws Exception {
             for (PeerMessage message : lastSamples()) {
-                PeerMessage read =
-                        decodedOrNull(edited(message, node -> node.remove("quota")));
+                PeerMessage read = decodedOrNull(edited(message, node -> node.remove("quota")));
                 if (read instanceof GatewayMessage.ModelDemandReport report) {
                     assertEquals(Optional.empty(), report.quota());
                 } else if (read instanceof GatewayMessage.PlacementNotice notice) {
