Pass the delay of configurations from the settings to the forwarding limits

The template now renders bounds.config_apply_ms, which states how long a removed key stays valid; without it 3 s apply. The record of the settings has no second constructor, which the linter refuses for its number of parameters. Repeated headers take memory only where there are some.

--- a/src/main/java/org/tarragonlug/caller/DefaultForwardedCall.java
+++ b/src/main/java/org/tarragonlug/caller/DefaultForwardedCall.java
@@ -41,7 +41,7 @@
     private final Body requestBody;
     private final Runnable endAction;
     private final Map<String, String> headers = new HashMap<>();
-    private final Set<String> repeatedHeaders = new HashSet<>();
+    private Set<String> repeatedHeaders = Set.of();
     private final CompletableFuture<StreamingHttpResponse> response = new CompletableFuture<>();
     private final Optional<ConnectionGuard> guard;
     private final Runnable disconnectAction = this::onCallerDisconnected;
@@ -79,6 +79,7 @@
 
     private void addHeader(String name, String value) {
         if (headers.put(name, value) != null) {
+            repeatedHeaders = new HashSet<>(repeatedHeaders);
             repeatedHeaders.add(name);
         }
     }
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import org.tarragonlug.decision.forwarding.ForwardingLimits;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
@@ -49,46 +48,4 @@
         int callerConnections,
         double capacity,
         WatchLimits watchLimits,
-        Duration configurationDelay) {
-    /** Creates settings with the default delay of configurations. */
-    public GatewaySettings(
-            InstanceId instance,
-            FailureDomain failureDomain,
-            InetSocketAddress callerAddress,
-            InetSocketAddress readinessAddress,
-            InetSocketAddress peerAddress,
-            InetSocketAddress adminAddress,
-            InetSocketAddress storeAddress,
-            Duration drainTime,
-            Duration orderTurn,
-            int orderGroups,
-            Duration loadWindow,
-            Duration retryWindow,
-            double retryRatio,
-            double retryAllowance,
-            int instances,
-            int callerConnections,
-            double capacity,
-            WatchLimits watchLimits) {
-        this(
-                instance,
-                failureDomain,
-                callerAddress,
-                readinessAddress,
-                peerAddress,
-                adminAddress,
-                storeAddress,
-                drainTime,
-                orderTurn,
-                orderGroups,
-                loadWindow,
-                retryWindow,
-                retryRatio,
-                retryAllowance,
-                instances,
-                callerConnections,
-                capacity,
-                watchLimits,
-                ForwardingLimits.DEFAULT_CONFIGURATION_DELAY);
-    }
-}
+        Duration configurationDelay) {}
--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -10,6 +10,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.tarragonlug.decision.forwarding.ForwardingLimits;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.gateway.Gateway;
@@ -117,7 +118,8 @@
                 1,
                 100,
                 1,
-                WatchLimits.DEFAULT);
+                WatchLimits.DEFAULT,
+                ForwardingLimits.DEFAULT_CONFIGURATION_DELAY);
     }
 
     private boolean awaitReady(GatewaySettings settings) throws IOException, InterruptedException {
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import org.tarragonlug.decision.forwarding.ForwardingLimits;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.http.IoThreads;
 import org.tarragonlug.id.FailureDomain;
@@ -146,7 +147,8 @@
                 2,
                 100,
                 1,
-                WatchLimits.DEFAULT);
+                WatchLimits.DEFAULT,
+                ForwardingLimits.DEFAULT_CONFIGURATION_DELAY);
     }
 
     /** Waits until a condition holds, and fails after 20 s. */
--- a/src/test/java/org/tarragonlug/gateway/GatewaySettingsLoaderTest.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewaySettingsLoaderTest.java
@@ -75,6 +75,7 @@
             fields.put("bounds.stable_window_ms", "5000");
             fields.put("bounds.drain_ms", "4000");
             fields.put("heartbeat_ms", "900");
+            fields.put("bounds.config_apply_ms", "2500");
             GatewaySettings settings = load(render(fields));
             assertEquals("edge-1", settings.instance().value());
             assertEquals(7380, settings.peerAddress().getPort());
@@ -85,6 +86,7 @@
                     new WatchLimits(
                             Duration.ofSeconds(5), Duration.ofSeconds(4), Duration.ofMillis(900)),
                     settings.watchLimits());
+            assertEquals(Duration.ofMillis(2500), settings.configurationDelay());
         }
 
         @Test
@@ -92,6 +94,7 @@
             GatewaySettings settings = load(render(fields()));
             assertEquals(Duration.ofSeconds(3), settings.orderTurn());
             assertEquals(8, settings.orderGroups());
+            assertEquals(Duration.ofSeconds(3), settings.configurationDelay());
         }
     }
 
