--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
-import org.tarragonlug.decision.forwarding.ForwardingLimits;
 import org.tarragonlug.decision.quota.QuotaTolerance;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.id.FailureDomain;
@@ -54,47 +53,4 @@
         double capacity,
         WatchLimits watchLimits,
         Duration configurationDelay,
-        Optional<QuotaTolerance> quotaTolerance) {
-    /** Creates settings with the default delay of configurations and no tolerance of quotas. */
-    public GatewaySettings(
-            InstanceId instance,
-            FailureDomain failureDomain,
-            InetSocketAddress callerAddress,
-            InetSocketAddress readinessAddress,
-            InetSocketAddress peerAddress,
-            InetSocketAddress adminAddress,
-            InetSocketAddress storeAddress,
-            Duration drainTime,
-            Duration orderTurn,
-            int orderGroups,
-            Duration loadWindow,
-            Duration retryWindow,
-            double retryRatio,
-            double retryAllowance,
-            int instances,
-            int callerConnections,
-            double capacity,
-            WatchLimits watchLimits) {
-        this(
-                instance,
-                failureDomain,
-                callerAddress,
-                readinessAddress,
-                peerAddress,
-                adminAddress,
-                storeAddress,
-                drainTime,
-                orderTurn,
-                orderGroups,
-                loadWindow,
-                retryWindow,
-                retryRatio,
-                retryAllowance,
-                instances,
-                callerConnections,
-                capacity,
-                watchLimits,
-                ForwardingLimits.DEFAULT_CONFIGURATION_DELAY,
-                Optional.empty());
-    }
-}
+        Optional<QuotaTolerance> quotaTolerance) {}
