--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.tarragonlug.decision.forwarding.ForwardingLimits;
 import org.tarragonlug.decision.watching.WatchLimits;
