--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
+import org.tarragonlug.decision.quota.QuotaTolerance;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
@@ -27,6 +29,8 @@
  * @param callerConnections maximum number of connections from callers
  * @param capacity processor time that the process may use, in cores
  * @param watchLimits what the platform allows for changes in the store to take effect
+ * @param quotaTolerance what the platform tolerates beyond the quotas of accounts; empty if it does
+ *     not say
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -46,4 +50,5 @@
         int instances,
         int callerConnections,
         double capacity,
-        WatchLimits watchLimits) {}
+        WatchLimits watchLimits,
+        Optional<QuotaTolerance> quotaTolerance) {}
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.tarragonlug.decision.quota.QuotaTolerance;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -91,7 +92,18 @@
                 (int) number("instances", DEFAULT_INSTANCES),
                 Math.max(RESERVED_DESCRIPTORS, descriptors - RESERVED_DESCRIPTORS),
                 number("processorShare", 1) * number("processors", 1),
-                watchLimits());
+                watchLimits(),
+                quotaTolerance());
+    }
+
+    /** Reads the tolerance; without its window there is none. */
+    private Optional<QuotaTolerance> quotaTolerance() {
+        Duration window = seconds("quotaWindowSeconds", 0);
+        if (window.isZero()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new QuotaTolerance(window, number("quotaOverage", 0), number("quotaSlack", 0)));
     }
 
     private WatchLimits watchLimits() {
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -17,6 +17,7 @@
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.decision.placement.PlacementCommand;
 import org.tarragonlug.decision.placement.PlacementEvent;
+import org.tarragonlug.decision.quota.AllowanceNotice;
 import org.tarragonlug.decision.watching.FollowedSource;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.decision.watching.WatchSource;
@@ -41,7 +42,8 @@
 final class PeerExchange
         implements PlacementDriver.NoticeListener,
                 RelayingObjectApi.PeerChannel,
-                QuarantineDriver.Channel {
+                QuarantineDriver.Channel,
+                QuotaDriver.Channel {
     private static final Duration REPORT_PERIOD = Duration.ofMillis(400);
 
     /** Delay of an urgent report, so that waits that start at almost the same time share it. */
@@ -65,6 +67,7 @@
     private final PaceTotals paceTotals = new PaceTotals();
     private final WatchSourceSelector sourceSelector = new WatchSourceSelector();
     private final FollowedSource followedSource;
+    private final QuotaDriver quotas;
     private final WatchCandidate candidate;
 
     /** Time of the last notice from each lease holder that said that it plans. */
@@ -85,10 +88,12 @@
             WatchCandidate candidate,
             OrderLeases leases,
             FollowedSource followedSource,
+            QuotaDriver quotas,
             TimerService timers) {
         this.self = self;
         this.candidate = candidate;
         this.followedSource = followedSource;
+        this.quotas = quotas;
         this.leases = leases;
         this.timers = timers;
         this.demandCollector = new DemandCollector(this::scheduleUrgentReport);
@@ -129,7 +134,9 @@
     private void sendRegularReports() {
         Instant now = timers.now();
         if (placement.isPlanning()) {
-            publishInstanceCount(pendingNotices.reporterCount(now));
+            int reporters = pendingNotices.reporterCount(now);
+            publishInstanceCount(reporters);
+            quotas.onInstancesCounted(reporters + 1, now);
             forwarding.post(
                     new ForwardingEvent.LoadAnnounced(
                             inFlightTotals.totals(now),
@@ -138,6 +145,7 @@
                             paceTotals.stated(now)));
             placement.onPacesLearnt(paceTotals.learnt(now));
         }
+        quotas.tick(now);
         sendReport(Audience.PLANNER, now);
         standbyReportDue = !standbyReportDue;
         if (standbyReportDue || leases.isOrWasHolder()) {
@@ -165,16 +173,22 @@
         if (includesSelf) {
             placement.post(new PlacementEvent.DemandReported(self, demands));
         }
-        PeerMessage message =
-                new GatewayMessage.ModelDemandReport(
-                        PeerMessage.FORMAT_VERSION,
-                        demands,
-                        inFlight,
-                        List.copyOf(unreachable),
-                        answerPaces,
-                        statedPaces,
-                        Optional.of(candidate));
-        receivers.forEach((holder, address) -> send(holder, address, message));
+        Optional<QuotaDriver.AddressedRequest> request =
+                audience == Audience.PLANNER ? quotas.nextRequest(now) : Optional.empty();
+        receivers.forEach(
+                (holder, address) ->
+                        send(
+                                holder,
+                                address,
+                                new GatewayMessage.ModelDemandReport(
+                                        PeerMessage.FORMAT_VERSION,
+                                        demands,
+                                        inFlight,
+                                        List.copyOf(unreachable),
+                                        answerPaces,
+                                        statedPaces,
+                                        Optional.of(candidate),
+                                        request.flatMap(each -> each.forLender(holder)))));
     }
 
     private void send(InstanceId holder, String address, PeerMessage message) {
@@ -228,9 +242,14 @@
             placement.post(new PlacementEvent.DemandReported(from, report.demands()));
             placement.post(
                     new PlacementEvent.ServersUnreachable(from, Set.copyOf(report.unreachable())));
-            sendNotice(from, now);
+            sendNotice(from, report.quota().flatMap(each -> quotas.lend(from, each, now)), now);
         } else if (message instanceof GatewayMessage.PlacementNotice notice) {
             onPlacementNotice(from, notice, now);
+            notice.quota().ifPresent(each -> quotas.onGrants(from, each, now));
+        } else if (message instanceof GatewayMessage.QuotaCall call) {
+            quotas.onCall(from, call, now);
+        } else if (message instanceof GatewayMessage.QuotaGrant answer) {
+            quotas.onGrants(from, answer.quota(), now);
         } else if (message instanceof GatewayMessage.OrderCall call) {
             executor.onOrderCall(from, call);
         } else if (message instanceof GatewayMessage.OrderCallAnswer answer) {
@@ -390,11 +409,11 @@
     private void sendUrgentNotices(Instant now) {
         noticesScheduled = false;
         for (InstanceId reporter : pendingNotices.urgentReceivers()) {
-            sendNotice(reporter, now);
+            sendNotice(reporter, Optional.empty(), now);
         }
     }
 
-    private void sendNotice(InstanceId to, Instant now) {
+    private void sendNotice(InstanceId to, Optional<AllowanceNotice> allowance, Instant now) {
         PendingNotices.Notices notices = pendingNotices.poll(to);
         boolean planning = placement.isPlanning();
         List<GatewayMessage.LeaseStatus> leaseNotices = leases.leaseNotices();
@@ -415,6 +434,7 @@
                         withPlannerState ? List.copyOf(suspected) : List.of(),
                         withPlannerState ? paceTotals.learnt(now) : Map.of(),
                         withPlannerState ? paceTotals.stated(now) : Map.of(),
-                        withPlannerState ? sourceSelector.sourcesFor(to, now) : List.of()));
+                        withPlannerState ? sourceSelector.sourcesFor(to, now) : List.of(),
+                        allowance));
     }
 }
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -9,6 +9,8 @@
 import org.tarragonlug.decision.placement.OrderResult;
 import org.tarragonlug.decision.quarantine.ServerLoss;
 import org.tarragonlug.decision.quarantine.TraitAge;
+import org.tarragonlug.decision.quota.AllowanceNotice;
+import org.tarragonlug.decision.quota.AllowanceRequest;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.id.ModelKey;
@@ -33,6 +35,8 @@
      *     field
      * @param candidate what the sender offers as a source for watches; empty if its release does
      *     not write this field
+     * @param quota request for allowance, if the receiver is the sender's lender; empty if no
+     *     account has a quota
      */
     record ModelDemandReport(
             int formatVersion,
@@ -41,7 +45,8 @@
             List<ServerId> unreachable,
             Map<ServerId, Integer> answerPaces,
             Map<ServerId, Integer> statedPaces,
-            Optional<WatchCandidate> candidate)
+            Optional<WatchCandidate> candidate,
+            Optional<AllowanceRequest> quota)
             implements GatewayMessage {
         public ModelDemandReport {
             answerPaces = Map.copyOf(answerPaces);
@@ -50,6 +55,24 @@
             inFlight = Map.copyOf(inFlight);
             unreachable = List.copyOf(unreachable);
         }
+
+        /** Creates a report without paces and without a request for allowance. */
+        public ModelDemandReport(
+                int formatVersion,
+                List<ModelDemand> demands,
+                Map<ServerId, Integer> inFlight,
+                List<ServerId> unreachable,
+                Optional<WatchCandidate> candidate) {
+            this(
+                    formatVersion,
+                    demands,
+                    inFlight,
+                    unreachable,
+                    Map.of(),
+                    Map.of(),
+                    candidate,
+                    Optional.empty());
+        }
     }
 
     /**
@@ -76,6 +99,7 @@
      *     their age, by server, in percent; only from the planner
      * @param watchSources instances through which the receiver should watch the store; only from
      *     the planner
+     * @param quota answer to the receiver's request for allowance; empty if there was none
      */
     record PlacementNotice(
             int formatVersion,
@@ -88,7 +112,8 @@
             List<ServerId> suspected,
             Map<ServerId, Integer> learntPaces,
             Map<ServerId, Integer> statedPaces,
-            List<WatchSource> watchSources)
+            List<WatchSource> watchSources,
+            Optional<AllowanceNotice> quota)
             implements GatewayMessage {
         public PlacementNotice {
             learntPaces = Map.copyOf(learntPaces);
@@ -101,12 +126,54 @@
             expectations = List.copyOf(expectations);
         }
 
+        /** Creates a notice without paces that answers no request for allowance. */
+        public PlacementNotice(
+                int formatVersion,
+                List<LeaseStatus> leases,
+                boolean planning,
+                int reporters,
+                List<ReplicaChange> replicas,
+                List<ReadinessEstimate> expectations,
+                Map<ServerId, Integer> inFlight,
+                List<ServerId> suspected,
+                List<WatchSource> watchSources) {
+            this(
+                    formatVersion,
+                    leases,
+                    planning,
+                    reporters,
+                    replicas,
+                    expectations,
+                    inFlight,
+                    suspected,
+                    Map.of(),
+                    Map.of(),
+                    watchSources,
+                    Optional.empty());
+        }
+
         /** Tells whether the notice states more than changes of replicas and expected times. */
         public boolean hasState() {
             return !leases.isEmpty();
         }
     }
 
+    /**
+     * A request for allowance between two reports, because requests wait for it.
+     *
+     * @param formatVersion format version of the sender
+     * @param quota the request
+     */
+    record QuotaCall(int formatVersion, AllowanceRequest quota) implements GatewayMessage {}
+
+    /**
+     * The answer to an {@link QuotaCall}.
+     *
+     * @param formatVersion format version of the sender
+     * @param quota the grants
+     */
+    record QuotaGrant(int formatVersion, AllowanceNotice quota) implements GatewayMessage {}
+
     /**
      * A model that was loaded on a server or unloaded from it.
      *
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -23,6 +23,7 @@
  */
 final class GatewayMessageFormat {
     private static final String FORMAT_VERSION = "formatVersion";
+    private static final String QUOTA = "quota";
 
     private GatewayMessageFormat() {}
 
@@ -42,6 +43,12 @@
             writer.number(FORMAT_VERSION, answer.formatVersion())
                     .number("call", answer.call())
                     .text("result", answer.result());
+        } else if (message instanceof GatewayMessage.QuotaCall call) {
+            writer.number(FORMAT_VERSION, call.formatVersion())
+                    .array(QUOTA, Optional.of(call.quota()), AllowanceFormat::write);
+        } else if (message instanceof GatewayMessage.QuotaGrant answer) {
+            writer.number(FORMAT_VERSION, answer.formatVersion())
+                    .array(QUOTA, Optional.of(answer.quota()), AllowanceFormat::write);
         } else {
             return QuarantineMessageFormat.write(message, writer);
         }
@@ -62,6 +69,8 @@
             case "ObjectCallAnswer" -> Optional.of(readObjectCallAnswer(new MessageFields(frame)));
             case "OrderCall" -> Optional.of(readOrderCall(new MessageFields(frame)));
             case "OrderCallAnswer" -> Optional.of(readOrderCallAnswer(new MessageFields(frame)));
+            case "QuotaCall" -> Optional.of(readQuotaCall(new MessageFields(frame)));
+            case "QuotaGrant" -> Optional.of(readQuotaGrant(new MessageFields(frame)));
             default -> QuarantineMessageFormat.read(kind, new MessageFields(frame));
         };
     }
@@ -73,7 +82,8 @@
                 .texts("unreachable", report.unreachable())
                 .counts("answerPaces", report.answerPaces())
                 .counts("statedPaces", report.statedPaces())
-                .optional("candidate", report.candidate(), GatewayMessageFormat::writeCandidate);
+                .optional("candidate", report.candidate(), GatewayMessageFormat::writeCandidate)
+                .array(QUOTA, report.quota(), AllowanceFormat::write);
     }
 
     private static PeerMessage readReport(MessageFields fields) {
@@ -84,7 +94,8 @@
                 fields.texts("unreachable", ServerId::new),
                 fields.counts("answerPaces", ServerId::new),
                 fields.counts("statedPaces", ServerId::new),
-                fields.optional("candidate", GatewayMessageFormat::readCandidate));
+                fields.optional("candidate", GatewayMessageFormat::readCandidate),
+                fields.value(QUOTA).map(AllowanceFormat::readRequest));
     }
 
     private static void writeDemand(MessageWriter writer, ModelDemand demand) {
@@ -132,7 +143,8 @@
                 .texts("suspected", notice.suspected())
                 .counts("learntPaces", notice.learntPaces())
                 .counts("statedPaces", notice.statedPaces())
-                .list("watchSources", notice.watchSources(), GatewayMessageFormat::writeSource);
+                .list("watchSources", notice.watchSources(), GatewayMessageFormat::writeSource)
+                .array(QUOTA, notice.quota(), AllowanceFormat::write);
     }
 
     private static PeerMessage readNotice(MessageFields fields) {
@@ -147,7 +159,20 @@
                 fields.texts("suspected", ServerId::new),
                 fields.counts("learntPaces", ServerId::new),
                 fields.counts("statedPaces", ServerId::new),
-                fields.list("watchSources", GatewayMessageFormat::readSource));
+                fields.list("watchSources", GatewayMessageFormat::readSource),
+                fields.value(QUOTA).map(AllowanceFormat::readNotice));
+    }
+
+    private static PeerMessage readQuotaCall(MessageFields fields) {
+        return new GatewayMessage.QuotaCall(
+                fields.smallNumber(FORMAT_VERSION),
+                AllowanceFormat.readRequest(fields.require(QUOTA)));
+    }
+
+    private static PeerMessage readQuotaGrant(MessageFields fields) {
+        return new GatewayMessage.QuotaGrant(
+                fields.smallNumber(FORMAT_VERSION),
+                AllowanceFormat.readNotice(fields.require(QUOTA)));
     }
 
     private static void writeLease(MessageWriter writer, GatewayMessage.LeaseStatus lease) {
--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.error.TarragonlugException;
@@ -117,7 +118,8 @@
                 1,
                 100,
                 1,
-                WatchLimits.DEFAULT);
+                WatchLimits.DEFAULT,
+                Optional.empty());
     }
 
     private boolean awaitReady(GatewaySettings settings) throws IOException, InterruptedException {
