--- a/src/test/java/org/tarragonlug/decision/quota/QuotaBorrowerTest.java
+++ b/src/test/java/org/tarragonlug/decision/quota/QuotaBorrowerTest.java
@@ -183,6 +183,16 @@
             assertTrue(borrower.demands(now).isPresent());
         }
 
+        /** Guards against reports that grow although no account has a quota. */
+        @Test
+        void areNotAskedWithoutQuotas() {
+            borrower.onTableInstalled(Map.of(), now);
+            advance(900);
+            assertTrue(borrower.demands(now).isEmpty());
+            assertFalse(borrower.hasQuotas());
+            assertTaken(1_000_000);
+        }
+
         /** Guards against losses on platforms that state no tolerance, when the planner is lost. */
         @Test
         void withoutOneAndWithoutToleranceNothingIsRefused() {
