Raise the limit every round while the last answers were fast

Cause: with many instances each has few answers, and one without an answer in a round of 0.25 s did not raise the limit. The first answer now counts fully, so that a slow one is noticed at once.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AdaptiveLimit.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AdaptiveLimit.java
@@ -87,7 +87,7 @@
     /** Share of the usual requests of comparable servers at which the limit ends. */
     private static final double SETTLED_SHARE = 0.75;
 
-    /** Weight of an answer in the mean; half of the weight lies on the last two answers. */
+    /** Weight of an answer after the first one; half of the weight lies on the last two. */
     private static final double ANSWER_WEIGHT = 0.3;
 
     /** Mean logarithm of the time, relative to comparable servers, up to which the limit grows. */
@@ -227,7 +227,8 @@
         if (cause(now).isEmpty()) {
             return;
         }
-        slowness += ANSWER_WEIGHT * (Math.log(relativeTime) - slowness);
+        double weight = evidenceAt.equals(Instant.EPOCH) ? 1 : ANSWER_WEIGHT;
+        slowness += weight * (Math.log(relativeTime) - slowness);
         answered = true;
         evidenceAt = now;
     }
@@ -288,7 +289,7 @@
         if (failed || answered && slowness >= SLOW && !isSlowMachine(now)) {
             limit = Math.max(1, limit / 2);
             grownAt = roundEnd;
-        } else if (answered && slowness <= FAST) {
+        } else if (hasEvidence(now) && slowness <= FAST) {
             grow();
         } else if (!hasEvidence(now) || isSlowMachine(now)) {
             growBlindly(inFlight, now);
