--- a/src/test/java/org/tarragonlug/decision/forwarding/LimitFleet.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/LimitFleet.java
@@ -18,7 +18,7 @@
 
 /**
  * Many instances in virtual time before plain servers of 16 slots, of which one restarts under load
- * and may be slow at first. Totals of the requests in flight reach the instances 0.1 to 0.5 s late.
+ * and may be slow at first. Totals of the requests in flight are up to 0.8 s old.
  */
 final class LimitFleet {
     static final int SLOTS = 16;
