Count a slowdown once that is both stated and learnt

Answer times were divided by the stated pace, so that a server that states a lasting slowness was learnt as usual and tried again whenever its last statement was 500 ms old. Times are now learnt as they are, and of two paces on the same side of the usual one the larger difference counts.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimer.java
@@ -27,14 +27,10 @@
     void onSent(PendingForward forward, Instant now) {
         forward.sentToFreeSlot = forward.server.load(now) < forward.server.listing().slots();
         forward.firstEventAt = null;
-        forward.statedPace = ReportedLoad.USUAL_PACE;
     }
 
     void onHead(PendingForward forward, Optional<ReportedLoad> load, Instant now) {
-        if (load.isPresent()) {
-            forward.statedPace = load.get().pace();
-            forward.server.pace().recordStated(forward.statedPace, now);
-        }
+        load.ifPresent(stated -> forward.server.pace().recordStated(stated.pace(), now));
     }
 
     void onEvent(PendingForward forward, long eventId, Instant now) {
@@ -70,7 +66,7 @@
 
     private void record(PendingForward forward, double megabytes, double millis, Instant now) {
         if (millis > 0) {
-            fleet.recordAnswerTime(forward.server, megabytes, millis, forward.statedPace, now);
+            fleet.recordAnswerTime(forward.server, megabytes, millis, now);
         }
     }
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimes.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimes.java
@@ -53,14 +53,12 @@
      * @param megabytes size of the model; 0 for a plain service
      * @param millis time of the answer, or of a part of it that is comparable between answers; must
      *     be positive
-     * @param statedPace the pace that the server stated with the answer, in percent
      */
-    void record(FleetServer server, double megabytes, double millis, int statedPace, Instant now) {
-        double usualMillis = millis * ReportedLoad.USUAL_PACE / statedPace;
+    void record(FleetServer server, double megabytes, double millis, Instant now) {
         Usual reference =
                 usual.computeIfAbsent(
                         new Kind(server.service(), sizeClass(megabytes)), each -> new Usual());
-        double difference = reference.add(Math.log(usualMillis));
+        double difference = reference.add(Math.log(millis));
         if (reference.answers > MIN_ANSWERS) {
             server.pace().recordAnswer(difference, Math.sqrt(reference.variance), now);
         }
--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -163,11 +163,9 @@
      *
      * @param megabytes size of the model; 0 for a plain service
      * @param millis the time, more than 0
-     * @param statedPace the pace that the server stated with the answer, in percent
      */
-    public void recordAnswerTime(
-            FleetServer server, double megabytes, double millis, int statedPace, Instant now) {
-        answerTimes.record(server, megabytes, millis, statedPace, now);
+    public void recordAnswerTime(FleetServer server, double megabytes, double millis, Instant now) {
+        answerTimes.record(server, megabytes, millis, now);
     }
 
     /**
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -85,9 +85,6 @@
     /** Id of the first event of the present server's answer. */
     long firstEventId;
 
-    /** The pace that the present server stated with the head of its answer, in percent. */
-    int statedPace = ReportedLoad.USUAL_PACE;
-
     boolean stallCounted;
     long lastEventId;
     Instant lastProgress;
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
@@ -6,13 +6,12 @@
 /**
  * How long work takes on one server, as a multiple of the usual time.
  *
- * <p>Two sources are multiplied, because they describe different things. The pace that the server
- * states with an answer is exact at that moment and changes many times per second, so it loses its
- * weight within {@link #STATEMENT_VALIDITY}. The weight falls linearly: if a pace lasts for a fixed
- * time and a statement falls anywhere in it, the probability that the statement still holds falls
- * in the same way. The pace that is learnt from the server's answer times changes slowly. Answer
- * times are divided by the pace stated with them before they are learnt, so that a slowdown that
- * the server states itself is not counted twice.
+ * <p>There are two sources, because no one of them suffices. The pace that the server states with
+ * an answer is exact at that moment and changes many times per second, so it loses its weight
+ * within {@link #STATEMENT_VALIDITY}. The weight falls linearly: if a pace lasts for a fixed time
+ * and a statement falls anywhere in it, the probability that the statement still holds falls in the
+ * same way. The pace that is learnt from the server's answer times changes slowly, and includes
+ * what the server states all the time. A slowdown that both show is therefore counted once.
  *
  * <p>Answer times differ by chance, also among equal servers. A mean difference counts if it
  * exceeds its standard error {@link #SIGNIFICANCE} times, and counts the more the more it exceeds
@@ -132,7 +131,7 @@
 
     /** Tells whether work takes so much longer than usual that requests are noticeably late. */
     boolean isSlow(Instant now) {
-        return stated(now) * learnt(now) >= SLOW_PACE;
+        return combined(1, now) >= SLOW_PACE;
     }
 
     /** Returns the pace that the server stated last, weighted by its age; 1 is the usual time. */
@@ -198,6 +197,25 @@
                 && now.toEpochMilli() - statedAtMillis > STATEMENT_VALIDITY.toMillis();
     }
 
+    /**
+     * Returns how long work probably takes. If both paces differ from the usual one in the same
+     * direction, the one that differs more counts, because the learnt one includes the other;
+     * otherwise their product.
+     *
+     * @param statedWeight part of the difference of the stated pace that counts, from 0 to 1
+     */
+    double combined(double statedWeight, Instant now) {
+        double momentary = 1 + statedWeight * (stated(now) - 1);
+        double lasting = learnt(now);
+        if (momentary > 1 && lasting > 1) {
+            return Math.max(momentary, lasting);
+        }
+        if (momentary < 1 && lasting < 1) {
+            return Math.min(momentary, lasting);
+        }
+        return momentary * lasting;
+    }
+
     /** Returns the pace that was learnt from the server's answer times; 1 is the usual time. */
     public double learnt(Instant now) {
         if (isAnnounced(now)) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerSelector.java
@@ -166,10 +166,8 @@
             double processingShare,
             double statedWeight,
             Instant now) {
-        double learnt = pace.learnt(now);
-        double stated = pace.stated(now);
-        double wait = learnt * (1 + statedWeight * (stated - 1)) * load * load;
-        return wait + processingShare * (learnt * stated - 1);
+        double wait = pace.combined(statedWeight, now) * load * load;
+        return wait + processingShare * (pace.combined(1, now) - 1);
     }
 
     /**
--- a/src/main/java/org/tarragonlug/measure/ServerChoiceSimulation.java
+++ b/src/main/java/org/tarragonlug/measure/ServerChoiceSimulation.java
@@ -263,7 +263,6 @@
         private Instant startedAt;
         private Instant advancedAt;
         private int schedule;
-        private int statedPace = ReportedLoad.USUAL_PACE;
 
         Request(Instance instance, FleetServer server) {
             this.instance = instance;
@@ -303,7 +302,6 @@
         }
 
         void onStarted(ReportedLoad load) {
-            statedPace = load.pace();
             instance.onLoad(server, load);
         }
 
@@ -320,8 +318,7 @@
             boolean plain = scenario.plain();
             double millis = plain ? millisSince(sentAt) : millisSince(startedAt) / work;
             if (!plain || load.waiting() == 0) {
-                instance.fleet.recordAnswerTime(
-                        server, 0, millis, plain ? load.pace() : statedPace, time.now());
+                instance.fleet.recordAnswerTime(server, 0, millis, time.now());
             }
         }
     }
--- a/src/test/java/org/tarragonlug/decision/forwarding/ServerPaceTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ServerPaceTest.java
@@ -82,17 +82,13 @@
     }
 
     /** Lets all servers answer for a while; server 0 takes longer than the others by a factor. */
-    private void answer(int rounds, double factor, int statedByFirst, double megabytes) {
+    private void answer(int rounds, double factor, double megabytes) {
         for (int round = 0; round < rounds; round++) {
             now = now.plusMillis(100);
             for (int number = 0; number < SERVERS; number++) {
                 double millis = 20 * Math.exp(0.4 * random.nextGaussian());
                 fleet.recordAnswerTime(
-                        server(number),
-                        megabytes,
-                        number == 0 ? millis * factor : millis,
-                        number == 0 ? statedByFirst : 100,
-                        now);
+                        server(number), megabytes, number == 0 ? millis * factor : millis, now);
             }
         }
     }
@@ -159,7 +155,7 @@
         void equalServersKeepTheUsualPace() {
             int changed = 0;
             for (int round = 0; round < 400; round++) {
-                answer(1, 1, 100, 0);
+                answer(1, 1, 0);
                 for (int number = 0; number < SERVERS; number++) {
                     changed += Math.abs(server(number).pace().learnt(now) - 1) > 0.1 ? 1 : 0;
                 }
@@ -170,25 +166,35 @@
         // Guards against a slow machine that states no pace and receives its full share.
         @Test
         void slowServerIsLearntWithinSeconds() {
-            answer(50, 2, 100, 0);
+            answer(50, 2, 0);
             assertTrue(server(0).pace().learnt(now) > 1.3);
             assertTrue(shareOf(0, false) < 0.05);
         }
 
-        // Guards against a pace that is counted twice: as stated, and as learnt from the time.
+        // Guards against a slowdown that is counted twice: as stated, and as learnt from the time.
         @Test
-        void statedSlownessIsNotLearnt() {
-            answer(50, 2.5, 250, 0);
-            assertEquals(1, server(0).pace().learnt(now), 0.1);
+        void lastingStatedSlownessIsCountedOnce() {
+            answer(50, 2.5, 0);
+            server(0).pace().recordStated(250, now);
+            assertEquals(2.5, server(0).pace().combined(1, now), 0.3);
+        }
+
+        // Guards against a server that states a lasting slowness and is tried again twice a second.
+        @Test
+        void lastingSlownessOutlivesTheStatement() {
+            answer(50, 2.5, 0);
+            server(0).pace().recordStated(250, now);
+            now = now.plusSeconds(1);
+            assertTrue(server(0).pace().combined(1, now) > 1.5);
         }
 
         // Guards against a server that counts as slow because its models are larger.
         @Test
         void largerModelsDoNotMakeAServerSlow() {
             for (int round = 0; round < 50; round++) {
-                answer(1, 1, 100, SMALL_MODEL);
-                fleet.recordAnswerTime(server(0), LARGE_MODEL, 60, 100, now);
-                fleet.recordAnswerTime(server(1), LARGE_MODEL, 60, 100, now);
+                answer(1, 1, SMALL_MODEL);
+                fleet.recordAnswerTime(server(0), LARGE_MODEL, 60, now);
+                fleet.recordAnswerTime(server(1), LARGE_MODEL, 60, now);
             }
             assertEquals(1, server(0).pace().learnt(now), 0.1);
         }
@@ -196,7 +202,7 @@
         // Guards against a server that is never tried again because it was slow once.
         @Test
         void learntPaceExpires() {
-            answer(50, 4, 100, 0);
+            answer(50, 4, 0);
             now = now.plus(Duration.ofSeconds(31));
             assertEquals(1, server(0).pace().learnt(now));
         }
@@ -204,7 +210,7 @@
         // Guards against the pace of an ended process that is held against its successor.
         @Test
         void restartedServerHasTheUsualPace() {
-            answer(50, 4, 100, 0);
+            answer(50, 4, 0);
             server(0).pace().recordStated(250, now);
             fleet.addOrUpdate(listing(0, 2));
             assertEquals(1, server(0).pace().learnt(now));
