--- a/src/test/java/org/tarragonlug/decision/forwarding/LimitFleet.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/LimitFleet.java
@@ -281,7 +281,8 @@
     @Override
     public String toString() {
         return String.format(
-                "instances=%d peak=%d usual_after_ms=%d rejected=%d refused=%d p50=%d p99=%d p999=%d",
+                "instances=%d peak=%d usual_after_ms=%d rejected=%d refused=%d"
+                        + " p50=%d p99=%d p999=%d",
                 instances.size(),
                 peak(),
                 timeToUsualUse().toMillis(),
