--- a/src/main/java/org/tarragonlug/decision/forwarding/PaceTotals.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PaceTotals.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.decision.forwarding;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
@@ -19,6 +20,11 @@
     /** Smallest difference from the usual pace that is announced. */
     private static final double MIN_DIFFERENCE = 0.1;
 
+    /**
+     * Periods of which one announces the learnt paces; within their validity at 400 ms a period.
+     */
+    private static final int LEARNT_PERIODS = 4;
+
     /** Weight of a new answer in the variance, once enough have been reported. */
     private static final double MIN_WEIGHT = 0.005;
 
@@ -61,6 +67,18 @@
         return differing;
     }
 
+    /**
+     * Returns the learnt paces in one of {@link #LEARNT_PERIODS} periods, otherwise nothing. Learnt
+     * paces change slowly and hold for seconds after an announcement, so that not every notice
+     * needs them. All receivers get them in the same period, and no state for each is kept.
+     *
+     * @param period time between two notices to a receiver
+     */
+    public Map<ServerId, Integer> learntIfDue(Duration period, Instant now) {
+        boolean due = now.toEpochMilli() / period.toMillis() % LEARNT_PERIODS == 0;
+        return due ? learnt(now) : Map.of();
+    }
+
     /** Returns the stated paces, weighted by their age, that differ from the usual one. */
     public Map<ServerId, Integer> stated(Instant now) {
         Map<ServerId, Integer> differing = new HashMap<>();
--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -406,7 +406,7 @@
                         notices.expectations(),
                         planning ? inFlightTotals.totals(now) : Map.of(),
                         planning ? List.copyOf(placement.suspectedServers()) : List.of(),
-                        planning ? paceTotals.learnt(now) : Map.of(),
+                        planning ? paceTotals.learntIfDue(REPORT_PERIOD, now) : Map.of(),
                         planning ? paceTotals.stated(now) : Map.of(),
                         planning ? sourceSelector.sourcesFor(to, now) : List.of()));
     }
--- a/src/test/java/org/tarragonlug/decision/forwarding/PaceTotalsTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/PaceTotalsTest.java
@@ -62,6 +62,19 @@
         assertFalse(learnt.containsKey(USUAL), learnt.toString());
     }
 
+    // Guards against learnt paces in every notice, and against gaps beyond their validity.
+    @Test
+    void learntPacesAreAnnouncedInOneOfFourPeriods() {
+        report(15, 0);
+        Duration period = Duration.ofMillis(400);
+        int announced = 0;
+        for (int notice = 0; notice < 12; notice++) {
+            announced +=
+                    totals.learntIfDue(period, now.plusMillis(400L * notice)).isEmpty() ? 0 : 1;
+        }
+        assertEquals(3, announced);
+    }
+
     // Guards against announcements of servers that ended.
     @Test
     void serversWithoutReportsAreForgotten() {
