--- a/src/main/java/org/tarragonlug/gateway/PeerExchange.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerExchange.java
@@ -432,7 +432,7 @@
                         notices.expectations(),
                         withPlannerState ? inFlightTotals.totals(now) : Map.of(),
                         withPlannerState ? List.copyOf(suspected) : List.of(),
-                        withPlannerState ? paceTotals.learnt(now) : Map.of(),
+                        withPlannerState ? paceTotals.learntIfDue(REPORT_PERIOD, now) : Map.of(),
                         withPlannerState ? paceTotals.stated(now) : Map.of(),
                         withPlannerState ? sourceSelector.sourcesFor(to, now) : List.of(),
                         allowance));
