--- a/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
@@ -37,6 +37,7 @@
 
     private static final class Reporter {
         private Instant totalsSentAt = Instant.EPOCH;
+        private Set<ServerId> suspected = Set.of();
         private final List<ForwardingEvent> news = new ArrayList<>();
         private final Set<ModelKey> awaited = new HashSet<>();
         private boolean urgent;
@@ -108,11 +109,13 @@
     private void sendNews(SimulatedInstance to, Reporter reporter) {
         reporter.urgent = false;
         Instant now = time.now();
-        if (!now.isBefore(reporter.totalsSentAt.plus(TOTALS_INTERVAL))) {
+        Set<ServerId> suspected = planner.suspectedServers(now);
+        if (!now.isBefore(reporter.totalsSentAt.plus(TOTALS_INTERVAL))
+                || !suspected.equals(reporter.suspected)) {
             reporter.totalsSentAt = now;
+            reporter.suspected = suspected;
             reporter.news.add(
-                    new ForwardingEvent.LoadAnnounced(
-                            inFlightTotals.totals(now), planner.suspectedServers(now)));
+                    new ForwardingEvent.LoadAnnounced(inFlightTotals.totals(now), suspected));
         }
         to.onNotice(List.copyOf(reporter.news));
         reporter.news.clear();
