--- a/src/test/java/org/tarragonlug/simulation/FleetSimulationTest.java
+++ b/src/test/java/org/tarragonlug/simulation/FleetSimulationTest.java
@@ -60,19 +60,11 @@
          * value that a deployment with few instances serves.
          */
         @ParameterizedTest
-        @EnumSource(
-                mode = EnumSource.Mode.EXCLUDE,
-                names = {"FAILING_SERVERS", "LOST_SERVERS"})
+        @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "FAILING_SERVERS")
         void mostOfTheValueIsServedInTime(FleetScenarios scenario) {
             requireValue(scenario);
         }
 
-        /** Guards against crashed servers that stay listed; the bound is the same. */
-        @Test
-        void mostOfTheValueIsServedInTimeWhenServersAreLost() {
-            requireValue(FleetScenarios.LOST_SERVERS);
-        }
-
         /** Guards against slow servers that go on getting requests; the bound is the same. */
         @Test
         void mostOfTheValueIsServedInTimeWhenServersFail() {
