--- a/src/test/java/org/tarragonlug/simulation/FleetSimulationTest.java
+++ b/src/test/java/org/tarragonlug/simulation/FleetSimulationTest.java
@@ -60,11 +60,19 @@
          * value that a deployment with few instances serves.
          */
         @ParameterizedTest
-        @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "FAILING_SERVERS")
+        @EnumSource(
+                mode = EnumSource.Mode.EXCLUDE,
+                names = {"FAILING_SERVERS", "CRASHING_PART_AMONG_CRASHES"})
         void mostOfTheValueIsServedInTime(FleetScenarios scenario) {
             requireValue(scenario);
         }
 
+        /** Guards against servers that crash for two reasons at once; the bound is the same. */
+        @Test
+        void mostOfTheValueIsServedInTimeAmongCrashes() {
+            requireValue(FleetScenarios.CRASHING_PART_AMONG_CRASHES);
+        }
+
         /** Guards against slow servers that go on getting requests; the bound is the same. */
         @Test
         void mostOfTheValueIsServedInTimeWhenServersFail() {
