--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.decision.StateMachine;
 import org.tarragonlug.decision.account.ClientAccount;
@@ -15,7 +14,6 @@
 import org.tarragonlug.decision.quota.QuotaBorrower;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
-import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
 
 /**
@@ -41,18 +39,11 @@
         implements StateMachine<ForwardingEvent, ForwardingCommand> {
     private static final int MAX_REJECTIONS = 3;
 
-    /** How long a request for a plain service waits for a server to become available. */
-    private static final Duration SERVER_WAIT = Duration.ofMillis(250);
-
-    /** How often the demand of a waiting request is reported. */
-    private static final Duration WAITING_REPORT_INTERVAL = Duration.ofMillis(250);
-
     private static final int SERVER_ERROR = 500;
     private static final int SUCCESS = 200;
     private static final int REDIRECTION = 300;
 
     private final Fleet fleet;
-    private final ServerSelector selector;
     private final Hasher hasher;
     private final AnswerTimer answerTimer;
     private final PendingForwards pending =
@@ -62,12 +53,8 @@
     private final QuarantineGate gate = new QuarantineGate();
     private final KeyGate keys;
     private final AllowanceGate allowances;
+    private final RequestDispatcher dispatcher;
     private ForwardingTable table;
-    private boolean queueClosed;
-
-    /** When the process stops; no request lasts longer. */
-    private Instant stopAt = Instant.MAX;
-
     private List<ForwardingCommand> commands = new ArrayList<>();
 
     /** The time of the event that is being handled. */
@@ -120,13 +107,24 @@
             ForwardingLimits limits,
             QuotaBorrower borrower) {
         this.fleet = new Fleet(new ServerLimits(instance, hasher, limits.instances()));
-        this.selector = new ServerSelector(fleet, home, hasher);
         this.hasher = hasher;
         this.answerTimer = new AnswerTimer(fleet);
         this.budgets = new RetryBudgets(limits);
         this.keys = new KeyGate(command -> this.commands.add(command));
         this.allowances =
                 new AllowanceGate(borrower, command -> this.commands.add(command), this::accept);
+        this.dispatcher =
+                new RequestDispatcher(
+                        fleet,
+                        new ServerSelector(fleet, home, hasher),
+                        hasher,
+                        answerTimer,
+                        pending,
+                        budgets,
+                        expectations,
+                        gate,
+                        keys,
+                        command -> this.commands.add(command));
     }
 
     /** Returns the servers that are currently listed. */
@@ -155,7 +153,10 @@
                 .isPresent();
     }
 
-    /** Returns the number of requests that wait or are being processed by a server. */
+    /**
+     * Returns the number of requests that wait for a server or for allowance, or that a server
+     * processes. Requests that are held until their key is known are not counted.
+     */
     public int pendingCount() {
         return pending.size() + allowances.waitingCount();
     }
@@ -217,10 +218,10 @@
         } else if (event instanceof ForwardingEvent.TrialAllowed allowed) {
             gate.allowTrial(allowed.trait());
         } else if (event instanceof ForwardingEvent.StopScheduled scheduled) {
-            stopAt = scheduled.end();
-            pending.all().forEach(forward -> forward.endBy(stopAt));
+            dispatcher.stopAt(scheduled.end());
+            pending.all().forEach(forward -> forward.endBy(scheduled.end()));
         } else if (event instanceof ForwardingEvent.QueueClosed) {
-            queueClosed = true;
+            dispatcher.closeQueue();
             dispatchWaiting(now);
         } else {
             tick(now);
@@ -235,7 +236,7 @@
     private void onRequestHeadArrived(RequestHead head, Instant now) {
         Optional<ForwardingRoute> route =
                 table == null ? Optional.empty() : table.route(head.host(), head.path());
-        if (route.isPresent() && now.isBefore(stopAt)) {
+        if (route.isPresent() && now.isBefore(dispatcher.stopAt())) {
             KeyGate.Admission admission =
                     keys.admit(
                             head.key(),
@@ -273,7 +274,7 @@
                     Optional.of(RetryDelay.NOT_READY));
             return;
         }
-        if (!now.isBefore(stopAt)) {
+        if (!now.isBefore(dispatcher.stopAt())) {
             pending.refuse(request.key(), RefusalReason.STOPPING, Optional.of(RetryDelay.STOPPING));
             return;
         }
@@ -307,7 +308,7 @@
 
     /** Takes a request that has passed all gates. */
     private void accept(PendingForward forward, Instant now) {
-        forward.endBy(stopAt);
+        forward.endBy(dispatcher.stopAt());
         pending.add(forward);
         forward.request
                 .model()
@@ -315,7 +316,7 @@
                         key ->
                                 commands.add(
                                         new ForwardingCommand.ReportArrival(forward.service, key)));
-        dispatch(forward, now);
+        dispatcher.dispatch(forward, now);
     }
 
     private PendingForward newPending(
@@ -327,185 +328,10 @@
         LostRequest traits = RequestTraits.of(request, hasher);
         PendingForward forward = new PendingForward(request, route, service, account, traits, now);
         forward.credentialRemoved = keys.isOn();
-        forward.endBy(stopAt);
+        forward.endBy(dispatcher.stopAt());
         return forward;
     }
 
-    private void endLate(PendingForward forward, Instant now) {
-        if (now.isBefore(stopAt)) {
-            pending.timeOut(forward);
-        } else {
-            pending.stop(forward);
-        }
-    }
-
-    /** Sends a waiting request if a server is available; otherwise keeps it waiting or ends it. */
-    private void dispatch(PendingForward forward, Instant now) {
-        if (!now.isBefore(waitingEnd(forward))) {
-            endLate(forward, now);
-            return;
-        }
-        if (gate.blocks(forward)) {
-            pending.refuseOrFail(forward, RefusalReason.QUARANTINED, RetryDelay.QUARANTINED);
-            return;
-        }
-        if (now.isBefore(forward.sendAllowedAt)) {
-            return;
-        }
-        Optional<FleetServer> server = choose(forward, forward.excluded, now);
-        boolean paused = now.isBefore(forward.sameServerAllowedAt);
-        if (server.isEmpty() && !forward.excluded.isEmpty() && needsModel(forward) && !paused) {
-            // Prefers another server, but retries an excluded one if no other is available.
-            server = choose(forward, Set.of(), now);
-        }
-        if (server.isEmpty() && isLastChance(forward, now)) {
-            server = choose(forward, forward.excluded, each -> each.isLastResort(now), now);
-        }
-        if (server.isPresent()) {
-            sendIfAllowed(forward, server.get(), now);
-        } else if (queueClosed) {
-            pending.refuseOrFail(forward, RefusalReason.STOPPING, RetryDelay.STOPPING);
-        } else if (needsModel(forward)) {
-            forward.waitedForModel |= !paused;
-            waitForModel(forward, now);
-        } else {
-            waitForServer(forward, now);
-        }
-    }
-
-    /** Tells whether a request ends now or in a moment unless it is sent. */
-    private boolean isLastChance(PendingForward forward, Instant now) {
-        if (queueClosed || !now.plus(SERVER_WAIT).isBefore(waitingEnd(forward))) {
-            return true;
-        }
-        boolean waited = !now.isBefore(forward.lastProgress.plus(SERVER_WAIT));
-        return !needsModel(forward) && (waited || !forward.excluded.isEmpty());
-    }
-
-    /** Keeps a request for a plain service waiting for a moment, or ends it. */
-    private void waitForServer(PendingForward forward, Instant now) {
-        Instant waitEnd = forward.lastProgress.plus(SERVER_WAIT);
-        Optional<Duration> pause = pauseBeyond(waitEnd, forward, now);
-        pause.ifPresent(remaining -> forward.retryDelay = remaining);
-        if (!forward.excluded.isEmpty()) {
-            pending.turnAway(forward);
-        } else if (pause.isPresent() || !now.isBefore(waitEnd)) {
-            pending.refuseOrFail(
-                    forward, RefusalReason.NO_SERVER, pause.orElse(RetryDelay.NOT_READY));
-        }
-    }
-
-    /**
-     * Returns when the caller should come back if all suitable servers want no requests until after
-     * a time; empty if one of them wants requests before.
-     */
-    private Optional<Duration> pauseBeyond(Instant limit, PendingForward forward, Instant now) {
-        long hash = hasher.hash("return " + forward.request.callerRequestId());
-        return fleet.pauseEnd(forward.service, forward.request.model(), now)
-                .filter(end -> end.isAfter(limit))
-                .map(end -> RetryDelay.afterPause(Duration.between(now, end), hash));
-    }
-
-    /** Returns how long the caller waits; once it has received something, until the deadline. */
-    private static Instant waitingEnd(PendingForward forward) {
-        return forward.streamStarted ? forward.deadline : forward.patienceEnd;
-    }
-
-    private boolean needsModel(PendingForward forward) {
-        return forward.request.model().isPresent();
-    }
-
-    /** Chooses a server that is not at its limit, or else one whose limit yields. */
-    private Optional<FleetServer> choose(
-            PendingForward forward, Set<ServerId> excluded, Instant now) {
-        return choose(forward, excluded, each -> each.isAvailable(now), now)
-                .or(() -> choose(forward, excluded, each -> each.isAvailableBeyondLimit(now), now));
-    }
-
-    private Optional<FleetServer> choose(
-            PendingForward forward,
-            Set<ServerId> excluded,
-            Predicate<FleetServer> usable,
-            Instant now) {
-        return selector.choose(
-                forward.service,
-                forward.request.model(),
-                forward.request.prefix(),
-                excluded,
-                forward.request.callerRequestId(),
-                usable,
-                now);
-    }
-
-    private void waitForModel(PendingForward forward, Instant now) {
-        ModelKey key = forward.request.model().orElseThrow();
-        Optional<Duration> delay =
-                expectations.delayBeyond(forward.patienceEnd, forward.service, key, now);
-        if (delay.isEmpty() && !expectations.isExpected(forward.service, key, now)) {
-            delay = pauseBeyond(waitingEnd(forward), forward, now);
-        }
-        if (delay.isPresent()) {
-            pending.refuseOrFail(forward, RefusalReason.MODEL_NOT_READY, delay.get());
-            return;
-        }
-        if (Duration.between(forward.waitingReportedAt, now).compareTo(WAITING_REPORT_INTERVAL)
-                >= 0) {
-            forward.waitingReportedAt = now;
-            commands.add(
-                    new ForwardingCommand.ReportWaiting(
-                            forward.service,
-                            key,
-                            forward.priority(),
-                            forward.arrivedAt.plus(forward.route.targetLatency()),
-                            forward.patienceEnd));
-        }
-    }
-
-    /**
-     * Sends a request, unless it would be a retry and the budget for retries is used up. A stream
-     * that has begun then waits, since it cannot be refused any more.
-     */
-    private void sendIfAllowed(PendingForward forward, FleetServer server, Instant now) {
-        if (forward.needsRetry && !budgets.tryAcquire(forward.service, now)) {
-            if (!forward.streamStarted) {
-                pending.turnAway(forward);
-            }
-            return;
-        }
-        forward.needsRetry = false;
-        send(forward, server, now);
-    }
-
-    private void send(PendingForward forward, FleetServer server, Instant now) {
-        if (!forward.sentBefore) {
-            forward.sentBefore = true;
-            budgets.recordFirstSend(forward.service, now);
-        }
-        forward.state = PendingForward.State.SENT;
-        forward.server = server;
-        forward.possibleRuns++;
-        forward.stallCounted = false;
-        forward.answerBegun = false;
-        forward.sentTo = server.incarnation();
-        forward.sentAt = now;
-        forward.lastProgress = now;
-        answerTimer.onSent(forward, now);
-        server.onRequestSent();
-        commands.add(
-                new ForwardingCommand.Send(
-                        forward.request.key(),
-                        server.id(),
-                        server.listing().address(),
-                        Duration.between(now, forward.deadline),
-                        RequestUrgency.rank(forward, hasher, now),
-                        forward.lastEventId,
-                        forward.route.kind() == RequestKind.STREAMING,
-                        forward.deadline,
-                        forward.excluded.contains(server.id()),
-                        forward.account.map(ClientAccount::name),
-                        forward.credentialRemoved || keys.isOn()));
-    }
-
     private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
         FleetServer server = releaseServer(forward, event.load(), now);
         if (event.rejection() != Rejection.WRONG_SERVER) {
@@ -513,7 +339,7 @@
         }
         forward.possibleRuns--;
         if (event.rejection() == Rejection.WITHDRAWN) {
-            dispatch(forward, now);
+            dispatcher.dispatch(forward, now);
             return;
         }
         forward.excluded.add(server.id());
@@ -532,7 +358,7 @@
         if (forward.rejections > MAX_REJECTIONS && !forward.streamStarted) {
             pending.turnAway(forward);
         } else {
-            dispatch(forward, now);
+            dispatcher.dispatch(forward, now);
         }
     }
 
@@ -549,13 +375,13 @@
             return;
         }
         boolean hasFreeSlots = load.filter(each -> each.running() < each.slots()).isPresent();
-        if (hasFreeSlots && needsModel(forward)) {
+        if (hasFreeSlots && forward.needsModel()) {
             ModelKey key = forward.request.model().orElseThrow();
             server.markModelAbsent(new ModelKey(key.model(), ""), now);
         } else {
             recordFailure(forward, now);
             RetryPause.afterFullServer(forward, now);
-            load.filter(each -> needsModel(forward))
+            load.filter(each -> forward.needsModel())
                     .ifPresent(each -> forward.retryDelay = RetryDelay.afterGenerations(each));
         }
     }
@@ -622,9 +448,9 @@
                 && !gate.blocks(forward)
                 && now.isBefore(forward.deadline)) {
             forward.excluded.add(server.id());
-            Optional<FleetServer> other = choose(forward, forward.excluded, now);
+            Optional<FleetServer> other = dispatcher.choose(forward, forward.excluded, now);
             if (other.isPresent() && budgets.tryAcquire(forward.service, now)) {
-                send(forward, other.get(), now);
+                dispatcher.send(forward, other.get(), now);
                 return;
             }
         }
@@ -658,7 +484,7 @@
 
     private void retryOrFail(PendingForward forward, FailureReason reason, Instant now) {
         if (forward.mayRunAgain() && budgets.tryAcquire(forward.service, now)) {
-            dispatch(forward, now);
+            dispatcher.dispatch(forward, now);
             return;
         }
         pending.fail(forward, reason);
@@ -675,14 +501,14 @@
     }
 
     private void dispatchWaiting(Instant now) {
-        pending.waiting().forEach(forward -> dispatch(forward, now));
+        pending.waiting().forEach(forward -> dispatcher.dispatch(forward, now));
     }
 
     /** Dispatches the waiting requests that a changed server can run. */
     private void dispatchWaitingFor(FleetServer server, Instant now) {
         for (PendingForward forward : pending.waiting()) {
             if (server.canRun(forward.service, forward.request.model(), now)) {
-                dispatch(forward, now);
+                dispatcher.dispatch(forward, now);
             }
         }
     }
@@ -693,7 +519,7 @@
         for (PendingForward forward : pending.waiting()) {
             if (forward.service.equals(expected.service())
                     && forward.request.model().equals(model)) {
-                dispatch(forward, now);
+                dispatcher.dispatch(forward, now);
             }
         }
     }
@@ -704,9 +530,9 @@
         commands.addAll(fleet.advanceLimits(now));
         for (PendingForward forward : pending.all()) {
             if (forward.isWaiting()) {
-                dispatch(forward, now);
+                dispatcher.dispatch(forward, now);
             } else if (!now.isBefore(forward.deadline)) {
-                endLate(forward, now);
+                dispatcher.endLate(forward, now);
             } else {
                 checkStall(forward, now);
             }
@@ -723,13 +549,13 @@
         FleetServer server = forward.server;
         server.recordStall(now);
         if (!forward.mayRunAgain()
-                || choose(forward, Set.of(server.id()), now).isEmpty()
+                || dispatcher.choose(forward, Set.of(server.id()), now).isEmpty()
                 || !budgets.tryAcquire(forward.service, now)) {
             return;
         }
         commands.add(new ForwardingCommand.CancelAttempt(forward.request.key()));
         releaseServer(forward, Optional.empty(), now);
         forward.excluded.add(server.id());
-        dispatch(forward, now);
+        dispatcher.dispatch(forward, now);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -163,6 +163,11 @@
                 .orElse(route.priority());
     }
 
+    /** Tells whether only a server with the request's model can run it. */
+    boolean needsModel() {
+        return request.model().isPresent();
+    }
+
     /** Tells whether no server has the request at present. */
     boolean isWaiting() {
         return state == State.WAITING;
