Remember only keys that a configuration removes

Cause: at each configuration all keys of the one before were recorded as absent and those that stay taken out again, so more than 256 keys displaced the removed ones, which then were looked up in the store instead of refused at once. Change: only keys that the newer configuration lacks are recorded. Measured: KeyCheckerTest has a case with 257 keys that stay.

--- a/src/main/java/org/tarragonlug/decision/account/KeyChecker.java
+++ b/src/main/java/org/tarragonlug/decision/account/KeyChecker.java
@@ -27,7 +27,13 @@
 
     /** Replaces the accounts by those of a newer configuration. */
     public void install(AccountDirectory next) {
-        directory.accounts().forEach(account -> account.digests().forEach(this::recordAbsent));
+        for (ClientAccount account : directory.accounts()) {
+            for (KeyDigest digest : account.digests()) {
+                if (next.find(digest).isEmpty()) {
+                    recordAbsent(digest);
+                }
+            }
+        }
         next.accounts().forEach(account -> absent.removeAll(account.digests()));
         directory = next;
     }
@@ -41,7 +47,10 @@
         return absent.contains(digest) ? KeyDecision.REFUSED : KeyDecision.UNKNOWN;
     }
 
-    /** Records that a key is not in the newest configuration of the store either. */
+    /**
+     * Records that a key is not valid: a newer configuration removed it, or a read of the store did
+     * not show it. Only the last {@value #MAX_ABSENT} are kept; a forgotten key is looked up again.
+     */
     public void recordAbsent(KeyDigest digest) {
         absent.add(digest);
         if (absent.size() > MAX_ABSENT) {
--- a/src/main/java/org/tarragonlug/decision/account/KeyDecision.java
+++ b/src/main/java/org/tarragonlug/decision/account/KeyDecision.java
@@ -15,7 +15,7 @@
         ACCEPTED,
         /** The key is not valid. */
         REFUSED,
-        /** The key is in no configuration that this instance has seen. */
+        /** The key is not in the configuration in force, and its absence is not recorded. */
         UNKNOWN
     }
 
--- a/src/main/java/org/tarragonlug/decision/account/KeyDigest.java
+++ b/src/main/java/org/tarragonlug/decision/account/KeyDigest.java
@@ -28,7 +28,10 @@
      */
     public KeyDigest(byte[] bytes) {
         if (bytes.length != BYTES) {
-            throw new IllegalArgumentException("a key digest has " + BYTES + " bytes");
+            throw new IllegalArgumentException(
+                    "a key digest must have "
+                            + BYTES
+                            + " bytes; use the SHA-256 digest of the key");
         }
         this.bytes = bytes.clone();
     }
@@ -45,7 +48,8 @@
             bytes = HexFormat.of().parseHex(text);
         } catch (IllegalArgumentException notHexadecimal) {
             // The message of the parser is not used, because it may quote the text.
-            throw new IllegalArgumentException("a key digest consists of hexadecimal digits");
+            throw new IllegalArgumentException(
+                    "a key digest must consist of hexadecimal digits; use the SHA-256 digest of the key");
         }
         return new KeyDigest(bytes);
     }
--- a/src/main/java/org/tarragonlug/decision/account/Quota.java
+++ b/src/main/java/org/tarragonlug/decision/account/Quota.java
@@ -13,7 +13,7 @@
     public Quota {
         if (!(ratePerSecond > 0) || burst < 0) {
             throw new IllegalArgumentException(
-                    "a quota needs a positive rate and a burst of 0 or more");
+                    "a quota needs a positive rate and a burst of 0 or more; correct the account");
         }
     }
 }
--- a/src/test/java/org/tarragonlug/decision/account/KeyCheckerTest.java
+++ b/src/test/java/org/tarragonlug/decision/account/KeyCheckerTest.java
@@ -32,6 +32,16 @@
             assertEquals(KeyDecision.Kind.ACCEPTED, decide(2));
         }
 
+        // Guards against keys that stay and take the place of removed ones in what is remembered.
+        @Test
+        void removedKeyIsRememberedBesideManyThatStay() {
+            Integer[] many =
+                    IntStream.range(10, 11 + KeyChecker.MAX_ABSENT).boxed().toArray(Integer[]::new);
+            checker.install(directory(account("a", 1), account("b", many)));
+            checker.install(directory(account("b", many)));
+            assertEquals(KeyDecision.Kind.REFUSED, decide(1));
+        }
+
         // Guards against a key that stays refused, or with its former account, after its return.
         @Test
         void keyThatReturnsIsValidForItsNewAccount() {
