End the refusals of an account with its quota

Cause: an account that was removed while its requests were refused stayed in tarragonlug_quota_exceeded_accounts for good, and without quotas the other quota metrics kept their last values. Change: a configuration without the quota ends the episode; without quotas the metrics are reset. Names of uncovered advances say what they count. Measured: QuotaBorrowerTest#endWithTheQuota fails without the change.

--- a/src/main/java/org/tarragonlug/decision/quota/BorrowedAllowance.java
+++ b/src/main/java/org/tarragonlug/decision/quota/BorrowedAllowance.java
@@ -35,10 +35,10 @@
     private QuotaPlan plan;
     private final List<Grant> grants = new ArrayList<>();
     private final Deque<QuotaCharge> advances = new ArrayDeque<>();
-    private long unsettled;
+    private long uncovered;
 
-    /** The part of the unsettled units that was advanced while no lender was heard. */
-    private long unsettledAlone;
+    /** The part of the uncovered units that was advanced while no lender was heard. */
+    private long uncoveredWithoutLender;
 
     private long waiting;
     private long spentSinceRequest;
@@ -71,8 +71,8 @@
     }
 
     private void subtract(QuotaCharge charge, long amount) {
-        unsettled -= amount;
-        unsettledAlone -= charge.lenderHeard() ? 0 : amount;
+        uncovered -= amount;
+        uncoveredWithoutLender -= charge.lenderHeard() ? 0 : amount;
     }
 
     long held() {
@@ -85,7 +85,7 @@
 
     /** Returns what may be advanced now if each of a number of instances has an equal share. */
     long advanceRoom(int instances) {
-        return instances == 0 ? 0 : Math.max(0, (long) (plan.advance() / instances) - unsettled);
+        return instances == 0 ? 0 : Math.max(0, (long) (plan.advance() / instances) - uncovered);
     }
 
     boolean isExhausted(Instant now) {
@@ -193,7 +193,7 @@
      * would refuse requests that are within it.
      */
     long advanced() {
-        return unsettled - unsettledAlone;
+        return uncovered - uncoveredWithoutLender;
     }
 
     /** Returns what requests wait for beyond what is held. */
@@ -216,10 +216,10 @@
      */
     long extra(int instances) {
         if (requestRate * HORIZON_SECONDS < MIN_REQUESTS) {
-            return unsettledAlone;
+            return uncoveredWithoutLender;
         }
         double expected = rate * HORIZON_SECONDS - held() - advanceRoom(instances);
-        return unsettledAlone + Math.max(0, (long) expected);
+        return uncoveredWithoutLender + Math.max(0, (long) expected);
     }
 
     /** Counts a refusal; returns whether an episode of refusals begins. */
@@ -229,6 +229,11 @@
         return refused == 1;
     }
 
+    /** Returns the number of requests refused in the present episode; 0 if there is none. */
+    long refused() {
+        return refused;
+    }
+
     /** Ends the episode of refusals if it is over; returns their number, or 0 if it goes on. */
     long endRefusals(Instant now) {
         if (refused == 0 || !now.isAfter(lastRefusalAt.plus(REFUSAL_PAUSE))) {
--- a/src/main/java/org/tarragonlug/decision/quota/InstanceTotal.java
+++ b/src/main/java/org/tarragonlug/decision/quota/InstanceTotal.java
@@ -12,6 +12,9 @@
  * of a lease that allows planning was heard. While instances are cut off from each other, each side
  * that has a planner renews such a lease, so neither side takes the other one for ended. A process
  * that has not learnt the number takes its own count only under the second condition.
+ *
+ * <p>The count that limits retries shrinks by time alone, which is not enough here, because a quota
+ * must hold in a partition of any length.
  */
 public final class InstanceTotal {
     /** How long a larger number takes precedence over later, smaller counts. */
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
@@ -108,6 +108,12 @@
     /** Replaces the quotas. Accounts without a quota are left out. */
     public void onTableInstalled(Map<AccountName, Quota> quotas, Instant now) {
         start(now);
+        accounts.forEach(
+                (account, allowance) -> {
+                    if (!quotas.containsKey(account) && allowance.refused() > 0) {
+                        changes.add(new QuotaChange(account, false, allowance.refused()));
+                    }
+                });
         accounts.keySet().retainAll(quotas.keySet());
         active.retainAll(quotas.keySet());
         quotas.forEach(
@@ -156,7 +162,7 @@
         return lenderHeardAt != Instant.MIN && now.isAfter(lenderHeardAt.plus(SILENT_AFTER));
     }
 
-    private boolean isLeftAlone(Instant now) {
+    private boolean isAskingSuspended(Instant now) {
         return isSilent(now) && now.isBefore(lenderHeardAt.plus(PROBE_AFTER));
     }
 
@@ -285,7 +291,7 @@
         if (accounts.isEmpty()
                 || lender == null
                 || now.isBefore(mayRequestAt)
-                || isLeftAlone(now)) {
+                || isAskingSuspended(now)) {
             return Optional.empty();
         }
         sent.values().removeIf(each -> !now.isBefore(each.at().plus(QuotaTimes.GRANT_LIFETIME)));
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaTolerance.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaTolerance.java
@@ -14,7 +14,8 @@
     public QuotaTolerance {
         if (window.isNegative() || window.isZero() || overage < 0 || slack < 0) {
             throw new IllegalArgumentException(
-                    "a tolerance needs a positive window and no negative value");
+                    "quotaWindowSeconds must be positive, quotaOverage and quotaSlack 0 or more;"
+                            + " correct the settings");
         }
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/QuotaDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/QuotaDriver.java
@@ -120,6 +120,9 @@
         updateLending();
         if (borrower.hasQuotas()) {
             report(now);
+        } else {
+            metrics.setQuota(false, 0);
+            borrower.pollChanges().forEach(this::report);
         }
     }
 
--- a/src/test/java/org/tarragonlug/decision/quota/QuotaBorrowerTest.java
+++ b/src/test/java/org/tarragonlug/decision/quota/QuotaBorrowerTest.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -146,6 +147,17 @@
 
     @Nested
     class Refusals {
+        /** Guards against an account that counts as refused for good after its quota is gone. */
+        @Test
+        void endWithTheQuota() {
+            startUp();
+            borrower.refuse(ACCOUNT, now);
+            borrower.onTableInstalled(Map.of(), now);
+            assertEquals(
+                    List.of(new QuotaChange(ACCOUNT, true, 0), new QuotaChange(ACCOUNT, false, 1)),
+                    borrower.pollChanges());
+        }
+
         /** Guards against a Retry-After that does not say when there will be room. */
         @Test
         void nameTimeThatLenderStates() {
@@ -173,7 +185,7 @@
     class Lenders {
         /** Guards against an instance that two lenders count at the same time. */
         @Test
-        void areChangedOnlyAfterPreviousOneHasForgottenInstance() {
+        void newOneIsAskedOnlyAfterTheOldOneStoppedCounting() {
             startUp();
             borrower.onLenders(Set.of(OTHER), now);
             assertTrue(borrower.demands(now).isEmpty());
@@ -195,7 +207,7 @@
 
         /** Guards against losses on platforms that state no tolerance, when the planner is lost. */
         @Test
-        void withoutOneAndWithoutToleranceNothingIsRefused() {
+        void nothingIsRefusedWithoutLenderAndTolerance() {
             borrower = create(Optional.empty());
             assertTaken(1_000_000);
             startUp();
