Correct what a newcomer found misleading in pages and comments

Cause: a reader who did not know the project found statements that the code does not keep: a limit that refuses no request, a limit of zero shown as the first one, paces that notices leave out, the work page's lender, a split table. Change: pages and comments say what the code does; /state and the log show 0 for a blocked server; a limit at a machine that stays slow ends when it does not bind; messages name the remedy.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AdaptiveLimit.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AdaptiveLimit.java
@@ -41,9 +41,9 @@
     private static final Duration ROUND = Duration.ofMillis(250);
 
     /** Time between two increases by an instance that has no answers of the server. */
-    private static final Duration BLIND_ROUND = Duration.ofSeconds(2);
+    private static final Duration ROUND_WITHOUT_ANSWERS = Duration.ofSeconds(2);
 
-    /** As {@link #BLIND_ROUND}, while less than half of the limit is used. */
+    /** As {@link #ROUND_WITHOUT_ANSWERS}, while less than half of the limit is used. */
     private static final Duration UNUSED_ROUND = Duration.ofSeconds(1);
 
     /** How long answers of the server count as known. */
@@ -182,9 +182,12 @@
         return cause.isEmpty();
     }
 
-    /** Returns the present limit over all instances; only meaningful while there is a cause. */
-    double limit() {
-        return limit;
+    /**
+     * Returns the limit in requests in flight over all instances; 0 while the server is blocked
+     * after a failed connection. Only meaningful while {@link #reportedCause} is present.
+     */
+    double limit(Instant now) {
+        return isBlocked(now) ? 0 : limit;
     }
 
     /**
@@ -292,7 +295,7 @@
         } else if (hasEvidence(now) && slowness <= FAST) {
             grow();
         } else if (!hasEvidence(now) || isSlowMachine(now)) {
-            growBlindly(inFlight, now);
+            growWithoutAnswers(inFlight, now);
         }
         answered = false;
         failed = false;
@@ -302,7 +305,7 @@
         return !now.isBefore(begunAt.plus(SLOW_START_TIME));
     }
 
-    private void growBlindly(int inFlight, Instant now) {
+    private void growWithoutAnswers(int inFlight, Instant now) {
         if (!roundEnd.isBefore(grownAt.plus(blindRound(inFlight, now)))) {
             grow();
         }
@@ -312,7 +315,7 @@
         if (isCause(LimitCause.PAUSE)) {
             return ROUND;
         }
-        return total(inFlight, now) < limit / 2 ? UNUSED_ROUND : BLIND_ROUND;
+        return total(inFlight, now) < limit / 2 ? UNUSED_ROUND : ROUND_WITHOUT_ANSWERS;
     }
 
     private void grow() {
@@ -328,7 +331,7 @@
         boolean settled = !now.isBefore(unsettledAt.plus(SETTLED_TIME));
         boolean unbound = !now.isBefore(boundAt.plus(UNBOUND_TIME));
         return limit > FULL_SHARE * slots
-                || unbound && !(hasEvidence(now) && slowness >= SLOW)
+                || unbound && (isSlowMachine(now) || !hasEvidence(now) || slowness < SLOW)
                 || settled && !hasEvidence(now) && isCause(LimitCause.UNREACHABLE);
     }
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Fleet.java
@@ -277,9 +277,10 @@
     }
 
     /**
-     * Records the paces that the planner announces, in percent; servers that are left out have the
-     * usual pace. A planner that announces none knows no differences yet, so that what this
-     * instance has learnt itself stays in force.
+     * Records the paces that the planner announces, in percent. If {@code learnt} is not empty,
+     * servers that it leaves out have the usual pace; if it is empty, the notice announces none,
+     * and earlier ones hold until they expire. Servers that {@code stated} leaves out are
+     * unchanged.
      */
     public void recordPaces(
             Map<ServerId, Integer> learnt, Map<ServerId, Integer> stated, Instant now) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -33,8 +33,9 @@
     private static final double FAILURE_WEIGHT = 0.25;
 
     /**
-     * Failure rate above which a request without progress shows that the server is slow. It takes
-     * three such requests in a row, because single ones may be unusually long prompts.
+     * Failure rate above which a request without progress limits the server. Three failures of any
+     * kind shortly after one another exceed it; one or two do not, because a single request without
+     * progress may be an unusually long prompt.
      */
     private static final double SLOW_FAILURE_RATE = 0.5;
 
@@ -185,8 +186,8 @@
     }
 
     /** Returns the limit of the requests in flight over all instances, while there is one. */
-    public double limitTotal() {
-        return limit.limit();
+    public double limitTotal(Instant now) {
+        return limit.limit(now);
     }
 
     /** Returns the limit of the requests in flight at the present run of this server. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -102,6 +102,10 @@
      *
      * @param totals number of requests by server; servers without requests are left out
      * @param suspected servers that several instances cannot reach
+     * @param learntPaces paces learnt from answer times, in percent; empty if this notice announces
+     *     none
+     * @param statedPaces stated paces weighted by their age, in percent; servers without a
+     *     difference are left out
      */
     record LoadAnnounced(
             Map<ServerId, Integer> totals,
@@ -109,7 +113,7 @@
             Map<ServerId, Integer> learntPaces,
             Map<ServerId, Integer> statedPaces)
             implements ForwardingEvent {
-        /** Creates the announcement of a planner to which all servers have the usual pace. */
+        /** Creates an announcement without paces. */
         public LoadAnnounced(Map<ServerId, Integer> totals, Set<ServerId> suspected) {
             this(totals, suspected, Map.of(), Map.of());
         }
--- a/src/main/java/org/tarragonlug/decision/forwarding/PaceTotals.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PaceTotals.java
@@ -21,9 +21,10 @@
     private static final double MIN_DIFFERENCE = 0.1;
 
     /**
-     * Periods of which one announces the learnt paces; within their validity at 400 ms a period.
+     * Learnt paces are announced in one of so many periods. At a report every 0.4 s that is every
+     * 1.6 s, less than the time for which receivers keep them.
      */
-    private static final int LEARNT_PERIODS = 4;
+    private static final int ANNOUNCEMENT_PERIODS = 4;
 
     /** Weight of a new answer in the variance, once enough have been reported. */
     private static final double MIN_WEIGHT = 0.005;
@@ -68,14 +69,15 @@
     }
 
     /**
-     * Returns the learnt paces in one of {@link #LEARNT_PERIODS} periods, otherwise nothing. Learnt
-     * paces change slowly and hold for seconds after an announcement, so that not every notice
-     * needs them. All receivers get them in the same period, and no state for each is kept.
+     * Returns the learnt paces in one of {@link #ANNOUNCEMENT_PERIODS} periods, otherwise nothing.
+     * Learnt paces change slowly and hold for seconds after an announcement, so that not every
+     * notice needs them. All receivers get them in the same period, and no state for each is kept.
      *
-     * @param period time between two notices to a receiver
+     * @param period interval of reports; periods are counted from the epoch, so that all receivers
+     *     get the paces in the same one
      */
     public Map<ServerId, Integer> learntIfDue(Duration period, Instant now) {
-        boolean due = now.toEpochMilli() / period.toMillis() % LEARNT_PERIODS == 0;
+        boolean due = now.toEpochMilli() / period.toMillis() % ANNOUNCEMENT_PERIODS == 0;
         return due ? learnt(now) : Map.of();
     }
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerLimits.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerLimits.java
@@ -133,7 +133,7 @@
                     .reportedCause(now)
                     .ifPresent(cause -> current.put(server.incarnation(), cause));
         }
-        return changes(current);
+        return changes(current, now);
     }
 
     /** A server without a model cannot show its pace, so its limit begins with the first one. */
@@ -148,18 +148,18 @@
     }
 
     private List<ForwardingCommand.ReportLimit> changes(
-            Map<ServerIncarnation, LimitCause> current) {
+            Map<ServerIncarnation, LimitCause> current, Instant now) {
         List<ForwardingCommand.ReportLimit> changes = new ArrayList<>();
         reported.forEach(
                 (run, cause) -> {
                     if (current.get(run) != cause) {
-                        changes.add(report(run, cause, false));
+                        changes.add(report(run, cause, false, now));
                     }
                 });
         current.forEach(
                 (run, cause) -> {
                     if (reported.get(run) != cause) {
-                        changes.add(report(run, cause, true));
+                        changes.add(report(run, cause, true, now));
                     }
                 });
         reported = current;
@@ -167,8 +167,8 @@
     }
 
     private ForwardingCommand.ReportLimit report(
-            ServerIncarnation run, LimitCause cause, boolean begins) {
-        double limit = of(run).map(AdaptiveLimit::limit).orElse(0.0);
+            ServerIncarnation run, LimitCause cause, boolean begins, Instant now) {
+        double limit = of(run).map(each -> each.limit(now)).orElse(0.0);
         return new ForwardingCommand.ReportLimit(run, cause, begins, limit);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ServerPace.java
@@ -124,7 +124,10 @@
         return Math.max(1 / MAX_FACTOR, Math.min(pace, MAX_FACTOR));
     }
 
-    /** Tells whether both paces are the usual one, without regard to the age of other ones. */
+    /**
+     * Tells whether the stated, learnt and announced pace were all last recorded as the usual one.
+     * Their age is not considered, so that the common case needs no computation.
+     */
     boolean isUsual() {
         return stated == 1 && learnt == 1 && announced == 1;
     }
@@ -191,7 +194,10 @@
         return now.toEpochMilli() - announcedAtMillis <= ANNOUNCEMENT_VALIDITY.toMillis();
     }
 
-    /** Tells whether nothing recorded here has an effect any more. */
+    /**
+     * Tells whether the learnt and the stated pace have both expired. Meant for the planner's
+     * totals, which receive no announcements.
+     */
     boolean isExpired(Instant now) {
         return now.toEpochMilli() - learntAtMillis > LEARNT_VALIDITY.toMillis()
                 && now.toEpochMilli() - statedAtMillis > STATEMENT_VALIDITY.toMillis();
--- a/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
+++ b/src/main/java/org/tarragonlug/decision/placement/ReplicaPolicy.java
@@ -16,8 +16,8 @@
  *
  * <p>The demand is compared with what the servers of a model carry: their slots, divided by how
  * long work takes there. A model on slow servers therefore gets more replicas. Requests for a busy
- * model that has a replica on a server of at least the usual pace can avoid the slow ones, so such
- * a model gets one and keeps it.
+ * model that has a replica on a server that is not slow can avoid the slow ones, so such a model
+ * gets one such replica and keeps it.
  */
 final class ReplicaPolicy {
     /** The last replica of a model is not unloaded within this time after its last request. */
--- a/src/main/java/org/tarragonlug/gateway/GatewayState.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayState.java
@@ -73,7 +73,7 @@
         node.put("state", server.listing().state().name());
         node.put("availability", server.availability(now).name());
         server.limitCause(now).ifPresent(cause -> node.put("limitCause", cause.name()));
-        server.limitCause(now).ifPresent(cause -> node.put("limit", server.limitTotal()));
+        server.limitCause(now).ifPresent(cause -> node.put("limit", server.limitTotal(now)));
         node.put("inFlight", server.inFlight());
         node.put("load", server.load(now));
         node.put("statedPace", server.pace().stated(now));
--- a/src/main/java/org/tarragonlug/platform/AccountKeys.java
+++ b/src/main/java/org/tarragonlug/platform/AccountKeys.java
@@ -80,7 +80,10 @@
         Set<KeyDigest> digests = new HashSet<>();
         for (JsonNode each : JsonFields.array(account, hasKeys ? KEYS : DIGESTS)) {
             if (!each.isTextual()) {
-                throw new IllegalArgumentException("field " + KEYS + " must be a list of texts");
+                throw new IllegalArgumentException(
+                        "field "
+                                + (hasKeys ? KEYS : DIGESTS)
+                                + " must be a list of texts; correct the account");
             }
             String text = each.textValue();
             digests.add(hasKeys ? digest(text) : KeyDigest.parse(text));
--- a/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
@@ -37,7 +37,7 @@
     private static final double MILLIS_PER_SECOND = 1000.0;
 
     /** Cost in tokens of a request without a token count if the configuration states none. */
-    private static final double LEAST_COST = 1;
+    private static final double DEFAULT_PLAIN_TOKENS = 1;
 
     private ConfigurationDecoder() {}
 
@@ -107,7 +107,7 @@
                         unit,
                         rate,
                         optionalNumber(node, "burst", 0),
-                        (long) optionalNumber(node, "plain_tokens", LEAST_COST)));
+                        (long) optionalNumber(node, "plain_tokens", DEFAULT_PLAIN_TOKENS)));
     }
 
     private static double optionalNumber(JsonNode node, String field, double absent) {
--- a/src/test/java/org/tarragonlug/decision/forwarding/AdaptiveLimitTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/AdaptiveLimitTest.java
@@ -200,7 +200,7 @@
     void instanceWithoutAnswersGrowsSlowlyWhileTheLimitIsUsed() {
         limit.begin(LimitCause.START, START);
         pass(Duration.ofMillis(1900), FIRST, 10);
-        assertEquals(FIRST, limit.limit());
+        assertEquals(FIRST, limit.limit(START.plusMillis(1900)));
     }
 
     // Guards against an instance that lags behind when those with answers have raised the limit.
@@ -208,6 +208,6 @@
     void instanceWithoutAnswersFollowsTheTotals() {
         limit.begin(LimitCause.START, START);
         pass(Duration.ofMillis(200), 11, 40);
-        assertEquals(11, limit.limit());
+        assertEquals(11, limit.limit(START.plusMillis(200)));
     }
 }
