Tell callers when the first allowance of new processes is due

The processes hold no allowance and may ask no lender for 0.8 s, and a new lender can give nothing before two reports; but Retry-After named the end of the 0.8 s or 0.5 s, so callers used up their repeat. Change: until a lender has answered, Retry-After adds the time to the first grant, and callers return in ten groups 0.1 s apart, as the allowance flows in.

--- a/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
@@ -58,6 +58,21 @@
     /** When callers should come back if nothing is known about the time at which there is room. */
     private static final Duration RETRY_UNKNOWN = Duration.ofMillis(500);
 
+    /**
+     * Time from the first request to a lender until it can give anything. A new lender is credited
+     * with the time between two regular reports, so that takes two of them.
+     */
+    private static final Duration FIRST_GRANT = Duration.ofMillis(800);
+
+    /**
+     * Callers that are refused before the first grant come back in so many groups, one after
+     * another, because the allowance for all of them flows in only over time.
+     */
+    private static final int RETURN_GROUPS = 10;
+
+    /** Time between the return of two groups. */
+    private static final Duration RETURN_INTERVAL = Duration.ofMillis(100);
+
     /** The shortest time until callers should come back; a shorter one would be written as 0. */
     private static final Duration MIN_RETRY = Duration.ofMillis(50);
 
@@ -243,14 +258,22 @@
             changes.add(new QuotaChange(account, true, 0));
         }
         Duration room = allowance.timeToRoom(now, advanceRetention());
-        if (room.isZero() && now.isBefore(mayRequestAt)) {
-            room = Duration.between(now, mayRequestAt);
+        if (room.isZero() && lenderHeardAt == Instant.MIN) {
+            room = timeToFirstGrant(allowance, now);
         }
         Duration retryAfter = room.isZero() ? RETRY_UNKNOWN : room;
         boolean atOnce = retryAfter.compareTo(MIN_RETRY) < 0;
         return new TakeResult.Refused(atOnce ? MIN_RETRY : retryAfter);
     }
 
+    /** Returns when a caller should come back that is refused while no lender has answered yet. */
+    private Duration timeToFirstGrant(BorrowedAllowance allowance, Instant now) {
+        Duration pause =
+                now.isBefore(mayRequestAt) ? Duration.between(now, mayRequestAt) : Duration.ZERO;
+        int group = (int) (allowance.refused() % RETURN_GROUPS);
+        return pause.plus(FIRST_GRANT).plus(RETURN_INTERVAL.multipliedBy(group));
+    }
+
     /** Records that a request of this cost waits, so that the lender is asked for it. */
     public void startWaiting(AccountName account, long cost) {
         BorrowedAllowance allowance = accounts.get(account);
--- a/src/test/java/org/tarragonlug/decision/quota/QuotaBorrowerTest.java
+++ b/src/test/java/org/tarragonlug/decision/quota/QuotaBorrowerTest.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -147,6 +148,21 @@
 
     @Nested
     class Refusals {
+        /**
+         * Guards against callers who come back before the first grant and are refused again, and
+         * against all of them coming back at once, when all instances have just started.
+         */
+        @Test
+        void callersReturnOneAfterAnotherOnceTheFirstGrantIsDue() {
+            Set<Duration> times = new HashSet<>();
+            for (int number = 0; number < 10; number++) {
+                times.add(borrower.refuse(ACCOUNT, now).retryAfter());
+            }
+            Duration earliest = QuotaTimes.BORROWER_RETENTION.plus(Duration.ofMillis(800));
+            assertTrue(times.stream().allMatch(each -> each.compareTo(earliest) >= 0), "" + times);
+            assertEquals(10, times.size());
+        }
+
         /** Guards against an account that counts as refused for good after its quota is gone. */
         @Test
         void endWithTheQuota() {
