--- a/src/main/java/org/tarragonlug/decision/placement/WeightStoreLimit.java
+++ b/src/main/java/org/tarragonlug/decision/placement/WeightStoreLimit.java
@@ -20,7 +20,9 @@
  * recognised only when the first of many loads has ended.
  *
  * <p>Each attempt to grow beyond the capacity blocks servers for a multiple of the usual time.
- * After loads have been slow, the limit therefore does not grow for {@link #GROWTH_PAUSE}.
+ * After a load has been slow, the limit therefore stays for a multiple of the time that it took,
+ * and then grows by single loads. A load may also be slow for another reason, such as an order that
+ * is carried out late, so the limit must not stay low for good.
  */
 final class WeightStoreLimit {
     static final int INITIAL_PARALLEL_LOADS = 2;
@@ -30,12 +32,13 @@
     /** Ratio of actual to expected load time up to which a load counts as in time. */
     private static final double TOLERATED_SLOWNESS = 1.3;
 
-    /** How long the limit does not grow after loads have been slow. */
-    private static final Duration GROWTH_PAUSE = Duration.ofMinutes(2);
+    /** How long the limit does not grow after a slow load, as a multiple of the load's time. */
+    private static final int GROWTH_PAUSE_IN_LOADS = 2;
 
     private final Duration window;
     private final Deque<Instant> loadStarts = new ArrayDeque<>();
     private int maxParallelLoads = INITIAL_PARALLEL_LOADS;
+    private boolean slowdownSeen;
     private Instant growthAllowedAt = Instant.EPOCH;
 
     WeightStoreLimit(Duration window) {
@@ -85,7 +88,8 @@
         if (slowness(expected, actual) > TOLERATED_SLOWNESS) {
             shrink(expected, actual, Math.max(loadsAtStart, loadsInProgress), now);
         } else if (loadsAtStart >= maxParallelLoads && !now.isBefore(growthAllowedAt)) {
-            maxParallelLoads = Math.min(MAX_PARALLEL_LOADS, 2 * maxParallelLoads);
+            int larger = slowdownSeen ? maxParallelLoads + 1 : 2 * maxParallelLoads;
+            maxParallelLoads = Math.min(MAX_PARALLEL_LOADS, larger);
         }
     }
 
@@ -112,7 +116,8 @@
     private void shrink(Duration expected, Duration actual, int parallelLoads, Instant now) {
         int capacity = (int) Math.floor(parallelLoads / slowness(expected, actual));
         maxParallelLoads = Math.min(maxParallelLoads, Math.max(1, capacity));
-        growthAllowedAt = now.plus(GROWTH_PAUSE);
+        slowdownSeen = true;
+        growthAllowedAt = now.plus(actual.multipliedBy(GROWTH_PAUSE_IN_LOADS));
     }
 
     private static double slowness(Duration expected, Duration actual) {
--- a/src/test/java/org/tarragonlug/decision/placement/WeightStoreLimitTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/WeightStoreLimitTest.java
@@ -68,6 +68,17 @@
             limit.onLoadEnded(LOAD, LOAD, before, before, NOW.plus(LOAD));
             assertEquals(before, limit.maxParallelLoads());
         }
+
+        /** Guards against a limit that stays low for good after a single load was late. */
+        @Test
+        void limitGrowsBySingleLoadsSomeTimeAfterLoadsWereSlow() {
+            limit.onLoadEnded(LOAD, LOAD.multipliedBy(2), 2, 2, NOW);
+            int before = limit.maxParallelLoads();
+            Instant later = NOW.plus(LOAD.multipliedBy(5));
+            limit.onLoadEnded(LOAD, LOAD, before, before, later);
+            limit.onLoadEnded(LOAD, LOAD, before + 1, before + 1, later);
+            assertEquals(before + 2, limit.maxParallelLoads());
+        }
     }
 
     /** A store that serves many loads at full speed. */
