--- a/src/main/java/org/tarragonlug/decision/account/KeyDigest.java
+++ b/src/main/java/org/tarragonlug/decision/account/KeyDigest.java
@@ -49,7 +49,8 @@
         } catch (IllegalArgumentException notHexadecimal) {
             // The message of the parser is not used, because it may quote the text.
             throw new IllegalArgumentException(
-                    "a key digest must consist of hexadecimal digits; use the SHA-256 digest of the key");
+                    "a key digest must consist of hexadecimal digits;"
+                            + " use the SHA-256 digest of the key");
         }
         return new KeyDigest(bytes);
     }
