Log what the connection of a refused or broken attempt had carried

Cause: the log of a refusal named the server only. Change: a connection remembers the names of its calls (CarriedCalls, hash codes only), and forward_rejected and forward_broken bear connection, earlier_calls, carried_before and since_sent_ms. No decision uses them yet.

--- a/src/main/java/org/tarragonlug/gateway/AttemptListener.java
+++ b/src/main/java/org/tarragonlug/gateway/AttemptListener.java
@@ -6,6 +6,7 @@
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.decision.forwarding.ServerNotice;
+import org.tarragonlug.http.CallPosition;
 import org.tarragonlug.http.HttpBody;
 import org.tarragonlug.http.SkippedAnswer;
 
@@ -14,6 +15,13 @@
     /** Asked just before the request is written: whether the server may still get it. */
     boolean maySend();
 
+    /**
+     * Called once, when the request is written.
+     *
+     * @param position its place on its connection
+     */
+    default void onSent(CallPosition position) {}
+
     /**
      * Called if the server did not run the request.
      *
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -27,6 +27,7 @@
 import org.tarragonlug.decision.forwarding.RequestHead;
 import org.tarragonlug.decision.forwarding.ServerNotice;
 import org.tarragonlug.decision.placement.DemandCollector;
+import org.tarragonlug.http.CallPosition;
 import org.tarragonlug.http.ConnectionUse;
 import org.tarragonlug.http.HttpBody;
 import org.tarragonlug.http.HttpCall;
@@ -391,6 +392,7 @@
         private final ActiveRequest request;
         private final long key;
         private final Instant sentAt;
+        private Optional<CallPosition> position = Optional.empty();
 
         AttemptHandler(ActiveRequest request) {
             this.request = request;
@@ -403,12 +405,15 @@
             return coordinator.maySend(key, timers.now());
         }
 
+        @Override
+        public void onSent(CallPosition callPosition) {
+            position = Optional.of(callPosition);
+        }
+
         @Override
         public void onRejected(
                 Rejection rejection, boolean namesRequest, Optional<ReportedLoad> load) {
-            log.event(LogEvent.FORWARD_REJECTED)
-                    .with("request", request.requestId)
-                    .with("server", request.serverId)
+            attemptEvent(LogEvent.FORWARD_REJECTED)
                     .with("rejection", rejection)
                     .with("names_request", namesRequest)
                     .write();
@@ -481,13 +486,24 @@
         @Override
         public void onBroken(AnswerProgress progress, String detail) {
             metrics.recordBrokenAnswer(progress);
-            log.event(LogEvent.FORWARD_BROKEN)
-                    .with("request", request.requestId)
-                    .with("server", request.serverId)
+            attemptEvent(LogEvent.FORWARD_BROKEN)
                     .with("received", progress)
                     .with("detail", detail)
                     .write();
             post(new ForwardingEvent.ConnectionBroken(key, progress));
         }
+
+        /** Begins a line about how the attempt ended, with what its connection had carried. */
+        private EventLog.Line attemptEvent(LogEvent event) {
+            return log.event(event)
+                    .with("request", request.requestId)
+                    .with("server", request.serverId)
+                    .with("since_sent_ms", millisSince(sentAt))
+                    .with("connection", position.map(CallPosition::localPort).orElse(0))
+                    .with("earlier_calls", position.map(CallPosition::earlierCalls).orElse(0))
+                    .with(
+                            "carried_before",
+                            position.map(CallPosition::carriedBefore).orElse(false));
+        }
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -9,6 +9,7 @@
 import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ServerNotice;
+import org.tarragonlug.http.CallPosition;
 import org.tarragonlug.http.EventStreamSplitter;
 import org.tarragonlug.http.HttpBody;
 import org.tarragonlug.http.HttpExchange;
@@ -116,9 +117,10 @@
     }
 
     @Override
-    public void onSent(boolean isNewConnection) {
-        newConnection = isNewConnection;
+    public void onSent(CallPosition position) {
+        newConnection = position.isFirst();
         sentAt = timers.now();
+        listener.onSent(position);
     }
 
     @Override
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -86,7 +87,7 @@
     private long bytesAfterHead;
     private long bodyBytes;
     private long allowedFramingBytes;
-    private int calls;
+    private final CarriedCalls carriedCalls = new CarriedCalls();
 
     private FramingGuard(Channel channel, FramingLimits limits) {
         this.channel = channel;
@@ -110,18 +111,27 @@
      * @param name by what the answer names the call; empty if it names none
      * @param skippedAction receives late answers to other calls, which are skipped
      * @param action receives the kind and a description of what the server may not send
+     * @return the place of the call on its connection
      */
-    void begin(
+    CallPosition begin(
             Optional<AnswerName> name,
             Consumer<SkippedAnswer> skippedAction,
             BiConsumer<HttpFailure.Kind, String> action) {
-        calls++;
+        CallPosition position =
+                new CallPosition(
+                        localPort(), carriedCalls.count(), carriedCalls.mayContain(name));
+        carriedCalls.add(name);
         violationAction = action;
-        filter.begin(isFirstCall() ? Optional.empty() : name, skippedAction);
+        filter.begin(position.isFirst() ? Optional.empty() : name, skippedAction);
         startHead();
         bytesAfterHead = 0;
         bodyBytes = 0;
         allowedFramingBytes = limits.trailerBytes();
+        return position;
+    }
+
+    private int localPort() {
+        return channel.localAddress() instanceof InetSocketAddress address ? address.getPort() : 0;
     }
 
     private void startHead() {
@@ -131,11 +141,6 @@
         headLines = 0;
     }
 
-    /** Returns whether the present call is the first one on the connection. */
-    boolean isFirstCall() {
-        return calls == 1;
-    }
-
     /**
      * Records that the head of the answer is complete.
      *
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -173,11 +173,12 @@
             connection = reserved;
             guard = FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
         }
-        guard.begin(
-                call.answerName(),
-                receiver::onAnswerSkipped,
-                (kind, detail) -> fail(kind, detail, null));
-        receiver.onSent(guard.isFirstCall());
+        CallPosition position =
+                guard.begin(
+                        call.answerName(),
+                        receiver::onAnswerSkipped,
+                        (kind, detail) -> fail(kind, detail, null));
+        receiver.onSent(position);
         toSource(reserved.request(request))
                 .subscribe(new Step<StreamingHttpResponse>(this::handleHead, false));
     }
--- a/src/main/java/org/tarragonlug/http/HttpReceiver.java
+++ b/src/main/java/org/tarragonlug/http/HttpReceiver.java
@@ -20,10 +20,9 @@
     /**
      * Called once, when the call is sent.
      *
-     * @param newConnection whether it is the first call on its connection, so that what arrives can
-     *     not belong to an earlier one
+     * @param position its place on its connection
      */
-    default void onSent(boolean newConnection) {}
+    default void onSent(CallPosition position) {}
 
     /**
      * Called for each late answer to another call that was skipped before the answer to this one.
--- a/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -17,6 +17,7 @@
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.decision.forwarding.ServerNotice;
+import org.tarragonlug.http.CallPosition;
 import org.tarragonlug.http.HttpBody;
 import org.tarragonlug.http.HttpFailure;
 import org.tarragonlug.runtime.ManualTimers;
@@ -25,6 +26,9 @@
     private static final Map<String, String> HEADERS =
             Map.of("tarragonlug-request-id", "r1", "tarragonlug-response-seal", "s");
 
+    private static final CallPosition NEW_CONNECTION = new CallPosition(1, 0, false);
+    private static final CallPosition KEPT_CONNECTION = new CallPosition(1, 1, false);
+
     /** Records the calls of the attempt to its listener. */
     private static final class Recorder implements AttemptListener {
         private final List<String> events = new ArrayList<>();
@@ -157,11 +161,11 @@
         @Test
         void rejectionThatNamesNoRequestCountsOnlyOnNewConnection() {
             ServerAttempt kept = attempt(false, -1);
-            kept.onSent(false);
+            kept.onSent(KEPT_CONNECTION);
             kept.onHead(503, Map.of("tarragonlug-not-executed", "1"));
             assertEquals(List.of("broken"), recorder.events);
             ServerAttempt first = attempt(false, -1);
-            first.onSent(true);
+            first.onSent(NEW_CONNECTION);
             first.onHead(503, Map.of("tarragonlug-not-executed", "1"));
             first.onCompleted();
             assertEquals(List.of("broken", "rejected BUSY"), recorder.events);
@@ -233,7 +237,7 @@
         @Test
         void noticeWithoutIdOnKeptConnectionDoesNotCount() {
             ServerAttempt attempt = attempt(false, -1);
-            attempt.onSent(false);
+            attempt.onSent(KEPT_CONNECTION);
             attempt.onHead(500, Map.of("server-leaving", "1"));
             attempt.onCompleted();
             assertEquals(List.of("broken"), recorder.events);
--- a/src/test/java/org/tarragonlug/http/WithdrawnCallTest.java
+++ b/src/test/java/org/tarragonlug/http/WithdrawnCallTest.java
@@ -43,8 +43,8 @@
         }
 
         @Override
-        public void onSent(boolean newConnection) {
-            firstOnConnection = newConnection;
+        public void onSent(CallPosition position) {
+            firstOnConnection = position.isFirst();
         }
 
         @Override
