Send a request on no connection that has carried it before

What callers saw: a request that must run once ran at two servers, or was refused as not run although a server ran it. Cause: whether a repetition needs a new connection was decided from the id of the server (PendingForward.excluded), while connections are kept by address. A server that comes back under a new id at its address got the repetition on the connection on which it had refused the first send. The copy of that refusal bears the id of the request and was believed. The class: one name decides that two things are different, while what matters, the connection, goes by another. Change: the connection remembers the names of the calls that it has carried (CarriedCalls), and none of them is sent on it again; the call gets a new connection (HttpExchange.send). Ids of servers no longer decide about it: a new connection is forced only after one to the same server was lost.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -346,7 +346,11 @@
         switch (event.rejection()) {
             case MODEL_ABSENT ->
                     forward.request.model().ifPresent(key -> server.markModelAbsent(key, now));
-            case WRONG_SERVER, UNREACHABLE -> server.markUnreachable(now);
+            case WRONG_SERVER -> server.markUnreachable(now);
+            case UNREACHABLE -> {
+                forward.connectionLost.add(server.id());
+                server.markUnreachable(now);
+            }
             default -> onServerBusy(forward, server, event.load(), now);
         }
         if (event.rejection().isByServer()) {
@@ -478,6 +482,7 @@
             commands.add(new ForwardingCommand.ReportRequestLost(forward.sentTo, forward.traits));
         }
         forward.excluded.add(server.id());
+        forward.connectionLost.add(server.id());
         RetryPause.afterBrokenConnection(forward, progress, now);
         retryOrFail(forward, FailureReason.SERVER_LOST, now);
     }
@@ -556,6 +561,7 @@
         commands.add(new ForwardingCommand.CancelAttempt(forward.request.key()));
         releaseServer(forward, Optional.empty(), now);
         forward.excluded.add(server.id());
+        forward.connectionLost.add(server.id());
         dispatcher.dispatch(forward, now);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -53,7 +53,12 @@
     /** The time at which a caller that has received nothing stops waiting. */
     Instant patienceEnd;
 
+    /** Servers that refused or lost the request, so that others are preferred. */
     final Set<ServerId> excluded = new HashSet<>();
+
+    /** Servers to which a connection failed or went silent under the request. */
+    final Set<ServerId> connectionLost = new HashSet<>();
+
     State state = State.WAITING;
     FleetServer server;
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
@@ -260,7 +260,7 @@
                         forward.lastEventId,
                         forward.route.kind() == RequestKind.STREAMING,
                         forward.deadline,
-                        forward.excluded.contains(server.id()),
+                        forward.connectionLost.contains(server.id()),
                         forward.account.map(ClientAccount::name),
                         forward.credentialRemoved || keys.isOn()));
     }
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -408,6 +408,9 @@
         @Override
         public void onSent(CallPosition callPosition) {
             position = Optional.of(callPosition);
+            if (callPosition.repetitionAvoided()) {
+                metrics.recordAvoidedRepetition();
+            }
         }
 
         @Override
@@ -502,8 +505,8 @@
                     .with("connection", position.map(CallPosition::localPort).orElse(0))
                     .with("earlier_calls", position.map(CallPosition::earlierCalls).orElse(0))
                     .with(
-                            "carried_before",
-                            position.map(CallPosition::carriedBefore).orElse(false));
+                            "repetition_avoided",
+                            position.map(CallPosition::repetitionAvoided).orElse(false));
         }
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -73,6 +73,12 @@
                     .name("tarragonlug_server_answers_skipped_total")
                     .help("Late answers of servers to other requests, which were skipped")
                     .register(registry);
+    private final Counter avoidedRepetitions =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_server_connections_avoided_total")
+                    .help("Requests sent on a new connection because a kept one had carried them")
+                    .register(registry);
     private final Counter notices =
             Counter.builder()
                     .withoutExemplars()
@@ -196,6 +202,10 @@
         skippedAnswers.inc();
     }
 
+    void recordAvoidedRepetition() {
+        avoidedRepetitions.inc();
+    }
+
     void recordRefusedKey(Credential credential, RefusalReason reason) {
         refusedKeys.labelValues(lowerCase(credential.state()), lowerCase(reason)).inc();
     }
--- a/src/main/java/org/tarragonlug/http/ConnectionUse.java
+++ b/src/main/java/org/tarragonlug/http/ConnectionUse.java
@@ -5,7 +5,9 @@
     /**
      * An idle pooled connection if there is one, otherwise a new one that is pooled afterwards. A
      * server may send an answer to an earlier call on it once more, so the receiver must be able to
-     * tell from the answer that it belongs to this call.
+     * tell from the answer that it belongs to this call. A call with an {@link AnswerName} is never
+     * sent on a connection that has carried a call of the same name; if the pool offers one, a new
+     * connection is used.
      */
     POOLED,
     /**
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -42,6 +42,9 @@
  *       recognises.
  * </ul>
  *
+ * <p>An answer that names the call and is late all the same would be the answer to an earlier send
+ * of the call, so a connection never carries the same call twice ({@link #mayCarry}).
+ *
  * <p>All methods must be called on the event loop of the connection, except for {@link #begin}. The
  * call sends its request after {@link #begin}, so the event loop sees the effects of that method.
  */
@@ -111,26 +114,33 @@
      * @param name by what the answer names the call; empty if it names none
      * @param skippedAction receives late answers to other calls, which are skipped
      * @param action receives the kind and a description of what the server may not send
-     * @return the place of the call on its connection
+     * @return the number of calls that the connection has carried before
      */
-    CallPosition begin(
+    int begin(
             Optional<AnswerName> name,
             Consumer<SkippedAnswer> skippedAction,
             BiConsumer<HttpFailure.Kind, String> action) {
-        CallPosition position =
-                new CallPosition(
-                        localPort(), carriedCalls.count(), carriedCalls.mayContain(name));
+        int earlierCalls = carriedCalls.count();
         carriedCalls.add(name);
         violationAction = action;
-        filter.begin(position.isFirst() ? Optional.empty() : name, skippedAction);
+        filter.begin(earlierCalls == 0 ? Optional.empty() : name, skippedAction);
         startHead();
         bytesAfterHead = 0;
         bodyBytes = 0;
         allowedFramingBytes = limits.trailerBytes();
-        return position;
+        return earlierCalls;
+    }
+
+    /**
+     * Returns whether a call may be sent on this connection. If it has carried a call of the same
+     * name, a late answer to that one could not be told from the answer to this one.
+     */
+    boolean mayCarry(Optional<AnswerName> name) {
+        return !carriedCalls.mayContain(name);
     }
 
-    private int localPort() {
+    /** Returns the local port of the connection; 0 if it has none. */
+    int localPort() {
         return channel.localAddress() instanceof InetSocketAddress address ? address.getPort() : 0;
     }
 
@@ -192,14 +202,14 @@
      * Records that the answer is complete.
      *
      * @return whether the connection may be used again; false if more bytes were received with the
-     *     answer, or if its end was found elsewhere
+     *     answer, if its end was found elsewhere, or if the connection has carried enough calls
      */
     boolean end() {
         violationAction = NO_ACTION;
         afterEndAction = NO_AFTER_END_ACTION;
-        boolean clean = unreadBytes == 0 && framing.isEnded();
-        phase = clean ? Phase.IDLE : Phase.CLOSED;
-        return clean;
+        boolean reusable = unreadBytes == 0 && framing.isEnded() && !carriedCalls.isFull();
+        phase = reusable ? Phase.IDLE : Phase.CLOSED;
+        return reusable;
     }
 
     @Override
@@ -311,7 +321,7 @@
         slice.forEachByte(
                 value -> {
                     lines[0] += value == LINE_FEED ? 1 : 0;
-                    return true;
+                    return !carriedCalls.mayContain(name);
                 });
         return lines[0];
     }
--- a/src/main/java/org/tarragonlug/http/HttpConnections.java
+++ b/src/main/java/org/tarragonlug/http/HttpConnections.java
@@ -27,9 +27,10 @@
  *
  * <p>No call blocks a thread. Answers arrive on the threads of the given I/O executor, and timeouts
  * run on the timer thread. No request is sent twice: the retries of the library are switched off,
- * because only the code that makes a call knows whether it may be repeated. A later call closes the
- * pools that have not been used for {@link HttpLimits#unusedAfter}, so that servers that no longer
- * exist occupy no memory.
+ * because only the code that makes a call knows whether it may be repeated. If a named call is made
+ * again, it is sent on another connection than before. A later call closes the pools that have not
+ * been used for {@link HttpLimits#unusedAfter}, so that servers that no longer exist occupy no
+ * memory.
  */
 public final class HttpConnections implements AutoCloseable {
     private final IoExecutor ioExecutor;
@@ -121,7 +122,13 @@
         ClientLease lease =
                 call.use() == ConnectionUse.NEW ? new SingleUse(address) : lease(address);
         HttpExchange exchange =
-                new HttpExchange(call, lease, receiver, limits.maximumAnswerBytes(), heldBytes);
+                new HttpExchange(
+                        call,
+                        lease,
+                        () -> new SingleUse(address),
+                        receiver,
+                        limits.maximumAnswerBytes(),
+                        heldBytes);
         exchange.start(timers);
         return exchange;
     }
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * One HTTP call in progress.
@@ -36,6 +37,8 @@
  * only when nothing was written, so they also mean "not sent". After a failure or a cancellation
  * the connection is closed and never reused.
  *
+ * <p>A call that the reserved connection has carried before is sent on a new connection instead.
+ *
  * <p>An answer whose body contains the head of a second answer to the same call is invalid ({@link
  * SecondHeadFinder}). If the body ends within what may be such a head, the end is held back until
  * the bytes after it decide, or for a short time.
@@ -59,11 +62,13 @@
     private static final char DELETE_CHARACTER = 0x7f;
 
     private final HttpCall call;
-    private final ClientLease lease;
+    private final Supplier<ClientLease> newConnections;
     private final HttpReceiver receiver;
     private final int maximumBytes;
     private final HeldBytes heldByAll;
     private final Optional<SecondHeadFinder> secondHead;
+    private ClientLease lease;
+    private boolean repetitionAvoided;
     private ReservedStreamingHttpConnection connection;
     private FramingGuard guard;
     private Cancellable currentStep = Cancellable.IGNORE_CANCEL;
@@ -73,14 +78,26 @@
     private boolean endsConnection;
     private boolean ended;
 
+    /**
+     * Creates a call that is not started.
+     *
+     * @param call the call
+     * @param lease the client whose connections are used first
+     * @param newConnections supplies clients that open a new connection for one call
+     * @param receiver receives the answer
+     * @param maximumBytes largest answer
+     * @param heldByAll limits what all calls keep of incomplete answers
+     */
     HttpExchange(
             HttpCall call,
             ClientLease lease,
+            Supplier<ClientLease> newConnections,
             HttpReceiver receiver,
             int maximumBytes,
             HeldBytes heldByAll) {
         this.call = call;
         this.lease = lease;
+        this.newConnections = newConnections;
         this.receiver = receiver;
         this.maximumBytes = maximumBytes;
         this.heldByAll = heldByAll;
@@ -100,6 +117,10 @@
                 return;
             }
         }
+        reserveConnection();
+    }
+
+    private void reserveConnection() {
         StreamingHttpRequest request;
         try {
             request = request();
@@ -160,6 +181,13 @@
     }
 
     private void send(ReservedStreamingHttpConnection reserved, StreamingHttpRequest request) {
+        FramingGuard reservedGuard =
+                FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
+        if (!reservedGuard.mayCarry(call.answerName())) {
+            toSource(reserved.releaseAsync()).subscribe(IgnoredCompletion.INSTANCE);
+            useNewConnection();
+            return;
+        }
         synchronized (this) {
             if (ended) {
                 toSource(reserved.releaseAsync()).subscribe(IgnoredCompletion.INSTANCE);
@@ -171,18 +199,30 @@
                 return;
             }
             connection = reserved;
-            guard = FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
+            guard = reservedGuard;
         }
-        CallPosition position =
+        int earlierCalls =
                 guard.begin(
                         call.answerName(),
                         receiver::onAnswerSkipped,
                         (kind, detail) -> fail(kind, detail, null));
-        receiver.onSent(position);
+        receiver.onSent(new CallPosition(guard.localPort(), earlierCalls, repetitionAvoided));
         toSource(reserved.request(request))
                 .subscribe(new Step<StreamingHttpResponse>(this::handleHead, false));
     }
 
+    private void useNewConnection() {
+        synchronized (this) {
+            if (ended) {
+                return;
+            }
+            lease.release();
+            lease = newConnections.get();
+            repetitionAvoided = true;
+        }
+        reserveConnection();
+    }
+
     private void handleHead(StreamingHttpResponse response) {
         reportBodyEnd(response);
         synchronized (this) {
--- a/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
+++ b/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
@@ -79,12 +79,20 @@
      *
      * @param line request line
      * @param id id of the request; empty if it has none
+     * @param expectedServer id of the server that the request is meant for; empty if not stated
      * @param lastEventId the last event that the caller has received; empty if not stated
      * @param body the body
      * @param connection number of its connection, from 1
      */
-    record Request(String line, String id, String lastEventId, byte[] body, int connection) {}
+    record Request(
+            String line,
+            String id,
+            String expectedServer,
+            String lastEventId,
+            byte[] body,
+            int connection) {}
 
+    private final PlatformStoreStandIn store;
     private final ServerSocket listener;
     private final Script script;
     private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
@@ -111,6 +119,12 @@
             throw new UncheckedIOException(e);
         }
         start("scripted-server", this::accept);
+        this.store = store;
+        list(id, service, models);
+    }
+
+    /** Lists the server under an id, besides those under which it is listed already. */
+    void list(String id, String service, List<String> models) {
         store.put("servers", id, entry(service, models));
     }
 
@@ -221,6 +235,7 @@
     private static Request read(InputStream input, int connection) throws IOException {
         String line = readLine(input);
         String id = "";
+        String expectedServer = "";
         String lastEventId = "";
         int length = 0;
         for (String header = readLine(input); !header.isEmpty(); header = readLine(input)) {
@@ -228,6 +243,8 @@
             String name = parts[0].toLowerCase(Locale.ROOT);
             if (name.equals("tarragonlug-request-id")) {
                 id = parts[1];
+            } else if (name.equals("tarragonlug-expect-instance")) {
+                expectedServer = parts[1];
             } else if (name.equals("last-event-id")) {
                 lastEventId = parts[1];
             } else if (name.equals("content-length")) {
@@ -238,7 +255,7 @@
         if (body.length < length) {
             throw new IOException("the body is incomplete");
         }
-        return new Request(line, id, lastEventId, body, connection);
+        return new Request(line, id, expectedServer, lastEventId, body, connection);
     }
 
     private static String readLine(InputStream input) throws IOException {
