Write to the platform's store on a connection of its own

Cause: writes went on kept connections, and whether an answer belongs to a write was decided from the name of its object. The answer to a read of the same object bears that name as well, and a refusal bears none. So the copy of a read counted as success of a write that the store refused (a lease would be held by two for one renewal period), the copy of a refusal as the outcome of a write that was done, and the copy of a 404 as a delete that was done. The platform's pages state copies for backend servers only, so this is a precaution. Change: ConnectionUse.ofUnnamedCall says on which connection a call goes whose answers do not name it: reads on kept ones, all others on a new one, on which the first answer is their own. Weighed: closing a connection after a refusal that names nothing (does not help against the copy of a success), a read after a refused write (a call more, and its answer may be late as well), comparing the written content (new rules for what a store may change in it).

--- a/src/main/java/org/tarragonlug/http/ConnectionUse.java
+++ b/src/main/java/org/tarragonlug/http/ConnectionUse.java
@@ -1,5 +1,7 @@
 package org.tarragonlug.http;
 
+import java.util.Set;
+
 /** Selects the connection on which a call is sent. */
 public enum ConnectionUse {
     /**
@@ -15,5 +17,21 @@
      * The server may have closed a pooled connection, or the connection may have become silent; the
      * outcome of a call on it is then unknown.
      */
-    NEW
+    NEW;
+
+    private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD");
+
+    /**
+     * Returns the connection for a call whose answers do not name it.
+     *
+     * <p>On a pooled connection the copy of an answer to an earlier call may be taken for the
+     * answer to this one. After a call that only reads, the receiver compares the content and can
+     * read again. A call that changes something would count as done although it was refused, or as
+     * refused although it was done, so it gets a connection of its own.
+     *
+     * @param method HTTP method of the call
+     */
+    public static ConnectionUse ofUnnamedCall(String method) {
+        return SAFE_METHODS.contains(method) ? POOLED : NEW;
+    }
 }
--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -28,7 +28,8 @@
  *
  * <p>The content of an object is its {@code spec}; its version is the revision of its last change.
  * A write fails with {@code OBJECT_API_OUTCOME_UNKNOWN} if its answer does not show whether it took
- * effect. Status 503 or 429 means that the store rejected the call before it had any effect.
+ * effect. Status 503 or 429 means that the store rejected the call before it had any effect. Each
+ * write has a connection of its own, because a refusal names no object.
  *
  * <p>Keys of client accounts are replaced by their digests, so that objects may be passed on.
  */
@@ -239,7 +240,7 @@
 
     private CompletionStage<HttpAnswer> exchange(
             String method, String path, JsonNode body, Duration timeout) {
-        return exchange(method, path, body, timeout, ConnectionUse.POOLED);
+        return exchange(method, path, body, timeout, ConnectionUse.ofUnnamedCall(method));
     }
 
     private CompletionStage<HttpAnswer> exchange(
--- a/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
@@ -93,6 +93,11 @@
         return callCount;
     }
 
+    /** Returns the number of connections on which calls have arrived so far. */
+    public int usedConnections() {
+        return server.usedConnections();
+    }
+
     /** Writes an object unconditionally, as an operator or a server does. */
     public synchronized void put(String kind, String name, JsonNode spec) {
         storeObject(kind, name, spec);
--- a/src/main/java/org/tarragonlug/standin/StandInServer.java
+++ b/src/main/java/org/tarragonlug/standin/StandInServer.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * An HTTP server on loopback. It can be stopped, restarted at the same address, and made to stop
@@ -45,6 +46,7 @@
     private final StandInHandler handler;
     private final Set<SocketAddress> openConnections = ConcurrentHashMap.newKeySet();
     private final Set<SocketAddress> silentConnections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger usedConnections = new AtomicInteger();
     private InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     private ServerContext context;
 
@@ -101,6 +103,11 @@
         silentConnections.addAll(openConnections);
     }
 
+    /** Returns the number of connections on which requests have arrived since the start. */
+    int usedConnections() {
+        return usedConnections.get();
+    }
+
     boolean isSilent(SocketAddress connection) {
         return silentConnections.contains(connection);
     }
@@ -111,6 +118,7 @@
             StreamingHttpResponseFactory responses) {
         SocketAddress remote = connection.remoteAddress();
         if (openConnections.add(remote)) {
+            usedConnections.incrementAndGet();
             connection
                     .onClose()
                     .whenFinally(
--- a/src/test/java/org/tarragonlug/platform/PlatformObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/platform/PlatformObjectApiTest.java
@@ -2,15 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.function.IntFunction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.http.LoopbackFixture;
 import org.tarragonlug.http.RawServer;
 import org.tarragonlug.http.RepeatingServer;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.PlatformStoreStandIn;
 
 /** A store that sends an answer once more, when the next call has been sent on the connection. */
 class PlatformObjectApiTest {
@@ -71,4 +76,67 @@
                     LoopbackFixture.awaitErrorCode(api(server).list("servers")));
         }
     }
+
+    private static byte[] status(int status) {
+        return ("HTTP/1.1 " + status + " Status\r\ncontent-length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Returns the answers to the first call and to all later ones. */
+    private static IntFunction<byte[]> answers(byte[] first, byte[] later) {
+        return number -> number == 0 ? first : later;
+    }
+
+    // Guards against a lease that counts as acquired though another instance has acquired it: the
+    // copy of the answer to the read before bears the name of the lease as well.
+    @Test
+    void copyOfReadDoesNotAnswerRefusedWrite() throws Exception {
+        try (RepeatingServer server =
+                new RepeatingServer(answers(object(FIRST), status(409)), DELAY)) {
+            LoopbackFixture.await(api(server).read(FIRST));
+            assertEquals(
+                    ErrorCode.WRITE_CONFLICT,
+                    LoopbackFixture.awaitErrorCode(api(server).write(FIRST, Json.object(), 5)));
+        }
+    }
+
+    // Guards against a write that counts as not done although the store did it.
+    @ParameterizedTest
+    @ValueSource(ints = {404, 409, 429, 503})
+    void copyOfRefusalDoesNotAnswerNextWrite(int refusal) throws Exception {
+        try (RepeatingServer server =
+                new RepeatingServer(answers(status(refusal), object(SECOND)), DELAY)) {
+            LoopbackFixture.awaitErrorCode(api(server).write(FIRST, Json.object(), 4));
+            assertEquals(5, LoopbackFixture.await(api(server).write(SECOND, Json.object(), 4)));
+        }
+    }
+
+    // Guards against a delete that counts as done because an object that was read before was
+    // absent.
+    @Test
+    void copyOfAbsenceDoesNotAnswerRefusedDelete() throws Exception {
+        try (RepeatingServer server =
+                new RepeatingServer(answers(status(404), status(409)), DELAY)) {
+            LoopbackFixture.await(api(server).read(FIRST));
+            assertEquals(
+                    ErrorCode.WRITE_CONFLICT,
+                    LoopbackFixture.awaitErrorCode(api(server).delete(SECOND, 4)));
+        }
+    }
+
+    // Guards against a new connection for each read; reads are much more frequent than writes.
+    @Test
+    void onlyWritesNeedNewConnections() throws Exception {
+        try (PlatformStoreStandIn store = new PlatformStoreStandIn(loopback.ioExecutor)) {
+            PlatformObjectApi api = new PlatformObjectApi(loopback.connections, store.address());
+            long version = LoopbackFixture.await(api.write(FIRST, Json.object(), 0));
+            for (int round = 0; round < 5; round++) {
+                for (int read = 0; read < 10; read++) {
+                    LoopbackFixture.await(api.read(FIRST));
+                }
+                version = LoopbackFixture.await(api.write(FIRST, Json.object(), version));
+            }
+            assertEquals(1 + 6, store.usedConnections());
+        }
+    }
 }
