Write to the object API on a connection of its own

Cause: answers to writes name no object. The copy of the answer to one claim counted as success of the next one, which another instance had made, so that both would run the request; the copy of a refusal as the outcome of a claim that was made. Change: writes and deletes use ConnectionUse.ofUnnamedCall, as those of the platform's store. In replacesSilentConnectionAfterOneTimeout a read instead of the write now leaves the kept connection that becomes silent, since writes leave none; what the test asserts is unchanged. Measured: HttpObjectApiTest$AnswersSentTwice failed in 5 of 5 cases before and passes.

--- a/src/main/java/org/tarragonlug/objectapi/HttpObjectApi.java
+++ b/src/main/java/org/tarragonlug/objectapi/HttpObjectApi.java
@@ -23,7 +23,8 @@
  * An HTTP client of the object API.
  *
  * <p>Objects have the path {@code /objects/KIND/NAME}. An update is conditional on {@code If-Match}
- * with the version, a creation on {@code If-None-Match: *}.
+ * with the version, a creation on {@code If-None-Match: *}. Answers to writes name no object, so
+ * each write has a connection of its own.
  *
  * <p>A write fails with {@code OBJECT_API_OUTCOME_UNKNOWN} if the answer leaves open whether the
  * write took effect: the connection broke, the call timed out, the server answered 408, a server
@@ -165,7 +166,8 @@
                                 "content-type",
                                 "application/json");
         Duration timeout = connections.limits().responseTimeout();
-        return new HttpCall(method, path(name), headers, body, timeout, ConnectionUse.POOLED);
+        return new HttpCall(
+                method, path(name), headers, body, timeout, ConnectionUse.ofUnnamedCall(method));
     }
 
     private static String path(ObjectName name) {
--- a/src/test/java/org/tarragonlug/objectapi/HttpObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/objectapi/HttpObjectApiTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.AfterEach;
@@ -17,6 +18,7 @@
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.http.LoopbackFixture;
 import org.tarragonlug.http.RawServer;
+import org.tarragonlug.http.RepeatingServer;
 import org.tarragonlug.standin.ObjectApiCounts;
 import org.tarragonlug.standin.ObjectApiStandIn;
 import org.tarragonlug.standin.OutageKind;
@@ -168,6 +170,8 @@
         @Test
         void replacesSilentConnectionAfterOneTimeout() throws Exception {
             version(shortTimeoutApi.write(NAME, content(1), StoredObject.ABSENT));
+            // Reads keep their connection open.
+            assertTrue(LoopbackFixture.await(shortTimeoutApi.read(NAME)).exists());
             standIn.silenceOpenConnections();
             assertEquals(
                     ErrorCode.OBJECT_API_UNAVAILABLE,
@@ -269,4 +273,50 @@
         standIn.setStaleReads(true);
         assertEquals(first, LoopbackFixture.await(api.read(NAME)).version());
     }
+
+    /** A server that sends an answer once more, when the next call has been sent. */
+    @Nested
+    class AnswersSentTwice {
+        private static final Duration DELAY = Duration.ofMillis(100);
+        private static final ObjectName OTHER = new ObjectName("claims", "other");
+
+        private static byte[] answer(int status, String body) {
+            String head = "HTTP/1.1 " + status + " Status\r\ncontent-length: ";
+            return (head + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1);
+        }
+
+        private ObjectApi api(RepeatingServer server) {
+            return new HttpObjectApi(loopback.connections, server.address());
+        }
+
+        // Guards against a request that runs twice, because its claim counts as made although
+        // another instance has made it: answers to writes name no object.
+        @Test
+        void copyOfWriteDoesNotAnswerRefusedWrite() throws Exception {
+            byte[] written = answer(200, "{\"version\": 7}");
+            byte[] conflict = answer(409, "");
+            try (RepeatingServer server =
+                    new RepeatingServer(number -> number == 0 ? written : conflict, DELAY)) {
+                version(api(server).write(NAME, content(1), StoredObject.ABSENT));
+                assertEquals(
+                        ErrorCode.WRITE_CONFLICT,
+                        LoopbackFixture.awaitErrorCode(
+                                api(server).write(OTHER, content(1), StoredObject.ABSENT)));
+            }
+        }
+
+        // Guards against a claim that no request ever ends, because it counts as not made.
+        @ParameterizedTest
+        @ValueSource(ints = {409, 412, 429, 503})
+        void copyOfRefusalDoesNotAnswerNextWrite(int refusal) throws Exception {
+            byte[] refused = answer(refusal, "");
+            byte[] written = answer(200, "{\"version\": 7}");
+            try (RepeatingServer server =
+                    new RepeatingServer(number -> number == 0 ? refused : written, DELAY)) {
+                LoopbackFixture.awaitErrorCode(
+                        api(server).write(NAME, content(1), StoredObject.ABSENT));
+                assertEquals(7, version(api(server).write(OTHER, content(1), StoredObject.ABSENT)));
+            }
+        }
+    }
 }
