Discard events of a send that is not under way any more

What callers could see: a request that goes on at a further server, or counts as not run, because of an event of an earlier send. Cause: events of an attempt named the request only. That an ended attempt posts none rested on ServerAttempt.ended and on the order in which the driver executes commands: between a tick that gives an attempt up and the execution of its CancelAttempt, commands of other requests are executed, and what they cause at once is queued behind the next Send. By reading, nothing posts such an event today: the gateway has one I/O thread, which is its event loop, and answers are read only there. So this closes a way that is possible in theory only. The coordinator itself relied on its caller: a rejection that came twice took possibleRuns below the number of sends. Change: Send, and each event of an attempt, carry a ForwardAttempt. The coordinator passes an event on only if that attempt is under way (underWay, the one place); else it is discarded and counted (tarragonlug_attempt_events_discarded_total). maySend asks the same, and the driver takes answers, streams and events only of the attempt under way. Tests of the coordinator name the last attempt of a request where they named the request. ForwardingCoordinatorTest, ServerAttemptTest and BrokenStreamTest pass.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -17,7 +17,7 @@
     /**
      * Sends a request to a server.
      *
-     * @param request the request
+     * @param attempt the attempt that this send begins
      * @param server the server
      * @param address address of the server, {@code host:port}
      * @param remaining time that the server has left to answer
@@ -32,7 +32,7 @@
      *     account
      */
     record Send(
-            long request,
+            ForwardAttempt attempt,
             ServerId server,
             String address,
             Duration remaining,
@@ -46,7 +46,7 @@
             implements ForwardingCommand {
         /** Creates the command for a request that needs no account. */
         public Send(
-                long request,
+                ForwardAttempt attempt,
                 ServerId server,
                 String address,
                 Duration remaining,
@@ -56,7 +56,7 @@
                 Instant deadline,
                 boolean newConnection) {
             this(
-                    request,
+                    attempt,
                     server,
                     address,
                     remaining,
@@ -68,6 +68,11 @@
                     Optional.empty(),
                     false);
         }
+
+        /** Returns the request. */
+        public long request() {
+            return attempt.request();
+        }
     }
 
     /** Reads the body of a request whose head has arrived. */
@@ -142,6 +147,9 @@
     record ReportNotice(ServerIncarnation server, ServerNotice notice, long request)
             implements ForwardingCommand {}
 
+    /** Reports that an event was discarded because its attempt is not under way any more. */
+    record ReportLateEvent(ForwardAttempt attempt) implements ForwardingCommand {}
+
     /**
      * Reports that the requests in flight at a server are limited from now on, or no longer.
      *
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -23,11 +23,12 @@
  * <p>Every pending request has exactly one state: it waits, or exactly one server is processing it.
  * A request leaves a server only through an answer, a rejection, a broken connection or a
  * cancellation. The coordinator handles each of these cases before it sends the request again, and
- * therefore never starts a second run while the first one is in progress. A request counts as
- * possibly run from the moment it is sent until the server states that it did not run the request.
- * A refusal that promises "not run" is issued only while the number of possible runs is zero. This
- * makes the promise true without any further record, because the request's key belongs to one
- * attempt of the caller, which no other instance sees.
+ * therefore never starts a second run while the first one is in progress. Events of an attempt that
+ * has ended are discarded, so they can not end the next one. A request counts as possibly run from
+ * the moment it is sent until the server states that it did not run the request. A refusal that
+ * promises "not run" is issued only while the number of possible runs is zero. This makes the
+ * promise true without any further record, because the request's key belongs to one attempt of the
+ * caller, which no other instance sees.
  *
  * <p>A change of a server or of an expected time dispatches the waiting requests again that it can
  * concern; a tick dispatches all of them, because pauses and validity times end by themselves. A
@@ -142,13 +143,22 @@
         return keys.isOn();
     }
 
+    /** Returns whether an attempt is under way, so that its answer is the request's answer. */
+    public boolean isUnderWay(ForwardAttempt attempt) {
+        return underWay(attempt).isPresent();
+    }
+
+    private Optional<PendingForward> underWay(ForwardAttempt attempt) {
+        return pending.find(attempt.request()).filter(forward -> forward.isAt(attempt));
+    }
+
     /**
      * Returns whether a request may still be written to the server to which it was sent. The
      * connection may have taken a while, in which the server was listed as leaving, asked for a
      * pause or ended.
      */
-    public boolean maySend(long request, Instant now) {
-        return pending.find(request)
+    public boolean maySend(ForwardAttempt attempt, Instant now) {
+        return underWay(attempt)
                 .filter(forward -> fleet.admitsChosenRequest(forward.sentTo, now))
                 .isPresent();
     }
@@ -176,24 +186,14 @@
             onRequestHeadArrived(arrived.head(), now);
         } else if (event instanceof ForwardingEvent.RequestArrived arrived) {
             onRequestArrived(arrived.request(), now);
-        } else if (event instanceof ForwardingEvent.Rejected rejected) {
-            pending.find(rejected.request())
-                    .ifPresent(forward -> onRejected(forward, rejected, now));
-        } else if (event instanceof ForwardingEvent.ServerNoticed noticed) {
-            pending.find(noticed.request())
-                    .ifPresent(forward -> onServerNoticed(forward, noticed.notice(), now));
-        } else if (event instanceof ForwardingEvent.StreamStarted started) {
-            pending.find(started.request())
-                    .ifPresent(forward -> onStreamStarted(forward, started, now));
-        } else if (event instanceof ForwardingEvent.EventRelayed relayed) {
-            pending.find(relayed.request())
-                    .ifPresent(forward -> onEventRelayed(forward, relayed, now));
-        } else if (event instanceof ForwardingEvent.Answered answered) {
-            pending.find(answered.request())
-                    .ifPresent(forward -> onAnswered(forward, answered, now));
-        } else if (event instanceof ForwardingEvent.ConnectionBroken broken) {
-            pending.find(broken.request())
-                    .ifPresent(forward -> onConnectionBroken(forward, broken.progress(), now));
+        } else if (event instanceof ForwardingEvent.OfAttempt ofAttempt) {
+            underWay(ofAttempt.attempt())
+                    .ifPresentOrElse(
+                            forward -> onAttemptEvent(forward, ofAttempt, now),
+                            () ->
+                                    commands.add(
+                                            new ForwardingCommand.ReportLateEvent(
+                                                    ofAttempt.attempt())));
         } else if (event instanceof ForwardingEvent.CallerDisconnected disconnected) {
             keys.forget(disconnected.request());
             allowances.forget(disconnected.request());
@@ -332,6 +332,24 @@
         return forward;
     }
 
+    /** Handles what has happened to the attempt that is under way. */
+    private void onAttemptEvent(
+            PendingForward forward, ForwardingEvent.OfAttempt event, Instant now) {
+        if (event instanceof ForwardingEvent.Rejected rejected) {
+            onRejected(forward, rejected, now);
+        } else if (event instanceof ForwardingEvent.ServerNoticed noticed) {
+            onServerNoticed(forward, noticed.notice(), now);
+        } else if (event instanceof ForwardingEvent.StreamStarted started) {
+            onStreamStarted(forward, started, now);
+        } else if (event instanceof ForwardingEvent.EventRelayed relayed) {
+            onEventRelayed(forward, relayed, now);
+        } else if (event instanceof ForwardingEvent.Answered answered) {
+            onAnswered(forward, answered, now);
+        } else if (event instanceof ForwardingEvent.ConnectionBroken broken) {
+            onConnectionBroken(forward, broken.progress(), now);
+        }
+    }
+
     private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
         FleetServer server = releaseServer(forward, event.load(), now);
         if (event.rejection() != Rejection.WRONG_SERVER) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -17,36 +17,46 @@
     /** A request has arrived completely. */
     record RequestArrived(ForwardRequest request) implements ForwardingEvent {}
 
+    /**
+     * Something has happened to one attempt of a request. If that attempt is not under way any
+     * more, the event has no effect.
+     */
+    sealed interface OfAttempt extends ForwardingEvent {
+        /** Returns the attempt. */
+        ForwardAttempt attempt();
+    }
+
     /** A server rejected a request without running it. */
-    record Rejected(long request, Rejection rejection, Optional<ReportedLoad> load)
-            implements ForwardingEvent {}
+    record Rejected(ForwardAttempt attempt, Rejection rejection, Optional<ReportedLoad> load)
+            implements OfAttempt {}
 
     /** The server that has a request has said something about itself with its answer. */
-    record ServerNoticed(long request, ServerNotice notice) implements ForwardingEvent {}
+    record ServerNoticed(ForwardAttempt attempt, ServerNotice notice) implements OfAttempt {}
 
     /** The first bytes of a streamed answer have arrived from the server. */
-    record StreamStarted(long request, Optional<ReportedLoad> load) implements ForwardingEvent {}
+    record StreamStarted(ForwardAttempt attempt, Optional<ReportedLoad> load)
+            implements OfAttempt {}
 
     /** An event of a streamed answer has been relayed to the caller. */
-    record EventRelayed(long request, long eventId) implements ForwardingEvent {}
+    record EventRelayed(ForwardAttempt attempt, long eventId) implements OfAttempt {}
 
     /**
      * A complete answer has arrived.
      *
-     * @param request the request
+     * @param attempt the attempt
      * @param status HTTP status of the answer
      * @param load load that the server reported with the answer; empty if it reported none
      */
-    record Answered(long request, int status, Optional<ReportedLoad> load)
-            implements ForwardingEvent {}
+    record Answered(ForwardAttempt attempt, int status, Optional<ReportedLoad> load)
+            implements OfAttempt {}
 
     /**
      * After the request was sent, its connection broke, timed out or carried an invalid answer.
      *
-     * @param request the request
+     * @param attempt the attempt
      * @param progress how much of this server's answer had arrived
      */
-    record ConnectionBroken(long request, AnswerProgress progress) implements ForwardingEvent {}
+    record ConnectionBroken(ForwardAttempt attempt, AnswerProgress progress) implements OfAttempt {}
 
     /** The caller closed its connection. */
     record CallerDisconnected(long request) implements ForwardingEvent {}
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -60,6 +60,10 @@
     final Set<ServerId> connectionLost = new HashSet<>();
 
     State state = State.WAITING;
+
+    /** The last attempt; it is under way unless the request waits. */
+    ForwardAttempt attempt;
+
     FleetServer server;
 
     /** The number of sends that have run or may have run. */
@@ -132,6 +136,7 @@
             LostRequest traits,
             Instant now) {
         this.request = request;
+        this.attempt = ForwardAttempt.none(request.key());
         this.route = route;
         this.service = service;
         this.account = account;
@@ -178,6 +183,11 @@
         return state == State.WAITING;
     }
 
+    /** Tells whether a server has the request because of this attempt. */
+    boolean isAt(ForwardAttempt other) {
+        return !isWaiting() && attempt.equals(other);
+    }
+
     /** Tells whether no send can have run and nothing has been relayed to the caller. */
     boolean notRun() {
         return possibleRuns == 0 && !streamStarted;
--- a/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
@@ -241,6 +241,7 @@
             budgets.recordFirstSend(forward.service, now);
         }
         forward.state = PendingForward.State.SENT;
+        forward.attempt = forward.attempt.next();
         forward.server = server;
         forward.possibleRuns++;
         forward.stallCounted = false;
@@ -252,7 +253,7 @@
         server.onRequestSent();
         output.accept(
                 new ForwardingCommand.Send(
-                        forward.request.key(),
+                        forward.attempt,
                         server.id(),
                         server.listing().address(),
                         Duration.between(now, forward.deadline),
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -17,6 +17,7 @@
 import org.tarragonlug.decision.account.Credential;
 import org.tarragonlug.decision.account.KeyDigest;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
+import org.tarragonlug.decision.forwarding.ForwardAttempt;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
@@ -202,6 +203,8 @@
             onNotice(report);
         } else if (command instanceof ForwardingCommand.ReportLimit report) {
             onLimit(report);
+        } else if (command instanceof ForwardingCommand.ReportLateEvent) {
+            metrics.recordLateEvent();
         }
     }
 
@@ -227,7 +230,7 @@
                         send.server().value(),
                         send.streaming(),
                         send.lastEventId(),
-                        new AttemptHandler(request),
+                        new AttemptHandler(request, send.attempt()),
                         timers);
         request.currentAttempt = attempt;
         HttpCall call =
@@ -390,19 +393,19 @@
     /** Translates the outcome of an attempt into events for the coordinator. */
     private final class AttemptHandler implements AttemptListener {
         private final ActiveRequest request;
-        private final long key;
+        private final ForwardAttempt attempt;
         private final Instant sentAt;
         private Optional<CallPosition> position = Optional.empty();
 
-        AttemptHandler(ActiveRequest request) {
+        AttemptHandler(ActiveRequest request, ForwardAttempt attempt) {
             this.request = request;
-            this.key = request.call.key();
+            this.attempt = attempt;
             this.sentAt = timers.now();
         }
 
         @Override
         public boolean maySend() {
-            return coordinator.maySend(key, timers.now());
+            return coordinator.maySend(attempt, timers.now());
         }
 
         @Override
@@ -423,33 +426,35 @@
             if (rejection == Rejection.WITHDRAWN) {
                 metrics.recordWithdrawnRequest();
             }
-            post(new ForwardingEvent.Rejected(key, rejection, load));
+            post(new ForwardingEvent.Rejected(attempt, rejection, load));
         }
 
         @Override
         public void onServerNotice(ServerNotice notice) {
-            post(new ForwardingEvent.ServerNoticed(key, notice));
+            post(new ForwardingEvent.ServerNoticed(attempt, notice));
         }
 
         @Override
         public void onStreamStarted(Map<String, String> headers, Optional<ReportedLoad> load) {
-            if (!request.streamStarted) {
+            if (!request.streamStarted && coordinator.isUnderWay(attempt)) {
                 request.streamStarted = true;
                 request.answerStatus = 200;
                 request.call.startStream(200, RequestHeaders.endToEnd(headers));
             }
-            post(new ForwardingEvent.StreamStarted(key, load));
+            post(new ForwardingEvent.StreamStarted(attempt, load));
         }
 
         @Override
         public void onStreamEvent(byte[] bytes, long id) {
-            request.call.writeToStream(bytes);
-            post(new ForwardingEvent.EventRelayed(key, id));
+            if (coordinator.isUnderWay(attempt)) {
+                request.call.writeToStream(bytes);
+            }
+            post(new ForwardingEvent.EventRelayed(attempt, id));
         }
 
         @Override
         public void onStreamCompleted(Optional<ReportedLoad> load) {
-            post(new ForwardingEvent.Answered(key, request.answerStatus, load));
+            post(new ForwardingEvent.Answered(attempt, request.answerStatus, load));
         }
 
         @Override
@@ -463,10 +468,12 @@
                 onBroken(AnswerProgress.CONTENT, "status " + status + " instead of the rest of it");
                 return;
             }
-            request.answerStatus = status;
-            request.answerHeaders = headers;
-            request.answerBody = body;
-            post(new ForwardingEvent.Answered(key, status, load));
+            if (coordinator.isUnderWay(attempt)) {
+                request.answerStatus = status;
+                request.answerHeaders = headers;
+                request.answerBody = body;
+            }
+            post(new ForwardingEvent.Answered(attempt, status, load));
         }
 
         @Override
@@ -493,7 +500,7 @@
                     .with("received", progress)
                     .with("detail", detail)
                     .write();
-            post(new ForwardingEvent.ConnectionBroken(key, progress));
+            post(new ForwardingEvent.ConnectionBroken(attempt, progress));
         }
 
         /** Begins a line about how the attempt ended, with what its connection had carried. */
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -73,6 +73,12 @@
                     .name("tarragonlug_server_answers_skipped_total")
                     .help("Late answers of servers to other requests, which were skipped")
                     .register(registry);
+    private final Counter lateEvents =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_attempt_events_discarded_total")
+                    .help("Events of attempts that were not under way any more")
+                    .register(registry);
     private final Counter avoidedRepetitions =
             Counter.builder()
                     .withoutExemplars()
@@ -202,6 +208,10 @@
         skippedAnswers.inc();
     }
 
+    void recordLateEvent() {
+        lateEvents.inc();
+    }
+
     void recordAvoidedRepetition() {
         avoidedRepetitions.inc();
     }
--- a/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
+import org.tarragonlug.decision.forwarding.ForwardAttempt;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
@@ -269,7 +270,7 @@
                         send.urgency(),
                         request.lastEvent + 1,
                         request.events,
-                        new Answers(send.request(), call));
+                        new Answers(send.attempt(), call));
         call.run = run;
         call.server = server;
         if (server.isReady(request.model)) {
@@ -280,13 +281,13 @@
 
     /** Passes the answers of a server to the coordinator and the caller. */
     private final class Answers implements ServerRun.Listener {
-        private final long key;
+        private final ForwardAttempt attempt;
         private final Call call;
         private AnswerProgress progress = AnswerProgress.NOTHING;
         private ServerRun run;
 
-        Answers(long key, Call call) {
-            this.key = key;
+        Answers(ForwardAttempt attempt, Call call) {
+            this.attempt = attempt;
             this.call = call;
         }
 
@@ -296,7 +297,9 @@
             time.afterMillis(
                     NETWORK_MILLIS,
                     () -> {
-                        if (calls.get(key) == call && call.run == current && current != null) {
+                        if (calls.get(attempt.request()) == call
+                                && call.run == current
+                                && current != null) {
                             action.run();
                         }
                     });
@@ -305,7 +308,7 @@
         @Override
         public void onRejected(Rejection rejection, Optional<ReportedLoad> load) {
             recorder.countRejection(rejection);
-            deliver(() -> post(new ForwardingEvent.Rejected(key, rejection, load)));
+            deliver(() -> post(new ForwardingEvent.Rejected(attempt, rejection, load)));
         }
 
         @Override
@@ -313,7 +316,7 @@
             deliver(
                     () -> {
                         progress = AnswerProgress.HEAD;
-                        post(new ForwardingEvent.StreamStarted(key, Optional.of(load)));
+                        post(new ForwardingEvent.StreamStarted(attempt, Optional.of(load)));
                     });
         }
 
@@ -323,18 +326,18 @@
                     () -> {
                         progress = AnswerProgress.CONTENT;
                         call.caller.onEvent((int) event);
-                        post(new ForwardingEvent.EventRelayed(key, event));
+                        post(new ForwardingEvent.EventRelayed(attempt, event));
                     });
         }
 
         @Override
         public void onCompleted(ReportedLoad load) {
-            deliver(() -> post(new ForwardingEvent.Answered(key, 200, Optional.of(load))));
+            deliver(() -> post(new ForwardingEvent.Answered(attempt, 200, Optional.of(load))));
         }
 
         @Override
         public void onBroken() {
-            deliver(() -> post(new ForwardingEvent.ConnectionBroken(key, progress)));
+            deliver(() -> post(new ForwardingEvent.ConnectionBroken(attempt, progress)));
         }
     }
 
--- a/src/test/java/org/tarragonlug/decision/forwarding/FleetIndexTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/FleetIndexTest.java
@@ -168,7 +168,9 @@
         for (ForwardingCommand command : commands) {
             if (command instanceof ForwardingCommand.Send send) {
                 count++;
-                fixture.handle(new ForwardingEvent.Answered(send.request(), 200, Optional.empty()));
+                fixture.handle(
+                        new ForwardingEvent.Answered(
+                                fixture.attempt(send.request()), 200, Optional.empty()));
             }
         }
         return count;
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -88,7 +88,9 @@
 
         private List<ForwardingCommand> reject(List<ForwardingCommand> sent, Rejection rejection) {
             long key = requireSend(sent).request();
-            return fixture.handle(new ForwardingEvent.Rejected(key, rejection, Optional.empty()));
+            return fixture.handle(
+                    new ForwardingEvent.Rejected(
+                            fixture.attempt(key), rejection, Optional.empty()));
         }
 
         /**
@@ -154,7 +156,8 @@
             long key = requireSend(fixture.arrive("/issue/1", "")).request();
             List<ForwardingCommand> commands =
                     fixture.handle(
-                            new ForwardingEvent.ConnectionBroken(key, AnswerProgress.NOTHING));
+                            new ForwardingEvent.ConnectionBroken(
+                                    fixture.attempt(key), AnswerProgress.NOTHING));
             assertEquals(FailureReason.SERVER_LOST, requireFail(commands).reason());
             assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
         }
@@ -173,7 +176,9 @@
             List<ForwardingCommand> commands =
                     fixture.handle(
                             new ForwardingEvent.Rejected(
-                                    first.request(), Rejection.BUSY, Optional.empty()));
+                                    fixture.attempt(first.request()),
+                                    Rejection.BUSY,
+                                    Optional.empty()));
             assertNotEquals(first.server(), requireSend(commands).server());
         }
 
@@ -188,7 +193,7 @@
             List<ForwardingCommand> commands =
                     fixture.handle(
                             new ForwardingEvent.Rejected(
-                                    send.request(),
+                                    fixture.attempt(send.request()),
                                     Rejection.BUSY,
                                     Optional.of(new ReportedLoad(1, 0, 8))));
             assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
@@ -203,7 +208,7 @@
             List<ForwardingCommand> commands =
                     fixture.handle(
                             new ForwardingEvent.Rejected(
-                                    send.request(),
+                                    fixture.attempt(send.request()),
                                     Rejection.BUSY,
                                     Optional.of(new ReportedLoad(8, 24, 8))));
             assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
@@ -226,7 +231,8 @@
                 commands =
                         new ArrayList<>(
                                 full.handle(
-                                        new ForwardingEvent.Rejected(key, Rejection.BUSY, load)));
+                                        new ForwardingEvent.Rejected(
+                                                full.attempt(key), Rejection.BUSY, load)));
                 commands.addAll(full.advance(Duration.ofMillis(200)));
             }
             Duration delay = requireRefuse(commands).retryAfter().orElseThrow();
@@ -245,7 +251,9 @@
                 commands =
                         fixture.handle(
                                 new ForwardingEvent.Rejected(
-                                        send.get().request(), Rejection.BUSY, Optional.empty()));
+                                        fixture.attempt(send.get().request()),
+                                        Rejection.BUSY,
+                                        Optional.empty()));
             }
             assertEquals(RefusalReason.TURNED_AWAY, requireRefuse(commands).reason());
         }
@@ -278,7 +286,8 @@
             ForwardingCommand.Send first = requireSend(fixture.arrive("/ask/1", "busy"));
             fixture.advance(Duration.ofMillis(500));
             fixture.handle(
-                    new ForwardingEvent.ConnectionBroken(first.request(), AnswerProgress.NOTHING));
+                    new ForwardingEvent.ConnectionBroken(
+                            fixture.attempt(first.request()), AnswerProgress.NOTHING));
             ForwardingCommand.Send late = requireSend(fixture.advance(Duration.ofMillis(500)));
             for (int count = 0; count < 30; count++) {
                 int fresh = requireSend(fixture.arrive("/ask/1", "busy")).urgency();
@@ -361,12 +370,14 @@
             ForwardingCommand.Send first = requireSend(fixture.arrive("/read/1", ""));
             List<ForwardingCommand> commands =
                     fixture.handle(
-                            new ForwardingEvent.Answered(first.request(), 500, Optional.empty()));
+                            new ForwardingEvent.Answered(
+                                    fixture.attempt(first.request()), 500, Optional.empty()));
             ForwardingCommand.Send second = requireSend(commands);
             assertNotEquals(first.server(), second.server());
             commands =
                     fixture.handle(
-                            new ForwardingEvent.Answered(first.request(), 500, Optional.empty()));
+                            new ForwardingEvent.Answered(
+                                    fixture.attempt(first.request()), 500, Optional.empty()));
             assertTrue(find(commands, ForwardingCommand.RelayAnswer.class).isPresent());
         }
 
@@ -379,13 +390,14 @@
                             .withServer("two", ENGINES, "m");
             ForwardingCommand.Send first = requireSend(fixture.arrive("/ask/1", "m"));
             long key = first.request();
-            fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
-            fixture.handle(new ForwardingEvent.EventRelayed(key, 3));
+            fixture.handle(
+                    new ForwardingEvent.StreamStarted(fixture.attempt(key), Optional.empty()));
+            fixture.handle(new ForwardingEvent.EventRelayed(fixture.attempt(key), 3));
             ForwardingCommand.Send second =
                     requireSend(
                             fixture.handle(
                                     new ForwardingEvent.ConnectionBroken(
-                                            key, AnswerProgress.NOTHING)));
+                                            fixture.attempt(key), AnswerProgress.NOTHING)));
             assertEquals(3, second.lastEventId());
             assertNotEquals(first.server(), second.server());
         }
@@ -399,14 +411,15 @@
                             .withServer("one", ENGINES, "m")
                             .withServer("two", ENGINES, "m");
             long key = requireSend(fixture.arrive("/ask/1", "m")).request();
-            fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
-            fixture.handle(new ForwardingEvent.EventRelayed(key, 3));
-            fixture.handle(new ForwardingEvent.EventRelayed(key, -1));
+            fixture.handle(
+                    new ForwardingEvent.StreamStarted(fixture.attempt(key), Optional.empty()));
+            fixture.handle(new ForwardingEvent.EventRelayed(fixture.attempt(key), 3));
+            fixture.handle(new ForwardingEvent.EventRelayed(fixture.attempt(key), -1));
             ForwardingCommand.Send second =
                     requireSend(
                             fixture.handle(
                                     new ForwardingEvent.ConnectionBroken(
-                                            key, AnswerProgress.CONTENT)));
+                                            fixture.attempt(key), AnswerProgress.CONTENT)));
             assertEquals(3, second.lastEventId());
         }
 
@@ -422,7 +435,8 @@
             long key = requireSend(fixture.arrive("/ask/1", "m")).request();
             List<ForwardingCommand> commands =
                     fixture.handle(
-                            new ForwardingEvent.ConnectionBroken(key, AnswerProgress.NOTHING));
+                            new ForwardingEvent.ConnectionBroken(
+                                    fixture.attempt(key), AnswerProgress.NOTHING));
             assertTrue(find(commands, ForwardingCommand.Send.class).isEmpty());
             assertTrue(find(commands, ForwardingCommand.Fail.class).isEmpty());
             commands = fixture.advance(Duration.ofMillis(600));
@@ -437,10 +451,12 @@
                             .withServer("one", ENGINES, "m")
                             .withServer("two", ENGINES, "m");
             long key = requireSend(fixture.arrive("/score/1", "m")).request();
-            fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
+            fixture.handle(
+                    new ForwardingEvent.StreamStarted(fixture.attempt(key), Optional.empty()));
             List<ForwardingCommand> commands =
                     fixture.handle(
-                            new ForwardingEvent.ConnectionBroken(key, AnswerProgress.NOTHING));
+                            new ForwardingEvent.ConnectionBroken(
+                                    fixture.attempt(key), AnswerProgress.NOTHING));
             assertEquals(FailureReason.SERVER_LOST, requireFail(commands).reason());
         }
 
@@ -473,13 +489,14 @@
                             .withServer("one", ENGINES, "m")
                             .withServer("two", ENGINES, "m");
             long key = requireSend(fixture.arrive("/ask/1", "m")).request();
-            fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
-            fixture.handle(new ForwardingEvent.EventRelayed(key, 0));
+            fixture.handle(
+                    new ForwardingEvent.StreamStarted(fixture.attempt(key), Optional.empty()));
+            fixture.handle(new ForwardingEvent.EventRelayed(fixture.attempt(key), 0));
             List<ForwardingCommand> commands =
                     new ArrayList<>(
                             fixture.handle(
                                     new ForwardingEvent.ConnectionBroken(
-                                            key, AnswerProgress.NOTHING)));
+                                            fixture.attempt(key), AnswerProgress.NOTHING)));
             ReportedLoad full = new ReportedLoad(8, 16, 8);
             for (int rejection = 0; rejection < 5; rejection++) {
                 if (find(commands, ForwardingCommand.Send.class).isEmpty()) {
@@ -490,7 +507,9 @@
                         new ArrayList<>(
                                 fixture.handle(
                                         new ForwardingEvent.Rejected(
-                                                key, Rejection.BUSY, Optional.of(full))));
+                                                fixture.attempt(key),
+                                                Rejection.BUSY,
+                                                Optional.of(full))));
                 assertTrue(find(commands, ForwardingCommand.Fail.class).isEmpty());
             }
         }
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
@@ -25,6 +25,7 @@
     final ForwardingCoordinator coordinator;
     Instant now = Instant.ofEpochSecond(1000);
     private final String instance;
+    private final Map<Long, ForwardAttempt> lastAttempts = new HashMap<>();
     private long lastKey;
     private boolean contentRepeated;
 
@@ -124,7 +125,18 @@
     }
 
     List<ForwardingCommand> handle(ForwardingEvent event) {
-        return coordinator.handle(event, now);
+        List<ForwardingCommand> commands = coordinator.handle(event, now);
+        for (ForwardingCommand command : commands) {
+            if (command instanceof ForwardingCommand.Send send) {
+                lastAttempts.put(send.request(), send.attempt());
+            }
+        }
+        return commands;
+    }
+
+    /** Returns the last attempt of a request; one that was never begun if it was not sent. */
+    ForwardAttempt attempt(long request) {
+        return lastAttempts.getOrDefault(request, ForwardAttempt.none(request));
     }
 
     List<ForwardingCommand> advance(Duration time) {
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingPaceTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingPaceTest.java
@@ -22,12 +22,12 @@
     private void playStream(Duration betweenEvents, Optional<ReportedLoad> load) {
         fixture.arrive("/ask/1", "m");
         long key = fixture.lastKey();
-        fixture.handle(new ForwardingEvent.StreamStarted(key, load));
+        fixture.handle(new ForwardingEvent.StreamStarted(fixture.attempt(key), load));
         for (int event = 1; event <= 10; event++) {
             fixture.now = fixture.now.plus(betweenEvents);
-            fixture.handle(new ForwardingEvent.EventRelayed(key, event));
+            fixture.handle(new ForwardingEvent.EventRelayed(fixture.attempt(key), event));
         }
-        fixture.handle(new ForwardingEvent.Answered(key, 200, load));
+        fixture.handle(new ForwardingEvent.Answered(fixture.attempt(key), 200, load));
     }
 
     // Guards against the load at the end of a stream, which repeats that of the head, being taken
@@ -44,7 +44,9 @@
     void rejectionStatesThePace() {
         fixture.withServer("one", ForwardingFixture.ENGINES, "m");
         fixture.arrive("/ask/1", "m");
-        fixture.handle(new ForwardingEvent.Rejected(fixture.lastKey(), Rejection.BUSY, SLOW));
+        fixture.handle(
+                new ForwardingEvent.Rejected(
+                        fixture.attempt(fixture.lastKey()), Rejection.BUSY, SLOW));
         assertEquals(2.5, pace("one").stated(fixture.now));
     }
 
@@ -54,7 +56,8 @@
         fixture.withServer("one", ForwardingFixture.ENGINES, "m");
         fixture.arrive("/ask/1", "m");
         fixture.handle(
-                new ForwardingEvent.Rejected(fixture.lastKey(), Rejection.WRONG_SERVER, SLOW));
+                new ForwardingEvent.Rejected(
+                        fixture.attempt(fixture.lastKey()), Rejection.WRONG_SERVER, SLOW));
         assertEquals(1, pace("one").stated(fixture.now));
     }
 
@@ -82,7 +85,8 @@
             long key = fixture.lastKey();
             int status = number < 30 ? 200 : 404;
             fixture.now = fixture.now.plusMillis(status == 200 ? 20 : 1);
-            fixture.handle(new ForwardingEvent.Answered(key, status, Optional.empty()));
+            fixture.handle(
+                    new ForwardingEvent.Answered(fixture.attempt(key), status, Optional.empty()));
         }
         assertEquals(1, pace("one").learnt(fixture.now), 0.1);
     }
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuarantineTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuarantineTest.java
@@ -41,7 +41,8 @@
     }
 
     private List<ForwardingCommand> breakOff(long request, AnswerProgress progress) {
-        return fixture.handle(new ForwardingEvent.ConnectionBroken(request, progress));
+        return fixture.handle(
+                new ForwardingEvent.ConnectionBroken(fixture.attempt(request), progress));
     }
 
     private static Optional<ForwardingCommand.ReportRequestLost> lost(
@@ -85,8 +86,9 @@
         void brokenStreamIsNotResumedOnceItsPartIsQuarantined() {
             fixture.withServer("one", ENGINES, "m").withServer("two", ENGINES, "m");
             long request = send(fixture.arrive("/ask/1", "m", BAD_PARTS));
-            fixture.handle(new ForwardingEvent.StreamStarted(request, Optional.empty()));
-            fixture.handle(new ForwardingEvent.EventRelayed(request, 1));
+            fixture.handle(
+                    new ForwardingEvent.StreamStarted(fixture.attempt(request), Optional.empty()));
+            fixture.handle(new ForwardingEvent.EventRelayed(fixture.attempt(request), 1));
             quarantine(BAD);
             List<ForwardingCommand> commands = breakOff(request, AnswerProgress.CONTENT);
             assertTrue(find(commands, ForwardingCommand.Fail.class).isPresent());
@@ -99,7 +101,9 @@
             long request = send(fixture.arrive("/read/deep/1", "m", BAD_PARTS));
             quarantine(BAD);
             List<ForwardingCommand> commands =
-                    fixture.handle(new ForwardingEvent.Answered(request, 500, Optional.empty()));
+                    fixture.handle(
+                            new ForwardingEvent.Answered(
+                                    fixture.attempt(request), 500, Optional.empty()));
             assertTrue(find(commands, ForwardingCommand.RelayAnswer.class).isPresent());
         }
 
@@ -136,9 +140,10 @@
         void onlyRequestsWithoutContentOfAnAnswerAreReported() {
             fixture.withServer("one", ENGINES, "m").withServer("two", ENGINES, "m");
             long begun = send(fixture.arrive("/ask/1", "m", SOUND_PARTS));
-            fixture.handle(new ForwardingEvent.StreamStarted(begun, Optional.empty()));
+            fixture.handle(
+                    new ForwardingEvent.StreamStarted(fixture.attempt(begun), Optional.empty()));
             List<ForwardingCommand> answer =
-                    fixture.handle(new ForwardingEvent.EventRelayed(begun, 1));
+                    fixture.handle(new ForwardingEvent.EventRelayed(fixture.attempt(begun), 1));
             assertTrue(find(answer, ForwardingCommand.ReportAnswerBegun.class).isPresent());
             assertTrue(lost(breakOff(begun, AnswerProgress.CONTENT)).isEmpty());
             long waiting = send(fixture.arrive("/ask/2", "m", SOUND_PARTS));
@@ -163,7 +168,8 @@
         void requestWhoseAnswerHadOnlyItsHeadWaitsBeforeItIsSentAgain() {
             fixture.withServer("one", ENGINES, "m").withServer("two", ENGINES, "m");
             long request = send(fixture.arrive("/ask/1", "m", BAD_PARTS));
-            fixture.handle(new ForwardingEvent.StreamStarted(request, Optional.empty()));
+            fixture.handle(
+                    new ForwardingEvent.StreamStarted(fixture.attempt(request), Optional.empty()));
             List<ForwardingCommand> commands =
                     new ArrayList<>(breakOff(request, AnswerProgress.HEAD));
             commands.addAll(fixture.advance(Duration.ofMillis(300)));
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
@@ -177,10 +177,12 @@
     void costReturnsOnlyIfRequestHasNotRun() {
         grant(50);
         assertTrue(isSent(arrive(1, 50)));
-        handle(new ForwardingEvent.Rejected(lastKey, Rejection.BUSY, Optional.empty()));
+        handle(
+                new ForwardingEvent.Rejected(
+                        new ForwardAttempt(lastKey, 1), Rejection.BUSY, Optional.empty()));
         advance(300);
         assertTrue(isSent(arrive(1, 50)));
-        handle(new ForwardingEvent.Answered(lastKey, 200, Optional.empty()));
+        handle(new ForwardingEvent.Answered(new ForwardAttempt(lastKey, 1), 200, Optional.empty()));
         assertTrue(!isSent(arrive(1, 1)));
     }
 
--- a/src/test/java/org/tarragonlug/decision/forwarding/LimitFleet.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/LimitFleet.java
@@ -76,7 +76,9 @@
                                 handle(
                                         instance,
                                         new ForwardingEvent.Rejected(
-                                                request, Rejection.BUSY, Optional.of(load()))));
+                                                instance.attempt(request),
+                                                Rejection.BUSY,
+                                                Optional.of(load()))));
                 return;
             }
             waiting.add(() -> run(instance, request, attempt));
@@ -253,7 +255,9 @@
         attempts.get(instance).remove(request);
         Instant arrived = arrivals.get(instance).remove(request);
         answerMillis.add(Duration.between(arrived, now).toMillis());
-        handle(instance, new ForwardingEvent.Answered(request, 200, Optional.of(load)));
+        handle(
+                instance,
+                new ForwardingEvent.Answered(instance.attempt(request), 200, Optional.of(load)));
     }
 
     /** Returns the most requests that the restarted server had at a time. */
--- a/src/test/java/org/tarragonlug/decision/forwarding/NoticeFleet.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/NoticeFleet.java
@@ -260,7 +260,9 @@
             Sender sender,
             ServerNotice notice) {
         if (heeding) {
-            handle(instance, new ForwardingEvent.ServerNoticed(send.request(), notice));
+            handle(
+                    instance,
+                    new ForwardingEvent.ServerNoticed(instance.attempt(send.request()), notice));
         }
         if (notice.leaving()) {
             leavingKnownAt.putIfAbsent(sender, now);
@@ -273,21 +275,28 @@
 
     private void reject(
             ForwardingFixture instance, ForwardingCommand.Send send, Rejection rejection) {
-        handle(instance, new ForwardingEvent.Rejected(send.request(), rejection, Optional.empty()));
+        handle(
+                instance,
+                new ForwardingEvent.Rejected(
+                        instance.attempt(send.request()), rejection, Optional.empty()));
     }
 
     private void end(ForwardingFixture instance, ForwardingCommand.Send send) {
         if (send.streaming()) {
-            handle(instance, new ForwardingEvent.StreamStarted(send.request(), Optional.empty()));
-            handle(instance, new ForwardingEvent.EventRelayed(send.request(), 1));
+            handle(
+                    instance,
+                    new ForwardingEvent.StreamStarted(
+                            instance.attempt(send.request()), Optional.empty()));
+            handle(instance, new ForwardingEvent.EventRelayed(instance.attempt(send.request()), 1));
         }
         boolean broken = random.nextDouble() < BREAK_SHARE;
         handle(
                 instance,
                 broken
                         ? new ForwardingEvent.ConnectionBroken(
-                                send.request(), AnswerProgress.CONTENT)
-                        : new ForwardingEvent.Answered(send.request(), 200, Optional.empty()));
+                                instance.attempt(send.request()), AnswerProgress.CONTENT)
+                        : new ForwardingEvent.Answered(
+                                instance.attempt(send.request()), 200, Optional.empty()));
     }
 
     private void handle(ForwardingFixture instance, ForwardingEvent event) {
--- a/src/test/java/org/tarragonlug/decision/forwarding/ServerLimitsTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ServerLimitsTest.java
@@ -72,9 +72,10 @@
                 ForwardingFixture.find(fixture.arrive("/issue/1", ""), ForwardingCommand.Send.class)
                         .orElseThrow();
         ServerNotice notice = new ServerNotice(false, Optional.of(length));
-        fixture.handle(new ForwardingEvent.ServerNoticed(send.request(), notice));
+        fixture.handle(new ForwardingEvent.ServerNoticed(fixture.attempt(send.request()), notice));
         fixture.handle(
-                new ForwardingEvent.Rejected(send.request(), Rejection.BUSY, Optional.empty()));
+                new ForwardingEvent.Rejected(
+                        fixture.attempt(send.request()), Rejection.BUSY, Optional.empty()));
     }
 
     // Guards against requests that wait or are refused at the start of a whole deployment, when all
--- a/src/test/java/org/tarragonlug/decision/forwarding/ServerNoticesTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ServerNoticesTest.java
@@ -39,12 +39,15 @@
         track(fixture.arrive(path, model));
         long key = sends.get(sends.size() - 1).request();
         sends.clear();
-        fixture.handle(new ForwardingEvent.ServerNoticed(key, notice));
+        fixture.handle(new ForwardingEvent.ServerNoticed(fixture.attempt(key), notice));
         return track(
                 notice.pause().isPresent()
                         ? fixture.handle(
-                                new ForwardingEvent.Rejected(key, Rejection.BUSY, Optional.empty()))
-                        : fixture.handle(new ForwardingEvent.Answered(key, 200, Optional.empty())));
+                                new ForwardingEvent.Rejected(
+                                        fixture.attempt(key), Rejection.BUSY, Optional.empty()))
+                        : fixture.handle(
+                                new ForwardingEvent.Answered(
+                                        fixture.attempt(key), 200, Optional.empty())));
     }
 
     private void listSecond() {
@@ -82,7 +85,8 @@
             List<ForwardingCommand> commands =
                     fixture.handle(
                             new ForwardingEvent.ServerNoticed(
-                                    sends.get(number).request(), number % 2 == 0 ? odd : leaving));
+                                    fixture.attempt(sends.get(number).request()),
+                                    number % 2 == 0 ? odd : leaving));
             ForwardingFixture.find(commands, ForwardingCommand.ReportNotice.class)
                     .ifPresent(report -> reported.add(report.notice()));
         }
@@ -148,12 +152,14 @@
             fixture.withServer("one", ENGINES, "m");
             track(fixture.arrive("/ask/1", "m"));
             long key = sends.get(0).request();
-            fixture.handle(new ForwardingEvent.ServerNoticed(key, LEAVING));
-            fixture.handle(new ForwardingEvent.StreamStarted(key, Optional.empty()));
-            fixture.handle(new ForwardingEvent.EventRelayed(key, 1));
+            fixture.handle(new ForwardingEvent.ServerNoticed(fixture.attempt(key), LEAVING));
+            fixture.handle(
+                    new ForwardingEvent.StreamStarted(fixture.attempt(key), Optional.empty()));
+            fixture.handle(new ForwardingEvent.EventRelayed(fixture.attempt(key), 1));
             track(
                     fixture.handle(
-                            new ForwardingEvent.ConnectionBroken(key, AnswerProgress.CONTENT)));
+                            new ForwardingEvent.ConnectionBroken(
+                                    fixture.attempt(key), AnswerProgress.CONTENT)));
             track(fixture.advance(Duration.ofSeconds(1)));
             assertEquals(1, sends.size());
             listSecond();
@@ -175,10 +181,11 @@
             }
             long key = sends.get(sends.size() - 1).request();
             sends.clear();
-            fixture.handle(new ForwardingEvent.ServerNoticed(key, pause()));
+            fixture.handle(new ForwardingEvent.ServerNoticed(fixture.attempt(key), pause()));
             track(
                     fixture.handle(
-                            new ForwardingEvent.Rejected(key, Rejection.BUSY, Optional.empty())));
+                            new ForwardingEvent.Rejected(
+                                    fixture.attempt(key), Rejection.BUSY, Optional.empty())));
             assertEquals(0, sentToFirst(PAUSE.minusMillis(100), path, model));
             assertTrue(sends.size() >= 49, "sends to the other server: " + sends.size());
             assertTrue(sentToFirst(Duration.ofSeconds(2), path, model) > 0);
@@ -244,7 +251,7 @@
                 Duration pause = PAUSE.minusSeconds(2 * number);
                 fixture.handle(
                         new ForwardingEvent.ServerNoticed(
-                                sends.get(number).request(),
+                                fixture.attempt(sends.get(number).request()),
                                 new ServerNotice(false, Optional.of(pause))));
             }
             sends.clear();
@@ -295,7 +302,8 @@
                 track(fixture.arrive("/read/1", ""));
                 assertEquals(number + 1, sends.size());
                 long key = sends.get(number).request();
-                fixture.handle(new ForwardingEvent.Answered(key, 200, Optional.empty()));
+                fixture.handle(
+                        new ForwardingEvent.Answered(fixture.attempt(key), 200, Optional.empty()));
             }
         }
     }
--- a/src/test/java/org/tarragonlug/decision/forwarding/WithdrawnForwardTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/WithdrawnForwardTest.java
@@ -78,7 +78,7 @@
     }
 
     private void notice(ServerNotice notice) {
-        handle(new ForwardingEvent.ServerNoticed(answered, notice));
+        handle(new ForwardingEvent.ServerNoticed(fixture.attempt(answered), notice));
     }
 
     private void list(ListedState state, long startedMillis) {
@@ -98,11 +98,13 @@
     }
 
     private List<ForwardingCommand> reject(long request, Rejection rejection) {
-        return handle(new ForwardingEvent.Rejected(request, rejection, Optional.empty()));
+        return handle(
+                new ForwardingEvent.Rejected(
+                        fixture.attempt(request), rejection, Optional.empty()));
     }
 
     private boolean maySend() {
-        return fixture.coordinator.maySend(waiting, fixture.now);
+        return fixture.coordinator.maySend(fixture.attempt(waiting), fixture.now);
     }
 
     // Guards against a request that is written to a server of which this instance already knows
--- a/src/test/java/org/tarragonlug/platform/DecodersTest.java
+++ b/src/test/java/org/tarragonlug/platform/DecodersTest.java
@@ -26,6 +26,7 @@
 import org.tarragonlug.decision.account.Credential;
 import org.tarragonlug.decision.account.Quota;
 import org.tarragonlug.decision.account.QuotaUnit;
+import org.tarragonlug.decision.forwarding.ForwardAttempt;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
@@ -260,7 +261,7 @@
                     RequestHeaders.forServer(
                             headers,
                             new ForwardingCommand.Send(
-                                    1,
+                                    new ForwardAttempt(1, 1),
                                     new ServerId("i-1"),
                                     "10.0.0.9:80",
                                     Duration.ofMillis(1500),
@@ -470,7 +471,7 @@
                             "connection",
                             "tarragonlug-tenant"),
                     new ForwardingCommand.Send(
-                            1,
+                            new ForwardAttempt(1, 1),
                             new ServerId("i-1"),
                             "10.0.0.9:80",
                             Duration.ofMillis(1500),
