Write no request whose time is over

Cause, by reading: a request that was chosen for a server just before its deadline waits up to 0.4 s for its connection and is then written, unless the tick that ends it has come first, which a busy process handles late. Change: ForwardingCoordinator.maySend says no after the request's deadline.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -155,10 +155,11 @@
     /**
      * Returns whether a request may still be written to the server to which it was sent. The
      * connection may have taken a while, in which the server was listed as leaving, asked for a
-     * pause or ended.
+     * pause or ended, or the request's time ended.
      */
     public boolean maySend(ForwardAttempt attempt, Instant now) {
         return underWay(attempt)
+                .filter(forward -> now.isBefore(forward.deadline))
                 .filter(forward -> fleet.admitsChosenRequest(forward.sentTo, now))
                 .isPresent();
     }
--- a/src/test/java/org/tarragonlug/decision/forwarding/WithdrawnForwardTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/WithdrawnForwardTest.java
@@ -43,6 +43,8 @@
                     test.notice(new ServerNotice(false, Optional.of(PAUSE)));
                     test.fixture.now = test.fixture.now.plus(PAUSE);
                 }),
+        DEADLINE_HAS_PASSED(
+                false, test -> test.fixture.now = test.fixture.now.plus(Duration.ofMinutes(1))),
         OTHER_CONNECTION_FAILS(true, test -> test.reject(test.answered, Rejection.UNREACHABLE)),
         OTHER_SERVER_LEAVES(
                 true,
@@ -108,7 +110,8 @@
     }
 
     // Guards against a request that is written to a server of which this instance already knows
-    // that it leaves, is gone or wants a pause, and against requests that are held back needlessly.
+    // that it leaves, is gone or wants a pause, or whose caller has left because its time is over,
+    // and against requests that are held back needlessly.
     @ParameterizedTest
     @EnumSource
     void requestMayBeWrittenWhileItsServerWantsRequests(Change change) {
