Halt a gateway by what the kernel says instead of by sleeps

Cause of WithdrawnRequestTest#noticeHoldsForARequestThatWaitsForItsConnection[2] (once 200 for 503): the test. It took the gateway for halted when `kill -STOP` had returned. A request that is sent in that time goes to the server before the server says anything, which is right, and the answer is 200. It also took the news for arrived 600 ms after the thread that writes them was woken. Change: HaltedProcess waits until the kernel shows all threads of the gateway as stopped, the request as unread at its port, and then the answer as unread on its connection to the server. The order of the three, which the test is about, no longer depends on the load. The assertions are unchanged.

--- a/src/test/java/org/tarragonlug/gateway/WithdrawnRequestTest.java
+++ b/src/test/java/org/tarragonlug/gateway/WithdrawnRequestTest.java
@@ -24,9 +24,6 @@
 class WithdrawnRequestTest {
     private static final long STEP_MILLIS = 150;
 
-    /** Time in which news reach the machine of the gateway, also if this one is busy. */
-    private static final long NEWS_MILLIS = 600;
-
     private static final int REQUESTS = 6;
     private static final String EVENT = "id: 1\ndata: a\n\n";
     private static final long WAIT_SECONDS = 10;
@@ -109,15 +106,14 @@
         }
     }
 
-    private void signal(String name) throws Exception {
-        String command = "kill -" + name + " " + gateway.pid();
-        assertEquals(0, new ProcessBuilder("sh", "-c", command).start().waitFor());
-    }
-
     private CompletableFuture<HttpResponse<String>> read(String id) {
         return fixture.sendPrompt(0, "/read/1", id, "", "");
     }
 
+    private int callerPort() {
+        return fixture.gatewaySettings.get(0).callerAddress().getPort();
+    }
+
     private static int statusOf(CompletableFuture<HttpResponse<String>> answer) throws Exception {
         return answer.get(WAIT_SECONDS, TimeUnit.SECONDS).statusCode();
     }
@@ -139,12 +135,12 @@
         startGateway();
         CompletableFuture<HttpResponse<String>> before = read("before");
         GatewayFixture.await("the first request has arrived", () -> !first.received().isEmpty());
-        signal("STOP");
+        HaltedProcess halted = HaltedProcess.halt(gateway.pid());
         CompletableFuture<HttpResponse<String>> answer = read("waiting");
-        sleep();
+        halted.awaitBytesAt(callerPort());
         mayAnswer.complete(null);
-        Thread.sleep(NEWS_MILLIS);
-        signal("CONT");
+        halted.awaitBytesFrom(first.address().getPort());
+        halted.resume();
         statusOf(before);
         assertEquals(503, statusOf(answer));
         assertEquals(List.of("before"), first.received());
@@ -155,10 +151,10 @@
     void requestIsSentAfterItsConnectionWasOpenedIfNothingHasChanged() throws Exception {
         start((request, number, onConnection) -> success(request));
         startGateway();
-        signal("STOP");
+        HaltedProcess halted = HaltedProcess.halt(gateway.pid());
         CompletableFuture<HttpResponse<String>> answer = read("waiting");
-        sleep();
-        signal("CONT");
+        halted.awaitBytesAt(callerPort());
+        halted.resume();
         assertEquals(200, statusOf(answer));
         assertEquals(List.of("waiting"), first.received());
     }
