Take an answer to an order for that order only

Cause: the planner took each answer of a server for the answer to the order in progress there. Orders through a holder are repeated after 250 ms and may be answered after 400 ms, so the answer to a first transmission may come when the next order is under way. That order then counted as accepted although the server never got it: it was not repeated, its adapter was announced as loaded, and the count of accepted orders passed that of the server, so later reports counted as too old and the server got no more orders. Likewise the refusal of a repetition ended an order that was accepted. No order was given twice by this: the expected order count prevents it. Change: the event names the order; an answer counts only while that order is in progress and not accepted (OrderManager.onOrderAnswered).

--- a/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
+++ b/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
@@ -132,9 +132,15 @@
         servers.forEach((id, server) -> server.suspected = suspected.contains(id));
     }
 
-    void onOrderAnswered(PlannedServer server, OrderResult result, Instant now) {
+    /**
+     * Applies the answer to a transmission of an order. It counts only while that order is in
+     * progress and not accepted: a repeated order may be answered after it has ended, and a server
+     * refuses all transmissions of an order that it has accepted.
+     */
+    void onOrderAnswered(
+            PlannedServer server, PlannedOrder answered, OrderResult result, Instant now) {
         PlannedOrder order = server.order;
-        if (order == null) {
+        if (order == null || order.accepted() || !order.isSameOrder(answered)) {
             return;
         }
         switch (result) {
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementEvent.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementEvent.java
@@ -45,8 +45,16 @@
         }
     }
 
-    /** An order was answered, or its call ended without an answer. */
-    record OrderAnswered(ServerId server, long startedMillis, OrderResult result)
+    /**
+     * An order was answered, or its call ended without an answer.
+     *
+     * @param server the server
+     * @param startedMillis start time of the server process that the order was meant for
+     * @param order the order as it was sent
+     * @param result the outcome of this transmission of the order
+     */
+    record OrderAnswered(
+            ServerId server, long startedMillis, PlannedOrder order, OrderResult result)
             implements PlacementEvent {}
 
     /** A server answered a request for a report. */
--- a/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlacementPlanner.java
@@ -93,7 +93,10 @@
             orders.servers().forEach(server -> server.setPace(learnt.paces().get(server.id())));
         } else if (event instanceof PlacementEvent.OrderAnswered answered) {
             orders.find(answered.server(), answered.startedMillis())
-                    .ifPresent(server -> orders.onOrderAnswered(server, answered.result(), now));
+                    .ifPresent(
+                            server ->
+                                    orders.onOrderAnswered(
+                                            server, answered.order(), answered.result(), now));
         } else if (event instanceof PlacementEvent.ReportReceived reported) {
             orders.find(reported.server(), reported.startedMillis())
                     .ifPresent(server -> orders.onReport(server, reported.report(), now));
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedOrder.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedOrder.java
@@ -32,6 +32,14 @@
                 action, key, tier, precondition, decidedAt, sentAt, end, loadsAtStart, true);
     }
 
+    /** Tells whether two orders are transmissions of the same order. */
+    boolean isSameOrder(PlannedOrder other) {
+        return action == other.action
+                && key.equals(other.key)
+                && precondition == other.precondition
+                && decidedAt.equals(other.decidedAt);
+    }
+
     /** Tells whether the order loads a model from the weight store. */
     boolean usesWeightStore() {
         return action == OrderAction.LOAD && !key.hasAdapter() && tier == CopyTier.REMOTE;
--- a/src/main/java/org/tarragonlug/gateway/PlacementDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/PlacementDriver.java
@@ -129,7 +129,10 @@
                         (result, failure) ->
                                 post(
                                         new PlacementEvent.OrderAnswered(
-                                                order.server(), order.startedMillis(), result)),
+                                                order.server(),
+                                                order.startedMillis(),
+                                                order.order(),
+                                                result)),
                         loop);
     }
 
--- a/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedPlanner.java
@@ -189,6 +189,7 @@
                                             new PlacementEvent.OrderAnswered(
                                                     order.server(),
                                                     order.startedMillis(),
+                                                    order.order(),
                                                     result)));
                 });
     }
--- a/src/test/java/org/tarragonlug/decision/placement/BlockedCopyTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/BlockedCopyTest.java
@@ -84,7 +84,10 @@
             if (command instanceof PlacementCommand.GiveOrder order) {
                 planner.handle(
                         new PlacementEvent.OrderAnswered(
-                                order.server(), order.startedMillis(), OrderResult.ACCEPTED),
+                                order.server(),
+                                order.startedMillis(),
+                                order.order(),
+                                OrderResult.ACCEPTED),
                         now);
             } else if (command instanceof PlacementCommand.AnnounceExpectation expectation) {
                 expected.put(expectation.key(), expectation.ready());
--- a/src/test/java/org/tarragonlug/decision/placement/EngineSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/placement/EngineSimulation.java
@@ -290,7 +290,9 @@
 
     private void deliverAnswer(
             Engine engine, PlacementCommand.GiveOrder order, OrderResult result) {
-        post(new PlacementEvent.OrderAnswered(engine.id, order.startedMillis(), result));
+        post(
+                new PlacementEvent.OrderAnswered(
+                        engine.id, order.startedMillis(), order.order(), result));
     }
 
     private void deliverReport(Engine engine) {
--- a/src/test/java/org/tarragonlug/decision/placement/PlannerFixture.java
+++ b/src/test/java/org/tarragonlug/decision/placement/PlannerFixture.java
@@ -101,7 +101,10 @@
                 orders.add(order);
                 planner.handle(
                         new PlacementEvent.OrderAnswered(
-                                order.server(), order.startedMillis(), OrderResult.ACCEPTED),
+                                order.server(),
+                                order.startedMillis(),
+                                order.order(),
+                                OrderResult.ACCEPTED),
                         now);
             }
         }
--- a/src/test/java/org/tarragonlug/decision/placement/UnevenServersTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/UnevenServersTest.java
@@ -106,7 +106,7 @@
     private void answer(PlacementCommand.GiveOrder order) {
         planner.handle(
                 new PlacementEvent.OrderAnswered(
-                        order.server(), order.startedMillis(), OrderResult.ACCEPTED),
+                        order.server(), order.startedMillis(), order.order(), OrderResult.ACCEPTED),
                 now);
     }
 
