Use no connection again after an answer that names no call

What callers saw: a request that must run once ended with 502, because the copy of another request's refusal came where its answer was due. Cause: a refusal without an id counts where it is the first answer on its connection, and the connection was kept. The copy of such an answer can not be told from the next one. Change: a connection is closed after a call that has a name, if the answer bore none. Measured: RepeatedCallTest#callAfterAnAnswerWithoutNameUsesAnotherConnection failed in 2 of 2 delays without the change (400 for 200); with it the class passes, 7 of 7.

--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -76,6 +76,7 @@
     private long receivedBytes;
     private long heldBytes;
     private boolean endsConnection;
+    private boolean unnamed;
     private boolean ended;
 
     /**
@@ -234,6 +235,10 @@
                                         headers.put(
                                                 header.getKey().toString().toLowerCase(Locale.ROOT),
                                                 header.getValue().toString()));
+                unnamed =
+                        call.answerName()
+                                .filter(name -> !headers.containsKey(name.header()))
+                                .isPresent();
                 receiver.onHead(response.status().code(), headers);
             }
         }
@@ -341,7 +346,9 @@
         ended = true;
         hold(0);
         timer.cancel(false);
-        Completable ending = guard.end() ? connection.releaseAsync() : connection.closeAsync();
+        // A late copy of an answer that names no call could not be told from the next answer.
+        boolean reusable = guard.end() && !unnamed;
+        Completable ending = reusable ? connection.releaseAsync() : connection.closeAsync();
         toSource(ending).subscribe(IgnoredCompletion.INSTANCE);
         lease.release();
         receiver.onCompleted();
--- a/src/test/java/org/tarragonlug/http/RepeatedCallTest.java
+++ b/src/test/java/org/tarragonlug/http/RepeatedCallTest.java
@@ -108,4 +108,24 @@
             assertEquals(1, other.position.earlierCalls());
         }
     }
+
+    // Guards against a call that is lost because the copy of an answer that names no call comes
+    // where its own answer is due.
+    @ParameterizedTest
+    @ValueSource(ints = {20, 100})
+    void callAfterAnAnswerWithoutNameUsesAnotherConnection(int delayMillis) throws Exception {
+        byte[] unnamed =
+                "HTTP/1.1 400 Status\r\ncontent-length: 0\r\n\r\n"
+                        .getBytes(StandardCharsets.ISO_8859_1);
+        try (RepeatingServer server =
+                new RepeatingServer(
+                        number -> number == 0 ? unnamed : answer(DONE, "r2"),
+                        Duration.ofMillis(delayMillis))) {
+            Recorder refused = call(server, "r1");
+            Recorder other = call(server, "r2");
+            assertEquals(400, refused.status);
+            assertEquals(DONE, other.status);
+            assertNotEquals(refused.position.localPort(), other.position.localPort());
+        }
+    }
 }
