--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -201,6 +201,24 @@
         return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a request with a body of any length. Many threads may call this. */
+    CompletableFuture<HttpResponse<String>> sendBody(
+            int gateway, String path, String id, byte[] body) {
+        HttpRequest.Builder request = request(gateway, path, id, "");
+        request.POST(HttpRequest.BodyPublishers.ofByteArray(body));
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Sends a request without waiting for the answer. An empty model sends no model header. */
+    CompletableFuture<HttpResponse<String>> sendRequest(
+            int gateway, String path, String id, String model) {
+        HttpRequest.Builder request = request(gateway, path, id, "x");
+        if (!model.isEmpty()) {
+            request.header("Tarragonlug-Model", model);
+        }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Returns the id of the request sent last. */
     String lastRequestId() {
         return "request-" + requestCount;
