Do not announce an adapter that a report shows to be unloaded

Cause: an order for an adapter that is in progress and accepted was completed as a load. An unload is in progress and accepted if not its answer but a report shows that the server has accepted it. The adapter then counted as loaded, was announced to all instances, and kept its place. Change: accepted orders for adapters are completed by their action, in one method.

--- a/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
+++ b/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
@@ -147,8 +147,7 @@
             case ACCEPTED -> {
                 server.onOrderAccepted(now.plus(duration(server, order)));
                 if (order.key().hasAdapter() && order.action() == OrderAction.UNLOAD) {
-                    server.onAdapterUnloaded(order.key(), now);
-                    server.order = null;
+                    completeAdapterOrder(server, order, now);
                 }
             }
             case ALREADY_DONE -> onAlreadyDone(server, order, now);
@@ -167,20 +166,29 @@
         }
     }
 
+    /** Ends an accepted order for an adapter, which takes effect without being reported. */
+    private void completeAdapterOrder(PlannedServer server, PlannedOrder order, Instant now) {
+        server.order = null;
+        if (order.action() == OrderAction.UNLOAD) {
+            server.onAdapterUnloaded(order.key(), now);
+        } else {
+            server.onAdapterLoaded(order.key(), now);
+            announce(server, order.key(), true);
+        }
+    }
+
     private void onAlreadyDone(PlannedServer server, PlannedOrder order, Instant now) {
         server.order = null;
         if (!order.key().hasAdapter()) {
             server.needsReport = true;
             server.nextReportAt = now.plus(REPORT_RETRY_DELAY);
-        } else if (order.action() == OrderAction.UNLOAD) {
+            return;
+        }
+        if (order.action() == OrderAction.UNLOAD) {
             server.order = order;
             server.onOrderAccepted(now);
-            server.order = null;
-            server.onAdapterUnloaded(order.key(), now);
-        } else {
-            server.onAdapterLoaded(order.key(), now);
-            announce(server, order.key(), true);
         }
+        completeAdapterOrder(server, order, now);
     }
 
     private Duration duration(PlannedServer server, PlannedOrder order) {
@@ -293,9 +301,7 @@
                 }
             } else if (order != null && order.key().hasAdapter()) {
                 if (!now.isBefore(order.expectedEnd())) {
-                    server.order = null;
-                    server.onAdapterLoaded(order.key(), now);
-                    announce(server, order.key(), true);
+                    completeAdapterOrder(server, order, now);
                 }
             } else if (order != null && isReportDue(server, order, now)) {
                 requestReport(server, now);
--- a/src/test/java/org/tarragonlug/decision/placement/LateOrderAnswersTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/LateOrderAnswersTest.java
@@ -48,6 +48,10 @@
 
     @BeforeEach
     void start() {
+        start(8, Set.of());
+    }
+
+    private void start(int adapterSlots, Set<String> heldAdapters) {
         ModelSpecification model =
                 new ModelSpecification(
                         "model",
@@ -58,7 +62,7 @@
                         8,
                         0.1);
         ModelCatalog catalog =
-                new ModelCatalog(new LinkedHashMap<>(Map.of("model", model)), 200, 8, 4);
+                new ModelCatalog(new LinkedHashMap<>(Map.of("model", model)), 200, adapterSlots, 4);
         ForwardingService service = new ForwardingService(SERVICE, Optional.of(catalog), 100);
         post(
                 new PlacementEvent.TableInstalled(
@@ -74,7 +78,7 @@
                                 16,
                                 ListedState.READY,
                                 STARTED,
-                                Map.of("model", Set.of()),
+                                Map.of("model", heldAdapters),
                                 Set.of(),
                                 Set.of())));
         post(new PlacementEvent.PlanningBegun());
@@ -168,4 +172,22 @@
         assertTrue(announced.contains(FIRST));
         assertEquals(0, reportRequests);
     }
+
+    // Guards against an adapter that counts as loaded because a report shows that the order to
+    // unload it was accepted.
+    @Test
+    void unloadConfirmedByReportIsNoLoad() {
+        ModelKey held = new ModelKey("model", "held");
+        start(1, Set.of(held.adapter()));
+        ServerReport before = new ServerReport(Map.of("model", Set.of(held.adapter())), false, 5);
+        post(new PlacementEvent.ReportReceived(SERVER, STARTED, before));
+        run(STEP, FIRST);
+        assertEquals(OrderAction.UNLOAD, lastOrder().order().action());
+        assertEquals(held, lastOrder().order().key());
+        report(6);
+        run(Duration.ofMillis(400), FIRST);
+        assertFalse(announced.contains(held));
+        assertEquals(OrderAction.LOAD, lastOrder().order().action());
+        assertEquals(FIRST, lastOrder().order().key());
+    }
 }
