Give no advance back that another allowance has made

Cause: a charge names its account, and what it gives back went to the allowance that the account has at that time. If the quota was removed and set again meanwhile, that is another one, which has never made the advance; its uncovered units fell below zero, and the instance could advance more than its share. Change: an advance is given back only where it is owed (BorrowedAllowance.giveBack). Measured: QuotaBorrowerTest$ChangedQuotas failed before and passes.

--- a/src/main/java/org/tarragonlug/decision/quota/BorrowedAllowance.java
+++ b/src/main/java/org/tarragonlug/decision/quota/BorrowedAllowance.java
@@ -133,9 +133,9 @@
 
     /** Returns what a request took that has not run, as far as it is still valid. */
     void giveBack(QuotaCharge charge, Instant now) {
-        if (charge.advance() > 0) {
+        // An advance of an allowance that was removed with its quota is owed by no other one.
+        if (charge.advance() > 0 && advances.remove(charge)) {
             subtract(charge, charge.advance());
-            advances.remove(charge);
             charge.clearAdvance();
         }
         addGrant(charge.granted(), charge.grantExpiry(), now);
--- a/src/test/java/org/tarragonlug/decision/quota/QuotaBorrowerTest.java
+++ b/src/test/java/org/tarragonlug/decision/quota/QuotaBorrowerTest.java
@@ -146,6 +146,24 @@
         }
     }
 
+    @Nested
+    class ChangedQuotas {
+        /**
+         * Guards against a share that is spent twice: a request that was charged before the quota
+         * was removed and set again gives back an advance of the removed allowance.
+         */
+        @Test
+        void advanceOfRemovedQuotaIsNotGivenBack() {
+            startUpForAdvances();
+            QuotaCharge charge = ((TakeResult.Taken) take(90)).charge();
+            borrower.onTableInstalled(Map.of(), now);
+            borrower.onTableInstalled(Map.of(ACCOUNT, QUOTA), now);
+            borrower.giveBack(charge, now);
+            assertTaken(93);
+            assertInstanceOf(TakeResult.Wait.class, take(1));
+        }
+    }
+
     @Nested
     class Refusals {
         /**
