Start no order period with a renewal from before a pause

Cause: after a pause a holder renews its lease before it gives an order, since its clock may have stood still. The answer to a renewal that was sent before the pause, handled after it, counted as that renewal: the period then began at a time on the clock that stood still, and the holder gave orders although a successor may have been in its turn. Needs a suspended machine; a stopped process has a clock that goes on, and its period has then ended. Change: an answer to a write that began before the last pause was noticed updates the record and is followed by a renewal at once (LeaseManager.onWritten).

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -72,6 +72,10 @@
     private Instant callStartedAt;
     private boolean holding;
     private Instant renewedAt = Instant.EPOCH;
+
+    /** When the last pause was noticed. A renewal begun before it starts no order period. */
+    private Instant pausedAt = Instant.EPOCH;
+
     private Instant ordersFrom = Instant.MAX;
 
     /**
@@ -177,6 +181,7 @@
         }
         if (event instanceof LeaseEvent.Paused) {
             renewedAt = Instant.EPOCH;
+            pausedAt = now;
             unchangedSince = now;
             nextCallAt = now;
             callStartedAt = null;
@@ -268,6 +273,11 @@
         if (stopping || latestRecord.released()) {
             return List.of();
         }
+        if (event.startedAt().isBefore(pausedAt)) {
+            // The pause may have been longer than the order period, so the lease is renewed again.
+            nextCallAt = now;
+            return List.of();
+        }
         renewedAt = event.startedAt();
         nextCallAt = event.startedAt().plus(RENEWAL_PERIOD);
         if (holding) {
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
@@ -139,6 +139,24 @@
             assertFalse(manager.mayOrder(START.plusMillis(100)));
         }
 
+        // Guards against orders beside those of a successor: the answer to a renewal from before a
+        // suspension, in which the clock of this process stood still, begins an order period.
+        @Test
+        void renewalFromBeforePauseStartsNoOrderPeriod() {
+            LeaseManager manager = newHoldingManager("a");
+            Instant sent = START.plusSeconds(3);
+            LeaseCommand.Write write = (LeaseCommand.Write) manager.handle(tick(), sent).get(0);
+            Instant resumed = sent.plusMillis(10);
+            manager.handle(new LeaseEvent.Paused(), resumed);
+            manager.handle(new LeaseEvent.Written(withRevision(write.record(), 9), sent), resumed);
+            assertFalse(manager.mayOrder(resumed));
+            Instant next = resumed.plusMillis(10);
+            LeaseCommand.Write again = (LeaseCommand.Write) manager.handle(tick(), next).get(0);
+            assertEquals(9, again.record().revision());
+            manager.handle(new LeaseEvent.Written(withRevision(again.record(), 10), next), next);
+            assertTrue(manager.mayOrder(next));
+        }
+
         @Test
         void releasesLeaseWhenInstanceStops() {
             LeaseManager manager = newHoldingManager("a");
