Let the first watch after a failure not wait

A pool that was opened in the outage, and went silent with the others, is found out only by the watch after the list, which waits 1.94 s and 0.6 s for its answer. The class: an answer on one connection is taken for the health of another. Change: after a failure, the first watch does not wait (StoreWatcher). Its answer does not end the backoff; only that of a watch that waits does. RelayingObjectApi now asks before the relayed watch, as its comment promises.

--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -190,12 +190,11 @@
     private CompletionStage<WatchResult> watchDirectly(
             String kind, long afterRevision, Duration longestWait) {
         ObjectName all = new ObjectName(kind, "");
+        // Decided now: after a relayed watch that failed, time has passed, even if the store has
+        // been reached meanwhile.
+        Duration directWait = storeUnreachable ? Duration.ZERO : longestWait;
         return callWithFallback(
-                () ->
-                        watchStore(
-                                kind,
-                                afterRevision,
-                                storeUnreachable ? Duration.ZERO : longestWait),
+                () -> watchStore(kind, afterRevision, directWait),
                 peer ->
                         relay(
                                         peer,
--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -27,7 +27,8 @@
  * <p>How long a watch waits, and how long the watcher pauses between two watches, depends on what
  * the instance does with the changes ({@link WatchPace}). A watch that is lost is followed by a
  * list at once: the store may cut off a watch that waits, and a connection that went silent has
- * already taken most of the time that is allowed.
+ * already taken most of the time that is allowed. For the same reason the first watch after that
+ * does not wait: its answer shows that the connections of the watches work again.
  *
  * <p>If an object is missing from a list after an outage of the store, a later list decides whether
  * it is gone ({@link StoreOutage}), because servers then rewrite the entries that expired.
@@ -83,6 +84,10 @@
     private long revision;
     private boolean initialListComplete;
     private boolean unavailable;
+
+    /** Whether a call has failed since the last watch that was answered. */
+    private boolean failedBefore;
+
     private boolean stopped;
     private Duration backoff = NO_BACKOFF;
 
@@ -146,11 +151,19 @@
     private void watch() {
         begin(
                 Step.WATCHING,
-                () -> store.watch(kind, revision, pace.get().longestWait(limits)),
+                () -> store.watch(kind, revision, longestWait()),
                 (began, result) -> onWatched(result),
                 this::onWatchFailed);
     }
 
+    /**
+     * Returns how long the next watch waits. After a failure it does not wait, because the list
+     * before it was answered on a connection of its own, and those of the watches may be silent.
+     */
+    private Duration longestWait() {
+        return failedBefore ? Duration.ZERO : pace.get().longestWait(limits);
+    }
+
     /** Makes a call to the store in place of the present step. */
     private void begin(
             Step newStep,
@@ -231,7 +244,10 @@
 
     private void onWatched(WatchResult result) {
         onAnswered();
-        backoff = NO_BACKOFF;
+        if (!failedBefore) {
+            backoff = NO_BACKOFF;
+        }
+        failedBefore = false;
         if (result.gap()) {
             log.event(LogEvent.STORE_HISTORY_GONE).with("kind", kind).write();
             list();
@@ -301,12 +317,13 @@
     private void scheduleList(Instant began) {
         Duration remaining = Duration.between(timers.now(), began.plus(backoff));
         pause(remaining.isNegative() ? Duration.ZERO : remaining, this::list);
+        failedBefore = true;
         increaseBackoff();
     }
 
     /**
-     * Only the answer to a watch ends the backoff. Otherwise a store that answers lists but no
-     * watches would be asked without a pause.
+     * Only the answer to a watch that waits ends the backoff. Otherwise a store that answers lists
+     * but no such watches would be asked without a pause.
      */
     private void increaseBackoff() {
         Duration doubled = backoff.multipliedBy(2);
