--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -69,6 +69,9 @@
     /** What gateways that are started from now on tolerate beyond quotas. */
     Optional<QuotaTolerance> quotaTolerance = Optional.empty();
 
+    /** Retries in a window beyond a share of the requests, of gateways started from now on. */
+    double retryAllowance = 50;
+
     /** Drain time of the gateways that are started from now on. */
     Duration drainTime = Duration.ofSeconds(8);
 
@@ -147,7 +150,7 @@
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(10),
                 0.2,
-                50,
+                retryAllowance,
                 2,
                 100,
                 1,
@@ -201,6 +204,16 @@
         return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a request without waiting for the answer. Many threads may call this. */
+    CompletableFuture<HttpResponse<String>> sendAsync(
+            int gateway, String path, String id, String model, String body) {
+        HttpRequest.Builder request = request(gateway, path, id, body);
+        if (!model.isEmpty()) {
+            request.header("Tarragonlug-Model", model);
+        }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Returns the id of the request sent last. */
     String lastRequestId() {
         return "request-" + requestCount;
--- a/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
+++ b/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
@@ -35,6 +35,53 @@
          * @param onConnection number of the request on its connection, from 1
          */
         Answer answer(Request request, int number, int onConnection);
+
+        /**
+         * May answer a request of which only the head has been read. The body is read when this
+         * method returns.
+         *
+         * @param head the request without its body
+         * @return whether the request was answered
+         */
+        default boolean answerHead(Request head) {
+            return false;
+        }
+    }
+
+    /** Sends bytes on a connection at any time. One that is used as a lock keeps others waiting. */
+    static final class Sender {
+        private final Socket socket;
+        private volatile boolean open = true;
+
+        Sender(Socket socket) {
+            this.socket = socket;
+        }
+
+        /** Sends bytes, unless the connection is closed. */
+        synchronized void send(String bytes) {
+            try {
+                socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            } catch (IOException closed) {
+                open = false;
+            }
+        }
+
+        /** Resets the connection. */
+        synchronized void reset() {
+            open = false;
+            try {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            } catch (IOException closed) {
+                // The other end has closed the connection.
+                return;
+            }
+        }
+
+        /** Returns whether neither end is known to have closed the connection. */
+        boolean isOpen() {
+            return open;
+        }
     }
 
     /**
@@ -83,6 +130,7 @@
      * @param lastEventId the last event that the caller has received; empty if not stated
      * @param body the body
      * @param connection number of its connection, from 1
+     * @param sender sends bytes on its connection
      */
     record Request(
             String line,
@@ -90,7 +138,15 @@
             String expectedServer,
             String lastEventId,
             byte[] body,
-            int connection) {}
+            int connection,
+            Sender sender) {
+        private Request withBody(byte[] bytes) {
+            return new Request(line, id, expectedServer, lastEventId, bytes, connection, sender);
+        }
+    }
+
+    /** The head of a request, and the length of the body that follows. */
+    private record Head(Request request, int length) {}
 
     private final PlatformStoreStandIn store;
     private final ServerSocket listener;
@@ -125,7 +181,22 @@
 
     /** Lists the server under an id, besides those under which it is listed already. */
     void list(String id, String service, List<String> models) {
-        store.put("servers", id, entry(service, models));
+        list(id, service, models, 1);
+    }
+
+    /** Lists the server under an id, as a process that was started at a time. */
+    void list(String id, String service, List<String> models, long bornMillis) {
+        store.put("servers", id, entry(service, models, bornMillis));
+    }
+
+    /** Removes an id of the server from the list. */
+    void unlist(String id) {
+        store.remove("servers", id);
+    }
+
+    /** Returns the number of connections that were opened to the server. */
+    int acceptedConnections() {
+        return sockets.size();
     }
 
     private static void start(String name, Runnable task) {
@@ -134,14 +205,14 @@
         thread.start();
     }
 
-    private ObjectNode entry(String service, List<String> models) {
+    private ObjectNode entry(String service, List<String> models, long bornMillis) {
         ObjectNode entry = JsonNodeFactory.instance.objectNode();
         entry.put("service", service);
         entry.put("address", "127.0.0.1:" + listener.getLocalPort());
         entry.put("zone", "home");
         entry.put("slots", 8);
         entry.put("state", "ready");
-        entry.put("born", 1);
+        entry.put("born", bornMillis);
         ArrayNode list = entry.putArray("models");
         models.forEach(model -> list.addObject().put("name", model).putArray("adapters"));
         return entry;
@@ -198,12 +269,18 @@
     }
 
     private void serve(Socket socket, int connection) {
+        Sender sender = new Sender(socket);
         try (socket) {
             InputStream input = socket.getInputStream();
             OutputStream output = socket.getOutputStream();
             End end = End.KEEP;
             for (int onConnection = 1; end == End.KEEP; onConnection++) {
-                Request request = read(input, connection);
+                Head head = readHead(input, connection, sender);
+                boolean answered = script.answerHead(head.request());
+                Request request = head.request().withBody(readBody(input, head.length()));
+                if (answered) {
+                    continue;
+                }
                 int number;
                 synchronized (received) {
                     received.add(request.id());
@@ -229,10 +306,13 @@
             return;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            sender.open = false;
         }
     }
 
-    private static Request read(InputStream input, int connection) throws IOException {
+    private static Head readHead(InputStream input, int connection, Sender sender)
+            throws IOException {
         String line = readLine(input);
         String id = "";
         String expectedServer = "";
@@ -251,11 +331,17 @@
                 length = Integer.parseInt(parts[1].trim());
             }
         }
+        Request request =
+                new Request(line, id, expectedServer, lastEventId, new byte[0], connection, sender);
+        return new Head(request, length);
+    }
+
+    private static byte[] readBody(InputStream input, int length) throws IOException {
         byte[] body = input.readNBytes(length);
         if (body.length < length) {
             throw new IOException("the body is incomplete");
         }
-        return new Request(line, id, expectedServer, lastEventId, body, connection);
+        return body;
     }
 
     private static String readLine(InputStream input) throws IOException {
