--- a/src/test/java/org/tarragonlug/gateway/RestartDuringCallsTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RestartDuringCallsTest.java
@@ -121,7 +121,7 @@
         String model = path.startsWith("/issue/") ? "" : "m1";
         try {
             HttpResponse<String> answer =
-                    fixture.sendRequest(gateway, path, id, model)
+                    fixture.sendAsync(gateway, path, id, model, "x")
                             .get(WAIT_SECONDS, TimeUnit.SECONDS);
             boolean stream = answer.statusCode() == 200 && !path.startsWith("/issue/");
             if (stream && !answer.body().equals(wholeStream(id))) {
