Test that each request is charged once, by random events

Requests of an account with a quota are sent, refused, withdrawn, lost, answered or left at random; afterwards the allowance that is left must show one charge if a server may have run the request and none otherwise.

--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.tarragonlug.decision.forwarding.ForwardingFixture.HOST;
 import static org.tarragonlug.decision.forwarding.ForwardingFixture.RECORDS;
@@ -13,9 +14,12 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.decision.account.AccountDirectory;
 import org.tarragonlug.decision.account.ClientAccount;
 import org.tarragonlug.decision.account.Credential;
@@ -26,6 +30,7 @@
 import org.tarragonlug.decision.quota.InstanceTotal;
 import org.tarragonlug.decision.quota.QuotaBorrower;
 import org.tarragonlug.decision.quota.QuotaTolerance;
+import org.tarragonlug.decision.quota.TakeResult;
 import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.FailureDomain;
@@ -192,4 +197,99 @@
         assertTrue(grant(50).isEmpty());
         assertTrue(isSent(arrive(1, 50)));
     }
+
+    /** Counts what happened to the last request, as its servers and its caller see it. */
+    private final class Fate {
+        private int sends;
+        private int refusedSends;
+        private boolean atServer;
+        private boolean ended;
+
+        private void apply(List<ForwardingCommand> commands) {
+            for (ForwardingCommand command : commands) {
+                if (command instanceof ForwardingCommand.Send) {
+                    sends++;
+                    atServer = true;
+                } else if (command instanceof ForwardingCommand.CancelAttempt) {
+                    atServer = false;
+                } else {
+                    ended |=
+                            command instanceof ForwardingCommand.Refuse
+                                    || command instanceof ForwardingCommand.Fail
+                                    || command instanceof ForwardingCommand.RelayAnswer;
+                }
+            }
+        }
+
+        private void end(ForwardingEvent event) {
+            atServer = false;
+            apply(handle(event));
+        }
+
+        /** Lets one thing happen to the request. */
+        private void continueWith(Random random) {
+            int choice = random.nextInt(12);
+            if (choice == 0) {
+                end(new ForwardingEvent.CallerDisconnected(lastKey));
+                ended = true;
+            } else if (!atServer || choice == 1) {
+                now = now.plusMillis(20);
+                apply(handle(new ForwardingEvent.Tick()));
+            } else if (choice < 8) {
+                Rejection[] all = Rejection.values();
+                refusedSends++;
+                Rejection rejection = all[random.nextInt(all.length)];
+                end(new ForwardingEvent.Rejected(lastKey, rejection, Optional.empty()));
+            } else if (choice < 10) {
+                end(new ForwardingEvent.ConnectionBroken(lastKey, AnswerProgress.NOTHING));
+            } else {
+                int status = random.nextBoolean() ? 200 : 500;
+                end(new ForwardingEvent.Answered(lastKey, status, Optional.empty()));
+            }
+        }
+
+        /** Repeats the last events of a request that has ended; none may have an effect. */
+        private void repeatEvents() {
+            assertEquals(
+                    List.of(),
+                    handle(
+                            new ForwardingEvent.Rejected(
+                                    lastKey, Rejection.BUSY, Optional.empty())));
+            assertEquals(List.of(), handle(new ForwardingEvent.CallerDisconnected(lastKey)));
+        }
+    }
+
+    // Guards against a cost that is taken for each send, returned for each refusal, or returned
+    // although a server may have run the request.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void eachRequestIsChargedOnceAndOnlyIfItMayHaveRun(long seed) {
+        Random random = new Random(seed);
+        int returned = 0;
+        int kept = 0;
+        for (int round = 0; round < 200; round++) {
+            advance(300);
+            grant(0);
+            // Nothing of the round before is left.
+            advance(400);
+            grant(1000);
+            Fate fate = new Fate();
+            fate.apply(arrive(1, 100));
+            for (int step = 0; step < 20 && !fate.ended; step++) {
+                fate.continueWith(random);
+            }
+            if (!fate.ended) {
+                fate.end(new ForwardingEvent.CallerDisconnected(lastKey));
+            }
+            fate.repeatEvents();
+            boolean mayHaveRun = fate.sends > fate.refusedSends;
+            int left = mayHaveRun ? 900 : 1000;
+            String place = "seed " + seed + ", round " + round + ", sends " + fate.sends;
+            assertInstanceOf(TakeResult.Taken.class, borrower.take(LIMITED, left, now), place);
+            assertInstanceOf(TakeResult.Wait.class, borrower.take(LIMITED, 1, now), place);
+            returned += mayHaveRun ? 0 : 1;
+            kept += mayHaveRun ? 1 : 0;
+        }
+        assertTrue(returned > 20 && kept > 20, returned + " returned, " + kept + " kept");
+    }
 }
