--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -321,7 +321,7 @@
         slice.forEachByte(
                 value -> {
                     lines[0] += value == LINE_FEED ? 1 : 0;
-                    return !carriedCalls.mayContain(name);
+                    return true;
                 });
         return lines[0];
     }
