Name the attempt in the random events of quota charges

Change: the test names the attempt; an event of a request that has ended must be reported as late and have no other effect.

--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
@@ -204,12 +204,14 @@
     private final class Fate {
         private int sends;
         private int refusedSends;
+        private ForwardAttempt attempt = ForwardAttempt.none(lastKey);
         private boolean atServer;
         private boolean ended;
 
         private void apply(List<ForwardingCommand> commands) {
             for (ForwardingCommand command : commands) {
-                if (command instanceof ForwardingCommand.Send) {
+                if (command instanceof ForwardingCommand.Send send) {
+                    attempt = send.attempt();
                     sends++;
                     atServer = true;
                 } else if (command instanceof ForwardingCommand.CancelAttempt) {
@@ -241,22 +243,22 @@
                 Rejection[] all = Rejection.values();
                 refusedSends++;
                 Rejection rejection = all[random.nextInt(all.length)];
-                end(new ForwardingEvent.Rejected(lastKey, rejection, Optional.empty()));
+                end(new ForwardingEvent.Rejected(attempt, rejection, Optional.empty()));
             } else if (choice < 10) {
-                end(new ForwardingEvent.ConnectionBroken(lastKey, AnswerProgress.NOTHING));
+                end(new ForwardingEvent.ConnectionBroken(attempt, AnswerProgress.NOTHING));
             } else {
                 int status = random.nextBoolean() ? 200 : 500;
-                end(new ForwardingEvent.Answered(lastKey, status, Optional.empty()));
+                end(new ForwardingEvent.Answered(attempt, status, Optional.empty()));
             }
         }
 
         /** Repeats the last events of a request that has ended; none may have an effect. */
         private void repeatEvents() {
             assertEquals(
-                    List.of(),
+                    List.of(new ForwardingCommand.ReportLateEvent(attempt)),
                     handle(
                             new ForwardingEvent.Rejected(
-                                    lastKey, Rejection.BUSY, Optional.empty())));
+                                    attempt, Rejection.BUSY, Optional.empty())));
             assertEquals(List.of(), handle(new ForwardingEvent.CallerDisconnected(lastKey)));
         }
     }
