Split what servers answer from the forwarding coordinator

Cause: ForwardingCoordinator had 586 lines and two jobs: it takes requests and news, and handles what servers answer to requests. Change: AnswerHandler has the second job (rejections, answers, broken connections, stalls). Its methods are those of the coordinator, with the sink of commands and the table passed to it; behaviour does not change.

--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -1,11 +1,9 @@
 package org.tarragonlug.decision.forwarding;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.decision.StateMachine;
 import org.tarragonlug.decision.account.ClientAccount;
@@ -38,15 +36,8 @@
  */
 public final class ForwardingCoordinator
         implements StateMachine<ForwardingEvent, ForwardingCommand> {
-    private static final int MAX_REJECTIONS = 3;
-
-    private static final int SERVER_ERROR = 500;
-    private static final int SUCCESS = 200;
-    private static final int REDIRECTION = 300;
-
     private final Fleet fleet;
     private final Hasher hasher;
-    private final AnswerTimer answerTimer;
     private final PendingForwards pending =
             new PendingForwards(command -> this.commands.add(command), this::onEndedWithoutRun);
     private final RetryBudgets budgets;
@@ -55,6 +46,7 @@
     private final KeyGate keys;
     private final AllowanceGate allowances;
     private final RequestDispatcher dispatcher;
+    private final AnswerHandler answers;
     private ForwardingTable table;
     private List<ForwardingCommand> commands = new ArrayList<>();
 
@@ -109,7 +101,7 @@
             QuotaBorrower borrower) {
         this.fleet = new Fleet(new ServerLimits(instance, hasher, limits.instances()));
         this.hasher = hasher;
-        this.answerTimer = new AnswerTimer(fleet);
+        AnswerTimer answerTimer = new AnswerTimer(fleet);
         this.budgets = new RetryBudgets(limits);
         this.keys = new KeyGate(command -> this.commands.add(command));
         this.allowances =
@@ -126,6 +118,16 @@
                         gate,
                         keys,
                         command -> this.commands.add(command));
+        this.answers =
+                new AnswerHandler(
+                        fleet,
+                        answerTimer,
+                        pending,
+                        budgets,
+                        gate,
+                        dispatcher,
+                        this::table,
+                        command -> this.commands.add(command));
     }
 
     /** Returns the servers that are currently listed. */
@@ -190,7 +192,7 @@
         } else if (event instanceof ForwardingEvent.OfAttempt ofAttempt) {
             underWay(ofAttempt.attempt())
                     .ifPresentOrElse(
-                            forward -> onAttemptEvent(forward, ofAttempt, now),
+                            forward -> answers.handle(forward, ofAttempt, now),
                             () ->
                                     commands.add(
                                             new ForwardingCommand.ReportLateEvent(
@@ -333,197 +335,6 @@
         return forward;
     }
 
-    /** Handles what has happened to the attempt that is under way. */
-    private void onAttemptEvent(
-            PendingForward forward, ForwardingEvent.OfAttempt event, Instant now) {
-        if (event instanceof ForwardingEvent.Rejected rejected) {
-            onRejected(forward, rejected, now);
-        } else if (event instanceof ForwardingEvent.ServerNoticed noticed) {
-            onServerNoticed(forward, noticed.notice(), now);
-        } else if (event instanceof ForwardingEvent.StreamStarted started) {
-            onStreamStarted(forward, started, now);
-        } else if (event instanceof ForwardingEvent.EventRelayed relayed) {
-            onEventRelayed(forward, relayed, now);
-        } else if (event instanceof ForwardingEvent.Answered answered) {
-            onAnswered(forward, answered, now);
-        } else if (event instanceof ForwardingEvent.ConnectionBroken broken) {
-            onConnectionBroken(forward, broken.progress(), now);
-        }
-    }
-
-    private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
-        FleetServer server = releaseServer(forward, event.load(), now);
-        if (event.rejection() != Rejection.WRONG_SERVER) {
-            event.load().ifPresent(load -> server.pace().recordStated(load.pace(), now));
-        }
-        forward.possibleRuns--;
-        if (event.rejection() == Rejection.WITHDRAWN) {
-            dispatcher.dispatch(forward, now);
-            return;
-        }
-        forward.excluded.add(server.id());
-        switch (event.rejection()) {
-            case MODEL_ABSENT ->
-                    forward.request.model().ifPresent(key -> server.markModelAbsent(key, now));
-            case WRONG_SERVER -> server.markUnreachable(now);
-            case UNREACHABLE -> {
-                forward.connectionLost.add(server.id());
-                server.markUnreachable(now);
-            }
-            default -> onServerBusy(forward, server, event.load(), now);
-        }
-        if (event.rejection().isByServer()) {
-            onServerAnswered(forward, server, now);
-            forward.rejections++;
-        }
-        // Only a send that reached a server makes the next one count as a retry.
-        forward.needsRetry |= event.rejection().reachedServer();
-        if (forward.rejections > MAX_REJECTIONS && !forward.streamStarted) {
-            pending.turnAway(forward);
-        } else {
-            dispatcher.dispatch(forward, now);
-        }
-    }
-
-    /**
-     * Handles a rejection by a server that wants a pause, is full or unloads the model. A server
-     * that wants a pause is left alone until its end. A server with free slots is not full, so it
-     * unloads the model, and the request must wait for the model again. A full server is left alone
-     * for a moment, since it would reject the same request again.
-     */
-    private void onServerBusy(
-            PendingForward forward, FleetServer server, Optional<ReportedLoad> load, Instant now) {
-        server.recordOutcome(false, now);
-        if (server.isPaused(now)) {
-            return;
-        }
-        boolean hasFreeSlots = load.filter(each -> each.running() < each.slots()).isPresent();
-        if (hasFreeSlots && forward.needsModel()) {
-            ModelKey key = forward.request.model().orElseThrow();
-            server.markModelAbsent(new ModelKey(key.model(), ""), now);
-        } else {
-            recordFailure(forward, now);
-            RetryPause.afterFullServer(forward, now);
-            load.filter(each -> forward.needsModel())
-                    .ifPresent(each -> forward.retryDelay = RetryDelay.afterGenerations(each));
-        }
-    }
-
-    private void recordFailure(PendingForward forward, Instant now) {
-        fleet.limits().of(forward.sentTo).ifPresent(limit -> limit.recordFailure(now));
-    }
-
-    private void onServerNoticed(PendingForward forward, ServerNotice notice, Instant now) {
-        if (fleet.recordNotice(forward.sentTo, notice, now)) {
-            commands.add(
-                    new ForwardingCommand.ReportNotice(
-                            forward.sentTo, notice, forward.request.key()));
-        }
-    }
-
-    private void onStreamStarted(
-            PendingForward forward, ForwardingEvent.StreamStarted event, Instant now) {
-        event.load().ifPresent(load -> forward.server.recordReportedLoad(load, now));
-        answerTimer.onHead(forward, event.load(), now);
-        onServerAnswered(forward, forward.server, now);
-        forward.state = PendingForward.State.STREAMING;
-        forward.streamStarted = true;
-        forward.lastProgress = now;
-    }
-
-    private void onEventRelayed(
-            PendingForward forward, ForwardingEvent.EventRelayed event, Instant now) {
-        answerTimer.onEvent(forward, event.eventId(), now);
-        forward.lastEventId = Math.max(forward.lastEventId, event.eventId());
-        forward.lastProgress = now;
-        forward.stallCounted = false;
-        onAnswerBegun(forward, forward.server, now);
-    }
-
-    private void onServerAnswered(PendingForward forward, FleetServer server, Instant now) {
-        server.markReached(now);
-        commands.add(new ForwardingCommand.ReportServerAnswered(forward.sentTo, forward.sentAt));
-    }
-
-    private void onAnswerBegun(PendingForward forward, FleetServer server, Instant now) {
-        if (!forward.answerBegun) {
-            forward.answerBegun = true;
-            if (forward.sentTo.equals(server.incarnation())) {
-                Duration time = Duration.between(forward.sentAt, now);
-                fleet.limits().recordAnswer(server, forward.route.name(), time, now);
-            }
-            commands.add(new ForwardingCommand.ReportAnswerBegun(forward.allTraits()));
-        }
-    }
-
-    private void onAnswered(PendingForward forward, ForwardingEvent.Answered event, Instant now) {
-        if (event.status() >= SUCCESS && event.status() < REDIRECTION) {
-            answerTimer.onAnswered(forward, event.load(), megabytes(forward), now);
-        }
-        FleetServer server = releaseServer(forward, event.load(), now);
-        onServerAnswered(forward, server, now);
-        onAnswerBegun(forward, server, now);
-        boolean failed = event.status() >= SERVER_ERROR;
-        server.recordOutcome(failed, now);
-        if (failed
-                && !forward.streamStarted
-                && forward.mayRunAgain()
-                && !gate.blocks(forward)
-                && now.isBefore(forward.deadline)) {
-            forward.excluded.add(server.id());
-            Optional<FleetServer> other = dispatcher.choose(forward, forward.excluded, now);
-            if (other.isPresent() && budgets.tryAcquire(forward.service, now)) {
-                dispatcher.send(forward, other.get(), now);
-                return;
-            }
-        }
-        pending.relayAnswer(forward);
-    }
-
-    /** Returns the size of the request's model; 0 if it needs none or the size is not known. */
-    private double megabytes(PendingForward forward) {
-        return forward.request
-                .model()
-                .flatMap(
-                        key ->
-                                Optional.ofNullable(table.services().get(forward.service))
-                                        .flatMap(ForwardingService::catalog)
-                                        .flatMap(catalog -> catalog.model(key.model())))
-                .map(ModelSpecification::weightsMegabytes)
-                .orElse(0.0);
-    }
-
-    private void onConnectionBroken(PendingForward forward, AnswerProgress progress, Instant now) {
-        FleetServer server = releaseServer(forward, Optional.empty(), now);
-        server.recordOutcome(true, now);
-        recordFailure(forward, now);
-        if (progress != AnswerProgress.CONTENT && fleet.isListedAsReady(forward.sentTo, now)) {
-            commands.add(new ForwardingCommand.ReportRequestLost(forward.sentTo, forward.traits));
-        }
-        forward.excluded.add(server.id());
-        forward.connectionLost.add(server.id());
-        RetryPause.afterBrokenConnection(forward, progress, now);
-        retryOrFail(forward, FailureReason.SERVER_LOST, now);
-    }
-
-    private void retryOrFail(PendingForward forward, FailureReason reason, Instant now) {
-        if (forward.mayRunAgain() && budgets.tryAcquire(forward.service, now)) {
-            dispatcher.dispatch(forward, now);
-            return;
-        }
-        pending.fail(forward, reason);
-    }
-
-    private FleetServer releaseServer(
-            PendingForward forward, Optional<ReportedLoad> load, Instant now) {
-        FleetServer server = forward.server;
-        load.ifPresent(reported -> server.recordReportedLoad(reported, now));
-        server.onRequestEnded();
-        forward.state = PendingForward.State.WAITING;
-        forward.lastProgress = now;
-        return server;
-    }
-
     private void dispatchWaiting(Instant now) {
         pending.waiting().forEach(forward -> dispatcher.dispatch(forward, now));
     }
@@ -558,29 +369,8 @@
             } else if (!now.isBefore(forward.deadline)) {
                 dispatcher.endLate(forward, now);
             } else {
-                checkStall(forward, now);
+                answers.checkStall(forward, now);
             }
         }
     }
-
-    private void checkStall(PendingForward forward, Instant now) {
-        if (forward.stallCounted
-                || Duration.between(forward.lastProgress, now).compareTo(StallTimeout.of(forward))
-                        < 0) {
-            return;
-        }
-        forward.stallCounted = true;
-        FleetServer server = forward.server;
-        server.recordStall(now);
-        if (!forward.mayRunAgain()
-                || dispatcher.choose(forward, Set.of(server.id()), now).isEmpty()
-                || !budgets.tryAcquire(forward.service, now)) {
-            return;
-        }
-        commands.add(new ForwardingCommand.CancelAttempt(forward.request.key()));
-        releaseServer(forward, Optional.empty(), now);
-        forward.excluded.add(server.id());
-        forward.connectionLost.add(server.id());
-        dispatcher.dispatch(forward, now);
-    }
 }
