Let several servers refuse the requests of the quota test

With one server, a request that was refused was hardly ever sent again, so the test did not notice a cost that is returned after any refusal. Six servers, and a check that enough requests run after a refusal.

--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
@@ -97,10 +97,17 @@
                                                         new AccountName("radio"),
                                                         2,
                                                         Optional.empty()))))));
+        listServer("r1");
+        borrower.onLenders(Set.of(LENDER), now);
+        advance(1000);
+        grant(0);
+    }
+
+    private void listServer(String id) {
         handle(
                 new ForwardingEvent.ServerListed(
                         new ServerListing(
-                                new ServerId("r1"),
+                                new ServerId(id),
                                 RECORDS,
                                 "10.0.0.1:80",
                                 new FailureDomain("home"),
@@ -110,9 +117,6 @@
                                 Map.of(),
                                 Set.of(),
                                 Set.of())));
-        borrower.onLenders(Set.of(LENDER), now);
-        advance(1000);
-        grant(0);
     }
 
     private List<ForwardingCommand> arrive(int key, int tokens) {
@@ -205,6 +209,13 @@
         private boolean atServer;
         private boolean ended;
 
+        /** Whether all servers refuse the request, so that it never runs. */
+        private final boolean refused;
+
+        private Fate(boolean refused) {
+            this.refused = refused;
+        }
+
         private void apply(List<ForwardingCommand> commands) {
             for (ForwardingCommand command : commands) {
                 if (command instanceof ForwardingCommand.Send) {
@@ -228,7 +239,7 @@
 
         /** Lets one thing happen to the request. */
         private void continueWith(Random random) {
-            int choice = random.nextInt(12);
+            int choice = refused ? 1 + random.nextInt(7) : random.nextInt(12);
             if (choice == 0) {
                 end(new ForwardingEvent.CallerDisconnected(lastKey));
                 ended = true;
@@ -265,15 +276,19 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
     void eachRequestIsChargedOnceAndOnlyIfItMayHaveRun(long seed) {
         Random random = new Random(seed);
+        for (int server = 2; server <= 6; server++) {
+            listServer("r" + server);
+        }
         int returned = 0;
         int kept = 0;
+        int keptAfterRefusal = 0;
         for (int round = 0; round < 200; round++) {
             advance(300);
             grant(0);
             // Nothing of the round before is left.
             advance(400);
             grant(1000);
-            Fate fate = new Fate();
+            Fate fate = new Fate(random.nextInt(3) == 0);
             fate.apply(arrive(1, 100));
             for (int step = 0; step < 20 && !fate.ended; step++) {
                 fate.continueWith(random);
@@ -289,7 +304,9 @@
             assertInstanceOf(TakeResult.Wait.class, borrower.take(LIMITED, 1, now), place);
             returned += mayHaveRun ? 0 : 1;
             kept += mayHaveRun ? 1 : 0;
+            keptAfterRefusal += mayHaveRun && fate.refusedSends > 0 ? 1 : 0;
         }
         assertTrue(returned > 20 && kept > 20, returned + " returned, " + kept + " kept");
+        assertTrue(keptAfterRefusal > 10, keptAfterRefusal + " ran after a refusal");
     }
 }
