Test that a relayed write and a message between instances are made once

A relayed write whose answer is lost is not made directly as well, and no message arrives twice while connections break or go silent (relayed writes, orders).

--- a/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
@@ -87,6 +87,7 @@
     private final Random random = new Random(11);
     private Optional<WatchSource> source = Optional.empty();
     private boolean silentSource;
+    private boolean answersLost;
     private RelayingObjectApi disconnected;
     private RelayingObjectApi connectedPeer;
 
@@ -143,6 +144,9 @@
             }
             receiver.onObjectCall(from, call);
         } else if (message instanceof GatewayMessage.ObjectCallAnswer answer) {
+            if (answersLost) {
+                return;
+            }
             receiver.onObjectCallAnswer(answer);
         }
     }
@@ -254,6 +258,26 @@
             assertTrue(peerStore.calls >= 3);
         }
 
+        // Guards against a write that is made twice, through a peer whose answer is lost and then
+        // directly.
+        @Test
+        void relayedWriteWithoutAnswerIsNotMadeAgain() throws Exception {
+            failTwice();
+            answersLost = true;
+            disconnectedStore.reachable = true;
+            int directBefore = disconnectedStore.calls;
+            int relayedBefore = peerStore.calls;
+            ExecutionException failure =
+                    assertThrows(
+                            ExecutionException.class,
+                            () -> get(disconnected.write(NAME, Json.object(), 41)));
+            assertEquals(
+                    ErrorCode.OBJECT_API_OUTCOME_UNKNOWN,
+                    RelayingObjectApi.code(failure.getCause()));
+            assertEquals(directBefore, disconnectedStore.calls);
+            assertEquals(relayedBefore + 1, peerStore.calls);
+        }
+
         /**
          * Guards against an instance that treats the store as unreachable after one broken watch.
          * It then relayed all calls through peers that had lost a watch in the same way.
--- a/src/test/java/org/tarragonlug/peer/SilentRelay.java
+++ b/src/test/java/org/tarragonlug/peer/SilentRelay.java
@@ -40,6 +40,14 @@
         pairs.forEach(pair -> pair.silent = true);
     }
 
+    /** Closes all open connections; bytes that are on their way may be lost. */
+    void closeOpenConnections() throws IOException {
+        for (SocketPair pair : pairs) {
+            pair.clientSocket.close();
+            pair.targetSocket.close();
+        }
+    }
+
     private void accept() throws IOException {
         while (true) {
             Socket clientSocket = server.accept();
--- a/src/test/java/org/tarragonlug/peer/TcpPeerTransportTest.java
+++ b/src/test/java/org/tarragonlug/peer/TcpPeerTransportTest.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -21,6 +22,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.TestSeeds;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -279,6 +282,43 @@
         }
     }
 
+    @Nested
+    class BrokenConnections {
+        // Guards against a relayed write or an order that is made twice, because its frame is sent
+        // on a broken connection and once more on the next one.
+        @ParameterizedTest
+        @ValueSource(longs = {1, 2, 3, 4})
+        void noMessageArrivesTwice(long seed) throws Exception {
+            SplittableRandom random = new SplittableRandom(seed);
+            Inbox inbox = new Inbox();
+            TcpPeerTransport a = start("a", new Inbox());
+            TcpPeerTransport b = start("b", inbox);
+            try (SilentRelay relay = new SilentRelay(b.listenAddress())) {
+                for (int number = 0; number < 2000; number++) {
+                    a.send(relay.address(), message("m" + number));
+                    if (random.nextInt(100) == 0) {
+                        relay.closeOpenConnections();
+                    } else if (random.nextInt(300) == 0) {
+                        relay.silenceOpenConnections();
+                    }
+                    if (random.nextInt(4) == 0) {
+                        Thread.sleep(random.nextInt(3));
+                    }
+                }
+                await(
+                        () -> {
+                            a.send(relay.address(), message("last"));
+                            return inbox.items.contains("last");
+                        });
+                assertTrue(relay.connections() > 3, relay.connections() + " connections");
+            }
+            List<String> numbered =
+                    inbox.items.stream().filter(item -> item.startsWith("m")).toList();
+            assertTrue(numbered.size() > 100, numbered.size() + " messages");
+            assertEquals(Set.copyOf(numbered).size(), numbered.size());
+        }
+    }
+
     @Nested
     class ForeignFrames {
         private void assertRejected(byte[] firstBytes) throws Exception {
