Pass on no unsealed status that tells callers their request has not run

What callers could see: 503, 429 or 408, which promise that the request has not run, for a request that a server ran; they then come back. Cause: a server states with Not-Executed that it did not run a request. The same status without that statement and without the server's seal, such as bytes of a faulty server that read as an answer, was passed on like any answer. Found by the review of the incident. Change: such an answer counts as broken (502, or the next server if the request may be repeated). What the server has sealed is passed on unchanged. Measured: CopiedRefusalTest#statusThatPromisesNothingIsNotPassedOnAsAPromise failed for 408, 429 and 503 before and passes.

--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -25,7 +25,10 @@
  * <p>An answer counts only if it names this request, or is the first answer on its connection. A
  * server may write the rejection of an earlier request once more, or send additional bytes after an
  * answer that read as another one, and the request to which they seem to belong may run all the
- * same.
+ * same. A connection carries a request only once, so an answer that names it answers this attempt.
+ *
+ * <p>A status that tells callers that the request has not run is passed on only with the server's
+ * seal; without, and without the server's statement that it did not run the request, it is broken.
  *
  * <p>No part of a successful answer is delivered before its head shows that it belongs to this
  * request: the server's seal and the request's id must be present. The attempt is reported as
@@ -149,6 +152,10 @@
         if (answer.rejection().isPresent()) {
             return;
         }
+        if (answer.promisesNotRun() && !answer.sealed()) {
+            fail("status " + status + " says not run, without the server's statement or seal");
+            return;
+        }
         boolean success = status >= OK && status < 300;
         if (success && (!answer.sealed() || answer.requestId().isEmpty())) {
             fail("the successful answer lacks the server's seal or the request id");
--- a/src/main/java/org/tarragonlug/platform/ServerAnswer.java
+++ b/src/main/java/org/tarragonlug/platform/ServerAnswer.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.decision.forwarding.ServerNotice;
@@ -32,6 +33,9 @@
     private static final String INSTANCE = "tarragonlug-instance-id";
     private static final int MISDIRECTED = 421;
 
+    /** Statuses by which callers learn that their request has not run and never will. */
+    private static final Set<Integer> NOT_RUN = Set.of(408, MISDIRECTED, 429, 503);
+
     /**
      * Decodes the head of an answer.
      *
@@ -52,6 +56,13 @@
                 ServerNoticeDecoder.decode(status, headers).withFaults(load.faults()));
     }
 
+    /**
+     * Returns whether a caller would take the status for a promise that the request has not run.
+     */
+    public boolean promisesNotRun() {
+        return NOT_RUN.contains(status);
+    }
+
     private static Optional<Rejection> rejection(
             int status, Map<String, String> headers, String expectedServer) {
         if (status == MISDIRECTED) {
--- a/src/test/java/org/tarragonlug/gateway/CopiedRefusalTest.java
+++ b/src/test/java/org/tarragonlug/gateway/CopiedRefusalTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.runtime.Json;
@@ -29,6 +30,7 @@
     private static final int REQUESTS_FOR_SERVICE = 8;
     private static final int MISDIRECTED = 421;
     private static final int NOT_RUN = 503;
+    private static final int LOST = 502;
 
     private final GatewayFixture fixture = new GatewayFixture();
 
@@ -148,4 +150,41 @@
         assertEquals(Set.of(), runTwice, "run twice; copied refusals: " + copies);
         assertEquals(Set.of(), refused, "run, but refused as not run; copied refusals: " + copies);
     }
+
+    // Guards against a request that has run and is answered as not run, because a server's own 503
+    // without the mark of a refusal is passed on.
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void statusThatPromisesNothingIsNotPassedOnAsAPromise(int status) throws Exception {
+        startServer(
+                "unmarked",
+                0,
+                (request, number, place) -> {
+                    begun.add(request.id());
+                    return new ScriptedServer.Answer(
+                            answer(status, request.id(), "", ""), ScriptedServer.End.KEEP);
+                });
+        configure();
+        fixture.startGateway("one");
+        GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
+        int seen = fixture.send(0, path(0), "", "x").statusCode();
+        assertEquals(1, Collections.frequency(begun, fixture.lastRequestId()));
+        assertEquals(LOST, seen);
+    }
+
+    // Guards against an answer that is not the server's: what it has sealed is passed on as it is.
+    @Test
+    void sealedStatusIsPassedOnUnchanged() throws Exception {
+        String seal = "tarragonlug-response-seal: s\r\n";
+        startServer(
+                "unmarked",
+                0,
+                (request, number, place) ->
+                        new ScriptedServer.Answer(
+                                answer(NOT_RUN, request.id(), seal, ""), ScriptedServer.End.KEEP));
+        configure();
+        fixture.startGateway("one");
+        GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
+        assertEquals(NOT_RUN, fixture.send(0, path(0), "", "x").statusCode());
+    }
 }
