Decide by address whether kept connections may be broken

What callers could see: 502 for a request that was written on a stale connection. Change: a request remembers the addresses at which it lost a connection. Measured: SharedAddressTest#newConnectionIsForcedByAddress failed before and passes.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -95,7 +95,7 @@
                     forward.request.model().ifPresent(key -> server.markModelAbsent(key, now));
             case WRONG_SERVER -> server.markUnreachable(now);
             case UNREACHABLE -> {
-                forward.connectionLost.add(server.id());
+                forward.lostAddresses.add(forward.sentToAddress);
                 server.markUnreachable(now);
             }
             default -> onServerBusy(forward, server, event.load(), now);
@@ -230,7 +230,7 @@
             output.accept(new ForwardingCommand.ReportRequestLost(forward.sentTo, forward.traits));
         }
         forward.excluded.add(server.id());
-        forward.connectionLost.add(server.id());
+        forward.lostAddresses.add(forward.sentToAddress);
         RetryPause.afterBrokenConnection(forward, progress, now);
         retryOrFail(forward, FailureReason.SERVER_LOST, now);
     }
@@ -271,7 +271,7 @@
         output.accept(new ForwardingCommand.CancelAttempt(forward.request.key()));
         releaseServer(forward, Optional.empty(), now);
         forward.excluded.add(server.id());
-        forward.connectionLost.add(server.id());
+        forward.lostAddresses.add(forward.sentToAddress);
         dispatcher.dispatch(forward, now);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -25,7 +25,7 @@
      * @param lastEventId id of the last event that the caller has received; negative for none
      * @param streaming whether the answer is a stream of events
      * @param deadline time at which the request ends even if its answer is incomplete
-     * @param newConnection whether it must be sent on a new connection, because one to this server
+     * @param newConnection whether it must be sent on a new connection, because one to this address
      *     failed and kept ones may be broken as well
      * @param account the account that the request belongs to; empty if it needs none
      * @param credentialRemoved whether the server must not see what the caller stated about its
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -56,8 +56,8 @@
     /** Servers that refused or lost the request, so that others are preferred. */
     final Set<ServerId> excluded = new HashSet<>();
 
-    /** Servers to which a connection failed or went silent under the request. */
-    final Set<ServerId> connectionLost = new HashSet<>();
+    /** Addresses to which a connection failed or went silent under the request. */
+    final Set<String> lostAddresses = new HashSet<>();
 
     State state = State.WAITING;
 
@@ -89,6 +89,9 @@
     /** The run of the present server's process to which the request was sent. */
     ServerIncarnation sentTo;
 
+    /** The address to which the request was sent, {@code host:port}. */
+    String sentToAddress = "";
+
     /** When the request was sent to the present server. */
     Instant sentAt = Instant.EPOCH;
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
@@ -247,6 +247,7 @@
         forward.stallCounted = false;
         forward.answerBegun = false;
         forward.sentTo = server.incarnation();
+        forward.sentToAddress = server.listing().address();
         forward.sentAt = now;
         forward.lastProgress = now;
         answerTimer.onSent(forward, now);
@@ -255,13 +256,13 @@
                 new ForwardingCommand.Send(
                         forward.attempt,
                         server.id(),
-                        server.listing().address(),
+                        forward.sentToAddress,
                         Duration.between(now, forward.deadline),
                         RequestUrgency.rank(forward, hasher, now),
                         forward.lastEventId,
                         forward.route.kind() == RequestKind.STREAMING,
                         forward.deadline,
-                        forward.connectionLost.contains(server.id()),
+                        forward.lostAddresses.contains(forward.sentToAddress),
                         forward.account.map(ClientAccount::name),
                         forward.credentialRemoved || keys.isOn()));
     }
