Record no load that another server at the address states

Cause: with a 421 by another server its load was recorded for the server that was meant, so that this one seemed full or free; only the pace was kept out. Change: what such an answer states is not taken for the server that was meant.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -80,10 +80,11 @@
     }
 
     private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
-        FleetServer server = releaseServer(forward, event.load(), now);
-        if (event.rejection() != Rejection.WRONG_SERVER) {
-            event.load().ifPresent(load -> server.pace().recordStated(load.pace(), now));
-        }
+        // Another server at the address says nothing about the one that was meant.
+        boolean byOther = event.rejection() == Rejection.WRONG_SERVER;
+        Optional<ReportedLoad> load = byOther ? Optional.empty() : event.load();
+        FleetServer server = releaseServer(forward, load, now);
+        load.ifPresent(each -> server.pace().recordStated(each.pace(), now));
         forward.possibleRuns--;
         if (event.rejection() == Rejection.WITHDRAWN) {
             dispatcher.dispatch(forward, now);
@@ -98,7 +99,7 @@
                 forward.lostAddresses.add(forward.sentToAddress);
                 server.markUnreachable(now);
             }
-            default -> onServerBusy(forward, server, event.load(), now);
+            default -> onServerBusy(forward, server, load, now);
         }
         if (event.rejection().isByServer()) {
             onServerAnswered(forward, server, now);
--- a/src/test/java/org/tarragonlug/decision/forwarding/SharedAddressTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/SharedAddressTest.java
@@ -11,6 +11,8 @@
 
 /** Two servers that are listed at one address. */
 class SharedAddressTest {
+    private static final ReportedLoad REPORTED = new ReportedLoad(8, 4, 8);
+
     private static ForwardingCommand.Send send(List<ForwardingCommand> commands) {
         return commands.stream()
                 .filter(ForwardingCommand.Send.class::isInstance)
@@ -39,4 +41,18 @@
         assertTrue(!first.server().equals(second.server()));
         assertTrue(second.newConnection(), "kept connection to " + second.address());
     }
+
+    // Guards against the load of another server that is recorded for the one that was meant.
+    @Test
+    void loadOfAnotherServerDoesNotCount() {
+        ForwardingFixture fixture =
+                new ForwardingFixture().withRoutes().withServer("a", ForwardingFixture.RECORDS);
+        ForwardingCommand.Send first = send(fixture.arrive("/issue/1", ""));
+        FleetServer server =
+                fixture.coordinator.fleet().servers().stream().findFirst().orElseThrow();
+        fixture.handle(
+                new ForwardingEvent.Rejected(
+                        first.attempt(), Rejection.WRONG_SERVER, Optional.of(REPORTED)));
+        assertEquals(0, server.load(fixture.now));
+    }
 }
