--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -411,8 +411,8 @@
         @Override
         public void onSent(CallPosition callPosition) {
             position = Optional.of(callPosition);
-            if (callPosition.repetitionAvoided()) {
-                metrics.recordAvoidedRepetition();
+            if (callPosition.movedToNewConnection()) {
+                metrics.recordMoveToNewConnection();
             }
         }
 
@@ -512,8 +512,8 @@
                     .with("connection", position.map(CallPosition::localPort).orElse(0))
                     .with("earlier_calls", position.map(CallPosition::earlierCalls).orElse(0))
                     .with(
-                            "repetition_avoided",
-                            position.map(CallPosition::repetitionAvoided).orElse(false));
+                            "moved_to_new_connection",
+                            position.map(CallPosition::movedToNewConnection).orElse(false));
         }
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -79,7 +79,7 @@
                     .name("tarragonlug_attempt_events_discarded_total")
                     .help("Events of attempts that were not under way any more")
                     .register(registry);
-    private final Counter avoidedRepetitions =
+    private final Counter movesToNewConnections =
             Counter.builder()
                     .withoutExemplars()
                     .name("tarragonlug_server_connections_avoided_total")
@@ -212,8 +212,8 @@
         lateEvents.inc();
     }
 
-    void recordAvoidedRepetition() {
-        avoidedRepetitions.inc();
+    void recordMoveToNewConnection() {
+        movesToNewConnections.inc();
     }
 
     void recordRefusedKey(Credential credential, RefusalReason reason) {
--- a/src/main/java/org/tarragonlug/http/ConnectionUse.java
+++ b/src/main/java/org/tarragonlug/http/ConnectionUse.java
@@ -25,9 +25,10 @@
      * Returns the connection for a call whose answers do not name it.
      *
      * <p>On a pooled connection the copy of an answer to an earlier call may be taken for the
-     * answer to this one. After a call that only reads, the receiver compares the content and can
-     * read again. A call that changes something would count as done although it was refused, or as
-     * refused although it was done, so it gets a connection of its own.
+     * answer to this one. A call that changes something would count as done although it was
+     * refused, or as refused although it was done, so it gets a connection of its own. Calls that
+     * only read are frequent and share connections: receivers compare what the content shows, but
+     * an answer without content, or with that of another list, can not be told from their own.
      *
      * @param method HTTP method of the call
      */
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -45,8 +45,9 @@
  * <p>An answer that names the call and is late all the same would be the answer to an earlier send
  * of the call, so a connection never carries the same call twice ({@link #mayCarry}).
  *
- * <p>All methods must be called on the event loop of the connection, except for {@link #begin}. The
- * call sends its request after {@link #begin}, so the event loop sees the effects of that method.
+ * <p>All methods must be called on the event loop of the connection, except for {@link #mayCarry},
+ * {@link #localPort} and {@link #begin}, which the call uses after it has reserved the connection
+ * and before it sends its request, so the event loop sees their effects.
  */
 final class FramingGuard extends ChannelInboundHandlerAdapter {
     private static final String NAME = "framing-guard";
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -68,7 +68,7 @@
     private final HeldBytes heldByAll;
     private final Optional<SecondHeadFinder> secondHead;
     private ClientLease lease;
-    private boolean repetitionAvoided;
+    private boolean movedToNewConnection;
     private ReservedStreamingHttpConnection connection;
     private FramingGuard guard;
     private Cancellable currentStep = Cancellable.IGNORE_CANCEL;
@@ -216,7 +216,7 @@
                         call.answerName(),
                         this::handleSkippedAnswer,
                         (kind, detail) -> fail(kind, detail, null));
-        receiver.onSent(new CallPosition(guard.localPort(), earlierCalls, repetitionAvoided));
+        receiver.onSent(new CallPosition(guard.localPort(), earlierCalls, movedToNewConnection));
         return !ended;
     }
 
@@ -231,9 +231,10 @@
             if (ended) {
                 return;
             }
-            lease.release();
+            ClientLease carriedCall = lease;
             lease = newConnections.get();
-            repetitionAvoided = true;
+            carriedCall.release();
+            movedToNewConnection = true;
         }
         reserveConnection();
     }
