Add a soak with gateway processes whose servers copy refusals

Cause: no test ran gateways as processes of their own while servers copied their refusals, restarted under new ids at their addresses and exchanged addresses. Change: tarragonlug soak runs gateways under SIGTERM, SIGKILL and SIGSTOP, with raw-socket servers and callers, faults drawn from a seed, and checks what servers and callers see. GatewayChild can be signalled and states the retry limits; it ends its process also if the parent begins to end meanwhile.

--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -8,6 +8,7 @@
 import org.tarragonlug.tool.MeasureCommand;
 import org.tarragonlug.tool.RunCommand;
 import org.tarragonlug.tool.ServeCommand;
+import org.tarragonlug.tool.SoakCommand;
 import org.tarragonlug.tool.StandInsCommand;
 import org.tarragonlug.tool.StateCommand;
 import org.tarragonlug.tool.StatusCommand;
@@ -29,6 +30,7 @@
             StatusCommand.class,
             StateCommand.class,
             TryCommand.class,
+            SoakCommand.class,
             StandInsCommand.class,
             LoadCommand.class,
             MeasureCommand.class
--- /dev/null
+++ b/src/main/java/org/tarragonlug/soak/Check.java
@@ -0,0 +1,27 @@
+package org.tarragonlug.soak;
+
+/** What must hold in a soak. */
+enum Check {
+    /** A request that must not be repeated begins once at most over all servers. */
+    RUN_ONCE,
+    /** A request that was answered as not run never begins, before or later. */
+    REFUSED_IS_NOT_RUN,
+    /** A server runs only what a caller has sent. */
+    SENT_BY_A_CALLER,
+    /** A server runs only requests of routes to its service. */
+    OWN_SERVICE,
+    /** A stream does not go on at another server while the first one works on it. */
+    STREAM_AT_ONE_SERVER,
+    /** An answer belongs to the request of its caller. */
+    OWN_ANSWER,
+    /** An answer that looks complete is complete; events come once and in order. */
+    WHOLE_ANSWER,
+    /** A proper request is not answered as improper. */
+    PROPER_STATUS,
+    /** A request ends by its deadline. */
+    ENDS_IN_TIME,
+    /** A gateway process ends only by a signal. */
+    GATEWAY_LIVES,
+    /** After the last fault, all gateways serve requests of all kinds again. */
+    RECOVERY
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/soak/ServerAnswers.java
@@ -0,0 +1,83 @@
+package org.tarragonlug.soak;
+
+import java.nio.charset.StandardCharsets;
+import org.tarragonlug.id.RequestId;
+
+/** The bytes of the answers of servers. */
+final class ServerAnswers {
+    private static final String NOT_EXECUTED = "Tarragonlug-Not-Executed: 1\r\n";
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private ServerAnswers() {}
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static byte[] answer(int status, String headers, String body) {
+        String length = "Content-Length: " + body.length() + "\r\n\r\n";
+        return bytes("HTTP/1.1 " + status + " Status\r\n" + headers + length + body);
+    }
+
+    private static String named(SoakServer server, RequestId id) {
+        String load = "Tarragonlug-Server-Load: " + server.running.get() + ",0," + SoakServer.SLOTS;
+        String leaving = server.isLeaving() ? "Server-Leaving: 1\r\n" : "";
+        return "Tarragonlug-Request-Id: " + id + "\r\n" + load + "\r\n" + leaving;
+    }
+
+    private static String sealed(SoakServer server, RequestId id) {
+        String seal = "Tarragonlug-Response-Seal: " + server.id + "." + id + "\r\n";
+        return named(server, id) + seal;
+    }
+
+    /** Returns the answer to a request that is meant for another server. */
+    static byte[] misdirected(SoakServer server, RequestId id) {
+        String instance = "Tarragonlug-Instance-Id: " + server.id + "\r\n";
+        return answer(421, named(server, id) + NOT_EXECUTED + instance, "");
+    }
+
+    /**
+     * Returns the answer of a server that takes no request now.
+     *
+     * @param pauseMillis how long it wants none; 0 if it does not say
+     */
+    static byte[] full(SoakServer server, RequestId id, long pauseMillis) {
+        String pause =
+                pauseMillis == 0 ? "" : "Retry-After: " + pauseMillis / MILLIS_PER_SECOND + "\r\n";
+        return answer(503, named(server, id) + NOT_EXECUTED + pause, "");
+    }
+
+    static byte[] failed(SoakServer server, RequestId id) {
+        return answer(500, sealed(server, id), "failed");
+    }
+
+    static byte[] success(SoakServer server, RequestId id) {
+        return answer(200, sealed(server, id), AnswerContent.body(id));
+    }
+
+    static byte[] streamHead(SoakServer server, RequestId id) {
+        String type = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        return bytes("HTTP/1.1 200 OK\r\n" + sealed(server, id) + type);
+    }
+
+    /** Returns a chunk of a body; an empty one ends it. */
+    static byte[] chunk(String content) {
+        return bytes(Integer.toHexString(content.length()) + "\r\n" + content + "\r\n");
+    }
+
+    /** Returns the answer to a report, an order or a question for the health of the server. */
+    static byte[] control(SoakServer server, String path, boolean misdirected) {
+        String instance = "Tarragonlug-Instance-Id: " + server.id + "\r\n";
+        if (misdirected) {
+            return answer(421, instance, "");
+        }
+        if (path.startsWith("/tarragonlug/report")) {
+            String models = "[{\"name\":\"" + RequestKind.MODEL + "\",\"adapters\":[]}]";
+            return answer(200, "", "{\"models\":" + models + ",\"busy\":false,\"seq\":0}");
+        }
+        // The one model is there from the start, so that no order is due.
+        return path.startsWith("/tarragonlug/order")
+                ? answer(409, "", "")
+                : answer(200, instance, "");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -0,0 +1,238 @@
+package org.tarragonlug.soak;
+
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PushbackInputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.ReentrantLock;
+import org.tarragonlug.id.RequestId;
+
+/**
+ * A connection of a {@link SoakServer}. It serves one request at a time. Copies of earlier answers
+ * are written between answers only: the lock is held from the first byte of an answer to its last.
+ */
+final class ServerConnection {
+    private static final int LONGEST_IDLE_MILLIS = 60_000;
+    private static final int EVENT_PAUSE_MILLIS = 20;
+    private static final int SILENCE_MILLIS = 1800;
+    private static final int COPY_PART_PAUSE_MILLIS = 15;
+
+    private final SoakServer server;
+    private final Socket socket;
+    private final PushbackInputStream input;
+    private final OutputStream output;
+    private final ReentrantLock answering = new ReentrantLock();
+
+    /** The request that waits for its answer; null if there is none. */
+    private volatile RequestId waiting;
+
+    /** The request whose answer was copied since the last request; null if there is none. */
+    private RequestId copiedWhileIdle;
+
+    /** The last event that the caller of a stream already has. */
+    private int lastEvent;
+
+    ServerConnection(SoakServer server, Socket socket) throws IOException {
+        this.server = server;
+        this.socket = socket;
+        this.input = new PushbackInputStream(new BufferedInputStream(socket.getInputStream()));
+        this.output = socket.getOutputStream();
+        socket.setTcpNoDelay(true);
+    }
+
+    /** Serves requests until the connection ends. */
+    void serve() throws IOException {
+        Treatment.End end = Treatment.End.KEEP;
+        while (end == Treatment.End.KEEP) {
+            socket.setSoTimeout(LONGEST_IDLE_MILLIS);
+            MessageHead head = MessageHead.read(input);
+            MessageBody.read(head, false, input, OutputStream.nullOutputStream());
+            end = answer(head);
+        }
+        if (end == Treatment.End.RESET) {
+            SoakServer.reset(socket);
+        }
+    }
+
+    private Treatment.End answer(MessageHead head) throws IOException {
+        String path = head.startPart(1);
+        String expected = head.header("tarragonlug-expect-instance");
+        String name = head.header("tarragonlug-request-id");
+        boolean misdirected = !expected.isEmpty() && !expected.equals(server.id);
+        if (name.isEmpty()) {
+            write(ServerAnswers.control(server, path, misdirected));
+            return Treatment.End.KEEP;
+        }
+        RequestId id = new RequestId(name);
+        Treatment treatment = server.nextTreatment(misdirected);
+        begin(id);
+        String received = head.header("last-event-id");
+        lastEvent = received.isEmpty() ? 0 : Integer.parseInt(received);
+        byte[] answer = misdirected ? misdirected(id) : answerOrRun(id, treatment);
+        waiting = null;
+        if (answer.length > 0 && treatment.copyDelayMillis() >= 0) {
+            scheduleCopy(id, answer, treatment);
+        }
+        return treatment.outcome() == Treatment.Outcome.BROKEN_OFF && !treatment.refused()
+                ? Treatment.End.RESET
+                : endLater(treatment);
+    }
+
+    private void begin(RequestId id) {
+        answering.lock();
+        try {
+            if (copiedWhileIdle != null) {
+                // The request and the copy have crossed, since gateways use no connection on
+                // which bytes have arrived between two requests.
+                count(copiedWhileIdle, id);
+            }
+            copiedWhileIdle = null;
+            waiting = id;
+        } finally {
+            answering.unlock();
+        }
+    }
+
+    private Treatment.End endLater(Treatment treatment) throws IOException {
+        if (treatment.end() != Treatment.End.KEEP && treatment.endDelayMillis() > 0) {
+            isPeerGone((int) treatment.endDelayMillis());
+        }
+        return treatment.end();
+    }
+
+    private byte[] misdirected(RequestId id) throws IOException {
+        server.counts.misdirected.incrementAndGet();
+        return write(ServerAnswers.misdirected(server, id));
+    }
+
+    /** Returns the bytes of the answer if they may be copied. */
+    private byte[] answerOrRun(RequestId id, Treatment treatment) throws IOException {
+        server.pause(treatment.pauseMillis());
+        long pause = server.pauseMillis();
+        if (server.running.incrementAndGet() > SoakServer.SLOTS
+                || treatment.refused()
+                || pause > 0) {
+            server.running.decrementAndGet();
+            server.counts.refusals.incrementAndGet();
+            return write(ServerAnswers.full(server, id, pause));
+        }
+        server.counts.runs.incrementAndGet();
+        server.checker.onBegun(id, server.id, server.service, SoakClock.millis());
+        try {
+            return run(id, treatment);
+        } finally {
+            server.running.decrementAndGet();
+            server.checker.onRunEnded(id, server.id, SoakClock.millis());
+        }
+    }
+
+    private byte[] run(RequestId id, Treatment treatment) throws IOException {
+        if (isPeerGone((int) treatment.workMillis() + 1)) {
+            throw new EOFException("the gateway has withdrawn the request");
+        }
+        if (treatment.outcome() == Treatment.Outcome.FAILED) {
+            return write(ServerAnswers.failed(server, id));
+        }
+        boolean whole = treatment.outcome() == Treatment.Outcome.WHOLE;
+        if (server.service.equals(RequestKind.ASK.service())) {
+            stream(id, treatment, whole);
+            return new byte[0];
+        }
+        byte[] answer = ServerAnswers.success(server, id);
+        return write(whole ? answer : Arrays.copyOf(answer, answer.length / 2));
+    }
+
+    private void stream(RequestId id, Treatment treatment, boolean whole) throws IOException {
+        answering.lock();
+        try {
+            output.write(ServerAnswers.streamHead(server, id));
+            int count = AnswerContent.eventCount(id);
+            int last = whole ? count : count / 2;
+            for (int number = lastEvent + 1; number <= last; number++) {
+                boolean silent = number == treatment.silentBeforeEvent();
+                if (isPeerGone(silent ? SILENCE_MILLIS : EVENT_PAUSE_MILLIS)) {
+                    throw new EOFException("the gateway has ended the stream");
+                }
+                output.write(ServerAnswers.chunk(AnswerContent.event(id, number)));
+            }
+            if (whole) {
+                output.write(ServerAnswers.chunk(""));
+            }
+        } finally {
+            answering.unlock();
+        }
+    }
+
+    /** Waits, and returns sooner with true if the peer closes the connection meanwhile. */
+    private boolean isPeerGone(int waitMillis) throws IOException {
+        socket.setSoTimeout(waitMillis);
+        try {
+            int next = input.read();
+            if (next >= 0) {
+                input.unread(next);
+            }
+            return next < 0;
+        } catch (SocketTimeoutException stillThere) {
+            return false;
+        }
+    }
+
+    private byte[] write(byte[] answer) throws IOException {
+        answering.lock();
+        try {
+            output.write(answer);
+            return answer;
+        } finally {
+            answering.unlock();
+        }
+    }
+
+    private void scheduleCopy(RequestId id, byte[] answer, Treatment treatment) {
+        server.timers.schedule(
+                () -> sendCopy(id, answer, treatment.copyDivided()),
+                treatment.copyDelayMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void sendCopy(RequestId id, byte[] answer, boolean divided) {
+        if (!answering.tryLock()) {
+            return;
+        }
+        try {
+            RequestId met = waiting;
+            int firstPart = divided ? answer.length / 2 : answer.length;
+            output.write(answer, 0, firstPart);
+            if (divided) {
+                Thread.sleep(COPY_PART_PAUSE_MILLIS);
+                output.write(answer, firstPart, answer.length - firstPart);
+            }
+            server.counts.copies.incrementAndGet();
+            if (met == null) {
+                copiedWhileIdle = id;
+            } else {
+                count(id, met);
+            }
+        } catch (IOException ended) {
+            // The connection has ended, and the copy with it.
+            return;
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        } finally {
+            answering.unlock();
+        }
+    }
+
+    private void count(RequestId copied, RequestId met) {
+        AtomicLong counted =
+                copied.equals(met)
+                        ? server.counts.copiesBeforeSame
+                        : server.counts.copiesBeforeOther;
+        counted.incrementAndGet();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -0,0 +1,246 @@
+package org.tarragonlug.soak;
+
+import io.servicetalk.transport.api.IoExecutor;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+import org.tarragonlug.gateway.GatewaySettings;
+import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.platform.PlatformKinds;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.PlatformStoreStandIn;
+import org.tarragonlug.trial.GatewayTrial;
+
+/**
+ * Runs gateways as processes on loopback under random faults, with stand-ins of the store and the
+ * servers in this process, and checks what servers and callers see.
+ */
+public final class Soak {
+    private static final int IO_THREADS = 2;
+    private static final int TIMER_THREADS = 4;
+    private static final int FEWEST_CALLERS = 40;
+    private static final int CALLERS_OF_GATEWAY = 3;
+    private static final long STEP_MILLIS = 20;
+    private static final long SECOND_MILLIS = 1000;
+    private static final long RECOVERY_MILLIS = 15_000;
+
+    private record Running(PlannedFault fault, SoakFaultKind.Context context) {}
+
+    private final SoakSettings settings;
+    private final Consumer<String> output;
+    private final SoakChecker checker = new SoakChecker();
+    private final ServerCounts counts = new ServerCounts();
+    private final SoakTally tally = new SoakTally();
+    private final List<SoakGateway> gateways = new ArrayList<>();
+    private final PriorityQueue<Running> running =
+            new PriorityQueue<>(Comparator.comparingLong(each -> each.fault().endMillis()));
+    private PlatformStoreStandIn store;
+    private SoakFleet fleet;
+    private long startMillis;
+    private long nextLineMillis;
+
+    /** How much longer than asked a sleep took; large on a machine that is too busy. */
+    private long longestDelayMillis;
+
+    /**
+     * Creates a soak.
+     *
+     * @param settings its settings
+     * @param output receives lines of key=value while it runs, then findings and a summary
+     */
+    public Soak(SoakSettings settings, Consumer<String> output) {
+        this.settings = settings;
+        this.output = output;
+    }
+
+    /**
+     * Runs the soak and ends all its processes.
+     *
+     * @return whether all checks held
+     * @throws IOException if a process or a stand-in can't be started
+     */
+    public boolean run() throws IOException, InterruptedException {
+        IoExecutor ioExecutor = IoThreads.create(IO_THREADS);
+        ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
+        store = new PlatformStoreStandIn(ioExecutor);
+        try {
+            configure();
+            fleet = new SoakFleet(settings.seed(), store, checker, counts, timers);
+            startGateways();
+            runFaults();
+            print();
+            return checker.findings().isEmpty();
+        } finally {
+            for (SoakGateway gateway : gateways) {
+                gateway.close();
+            }
+            if (fleet != null) {
+                fleet.close();
+            }
+            timers.shutdownNow();
+            store.close();
+            ioExecutor.closeAsync().subscribe();
+        }
+    }
+
+    private void configure() throws IOException {
+        try (InputStream configuration = Soak.class.getResourceAsStream("/soak.json")) {
+            store.put(
+                    PlatformKinds.CONFIGURATION,
+                    PlatformKinds.CURRENT_CONFIGURATION,
+                    Json.read(configuration.readAllBytes()));
+        }
+    }
+
+    private void startGateways() throws IOException, InterruptedException {
+        for (int number = 0; number < settings.gateways(); number++) {
+            GatewaySettings each = GatewayTrial.settings(store, "gateway-" + number);
+            Random random = random("gateway " + number);
+            SoakGateway started = new SoakGateway(number, settings, each, checker, random);
+            gateways.add(started);
+            // Many processes that start at once delay each other beyond the time that they have.
+            started.awaitReady();
+        }
+    }
+
+    private Random random(String part) {
+        return SoakRandom.of(settings.seed(), part);
+    }
+
+    private void runFaults() throws IOException, InterruptedException {
+        startMillis = SoakClock.millis();
+        CallerThreads callers = new CallerThreads();
+        int callerCount = Math.max(FEWEST_CALLERS, CALLERS_OF_GATEWAY * settings.gateways());
+        for (int number = 0; number < callerCount; number++) {
+            callers.start(caller("c" + number, gateways)::work);
+        }
+        long length = settings.seconds() * SECOND_MILLIS;
+        List<PlannedFault> planned =
+                new SoakSchedule(settings.seed(), length, settings.gateways()).faults();
+        for (PlannedFault fault : planned) {
+            advanceUntil(fault.startMillis());
+            start(fault);
+        }
+        advanceUntil(length);
+        fleet.setSound();
+        recover();
+        callers.stop();
+    }
+
+    private SoakCaller caller(String name, List<SoakGateway> reachable) {
+        return new SoakCaller(name, reachable, checker, tally, random(name));
+    }
+
+    /** Ends faults when they are due and replaces processes, until some time after the start. */
+    private void advanceUntil(long millis) throws IOException, InterruptedException {
+        while (elapsedMillis() < millis) {
+            while (!running.isEmpty() && running.peek().fault().endMillis() <= elapsedMillis()) {
+                Running ended = running.poll();
+                ended.fault().kind().end(ended.context());
+            }
+            for (SoakGateway gateway : gateways) {
+                gateway.keepRunning();
+            }
+            if (elapsedMillis() >= nextLineMillis) {
+                nextLineMillis += SECOND_MILLIS;
+                output.accept("second=" + elapsedMillis() / SECOND_MILLIS + " " + line());
+            }
+            sleepOneStep();
+        }
+    }
+
+    private void sleepOneStep() throws InterruptedException {
+        long begin = SoakClock.millis();
+        Thread.sleep(STEP_MILLIS);
+        long late = SoakClock.millis() - begin - STEP_MILLIS;
+        longestDelayMillis = Math.max(longestDelayMillis, late);
+    }
+
+    private long elapsedMillis() {
+        return SoakClock.millis() - startMillis;
+    }
+
+    private void start(PlannedFault fault) {
+        SoakFaultKind.Context context =
+                new SoakFaultKind.Context(
+                        fleet,
+                        gateways.get(fault.gateway()),
+                        store,
+                        new Random(fault.seed()),
+                        fault.endMillis() - fault.startMillis());
+        fault.kind().start(context);
+        running.add(new Running(fault, context));
+    }
+
+    /** Checks that all gateways serve all kinds of requests again. */
+    private void recover() throws IOException, InterruptedException {
+        while (!running.isEmpty()) {
+            Running ended = running.poll();
+            ended.fault().kind().end(ended.context());
+        }
+        CallerThreads probes = new CallerThreads();
+        List<RecoveryProbe> recoveries = new ArrayList<>();
+        for (SoakGateway gateway : gateways) {
+            SoakCaller caller = caller("r" + gateway.number(), List.of(gateway));
+            RecoveryProbe recovery = new RecoveryProbe(caller);
+            recoveries.add(recovery);
+            probes.start(recovery::step);
+        }
+        long begin = elapsedMillis();
+        long end = begin + RECOVERY_MILLIS;
+        while (elapsedMillis() < end && !recoveries.stream().allMatch(RecoveryProbe::isDone)) {
+            advanceUntil(elapsedMillis() + STEP_MILLIS);
+        }
+        output.accept("recovery_ms=" + (elapsedMillis() - begin));
+        for (int number = 0; number < recoveries.size(); number++) {
+            if (!recoveries.get(number).isDone()) {
+                String text = "gateway " + number + " does not serve ";
+                checker.report(
+                        Check.RECOVERY,
+                        Finding.NO_REQUEST,
+                        text + recoveries.get(number).unserved() + gateways.get(number).problems());
+            }
+        }
+        probes.stop();
+    }
+
+    private String line() {
+        int processes = gateways.stream().mapToInt(SoakGateway::processCount).sum();
+        return tally.line()
+                + " "
+                + counts.line()
+                + " gateway_starts="
+                + processes
+                + " longest_delay_ms="
+                + longestDelayMillis
+                + " findings="
+                + checker.findings().size();
+    }
+
+    private void print() throws IOException {
+        for (Finding finding : checker.findings()) {
+            output.accept(
+                    "finding seed="
+                            + settings.seed()
+                            + " check="
+                            + finding.check()
+                            + " request="
+                            + finding.id()
+                            + " "
+                            + finding.text());
+            if (!finding.id().equals(Finding.NO_REQUEST)) {
+                for (SoakGateway gateway : gateways) {
+                    gateway.logLines("request=" + finding.id() + " ").forEach(output);
+                }
+            }
+        }
+        output.accept("summary seed=" + settings.seed() + " " + line());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
@@ -0,0 +1,120 @@
+package org.tarragonlug.soak;
+
+import java.util.Random;
+import org.tarragonlug.standin.PlatformStoreStandIn;
+
+/** Kinds of faults of a schedule. Each constant defines how the fault starts and ends. */
+enum SoakFaultKind {
+    /** A server starts again under the id that it had. */
+    SERVER_RESTART_SAME_ID(
+            Target.SERVER,
+            context -> context.fleet().restart(context.random(), true, context.downMillis(), 0)),
+    /** A server starts again under a new id at its address, and its old entry stays listed. */
+    SERVER_RESTART_NEW_ID(
+            Target.SERVER,
+            context ->
+                    context.fleet()
+                            .restart(
+                                    context.random(),
+                                    false,
+                                    context.downMillis(),
+                                    context.listedMillis())),
+    /** Two servers of different services end, and each address goes to the other service. */
+    SERVER_EXCHANGE(
+            Target.SERVER,
+            context ->
+                    context.fleet()
+                            .exchange(
+                                    context.random(),
+                                    context.downMillis(),
+                                    context.lengthMillis())),
+    /** A server says that it leaves, and leaves. */
+    SERVER_LEAVE(
+            Target.SERVER,
+            context ->
+                    context.fleet()
+                            .leave(context.random(), context.lengthMillis(), context.downMillis())),
+    /** A gateway is asked to end; a new process follows. */
+    GATEWAY_TERMINATE(Target.GATEWAY, context -> context.gateway().terminate()),
+    /** A gateway is killed; a new process follows. */
+    GATEWAY_KILL(Target.GATEWAY, context -> context.gateway().kill()),
+    /** A gateway is paused. */
+    GATEWAY_PAUSE(
+            Target.GATEWAY,
+            context -> context.gateway().pause(),
+            context -> context.gateway().resume()),
+    /** The store answers every call with status 503. */
+    STORE_REFUSING(
+            Target.STORE,
+            context -> context.store().answerAllCallsWith(503),
+            context -> context.store().answerAllCallsWith(0)),
+    /** The store stops answering on its open connections; new connections work. */
+    STORE_CONNECTIONS_SILENT(Target.STORE, context -> context.store().silenceOpenConnections());
+
+    /** What a fault concerns. */
+    enum Target {
+        SERVER,
+        GATEWAY,
+        STORE
+    }
+
+    /** Starts or ends a fault. */
+    interface Action {
+        void run(Context context);
+    }
+
+    /**
+     * What a fault acts on.
+     *
+     * @param fleet the servers
+     * @param gateway the gateway that it concerns
+     * @param store the store
+     * @param random numbers for its further choices
+     * @param lengthMillis length of the fault
+     */
+    record Context(
+            SoakFleet fleet,
+            SoakGateway gateway,
+            PlatformStoreStandIn store,
+            Random random,
+            long lengthMillis) {
+        private static final int LONGEST_DOWN_MILLIS = 300;
+
+        /** How much longer than the fault the old entry of a server stays listed. */
+        private static final int LISTED_LONGER_MILLIS = 1000;
+
+        private long listedMillis() {
+            return lengthMillis + LISTED_LONGER_MILLIS;
+        }
+
+        private long downMillis() {
+            return random.nextInt(LONGEST_DOWN_MILLIS);
+        }
+    }
+
+    private final Target target;
+    private final Action start;
+    private final Action end;
+
+    SoakFaultKind(Target target, Action start) {
+        this(target, start, context -> {});
+    }
+
+    SoakFaultKind(Target target, Action start, Action end) {
+        this.target = target;
+        this.start = start;
+        this.end = end;
+    }
+
+    Target target() {
+        return target;
+    }
+
+    void start(Context context) {
+        start.run(context);
+    }
+
+    void end(Context context) {
+        end.run(context);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/soak/SoakSchedule.java
@@ -0,0 +1,66 @@
+package org.tarragonlug.soak;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * The faults of a soak, drawn from a seed: one series for servers, one for gateways and one for the
+ * store. Within a series faults follow each other or overlap. The same seed and length give the
+ * same schedule; the timing of the processes does not repeat.
+ */
+final class SoakSchedule {
+    private static final int FIRST_MILLIS = 500;
+    private static final int LONGEST_SERVER_GAP_MILLIS = 300;
+
+    /** Time between two faults of one gateway; it is divided among all gateways. */
+    private static final int LONGEST_GATEWAY_GAP_MILLIS = 9000;
+
+    private static final int LONGEST_STORE_GAP_MILLIS = 9000;
+    private static final int SHORTEST_FAULT_MILLIS = 100;
+    private static final int LONGEST_FAULT_MILLIS = 2500;
+
+    private final List<PlannedFault> faults = new ArrayList<>();
+    private final long lengthMillis;
+    private final int gateways;
+
+    /**
+     * Draws a schedule.
+     *
+     * @param seed seed of all choices
+     * @param lengthMillis length of the run; all faults end by then
+     * @param gateways number of gateways
+     */
+    SoakSchedule(long seed, long lengthMillis, int gateways) {
+        this.lengthMillis = lengthMillis;
+        this.gateways = gateways;
+        add(seed, SoakFaultKind.Target.SERVER, LONGEST_SERVER_GAP_MILLIS);
+        add(seed, SoakFaultKind.Target.GATEWAY, LONGEST_GATEWAY_GAP_MILLIS / gateways);
+        add(seed, SoakFaultKind.Target.STORE, LONGEST_STORE_GAP_MILLIS);
+        faults.sort(Comparator.comparingLong(PlannedFault::startMillis));
+    }
+
+    private void add(long seed, SoakFaultKind.Target target, int longestGap) {
+        Random random = SoakRandom.of(seed, target.name());
+        SoakFaultKind[] kinds =
+                Arrays.stream(SoakFaultKind.values())
+                        .filter(kind -> kind.target() == target)
+                        .toArray(SoakFaultKind[]::new);
+        long start = FIRST_MILLIS + random.nextInt(longestGap);
+        while (start + SHORTEST_FAULT_MILLIS <= lengthMillis) {
+            SoakFaultKind kind = kinds[random.nextInt(kinds.length)];
+            int length = SoakRandom.between(random, SHORTEST_FAULT_MILLIS, LONGEST_FAULT_MILLIS);
+            long end = Math.min(start + length, lengthMillis);
+            int gateway = random.nextInt(gateways);
+            faults.add(new PlannedFault(kind, start, end, gateway, random.nextLong()));
+            start += 1 + random.nextInt(longestGap);
+        }
+    }
+
+    /** Returns the faults in the order of their start. */
+    List<PlannedFault> faults() {
+        return List.copyOf(faults);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -0,0 +1,159 @@
+package org.tarragonlug.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** One start of a backend server, from its start to its end, on plain sockets. */
+final class SoakServer implements AutoCloseable {
+    static final int SLOTS = 4;
+
+    private static final int BACKLOG = 200;
+
+    final String id;
+    final String service;
+    final SoakChecker checker;
+    final ServerCounts counts;
+    final ScheduledExecutorService timers;
+    final AtomicInteger running = new AtomicInteger();
+
+    private final ServerSocket listener;
+    private final Random random;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile boolean sound;
+    private volatile boolean leaving;
+    private volatile boolean closed;
+    private volatile long pausedUntilMillis;
+
+    /**
+     * Starts a server.
+     *
+     * @param id id of this start
+     * @param service service that it belongs to
+     * @param port port on loopback
+     * @param random numbers for its faults
+     * @param checker receives what it runs
+     * @param counts receives what it does
+     * @param timers sends copies of answers
+     * @throws IOException if the port can't be bound
+     */
+    SoakServer(
+            String id,
+            String service,
+            int port,
+            Random random,
+            SoakChecker checker,
+            ServerCounts counts,
+            ScheduledExecutorService timers)
+            throws IOException {
+        this.id = id;
+        this.service = service;
+        this.random = random;
+        this.checker = checker;
+        this.counts = counts;
+        this.timers = timers;
+        listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+        counts.starts.incrementAndGet();
+        startThread("soak-server", this::accept);
+    }
+
+    private static void startThread(String name, Runnable task) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        while (!closed) {
+            try {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                startThread("soak-server-connection", () -> serve(socket));
+            } catch (IOException ended) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        if (closed) {
+            reset(socket);
+            return;
+        }
+        try (socket) {
+            new ServerConnection(this, socket).serve();
+        } catch (IOException ended) {
+            // The gateway has closed the connection, or this server has ended.
+            return;
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    /** Closes a connection so that its peer sees a reset. */
+    static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException alreadyClosed) {
+            return;
+        }
+    }
+
+    /** Returns how to treat the next request. */
+    Treatment nextTreatment(boolean misdirected) {
+        synchronized (random) {
+            if (sound) {
+                return Treatment.sound();
+            }
+            Treatment drawn = Treatment.draw(random);
+            return misdirected ? drawn.asRefusal(random) : drawn;
+        }
+    }
+
+    /** Ends all faults of the server. */
+    void setSound() {
+        sound = true;
+        pausedUntilMillis = 0;
+    }
+
+    /** Makes all answers say that the server leaves. */
+    void setLeaving() {
+        leaving = true;
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Refuses all requests for some time, at least. */
+    void pause(long millis) {
+        pausedUntilMillis = Math.max(pausedUntilMillis, SoakClock.millis() + millis);
+    }
+
+    /** Returns for how long requests are still refused; 0 if they are not. */
+    long pauseMillis() {
+        return Math.max(0, pausedUntilMillis - SoakClock.millis());
+    }
+
+    /** Ends the server as a crash does: all connections are reset. */
+    @Override
+    public void close() {
+        closed = true;
+        try {
+            listener.close();
+        } catch (IOException alreadyClosed) {
+            // Its connections are reset all the same.
+        }
+        sockets.forEach(SoakServer::reset);
+    }
+}
--- a/src/main/java/org/tarragonlug/trial/GatewayChild.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayChild.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -15,6 +16,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.tarragonlug.gateway.GatewaySettings;
 import org.tarragonlug.platform.PlatformPaths;
 import org.tarragonlug.runtime.Json;
@@ -54,7 +56,12 @@
         builder.redirectErrorStream(true);
         process = builder.start();
         // Without this, the child would outlive a parent that is ended by a signal.
-        Runtime.getRuntime().addShutdownHook(endAtExit);
+        try {
+            Runtime.getRuntime().addShutdownHook(endAtExit);
+        } catch (IllegalStateException parentEnds) {
+            process.destroyForcibly();
+            throw new IOException("this process ends", parentEnds);
+        }
     }
 
     /**
@@ -80,6 +87,8 @@
         json.put("peerAddress", text(settings.peerAddress()));
         json.put("adminAddress", text(settings.adminAddress()));
         json.put("storeAddress", text(settings.storeAddress()));
+        json.put("retryRatio", settings.retryRatio());
+        json.put("retryAllowance", settings.retryAllowance());
         return json;
     }
 
@@ -127,6 +136,51 @@
         return process.isAlive();
     }
 
+    /** Returns the lines of the process that contain a text. */
+    public List<String> linesWith(String text) throws IOException {
+        try (Stream<String> lines = Files.lines(logFile)) {
+            return lines.filter(line -> line.contains(text)).toList();
+        }
+    }
+
+    /** Asks the process to end, by SIGTERM. */
+    public void terminate() {
+        process.destroy();
+    }
+
+    /** Ends the process at once, by SIGKILL. */
+    public void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Stops the process until {@link #resume}; returns whether it was running. */
+    public boolean pause() {
+        return signal("STOP");
+    }
+
+    /** Lets the process go on. */
+    public void resume() {
+        signal("CONT");
+    }
+
+    /** Sends a signal to the process if it runs, and returns whether it was sent. */
+    private boolean signal(String name) {
+        if (!process.isAlive()) {
+            return false;
+        }
+        String number = Long.toString(process.pid());
+        try {
+            return new ProcessBuilder("kill", "-" + name, number)
+                            .start()
+                            .onExit()
+                            .join()
+                            .exitValue()
+                    == 0;
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     /** Returns the id of the process. */
     public long pid() {
         return process.pid();
--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -99,7 +99,7 @@
     }
 
     /** Returns settings of a gateway on free ports of loopback. */
-    static GatewaySettings settings(PlatformStoreStandIn store, String instance) {
+    public static GatewaySettings settings(PlatformStoreStandIn store, String instance) {
         return new GatewaySettings(
                 new InstanceId(instance),
                 new FailureDomain("home"),
--- /dev/null
+++ b/src/test/java/org/tarragonlug/soak/SoakTest.java
@@ -0,0 +1,53 @@
+package org.tarragonlug.soak;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.tarragonlug.trial.GatewayChild;
+
+class SoakTest {
+    private static final long SEED = 20_240;
+    private static final int SECONDS = 15;
+    private static final int GATEWAYS = 2;
+    private static final int FEWEST_COPIES = 50;
+    private static final Pattern COPIES = Pattern.compile(" copies=(\\d+)");
+
+    /** Returns the command of the deploy file, with the classes under test. */
+    private static List<String> command() throws Exception {
+        List<String> command = new ArrayList<>(GatewayChild.command(Path.of("")));
+        command.set(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.removeIf(option -> option.startsWith("-XX:SharedArchiveFile"));
+        String classPath =
+                Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+                        .filter(entry -> !entry.endsWith("test-classes"))
+                        .collect(Collectors.joining(File.pathSeparator));
+        command.set(command.indexOf("-cp") + 1, classPath);
+        return command;
+    }
+
+    // Guards against failures that only several processes, signals and faulty servers bring about:
+    // requests that run twice, refusals that are not true, answers that are foreign or not whole.
+    @Test
+    @Timeout(120)
+    void checksHoldUnderFaultsOfOneSeed() throws Exception {
+        List<String> lines = new ArrayList<>();
+        SoakSettings settings =
+                new SoakSettings(SEED, SECONDS, GATEWAYS, Path.of("").toAbsolutePath(), command());
+        boolean held = new Soak(settings, lines::add).run();
+        assertTrue(held, () -> String.join("\n", lines));
+        Matcher copies = COPIES.matcher(lines.get(lines.size() - 1));
+        assertTrue(copies.find(), () -> lines.get(lines.size() - 1));
+        assertTrue(
+                Integer.parseInt(copies.group(1)) >= FEWEST_COPIES,
+                () -> lines.get(lines.size() - 1));
+    }
+}
