--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -103,10 +103,10 @@
         for (int number = 0; number < settings.gateways(); number++) {
             GatewaySettings each = GatewayTrial.settings(store, "gateway-" + number);
             Random random = random("gateway " + number);
-            gateways.add(new SoakGateway(number, settings, each, checker, random));
-        }
-        for (SoakGateway gateway : gateways) {
-            gateway.awaitReady();
+            SoakGateway started = new SoakGateway(number, settings, each, checker, random);
+            gateways.add(started);
+            // Many processes that start at once delay each other beyond the time that they have.
+            started.awaitReady();
         }
     }
 
