--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimes.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimes.java
@@ -25,26 +25,8 @@
 
     private record Kind(ServiceName service, int sizeClass) {}
 
-    /** Mean and variance of the logarithms of the times. */
-    private static final class Usual {
-        private int answers;
-        private double mean;
-        private double variance;
-
-        /** Adds a logarithm; returns its difference from the mean before. */
-        double add(double logarithm) {
-            answers++;
-            double weight = Math.max(MIN_WEIGHT, 1.0 / answers);
-            double difference = logarithm - mean;
-            mean += weight * difference;
-            if (answers > 1) {
-                variance = (1 - weight) * (variance + weight * difference * difference);
-            }
-            return difference;
-        }
-    }
-
-    private final Map<Kind, Usual> usual = new HashMap<>();
+    /** Of the logarithms of the times. */
+    private final Map<Kind, RunningMean> usual = new HashMap<>();
 
     /**
      * Records how long a server took, and compares it with the other answers of its kind.
@@ -55,12 +37,13 @@
      *     be positive
      */
     void record(FleetServer server, double megabytes, double millis, Instant now) {
-        Usual reference =
+        RunningMean reference =
                 usual.computeIfAbsent(
-                        new Kind(server.service(), sizeClass(megabytes)), each -> new Usual());
+                        new Kind(server.service(), sizeClass(megabytes)),
+                        each -> new RunningMean(MIN_WEIGHT));
         double difference = reference.add(Math.log(millis));
-        if (reference.answers > MIN_ANSWERS) {
-            server.pace().recordAnswer(difference, Math.sqrt(reference.variance), now);
+        if (reference.count() > MIN_ANSWERS) {
+            server.pace().recordAnswer(difference, Math.sqrt(reference.variance()), now);
         }
     }
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/UsualAnswerTimes.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/UsualAnswerTimes.java
@@ -12,8 +12,8 @@
  * arithmetic mean.
  */
 final class UsualAnswerTimes {
-    /** Weight of an answer in the mean. */
-    private static final double WEIGHT = 0.1;
+    /** Weight of a new answer once enough have been seen. */
+    private static final double MIN_WEIGHT = 0.1;
 
     /** Number of answers without which there is nothing to compare with. */
     private static final int MIN_ANSWERS = 5;
@@ -23,28 +23,22 @@
 
     private record Kind(ServiceName service, RouteName route) {}
 
-    private static final class Mean {
-        private double logMillis;
-        private int answers;
-    }
-
-    private final Map<Kind, Mean> means = new HashMap<>();
+    /** Of the logarithms of the times in milliseconds. */
+    private final Map<Kind, RunningMean> means = new HashMap<>();
 
     /** Records the time in which a server that is not limited began to answer. */
     void record(ServiceName service, RouteName route, Duration time) {
-        Mean mean = means.computeIfAbsent(new Kind(service, route), each -> new Mean());
-        mean.answers++;
-        double weight = Math.max(WEIGHT, 1.0 / mean.answers);
-        mean.logMillis += weight * (logMillis(time) - mean.logMillis);
+        means.computeIfAbsent(new Kind(service, route), each -> new RunningMean(MIN_WEIGHT))
+                .add(logMillis(time));
     }
 
     /** Returns a time divided by the usual one; 1 if too few answers are known. */
     double relative(ServiceName service, RouteName route, Duration time) {
-        Mean mean = means.get(new Kind(service, route));
-        if (mean == null || mean.answers < MIN_ANSWERS) {
+        RunningMean mean = means.get(new Kind(service, route));
+        if (mean == null || mean.count() < MIN_ANSWERS) {
             return 1;
         }
-        return Math.exp(logMillis(time) - mean.logMillis);
+        return Math.exp(logMillis(time) - mean.mean());
     }
 
     private static double logMillis(Duration time) {
--- a/src/main/java/org/tarragonlug/decision/quota/InstanceTotal.java
+++ b/src/main/java/org/tarragonlug/decision/quota/InstanceTotal.java
@@ -18,7 +18,7 @@
  */
 public final class InstanceTotal {
     /** How long a larger number takes precedence over later, smaller counts. */
-    private static final Duration RETENTION = Duration.ofSeconds(20);
+    public static final Duration RETENTION = Duration.ofSeconds(20);
 
     /**
      * How long after a count of its own an instance does not take an announced number, which may be
