Keep a server in use that accepts no further connection

Cause: the failed connection counted as the server being out of reach, so it got no requests at all for 0.7 s and more, although its kept connections work. Change: this failure has a kind of its own (NO_OTHER_CONNECTION): the request goes elsewhere or is refused as not run; other requests go on to the server. Measured: the new cases of SharedAddressTest and RepeatedCallTest pass; with the kind before, by reading, the server is passed over.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -99,6 +99,7 @@
                 forward.lostAddresses.add(forward.sentToAddress);
                 server.markUnreachable(now);
             }
+            case NO_OTHER_CONNECTION -> RetryPause.afterFullServer(forward, now);
             default -> onServerBusy(forward, server, load, now);
         }
         if (event.rejection().isByServer()) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/Rejection.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Rejection.java
@@ -10,6 +10,11 @@
     WRONG_SERVER,
     /** No connection could be established, and therefore nothing was sent. */
     UNREACHABLE,
+    /**
+     * The server accepts no connection besides one that has carried the request before, so nothing
+     * was sent. Its other requests go on.
+     */
+    NO_OTHER_CONNECTION,
     /** The server stopped wanting requests before this one was written, so nothing was sent. */
     WITHDRAWN;
 
@@ -20,6 +25,6 @@
 
     /** Tells whether the request reached some server, so that the next send of it is a retry. */
     boolean reachedServer() {
-        return this != UNREACHABLE && this != WITHDRAWN;
+        return this != UNREACHABLE && this != NO_OTHER_CONNECTION && this != WITHDRAWN;
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -240,6 +240,8 @@
         }
         if (failure.kind() == HttpFailure.Kind.WITHDRAWN) {
             listener.onRejected(Rejection.WITHDRAWN, true, Optional.empty());
+        } else if (failure.kind() == HttpFailure.Kind.NO_OTHER_CONNECTION) {
+            listener.onRejected(Rejection.NO_OTHER_CONNECTION, true, Optional.empty());
         } else if (failure.notSent()) {
             listener.onRejected(Rejection.UNREACHABLE, true, Optional.empty());
         } else if (answer != null && answer.rejection().isPresent()) {
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -374,7 +374,7 @@
             return;
         }
         if (connection == null) {
-            fail(HttpFailure.Kind.NOT_SENT, "no connection within " + call.timeout(), null);
+            failWithoutConnection("no connection within " + call.timeout(), null);
             return;
         }
         lease.retire();
@@ -391,6 +391,15 @@
         }
     }
 
+    private synchronized void failWithoutConnection(String detail, Throwable cause) {
+        fail(
+                movedToNewConnection
+                        ? HttpFailure.Kind.NO_OTHER_CONNECTION
+                        : HttpFailure.Kind.NOT_SENT,
+                detail,
+                cause);
+    }
+
     private synchronized void fail(HttpFailure.Kind kind, String detail, Throwable cause) {
         if (stop()) {
             receiver.onFailed(new HttpFailure(kind, detail, cause));
@@ -462,7 +471,7 @@
         @Override
         public void onError(Throwable cause) {
             if (beforeSending) {
-                fail(HttpFailure.Kind.NOT_SENT, "the connection failed: " + cause, cause);
+                failWithoutConnection("the connection failed: " + cause, cause);
             } else {
                 handleConnectionFailure(cause);
             }
--- a/src/main/java/org/tarragonlug/http/HttpFailure.java
+++ b/src/main/java/org/tarragonlug/http/HttpFailure.java
@@ -8,6 +8,11 @@
     public enum Kind {
         /** No connection could be opened, or nothing was written: the call had no effect. */
         NOT_SENT,
+        /**
+         * A kept connection could not be used because it had carried the call before, and no other
+         * one could be opened: the call had no effect.
+         */
+        NO_OTHER_CONNECTION,
         /** The caller forbade it when there was a connection: the call had no effect. */
         WITHDRAWN,
         /** The connection broke after the call may have been sent. */
@@ -43,6 +48,6 @@
 
     /** Tells whether the call certainly had no effect. */
     public boolean notSent() {
-        return kind == Kind.NOT_SENT || kind == Kind.WITHDRAWN;
+        return kind == Kind.NOT_SENT || kind == Kind.NO_OTHER_CONNECTION || kind == Kind.WITHDRAWN;
     }
 }
--- a/src/test/java/org/tarragonlug/decision/forwarding/SharedAddressTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/SharedAddressTest.java
@@ -55,4 +55,19 @@
                         first.attempt(), Rejection.WRONG_SERVER, Optional.of(REPORTED)));
         assertEquals(0, server.load(fixture.now));
     }
+
+    // Guards against a server that gets no requests for a while because one request could not be
+    // sent to it again: it accepts no further connection, but the kept ones work.
+    @Test
+    void serverWithoutRoomForAnotherConnectionStaysAvailable() {
+        ForwardingFixture fixture =
+                new ForwardingFixture().withRoutes().withServer("a", ForwardingFixture.RECORDS);
+        ForwardingCommand.Send first = send(fixture.arrive("/issue/1", ""));
+        List<ForwardingCommand> commands =
+                fixture.handle(
+                        new ForwardingEvent.Rejected(
+                                first.attempt(), Rejection.NO_OTHER_CONNECTION, Optional.empty()));
+        assertTrue(commands.stream().anyMatch(ForwardingCommand.Refuse.class::isInstance));
+        assertEquals(first.server(), send(fixture.arrive("/issue/2", "")).server());
+    }
 }
--- a/src/test/java/org/tarragonlug/http/RepeatedCallTest.java
+++ b/src/test/java/org/tarragonlug/http/RepeatedCallTest.java
@@ -1,15 +1,20 @@
 package org.tarragonlug.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -128,4 +133,20 @@
             assertNotEquals(refused.position.localPort(), other.position.localPort());
         }
     }
+
+    // Guards against a server that counts as out of reach because it accepts no further connection,
+    // although the kept one works.
+    @Test
+    void repeatedCallHasNoEffectIfTheServerAcceptsNoOtherConnection() throws Exception {
+        try (RepeatingServer server =
+                new RepeatingServer(number -> answer(REFUSED, "r1"), Duration.ofMillis(1))) {
+            assertEquals(REFUSED, call(server, "r1").status);
+            server.acceptNoMore();
+            Throwable failure =
+                    assertThrows(ExecutionException.class, () -> call(server, "r1")).getCause();
+            HttpFailure notSent = assertInstanceOf(HttpFailure.class, failure);
+            assertEquals(HttpFailure.Kind.NO_OTHER_CONNECTION, notSent.kind());
+            assertTrue(notSent.notSent());
+        }
+    }
 }
--- a/src/test/java/org/tarragonlug/http/RepeatingServer.java
+++ b/src/test/java/org/tarragonlug/http/RepeatingServer.java
@@ -46,6 +46,11 @@
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
+    /** Refuses further connections; those that are open go on. */
+    void acceptNoMore() throws IOException {
+        listener.close();
+    }
+
     private static void start(Runnable task) {
         Thread thread = new Thread(task, "repeating-server");
         thread.setDaemon(true);
