Create requests outside of the exchange, and take header names from platform

Change: RequestEncoder builds and checks requests, with the code as it was; the soak uses the names of org.tarragonlug.platform. Behaviour does not change.

--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -3,13 +3,10 @@
 import static io.servicetalk.concurrent.api.SourceAdapters.toSource;
 
 import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.buffer.api.BufferAllocator;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.PublisherSource;
 import io.servicetalk.concurrent.SingleSource;
 import io.servicetalk.concurrent.api.Completable;
-import io.servicetalk.concurrent.api.Publisher;
-import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.ReservedStreamingHttpConnection;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
@@ -20,7 +17,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -44,8 +40,6 @@
  * the bytes after it decide, or for a short time.
  */
 public final class HttpExchange {
-    private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
-
     /**
      * Time to wait for the rest of a head that may begin at the end of a body, for each byte of the
      * body that agrees with one. The server has already begun to send that head, so only the
@@ -58,9 +52,6 @@
     /** Bytes with which a head begins that hardly stand at the end of a body by chance. */
     private static final int TELLING_HEAD_BYTES = "HTTP/".length();
 
-    private static final char HIGHEST_CONTROL_CHARACTER = 0x1f;
-    private static final char DELETE_CHARACTER = 0x7f;
-
     private final HttpCall call;
     private final Supplier<ClientLease> newConnections;
     private final HttpReceiver receiver;
@@ -124,7 +115,7 @@
     private void reserveConnection() {
         StreamingHttpRequest request;
         try {
-            request = request();
+            request = RequestEncoder.encode(call, lease.client());
         } catch (IllegalArgumentException e) {
             fail(HttpFailure.Kind.NOT_SENT, "the request is not valid HTTP: " + e.getMessage(), e);
             return;
@@ -135,52 +126,6 @@
                                 reserved -> send(reserved, request), true));
     }
 
-    /**
-     * Creates the request.
-     *
-     * @throws IllegalArgumentException if the target or a header contains a forbidden character; a
-     *     line break would start another header or request
-     */
-    private StreamingHttpRequest request() {
-        requirePrintable(call.target(), ' ');
-        call.headers()
-                .forEach(
-                        (name, value) -> {
-                            requirePrintable(name, ' ');
-                            requirePrintable(value, HIGHEST_CONTROL_CHARACTER);
-                        });
-        StreamingHttpRequest request =
-                lease.client()
-                        .newRequest(
-                                HttpRequestMethod.of(
-                                        call.method(), HttpRequestMethod.Properties.NONE),
-                                call.target());
-        call.headers().forEach(request::setHeader);
-        if (call.body().length() > 0) {
-            request.setHeader("content-length", Integer.toString(call.body().length()));
-            BufferAllocator allocator = lease.client().executionContext().bufferAllocator();
-            request.payloadBody(Publisher.fromIterable(BodyBuffers.wrap(call.body(), allocator)));
-        } else if (METHODS_WITH_BODY.contains(call.method())) {
-            request.setHeader("content-length", "0");
-        }
-        return request;
-    }
-
-    private static void requirePrintable(String text, char highestForbidden) {
-        boolean tabsAllowed = highestForbidden == HIGHEST_CONTROL_CHARACTER;
-        boolean forbidden =
-                text.chars()
-                        .anyMatch(
-                                c ->
-                                        c == DELETE_CHARACTER
-                                                || c <= highestForbidden
-                                                        && !(tabsAllowed && c == '\t'));
-        if (forbidden) {
-            throw new IllegalArgumentException(
-                    "the target or a header contains a control character or blank");
-        }
-    }
-
     private void send(ReservedStreamingHttpConnection reserved, StreamingHttpRequest request) {
         FramingGuard reservedGuard =
                 FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
--- a/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
@@ -91,7 +91,7 @@
         HttpCall call =
                 new HttpCall(
                         "POST",
-                        "/tarragonlug/order",
+                        PlatformPaths.ORDER,
                         Map.of("content-type", "application/json", EXPECT_INSTANCE, server.value()),
                         Json.bytes(body),
                         ORDER_TIMEOUT,
@@ -138,7 +138,7 @@
         HttpCall call =
                 new HttpCall(
                         "GET",
-                        "/tarragonlug/report",
+                        PlatformPaths.REPORT,
                         Map.of(EXPECT_INSTANCE, server.value()),
                         new byte[0],
                         REPORT_TIMEOUT,
@@ -170,7 +170,7 @@
         HttpCall call =
                 new HttpCall(
                         "GET",
-                        "/tarragonlug/report",
+                        PlatformPaths.REPORT,
                         Map.of(EXPECT_INSTANCE, server.value()),
                         new byte[0],
                         REPORT_TIMEOUT,
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -47,9 +47,14 @@
     /** Length of the longest key in characters. */
     private static final int MAX_KEY_LENGTH = 4096;
 
-    private static final String TOKEN_COUNT = "tarragonlug-token-count";
+    /** Tokens of the prompt and most tokens of the answer, separated by a comma. */
+    public static final String TOKEN_COUNT = "tarragonlug-token-count";
+
     private static final String PROMPT_PREFIX = "tarragonlug-prompt-prefix";
-    private static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
+
+    /** Id of the server that a request is meant for. */
+    public static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
+
     private static final String URGENCY = "tarragonlug-request-urgency";
     private static final String LAST_EVENT_ID = "last-event-id";
 
--- a/src/main/java/org/tarragonlug/platform/ServerAnswer.java
+++ b/src/main/java/org/tarragonlug/platform/ServerAnswer.java
@@ -26,11 +26,21 @@
         Optional<Rejection> rejection,
         boolean encoded,
         ServerNotice notice) {
-    private static final String REQUEST_ID = "tarragonlug-request-id";
-    private static final String SEAL = "tarragonlug-response-seal";
-    private static final String LOAD = "tarragonlug-server-load";
-    private static final String NOT_EXECUTED = "tarragonlug-not-executed";
-    private static final String INSTANCE = "tarragonlug-instance-id";
+    /** Id of the answered request. */
+    public static final String REQUEST_ID = "tarragonlug-request-id";
+
+    /** Proof that the answer comes from the server. */
+    public static final String SEAL = "tarragonlug-response-seal";
+
+    /** Running and waiting requests and slots, separated by commas. */
+    public static final String LOAD = "tarragonlug-server-load";
+
+    /** Statement that the server did not run the request. */
+    public static final String NOT_EXECUTED = "tarragonlug-not-executed";
+
+    /** Id of the server. */
+    public static final String INSTANCE = "tarragonlug-instance-id";
+
     private static final int MISDIRECTED = 421;
 
     /** Statuses by which callers learn that their request has not run and never will. */
--- a/src/main/java/org/tarragonlug/soak/CallerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/CallerConnection.java
@@ -9,6 +9,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import org.tarragonlug.id.RequestId;
+import org.tarragonlug.platform.RequestHeaders;
 
 /** A connection of a caller to a gateway, for one request at a time. */
 final class CallerConnection implements AutoCloseable {
@@ -38,27 +39,28 @@
         return input.available();
     }
 
+    private static String header(String name, String value) {
+        return name + ": " + value + "\r\n";
+    }
+
     /** Sends a request. */
     void send(RequestId id, RequestKind kind, int bodyBytes) throws IOException {
         String model =
                 kind.isStreaming()
-                        ? "Tarragonlug-Model: "
-                                + RequestKind.MODEL
-                                + "\r\nTarragonlug-Token-Count: 10,10\r\n"
+                        ? header(RequestHeaders.MODEL, RequestKind.MODEL)
+                                + header(RequestHeaders.TOKEN_COUNT, "10,10")
                         : "";
         String head =
                 "POST "
                         + kind.path()
                         + id
-                        + " HTTP/1.1\r\nHost: 127.0.0.1\r\nTarragonlug-Request-Id: "
-                        + id
-                        + "\r\nTarragonlug-Deadline-Ms: "
-                        + kind.deadlineMillis()
-                        + "\r\n"
+                        + " HTTP/1.1\r\n"
+                        + header("host", "127.0.0.1")
+                        + header(RequestHeaders.REQUEST_ID, id.value())
+                        + header(RequestHeaders.DEADLINE, Long.toString(kind.deadlineMillis()))
                         + model
-                        + "Content-Length: "
-                        + bodyBytes
-                        + "\r\n\r\n";
+                        + header("content-length", Integer.toString(bodyBytes))
+                        + "\r\n";
         String message = head + "b".repeat(bodyBytes);
         socket.getOutputStream().write(message.getBytes(StandardCharsets.ISO_8859_1));
     }
--- a/src/main/java/org/tarragonlug/soak/ServerAnswers.java
+++ b/src/main/java/org/tarragonlug/soak/ServerAnswers.java
@@ -2,14 +2,20 @@
 
 import java.nio.charset.StandardCharsets;
 import org.tarragonlug.id.RequestId;
+import org.tarragonlug.platform.PlatformPaths;
+import org.tarragonlug.platform.ServerAnswer;
 
 /** The bytes of the answers of servers. */
 final class ServerAnswers {
-    private static final String NOT_EXECUTED = "Tarragonlug-Not-Executed: 1\r\n";
+    private static final String NOT_EXECUTED = header(ServerAnswer.NOT_EXECUTED, "1");
     private static final double MILLIS_PER_SECOND = 1000;
 
     private ServerAnswers() {}
 
+    private static String header(String name, String value) {
+        return name + ": " + value + "\r\n";
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
@@ -20,19 +26,20 @@
     }
 
     private static String named(SoakServer server, RequestId id) {
-        String load = "Tarragonlug-Server-Load: " + server.running.get() + ",0," + SoakServer.SLOTS;
+        String load = server.running.get() + ",0," + SoakServer.SLOTS;
         String leaving = server.isLeaving() ? "Server-Leaving: 1\r\n" : "";
-        return "Tarragonlug-Request-Id: " + id + "\r\n" + load + "\r\n" + leaving;
+        return header(ServerAnswer.REQUEST_ID, id.value())
+                + header(ServerAnswer.LOAD, load)
+                + leaving;
     }
 
     private static String sealed(SoakServer server, RequestId id) {
-        String seal = "Tarragonlug-Response-Seal: " + server.id + "." + id + "\r\n";
-        return named(server, id) + seal;
+        return named(server, id) + header(ServerAnswer.SEAL, server.id + "." + id);
     }
 
     /** Returns the answer to a request that is meant for another server. */
     static byte[] misdirected(SoakServer server, RequestId id) {
-        String instance = "Tarragonlug-Instance-Id: " + server.id + "\r\n";
+        String instance = header(ServerAnswer.INSTANCE, server.id);
         return answer(421, named(server, id) + NOT_EXECUTED + instance, "");
     }
 
@@ -67,16 +74,16 @@
 
     /** Returns the answer to a report, an order or a question for the health of the server. */
     static byte[] control(SoakServer server, String path, boolean misdirected) {
-        String instance = "Tarragonlug-Instance-Id: " + server.id + "\r\n";
+        String instance = header(ServerAnswer.INSTANCE, server.id);
         if (misdirected) {
             return answer(421, instance, "");
         }
-        if (path.startsWith("/tarragonlug/report")) {
+        if (path.startsWith(PlatformPaths.REPORT)) {
             String models = "[{\"name\":\"" + RequestKind.MODEL + "\",\"adapters\":[]}]";
             return answer(200, "", "{\"models\":" + models + ",\"busy\":false,\"seq\":0}");
         }
         // The one model is there from the start, so that no order is due.
-        return path.startsWith("/tarragonlug/order")
+        return path.startsWith(PlatformPaths.ORDER)
                 ? answer(409, "", "")
                 : answer(200, instance, "");
     }
--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.ReentrantLock;
 import org.tarragonlug.id.RequestId;
+import org.tarragonlug.platform.RequestHeaders;
 
 /**
  * A connection of a {@link SoakServer}. It serves one request at a time. Copies of earlier answers
@@ -62,8 +63,8 @@
 
     private Treatment.End answer(MessageHead head) throws IOException {
         String path = head.startPart(1);
-        String expected = head.header("tarragonlug-expect-instance");
-        String name = head.header("tarragonlug-request-id");
+        String expected = head.header(RequestHeaders.EXPECT_INSTANCE);
+        String name = head.header(RequestHeaders.REQUEST_ID);
         boolean misdirected = !expected.isEmpty() && !expected.equals(server.id);
         if (name.isEmpty()) {
             write(ServerAnswers.control(server, path, misdirected));
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.tarragonlug.id.RequestId;
+import org.tarragonlug.platform.ServerAnswer;
 
 /**
  * Checks what servers and callers report. It does no I/O and reads no clock; times are milliseconds
@@ -25,9 +26,6 @@
     /** Statuses that promise that a request was not run and never will be. */
     private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
 
-    private static final String REQUEST_ID = "tarragonlug-request-id";
-    private static final String SEAL = "tarragonlug-response-seal";
-
     private final Map<RequestId, RequestRecord> requests = new HashMap<>();
     private final GatewayPauses pauses = new GatewayPauses();
     private final List<Finding> findings = new ArrayList<>();
@@ -96,7 +94,7 @@
             request.refusalStatus = answer.status();
             checkRefusal(id, request);
         }
-        String named = answer.headers().getOrDefault(REQUEST_ID, "");
+        String named = answer.headers().getOrDefault(ServerAnswer.REQUEST_ID, "");
         if (!named.isEmpty() && !named.equals(id.value())) {
             report(Check.OWN_ANSWER, id, "the answer names " + named);
         }
@@ -109,7 +107,7 @@
 
     private void checkSuccess(RequestId id, RequestKind kind, CallerAnswer answer, String named) {
         String expected = AnswerContent.success(id, kind);
-        boolean sealed = answer.headers().getOrDefault(SEAL, "").endsWith(id.value());
+        boolean sealed = answer.headers().getOrDefault(ServerAnswer.SEAL, "").endsWith(id.value());
         if (named.isEmpty() || !sealed) {
             report(Check.OWN_ANSWER, id, "a success without its id or seal: " + answer.headers());
         }
