--- a/src/main/java/org/tarragonlug/simulation/ModelServer.java
+++ b/src/main/java/org/tarragonlug/simulation/ModelServer.java
@@ -6,9 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -61,8 +59,7 @@
     private final Runnable onListingChanged;
     private final double speed;
     private final Map<String, Set<String>> models = new LinkedHashMap<>();
-    private final Set<String> onDisk = new LinkedHashSet<>();
-    private final Set<String> inMemory = new LinkedHashSet<>();
+    private final ModelCopies copies;
     private final PromptCache cache;
     private final List<ServerRun> running = new ArrayList<>();
     private final List<ServerRun> waiting = new ArrayList<>();
@@ -94,6 +91,7 @@
         this.time = time;
         this.weightStore = weightStore;
         this.onListingChanged = onListingChanged;
+        this.copies = new ModelCopies(scenario, catalog);
         this.cache = new PromptCache(scenario.cacheTokens());
         this.speed = number % 3 == 2 ? 1.3 : 1.0;
     }
@@ -140,18 +138,13 @@
             return false;
         }
         models.put(model, new HashSet<>());
-        keepCopies(model);
+        copies.keep(model);
         return true;
     }
 
     /** Puts a copy of a model on the disk before the start; returns whether it fits. */
     boolean preloadDisk(String model) {
-        if (onDisk.contains(model)
-                || sum(onDisk) + catalog.get(model).megabytes() > scenario.diskMegabytes()) {
-            return false;
-        }
-        onDisk.add(model);
-        return true;
+        return copies.addOnDisk(model);
     }
 
     /** Makes the server state its pace with its load. */
@@ -163,28 +156,13 @@
         slowness = factor;
     }
 
-    private double sum(Set<String> names) {
-        return names.stream().mapToDouble(name -> catalog.get(name).megabytes()).sum();
-    }
-
     private boolean fits(String model) {
-        return sum(models.keySet()) + catalog.get(model).megabytes()
-                <= scenario.capacityMegabytes();
+        double held = models.keySet().stream().mapToDouble(this::megabytes).sum();
+        return held + megabytes(model) <= scenario.capacityMegabytes();
     }
 
-    private void keepCopies(String model) {
-        keepCopy(onDisk, model, scenario.diskMegabytes());
-        keepCopy(inMemory, model, scenario.hostMegabytes());
-    }
-
-    private void keepCopy(Set<String> copies, String model, double megabytes) {
-        copies.remove(model);
-        copies.add(model);
-        Iterator<String> oldest = copies.iterator();
-        while (sum(copies) > megabytes && oldest.hasNext()) {
-            oldest.next();
-            oldest.remove();
-        }
+    private double megabytes(String model) {
+        return catalog.get(model).megabytes();
     }
 
     /** Tells whether adapters were loaded or unloaded since the last call. */
@@ -204,8 +182,8 @@
                 ListedState.READY,
                 startedMillis,
                 copyOfModels(),
-                Set.copyOf(inMemory),
-                Set.copyOf(onDisk));
+                copies.inMemory(),
+                copies.onDisk());
     }
 
     ServerReport report() {
@@ -245,7 +223,7 @@
                 });
         models.clear();
         cache.clear();
-        inMemory.clear();
+        copies.dropFromMemory();
         orderCount = 0;
         busy = false;
         unloading = "";
@@ -449,23 +427,18 @@
                     if (process == startedMillis) {
                         busy = false;
                         models.put(model, new HashSet<>());
-                        keepCopies(model);
+                        copies.keep(model);
                         onListingChanged.run();
                     }
                 };
-        if (inMemory.contains(model)) {
-            time.after(specification(model).memoryLoadTime(), completion);
-        } else if (onDisk.contains(model)) {
-            time.after(specification(model).diskLoadTime(), completion);
+        Optional<Duration> localLoad = copies.loadTime(model);
+        if (localLoad.isPresent()) {
+            time.after(localLoad.get(), completion);
         } else {
             weightStore.start(scenario.remoteLoadTime(), completion);
         }
     }
 
-    private org.tarragonlug.decision.forwarding.ModelSpecification specification(String model) {
-        return catalog.get(model).specification(scenario.remoteLoadTime());
-    }
-
     private void unload(String model) {
         unloading = model;
         List<ServerRun> notStarted =
@@ -494,7 +467,7 @@
                 });
     }
 
-    /** Returns the models and adapters that the server holds, for the choice of a request. */
+    /** Returns whether the server holds a model or adapter. */
     boolean isReady(ModelKey key) {
         Set<String> adapters = models.get(key.model());
         return adapters != null && (!key.hasAdapter() || adapters.contains(key.adapter()));
