Split the choice of claims from the failure detector

Change: OwnClaim says what this process claims and refutes; MessageClaims selects the claims of a message.

--- a/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
+++ b/src/main/java/org/tarragonlug/decision/membership/RandomProbeDetector.java
@@ -1,7 +1,5 @@
 package org.tarragonlug.decision.membership;
 
-import static org.tarragonlug.decision.membership.MemberState.ALIVE;
-
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -67,11 +65,9 @@
     private final UpdateQueue updateQueue = new UpdateQueue();
     private final RunningProbes runningProbes;
     private final Map<Long, Relay> relays = new HashMap<>();
-    private long incarnation;
+    private final OwnClaim ownClaim;
+    private final MessageClaims messageClaims;
     private long sequence;
-    private MemberUpdate ownClaim;
-    private boolean selfListed;
-    private boolean leaving;
     private ConfigurationVersion configuration = ConfigurationVersion.NONE;
     private boolean announceConfiguration;
     private int consecutiveMisses;
@@ -102,14 +98,17 @@
             RandomGenerator random) {
         this.self = self;
         this.process = process;
-        this.incarnation = incarnation;
+        this.ownClaim = new OwnClaim(self, process, incarnation);
         this.settings = settings;
         this.random = random;
         this.table = new MemberTable(self.instance());
         this.probeOrder = new ProbeOrder(self.instance(), hasher, settings.probePeriod());
         this.runningProbes = new RunningProbes(settings);
+        this.messageClaims =
+                new MessageClaims(
+                        self.instance(), ownClaim, table, updateQueue, settings.updateLimit());
         this.view = computeView();
-        updateQueue.add(ownClaim());
+        updateQueue.add(ownClaim.current());
     }
 
     @Override
@@ -125,16 +124,16 @@
         } else if (event instanceof MembershipEvent.MessageReceived received) {
             onMessage(received.from(), received.message(), now, commands);
         } else if (event instanceof MembershipEvent.CandidatesListed listed) {
-            selfListed =
+            ownClaim.setListed(
                     listed.candidates().stream()
-                            .anyMatch(candidate -> candidate.instance().equals(self.instance()));
+                            .anyMatch(candidate -> candidate.instance().equals(self.instance())));
             table.updateCandidates(listed.candidates(), now);
         } else if (event instanceof MembershipEvent.ConfigurationInstalled installed) {
             configuration = installed.version();
             announceConfiguration = true;
         } else if (event instanceof MembershipEvent.Leaving) {
-            leaving = true;
-            updateQueue.add(ownClaim());
+            ownClaim.leave();
+            updateQueue.add(ownClaim.current());
             pushUpdates(now, commands);
         }
         publishView(commands);
@@ -174,7 +173,7 @@
     }
 
     private void startProbe(long period, Instant now, List<MembershipCommand> commands) {
-        if (leaving || runningProbes.isPeriodicRunning()) {
+        if (ownClaim.isLeaving() || runningProbes.isPeriodicRunning()) {
             return;
         }
         Optional<InstanceId> target = probeOrder.target(period);
@@ -185,7 +184,7 @@
         runningProbes.start(sequence, target.get(), now, true);
         // The probe carries all suspicions. The acknowledgement returns refutations that this
         // process missed, before this process removes the suspect.
-        List<MemberUpdate> claims = buildClaims(target.get(), table.suspectClaims());
+        List<MemberUpdate> claims = claimsFor(target.get(), table.suspectClaims());
         send(target.get(), new MembershipMessage.Probe(sequence, configuration, claims), commands);
     }
 
@@ -201,7 +200,7 @@
                                 probe.sequence(),
                                 probe.target(),
                                 configuration,
-                                buildClaims(helper, List.of())),
+                                claimsFor(helper, List.of())),
                         commands);
             }
             if (probe.isPeriodic()) {
@@ -218,7 +217,7 @@
      */
     private void probeSameDomain(
             InstanceId missedMember, Instant now, List<MembershipCommand> commands) {
-        if (leaving || runningProbes.extraCount() >= MAX_EXTRA_PROBES) {
+        if (ownClaim.isLeaving() || runningProbes.extraCount() >= MAX_EXTRA_PROBES) {
             return;
         }
         List<InstanceId> sameDomain = new ArrayList<>(table.aliveInSameDomain(missedMember));
@@ -249,7 +248,7 @@
     }
 
     private void probeDeadMember(Instant now, List<MembershipCommand> commands) {
-        if (leaving || now.isBefore(nextDeadProbe)) {
+        if (ownClaim.isLeaving() || now.isBefore(nextDeadProbe)) {
             return;
         }
         List<InstanceId> dead = table.deadListed();
@@ -265,7 +264,7 @@
 
     private void sendProbe(
             long probeSequence, InstanceId target, List<MembershipCommand> commands) {
-        List<MemberUpdate> claims = buildClaims(target, List.of());
+        List<MemberUpdate> claims = claimsFor(target, List.of());
         send(target, new MembershipMessage.Probe(probeSequence, configuration, claims), commands);
     }
 
@@ -287,7 +286,7 @@
                             from, message.configuration()));
         }
         if (message instanceof MembershipMessage.Probe probe) {
-            List<MemberUpdate> claims = buildClaims(from, table.newerClaims(message.updates()));
+            List<MemberUpdate> claims = claimsFor(from, table.newerClaims(message.updates()));
             acknowledge(from, probe.sequence(), self.instance(), claims, commands);
             if (table.isNewOrRejoined(from, before)) {
                 transferClaims(from, commands);
@@ -319,7 +318,7 @@
         Relay relay = relays.remove(acknowledgement.sequence());
         if (relay != null) {
             InstanceId requester = relay.requester();
-            List<MemberUpdate> claims = buildClaims(requester, List.of());
+            List<MemberUpdate> claims = claimsFor(requester, List.of());
             acknowledge(requester, relay.sequence(), acknowledgement.subject(), claims, commands);
         }
         if (runningProbes.removeAcknowledged(acknowledgement.sequence()).isPresent()) {
@@ -343,7 +342,9 @@
     private void applyUpdate(
             InstanceId from, MemberUpdate update, Instant now, boolean isTransfer) {
         if (update.instance().equals(self.instance())) {
-            refute(update);
+            if (ownClaim.refute(update)) {
+                updateQueue.add(ownClaim.current());
+            }
             return;
         }
         boolean isAlive = table.isAlive(update.instance());
@@ -379,16 +380,6 @@
         }
     }
 
-    /** Refutes a false claim about this process with a higher incarnation. */
-    private void refute(MemberUpdate update) {
-        boolean claimedNotAlive = !leaving && update.state() != ALIVE;
-        boolean otherProcess = !update.process().equals(process) && update.incarnation() > 0;
-        if (update.incarnation() >= incarnation && (claimedNotAlive || otherProcess)) {
-            incarnation = update.incarnation() + 1;
-            updateQueue.add(ownClaim());
-        }
-    }
-
     private void changeState(InstanceId member, MemberState state, Instant now, Instant end) {
         Optional<MemberUpdate> current = table.claim(member);
         if (current.isEmpty()) {
@@ -430,37 +421,8 @@
         }
     }
 
-    /**
-     * Builds the updates of a message in this order: the claim about this process, the claim about
-     * the receiver if it is not alive, the given priority claims, and queued updates.
-     */
-    private List<MemberUpdate> buildClaims(InstanceId receiver, List<MemberUpdate> priorityClaims) {
-        List<MemberUpdate> claims = new ArrayList<>();
-        claims.add(ownClaim());
-        table.claim(receiver).filter(claim -> claim.state() != ALIVE).ifPresent(claims::add);
-        priorityClaims.stream()
-                .filter(claim -> !claim.instance().equals(receiver))
-                .limit(settings.updateLimit() - claims.size())
-                .forEach(claims::add);
-        int limit = settings.updateLimit() - claims.size();
-        for (MemberUpdate update : updateQueue.take(limit, live.size() + 1)) {
-            if (!update.instance().equals(self.instance()) && !update.instance().equals(receiver)) {
-                claims.add(update);
-            }
-        }
-        return claims;
-    }
-
-    private MemberUpdate ownClaim() {
-        MemberState state = leaving ? MemberState.LEFT : ALIVE;
-        Optional<Candidate> origin = selfListed ? Optional.empty() : Optional.of(self);
-        if (ownClaim == null
-                || ownClaim.incarnation() != incarnation
-                || ownClaim.state() != state
-                || !ownClaim.origin().equals(origin)) {
-            ownClaim = new MemberUpdate(self.instance(), process, incarnation, state, origin);
-        }
-        return ownClaim;
+    private List<MemberUpdate> claimsFor(InstanceId receiver, List<MemberUpdate> priorityClaims) {
+        return messageClaims.select(receiver, priorityClaims, live.size() + 1);
     }
 
     private List<InstanceId> neighbours() {
@@ -513,8 +475,8 @@
                         process,
                         self.address(),
                         self.failureDomain(),
-                        incarnation,
-                        ALIVE));
+                        ownClaim.incarnation(),
+                        MemberState.ALIVE));
         members.sort((left, right) -> left.instance().compareTo(right.instance()));
         return new MemberView(self.instance(), members);
     }
