Return units of a quota to the allowance that they were taken from

Cause: a charge named its account. An account that lost its quota and got one again has another allowance under the same name, which took the units of the earlier one. A request that waited for the earlier one was held although its quota was gone, and the end of its wait was subtracted from the new one, so the lender was not asked for later requests. Change: a charge keeps the allowance that it was taken from; requests that wait are decided on when the quotas change.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AllowanceGate.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AllowanceGate.java
@@ -42,9 +42,13 @@
         this.admitted = admitted;
     }
 
-    /** Replaces the quotas. */
+    /**
+     * Replaces the quotas. Requests whose quota has been removed pass at once, so that no wait for
+     * an allowance outlasts it.
+     */
     void install(AccountDirectory accounts, Instant now) {
         borrower.onTableInstalled(accounts.quotas(), now);
+        decideWaiting(now);
     }
 
     /** Returns the number of requests that wait for allowance. */
--- a/src/main/java/org/tarragonlug/decision/quota/BorrowedAllowance.java
+++ b/src/main/java/org/tarragonlug/decision/quota/BorrowedAllowance.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
 import org.tarragonlug.id.AccountName;
 
 /** What an instance holds, has advanced and expects to need of one account's allowance. */
@@ -55,6 +56,10 @@
         this.plan = plan;
     }
 
+    AccountName account() {
+        return account;
+    }
+
     void setPlan(QuotaPlan changed) {
         plan = changed;
     }
@@ -121,7 +126,8 @@
         grants.clear();
         grants.addAll(remaining);
         QuotaCharge charge =
-                new QuotaCharge(account, cost - missing, expiry, missing, lenderHeard, now);
+                new QuotaCharge(
+                        Optional.of(this), cost - missing, expiry, missing, lenderHeard, now);
         if (missing > 0) {
             advances.addLast(charge);
             subtract(charge, -missing);
@@ -133,7 +139,6 @@
 
     /** Returns what a request took that has not run, as far as it is still valid. */
     void giveBack(QuotaCharge charge, Instant now) {
-        // An advance of an allowance that was removed with its quota is owed by no other one.
         if (charge.advance() > 0 && advances.remove(charge)) {
             subtract(charge, charge.advance());
             charge.clearAdvance();
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaBorrower.java
@@ -211,7 +211,8 @@
         BorrowedAllowance allowance = accounts.get(account);
         boolean enforced = tolerance.isPresent() || hearsLender(now);
         if (allowance == null || !enforced) {
-            return new TakeResult.Taken(new QuotaCharge(account, 0, Instant.MIN, 0, false, now));
+            return new TakeResult.Taken(
+                    new QuotaCharge(Optional.empty(), 0, Instant.MIN, 0, false, now));
         }
         active.add(account);
         allowance.expire(now, advanceRetention());
@@ -291,13 +292,23 @@
         }
     }
 
-    /** Returns what a request has taken that is known not to have run and never will. */
+    /**
+     * Returns what a request has taken that is known not to have run and never will, to the
+     * allowance that it was taken from. If that was removed with its quota, it is lost.
+     */
     public void giveBack(QuotaCharge charge, Instant now) {
-        BorrowedAllowance allowance = accounts.get(charge.account());
-        if (allowance != null && charge.markReturned()) {
-            allowance.expire(now, advanceRetention());
-            allowance.giveBack(charge, now);
-        }
+        charge.allowance()
+                .filter(this::isInForce)
+                .filter(allowance -> charge.markReturned())
+                .ifPresent(
+                        allowance -> {
+                            allowance.expire(now, advanceRetention());
+                            allowance.giveBack(charge, now);
+                        });
+    }
+
+    private boolean isInForce(BorrowedAllowance allowance) {
+        return accounts.get(allowance.account()) == allowance;
     }
 
     /** Returns whether a request was sent so recently that the next report needs none. */
--- a/src/main/java/org/tarragonlug/decision/quota/QuotaCharge.java
+++ b/src/main/java/org/tarragonlug/decision/quota/QuotaCharge.java
@@ -1,14 +1,15 @@
 package org.tarragonlug.decision.quota;
 
 import java.time.Instant;
-import org.tarragonlug.id.AccountName;
+import java.util.Optional;
 
 /**
- * What one request has taken of an account's allowance. It keeps what of it can be returned, and
- * until when.
+ * What one request has taken of an account's allowance. It keeps what of it can be returned, until
+ * when, and to which allowance: an account that loses its quota and gets one again has another
+ * allowance, under the same name.
  */
 public final class QuotaCharge {
-    private final AccountName account;
+    private final Optional<BorrowedAllowance> allowance;
     private final Instant at;
     private final Instant grantExpiry;
     private long granted;
@@ -19,23 +20,23 @@
     private boolean returned;
 
     QuotaCharge(
-            AccountName account,
+            Optional<BorrowedAllowance> allowance,
             long granted,
             Instant grantExpiry,
             long advance,
             boolean lenderHeard,
             Instant at) {
         this.lenderHeard = lenderHeard;
-        this.account = account;
+        this.allowance = allowance;
         this.granted = granted;
         this.grantExpiry = grantExpiry;
         this.advance = advance;
         this.at = at;
     }
 
-    /** Returns the account that pays for the request. */
-    public AccountName account() {
-        return account;
+    /** Returns the allowance that pays for the request; empty if none was needed. */
+    Optional<BorrowedAllowance> allowance() {
+        return allowance;
     }
 
     Instant at() {
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingQuotaTest.java
@@ -41,6 +41,7 @@
 class ForwardingQuotaTest {
     private static final AccountName LIMITED = new AccountName("press");
     private static final InstanceId LENDER = new InstanceId("entry-1");
+    private static final Quota QUOTA = new Quota(QuotaUnit.TOKENS, 100, 100, 20);
     private static final QuotaTolerance NO_ADVANCE =
             new QuotaTolerance(Duration.ofSeconds(8), 0, 0);
 
@@ -54,6 +55,7 @@
                     new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1),
                     borrower);
     private Instant now = Instant.ofEpochSecond(1000);
+    private long version;
     private long lastKey;
 
     private static Credential key(int value) {
@@ -80,27 +82,31 @@
 
     @BeforeEach
     void start() {
+        install(Optional.of(QUOTA));
+        listServer("r1");
+        borrower.onLenders(Set.of(LENDER), now);
+        advance(1000);
+        grant(0);
+    }
+
+    private List<ForwardingCommand> install(Optional<Quota> quota) {
         ForwardingRoute route =
                 ForwardingFixture.route("/read/", RequestKind.IDEMPOTENT, 2, false, RECORDS);
-        Quota quota = new Quota(QuotaUnit.TOKENS, 100, 100, 20);
-        handle(
+        version++;
+        return handle(
                 new ForwardingEvent.TableInstalled(
                         new ForwardingTable(
-                                new ConfigurationVersion(1),
+                                new ConfigurationVersion(version),
                                 List.of(route),
                                 List.of(new ForwardingService(RECORDS, Optional.empty(), 100)),
                                 OptionalLong.empty(),
                                 new AccountDirectory(
                                         List.of(
-                                                account(LIMITED, 1, Optional.of(quota)),
+                                                account(LIMITED, 1, quota),
                                                 account(
                                                         new AccountName("radio"),
                                                         2,
                                                         Optional.empty()))))));
-        listServer("r1");
-        borrower.onLenders(Set.of(LENDER), now);
-        advance(1000);
-        grant(0);
     }
 
     private void listServer(String id) {
@@ -204,6 +210,25 @@
         assertTrue(isSent(arrive(1, 50)));
     }
 
+    // Guards against a request that is refused although the quota it waits for was removed.
+    @Test
+    void requestIsSentWhenItsQuotaIsRemoved() {
+        arrive(1, 50);
+        assertTrue(isSent(install(Optional.empty())));
+    }
+
+    // Guards against requests for which the lender is not asked: the end of a wait counts for the
+    // quota that was set again, which never saw its beginning.
+    @Test
+    void waitEndsForTheQuotaForWhichItBegan() {
+        arrive(1, 50);
+        install(Optional.empty());
+        install(Optional.of(QUOTA));
+        advance(200);
+        arrive(1, 40);
+        assertEquals(Map.of(LIMITED, 40), borrower.demands(now).orElseThrow().waiting());
+    }
+
     /** Counts what happened to the last request, as its servers and its caller see it. */
     private final class Fate {
         private int sends;
--- a/src/test/java/org/tarragonlug/decision/quota/QuotaChargesTest.java
+++ b/src/test/java/org/tarragonlug/decision/quota/QuotaChargesTest.java
@@ -213,6 +213,8 @@
         borrower.onTableInstalled(Map.of(ACCOUNT, QUOTA), now);
         free.clear();
         advances.clear();
+        // What was taken from the earlier allowance is returned to none.
+        requests.forEach(request -> request.returned = true);
     }
 
     // Guards against requests that are charged twice, or whose cost is given back twice or to
