Let a holder's statement count for the renewal that it is about only

Cause: a statement that the holder of an order lease has stopped named the lease and a revision, and the revision was not looked at. If it arrived after one about the next renewal, as messages do when a connection is replaced, the lease was taken over while its holder gave orders. Two stops, with a renewal between that was not heard of, counted as one, so the turn of the successor began at the first. A live holder also counted as gone. Change: a statement about an earlier renewal than the last one stated is ignored, and one about a later renewal begins anew.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -193,10 +193,19 @@
         return tick(now);
     }
 
+    /**
+     * Applies a statement of the holder, which is about its renewal of the stated revision. It may
+     * have been overtaken by one about a later renewal, for which it says nothing: a holder that
+     * had stopped may give orders again.
+     */
     private void onHolderResponse(LeaseEvent.HolderResponded event, Instant now) {
+        if (event.revision() < holderRevision) {
+            return;
+        }
         if (event.revision() > holderRevision) {
             holderRevision = event.revision();
             holderRevisionSince = now;
+            holderStoppedOrdering = false;
         }
         if (event.holding()) {
             holderRespondedAt = now;
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -280,11 +280,15 @@
 
     /**
      * Records that a holder has given up its lease. Others learn of it later and may still state
-     * that the holder is alive, so statements about the same or an older renewal are ignored.
+     * that the holder is alive, so statements about the same or an older renewal are ignored. So is
+     * the release itself if the holder is known to have renewed the lease since.
      */
     private void recordRelease(GatewayMessage.LeaseStatus lease) {
-        heartbeats.remove(lease.group());
-        releasedRevisions.put(lease.group(), lease.revision());
+        HolderHeartbeat heartbeat = heartbeats.get(lease.group());
+        if (heartbeat == null || heartbeat.revision() <= lease.revision()) {
+            heartbeats.remove(lease.group());
+            releasedRevisions.merge(lease.group(), lease.revision(), Math::max);
+        }
     }
 
     private void recordHeartbeat(
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
@@ -198,6 +198,38 @@
             assertFalse(manager.mayOrder(stoppedAt.plus(LeaseSimulation.TURN)));
         }
 
+        // Guards against two holders at once: a statement that the holder has stopped overtakes, or
+        // is overtaken by, one about its next renewal, and is taken for a statement about that one.
+        @Test
+        void statementAboutEarlierRenewalDoesNotFreeLease() {
+            LeaseManager manager = newManager("b");
+            manager.handle(tick(), START);
+            manager.handle(new LeaseEvent.Read(Optional.of(record("a", 2, 9))), START);
+            manager.handle(new LeaseEvent.HolderResponded(true, 9), START);
+            manager.handle(new LeaseEvent.HolderResponded(false, 4), START.plusMillis(50));
+            assertEquals(List.of(), manager.handle(tick(), START.plusMillis(100)));
+        }
+
+        // Guards against orders in the turn of the previous holder, which stopped, renewed the
+        // lease, gave orders and stopped again, while the statements between were lost.
+        @Test
+        void turnBeginsAfterLastStopOfHolder() {
+            LeaseManager manager = newManager("b");
+            manager.handle(tick(), START);
+            manager.handle(new LeaseEvent.Read(Optional.of(record("a", 1, 4))), START);
+            manager.handle(new LeaseEvent.HolderResponded(true, 4), START);
+            manager.setAcquisitionDelay(Duration.ofSeconds(10));
+            manager.handle(new LeaseEvent.HolderResponded(false, 4), START.plusMillis(100));
+            Instant stoppedAgain = START.plusMillis(2900);
+            manager.handle(new LeaseEvent.HolderResponded(false, 9), stoppedAgain);
+            manager.handle(new LeaseEvent.Read(Optional.of(record("a", 2, 9))), stoppedAgain);
+            manager.setAcquisitionDelay(Duration.ZERO);
+            Instant taken = stoppedAgain.plusMillis(1600);
+            LeaseCommand.Write write = (LeaseCommand.Write) manager.handle(tick(), taken).get(0);
+            manager.handle(new LeaseEvent.Written(withRevision(write.record(), 10), taken), taken);
+            assertFalse(manager.mayOrder(stoppedAgain.plus(LeaseSimulation.TURN)));
+        }
+
         @Test
         void mayOrderAtOnceAfterRestartOfHolder() {
             LeaseManager manager =
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
@@ -140,6 +140,12 @@
     private final int lostAnswerPercent;
     private final int lateWritePercent;
     private final int maxStoreDelayMillis;
+
+    /**
+     * Longest time by which statements of holders are delayed, so that they overtake each other.
+     */
+    private final int maxStatementDelayMillis;
+
     private Instant now = Instant.ofEpochSecond(1000);
     private Instant storeDownUntil = Instant.EPOCH;
     private LeaseRecord stored;
@@ -151,6 +157,7 @@
         lostAnswerPercent = random.nextInt(4) == 0 ? 30 : random.nextInt(5);
         lateWritePercent = random.nextInt(4) == 0 ? 20 : 0;
         maxStoreDelayMillis = random.nextInt(4) == 0 ? 350 : 4;
+        maxStatementDelayMillis = random.nextInt(2) == 0 ? 2500 : 1;
         for (int number = 1; number <= instanceCount; number++) {
             instances.add(new SimulatedInstance(number));
         }
@@ -220,20 +227,28 @@
                                 && other.isRunning()
                                 && !now.isBefore(other.partitionedUntil)
                                 && !now.isBefore(holder.partitionedUntil);
-                boolean knowsHolder =
-                        other.manager
-                                .latestRecord()
-                                .filter(record -> record.holder().equals(holder.id))
-                                .isPresent();
-                if (reachable && knowsHolder) {
-                    other.execute(
-                            other.manager.handle(
-                                    new LeaseEvent.HolderResponded(holding, heldRevision), now));
+                if (reachable) {
+                    Duration delay = Duration.ofMillis(random.nextInt(maxStatementDelayMillis));
+                    schedule(delay, () -> deliverStatement(other, holder, holding, heldRevision));
                 }
             }
         }
     }
 
+    /** Delivers what a holder stated, unless the receiver has learnt of another holder since. */
+    private void deliverStatement(
+            SimulatedInstance other, SimulatedInstance holder, boolean holding, long revision) {
+        boolean knowsHolder =
+                other.manager
+                        .latestRecord()
+                        .filter(record -> record.holder().equals(holder.id))
+                        .isPresent();
+        if (other.isRunning() && knowsHolder) {
+            other.execute(
+                    other.manager.handle(new LeaseEvent.HolderResponded(holding, revision), now));
+        }
+    }
+
     private void injectFault(SimulatedInstance instance) {
         Duration time = Duration.ofMillis(500 + random.nextInt(6000));
         switch (random.nextInt(5)) {
--- a/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
@@ -65,6 +65,17 @@
 
     @Nested
     class HolderHeartbeats {
+        // Guards against a live holder that counts as gone: what it stated about a renewal before
+        // arrives after what it stated about the last one.
+        @Test
+        void keepsHolderAliveWhenStatementAboutEarlierRenewalArrives() {
+            first.onLeaseNotices(
+                    HOLDER, List.of(new GatewayMessage.LeaseStatus(GROUP, true, 42, "")));
+            first.onLeaseNotices(
+                    HOLDER, List.of(new GatewayMessage.LeaseStatus(GROUP, false, 40, "")));
+            assertEquals(1, first.leaseNotices().size());
+        }
+
         /**
          * An instance that sends its reports only to the planner receives no messages from the
          * other holders. If the planner did not pass on their heartbeats, the instance would treat
