Keep calls to the store for objects of different kinds on different connections

Cause: watches and reads of the store shared kept connections. Answers name no kind, so the copy of the answer to a watch of one kind counted as a watch of another without changes up to its revision, and the changes before that were never seen. A copy of an older answer to the same watch was applied again. The copy of the answer to an earlier read of the configuration, or of a 404, answered the read that decides whether a key is unknown, which is refused with 401. A timeout still ends the kept connections of all kinds.

--- a/src/main/java/org/tarragonlug/http/HttpCall.java
+++ b/src/main/java/org/tarragonlug/http/HttpCall.java
@@ -14,6 +14,7 @@
  * @param timeout longest time from the start of the call to the end of the answer
  * @param use selects a pooled or a new connection
  * @param answerName by what answers to the call name it; empty if they do not
+ * @param group the calls with which this one shares pooled connections
  */
 public record HttpCall(
         String method,
@@ -22,7 +23,20 @@
         HttpBody body,
         Duration timeout,
         ConnectionUse use,
-        Optional<AnswerName> answerName) {
+        Optional<AnswerName> answerName,
+        ConnectionGroup group) {
+    /** Creates a call of the common group. */
+    public HttpCall(
+            String method,
+            String target,
+            Map<String, String> headers,
+            HttpBody body,
+            Duration timeout,
+            ConnectionUse use,
+            Optional<AnswerName> answerName) {
+        this(method, target, headers, body, timeout, use, answerName, ConnectionGroup.COMMON);
+    }
+
     /** Creates a call with a body in one part, which is not copied, and answers without a name. */
     public HttpCall(
             String method,
--- a/src/main/java/org/tarragonlug/http/HttpConnections.java
+++ b/src/main/java/org/tarragonlug/http/HttpConnections.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -23,7 +24,7 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * HTTP client connections to any number of addresses, pooled by address.
+ * HTTP client connections to any number of addresses, pooled by address and group of calls.
  *
  * <p>No call blocks a thread. Answers arrive on the threads of the given I/O executor, and timeouts
  * run on the timer thread. No request is sent twice: the retries of the library are switched off,
@@ -33,11 +34,13 @@
  * memory.
  */
 public final class HttpConnections implements AutoCloseable {
+    private record PoolKey(InetSocketAddress address, ConnectionGroup group) {}
+
     private final IoExecutor ioExecutor;
     private final ScheduledExecutorService timers;
     private final HttpLimits limits;
     private final HeldBytes heldBytes;
-    private final Map<InetSocketAddress, Pool> pools = new HashMap<>();
+    private final Map<PoolKey, Pool> pools = new HashMap<>();
     private long lastUnusedCheckNanos = System.nanoTime();
     private boolean closed;
 
@@ -120,7 +123,9 @@
     /** Makes a call and passes its answer to the receiver as it arrives. */
     public HttpExchange start(InetSocketAddress address, HttpCall call, HttpReceiver receiver) {
         ClientLease lease =
-                call.use() == ConnectionUse.NEW ? new SingleUse(address) : lease(address);
+                call.use() == ConnectionUse.NEW
+                        ? new SingleUse(address)
+                        : lease(new PoolKey(address, call.group()));
         HttpExchange exchange =
                 new HttpExchange(
                         call,
@@ -161,15 +166,15 @@
         pools.clear();
     }
 
-    private synchronized Pool lease(InetSocketAddress address) {
+    private synchronized Pool lease(PoolKey key) {
         if (System.nanoTime() - lastUnusedCheckNanos >= limits.unusedAfter().toNanos()) {
             closeUnusedPools();
         }
-        Pool pool = pools.get(address);
+        Pool pool = pools.get(key);
         if (pool == null) {
-            pool = new Pool(address);
+            pool = new Pool(key);
             if (!closed) {
-                pools.put(address, pool);
+                pools.put(key, pool);
             }
         }
         pool.activeCalls++;
@@ -203,17 +208,17 @@
                 .buildStreaming();
     }
 
-    /** The pooled connections to one address; guarded by the lock of the enclosing object. */
+    /** Pooled connections to one address; guarded by the lock of the enclosing object. */
     private final class Pool implements ClientLease {
-        private final InetSocketAddress address;
+        private final PoolKey key;
         private final StreamingHttpClient client;
         private final long createdNanos = System.nanoTime();
         private int activeCalls;
         private long lastUsedNanos = System.nanoTime();
 
-        Pool(InetSocketAddress address) {
-            this.address = address;
-            this.client = newClient(address);
+        Pool(PoolKey key) {
+            this.key = key;
+            this.client = newClient(key.address());
         }
 
         @Override
@@ -226,7 +231,7 @@
             synchronized (HttpConnections.this) {
                 activeCalls--;
                 lastUsedNanos = System.nanoTime();
-                if (pools.get(address) != this) {
+                if (pools.get(key) != this) {
                     closeIfNoActiveCalls();
                 }
             }
@@ -235,11 +240,27 @@
         @Override
         public void retire() {
             synchronized (HttpConnections.this) {
-                pools.remove(address, this);
+                if (pools.get(key) == this) {
+                    retireAddress();
+                }
                 closeIfNoActiveCalls();
             }
         }
 
+        /** Retires all pools of the address: silent connections mostly come together. */
+        private void retireAddress() {
+            List<Pool> sameAddress =
+                    pools.values().stream()
+                            .filter(pool -> pool.key.address().equals(key.address()))
+                            .toList();
+            sameAddress.forEach(Pool::remove);
+        }
+
+        private void remove() {
+            pools.remove(key);
+            closeIfNoActiveCalls();
+        }
+
         @Override
         public void retireAsSilent() {
             if (System.nanoTime() - createdNanos >= MIN_AGE.toNanos()) {
--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -7,12 +7,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.http.Answers;
+import org.tarragonlug.http.ConnectionGroup;
 import org.tarragonlug.http.ConnectionUse;
 import org.tarragonlug.http.HttpAnswer;
+import org.tarragonlug.http.HttpBody;
 import org.tarragonlug.http.HttpCall;
 import org.tarragonlug.http.HttpConnections;
 import org.tarragonlug.http.HttpFailure;
@@ -29,7 +32,8 @@
  * <p>The content of an object is its {@code spec}; its version is the revision of its last change.
  * A write fails with {@code OBJECT_API_OUTCOME_UNKNOWN} if its answer does not show whether it took
  * effect. Status 503 or 429 means that the store rejected the call before it had any effect. Each
- * write has a connection of its own, because a refusal names no object.
+ * write has a connection of its own, because a refusal names no object. Calls for objects of
+ * different kinds share no connections, because the answers to watches and refusals name no kind.
  *
  * <p>Keys of client accounts are replaced by their digests, so that objects may be passed on.
  */
@@ -69,7 +73,7 @@
     @Override
     public CompletionStage<StoredObject> read(ObjectName name) {
         return Answers.read(
-                exchange("GET", path(name), null, CALL_TIMEOUT),
+                exchange("GET", name.kind(), path(name), null, CALL_TIMEOUT, useOfRead(name)),
                 answer -> {
                     if (answer.status() == NOT_FOUND) {
                         return StoredObject.absent(name);
@@ -80,6 +84,17 @@
                 PlatformObjectApi::unavailable);
     }
 
+    /**
+     * Returns the connection for a read. The copy of the answer to an earlier read of the same
+     * object bears its name as well. Most reads are followed by a conditional write, which shows
+     * that they were outdated; keys that a read of the configuration does not show are refused.
+     */
+    private static ConnectionUse useOfRead(ObjectName name) {
+        return name.equals(PlatformKinds.currentConfiguration())
+                ? ConnectionUse.NEW
+                : ConnectionUse.POOLED;
+    }
+
     @Override
     public CompletionStage<Long> write(ObjectName name, JsonNode content, long expectedVersion) {
         boolean create = expectedVersion == StoredObject.ABSENT;
@@ -92,7 +107,7 @@
         body.set("spec", content);
         String path = create ? PATH + JsonFields.pathSegment(name.kind()) : path(name);
         return Answers.read(
-                exchange(create ? "POST" : "PUT", path, body, CALL_TIMEOUT),
+                exchange(create ? "POST" : "PUT", name.kind(), path, body, CALL_TIMEOUT),
                 answer -> {
                     requireWritten(name, answer);
                     return requestedObject(name, answer).version();
@@ -104,7 +119,7 @@
     public CompletionStage<Void> delete(ObjectName name, long expectedVersion) {
         String path = path(name) + "?revision=" + expectedVersion;
         return Answers.read(
-                exchange("DELETE", path, null, CALL_TIMEOUT),
+                exchange("DELETE", name.kind(), path, null, CALL_TIMEOUT),
                 answer -> {
                     if (answer.status() != NOT_FOUND) {
                         requireWritten(name, answer);
@@ -134,7 +149,7 @@
             path += "?after=" + JsonFields.pathSegment(after);
         }
         return Answers.read(
-                        exchange("GET", path, null, LIST_TIMEOUT, ConnectionUse.NEW),
+                        exchange("GET", kind, path, null, LIST_TIMEOUT, ConnectionUse.NEW),
                         answer -> {
                             requireRead(answer);
                             return bodyWithout("events", answer);
@@ -168,7 +183,7 @@
                         + "&wait_ms="
                         + longestWait.toMillis();
         return Answers.read(
-                exchange("GET", path, null, longestWait.plus(ANSWER_TIMEOUT)),
+                exchange("GET", kind, path, null, longestWait.plus(ANSWER_TIMEOUT)),
                 answer -> {
                     if (answer.status() == GONE) {
                         return new WatchResult(List.of(), afterRevision, true);
@@ -179,7 +194,17 @@
                 PlatformObjectApi::unavailable);
     }
 
+    /**
+     * Reads the changes of the answer to a watch.
+     *
+     * @throws IllegalArgumentException if it ends before the watch begins, so that it belongs to an
+     *     earlier watch
+     */
     private static WatchResult changes(String kind, JsonNode body, long afterRevision) {
+        if (body.has("as_of") && body.path("as_of").asLong() < afterRevision) {
+            throw new IllegalArgumentException(
+                    "the answer ends at " + body.path("as_of") + ", before " + afterRevision);
+        }
         List<StoredObject> changed = new ArrayList<>();
         for (JsonNode event : body.path("events")) {
             addReadable(changed, kind, event.path("object"), event.path("deleted").asBoolean());
@@ -239,17 +264,31 @@
     }
 
     private CompletionStage<HttpAnswer> exchange(
-            String method, String path, JsonNode body, Duration timeout) {
-        return exchange(method, path, body, timeout, ConnectionUse.ofUnnamedCall(method));
+            String method, String kind, String path, JsonNode body, Duration timeout) {
+        return exchange(method, kind, path, body, timeout, ConnectionUse.ofUnnamedCall(method));
     }
 
     private CompletionStage<HttpAnswer> exchange(
-            String method, String path, JsonNode body, Duration timeout, ConnectionUse use) {
+            String method,
+            String kind,
+            String path,
+            JsonNode body,
+            Duration timeout,
+            ConnectionUse use) {
         byte[] bytes = body == null ? new byte[0] : Json.bytes(body);
         Map<String, String> headers =
                 body == null ? Map.of() : Map.of("content-type", "application/json");
         return connections.exchange(
-                address, new HttpCall(method, path, headers, bytes, timeout, use));
+                address,
+                new HttpCall(
+                        method,
+                        path,
+                        headers,
+                        HttpBody.of(bytes),
+                        timeout,
+                        use,
+                        Optional.empty(),
+                        new ConnectionGroup(kind)));
     }
 
     private static String path(ObjectName name) {
--- a/src/test/java/org/tarragonlug/platform/PlatformObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/platform/PlatformObjectApiTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.function.IntFunction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -78,6 +79,58 @@
         }
     }
 
+    private static byte[] noEvents(int revision) {
+        return RawServer.ok("{\"events\":[],\"as_of\":" + revision + "}");
+    }
+
+    // Guards against news that are lost: the copy of the answer to a watch of one kind reads as a
+    // watch of another kind without changes up to its revision.
+    @Test
+    void copyOfWatchDoesNotAnswerWatchOfAnotherKind() throws Exception {
+        try (RepeatingServer server =
+                new RepeatingServer(answers(noEvents(9), noEvents(7)), DELAY)) {
+            PlatformObjectApi api = api(server);
+            LoopbackFixture.await(api.watch("config", 5, Duration.ofMillis(300)));
+            assertEquals(
+                    7,
+                    LoopbackFixture.await(api.watch("servers", 5, Duration.ofMillis(300)))
+                            .revision());
+        }
+    }
+
+    // Guards against changes that are applied once more after later ones: the copy of the answer
+    // to an earlier watch of the same kind ends before the revision that is asked for.
+    @Test
+    void answerFromBeforeTheRevisionIsNoAnswer() throws Exception {
+        try (RepeatingServer server = new RepeatingServer(n -> noEvents(9), DELAY)) {
+            PlatformObjectApi api = api(server);
+            LoopbackFixture.await(api.watch("servers", 5, Duration.ofMillis(300)));
+            assertEquals(
+                    ErrorCode.OBJECT_API_UNAVAILABLE,
+                    LoopbackFixture.awaitErrorCode(
+                            api.watch("servers", 12, Duration.ofMillis(300))));
+        }
+    }
+
+    // Guards against keys that are refused as unknown because a read of the configuration is
+    // answered by the copy of the answer to an earlier one, or to a read of something absent.
+    @Test
+    void copyDoesNotAnswerReadOfConfiguration() throws Exception {
+        ObjectName configuration = PlatformKinds.currentConfiguration();
+        for (byte[] first : List.of(object(configuration), status(404))) {
+            byte[] later =
+                    RawServer.ok(
+                            "{\"metadata\":{\"name\":\""
+                                    + configuration.name()
+                                    + "\",\"revision\":6},\"spec\":{}}");
+            try (RepeatingServer server = new RepeatingServer(answers(first, later), DELAY)) {
+                PlatformObjectApi api = api(server);
+                LoopbackFixture.await(api.read(configuration));
+                assertEquals(6, LoopbackFixture.await(api.read(configuration)).version());
+            }
+        }
+    }
+
     private static byte[] status(int status) {
         return ("HTTP/1.1 " + status + " Status\r\ncontent-length: 0\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1);
