Send no relayed order to a later run of its server

Cause: an order that a planner sends through the holder of the order lease names the server's id and the number of orders that must have been accepted. If it arrives late, the server may have started again under its id, and count its orders anew, so that both names fit the next run. Change: the call states the start time of the run. The holder answers NOT_SENT if it has a later run listed. A run that the holder does not know yet, and calls of earlier releases, which state none, are sent as before.

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -240,6 +240,7 @@
         return new OrderExecutor(
                 leases.leaseManagers(),
                 groups,
+                coordinator.fleet(),
                 engines,
                 settings.instance(),
                 peers,
--- a/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderExecutor.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.tarragonlug.decision.forwarding.Fleet;
+import org.tarragonlug.decision.forwarding.FleetServer;
 import org.tarragonlug.decision.ownership.LeaseManager;
 import org.tarragonlug.decision.ownership.LeaseRecord;
 import org.tarragonlug.decision.ownership.OrderGroups;
@@ -38,6 +40,7 @@
 
     private final Map<OrderGroup, LeaseManager> leaseManagers;
     private final OrderGroups groups;
+    private final Fleet fleet;
     private final PlatformEngineClient engines;
     private final InstanceId self;
     private final RelayingObjectApi.PeerChannel channel;
@@ -51,6 +54,7 @@
     OrderExecutor(
             Map<OrderGroup, LeaseManager> leaseManagers,
             OrderGroups groups,
+            Fleet fleet,
             PlatformEngineClient engines,
             InstanceId self,
             RelayingObjectApi.PeerChannel channel,
@@ -61,6 +65,7 @@
             CallNumbers callNumbers) {
         this.leaseManagers = leaseManagers;
         this.groups = groups;
+        this.fleet = fleet;
         this.engines = engines;
         this.self = self;
         this.channel = channel;
@@ -105,6 +110,7 @@
                         callId,
                         group,
                         order.server(),
+                        order.startedMillis(),
                         order.address(),
                         order.order().action(),
                         order.order().key(),
@@ -120,23 +126,44 @@
         }
     }
 
-    /** Sends an order on behalf of a planner at another instance, and sends back the result. */
+    /**
+     * Sends an order on behalf of a planner at another instance, and sends back the result.
+     *
+     * <p>A call may arrive late, when the server has started again under its id and counts its
+     * orders anew. The number that the order requires may then be reached once more, so an order
+     * for an earlier run than the listed one is not sent.
+     */
     void onOrderCall(InstanceId from, GatewayMessage.OrderCall call) {
-        sendToServer(
-                        call.group(),
-                        call.server(),
-                        call.address(),
-                        call.action(),
-                        call.key(),
-                        call.precondition(),
-                        "asked_by_" + from)
-                .whenCompleteAsync(
-                        (result, failure) ->
-                                channel.send(
-                                        from,
-                                        new GatewayMessage.OrderCallAnswer(
-                                                PeerMessage.FORMAT_VERSION, call.call(), result)),
-                        loop);
+        CompletionStage<OrderResult> sent =
+                isForEarlierRun(call)
+                        ? CompletableFuture.completedFuture(OrderResult.NOT_SENT)
+                        : send(from, call);
+        sent.whenCompleteAsync(
+                (result, failure) ->
+                        channel.send(
+                                from,
+                                new GatewayMessage.OrderCallAnswer(
+                                        PeerMessage.FORMAT_VERSION, call.call(), result)),
+                loop);
+    }
+
+    private boolean isForEarlierRun(GatewayMessage.OrderCall call) {
+        return call.startedMillis() > 0
+                && fleet.server(call.server())
+                        .map(FleetServer::incarnation)
+                        .filter(listed -> listed.startedMillis() > call.startedMillis())
+                        .isPresent();
+    }
+
+    private CompletionStage<OrderResult> send(InstanceId from, GatewayMessage.OrderCall call) {
+        return sendToServer(
+                call.group(),
+                call.server(),
+                call.address(),
+                call.action(),
+                call.key(),
+                call.precondition(),
+                "asked_by_" + from);
     }
 
     private CompletionStage<OrderResult> sendToServer(
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -283,6 +283,8 @@
      * @param call number of the call, chosen by the sender and repeated in the answer
      * @param group order group of the server
      * @param server the server
+     * @param startedMillis start time of the server process that the order is meant for; 0 if the
+     *     sender does not state it
      * @param address address of the server
      * @param action whether to load or to unload
      * @param key the model or adapter
@@ -293,6 +295,7 @@
             long call,
             OrderGroup group,
             ServerId server,
+            long startedMillis,
             String address,
             OrderAction action,
             ModelKey key,
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -288,6 +288,7 @@
                 .number("call", call.call())
                 .number("group", call.group().number())
                 .text("server", call.server())
+                .number("startedMillis", call.startedMillis())
                 .text("address", call.address())
                 .text("action", call.action().name())
                 .text("key", call.key())
@@ -300,6 +301,7 @@
                 fields.number("call"),
                 new OrderGroup(fields.smallNumber("group")),
                 new ServerId(fields.text("server")),
+                fields.numberOrZero("startedMillis"),
                 fields.text("address"),
                 fields.constant("action", OrderAction.class),
                 ModelKey.parse(fields.text("key")),
--- a/src/main/java/org/tarragonlug/peer/MessageFields.java
+++ b/src/main/java/org/tarragonlug/peer/MessageFields.java
@@ -71,6 +71,11 @@
         return number(name, require(name));
     }
 
+    /** Returns a number; 0 if the field is missing. */
+    long numberOrZero(String name) {
+        return find(name).map(value -> number(name, value)).orElse(0L);
+    }
+
     private static long number(String name, Value value) {
         if (!value.isIntegerValue() || !value.asIntegerValue().isInLongRange()) {
             throw new IllegalArgumentException("field " + name + " is not an integer");
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -239,6 +239,7 @@
                         10,
                         new OrderGroup(0),
                         new ServerId("s-1"),
+                        1_764_900_000_123L,
                         "10.0.0.1:80",
                         OrderAction.UNLOAD,
                         ModelKey.parse("m1/a2"),
