Do not pass a server's unconfirmed "not run" on to callers

Cause: a server's 408, 429 or 503 with its seal, but without the statement that it did not run the request, was passed on unchanged. Callers read these statuses as a promise, so a request that had run could be answered as not run and come back. Only unsealed ones were kept back, by breaking the connection.

Change: such an answer is ambiguous, sealed or not. It is read to its end, so that its connection and server stay in use. The coordinator treats it like another failed answer of a sound server: a request that may run again goes to another server, otherwise the caller gets 502 of our own without a seal (FailureReason.ANSWER_AMBIGUOUS, outcome=failed_answer_ambiguous). The log names the server's status in forward_ambiguous.

Tests replaced, because they demanded the fault: sealedStatusIsPassedOnUnchanged (CopiedRefusalTest) by the sealed cases of statusThatPromisesNothingIsNotPassedOnAsAPromise, which now also demand that no seal stands under our status and that the connection is kept; deliversUnavailableStatusWithoutNotExecutedHeaderAsAnswer (ServerAttemptTest) by statusThatSaysNotRunIsAmbiguousWithoutTheStatement.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -74,6 +74,8 @@
             onEventRelayed(forward, relayed, now);
         } else if (event instanceof ForwardingEvent.Answered answered) {
             onAnswered(forward, answered, now);
+        } else if (event instanceof ForwardingEvent.AnsweredAmbiguously ambiguous) {
+            onAnsweredAmbiguously(forward, ambiguous, now);
         } else if (event instanceof ForwardingEvent.ConnectionBroken broken) {
             onConnectionBroken(forward, broken.progress(), now);
         }
@@ -190,24 +192,46 @@
         if (event.status() >= SUCCESS && event.status() < REDIRECTION) {
             answerTimer.onAnswered(forward, event.load(), megabytes(forward), now);
         }
-        FleetServer server = releaseServer(forward, event.load(), now);
+        boolean failed = event.status() >= SERVER_ERROR;
+        FleetServer server = endAnswer(forward, event.load(), failed, now);
+        if (!failed || !sendToAnother(forward, server, now)) {
+            pending.relayAnswer(forward);
+        }
+    }
+
+    private void onAnsweredAmbiguously(
+            PendingForward forward, ForwardingEvent.AnsweredAmbiguously event, Instant now) {
+        FleetServer server = endAnswer(forward, event.load(), true, now);
+        if (!sendToAnother(forward, server, now)) {
+            pending.fail(forward, FailureReason.ANSWER_AMBIGUOUS);
+        }
+    }
+
+    /** Takes a request from the server that has answered it completely. */
+    private FleetServer endAnswer(
+            PendingForward forward, Optional<ReportedLoad> load, boolean failed, Instant now) {
+        FleetServer server = releaseServer(forward, load, now);
         onServerAnswered(forward, server, now);
         onAnswerBegun(forward, server, now);
-        boolean failed = event.status() >= SERVER_ERROR;
         server.recordOutcome(failed, now);
-        if (failed
-                && !forward.streamStarted
-                && forward.mayRunAgain()
-                && !gate.blocks(forward)
-                && now.isBefore(forward.deadline)) {
-            forward.excluded.add(server.id());
-            Optional<FleetServer> other = dispatcher.choose(forward, forward.excluded, now);
-            if (other.isPresent() && budgets.tryAcquire(forward.service, now)) {
-                dispatcher.send(forward, other.get(), now);
-                return;
-            }
+        return server;
+    }
+
+    /** Sends a request that a server answered with a failure to another one, if it may go there. */
+    private boolean sendToAnother(PendingForward forward, FleetServer server, Instant now) {
+        if (forward.streamStarted
+                || !forward.mayRunAgain()
+                || gate.blocks(forward)
+                || !now.isBefore(forward.deadline)) {
+            return false;
+        }
+        forward.excluded.add(server.id());
+        Optional<FleetServer> other = dispatcher.choose(forward, forward.excluded, now);
+        if (other.isEmpty() || !budgets.tryAcquire(forward.service, now)) {
+            return false;
         }
-        pending.relayAnswer(forward);
+        dispatcher.send(forward, other.get(), now);
+        return true;
     }
 
     /** Returns the size of the request's model; 0 if it needs none or the size is not known. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -50,6 +50,16 @@
     record Answered(ForwardAttempt attempt, int status, Optional<ReportedLoad> load)
             implements OfAttempt {}
 
+    /**
+     * A complete answer has arrived that must not be passed on, because a caller would read its
+     * status as a promise that the request has not run, and the server has not stated that.
+     *
+     * @param attempt the attempt
+     * @param load load that the server reported with the answer; empty if it reported none
+     */
+    record AnsweredAmbiguously(ForwardAttempt attempt, Optional<ReportedLoad> load)
+            implements OfAttempt {}
+
     /**
      * After the request was sent, its connection broke, timed out or carried an invalid answer.
      *
--- a/src/main/java/org/tarragonlug/gateway/AttemptListener.java
+++ b/src/main/java/org/tarragonlug/gateway/AttemptListener.java
@@ -68,6 +68,15 @@
     void onAnswered(
             int status, Map<String, String> headers, HttpBody body, Optional<ReportedLoad> load);
 
+    /**
+     * Called when an answer is complete by whose status a caller would learn that the request has
+     * not run, without the server's statement of that. The request may have run.
+     *
+     * @param status HTTP status
+     * @param load the load that the server stated, if any
+     */
+    void onAnsweredAmbiguously(int status, Optional<ReportedLoad> load);
+
     /**
      * Called if the answer was cut off, is invalid or belongs to another request. The request may
      * have run.
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -476,6 +476,16 @@
             post(new ForwardingEvent.Answered(attempt, status, load));
         }
 
+        @Override
+        public void onAnsweredAmbiguously(int status, Optional<ReportedLoad> load) {
+            if (request.streamStarted) {
+                onBroken(AnswerProgress.CONTENT, "status " + status + " instead of the rest of it");
+                return;
+            }
+            attemptEvent(LogEvent.FORWARD_AMBIGUOUS).with("status", status).write();
+            post(new ForwardingEvent.AnsweredAmbiguously(attempt, load));
+        }
+
         @Override
         public void onAnswerSkipped(SkippedAnswer skipped) {
             metrics.recordSkippedAnswer();
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -27,8 +27,9 @@
  * answer that read as another one, and the request to which they seem to belong may run all the
  * same. A connection carries a request only once, so an answer that names it answers this attempt.
  *
- * <p>A status that tells callers that the request has not run is passed on only with the server's
- * seal; without, and without the server's statement that it did not run the request, it is broken.
+ * <p>A status that tells callers that the request has not run says so only with the server's own
+ * statement; the answer is then a rejection. Without the statement it is ambiguous: it is read to
+ * its end, so that the connection can be used further, and is never passed on, sealed or not.
  *
  * <p>No part of a successful answer is delivered before its head shows that it belongs to this
  * request: the server's seal and the request's id must be present. The attempt is reported as
@@ -152,10 +153,6 @@
         if (answer.rejection().isPresent()) {
             return;
         }
-        if (answer.promisesNotRun() && !answer.sealed()) {
-            fail("status " + status + " says not run, without the server's statement or seal");
-            return;
-        }
         boolean success = status >= OK && status < 300;
         if (success && (!answer.sealed() || answer.requestId().isEmpty())) {
             fail("the successful answer lacks the server's seal or the request id");
@@ -224,6 +221,8 @@
             reportRejection(answer.rejection().get());
         } else if (streamStarted) {
             listener.onStreamCompleted(answer.load());
+        } else if (answer.isAmbiguous()) {
+            listener.onAnsweredAmbiguously(answer.status(), answer.load());
         } else {
             listener.onAnswered(answer.status(), headers, HttpBody.of(bodyParts), answer.load());
         }
--- a/src/main/java/org/tarragonlug/platform/ServerAnswer.java
+++ b/src/main/java/org/tarragonlug/platform/ServerAnswer.java
@@ -67,10 +67,11 @@
     }
 
     /**
-     * Returns whether a caller would take the status for a promise that the request has not run.
+     * Returns whether a caller would take the status for a promise that the request has not run,
+     * though the server has not stated that.
      */
-    public boolean promisesNotRun() {
-        return NOT_RUN.contains(status);
+    public boolean isAmbiguous() {
+        return NOT_RUN.contains(status) && rejection.isEmpty();
     }
 
     private static Optional<Rejection> rejection(
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -119,6 +119,8 @@
     FORWARD_ANSWER_SKIPPED(Level.INFO),
     /** The connection of a forwarded request to a server broke, or its answer was invalid. */
     FORWARD_BROKEN(Level.INFO),
+    /** A server answered a forwarded request with a status that says "not run", unconfirmed. */
+    FORWARD_AMBIGUOUS(Level.INFO),
     /** The attempt to run a forwarded request at a server was cancelled. */
     FORWARD_CANCELLED(Level.INFO),
     /** A forwarded request has ended; the line contains its outcome. */
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardAttemptTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardAttemptTest.java
@@ -34,6 +34,7 @@
         EVENT_RELAYED(at -> new ForwardingEvent.EventRelayed(at, 7)),
         ANSWERED(at -> new ForwardingEvent.Answered(at, 200, Optional.empty())),
         FAILED(at -> new ForwardingEvent.Answered(at, 500, Optional.empty())),
+        AMBIGUOUS(at -> new ForwardingEvent.AnsweredAmbiguously(at, Optional.empty())),
         BROKEN(at -> new ForwardingEvent.ConnectionBroken(at, AnswerProgress.HEAD));
 
         final Function<ForwardAttempt, ForwardingEvent> event;
--- a/src/test/java/org/tarragonlug/gateway/CopiedRefusalTest.java
+++ b/src/test/java/org/tarragonlug/gateway/CopiedRefusalTest.java
@@ -7,17 +7,20 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.runtime.Json;
 
@@ -31,6 +34,7 @@
     private static final int MISDIRECTED = 421;
     private static final int NOT_RUN = 503;
     private static final int LOST = 502;
+    private static final String SEAL = "tarragonlug-response-seal";
 
     private final GatewayFixture fixture = new GatewayFixture();
 
@@ -151,40 +155,33 @@
         assertEquals(Set.of(), refused, "run, but refused as not run; copied refusals: " + copies);
     }
 
-    // Guards against a request that has run and is answered as not run, because a server's own 503
-    // without the mark of a refusal is passed on.
+    // Guards against a request that has run and is answered as not run, because a server's own
+    // status without the statement of a refusal is passed on, with the server's seal or without;
+    // against a seal under another status; and against the loss of the server's connection.
     @ParameterizedTest
-    @ValueSource(ints = {408, 429, 503})
-    void statusThatPromisesNothingIsNotPassedOnAsAPromise(int status) throws Exception {
+    @CsvSource({"408, ''", "429, ''", "503, ''", "408, s", "429, s", "503, s"})
+    void statusThatPromisesNothingIsNotPassedOnAsAPromise(int status, String seal)
+            throws Exception {
+        String headers = seal.isEmpty() ? "" : SEAL + ": " + seal + "\r\n";
+        List<Integer> places = new CopyOnWriteArrayList<>();
         startServer(
                 "unmarked",
                 0,
                 (request, number, place) -> {
                     begun.add(request.id());
+                    places.add(place);
                     return new ScriptedServer.Answer(
-                            answer(status, request.id(), "", ""), ScriptedServer.End.KEEP);
+                            answer(status, request.id(), headers, ""), ScriptedServer.End.KEEP);
                 });
         configure();
         fixture.startGateway("one");
         GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
-        int seen = fixture.send(0, path(0), "", "x").statusCode();
-        assertEquals(1, Collections.frequency(begun, fixture.lastRequestId()));
-        assertEquals(LOST, seen);
-    }
-
-    // Guards against an answer that is not the server's: what it has sealed is passed on as it is.
-    @Test
-    void sealedStatusIsPassedOnUnchanged() throws Exception {
-        String seal = "tarragonlug-response-seal: s\r\n";
-        startServer(
-                "unmarked",
-                0,
-                (request, number, place) ->
-                        new ScriptedServer.Answer(
-                                answer(NOT_RUN, request.id(), seal, ""), ScriptedServer.End.KEEP));
-        configure();
-        fixture.startGateway("one");
-        GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
-        assertEquals(NOT_RUN, fixture.send(0, path(0), "", "x").statusCode());
+        for (int number = 0; number < 2; number++) {
+            HttpResponse<String> seen = fixture.send(0, path(0), "", "x");
+            assertEquals(1, Collections.frequency(begun, fixture.lastRequestId()));
+            assertEquals(LOST, seen.statusCode());
+            assertEquals(Optional.empty(), seen.headers().firstValue(SEAL));
+        }
+        assertEquals(places.get(0) + 1, places.get(1), "the connection was not kept");
     }
 }
--- a/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -74,6 +74,11 @@
             events.add("answered " + status + " " + body.length());
         }
 
+        @Override
+        public void onAnsweredAmbiguously(int status, Optional<ReportedLoad> load) {
+            events.add("ambiguous " + status);
+        }
+
         @Override
         public void onBroken(AnswerProgress progress, String detail) {
             events.add("broken");
@@ -149,12 +154,21 @@
             assertEquals(List.of("rejected BUSY"), recorder.events);
         }
 
-        @Test
-        void deliversUnavailableStatusWithoutNotExecutedHeaderAsAnswer() {
-            ServerAttempt attempt = attempt(false, -1);
-            attempt.onHead(503, HEADERS);
-            attempt.onCompleted();
-            assertEquals(List.of("answered 503 0"), recorder.events);
+        // Guards against a status that callers take for the promise "not run" without the server's
+        // statement, and against the loss of the connection on which such an answer came.
+        @ParameterizedTest
+        @ValueSource(ints = {408, 429, 503})
+        void statusThatSaysNotRunIsAmbiguousWithoutTheStatement(int status) {
+            for (Map<String, String> headers :
+                    List.of(HEADERS, Map.of("tarragonlug-request-id", "r1"))) {
+                recorder.events.clear();
+                ServerAttempt attempt = attempt(false, -1);
+                attempt.onHead(status, headers);
+                attempt.onData(bytes("abc"));
+                assertTrue(recorder.events.isEmpty());
+                attempt.onCompleted();
+                assertEquals(List.of("ambiguous " + status), recorder.events);
+            }
         }
 
         // Guards against the rejection of an earlier request, which a server writes once more.
