Logs: what a refusal rests on, and late answers with their request

A late answer on an idle connection, which shows that a refused request ran, closed the connection without a line; a skipped one did not name its request. A full log dropped all lines alike, and did not count them.

Change: forward_ended of a refusal has not_run (never_sent, never_written, rejected, server_status, unproven), and each request that did not end with the answer to its only send describes its last five sends: server, address, connection, calls before, outcome and time. unproven is logged as a violated invariant too. forward_sent is written when the request is, and names the connection. forward_answer_late names request and connection of an answer on an idle connection, forward_answer_skipped the request that is answered, forward_event_discarded the request of an event without effect. The last 512 of 2,048 places of the log's queue are kept for warnings and for the lines that explain a refusal; log_lines_dropped counts the missing ones. An ordinary request still has two lines.

--- a/src/main/java/org/tarragonlug/decision/forwarding/Rejection.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/Rejection.java
@@ -24,7 +24,7 @@
     }
 
     /** Tells whether the request reached some server, so that the next send of it is a retry. */
-    boolean reachedServer() {
+    public boolean reachedServer() {
         return this != UNREACHABLE && this != NO_OTHER_CONNECTION && this != WITHDRAWN;
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/ActiveRequest.java
+++ b/src/main/java/org/tarragonlug/gateway/ActiveRequest.java
@@ -18,9 +18,8 @@
     final ForwardRequest request;
     final String requestId;
     final Instant arrivedAt;
+    final SendHistory sends = new SendHistory();
     ServerAttempt currentAttempt;
-    String serverId = "";
-    int attemptCount;
     boolean streamStarted;
     int answerStatus;
     Map<String, String> answerHeaders = Map.of();
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.tarragonlug.caller.ForwardedCall;
 import org.tarragonlug.caller.ForwardedCallListener;
 import org.tarragonlug.decision.account.Credential;
@@ -34,9 +32,9 @@
 import org.tarragonlug.http.HttpCall;
 import org.tarragonlug.http.HttpConnections;
 import org.tarragonlug.http.SkippedAnswer;
-import org.tarragonlug.id.PromptPartId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.platform.RequestHeaders;
+import org.tarragonlug.platform.ServerAnswer;
 import org.tarragonlug.runtime.Addresses;
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.LogEvent;
@@ -50,6 +48,9 @@
  * happened.
  */
 final class ForwardingDriver implements ForwardedCallListener {
+    /** Outcome of a request that got its server's answer. */
+    static final String ANSWERED = "answered";
+
     private static final int BAD_REQUEST = 400;
     private static final double MILLIS_PER_SECOND = 1000.0;
 
@@ -63,6 +64,7 @@
     private final HttpConnections connections;
     private final TimerService timers;
     private final EventLog log;
+    private final ForwardingLog requestLog;
     private final DemandCollector demandCollector;
     private final QuarantineDriver quarantine;
     private final QuotaDriver quotas;
@@ -79,6 +81,7 @@
             HttpConnections connections,
             TimerService timers,
             EventLog log,
+            ForwardingLog requestLog,
             DemandCollector demandCollector,
             QuarantineDriver quarantine,
             QuotaDriver quotas,
@@ -87,6 +90,7 @@
         this.connections = connections;
         this.timers = timers;
         this.log = log;
+        this.requestLog = requestLog;
         this.demandCollector = demandCollector;
         this.quarantine = quarantine;
         this.quotas = quotas;
@@ -134,7 +138,7 @@
         ActiveRequest request = activeRequests.get(call.key());
         if (request != null) {
             post(new ForwardingEvent.CallerDisconnected(call.key()));
-            finish(request, "caller_gone", 0);
+            finish(request, "caller_gone", 0, Optional.empty());
         }
     }
 
@@ -214,23 +218,15 @@
         if (request == null || address.isEmpty()) {
             return;
         }
-        request.attemptCount++;
-        request.serverId = send.server().value();
-        log.event(LogEvent.FORWARD_SENT)
-                .with("request", request.requestId)
-                .with("server", send.server())
-                .with("attempt", request.attemptCount)
-                .with("remaining_ms", send.remaining().toMillis())
-                .with("last_event", send.lastEventId())
-                .with("prompt_parts", promptParts(request))
-                .write();
+        ServerSend serverSend = new ServerSend(send, timers.now());
+        request.sends.add(serverSend);
         ServerAttempt attempt =
                 new ServerAttempt(
                         request.requestId,
                         send.server().value(),
                         send.streaming(),
                         send.lastEventId(),
-                        new AttemptHandler(request, send.attempt()),
+                        new AttemptHandler(request, serverSend),
                         timers);
         request.currentAttempt = attempt;
         HttpCall call =
@@ -245,16 +241,6 @@
         attempt.attachExchange(connections.start(address.get(), call, attempt));
     }
 
-    private long millisSince(Instant time) {
-        return Duration.between(time, timers.now()).toMillis();
-    }
-
-    private static String promptParts(ActiveRequest request) {
-        return request.request.prefix().parts().stream()
-                .map(PromptPartId::value)
-                .collect(Collectors.joining(","));
-    }
-
     private void deliverAnswer(ActiveRequest request) {
         if (request == null) {
             return;
@@ -267,7 +253,12 @@
                     RequestHeaders.endToEnd(request.answerHeaders),
                     request.answerBody);
         }
-        finish(request, "answered", request.answerStatus);
+        boolean promises = ServerAnswer.promisesNotRun(request.answerStatus);
+        finish(
+                request,
+                ANSWERED,
+                request.answerStatus,
+                promises ? Optional.of(NotRunGround.SERVER_STATUS) : Optional.empty());
     }
 
     private void refuse(ForwardingCommand.Refuse refuse) {
@@ -283,7 +274,11 @@
             if (refuse.reason().concernsKey()) {
                 onKeyRefused(request.call, request.request.credential(), refuse.reason());
             }
-            finish(request, outcome(refuse.reason()), refuse.reason().status());
+            finish(
+                    request,
+                    outcome(refuse.reason()),
+                    refuse.reason().status(),
+                    Optional.of(request.sends.groundOfRefusal()));
         }
     }
 
@@ -334,16 +329,14 @@
         } else {
             request.call.answer(fail.reason().status(), Map.of(), text(reason));
         }
-        finish(request, "failed_" + reason, fail.reason().status());
+        finish(request, "failed_" + reason, fail.reason().status(), Optional.empty());
     }
 
     private void cancel(ActiveRequest request) {
         if (request != null && request.currentAttempt != null) {
             request.currentAttempt.cancel();
-            log.event(LogEvent.FORWARD_CANCELLED)
-                    .with("request", request.requestId)
-                    .with("server", request.serverId)
-                    .write();
+            request.sends.last().onCancelled(timers.now());
+            requestLog.onCancelled(request, request.sends.last());
         }
     }
 
@@ -370,20 +363,11 @@
                 .write();
     }
 
-    private void finish(ActiveRequest request, String outcome, int status) {
+    private void finish(
+            ActiveRequest request, String outcome, int status, Optional<NotRunGround> ground) {
         activeRequests.remove(request.call.key());
-        Instant now = timers.now();
-        Duration elapsed = Duration.between(request.arrivedAt, now);
-        metrics.recordRequest(outcome, elapsed);
-        log.event(LogEvent.FORWARD_ENDED)
-                .with("request", request.requestId)
-                .with("outcome", outcome)
-                .with("status", status)
-                .with("model", RequestHeaders.model(request.call.headers()))
-                .with("server", request.serverId.isEmpty() ? "none" : request.serverId)
-                .with("attempts", request.attemptCount)
-                .with("took_ms", elapsed.toMillis())
-                .write();
+        metrics.recordRequest(outcome, Duration.between(request.arrivedAt, timers.now()));
+        requestLog.onEnded(request, outcome, status, ground);
     }
 
     private static HttpBody text(String line) {
@@ -393,14 +377,13 @@
     /** Translates the outcome of an attempt into events for the coordinator. */
     private final class AttemptHandler implements AttemptListener {
         private final ActiveRequest request;
+        private final ServerSend send;
         private final ForwardAttempt attempt;
-        private final Instant sentAt;
-        private Optional<CallPosition> position = Optional.empty();
 
-        AttemptHandler(ActiveRequest request, ForwardAttempt attempt) {
+        AttemptHandler(ActiveRequest request, ServerSend send) {
             this.request = request;
-            this.attempt = attempt;
-            this.sentAt = timers.now();
+            this.send = send;
+            this.attempt = send.command().attempt();
         }
 
         @Override
@@ -410,7 +393,8 @@
 
         @Override
         public void onSent(CallPosition callPosition) {
-            position = Optional.of(callPosition);
+            send.onWritten(callPosition);
+            requestLog.onWritten(request, send);
             if (callPosition.movedToNewConnection()) {
                 metrics.recordMoveToNewConnection();
             }
@@ -419,10 +403,8 @@
         @Override
         public void onRejected(
                 Rejection rejection, boolean namesRequest, Optional<ReportedLoad> load) {
-            attemptEvent(LogEvent.FORWARD_REJECTED)
-                    .with("rejection", rejection)
-                    .with("names_request", namesRequest)
-                    .write();
+            send.onRejected(rejection, timers.now());
+            requestLog.onRejected(request, send, rejection, namesRequest);
             if (rejection == Rejection.WITHDRAWN) {
                 metrics.recordWithdrawnRequest();
             }
@@ -454,6 +436,7 @@
 
         @Override
         public void onStreamCompleted(Optional<ReportedLoad> load) {
+            send.onAnswered(timers.now());
             post(new ForwardingEvent.Answered(attempt, request.answerStatus, load));
         }
 
@@ -468,6 +451,7 @@
                 onBroken(AnswerProgress.CONTENT, "status " + status + " instead of the rest of it");
                 return;
             }
+            send.onAnswered(timers.now());
             if (coordinator.isUnderWay(attempt)) {
                 request.answerStatus = status;
                 request.answerHeaders = headers;
@@ -479,13 +463,7 @@
         @Override
         public void onAnswerSkipped(SkippedAnswer skipped) {
             metrics.recordSkippedAnswer();
-            log.event(LogEvent.FORWARD_ANSWER_SKIPPED)
-                    .with("request", request.requestId)
-                    .with("server", request.serverId)
-                    .with("status", skipped.status())
-                    .with("bytes", skipped.bytes())
-                    .with("since_sent_ms", millisSince(sentAt))
-                    .write();
+            requestLog.onAnswerSkipped(request, send, skipped);
         }
 
         @Override
@@ -496,24 +474,17 @@
         @Override
         public void onBroken(AnswerProgress progress, String detail) {
             metrics.recordBrokenAnswer(progress);
-            attemptEvent(LogEvent.FORWARD_BROKEN)
-                    .with("received", progress)
-                    .with("detail", detail)
-                    .write();
+            send.onBroken(timers.now());
+            requestLog.onBroken(request, send, progress, detail);
             post(new ForwardingEvent.ConnectionBroken(attempt, progress));
         }
 
-        /** Begins a line about how the attempt ended, with what its connection had carried. */
-        private EventLog.Line attemptEvent(LogEvent event) {
-            return log.event(event)
-                    .with("request", request.requestId)
-                    .with("server", request.serverId)
-                    .with("since_sent_ms", millisSince(sentAt))
-                    .with("connection", position.map(CallPosition::localPort).orElse(0))
-                    .with("earlier_calls", position.map(CallPosition::earlierCalls).orElse(0))
-                    .with(
-                            "moved_to_new_connection",
-                            position.map(CallPosition::movedToNewConnection).orElse(false));
+        /** Hands an event to the coordinator, and logs it if the send has ended before. */
+        private void post(ForwardingEvent.OfAttempt event) {
+            if (!coordinator.isUnderWay(attempt)) {
+                requestLog.onEventDiscarded(request, send, event.getClass().getSimpleName());
+            }
+            ForwardingDriver.this.post(event);
         }
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -139,7 +139,9 @@
         this.log = new EventLog(settings.instance().value());
         this.timers = new LoopTimerService(loop, this::onPartFailed);
         this.quotas = createQuotas();
-        this.connections = new HttpConnections(ioExecutor, loop, HTTP_LIMITS);
+        ForwardingLog forwardingLog = new ForwardingLog(log, timers);
+        this.connections =
+                new HttpConnections(ioExecutor, loop, HTTP_LIMITS, forwardingLog::onLateAnswer);
         this.coordinator =
                 new ForwardingCoordinator(
                         settings.instance().value(),
@@ -168,6 +170,7 @@
                         connections,
                         timers,
                         log,
+                        forwardingLog,
                         peers.demandCollector(),
                         quarantine,
                         quotas,
--- /dev/null
+++ b/src/main/java/org/tarragonlug/gateway/NotRunGround.java
@@ -0,0 +1,22 @@
+package org.tarragonlug.gateway;
+
+import java.util.Locale;
+
+/** On what the statement to a caller rests that its request has not run and will not run. */
+enum NotRunGround {
+    /** The request was sent to no server. */
+    NEVER_SENT,
+    /** Sends were begun, and none was written. */
+    NEVER_WRITTEN,
+    /** Each server to which the request was written stated that it did not run it. */
+    REJECTED,
+    /** The status is the one with which a server answered. */
+    SERVER_STATUS,
+    /** A send was written and not rejected, so the statement may be false: a defect. */
+    UNPROVEN;
+
+    @Override
+    public String toString() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/src/main/java/org/tarragonlug/http/AnswerFilter.java
+++ b/src/main/java/org/tarragonlug/http/AnswerFilter.java
@@ -36,6 +36,7 @@
     private ByteBuf kept = Unpooled.buffer();
     private int skippedAnswers;
     private long skippedBytes;
+    private String skippedCall = "";
     private int status;
     private long answerBytes;
 
@@ -88,6 +89,7 @@
     AnswerHead startSkipping() {
         ByteBuf bytes = take();
         AnswerHead head = new AnswerHead(bytes);
+        skippedCall = head.value(name.get().header());
         status = head.status();
         answerBytes = bytes.readableBytes();
         skippedBytes += answerBytes;
@@ -115,6 +117,6 @@
     /** Records that the answer that is being skipped is complete. */
     void endSkipping() {
         skippedAnswers++;
-        skippedAction.accept(new SkippedAnswer(status, answerBytes));
+        skippedAction.accept(new SkippedAnswer(skippedCall, status, answerBytes));
     }
 }
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -76,6 +76,7 @@
 
     private final Channel channel;
     private final FramingLimits limits;
+    private final Consumer<LateAnswer> lateAnswers;
     private final AnswerFraming framing = new AnswerFraming();
     private final AnswerFilter filter = new AnswerFilter();
     private Phase phase = Phase.IDLE;
@@ -86,6 +87,9 @@
     /** Bytes of the present read that have not been handed to the library. */
     private int unreadBytes;
 
+    /** Header by which the answer to the last call names it; empty if it names none. */
+    private String nameHeader = "";
+
     private long headBytes;
     private int headLines;
     private long bytesAfterHead;
@@ -93,17 +97,25 @@
     private long allowedFramingBytes;
     private final CarriedCalls carriedCalls = new CarriedCalls();
 
-    private FramingGuard(Channel channel, FramingLimits limits) {
+    private FramingGuard(Channel channel, FramingLimits limits, Consumer<LateAnswer> lateAnswers) {
         this.channel = channel;
         this.limits = limits;
+        this.lateAnswers = lateAnswers;
     }
 
-    /** Returns the guard of a connection and installs it first if the connection has none. */
-    static FramingGuard of(ConnectionInfo connection, FramingLimits limits) {
+    /**
+     * Returns the guard of a connection and installs it first if the connection has none.
+     *
+     * @param connection the connection
+     * @param limits what the server may send
+     * @param lateAnswers receives answers to named calls that come while no call is in progress
+     */
+    static FramingGuard of(
+            ConnectionInfo connection, FramingLimits limits, Consumer<LateAnswer> lateAnswers) {
         Channel channel = ((NettyConnectionContext) connection).nettyChannel();
         FramingGuard guard = (FramingGuard) channel.pipeline().get(NAME);
         if (guard == null) {
-            guard = new FramingGuard(channel, limits);
+            guard = new FramingGuard(channel, limits, lateAnswers);
             channel.pipeline().addFirst(NAME, guard);
         }
         return guard;
@@ -123,6 +135,7 @@
             BiConsumer<HttpFailure.Kind, String> action) {
         int earlierCalls = carriedCalls.count();
         carriedCalls.add(name);
+        nameHeader = name.map(AnswerName::header).orElse("");
         violationAction = action;
         filter.begin(earlierCalls == 0 ? Optional.empty() : name, skippedAction);
         startHead();
@@ -231,6 +244,9 @@
             passBytesAfterEnd(bytes);
             return;
         }
+        if (phase == Phase.IDLE) {
+            reportLateAnswer(bytes);
+        }
         int size = phase == Phase.IDLE ? 0 : framing.nextPiece(bytes, SLICE);
         if (size == 0) {
             closeInvalid(context, "bytes that belong to no request");
@@ -255,6 +271,14 @@
         checkLimits(context);
     }
 
+    private void reportLateAnswer(ByteBuf bytes) {
+        if (!nameHeader.isEmpty() && AnswerHead.mayBegin(bytes)) {
+            int length = (int) Math.min(bytes.readableBytes(), limits.headBytes());
+            AnswerHead head = new AnswerHead(bytes.slice(bytes.readerIndex(), length));
+            lateAnswers.accept(new LateAnswer(localPort(), head.status(), head.value(nameHeader)));
+        }
+    }
+
     private void passHead(ChannelHandlerContext context, ByteBuf piece) {
         headBytes += piece.readableBytes();
         headLines += countLines(piece);
--- a/src/main/java/org/tarragonlug/http/HttpConnections.java
+++ b/src/main/java/org/tarragonlug/http/HttpConnections.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
  * HTTP client connections to any number of addresses, pooled by address.
@@ -36,6 +37,7 @@
     private final IoExecutor ioExecutor;
     private final ScheduledExecutorService timers;
     private final HttpLimits limits;
+    private final Consumer<LateAnswer> lateAnswers;
     private final HeldBytes heldBytes;
     private final Map<InetSocketAddress, Pool> pools = new HashMap<>();
     private long lastUnusedCheckNanos = System.nanoTime();
@@ -50,9 +52,27 @@
      */
     public HttpConnections(
             IoExecutor ioExecutor, ScheduledExecutorService timers, HttpLimits limits) {
+        this(ioExecutor, timers, limits, late -> {});
+    }
+
+    /**
+     * Creates the pools without opening connections.
+     *
+     * @param ioExecutor I/O threads that the entire process shares; not closed here
+     * @param timers executor of timeouts; not stopped here
+     * @param limits limits for all calls
+     * @param lateAnswers receives, on I/O threads, the answers to named calls that come while no
+     *     call is in progress on their connection, which is closed then
+     */
+    public HttpConnections(
+            IoExecutor ioExecutor,
+            ScheduledExecutorService timers,
+            HttpLimits limits,
+            Consumer<LateAnswer> lateAnswers) {
         this.ioExecutor = ioExecutor;
         this.timers = timers;
         this.limits = limits;
+        this.lateAnswers = lateAnswers;
         this.heldBytes = new HeldBytes(limits.maximumHeldBytes());
     }
 
@@ -128,7 +148,8 @@
                         () -> new SingleUse(address),
                         receiver,
                         limits.maximumAnswerBytes(),
-                        heldBytes);
+                        heldBytes,
+                        lateAnswers);
         exchange.start(timers);
         return exchange;
     }
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -57,6 +57,7 @@
     private final HttpReceiver receiver;
     private final int maximumBytes;
     private final HeldBytes heldByAll;
+    private final Consumer<LateAnswer> lateAnswers;
     private final Optional<SecondHeadFinder> secondHead;
     private ClientLease lease;
     private boolean movedToNewConnection;
@@ -79,6 +80,7 @@
      * @param receiver receives the answer
      * @param maximumBytes largest answer
      * @param heldByAll limits what all calls keep of incomplete answers
+     * @param lateAnswers receives answers that come while no call is in progress
      */
     HttpExchange(
             HttpCall call,
@@ -86,13 +88,15 @@
             Supplier<ClientLease> newConnections,
             HttpReceiver receiver,
             int maximumBytes,
-            HeldBytes heldByAll) {
+            HeldBytes heldByAll,
+            Consumer<LateAnswer> lateAnswers) {
         this.call = call;
         this.lease = lease;
         this.newConnections = newConnections;
         this.receiver = receiver;
         this.maximumBytes = maximumBytes;
         this.heldByAll = heldByAll;
+        this.lateAnswers = lateAnswers;
         secondHead = call.answerName().map(SecondHeadFinder::new);
     }
 
@@ -128,7 +132,7 @@
 
     private void send(ReservedStreamingHttpConnection reserved, StreamingHttpRequest request) {
         FramingGuard reservedGuard =
-                FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER);
+                FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER, lateAnswers);
         if (!reservedGuard.mayCarry(call.answerName())) {
             toSource(reserved.releaseAsync()).subscribe(IgnoredCompletion.INSTANCE);
             useNewConnection();
--- /dev/null
+++ b/src/main/java/org/tarragonlug/http/LateAnswer.java
@@ -0,0 +1,10 @@
+package org.tarragonlug.http;
+
+/**
+ * An answer that arrived on a kept connection while no call was in progress on it.
+ *
+ * @param localPort local port of the connection
+ * @param status HTTP status; 0 if it cannot be read
+ * @param call the value by which the answer names its call; empty if it names none
+ */
+public record LateAnswer(int localPort, int status, String call) {}
--- a/src/main/java/org/tarragonlug/platform/ServerAnswer.java
+++ b/src/main/java/org/tarragonlug/platform/ServerAnswer.java
@@ -70,6 +70,11 @@
      * Returns whether a caller would take the status for a promise that the request has not run.
      */
     public boolean promisesNotRun() {
+        return promisesNotRun(status);
+    }
+
+    /** Returns whether a caller would take a status for such a promise. */
+    public static boolean promisesNotRun(int status) {
         return NOT_RUN.contains(status);
     }
 
--- a/src/main/java/org/tarragonlug/runtime/EventLog.java
+++ b/src/main/java/org/tarragonlug/runtime/EventLog.java
@@ -14,7 +14,11 @@
     private static final int MAXIMUM_VALUE_LENGTH = 500;
     private static final String TRUNCATION_MARK = "...";
 
+    /** Name of the logger of lines that are dropped only after all ordinary ones. */
+    static final String RETAINED_LOGGER = "tarragonlug.retained";
+
     private final Logger logger;
+    private final Logger retainedLogger;
     private final String instance;
 
     /**
@@ -24,6 +28,7 @@
      */
     public EventLog(String instance) {
         this.logger = Logger.getLogger("tarragonlug");
+        this.retainedLogger = Logger.getLogger(RETAINED_LOGGER);
         this.instance = instance;
     }
 
@@ -128,6 +133,14 @@
             logger.log(event.level(), text);
         }
 
+        /**
+         * Writes the line at the event's level. If lines have to be dropped, it is dropped only
+         * after all ordinary ones, because it tells the cause of a failure.
+         */
+        public void writeRetained() {
+            retainedLogger.log(event.level(), text);
+        }
+
         @Override
         public String toString() {
             return text.toString();
--- a/src/main/java/org/tarragonlug/runtime/LogConfigurator.java
+++ b/src/main/java/org/tarragonlug/runtime/LogConfigurator.java
@@ -1,6 +1,5 @@
 package org.tarragonlug.runtime;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.Configurator;
@@ -29,6 +28,9 @@
     /** Number of lines that wait to be written; further lines are dropped. */
     private static final int QUEUED_LINES = 2048;
 
+    /** Those of them that are kept for warnings and for lines that are to be retained. */
+    private static final int RESERVED_LINES = 512;
+
     private static boolean toStandardOutput;
 
     /** Selects standard output. Must be called before anything is logged. */
@@ -68,12 +70,7 @@
 
     private static Appender<ILoggingEvent> queue(
             LoggerContext context, Appender<ILoggingEvent> target) {
-        AsyncAppender queue = new AsyncAppender();
-        queue.setContext(context);
-        queue.setQueueSize(QUEUED_LINES);
-        queue.setDiscardingThreshold(0);
-        queue.setNeverBlock(true);
-        queue.addAppender(target);
+        LogQueue queue = new LogQueue(context, QUEUED_LINES, RESERVED_LINES, target);
         queue.start();
         return queue;
     }
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -13,6 +13,8 @@
     DRAIN_ENDED(Level.INFO),
     /** The process has stopped its parts and exits. */
     INSTANCE_STOPPED(Level.INFO),
+    /** Lines are missing before this one, because they could not be written fast enough. */
+    LOG_LINES_DROPPED(Level.WARN),
     /** A part of the process threw an unexpected exception. */
     PART_FAILED(Level.ERROR),
     /** A failed part has been restarted. */
@@ -117,6 +119,10 @@
     FORWARD_REJECTED(Level.INFO),
     /** A late answer to another request was skipped before the answer to a forwarded request. */
     FORWARD_ANSWER_SKIPPED(Level.INFO),
+    /** A server answered a forwarded request when none was in progress on the connection. */
+    FORWARD_ANSWER_LATE(Level.INFO),
+    /** An event of a send of a forwarded request came after the end of the send. */
+    FORWARD_EVENT_DISCARDED(Level.WARN),
     /** The connection of a forwarded request to a server broke, or its answer was invalid. */
     FORWARD_BROKEN(Level.INFO),
     /** The attempt to run a forwarded request at a server was cancelled. */
--- a/src/test/java/org/tarragonlug/http/AnswerFilterTest.java
+++ b/src/test/java/org/tarragonlug/http/AnswerFilterTest.java
@@ -83,7 +83,7 @@
             filter.skipBody(bytes("12345"));
             filter.endSkipping();
             int length = bytes(OTHER).readableBytes() + 5;
-            assertEquals(List.of(new SkippedAnswer(404, length)), skipped);
+            assertEquals(List.of(new SkippedAnswer("other", 404, length)), skipped);
         }
 
         // Guards against an own answer that disappears in the body of one that broke off.
