Logs: late answers behind a refusal; a test of the record's form of refusal

Cause: an answer that was received together with the end of a refusal closed the connection without a line. RefusalLinesTest showed it (refusal and answer in one packet: no line in 20 s).

Change: such an answer is logged as forward_answer_late too.

--- a/src/main/java/org/tarragonlug/gateway/ForwardingLog.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingLog.java
@@ -50,6 +50,7 @@
     void onRejected(
             ActiveRequest request, ServerSend send, Rejection rejection, boolean namesRequest) {
         sendEvent(LogEvent.FORWARD_REJECTED, request, send)
+                .with("since_sent_ms", send.age(timers.now()).toMillis())
                 .with("rejection", rejection)
                 .with("names_request", namesRequest)
                 .write();
@@ -57,6 +58,7 @@
 
     void onBroken(ActiveRequest request, ServerSend send, AnswerProgress progress, String detail) {
         sendEvent(LogEvent.FORWARD_BROKEN, request, send)
+                .with("since_sent_ms", send.age(timers.now()).toMillis())
                 .with("received", progress)
                 .with("detail", detail)
                 .write();
@@ -72,6 +74,7 @@
     /** Logs that an answer to another request came where the answer to this one was due. */
     void onAnswerSkipped(ActiveRequest request, ServerSend send, SkippedAnswer skipped) {
         sendEvent(LogEvent.FORWARD_ANSWER_SKIPPED, request, send)
+                .with("since_sent_ms", send.age(timers.now()).toMillis())
                 .with("answers", skipped.call())
                 .with("status", skipped.status())
                 .with("bytes", skipped.bytes())
@@ -90,6 +93,7 @@
     /** Logs an event of a send that had ended before, and that therefore has no effect. */
     void onEventDiscarded(ActiveRequest request, ServerSend send, String event) {
         sendEvent(LogEvent.FORWARD_EVENT_DISCARDED, request, send)
+                .with("since_sent_ms", send.age(timers.now()).toMillis())
                 .with("discarded", event)
                 .writeRetained();
     }
@@ -142,8 +146,7 @@
                         .with("request", request.requestId)
                         .with("server", send.server())
                         .with("connection", position.map(CallPosition::localPort).orElse(0))
-                        .with("earlier_calls", position.map(CallPosition::earlierCalls).orElse(0))
-                        .with("since_sent_ms", send.age(timers.now()).toMillis());
+                        .with("earlier_calls", position.map(CallPosition::earlierCalls).orElse(0));
         if (position.filter(CallPosition::movedToNewConnection).isPresent()) {
             line.with("moved_to_new_connection", true);
         }
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -87,6 +87,9 @@
     /** Bytes of the present read that have not been handed to the library. */
     private int unreadBytes;
 
+    /** Whether bytes that belong to no request were received together with the end of an answer. */
+    private boolean bytesAfterEnd;
+
     /** Header by which the answer to the last call names it; empty if it names none. */
     private String nameHeader = "";
 
@@ -221,6 +224,7 @@
     boolean end() {
         violationAction = NO_ACTION;
         afterEndAction = NO_AFTER_END_ACTION;
+        bytesAfterEnd = unreadBytes > 0;
         boolean reusable = unreadBytes == 0 && framing.isEnded() && !carriedCalls.isFull();
         phase = reusable ? Phase.IDLE : Phase.CLOSED;
         return reusable;
@@ -234,6 +238,10 @@
             while (bytes.isReadable() && phase != Phase.CLOSED) {
                 passNextPiece(context, bytes);
             }
+            if (bytesAfterEnd) {
+                bytesAfterEnd = false;
+                reportLateAnswer(bytes);
+            }
         } finally {
             bytes.release();
         }
--- a/src/main/java/org/tarragonlug/http/LateAnswer.java
+++ b/src/main/java/org/tarragonlug/http/LateAnswer.java
@@ -1,7 +1,8 @@
 package org.tarragonlug.http;
 
 /**
- * An answer that arrived on a kept connection while no call was in progress on it.
+ * An answer that was received while no call was in progress on its connection, or together with the
+ * end of another answer.
  *
  * @param localPort local port of the connection
  * @param status HTTP status; 0 if it cannot be read
--- a/src/test/java/org/tarragonlug/gateway/CopiedRefusalTest.java
+++ b/src/test/java/org/tarragonlug/gateway/CopiedRefusalTest.java
@@ -151,6 +151,40 @@
         assertEquals(Set.of(), refused, "run, but refused as not run; copied refusals: " + copies);
     }
 
+    // Guards against a request that begins to run and is answered as not run, because no server is
+    // left when the copy of a refusal is taken for the answer to its second send.
+    @ParameterizedTest
+    @ValueSource(longs = {3, 30})
+    void requestThatBeganIsNotRefusedWhenAllOtherServersAreFull(long copyDelayMillis)
+            throws Exception {
+        List<ScriptedServer> restarting = new ArrayList<>();
+        for (int service = 0; service < SERVICES; service++) {
+            ScriptedServer.Script script = refusingOldIds(service, copyDelayMillis);
+            restarting.add(startServer(currentId(service), service, script));
+            for (String full : List.of("full-a-", "full-b-")) {
+                startServer(full + service, service, CopiedRefusalTest::refuseAsFull);
+            }
+        }
+        configure();
+        fixture.startGateway("one");
+        GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
+        Set<String> refused = sendToAllServices();
+        restarted = true;
+        for (int service = 0; service < SERVICES; service++) {
+            restarting.get(service).list(currentId(service), serviceName(service), List.of());
+        }
+        refused.addAll(sendToAllServices());
+        assertTrue(copies.get() >= SERVICES / 2, "too few refusals were copied: " + copies);
+        refused.retainAll(new HashSet<>(begun));
+        assertEquals(Set.of(), refused, "run, but refused as not run; copied refusals: " + copies);
+    }
+
+    private static ScriptedServer.Answer refuseAsFull(
+            ScriptedServer.Request request, int number, int place) {
+        return new ScriptedServer.Answer(
+                ScriptedServer.refusal(request.id()), ScriptedServer.End.KEEP);
+    }
+
     // Guards against a request that has run and is answered as not run, because a server's own 503
     // without the mark of a refusal is passed on.
     @ParameterizedTest
