Answer a failure of our own code with 500, never with the library's 503

Cause: the HTTP library maps what a service throws to a status, and a RejectedExecutionException to 503. Callers read that as "not run", though ForwardingServer.handle may throw it after the request was passed on. No path that throws it after a send was found by reading; nothing excluded one.

Change: ForwardingServer catches what onRequestHead throws and fails the call with an IOException, for which the library answers 500. The call also counts as ended now, so a drain does not wait for it.

--- a/src/main/java/org/tarragonlug/caller/DefaultForwardedCall.java
+++ b/src/main/java/org/tarragonlug/caller/DefaultForwardedCall.java
@@ -104,6 +104,17 @@
                 new IOException("the connection broke before the request was complete"));
     }
 
+    /**
+     * Fails the call because this process failed. The library chooses the status by the type of the
+     * failure, and for some types one that tells the caller that its request has not run. That is
+     * not known, so the library sees a failure of a type for which it answers 500.
+     */
+    void onProcessFailed(RuntimeException failure) {
+        answered = true;
+        end();
+        response.completeExceptionally(new IOException("the process failed", failure));
+    }
+
     private void onCallerDisconnected() {
         boolean unanswered = !answered;
         answered = true;
--- a/src/main/java/org/tarragonlug/caller/ForwardingServer.java
+++ b/src/main/java/org/tarragonlug/caller/ForwardingServer.java
@@ -154,7 +154,11 @@
                 new DefaultForwardedCall(
                         callCount, connection, request, factory, listener, reception, reception);
         reception.call = call;
-        listener.onRequestHead(call);
+        try {
+            listener.onRequestHead(call);
+        } catch (RuntimeException failure) {
+            call.onProcessFailed(failure);
+        }
         return call.response();
     }
 
--- a/src/test/java/org/tarragonlug/caller/RefusedHeadTest.java
+++ b/src/test/java/org/tarragonlug/caller/RefusedHeadTest.java
@@ -16,11 +16,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.RejectedExecutionException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.http.HttpBody;
 import org.tarragonlug.http.IoThreads;
@@ -40,6 +43,9 @@
                 new ForwardedCallListener() {
                     @Override
                     public void onRequestHead(ForwardedCall call) {
+                        if (call.path().equals("/failing-at-once")) {
+                            throw new RejectedExecutionException("an executor is closed");
+                        }
                         if (call.path().equals("/refused")) {
                             call.answer(REFUSED, Map.of(), HttpBody.EMPTY);
                         } else {
@@ -49,6 +55,9 @@
 
                     @Override
                     public void onRequest(ForwardedCall call) {
+                        if (call.path().equals("/failing")) {
+                            throw new RejectedExecutionException("an executor is closed");
+                        }
                         received.add(call.body().length());
                         call.answer(200, Map.of(), HttpBody.EMPTY);
                     }
@@ -83,6 +92,21 @@
                 .getBytes(StandardCharsets.US_ASCII);
     }
 
+    // Guards against a failure of this process, after the request may have been sent, that the HTTP
+    // library answers with a status that callers take for the promise "not run".
+    @ParameterizedTest
+    @CsvSource({"/failing, ''", "/failing, x", "/failing-at-once, ''", "/failing-at-once, x"})
+    void failureOfTheProcessIsNoPromise(String path, String body) throws Exception {
+        try (Socket socket = connect()) {
+            String length = "content-length: " + body.length() + "\r\n";
+            socket.getOutputStream().write(head(path, length));
+            socket.getOutputStream().write(body.getBytes(StandardCharsets.US_ASCII));
+            byte[] answer = socket.getInputStream().readNBytes("HTTP/1.1 500".length());
+            String status = new String(answer, StandardCharsets.US_ASCII);
+            assertTrue(Set.of("", "HTTP/1.1 500").contains(status), status);
+        }
+    }
+
     /** Reads the head of an answer without a body, in lower case. */
     private static String readHead(InputStream input) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
