Explore all orders of events of one request

Cause: which orders of events break TWICE or REFUSED was sampled by scripted servers and soaks only, so nothing said that the ways found are all of them.

Change: RequestOrderTest explores all orders of events of one request up to a number of events, with the real ForwardingCoordinator, ServerAttempt, CarriedCalls and AnswerFilter, and a model of the driver and the HTTP call. The rule on connections is a parameter: none, the one that goes by the id of the server and ends with the request, and the present one.

Without the rule, and with the earlier one, a promise breaks after 6 events where the caller returns and after 6 or 7 at a shared address, and a request begins twice after 7 and 10.

--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/ExploredWorld.java
@@ -0,0 +1,393 @@
+package org.tarragonlug.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.tarragonlug.decision.forwarding.ForwardingCommand;
+import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
+import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.decision.forwarding.ForwardingLimits;
+import org.tarragonlug.decision.forwarding.ListedState;
+import org.tarragonlug.http.CallPosition;
+import org.tarragonlug.http.HttpFailure;
+import org.tarragonlug.http.ModelConnection;
+import org.tarragonlug.http.SkippedAnswer;
+import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.runtime.ManualTimers;
+
+/**
+ * One instance with its kept connections, one request and two servers, without a network. Decisions
+ * are made by the real {@link ForwardingCoordinator}, answers are judged by the real {@link
+ * ServerAttempt}, and {@link ModelConnection} stands for the HTTP client.
+ */
+final class ExploredWorld {
+    static final String OLD = "old-id";
+    static final String NEW = "new-id";
+    static final String OTHER = "other-id";
+
+    /** Time after which no request is kept from a server that rejected or lost it. */
+    static final Duration RETRY_PAUSE = Duration.ofMillis(450);
+
+    /** Time without progress after which any request counts as stalled. */
+    static final Duration STALL = Duration.ofMillis(1300);
+
+    /** Time from the announcement of a stop to the stop. */
+    static final Duration UNTIL_STOP = Duration.ofMillis(500);
+
+    private static final int REFUSED = 503;
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+    final ManualTimers timers = new ManualTimers();
+    final List<ExploredCall> calls = new ArrayList<>();
+    final List<ExploredRequest> requests = new ArrayList<>();
+    final Map<ExploredEvent, Integer> happened = new EnumMap<>(ExploredEvent.class);
+    final Set<ExploredFault> faults = new TreeSet<>();
+    private final ExploredRequestKind kind;
+    private final ExploredConfiguration configuration;
+    private final ConnectionRule rule;
+    private final ForwardingCoordinator coordinator;
+    private final List<ModelConnection> pool = new ArrayList<>();
+    private final Deque<ForwardingEvent> events = new ArrayDeque<>();
+    private String presentAtSharedAddress;
+    private int lastPort;
+    private boolean processing;
+
+    /** Creates a world in which a request has just arrived and was sent. */
+    ExploredWorld(ExploredRequestKind kind, ExploredFleet fleet, ConnectionRule rule) {
+        this.kind = kind;
+        this.configuration = new ExploredConfiguration(kind);
+        this.rule = rule;
+        this.presentAtSharedAddress = fleet.present();
+        this.coordinator =
+                new ForwardingCoordinator(
+                        new FailureDomain("home"),
+                        fleet::preference,
+                        new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1));
+        addConnection(ExploredConfiguration.SHARED_ADDRESS);
+        addConnection(ExploredConfiguration.OTHER_ADDRESS);
+        installRoute(true);
+        fleet.listed().forEach(id -> list(id, ListedState.READY, 1));
+        arrive("request-1");
+    }
+
+    /** Installs a configuration with or without the route of the request. */
+    void installRoute(boolean present) {
+        post(configuration.table(present));
+    }
+
+    void list(String id, ListedState state, long startedMillis) {
+        post(configuration.listing(id, state, startedMillis));
+    }
+
+    /** Lets another server have the shared address; its connections stay. */
+    void changeServer() {
+        presentAtSharedAddress = presentAtSharedAddress.equals(OLD) ? NEW : OLD;
+    }
+
+    void arrive(String id) {
+        ExploredRequest request = new ExploredRequest(requests.size() + 1, id, timers.now());
+        requests.add(request);
+        post(configuration.arrival(request));
+    }
+
+    /** Lets the caller leave, as {@link ForwardingDriver#onCallerDisconnected} does. */
+    void leave() {
+        ExploredRequest request = lastRequest();
+        request.callerLeft = true;
+        post(new ForwardingEvent.CallerDisconnected(request.key));
+    }
+
+    ExploredRequest lastRequest() {
+        return requests.get(requests.size() - 1);
+    }
+
+    ExploredRequestKind kind() {
+        return kind;
+    }
+
+    ForwardingCoordinator coordinator() {
+        return coordinator;
+    }
+
+    /** Handles an event after all that are queued, as {@link ForwardingDriver#post} does. */
+    void post(ForwardingEvent event) {
+        events.add(event);
+        if (processing) {
+            return;
+        }
+        processing = true;
+        for (ForwardingEvent next = events.poll(); next != null; next = events.poll()) {
+            coordinator.handle(next, timers.now()).forEach(this::execute);
+        }
+        processing = false;
+    }
+
+    private void execute(ForwardingCommand command) {
+        if (command instanceof ForwardingCommand.Send send) {
+            send(send);
+        } else if (command instanceof ForwardingCommand.RelayAnswer answer) {
+            ExploredRequest request = request(answer.request());
+            end(request, !request.streamStarted && PROMISES.contains(request.answerStatus));
+        } else if (command instanceof ForwardingCommand.Refuse refuse) {
+            end(request(refuse.request()), PROMISES.contains(refuse.reason().status()));
+        } else if (command instanceof ForwardingCommand.Fail fail) {
+            end(request(fail.request()), false);
+        } else if (command instanceof ForwardingCommand.CancelAttempt cancel) {
+            ExploredCall call = request(cancel.request()).lastCall;
+            call.receiver.cancel();
+            call.close();
+        }
+    }
+
+    private ExploredRequest request(long key) {
+        return requests.get((int) key - 1);
+    }
+
+    private void send(ForwardingCommand.Send send) {
+        ExploredRequest request = request(send.request());
+        if (calls.stream().anyMatch(call -> call.request == request && call.open)) {
+            faults.add(ExploredFault.AT_TWO_SERVERS);
+        }
+        boolean refused = request.refusedBy.contains(send.server());
+        boolean newConnection = send.newConnection() || rule.needsNewConnection(refused);
+        ExploredCall call = new ExploredCall(request, send, newConnection);
+        call.receiver =
+                new ServerAttempt(
+                        request.id,
+                        call.server,
+                        send.streaming(),
+                        send.lastEventId(),
+                        new ExploredAttemptListener(this, call),
+                        timers);
+        request.lastCall = call;
+        calls.add(call);
+    }
+
+    private void end(ExploredRequest request, boolean promise) {
+        request.ends++;
+        if (request.ends > 1 || request.callerLeft) {
+            faults.add(ExploredFault.ENDED_TWICE);
+        }
+        if (promise) {
+            request.promised = true;
+        }
+        checkRuns(request);
+    }
+
+    private void checkRuns(ExploredRequest request) {
+        if (request.promised && request.begins > 0) {
+            faults.add(ExploredFault.BEGUN_THOUGH_PROMISED);
+        }
+        int runs =
+                requests.stream()
+                        .filter(each -> each.id.equals(request.id))
+                        .mapToInt(each -> each.begins)
+                        .sum();
+        boolean returned = requests.size() > 1 && kind.maximumRuns() > 1;
+        if (runs > kind.maximumRuns() && !returned) {
+            faults.add(ExploredFault.BEGUN_TOO_OFTEN);
+        }
+    }
+
+    /** Checks that requests have ended whose time is over; called after a tick. */
+    void checkEnds() {
+        for (ExploredRequest request : requests) {
+            boolean late =
+                    !timers.now().isBefore(request.arrivedAt.plus(ExploredConfiguration.TIMEOUT));
+            if (request.isOpen() && late) {
+                faults.add(ExploredFault.NOT_ENDED);
+            }
+        }
+    }
+
+    private ModelConnection addConnection(String address) {
+        lastPort++;
+        ModelConnection added = new ModelConnection(address, lastPort);
+        pool.add(added);
+        return added;
+    }
+
+    /** Returns the kept connections that may be offered to a call. */
+    List<ModelConnection> offered(ExploredCall call) {
+        return call.newConnectionOnly
+                ? List.of()
+                : pool.stream()
+                        .filter(each -> each.isIdle() && each.address().equals(call.address))
+                        .toList();
+    }
+
+    void connect(ExploredCall call) {
+        if (!call.newConnectionOnly) {
+            connect(call, addConnection(call.address));
+            return;
+        }
+        lastPort++;
+        connect(call, new ModelConnection(call.address, lastPort));
+    }
+
+    /** Sends a call on a connection, as {@link org.tarragonlug.http.HttpExchange} does. */
+    void connect(ExploredCall call, ModelConnection connection) {
+        if (!rule.mayCarry(connection, call.request.name)) {
+            call.newConnectionOnly = true;
+            call.moved = true;
+        } else if (!call.receiver.maySend()) {
+            fail(call, HttpFailure.Kind.WITHDRAWN);
+        } else {
+            call.connection = connection;
+            int earlierCalls = connection.begin(call.request.name);
+            call.atServer = ExploredCall.AtServer.UNREAD;
+            call.receiver.onSent(new CallPosition(connection.port(), earlierCalls, call.moved));
+        }
+    }
+
+    void failToConnect(ExploredCall call) {
+        fail(call, call.moved ? HttpFailure.Kind.NO_OTHER_CONNECTION : HttpFailure.Kind.NOT_SENT);
+    }
+
+    /** Ends a call at this instance without a complete answer. */
+    void fail(ExploredCall call, HttpFailure.Kind failure) {
+        if (call.open) {
+            call.close();
+            call.receiver.onFailed(new HttpFailure(failure, "explored", null));
+        }
+    }
+
+    /** Returns whether the server that the call is meant for is the one at its address. */
+    boolean reachesItsServer(ExploredCall call) {
+        return call.server.equals(presentAt(call));
+    }
+
+    private String presentAt(ExploredCall call) {
+        return call.address.equals(ExploredConfiguration.SHARED_ADDRESS)
+                ? presentAtSharedAddress
+                : OTHER;
+    }
+
+    void begin(ExploredCall call) {
+        call.atServer = ExploredCall.AtServer.RUNNING;
+        call.request.begins++;
+        checkRuns(call.request);
+    }
+
+    void refuse(ExploredCall call, int status) {
+        answer(
+                call,
+                status,
+                Map.of(
+                        "tarragonlug-request-id",
+                        call.request.id,
+                        "tarragonlug-not-executed",
+                        "1",
+                        "tarragonlug-instance-id",
+                        presentAt(call)));
+    }
+
+    void answerWithSeal(ExploredCall call, int status) {
+        answer(
+                call,
+                status,
+                Map.of(
+                        "tarragonlug-request-id",
+                        call.request.id,
+                        "tarragonlug-response-seal",
+                        "seal"));
+    }
+
+    void answerWithoutSeal(ExploredCall call) {
+        answer(call, REFUSED, Map.of("tarragonlug-request-id", call.request.id));
+    }
+
+    private void answer(ExploredCall call, int status, Map<String, String> headers) {
+        startAnswer(call, status, headers);
+        finishAnswer(call);
+    }
+
+    void startStream(ExploredCall call) {
+        startAnswer(
+                call,
+                200,
+                Map.of(
+                        "tarragonlug-request-id",
+                        call.request.id,
+                        "tarragonlug-response-seal",
+                        "seal"));
+    }
+
+    private void startAnswer(ExploredCall call, int status, Map<String, String> headers) {
+        call.sentStatus = status;
+        call.sentHeaders = headers;
+        if (call.connection.hasPartOfHead()) {
+            fail(call, HttpFailure.Kind.ANSWER_INVALID);
+        } else {
+            receiveHead(call, status, headers);
+        }
+    }
+
+    void sendStreamEvent(ExploredCall call) {
+        String event = "id: " + call.nextEventId + "\ndata: x\n\n";
+        call.nextEventId++;
+        call.receiver.onData(event.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void finishAnswer(ExploredCall call) {
+        call.atServer = ExploredCall.AtServer.ENDED;
+        complete(call);
+    }
+
+    private void complete(ExploredCall call) {
+        if (!call.open) {
+            return;
+        }
+        call.open = false;
+        call.connection.end();
+        if (call.newConnectionOnly) {
+            call.connection.close();
+        }
+        call.receiver.onCompleted();
+    }
+
+    /** Sends the last answer on the connection of a call once more. */
+    void copyAnswer(ExploredCall answered) {
+        ModelConnection connection = answered.connection;
+        Optional<ExploredCall> current =
+                calls.stream().filter(call -> call.open && call.connection == connection).findAny();
+        if (current.isEmpty()) {
+            connection.receive(answered.sentStatus, answered.sentHeaders);
+        } else if (receiveHead(current.get(), answered.sentStatus, answered.sentHeaders)) {
+            complete(current.get());
+        }
+    }
+
+    /** Receives a head on the connection of a call; returns whether it counts as its answer. */
+    private boolean receiveHead(ExploredCall call, int status, Map<String, String> headers) {
+        switch (call.connection.receive(status, headers)) {
+            case SKIPPED -> call.receiver.onAnswerSkipped(new SkippedAnswer(status, 0));
+            case CLOSES -> fail(call, HttpFailure.Kind.ANSWER_INVALID);
+            default -> {
+                call.headReceived = true;
+                call.receiver.onHead(status, headers);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether the copy of a call's answer may arrive before any other answer. */
+    boolean mayCopy(ExploredCall answered) {
+        if (!answered.isAnswered() || !answered.connection.isOpen()) {
+            return false;
+        }
+        return calls.stream()
+                .filter(call -> call.connection == answered.connection && call != answered)
+                .noneMatch(
+                        call -> call.headReceived && calls.indexOf(call) > calls.indexOf(answered));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/RequestOrderTest.java
@@ -0,0 +1,168 @@
+package org.tarragonlug.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** All orders of events of one request, up to a number of events. */
+class RequestOrderTest {
+    private static final int DEPTH = Integer.getInteger("tarragonlug.order.depth", 5);
+    private static final int DISTURBANCES = Integer.getInteger("tarragonlug.order.disturbances", 1);
+
+    /** Number of events where only copies and returns of the caller disturb the ordinary course. */
+    private static final int DEPTH_OF_REPEATS =
+            Integer.getInteger("tarragonlug.order.repeats.depth", 7);
+
+    private static OrderExplorer.Result explore(
+            ConnectionRule rule,
+            ExploredFleet fleet,
+            ExploredRequestKind kind,
+            Predicate<ExploredEvent> explored,
+            int depth,
+            int disturbances) {
+        long start = System.nanoTime();
+        OrderExplorer.Result result =
+                new OrderExplorer(
+                                () -> new ExploredWorld(kind, fleet, rule),
+                                explored,
+                                depth,
+                                disturbances)
+                        .explore();
+        System.out.printf(
+                "%s %s %s: %d states, %d transitions, up to %d events, %d disturbances, %d ms%n",
+                rule,
+                fleet,
+                kind,
+                result.states(),
+                result.transitions(),
+                result.depth(),
+                disturbances,
+                (System.nanoTime() - start) / 1_000_000);
+        result.shortestOrders()
+                .forEach((fault, order) -> System.out.println("  " + fault + ": " + order));
+        return result;
+    }
+
+    @Nested
+    class WithThePresentRule {
+        static Stream<Arguments> combinations() {
+            return Stream.of(ExploredFleet.values())
+                    .flatMap(
+                            fleet ->
+                                    Stream.of(ExploredRequestKind.values())
+                                            .map(kind -> Arguments.of(fleet, kind)));
+        }
+
+        // Guards against an order of events in which a request runs too often, runs although its
+        // caller was told that it has not, is at two servers, or does not end exactly once.
+        @ParameterizedTest
+        @MethodSource("combinations")
+        void noOrderBreaksAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
+            OrderExplorer.Result result =
+                    explore(
+                            ConnectionRule.CARRIED_CALLS,
+                            fleet,
+                            kind,
+                            event -> !event.breaksAssumption(),
+                            DEPTH,
+                            DISTURBANCES);
+            assertEquals(Map.of(), result.shortestOrders());
+        }
+
+        // Guards against the copy of an answer that counts as the answer to a later send, however
+        // often the request is sent and refused before.
+        @ParameterizedTest
+        @MethodSource("combinations")
+        void noCopyBreaksAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
+            OrderExplorer.Result result =
+                    explore(
+                            ConnectionRule.CARRIED_CALLS,
+                            fleet,
+                            kind,
+                            event -> event.isOrdinary() || event.repeats(),
+                            DEPTH_OF_REPEATS,
+                            2);
+            assertEquals(Map.of(), result.shortestOrders());
+        }
+    }
+
+    @Nested
+    class WithEarlierRules {
+        private Set<ExploredFault> explored(ConnectionRule rule, ExploredFleet fleet, int depth) {
+            return explore(
+                            rule,
+                            fleet,
+                            ExploredRequestKind.NON_IDEMPOTENT,
+                            event -> event.isOrdinary() || event.repeats(),
+                            depth,
+                            2)
+                    .shortestOrders()
+                    .keySet();
+        }
+
+        // Guards against an exploration that would not notice that a connection carries a request
+        // twice where two servers share an address.
+        @ParameterizedTest
+        @EnumSource
+        void copyAtASharedAddressIsFound(ConnectionRule rule) {
+            assertEquals(
+                    faults(rule, ExploredFault.BEGUN_TOO_OFTEN),
+                    explored(rule, ExploredFleet.REUSED_ADDRESS, 7));
+        }
+
+        // Guards against an exploration that would not notice that a request is forgotten when it
+        // ends, so that the caller's return is sent on the connection that refused it.
+        @ParameterizedTest
+        @EnumSource
+        void copyAfterTheReturnOfTheCallerIsFound(ConnectionRule rule) {
+            assertEquals(faults(rule), explored(rule, ExploredFleet.ONE_SERVER, 6));
+        }
+
+        // Guards against the same if the copy makes the request go on at a second server.
+        @ParameterizedTest
+        @EnumSource
+        void secondRunAfterTheReturnOfTheCallerIsFound(ConnectionRule rule) {
+            assertEquals(
+                    faults(rule, ExploredFault.BEGUN_TOO_OFTEN),
+                    explored(rule, ExploredFleet.TWO_SERVERS, 10));
+        }
+
+        private Set<ExploredFault> faults(ConnectionRule rule, ExploredFault... further) {
+            if (rule == ConnectionRule.CARRIED_CALLS) {
+                return Set.of();
+            }
+            return EnumSet.of(ExploredFault.BEGUN_THOUGH_PROMISED, further);
+        }
+    }
+
+    @Nested
+    class BrokenAssumptions {
+        // Guards against an exploration that would not notice a promise about a request that a
+        // server has begun, and shows on what of servers and libraries the promise rests.
+        @ParameterizedTest
+        @EnumSource(names = {"FAILS_AS_IF_REFUSED_WITH_SEAL", "WRITTEN_AFTER_ALL"})
+        void breaksThePromise(ExploredEvent broken) {
+            Map<ExploredFault, List<String>> found =
+                    explore(
+                                    ConnectionRule.CARRIED_CALLS,
+                                    ExploredFleet.ONE_SERVER,
+                                    ExploredRequestKind.NON_IDEMPOTENT,
+                                    event -> event.isOrdinary() || event == broken,
+                                    5,
+                                    1)
+                            .shortestOrders();
+            assertTrue(found.containsKey(ExploredFault.BEGUN_THOUGH_PROMISED));
+        }
+    }
+}
