Store stand-in: late answers, a standstill and cut watches

The stand-in of the platform's store can now answer late, stand still (calls take effect when it goes on) and close the connections of waiting watches; the length of a page of a list is a parameter, so that a list of 92 servers has one page in place of 31.

--- a/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
@@ -7,6 +7,7 @@
 import io.servicetalk.transport.api.IoExecutor;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -16,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.tarragonlug.http.JsonFields;
 
 /**
@@ -23,13 +25,19 @@
  * long-polling watches. Tests can inject faults.
  */
 public final class PlatformStoreStandIn implements AutoCloseable {
-    private static final int PAGE_SIZE = 3;
+    /** Objects of a page; so few that lists of tests have several pages. */
+    private static final int SMALL_PAGE = 3;
 
     private record Change(long revision, String kind, ObjectNode object, boolean deleted) {}
 
-    private record Watch(String kind, long after, CompletableFuture<StandInReply> answer) {}
+    private record Watch(
+            String kind,
+            long after,
+            CompletableFuture<StandInReply> answer,
+            Runnable connectionCloser) {}
 
     private final StandInServer server;
+    private final int pageSize;
     private final Map<String, TreeMap<String, ObjectNode>> objects = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
@@ -42,6 +50,10 @@
     private int callCount;
     private int forcedStatus;
     private boolean losesAnswersToWrites;
+    private Duration delay = Duration.ZERO;
+
+    /** Ends when the store no longer stands still; it has ended if the store does not. */
+    private CompletableFuture<Void> standstill = CompletableFuture.completedFuture(null);
 
     /**
      * Creates the stand-in and listens on loopback.
@@ -49,6 +61,17 @@
      * @param ioExecutor runs the connections
      */
     public PlatformStoreStandIn(IoExecutor ioExecutor) {
+        this(ioExecutor, SMALL_PAGE);
+    }
+
+    /**
+     * Creates the stand-in and listens on loopback.
+     *
+     * @param ioExecutor runs the connections
+     * @param pageSize number of objects that one answer to a list holds
+     */
+    public PlatformStoreStandIn(IoExecutor ioExecutor, int pageSize) {
+        this.pageSize = pageSize;
         this.server = new StandInServer(ioExecutor, this::handle).start();
     }
 
@@ -71,6 +94,36 @@
         losesAnswersToWrites = loses;
     }
 
+    /** Sets the time by which all answers are late; each call takes effect at once. */
+    public synchronized void delayAnswers(Duration time) {
+        delay = time;
+    }
+
+    /**
+     * Sets whether the store stands still: calls neither take effect nor are answered. Those that
+     * it has received meanwhile take effect when it goes on.
+     */
+    public void setStandingStill(boolean standing) {
+        CompletableFuture<Void> ended;
+        synchronized (this) {
+            if (standing == !standstill.isDone()) {
+                return;
+            }
+            ended = standstill;
+            standstill = new CompletableFuture<>();
+            if (!standing) {
+                standstill.complete(null);
+            }
+        }
+        ended.complete(null);
+    }
+
+    /** Closes the connections of all waiting watches. */
+    public synchronized void cutWatches() {
+        watches.forEach(watch -> watch.connectionCloser().run());
+        watches.clear();
+    }
+
     /** Stops answering on all open connections; new connections work. */
     public void silenceOpenConnections() {
         server.silenceOpenConnections();
@@ -165,7 +218,22 @@
         }
     }
 
-    private synchronized CompletionStage<StandInReply> handle(StandInRequest request) {
+    private CompletionStage<StandInReply> handle(StandInRequest request) {
+        CompletableFuture<Void> begin;
+        long delayMillis;
+        synchronized (this) {
+            begin = standstill;
+            delayMillis = delay.toMillis();
+        }
+        CompletionStage<StandInReply> reply = begin.thenCompose(ended -> execute(request));
+        return delayMillis == 0
+                ? reply
+                : reply.thenApplyAsync(
+                        Function.identity(),
+                        CompletableFuture.delayedExecutor(delayMillis, TimeUnit.MILLISECONDS));
+    }
+
+    private synchronized CompletionStage<StandInReply> execute(StandInRequest request) {
         callCount++;
         if (forcedStatus != 0) {
             return done(StandInReply.empty(forcedStatus));
@@ -230,7 +298,7 @@
         if (changed) {
             return done(events(kind, after));
         }
-        Watch watch = new Watch(kind, after, new CompletableFuture<>());
+        Watch watch = new Watch(kind, after, new CompletableFuture<>(), request.closeConnection());
         watches.add(watch);
         long waitMillis = Long.parseLong(request.query().getOrDefault("wait_ms", "0"));
         return watch.answer()
@@ -242,11 +310,11 @@
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         ArrayNode items = body.putArray("items");
         for (ObjectNode object : objectsOfKind(kind).tailMap(after, false).values()) {
-            if (items.size() < PAGE_SIZE) {
+            if (items.size() < pageSize) {
                 items.add(object);
             }
         }
-        body.put("has_more", objectsOfKind(kind).tailMap(after, false).size() > PAGE_SIZE);
+        body.put("has_more", objectsOfKind(kind).tailMap(after, false).size() > pageSize);
         body.put("as_of", revision);
         return reply(200, body);
     }
