--- a/src/main/java/org/tarragonlug/soak/CallerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/CallerConnection.java
@@ -44,10 +44,12 @@
     }
 
     /** Sends a request. */
-    void send(RequestId id, RequestKind kind, int bodyBytes) throws IOException {
+    void send(RequestId id, CallerRequest request) throws IOException {
+        RequestKind kind = request.kind();
+        int bodyBytes = request.bodyBytes();
         String model =
                 kind.isStreaming()
-                        ? header(RequestHeaders.MODEL, RequestKind.MODEL)
+                        ? header(RequestHeaders.MODEL, request.model())
                                 + header(RequestHeaders.TOKEN_COUNT, "10,10")
                         : "";
         String head =
@@ -59,6 +61,9 @@
                         + header(RequestHeaders.REQUEST_ID, id.value())
                         + header(RequestHeaders.DEADLINE, Long.toString(kind.deadlineMillis()))
                         + model
+                        + request.key()
+                                .map(key -> header("authorization", "Token " + key))
+                                .orElse("")
                         + header("content-length", Integer.toString(bodyBytes))
                         + "\r\n";
         String message = head + "b".repeat(bodyBytes);
--- a/src/main/java/org/tarragonlug/soak/RecoveryProbe.java
+++ b/src/main/java/org/tarragonlug/soak/RecoveryProbe.java
@@ -10,15 +10,17 @@
 
     private final SoakCaller caller;
     private final Set<RequestKind> unserved =
-            Collections.synchronizedSet(EnumSet.allOf(RequestKind.class));
+            Collections.synchronizedSet(EnumSet.noneOf(RequestKind.class));
 
     /**
      * Creates a probe.
      *
      * @param caller a caller that uses the one gateway only
+     * @param kinds the kinds of requests that must be served
      */
-    RecoveryProbe(SoakCaller caller) {
+    RecoveryProbe(SoakCaller caller, Set<RequestKind> kinds) {
         this.caller = caller;
+        unserved.addAll(kinds);
     }
 
     /** Sends a request of each kind that was not served yet. */
--- a/src/main/java/org/tarragonlug/soak/RequestKind.java
+++ b/src/main/java/org/tarragonlug/soak/RequestKind.java
@@ -9,9 +9,6 @@
     PAY("ledger", "/pay/", false, false),
     LOOK("ledger", "/look/", false, true);
 
-    /** Model of the service whose requests are streams. */
-    static final String MODEL = "m1";
-
     private final String service;
     private final String path;
     private final boolean streaming;
--- a/src/main/java/org/tarragonlug/soak/RequestRecord.java
+++ b/src/main/java/org/tarragonlug/soak/RequestRecord.java
@@ -18,10 +18,12 @@
     }
 
     final RequestKind kind;
-    final int gateway;
     final List<Run> runs = new ArrayList<>();
 
-    /** Status of an answer that says that the request was not run; 0 for none. */
+    /** The gateway to which it was sent last. */
+    int gateway;
+
+    /** Status of the answer to the last send that says that it was not run; 0 for none. */
     int refusalStatus;
 
     RequestRecord(RequestKind kind, int gateway) {
--- a/src/main/java/org/tarragonlug/soak/ServerAnswers.java
+++ b/src/main/java/org/tarragonlug/soak/ServerAnswers.java
@@ -26,7 +26,7 @@
     }
 
     private static String named(SoakServer server, RequestId id) {
-        String load = server.running.get() + ",0," + SoakServer.SLOTS;
+        String load = server.running.get() + ",0," + server.listing.slots();
         String leaving = server.isLeaving() ? "Server-Leaving: 1\r\n" : "";
         return header(ServerAnswer.REQUEST_ID, id.value())
                 + header(ServerAnswer.LOAD, load)
@@ -48,10 +48,11 @@
      *
      * @param pauseMillis how long it wants none; 0 if it does not say
      */
-    static byte[] full(SoakServer server, RequestId id, long pauseMillis) {
+    static byte[] refusal(SoakServer server, RequestId id, RefusalKind kind, long pauseMillis) {
         String pause =
                 pauseMillis == 0 ? "" : "Retry-After: " + pauseMillis / MILLIS_PER_SECOND + "\r\n";
-        return answer(503, named(server, id) + NOT_EXECUTED + pause, "");
+        String instance = header(ServerAnswer.INSTANCE, server.id);
+        return answer(kind.status(), named(server, id) + NOT_EXECUTED + instance + pause, "");
     }
 
     static byte[] failed(SoakServer server, RequestId id) {
@@ -79,10 +80,10 @@
             return answer(421, instance, "");
         }
         if (path.startsWith(PlatformPaths.REPORT)) {
-            String models = "[{\"name\":\"" + RequestKind.MODEL + "\",\"adapters\":[]}]";
+            String models = server.listing.models().toString();
             return answer(200, "", "{\"models\":" + models + ",\"busy\":false,\"seq\":0}");
         }
-        // The one model is there from the start, so that no order is due.
+        // The models are there from the start, so that no order is due.
         return path.startsWith(PlatformPaths.ORDER)
                 ? answer(409, "", "")
                 : answer(200, instance, "");
--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -8,33 +8,25 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.Arrays;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.ReentrantLock;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.platform.RequestHeaders;
 
 /**
- * A connection of a {@link SoakServer}. It serves one request at a time. Copies of earlier answers
- * are written between answers only: the lock is held from the first byte of an answer to its last.
+ * A connection of a {@link SoakServer}. It serves one request at a time; {@link AnswerCopies} sends
+ * answers once more.
  */
 final class ServerConnection {
     private static final int LONGEST_IDLE_MILLIS = 60_000;
     private static final int EVENT_PAUSE_MILLIS = 20;
     private static final int SILENCE_MILLIS = 1800;
-    private static final int COPY_PART_PAUSE_MILLIS = 15;
 
     private final SoakServer server;
     private final Socket socket;
     private final PushbackInputStream input;
     private final OutputStream output;
     private final ReentrantLock answering = new ReentrantLock();
-
-    /** The request that waits for its answer; null if there is none. */
-    private volatile RequestId waiting;
-
-    /** The request whose answer was copied since the last request; null if there is none. */
-    private RequestId copiedWhileIdle;
+    private final AnswerCopies copies;
 
     /** The last event that the caller of a stream already has. */
     private int lastEvent;
@@ -44,6 +36,7 @@
         this.socket = socket;
         this.input = new PushbackInputStream(new BufferedInputStream(socket.getInputStream()));
         this.output = socket.getOutputStream();
+        this.copies = new AnswerCopies(server, socket, output, answering);
         socket.setTcpNoDelay(true);
     }
 
@@ -72,34 +65,21 @@
         }
         RequestId id = new RequestId(name);
         Treatment treatment = server.nextTreatment(misdirected);
-        begin(id);
+        copies.onRequest(id);
         String received = head.header("last-event-id");
         lastEvent = received.isEmpty() ? 0 : Integer.parseInt(received);
-        byte[] answer = misdirected ? misdirected(id) : answerOrRun(id, treatment);
-        waiting = null;
-        if (answer.length > 0 && treatment.copyDelayMillis() >= 0) {
-            scheduleCopy(id, answer, treatment);
+        byte[] answer = misdirected ? misdirected(id, treatment) : answerOrRun(id, treatment);
+        if (answer.length > 0 && treatment.copy().isPresent()) {
+            CopyForm form = treatment.copy().get();
+            copies.onAnswered(id, answer, form, treatment.copyDelayMillis());
+        } else {
+            copies.onAnswered();
         }
         return treatment.outcome() == Treatment.Outcome.BROKEN_OFF && !treatment.refused()
                 ? Treatment.End.RESET
                 : endLater(treatment);
     }
 
-    private void begin(RequestId id) {
-        answering.lock();
-        try {
-            if (copiedWhileIdle != null) {
-                // The request and the copy have crossed, since gateways use no connection on
-                // which bytes have arrived between two requests.
-                count(copiedWhileIdle, id);
-            }
-            copiedWhileIdle = null;
-            waiting = id;
-        } finally {
-            answering.unlock();
-        }
-    }
-
     private Treatment.End endLater(Treatment treatment) throws IOException {
         if (treatment.end() != Treatment.End.KEEP && treatment.endDelayMillis() > 0) {
             isPeerGone((int) treatment.endDelayMillis());
@@ -107,21 +87,21 @@
         return treatment.end();
     }
 
-    private byte[] misdirected(RequestId id) throws IOException {
+    private byte[] misdirected(RequestId id, Treatment treatment) throws IOException {
         server.counts.misdirected.incrementAndGet();
-        return write(ServerAnswers.misdirected(server, id));
+        return write(ServerAnswers.misdirected(server, id), treatment);
     }
 
     /** Returns the bytes of the answer if they may be copied. */
     private byte[] answerOrRun(RequestId id, Treatment treatment) throws IOException {
         server.pause(treatment.pauseMillis());
         long pause = server.pauseMillis();
-        if (server.running.incrementAndGet() > SoakServer.SLOTS
+        if (server.running.incrementAndGet() > server.listing.slots()
                 || treatment.refused()
                 || pause > 0) {
             server.running.decrementAndGet();
             server.counts.refusals.incrementAndGet();
-            return write(ServerAnswers.full(server, id, pause));
+            return write(ServerAnswers.refusal(server, id, treatment.refusal(), pause), treatment);
         }
         server.counts.runs.incrementAndGet();
         server.checker.onBegun(id, server.id, server.service, SoakClock.millis());
@@ -138,7 +118,7 @@
             throw new EOFException("the gateway has withdrawn the request");
         }
         if (treatment.outcome() == Treatment.Outcome.FAILED) {
-            return write(ServerAnswers.failed(server, id));
+            return write(ServerAnswers.failed(server, id), treatment);
         }
         boolean whole = treatment.outcome() == Treatment.Outcome.WHOLE;
         if (server.service.equals(RequestKind.ASK.service())) {
@@ -146,7 +126,7 @@
             return new byte[0];
         }
         byte[] answer = ServerAnswers.success(server, id);
-        return write(whole ? answer : Arrays.copyOf(answer, answer.length / 2));
+        return whole ? write(answer, treatment) : write(Arrays.copyOf(answer, answer.length / 2));
     }
 
     private void stream(RequestId id, Treatment treatment, boolean whole) throws IOException {
@@ -184,6 +164,12 @@
         }
     }
 
+    /** Writes an answer, with its copy if both come in one write; returns the answer. */
+    private byte[] write(byte[] answer, Treatment treatment) throws IOException {
+        write(treatment.copy().map(form -> form.firstWrite(answer)).orElse(answer));
+        return answer;
+    }
+
     private byte[] write(byte[] answer) throws IOException {
         answering.lock();
         try {
@@ -193,47 +179,4 @@
             answering.unlock();
         }
     }
-
-    private void scheduleCopy(RequestId id, byte[] answer, Treatment treatment) {
-        server.timers.schedule(
-                () -> sendCopy(id, answer, treatment.copyDivided()),
-                treatment.copyDelayMillis(),
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void sendCopy(RequestId id, byte[] answer, boolean divided) {
-        if (!answering.tryLock()) {
-            return;
-        }
-        try {
-            RequestId met = waiting;
-            int firstPart = divided ? answer.length / 2 : answer.length;
-            output.write(answer, 0, firstPart);
-            if (divided) {
-                Thread.sleep(COPY_PART_PAUSE_MILLIS);
-                output.write(answer, firstPart, answer.length - firstPart);
-            }
-            server.counts.copies.incrementAndGet();
-            if (met == null) {
-                copiedWhileIdle = id;
-            } else {
-                count(id, met);
-            }
-        } catch (IOException ended) {
-            // The connection has ended, and the copy with it.
-            return;
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        } finally {
-            answering.unlock();
-        }
-    }
-
-    private void count(RequestId copied, RequestId met) {
-        AtomicLong counted =
-                copied.equals(met)
-                        ? server.counts.copiesBeforeSame
-                        : server.counts.copiesBeforeOther;
-        counted.incrementAndGet();
-    }
 }
--- a/src/main/java/org/tarragonlug/soak/ServerCounts.java
+++ b/src/main/java/org/tarragonlug/soak/ServerCounts.java
@@ -1,5 +1,8 @@
 package org.tarragonlug.soak;
 
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** What the servers of a soak have done, over all of them. */
@@ -10,7 +13,7 @@
     /** Refusals because the request was meant for another server. */
     final AtomicLong misdirected = new AtomicLong();
 
-    final AtomicLong copies = new AtomicLong();
+    private final Map<CopyForm, AtomicLong> copies = new EnumMap<>(CopyForm.class);
 
     /** Copies that were sent while another request waited on the connection. */
     final AtomicLong copiesBeforeOther = new AtomicLong();
@@ -20,6 +23,29 @@
 
     final AtomicLong starts = new AtomicLong();
 
+    ServerCounts() {
+        for (CopyForm form : CopyForm.values()) {
+            copies.put(form, new AtomicLong());
+        }
+    }
+
+    /** Returns the number of answers that were sent once more in a form. */
+    AtomicLong copies(CopyForm form) {
+        return copies.get(form);
+    }
+
+    private String copyLine() {
+        StringBuilder line = new StringBuilder();
+        long sum = 0;
+        for (CopyForm form : CopyForm.values()) {
+            long count = copies.get(form).get();
+            sum += count;
+            line.append(" copies_").append(form.name().toLowerCase(Locale.ROOT)).append('=');
+            line.append(count);
+        }
+        return " copies=" + sum + line;
+    }
+
     /** Returns all counts as one line of key=value. */
     String line() {
         return "server_runs="
@@ -28,8 +54,7 @@
                 + refusals
                 + " server_misdirected="
                 + misdirected
-                + " copies="
-                + copies
+                + copyLine()
                 + " copies_before_other_request="
                 + copiesBeforeOther
                 + " copies_before_same_request="
--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -2,10 +2,10 @@
 
 import io.servicetalk.transport.api.IoExecutor;
 import java.io.IOException;
-import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.Executors;
@@ -13,8 +13,8 @@
 import java.util.function.Consumer;
 import org.tarragonlug.gateway.GatewaySettings;
 import org.tarragonlug.http.IoThreads;
+import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.platform.PlatformKinds;
-import org.tarragonlug.runtime.Json;
 import org.tarragonlug.standin.PlatformStoreStandIn;
 import org.tarragonlug.trial.GatewayTrial;
 
@@ -25,8 +25,11 @@
 public final class Soak {
     private static final int IO_THREADS = 2;
     private static final int TIMER_THREADS = 4;
-    private static final int FEWEST_CALLERS = 40;
-    private static final int CALLERS_OF_GATEWAY = 3;
+    private static final int STORE_PAGE_SIZE = 500;
+
+    /** Processes that start at the same time; more delay each other beyond their time to start. */
+    private static final int GATEWAYS_OF_A_START = 4;
+
     private static final long STEP_MILLIS = 20;
     private static final long SECOND_MILLIS = 1000;
     private static final long RECOVERY_MILLIS = 15_000;
@@ -34,6 +37,7 @@
     private record Running(PlannedFault fault, SoakFaultKind.Context context) {}
 
     private final SoakSettings settings;
+    private final SoakShape shape;
     private final Consumer<String> output;
     private final SoakChecker checker = new SoakChecker();
     private final ServerCounts counts = new ServerCounts();
@@ -57,6 +61,7 @@
      */
     public Soak(SoakSettings settings, Consumer<String> output) {
         this.settings = settings;
+        this.shape = settings.shape();
         this.output = output;
     }
 
@@ -69,10 +74,13 @@
     public boolean run() throws IOException, InterruptedException {
         IoExecutor ioExecutor = IoThreads.create(IO_THREADS);
         ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
-        store = new PlatformStoreStandIn(ioExecutor);
+        store = new PlatformStoreStandIn(ioExecutor, STORE_PAGE_SIZE);
         try {
-            configure();
-            fleet = new SoakFleet(settings.seed(), store, checker, counts, timers);
+            store.put(
+                    PlatformKinds.CONFIGURATION,
+                    PlatformKinds.CURRENT_CONFIGURATION,
+                    SoakConfiguration.of(shape));
+            fleet = new SoakFleet(settings.seed(), shape, store, checker, counts, timers);
             startGateways();
             runFaults();
             print();
@@ -90,22 +98,23 @@
         }
     }
 
-    private void configure() throws IOException {
-        try (InputStream configuration = Soak.class.getResourceAsStream("/soak.json")) {
-            store.put(
-                    PlatformKinds.CONFIGURATION,
-                    PlatformKinds.CURRENT_CONFIGURATION,
-                    Json.read(configuration.readAllBytes()));
+    private void startGateways() throws IOException, InterruptedException {
+        for (int number = 0; number < shape.gateways(); number++) {
+            FailureDomain domain = new FailureDomain(shape.failureDomain(number));
+            GatewaySettings each = GatewayTrial.settings(store, "gateway-" + number, domain);
+            Random random = random("gateway " + number);
+            gateways.add(new SoakGateway(number, settings, each, checker, random));
+            if (gateways.size() % GATEWAYS_OF_A_START == 0) {
+                awaitReady();
+            }
         }
+        awaitReady();
     }
 
-    private void startGateways() throws IOException, InterruptedException {
-        for (int number = 0; number < settings.gateways(); number++) {
-            GatewaySettings each = GatewayTrial.settings(store, "gateway-" + number);
-            Random random = random("gateway " + number);
-            SoakGateway started = new SoakGateway(number, settings, each, checker, random);
-            gateways.add(started);
-            // Many processes that start at once delay each other beyond the time that they have.
+    private void awaitReady() throws IOException, InterruptedException {
+        int last = gateways.size();
+        for (SoakGateway started :
+                gateways.subList(Math.max(0, last - GATEWAYS_OF_A_START), last)) {
             started.awaitReady();
         }
     }
@@ -117,13 +126,13 @@
     private void runFaults() throws IOException, InterruptedException {
         startMillis = SoakClock.millis();
         CallerThreads callers = new CallerThreads();
-        int callerCount = Math.max(FEWEST_CALLERS, CALLERS_OF_GATEWAY * settings.gateways());
-        for (int number = 0; number < callerCount; number++) {
-            callers.start(caller("c" + number, gateways)::work);
+        for (int number = 0; number < shape.callers().callers(); number++) {
+            callers.start(caller("c" + number, gateways, shape.key(number))::work);
         }
         long length = settings.seconds() * SECOND_MILLIS;
         List<PlannedFault> planned =
-                new SoakSchedule(settings.seed(), length, settings.gateways()).faults();
+                new SoakSchedule(settings.seed(), length, shape.gateways(), shape.faults())
+                        .faults();
         for (PlannedFault fault : planned) {
             advanceUntil(fault.startMillis());
             start(fault);
@@ -134,8 +143,8 @@
         callers.stop();
     }
 
-    private SoakCaller caller(String name, List<SoakGateway> reachable) {
-        return new SoakCaller(name, reachable, checker, tally, random(name));
+    private SoakCaller caller(String name, List<SoakGateway> reachable, Optional<String> key) {
+        return new SoakCaller(name, reachable, shape, key, checker, tally, random(name));
     }
 
     /** Ends faults when they are due and replaces processes, until some time after the start. */
@@ -188,8 +197,9 @@
         CallerThreads probes = new CallerThreads();
         List<RecoveryProbe> recoveries = new ArrayList<>();
         for (SoakGateway gateway : gateways) {
-            SoakCaller caller = caller("r" + gateway.number(), List.of(gateway));
-            RecoveryProbe recovery = new RecoveryProbe(caller);
+            SoakCaller caller =
+                    caller("r" + gateway.number(), List.of(gateway), shape.unlimitedKey());
+            RecoveryProbe recovery = new RecoveryProbe(caller, shape.callers().requests().keySet());
             recoveries.add(recovery);
             probes.start(recovery::step);
         }
@@ -220,8 +230,8 @@
                 + processes
                 + " longest_delay_ms="
                 + longestDelayMillis
-                + " findings="
-                + checker.findings().size();
+                + " "
+                + checker.line();
     }
 
     private void print() throws IOException {
--- a/src/main/java/org/tarragonlug/soak/SoakCaller.java
+++ b/src/main/java/org/tarragonlug/soak/SoakCaller.java
@@ -3,16 +3,16 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.tarragonlug.id.RequestId;
 
 /**
  * A caller with one connection, which it uses until the gateway is gone. After an answer that
- * promises that its request was not run, it comes back under a new id, as the answer asks.
+ * promises that its request was not run, it comes back on a new connection when the answer says,
+ * under a new id or with the same one.
  */
 final class SoakCaller {
-    private static final int MOST_ATTEMPTS = 3;
-    private static final int LONGEST_PAUSE_MILLIS = 60;
     private static final int UNREACHABLE_PAUSE_MILLIS = 20;
     private static final int LARGE_BODY_PERCENT = 5;
     private static final int LARGE_BODY_BYTES = 30_000;
@@ -27,8 +27,11 @@
     private final SoakChecker checker;
     private final SoakTally tally;
     private final Random random;
+    private final SoakShape shape;
+    private final Optional<String> key;
     private CallerConnection connection;
     private SoakGateway gateway;
+    private boolean returnsToSameGateway;
     private int works;
 
     /**
@@ -36,6 +39,8 @@
      *
      * @param name beginning of the ids of its requests
      * @param gateways the gateways that it may use
+     * @param shape what it sends and how it comes back
+     * @param key key of its client account; empty if it has none
      * @param checker receives what it sees
      * @param tally counts outcomes
      * @param random numbers for its choices
@@ -43,11 +48,15 @@
     SoakCaller(
             String name,
             List<SoakGateway> gateways,
+            SoakShape shape,
+            Optional<String> key,
             SoakChecker checker,
             SoakTally tally,
             Random random) {
         this.name = name;
         this.gateways = gateways;
+        this.shape = shape;
+        this.key = key;
         this.checker = checker;
         this.tally = tally;
         this.random = random;
@@ -55,18 +64,24 @@
 
     /** Sends a request of any kind, with its further attempts. */
     void work() throws InterruptedException {
-        RequestKind[] kinds = RequestKind.values();
-        work(kinds[random.nextInt(kinds.length)]);
-        Thread.sleep(random.nextInt(LONGEST_PAUSE_MILLIS));
+        work(shape.callers().draw(random));
+        Thread.sleep(random.nextInt(shape.callers().longestPauseMillis()));
     }
 
     /** Returns whether a request of a kind, with its further attempts, is served. */
     boolean work(RequestKind kind) throws InterruptedException {
         works++;
         long end = SoakClock.millis() + kind.deadlineMillis();
-        for (int attempt = 1; attempt <= MOST_ATTEMPTS; attempt++) {
-            RequestId id = new RequestId(name + "-" + works + "-" + attempt);
-            CallerAnswer refusal = attempt(id, kind);
+        ReturnShape returns = shape.callers().returns();
+        boolean sameId = SoakRandom.percent(random, returns.sameIdPercent());
+        CallerRequest request = drawRequest(kind);
+        for (int attempt = 0; attempt <= returns.most(); attempt++) {
+            int number = sameId ? 0 : attempt;
+            RequestId id = new RequestId(name + "-" + works + "-" + (number + 1));
+            if (attempt > 0) {
+                count(sameId);
+            }
+            CallerAnswer refusal = attempt(id, request);
             if (refusal == null || !SoakChecker.isRefusal(refusal.status())) {
                 return refusal != null && refusal.status() / 100 == 2 && refusal.complete();
             }
@@ -74,10 +89,23 @@
             if (!pauseBeforeReturn(refusal, end)) {
                 return false;
             }
+            returnsToSameGateway = SoakRandom.percent(random, returns.sameGatewayPercent());
         }
         return false;
     }
 
+    private void count(boolean sameId) {
+        (sameId ? tally.returnsWithSameId : tally.returnsWithNewId).incrementAndGet();
+    }
+
+    private CallerRequest drawRequest(RequestKind kind) {
+        String model = SoakShape.model(1 + random.nextInt(shape.models()));
+        int adapter = random.nextInt(1 + shape.adapters());
+        List<String> adapters = shape.adapterNames();
+        String name = adapter == 0 ? model : model + "/" + adapters.get(adapter - 1);
+        return new CallerRequest(kind, name, bodyBytes(), key);
+    }
+
     /** Waits as a refusal asks; returns false if it asks for more than a third of the time left. */
     private boolean pauseBeforeReturn(CallerAnswer refusal, long endMillis)
             throws InterruptedException {
@@ -91,12 +119,13 @@
     }
 
     /** Sends one request; returns its answer, or null if there is none. */
-    private CallerAnswer attempt(RequestId id, RequestKind kind) throws InterruptedException {
+    private CallerAnswer attempt(RequestId id, CallerRequest request) throws InterruptedException {
         if (!connect()) {
             tally.count(SoakTally.Outcome.UNREACHABLE);
             Thread.sleep(UNREACHABLE_PAUSE_MILLIS);
             return null;
         }
+        RequestKind kind = request.kind();
         checker.onSent(id, kind, gateway.number());
         long sent = SoakClock.millis();
         CallerAnswer answer = null;
@@ -105,7 +134,7 @@
             if (connection.unaskedBytes() > 0) {
                 checker.report(Check.OWN_ANSWER, id, "an answer came before the request");
             }
-            connection.send(id, kind, bodyBytes());
+            connection.send(id, request);
             answer = connection.receive(kind.deadlineMillis() + WAIT_BEYOND_DEADLINE_MILLIS);
             checker.onAnswer(id, answer);
             outcome = outcome(answer);
@@ -145,7 +174,10 @@
         if (connection != null) {
             return true;
         }
-        gateway = gateways.get(random.nextInt(gateways.size()));
+        if (gateway == null || !returnsToSameGateway) {
+            gateway = gateways.get(random.nextInt(gateways.size()));
+        }
+        returnsToSameGateway = false;
         try {
             connection = new CallerConnection(gateway.callerAddress());
             return true;
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -3,14 +3,21 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.platform.ServerAnswer;
 
 /**
- * Checks what servers and callers report. It does no I/O and reads no clock; times are milliseconds
- * of one clock. May be used by several threads.
+ * Checks what servers and callers report. A caller may send a request again with the same id after
+ * an answer that promises that it was not run. All sends of an id count as one request: a request
+ * that must not be repeated begins once at most over all of them. A promise must not follow a
+ * begin, whatever send it belongs to. A begin must not follow a promise, unless the caller has sent
+ * the id again since; which send a begin belongs to can't be seen at a server.
+ *
+ * <p>It does no I/O and reads no clock; times are milliseconds of one clock. May be used by several
+ * threads.
  */
 final class SoakChecker {
     /** How long a server may still work on a stream that has gone on at another one. */
@@ -37,7 +44,10 @@
 
     /** Records that a caller is about to send a request to a gateway. */
     synchronized void onSent(RequestId id, RequestKind kind, int gateway) {
-        requests.put(id, new RequestRecord(kind, gateway));
+        RequestRecord request =
+                requests.computeIfAbsent(id, sent -> new RequestRecord(kind, gateway));
+        request.gateway = gateway;
+        request.refusalStatus = 0;
     }
 
     /** Records that a server begins to run a request. */
@@ -161,6 +171,17 @@
         findings.add(new Finding(check, id, text));
     }
 
+    /** Returns the number of findings, in all and by check, as one line of key=value. */
+    synchronized String line() {
+        StringBuilder line = new StringBuilder("findings=" + findings.size());
+        for (Check check : Check.values()) {
+            long count = findings.stream().filter(each -> each.check() == check).count();
+            line.append(" found_").append(check.name().toLowerCase(Locale.ROOT)).append('=');
+            line.append(count);
+        }
+        return line.toString();
+    }
+
     /** Returns what was found so far. */
     synchronized List<Finding> findings() {
         return List.copyOf(findings);
--- /dev/null
+++ b/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
@@ -0,0 +1,51 @@
+package org.tarragonlug.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import org.tarragonlug.runtime.Json;
+
+/** Builds the configuration that the gateways of a soak get from the store. */
+final class SoakConfiguration {
+    private static final int WEIGHTS_MB = 60;
+    private static final int ADAPTER_MB = 1;
+    private static final int ADAPTER_SLOTS = 8;
+
+    private SoakConfiguration() {}
+
+    /** Returns the configuration for a shape. */
+    static ObjectNode of(SoakShape shape) throws IOException {
+        ObjectNode configuration = (ObjectNode) read("/soak.json");
+        for (JsonNode service : configuration.path("services")) {
+            if (service.has("engine")) {
+                addModels((ObjectNode) service.path("engine"), shape);
+            }
+        }
+        return configuration;
+    }
+
+    private static JsonNode read(String resource) throws IOException {
+        try (InputStream input = SoakConfiguration.class.getResourceAsStream(resource)) {
+            return Json.read(input.readAllBytes());
+        }
+    }
+
+    private static void addModels(ObjectNode engine, SoakShape shape) {
+        int held = shape.modelsOf(0).size();
+        engine.put("weights_mb", held * (WEIGHTS_MB + ADAPTER_SLOTS * ADAPTER_MB));
+        engine.put("adapter_slots", ADAPTER_SLOTS);
+        ArrayNode models = engine.putArray("models");
+        for (int number = 1; number <= shape.models(); number++) {
+            models.addObject()
+                    .put("name", SoakShape.model(number))
+                    .put("weights_mb", WEIGHTS_MB)
+                    .put("load_s", 0.3)
+                    .put("disk_s", 0.2)
+                    .put("warm_s", 0.1)
+                    .put("adapters", shape.adapters())
+                    .put("adapter_mb", ADAPTER_MB);
+        }
+    }
+}
--- a/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.soak;
 
+import java.time.Duration;
 import java.util.Random;
 import org.tarragonlug.standin.PlatformStoreStandIn;
 
@@ -34,6 +35,12 @@
             context ->
                     context.fleet()
                             .leave(context.random(), context.lengthMillis(), context.downMillis())),
+    /** A second id is listed at the address of a server. */
+    SERVER_SECOND_ID(
+            Target.SERVER,
+            context -> context.fleet().listSecondId(context.random(), context.listedMillis())),
+    /** A server goes down and up by turns, under its id or under a new one each time. */
+    SERVER_FLAP(Target.SERVER, Context::flap),
     /** A gateway is asked to end; a new process follows. */
     GATEWAY_TERMINATE(Target.GATEWAY, context -> context.gateway().terminate()),
     /** A gateway is killed; a new process follows. */
@@ -49,7 +56,19 @@
             context -> context.store().answerAllCallsWith(503),
             context -> context.store().answerAllCallsWith(0)),
     /** The store stops answering on its open connections; new connections work. */
-    STORE_CONNECTIONS_SILENT(Target.STORE, context -> context.store().silenceOpenConnections());
+    STORE_CONNECTIONS_SILENT(Target.STORE, context -> context.store().silenceOpenConnections()),
+    /** The store answers late. */
+    STORE_SLOW(
+            Target.STORE,
+            context -> context.store().delayAnswers(context.storeDelay()),
+            context -> context.store().delayAnswers(Duration.ZERO)),
+    /** The store stands still, and then answers all calls that it has received meanwhile. */
+    STORE_STANDSTILL(
+            Target.STORE,
+            context -> context.store().setStandingStill(true),
+            context -> context.store().setStandingStill(false)),
+    /** The store ends all waiting watches by closing their connections. */
+    STORE_CUTS_WATCHES(Target.STORE, context -> context.store().cutWatches());
 
     /** What a fault concerns. */
     enum Target {
@@ -83,6 +102,11 @@
         /** How much longer than the fault the old entry of a server stays listed. */
         private static final int LISTED_LONGER_MILLIS = 1000;
 
+        private static final int SHORTEST_TURN_MILLIS = 150;
+        private static final int LONGEST_TURN_MILLIS = 500;
+        private static final int SHORTEST_STORE_DELAY_MILLIS = 50;
+        private static final int LONGEST_STORE_DELAY_MILLIS = 1500;
+
         private long listedMillis() {
             return lengthMillis + LISTED_LONGER_MILLIS;
         }
@@ -90,6 +114,23 @@
         private long downMillis() {
             return random.nextInt(LONGEST_DOWN_MILLIS);
         }
+
+        private Duration storeDelay() {
+            return Duration.ofMillis(
+                    SoakRandom.between(
+                            random, SHORTEST_STORE_DELAY_MILLIS, LONGEST_STORE_DELAY_MILLIS));
+        }
+
+        private void flap() {
+            int turn = SoakRandom.between(random, SHORTEST_TURN_MILLIS, LONGEST_TURN_MILLIS);
+            fleet.flap(
+                    random,
+                    random.nextBoolean(),
+                    turn,
+                    random.nextInt(turn / 2),
+                    listedMillis(),
+                    (int) (lengthMillis / turn));
+        }
     }
 
     private final Target target;
--- a/src/main/java/org/tarragonlug/soak/SoakFleet.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFleet.java
@@ -1,31 +1,30 @@
 package org.tarragonlug.soak;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.TreeSet;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.tarragonlug.platform.PlatformKinds;
-import org.tarragonlug.runtime.Json;
 import org.tarragonlug.standin.FreePort;
 import org.tarragonlug.standin.PlatformStoreStandIn;
 
 /** The backend servers of a soak: places at fixed addresses, which servers come to and leave. */
 final class SoakFleet implements AutoCloseable {
-    private static final int PLACES_OF_SERVICE = 3;
     private static final long BIND_RETRY_MILLIS = 50;
 
     /** An address with the server that is there now. */
     private static final class Place {
+        final int number;
         final int port;
         String service;
         SoakServer server;
         boolean changing;
 
-        Place(int port, String service) {
+        Place(int number, int port, String service) {
+            this.number = number;
             this.port = port;
             this.service = service;
         }
@@ -37,6 +36,7 @@
     private final ServerCounts counts;
     private final ScheduledExecutorService timers;
     private final long seed;
+    private final SoakShape shape;
     private int starts;
     private boolean sound;
     private boolean closed;
@@ -44,19 +44,21 @@
     /** Starts and lists all servers. */
     SoakFleet(
             long seed,
+            SoakShape shape,
             PlatformStoreStandIn store,
             SoakChecker checker,
             ServerCounts counts,
             ScheduledExecutorService timers)
             throws IOException {
         this.seed = seed;
+        this.shape = shape;
         this.store = store;
         this.checker = checker;
         this.counts = counts;
         this.timers = timers;
-        for (String service : List.of("engines", "records", "ledger")) {
-            for (int place = 0; place < PLACES_OF_SERVICE; place++) {
-                Place added = new Place(FreePort.find().getPort(), service);
+        for (String service : new TreeSet<>(shape.services().keySet())) {
+            for (int number = 0; number < shape.services().get(service).servers(); number++) {
+                Place added = new Place(number, FreePort.find().getPort(), service);
                 places.add(added);
                 start(added, newId(service));
             }
@@ -70,27 +72,27 @@
 
     private void start(Place place, String id) throws IOException {
         Random random = SoakRandom.of(seed, id + "/" + counts.starts.get());
-        place.server =
-                new SoakServer(id, place.service, place.port, random, checker, counts, timers);
+        int refused = shape.faults().refusedPercent();
+        place.server = new SoakServer(id, listing(place), refused, random, checker, counts, timers);
         if (sound) {
             place.server.setSound();
         }
-        list(place, "ready");
-    }
-
-    private void list(Place place, String state) {
-        ObjectNode entry = Json.object();
-        entry.put("service", place.service);
-        entry.put("address", "127.0.0.1:" + place.port);
-        entry.put("zone", "home");
-        entry.put("slots", SoakServer.SLOTS);
-        entry.put("state", state);
-        entry.put("born", System.currentTimeMillis());
-        ArrayNode models = entry.putArray("models");
-        if (place.service.equals(RequestKind.ASK.service())) {
-            models.addObject().put("name", RequestKind.MODEL).putArray("adapters");
-        }
-        store.put(PlatformKinds.SERVERS, place.server.id, entry);
+        list(place, place.server.id, "ready");
+    }
+
+    private ServerListing listing(Place place) {
+        boolean holdsModels = place.service.equals(RequestKind.ASK.service());
+        return new ServerListing(
+                place.service,
+                place.port,
+                shape.failureDomain(place.number),
+                shape.services().get(place.service).slots(),
+                holdsModels ? shape.modelsOf(place.number) : List.of(),
+                shape.adapterNames());
+    }
+
+    private void list(Place place, String id, String state) {
+        store.put(PlatformKinds.SERVERS, id, listing(place).entry(state));
     }
 
     /** Draws a place whose server does not change now; null if the drawn one does. */
@@ -120,12 +122,16 @@
     synchronized void restart(Random random, boolean sameId, long downMillis, long listedMillis) {
         Place place = drawSteady(random);
         if (place != null) {
-            String oldId = place.server.id;
-            end(place, sameId ? -1 : listedMillis);
-            startAfter(place, sameId ? oldId : newId(place.service), downMillis);
+            restart(place, sameId, downMillis, listedMillis);
         }
     }
 
+    private void restart(Place place, boolean sameId, long downMillis, long listedMillis) {
+        String oldId = place.server.id;
+        end(place, sameId ? -1 : listedMillis);
+        startAfter(place, sameId ? oldId : newId(place.service), downMillis);
+    }
+
     /** Ends two servers of different services; each service then gets the address of the other. */
     synchronized void exchange(Random random, long downMillis, long listedMillis) {
         Place first = drawSteady(random);
@@ -151,7 +157,7 @@
         }
         place.changing = true;
         place.server.setLeaving();
-        list(place, "draining");
+        list(place, place.server.id, "draining");
         after(
                 drainMillis,
                 () -> {
@@ -160,6 +166,59 @@
                 });
     }
 
+    /**
+     * Lists a second id at the address of a server for some time. The server rejects what is meant
+     * for that id.
+     */
+    synchronized void listSecondId(Random random, long listedMillis) {
+        Place place = drawSteady(random);
+        if (place != null) {
+            String id = newId(place.service);
+            list(place, id, "ready");
+            after(listedMillis, () -> store.remove(PlatformKinds.SERVERS, id));
+        }
+    }
+
+    /**
+     * Lets a server go down and come back by turns.
+     *
+     * @param sameId whether it comes back under its id; else the old entry stays for some time
+     * @param turnMillis time between two ends of the server
+     * @param downMillis time between an end and the start after it
+     * @param listedMillis how long an old entry stays
+     * @param turns how often it goes down
+     */
+    synchronized void flap(
+            Random random,
+            boolean sameId,
+            long turnMillis,
+            long downMillis,
+            long listedMillis,
+            int turns) {
+        Place place = drawSteady(random);
+        if (place != null) {
+            flap(place, sameId, turnMillis, downMillis, listedMillis, turns);
+        }
+    }
+
+    private void flap(
+            Place place,
+            boolean sameId,
+            long turnMillis,
+            long downMillis,
+            long listedMillis,
+            int turns) {
+        if (closed || sound || turns == 0) {
+            return;
+        }
+        if (!place.changing) {
+            restart(place, sameId, downMillis, listedMillis);
+        }
+        after(
+                turnMillis,
+                () -> flap(place, sameId, turnMillis, downMillis, listedMillis, turns - 1));
+    }
+
     /** Ends a server. Its entry is removed after some time; a negative time keeps it. */
     private void end(Place place, long listedMillis) {
         place.changing = true;
--- a/src/main/java/org/tarragonlug/soak/SoakSchedule.java
+++ b/src/main/java/org/tarragonlug/soak/SoakSchedule.java
@@ -13,12 +13,6 @@
  */
 final class SoakSchedule {
     private static final int FIRST_MILLIS = 500;
-    private static final int LONGEST_SERVER_GAP_MILLIS = 300;
-
-    /** Time between two faults of one gateway; it is divided among all gateways. */
-    private static final int LONGEST_GATEWAY_GAP_MILLIS = 9000;
-
-    private static final int LONGEST_STORE_GAP_MILLIS = 9000;
     private static final int SHORTEST_FAULT_MILLIS = 100;
     private static final int LONGEST_FAULT_MILLIS = 2500;
 
@@ -32,13 +26,14 @@
      * @param seed seed of all choices
      * @param lengthMillis length of the run; all faults end by then
      * @param gateways number of gateways
+     * @param shape how often there are faults
      */
-    SoakSchedule(long seed, long lengthMillis, int gateways) {
+    SoakSchedule(long seed, long lengthMillis, int gateways, FaultShape shape) {
         this.lengthMillis = lengthMillis;
         this.gateways = gateways;
-        add(seed, SoakFaultKind.Target.SERVER, LONGEST_SERVER_GAP_MILLIS);
-        add(seed, SoakFaultKind.Target.GATEWAY, LONGEST_GATEWAY_GAP_MILLIS / gateways);
-        add(seed, SoakFaultKind.Target.STORE, LONGEST_STORE_GAP_MILLIS);
+        add(seed, SoakFaultKind.Target.SERVER, shape.longestServerGapMillis());
+        add(seed, SoakFaultKind.Target.GATEWAY, shape.longestGatewayGapMillis());
+        add(seed, SoakFaultKind.Target.STORE, shape.longestStoreGapMillis());
         faults.sort(Comparator.comparingLong(PlannedFault::startMillis));
     }
 
--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -13,12 +13,11 @@
 
 /** One start of a backend server, from its start to its end, on plain sockets. */
 final class SoakServer implements AutoCloseable {
-    static final int SLOTS = 4;
-
     private static final int BACKLOG = 200;
 
     final String id;
     final String service;
+    final ServerListing listing;
     final SoakChecker checker;
     final ServerCounts counts;
     final ScheduledExecutorService timers;
@@ -26,6 +25,7 @@
 
     private final ServerSocket listener;
     private final Random random;
+    private final int refusedPercent;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile boolean sound;
     private volatile boolean leaving;
@@ -36,8 +36,8 @@
      * Starts a server.
      *
      * @param id id of this start
-     * @param service service that it belongs to
-     * @param port port on loopback
+     * @param listing what it says of itself
+     * @param refusedPercent share of the requests that it refuses although it could run them
      * @param random numbers for its faults
      * @param checker receives what it runs
      * @param counts receives what it does
@@ -46,22 +46,25 @@
      */
     SoakServer(
             String id,
-            String service,
-            int port,
+            ServerListing listing,
+            int refusedPercent,
             Random random,
             SoakChecker checker,
             ServerCounts counts,
             ScheduledExecutorService timers)
             throws IOException {
         this.id = id;
-        this.service = service;
+        this.listing = listing;
+        this.service = listing.service();
+        this.refusedPercent = refusedPercent;
         this.random = random;
         this.checker = checker;
         this.counts = counts;
         this.timers = timers;
         listener = new ServerSocket();
         listener.setReuseAddress(true);
-        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+        listener.bind(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), listing.port()), BACKLOG);
         counts.starts.incrementAndGet();
         startThread("soak-server", this::accept);
     }
@@ -115,7 +118,7 @@
             if (sound) {
                 return Treatment.sound();
             }
-            Treatment drawn = Treatment.draw(random);
+            Treatment drawn = Treatment.draw(random, service, refusedPercent);
             return misdirected ? drawn.asRefusal(random) : drawn;
         }
     }
--- a/src/main/java/org/tarragonlug/soak/SoakSettings.java
+++ b/src/main/java/org/tarragonlug/soak/SoakSettings.java
@@ -8,9 +8,9 @@
  *
  * @param seed seed of all random choices
  * @param seconds length of the time with faults, in seconds
- * @param gateways number of gateway processes
- * @param directory directory in which they run
+ * @param shape what is played
+ * @param directory directory in which the gateway processes run
  * @param command program and arguments of a gateway process
  */
 public record SoakSettings(
-        long seed, int seconds, int gateways, Path directory, List<String> command) {}
+        long seed, int seconds, SoakShape shape, Path directory, List<String> command) {}
--- a/src/main/java/org/tarragonlug/soak/SoakTally.java
+++ b/src/main/java/org/tarragonlug/soak/SoakTally.java
@@ -25,6 +25,12 @@
         UNREACHABLE
     }
 
+    /** Sends of an id that was refused. */
+    final AtomicLong returnsWithSameId = new AtomicLong();
+
+    /** Requests that were sent under a new id after a refusal. */
+    final AtomicLong returnsWithNewId = new AtomicLong();
+
     private final Map<Outcome, AtomicLong> outcomes = new EnumMap<>(Outcome.class);
 
     SoakTally() {
@@ -46,6 +52,10 @@
                                 .append('=')
                                 .append(count)
                                 .append(' '));
-        return line.toString().strip();
+        return line
+                + "returns_with_same_id="
+                + returnsWithSameId
+                + " returns_with_new_id="
+                + returnsWithNewId;
     }
 }
--- a/src/main/java/org/tarragonlug/soak/Treatment.java
+++ b/src/main/java/org/tarragonlug/soak/Treatment.java
@@ -1,28 +1,31 @@
 package org.tarragonlug.soak;
 
+import java.util.Optional;
 import java.util.Random;
 
 /**
  * How a server treats a request, drawn at random.
  *
- * @param refused whether the server refuses it as if it were full
+ * @param refused whether the server refuses it although it could run it
+ * @param refusal how it says so, also when it has to refuse
  * @param pauseMillis pause that the refusal states; 0 for none
  * @param workMillis time until the answer begins
  * @param outcome what comes of a run
  * @param silentBeforeEvent event of a stream before which the server is silent; 0 for none
- * @param copyDelayMillis time after which the answer is sent once more; negative for never
- * @param copyDivided whether the copy comes in two parts
+ * @param copy how the answer is sent once more; empty for not at all
+ * @param copyDelayMillis time until then, if the form of the copy has one
  * @param end what happens to the connection after the answer
  * @param endDelayMillis when that happens
  */
 record Treatment(
         boolean refused,
+        RefusalKind refusal,
         long pauseMillis,
         long workMillis,
         Outcome outcome,
         int silentBeforeEvent,
+        Optional<CopyForm> copy,
         long copyDelayMillis,
-        boolean copyDivided,
         End end,
         long endDelayMillis) {
     /** What comes of a run. */
@@ -39,7 +42,6 @@
         RESET
     }
 
-    private static final int REFUSED_PERCENT = 15;
     private static final int PAUSE_PERCENT = 8;
     private static final int SHORTEST_PAUSE_MILLIS = 50;
     private static final int LONGEST_PAUSE_MILLIS = 400;
@@ -59,9 +61,14 @@
     private static final int RESET_PERCENT = 3;
     private static final int LONGEST_END_DELAY_MILLIS = 12;
 
-    /** Draws the treatment of a request. */
-    static Treatment draw(Random random) {
-        boolean refused = SoakRandom.percent(random, REFUSED_PERCENT);
+    /**
+     * Draws the treatment of a request.
+     *
+     * @param service service of the server
+     * @param refusedPercent share of the requests that it refuses
+     */
+    static Treatment draw(Random random, String service, int refusedPercent) {
+        boolean refused = SoakRandom.percent(random, refusedPercent);
         boolean paused = refused && SoakRandom.percent(random, PAUSE_PERCENT);
         int pause = SoakRandom.between(random, SHORTEST_PAUSE_MILLIS, LONGEST_PAUSE_MILLIS);
         int work = random.nextInt(LONGEST_WORK_MILLIS);
@@ -69,20 +76,24 @@
         int silentPlace = SoakRandom.between(random, 1, LONGEST_SILENT_PLACE);
         Outcome outcome = drawOutcome(random);
         int copiedPercent = refused ? REFUSAL_COPIED_PERCENT : ANSWER_COPIED_PERCENT;
-        boolean copied = SoakRandom.percent(random, copiedPercent);
-        int copyDelay = drawCopyDelay(random);
         return new Treatment(
                 refused,
+                RefusalKind.draw(random, service),
                 paused ? pause : 0,
                 work,
                 outcome,
                 silent ? silentPlace : 0,
-                copied ? copyDelay : -1,
-                random.nextBoolean(),
+                drawCopy(random, copiedPercent),
+                drawCopyDelay(random),
                 drawEnd(random),
                 random.nextInt(LONGEST_END_DELAY_MILLIS + 1));
     }
 
+    private static Optional<CopyForm> drawCopy(Random random, int percent) {
+        CopyForm form = CopyForm.draw(random);
+        return SoakRandom.percent(random, percent) ? Optional.of(form) : Optional.empty();
+    }
+
     private static int drawCopyDelay(Random random) {
         boolean soon = random.nextBoolean();
         return random.nextInt(1 + (soon ? SHORT_COPY_DELAY_MILLIS : LONGEST_COPY_DELAY_MILLIS));
@@ -106,7 +117,8 @@
 
     /** Returns the treatment by a server without faults. */
     static Treatment sound() {
-        return new Treatment(false, 0, 1, Outcome.WHOLE, 0, -1, false, End.KEEP, 0);
+        return new Treatment(
+                false, RefusalKind.FULL, 0, 1, Outcome.WHOLE, 0, Optional.empty(), 0, End.KEEP, 0);
     }
 
     /**
@@ -114,8 +126,16 @@
      * meant for another one.
      */
     Treatment asRefusal(Random random) {
-        boolean copied = SoakRandom.percent(random, REFUSAL_COPIED_PERCENT);
-        long delay = copied ? drawCopyDelay(random) : -1;
-        return new Treatment(true, 0, 0, outcome, 0, delay, copyDivided, end, endDelayMillis);
+        return new Treatment(
+                true,
+                refusal,
+                0,
+                0,
+                outcome,
+                0,
+                drawCopy(random, REFUSAL_COPIED_PERCENT),
+                drawCopyDelay(random),
+                end,
+                endDelayMillis);
     }
 }
--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -100,9 +100,15 @@
 
     /** Returns settings of a gateway on free ports of loopback. */
     public static GatewaySettings settings(PlatformStoreStandIn store, String instance) {
+        return settings(store, instance, new FailureDomain("home"));
+    }
+
+    /** Returns settings of a gateway of a failure domain, on free ports of loopback. */
+    public static GatewaySettings settings(
+            PlatformStoreStandIn store, String instance, FailureDomain failureDomain) {
         return new GatewaySettings(
                 new InstanceId(instance),
-                new FailureDomain("home"),
+                failureDomain,
                 FreePort.find(),
                 FreePort.find(),
                 FreePort.find(),
--- a/src/test/java/org/tarragonlug/soak/SoakCheckerTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakCheckerTest.java
@@ -78,6 +78,67 @@
         }
     }
 
+    @Nested
+    class Returns {
+        private void sendAndRefuse() {
+            checker.onSent(ID, RequestKind.ISSUE, 0);
+            checker.onAnswer(ID, answer(503, "", true));
+        }
+
+        // Guards against findings for callers that send a refused id again.
+        @Test
+        void requestMayBeginAfterItsCallerHasSentItAgain() {
+            sendAndRefuse();
+            sendAndRefuse();
+            checker.onSent(ID, RequestKind.ISSUE, 1);
+            checker.onBegun(ID, "a", "records", 1);
+            checker.onAnswer(ID, answer(200, AnswerContent.body(ID), true));
+            assertFound();
+        }
+
+        // Guards against a second run that is not seen since each send had one.
+        @Test
+        void runsOfAllSendsCountTogether() {
+            sendAndRefuse();
+            checker.onSent(ID, RequestKind.ISSUE, 1);
+            checker.onBegun(ID, "a", "records", 1);
+            checker.onBegun(ID, "b", "records", 2);
+            assertFound(Check.RUN_ONCE);
+        }
+
+        // Guards against a promise that passes since another send of the id had begun.
+        @Test
+        void promiseMustNotFollowTheBeginOfAnEarlierSend() {
+            checker.onSent(ID, RequestKind.READ, 0);
+            checker.onBegun(ID, "a", "records", 1);
+            checker.onSent(ID, RequestKind.READ, 0);
+            assertFound();
+            checker.onAnswer(ID, answer(503, "", true));
+            assertFound(Check.REFUSED_IS_NOT_RUN);
+        }
+
+        // Guards against a begin that passes after the last promise since the id came again before.
+        @Test
+        void requestMustNotBeginAfterTheLastPromise() {
+            sendAndRefuse();
+            sendAndRefuse();
+            checker.onBegun(ID, "a", "records", 1);
+            assertFound(Check.REFUSED_IS_NOT_RUN);
+        }
+
+        // Guards against time that is excused by the pause of a gateway that a caller has left.
+        @Test
+        void pausesOfTheLastGatewayCount() {
+            long limit = RequestKind.ISSUE.deadlineMillis() + SoakChecker.DEADLINE_SLACK_MILLIS;
+            sendAndRefuse();
+            checker.onSent(ID, RequestKind.ISSUE, 1);
+            checker.onPaused(0, 100);
+            checker.onResumed(0, 200);
+            checker.onEnded(ID, 0, limit + 1);
+            assertFound(Check.ENDS_IN_TIME);
+        }
+    }
+
     @Nested
     class Streams {
         private void goOnAfter(long workedOnMillis) {
--- a/src/test/java/org/tarragonlug/soak/SoakScheduleTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakScheduleTest.java
@@ -13,9 +13,10 @@
 class SoakScheduleTest {
     private static final long LENGTH_MILLIS = 20_000;
     private static final int GATEWAYS = 3;
+    private static final FaultShape FAULTS = new FaultShape(15, 300, 3000, 6000);
 
     private static List<PlannedFault> faults(long seed) {
-        return new SoakSchedule(seed, LENGTH_MILLIS, GATEWAYS).faults();
+        return new SoakSchedule(seed, LENGTH_MILLIS, GATEWAYS, FAULTS).faults();
     }
 
     // Guards against a seed that does not repeat the faults of the run that it was reported for.
--- a/src/test/java/org/tarragonlug/soak/SoakTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakTest.java
@@ -17,9 +17,10 @@
 class SoakTest {
     private static final long SEED = 20_240;
     private static final int SECONDS = 15;
-    private static final int GATEWAYS = 2;
     private static final int FEWEST_COPIES = 50;
+    private static final int FEWEST_RETURNS = 50;
     private static final Pattern COPIES = Pattern.compile(" copies=(\\d+)");
+    private static final Pattern RETURNS = Pattern.compile(" returns_with_same_id=(\\d+)");
 
     /** Returns the command of the deploy file, with the classes under test. */
     private static List<String> command() throws Exception {
@@ -34,20 +35,26 @@
         return command;
     }
 
-    // Guards against failures that only several processes, signals and faulty servers bring about:
-    // requests that run twice, refusals that are not true, answers that are foreign or not whole.
+    // Guards against failures that only several processes, signals, faulty servers and callers that
+    // come back bring about: requests that run twice, refusals that are not true, answers that are
+    // foreign or not whole.
     @Test
     @Timeout(120)
     void checksHoldUnderFaultsOfOneSeed() throws Exception {
         List<String> lines = new ArrayList<>();
+        SoakShape shape = SoakShapeReader.read("few");
         SoakSettings settings =
-                new SoakSettings(SEED, SECONDS, GATEWAYS, Path.of("").toAbsolutePath(), command());
+                new SoakSettings(SEED, SECONDS, shape, Path.of("").toAbsolutePath(), command());
         boolean held = new Soak(settings, lines::add).run();
         assertTrue(held, () -> String.join("\n", lines));
-        Matcher copies = COPIES.matcher(lines.get(lines.size() - 1));
-        assertTrue(copies.find(), () -> lines.get(lines.size() - 1));
-        assertTrue(
-                Integer.parseInt(copies.group(1)) >= FEWEST_COPIES,
-                () -> lines.get(lines.size() - 1));
+        String summary = lines.get(lines.size() - 1);
+        assertTrue(count(COPIES, summary) >= FEWEST_COPIES, summary);
+        assertTrue(count(RETURNS, summary) >= FEWEST_RETURNS, summary);
+    }
+
+    private static int count(Pattern counter, String summary) {
+        Matcher matcher = counter.matcher(summary);
+        assertTrue(matcher.find(), summary);
+        return Integer.parseInt(matcher.group(1));
     }
 }
