--- a/src/main/java/org/tarragonlug/tool/SoakCommand.java
+++ b/src/main/java/org/tarragonlug/tool/SoakCommand.java
@@ -35,7 +35,9 @@
     @Option(
             names = "--shape",
             defaultValue = "three",
-            description = "JSON file with what is played, or one of three, few, small.")
+            description =
+                    "JSON file with what is played, or one of three, few, small, grown,"
+                            + " wide, large, crowded.")
     private String shapeName;
 
     @Option(
--- a/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
@@ -38,7 +38,7 @@
 
         // Guards against a shape of the program that no run can read.
         @ParameterizedTest
-        @ValueSource(strings = {"three", "few", "small"})
+        @ValueSource(strings = {"three", "few", "small", "grown", "wide", "large", "crowded"})
         void shapesOfTheProgramAreRead(String name) throws IOException {
             SoakShape shape = SoakShapeReader.read(name);
             assertEquals(1, shape.withGateways(1).gateways());
@@ -66,7 +66,7 @@
     class Choices {
         // Guards against a model that no server holds, whose requests would all be refused.
         @ParameterizedTest
-        @ValueSource(strings = {"three", "few", "small"})
+        @ValueSource(strings = {"three", "few", "small", "grown", "wide", "large", "crowded"})
         void everyModelIsHeldByThreeServers(String name) throws IOException {
             SoakShape shape = SoakShapeReader.read(name);
             Map<String, Integer> holders = new HashMap<>();
