Soak: client accounts

The first account has no quota and serves the check of the recovery; the others have quotas by tokens. Their refusals with 429 are promises like others, and the summary counts answers with 429 to callers.

--- a/src/main/java/org/tarragonlug/soak/SoakCaller.java
+++ b/src/main/java/org/tarragonlug/soak/SoakCaller.java
@@ -18,6 +18,7 @@
     private static final int LARGE_BODY_BYTES = 30_000;
     private static final int SMALL_BODY_BYTES = 1000;
     private static final double MILLIS_PER_SECOND = 1000;
+    private static final int TOO_MANY_REQUESTS = 429;
 
     /** How long a caller waits beyond its deadline, to see how late an answer comes. */
     private static final long WAIT_BEYOND_DEADLINE_MILLIS = 6000;
@@ -138,6 +139,9 @@
             answer = connection.receive(kind.deadlineMillis() + WAIT_BEYOND_DEADLINE_MILLIS);
             checker.onAnswer(id, answer);
             outcome = outcome(answer);
+            if (answer.status() == TOO_MANY_REQUESTS) {
+                tally.refusalsWith429.incrementAndGet();
+            }
         } catch (SocketTimeoutException silent) {
             outcome = SoakTally.Outcome.TIMEOUT;
         } catch (IOException closed) {
--- a/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
+++ b/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
@@ -7,7 +7,10 @@
 import java.io.InputStream;
 import org.tarragonlug.runtime.Json;
 
-/** Builds the configuration that the gateways of a soak get from the store. */
+/**
+ * Builds the configuration that the gateways of a soak get from the store. With client accounts, it
+ * has all that there may be; the first one has no quota, the others have quotas of tokens.
+ */
 final class SoakConfiguration {
     private static final int WEIGHTS_MB = 60;
     private static final int ADAPTER_MB = 1;
@@ -23,6 +26,9 @@
                 addModels((ObjectNode) service.path("engine"), shape);
             }
         }
+        if (shape.accounts() > 0) {
+            configuration.setAll((ObjectNode) read("/soak-accounts.json"));
+        }
         return configuration;
     }
 
--- a/src/main/java/org/tarragonlug/soak/SoakTally.java
+++ b/src/main/java/org/tarragonlug/soak/SoakTally.java
@@ -31,6 +31,9 @@
     /** Requests that were sent under a new id after a refusal. */
     final AtomicLong returnsWithNewId = new AtomicLong();
 
+    /** Refusals with status 429, which quotas cause. */
+    final AtomicLong refusalsWith429 = new AtomicLong();
+
     private final Map<Outcome, AtomicLong> outcomes = new EnumMap<>(Outcome.class);
 
     SoakTally() {
@@ -56,6 +59,8 @@
                 + "returns_with_same_id="
                 + returnsWithSameId
                 + " returns_with_new_id="
-                + returnsWithNewId;
+                + returnsWithNewId
+                + " refused_with_429="
+                + refusalsWith429;
     }
 }
--- a/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
@@ -1,9 +1,11 @@
 package org.tarragonlug.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -38,7 +41,17 @@
 
         // Guards against a shape of the program that no run can read.
         @ParameterizedTest
-        @ValueSource(strings = {"three", "few", "small", "grown", "wide", "large", "crowded"})
+        @ValueSource(
+                strings = {
+                    "three",
+                    "few",
+                    "small",
+                    "grown",
+                    "wide",
+                    "large",
+                    "accounts",
+                    "crowded"
+                })
         void shapesOfTheProgramAreRead(String name) throws IOException {
             SoakShape shape = SoakShapeReader.read(name);
             assertEquals(1, shape.withGateways(1).gateways());
@@ -62,11 +75,55 @@
         }
     }
 
+    @Nested
+    class Accounts {
+        // Guards against callers with keys that no account has, whose requests are all refused.
+        @Test
+        void everyKeyBelongsToAnAccount() throws IOException {
+            SoakShape shape = SoakShapeReader.read("accounts");
+            String configuration = SoakConfiguration.of(shape).toString();
+            for (int caller = 0; caller < 2 * SoakShape.MOST_ACCOUNTS; caller++) {
+                String key = shape.key(caller).orElseThrow();
+                assertTrue(configuration.contains("\"api_keys\":[\"" + key + "\"]"), key);
+            }
+        }
+
+        // Guards against a check of the recovery that a quota fails, and against no quotas at all.
+        @Test
+        void onlyTheAccountOfTheRecoveryHasNoQuota() throws IOException {
+            SoakShape shape = SoakShapeReader.read("accounts");
+            String unlimited = shape.unlimitedKey().orElseThrow();
+            for (JsonNode account : SoakConfiguration.of(shape).path("tenants")) {
+                boolean limited = account.path("rate_per_s").asDouble() > 0;
+                String key = account.path("api_keys").path(0).asText();
+                assertEquals(!key.equals(unlimited), limited, key);
+            }
+        }
+
+        // Guards against keys that are asked for where callers send none.
+        @Test
+        void shapeWithoutAccountsHasNone() throws IOException {
+            SoakShape shape = SoakShapeReader.read("small");
+            assertEquals(Optional.empty(), shape.key(0));
+            assertFalse(SoakConfiguration.of(shape).has("tenants"));
+        }
+    }
+
     @Nested
     class Choices {
         // Guards against a model that no server holds, whose requests would all be refused.
         @ParameterizedTest
-        @ValueSource(strings = {"three", "few", "small", "grown", "wide", "large", "crowded"})
+        @ValueSource(
+                strings = {
+                    "three",
+                    "few",
+                    "small",
+                    "grown",
+                    "wide",
+                    "large",
+                    "accounts",
+                    "crowded"
+                })
         void everyModelIsHeldByThreeServers(String name) throws IOException {
             SoakShape shape = SoakShapeReader.read(name);
             Map<String, Integer> holders = new HashMap<>();
