--- a/src/main/java/org/tarragonlug/soak/SoakTally.java
+++ b/src/main/java/org/tarragonlug/soak/SoakTally.java
@@ -25,6 +25,15 @@
         UNREACHABLE
     }
 
+    /** Sends of an id that was refused. */
+    final AtomicLong returnsWithSameId = new AtomicLong();
+
+    /** Requests that were sent under a new id after a refusal. */
+    final AtomicLong returnsWithNewId = new AtomicLong();
+
+    /** Refusals with status 429, which quotas cause. */
+    final AtomicLong refusalsWith429 = new AtomicLong();
+
     private final Map<Outcome, AtomicLong> outcomes = new EnumMap<>(Outcome.class);
 
     SoakTally() {
@@ -46,6 +55,12 @@
                                 .append('=')
                                 .append(count)
                                 .append(' '));
-        return line.toString().strip();
+        return line
+                + "returns_with_same_id="
+                + returnsWithSameId
+                + " returns_with_new_id="
+                + returnsWithNewId
+                + " refused_with_429="
+                + refusalsWith429;
     }
 }
