Count no answered request as never sent

Cause: a send counted as never made whenever the HTTP library reported that nothing was written, also after the head of an answer had arrived. The request could then be sent again, or be refused as not run. The review of the library's use found no event in which it reports that after a head. Change: once a head has arrived, the send is broken, and the request may have run. Measured: answeredRequestDoesNotCountAsNotSent failed in 2 of 2 cases before ("rejected UNREACHABLE"), and passes.

--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -241,7 +241,7 @@
             listener.onRejected(Rejection.WITHDRAWN, true, Optional.empty());
         } else if (failure.kind() == HttpFailure.Kind.NO_OTHER_CONNECTION) {
             listener.onRejected(Rejection.NO_OTHER_CONNECTION, true, Optional.empty());
-        } else if (failure.notSent()) {
+        } else if (failure.notSent() && answer == null) {
             listener.onRejected(Rejection.UNREACHABLE, true, Optional.empty());
         } else if (answer != null && answer.rejection().isPresent()) {
             reportRejection(answer.rejection().get());
--- a/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
+++ b/src/test/java/org/tarragonlug/gateway/ServerAttemptTest.java
@@ -141,6 +141,18 @@
             attempt.onFailed(new HttpFailure(HttpFailure.Kind.CONNECTION_LOST, "reset", null));
             assertEquals(List.of("broken"), recorder.events);
         }
+
+        // Guards against a request that a server answers and that counts as never sent, so that it
+        // is sent again or refused as not run.
+        @ParameterizedTest
+        @ValueSource(booleans = {false, true})
+        void answeredRequestDoesNotCountAsNotSent(boolean streaming) {
+            ServerAttempt attempt = attempt(streaming, -1);
+            attempt.onHead(200, HEADERS);
+            recorder.events.clear();
+            attempt.onFailed(new HttpFailure(HttpFailure.Kind.NOT_SENT, "closed", null));
+            assertEquals(List.of("broken"), recorder.events);
+        }
     }
 
     @Nested
