Explore the sealed status that promises "not run"

Change: the model passes an unconfirmed status on to the coordinator as the driver does. The event is no longer a broken assumption but one of the disturbances, so all orders with it are explored. Measured: RequestOrderTest, ServerAttemptTest, RefusalLinesTest, CopiedRefusalTest and ArchitectureTest pass.

--- a/src/test/java/org/tarragonlug/gateway/ExploredAttemptListener.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredAttemptListener.java
@@ -76,6 +76,15 @@
         world.post(new ForwardingEvent.Answered(call.attempt, status, load));
     }
 
+    @Override
+    public void onAnsweredAmbiguously(int status, Optional<ReportedLoad> load) {
+        if (request.streamStarted) {
+            onBroken(AnswerProgress.CONTENT, "no stream");
+            return;
+        }
+        world.post(new ForwardingEvent.AnsweredAmbiguously(call.attempt, load));
+    }
+
     @Override
     public void onBroken(AnswerProgress progress, String detail) {
         // An answer that is not accepted closes its connection before this is called.
