--- a/src/main/java/org/tarragonlug/gateway/ServerSend.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerSend.java
@@ -9,16 +9,19 @@
 
 /** One send of a request to a server, and what became of it. */
 final class ServerSend {
-    private static final String UNDER_WAY = "UNDER_WAY";
-    private static final String ANSWERED = "ANSWERED";
-    private static final String BROKEN = "BROKEN";
-    private static final String CANCELLED = "CANCELLED";
+    private enum Outcome {
+        UNDER_WAY,
+        REJECTED,
+        ANSWERED,
+        BROKEN,
+        CANCELLED
+    }
 
     private final ForwardingCommand.Send command;
     private final Instant startedAt;
     private Optional<CallPosition> position = Optional.empty();
     private Optional<Rejection> rejection = Optional.empty();
-    private String outcome = UNDER_WAY;
+    private Outcome outcome = Outcome.UNDER_WAY;
     private Instant endedAt;
 
     /**
@@ -56,24 +59,24 @@
 
     void onRejected(Rejection reason, Instant now) {
         rejection = Optional.of(reason);
-        end(reason.name(), now);
+        end(Outcome.REJECTED, now);
     }
 
     void onAnswered(Instant now) {
-        end(ANSWERED, now);
+        end(Outcome.ANSWERED, now);
     }
 
     void onBroken(Instant now) {
-        end(BROKEN, now);
+        end(Outcome.BROKEN, now);
     }
 
     void onCancelled(Instant now) {
-        end(CANCELLED, now);
+        end(Outcome.CANCELLED, now);
     }
 
     /** Only the first end counts: the connection is closed after it. */
-    private void end(String how, Instant now) {
-        if (outcome.equals(UNDER_WAY)) {
+    private void end(Outcome how, Instant now) {
+        if (outcome == Outcome.UNDER_WAY) {
             outcome = how;
             endedAt = now;
         }
@@ -89,6 +92,13 @@
         return rejection.filter(reason -> !reason.reachedServer()).isPresent();
     }
 
+    /** Returns what became of the send; a rejection is described by its reason. */
+    private String describeOutcome() {
+        return outcome == Outcome.REJECTED
+                ? rejection.map(Rejection::name).orElseThrow()
+                : outcome.name();
+    }
+
     /**
      * Returns {@code SERVER@ADDRESS/CONNECTION+EARLIER_CALLS/OUTCOME/MILLIS}: the connection by its
      * local port, 0 if the request was not written, and the time from the send to its outcome.
@@ -103,7 +113,7 @@
                 + "+"
                 + position.map(CallPosition::earlierCalls).orElse(0)
                 + "/"
-                + outcome
+                + describeOutcome()
                 + "/"
                 + age(endedAt).toMillis()
                 + "ms";
--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -30,8 +30,9 @@
  *
  * <p>Bytes after the end of an answer belong to no request. They are never handed to the library
  * ({@link AnswerFraming}): if they were received together with the end of the answer, the
- * connection is not used again, and if they arrive later while no call is in progress, they close
- * it. What arrives when the next request has already been sent may be late as well:
+ * connection is not used again, and if they are read while no call is in progress, they close it.
+ * The library may leave them unread until the next request on the connection. What is read when the
+ * next request has already been sent may therefore be late as well:
  *
  * <ul>
  *   <li>A whole answer that names another call is skipped, and the call gets the answer behind it
