Report a late answer that was examined as bytes after a body

Cause: if a body ends like the beginning of a head, the bytes behind it are read to decide whether they continue it. The report of a late answer came after that, of no bytes: status 0 and no call. Change: such bytes are reported before they are read; no bytes are never reported. Measured: LateAnswerTest failed in 1 of 2 cases before (status 0 where 503 is due), and passes.

--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -280,7 +280,7 @@
     }
 
     private void reportLateAnswer(ByteBuf bytes) {
-        if (!nameHeader.isEmpty() && AnswerHead.mayBegin(bytes)) {
+        if (bytes.isReadable() && !nameHeader.isEmpty() && AnswerHead.mayBegin(bytes)) {
             int length = (int) Math.min(bytes.readableBytes(), limits.headBytes());
             AnswerHead head = new AnswerHead(bytes.slice(bytes.readerIndex(), length));
             lateAnswers.accept(new LateAnswer(localPort(), head.status(), head.value(nameHeader)));
@@ -342,6 +342,7 @@
     }
 
     private void passBytesAfterEnd(ByteBuf bytes) {
+        reportLateAnswer(bytes);
         byte[] additional = new byte[bytes.readableBytes()];
         bytes.readBytes(additional);
         unreadBytes = additional.length;
