Let only the first end of a send count for the ground of a refusal

Cause: a rejection after another end of the send changed the ground, but not the outcome in the line. No path to it was found: an attempt reports once. Change: the rejection counts only if it is the first end. Outcomes are an enum in place of strings. Measured: firstOutcomeOfSendCounts with the further event failed before (rejected where unproven is due); SendHistoryTest and RefusalLinesTest pass.

--- a/src/main/java/org/tarragonlug/gateway/ServerSend.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerSend.java
@@ -9,16 +9,20 @@
 
 /** One send of a request to a server, and what became of it. */
 final class ServerSend {
-    private static final String UNDER_WAY = "UNDER_WAY";
-    private static final String ANSWERED = "ANSWERED";
-    private static final String BROKEN = "BROKEN";
-    private static final String CANCELLED = "CANCELLED";
+    private enum Outcome {
+        UNDER_WAY,
+        /** The server stated that it did not run the request, or the request was not sent. */
+        REJECTED,
+        ANSWERED,
+        BROKEN,
+        CANCELLED
+    }
 
     private final ForwardingCommand.Send command;
     private final Instant startedAt;
     private Optional<CallPosition> position = Optional.empty();
     private Optional<Rejection> rejection = Optional.empty();
-    private String outcome = UNDER_WAY;
+    private Outcome outcome = Outcome.UNDER_WAY;
     private Instant endedAt;
 
     /**
@@ -55,28 +59,35 @@
     }
 
     void onRejected(Rejection reason, Instant now) {
-        rejection = Optional.of(reason);
-        end(reason.name(), now);
+        if (end(Outcome.REJECTED, now)) {
+            rejection = Optional.of(reason);
+        }
     }
 
     void onAnswered(Instant now) {
-        end(ANSWERED, now);
+        end(Outcome.ANSWERED, now);
     }
 
     void onBroken(Instant now) {
-        end(BROKEN, now);
+        end(Outcome.BROKEN, now);
     }
 
     void onCancelled(Instant now) {
-        end(CANCELLED, now);
+        end(Outcome.CANCELLED, now);
     }
 
-    /** Only the first end counts: the connection is closed after it. */
-    private void end(String how, Instant now) {
-        if (outcome.equals(UNDER_WAY)) {
-            outcome = how;
-            endedAt = now;
+    /**
+     * Records how the send ended. Only the first end counts: the connection is closed after it.
+     *
+     * @return whether this is the first end
+     */
+    private boolean end(Outcome how, Instant now) {
+        if (outcome != Outcome.UNDER_WAY) {
+            return false;
         }
+        outcome = how;
+        endedAt = now;
+        return true;
     }
 
     /** Returns whether a server stated that it did not run the request. */
@@ -103,7 +114,7 @@
                 + "+"
                 + position.map(CallPosition::earlierCalls).orElse(0)
                 + "/"
-                + outcome
+                + rejection.map(Rejection::name).orElse(outcome.name())
                 + "/"
                 + age(endedAt).toMillis()
                 + "ms";
--- a/src/test/java/org/tarragonlug/gateway/SendHistoryTest.java
+++ b/src/test/java/org/tarragonlug/gateway/SendHistoryTest.java
@@ -114,5 +114,8 @@
         send.onCancelled(after(5));
         send.onBroken(after(9));
         assertEquals("a@10.0.0.1:80/46248+0/CANCELLED/5ms", send.toString());
+        send.onRejected(Rejection.BUSY, after(10));
+        assertEquals("a@10.0.0.1:80/46248+0/CANCELLED/5ms", send.toString());
+        assertEquals(NotRunGround.UNPROVEN, history.groundOfRefusal());
     }
 }
