Test that a silent connection retires those of other groups of calls

Calls of different groups keep separate connections since; no test failed if a timeout retired those of its own group only. Measured: with that mutation (scratch copy) silentConnectionOfOneGroupIsNotReusedByOthers failed (no complete answer within 5 s); it passes without.

--- a/src/test/java/org/tarragonlug/http/HttpConnectionsTest.java
+++ b/src/test/java/org/tarragonlug/http/HttpConnectionsTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -177,6 +178,48 @@
             }
         }
 
+        private static HttpCall callOf(String group, Duration timeout) {
+            return new HttpCall(
+                    "POST",
+                    "/a",
+                    Map.of(),
+                    HttpBody.EMPTY,
+                    timeout,
+                    ConnectionUse.POOLED,
+                    Optional.empty(),
+                    new ConnectionGroup(group));
+        }
+
+        /**
+         * Guards against calls of one group after the other that time out, because the connections
+         * to an address have become silent together.
+         */
+        @Test
+        void silentConnectionOfOneGroupIsNotReusedByOthers() throws Exception {
+            HttpLimits limits =
+                    new HttpLimits(
+                            LoopbackFixture.LONG_TIMEOUT,
+                            LoopbackFixture.LONG_TIMEOUT,
+                            64 * 1024,
+                            LoopbackFixture.MAXIMUM_HELD_BYTES,
+                            Duration.ofMinutes(1));
+            HttpCall one = callOf("one", LoopbackFixture.LONG_TIMEOUT);
+            HttpCall other = callOf("other", LoopbackFixture.LONG_TIMEOUT);
+            HttpCall unanswered = callOf("one", LoopbackFixture.SHORT_TIMEOUT);
+            try (RawServer server = new RawServer(n -> RawServer.ok("a"), false);
+                    HttpConnections connections =
+                            new HttpConnections(
+                                    loopback.ioExecutor, loopback.clock.executor(), limits)) {
+                LoopbackFixture.await(connections.exchange(server.address(), one));
+                LoopbackFixture.await(connections.exchange(server.address(), other));
+                assertEquals(
+                        HttpFailure.Kind.TIMED_OUT,
+                        awaitFailureKind(connections.exchange(server.address(), unanswered)));
+                LoopbackFixture.await(connections.exchange(server.address(), other));
+                assertEquals(3, server.requests());
+            }
+        }
+
         /**
          * Guards against a health report that is fetched on a pooled connection and shows the state
          * of this connection instead of the state of the server.
