--- a/src/main/java/org/tarragonlug/gateway/ServerSend.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerSend.java
@@ -11,6 +11,7 @@
 final class ServerSend {
     private enum Outcome {
         UNDER_WAY,
+        /** The server stated that it did not run the request, or the request was not sent. */
         REJECTED,
         ANSWERED,
         BROKEN,
@@ -58,8 +59,9 @@
     }
 
     void onRejected(Rejection reason, Instant now) {
-        rejection = Optional.of(reason);
-        end(Outcome.REJECTED, now);
+        if (end(Outcome.REJECTED, now)) {
+            rejection = Optional.of(reason);
+        }
     }
 
     void onAnswered(Instant now) {
@@ -74,12 +76,18 @@
         end(Outcome.CANCELLED, now);
     }
 
-    /** Only the first end counts: the connection is closed after it. */
-    private void end(Outcome how, Instant now) {
-        if (outcome == Outcome.UNDER_WAY) {
-            outcome = how;
-            endedAt = now;
+    /**
+     * Records how the send ended. Only the first end counts: the connection is closed after it.
+     *
+     * @return whether this is the first end
+     */
+    private boolean end(Outcome how, Instant now) {
+        if (outcome != Outcome.UNDER_WAY) {
+            return false;
         }
+        outcome = how;
+        endedAt = now;
+        return true;
     }
 
     /** Returns whether a server stated that it did not run the request. */
@@ -92,13 +100,6 @@
         return rejection.filter(reason -> !reason.reachedServer()).isPresent();
     }
 
-    /** Returns what became of the send; a rejection is described by its reason. */
-    private String describeOutcome() {
-        return outcome == Outcome.REJECTED
-                ? rejection.map(Rejection::name).orElseThrow()
-                : outcome.name();
-    }
-
     /**
      * Returns {@code SERVER@ADDRESS/CONNECTION+EARLIER_CALLS/OUTCOME/MILLIS}: the connection by its
      * local port, 0 if the request was not written, and the time from the send to its outcome.
@@ -113,7 +114,7 @@
                 + "+"
                 + position.map(CallPosition::earlierCalls).orElse(0)
                 + "/"
-                + describeOutcome()
+                + rejection.map(Rejection::name).orElse(outcome.name())
                 + "/"
                 + age(endedAt).toMillis()
                 + "ms";
