Take two sends on one connection for no proof, and say what the log lines rest on

Cause: the ground of a refusal counted the same decoded rejections as the coordinator, so the fault of this incident would have been logged as not_run=rejected. "Written" stood for "has a connection". The line about dropped lines could be written with count=0 if two threads saw the count at once. (All found by the review.) Change: a send on the connection of an earlier send of the request makes the refusal unproven, an invariant that is logged and counted; names and pages say what is meant; the count is taken once. Measured: twoSendsOnOneConnectionShowAndProveNothing, LogQueueTest, RefusalLinesTest, LateAnswerTest and ArchitectureTest pass; the first one states UNPROVEN where REJECTED was returned before.

--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -387,8 +387,8 @@
 
         @Override
         public void onSent(CallPosition callPosition) {
-            send.onWritten(callPosition);
-            requestLog.onWritten(request, send);
+            send.onConnectionReserved(callPosition);
+            requestLog.onConnectionReserved(request, send);
             if (callPosition.movedToNewConnection()) {
                 metrics.recordMoveToNewConnection();
             }
--- a/src/main/java/org/tarragonlug/gateway/ForwardingLog.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingLog.java
@@ -30,8 +30,8 @@
         this.timers = timers;
     }
 
-    /** Logs that a request was written to a server. */
-    void onWritten(ActiveRequest request, ServerSend send) {
+    /** Logs the connection on which a request is about to be written to a server. */
+    void onConnectionReserved(ActiveRequest request, ServerSend send) {
         sendEvent(LogEvent.FORWARD_SENT, request, send)
                 .with("address", send.command().address())
                 .with("attempt", send.command().attempt().number())
@@ -107,7 +107,7 @@
      * Logs the end of a request.
      *
      * @param ground why the caller may take the status for the statement that the request has not
-     *     run; empty if the status says no such thing
+     *     run; empty if the request was not refused
      */
     void onEnded(ActiveRequest request, String outcome, int status, Optional<NotRunGround> ground) {
         SendHistory sends = request.sends;
--- a/src/main/java/org/tarragonlug/gateway/NotRunGround.java
+++ b/src/main/java/org/tarragonlug/gateway/NotRunGround.java
@@ -10,7 +10,10 @@
     NEVER_WRITTEN,
     /** Each server to which the request was written stated that it did not run it. */
     REJECTED,
-    /** A send was written and not rejected, so the statement may be false: a defect. */
+    /**
+     * A send may have reached a server that did not reject it, or two sends had the same
+     * connection, so a copied rejection may have counted. The statement may be false: a defect.
+     */
     UNPROVEN;
 
     @Override
--- a/src/main/java/org/tarragonlug/gateway/SendHistory.java
+++ b/src/main/java/org/tarragonlug/gateway/SendHistory.java
@@ -1,14 +1,18 @@
 package org.tarragonlug.gateway;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Collectors;
+import org.tarragonlug.http.CallPosition;
 
 /**
  * The sends of one request, for the log line about its end.
  *
- * <p>What a refusal rests on is found from what happened on the connections. The coordinator
- * decides by its own count of possible runs, so the line also shows a decision that was wrong.
+ * <p>What a refusal rests on is found from what the servers answered and on which connections. The
+ * coordinator decides by its own count of possible runs, and does not know connections, so the line
+ * also shows a decision that may be wrong.
  */
 final class SendHistory {
     /** Sends that are described; earlier ones are only counted. */
@@ -74,7 +78,23 @@
         if (unwritten() == count) {
             return NotRunGround.NEVER_WRITTEN;
         }
-        return rejected() + unwritten() == count ? NotRunGround.REJECTED : NotRunGround.UNPROVEN;
+        boolean proven = rejected() + unwritten() == count && !repeatsConnection();
+        return proven ? NotRunGround.REJECTED : NotRunGround.UNPROVEN;
+    }
+
+    /**
+     * Returns whether one of the described sends had the connection of one before it. Its rejection
+     * may then be a late copy of the earlier one. A port is used again by a later connection, which
+     * has carried no calls.
+     */
+    private boolean repeatsConnection() {
+        Set<String> connections = new HashSet<>();
+        boolean repeated = false;
+        for (ServerSend send : latest) {
+            int earlierCalls = send.position().map(CallPosition::earlierCalls).orElse(0);
+            repeated |= !connections.add(send.connection()) && earlierCalls > 0;
+        }
+        return repeated;
     }
 
     /** Returns the last sends in their order, as {@link ServerSend#toString} describes them. */
--- a/src/main/java/org/tarragonlug/gateway/ServerSend.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerSend.java
@@ -45,16 +45,22 @@
         return command.server().value();
     }
 
-    /** Returns the place of the request on its connection; empty until the request is written. */
+    /** Returns the place of the request on its connection; empty until it has a connection. */
     Optional<CallPosition> position() {
         return position;
     }
 
+    /** Returns what tells the connection from others that are open at the same time. */
+    String connection() {
+        return command.address() + "/" + position.map(CallPosition::localPort).orElse(0);
+    }
+
     Duration age(Instant now) {
         return Duration.between(startedAt, now);
     }
 
-    void onWritten(CallPosition place) {
+    /** Records the connection on which the request is about to be written. */
+    void onConnectionReserved(CallPosition place) {
         position = Optional.of(place);
     }
 
@@ -102,15 +108,13 @@
 
     /**
      * Returns {@code SERVER@ADDRESS/CONNECTION+EARLIER_CALLS/OUTCOME/MILLIS}: the connection by its
-     * local port, 0 if the request was not written, and the time from the send to its outcome.
+     * local port, 0 if there was none, and the time from the send to its outcome.
      */
     @Override
     public String toString() {
         return server()
                 + "@"
-                + command.address()
-                + "/"
-                + position.map(CallPosition::localPort).orElse(0)
+                + connection()
                 + "+"
                 + position.map(CallPosition::earlierCalls).orElse(0)
                 + "/"
--- a/src/main/java/org/tarragonlug/runtime/LogQueue.java
+++ b/src/main/java/org/tarragonlug/runtime/LogQueue.java
@@ -52,17 +52,18 @@
             dropped.incrementAndGet();
             return;
         }
-        if (free >= recoveredPlaces && dropped.get() > 0) {
-            super.append(lineAboutDropped(event));
+        long missing = free >= recoveredPlaces ? dropped.getAndSet(0) : 0;
+        if (missing > 0) {
+            super.append(lineAboutDropped(missing, event));
         }
         super.append(event);
     }
 
-    private ILoggingEvent lineAboutDropped(ILoggingEvent next) {
+    private ILoggingEvent lineAboutDropped(long missing, ILoggingEvent next) {
         LoggerContext context = (LoggerContext) getContext();
         Logger logger = context.getLogger(next.getLoggerName());
         LogEvent about = LogEvent.LOG_LINES_DROPPED;
-        String text = "event=" + about.eventName() + " count=" + dropped.getAndSet(0);
+        String text = "event=" + about.eventName() + " count=" + missing;
         return new LoggingEvent(getClass().getName(), logger, Level.WARN, text, null, null);
     }
 }
--- a/src/test/java/org/tarragonlug/gateway/SendHistoryTest.java
+++ b/src/test/java/org/tarragonlug/gateway/SendHistoryTest.java
@@ -38,7 +38,7 @@
 
     private ServerSend write(String server, int earlierCalls) {
         ServerSend send = begin(server);
-        send.onWritten(new CallPosition(PORT, earlierCalls, false));
+        send.onConnectionReserved(new CallPosition(PORT, earlierCalls, false));
         return send;
     }
 
@@ -95,16 +95,17 @@
         }
     }
 
-    // Guards against the copy of a refusal that can not be read from the line: the second send went
-    // on the connection of the first one, to another id at its address.
+    // Guards against the copy of a refusal that can not be read from the line, or that counts as
+    // proof: the second send went on the connection of the first one, to another id at its address.
     @Test
-    void twoSendsOnOneConnectionShow() {
+    void twoSendsOnOneConnectionShowAndProveNothing() {
         write("i-old", 6).onRejected(Rejection.WRONG_SERVER, after(1));
         write("i-new", 7).onRejected(Rejection.MODEL_ABSENT, after(31));
         assertEquals(
                 "i-old@10.0.0.1:80/46248+6/WRONG_SERVER/1ms,"
                         + "i-new@10.0.0.1:80/46248+7/MODEL_ABSENT/31ms",
                 history.toString());
+        assertEquals(NotRunGround.UNPROVEN, history.groundOfRefusal());
     }
 
     // Guards against an outcome that a later event of the same send replaces.
