Test of a server without further connections: keep the first connection open

Its server copies the refusal after 1 ms. If the copy is read with the refusal, the connection is closed, so the second call meets no kept connection and is not moved from one. Change: the copy comes later than the second call. What the test demands is unchanged.

--- a/src/test/java/org/tarragonlug/http/RepeatedCallTest.java
+++ b/src/test/java/org/tarragonlug/http/RepeatedCallTest.java
@@ -138,8 +138,10 @@
     // although the kept one works.
     @Test
     void repeatedCallHasNoEffectIfTheServerAcceptsNoOtherConnection() throws Exception {
+        // A copy that is read with the refusal would close the kept connection.
+        Duration copyDelay = LoopbackFixture.LONG_TIMEOUT;
         try (RepeatingServer server =
-                new RepeatingServer(number -> answer(REFUSED, "r1"), Duration.ofMillis(1))) {
+                new RepeatingServer(number -> answer(REFUSED, "r1"), copyDelay)) {
             assertEquals(REFUSED, call(server, "r1").status);
             server.acceptNoMore();
             Throwable failure =
