Soak: history of each request, and order of sends for overlapping streams

Findings were counted in all, and copies that met their own request in all, so a finding of another cause could stand unseen beside those of copies. Each finding now prints what callers and servers saw of its request (sends, refusals, begins, copies that met it, answers), with the gateway's port as in its log, and the summary counts findings that no copy explains.

The order of sends is now read from the time that the gateway leaves each server.

--- a/src/main/java/org/tarragonlug/soak/AnswerCopies.java
+++ b/src/main/java/org/tarragonlug/soak/AnswerCopies.java
@@ -5,7 +5,6 @@
 import java.net.Socket;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.ReentrantLock;
 import org.tarragonlug.id.RequestId;
 
@@ -25,7 +24,7 @@
     private final ReentrantLock answering;
 
     /** The request that waits for its answer; null if there is none. */
-    private RequestId waiting;
+    private ServerArrival waiting;
 
     /** The request whose answer was copied since the last request; null if there is none. */
     private RequestId copiedWhileIdle;
@@ -49,16 +48,16 @@
     }
 
     /** A request has arrived. */
-    void onRequest(RequestId id) throws IOException {
+    void onRequest(ServerArrival arrival) throws IOException {
         answering.lock();
         try {
             if (copiedWhileIdle != null) {
                 // The request and the copy have crossed, since gateways use no connection on
                 // which bytes have arrived between two requests.
-                countMeeting(copiedWhileIdle, id);
+                countMeeting(copiedWhileIdle, arrival);
             }
             copiedWhileIdle = null;
-            waiting = id;
+            waiting = arrival;
             if (afterNextRequest.isPresent()) {
                 Copy copy = afterNextRequest.get();
                 afterNextRequest = Optional.empty();
@@ -148,11 +147,12 @@
         }
     }
 
-    private void countMeeting(RequestId copied, RequestId met) {
-        AtomicLong counted =
-                copied.equals(met)
-                        ? server.counts.copiesBeforeSame
-                        : server.counts.copiesBeforeOther;
-        counted.incrementAndGet();
+    private void countMeeting(RequestId copied, ServerArrival met) {
+        if (copied.equals(met.id())) {
+            server.counts.copiesBeforeSame.incrementAndGet();
+            server.checker.onCopyMet(met, SoakClock.millis());
+        } else {
+            server.counts.copiesBeforeOther.incrementAndGet();
+        }
     }
 }
--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -20,6 +20,7 @@
     private static final int LONGEST_IDLE_MILLIS = 60_000;
     private static final int EVENT_PAUSE_MILLIS = 20;
     private static final int SILENCE_MILLIS = 1800;
+    private static final int MISDIRECTED = 421;
 
     private final SoakServer server;
     private final Socket socket;
@@ -28,6 +29,9 @@
     private final ReentrantLock answering = new ReentrantLock();
     private final AnswerCopies copies;
 
+    /** The request that is being served. */
+    private ServerArrival arrival;
+
     /** The last event that the caller of a stream already has. */
     private int lastEvent;
 
@@ -65,7 +69,8 @@
         }
         RequestId id = new RequestId(name);
         Treatment treatment = server.nextTreatment(misdirected);
-        copies.onRequest(id);
+        arrival = arrival(id, head);
+        copies.onRequest(arrival);
         String received = head.header("last-event-id");
         lastEvent = received.isEmpty() ? 0 : Integer.parseInt(received);
         byte[] answer = misdirected ? misdirected(id, treatment) : answerOrRun(id, treatment);
@@ -80,6 +85,12 @@
                 : endLater(treatment);
     }
 
+    private ServerArrival arrival(RequestId id, MessageHead head) {
+        String remaining = head.header(RequestHeaders.DEADLINE);
+        long remainingMillis = remaining.isEmpty() ? 0 : Long.parseLong(remaining);
+        return new ServerArrival(id, server.id, socket.getPort(), remainingMillis);
+    }
+
     private Treatment.End endLater(Treatment treatment) throws IOException {
         if (treatment.end() != Treatment.End.KEEP && treatment.endDelayMillis() > 0) {
             isPeerGone((int) treatment.endDelayMillis());
@@ -89,6 +100,7 @@
 
     private byte[] misdirected(RequestId id, Treatment treatment) throws IOException {
         server.counts.misdirected.incrementAndGet();
+        server.checker.onRefused(arrival, MISDIRECTED, SoakClock.millis());
         return write(ServerAnswers.misdirected(server, id), treatment);
     }
 
@@ -101,15 +113,17 @@
                 || pause > 0) {
             server.running.decrementAndGet();
             server.counts.refusals.incrementAndGet();
+            int status = treatment.refusal().status();
+            server.checker.onRefused(arrival, status, SoakClock.millis());
             return write(ServerAnswers.refusal(server, id, treatment.refusal(), pause), treatment);
         }
         server.counts.runs.incrementAndGet();
-        server.checker.onBegun(id, server.id, server.service, SoakClock.millis());
+        server.checker.onBegun(arrival, server.service, SoakClock.millis());
         try {
             return run(id, treatment);
         } finally {
             server.running.decrementAndGet();
-            server.checker.onRunEnded(id, server.id, SoakClock.millis());
+            server.checker.onRunEnded(arrival, SoakClock.millis());
         }
     }
 
--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -246,6 +246,8 @@
                             + " "
                             + finding.text());
             if (!finding.id().equals(Finding.NO_REQUEST)) {
+                String history = checker.history(finding.id());
+                output.accept("history request=" + finding.id() + " " + history);
                 for (SoakGateway gateway : gateways) {
                     gateway.logLines("request=" + finding.id() + " ").forEach(output);
                 }
--- a/src/main/java/org/tarragonlug/soak/SoakCaller.java
+++ b/src/main/java/org/tarragonlug/soak/SoakCaller.java
@@ -127,8 +127,8 @@
             return null;
         }
         RequestKind kind = request.kind();
-        checker.onSent(id, kind, gateway.number());
         long sent = SoakClock.millis();
+        checker.onSent(id, kind, gateway.number(), sent);
         CallerAnswer answer = null;
         SoakTally.Outcome outcome;
         try {
@@ -137,7 +137,7 @@
             }
             connection.send(id, request);
             answer = connection.receive(kind.deadlineMillis() + WAIT_BEYOND_DEADLINE_MILLIS);
-            checker.onAnswer(id, answer);
+            checker.onAnswer(id, answer, SoakClock.millis());
             outcome = outcome(answer);
             if (answer.status() == TOO_MANY_REQUESTS) {
                 tally.refusalsWith429.incrementAndGet();
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -43,23 +43,44 @@
     }
 
     /** Records that a caller is about to send a request to a gateway. */
-    synchronized void onSent(RequestId id, RequestKind kind, int gateway) {
+    synchronized void onSent(RequestId id, RequestKind kind, int gateway, long millis) {
         RequestRecord request =
                 requests.computeIfAbsent(id, sent -> new RequestRecord(kind, gateway));
         request.gateway = gateway;
+        request.sentMillis = millis;
         request.refusalStatus = 0;
+        request.history.add(RequestHistory.Step.SENT, millis, "gateway-" + gateway, 0);
+    }
+
+    /** Records that a server says that it does not run a request. */
+    synchronized void onRefused(ServerArrival arrival, int status, long millis) {
+        note(RequestHistory.Step.REFUSED, arrival, status, millis);
+    }
+
+    /** Records that a copy of a request's answer meets the same request on its connection. */
+    synchronized void onCopyMet(ServerArrival arrival, long millis) {
+        note(RequestHistory.Step.COPY_MET, arrival, 0, millis);
+    }
+
+    private void note(RequestHistory.Step step, ServerArrival arrival, int status, long millis) {
+        RequestRecord request = requests.get(arrival.id());
+        if (request != null) {
+            request.history.add(step, millis, arrival.toString(), status);
+        }
     }
 
     /** Records that a server begins to run a request. */
-    synchronized void onBegun(RequestId id, String server, String service, long millis) {
+    synchronized void onBegun(ServerArrival arrival, String service, long millis) {
+        RequestId id = arrival.id();
         RequestRecord request = requests.get(id);
         if (request == null) {
-            report(Check.SENT_BY_A_CALLER, id, "begun at " + server);
+            report(Check.SENT_BY_A_CALLER, id, "begun at " + arrival.server());
             return;
         }
-        request.runs.add(new RequestRecord.Run(server, millis));
+        note(RequestHistory.Step.BEGUN, arrival, 0, millis);
+        request.begin(arrival, millis);
         if (!request.kind.service().equals(service)) {
-            report(Check.OWN_SERVICE, id, request.kind + " begun at " + server);
+            report(Check.OWN_SERVICE, id, request.kind + " begun at " + arrival.server());
         }
         if (request.runs.size() > 1 && !request.kind.isRepeatable()) {
             report(Check.RUN_ONCE, id, request.kind + " begun at " + request.servers());
@@ -68,38 +89,44 @@
     }
 
     /** Records that a server no longer works on a request. */
-    synchronized void onRunEnded(RequestId id, String server, long millis) {
-        RequestRecord request = requests.get(id);
+    synchronized void onRunEnded(ServerArrival arrival, long millis) {
+        RequestRecord request = requests.get(arrival.id());
         if (request == null) {
             return;
         }
+        note(RequestHistory.Step.RUN_ENDED, arrival, 0, millis);
         for (RequestRecord.Run run : request.runs) {
-            if (run.server.equals(server) && !run.ended) {
+            if (run.arrival.equals(arrival) && !run.ended) {
                 run.ended = true;
-                checkOverlap(id, request, run, millis);
+                checkOverlap(request, run, millis);
                 return;
             }
         }
     }
 
-    private void checkOverlap(
-            RequestId id, RequestRecord request, RequestRecord.Run run, long millis) {
-        int place = request.runs.indexOf(run);
-        if (!request.kind.isStreaming() || place == request.runs.size() - 1) {
+    private void checkOverlap(RequestRecord request, RequestRecord.Run run, long millis) {
+        if (!request.kind.isStreaming()) {
             return;
         }
-        long next = request.runs.get(place + 1).beginMillis;
+        request.nextAfter(run).ifPresent(next -> checkOverlap(request, run, next, millis));
+    }
+
+    private void checkOverlap(
+            RequestRecord request, RequestRecord.Run run, RequestRecord.Run next, long millis) {
+        long both = millis - next.beginMillis;
         // A paused gateway neither ends the stream before nor sees its end.
-        long excused = pauses.overlap(request.gateway, next, millis);
-        if (millis - next - excused > STREAM_OVERLAP_MILLIS) {
-            String text = "still at " + run.server + " for " + (millis - next) + " ms, begun at ";
-            report(Check.STREAM_AT_ONE_SERVER, id, text + request.servers());
+        long excused = pauses.overlap(request.gateway, next.beginMillis, millis);
+        if (both - excused > STREAM_OVERLAP_MILLIS) {
+            String text = "still at " + run.arrival.server() + " for " + both + " ms, begun at ";
+            report(Check.STREAM_AT_ONE_SERVER, run.arrival.id(), text + request.servers());
         }
     }
 
     /** Records a complete or broken answer that a caller received. */
-    synchronized void onAnswer(RequestId id, CallerAnswer answer) {
+    synchronized void onAnswer(RequestId id, CallerAnswer answer, long millis) {
         RequestRecord request = requests.get(id);
+        String place = "gateway-" + request.gateway;
+        request.history.add(RequestHistory.Step.ANSWERED, millis, place, answer.status());
         if (isRefusal(answer.status())) {
             request.refusalStatus = answer.status();
             checkRefusal(id, request);
@@ -171,9 +198,28 @@
         findings.add(new Finding(check, id, text));
     }
 
-    /** Returns the number of findings, in all and by check, as one line of key=value. */
+    /** Returns what callers and servers have seen of a request; empty if it is not known. */
+    synchronized String history(RequestId id) {
+        RequestRecord request = requests.get(id);
+        return request == null ? "" : request.history.toString();
+    }
+
+    /**
+     * Tells whether no copy of an answer met the request again, so that none explains a finding.
+     */
+    private boolean hasOtherCause(Finding finding) {
+        RequestRecord request = requests.get(finding.id());
+        return request == null || !request.history.has(RequestHistory.Step.COPY_MET);
+    }
+
+    /**
+     * Returns the number of findings, in all, without a copy that met the request again, and by
+     * check, as one line of key=value.
+     */
     synchronized String line() {
         StringBuilder line = new StringBuilder("findings=" + findings.size());
+        long otherCause = findings.stream().filter(this::hasOtherCause).count();
+        line.append(" findings_without_copy=").append(otherCause);
         for (Check check : Check.values()) {
             long count = findings.stream().filter(each -> each.check() == check).count();
             line.append(" found_").append(check.name().toLowerCase(Locale.ROOT)).append('=');
--- a/src/test/java/org/tarragonlug/soak/SoakCheckerTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakCheckerTest.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,14 @@
         assertEquals(List.of(checks), checker.findings().stream().map(Finding::check).toList());
     }
 
+    private static ServerArrival at(String server) {
+        return sentWith(0, server);
+    }
+
+    private static ServerArrival sentWith(long remainingMillis, String server) {
+        return new ServerArrival(ID, server, 1, remainingMillis);
+    }
+
     private static CallerAnswer answer(int status, String body, boolean complete) {
         Map<String, String> headers =
                 Map.of(
@@ -33,47 +42,47 @@
         // Guards against a second run that is not seen.
         @Test
         void secondRunOfNonIdempotentRequestIsFound() {
-            checker.onSent(ID, RequestKind.ISSUE, 0);
-            checker.onBegun(ID, "a", "records", 1);
+            checker.onSent(ID, RequestKind.ISSUE, 0, 0);
+            checker.onBegun(at("a"), "records", 1);
             assertFound();
-            checker.onBegun(ID, "b", "records", 2);
+            checker.onBegun(at("b"), "records", 2);
             assertFound(Check.RUN_ONCE);
         }
 
         // Guards against findings for requests that may be repeated.
         @Test
         void secondRunOfIdempotentRequestIsAllowed() {
-            checker.onSent(ID, RequestKind.READ, 0);
-            checker.onBegun(ID, "a", "records", 1);
-            checker.onBegun(ID, "b", "records", 2);
+            checker.onSent(ID, RequestKind.READ, 0, 0);
+            checker.onBegun(at("a"), "records", 1);
+            checker.onBegun(at("b"), "records", 2);
             assertFound();
         }
 
         // Guards against a run that is missed because it begins after the refusal.
         @Test
         void refusedRequestMustNotRunBeforeOrLater() {
-            checker.onSent(ID, RequestKind.READ, 0);
-            checker.onAnswer(ID, answer(503, "", true));
+            checker.onSent(ID, RequestKind.READ, 0, 0);
+            checker.onAnswer(ID, answer(503, "", true), 1);
             assertFound();
-            checker.onBegun(ID, "a", "records", 1);
+            checker.onBegun(at("a"), "records", 1);
             assertFound(Check.REFUSED_IS_NOT_RUN);
         }
 
         // Guards against a refusal that is missed because it comes after the run.
         @Test
         void requestThatRanMustNotBeRefused() {
-            checker.onSent(ID, RequestKind.READ, 0);
-            checker.onBegun(ID, "a", "records", 1);
-            checker.onAnswer(ID, answer(429, "", true));
+            checker.onSent(ID, RequestKind.READ, 0, 0);
+            checker.onBegun(at("a"), "records", 1);
+            checker.onAnswer(ID, answer(429, "", true), 1);
             assertFound(Check.REFUSED_IS_NOT_RUN);
         }
 
         // Guards against runs at a server that has the address of another service's server.
         @Test
         void runAtAnotherServiceOrOfAnUnknownRequestIsFound() {
-            checker.onSent(ID, RequestKind.READ, 0);
-            checker.onBegun(ID, "a", "ledger", 1);
-            checker.onBegun(new RequestId("unknown"), "a", "ledger", 1);
+            checker.onSent(ID, RequestKind.READ, 0, 0);
+            checker.onBegun(at("a"), "ledger", 1);
+            checker.onBegun(new ServerArrival(new RequestId("unknown"), "a", 1, 0), "ledger", 1);
             assertFound(Check.OWN_SERVICE, Check.SENT_BY_A_CALLER);
         }
     }
@@ -81,8 +90,8 @@
     @Nested
     class Returns {
         private void sendAndRefuse() {
-            checker.onSent(ID, RequestKind.ISSUE, 0);
-            checker.onAnswer(ID, answer(503, "", true));
+            checker.onSent(ID, RequestKind.ISSUE, 0, 0);
+            checker.onAnswer(ID, answer(503, "", true), 1);
         }
 
         // Guards against findings for callers that send a refused id again.
@@ -90,9 +99,9 @@
         void requestMayBeginAfterItsCallerHasSentItAgain() {
             sendAndRefuse();
             sendAndRefuse();
-            checker.onSent(ID, RequestKind.ISSUE, 1);
-            checker.onBegun(ID, "a", "records", 1);
-            checker.onAnswer(ID, answer(200, AnswerContent.body(ID), true));
+            checker.onSent(ID, RequestKind.ISSUE, 1, 0);
+            checker.onBegun(at("a"), "records", 1);
+            checker.onAnswer(ID, answer(200, AnswerContent.body(ID), true), 1);
             assertFound();
         }
 
@@ -100,20 +109,20 @@
         @Test
         void runsOfAllSendsCountTogether() {
             sendAndRefuse();
-            checker.onSent(ID, RequestKind.ISSUE, 1);
-            checker.onBegun(ID, "a", "records", 1);
-            checker.onBegun(ID, "b", "records", 2);
+            checker.onSent(ID, RequestKind.ISSUE, 1, 0);
+            checker.onBegun(at("a"), "records", 1);
+            checker.onBegun(at("b"), "records", 2);
             assertFound(Check.RUN_ONCE);
         }
 
         // Guards against a promise that passes since another send of the id had begun.
         @Test
         void promiseMustNotFollowTheBeginOfAnEarlierSend() {
-            checker.onSent(ID, RequestKind.READ, 0);
-            checker.onBegun(ID, "a", "records", 1);
-            checker.onSent(ID, RequestKind.READ, 0);
+            checker.onSent(ID, RequestKind.READ, 0, 0);
+            checker.onBegun(at("a"), "records", 1);
+            checker.onSent(ID, RequestKind.READ, 0, 0);
             assertFound();
-            checker.onAnswer(ID, answer(503, "", true));
+            checker.onAnswer(ID, answer(503, "", true), 1);
             assertFound(Check.REFUSED_IS_NOT_RUN);
         }
 
@@ -122,7 +131,7 @@
         void requestMustNotBeginAfterTheLastPromise() {
             sendAndRefuse();
             sendAndRefuse();
-            checker.onBegun(ID, "a", "records", 1);
+            checker.onBegun(at("a"), "records", 1);
             assertFound(Check.REFUSED_IS_NOT_RUN);
         }
 
@@ -131,7 +140,7 @@
         void pausesOfTheLastGatewayCount() {
             long limit = RequestKind.ISSUE.deadlineMillis() + SoakChecker.DEADLINE_SLACK_MILLIS;
             sendAndRefuse();
-            checker.onSent(ID, RequestKind.ISSUE, 1);
+            checker.onSent(ID, RequestKind.ISSUE, 1, 0);
             checker.onPaused(0, 100);
             checker.onResumed(0, 200);
             checker.onEnded(ID, 0, limit + 1);
@@ -142,11 +151,11 @@
     @Nested
     class Streams {
         private void goOnAfter(long workedOnMillis) {
-            checker.onSent(ID, RequestKind.ASK, 0);
-            checker.onBegun(ID, "a", "engines", 0);
-            checker.onBegun(ID, "b", "engines", 1000);
-            checker.onRunEnded(ID, "a", 1000 + workedOnMillis);
-            checker.onRunEnded(ID, "b", 2000);
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
+            checker.onBegun(at("a"), "engines", 0);
+            checker.onBegun(at("b"), "engines", 1000);
+            checker.onRunEnded(at("a"), 1000 + workedOnMillis);
+            checker.onRunEnded(at("b"), 2000);
         }
 
         // Guards against two servers that work on one stream for long.
@@ -163,6 +172,27 @@
             assertFound();
         }
 
+        // Guards against a first run that passes because its server began after the second one.
+        @Test
+        void workAtTheServerOfTheFirstSendMustEndSoonThoughItBeganLater() {
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
+            checker.onBegun(sentWith(4000, "b"), "engines", 2000);
+            checker.onBegun(sentWith(6000, "a"), "engines", 2010);
+            checker.onRunEnded(sentWith(6000, "a"), 2000 + SoakChecker.STREAM_OVERLAP_MILLIS + 1);
+            assertFound(Check.STREAM_AT_ONE_SERVER);
+        }
+
+        // Guards against findings for the second send, whose server began first.
+        @Test
+        void serverOfTheSecondSendMayGoOnThoughItBeganFirst() {
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
+            checker.onBegun(sentWith(4000, "b"), "engines", 2000);
+            checker.onBegun(sentWith(6000, "a"), "engines", 2010);
+            checker.onRunEnded(sentWith(6000, "a"), 2011);
+            checker.onRunEnded(sentWith(4000, "b"), 3000);
+            assertFound();
+        }
+
         // Guards against findings that only a paused gateway causes.
         @Test
         void pauseOfTheGatewayIsExcused() {
@@ -173,30 +203,58 @@
         }
     }
 
+    @Nested
+    class Causes {
+        // Guards against a finding whose cause can't be read from what servers have seen.
+        @Test
+        void historyTellsArrivalsCopiesAndAnswers() {
+            checker.onSent(ID, RequestKind.ISSUE, 2, 100);
+            checker.onRefused(at("old"), 421, 102);
+            checker.onBegun(at("new"), "records", 103);
+            checker.onCopyMet(at("new"), 130);
+            checker.onAnswer(ID, answer(503, "", true), 131);
+            assertEquals(
+                    "+0ms sent@gateway-2; +2ms refused@old:1 status=421; +3ms begun@new:1;"
+                            + " +30ms copy_met@new:1; +31ms answered@gateway-2 status=503",
+                    checker.history(ID));
+        }
+
+        // Guards against a finding of another cause that is counted with those of copies.
+        @Test
+        void findingsWithoutCopyAreCounted() {
+            checker.onSent(ID, RequestKind.ISSUE, 0, 0);
+            checker.onBegun(at("a"), "records", 1);
+            checker.onAnswer(ID, answer(503, "", true), 2);
+            assertTrue(checker.line().startsWith("findings=1 findings_without_copy=1 "));
+            checker.onCopyMet(at("a"), 3);
+            assertTrue(checker.line().startsWith("findings=1 findings_without_copy=0 "));
+        }
+    }
+
     @Nested
     class Answers {
         // Guards against foreign, spliced and repeated bytes, and against missing events.
         @Test
         void successMustBeTheCallersOwnAndWhole() {
-            checker.onSent(ID, RequestKind.ASK, 0);
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
             String whole = AnswerContent.events(ID);
-            checker.onAnswer(ID, answer(200, whole, true));
-            checker.onAnswer(ID, answer(200, AnswerContent.event(ID, 1), false));
+            checker.onAnswer(ID, answer(200, whole, true), 1);
+            checker.onAnswer(ID, answer(200, AnswerContent.event(ID, 1), false), 1);
             assertFound();
-            checker.onAnswer(ID, answer(200, AnswerContent.event(ID, 1), true));
-            checker.onAnswer(ID, answer(200, AnswerContent.event(ID, 2), false));
-            checker.onAnswer(ID, answer(200, whole + whole, true));
+            checker.onAnswer(ID, answer(200, AnswerContent.event(ID, 1), true), 1);
+            checker.onAnswer(ID, answer(200, AnswerContent.event(ID, 2), false), 1);
+            checker.onAnswer(ID, answer(200, whole + whole, true), 1);
             assertFound(Check.WHOLE_ANSWER, Check.WHOLE_ANSWER, Check.WHOLE_ANSWER);
         }
 
         // Guards against the answer to another request.
         @Test
         void answerMustNameItsRequest() {
-            checker.onSent(ID, RequestKind.READ, 0);
+            checker.onSent(ID, RequestKind.READ, 0, 0);
             Map<String, String> other = Map.of("tarragonlug-request-id", "c2-1-1");
-            checker.onAnswer(ID, new CallerAnswer(500, other, "", true));
-            checker.onAnswer(ID, new CallerAnswer(200, Map.of(), AnswerContent.body(ID), true));
-            checker.onAnswer(ID, answer(404, "", true));
+            checker.onAnswer(ID, new CallerAnswer(500, other, "", true), 1);
+            checker.onAnswer(ID, new CallerAnswer(200, Map.of(), AnswerContent.body(ID), true), 1);
+            checker.onAnswer(ID, answer(404, "", true), 1);
             assertFound(Check.OWN_ANSWER, Check.OWN_ANSWER, Check.PROPER_STATUS);
         }
 
@@ -204,7 +262,7 @@
         @Test
         void requestMustEndByItsDeadline() {
             long limit = RequestKind.READ.deadlineMillis() + SoakChecker.DEADLINE_SLACK_MILLIS;
-            checker.onSent(ID, RequestKind.READ, 0);
+            checker.onSent(ID, RequestKind.READ, 0, 0);
             checker.onPaused(0, 100);
             checker.onResumed(0, 200);
             checker.onEnded(ID, 0, limit + 100);
