Soak: servers that stand still, so that sends wait for connections

A send that is given up while its connection is being opened, or before its server reads it, was played only as far as chance brought it about. A server now accepts and reads nothing for 0.1 to 2.5 s while its queue of connections is full.

Such a server may read a stream's first send after the gateway closed its connection.

--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.io.PushbackInputStream;
 import java.net.Socket;
@@ -32,6 +33,9 @@
     /** The request that is being served. */
     private ServerArrival arrival;
 
+    /** Whether the gateway has closed the connection while the request was run. */
+    private boolean withdrawn;
+
     /** The last event that the caller of a stream already has. */
     private int lastEvent;
 
@@ -51,6 +55,7 @@
             socket.setSoTimeout(LONGEST_IDLE_MILLIS);
             MessageHead head = MessageHead.read(input);
             MessageBody.read(head, false, input, OutputStream.nullOutputStream());
+            awaitMoving();
             end = answer(head);
         }
         if (end == Treatment.End.RESET) {
@@ -58,6 +63,14 @@
         }
     }
 
+    private void awaitMoving() throws IOException {
+        try {
+            server.awaitMoving();
+        } catch (InterruptedException stopped) {
+            throw new InterruptedIOException("the server is being stopped");
+        }
+    }
+
     private Treatment.End answer(MessageHead head) throws IOException {
         String path = head.startPart(1);
         String expected = head.header(RequestHeaders.EXPECT_INSTANCE);
@@ -123,7 +136,7 @@
             return run(id, treatment);
         } finally {
             server.running.decrementAndGet();
-            server.checker.onRunEnded(arrival, SoakClock.millis());
+            server.checker.onRunEnded(arrival, withdrawn, SoakClock.millis());
         }
     }
 
@@ -172,6 +185,7 @@
             if (next >= 0) {
                 input.unread(next);
             }
+            withdrawn |= next < 0;
             return next < 0;
         } catch (SocketTimeoutException stillThere) {
             return false;
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.platform.ServerAnswer;
@@ -88,8 +89,12 @@
         checkRefusal(id, request);
     }
 
-    /** Records that a server no longer works on a request. */
-    synchronized void onRunEnded(ServerArrival arrival, long millis) {
+    /**
+     * Records that a server no longer works on a request.
+     *
+     * @param withdrawn whether the gateway has closed the connection
+     */
+    synchronized void onRunEnded(ServerArrival arrival, boolean withdrawn, long millis) {
         RequestRecord request = requests.get(arrival.id());
         if (request == null) {
             return;
@@ -98,24 +103,24 @@
         for (RequestRecord.Run run : request.runs) {
             if (run.arrival.equals(arrival) && !run.ended) {
                 run.ended = true;
-                checkOverlap(request, run, millis);
+                checkOverlap(request, run, withdrawn, millis);
                 return;
             }
         }
     }
 
-    private void checkOverlap(RequestRecord request, RequestRecord.Run run, long millis) {
-        if (!request.kind.isStreaming()) {
+    private void checkOverlap(
+            RequestRecord request, RequestRecord.Run run, boolean withdrawn, long millis) {
+        Optional<RequestRecord.Run> next = request.nextAfter(run);
+        if (!request.kind.isStreaming() || next.isEmpty()) {
             return;
         }
-        request.nextAfter(run).ifPresent(next -> checkOverlap(request, run, next, millis));
-    }
-
-    private void checkOverlap(
-            RequestRecord request, RequestRecord.Run run, RequestRecord.Run next, long millis) {
-        long both = millis - next.beginMillis;
+        long nextBegin = next.get().beginMillis;
+        // A server that read the request late may begin after its connection was closed.
+        long begin = withdrawn ? Math.max(nextBegin, run.beginMillis) : nextBegin;
+        long both = millis - begin;
         // A paused gateway neither ends the stream before nor sees its end.
-        long excused = pauses.overlap(request.gateway, next.beginMillis, millis);
+        long excused = pauses.overlap(request.gateway, begin, millis);
         if (both - excused > STREAM_OVERLAP_MILLIS) {
             String text = "still at " + run.arrival.server() + " for " + both + " ms, begun at ";
             report(Check.STREAM_AT_ONE_SERVER, run.arrival.id(), text + request.servers());
--- a/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
@@ -41,6 +41,10 @@
             context -> context.fleet().listSecondId(context.random(), context.listedMillis())),
     /** A server goes down and up by turns, under its id or under a new one each time. */
     SERVER_FLAP(Target.SERVER, Context::flap),
+    /** A server accepts no connection and reads nothing for some time. */
+    SERVER_STANDSTILL(
+            Target.STANDSTILL,
+            context -> context.fleet().standStill(context.random(), context.lengthMillis())),
     /** A gateway is asked to end; a new process follows. */
     GATEWAY_TERMINATE(Target.GATEWAY, context -> context.gateway().terminate()),
     /** A gateway is killed; a new process follows. */
@@ -73,6 +77,8 @@
     /** What a fault concerns. */
     enum Target {
         SERVER,
+        /** Servers as well, in a series of its own. */
+        STANDSTILL,
         GATEWAY,
         STORE
     }
--- a/src/main/java/org/tarragonlug/soak/SoakFleet.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFleet.java
@@ -179,6 +179,14 @@
         }
     }
 
+    /** Lets a server stand still for some time. */
+    synchronized void standStill(Random random, long millis) {
+        Place place = drawSteady(random);
+        if (place != null && !sound) {
+            place.server.standStill(millis);
+        }
+    }
+
     /**
      * Lets a server go down and come back by turns.
      *
--- a/src/main/java/org/tarragonlug/soak/SoakSchedule.java
+++ b/src/main/java/org/tarragonlug/soak/SoakSchedule.java
@@ -7,15 +7,19 @@
 import java.util.Random;
 
 /**
- * The faults of a soak, drawn from a seed: one series for servers, one for gateways and one for the
- * store. Within a series faults follow each other or overlap. The same seed and length give the
- * same schedule; the timing of the processes does not repeat.
+ * The faults of a soak, drawn from a seed: one series for servers, one for servers that stand
+ * still, one for gateways and one for the store. Within a series faults follow each other or
+ * overlap. The same seed and length give the same schedule; the timing of the processes does not
+ * repeat.
  */
 final class SoakSchedule {
     private static final int FIRST_MILLIS = 500;
     private static final int SHORTEST_FAULT_MILLIS = 100;
     private static final int LONGEST_FAULT_MILLIS = 2500;
 
+    /** How much rarer servers stand still than they have other faults. */
+    private static final int STANDSTILL_GAP_FACTOR = 4;
+
     private final List<PlannedFault> faults = new ArrayList<>();
     private final long lengthMillis;
     private final int gateways;
@@ -32,6 +36,8 @@
         this.lengthMillis = lengthMillis;
         this.gateways = gateways;
         add(seed, SoakFaultKind.Target.SERVER, shape.longestServerGapMillis());
+        int standstillGap = STANDSTILL_GAP_FACTOR * shape.longestServerGapMillis();
+        add(seed, SoakFaultKind.Target.STANDSTILL, standstillGap);
         add(seed, SoakFaultKind.Target.GATEWAY, shape.longestGatewayGapMillis());
         add(seed, SoakFaultKind.Target.STORE, shape.longestStoreGapMillis());
         faults.sort(Comparator.comparingLong(PlannedFault::startMillis));
--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -9,11 +9,13 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** One start of a backend server, from its start to its end, on plain sockets. */
 final class SoakServer implements AutoCloseable {
     private static final int BACKLOG = 200;
+    private static final int STANDSTILL_STEP_MILLIS = 5;
 
     final String id;
     final String service;
@@ -31,6 +33,7 @@
     private volatile boolean leaving;
     private volatile boolean closed;
     private volatile long pausedUntilMillis;
+    private volatile long standsStillUntilMillis;
 
     /**
      * Starts a server.
@@ -78,11 +81,14 @@
     private void accept() {
         while (!closed) {
             try {
+                awaitMoving();
                 Socket socket = listener.accept();
                 sockets.add(socket);
                 startThread("soak-server-connection", () -> serve(socket));
             } catch (IOException ended) {
                 return;
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
             }
         }
     }
@@ -127,6 +133,21 @@
     void setSound() {
         sound = true;
         pausedUntilMillis = 0;
+        standsStillUntilMillis = 0;
+    }
+
+    /** Accepts no connection and reads no request for some time, like a process that is paused. */
+    void standStill(long millis) {
+        standsStillUntilMillis = SoakClock.millis() + millis;
+        WaitingConnections waiting = WaitingConnections.open(listing.port(), 2 * BACKLOG);
+        timers.schedule(waiting::close, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Waits while the server stands still. */
+    void awaitMoving() throws InterruptedException {
+        while (!closed && SoakClock.millis() < standsStillUntilMillis) {
+            Thread.sleep(STANDSTILL_STEP_MILLIS);
+        }
     }
 
     /** Makes all answers say that the server leaves. */
