--- a/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RefusalReason.java
@@ -25,6 +25,9 @@
     /** The caller's time limit expired before a server ran the request. */
     TIME_OVER(503);
 
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int UNAVAILABLE = 503;
+
     private final int status;
 
     RefusalReason(int status) {
@@ -36,8 +39,16 @@
         return this == KEY_UNKNOWN || this == KEY_UNCONFIRMED;
     }
 
-    /** Returns the HTTP status. Each of these statuses states that the request has not run. */
+    /** Returns the HTTP status. */
     public int status() {
         return status;
     }
+
+    /**
+     * Returns whether callers take the status for the promise that the request has not run and
+     * never will. They read no such promise in a 401 or 404, though it has not run either.
+     */
+    public boolean promisesNotRun() {
+        return status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
+    }
 }
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -47,9 +47,6 @@
  * happened.
  */
 final class ForwardingDriver implements ForwardedCallListener {
-    /** Outcome of a request that got its server's answer. */
-    static final String ANSWERED = "answered";
-
     private static final int BAD_REQUEST = 400;
     private static final double MILLIS_PER_SECOND = 1000.0;
 
@@ -137,7 +134,7 @@
         ActiveRequest request = activeRequests.get(call.key());
         if (request != null) {
             post(new ForwardingEvent.CallerDisconnected(call.key()));
-            finish(request, "caller_gone", 0, Optional.empty());
+            finish(request, ForwardOutcome.callerGone());
         }
     }
 
@@ -252,7 +249,7 @@
                     RequestHeaders.endToEnd(request.answerHeaders),
                     request.answerBody);
         }
-        finish(request, ANSWERED, request.answerStatus, Optional.empty());
+        finish(request, ForwardOutcome.answered(request.answerStatus));
     }
 
     private void refuse(ForwardingCommand.Refuse refuse) {
@@ -262,24 +259,17 @@
             answer(head.call(), refuse);
             onKeyRefused(head.call(), head.credential(), refuse.reason());
             Duration elapsed = Duration.between(head.arrivedAt(), timers.now());
-            metrics.recordRequest(outcome(refuse.reason()), elapsed);
+            metrics.recordRequest(ForwardOutcome.labelOf(refuse.reason()), elapsed);
         } else if (request != null) {
             answer(request.call, refuse);
             if (refuse.reason().concernsKey()) {
                 onKeyRefused(request.call, request.request.credential(), refuse.reason());
             }
-            finish(
-                    request,
-                    outcome(refuse.reason()),
-                    refuse.reason().status(),
-                    Optional.of(request.sends.groundOfRefusal()));
+            NotRunGround ground = request.sends.groundOfRefusal();
+            finish(request, ForwardOutcome.refused(refuse.reason(), ground));
         }
     }
 
-    private static String outcome(RefusalReason reason) {
-        return "refused_" + lowerCase(reason);
-    }
-
     private static String lowerCase(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
@@ -323,7 +313,7 @@
         } else {
             request.call.answer(fail.reason().status(), Map.of(), text(reason));
         }
-        finish(request, "failed_" + reason, fail.reason().status(), Optional.empty());
+        finish(request, ForwardOutcome.failed(fail.reason()));
     }
 
     private void cancel(ActiveRequest request) {
@@ -357,11 +347,10 @@
                 .write();
     }
 
-    private void finish(
-            ActiveRequest request, String outcome, int status, Optional<NotRunGround> ground) {
+    private void finish(ActiveRequest request, ForwardOutcome outcome) {
         activeRequests.remove(request.call.key());
-        metrics.recordRequest(outcome, Duration.between(request.arrivedAt, timers.now()));
-        requestLog.onEnded(request, outcome, status, ground);
+        metrics.recordRequest(outcome.label(), Duration.between(request.arrivedAt, timers.now()));
+        requestLog.onEnded(request, outcome);
     }
 
     private static HttpBody text(String line) {
--- a/src/main/java/org/tarragonlug/gateway/ForwardingLog.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingLog.java
@@ -103,14 +103,10 @@
                 .writeRetained();
     }
 
-    /**
-     * Logs the end of a request.
-     *
-     * @param ground why the caller may take the status for the statement that the request has not
-     *     run; empty if the request was not refused
-     */
-    void onEnded(ActiveRequest request, String outcome, int status, Optional<NotRunGround> ground) {
+    /** Logs the end of a request. */
+    void onEnded(ActiveRequest request, ForwardOutcome outcome) {
         SendHistory sends = request.sends;
+        Optional<NotRunGround> ground = outcome.ground();
         if (ground.equals(Optional.of(NotRunGround.UNPROVEN))) {
             log.event(LogEvent.INVARIANT_VIOLATED)
                     .with("invariant", "refused_request_has_not_run")
@@ -121,8 +117,8 @@
         EventLog.Line line =
                 log.event(LogEvent.FORWARD_ENDED)
                         .with("request", request.requestId)
-                        .with("outcome", outcome)
-                        .with("status", status)
+                        .with("outcome", outcome.label())
+                        .with("status", outcome.status())
                         .with("model", RequestHeaders.model(request.call.headers()))
                         .with("server", sends.lastServer())
                         .with("attempts", sends.count())
@@ -130,7 +126,7 @@
                                 "took_ms",
                                 Duration.between(request.arrivedAt, timers.now()).toMillis());
         ground.ifPresent(each -> line.with("not_run", each));
-        boolean ordinary = sends.count() == 1 && outcome.equals(ForwardingDriver.ANSWERED);
+        boolean ordinary = sends.count() == 1 && outcome.isAnswered();
         if (sends.count() > 0 && (!ordinary || ground.isPresent())) {
             line.with("rejected", sends.rejected())
                     .with("unwritten", sends.unwritten())
--- a/src/test/java/org/tarragonlug/gateway/RefusalLinesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RefusalLinesTest.java
@@ -20,6 +20,7 @@
 class RefusalLinesTest {
     private static final int NOT_RUN = 503;
     private static final int BAD_GATEWAY = 502;
+    private static final int NOT_FOUND = 404;
     private static final Pattern SEND =
             Pattern.compile("([^,@]+)@127\\.0\\.0\\.1:\\d+/(\\d+)\\+(\\d+)/(\\w+)/(\\d+)ms");
 
@@ -161,6 +162,16 @@
         assertFalse(end.contains(" sends="), end);
     }
 
+    // Guards against a line that speaks of a promise where the caller's status makes none.
+    @Test
+    void unknownRouteIsNoPromise() throws Exception {
+        startGateway();
+        assertEquals(NOT_FOUND, fixture.send(0, "/unknown/1", "", "x").statusCode());
+        String end = lines.await("forward_ended", "request=" + fixture.lastRequestId() + " ");
+        assertEquals("refused_no_route", LogLines.value(end, "outcome"));
+        assertFalse(end.contains(" not_run="), end);
+    }
+
     // Guards against a log whose volume grows with ordinary requests.
     @Test
     void ordinaryRequestHasTwoLinesWithoutDescriptions() throws Exception {
