--- a/src/test/java/org/tarragonlug/gateway/ExploredConfiguration.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredConfiguration.java
@@ -18,6 +18,7 @@
 import org.tarragonlug.id.ConfigurationVersion;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.RouteName;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
@@ -34,6 +35,7 @@
     private static final String HOST = "a.example";
     private static final ServiceName SERVICE = new ServiceName("service");
     private static final ModelKey MODEL = ModelKey.parse("model");
+    private static final long CONTENT_HASH = 1;
     private static final PromptPrefix NO_PREFIX = new PromptPrefix("", 0, List.of());
 
     /** Returns the address at which a server is listed. */
@@ -81,6 +83,11 @@
                         Set.of()));
     }
 
+    /** Returns by what the requests are recognised if they crash servers. */
+    static Set<RequestTrait> traits() {
+        return Set.of(new RequestTrait(RequestTrait.Kind.CONTENT, Long.toHexString(CONTENT_HASH)));
+    }
+
     ForwardingEvent arrival(ExploredRequest request) {
         return new ForwardingEvent.RequestArrived(
                 new ForwardRequest(
@@ -94,6 +101,6 @@
                         10,
                         10,
                         -1,
-                        request.key));
+                        CONTENT_HASH));
     }
 }
--- a/src/test/java/org/tarragonlug/gateway/ExploredEvent.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredEvent.java
@@ -49,17 +49,27 @@
     BEGINS((world, call) -> call.isUnread() && world.reachesItsServer(call), ExploredWorld::begin),
     REFUSES_AS_FULL(
             (world, call) -> call.open && call.isUnread() && world.reachesItsServer(call),
-            (world, call) -> world.refuse(call, 503)),
+            (world, call) -> world.refuse(call, 503, Map.of())),
     REFUSES_AS_OTHER_SERVER(
             (world, call) -> call.open && call.isUnread() && !world.reachesItsServer(call),
-            (world, call) -> world.refuse(call, 421)),
+            (world, call) -> world.refuse(call, 421, Map.of())),
     REFUSES_WITHOUT_MODEL(
             (world, call) ->
                     world.kind().needsModel()
                             && call.open
                             && call.isUnread()
                             && world.reachesItsServer(call),
-            (world, call) -> world.refuse(call, 421)),
+            (world, call) -> world.refuse(call, 421, Map.of())),
+    REFUSES_AND_WANTS_PAUSE(
+            Group.DISTURBANCE,
+            1,
+            (world, call) -> call.open && call.isUnread() && world.reachesItsServer(call),
+            (world, call) -> world.refuse(call, 503, Map.of("retry-after", "1"))),
+    REFUSES_AND_LEAVES(
+            Group.DISTURBANCE,
+            1,
+            (world, call) -> call.open && call.isUnread() && world.reachesItsServer(call),
+            (world, call) -> world.refuse(call, 503, Map.of("server-leaving", "1"))),
     SUCCEEDS(
             (world, call) -> call.isRunning() && !world.kind().isStream(),
             (world, call) -> world.answerWithSeal(call, 200)),
@@ -148,6 +158,12 @@
                             new ForwardingEvent.StopScheduled(
                                     world.timers.now().plus(ExploredWorld.UNTIL_STOP)))),
     QUEUE_CLOSED(Group.DISTURBANCE, 1, world -> world.post(new ForwardingEvent.QueueClosed())),
+    /** Requests like this one crash servers, so it must reach no further one. */
+    QUARANTINE_BEGINS(Group.DISTURBANCE, 1, ExploredWorld::beginQuarantine),
+    QUARANTINE_ENDS(
+            Group.DISTURBANCE, 1, ExploredWorld::hasQuarantine, ExploredWorld::endQuarantine),
+    /** The request may reach one server, to find out whether it still crashes it. */
+    TRIAL_ALLOWED(Group.DISTURBANCE, 1, ExploredWorld::hasQuarantine, ExploredWorld::allowTrial),
     CALLER_LEAVES(
             Group.DISTURBANCE, 1, world -> world.lastRequest().isOpen(), ExploredWorld::leave),
     /** Callers return with the id that was refused only after they were told "not run". */
@@ -161,6 +177,12 @@
             1,
             world -> world.lastRequest().promised,
             world -> world.arrive("request-2")),
+    /** Another caller's request may take connections that this one has left, and the reverse. */
+    OTHER_CALLER_ARRIVES(
+            Group.OTHER_CALLER,
+            1,
+            world -> world.requests.size() == 1,
+            world -> world.arrive("request-2")),
     TICK(
             Group.COURSE,
             ExploredEvent.Limit.NONE,
@@ -182,6 +204,8 @@
         COPY(1),
         /** The caller sends the request once more. */
         RETURN(1),
+        /** A request of another caller arrives. */
+        OTHER_CALLER(1),
         /** Faults, changes of servers and of the configuration, pauses of the process. */
         DISTURBANCE(Limit.NONE),
         /** What servers and libraries never do, as the instance assumes. */
@@ -261,6 +285,10 @@
         return group == Group.BROKEN_ASSUMPTION;
     }
 
+    boolean isOfOtherCaller() {
+        return group == Group.OTHER_CALLER;
+    }
+
     /** Returns whether a server copies an answer or a caller returns. */
     boolean repeats() {
         return group == Group.COPY || group == Group.RETURN;
--- a/src/test/java/org/tarragonlug/gateway/ExploredFault.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredFault.java
@@ -11,5 +11,7 @@
     /** The request has ended more than once, or after its caller had left. */
     ENDED_TWICE,
     /** The time of the request is over, and its caller has got nothing. */
-    NOT_ENDED
+    NOT_ENDED,
+    /** The caller got an answer of a server, and the server of the last send has sent none. */
+    FOREIGN_ANSWER
 }
--- a/src/test/java/org/tarragonlug/gateway/ExploredWorld.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredWorld.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
@@ -21,6 +22,7 @@
 import org.tarragonlug.http.ModelConnection;
 import org.tarragonlug.http.SkippedAnswer;
 import org.tarragonlug.id.FailureDomain;
+import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.runtime.ManualTimers;
 
 /**
@@ -42,6 +44,9 @@
     /** Time from the announcement of a stop to the stop. */
     static final Duration UNTIL_STOP = Duration.ofMillis(500);
 
+    /** Retries of a budget that no order uses up. */
+    static final int MANY_RETRIES = 1000;
+
     private static final int REFUSED = 503;
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
@@ -57,11 +62,21 @@
     private final List<ModelConnection> pool = new ArrayList<>();
     private final Deque<ForwardingEvent> events = new ArrayDeque<>();
     private String presentAtSharedAddress;
+    private Set<RequestTrait> quarantined = Set.of();
     private int lastPort;
     private boolean processing;
 
-    /** Creates a world in which a request has just arrived and was sent. */
+    /** Creates a world with retries in which a request has just arrived and was sent. */
     ExploredWorld(ExploredRequestKind kind, ExploredFleet fleet, ConnectionRule rule) {
+        this(kind, fleet, rule, MANY_RETRIES);
+    }
+
+    /**
+     * Creates a world in which a request has just arrived and was sent.
+     *
+     * @param retries number of retries that the budget allows
+     */
+    ExploredWorld(ExploredRequestKind kind, ExploredFleet fleet, ConnectionRule rule, int retries) {
         this.kind = kind;
         this.configuration = new ExploredConfiguration(kind);
         this.rule = rule;
@@ -70,7 +85,7 @@
                 new ForwardingCoordinator(
                         new FailureDomain("home"),
                         fleet::preference,
-                        new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1));
+                        new ForwardingLimits(Duration.ofSeconds(10), 0.2, retries, 1));
         addConnection(ExploredConfiguration.SHARED_ADDRESS);
         addConnection(ExploredConfiguration.OTHER_ADDRESS);
         installRoute(true);
@@ -105,6 +120,24 @@
         post(new ForwardingEvent.CallerDisconnected(request.key));
     }
 
+    void beginQuarantine() {
+        quarantined = ExploredConfiguration.traits();
+        post(new ForwardingEvent.QuarantineChanged(quarantined));
+    }
+
+    void endQuarantine() {
+        quarantined = Set.of();
+        post(new ForwardingEvent.QuarantineChanged(quarantined));
+    }
+
+    void allowTrial() {
+        quarantined.forEach(trait -> post(new ForwardingEvent.TrialAllowed(trait)));
+    }
+
+    boolean hasQuarantine() {
+        return !quarantined.isEmpty();
+    }
+
     ExploredRequest lastRequest() {
         return requests.get(requests.size() - 1);
     }
@@ -135,6 +168,9 @@
             send(send);
         } else if (command instanceof ForwardingCommand.RelayAnswer answer) {
             ExploredRequest request = request(answer.request());
+            if (!request.lastCall.isAnswered()) {
+                faults.add(ExploredFault.FOREIGN_ANSWER);
+            }
             end(request, !request.streamStarted && PROMISES.contains(request.answerStatus));
         } else if (command instanceof ForwardingCommand.Refuse refuse) {
             end(request(refuse.request()), PROMISES.contains(refuse.reason().status()));
@@ -277,17 +313,12 @@
         checkRuns(call.request);
     }
 
-    void refuse(ExploredCall call, int status) {
-        answer(
-                call,
-                status,
-                Map.of(
-                        "tarragonlug-request-id",
-                        call.request.id,
-                        "tarragonlug-not-executed",
-                        "1",
-                        "tarragonlug-instance-id",
-                        presentAt(call)));
+    void refuse(ExploredCall call, int status, Map<String, String> notice) {
+        Map<String, String> headers = new TreeMap<>(notice);
+        headers.put("tarragonlug-request-id", call.request.id);
+        headers.put("tarragonlug-not-executed", "1");
+        headers.put("tarragonlug-instance-id", presentAt(call));
+        answer(call, status, headers);
     }
 
     void answerWithSeal(ExploredCall call, int status) {
--- a/src/test/java/org/tarragonlug/gateway/RequestOrderTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RequestOrderTest.java
@@ -31,19 +31,32 @@
             Predicate<ExploredEvent> explored,
             int depth,
             int disturbances) {
+        return explore(
+                rule, fleet, kind, ExploredWorld.MANY_RETRIES, explored, depth, disturbances);
+    }
+
+    private static OrderExplorer.Result explore(
+            ConnectionRule rule,
+            ExploredFleet fleet,
+            ExploredRequestKind kind,
+            int retries,
+            Predicate<ExploredEvent> explored,
+            int depth,
+            int disturbances) {
         long start = System.nanoTime();
         OrderExplorer.Result result =
                 new OrderExplorer(
-                                () -> new ExploredWorld(kind, fleet, rule),
+                                () -> new ExploredWorld(kind, fleet, rule, retries),
                                 explored,
                                 depth,
                                 disturbances)
                         .explore();
         System.out.printf(
-                "%s %s %s: %d states, %d transitions, up to %d events, %d disturbances, %d ms%n",
+                "%s %s %s, %d retries: %d states, %d transitions, up to %d events, %d disturbances, %d ms%n",
                 rule,
                 fleet,
                 kind,
+                retries,
                 result.states(),
                 result.transitions(),
                 result.depth(),
@@ -80,6 +93,58 @@
             assertEquals(Map.of(), result.shortestOrders());
         }
 
+        // Guards against a promise that holds under each disturbance alone, but not under two: a
+        // request whose server broke off, and which is then quarantined or stopped.
+        @ParameterizedTest
+        @MethodSource("combinations")
+        void noTwoDisturbancesBreakAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
+            OrderExplorer.Result result =
+                    explore(
+                            ConnectionRule.CARRIED_CALLS,
+                            fleet,
+                            kind,
+                            event -> !event.breaksAssumption(),
+                            DEPTH - 1,
+                            DISTURBANCES + 1);
+            assertEquals(Map.of(), result.shortestOrders());
+        }
+
+        // Guards against a promise that rests on the retry budget: without retries a request is
+        // refused after each rejection, whatever else is under way.
+        @ParameterizedTest
+        @MethodSource("combinations")
+        void noOrderBreaksAPromiseWithoutRetries(ExploredFleet fleet, ExploredRequestKind kind) {
+            OrderExplorer.Result result =
+                    explore(
+                            ConnectionRule.CARRIED_CALLS,
+                            fleet,
+                            kind,
+                            0,
+                            event -> !event.breaksAssumption(),
+                            DEPTH,
+                            DISTURBANCES);
+            assertEquals(Map.of(), result.shortestOrders());
+        }
+
+        // Guards against answers, copies and connections that are taken for those of another
+        // caller's request, which is under way at the same time.
+        @ParameterizedTest
+        @MethodSource("combinations")
+        void noOtherCallerBreaksAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
+            OrderExplorer.Result result =
+                    explore(
+                            ConnectionRule.CARRIED_CALLS,
+                            fleet,
+                            kind,
+                            event ->
+                                    event.isOrdinary()
+                                            || event.repeats()
+                                            || event.isOfOtherCaller(),
+                            DEPTH_OF_REPEATS - 1,
+                            2);
+            assertEquals(Map.of(), result.shortestOrders());
+        }
+
         // Guards against the copy of an answer that counts as the answer to a later send, however
         // often the request is sent and refused before.
         @ParameterizedTest
