--- a/src/main/java/org/tarragonlug/Tool.java
+++ b/src/main/java/org/tarragonlug/Tool.java
@@ -3,6 +3,7 @@
 import org.tarragonlug.tool.ApplyCommand;
 import org.tarragonlug.tool.CheckCommand;
 import org.tarragonlug.tool.DiffCommand;
+import org.tarragonlug.tool.ExplainCommand;
 import org.tarragonlug.tool.FetchCommand;
 import org.tarragonlug.tool.LoadCommand;
 import org.tarragonlug.tool.MeasureCommand;
@@ -29,6 +30,7 @@
             ApplyCommand.class,
             StatusCommand.class,
             StateCommand.class,
+            ExplainCommand.class,
             TryCommand.class,
             SoakCommand.class,
             StandInsCommand.class,
--- a/src/test/java/org/tarragonlug/gateway/LogLines.java
+++ b/src/test/java/org/tarragonlug/gateway/LogLines.java
@@ -37,6 +37,11 @@
                 .toList();
     }
 
+    /** Returns all lines in their order, as a log has them. */
+    String text() {
+        return String.join("\n", lines);
+    }
+
     /** Waits for a line of an event that contains a text, and returns the first one. */
     String await(String event, String text) throws Exception {
         GatewayFixture.await(event + " " + text, () -> !of(event, text).isEmpty());
