--- a/src/test/java/org/tarragonlug/gateway/RequestOrderTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RequestOrderTest.java
@@ -24,47 +24,45 @@
     private static final int DEPTH_OF_REPEATS =
             Integer.getInteger("tarragonlug.order.repeats.depth", 7);
 
-    private static OrderExplorer.Result explore(
-            ConnectionRule rule,
-            ExploredFleet fleet,
-            ExploredRequestKind kind,
-            Predicate<ExploredEvent> explored,
-            int depth,
-            int disturbances) {
-        return explore(
-                rule, fleet, kind, ExploredWorld.MANY_RETRIES, explored, depth, disturbances);
-    }
+    /** Which orders are explored: their events, length and disturbances, and the retry budget. */
+    private record Orders(
+            Predicate<ExploredEvent> events, int depth, int disturbances, int retries) {
+        Orders(Predicate<ExploredEvent> events, int depth, int disturbances) {
+            this(events, depth, disturbances, ExploredWorld.MANY_RETRIES);
+        }
 
-    private static OrderExplorer.Result explore(
-            ConnectionRule rule,
-            ExploredFleet fleet,
-            ExploredRequestKind kind,
-            int retries,
-            Predicate<ExploredEvent> explored,
-            int depth,
-            int disturbances) {
-        long start = System.nanoTime();
-        OrderExplorer.Result result =
-                new OrderExplorer(
-                                () -> new ExploredWorld(kind, fleet, rule, retries),
-                                explored,
-                                depth,
-                                disturbances)
-                        .explore();
-        System.out.printf(
-                "%s %s %s, %d retries: %d states, %d transitions, up to %d events, %d disturbances, %d ms%n",
-                rule,
-                fleet,
-                kind,
-                retries,
-                result.states(),
-                result.transitions(),
-                result.depth(),
-                disturbances,
-                (System.nanoTime() - start) / 1_000_000);
-        result.shortestOrders()
-                .forEach((fault, order) -> System.out.println("  " + fault + ": " + order));
-        return result;
+        OrderExplorer.Result explore(
+                ConnectionRule rule, ExploredFleet fleet, ExploredRequestKind kind) {
+            long start = System.nanoTime();
+            OrderExplorer.Result result =
+                    new OrderExplorer(
+                                    () -> new ExploredWorld(kind, fleet, rule, retries),
+                                    events,
+                                    depth,
+                                    disturbances)
+                            .explore();
+            System.out.printf(
+                    "%s %s %s, %d retries: %d states, %d transitions, up to %d events,"
+                            + " %d disturbances, %d ms%n",
+                    rule,
+                    fleet,
+                    kind,
+                    retries,
+                    result.states(),
+                    result.transitions(),
+                    result.depth(),
+                    disturbances,
+                    (System.nanoTime() - start) / 1_000_000);
+            result.shortestOrders()
+                    .forEach((fault, order) -> System.out.println("  " + fault + ": " + order));
+            return result;
+        }
+
+        /** Explores the orders under the present rule, none of which may have a fault. */
+        void assertNoFault(ExploredFleet fleet, ExploredRequestKind kind) {
+            assertEquals(
+                    Map.of(), explore(ConnectionRule.CARRIED_CALLS, fleet, kind).shortestOrders());
+        }
     }
 
     @Nested
@@ -77,20 +75,17 @@
                                             .map(kind -> Arguments.of(fleet, kind)));
         }
 
+        private static boolean isPossible(ExploredEvent event) {
+            return !event.breaksAssumption();
+        }
+
         // Guards against an order of events in which a request runs too often, runs although its
         // caller was told that it has not, is at two servers, or does not end exactly once.
         @ParameterizedTest
         @MethodSource("combinations")
         void noOrderBreaksAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
-            OrderExplorer.Result result =
-                    explore(
-                            ConnectionRule.CARRIED_CALLS,
-                            fleet,
-                            kind,
-                            event -> !event.breaksAssumption(),
-                            DEPTH,
-                            DISTURBANCES);
-            assertEquals(Map.of(), result.shortestOrders());
+            new Orders(WithThePresentRule::isPossible, DEPTH, DISTURBANCES)
+                    .assertNoFault(fleet, kind);
         }
 
         // Guards against a promise that holds under each disturbance alone, but not under two: a
@@ -98,15 +93,8 @@
         @ParameterizedTest
         @MethodSource("combinations")
         void noTwoDisturbancesBreakAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
-            OrderExplorer.Result result =
-                    explore(
-                            ConnectionRule.CARRIED_CALLS,
-                            fleet,
-                            kind,
-                            event -> !event.breaksAssumption(),
-                            DEPTH - 1,
-                            DISTURBANCES + 1);
-            assertEquals(Map.of(), result.shortestOrders());
+            new Orders(WithThePresentRule::isPossible, DEPTH - 1, DISTURBANCES + 1)
+                    .assertNoFault(fleet, kind);
         }
 
         // Guards against a promise that rests on the retry budget: without retries a request is
@@ -114,16 +102,8 @@
         @ParameterizedTest
         @MethodSource("combinations")
         void noOrderBreaksAPromiseWithoutRetries(ExploredFleet fleet, ExploredRequestKind kind) {
-            OrderExplorer.Result result =
-                    explore(
-                            ConnectionRule.CARRIED_CALLS,
-                            fleet,
-                            kind,
-                            0,
-                            event -> !event.breaksAssumption(),
-                            DEPTH,
-                            DISTURBANCES);
-            assertEquals(Map.of(), result.shortestOrders());
+            new Orders(WithThePresentRule::isPossible, DEPTH, DISTURBANCES, 0)
+                    .assertNoFault(fleet, kind);
         }
 
         // Guards against answers, copies and connections that are taken for those of another
@@ -131,18 +111,9 @@
         @ParameterizedTest
         @MethodSource("combinations")
         void noOtherCallerBreaksAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
-            OrderExplorer.Result result =
-                    explore(
-                            ConnectionRule.CARRIED_CALLS,
-                            fleet,
-                            kind,
-                            event ->
-                                    event.isOrdinary()
-                                            || event.repeats()
-                                            || event.isOfOtherCaller(),
-                            DEPTH_OF_REPEATS - 1,
-                            2);
-            assertEquals(Map.of(), result.shortestOrders());
+            Predicate<ExploredEvent> events =
+                    event -> event.isOrdinary() || event.repeats() || event.isOfOtherCaller();
+            new Orders(events, DEPTH_OF_REPEATS - 1, 2).assertNoFault(fleet, kind);
         }
 
         // Guards against the copy of an answer that counts as the answer to a later send, however
@@ -150,15 +121,8 @@
         @ParameterizedTest
         @MethodSource("combinations")
         void noCopyBreaksAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
-            OrderExplorer.Result result =
-                    explore(
-                            ConnectionRule.CARRIED_CALLS,
-                            fleet,
-                            kind,
-                            event -> event.isOrdinary() || event.repeats(),
-                            DEPTH_OF_REPEATS,
-                            2);
-            assertEquals(Map.of(), result.shortestOrders());
+            Predicate<ExploredEvent> events = event -> event.isOrdinary() || event.repeats();
+            new Orders(events, DEPTH_OF_REPEATS, 2).assertNoFault(fleet, kind);
         }
     }
 
@@ -169,13 +133,10 @@
                 EnumSet.of(ExploredEvent.TICK, ExploredEvent.RETRY_PAUSE_PASSES);
 
         private Set<ExploredFault> explored(ConnectionRule rule, ExploredFleet fleet, int depth) {
-            return explore(
-                            rule,
-                            fleet,
-                            ExploredRequestKind.NON_IDEMPOTENT,
-                            event -> event.isOrdinary() && !TIME.contains(event) || event.repeats(),
-                            depth,
-                            2)
+            Predicate<ExploredEvent> events =
+                    event -> event.isOrdinary() && !TIME.contains(event) || event.repeats();
+            return new Orders(events, depth, 2)
+                    .explore(rule, fleet, ExploredRequestKind.NON_IDEMPOTENT)
                     .shortestOrders()
                     .keySet();
         }
@@ -223,13 +184,11 @@
         @EnumSource(names = "WRITTEN_AFTER_ALL")
         void breaksThePromise(ExploredEvent broken) {
             Map<ExploredFault, List<String>> found =
-                    explore(
+                    new Orders(event -> event.isOrdinary() || event == broken, 5, 1)
+                            .explore(
                                     ConnectionRule.CARRIED_CALLS,
                                     ExploredFleet.ONE_SERVER,
-                                    ExploredRequestKind.NON_IDEMPOTENT,
-                                    event -> event.isOrdinary() || event == broken,
-                                    5,
-                                    1)
+                                    ExploredRequestKind.NON_IDEMPOTENT)
                             .shortestOrders();
             assertTrue(found.containsKey(ExploredFault.BEGUN_THOUGH_PROMISED));
         }
