--- a/src/main/java/org/tarragonlug/explain/Conclusion.java
+++ b/src/main/java/org/tarragonlug/explain/Conclusion.java
@@ -40,6 +40,13 @@
     NEVER_SENT(
             trace -> trace.hasEnd("not_run", "never_sent"),
             "No server was chosen for the request; the outcome of its end tells why."),
+    GROUND_UNKNOWN(
+            RequestTrace::isRefusedWithoutGround,
+            "The caller was told that the request had not run, and its end does not say on what"
+                    + " that rests: the release is older than this. Read what the servers said."),
+    NOT_ADMITTED(
+            RequestTrace::isRefusedWithoutPromise,
+            "The request had no route or no valid key; the outcome of its end tells which."),
     CALLER_LEFT(
             trace -> trace.hasEnd("outcome", "caller_gone"),
             "The caller closed its connection before the request ended."),
--- a/src/main/java/org/tarragonlug/explain/RequestTrace.java
+++ b/src/main/java/org/tarragonlug/explain/RequestTrace.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** All lines about one request, and those about its servers and instances around that time. */
 final class RequestTrace {
@@ -115,11 +116,25 @@
 
     /** Returns whether a caller was told that the request has not run. */
     boolean isRefused() {
-        return ends().stream()
-                .anyMatch(
-                        each ->
-                                each.field("outcome").startsWith("refused_")
-                                        && PROMISES.contains(each.status()));
+        return refusals().anyMatch(RequestTrace::isPromise);
+    }
+
+    /** Returns whether a caller was told so, and the line does not state on what that rests. */
+    boolean isRefusedWithoutGround() {
+        return refusals().anyMatch(each -> isPromise(each) && each.field("not_run").isEmpty());
+    }
+
+    /** Returns whether the request was refused with a status that promises nothing. */
+    boolean isRefusedWithoutPromise() {
+        return refusals().anyMatch(each -> !isPromise(each));
+    }
+
+    private Stream<LogRecord> refusals() {
+        return ends().stream().filter(each -> each.field("outcome").startsWith("refused_"));
+    }
+
+    private static boolean isPromise(LogRecord end) {
+        return PROMISES.contains(end.status());
     }
 
     /** Returns the lines about answers that came after the request had been refused or ended. */
--- a/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
+++ b/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
@@ -128,6 +128,19 @@
             assertEquals(List.of("REJECTED", "CAME_BACK"), conclusions(explain(port + none)));
         }
 
+        // Guards against lines of an earlier release, and of unknown routes, that show nothing.
+        @Test
+        void refusalsWithoutGroundAreNamed() throws IOException {
+            String earlier =
+                    "event=forward_ended instance=a request=r1 outcome=refused_turned_away"
+                            + " status=503 server=s2 attempts=2\n";
+            String route =
+                    "event=forward_ended instance=a request=r1 outcome=refused_no_route status=404";
+            assertEquals(
+                    List.of("GROUND_UNKNOWN", "NOT_ADMITTED", "CAME_BACK"),
+                    conclusions(explain(earlier + route)));
+        }
+
         // Guards against a log that is cut short and read as that of a request without faults.
         @Test
         void missingEndIsNoticed() throws IOException {
