--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -2,6 +2,7 @@
 
 import io.servicetalk.transport.api.IoExecutor;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -101,7 +102,9 @@
     private void startGateways() throws IOException, InterruptedException {
         for (int number = 0; number < shape.gateways(); number++) {
             FailureDomain domain = new FailureDomain(shape.failureDomain(number));
-            GatewaySettings each = GatewayTrial.settings(store, "gateway-" + number, domain);
+            Duration drainTime = Duration.ofSeconds(shape.pressure().drainSeconds());
+            GatewaySettings each =
+                    GatewayTrial.settings(store, "gateway-" + number, domain, drainTime);
             Random random = random("gateway " + number);
             gateways.add(new SoakGateway(number, settings, each, checker, random));
             if (gateways.size() % GATEWAYS_OF_A_START == 0) {
--- a/src/main/java/org/tarragonlug/soak/SoakCaller.java
+++ b/src/main/java/org/tarragonlug/soak/SoakCaller.java
@@ -14,8 +14,6 @@
  */
 final class SoakCaller {
     private static final int UNREACHABLE_PAUSE_MILLIS = 20;
-    private static final int LARGE_BODY_PERCENT = 5;
-    private static final int LARGE_BODY_BYTES = 30_000;
     private static final int SMALL_BODY_BYTES = 1000;
     private static final double MILLIS_PER_SECOND = 1000;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -156,8 +154,9 @@
     }
 
     private int bodyBytes() {
-        boolean large = SoakRandom.percent(random, LARGE_BODY_PERCENT);
-        return random.nextInt(large ? LARGE_BODY_BYTES : SMALL_BODY_BYTES);
+        PressureShape pressure = shape.pressure();
+        boolean large = SoakRandom.percent(random, pressure.largeBodyPercent());
+        return random.nextInt(large ? pressure.largestBodyBytes() : SMALL_BODY_BYTES);
     }
 
     private static boolean isLast(CallerAnswer answer) {
--- a/src/main/java/org/tarragonlug/soak/SoakFleet.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFleet.java
@@ -73,7 +73,16 @@
     private void start(Place place, String id) throws IOException {
         Random random = SoakRandom.of(seed, id + "/" + counts.starts.get());
         int refused = shape.faults().refusedPercent();
-        place.server = new SoakServer(id, listing(place), refused, random, checker, counts, timers);
+        place.server =
+                new SoakServer(
+                        id,
+                        listing(place),
+                        refused,
+                        shape.pressure(),
+                        random,
+                        checker,
+                        counts,
+                        timers);
         if (sound) {
             place.server.setSound();
         }
--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -28,6 +28,7 @@
     private final ServerSocket listener;
     private final Random random;
     private final int refusedPercent;
+    private final PressureShape pressure;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile boolean sound;
     private volatile boolean leaving;
@@ -41,6 +42,7 @@
      * @param id id of this start
      * @param listing what it says of itself
      * @param refusedPercent share of the requests that it refuses although it could run them
+     * @param pressure how often and how long it works long
      * @param random numbers for its faults
      * @param checker receives what it runs
      * @param counts receives what it does
@@ -51,6 +53,7 @@
             String id,
             ServerListing listing,
             int refusedPercent,
+            PressureShape pressure,
             Random random,
             SoakChecker checker,
             ServerCounts counts,
@@ -60,6 +63,7 @@
         this.listing = listing;
         this.service = listing.service();
         this.refusedPercent = refusedPercent;
+        this.pressure = pressure;
         this.random = random;
         this.checker = checker;
         this.counts = counts;
@@ -124,7 +128,7 @@
             if (sound) {
                 return Treatment.sound();
             }
-            Treatment drawn = Treatment.draw(random, service, refusedPercent);
+            Treatment drawn = Treatment.draw(random, service, refusedPercent, pressure);
             return misdirected ? drawn.asRefusal(random) : drawn;
         }
     }
--- a/src/main/java/org/tarragonlug/soak/SoakShape.java
+++ b/src/main/java/org/tarragonlug/soak/SoakShape.java
@@ -16,6 +16,7 @@
  * @param accounts number of client accounts; 0 if callers need no key
  * @param callers the callers
  * @param faults the faults
+ * @param pressure what presses gateways beyond the faults
  */
 public record SoakShape(
         int gateways,
@@ -25,7 +26,8 @@
         int adapters,
         int accounts,
         CallerShape callers,
-        FaultShape faults) {
+        FaultShape faults,
+        PressureShape pressure) {
     /** Most accounts that a configuration may have. */
     static final int MOST_ACCOUNTS = 16;
 
@@ -56,7 +58,15 @@
     /** Returns the same shape with another number of gateways. */
     public SoakShape withGateways(int count) {
         return new SoakShape(
-                count, failureDomains, services, models, adapters, accounts, callers, faults);
+                count,
+                failureDomains,
+                services,
+                models,
+                adapters,
+                accounts,
+                callers,
+                faults,
+                pressure);
     }
 
     /** Returns the failure domain of the gateway or server with a number. */
--- a/src/main/java/org/tarragonlug/soak/SoakShapeReader.java
+++ b/src/main/java/org/tarragonlug/soak/SoakShapeReader.java
@@ -44,7 +44,10 @@
                 JsonFields.smallCount(shape, "adapters"),
                 JsonFields.smallCount(shape, "accounts"),
                 callers(shape),
-                faults(JsonFields.object(shape, "faults")));
+                faults(JsonFields.object(shape, "faults")),
+                shape.has("pressure")
+                        ? pressure(JsonFields.object(shape, "pressure"))
+                        : PressureShape.LOW);
     }
 
     private static ServiceShape service(JsonNode node) {
@@ -72,6 +75,15 @@
                         JsonFields.smallCount(returns, "most")));
     }
 
+    private static PressureShape pressure(JsonNode node) {
+        return new PressureShape(
+                JsonFields.smallCount(node, "largeBodyPercent"),
+                JsonFields.smallCount(node, "largestBodyBytes"),
+                JsonFields.smallCount(node, "longWorkPercent"),
+                JsonFields.smallCount(node, "longestWorkMillis"),
+                JsonFields.smallCount(node, "drainSeconds"));
+    }
+
     private static FaultShape faults(JsonNode node) {
         return new FaultShape(
                 JsonFields.smallCount(node, "refusedPercent"),
--- a/src/main/java/org/tarragonlug/soak/Treatment.java
+++ b/src/main/java/org/tarragonlug/soak/Treatment.java
@@ -66,12 +66,14 @@
      *
      * @param service service of the server
      * @param refusedPercent share of the requests that it refuses
+     * @param pressure how often and how long it works long
      */
-    static Treatment draw(Random random, String service, int refusedPercent) {
+    static Treatment draw(
+            Random random, String service, int refusedPercent, PressureShape pressure) {
         boolean refused = SoakRandom.percent(random, refusedPercent);
         boolean paused = refused && SoakRandom.percent(random, PAUSE_PERCENT);
         int pause = SoakRandom.between(random, SHORTEST_PAUSE_MILLIS, LONGEST_PAUSE_MILLIS);
-        int work = random.nextInt(LONGEST_WORK_MILLIS);
+        int work = drawWork(random, pressure);
         boolean silent = SoakRandom.percent(random, SILENT_PERCENT);
         int silentPlace = SoakRandom.between(random, 1, LONGEST_SILENT_PLACE);
         Outcome outcome = drawOutcome(random);
@@ -89,6 +91,14 @@
                 random.nextInt(LONGEST_END_DELAY_MILLIS + 1));
     }
 
+    private static int drawWork(Random random, PressureShape pressure) {
+        int work = random.nextInt(LONGEST_WORK_MILLIS);
+        boolean longWork =
+                pressure.longWorkPercent() > 0
+                        && SoakRandom.percent(random, pressure.longWorkPercent());
+        return longWork ? random.nextInt(pressure.longestWorkMillis()) : work;
+    }
+
     private static Optional<CopyForm> drawCopy(Random random, int percent) {
         CopyForm form = CopyForm.draw(random);
         return SoakRandom.percent(random, percent) ? Optional.of(form) : Optional.empty();
--- a/src/main/java/org/tarragonlug/tool/SoakCommand.java
+++ b/src/main/java/org/tarragonlug/tool/SoakCommand.java
@@ -37,7 +37,7 @@
             defaultValue = "three",
             description =
                     "JSON file with what is played, or one of three, few, small, grown,"
-                            + " wide, large, accounts, crowded.")
+                            + " wide, large, accounts, crowded, pressed.")
     private String shapeName;
 
     @Option(
--- a/src/main/java/org/tarragonlug/trial/GatewayChild.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayChild.java
@@ -40,7 +40,8 @@
      *
      * @param directory directory to run in
      * @param command program and arguments, as {@link #command} returns them
-     * @param settings addresses and names; all other settings have their defaults
+     * @param settings addresses, names, retries and drain time; all other settings have their
+     *     defaults
      * @throws IOException if the process cannot be started
      */
     public GatewayChild(Path directory, List<String> command, GatewaySettings settings)
@@ -87,6 +88,7 @@
         json.put("peerAddress", text(settings.peerAddress()));
         json.put("adminAddress", text(settings.adminAddress()));
         json.put("storeAddress", text(settings.storeAddress()));
+        json.put("drainSeconds", settings.drainTime().toSeconds());
         json.put("retryRatio", settings.retryRatio());
         json.put("retryAllowance", settings.retryAllowance());
         return json;
--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -39,6 +39,7 @@
     private static final String CONFIGURATION = "/gateway-trial.json";
     private static final String ENGINES = "engines";
     private static final String RECORDS = "records";
+    private static final Duration DRAIN_TIME = Duration.ofSeconds(8);
     private static final Duration START_LIMIT = Duration.ofSeconds(20);
     private static final Duration REQUEST_LIMIT = Duration.ofSeconds(15);
     private static final long POLL_MILLIS = 50;
@@ -106,6 +107,19 @@
     /** Returns settings of a gateway of a failure domain, on free ports of loopback. */
     public static GatewaySettings settings(
             PlatformStoreStandIn store, String instance, FailureDomain failureDomain) {
+        return settings(store, instance, failureDomain, DRAIN_TIME);
+    }
+
+    /**
+     * Returns settings of a gateway of a failure domain, on free ports of loopback.
+     *
+     * @param drainTime time from the request to stop until the process is ended
+     */
+    public static GatewaySettings settings(
+            PlatformStoreStandIn store,
+            String instance,
+            FailureDomain failureDomain,
+            Duration drainTime) {
         return new GatewaySettings(
                 new InstanceId(instance),
                 failureDomain,
@@ -114,7 +128,7 @@
                 FreePort.find(),
                 FreePort.find(),
                 store.address(),
-                Duration.ofSeconds(8),
+                drainTime,
                 Duration.ofSeconds(3),
                 2,
                 Duration.ofSeconds(5),
--- a/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
@@ -50,7 +50,8 @@
                     "wide",
                     "large",
                     "accounts",
-                    "crowded"
+                    "crowded",
+                    "pressed"
                 })
         void shapesOfTheProgramAreRead(String name) throws IOException {
             SoakShape shape = SoakShapeReader.read(name);
@@ -72,6 +73,8 @@
             assertTrue(fault("\"most\": 5", "\"most\": \"five\"").contains("most"));
             assertTrue(fault("\"records\"", "\"ledger\"").contains("records"));
             assertTrue(fault("\"ISSUE\"", "\"WRITE\"").contains("WRITE"));
+            String pressed = "\"pressure\": {\"largeBodyPercent\": 101}, \"gateways\"";
+            assertTrue(fault("\"gateways\"", pressed).contains("largestBodyBytes"));
         }
     }
 
