--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -237,6 +237,13 @@
                 + checker.line();
     }
 
+    /** Prints when gateways stood still, which tells late ends from ends that never came. */
+    private void printPauses() throws IOException {
+        for (SoakGateway gateway : gateways) {
+            gateway.logLines("event=process_paused ").forEach(output);
+        }
+    }
+
     private void print() throws IOException {
         for (Finding finding : checker.findings()) {
             output.accept(
@@ -256,6 +263,9 @@
                 }
             }
         }
+        if (!checker.findings().isEmpty()) {
+            printPauses();
+        }
         output.accept("summary seed=" + settings.seed() + " " + line());
     }
 }
--- a/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
+++ b/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
@@ -15,6 +15,7 @@
     private static final int WEIGHTS_MB = 60;
     private static final int ADAPTER_MB = 1;
     private static final int ADAPTER_SLOTS = 8;
+    private static final String MAXIMUM_BODY = "max_body_bytes";
 
     private SoakConfiguration() {}
 
@@ -29,9 +30,15 @@
         if (shape.accounts() > 0) {
             configuration.setAll((ObjectNode) read("/soak-accounts.json"));
         }
+        allowBodies((ObjectNode) configuration.path("limits"), shape.pressure());
         return configuration;
     }
 
+    private static void allowBodies(ObjectNode limits, PressureShape pressure) {
+        int allowed = limits.path(MAXIMUM_BODY).asInt();
+        limits.put(MAXIMUM_BODY, Math.max(allowed, pressure.largestBodyBytes()));
+    }
+
     private static JsonNode read(String resource) throws IOException {
         try (InputStream input = SoakConfiguration.class.getResourceAsStream(resource)) {
             return Json.read(input.readAllBytes());
