Take an engine's status without an error code for no statement that nothing ran

Callers of the product's own interface were told not_run after a 4xx of an engine without an error code, and a request that must not be repeated went to a second engine after a 429 without one. Such a 4xx is passed on as "may have run" and not repeated; a 429 counts as a server error.

--- a/src/main/java/org/tarragonlug/decision/request/AttemptFailure.java
+++ b/src/main/java/org/tarragonlug/decision/request/AttemptFailure.java
@@ -14,6 +14,8 @@
     REFUSED_NOT_LOADED(Execution.NOT_RUN),
     /** The server rejected the request itself as invalid. */
     REJECTED(Execution.NOT_RUN),
+    /** The server answered with a status that finds fault with the request, without a statement. */
+    REJECTED_WITHOUT_STATEMENT(Execution.MAY_HAVE_RUN),
     /** The connection was lost after the request had been sent. */
     CONNECTION_LOST(Execution.MAY_HAVE_RUN),
     /** The attempt made no progress within the allowed time. */
--- a/src/main/java/org/tarragonlug/decision/request/AttemptHandler.java
+++ b/src/main/java/org/tarragonlug/decision/request/AttemptHandler.java
@@ -138,6 +138,12 @@
                 completion.refuse(
                         attempt.request, RefusalReason.REJECTED_BY_BACKEND, event.detail(), now);
             }
+            case REJECTED_WITHOUT_STATEMENT ->
+                    completion.refuse(
+                            attempt.request,
+                            RefusalReason.REJECTED_BY_BACKEND,
+                            event.detail(),
+                            now);
             default -> {
                 if (failure == AttemptFailure.SERVER_ERROR) {
                     server.limit.onOverload(now);
--- a/src/main/java/org/tarragonlug/engine/EngineError.java
+++ b/src/main/java/org/tarragonlug/engine/EngineError.java
@@ -10,8 +10,8 @@
 /**
  * An error answer of a model engine: {@code {"error":{"code":..., "message":...}}}.
  *
- * <p>An error answer counts as "not run" only if its code says so or its status can have no other
- * meaning. After any other server error the request may have run.
+ * <p>An error answer counts as "not run" only if its code says so. A status alone says nothing of
+ * that, so after any other error the request may have run.
  *
  * <p>The message is discarded, because engines quote the request in it and requests must not be
  * logged.
@@ -50,11 +50,12 @@
     }
 
     private AttemptFailure failureByStatus() {
-        if (status == TOO_MANY_REQUESTS) {
-            return AttemptFailure.REFUSED_OVERLOADED;
-        }
-        boolean rejected = status >= 400 && status < 500 && status != REQUEST_TIMEOUT;
-        return rejected ? AttemptFailure.REJECTED : AttemptFailure.SERVER_ERROR;
+        boolean rejected =
+                status >= 400
+                        && status < 500
+                        && status != REQUEST_TIMEOUT
+                        && status != TOO_MANY_REQUESTS;
+        return rejected ? AttemptFailure.REJECTED_WITHOUT_STATEMENT : AttemptFailure.SERVER_ERROR;
     }
 
     OrderOutcome orderOutcome() {
--- a/src/test/java/org/tarragonlug/decision/request/RequestAttemptTest.java
+++ b/src/test/java/org/tarragonlug/decision/request/RequestAttemptTest.java
@@ -221,6 +221,17 @@
             assertEquals(Execution.NOT_RUN, fixture.lastRefusal().execution());
         }
 
+        /** Guards against a promise "not run" that rests on the status of an engine alone. */
+        @Test
+        void reportsRejectionWithoutStatementAsPossiblyRun() {
+            fixture.arrive("r1", "/once", "m");
+            fixture.failAttempt(
+                    fixture.lastGeneration().attempt(), AttemptFailure.REJECTED_WITHOUT_STATEMENT);
+            assertEquals(1, sentGenerations());
+            assertEquals(RefusalReason.REJECTED_BY_BACKEND, fixture.lastRefusal().reason());
+            assertEquals(Execution.MAY_HAVE_RUN, fixture.lastRefusal().execution());
+        }
+
         /**
          * Guards against a retry that gets the complete timeout again and so runs beyond the
          * caller's deadline.
