--- a/src/main/java/org/tarragonlug/soak/PressureShape.java
+++ b/src/main/java/org/tarragonlug/soak/PressureShape.java
@@ -1,14 +1,13 @@
 package org.tarragonlug.soak;
 
 /**
- * What presses gateways beyond the faults of a soak: bodies that need more memory than there is,
- * and work that outlasts the time in which a gateway stops.
+ * Load under which gateways run short of memory for bodies, or of time to stop.
  *
  * @param largeBodyPercent share of the requests with a large body
  * @param largestBodyBytes size of the largest body
  * @param longWorkPercent share of the requests on which servers work long
  * @param longestWorkMillis longest work of these
- * @param drainSeconds time in which a gateway stops
+ * @param drainSeconds time that a gateway has for requests in progress when it stops
  */
 record PressureShape(
         int largeBodyPercent,
@@ -16,8 +15,8 @@
         int longWorkPercent,
         int longestWorkMillis,
         int drainSeconds) {
-    /** Presses gateways hardly. */
-    static final PressureShape LOW = new PressureShape(5, 30_000, 0, 1, 8);
+    /** Small bodies, short work and a long drain, which leave gateways enough of both. */
+    static final PressureShape DEFAULT = new PressureShape(5, 30_000, 0, 1, 8);
 
     private static final int LARGEST_BODY_BYTES = 1_000_000;
     private static final int LONGEST_WORK_MILLIS = 3000;
--- a/src/main/java/org/tarragonlug/soak/RequestRecord.java
+++ b/src/main/java/org/tarragonlug/soak/RequestRecord.java
@@ -12,7 +12,7 @@
         final ServerArrival arrival;
         final long beginMillis;
 
-        /** When the gateway sent the request, by the time that it left the server. */
+        /** When the gateway sent the request, derived from the time that it left the server. */
         final long sentMillis;
 
         boolean ended;
--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -237,7 +237,7 @@
                 + checker.line();
     }
 
-    /** Prints when gateways stood still, which tells late ends from ends that never came. */
+    /** Prints when gateways stood still, which may explain requests that ended late. */
     private void printPauses() throws IOException {
         for (SoakGateway gateway : gateways) {
             gateway.logLines("event=process_paused ").forEach(output);
--- a/src/main/java/org/tarragonlug/soak/SoakShape.java
+++ b/src/main/java/org/tarragonlug/soak/SoakShape.java
@@ -16,7 +16,7 @@
  * @param accounts number of client accounts; 0 if callers need no key
  * @param callers the callers
  * @param faults the faults
- * @param pressure what presses gateways beyond the faults
+ * @param pressure how short gateways are of memory and of time to stop
  */
 public record SoakShape(
         int gateways,
--- a/src/main/java/org/tarragonlug/soak/SoakShapeReader.java
+++ b/src/main/java/org/tarragonlug/soak/SoakShapeReader.java
@@ -47,7 +47,7 @@
                 faults(JsonFields.object(shape, "faults")),
                 shape.has("pressure")
                         ? pressure(JsonFields.object(shape, "pressure"))
-                        : PressureShape.LOW);
+                        : PressureShape.DEFAULT);
     }
 
     private static ServiceShape service(JsonNode node) {
--- a/src/main/java/org/tarragonlug/soak/WaitingConnections.java
+++ b/src/main/java/org/tarragonlug/soak/WaitingConnections.java
@@ -28,7 +28,7 @@
             }
         } catch (IOException ended) {
             // The server has ended, so that nobody can connect anyway.
-            return opened;
+            opened.close();
         }
         return opened;
     }
