--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -33,7 +33,7 @@
     /** The request that is being served. */
     private ServerArrival arrival;
 
-    /** Whether the gateway has closed the connection while the request was run. */
+    /** Whether the connection was closed or reset while the request was run. */
     private boolean withdrawn;
 
     /** The last event that the caller of a stream already has. */
@@ -134,6 +134,9 @@
         server.checker.onBegun(arrival, server.service, SoakClock.millis());
         try {
             return run(id, treatment);
+        } catch (IOException closed) {
+            withdrawn = true;
+            throw closed;
         } finally {
             server.running.decrementAndGet();
             server.checker.onRunEnded(arrival, withdrawn, SoakClock.millis());
@@ -185,7 +188,6 @@
             if (next >= 0) {
                 input.unread(next);
             }
-            withdrawn |= next < 0;
             return next < 0;
         } catch (SocketTimeoutException stillThere) {
             return false;
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -92,7 +92,7 @@
     /**
      * Records that a server no longer works on a request.
      *
-     * @param withdrawn whether the gateway has closed the connection
+     * @param withdrawn whether the connection was closed meanwhile
      */
     synchronized void onRunEnded(ServerArrival arrival, boolean withdrawn, long millis) {
         RequestRecord request = requests.get(arrival.id());
