Explain: read long quoted values without deep recursion

A quoted value of 400,000 characters with escapes, as a damaged log may have, ended the command with a StackOverflowError (found by reading the pattern).

--- a/src/main/java/org/tarragonlug/explain/LogRecordParser.java
+++ b/src/main/java/org/tarragonlug/explain/LogRecordParser.java
@@ -13,9 +13,11 @@
  * complete; a line without an event, such as a stack trace, is not a record.
  */
 final class LogRecordParser {
+    /** Text in quotes; without nested repetitions, whose depth grows with the text. */
+    private static final String QUOTED = "\"([^\"\\\\]*+(?:\\\\.[^\"\\\\]*+)*+)\"";
+
     private static final Pattern PAIR =
-            Pattern.compile(
-                    "(?<=^|\\s)([a-z_]+)=(\"((?:[^\"\\\\]|\\\\.)*)\"|[^\"\\s]\\S*)(?=\\s|$)");
+            Pattern.compile("(?<=^|\\s)([a-z_]+)=(" + QUOTED + "|[^\"\\s]\\S*)(?=\\s|$)");
     private static final Pattern ESCAPE = Pattern.compile("\\\\(u([0-9a-f]{4})|n|.)");
 
     private static final int HEXADECIMAL = 16;
--- a/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
+++ b/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
@@ -73,6 +73,16 @@
             assertEquals("1", record.field("n"));
         }
 
+        // Guards against a damaged line on which the command ends.
+        @Test
+        void longValuesAreRead() {
+            String value = "x\\\"".repeat(200_000);
+            String line = "event=x detail=\"" + value + "\" n=1";
+            LogRecord record = new LogRecordParser().parse(line).orElseThrow();
+            assertEquals("x\"".repeat(200_000), record.field("detail"));
+            assertEquals("1", record.field("n"));
+        }
+
         // Guards against an answer for another request whose id begins alike.
         @Test
         void otherRequestsAreNotShown() throws IOException {
