--- a/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
@@ -77,7 +77,9 @@
     /** What a fault concerns. */
     enum Target {
         SERVER,
-        /** Servers as well, in a series of its own. */
+        /**
+         * Servers that stand still; drawn apart from other faults, so earlier seeds keep theirs.
+         */
         STANDSTILL,
         GATEWAY,
         STORE
--- a/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
+++ b/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
@@ -73,7 +73,7 @@
             assertEquals("1", record.field("n"));
         }
 
-        // Guards against a damaged line on which the command ends.
+        // Guards against a stack overflow in the parser on a very long quoted value.
         @Test
         void longValuesAreRead() {
             String value = "x\\\"".repeat(200_000);
