Log why a send was cancelled, and whether a request ended during a stop

CancelAttempt names the attempt and a reason; forward_cancelled has reason, since_sent_ms and its connection, and forward_ended has stopping=true during a stop. No decision changes.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -294,7 +294,8 @@
                 || !budgets.tryAcquire(forward.service, now)) {
             return;
         }
-        output.accept(new ForwardingCommand.CancelAttempt(forward.request.key()));
+        output.accept(
+                new ForwardingCommand.CancelAttempt(forward.attempt, CancelReason.SERVER_SILENT));
         releaseServer(forward, Optional.empty(), now);
         forward.excluded.add(server.id());
         forward.lostAddresses.add(forward.sentToAddress);
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/CancelReason.java
@@ -0,0 +1,13 @@
+package org.tarragonlug.decision.forwarding;
+
+/** Why a send of a request is ended although its server has neither answered nor broken off. */
+public enum CancelReason {
+    /** The caller has closed its connection. */
+    CALLER_GONE,
+    /** The time of the request is over. */
+    TIME_OVER,
+    /** The process stops. */
+    STOPPING,
+    /** The server was silent for too long, and the request goes to another one. */
+    SERVER_SILENT
+}
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -100,8 +100,18 @@
      */
     record Fail(long request, FailureReason reason) implements ForwardingCommand {}
 
-    /** Closes the connection on which a server is processing the request. */
-    record CancelAttempt(long request) implements ForwardingCommand {}
+    /**
+     * Closes the connection on which a server is processing a request.
+     *
+     * @param attempt the send that ends
+     * @param reason why it ends
+     */
+    record CancelAttempt(ForwardAttempt attempt, CancelReason reason) implements ForwardingCommand {
+        /** Returns the request. */
+        public long request() {
+            return attempt.request();
+        }
+    }
 
     /**
      * Reports to the planner that a request waits for a model.
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -150,6 +150,11 @@
         return underWay(attempt).isPresent();
     }
 
+    /** Returns whether the process is stopping, so that requests have less time than usual. */
+    public boolean isStopping() {
+        return dispatcher.stopAt().isBefore(Instant.MAX);
+    }
+
     private Optional<PendingForward> underWay(ForwardAttempt attempt) {
         return pending.find(attempt.request()).filter(forward -> forward.isAt(attempt));
     }
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
@@ -101,16 +101,17 @@
 
     /** Ends a request whose time is over. */
     void timeOut(PendingForward forward) {
+        cancelAttempt(forward, CancelReason.TIME_OVER);
         end(forward, RefusalReason.TIME_OVER, Optional.empty());
     }
 
     /** Ends a request because the process stops now. */
     void stop(PendingForward forward) {
+        cancelAttempt(forward, CancelReason.STOPPING);
         end(forward, RefusalReason.STOPPING, Optional.of(RetryDelay.STOPPING));
     }
 
     private void end(PendingForward forward, RefusalReason reason, Optional<Duration> retryAfter) {
-        cancelAttempt(forward);
         if (forward.notRun()) {
             remove(forward);
             refuse(forward.request.key(), reason, retryAfter);
@@ -122,13 +123,13 @@
     /** Ends a request whose caller has left. */
     void abandon(PendingForward forward) {
         remove(forward);
-        cancelAttempt(forward);
+        cancelAttempt(forward, CancelReason.CALLER_GONE);
     }
 
-    private void cancelAttempt(PendingForward forward) {
+    private void cancelAttempt(PendingForward forward, CancelReason reason) {
         if (!forward.isWaiting()) {
             forward.server.onRequestEnded();
-            output.accept(new ForwardingCommand.CancelAttempt(forward.request.key()));
+            output.accept(new ForwardingCommand.CancelAttempt(forward.attempt, reason));
         }
     }
 
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -15,6 +15,7 @@
 import org.tarragonlug.decision.account.Credential;
 import org.tarragonlug.decision.account.KeyDigest;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
+import org.tarragonlug.decision.forwarding.CancelReason;
 import org.tarragonlug.decision.forwarding.ForwardAttempt;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
@@ -186,7 +187,7 @@
         } else if (command instanceof ForwardingCommand.Fail fail) {
             fail(activeRequests.get(fail.request()), fail);
         } else if (command instanceof ForwardingCommand.CancelAttempt cancel) {
-            cancel(activeRequests.get(cancel.request()));
+            cancel(activeRequests.get(cancel.request()), cancel.reason());
         } else if (command instanceof ForwardingCommand.ReportWaiting wait) {
             demandCollector.recordWait(wait, timers.now());
         } else if (command instanceof ForwardingCommand.RequestAllowance) {
@@ -316,11 +317,11 @@
         finish(request, ForwardOutcome.failed(fail.reason()));
     }
 
-    private void cancel(ActiveRequest request) {
+    private void cancel(ActiveRequest request, CancelReason reason) {
         if (request != null && request.currentAttempt != null) {
             request.currentAttempt.cancel();
             request.sends.last().onCancelled(timers.now());
-            requestLog.onCancelled(request, request.sends.last());
+            requestLog.onCancelled(request, request.sends.last(), reason);
         }
     }
 
@@ -350,7 +351,7 @@
     private void finish(ActiveRequest request, ForwardOutcome outcome) {
         activeRequests.remove(request.call.key());
         metrics.recordRequest(outcome.label(), Duration.between(request.arrivedAt, timers.now()));
-        requestLog.onEnded(request, outcome);
+        requestLog.onEnded(request, outcome, coordinator.isStopping());
     }
 
     private static HttpBody text(String line) {
--- a/src/main/java/org/tarragonlug/gateway/ForwardingLog.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingLog.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
+import org.tarragonlug.decision.forwarding.CancelReason;
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.http.CallPosition;
 import org.tarragonlug.http.LateAnswer;
@@ -69,10 +70,11 @@
         sendEvent(LogEvent.FORWARD_AMBIGUOUS, request, send).with("status", status).writeRetained();
     }
 
-    void onCancelled(ActiveRequest request, ServerSend send) {
-        log.event(LogEvent.FORWARD_CANCELLED)
-                .with("request", request.requestId)
-                .with("server", send.server())
+    /** Logs that a send was ended here, why, and how long after it began. */
+    void onCancelled(ActiveRequest request, ServerSend send, CancelReason reason) {
+        sendEvent(LogEvent.FORWARD_CANCELLED, request, send)
+                .with("since_sent_ms", send.age(timers.now()).toMillis())
+                .with("reason", reason)
                 .write();
     }
 
@@ -103,8 +105,12 @@
                 .writeRetained();
     }
 
-    /** Logs the end of a request. */
-    void onEnded(ActiveRequest request, ForwardOutcome outcome) {
+    /**
+     * Logs the end of a request.
+     *
+     * @param stopping whether the process is stopping
+     */
+    void onEnded(ActiveRequest request, ForwardOutcome outcome, boolean stopping) {
         SendHistory sends = request.sends;
         Optional<NotRunGround> ground = outcome.ground();
         if (ground.equals(Optional.of(NotRunGround.UNPROVEN))) {
@@ -126,6 +132,9 @@
                                 "took_ms",
                                 Duration.between(request.arrivedAt, timers.now()).toMillis());
         ground.ifPresent(each -> line.with("not_run", each));
+        if (stopping) {
+            line.with("stopping", true);
+        }
         boolean ordinary = sends.count() == 1 && outcome.isAnswered();
         if (sends.count() > 0 && (!ordinary || ground.isPresent())) {
             line.with("rejected", sends.rejected())
