--- a/src/test/java/org/tarragonlug/gateway/BrokenStreamTest.java
+++ b/src/test/java/org/tarragonlug/gateway/BrokenStreamTest.java
@@ -3,12 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.tarragonlug.gateway.StreamBytes.LAST_CHUNK;
+import static org.tarragonlug.gateway.StreamBytes.SEAL;
+import static org.tarragonlug.gateway.StreamBytes.chunk;
+import static org.tarragonlug.gateway.StreamBytes.chunkedHead;
+import static org.tarragonlug.gateway.StreamBytes.event;
+import static org.tarragonlug.gateway.StreamBytes.unframedHead;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -21,9 +24,7 @@
 
 /** Streams that break off after they have begun, and what the next server then answers. */
 class BrokenStreamTest {
-    private static final String LAST_CHUNK = "\r\n0\r\n";
     private static final String ERROR_TEXT = "internal failure of the engine";
-    private static final String HEAD = "tarragonlug-response-seal: s\r\n";
 
     private final GatewayFixture fixture = new GatewayFixture();
 
@@ -32,26 +33,6 @@
         fixture.close();
     }
 
-    private static String event(int number) {
-        return "id: " + number + "\ndata: part " + number + "\n\n";
-    }
-
-    private static String chunk(String text) {
-        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    }
-
-    private static String chunkedHead(String requestId) {
-        return "HTTP/1.1 200 OK\r\ntarragonlug-request-id: "
-                + requestId
-                + "\r\n"
-                + HEAD
-                + "transfer-encoding: chunked\r\n\r\n";
-    }
-
-    private static String unframedHead(String requestId) {
-        return "HTTP/1.1 200 OK\r\ntarragonlug-request-id: " + requestId + "\r\n" + HEAD + "\r\n";
-    }
-
     private void startGateway() throws Exception {
         fixture.configure(1, "read");
         fixture.startGateway("one");
@@ -79,37 +60,15 @@
         }
     }
 
-    /** Sends a request for a stream and returns all bytes until the gateway ends the connection. */
     private String receive(String path) throws IOException {
         int port = fixture.gatewaySettings.get(0).callerAddress().getPort();
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.setSoTimeout((int) Duration.ofSeconds(15).toMillis());
-            String request =
-                    "POST "
-                            + path
-                            + " HTTP/1.1\r\nhost: 127.0.0.1\r\nconnection: close\r\n"
-                            + "tarragonlug-request-id: r1\r\ntarragonlug-deadline-ms: 5000\r\n"
-                            + "tarragonlug-model: m1\r\ncontent-length: 1\r\n\r\nx";
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            StringBuilder received = new StringBuilder();
-            byte[] buffer = new byte[4096];
-            try {
-                for (int count = socket.getInputStream().read(buffer);
-                        count >= 0;
-                        count = socket.getInputStream().read(buffer)) {
-                    received.append(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
-                }
-            } catch (java.net.SocketException reset) {
-                received.append("(reset)");
-            }
-            return received.toString();
-        }
+        return StreamBytes.receive(port, path);
     }
 
     /** How the second server answers instead of going on. */
     private enum Failure {
-        ERROR_WITH_BODY(ScriptedServer.answer(500, "r1", HEAD, ERROR_TEXT)),
-        ERROR_WITHOUT_BODY(ScriptedServer.answer(500, "r1", HEAD, "")),
+        ERROR_WITH_BODY(ScriptedServer.answer(500, "r1", SEAL, ERROR_TEXT)),
+        ERROR_WITHOUT_BODY(ScriptedServer.answer(500, "r1", SEAL, "")),
         ERROR_IN_CHUNKS(
                 "HTTP/1.1 500 Error\r\ntarragonlug-request-id: r1\r\n"
                         + "transfer-encoding: chunked\r\n\r\n"
@@ -118,10 +77,10 @@
         ERROR_UNTIL_CLOSE("HTTP/1.1 500 Error\r\ntarragonlug-request-id: r1\r\n\r\n" + ERROR_TEXT),
         UNAVAILABLE_WITHOUT_BODY(ScriptedServer.answer(503, "r1", "", "")),
         NOT_FOUND_WITHOUT_BODY(ScriptedServer.answer(404, "r1", "", "")),
-        NO_CONTENT(ScriptedServer.answer(204, "r1", HEAD, "")),
+        NO_CONTENT(ScriptedServer.answer(204, "r1", SEAL, "")),
         MOVED_WITHOUT_BODY(ScriptedServer.answer(302, "r1", "location: /x\r\n", "")),
-        TEXT_WITH_SUCCESS(ScriptedServer.answer(200, "r1", HEAD, ERROR_TEXT)),
-        SUCCESS_OF_ANOTHER_REQUEST(ScriptedServer.answer(200, "r0", HEAD, event(2) + event(3)));
+        TEXT_WITH_SUCCESS(ScriptedServer.answer(200, "r1", SEAL, ERROR_TEXT)),
+        SUCCESS_OF_ANOTHER_REQUEST(ScriptedServer.answer(200, "r0", SEAL, event(2) + event(3)));
 
         private final String bytes;
 
@@ -311,12 +270,12 @@
         @ValueSource(
                 strings = {
                     "HTTP/1.1 200 OK\r\n",
-                    "HTTP/1.1 200 OK\r\ntarragonlug-request-id: %s\r\n" + HEAD,
+                    "HTTP/1.1 200 OK\r\ntarragonlug-request-id: %s\r\n" + SEAL,
                     "HTTP/1.1 200 OK\r\ntarragonlug-request-id: %s\r\n"
-                            + HEAD
+                            + SEAL
                             + "content-length: 1",
                     "HTTP/1.1 200 OK\r\ntarragonlug-request-id: %s\r\n"
-                            + HEAD
+                            + SEAL
                             + "transfer-encoding: chunked\r\n"
                 })
         void callerGetsNoSuccess(String head) throws Exception {
