Keep a silent attempt open until another server has begun to answer

Callers lost a resumable stream whose server paused for 1.2 s or more: the attempt was cancelled first, and then another server was asked. If that one refused, broke off or answered with an error, nothing was left, although the first server would have gone on; with and without a stop.

Cause: a send that works was given up before what replaces it was certain. Now the silent attempt stays open. The request is sent to a second server as well (BackupAttempts); when that one begins to answer, it takes the place of the first, which is cancelled before anything of the second answer is relayed. If the first one goes on earlier, the second attempt is cancelled. So a refusal costs the caller nothing and one server at a time answers. It holds for all requests that may run more than once: streams, also before their first event, and answers of plain services (350 ms and more). Requests that may run once have one attempt at a time, as before. A backup counts as a retry and as a possible run, and is not made for a quarantined request.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -3,17 +3,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.tarragonlug.id.ModelKey;
 
 /**
- * Handles what servers answer to requests: rejections, answers, broken connections and silence.
+ * Handles what servers answer to requests: rejections, answers and broken connections.
  *
- * <p>A request leaves its server here, before it is dispatched again or ends, so no second run
- * starts while the first one is in progress. The handler keeps nothing of a request: all state is
- * in {@link PendingForward}. It is called only for the attempt that is under way.
+ * <p>An attempt ends here, before its request is dispatched again or ends. If the other attempt of
+ * the request is under way, the request goes on there. The handler keeps nothing of a request: all
+ * state is in {@link PendingForward}. It is called only for attempts that are under way.
  */
 final class AnswerHandler {
     private static final int MAX_REJECTIONS = 3;
@@ -28,6 +27,7 @@
     private final RetryBudgets budgets;
     private final QuarantineGate gate;
     private final RequestDispatcher dispatcher;
+    private final BackupAttempts backups;
     private final Supplier<Optional<ForwardingTable>> table;
     private final Consumer<ForwardingCommand> output;
 
@@ -40,6 +40,7 @@
      * @param budgets limits retries
      * @param gate requests that must not reach servers
      * @param dispatcher sends requests again
+     * @param backups sends requests to second servers
      * @param table supplies the configuration in force
      * @param output receives the commands
      */
@@ -50,6 +51,7 @@
             RetryBudgets budgets,
             QuarantineGate gate,
             RequestDispatcher dispatcher,
+            BackupAttempts backups,
             Supplier<Optional<ForwardingTable>> table,
             Consumer<ForwardingCommand> output) {
         this.fleet = fleet;
@@ -58,63 +60,81 @@
         this.budgets = budgets;
         this.gate = gate;
         this.dispatcher = dispatcher;
+        this.backups = backups;
         this.table = table;
         this.output = output;
     }
 
-    /** Handles what has happened to the attempt that is under way. */
+    /** Handles what has happened to an attempt that is under way. */
     void handle(PendingForward forward, ForwardingEvent.OfAttempt event, Instant now) {
+        OpenAttempt attempt = forward.open(event.attempt()).orElseThrow();
         if (event instanceof ForwardingEvent.Rejected rejected) {
-            onRejected(forward, rejected, now);
+            onRejected(forward, attempt, rejected, now);
         } else if (event instanceof ForwardingEvent.ServerNoticed noticed) {
-            onServerNoticed(forward, noticed.notice(), now);
+            onServerNoticed(forward, attempt, noticed.notice(), now);
         } else if (event instanceof ForwardingEvent.StreamStarted started) {
-            onStreamStarted(forward, started, now);
+            onStreamStarted(forward, attempt, started, now);
         } else if (event instanceof ForwardingEvent.EventRelayed relayed) {
-            onEventRelayed(forward, relayed, now);
+            onEventRelayed(forward, attempt, relayed, now);
         } else if (event instanceof ForwardingEvent.Answered answered) {
-            onAnswered(forward, answered, now);
+            onAnswered(forward, attempt, answered, now);
         } else if (event instanceof ForwardingEvent.AnsweredAmbiguously ambiguous) {
-            onAnsweredAmbiguously(forward, ambiguous, now);
+            onAnsweredAmbiguously(forward, attempt, ambiguous, now);
         } else if (event instanceof ForwardingEvent.ConnectionBroken broken) {
-            onConnectionBroken(forward, broken.progress(), now);
+            onConnectionBroken(forward, attempt, broken.progress(), now);
         }
     }
 
-    private void onRejected(PendingForward forward, ForwardingEvent.Rejected event, Instant now) {
+    private void onRejected(
+            PendingForward forward,
+            OpenAttempt attempt,
+            ForwardingEvent.Rejected event,
+            Instant now) {
         // Another server at the address says nothing about the one that was meant.
         boolean byOther = event.rejection() == Rejection.WRONG_SERVER;
         Optional<ReportedLoad> load = byOther ? Optional.empty() : event.load();
-        FleetServer server = releaseServer(forward, load, now);
+        FleetServer server = attempt.server;
+        end(forward, attempt, load, now);
         load.ifPresent(each -> server.pace().recordStated(each.pace(), now));
         forward.possibleRuns--;
-        if (event.rejection() == Rejection.WITHDRAWN) {
-            dispatcher.dispatch(forward, now);
+        if (event.rejection() != Rejection.WITHDRAWN) {
+            recordRejection(forward, attempt, event.rejection(), load, now);
+        }
+        if (!forward.isWaiting()) {
             return;
         }
+        // Only a send that reached a server makes the next one count as a retry.
+        forward.needsRetry |= event.rejection().reachedServer();
+        if (forward.rejections > MAX_REJECTIONS && !forward.streamStarted) {
+            pending.turnAway(forward);
+        } else {
+            dispatcher.dispatch(forward, now);
+        }
+    }
+
+    private void recordRejection(
+            PendingForward forward,
+            OpenAttempt attempt,
+            Rejection rejection,
+            Optional<ReportedLoad> load,
+            Instant now) {
+        FleetServer server = attempt.server;
         forward.excluded.add(server.id());
-        switch (event.rejection()) {
+        switch (rejection) {
             case MODEL_ABSENT ->
                     forward.request.model().ifPresent(key -> server.markModelAbsent(key, now));
             case WRONG_SERVER -> server.markUnreachable(now);
             case UNREACHABLE -> {
-                forward.lostAddresses.add(forward.sentToAddress);
+                forward.lostAddresses.add(attempt.address);
                 server.markUnreachable(now);
             }
             case NO_OTHER_CONNECTION -> RetryPause.afterFullServer(forward, now);
-            default -> onServerBusy(forward, server, load, now);
+            default -> onServerBusy(forward, attempt, load, now);
         }
-        if (event.rejection().isByServer()) {
-            onServerAnswered(forward, server, now);
+        if (rejection.isByServer()) {
+            onServerAnswered(attempt, now);
             forward.rejections++;
         }
-        // Only a send that reached a server makes the next one count as a retry.
-        forward.needsRetry |= event.rejection().reachedServer();
-        if (forward.rejections > MAX_REJECTIONS && !forward.streamStarted) {
-            pending.turnAway(forward);
-        } else {
-            dispatcher.dispatch(forward, now);
-        }
     }
 
     /**
@@ -124,7 +144,8 @@
      * for a moment, since it would reject the same request again.
      */
     private void onServerBusy(
-            PendingForward forward, FleetServer server, Optional<ReportedLoad> load, Instant now) {
+            PendingForward forward, OpenAttempt attempt, Optional<ReportedLoad> load, Instant now) {
+        FleetServer server = attempt.server;
         server.recordOutcome(false, now);
         if (server.isPaused(now)) {
             return;
@@ -134,98 +155,134 @@
             ModelKey key = forward.request.model().orElseThrow();
             server.markModelAbsent(new ModelKey(key.model(), ""), now);
         } else {
-            recordFailure(forward, now);
+            recordFailure(attempt, now);
             RetryPause.afterFullServer(forward, now);
             load.filter(each -> forward.needsModel())
                     .ifPresent(each -> forward.retryDelay = RetryDelay.afterGenerations(each));
         }
     }
 
-    private void recordFailure(PendingForward forward, Instant now) {
-        fleet.limits().of(forward.sentTo).ifPresent(limit -> limit.recordFailure(now));
+    private void recordFailure(OpenAttempt attempt, Instant now) {
+        fleet.limits().of(attempt.sentTo).ifPresent(limit -> limit.recordFailure(now));
     }
 
-    private void onServerNoticed(PendingForward forward, ServerNotice notice, Instant now) {
-        if (fleet.recordNotice(forward.sentTo, notice, now)) {
+    private void onServerNoticed(
+            PendingForward forward, OpenAttempt attempt, ServerNotice notice, Instant now) {
+        if (fleet.recordNotice(attempt.sentTo, notice, now)) {
             output.accept(
                     new ForwardingCommand.ReportNotice(
-                            forward.sentTo, notice, forward.request.key()));
+                            attempt.sentTo, notice, forward.request.key()));
         }
     }
 
     private void onStreamStarted(
-            PendingForward forward, ForwardingEvent.StreamStarted event, Instant now) {
-        event.load().ifPresent(load -> forward.server.recordReportedLoad(load, now));
-        answerTimer.onHead(forward, event.load(), now);
-        onServerAnswered(forward, forward.server, now);
-        forward.state = PendingForward.State.STREAMING;
+            PendingForward forward,
+            OpenAttempt attempt,
+            ForwardingEvent.StreamStarted event,
+            Instant now) {
+        endOtherAttempt(forward, attempt);
+        event.load().ifPresent(load -> attempt.server.recordReportedLoad(load, now));
+        answerTimer.onHead(attempt, event.load(), now);
+        onServerAnswered(attempt, now);
+        attempt.streaming = true;
+        attempt.lastProgress = now;
         forward.streamStarted = true;
-        forward.lastProgress = now;
     }
 
     private void onEventRelayed(
-            PendingForward forward, ForwardingEvent.EventRelayed event, Instant now) {
-        answerTimer.onEvent(forward, event.eventId(), now);
+            PendingForward forward,
+            OpenAttempt attempt,
+            ForwardingEvent.EventRelayed event,
+            Instant now) {
+        endOtherAttempt(forward, attempt);
+        answerTimer.onEvent(attempt, event.eventId(), now);
         forward.lastEventId = Math.max(forward.lastEventId, event.eventId());
-        forward.lastProgress = now;
-        forward.stallCounted = false;
-        onAnswerBegun(forward, forward.server, now);
+        attempt.lastProgress = now;
+        attempt.stallCounted = false;
+        onAnswerBegun(forward, attempt, now);
     }
 
-    private void onServerAnswered(PendingForward forward, FleetServer server, Instant now) {
-        server.markReached(now);
-        output.accept(new ForwardingCommand.ReportServerAnswered(forward.sentTo, forward.sentAt));
+    /** Cancels the other attempt of a request whose server answers this one. */
+    private void endOtherAttempt(PendingForward forward, OpenAttempt attempt) {
+        if (forward.primary == attempt) {
+            backups.cancel(forward, CancelReason.OTHER_SERVER_ANSWERS);
+        } else {
+            backups.promote(forward);
+        }
+    }
+
+    private void onServerAnswered(OpenAttempt attempt, Instant now) {
+        attempt.server.markReached(now);
+        output.accept(new ForwardingCommand.ReportServerAnswered(attempt.sentTo, attempt.sentAt));
     }
 
-    private void onAnswerBegun(PendingForward forward, FleetServer server, Instant now) {
-        if (!forward.answerBegun) {
-            forward.answerBegun = true;
-            if (forward.sentTo.equals(server.incarnation())) {
-                Duration time = Duration.between(forward.sentAt, now);
+    private void onAnswerBegun(PendingForward forward, OpenAttempt attempt, Instant now) {
+        if (!attempt.answerBegun) {
+            attempt.answerBegun = true;
+            FleetServer server = attempt.server;
+            if (attempt.sentTo.equals(server.incarnation())) {
+                Duration time = Duration.between(attempt.sentAt, now);
                 fleet.limits().recordAnswer(server, forward.route.name(), time, now);
             }
             output.accept(new ForwardingCommand.ReportAnswerBegun(forward.allTraits()));
         }
     }
 
-    private void onAnswered(PendingForward forward, ForwardingEvent.Answered event, Instant now) {
+    private void onAnswered(
+            PendingForward forward,
+            OpenAttempt attempt,
+            ForwardingEvent.Answered event,
+            Instant now) {
+        boolean failed = event.status() >= SERVER_ERROR;
+        if (failed && forward.hasAttemptBeside(attempt)) {
+            endAnswer(forward, attempt, event.load(), true, now);
+            return;
+        }
+        endOtherAttempt(forward, attempt);
         if (event.status() >= SUCCESS && event.status() < REDIRECTION) {
             answerTimer.onAnswered(forward, event.load(), megabytes(forward), now);
         }
-        boolean failed = event.status() >= SERVER_ERROR;
-        FleetServer server = endAnswer(forward, event.load(), failed, now);
-        if (!failed || !sendToAnother(forward, server, now)) {
+        endAnswer(forward, attempt, event.load(), failed, now);
+        if (!failed || !sendToAnother(forward, now)) {
             pending.relayAnswer(forward);
         }
     }
 
     private void onAnsweredAmbiguously(
-            PendingForward forward, ForwardingEvent.AnsweredAmbiguously event, Instant now) {
-        FleetServer server = endAnswer(forward, event.load(), true, now);
-        if (!sendToAnother(forward, server, now)) {
+            PendingForward forward,
+            OpenAttempt attempt,
+            ForwardingEvent.AnsweredAmbiguously event,
+            Instant now) {
+        endAnswer(forward, attempt, event.load(), true, now);
+        if (forward.isWaiting() && !sendToAnother(forward, now)) {
             pending.fail(forward, FailureReason.ANSWER_AMBIGUOUS);
         }
     }
 
     /** Takes a request from the server that has answered it completely. */
-    private FleetServer endAnswer(
-            PendingForward forward, Optional<ReportedLoad> load, boolean failed, Instant now) {
-        FleetServer server = releaseServer(forward, load, now);
-        onServerAnswered(forward, server, now);
-        onAnswerBegun(forward, server, now);
-        server.recordOutcome(failed, now);
-        return server;
+    private void endAnswer(
+            PendingForward forward,
+            OpenAttempt attempt,
+            Optional<ReportedLoad> load,
+            boolean failed,
+            Instant now) {
+        end(forward, attempt, load, now);
+        onServerAnswered(attempt, now);
+        onAnswerBegun(forward, attempt, now);
+        attempt.server.recordOutcome(failed, now);
+        if (failed) {
+            forward.excluded.add(attempt.server.id());
+        }
     }
 
     /** Sends a request that a server answered with a failure to another one, if it may go there. */
-    private boolean sendToAnother(PendingForward forward, FleetServer server, Instant now) {
+    private boolean sendToAnother(PendingForward forward, Instant now) {
         if (forward.streamStarted
                 || !forward.mayRunAgain()
                 || gate.blocks(forward)
                 || !now.isBefore(forward.deadline)) {
             return false;
         }
-        forward.excluded.add(server.id());
         Optional<FleetServer> other = dispatcher.choose(forward, forward.excluded, now);
         if (other.isEmpty() || !budgets.tryAcquire(forward.service, now)) {
             return false;
@@ -248,17 +305,20 @@
                 .orElse(0.0);
     }
 
-    private void onConnectionBroken(PendingForward forward, AnswerProgress progress, Instant now) {
-        FleetServer server = releaseServer(forward, Optional.empty(), now);
-        server.recordOutcome(true, now);
-        recordFailure(forward, now);
-        if (progress != AnswerProgress.CONTENT && fleet.isListedAsReady(forward.sentTo, now)) {
-            output.accept(new ForwardingCommand.ReportRequestLost(forward.sentTo, forward.traits));
+    private void onConnectionBroken(
+            PendingForward forward, OpenAttempt attempt, AnswerProgress progress, Instant now) {
+        end(forward, attempt, Optional.empty(), now);
+        attempt.server.recordOutcome(true, now);
+        recordFailure(attempt, now);
+        if (progress != AnswerProgress.CONTENT && fleet.isListedAsReady(attempt.sentTo, now)) {
+            output.accept(new ForwardingCommand.ReportRequestLost(attempt.sentTo, forward.traits));
         }
-        forward.excluded.add(server.id());
-        forward.lostAddresses.add(forward.sentToAddress);
+        forward.excluded.add(attempt.server.id());
+        forward.lostAddresses.add(attempt.address);
         RetryPause.afterBrokenConnection(forward, progress, now);
-        retryOrFail(forward, FailureReason.SERVER_LOST, now);
+        if (forward.isWaiting()) {
+            retryOrFail(forward, FailureReason.SERVER_LOST, now);
+        }
     }
 
     private void retryOrFail(PendingForward forward, FailureReason reason, Instant now) {
@@ -269,36 +329,11 @@
         pending.fail(forward, reason);
     }
 
-    private FleetServer releaseServer(
-            PendingForward forward, Optional<ReportedLoad> load, Instant now) {
-        FleetServer server = forward.server;
-        load.ifPresent(reported -> server.recordReportedLoad(reported, now));
-        server.onRequestEnded();
-        forward.state = PendingForward.State.WAITING;
-        forward.lastProgress = now;
-        return server;
-    }
-
-    /** Sends a request to another server if the present one has sent nothing for too long. */
-    void checkStall(PendingForward forward, Instant now) {
-        if (forward.stallCounted
-                || Duration.between(forward.lastProgress, now).compareTo(StallTimeout.of(forward))
-                        < 0) {
-            return;
-        }
-        forward.stallCounted = true;
-        FleetServer server = forward.server;
-        server.recordStall(now);
-        if (!forward.mayRunAgain()
-                || dispatcher.choose(forward, Set.of(server.id()), now).isEmpty()
-                || !budgets.tryAcquire(forward.service, now)) {
-            return;
-        }
-        output.accept(
-                new ForwardingCommand.CancelAttempt(forward.attempt, CancelReason.SERVER_SILENT));
-        releaseServer(forward, Optional.empty(), now);
-        forward.excluded.add(server.id());
-        forward.lostAddresses.add(forward.sentToAddress);
-        dispatcher.dispatch(forward, now);
+    /** Ends an attempt. The request goes on at its other attempt, or waits if there is none. */
+    private void end(
+            PendingForward forward, OpenAttempt attempt, Optional<ReportedLoad> load, Instant now) {
+        load.ifPresent(reported -> attempt.server.recordReportedLoad(reported, now));
+        attempt.server.onRequestEnded();
+        forward.remove(attempt, now);
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerTimer.java
@@ -24,49 +24,46 @@
         this.fleet = fleet;
     }
 
-    void onSent(PendingForward forward, Instant now) {
-        forward.sentToFreeSlot = forward.server.load(now) < forward.server.listing().slots();
-        forward.firstEventAt = null;
+    void onHead(OpenAttempt attempt, Optional<ReportedLoad> load, Instant now) {
+        load.ifPresent(stated -> attempt.server.pace().recordStated(stated.pace(), now));
     }
 
-    void onHead(PendingForward forward, Optional<ReportedLoad> load, Instant now) {
-        load.ifPresent(stated -> forward.server.pace().recordStated(stated.pace(), now));
-    }
-
-    void onEvent(PendingForward forward, long eventId, Instant now) {
-        if (forward.firstEventAt == null) {
-            forward.firstEventAt = now;
-            forward.firstEventId = eventId;
+    void onEvent(OpenAttempt attempt, long eventId, Instant now) {
+        if (attempt.firstEventAt == null) {
+            attempt.firstEventAt = now;
+            attempt.firstEventId = eventId;
         }
     }
 
     /**
-     * Records the time of a successful answer.
+     * Records the time of a successful answer to the primary attempt of a request.
      *
      * @param megabytes size of the model; 0 for a plain service
      */
     void onAnswered(
             PendingForward forward, Optional<ReportedLoad> load, double megabytes, Instant now) {
-        if (forward.state == PendingForward.State.STREAMING) {
-            recordStream(forward, megabytes, now);
+        OpenAttempt attempt = forward.primary;
+        if (attempt.streaming) {
+            recordStream(attempt, forward.lastEventId, megabytes, now);
             return;
         }
-        onHead(forward, load, now);
-        if (forward.request.model().isEmpty() && forward.sentToFreeSlot) {
-            record(forward, megabytes, millis(forward.sentAt, now), now);
+        onHead(attempt, load, now);
+        if (forward.request.model().isEmpty() && attempt.sentToFreeSlot) {
+            record(attempt, megabytes, millis(attempt.sentAt, now), now);
         }
     }
 
-    private void recordStream(PendingForward forward, double megabytes, Instant now) {
-        long events = forward.lastEventId - forward.firstEventId;
-        if (forward.firstEventAt != null && events >= MIN_EVENTS) {
-            record(forward, megabytes, millis(forward.firstEventAt, now) / events, now);
+    private void recordStream(
+            OpenAttempt attempt, long lastEventId, double megabytes, Instant now) {
+        long events = lastEventId - attempt.firstEventId;
+        if (attempt.firstEventAt != null && events >= MIN_EVENTS) {
+            record(attempt, megabytes, millis(attempt.firstEventAt, now) / events, now);
         }
     }
 
-    private void record(PendingForward forward, double megabytes, double millis, Instant now) {
+    private void record(OpenAttempt attempt, double megabytes, double millis, Instant now) {
         if (millis > 0) {
-            fleet.recordAnswerTime(forward.server, megabytes, millis, now);
+            fleet.recordAnswerTime(attempt.server, megabytes, millis, now);
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/tarragonlug/decision/forwarding/BackupAttempts.java
@@ -0,0 +1,132 @@
+package org.tarragonlug.decision.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.tarragonlug.id.ServerId;
+
+/**
+ * Sends a request to a second server while its own one is silent.
+ *
+ * <p>A silent server may be lost or only slow, and the second server may refuse the request.
+ * Therefore the first attempt stays open until the second server has begun to answer; then the
+ * second attempt takes its place, and the first one is cancelled before anything of the second
+ * answer is relayed. If the first server goes on earlier, the second attempt is cancelled instead.
+ * So a refusal costs the caller nothing, and a request is answered by one server at a time.
+ *
+ * <p>Only requests that may run more than once have a second attempt. It counts as a retry and as a
+ * possible run.
+ */
+final class BackupAttempts {
+    /** How long a request without a suitable second server waits until one is looked for again. */
+    private static final Duration SEARCH_PAUSE = Duration.ofMillis(150);
+
+    private final RequestDispatcher dispatcher;
+    private final RetryBudgets budgets;
+    private final QuarantineGate gate;
+    private final Consumer<ForwardingCommand> output;
+
+    /**
+     * Creates the part that sends requests to second servers.
+     *
+     * @param dispatcher selects servers and sends requests
+     * @param budgets limits retries
+     * @param gate requests that must not reach servers
+     * @param output receives the commands
+     */
+    BackupAttempts(
+            RequestDispatcher dispatcher,
+            RetryBudgets budgets,
+            QuarantineGate gate,
+            Consumer<ForwardingCommand> output) {
+        this.dispatcher = dispatcher;
+        this.budgets = budgets;
+        this.gate = gate;
+        this.output = output;
+    }
+
+    /** Sends a request to a second server if its own one has been silent for too long. */
+    void checkSilence(PendingForward forward, Instant now) {
+        OpenAttempt primary = forward.primary;
+        if (!primary.isSilent(forward.route, now)) {
+            return;
+        }
+        countStall(primary, now);
+        forward.backup.ifPresent(backup -> replaceSilentBackup(forward, backup, now));
+        if (forward.backup.isEmpty() && !now.isBefore(forward.backupAllowedAt)) {
+            begin(forward, now);
+        }
+    }
+
+    private static void countStall(OpenAttempt attempt, Instant now) {
+        if (!attempt.stallCounted) {
+            attempt.stallCounted = true;
+            attempt.server.recordStall(now);
+        }
+    }
+
+    /** Withdraws a second attempt that is silent as well, if a third server may be asked. */
+    private void replaceSilentBackup(PendingForward forward, OpenAttempt backup, Instant now) {
+        if (!backup.isSilent(forward.route, now)) {
+            return;
+        }
+        countStall(backup, now);
+        Set<ServerId> asked = new HashSet<>(forward.excluded);
+        asked.add(backup.server.id());
+        asked.add(forward.primary.server.id());
+        if (forward.mayRunAgain() && dispatcher.choose(forward, asked, now).isPresent()) {
+            forward.excluded.add(backup.server.id());
+            cancel(forward, CancelReason.SERVER_SILENT);
+        }
+    }
+
+    private void begin(PendingForward forward, Instant now) {
+        if (!forward.mayRunAgain() || now.isBefore(forward.sendAllowedAt)) {
+            return;
+        }
+        Optional<FleetServer> other = chooseOther(forward, now);
+        if (other.isEmpty()
+                || gate.concerns(forward)
+                || !budgets.tryAcquire(forward.service, now)) {
+            forward.backupAllowedAt = now.plus(SEARCH_PAUSE);
+            return;
+        }
+        forward.lostAddresses.add(forward.primary.address);
+        dispatcher.sendBackup(forward, other.get(), now);
+    }
+
+    /** Prefers a server that has not refused the request; asks one that has after a while. */
+    private Optional<FleetServer> chooseOther(PendingForward forward, Instant now) {
+        ServerId present = forward.primary.server.id();
+        Set<ServerId> excluded = new HashSet<>(forward.excluded);
+        excluded.add(present);
+        Optional<FleetServer> fresh = dispatcher.choose(forward, excluded, now);
+        boolean paused = now.isBefore(forward.sameServerAllowedAt);
+        if (fresh.isPresent() || paused || !forward.streamStarted) {
+            return fresh;
+        }
+        return dispatcher.choose(forward, Set.of(present), now);
+    }
+
+    /** Lets the second attempt, whose server has begun to answer, take the place of the first. */
+    void promote(PendingForward forward) {
+        OpenAttempt silent = forward.primary;
+        forward.excluded.add(silent.server.id());
+        end(silent, CancelReason.OTHER_SERVER_ANSWERS);
+        forward.promoteBackup();
+    }
+
+    /** Cancels the second attempt, if there is one. */
+    void cancel(PendingForward forward, CancelReason reason) {
+        forward.backup.ifPresent(backup -> end(backup, reason));
+        forward.backup = Optional.empty();
+    }
+
+    private void end(OpenAttempt attempt, CancelReason reason) {
+        attempt.server.onRequestEnded();
+        output.accept(new ForwardingCommand.CancelAttempt(attempt.id, reason));
+    }
+}
--- a/src/main/java/org/tarragonlug/decision/forwarding/CancelReason.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/CancelReason.java
@@ -8,6 +8,8 @@
     TIME_OVER,
     /** The process stops. */
     STOPPING,
-    /** The server was silent for too long, and the request goes to another one. */
-    SERVER_SILENT
+    /** The server was silent for too long, and a further one is asked in its place. */
+    SERVER_SILENT,
+    /** Another server has begun to answer the request. */
+    OTHER_SERVER_ANSWERS
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -18,15 +18,17 @@
  * Manages forwarded requests from arrival to their end. The coordinator routes a request, lets it
  * wait for a model, selects a server, retries or resumes the request, and refuses or fails it.
  *
- * <p>Every pending request has exactly one state: it waits, or exactly one server is processing it.
- * A request leaves a server only through an answer, a rejection, a broken connection or a
- * cancellation. The coordinator handles each of these cases before it sends the request again, and
- * therefore never starts a second run while the first one is in progress. Events of an attempt that
- * has ended are discarded, so they can not end the next one. A request counts as possibly run from
- * the moment it is sent until the server states that it did not run the request. A refusal that
- * promises "not run" is issued only while the number of possible runs is zero. This makes the
- * promise true without any further record, because the request's key belongs to one attempt of the
- * caller, which no other instance sees.
+ * <p>A pending request waits, or servers have it: its primary attempt, whose answer the caller
+ * gets, and, while that server is silent, a backup attempt at a second one. An attempt ends only
+ * through an answer, a rejection, a broken connection or a cancellation. A request that may run
+ * only once has no backup attempt, and is sent again only after the server stated that it did not
+ * run it. Any other request has at most one attempt whose server has begun to answer: the other one
+ * is cancelled at that moment ({@link BackupAttempts}). Events of an attempt that has ended are
+ * discarded, so they can not end another one. A request counts as possibly run from the moment it
+ * is sent until the server states that it did not run the request. A refusal that promises "not
+ * run" is issued only while the number of possible runs is zero. This makes the promise true
+ * without any further record, because the request's key belongs to one attempt of the caller, which
+ * no other instance sees.
  *
  * <p>A change of a server or of an expected time dispatches the waiting requests again that it can
  * concern; a tick dispatches all of them, because pauses and validity times end by themselves. A
@@ -46,6 +48,7 @@
     private final KeyGate keys;
     private final AllowanceGate allowances;
     private final RequestDispatcher dispatcher;
+    private final BackupAttempts backups;
     private final AnswerHandler answers;
     private ForwardingTable table;
     private List<ForwardingCommand> commands = new ArrayList<>();
@@ -111,13 +114,15 @@
                         fleet,
                         new ServerSelector(fleet, home, hasher),
                         hasher,
-                        answerTimer,
                         pending,
                         budgets,
                         expectations,
                         gate,
                         keys,
                         command -> this.commands.add(command));
+        this.backups =
+                new BackupAttempts(
+                        dispatcher, budgets, gate, command -> this.commands.add(command));
         this.answers =
                 new AnswerHandler(
                         fleet,
@@ -126,6 +131,7 @@
                         budgets,
                         gate,
                         dispatcher,
+                        backups,
                         this::table,
                         command -> this.commands.add(command));
     }
@@ -145,7 +151,7 @@
         return keys.isOn();
     }
 
-    /** Returns whether an attempt is under way, so that its answer is the request's answer. */
+    /** Returns whether an attempt is under way, so that what its server answers has an effect. */
     public boolean isUnderWay(ForwardAttempt attempt) {
         return underWay(attempt).isPresent();
     }
@@ -155,8 +161,15 @@
         return dispatcher.stopAt().isBefore(Instant.MAX);
     }
 
+    /** Returns whether an attempt is the one whose answer the caller gets. */
+    public boolean isPrimary(ForwardAttempt attempt) {
+        return pending.find(attempt.request())
+                .filter(forward -> forward.isPrimary(attempt))
+                .isPresent();
+    }
+
     private Optional<PendingForward> underWay(ForwardAttempt attempt) {
-        return pending.find(attempt.request()).filter(forward -> forward.isAt(attempt));
+        return pending.find(attempt.request()).filter(forward -> forward.open(attempt).isPresent());
     }
 
     /**
@@ -167,7 +180,8 @@
     public boolean maySend(ForwardAttempt attempt, Instant now) {
         return underWay(attempt)
                 .filter(forward -> now.isBefore(forward.deadline))
-                .filter(forward -> fleet.admitsChosenRequest(forward.sentTo, now))
+                .flatMap(forward -> forward.open(attempt))
+                .filter(open -> fleet.admitsChosenRequest(open.sentTo, now))
                 .isPresent();
     }
 
@@ -374,7 +388,7 @@
             } else if (!now.isBefore(forward.deadline)) {
                 dispatcher.endLate(forward, now);
             } else {
-                answers.checkStall(forward, now);
+                backups.checkSilence(forward, now);
             }
         }
     }
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -13,21 +13,10 @@
 import org.tarragonlug.decision.quota.QuotaCharge;
 import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerId;
-import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.ServiceName;
 
 /** The state of a request that has not ended. Only the coordinator changes it. */
 final class PendingForward {
-    /** The progress of a request. */
-    enum State {
-        /** The request waits for a server. */
-        WAITING,
-        /** The request was sent to a server that has not begun to answer. */
-        SENT,
-        /** The events of the server's answer are being relayed to the caller. */
-        STREAMING
-    }
-
     /** Time reserved to deliver an answer before the caller's own time limit expires. */
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(60);
 
@@ -59,12 +48,14 @@
     /** Addresses to which a connection failed or went silent under the request. */
     final Set<String> lostAddresses = new HashSet<>();
 
-    State state = State.WAITING;
+    /** The last attempt that was begun. */
+    ForwardAttempt lastAttempt;
 
-    /** The last attempt; it is under way unless the request waits. */
-    ForwardAttempt attempt;
+    /** The attempt whose answer the caller gets; null while the request waits for a server. */
+    OpenAttempt primary;
 
-    FleetServer server;
+    /** The attempt at a second server while the server of the primary one is silent. */
+    Optional<OpenAttempt> backup = Optional.empty();
 
     /** The number of sends that have run or may have run. */
     int possibleRuns;
@@ -83,36 +74,16 @@
 
     boolean streamStarted;
 
-    /** Whether content of the present server's answer has arrived. */
-    boolean answerBegun;
-
-    /** The run of the present server's process to which the request was sent. */
-    ServerIncarnation sentTo;
-
-    /** The address to which the request was sent, {@code host:port}. */
-    String sentToAddress = "";
-
-    /** When the request was sent to the present server. */
-    Instant sentAt = Instant.EPOCH;
-
     /** Whether the request passes the quarantine, to find out whether it still crashes servers. */
     boolean onTrial;
 
     /** Whether the request had to wait until a server held its model. */
     boolean waitedForModel;
 
-    /** Whether the present server probably had a free slot when the request was sent. */
-    boolean sentToFreeSlot;
-
-    /** When the first event of the present server's answer arrived; null before. */
-    Instant firstEventAt;
-
-    /** Id of the first event of the present server's answer. */
-    long firstEventId;
-
-    boolean stallCounted;
     long lastEventId;
-    Instant lastProgress;
+
+    /** Since when the request waits for a server; when it last began to wait if it does not. */
+    Instant waitingSince;
 
     /** The time from which on the request may go to a server that rejected it or lost it. */
     Instant sameServerAllowedAt = Instant.EPOCH;
@@ -120,6 +91,9 @@
     /** The time from which on the request may be sent again. */
     Instant sendAllowedAt = Instant.EPOCH;
 
+    /** The time from which on a second server may be asked. */
+    Instant backupAllowedAt = Instant.EPOCH;
+
     Instant waitingReportedAt = Instant.EPOCH;
 
     /**
@@ -139,7 +113,7 @@
             LostRequest traits,
             Instant now) {
         this.request = request;
-        this.attempt = ForwardAttempt.none(request.key());
+        this.lastAttempt = ForwardAttempt.none(request.key());
         this.route = route;
         this.service = service;
         this.account = account;
@@ -148,7 +122,7 @@
         this.deadline = now.plus(timeout(request, route)).minus(ANSWER_MARGIN);
         this.patienceEnd = deadline;
         this.lastEventId = request.lastEventId();
-        this.lastProgress = now;
+        this.waitingSince = now;
         route.patience().ifPresent(patience -> limitPatience(now.plus(patience)));
     }
 
@@ -183,12 +157,43 @@
 
     /** Tells whether no server has the request at present. */
     boolean isWaiting() {
-        return state == State.WAITING;
+        return primary == null;
+    }
+
+    /** Returns an attempt of the request; empty if it is not under way. */
+    Optional<OpenAttempt> open(ForwardAttempt attempt) {
+        if (primary != null && primary.id.equals(attempt)) {
+            return Optional.of(primary);
+        }
+        return backup.filter(each -> each.id.equals(attempt));
+    }
+
+    /** Tells whether an attempt is the one whose answer the caller gets. */
+    boolean isPrimary(ForwardAttempt attempt) {
+        return primary != null && primary.id.equals(attempt);
+    }
+
+    /** Tells whether another attempt than this one is under way. */
+    boolean hasAttemptBeside(OpenAttempt attempt) {
+        return primary != attempt || backup.isPresent();
+    }
+
+    /** Removes an attempt that has ended. The request waits from now on if it was the only one. */
+    void remove(OpenAttempt attempt, Instant now) {
+        if (primary != attempt) {
+            backup = Optional.empty();
+        } else if (backup.isPresent()) {
+            promoteBackup();
+        } else {
+            primary = null;
+            waitingSince = now;
+        }
     }
 
-    /** Tells whether a server has the request because of this attempt. */
-    boolean isAt(ForwardAttempt other) {
-        return !isWaiting() && attempt.equals(other);
+    /** Lets the second attempt take the place of the primary one, which has ended. */
+    void promoteBackup() {
+        primary = backup.orElseThrow();
+        backup = Optional.empty();
     }
 
     /** Tells whether no send can have run and nothing has been relayed to the caller. */
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
@@ -101,13 +101,13 @@
 
     /** Ends a request whose time is over. */
     void timeOut(PendingForward forward) {
-        cancelAttempt(forward, CancelReason.TIME_OVER);
+        cancelAttempts(forward, CancelReason.TIME_OVER);
         end(forward, RefusalReason.TIME_OVER, Optional.empty());
     }
 
     /** Ends a request because the process stops now. */
     void stop(PendingForward forward) {
-        cancelAttempt(forward, CancelReason.STOPPING);
+        cancelAttempts(forward, CancelReason.STOPPING);
         end(forward, RefusalReason.STOPPING, Optional.of(RetryDelay.STOPPING));
     }
 
@@ -123,14 +123,19 @@
     /** Ends a request whose caller has left. */
     void abandon(PendingForward forward) {
         remove(forward);
-        cancelAttempt(forward, CancelReason.CALLER_GONE);
+        cancelAttempts(forward, CancelReason.CALLER_GONE);
     }
 
-    private void cancelAttempt(PendingForward forward, CancelReason reason) {
+    private void cancelAttempts(PendingForward forward, CancelReason reason) {
         if (!forward.isWaiting()) {
-            forward.server.onRequestEnded();
-            output.accept(new ForwardingCommand.CancelAttempt(forward.attempt, reason));
+            cancel(forward.primary, reason);
         }
+        forward.backup.ifPresent(backup -> cancel(backup, reason));
+    }
+
+    private void cancel(OpenAttempt attempt, CancelReason reason) {
+        attempt.server.onRequestEnded();
+        output.accept(new ForwardingCommand.CancelAttempt(attempt.id, reason));
     }
 
     private void remove(PendingForward forward) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/QuarantineGate.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/QuarantineGate.java
@@ -25,6 +25,11 @@
         }
     }
 
+    /** Returns whether a request is quarantined, so that it must not go to further servers. */
+    boolean concerns(PendingForward forward) {
+        return forward.allTraits().stream().anyMatch(quarantined::contains);
+    }
+
     /** Returns whether a request must not be sent. A request that takes a trial is marked. */
     boolean blocks(PendingForward forward) {
         if (quarantined.isEmpty() || forward.onTrial) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
@@ -29,7 +29,6 @@
     private final Fleet fleet;
     private final ServerSelector selector;
     private final Hasher hasher;
-    private final AnswerTimer answerTimer;
     private final PendingForwards pending;
     private final RetryBudgets budgets;
     private final ReadyExpectations expectations;
@@ -47,7 +46,6 @@
      * @param fleet the known servers
      * @param selector selects among the servers that can run a request
      * @param hasher spreads the return of refused callers
-     * @param answerTimer measures the times of answers
      * @param pending the requests, and the ways in which they end
      * @param budgets limits retries
      * @param expectations when models are expected to be ready
@@ -59,7 +57,6 @@
             Fleet fleet,
             ServerSelector selector,
             Hasher hasher,
-            AnswerTimer answerTimer,
             PendingForwards pending,
             RetryBudgets budgets,
             ReadyExpectations expectations,
@@ -69,7 +66,6 @@
         this.fleet = fleet;
         this.selector = selector;
         this.hasher = hasher;
-        this.answerTimer = answerTimer;
         this.pending = pending;
         this.budgets = budgets;
         this.expectations = expectations;
@@ -141,13 +137,13 @@
         if (queueClosed || !now.plus(SERVER_WAIT).isBefore(waitingEnd(forward))) {
             return true;
         }
-        boolean waited = !now.isBefore(forward.lastProgress.plus(SERVER_WAIT));
+        boolean waited = !now.isBefore(forward.waitingSince.plus(SERVER_WAIT));
         return !forward.needsModel() && (waited || !forward.excluded.isEmpty());
     }
 
     /** Keeps a request for a plain service waiting for a moment, or ends it. */
     private void waitForServer(PendingForward forward, Instant now) {
-        Instant waitEnd = forward.lastProgress.plus(SERVER_WAIT);
+        Instant waitEnd = forward.waitingSince.plus(SERVER_WAIT);
         Optional<Duration> pause = pauseBeyond(waitEnd, forward, now);
         pause.ifPresent(remaining -> forward.retryDelay = remaining);
         if (!forward.excluded.isEmpty()) {
@@ -240,30 +236,32 @@
             forward.sentBefore = true;
             budgets.recordFirstSend(forward.service, now);
         }
-        forward.state = PendingForward.State.SENT;
-        forward.attempt = forward.attempt.next();
-        forward.server = server;
+        forward.primary = open(forward, server, now);
+    }
+
+    /** Sends a request to a second server while its own one is silent. */
+    void sendBackup(PendingForward forward, FleetServer server, Instant now) {
+        forward.backup = Optional.of(open(forward, server, now));
+    }
+
+    private OpenAttempt open(PendingForward forward, FleetServer server, Instant now) {
+        forward.lastAttempt = forward.lastAttempt.next();
         forward.possibleRuns++;
-        forward.stallCounted = false;
-        forward.answerBegun = false;
-        forward.sentTo = server.incarnation();
-        forward.sentToAddress = server.listing().address();
-        forward.sentAt = now;
-        forward.lastProgress = now;
-        answerTimer.onSent(forward, now);
+        OpenAttempt attempt = new OpenAttempt(forward.lastAttempt, server, now);
         server.onRequestSent();
         output.accept(
                 new ForwardingCommand.Send(
-                        forward.attempt,
+                        attempt.id,
                         server.id(),
-                        forward.sentToAddress,
+                        attempt.address,
                         Duration.between(now, forward.deadline),
                         RequestUrgency.rank(forward, hasher, now),
                         forward.lastEventId,
                         forward.route.kind() == RequestKind.STREAMING,
                         forward.deadline,
-                        forward.lostAddresses.contains(forward.sentToAddress),
+                        forward.lostAddresses.contains(attempt.address),
                         forward.account.map(ClientAccount::name),
                         forward.credentialRemoved || keys.isOn()));
+        return attempt;
     }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/StallTimeout.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/StallTimeout.java
@@ -18,13 +18,18 @@
 
     private StallTimeout() {}
 
-    /** Returns the timeout for the present state of a request that was sent. */
-    static Duration of(PendingForward forward) {
-        if (forward.state == PendingForward.State.STREAMING) {
+    /**
+     * Returns the timeout of an attempt.
+     *
+     * @param route the route of the request
+     * @param streaming whether the server has begun a stream of events
+     */
+    static Duration of(ForwardingRoute route, boolean streaming) {
+        if (streaming) {
             return STREAM_PAUSE;
         }
-        Duration target = forward.route.targetLatency();
-        if (forward.route.kind() == RequestKind.STREAMING) {
+        Duration target = route.targetLatency();
+        if (route.kind() == RequestKind.STREAMING) {
             Duration start = target.multipliedBy(STREAM_START_IN_HALF_TARGETS).dividedBy(2);
             return longer(MIN_STREAM_START, start);
         }
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -15,7 +15,6 @@
 import org.tarragonlug.decision.account.Credential;
 import org.tarragonlug.decision.account.KeyDigest;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
-import org.tarragonlug.decision.forwarding.CancelReason;
 import org.tarragonlug.decision.forwarding.ForwardAttempt;
 import org.tarragonlug.decision.forwarding.ForwardRequest;
 import org.tarragonlug.decision.forwarding.ForwardingCommand;
@@ -187,7 +186,7 @@
         } else if (command instanceof ForwardingCommand.Fail fail) {
             fail(activeRequests.get(fail.request()), fail);
         } else if (command instanceof ForwardingCommand.CancelAttempt cancel) {
-            cancel(activeRequests.get(cancel.request()), cancel.reason());
+            cancel(cancel);
         } else if (command instanceof ForwardingCommand.ReportWaiting wait) {
             demandCollector.recordWait(wait, timers.now());
         } else if (command instanceof ForwardingCommand.RequestAllowance) {
@@ -215,8 +214,8 @@
         if (request == null || address.isEmpty()) {
             return;
         }
+        request.openSends().forEach(open -> open.attempt().retireSilentConnections());
         ServerSend serverSend = new ServerSend(send, timers.now());
-        request.sends.add(serverSend);
         ServerAttempt attempt =
                 new ServerAttempt(
                         request.requestId,
@@ -225,7 +224,7 @@
                         send.lastEventId(),
                         new AttemptHandler(request, serverSend),
                         timers);
-        request.currentAttempt = attempt;
+        request.add(new ActiveRequest.OpenSend(serverSend, attempt));
         HttpCall call =
                 new HttpCall(
                         request.call.method(),
@@ -317,12 +316,18 @@
         finish(request, ForwardOutcome.failed(fail.reason()));
     }
 
-    private void cancel(ActiveRequest request, CancelReason reason) {
-        if (request != null && request.currentAttempt != null) {
-            request.currentAttempt.cancel();
-            request.sends.last().onCancelled(timers.now());
-            requestLog.onCancelled(request, request.sends.last(), reason);
+    private void cancel(ForwardingCommand.CancelAttempt cancel) {
+        ActiveRequest request = activeRequests.get(cancel.request());
+        if (request == null) {
+            return;
         }
+        request.remove(cancel.attempt())
+                .ifPresent(
+                        open -> {
+                            open.attempt().cancel();
+                            open.send().onCancelled(timers.now());
+                            requestLog.onCancelled(request, open.send(), cancel.reason());
+                        });
     }
 
     private void onNotice(ForwardingCommand.ReportNotice report) {
@@ -402,17 +407,17 @@
 
         @Override
         public void onStreamStarted(Map<String, String> headers, Optional<ReportedLoad> load) {
-            if (!request.streamStarted && coordinator.isUnderWay(attempt)) {
+            post(new ForwardingEvent.StreamStarted(attempt, load));
+            if (!request.streamStarted && coordinator.isPrimary(attempt)) {
                 request.streamStarted = true;
                 request.answerStatus = 200;
                 request.call.startStream(200, RequestHeaders.endToEnd(headers));
             }
-            post(new ForwardingEvent.StreamStarted(attempt, load));
         }
 
         @Override
         public void onStreamEvent(byte[] bytes, long id) {
-            if (coordinator.isUnderWay(attempt)) {
+            if (coordinator.isPrimary(attempt)) {
                 request.call.writeToStream(bytes);
             }
             post(new ForwardingEvent.EventRelayed(attempt, id));
--- a/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerAttempt.java
@@ -93,21 +93,26 @@
 
     /**
      * Closes the connection. The listener is not called afterwards. If nothing has come on a kept
-     * connection for a while, all kept connections to the server may have gone silent, and further
-     * requests are sent on new ones.
+     * connection for a while, further requests are sent on new ones.
      */
     void cancel() {
         ended = true;
-        if (exchange == null) {
-            return;
-        }
-        if (isSilent()) {
-            exchange.cancelAsSilent();
-        } else {
+        if (exchange != null) {
+            retireSilentConnections();
             exchange.cancel();
         }
     }
 
+    /**
+     * Sends further requests on new connections if nothing has come on a kept one for a while: all
+     * kept connections to the server may have gone silent. The answer is still awaited.
+     */
+    void retireSilentConnections() {
+        if (exchange != null && isSilent()) {
+            exchange.retireAsSilent();
+        }
+    }
+
     private boolean isSilent() {
         return sentAt != null
                 && !newConnection
--- a/src/main/java/org/tarragonlug/gateway/ServerSend.java
+++ b/src/main/java/org/tarragonlug/gateway/ServerSend.java
@@ -96,6 +96,16 @@
         return true;
     }
 
+    /** Returns whether the send has been answered, has broken off or was cancelled. */
+    boolean hasEnded() {
+        return outcome != Outcome.UNDER_WAY;
+    }
+
+    /** Returns whether the answer of the server is that of the request. */
+    boolean isAnswered() {
+        return outcome == Outcome.ANSWERED;
+    }
+
     /** Returns whether a server stated that it did not run the request. */
     boolean isRejectedByServer() {
         return rejection.filter(Rejection::reachedServer).isPresent();
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -363,12 +363,12 @@
     }
 
     /**
-     * Closes the connection as {@link #cancel} does and removes the pool of its address unless that
-     * is new, because this connection has become silent. The idle connections of the pool are
-     * closed as soon as no call uses the pool.
+     * Removes the pool of the call's address unless that is new, because its connection seems to be
+     * silent. The call goes on. The idle connections of the pool are closed as soon as no call uses
+     * the pool. Has no effect on a call that has ended.
      */
-    public void cancelAsSilent() {
-        if (stop()) {
+    public synchronized void retireAsSilent() {
+        if (!ended) {
             lease.retireAsSilent();
         }
     }
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardAttemptTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardAttemptTest.java
@@ -68,9 +68,9 @@
         ForwardingCommand.Send first = sendOf(fixture.arrive("/ask/1", "m"));
         ForwardingCommand.Send second = sendOf(fixture.advance(LONGER_THAN_A_STALL));
         assertNotEquals(first.attempt(), second.attempt());
+        handle(Happening.STREAM_STARTED, second.attempt());
         assertDiscarded(first.attempt(), handle(late, first.attempt()));
         assertTrue(fixture.coordinator.isUnderWay(second.attempt()));
-        handle(Happening.STREAM_STARTED, second.attempt());
         assertEquals(
                 Optional.of(new ForwardingCommand.RelayAnswer(second.request())),
                 find(
@@ -116,6 +116,7 @@
     void attemptThatWasGivenUpMayNotBeSent() {
         ForwardingCommand.Send first = sendOf(fixture.arrive("/ask/1", "m"));
         ForwardingCommand.Send second = sendOf(fixture.advance(LONGER_THAN_A_STALL));
+        handle(Happening.STREAM_STARTED, second.attempt());
         assertFalse(fixture.coordinator.maySend(first.attempt(), fixture.now));
         assertTrue(fixture.coordinator.maySend(second.attempt(), fixture.now));
     }
--- a/src/test/java/org/tarragonlug/gateway/ExploredCall.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredCall.java
@@ -29,6 +29,10 @@
     boolean open = true;
 
     boolean headReceived;
+
+    /** Whether the instance has taken the head of a stream for the answer to this call. */
+    boolean answerAccepted;
+
     long nextEventId;
 
     /** The head that the server has sent; status 0 before. */
