Let begun requests wait for a server while the process stops

Callers lost a begun stream whose server broke off more than 2.4 s after the signal to stop if the next server was full for a moment: with the queue closed a request without a server was ended at once, also one that cannot be refused any more. Outside a stop it waits. The same for a begun stream whose model was expected to be ready after the time that callers wait for a first event, which may have passed long ago.

Now only requests that have not run are ended when the queue closes; the others wait until the process stops, and a begun stream waits until its deadline.

RefusalPromiseTest: the end of the queue ends a request that may have run only together with the stop.

--- a/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
@@ -74,7 +74,7 @@
         this.output = output;
     }
 
-    /** Lets no request wait from now on. */
+    /** Lets no request wait from now on that can still be refused. */
     void closeQueue() {
         queueClosed = true;
     }
@@ -122,7 +122,7 @@
         }
         if (server.isPresent()) {
             sendIfAllowed(forward, server.get(), now);
-        } else if (queueClosed) {
+        } else if (queueClosed && forward.notRun()) {
             pending.refuseOrFail(forward, RefusalReason.STOPPING, RetryDelay.STOPPING);
         } else if (forward.needsModel()) {
             forward.waitedForModel |= !paused;
@@ -194,7 +194,7 @@
     private void waitForModel(PendingForward forward, Instant now) {
         ModelKey key = forward.request.model().orElseThrow();
         Optional<Duration> delay =
-                expectations.delayBeyond(forward.patienceEnd, forward.service, key, now);
+                expectations.delayBeyond(waitingEnd(forward), forward.service, key, now);
         if (delay.isEmpty() && !expectations.isExpected(forward.service, key, now)) {
             delay = pauseBeyond(waitingEnd(forward), forward, now);
         }
@@ -211,7 +211,7 @@
                             key,
                             forward.priority(),
                             forward.arrivedAt.plus(forward.route.targetLatency()),
-                            forward.patienceEnd));
+                            waitingEnd(forward)));
         }
     }
 
