Count cancelled sends by reason, and explain failures during a stop

Operators could not see how often a second server was asked, nor tell from explain that a request had failed while its instance was stopping. The metric tarragonlug_sends_cancelled_total counts cancelled sends by reason; explain names ENDED_BY_A_STOP for a failed request whose end bears stopping=true.

--- a/src/main/java/org/tarragonlug/explain/Conclusion.java
+++ b/src/main/java/org/tarragonlug/explain/Conclusion.java
@@ -31,6 +31,10 @@
     TIME_OVER(
             trace -> trace.hasEnd("outcome", "failed_time_over"),
             "The server had not answered when the time of the request was over. It may have run."),
+    ENDED_BY_A_STOP(
+            RequestTrace::failedDuringStop,
+            "The instance was stopping when the request failed. If its server had neither broken"
+                    + " off nor used up the time, the stop cut it; report it with these lines."),
     REJECTED(
             trace -> trace.hasEnd("not_run", "rejected"),
             "Each server that got the request said that it did not run it."),
--- a/src/main/java/org/tarragonlug/explain/RequestTrace.java
+++ b/src/main/java/org/tarragonlug/explain/RequestTrace.java
@@ -168,6 +168,13 @@
         return repeated;
     }
 
+    /** Returns whether the request failed while its instance was stopping. */
+    boolean failedDuringStop() {
+        return ends().stream()
+                .filter(each -> each.field("stopping").equals("true"))
+                .anyMatch(each -> each.field("outcome").startsWith("failed_"));
+    }
+
     /** Returns whether lines of one of its instances are missing. */
     boolean missesLines() {
         return surroundings.stream().anyMatch(each -> each.is("log_lines_dropped"));
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -326,6 +326,7 @@
                         open -> {
                             open.attempt().cancel();
                             open.send().onCancelled(timers.now());
+                            metrics.recordCancelledSend(cancel.reason());
                             requestLog.onCancelled(request, open.send(), cancel.reason());
                         });
     }
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -14,6 +14,7 @@
 import org.tarragonlug.decision.account.Credential;
 import org.tarragonlug.decision.forwarding.AnswerProgress;
 import org.tarragonlug.decision.forwarding.Availability;
+import org.tarragonlug.decision.forwarding.CancelReason;
 import org.tarragonlug.decision.forwarding.LimitCause;
 import org.tarragonlug.decision.forwarding.RefusalReason;
 import org.tarragonlug.decision.forwarding.ServerNotice;
@@ -55,6 +56,13 @@
                     .help("Answers of servers that broke off, by what had been received")
                     .labelNames("received")
                     .register(registry);
+    private final Counter cancelledSends =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_sends_cancelled_total")
+                    .help("Sends that ended before their servers had answered, by the reason")
+                    .labelNames("reason")
+                    .register(registry);
     private final Counter withdrawnRequests =
             Counter.builder()
                     .withoutExemplars()
@@ -196,6 +204,10 @@
         brokenAnswers.labelValues(lowerCase(received)).inc();
     }
 
+    void recordCancelledSend(CancelReason reason) {
+        cancelledSends.labelValues(lowerCase(reason)).inc();
+    }
+
     void recordWithdrawnRequest() {
         withdrawnRequests.inc();
     }
--- a/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
+++ b/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
@@ -151,6 +151,24 @@
                     conclusions(explain(earlier + route)));
         }
 
+        // Guards against a request that a stop cut, explained as if its server alone were to blame.
+        @Test
+        void failureDuringAStopIsNamed() throws IOException {
+            String failed =
+                    "event=forward_ended instance=a request=r1 outcome=failed_server_lost"
+                            + " status=502 server=s2 attempts=2 stopping=true";
+            assertEquals(List.of("SERVER_LOST", "ENDED_BY_A_STOP"), conclusions(explain(failed)));
+        }
+
+        // Guards against each request of a stop that is explained as cut by it.
+        @Test
+        void answerDuringAStopIsNoFailure() throws IOException {
+            String answered =
+                    "event=forward_ended instance=a request=r1 outcome=answered status=200"
+                            + " stopping=true";
+            assertEquals(List.of("ANSWERED"), conclusions(explain(answered)));
+        }
+
         // Guards against a log that is cut short and read as that of a request without faults.
         @Test
         void missingEndIsNoticed() throws IOException {
