Ask further servers at growing intervals while one is silent

A request at a silent server asked a second one at each tick when the others were full: 7 sends within a second at 8 servers, all of them retries of the shared budget. A rejected backup now sets a pause that grows with the rejections, as begun streams without a server have it. ForwardingCoordinatorTest: 7 sends before, 2 or 3 allowed, passes.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -101,6 +101,7 @@
             recordRejection(forward, attempt, event.rejection(), load, now);
         }
         if (!forward.isWaiting()) {
+            RetryPause.afterRejectedBackup(forward, now);
             return;
         }
         // Only a send that reached a server makes the next one count as a retry.
--- a/src/main/java/org/tarragonlug/decision/forwarding/RetryPause.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RetryPause.java
@@ -23,6 +23,15 @@
 
     private RetryPause() {}
 
+    /**
+     * Sets the pause of a request that a second server rejected while its own one is silent. It
+     * grows, so that a request that stays at a silent server does not ask all others at once.
+     */
+    static void afterRejectedBackup(PendingForward forward, Instant now) {
+        Duration pause = FULL_SERVER.multipliedBy(forward.rejections + 1);
+        forward.backupAllowedAt = now.plus(pause);
+    }
+
     /** Sets the pauses of a request whose connection broke. */
     static void afterBrokenConnection(
             PendingForward forward, AnswerProgress progress, Instant now) {
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingCoordinatorTest.java
@@ -8,6 +8,7 @@
 import static org.tarragonlug.decision.forwarding.ForwardingFixture.find;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -625,6 +626,35 @@
             assertTrue(allowed >= 15, "allowed " + allowed);
         }
 
+        /**
+         * Guards against a request that asks all servers within moments, and uses up the budget for
+         * retries, because its own server is silent and the others are full.
+         */
+        @Test
+        void asksFurtherServersAtGrowingIntervals() {
+            ForwardingFixture fixture = new ForwardingFixture().withRoutes();
+            for (int count = 1; count <= 8; count++) {
+                fixture.withServer("s".repeat(count), ENGINES, "m");
+            }
+            ForwardingCommand.Send first = requireSend(fixture.arrive("/ask/1", "m"));
+            fixture.handle(new ForwardingEvent.StreamStarted(first.attempt(), Optional.empty()));
+            int backups = 0;
+            for (Instant end = fixture.now.plusMillis(2200); fixture.now.isBefore(end); ) {
+                List<ForwardingCommand> commands = fixture.advance(Duration.ofMillis(20));
+                Optional<ForwardingCommand.Send> send =
+                        find(commands, ForwardingCommand.Send.class);
+                backups += send.isPresent() ? 1 : 0;
+                send.ifPresent(
+                        each ->
+                                fixture.handle(
+                                        new ForwardingEvent.Rejected(
+                                                each.attempt(),
+                                                Rejection.BUSY,
+                                                Optional.of(new ReportedLoad(8, 16, 8)))));
+            }
+            assertTrue(backups >= 2 && backups <= 3, backups + " in a second of silence");
+        }
+
         /**
          * Guards against exceeding the retry allowance of the platform. If each of 74 instances
          * took the share for the configured 12 instances, together they would use six times the
