Move the judgement of the store's reachability out of RelayingObjectApi

RelayingObjectApi held the calls, the relays and the counting of failures that decides between them. No behaviour changes: RelayingObjectApiTest and RelayedKeysTest pass unchanged.

--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -34,33 +34,23 @@
  * instance that cannot reach the store itself refuses relayed calls at once, so an outage of the
  * store does not cause additional calls.
  *
- * <p>A single failure does not show that the store is unreachable, because a watch may be cut off
- * or a connection may break or go silent. Calls are therefore relayed after {@link
- * #FAILURES_UNTIL_RELAY} consecutive failures. Calls that were in progress together may fail for
- * the same broken connections, so a failure counts only if its call began after the failure that
- * was counted last. A direct call is tried again after {@link #DIRECT_RETRY_PERIOD}, and
- * immediately if a relayed read, list or watch fails. Deletes are never relayed.
+ * <p>{@link StoreReachability} decides when calls are relayed, and when a direct call is tried
+ * again. If a relayed read, list or watch fails, the call is made directly at once. Deletes are
+ * never relayed.
  *
  * <p>The connections to the peer and those to the store may go silent together, so a relayed call
  * and the direct call after it must not take longer than a direct call that waits. A relayed watch
  * therefore ends, with the time for its answer, within the wait that was asked for; a direct watch
  * does not wait while the store counts as unreachable; and after a relayed call that failed, calls
- * are direct for {@link #RELAY_PAUSE}.
+ * are direct for a while.
  */
 final class RelayingObjectApi implements ObjectApi {
-    private static final Duration DIRECT_RETRY_PERIOD = Duration.ofMillis(800);
-
-    private static final int FAILURES_UNTIL_RELAY = 2;
-
     /** How long a relayed call may take, other than a watch. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(900);
 
     /** How long a peer's answer to a watch may take, in addition to the wait of the watch. */
     private static final Duration WATCH_ANSWER_TIMEOUT = Duration.ofMillis(300);
 
-    /** How long no call is relayed after one failed; longer than a direct call takes. */
-    private static final Duration RELAY_PAUSE = Duration.ofMillis(1200);
-
     /** A watch that waits longer than this is not shared; sources watch what changes often. */
     private static final Duration MAX_SHARED_WATCH_WAIT = Duration.ofSeconds(5);
 
@@ -98,11 +88,7 @@
     private final SharedWatches sharedWatches;
     private final Map<Long, CompletableFuture<GatewayMessage.ObjectCallAnswer>> pendingCalls =
             new HashMap<>();
-    private int consecutiveFailures;
-    private Instant lastFailureAt = Instant.EPOCH;
-    private boolean storeUnreachable;
-    private Instant nextDirectCallAt = Instant.EPOCH;
-    private Instant nextRelayedCallAt = Instant.EPOCH;
+    private final StoreReachability reachability = new StoreReachability();
 
     RelayingObjectApi(
             ObjectApi direct,
@@ -192,7 +178,7 @@
         ObjectName all = new ObjectName(kind, "");
         // Decided now: after a relayed watch that failed, time has passed, even if the store has
         // been reached meanwhile.
-        Duration directWait = storeUnreachable ? Duration.ZERO : longestWait;
+        Duration directWait = reachability.isUnreachable() ? Duration.ZERO : longestWait;
         return callWithFallback(
                 () -> watchStore(kind, afterRevision, directWait),
                 peer ->
@@ -304,7 +290,7 @@
                             if (failure == null) {
                                 result.complete(answer);
                             } else {
-                                nextRelayedCallAt = timers.now().plus(RELAY_PAUSE);
+                                reachability.onRelayedCallFailed(timers.now());
                                 complete(trackOutcome(directCall.get()), result);
                             }
                         },
@@ -325,46 +311,27 @@
 
     /** Returns the peer that relays the next call; empty if the call should be made directly. */
     private Optional<InstanceId> currentRelay() {
-        if (!storeUnreachable) {
-            return Optional.empty();
-        }
-        Instant now = timers.now();
-        if (!now.isBefore(nextDirectCallAt)) {
-            // Only this call is made directly. Others are relayed until its outcome is known.
-            nextDirectCallAt = now.plus(DIRECT_RETRY_PERIOD);
-            return Optional.empty();
-        }
-        return now.isBefore(nextRelayedCallAt) ? Optional.empty() : channel.relayPeer();
+        return reachability.takeRelayedCall(timers.now()) ? channel.relayPeer() : Optional.empty();
     }
 
     private <T> CompletionStage<T> trackOutcome(CompletionStage<T> call) {
         Instant startedAt = timers.now();
         return call.whenCompleteAsync(
                 (result, failure) -> {
-                    countOutcome(startedAt, failure != null && !showsStoreReached(failure));
-                    boolean unreachable = consecutiveFailures >= FAILURES_UNTIL_RELAY;
-                    if (unreachable != storeUnreachable) {
-                        storeUnreachable = unreachable;
-                        log.event(unreachable ? LogEvent.STORE_UNREACHABLE : LogEvent.STORE_REACHED)
-                                .with(
-                                        "relay",
-                                        channel.relayPeer().map(InstanceId::value).orElse("none"))
-                                .write();
-                    }
-                    if (unreachable) {
-                        nextDirectCallAt = timers.now().plus(DIRECT_RETRY_PERIOD);
+                    boolean reached = failure == null || showsStoreReached(failure);
+                    if (reachability.onDirectCallEnded(startedAt, reached, timers.now())) {
+                        logReachability();
                     }
                 },
                 loop);
     }
 
-    private void countOutcome(Instant startedAt, boolean failed) {
-        if (!failed) {
-            consecutiveFailures = 0;
-        } else if (consecutiveFailures == 0 || !startedAt.isBefore(lastFailureAt)) {
-            consecutiveFailures++;
-            lastFailureAt = timers.now();
-        }
+    private void logReachability() {
+        LogEvent event =
+                reachability.isUnreachable() ? LogEvent.STORE_UNREACHABLE : LogEvent.STORE_REACHED;
+        log.event(event)
+                .with("relay", channel.relayPeer().map(InstanceId::value).orElse("none"))
+                .write();
     }
 
     /** Returns whether a failure is an answer of the store, so that the store was reached. */
@@ -453,7 +420,7 @@
         if (call.operation() == GatewayMessage.ObjectOperation.SHARED_WATCH) {
             sharedWatches.onWatch(from, call);
         } else {
-            peerCalls.onCall(from, call, storeUnreachable);
+            peerCalls.onCall(from, call, reachability.isUnreachable());
         }
     }
 }
