Keep a silent backup attempt until a third server may really be asked

Cause: where a route allows three attempts and both servers of a request were silent, the second attempt was cancelled as soon as a third server could be chosen. Then the budget for retries or the quarantine could forbid the third attempt, so the caller lost one that might still have been answered, and got nothing in its place. Now the second attempt is withdrawn only when the third one begins. The address of the withdrawn attempt counts as silent as well, so that a later send there uses a new connection.

BackupAttemptsTest plays every event of either attempt while one or both are open, before the first event and in the stream, and the limits.

--- a/src/main/java/org/tarragonlug/decision/forwarding/BackupAttempts.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/BackupAttempts.java
@@ -50,41 +50,29 @@
 
     /** Sends a request to a second server if its own one has been silent for too long. */
     void checkSilence(PendingForward forward, Instant now) {
-        OpenAttempt primary = forward.primary;
-        if (!primary.isSilent(forward.route, now)) {
-            return;
-        }
-        countStall(primary, now);
-        forward.backup.ifPresent(backup -> replaceSilentBackup(forward, backup, now));
-        if (forward.backup.isEmpty() && !now.isBefore(forward.backupAllowedAt)) {
+        if (isSilent(forward, forward.primary, now)
+                && forward.backup.stream().allMatch(backup -> isSilent(forward, backup, now))) {
             begin(forward, now);
         }
     }
 
-    private static void countStall(OpenAttempt attempt, Instant now) {
+    /** Tells whether an attempt is silent, and counts that against its server. */
+    private static boolean isSilent(PendingForward forward, OpenAttempt attempt, Instant now) {
+        if (!attempt.isSilent(forward.route, now)) {
+            return false;
+        }
         if (!attempt.stallCounted) {
             attempt.stallCounted = true;
             attempt.server.recordStall(now);
         }
+        return true;
     }
 
-    /** Withdraws a second attempt that is silent as well, if a third server may be asked. */
-    private void replaceSilentBackup(PendingForward forward, OpenAttempt backup, Instant now) {
-        if (!backup.isSilent(forward.route, now)) {
-            return;
-        }
-        countStall(backup, now);
-        Set<ServerId> asked = new HashSet<>(forward.excluded);
-        asked.add(backup.server.id());
-        asked.add(forward.primary.server.id());
-        if (forward.mayRunAgain() && dispatcher.choose(forward, asked, now).isPresent()) {
-            forward.excluded.add(backup.server.id());
-            cancel(forward, CancelReason.SERVER_SILENT);
-        }
-    }
-
+    /** Begins a second attempt, in place of one that is silent as well. */
     private void begin(PendingForward forward, Instant now) {
-        if (!forward.mayRunAgain() || now.isBefore(forward.sendAllowedAt)) {
+        if (!forward.mayRunAgain()
+                || now.isBefore(forward.sendAllowedAt)
+                || now.isBefore(forward.backupAllowedAt)) {
             return;
         }
         Optional<FleetServer> other = chooseOther(forward, now);
@@ -95,20 +83,32 @@
             return;
         }
         forward.lostAddresses.add(forward.primary.address);
+        forward.backup.ifPresent(silent -> withdraw(forward, silent));
         dispatcher.sendBackup(forward, other.get(), now);
     }
 
-    /** Prefers a server that has not refused the request; asks one that has after a while. */
+    private void withdraw(PendingForward forward, OpenAttempt silentBackup) {
+        forward.excluded.add(silentBackup.server.id());
+        forward.lostAddresses.add(silentBackup.address);
+        cancel(forward, CancelReason.SERVER_SILENT);
+    }
+
+    /**
+     * Prefers a server that has not refused the request. If no other attempt is open than that of
+     * the silent server, a begun stream goes to one that has refused it after a while.
+     */
     private Optional<FleetServer> chooseOther(PendingForward forward, Instant now) {
-        ServerId present = forward.primary.server.id();
+        Set<ServerId> present = new HashSet<>();
+        present.add(forward.primary.server.id());
+        forward.backup.ifPresent(backup -> present.add(backup.server.id()));
         Set<ServerId> excluded = new HashSet<>(forward.excluded);
-        excluded.add(present);
+        excluded.addAll(present);
         Optional<FleetServer> fresh = dispatcher.choose(forward, excluded, now);
-        boolean paused = now.isBefore(forward.sameServerAllowedAt);
-        if (fresh.isPresent() || paused || !forward.streamStarted) {
-            return fresh;
-        }
-        return dispatcher.choose(forward, Set.of(present), now);
+        boolean mayReturn =
+                forward.streamStarted
+                        && forward.backup.isEmpty()
+                        && !now.isBefore(forward.sameServerAllowedAt);
+        return mayReturn ? fresh.or(() -> dispatcher.choose(forward, present, now)) : fresh;
     }
 
     /** Lets the second attempt, whose server has begun to answer, take the place of the first. */
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
@@ -22,6 +22,14 @@
     static final ServiceName RECORDS = new ServiceName("records");
     static final String HOST = "a.example";
 
+    /** Window in which retries are limited. */
+    static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
+
+    /** Retries of a budget that no test uses up. */
+    private static final int MANY_RETRIES = 1000;
+
+    private static final double RETRIES_PER_SEND = 0.2;
+
     final ForwardingCoordinator coordinator;
     Instant now = Instant.ofEpochSecond(1000);
     private final String instance;
@@ -35,13 +43,22 @@
 
     /** Creates the coordinator of an instance with a name. */
     ForwardingFixture(String instance) {
+        this(instance, MANY_RETRIES);
+    }
+
+    private ForwardingFixture(String instance, int retries) {
         this.instance = instance;
         this.coordinator =
                 new ForwardingCoordinator(
                         instance,
                         new FailureDomain("home"),
                         text -> text.hashCode() * 0x9e3779b97f4a7c15L,
-                        new ForwardingLimits(Duration.ofSeconds(10), 0.2, 1000, 1));
+                        new ForwardingLimits(RETRY_WINDOW, RETRIES_PER_SEND, retries, 1));
+    }
+
+    /** Creates the coordinator of an instance whose fixed allowance of retries is limited. */
+    static ForwardingFixture withRetries(int retries) {
+        return new ForwardingFixture("", retries);
     }
 
     static ForwardingRoute route(
