Let a begun stream wait while the budget for retries is used up

Cause: a begun stream whose server was lost was broken off at once if the budget for retries was used up at that moment, although the same stream waits for a retry when its next server is chosen later (RequestDispatcher). Its caller can not begin it again, and the budget may allow a retry in time. Now it waits, and the retry is taken from the budget when it is sent. Requests that have not begun to be answered end at once, as before.

RetriedRequestTest$BudgetUsedUp.begunStreamThatLostItsServerWaitsForARetry failed before this change (Fail SERVER_LOST) and passes.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -321,12 +321,21 @@
         }
     }
 
+    /**
+     * Sends a request again, or ends it. A stream that has begun waits while the budget for retries
+     * is used up, since its caller can not begin it again.
+     */
     private void retryOrFail(PendingForward forward, FailureReason reason, Instant now) {
-        if (forward.mayRunAgain() && budgets.tryAcquire(forward.service, now)) {
+        if (!forward.mayRunAgain()) {
+            pending.fail(forward, reason);
+        } else if (forward.streamStarted) {
+            forward.needsRetry = true;
             dispatcher.dispatch(forward, now);
-            return;
+        } else if (budgets.tryAcquire(forward.service, now)) {
+            dispatcher.dispatch(forward, now);
+        } else {
+            pending.fail(forward, reason);
         }
-        pending.fail(forward, reason);
     }
 
     /** Ends an attempt. The request goes on at its other attempt, or waits if there is none. */
