Pass a server's failure on if nothing better follows

Cause: a 5xx that a server had answered was dropped when the request went to another server, or while its other attempt was open. If that one then refused, broke off or stayed silent, the caller got a 502 or 504 of the gateway in place of the answer that a server had made. The last complete answer is kept until the request ends anyway (ActiveRequest), so it is passed on then, unless a stream has begun in the meantime.

RetriedRequestTest$FailureOfAServer: 4 of 5 cases failed before this change; all pass. The fifth guards against a failure that would end a begun stream as if it were complete.

--- a/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/AnswerHandler.java
@@ -234,6 +234,7 @@
             ForwardingEvent.Answered event,
             Instant now) {
         boolean failed = event.status() >= SERVER_ERROR;
+        forward.failureToRelay |= failed;
         if (failed && forward.hasAttemptBeside(attempt)) {
             endAnswer(forward, attempt, event.load(), true, now);
             return;
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -74,6 +74,9 @@
 
     boolean streamStarted;
 
+    /** Whether a server has answered with a failure, which is passed on if nothing better comes. */
+    boolean failureToRelay;
+
     /** Whether the request passes the quarantine, to find out whether it still crashes servers. */
     boolean onTrial;
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForwards.java
@@ -67,7 +67,7 @@
         return count;
     }
 
-    /** Passes the answer of the server on. */
+    /** Passes the last complete answer of a server on. */
     void relayAnswer(PendingForward forward) {
         remove(forward);
         output.accept(new ForwardingCommand.RelayAnswer(forward.request.key()));
@@ -93,8 +93,14 @@
         output.accept(new ForwardingCommand.Refuse(key, reason, retryAfter));
     }
 
-    /** Ends a request that may have run. */
+    /**
+     * Ends a request that may have run, with the failure that a server answered if there is one.
+     */
     void fail(PendingForward forward, FailureReason reason) {
+        if (forward.failureToRelay && !forward.streamStarted) {
+            relayAnswer(forward);
+            return;
+        }
         remove(forward);
         output.accept(new ForwardingCommand.Fail(forward.request.key(), reason));
     }
