Take no answer whose status HTTP does not define

On the product's own interface such an answer counted as a refusal if its body said so, so a request that may have run could run again, and an order as failed. It also showed that a model server is alive.

Cause: the HTTP library refuses statuses below 100 and those that are not three digits, but takes any other number. Now HttpExchange, which all calls to servers, the store and engines go through, ends a call with ANSWER_INVALID unless the status is 200 to 599, and closes the connection. Callers get 502, or the request goes to another server where it may run again. The reader of heads of late answers uses the same range and no longer takes a signed number for a status.

--- a/src/main/java/org/tarragonlug/http/AnswerFilter.java
+++ b/src/main/java/org/tarragonlug/http/AnswerFilter.java
@@ -69,7 +69,7 @@
 
     private Verdict verdict(AnswerHead head) {
         List<String> names = head.values(name.get().header());
-        if (head.isInterim() || names.isEmpty()) {
+        if (!head.isFinal() || names.isEmpty()) {
             return Verdict.HAND_ON;
         }
         if (names.size() > 1) {
--- a/src/main/java/org/tarragonlug/http/AnswerHead.java
+++ b/src/main/java/org/tarragonlug/http/AnswerHead.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * The complete head of an answer, read before the HTTP library decodes it.
@@ -15,7 +16,9 @@
     /** The beginning of a head. A head that contains it once more counts as two joined ones. */
     static final String BEGINNING = "HTTP/1.";
 
-    private static final int OK = 200;
+    private static final int LOWEST_FINAL_STATUS = 200;
+    private static final int HIGHEST_FINAL_STATUS = 599;
+    private static final Pattern STATUS = Pattern.compile("[0-9]{3}");
 
     private final List<String> lines;
 
@@ -30,19 +33,23 @@
         return BEGINNING.startsWith(text);
     }
 
+    /** Returns whether HTTP defines the status as that of a final answer. */
+    static boolean isFinal(int status) {
+        return status >= LOWEST_FINAL_STATUS && status <= HIGHEST_FINAL_STATUS;
+    }
+
     /** Returns the status; 0 if it cannot be read. */
     int status() {
         String[] words = lines.get(0).split(" ");
-        try {
-            return words.length < 2 ? 0 : Integer.parseInt(words[1]);
-        } catch (NumberFormatException unreadable) {
-            return 0;
-        }
+        boolean readable = words.length > 1 && STATUS.matcher(words[1]).matches();
+        return readable ? Integer.parseInt(words[1]) : 0;
     }
 
-    /** Returns whether this is the head of an interim answer, or of none. */
-    boolean isInterim() {
-        return status() < OK;
+    /**
+     * Returns whether this is the head of a final answer, neither of an interim one nor of none.
+     */
+    boolean isFinal() {
+        return isFinal(status());
     }
 
     /** Returns the distinct values of a header. */
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -191,6 +191,7 @@
     private void handleHead(StreamingHttpResponse response) {
         reportBodyEnd(response);
         synchronized (this) {
+            requireFinalStatus(response.status().code());
             if (!ended) {
                 Map<String, String> headers = new HashMap<>();
                 response.headers()
@@ -211,6 +212,14 @@
         toSource(response.payloadBody()).subscribe(new Body());
     }
 
+    /** Fails unless the status can end a call. The library accepts any three digits from 100. */
+    private void requireFinalStatus(int status) {
+        if (!AnswerHead.isFinal(status)) {
+            String detail = "the status " + status + " is not that of an answer";
+            fail(HttpFailure.Kind.ANSWER_INVALID, detail, null);
+        }
+    }
+
     /** Tells the guard how the end of the body is found. */
     private void reportBodyEnd(StreamingHttpResponse response) {
         if (call.method().equals("HEAD")) {
--- a/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
+++ b/src/test/java/org/tarragonlug/engine/HttpEngineClientTest.java
@@ -227,6 +227,25 @@
         }
     }
 
+    /** Answers to orders whose status HTTP does not define. */
+    @Nested
+    class OddStatus {
+        // Guards against an order that is recorded as failed, though it may be carried out.
+        @ParameterizedTest
+        @ValueSource(strings = {"000", "099", "101", "20", "600", "999"})
+        void orderHasAnUnknownOutcome(String status) throws Exception {
+            String failure = "{\"error\":{\"code\":\"load_failed\",\"message\":\"\"}}";
+            String answer =
+                    "HTTP/1.1 " + status + " x\r\ncontent-length: " + failure.length() + "\r\n\r\n";
+            byte[] bytes = (answer + failure).getBytes();
+            try (RawServer server = new RawServer(n -> bytes, true)) {
+                assertEquals(
+                        OrderOutcome.UNKNOWN,
+                        LoopbackFixture.await(send(server.address(), OrderKind.LOAD, MODEL, 1, 1)));
+            }
+        }
+    }
+
     @Nested
     class Reports {
         /**
@@ -506,6 +525,18 @@
             assertEquals(Execution.MAY_HAVE_RUN, expected.execution());
         }
 
+        // Guards against a request that counts as not run because of what a server in trouble says
+        // under a status that HTTP does not define.
+        @ParameterizedTest
+        @ValueSource(strings = {"000", "099", "101", "20", "600", "999"})
+        void refusalUnderAnOddStatusIsNoStatementThatNothingRan(String status) throws Exception {
+            String refusal = "{\"error\":{\"code\":\"overloaded\",\"message\":\"\"}}";
+            String answer =
+                    "HTTP/1.1 " + status + " x\r\ncontent-length: " + refusal.length() + "\r\n\r\n";
+            assertEquals(
+                    AttemptFailure.SERVER_ERROR, generateFrom((answer + refusal).getBytes(), true));
+        }
+
         private Object generateFrom(byte[] answer, boolean close) throws Exception {
             try (RawServer server = new RawServer(n -> answer, close)) {
                 return awaitEnd(generate(server.address(), body("q", 3), 0));
--- a/src/test/java/org/tarragonlug/http/AnswerFilterTest.java
+++ b/src/test/java/org/tarragonlug/http/AnswerFilterTest.java
@@ -43,7 +43,9 @@
             "HTTP/1.1 503 Busy|a: b|X-CALL:other||, SKIP",
             "HTTP/1.1 200 OK|x-call: own|x-call: other||, INVALID",
             "HTTP/1.1 200 OK|a: b||, HAND_ON",
-            "HTTP/1.1 100 Continue|x-call: other||, HAND_ON"
+            "HTTP/1.1 100 Continue|x-call: other||, HAND_ON",
+            "HTTP/1.1 600 Status|x-call: other||, HAND_ON",
+            "HTTP/1.1 +200 OK|x-call: other||, HAND_ON"
         })
         void completeHeadIsJudgedByItsName(String head, AnswerFilter.Verdict verdict) {
             String text = head.replace("|", "\r\n");
--- a/src/test/java/org/tarragonlug/plainservice/HttpPlainServiceClientTest.java
+++ b/src/test/java/org/tarragonlug/plainservice/HttpPlainServiceClientTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.decision.request.AttemptFailure;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.http.LoopbackFixture;
@@ -174,6 +175,18 @@
         }
     }
 
+    // Guards against a status that HTTP does not define and that is passed on to a caller.
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "101", "20", "600", "999"})
+    void oddStatusIsReportedAsServerError(String status) throws Exception {
+        byte[] odd =
+                ("HTTP/1.1 " + status + " x\r\ncontent-length: 4\r\n\r\nbody")
+                        .getBytes(StandardCharsets.UTF_8);
+        try (RawServer server = new RawServer(n -> odd, true)) {
+            assertEquals(AttemptFailure.SERVER_ERROR, call(server.address(), "k"));
+        }
+    }
+
     /**
      * Guards against a healthy server that is assumed lost, because its report is fetched on a
      * connection that has become silent, and against a restart that does not change the
