Send the last bytes of answers before the process exits

Callers that read slowly lost the end of an answer around a planned stop: the connection was closed with up to 64 kB of the body missing.

Cause: a request counts as ended when the HTTP library has taken the whole body of its answer. The library hands up to 64 kB and a piece to Netty beyond what the operating system accepts. The drain ended with the count of requests, and the process halted within 50 ms.

The drain now waits, within its time as before, until the operating system has taken the bytes of all answers (ConnectionGuard.isSending): no bytes wait on a connection, and the end of the answer, which in a stream is a chunk of its own, has been passed to the encoder. drain_ended tells how many connections were still sending.

--- a/src/main/java/org/tarragonlug/caller/ConnectionGuard.java
+++ b/src/main/java/org/tarragonlug/caller/ConnectionGuard.java
@@ -3,13 +3,16 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.ChannelInputShutdownReadComplete;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.TooLongFrameException;
+import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.nio.charset.StandardCharsets;
@@ -19,15 +22,18 @@
 import org.tarragonlug.error.ErrorCode;
 
 /**
- * Detects two events on a connection that the HTTP library does not report: the caller closes the
- * connection while its request is waiting, and the received bytes are not HTTP.
+ * Detects what the HTTP library does not report of a connection: the caller closes it while its
+ * request is waiting, the received bytes are not HTTP, and bytes of an answer are still to be sent.
+ *
+ * <p>The library takes more of an answer than the operating system does. The body of an answer may
+ * therefore end for the library while the caller still waits for its last bytes.
  *
  * <p>The library resets a connection whose bytes it cannot decode. The guard sends an error status
  * first, so that the caller gets the reason. A caller that closes only its sending side is treated
  * as disconnected, as HTTP servers commonly do, because this case cannot be distinguished in time
  * from a connection that is closed in both directions.
  */
-final class ConnectionGuard extends ChannelInboundHandlerAdapter {
+final class ConnectionGuard extends ChannelDuplexHandler {
     private static final String NAME = "caller-connection-guard";
 
     /**
@@ -37,19 +43,24 @@
     private static final String LINE_TOO_LONG = "Could not find CRLF";
 
     private final Set<Runnable> closeActions = ConcurrentHashMap.newKeySet();
+    private final Channel channel;
     private final UndecodedBytes undecodedBytes;
     private volatile boolean closed;
+    private boolean answerBegun;
 
-    private ConnectionGuard(UndecodedBytes undecodedBytes) {
+    private ConnectionGuard(Channel channel, UndecodedBytes undecodedBytes) {
+        this.channel = channel;
         this.undecodedBytes = undecodedBytes;
     }
 
-    /** Installs a guard before the last handler of the library. */
-    static void install(Channel channel) {
+    /** Installs a guard before the last handler of the library, and returns it. */
+    static ConnectionGuard install(Channel channel) {
         String last = channel.pipeline().lastContext().name();
         UndecodedBytes undecodedBytes = new UndecodedBytes();
         channel.pipeline().addFirst(UndecodedBytes.NAME, undecodedBytes);
-        channel.pipeline().addBefore(last, NAME, new ConnectionGuard(undecodedBytes));
+        ConnectionGuard guard = new ConnectionGuard(channel, undecodedBytes);
+        channel.pipeline().addBefore(last, NAME, guard);
+        return guard;
     }
 
     /** Returns the guard of a connection; empty if the connection has none. */
@@ -77,6 +88,16 @@
         closeActions.remove(action);
     }
 
+    /**
+     * Returns whether the operating system has not taken all bytes of an answer. Must be called on
+     * the I/O thread of the connection.
+     */
+    boolean isSending() {
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        boolean canSend = unsent != null;
+        return canSend && (answerBegun || unsent.totalPendingWriteBytes() > 0);
+    }
+
     private void onCallerClosed() {
         closed = true;
         for (Runnable action : closeActions) {
@@ -86,6 +107,14 @@
         }
     }
 
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
+            throws Exception {
+        // The library ends each answer with the trailing headers, which may be empty.
+        answerBegun = !(message instanceof HttpHeaders);
+        super.write(context, message, promise);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         undecodedBytes.onDecoded();
--- a/src/main/java/org/tarragonlug/caller/ConnectionLimiter.java
+++ b/src/main/java/org/tarragonlug/caller/ConnectionLimiter.java
@@ -6,6 +6,8 @@
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.api.LateConnectionAcceptor;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -22,6 +24,7 @@
 final class ConnectionLimiter implements LateConnectionAcceptor {
     private final int limit;
     private final AtomicInteger open = new AtomicInteger();
+    private final Set<ConnectionGuard> guards = ConcurrentHashMap.newKeySet();
 
     ConnectionLimiter(int limit) {
         this.limit = limit;
@@ -47,8 +50,22 @@
                     new IllegalStateException("connection limit of " + limit + " reached"));
         }
         Channel channel = context.nettyChannel();
-        channel.closeFuture().addListener(closed -> open.decrementAndGet());
-        ConnectionGuard.install(channel);
+        ConnectionGuard guard = ConnectionGuard.install(channel);
+        guards.add(guard);
+        channel.closeFuture()
+                .addListener(
+                        closed -> {
+                            open.decrementAndGet();
+                            guards.remove(guard);
+                        });
         return Completable.completed();
     }
+
+    /**
+     * Returns the number of connections on which bytes of an answer are still to be sent. Must be
+     * called on the I/O thread of the connections.
+     */
+    int sendingCount() {
+        return (int) guards.stream().filter(ConnectionGuard::isSending).count();
+    }
 }
--- a/src/main/java/org/tarragonlug/caller/ForwardingServer.java
+++ b/src/main/java/org/tarragonlug/caller/ForwardingServer.java
@@ -59,7 +59,7 @@
     private static final Map<String, String> RETRY_SOON = Map.of("retry-after", "0.5");
 
     private final InetSocketAddress address;
-    private final int connectionLimit;
+    private final ConnectionLimiter connections;
     private final IoExecutor ioExecutor;
     private final ForwardedCallListener listener;
     private final LongSupplier bodyLimit;
@@ -86,7 +86,7 @@
             ForwardedCallListener listener,
             LongSupplier bodyLimit) {
         this.address = address;
-        this.connectionLimit = connectionLimit;
+        this.connections = new ConnectionLimiter(connectionLimit);
         this.ioExecutor = ioExecutor;
         this.listener = listener;
         this.bodyLimit = bodyLimit;
@@ -113,8 +113,7 @@
                                 .socketOption(
                                         ServiceTalkSocketOptions.IDLE_TIMEOUT,
                                         IDLE_TIMEOUT.toMillis())
-                                .appendLateConnectionAcceptor(
-                                        new ConnectionLimiter(connectionLimit))
+                                .appendLateConnectionAcceptor(connections)
                                 .listenStreaming(this::handle),
                         address);
     }
@@ -124,11 +123,22 @@
         return (InetSocketAddress) context.listenAddress();
     }
 
-    /** Returns the number of requests that are being received or answered. */
+    /**
+     * Returns the number of requests that are being received or answered. It does not contain those
+     * whose answers are complete except for bytes that the caller has yet to take.
+     */
     public int inProgress() {
         return inProgress;
     }
 
+    /**
+     * Returns the number of connections on which bytes of an answer are still to be sent. Must be
+     * called on the I/O thread.
+     */
+    public int sendingCount() {
+        return connections.sendingCount();
+    }
+
     @Override
     public void stop() {
         if (context != null) {
--- a/src/main/java/org/tarragonlug/gateway/GatewayDrain.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayDrain.java
@@ -15,8 +15,9 @@
 /**
  * The graceful stop of a gateway. It stops giving orders at once. It stops accepting connections
  * once the platform has had time to take it out of rotation, and then waits for the requests in
- * progress. Requests that last longer than the drain time allows are answered before the process
- * exits: their callers would otherwise not know whether they ran.
+ * progress and until their callers have been sent the last bytes of their answers. Requests that
+ * last longer than the drain time allows are answered before the process exits: their callers would
+ * otherwise not know whether they ran.
  */
 final class GatewayDrain {
     /**
@@ -69,8 +70,8 @@
     /**
      * Starts the drain.
      *
-     * @return a stage that completes when no request is in progress or the drain time is over; it
-     *     never fails
+     * @return a stage that completes when no request is in progress and all answers have been sent,
+     *     or the drain time is over; it never fails
      */
     CompletionStage<Void> start() {
         log.event(LogEvent.DRAIN_STARTED).with("in_progress", callers.inProgress()).write();
@@ -91,8 +92,14 @@
     }
 
     private void awaitIdle(Instant end) {
-        if (callers.inProgress() <= 0 || !timers.now().isBefore(end)) {
-            log.event(LogEvent.DRAIN_ENDED).with("in_progress", callers.inProgress()).write();
+        int inProgress = callers.inProgress();
+        int sending = callers.sendingCount();
+        boolean idle = inProgress <= 0 && sending == 0;
+        if (idle || !timers.now().isBefore(end)) {
+            log.event(LogEvent.DRAIN_ENDED)
+                    .with("in_progress", inProgress)
+                    .with("sending", sending)
+                    .write();
             done.complete(null);
             return;
         }
