Handle signals before the first connection is accepted

A SIGTERM between the first accepted connection and the end of the start ended the process at once: no drain, requests in progress cut. A SIGHUP while the process read its settings ended it as well.

Cause: the shutdown hook was added after Gateway.start(), and the SIGHUP handler after the settings were read.

SIGHUP is handled before the settings are read. The hook is added before the start and removed if the start fails, so that the process still ends with the status of the failure. A gateway that is drained before or during its start closes its server for callers when that is complete. The end of the drain is counted from before the first log line. The check of the settings file has a class of its own.

--- a/src/main/java/org/tarragonlug/caller/ForwardingServer.java
+++ b/src/main/java/org/tarragonlug/caller/ForwardingServer.java
@@ -66,7 +66,8 @@
     private final BodyMemory bodyMemory = new BodyMemory(ALL_BODIES_BYTES);
     private long callCount;
     private int inProgress;
-    private HttpServerContext context;
+    private volatile HttpServerContext context;
+    private volatile boolean stopping;
 
     /**
      * Creates the server without listening.
@@ -116,6 +117,9 @@
                                 .appendLateConnectionAcceptor(connections)
                                 .listenStreaming(this::handle),
                         address);
+        if (stopping) {
+            stopGracefully();
+        }
     }
 
     /** Returns the address on which the started server listens, with the port that was chosen. */
@@ -146,8 +150,12 @@
         }
     }
 
-    /** Stops listening, closes idle connections and lets answers in progress finish. */
+    /**
+     * Stops listening, closes idle connections and lets answers in progress finish. A server whose
+     * start is not complete stops when it is.
+     */
     public void stopGracefully() {
+        stopping = true;
         if (context != null) {
             context.closeAsyncGracefully().subscribe();
         }
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -397,10 +397,11 @@
     }
 
     /**
-     * Stops gracefully. The instance reports not ready at once ({@link GatewayDrain}).
+     * Stops gracefully. The instance reports not ready at once ({@link GatewayDrain}). May be
+     * called at any time, also before {@link #start} or while it runs.
      *
-     * @return a stage that completes when no request is in progress or the drain time is over; it
-     *     never fails
+     * @return a stage that completes when no request is in progress and all answers have been sent,
+     *     or the drain time is over; it never fails
      */
     public CompletionStage<Void> drain() {
         draining = true;
--- a/src/main/java/org/tarragonlug/gateway/GatewayDrain.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayDrain.java
@@ -74,8 +74,8 @@
      *     or the drain time is over; it never fails
      */
     CompletionStage<Void> start() {
-        log.event(LogEvent.DRAIN_STARTED).with("in_progress", callers.inProgress()).write();
         Instant end = timers.now().plus(drainTime).minus(EXIT_MARGIN);
+        log.event(LogEvent.DRAIN_STARTED).with("in_progress", callers.inProgress()).write();
         loop.execute(
                 () -> {
                     leases.postAll(new LeaseEvent.Stopping());
--- a/src/main/java/org/tarragonlug/tool/GatewayProcess.java
+++ b/src/main/java/org/tarragonlug/tool/GatewayProcess.java
@@ -52,14 +52,13 @@
         // No part passes values through the context of the HTTP library, which costs time for each
         // signal.
         AsyncContext.disable();
-        Gateway gateway;
-        GatewaySettings settings;
+        SettingsFileCheck settingsCheck = new SettingsFileCheck(settingsFile);
+        Signal.handle(new Signal("HUP"), signal -> settingsCheck.run());
         try {
-            settings = new GatewaySettingsLoader().load(settingsFile);
-            gateway = new Gateway(settings);
-            Signal.handle(
-                    new Signal("HUP"), signal -> checkSettings(settingsFile, gateway, settings));
-            gateway.start();
+            GatewaySettings settings = new GatewaySettingsLoader().load(settingsFile);
+            Gateway gateway = new Gateway(settings);
+            settingsCheck.startFor(gateway, settings);
+            startWithDrain(gateway, settings);
         } catch (TarragonlugException failure) {
             System.err.println(failure.getMessage());
             boolean invalidInput =
@@ -67,20 +66,32 @@
                             || failure.code() == ErrorCode.ADDRESS_IN_USE;
             return invalidInput ? ExitStatus.INVALID_INPUT : ExitStatus.FAILURE;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(gateway, settings), "drain"));
         new CountDownLatch(1).await();
         return ExitStatus.SUCCESS;
     }
 
-    private static void checkSettings(Path file, Gateway gateway, GatewaySettings inForce) {
+    /**
+     * Starts a gateway. A signal to stop is followed by a drain from before the first connection is
+     * accepted, but not after a start that failed.
+     */
+    private static void startWithDrain(Gateway gateway, GatewaySettings settings)
+            throws TarragonlugException {
+        Thread drain = new Thread(() -> drain(gateway, settings), "drain");
+        Runtime.getRuntime().addShutdownHook(drain);
+        try {
+            gateway.start();
+        } catch (TarragonlugException | RuntimeException failure) {
+            removeShutdownHook(drain);
+            throw failure;
+        }
+    }
+
+    private static void removeShutdownHook(Thread hook) {
         try {
-            GatewaySettings changed = new GatewaySettingsLoader().load(file);
-            gateway.onSettingsChanged(
-                    changed.equals(inForce)
-                            ? "no setting that the gateway reads has changed"
-                            : "the changed settings are in force after a restart");
-        } catch (TarragonlugException invalid) {
-            gateway.onSettingsChanged(invalid.getMessage());
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException processEnds) {
+            // A signal has started the hook, which ends the process.
+            return;
         }
     }
 
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -119,7 +119,22 @@
 
     /** Starts a gateway in a process of its own, with the options of the deploy file. */
     GatewayChild startChild(String name) throws Exception {
-        GatewaySettings settings = newSettings(name);
+        GatewayChild child = launchChild(newSettings(name));
+        child.awaitReady();
+        return child;
+    }
+
+    /** Starts a gateway in a process of its own without waiting until it is ready. */
+    GatewayChild launchChild(GatewaySettings settings) throws Exception {
+        GatewayChild child =
+                new GatewayChild(Path.of("").toAbsolutePath(), childCommand(), settings);
+        servers.add(child);
+        gatewaySettings.add(settings);
+        return child;
+    }
+
+    /** Returns the command of the deploy file with the classes under test. */
+    static List<String> childCommand() throws Exception {
         List<String> command = new ArrayList<>(GatewayChild.command(Path.of("")));
         command.set(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.removeIf(option -> option.startsWith("-XX:SharedArchiveFile"));
@@ -128,14 +143,10 @@
                         .filter(entry -> !entry.endsWith("test-classes"))
                         .collect(Collectors.joining(File.pathSeparator));
         command.set(command.indexOf("-cp") + 1, classPath);
-        GatewayChild child = new GatewayChild(Path.of("").toAbsolutePath(), command, settings);
-        servers.add(child);
-        gatewaySettings.add(settings);
-        child.awaitReady();
-        return child;
+        return command;
     }
 
-    private GatewaySettings newSettings(String name) {
+    GatewaySettings newSettings(String name) {
         return new GatewaySettings(
                 new InstanceId(name),
                 new FailureDomain("home"),
