--- a/src/main/java/org/tarragonlug/caller/ForwardingServer.java
+++ b/src/main/java/org/tarragonlug/caller/ForwardingServer.java
@@ -59,14 +59,15 @@
     private static final Map<String, String> RETRY_SOON = Map.of("retry-after", "0.5");
 
     private final InetSocketAddress address;
-    private final int connectionLimit;
+    private final ConnectionLimiter connections;
     private final IoExecutor ioExecutor;
     private final ForwardedCallListener listener;
     private final LongSupplier bodyLimit;
     private final BodyMemory bodyMemory = new BodyMemory(ALL_BODIES_BYTES);
     private long callCount;
     private int inProgress;
-    private HttpServerContext context;
+    private volatile HttpServerContext context;
+    private volatile boolean stopping;
 
     /**
      * Creates the server without listening.
@@ -86,7 +87,7 @@
             ForwardedCallListener listener,
             LongSupplier bodyLimit) {
         this.address = address;
-        this.connectionLimit = connectionLimit;
+        this.connections = new ConnectionLimiter(connectionLimit);
         this.ioExecutor = ioExecutor;
         this.listener = listener;
         this.bodyLimit = bodyLimit;
@@ -113,10 +114,12 @@
                                 .socketOption(
                                         ServiceTalkSocketOptions.IDLE_TIMEOUT,
                                         IDLE_TIMEOUT.toMillis())
-                                .appendLateConnectionAcceptor(
-                                        new ConnectionLimiter(connectionLimit))
+                                .appendLateConnectionAcceptor(connections)
                                 .listenStreaming(this::handle),
                         address);
+        if (stopping) {
+            stopGracefully();
+        }
     }
 
     /** Returns the address on which the started server listens, with the port that was chosen. */
@@ -124,11 +127,22 @@
         return (InetSocketAddress) context.listenAddress();
     }
 
-    /** Returns the number of requests that are being received or answered. */
+    /**
+     * Returns the number of requests that are being received or answered. It does not contain those
+     * whose answers are complete except for bytes that the caller has yet to take.
+     */
     public int inProgress() {
         return inProgress;
     }
 
+    /**
+     * Returns the number of connections on which bytes of an answer are still to be sent. Must be
+     * called on the I/O thread.
+     */
+    public int sendingCount() {
+        return connections.sendingCount();
+    }
+
     @Override
     public void stop() {
         if (context != null) {
@@ -136,8 +150,12 @@
         }
     }
 
-    /** Stops listening, closes idle connections and lets answers in progress finish. */
+    /**
+     * Stops listening, closes idle connections and lets answers in progress finish. A server whose
+     * start is not complete stops when it is.
+     */
     public void stopGracefully() {
+        stopping = true;
         if (context != null) {
             context.closeAsyncGracefully().subscribe();
         }
