Move a silent stream to a server that has reserved a slot for it

With two attempts open, a stream was at two servers from the moment at which the second one began until this process had read its head and cancelled the first. And a second server that began and broke off at once left the stream with nothing.

A model server is now asked to reserve a slot (hold-take) while the request stays at its silent server. When the slot is reserved the request is cancelled there, and only after that sent to the other server, which admits it ahead of all that wait. If the silent server has gone on meanwhile, or the request has ended, the slot is released; a slot that is not used ends after 500 ms. A server without room leaves the request where it is. Plain services, and model servers that do not know the call, get the request itself as before.

Calls and answers are counted in tarragonlug_slot_reservations_total.

--- a/src/main/java/org/tarragonlug/decision/forwarding/BackupAttempts.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/BackupAttempts.java
@@ -11,6 +11,9 @@
 /**
  * Sends a request to a second server while its own one is silent.
  *
+ * <p>A model server is first asked to reserve a slot ({@link SlotReservations}). What follows holds
+ * for plain services, and for model servers that reserve no slots.
+ *
  * <p>A silent server may be lost or only slow, and the second server may refuse the request.
  * Therefore the first attempt stays open until the second server has begun to answer; then the
  * second attempt takes its place, and the first one is cancelled before anything of the second
@@ -25,6 +28,7 @@
     private static final Duration SEARCH_PAUSE = Duration.ofMillis(150);
 
     private final RequestDispatcher dispatcher;
+    private final SlotReservations reservations;
     private final RetryBudgets budgets;
     private final QuarantineGate gate;
     private final Consumer<ForwardingCommand> output;
@@ -33,16 +37,19 @@
      * Creates the part that sends requests to second servers.
      *
      * @param dispatcher selects servers and sends requests
+     * @param reservations moves requests to servers that reserve slots
      * @param budgets limits retries
      * @param gate requests that must not reach servers
      * @param output receives the commands
      */
     BackupAttempts(
             RequestDispatcher dispatcher,
+            SlotReservations reservations,
             RetryBudgets budgets,
             QuarantineGate gate,
             Consumer<ForwardingCommand> output) {
         this.dispatcher = dispatcher;
+        this.reservations = reservations;
         this.budgets = budgets;
         this.gate = gate;
         this.output = output;
@@ -51,6 +58,7 @@
     /** Sends a request to a second server if its own one has been silent for too long. */
     void checkSilence(PendingForward forward, Instant now) {
         if (isSilent(forward, forward.primary, now)
+                && forward.requestedSlot.isEmpty()
                 && forward.backup.stream().allMatch(backup -> isSilent(forward, backup, now))) {
             begin(forward, now);
         }
@@ -76,9 +84,15 @@
             return;
         }
         Optional<FleetServer> other = chooseOther(forward, now);
-        if (other.isEmpty()
-                || gate.concerns(forward)
-                || !budgets.tryAcquire(forward.service, now)) {
+        if (other.isEmpty() || gate.concerns(forward)) {
+            forward.backupAllowedAt = now.plus(SEARCH_PAUSE);
+            return;
+        }
+        if (forward.needsModel() && forward.backup.isEmpty() && other.get().reservesSlots()) {
+            reservations.request(forward, other.get(), now);
+            return;
+        }
+        if (!budgets.tryAcquire(forward.service, now)) {
             forward.backupAllowedAt = now.plus(SEARCH_PAUSE);
             return;
         }
--- a/src/main/java/org/tarragonlug/decision/forwarding/CancelReason.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/CancelReason.java
@@ -10,6 +10,8 @@
     STOPPING,
     /** The server was silent for too long, and a further one is asked in its place. */
     SERVER_SILENT,
+    /** The server was silent for too long, and another one has reserved a slot for the request. */
+    SLOT_RESERVED,
     /** Another server has begun to answer the request. */
     OTHER_SERVER_ANSWERS
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/FleetServer.java
@@ -53,6 +53,7 @@
     private ServerListing listing;
     private ServerIncarnation incarnation;
     private int inFlight;
+    private boolean reservesSlots = true;
     private double otherInstancesLoad;
     private Instant loadReportedAt = Instant.EPOCH;
     private Instant totalReportedAt = Instant.EPOCH;
@@ -303,6 +304,16 @@
         inFlight++;
     }
 
+    /** Returns whether the server may reserve slots; true until it says that it can not. */
+    boolean reservesSlots() {
+        return reservesSlots;
+    }
+
+    /** Records whether the server knows calls that reserve slots. */
+    void setReservesSlots(boolean known) {
+        reservesSlots = known;
+    }
+
     /** Counts the end of a request that this instance sent to the server. */
     public void onRequestEnded() {
         inFlight = Math.max(0, inFlight - 1);
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardRequest.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardRequest.java
@@ -63,4 +63,9 @@
                 contentHash,
                 Credential.ABSENT);
     }
+
+    /** Returns the number of tokens that the request takes up in a server's memory at most. */
+    public int tokens() {
+        return promptTokens + outputTokens;
+    }
 }
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCommand.java
@@ -8,6 +8,7 @@
 import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.RequestTrait;
+import org.tarragonlug.id.ReservationId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.ServiceName;
@@ -30,6 +31,7 @@
      * @param account the account that the request belongs to; empty if it needs none
      * @param credentialRemoved whether the server must not see what the caller stated about its
      *     account
+     * @param reservation the slot that the server has reserved for the request; empty for none
      */
     record Send(
             ForwardAttempt attempt,
@@ -42,9 +44,10 @@
             Instant deadline,
             boolean newConnection,
             Optional<AccountName> account,
-            boolean credentialRemoved)
+            boolean credentialRemoved,
+            Optional<ReservationId> reservation)
             implements ForwardingCommand {
-        /** Creates the command for a request that needs no account. */
+        /** Creates the command for a request that needs no account and has no reserved slot. */
         public Send(
                 ForwardAttempt attempt,
                 ServerId server,
@@ -66,7 +69,8 @@
                     deadline,
                     newConnection,
                     Optional.empty(),
-                    false);
+                    false,
+                    Optional.empty());
         }
 
         /** Returns the request. */
@@ -75,6 +79,28 @@
         }
     }
 
+    /**
+     * Asks a server to reserve a slot. The answer is {@link ForwardingEvent.SlotReserved} or {@link
+     * ForwardingEvent.SlotNotReserved}.
+     *
+     * @param attempt number that the answer bears
+     * @param server the server
+     * @param address address of the server, {@code host:port}
+     * @param tokens memory that the request needs, in tokens
+     */
+    record ReserveSlot(ForwardAttempt attempt, ServerId server, String address, int tokens)
+            implements ForwardingCommand {}
+
+    /**
+     * Releases a slot that a server has reserved and that is not needed.
+     *
+     * @param server the server
+     * @param address address of the server, {@code host:port}
+     * @param reservation the slot
+     */
+    record ReleaseSlot(ServerId server, String address, ReservationId reservation)
+            implements ForwardingCommand {}
+
     /** Reads the body of a request whose head has arrived. */
     record ReceiveBody(long request) implements ForwardingCommand {}
 
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingCoordinator.java
@@ -48,6 +48,7 @@
     private final KeyGate keys;
     private final AllowanceGate allowances;
     private final RequestDispatcher dispatcher;
+    private final SlotReservations reservations;
     private final BackupAttempts backups;
     private final AnswerHandler answers;
     private ForwardingTable table;
@@ -120,9 +121,16 @@
                         gate,
                         keys,
                         command -> this.commands.add(command));
+        this.reservations =
+                new SlotReservations(
+                        dispatcher, budgets, gate, pending, command -> this.commands.add(command));
         this.backups =
                 new BackupAttempts(
-                        dispatcher, budgets, gate, command -> this.commands.add(command));
+                        dispatcher,
+                        reservations,
+                        budgets,
+                        gate,
+                        command -> this.commands.add(command));
         this.answers =
                 new AnswerHandler(
                         fleet,
@@ -216,6 +224,13 @@
                                     commands.add(
                                             new ForwardingCommand.ReportLateEvent(
                                                     ofAttempt.attempt())));
+        } else if (event instanceof ForwardingEvent.SlotReserved reserved) {
+            reservations.onReserved(reserved, now);
+        } else if (event instanceof ForwardingEvent.SlotNotReserved notReserved) {
+            reservations.onRefused(notReserved, now);
+            pending.find(notReserved.attempt().request())
+                    .filter(forward -> !forward.isWaiting())
+                    .ifPresent(forward -> backups.checkSilence(forward, now));
         } else if (event instanceof ForwardingEvent.CallerDisconnected disconnected) {
             keys.forget(disconnected.request());
             allowances.forget(disconnected.request());
--- a/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/ForwardingEvent.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.RequestTrait;
+import org.tarragonlug.id.ReservationId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
 
@@ -26,6 +27,27 @@
         ForwardAttempt attempt();
     }
 
+    /**
+     * A server has reserved a slot for a request.
+     *
+     * @param attempt number under which the slot was asked for
+     * @param server the server
+     * @param address address of the server, {@code host:port}
+     * @param reservation the slot
+     */
+    record SlotReserved(
+            ForwardAttempt attempt, ServerId server, String address, ReservationId reservation)
+            implements ForwardingEvent {}
+
+    /**
+     * A server has reserved no slot for a request.
+     *
+     * @param attempt number under which the slot was asked for
+     * @param refusal the reason
+     */
+    record SlotNotReserved(ForwardAttempt attempt, SlotRefusal refusal)
+            implements ForwardingEvent {}
+
     /** A server rejected a request without running it. */
     record Rejected(ForwardAttempt attempt, Rejection rejection, Optional<ReportedLoad> load)
             implements OfAttempt {}
--- a/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/PendingForward.java
@@ -57,6 +57,9 @@
     /** The attempt at a second server while the server of the primary one is silent. */
     Optional<OpenAttempt> backup = Optional.empty();
 
+    /** A slot that another server was asked to reserve while the server is silent. */
+    Optional<RequestedSlot> requestedSlot = Optional.empty();
+
     /** The number of sends that have run or may have run. */
     int possibleRuns;
 
@@ -193,6 +196,13 @@
         }
     }
 
+    /** Returns the slot that a server was asked to reserve, and waits for it no longer. */
+    RequestedSlot takeRequestedSlot() {
+        RequestedSlot slot = requestedSlot.orElseThrow();
+        requestedSlot = Optional.empty();
+        return slot;
+    }
+
     /** Lets the second attempt take the place of the primary one, which has ended. */
     void promoteBackup() {
         primary = backup.orElseThrow();
--- a/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
@@ -9,6 +9,7 @@
 import org.tarragonlug.decision.Hasher;
 import org.tarragonlug.decision.account.ClientAccount;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ReservationId;
 import org.tarragonlug.id.ServerId;
 
 /**
@@ -236,15 +237,25 @@
             forward.sentBefore = true;
             budgets.recordFirstSend(forward.service, now);
         }
-        forward.primary = open(forward, server, now);
+        forward.primary = open(forward, server, Optional.empty(), now);
+    }
+
+    /** Sends a request to a server that has reserved a slot for it. */
+    void sendReserved(
+            PendingForward forward, FleetServer server, ReservationId reservation, Instant now) {
+        forward.primary = open(forward, server, Optional.of(reservation), now);
     }
 
     /** Sends a request to a second server while its own one is silent. */
     void sendBackup(PendingForward forward, FleetServer server, Instant now) {
-        forward.backup = Optional.of(open(forward, server, now));
+        forward.backup = Optional.of(open(forward, server, Optional.empty(), now));
     }
 
-    private OpenAttempt open(PendingForward forward, FleetServer server, Instant now) {
+    private OpenAttempt open(
+            PendingForward forward,
+            FleetServer server,
+            Optional<ReservationId> reservation,
+            Instant now) {
         forward.lastAttempt = forward.lastAttempt.next();
         forward.possibleRuns++;
         OpenAttempt attempt = new OpenAttempt(forward.lastAttempt, server, now);
@@ -261,7 +272,8 @@
                         forward.deadline,
                         forward.lostAddresses.contains(attempt.address),
                         forward.account.map(ClientAccount::name),
-                        forward.credentialRemoved || keys.isOn()));
+                        forward.credentialRemoved || keys.isOn(),
+                        reservation));
         return attempt;
     }
 }
--- a/src/main/java/org/tarragonlug/error/ErrorCode.java
+++ b/src/main/java/org/tarragonlug/error/ErrorCode.java
@@ -42,6 +42,8 @@
     INSTANCE_LIST_UNAVAILABLE(0, "the instance list does not answer", "check its address"),
     WEIGHT_STORE_UNAVAILABLE(0, "the weight store does not answer", "check its address"),
     BACKEND_UNREACHABLE(0, "the backend server does not answer", "check the server"),
+    BACKEND_CALL_UNKNOWN(
+            0, "the backend server does not know the call", "update the server, or do without it"),
     PEER_UNREACHABLE(0, "the peer does not answer", "check the peer and the network"),
     PEER_FRAME_INVALID(
             0, "a frame from a peer is invalid", "check that the peer runs this software"),
--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -64,6 +64,7 @@
     private final DemandCollector demandCollector;
     private final QuarantineDriver quarantine;
     private final QuotaDriver quotas;
+    private final SlotReservationDriver reservations;
     private final GatewayMetrics metrics;
     private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
     private final Deque<ForwardingEvent> eventQueue = new ArrayDeque<>();
@@ -81,6 +82,7 @@
             DemandCollector demandCollector,
             QuarantineDriver quarantine,
             QuotaDriver quotas,
+            SlotReservationDriver reservations,
             GatewayMetrics metrics) {
         this.coordinator = coordinator;
         this.connections = connections;
@@ -90,6 +92,7 @@
         this.demandCollector = demandCollector;
         this.quarantine = quarantine;
         this.quotas = quotas;
+        this.reservations = reservations;
         this.metrics = metrics;
     }
 
@@ -187,6 +190,10 @@
             fail(activeRequests.get(fail.request()), fail);
         } else if (command instanceof ForwardingCommand.CancelAttempt cancel) {
             cancel(cancel);
+        } else if (command instanceof ForwardingCommand.ReserveSlot reserve) {
+            reservations.reserve(reserve, this::post);
+        } else if (command instanceof ForwardingCommand.ReleaseSlot release) {
+            reservations.release(release);
         } else if (command instanceof ForwardingCommand.ReportWaiting wait) {
             demandCollector.recordWait(wait, timers.now());
         } else if (command instanceof ForwardingCommand.RequestAllowance) {
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -174,6 +174,7 @@
                         peers.demandCollector(),
                         quarantine,
                         quotas,
+                        new SlotReservationDriver(engines, metrics, loop),
                         metrics);
         this.executor = createExecutor(groups, engines);
         this.placement = new PlacementDriver(planner, executor, engines, loop, timers, log, peers);
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -18,6 +18,7 @@
 import org.tarragonlug.decision.forwarding.LimitCause;
 import org.tarragonlug.decision.forwarding.RefusalReason;
 import org.tarragonlug.decision.forwarding.ServerNotice;
+import org.tarragonlug.decision.forwarding.SlotRefusal;
 
 /** Prometheus metrics of a gateway process. */
 final class GatewayMetrics {
@@ -63,6 +64,13 @@
                     .help("Sends that ended before their servers had answered, by the reason")
                     .labelNames("reason")
                     .register(registry);
+    private final Counter slotReservations =
+            Counter.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_slot_reservations_total")
+                    .help("Slots that model servers were asked to reserve, by their answer")
+                    .labelNames("answer")
+                    .register(registry);
     private final Counter withdrawnRequests =
             Counter.builder()
                     .withoutExemplars()
@@ -208,6 +216,14 @@
         cancelledSends.labelValues(lowerCase(reason)).inc();
     }
 
+    void recordReservedSlot() {
+        slotReservations.labelValues("reserved").inc();
+    }
+
+    void recordRefusedSlot(SlotRefusal refusal) {
+        slotReservations.labelValues(lowerCase(refusal)).inc();
+    }
+
     void recordWithdrawnRequest() {
         withdrawnRequests.inc();
     }
--- a/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformEngineClient.java
@@ -24,6 +24,7 @@
 import org.tarragonlug.id.FencingToken;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ReservationId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.runtime.Json;
 
@@ -37,6 +38,14 @@
 public final class PlatformEngineClient {
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(220);
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration RESERVATION_TIMEOUT = Duration.ofMillis(250);
+
+    /** How long a slot stays reserved that no request uses. */
+    private static final Duration RESERVATION_TIME = Duration.ofMillis(500);
+
+    /** Statuses of a server that does not know a call. */
+    private static final Set<Integer> UNKNOWN_CALL = Set.of(400, 404, 405, 501);
+
     private static final String EXPECT_INSTANCE = "tarragonlug-expect-instance";
     private static final String REQUEST_ID = "tarragonlug-request-id";
     private static final int OK = 200;
@@ -158,6 +167,72 @@
                                 ErrorCode.BACKEND_UNREACHABLE, failure.getMessage(), failure));
     }
 
+    /**
+     * Asks a server to reserve a slot. A reservation that is not used ends by itself.
+     *
+     * @param server the intended server
+     * @param address the server's address
+     * @param tokens memory to reserve, in tokens
+     * @return the reserved slot; fails with {@code BACKEND_CALL_UNKNOWN} if the server knows no
+     *     such calls, and with {@code BACKEND_UNREACHABLE} if it has no room or does not answer
+     */
+    public CompletionStage<ReservationId> reserveSlot(
+            ServerId server, InetSocketAddress address, int tokens) {
+        ObjectNode body = Json.object();
+        body.put("tokens", tokens);
+        body.put("ttl_ms", RESERVATION_TIME.toMillis());
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        PlatformPaths.RESERVE_SLOT,
+                        Map.of("content-type", "application/json", EXPECT_INSTANCE, server.value()),
+                        Json.bytes(body),
+                        RESERVATION_TIMEOUT,
+                        ConnectionUse.NEW);
+        return Answers.read(
+                connections.exchange(address, call),
+                PlatformEngineClient::decodeReservation,
+                failure ->
+                        new TarragonlugException(
+                                ErrorCode.BACKEND_UNREACHABLE, failure.getMessage(), failure));
+    }
+
+    private static ReservationId decodeReservation(HttpAnswer answer) throws TarragonlugException {
+        if (!belongsToRequest(answer) && UNKNOWN_CALL.contains(answer.status())) {
+            throw new TarragonlugException(
+                    ErrorCode.BACKEND_CALL_UNKNOWN, "the server reserves no slots");
+        }
+        String slot =
+                answer.status() == OK && !belongsToRequest(answer)
+                        ? JsonFields.parse(answer.body()).path("hold").asText()
+                        : "";
+        if (slot.isEmpty()) {
+            throw new TarragonlugException(
+                    ErrorCode.BACKEND_UNREACHABLE,
+                    "status " + answer.status() + " from the server");
+        }
+        return new ReservationId(slot);
+    }
+
+    /**
+     * Releases a reserved slot. If the call is lost, the reservation ends by itself.
+     *
+     * @param server the server
+     * @param address the server's address
+     * @param slot the slot
+     */
+    public void releaseSlot(ServerId server, InetSocketAddress address, ReservationId slot) {
+        HttpCall call =
+                new HttpCall(
+                        "DELETE",
+                        PlatformPaths.RELEASE_SLOT + slot.value(),
+                        Map.of(EXPECT_INSTANCE, server.value()),
+                        new byte[0],
+                        RESERVATION_TIMEOUT,
+                        ConnectionUse.NEW);
+        connections.exchange(address, call);
+    }
+
     /**
      * Finds out whether a server still runs. Any answer shows that it does, unless another server
      * gives it.
--- a/src/main/java/org/tarragonlug/platform/PlatformPaths.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformPaths.java
@@ -11,5 +11,11 @@
     /** The state of a model server. */
     public static final String REPORT = "/tarragonlug/report";
 
+    /** Reserves a slot at a model server. */
+    public static final String RESERVE_SLOT = "/tarragonlug/hold-take";
+
+    /** Releases a reserved slot, which follows as the last part of the path. */
+    static final String RELEASE_SLOT = "/tarragonlug/hold-drop/";
+
     private PlatformPaths() {}
 }
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -58,6 +58,8 @@
     private static final String URGENCY = "tarragonlug-request-urgency";
     private static final String LAST_EVENT_ID = "last-event-id";
 
+    private static final String RESERVATION = "tarragonlug-hold";
+
     /**
      * Headers that only this system may set. They are removed from callers' requests, so that a
      * caller can neither reserve capacity nor move memory in the name of the system.
@@ -70,7 +72,7 @@
                     LAST_EVENT_ID,
                     ACCOUNT,
                     "tarragonlug-expect-version",
-                    "tarragonlug-hold",
+                    RESERVATION,
                     "tarragonlug-pin-ms",
                     "tarragonlug-kv-backup",
                     "kv-from",
@@ -303,6 +305,7 @@
         if (headers.containsKey(MODEL)) {
             result.put(URGENCY, Integer.toString(send.urgency()));
         }
+        send.reservation().ifPresent(slot -> result.put(RESERVATION, slot.value()));
         if (send.lastEventId() >= 0) {
             result.put(LAST_EVENT_ID, Long.toString(send.lastEventId()));
         }
--- a/src/main/java/org/tarragonlug/simulation/ModelServer.java
+++ b/src/main/java/org/tarragonlug/simulation/ModelServer.java
@@ -208,6 +208,11 @@
         return down;
     }
 
+    /** Returns whether a request could begin at once. */
+    boolean hasFreeSlot() {
+        return !down && waiting.isEmpty() && running.size() < scenario.slots();
+    }
+
     /** Ends the process: all requests break off, and the server restarts empty. */
     void crash(Duration downTime) {
         down = true;
--- a/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
+++ b/src/main/java/org/tarragonlug/simulation/SimulatedInstance.java
@@ -21,11 +21,13 @@
 import org.tarragonlug.decision.forwarding.Rejection;
 import org.tarragonlug.decision.forwarding.ReportedLoad;
 import org.tarragonlug.decision.forwarding.ServerListing;
+import org.tarragonlug.decision.forwarding.SlotRefusal;
 import org.tarragonlug.decision.placement.DemandCollector;
 import org.tarragonlug.decision.placement.DemandCollector.Audience;
 import org.tarragonlug.decision.placement.ModelDemand;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.ReservationId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.measure.VirtualTime;
 
@@ -238,6 +240,8 @@
             call.caller.onFailed();
         } else if (command instanceof ForwardingCommand.CancelAttempt cancel) {
             cancel(calls.get(cancel.request()), cancel.attempt());
+        } else if (command instanceof ForwardingCommand.ReserveSlot reserve) {
+            reserve(reserve);
         } else if (command instanceof ForwardingCommand.ReportWaiting wait) {
             demand.recordWait(wait, time.now());
         } else if (command instanceof ForwardingCommand.ReportArrival arrival) {
@@ -254,6 +258,22 @@
         }
     }
 
+    /** Answers whether a slot is free. The slot is not kept, so a request may find it taken. */
+    private void reserve(ForwardingCommand.ReserveSlot reserve) {
+        ModelServer server = servers.get(reserve.server());
+        time.afterMillis(2 * NETWORK_MILLIS, () -> post(answer(reserve, server.hasFreeSlot())));
+    }
+
+    private static ForwardingEvent answer(ForwardingCommand.ReserveSlot reserve, boolean free) {
+        return free
+                ? new ForwardingEvent.SlotReserved(
+                        reserve.attempt(),
+                        reserve.server(),
+                        reserve.address(),
+                        new ReservationId("slot"))
+                : new ForwardingEvent.SlotNotReserved(reserve.attempt(), SlotRefusal.NO_ROOM);
+    }
+
     private void send(ForwardingCommand.Send send) {
         Call call = calls.get(send.request());
         ModelServer server = servers.get(send.server());
--- a/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
@@ -59,6 +59,7 @@
     private volatile long pausedUntilNanos = System.nanoTime();
     private long startMillis = System.currentTimeMillis();
     private long orderCount;
+    private int reservationCount;
     private int starts = 1;
     private boolean closed;
     private boolean busy;
@@ -210,9 +211,25 @@
         if (request.path().equals(List.of("tarragonlug", "order"))) {
             return done(handleOrder(JsonFields.parse(request.body())));
         }
+        if (request.path().size() > 1 && request.path().get(1).startsWith("hold-")) {
+            return done(handleReservation(request));
+        }
         return handleRequest(request);
     }
 
+    private synchronized StandInReply handleReservation(StandInRequest request) {
+        if (!request.path().get(1).equals("hold-take")) {
+            return StandInReply.empty(200);
+        }
+        if (rejecting || unresponsive) {
+            return StandInReply.empty(503);
+        }
+        reservationCount++;
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("hold", "slot-" + reservationCount);
+        return StandInReply.json(200, body);
+    }
+
     private static CompletionStage<StandInReply> done(StandInReply reply) {
         return CompletableFuture.completedFuture(reply);
     }
--- a/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
+++ b/src/test/java/org/tarragonlug/decision/forwarding/ForwardingFixture.java
@@ -37,6 +37,9 @@
     private long lastKey;
     private boolean contentRepeated;
 
+    /** Whether tests answer calls that reserve slots; otherwise servers do not know them. */
+    boolean reservingSlots;
+
     ForwardingFixture() {
         this("");
     }
@@ -142,15 +145,24 @@
     }
 
     List<ForwardingCommand> handle(ForwardingEvent event) {
-        List<ForwardingCommand> commands = coordinator.handle(event, now);
-        for (ForwardingCommand command : commands) {
+        List<ForwardingCommand> commands = new ArrayList<>();
+        for (ForwardingCommand command : coordinator.handle(event, now)) {
             if (command instanceof ForwardingCommand.Send send) {
                 lastAttempts.put(send.request(), send.attempt());
             }
+            if (command instanceof ForwardingCommand.ReserveSlot reserve && !reservingSlots) {
+                commands.addAll(handle(notSupported(reserve)));
+            } else {
+                commands.add(command);
+            }
         }
         return commands;
     }
 
+    private static ForwardingEvent notSupported(ForwardingCommand.ReserveSlot reserve) {
+        return new ForwardingEvent.SlotNotReserved(reserve.attempt(), SlotRefusal.NOT_SUPPORTED);
+    }
+
     /** Returns the last attempt of a request; one that was never begun if it was not sent. */
     ForwardAttempt attempt(long request) {
         return lastAttempts.getOrDefault(request, ForwardAttempt.none(request));
--- a/src/test/java/org/tarragonlug/gateway/ExploredEvent.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredEvent.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ListedState;
+import org.tarragonlug.decision.forwarding.SlotRefusal;
 import org.tarragonlug.http.HttpFailure;
 import org.tarragonlug.id.ServerId;
 
@@ -164,6 +165,22 @@
             Group.DISTURBANCE, 1, ExploredWorld::hasQuarantine, ExploredWorld::endQuarantine),
     /** The request may reach one server, to find out whether it still crashes it. */
     TRIAL_ALLOWED(Group.DISTURBANCE, 1, ExploredWorld::hasQuarantine, ExploredWorld::allowTrial),
+    /** A server reserves the slot that it was asked for. */
+    SLOT_RESERVED(
+            Group.COURSE,
+            ExploredEvent.Limit.NONE,
+            ExploredWorld::hasRequestedSlot,
+            ExploredWorld::reserveSlot),
+    SLOT_NOT_RESERVED(
+            Group.COURSE,
+            ExploredEvent.Limit.NONE,
+            ExploredWorld::hasRequestedSlot,
+            world -> world.refuseSlot(SlotRefusal.NO_ROOM)),
+    SLOTS_NOT_SUPPORTED(
+            Group.COURSE,
+            ExploredEvent.Limit.NONE,
+            ExploredWorld::hasRequestedSlot,
+            world -> world.refuseSlot(SlotRefusal.NOT_SUPPORTED)),
     CALLER_LEAVES(
             Group.DISTURBANCE, 1, world -> world.lastRequest().isOpen(), ExploredWorld::leave),
     /** Callers return with the id that was refused only after they were told "not run". */
--- a/src/test/java/org/tarragonlug/gateway/ExploredWorld.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredWorld.java
@@ -18,12 +18,14 @@
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ForwardingLimits;
 import org.tarragonlug.decision.forwarding.ListedState;
+import org.tarragonlug.decision.forwarding.SlotRefusal;
 import org.tarragonlug.http.CallPosition;
 import org.tarragonlug.http.HttpFailure;
 import org.tarragonlug.http.ModelConnection;
 import org.tarragonlug.http.SkippedAnswer;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.RequestTrait;
+import org.tarragonlug.id.ReservationId;
 import org.tarragonlug.runtime.ManualTimers;
 
 /**
@@ -60,6 +62,7 @@
     private final ExploredConfiguration configuration;
     private final ConnectionRule rule;
     private final ForwardingCoordinator coordinator;
+    private final Deque<ForwardingCommand.ReserveSlot> requestedSlots = new ArrayDeque<>();
     private final List<ModelConnection> pool = new ArrayList<>();
     private final Deque<ForwardingEvent> events = new ArrayDeque<>();
     private String presentAtSharedAddress;
@@ -177,6 +180,8 @@
             end(request(refuse.request()), PROMISES.contains(refuse.reason().status()));
         } else if (command instanceof ForwardingCommand.Fail fail) {
             end(request(fail.request()), false);
+        } else if (command instanceof ForwardingCommand.ReserveSlot reserve) {
+            requestedSlots.add(reserve);
         } else if (command instanceof ForwardingCommand.CancelAttempt cancel) {
             ExploredCall call = call(cancel.attempt());
             call.receiver.cancel();
@@ -184,6 +189,23 @@
         }
     }
 
+    boolean hasRequestedSlot() {
+        return !requestedSlots.isEmpty();
+    }
+
+    /** Lets a server reserve the slot that was asked for first. */
+    void reserveSlot() {
+        ForwardingCommand.ReserveSlot slot = requestedSlots.remove();
+        post(
+                new ForwardingEvent.SlotReserved(
+                        slot.attempt(), slot.server(), slot.address(), new ReservationId("slot")));
+    }
+
+    void refuseSlot(SlotRefusal refusal) {
+        ForwardingCommand.ReserveSlot slot = requestedSlots.remove();
+        post(new ForwardingEvent.SlotNotReserved(slot.attempt(), refusal));
+    }
+
     private ExploredCall call(ForwardAttempt attempt) {
         return calls.stream()
                 .filter(each -> each.attempt.equals(attempt))
--- a/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
+++ b/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
@@ -128,6 +128,7 @@
      * @param id id of the request; empty if it has none
      * @param expectedServer id of the server that the request is meant for; empty if not stated
      * @param lastEventId the last event that the caller has received; empty if not stated
+     * @param reservation the slot that was reserved for the request; empty if none is stated
      * @param body the body
      * @param connection number of its connection, from 1
      * @param sender sends bytes on its connection
@@ -137,11 +138,13 @@
             String id,
             String expectedServer,
             String lastEventId,
+            String reservation,
             byte[] body,
             int connection,
             Sender sender) {
         private Request withBody(byte[] bytes) {
-            return new Request(line, id, expectedServer, lastEventId, bytes, connection, sender);
+            return new Request(
+                    line, id, expectedServer, lastEventId, reservation, bytes, connection, sender);
         }
     }
 
@@ -153,6 +156,7 @@
     private final Script script;
     private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
     private final List<String> received = new CopyOnWriteArrayList<>();
+    private volatile boolean reservingSlots;
 
     /**
      * Starts the server and lists it.
@@ -194,6 +198,11 @@
         store.remove("servers", id);
     }
 
+    /** Sets whether the server reserves slots; it does not know such calls at first. */
+    void setReservingSlots(boolean reserving) {
+        reservingSlots = reserving;
+    }
+
     /** Returns the number of connections that were opened to the server. */
     int acceptedConnections() {
         return sockets.size();
@@ -276,6 +285,11 @@
             End end = End.KEEP;
             for (int onConnection = 1; end == End.KEEP; onConnection++) {
                 Head head = readHead(input, connection, sender);
+                if (head.request().line().contains(" /tarragonlug/hold-")) {
+                    readBody(input, head.length());
+                    output.write(answerToReservation());
+                    continue;
+                }
                 boolean answered = script.answerHead(head.request());
                 Request request = head.request().withBody(readBody(input, head.length()));
                 if (answered) {
@@ -311,12 +325,22 @@
         }
     }
 
+    private byte[] answerToReservation() {
+        String text = "{\"hold\":\"slot\"}";
+        String answer =
+                reservingSlots
+                        ? "HTTP/1.1 200 OK\r\ncontent-length: " + text.length() + "\r\n\r\n" + text
+                        : "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+        return answer.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     private static Head readHead(InputStream input, int connection, Sender sender)
             throws IOException {
         String line = readLine(input);
         String id = "";
         String expectedServer = "";
         String lastEventId = "";
+        String reservation = "";
         int length = 0;
         for (String header = readLine(input); !header.isEmpty(); header = readLine(input)) {
             String[] parts = header.split(": ?", 2);
@@ -327,12 +351,22 @@
                 expectedServer = parts[1];
             } else if (name.equals("last-event-id")) {
                 lastEventId = parts[1];
+            } else if (name.equals("tarragonlug-hold")) {
+                reservation = parts[1];
             } else if (name.equals("content-length")) {
                 length = Integer.parseInt(parts[1].trim());
             }
         }
         Request request =
-                new Request(line, id, expectedServer, lastEventId, new byte[0], connection, sender);
+                new Request(
+                        line,
+                        id,
+                        expectedServer,
+                        lastEventId,
+                        reservation,
+                        new byte[0],
+                        connection,
+                        sender);
         return new Head(request, length);
     }
 
--- a/src/test/java/org/tarragonlug/gateway/SilentStreamTest.java
+++ b/src/test/java/org/tarragonlug/gateway/SilentStreamTest.java
@@ -9,8 +9,10 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +31,7 @@
 
     private final GatewayFixture fixture = new GatewayFixture();
     private final CompletableFuture<Void> streamBegun = new CompletableFuture<>();
+    private final List<ScriptedServer> servers = new ArrayList<>();
 
     @AfterEach
     void close() throws Exception {
@@ -62,17 +65,18 @@
     private void startServers(ScriptedServer.Answer first, ScriptedServer.Script others) {
         AtomicBoolean asked = new AtomicBoolean();
         for (String id : List.of("e1", "e2")) {
-            fixture.startScripted(
-                    id,
-                    "engines",
-                    List.of("m1"),
-                    (request, number, onConnection) -> {
-                        if (asked.compareAndSet(false, true)) {
-                            streamBegun.complete(null);
-                            return first;
-                        }
-                        return others.answer(request, number, onConnection);
-                    });
+            servers.add(
+                    fixture.startScripted(
+                            id,
+                            "engines",
+                            List.of("m1"),
+                            (request, number, onConnection) -> {
+                                if (asked.compareAndSet(false, true)) {
+                                    streamBegun.complete(null);
+                                    return first;
+                                }
+                                return others.answer(request, number, onConnection);
+                            }));
         }
     }
 
@@ -181,6 +185,26 @@
         }
     }
 
+    /** Servers reserve slots. */
+    @Nested
+    class OtherServerReservesASlot {
+        // Guards against a stream at two servers at once, and against a reservation that is not
+        // used. The other server gets the request only when the silent one has lost it.
+        @Test
+        void streamMovesToTheReservedSlot() throws Exception {
+            List<String> reservations = new CopyOnWriteArrayList<>();
+            startServers(
+                    pauseInStream(CALLER_PATIENCE),
+                    (request, number, onConnection) -> {
+                        reservations.add(request.reservation());
+                        return rest(request.lastEventId());
+                    });
+            servers.forEach(server -> server.setReservingSlots(true));
+            assertWhole(receive());
+            assertEquals(List.of("slot"), reservations);
+        }
+    }
+
     /** The queue of the gateway is closed, since it stops, when the stream needs a server. */
     @Nested
     class ServerLostDuringAStop {
--- a/src/test/java/org/tarragonlug/platform/DecodersTest.java
+++ b/src/test/java/org/tarragonlug/platform/DecodersTest.java
@@ -37,6 +37,7 @@
 import org.tarragonlug.decision.forwarding.ServerNotice;
 import org.tarragonlug.id.AccountName;
 import org.tarragonlug.id.ModelKey;
+import org.tarragonlug.id.ReservationId;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -462,6 +463,13 @@
         }
 
         private static Map<String, String> sent(Optional<AccountName> account, boolean removed) {
+            return sent(account, removed, Optional.empty());
+        }
+
+        private static Map<String, String> sent(
+                Optional<AccountName> account,
+                boolean removed,
+                Optional<ReservationId> reservation) {
             return RequestHeaders.forServer(
                     Map.of(
                             "authorization",
@@ -481,7 +489,15 @@
                             java.time.Instant.EPOCH,
                             false,
                             account,
-                            removed));
+                            removed,
+                            reservation));
+        }
+
+        // Guards against a request that waits among the others although a slot is reserved for it.
+        @Test
+        void serverGetsTheReservation() {
+            Optional<ReservationId> slot = Optional.of(new ReservationId("slot-1"));
+            assertEquals("slot-1", sent(Optional.empty(), false, slot).get("tarragonlug-hold"));
         }
 
         // Guards against a key at a server, and against a caller that names an account itself.
