--- a/src/test/java/org/tarragonlug/gateway/StoreRelay.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreRelay.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
@@ -53,6 +54,23 @@
         }
     }
 
+    /** Resets all connections; new ones are relayed. */
+    void reset() throws IOException {
+        for (Socket socket = sockets.poll(); socket != null; socket = sockets.poll()) {
+            reset(socket);
+        }
+    }
+
+    private static void reset(Socket socket) throws IOException {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (SocketException closed) {
+            // The other side had closed the connection.
+            return;
+        }
+        socket.close();
+    }
+
     private void closeAll() throws IOException {
         for (Socket socket = sockets.poll(); socket != null; socket = sockets.poll()) {
             socket.close();
