Soak: pause streams, refuse resumptions, stop in series, and find lost answers

LOST_AROUND_PLANNED_WORK and LOST_ANSWER find requests that a server had and went on with and that ended without a whole answer.

STREAM_AT_ONE_SERVER went by the order of the sends; now by the times at which servers are at work, since a stream may have two open sends until the second server begins: two runs are at work together, or the earlier one after the later one has begun to answer, for 400 ms at most. A run is judged when both ends are known: threads report them in any order. Of the tests of the check, one took a first send that ends wholly while the second is at work for a fault. It is replaced by STREAM_ENDED_AT_SERVERS, which finds any server that runs a stream, or goes on with it for 400 ms, after its caller's request has ended.

--- a/src/main/java/org/tarragonlug/soak/AnswerCopies.java
+++ b/src/main/java/org/tarragonlug/soak/AnswerCopies.java
@@ -148,9 +148,9 @@
     }
 
     private void countMeeting(RequestId copied, ServerArrival met) {
+        server.checker.onCopyMet(copied, met, SoakClock.millis());
         if (copied.equals(met.id())) {
             server.counts.copiesBeforeSame.incrementAndGet();
-            server.checker.onCopyMet(met, SoakClock.millis());
         } else {
             server.counts.copiesBeforeOther.incrementAndGet();
         }
--- a/src/main/java/org/tarragonlug/soak/Check.java
+++ b/src/main/java/org/tarragonlug/soak/Check.java
@@ -12,6 +12,8 @@
     OWN_SERVICE,
     /** A stream does not go on at another server while the first one works on it. */
     STREAM_AT_ONE_SERVER,
+    /** After a stream has ended for its caller, no server works on it any more. */
+    STREAM_ENDED_AT_SERVERS,
     /** An answer belongs to the request of its caller. */
     OWN_ANSWER,
     /** An answer that looks complete is complete; events come once and in order. */
@@ -20,6 +22,13 @@
     PROPER_STATUS,
     /** A request ends by its deadline. */
     ENDS_IN_TIME,
+    /**
+     * A request that a server has is answered wholly unless the server breaks off, its time is over
+     * or the grace time of a stop ends; here around planned work.
+     */
+    LOST_AROUND_PLANNED_WORK,
+    /** The same at other times. */
+    LOST_ANSWER,
     /** A gateway process ends only by a signal. */
     GATEWAY_LIVES,
     /** After the last fault, all gateways serve requests of all kinds again. */
--- a/src/main/java/org/tarragonlug/soak/RequestHistory.java
+++ b/src/main/java/org/tarragonlug/soak/RequestHistory.java
@@ -15,16 +15,30 @@
         SENT,
         /** A server has said that it does not run the request. */
         REFUSED,
+        /** A server has ended its connection without an answer. */
+        CLOSED,
         /** A server has begun to run the request. */
         BEGUN,
-        /** A server no longer runs the request. */
+        /** A server has begun a stream of events. */
+        STREAM_BEGUN,
+        /** A server has written its whole answer. */
         RUN_ENDED,
+        /** A server has answered with a failure. */
+        RUN_FAILED,
+        /** A server has broken off. */
+        RUN_BROKEN_OFF,
+        /** The gateway has closed the connection to a server that runs the request. */
+        RUN_WITHDRAWN,
         /**
          * The copy of an answer has met the same request, which waited on that connection again.
          */
         COPY_MET,
+        /** The copy of an answer has met another request, which waited on that connection. */
+        FOREIGN_COPY_MET,
         /** A caller has got an answer. */
-        ANSWERED
+        ANSWERED,
+        /** The connection of a caller has ended without a whole answer. */
+        UNANSWERED
     }
 
     private record Entry(Step step, long millis, String place, int status) {
--- a/src/main/java/org/tarragonlug/soak/ServerAnswers.java
+++ b/src/main/java/org/tarragonlug/soak/ServerAnswers.java
@@ -8,6 +8,11 @@
 /** The bytes of the answers of servers. */
 final class ServerAnswers {
     private static final String NOT_EXECUTED = header(ServerAnswer.NOT_EXECUTED, "1");
+    private static final int UNAVAILABLE = 503;
+
+    /** Requests that wait at a server whose slots are all taken. */
+    private static final int WAITING = 3;
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     private ServerAnswers() {}
@@ -26,7 +31,10 @@
     }
 
     private static String named(SoakServer server, RequestId id) {
-        String load = server.running.get() + ",0," + server.listing.slots();
+        return named(server, id, server.running.get() + ",0," + server.listing.slots());
+    }
+
+    private static String named(SoakServer server, RequestId id, String load) {
         String leaving = server.isLeaving() ? "Server-Leaving: 1\r\n" : "";
         return header(ServerAnswer.REQUEST_ID, id.value())
                 + header(ServerAnswer.LOAD, load)
@@ -55,6 +63,19 @@
         return answer(kind.status(), named(server, id) + NOT_EXECUTED + instance + pause, "");
     }
 
+    /** Returns the answer of a server whose slots are all taken and before which requests wait. */
+    static byte[] full(SoakServer server, RequestId id) {
+        int slots = server.listing.slots();
+        String load = slots + "," + WAITING + "," + slots;
+        String instance = header(ServerAnswer.INSTANCE, server.id);
+        return answer(UNAVAILABLE, named(server, id, load) + NOT_EXECUTED + instance, "");
+    }
+
+    /** Returns an answer that does not say whether the request was run. */
+    static byte[] unavailable(SoakServer server, RequestId id) {
+        return answer(UNAVAILABLE, named(server, id), "");
+    }
+
     static byte[] failed(SoakServer server, RequestId id) {
         return answer(500, sealed(server, id), "failed");
     }
--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.concurrent.locks.ReentrantLock;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.platform.RequestHeaders;
@@ -20,8 +21,8 @@
 final class ServerConnection {
     private static final int LONGEST_IDLE_MILLIS = 60_000;
     private static final int EVENT_PAUSE_MILLIS = 20;
-    private static final int SILENCE_MILLIS = 1800;
     private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
 
     private final SoakServer server;
     private final Socket socket;
@@ -33,9 +34,6 @@
     /** The request that is being served. */
     private ServerArrival arrival;
 
-    /** Whether the connection was closed or reset while the request was run. */
-    private boolean withdrawn;
-
     /** The last event that the caller of a stream already has. */
     private int lastEvent;
 
@@ -81,12 +79,24 @@
             return Treatment.End.KEEP;
         }
         RequestId id = new RequestId(name);
-        Treatment treatment = server.nextTreatment(misdirected);
+        Treatment drawn = server.nextTreatment(misdirected);
         arrival = arrival(id, head);
         copies.onRequest(arrival);
         String received = head.header("last-event-id");
         lastEvent = received.isEmpty() ? 0 : Integer.parseInt(received);
-        byte[] answer = misdirected ? misdirected(id, treatment) : answerOrRun(id, treatment);
+        Optional<ResumptionRefusal> refusal =
+                lastEvent == 0 || misdirected ? Optional.empty() : drawn.stream().refusal();
+        Treatment treatment = refusal.map(drawn::asResumption).orElse(drawn);
+        byte[] answer;
+        if (misdirected) {
+            answer = misdirected(id, treatment);
+        } else {
+            refusal.ifPresent(each -> server.counts.resumptions(each).incrementAndGet());
+            answer =
+                    refusal.filter(each -> !each.isRun()).isPresent()
+                            ? refuseResumption(id, refusal.get())
+                            : answerOrRun(id, treatment);
+        }
         if (answer.length > 0 && treatment.copy().isPresent()) {
             CopyForm form = treatment.copy().get();
             copies.onAnswered(id, answer, form, treatment.copyDelayMillis());
@@ -98,6 +108,17 @@
                 : endLater(treatment);
     }
 
+    private byte[] refuseResumption(RequestId id, ResumptionRefusal refusal) throws IOException {
+        byte[] answer = refusal.answer(server, id);
+        long now = SoakClock.millis();
+        if (answer.length == 0) {
+            server.checker.onClosed(arrival, now);
+            return answer;
+        }
+        server.checker.onRefused(arrival, UNAVAILABLE, now);
+        return write(answer);
+    }
+
     private ServerArrival arrival(RequestId id, MessageHead head) {
         String remaining = head.header(RequestHeaders.DEADLINE);
         long remainingMillis = remaining.isEmpty() ? 0 : Long.parseLong(remaining);
@@ -132,14 +153,22 @@
         }
         server.counts.runs.incrementAndGet();
         server.checker.onBegun(arrival, server.service, SoakClock.millis());
+        RunEnd end = RunEnd.WITHDRAWN;
         try {
-            return run(id, treatment);
-        } catch (IOException closed) {
-            withdrawn = true;
-            throw closed;
+            byte[] answer = run(id, treatment);
+            end = treatment.runEnd();
+            return answer;
         } finally {
             server.running.decrementAndGet();
-            server.checker.onRunEnded(arrival, withdrawn, SoakClock.millis());
+            reportEnd(end);
+        }
+    }
+
+    private void reportEnd(RunEnd end) {
+        if (server.isClosed()) {
+            server.checker.onRunEnded(arrival, RunEnd.BROKEN_OFF, server.closedMillis());
+        } else {
+            server.checker.onRunEnded(arrival, end, SoakClock.millis());
         }
     }
 
@@ -163,11 +192,11 @@
         answering.lock();
         try {
             output.write(ServerAnswers.streamHead(server, id));
+            server.checker.onStreamBegun(arrival, SoakClock.millis());
             int count = AnswerContent.eventCount(id);
             int last = whole ? count : count / 2;
             for (int number = lastEvent + 1; number <= last; number++) {
-                boolean silent = number == treatment.silentBeforeEvent();
-                if (isPeerGone(silent ? SILENCE_MILLIS : EVENT_PAUSE_MILLIS)) {
+                if (isPeerGone(pauseBefore(number, treatment.stream()))) {
                     throw new EOFException("the gateway has ended the stream");
                 }
                 output.write(ServerAnswers.chunk(AnswerContent.event(id, number)));
@@ -180,6 +209,14 @@
         }
     }
 
+    private int pauseBefore(int event, StreamTreatment treatment) {
+        if (event != treatment.silentBeforeEvent()) {
+            return EVENT_PAUSE_MILLIS;
+        }
+        server.counts.silences.incrementAndGet();
+        return treatment.silenceMillis();
+    }
+
     /** Waits, and returns sooner with true if the peer closes the connection meanwhile. */
     private boolean isPeerGone(int waitMillis) throws IOException {
         socket.setSoTimeout(waitMillis);
--- a/src/main/java/org/tarragonlug/soak/ServerCounts.java
+++ b/src/main/java/org/tarragonlug/soak/ServerCounts.java
@@ -13,6 +13,12 @@
     /** Refusals because the request was meant for another server. */
     final AtomicLong misdirected = new AtomicLong();
 
+    /** Times that a server was silent within a stream. */
+    final AtomicLong silences = new AtomicLong();
+
+    private final Map<ResumptionRefusal, AtomicLong> resumptions =
+            new EnumMap<>(ResumptionRefusal.class);
+
     private final Map<CopyForm, AtomicLong> copies = new EnumMap<>(CopyForm.class);
 
     /** Copies that were sent while another request waited on the connection. */
@@ -24,11 +30,31 @@
     final AtomicLong starts = new AtomicLong();
 
     ServerCounts() {
+        for (ResumptionRefusal refusal : ResumptionRefusal.values()) {
+            resumptions.put(refusal, new AtomicLong());
+        }
         for (CopyForm form : CopyForm.values()) {
             copies.put(form, new AtomicLong());
         }
     }
 
+    /** Returns the number of resumptions that were refused in a way. */
+    AtomicLong resumptions(ResumptionRefusal refusal) {
+        return resumptions.get(refusal);
+    }
+
+    private String resumptionLine() {
+        StringBuilder line = new StringBuilder();
+        long sum = 0;
+        for (ResumptionRefusal refusal : ResumptionRefusal.values()) {
+            long count = resumptions(refusal).get();
+            sum += count;
+            line.append(" resumptions_").append(refusal.name().toLowerCase(Locale.ROOT));
+            line.append('=').append(count);
+        }
+        return " server_silences=" + silences + " refused_resumptions=" + sum + line;
+    }
+
     /** Returns the number of answers that were sent once more in a form. */
     AtomicLong copies(CopyForm form) {
         return copies.get(form);
@@ -54,6 +80,7 @@
                 + refusals
                 + " server_misdirected="
                 + misdirected
+                + resumptionLine()
                 + copyLine()
                 + " copies_before_other_request="
                 + copiesBeforeOther
--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -15,7 +15,6 @@
 import org.tarragonlug.gateway.GatewaySettings;
 import org.tarragonlug.http.IoThreads;
 import org.tarragonlug.id.FailureDomain;
-import org.tarragonlug.platform.PlatformKinds;
 import org.tarragonlug.standin.PlatformStoreStandIn;
 import org.tarragonlug.trial.GatewayTrial;
 
@@ -40,13 +39,14 @@
     private final SoakSettings settings;
     private final SoakShape shape;
     private final Consumer<String> output;
-    private final SoakChecker checker = new SoakChecker();
+    private final SoakChecker checker;
     private final ServerCounts counts = new ServerCounts();
     private final SoakTally tally = new SoakTally();
     private final List<SoakGateway> gateways = new ArrayList<>();
     private final PriorityQueue<Running> running =
             new PriorityQueue<>(Comparator.comparingLong(each -> each.fault().endMillis()));
     private PlatformStoreStandIn store;
+    private ConfigurationChanges configuration;
     private SoakFleet fleet;
     private long startMillis;
     private long nextLineMillis;
@@ -63,6 +63,7 @@
     public Soak(SoakSettings settings, Consumer<String> output) {
         this.settings = settings;
         this.shape = settings.shape();
+        this.checker = new SoakChecker(shape.pressure().drainSeconds() * SECOND_MILLIS);
         this.output = output;
     }
 
@@ -77,10 +78,7 @@
         ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
         store = new PlatformStoreStandIn(ioExecutor, STORE_PAGE_SIZE);
         try {
-            store.put(
-                    PlatformKinds.CONFIGURATION,
-                    PlatformKinds.CURRENT_CONFIGURATION,
-                    SoakConfiguration.of(shape));
+            configuration = new ConfigurationChanges(shape, store, checker);
             fleet = new SoakFleet(settings.seed(), shape, store, checker, counts, timers);
             startGateways();
             runFaults();
@@ -142,8 +140,10 @@
         }
         advanceUntil(length);
         fleet.setSound();
+        gateways.forEach(SoakGateway::keepNext);
         recover();
         callers.stop();
+        checker.finish(SoakClock.millis());
     }
 
     private SoakCaller caller(String name, List<SoakGateway> reachable, Optional<String> key) {
@@ -185,6 +185,7 @@
                         fleet,
                         gateways.get(fault.gateway()),
                         store,
+                        configuration,
                         new Random(fault.seed()),
                         fault.endMillis() - fault.startMillis());
         fault.kind().start(context);
--- a/src/main/java/org/tarragonlug/soak/SoakCaller.java
+++ b/src/main/java/org/tarragonlug/soak/SoakCaller.java
@@ -145,7 +145,11 @@
         } catch (IOException closed) {
             outcome = SoakTally.Outcome.CLOSED;
         }
-        checker.onEnded(id, sent, SoakClock.millis());
+        long ended = SoakClock.millis();
+        checker.onEnded(id, sent, ended);
+        if (outcome == SoakTally.Outcome.CLOSED || outcome == SoakTally.Outcome.BROKEN_OFF) {
+            checker.onUnanswered(id, sent, ended);
+        }
         tally.count(outcome);
         if (answer == null || !answer.complete() || isLast(answer)) {
             disconnect();
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.platform.ServerAnswer;
@@ -36,8 +35,20 @@
 
     private final Map<RequestId, RequestRecord> requests = new HashMap<>();
     private final GatewayPauses pauses = new GatewayPauses();
+    private final GatewaySignals signals;
+    private final LostAnswers lostAnswers;
     private final List<Finding> findings = new ArrayList<>();
 
+    /**
+     * Creates a checker that knows no request.
+     *
+     * @param graceMillis time that a gateway has to end after SIGTERM
+     */
+    SoakChecker(long graceMillis) {
+        signals = new GatewaySignals(graceMillis);
+        lostAnswers = new LostAnswers(signals, pauses);
+    }
+
     /** Returns whether a status promises that the request was not run. */
     static boolean isRefusal(int status) {
         return NOT_RUN.contains(status);
@@ -49,6 +60,7 @@
                 requests.computeIfAbsent(id, sent -> new RequestRecord(kind, gateway));
         request.gateway = gateway;
         request.sentMillis = millis;
+        request.endMillis = 0;
         request.refusalStatus = 0;
         request.history.add(RequestHistory.Step.SENT, millis, "gateway-" + gateway, 0);
     }
@@ -56,11 +68,35 @@
     /** Records that a server says that it does not run a request. */
     synchronized void onRefused(ServerArrival arrival, int status, long millis) {
         note(RequestHistory.Step.REFUSED, arrival, status, millis);
+        RequestRecord request = requests.get(arrival.id());
+        if (request != null) {
+            request.refusedMillis = millis;
+        }
     }
 
-    /** Records that a copy of a request's answer meets the same request on its connection. */
-    synchronized void onCopyMet(ServerArrival arrival, long millis) {
-        note(RequestHistory.Step.COPY_MET, arrival, 0, millis);
+    /** Records that a server ends its connection instead of an answer. */
+    synchronized void onClosed(ServerArrival arrival, long millis) {
+        note(RequestHistory.Step.CLOSED, arrival, 0, millis);
+        RequestRecord request = requests.get(arrival.id());
+        if (request != null) {
+            request.closedMillis = millis;
+        }
+    }
+
+    /**
+     * Records that the copy of an answer meets a request that waits on its connection.
+     *
+     * @param copied the request whose answer is copied
+     */
+    synchronized void onCopyMet(RequestId copied, ServerArrival arrival, long millis) {
+        boolean same = copied.equals(arrival.id());
+        RequestHistory.Step step =
+                same ? RequestHistory.Step.COPY_MET : RequestHistory.Step.FOREIGN_COPY_MET;
+        note(step, arrival, 0, millis);
+        RequestRecord request = requests.get(arrival.id());
+        if (request != null) {
+            request.disturb(arrival);
+        }
     }
 
     private void note(RequestHistory.Step step, ServerArrival arrival, int status, long millis) {
@@ -89,44 +125,65 @@
         checkRefusal(id, request);
     }
 
-    /**
-     * Records that a server no longer works on a request.
-     *
-     * @param withdrawn whether the connection was closed meanwhile
-     */
-    synchronized void onRunEnded(ServerArrival arrival, boolean withdrawn, long millis) {
+    /** Records that a server begins a stream of events. */
+    synchronized void onStreamBegun(ServerArrival arrival, long millis) {
+        note(RequestHistory.Step.STREAM_BEGUN, arrival, 0, millis);
+        RequestRecord request = requests.get(arrival.id());
+        if (request != null) {
+            request.answer(arrival);
+        }
+    }
+
+    /** Records that a server no longer works on a request. */
+    synchronized void onRunEnded(ServerArrival arrival, RunEnd end, long millis) {
         RequestRecord request = requests.get(arrival.id());
         if (request == null) {
             return;
         }
-        note(RequestHistory.Step.RUN_ENDED, arrival, 0, millis);
+        note(end.step(), arrival, 0, millis);
         for (RequestRecord.Run run : request.runs) {
-            if (run.arrival.equals(arrival) && !run.ended) {
-                run.ended = true;
-                checkOverlap(request, run, withdrawn, millis);
+            if (run.arrival.equals(arrival) && !run.hasEnded()) {
+                run.end = end;
+                run.endMillis = millis;
+                checkOverlap(request, run);
                 return;
             }
         }
     }
 
-    private void checkOverlap(
-            RequestRecord request, RequestRecord.Run run, boolean withdrawn, long millis) {
-        Optional<RequestRecord.Run> next = request.nextAfter(run);
-        if (!request.kind.isStreaming() || next.isEmpty()) {
+    private void checkOverlap(RequestRecord request, RequestRecord.Run run) {
+        if (!request.kind.isStreaming()) {
             return;
         }
-        long nextBegin = next.get().beginMillis;
-        // A server that read the request late may begin after its connection was closed.
-        long begin = withdrawn ? Math.max(nextBegin, run.beginMillis) : nextBegin;
-        long both = millis - begin;
-        // A paused gateway neither ends the stream before nor sees its end.
-        long excused = pauses.overlap(request.gateway, begin, millis);
-        if (both - excused > STREAM_OVERLAP_MILLIS) {
-            String text = "still at " + run.arrival.server() + " for " + both + " ms, begun at ";
-            report(Check.STREAM_AT_ONE_SERVER, run.arrival.id(), text + request.servers());
+        // Ends may be reported in another order than they happened, so both must be known.
+        for (RequestRecord.Run other : request.runs) {
+            long both = RequestRecord.millisBeside(run, other);
+            boolean known = other != run && other.hasEnded();
+            if (known && isLong(request, Math.min(run.endMillis, other.endMillis), both)) {
+                String text = "at " + run.arrival.server() + " and " + other.arrival.server();
+                String time = " for " + both + " ms, begun at " + request.servers();
+                report(Check.STREAM_AT_ONE_SERVER, run.arrival.id(), text + time);
+            }
+        }
+        long after = request.millisAfterEnd(run);
+        boolean killed = signals.isKilled(request.gateway, request.sentMillis, request.endMillis);
+        if (!killed && isLong(request, run.endMillis, after)) {
+            String text =
+                    "still at "
+                            + run.arrival.server()
+                            + " "
+                            + after
+                            + " ms after its end, begun at ";
+            report(Check.STREAM_ENDED_AT_SERVERS, run.arrival.id(), text + request.servers());
         }
     }
 
+    /** Returns whether a time up to a moment is too long; a paused gateway ends nothing. */
+    private boolean isLong(RequestRecord request, long endMillis, long millis) {
+        long paused = pauses.overlap(request.gateway, endMillis - millis, endMillis);
+        return millis - paused > STREAM_OVERLAP_MILLIS;
+    }
+
     /** Records a complete or broken answer that a caller received. */
     synchronized void onAnswer(RequestId id, CallerAnswer answer, long millis) {
         RequestRecord request = requests.get(id);
@@ -180,6 +237,7 @@
     /** Records that a request has ended for its caller, with whatever outcome. */
     synchronized void onEnded(RequestId id, long sentMillis, long endMillis) {
         RequestRecord request = requests.get(id);
+        request.endMillis = endMillis;
         long excused = pauses.overlap(request.gateway, sentMillis, endMillis);
         long limit = request.kind.deadlineMillis() + DEADLINE_SLACK_MILLIS + excused;
         if (endMillis - sentMillis > limit) {
@@ -188,6 +246,39 @@
         }
     }
 
+    /** Records that the connection of a send has ended without a whole answer. */
+    synchronized void onUnanswered(RequestId id, long sentMillis, long endMillis) {
+        RequestRecord request = requests.get(id);
+        String place = "gateway-" + request.gateway;
+        request.history.add(RequestHistory.Step.UNANSWERED, endMillis, place, 0);
+        lostAnswers.add(new UnansweredRequest(id, request.gateway, sentMillis, endMillis));
+    }
+
+    /**
+     * Judges the requests without a whole answer and the runs that have not ended, when no caller
+     * waits any more.
+     */
+    synchronized void finish(long millis) {
+        for (RequestRecord request : requests.values()) {
+            for (RequestRecord.Run run : request.runs) {
+                if (!run.hasEnded()) {
+                    onRunEnded(run.arrival, RunEnd.WITHDRAWN, millis);
+                }
+            }
+        }
+        findings.addAll(lostAnswers.judge(requests::get));
+    }
+
+    /** Records planned work at a gateway, or at {@link GatewaySignals#ALL_GATEWAYS}. */
+    synchronized void onPlannedWork(PlannedWork work, int gateway, long millis) {
+        signals.onPlannedWork(work, gateway, millis);
+    }
+
+    /** Records that a gateway is killed. */
+    synchronized void onKilled(int gateway, long millis) {
+        signals.onKilled(gateway, millis);
+    }
+
     /** Records that a gateway is paused from now on. */
     synchronized void onPaused(int gateway, long millis) {
         pauses.begin(gateway, millis);
--- a/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
+++ b/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
@@ -15,6 +15,7 @@
     private static final int WEIGHTS_MB = 60;
     private static final int ADAPTER_MB = 1;
     private static final int ADAPTER_SLOTS = 8;
+    private static final int AIM_CHANGE_MILLIS = 50;
     private static final String MAXIMUM_BODY = "max_body_bytes";
 
     private SoakConfiguration() {}
@@ -34,6 +35,27 @@
         return configuration;
     }
 
+    /**
+     * Returns a later version of a configuration. The attempts and aims of its routes and its
+     * routes that no caller uses differ from those of the version before.
+     */
+    static ObjectNode changed(ObjectNode first, int version) {
+        ObjectNode changed = first.deepCopy();
+        changed.put("version", version);
+        boolean even = version % 2 == 0;
+        ArrayNode routes = (ArrayNode) changed.path("routes");
+        for (JsonNode route : routes) {
+            int attempts = route.path("max_attempts").asInt();
+            int aim = route.path("target_latency_ms").asInt();
+            ((ObjectNode) route)
+                    .put("max_attempts", attempts > 1 && even ? attempts + 1 : attempts)
+                    .put("target_latency_ms", even ? aim + AIM_CHANGE_MILLIS : aim);
+        }
+        ObjectNode unused = ((ObjectNode) routes.path(0)).deepCopy();
+        routes.add(unused.put("name", "unused").put("path_prefix", "/unused-" + version + "/"));
+        return changed;
+    }
+
     private static void allowBodies(ObjectNode limits, PressureShape pressure) {
         int allowed = limits.path(MAXIMUM_BODY).asInt();
         limits.put(MAXIMUM_BODY, Math.max(allowed, pressure.largestBodyBytes()));
--- a/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
@@ -54,6 +54,23 @@
             Target.GATEWAY,
             context -> context.gateway().pause(),
             context -> context.gateway().resume()),
+    /** A gateway is told that its settings may have changed. */
+    GATEWAY_HANG_UP(Target.PLANNED_WORK, context -> context.gateway().hangUp()),
+    /** A gateway is told of settings and to end, again and again while it ends. */
+    GATEWAY_SIGNAL_SERIES(
+            Target.PLANNED_WORK, Context::hangUpAndTerminate, Context::hangUpAndTerminate),
+    /** A gateway is asked to end, and the new process as well, as soon as it has begun to start. */
+    GATEWAY_START_AND_STOP(
+            Target.PLANNED_WORK,
+            context -> context.gateway().terminateNext(context.startMillis()),
+            context -> context.gateway().terminate()),
+    /** The configuration changes. */
+    CONFIGURATION_CHANGE(Target.PLANNED_WORK, context -> context.configuration().change()),
+    /** The configuration changes while a gateway ends, and once more afterwards. */
+    CONFIGURATION_CHANGE_IN_STOP(
+            Target.PLANNED_WORK,
+            Context::changeAndTerminate,
+            context -> context.configuration().change()),
     /** The store answers every call with status 503. */
     STORE_REFUSING(
             Target.STORE,
@@ -82,6 +99,10 @@
          */
         STANDSTILL,
         GATEWAY,
+        /**
+         * Signals and changes by an operator, in a series of their own; see {@link PlannedWork}.
+         */
+        PLANNED_WORK,
         STORE
     }
 
@@ -96,6 +117,7 @@
      * @param fleet the servers
      * @param gateway the gateway that it concerns
      * @param store the store
+     * @param configuration the configuration in the store
      * @param random numbers for its further choices
      * @param lengthMillis length of the fault
      */
@@ -103,6 +125,7 @@
             SoakFleet fleet,
             SoakGateway gateway,
             PlatformStoreStandIn store,
+            ConfigurationChanges configuration,
             Random random,
             long lengthMillis) {
         private static final int LONGEST_DOWN_MILLIS = 300;
@@ -110,6 +133,7 @@
         /** How much longer than the fault the old entry of a server stays listed. */
         private static final int LISTED_LONGER_MILLIS = 1000;
 
+        private static final int LONGEST_START_MILLIS = 2000;
         private static final int SHORTEST_TURN_MILLIS = 150;
         private static final int LONGEST_TURN_MILLIS = 500;
         private static final int SHORTEST_STORE_DELAY_MILLIS = 50;
@@ -129,6 +153,20 @@
                             random, SHORTEST_STORE_DELAY_MILLIS, LONGEST_STORE_DELAY_MILLIS));
         }
 
+        private long startMillis() {
+            return random.nextInt(LONGEST_START_MILLIS);
+        }
+
+        private void hangUpAndTerminate() {
+            gateway.hangUp();
+            gateway.terminate();
+        }
+
+        private void changeAndTerminate() {
+            configuration.change();
+            gateway.terminate();
+        }
+
         private void flap() {
             int turn = SoakRandom.between(random, SHORTEST_TURN_MILLIS, LONGEST_TURN_MILLIS);
             fleet.flap(
--- a/src/main/java/org/tarragonlug/soak/SoakGateway.java
+++ b/src/main/java/org/tarragonlug/soak/SoakGateway.java
@@ -26,6 +26,9 @@
     private final List<GatewayChild> processes = new ArrayList<>();
     private boolean signalled;
     private boolean paused;
+    private boolean terminatesNext;
+    private long nextRunMillis;
+    private long terminateMillis = Long.MAX_VALUE;
     private long killMillis = Long.MAX_VALUE;
     private long startMillis = Long.MAX_VALUE;
 
@@ -58,6 +61,8 @@
         paused = false;
         killMillis = Long.MAX_VALUE;
         startMillis = Long.MAX_VALUE;
+        terminateMillis = terminatesNext ? SoakClock.millis() + nextRunMillis : Long.MAX_VALUE;
+        terminatesNext = false;
         processes.add(new GatewayChild(settings.directory(), settings.command(), gatewaySettings));
     }
 
@@ -80,12 +85,38 @@
     /** Asks the process to end, and kills it if it has not ended in time. */
     void terminate() {
         signalled = true;
+        checker.onPlannedWork(PlannedWork.TERMINATE, number, SoakClock.millis());
         process().terminate();
         killMillis = Math.min(killMillis, SoakClock.millis() + GRACE_MILLIS);
     }
 
+    /**
+     * Asks the process that follows to end soon after it was started.
+     *
+     * @param runMillis time between its start and the signal
+     */
+    void terminateNext(long runMillis) {
+        terminatesNext = true;
+        nextRunMillis = runMillis;
+    }
+
+    /** Lets the process that follows run. */
+    void keepNext() {
+        terminatesNext = false;
+        terminateMillis = Long.MAX_VALUE;
+    }
+
+    /** Tells the process that its settings may have changed, if it has started. */
+    void hangUp() {
+        if (process().hasLogged("event=instance_started ")) {
+            checker.onPlannedWork(PlannedWork.HANG_UP, number, SoakClock.millis());
+            process().hangUp();
+        }
+    }
+
     void kill() {
         signalled = true;
+        checker.onKilled(number, SoakClock.millis());
         process().kill();
     }
 
@@ -108,6 +139,10 @@
     void keepRunning() throws IOException {
         long now = SoakClock.millis();
         if (process().isAlive()) {
+            if (now > terminateMillis) {
+                terminateMillis = Long.MAX_VALUE;
+                terminate();
+            }
             if (now > killMillis) {
                 kill();
             }
--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -33,6 +33,7 @@
     private volatile boolean sound;
     private volatile boolean leaving;
     private volatile boolean closed;
+    private volatile long closedMillis;
     private volatile long pausedUntilMillis;
     private volatile long standsStillUntilMillis;
 
@@ -159,6 +160,15 @@
         leaving = true;
     }
 
+    boolean isClosed() {
+        return closed;
+    }
+
+    /** Returns when it was closed, if it was. */
+    long closedMillis() {
+        return closedMillis;
+    }
+
     boolean isLeaving() {
         return leaving;
     }
@@ -176,6 +186,7 @@
     /** Ends the server as a crash does: all connections are reset. */
     @Override
     public void close() {
+        closedMillis = SoakClock.millis();
         closed = true;
         try {
             listener.close();
--- a/src/main/java/org/tarragonlug/soak/Treatment.java
+++ b/src/main/java/org/tarragonlug/soak/Treatment.java
@@ -11,7 +11,7 @@
  * @param pauseMillis pause that the refusal states; 0 for none
  * @param workMillis time until the answer begins
  * @param outcome what comes of a run
- * @param silentBeforeEvent event of a stream before which the server is silent; 0 for none
+ * @param stream what happens to the request if it is a stream
  * @param copy how the answer is sent once more; empty for not at all
  * @param copyDelayMillis time until then, if the form of the copy has one
  * @param end what happens to the connection after the answer
@@ -23,7 +23,7 @@
         long pauseMillis,
         long workMillis,
         Outcome outcome,
-        int silentBeforeEvent,
+        StreamTreatment stream,
         Optional<CopyForm> copy,
         long copyDelayMillis,
         End end,
@@ -48,8 +48,6 @@
     private static final int LONGEST_WORK_MILLIS = 150;
     private static final int FAILED_PERCENT = 2;
     private static final int BROKEN_OFF_PERCENT = 3;
-    private static final int SILENT_PERCENT = 3;
-    private static final int LONGEST_SILENT_PLACE = 4;
     private static final int REFUSAL_COPIED_PERCENT = 70;
     private static final int ANSWER_COPIED_PERCENT = 15;
     private static final int LONGEST_COPY_DELAY_MILLIS = 300;
@@ -74,8 +72,7 @@
         boolean paused = refused && SoakRandom.percent(random, PAUSE_PERCENT);
         int pause = SoakRandom.between(random, SHORTEST_PAUSE_MILLIS, LONGEST_PAUSE_MILLIS);
         int work = drawWork(random, pressure);
-        boolean silent = SoakRandom.percent(random, SILENT_PERCENT);
-        int silentPlace = SoakRandom.between(random, 1, LONGEST_SILENT_PLACE);
+        StreamTreatment stream = StreamTreatment.draw(random);
         Outcome outcome = drawOutcome(random);
         int copiedPercent = refused ? REFUSAL_COPIED_PERCENT : ANSWER_COPIED_PERCENT;
         return new Treatment(
@@ -84,7 +81,7 @@
                 paused ? pause : 0,
                 work,
                 outcome,
-                silent ? silentPlace : 0,
+                stream,
                 drawCopy(random, copiedPercent),
                 drawCopyDelay(random),
                 drawEnd(random),
@@ -128,7 +125,16 @@
     /** Returns the treatment by a server without faults. */
     static Treatment sound() {
         return new Treatment(
-                false, RefusalKind.FULL, 0, 1, Outcome.WHOLE, 0, Optional.empty(), 0, End.KEEP, 0);
+                false,
+                RefusalKind.FULL,
+                0,
+                1,
+                Outcome.WHOLE,
+                StreamTreatment.SOUND,
+                Optional.empty(),
+                0,
+                End.KEEP,
+                0);
     }
 
     /**
@@ -142,10 +148,33 @@
                 0,
                 0,
                 outcome,
-                0,
+                StreamTreatment.SOUND,
                 drawCopy(random, REFUSAL_COPIED_PERCENT),
                 drawCopyDelay(random),
                 end,
                 endDelayMillis);
     }
+
+    /** Returns the treatment of a resumption that the server refuses in a way of its own. */
+    Treatment asResumption(ResumptionRefusal refusal) {
+        return new Treatment(
+                false,
+                this.refusal,
+                0,
+                workMillis,
+                Outcome.FAILED,
+                stream,
+                Optional.empty(),
+                0,
+                refusal.end(),
+                0);
+    }
+
+    /** Returns how a run has ended whose answer was written as far as the outcome says. */
+    RunEnd runEnd() {
+        if (outcome == Outcome.BROKEN_OFF || end == End.RESET) {
+            return RunEnd.BROKEN_OFF;
+        }
+        return outcome == Outcome.FAILED ? RunEnd.FAILED : RunEnd.WHOLE;
+    }
 }
--- a/src/main/java/org/tarragonlug/tool/SoakCommand.java
+++ b/src/main/java/org/tarragonlug/tool/SoakCommand.java
@@ -16,9 +16,10 @@
         name = "soak",
         mixinStandardHelpOptions = true,
         description = {
-            "Runs gateway processes on loopback under random signals, with servers that restart,"
-                    + " refuse, break off and send answers once more, a store that fails and"
-                    + " callers that come back, and checks what servers and callers see.",
+            "Runs gateway processes on loopback under random signals and changes of the"
+                    + " configuration, with servers that restart, pause, refuse, break off and"
+                    + " send answers once more, a store that fails and callers that come back, and"
+                    + " checks what servers and callers see.",
             "Prints one line a second, then each failed check with the log lines of its request.",
             "Exit status: 0 all checks held, 1 a check failed, 2 an option is out of bounds."
         })
--- a/src/main/java/org/tarragonlug/trial/GatewayChild.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayChild.java
@@ -145,6 +145,15 @@
         }
     }
 
+    /** Returns whether a line of the process contains a text. */
+    public boolean hasLogged(String text) {
+        try {
+            return !linesWith(text).isEmpty();
+        } catch (IOException unreadable) {
+            throw new UncheckedIOException(unreadable);
+        }
+    }
+
     /** Asks the process to end, by SIGTERM. */
     public void terminate() {
         process.destroy();
@@ -155,6 +164,11 @@
         process.destroyForcibly();
     }
 
+    /** Tells the process by SIGHUP that its settings may have changed. */
+    public void hangUp() {
+        signal("HUP");
+    }
+
     /** Stops the process until {@link #resume}; returns whether it was running. */
     public boolean pause() {
         return signal("STOP");
--- a/src/test/java/org/tarragonlug/soak/SoakCheckerTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakCheckerTest.java
@@ -7,13 +7,16 @@
 import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.tarragonlug.id.RequestId;
 
 /** Guards against checks that let pass what they are there to find, or find what is allowed. */
 class SoakCheckerTest {
     private static final RequestId ID = new RequestId("c1-1-1");
+    private static final long GRACE_MILLIS = 6000;
 
-    private final SoakChecker checker = new SoakChecker();
+    private final SoakChecker checker = new SoakChecker(GRACE_MILLIS);
 
     private void assertFound(Check... checks) {
         assertEquals(List.of(checks), checker.findings().stream().map(Finding::check).toList());
@@ -154,8 +157,8 @@
             checker.onSent(ID, RequestKind.ASK, 0, 0);
             checker.onBegun(at("a"), "engines", 0);
             checker.onBegun(at("b"), "engines", 1000);
-            checker.onRunEnded(at("a"), true, 1000 + workedOnMillis);
-            checker.onRunEnded(at("b"), false, 2000);
+            checker.onRunEnded(at("a"), RunEnd.WITHDRAWN, 1000 + workedOnMillis);
+            checker.onRunEnded(at("b"), RunEnd.WHOLE, 2000);
         }
 
         // Guards against two servers that work on one stream for long.
@@ -172,6 +175,30 @@
             assertFound();
         }
 
+        // Guards against a first run that passes since the second one has ended before it.
+        @Test
+        void serverThatHasBegunToAnswerCountsAlsoAfterItsEnd() {
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
+            checker.onBegun(at("a"), "engines", 0);
+            checker.onBegun(at("b"), "engines", 1000);
+            checker.onStreamBegun(at("b"), 1010);
+            checker.onRunEnded(at("b"), RunEnd.BROKEN_OFF, 1100);
+            long limit = 1000 + SoakChecker.STREAM_OVERLAP_MILLIS;
+            checker.onRunEnded(at("a"), RunEnd.WITHDRAWN, limit + 1);
+            assertFound(Check.STREAM_AT_ONE_SERVER);
+        }
+
+        // Guards against findings for a first server that goes on since the second one has failed.
+        @Test
+        void firstServerMayGoOnAfterASecondOneHasFailed() {
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
+            checker.onBegun(at("a"), "engines", 0);
+            checker.onBegun(at("b"), "engines", 1000);
+            checker.onRunEnded(at("b"), RunEnd.FAILED, 1100);
+            checker.onRunEnded(at("a"), RunEnd.WHOLE, 3000);
+            assertFound();
+        }
+
         private void beginSecondSendFirst() {
             checker.onSent(ID, RequestKind.ASK, 0, 0);
             checker.onBegun(sentWith(4000, "b"), "engines", 2000);
@@ -183,16 +210,43 @@
         void workAtTheServerOfTheFirstSendMustEndSoonThoughItBeganLater() {
             beginSecondSendFirst();
             long limit = 3000 + SoakChecker.STREAM_OVERLAP_MILLIS;
-            checker.onRunEnded(sentWith(6000, "a"), true, limit + 1);
+            checker.onRunEnded(sentWith(6000, "a"), RunEnd.WITHDRAWN, limit + 1);
+            checker.finish(limit + 2);
             assertFound(Check.STREAM_AT_ONE_SERVER);
         }
 
+        // Guards against findings for ends that are reported in another order than they happened.
+        @Test
+        void endsMayBeReportedInAnyOrder() {
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
+            checker.onBegun(at("a"), "engines", 0);
+            checker.onBegun(at("b"), "engines", 1000);
+            checker.onRunEnded(at("a"), RunEnd.WHOLE, 3000);
+            checker.onRunEnded(at("b"), RunEnd.WITHDRAWN, 1100);
+            assertFound();
+        }
+
         // Guards against a connection that is left open under a send that was given up.
         @Test
-        void firstSendMustNotGoOnToItsEndThoughItBeganLater() {
-            beginSecondSendFirst();
-            checker.onRunEnded(sentWith(6000, "a"), false, 3001);
-            assertFound(Check.STREAM_AT_ONE_SERVER);
+        void noServerMayRunAStreamAfterItsEnd() {
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
+            checker.onBegun(sentWith(4000, "b"), "engines", 2000);
+            checker.onRunEnded(sentWith(4000, "b"), RunEnd.WHOLE, 2100);
+            checker.onEnded(ID, 0, 2110);
+            checker.onBegun(sentWith(6000, "a"), "engines", 3000);
+            checker.onRunEnded(sentWith(6000, "a"), RunEnd.WHOLE, 3001);
+            assertFound(Check.STREAM_ENDED_AT_SERVERS);
+        }
+
+        // Guards against a server that goes on with a stream for which nobody waits.
+        @Test
+        void workMustEndSoonAfterTheEndOfAStream() {
+            checker.onSent(ID, RequestKind.ASK, 0, 0);
+            checker.onBegun(at("a"), "engines", 0);
+            checker.onEnded(ID, 0, 1000);
+            long limit = 1000 + SoakChecker.STREAM_OVERLAP_MILLIS;
+            checker.onRunEnded(at("a"), RunEnd.WITHDRAWN, limit + 1);
+            assertFound(Check.STREAM_ENDED_AT_SERVERS);
         }
 
         // Guards against findings for the second send, whose server began first, and for a server
@@ -200,8 +254,11 @@
         @Test
         void serverOfTheSecondSendMayGoOnThoughItBeganFirst() {
             beginSecondSendFirst();
-            checker.onRunEnded(sentWith(6000, "a"), true, 3001);
-            checker.onRunEnded(sentWith(4000, "b"), false, 5000);
+            checker.onRunEnded(sentWith(6000, "a"), RunEnd.WITHDRAWN, 3001);
+            checker.onRunEnded(sentWith(4000, "b"), RunEnd.WHOLE, 5000);
+            checker.onEnded(ID, 0, 5001);
+            checker.onBegun(sentWith(6000, "a"), "engines", 6000);
+            checker.onRunEnded(sentWith(6000, "a"), RunEnd.WITHDRAWN, 6001);
             assertFound();
         }
 
@@ -215,6 +272,179 @@
         }
     }
 
+    /** Requests whose connection ends without a whole answer. */
+    @Nested
+    class Lost {
+        private static final int GATEWAY = 2;
+        private static final long SENT = 10_000;
+        private static final long LATE = 5_500;
+
+        private void sendAndBegin() {
+            checker.onSent(ID, RequestKind.ASK, GATEWAY, SENT);
+            checker.onBegun(at("a"), "engines", SENT + 10);
+            checker.onStreamBegun(at("a"), SENT + 20);
+        }
+
+        private void end(RunEnd end, long afterMillis) {
+            checker.onRunEnded(at("a"), end, SENT + afterMillis);
+        }
+
+        private void cut(long afterMillis) {
+            checker.onEnded(ID, SENT, SENT + afterMillis);
+            checker.onUnanswered(ID, SENT, SENT + afterMillis);
+            checker.finish(SENT + afterMillis);
+        }
+
+        private void stop(long afterMillis) {
+            checker.onPlannedWork(PlannedWork.TERMINATE, GATEWAY, SENT + afterMillis);
+        }
+
+        // Guards against a stream that is given up at a silent server and refused by another one.
+        @ParameterizedTest
+        @EnumSource(ResumptionRefusal.class)
+        void streamThatIsGivenUpBeforeItsResumptionIsRefusedIsFound(ResumptionRefusal refusal) {
+            sendAndBegin();
+            end(RunEnd.WITHDRAWN, 1300);
+            if (refusal.isRun()) {
+                checker.onBegun(at("b"), "engines", SENT + 1310);
+                checker.onRunEnded(at("b"), RunEnd.FAILED, SENT + 1320);
+            } else if (refusal.end() == Treatment.End.KEEP) {
+                checker.onRefused(at("b"), 503, SENT + 1310);
+            } else {
+                checker.onClosed(at("b"), SENT + 1310);
+            }
+            cut(1330);
+            assertFound(Check.LOST_ANSWER);
+        }
+
+        // Guards against a server that has answered, or still would, and whose answer is dropped.
+        @ParameterizedTest
+        @EnumSource(
+                value = RunEnd.class,
+                names = {"WHOLE", "WITHDRAWN"})
+        void dropOfAnAnswerIsFound(RunEnd runEnd) {
+            sendAndBegin();
+            end(runEnd, 500);
+            cut(510);
+            assertFound(Check.LOST_ANSWER);
+        }
+
+        // Guards against a rejected request whose caller is not told of the rejection.
+        @Test
+        void closeAfterARejectionIsFound() {
+            checker.onSent(ID, RequestKind.READ, GATEWAY, SENT);
+            checker.onRefused(at("a"), 503, SENT + 10);
+            cut(20);
+            assertFound(Check.LOST_ANSWER);
+        }
+
+        // Guards against losses around planned work that count as any others.
+        @ParameterizedTest
+        @EnumSource(PlannedWork.class)
+        void lossAroundPlannedWorkIsFoundAsSuch(PlannedWork work) {
+            sendAndBegin();
+            checker.onPlannedWork(work, GATEWAY, SENT + 100);
+            cut(1000);
+            assertFound(Check.LOST_AROUND_PLANNED_WORK);
+        }
+
+        // Guards against losses that are put down to planned work elsewhere or long before.
+        @Test
+        void lossAtOtherTimesIsFoundAsSuch() {
+            sendAndBegin();
+            checker.onPlannedWork(PlannedWork.TERMINATE, GATEWAY + 1, SENT + 100);
+            checker.onPlannedWork(PlannedWork.HANG_UP, GATEWAY, SENT - 4000);
+            cut(1000);
+            assertFound(Check.LOST_ANSWER);
+        }
+
+        // Guards against findings for what no gateway can help.
+        @Test
+        void breakOffByTheServerIsExcused() {
+            sendAndBegin();
+            end(RunEnd.BROKEN_OFF, 500);
+            cut(510);
+            assertFound();
+        }
+
+        // Guards against a loss that passes because the server broke off only later.
+        @Test
+        void laterBreakOffDoesNotExcuse() {
+            sendAndBegin();
+            end(RunEnd.BROKEN_OFF, 5000);
+            cut(1000);
+            assertFound(Check.LOST_ANSWER);
+        }
+
+        // Guards against findings for requests whose time is over.
+        @Test
+        void endOfTheTimeIsExcused() {
+            sendAndBegin();
+            cut(RequestKind.ASK.deadlineMillis());
+            assertFound();
+        }
+
+        // Guards against findings for a process that was killed, and only for those.
+        @Test
+        void killOfTheGatewayIsExcused() {
+            sendAndBegin();
+            checker.onKilled(GATEWAY, SENT + 990);
+            cut(1000);
+            assertFound();
+        }
+
+        // Guards against findings for requests that last longer than a stop may.
+        @Test
+        void stopMayCutInItsLastSixth() {
+            sendAndBegin();
+            stop(400);
+            cut(LATE);
+            assertFound();
+        }
+
+        // Guards against a stop that cuts before its last sixth.
+        @Test
+        void stopMustNotCutBefore() {
+            sendAndBegin();
+            stop(600);
+            cut(LATE);
+            assertFound(Check.LOST_AROUND_PLANNED_WORK);
+        }
+
+        // Guards against a request that is taken late in a stop and then cut.
+        @Test
+        void stopMustNotCutWhatWasSentLate() {
+            sendAndBegin();
+            stop(-3001);
+            cut(LATE);
+            assertFound(Check.LOST_AROUND_PLANNED_WORK);
+        }
+
+        // Guards against findings for a break that a paused gateway sees late.
+        @Test
+        void breakDuringAPauseIsExcused() {
+            sendAndBegin();
+            checker.onPaused(GATEWAY, SENT + 30);
+            end(RunEnd.BROKEN_OFF, 40);
+            checker.onResumed(GATEWAY, SENT + 2000);
+            checker.onBegun(at("b"), "engines", SENT + 2010);
+            checker.onRunEnded(at("b"), RunEnd.WITHDRAWN, SENT + 2020);
+            cut(2030);
+            assertFound();
+        }
+
+        // Guards against findings for a connection that a copy of another answer has spoilt.
+        @Test
+        void copyBeforeTheAnswerIsExcused() {
+            checker.onSent(ID, RequestKind.READ, GATEWAY, SENT);
+            checker.onCopyMet(new RequestId("other"), at("a"), SENT + 5);
+            checker.onBegun(at("a"), "records", SENT + 10);
+            end(RunEnd.WITHDRAWN, 20);
+            cut(30);
+            assertFound();
+        }
+    }
+
     @Nested
     class Causes {
         // Guards against a finding whose cause can't be read from what servers have seen.
@@ -223,7 +453,7 @@
             checker.onSent(ID, RequestKind.ISSUE, 2, 100);
             checker.onRefused(at("old"), 421, 102);
             checker.onBegun(at("new"), "records", 103);
-            checker.onCopyMet(at("new"), 130);
+            checker.onCopyMet(ID, at("new"), 130);
             checker.onAnswer(ID, answer(503, "", true), 131);
             assertEquals(
                     "+0ms sent@gateway-2; +2ms refused@old:1 status=421; +3ms begun@new:1;"
@@ -238,7 +468,7 @@
             checker.onBegun(at("a"), "records", 1);
             checker.onAnswer(ID, answer(503, "", true), 2);
             assertTrue(checker.line().startsWith("findings=1 findings_without_copy=1 "));
-            checker.onCopyMet(at("a"), 3);
+            checker.onCopyMet(ID, at("a"), 3);
             assertTrue(checker.line().startsWith("findings=1 findings_without_copy=0 "));
         }
     }
--- a/src/test/java/org/tarragonlug/soak/SoakTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakTest.java
@@ -19,8 +19,13 @@
     private static final int SECONDS = 15;
     private static final int FEWEST_COPIES = 50;
     private static final int FEWEST_RETURNS = 50;
+    private static final int FEWEST_SILENCES = 8;
+    private static final int FEWEST_REFUSED_RESUMPTIONS = 2;
     private static final Pattern COPIES = Pattern.compile(" copies=(\\d+)");
     private static final Pattern RETURNS = Pattern.compile(" returns_with_same_id=(\\d+)");
+    private static final Pattern SILENCES = Pattern.compile(" server_silences=(\\d+)");
+    private static final Pattern REFUSED_RESUMPTIONS =
+            Pattern.compile(" refused_resumptions=(\\d+)");
 
     /** Returns the command of the deploy file, with the classes under test. */
     private static List<String> command() throws Exception {
@@ -37,7 +42,7 @@
 
     // Guards against failures that only several processes, signals, faulty servers and callers that
     // come back bring about: requests that run twice, refusals that are not true, answers that are
-    // foreign or not whole.
+    // foreign or not whole, streams that are given up while their server is only silent.
     @Test
     @Timeout(120)
     void checksHoldUnderFaultsOfOneSeed() throws Exception {
@@ -50,6 +55,8 @@
         String summary = lines.get(lines.size() - 1);
         assertTrue(count(COPIES, summary) >= FEWEST_COPIES, summary);
         assertTrue(count(RETURNS, summary) >= FEWEST_RETURNS, summary);
+        assertTrue(count(SILENCES, summary) >= FEWEST_SILENCES, summary);
+        assertTrue(count(REFUSED_RESUMPTIONS, summary) >= FEWEST_REFUSED_RESUMPTIONS, summary);
     }
 
     private static int count(Pattern counter, String summary) {
