Soak: model servers that reserve slots

Three of four servers reserve slots, refuse four of ten such calls and all while they are full, and let a request with a slot pass; one of four does not know the call. Before, they answered 200 without a slot, so that the path with reservations was not played.

--- a/src/main/java/org/tarragonlug/soak/ServerAnswers.java
+++ b/src/main/java/org/tarragonlug/soak/ServerAnswers.java
@@ -94,6 +94,11 @@
         return bytes(Integer.toHexString(content.length()) + "\r\n" + content + "\r\n");
     }
 
+    private static byte[] reservation(SlotAnswer slot) {
+        String body = slot == SlotAnswer.RESERVED ? "{\"hold\":\"slot\"}" : "";
+        return answer(slot.status(), "", body);
+    }
+
     /** Returns the answer to a report, an order or a question for the health of the server. */
     static byte[] control(SoakServer server, String path, boolean misdirected) {
         String instance = header(ServerAnswer.INSTANCE, server.id);
@@ -104,6 +109,9 @@
             String models = server.listing.models().toString();
             return answer(200, "", "{\"models\":" + models + ",\"busy\":false,\"seq\":0}");
         }
+        if (path.startsWith(PlatformPaths.RESERVE_SLOT)) {
+            return reservation(server.reserveSlot());
+        }
         // The models are there from the start, so that no order is due.
         return path.startsWith(PlatformPaths.ORDER)
                 ? answer(409, "", "")
--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -22,6 +22,7 @@
     private static final int LONGEST_IDLE_MILLIS = 60_000;
     private static final int EVENT_PAUSE_MILLIS = 20;
     private static final int MISDIRECTED = 421;
+    private static final String RESERVATION = "tarragonlug-hold";
     private static final int UNAVAILABLE = 503;
 
     private final SoakServer server;
@@ -37,6 +38,9 @@
     /** The last event that the caller of a stream already has. */
     private int lastEvent;
 
+    /** Whether the server has reserved a slot for the request. */
+    private boolean reserved;
+
     ServerConnection(SoakServer server, Socket socket) throws IOException {
         this.server = server;
         this.socket = socket;
@@ -84,8 +88,10 @@
         copies.onRequest(arrival);
         String received = head.header("last-event-id");
         lastEvent = received.isEmpty() ? 0 : Integer.parseInt(received);
+        reserved = !head.header(RESERVATION).isEmpty();
+        boolean mayRefuse = lastEvent > 0 && !misdirected && !reserved;
         Optional<ResumptionRefusal> refusal =
-                lastEvent == 0 || misdirected ? Optional.empty() : drawn.stream().refusal();
+                mayRefuse ? drawn.stream().refusal() : Optional.empty();
         Treatment treatment = refusal.map(drawn::asResumption).orElse(drawn);
         byte[] answer;
         if (misdirected) {
@@ -142,9 +148,8 @@
     private byte[] answerOrRun(RequestId id, Treatment treatment) throws IOException {
         server.pause(treatment.pauseMillis());
         long pause = server.pauseMillis();
-        if (server.running.incrementAndGet() > server.listing.slots()
-                || treatment.refused()
-                || pause > 0) {
+        boolean full = server.running.incrementAndGet() > server.listing.slots();
+        if (!reserved && (full || treatment.refused() || pause > 0)) {
             server.running.decrementAndGet();
             server.counts.refusals.incrementAndGet();
             int status = treatment.refusal().status();
--- a/src/main/java/org/tarragonlug/soak/ServerCounts.java
+++ b/src/main/java/org/tarragonlug/soak/ServerCounts.java
@@ -19,6 +19,8 @@
     private final Map<ResumptionRefusal, AtomicLong> resumptions =
             new EnumMap<>(ResumptionRefusal.class);
 
+    private final Map<SlotAnswer, AtomicLong> slots = new EnumMap<>(SlotAnswer.class);
+
     private final Map<CopyForm, AtomicLong> copies = new EnumMap<>(CopyForm.class);
 
     /** Copies that were sent while another request waited on the connection. */
@@ -33,6 +35,9 @@
         for (ResumptionRefusal refusal : ResumptionRefusal.values()) {
             resumptions.put(refusal, new AtomicLong());
         }
+        for (SlotAnswer answer : SlotAnswer.values()) {
+            slots.put(answer, new AtomicLong());
+        }
         for (CopyForm form : CopyForm.values()) {
             copies.put(form, new AtomicLong());
         }
@@ -43,6 +48,20 @@
         return resumptions.get(refusal);
     }
 
+    /** Returns the number of calls for a slot that were answered in a way. */
+    AtomicLong slots(SlotAnswer answer) {
+        return slots.get(answer);
+    }
+
+    private String slotLine() {
+        StringBuilder line = new StringBuilder();
+        for (SlotAnswer answer : SlotAnswer.values()) {
+            line.append(" slots_").append(answer.name().toLowerCase(Locale.ROOT));
+            line.append('=').append(slots(answer));
+        }
+        return line.toString();
+    }
+
     private String resumptionLine() {
         StringBuilder line = new StringBuilder();
         long sum = 0;
@@ -81,6 +100,7 @@
                 + " server_misdirected="
                 + misdirected
                 + resumptionLine()
+                + slotLine()
                 + copyLine()
                 + " copies_before_other_request="
                 + copiesBeforeOther
--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -16,6 +16,8 @@
 final class SoakServer implements AutoCloseable {
     private static final int BACKLOG = 200;
     private static final int STANDSTILL_STEP_MILLIS = 5;
+    private static final int SERVERS_PER_UNKNOWING_ONE = 4;
+    private static final int REFUSED_SLOT_PERCENT = 40;
 
     final String id;
     final String service;
@@ -134,6 +136,26 @@
         }
     }
 
+    /** Answers a call that asks for a slot. A server of four does not know such calls. */
+    SlotAnswer reserveSlot() {
+        SlotAnswer answer = drawSlotAnswer();
+        counts.slots(answer).incrementAndGet();
+        return answer;
+    }
+
+    private SlotAnswer drawSlotAnswer() {
+        if (Math.floorMod(id.hashCode(), SERVERS_PER_UNKNOWING_ONE) == 0) {
+            return SlotAnswer.UNKNOWN_CALL;
+        }
+        if (running.get() >= listing.slots()) {
+            return SlotAnswer.NO_ROOM;
+        }
+        synchronized (random) {
+            boolean refused = !sound && SoakRandom.percent(random, REFUSED_SLOT_PERCENT);
+            return refused ? SlotAnswer.NO_ROOM : SlotAnswer.RESERVED;
+        }
+    }
+
     /** Ends all faults of the server. */
     void setSound() {
         sound = true;
