--- a/src/main/java/org/tarragonlug/soak/GatewaySignals.java
+++ b/src/main/java/org/tarragonlug/soak/GatewaySignals.java
@@ -75,7 +75,6 @@
                 .filter(event -> event.work() == PlannedWork.TERMINATE)
                 .filter(event -> event.concerns(request))
                 .filter(event -> event.millis() <= request.endMillis())
-                .filter(event -> request.endMillis() <= effectEnd(event))
                 .filter(event -> request.sentMillis() <= event.millis() + SENT_AFTER_STOP_MILLIS)
                 .anyMatch(event -> workedUntilMillis >= event.millis() + graceMillis * 5 / 6);
     }
--- a/src/main/java/org/tarragonlug/soak/RequestRecord.java
+++ b/src/main/java/org/tarragonlug/soak/RequestRecord.java
@@ -127,6 +127,15 @@
         return until - later.beginMillis;
     }
 
+    /**
+     * Returns whether the earlier of two runs went on for long after the begin of the later one.
+     */
+    static boolean isBegunBeside(Run run, Run other, long millis) {
+        Run earlier = run.beginMillis <= other.beginMillis ? run : other;
+        Run later = earlier == run ? other : run;
+        return earlier.endMillis - later.beginMillis > millis;
+    }
+
     /** Returns for how long a run that has just ended went on after its caller had its answer. */
     long millisAfterEnd(Run run) {
         if (endMillis == 0 || run.beginMillis < sentMillis) {
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -39,6 +39,9 @@
     private final LostAnswers lostAnswers;
     private final List<Finding> findings = new ArrayList<>();
 
+    /** Streams that a server began while another one worked on for long, whoever answered. */
+    private int begunBeside;
+
     /**
      * Creates a checker that knows no request.
      *
@@ -159,6 +162,9 @@
         for (RequestRecord.Run other : request.runs) {
             long both = RequestRecord.millisBeside(run, other);
             boolean known = other != run && other.hasEnded();
+            if (known && RequestRecord.isBegunBeside(run, other, STREAM_OVERLAP_MILLIS)) {
+                begunBeside++;
+            }
             if (known && isLong(request, Math.min(run.endMillis, other.endMillis), both)) {
                 String text = "at " + run.arrival.server() + " and " + other.arrival.server();
                 String time = " for " + both + " ms, begun at " + request.servers();
@@ -316,6 +322,7 @@
         StringBuilder line = new StringBuilder("findings=" + findings.size());
         long otherCause = findings.stream().filter(this::hasOtherCause).count();
         line.append(" findings_without_copy=").append(otherCause);
+        line.append(" streams_begun_beside_another=").append(begunBeside);
         for (Check check : Check.values()) {
             long count = findings.stream().filter(each -> each.check() == check).count();
             line.append(" found_").append(check.name().toLowerCase(Locale.ROOT)).append('=');
--- a/src/main/java/org/tarragonlug/tool/SoakCommand.java
+++ b/src/main/java/org/tarragonlug/tool/SoakCommand.java
@@ -37,8 +37,8 @@
             names = "--shape",
             defaultValue = "three",
             description =
-                    "JSON file with what is played, or one of three, few, small, grown,"
-                            + " wide, large, accounts, crowded, pressed.")
+                    "JSON file with what is played, or one of three, few, silent, small,"
+                            + " grown, wide, large, accounts, crowded, pressed.")
     private String shapeName;
 
     @Option(
--- a/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
@@ -45,6 +45,7 @@
                 strings = {
                     "three",
                     "few",
+                    "silent",
                     "small",
                     "grown",
                     "wide",
@@ -120,6 +121,7 @@
                 strings = {
                     "three",
                     "few",
+                    "silent",
                     "small",
                     "grown",
                     "wide",
