--- a/src/test/java/org/tarragonlug/gateway/ExploredFault.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredFault.java
@@ -17,6 +17,10 @@
     EVENT_OUT_OF_ORDER,
     /** The request has ended more than once, or after its caller had left. */
     ENDED_TWICE,
+    /** The request has ended, and a send of it is open. */
+    OPEN_AFTER_END,
+    /** All requests have ended, and a server counts as busy with one. */
+    COUNTED_AFTER_END,
     /** The time of the request is over, and its caller has got nothing. */
     NOT_ENDED,
     /** The caller got an answer of a server, and the server of the last send has sent none. */
--- a/src/test/java/org/tarragonlug/gateway/ExploredWorld.java
+++ b/src/test/java/org/tarragonlug/gateway/ExploredWorld.java
@@ -94,6 +94,23 @@
         arrive("request-1");
     }
 
+    /**
+     * Lets the server of the request begin, with the first event if it is a stream, and then be
+     * silent for longer than is usual.
+     */
+    ExploredWorld withSilentServer() {
+        ExploredCall first = calls.get(0);
+        connect(first, offered(first).get(0));
+        begin(first);
+        if (kind.isStream()) {
+            startStream(first);
+            sendStreamEvent(first);
+        }
+        timers.advance(STALL);
+        post(new ForwardingEvent.Tick());
+        return this;
+    }
+
     /** Installs a configuration with or without the route of the request. */
     void installRoute(boolean present) {
         post(configuration.table(present));
@@ -162,6 +179,18 @@
             coordinator.handle(next, timers.now()).forEach(this::execute);
         }
         processing = false;
+        checkOpenCalls();
+    }
+
+    /** Checks that no send is open, and none is counted, for requests that have ended. */
+    private void checkOpenCalls() {
+        if (requests.stream().anyMatch(each -> !each.isOpen() && !openCalls(each).isEmpty())) {
+            faults.add(ExploredFault.OPEN_AFTER_END);
+        }
+        boolean allEnded = requests.stream().noneMatch(ExploredRequest::isOpen);
+        if (allEnded && !coordinator.fleet().inFlight().isEmpty()) {
+            faults.add(ExploredFault.COUNTED_AFTER_END);
+        }
     }
 
     private void execute(ForwardingCommand command) {
--- a/src/test/java/org/tarragonlug/gateway/RequestOrderTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RequestOrderTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,17 +27,27 @@
 
     /** Which orders are explored: their events, length and disturbances, and the retry budget. */
     private record Orders(
-            Predicate<ExploredEvent> events, int depth, int disturbances, int retries) {
+            Predicate<ExploredEvent> events,
+            int depth,
+            int disturbances,
+            int retries,
+            UnaryOperator<ExploredWorld> before) {
         Orders(Predicate<ExploredEvent> events, int depth, int disturbances) {
             this(events, depth, disturbances, ExploredWorld.MANY_RETRIES);
         }
 
+        Orders(Predicate<ExploredEvent> events, int depth, int disturbances, int retries) {
+            this(events, depth, disturbances, retries, UnaryOperator.identity());
+        }
+
         OrderExplorer.Result explore(
                 ConnectionRule rule, ExploredFleet fleet, ExploredRequestKind kind) {
             long start = System.nanoTime();
             OrderExplorer.Result result =
                     new OrderExplorer(
-                                    () -> new ExploredWorld(kind, fleet, rule, retries),
+                                    () ->
+                                            before.apply(
+                                                    new ExploredWorld(kind, fleet, rule, retries)),
                                     events,
                                     depth,
                                     disturbances)
@@ -126,6 +137,55 @@
         }
     }
 
+    /** Orders that begin when a request has begun at its server and the server is silent. */
+    @Nested
+    class WithASilentServer {
+        static Stream<Arguments> combinations() {
+            Set<ExploredRequestKind> repeatable =
+                    EnumSet.of(
+                            ExploredRequestKind.IDEMPOTENT, ExploredRequestKind.RESUMABLE_STREAM);
+            return Stream.of(ExploredFleet.values())
+                    .flatMap(fleet -> repeatable.stream().map(kind -> Arguments.of(fleet, kind)));
+        }
+
+        private static void explore(
+                ExploredFleet fleet,
+                ExploredRequestKind kind,
+                int depth,
+                int disturbances,
+                int retries) {
+            new Orders(
+                            event -> !event.breaksAssumption(),
+                            depth,
+                            disturbances,
+                            retries,
+                            ExploredWorld::withSilentServer)
+                    .assertNoFault(fleet, kind);
+        }
+
+        // Guards against an order in which two servers answer a request, an event comes twice or is
+        // missing, or an attempt stays open that nobody waits for.
+        @ParameterizedTest
+        @MethodSource("combinations")
+        void noOrderBreaksAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
+            explore(fleet, kind, DEPTH, DISTURBANCES, ExploredWorld.MANY_RETRIES);
+        }
+
+        // Guards against the same if two things happen that are not in the ordinary course.
+        @ParameterizedTest
+        @MethodSource("combinations")
+        void noTwoDisturbancesBreakAPromise(ExploredFleet fleet, ExploredRequestKind kind) {
+            explore(fleet, kind, DEPTH - 1, DISTURBANCES + 1, ExploredWorld.MANY_RETRIES);
+        }
+
+        // Guards against the same if there is no retry, so that the silent server is all there is.
+        @ParameterizedTest
+        @MethodSource("combinations")
+        void noOrderBreaksAPromiseWithoutRetries(ExploredFleet fleet, ExploredRequestKind kind) {
+            explore(fleet, kind, DEPTH, DISTURBANCES, 0);
+        }
+    }
+
     @Nested
     class WithEarlierRules {
         /** Events that these orders do not need. */
