Take no answer for whole whose server gave up on the request

A server that answered a long upload at once with a 200 without a length, sent part of its body, ended its connection and then reset it had that part delivered to the caller as the whole answer; streams ended as if they were complete. Resets without such an end were noticed before.

Cause: the end of the connection was taken for the end of the answer, whether or not the server had received the request. Now the guard of the connection holds the end back (ConnectionEnd) until the request has been received, which makes the answer whole, or until the connection is reset, a write fails or 250 ms have passed, which makes it CONNECTION_LOST. A server that reads on after its answer still has it delivered.

Not noticed: an orderly end, with a later reset, when the system of the server has received the whole request and its process has not read it.

--- a/src/main/java/org/tarragonlug/http/FramingGuard.java
+++ b/src/main/java/org/tarragonlug/http/FramingGuard.java
@@ -4,10 +4,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.netty.internal.NettyConnectionContext;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -46,6 +49,9 @@
  * <p>An answer that names the call and is late all the same would be the answer to an earlier send
  * of the call, so a connection never carries the same call twice ({@link #mayCarry}).
  *
+ * <p>The end of a connection that ends an answer is held back from the library until it is known
+ * whether the answer is whole ({@link ConnectionEnd}).
+ *
  * <p>All methods must be called on the event loop of the connection, except for {@link #mayCarry},
  * {@link #localPort} and {@link #begin}, which the call uses after it has reserved the connection
  * and before it sends its request, so the event loop sees their effects.
@@ -80,6 +86,11 @@
     private final Consumer<LateAnswer> lateAnswers;
     private final AnswerFraming framing = new AnswerFraming();
     private final AnswerFilter filter = new AnswerFilter();
+    private final ConnectionEnd connectionEnd;
+
+    /** Events of the end of the connection that are held back; empty if it has not ended. */
+    private final List<Object> heldEvents = new ArrayList<>();
+
     private Phase phase = Phase.IDLE;
     private BiConsumer<HttpFailure.Kind, String> violationAction = NO_ACTION;
 
@@ -103,6 +114,7 @@
 
     private FramingGuard(Channel channel, FramingLimits limits, Consumer<LateAnswer> lateAnswers) {
         this.channel = channel;
+        this.connectionEnd = new ConnectionEnd(channel);
         this.limits = limits;
         this.lateAnswers = lateAnswers;
     }
@@ -142,6 +154,7 @@
         nameHeader = name.map(AnswerName::header).orElse("");
         violationAction = action;
         filter.begin(earlierCalls == 0 ? Optional.empty() : name, skippedAction);
+        connectionEnd.startRequest();
         startHead();
         bytesAfterHead = 0;
         bodyBytes = 0;
@@ -149,6 +162,11 @@
         return earlierCalls;
     }
 
+    /** Records that the whole request of the call has been handed to the connection. */
+    void onRequestWritten() {
+        connectionEnd.onRequestWritten();
+    }
+
     /**
      * Returns whether a call may be sent on this connection. If it has carried a call of the same
      * name, a late answer to that one could not be told from the answer to this one.
@@ -248,6 +266,42 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE && isInBodyUntilClose()) {
+            connectionEnd.decide(() -> passEnd(context), () -> closeAsPart(context));
+            heldEvents.add(event);
+        } else if (heldEvents.isEmpty()) {
+            context.fireUserEventTriggered(event);
+        } else {
+            heldEvents.add(event);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (isInBodyUntilClose()) {
+            closeAsPart(context);
+        }
+        context.fireChannelInactive();
+    }
+
+    private boolean isInBodyUntilClose() {
+        return phase == Phase.BODY && framing.endsWithConnection();
+    }
+
+    private void passEnd(ChannelHandlerContext context) {
+        phase = Phase.CLOSED;
+        List<Object> events = List.copyOf(heldEvents);
+        heldEvents.clear();
+        events.forEach(context::fireUserEventTriggered);
+    }
+
+    private void closeAsPart(ChannelHandlerContext context) {
+        String detail = "the connection ended before the server had received the whole request";
+        close(context, HttpFailure.Kind.CONNECTION_LOST, detail);
+    }
+
     private void passNextPiece(ChannelHandlerContext context, ByteBuf bytes) {
         if (phase == Phase.AFTER_END) {
             passBytesAfterEnd(bytes);
--- a/src/main/java/org/tarragonlug/http/HttpExchange.java
+++ b/src/main/java/org/tarragonlug/http/HttpExchange.java
@@ -119,7 +119,7 @@
     private void reserveConnection() {
         StreamingHttpRequest request;
         try {
-            request = RequestEncoder.encode(call, lease.client());
+            request = RequestEncoder.encode(call, lease.client(), this::handleBodyWritten);
         } catch (IllegalArgumentException e) {
             fail(HttpFailure.Kind.NOT_SENT, "the request is not valid HTTP: " + e.getMessage(), e);
             return;
@@ -130,6 +130,10 @@
                                 reserved -> send(reserved, request), true));
     }
 
+    private void handleBodyWritten() {
+        guard.onRequestWritten();
+    }
+
     private void send(ReservedStreamingHttpConnection reserved, StreamingHttpRequest request) {
         FramingGuard reservedGuard =
                 FramingGuard.of(reserved.connectionContext(), FramingLimits.ANSWER, lateAnswers);
@@ -165,6 +169,9 @@
                         call.answerName(),
                         this::handleSkippedAnswer,
                         (kind, detail) -> fail(kind, detail, null));
+        if (call.body().length() == 0) {
+            guard.onRequestWritten();
+        }
         receiver.onSent(new CallPosition(guard.localPort(), earlierCalls, movedToNewConnection));
         return !ended;
     }
--- a/src/main/java/org/tarragonlug/http/RequestEncoder.java
+++ b/src/main/java/org/tarragonlug/http/RequestEncoder.java
@@ -20,10 +20,13 @@
      *
      * @param call the call
      * @param client the client that will send the request
+     * @param onBodyWritten called when the whole body has been handed to a connection; not called
+     *     without a body
      * @throws IllegalArgumentException if the target or a header contains a forbidden character; a
      *     line break would start another header or request
      */
-    static StreamingHttpRequest encode(HttpCall call, StreamingHttpClient client) {
+    static StreamingHttpRequest encode(
+            HttpCall call, StreamingHttpClient client, Runnable onBodyWritten) {
         requirePrintable(call.target(), ' ');
         call.headers()
                 .forEach(
@@ -38,7 +41,9 @@
         if (call.body().length() > 0) {
             request.setHeader("content-length", Integer.toString(call.body().length()));
             BufferAllocator allocator = client.executionContext().bufferAllocator();
-            request.payloadBody(Publisher.fromIterable(BodyBuffers.wrap(call.body(), allocator)));
+            request.payloadBody(
+                    Publisher.fromIterable(BodyBuffers.wrap(call.body(), allocator))
+                            .beforeOnComplete(onBodyWritten));
         } else if (METHODS_WITH_BODY.contains(call.method())) {
             request.setHeader("content-length", "0");
         }
--- a/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
+++ b/src/test/java/org/tarragonlug/gateway/ScriptedServer.java
@@ -66,6 +66,15 @@
             }
         }
 
+        /** Ends what the server sends; the connection stays open in the other direction. */
+        synchronized void end() {
+            try {
+                socket.shutdownOutput();
+            } catch (IOException closed) {
+                open = false;
+            }
+        }
+
         /** Resets the connection. */
         synchronized void reset() {
             open = false;
