--- a/src/test/java/org/tarragonlug/gateway/RefusingServers.java
+++ b/src/test/java/org/tarragonlug/gateway/RefusingServers.java
@@ -93,6 +93,8 @@
         this.models = models;
         first = fixture.startScripted(service + "-0", service, models, script("first"));
         second = fixture.startScripted(service + "-second", service, models, script("second"));
+        first.setReservingSlots(!models.isEmpty());
+        second.setReservingSlots(!models.isEmpty());
     }
 
     private ScriptedServer.Script script(String server) {
--- a/src/test/java/org/tarragonlug/gateway/WorkingServer.java
+++ b/src/test/java/org/tarragonlug/gateway/WorkingServer.java
@@ -137,6 +137,10 @@
             String id = find("tarragonlug-request-id", head);
             String path = head.split(" ")[1];
             readBody(Integer.parseInt("0" + find("content-length", head)));
+            if (path.startsWith("/tarragonlug/hold-")) {
+                send(ScriptedServer.answer(200, "", "", "{\"hold\":\"slot\"}"));
+                return;
+            }
             if (id.isEmpty()) {
                 // A question for the state of the server, which runs nothing.
                 send(ScriptedServer.answer(404, "", "", ""));
