--- a/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/tarragonlug/platform/ConfigurationDecoder.java
@@ -34,6 +34,12 @@
  * configuration in force.
  */
 public final class ConfigurationDecoder {
+    /** Field of a route: how many servers one request may be sent to. */
+    public static final String MAX_ATTEMPTS = "max_attempts";
+
+    /** Field of a route: what the paths of its requests begin with. */
+    public static final String PATH_PREFIX = "path_prefix";
+
     private static final double MILLIS_PER_SECOND = 1000.0;
 
     /** Cost in tokens of a request without a token count if the configuration states none. */
@@ -124,13 +130,13 @@
         return new ForwardingRoute(
                 new RouteName(JsonFields.text(node, "name")),
                 JsonFields.text(node, "host"),
-                JsonFields.text(node, "path_prefix"),
+                JsonFields.text(node, PATH_PREFIX),
                 kind(JsonFields.text(node, "kind")),
                 Duration.ofMillis((long) JsonFields.number(node, "timeout_ms")),
                 Duration.ofMillis(node.path("target_latency_ms").asLong()),
                 node.path("priority").asInt(),
                 targets(node),
-                Math.max(1, node.path("max_attempts").asInt(1)),
+                Math.max(1, node.path(MAX_ATTEMPTS).asInt(1)),
                 node.path("resumable").asBoolean(false),
                 Duration.ofMillis(node.path("gap_target_ms").asLong()),
                 node.path("public").asBoolean(false));
--- a/src/main/java/org/tarragonlug/platform/RequestHeaders.java
+++ b/src/main/java/org/tarragonlug/platform/RequestHeaders.java
@@ -58,7 +58,8 @@
     private static final String URGENCY = "tarragonlug-request-urgency";
     private static final String LAST_EVENT_ID = "last-event-id";
 
-    private static final String RESERVATION = "tarragonlug-hold";
+    /** Names the slot that the server has reserved for the request. */
+    public static final String RESERVATION = "tarragonlug-hold";
 
     /**
      * Headers that only this system may set. They are removed from callers' requests, so that a
--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -22,7 +22,6 @@
     private static final int LONGEST_IDLE_MILLIS = 60_000;
     private static final int EVENT_PAUSE_MILLIS = 20;
     private static final int MISDIRECTED = 421;
-    private static final String RESERVATION = "tarragonlug-hold";
     private static final int UNAVAILABLE = 503;
 
     private final SoakServer server;
@@ -88,7 +87,7 @@
         copies.onRequest(arrival);
         String received = head.header("last-event-id");
         lastEvent = received.isEmpty() ? 0 : Integer.parseInt(received);
-        reserved = !head.header(RESERVATION).isEmpty();
+        reserved = !head.header(RequestHeaders.RESERVATION).isEmpty();
         boolean mayRefuse = lastEvent > 0 && !misdirected && !reserved;
         Optional<ResumptionRefusal> refusal =
                 mayRefuse ? drawn.stream().refusal() : Optional.empty();
--- a/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
+++ b/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.InputStream;
+import org.tarragonlug.platform.ConfigurationDecoder;
 import org.tarragonlug.runtime.Json;
 
 /**
@@ -45,14 +46,18 @@
         boolean even = version % 2 == 0;
         ArrayNode routes = (ArrayNode) changed.path("routes");
         for (JsonNode route : routes) {
-            int attempts = route.path("max_attempts").asInt();
+            int attempts = route.path(ConfigurationDecoder.MAX_ATTEMPTS).asInt();
             int aim = route.path("target_latency_ms").asInt();
             ((ObjectNode) route)
-                    .put("max_attempts", attempts > 1 && even ? attempts + 1 : attempts)
+                    .put(
+                            ConfigurationDecoder.MAX_ATTEMPTS,
+                            attempts > 1 && even ? attempts + 1 : attempts)
                     .put("target_latency_ms", even ? aim + AIM_CHANGE_MILLIS : aim);
         }
         ObjectNode unused = ((ObjectNode) routes.path(0)).deepCopy();
-        routes.add(unused.put("name", "unused").put("path_prefix", "/unused-" + version + "/"));
+        routes.add(
+                unused.put("name", "unused")
+                        .put(ConfigurationDecoder.PATH_PREFIX, "/unused-" + version + "/"));
         return changed;
     }
 
