--- a/src/main/java/org/tarragonlug/decision/forwarding/BackupAttempts.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/BackupAttempts.java
@@ -9,7 +9,7 @@
 import org.tarragonlug.id.ServerId;
 
 /**
- * Sends a request to a second server while its own one is silent.
+ * Sends a request to a second server while the first one is silent.
  *
  * <p>A model server is first asked to reserve a slot ({@link SlotReservations}). What follows holds
  * for plain services, and for model servers that reserve no slots.
@@ -55,7 +55,7 @@
         this.output = output;
     }
 
-    /** Sends a request to a second server if its own one has been silent for too long. */
+    /** Sends a request to a second server if the first one has been silent for too long. */
     void checkSilence(PendingForward forward, Instant now) {
         if (isSilent(forward, forward.primary, now)
                 && forward.requestedSlot.isEmpty()
--- a/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RequestDispatcher.java
@@ -247,7 +247,7 @@
         forward.primary = open(forward, server, Optional.of(reservation), now);
     }
 
-    /** Sends a request to a second server while its own one is silent. */
+    /** Sends a request to a second server while the first one is silent. */
     void sendBackup(PendingForward forward, FleetServer server, Instant now) {
         forward.backup = Optional.of(open(forward, server, Optional.empty(), now));
     }
--- a/src/main/java/org/tarragonlug/decision/forwarding/RetryPause.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/RetryPause.java
@@ -24,7 +24,7 @@
     private RetryPause() {}
 
     /**
-     * Sets the pause of a request that a second server rejected while its own one is silent. It
+     * Sets the pause of a request that a second server rejected while the first one is silent. It
      * grows, so that a request that stays at a silent server does not ask all others at once.
      */
     static void afterRejectedBackup(PendingForward forward, Instant now) {
--- a/src/main/java/org/tarragonlug/decision/forwarding/SlotReservations.java
+++ b/src/main/java/org/tarragonlug/decision/forwarding/SlotReservations.java
@@ -12,9 +12,9 @@
  * <p>The request stays at its server until the slot is reserved. Then it is cancelled there, and
  * only after that sent to the other server, which admits it ahead of all that wait. So a server
  * without room costs the caller nothing, and no two servers work on the request, however slow this
- * process is. A server that breaks off, or breaks its word, after it has reserved the slot does end
- * the request if that may not run once more. A reservation that comes too late is released, and one
- * that is not used ends by itself.
+ * process is. A server that breaks off, or refuses after all, after it has reserved the slot does
+ * end the request if that may not run once more. A reservation that comes too late is released, and
+ * one that is not used ends by itself.
  */
 final class SlotReservations {
     /** How long no slot is asked for after one was reserved and not used. */
--- a/src/main/java/org/tarragonlug/soak/Check.java
+++ b/src/main/java/org/tarragonlug/soak/Check.java
@@ -24,9 +24,9 @@
     ENDS_IN_TIME,
     /**
      * A request that a server has is answered wholly unless the server breaks off, its time is over
-     * or the grace time of a stop ends; here around planned work.
+     * or the grace time of a stop ends; here around actions of an operator.
      */
-    LOST_AROUND_PLANNED_WORK,
+    LOST_AROUND_OPERATOR_ACTION,
     /** The same at other times. */
     LOST_ANSWER,
     /** A gateway process ends only by a signal. */
--- a/src/main/java/org/tarragonlug/soak/ConfigurationChanges.java
+++ b/src/main/java/org/tarragonlug/soak/ConfigurationChanges.java
@@ -29,7 +29,8 @@
     void change() {
         version++;
         long now = SoakClock.millis();
-        checker.onPlannedWork(PlannedWork.CONFIGURATION_CHANGE, GatewaySignals.ALL_GATEWAYS, now);
+        checker.onOperatorAction(
+                OperatorAction.CONFIGURATION_CHANGE, GatewaySignals.ALL_GATEWAYS, now);
         write(SoakConfiguration.changed(first, version));
     }
 
--- a/src/main/java/org/tarragonlug/soak/GatewaySignals.java
+++ b/src/main/java/org/tarragonlug/soak/GatewaySignals.java
@@ -15,7 +15,7 @@
     /** How long after a process was killed its callers may see that. */
     private static final long KILL_SEEN_MILLIS = 500;
 
-    private record Event(PlannedWork work, int gateway, long millis) {
+    private record Event(OperatorAction work, int gateway, long millis) {
         boolean concerns(UnansweredRequest request) {
             return gateway == ALL_GATEWAYS || gateway == request.gateway();
         }
@@ -36,7 +36,7 @@
         this.graceMillis = graceMillis;
     }
 
-    void onPlannedWork(PlannedWork work, int gateway, long millis) {
+    void onOperatorAction(OperatorAction work, int gateway, long millis) {
         events.add(new Event(work, gateway, millis));
     }
 
@@ -52,8 +52,8 @@
                 .anyMatch(kill -> kill.millis() <= endMillis);
     }
 
-    /** Returns the planned work around which a request has ended; the latest one if several. */
-    Optional<PlannedWork> around(UnansweredRequest request) {
+    /** Returns the latest action of an operator around which a request has ended. */
+    Optional<OperatorAction> around(UnansweredRequest request) {
         return events.stream()
                 .filter(event -> event.concerns(request))
                 .filter(event -> event.millis() <= request.endMillis())
@@ -72,7 +72,7 @@
      */
     boolean mayCut(UnansweredRequest request, long workedUntilMillis) {
         return events.stream()
-                .filter(event -> event.work() == PlannedWork.TERMINATE)
+                .filter(event -> event.work() == OperatorAction.TERMINATE)
                 .filter(event -> event.concerns(request))
                 .filter(event -> event.millis() <= request.endMillis())
                 .filter(event -> request.sentMillis() <= event.millis() + SENT_AFTER_STOP_MILLIS)
--- a/src/main/java/org/tarragonlug/soak/LostAnswers.java
+++ b/src/main/java/org/tarragonlug/soak/LostAnswers.java
@@ -85,13 +85,13 @@
     }
 
     private Finding finding(UnansweredRequest request, RequestRecord record, long took) {
-        Optional<PlannedWork> work = signals.around(request);
+        Optional<OperatorAction> work = signals.around(request);
         String text = record.kind + " without a whole answer after " + took + " ms, at gateway ";
         String place = text + request.gateway() + ", begun at [" + record.servers() + "]";
         return work.map(
                         each ->
                                 new Finding(
-                                        Check.LOST_AROUND_PLANNED_WORK,
+                                        Check.LOST_AROUND_OPERATOR_ACTION,
                                         request.id(),
                                         place + " around " + each))
                 .orElseGet(() -> new Finding(Check.LOST_ANSWER, request.id(), place));
--- a/src/main/java/org/tarragonlug/soak/PlannedWork.java
+++ b/src/main/java/org/tarragonlug/soak/OperatorAction.java
@@ -1,7 +1,7 @@
 package org.tarragonlug.soak;
 
-/** Work of an operator around which no answer may be lost. */
-enum PlannedWork {
+/** An action of an operator around which no answer may be lost. */
+enum OperatorAction {
     /** SIGTERM to a gateway. */
     TERMINATE,
     /** SIGHUP to a gateway. */
--- a/src/main/java/org/tarragonlug/soak/ServerAnswers.java
+++ b/src/main/java/org/tarragonlug/soak/ServerAnswers.java
@@ -11,7 +11,7 @@
     private static final int UNAVAILABLE = 503;
 
     /** Requests that wait at a server whose slots are all taken. */
-    private static final int WAITING = 3;
+    private static final int WAITING_REQUESTS = 3;
 
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -66,7 +66,7 @@
     /** Returns the answer of a server whose slots are all taken and before which requests wait. */
     static byte[] full(SoakServer server, RequestId id) {
         int slots = server.listing.slots();
-        String load = slots + "," + WAITING + "," + slots;
+        String load = slots + "," + WAITING_REQUESTS + "," + slots;
         String instance = header(ServerAnswer.INSTANCE, server.id);
         return answer(UNAVAILABLE, named(server, id, load) + NOT_EXECUTED + instance, "");
     }
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -275,9 +275,9 @@
         findings.addAll(lostAnswers.judge(requests::get));
     }
 
-    /** Records planned work at a gateway, or at {@link GatewaySignals#ALL_GATEWAYS}. */
-    synchronized void onPlannedWork(PlannedWork work, int gateway, long millis) {
-        signals.onPlannedWork(work, gateway, millis);
+    /** Records an action of an operator at a gateway, or at {@link GatewaySignals#ALL_GATEWAYS}. */
+    synchronized void onOperatorAction(OperatorAction work, int gateway, long millis) {
+        signals.onOperatorAction(work, gateway, millis);
     }
 
     /** Records that a gateway is killed. */
--- a/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
@@ -55,20 +55,20 @@
             context -> context.gateway().pause(),
             context -> context.gateway().resume()),
     /** A gateway is told that its settings may have changed. */
-    GATEWAY_HANG_UP(Target.PLANNED_WORK, context -> context.gateway().hangUp()),
+    GATEWAY_HANG_UP(Target.OPERATOR_ACTION, context -> context.gateway().hangUp()),
     /** A gateway is told of settings and to end, again and again while it ends. */
     GATEWAY_SIGNAL_SERIES(
-            Target.PLANNED_WORK, Context::hangUpAndTerminate, Context::hangUpAndTerminate),
+            Target.OPERATOR_ACTION, Context::hangUpAndTerminate, Context::hangUpAndTerminate),
     /** A gateway is asked to end, and the new process as well, as soon as it has begun to start. */
     GATEWAY_START_AND_STOP(
-            Target.PLANNED_WORK,
+            Target.OPERATOR_ACTION,
             context -> context.gateway().terminateNext(context.startMillis()),
             context -> context.gateway().terminate()),
     /** The configuration changes. */
-    CONFIGURATION_CHANGE(Target.PLANNED_WORK, context -> context.configuration().change()),
+    CONFIGURATION_CHANGE(Target.OPERATOR_ACTION, context -> context.configuration().change()),
     /** The configuration changes while a gateway ends, and once more afterwards. */
     CONFIGURATION_CHANGE_IN_STOP(
-            Target.PLANNED_WORK,
+            Target.OPERATOR_ACTION,
             Context::changeAndTerminate,
             context -> context.configuration().change()),
     /** The store answers every call with status 503. */
@@ -100,9 +100,9 @@
         STANDSTILL,
         GATEWAY,
         /**
-         * Signals and changes by an operator, in a series of their own; see {@link PlannedWork}.
+         * Signals and changes by an operator, in a series of their own; see {@link OperatorAction}.
          */
-        PLANNED_WORK,
+        OPERATOR_ACTION,
         STORE
     }
 
--- a/src/main/java/org/tarragonlug/soak/SoakGateway.java
+++ b/src/main/java/org/tarragonlug/soak/SoakGateway.java
@@ -85,7 +85,7 @@
     /** Asks the process to end, and kills it if it has not ended in time. */
     void terminate() {
         signalled = true;
-        checker.onPlannedWork(PlannedWork.TERMINATE, number, SoakClock.millis());
+        checker.onOperatorAction(OperatorAction.TERMINATE, number, SoakClock.millis());
         process().terminate();
         killMillis = Math.min(killMillis, SoakClock.millis() + GRACE_MILLIS);
     }
@@ -109,7 +109,7 @@
     /** Tells the process that its settings may have changed, if it has started. */
     void hangUp() {
         if (process().hasLogged("event=instance_started ")) {
-            checker.onPlannedWork(PlannedWork.HANG_UP, number, SoakClock.millis());
+            checker.onOperatorAction(OperatorAction.HANG_UP, number, SoakClock.millis());
             process().hangUp();
         }
     }
--- a/src/main/java/org/tarragonlug/soak/SoakSchedule.java
+++ b/src/main/java/org/tarragonlug/soak/SoakSchedule.java
@@ -8,9 +8,9 @@
 
 /**
  * The faults of a soak, drawn from a seed: one series for servers, one for servers that stand
- * still, one for gateways, one for planned work and one for the store. Within a series faults
- * follow each other or overlap. The same seed and length give the same schedule; the timing of the
- * processes does not repeat.
+ * still, one for gateways, one for actions of an operator and one for the store. Within a series
+ * faults follow each other or overlap. The same seed and length give the same schedule; the timing
+ * of the processes does not repeat.
  */
 final class SoakSchedule {
     private static final int FIRST_MILLIS = 500;
@@ -20,7 +20,9 @@
     /** How much rarer servers stand still than they have other faults. */
     private static final int STANDSTILL_GAP_FACTOR = 4;
 
-    /** How much rarer planned work is than other signals to gateways; it has several each time. */
+    /**
+     * How much rarer actions of an operator are than other signals; each time there are several.
+     */
     private static final int PLANNED_GAP_FACTOR = 2;
 
     private final List<PlannedFault> faults = new ArrayList<>();
@@ -43,7 +45,7 @@
         add(seed, SoakFaultKind.Target.STANDSTILL, standstillGap);
         add(seed, SoakFaultKind.Target.GATEWAY, shape.longestGatewayGapMillis());
         int plannedGap = PLANNED_GAP_FACTOR * shape.longestGatewayGapMillis();
-        add(seed, SoakFaultKind.Target.PLANNED_WORK, plannedGap);
+        add(seed, SoakFaultKind.Target.OPERATOR_ACTION, plannedGap);
         add(seed, SoakFaultKind.Target.STORE, shape.longestStoreGapMillis());
         faults.sort(Comparator.comparingLong(PlannedFault::startMillis));
     }
--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -16,7 +16,7 @@
 final class SoakServer implements AutoCloseable {
     private static final int BACKLOG = 200;
     private static final int STANDSTILL_STEP_MILLIS = 5;
-    private static final int SERVERS_PER_UNKNOWING_ONE = 4;
+    private static final int SERVERS_PER_ONE_WITHOUT_SLOTS = 4;
     private static final int REFUSED_SLOT_PERCENT = 40;
 
     final String id;
@@ -136,7 +136,7 @@
         }
     }
 
-    /** Answers a call that asks for a slot. A server of four does not know such calls. */
+    /** Answers a call that asks for a slot. One of four servers does not know such calls. */
     SlotAnswer reserveSlot() {
         SlotAnswer answer = drawSlotAnswer();
         counts.slots(answer).incrementAndGet();
@@ -144,7 +144,7 @@
     }
 
     private SlotAnswer drawSlotAnswer() {
-        if (Math.floorMod(id.hashCode(), SERVERS_PER_UNKNOWING_ONE) == 0) {
+        if (Math.floorMod(id.hashCode(), SERVERS_PER_ONE_WITHOUT_SLOTS) == 0) {
             return SlotAnswer.UNKNOWN_CALL;
         }
         if (running.get() >= listing.slots()) {
