Log what is read of the store and ignored, and the era that it states

Cause: the record can't tell whether a configuration never came or was read and dropped: StoreWatcher drops an object with a lower revision without a line, and nothing reads the header Store-Era. Change: a position in the store is an era and a revision (StorePosition). StoreEraTracker judges the era of each answer, StoreEraMonitor logs it: store_era_learnt, store_restored, store_answer_outdated, and store_object_ignored for an object that is read and not used. A watch that is answered in another era has a gap, and a list must not have pages of two eras. No other decision changes. The stand-in store can state eras and return from an older copy.

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -111,6 +111,7 @@
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
     private final OrderExecutor executor;
+    private final StoreEraMonitor storeEras;
     private final RelayingObjectApi store;
     private final QuarantineManager quarantineManager = new QuarantineManager();
     private final QuarantineDriver quarantine;
@@ -178,9 +179,13 @@
                         metrics);
         this.executor = createExecutor(groups, engines);
         this.placement = new PlacementDriver(planner, executor, engines, loop, timers, log, peers);
+        this.storeEras = new StoreEraMonitor(timers, log);
         this.store =
                 new RelayingObjectApi(
-                        new PlatformObjectApi(connections, settings.storeAddress()),
+                        new EraCheckedObjectApi(
+                                new PlatformObjectApi(connections, settings.storeAddress()),
+                                storeEras,
+                                timers),
                         peers,
                         loop,
                         timers,
--- a/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
@@ -96,11 +96,12 @@
         Instant startedAt = timers.now();
         store.write(name, StoredLease.encode(record), record.revision())
                 .whenCompleteAsync(
-                        (version, failure) -> {
+                        (written, failure) -> {
                             if (failure == null) {
                                 post(
                                         new LeaseEvent.Written(
-                                                withRevision(record, version), startedAt));
+                                                withRevision(record, written.revision()),
+                                                startedAt));
                             } else if (isConflict(failure)) {
                                 // The failure does not contain the stored lease.
                                 // Read the lease to learn its content.
--- a/src/main/java/org/tarragonlug/gateway/PeerObjectCalls.java
+++ b/src/main/java/org/tarragonlug/gateway/PeerObjectCalls.java
@@ -7,6 +7,7 @@
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.http.JsonFields;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -49,14 +50,14 @@
                                     JsonFields.parse(call.content().orElse("null")),
                                     call.version())
                             .whenCompleteAsync(
-                                    (version, failure) ->
+                                    (written, failure) ->
                                             replyObject(
                                                     from,
                                                     call,
                                                     failure == null
                                                             ? new StoredObject(
                                                                     name,
-                                                                    version,
+                                                                    written,
                                                                     MissingNode.getInstance())
                                                             : null,
                                                     failure),
@@ -67,7 +68,10 @@
                                     (result, failure) -> replyResult(from, call, result, failure),
                                     loop);
             default ->
-                    store.watch(call.objectKind(), call.version(), call.longestWait())
+                    store.watch(
+                                    call.objectKind(),
+                                    StorePosition.of(call.version()),
+                                    call.longestWait())
                             .whenCompleteAsync(
                                     (result, failure) -> replyResult(from, call, result, failure),
                                     loop);
--- a/src/main/java/org/tarragonlug/gateway/QuarantineDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/QuarantineDriver.java
@@ -255,9 +255,9 @@
     private void writeRecord(Set<RequestTrait> wanted) {
         store.write(RECORD, QuarantineRecord.encode(wanted), storedVersion)
                 .whenCompleteAsync(
-                        (version, failure) -> {
+                        (written, failure) -> {
                             if (failure == null) {
-                                storedVersion = Math.max(storedVersion, version);
+                                storedVersion = Math.max(storedVersion, written.revision());
                                 post(new QuarantineEvent.StoredRead(wanted));
                             } else if (isConflict(failure)) {
                                 readRecord();
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -15,6 +15,7 @@
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -125,7 +126,8 @@
     }
 
     @Override
-    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expectedVersion) {
+    public CompletionStage<StorePosition> write(
+            ObjectName name, JsonNode content, long expectedVersion) {
         Optional<InstanceId> peer = currentRelay();
         if (peer.isEmpty()) {
             return trackOutcome(direct.write(name, content, expectedVersion));
@@ -137,7 +139,7 @@
                         expectedVersion,
                         content,
                         Duration.ZERO)
-                .thenApply(answer -> answer.objects().get(0).version());
+                .thenApply(answer -> RelayedObjects.toStored(answer.objects().get(0)).position());
     }
 
     @Override
@@ -163,30 +165,30 @@
 
     @Override
     public CompletionStage<WatchResult> watch(
-            String kind, long afterRevision, Duration longestWait) {
+            String kind, StorePosition after, Duration longestWait) {
         Optional<WatchSource> source = channel.watchSource();
         boolean shared = longestWait.compareTo(MAX_SHARED_WATCH_WAIT) <= 0;
         if (source.isPresent() && shared) {
-            return watchThrough(source.get(), kind, afterRevision, longestWait);
+            return watchThrough(source.get(), kind, after, longestWait);
         }
-        return watchDirectly(kind, afterRevision, longestWait);
+        return watchDirectly(kind, after, longestWait);
     }
 
     /** Watches the store, or lets a peer do so while the store is out of reach. */
     private CompletionStage<WatchResult> watchDirectly(
-            String kind, long afterRevision, Duration longestWait) {
+            String kind, StorePosition after, Duration longestWait) {
         ObjectName all = new ObjectName(kind, "");
         // Decided now: after a relayed watch that failed, time has passed, even if the store has
         // been reached meanwhile.
         Duration directWait = reachability.isUnreachable() ? Duration.ZERO : longestWait;
         return callWithFallback(
-                () -> watchStore(kind, afterRevision, directWait),
+                () -> watchStore(kind, after, directWait),
                 peer ->
                         relay(
                                         peer,
                                         GatewayMessage.ObjectOperation.WATCH,
                                         all,
-                                        afterRevision,
+                                        after.revision(),
                                         null,
                                         relayedWait(longestWait),
                                         WATCH_ANSWER_TIMEOUT)
@@ -228,13 +230,13 @@
     }
 
     private CompletionStage<WatchResult> watchStore(
-            String kind, long afterRevision, Duration longestWait) {
-        CompletionStage<WatchResult> watch = direct.watch(kind, afterRevision, longestWait);
+            String kind, StorePosition after, Duration longestWait) {
+        CompletionStage<WatchResult> watch = direct.watch(kind, after, longestWait);
         return channel.isWatchSource()
                 ? watch.whenCompleteAsync(
                         (result, failure) -> {
                             if (failure == null) {
-                                sharedWatches.onWatched(kind, afterRevision, result);
+                                sharedWatches.onWatched(kind, after, result);
                             }
                         },
                         loop)
@@ -247,14 +249,14 @@
      * the time in which changes must become known may have passed.
      */
     private CompletionStage<WatchResult> watchThrough(
-            WatchSource source, String kind, long afterRevision, Duration longestWait) {
+            WatchSource source, String kind, StorePosition after, Duration longestWait) {
         CompletableFuture<WatchResult> result = new CompletableFuture<>();
         channel.connect(source);
         relay(
                         source.instance(),
                         GatewayMessage.ObjectOperation.SHARED_WATCH,
                         new ObjectName(kind, ""),
-                        afterRevision,
+                        after.revision(),
                         null,
                         longestWait,
                         WATCH_ANSWER_TIMEOUT)
@@ -265,7 +267,7 @@
                                 result.complete(answer);
                             } else {
                                 channel.onWatchSourceFailed(source);
-                                complete(watchDirectly(kind, afterRevision, Duration.ZERO), result);
+                                complete(watchDirectly(kind, after, Duration.ZERO), result);
                             }
                         },
                         loop);
--- a/src/main/java/org/tarragonlug/gateway/SharedWatches.java
+++ b/src/main/java/org/tarragonlug/gateway/SharedWatches.java
@@ -11,6 +11,7 @@
 import org.tarragonlug.decision.watching.SharedView;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
 import org.tarragonlug.peer.GatewayMessage;
@@ -55,7 +56,7 @@
     }
 
     /** Records a watch that the store has answered. */
-    void onWatched(String kind, long after, WatchResult result) {
+    void onWatched(String kind, StorePosition after, WatchResult result) {
         if (result.gap()) {
             return;
         }
@@ -64,7 +65,7 @@
             changed.remove(object.name().name());
             changed.put(object.name().name(), RelayedObjects.toRelayed(object));
         }
-        view(kind).onWatched(after, changed, result.revision(), timers.now());
+        view(kind).onWatched(after.revision(), changed, result.revision(), timers.now());
         answerWaiters(kind);
     }
 
--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.tarragonlug.decision.watching.StoreOutage;
 import org.tarragonlug.decision.watching.WatchLimits;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
@@ -81,7 +82,7 @@
     /** Number of the latest call; results of earlier ones are ignored. */
     private int lastCall;
 
-    private long revision;
+    private StorePosition position = StorePosition.START;
     private boolean initialListComplete;
     private boolean unavailable;
 
@@ -151,7 +152,7 @@
     private void watch() {
         begin(
                 Step.WATCHING,
-                () -> store.watch(kind, revision, longestWait()),
+                () -> store.watch(kind, position, longestWait()),
                 (began, result) -> onWatched(result),
                 this::onWatchFailed);
     }
@@ -227,7 +228,7 @@
         } else if (!absent.isEmpty()) {
             timers.scheduleOnce(Duration.between(now, keepMissingUntil), due -> listAgain());
         }
-        revision = result.revision();
+        position = result.position();
         if (!initialListComplete) {
             initialListComplete = true;
             listener.onInitialListComplete();
@@ -260,7 +261,7 @@
                 applyRemoval(object.name().name());
             }
         }
-        revision = result.revision();
+        position = result.position();
         pause(pace.get().pause(limits), this::watch);
     }
 
@@ -270,6 +271,12 @@
         if (object.version() > knownVersions.getOrDefault(name, 0L)) {
             knownVersions.put(name, object.version());
             listener.onChanged(object);
+        } else if (object.version() < knownVersions.get(name)) {
+            log.event(LogEvent.STORE_OBJECT_IGNORED)
+                    .with("object", object.name())
+                    .with("position", object.position())
+                    .with("known_version", knownVersions.get(name))
+                    .write();
         }
     }
 
--- a/src/main/java/org/tarragonlug/instance/CapacityDriver.java
+++ b/src/main/java/org/tarragonlug/instance/CapacityDriver.java
@@ -230,10 +230,10 @@
         ObjectNode content = codec.write(write.record(), lastContent);
         context.onLoop(
                 objectApi.write(recordName, content, write.expectedVersion()),
-                (version, failure) -> {
+                (written, failure) -> {
                     if (failure == null) {
                         lastContent = content;
-                        handle(new CapacityEvent.WriteDone(write.operation(), version));
+                        handle(new CapacityEvent.WriteDone(write.operation(), written.revision()));
                     } else {
                         handle(writeFailureEvent(write.operation(), Failures.code(failure)));
                     }
--- a/src/main/java/org/tarragonlug/instance/ClaimStore.java
+++ b/src/main/java/org/tarragonlug/instance/ClaimStore.java
@@ -93,9 +93,9 @@
     private void write(RequestId request, ClaimKey key, StoredClaim claim, long expected) {
         context.onLoop(
                 objectApi.write(name(key), claim.toJson(), expected),
-                (version, failure) -> {
+                (written, failure) -> {
                     if (failure == null) {
-                        onClaimMade(request, key, claim, version);
+                        onClaimMade(request, key, claim, written.revision());
                         return;
                     }
                     ErrorCode code = Failures.code(failure);
@@ -193,9 +193,9 @@
     private void writeEnd(ClaimKey key, StoredClaim claim, long expected) {
         context.onLoop(
                 objectApi.write(name(key), claim.toJson(), expected),
-                (version, failure) -> {
+                (written, failure) -> {
                     if (failure == null) {
-                        endedClaims.addLast(new EndedClaim(key, version, context.now()));
+                        endedClaims.addLast(new EndedClaim(key, written.revision(), context.now()));
                     } else if (Failures.code(failure) != ErrorCode.WRITE_CONFLICT) {
                         // A conflict means that an earlier write whose answer was lost has taken
                         // effect; only other failures are retried.
--- a/src/main/java/org/tarragonlug/instance/KindWatch.java
+++ b/src/main/java/org/tarragonlug/instance/KindWatch.java
@@ -66,7 +66,7 @@
             if (!result.changed().isEmpty()) {
                 onChange.accept(result);
             }
-            context.onLoop(objectApi.watch(kind, result.revision(), longestWait), this::onResult);
+            context.onLoop(objectApi.watch(kind, result.position(), longestWait), this::onResult);
         }
     }
 }
--- a/src/main/java/org/tarragonlug/instance/MonitoredObjectApi.java
+++ b/src/main/java/org/tarragonlug/instance/MonitoredObjectApi.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.tarragonlug.error.ErrorCode;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -108,7 +109,8 @@
     }
 
     @Override
-    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expectedVersion) {
+    public CompletionStage<StorePosition> write(
+            ObjectName name, JsonNode content, long expectedVersion) {
         return monitor("write", api.write(name, content, expectedVersion));
     }
 
@@ -124,7 +126,7 @@
 
     @Override
     public CompletionStage<WatchResult> watch(
-            String kind, long afterRevision, Duration longestWait) {
-        return monitor("watch", api.watch(kind, afterRevision, longestWait));
+            String kind, StorePosition after, Duration longestWait) {
+        return monitor("watch", api.watch(kind, after, longestWait));
     }
 }
--- a/src/main/java/org/tarragonlug/instance/StatusWriter.java
+++ b/src/main/java/org/tarragonlug/instance/StatusWriter.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import org.tarragonlug.id.ServerGroup;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 
@@ -56,7 +57,7 @@
         ObjectName name = new ObjectName("status", "group-" + group);
         context.onLoop(
                 objectApi.read(name).thenCompose(object -> write(name, status, object.version())),
-                (version, failure) -> {
+                (written, failure) -> {
                     writesInProgress.remove(group);
                     if (failure == null) {
                         lastWritten.put(group, status);
@@ -64,7 +65,7 @@
                 });
     }
 
-    private CompletionStage<Long> write(ObjectName name, ObjectNode status, long version) {
+    private CompletionStage<StorePosition> write(ObjectName name, ObjectNode status, long version) {
         return ((ObjectApi) objectApi).write(name, status, version);
     }
 }
--- a/src/main/java/org/tarragonlug/objectapi/HttpObjectApi.java
+++ b/src/main/java/org/tarragonlug/objectapi/HttpObjectApi.java
@@ -18,6 +18,7 @@
 import org.tarragonlug.http.HttpConnections;
 import org.tarragonlug.http.HttpFailure;
 import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.StorePosition;
 
 /**
  * An HTTP client of the object API.
@@ -68,7 +69,8 @@
     }
 
     @Override
-    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expectedVersion) {
+    public CompletionStage<StorePosition> write(
+            ObjectName name, JsonNode content, long expectedVersion) {
         byte[] body = JsonFields.bytes(content);
         if (body.length > MAXIMUM_OBJECT_BYTES) {
             String detail =
@@ -92,7 +94,7 @@
                                         + ", which is not above the expected version "
                                         + expectedVersion);
                     }
-                    return version;
+                    return StorePosition.of(version);
                 },
                 HttpObjectApi::writeFailure);
     }
@@ -122,12 +124,12 @@
 
     @Override
     public CompletionStage<WatchResult> watch(
-            String kind, long afterRevision, Duration longestWait) {
+            String kind, StorePosition after, Duration longestWait) {
         String target =
                 "/watch/"
                         + JsonFields.pathSegment(kind)
                         + "?after="
-                        + afterRevision
+                        + after.revision()
                         + "&wait="
                         + longestWait.toMillis();
         Duration timeout = longestWait.plus(connections.limits().responseTimeout());
@@ -135,14 +137,14 @@
                 exchange(get(target, timeout)),
                 answer -> {
                     if (answer.status() == GONE) {
-                        return new WatchResult(List.of(), afterRevision, true);
+                        return new WatchResult(List.of(), after, true);
                     }
                     requireRead(answer);
                     WatchResult result = readObjects(kind, answer, "changed");
                     // A lower revision comes from a stale server. Watching from that revision
                     // would repeat changes, so a gap is reported and the caller lists again.
-                    return result.revision() < afterRevision
-                            ? new WatchResult(List.of(), afterRevision, true)
+                    return result.revision() < after.revision()
+                            ? new WatchResult(List.of(), after, true)
                             : result;
                 },
                 HttpObjectApi::unavailable);
--- a/src/main/java/org/tarragonlug/objectapi/ObjectApi.java
+++ b/src/main/java/org/tarragonlug/objectapi/ObjectApi.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.concurrent.CompletionStage;
+import org.tarragonlug.id.StorePosition;
 
 /**
  * The platform's store of versioned objects, with conditional writes and watches.
@@ -24,23 +25,23 @@
      *     OBJECT_TOO_LARGE}
      * @param expectedVersion version that the object must have; {@link StoredObject#ABSENT} to
      *     create the object
-     * @return the new version
+     * @return the position of the object; its revision is the new version
      */
-    CompletionStage<Long> write(ObjectName name, JsonNode content, long expectedVersion);
+    CompletionStage<StorePosition> write(ObjectName name, JsonNode content, long expectedVersion);
 
     /** Deletes an object if its version is the expected one. */
     CompletionStage<Void> delete(ObjectName name, long expectedVersion);
 
-    /** Lists all objects of a kind. A watch continues from the revision of the result. */
+    /** Lists all objects of a kind. A watch continues from the position of the result. */
     CompletionStage<WatchResult> list(String kind);
 
     /**
      * Waits for changes of the objects of a kind.
      *
      * @param kind kind of the objects
-     * @param afterRevision revision of the last list or watch result
+     * @param after position of the last list or watch result
      * @param longestWait time after which the watch ends without a change
      * @return the changes, or a gap if changes may be missing
      */
-    CompletionStage<WatchResult> watch(String kind, long afterRevision, Duration longestWait);
+    CompletionStage<WatchResult> watch(String kind, StorePosition after, Duration longestWait);
 }
--- a/src/main/java/org/tarragonlug/platform/AccountKeys.java
+++ b/src/main/java/org/tarragonlug/platform/AccountKeys.java
@@ -37,7 +37,7 @@
         }
         JsonNode content = object.content().deepCopy();
         content.path(ACCOUNTS).forEach(AccountKeys::replaceKeys);
-        return new StoredObject(object.name(), object.version(), content);
+        return new StoredObject(object.name(), object.position(), content);
     }
 
     private static boolean hasKeys(JsonNode content) {
--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
@@ -20,6 +21,8 @@
 import org.tarragonlug.http.HttpConnections;
 import org.tarragonlug.http.HttpFailure;
 import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -76,7 +79,7 @@
                 exchange("GET", name.kind(), path(name), null, CALL_TIMEOUT, useOfRead(name)),
                 answer -> {
                     if (answer.status() == NOT_FOUND) {
-                        return StoredObject.absent(name);
+                        return StoredObject.absent(name, StoreEraHeader.read(answer));
                     }
                     requireRead(answer);
                     return requestedObject(name, answer);
@@ -96,7 +99,8 @@
     }
 
     @Override
-    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expectedVersion) {
+    public CompletionStage<StorePosition> write(
+            ObjectName name, JsonNode content, long expectedVersion) {
         boolean create = expectedVersion == StoredObject.ABSENT;
         ObjectNode body = Json.object();
         ObjectNode metadata = body.putObject("metadata");
@@ -110,7 +114,7 @@
                 exchange(create ? "POST" : "PUT", name.kind(), path, body, CALL_TIMEOUT),
                 answer -> {
                     requireWritten(name, answer);
-                    return requestedObject(name, answer).version();
+                    return requestedObject(name, answer).position();
                 },
                 PlatformObjectApi::writeFailure);
     }
@@ -131,19 +135,20 @@
 
     @Override
     public CompletionStage<WatchResult> list(String kind) {
-        return listPage(kind, "", new ArrayList<>(), -1);
+        return listPage(kind, "", new ArrayList<>(), Optional.empty());
     }
 
     /**
-     * Reads one page of a list and then the following pages. A later watch starts at the revision
-     * of the first page, so it includes changes that occur while the other pages are read.
+     * Reads one page of a list and then the following pages. A later watch starts at the position
+     * of the first page, so it includes changes that occur while the other pages are read. All
+     * pages must be of the same era, because a list of two copies of the store shows neither.
      *
      * <p>A list opens a new connection. It mostly follows a failure, after which kept connections
      * may be silent as well, and a list that fails then shows that the store itself is out of
      * reach.
      */
     private CompletionStage<WatchResult> listPage(
-            String kind, String after, List<StoredObject> found, long firstRevision) {
+            String kind, String after, List<StoredObject> found, Optional<StorePosition> first) {
         String path = PATH + JsonFields.pathSegment(kind);
         if (!after.isEmpty()) {
             path += "?after=" + JsonFields.pathSegment(after);
@@ -152,79 +157,111 @@
                         exchange("GET", kind, path, null, LIST_TIMEOUT, ConnectionUse.NEW),
                         answer -> {
                             requireRead(answer);
-                            return bodyWithout("events", answer);
+                            return page(answer, first);
                         },
                         PlatformObjectApi::unavailable)
-                .thenCompose(page -> nextPage(kind, page, found, firstRevision));
+                .thenCompose(page -> nextPage(kind, page, found, first.orElse(page.position())));
+    }
+
+    /** One page of a list. */
+    private record Page(StorePosition position, JsonNode body) {}
+
+    /**
+     * Reads a page of a list.
+     *
+     * @param first position of the first page; empty if this is the first one
+     * @throws IllegalArgumentException if the page is of another era than the first one
+     */
+    private static Page page(HttpAnswer answer, Optional<StorePosition> first) {
+        StoreEra era = StoreEraHeader.read(answer);
+        if (first.isPresent() && !first.get().era().equals(era)) {
+            throw new IllegalArgumentException(
+                    "the pages of the list are of the eras " + first.get().era() + " and " + era);
+        }
+        JsonNode body = bodyWithout("events", answer);
+        return new Page(new StorePosition(era, body.path("as_of").asLong()), body);
     }
 
     private CompletionStage<WatchResult> nextPage(
-            String kind, JsonNode page, List<StoredObject> found, long firstRevision) {
-        for (JsonNode item : page.path("items")) {
-            addReadable(found, kind, item, false);
+            String kind, Page page, List<StoredObject> found, StorePosition first) {
+        for (JsonNode item : page.body().path("items")) {
+            addReadable(found, kind, first.era(), item, false);
         }
-        long revision = firstRevision >= 0 ? firstRevision : page.path("as_of").asLong();
-        if (page.path("has_more").asBoolean() && !found.isEmpty()) {
+        if (page.body().path("has_more").asBoolean() && !found.isEmpty()) {
             String last = found.get(found.size() - 1).name().name();
-            return listPage(kind, last, found, revision);
+            return listPage(kind, last, found, Optional.of(first));
         }
-        return java.util.concurrent.CompletableFuture.completedFuture(
-                new WatchResult(found, revision, false));
+        return CompletableFuture.completedFuture(new WatchResult(found, first, false));
     }
 
     @Override
     public CompletionStage<WatchResult> watch(
-            String kind, long afterRevision, Duration longestWait) {
+            String kind, StorePosition after, Duration longestWait) {
         String path =
                 PATH
                         + JsonFields.pathSegment(kind)
                         + "?watch="
-                        + afterRevision
+                        + after.revision()
                         + "&wait_ms="
                         + longestWait.toMillis();
         return Answers.read(
                 exchange("GET", kind, path, null, longestWait.plus(ANSWER_TIMEOUT)),
                 answer -> {
+                    StoreEra era = StoreEraHeader.read(answer);
                     if (answer.status() == GONE) {
-                        return new WatchResult(List.of(), afterRevision, true);
+                        return gap(era, after);
                     }
                     requireRead(answer);
-                    return changes(kind, bodyWithout("items", answer), afterRevision);
+                    return era.equals(after.era()) || !era.isStated()
+                            ? changes(kind, bodyWithout("items", answer), after)
+                            : gap(era, after);
                 },
                 PlatformObjectApi::unavailable);
     }
 
+    /**
+     * Returns that changes may be missing: the history is gone, or the answer counts the changes
+     * from the revision of another era.
+     */
+    private static WatchResult gap(StoreEra era, StorePosition after) {
+        return new WatchResult(List.of(), new StorePosition(era, after.revision()), true);
+    }
+
     /**
      * Reads the changes of the answer to a watch.
      *
      * @throws IllegalArgumentException if it ends before the watch begins, so that it belongs to an
      *     earlier watch
      */
-    private static WatchResult changes(String kind, JsonNode body, long afterRevision) {
-        if (body.has("as_of") && body.path("as_of").asLong() < afterRevision) {
+    private static WatchResult changes(String kind, JsonNode body, StorePosition after) {
+        if (body.has("as_of") && body.path("as_of").asLong() < after.revision()) {
             throw new IllegalArgumentException(
-                    "the answer ends at " + body.path("as_of") + ", before " + afterRevision);
+                    "the answer ends at " + body.path("as_of") + ", before " + after);
         }
         List<StoredObject> changed = new ArrayList<>();
         for (JsonNode event : body.path("events")) {
-            addReadable(changed, kind, event.path("object"), event.path("deleted").asBoolean());
+            boolean deleted = event.path("deleted").asBoolean();
+            addReadable(changed, kind, after.era(), event.path("object"), deleted);
         }
-        long revision = Math.max(afterRevision, body.path("as_of").asLong());
-        return new WatchResult(changed, revision, false);
+        long revision = Math.max(after.revision(), body.path("as_of").asLong());
+        return new WatchResult(changed, new StorePosition(after.era(), revision), false);
     }
 
     /** Adds an object. An object without a readable name is skipped. */
     private static void addReadable(
-            List<StoredObject> objects, String kind, JsonNode node, boolean deleted) {
+            List<StoredObject> objects, String kind, StoreEra era, JsonNode node, boolean deleted) {
         JsonNode metadata = node.path("metadata");
         if (!metadata.path("name").isTextual() || metadata.path("name").textValue().isEmpty()) {
             return;
         }
-        StoredObject object = object(kind, node);
+        StoredObject object = object(kind, era, node);
         boolean removed = deleted || metadata.path("deleting").asBoolean(false);
         objects.add(
                 removed
-                        ? new StoredObject(object.name(), StoredObject.ABSENT, object.content())
+                        ? new StoredObject(
+                                object.name(),
+                                new StorePosition(era, StoredObject.ABSENT),
+                                object.content())
                         : object);
     }
 
@@ -235,7 +272,8 @@
      *     belongs to another call
      */
     private static StoredObject requestedObject(ObjectName name, HttpAnswer answer) {
-        StoredObject found = object(name.kind(), JsonFields.parseForeign(answer.body()));
+        StoreEra era = StoreEraHeader.read(answer);
+        StoredObject found = object(name.kind(), era, JsonFields.parseForeign(answer.body()));
         if (!found.name().equals(name)) {
             throw new IllegalArgumentException(
                     "the answer contains object " + found.name() + " instead of " + name);
@@ -256,11 +294,12 @@
         return body;
     }
 
-    private static StoredObject object(String kind, JsonNode node) {
+    private static StoredObject object(String kind, StoreEra era, JsonNode node) {
         JsonNode metadata = node.path("metadata");
         ObjectName name = new ObjectName(kind, metadata.path("name").asText());
         long version = Math.max(1, metadata.path("revision").asLong());
-        return AccountKeys.withoutKeys(new StoredObject(name, version, node.path("spec")));
+        StorePosition position = new StorePosition(era, version);
+        return AccountKeys.withoutKeys(new StoredObject(name, position, node.path("spec")));
     }
 
     private CompletionStage<HttpAnswer> exchange(
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -89,6 +89,14 @@
     STORE_REACHED(Level.INFO),
     /** The store no longer has the watched revisions of a kind, so its objects are listed again. */
     STORE_HISTORY_GONE(Level.INFO),
+    /** The first answer of the store states the number of the copy from which it runs. */
+    STORE_ERA_LEARNT(Level.INFO),
+    /** The store has come back from an older copy: what was written since that copy is lost. */
+    STORE_RESTORED(Level.WARN),
+    /** An answer of an earlier era of the store arrived late; others of it are not logged. */
+    STORE_ANSWER_OUTDATED(Level.INFO),
+    /** An object of the store is not used, because a newer one is known. */
+    STORE_OBJECT_IGNORED(Level.INFO),
     /** A watch of the store ended without an answer; the objects are listed at once. */
     STORE_WATCH_LOST(Level.INFO),
     /** A peer passed on changed objects, because this instance does not reach the store. */
--- a/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
@@ -23,11 +23,32 @@
 /**
  * Stand-in for the platform's metadata store, with revisions, conditional writes, paged lists and
  * long-polling watches. Tests can inject faults.
+ *
+ * <p>It can return from an older copy of itself ({@link #copy}, {@link #returnFrom}): what was
+ * written since the copy is lost, revisions are given out again, and the era in the answers rises.
  */
 public final class PlatformStoreStandIn implements AutoCloseable {
     /** Objects of a page; so few that lists of tests have several pages. */
     private static final int SMALL_PAGE = 3;
 
+    private static final String ERA_HEADER = "Store-Era";
+
+    /** The contents of the store at a moment. */
+    public static final class Copy {
+        private final Map<String, TreeMap<String, ObjectNode>> objects = new TreeMap<>();
+        private final List<Change> history;
+        private final long revision;
+        private final long discardedRevision;
+
+        private Copy(PlatformStoreStandIn store) {
+            // Stored objects are replaced, never changed, so they need not be copied.
+            store.objects.forEach((kind, named) -> objects.put(kind, new TreeMap<>(named)));
+            history = List.copyOf(store.history);
+            revision = store.revision;
+            discardedRevision = store.discardedRevision;
+        }
+    }
+
     private record Change(long revision, String kind, ObjectNode object, boolean deleted) {}
 
     private record Watch(
@@ -46,6 +67,13 @@
     private final Map<String, String> foreignContents = new LinkedHashMap<>();
 
     private long revision = 1;
+
+    /** The era stated in all answers; zero states none. */
+    private long era;
+
+    /** Whether connections are closed instead of answering calls. */
+    private boolean away;
+
     private long discardedRevision;
     private int callCount;
     private int forcedStatus;
@@ -89,6 +117,39 @@
         }
     }
 
+    /** States an era in all answers from now on. */
+    public synchronized void stateEra(long stated) {
+        era = stated;
+    }
+
+    /** Returns a copy from which the store can return later. */
+    public synchronized Copy copy() {
+        return new Copy(this);
+    }
+
+    /** Sets whether the store is away: it closes all connections without an answer. */
+    public synchronized void setAway(boolean isAway) {
+        away = isAway;
+        if (away) {
+            cutWatches();
+        }
+    }
+
+    /**
+     * Returns with the contents of an older copy, in the next era, and ends the waiting watches.
+     */
+    public synchronized void returnFrom(Copy copy) {
+        cutWatches();
+        objects.clear();
+        copy.objects.forEach((kind, named) -> objects.put(kind, new TreeMap<>(named)));
+        history.clear();
+        history.addAll(copy.history);
+        revision = copy.revision;
+        discardedRevision = copy.discardedRevision;
+        era++;
+        away = false;
+    }
+
     /** Sets whether writes take effect without being answered. */
     public synchronized void loseAnswersToWrites(boolean loses) {
         losesAnswersToWrites = loses;
@@ -235,6 +296,19 @@
 
     private synchronized CompletionStage<StandInReply> execute(StandInRequest request) {
         callCount++;
+        if (away) {
+            request.closeConnection().run();
+            return new CompletableFuture<>();
+        }
+        CompletionStage<StandInReply> reply = answer(request);
+        if (era == 0) {
+            return reply;
+        }
+        String stated = Long.toString(era);
+        return reply.thenApply(each -> each.withHeader(ERA_HEADER, stated));
+    }
+
+    private CompletionStage<StandInReply> answer(StandInRequest request) {
         if (forcedStatus != 0) {
             return done(StandInReply.empty(forcedStatus));
         }
@@ -288,7 +362,7 @@
             return done(page(kind, request.query().getOrDefault("after", "")));
         }
         long after = Long.parseLong(request.query().get("watch"));
-        if (after < discardedRevision) {
+        if (after < discardedRevision || after > revision) {
             return done(StandInReply.empty(410));
         }
         boolean changed =
--- a/src/main/java/org/tarragonlug/standin/StandInReply.java
+++ b/src/main/java/org/tarragonlug/standin/StandInReply.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.servicetalk.concurrent.api.Publisher;
+import java.util.HashMap;
 import java.util.Map;
 import org.tarragonlug.http.JsonFields;
 
@@ -27,6 +28,13 @@
         return new StandInReply(status, Map.of(), Publisher.empty());
     }
 
+    /** Returns the answer with a header added. */
+    StandInReply withHeader(String name, String value) {
+        Map<String, String> all = new HashMap<>(headers);
+        all.put(name, value);
+        return new StandInReply(status, all, body);
+    }
+
     static StandInReply error(int status, String code, String message) {
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         body.putObject("error").put("code", code).put("message", message);
--- a/src/test/java/org/tarragonlug/gateway/InMemoryObjectApi.java
+++ b/src/test/java/org/tarragonlug/gateway/InMemoryObjectApi.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -32,9 +33,9 @@
     }
 
     @Override
-    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expected) {
+    public CompletionStage<StorePosition> write(ObjectName name, JsonNode content, long expected) {
         put(name, content, expected + 1);
-        return CompletableFuture.completedFuture(expected + 1);
+        return CompletableFuture.completedFuture(StorePosition.of(expected + 1));
     }
 
     @Override
@@ -51,7 +52,7 @@
     }
 
     @Override
-    public CompletionStage<WatchResult> watch(String kind, long after, Duration wait) {
+    public CompletionStage<WatchResult> watch(String kind, StorePosition after, Duration wait) {
         throw new UnsupportedOperationException();
     }
 }
--- a/src/test/java/org/tarragonlug/gateway/RelayedKeysTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayedKeysTest.java
@@ -19,6 +19,7 @@
 import org.tarragonlug.http.LoopbackFixture;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.peer.GatewayMessage;
@@ -129,7 +130,7 @@
         store.put("servers", "s", Json.object());
         get(relay.list("config"));
         store.put("config", "main", Json.read(TABLE.getBytes(StandardCharsets.UTF_8)));
-        get(relay.watch("config", 2, Duration.ZERO));
+        get(relay.watch("config", StorePosition.of(2), Duration.ZERO));
         List<GatewayMessage.ObjectCallAnswer> answers =
                 List.of(
                         call(GatewayMessage.ObjectOperation.READ, 0),
--- a/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
@@ -24,6 +24,7 @@
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -59,8 +60,9 @@
         }
 
         @Override
-        public CompletionStage<Long> write(ObjectName name, JsonNode content, long expected) {
-            return answer(expected + 1);
+        public CompletionStage<StorePosition> write(
+                ObjectName name, JsonNode content, long expected) {
+            return answer(StorePosition.of(expected + 1));
         }
 
         @Override
@@ -74,8 +76,12 @@
         }
 
         @Override
-        public CompletionStage<WatchResult> watch(String kind, long after, Duration wait) {
-            long last = changed.stream().mapToLong(StoredObject::version).max().orElse(after);
+        public CompletionStage<WatchResult> watch(String kind, StorePosition after, Duration wait) {
+            long last =
+                    changed.stream()
+                            .mapToLong(StoredObject::version)
+                            .max()
+                            .orElse(after.revision());
             return answer(new WatchResult(changed, last, false));
         }
     }
@@ -186,17 +192,18 @@
         @Test
         void watchThroughSourceMakesNoCall() throws Exception {
             int before = disconnectedStore.calls + peerStore.calls;
-            assertEquals(9, get(disconnected.watch("servers", 9, WAIT)).revision());
+            assertEquals(
+                    9, get(disconnected.watch("servers", StorePosition.of(9), WAIT)).revision());
             assertEquals(before, disconnectedStore.calls + peerStore.calls);
         }
 
         @Test
         void waitingWatchGetsNewsOfSource() throws Exception {
             CompletionStage<WatchResult> watch =
-                    disconnected.watch("servers", 9, Duration.ofSeconds(4));
+                    disconnected.watch("servers", StorePosition.of(9), Duration.ofSeconds(4));
             ObjectName server = new ObjectName("servers", "s1");
             peerStore.changed = List.of(new StoredObject(server, 12, Json.object().put("a", 1)));
-            get(connectedPeer.watch("servers", 9, WAIT));
+            get(connectedPeer.watch("servers", StorePosition.of(9), WAIT));
             assertEquals(12, get(watch).changed().get(0).version());
         }
 
@@ -204,7 +211,7 @@
         @Test
         void silentSourceIsReplacedByTheStore() throws Exception {
             silentSource = true;
-            get(disconnected.watch("servers", 9, WAIT));
+            get(disconnected.watch("servers", StorePosition.of(9), WAIT));
             assertEquals(1, disconnectedStore.calls);
         }
 
@@ -212,13 +219,13 @@
         @Test
         void staleSourceIsReplacedByTheStore() throws Exception {
             Thread.sleep(SharedView.FRESHNESS.plusMillis(50).toMillis());
-            get(disconnected.watch("servers", 9, WAIT));
+            get(disconnected.watch("servers", StorePosition.of(9), WAIT));
             assertEquals(1, disconnectedStore.calls);
         }
 
         @Test
         void watchFromBeforeTheViewOfTheSourceHasGap() throws Exception {
-            assertTrue(get(disconnected.watch("servers", 5, WAIT)).gap());
+            assertTrue(get(disconnected.watch("servers", StorePosition.of(5), WAIT)).gap());
         }
     }
 
@@ -233,16 +240,17 @@
             source = Optional.of(new WatchSource(new InstanceId("peer"), "127.0.0.1:1"));
             get(connectedPeer.list("servers"));
             get(connectedPeer.list("config"));
-            disconnected.watch("servers", 9, WAIT);
+            disconnected.watch("servers", StorePosition.of(9), WAIT);
             disconnected = api(disconnectedStore, "peer");
-            CompletionStage<WatchResult> configuration = disconnected.watch("config", 9, WAIT);
+            CompletionStage<WatchResult> configuration =
+                    disconnected.watch("config", StorePosition.of(9), WAIT);
             ObjectName server = new ObjectName("servers", "s1");
             peerStore.changed = List.of(new StoredObject(server, 12, Json.object().put("a", 1)));
-            get(connectedPeer.watch("servers", 9, Duration.ZERO));
+            get(connectedPeer.watch("servers", StorePosition.of(9), Duration.ZERO));
             assertFalse(configuration.toCompletableFuture().isDone());
             ObjectName main = new ObjectName("config", "main");
             peerStore.changed = List.of(new StoredObject(main, 13, Json.object().put("a", 1)));
-            get(connectedPeer.watch("config", 9, Duration.ZERO));
+            get(connectedPeer.watch("config", StorePosition.of(9), Duration.ZERO));
             assertEquals(main, get(configuration).changed().get(0).name());
         }
     }
@@ -253,7 +261,7 @@
         void relaysCallsThroughPeerAfterTwoConsecutiveFailures() throws Exception {
             failTwice();
             assertEquals(7, get(disconnected.read(NAME)).version());
-            assertEquals(42, get(disconnected.write(NAME, Json.object(), 41)));
+            assertEquals(StorePosition.of(42), get(disconnected.write(NAME, Json.object(), 41)));
             assertEquals(9, get(disconnected.list("servers")).revision());
             assertTrue(peerStore.calls >= 3);
         }
--- a/src/test/java/org/tarragonlug/gateway/SilenceableStore.java
+++ b/src/test/java/org/tarragonlug/gateway/SilenceableStore.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -197,8 +198,8 @@
     }
 
     @Override
-    public CompletionStage<Long> write(ObjectName name, JsonNode content, long expected) {
-        return answer(CALL_TIMEOUT, () -> expected + 1);
+    public CompletionStage<StorePosition> write(ObjectName name, JsonNode content, long expected) {
+        return answer(CALL_TIMEOUT, () -> StorePosition.of(expected + 1));
     }
 
     @Override
@@ -222,7 +223,8 @@
     }
 
     @Override
-    public CompletionStage<WatchResult> watch(String kind, long after, Duration wait) {
+    public CompletionStage<WatchResult> watch(String kind, StorePosition position, Duration wait) {
+        long after = position.revision();
         Call<WatchResult> call =
                 begin(keptConnections, wait.plus(PlatformObjectApi.ANSWER_TIMEOUT));
         if (outage != Outage.NONE) {
--- a/src/test/java/org/tarragonlug/http/AnswerFuzzTest.java
+++ b/src/test/java/org/tarragonlug/http/AnswerFuzzTest.java
@@ -22,6 +22,7 @@
 import org.tarragonlug.id.ArtifactId;
 import org.tarragonlug.id.AttemptId;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.instancelist.HttpInstanceList;
 import org.tarragonlug.objectapi.HttpObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
@@ -78,7 +79,7 @@
         fuzz(
                 12,
                 RawServer.ok("{\"changed\":[" + object + "],\"revision\":9}"),
-                server -> api(server).watch("a", 3, Duration.ofMillis(10)));
+                server -> api(server).watch("a", StorePosition.of(3), Duration.ofMillis(10)));
     }
 
     private HttpObjectApi api(RawServer server) {
--- a/src/test/java/org/tarragonlug/objectapi/HttpObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/objectapi/HttpObjectApiTest.java
@@ -19,6 +19,7 @@
 import org.tarragonlug.http.LoopbackFixture;
 import org.tarragonlug.http.RawServer;
 import org.tarragonlug.http.RepeatingServer;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.standin.ObjectApiCounts;
 import org.tarragonlug.standin.ObjectApiStandIn;
 import org.tarragonlug.standin.OutageKind;
@@ -45,8 +46,8 @@
         return JsonNodeFactory.instance.objectNode().put("value", value);
     }
 
-    private static long version(CompletionStage<Long> written) throws Exception {
-        return LoopbackFixture.await(written);
+    private static long version(CompletionStage<StorePosition> written) throws Exception {
+        return LoopbackFixture.await(written).revision();
     }
 
     @Nested
@@ -223,7 +224,7 @@
             WatchResult list = LoopbackFixture.await(api.list("claims"));
             assertEquals(1, list.changed().size());
             CompletionStage<WatchResult> watch =
-                    api.watch("claims", list.revision(), Duration.ofSeconds(5));
+                    api.watch("claims", list.position(), Duration.ofSeconds(5));
             version(api.write(new ObjectName("other", "x"), content(1), StoredObject.ABSENT));
             LoopbackFixture.await(api.delete(NAME, list.changed().get(0).version()));
             WatchResult changes = LoopbackFixture.await(watch);
@@ -237,7 +238,8 @@
          */
         @Test
         void returnsNoChangesWhenWaitEnds() throws Exception {
-            WatchResult result = LoopbackFixture.await(api.watch("claims", 0, WAIT));
+            WatchResult result =
+                    LoopbackFixture.await(api.watch("claims", StorePosition.of(0), WAIT));
             assertEquals(new WatchResult(java.util.List.of(), 0, false), result);
         }
 
@@ -249,7 +251,7 @@
         void reportsGapWhenServerHasDiscardedChanges() throws Exception {
             version(api.write(NAME, content(1), StoredObject.ABSENT));
             standIn.discardChanges();
-            assertTrue(LoopbackFixture.await(api.watch("claims", 0, WAIT)).gap());
+            assertTrue(LoopbackFixture.await(api.watch("claims", StorePosition.of(0), WAIT)).gap());
         }
 
         /** Guards against a watch that never ends because the server does not answer at all. */
@@ -258,7 +260,8 @@
             standIn.setOutage(OutageKind.SILENT);
             assertEquals(
                     ErrorCode.OBJECT_API_UNAVAILABLE,
-                    LoopbackFixture.awaitErrorCode(shortTimeoutApi.watch("claims", 0, WAIT)));
+                    LoopbackFixture.awaitErrorCode(
+                            shortTimeoutApi.watch("claims", StorePosition.of(0), WAIT)));
         }
     }
 
--- a/src/test/java/org/tarragonlug/objectapi/TablePublisherTest.java
+++ b/src/test/java/org/tarragonlug/objectapi/TablePublisherTest.java
@@ -24,6 +24,7 @@
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.OperationId;
+import org.tarragonlug.id.StorePosition;
 
 class TablePublisherTest {
     @TempDir Path mariasFiles;
@@ -193,7 +194,7 @@
         }
 
         @Override
-        public CompletionStage<Long> write(
+        public CompletionStage<StorePosition> write(
                 ObjectName name, JsonNode content, long expectedVersion) {
             try {
                 Action action = beforeNextWrite;
@@ -201,7 +202,8 @@
                 if (action != null) {
                     action.run();
                 }
-                return CompletableFuture.completedFuture(store(name, content, expectedVersion));
+                long version = store(name, content, expectedVersion);
+                return CompletableFuture.completedFuture(StorePosition.of(version));
             } catch (TarragonlugException e) {
                 return CompletableFuture.failedFuture(e);
             }
@@ -237,7 +239,7 @@
 
         @Override
         public CompletionStage<WatchResult> watch(
-                String kind, long afterRevision, Duration longestWait) {
+                String kind, StorePosition after, Duration longestWait) {
             throw new UnsupportedOperationException();
         }
     }
--- a/src/test/java/org/tarragonlug/platform/OddStatusTest.java
+++ b/src/test/java/org/tarragonlug/platform/OddStatusTest.java
@@ -18,6 +18,7 @@
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ModelKey;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.runtime.Json;
 
@@ -99,7 +100,7 @@
             assertEquals(
                     unavailable,
                     LoopbackFixture.awaitErrorCode(
-                            store.watch("leases", 3, Duration.ofMillis(100))));
+                            store.watch("leases", StorePosition.of(3), Duration.ofMillis(100))));
         }
 
         // Guards against writes that count as done or as refused.
--- a/src/test/java/org/tarragonlug/platform/PlatformObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/platform/PlatformObjectApiTest.java
@@ -15,6 +15,7 @@
 import org.tarragonlug.http.LoopbackFixture;
 import org.tarragonlug.http.RawServer;
 import org.tarragonlug.http.RepeatingServer;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.runtime.Json;
 import org.tarragonlug.standin.PlatformStoreStandIn;
@@ -51,7 +52,9 @@
                     LoopbackFixture.awaitErrorCode(api(server).read(SECOND)));
         }
         try (RepeatingServer server = new RepeatingServer(n -> object(FIRST), DELAY)) {
-            assertEquals(5, LoopbackFixture.await(api(server).write(FIRST, Json.object(), 4)));
+            assertEquals(
+                    StorePosition.of(5),
+                    LoopbackFixture.await(api(server).write(FIRST, Json.object(), 4)));
             assertEquals(
                     ErrorCode.OBJECT_API_OUTCOME_UNKNOWN,
                     LoopbackFixture.awaitErrorCode(api(server).write(SECOND, Json.object(), 4)));
@@ -68,11 +71,16 @@
             assertEquals(
                     ErrorCode.OBJECT_API_UNAVAILABLE,
                     LoopbackFixture.awaitErrorCode(
-                            api(server).watch("servers", 5, Duration.ofMillis(300))));
+                            api(server)
+                                    .watch(
+                                            "servers",
+                                            StorePosition.of(5),
+                                            Duration.ofMillis(300))));
         }
         byte[] events = RawServer.ok("{\"events\":[],\"as_of\":9}");
         try (RepeatingServer server = new RepeatingServer(n -> events, DELAY)) {
-            LoopbackFixture.await(api(server).watch("servers", 5, Duration.ofMillis(300)));
+            LoopbackFixture.await(
+                    api(server).watch("servers", StorePosition.of(5), Duration.ofMillis(300)));
             assertEquals(
                     ErrorCode.OBJECT_API_UNAVAILABLE,
                     LoopbackFixture.awaitErrorCode(api(server).list("servers")));
@@ -90,10 +98,12 @@
         try (RepeatingServer server =
                 new RepeatingServer(answers(noEvents(9), noEvents(7)), DELAY)) {
             PlatformObjectApi api = api(server);
-            LoopbackFixture.await(api.watch("config", 5, Duration.ofMillis(300)));
+            LoopbackFixture.await(api.watch("config", StorePosition.of(5), Duration.ofMillis(300)));
             assertEquals(
                     7,
-                    LoopbackFixture.await(api.watch("servers", 5, Duration.ofMillis(300)))
+                    LoopbackFixture.await(
+                                    api.watch(
+                                            "servers", StorePosition.of(5), Duration.ofMillis(300)))
                             .revision());
         }
     }
@@ -104,11 +114,12 @@
     void answerFromBeforeTheRevisionIsNoAnswer() throws Exception {
         try (RepeatingServer server = new RepeatingServer(n -> noEvents(9), DELAY)) {
             PlatformObjectApi api = api(server);
-            LoopbackFixture.await(api.watch("servers", 5, Duration.ofMillis(300)));
+            LoopbackFixture.await(
+                    api.watch("servers", StorePosition.of(5), Duration.ofMillis(300)));
             assertEquals(
                     ErrorCode.OBJECT_API_UNAVAILABLE,
                     LoopbackFixture.awaitErrorCode(
-                            api.watch("servers", 12, Duration.ofMillis(300))));
+                            api.watch("servers", StorePosition.of(12), Duration.ofMillis(300))));
         }
     }
 
@@ -161,7 +172,9 @@
         try (RepeatingServer server =
                 new RepeatingServer(answers(status(refusal), object(SECOND)), DELAY)) {
             LoopbackFixture.awaitErrorCode(api(server).write(FIRST, Json.object(), 4));
-            assertEquals(5, LoopbackFixture.await(api(server).write(SECOND, Json.object(), 4)));
+            assertEquals(
+                    StorePosition.of(5),
+                    LoopbackFixture.await(api(server).write(SECOND, Json.object(), 4)));
         }
     }
 
@@ -183,12 +196,13 @@
     void onlyWritesNeedNewConnections() throws Exception {
         try (PlatformStoreStandIn store = new PlatformStoreStandIn(loopback.ioExecutor)) {
             PlatformObjectApi api = new PlatformObjectApi(loopback.connections, store.address());
-            long version = LoopbackFixture.await(api.write(FIRST, Json.object(), 0));
+            long version = LoopbackFixture.await(api.write(FIRST, Json.object(), 0)).revision();
             for (int round = 0; round < 5; round++) {
                 for (int read = 0; read < 10; read++) {
                     LoopbackFixture.await(api.read(FIRST));
                 }
-                version = LoopbackFixture.await(api.write(FIRST, Json.object(), version));
+                version =
+                        LoopbackFixture.await(api.write(FIRST, Json.object(), version)).revision();
             }
             int readConnections = store.usedConnections() - 6;
             // The next read may begin before the connection of the last one is back in the pool.
