--- a/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
@@ -60,6 +60,10 @@
     private long startMillis = System.currentTimeMillis();
     private long orderCount;
     private int reservationCount;
+
+    /** How often the server has written its entry in its present run. */
+    private int entryWrites;
+
     private int starts = 1;
     private boolean closed;
     private boolean busy;
@@ -166,6 +170,16 @@
         register();
     }
 
+    /** Writes the server's entry again, as it does in each report interval. */
+    public synchronized void renewEntry() {
+        register();
+    }
+
+    /** Removes the server's entry from the store. The server goes on serving. */
+    public void removeEntry() {
+        store.remove("servers", id);
+    }
+
     /** Returns the number of runs of each request, by request id. */
     public Map<String, Integer> runsByRequestId() {
         return Map.copyOf(runsByRequestId);
@@ -184,7 +198,8 @@
         entry.put("version", "v1");
         entry.put("slots", 8);
         entry.put("state", leaving ? "draining" : "ready");
-        entry.put("seq", 1);
+        entryWrites++;
+        entry.put("seq", entryWrites);
         entry.put("born", startMillis);
         entry.set("models", modelList());
         ObjectNode available = entry.putObject("available");
@@ -349,6 +364,7 @@
         starts++;
         id = name + "-" + starts;
         startMillis = System.currentTimeMillis();
+        entryWrites = 0;
         orderCount = 0;
         busy = false;
         models.clear();
--- /dev/null
+++ b/src/test/java/org/tarragonlug/gateway/StoreRestoredTest.java
@@ -0,0 +1,198 @@
+package org.tarragonlug.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tarragonlug.runtime.Json;
+import org.tarragonlug.standin.PlatformServerStandIn;
+import org.tarragonlug.standin.PlatformStoreStandIn;
+
+/** A gateway whose store is away for a moment and comes back from an older copy of itself. */
+class StoreRestoredTest {
+    /** How long the store is away. */
+    private static final Duration AWAY = Duration.ofMillis(300);
+
+    /** Within this time a change of the configuration takes effect, also after an outage. */
+    private static final Duration CONFIGURATION_BOUND = Duration.ofSeconds(7);
+
+    /** Within this time after its entry says so a server that leaves gets no new requests. */
+    private static final Duration LEAVING_BOUND = Duration.ofSeconds(2);
+
+    /** How long entries of the copy that are not renewed stay listed. */
+    private static final Duration EXPIRY = Duration.ofMillis(3600);
+
+    private final GatewayFixture fixture = new GatewayFixture();
+
+    @BeforeEach
+    void stateEras() {
+        fixture.store.stateEra(1);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        fixture.close();
+    }
+
+    private void startGateway() throws Exception {
+        fixture.startGateway("one");
+        GatewayFixture.await("ready", () -> fixture.readiness(0) == 200);
+    }
+
+    /** Writes other objects, so that the revisions after the copy are given out once. */
+    private void raiseRevisions() throws Exception {
+        for (int count = 0; count < 20; count++) {
+            fixture.store.put("other", "object-" + count, Json.object());
+        }
+    }
+
+    private void returnFrom(PlatformStoreStandIn.Copy copy) throws Exception {
+        fixture.store.setAway(true);
+        Thread.sleep(AWAY.toMillis());
+        fixture.store.returnFrom(copy);
+    }
+
+    private int status(String path) throws Exception {
+        return fixture.send(0, path, "", "x").statusCode();
+    }
+
+    private void awaitRoute(String path, Duration bound) throws Exception {
+        long end = System.nanoTime() + bound.toNanos();
+        while (status(path) != 200 && System.nanoTime() < end) {
+            Thread.sleep(20);
+        }
+        assertEquals(200, status(path), path + " after " + bound);
+    }
+
+    @Nested
+    class Configuration {
+        /**
+         * Guards against a new configuration being ignored because its revision is below a lost
+         * one.
+         */
+        @Test
+        void newVersionWithLowerRevisionTakesEffect() throws Exception {
+            fixture.configure(1, "first");
+            fixture.startServer("r1", "records");
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            startGateway();
+            raiseRevisions();
+            fixture.configure(2, "second");
+            awaitRoute("/second/1", CONFIGURATION_BOUND);
+            returnFrom(copy);
+            fixture.configure(2, "second");
+            fixture.configure(3, "third");
+            awaitRoute("/third/1", CONFIGURATION_BOUND);
+        }
+
+        /** Guards against a configuration in force being replaced by the older one of the copy. */
+        @Test
+        void versionInForceStaysWhileTheCopyHasAnOlderOne() throws Exception {
+            fixture.configure(1, "first");
+            fixture.startServer("r1", "records");
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            startGateway();
+            fixture.configure(2, "second");
+            awaitRoute("/second/1", CONFIGURATION_BOUND);
+            returnFrom(copy);
+            for (int count = 0; count < 20; count++) {
+                assertEquals(200, status("/second/1"));
+                assertEquals(404, status("/first/1"));
+                Thread.sleep(100);
+            }
+        }
+
+        /** Guards against a second return from the same copy being taken for the first one. */
+        @Test
+        void newVersionTakesEffectAfterTwoReturnsFromOneCopy() throws Exception {
+            fixture.configure(1, "first");
+            fixture.startServer("r1", "records");
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            startGateway();
+            raiseRevisions();
+            fixture.configure(2, "second");
+            awaitRoute("/second/1", CONFIGURATION_BOUND);
+            returnFrom(copy);
+            fixture.configure(3, "third");
+            awaitRoute("/third/1", CONFIGURATION_BOUND);
+            returnFrom(copy);
+            fixture.configure(4, "fourth");
+            awaitRoute("/fourth/1", CONFIGURATION_BOUND);
+        }
+    }
+
+    @Nested
+    class Servers {
+        private PlatformServerStandIn first;
+        private PlatformServerStandIn second;
+
+        private void startBoth() throws Exception {
+            fixture.configure(1, "read");
+            first = fixture.startServer("r1", "records");
+            second = fixture.startServer("r2", "records");
+        }
+
+        private void assertNotUsed(PlatformServerStandIn server) throws Exception {
+            int before = server.runsByRequestId().size();
+            for (int count = 0; count < 20; count++) {
+                assertEquals(200, status("/read/1"));
+            }
+            assertEquals(before, server.runsByRequestId().size());
+        }
+
+        /** Guards against a leaving server being used because its entry has a lower revision. */
+        @Test
+        void serverThatLeavesAfterTheReturnGetsNoNewRequests() throws Exception {
+            startBoth();
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            startGateway();
+            raiseRevisions();
+            first.renewEntry();
+            Thread.sleep(500);
+            returnFrom(copy);
+            second.renewEntry();
+            first.leave();
+            Thread.sleep(LEAVING_BOUND.toMillis());
+            assertNotUsed(first);
+        }
+
+        /** Guards against a server that has left being taken back from an entry of the copy. */
+        @Test
+        void serverThatLeftBeforeTheReturnStaysLeft() throws Exception {
+            startBoth();
+            startGateway();
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            first.leave();
+            Thread.sleep(500);
+            first.removeEntry();
+            Thread.sleep(500);
+            assertNotUsed(first);
+            returnFrom(copy);
+            second.renewEntry();
+            for (int count = 0; count < 10; count++) {
+                assertNotUsed(first);
+                Thread.sleep(EXPIRY.toMillis() / 10);
+            }
+        }
+
+        /** Guards against a server being dropped because the copy does not have its entry yet. */
+        @Test
+        void serverThatTheCopyDoesNotHaveIsKeptUntilItWritesAgain() throws Exception {
+            fixture.configure(1, "read");
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            first = fixture.startServer("r1", "records");
+            startGateway();
+            returnFrom(copy);
+            for (int count = 0; count < 10; count++) {
+                assertEquals(200, status("/read/1"));
+                Thread.sleep(100);
+            }
+            first.renewEntry();
+            Thread.sleep(3000);
+            assertEquals(200, status("/read/1"));
+        }
+    }
+}
