Compare versions of stored objects only within an era of the store

Callers got 404 on an acknowledged route for good after the store had come back from an older copy; a server whose entry said that it leaves went on getting requests, and one that the copy did not have was dropped at once. Cause: StoreWatcher remembers the highest version of each object and ignores lower ones. A store that comes back gives versions out again, so what was remembered belonged to another store. The entries that the copy lacks counted as removed, since no list had failed. Change: StoreWatcher remembers positions, and those of another era do not count. Each kind is listed anew when any answer shows a new era. Answers of an earlier era fail as if they had not come; a write that was answered in another era than it began in has an unknown outcome. Entries that the copy lacks are kept for the time in which servers write them again. A configuration older than the one in force is logged and not used. Relayed answers do not bear the era yet.

--- a/src/main/java/org/tarragonlug/decision/watching/StoreOutage.java
+++ b/src/main/java/org/tarragonlug/decision/watching/StoreOutage.java
@@ -38,6 +38,9 @@
 
     private Instant lastFailedListBegan = Instant.MIN;
 
+    /** When the store was last found to run from another copy than before. */
+    private Instant restoredAt = Instant.EPOCH;
+
     /**
      * Creates the state of an instance that has not asked the store yet.
      *
@@ -58,12 +61,26 @@
         lastFailedListBegan = began;
     }
 
+    /**
+     * Records that the store runs from an older copy, which lacks the entries of servers that
+     * started after it. Running servers write them again.
+     */
+    public void onStoreRestored(Instant now) {
+        restoredAt = now;
+    }
+
     /**
      * Returns until when entries must be kept that are missing from a list that was just answered;
      * not after {@code now} if they name servers that are gone. Must be called before {@link
      * #onAnswered}.
      */
     public Instant keepMissingUntil(Instant now) {
+        Instant afterOutage = keepAfterOutage(now);
+        Instant afterRestore = restoredAt.plus(REWRITE_TIME);
+        return afterOutage.isAfter(afterRestore) ? afterOutage : afterRestore;
+    }
+
+    private Instant keepAfterOutage(Instant now) {
         Duration shortest = limits.reportInterval().multipliedBy(INTERVALS_WITHOUT_REPORT);
         boolean listFailed = !lastFailedListBegan.equals(Instant.MIN);
         if (!listFailed || now.isBefore(lastAnswerAt.plus(shortest))) {
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -112,7 +112,8 @@
     private final PlacementDriver placement;
     private final OrderExecutor executor;
     private final StoreEraMonitor storeEras;
-    private final RelayingObjectApi store;
+    private final RelayingObjectApi relay;
+    private final EraCheckedObjectApi store;
     private final QuarantineManager quarantineManager = new QuarantineManager();
     private final QuarantineDriver quarantine;
     private final QuotaDriver quotas;
@@ -180,7 +181,7 @@
         this.executor = createExecutor(groups, engines);
         this.placement = new PlacementDriver(planner, executor, engines, loop, timers, log, peers);
         this.storeEras = new StoreEraMonitor(timers, log);
-        this.store =
+        this.relay =
                 new RelayingObjectApi(
                         new EraCheckedObjectApi(
                                 new PlatformObjectApi(connections, settings.storeAddress()),
@@ -191,6 +192,7 @@
                         timers,
                         log,
                         callNumbers);
+        this.store = new EraCheckedObjectApi(relay, storeEras, timers);
         leases.start(store, loop, log);
         this.listedServers =
                 new ListedServers(
@@ -289,6 +291,7 @@
                 loop,
                 timers,
                 log,
+                storeEras::current,
                 settings.watchLimits(),
                 followedSource,
                 () -> placement.isPlanning() || !ready,
@@ -334,9 +337,10 @@
     }
 
     private void startOnLoop() {
-        peers.start(transport, forwarding, placement, executor, store, quarantine);
+        peers.start(transport, forwarding, placement, executor, relay, quarantine);
         quarantine.start(peers, forwarding, store);
         quotas.start(peers, coordinator, forwarding, placement, leases);
+        storeEras.addListener(era -> watches.onStoreEra());
         watches.start();
         timers.schedulePeriodically(IDLE_TICK, now -> tick());
         timers.schedulePeriodically(SERVER_COUNT_PERIOD, this::countServers);
--- a/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
+++ b/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
@@ -1,9 +1,12 @@
 package org.tarragonlug.gateway;
 
+import java.util.Optional;
 import org.tarragonlug.decision.forwarding.ForwardingCoordinator;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
 import org.tarragonlug.decision.forwarding.ForwardingTable;
 import org.tarragonlug.decision.placement.PlacementEvent;
+import org.tarragonlug.id.ConfigurationVersion;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.platform.ConfigurationDecoder;
 import org.tarragonlug.platform.PlatformKinds;
@@ -54,20 +57,24 @@
                     .write();
             return;
         }
-        boolean newer =
-                coordinator.table().isEmpty()
-                        || table.version().compareTo(coordinator.table().get().version()) > 0;
-        if (newer) {
-            install(table, object.version());
+        Optional<ConfigurationVersion> inForce = coordinator.table().map(ForwardingTable::version);
+        if (inForce.isEmpty() || table.version().compareTo(inForce.get()) > 0) {
+            install(table, object.position());
+        } else if (table.version().compareTo(inForce.get()) < 0) {
+            log.event(LogEvent.CONFIGURATION_OLDER)
+                    .with("version", table.version())
+                    .with("in_force", inForce.get())
+                    .with("position", object.position())
+                    .write();
         }
     }
 
-    private void install(ForwardingTable table, long revision) {
+    private void install(ForwardingTable table, StorePosition position) {
         log.event(LogEvent.CONFIGURATION_INSTALLED)
                 .with("version", table.version())
                 .with("routes", table.routeCount())
                 .with("accounts", table.accounts().accounts().size())
-                .with("revision", revision)
+                .with("revision", position)
                 .write();
         metrics.setConfigurationVersion(table.version().value());
         metrics.setAccounts(table.accounts().accounts().size());
--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.tarragonlug.decision.watching.StoreOutage;
 import org.tarragonlug.decision.watching.WatchLimits;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.StoredObject;
@@ -33,6 +34,10 @@
  *
  * <p>If an object is missing from a list after an outage of the store, a later list decides whether
  * it is gone ({@link StoreOutage}), because servers then rewrite the entries that expired.
+ *
+ * <p>A store that comes back from an older copy gives revisions out again. Versions are therefore
+ * compared only within an era, and all objects are listed anew in each one. The listener then also
+ * receives objects that are older than what it knows.
  */
 final class StoreWatcher {
     /** Pause before a list after the first lost watch. */
@@ -55,7 +60,10 @@
 
     /** Receives the objects. Called on the event loop. */
     interface Listener {
-        /** Called when an object is read for the first time or has a newer version. */
+        /**
+         * Called when an object is read for the first time, has a newer version, or is read for the
+         * first time in an era of the store.
+         */
         void onChanged(StoredObject object);
 
         /** Called when an object that was reported before has been removed. */
@@ -72,10 +80,11 @@
     private final EventLog log;
     private final WatchLimits limits;
     private final Supplier<WatchPace> pace;
+    private final Supplier<StoreEra> present;
     private final Runnable onWatchLost;
     private final Listener listener;
     private final StoreOutage outage;
-    private final Map<String, Long> knownVersions = new HashMap<>();
+    private final Map<String, StorePosition> knownPositions = new HashMap<>();
     private Step step = Step.PAUSING;
     private TimerHandle nextStep = () -> {};
 
@@ -98,6 +107,7 @@
      * @param kind the kind of objects
      * @param limits what the platform allows
      * @param pace the present pace
+     * @param present the present era of the store
      * @param onWatchLost called when a watch ends without an answer, so that others may begin anew
      * @param listener receives the objects
      */
@@ -109,6 +119,7 @@
             EventLog log,
             WatchLimits limits,
             Supplier<WatchPace> pace,
+            Supplier<StoreEra> present,
             Runnable onWatchLost,
             Listener listener) {
         this.kind = kind;
@@ -119,6 +130,7 @@
         this.limits = limits;
         this.outage = new StoreOutage(limits);
         this.pace = pace;
+        this.present = present;
         this.onWatchLost = onWatchLost;
         this.listener = listener;
     }
@@ -141,6 +153,21 @@
         }
     }
 
+    /**
+     * Lists the objects of a new era of the store. The list follows the answer that told of the
+     * era, which may be a list of this kind itself.
+     */
+    void onStoreEra() {
+        outage.onStoreRestored(timers.now());
+        loop.execute(this::listUnlessOfPresentEra);
+    }
+
+    private void listUnlessOfPresentEra() {
+        if (initialListComplete && step != Step.LISTING && !position.era().equals(present.get())) {
+            list();
+        }
+    }
+
     private void list() {
         begin(
                 Step.LISTING,
@@ -216,7 +243,7 @@
         Instant now = timers.now();
         Instant keepMissingUntil = outage.keepMissingUntil(now);
         onAnswered();
-        Set<String> absent = new HashSet<>(knownVersions.keySet());
+        Set<String> absent = new HashSet<>(knownPositions.keySet());
         for (StoredObject object : result.changed()) {
             if (object.exists()) {
                 absent.remove(object.name().name());
@@ -249,7 +276,7 @@
             backoff = NO_BACKOFF;
         }
         failedBefore = false;
-        if (result.gap()) {
+        if (result.gap() || !result.position().era().equals(position.era())) {
             log.event(LogEvent.STORE_HISTORY_GONE).with("kind", kind).write();
             list();
             return;
@@ -268,20 +295,22 @@
     private void applyChange(StoredObject object) {
         String name = object.name().name();
         // An answer relayed by a peer may be older than one received directly from the store.
-        if (object.version() > knownVersions.getOrDefault(name, 0L)) {
-            knownVersions.put(name, object.version());
+        StorePosition known = knownPositions.get(name);
+        boolean comparable = known != null && known.era().equals(object.position().era());
+        if (!comparable || object.position().isAfter(known)) {
+            knownPositions.put(name, object.position());
             listener.onChanged(object);
-        } else if (object.version() < knownVersions.get(name)) {
+        } else if (known.isAfter(object.position())) {
             log.event(LogEvent.STORE_OBJECT_IGNORED)
                     .with("object", object.name())
                     .with("position", object.position())
-                    .with("known_version", knownVersions.get(name))
+                    .with("known", known)
                     .write();
         }
     }
 
     private void applyRemoval(String name) {
-        if (knownVersions.remove(name) != null) {
+        if (knownPositions.remove(name) != null) {
             listener.onRemoved(name);
         }
     }
--- a/src/main/java/org/tarragonlug/gateway/StoreWatches.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatches.java
@@ -3,8 +3,10 @@
 import java.time.Instant;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.tarragonlug.decision.watching.FollowedSource;
 import org.tarragonlug.decision.watching.WatchLimits;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.platform.PlatformKinds;
 import org.tarragonlug.runtime.EventLog;
@@ -26,6 +28,7 @@
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
+    private final Supplier<StoreEra> era;
     private final StoreWatcher servers;
     private final StoreWatcher configuration;
     private final StoreWatcher quarantine;
@@ -47,6 +50,7 @@
      *
      * @param store the platform's store
      * @param loop the event loop that owns the state
+     * @param era the present era of the store
      * @param limits what the platform allows
      * @param followedSource the instance to watch through, if any
      * @param urgent whether this instance needs changes at once, because it plans or is not ready
@@ -57,6 +61,7 @@
             Executor loop,
             TimerService timers,
             EventLog log,
+            Supplier<StoreEra> era,
             WatchLimits limits,
             FollowedSource followedSource,
             BooleanSupplier urgent,
@@ -65,6 +70,7 @@
         this.loop = loop;
         this.timers = timers;
         this.log = log;
+        this.era = era;
         this.limits = limits;
         this.followedSource = followedSource;
         this.urgent = urgent;
@@ -85,6 +91,7 @@
                 log,
                 limits,
                 () -> pace(withoutSource),
+                era,
                 this::renewRareWatch,
                 listener);
     }
@@ -98,6 +105,7 @@
                 log,
                 limits,
                 () -> WatchPace.RARE,
+                era,
                 () -> {},
                 listener);
     }
@@ -129,6 +137,13 @@
         quarantine.start();
     }
 
+    /** Lists the objects of each kind anew, because the store has come back from another copy. */
+    void onStoreEra() {
+        servers.onStoreEra();
+        configuration.onStoreEra();
+        quarantine.onStoreEra();
+    }
+
     /** Makes no further calls. */
     void stop() {
         servers.stop();
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -23,6 +23,8 @@
     INVARIANT_VIOLATED(Level.ERROR),
     /** This instance has put a newer configuration version into force. */
     CONFIGURATION_INSTALLED(Level.INFO),
+    /** A configuration older than the one in force was read; the one in force stays. */
+    CONFIGURATION_OLDER(Level.INFO),
     /** Tables or a stored configuration were invalid; the configuration in force stays. */
     CONFIGURATION_REFUSED(Level.WARN),
     /** The configuration was read in addition to its watch, since a caller's key is unknown. */
--- a/src/test/java/org/tarragonlug/gateway/RelayedWatchTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayedWatchTest.java
@@ -18,6 +18,7 @@
 import org.tarragonlug.decision.watching.WatchLimits;
 import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.peer.GatewayMessage;
@@ -163,6 +164,7 @@
                             new EventLog("test"),
                             limits,
                             () -> pace,
+                            () -> StoreEra.NONE,
                             () -> {},
                             listener)
                     .start();
--- a/src/test/java/org/tarragonlug/gateway/StoreWatcherFaultsTest.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreWatcherFaultsTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.tarragonlug.decision.watching.WatchLimits;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.runtime.EventLog;
@@ -71,6 +72,7 @@
                         new EventLog("test"),
                         WatchLimits.DEFAULT,
                         () -> WatchPace.PROMPT,
+                        () -> StoreEra.NONE,
                         () -> {},
                         recorder)
                 .start();
--- a/src/test/java/org/tarragonlug/gateway/StoreWatcherTest.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreWatcherTest.java
@@ -21,6 +21,7 @@
 import org.tarragonlug.decision.watching.WatchSource;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.peer.GatewayMessage;
@@ -153,6 +154,7 @@
                     new EventLog("test"),
                     limits,
                     () -> pace,
+                    () -> StoreEra.NONE,
                     onWatchLost,
                     recorder);
         }
