Count a stored lease only in the era of the store in which it was written

Cause: LeaseManager takes a record of an earlier process of its instance as proof that no other one has held the lease since, and derives the next fencing token from it. The copy shows neither the holder nor the highest token. Change: a record bears the era in which its holder wrote it, and tells who holds the lease in that era only. A holder whose last renewal began less than TAKEOVER_AFTER ago writes its lease again with its token; for all others the lease is that of a silent holder from the moment at which they learn of the era. A lease that is missing is free only in a store without eras, or at the first start of the system, which the settings tell (firstStart, from bootstrap). Statements of holders bear the era; those of another one are ignored.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseEvent.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseEvent.java
@@ -2,6 +2,8 @@
 
 import java.time.Instant;
 import java.util.Optional;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 
 /** An input event of the lease manager. */
 public sealed interface LeaseEvent {
@@ -26,9 +28,15 @@
      * The holder told this instance, directly or through a peer, whether it still holds the lease.
      *
      * @param holding whether the holder still holds the lease
-     * @param revision revision of the holder's last successful renewal
+     * @param renewedAt position in the store of the holder's last successful renewal
      */
-    record HolderResponded(boolean holding, long revision) implements LeaseEvent {}
+    record HolderResponded(boolean holding, StorePosition renewedAt) implements LeaseEvent {}
+
+    /**
+     * The store states an era for the first time, or runs from another copy than before. What was
+     * read or written in another era may be lost.
+     */
+    record StoreEraChanged(StoreEra era) implements LeaseEvent {}
 
     /** The process was paused; times measured before the pause are no longer valid. */
     record Paused() implements LeaseEvent {}
--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -7,6 +7,8 @@
 import org.tarragonlug.decision.StateMachine;
 import org.tarragonlug.id.FencingToken;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 
 /**
  * Acquires, renews and releases the lease that allows one instance to give orders to the backend
@@ -33,6 +35,17 @@
  * other instance takes over. Loaded models stay loaded. A longer ORDER_PERIOD bridges longer
  * outages of the store, but makes the loss of a holder more costly. Dividing the servers into many
  * groups, each with its own lease, keeps that cost small.
+ *
+ * <p>The store may come back from an older copy, in a new era. The copy may lack the lease, or show
+ * one that another instance has held since. Therefore a record counts only in the era in which it
+ * was written; a record from before tells nothing of who holds the lease. Only the holder knows
+ * that it holds it. If its last renewal began less than TAKEOVER_AFTER ago, no other instance can
+ * have taken the lease over, and the holder writes it again with its fencing token and goes on. All
+ * other instances treat the lease like that of a silent holder, from the time at which they learn
+ * of the era: a holder of an earlier era began its last renewal before then. A new holder gives
+ * orders only after a renewal that began when no holder of an earlier era could write the lease
+ * again. Its fencing token is above all those of earlier eras ({@link FencingToken#firstOf}),
+ * because the copy does not show the highest one.
  */
 public final class LeaseManager implements StateMachine<LeaseEvent, LeaseCommand> {
     /** How long after the start of a renewal the holder may give orders. */
@@ -65,7 +78,32 @@
     private final String process;
     private final String address;
     private final Duration turnTime;
+    private final boolean firstStart;
+
+    /** The present era of the store. */
+    private StoreEra era = StoreEra.NONE;
+
+    /** The stored record as last read or written; null if there is none. */
     private LeaseRecord latestRecord;
+
+    /** Whether the stored record was read or written in the present era. */
+    private boolean storedKnown;
+
+    /** The latest record that tells who holds the lease; null if none is known. */
+    private LeaseRecord holderRecord;
+
+    /** The highest fencing token in any record. */
+    private FencingToken highestFence = FencingToken.NONE;
+
+    /** Whether the lease is free if it is not stored. */
+    private boolean absenceTrusted = true;
+
+    /** Holders of earlier eras give no orders after this time. */
+    private Instant earlierHoldersUntil = Instant.EPOCH;
+
+    /** The last renewal must have begun by then before this instance gives orders. */
+    private Instant renewalRequiredAt = Instant.EPOCH;
+
     private Instant unchangedSince = Instant.EPOCH;
     private Instant holderRespondedAt = Instant.EPOCH;
     private Instant nextCallAt = Instant.EPOCH;
@@ -86,13 +124,12 @@
      */
     private Instant previousRenewalBound = Instant.EPOCH;
 
-    private boolean readAttempted;
     private Instant readAt = Instant.EPOCH;
 
-    /** The newest revision that a holder stated, and the time at which it was first stated. */
-    private long holderRevision;
+    /** The newest renewal that a holder stated, and the time at which it was first stated. */
+    private StorePosition statedRenewal = StorePosition.START;
 
-    private Instant holderRevisionSince = Instant.EPOCH;
+    private Instant statedRenewalSince = Instant.EPOCH;
 
     /** Whether the holder stated that it gives no more orders, and the time of that statement. */
     private boolean holderStoppedOrdering;
@@ -114,12 +151,20 @@
      * @param process id of this process
      * @param address address at which peers reach this process, {@code host:port}
      * @param turnTime minimum time between the orders of two holders
+     * @param firstStart whether the whole system starts for the first time, so that no process has
+     *     held a lease before
      */
-    public LeaseManager(InstanceId self, String process, String address, Duration turnTime) {
+    public LeaseManager(
+            InstanceId self,
+            String process,
+            String address,
+            Duration turnTime,
+            boolean firstStart) {
         this.self = self;
         this.process = process;
         this.address = address;
         this.turnTime = turnTime;
+        this.firstStart = firstStart;
     }
 
     /**
@@ -135,6 +180,7 @@
         return holding
                 && !stopping
                 && !now.isBefore(ordersFrom)
+                && !renewedAt.isBefore(renewalRequiredAt)
                 && now.isBefore(renewedAt.plus(ORDER_PERIOD));
     }
 
@@ -144,16 +190,19 @@
     }
 
     /**
-     * Returns the fencing token in the latest record; {@link FencingToken#NONE} if there is no
-     * record.
+     * Returns the fencing token of the last known holder; {@link FencingToken#NONE} if none is
+     * known.
      */
     public FencingToken fence() {
-        return latestRecord == null ? FencingToken.NONE : latestRecord.fence();
+        return holderRecord == null ? FencingToken.NONE : holderRecord.fence();
     }
 
-    /** Returns the latest lease record that was read or written; empty if none exists. */
+    /**
+     * Returns the latest record that was read or written and tells who holds the lease; empty if
+     * none is known.
+     */
     public Optional<LeaseRecord> latestRecord() {
-        return Optional.ofNullable(latestRecord);
+        return Optional.ofNullable(holderRecord);
     }
 
     @Override
@@ -179,6 +228,9 @@
             onHolderResponse(response, now);
             return List.of();
         }
+        if (event instanceof LeaseEvent.StoreEraChanged changed) {
+            return onStoreEra(changed.era(), now);
+        }
         if (event instanceof LeaseEvent.Paused) {
             renewedAt = Instant.EPOCH;
             pausedAt = now;
@@ -194,17 +246,43 @@
     }
 
     /**
-     * Applies a statement of the holder, which is about its renewal of the stated revision. It may
+     * Begins a new era. The calls under way and the holders' statements belong to an earlier one.
+     */
+    private List<LeaseCommand> onStoreEra(StoreEra newEra, Instant now) {
+        boolean firstContact = !era.isStated() && !storedKnown && !holding;
+        era = newEra;
+        absenceTrusted = firstContact && firstStart;
+        earlierHoldersUntil = absenceTrusted ? Instant.EPOCH : now.plus(ORDER_PERIOD);
+        storedKnown = false;
+        unchangedSince = now;
+        freeSince = null;
+        holderStoppedOrdering = false;
+        callStartedAt = null;
+        nextCallAt = now;
+        return isUncontested(now) ? List.of() : loseLease("the store came back from a copy");
+    }
+
+    /**
+     * Tells whether no other instance can have taken over the lease that this instance holds,
+     * whatever the store shows.
+     */
+    private boolean isUncontested(Instant now) {
+        return holding && now.isBefore(renewedAt.plus(TAKEOVER_AFTER));
+    }
+
+    /**
+     * Applies a statement of the holder, which is about its renewal at the stated position. It may
      * have been overtaken by one about a later renewal, for which it says nothing: a holder that
-     * had stopped may give orders again.
+     * had stopped may give orders again. A statement of another era says nothing either.
      */
     private void onHolderResponse(LeaseEvent.HolderResponded event, Instant now) {
-        if (event.revision() < holderRevision) {
+        StorePosition renewal = event.renewedAt();
+        if (!renewal.era().equals(era) || statedRenewal.isAfter(renewal)) {
             return;
         }
-        if (event.revision() > holderRevision) {
-            holderRevision = event.revision();
-            holderRevisionSince = now;
+        if (!renewal.equals(statedRenewal)) {
+            statedRenewal = renewal;
+            statedRenewalSince = now;
             holderStoppedOrdering = false;
         }
         if (event.holding()) {
@@ -225,40 +303,44 @@
         if (!wasHolding) {
             return List.of();
         }
+        LeaseCommand lost = new LeaseCommand.Lost("stopping");
+        if (!storedKnown) {
+            return List.of(lost);
+        }
         LeaseRecord released =
                 new LeaseRecord(
                         self,
                         process,
                         address,
-                        latestRecord.fence(),
-                        latestRecord.renewal() + 1,
-                        latestRecord.ordering(),
+                        holderRecord.fence(),
+                        holderRecord.renewal() + 1,
+                        holderRecord.ordering(),
                         true,
-                        latestRecord.revision());
-        return List.of(new LeaseCommand.Write(released), new LeaseCommand.Lost("stopping"));
+                        era,
+                        storedPosition());
+        return List.of(new LeaseCommand.Write(released), lost);
+    }
+
+    private StorePosition storedPosition() {
+        return latestRecord == null ? new StorePosition(era, 0) : latestRecord.position();
     }
 
     private List<LeaseCommand> onRecordRead(Optional<LeaseRecord> stored, Instant now) {
-        LeaseRecord previous = latestRecord;
-        LeaseRecord found = stored.orElse(null);
         readAt = now;
         nextCallAt = now.plus(READ_PERIOD);
-        if (found == null) {
-            latestRecord = null;
-            return loseLease("the lease was deleted");
+        storedKnown = true;
+        if (stored.isEmpty()) {
+            return onRecordMissing(now);
         }
-        boolean unchanged = previous != null && previous.revision() == found.revision();
-        latestRecord = found;
-        if (!unchanged) {
-            freeSince = null;
-            boolean fromHolder = found.revision() == holderRevision;
-            unchangedSince = fromHolder ? holderRevisionSince : now;
-            holderStoppedOrdering = holderStoppedOrdering && fromHolder;
+        learn(stored.get(), now);
+        if (!isOfPresentEra(latestRecord)) {
+            return onEarlierRecord(now);
         }
-        if (!found.released()) {
+        holderRecord = latestRecord;
+        if (!latestRecord.released()) {
             nextCallAt = now.plus(HELD_READ_PERIOD);
         }
-        if (found.holder().equals(self)) {
+        if (latestRecord.holder().equals(self)) {
             // A write of this instance took effect, but its answer was lost or an earlier process
             // started it. Only an answered renewal starts an order period, so the next tick renews.
             nextCallAt = now;
@@ -267,6 +349,47 @@
         return loseLease("another instance holds the lease");
     }
 
+    private void learn(LeaseRecord found, Instant now) {
+        boolean unchanged =
+                latestRecord != null && latestRecord.position().equals(found.position());
+        latestRecord = found;
+        highestFence = FencingToken.higher(highestFence, found.fence());
+        if (!unchanged) {
+            freeSince = null;
+            boolean fromHolder = found.position().equals(statedRenewal);
+            unchangedSince = fromHolder ? statedRenewalSince : now;
+            holderStoppedOrdering = holderStoppedOrdering && fromHolder;
+        }
+    }
+
+    private boolean isOfPresentEra(LeaseRecord record) {
+        return record.writtenIn().equals(era);
+    }
+
+    private List<LeaseCommand> onRecordMissing(Instant now) {
+        boolean lostByStore = latestRecord == null || !latestRecord.position().era().equals(era);
+        latestRecord = null;
+        if (lostByStore && isUncontested(now)) {
+            nextCallAt = now;
+            return List.of();
+        }
+        if (absenceTrusted) {
+            holderRecord = null;
+        }
+        return loseLease("the lease was deleted");
+    }
+
+    /** Handles a record that a copy of the store has brought back, or that was written late. */
+    private List<LeaseCommand> onEarlierRecord(Instant now) {
+        holderRecord = holderRecord == null ? latestRecord : holderRecord;
+        if (isUncontested(now)) {
+            nextCallAt = now;
+            return List.of();
+        }
+        nextCallAt = now.plus(HELD_READ_PERIOD);
+        return loseLease("the stored lease is of an earlier era");
+    }
+
     private List<LeaseCommand> loseLease(String reason) {
         if (!holding) {
             return List.of();
@@ -278,6 +401,9 @@
     private List<LeaseCommand> onWritten(LeaseEvent.Written event, Instant now) {
         LeaseRecord previous = latestRecord;
         latestRecord = event.stored();
+        holderRecord = event.stored();
+        storedKnown = true;
+        highestFence = FencingToken.higher(highestFence, latestRecord.fence());
         unchangedSince = now;
         if (stopping || latestRecord.released()) {
             return List.of();
@@ -293,17 +419,30 @@
             return List.of();
         }
         holding = true;
-        ordersFrom = previous == null ? now : earliestOrderTime(now);
+        ordersFrom = earliestOrderTime(previous, now);
         return List.of(new LeaseCommand.Acquired(latestRecord));
     }
 
     /**
      * Returns the earliest time at which an order cannot fall into the turn of a previous holder.
+     * If the previous holder of the present era gave orders itself, those of earlier eras had
+     * ended.
+     *
+     * @param previous the record that this instance has replaced; null if there was none
      */
-    private Instant earliestOrderTime(Instant now) {
-        Instant turnStart =
-                previousRenewalBound.plus(ORDER_PERIOD).plus(turnTime).plus(TURN_MARGIN);
-        return turnStart.isBefore(now) ? now : turnStart;
+    private Instant earliestOrderTime(LeaseRecord previous, Instant now) {
+        if (previous == null && absenceTrusted) {
+            renewalRequiredAt = Instant.EPOCH;
+            return now;
+        }
+        boolean ordered = previous != null && isOfPresentEra(previous) && previous.ordering();
+        renewalRequiredAt = ordered ? Instant.EPOCH : earlierHoldersUntil;
+        Instant turnStart = later(previousRenewalBound.plus(ORDER_PERIOD), renewalRequiredAt);
+        return later(now, turnStart.plus(turnTime).plus(TURN_MARGIN));
+    }
+
+    private static Instant later(Instant one, Instant other) {
+        return one.isAfter(other) ? one : other;
     }
 
     private List<LeaseCommand> tick(Instant now) {
@@ -314,33 +453,65 @@
             return List.of();
         }
         if (holding) {
-            return write(latestRecord.fence(), now);
+            return renew(now);
         }
-        if (latestRecord != null && now.isBefore(holderRespondedAt.plus(HOLDER_SILENCE_TIMEOUT))) {
+        boolean heard = now.isBefore(holderRespondedAt.plus(HOLDER_SILENCE_TIMEOUT));
+        if (heard && holderRecord != null) {
             return List.of();
         }
+        if (!storedKnown) {
+            return read(now);
+        }
         if (latestRecord == null) {
-            return readAttempted ? acquireFreeLease(new FencingToken(1), now) : read(now);
+            return absenceTrusted ? acquireFreeLease(now) : takeOver(now);
+        }
+        if (!isOfPresentEra(latestRecord)) {
+            return takeOver(now);
         }
         if (latestRecord.holder().equals(self)) {
             return reacquireOwnLease(now);
         }
         if (latestRecord.released()
-                || holderStoppedOrdering && latestRecord.revision() == holderRevision) {
+                || holderStoppedOrdering && latestRecord.position().equals(statedRenewal)) {
             Instant stoppedBy = latestRecord.released() ? unchangedSince : holderStoppedOrderingAt;
             previousRenewalBound = stoppedBy.minus(ORDER_PERIOD);
-            return acquireFreeLease(latestRecord.fence().next(), now);
+            return acquireFreeLease(now);
         }
+        return takeOver(now);
+    }
+
+    /**
+     * Renews the lease that this instance holds. In a new era it reads the lease first, and writes
+     * it only if no other instance can have taken it over before.
+     */
+    private List<LeaseCommand> renew(Instant now) {
+        if (!storedKnown) {
+            return read(now);
+        }
+        boolean rewriting = latestRecord == null || !isOfPresentEra(latestRecord);
+        if (rewriting && !isUncontested(now)) {
+            return loseLease("the lease could not be written again in time");
+        }
+        return write(holderRecord.fence(), now);
+    }
+
+    /** Acquires the lease of a silent holder, once its renewal has not changed for long enough. */
+    private List<LeaseCommand> takeOver(Instant now) {
         if (now.isAfter(unchangedSince.plus(TAKEOVER_AFTER)) && readAt.isAfter(holderRespondedAt)) {
             previousRenewalBound = unchangedSince;
-            return acquireFreeLease(latestRecord.fence().next(), now);
+            return acquireFreeLease(now);
         }
         freeSince = null;
         return read(now);
     }
 
+    /** Returns a fencing token above those of all holders so far. */
+    private FencingToken nextFence() {
+        return FencingToken.higher(highestFence.next(), FencingToken.firstOf(era));
+    }
+
     /** Acquires a lease that no instance holds, once the acquisition delay has passed. */
-    private List<LeaseCommand> acquireFreeLease(FencingToken fence, Instant now) {
+    private List<LeaseCommand> acquireFreeLease(Instant now) {
         if (freeSince == null) {
             freeSince = now;
         }
@@ -348,7 +519,7 @@
             return now.isBefore(readAt.plus(READ_PERIOD)) ? List.of() : read(now);
         }
         freeSince = null;
-        return write(fence, now);
+        return write(nextFence(), now);
     }
 
     /** Renews or reacquires a lease whose stored holder is this instance. */
@@ -361,11 +532,10 @@
         // An earlier process of this instance held the lease, and no other instance has held it
         // since. If the earlier process was still waiting for its turn, this process waits as well.
         previousRenewalBound = latestRecord.ordering() ? Instant.EPOCH : unchangedSince;
-        return write(latestRecord.fence().next(), now);
+        return write(nextFence(), now);
     }
 
     private List<LeaseCommand> read(Instant now) {
-        readAttempted = true;
         callStartedAt = now;
         nextCallAt = now.plus(READ_PERIOD);
         return List.of(new LeaseCommand.Read());
@@ -373,7 +543,6 @@
 
     private List<LeaseCommand> write(FencingToken fence, Instant now) {
         callStartedAt = now;
-        long revision = latestRecord == null ? 0 : latestRecord.revision();
         long renewal = latestRecord == null ? 1 : latestRecord.renewal() + 1;
         return List.of(
                 new LeaseCommand.Write(
@@ -385,6 +554,7 @@
                                 renewal,
                                 mayOrder(now),
                                 false,
-                                revision)));
+                                era,
+                                storedPosition())));
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -242,6 +242,7 @@
                 process.value(),
                 text(settings.peerAddress()),
                 settings.orderTurn(),
+                settings.firstStart(),
                 settings.capacity(),
                 groups,
                 timers);
@@ -340,6 +341,7 @@
         peers.start(transport, forwarding, placement, executor, relay, quarantine);
         quarantine.start(peers, forwarding, store);
         quotas.start(peers, coordinator, forwarding, placement, leases);
+        storeEras.addListener(leases::onStoreEra);
         storeEras.addListener(era -> watches.onStoreEra());
         watches.start();
         timers.schedulePeriodically(IDLE_TICK, now -> tick());
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param adminAddress address on which metrics and state are served
  * @param storeAddress address of the platform's store
  * @param drainTime time between the signal to stop and the forced end of the process
+ * @param firstStart whether the whole system starts for the first time
  * @param orderTurn minimum time between orders from two different holders to one server
  * @param orderGroups number of server groups; each group has its own order lease
  * @param loadWindow length of the window in which loads from the weight store are limited
@@ -41,6 +42,7 @@
         InetSocketAddress adminAddress,
         InetSocketAddress storeAddress,
         Duration drainTime,
+        boolean firstStart,
         Duration orderTurn,
         int orderGroups,
         Duration loadWindow,
--- a/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewaySettingsLoader.java
@@ -83,6 +83,7 @@
                 address("adminAddress"),
                 address("storeAddress"),
                 seconds("drainSeconds", DEFAULT_DRAIN_SECONDS),
+                root.path("firstStart").asBoolean(true),
                 millis("orderTurnMillis", DEFAULT_ORDER_TURN),
                 (int) number("orderGroups", DEFAULT_ORDER_GROUPS),
                 seconds("loadWindowSeconds", DEFAULT_LOAD_WINDOW_SECONDS),
--- a/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/LeaseDriver.java
@@ -59,7 +59,7 @@
             log.event(LogEvent.LEASE_ACQUIRED)
                     .with("lease", name)
                     .with("fence", acquired.record().fence())
-                    .with("revision", acquired.record().revision())
+                    .with("position", acquired.record().position())
                     .write();
         } else if (command instanceof LeaseCommand.Lost lost) {
             log.event(LogEvent.LEASE_LOST)
@@ -98,10 +98,7 @@
                 .whenCompleteAsync(
                         (written, failure) -> {
                             if (failure == null) {
-                                post(
-                                        new LeaseEvent.Written(
-                                                withRevision(record, written.revision()),
-                                                startedAt));
+                                post(new LeaseEvent.Written(record.at(written), startedAt));
                             } else if (isConflict(failure)) {
                                 // The failure does not contain the stored lease.
                                 // Read the lease to learn its content.
@@ -126,16 +123,4 @@
         return cause instanceof TarragonlugException typed
                 && typed.code() == ErrorCode.WRITE_CONFLICT;
     }
-
-    private static LeaseRecord withRevision(LeaseRecord record, long revision) {
-        return new LeaseRecord(
-                record.holder(),
-                record.process(),
-                record.address(),
-                record.fence(),
-                record.renewal(),
-                record.ordering(),
-                record.released(),
-                revision);
-    }
 }
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -20,6 +20,8 @@
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.ServerId;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.platform.PlatformKinds;
@@ -62,12 +64,13 @@
      * The last evidence that the holder of a lease is alive.
      *
      * @param at when it was received
-     * @param revision revision of the holder's last renewal
+     * @param renewedAt position in the store of the holder's last renewal
      * @param holder the holder
      * @param direct whether the holder sent it itself. Only direct heartbeats are passed on to
      *     other instances; otherwise two instances could keep a dead holder alive for each other.
      */
-    private record HolderHeartbeat(Instant at, long revision, InstanceId holder, boolean direct) {}
+    private record HolderHeartbeat(
+            Instant at, StorePosition renewedAt, InstanceId holder, boolean direct) {}
 
     private final InstanceId self;
     private final double capacity;
@@ -76,7 +79,7 @@
     private final Map<OrderGroup, LeaseManager> leaseManagers = new LinkedHashMap<>();
     private final Map<OrderGroup, LeaseDriver> drivers = new LinkedHashMap<>();
     private final Map<OrderGroup, HolderHeartbeat> heartbeats = new HashMap<>();
-    private final Map<OrderGroup, Long> releasedRevisions = new HashMap<>();
+    private final Map<OrderGroup, StorePosition> releasedAt = new HashMap<>();
     private Instant lowestHolderSince;
 
     OrderLeases(
@@ -84,6 +87,7 @@
             String process,
             String address,
             Duration turnTime,
+            boolean firstStart,
             double capacity,
             OrderGroups groups,
             TimerService timers) {
@@ -92,7 +96,8 @@
         this.groups = groups;
         this.timers = timers;
         for (OrderGroup group : groups.all()) {
-            leaseManagers.put(group, new LeaseManager(self, process, address, turnTime));
+            leaseManagers.put(
+                    group, new LeaseManager(self, process, address, turnTime, firstStart));
         }
     }
 
@@ -157,6 +162,14 @@
         return Math.max(0, 1 - capacity);
     }
 
+    /**
+     * Judges anew what was read of leases or stated about them, because the store's era changed.
+     */
+    void onStoreEra(StoreEra era) {
+        releasedAt.clear();
+        postAll(new LeaseEvent.StoreEraChanged(era));
+    }
+
     void postAll(LeaseEvent event) {
         drivers.values().forEach(driver -> driver.post(event));
     }
@@ -274,7 +287,7 @@
                 recordRelease(lease);
             }
             drivers.get(lease.group())
-                    .post(new LeaseEvent.HolderResponded(lease.holding(), lease.revision()));
+                    .post(new LeaseEvent.HolderResponded(lease.holding(), lease.renewedAt()));
         }
     }
 
@@ -285,25 +298,33 @@
      */
     private void recordRelease(GatewayMessage.LeaseStatus lease) {
         HolderHeartbeat heartbeat = heartbeats.get(lease.group());
-        if (heartbeat == null || heartbeat.revision() <= lease.revision()) {
+        if (heartbeat == null || !heartbeat.renewedAt().isAfter(lease.renewedAt())) {
             heartbeats.remove(lease.group());
-            releasedRevisions.merge(lease.group(), lease.revision(), Math::max);
+            StorePosition known = releasedAt.get(lease.group());
+            if (known == null || !known.isAfter(lease.renewedAt())) {
+                releasedAt.put(lease.group(), lease.renewedAt());
+            }
         }
     }
 
     private void recordHeartbeat(
             GatewayMessage.LeaseStatus lease, InstanceId holder, boolean direct) {
-        if (lease.revision() <= releasedRevisions.getOrDefault(lease.group(), -1L)) {
+        StorePosition released = releasedAt.get(lease.group());
+        if (released != null && isSameEraAndNotAfter(lease.renewedAt(), released)) {
             return;
         }
         HolderHeartbeat before = heartbeats.get(lease.group());
         if (direct || before == null || !before.direct() || !isHolderAlive(lease.group())) {
             heartbeats.put(
                     lease.group(),
-                    new HolderHeartbeat(timers.now(), lease.revision(), holder, direct));
+                    new HolderHeartbeat(timers.now(), lease.renewedAt(), holder, direct));
         }
     }
 
+    private static boolean isSameEraAndNotAfter(StorePosition one, StorePosition other) {
+        return one.era().equals(other.era()) && !one.isAfter(other);
+    }
+
     /** Returns whether this instance holds any lease, or is the last known holder of one. */
     boolean isOrWasHolder() {
         return leaseManagers.values().stream().anyMatch(this::isLastHolder);
@@ -328,7 +349,7 @@
                                 new GatewayMessage.LeaseStatus(
                                         group,
                                         manager.holding(now),
-                                        manager.latestRecord().get().revision(),
+                                        manager.latestRecord().get().position(),
                                         ""));
                     } else if (isHolderAlive(group) && heartbeats.get(group).direct()) {
                         HolderHeartbeat heartbeat = heartbeats.get(group);
@@ -336,7 +357,7 @@
                                 new GatewayMessage.LeaseStatus(
                                         group,
                                         true,
-                                        heartbeat.revision(),
+                                        heartbeat.renewedAt(),
                                         heartbeat.holder().value()));
                     }
                 });
--- a/src/main/java/org/tarragonlug/gateway/StoredLease.java
+++ b/src/main/java/org/tarragonlug/gateway/StoredLease.java
@@ -6,6 +6,7 @@
 import org.tarragonlug.http.JsonFields;
 import org.tarragonlug.id.FencingToken;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.runtime.Json;
 
@@ -25,11 +26,15 @@
         node.put("renewal", lease.renewal());
         node.put("ordering", lease.ordering());
         node.put("released", lease.released());
+        if (lease.writtenIn().isStated()) {
+            node.put("era", lease.writtenIn().value());
+        }
         return node;
     }
 
     /**
-     * Decodes a lease. Its revision is the version of the stored object.
+     * Decodes a lease. Its position is that of the stored object. A record without an era was
+     * written by a release that does not know eras, or in a store without them.
      *
      * @throws IllegalArgumentException if a field is missing or malformed
      */
@@ -43,6 +48,7 @@
                 JsonFields.count(node, "renewal"),
                 JsonFields.flag(node, "ordering"),
                 JsonFields.flag(node, "released"),
-                object.version());
+                new StoreEra(node.has("era") ? JsonFields.count(node, "era") : 0),
+                object.position());
     }
 }
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -18,6 +18,8 @@
 import org.tarragonlug.id.RequestTrait;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 
 /** A message between gateways (docs/platform.md, section 4). */
 public sealed interface GatewayMessage extends PeerMessage {
@@ -269,11 +271,24 @@
      * @param holding whether the holder may give orders
      * @param revision revision of the last renewal by the holder
      * @param holder the holder of the lease; empty if the lease is or was held by the sender
+     * @param era era of the store in which the revision was given out; 0 if the store states none
+     *     or the sender's release does not write this field
      */
-    record LeaseStatus(OrderGroup group, boolean holding, long revision, String holder) {
+    record LeaseStatus(OrderGroup group, boolean holding, long revision, String holder, long era) {
         public LeaseStatus {
             holder = holder == null ? "" : holder;
         }
+
+        /** Creates the status of a lease that was last renewed at a position in the store. */
+        public LeaseStatus(
+                OrderGroup group, boolean holding, StorePosition renewedAt, String holder) {
+            this(group, holding, renewedAt.revision(), holder, renewedAt.era().value());
+        }
+
+        /** Returns the position in the store of the last renewal by the holder. */
+        public StorePosition renewedAt() {
+            return new StorePosition(new StoreEra(era), revision);
+        }
     }
 
     /**
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -179,7 +179,8 @@
         writer.number("group", lease.group().number())
                 .flag("holding", lease.holding())
                 .number("revision", lease.revision())
-                .text("holder", lease.holder());
+                .text("holder", lease.holder())
+                .number("era", lease.era());
     }
 
     private static GatewayMessage.LeaseStatus readLease(MessageFields fields) {
@@ -187,7 +188,8 @@
                 new OrderGroup(fields.smallNumber("group")),
                 fields.flag("holding"),
                 fields.number("revision"),
-                fields.textOrEmpty("holder"));
+                fields.textOrEmpty("holder"),
+                fields.numberOrZero("era"));
     }
 
     private static void writeReplica(MessageWriter writer, GatewayMessage.ReplicaChange replica) {
--- a/src/main/java/org/tarragonlug/trial/GatewayChild.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayChild.java
@@ -90,6 +90,7 @@
         json.put("storeAddress", text(settings.storeAddress()));
         json.put("drainSeconds", settings.drainTime().toSeconds());
         json.put("retryRatio", settings.retryRatio());
+        json.put("firstStart", settings.firstStart());
         json.put("retryAllowance", settings.retryAllowance());
         return json;
     }
--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -129,6 +129,7 @@
                 FreePort.find(),
                 store.address(),
                 drainTime,
+                true,
                 Duration.ofSeconds(3),
                 2,
                 Duration.ofSeconds(5),
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
@@ -14,13 +14,18 @@
 import org.junit.jupiter.api.Test;
 import org.tarragonlug.id.FencingToken;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StorePosition;
 
 class LeaseManagerTest {
     private static final Instant START = Instant.ofEpochSecond(1000);
 
     private static LeaseManager newManager(String instance) {
         return new LeaseManager(
-                new InstanceId(instance), instance + "-1", "10.0.0.1:1", LeaseSimulation.TURN);
+                new InstanceId(instance),
+                instance + "-1",
+                "10.0.0.1:1",
+                LeaseSimulation.TURN,
+                true);
     }
 
     private static LeaseRecord record(String holder, long renewal, long revision) {
@@ -176,7 +181,8 @@
             Instant now = START;
             for (int step = 0; step < 100; step++) {
                 now = now.plusMillis(400);
-                manager.handle(new LeaseEvent.HolderResponded(true, 4 + step), now);
+                manager.handle(
+                        new LeaseEvent.HolderResponded(true, StorePosition.of(4 + step)), now);
                 assertEquals(List.of(), manager.handle(tick(), now));
             }
         }
@@ -186,9 +192,9 @@
             LeaseManager manager = newManager("b");
             manager.handle(tick(), START);
             manager.handle(new LeaseEvent.Read(Optional.of(record("a", 1, 4))), START);
-            manager.handle(new LeaseEvent.HolderResponded(true, 4), START);
+            manager.handle(new LeaseEvent.HolderResponded(true, StorePosition.of(4)), START);
             Instant stoppedAt = START.plusMillis(400);
-            manager.handle(new LeaseEvent.HolderResponded(false, 4), stoppedAt);
+            manager.handle(new LeaseEvent.HolderResponded(false, StorePosition.of(4)), stoppedAt);
             List<LeaseCommand> commands = manager.handle(tick(), stoppedAt.plusMillis(100));
             LeaseRecord taken = ((LeaseCommand.Write) commands.get(0)).record();
             assertEquals(new FencingToken(8), taken.fence());
@@ -205,8 +211,10 @@
             LeaseManager manager = newManager("b");
             manager.handle(tick(), START);
             manager.handle(new LeaseEvent.Read(Optional.of(record("a", 2, 9))), START);
-            manager.handle(new LeaseEvent.HolderResponded(true, 9), START);
-            manager.handle(new LeaseEvent.HolderResponded(false, 4), START.plusMillis(50));
+            manager.handle(new LeaseEvent.HolderResponded(true, StorePosition.of(9)), START);
+            manager.handle(
+                    new LeaseEvent.HolderResponded(false, StorePosition.of(4)),
+                    START.plusMillis(50));
             assertEquals(List.of(), manager.handle(tick(), START.plusMillis(100)));
         }
 
@@ -217,11 +225,14 @@
             LeaseManager manager = newManager("b");
             manager.handle(tick(), START);
             manager.handle(new LeaseEvent.Read(Optional.of(record("a", 1, 4))), START);
-            manager.handle(new LeaseEvent.HolderResponded(true, 4), START);
+            manager.handle(new LeaseEvent.HolderResponded(true, StorePosition.of(4)), START);
             manager.setAcquisitionDelay(Duration.ofSeconds(10));
-            manager.handle(new LeaseEvent.HolderResponded(false, 4), START.plusMillis(100));
+            manager.handle(
+                    new LeaseEvent.HolderResponded(false, StorePosition.of(4)),
+                    START.plusMillis(100));
             Instant stoppedAgain = START.plusMillis(2900);
-            manager.handle(new LeaseEvent.HolderResponded(false, 9), stoppedAgain);
+            manager.handle(
+                    new LeaseEvent.HolderResponded(false, StorePosition.of(9)), stoppedAgain);
             manager.handle(new LeaseEvent.Read(Optional.of(record("a", 2, 9))), stoppedAgain);
             manager.setAcquisitionDelay(Duration.ZERO);
             Instant taken = stoppedAgain.plusMillis(1600);
@@ -234,7 +245,7 @@
         void mayOrderAtOnceAfterRestartOfHolder() {
             LeaseManager manager =
                     new LeaseManager(
-                            new InstanceId("a"), "a-2", "10.0.0.1:1", LeaseSimulation.TURN);
+                            new InstanceId("a"), "a-2", "10.0.0.1:1", LeaseSimulation.TURN, true);
             manager.handle(tick(), START);
             manager.handle(new LeaseEvent.Read(Optional.of(record("a", 1, 4))), START);
             Instant next = START.plusMillis(600);
@@ -252,7 +263,7 @@
         void waitsForTurnAfterRestartWhenEarlierProcessWasWaiting() {
             LeaseManager manager =
                     new LeaseManager(
-                            new InstanceId("a"), "a-2", "10.0.0.1:1", LeaseSimulation.TURN);
+                            new InstanceId("a"), "a-2", "10.0.0.1:1", LeaseSimulation.TURN, true);
             LeaseRecord waiting =
                     new LeaseRecord(
                             new InstanceId("a"),
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StorePosition;
 
 /**
  * Simulates several lease managers with a fake store in virtual time. Calls to the store are
@@ -46,7 +47,7 @@
         private void start() {
             processNumber++;
             stopping = false;
-            manager = new LeaseManager(id, id + "-" + processNumber, address, TURN);
+            manager = new LeaseManager(id, id + "-" + processNumber, address, TURN, true);
         }
 
         boolean isRunning() {
@@ -245,7 +246,9 @@
                         .isPresent();
         if (other.isRunning() && knowsHolder) {
             other.execute(
-                    other.manager.handle(new LeaseEvent.HolderResponded(holding, revision), now));
+                    other.manager.handle(
+                            new LeaseEvent.HolderResponded(holding, StorePosition.of(revision)),
+                            now));
         }
     }
 
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -72,6 +72,9 @@
     /** Retries in a window beyond a share of the requests, of gateways started from now on. */
     double retryAllowance = 50;
 
+    /** Whether the gateways that are started from now on belong to the first start of a system. */
+    boolean firstStart = true;
+
     /** Drain time of the gateways that are started from now on. */
     Duration drainTime = Duration.ofSeconds(8);
 
@@ -156,6 +159,7 @@
                 FreePort.find(),
                 storeAddress,
                 drainTime,
+                firstStart,
                 Duration.ofSeconds(3),
                 2,
                 Duration.ofSeconds(5),
--- a/src/test/java/org/tarragonlug/gateway/GatewaySettingsLoaderTest.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewaySettingsLoaderTest.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -38,13 +39,13 @@
     private static String render(Map<String, String> fields) throws Exception {
         String text = Files.readString(TEMPLATE);
         Matcher section =
-                Pattern.compile("\\{\\{#([a-z_.]+)}}(.*?)\\{\\{/\\1}}", Pattern.DOTALL)
+                Pattern.compile("\\{\\{([#^])([a-z_.]+)}}(.*?)\\{\\{/\\2}}", Pattern.DOTALL)
                         .matcher(text);
         text =
                 section.replaceAll(
                         found ->
-                                fields.containsKey(found.group(1))
-                                        ? Matcher.quoteReplacement(found.group(2))
+                                found.group(1).equals("#") == isPresent(fields, found.group(2))
+                                        ? Matcher.quoteReplacement(found.group(3))
                                         : "");
         for (Map.Entry<String, String> field : fields.entrySet()) {
             text = text.replace("{{" + field.getKey() + "|json}}", field.getValue());
@@ -53,6 +54,10 @@
         return text;
     }
 
+    private static boolean isPresent(Map<String, String> fields, String name) {
+        return !fields.getOrDefault(name, "false").equals("false");
+    }
+
     private static Map<String, String> fields() {
         Map<String, String> fields = new TreeMap<>();
         fields.put("node", "\"edge-1\"");
@@ -102,6 +107,17 @@
                     load(render(fields)).quotaTolerance());
         }
 
+        /** Guards against a restarted process that takes a lost lease for one that never was. */
+        @Test
+        void tellsTheFirstStartOfTheSystemFromARestart() throws Exception {
+            Map<String, String> fields = fields();
+            assertFalse(load(render(fields)).firstStart());
+            fields.put("bootstrap", "false");
+            assertFalse(load(render(fields)).firstStart());
+            fields.put("bootstrap", "true");
+            assertTrue(load(render(fields)).firstStart());
+        }
+
         @Test
         void usesDefaultsWhenPlatformProvidesNoLimits() throws Exception {
             GatewaySettings settings = load(render(fields()));
--- a/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
@@ -15,6 +15,7 @@
 import org.tarragonlug.id.FencingToken;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.OrderGroup;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.platform.PlatformKinds;
 import org.tarragonlug.runtime.EventLog;
@@ -37,7 +38,8 @@
 
     private OrderLeases leases(InstanceId instance) {
         OrderGroups groups = new OrderGroups(new Hash4jHasher(), 1);
-        return new OrderLeases(instance, instance + "-1", "10.0.0.1:1", TURN, 1, groups, timers);
+        return new OrderLeases(
+                instance, instance + "-1", "10.0.0.1:1", TURN, true, 1, groups, timers);
     }
 
     @BeforeEach
@@ -60,7 +62,7 @@
     }
 
     private static List<GatewayMessage.LeaseStatus> ownNotice() {
-        return List.of(new GatewayMessage.LeaseStatus(GROUP, true, 40, ""));
+        return List.of(new GatewayMessage.LeaseStatus(GROUP, true, StorePosition.of(40), ""));
     }
 
     @Nested
@@ -70,9 +72,13 @@
         @Test
         void keepsHolderAliveWhenStatementAboutEarlierRenewalArrives() {
             first.onLeaseNotices(
-                    HOLDER, List.of(new GatewayMessage.LeaseStatus(GROUP, true, 42, "")));
+                    HOLDER,
+                    List.of(new GatewayMessage.LeaseStatus(GROUP, true, StorePosition.of(42), "")));
             first.onLeaseNotices(
-                    HOLDER, List.of(new GatewayMessage.LeaseStatus(GROUP, false, 40, "")));
+                    HOLDER,
+                    List.of(
+                            new GatewayMessage.LeaseStatus(
+                                    GROUP, false, StorePosition.of(40), "")));
             assertEquals(1, first.leaseNotices().size());
         }
 
@@ -118,10 +124,14 @@
         void holderThatReleasesItsLeaseDoesNotCountAsAlive() {
             first.onLeaseNotices(HOLDER, ownNotice());
             first.onLeaseNotices(
-                    HOLDER, List.of(new GatewayMessage.LeaseStatus(GROUP, false, 40, "")));
+                    HOLDER,
+                    List.of(
+                            new GatewayMessage.LeaseStatus(
+                                    GROUP, false, StorePosition.of(40), "")));
             assertTrue(first.leaseNotices().isEmpty());
             GatewayMessage.LeaseStatus passedOn =
-                    new GatewayMessage.LeaseStatus(GROUP, true, 40, HOLDER.value());
+                    new GatewayMessage.LeaseStatus(
+                            GROUP, true, StorePosition.of(40), HOLDER.value());
             first.onLeaseNotices(SECOND, List.of(passedOn));
             assertTrue(first.leaseNotices().isEmpty());
         }
--- a/src/test/java/org/tarragonlug/gateway/PendingNoticesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/PendingNoticesTest.java
@@ -16,6 +16,7 @@
 import org.tarragonlug.id.OrderGroup;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServiceName;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.peer.GatewayMessage;
 
 class PendingNoticesTest {
@@ -87,9 +88,13 @@
     @Nested
     class State {
         private static final List<GatewayMessage.LeaseStatus> LEASES =
-                List.of(new GatewayMessage.LeaseStatus(new OrderGroup(0), true, 7, ""));
+                List.of(
+                        new GatewayMessage.LeaseStatus(
+                                new OrderGroup(0), true, StorePosition.of(7), ""));
         private static final List<GatewayMessage.LeaseStatus> RELEASED =
-                List.of(new GatewayMessage.LeaseStatus(new OrderGroup(0), false, 7, ""));
+                List.of(
+                        new GatewayMessage.LeaseStatus(
+                                new OrderGroup(0), false, StorePosition.of(7), ""));
         private static final Set<ServerId> SUSPECTED = Set.of(new ServerId("s-1"));
 
         private boolean isDue(
--- a/src/test/java/org/tarragonlug/gateway/RelayedOrderTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayedOrderTest.java
@@ -128,7 +128,11 @@
     private LeaseManager heldLease() {
         LeaseManager manager =
                 new LeaseManager(
-                        new InstanceId("holder"), "holder-1", "10.0.0.1:1", Duration.ofSeconds(3));
+                        new InstanceId("holder"),
+                        "holder-1",
+                        "10.0.0.1:1",
+                        Duration.ofSeconds(3),
+                        true);
         Instant now = timers.now();
         manager.handle(new LeaseEvent.Tick(), now.minusSeconds(2));
         manager.handle(new LeaseEvent.Read(Optional.empty()), now.minusSeconds(2));
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -197,7 +197,7 @@
                         1,
                         List.of(
                                 new GatewayMessage.LeaseStatus(
-                                        new OrderGroup(2), true, 77, "holder-2")),
+                                        new OrderGroup(2), true, 77, "holder-2", 5)),
                         true,
                         8,
                         List.of(
