Refuse no key because of a configuration older than the one in force

Callers with a new key got 401, which they do not repeat, while the store showed an older copy. Cause: a read of the configuration counted as proof that a key is unknown, whatever version it showed; a copy may have an older one or none. Change: a read succeeds only if it shows a configuration at least as new as the one in force; else the request is refused with 503, as if the store had not answered.

--- a/src/main/java/org/tarragonlug/gateway/ConfigurationReader.java
+++ b/src/main/java/org/tarragonlug/gateway/ConfigurationReader.java
@@ -38,7 +38,8 @@
     /**
      * Reads the configuration, and installs it if it is newer than the one in force. A read that
      * fails is repeated once: the first one may have been a trial whether the store is back, and
-     * the second one goes through a peer.
+     * the second one goes through a peer. A read that shows an older configuration than the one in
+     * force does not succeed, because it does not show which keys are valid now.
      */
     void read() {
         read(false);
@@ -58,16 +59,14 @@
     }
 
     private void onRead(StoredObject object, Throwable failure) {
+        boolean succeeded = false;
         try {
-            if (failure == null && object.exists()) {
-                configuration.onChanged(object);
-            }
+            succeeded = failure == null && configuration.receive(object);
         } finally {
-            boolean succeeded = failure == null;
             metrics.recordConfigurationRead(succeeded);
             log.event(LogEvent.CONFIGURATION_READ)
                     .with("succeeded", succeeded)
-                    .with("revision", succeeded ? object.version() : "unknown")
+                    .with("position", failure == null ? object.position() : "unknown")
                     .write();
             forwarding.post(new ForwardingEvent.ConfigurationRead(succeeded));
         }
--- a/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
+++ b/src/main/java/org/tarragonlug/gateway/InstalledConfiguration.java
@@ -45,8 +45,21 @@
 
     @Override
     public void onChanged(StoredObject object) {
-        if (!object.name().name().equals(PlatformKinds.CURRENT_CONFIGURATION)) {
-            return;
+        if (object.name().name().equals(PlatformKinds.CURRENT_CONFIGURATION)) {
+            receive(object);
+        }
+    }
+
+    /**
+     * Installs a configuration that was read if it is newer than the one in force.
+     *
+     * @return whether what was read is at least as new as what is in force now; a store that has
+     *     come back from an older copy may show an older configuration or none
+     */
+    boolean receive(StoredObject object) {
+        Optional<ConfigurationVersion> inForce = coordinator.table().map(ForwardingTable::version);
+        if (!object.exists()) {
+            return inForce.isEmpty();
         }
         ForwardingTable table;
         try {
@@ -55,18 +68,19 @@
             log.event(LogEvent.CONFIGURATION_REFUSED)
                     .with("detail", unreadable.getMessage())
                     .write();
-            return;
+            return false;
         }
-        Optional<ConfigurationVersion> inForce = coordinator.table().map(ForwardingTable::version);
-        if (inForce.isEmpty() || table.version().compareTo(inForce.get()) > 0) {
+        int difference = inForce.map(table.version()::compareTo).orElse(1);
+        if (difference > 0) {
             install(table, object.position());
-        } else if (table.version().compareTo(inForce.get()) < 0) {
+        } else if (difference < 0) {
             log.event(LogEvent.CONFIGURATION_OLDER)
                     .with("version", table.version())
                     .with("in_force", inForce.get())
                     .with("position", object.position())
                     .write();
         }
+        return difference >= 0;
     }
 
     private void install(ForwardingTable table, StorePosition position) {
--- a/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
+++ b/src/test/java/org/tarragonlug/gateway/GatewayFixture.java
@@ -242,7 +242,8 @@
         return "request-" + requestCount;
     }
 
-    private URI uri(int gateway, String path) {
+    /** Returns the address of a path at a gateway. */
+    URI uri(int gateway, String path) {
         return URI.create(
                 "http://127.0.0.1:"
                         + gatewaySettings.get(gateway).callerAddress().getPort()
--- a/src/test/java/org/tarragonlug/gateway/StoreRestoredTest.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreRestoredTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.time.Duration;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -124,6 +127,39 @@
         }
     }
 
+    @Nested
+    class Keys {
+        private int statusWithKey(String key) throws Exception {
+            HttpRequest request =
+                    HttpRequest.newBuilder(fixture.uri(0, "/read/1"))
+                            .version(HttpClient.Version.HTTP_1_1)
+                            .header("Tarragonlug-Request-Id", "with-" + key)
+                            .header("Authorization", "Token " + key)
+                            .build();
+            return HttpClient.newHttpClient()
+                    .send(request, HttpResponse.BodyHandlers.discarding())
+                    .statusCode();
+        }
+
+        /**
+         * Guards against a new key being refused for good because an older copy does not have it.
+         */
+        @Test
+        void unknownKeyIsNotRefusedByAnOlderConfiguration() throws Exception {
+            fixture.configureAccounts(1, "[{\"name\": \"a\", \"api_keys\": [\"key-a\"]}]");
+            fixture.startServer("r1", "records");
+            startGateway();
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            fixture.configureAccounts(
+                    2, "[{\"name\": \"a\", \"api_keys\": [\"key-a\", \"key-b\"]}]");
+            GatewayFixture.await("version 2 in force", () -> statusWithKey("key-b") == 200);
+            assertEquals(401, statusWithKey("key-c"));
+            returnFrom(copy);
+            assertEquals(200, statusWithKey("key-b"));
+            assertEquals(503, statusWithKey("key-d"));
+        }
+    }
+
     @Nested
     class Servers {
         private PlatformServerStandIn first;
