State the era of the store in relayed calls and shared watches

Cause: a peer relays bare revisions, so all that came through it counted as of a store without eras. A watch that was relayed in an era of the store had a gap each time, a relayed write was carried out with a version of another copy, and a source went on from the higher revision of two copies. Change: ObjectCall and ObjectCallAnswer bear the era; 0 if it is missing, as from the last release. A peer makes a write only if it knows the same era as the asking instance. A relayed answer of an earlier era, or without one while an era is known, fails, and the call is made directly; a write then has an unknown outcome. SharedView keeps positions: it forgets what it has read when the source learns of an era, a watch from an earlier era has a gap, and one from a later era goes to the store. RelayedCalls is split from RelayingObjectApi. A watch of a peer that states no era is made in the present one, because it would list without end after gaps that it cannot tell apart.

--- a/src/main/java/org/tarragonlug/decision/watching/SharedView.java
+++ b/src/main/java/org/tarragonlug/decision/watching/SharedView.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 
 /**
  * What a source has read of one kind of objects, from which it answers the watches of other
@@ -19,6 +21,9 @@
  * #FRESHNESS}. A source that is cut off from the store therefore does not keep others in the belief
  * that nothing has changed.
  *
+ * <p>A view is of one era of the store. What was read in an earlier one is forgotten as soon as the
+ * source learns of the present era, and a late answer of an earlier one changes nothing.
+ *
  * @param <T> an object of the store
  */
 public final class SharedView<T> {
@@ -29,9 +34,14 @@
 
     /** What a watch is answered with. */
     public enum Kind {
-        /** The view is not fresh. The watch must go to the store. */
+        /**
+         * The view is not fresh, or of an earlier era than the watch. The watch must go to the
+         * store.
+         */
         STALE,
-        /** Changes since the revision of the watch are no longer kept. */
+        /**
+         * Changes since the position of the watch are no longer kept, or it is of an earlier era.
+         */
         GAP,
         /** There are changes, or the wait is over. */
         CHANGES,
@@ -44,9 +54,9 @@
      *
      * @param kind what the answer means
      * @param changed changed objects, the newest change of each
-     * @param revision revision from which the next watch continues
+     * @param position position from which the next watch continues
      */
-    public record Answer<T>(Kind kind, List<T> changed, long revision) {
+    public record Answer<T>(Kind kind, List<T> changed, StorePosition position) {
         public Answer {
             changed = List.copyOf(changed);
         }
@@ -56,32 +66,50 @@
 
     private final Deque<Change<T>> changes = new ArrayDeque<>();
     private long oldestRevision;
-    private long revision;
+    private StorePosition position = StorePosition.START;
     private Instant confirmedAt = Instant.MIN;
 
+    /**
+     * Forgets what was read in other eras, until the next list. Must be called before the first
+     * answer of an era is used.
+     *
+     * @param present the present era of the store; lower than the one before if that was stated by
+     *     mistake
+     */
+    public void onStoreEra(StoreEra present) {
+        changes.clear();
+        position = new StorePosition(present, 0);
+        confirmedAt = Instant.MIN;
+    }
+
     /** Records a list, after which nothing is known of the changes before. */
-    public void onListed(long listedRevision, Instant now) {
+    public void onListed(StorePosition listed, Instant now) {
+        if (listed.era().compareTo(position.era()) < 0) {
+            return;
+        }
         changes.clear();
-        oldestRevision = listedRevision;
-        revision = listedRevision;
+        oldestRevision = listed.revision();
+        position = listed;
         confirmedAt = now;
     }
 
     /**
      * Records the answer of the store to a watch.
      *
-     * @param after revision from which the watch started
+     * @param after position from which the watch started
      * @param changed changed objects by name
-     * @param newRevision revision from which the next watch continues
+     * @param reached position from which the next watch continues
      * @param now the present time
      */
-    public void onWatched(long after, Map<String, T> changed, long newRevision, Instant now) {
-        if (after != revision) {
-            onListed(newRevision, now);
+    public void onWatched(
+            StorePosition after, Map<String, T> changed, StorePosition reached, Instant now) {
+        if (!after.equals(position) || !reached.era().equals(after.era())) {
+            onListed(reached, now);
             return;
         }
-        changed.forEach((name, object) -> changes.addLast(new Change<>(newRevision, name, object)));
-        revision = newRevision;
+        changed.forEach(
+                (name, object) -> changes.addLast(new Change<>(reached.revision(), name, object)));
+        position = reached;
         confirmedAt = now;
         while (changes.size() > KEPT_CHANGES) {
             oldestRevision = changes.removeFirst().revision();
@@ -91,28 +119,35 @@
     /**
      * Answers a watch.
      *
-     * @param after revision from which the watch starts
+     * @param after position from which the watch starts
      * @param waitOver whether the watch is answered even without a change
      * @param now the present time
      */
-    public Answer<T> answer(long after, boolean waitOver, Instant now) {
-        if (confirmedAt.equals(Instant.MIN) || now.isAfter(confirmedAt.plus(FRESHNESS))) {
+    public Answer<T> answer(StorePosition after, boolean waitOver, Instant now) {
+        boolean fresh =
+                !confirmedAt.equals(Instant.MIN) && !now.isAfter(confirmedAt.plus(FRESHNESS));
+        if (!fresh || after.era().compareTo(position.era()) > 0) {
             return new Answer<>(Kind.STALE, List.of(), after);
         }
-        if (after < oldestRevision) {
-            return new Answer<>(Kind.GAP, List.of(), revision);
+        if (!after.era().equals(position.era()) || after.revision() < oldestRevision) {
+            return new Answer<>(Kind.GAP, List.of(), position);
         }
+        List<T> newest = changesAfter(after.revision());
+        if (newest.isEmpty() && !waitOver) {
+            return new Answer<>(Kind.WAIT, List.of(), after);
+        }
+        return new Answer<>(Kind.CHANGES, newest, after.isAfter(position) ? after : position);
+    }
+
+    /** Returns the newest change of each object that has changed after a revision. */
+    private List<T> changesAfter(long revision) {
         Map<String, T> newest = new LinkedHashMap<>();
         for (Change<T> change : changes) {
-            if (change.revision() > after) {
+            if (change.revision() > revision) {
                 newest.remove(change.name());
                 newest.put(change.name(), change.object());
             }
         }
-        if (newest.isEmpty() && !waitOver) {
-            return new Answer<>(Kind.WAIT, List.of(), after);
-        }
-        return new Answer<>(
-                Kind.CHANGES, new ArrayList<>(newest.values()), Math.max(after, revision));
+        return new ArrayList<>(newest.values());
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -191,6 +191,7 @@
                         loop,
                         timers,
                         log,
+                        storeEras,
                         callNumbers);
         this.store = new EraCheckedObjectApi(relay, storeEras, timers);
         leases.start(store, loop, log);
@@ -341,6 +342,7 @@
         peers.start(transport, forwarding, placement, executor, relay, quarantine);
         quarantine.start(peers, forwarding, store);
         quotas.start(peers, coordinator, forwarding, placement, leases);
+        storeEras.addListener(relay::onStoreEra);
         storeEras.addListener(leases::onStoreEra);
         storeEras.addListener(era -> watches.onStoreEra());
         watches.start();
--- a/src/main/java/org/tarragonlug/gateway/RelayedObjects.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayedObjects.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.tarragonlug.http.JsonFields;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
@@ -30,7 +32,12 @@
         return new String(Json.bytes(content), StandardCharsets.UTF_8);
     }
 
-    static StoredObject toStored(GatewayMessage.RelayedObject relayed) {
+    /**
+     * Reads an object that a peer has relayed.
+     *
+     * @param era era of the answer that contains the object
+     */
+    static StoredObject toStored(GatewayMessage.RelayedObject relayed, StoreEra era) {
         JsonNode content =
                 relayed.content().isEmpty()
                         ? MissingNode.getInstance()
@@ -39,13 +46,19 @@
         return AccountKeys.withoutKeys(
                 new StoredObject(
                         new ObjectName(relayed.kind(), relayed.name()),
-                        relayed.version(),
+                        new StorePosition(era, relayed.version()),
                         content));
     }
 
+    /** Returns the object of the answer to a read or write. */
+    static StoredObject toStoredObject(GatewayMessage.ObjectCallAnswer answer) {
+        return toStored(answer.objects().get(0), answer.statedEra());
+    }
+
     static WatchResult toWatchResult(GatewayMessage.ObjectCallAnswer answer) {
+        StoreEra era = answer.statedEra();
         List<StoredObject> objects = new ArrayList<>();
-        answer.objects().forEach(relayed -> objects.add(toStored(relayed)));
-        return new WatchResult(objects, answer.revision(), answer.gap());
+        answer.objects().forEach(relayed -> objects.add(toStored(relayed, era)));
+        return new WatchResult(objects, new StorePosition(era, answer.revision()), answer.gap());
     }
 }
--- a/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
+++ b/src/main/java/org/tarragonlug/gateway/RelayingObjectApi.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -15,6 +13,7 @@
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
@@ -35,6 +34,10 @@
  * instance that cannot reach the store itself refuses relayed calls at once, so an outage of the
  * store does not cause additional calls.
  *
+ * <p>Peers may learn of a new era of the store at different times. A peer makes a write only if it
+ * knows the same era as the asking instance, and a relayed answer counts only if it is of the
+ * present era ({@link RelayedCalls}).
+ *
  * <p>{@link StoreReachability} decides when calls are relayed, and when a direct call is tried
  * again. If a relayed read, list or watch fails, the call is made directly at once. Deletes are
  * never relayed.
@@ -84,11 +87,10 @@
     private final Executor loop;
     private final TimerService timers;
     private final EventLog log;
-    private final CallNumbers callNumbers;
+    private final StoreEraMonitor eras;
+    private final RelayedCalls relayedCalls;
     private final PeerObjectCalls peerCalls;
     private final SharedWatches sharedWatches;
-    private final Map<Long, CompletableFuture<GatewayMessage.ObjectCallAnswer>> pendingCalls =
-            new HashMap<>();
     private final StoreReachability reachability = new StoreReachability();
 
     RelayingObjectApi(
@@ -97,15 +99,17 @@
             Executor loop,
             TimerService timers,
             EventLog log,
+            StoreEraMonitor eras,
             CallNumbers callNumbers) {
         this.direct = direct;
         this.channel = channel;
         this.loop = loop;
         this.timers = timers;
         this.log = log;
-        this.callNumbers = callNumbers;
-        this.peerCalls = new PeerObjectCalls(direct, channel, loop);
-        this.sharedWatches = new SharedWatches(timers, peerCalls::reply);
+        this.eras = eras;
+        this.relayedCalls = new RelayedCalls(channel, timers, eras, callNumbers);
+        this.peerCalls = new PeerObjectCalls(direct, channel, loop, eras::current);
+        this.sharedWatches = new SharedWatches(timers, eras::current, peerCalls);
     }
 
     @Override
@@ -113,16 +117,8 @@
         return callWithFallback(
                 () -> direct.read(name),
                 peer ->
-                        relay(
-                                        peer,
-                                        GatewayMessage.ObjectOperation.READ,
-                                        name,
-                                        0,
-                                        null,
-                                        Duration.ZERO)
-                                .thenApply(
-                                        answer ->
-                                                RelayedObjects.toStored(answer.objects().get(0))));
+                        relay(peer, GatewayMessage.ObjectOperation.READ, name, 0, null)
+                                .thenApply(RelayedObjects::toStoredObject));
     }
 
     @Override
@@ -137,9 +133,8 @@
                         GatewayMessage.ObjectOperation.WRITE,
                         name,
                         expectedVersion,
-                        content,
-                        Duration.ZERO)
-                .thenApply(answer -> RelayedObjects.toStored(answer.objects().get(0)).position());
+                        content)
+                .thenApply(answer -> RelayedObjects.toStoredObject(answer).position());
     }
 
     @Override
@@ -153,13 +148,7 @@
         return callWithFallback(
                 () -> listStore(kind),
                 peer ->
-                        relay(
-                                        peer,
-                                        GatewayMessage.ObjectOperation.LIST,
-                                        all,
-                                        0,
-                                        null,
-                                        Duration.ZERO)
+                        relay(peer, GatewayMessage.ObjectOperation.LIST, all, 0, null)
                                 .thenApply(answer -> relayedResult(kind, peer, answer)));
     }
 
@@ -177,21 +166,18 @@
     /** Watches the store, or lets a peer do so while the store is out of reach. */
     private CompletionStage<WatchResult> watchDirectly(
             String kind, StorePosition after, Duration longestWait) {
-        ObjectName all = new ObjectName(kind, "");
         // Decided now: after a relayed watch that failed, time has passed, even if the store has
         // been reached meanwhile.
         Duration directWait = reachability.isUnreachable() ? Duration.ZERO : longestWait;
         return callWithFallback(
                 () -> watchStore(kind, after, directWait),
                 peer ->
-                        relay(
+                        relayWatch(
                                         peer,
                                         GatewayMessage.ObjectOperation.WATCH,
-                                        all,
-                                        after.revision(),
-                                        null,
-                                        relayedWait(longestWait),
-                                        WATCH_ANSWER_TIMEOUT)
+                                        kind,
+                                        after,
+                                        relayedWait(longestWait))
                                 .thenApply(answer -> relayedResult(kind, peer, answer)));
     }
 
@@ -252,14 +238,12 @@
             WatchSource source, String kind, StorePosition after, Duration longestWait) {
         CompletableFuture<WatchResult> result = new CompletableFuture<>();
         channel.connect(source);
-        relay(
+        relayWatch(
                         source.instance(),
                         GatewayMessage.ObjectOperation.SHARED_WATCH,
-                        new ObjectName(kind, ""),
-                        after.revision(),
-                        null,
-                        longestWait,
-                        WATCH_ANSWER_TIMEOUT)
+                        kind,
+                        after,
+                        longestWait)
                 .thenApply(RelayedObjects::toWatchResult)
                 .whenCompleteAsync(
                         (answer, failure) -> {
@@ -352,69 +336,30 @@
             GatewayMessage.ObjectOperation operation,
             ObjectName name,
             long version,
-            JsonNode content,
-            Duration wait) {
-        return relay(peer, operation, name, version, content, wait, ANSWER_TIMEOUT);
+            JsonNode content) {
+        StorePosition position = new StorePosition(eras.current(), version);
+        return relayedCalls.call(
+                peer, operation, name, position, content, Duration.ZERO, ANSWER_TIMEOUT);
     }
 
-    private CompletionStage<GatewayMessage.ObjectCallAnswer> relay(
+    private CompletionStage<GatewayMessage.ObjectCallAnswer> relayWatch(
             InstanceId peer,
             GatewayMessage.ObjectOperation operation,
-            ObjectName name,
-            long version,
-            JsonNode content,
-            Duration wait,
-            Duration timeout) {
-        long callId = callNumbers.next();
-        CompletableFuture<GatewayMessage.ObjectCallAnswer> result = new CompletableFuture<>();
-        pendingCalls.put(callId, result);
-        boolean write = operation == GatewayMessage.ObjectOperation.WRITE;
-        timers.scheduleOnce(
-                wait.plus(timeout),
-                now -> {
-                    if (pendingCalls.remove(callId) != null) {
-                        result.completeExceptionally(
-                                new TarragonlugException(
-                                        write
-                                                ? ErrorCode.OBJECT_API_OUTCOME_UNKNOWN
-                                                : ErrorCode.OBJECT_API_UNAVAILABLE,
-                                        "peer " + peer + " did not answer a relayed " + operation));
-                    }
-                });
-        channel.send(
-                peer,
-                new GatewayMessage.ObjectCall(
-                        PeerMessage.FORMAT_VERSION,
-                        callId,
-                        operation,
-                        name.kind(),
-                        name.name(),
-                        version,
-                        Optional.ofNullable(content).map(RelayedObjects::toText),
-                        wait));
-        return result.thenCompose(RelayingObjectApi::requireSuccess);
-    }
-
-    private static CompletionStage<GatewayMessage.ObjectCallAnswer> requireSuccess(
-            GatewayMessage.ObjectCallAnswer answer) {
-        if (answer.error().isEmpty()) {
-            return CompletableFuture.completedFuture(answer);
-        }
-        ErrorCode code = ErrorCode.OBJECT_API_OUTCOME_UNKNOWN;
-        for (ErrorCode each : ErrorCode.values()) {
-            code = each.name().equals(answer.error()) ? each : code;
-        }
-        return CompletableFuture.failedFuture(
-                new TarragonlugException(code, "the relaying peer reported " + answer.error()));
+            String kind,
+            StorePosition after,
+            Duration wait) {
+        ObjectName all = new ObjectName(kind, "");
+        return relayedCalls.call(peer, operation, all, after, null, wait, WATCH_ANSWER_TIMEOUT);
     }
 
     /** Completes a relayed call with the answer of the peer. Late answers are ignored. */
     void onObjectCallAnswer(GatewayMessage.ObjectCallAnswer answer) {
-        CompletableFuture<GatewayMessage.ObjectCallAnswer> pending =
-                pendingCalls.remove(answer.call());
-        if (pending != null) {
-            pending.complete(answer);
-        }
+        relayedCalls.onAnswer(answer);
+    }
+
+    /** Forgets what this instance has read for others in another era of the store. */
+    void onStoreEra(StoreEra era) {
+        sharedWatches.onStoreEra(era);
     }
 
     /** Makes a call to the store on behalf of a peer, and sends the outcome back. */
--- a/src/main/java/org/tarragonlug/gateway/SharedWatches.java
+++ b/src/main/java/org/tarragonlug/gateway/SharedWatches.java
@@ -8,9 +8,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.tarragonlug.decision.watching.SharedView;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
@@ -20,28 +22,47 @@
 /**
  * Answers the watches of other instances from what this instance has read from the store. A watch
  * without news waits until there are some, or until the wait that it states is over.
+ *
+ * <p>When the store has come back from another copy, watches that wait go on doing so until this
+ * instance has listed the objects of the new era. They then have a gap.
  */
 final class SharedWatches {
-    /** Sends the answer to a watch. */
+    /** Sends the outcomes of calls to peers. */
     interface Replies {
-        void send(
+        /**
+         * Sends the answer to a call.
+         *
+         * @param objects the objects in the answer
+         * @param position era of the answer, and the revision from which a next watch continues
+         * @param gap whether changes may be missing
+         */
+        void reply(
                 InstanceId to,
                 GatewayMessage.ObjectCall call,
-                String error,
                 List<GatewayMessage.RelayedObject> objects,
-                long revision,
+                StorePosition position,
                 boolean gap);
+
+        /** Sends that a call has failed. */
+        void replyFailure(InstanceId to, GatewayMessage.ObjectCall call, ErrorCode code);
     }
 
     private record Waiter(InstanceId from, GatewayMessage.ObjectCall call) {}
 
     private final TimerService timers;
+    private final Supplier<StoreEra> present;
     private final Replies replies;
     private final Map<String, SharedView<GatewayMessage.RelayedObject>> views = new HashMap<>();
     private final Map<String, List<Waiter>> waiters = new HashMap<>();
 
-    SharedWatches(TimerService timers, Replies replies) {
+    /**
+     * Creates the answers of an instance that has read nothing.
+     *
+     * @param present the era of the store that this instance knows
+     */
+    SharedWatches(TimerService timers, Supplier<StoreEra> present, Replies replies) {
         this.timers = timers;
+        this.present = present;
         this.replies = replies;
     }
 
@@ -49,15 +70,28 @@
         return views.computeIfAbsent(kind, each -> new SharedView<>());
     }
 
+    /** Returns whether a result is of the present era; others were answered before it began. */
+    private boolean isPresent(WatchResult result) {
+        return result.position().era().equals(present.get());
+    }
+
+    /** Forgets what was read in other eras of the store. */
+    void onStoreEra(StoreEra era) {
+        views.values().forEach(each -> each.onStoreEra(era));
+    }
+
     /** Records a list that the store has answered. */
     void onListed(String kind, WatchResult result) {
-        view(kind).onListed(result.revision(), timers.now());
+        if (!isPresent(result)) {
+            return;
+        }
+        view(kind).onListed(result.position(), timers.now());
         answerWaiters(kind);
     }
 
     /** Records a watch that the store has answered. */
     void onWatched(String kind, StorePosition after, WatchResult result) {
-        if (result.gap()) {
+        if (result.gap() || !isPresent(result)) {
             return;
         }
         Map<String, GatewayMessage.RelayedObject> changed = new LinkedHashMap<>();
@@ -65,7 +99,7 @@
             changed.remove(object.name().name());
             changed.put(object.name().name(), RelayedObjects.toRelayed(object));
         }
-        view(kind).onWatched(after.revision(), changed, result.revision(), timers.now());
+        view(kind).onWatched(after, changed, result.position(), timers.now());
         answerWaiters(kind);
     }
 
@@ -98,26 +132,20 @@
         Instant now = timers.now();
         GatewayMessage.ObjectCall call = waiter.call();
         SharedView.Answer<GatewayMessage.RelayedObject> answer =
-                view(call.objectKind()).answer(call.version(), waitOver, now);
+                view(call.objectKind())
+                        .answer(PeerObjectCalls.start(call, present.get()), waitOver, now);
         switch (answer.kind()) {
             case WAIT -> {
                 return false;
             }
             case STALE ->
-                    replies.send(
-                            waiter.from(),
-                            call,
-                            ErrorCode.OBJECT_API_UNAVAILABLE.name(),
-                            List.of(),
-                            0,
-                            false);
+                    replies.replyFailure(waiter.from(), call, ErrorCode.OBJECT_API_UNAVAILABLE);
             default ->
-                    replies.send(
+                    replies.reply(
                             waiter.from(),
                             call,
-                            "",
                             answer.changed(),
-                            answer.revision(),
+                            answer.position(),
                             answer.kind() == SharedView.Kind.GAP);
         }
         return true;
--- a/src/main/java/org/tarragonlug/peer/GatewayMessage.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessage.java
@@ -205,6 +205,8 @@
      * @param version expected version for a write, or the revision after which a watch starts
      * @param content content for a write; empty for other operations
      * @param longestWait longest wait of a watch
+     * @param era era of the store to which the version belongs, for a read or list the era that the
+     *     sender knows; 0 if it knows none or its release does not write this field
      */
     record ObjectCall(
             int formatVersion,
@@ -214,8 +216,14 @@
             String objectName,
             long version,
             Optional<String> content,
-            Duration longestWait)
-            implements GatewayMessage {}
+            Duration longestWait,
+            long era)
+            implements GatewayMessage {
+        /** Returns the era that the sender states. */
+        public StoreEra statedEra() {
+            return new StoreEra(era);
+        }
+    }
 
     /** Operations of the object API that peers make for each other. */
     enum ObjectOperation {
@@ -240,6 +248,8 @@
      * @param objects the objects that were read, or the written object without its content
      * @param revision revision from which to continue after a list or watch
      * @param gap whether changes may be missing from the answer to a watch
+     * @param era era of the store in which it gave the answer; 0 if the call failed, if the store
+     *     states no era, or if the sender's release does not write this field
      */
     record ObjectCallAnswer(
             int formatVersion,
@@ -247,11 +257,17 @@
             String error,
             List<RelayedObject> objects,
             long revision,
-            boolean gap)
+            boolean gap,
+            long era)
             implements GatewayMessage {
         public ObjectCallAnswer {
             objects = List.copyOf(objects);
         }
+
+        /** Returns the era in which the store gave the answer. */
+        public StoreEra statedEra() {
+            return new StoreEra(era);
+        }
     }
 
     /**
--- a/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
+++ b/src/main/java/org/tarragonlug/peer/GatewayMessageFormat.java
@@ -234,7 +234,8 @@
                 .text("objectKind", call.objectKind())
                 .text("objectName", call.objectName())
                 .number("version", call.version())
-                .duration("longestWait", call.longestWait());
+                .duration("longestWait", call.longestWait())
+                .number("era", call.era());
         call.content().ifPresent(content -> writer.text("content", content));
     }
 
@@ -247,7 +248,8 @@
                 fields.text("objectName"),
                 fields.number("version"),
                 fields.optionalText("content"),
-                fields.duration("longestWait"));
+                fields.duration("longestWait"),
+                fields.numberOrZero("era"));
     }
 
     private static void writeObjectCallAnswer(
@@ -257,7 +259,8 @@
                 .text("error", answer.error())
                 .list("objects", answer.objects(), GatewayMessageFormat::writeObject)
                 .number("revision", answer.revision())
-                .flag("gap", answer.gap());
+                .flag("gap", answer.gap())
+                .number("era", answer.era());
     }
 
     private static PeerMessage readObjectCallAnswer(MessageFields fields) {
@@ -267,7 +270,8 @@
                 fields.text("error"),
                 fields.list("objects", GatewayMessageFormat::readObject),
                 fields.number("revision"),
-                fields.flag("gap"));
+                fields.flag("gap"),
+                fields.numberOrZero("era"));
     }
 
     private static void writeObject(MessageWriter writer, GatewayMessage.RelayedObject object) {
--- a/src/test/java/org/tarragonlug/decision/watching/WatchSharingSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/watching/WatchSharingSimulation.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.measure.VirtualTime;
 
 /**
@@ -186,7 +187,8 @@
             for (long each = after + 1; each <= newRevision; each++) {
                 changed.put("object-" + each % 40, each);
             }
-            view.onWatched(after, changed, newRevision, time.now());
+            view.onWatched(
+                    StorePosition.of(after), changed, StorePosition.of(newRevision), time.now());
             List<Runnable> waiting = List.copyOf(viewWaiters);
             viewWaiters.clear();
             waiting.forEach(Runnable::run);
@@ -214,7 +216,8 @@
             if (frozen || done[0]) {
                 return;
             }
-            SharedView.Answer<Long> answer = view.answer(after, waitOver, time.now());
+            SharedView.Answer<Long> answer =
+                    view.answer(StorePosition.of(after), waitOver, time.now());
             if (answer.kind() == SharedView.Kind.WAIT) {
                 viewWaiters.add(() -> onSharedWatch(from, after, done, false));
                 time.after(FOLLOWER_WAIT, () -> onSharedWatch(from, after, done, true));
@@ -236,7 +239,7 @@
                 watch();
                 return;
             }
-            learn(answer.revision());
+            learn(answer.position().revision());
             if (answer.kind() == SharedView.Kind.GAP) {
                 storeCalls++;
                 learn(revision);
--- a/src/test/java/org/tarragonlug/decision/watching/WatchSharingTest.java
+++ b/src/test/java/org/tarragonlug/decision/watching/WatchSharingTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonlug.id.FailureDomain;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StorePosition;
 
 /** Many instances that learn the changes of one store. */
 class WatchSharingTest {
@@ -105,34 +106,36 @@
         /** Guards against changes that are lost because they are no longer kept. */
         @Test
         void watchFromBeforeTheListHasGap() {
-            view.onListed(50, now);
-            assertEquals(SharedView.Kind.GAP, view.answer(49, false, now).kind());
-            assertEquals(SharedView.Kind.WAIT, view.answer(50, false, now).kind());
+            view.onListed(StorePosition.of(50), now);
+            assertEquals(SharedView.Kind.GAP, view.answer(StorePosition.of(49), false, now).kind());
+            assertEquals(
+                    SharedView.Kind.WAIT, view.answer(StorePosition.of(50), false, now).kind());
         }
 
         /** Guards against changes that happened while this instance watched through another one. */
         @Test
         void missedRevisionsAreGap() {
-            view.onListed(50, now);
-            view.onWatched(60, Map.of("a", "a61"), 61, now);
-            assertEquals(SharedView.Kind.GAP, view.answer(50, false, now).kind());
+            view.onListed(StorePosition.of(50), now);
+            view.onWatched(StorePosition.of(60), Map.of("a", "a61"), StorePosition.of(61), now);
+            assertEquals(SharedView.Kind.GAP, view.answer(StorePosition.of(50), false, now).kind());
         }
 
         @Test
         void newestChangeOfEachObjectIsPassedOn() {
-            view.onListed(50, now);
-            view.onWatched(50, Map.of("a", "a51"), 51, now);
-            view.onWatched(51, Map.of("a", "a52"), 52, now);
-            SharedView.Answer<String> answer = view.answer(50, false, now);
+            view.onListed(StorePosition.of(50), now);
+            view.onWatched(StorePosition.of(50), Map.of("a", "a51"), StorePosition.of(51), now);
+            view.onWatched(StorePosition.of(51), Map.of("a", "a52"), StorePosition.of(52), now);
+            SharedView.Answer<String> answer = view.answer(StorePosition.of(50), false, now);
             assertEquals(List.of("a52"), answer.changed());
-            assertEquals(52, answer.revision());
+            assertEquals(StorePosition.of(52), answer.position());
         }
 
         @Test
         void viewThatTheStoreDidNotConfirmIsStale() {
-            view.onListed(50, now);
+            view.onListed(StorePosition.of(50), now);
             Instant later = now.plus(SharedView.FRESHNESS).plusMillis(1);
-            assertEquals(SharedView.Kind.STALE, view.answer(50, true, later).kind());
+            assertEquals(
+                    SharedView.Kind.STALE, view.answer(StorePosition.of(50), true, later).kind());
         }
     }
 }
--- a/src/test/java/org/tarragonlug/gateway/RelayedKeysTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayedKeysTest.java
@@ -19,6 +19,7 @@
 import org.tarragonlug.http.LoopbackFixture;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.ProcessId;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
@@ -52,6 +53,7 @@
                     Runnable::run,
                     timers,
                     new EventLog("test"),
+                    new StoreEraMonitor(timers, new EventLog("test")),
                     new CallNumbers(new Random(1)));
 
     /** Records messages, which are not delivered. */
@@ -114,7 +116,8 @@
                         MAIN.name(),
                         version,
                         Optional.empty(),
-                        Duration.ofMillis(100)));
+                        Duration.ofMillis(100),
+                        0));
         GatewayFixture.await("an answer", () -> sentCount() > before);
         return (GatewayMessage.ObjectCallAnswer) sent.get(before);
     }
@@ -143,7 +146,7 @@
             String bytes = new String(codec.encode(answer), StandardCharsets.ISO_8859_1);
             assertTrue(bytes.contains("tenants"));
             assertFalse(bytes.contains("secret-key"), bytes);
-            StoredObject object = RelayedObjects.toStored(answer.objects().get(0));
+            StoredObject object = RelayedObjects.toStoredObject(answer);
             assertEquals(
                     1, ConfigurationDecoder.decode(object.content()).accounts().accounts().size());
         }
@@ -154,7 +157,8 @@
     void keysFromPeersAreReplacedOnArrival() {
         StoredObject object =
                 RelayedObjects.toStored(
-                        new GatewayMessage.RelayedObject("config", "main", 4, TABLE));
+                        new GatewayMessage.RelayedObject("config", "main", 4, TABLE),
+                        StoreEra.NONE);
         assertFalse(object.content().toString().contains("secret-key"));
         assertFalse(
                 ConfigurationDecoder.decode(object.content())
--- a/src/test/java/org/tarragonlug/gateway/RelayedWatchTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayedWatchTest.java
@@ -95,6 +95,7 @@
                             Runnable::run,
                             cluster.timers,
                             new EventLog(name),
+                            new StoreEraMonitor(cluster.timers, new EventLog(name)),
                             new CallNumbers(new Random(1)));
         }
 
--- a/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayingObjectApiTest.java
@@ -136,6 +136,7 @@
                 Runnable::run,
                 timers,
                 new EventLog("test"),
+                new StoreEraMonitor(timers, new EventLog("test")),
                 new CallNumbers(random));
     }
 
--- a/src/test/java/org/tarragonlug/gateway/StoreWatcherTest.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreWatcherTest.java
@@ -130,6 +130,7 @@
                             Runnable::run,
                             timers,
                             new EventLog("test"),
+                            new StoreEraMonitor(timers, new EventLog("test")),
                             new CallNumbers(new Random(1)));
             store.put(LEAVING);
             store.put(OTHER);
@@ -190,7 +191,8 @@
                                     ErrorCode.OBJECT_API_UNAVAILABLE.name(),
                                     List.of(),
                                     0,
-                                    false));
+                                    false,
+                                    0));
                 }
             }
 
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -60,6 +60,7 @@
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.ServiceName;
+import org.tarragonlug.id.StoreEra;
 
 class PeerCodecTest {
     private static final ObjectMapper PACK = new MessagePackMapper();
@@ -224,7 +225,8 @@
                         "orders-1",
                         44,
                         Optional.of("{\"a\":1}"),
-                        Duration.ZERO),
+                        Duration.ZERO,
+                        5),
                 new GatewayMessage.ObjectCallAnswer(
                         1,
                         9,
@@ -233,7 +235,8 @@
                                 new GatewayMessage.RelayedObject(
                                         "leases", "orders-1", 45, "{\"a\":1}")),
                         46,
-                        true),
+                        true,
+                        6),
                 new GatewayMessage.OrderCall(
                         1,
                         10,
@@ -397,6 +400,23 @@
             }
         }
 
+        /** Guards against relayed calls that an instance of a release without eras cannot make. */
+        @Test
+        void missingEraOfRelayedCallIsReadAsNone() throws Exception {
+            int read = 0;
+            for (PeerMessage message : lastSamples()) {
+                PeerMessage old = decodedOrNull(edited(message, node -> node.remove("era")));
+                if (old instanceof GatewayMessage.ObjectCall call) {
+                    assertEquals(StoreEra.NONE, call.statedEra());
+                    read++;
+                } else if (old instanceof GatewayMessage.ObjectCallAnswer answer) {
+                    assertEquals(StoreEra.NONE, answer.statedEra());
+                    read++;
+                }
+            }
+            assertEquals(2, read);
+        }
+
         private PeerMessage decodedOrNull(byte[] frame) {
             try {
                 return decoded(frame);
