Judge entries of another era by what the servers have said since

Cause: in a new era the watch reports each entry of the copy, and ListedServers used all of them: those of servers that had said since that they leave, of servers whose entries had been removed, and of earlier starts. Change: ServerStatements remembers the newest entry of each server, and for ten minutes that it was removed. An entry of another era counts if its run started later or its seq shows that it was written later. A removed server may have left after its last entry that was read, so the copy's entry is withheld until it changes in the new era, or a call that began four report intervals later still lists it, as the store removes silent ones after three. Parts that are told of servers all see the same entries. The watch tells its listener when an answer has been applied, and when its call began.

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.tarragonlug.decision.placement.PlacementPlanner;
 import org.tarragonlug.decision.quarantine.QuarantineManager;
 import org.tarragonlug.decision.watching.FollowedSource;
+import org.tarragonlug.decision.watching.ServerStatements;
 import org.tarragonlug.decision.watching.WatchCandidate;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.http.HttpConnections;
@@ -201,6 +202,9 @@
                         forwarding,
                         placement,
                         quarantine,
+                        new ServerStatements(settings.watchLimits()),
+                        storeEras::current,
+                        timers,
                         log,
                         this::updateReady);
         this.watches = createWatches();
--- a/src/main/java/org/tarragonlug/gateway/ListedServers.java
+++ b/src/main/java/org/tarragonlug/gateway/ListedServers.java
@@ -1,23 +1,37 @@
 package org.tarragonlug.gateway;
 
+import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.tarragonlug.decision.forwarding.Fleet;
 import org.tarragonlug.decision.forwarding.FleetServer;
 import org.tarragonlug.decision.forwarding.ForwardingEvent;
+import org.tarragonlug.decision.forwarding.ListedState;
 import org.tarragonlug.decision.forwarding.ServerListing;
 import org.tarragonlug.decision.placement.PlacementEvent;
+import org.tarragonlug.decision.watching.ServerStatement;
+import org.tarragonlug.decision.watching.ServerStatements;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServerIncarnation;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.platform.ServerEntryDecoder;
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.LogEvent;
+import org.tarragonlug.runtime.TimerService;
 
 /**
  * Passes the listings of servers on to the parts that need them.
  *
+ * <p>A store that comes back from an older copy lists servers that have left. Entries that do not
+ * hold any more are not passed on to any part ({@link ServerStatements}).
+ *
  * <p>In a large deployment the models in the listings change many times per second, so only the
  * planner logs changes that concern nothing but models.
  */
@@ -26,15 +40,37 @@
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
     private final QuarantineDriver quarantine;
+
+    /**
+     * An entry that is not used until it is renewed.
+     *
+     * @param statement what the entry says of the server
+     * @param object the entry
+     * @param listing the entry, decoded
+     * @param since when the entry was first read
+     */
+    private record Withheld(
+            ServerStatement statement, StoredObject object, ServerListing listing, Instant since) {
+        StoreEra era() {
+            return statement.position().era();
+        }
+    }
+
+    private final ServerStatements statements;
+    private final Supplier<StoreEra> era;
+    private final TimerService timers;
     private final EventLog log;
     private final Runnable onComplete;
     private final Set<ServerId> ids = new HashSet<>();
+    private final Map<ServerId, Withheld> withheld = new HashMap<>();
     private boolean complete;
 
     /**
      * Creates the listener.
      *
      * @param fleet the servers as the forwarding coordinator knows them
+     * @param statements what the servers have said of themselves
+     * @param era the present era of the store
      * @param onComplete called when the first complete list has been read
      */
     ListedServers(
@@ -42,12 +78,18 @@
             ForwardingDriver forwarding,
             PlacementDriver placement,
             QuarantineDriver quarantine,
+            ServerStatements statements,
+            Supplier<StoreEra> era,
+            TimerService timers,
             EventLog log,
             Runnable onComplete) {
         this.fleet = fleet;
         this.forwarding = forwarding;
         this.placement = placement;
         this.quarantine = quarantine;
+        this.statements = statements;
+        this.era = era;
+        this.timers = timers;
         this.log = log;
         this.onComplete = onComplete;
     }
@@ -75,6 +117,66 @@
             onRemoved(object.name().name());
             return;
         }
+        ServerStatement statement = statement(object, listing);
+        ServerStatements.Verdict verdict = statements.onRead(statement, timers.now());
+        if (verdict == ServerStatements.Verdict.CURRENT) {
+            use(object, listing);
+            return;
+        }
+        logUnused(object, verdict);
+        if (verdict == ServerStatements.Verdict.WITHHELD) {
+            withhold(new Withheld(statement, object, listing, timers.now()));
+        }
+    }
+
+    private ServerStatement statement(StoredObject object, ServerListing listing) {
+        StorePosition read = object.position();
+        return new ServerStatement(
+                new ServerIncarnation(listing.id(), listing.startedMillis()),
+                ServerEntryDecoder.writeNumber(object),
+                listing.state() == ListedState.LEAVING,
+                read.era().isStated() ? read : new StorePosition(era.get(), read.revision()));
+    }
+
+    private void logUnused(StoredObject object, ServerStatements.Verdict verdict) {
+        log.event(LogEvent.STORE_OBJECT_IGNORED)
+                .with("object", object.name())
+                .with("position", object.position())
+                .with("reason", verdict)
+                .write();
+    }
+
+    /** Keeps an entry; one that was kept in the same era before tells since when it is listed. */
+    private void withhold(Withheld entry) {
+        Withheld before = withheld.get(entry.listing().id());
+        Instant since =
+                before != null && before.era().equals(entry.era()) ? before.since() : entry.since();
+        withheld.put(
+                entry.listing().id(),
+                new Withheld(entry.statement(), entry.object(), entry.listing(), since));
+    }
+
+    /** Uses the withheld entries that are still listed although the store removes silent ones. */
+    @Override
+    public void onAnswered(Instant began) {
+        for (Withheld entry : List.copyOf(withheld.values())) {
+            boolean renewed = !began.isBefore(entry.since().plus(statements.renewalTime()));
+            if (renewed && entry.era().equals(era.get())) {
+                withheld.remove(entry.listing().id());
+                useRenewed(entry);
+            }
+        }
+    }
+
+    private void useRenewed(Withheld entry) {
+        ServerStatements.Verdict verdict = statements.onRenewed(entry.statement(), timers.now());
+        if (verdict == ServerStatements.Verdict.CURRENT) {
+            use(entry.object(), entry.listing());
+        }
+    }
+
+    private void use(StoredObject object, ServerListing listing) {
+        withheld.remove(listing.id());
         if (changesMoreThanModels(listing) || placement.isPlanning()) {
             log.event(LogEvent.SERVER_LISTED)
                     .with("server", listing.id())
@@ -110,6 +212,8 @@
         log.event(LogEvent.SERVER_UNLISTED).with("server", name).write();
         Optional<ServerIncarnation> before = incarnation(id);
         ids.remove(id);
+        withheld.remove(id);
+        statements.onRemoved(id, era.get(), timers.now());
         forwarding.post(new ForwardingEvent.ServerUnlisted(id));
         placement.post(new PlacementEvent.ServerUnlisted(id));
         before.ifPresent(quarantine::onServerGone);
--- a/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreWatcher.java
@@ -71,6 +71,13 @@
 
         /** Called once, when all objects of the first successful list have been reported. */
         void onInitialListComplete();
+
+        /**
+         * Called when all that a list or watch told has been reported.
+         *
+         * @param began when the call began; its answer is not older
+         */
+        default void onAnswered(Instant began) {}
     }
 
     private final String kind;
@@ -169,18 +176,14 @@
     }
 
     private void list() {
-        begin(
-                Step.LISTING,
-                () -> store.list(kind),
-                (began, result) -> onListed(result),
-                this::onListFailed);
+        begin(Step.LISTING, () -> store.list(kind), this::onListed, this::onListFailed);
     }
 
     private void watch() {
         begin(
                 Step.WATCHING,
                 () -> store.watch(kind, position, longestWait()),
-                (began, result) -> onWatched(result),
+                this::onWatched,
                 this::onWatchFailed);
     }
 
@@ -239,7 +242,7 @@
         nextStep = timers.scheduleOnce(pause, now -> next.run());
     }
 
-    private void onListed(WatchResult result) {
+    private void onListed(Instant began, WatchResult result) {
         Instant now = timers.now();
         Instant keepMissingUntil = outage.keepMissingUntil(now);
         onAnswered();
@@ -260,6 +263,7 @@
             initialListComplete = true;
             listener.onInitialListComplete();
         }
+        listener.onAnswered(began);
         watch();
     }
 
@@ -270,7 +274,7 @@
         }
     }
 
-    private void onWatched(WatchResult result) {
+    private void onWatched(Instant began, WatchResult result) {
         onAnswered();
         if (!failedBefore) {
             backoff = NO_BACKOFF;
@@ -289,6 +293,7 @@
             }
         }
         position = result.position();
+        listener.onAnswered(began);
         pause(pace.get().pause(limits), this::watch);
     }
 
--- a/src/main/java/org/tarragonlug/platform/ServerEntryDecoder.java
+++ b/src/main/java/org/tarragonlug/platform/ServerEntryDecoder.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.tarragonlug.decision.forwarding.ListedState;
 import org.tarragonlug.decision.forwarding.ServerListing;
@@ -19,8 +20,8 @@
  *
  * <p>An entry in which a required field is missing or has another type may come from another
  * writer. Decoding it fails with an {@link IllegalArgumentException}, and it does not count as a
- * server. The field {@code seq} is not used: in an entry it counts the writes of the entry, and not
- * the orders that the server has accepted.
+ * server. The field {@code seq} of an entry counts its writes, and not the orders that the server
+ * has accepted.
  */
 public final class ServerEntryDecoder {
     private ServerEntryDecoder() {}
@@ -52,6 +53,17 @@
                 names(available.path("on_disk")));
     }
 
+    /**
+     * Returns how often the server had written its entry in its present run; empty if the entry
+     * does not tell.
+     */
+    public static OptionalLong writeNumber(StoredObject object) {
+        JsonNode number = object.content().path("seq");
+        return number.isIntegralNumber() && number.canConvertToLong()
+                ? OptionalLong.of(number.longValue())
+                : OptionalLong.empty();
+    }
+
     private static ListedState state(String text) {
         return switch (text) {
             case "ready" -> ListedState.READY;
--- a/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformServerStandIn.java
@@ -175,6 +175,14 @@
         register();
     }
 
+    /** Starts the server again under the id that it has; what it said before no longer holds. */
+    public synchronized void restart() {
+        startMillis = Math.max(System.currentTimeMillis(), startMillis + 1);
+        entryWrites = 0;
+        leaving = false;
+        register();
+    }
+
     /** Removes the server's entry from the store. The server goes on serving. */
     public void removeEntry() {
         store.remove("servers", id);
--- a/src/test/java/org/tarragonlug/gateway/StoreRestoredTest.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreRestoredTest.java
@@ -208,12 +208,92 @@
             assertNotUsed(first);
             returnFrom(copy);
             second.renewEntry();
+            assertNotUsedUntilExpiry(first);
+        }
+
+        private void assertNotUsedUntilExpiry(PlatformServerStandIn server) throws Exception {
             for (int count = 0; count < 10; count++) {
-                assertNotUsed(first);
+                assertNotUsed(server);
                 Thread.sleep(EXPIRY.toMillis() / 10);
             }
         }
 
+        private void awaitUse(PlatformServerStandIn server) throws Exception {
+            int before = server.runsByRequestId().size();
+            GatewayFixture.await(
+                    "used",
+                    () -> status("/read/1") == 200 && server.runsByRequestId().size() > before);
+        }
+
+        /** Guards against a leaving server that is still listed becoming ready from the copy. */
+        @Test
+        void serverThatWasLeavingBeforeTheReturnStaysLeaving() throws Exception {
+            startBoth();
+            startGateway();
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            first.leave();
+            Thread.sleep(LEAVING_BOUND.toMillis());
+            returnFrom(copy);
+            second.renewEntry();
+            assertNotUsedUntilExpiry(first);
+        }
+
+        /** Guards against a server being taken back that left without saying so, also twice. */
+        @Test
+        void serverWhoseEntryWasOnlyRemovedStaysLeft() throws Exception {
+            startBoth();
+            startGateway();
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            first.removeEntry();
+            Thread.sleep(LEAVING_BOUND.toMillis());
+            returnFrom(copy);
+            assertNotUsedUntilExpiry(first);
+            returnFrom(copy);
+            assertNotUsedUntilExpiry(first);
+        }
+
+        /** Guards against a leave that a server told with an answer being undone by the copy. */
+        @Test
+        void serverThatSaidWithAnAnswerThatItLeavesGetsNoNewRequests() throws Exception {
+            startBoth();
+            startGateway();
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            first.setAnnouncingLeave(true);
+            awaitUse(first);
+            first.removeEntry();
+            Thread.sleep(500);
+            returnFrom(copy);
+            first.renewEntry();
+            assertNotUsedUntilExpiry(first);
+        }
+
+        /** Guards against a running server that stays unused because its entry expired once. */
+        @Test
+        void serverThatIsStillListedWhenSilentOnesAreRemovedIsUsed() throws Exception {
+            startBoth();
+            startGateway();
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            first.removeEntry();
+            Thread.sleep(LEAVING_BOUND.toMillis());
+            returnFrom(copy);
+            assertNotUsed(first);
+            awaitUse(first);
+        }
+
+        /** Guards against a server that started again being taken for the run that left. */
+        @Test
+        void serverThatStartedAgainIsUsedAtOnce() throws Exception {
+            startBoth();
+            startGateway();
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            first.leave();
+            Thread.sleep(LEAVING_BOUND.toMillis());
+            returnFrom(copy);
+            first.restart();
+            Thread.sleep(LEAVING_BOUND.toMillis());
+            awaitUse(first);
+        }
+
         /** Guards against a server being dropped because the copy does not have its entry yet. */
         @Test
         void serverThatTheCopyDoesNotHaveIsKeptUntilItWritesAgain() throws Exception {
