Test a replaced machine and a lease that was released unused; two cases fail

Cause: not changed yet. The store is not restored from a copy in either case. Measured: LeaseManagerTest, 2 of 17 cases fail: the replacement of a machine may order 0.1 s after it read the lease of its name; a third holder may order 4.0 s after a lease was released unused, while the first holder may order until 1 s after it and a turn is 3 s.

--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
@@ -282,6 +282,60 @@
             assertFalse(manager.mayOrder(START.plus(LeaseSimulation.TURN)));
         }
 
+        // Guards against orders of two machines within one turn: a machine was replaced by one with
+        // its name at another address, which found the lease under its own name and ordered at
+        // once.
+        @Test
+        void waitsForTurnOfReplacedMachineWithSameName() {
+            LeaseManager manager =
+                    new LeaseManager(
+                            new InstanceId("a"), "a-2", "10.0.0.9:1", LeaseSimulation.TURN, true);
+            manager.handle(tick(), START);
+            manager.handle(new LeaseEvent.Read(Optional.of(record("a", 1, 4))), START);
+            Instant now = START;
+            Instant acquired = null;
+            while (acquired == null && now.isBefore(START.plusSeconds(10))) {
+                now = now.plusMillis(100);
+                for (LeaseCommand command : manager.handle(tick(), now)) {
+                    if (command instanceof LeaseCommand.Write write) {
+                        LeaseRecord taken = withRevision(write.record(), 5);
+                        manager.handle(new LeaseEvent.Written(taken, now), now);
+                        acquired = now;
+                    } else {
+                        manager.handle(new LeaseEvent.Read(Optional.of(record("a", 1, 4))), now);
+                    }
+                }
+            }
+            assertTrue(acquired != null, "the lease of the replaced machine is never taken");
+            Instant lastOrder = START.plus(LeaseManager.ORDER_PERIOD);
+            assertFalse(manager.mayOrder(now), "ordered at " + Duration.between(START, now));
+            assertFalse(manager.mayOrder(lastOrder.plus(LeaseSimulation.TURN)));
+        }
+
+        // Guards against orders of two holders within one turn: a successor that released the lease
+        // while it waited for the turn of the previous holder tells nothing of that holder's end.
+        @Test
+        void waitsForHolderBeforeOneThatReleasedLeaseUnused() {
+            LeaseManager manager = newManager("c");
+            manager.handle(tick(), START);
+            LeaseRecord unused =
+                    new LeaseRecord(
+                            new InstanceId("b"),
+                            "b-1",
+                            "10.0.0.2:1",
+                            new FencingToken(8),
+                            2,
+                            false,
+                            true,
+                            6);
+            manager.handle(new LeaseEvent.Read(Optional.of(unused)), START);
+            Instant taken = START.plusMillis(600);
+            LeaseCommand.Write write = (LeaseCommand.Write) manager.handle(tick(), taken).get(0);
+            manager.handle(new LeaseEvent.Written(withRevision(write.record(), 7), taken), taken);
+            Duration rest = LeaseManager.ORDER_PERIOD.minus(LeaseManager.TAKEOVER_AFTER);
+            assertFalse(manager.mayOrder(START.plus(rest).plus(LeaseSimulation.TURN)));
+        }
+
         @Test
         void doesNotAcquireFreeLeaseBeforeAcquisitionDelay() {
             LeaseManager manager = newManager("b");
