Take over the lease of a replaced machine like that of another holder

Cause: the lease of an instance counted as its own by name alone. A machine that replaced one of its name at another address ordered at once, and stated for the lease of the machine before, which may still run, that its holder gives no more orders. Change: a lease is of this machine only if name and address are its own.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -205,6 +205,19 @@
         return Optional.ofNullable(holderRecord);
     }
 
+    /** Tells whether this machine is the last known holder of the lease. */
+    public boolean isLastHolder() {
+        return holderRecord != null && isOfThisMachine(holderRecord);
+    }
+
+    /**
+     * Tells whether a process of this machine wrote a record. A machine that was replaced may have
+     * had the same name, but not the same address, and may still run.
+     */
+    private boolean isOfThisMachine(LeaseRecord record) {
+        return record.holder().equals(self) && record.address().equals(address);
+    }
+
     @Override
     public List<LeaseCommand> handle(LeaseEvent event, Instant now) {
         if (event instanceof LeaseEvent.Read read) {
@@ -340,7 +353,7 @@
         if (!latestRecord.released()) {
             nextCallAt = now.plus(HELD_READ_PERIOD);
         }
-        if (latestRecord.holder().equals(self)) {
+        if (isOfThisMachine(latestRecord)) {
             // A write of this instance took effect, but its answer was lost or an earlier process
             // started it. Only an answered renewal starts an order period, so the next tick renews.
             nextCallAt = now;
@@ -468,7 +481,7 @@
         if (!isOfPresentEra(latestRecord)) {
             return takeOver(now);
         }
-        if (latestRecord.holder().equals(self)) {
+        if (isOfThisMachine(latestRecord)) {
             return reacquireOwnLease(now);
         }
         if (latestRecord.released()
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -233,7 +233,7 @@
     boolean hearsAllHolders() {
         for (OrderGroup group : leaseManagers.keySet()) {
             LeaseManager manager = leaseManagers.get(group);
-            boolean other = manager.latestRecord().isPresent() && !isLastHolder(manager);
+            boolean other = manager.latestRecord().isPresent() && !manager.isLastHolder();
             if (other && !isHolderAlive(group)) {
                 return false;
             }
@@ -327,11 +327,7 @@
 
     /** Returns whether this instance holds any lease, or is the last known holder of one. */
     boolean isOrWasHolder() {
-        return leaseManagers.values().stream().anyMatch(this::isLastHolder);
-    }
-
-    private boolean isLastHolder(LeaseManager manager) {
-        return manager.latestRecord().filter(record -> record.holder().equals(self)).isPresent();
+        return leaseManagers.values().stream().anyMatch(LeaseManager::isLastHolder);
     }
 
     /**
@@ -344,7 +340,7 @@
         List<GatewayMessage.LeaseStatus> notices = new ArrayList<>();
         leaseManagers.forEach(
                 (group, manager) -> {
-                    if (isLastHolder(manager)) {
+                    if (manager.isLastHolder()) {
                         notices.add(
                                 new GatewayMessage.LeaseStatus(
                                         group,
