Wait for the holder before one that released the lease unused

Cause: the successor of a holder that released the lease, or stated that it stopped, waited one turn from then. Change: if the last record says that its holder gave no order, the wait counts from that second. Measured: waitsForHolderBeforeOneThatReleasedLeaseUnused failed before and passes; LeaseManagerTest, OrderLeasesTest, RelayedOrderTest, OrderAnswersTest, ArchitectureTest pass.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -119,8 +119,9 @@
     /**
      * The previous holder gives no order more than ORDER_PERIOD after this time. If that holder
      * stopped giving orders or released the lease, this is the time at which this instance learned
-     * of it, less ORDER_PERIOD. Otherwise this is the latest time at which the previous holder may
-     * have started its last renewal; EPOCH if there is no previous holder to wait for.
+     * of it, less {@link #timeSinceLastOrderPeriodBegan}. Otherwise this is the latest time at
+     * which the previous holder may have started its last renewal; EPOCH if there is no previous
+     * holder to wait for.
      */
     private Instant previousRenewalBound = Instant.EPOCH;
 
@@ -487,7 +488,7 @@
         if (latestRecord.released()
                 || holderStoppedOrdering && latestRecord.position().equals(statedRenewal)) {
             Instant stoppedBy = latestRecord.released() ? unchangedSince : holderStoppedOrderingAt;
-            previousRenewalBound = stoppedBy.minus(ORDER_PERIOD);
+            previousRenewalBound = stoppedBy.minus(timeSinceLastOrderPeriodBegan());
             return acquireFreeLease(now);
         }
         return takeOver(now);
@@ -518,6 +519,15 @@
         return read(now);
     }
 
+    /**
+     * Returns how long before the stop of the last holder the last order period began at the
+     * latest. A holder that gave no order itself may have acquired the lease TAKEOVER_AFTER after
+     * the last renewal of the holder before it, which may still give orders then.
+     */
+    private Duration timeSinceLastOrderPeriodBegan() {
+        return latestRecord.ordering() ? ORDER_PERIOD : TAKEOVER_AFTER;
+    }
+
     /** Returns a fencing token above those of all holders so far. */
     private FencingToken nextFence() {
         return FencingToken.higher(highestFence.next(), FencingToken.firstOf(era));
