--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -119,8 +119,9 @@
     /**
      * The previous holder gives no order more than ORDER_PERIOD after this time. If that holder
      * stopped giving orders or released the lease, this is the time at which this instance learned
-     * of it, less ORDER_PERIOD. Otherwise this is the latest time at which the previous holder may
-     * have started its last renewal; EPOCH if there is no previous holder to wait for.
+     * of it, less {@link #timeSinceLastOrderPeriodBegan}. Otherwise this is the latest time at
+     * which the previous holder may have started its last renewal; EPOCH if there is no previous
+     * holder to wait for.
      */
     private Instant previousRenewalBound = Instant.EPOCH;
 
@@ -205,6 +206,19 @@
         return Optional.ofNullable(holderRecord);
     }
 
+    /** Tells whether this machine is the last known holder of the lease. */
+    public boolean isLastHolder() {
+        return holderRecord != null && isOfThisMachine(holderRecord);
+    }
+
+    /**
+     * Tells whether a process of this machine wrote a record. A machine that was replaced may have
+     * had the same name, but not the same address, and may still run.
+     */
+    private boolean isOfThisMachine(LeaseRecord record) {
+        return record.holder().equals(self) && record.address().equals(address);
+    }
+
     @Override
     public List<LeaseCommand> handle(LeaseEvent event, Instant now) {
         if (event instanceof LeaseEvent.Read read) {
@@ -340,7 +354,7 @@
         if (!latestRecord.released()) {
             nextCallAt = now.plus(HELD_READ_PERIOD);
         }
-        if (latestRecord.holder().equals(self)) {
+        if (isOfThisMachine(latestRecord)) {
             // A write of this instance took effect, but its answer was lost or an earlier process
             // started it. Only an answered renewal starts an order period, so the next tick renews.
             nextCallAt = now;
@@ -468,13 +482,13 @@
         if (!isOfPresentEra(latestRecord)) {
             return takeOver(now);
         }
-        if (latestRecord.holder().equals(self)) {
+        if (isOfThisMachine(latestRecord)) {
             return reacquireOwnLease(now);
         }
         if (latestRecord.released()
                 || holderStoppedOrdering && latestRecord.position().equals(statedRenewal)) {
             Instant stoppedBy = latestRecord.released() ? unchangedSince : holderStoppedOrderingAt;
-            previousRenewalBound = stoppedBy.minus(ORDER_PERIOD);
+            previousRenewalBound = stoppedBy.minus(timeSinceLastOrderPeriodBegan());
             return acquireFreeLease(now);
         }
         return takeOver(now);
@@ -505,6 +519,15 @@
         return read(now);
     }
 
+    /**
+     * Returns how long before the stop of the last holder the last order period began at the
+     * latest. A holder that gave no order itself may have acquired the lease TAKEOVER_AFTER after
+     * the last renewal of the holder before it, which may still give orders then.
+     */
+    private Duration timeSinceLastOrderPeriodBegan() {
+        return latestRecord.ordering() ? ORDER_PERIOD : TAKEOVER_AFTER;
+    }
+
     /** Returns a fencing token above those of all holders so far. */
     private FencingToken nextFence() {
         return FencingToken.higher(highestFence.next(), FencingToken.firstOf(era));
