Put the instance's access to the store together in one part

No behaviour changes. Result: StoreRestoredTest, RelayedKeysTest, AccountsTest and the build check pass.

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -43,7 +43,6 @@
 import org.tarragonlug.peer.PeerTransportSettings;
 import org.tarragonlug.peer.TcpPeerTransport;
 import org.tarragonlug.platform.PlatformEngineClient;
-import org.tarragonlug.platform.PlatformObjectApi;
 import org.tarragonlug.platform.PlatformPaths;
 import org.tarragonlug.runtime.EventLog;
 import org.tarragonlug.runtime.Hash4jHasher;
@@ -112,9 +111,7 @@
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
     private final OrderExecutor executor;
-    private final StoreEraMonitor storeEras;
-    private final RelayingObjectApi relay;
-    private final EraCheckedObjectApi store;
+    private final GatewayStore store;
     private final QuarantineManager quarantineManager = new QuarantineManager();
     private final QuarantineDriver quarantine;
     private final QuotaDriver quotas;
@@ -181,21 +178,16 @@
                         metrics);
         this.executor = createExecutor(groups, engines);
         this.placement = new PlacementDriver(planner, executor, engines, loop, timers, log, peers);
-        this.storeEras = new StoreEraMonitor(timers, log);
-        this.relay =
-                new RelayingObjectApi(
-                        new EraCheckedObjectApi(
-                                new PlatformObjectApi(connections, settings.storeAddress()),
-                                storeEras,
-                                timers),
+        this.store =
+                new GatewayStore(
+                        connections,
+                        settings.storeAddress(),
                         peers,
                         loop,
                         timers,
                         log,
-                        storeEras,
                         callNumbers);
-        this.store = new EraCheckedObjectApi(relay, storeEras, timers);
-        leases.start(store, loop, log);
+        leases.start(store.api(), loop, log);
         this.listedServers =
                 new ListedServers(
                         coordinator.fleet(),
@@ -203,7 +195,7 @@
                         placement,
                         quarantine,
                         new ServerStatements(settings.watchLimits()),
-                        storeEras::current,
+                        store::era,
                         timers,
                         log,
                         this::updateReady);
@@ -291,13 +283,14 @@
                 new InstalledConfiguration(
                         coordinator, forwarding, placement, log, metrics, this::updateReady);
         forwarding.start(
-                new ConfigurationReader(store, configuration, forwarding, loop, log, metrics));
+                new ConfigurationReader(
+                        store.api(), configuration, forwarding, loop, log, metrics));
         return new StoreWatches(
-                store,
+                store.api(),
                 loop,
                 timers,
                 log,
-                storeEras::current,
+                store::era,
                 settings.watchLimits(),
                 followedSource,
                 () -> placement.isPlanning() || !ready,
@@ -343,12 +336,11 @@
     }
 
     private void startOnLoop() {
-        peers.start(transport, forwarding, placement, executor, relay, quarantine);
-        quarantine.start(peers, forwarding, store);
+        peers.start(transport, forwarding, placement, executor, store.relay(), quarantine);
+        quarantine.start(peers, forwarding, store.api());
         quotas.start(peers, coordinator, forwarding, placement, leases);
-        storeEras.addListener(relay::onStoreEra);
-        storeEras.addListener(leases::onStoreEra);
-        storeEras.addListener(era -> watches.onStoreEra());
+        store.addListener(leases::onStoreEra);
+        store.addListener(era -> watches.onStoreEra());
         watches.start();
         timers.schedulePeriodically(IDLE_TICK, now -> tick());
         timers.schedulePeriodically(SERVER_COUNT_PERIOD, this::countServers);
