Let the stand-in of the store return without closing connections, and reject some callers

Cause: the soak is to play a store that returns from an older copy while watches go on, and a store that rejects some gateways and serves the others. The stand-in closed all watches at a return, and knew one address only. An answer to a watch that waited over the return would have stated the era in which the watch arrived.

Change: returnBehindWatches keeps the waiting watches whose revision the copy has, and answers the others with 410 in the new era. rejectableAddress is a second address whose calls setRejecting answers with 503. The era of an answer is that of the moment of the answer. contents lists the objects of a kind.

--- a/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
@@ -57,6 +57,7 @@
             CompletableFuture<StandInReply> answer,
             Runnable connectionCloser) {}
 
+    private final IoExecutor ioExecutor;
     private final StandInServer server;
     private final int pageSize;
     private final Map<String, TreeMap<String, ObjectNode>> objects = new TreeMap<>();
@@ -74,6 +75,12 @@
     /** Whether connections are closed instead of answering calls. */
     private boolean away;
 
+    /** Listens at a second address; null until that address is asked for. */
+    private StandInServer secondServer;
+
+    /** Whether calls to the second address are answered with status 503. */
+    private boolean rejecting;
+
     private long discardedRevision;
     private int callCount;
     private int forcedStatus;
@@ -99,6 +106,7 @@
      * @param pageSize number of objects that one answer to a list holds
      */
     public PlatformStoreStandIn(IoExecutor ioExecutor, int pageSize) {
+        this.ioExecutor = ioExecutor;
         this.pageSize = pageSize;
         this.server = new StandInServer(ioExecutor, this::handle).start();
     }
@@ -107,6 +115,44 @@
         return server.address();
     }
 
+    /**
+     * Returns a second address of the same store, whose calls it can reject. Blocks at the first
+     * call, so it must not be called on an I/O thread.
+     */
+    public synchronized InetSocketAddress rejectableAddress() {
+        if (secondServer == null) {
+            secondServer = new StandInServer(ioExecutor, this::handleOrReject).start();
+        }
+        return secondServer.address();
+    }
+
+    /**
+     * Sets whether calls to the second address are rejected with status 503. Ends all waiting
+     * watches when that begins.
+     */
+    public synchronized void setRejecting(boolean rejects) {
+        rejecting = rejects;
+        if (rejecting) {
+            cutWatches();
+        }
+    }
+
+    private CompletionStage<StandInReply> handleOrReject(StandInRequest request) {
+        synchronized (this) {
+            if (rejecting) {
+                return done(StandInReply.empty(503));
+            }
+        }
+        return handle(request);
+    }
+
+    /** Returns the contents of the objects of a kind by their names. */
+    public synchronized Map<String, JsonNode> contents(String kind) {
+        Map<String, JsonNode> contents = new TreeMap<>();
+        objectsOfKind(kind).forEach((name, object) -> contents.put(name, object.path("spec")));
+        return contents;
+    }
+
     /**
      * Answers every call with a status and ends the waiting watches. Zero restores normal answers.
      */
@@ -140,6 +186,26 @@
      */
     public synchronized void returnFrom(Copy copy) {
         cutWatches();
+        replaceContents(copy);
+    }
+
+    /**
+     * Returns like {@link #returnFrom}, but closes no connection: a waiting watch goes on if its
+     * revision exists in the copy, and is answered with status 410 otherwise.
+     */
+    public synchronized void returnBehindWatches(Copy copy) {
+        replaceContents(copy);
+        Iterator<Watch> iterator = watches.iterator();
+        while (iterator.hasNext()) {
+            Watch watch = iterator.next();
+            if (watch.after() > revision) {
+                iterator.remove();
+                watch.answer().complete(StandInReply.empty(410));
+            }
+        }
+    }
+
+    private void replaceContents(Copy copy) {
         objects.clear();
         copy.objects.forEach((kind, named) -> objects.put(kind, new TreeMap<>(named)));
         history.clear();
@@ -304,8 +370,12 @@
         if (era == 0) {
             return reply;
         }
-        String stated = Long.toString(era);
-        return reply.thenApply(each -> each.withHeader(ERA_HEADER, stated));
+        // A waiting watch may be answered in a later era than the one in which it arrived.
+        return reply.thenApply(each -> each.withHeader(ERA_HEADER, statedEra()));
+    }
+
+    private synchronized String statedEra() {
+        return Long.toString(era);
     }
 
     private CompletionStage<StandInReply> answer(StandInRequest request) {
@@ -415,6 +485,9 @@
 
     @Override
     public void close() {
+        if (secondServer != null) {
+            secondServer.close();
+        }
         server.close();
     }
 }
