Let the soak return its store from older copies, and check versions, leavings and holders

Change: shapes with longestRestoreGapMillis state an era, and their store is away for 0.2 to 1.5 s and returns from a copy 0.5 to 10 s old, with or without closing connections, also twice from one copy; it also rejects every second gateway. Servers renew their entries, entries that nobody renews are removed after three intervals, and the operator writes the newest version again within a second. Versions add and drop routes; servers take orders and leave slowly. An entry now states when its server has started, and no longer when the entry was written. At most 50 findings of a check are printed; the summary counts all.

--- a/src/main/java/org/tarragonlug/soak/CallerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/CallerConnection.java
@@ -54,7 +54,7 @@
                         : "";
         String head =
                 "POST "
-                        + kind.path()
+                        + kind.path(request.version())
                         + id
                         + " HTTP/1.1\r\n"
                         + header("host", "127.0.0.1")
--- a/src/main/java/org/tarragonlug/soak/Check.java
+++ b/src/main/java/org/tarragonlug/soak/Check.java
@@ -29,6 +29,12 @@
     LOST_AROUND_OPERATOR_ACTION,
     /** The same at other times. */
     LOST_ANSWER,
+    /** A configuration that the store has acknowledged is applied in time, and stays applied. */
+    CONFIGURATION_APPLIED,
+    /** A server that has said that it leaves gets no requests after some time. */
+    LEFT_SERVER,
+    /** One holder at a time gives orders to a server. */
+    ORDER_HOLDERS,
     /** A gateway process ends only by a signal. */
     GATEWAY_LIVES,
     /** After the last fault, all gateways serve requests of all kinds again. */
--- a/src/main/java/org/tarragonlug/soak/RequestKind.java
+++ b/src/main/java/org/tarragonlug/soak/RequestKind.java
@@ -1,13 +1,17 @@
 package org.tarragonlug.soak;
 
-/** Kinds of requests that callers send, one for each route of the configuration. */
+/**
+ * Kinds of requests that callers send, one for each route of the configuration or group of routes.
+ */
 enum RequestKind {
     ASK("engines", "/ask/", true, true),
     SCORE("engines", "/score/", true, false),
     ISSUE("records", "/issue/", false, false),
     READ("records", "/read/", false, true),
     PAY("ledger", "/pay/", false, false),
-    LOOK("ledger", "/look/", false, true);
+    LOOK("ledger", "/look/", false, true),
+    /** Requests on routes that versions of the configuration add and drop. */
+    ADDED("records", "/added-", false, true);
 
     private final String service;
     private final String path;
@@ -26,8 +30,13 @@
         return service;
     }
 
-    String path() {
-        return path;
+    /**
+     * Returns the path of the requests, to which their id is added.
+     *
+     * @param version version that has added the route, for routes that versions add
+     */
+    String path(int version) {
+        return this == ADDED ? path + version + "/" : path;
     }
 
     boolean isStreaming() {
--- a/src/main/java/org/tarragonlug/soak/RequestRecord.java
+++ b/src/main/java/org/tarragonlug/soak/RequestRecord.java
@@ -51,6 +51,9 @@
     /** The gateway to which it was sent last. */
     int gateway;
 
+    /** The version that has added its route, for routes that versions add. */
+    int version;
+
     /** When its caller sent it last. */
     long sentMillis;
 
--- a/src/main/java/org/tarragonlug/soak/ServerAnswers.java
+++ b/src/main/java/org/tarragonlug/soak/ServerAnswers.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.soak;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.tarragonlug.id.RequestId;
 import org.tarragonlug.platform.PlatformPaths;
@@ -100,21 +101,23 @@
     }
 
     /** Returns the answer to a report, an order or a question for the health of the server. */
-    static byte[] control(SoakServer server, String path, boolean misdirected) {
+    static byte[] control(SoakServer server, String path, byte[] body, boolean misdirected)
+            throws IOException {
         String instance = header(ServerAnswer.INSTANCE, server.id);
         if (misdirected) {
             return answer(421, instance, "");
         }
         if (path.startsWith(PlatformPaths.REPORT)) {
-            String models = server.listing.models().toString();
-            return answer(200, "", "{\"models\":" + models + ",\"busy\":false,\"seq\":0}");
+            String models = server.models().toString();
+            long sequence = server.holdings.map(EngineHoldings::sequence).orElse(0L);
+            String state = ",\"busy\":false,\"seq\":" + sequence + "}";
+            return answer(200, "", "{\"models\":" + models + state);
         }
         if (path.startsWith(PlatformPaths.RESERVE_SLOT)) {
             return reservation(server.reserveSlot());
         }
-        // The models are there from the start, so that no order is due.
         return path.startsWith(PlatformPaths.ORDER)
-                ? answer(409, "", "")
+                ? answer(server.carryOut(body), "", "")
                 : answer(200, instance, "");
     }
 }
--- a/src/main/java/org/tarragonlug/soak/ServerConnection.java
+++ b/src/main/java/org/tarragonlug/soak/ServerConnection.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.soak;
 
 import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InterruptedIOException;
@@ -37,6 +38,9 @@
     /** The last event that the caller of a stream already has. */
     private int lastEvent;
 
+    /** Whether the server lacks the model or the adapter that the request is for. */
+    private boolean isModelAbsent;
+
     /** Whether the server has reserved a slot for the request. */
     private boolean reserved;
 
@@ -55,9 +59,12 @@
         while (end == Treatment.End.KEEP) {
             socket.setSoTimeout(LONGEST_IDLE_MILLIS);
             MessageHead head = MessageHead.read(input);
-            MessageBody.read(head, false, input, OutputStream.nullOutputStream());
+            boolean isControl = head.header(RequestHeaders.REQUEST_ID).isEmpty();
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            MessageBody.read(
+                    head, false, input, isControl ? body : OutputStream.nullOutputStream());
             awaitMoving();
-            end = answer(head);
+            end = answer(head, body.toByteArray());
         }
         if (end == Treatment.End.RESET) {
             SoakServer.reset(socket);
@@ -72,13 +79,13 @@
         }
     }
 
-    private Treatment.End answer(MessageHead head) throws IOException {
+    private Treatment.End answer(MessageHead head, byte[] body) throws IOException {
         String path = head.startPart(1);
         String expected = head.header(RequestHeaders.EXPECT_INSTANCE);
         String name = head.header(RequestHeaders.REQUEST_ID);
         boolean misdirected = !expected.isEmpty() && !expected.equals(server.id);
         if (name.isEmpty()) {
-            write(ServerAnswers.control(server, path, misdirected));
+            write(ServerAnswers.control(server, path, body, misdirected));
             return Treatment.End.KEEP;
         }
         RequestId id = new RequestId(name);
@@ -87,6 +94,7 @@
         copies.onRequest(arrival);
         String received = head.header("last-event-id");
         lastEvent = received.isEmpty() ? 0 : Integer.parseInt(received);
+        isModelAbsent = server.lacks(head.header(RequestHeaders.MODEL));
         reserved = !head.header(RequestHeaders.RESERVATION).isEmpty();
         boolean mayRefuse = lastEvent > 0 && !misdirected && !reserved;
         Optional<ResumptionRefusal> refusal =
@@ -147,13 +155,13 @@
     private byte[] answerOrRun(RequestId id, Treatment treatment) throws IOException {
         server.pause(treatment.pauseMillis());
         long pause = server.pauseMillis();
+        if (isModelAbsent) {
+            return refuse(id, RefusalKind.MODEL_ABSENT, treatment, 0);
+        }
         boolean full = server.running.incrementAndGet() > server.listing.slots();
         if (!reserved && (full || treatment.refused() || pause > 0)) {
             server.running.decrementAndGet();
-            server.counts.refusals.incrementAndGet();
-            int status = treatment.refusal().status();
-            server.checker.onRefused(arrival, status, SoakClock.millis());
-            return write(ServerAnswers.refusal(server, id, treatment.refusal(), pause), treatment);
+            return refuse(id, treatment.refusal(), treatment, pause);
         }
         server.counts.runs.incrementAndGet();
         server.checker.onBegun(arrival, server.service, SoakClock.millis());
@@ -168,6 +176,13 @@
         }
     }
 
+    private byte[] refuse(RequestId id, RefusalKind kind, Treatment treatment, long pause)
+            throws IOException {
+        server.counts.refusals.incrementAndGet();
+        server.checker.onRefused(arrival, kind.status(), SoakClock.millis());
+        return write(ServerAnswers.refusal(server, id, kind, pause), treatment);
+    }
+
     private void reportEnd(RunEnd end) {
         if (server.isClosed()) {
             server.checker.onRunEnded(arrival, RunEnd.BROKEN_OFF, server.closedMillis());
--- a/src/main/java/org/tarragonlug/soak/ServerListing.java
+++ b/src/main/java/org/tarragonlug/soak/ServerListing.java
@@ -13,7 +13,8 @@
  * @param failureDomain its failure domain
  * @param slots requests that it runs at once
  * @param modelNames the models that it holds, with all their adapters
- * @param adapterNames the adapters of each model
+ * @param adapterNames the adapters of each model that it holds from the start
+ * @param takesOrders whether it carries out orders
  */
 record ServerListing(
         String service,
@@ -21,7 +22,8 @@
         String failureDomain,
         int slots,
         List<String> modelNames,
-        List<String> adapterNames) {
+        List<String> adapterNames,
+        boolean takesOrders) {
     /** Returns the models as entries and reports list them. */
     ArrayNode models() {
         ArrayNode models = Json.object().arrayNode();
@@ -36,16 +38,18 @@
      * Returns the entry in the store.
      *
      * @param state state of the server
+     * @param bornMillis when it has started, in Unix milliseconds
+     * @param models the models that it holds now, as {@link #models} returns them
      */
-    ObjectNode entry(String state) {
+    ObjectNode entry(String state, long bornMillis, ArrayNode models) {
         ObjectNode entry = Json.object();
         entry.put("service", service);
         entry.put("address", "127.0.0.1:" + port);
         entry.put("zone", failureDomain);
         entry.put("slots", slots);
         entry.put("state", state);
-        entry.put("born", System.currentTimeMillis());
-        entry.set("models", models());
+        entry.put("born", bornMillis);
+        entry.set("models", models);
         return entry;
     }
 }
--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -2,6 +2,7 @@
 
 import io.servicetalk.transport.api.IoExecutor;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -30,8 +31,13 @@
     /** Processes that start at the same time; more delay each other beyond their time to start. */
     private static final int GATEWAYS_OF_A_START = 4;
 
+    private static final long FIRST_ERA = 1;
     private static final long STEP_MILLIS = 20;
     private static final long SECOND_MILLIS = 1000;
+
+    /** Findings of a check that are printed with their histories; the summary counts all. */
+    private static final int MOST_PRINTED = 50;
+
     private static final long RECOVERY_MILLIS = 15_000;
 
     private record Running(PlannedFault fault, SoakFaultKind.Context context) {}
@@ -47,6 +53,8 @@
             new PriorityQueue<>(Comparator.comparingLong(each -> each.fault().endMillis()));
     private PlatformStoreStandIn store;
     private ConfigurationChanges configuration;
+    private ServerEntries entries;
+    private StoreRestores restores;
     private SoakFleet fleet;
     private long startMillis;
     private long nextLineMillis;
@@ -78,8 +86,14 @@
         ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
         store = new PlatformStoreStandIn(ioExecutor, STORE_PAGE_SIZE);
         try {
-            configuration = new ConfigurationChanges(shape, store, checker);
-            fleet = new SoakFleet(settings.seed(), shape, store, checker, counts, timers);
+            StoreWriter writer = new StoreWriter(store);
+            configuration = new ConfigurationChanges(shape, writer, checker);
+            restores = new StoreRestores(store, writer, configuration, checker, timers);
+            entries = new ServerEntries(writer, checker);
+            fleet = new SoakFleet(settings.seed(), shape, entries, checker, counts, timers);
+            if (shape.faults().restoresStore()) {
+                store.stateEra(FIRST_ERA);
+            }
             startGateways();
             runFaults();
             print();
@@ -102,7 +116,8 @@
             FailureDomain domain = new FailureDomain(shape.failureDomain(number));
             Duration drainTime = Duration.ofSeconds(shape.pressure().drainSeconds());
             GatewaySettings each =
-                    GatewayTrial.settings(store, "gateway-" + number, domain, drainTime);
+                    GatewayTrial.settings(
+                            storeAddress(number), "gateway-" + number, domain, drainTime);
             Random random = random("gateway " + number);
             gateways.add(new SoakGateway(number, settings, each, checker, random));
             if (gateways.size() % GATEWAYS_OF_A_START == 0) {
@@ -112,6 +127,12 @@
         awaitReady();
     }
 
+    /** Every second gateway uses the address at which the store can reject calls, if it does. */
+    private InetSocketAddress storeAddress(int gateway) {
+        boolean rejectable = shape.faults().restoresStore() && gateway % 2 == 1;
+        return rejectable ? store.rejectableAddress() : store.address();
+    }
+
     private void awaitReady() throws IOException, InterruptedException {
         int last = gateways.size();
         for (SoakGateway started :
@@ -147,15 +168,20 @@
     }
 
     private SoakCaller caller(String name, List<SoakGateway> reachable, Optional<String> key) {
-        return new SoakCaller(name, reachable, shape, key, checker, tally, random(name));
+        return new SoakCaller(
+                name, reachable, shape, key, configuration, checker, tally, random(name));
     }
 
     /** Ends faults when they are due and replaces processes, until some time after the start. */
     private void advanceUntil(long millis) throws IOException, InterruptedException {
         while (elapsedMillis() < millis) {
             while (!running.isEmpty() && running.peek().fault().endMillis() <= elapsedMillis()) {
-                Running ended = running.poll();
-                ended.fault().kind().end(ended.context());
+                end(running.poll());
+            }
+            if (shape.faults().restoresStore()) {
+                long now = SoakClock.millis();
+                restores.keepCopy(now);
+                entries.step(now);
             }
             for (SoakGateway gateway : gateways) {
                 gateway.keepRunning();
@@ -186,18 +212,32 @@
                         gateways.get(fault.gateway()),
                         store,
                         configuration,
+                        restores,
                         new Random(fault.seed()),
                         fault.endMillis() - fault.startMillis());
+        noteStore(fault.kind(), true);
         fault.kind().start(context);
         running.add(new Running(fault, context));
     }
 
+    private void end(Running ended) {
+        SoakFaultKind kind = ended.fault().kind();
+        kind.end(ended.context());
+        noteStore(kind, false);
+    }
+
+    private void noteStore(SoakFaultKind kind, boolean begins) {
+        if (kind.target().impairsStore()) {
+            checker.onStoreImpaired(begins, kind.hindersCalls(), SoakClock.millis());
+        }
+    }
+
     /** Checks that all gateways serve all kinds of requests again. */
     private void recover() throws IOException, InterruptedException {
         while (!running.isEmpty()) {
-            Running ended = running.poll();
-            ended.fault().kind().end(ended.context());
+            end(running.poll());
         }
+        restores.setSound();
         CallerThreads probes = new CallerThreads();
         List<RecoveryProbe> recoveries = new ArrayList<>();
         for (SoakGateway gateway : gateways) {
@@ -235,6 +275,8 @@
                 + " longest_delay_ms="
                 + longestDelayMillis
                 + " "
+                + restores.line()
+                + " "
                 + checker.line();
     }
 
@@ -246,7 +288,19 @@
     }
 
     private void print() throws IOException {
-        for (Finding finding : checker.findings()) {
+        for (Check check : Check.values()) {
+            List<Finding> found =
+                    checker.findings().stream().filter(each -> each.check() == check).toList();
+            print(found.subList(0, Math.min(found.size(), MOST_PRINTED)));
+        }
+        if (!checker.findings().isEmpty()) {
+            printPauses();
+        }
+        output.accept("summary seed=" + settings.seed() + " " + line());
+    }
+
+    private void print(List<Finding> findings) throws IOException {
+        for (Finding finding : findings) {
             output.accept(
                     "finding seed="
                             + settings.seed()
@@ -264,9 +318,5 @@
                 }
             }
         }
-        if (!checker.findings().isEmpty()) {
-            printPauses();
-        }
-        output.accept("summary seed=" + settings.seed() + " " + line());
     }
 }
--- a/src/main/java/org/tarragonlug/soak/SoakCaller.java
+++ b/src/main/java/org/tarragonlug/soak/SoakCaller.java
@@ -16,6 +16,10 @@
     private static final int UNREACHABLE_PAUSE_MILLIS = 20;
     private static final int SMALL_BODY_BYTES = 1000;
     private static final double MILLIS_PER_SECOND = 1000;
+
+    /** From how many of the newest versions routes are drawn; more than a version has. */
+    private static final int LATEST_VERSIONS = 5;
+
     private static final int TOO_MANY_REQUESTS = 429;
 
     /** How long a caller waits beyond its deadline, to see how late an answer comes. */
@@ -28,6 +32,7 @@
     private final Random random;
     private final SoakShape shape;
     private final Optional<String> key;
+    private final ConfigurationChanges configuration;
     private CallerConnection connection;
     private SoakGateway gateway;
     private boolean returnsToSameGateway;
@@ -40,6 +45,7 @@
      * @param gateways the gateways that it may use
      * @param shape what it sends and how it comes back
      * @param key key of its client account; empty if it has none
+     * @param configuration tells which routes versions have added
      * @param checker receives what it sees
      * @param tally counts outcomes
      * @param random numbers for its choices
@@ -49,6 +55,7 @@
             List<SoakGateway> gateways,
             SoakShape shape,
             Optional<String> key,
+            ConfigurationChanges configuration,
             SoakChecker checker,
             SoakTally tally,
             Random random) {
@@ -56,6 +63,7 @@
         this.gateways = gateways;
         this.shape = shape;
         this.key = key;
+        this.configuration = configuration;
         this.checker = checker;
         this.tally = tally;
         this.random = random;
@@ -102,7 +110,17 @@
         int adapter = random.nextInt(1 + shape.adapters());
         List<String> adapters = shape.adapterNames();
         String name = adapter == 0 ? model : model + "/" + adapters.get(adapter - 1);
-        return new CallerRequest(kind, name, bodyBytes(), key);
+        return new CallerRequest(kind, drawVersion(kind), name, bodyBytes(), key);
+    }
+
+    /** Draws the version of a route, of those that the newest version has or has dropped. */
+    private int drawVersion(RequestKind kind) {
+        int newest = configuration.version();
+        if (kind != RequestKind.ADDED) {
+            return newest;
+        }
+        boolean isNewest = random.nextBoolean();
+        return isNewest ? newest : Math.max(1, newest - random.nextInt(LATEST_VERSIONS));
     }
 
     /** Waits as a refusal asks; returns false if it asks for more than a third of the time left. */
@@ -126,7 +144,7 @@
         }
         RequestKind kind = request.kind();
         long sent = SoakClock.millis();
-        checker.onSent(id, kind, gateway.number(), sent);
+        checker.onSent(id, kind, request.version(), gateway.number(), sent);
         CallerAnswer answer = null;
         SoakTally.Outcome outcome;
         try {
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -23,11 +23,16 @@
     /** How long a server may still work on a stream that has gone on at another one. */
     static final long STREAM_OVERLAP_MILLIS = 400;
 
+    /** How late a server may see that a request has arrived. */
+    private static final long SEEN_LATER_MILLIS = 300;
+
     /** How much later than its deadline a request may end. */
     static final long DEADLINE_SLACK_MILLIS = 1500;
 
     private static final int OK = 200;
+    private static final int MISDIRECTED = 421;
     private static final int FIRST_REDIRECT = 300;
+    private static final int NOT_FOUND = 404;
     private static final int FIRST_SERVER_FAULT = 500;
 
     /** Statuses that promise that a request was not run and never will be. */
@@ -37,6 +42,10 @@
     private final GatewayPauses pauses = new GatewayPauses();
     private final GatewaySignals signals;
     private final LostAnswers lostAnswers;
+    private final InTouch inTouch = new InTouch(pauses);
+    private final AppliedVersions versions = new AppliedVersions(inTouch, pauses);
+    private final LeftServers leftServers = new LeftServers(inTouch);
+    private final OrderHolders orderHolders = new OrderHolders(pauses);
     private final List<Finding> findings = new ArrayList<>();
 
     /** Streams that a server began while another one worked on for long, whoever answered. */
@@ -59,8 +68,19 @@
 
     /** Records that a caller is about to send a request to a gateway. */
     synchronized void onSent(RequestId id, RequestKind kind, int gateway, long millis) {
+        onSent(id, kind, 0, gateway, millis);
+    }
+
+    /**
+     * Records that a caller is about to send a request to a gateway.
+     *
+     * @param version version that has added its route, for routes that versions add
+     */
+    synchronized void onSent(
+            RequestId id, RequestKind kind, int version, int gateway, long millis) {
         RequestRecord request =
                 requests.computeIfAbsent(id, sent -> new RequestRecord(kind, gateway));
+        request.version = version;
         request.gateway = gateway;
         request.sentMillis = millis;
         request.endMillis = 0;
@@ -74,6 +94,9 @@
         RequestRecord request = requests.get(arrival.id());
         if (request != null) {
             request.refusedMillis = millis;
+            if (status != MISDIRECTED) {
+                checkLeft(arrival, request, millis);
+            }
         }
     }
 
@@ -126,6 +149,57 @@
             report(Check.RUN_ONCE, id, request.kind + " begun at " + request.servers());
         }
         checkRefusal(id, request);
+        checkLeft(arrival, request, millis);
+        if (request.kind == RequestKind.ADDED) {
+            versions.onRun(request.gateway, request.version, request.sentMillis, millis)
+                    .ifPresent(text -> report(Check.CONFIGURATION_APPLIED, id, text));
+        }
+    }
+
+    private void checkLeft(ServerArrival arrival, RequestRecord request, long millis) {
+        leftServers
+                .onArrival(arrival.server(), request.gateway, millis - SEEN_LATER_MILLIS)
+                .ifPresent(text -> report(Check.LEFT_SERVER, arrival.id(), text));
+    }
+
+    /** Records an order that a server has received. */
+    synchronized void onOrder(String server, String holder, long token, long millis) {
+        int gateway = Integer.parseInt(holder.substring(holder.indexOf('-') + 1));
+        orderHolders
+                .onOrder(server, holder, gateway, token, millis)
+                .forEach(text -> report(Check.ORDER_HOLDERS, Finding.NO_REQUEST, text));
+    }
+
+    /** Records that the store has acknowledged that a server leaves. */
+    synchronized void onLeavingStored(String server, long millis) {
+        leftServers.onStored(server, millis);
+    }
+
+    /** Records that the operator begins to write a version of the configuration. */
+    synchronized void onVersionSent(int version) {
+        versions.onSent(version);
+    }
+
+    /** Records that the store has acknowledged a version of the configuration. */
+    synchronized void onVersionStored(int version, long millis) {
+        versions.onStored(version, millis);
+    }
+
+    /** Records that the store has returned from a copy with a version of the configuration. */
+    synchronized void onStoreRestored(int version) {
+        versions.onRestored(version);
+        leftServers.onRestored();
+    }
+
+    /** Records that the store is impaired by one more or one less cause; see {@link InTouch}. */
+    synchronized void onStoreImpaired(boolean begins, boolean hinders, long millis) {
+        inTouch.onStoreImpaired(begins, hinders, millis);
+    }
+
+    /** Records that a gateway has a new process. */
+    synchronized void onStarted(int gateway, long millis) {
+        inTouch.onGatewayDisturbed(gateway, millis);
+        versions.onStarted(gateway, millis);
     }
 
     /** Records that a server begins a stream of events. */
@@ -205,6 +279,9 @@
         }
         if (answer.status() >= OK && answer.status() < FIRST_REDIRECT) {
             checkSuccess(id, request.kind, answer, named);
+        } else if (request.kind == RequestKind.ADDED && answer.status() == NOT_FOUND) {
+            versions.onNotFound(request.gateway, request.version, request.sentMillis)
+                    .ifPresent(text -> report(Check.CONFIGURATION_APPLIED, id, text));
         } else if (answer.status() < FIRST_SERVER_FAULT && !isRefusal(answer.status())) {
             report(Check.PROPER_STATUS, id, request.kind + " answered " + answer.status());
         }
@@ -278,11 +355,15 @@
     /** Records an action of an operator at a gateway, or at {@link GatewaySignals#ALL_GATEWAYS}. */
     synchronized void onOperatorAction(OperatorAction work, int gateway, long millis) {
         signals.onOperatorAction(work, gateway, millis);
+        if (work == OperatorAction.TERMINATE) {
+            inTouch.onGatewayDisturbed(gateway, millis);
+        }
     }
 
     /** Records that a gateway is killed. */
     synchronized void onKilled(int gateway, long millis) {
         signals.onKilled(gateway, millis);
+        inTouch.onGatewayDisturbed(gateway, millis);
     }
 
     /** Records that a gateway is paused from now on. */
@@ -323,6 +404,7 @@
         long otherCause = findings.stream().filter(this::hasOtherCause).count();
         line.append(" findings_without_copy=").append(otherCause);
         line.append(" streams_begun_beside_another=").append(begunBeside);
+        line.append(" orders=").append(orderHolders.orders());
         for (Check check : Check.values()) {
             long count = findings.stream().filter(each -> each.check() == check).count();
             line.append(" found_").append(check.name().toLowerCase(Locale.ROOT)).append('=');
--- a/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
+++ b/src/main/java/org/tarragonlug/soak/SoakConfiguration.java
@@ -36,6 +36,32 @@
         return configuration;
     }
 
+    /**
+     * Returns a version of a configuration with the routes that it and the versions just before
+     * have added; those of earlier ones are dropped.
+     */
+    static ObjectNode withAddedRoutes(ObjectNode first, int version) {
+        ObjectNode changed = changed(first, version);
+        ArrayNode routes = (ArrayNode) changed.path("routes");
+        ObjectNode model = ((ObjectNode) route(first, "read"));
+        for (int added : AppliedVersions.routesOf(version)) {
+            routes.add(
+                    model.deepCopy()
+                            .put("name", "added-" + added)
+                            .put(ConfigurationDecoder.PATH_PREFIX, RequestKind.ADDED.path(added)));
+        }
+        return changed;
+    }
+
+    private static JsonNode route(ObjectNode configuration, String name) {
+        for (JsonNode route : configuration.path("routes")) {
+            if (route.path("name").asText().equals(name)) {
+                return route;
+            }
+        }
+        throw new IllegalArgumentException("the configuration has no route " + name);
+    }
+
     /**
      * Returns a later version of a configuration. The attempts and aims of its routes and its
      * routes that no caller uses differ from those of the version before.
--- a/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFaultKind.java
@@ -89,7 +89,34 @@
             context -> context.store().setStandingStill(true),
             context -> context.store().setStandingStill(false)),
     /** The store ends all waiting watches by closing their connections. */
-    STORE_CUTS_WATCHES(Target.STORE, context -> context.store().cutWatches());
+    STORE_CUTS_WATCHES(Target.STORE, context -> context.store().cutWatches()),
+    /** The store closes its connections, and returns from an older copy in the next era. */
+    STORE_RESTORED(
+            Target.STORE_RESTORE,
+            context -> context.restores().begin(context.random(), StoreRestores.Form.CLOSING),
+            context -> context.restores().end()),
+    /** The same twice, soon one after the other, from the same copy. */
+    STORE_RESTORED_TWICE(
+            Target.STORE_RESTORE,
+            context -> context.restores().begin(context.random(), StoreRestores.Form.CLOSING),
+            context -> context.restores().endAndRepeat(context.random())),
+    /** The store stands still and returns from an older copy; no connection is closed. */
+    STORE_RESTORED_BEHIND_WATCHES(
+            Target.STORE_RESTORE,
+            context -> context.restores().begin(context.random(), StoreRestores.Form.STANDING),
+            context -> context.restores().end()),
+    /** The store rejects some gateways and serves the others. */
+    STORE_REJECTS_SOME(
+            Target.STORE_RESTORE,
+            context -> context.store().setRejecting(true),
+            context -> context.store().setRejecting(false)),
+    /** A server says that it leaves, and goes on serving for some seconds. */
+    SERVER_LEAVE_SLOWLY(
+            Target.AROUND_RESTORE,
+            context -> context.fleet().leaveSlowly(context.random(), context.downMillis())),
+    /** The configuration changes, so often that a return of the store loses a version. */
+    CONFIGURATION_CHANGE_AROUND_RESTORE(
+            Target.AROUND_RESTORE, context -> context.configuration().change());
 
     /** What a fault concerns. */
     enum Target {
@@ -103,7 +130,43 @@
          * Signals and changes by an operator, in a series of their own; see {@link OperatorAction}.
          */
         OPERATOR_ACTION,
-        STORE
+        STORE,
+        /** The store and copies of it; drawn apart, and only where a shape asks for it. */
+        STORE_RESTORE(200, 1500),
+        /**
+         * What a return of the store may undo; drawn apart, and only where it returns from copies.
+         */
+        AROUND_RESTORE;
+
+        private static final int SHORTEST_MILLIS = 100;
+        private static final int LONGEST_MILLIS = 2500;
+
+        private final int shortestMillis;
+        private final int longestMillis;
+
+        Target() {
+            this(SHORTEST_MILLIS, LONGEST_MILLIS);
+        }
+
+        Target(int shortestMillis, int longestMillis) {
+            this.shortestMillis = shortestMillis;
+            this.longestMillis = longestMillis;
+        }
+
+        /** Returns the length of the shortest fault, in milliseconds. */
+        int shortestMillis() {
+            return shortestMillis;
+        }
+
+        /** Returns the length of the longest fault, in milliseconds. */
+        int longestMillis() {
+            return longestMillis;
+        }
+
+        /** Returns whether the store is not stable during such a fault. */
+        boolean impairsStore() {
+            return this == STORE || this == STORE_RESTORE;
+        }
     }
 
     /** Starts or ends a fault. */
@@ -118,6 +181,7 @@
      * @param gateway the gateway that it concerns
      * @param store the store
      * @param configuration the configuration in the store
+     * @param restores the copies of the store
      * @param random numbers for its further choices
      * @param lengthMillis length of the fault
      */
@@ -126,6 +190,7 @@
             SoakGateway gateway,
             PlatformStoreStandIn store,
             ConfigurationChanges configuration,
+            StoreRestores restores,
             Random random,
             long lengthMillis) {
         private static final int LONGEST_DOWN_MILLIS = 300;
@@ -197,6 +262,13 @@
         return target;
     }
 
+    /** Returns whether the store answers late, to some only or not at all during the fault. */
+    boolean hindersCalls() {
+        return target.impairsStore()
+                && this != STORE_CONNECTIONS_SILENT
+                && this != STORE_CUTS_WATCHES;
+    }
+
     void start(Context context) {
         start.run(context);
     }
--- a/src/main/java/org/tarragonlug/soak/SoakFleet.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFleet.java
@@ -7,13 +7,13 @@
 import java.util.TreeSet;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.tarragonlug.platform.PlatformKinds;
 import org.tarragonlug.standin.FreePort;
-import org.tarragonlug.standin.PlatformStoreStandIn;
 
 /** The backend servers of a soak: places at fixed addresses, which servers come to and leave. */
 final class SoakFleet implements AutoCloseable {
     private static final long BIND_RETRY_MILLIS = 50;
+    private static final int SHORTEST_DRAIN_MILLIS = 2500;
+    private static final int LONGEST_DRAIN_MILLIS = 8000;
 
     /** An address with the server that is there now. */
     private static final class Place {
@@ -31,7 +31,7 @@
     }
 
     private final List<Place> places = new ArrayList<>();
-    private final PlatformStoreStandIn store;
+    private final ServerEntries entries;
     private final SoakChecker checker;
     private final ServerCounts counts;
     private final ScheduledExecutorService timers;
@@ -45,14 +45,14 @@
     SoakFleet(
             long seed,
             SoakShape shape,
-            PlatformStoreStandIn store,
+            ServerEntries entries,
             SoakChecker checker,
             ServerCounts counts,
             ScheduledExecutorService timers)
             throws IOException {
         this.seed = seed;
         this.shape = shape;
-        this.store = store;
+        this.entries = entries;
         this.checker = checker;
         this.counts = counts;
         this.timers = timers;
@@ -86,7 +86,7 @@
         if (sound) {
             place.server.setSound();
         }
-        list(place, place.server.id, "ready");
+        list(place);
     }
 
     private ServerListing listing(Place place) {
@@ -97,11 +97,12 @@
                 shape.failureDomain(place.number),
                 shape.services().get(place.service).slots(),
                 holdsModels ? shape.modelsOf(place.number) : List.of(),
-                shape.adapterNames());
+                shape.faults().restoresStore() ? List.of() : shape.adapterNames(),
+                shape.faults().restoresStore());
     }
 
-    private void list(Place place, String id, String state) {
-        store.put(PlatformKinds.SERVERS, id, listing(place).entry(state));
+    private void list(Place place) {
+        entries.write(place.server.id, place.server::entry);
     }
 
     /** Draws a place whose server does not change now; null if the drawn one does. */
@@ -165,8 +166,12 @@
             return;
         }
         place.changing = true;
+        leave(place, drainMillis, downMillis);
+    }
+
+    private void leave(Place place, long drainMillis, long downMillis) {
         place.server.setLeaving();
-        list(place, place.server.id, "draining");
+        list(place);
         after(
                 drainMillis,
                 () -> {
@@ -175,6 +180,18 @@
                 });
     }
 
+    /** Lets a server say that it leaves, and leave when it has served for some seconds more. */
+    synchronized void leaveSlowly(Random random, long downMillis) {
+        Place place = drawSteady(random);
+        if (place != null) {
+            place.changing = true;
+            place.server.endStandstill();
+            long drainMillis =
+                    SoakRandom.between(random, SHORTEST_DRAIN_MILLIS, LONGEST_DRAIN_MILLIS);
+            leave(place, drainMillis, downMillis);
+        }
+    }
+
     /**
      * Lists a second id at the address of a server for some time. The server rejects what is meant
      * for that id.
@@ -183,8 +200,8 @@
         Place place = drawSteady(random);
         if (place != null) {
             String id = newId(place.service);
-            list(place, id, "ready");
-            after(listedMillis, () -> store.remove(PlatformKinds.SERVERS, id));
+            entries.write(id, place.server::readyEntry);
+            after(listedMillis, () -> entries.remove(id));
         }
     }
 
@@ -241,8 +258,9 @@
         place.changing = true;
         place.server.close();
         String id = place.server.id;
+        entries.forget(id);
         if (listedMillis >= 0) {
-            after(listedMillis, () -> store.remove(PlatformKinds.SERVERS, id));
+            after(listedMillis, () -> entries.remove(id));
         }
     }
 
--- a/src/main/java/org/tarragonlug/soak/SoakGateway.java
+++ b/src/main/java/org/tarragonlug/soak/SoakGateway.java
@@ -63,6 +63,7 @@
         startMillis = Long.MAX_VALUE;
         terminateMillis = terminatesNext ? SoakClock.millis() + nextRunMillis : Long.MAX_VALUE;
         terminatesNext = false;
+        checker.onStarted(number, SoakClock.millis());
         processes.add(new GatewayChild(settings.directory(), settings.command(), gatewaySettings));
     }
 
--- a/src/main/java/org/tarragonlug/soak/SoakSchedule.java
+++ b/src/main/java/org/tarragonlug/soak/SoakSchedule.java
@@ -8,14 +8,13 @@
 
 /**
  * The faults of a soak, drawn from a seed: one series for servers, one for servers that stand
- * still, one for gateways, one for actions of an operator and one for the store. Within a series
- * faults follow each other or overlap. The same seed and length give the same schedule; the timing
- * of the processes does not repeat.
+ * still, one for gateways, one for actions of an operator and one for the store; where the store
+ * returns from older copies, one for that and one for what it may undo. Within a series faults
+ * follow each other or overlap. The same seed and length give the same schedule; the timing of the
+ * processes does not repeat.
  */
 final class SoakSchedule {
     private static final int FIRST_MILLIS = 500;
-    private static final int SHORTEST_FAULT_MILLIS = 100;
-    private static final int LONGEST_FAULT_MILLIS = 2500;
 
     /** How much rarer servers stand still than they have other faults. */
     private static final int STANDSTILL_GAP_FACTOR = 4;
@@ -25,6 +24,9 @@
      */
     private static final int PLANNED_GAP_FACTOR = 2;
 
+    /** How much more often there is something that a return may undo. */
+    private static final int WRITES_OF_A_RESTORE = 4;
+
     private final List<PlannedFault> faults = new ArrayList<>();
     private final long lengthMillis;
     private final int gateways;
@@ -47,6 +49,12 @@
         int plannedGap = PLANNED_GAP_FACTOR * shape.longestGatewayGapMillis();
         add(seed, SoakFaultKind.Target.OPERATOR_ACTION, plannedGap);
         add(seed, SoakFaultKind.Target.STORE, shape.longestStoreGapMillis());
+        if (shape.restoresStore()) {
+            int restoreGap = shape.longestRestoreGapMillis();
+            add(seed, SoakFaultKind.Target.STORE_RESTORE, restoreGap);
+            int writeGap = 1 + restoreGap / WRITES_OF_A_RESTORE;
+            add(seed, SoakFaultKind.Target.AROUND_RESTORE, writeGap);
+        }
         faults.sort(Comparator.comparingLong(PlannedFault::startMillis));
     }
 
@@ -57,9 +65,10 @@
                         .filter(kind -> kind.target() == target)
                         .toArray(SoakFaultKind[]::new);
         long start = FIRST_MILLIS + random.nextInt(longestGap);
-        while (start + SHORTEST_FAULT_MILLIS <= lengthMillis) {
+        while (start + target.shortestMillis() <= lengthMillis) {
             SoakFaultKind kind = kinds[random.nextInt(kinds.length)];
-            int length = SoakRandom.between(random, SHORTEST_FAULT_MILLIS, LONGEST_FAULT_MILLIS);
+            int length =
+                    SoakRandom.between(random, target.shortestMillis(), target.longestMillis());
             long end = Math.min(start + length, lengthMillis);
             int gateway = random.nextInt(gateways);
             faults.add(new PlannedFault(kind, start, end, gateway, random.nextLong()));
--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -1,20 +1,26 @@
 package org.tarragonlug.soak;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.tarragonlug.runtime.Json;
 
 /** One start of a backend server, from its start to its end, on plain sockets. */
 final class SoakServer implements AutoCloseable {
     private static final int BACKLOG = 200;
+    private static final int CONFLICT = 409;
     private static final int STANDSTILL_STEP_MILLIS = 5;
     private static final int SERVERS_PER_ONE_WITHOUT_SLOTS = 4;
     private static final int REFUSED_SLOT_PERCENT = 40;
@@ -27,6 +33,11 @@
     final ScheduledExecutorService timers;
     final AtomicInteger running = new AtomicInteger();
 
+    /** What it holds, if it takes orders. */
+    final Optional<EngineHoldings> holdings;
+
+    private final long bornMillis = System.currentTimeMillis();
+
     private final ServerSocket listener;
     private final Random random;
     private final int refusedPercent;
@@ -71,6 +82,10 @@
         this.checker = checker;
         this.counts = counts;
         this.timers = timers;
+        holdings =
+                listing.takesOrders()
+                        ? Optional.of(new EngineHoldings(listing.modelNames()))
+                        : Optional.empty();
         listener = new ServerSocket();
         listener.setReuseAddress(true);
         listener.bind(
@@ -177,6 +192,43 @@
         }
     }
 
+    /** Lets the server go on if it stands still. */
+    void endStandstill() {
+        standsStillUntilMillis = 0;
+    }
+
+    /** Returns the models that it holds now, as entries and reports list them. */
+    ArrayNode models() {
+        return holdings.map(EngineHoldings::models).orElseGet(listing::models);
+    }
+
+    /** Returns whether it takes orders and a model, if one is named, is not there. */
+    boolean lacks(String model) {
+        return !model.isEmpty() && holdings.filter(held -> !held.holds(model)).isPresent();
+    }
+
+    /** Carries out an order if it takes any; returns the status of the answer. */
+    int carryOut(byte[] body) throws IOException {
+        if (holdings.isEmpty()) {
+            // The models are there from the start, so that no order is due.
+            return CONFLICT;
+        }
+        JsonNode order = Json.read(body);
+        String holder = order.path("holder").asText();
+        checker.onOrder(id, holder, order.path("fence").asLong(), SoakClock.millis());
+        return holdings.get().carryOut(order);
+    }
+
+    /** Returns its entry in the store. */
+    ObjectNode entry() {
+        return listing.entry(leaving ? "draining" : "ready", bornMillis, models());
+    }
+
+    /** Returns its entry in the store as if it did not leave. */
+    ObjectNode readyEntry() {
+        return listing.entry("ready", bornMillis, models());
+    }
+
     /** Makes all answers say that the server leaves. */
     void setLeaving() {
         leaving = true;
--- a/src/main/java/org/tarragonlug/soak/SoakShape.java
+++ b/src/main/java/org/tarragonlug/soak/SoakShape.java
@@ -44,7 +44,7 @@
         ShapeBounds.check("gateways", gateways, 1, 100);
         ShapeBounds.check("failureDomains", failureDomains, 1, 20);
         ShapeBounds.check("models", models, 1, 300);
-        ShapeBounds.check("adapters", adapters, 0, 4);
+        ShapeBounds.check("adapters", adapters, 0, 40);
         ShapeBounds.check("accounts", accounts, 0, MOST_ACCOUNTS);
         services = Map.copyOf(services);
         for (RequestKind kind : callers.requests().keySet()) {
--- a/src/main/java/org/tarragonlug/soak/SoakShapeReader.java
+++ b/src/main/java/org/tarragonlug/soak/SoakShapeReader.java
@@ -89,6 +89,9 @@
                 JsonFields.smallCount(node, "refusedPercent"),
                 JsonFields.smallCount(node, "longestServerGapMillis"),
                 JsonFields.smallCount(node, "longestGatewayGapMillis"),
-                JsonFields.smallCount(node, "longestStoreGapMillis"));
+                JsonFields.smallCount(node, "longestStoreGapMillis"),
+                node.has("longestRestoreGapMillis")
+                        ? JsonFields.smallCount(node, "longestRestoreGapMillis")
+                        : 0);
     }
 }
--- a/src/main/java/org/tarragonlug/tool/SoakCommand.java
+++ b/src/main/java/org/tarragonlug/tool/SoakCommand.java
@@ -38,7 +38,10 @@
             defaultValue = "three",
             description =
                     "JSON file with what is played, or one of three, few, silent, small,"
-                            + " grown, wide, large, accounts, crowded, pressed.")
+                            + " grown, wide, large, accounts, crowded, pressed, restored,"
+                            + " restored-few, restored-grown, restored-large,"
+                            + " restored-accounts; the store of the last five returns from older"
+                            + " copies.")
     private String shapeName;
 
     @Option(
--- a/src/main/java/org/tarragonlug/trial/GatewayTrial.java
+++ b/src/main/java/org/tarragonlug/trial/GatewayTrial.java
@@ -107,7 +107,7 @@
     /** Returns settings of a gateway of a failure domain, on free ports of loopback. */
     public static GatewaySettings settings(
             PlatformStoreStandIn store, String instance, FailureDomain failureDomain) {
-        return settings(store, instance, failureDomain, DRAIN_TIME);
+        return settings(store.address(), instance, failureDomain, DRAIN_TIME);
     }
 
     /**
@@ -116,7 +116,7 @@
      * @param drainTime time from the request to stop until the process is ended
      */
     public static GatewaySettings settings(
-            PlatformStoreStandIn store,
+            InetSocketAddress storeAddress,
             String instance,
             FailureDomain failureDomain,
             Duration drainTime) {
@@ -127,7 +127,7 @@
                 FreePort.find(),
                 FreePort.find(),
                 FreePort.find(),
-                store.address(),
+                storeAddress,
                 drainTime,
                 true,
                 Duration.ofSeconds(3),
--- a/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakShapeTest.java
@@ -52,7 +52,12 @@
                     "large",
                     "accounts",
                     "crowded",
-                    "pressed"
+                    "pressed",
+                    "restored",
+                    "restored-few",
+                    "restored-grown",
+                    "restored-large",
+                    "restored-accounts"
                 })
         void shapesOfTheProgramAreRead(String name) throws IOException {
             SoakShape shape = SoakShapeReader.read(name);
@@ -127,7 +132,12 @@
                     "wide",
                     "large",
                     "accounts",
-                    "crowded"
+                    "crowded",
+                    "restored",
+                    "restored-few",
+                    "restored-grown",
+                    "restored-large",
+                    "restored-accounts"
                 })
         void everyModelIsHeldByThreeServers(String name) throws IOException {
             SoakShape shape = SoakShapeReader.read(name);
--- a/src/test/java/org/tarragonlug/soak/SoakTest.java
+++ b/src/test/java/org/tarragonlug/soak/SoakTest.java
@@ -18,10 +18,16 @@
     private static final long SEED = 20_240;
     private static final int SECONDS = 15;
     private static final int SILENT_SECONDS = 10;
+    private static final long RESTORED_SEED = 2;
+    private static final int RESTORED_SECONDS = 15;
+    private static final int FEWEST_RESTORES = 2;
+    private static final int FEWEST_ORDERS = 30;
     private static final int FEWEST_COPIES = 50;
     private static final int FEWEST_RETURNS = 50;
     private static final int FEWEST_SILENCES = 20;
     private static final int FEWEST_REFUSED_RESUMPTIONS = 5;
+    private static final Pattern RESTORES = Pattern.compile(" store_restores=(\\d+)");
+    private static final Pattern ORDERS = Pattern.compile(" orders=(\\d+)");
     private static final Pattern COPIES = Pattern.compile(" copies=(\\d+)");
     private static final Pattern RETURNS = Pattern.compile(" returns_with_same_id=(\\d+)");
     private static final Pattern SILENCES = Pattern.compile(" server_silences=(\\d+)");
@@ -43,10 +49,14 @@
 
     /** Plays a shape, demands that all checks hold, and returns the summary. */
     private static String play(String shapeName, int seconds) throws Exception {
+        return play(SEED, shapeName, seconds);
+    }
+
+    private static String play(long seed, String shapeName, int seconds) throws Exception {
         List<String> lines = new ArrayList<>();
         SoakShape shape = SoakShapeReader.read(shapeName);
         SoakSettings settings =
-                new SoakSettings(SEED, seconds, shape, Path.of("").toAbsolutePath(), command());
+                new SoakSettings(seed, seconds, shape, Path.of("").toAbsolutePath(), command());
         boolean held = new Soak(settings, lines::add).run();
         assertTrue(held, () -> String.join("\n", lines));
         return lines.get(lines.size() - 1);
@@ -73,6 +83,17 @@
         assertTrue(count(REFUSED_RESUMPTIONS, summary) >= FEWEST_REFUSED_RESUMPTIONS, summary);
     }
 
+    // Guards against a configuration that is ignored, a server that is taken back and an order
+    // lease with two holders, each since what a gateway remembers of the store is compared with an
+    // older copy from which the store has returned.
+    @Test
+    @Timeout(120)
+    void checksHoldWhenTheStoreReturnsFromOlderCopies() throws Exception {
+        String summary = play(RESTORED_SEED, "restored-few", RESTORED_SECONDS);
+        assertTrue(count(RESTORES, summary) >= FEWEST_RESTORES, summary);
+        assertTrue(count(ORDERS, summary) >= FEWEST_ORDERS, summary);
+    }
+
     private static int count(Pattern counter, String summary) {
         Matcher matcher = counter.matcher(summary);
         assertTrue(matcher.find(), summary);
