--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
@@ -6,9 +6,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -53,35 +51,13 @@
             for (long seed = 1; seed <= 600; seed++) {
                 LeaseSimulation simulation = new LeaseSimulation(seed, 3);
                 simulation.run(Duration.ofSeconds(60), true);
-                handedOver += checkTurns(simulation.orders, seed);
+                assertEquals(
+                        Optional.empty(), OrderTurns.violation(simulation.orders), "seed " + seed);
+                handedOver += OrderTurns.handovers(simulation.orders);
             }
             assertTrue(handedOver > 600, "handovers: " + handedOver);
         }
 
-        private int checkTurns(List<LeaseSimulation.Order> orders, long seed) {
-            int changes = 0;
-            Map<Long, String> holderOfFence = new HashMap<>();
-            LeaseSimulation.Order last = null;
-            for (LeaseSimulation.Order order : orders) {
-                String holder = holderOfFence.putIfAbsent(order.fence(), order.holder());
-                assertTrue(
-                        holder == null || holder.equals(order.holder()),
-                        "seed " + seed + ": fencing token " + order.fence() + " has two holders");
-                if (last != null && !last.holder().equals(order.holder())) {
-                    changes++;
-                    Duration between = Duration.between(last.at(), order.at());
-                    assertTrue(
-                            between.compareTo(LeaseSimulation.TURN) >= 0,
-                            "seed " + seed + ": " + last + " then " + order);
-                    assertTrue(
-                            order.fence() > last.fence(),
-                            "seed " + seed + ": fencing token decreased");
-                }
-                last = order;
-            }
-            return changes;
-        }
-
         @Test
         void someInstanceGivesOrdersWithinSecondsAfterFaultsEnd() {
             for (long seed = 1; seed <= 100; seed++) {
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
@@ -9,12 +9,16 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.id.StorePosition;
 
 /**
  * Simulates several lease managers with a fake store in virtual time. Calls to the store are
  * delayed, refused, lost after they took effect, or carried out late. Instances are killed, paused
  * and partitioned from each other. Each instance gives orders to one server whenever it may.
+ *
+ * <p>A store that states eras may also return from an older copy. The instances check the era of
+ * each answer as {@code EraCheckedObjectApi} does.
  */
 final class LeaseSimulation {
     static final Duration TURN = Duration.ofMillis(3000);
@@ -24,6 +28,9 @@
     /** An order that an instance gave to the server. */
     record Order(Instant at, String holder, long fence) {}
 
+    /** An answer of the store, and the era in which the store gave it. */
+    private record Answer(LeaseEvent event, StoreEra era) {}
+
     private record Task(Instant at, long sequence, Runnable run) {}
 
     /** One instance and its current process. */
@@ -37,6 +44,7 @@
         private Instant partitionedUntil = Instant.EPOCH;
         private Instant downUntil = Instant.EPOCH;
         private Instant lastRun = Instant.EPOCH;
+        private StoreEra knownEra;
 
         SimulatedInstance(int number) {
             id = new InstanceId("instance-" + number);
@@ -47,7 +55,9 @@
         private void start() {
             processNumber++;
             stopping = false;
-            manager = new LeaseManager(id, id + "-" + processNumber, address, TURN, true);
+            knownEra = StoreEra.NONE;
+            boolean firstStart = processNumber == 1;
+            manager = new LeaseManager(id, id + "-" + processNumber, address, TURN, firstStart);
         }
 
         boolean isRunning() {
@@ -74,13 +84,15 @@
                     call(() -> read(processNumber));
                 } else if (command instanceof LeaseCommand.Write write) {
                     Instant startedAt = now;
-                    call(() -> write(write.record(), startedAt, processNumber));
+                    StoreEra begunIn = knownEra;
+                    call(() -> write(write.record(), startedAt, begunIn, processNumber));
                 }
             }
         }
 
         private void call(Runnable atStore) {
             int callerProcess = processNumber;
+            storeCalls.add(now);
             if (now.isBefore(partitionedUntil) || now.isBefore(storeDownUntil)) {
                 schedule(CALL_TIMEOUT, () -> deliver(callerProcess, new LeaseEvent.CallFailed()));
                 return;
@@ -89,35 +101,83 @@
         }
 
         private void read(int callerProcess) {
-            Optional<LeaseRecord> found = Optional.ofNullable(stored);
-            respond(callerProcess, new LeaseEvent.Read(found));
+            if (drills.isAway(now)) {
+                reset(callerProcess);
+                return;
+            }
+            respond(callerProcess, new LeaseEvent.Read(store.read()), StoreEra.NONE);
         }
 
-        private void write(LeaseRecord record, Instant startedAt, int callerProcess) {
+        private void write(
+                LeaseRecord record, Instant startedAt, StoreEra begunIn, int callerProcess) {
             boolean late = random.nextInt(100) < lateWritePercent;
             if (late) {
-                schedule(Duration.ofMillis(1000 + random.nextInt(5000)), () -> applyWrite(record));
+                Duration delay = Duration.ofMillis(1000 + random.nextInt(5000));
+                lateUntil = later(lateUntil, now.plus(delay));
+                schedule(delay, () -> store.write(record, now));
                 schedule(CALL_TIMEOUT, () -> deliver(callerProcess, new LeaseEvent.CallFailed()));
                 return;
             }
-            Optional<LeaseRecord> written = applyWrite(record);
+            if (drills.isAway(now)) {
+                reset(callerProcess);
+                return;
+            }
+            Optional<LeaseRecord> written = store.write(record, now);
             LeaseEvent event =
                     written.isPresent()
                             ? new LeaseEvent.Written(written.get(), startedAt)
-                            : new LeaseEvent.Conflicted(Optional.ofNullable(stored));
-            respond(callerProcess, event);
+                            : new LeaseEvent.Conflicted(store.read());
+            respond(callerProcess, event, begunIn);
+        }
+
+        /** Lets a call fail because the store has closed its connections. */
+        private void reset(int callerProcess) {
+            schedule(STEP, () -> deliver(callerProcess, new LeaseEvent.CallFailed()));
         }
 
-        private void respond(int callerProcess, LeaseEvent event) {
+        private void respond(int callerProcess, LeaseEvent event, StoreEra begunIn) {
             boolean lost =
                     random.nextInt(100) < lostAnswerPercent || now.isBefore(partitionedUntil);
             Duration delay =
                     lost
                             ? CALL_TIMEOUT
                             : Duration.ofMillis(2 + random.nextInt(maxStoreDelayMillis));
+            Answer answer = new Answer(event, store.era());
             schedule(
                     delay,
-                    () -> deliver(callerProcess, lost ? new LeaseEvent.CallFailed() : event));
+                    lost
+                            ? () -> deliver(callerProcess, new LeaseEvent.CallFailed())
+                            : () -> receive(callerProcess, answer, begunIn));
+        }
+
+        /** Checks the era of an answer and then delivers it, after what is queued already. */
+        private void receive(int callerProcess, Answer answer, StoreEra begunIn) {
+            if (!store.era().isStated()) {
+                deliver(callerProcess, answer.event());
+                return;
+            }
+            if (callerProcess != processNumber || now.isBefore(downUntil)) {
+                return;
+            }
+            if (now.isBefore(pausedUntil)) {
+                Duration delay = Duration.between(now, pausedUntil).plus(STEP);
+                schedule(delay, () -> receive(callerProcess, answer, begunIn));
+                return;
+            }
+            learnEra(answer.era());
+            boolean write = !(answer.event() instanceof LeaseEvent.Read);
+            boolean accepted =
+                    answer.era().equals(knownEra) && (!write || begunIn.equals(knownEra));
+            LeaseEvent event = accepted ? answer.event() : new LeaseEvent.CallFailed();
+            schedule(drills.queueDelay(), () -> deliver(callerProcess, event));
+        }
+
+        /** Learns the store's era from an answer to any call. */
+        private void learnEra(StoreEra stated) {
+            if (stated.compareTo(knownEra) > 0) {
+                knownEra = stated;
+                execute(manager.handle(new LeaseEvent.StoreEraChanged(stated), now));
+            }
         }
 
         private void deliver(int callerProcess, LeaseEvent event) {
@@ -134,10 +194,17 @@
     }
 
     final List<Order> orders = new ArrayList<>();
+
+    /** When instances called the store. */
+    final List<Instant> storeCalls = new ArrayList<>();
+
     private final Random random;
+    private final SimulatedLeaseStore store;
+    private final StoreDrills drills;
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparing(Task::at).thenComparing(Task::sequence));
     private final List<SimulatedInstance> instances = new ArrayList<>();
+    private final int stepsBetweenFaults;
     private final int lostAnswerPercent;
     private final int lateWritePercent;
     private final int maxStoreDelayMillis;
@@ -149,12 +216,25 @@
 
     private Instant now = Instant.ofEpochSecond(1000);
     private Instant storeDownUntil = Instant.EPOCH;
-    private LeaseRecord stored;
-    private long revision;
+    private Instant lateUntil = Instant.EPOCH;
     private long sequence;
 
+    /** Creates a simulation with a store that states no era. */
     LeaseSimulation(long seed, int instanceCount) {
+        this(seed, instanceCount, StoreEra.NONE);
+    }
+
+    /**
+     * Creates a simulation.
+     *
+     * @param firstEra era of the store at the start. A store that states eras returns from older
+     *     copies while there are faults
+     */
+    LeaseSimulation(long seed, int instanceCount, StoreEra firstEra) {
         random = new Random(seed);
+        store = new SimulatedLeaseStore(firstEra);
+        drills = new StoreDrills(seed, store);
+        stepsBetweenFaults = firstEra.isStated() && seed % 2 == 0 ? 400 : 100;
         lostAnswerPercent = random.nextInt(4) == 0 ? 30 : random.nextInt(5);
         lateWritePercent = random.nextInt(4) == 0 ? 20 : 0;
         maxStoreDelayMillis = random.nextInt(4) == 0 ? 350 : 4;
@@ -169,25 +249,6 @@
         tasks.add(new Task(now.plus(delay), sequence, run));
     }
 
-    private Optional<LeaseRecord> applyWrite(LeaseRecord record) {
-        long currentRevision = stored == null ? 0 : stored.revision();
-        if (currentRevision != record.revision()) {
-            return Optional.empty();
-        }
-        revision++;
-        stored =
-                new LeaseRecord(
-                        record.holder(),
-                        record.process(),
-                        record.address(),
-                        record.fence(),
-                        record.renewal(),
-                        record.ordering(),
-                        record.released(),
-                        revision);
-        return Optional.of(stored);
-    }
-
     Instant now() {
         return now;
     }
@@ -197,6 +258,46 @@
         return instances.stream().allMatch(instance -> instance.stopping);
     }
 
+    private static Instant later(Instant one, Instant other) {
+        return one.isAfter(other) ? one : other;
+    }
+
+    /** Returns when all faults so far have ended, late writes too. */
+    Instant quietAt() {
+        Instant quiet = later(later(storeDownUntil, lateUntil), drills.lastReturn());
+        for (SimulatedInstance instance : instances) {
+            quiet = later(quiet, later(instance.pausedUntil, instance.downUntil));
+            quiet = later(quiet, instance.partitionedUntil);
+        }
+        return later(quiet, now);
+    }
+
+    /** Lets the store go away now and return from a copy of a certain age. */
+    void drill(Duration age) {
+        beginDrill(drills.begin(now, age));
+    }
+
+    private void beginDrill(StoreDrills.Drill drill) {
+        Instant back = now.plus(drill.away());
+        storeDownUntil = later(storeDownUntil, back);
+        schedule(drill.away(), () -> endDrill(drill));
+    }
+
+    private void endDrill(StoreDrills.Drill drill) {
+        store.restore(drill.copy(), now);
+        for (SimulatedInstance instance : instances) {
+            schedule(drills.learnDelay(), () -> learnPresentEra(instance));
+        }
+    }
+
+    /** Lets an instance learn the present era from an answer to another call. */
+    private void learnPresentEra(SimulatedInstance instance) {
+        boolean reachesStore = !now.isBefore(instance.partitionedUntil);
+        if (instance.isRunning() && reachesStore && !now.isBefore(storeDownUntil)) {
+            instance.learnEra(store.era());
+        }
+    }
+
     void run(Duration time, boolean faults) {
         Instant end = now.plus(time);
         while (now.isBefore(end)) {
@@ -204,9 +305,12 @@
             while (!tasks.isEmpty() && !tasks.peek().at().isAfter(now)) {
                 tasks.poll().run().run();
             }
-            if (faults && random.nextInt(100) == 0) {
+            if (faults && random.nextInt(stepsBetweenFaults) == 0) {
                 injectFault(instances.get(random.nextInt(instances.size())));
             }
+            if (faults) {
+                drills.step(now).ifPresent(this::beginDrill);
+            }
             instances.forEach(SimulatedInstance::step);
             if (random.nextInt(20) == 0) {
                 deliverHolderResponses();
@@ -217,11 +321,15 @@
     /** Delivers the holder's responses to the instances that are not partitioned from it. */
     private void deliverHolderResponses() {
         for (SimulatedInstance holder : instances) {
-            if (stored == null || !stored.holder().equals(holder.id) || !holder.isRunning()) {
+            if (!isLastHolder(holder) || !holder.isRunning()) {
                 continue;
             }
             boolean holding = holder.manager.holding(now);
-            long heldRevision = holder.manager.latestRecord().map(LeaseRecord::revision).orElse(0L);
+            StorePosition renewedAt =
+                    holder.manager
+                            .latestRecord()
+                            .map(LeaseRecord::position)
+                            .orElse(StorePosition.START);
             for (SimulatedInstance other : instances) {
                 boolean reachable =
                         other != holder
@@ -230,15 +338,26 @@
                                 && !now.isBefore(holder.partitionedUntil);
                 if (reachable) {
                     Duration delay = Duration.ofMillis(random.nextInt(maxStatementDelayMillis));
-                    schedule(delay, () -> deliverStatement(other, holder, holding, heldRevision));
+                    schedule(delay, () -> deliverStatement(other, holder, holding, renewedAt));
                 }
             }
         }
     }
 
+    /** Returns whether an instance makes statements about the lease. */
+    private boolean isLastHolder(SimulatedInstance instance) {
+        // In one era the stored record tells; a returned copy need not show the holder.
+        Optional<LeaseRecord> known =
+                store.era().isStated() ? instance.manager.latestRecord() : store.read();
+        return known.filter(record -> record.holder().equals(instance.id)).isPresent();
+    }
+
     /** Delivers what a holder stated, unless the receiver has learnt of another holder since. */
     private void deliverStatement(
-            SimulatedInstance other, SimulatedInstance holder, boolean holding, long revision) {
+            SimulatedInstance other,
+            SimulatedInstance holder,
+            boolean holding,
+            StorePosition renewedAt) {
         boolean knowsHolder =
                 other.manager
                         .latestRecord()
@@ -246,9 +365,7 @@
                         .isPresent();
         if (other.isRunning() && knowsHolder) {
             other.execute(
-                    other.manager.handle(
-                            new LeaseEvent.HolderResponded(holding, StorePosition.of(revision)),
-                            now));
+                    other.manager.handle(new LeaseEvent.HolderResponded(holding, renewedAt), now));
         }
     }
 
