Ignore answers about the lease that newer ones have overtaken

A holder gave orders with a lower fencing token than before. Cause: after a change of the era or a pause a second call begins while the first one is under way. If the first is a read, and is answered after the second call and the write that follows it, its record replaces the newer one; it may be of an earlier process of the instance, with a lower token. An answer of an earlier era that waits in the queue while the instance learns of the next one was taken as read in the present era; its revision may there be that of another record. Change: a record of another era than the present one, or before one that is known in this era, counts as a failed call. In a store without eras this holds for a record of the instance itself with a lower token than it holds.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -227,7 +227,7 @@
         }
         if (event instanceof LeaseEvent.Written written) {
             callStartedAt = null;
-            return onWritten(written, now);
+            return isOfPresentEra(written.stored()) ? onWritten(written, now) : onCallFailed(now);
         }
         if (event instanceof LeaseEvent.Conflicted conflicted) {
             callStartedAt = null;
@@ -235,8 +235,7 @@
         }
         if (event instanceof LeaseEvent.CallFailed) {
             callStartedAt = null;
-            nextCallAt = now.plus(FAILURE_RETRY_DELAY);
-            return List.of();
+            return onCallFailed(now);
         }
         if (event instanceof LeaseEvent.HolderResponded response) {
             onHolderResponse(response, now);
@@ -259,6 +258,11 @@
         return tick(now);
     }
 
+    private List<LeaseCommand> onCallFailed(Instant now) {
+        nextCallAt = now.plus(FAILURE_RETRY_DELAY);
+        return List.of();
+    }
+
     /**
      * Begins a new era. The calls under way and the holders' statements belong to an earlier one.
      */
@@ -340,6 +344,9 @@
     }
 
     private List<LeaseCommand> onRecordRead(Optional<LeaseRecord> stored, Instant now) {
+        if (stored.filter(found -> isOutdated(found, now)).isPresent()) {
+            return onCallFailed(now);
+        }
         readAt = now;
         nextCallAt = now.plus(READ_PERIOD);
         storedKnown = true;
@@ -363,6 +370,21 @@
         return loseLease("another instance holds the lease");
     }
 
+    /**
+     * Tells whether a record that was read is of an earlier era, or older than one that was read or
+     * written since. Two calls may be under way after a change of the era or a pause, and the
+     * answer to the first one may come last. An answer that states no era is of the present one.
+     */
+    private boolean isOutdated(LeaseRecord found, Instant now) {
+        StorePosition position = found.position();
+        if (era.isStated() && position.era().isStated()) {
+            return !position.era().equals(era) || storedKnown && storedPosition().isAfter(position);
+        }
+        return holding(now)
+                && isOfThisMachine(found)
+                && found.fence().compareTo(holderRecord.fence()) < 0;
+    }
+
     private void learn(LeaseRecord found, Instant now) {
         boolean unchanged =
                 latestRecord != null && latestRecord.position().equals(found.position());
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
@@ -312,6 +312,23 @@
             assertFalse(manager.mayOrder(START.plus(rest).plus(LeaseSimulation.TURN)));
         }
 
+        // Guards against orders with a lower fencing token than before: after a pause two reads are
+        // under way, and the first one is answered after the lease was acquired.
+        @Test
+        void overtakenReadDoesNotLowerFencingToken() {
+            LeaseManager manager =
+                    new LeaseManager(
+                            new InstanceId("a"), "a-2", "10.0.0.2:1", LeaseSimulation.TURN, false);
+            manager.handle(tick(), START);
+            manager.handle(new LeaseEvent.Read(Optional.of(record("a", 1, 4))), START);
+            Instant next = START.plusMillis(600);
+            LeaseCommand.Write write = (LeaseCommand.Write) manager.handle(tick(), next).get(0);
+            manager.handle(new LeaseEvent.Written(withRevision(write.record(), 5), next), next);
+            manager.handle(new LeaseEvent.Read(Optional.of(record("a", 1, 4))), next);
+            assertEquals(write.record().fence(), manager.fence());
+            assertTrue(manager.mayOrder(next));
+        }
+
         @Test
         void doesNotAcquireFreeLeaseBeforeAcquisitionDelay() {
             LeaseManager manager = newManager("b");
