State in a release whether the holder has given orders since its last renewal

The successor of a holder that stopped within 2 s of its first order waited a second too long. Cause: the released record repeats the flag of the last renewal, which may have begun before the first order. Since the successor then also waits for the holder before, which may give orders a second longer. Change: the flag is that of the moment of the release.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -253,7 +253,7 @@
             return List.of();
         }
         if (event instanceof LeaseEvent.Stopping) {
-            return onStopping();
+            return onStopping(now);
         }
         return tick(now);
     }
@@ -314,8 +314,9 @@
         }
     }
 
-    private List<LeaseCommand> onStopping() {
+    private List<LeaseCommand> onStopping(Instant now) {
         boolean wasHolding = holding;
+        boolean ordered = mayOrder(now) || holderRecord != null && holderRecord.ordering();
         stopping = true;
         holding = false;
         if (!wasHolding) {
@@ -332,7 +333,7 @@
                         address,
                         holderRecord.fence(),
                         holderRecord.renewal() + 1,
-                        holderRecord.ordering(),
+                        ordered,
                         true,
                         era,
                         storedPosition());
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseManagerTest.java
@@ -147,6 +147,18 @@
         }
     }
 
+    @Nested
+    class Release {
+        // Guards against a successor that waits for an earlier holder although this one has given
+        // orders: its last renewal was before its first order.
+        @Test
+        void statesOrdersSinceLastRenewal() {
+            List<LeaseCommand> commands =
+                    newHoldingManager("a").handle(new LeaseEvent.Stopping(), START);
+            assertTrue(((LeaseCommand.Write) commands.get(0)).record().ordering());
+        }
+    }
+
     @Nested
     class Successor {
         @Test
@@ -312,6 +324,32 @@
             assertFalse(manager.mayOrder(START.plus(rest).plus(LeaseSimulation.TURN)));
         }
 
+        // Guards against the same if the waiting successor states that it gives no orders.
+        @Test
+        void waitsForHolderBeforeOneThatStoppedWhileWaiting() {
+            LeaseManager manager = newManager("c");
+            manager.handle(tick(), START);
+            LeaseRecord waiting =
+                    new LeaseRecord(
+                            new InstanceId("b"),
+                            "b-1",
+                            "10.0.0.2:1",
+                            new FencingToken(8),
+                            2,
+                            false,
+                            false,
+                            6);
+            manager.handle(new LeaseEvent.Read(Optional.of(waiting)), START);
+            manager.handle(new LeaseEvent.HolderResponded(false, StorePosition.of(6)), START);
+            Instant taken = START.plusMillis(600);
+            LeaseCommand.Write write = (LeaseCommand.Write) manager.handle(tick(), taken).get(0);
+            manager.handle(new LeaseEvent.Written(withRevision(write.record(), 7), taken), taken);
+            Duration rest = LeaseManager.ORDER_PERIOD.minus(LeaseManager.TAKEOVER_AFTER);
+            Instant turn = START.plus(rest).plus(LeaseSimulation.TURN);
+            assertFalse(manager.mayOrder(turn));
+            assertTrue(manager.mayOrder(turn.plusMillis(300)));
+        }
+
         // Guards against orders with a lower fencing token than before: after a pause two reads are
         // under way, and the first one is answered after the lease was acquired.
         @Test
