Read a missing lease as missing in the era of the list

Cause: LeaseReader reads several leases by one list. A lease that the list lacks counted as missing in a store without eras. Change: its position is in the era of the list. No decision rests on it yet. Result: the new case of LeaseReaderTest failed to compile before (no era of lists) and passes.

--- a/src/main/java/org/tarragonlug/gateway/LeaseReader.java
+++ b/src/main/java/org/tarragonlug/gateway/LeaseReader.java
@@ -66,10 +66,21 @@
         }
         for (Pending each : batch) {
             StoredObject object = found.get(each.name());
-            complete(each, object == null ? StoredObject.absent(each.name()) : object, failure);
+            complete(each, object == null ? absent(each.name(), listed) : object, failure);
         }
     }
 
+    /**
+     * Returns that a lease is missing in the era of a list.
+     *
+     * @param listed the list; null if it failed
+     */
+    private static StoredObject absent(ObjectName name, WatchResult listed) {
+        return listed == null
+                ? StoredObject.absent(name)
+                : StoredObject.absent(name, listed.position().era());
+    }
+
     private static void complete(Pending pending, StoredObject object, Throwable failure) {
         if (failure == null) {
             pending.result().complete(object);
--- a/src/test/java/org/tarragonlug/gateway/InMemoryObjectApi.java
+++ b/src/test/java/org/tarragonlug/gateway/InMemoryObjectApi.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
@@ -21,6 +22,9 @@
     final Map<ObjectName, StoredObject> objects = new LinkedHashMap<>();
     int readCalls;
 
+    /** The era of lists. */
+    StoreEra era = StoreEra.NONE;
+
     void put(ObjectName name, JsonNode content, long version) {
         objects.put(name, new StoredObject(name, version, content));
     }
@@ -48,7 +52,7 @@
     public CompletionStage<WatchResult> list(String kind) {
         readCalls++;
         return CompletableFuture.completedFuture(
-                new WatchResult(List.copyOf(objects.values()), 100, false));
+                new WatchResult(List.copyOf(objects.values()), new StorePosition(era, 100), false));
     }
 
     @Override
--- a/src/test/java/org/tarragonlug/gateway/LeaseReaderTest.java
+++ b/src/test/java/org/tarragonlug/gateway/LeaseReaderTest.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.tarragonlug.id.StoreEra;
+import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectName;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.runtime.Json;
@@ -39,6 +41,20 @@
         }
     }
 
+    @Nested
+    class MissingLease {
+        /** Guards against a missing lease that counts as missing in a store without eras. */
+        @Test
+        void leaseThatIsNotListedIsMissingInTheEraOfTheList() {
+            store.era = new StoreEra(5);
+            reader.read(FIRST);
+            CompletableFuture<StoredObject> second = reader.read(SECOND).toCompletableFuture();
+            loop.poll().run();
+            assertEquals(
+                    new StorePosition(store.era, StoredObject.ABSENT), second.join().position());
+        }
+    }
+
     @Nested
     class LaterReads {
         @Test
