Log an era of the store that is no number, and lines about eras seldom

Cause: a Store-Era header that is no number left no line. Answers whose eras alternate left one line for each pair of answers. Change: store_era_unreadable, and store_answer_outdated, are written at most once in ten seconds and count the suppressed ones. Refusals of the store bear the era of their answers (StoreRefusal). A page of a list without an era is one of the era of the first page.

--- a/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/ForwardingDriver.java
@@ -56,6 +56,9 @@
      */
     private static final Duration ATTEMPT_MARGIN = Duration.ofSeconds(1);
 
+    /** Lines about refused keys in ten seconds; enough to see which callers are concerned. */
+    private static final int KEY_LOG_LINES = 10;
+
     private final ForwardingCoordinator coordinator;
     private final HttpConnections connections;
     private final TimerService timers;
@@ -69,7 +72,7 @@
     private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
     private final Deque<ForwardingEvent> eventQueue = new ArrayDeque<>();
     private final Map<Long, OpenHead> openHeads = new HashMap<>();
-    private final LogBudget keyLogBudget = new LogBudget();
+    private final LogBudget keyLogBudget = new LogBudget(KEY_LOG_LINES);
     private ConfigurationReader configurationReader;
     private boolean processing;
 
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -185,7 +185,10 @@
         this.relay =
                 new RelayingObjectApi(
                         new EraCheckedObjectApi(
-                                new PlatformObjectApi(connections, settings.storeAddress()),
+                                new PlatformObjectApi(
+                                        connections,
+                                        settings.storeAddress(),
+                                        storeEras::onUnreadable),
                                 storeEras,
                                 timers),
                         peers,
--- a/src/main/java/org/tarragonlug/gateway/StoreEraMonitor.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreEraMonitor.java
@@ -24,11 +24,15 @@
         void onStoreEra(StoreEra era);
     }
 
+    /** Lines about answers of an earlier era, and about unreadable ones, in ten seconds. */
+    private static final int LINES_PER_WINDOW = 1;
+
     private final StoreEraTracker tracker = new StoreEraTracker();
     private final TimerService timers;
     private final EventLog log;
     private final List<Listener> listeners = new ArrayList<>();
-    private boolean contradicted;
+    private final LogBudget outdatedLines = new LogBudget(LINES_PER_WINDOW);
+    private final LogBudget unreadableLines = new LogBudget(LINES_PER_WINDOW);
 
     StoreEraMonitor(TimerService timers, EventLog log) {
         this.timers = timers;
@@ -56,7 +60,7 @@
         StoreEra before = tracker.current();
         StoreEraTracker.Verdict verdict = tracker.onAnswer(stated, began, timers.now());
         switch (verdict) {
-            case CURRENT -> contradicted = false;
+            case CURRENT -> {}
             case FIRST ->
                     log.event(LogEvent.STORE_ERA_LEARNT).with("era", tracker.current()).write();
             case CHANGED -> logChange(before);
@@ -69,7 +73,6 @@
     }
 
     private void logChange(StoreEra before) {
-        contradicted = false;
         log.event(LogEvent.STORE_RESTORED)
                 .with("era_before", before)
                 .with("era", tracker.current())
@@ -77,14 +80,27 @@
                 .write();
     }
 
-    /** Logs the first of several answers of an earlier era. */
     private void logOutdated(StoreEra stated) {
-        if (!contradicted) {
+        if (outdatedLines.tryAcquire(timers.now())) {
             log.event(LogEvent.STORE_ANSWER_OUTDATED)
                     .with("stated", stated)
                     .with("era", tracker.current())
+                    .with("suppressed", outdatedLines.takeSuppressed())
+                    .write();
+        }
+    }
+
+    /**
+     * Logs that an answer states an era that is no number. The answer counts as one of the present
+     * era.
+     */
+    void onUnreadable(String stated) {
+        if (unreadableLines.tryAcquire(timers.now())) {
+            log.event(LogEvent.STORE_ERA_UNREADABLE)
+                    .with("stated", stated)
+                    .with("era", tracker.current())
+                    .with("suppressed", unreadableLines.takeSuppressed())
                     .write();
         }
-        contradicted = true;
     }
 }
--- a/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
+++ b/src/main/java/org/tarragonlug/platform/PlatformObjectApi.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.tarragonlug.error.ErrorCode;
 import org.tarragonlug.error.TarragonlugException;
 import org.tarragonlug.http.Answers;
@@ -25,6 +26,7 @@
 import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.objectapi.ObjectApi;
 import org.tarragonlug.objectapi.ObjectName;
+import org.tarragonlug.objectapi.StoreRefusal;
 import org.tarragonlug.objectapi.StoredObject;
 import org.tarragonlug.objectapi.WatchResult;
 import org.tarragonlug.runtime.Json;
@@ -61,16 +63,22 @@
 
     private final HttpConnections connections;
     private final InetSocketAddress address;
+    private final StoreEraHeader eraHeader;
 
     /**
      * Creates a client of the store.
      *
      * @param connections the HTTP connections of the process
      * @param address address of the store
+     * @param onUnreadableEra called with the era of each answer that states one that is no number
      */
-    public PlatformObjectApi(HttpConnections connections, InetSocketAddress address) {
+    public PlatformObjectApi(
+            HttpConnections connections,
+            InetSocketAddress address,
+            Consumer<String> onUnreadableEra) {
         this.connections = connections;
         this.address = address;
+        this.eraHeader = new StoreEraHeader(onUnreadableEra);
     }
 
     @Override
@@ -79,7 +87,7 @@
                 exchange("GET", name.kind(), path(name), null, CALL_TIMEOUT, useOfRead(name)),
                 answer -> {
                     if (answer.status() == NOT_FOUND) {
-                        return StoredObject.absent(name, StoreEraHeader.read(answer));
+                        return StoredObject.absent(name, eraHeader.read(answer));
                     }
                     requireRead(answer);
                     return requestedObject(name, answer);
@@ -170,11 +178,11 @@
      * Reads a page of a list.
      *
      * @param first position of the first page; empty if this is the first one
-     * @throws IllegalArgumentException if the page is of another era than the first one
+     * @throws IllegalArgumentException if the page states another era than the first one
      */
-    private static Page page(HttpAnswer answer, Optional<StorePosition> first) {
-        StoreEra era = StoreEraHeader.read(answer);
-        if (first.isPresent() && !first.get().era().equals(era)) {
+    private Page page(HttpAnswer answer, Optional<StorePosition> first) {
+        StoreEra era = eraHeader.read(answer);
+        if (first.isPresent() && era.isStated() && !first.get().era().equals(era)) {
             throw new IllegalArgumentException(
                     "the pages of the list are of the eras " + first.get().era() + " and " + era);
         }
@@ -207,7 +215,7 @@
         return Answers.read(
                 exchange("GET", kind, path, null, longestWait.plus(ANSWER_TIMEOUT)),
                 answer -> {
-                    StoreEra era = StoreEraHeader.read(answer);
+                    StoreEra era = eraHeader.read(answer);
                     if (answer.status() == GONE) {
                         return gap(era, after);
                     }
@@ -271,8 +279,8 @@
      * @throws IllegalArgumentException if it is not the object with the name, so that the answer
      *     belongs to another call
      */
-    private static StoredObject requestedObject(ObjectName name, HttpAnswer answer) {
-        StoreEra era = StoreEraHeader.read(answer);
+    private StoredObject requestedObject(ObjectName name, HttpAnswer answer) {
+        StoreEra era = eraHeader.read(answer);
         StoredObject found = object(name.kind(), era, JsonFields.parseForeign(answer.body()));
         if (!found.name().equals(name)) {
             throw new IllegalArgumentException(
@@ -337,15 +345,15 @@
                 + JsonFields.pathSegment(name.name());
     }
 
-    private static void requireRead(HttpAnswer answer) throws TarragonlugException {
+    private void requireRead(HttpAnswer answer) throws TarragonlugException {
         if (answer.status() != OK) {
             String detail = "status " + answer.status() + " from the store";
-            throw new TarragonlugException(ErrorCode.OBJECT_API_UNAVAILABLE, detail);
+            throw new StoreRefusal(
+                    ErrorCode.OBJECT_API_UNAVAILABLE, detail, eraHeader.read(answer));
         }
     }
 
-    private static void requireWritten(ObjectName name, HttpAnswer answer)
-            throws TarragonlugException {
+    private void requireWritten(ObjectName name, HttpAnswer answer) throws TarragonlugException {
         switch (answer.status()) {
             case OK, CREATED -> {
                 return;
@@ -357,9 +365,9 @@
         }
     }
 
-    private static TarragonlugException error(ErrorCode code, ObjectName name, HttpAnswer answer) {
-        return new TarragonlugException(
-                code, name + ": status " + answer.status() + " from the store");
+    private StoreRefusal error(ErrorCode code, ObjectName name, HttpAnswer answer) {
+        String detail = name + ": status " + answer.status() + " from the store";
+        return new StoreRefusal(code, detail, eraHeader.read(answer));
     }
 
     private static TarragonlugException unavailable(HttpFailure failure) {
--- a/src/main/java/org/tarragonlug/platform/StoreEraHeader.java
+++ b/src/main/java/org/tarragonlug/platform/StoreEraHeader.java
@@ -1,5 +1,6 @@
 package org.tarragonlug.platform;
 
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.tarragonlug.http.HttpAnswer;
 import org.tarragonlug.id.StoreEra;
@@ -11,11 +12,28 @@
     /** A number that fits into 63 bits. */
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
 
-    private StoreEraHeader() {}
+    private final Consumer<String> onUnreadable;
+
+    /**
+     * Creates a reader.
+     *
+     * @param onUnreadable called with the value of each header that is no number
+     */
+    StoreEraHeader(Consumer<String> onUnreadable) {
+        this.onUnreadable = onUnreadable;
+    }
 
     /** Returns the era of an answer; {@link StoreEra#NONE} if it states none, or no number. */
-    static StoreEra read(HttpAnswer answer) {
-        String text = answer.headers().getOrDefault(NAME, "").strip();
-        return NUMBER.matcher(text).matches() ? new StoreEra(Long.parseLong(text)) : StoreEra.NONE;
+    StoreEra read(HttpAnswer answer) {
+        String stated = answer.headers().get(NAME);
+        if (stated == null) {
+            return StoreEra.NONE;
+        }
+        String text = stated.strip();
+        if (NUMBER.matcher(text).matches()) {
+            return new StoreEra(Long.parseLong(text));
+        }
+        onUnreadable.accept(text);
+        return StoreEra.NONE;
     }
 }
--- a/src/main/java/org/tarragonlug/runtime/LogEvent.java
+++ b/src/main/java/org/tarragonlug/runtime/LogEvent.java
@@ -95,8 +95,10 @@
     STORE_ERA_LEARNT(Level.INFO),
     /** The store has come back from an older copy: what was written since that copy is lost. */
     STORE_RESTORED(Level.WARN),
-    /** An answer of an earlier era of the store arrived late; others of it are not logged. */
+    /** An answer of an earlier era of the store arrived and is not used. */
     STORE_ANSWER_OUTDATED(Level.INFO),
+    /** An answer of the store states an era that is no number; it counts as of the present one. */
+    STORE_ERA_UNREADABLE(Level.WARN),
     /** An object of the store is not used, because a newer one is known. */
     STORE_OBJECT_IGNORED(Level.INFO),
     /** A watch of the store ended without an answer; the objects are listed at once. */
--- a/src/test/java/org/tarragonlug/gateway/RelayedKeysTest.java
+++ b/src/test/java/org/tarragonlug/gateway/RelayedKeysTest.java
@@ -48,7 +48,7 @@
     private final List<PeerMessage> sent = new ArrayList<>();
     private final RelayingObjectApi relay =
             new RelayingObjectApi(
-                    new PlatformObjectApi(loopback.connections, store.address()),
+                    new PlatformObjectApi(loopback.connections, store.address(), stated -> {}),
                     new RecordingChannel(),
                     Runnable::run,
                     timers,
--- a/src/test/java/org/tarragonlug/platform/OddStatusTest.java
+++ b/src/test/java/org/tarragonlug/platform/OddStatusTest.java
@@ -39,7 +39,7 @@
     @BeforeEach
     void startServer() {
         server = new RawServer(number -> answer(), true);
-        store = new PlatformObjectApi(loopback.connections, server.address());
+        store = new PlatformObjectApi(loopback.connections, server.address(), stated -> {});
     }
 
     @AfterEach
--- a/src/test/java/org/tarragonlug/platform/PlatformObjectApiTest.java
+++ b/src/test/java/org/tarragonlug/platform/PlatformObjectApiTest.java
@@ -34,7 +34,7 @@
     }
 
     private PlatformObjectApi api(RepeatingServer server) {
-        return new PlatformObjectApi(loopback.connections, server.address());
+        return new PlatformObjectApi(loopback.connections, server.address(), stated -> {});
     }
 
     private static byte[] object(ObjectName name) {
@@ -195,7 +195,8 @@
     @Test
     void onlyWritesNeedNewConnections() throws Exception {
         try (PlatformStoreStandIn store = new PlatformStoreStandIn(loopback.ioExecutor)) {
-            PlatformObjectApi api = new PlatformObjectApi(loopback.connections, store.address());
+            PlatformObjectApi api =
+                    new PlatformObjectApi(loopback.connections, store.address(), stated -> {});
             long version = LoopbackFixture.await(api.write(FIRST, Json.object(), 0)).revision();
             for (int round = 0; round < 5; round++) {
                 for (int read = 0; read < 10; read++) {
