--- a/src/main/java/org/tarragonlug/objectapi/StoredObject.java
+++ b/src/main/java/org/tarragonlug/objectapi/StoredObject.java
@@ -31,6 +31,11 @@
         return new StoredObject(name, new StorePosition(era, ABSENT), MissingNode.getInstance());
     }
 
+    /** Returns the same object, as read in an era of the store. */
+    public StoredObject inEra(StoreEra era) {
+        return new StoredObject(name, new StorePosition(era, version()), content);
+    }
+
     /**
      * Returns the version, which increases with each write within an era; {@link #ABSENT} for an
      * object that does not exist.
--- a/src/main/java/org/tarragonlug/objectapi/WatchResult.java
+++ b/src/main/java/org/tarragonlug/objectapi/WatchResult.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.objectapi;
 
 import java.util.List;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.id.StorePosition;
 
 /**
@@ -21,6 +22,14 @@
         this(changed, StorePosition.of(revision), gap);
     }
 
+    /** Returns the same result, as read in an era of the store. */
+    public WatchResult inEra(StoreEra era) {
+        return new WatchResult(
+                changed.stream().map(object -> object.inEra(era)).toList(),
+                new StorePosition(era, revision()),
+                gap);
+    }
+
     /** Returns the revision to pass to the next watch. */
     public long revision() {
         return position.revision();
