--- a/src/main/java/org/tarragonlug/gateway/GatewayStore.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayStore.java
@@ -38,7 +38,10 @@
             CallNumbers callNumbers) {
         this.eras = new StoreEraMonitor(timers, log);
         ObjectApi direct =
-                new EraCheckedObjectApi(new PlatformObjectApi(connections, address), eras, timers);
+                new EraCheckedObjectApi(
+                        new PlatformObjectApi(connections, address, eras::onUnreadable),
+                        eras,
+                        timers);
         this.relay = new RelayingObjectApi(direct, peers, loop, timers, log, eras, callNumbers);
         this.api = new EraCheckedObjectApi(relay, eras, timers);
         eras.addListener(relay::onStoreEra);
