Remember orders for one turn of planning, and let reports decide over them

Callers lost their streams when a model server was ordered to load a ninth adapter and crashed (LIMIT). Cause: what a planner remembers of its own orders outlived its turn. An adapter that it had unloaded was taken out of reports for 4 s, though another planner had loaded it again; one that it had loaded counted as held although another planner had unloaded it. A listing from before a report replaced what the report showed. Change: a turn begins without memory of orders; a report, which reflects all orders that it counts, decides over what is remembered; for 4 s after a report a listing only adds to it.

--- a/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
+++ b/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
@@ -104,16 +104,11 @@
 
     /**
      * Starts planning. Another planner may have given orders in the meantime, so this method
-     * discards all orders in progress and asks each server for a report before its next order.
+     * discards what is remembered of orders and asks each server for a report before its next
+     * order.
      */
     void startPlanning(Instant now) {
-        for (PlannedServer server : servers.values()) {
-            server.order = null;
-            server.reservedFor = null;
-            server.orderable = false;
-            server.needsReport = true;
-            server.nextReportAt = now;
-        }
+        servers.values().forEach(server -> server.beginTurn(now));
         engines()
                 .values()
                 .forEach(catalog -> storeLimit.assumePriorLoads(catalog.loadsPerSecond(), now));
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -25,10 +25,14 @@
  * a listing counts as held as well. As a result, the used memory is never estimated too low, but it
  * is estimated too high while listings lag behind. The number of accepted orders is derived only
  * from reports and from this planner's own orders.
+ *
+ * <p>A report reflects all orders that it counts, so it decides over what is remembered of them. A
+ * listing that was read soon after a report may be older and only adds to it. What is remembered
+ * holds for one turn of planning, because in between another planner may give orders.
  */
 final class PlannedServer {
-    /** How long an unloaded adapter counts as unloaded although a late listing still shows it. */
-    private static final Duration UNLOAD_VALIDITY = Duration.ofSeconds(4);
+    /** How long listings may be older than a report, or than the end of an order. */
+    private static final Duration LISTING_DELAY = Duration.ofSeconds(4);
 
     private ServerListing listing;
     private Map<String, Set<String>> models;
@@ -36,7 +40,14 @@
     private final Set<String> loadedModels = new HashSet<>();
     private final Set<ModelKey> loadedAdapters = new HashSet<>();
     private final Map<String, Instant> loadedAt = new HashMap<>();
+
+    /** Adapters that have been unloaded, which late listings still show. */
     private final Map<ModelKey, Instant> unloadedAt = new HashMap<>();
+
+    /** What the last report of this turn showed, less what has been unloaded since. */
+    private Map<String, Set<String>> reported = new HashMap<>();
+
+    private Instant reportedAt = Instant.EPOCH;
     private final Map<ModelKey, Instant> adapterUsedAt = new HashMap<>();
 
     /** The order in progress; null if there is none. */
@@ -117,6 +128,24 @@
                 && tier(reservedFor) == CopyTier.REMOTE;
     }
 
+    /** Begins a turn of planning, in which nothing is known yet of the orders of others. */
+    void beginTurn(Instant now) {
+        order = null;
+        reservedFor = null;
+        orderable = false;
+        needsReport = true;
+        nextReportAt = now;
+        forgetContent();
+        models = copy(listing.models());
+    }
+
+    private void forgetContent() {
+        loadedModels.clear();
+        loadedAdapters.clear();
+        unloadedAt.clear();
+        reported = new HashMap<>();
+    }
+
     /** Applies a new listing; resets the state if the server has restarted. */
     void update(ServerListing newer, Instant now) {
         boolean restarted = newer.startedMillis() != listing.startedMillis();
@@ -126,11 +155,17 @@
             reservedFor = null;
             needsReport = true;
             orderCount = 0;
-            loadedModels.clear();
-            loadedAdapters.clear();
-            unloadedAt.clear();
+            forgetContent();
+        }
+        models = copy(newer.models());
+        if (now.isBefore(reportedAt.plus(LISTING_DELAY))) {
+            reported.forEach(this::addAdapters);
         }
-        applyModels(newer.models(), now);
+        applyOwnOrders(now);
+    }
+
+    private void addAdapters(String model, Set<String> adapters) {
+        models.computeIfAbsent(model, name -> new HashSet<>()).addAll(adapters);
     }
 
     /**
@@ -147,13 +182,17 @@
         orderCount = report.orderCount();
         loadedModels.retainAll(report.models().keySet());
         loadedAdapters.removeIf(key -> !report.models().containsKey(key.model()));
-        applyModels(report.models(), now);
+        unloadedAt.keySet().removeIf(report::shows);
+        reported = copy(report.models());
+        reportedAt = now;
+        models = copy(report.models());
+        applyOwnOrders(now);
         return true;
     }
 
-    private void applyModels(Map<String, Set<String>> reported, Instant now) {
-        unloadedAt.values().removeIf(at -> now.isAfter(at.plus(UNLOAD_VALIDITY)));
-        models = copy(reported);
+    /** Corrects the models by what this planner's own orders have done. */
+    private void applyOwnOrders(Instant now) {
+        unloadedAt.values().removeIf(at -> now.isAfter(at.plus(LISTING_DELAY)));
         for (String model : loadedModels) {
             models.computeIfAbsent(model, name -> new HashSet<>());
         }
@@ -229,6 +268,7 @@
         loadedModels.remove(model);
         loadedAdapters.removeIf(key -> key.model().equals(model));
         models.remove(model);
+        reported.remove(model);
     }
 
     /** Records an order to load an adapter, which occupies a slot and memory from now on. */
@@ -247,13 +287,12 @@
         }
     }
 
+    /** Records that an adapter has been unloaded. */
     void onAdapterUnloaded(ModelKey key, Instant now) {
         loadedAdapters.remove(key);
         unloadedAt.put(key, now);
-        Set<String> adapters = models.get(key.model());
-        if (adapters != null) {
-            adapters.remove(key.adapter());
-        }
+        models.getOrDefault(key.model(), new HashSet<>()).remove(key.adapter());
+        reported.getOrDefault(key.model(), new HashSet<>()).remove(key.adapter());
     }
 
     void onAdapterUsed(ModelKey key, Instant now) {
