Keep an adapter's place until the server has unloaded it

Callers lost their streams when a model server was ordered to load a ninth adapter and crashed (LIMIT). Cause: an unload that was answered 202 counted as done, though the server holds the adapter until its runs have ended. Change: such an adapter serves no new requests and keeps its place until a report no longer shows it. Reports are requested meanwhile, and no further adapter of the server is unloaded. An unload answered 200 frees the place at once.

--- a/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
+++ b/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
@@ -161,11 +161,15 @@
         }
     }
 
-    /** Ends an accepted order for an adapter, which takes effect without being reported. */
+    /**
+     * Ends an accepted order for an adapter. A load takes effect without being reported. An unload
+     * may wait for requests, so reports tell when it has taken effect.
+     */
     private void completeAdapterOrder(PlannedServer server, PlannedOrder order, Instant now) {
         server.order = null;
         if (order.action() == OrderAction.UNLOAD) {
-            server.onAdapterUnloaded(order.key(), now);
+            server.onAdapterUnloading(order.key());
+            server.nextReportAt = now.plus(REPORT_RETRY_DELAY);
         } else {
             server.onAdapterLoaded(order.key(), now);
             announce(server, order.key(), true);
@@ -180,8 +184,8 @@
             return;
         }
         if (order.action() == OrderAction.UNLOAD) {
-            server.order = order;
-            server.onOrderAccepted(now);
+            server.onUnloadAnsweredAsDone(order, now);
+            return;
         }
         completeAdapterOrder(server, order, now);
     }
@@ -300,7 +304,7 @@
                 }
             } else if (order != null && isReportDue(server, order, now)) {
                 requestReport(server, now);
-            } else if (server.needsReport) {
+            } else if (server.needsReport || server.isUnloadingAdapter()) {
                 requestReport(server, now);
             }
         }
--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -41,6 +42,9 @@
     private final Set<ModelKey> loadedAdapters = new HashSet<>();
     private final Map<String, Instant> loadedAt = new HashMap<>();
 
+    /** Adapters that the server will unload when no request uses them any more. */
+    private final Set<ModelKey> unloading = new HashSet<>();
+
     /** Adapters that have been unloaded, which late listings still show. */
     private final Map<ModelKey, Instant> unloadedAt = new HashMap<>();
 
@@ -142,6 +146,7 @@
     private void forgetContent() {
         loadedModels.clear();
         loadedAdapters.clear();
+        unloading.clear();
         unloadedAt.clear();
         reported = new HashMap<>();
     }
@@ -183,6 +188,8 @@
         loadedModels.retainAll(report.models().keySet());
         loadedAdapters.removeIf(key -> !report.models().containsKey(key.model()));
         unloadedAt.keySet().removeIf(report::shows);
+        List<ModelKey> unloaded = unloading.stream().filter(key -> !report.shows(key)).toList();
+        unloaded.forEach(key -> onAdapterUnloaded(key, now));
         reported = copy(report.models());
         reportedAt = now;
         models = copy(report.models());
@@ -230,6 +237,7 @@
 
     boolean holds(ModelKey key) {
         return holds(key.model())
+                && !unloading.contains(key)
                 && (!key.hasAdapter() || models.get(key.model()).contains(key.adapter()));
     }
 
@@ -267,6 +275,7 @@
     void onModelUnloaded(String model) {
         loadedModels.remove(model);
         loadedAdapters.removeIf(key -> key.model().equals(model));
+        unloading.removeIf(key -> key.model().equals(model));
         models.remove(model);
         reported.remove(model);
     }
@@ -287,8 +296,28 @@
         }
     }
 
+    /**
+     * Records that the server will unload an adapter. The adapter serves no new requests, but keeps
+     * its place until a report no longer shows it.
+     */
+    void onAdapterUnloading(ModelKey key) {
+        unloading.add(key);
+    }
+
+    /** Tells whether an adapter keeps its place only until its requests have ended. */
+    boolean isUnloadingAdapter() {
+        return !unloading.isEmpty();
+    }
+
+    /** Applies an answer that tells that an order to unload an adapter has taken effect. */
+    void onUnloadAnsweredAsDone(PlannedOrder unload, Instant now) {
+        orderCount = Math.max(orderCount, unload.precondition() + 1);
+        onAdapterUnloaded(unload.key(), now);
+    }
+
     /** Records that an adapter has been unloaded. */
     void onAdapterUnloaded(ModelKey key, Instant now) {
+        unloading.remove(key);
         loadedAdapters.remove(key);
         unloadedAt.put(key, now);
         models.getOrDefault(key.model(), new HashSet<>()).remove(key.adapter());
@@ -301,7 +330,7 @@
         }
     }
 
-    /** Returns all adapters that are loaded or being loaded. */
+    /** Returns all adapters that are loaded, being loaded or being unloaded. */
     Set<ModelKey> adapters() {
         Set<ModelKey> all = new HashSet<>();
         models.forEach(
@@ -311,6 +340,12 @@
         return all;
     }
 
+    private Set<ModelKey> unloadableAdapters() {
+        Set<ModelKey> unloadable = adapters();
+        unloadable.removeAll(unloading);
+        return unloadable;
+    }
+
     /**
      * Returns the adapter that has been unused for the longest time; empty if all adapters were
      * used at or after the given time.
@@ -318,7 +353,7 @@
     Optional<ModelKey> leastRecentlyUsedAdapter(Instant unusedSince) {
         ModelKey leastRecent = null;
         Instant oldestUse = unusedSince;
-        for (ModelKey key : adapters()) {
+        for (ModelKey key : unloadableAdapters()) {
             Instant usedAt = adapterUsedAt.getOrDefault(key, Instant.EPOCH);
             if (usedAt.isBefore(oldestUse)) {
                 oldestUse = usedAt;
@@ -330,11 +365,11 @@
 
     /**
      * Returns when the adapter that has been unused for the longest time was last used; {@link
-     * Instant#MAX} if the server has no adapter.
+     * Instant#MAX} if the server has no adapter that could be unloaded.
      */
     Instant oldestAdapterUse() {
         Instant oldest = Instant.MAX;
-        for (ModelKey key : adapters()) {
+        for (ModelKey key : unloadableAdapters()) {
             Instant usedAt = adapterUsedAt.getOrDefault(key, Instant.EPOCH);
             oldest = usedAt.isBefore(oldest) ? usedAt : oldest;
         }
--- a/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlanningRound.java
@@ -367,7 +367,7 @@
                 roomiest = roomier ? server : roomiest;
             }
             Instant use = server.oldestAdapterUse();
-            if (use.isBefore(oldestUse)) {
+            if (use.isBefore(oldestUse) && !server.isUnloadingAdapter()) {
                 oldestUse = use;
                 leastUsed = server;
             }
--- a/src/test/java/org/tarragonlug/decision/placement/AdapterPlacesTest.java
+++ b/src/test/java/org/tarragonlug/decision/placement/AdapterPlacesTest.java
@@ -1,6 +1,7 @@
 package org.tarragonlug.decision.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -28,7 +29,7 @@
 
 /**
  * The places for adapters of a server, as far as the planner knows them: what other planners have
- * done since its last turn.
+ * done since its last turn, and unloads that wait for requests.
  */
 class AdapterPlacesTest {
     private static final ServiceName SERVICE = new ServiceName("engines");
@@ -40,6 +41,7 @@
 
     private final PlacementPlanner planner = new PlacementPlanner(Duration.ofSeconds(5));
     private final List<PlacementCommand.GiveOrder> orders = new ArrayList<>();
+    private int reportRequests;
     private Instant now = Instant.ofEpochSecond(1000);
 
     @BeforeEach
@@ -90,6 +92,8 @@
         for (PlacementCommand command : planner.handle(event, now)) {
             if (command instanceof PlacementCommand.GiveOrder order) {
                 orders.add(order);
+            } else if (command instanceof PlacementCommand.RequestReport) {
+                reportRequests++;
             }
         }
     }
@@ -176,4 +180,47 @@
             assertEquals(WANTED, last().key());
         }
     }
+
+    @Nested
+    class Unloads {
+        // Guards against one adapter more than a server holds: an unload that waits for requests
+        // counted as done when the server had accepted it.
+        @Test
+        void placeIsTakenUntilReportShowsItFree() {
+            orderUnload();
+            String unloaded = last().key().adapter();
+            String other = unloaded.equals("a") ? "b" : "a";
+            answerLast(OrderResult.ACCEPTED);
+            int before = orders.size();
+            for (int count = 0; count < 10; count++) {
+                run(Duration.ofMillis(500), WANTED);
+                report(6, "a", "b");
+            }
+            assertEquals(before, orders.size());
+            report(6, other);
+            run(STEP, WANTED);
+            assertEquals(OrderAction.LOAD, last().action());
+            assertEquals(WANTED, last().key());
+        }
+
+        // Guards against a place that stays taken for good after an unload that had to wait.
+        @Test
+        void reportsAreRequestedWhileUnloadWaits() {
+            orderUnload();
+            answerLast(OrderResult.ACCEPTED);
+            int before = reportRequests;
+            run(Duration.ofSeconds(2), WANTED);
+            assertTrue(reportRequests - before >= 2, "requests: " + (reportRequests - before));
+        }
+
+        // Guards against a wait for a report after an unload that the server has done at once.
+        @Test
+        void placeIsFreeAtOnceIfServerHasUnloadedAdapter() {
+            orderUnload();
+            answerLast(OrderResult.ALREADY_DONE);
+            run(STEP, WANTED);
+            assertEquals(OrderAction.LOAD, last().action());
+            assertEquals(WANTED, last().key());
+        }
+    }
 }
