--- a/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
+++ b/src/main/java/org/tarragonlug/decision/placement/OrderManager.java
@@ -104,16 +104,11 @@
 
     /**
      * Starts planning. Another planner may have given orders in the meantime, so this method
-     * discards all orders in progress and asks each server for a report before its next order.
+     * discards what is remembered of orders and asks each server for a report before its next
+     * order.
      */
     void startPlanning(Instant now) {
-        for (PlannedServer server : servers.values()) {
-            server.order = null;
-            server.reservedFor = null;
-            server.orderable = false;
-            server.needsReport = true;
-            server.nextReportAt = now;
-        }
+        servers.values().forEach(server -> server.beginTurn(now));
         engines()
                 .values()
                 .forEach(catalog -> storeLimit.assumePriorLoads(catalog.loadsPerSecond(), now));
@@ -166,11 +161,15 @@
         }
     }
 
-    /** Ends an accepted order for an adapter, which takes effect without being reported. */
+    /**
+     * Ends an accepted order for an adapter. A load takes effect without being reported. An unload
+     * may wait for requests, so reports tell when it has taken effect.
+     */
     private void completeAdapterOrder(PlannedServer server, PlannedOrder order, Instant now) {
         server.order = null;
         if (order.action() == OrderAction.UNLOAD) {
-            server.onAdapterUnloaded(order.key(), now);
+            server.onAdapterUnloading(order.key());
+            server.nextReportAt = now.plus(REPORT_RETRY_DELAY);
         } else {
             server.onAdapterLoaded(order.key(), now);
             announce(server, order.key(), true);
@@ -185,8 +184,8 @@
             return;
         }
         if (order.action() == OrderAction.UNLOAD) {
-            server.order = order;
-            server.onOrderAccepted(now);
+            server.onUnloadAnsweredAsDone(order, now);
+            return;
         }
         completeAdapterOrder(server, order, now);
     }
@@ -305,7 +304,7 @@
                 }
             } else if (order != null && isReportDue(server, order, now)) {
                 requestReport(server, now);
-            } else if (server.needsReport) {
+            } else if (server.needsReport || server.isUnloadingAdapter()) {
                 requestReport(server, now);
             }
         }
