Ignore a write of a server's entry that the store makes late

Cause: the store may make a write without an answer seconds later, after newer ones of the same server, and the order of the store decided. Change: within an era an entry is outdated if its run, which states its start, has written a later one.

--- a/src/main/java/org/tarragonlug/decision/watching/ServerStatement.java
+++ b/src/main/java/org/tarragonlug/decision/watching/ServerStatement.java
@@ -21,6 +21,11 @@
                 && number.getAsLong() > other.number.getAsLong();
     }
 
+    /** Returns whether another entry is of the same run, and both state when it started. */
+    boolean isOfKnownRun(ServerStatement other) {
+        return run.startedMillis() > 0 && run.equals(other.run);
+    }
+
     /** Returns whether this entry would make a server ready that has said that it leaves. */
     boolean takesBack(ServerStatement other) {
         return other.leaving && !leaving && !isNumberedAfter(other);
--- a/src/main/java/org/tarragonlug/decision/watching/ServerStatements.java
+++ b/src/main/java/org/tarragonlug/decision/watching/ServerStatements.java
@@ -12,11 +12,12 @@
 /**
  * Tells whether the entry of a server is newer than what the server has said before.
  *
- * <p>Within an era of the store the order of its revisions decides. A store that comes back from an
- * older copy lists entries that the servers have replaced since, and those of servers that have
- * left. What a server has said does not end with the era in which it was read. An entry of another
- * era is therefore compared by what the server itself has put into it: the time of its start, and
- * the number of the write.
+ * <p>Within an era of the store the order of its revisions decides, unless the number of the write
+ * shows that the store has made it late, after a later one of the same run. A store that comes back
+ * from an older copy lists entries that the servers have replaced since, and those of servers that
+ * have left. What a server has said does not end with the era in which it was read. An entry of
+ * another era is therefore compared by what the server itself has put into it: the time of its
+ * start, and the number of the write.
  *
  * <p>A server that leaves need not say so; its entry may only be removed. The number of the last
  * write that was read tells nothing then, because the store shows no write that changes the number
@@ -66,9 +67,12 @@
         Verdict judge(ServerStatement read, boolean renewed) {
             long started = read.run().startedMillis();
             long startedBefore = newest.run().startedMillis();
-            if (read.position().era().equals(era) || started > startedBefore) {
+            if (started > startedBefore) {
                 return Verdict.CURRENT;
             }
+            if (read.position().era().equals(era)) {
+                return isCarriedOutLate(read) ? Verdict.OUTDATED : Verdict.CURRENT;
+            }
             boolean sameRun = started == startedBefore;
             if (sameRun && read.takesBack(newest)) {
                 return Verdict.OUTDATED;
@@ -81,6 +85,11 @@
             return renewed || written ? Verdict.CURRENT : Verdict.WITHHELD;
         }
 
+        /** Tells whether the store has made this write after a later one of the same run. */
+        private boolean isCarriedOutLate(ServerStatement read) {
+            return !removed && newest.isOfKnownRun(read) && newest.isNumberedAfter(read);
+        }
+
         private boolean isWrittenInEra(ServerStatement read) {
             return firstUnused != null && read.position().isAfter(firstUnused.position());
         }
