Part what is remembered of a server and withheld entries from their users

Change: RememberedServer, ServerVerdict and WithheldEntries are files of their own; no logic changes.

--- a/src/main/java/org/tarragonlug/decision/watching/ServerStatements.java
+++ b/src/main/java/org/tarragonlug/decision/watching/ServerStatements.java
@@ -33,71 +33,11 @@
 
     private static final int MAX_REMOVED = 4096;
 
-    /** What is to be done with an entry. */
-    public enum Verdict {
-        /** The entry is used. */
-        CURRENT,
-        /** The server has said something else since; the entry is ignored. */
-        OUTDATED,
-        /** The server's entry had been removed; this one is not used until it is renewed. */
-        WITHHELD
-    }
-
-    /** What is remembered of a server. */
-    private static final class Memory {
-        private final ServerStatement newest;
-
-        /** Era in which the newest statement was read, or the entry's removal. */
-        private final StoreEra era;
-
-        private final boolean removed;
-        private final Instant since;
-
-        /** The first entry of a later era that was not used; null if there was none. */
-        private ServerStatement firstUnused;
-
-        Memory(ServerStatement newest, StoreEra era, boolean removed, Instant since) {
-            this.newest = newest;
-            this.era = era;
-            this.removed = removed;
-            this.since = since;
-        }
-
-        Verdict judge(ServerStatement read, boolean renewed) {
-            long started = read.run().startedMillis();
-            long startedBefore = newest.run().startedMillis();
-            if (read.position().era().equals(era) || started > startedBefore) {
-                return Verdict.CURRENT;
-            }
-            boolean sameRun = started == startedBefore;
-            if (sameRun && read.takesBack(newest)) {
-                return Verdict.OUTDATED;
-            }
-            boolean earlier = !sameRun || newest.isNumberedAfter(read);
-            if (!removed) {
-                return earlier ? Verdict.OUTDATED : Verdict.CURRENT;
-            }
-            boolean written = !earlier && isWrittenInEra(read);
-            return renewed || written ? Verdict.CURRENT : Verdict.WITHHELD;
-        }
-
-        private boolean isWrittenInEra(ServerStatement read) {
-            return firstUnused != null && read.position().isAfter(firstUnused.position());
-        }
-
-        void rememberUnused(ServerStatement read) {
-            StoreEra present = read.position().era();
-            if (firstUnused == null || !firstUnused.position().era().equals(present)) {
-                firstUnused = read;
-            }
-        }
-    }
-
     private final Duration renewalTime;
-    private final Map<ServerId, Memory> listed = new HashMap<>();
+    private final Map<ServerId, RememberedServer> listed = new HashMap<>();
 
     /** The servers whose entries were removed, the latest removal last. */
-    private final Map<ServerId, Memory> removed = new LinkedHashMap<>();
+    private final Map<ServerId, RememberedServer> removed = new LinkedHashMap<>();
 
     /**
      * Creates the memory of an instance that has read no entry.
@@ -114,22 +54,22 @@
     }
 
     /** Judges an entry that was read, and remembers it if it is current. */
-    public Verdict onRead(ServerStatement read, Instant now) {
+    public ServerVerdict onRead(ServerStatement read, Instant now) {
         return judge(read, false, now);
     }
 
     /** Judges a withheld entry that has been listed for {@link #renewalTime}. */
-    public Verdict onRenewed(ServerStatement read, Instant now) {
+    public ServerVerdict onRenewed(ServerStatement read, Instant now) {
         return judge(read, true, now);
     }
 
-    private Verdict judge(ServerStatement read, boolean renewed, Instant now) {
+    private ServerVerdict judge(ServerStatement read, boolean renewed, Instant now) {
         ServerId id = read.run().server();
-        Memory known = listed.getOrDefault(id, removed.get(id));
-        Verdict verdict = known == null ? Verdict.CURRENT : known.judge(read, renewed);
-        if (verdict == Verdict.CURRENT) {
+        RememberedServer known = listed.getOrDefault(id, removed.get(id));
+        ServerVerdict verdict = known == null ? ServerVerdict.CURRENT : known.judge(read, renewed);
+        if (verdict == ServerVerdict.CURRENT) {
             removed.remove(id);
-            listed.put(id, new Memory(read, read.position().era(), false, now));
+            listed.put(id, new RememberedServer(read, now));
         } else {
             known.rememberUnused(read);
         }
@@ -142,17 +82,17 @@
      * @param era the present era of the store
      */
     public void onRemoved(ServerId id, StoreEra era, Instant now) {
-        Memory before = listed.containsKey(id) ? listed.remove(id) : removed.remove(id);
+        RememberedServer before = listed.containsKey(id) ? listed.remove(id) : removed.remove(id);
         if (before != null) {
-            removed.put(id, new Memory(before.newest, era, true, now));
+            removed.put(id, before.removedAt(now, era));
         }
         forgetOldRemovals(now);
     }
 
     private void forgetOldRemovals(Instant now) {
-        Iterator<Memory> oldest = removed.values().iterator();
+        Iterator<RememberedServer> oldest = removed.values().iterator();
         while (oldest.hasNext()
-                && (oldest.next().since.plus(REMOVAL_RETENTION).isBefore(now)
+                && (oldest.next().since().plus(REMOVAL_RETENTION).isBefore(now)
                         || removed.size() > MAX_REMOVED)) {
             oldest.remove();
         }
--- a/src/main/java/org/tarragonlug/gateway/ListedServers.java
+++ b/src/main/java/org/tarragonlug/gateway/ListedServers.java
@@ -1,10 +1,7 @@
 package org.tarragonlug.gateway;
 
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -16,6 +13,7 @@
 import org.tarragonlug.decision.placement.PlacementEvent;
 import org.tarragonlug.decision.watching.ServerStatement;
 import org.tarragonlug.decision.watching.ServerStatements;
+import org.tarragonlug.decision.watching.ServerVerdict;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.StoreEra;
@@ -40,29 +38,13 @@
     private final ForwardingDriver forwarding;
     private final PlacementDriver placement;
     private final QuarantineDriver quarantine;
-
-    /**
-     * An entry that is not used until it is renewed.
-     *
-     * @param statement what the entry says of the server
-     * @param object the entry
-     * @param listing the entry, decoded
-     * @param since when the entry was first read
-     */
-    private record Withheld(
-            ServerStatement statement, StoredObject object, ServerListing listing, Instant since) {
-        StoreEra era() {
-            return statement.position().era();
-        }
-    }
-
     private final ServerStatements statements;
     private final Supplier<StoreEra> era;
     private final TimerService timers;
     private final EventLog log;
     private final Runnable onComplete;
     private final Set<ServerId> ids = new HashSet<>();
-    private final Map<ServerId, Withheld> withheld = new HashMap<>();
+    private final WithheldEntries withheld;
     private boolean complete;
 
     /**
@@ -88,6 +70,7 @@
         this.placement = placement;
         this.quarantine = quarantine;
         this.statements = statements;
+        this.withheld = new WithheldEntries(statements.renewalTime());
         this.era = era;
         this.timers = timers;
         this.log = log;
@@ -118,14 +101,14 @@
             return;
         }
         ServerStatement statement = statement(object, listing);
-        ServerStatements.Verdict verdict = statements.onRead(statement, timers.now());
-        if (verdict == ServerStatements.Verdict.CURRENT) {
+        ServerVerdict verdict = statements.onRead(statement, timers.now());
+        if (verdict == ServerVerdict.CURRENT) {
             use(object, listing);
             return;
         }
         logUnused(object, verdict);
-        if (verdict == ServerStatements.Verdict.WITHHELD) {
-            withhold(new Withheld(statement, object, listing, timers.now()));
+        if (verdict == ServerVerdict.WITHHELD) {
+            withheld.add(new WithheldEntries.Entry(statement, object, listing), timers.now());
         }
     }
 
@@ -138,7 +121,7 @@
                 read.era().isStated() ? read : new StorePosition(era.get(), read.revision()));
     }
 
-    private void logUnused(StoredObject object, ServerStatements.Verdict verdict) {
+    private void logUnused(StoredObject object, ServerVerdict verdict) {
         log.event(LogEvent.STORE_OBJECT_IGNORED)
                 .with("object", object.name())
                 .with("position", object.position())
@@ -146,31 +129,15 @@
                 .write();
     }
 
-    /** Keeps an entry; one that was kept in the same era before tells since when it is listed. */
-    private void withhold(Withheld entry) {
-        Withheld before = withheld.get(entry.listing().id());
-        Instant since =
-                before != null && before.era().equals(entry.era()) ? before.since() : entry.since();
-        withheld.put(
-                entry.listing().id(),
-                new Withheld(entry.statement(), entry.object(), entry.listing(), since));
-    }
-
     /** Uses the withheld entries that are still listed although the store removes silent ones. */
     @Override
     public void onAnswered(Instant began) {
-        for (Withheld entry : List.copyOf(withheld.values())) {
-            boolean renewed = !began.isBefore(entry.since().plus(statements.renewalTime()));
-            if (renewed && entry.era().equals(era.get())) {
-                withheld.remove(entry.listing().id());
-                useRenewed(entry);
-            }
-        }
+        withheld.takeRenewed(began, era.get()).forEach(this::useRenewed);
     }
 
-    private void useRenewed(Withheld entry) {
-        ServerStatements.Verdict verdict = statements.onRenewed(entry.statement(), timers.now());
-        if (verdict == ServerStatements.Verdict.CURRENT) {
+    private void useRenewed(WithheldEntries.Entry entry) {
+        ServerVerdict verdict = statements.onRenewed(entry.statement(), timers.now());
+        if (verdict == ServerVerdict.CURRENT) {
             use(entry.object(), entry.listing());
         }
     }
--- a/src/test/java/org/tarragonlug/decision/watching/ServerStatementsTest.java
+++ b/src/test/java/org/tarragonlug/decision/watching/ServerStatementsTest.java
@@ -7,7 +7,6 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.tarragonlug.decision.watching.ServerStatements.Verdict;
 import org.tarragonlug.id.ServerId;
 import org.tarragonlug.id.ServerIncarnation;
 import org.tarragonlug.id.StoreEra;
@@ -38,7 +37,7 @@
         return entry(1000, OptionalLong.of(number), true, era, revision);
     }
 
-    private void expect(Verdict expected, ServerStatement read) {
+    private void expect(ServerVerdict expected, ServerStatement read) {
         assertEquals(expected, statements.onRead(read, now), read.toString());
     }
 
@@ -51,44 +50,44 @@
         /** Guards against a server that leaves becoming ready from an entry of the copy. */
         @Test
         void leavingServerStaysLeavingWhileTheCopyIsOlder() {
-            expect(Verdict.CURRENT, leaving(9, 1, 50));
-            expect(Verdict.OUTDATED, ready(5, 2, 20));
-            expect(Verdict.OUTDATED, ready(7, 2, 21));
-            expect(Verdict.CURRENT, leaving(10, 2, 22));
+            expect(ServerVerdict.CURRENT, leaving(9, 1, 50));
+            expect(ServerVerdict.OUTDATED, ready(5, 2, 20));
+            expect(ServerVerdict.OUTDATED, ready(7, 2, 21));
+            expect(ServerVerdict.CURRENT, leaving(10, 2, 22));
         }
 
         /** Guards against a statement of the server being ignored for good. */
         @Test
         void serverMaySayLaterThatItIsReady() {
-            expect(Verdict.CURRENT, leaving(9, 1, 50));
-            expect(Verdict.CURRENT, ready(10, 2, 20));
+            expect(ServerVerdict.CURRENT, leaving(9, 1, 50));
+            expect(ServerVerdict.CURRENT, ready(10, 2, 20));
         }
 
         /** Guards against a store order within an era that no longer decides. */
         @Test
         void orderOfTheStoreDecidesWithinAnEra() {
-            expect(Verdict.CURRENT, leaving(9, 2, 50));
-            expect(Verdict.CURRENT, ready(5, 2, 51));
+            expect(ServerVerdict.CURRENT, leaving(9, 2, 50));
+            expect(ServerVerdict.CURRENT, ready(5, 2, 51));
         }
 
         /** Guards against a server that leaves becoming ready from an entry without a number. */
         @Test
         void entryWithoutNumberDoesNotTakeLeavingBack() {
-            expect(Verdict.CURRENT, entry(1000, UNKNOWN, false, 1, 40));
-            expect(Verdict.CURRENT, entry(1000, UNKNOWN, true, 1, 50));
-            expect(Verdict.OUTDATED, entry(1000, UNKNOWN, false, 2, 40));
-            expect(Verdict.OUTDATED, entry(1000, UNKNOWN, false, 2, 41));
-            expect(Verdict.CURRENT, entry(1000, UNKNOWN, true, 2, 42));
+            expect(ServerVerdict.CURRENT, entry(1000, UNKNOWN, false, 1, 40));
+            expect(ServerVerdict.CURRENT, entry(1000, UNKNOWN, true, 1, 50));
+            expect(ServerVerdict.OUTDATED, entry(1000, UNKNOWN, false, 2, 40));
+            expect(ServerVerdict.OUTDATED, entry(1000, UNKNOWN, false, 2, 41));
+            expect(ServerVerdict.CURRENT, entry(1000, UNKNOWN, true, 2, 42));
         }
 
         /** Guards against older news from a second copy after a server was heard in the first. */
         @Test
         void eachCopyIsJudgedByTheNewestStatement() {
-            expect(Verdict.CURRENT, ready(5, 1, 30));
-            expect(Verdict.OUTDATED, ready(3, 2, 20));
-            expect(Verdict.CURRENT, leaving(8, 2, 21));
-            expect(Verdict.OUTDATED, ready(3, 3, 20));
-            expect(Verdict.OUTDATED, ready(7, 3, 21));
+            expect(ServerVerdict.CURRENT, ready(5, 1, 30));
+            expect(ServerVerdict.OUTDATED, ready(3, 2, 20));
+            expect(ServerVerdict.CURRENT, leaving(8, 2, 21));
+            expect(ServerVerdict.OUTDATED, ready(3, 3, 20));
+            expect(ServerVerdict.OUTDATED, ready(7, 3, 21));
         }
     }
 
@@ -97,65 +96,65 @@
         /** Guards against a server that left without a word being taken back from the copy. */
         @Test
         void removedServerIsWithheldWhateverNumberTheCopyHas() {
-            expect(Verdict.CURRENT, ready(2, 1, 30));
+            expect(ServerVerdict.CURRENT, ready(2, 1, 30));
             remove(1);
-            expect(Verdict.WITHHELD, ready(7, 2, 30));
+            expect(ServerVerdict.WITHHELD, ready(7, 2, 30));
         }
 
         /** Guards against a removal that is forgotten when the store comes back twice. */
         @Test
         void removedServerIsWithheldAfterEachReturn() {
-            expect(Verdict.CURRENT, ready(2, 1, 30));
+            expect(ServerVerdict.CURRENT, ready(2, 1, 30));
             remove(1);
-            expect(Verdict.WITHHELD, ready(7, 2, 30));
-            expect(Verdict.WITHHELD, ready(7, 3, 30));
+            expect(ServerVerdict.WITHHELD, ready(7, 2, 30));
+            expect(ServerVerdict.WITHHELD, ready(7, 3, 30));
             remove(3);
-            expect(Verdict.WITHHELD, ready(7, 4, 30));
+            expect(ServerVerdict.WITHHELD, ready(7, 4, 30));
         }
 
         /** Guards against a running server that stays unused after its entry was removed. */
         @Test
         void serverThatWritesInThePresentEraIsUsed() {
-            expect(Verdict.CURRENT, ready(2, 1, 30));
+            expect(ServerVerdict.CURRENT, ready(2, 1, 30));
             remove(1);
-            expect(Verdict.WITHHELD, ready(1, 2, 20));
-            expect(Verdict.CURRENT, ready(9, 2, 21));
+            expect(ServerVerdict.WITHHELD, ready(1, 2, 20));
+            expect(ServerVerdict.CURRENT, ready(9, 2, 21));
         }
 
         /** Guards against a running server that stays unused because nothing of it changes. */
         @Test
         void serverThatStaysListedIsUsed() {
-            expect(Verdict.CURRENT, ready(2, 1, 30));
+            expect(ServerVerdict.CURRENT, ready(2, 1, 30));
             remove(1);
-            expect(Verdict.WITHHELD, ready(1, 2, 20));
-            assertEquals(Verdict.CURRENT, statements.onRenewed(ready(1, 2, 20), now));
+            expect(ServerVerdict.WITHHELD, ready(1, 2, 20));
+            assertEquals(ServerVerdict.CURRENT, statements.onRenewed(ready(1, 2, 20), now));
         }
 
         /** Guards against a server that said it leaves being ready because it stays listed. */
         @Test
         void leavingServerIsNotReadyAgainBecauseItStaysListed() {
-            expect(Verdict.CURRENT, leaving(9, 1, 50));
+            expect(ServerVerdict.CURRENT, leaving(9, 1, 50));
             remove(1);
-            expect(Verdict.OUTDATED, ready(5, 2, 20));
-            assertEquals(Verdict.OUTDATED, statements.onRenewed(ready(5, 2, 20), now));
+            expect(ServerVerdict.OUTDATED, ready(5, 2, 20));
+            assertEquals(ServerVerdict.OUTDATED, statements.onRenewed(ready(5, 2, 20), now));
         }
 
         /** Guards against a server that is withheld although it was removed in the same era. */
         @Test
         void serverThatIsListedAgainInTheEraOfItsRemovalIsUsed() {
-            expect(Verdict.CURRENT, ready(2, 1, 30));
+            expect(ServerVerdict.CURRENT, ready(2, 1, 30));
             remove(2);
-            expect(Verdict.CURRENT, ready(3, 2, 21));
+            expect(ServerVerdict.CURRENT, ready(3, 2, 21));
         }
 
         /** Guards against a memory of removals without a bound. */
         @Test
         void removalIsForgottenAfterLong() {
-            expect(Verdict.CURRENT, ready(2, 1, 30));
+            expect(ServerVerdict.CURRENT, ready(2, 1, 30));
             remove(1);
             now = now.plus(Duration.ofMinutes(11));
             statements.onRemoved(new ServerId("another"), new StoreEra(1), now);
-            expect(Verdict.CURRENT, ready(7, 2, 30));
+            expect(ServerVerdict.CURRENT, ready(7, 2, 30));
         }
     }
 
@@ -164,17 +163,17 @@
         /** Guards against a server that started again being taken for the run that left. */
         @Test
         void laterStartIsAlwaysUsed() {
-            expect(Verdict.CURRENT, leaving(9, 1, 50));
+            expect(ServerVerdict.CURRENT, leaving(9, 1, 50));
             remove(1);
-            expect(Verdict.CURRENT, entry(2000, OptionalLong.of(1), false, 2, 20));
+            expect(ServerVerdict.CURRENT, entry(2000, OptionalLong.of(1), false, 2, 20));
         }
 
         /** Guards against a present run being replaced by an earlier one of the copy. */
         @Test
         void earlierStartIsIgnored() {
-            expect(Verdict.CURRENT, entry(2000, OptionalLong.of(1), false, 1, 50));
-            expect(Verdict.OUTDATED, ready(30, 2, 20));
-            expect(Verdict.OUTDATED, ready(31, 2, 21));
+            expect(ServerVerdict.CURRENT, entry(2000, OptionalLong.of(1), false, 1, 50));
+            expect(ServerVerdict.OUTDATED, ready(30, 2, 20));
+            expect(ServerVerdict.OUTDATED, ready(31, 2, 21));
         }
     }
 }
