Do not call cancelled timers in tests that advance the time

Cause: ManualTimers called a timer that a timer of the same moment had cancelled, which the timer service of a gateway does not. In a simulation a watch thereby took the place of the list that had cancelled its pause. Change: a timer is called only if it is still pending.

--- a/src/test/java/org/tarragonlug/runtime/ManualTimers.java
+++ b/src/test/java/org/tarragonlug/runtime/ManualTimers.java
@@ -17,8 +17,12 @@
         now = now.plus(time);
         List<PendingTimer> due =
                 pendingTimers.stream().filter(timer -> !timer.at().isAfter(now)).toList();
-        pendingTimers.removeAll(due);
-        due.forEach(timer -> timer.listener().onTimerDue(now));
+        for (PendingTimer timer : due) {
+            // A listener that was called before may have cancelled the timer.
+            if (pendingTimers.remove(timer)) {
+                timer.listener().onTimerDue(now);
+            }
+        }
     }
 
     int pendingCount() {
