Show the era of the store to operators

Cause: only log lines told which era an instance knows. Result: new cases of StoreRestoredTest and RequestExplanationTest pass.

--- a/src/main/java/org/tarragonlug/explain/RequestTrace.java
+++ b/src/main/java/org/tarragonlug/explain/RequestTrace.java
@@ -30,6 +30,8 @@
                     "drain_started",
                     "instance_stopped",
                     "process_paused",
+                    "store_restored",
+                    "configuration_older",
                     "log_lines_dropped",
                     "invariant_violated",
                     "part_failed");
--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -210,7 +210,12 @@
         this.admin = new AdminServer(settings.adminAddress(), ioExecutor, this);
         this.state =
                 new GatewayState(
-                        settings.instance(), coordinator, planner, leases, quarantineManager);
+                        settings.instance(),
+                        coordinator,
+                        planner,
+                        leases,
+                        quarantineManager,
+                        store::era);
         this.pauseDetector = new PauseDetector(log, () -> leases.postAll(new LeaseEvent.Paused()));
         this.processId = process;
     }
@@ -339,6 +344,7 @@
         peers.start(transport, forwarding, placement, executor, store.relay(), quarantine);
         quarantine.start(peers, forwarding, store.api(), store::era);
         quotas.start(peers, coordinator, forwarding, placement, leases);
+        store.addListener(metrics::setStoreEra);
         store.addListener(leases::onStoreEra);
         store.addListener(era -> quarantine.onStoreEra());
         store.addListener(era -> watches.onStoreEra());
--- a/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayMetrics.java
@@ -19,6 +19,7 @@
 import org.tarragonlug.decision.forwarding.RefusalReason;
 import org.tarragonlug.decision.forwarding.ServerNotice;
 import org.tarragonlug.decision.forwarding.SlotRefusal;
+import org.tarragonlug.id.StoreEra;
 
 /** Prometheus metrics of a gateway process. */
 final class GatewayMetrics {
@@ -203,6 +204,13 @@
                     .help("Configuration version in force")
                     .register(registry);
 
+    private final Gauge storeEra =
+            Gauge.builder()
+                    .withoutExemplars()
+                    .name("tarragonlug_store_era")
+                    .help("Era that the store states; 0 if it states none")
+                    .register(registry);
+
     void recordRequest(String outcome, Duration elapsed) {
         requests.labelValues(outcome).inc();
         requestDuration.observe(elapsed.toMillis() / MILLIS_PER_SECOND);
@@ -317,6 +325,10 @@
         leaseHeld.set(held ? 1 : 0);
     }
 
+    void setStoreEra(StoreEra era) {
+        storeEra.set(era.value());
+    }
+
     void setConfigurationVersion(long version) {
         configurationVersion.set(version);
     }
--- a/src/main/java/org/tarragonlug/gateway/GatewayState.java
+++ b/src/main/java/org/tarragonlug/gateway/GatewayState.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Instant;
+import java.util.function.Supplier;
 import org.tarragonlug.decision.account.AccountDirectory;
 import org.tarragonlug.decision.account.ClientAccount;
 import org.tarragonlug.decision.forwarding.FleetServer;
@@ -11,6 +12,7 @@
 import org.tarragonlug.decision.placement.PlacementPlanner;
 import org.tarragonlug.decision.quarantine.QuarantineManager;
 import org.tarragonlug.id.InstanceId;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.runtime.Json;
 
 /** Describes the state of a gateway's parts for operators. */
@@ -20,18 +22,21 @@
     private final PlacementPlanner planner;
     private final OrderLeases leases;
     private final QuarantineManager quarantine;
+    private final Supplier<StoreEra> storeEra;
 
     GatewayState(
             InstanceId instance,
             ForwardingCoordinator coordinator,
             PlacementPlanner planner,
             OrderLeases leases,
-            QuarantineManager quarantine) {
+            QuarantineManager quarantine,
+            Supplier<StoreEra> storeEra) {
         this.instance = instance;
         this.coordinator = coordinator;
         this.planner = planner;
         this.leases = leases;
         this.quarantine = quarantine;
+        this.storeEra = storeEra;
     }
 
     /** Returns the present state. Must be called on the event loop. */
@@ -40,6 +45,7 @@
         node.put("instance", instance.value());
         node.put("ready", ready);
         node.put("configuration", coordinator.table().map(t -> t.version().value()).orElse(-1L));
+        node.put("storeEra", storeEra.get().value());
         ObjectNode accounts = node.putObject("accounts");
         coordinator.table().ifPresent(table -> describe(table.accounts(), accounts));
         node.put("pending", coordinator.pendingCount());
--- a/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
+++ b/src/test/java/org/tarragonlug/explain/RequestExplanationTest.java
@@ -83,6 +83,18 @@
             assertEquals("1", record.field("n"));
         }
 
+        // Guards against a refusal that looks like a wrong configuration after the store stepped
+        // back.
+        @Test
+        void returnOfTheStoreIsShownAroundTheRequest() throws IOException {
+            String restored =
+                    "time=2026-12-06T10:00:00Z event=store_restored instance=a era_before=4 era=5";
+            String older = "time=2026-12-06T10:00:00.050Z event=configuration_older instance=a";
+            assertTrue(
+                    explain(REFUSED, older, restored)
+                            .containsAll(List.of("  " + restored, "  " + older)));
+        }
+
         // Guards against an answer for another request whose id begins alike.
         @Test
         void otherRequestsAreNotShown() throws IOException {
--- a/src/test/java/org/tarragonlug/gateway/StoreRestoredTest.java
+++ b/src/test/java/org/tarragonlug/gateway/StoreRestoredTest.java
@@ -1,10 +1,12 @@
 package org.tarragonlug.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -75,6 +77,31 @@
         assertEquals(200, status(path), path + " after " + bound);
     }
 
+    private String admin(String path) throws Exception {
+        int port = fixture.gatewaySettings.get(0).adminAddress().getPort();
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path)).build();
+        return HttpClient.newHttpClient()
+                .send(request, HttpResponse.BodyHandlers.ofString())
+                .body();
+    }
+
+    @Nested
+    class Observability {
+        /** Guards against an operator who cannot see whether an instance has learnt of a return. */
+        @Test
+        void stateAndMetricsShowThePresentEra() throws Exception {
+            fixture.configure(1, "first");
+            PlatformStoreStandIn.Copy copy = fixture.store.copy();
+            startGateway();
+            assertTrue(admin("/metrics").contains("tarragonlug_store_era 1.0"));
+            returnFrom(copy);
+            GatewayFixture.await(
+                    "the era in the state", () -> admin("/state").contains("\"storeEra\":2"));
+            assertTrue(admin("/metrics").contains("tarragonlug_store_era 2.0"));
+        }
+    }
+
     @Nested
     class Configuration {
         /**
