--- a/src/main/java/org/tarragonlug/soak/StoreRestores.java
+++ b/src/main/java/org/tarragonlug/soak/StoreRestores.java
@@ -12,8 +12,9 @@
 
 /**
  * Keeps copies of the store, and lets it be away and return from one of them. Soon after a return
- * the operator writes the newest configuration again, and often a further version. The servers
- * renew their entries in any case, see {@link ServerEntries}. Thread-safe.
+ * the operator writes the newest configuration again, often a further version follows, and often a
+ * server leaves, which the old revisions that gateways remember must not hide. The servers renew
+ * their entries in any case, see {@link ServerEntries}. Thread-safe.
  */
 final class StoreRestores {
     /** How the store is away. */
@@ -54,6 +55,7 @@
     private static final long COPY_INTERVAL_MILLIS = 500;
     private static final long OLDEST_COPY_MILLIS = 10_000;
     private static final int LATEST_WRITE_MILLIS = 1000;
+    private static final int LATEST_LEAVE_MILLIS = 2000;
     private static final int CHANGE_PERCENT = 60;
     private static final int SHORTEST_TURN_MILLIS = 500;
     private static final int LONGEST_TURN_MILLIS = 5000;
@@ -63,11 +65,16 @@
     private final PlatformStoreStandIn store;
     private final StoreWriter writer;
     private final ConfigurationChanges configuration;
+    private final SoakFleet fleet;
     private final SoakChecker checker;
     private final ScheduledExecutorService timers;
     private final Deque<KeptCopy> copies = new ArrayDeque<>();
     private KeptCopy chosen;
     private Form form;
+
+    /** Numbers for what follows the return. */
+    private Random random;
+
     private boolean away;
     private boolean sound;
     private int restores;
@@ -78,6 +85,7 @@
      * @param store the store
      * @param writer is interrupted while the store is away
      * @param configuration is written again after a return
+     * @param fleet a server of it often leaves soon after a return
      * @param checker receives what the store has lost
      * @param timers run what is done later
      */
@@ -85,11 +93,13 @@
             PlatformStoreStandIn store,
             StoreWriter writer,
             ConfigurationChanges configuration,
+            SoakFleet fleet,
             SoakChecker checker,
             ScheduledExecutorService timers) {
         this.store = store;
         this.writer = writer;
         this.configuration = configuration;
+        this.fleet = fleet;
         this.checker = checker;
         this.timers = timers;
     }
@@ -108,22 +118,23 @@
     }
 
     /** Lets the store be away, unless it is or has no copy that is old enough. */
-    synchronized void begin(Random random, Form chosenForm) {
+    synchronized void begin(Random numbers, Form chosenForm) {
         long now = SoakClock.millis();
         List<KeptCopy> old = new ArrayList<>(copies);
         old.removeIf(each -> now - each.millis() < COPY_INTERVAL_MILLIS);
         if (!old.isEmpty()) {
-            begin(old.get(random.nextInt(old.size())), chosenForm);
+            begin(old.get(numbers.nextInt(old.size())), chosenForm, numbers);
         }
     }
 
-    private void begin(KeptCopy copy, Form chosenForm) {
+    private void begin(KeptCopy copy, Form chosenForm, Random numbers) {
         if (away || sound) {
             return;
         }
         away = true;
         chosen = copy;
         form = chosenForm;
+        random = numbers;
         writer.setInterrupted(true);
         form.begin(store);
     }
@@ -138,7 +149,7 @@
         form.end(store, chosen.copy());
         checker.onStoreRestored(storedVersion());
         writer.setInterrupted(false);
-        writeAgainSoon(new Random(restores));
+        writeAgainSoon();
     }
 
     private int storedVersion() {
@@ -148,33 +159,38 @@
                 .asInt();
     }
 
-    private void writeAgainSoon(Random random) {
+    private void writeAgainSoon() {
         int millis = random.nextInt(LATEST_WRITE_MILLIS);
         timers.schedule(configuration::writeAgain, millis, TimeUnit.MILLISECONDS);
         if (SoakRandom.percent(random, CHANGE_PERCENT)) {
             int later = millis + random.nextInt(LATEST_WRITE_MILLIS);
             timers.schedule(configuration::change, later, TimeUnit.MILLISECONDS);
         }
+        if (random.nextBoolean()) {
+            int leave = random.nextInt(LATEST_LEAVE_MILLIS);
+            Random numbers = random;
+            timers.schedule(() -> fleet.leaveSlowly(numbers, 0), leave, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Lets the store return, and soon once more from the same copy. */
-    synchronized void endAndRepeat(Random random) {
+    synchronized void endAndRepeat(Random numbers) {
         KeptCopy copy = chosen;
         boolean ended = away;
         end();
         if (ended) {
-            int turn = SoakRandom.between(random, SHORTEST_TURN_MILLIS, LONGEST_TURN_MILLIS);
-            int length = SoakRandom.between(random, SHORTEST_AWAY_MILLIS, LONGEST_AWAY_MILLIS);
-            timers.schedule(() -> repeat(copy, length), turn, TimeUnit.MILLISECONDS);
+            int turn = SoakRandom.between(numbers, SHORTEST_TURN_MILLIS, LONGEST_TURN_MILLIS);
+            int length = SoakRandom.between(numbers, SHORTEST_AWAY_MILLIS, LONGEST_AWAY_MILLIS);
+            timers.schedule(() -> repeat(copy, length, numbers), turn, TimeUnit.MILLISECONDS);
         }
     }
 
-    private synchronized void repeat(KeptCopy copy, int length) {
+    private synchronized void repeat(KeptCopy copy, int length, Random numbers) {
         if (away || sound) {
             return;
         }
         checker.onStoreImpaired(true, true, SoakClock.millis());
-        begin(copy, Form.CLOSING);
+        begin(copy, Form.CLOSING, numbers);
         timers.schedule(this::endRepeated, length, TimeUnit.MILLISECONDS);
     }
 
