Confirm no quarantine of which only the copy is known, and order records by their eras

A record's revision was compared with one of another era. Cause: the copy's record counted as knowledge of the instance's own. Change: only an instance that had read a record before the return confirms it. A record is later than another one if it states a later era, or the same one and a higher revision.

--- a/src/main/java/org/tarragonlug/decision/quarantine/StoredQuarantine.java
+++ b/src/main/java/org/tarragonlug/decision/quarantine/StoredQuarantine.java
@@ -28,6 +28,9 @@
     /** Whether the record was read in any era. */
     private boolean everKnown;
 
+    /** Whether a record was read before the store last came back from an older copy. */
+    private boolean knownBeforeRestore;
+
     /** Whether the record that was read last is of the present era. */
     private boolean confirmed;
 
@@ -65,6 +68,7 @@
     /** Records that the store runs from an older copy. Nothing is written before it was read. */
     void onStoreRestored() {
         known = false;
+        knownBeforeRestore = everKnown;
     }
 
     private void onKnown() {
@@ -77,10 +81,12 @@
     /**
      * Returns what to write now, if the store is known to hold something else than wanted.
      *
-     * @param confirms whether a record of an earlier era is replaced in any case
+     * @param confirms whether a record of an earlier era is replaced in any case. An instance that
+     *     knows the copy's record alone does not do so: others may know more, and would forget it.
      */
     Optional<Set<RequestTrait>> write(Set<RequestTrait> wanted, boolean confirms, Instant now) {
-        boolean outdated = confirms && !confirmed || !wanted.equals(traits);
+        boolean unconfirmed = confirms && !confirmed && knownBeforeRestore;
+        boolean outdated = unconfirmed || !wanted.equals(traits);
         if (!known || now.isBefore(nextWriteAt) || !outdated) {
             return Optional.empty();
         }
--- a/src/main/java/org/tarragonlug/gateway/QuarantineDriver.java
+++ b/src/main/java/org/tarragonlug/gateway/QuarantineDriver.java
@@ -87,6 +87,9 @@
     /** Where the record was read or written last. */
     private StorePosition storedPosition = StorePosition.START;
 
+    /** Era that the last record states, and its revision; it was written there. */
+    private StorePosition writtenAt = StorePosition.START;
+
     private boolean processing;
 
     QuarantineDriver(
@@ -300,6 +303,7 @@
             return;
         }
         storedPosition = storedPosition.isAfter(written) ? storedPosition : written;
+        writtenAt = storedPosition;
         post(new QuarantineEvent.StoredRead(wanted));
     }
 
@@ -337,10 +341,10 @@
         if (storedPosition.isAfter(read)) {
             return;
         }
-        StorePosition before = storedPosition;
+        boolean firstInEra = !storedPosition.era().equals(read.era());
         storedPosition = read;
         try {
-            post(readEvent(object, before));
+            post(readEvent(object, firstInEra));
         } catch (IllegalArgumentException unreadable) {
             log.event(LogEvent.STORE_ENTRY_UNREADABLE)
                     .with("object", object.name())
@@ -352,19 +356,23 @@
     /**
      * Returns what a record tells. The first one that is read in an era may be the older copy's.
      *
-     * @param before where the record was read before
+     * @param firstInEra whether no record was read in the present era before
      */
-    private QuarantineEvent readEvent(StoredObject object, StorePosition before) {
+    private QuarantineEvent readEvent(StoredObject object, boolean firstInEra) {
         Set<RequestTrait> traits =
                 object.exists() ? QuarantineRecord.decode(object.content()) : Set.of();
-        boolean firstInEra = !storedPosition.era().equals(before.era());
-        boolean writtenInEra = QuarantineRecord.era(object.content()).equals(storedPosition.era());
-        return firstInEra && !writtenInEra
-                ? new QuarantineEvent.EarlierRecordRead(
-                        traits, object.version() > before.revision())
+        StorePosition before = writtenAt;
+        writtenAt = new StorePosition(QuarantineRecord.era(object.content()), object.version());
+        return firstInEra && !writtenAt.era().equals(storedPosition.era())
+                ? new QuarantineEvent.EarlierRecordRead(traits, isLater(writtenAt, before))
                 : new QuarantineEvent.StoredRead(traits);
     }
 
+    /** Tells whether a record was written after another one, by the eras that they state. */
+    private static boolean isLater(StorePosition written, StorePosition other) {
+        return written.isAfter(other) || written.era().compareTo(other.era()) > 0;
+    }
+
     @Override
     public void onRemoved(String name) {
         boolean existed =
