Follow a holder that states no era, and ignore statements of another era

Found by the review: beside a process of the last release, whose records bear no era, an instance kept the holder from before and counted the group as without a live one. Statements of another era changed who counts as alive. Change: a record that changes within the present era tells who renews it, whatever era it states; it still proves nothing about earlier holders. Stated eras that are not the present one are ignored; statements without one are not. Result: LeaseManagerTest, LeaseManagerEraTest and OrderLeasesTest pass; the mixed fleet itself was not played.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -367,9 +367,11 @@
         if (stored.isEmpty()) {
             return onRecordMissing(now);
         }
+        boolean renewed =
+                latestRecord != null && stored.get().position().isAfter(latestRecord.position());
         learn(stored.get(), now);
         if (!isOfPresentEra(latestRecord)) {
-            return onEarlierRecord(now);
+            return onEarlierRecord(renewed, now);
         }
         holderRecord = latestRecord;
         if (!latestRecord.released()) {
@@ -429,9 +431,17 @@
         return loseLease("the lease was deleted");
     }
 
-    /** Handles a record that a copy of the store has brought back, or that was written late. */
-    private List<LeaseCommand> onEarlierRecord(Instant now) {
-        holderRecord = holderRecord == null ? latestRecord : holderRecord;
+    /**
+     * Handles a record of an earlier era: a copy of the store has brought it back, it was written
+     * late, or its holder's release does not state eras.
+     *
+     * @param renewed whether it was written in the present era all the same, so that its holder may
+     *     be alive
+     */
+    private List<LeaseCommand> onEarlierRecord(boolean renewed, Instant now) {
+        if (holderRecord == null || renewed && !holding) {
+            holderRecord = latestRecord;
+        }
         if (isUncontested(now)) {
             nextCallAt = now;
             return List.of();
--- a/src/main/java/org/tarragonlug/gateway/OrderLeases.java
+++ b/src/main/java/org/tarragonlug/gateway/OrderLeases.java
@@ -82,6 +82,9 @@
     private final Map<OrderGroup, StorePosition> releasedAt = new HashMap<>();
     private Instant lowestHolderSince;
 
+    /** The present era of the store. */
+    private StoreEra era = StoreEra.NONE;
+
     OrderLeases(
             InstanceId self,
             String process,
@@ -165,9 +168,10 @@
     /**
      * Judges anew what was read of leases or stated about them, because the store's era changed.
      */
-    void onStoreEra(StoreEra era) {
+    void onStoreEra(StoreEra present) {
+        era = present;
         releasedAt.clear();
-        postAll(new LeaseEvent.StoreEraChanged(era));
+        postAll(new LeaseEvent.StoreEraChanged(present));
     }
 
     void postAll(LeaseEvent event) {
@@ -277,7 +281,9 @@
             LeaseManager manager = leaseManagers.get(lease.group());
             Optional<LeaseRecord> lastSeen =
                     manager == null ? Optional.empty() : manager.latestRecord();
-            if (lastSeen.filter(record -> record.holder().equals(holder)).isEmpty()) {
+            boolean isHolder =
+                    lastSeen.filter(record -> record.holder().equals(holder)).isPresent();
+            if (!isHolder || isOfAnotherEra(lease)) {
                 continue;
             }
             boolean direct = holder.equals(from);
@@ -291,6 +297,12 @@
         }
     }
 
+    /** Statements without an era are from instances of a release that does not state eras. */
+    private boolean isOfAnotherEra(GatewayMessage.LeaseStatus lease) {
+        StoreEra stated = lease.renewedAt().era();
+        return stated.isStated() && !stated.equals(era);
+    }
+
     /**
      * Records that a holder has given up its lease. Others learn of it later and may still state
      * that the holder is alive, so statements about the same or an older renewal are ignored. So is
