Believe a lower era only while answers go on stating it

Found by the review: two answers with a lower era, far apart, sufficed. Change: the time counts anew after a pause as long as itself.

--- a/src/main/java/org/tarragonlug/decision/watching/ServerStatements.java
+++ b/src/main/java/org/tarragonlug/decision/watching/ServerStatements.java
@@ -15,9 +15,9 @@
  * <p>Within an era of the store the order of its revisions decides, unless the number of the write
  * shows that the store has made it late, after a later one of the same run. A store that comes back
  * from an older copy lists entries that the servers have replaced since, and those of servers that
- * have left. What a server has said does not end with the era in which it was read. An entry of another
- * era is therefore compared by what the server itself has put into it: the time of its start, and
- * the number of the write.
+ * have left. What a server has said does not end with the era in which it was read. An entry of
+ * another era is therefore compared by what the server itself has put into it: the time of its
+ * start, and the number of the write.
  *
  * <p>A server that leaves need not say so; its entry may only be removed. The number of the last
  * write that was read tells nothing then, because the store shows no write that changes the number
--- a/src/main/java/org/tarragonlug/decision/watching/StoreEraTracker.java
+++ b/src/main/java/org/tarragonlug/decision/watching/StoreEraTracker.java
@@ -40,6 +40,8 @@
     /** Since when all answers have stated a lower era; null if the last one did not. */
     private Instant contradictedSince;
 
+    private Instant lastContradiction = Instant.MIN;
+
     /** Returns the present era; {@link StoreEra#NONE} if the store has stated none. */
     public StoreEra current() {
         return current;
@@ -78,7 +80,11 @@
         if (began.isBefore(learntAt)) {
             return false;
         }
-        contradictedSince = contradictedSince == null ? now : contradictedSince;
+        boolean again =
+                contradictedSince != null
+                        && now.isBefore(lastContradiction.plus(CONTRADICTION_TIME));
+        contradictedSince = again ? contradictedSince : now;
+        lastContradiction = now;
         return !now.isBefore(contradictedSince.plus(CONTRADICTION_TIME));
     }
 }
