End the unloading of an adapter with an order to load it

Found by the review, by reading: an adapter that was ordered again while it waited to be unloaded stayed hidden as long as reports showed it. Change: an order to load it ends that.

--- a/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
+++ b/src/main/java/org/tarragonlug/decision/placement/PlannedServer.java
@@ -283,6 +283,7 @@
     /** Records an order to load an adapter, which occupies a slot and memory from now on. */
     void onAdapterOrdered(ModelKey key, Instant now) {
         loadedAdapters.add(key);
+        unloading.remove(key);
         unloadedAt.remove(key);
         adapterUsedAt.put(key, now);
     }
