--- a/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
+++ b/src/test/java/org/tarragonlug/gateway/OrderLeasesTest.java
@@ -15,6 +15,7 @@
 import org.tarragonlug.id.FencingToken;
 import org.tarragonlug.id.InstanceId;
 import org.tarragonlug.id.OrderGroup;
+import org.tarragonlug.id.StoreEra;
 import org.tarragonlug.id.StorePosition;
 import org.tarragonlug.peer.GatewayMessage;
 import org.tarragonlug.platform.PlatformKinds;
@@ -136,4 +137,38 @@
             assertTrue(first.leaseNotices().isEmpty());
         }
     }
+
+    @Nested
+    class StatementsOfTwoEras {
+        private static final StorePosition BEFORE = new StorePosition(new StoreEra(1), 42);
+        private static final StorePosition AFTER = new StorePosition(new StoreEra(2), 40);
+
+        private void state(boolean holding, StorePosition renewedAt) {
+            first.onLeaseNotices(
+                    HOLDER, List.of(new GatewayMessage.LeaseStatus(GROUP, holding, renewedAt, "")));
+        }
+
+        // Guards against a live holder that counts as gone: it stopped in the era before, and its
+        // renewal in the present era has a lower revision.
+        @Test
+        void holderThatRenewsInNextEraCountsAsAlive() {
+            first.onStoreEra(BEFORE.era());
+            state(false, BEFORE);
+            first.onStoreEra(AFTER.era());
+            state(true, AFTER);
+            assertEquals(1, first.leaseNotices().size());
+            assertEquals(AFTER, first.leaseNotices().get(0).renewedAt());
+        }
+
+        // Guards against a holder that counts as alive after it has stopped: its renewal of the era
+        // before has the higher revision.
+        @Test
+        void releaseInNextEraCountsAfterHeartbeatOfEraBefore() {
+            first.onStoreEra(BEFORE.era());
+            state(true, BEFORE);
+            first.onStoreEra(AFTER.era());
+            state(false, AFTER);
+            assertTrue(first.leaseNotices().isEmpty());
+        }
+    }
 }
