Explore all schedules of two faults and returns of the store for the leases

Random runs rarely place a return of the store right at a step of the lease. Faults of LeaseSimulation have names; its random runs are the same as before.

--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
@@ -22,7 +22,8 @@
  */
 final class LeaseSimulation {
     static final Duration TURN = Duration.ofMillis(3000);
-    private static final Duration STEP = Duration.ofMillis(20);
+    private static final Duration SHORT_STEP = Duration.ofMillis(20);
+    private static final List<LeaseFault> RANDOM_FAULTS = List.of(LeaseFault.values());
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
 
     /** An order that an instance gave to the server. */
@@ -132,7 +133,7 @@
 
         /** Lets a call fail because the store has closed its connections. */
         private void reset(int callerProcess) {
-            schedule(STEP, () -> deliver(callerProcess, new LeaseEvent.CallFailed()));
+            schedule(step, () -> deliver(callerProcess, new LeaseEvent.CallFailed()));
         }
 
         private void respond(int callerProcess, LeaseEvent event, StoreEra begunIn) {
@@ -160,7 +161,7 @@
                 return;
             }
             if (now.isBefore(pausedUntil)) {
-                Duration delay = Duration.between(now, pausedUntil).plus(STEP);
+                Duration delay = Duration.between(now, pausedUntil).plus(step);
                 schedule(delay, () -> receive(callerProcess, answer, begunIn));
                 return;
             }
@@ -185,7 +186,7 @@
                 return;
             }
             if (now.isBefore(pausedUntil)) {
-                Duration delay = Duration.between(now, pausedUntil).plus(STEP);
+                Duration delay = Duration.between(now, pausedUntil).plus(step);
                 schedule(delay, () -> deliver(callerProcess, event));
                 return;
             }
@@ -201,6 +202,7 @@
     private final Random random;
     private final SimulatedLeaseStore store;
     private final StoreDrills drills;
+    private final Duration step;
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparing(Task::at).thenComparing(Task::sequence));
     private final List<SimulatedInstance> instances = new ArrayList<>();
@@ -231,15 +233,23 @@
      *     copies while there are faults
      */
     LeaseSimulation(long seed, int instanceCount, StoreEra firstEra) {
-        this(seed, instanceCount, firstEra, true);
+        this(seed, instanceCount, firstEra, true, SHORT_STEP);
     }
 
     /** Creates a simulation with a store that carries out and answers all calls that reach it. */
     static LeaseSimulation withReliableStore(long seed, int instanceCount, StoreEra firstEra) {
-        return new LeaseSimulation(seed, instanceCount, firstEra, false);
+        return withReliableStore(seed, instanceCount, firstEra, SHORT_STEP);
     }
 
-    private LeaseSimulation(long seed, int instanceCount, StoreEra firstEra, boolean losses) {
+    /** Creates a simulation with a reliable store in which time passes in steps of a length. */
+    static LeaseSimulation withReliableStore(
+            long seed, int instanceCount, StoreEra firstEra, Duration step) {
+        return new LeaseSimulation(seed, instanceCount, firstEra, false, step);
+    }
+
+    private LeaseSimulation(
+            long seed, int instanceCount, StoreEra firstEra, boolean losses, Duration step) {
+        this.step = step;
         random = new Random(seed);
         store = new SimulatedLeaseStore(firstEra);
         drills = new StoreDrills(seed, store);
@@ -312,7 +322,7 @@
     void run(Duration time, boolean faults) {
         Instant end = now.plus(time);
         while (now.isBefore(end)) {
-            now = now.plus(STEP);
+            now = now.plus(step);
             while (!tasks.isEmpty() && !tasks.peek().at().isAfter(now)) {
                 tasks.poll().run().run();
             }
@@ -382,19 +392,39 @@
 
     private void injectFault(SimulatedInstance instance) {
         Duration time = Duration.ofMillis(500 + random.nextInt(6000));
-        switch (random.nextInt(5)) {
-            case 0 -> instance.pausedUntil = now.plus(time);
-            case 1 -> instance.partitionedUntil = now.plus(time);
-            case 2 -> storeDownUntil = now.plus(time);
-            case 3 -> {
+        inject(RANDOM_FAULTS.get(random.nextInt(RANDOM_FAULTS.size())), instance, time);
+    }
+
+    /** Injects a fault of an instance, which is numbered from zero. */
+    void inject(LeaseFault fault, int instance, Duration time) {
+        inject(fault, instances.get(instance), time);
+    }
+
+    private void inject(LeaseFault fault, SimulatedInstance instance, Duration time) {
+        switch (fault) {
+            case PAUSE -> instance.pausedUntil = now.plus(time);
+            case PARTITION -> instance.partitionedUntil = now.plus(time);
+            case STORE_DOWN -> storeDownUntil = now.plus(time);
+            case STOP -> {
                 instance.stopping = true;
                 instance.execute(instance.manager.handle(new LeaseEvent.Stopping(), now));
             }
-            default -> {
+            case RESTART -> {
                 instance.downUntil = now.plus(time);
                 instance.lastRun = Instant.EPOCH;
                 instance.start();
             }
         }
     }
+
+    /** Returns what is stored, and what each instance knows and may do, with the present time. */
+    String state() {
+        StringBuilder state = new StringBuilder(now + " " + store.era() + " " + store.read());
+        for (SimulatedInstance instance : instances) {
+            state.append('|').append(instance.knownEra).append(instance.manager.latestRecord());
+            state.append(instance.manager.holding(now)).append(instance.manager.mayOrder(now));
+            state.append(instance.isRunning()).append(instance.partitionedUntil.isAfter(now));
+        }
+        return state.toString();
+    }
 }
