Let servers of the soak leave after a return of the store, and judge recovery without orders

Change: half of the slow leaves are told to the store only, and half of the returns are followed by one. Probes use models alone where servers take orders.

--- a/src/main/java/org/tarragonlug/soak/ServerAnswers.java
+++ b/src/main/java/org/tarragonlug/soak/ServerAnswers.java
@@ -36,7 +36,7 @@
     }
 
     private static String named(SoakServer server, RequestId id, String load) {
-        String leaving = server.isLeaving() ? "Server-Leaving: 1\r\n" : "";
+        String leaving = server.doAnswersSayLeaving() ? "Server-Leaving: 1\r\n" : "";
         return header(ServerAnswer.REQUEST_ID, id.value())
                 + header(ServerAnswer.LOAD, load)
                 + leaving;
--- a/src/main/java/org/tarragonlug/soak/Soak.java
+++ b/src/main/java/org/tarragonlug/soak/Soak.java
@@ -88,9 +88,9 @@
         try {
             StoreWriter writer = new StoreWriter(store);
             configuration = new ConfigurationChanges(shape, writer, checker);
-            restores = new StoreRestores(store, writer, configuration, checker, timers);
             entries = new ServerEntries(writer, checker);
             fleet = new SoakFleet(settings.seed(), shape, entries, checker, counts, timers);
+            restores = new StoreRestores(store, writer, configuration, fleet, checker, timers);
             if (shape.faults().restoresStore()) {
                 store.stateEra(FIRST_ERA);
             }
@@ -149,7 +149,7 @@
         startMillis = SoakClock.millis();
         CallerThreads callers = new CallerThreads();
         for (int number = 0; number < shape.callers().callers(); number++) {
-            callers.start(caller("c" + number, gateways, shape.key(number))::work);
+            callers.start(caller("c" + number, gateways, shape, shape.key(number))::work);
         }
         long length = settings.seconds() * SECOND_MILLIS;
         List<PlannedFault> planned =
@@ -167,9 +167,10 @@
         checker.finish(SoakClock.millis());
     }
 
-    private SoakCaller caller(String name, List<SoakGateway> reachable, Optional<String> key) {
+    private SoakCaller caller(
+            String name, List<SoakGateway> reachable, SoakShape used, Optional<String> key) {
         return new SoakCaller(
-                name, reachable, shape, key, configuration, checker, tally, random(name));
+                name, reachable, used, key, configuration, checker, tally, random(name));
     }
 
     /** Ends faults when they are due and replaces processes, until some time after the start. */
@@ -242,7 +243,11 @@
         List<RecoveryProbe> recoveries = new ArrayList<>();
         for (SoakGateway gateway : gateways) {
             SoakCaller caller =
-                    caller("r" + gateway.number(), List.of(gateway), shape.unlimitedKey());
+                    caller(
+                            "r" + gateway.number(),
+                            List.of(gateway),
+                            shape.forRecovery(),
+                            shape.unlimitedKey());
             RecoveryProbe recovery = new RecoveryProbe(caller, shape.callers().requests().keySet());
             recoveries.add(recovery);
             probes.start(recovery::step);
--- a/src/main/java/org/tarragonlug/soak/SoakFleet.java
+++ b/src/main/java/org/tarragonlug/soak/SoakFleet.java
@@ -186,6 +186,9 @@
         if (place != null) {
             place.changing = true;
             place.server.endStandstill();
+            if (random.nextBoolean()) {
+                place.server.sayLeavingOnlyInStore();
+            }
             long drainMillis =
                     SoakRandom.between(random, SHORTEST_DRAIN_MILLIS, LONGEST_DRAIN_MILLIS);
             leave(place, drainMillis, downMillis);
--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -45,6 +45,7 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile boolean sound;
     private volatile boolean leaving;
+    private volatile boolean answersSayLeaving = true;
     private volatile boolean closed;
     private volatile long closedMillis;
     private volatile long pausedUntilMillis;
@@ -229,11 +230,16 @@
         return listing.entry("ready", bornMillis, models());
     }
 
-    /** Makes all answers say that the server leaves. */
+    /** Lets the server say that it leaves, in the store and in all answers. */
     void setLeaving() {
         leaving = true;
     }
 
+    /** Lets the server say nothing of its leaving in its answers, as servers once did. */
+    void sayLeavingOnlyInStore() {
+        answersSayLeaving = false;
+    }
+
     boolean isClosed() {
         return closed;
     }
@@ -243,8 +249,9 @@
         return closedMillis;
     }
 
-    boolean isLeaving() {
-        return leaving;
+    /** Returns whether all answers say that it leaves. */
+    boolean doAnswersSayLeaving() {
+        return leaving && answersSayLeaving;
     }
 
     /** Refuses all requests for some time, at least. */
--- a/src/main/java/org/tarragonlug/soak/SoakShape.java
+++ b/src/main/java/org/tarragonlug/soak/SoakShape.java
@@ -69,6 +69,19 @@
                 pressure);
     }
 
+    /**
+     * Returns what callers use that check the recovery: adapters that servers hold from the start.
+     * Those that must be ordered may wait for room for longer than a recovery lasts.
+     */
+    SoakShape forRecovery() {
+        return faults.restoresStore() ? withoutAdapters() : this;
+    }
+
+    private SoakShape withoutAdapters() {
+        return new SoakShape(
+                gateways, failureDomains, services, models, 0, accounts, callers, faults, pressure);
+    }
+
     /** Returns the failure domain of the gateway or server with a number. */
     String failureDomain(int number) {
         return "domain-" + number % failureDomains;
--- a/src/main/java/org/tarragonlug/soak/StoreRestores.java
+++ b/src/main/java/org/tarragonlug/soak/StoreRestores.java
@@ -12,8 +12,9 @@
 
 /**
  * Keeps copies of the store, and lets it be away and return from one of them. Soon after a return
- * the operator writes the newest configuration again, and often a further version. The servers
- * renew their entries in any case, see {@link ServerEntries}. Thread-safe.
+ * the operator writes the newest configuration again, often a further version follows, and often a
+ * server leaves, which the old revisions that gateways remember must not hide. The servers renew
+ * their entries in any case, see {@link ServerEntries}. Thread-safe.
  */
 final class StoreRestores {
     /** How the store is away. */
@@ -54,6 +55,7 @@
     private static final long COPY_INTERVAL_MILLIS = 500;
     private static final long OLDEST_COPY_MILLIS = 10_000;
     private static final int LATEST_WRITE_MILLIS = 1000;
+    private static final int LATEST_LEAVE_MILLIS = 2000;
     private static final int CHANGE_PERCENT = 60;
     private static final int SHORTEST_TURN_MILLIS = 500;
     private static final int LONGEST_TURN_MILLIS = 5000;
@@ -63,6 +65,7 @@
     private final PlatformStoreStandIn store;
     private final StoreWriter writer;
     private final ConfigurationChanges configuration;
+    private final SoakFleet fleet;
     private final SoakChecker checker;
     private final ScheduledExecutorService timers;
     private final Deque<KeptCopy> copies = new ArrayDeque<>();
@@ -78,6 +81,7 @@
      * @param store the store
      * @param writer is interrupted while the store is away
      * @param configuration is written again after a return
+     * @param fleet a server of it often leaves soon after a return
      * @param checker receives what the store has lost
      * @param timers run what is done later
      */
@@ -85,11 +89,13 @@
             PlatformStoreStandIn store,
             StoreWriter writer,
             ConfigurationChanges configuration,
+            SoakFleet fleet,
             SoakChecker checker,
             ScheduledExecutorService timers) {
         this.store = store;
         this.writer = writer;
         this.configuration = configuration;
+        this.fleet = fleet;
         this.checker = checker;
         this.timers = timers;
     }
@@ -155,6 +161,10 @@
             int later = millis + random.nextInt(LATEST_WRITE_MILLIS);
             timers.schedule(configuration::change, later, TimeUnit.MILLISECONDS);
         }
+        if (random.nextBoolean()) {
+            int leave = random.nextInt(LATEST_LEAVE_MILLIS);
+            timers.schedule(() -> fleet.leaveSlowly(random, 0), leave, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Lets the store return, and soon once more from the same copy. */
--- a/src/test/java/org/tarragonlug/soak/RestoredStoreChecksTest.java
+++ b/src/test/java/org/tarragonlug/soak/RestoredStoreChecksTest.java
@@ -226,6 +226,15 @@
             assertFound(Check.ORDER_HOLDERS);
         }
 
+        // Guards against a finding for each of many orders of one wrong holder.
+        @Test
+        void sameFindingIsReportedOnce() {
+            order(1, 7, START);
+            order(2, 7, START + 10_000);
+            order(2, 7, START + 10_100);
+            assertFound(Check.ORDER_HOLDERS);
+        }
+
         // Guards against findings for orders that a paused process had begun to write.
         @Test
         void ordersOfAResumedGatewayAreExcused() {
