Draw what follows a return of the store from the seed, and name the judged state plainly

Cause: the writes after the n-th return of a run were the same for all seeds, drawn from n alone.

Change: the numbers are those of the fault. InTouch is GatewayStability.

--- a/src/main/java/org/tarragonlug/soak/AppliedVersions.java
+++ b/src/main/java/org/tarragonlug/soak/AppliedVersions.java
@@ -37,7 +37,7 @@
         }
     }
 
-    private final InTouch inTouch;
+    private final GatewayStability stability;
     private final GatewayPauses pauses;
 
     /** Since when the store has held a version or a newer one. */
@@ -46,8 +46,8 @@
     private final Map<Integer, Life> lives = new HashMap<>();
     private int newestSent;
 
-    AppliedVersions(InTouch inTouch, GatewayPauses pauses) {
-        this.inTouch = inTouch;
+    AppliedVersions(GatewayStability stability, GatewayPauses pauses) {
+        this.stability = stability;
         this.pauses = pauses;
     }
 
@@ -102,7 +102,7 @@
         String text = outcome + " at gateway " + gateway + ", as version " + newest + " allows";
         List<String> wrong = new ArrayList<>();
         Map.Entry<Integer, Long> due = heldMillis.higherEntry(newest);
-        if (due != null && inTouch.mustKnow(gateway, due.getValue(), APPLY_MILLIS, sentMillis)) {
+        if (due != null && stability.mustKnow(gateway, due.getValue(), APPLY_MILLIS, sentMillis)) {
             long age = sentMillis - due.getValue();
             wrong.add("version " + due.getKey() + " stored " + age + " ms before the request");
         }
@@ -118,7 +118,8 @@
             return false;
         }
         boolean paused =
-                pauses.overlap(gateway, sentMillis - InTouch.STABLE_MILLIS, sentMillis) > 0;
+                pauses.overlap(gateway, sentMillis - GatewayStability.STABLE_MILLIS, sentMillis)
+                        > 0;
         long slack = ROLLBACK_MILLIS * (paused ? PAUSED_FACTOR : 1);
         return life.shownMillis.tailMap(newest, false).values().stream()
                 .anyMatch(shown -> sentMillis > shown + slack);
--- a/src/main/java/org/tarragonlug/soak/InTouch.java
+++ b/src/main/java/org/tarragonlug/soak/GatewayStability.java
@@ -8,7 +8,7 @@
  * it has to become stable its process ran undisturbed and the store was not impaired. Times are
  * milliseconds of one clock.
  */
-final class InTouch {
+final class GatewayStability {
     /** How long a gateway and the store must be undisturbed, from the pages. */
     static final long STABLE_MILLIS = 3000;
 
@@ -22,7 +22,7 @@
     private final ImpairedTimes impaired = new ImpairedTimes();
     private final ImpairedTimes hindered = new ImpairedTimes();
 
-    InTouch(GatewayPauses pauses) {
+    GatewayStability(GatewayPauses pauses) {
         this.pauses = pauses;
     }
 
@@ -51,8 +51,8 @@
                         .noneMatch(event -> event.millis() >= from && event.millis() <= millis);
     }
 
-    /** Returns whether a gateway is in touch at a moment. */
-    boolean holds(int gateway, long millis) {
+    /** Returns whether bounds hold for a gateway at a moment. */
+    boolean isStable(int gateway, long millis) {
         return isUndisturbed(gateway, millis) && !impaired.overlap(millis - STABLE_MILLIS, millis);
     }
 
@@ -70,6 +70,6 @@
                 late > LONGEST_STRETCH_MILLIS
                         && isUndisturbed(gateway, millis)
                         && !hindered.overlap(acknowledgedMillis, millis);
-        return stretched || holds(gateway, millis);
+        return stretched || isStable(gateway, millis);
     }
 }
--- a/src/main/java/org/tarragonlug/soak/LeftServers.java
+++ b/src/main/java/org/tarragonlug/soak/LeftServers.java
@@ -12,12 +12,12 @@
     /** Time in which requests may still reach a server that leaves, from the pages. */
     static final long DRAIN_MILLIS = 2000;
 
-    private final InTouch inTouch;
+    private final GatewayStability stability;
     private final Map<String, Long> acknowledgedMillis = new HashMap<>();
     private final Map<String, Long> beforeRestore = new HashMap<>();
 
-    LeftServers(InTouch inTouch) {
-        this.inTouch = inTouch;
+    LeftServers(GatewayStability stability) {
+        this.stability = stability;
     }
 
     /** Records that the store has acknowledged that a server leaves. */
@@ -36,7 +36,7 @@
     Optional<String> onArrival(String server, int gateway, long millis) {
         Long acknowledged = acknowledgedMillis.getOrDefault(server, beforeRestore.get(server));
         if (acknowledged == null
-                || !inTouch.mustKnow(gateway, acknowledged, DRAIN_MILLIS, millis)) {
+                || !stability.mustKnow(gateway, acknowledged, DRAIN_MILLIS, millis)) {
             return Optional.empty();
         }
         long late = millis - acknowledged;
--- a/src/main/java/org/tarragonlug/soak/SoakChecker.java
+++ b/src/main/java/org/tarragonlug/soak/SoakChecker.java
@@ -42,9 +42,9 @@
     private final GatewayPauses pauses = new GatewayPauses();
     private final GatewaySignals signals;
     private final LostAnswers lostAnswers;
-    private final InTouch inTouch = new InTouch(pauses);
-    private final AppliedVersions versions = new AppliedVersions(inTouch, pauses);
-    private final LeftServers leftServers = new LeftServers(inTouch);
+    private final GatewayStability stability = new GatewayStability(pauses);
+    private final AppliedVersions versions = new AppliedVersions(stability, pauses);
+    private final LeftServers leftServers = new LeftServers(stability);
     private final OrderHolders orderHolders = new OrderHolders(pauses);
     private final List<Finding> findings = new ArrayList<>();
 
@@ -191,14 +191,17 @@
         leftServers.onRestored();
     }
 
-    /** Records that the store is impaired by one more or one less cause; see {@link InTouch}. */
+    /**
+     * Records that the store is impaired by one more or one less cause; see {@link
+     * GatewayStability}.
+     */
     synchronized void onStoreImpaired(boolean begins, boolean hinders, long millis) {
-        inTouch.onStoreImpaired(begins, hinders, millis);
+        stability.onStoreImpaired(begins, hinders, millis);
     }
 
     /** Records that a gateway has a new process. */
     synchronized void onStarted(int gateway, long millis) {
-        inTouch.onGatewayDisturbed(gateway, millis);
+        stability.onGatewayDisturbed(gateway, millis);
         versions.onStarted(gateway, millis);
     }
 
@@ -356,14 +359,14 @@
     synchronized void onOperatorAction(OperatorAction work, int gateway, long millis) {
         signals.onOperatorAction(work, gateway, millis);
         if (work == OperatorAction.TERMINATE) {
-            inTouch.onGatewayDisturbed(gateway, millis);
+            stability.onGatewayDisturbed(gateway, millis);
         }
     }
 
     /** Records that a gateway is killed. */
     synchronized void onKilled(int gateway, long millis) {
         signals.onKilled(gateway, millis);
-        inTouch.onGatewayDisturbed(gateway, millis);
+        stability.onGatewayDisturbed(gateway, millis);
     }
 
     /** Records that a gateway is paused from now on. */
--- a/src/main/java/org/tarragonlug/soak/StoreRestores.java
+++ b/src/main/java/org/tarragonlug/soak/StoreRestores.java
@@ -71,6 +71,10 @@
     private final Deque<KeptCopy> copies = new ArrayDeque<>();
     private KeptCopy chosen;
     private Form form;
+
+    /** Numbers for what follows the return. */
+    private Random random;
+
     private boolean away;
     private boolean sound;
     private int restores;
@@ -114,22 +118,23 @@
     }
 
     /** Lets the store be away, unless it is or has no copy that is old enough. */
-    synchronized void begin(Random random, Form chosenForm) {
+    synchronized void begin(Random numbers, Form chosenForm) {
         long now = SoakClock.millis();
         List<KeptCopy> old = new ArrayList<>(copies);
         old.removeIf(each -> now - each.millis() < COPY_INTERVAL_MILLIS);
         if (!old.isEmpty()) {
-            begin(old.get(random.nextInt(old.size())), chosenForm);
+            begin(old.get(numbers.nextInt(old.size())), chosenForm, numbers);
         }
     }
 
-    private void begin(KeptCopy copy, Form chosenForm) {
+    private void begin(KeptCopy copy, Form chosenForm, Random numbers) {
         if (away || sound) {
             return;
         }
         away = true;
         chosen = copy;
         form = chosenForm;
+        random = numbers;
         writer.setInterrupted(true);
         form.begin(store);
     }
@@ -144,7 +149,7 @@
         form.end(store, chosen.copy());
         checker.onStoreRestored(storedVersion());
         writer.setInterrupted(false);
-        writeAgainSoon(new Random(restores));
+        writeAgainSoon();
     }
 
     private int storedVersion() {
@@ -154,7 +159,7 @@
                 .asInt();
     }
 
-    private void writeAgainSoon(Random random) {
+    private void writeAgainSoon() {
         int millis = random.nextInt(LATEST_WRITE_MILLIS);
         timers.schedule(configuration::writeAgain, millis, TimeUnit.MILLISECONDS);
         if (SoakRandom.percent(random, CHANGE_PERCENT)) {
@@ -163,28 +168,29 @@
         }
         if (random.nextBoolean()) {
             int leave = random.nextInt(LATEST_LEAVE_MILLIS);
-            timers.schedule(() -> fleet.leaveSlowly(random, 0), leave, TimeUnit.MILLISECONDS);
+            Random numbers = random;
+            timers.schedule(() -> fleet.leaveSlowly(numbers, 0), leave, TimeUnit.MILLISECONDS);
         }
     }
 
     /** Lets the store return, and soon once more from the same copy. */
-    synchronized void endAndRepeat(Random random) {
+    synchronized void endAndRepeat(Random numbers) {
         KeptCopy copy = chosen;
         boolean ended = away;
         end();
         if (ended) {
-            int turn = SoakRandom.between(random, SHORTEST_TURN_MILLIS, LONGEST_TURN_MILLIS);
-            int length = SoakRandom.between(random, SHORTEST_AWAY_MILLIS, LONGEST_AWAY_MILLIS);
-            timers.schedule(() -> repeat(copy, length), turn, TimeUnit.MILLISECONDS);
+            int turn = SoakRandom.between(numbers, SHORTEST_TURN_MILLIS, LONGEST_TURN_MILLIS);
+            int length = SoakRandom.between(numbers, SHORTEST_AWAY_MILLIS, LONGEST_AWAY_MILLIS);
+            timers.schedule(() -> repeat(copy, length, numbers), turn, TimeUnit.MILLISECONDS);
         }
     }
 
-    private synchronized void repeat(KeptCopy copy, int length) {
+    private synchronized void repeat(KeptCopy copy, int length, Random numbers) {
         if (away || sound) {
             return;
         }
         checker.onStoreImpaired(true, true, SoakClock.millis());
-        begin(copy, Form.CLOSING);
+        begin(copy, Form.CLOSING, numbers);
         timers.schedule(this::endRepeated, length, TimeUnit.MILLISECONDS);
     }
 
