Plain names: instance in the lease, history of a process in the soak

Cause: read as a newcomer: a machine where the code says instance, the life of a process, and a token whose promise ends with era 2^32 without a word.

--- a/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
+++ b/src/main/java/org/tarragonlug/decision/ownership/LeaseManager.java
@@ -209,16 +209,16 @@
         return Optional.ofNullable(holderRecord);
     }
 
-    /** Tells whether this machine is the last known holder of the lease. */
+    /** Tells whether this instance is the last known holder of the lease. */
     public boolean isLastHolder() {
-        return holderRecord != null && isOfThisMachine(holderRecord);
+        return holderRecord != null && isOfThisInstance(holderRecord);
     }
 
     /**
-     * Tells whether a process of this machine wrote a record. A machine that was replaced may have
-     * had the same name, but not the same address, and may still run.
+     * Tells whether a process of this instance wrote a record. An instance that was replaced may
+     * have had the same name, but not the same address, and may still run.
      */
-    private boolean isOfThisMachine(LeaseRecord record) {
+    private boolean isOfThisInstance(LeaseRecord record) {
         return record.holder().equals(self) && record.address().equals(address);
     }
 
@@ -377,7 +377,7 @@
         if (!latestRecord.released()) {
             nextCallAt = now.plus(HELD_READ_PERIOD);
         }
-        if (isOfThisMachine(latestRecord)) {
+        if (isOfThisInstance(latestRecord)) {
             // A write of this instance took effect, but its answer was lost or an earlier process
             // started it. Only an answered renewal starts an order period, so the next tick renews.
             nextCallAt = now;
@@ -397,7 +397,7 @@
             return !position.era().equals(era) || storedKnown && storedPosition().isAfter(position);
         }
         return holding(now)
-                && isOfThisMachine(found)
+                && isOfThisInstance(found)
                 && found.fence().compareTo(holderRecord.fence()) < 0;
     }
 
@@ -528,7 +528,7 @@
         if (!isOfPresentEra(latestRecord)) {
             return takeOver(now);
         }
-        if (isOfThisMachine(latestRecord)) {
+        if (isOfThisInstance(latestRecord)) {
             return reacquireOwnLease(now);
         }
         if (latestRecord.released()
--- a/src/main/java/org/tarragonlug/decision/watching/ServerStatement.java
+++ b/src/main/java/org/tarragonlug/decision/watching/ServerStatement.java
@@ -26,7 +26,10 @@
         return run.startedMillis() > 0 && run.equals(other.run);
     }
 
-    /** Returns whether this entry would make a server ready that has said that it leaves. */
+    /**
+     * Returns whether this entry would make a server ready that has said in another one that it
+     * leaves, without showing that it was written after that one.
+     */
     boolean takesBack(ServerStatement other) {
         return other.leaving && !leaving && !isNumberedAfter(other);
     }
--- a/src/main/java/org/tarragonlug/id/FencingToken.java
+++ b/src/main/java/org/tarragonlug/id/FencingToken.java
@@ -23,8 +23,9 @@
     }
 
     /**
-     * Returns the lowest token that holders of a lease get in an era of the store. It is higher
-     * than all that were given out in earlier eras, also those that the store has lost.
+     * Returns the lowest token that holders of a lease get in an era of the store. Up to era 2^32
+     * it is higher than all that were given out in earlier eras, also those that the store has
+     * lost; for later eras it does not rise.
      */
     public static FencingToken firstOf(StoreEra era) {
         return new FencingToken(Math.min(era.value(), MAX_ERA) * TOKENS_PER_ERA);
--- a/src/main/java/org/tarragonlug/soak/AppliedVersions.java
+++ b/src/main/java/org/tarragonlug/soak/AppliedVersions.java
@@ -28,11 +28,11 @@
     private static final int PAUSED_FACTOR = 8;
 
     /** What the present process of a gateway has shown. */
-    private static final class Life {
+    private static final class ProcessHistory {
         final long startMillis;
         final TreeMap<Integer, Long> shownMillis = new TreeMap<>();
 
-        Life(long startMillis) {
+        ProcessHistory(long startMillis) {
             this.startMillis = startMillis;
         }
     }
@@ -43,7 +43,7 @@
     /** Since when the store has held a version or a newer one. */
     private final TreeMap<Integer, Long> heldMillis = new TreeMap<>();
 
-    private final Map<Integer, Life> lives = new HashMap<>();
+    private final Map<Integer, ProcessHistory> processes = new HashMap<>();
     private int newestSent;
 
     AppliedVersions(GatewayStability stability, GatewayPauses pauses) {
@@ -76,16 +76,16 @@
 
     /** Records that a gateway has a new process. */
     void onStarted(int gateway, long millis) {
-        lives.put(gateway, new Life(millis));
+        processes.put(gateway, new ProcessHistory(millis));
     }
 
     /** Records that a server runs a request on the route of a version; returns what is wrong. */
     Optional<String> onRun(int gateway, int route, long sentMillis, long millis) {
         int newest = route + VERSIONS_OF_A_ROUTE - 1;
         Optional<String> wrong = judge(gateway, newest, sentMillis, "run on route " + route);
-        Life life = lives.get(gateway);
-        if (life != null && sentMillis >= life.startMillis) {
-            life.shownMillis.putIfAbsent(route, millis);
+        ProcessHistory process = processes.get(gateway);
+        if (process != null && sentMillis >= process.startMillis) {
+            process.shownMillis.putIfAbsent(route, millis);
         }
         return wrong;
     }
@@ -113,15 +113,15 @@
     }
 
     private boolean hasShownNewer(int gateway, int newest, long sentMillis) {
-        Life life = lives.get(gateway);
-        if (life == null || sentMillis < life.startMillis) {
+        ProcessHistory process = processes.get(gateway);
+        if (process == null || sentMillis < process.startMillis) {
             return false;
         }
         boolean paused =
                 pauses.overlap(gateway, sentMillis - GatewayStability.STABLE_MILLIS, sentMillis)
                         > 0;
         long slack = ROLLBACK_MILLIS * (paused ? PAUSED_FACTOR : 1);
-        return life.shownMillis.tailMap(newest, false).values().stream()
+        return process.shownMillis.tailMap(newest, false).values().stream()
                 .anyMatch(shown -> sentMillis > shown + slack);
     }
 }
