Satisfy the linter: default branches and shorter methods

Change: the store and the listing of servers are created in methods of their own, PeerCodecTest has its calls apart, two switches have default branches. DEVELOPERS.md says to run the linter before each merge.

--- a/src/main/java/org/tarragonlug/gateway/Gateway.java
+++ b/src/main/java/org/tarragonlug/gateway/Gateway.java
@@ -178,27 +178,9 @@
                         metrics);
         this.executor = createExecutor(groups, engines);
         this.placement = new PlacementDriver(planner, executor, engines, loop, timers, log, peers);
-        this.store =
-                new GatewayStore(
-                        connections,
-                        settings.storeAddress(),
-                        peers,
-                        loop,
-                        timers,
-                        log,
-                        callNumbers);
+        this.store = createStore();
         leases.start(store.api(), loop, log);
-        this.listedServers =
-                new ListedServers(
-                        coordinator.fleet(),
-                        forwarding,
-                        placement,
-                        quarantine,
-                        new ServerStatements(settings.watchLimits()),
-                        store::era,
-                        timers,
-                        log,
-                        this::updateReady);
+        this.listedServers = createListedServers();
         this.watches = createWatches();
         this.callers =
                 new ForwardingServer(
@@ -220,6 +202,24 @@
         this.processId = process;
     }
 
+    private GatewayStore createStore() {
+        return new GatewayStore(
+                connections, settings.storeAddress(), peers, loop, timers, log, callNumbers);
+    }
+
+    private ListedServers createListedServers() {
+        return new ListedServers(
+                coordinator.fleet(),
+                forwarding,
+                placement,
+                quarantine,
+                new ServerStatements(settings.watchLimits()),
+                store::era,
+                timers,
+                log,
+                this::updateReady);
+    }
+
     private long bodyLimit() {
         return coordinator
                 .table()
--- a/src/main/java/org/tarragonlug/gateway/StoreEraMonitor.java
+++ b/src/main/java/org/tarragonlug/gateway/StoreEraMonitor.java
@@ -60,11 +60,11 @@
         StoreEra before = tracker.current();
         StoreEraTracker.Verdict verdict = tracker.onAnswer(stated, began, timers.now());
         switch (verdict) {
-            case CURRENT -> {}
             case FIRST ->
                     log.event(LogEvent.STORE_ERA_LEARNT).with("era", tracker.current()).write();
             case CHANGED -> logChange(before);
             case OUTDATED -> logOutdated(stated);
+            default -> {}
         }
         if (!before.equals(tracker.current())) {
             listeners.forEach(listener -> listener.onStoreEra(tracker.current()));
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseSimulation.java
@@ -409,7 +409,7 @@
                 instance.stopping = true;
                 instance.execute(instance.manager.handle(new LeaseEvent.Stopping(), now));
             }
-            case RESTART -> {
+            default -> {
                 instance.downUntil = now.plus(time);
                 instance.lastRun = Instant.EPOCH;
                 instance.start();
--- a/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
+++ b/src/test/java/org/tarragonlug/peer/PeerCodecTest.java
@@ -83,6 +83,7 @@
     static List<PeerMessage> samples() {
         List<PeerMessage> samples = new ArrayList<>(firstSamples());
         samples.addAll(lastSamples());
+        samples.addAll(callSamples());
         samples.addAll(quarantineSamples());
         return samples;
     }
@@ -216,7 +217,11 @@
                         List.of(new WatchSource(new InstanceId("entry-3"), "10.0.0.3:7380")),
                         Optional.of(ALLOWANCE_NOTICE)),
                 new GatewayMessage.QuotaCall(1, ALLOWANCE_REQUEST),
-                new GatewayMessage.QuotaGrant(1, ALLOWANCE_NOTICE),
+                new GatewayMessage.QuotaGrant(1, ALLOWANCE_NOTICE));
+    }
+
+    private static List<PeerMessage> callSamples() {
+        return List.of(
                 new GatewayMessage.ObjectCall(
                         1,
                         9,
@@ -404,7 +409,7 @@
         @Test
         void missingEraOfRelayedCallIsReadAsNone() throws Exception {
             int read = 0;
-            for (PeerMessage message : lastSamples()) {
+            for (PeerMessage message : callSamples()) {
                 PeerMessage old = decodedOrNull(edited(message, node -> node.remove("era")));
                 if (old instanceof GatewayMessage.ObjectCall call) {
                     assertEquals(StoreEra.NONE, call.statedEra());
