--- a/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/tarragonlug/standin/PlatformStoreStandIn.java
@@ -439,7 +439,8 @@
             return done(page(kind, request.query().getOrDefault("after", "")));
         }
         long after = Long.parseLong(request.query().get("watch"));
-        if (after < discardedRevision || after > revision) {
+        boolean unknown = era > 0 && after > revision;
+        if (after < discardedRevision || unknown) {
             return done(StandInReply.empty(410));
         }
         boolean changed =
