--- a/src/main/java/org/tarragonlug/soak/SoakServer.java
+++ b/src/main/java/org/tarragonlug/soak/SoakServer.java
@@ -208,7 +208,7 @@
         return !model.isEmpty() && holdings.filter(held -> !held.holds(model)).isPresent();
     }
 
-    /** Carries out an order if it takes any; returns the status of the answer. */
+    /** Carries out an order if this server takes orders; returns the status of the answer. */
     int carryOut(byte[] body) throws IOException {
         if (holdings.isEmpty()) {
             // The models are there from the start, so that no order is due.
@@ -225,7 +225,7 @@
         return listing.entry(leaving ? "draining" : "ready", bornMillis, models());
     }
 
-    /** Returns its entry in the store as if it did not leave. */
+    /** Returns the entry of this server in the store as one that does not leave. */
     ObjectNode readyEntry() {
         return listing.entry("ready", bornMillis, models());
     }
--- a/src/test/java/org/tarragonlug/decision/ownership/LeaseScheduleTest.java
+++ b/src/test/java/org/tarragonlug/decision/ownership/LeaseScheduleTest.java
@@ -26,7 +26,7 @@
     private static final Duration STEP = Duration.ofMillis(250);
     private static final Duration FAULT_TIME = Duration.ofMillis(8500);
 
-    /** Time after the last fault, in which a lease is taken over and orders are given. */
+    /** How long a schedule goes on after its last fault; a lease is taken over within this time. */
     private static final Duration AFTER_FAULTS = Duration.ofSeconds(14);
 
     /** Ages of copies in seconds; the last one is from before the first lease. */
